Set up the workspace, wire schema and seams

Cause: nothing existed. The parts are to be built side by side, so the messages between processes and the Go types at each seam come first. Ruled out: one module (areas would import one another freely), revive over single files (it misses package comments, so it runs over packages). Conclusion: each area builds alone against its seam.

--- /dev/null
+++ b/Makefile
@@ -0,0 +1,41 @@
+# Targets everyone uses. `make check` sets up everything it needs.
+TOOLS := tools/bin
+SCRATCH_TOOLS := $(TOOLS)/.built
+GO_FILES := $(shell git ls-files --cached --others --exclude-standard "*.go" | grep -v "_gen.go")
+BENCH_TIME ?= 1s
+SEEDS ?= 20
+
+.PHONY: check test fmt lint generate bench scenarios soak build
+
+build:
+	go build -o bin/beechring ./cmd/beechring
+
+check: lint test
+
+test:
+	go vet work
+	go test work
+
+$(SCRATCH_TOOLS): tools/go.mod tools/go.sum
+	cd tools && GOWORK=off go build -o bin/ tool
+	touch $@
+
+fmt: $(SCRATCH_TOOLS)
+	@$(TOOLS)/gofumpt -w $(GO_FILES)
+
+lint: $(SCRATCH_TOOLS)
+	@test -z "$$($(TOOLS)/gofumpt -l $(GO_FILES))" || { echo "not formatted:"; $(TOOLS)/gofumpt -l $(GO_FILES); exit 1; }
+	@$(TOOLS)/revive -config revive.toml -set_exit_status ./cmd/... ./internal/...
+	@$(TOOLS)/staticcheck work
+
+generate: $(SCRATCH_TOOLS)
+	cd internal/link/beechwire && go generate ./...
+
+bench:
+	go test -run '^$$' -bench . -benchtime $(BENCH_TIME) work
+
+scenarios:
+	go test -count=1 -run 'TestScenarios' ./internal/command/...
+
+soak:
+	go test -count=1 -timeout 60m -run 'TestSoak' ./internal/command/... -seeds $(SEEDS)
--- /dev/null
+++ b/internal/decision/beechhealth/doc.go
@@ -0,0 +1,2 @@
+// Package beechhealth is described by its seam; see docs/DESIGN.md.
+package beechhealth
--- /dev/null
+++ b/internal/decision/beechlimit/doc.go
@@ -0,0 +1,2 @@
+// Package beechlimit is described by its seam; see docs/DESIGN.md.
+package beechlimit
--- /dev/null
+++ b/internal/decision/beechload/doc.go
@@ -0,0 +1,2 @@
+// Package beechload is described by its seam; see docs/DESIGN.md.
+package beechload
--- /dev/null
+++ b/internal/decision/beechqueue/doc.go
@@ -0,0 +1,2 @@
+// Package beechqueue is described by its seam; see docs/DESIGN.md.
+package beechqueue
--- /dev/null
+++ b/internal/decision/beechqueue/types.go
@@ -0,0 +1,90 @@
+package beechqueue
+
+import "time"
+
+type (
+	// Key is a prefix's chained hash.
+	Key = [16]byte
+
+	// Level is one step of the prompt's prefix chain, the shortest first.
+	Level struct {
+		Key    Key
+		Tokens int
+	}
+
+	// Work is a request that asks to run on this agent's server.
+	Work struct {
+		ID           uint64 // unique in the agent
+		Workspace    string
+		Priority     int // 0 is served first
+		Levels       []Level
+		PromptTokens int
+		CachedTokens int // of the prompt, known to be cached by this engine
+		OutputTokens int
+		Deadline     time.Time // zero is none
+		Alone        bool      // suspect: never beside another suspect
+	}
+
+	// Usage is what the server said a request took. Known is false where it
+	// said nothing; then the estimate stands.
+	Usage struct {
+		Known  bool
+		Prompt int
+		Cached int
+		Output int
+	}
+
+	// Load is what the queue needs to know of the server now.
+	Load struct {
+		Slots       int // requests the server runs at once
+		PrefillRate int // prompt tokens a second
+		TokenTime   time.Duration
+	}
+
+	// Reason says why work was refused.
+	Reason string
+
+	// Decision is the answer to Offer: Run, Wait or Refuse.
+	Decision interface{ decision() }
+
+	// Run lets the work start at once.
+	Run struct{}
+
+	// Wait queues the work; Next will give it out.
+	Wait struct {
+		Position   int
+		FirstToken time.Duration // predicted
+	}
+
+	// Refuse turns the work away, not run. After says when to come back.
+	Refuse struct {
+		Reason Reason
+		After  time.Duration
+	}
+
+	// Refused is work that was let wait and cannot be served any more.
+	Refused struct {
+		ID     uint64
+		Refuse Refuse
+	}
+
+	// Settings bound the queue. Weights holds each workspace's share; one
+	// that is missing has 1.
+	Settings struct {
+		MaxWaiting      int
+		MaxLongPrefills int
+		LongPrefill     int // tokens
+		PrefillWait     time.Duration
+		Weights         map[string]int
+	}
+)
+
+// Reasons of Refuse.
+const (
+	ReasonBusy     Reason = "busy"
+	ReasonDeadline Reason = "deadline"
+)
+
+func (Run) decision()    {}
+func (Wait) decision()   {}
+func (Refuse) decision() {}
--- /dev/null
+++ b/internal/decision/beechretry/doc.go
@@ -0,0 +1,2 @@
+// Package beechretry is described by its seam; see docs/DESIGN.md.
+package beechretry
--- /dev/null
+++ b/internal/link/beechlink/doc.go
@@ -0,0 +1,2 @@
+// Package beechlink is described by its seam; see docs/DESIGN.md.
+package beechlink
--- /dev/null
+++ b/internal/platform/beechfence/doc.go
@@ -0,0 +1,2 @@
+// Package beechfence is described by its seam; see docs/DESIGN.md.
+package beechfence
--- /dev/null
+++ b/internal/platform/beechstore/doc.go
@@ -0,0 +1,2 @@
+// Package beechstore is described by its seam; see docs/DESIGN.md.
+package beechstore
--- /dev/null
+++ b/internal/process/beechlog/doc.go
@@ -0,0 +1,2 @@
+// Package beechlog is described by its seam; see docs/DESIGN.md.
+package beechlog
--- /dev/null
+++ b/internal/prompt/beechindex/doc.go
@@ -0,0 +1,2 @@
+// Package beechindex is described by its seam; see docs/DESIGN.md.
+package beechindex
--- /dev/null
+++ b/internal/standin/beechengine/doc.go
@@ -0,0 +1,2 @@
+// Package beechengine is described by its seam; see docs/DESIGN.md.
+package beechengine
--- /dev/null
+++ b/internal/standin/beechplatform/doc.go
@@ -0,0 +1,2 @@
+// Package beechplatform is described by its seam; see docs/DESIGN.md.
+package beechplatform
--- /dev/null
+++ b/internal/standin/beechservice/doc.go
@@ -0,0 +1,2 @@
+// Package beechservice is described by its seam; see docs/DESIGN.md.
+package beechservice
