Add stand-ins for engine and service, their adapters, and the log

Cause: the agent is built against a model engine and a plain service over HTTP, and needs to know of each error whether it proves that nothing ran. Ruled out: proof by net.OpError (a dial that fails behind the transport's own retry looks alike); a connection trace says whether any connection was had. Decoding the body into a map to set salt and priority (re-encoding escapes the prompt, and the engine's blocks change); spans are cut out instead. Found by test: net/http sends a GET without body a second time when a kept connection closes under it, so a service ran it twice (4 runs for 3 calls). It now gets a body that cannot be read again: 5 calls, 5 runs. Seam: Generate has Model and Adapter, since the weights that serve a request are the entry's choice and not the caller's.

--- /dev/null
+++ b/internal/process/beechbackend/backend_test.go
@@ -0,0 +1,297 @@
+package beechbackend
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"github.com/matryer/is"
+
+	"github.com/beechring/beechring/internal/standin/beechengine"
+	"github.com/beechring/beechring/internal/standin/beechservice"
+)
+
+const (
+	model  = "advisor@w1"
+	prompt = `[{"role":"system","content":"You knit & <count> stitches, with long instructions shared by all members of it."},{"role":"user","content":"which sock?"}]`
+	body   = `{"model":"advisor","messages":` + prompt + `,"max_tokens":12,"seed":  7}`
+)
+
+func serve(t *testing.T, h http.Handler) netip.AddrPort {
+	t.Helper()
+	s := httptest.NewServer(h)
+	t.Cleanup(s.Close)
+	return netip.MustParseAddrPort(s.Listener.Addr().String())
+}
+
+func startEngine(t *testing.T, s beechengine.Settings) (*beechengine.Engine, Engine) {
+	t.Helper()
+	s.Models = []string{model}
+	fake := beechengine.New(s, clockwork.NewRealClock())
+	return fake, NewOpenAI(serve(t, fake.Handler()), NewClient(time.Second))
+}
+
+func generate(id string) Generate {
+	return Generate{RequestID: id, Path: "/v1/chat/completions", Body: []byte(body), Salt: "s1", Streamed: true, Model: model}
+}
+
+func wholeAnswer(t *testing.T) string {
+	t.Helper()
+	p, err := beechengine.Prompt([]byte(body))
+	is.New(t).NoErr(err)
+	return beechengine.Answer(model, p, 12)
+}
+
+// read returns the text of a stream, its usage and the reader's last error.
+func read(t *testing.T, a *Answer, stopAfter int) (string, *Usage, error) {
+	t.Helper()
+	defer a.Body.Close()
+	events := Events(a.Body, DefaultEventLimit)
+	var text strings.Builder
+	var usage *Usage
+	for n := 0; ; {
+		e, err := events.Next()
+		if err != nil {
+			return text.String(), usage, err
+		}
+		if e.Done() {
+			continue
+		}
+		c, err := ReadChunk(e.Data)
+		is.New(t).NoErr(err)
+		text.WriteString(c.Text)
+		if c.Usage != nil {
+			usage = c.Usage
+		}
+		if c.Text != "" {
+			n++
+		}
+		if stopAfter > 0 && n == stopAfter {
+			return text.String(), usage, nil
+		}
+	}
+}
+
+func TestStreamIsWholeAndCached(t *testing.T) {
+	is := is.New(t)
+	fake, engine := startEngine(t, beechengine.Settings{BlockTokens: 4})
+	ctx := context.Background()
+
+	a, err := engine.Generate(ctx, generate("r1"))
+	is.NoErr(err)
+	is.True(a.Streamed)
+	text, usage, err := read(t, a, 0)
+	is.Equal(err, io.EOF)
+	is.Equal(text, wholeAnswer(t))
+	is.Equal(usage.Cached, 0)
+	is.Equal(usage.Output, 12)
+
+	a, err = engine.Generate(ctx, generate("r2"))
+	is.NoErr(err)
+	_, again, err := read(t, a, 0)
+	is.Equal(err, io.EOF)
+	is.True(again.Cached > usage.Prompt-8)
+
+	other := generate("r3")
+	other.Salt = "s2"
+	a, err = engine.Generate(ctx, other)
+	is.NoErr(err)
+	_, apart, _ := read(t, a, 0)
+	is.Equal(apart.Cached, 0) // another salt shares nothing
+
+	incarnation, events, err := engine.CacheEvents(ctx, 0)
+	is.NoErr(err)
+	is.Equal(incarnation, fake.Incarnation())
+	is.Equal(len(events), 2*again.Cached/4)
+	is.Equal(events[0], CacheEvent{Sequence: 1, Salt: "s1", Hash: events[0].Hash, Tokens: 4, Stored: true})
+	is.Equal(len(fake.Journal().Entries), 3)
+}
+
+func TestResumeGoesOnWhereTheTextEnds(t *testing.T) {
+	is := is.New(t)
+	_, engine := startEngine(t, beechengine.Settings{TokenTime: time.Millisecond})
+	a, err := engine.Generate(context.Background(), generate("r1"))
+	is.NoErr(err)
+	begun, _, err := read(t, a, 5)
+	is.NoErr(err)
+
+	g := generate("r1")
+	g.Resume = begun
+	a, err = engine.Generate(context.Background(), g)
+	is.NoErr(err)
+	rest, usage, err := read(t, a, 0)
+	is.Equal(err, io.EOF)
+	is.Equal(begun+rest, wholeAnswer(t))
+	is.Equal(usage.Output, 12)
+
+	g.Resume = begun + "extra "
+	a, err = engine.Generate(context.Background(), g)
+	is.NoErr(err)
+	is.Equal(a.Status, http.StatusBadRequest)
+}
+
+// The caller's own JSON may name a salt, a priority or a text to resume, also
+// twice and in other spellings. If they reached the engine, a caller could read
+// through timing what another workspace has cached.
+func TestCallerCannotSetWhatTheAgentDecides(t *testing.T) {
+	is := is.New(t)
+	g := generate("r1")
+	g.Body = []byte(`{"cache_salt":"x","Cache_Salt":"y","cache\u005fsalt":"z","priority":-9,"resume_text":"a ",` +
+		`"stream_options":{"x":1,"include_usage":false},"unknown":{"a":[1, 2,"}"]},"messages":[]}`)
+	got, err := completeBody(g)
+	is.NoErr(err)
+	is.Equal(string(got), `{"cache_salt":"s1","priority":0,"stream":true,"model":"advisor@w1",`+
+		`"stream_options":{"include_usage":true,"x":1},"unknown":{"a":[1, 2,"}"]},"messages":[]}`)
+}
+
+func TestCrashInMidStreamIsBroken(t *testing.T) {
+	is := is.New(t)
+	fake, engine := startEngine(t, beechengine.Settings{TokenTime: 5 * time.Millisecond})
+	before := fake.Incarnation()
+	a, err := engine.Generate(context.Background(), generate("r1"))
+	is.NoErr(err)
+	fake.Crash(time.Millisecond)
+	_, _, err = read(t, a, 0)
+	var broken *Broken
+	is.True(errors.As(err, &broken))
+	is.True(!NotRun(err))
+	for fake.Incarnation() == 0 {
+		time.Sleep(time.Millisecond)
+	}
+	is.True(fake.Incarnation() != before)
+	is.Equal(fake.Journal().Entries[0].State, beechengine.StateCrashed)
+}
+
+func TestWhatIsProvedNotToHaveRun(t *testing.T) {
+	is := is.New(t)
+	fake, engine := startEngine(t, beechengine.Settings{})
+	ctx := context.Background()
+
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	gone := netip.MustParseAddrPort(listener.Addr().String())
+	listener.Close()
+	_, err = NewOpenAI(gone, NewClient(time.Second)).Generate(ctx, generate("r1"))
+	var notSent *NotSent
+	is.True(errors.As(err, &notSent))
+	is.Equal(notSent.Peer, gone)
+
+	fake.Inject(beechengine.Fault{Kind: beechengine.FaultBusy, Count: 1})
+	_, err = engine.Generate(ctx, generate("r2"))
+	var refused *Refused
+	is.True(errors.As(err, &refused))
+	is.Equal(refused.Status, http.StatusServiceUnavailable)
+	is.Equal(refused.After, time.Second)
+
+	unknown := generate("r3")
+	unknown.Model = "advisor@w9"
+	_, err = engine.Generate(ctx, unknown)
+	is.True(NotRun(err))
+
+	fake.Inject(beechengine.Fault{Kind: beechengine.FaultCross, Count: 1})
+	_, err = engine.Generate(ctx, generate("r5"))
+	is.True(errors.Is(err, ErrCrossed))
+	is.True(!NotRun(err))
+
+	fake.Inject(beechengine.Fault{Kind: beechengine.FaultFreeze})
+	short, cancel := context.WithTimeout(ctx, 20*time.Millisecond)
+	defer cancel()
+	_, err = engine.Generate(short, generate("r4"))
+	var timeout *Timeout
+	is.True(errors.As(err, &timeout))
+	fake.Inject(beechengine.Fault{Kind: beechengine.FaultThaw})
+}
+
+// A service reads a request and closes the connection without an answer. The
+// HTTP client takes a kept connection that closes for a chance to send again
+// what looks idempotent to it, and the service would book twice.
+func TestNothingIsSentTwiceByItself(t *testing.T) {
+	is := is.New(t)
+	var seen atomic.Int32
+	address := serve(t, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		io.Copy(io.Discard, r.Body)
+		if r.URL.Path == "/warm" {
+			return
+		}
+		seen.Add(1)
+		if r.URL.Path == "/redirect" {
+			http.Redirect(w, r, "/elsewhere", http.StatusTemporaryRedirect)
+			return
+		}
+		panic(http.ErrAbortHandler)
+	}))
+	service := NewService(address, "", NewClient(time.Second))
+	for i, r := range []Relay{
+		{Method: http.MethodPost, Path: "/bookings", Body: []byte("{}")},
+		{Method: http.MethodPost, Path: "/bookings"},
+		{Method: http.MethodGet, Path: "/bookings"},
+		{Method: http.MethodDelete, Path: "/bookings"},
+		{Method: http.MethodPost, Path: "/redirect", Body: []byte("{}")},
+	} {
+		warm, err := service.Relay(context.Background(), Relay{Method: http.MethodGet, Path: "/warm"})
+		is.NoErr(err)
+		warm.Body.Close()
+		a, err := service.Relay(context.Background(), r)
+		if err == nil {
+			a.Body.Close()
+		}
+		is.True(!NotRun(err))
+		is.Equal(int(seen.Load()), i+1)
+	}
+}
+
+func TestServiceSaysWhatRan(t *testing.T) {
+	is := is.New(t)
+	fake := beechservice.New(beechservice.Settings{}, clockwork.NewRealClock())
+	service := NewService(serve(t, fake.Handler()), "/ready", NewClient(time.Second))
+	ctx := context.Background()
+	booking := Relay{RequestID: "b1", Method: http.MethodPost, Path: "/bookings", ContentType: "application/json", Body: []byte(`{"field":1}`)}
+	is.NoErr(service.Ready(ctx))
+
+	fake.Inject(beechservice.Fault{Kind: beechservice.FaultBusy, Count: 1})
+	_, err := service.Relay(ctx, booking)
+	is.True(NotRun(err))
+	is.Equal(fake.Journal().PerRequestID["b1"], 0)
+
+	fake.Inject(beechservice.Fault{Kind: beechservice.FaultDropReply, Count: 1})
+	_, err = service.Relay(ctx, booking)
+	is.True(err != nil)
+	is.True(!NotRun(err))
+	is.Equal(fake.Journal().PerRequestID["b1"], 1)
+
+	a, err := service.Relay(ctx, booking)
+	is.NoErr(err)
+	defer a.Body.Close()
+	is.Equal(a.Status, http.StatusOK)
+	is.Equal(fake.Journal().PerBody[beechservice.BodyHash(booking.Body)], 2)
+}
+
+func TestEventReader(t *testing.T) {
+	is := is.New(t)
+	r := Events(strings.NewReader(": comment\r\ndata: a\r\ndata:b\r\nid: 7\r\n\r\n\nevent: x\ndata: [DONE]\n\n"), 64)
+	e, err := r.Next()
+	is.NoErr(err)
+	is.Equal(string(e.Data), "a\nb")
+	is.Equal(e.ID, "7")
+	e, err = r.Next()
+	is.NoErr(err)
+	is.True(e.Done())
+	_, err = r.Next()
+	is.Equal(err, io.EOF)
+
+	_, err = Events(strings.NewReader("data: a\n"), 64).Next()
+	is.Equal(err, ErrCut)
+	_, err = Events(strings.NewReader("data: "+strings.Repeat("x", 10_000)), 64).Next()
+	is.True(errors.Is(err, ErrLineTooLong))
+	_, err = Events(strings.NewReader(strings.Repeat("data: xxxxxxxx\n", 100)), 64).Next()
+	is.True(errors.Is(err, ErrLineTooLong))
+}
--- a/internal/process/beechbackend/types.go
+++ b/internal/process/beechbackend/types.go
@@ -9,10 +9,14 @@
 type (
 	// Generate is one request to an engine. Body is the caller's JSON, which
 	// the adapter completes with salt, priority and what is to be resumed.
+	// Streamed decides how the engine answers, whatever the body asks for: an
+	// agent may want a stream for a caller that does not.
 	Generate struct {
 		RequestID string
 		Path      string // /v1/chat/completions or /v1/completions
 		Body      []byte
+		Model     string // model@weights that must serve it; empty leaves the caller's
+		Adapter   string // empty is none
 		Salt      string
 		Priority  int
 		Streamed  bool
--- /dev/null
+++ b/internal/process/beechlog/log.go
@@ -0,0 +1,138 @@
+package beechlog
+
+import (
+	"fmt"
+	"io"
+	"net/netip"
+	"strings"
+	"time"
+
+	"go.uber.org/zap"
+	"go.uber.org/zap/zapcore"
+)
+
+// redacted replaces the value of a field that is never written.
+const redacted = "redacted"
+
+// secretNames are parts of field names whose values are never written: keys
+// would let a reader act as a workspace, and prompts and answers hold what
+// members told their advisor.
+var secretNames = []string{"key", "authorization", "secret", "password", "prompt", "messages", "answer", "body", "cookie", "bearer"}
+
+// New returns a logger of JSON lines at level debug, info, warn or error and
+// above. Writes are serialized.
+func New(w io.Writer, level string) (*zap.Logger, error) {
+	l, err := zapcore.ParseLevel(level)
+	if err != nil {
+		return nil, fmt.Errorf("set up log: level %q: want debug, info, warn or error", level)
+	}
+	return zap.New(redactor{newCore(w, l)}), nil
+}
+
+func newCore(w io.Writer, l zapcore.Level) zapcore.Core {
+	config := zapcore.EncoderConfig{
+		TimeKey:        "time",
+		LevelKey:       "level",
+		NameKey:        "logger",
+		MessageKey:     "message",
+		StacktraceKey:  "stack",
+		EncodeTime:     zapcore.TimeEncoderOfLayout(time.RFC3339Nano),
+		EncodeLevel:    zapcore.LowercaseLevelEncoder,
+		EncodeDuration: zapcore.StringDurationEncoder,
+	}
+	return zapcore.NewCore(zapcore.NewJSONEncoder(config), zapcore.Lock(zapcore.AddSync(w)), l)
+}
+
+// RequestID is the request's id, unique over all entry hosts.
+func RequestID(id string) zap.Field {
+	return zap.String("request_id", id)
+}
+
+// Attempt counts the request's runs from 1.
+func Attempt(n int) zap.Field {
+	return zap.Int("attempt", n)
+}
+
+// Step is what the process was doing.
+func Step(step string) zap.Field {
+	return zap.String("step", step)
+}
+
+// Peer is the other side's address.
+func Peer(peer netip.AddrPort) zap.Field {
+	return zap.Stringer("peer", peer)
+}
+
+// Workspace is the workspace's name.
+func Workspace(name string) zap.Field {
+	return zap.String("workspace", name)
+}
+
+// Generation is a configuration generation.
+func Generation(n uint64) zap.Field {
+	return zap.Uint64("generation", n)
+}
+
+// redactor hides secret fields before the core writes or keeps them.
+type redactor struct {
+	zapcore.Core
+}
+
+// With implements zapcore.Core.
+func (r redactor) With(fields []zapcore.Field) zapcore.Core {
+	return redactor{r.Core.With(redact(fields))}
+}
+
+// Check implements zapcore.Core.
+func (r redactor) Check(e zapcore.Entry, c *zapcore.CheckedEntry) *zapcore.CheckedEntry {
+	if r.Enabled(e.Level) {
+		return c.AddCore(e, r)
+	}
+	return c
+}
+
+// Write implements zapcore.Core.
+func (r redactor) Write(e zapcore.Entry, fields []zapcore.Field) error {
+	return r.Core.Write(e, redact(fields))
+}
+
+func redact(fields []zapcore.Field) []zapcore.Field {
+	var clean []zapcore.Field
+	for i, f := range fields {
+		if number(f) || !secret(f.Key) {
+			continue
+		}
+		if clean == nil {
+			clean = append(clean, fields...)
+		}
+		clean[i] = zap.String(f.Key, redacted)
+	}
+	if clean == nil {
+		return fields
+	}
+	return clean
+}
+
+// number tells that a field holds a count, time or truth value, such as
+// prompt_tokens, which gives nothing away.
+func number(f zapcore.Field) bool {
+	switch f.Type {
+	case zapcore.BoolType, zapcore.DurationType, zapcore.TimeType, zapcore.TimeFullType,
+		zapcore.Float32Type, zapcore.Float64Type,
+		zapcore.Int8Type, zapcore.Int16Type, zapcore.Int32Type, zapcore.Int64Type,
+		zapcore.Uint8Type, zapcore.Uint16Type, zapcore.Uint32Type, zapcore.Uint64Type:
+		return true
+	default:
+		return false
+	}
+}
+
+func secret(name string) bool {
+	name = strings.ToLower(name)
+	for _, s := range secretNames {
+		if strings.Contains(name, s) {
+			return true
+		}
+	}
+	return false
+}
