Add service-level burn by workspace and over all, merged over entry hosts

Cause: an operator has to see which workspace is losing its promise, how fast, and whether it still goes on. Ruled out: dense histograms for each workspace and bucket (20 KB each, 9,300 workspaces: beyond the 32 MB of a node by far); merging percentiles.

--- /dev/null
+++ b/internal/process/beechburn/table.go
@@ -0,0 +1,82 @@
+package beechburn
+
+import (
+	"fmt"
+	"io"
+	"strconv"
+	"text/tabwriter"
+	"time"
+)
+
+const (
+	columnGap = 2
+	percent   = 100
+	unknown   = "-"
+)
+
+// Table writes a report for people: all windows over all, then the hour of the
+// workspaces that burn most, at most that many.
+func Table(w io.Writer, r Report, most int) error {
+	t := tabwriter.NewWriter(w, 0, 0, columnGap, ' ', 0)
+	fmt.Fprintf(t, "burn at %s over %d entry hosts%s\n", r.At.UTC().Format(time.RFC3339), r.Hosts, alertText(r.All.Alert))
+	fmt.Fprintf(t, "promised: %s\n\n", promises(r.Objectives))
+	fmt.Fprintln(t, "WINDOW\tBURN\tSERVED\tFIRST\tTOTAL\tREQUESTS\tREFUSED\tFAILED\tFIRST P50\tP95\tP99\tTOTAL P50\tP99\tHIT\tWASTED")
+	for _, v := range r.All.Windows {
+		fmt.Fprintln(t, v.cells(v.Window, ""))
+	}
+	fmt.Fprintf(t, "\nworkspaces in the last hour, worst first (%d of %d)\n", min(most, len(r.Workspaces)), len(r.Workspaces))
+	fmt.Fprintln(t, "WORKSPACE\tBURN\tSERVED\tFIRST\tTOTAL\tREQUESTS\tREFUSED\tFAILED\tFIRST P50\tP95\tP99\tTOTAL P50\tP99\tHIT\tWASTED\tALERT")
+	for i, v := range r.Workspaces {
+		if i == most {
+			break
+		}
+		if len(v.Windows) == windowCount {
+			fmt.Fprintln(t, v.Windows[oneHour].cells(v.Workspace, v.Alert))
+		}
+	}
+	return t.Flush()
+}
+
+func alertText(a Alert) string {
+	if a == AlertNone {
+		return ""
+	}
+	return ": " + string(a)
+}
+
+func promises(o Objectives) string {
+	text := fmt.Sprintf("%s served", ratio(o.ServedShare))
+	if o.FirstToken > 0 {
+		text += fmt.Sprintf(", %s first token within %s", ratio(o.FirstTokenShare), o.FirstToken)
+	}
+	if o.Total > 0 {
+		text += fmt.Sprintf(", %s whole within %s", ratio(o.TotalShare), o.Total)
+	}
+	return text
+}
+
+func (r WindowRow) cells(name string, a Alert) string {
+	return fmt.Sprintf("%s\t%.2f\t%.2f\t%.2f\t%.2f\t%d\t%d\t%d\t%s\t%s\t%s\t%s\t%s\t%s\t%s\t%s",
+		name, r.Burn, r.ServedBurn, r.FirstBurn, r.TotalBurn,
+		r.Served+r.Refused+r.Failed, r.Refused, r.Failed,
+		millis(r.FirstP50), millis(r.FirstP95), millis(r.FirstP99), millis(r.TotalP50), millis(r.TotalP99),
+		part(r.HitRate, r.Prompt), part(r.WastedShare, r.Prompt), a)
+}
+
+func millis(d time.Duration) string {
+	if d <= 0 {
+		return unknown
+	}
+	return strconv.FormatFloat(float64(d)/float64(time.Millisecond), 'f', 1, 64) + "ms"
+}
+
+func part(share float64, of uint64) string {
+	if of == 0 {
+		return unknown
+	}
+	return ratio(share)
+}
+
+func ratio(share float64) string {
+	return strconv.FormatFloat(share*percent, 'f', -1, 32) + "%"
+}
