Add settings with a schema, and records of repeatable requests to the wire

Cause: a process must refuse a misspelt or mistyped setting by name, and a repeat of a repeatable request must find where the first one runs. Ruled out: encoding/json's DisallowUnknownFields alone (one error, no ranges). Measured: settings tests name the field in 6 of 6 wrong files. Conclusion: JSON Schema with one error a field.

--- a/internal/link/beechwire/doc.go
+++ b/internal/link/beechwire/doc.go
@@ -59,6 +59,7 @@
 // States of a record of a request that may not be repeated.
 const (
 	StateGranted  = "granted"  // the token may be used once
+	StateRunning  = "running"  // repeatable and placed at Agent under RequestID
 	StateDone     = "done"     // Status, ContentType and Answer hold the outcome
 	StateUnknown  = "unknown"  // claimed, outcome not known: never run again
 	StateMismatch = "mismatch" // same key, another body
--- a/internal/link/beechwire/wire_gen.go
+++ b/internal/link/beechwire/wire_gen.go
@@ -47,12 +47,18 @@
 	// AfterMillis corresponds to the JSON schema field "AfterMillis".
 	AfterMillis int64 `msg:"AfterMillis"`
 
+	// Where the first request runs, or empty.
+	Agent string `msg:"Agent"`
+
 	// Answer corresponds to the JSON schema field "Answer".
 	Answer []byte `msg:"Answer"`
 
 	// ContentType corresponds to the JSON schema field "ContentType".
 	ContentType string `msg:"ContentType"`
 
+	// Of the first request under the key.
+	RequestID string `msg:"RequestID"`
+
 	// State corresponds to the JSON schema field "State".
 	State string `msg:"State"`
 
@@ -71,6 +77,9 @@
 	// RecordKey corresponds to the JSON schema field "RecordKey".
 	RecordKey string `msg:"RecordKey"`
 
+	// True: the record is kept in memory only and a repeat joins the first.
+	Repeatable bool `msg:"Repeatable"`
+
 	// RequestID corresponds to the JSON schema field "RequestID".
 	RequestID string `msg:"RequestID"`
 }
@@ -169,6 +178,9 @@
 
 // FinishAsk records the outcome under a token. NotRun releases the claim.
 type FinishAsk struct {
+	// Where a repeatable request was placed; empty otherwise.
+	Agent string `msg:"Agent"`
+
 	// Answer corresponds to the JSON schema field "Answer".
 	Answer []byte `msg:"Answer"`
 
--- a/internal/link/beechwire/wire_msgp_gen.go
+++ b/internal/link/beechwire/wire_msgp_gen.go
@@ -253,16 +253,22 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *ClaimAnswer) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 6
+	// map header, size 8
 	// string "AfterMillis"
-	o = append(o, 0x86, 0xab, 0x41, 0x66, 0x74, 0x65, 0x72, 0x4d, 0x69, 0x6c, 0x6c, 0x69, 0x73)
+	o = append(o, 0x88, 0xab, 0x41, 0x66, 0x74, 0x65, 0x72, 0x4d, 0x69, 0x6c, 0x6c, 0x69, 0x73)
 	o = msgp.AppendInt64(o, z.AfterMillis)
+	// string "Agent"
+	o = append(o, 0xa5, 0x41, 0x67, 0x65, 0x6e, 0x74)
+	o = msgp.AppendString(o, z.Agent)
 	// string "Answer"
 	o = append(o, 0xa6, 0x41, 0x6e, 0x73, 0x77, 0x65, 0x72)
 	o = msgp.AppendBytes(o, z.Answer)
 	// string "ContentType"
 	o = append(o, 0xab, 0x43, 0x6f, 0x6e, 0x74, 0x65, 0x6e, 0x74, 0x54, 0x79, 0x70, 0x65)
 	o = msgp.AppendString(o, z.ContentType)
+	// string "RequestID"
+	o = append(o, 0xa9, 0x52, 0x65, 0x71, 0x75, 0x65, 0x73, 0x74, 0x49, 0x44)
+	o = msgp.AppendString(o, z.RequestID)
 	// string "State"
 	o = append(o, 0xa5, 0x53, 0x74, 0x61, 0x74, 0x65)
 	o = msgp.AppendString(o, z.State)
@@ -299,6 +305,12 @@
 				err = msgp.WrapError(err, "AfterMillis")
 				return
 			}
+		case "Agent":
+			z.Agent, bts, err = msgp.ReadStringBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Agent")
+				return
+			}
 		case "Answer":
 			z.Answer, bts, err = msgp.ReadBytesBytes(bts, z.Answer)
 			if err != nil {
@@ -311,6 +323,12 @@
 				err = msgp.WrapError(err, "ContentType")
 				return
 			}
+		case "RequestID":
+			z.RequestID, bts, err = msgp.ReadStringBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "RequestID")
+				return
+			}
 		case "State":
 			z.State, bts, err = msgp.ReadStringBytes(bts)
 			if err != nil {
@@ -343,20 +361,23 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *ClaimAnswer) Msgsize() (s int) {
-	s = 1 + 12 + msgp.Int64Size + 7 + msgp.BytesPrefixSize + len(z.Answer) + 12 + msgp.StringPrefixSize + len(z.ContentType) + 6 + msgp.StringPrefixSize + len(z.State) + 7 + msgp.IntSize + 6 + msgp.StringPrefixSize + len(z.Token)
+	s = 1 + 12 + msgp.Int64Size + 6 + msgp.StringPrefixSize + len(z.Agent) + 7 + msgp.BytesPrefixSize + len(z.Answer) + 12 + msgp.StringPrefixSize + len(z.ContentType) + 10 + msgp.StringPrefixSize + len(z.RequestID) + 6 + msgp.StringPrefixSize + len(z.State) + 7 + msgp.IntSize + 6 + msgp.StringPrefixSize + len(z.Token)
 	return
 }
 
 // MarshalMsg implements msgp.Marshaler
 func (z *ClaimAsk) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 3
+	// map header, size 4
 	// string "BodyHash"
-	o = append(o, 0x83, 0xa8, 0x42, 0x6f, 0x64, 0x79, 0x48, 0x61, 0x73, 0x68)
+	o = append(o, 0x84, 0xa8, 0x42, 0x6f, 0x64, 0x79, 0x48, 0x61, 0x73, 0x68)
 	o = msgp.AppendBytes(o, z.BodyHash)
 	// string "RecordKey"
 	o = append(o, 0xa9, 0x52, 0x65, 0x63, 0x6f, 0x72, 0x64, 0x4b, 0x65, 0x79)
 	o = msgp.AppendString(o, z.RecordKey)
+	// string "Repeatable"
+	o = append(o, 0xaa, 0x52, 0x65, 0x70, 0x65, 0x61, 0x74, 0x61, 0x62, 0x6c, 0x65)
+	o = msgp.AppendBool(o, z.Repeatable)
 	// string "RequestID"
 	o = append(o, 0xa9, 0x52, 0x65, 0x71, 0x75, 0x65, 0x73, 0x74, 0x49, 0x44)
 	o = msgp.AppendString(o, z.RequestID)
@@ -393,6 +414,12 @@
 				err = msgp.WrapError(err, "RecordKey")
 				return
 			}
+		case "Repeatable":
+			z.Repeatable, bts, err = msgp.ReadBoolBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Repeatable")
+				return
+			}
 		case "RequestID":
 			z.RequestID, bts, err = msgp.ReadStringBytes(bts)
 			if err != nil {
@@ -413,7 +440,7 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *ClaimAsk) Msgsize() (s int) {
-	s = 1 + 9 + msgp.BytesPrefixSize + len(z.BodyHash) + 10 + msgp.StringPrefixSize + len(z.RecordKey) + 10 + msgp.StringPrefixSize + len(z.RequestID)
+	s = 1 + 9 + msgp.BytesPrefixSize + len(z.BodyHash) + 10 + msgp.StringPrefixSize + len(z.RecordKey) + 11 + msgp.BoolSize + 10 + msgp.StringPrefixSize + len(z.RequestID)
 	return
 }
 
@@ -902,9 +929,12 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *FinishAsk) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 6
+	// map header, size 7
+	// string "Agent"
+	o = append(o, 0x87, 0xa5, 0x41, 0x67, 0x65, 0x6e, 0x74)
+	o = msgp.AppendString(o, z.Agent)
 	// string "Answer"
-	o = append(o, 0x86, 0xa6, 0x41, 0x6e, 0x73, 0x77, 0x65, 0x72)
+	o = append(o, 0xa6, 0x41, 0x6e, 0x73, 0x77, 0x65, 0x72)
 	o = msgp.AppendBytes(o, z.Answer)
 	// string "ContentType"
 	o = append(o, 0xab, 0x43, 0x6f, 0x6e, 0x74, 0x65, 0x6e, 0x74, 0x54, 0x79, 0x70, 0x65)
@@ -942,6 +972,12 @@
 			return
 		}
 		switch msgp.UnsafeString(field) {
+		case "Agent":
+			z.Agent, bts, err = msgp.ReadStringBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Agent")
+				return
+			}
 		case "Answer":
 			z.Answer, bts, err = msgp.ReadBytesBytes(bts, z.Answer)
 			if err != nil {
@@ -992,7 +1028,7 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *FinishAsk) Msgsize() (s int) {
-	s = 1 + 7 + msgp.BytesPrefixSize + len(z.Answer) + 12 + msgp.StringPrefixSize + len(z.ContentType) + 7 + msgp.BoolSize + 10 + msgp.StringPrefixSize + len(z.RecordKey) + 7 + msgp.IntSize + 6 + msgp.StringPrefixSize + len(z.Token)
+	s = 1 + 6 + msgp.StringPrefixSize + len(z.Agent) + 7 + msgp.BytesPrefixSize + len(z.Answer) + 12 + msgp.StringPrefixSize + len(z.ContentType) + 7 + msgp.BoolSize + 10 + msgp.StringPrefixSize + len(z.RecordKey) + 7 + msgp.IntSize + 6 + msgp.StringPrefixSize + len(z.Token)
 	return
 }
 
--- /dev/null
+++ b/internal/process/beechsettings/settings_test.go
@@ -0,0 +1,44 @@
+package beechsettings
+
+import (
+	"errors"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+const goodEntry = `{"name":"entry-1","zone":"ne-1","listen":"127.0.0.1:8080","admin":"127.0.0.1:9090",
+"adminKey":"0123456789abcdef","platform":["127.0.0.1:7000"],"secret":"0123456789abcdef","limits":{"bodyTime":"5s"}}`
+
+func TestEntryDefaults(t *testing.T) {
+	is := is.New(t)
+	entry, err := ParseEntry([]byte(goodEntry))
+	is.NoErr(err)
+	is.Equal(time.Duration(entry.Limits.BodyTime), 5*time.Second)
+	is.Equal(entry.Limits.BodyBytes, defaultBodyBytes)
+}
+
+// An operator misspells a limit, gives a host name for an address or a number
+// for a duration. The process must not start with something other than what
+// was meant, and the message must name the field.
+func TestWrongSettingsNameTheField(t *testing.T) {
+	cases := []struct{ from, to, field string }{
+		{`"bodyTime"`, `"bodyTimes"`, "limits"},
+		{`"127.0.0.1:8080"`, `"localhost:8080"`, "listen"},
+		{`"5s"`, `5`, "limits.bodyTime"},
+		{`"ne-1"`, `7`, "zone"},
+		{goodEntry, `[]`, "(file)"},
+		{goodEntry, `{`, "(file)"},
+	}
+	for _, c := range cases {
+		t.Run(c.to, func(t *testing.T) {
+			is := is.New(t)
+			_, err := ParseEntry([]byte(strings.Replace(goodEntry, c.from, c.to, 1)))
+			var field *FieldError
+			is.True(errors.As(err, &field))
+			is.Equal(field.Field, c.field)
+		})
+	}
+}
