--- a/internal/decision/beechqueue/types.go
+++ b/internal/decision/beechqueue/types.go
@@ -7,6 +7,7 @@
 	Key = [16]byte
 
 	// Level is one step of the prompt's prefix chain, the shortest first.
+	// Tokens counts from the prompt's start through this level.
 	Level struct {
 		Key    Key
 		Tokens int
@@ -83,6 +84,7 @@
 const (
 	ReasonBusy     Reason = "busy"
 	ReasonDeadline Reason = "deadline"
+	ReasonInvalid  Reason = "invalid"
 )
 
 func (Run) decision()    {}
