--- /dev/null
+++ b/internal/prompt/beechprefix/parse.go
@@ -0,0 +1,162 @@
+package beechprefix
+
+import (
+	"bytes"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"strings"
+	"unicode/utf8"
+)
+
+// Paths with a prompt.
+const (
+	PathChat        = "/v1/chat/completions"
+	PathCompletions = "/v1/completions"
+)
+
+type (
+	// text is a JSON string, or any other value in canonical form.
+	text string
+
+	body struct {
+		Model               string     `json:"model"`
+		Stream              *bool      `json:"stream"`
+		MaxTokens           *int       `json:"max_tokens"`
+		MaxCompletionTokens *int       `json:"max_completion_tokens"`
+		Messages            *[]message `json:"messages"`
+		Prompt              *text      `json:"prompt"`
+		Tools               text       `json:"tools"`
+		Functions           text       `json:"functions"`
+	}
+
+	message struct {
+		Role       string `json:"role"`
+		Content    text   `json:"content"`
+		Name       text   `json:"name"`
+		ToolCalls  text   `json:"tool_calls"`
+		ToolCallID text   `json:"tool_call_id"`
+	}
+)
+
+// Parse reads a request body and gives its chain under root, with tokens
+// estimated by the default ratio. Its error is always an *Error.
+func Parse(root Root, path string, body []byte) (Chain, Fields, error) {
+	p, err := Read(path, body)
+	if err != nil {
+		return Chain{}, Fields{}, err
+	}
+	return p.Chain(root, nil), p.Fields, nil
+}
+
+// Read decodes a request body once. Fields it does not know are passed over. Its
+// error is always an *Error.
+func Read(path string, raw []byte) (*Prompt, error) {
+	if path != PathChat && path != PathCompletions {
+		return nil, &Error{Kind: KindPath, Reason: fmt.Sprintf("path %q has no prompt", path)}
+	}
+	if !utf8.Valid(raw) {
+		return nil, &Error{Kind: KindEncoding, Reason: "not valid UTF-8"}
+	}
+	var b body
+	if err := json.Unmarshal(raw, &b); err != nil {
+		return nil, decodeError(err)
+	}
+	if b.Model == "" {
+		return nil, &Error{Kind: KindField, Field: "model", Reason: "must be a model's name"}
+	}
+	p := &Prompt{Fields: Fields{Model: b.Model, Stream: b.Stream != nil && *b.Stream}}
+	if err := p.readMaxTokens(&b); err != nil {
+		return nil, err
+	}
+	if path == PathChat {
+		return p, p.readMessages(&b)
+	}
+	return p, p.readPlain(&b)
+}
+
+func (p *Prompt) readMaxTokens(b *body) error {
+	for _, limit := range [...]*int{b.MaxTokens, b.MaxCompletionTokens} {
+		if limit == nil {
+			continue
+		}
+		if *limit < 0 {
+			return &Error{Kind: KindField, Field: "max_tokens", Reason: "must not be negative"}
+		}
+		p.Fields.MaxTokens = *limit
+	}
+	return nil
+}
+
+func (p *Prompt) readMessages(b *body) error {
+	if b.Messages == nil || len(*b.Messages) == 0 {
+		return &Error{Kind: KindField, Field: "messages", Reason: "must hold at least one message"}
+	}
+	p.tools = string(b.Tools + b.Functions)
+	p.messages = make([]Message, len(*b.Messages))
+	for i, m := range *b.Messages {
+		p.messages[i] = Message{Role: m.Role, Content: string(m.Content), Extra: m.extra()}
+	}
+	p.Fields.Messages = len(p.messages)
+	return nil
+}
+
+func (p *Prompt) readPlain(b *body) error {
+	if b.Prompt == nil || *b.Prompt == "" {
+		return &Error{Kind: KindField, Field: "prompt", Reason: "must not be empty"}
+	}
+	p.text = string(*b.Prompt)
+	p.plain = true
+	p.Fields.Messages = 1
+	return nil
+}
+
+func (m *message) extra() string {
+	if m.Name == "" && m.ToolCalls == "" && m.ToolCallID == "" {
+		return ""
+	}
+	parts := []string{string(m.Name), string(m.ToolCalls), string(m.ToolCallID)}
+	return strings.Join(parts, "\x00")
+}
+
+// UnmarshalJSON keeps a string as its text and anything else as JSON with sorted
+// keys and no spaces, so that two spellings of one value hash alike. A string
+// without escapes, the usual case of a long prompt, is copied and not decoded a
+// second time.
+func (t *text) UnmarshalJSON(raw []byte) error {
+	if bytes.Equal(raw, []byte("null")) {
+		return nil
+	}
+	if raw[0] != '"' {
+		return t.unmarshalValue(raw)
+	}
+	if bytes.IndexByte(raw, '\\') < 0 {
+		*t = text(raw[1 : len(raw)-1])
+		return nil
+	}
+	return json.Unmarshal(raw, (*string)(t))
+}
+
+func (t *text) unmarshalValue(raw []byte) error {
+	decoder := json.NewDecoder(bytes.NewReader(raw))
+	decoder.UseNumber()
+	var value any
+	if err := decoder.Decode(&value); err != nil {
+		return err
+	}
+	canonical, err := json.Marshal(value)
+	if err != nil {
+		return err
+	}
+	*t = text(canonical)
+	return nil
+}
+
+func decodeError(err error) *Error {
+	var wrongType *json.UnmarshalTypeError
+	if errors.As(err, &wrongType) {
+		reason := "must be " + wrongType.Type.String() + ", not " + wrongType.Value
+		return &Error{Kind: KindField, Field: wrongType.Field, Reason: reason}
+	}
+	return &Error{Kind: KindSyntax, Reason: err.Error()}
+}
--- a/internal/prompt/beechprefix/types.go
+++ b/internal/prompt/beechprefix/types.go
@@ -27,4 +27,57 @@
 		Levels       []Level
 		PromptTokens int
 	}
+
+	// Message is one chat message in canonical form. Content is the text, or
+	// the canonical JSON of the content's parts. Extra is the canonical JSON of
+	// everything else the engine renders: name, tool calls, tool call id.
+	Message struct {
+		Role    string
+		Content string
+		Extra   string
+	}
+
+	// Fields is what the entry host reads from a body besides the prompt.
+	// MaxTokens is 0 where the caller set none.
+	Fields struct {
+		Model     string
+		Stream    bool
+		MaxTokens int
+		Messages  int
+	}
+
+	// Prompt is a body that was read, before its root is known.
+	Prompt struct {
+		Fields   Fields
+		tools    string
+		messages []Message
+		text     string
+		plain    bool
+	}
+
+	// Kind says what is wrong with a body.
+	Kind string
+
+	// Error is a body that cannot be read. Field names the field at fault and is
+	// empty where the body as a whole is.
+	Error struct {
+		Kind   Kind
+		Field  string
+		Reason string
+	}
 )
+
+// Kinds of Error.
+const (
+	KindEncoding Kind = "encoding" // not UTF-8
+	KindSyntax   Kind = "syntax"   // not JSON
+	KindField    Kind = "field"    // a field of the wrong type, or missing
+	KindPath     Kind = "path"     // not a path with a prompt
+)
+
+func (e *Error) Error() string {
+	if e.Field == "" {
+		return "read request body: " + e.Reason
+	}
+	return "read request body: field " + e.Field + ": " + e.Reason
+}
