Agent: scheduler and library of generations (not yet wired)

Cause: waiting requests need one place that joins the queue's decisions to their goroutines, and answers need one that outlives their links. Ruled out: running from the stream's goroutine (a lost link would end it).

--- /dev/null
+++ b/internal/process/beechagent/agent.go
@@ -0,0 +1,237 @@
+package beechagent
+
+import (
+	"context"
+	"crypto/tls"
+	"errors"
+	"fmt"
+	"net"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"github.com/thejerf/suture/v4"
+	"go.uber.org/zap"
+
+	"github.com/beechring/beechring/internal/decision/beechqueue"
+	"github.com/beechring/beechring/internal/decision/beechsuspect"
+	"github.com/beechring/beechring/internal/link/beechlink"
+	"github.com/beechring/beechring/internal/link/beechwire"
+	"github.com/beechring/beechring/internal/platform/beechmanifest"
+	"github.com/beechring/beechring/internal/platform/beechrecord"
+	"github.com/beechring/beechring/internal/platform/beechstore"
+	"github.com/beechring/beechring/internal/process/beechbackend"
+	"github.com/beechring/beechring/internal/process/beechlog"
+	"github.com/beechring/beechring/internal/process/beechsettings"
+	"github.com/beechring/beechring/internal/prompt/beechindex"
+)
+
+type (
+	// Dependencies are what an agent needs from outside.
+	Dependencies struct {
+		Clock   clockwork.Clock
+		Log     *zap.Logger
+		Store   beechstore.Store
+		Engine  beechbackend.Engine
+		Service beechbackend.Service
+		LinkTLS *tls.Config // nil without TLS on links
+	}
+
+	// Agent is the process beside one backend server. Make one with New.
+	Agent struct {
+		settings    *beechsettings.Agent
+		clock       clockwork.Clock
+		log         *zap.Logger
+		store       beechstore.Store
+		engine      beechbackend.Engine
+		service     beechbackend.Service
+		incarnation uint64
+
+		holder    *beechmanifest.Holder
+		server    *beechlink.Server
+		listener  net.Listener
+		records   *beechrecord.Records
+		memory    *beechrecord.Memory
+		index     *beechindex.Index
+		suspects  *beechsuspect.Register
+		scheduler *scheduler
+		library   *library
+		view      *backendView
+		fleet     *fleet
+		running   *runningSet
+		used      *usedClaims
+		numbers   counters
+
+		leaving    atomic.Bool
+		supervisor *suture.Supervisor
+		life       context.Context // of generations; ends after the drain
+		endLife    context.CancelFunc
+		runs       sync.WaitGroup
+		work       atomic.Uint64
+	}
+
+	// service is one supervised closure.
+	service struct {
+		name string
+		run  func(ctx context.Context) error
+	}
+)
+
+const (
+	drainLimit      = 10 * time.Minute
+	leavingNotice   = 300 * time.Millisecond
+	longPrefill     = 8192 // tokens; a few seconds on the engines of today
+	maxLongPrefills = 2
+	prefillWait     = 2 * time.Second
+	shutdownTimeout = 2 * time.Second
+)
+
+// New makes an agent and opens its listeners, so that an address that is
+// taken is an error here. Its goroutines run from Serve on.
+func New(settings *beechsettings.Agent, d Dependencies) (*Agent, error) {
+	listener, err := beechlink.Listen(settings.Listen)
+	if err != nil {
+		return nil, err
+	}
+	life, endLife := context.WithCancel(context.Background())
+	a := &Agent{
+		settings:    settings,
+		clock:       d.Clock,
+		log:         d.Log.Named("agent"),
+		store:       d.Store,
+		engine:      d.Engine,
+		service:     d.Service,
+		incarnation: uint64(d.Clock.Now().UnixNano()),
+		holder:      beechmanifest.NewHolder(),
+		listener:    listener,
+		records:     beechrecord.New(d.Store, d.Clock, beechrecord.Settings{}),
+		memory:      beechrecord.NewMemory(d.Clock, beechrecord.MemorySettings{}),
+		index:       beechindex.New(beechindex.Settings{}),
+		suspects:    beechsuspect.New(beechsuspect.Settings{}, d.Clock),
+		library:     newLibrary(settings.Limits, d.Clock),
+		fleet:       newFleet(),
+		running:     newRunningSet(),
+		used:        newUsedClaims(d.Clock),
+		life:        life,
+		endLife:     endLife,
+	}
+	a.view = newBackendView()
+	a.scheduler = newScheduler(beechqueue.Settings{
+		MaxWaiting:      settings.Limits.Waiting,
+		MaxLongPrefills: maxLongPrefills,
+		LongPrefill:     longPrefill,
+		PrefillWait:     prefillWait,
+	}, d.Clock, a.view.queueLoad)
+	a.server = beechlink.New(
+		beechlink.Settings{Key: settings.Secret}, a.hello, a, a, a, a, d.LinkTLS, d.Clock)
+	if err := a.supervise(); err != nil {
+		listener.Close()
+		return nil, err
+	}
+	a.warnOpen(d.LinkTLS)
+	return a, nil
+}
+
+// supervise lists every goroutine that lives as long as the agent.
+func (a *Agent) supervise() error {
+	admin, err := a.newAdmin()
+	if err != nil {
+		return err
+	}
+	a.supervisor = suture.New("agent", suture.Spec{EventHook: beechlog.SupervisorHook(a.log)})
+	a.supervisor.Add(service{"admin", admin})
+	a.supervisor.Add(service{"scheduler", a.scheduler.serve})
+	a.supervisor.Add(service{"library", a.sweep})
+	a.supervisor.Add(service{"report", a.watchReport})
+	a.supervisor.Add(service{"cache events", a.watchCache})
+	a.supervisor.Add(service{"configuration", a.watchConfiguration})
+	a.supervisor.Add(service{"loads", a.keepModels})
+	return nil
+}
+
+// Serve runs the agent until ctx ends. Then it says that it is leaving, takes
+// no new work, finishes every request and returns nil.
+func (a *Agent) Serve(ctx context.Context) error {
+	inner, stop := context.WithCancel(context.Background())
+	defer stop()
+	supervised := a.supervisor.ServeBackground(inner)
+	served := make(chan error, 1)
+	go func() { served <- a.server.Serve(inner, a.listener) }()
+	a.log.Info("agent serves", zap.Stringer("listen", a.listener.Addr()), zap.Uint64("incarnation", a.incarnation))
+
+	var err error
+	select {
+	case <-ctx.Done():
+		err = a.drain()
+	case err = <-served:
+	}
+	a.endLife()
+	a.runs.Wait()
+	stop()
+	<-supervised
+	a.log.Info("agent ended", zap.Error(err))
+	return err
+}
+
+// drain lets everything that was accepted end. Entry hosts are told first and
+// given a moment to stop choosing this server; what still comes is refused,
+// not run, and goes elsewhere.
+func (a *Agent) drain() error {
+	a.leaving.Store(true)
+	a.log.Info("agent leaves", beechlog.Step("drain"))
+	a.clock.Sleep(leavingNotice)
+	ctx, cancel := context.WithTimeout(context.Background(), drainLimit)
+	defer cancel()
+	if err := a.server.Drain(ctx); err != nil {
+		return fmt.Errorf("drain: %w", err)
+	}
+	return a.finishRecords(ctx)
+}
+
+func (a *Agent) finishRecords(ctx context.Context) error {
+	closing, cancel := context.WithTimeout(ctx, shutdownTimeout)
+	defer cancel()
+	done := make(chan struct{})
+	go func() {
+		a.runs.Wait()
+		close(done)
+	}()
+	select {
+	case <-done:
+	case <-closing.Done():
+	}
+	a.records.Close()
+	return nil
+}
+
+func (a *Agent) hello() beechwire.Hello {
+	return beechwire.Hello{
+		Version:     beechwire.Version,
+		Role:        beechwire.RoleAgent,
+		Zone:        a.settings.Zone,
+		Address:     a.settings.Listen.String(),
+		Incarnation: a.incarnation,
+		Generation:  a.holder.Generation(),
+		Key:         a.settings.Secret,
+	}
+}
+
+// warnOpen says when links beyond loopback are not under TLS.
+func (a *Agent) warnOpen(config *tls.Config) {
+	if config == nil && !a.settings.Listen.Addr().IsLoopback() {
+		a.log.Warn("links listen beyond loopback without TLS", zap.Stringer("listen", a.settings.Listen))
+	}
+}
+
+// Serve implements suture.Service.
+func (s service) Serve(ctx context.Context) error {
+	err := s.run(ctx)
+	if err != nil && !errors.Is(err, context.Canceled) {
+		return fmt.Errorf("%s: %w", s.name, err)
+	}
+	return err
+}
+
+// String names the service in the supervisor's log lines.
+func (s service) String() string { return s.name }
--- a/internal/process/beechagent/generation.go
+++ b/internal/process/beechagent/generation.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -121,13 +122,13 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	if !headSent && g.head != nil {
-		return &beechlink.HeadReply{Head: *g.head}, nil
+		return beechlink.HeadReply{Head: *g.head}, nil
 	}
 	if after < g.base {
 		after = g.base
 	}
 	if index := after - g.base; index < uint64(len(g.pieces)) {
-		return &beechlink.DataReply{Data: beechwire.Data{Sequence: after + 1, Data: g.pieces[index]}}, nil
+		return beechlink.DataReply{Data: beechwire.Data{Sequence: after + 1, Data: g.pieces[index]}}, nil
 	}
 	if g.last != nil {
 		return g.last, nil
@@ -154,12 +155,32 @@
 			return err
 		}
 		switch r := reply.(type) {
-		case *beechlink.HeadReply:
+		case beechlink.HeadReply:
 			headSent = true
-		case *beechlink.DataReply:
+		case beechlink.DataReply:
 			after = r.Sequence
 		default:
 			return nil
 		}
 	}
 }
+
+// joinable tells whether a request sent again should follow this generation:
+// it runs, or it gave a whole answer. A refused or failed one is run anew.
+func (g *generation) joinable() bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.last == nil {
+		return true
+	}
+	_, whole := g.last.(beechlink.EndReply)
+	return whole
+}
+
+func sortByEnd(generations []*generation) {
+	slices.SortFunc(generations, func(x, y *generation) int {
+		_, xEnd, _ := x.endedSince()
+		_, yEnd, _ := y.endedSince()
+		return xEnd.Compare(yEnd)
+	})
+}
