--- /dev/null
+++ b/internal/link/beechlink/call.go
@@ -0,0 +1,207 @@
+package beechlink
+
+import (
+	"context"
+	"fmt"
+	"sync"
+
+	"github.com/beechring/beechring/internal/link/beechwire"
+)
+
+type (
+	// askTable holds this side's calls that wait for a result.
+	askTable struct {
+		mu      sync.Mutex
+		last    uint64
+		waiting map[uint64]*ask
+		err     error
+	}
+
+	ask struct {
+		method  string
+		payload []byte
+		done    chan error // room for one
+	}
+
+	// answerTable holds the peer's calls that are not answered yet.
+	answerTable struct {
+		mu      sync.Mutex
+		partial map[uint64][]byte
+		running int
+		pending int
+	}
+)
+
+func (t *askTable) add(method string) (uint64, *ask, error) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.err != nil {
+		return 0, nil, t.err
+	}
+	if t.waiting == nil {
+		t.waiting = map[uint64]*ask{}
+	}
+	t.last++
+	a := &ask{method: method, done: make(chan error, 1)}
+	t.waiting[t.last] = a
+	return t.last, a, nil
+}
+
+func (t *askTable) remove(id uint64) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	delete(t.waiting, id)
+}
+
+func (t *askTable) count() int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return len(t.waiting)
+}
+
+func (t *askTable) failAll(err error) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.err = err
+	for id, a := range t.waiting {
+		a.done <- err
+		delete(t.waiting, id)
+	}
+}
+
+// call asks the peer one question. *CallError is the peer's own answer,
+// *LostError means that it may or may not have acted on it.
+func (c *connection) call(ctx context.Context, method string, payload []byte) ([]byte, error) {
+	if len(payload) > c.settings.MaxBody {
+		return nil, &OpenError{Peer: c.peer.Address, Err: fmt.Errorf("call %s: payload of %d bytes is over %d", method, len(payload), c.settings.MaxBody)}
+	}
+	id, a, err := c.asks.add(method)
+	if err != nil {
+		return nil, err
+	}
+	if err := c.out.start(&transfer{kind: kindCall, id: id, method: method, rest: payload}); err != nil {
+		c.asks.remove(id)
+		return nil, &LostError{Peer: c.peer.Address, Err: err}
+	}
+	select {
+	case err := <-a.done:
+		return a.payload, err
+	case <-ctx.Done():
+		c.asks.remove(id)
+		c.out.stop(kindCall, id)
+		return nil, fmt.Errorf("call %s at %s: %w", method, c.peer.Address, ctx.Err())
+	}
+}
+
+func (c *connection) receiveResult(body []byte) error {
+	var m beechwire.Result
+	if _, err := m.UnmarshalMsg(body); err != nil {
+		return malformed(err)
+	}
+	t := &c.asks
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	a, ok := t.waiting[m.Call]
+	if !ok {
+		c.counters.late.Add(1)
+		return nil
+	}
+	if len(a.payload)+len(m.Payload) > c.settings.MaxBody {
+		return &FrameError{Problem: "result is over the limit of a body"}
+	}
+	if a.payload == nil {
+		a.payload = m.Payload
+	} else {
+		a.payload = append(a.payload, m.Payload...)
+	}
+	if m.More {
+		return nil
+	}
+	delete(t.waiting, m.Call)
+	if m.Error != "" {
+		a.done <- &CallError{Peer: c.peer.Address, Method: a.method, Reason: m.Error}
+		return nil
+	}
+	a.done <- nil
+	return nil
+}
+
+func (c *connection) receiveCall(body []byte) error {
+	var m beechwire.Call
+	if _, err := m.UnmarshalMsg(body); err != nil {
+		return malformed(err)
+	}
+	payload, whole, err := c.answers.collect(&m, c.settings)
+	if err != nil {
+		return err
+	}
+	if !whole {
+		return nil
+	}
+	if !c.answers.begin() {
+		return c.refuseCall(m.Call, "too many calls at once")
+	}
+	go func() {
+		defer c.answers.finish()
+		result, err := c.caller.Answer(c.context, c.known(), m.Method, payload)
+		if err != nil {
+			c.refuseCall(m.Call, err.Error())
+			return
+		}
+		if len(result) > c.settings.MaxBody {
+			c.refuseCall(m.Call, fmt.Sprintf("result of %d bytes is over %d", len(result), c.settings.MaxBody))
+			return
+		}
+		c.out.start(&transfer{kind: kindResult, id: m.Call, rest: result})
+	}()
+	return nil
+}
+
+func (c *connection) refuseCall(id uint64, reason string) error {
+	return c.out.send(kindResult, &beechwire.Result{Call: id, Error: reason})
+}
+
+// collect puts the pieces of a call together. What a peer may leave unfinished
+// is bounded: otherwise a faulty one could fill the memory.
+func (t *answerTable) collect(m *beechwire.Call, s Settings) (payload []byte, whole bool, err error) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.partial == nil {
+		t.partial = map[uint64][]byte{}
+	}
+	earlier, known := t.partial[m.Call]
+	if !known && !m.More {
+		return m.Payload, true, nil
+	}
+	payload = append(earlier, m.Payload...)
+	if len(payload) > s.MaxBody {
+		return nil, false, &FrameError{Problem: "call is over the limit of a body"}
+	}
+	if !m.More {
+		delete(t.partial, m.Call)
+		t.pending -= len(earlier)
+		return payload, true, nil
+	}
+	t.partial[m.Call] = payload
+	t.pending += len(m.Payload)
+	if t.pending > pendingLimit*s.MaxBody {
+		return nil, false, &FrameError{Problem: "too many unfinished calls"}
+	}
+	return payload, false, nil
+}
+
+func (t *answerTable) begin() bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.running >= callLimit {
+		return false
+	}
+	t.running++
+	return true
+}
+
+func (t *answerTable) finish() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.running--
+}
--- /dev/null
+++ b/internal/link/beechlink/frame.go
@@ -0,0 +1,147 @@
+package beechlink
+
+import (
+	"encoding/binary"
+	"fmt"
+	"io"
+
+	"github.com/tinylib/msgp/msgp"
+)
+
+type (
+	// kind says which message of beechwire a frame carries.
+	kind byte
+
+	// frameReader cuts a byte stream into frames. A frame's body is only
+	// valid until the next call.
+	frameReader struct {
+		source io.Reader
+		limit  int
+		buffer []byte
+		start  int
+		end    int
+		read   uint64
+	}
+)
+
+const (
+	kindHello kind = iota + 1
+	kindBye
+	kindOpen
+	kindBody
+	kindReattach
+	kindCredit
+	kindCancel
+	kindHead
+	kindData
+	kindEnd
+	kindRefused
+	kindFailed
+	kindBeat
+	kindCall
+	kindResult
+	kindLast = kindResult
+)
+
+const (
+	lengthBytes = 4
+	headBytes   = lengthBytes + 1
+
+	smallBuffer = 2 << 10
+	largeBuffer = 16 << 10
+)
+
+func newFrameReader(source io.Reader, limit int) *frameReader {
+	return &frameReader{source: source, limit: limit, buffer: make([]byte, smallBuffer)}
+}
+
+// next returns the next frame. io.EOF means that the source ended between two
+// frames, io.ErrUnexpectedEOF inside one, *FrameError that the bytes are no
+// frame.
+func (r *frameReader) next() (kind, []byte, error) {
+	if err := r.fill(headBytes); err != nil {
+		return 0, nil, err
+	}
+	length := int64(binary.BigEndian.Uint32(r.buffer[r.start:]))
+	k := kind(r.buffer[r.start+lengthBytes])
+	if length < 1 || length > int64(r.limit) {
+		return 0, nil, &FrameError{Problem: fmt.Sprintf("length %d is not within 1 and %d", length, r.limit)}
+	}
+	if k < kindHello || k > kindLast {
+		return 0, nil, &FrameError{Problem: fmt.Sprintf("type %d is not known", k)}
+	}
+	whole := lengthBytes + int(length)
+	if err := r.fill(whole); err != nil {
+		if err == io.EOF {
+			err = io.ErrUnexpectedEOF
+		}
+		return 0, nil, err
+	}
+	body := r.buffer[r.start+headBytes : r.start+whole]
+	r.start += whole
+	return k, body, nil
+}
+
+// fill reads until count bytes are buffered.
+func (r *frameReader) fill(count int) error {
+	if r.end-r.start >= count {
+		return nil
+	}
+	r.makeRoom(count)
+	for r.end-r.start < count {
+		n, err := r.source.Read(r.buffer[r.end:])
+		r.end += n
+		r.read += uint64(n)
+		if r.end-r.start >= count {
+			return nil
+		}
+		if err == io.EOF && r.end > r.start {
+			return io.ErrUnexpectedEOF
+		}
+		if err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// makeRoom moves what is buffered to the front of a buffer that can hold
+// count bytes. A connection that carries little keeps a small buffer, since
+// an entry holds hundreds of idle links; one that filled its buffer gets a
+// larger one; one grown for a single large frame is given up after it.
+func (r *frameReader) makeRoom(count int) {
+	size := len(r.buffer)
+	filled := r.end == size
+	switch {
+	case count > size:
+		size = count
+	case size > largeBuffer && count <= largeBuffer && r.end-r.start <= largeBuffer:
+		size = largeBuffer
+	case filled && size < largeBuffer:
+		size = largeBuffer
+	}
+	target := r.buffer
+	if size != len(r.buffer) {
+		target = make([]byte, size)
+	}
+	r.end = copy(target, r.buffer[r.start:r.end])
+	r.start = 0
+	r.buffer = target
+}
+
+// appendFrame adds a frame of kind k to b. On an error b is returned as it
+// was.
+func appendFrame(b []byte, limit int, k kind, m msgp.Marshaler) ([]byte, error) {
+	start := len(b)
+	b = append(b, 0, 0, 0, 0, byte(k))
+	whole, err := m.MarshalMsg(b)
+	if err != nil {
+		return b[:start], fmt.Errorf("encode frame of type %d: %w", k, err)
+	}
+	length := len(whole) - start - lengthBytes
+	if length > limit {
+		return whole[:start], &FrameError{Problem: fmt.Sprintf("length %d is over %d", length, limit)}
+	}
+	binary.BigEndian.PutUint32(whole[start:], uint32(length))
+	return whole, nil
+}
--- /dev/null
+++ b/internal/link/beechlink/handshake.go
@@ -0,0 +1,138 @@
+package beechlink
+
+import (
+	"crypto/sha256"
+	"crypto/subtle"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/netip"
+
+	"github.com/beechring/beechring/internal/link/beechwire"
+)
+
+const (
+	// preamble opens both directions. Whoever speaks another protocol is told
+	// so in text, instead of having its bytes read as a frame's length.
+	preamble = "BEECHLNK"
+
+	wrongProtocol = "this port speaks beechring's link protocol only\r\n"
+
+	// refusedBytes is how much of a refused peer's input is read, so that the
+	// refusal is not destroyed by a reset.
+	refusedBytes = 64 << 10
+)
+
+var errProtocol = errors.New("peer does not speak the link protocol")
+
+// sendHello opens this side's direction.
+func sendHello(conn net.Conn, h beechwire.Hello, key string) error {
+	h.Version = beechwire.Version
+	h.Key = key
+	frame, err := appendFrame([]byte(preamble), helloLimit, kindHello, &h)
+	if err != nil {
+		return err
+	}
+	_, err = conn.Write(frame)
+	return err
+}
+
+func readPreamble(conn net.Conn) error {
+	var b [len(preamble)]byte
+	if _, err := io.ReadFull(conn, b[:]); err != nil {
+		return err
+	}
+	if string(b[:]) != preamble {
+		return errProtocol
+	}
+	return nil
+}
+
+// readHello reads the peer's first message and checks it.
+func readHello(frames *frameReader, key string) (beechwire.Hello, error) {
+	var h beechwire.Hello
+	k, body, err := frames.next()
+	if err != nil {
+		return h, err
+	}
+	if k == kindBye {
+		var b beechwire.Bye
+		if _, err := b.UnmarshalMsg(body); err != nil {
+			return h, malformed(err)
+		}
+		return h, fmt.Errorf("refused by peer: %s", b.Reason)
+	}
+	if k != kindHello {
+		return h, &FrameError{Problem: fmt.Sprintf("type %d instead of a hello", k)}
+	}
+	if _, err := h.UnmarshalMsg(body); err != nil {
+		return h, malformed(err)
+	}
+	if h.Version != beechwire.Version {
+		return h, fmt.Errorf("version %d is not spoken here, version %d is", h.Version, beechwire.Version)
+	}
+	if !sameKey(h.Key, key) {
+		return h, errKey
+	}
+	switch h.Role {
+	case beechwire.RoleEntry, beechwire.RoleAgent, beechwire.RoleTool:
+		return h, nil
+	default:
+		return h, fmt.Errorf("role %q is not known", h.Role)
+	}
+}
+
+// sameKey takes the same time whatever the keys, also for their lengths.
+func sameKey(a, b string) bool {
+	x := sha256.Sum256([]byte(a))
+	y := sha256.Sum256([]byte(b))
+	return subtle.ConstantTimeCompare(x[:], y[:]) == 1
+}
+
+// refuse tells a peer why it is not accepted. What it still sends is read: a
+// close with unread input would reset the connection, and the peer would see
+// the reset instead of the reason.
+func refuse(conn net.Conn, reason error) {
+	text := []byte(wrongProtocol)
+	if !errors.Is(reason, errProtocol) {
+		frame, err := appendFrame([]byte(preamble), helloLimit, kindBye, &beechwire.Bye{Reason: reason.Error()})
+		if err != nil {
+			return
+		}
+		text = frame
+	}
+	if _, err := conn.Write(text); err != nil {
+		return
+	}
+	if half, ok := conn.(closeWriter); ok && half.CloseWrite() == nil {
+		_, _ = io.CopyN(io.Discard, conn, refusedBytes)
+	}
+}
+
+// peerOf uses the address that the peer gives, or else that of its
+// connection.
+func peerOf(h beechwire.Hello, remote net.Addr) (Peer, sessionKey) {
+	key := sessionKey{incarnation: h.Incarnation}
+	given, err := netip.ParseAddrPort(h.Address)
+	if err == nil {
+		key.address = given
+	} else {
+		given = addressOf(remote)
+	}
+	return Peer{
+		Address:     given,
+		Role:        h.Role,
+		Zone:        h.Zone,
+		Incarnation: h.Incarnation,
+		Generation:  h.Generation,
+	}, key
+}
+
+func addressOf(a net.Addr) netip.AddrPort {
+	tcp, ok := a.(*net.TCPAddr)
+	if !ok {
+		return netip.AddrPort{}
+	}
+	return tcp.AddrPort()
+}
--- /dev/null
+++ b/internal/link/beechlink/outbox.go
@@ -0,0 +1,285 @@
+package beechlink
+
+import (
+	"context"
+	"errors"
+	"net"
+	"sync"
+
+	"github.com/beechring/beechring/internal/link/beechwire"
+	"github.com/tinylib/msgp/msgp"
+)
+
+type (
+	// outbox holds what waits for one connection. Small messages go out in
+	// the order of send; of each large body or payload one piece goes out at
+	// a time, in turn, so that none blocks the small ones.
+	outbox struct {
+		limit    int
+		counters *counters
+		wake     chan struct{}
+		done     chan struct{} // closed once the writer has ended
+
+		mu        sync.Mutex
+		waiting   []byte
+		frames    uint64
+		transfers []*transfer
+		room      chan struct{} // closed when there is room again; nil while there is
+		finishing bool
+		err       error
+	}
+
+	// transfer is a body or payload that goes out in pieces.
+	transfer struct {
+		kind   kind
+		id     uint64 // stream or call
+		method string
+		rest   []byte
+	}
+
+	closeWriter interface{ CloseWrite() error }
+)
+
+const (
+	writeBatch = 64 << 10
+	keptBuffer = 128 << 10
+)
+
+var buffers = sync.Pool{New: func() any { return new([]byte) }}
+
+func newOutbox(limit int, c *counters) *outbox {
+	return &outbox{
+		limit:    limit,
+		counters: c,
+		wake:     make(chan struct{}, 1),
+		done:     make(chan struct{}),
+	}
+}
+
+// send queues a message.
+func (o *outbox) send(k kind, m msgp.Marshaler) error {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.sendLocked(k, m)
+}
+
+func (o *outbox) sendLocked(k kind, m msgp.Marshaler) error {
+	if o.err != nil {
+		return o.err
+	}
+	if o.finishing {
+		return ErrClosed
+	}
+	if o.waiting == nil {
+		o.waiting = (*buffers.Get().(*[]byte))[:0]
+	}
+	b, err := appendFrame(o.waiting, o.limit, k, m)
+	o.waiting = b
+	if err != nil {
+		return err
+	}
+	o.frames++
+	o.signal()
+	return nil
+}
+
+// sendWith queues a message and what follows it in pieces. A payload of one
+// piece goes out right behind its message.
+func (o *outbox) sendWith(k kind, m msgp.Marshaler, t *transfer) error {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if err := o.sendLocked(k, m); err != nil {
+		return err
+	}
+	return o.startLocked(t)
+}
+
+func (o *outbox) start(t *transfer) error {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.startLocked(t)
+}
+
+func (o *outbox) startLocked(t *transfer) error {
+	if len(t.rest) <= pieceBytes {
+		return o.sendPiece(t)
+	}
+	if o.err != nil {
+		return o.err
+	}
+	if o.finishing {
+		return ErrClosed
+	}
+	o.transfers = append(o.transfers, t)
+	o.signal()
+	return nil
+}
+
+// stop forgets what is left of a stream's body.
+func (o *outbox) stop(k kind, id uint64) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	for i, t := range o.transfers {
+		if t.kind == k && t.id == id {
+			o.transfers = append(o.transfers[:i], o.transfers[i+1:]...)
+			return
+		}
+	}
+}
+
+func (o *outbox) dropTransfers() {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.transfers = nil
+}
+
+func (o *outbox) sendPiece(t *transfer) error {
+	count := min(len(t.rest), pieceBytes)
+	piece := t.rest[:count]
+	t.rest = t.rest[count:]
+	more := len(t.rest) > 0
+	switch t.kind {
+	case kindCall:
+		return o.sendLocked(kindCall, &beechwire.Call{Call: t.id, Method: t.method, Payload: piece, More: more})
+	case kindResult:
+		return o.sendLocked(kindResult, &beechwire.Result{Call: t.id, Payload: piece, More: more})
+	default:
+		return o.sendLocked(kindBody, &beechwire.Body{Stream: t.id, Data: piece})
+	}
+}
+
+func (o *outbox) signal() {
+	select {
+	case o.wake <- struct{}{}:
+	default:
+	}
+}
+
+// waitRoom returns once fewer than queueLimit bytes wait. Without it an entry
+// that stops reading would make the agent hold every stream's credit in
+// bytes.
+func (o *outbox) waitRoom(ctx context.Context) error {
+	for {
+		o.mu.Lock()
+		if o.err != nil || len(o.waiting) < queueLimit {
+			err := o.err
+			o.mu.Unlock()
+			return err
+		}
+		if o.room == nil {
+			o.room = make(chan struct{})
+		}
+		room := o.room
+		o.mu.Unlock()
+		select {
+		case <-room:
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+	}
+}
+
+func (o *outbox) queued() int {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return len(o.waiting)
+}
+
+// finish makes the writer end after what is queued.
+func (o *outbox) finish() {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.finishing = true
+	o.signal()
+}
+
+// fail drops what is queued and makes the writer end.
+func (o *outbox) fail(err error) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if o.err == nil {
+		o.err = err
+	}
+	o.transfers = nil
+	o.openRoom()
+	o.signal()
+}
+
+func (o *outbox) openRoom() {
+	if o.room != nil {
+		close(o.room)
+		o.room = nil
+	}
+}
+
+// take returns the next batch, or false once the writer is to end.
+func (o *outbox) take() ([]byte, bool) {
+	for {
+		o.mu.Lock()
+		o.takePieces()
+		if o.err != nil || (o.finishing && len(o.waiting) == 0 && len(o.transfers) == 0) {
+			o.mu.Unlock()
+			return nil, false
+		}
+		if len(o.waiting) > 0 {
+			batch := o.waiting
+			o.waiting = nil
+			o.counters.framesOut.Add(o.frames)
+			o.frames = 0
+			o.openRoom()
+			if len(o.transfers) > 0 {
+				o.signal()
+			}
+			o.mu.Unlock()
+			return batch, true
+		}
+		o.mu.Unlock()
+		<-o.wake
+	}
+}
+
+// takePieces adds a piece of each transfer in turn until the batch is full.
+func (o *outbox) takePieces() {
+	finishing := o.finishing
+	o.finishing = false
+	for len(o.transfers) > 0 && len(o.waiting) < writeBatch {
+		t := o.transfers[0]
+		o.transfers = o.transfers[1:]
+		if o.sendPiece(t) == nil && len(t.rest) > 0 {
+			o.transfers = append(o.transfers, t)
+		}
+	}
+	o.finishing = finishing
+}
+
+// write is the connection's one writer. It returns nil after finish.
+func (o *outbox) write(conn net.Conn) error {
+	defer close(o.done)
+	for {
+		batch, ok := o.take()
+		if !ok {
+			break
+		}
+		n, err := conn.Write(batch)
+		o.counters.bytesOut.Add(uint64(n))
+		o.counters.writes.Add(1)
+		if cap(batch) <= keptBuffer {
+			buffers.Put(&batch)
+		}
+		if err != nil {
+			o.fail(err)
+			return err
+		}
+	}
+	o.mu.Lock()
+	err := o.err
+	o.mu.Unlock()
+	if err != nil {
+		return err
+	}
+	half, ok := conn.(closeWriter)
+	if !ok {
+		return errors.New("connection cannot be half closed")
+	}
+	return half.CloseWrite()
+}
--- /dev/null
+++ b/internal/link/beechlink/pacer.go
@@ -0,0 +1,115 @@
+package beechlink
+
+import (
+	"sync"
+	"time"
+
+	"github.com/beechring/beechring/internal/link/beechwire"
+	"github.com/jonboulle/clockwork"
+)
+
+type (
+	// pacer watches all connections of a Dialer or Server from one goroutine:
+	// a timer for each of hundreds of idle links would cost an idle entry
+	// more than its share of a core.
+	pacer struct {
+		clock    clockwork.Clock
+		settings Settings
+		pulse    Pulse
+		stop     chan struct{}
+
+		mu          sync.Mutex
+		connections map[*connection]struct{}
+		latest      beechwire.Heartbeat
+		polled      bool
+	}
+
+	// moment is what one round of the pacer tells each connection.
+	moment struct {
+		now       time.Time
+		heartbeat beechwire.Heartbeat
+		idle      time.Duration // between beats of a connection with no work
+		late      bool          // this process was held up since the last round
+	}
+)
+
+func newPacer(s Settings, pulse Pulse, clock clockwork.Clock) *pacer {
+	p := &pacer{
+		clock:       clock,
+		settings:    s,
+		pulse:       pulse,
+		stop:        make(chan struct{}),
+		connections: map[*connection]struct{}{},
+	}
+	period := s.Heartbeat / 2
+	ticker := clock.NewTicker(period)
+	go func() {
+		defer ticker.Stop()
+		last := clock.Now()
+		for {
+			select {
+			case <-p.stop:
+				return
+			case <-ticker.Chan():
+			}
+			now := clock.Now()
+			p.round(now, now.Sub(last) > 2*period)
+			last = now
+		}
+	}()
+	return p
+}
+
+func (p *pacer) close() { close(p.stop) }
+
+func (p *pacer) round(now time.Time, late bool) {
+	h := p.pulse.Beat()
+	p.mu.Lock()
+	p.latest = h
+	p.polled = true
+	m := moment{now: now, heartbeat: h, idle: p.idleLocked(), late: late}
+	all := make([]*connection, 0, len(p.connections))
+	for c := range p.connections {
+		all = append(all, c)
+	}
+	p.mu.Unlock()
+	for _, c := range all {
+		c.check(m)
+	}
+}
+
+// idleLocked stretches the period with the number of connections, so that
+// the sum over all of them stays the same.
+func (p *pacer) idleLocked() time.Duration {
+	return max(p.settings.Heartbeat, time.Duration(len(p.connections))*p.settings.IdleSpread)
+}
+
+func (p *pacer) add(c *connection) {
+	p.mu.Lock()
+	p.connections[c] = struct{}{}
+	p.mu.Unlock()
+	c.check(p.moment())
+}
+
+func (p *pacer) remove(c *connection) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	delete(p.connections, c)
+}
+
+// moment is that of the last round, or a new one before the first.
+func (p *pacer) moment() moment {
+	p.mu.Lock()
+	polled := p.polled
+	p.mu.Unlock()
+	if !polled {
+		h := p.pulse.Beat()
+		p.mu.Lock()
+		p.latest = h
+		p.polled = true
+		p.mu.Unlock()
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return moment{now: p.clock.Now(), heartbeat: p.latest, idle: p.idleLocked()}
+}
--- /dev/null
+++ b/internal/link/beechlink/server.go
@@ -0,0 +1,300 @@
+package beechlink
+
+import (
+	"context"
+	"crypto/tls"
+	"errors"
+	"fmt"
+	"net"
+	"net/netip"
+	"sync"
+
+	"github.com/beechring/beechring/internal/link/beechwire"
+	"github.com/jonboulle/clockwork"
+)
+
+type (
+	// Server is the agent's side of links.
+	Server struct {
+		settings Settings
+		self     func() beechwire.Hello
+		handler  StreamHandler
+		caller   Caller
+		tls      *tls.Config
+		clock    clockwork.Clock
+		counters counters
+		pacer    *pacer
+		roster   *roster
+		greeting chan struct{} // one element for each handshake under way
+
+		mu          sync.Mutex
+		listeners   map[net.Listener]struct{}
+		open        map[net.Conn]struct{}
+		streams     int
+		draining    bool
+		empty       chan struct{} // closed when draining and no stream is left
+		connections sync.WaitGroup
+		closed      bool
+	}
+)
+
+// handshakes is how many peers may be shaking hands at once; more are closed.
+const handshakes = 1024
+
+// New makes the agent's side. Self is asked at each handshake, pulse every
+// half Heartbeat. tlsConfig may be nil; it should ask for the entries'
+// certificates.
+func New(settings Settings, self func() beechwire.Hello, handler StreamHandler, caller Caller, events Events, pulse Pulse, tlsConfig *tls.Config, clock clockwork.Clock) *Server {
+	s := settings.filled()
+	return &Server{
+		settings:  s,
+		self:      self,
+		handler:   handler,
+		caller:    caller,
+		tls:       tlsConfig,
+		clock:     clock,
+		pacer:     newPacer(s, pulse, clock),
+		roster:    newRoster(events),
+		greeting:  make(chan struct{}, handshakes),
+		listeners: map[net.Listener]struct{}{},
+		open:      map[net.Conn]struct{}{},
+		empty:     make(chan struct{}),
+	}
+}
+
+// Listen opens the listener for Serve. Keepalive probes of TCP are off: the
+// heartbeats do their work, and hundreds of idle links would pay for both.
+func Listen(address netip.AddrPort) (net.Listener, error) {
+	config := net.ListenConfig{KeepAlive: -1}
+	l, err := config.Listen(context.Background(), "tcp", address.String())
+	if err != nil {
+		return nil, fmt.Errorf("listen for links on %s: %w", address, err)
+	}
+	return l, nil
+}
+
+// Serve accepts links until ctx ends, which closes them all, or until Drain;
+// then it returns nil.
+func (s *Server) Serve(ctx context.Context, l net.Listener) error {
+	if !s.addListener(l) {
+		l.Close()
+		return ErrClosed
+	}
+	stop := context.AfterFunc(ctx, s.Close)
+	defer stop()
+	for {
+		conn, err := l.Accept()
+		if err != nil {
+			if s.isDraining() {
+				return nil
+			}
+			var temporary interface{ Temporary() bool }
+			if errors.As(err, &temporary) && temporary.Temporary() {
+				s.clock.Sleep(backoffFirst) // out of file descriptors, say
+				continue
+			}
+			return fmt.Errorf("accept links on %s: %w", l.Addr(), err)
+		}
+		s.start(conn)
+	}
+}
+
+func (s *Server) addListener(l net.Listener) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.draining {
+		return false
+	}
+	s.listeners[l] = struct{}{}
+	return true
+}
+
+func (s *Server) isDraining() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.draining
+}
+
+// start serves a connection in its goroutine.
+func (s *Server) start(conn net.Conn) {
+	s.mu.Lock()
+	if s.draining {
+		s.mu.Unlock()
+		conn.Close()
+		return
+	}
+	s.open[conn] = struct{}{}
+	s.connections.Add(1)
+	s.mu.Unlock()
+	go func() {
+		defer s.connections.Done()
+		s.serve(conn)
+		conn.Close()
+		s.mu.Lock()
+		delete(s.open, conn)
+		s.mu.Unlock()
+	}()
+}
+
+func (s *Server) serve(raw net.Conn) {
+	conn, frames, hello, err := s.greet(raw)
+	if err != nil {
+		s.counters.rejected.Add(1)
+		return
+	}
+	e := newServerEnd(s)
+	frames.limit = s.settings.MaxFrame
+	peer, key := peerOf(hello, raw.RemoteAddr())
+	c := newConnection(conn, peer, key, s.settings, &s.counters, s.pacer, s.caller, s.roster, e)
+	e.c = c
+	s.counters.up.Add(1)
+	s.roster.join(c)
+	if s.isDraining() {
+		c.leave(byeDrained)
+	}
+	err = c.run(frames)
+	c.count(err)
+	s.roster.leave(c, err)
+}
+
+// greet shakes hands within DialTimeout.
+func (s *Server) greet(raw net.Conn) (net.Conn, *frameReader, beechwire.Hello, error) {
+	select {
+	case s.greeting <- struct{}{}:
+	default:
+		return nil, nil, beechwire.Hello{}, ErrBusy
+	}
+	defer func() { <-s.greeting }()
+	timer := s.clock.AfterFunc(s.settings.DialTimeout, func() { raw.Close() })
+	defer timer.Stop()
+	conn := raw
+	if s.tls != nil {
+		secured := tls.Server(raw, s.tls)
+		if err := secured.Handshake(); err != nil {
+			return nil, nil, beechwire.Hello{}, err
+		}
+		conn = secured
+	}
+	frames := newFrameReader(conn, helloLimit)
+	hello, err := s.meet(conn, frames)
+	if err != nil {
+		refuse(conn, err)
+		return nil, nil, hello, err
+	}
+	if err := sendHello(conn, s.self(), s.settings.Key); err != nil {
+		return nil, nil, hello, err
+	}
+	if !timer.Stop() {
+		return nil, nil, hello, errSilent
+	}
+	return conn, frames, hello, nil
+}
+
+func (s *Server) meet(conn net.Conn, frames *frameReader) (beechwire.Hello, error) {
+	if err := readPreamble(conn); err != nil {
+		return beechwire.Hello{}, err
+	}
+	return readHello(frames, s.settings.Key)
+}
+
+// enter counts a stream in, unless the server drains.
+func (s *Server) enter() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.draining {
+		return false
+	}
+	s.streams++
+	return true
+}
+
+func (s *Server) exit() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.streams--
+	if s.draining && s.streams == 0 {
+		close(s.empty)
+	}
+}
+
+// Drain takes no more streams (they are refused as not run), waits for those
+// that run, closes the links and returns nil. If ctx ends first, what is left
+// is cut and ctx's error returned.
+func (s *Server) Drain(ctx context.Context) error {
+	if !s.beginDrain() {
+		return ErrClosed
+	}
+	defer s.shut()
+	select {
+	case <-s.empty:
+	case <-ctx.Done():
+		return fmt.Errorf("drain links: %w", ctx.Err())
+	}
+	for _, c := range s.roster.all() {
+		c.leave(byeDrained)
+	}
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		s.connections.Wait()
+	}()
+	select {
+	case <-done:
+		return nil
+	case <-ctx.Done():
+		return fmt.Errorf("close links: %w", ctx.Err())
+	}
+}
+
+func (s *Server) beginDrain() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.draining {
+		return false
+	}
+	s.draining = true
+	if s.streams == 0 {
+		close(s.empty)
+	}
+	for l := range s.listeners {
+		l.Close()
+	}
+	return true
+}
+
+// Close cuts all links at once.
+func (s *Server) Close() {
+	s.beginDrain()
+	s.shut()
+}
+
+func (s *Server) shut() {
+	s.mu.Lock()
+	if s.closed {
+		s.mu.Unlock()
+		return
+	}
+	s.closed = true
+	for conn := range s.open {
+		conn.Close()
+	}
+	s.mu.Unlock()
+	s.connections.Wait()
+	s.pacer.close()
+	s.roster.close()
+}
+
+// Peers returns the processes linked now.
+func (s *Server) Peers() []Peer { return s.roster.peers() }
+
+// Counters returns those of all links.
+func (s *Server) Counters() Counters { return s.counters.snapshot() }
+
+// Call asks an entry one question, as Client.Call does an agent.
+func (s *Server) Call(ctx context.Context, peer netip.AddrPort, method string, payload []byte) ([]byte, error) {
+	c := s.roster.connection(peer)
+	if c == nil {
+		return nil, &OpenError{Peer: peer, Err: ErrDown}
+	}
+	return c.call(ctx, method, payload)
+}
--- /dev/null
+++ b/internal/link/beechlink/serverend.go
@@ -0,0 +1,263 @@
+package beechlink
+
+import (
+	"context"
+	"fmt"
+	"sync"
+
+	"github.com/beechring/beechring/internal/link/beechwire"
+)
+
+type (
+	// serverEnd is the agent's part of a connection: its streams.
+	serverEnd struct {
+		server *Server
+		c      *connection
+
+		mu      sync.Mutex
+		table   map[uint64]*serverStream
+		last    uint64 // highest stream seen
+		pending int    // bytes of bodies not complete
+	}
+)
+
+func newServerEnd(s *Server) *serverEnd {
+	return &serverEnd{server: s, table: map[uint64]*serverStream{}}
+}
+
+func (e *serverEnd) streams() int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return len(e.table)
+}
+
+func (e *serverEnd) remove(id uint64) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	delete(e.table, id)
+}
+
+func (e *serverEnd) find(id uint64) *serverStream {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.table[id]
+}
+
+func (e *serverEnd) receive(_ *connection, k kind, body []byte) error {
+	switch k {
+	case kindOpen:
+		var m beechwire.Open
+		if _, err := m.UnmarshalMsg(body); err != nil {
+			return malformed(err)
+		}
+		return e.open(&m)
+	case kindReattach:
+		var m beechwire.Reattach
+		if _, err := m.UnmarshalMsg(body); err != nil {
+			return malformed(err)
+		}
+		return e.reattach(&m)
+	case kindBody:
+		var m beechwire.Body
+		if _, err := m.UnmarshalMsg(body); err != nil {
+			return malformed(err)
+		}
+		return e.addBody(&m)
+	case kindCredit:
+		var m beechwire.Credit
+		if _, err := m.UnmarshalMsg(body); err != nil {
+			return malformed(err)
+		}
+		// A stream that is over needs no credit: the frames passed each other.
+		if s := e.find(m.Stream); s != nil && m.Bytes > 0 {
+			s.addCredit(m.Bytes)
+		}
+		return nil
+	case kindCancel:
+		var m beechwire.Cancel
+		if _, err := m.UnmarshalMsg(body); err != nil {
+			return malformed(err)
+		}
+		e.cancel(&m)
+		return nil
+	default:
+		return &FrameError{Problem: fmt.Sprintf("type %d is not for an agent", k)}
+	}
+}
+
+// add makes a stream. Its id must be a new one: an id used twice would let
+// replies of one request reach another.
+func (e *serverEnd) add(id uint64, credit int, requestID string, attempt int) (*serverStream, error) {
+	if id <= e.last {
+		return nil, &FrameError{Problem: fmt.Sprintf("stream %d is not new", id)}
+	}
+	e.last = id
+	ctx, cancel := context.WithCancel(e.c.context)
+	s := &serverStream{
+		end:       e,
+		id:        id,
+		requestID: requestID,
+		attempt:   attempt,
+		credit:    credit,
+		more:      make(chan struct{}, 1),
+		context:   ctx,
+		cancel:    cancel,
+	}
+	return s, nil
+}
+
+// admit puts a stream in the table, or says why not.
+func (e *serverEnd) admit(s *serverStream, bodyBytes int) (reason, message string) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if bodyBytes < 0 || bodyBytes > e.c.settings.MaxBody {
+		return beechwire.ReasonMalformed, fmt.Sprintf("body of %d bytes is over %d", bodyBytes, e.c.settings.MaxBody)
+	}
+	if len(e.table) >= e.c.settings.MaxStreams {
+		return beechwire.ReasonBusy, "too many streams on the connection"
+	}
+	if e.pending+bodyBytes > pendingLimit*e.c.settings.MaxBody {
+		return beechwire.ReasonBusy, "too many bodies on their way on the connection"
+	}
+	if !e.server.enter() {
+		return beechwire.ReasonLeaving, "agent is leaving"
+	}
+	e.table[s.id] = s
+	return "", ""
+}
+
+func (e *serverEnd) open(m *beechwire.Open) error {
+	r := &m.Request
+	s, err := e.add(m.Stream, m.Credit, r.ID, r.Attempt)
+	if err != nil {
+		return err
+	}
+	if reason, message := e.admit(s, r.BodyBytes); reason != "" {
+		return e.refuse(s, reason, message)
+	}
+	e.c.counters.opened.Add(1)
+	s.request = r
+	if r.BodyBytes == 0 {
+		e.begin(s)
+		return nil
+	}
+	s.body = make([]byte, 0, r.BodyBytes)
+	e.mu.Lock()
+	e.pending += r.BodyBytes
+	e.mu.Unlock()
+	return nil
+}
+
+func (e *serverEnd) reattach(m *beechwire.Reattach) error {
+	s, err := e.add(m.Stream, m.Credit, m.RequestID, 0)
+	if err != nil {
+		return err
+	}
+	if reason, message := e.admit(s, 0); reason != "" {
+		return e.refuse(s, reason, message)
+	}
+	e.c.counters.reattached.Add(1)
+	e.serve(s, func() { e.server.handler.Reattach(s.context, s, *m) })
+	return nil
+}
+
+func (e *serverEnd) refuse(s *serverStream, reason, message string) error {
+	s.cancel()
+	e.c.counters.refused.Add(1)
+	return e.c.out.send(kindRefused, &beechwire.Refused{
+		Stream:    s.id,
+		RequestID: s.requestID,
+		Attempt:   s.attempt,
+		Reason:    reason,
+		Message:   message,
+	})
+}
+
+func (e *serverEnd) addBody(m *beechwire.Body) error {
+	s := e.find(m.Stream)
+	if s == nil {
+		return nil // refused or cancelled while the body was on its way
+	}
+	if s.request == nil || len(s.body)+len(m.Data) > s.request.BodyBytes {
+		return &FrameError{Problem: fmt.Sprintf("stream %d has more body than it said", m.Stream)}
+	}
+	s.body = append(s.body, m.Data...)
+	if len(s.body) < s.request.BodyBytes {
+		return nil
+	}
+	e.release(s)
+	e.begin(s)
+	return nil
+}
+
+// release takes a body that is complete or given up out of what is pending.
+func (e *serverEnd) release(s *serverStream) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.pending -= s.request.BodyBytes
+}
+
+func (e *serverEnd) begin(s *serverStream) {
+	e.serve(s, func() { e.server.handler.Open(s.context, s, *s.request, s.body) })
+}
+
+// serve runs a handler in its goroutine.
+func (e *serverEnd) serve(s *serverStream, handle func()) {
+	go func() {
+		defer e.server.exit()
+		defer s.cancel()
+		e.guard(s, handle)
+	}()
+}
+
+// guard makes sure that every stream gets a last reply. A handler that panics
+// or forgets it would leave a caller waiting until its deadline; what ran is
+// then unknown.
+func (e *serverEnd) guard(s *serverStream, handle func()) {
+	message := "handler gave no last reply"
+	defer func() {
+		if p := recover(); p != nil {
+			e.c.counters.panics.Add(1)
+			message = fmt.Sprintf("handler panicked: %v", p)
+		}
+		// Over is the usual case: the handler has sent its last reply.
+		_ = s.Send(s.context, FailedReply{Failed: beechwire.Failed{
+			Reason:  beechwire.ReasonServer,
+			Message: message,
+			Ran:     beechwire.RanUnknown,
+		}})
+	}()
+	handle()
+}
+
+func (e *serverEnd) cancel(m *beechwire.Cancel) {
+	s := e.find(m.Stream)
+	if s == nil {
+		return
+	}
+	e.remove(s.id)
+	s.stop(m.Detached)
+	e.abandon(s)
+}
+
+// abandon accounts for a stream whose handler was never started.
+func (e *serverEnd) abandon(s *serverStream) {
+	if s.request == nil || len(s.body) >= s.request.BodyBytes {
+		return
+	}
+	e.release(s)
+	e.server.exit()
+}
+
+func (e *serverEnd) lost(_ *connection, _ error) {
+	e.mu.Lock()
+	table := e.table
+	e.table = map[uint64]*serverStream{}
+	e.mu.Unlock()
+	for _, s := range table {
+		s.stop(true)
+		e.abandon(s)
+	}
+}
+
+func (e *serverEnd) bye(c *connection, _ string) { c.out.finish() }
--- /dev/null
+++ b/internal/link/beechlink/serverstream.go
@@ -0,0 +1,153 @@
+package beechlink
+
+import (
+	"context"
+	"fmt"
+	"sync"
+
+	"github.com/beechring/beechring/internal/link/beechwire"
+)
+
+type (
+	// serverStream is the agent's side of a stream.
+	serverStream struct {
+		end       *serverEnd
+		id        uint64
+		requestID string
+		attempt   int
+		context   context.Context
+		cancel    context.CancelFunc
+
+		request *beechwire.Request // of an Open
+		body    []byte             // received so far
+
+		mu       sync.Mutex
+		credit   int
+		more     chan struct{} // room for one; told when credit grew
+		over     bool
+		detached bool
+	}
+)
+
+// Peer implements ServerStream.
+func (s *serverStream) Peer() Peer { return s.end.c.known() }
+
+// Detached implements ServerStream.
+func (s *serverStream) Detached() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.detached
+}
+
+// Send implements ServerStream. Stream is filled in, as are RequestID and
+// Attempt where they are empty.
+func (s *serverStream) Send(ctx context.Context, r Reply) error {
+	switch r := r.(type) {
+	case HeadReply:
+		m := r.Head
+		m.Stream = s.id
+		s.name(&m.RequestID, &m.Attempt)
+		return s.send(kindHead, func(o *outbox) error { return o.send(kindHead, &m) })
+	case DataReply:
+		m := r.Data
+		m.Stream = s.id
+		if err := s.takeCredit(ctx, costOf(m.Data)); err != nil {
+			return err
+		}
+		return s.send(kindData, func(o *outbox) error { return o.send(kindData, &m) })
+	case EndReply:
+		m := r.End
+		m.Stream = s.id
+		s.name(&m.RequestID, &m.Attempt)
+		return s.send(kindEnd, func(o *outbox) error { return o.send(kindEnd, &m) })
+	case RefusedReply:
+		m := r.Refused
+		m.Stream = s.id
+		s.name(&m.RequestID, &m.Attempt)
+		return s.send(kindRefused, func(o *outbox) error { return o.send(kindRefused, &m) })
+	case FailedReply:
+		m := r.Failed
+		m.Stream = s.id
+		s.name(&m.RequestID, &m.Attempt)
+		return s.send(kindFailed, func(o *outbox) error { return o.send(kindFailed, &m) })
+	default:
+		return fmt.Errorf("reply of type %T cannot be sent", r)
+	}
+}
+
+func (s *serverStream) name(requestID *string, attempt *int) {
+	if *requestID == "" {
+		*requestID = s.requestID
+	}
+	if *attempt == 0 {
+		*attempt = s.attempt
+	}
+}
+
+// send queues a reply unless the stream is over; the last one makes it over.
+func (s *serverStream) send(k kind, queue func(*outbox) error) error {
+	last := k == kindEnd || k == kindRefused || k == kindFailed
+	s.mu.Lock()
+	if s.over {
+		s.mu.Unlock()
+		return ErrStreamOver
+	}
+	err := queue(s.end.c.out)
+	s.over = last && err == nil
+	s.mu.Unlock()
+	if err != nil {
+		return fmt.Errorf("send to %s: %w", s.end.c.peer.Address, err)
+	}
+	if last {
+		s.end.remove(s.id)
+	}
+	return nil
+}
+
+// takeCredit waits until the entry has room. A message may be larger than
+// what is left, so that one larger than the whole credit is not held forever;
+// the debt is waited for by the next.
+func (s *serverStream) takeCredit(ctx context.Context, cost int) error {
+	if err := s.end.c.out.waitRoom(ctx); err != nil {
+		return fmt.Errorf("send to %s: %w", s.end.c.peer.Address, err)
+	}
+	for {
+		s.mu.Lock()
+		if s.over {
+			s.mu.Unlock()
+			return ErrStreamOver
+		}
+		if s.credit > 0 {
+			s.credit -= cost
+			s.mu.Unlock()
+			return nil
+		}
+		s.mu.Unlock()
+		select {
+		case <-s.more:
+		case <-s.context.Done():
+			return ErrStreamOver
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+	}
+}
+
+func (s *serverStream) addCredit(bytes int) {
+	s.mu.Lock()
+	s.credit += bytes
+	s.mu.Unlock()
+	select {
+	case s.more <- struct{}{}:
+	default:
+	}
+}
+
+// stop ends the stream from the entry's side.
+func (s *serverStream) stop(detached bool) {
+	s.mu.Lock()
+	s.over = true
+	s.detached = detached
+	s.mu.Unlock()
+	s.cancel()
+}
--- a/internal/link/beechlink/types.go
+++ b/internal/link/beechlink/types.go
@@ -88,14 +88,15 @@
 	// Settings of links. Key is shared by all processes of a deployment where
 	// no TLS authenticates them.
 	Settings struct {
-		Connections int // per peer
-		Credit      int // bytes of Data ahead of the reader, per stream
-		MaxFrame    int // bytes
-		MaxBody     int // bytes
-		Heartbeat   time.Duration
-		Deadline    time.Duration // silence after which a peer is lost
-		DialTimeout time.Duration
-		MaxStreams  int // per connection
+		Connections int           // per peer
+		Credit      int           // bytes of Data ahead of the reader, per stream
+		MaxFrame    int           // bytes
+		MaxBody     int           // bytes
+		Heartbeat   time.Duration // between beats while work is outstanding
+		Deadline    time.Duration // silence after which a peer is lost while work is outstanding
+		IdleSpread  time.Duration // idle connections beat once in IdleSpread x their number
+		DialTimeout time.Duration // for dialing and the handshake each
+		MaxStreams  int           // per connection
 		Key         string
 	}
 )
--- a/internal/link/beechwire/wire_gen.go
+++ b/internal/link/beechwire/wire_gen.go
@@ -4,6 +4,40 @@
 
 package beechwire
 
+// Beat goes both ways as the sign of life. It carries what changed since the
+// sender's last one on the connection; the first carries everything.
+type Beat struct {
+	// The other side answers with a Beat at once.
+	Ask *bool `msg:"Ask,omitempty"`
+
+	// Entries corresponds to the JSON schema field "Entries".
+	Entries *int `msg:"Entries,omitempty"`
+
+	// Time between the sender's beats while nothing is outstanding.
+	EveryMillis *int64 `msg:"EveryMillis,omitempty"`
+
+	// Generation corresponds to the JSON schema field "Generation".
+	Generation *uint64 `msg:"Generation,omitempty"`
+
+	// Incarnation corresponds to the JSON schema field "Incarnation".
+	Incarnation *uint64 `msg:"Incarnation,omitempty"`
+
+	// Leaving corresponds to the JSON schema field "Leaving".
+	Leaving *bool `msg:"Leaving,omitempty"`
+
+	// Load corresponds to the JSON schema field "Load".
+	Load *Load `msg:"Load,omitempty"`
+
+	// Models corresponds to the JSON schema field "Models".
+	Models *Names `msg:"Models,omitempty"`
+
+	// Ready corresponds to the JSON schema field "Ready".
+	Ready *bool `msg:"Ready,omitempty"`
+
+	// Suspects corresponds to the JSON schema field "Suspects".
+	Suspects []Suspect `msg:"Suspects,omitempty"`
+}
+
 // Body carries a piece of the request's body, entry to agent.
 type Body struct {
 	// Data corresponds to the JSON schema field "Data".
@@ -27,7 +61,10 @@
 	// A Method constant of this package.
 	Method string `msg:"Method"`
 
-	// The method's message in msgpack.
+	// Further pieces of the payload follow.
+	More bool `msg:"More"`
+
+	// The method's message in msgpack, or a piece of it.
 	Payload []byte `msg:"Payload"`
 }
 
@@ -209,8 +246,8 @@
 	Stream uint64 `msg:"Stream"`
 }
 
-// Heartbeat goes both ways. An entry leaves the agent's fields empty and the other
-// way round.
+// Heartbeat is the state that Beats add up to. An entry leaves the agent's fields
+// empty and the other way round.
 type Heartbeat struct {
 	// Agent: number of live entries linked to it.
 	Entries int `msg:"Entries"`
@@ -324,6 +361,12 @@
 	Zone string `msg:"Zone"`
 }
 
+// Names is a list that may have changed to an empty one.
+type Names struct {
+	// Names corresponds to the JSON schema field "Names".
+	Names []string `msg:"Names"`
+}
+
 // Open starts a stream, entry to agent.
 type Open struct {
 	// Bytes of Data the agent may send before the first Credit.
@@ -482,6 +525,9 @@
 	// Error corresponds to the JSON schema field "Error".
 	Error string `msg:"Error"`
 
+	// Further pieces of the payload follow.
+	More bool `msg:"More"`
+
 	// Payload corresponds to the JSON schema field "Payload".
 	Payload []byte `msg:"Payload"`
 }
--- a/internal/link/beechwire/wire_msgp_gen.go
+++ b/internal/link/beechwire/wire_msgp_gen.go
@@ -6,6 +6,469 @@
 	"github.com/tinylib/msgp/msgp"
 )
 
+// MarshalMsg implements msgp.Marshaler
+func (z *Beat) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// check for omitted fields
+	zb0001Len := uint32(10)
+	var zb0001Mask uint16 /* 10 bits */
+	_ = zb0001Mask
+	if z.Ask == nil {
+		zb0001Len--
+		zb0001Mask |= 0x1
+	}
+	if z.Entries == nil {
+		zb0001Len--
+		zb0001Mask |= 0x2
+	}
+	if z.EveryMillis == nil {
+		zb0001Len--
+		zb0001Mask |= 0x4
+	}
+	if z.Generation == nil {
+		zb0001Len--
+		zb0001Mask |= 0x8
+	}
+	if z.Incarnation == nil {
+		zb0001Len--
+		zb0001Mask |= 0x10
+	}
+	if z.Leaving == nil {
+		zb0001Len--
+		zb0001Mask |= 0x20
+	}
+	if z.Load == nil {
+		zb0001Len--
+		zb0001Mask |= 0x40
+	}
+	if z.Models == nil {
+		zb0001Len--
+		zb0001Mask |= 0x80
+	}
+	if z.Ready == nil {
+		zb0001Len--
+		zb0001Mask |= 0x100
+	}
+	if z.Suspects == nil {
+		zb0001Len--
+		zb0001Mask |= 0x200
+	}
+	// variable map header, size zb0001Len
+	o = append(o, 0x80|uint8(zb0001Len))
+
+	// skip if no fields are to be emitted
+	if zb0001Len != 0 {
+		if (zb0001Mask & 0x1) == 0 { // if not omitted
+			// string "Ask"
+			o = append(o, 0xa3, 0x41, 0x73, 0x6b)
+			if z.Ask == nil {
+				o = msgp.AppendNil(o)
+			} else {
+				o = msgp.AppendBool(o, *z.Ask)
+			}
+		}
+		if (zb0001Mask & 0x2) == 0 { // if not omitted
+			// string "Entries"
+			o = append(o, 0xa7, 0x45, 0x6e, 0x74, 0x72, 0x69, 0x65, 0x73)
+			if z.Entries == nil {
+				o = msgp.AppendNil(o)
+			} else {
+				o = msgp.AppendInt(o, *z.Entries)
+			}
+		}
+		if (zb0001Mask & 0x4) == 0 { // if not omitted
+			// string "EveryMillis"
+			o = append(o, 0xab, 0x45, 0x76, 0x65, 0x72, 0x79, 0x4d, 0x69, 0x6c, 0x6c, 0x69, 0x73)
+			if z.EveryMillis == nil {
+				o = msgp.AppendNil(o)
+			} else {
+				o = msgp.AppendInt64(o, *z.EveryMillis)
+			}
+		}
+		if (zb0001Mask & 0x8) == 0 { // if not omitted
+			// string "Generation"
+			o = append(o, 0xaa, 0x47, 0x65, 0x6e, 0x65, 0x72, 0x61, 0x74, 0x69, 0x6f, 0x6e)
+			if z.Generation == nil {
+				o = msgp.AppendNil(o)
+			} else {
+				o = msgp.AppendUint64(o, *z.Generation)
+			}
+		}
+		if (zb0001Mask & 0x10) == 0 { // if not omitted
+			// string "Incarnation"
+			o = append(o, 0xab, 0x49, 0x6e, 0x63, 0x61, 0x72, 0x6e, 0x61, 0x74, 0x69, 0x6f, 0x6e)
+			if z.Incarnation == nil {
+				o = msgp.AppendNil(o)
+			} else {
+				o = msgp.AppendUint64(o, *z.Incarnation)
+			}
+		}
+		if (zb0001Mask & 0x20) == 0 { // if not omitted
+			// string "Leaving"
+			o = append(o, 0xa7, 0x4c, 0x65, 0x61, 0x76, 0x69, 0x6e, 0x67)
+			if z.Leaving == nil {
+				o = msgp.AppendNil(o)
+			} else {
+				o = msgp.AppendBool(o, *z.Leaving)
+			}
+		}
+		if (zb0001Mask & 0x40) == 0 { // if not omitted
+			// string "Load"
+			o = append(o, 0xa4, 0x4c, 0x6f, 0x61, 0x64)
+			if z.Load == nil {
+				o = msgp.AppendNil(o)
+			} else {
+				o, err = z.Load.MarshalMsg(o)
+				if err != nil {
+					err = msgp.WrapError(err, "Load")
+					return
+				}
+			}
+		}
+		if (zb0001Mask & 0x80) == 0 { // if not omitted
+			// string "Models"
+			o = append(o, 0xa6, 0x4d, 0x6f, 0x64, 0x65, 0x6c, 0x73)
+			if z.Models == nil {
+				o = msgp.AppendNil(o)
+			} else {
+				// map header, size 1
+				// string "Names"
+				o = append(o, 0x81, 0xa5, 0x4e, 0x61, 0x6d, 0x65, 0x73)
+				o = msgp.AppendArrayHeader(o, uint32(len(z.Models.Names)))
+				for za0001 := range z.Models.Names {
+					o = msgp.AppendString(o, z.Models.Names[za0001])
+				}
+			}
+		}
+		if (zb0001Mask & 0x100) == 0 { // if not omitted
+			// string "Ready"
+			o = append(o, 0xa5, 0x52, 0x65, 0x61, 0x64, 0x79)
+			if z.Ready == nil {
+				o = msgp.AppendNil(o)
+			} else {
+				o = msgp.AppendBool(o, *z.Ready)
+			}
+		}
+		if (zb0001Mask & 0x200) == 0 { // if not omitted
+			// string "Suspects"
+			o = append(o, 0xa8, 0x53, 0x75, 0x73, 0x70, 0x65, 0x63, 0x74, 0x73)
+			o = msgp.AppendArrayHeader(o, uint32(len(z.Suspects)))
+			for za0002 := range z.Suspects {
+				o, err = z.Suspects[za0002].MarshalMsg(o)
+				if err != nil {
+					err = msgp.WrapError(err, "Suspects", za0002)
+					return
+				}
+			}
+		}
+	}
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *Beat) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var field []byte
+	_ = field
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadMapHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	for zb0001 > 0 {
+		zb0001--
+		field, bts, err = msgp.ReadMapKeyZC(bts)
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		switch msgp.UnsafeString(field) {
+		case "Ask":
+			if msgp.IsNil(bts) {
+				bts, err = msgp.ReadNilBytes(bts)
+				if err != nil {
+					return
+				}
+				z.Ask = nil
+			} else {
+				if z.Ask == nil {
+					z.Ask = new(bool)
+				}
+				*z.Ask, bts, err = msgp.ReadBoolBytes(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Ask")
+					return
+				}
+			}
+		case "Entries":
+			if msgp.IsNil(bts) {
+				bts, err = msgp.ReadNilBytes(bts)
+				if err != nil {
+					return
+				}
+				z.Entries = nil
+			} else {
+				if z.Entries == nil {
+					z.Entries = new(int)
+				}
+				*z.Entries, bts, err = msgp.ReadIntBytes(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Entries")
+					return
+				}
+			}
+		case "EveryMillis":
+			if msgp.IsNil(bts) {
+				bts, err = msgp.ReadNilBytes(bts)
+				if err != nil {
+					return
+				}
+				z.EveryMillis = nil
+			} else {
+				if z.EveryMillis == nil {
+					z.EveryMillis = new(int64)
+				}
+				*z.EveryMillis, bts, err = msgp.ReadInt64Bytes(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "EveryMillis")
+					return
+				}
+			}
+		case "Generation":
+			if msgp.IsNil(bts) {
+				bts, err = msgp.ReadNilBytes(bts)
+				if err != nil {
+					return
+				}
+				z.Generation = nil
+			} else {
+				if z.Generation == nil {
+					z.Generation = new(uint64)
+				}
+				*z.Generation, bts, err = msgp.ReadUint64Bytes(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Generation")
+					return
+				}
+			}
+		case "Incarnation":
+			if msgp.IsNil(bts) {
+				bts, err = msgp.ReadNilBytes(bts)
+				if err != nil {
+					return
+				}
+				z.Incarnation = nil
+			} else {
+				if z.Incarnation == nil {
+					z.Incarnation = new(uint64)
+				}
+				*z.Incarnation, bts, err = msgp.ReadUint64Bytes(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Incarnation")
+					return
+				}
+			}
+		case "Leaving":
+			if msgp.IsNil(bts) {
+				bts, err = msgp.ReadNilBytes(bts)
+				if err != nil {
+					return
+				}
+				z.Leaving = nil
+			} else {
+				if z.Leaving == nil {
+					z.Leaving = new(bool)
+				}
+				*z.Leaving, bts, err = msgp.ReadBoolBytes(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Leaving")
+					return
+				}
+			}
+		case "Load":
+			if msgp.IsNil(bts) {
+				bts, err = msgp.ReadNilBytes(bts)
+				if err != nil {
+					return
+				}
+				z.Load = nil
+			} else {
+				if z.Load == nil {
+					z.Load = new(Load)
+				}
+				bts, err = z.Load.UnmarshalMsg(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Load")
+					return
+				}
+			}
+		case "Models":
+			if msgp.IsNil(bts) {
+				bts, err = msgp.ReadNilBytes(bts)
+				if err != nil {
+					return
+				}
+				z.Models = nil
+			} else {
+				if z.Models == nil {
+					z.Models = new(Names)
+				}
+				var zb0002 uint32
+				zb0002, bts, err = msgp.ReadMapHeaderBytes(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Models")
+					return
+				}
+				for zb0002 > 0 {
+					zb0002--
+					field, bts, err = msgp.ReadMapKeyZC(bts)
+					if err != nil {
+						err = msgp.WrapError(err, "Models")
+						return
+					}
+					switch msgp.UnsafeString(field) {
+					case "Names":
+						var zb0003 uint32
+						zb0003, bts, err = msgp.ReadArrayHeaderBytes(bts)
+						if err != nil {
+							err = msgp.WrapError(err, "Models", "Names")
+							return
+						}
+						if cap(z.Models.Names) >= int(zb0003) {
+							z.Models.Names = z.Models.Names[:zb0003]
+						} else {
+							z.Models.Names = make([]string, zb0003)
+						}
+						for za0001 := range z.Models.Names {
+							z.Models.Names[za0001], bts, err = msgp.ReadStringBytes(bts)
+							if err != nil {
+								err = msgp.WrapError(err, "Models", "Names", za0001)
+								return
+							}
+						}
+					default:
+						bts, err = msgp.Skip(bts)
+						if err != nil {
+							err = msgp.WrapError(err, "Models")
+							return
+						}
+					}
+				}
+			}
+		case "Ready":
+			if msgp.IsNil(bts) {
+				bts, err = msgp.ReadNilBytes(bts)
+				if err != nil {
+					return
+				}
+				z.Ready = nil
+			} else {
+				if z.Ready == nil {
+					z.Ready = new(bool)
+				}
+				*z.Ready, bts, err = msgp.ReadBoolBytes(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Ready")
+					return
+				}
+			}
+		case "Suspects":
+			var zb0004 uint32
+			zb0004, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Suspects")
+				return
+			}
+			if cap(z.Suspects) >= int(zb0004) {
+				z.Suspects = z.Suspects[:zb0004]
+			} else {
+				z.Suspects = make([]Suspect, zb0004)
+			}
+			for za0002 := range z.Suspects {
+				bts, err = z.Suspects[za0002].UnmarshalMsg(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Suspects", za0002)
+					return
+				}
+			}
+		default:
+			bts, err = msgp.Skip(bts)
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
+			}
+		}
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z *Beat) Msgsize() (s int) {
+	s = 1 + 4
+	if z.Ask == nil {
+		s += msgp.NilSize
+	} else {
+		s += msgp.BoolSize
+	}
+	s += 8
+	if z.Entries == nil {
+		s += msgp.NilSize
+	} else {
+		s += msgp.IntSize
+	}
+	s += 12
+	if z.EveryMillis == nil {
+		s += msgp.NilSize
+	} else {
+		s += msgp.Int64Size
+	}
+	s += 11
+	if z.Generation == nil {
+		s += msgp.NilSize
+	} else {
+		s += msgp.Uint64Size
+	}
+	s += 12
+	if z.Incarnation == nil {
+		s += msgp.NilSize
+	} else {
+		s += msgp.Uint64Size
+	}
+	s += 8
+	if z.Leaving == nil {
+		s += msgp.NilSize
+	} else {
+		s += msgp.BoolSize
+	}
+	s += 5
+	if z.Load == nil {
+		s += msgp.NilSize
+	} else {
+		s += z.Load.Msgsize()
+	}
+	s += 7
+	if z.Models == nil {
+		s += msgp.NilSize
+	} else {
+		s += 1 + 6 + msgp.ArrayHeaderSize
+		for za0001 := range z.Models.Names {
+			s += msgp.StringPrefixSize + len(z.Models.Names[za0001])
+		}
+	}
+	s += 6
+	if z.Ready == nil {
+		s += msgp.NilSize
+	} else {
+		s += msgp.BoolSize
+	}
+	s += 9 + msgp.ArrayHeaderSize
+	for za0002 := range z.Suspects {
+		s += z.Suspects[za0002].Msgsize()
+	}
+	return
+}
+
 // MarshalMsg implements msgp.Marshaler
 func (z *Body) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
@@ -122,13 +585,16 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *Call) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 3
+	// map header, size 4
 	// string "Call"
-	o = append(o, 0x83, 0xa4, 0x43, 0x61, 0x6c, 0x6c)
+	o = append(o, 0x84, 0xa4, 0x43, 0x61, 0x6c, 0x6c)
 	o = msgp.AppendUint64(o, z.Call)
 	// string "Method"
 	o = append(o, 0xa6, 0x4d, 0x65, 0x74, 0x68, 0x6f, 0x64)
 	o = msgp.AppendString(o, z.Method)
+	// string "More"
+	o = append(o, 0xa4, 0x4d, 0x6f, 0x72, 0x65)
+	o = msgp.AppendBool(o, z.More)
 	// string "Payload"
 	o = append(o, 0xa7, 0x50, 0x61, 0x79, 0x6c, 0x6f, 0x61, 0x64)
 	o = msgp.AppendBytes(o, z.Payload)
@@ -165,6 +631,12 @@
 				err = msgp.WrapError(err, "Method")
 				return
 			}
+		case "More":
+			z.More, bts, err = msgp.ReadBoolBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "More")
+				return
+			}
 		case "Payload":
 			z.Payload, bts, err = msgp.ReadBytesBytes(bts, z.Payload)
 			if err != nil {
@@ -185,7 +657,7 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *Call) Msgsize() (s int) {
-	s = 1 + 5 + msgp.Uint64Size + 7 + msgp.StringPrefixSize + len(z.Method) + 8 + msgp.BytesPrefixSize + len(z.Payload)
+	s = 1 + 5 + msgp.Uint64Size + 7 + msgp.StringPrefixSize + len(z.Method) + 5 + msgp.BoolSize + 8 + msgp.BytesPrefixSize + len(z.Payload)
 	return
 }
 
@@ -1706,6 +2178,77 @@
 	return
 }
 
+// MarshalMsg implements msgp.Marshaler
+func (z *Names) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// map header, size 1
+	// string "Names"
+	o = append(o, 0x81, 0xa5, 0x4e, 0x61, 0x6d, 0x65, 0x73)
+	o = msgp.AppendArrayHeader(o, uint32(len(z.Names)))
+	for za0001 := range z.Names {
+		o = msgp.AppendString(o, z.Names[za0001])
+	}
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *Names) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var field []byte
+	_ = field
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadMapHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	for zb0001 > 0 {
+		zb0001--
+		field, bts, err = msgp.ReadMapKeyZC(bts)
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		switch msgp.UnsafeString(field) {
+		case "Names":
+			var zb0002 uint32
+			zb0002, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Names")
+				return
+			}
+			if cap(z.Names) >= int(zb0002) {
+				z.Names = z.Names[:zb0002]
+			} else {
+				z.Names = make([]string, zb0002)
+			}
+			for za0001 := range z.Names {
+				z.Names[za0001], bts, err = msgp.ReadStringBytes(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Names", za0001)
+					return
+				}
+			}
+		default:
+			bts, err = msgp.Skip(bts)
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
+			}
+		}
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z *Names) Msgsize() (s int) {
+	s = 1 + 6 + msgp.ArrayHeaderSize
+	for za0001 := range z.Names {
+		s += msgp.StringPrefixSize + len(z.Names[za0001])
+	}
+	return
+}
+
 // MarshalMsg implements msgp.Marshaler
 func (z *Open) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
@@ -2358,13 +2901,16 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *Result) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 3
+	// map header, size 4
 	// string "Call"
-	o = append(o, 0x83, 0xa4, 0x43, 0x61, 0x6c, 0x6c)
+	o = append(o, 0x84, 0xa4, 0x43, 0x61, 0x6c, 0x6c)
 	o = msgp.AppendUint64(o, z.Call)
 	// string "Error"
 	o = append(o, 0xa5, 0x45, 0x72, 0x72, 0x6f, 0x72)
 	o = msgp.AppendString(o, z.Error)
+	// string "More"
+	o = append(o, 0xa4, 0x4d, 0x6f, 0x72, 0x65)
+	o = msgp.AppendBool(o, z.More)
 	// string "Payload"
 	o = append(o, 0xa7, 0x50, 0x61, 0x79, 0x6c, 0x6f, 0x61, 0x64)
 	o = msgp.AppendBytes(o, z.Payload)
@@ -2401,6 +2947,12 @@
 				err = msgp.WrapError(err, "Error")
 				return
 			}
+		case "More":
+			z.More, bts, err = msgp.ReadBoolBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "More")
+				return
+			}
 		case "Payload":
 			z.Payload, bts, err = msgp.ReadBytesBytes(bts, z.Payload)
 			if err != nil {
@@ -2421,7 +2973,7 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *Result) Msgsize() (s int) {
-	s = 1 + 5 + msgp.Uint64Size + 6 + msgp.StringPrefixSize + len(z.Error) + 8 + msgp.BytesPrefixSize + len(z.Payload)
+	s = 1 + 5 + msgp.Uint64Size + 6 + msgp.StringPrefixSize + len(z.Error) + 5 + msgp.BoolSize + 8 + msgp.BytesPrefixSize + len(z.Payload)
 	return
 }
 
