--- /dev/null
+++ b/internal/decision/beechroute/prefix.go
@@ -0,0 +1,138 @@
+package beechroute
+
+import (
+	"math"
+	"time"
+
+	"github.com/hashicorp/golang-lru/v2/simplelru"
+)
+
+const (
+	defaultBytes = 8 << 20
+	prefixBytes  = 512 // a prefix with its few holders and its place in the table
+
+	// maxHolders bounds a prefix's holders. More are not worth knowing: a
+	// request compares only a few.
+	maxHolders = 32
+
+	// rateWindow is the time over which demand is averaged: long against the
+	// gaps between two requests for a hot prefix, short against a season.
+	rateWindow = 10 * time.Second
+)
+
+type (
+	// holder is a server that was sent a prefix. Stamp is the server's inserted
+	// tokens when it was last used there; before is its age at that use, which
+	// a reply's usage proves alive or evicted.
+	holder struct {
+		server *server
+		stamp  int64
+		before int64
+	}
+
+	prefix struct {
+		tokens  int
+		holders []holder
+		count   float64 // requests, decayed over rateWindow
+		counted time.Time
+		grown   time.Time // when it last got a holder beside others
+	}
+
+	// table is the prefixes used last, the oldest dropped first.
+	table struct {
+		entries *simplelru.LRU[Key, *prefix]
+	}
+)
+
+func newTable(maxBytes int) table {
+	if maxBytes <= 0 {
+		maxBytes = defaultBytes
+	}
+	entries, _ := simplelru.NewLRU[Key, *prefix](max(1, maxBytes/prefixBytes), nil)
+	return table{entries: entries}
+}
+
+func (t table) get(key Key) *prefix {
+	p, _ := t.entries.Peek(key)
+	return p
+}
+
+// use finds or adds a prefix and makes it the youngest.
+func (t table) use(l Level) *prefix {
+	if p, ok := t.entries.Get(l.Key); ok {
+		p.tokens = max(0, l.Tokens)
+		return p
+	}
+	p := &prefix{tokens: max(0, l.Tokens)}
+	t.entries.Add(l.Key, p)
+	return p
+}
+
+func (p *prefix) count1(now time.Time) {
+	p.count = p.demand(now) + 1
+	p.counted = now
+}
+
+// demand is the requests of the last window, decayed.
+func (p *prefix) demand(now time.Time) float64 {
+	passed := max(0, now.Sub(p.counted))
+	if passed > 8*rateWindow {
+		return 0
+	}
+	return p.count * math.Exp(-float64(passed)/float64(rateWindow))
+}
+
+func (p *prefix) rate(now time.Time) float64 { return p.demand(now) / rateWindow.Seconds() }
+
+func (p *prefix) holder(s *server) *holder {
+	for i := range p.holders {
+		if p.holders[i].server == s {
+			return &p.holders[i]
+		}
+	}
+	return nil
+}
+
+// hold notes a use on a server. The first place that is free, dead or oldest takes
+// a new holder.
+func (p *prefix) hold(s *server, now time.Time) {
+	if h := p.holder(s); h != nil {
+		h.before = s.inserted - h.stamp
+		h.stamp = s.inserted
+		return
+	}
+	if len(p.holders) > 0 {
+		p.grown = now
+	}
+	fresh := holder{server: s, stamp: s.inserted, before: -1}
+	p.sweep()
+	if len(p.holders) < maxHolders {
+		p.holders = append(p.holders, fresh)
+		return
+	}
+	*p.oldest() = fresh
+}
+
+// sweep drops holders that are gone.
+func (p *prefix) sweep() {
+	kept := p.holders[:0]
+	for _, h := range p.holders {
+		if !h.server.gone {
+			kept = append(kept, h)
+		}
+	}
+	clear(p.holders[len(kept):])
+	p.holders = kept
+}
+
+func (p *prefix) oldest() *holder {
+	oldest := &p.holders[0]
+	for i := range p.holders {
+		if age(&p.holders[i]) > age(oldest) {
+			oldest = &p.holders[i]
+		}
+	}
+	return oldest
+}
+
+func age(h *holder) int64 { return h.server.inserted - h.stamp }
--- a/internal/decision/beechroute/router.go
+++ b/internal/decision/beechroute/router.go
@@ -1,165 +1,271 @@
 package beechroute
 
 import (
+	"cmp"
 	"math/rand/v2"
 	"net/netip"
-	"sort"
+	"slices"
 	"sync"
 	"time"
 
 	"github.com/jonboulle/clockwork"
 )
 
-type (
-	serverState struct {
-		server Server
-		load   Load
-		sent   int64
-	}
-
-	// Router chooses servers for an entry host's requests. It is safe for
-	// concurrent use.
-	Router struct {
-		settings Settings
-		clock    clockwork.Clock
-		random   *rand.Rand
-		health   Health
+const (
+	defaultZoneDistance = 2 * time.Millisecond
+	defaultReportLag    = 100 * time.Millisecond
 
-		mutex   sync.Mutex
-		servers map[netip.AddrPort]*serverState
-		holders map[Key]map[netip.AddrPort]int
-	}
+	meanStep = 0.02 // share of one observation that a running mean takes in
 )
 
+// Router chooses servers for an entry host's requests. It is safe for concurrent
+// use.
+type Router struct {
+	settings Settings
+	clock    clockwork.Clock
+	random   *rand.Rand
+	health   Health
+
+	mutex     sync.Mutex
+	servers   map[netip.AddrPort]*server
+	rings     map[string]*ring
+	prefixes  table
+	output    float64 // mean output tokens of a request
+	homePrior float64 // share of prefixes not known here that their home held
+}
+
 // New is a router that knows no server yet. Random is used under the router's own
 // lock and must not be shared.
 func New(s Settings, clock clockwork.Clock, random *rand.Rand, health Health) *Router {
+	if s.ZoneDistance <= 0 {
+		s.ZoneDistance = defaultZoneDistance
+	}
+	if s.ReportLag <= 0 {
+		s.ReportLag = defaultReportLag
+	}
+	s.WasteWeight = max(0, s.WasteWeight)
+	if s.lacks(MechanismWaste) {
+		s.WasteWeight = 0
+	}
 	return &Router{
-		settings: s, clock: clock, random: random, health: health,
-		servers: map[netip.AddrPort]*serverState{},
-		holders: map[Key]map[netip.AddrPort]int{},
+		settings: s,
+		clock:    clock,
+		random:   random,
+		health:   health,
+		servers:  map[netip.AddrPort]*server{},
+		rings:    map[string]*ring{},
+		prefixes: newTable(s.MaxBytes),
+		output:   100,
 	}
 }
 
+func (s Settings) lacks(m Mechanism) bool { return s.Without&m != 0 }
+
 // SetServers replaces the servers that may be chosen. What is known of one that
 // stays with the same incarnation is kept.
 func (r *Router) SetServers(servers []Server) {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
-	next := map[netip.AddrPort]*serverState{}
+	next := make(map[netip.AddrPort]*server, len(servers))
 	for _, s := range servers {
-		state := &serverState{server: s}
-		if old := r.servers[s.Address]; old != nil && old.server.Incarnation == s.Incarnation {
-			state.load, state.sent = old.load, old.sent
+		next[s.Address] = r.keep(s)
+	}
+	for address, s := range r.servers {
+		if next[address] != s {
+			s.gone = true
 		}
-		next[s.Address] = state
 	}
 	r.servers = next
+	r.rebuild()
 }
 
-// Choose ranks servers for a request by predicted cost.
-func (r *Router) Choose(q Request) Choice {
-	r.mutex.Lock()
-	defer r.mutex.Unlock()
-	var choice Choice
-	for address, s := range r.servers {
-		if !s.serves(q.Model) || contains(q.Avoid, address) || r.health.Weight(address) <= 0 {
-			continue
-		}
-		choice.Ranked = append(choice.Ranked, r.candidate(q, s))
+func (r *Router) keep(s Server) *server {
+	old := r.servers[s.Address]
+	if old == nil || old.Incarnation != s.Incarnation {
+		return newServer(s)
 	}
-	sort.Slice(choice.Ranked, func(i, j int) bool { return choice.Ranked[i].Cost < choice.Ranked[j].Cost })
-	return choice
+	old.Zone = s.Zone
+	old.Models = slices.Clone(s.Models)
+	return old
 }
 
-func (r *Router) candidate(q Request, s *serverState) Candidate {
-	cached := 0
-	for _, l := range q.Levels {
-		if _, ok := r.holders[l.Key][s.server.Address]; ok {
-			cached = l.Tokens
+// rebuild makes the rings anew for models whose servers have changed.
+func (r *Router) rebuild() {
+	members := map[string][]*server{}
+	for _, s := range r.servers {
+		for _, model := range s.Models {
+			members[model] = append(members[model], s)
 		}
 	}
-	uncached := max(0, q.PromptTokens-cached)
-	rate := max(1, s.load.PrefillRate)
-	first := time.Duration(s.load.WaitingTokens+s.sent+int64(uncached)) * time.Second / time.Duration(rate)
-	waste := r.settings.WasteWeight * float64(uncached) / float64(rate)
-	return Candidate{Server: s.server.Address, FirstToken: first, Uncached: uncached, Cost: first.Seconds() + waste}
+	rings := make(map[string]*ring, len(members))
+	for model, servers := range members {
+		slices.SortFunc(servers, func(a, b *server) int { return a.Address.Compare(b.Address) })
+		servers = slices.Compact(servers)
+		if old := r.rings[model]; old != nil && slices.Equal(old.servers, servers) {
+			rings[model] = old
+			continue
+		}
+		rings[model] = newRing(servers)
+	}
+	r.rings = rings
 }
 
 // Dispatched notes that a request was sent to a server, with the uncached tokens
 // that Choose predicted for it.
-func (r *Router) Dispatched(server netip.AddrPort, q Request, uncached int) {
+func (r *Router) Dispatched(address netip.AddrPort, q Request, uncached int) {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
-	if s := r.servers[server]; s != nil {
-		s.sent += int64(max(0, uncached))
+	s := r.servers[address]
+	if s == nil {
+		return
 	}
-	r.hold(server, q.Levels)
-}
-
-func (r *Router) hold(server netip.AddrPort, levels []Level) {
-	for _, l := range levels {
-		if r.holders[l.Key] == nil {
-			r.holders[l.Key] = map[netip.AddrPort]int{}
-		}
-		r.holders[l.Key][server] = l.Tokens
+	now := r.clock.Now()
+	uncached = max(0, uncached)
+	s.inFlight++
+	if !r.settings.lacks(MechanismOwn) {
+		s.work.add(float64(uncached), now, float64(s.load.PrefillRate), r.settings.ReportLag)
+	}
+	if q.OutputTokens > 0 {
+		r.output += meanStep * (float64(q.OutputTokens) - r.output)
+	}
+	s.inserted += int64(uncached)
+	for _, l := range slices.Backward(q.Levels) {
+		p := r.prefixes.use(l)
+		p.count1(now)
+		p.hold(s, now)
 	}
 }
 
-// Learn takes in what a reply said of its prompt's cached part.
+// Learn takes in what a reply said of its prompt's cached part. A reply of an
+// incarnation that is not the server's present one is dropped.
 func (r *Router) Learn(p Reply) {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
-	r.hold(p.Server, p.Levels)
+	s := r.servers[p.Server]
+	if s == nil || s.Incarnation != p.Incarnation {
+		return
+	}
+	now := r.clock.Now()
+	for i, l := range p.Levels {
+		known := r.prefixes.use(l)
+		h := known.holder(s)
+		if h == nil {
+			known.hold(s, now)
+			continue
+		}
+		hit := p.CachedTokens >= l.Tokens-l.Tokens/8
+		if h.before >= 0 {
+			s.observe(h.before, hit)
+			continue
+		}
+		if i == homeLevel(p.Levels) && len(known.holders) == 1 {
+			r.learnPrior(hit)
+		}
+	}
+}
+
+func (r *Router) learnPrior(hit bool) {
+	target := 0.0
+	if hit {
+		target = 1
+	}
+	r.homePrior += meanStep * (target - r.homePrior)
 }
 
 // Report takes in a server's load.
-func (r *Router) Report(server netip.AddrPort, l Load) {
+func (r *Router) Report(address netip.AddrPort, l Load) {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
-	if s := r.servers[server]; s != nil {
-		s.load, s.sent = l, 0
+	if s := r.servers[address]; s != nil {
+		s.report(l, r.clock.Now(), r.settings.ReportLag)
 	}
 }
 
 // Finished notes that a request sent to a server has ended there, whatever its
-// outcome.
-func (r *Router) Finished(netip.AddrPort) {}
+// outcome. Each Dispatched has one Finished or Refused.
+func (r *Router) Finished(address netip.AddrPort) {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	if s := r.servers[address]; s != nil {
+		s.inFlight = max(0, s.inFlight-1)
+	}
+}
 
 // Refused notes that a server turned a request away, not run, and when it may be
 // asked again.
-func (r *Router) Refused(netip.AddrPort, time.Duration) {}
-
-// Forget drops what is known of a server's cache, up to and including that
-// incarnation.
-func (r *Router) Forget(server netip.AddrPort, _ uint64) {
+func (r *Router) Refused(address netip.AddrPort, after time.Duration) {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
-	for _, h := range r.holders {
-		delete(h, server)
+	s := r.servers[address]
+	if s == nil {
+		return
 	}
+	s.inFlight = max(0, s.inFlight-1)
+	s.notBefore = r.clock.Now().Add(max(0, after))
 }
 
-// Hot is the prefixes in demand, for entry hosts that restart.
-func (r *Router) Hot() []HotPrefix { return nil }
+// Forget drops what is known of a server's cache if its incarnation is that one
+// or an older one.
+func (r *Router) Forget(address netip.AddrPort, incarnation uint64) {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	s := r.servers[address]
+	if s == nil || s.Incarnation > incarnation {
+		return
+	}
+	s.gone = true
+	r.servers[address] = newServer(s.Server)
+	r.rebuild()
+}
 
-// Restore takes in prefixes that another entry host knew to be in demand.
-func (r *Router) Restore([]HotPrefix) {}
+// Hot is the prefixes in demand, those with the most tokens asked for a second
+// first, for entry hosts that restart.
+func (r *Router) Hot() []HotPrefix {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	now := r.clock.Now()
+	var hot []HotPrefix
+	for _, key := range r.prefixes.entries.Keys() {
+		p := r.prefixes.get(key)
+		rate := p.rate(now)
+		if rate < hotRate {
+			continue
+		}
+		hot = append(hot, HotPrefix{Key: key, Tokens: p.tokens, Rate: rate, Holders: p.addresses()})
+	}
+	slices.SortFunc(hot, func(a, b HotPrefix) int {
+		return cmp.Compare(b.Rate*float64(b.Tokens), a.Rate*float64(a.Tokens))
+	})
+	return hot[:min(len(hot), maxHot)]
+}
 
-func (s *serverState) serves(model string) bool {
-	for _, m := range s.server.Models {
-		if m == model {
-			return true
+// Restore takes in prefixes that another entry host knew to be in demand. What is
+// known here already is kept.
+func (r *Router) Restore(hot []HotPrefix) {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	now := r.clock.Now()
+	for _, h := range slices.Backward(hot) {
+		if r.prefixes.get(h.Key) != nil {
+			continue
+		}
+		p := r.prefixes.use(Level{Key: h.Key, Tokens: h.Tokens})
+		p.count = max(0, h.Rate) * rateWindow.Seconds()
+		p.counted = now
+		for _, address := range h.Holders {
+			if s := r.servers[address]; s != nil {
+				p.hold(s, now)
+			}
 		}
 	}
-	return false
 }
 
-func contains(addresses []netip.AddrPort, address netip.AddrPort) bool {
-	for _, a := range addresses {
-		if a == address {
-			return true
+func (p *prefix) addresses() []netip.AddrPort {
+	var addresses []netip.AddrPort
+	for _, h := range p.holders {
+		if !h.server.gone {
+			addresses = append(addresses, h.server.Address)
 		}
 	}
-	return false
+	return addresses
 }
--- /dev/null
+++ b/internal/decision/beechroute/server.go
@@ -0,0 +1,158 @@
+package beechroute
+
+import (
+	"net/netip"
+	"slices"
+	"time"
+)
+
+const (
+	// Until its first report a server is taken for an idle one of middling
+	// size, so that a server that has just joined gets work.
+	defaultPrefillRate = 8000
+	defaultSlots       = 16
+
+	// The ages that tell hits from misses lie within a factor of about two of
+	// each other once many prefixes compete; the step is small against that.
+	lifetimeStep = 0.05
+
+	lagBuckets = 4
+)
+
+type (
+	// server is what is known of one incarnation of a backend server. Another
+	// incarnation is another server, so whatever points to the old one, its
+	// cache above all, is dead with it.
+	server struct {
+		Server
+		gone     bool
+		load     Load
+		work     backlog
+		inFlight int // own requests that have not ended
+		known    int // requests running or waiting, by the last report
+
+		// inserted counts the tokens that own requests made the server
+		// prefill. An engine evicts the least recently used, so a prefix's
+		// age in inserted tokens tells better than its age in time whether it
+		// survives.
+		inserted int64
+		lifetime float64 // inserted tokens after which a prefix is evicted; 0 is not known
+
+		notBefore time.Time // a refusal said to come back then
+	}
+
+	// backlog is the prefill work ahead of a new request, as a fluid: it drains
+	// at the server's rate between reports. Own dispatches that a report cannot
+	// have seen yet, since it lags, are kept and added to it; otherwise the
+	// whole stream of one report's interval would go to the server that looked
+	// idle in it.
+	backlog struct {
+		tokens  float64
+		at      time.Time
+		recent  [lagBuckets]float64
+		bucket  int64
+		started bool
+	}
+)
+
+func newServer(s Server) *server {
+	s.Models = slices.Clone(s.Models)
+	return &server{Server: s, load: Load{PrefillRate: defaultPrefillRate, Slots: defaultSlots}}
+}
+
+func (s *server) report(l Load, now time.Time, lag time.Duration) {
+	if l.PrefillRate <= 0 {
+		l.PrefillRate = s.load.PrefillRate
+	}
+	if l.Slots <= 0 {
+		l.Slots = s.load.Slots
+	}
+	s.load = l
+	s.known = max(0, l.Running) + max(0, l.Waiting)
+	s.work.reset(float64(max(0, l.WaitingTokens)), now, lag)
+}
+
+// wait is the predicted time until a new request's prefill starts.
+func (s *server) wait(now time.Time, output float64, drains bool) time.Duration {
+	tokens := s.work.tokens
+	if drains {
+		tokens = s.work.now(now, float64(s.load.PrefillRate))
+	}
+	wait := seconds(tokens / float64(s.load.PrefillRate))
+	if ahead := max(s.known, s.inFlight) - s.load.Slots; ahead >= 0 {
+		residence := output * s.load.TokenTime.Seconds()
+		wait = max(wait, seconds(residence*float64(ahead+1)/float64(s.load.Slots)))
+	}
+	return max(wait, s.notBefore.Sub(now))
+}
+
+func (s *server) serves(model string) bool { return slices.Contains(s.Models, model) }
+
+func (b *backlog) now(now time.Time, rate float64) float64 {
+	passed := max(0, now.Sub(b.at).Seconds())
+	return max(0, b.tokens-passed*rate)
+}
+
+func (b *backlog) add(tokens float64, now time.Time, rate float64, lag time.Duration) {
+	b.tokens = b.now(now, rate) + tokens
+	b.at = now
+	b.turn(now, lag)
+	b.recent[b.bucket%lagBuckets] += tokens
+}
+
+// reset takes in a report and adds what was dispatched within its lag.
+func (b *backlog) reset(tokens float64, now time.Time, lag time.Duration) {
+	b.turn(now, lag)
+	b.tokens = tokens
+	for _, t := range b.recent {
+		b.tokens += t
+	}
+	b.at = now
+}
+
+// turn empties the buckets that have passed out of the lag. A clock that steps
+// back empties them all.
+func (b *backlog) turn(now time.Time, lag time.Duration) {
+	width := max(1, int64(lag)/lagBuckets)
+	bucket := now.UnixNano() / width
+	if passed := bucket - b.bucket; passed < 0 || passed >= lagBuckets {
+		clear(b.recent[:])
+	} else {
+		for i := b.bucket + 1; i <= bucket; i++ {
+			b.recent[i%lagBuckets] = 0
+		}
+	}
+	b.bucket = bucket
+}
+
+// survival is the share of a prefix's tokens expected to be cached still at an
+// age: all up to three quarters of the lifetime, none from five quarters on.
+func (s *server) survival(age int64) float64 {
+	if s.lifetime <= 0 {
+		return 1
+	}
+	return min(1, max(0, (1.25-float64(age)/s.lifetime)*2))
+}
+
+// observe takes in that a prefix of an age was found cached or not, and moves the
+// lifetime if that contradicts it.
+func (s *server) observe(age int64, hit bool) {
+	a := float64(age)
+	switch {
+	case hit && s.lifetime > 0 && a > s.lifetime:
+		s.lifetime += lifetimeStep * 4 * (a - s.lifetime)
+	case !hit && s.lifetime <= 0:
+		s.lifetime = max(1, a)
+	case !hit && a < s.lifetime:
+		s.lifetime = max(1, s.lifetime-lifetimeStep*(s.lifetime-a))
+	}
+}
+
+func seconds(s float64) time.Duration {
+	const most = float64(1 << 62)
+	return time.Duration(min(most, max(0, s)*float64(time.Second)))
+}
+
+func contains(addresses []netip.AddrPort, address netip.AddrPort) bool {
+	return slices.Contains(addresses, address)
+}
--- a/internal/decision/beechroute/types.go
+++ b/internal/decision/beechroute/types.go
@@ -88,9 +88,32 @@
 
 	// Settings are the deployment's. WasteWeight is the worth of recomputed
 	// prefill time against time to first token: Granite Loop's is high, Solís
-	// Monterroso's low.
+	// Monterroso's low. The rest has defaults for zero: ZoneDistance is what a
+	// request to another availability zone takes longer, there and back;
+	// ReportLag is how old a load report is when it arrives; MaxBytes bounds
+	// the table of prefixes. Without switches mechanisms off, for measurement.
 	Settings struct {
-		Zone        string
-		WasteWeight float64
+		Zone         string
+		WasteWeight  float64
+		ZoneDistance time.Duration
+		ReportLag    time.Duration
+		MaxBytes     int
+		Without      Mechanism
 	}
+
+	// Mechanism is a set of the router's mechanisms.
+	Mechanism uint
+)
+
+// Mechanisms that Settings.Without can switch off.
+const (
+	MechanismHolders   Mechanism = 1 << iota // holders learned from dispatches and replies
+	MechanismHomes                           // homes by consistent hashing
+	MechanismRandom                          // two random candidates
+	MechanismOwn                             // own dispatches added to the load report
+	MechanismDrain                           // reported work drains as time passes
+	MechanismSurvival                        // cache entries age
+	MechanismHomePrior                       // a home may hold what another entry host sent there
+	MechanismPacing                          // growth of a prefix's holders is paced
+	MechanismWaste                           // recomputation weighs more than its time
 )
