Read what resuming and usage events need from the body

Cause: a stream can be resumed on another engine only where its text is all there is, and the usage event goes only to callers that asked for it. Ruled out: decoding the body once more at the agent. Conclusion: two fields more from the one decode at the entry host.

--- a/internal/link/beechwire/wire_gen.go
+++ b/internal/link/beechwire/wire_gen.go
@@ -522,6 +522,9 @@
 	// Streamed corresponds to the JSON schema field "Streamed".
 	Streamed bool `msg:"Streamed"`
 
+	// The caller asked for the usage event of a streamed answer.
+	WantsUsage bool `msg:"WantsUsage"`
+
 	// Weights version.
 	Weights string `msg:"Weights"`
 
--- a/internal/link/beechwire/wire_msgp_gen.go
+++ b/internal/link/beechwire/wire_msgp_gen.go
@@ -2596,9 +2596,9 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *Request) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 27
+	// map header, size 28
 	// string "Adapter"
-	o = append(o, 0xde, 0x0, 0x1b, 0xa7, 0x41, 0x64, 0x61, 0x70, 0x74, 0x65, 0x72)
+	o = append(o, 0xde, 0x0, 0x1c, 0xa7, 0x41, 0x64, 0x61, 0x70, 0x74, 0x65, 0x72)
 	o = msgp.AppendString(o, z.Adapter)
 	// string "Alone"
 	o = append(o, 0xa5, 0x41, 0x6c, 0x6f, 0x6e, 0x65)
@@ -2681,6 +2681,9 @@
 	// string "Streamed"
 	o = append(o, 0xa8, 0x53, 0x74, 0x72, 0x65, 0x61, 0x6d, 0x65, 0x64)
 	o = msgp.AppendBool(o, z.Streamed)
+	// string "WantsUsage"
+	o = append(o, 0xaa, 0x57, 0x61, 0x6e, 0x74, 0x73, 0x55, 0x73, 0x61, 0x67, 0x65)
+	o = msgp.AppendBool(o, z.WantsUsage)
 	// string "Weights"
 	o = append(o, 0xa7, 0x57, 0x65, 0x69, 0x67, 0x68, 0x74, 0x73)
 	o = msgp.AppendString(o, z.Weights)
@@ -2900,6 +2903,12 @@
 				err = msgp.WrapError(err, "Streamed")
 				return
 			}
+		case "WantsUsage":
+			z.WantsUsage, bts, err = msgp.ReadBoolBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "WantsUsage")
+				return
+			}
 		case "Weights":
 			z.Weights, bts, err = msgp.ReadStringBytes(bts)
 			if err != nil {
@@ -2930,7 +2939,7 @@
 	for za0001 := range z.Levels {
 		s += 1 + 4 + msgp.BytesPrefixSize + len(z.Levels[za0001].Key) + 7 + msgp.IntSize
 	}
-	s += 7 + msgp.StringPrefixSize + len(z.Method) + 6 + msgp.StringPrefixSize + len(z.Model) + 13 + msgp.IntSize + 5 + msgp.StringPrefixSize + len(z.Path) + 9 + msgp.IntSize + 13 + msgp.IntSize + 10 + msgp.StringPrefixSize + len(z.RecordKey) + 11 + msgp.BoolSize + 7 + msgp.StringPrefixSize + len(z.Resume) + 15 + msgp.Uint64Size + 5 + msgp.StringPrefixSize + len(z.Salt) + 8 + msgp.StringPrefixSize + len(z.Service) + 9 + msgp.BoolSize + 8 + msgp.StringPrefixSize + len(z.Weights) + 10 + msgp.StringPrefixSize + len(z.Workspace)
+	s += 7 + msgp.StringPrefixSize + len(z.Method) + 6 + msgp.StringPrefixSize + len(z.Model) + 13 + msgp.IntSize + 5 + msgp.StringPrefixSize + len(z.Path) + 9 + msgp.IntSize + 13 + msgp.IntSize + 10 + msgp.StringPrefixSize + len(z.RecordKey) + 11 + msgp.BoolSize + 7 + msgp.StringPrefixSize + len(z.Resume) + 15 + msgp.Uint64Size + 5 + msgp.StringPrefixSize + len(z.Salt) + 8 + msgp.StringPrefixSize + len(z.Service) + 9 + msgp.BoolSize + 11 + msgp.BoolSize + 8 + msgp.StringPrefixSize + len(z.Weights) + 10 + msgp.StringPrefixSize + len(z.Workspace)
 	return
 }
 
--- a/internal/prompt/beechprefix/parse.go
+++ b/internal/prompt/beechprefix/parse.go
@@ -28,6 +28,11 @@
 		Prompt              *text      `json:"prompt"`
 		Tools               text       `json:"tools"`
 		Functions           text       `json:"functions"`
+		Choices             *int       `json:"n"`
+		LogProbs            text       `json:"logprobs"`
+		StreamOptions       *struct {
+			IncludeUsage bool `json:"include_usage"`
+		} `json:"stream_options"`
 	}
 
 	message struct {
@@ -65,7 +70,7 @@
 	if b.Model == "" {
 		return nil, &Error{Kind: KindField, Field: "model", Reason: "must be a model's name"}
 	}
-	p := &Prompt{Fields: Fields{Model: b.Model, Stream: b.Stream != nil && *b.Stream}}
+	p := &Prompt{Fields: b.fields()}
 	if err := p.readMaxTokens(&b); err != nil {
 		return nil, err
 	}
@@ -75,6 +80,16 @@
 	return p, p.readPlain(&b)
 }
 
+func (b *body) fields() Fields {
+	oneChoice := b.Choices == nil || *b.Choices == 1
+	return Fields{
+		Model:      b.Model,
+		Stream:     b.Stream != nil && *b.Stream,
+		WantsUsage: b.StreamOptions != nil && b.StreamOptions.IncludeUsage,
+		Resumable:  oneChoice && b.Tools == "" && b.Functions == "" && (b.LogProbs == "" || b.LogProbs == "false"),
+	}
+}
+
 func (p *Prompt) readMaxTokens(b *body) error {
 	for _, limit := range [...]*int{b.MaxTokens, b.MaxCompletionTokens} {
 		if limit == nil {
--- a/internal/prompt/beechprefix/types.go
+++ b/internal/prompt/beechprefix/types.go
@@ -38,12 +38,16 @@
 	}
 
 	// Fields is what the entry host reads from a body besides the prompt.
-	// MaxTokens is 0 where the caller set none.
+	// MaxTokens is 0 where the caller set none. Resumable says that the text
+	// given so far is all an engine needs to go on with the answer: one choice,
+	// no tool calls, no log probabilities.
 	Fields struct {
-		Model     string
-		Stream    bool
-		MaxTokens int
-		Messages  int
+		Model      string
+		Stream     bool
+		WantsUsage bool
+		Resumable  bool
+		MaxTokens  int
+		Messages   int
 	}
 
 	// Prompt is a body that was read, before its root is known.
