Add first bodies of store, manifest, record and member packages

Cause: entry and agent are built against these at once, so their API comes first. Ruled out: empty bodies, since the others' tests need answers to run.

--- /dev/null
+++ b/internal/platform/beechmanifest/check.go
@@ -0,0 +1,164 @@
+package beechmanifest
+
+import (
+	"fmt"
+	"strings"
+	"time"
+)
+
+// checker collects the problems that no schema can state: what one field says
+// about another.
+type checker struct {
+	manifest *Manifest
+	problems []Problem
+}
+
+const listShown = 10
+
+func checkAcross(m *Manifest) []Problem {
+	c := &checker{manifest: m}
+	c.targets()
+	c.uniqueNames()
+	c.uniqueKeys()
+	c.workspaces()
+	c.pools()
+	return c.problems
+}
+
+func (c *checker) add(field, wrong, allowed string) {
+	c.problems = append(c.problems, Problem{Field: field, Wrong: wrong, Allowed: allowed})
+}
+
+func (c *checker) targets() {
+	if c.manifest.Targets.FirstToken <= 0 {
+		c.add("targets/firstToken", time.Duration(c.manifest.Targets.FirstToken).String(), "a duration above 0")
+	}
+}
+
+func (c *checker) uniqueNames() {
+	m := c.manifest
+	c.unique("models", "name", modelNames(m))
+	c.unique("priorities", "", m.Priorities)
+	c.unique("workspaces", "name", workspaceNames(m))
+	c.unique("pools", "name", poolNames(m))
+	c.unique("services", "name", serviceNames(m))
+}
+
+func (c *checker) unique(list, field string, names []string) {
+	first := make(map[string]int, len(names))
+	for i, n := range names {
+		at, ok := first[n]
+		if !ok {
+			first[n] = i
+			continue
+		}
+		place := fmt.Sprintf("%s/%d", list, i)
+		if field != "" {
+			place += "/" + field
+		}
+		c.add(place, fmt.Sprintf("%q is at %s/%d already", n, list, at), "each name once")
+	}
+}
+
+// uniqueKeys matters because a key names its workspace: a key that stands
+// twice would give one workspace's callers another's limits and cache.
+func (c *checker) uniqueKeys() {
+	first := map[string]string{}
+	for i, w := range c.manifest.Workspaces {
+		for j, key := range w.Keys {
+			place := fmt.Sprintf("workspaces/%d/keys/%d", i, j)
+			if at, ok := first[key]; ok {
+				c.add(place, "the same key is at "+at, "each key in one workspace")
+				continue
+			}
+			first[key] = place
+		}
+	}
+}
+
+func (c *checker) workspaces() {
+	priorities, models, services := setOf(c.manifest.Priorities), setOf(modelNames(c.manifest)), setOf(serviceNames(c.manifest))
+	for i, w := range c.manifest.Workspaces {
+		place := fmt.Sprintf("workspaces/%d", i)
+		c.known(place+"/priority", "priority", w.Priority, priorities, c.manifest.Priorities)
+		c.knownAll(place+"/models", "model", w.Models, models, modelNames(c.manifest))
+		c.knownAll(place+"/services", "service", w.Services, services, serviceNames(c.manifest))
+	}
+}
+
+func (c *checker) pools() {
+	models, services := setOf(modelNames(c.manifest)), setOf(serviceNames(c.manifest))
+	for i, p := range c.manifest.Pools {
+		place := fmt.Sprintf("pools/%d", i)
+		c.knownAll(place+"/models", "model", p.Models, models, modelNames(c.manifest))
+		switch p.Kind {
+		case KindEngine:
+			if p.Service != "" {
+				c.add(place+"/service", fmt.Sprintf("%q on a pool of engines", p.Service), "no service where kind is engine")
+			}
+			if len(p.Models) == 0 {
+				c.add(place+"/models", "is empty on a pool of engines", "at least one model where kind is engine")
+			}
+		case KindService:
+			if len(p.Models) > 0 {
+				c.add(place+"/models", "is set on a pool of a plain service", "no models where kind is service")
+			}
+			c.known(place+"/service", "service", p.Service, services, serviceNames(c.manifest))
+		}
+	}
+}
+
+func (c *checker) knownAll(place, what string, names []string, known map[string]bool, all []string) {
+	for i, n := range names {
+		c.known(fmt.Sprintf("%s/%d", place, i), what, n, known, all)
+	}
+}
+
+func (c *checker) known(place, what, name string, known map[string]bool, all []string) {
+	if known[name] {
+		return
+	}
+	c.add(place, fmt.Sprintf("%q is not the name of a %s", name, what), oneOf(all))
+}
+
+func oneOf(names []string) string {
+	if len(names) == 0 {
+		return "none, since the manifest lists none"
+	}
+	if len(names) > listShown {
+		return fmt.Sprintf("one of %s and %d more", strings.Join(names[:listShown], ", "), len(names)-listShown)
+	}
+	return "one of " + strings.Join(names, ", ")
+}
+
+func setOf(names []string) map[string]bool {
+	set := make(map[string]bool, len(names))
+	for _, n := range names {
+		set[n] = true
+	}
+	return set
+}
+
+func modelNames(m *Manifest) []string {
+	return namesOf(m.Models, func(x Model) string { return x.Name })
+}
+
+func workspaceNames(m *Manifest) []string {
+	return namesOf(m.Workspaces, func(x Workspace) string { return x.Name })
+}
+
+func poolNames(m *Manifest) []string {
+	return namesOf(m.Pools, func(x Pool) string { return x.Name })
+}
+
+func serviceNames(m *Manifest) []string {
+	return namesOf(m.Services, func(x Service) string { return x.Name })
+}
+
+func namesOf[T any](list []T, name func(T) string) []string {
+	names := make([]string, 0, len(list))
+	for _, x := range list {
+		names = append(names, name(x))
+	}
+	return names
+}
--- /dev/null
+++ b/internal/platform/beechmanifest/load.go
@@ -0,0 +1,99 @@
+package beechmanifest
+
+import (
+	"context"
+	"errors"
+	"fmt"
+
+	"github.com/beechring/beechring/internal/platform/beechstore"
+)
+
+// loader reads published manifests. It has the parts of the last one, so that
+// a change costs a read of the head and of the parts that changed.
+type loader struct {
+	store beechstore.Store
+	known map[string][]byte
+}
+
+const loadTries = 4
+
+// Load reads the published manifest. The error is ErrNone if there is none,
+// and beechstore.CorruptValue, beechstore.NewerFormat, MissingPart or Invalid
+// if it cannot be used.
+func Load(ctx context.Context, store beechstore.Store) (uint64, *Manifest, error) {
+	l := &loader{store: store}
+	v, err := store.Get(ctx, HeadKey, beechstore.ImportanceConfiguration)
+	if err != nil {
+		return 0, nil, fmt.Errorf("load the manifest: %w", err)
+	}
+	generation, data, err := l.load(ctx, v)
+	if err != nil {
+		return 0, nil, err
+	}
+	m, err := Parse(data)
+	return generation, m, err
+}
+
+// load reads what the head v names, encoded as Parse reads it. If a part is
+// gone because the head has moved on meanwhile, the newer head is taken.
+func (l *loader) load(ctx context.Context, v beechstore.Value) (uint64, []byte, error) {
+	for try := 1; ; try++ {
+		h, err := decodeHead(v)
+		if err != nil {
+			return 0, nil, err
+		}
+		data, err := l.assemble(ctx, h)
+		var missing MissingPart
+		if err == nil || !errors.As(err, &missing) || try == loadTries {
+			return h.Generation, data, err
+		}
+		again, readErr := l.store.Get(ctx, HeadKey, beechstore.ImportanceConfiguration)
+		if readErr != nil || again.Version == v.Version {
+			return h.Generation, nil, err
+		}
+		v = again
+	}
+}
+
+func (l *loader) assemble(ctx context.Context, h head) ([]byte, error) {
+	parts := make([]part, 0, len(h.Parts))
+	known := make(map[string][]byte, len(h.Parts))
+	for _, sum := range h.Parts {
+		data, err := l.part(ctx, h.Generation, sum)
+		if err != nil {
+			return nil, err
+		}
+		known[sum] = data
+		parts = append(parts, part{sum: sum, data: data})
+	}
+	m, err := join(parts)
+	if err != nil {
+		return nil, err
+	}
+	data, err := Encode(m)
+	if err != nil {
+		return nil, err
+	}
+	if sum := sumOf(data); len(h.History) > 0 && h.History[len(h.History)-1].Sum != sum {
+		return nil, beechstore.CorruptValue{Key: HeadKey, Err: fmt.Errorf("its parts make a manifest of sum %s, not of the one it names", sum)}
+	}
+	l.known = known
+	return data, nil
+}
+
+func (l *loader) part(ctx context.Context, generation uint64, sum string) ([]byte, error) {
+	if data, ok := l.known[sum]; ok {
+		return data, nil
+	}
+	v, err := l.store.Get(ctx, partKey(sum), beechstore.ImportanceConfiguration)
+	if err != nil {
+		return nil, fmt.Errorf("load a part of the manifest: %w", err)
+	}
+	if v.Version == 0 {
+		return nil, MissingPart{Generation: generation, Sum: sum}
+	}
+	if got := sumOf(v.Data); got != sum {
+		return nil, beechstore.CorruptValue{Key: v.Key, Err: fmt.Errorf("its content has the sum %s", got)}
+	}
+	return v.Data, nil
+}
--- /dev/null
+++ b/internal/platform/beechmanifest/parse.go
@@ -0,0 +1,73 @@
+package beechmanifest
+
+import (
+	"bytes"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"unicode/utf8"
+
+	"github.com/santhosh-tekuri/jsonschema/v6"
+)
+
+// MaxBytes is the size of the largest manifest that Parse reads.
+const MaxBytes = 32 << 20
+
+// Parse reads and checks a manifest. The error is Invalid, with every problem
+// found. Absent weights of workspaces become 1.
+func Parse(data []byte) (*Manifest, error) {
+	if problem, ok := checkText(data); !ok {
+		return nil, Invalid{Problems: []Problem{problem}}
+	}
+	value, err := jsonschema.UnmarshalJSON(bytes.NewReader(data))
+	if err != nil {
+		return nil, notJSON(err)
+	}
+	if problems := checkSchema(value); len(problems) > 0 {
+		return nil, Invalid{Problems: problems}
+	}
+	var m Manifest
+	if err := json.Unmarshal(data, &m); err != nil {
+		return nil, badValue(err)
+	}
+	for i := range m.Workspaces {
+		m.Workspaces[i].Weight = max(1, m.Workspaces[i].Weight)
+	}
+	if problems := checkAcross(&m); len(problems) > 0 {
+		return nil, Invalid{Problems: problems}
+	}
+	return &m, nil
+}
+
+// Encode writes the manifest as Parse reads it.
+func Encode(m *Manifest) ([]byte, error) {
+	data, err := json.Marshal(m)
+	if err != nil {
+		return nil, fmt.Errorf("encode a manifest: %w", err)
+	}
+	return data, nil
+}
+
+func checkText(data []byte) (Problem, bool) {
+	if len(data) > MaxBytes {
+		return Problem{Field: "manifest", Wrong: fmt.Sprintf("has %d bytes", len(data)), Allowed: fmt.Sprintf("at most %d bytes", MaxBytes)}, false
+	}
+	if !utf8.Valid(data) {
+		return Problem{Field: "manifest", Wrong: "is not valid UTF-8", Allowed: "JSON in UTF-8"}, false
+	}
+	return Problem{}, true
+}
+
+func notJSON(err error) error {
+	return Invalid{Problems: []Problem{{Field: "manifest", Wrong: "is not JSON: " + err.Error(), Allowed: "one JSON object in UTF-8"}}}
+}
+
+// badValue covers numbers that are whole by the schema but not as Go reads
+// them, such as 1e3.
+func badValue(err error) error {
+	var wrongType *json.UnmarshalTypeError
+	if errors.As(err, &wrongType) {
+		return Invalid{Problems: []Problem{{Field: wrongType.Field, Wrong: "the " + wrongType.Value + " does not fit", Allowed: "a plain " + wrongType.Type.String()}}}
+	}
+	return notJSON(err)
+}
--- /dev/null
+++ b/internal/platform/beechmanifest/schema.go
@@ -0,0 +1,171 @@
+package beechmanifest
+
+import (
+	"bytes"
+	_ "embed" // for the schema
+	"fmt"
+	"slices"
+	"strings"
+	"sync"
+
+	"github.com/santhosh-tekuri/jsonschema/v6"
+	"github.com/santhosh-tekuri/jsonschema/v6/kind"
+	"golang.org/x/text/language"
+	"golang.org/x/text/message"
+)
+
+// schemaNode is the part of a schema that error messages are made of.
+type schemaNode struct {
+	description string
+	properties  []string
+}
+
+const (
+	schemaURL     = "manifest.schema.json"
+	maxShownValue = 60 // characters of a wrong value in an error
+)
+
+var (
+	//go:embed manifest.schema.json
+	schemaText []byte
+
+	loadSchema = sync.OnceValues(compileSchema)
+	printer    = message.NewPrinter(language.English)
+)
+
+func compileSchema() (*jsonschema.Schema, any) {
+	document, err := jsonschema.UnmarshalJSON(bytes.NewReader(schemaText))
+	if err != nil {
+		panic(fmt.Sprintf("embedded manifest schema: %v", err))
+	}
+	c := jsonschema.NewCompiler()
+	if err := c.AddResource(schemaURL, document); err != nil {
+		panic(fmt.Sprintf("embedded manifest schema: %v", err))
+	}
+	return c.MustCompile(schemaURL), document
+}
+
+// checkSchema gives one problem for each value that does not fit the schema.
+func checkSchema(value any) []Problem {
+	schema, document := loadSchema()
+	err := schema.Validate(value)
+	if err == nil {
+		return nil
+	}
+	invalid, ok := err.(*jsonschema.ValidationError)
+	if !ok {
+		return []Problem{{Field: "manifest", Wrong: err.Error(), Allowed: "a manifest as manifest.schema.json describes it"}}
+	}
+	var problems []Problem
+	for _, leaf := range leaves(invalid) {
+		problems = append(problems, problemsOf(leaf, value, document)...)
+	}
+	slices.SortFunc(problems, func(a, b Problem) int { return strings.Compare(a.Field, b.Field) })
+	return slices.Compact(problems)
+}
+
+func leaves(e *jsonschema.ValidationError) []*jsonschema.ValidationError {
+	if len(e.Causes) == 0 {
+		return []*jsonschema.ValidationError{e}
+	}
+	var all []*jsonschema.ValidationError
+	for _, c := range e.Causes {
+		all = append(all, leaves(c)...)
+	}
+	return all
+}
+
+func problemsOf(e *jsonschema.ValidationError, value, document any) []Problem {
+	node := findNode(document, e.SchemaURL)
+	field := strings.Join(e.InstanceLocation, "/")
+	switch k := e.ErrorKind.(type) {
+	case *kind.AdditionalProperties:
+		return eachField(field, k.Properties, "is not a known field", "one of "+strings.Join(node.properties, ", "))
+	case *kind.Required:
+		return eachField(field, k.Missing, "is missing", "a value for each of the required fields")
+	}
+	if field == "" {
+		field = "manifest"
+	}
+	wrong := shown(e.InstanceLocation, value)
+	if _, ok := e.ErrorKind.(*kind.Pattern); !ok {
+		wrong += ": " + e.ErrorKind.LocalizedString(printer)
+	}
+	return []Problem{{Field: field, Wrong: wrong, Allowed: node.description}}
+}
+
+func eachField(parent string, names []string, wrong, allowed string) []Problem {
+	problems := make([]Problem, 0, len(names))
+	for _, n := range names {
+		field := n
+		if parent != "" {
+			field = parent + "/" + n
+		}
+		problems = append(problems, Problem{Field: field, Wrong: wrong, Allowed: allowed})
+	}
+	return problems
+}
+
+// shown gives the wrong value, shortened. What stands among the key sums is
+// not shown: an operator may have put a bearer key there by mistake, and the
+// error goes to logs.
+func shown(location []string, value any) string {
+	secret := slices.Contains(location, "keys")
+	for _, step := range location {
+		value = child(value, step)
+	}
+	switch v := value.(type) {
+	case string:
+		if secret {
+			return fmt.Sprintf("a text of %d characters (not shown)", len([]rune(v)))
+		}
+		if r := []rune(v); len(r) > maxShownValue {
+			return fmt.Sprintf("%q and %d characters more", string(r[:maxShownValue]), len(r)-maxShownValue)
+		}
+		return fmt.Sprintf("%q", v)
+	case []any:
+		return fmt.Sprintf("a list of %d", len(v))
+	case map[string]any:
+		return "an object"
+	case nil:
+		return "null"
+	}
+	if secret {
+		return "not a text"
+	}
+	return fmt.Sprint(value)
+}
+
+func child(value any, step string) any {
+	switch v := value.(type) {
+	case map[string]any:
+		return v[step]
+	case []any:
+		var i int
+		if _, err := fmt.Sscan(step, &i); err == nil && i >= 0 && i < len(v) {
+			return v[i]
+		}
+	}
+	return nil
+}
+
+// findNode looks up the schema that a validation error points at.
+func findNode(document any, location string) schemaNode {
+	_, pointer, _ := strings.Cut(location, "#")
+	for _, step := range strings.Split(strings.Trim(pointer, "/"), "/") {
+		if step == "" {
+			continue
+		}
+		step = strings.NewReplacer("~1", "/", "~0", "~", "%24", "$").Replace(step)
+		document = child(document, step)
+	}
+	object, _ := document.(map[string]any)
+	description, _ := object["description"].(string)
+	properties, _ := object["properties"].(map[string]any)
+	n := schemaNode{description: description}
+	for name := range properties {
+		n.properties = append(n.properties, name)
+	}
+	slices.Sort(n.properties)
+	return n
+}
--- /dev/null
+++ b/internal/platform/beechmember/members.go
@@ -0,0 +1,212 @@
+package beechmember
+
+import (
+	"net/netip"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+
+	"github.com/beechring/beechring/internal/platform/beechstore"
+)
+
+type (
+	// Settings of Members. Zero fields get the defaults named.
+	Settings struct {
+		Damping    time.Duration // wait after the second loss, doubled by each further one; 1 s
+		MaxDamping time.Duration // longest such wait; 30 s
+		Forget     time.Duration // a link that holds so long has its losses forgotten; 60 s
+	}
+
+	// Member is what is known of one process.
+	Member struct {
+		Host        beechstore.Host // from the list; only the address if it was never there
+		Incarnation uint64          // 0 before the first link
+		Linked      bool
+		Leaving     bool
+		Usable      bool
+	}
+
+	// Members is the view of one process. All methods may be called at once.
+	Members struct {
+		clock    clockwork.Clock
+		settings Settings
+
+		mu      sync.Mutex
+		members map[netip.AddrPort]*member
+		changed chan struct{}
+	}
+
+	member struct {
+		host        beechstore.Host
+		listed      bool
+		incarnation uint64
+		linked      bool
+		leaving     bool
+		since       time.Time // of the last change of linked
+		losses      int
+	}
+)
+
+const (
+	defaultDamping    = time.Second
+	defaultMaxDamping = 30 * time.Second
+	defaultForget     = time.Minute
+	maxDoublings      = 16
+)
+
+// New starts without members.
+func New(clock clockwork.Clock, settings Settings) *Members {
+	if settings.Damping == 0 {
+		settings.Damping = defaultDamping
+	}
+	if settings.MaxDamping == 0 {
+		settings.MaxDamping = defaultMaxDamping
+	}
+	if settings.Forget == 0 {
+		settings.Forget = defaultForget
+	}
+	return &Members{clock: clock, settings: settings, members: map[netip.AddrPort]*member{}, changed: make(chan struct{})}
+}
+
+// Listed takes the platform's host list. A host that is no longer listed
+// stays while a link to it is up.
+func (m *Members) Listed(hosts []beechstore.Host) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for _, x := range m.members {
+		x.listed = false
+	}
+	for _, h := range hosts {
+		x := m.get(h.Address)
+		x.host = h
+		x.listed = true
+	}
+	for address, x := range m.members {
+		if !x.listed && !x.linked {
+			delete(m.members, address)
+		}
+	}
+	m.notify()
+}
+
+// Linked says that a link to the process is up.
+func (m *Members) Linked(address netip.AddrPort, incarnation uint64) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	x := m.get(address)
+	if incarnation < x.incarnation {
+		return
+	}
+	x.renew(incarnation)
+	if !x.linked {
+		x.linked = true
+		x.since = m.clock.Now()
+	}
+	m.notify()
+}
+
+// Lost says that the link to the process is lost.
+func (m *Members) Lost(address netip.AddrPort, incarnation uint64) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	x, ok := m.members[address]
+	if !ok || incarnation < x.incarnation || !x.linked {
+		return
+	}
+	if m.clock.Since(x.since) >= m.settings.Forget {
+		x.losses = 0
+	}
+	x.losses++
+	x.linked = false
+	x.since = m.clock.Now()
+	m.notify()
+}
+
+// Said takes a process's own word about leaving.
+func (m *Members) Said(address netip.AddrPort, incarnation uint64, leaving bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	x := m.get(address)
+	if incarnation < x.incarnation {
+		return
+	}
+	x.renew(incarnation)
+	if leaving && !x.leaving {
+		x.leaving = true
+		m.notify()
+	}
+}
+
+// Members gives what is known, ordered by address.
+func (m *Members) Members() []Member {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	all := make([]Member, 0, len(m.members))
+	for _, x := range m.members {
+		all = append(all, Member{
+			Host:        x.host,
+			Incarnation: x.incarnation,
+			Linked:      x.linked,
+			Leaving:     x.left(),
+			Usable:      m.usable(x),
+		})
+	}
+	slices.SortFunc(all, func(a, b Member) int { return a.Host.Address.Compare(b.Host.Address) })
+	return all
+}
+
+// Usable tells whether the process may be given new work.
+func (m *Members) Usable(address netip.AddrPort) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	x, ok := m.members[address]
+	return ok && m.usable(x)
+}
+
+// Changed gives a channel that closes with the next change. The end of a
+// damping wait is no change; Usable tells it.
+func (m *Members) Changed() <-chan struct{} {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.changed
+}
+
+func (m *Members) get(address netip.AddrPort) *member {
+	x, ok := m.members[address]
+	if !ok {
+		x = &member{host: beechstore.Host{Address: address}}
+		m.members[address] = x
+	}
+	return x
+}
+
+func (m *Members) notify() {
+	close(m.changed)
+	m.changed = make(chan struct{})
+}
+
+func (m *Members) usable(x *member) bool {
+	return x.linked && !x.left() && m.clock.Since(x.since) >= m.damping(x.losses)
+}
+
+// damping is nothing for the first loss: an ordinary restart is no flapping.
+func (m *Members) damping(losses int) time.Duration {
+	if losses < 2 {
+		return 0
+	}
+	return min(m.settings.Damping<<min(losses-2, maxDoublings), m.settings.MaxDamping)
+}
+
+// renew forgets what an earlier incarnation has said.
+func (x *member) renew(incarnation uint64) {
+	if incarnation > x.incarnation {
+		x.incarnation = incarnation
+		x.leaving = false
+	}
+}
+
+// left also believes a list that shows the host leaving; it may be late, but
+// a host on it that leaves does not stay.
+func (x *member) left() bool { return x.leaving || (x.listed && x.host.Leaving) }
--- /dev/null
+++ b/internal/platform/beechrecord/records.go
@@ -0,0 +1,160 @@
+package beechrecord
+
+import (
+	"context"
+	"fmt"
+	"sync"
+
+	"github.com/jonboulle/clockwork"
+
+	"github.com/beechring/beechring/internal/platform/beechstore"
+)
+
+// Records claims and finishes requests that may not be repeated. All methods
+// may be called at once.
+type Records struct {
+	settings Settings
+	shards   []*shard
+	stop     context.CancelFunc
+	stopped  context.Context
+	done     sync.WaitGroup
+
+	mu      sync.Mutex
+	running map[string]chan struct{} // by token; closed when finished here
+}
+
+var _ Claimer = (*Records)(nil)
+
+// New starts one goroutine a shard; Close ends them.
+func New(store beechstore.Store, clock clockwork.Clock, settings Settings) *Records {
+	settings = settings.withDefaults()
+	ctx, stop := context.WithCancel(context.Background())
+	r := &Records{settings: settings, stop: stop, stopped: ctx, running: map[string]chan struct{}{}}
+	for i := range settings.Shards {
+		s := &shard{
+			chain:    chain{store: store, clock: clock, settings: settings, shard: i},
+			clock:    clock,
+			settings: settings,
+			arrivals: make(chan *operation, settings.MaxWaiting),
+		}
+		r.shards = append(r.shards, s)
+		r.done.Go(func() { s.run(ctx) })
+	}
+	return r
+}
+
+func (s Settings) withDefaults() Settings {
+	setDefault(&s.Shards, defaultShards)
+	setDefault(&s.Window, defaultWindow)
+	setDefault(&s.MaxBatch, defaultMaxBatch)
+	setDefault(&s.MaxWaiting, defaultMaxWaiting)
+	setDefault(&s.CallTimeout, defaultCallTimeout)
+	setDefault(&s.SegmentBytes, defaultSegmentBytes)
+	setDefault(&s.SegmentAge, defaultSegmentAge)
+	setDefault(&s.Retention, defaultRetention)
+	setDefault(&s.AnswerBytes, defaultAnswerBytes)
+	return s
+}
+
+func setDefault[T comparable](field *T, value T) {
+	var zero T
+	if *field == zero {
+		*field = value
+	}
+}
+
+// Shards gives the number of shards, for Owner.
+func (r *Records) Shards() int { return r.settings.Shards }
+
+// Claim asks to run a request. A repeat of a request that runs in this
+// process waits for its outcome until ctx ends; everything else is answered
+// within Settings.CallTimeout. If ctx ends while a write is under way the
+// answer is Unknown, since the claim may be made.
+func (r *Records) Claim(ctx context.Context, key Key, body BodySum, requestID string) Answer {
+	for {
+		got := r.claim(ctx, key, body, requestID)
+		unknown, ok := got.answer.(Unknown)
+		if !ok {
+			return got.answer
+		}
+		finished := r.runningHere(got.token)
+		if finished == nil {
+			return unknown
+		}
+		select {
+		case <-finished:
+		case <-ctx.Done():
+			return unknown
+		}
+	}
+}
+
+func (r *Records) claim(ctx context.Context, key Key, body BodySum, requestID string) result {
+	token := newToken()
+	got := r.submit(ctx, key, &operation{
+		ctx: ctx, key: key.id().String(), token: token, claim: &claim{body: body.text(), requestID: requestID},
+	})
+	if _, ok := got.answer.(Granted); ok {
+		r.mu.Lock()
+		r.running[token] = make(chan struct{})
+		r.mu.Unlock()
+	}
+	return got
+}
+
+// Finish records the outcome of a granted request. An error says that repeats
+// may be told Unknown; calling it again is harmless.
+func (r *Records) Finish(ctx context.Context, key Key, token string, o Outcome) error {
+	got := r.submit(ctx, key, &operation{ctx: ctx, key: key.id().String(), token: token, outcome: r.recorded(o)})
+	r.mu.Lock()
+	if finished, ok := r.running[token]; ok {
+		close(finished)
+		delete(r.running, token)
+	}
+	r.mu.Unlock()
+	if got.err != nil {
+		return fmt.Errorf("record the outcome of %s: %w", key, got.err)
+	}
+	return nil
+}
+
+// Close refuses what waits and ends the goroutines.
+func (r *Records) Close() {
+	r.stop()
+	r.done.Wait()
+}
+
+func (r *Records) submit(ctx context.Context, key Key, o *operation) result {
+	o.result = make(chan result, 1)
+	select {
+	case r.shards[key.Shard(r.settings.Shards)].arrivals <- o:
+	default:
+		return result{answer: Refused{After: r.settings.CallTimeout, Err: errBusy}, err: errBusy}
+	}
+	select {
+	case got := <-o.result:
+		return got
+	case <-ctx.Done():
+		return result{answer: Unknown{Err: ctx.Err()}, err: ctx.Err()}
+	case <-r.stopped.Done():
+		return result{answer: Unknown{Err: errClosed}, err: errClosed}
+	}
+}
+
+func (r *Records) runningHere(token string) <-chan struct{} {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.running[token]
+}
+
+func (r *Records) recorded(o Outcome) *outcome {
+	ran, ok := o.(Ran)
+	if !ok {
+		return &outcome{NotRun: true}
+	}
+	recorded := &outcome{Status: ran.Status, Type: ran.ContentType}
+	if len(ran.Body) <= r.settings.AnswerBytes {
+		recorded.Body, recorded.Complete = ran.Body, true
+	}
+	return recorded
+}
--- /dev/null
+++ b/internal/platform/beechstore/protocol.go
@@ -0,0 +1,52 @@
+package beechstore
+
+import (
+	"net/netip"
+	"time"
+)
+
+type (
+	// GrantRequest is the body of POST /v1/leases.
+	GrantRequest struct {
+		TTLMillis int64 `json:"ttl"`
+	}
+
+	// GrantReply answers POST /v1/leases and POST /v1/leases/ID.
+	GrantReply struct {
+		ID        string `json:"id"`
+		TTLMillis int64  `json:"ttl"`
+	}
+
+	// HostLine is one host in the reply to GET /v1/hosts.
+	HostLine struct {
+		Name    string         `json:"name"`
+		Address netip.AddrPort `json:"address"`
+		Zone    string         `json:"zone"`
+		Role    string         `json:"role"`
+		Leaving bool           `json:"leaving,omitempty"`
+	}
+
+	// ErrorReply is the body of a reply that is not 2xx.
+	ErrorReply struct {
+		Error string `json:"error"`
+	}
+)
+
+// The protocol's paths, headers and limits; doc.go describes the protocol.
+const (
+	PathValues    = "/v1/values/"
+	PathLeases    = "/v1/leases"
+	PathHosts     = "/v1/hosts"
+	HeaderVersion = "Version"
+	HeaderLease   = "Lease"
+	QueryWatch    = "watch"
+	QueryWait     = "wait"
+	MaxValueBytes = 1 << 20
+	MaxWait       = 30 * time.Second
+)
+
+// Line gives a host as it is sent.
+func (h Host) Line() HostLine { return HostLine(h) }
+
+// Host gives a received line as a host.
+func (l HostLine) Host() Host { return Host(l) }
