--- a/internal/link/beechwire/doc.go
+++ b/internal/link/beechwire/doc.go
@@ -65,3 +65,7 @@
 	StateMismatch = "mismatch" // same key, another body
 	StateRefused  = "refused"  // not claimed: platform down or over budget
 )
+
+// ServiceTarget is a plain service's name in Heartbeat.Models, where engines
+// have "model@weights".
+func ServiceTarget(service string) string { return "service:" + service }
--- /dev/null
+++ b/internal/process/beechagent/admission.go
@@ -0,0 +1,134 @@
+package beechagent
+
+import (
+	"context"
+	"crypto/sha256"
+	"fmt"
+	"time"
+
+	"github.com/beechring/beechring/internal/decision/beechqueue"
+	"github.com/beechring/beechring/internal/decision/beechsuspect"
+	"github.com/beechring/beechring/internal/link/beechlink"
+	"github.com/beechring/beechring/internal/link/beechwire"
+	"github.com/beechring/beechring/internal/platform/beechmanifest"
+)
+
+const (
+	engineKind  = beechmanifest.KindEngine
+	retrySoon   = time.Second
+	pullTimeout = time.Second
+)
+
+// refusal makes a reply for a request that was not run.
+func (a *Agent) refusal(reason string, after time.Duration, format string, arguments ...any) beechlink.RefusedReply {
+	a.numbers.Refused.Add(1)
+	return beechlink.RefusedReply{Refused: beechwire.Refused{
+		Reason:      reason,
+		Message:     fmt.Sprintf(format, arguments...),
+		AfterMillis: after.Milliseconds(),
+		Generation:  a.holder.Generation(),
+		Load:        a.wireLoad(),
+	}}
+}
+
+// admit checks a request against what is so at this server. It returns nil for
+// a request that may be offered to the queue.
+func (a *Agent) admit(ctx context.Context, peer beechlink.Peer, r *beechwire.Request, body []byte) beechlink.Reply {
+	if a.leaving.Load() {
+		return a.refusal(beechwire.ReasonLeaving, retrySoon, "backend server is leaving")
+	}
+	if len(body) != r.BodyBytes {
+		return a.refusal(beechwire.ReasonMalformed, 0, "body has %d bytes, %d were announced", len(body), r.BodyBytes)
+	}
+	if sum := sha256.Sum256(body); len(r.BodyHash) > 0 && string(sum[:]) != string(r.BodyHash) {
+		return a.refusal(beechwire.ReasonMalformed, 0, "body does not match its hash")
+	}
+	if reply := a.admitGeneration(ctx, peer, r); reply != nil {
+		return reply
+	}
+	if reply := a.admitTarget(r); reply != nil {
+		return reply
+	}
+	return a.admitSuspect(r)
+}
+
+// admitGeneration refuses work admitted under an older configuration than is
+// in force here; the refusal carries the newer generation, which the entry
+// host then pulls. A newer one is pulled from the entry host first. A stream
+// that is resumed keeps the generation it began under, as long as the weights
+// it began with are still loaded.
+func (a *Agent) admitGeneration(ctx context.Context, peer beechlink.Peer, r *beechwire.Request) beechlink.Reply {
+	if r.Generation > a.holder.Generation() {
+		pulling, cancel := context.WithTimeout(ctx, pullTimeout)
+		defer cancel()
+		a.pullFrom(pulling, peer)
+	}
+	have := a.holder.Generation()
+	if r.Generation > have {
+		return a.refusal(beechwire.ReasonGeneration, retrySoon, "agent has only generation %d", have)
+	}
+	if r.Generation < have && r.ResumeSequence == 0 {
+		return a.refusal(beechwire.ReasonGeneration, 0, "generation %d is in force", have)
+	}
+	return nil
+}
+
+func (a *Agent) admitTarget(r *beechwire.Request) beechlink.Reply {
+	pool := a.pool()
+	if pool == nil {
+		return a.refusal(beechwire.ReasonModel, retrySoon, "pool %s is not in the configuration", a.settings.Pool)
+	}
+	if r.Service != "" {
+		return a.admitService(pool, r)
+	}
+	if model := modelKey(r.Model, r.Weights); !a.view.serves(model) {
+		return a.refusal(beechwire.ReasonModel, retrySoon, "%s is not loaded", model)
+	}
+	return nil
+}
+
+func (a *Agent) admitService(pool *beechmanifest.Pool, r *beechwire.Request) beechlink.Reply {
+	if pool.Service != r.Service {
+		return a.refusal(beechwire.ReasonModel, 0, "service %s is not served here", r.Service)
+	}
+	if _, alive := a.view.last(); !alive {
+		return a.refusal(beechwire.ReasonBusy, retrySoon, "service %s does not answer", r.Service)
+	}
+	if !r.Repeatable && r.Claim == "" {
+		return a.refusal(beechwire.ReasonClaim, 0, "no token to run")
+	}
+	return nil
+}
+
+// admitSuspect keeps apart requests that were running when an engine crashed.
+func (a *Agent) admitSuspect(r *beechwire.Request) beechlink.Reply {
+	switch v := a.suspects.Check(r.Fingerprint).(type) {
+	case beechsuspect.Refuse:
+		return a.refusal(beechwire.ReasonSuspect, v.After, "the request was running each time an engine crashed")
+	case beechsuspect.Alone:
+		r.Alone = true
+	}
+	return nil
+}
+
+// workOf turns a request into the queue's terms.
+func (a *Agent) workOf(r *beechwire.Request, id uint64, deadline time.Time) beechqueue.Work {
+	levels := make([]beechqueue.Level, 0, len(r.Levels))
+	for _, l := range r.Levels {
+		levels = append(levels, beechqueue.Level{Key: keyOf(l), Tokens: l.Tokens})
+	}
+	cached, _ := a.index.Cached(r.Salt, indexLevels(r.Levels))
+	return beechqueue.Work{
+		ID:           id,
+		Workspace:    r.Workspace,
+		Priority:     r.Priority,
+		Levels:       levels,
+		PromptTokens: r.PromptTokens,
+		CachedTokens: min(cached, r.PromptTokens),
+		OutputTokens: r.OutputTokens,
+		Deadline:     deadline,
+		Alone:        r.Alone,
+	}
+}
+
+func modelKey(model, weights string) string { return model + "@" + weights }
--- /dev/null
+++ b/internal/process/beechagent/calls.go
@@ -0,0 +1,134 @@
+package beechagent
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"time"
+
+	"github.com/tinylib/msgp/msgp"
+
+	"github.com/beechring/beechring/internal/decision/beechsuspect"
+	"github.com/beechring/beechring/internal/link/beechlink"
+	"github.com/beechring/beechring/internal/link/beechwire"
+	"github.com/beechring/beechring/internal/platform/beechrecord"
+)
+
+var errMethod = errors.New("no such method")
+
+// Answer implements beechlink.Caller: the questions of entry hosts.
+func (a *Agent) Answer(ctx context.Context, p beechlink.Peer, method string, payload []byte) ([]byte, error) {
+	switch method {
+	case beechwire.MethodConfiguration:
+		var ask beechwire.ConfigurationAsk
+		return answer(payload, &ask, func() (msgp.Marshaler, error) { return a.configurationFor(ask), nil })
+	case beechwire.MethodSnapshot:
+		snapshot := a.fleet.snapshot(a.entryCount(), a.wireSuspects())
+		return snapshot.MarshalMsg(nil)
+	case beechwire.MethodShare:
+		var shared beechwire.Snapshot
+		if _, err := shared.UnmarshalMsg(payload); err != nil {
+			return nil, fmt.Errorf("read share from %s: %w", p.Address, err)
+		}
+		a.fleet.take(shared)
+		return nil, nil
+	case beechwire.MethodClaim:
+		var ask beechwire.ClaimAsk
+		return answer(payload, &ask, func() (msgp.Marshaler, error) { return a.claim(ctx, ask) })
+	case beechwire.MethodFinish:
+		var ask beechwire.FinishAsk
+		return answer(payload, &ask, func() (msgp.Marshaler, error) { return a.finish(ctx, ask) })
+	default:
+		return nil, fmt.Errorf("%w: %s", errMethod, method)
+	}
+}
+
+// answer decodes a question, asks respond and encodes what it says.
+func answer(payload []byte, ask msgp.Unmarshaler, respond func() (msgp.Marshaler, error)) ([]byte, error) {
+	if _, err := ask.UnmarshalMsg(payload); err != nil {
+		return nil, fmt.Errorf("read question: %w", err)
+	}
+	message, err := respond()
+	if err != nil {
+		return nil, err
+	}
+	return message.MarshalMsg(nil)
+}
+
+func (a *Agent) configurationFor(ask beechwire.ConfigurationAsk) *beechwire.Configuration {
+	generation, data := a.holder.Encoded()
+	if generation <= ask.Have {
+		return &beechwire.Configuration{Generation: generation}
+	}
+	return &beechwire.Configuration{Generation: generation, Manifest: data}
+}
+
+func (a *Agent) claim(ctx context.Context, ask beechwire.ClaimAsk) (msgp.Marshaler, error) {
+	if ask.Repeatable {
+		reply := a.placements.claim(ask)
+		return &reply, nil
+	}
+	if len(ask.BodyHash) != len(beechrecord.BodySum{}) {
+		return nil, fmt.Errorf("claim: body hash of %d bytes", len(ask.BodyHash))
+	}
+	key := beechrecord.Key{Name: ask.RecordKey}
+	reply := claimAnswer(a.records.Claim(ctx, key, beechrecord.BodySum(ask.BodyHash), ask.RequestID))
+	return &reply, nil
+}
+
+func claimAnswer(answer beechrecord.Answer) beechwire.ClaimAnswer {
+	switch r := answer.(type) {
+	case beechrecord.Granted:
+		return beechwire.ClaimAnswer{State: beechwire.StateGranted, Token: r.Token}
+	case beechrecord.Done:
+		state := beechwire.StateDone
+		if !r.Complete {
+			state = beechwire.StateUnknown
+		}
+		return beechwire.ClaimAnswer{State: state, RequestID: r.RequestID, Status: r.Status, ContentType: r.ContentType, Answer: r.Body}
+	case beechrecord.Mismatch:
+		return beechwire.ClaimAnswer{State: beechwire.StateMismatch, RequestID: r.RequestID}
+	case beechrecord.Refused:
+		return beechwire.ClaimAnswer{State: beechwire.StateRefused, AfterMillis: r.After.Milliseconds()}
+	case beechrecord.Unknown:
+		return beechwire.ClaimAnswer{State: beechwire.StateUnknown, RequestID: r.RequestID}
+	default:
+		return beechwire.ClaimAnswer{State: beechwire.StateUnknown}
+	}
+}
+
+func (a *Agent) finish(ctx context.Context, ask beechwire.FinishAsk) (msgp.Marshaler, error) {
+	if ask.Agent != "" || ask.NotRun && a.placements.holds(ask) {
+		a.placements.finish(ask)
+		return &beechwire.ClaimAnswer{State: beechwire.StateDone}, nil
+	}
+	var outcome beechrecord.Outcome = beechrecord.Ran{Status: ask.Status, ContentType: ask.ContentType, Body: ask.Answer}
+	if ask.NotRun {
+		outcome = beechrecord.NotRun{}
+	}
+	if err := a.records.Finish(ctx, beechrecord.Key{Name: ask.RecordKey}, ask.Token, outcome); err != nil {
+		return nil, err
+	}
+	return &beechwire.ClaimAnswer{State: beechwire.StateDone}, nil
+}
+
+func (a *Agent) wireSuspects() []beechwire.Suspect {
+	records := a.suspects.List()
+	out := make([]beechwire.Suspect, 0, len(records))
+	for _, r := range records {
+		out = append(out, beechwire.Suspect{
+			Fingerprint: r.Fingerprint, Crashes: r.Crashes, AgeMillis: r.Age.Milliseconds(), Cleared: r.Cleared,
+		})
+	}
+	return out
+}
+
+func suspectRecords(suspects []beechwire.Suspect) []beechsuspect.Record {
+	out := make([]beechsuspect.Record, 0, len(suspects))
+	for _, s := range suspects {
+		out = append(out, beechsuspect.Record{
+			Fingerprint: s.Fingerprint, Crashes: s.Crashes, Age: time.Duration(s.AgeMillis) * time.Millisecond, Cleared: s.Cleared,
+		})
+	}
+	return out
+}
--- a/internal/process/beechagent/generation.go
+++ b/internal/process/beechagent/generation.go
@@ -184,3 +184,20 @@
 		return xEnd.Compare(yEnd)
 	})
 }
+
+// alone tells whether no stream follows the generation.
+func (g *generation) alone() bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.attached == 0
+}
+
+// whole returns the answer of a plain service in one piece.
+func (g *generation) whole() (status int, contentType string, body []byte) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.head == nil {
+		return 0, "", nil
+	}
+	return g.head.Status, g.head.ContentType, slices.Concat(g.pieces...)
+}
--- a/internal/process/beechagent/library.go
+++ b/internal/process/beechagent/library.go
@@ -148,3 +148,15 @@
 	defer l.mu.Unlock()
 	return len(l.generations)
 }
+
+// waits tells whether a generation that has not ended wants the model.
+func (l *library) waits(model string) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for _, g := range l.generations {
+		if ended, _, _ := g.endedSince(); !ended && modelKey(g.request.Model, g.request.Weights) == model {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/internal/process/beechagent/models.go
@@ -0,0 +1,151 @@
+package beechagent
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/beechring/beechring/internal/decision/beechload"
+	"github.com/beechring/beechring/internal/platform/beechfence"
+	"github.com/beechring/beechring/internal/platform/beechmanifest"
+	"github.com/beechring/beechring/internal/process/beechbackend"
+	"github.com/beechring/beechring/internal/process/beechlog"
+)
+
+const (
+	loadInterval = 200 * time.Millisecond
+	loadTimeout  = 2 * time.Minute
+	slotMargin   = 2 * time.Second
+)
+
+// keepModels brings the engine to what the configuration asks for, until ctx
+// ends: new versions are loaded beside old ones, and old ones are dropped once
+// nothing uses them, so that the model keeps serving.
+func (a *Agent) keepModels(ctx context.Context) error {
+	guard := beechfence.New(a.store, a.clock, a.settings.Listen, beechfence.Settings{})
+	defer a.closeGuard(guard)
+	slots := beechfence.NewSlots(a.store, a.clock, beechfence.Settings{})
+	return a.every(ctx, loadInterval, func() { a.stepModels(ctx, guard, slots) })
+}
+
+// closeGuard gives the right to order back, so that the next agent of this
+// server need not wait for the lease to end.
+func (a *Agent) closeGuard(guard *beechfence.Guard) {
+	ctx, cancel := context.WithTimeout(context.Background(), shutdownTimeout)
+	defer cancel()
+	if err := guard.Close(ctx); err != nil {
+		a.log.Warn("lease not given back", beechlog.Step("close guard"), zap.Error(err))
+	}
+}
+
+func (a *Agent) stepModels(ctx context.Context, guard *beechfence.Guard, slots *beechfence.Slots) {
+	configuration := a.holder.Current()
+	pool := a.pool()
+	report, alive := a.view.last()
+	if pool == nil || pool.Kind != engineKind || !alive || a.leaving.Load() {
+		return
+	}
+	plan := beechload.Plan(
+		[]beechload.Pool{{Name: pool.Name, Models: wantedModels(configuration, pool)}},
+		[]beechload.Member{{Server: a.settings.Listen, Pool: pool.Name, Held: report.Models, Loading: first(report.Loading)}},
+		max(1, configuration.Manifest.Targets.MaxLoads))
+	step, found := beechload.Next(plan, a.settings.Listen)
+	if !found {
+		a.view.retire(nil)
+		return
+	}
+	switch step := step.(type) {
+	case beechload.Load:
+		err := a.load(ctx, guard, slots, step.Model, configuration.Manifest.Targets.MaxLoads)
+		a.logOrder("load", step.Model, err)
+	case beechload.Unload:
+		a.unload(ctx, guard, step.Model)
+	}
+}
+
+func wantedModels(configuration *beechmanifest.Configuration, pool *beechmanifest.Pool) []string {
+	var wanted []string
+	for _, name := range pool.Models {
+		if model, ok := configuration.Model(name); ok {
+			wanted = append(wanted, modelKey(model.Name, model.Weights))
+		}
+	}
+	return wanted
+}
+
+func first(names []string) string {
+	if len(names) == 0 {
+		return ""
+	}
+	return names[0]
+}
+
+// load takes one of the deployment's load slots, orders the load and waits for
+// it, so that no more engines load at once than the weight store bears.
+func (a *Agent) load(ctx context.Context, guard *beechfence.Guard, slots *beechfence.Slots, model string, maxLoads int) error {
+	loading, cancel := context.WithTimeout(ctx, loadTimeout)
+	defer cancel()
+	slot, err := slots.Acquire(loading, max(1, maxLoads))
+	if err != nil {
+		return err
+	}
+	defer slot.Release(context.WithoutCancel(loading))
+	err = guard.Order(loading, func(ctx context.Context, fence uint64) error {
+		return a.engine.Order(ctx, beechbackend.Order{Fence: fence, Load: model})
+	})
+	if err != nil {
+		return err
+	}
+	return a.awaitModel(loading, slot, model)
+}
+
+// unload stops new work for the model, waits until none runs, and drops it. A
+// request in the middle of its answer would be cut by an unload.
+func (a *Agent) unload(ctx context.Context, guard *beechfence.Guard, model string) {
+	a.view.retire([]string{model})
+	if a.running.uses(model) || a.library.waits(model) {
+		return
+	}
+	err := guard.Order(ctx, func(ctx context.Context, fence uint64) error {
+		return a.engine.Order(ctx, beechbackend.Order{Fence: fence, Unload: model})
+	})
+	a.logOrder("unload", model, err)
+	a.readReport(ctx)
+}
+
+func (a *Agent) logOrder(kind, model string, err error) {
+	if err != nil {
+		a.log.Warn("order not given", beechlog.Step(kind), beechlog.Peer(a.settings.Backend), zap.String("model", model), zap.Error(err))
+		return
+	}
+	a.log.Info("order given", beechlog.Step(kind), beechlog.Peer(a.settings.Backend), zap.String("model", model))
+}
+
+// awaitModel returns once the engine reports the model loaded, keeping the load
+// slot meanwhile.
+func (a *Agent) awaitModel(ctx context.Context, slot *beechfence.Slot, model string) error {
+	ticker := a.clock.NewTicker(cacheInterval)
+	defer ticker.Stop()
+	for {
+		report, err := a.engine.Report(ctx)
+		if err != nil {
+			return err
+		}
+		if slices.Contains(report.Models, model) {
+			a.readReport(ctx)
+			return nil
+		}
+		if slot.Left() < slotMargin {
+			if err := slot.Renew(ctx); err != nil {
+				return err
+			}
+		}
+		select {
+		case <-ticker.Chan():
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+	}
+}
--- /dev/null
+++ b/internal/process/beechagent/runner.go
@@ -0,0 +1,337 @@
+package beechagent
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/beechring/beechring/internal/decision/beechqueue"
+	"github.com/beechring/beechring/internal/link/beechlink"
+	"github.com/beechring/beechring/internal/link/beechwire"
+	"github.com/beechring/beechring/internal/platform/beechrecord"
+	"github.com/beechring/beechring/internal/process/beechbackend"
+	"github.com/beechring/beechring/internal/process/beechlog"
+	"github.com/beechring/beechring/internal/prompt/beechindex"
+)
+
+type (
+	// attempt is one generation at the backend server.
+	attempt struct {
+		agent       *Agent
+		generation  *generation
+		id          uint64
+		incarnation uint64
+		began       time.Time // at the server
+		firstToken  time.Duration
+		usage       beechbackend.Usage
+		usageKnown  bool
+		headSent    bool
+	}
+)
+
+const (
+	pieceBytes    = 16 << 10
+	cancelTimeout = time.Second
+	recordTimeout = 2 * time.Second
+)
+
+var (
+	errAnswerTooLong = errors.New("the answer is longer than the agent keeps")
+	errServerFailed  = errors.New("the server ended its answer with an error")
+)
+
+// run takes one request from the queue to its last reply. It always sets one.
+func (a *Agent) run(ctx context.Context, g *generation, body []byte, deadline time.Time) {
+	id := a.work.Add(1)
+	refuse, err := a.scheduler.acquire(ctx, a.workOf(&g.request, id, deadline))
+	switch {
+	case refuse != nil:
+		a.close(g, a.refusal(queueReason(refuse.Reason), refuse.After, "the queue refused it: %s", refuse.Reason))
+		return
+	case err != nil:
+		a.close(g, a.refusal(beechwire.ReasonCancelled, 0, "given up while it waited"))
+		return
+	}
+	report, _ := a.view.last()
+	t := &attempt{agent: a, generation: g, id: id, incarnation: report.Incarnation, began: a.clock.Now()}
+	a.running.add(id, run{
+		fingerprint: g.request.Fingerprint,
+		model:       modelKey(g.request.Model, g.request.Weights),
+		incarnation: report.Incarnation,
+	})
+	last := t.execute(ctx, body)
+	a.running.remove(id)
+	a.scheduler.finish(id, beechqueue.Usage{Known: t.usageKnown, Prompt: t.usage.Prompt, Cached: t.usage.Cached, Output: t.usage.Output})
+	a.record(g, last)
+	a.close(g, last)
+}
+
+// close gives a generation its last reply. Only a whole answer is kept for
+// callers that reconnect. A refusal proves that the request was not run, so
+// its token may be used again.
+func (a *Agent) close(g *generation, last beechlink.Reply) {
+	switch last.(type) {
+	case beechlink.EndReply:
+	case beechlink.RefusedReply:
+		a.used.release(g.request.Claim)
+		a.library.remove(g)
+	default:
+		a.library.remove(g)
+	}
+	g.finish(last, a.clock.Now())
+}
+
+func queueReason(r beechqueue.Reason) string {
+	if r == beechqueue.ReasonDeadline {
+		return beechwire.ReasonDeadline
+	}
+	return beechwire.ReasonBusy
+}
+
+// execute calls the backend server and returns the last reply.
+func (t *attempt) execute(ctx context.Context, body []byte) beechlink.Reply {
+	answer, err := t.call(ctx, body)
+	if err != nil {
+		return t.failure(ctx, err)
+	}
+	defer answer.Body.Close()
+	t.generation.begin(beechwire.Head{
+		Status:      answer.Status,
+		ContentType: answer.ContentType,
+		Incarnation: t.agent.incarnation,
+	})
+	t.headSent = true
+	if answer.Streamed {
+		err = t.copyEvents(answer.Body)
+	} else {
+		err = t.copyBody(answer)
+	}
+	if err != nil {
+		return t.failure(ctx, err)
+	}
+	t.learn()
+	return t.end()
+}
+
+func (t *attempt) call(ctx context.Context, body []byte) (*beechbackend.Answer, error) {
+	r := &t.generation.request
+	if r.Service != "" {
+		return t.agent.service.Relay(ctx, beechbackend.Relay{
+			RequestID: r.ID, Method: r.Method, Path: r.Path, ContentType: r.ContentType, Body: body,
+		})
+	}
+	return t.agent.engine.Generate(ctx, beechbackend.Generate{
+		RequestID: r.ID,
+		Path:      r.Path,
+		Body:      body,
+		Model:     modelKey(r.Model, r.Weights),
+		Adapter:   r.Adapter,
+		Salt:      r.Salt,
+		Priority:  r.Priority,
+		Streamed:  r.Streamed,
+		Resume:    r.Resume,
+	})
+}
+
+// copyEvents takes a stream's events into the generation. Only the stream's own
+// last event makes it whole; anything else that ends it is an error.
+func (t *attempt) copyEvents(body io.Reader) error {
+	events := beechbackend.Events(body, beechbackend.DefaultEventLimit)
+	for {
+		event, err := events.Next()
+		if err != nil {
+			return err
+		}
+		if event.Done() {
+			return nil
+		}
+		if err := t.takeEvent(event.Data); err != nil {
+			return err
+		}
+	}
+}
+
+func (t *attempt) takeEvent(data []byte) error {
+	t.noteFirst()
+	if bytes.Contains(data, []byte(`"usage":{`)) || bytes.Contains(data, []byte(`"error":{`)) {
+		chunk, err := beechbackend.ReadChunk(data)
+		if err != nil {
+			return err
+		}
+		if chunk.Failure != "" {
+			return fmt.Errorf("%w: %s", errServerFailed, chunk.Failure)
+		}
+		t.noteUsage(chunk.Usage)
+		if chunk.Choices == 0 && chunk.Usage != nil && !t.generation.request.WantsUsage {
+			return nil
+		}
+	}
+	return t.keep(bytes.Clone(data))
+}
+
+// copyBody takes a plain answer into the generation. The usage is read from it
+// where it is an engine's.
+func (t *attempt) copyBody(answer *beechbackend.Answer) error {
+	limit := int64(t.agent.settings.Limits.AnswerBytes)
+	data, err := io.ReadAll(io.LimitReader(answer.Body, limit+1))
+	if err != nil {
+		return err
+	}
+	if int64(len(data)) > limit {
+		return errAnswerTooLong
+	}
+	t.noteFirst()
+	if t.generation.request.Service == "" && answer.Status == http.StatusOK {
+		if chunk, err := beechbackend.ReadChunk(data); err == nil {
+			t.noteUsage(chunk.Usage)
+		}
+	}
+	for start := 0; start < len(data); start += pieceBytes {
+		if err := t.keep(data[start:min(start+pieceBytes, len(data))]); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (t *attempt) keep(piece []byte) error {
+	if t.generation.add(piece) > t.agent.settings.Limits.AnswerBytes {
+		return errAnswerTooLong
+	}
+	return nil
+}
+
+func (t *attempt) noteFirst() {
+	if t.firstToken > 0 {
+		return
+	}
+	t.firstToken = max(1, t.agent.clock.Since(t.generation.started))
+	t.agent.scheduler.prefilled(t.id)
+}
+
+func (t *attempt) noteUsage(usage *beechbackend.Usage) {
+	if usage == nil {
+		return
+	}
+	t.usage = *usage
+	t.usageKnown = true
+}
+
+// learn takes in what a whole answer showed.
+func (t *attempt) learn() {
+	r := &t.generation.request
+	t.agent.suspects.Finished(r.Fingerprint)
+	if !t.usageKnown {
+		return
+	}
+	t.agent.index.Learn(beechindex.Reply{
+		Incarnation: t.incarnation,
+		Salt:        r.Salt,
+		Levels:      indexLevels(r.Levels),
+		Prompt:      t.usage.Prompt,
+		Cached:      t.usage.Cached,
+	})
+}
+
+func (t *attempt) end() beechlink.Reply {
+	g := t.generation
+	return beechlink.EndReply{End: beechwire.End{
+		Last:             g.lastSequence(),
+		Usage:            beechwire.Usage{Known: t.usageKnown, Prompt: t.usage.Prompt, Cached: t.usage.Cached, Output: t.usage.Output},
+		QueueMicros:      t.began.Sub(g.started).Microseconds(),
+		FirstTokenMicros: t.firstToken.Microseconds(),
+		Load:             t.agent.wireLoad(),
+	}}
+}
+
+// failure turns an error into the last reply, saying no more about whether the
+// request ran than is known.
+func (t *attempt) failure(ctx context.Context, err error) beechlink.Reply {
+	a := t.agent
+	a.numbers.Failed.Add(1)
+	r := &t.generation.request
+	a.log.Warn("attempt failed", beechlog.RequestID(r.ID), beechlog.Attempt(r.Attempt), beechlog.Step("run"),
+		beechlog.Peer(a.settings.Backend), beechlog.Workspace(r.Workspace), zap.Error(err))
+	var refused *beechbackend.Refused
+	switch {
+	case errors.As(err, &refused):
+		return a.refusal(beechwire.ReasonBusy, max(refused.After, retrySoon), "the backend server refused it")
+	case beechbackend.NotRun(err):
+		if a.isEngine() {
+			a.brokenByCrash(ctx, t.incarnation)
+		}
+		return a.refusal(beechwire.ReasonServer, retrySoon, "the backend server could not be reached")
+	case ctx.Err() != nil:
+		t.cancelAtServer()
+		return t.ended(cancelReason(ctx), false)
+	case errors.Is(err, errAnswerTooLong), errors.Is(err, errServerFailed):
+		t.cancelAtServer()
+		return t.ended(beechwire.ReasonServer, false)
+	default:
+		return t.ended(beechwire.ReasonCrash, a.isEngine() && a.brokenByCrash(ctx, t.incarnation))
+	}
+}
+
+func cancelReason(ctx context.Context) string {
+	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
+		return beechwire.ReasonTimeout
+	}
+	return beechwire.ReasonCancelled
+}
+
+func (t *attempt) ended(reason string, crashed bool) beechlink.Reply {
+	ran := beechwire.RanUnknown
+	if t.headSent {
+		ran = beechwire.RanYes
+	}
+	reply := failed(reason, ran, "the backend server did not finish its answer")
+	reply.Crashed = crashed
+	reply.Last = t.generation.lastSequence()
+	return reply
+}
+
+func (t *attempt) cancelAtServer() {
+	if t.generation.request.Service != "" {
+		return
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), cancelTimeout)
+	defer cancel()
+	_ = t.agent.engine.Cancel(ctx, t.generation.request.ID)
+}
+
+// record writes the outcome of a request that may not be repeated, before the
+// caller can see the answer's end, so that a repeat right after it gets the
+// same answer. If the platform's service is down the caller still gets its
+// answer, and a repeat is told that the outcome is unknown.
+func (a *Agent) record(g *generation, last beechlink.Reply) {
+	r := &g.request
+	if r.Claim == "" {
+		return
+	}
+	outcome := outcomeOf(g, last)
+	if outcome == nil {
+		return
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), recordTimeout)
+	defer cancel()
+	if err := a.records.Finish(ctx, beechrecord.Key{Name: r.RecordKey}, r.Claim, outcome); err != nil {
+		a.log.Warn("outcome not recorded", beechlog.RequestID(r.ID), beechlog.Step("record"), zap.Error(err))
+	}
+}
+
+// outcomeOf is nil where it is not known whether the request ran.
+func outcomeOf(g *generation, last beechlink.Reply) beechrecord.Outcome {
+	switch last.(type) {
+	case beechlink.EndReply:
+		status, contentType, body := g.whole()
+		return beechrecord.Ran{Status: status, ContentType: contentType, Body: body}
+	default:
+		return nil
+	}
+}
--- /dev/null
+++ b/internal/process/beechagent/view.go
@@ -0,0 +1,256 @@
+package beechagent
+
+import (
+	"context"
+	"slices"
+	"sync"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/beechring/beechring/internal/decision/beechqueue"
+	"github.com/beechring/beechring/internal/link/beechwire"
+	"github.com/beechring/beechring/internal/process/beechbackend"
+	"github.com/beechring/beechring/internal/process/beechlog"
+	"github.com/beechring/beechring/internal/prompt/beechindex"
+)
+
+type (
+	// backendView is what the agent knows of its backend server. The server's
+	// reports lag, so the queue counts for itself what runs; only the server's
+	// speed, size and models are taken from here.
+	backendView struct {
+		mu       sync.Mutex
+		alive    bool
+		report   beechbackend.Report
+		slots    int      // of the pool, by the manifest
+		retiring []string // model@weights about to be unloaded
+	}
+)
+
+const (
+	reportInterval = 200 * time.Millisecond
+	reportTimeout  = time.Second
+	cacheInterval  = 50 * time.Millisecond
+	defaultSlots   = 64
+	defaultPrefill = 10000 // tokens a second, before the first report
+	defaultDecode  = 20 * time.Millisecond
+)
+
+func newBackendView() *backendView { return &backendView{} }
+
+// set takes in a report. It returns the incarnation that the report shows to
+// have ended, or 0.
+func (v *backendView) set(r beechbackend.Report) (ended uint64) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	if v.report.Incarnation != r.Incarnation {
+		ended = v.report.Incarnation
+	}
+	v.report = r
+	v.alive = true
+	return ended
+}
+
+func (v *backendView) setAlive(alive bool) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	v.alive = alive
+}
+
+func (v *backendView) setSlots(slots int) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	v.slots = slots
+}
+
+func (v *backendView) retire(models []string) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	v.retiring = models
+}
+
+func (v *backendView) last() (beechbackend.Report, bool) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return v.report, v.alive
+}
+
+// models gives what new work may ask for: loaded and not about to go.
+func (v *backendView) models() []string {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	if !v.alive {
+		return nil
+	}
+	var models []string
+	for _, m := range v.report.Models {
+		if !slices.Contains(v.retiring, m) {
+			models = append(models, m)
+		}
+	}
+	return models
+}
+
+func (v *backendView) serves(model string) bool {
+	return slices.Contains(v.models(), model)
+}
+
+func (v *backendView) queueLoad() beechqueue.Load {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	load := beechqueue.Load{Slots: v.slots, PrefillRate: v.report.PrefillRate, TokenTime: v.report.TokenTime}
+	if v.report.Slots > 0 && (load.Slots == 0 || v.report.Slots < load.Slots) {
+		load.Slots = v.report.Slots
+	}
+	if load.Slots == 0 {
+		load.Slots = defaultSlots
+	}
+	if load.PrefillRate == 0 {
+		load.PrefillRate = defaultPrefill
+	}
+	if load.TokenTime == 0 {
+		load.TokenTime = defaultDecode
+	}
+	return load
+}
+
+// wireLoad is the agent's own word on its server.
+func (a *Agent) wireLoad() beechwire.Load {
+	load := a.view.queueLoad()
+	state := a.scheduler.queue.State()
+	return beechwire.Load{
+		Running:       state.Running,
+		Waiting:       state.Waiting,
+		WaitingTokens: state.WaitingTokens,
+		Slots:         load.Slots,
+		PrefillRate:   load.PrefillRate,
+		DecodeMicros:  int(load.TokenTime / time.Microsecond),
+	}
+}
+
+// isEngine tells whether the pool's servers are model engines; false also
+// before the first configuration.
+func (a *Agent) isEngine() bool {
+	pool := a.pool()
+	return pool != nil && pool.Kind == engineKind
+}
+
+// watchReport keeps the view of the backend server until ctx ends.
+func (a *Agent) watchReport(ctx context.Context) error {
+	return a.every(ctx, reportInterval, func() {
+		if a.pool() == nil {
+			return
+		}
+		a.view.setSlots(a.pool().Slots)
+		if a.isEngine() {
+			a.readReport(ctx)
+			return
+		}
+		a.readReady(ctx)
+	})
+}
+
+func (a *Agent) readReport(ctx context.Context) {
+	calling, cancel := context.WithTimeout(ctx, reportTimeout)
+	defer cancel()
+	report, err := a.engine.Report(calling)
+	if err != nil {
+		a.noteAlive(false, err)
+		return
+	}
+	a.noteAlive(true, nil)
+	if ended := a.view.set(report); ended != 0 {
+		a.engineCrashed(ended)
+	}
+	a.index.Begin(report.Incarnation)
+	a.scheduler.wake()
+}
+
+func (a *Agent) readReady(ctx context.Context) {
+	calling, cancel := context.WithTimeout(ctx, reportTimeout)
+	defer cancel()
+	err := a.service.Ready(calling)
+	a.noteAlive(err == nil, err)
+}
+
+func (a *Agent) noteAlive(alive bool, cause error) {
+	if _, was := a.view.last(); was != alive {
+		a.log.Info("backend server changed", beechlog.Step("report"),
+			beechlog.Peer(a.settings.Backend), zap.Bool("alive", alive), zap.Error(cause))
+	}
+	a.view.setAlive(alive)
+}
+
+// watchCache follows the engine's cache events until ctx ends.
+func (a *Agent) watchCache(ctx context.Context) error {
+	var incarnation, after uint64
+	return a.every(ctx, cacheInterval, func() {
+		if !a.isEngine() {
+			return
+		}
+		calling, cancel := context.WithTimeout(ctx, reportTimeout)
+		defer cancel()
+		now, events, err := a.engine.CacheEvents(calling, after)
+		if err != nil {
+			return
+		}
+		if now != incarnation {
+			incarnation, after = now, 0
+			a.index.Begin(now)
+			return
+		}
+		if len(events) > 0 {
+			after = events[len(events)-1].Sequence
+			a.index.Apply(now, indexEvents(events))
+		}
+	})
+}
+
+func indexEvents(events []beechbackend.CacheEvent) []beechindex.Event {
+	out := make([]beechindex.Event, len(events))
+	for i, e := range events {
+		out[i] = beechindex.Event(e)
+	}
+	return out
+}
+
+// every calls step until ctx ends, with interval between the calls.
+func (a *Agent) every(ctx context.Context, interval time.Duration, step func()) error {
+	ticker := a.clock.NewTicker(interval)
+	defer ticker.Stop()
+	for {
+		step()
+		select {
+		case <-ticker.Chan():
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+	}
+}
+
+// engineCrashed tells the suspects' register what was running, once for an
+// incarnation.
+func (a *Agent) engineCrashed(ended uint64) {
+	fingerprints, first := a.running.crashed(ended)
+	if !first {
+		return
+	}
+	a.numbers.Crashes.Add(1)
+	a.suspects.Crashed(fingerprints)
+	a.log.Warn("engine crashed", beechlog.Step("report"), beechlog.Peer(a.settings.Backend), zap.Int("running", len(fingerprints)))
+}
+
+// brokenByCrash finds out whether a broken answer means that the engine died.
+// It asks the engine, so that a single cut connection does not make every
+// request on it suspect. The view is brought up to date with the answer, and
+// work that comes next is not sent to an engine that is gone.
+func (a *Agent) brokenByCrash(ctx context.Context, during uint64) bool {
+	a.readReport(context.WithoutCancel(ctx))
+	report, alive := a.view.last()
+	if alive && report.Incarnation == during {
+		return false
+	}
+	a.engineCrashed(during)
+	return true
+}
--- a/internal/process/beechlog/log.go
+++ b/internal/process/beechlog/log.go
@@ -7,6 +7,7 @@
 	"strings"
 	"time"
 
+	"github.com/thejerf/suture/v4"
 	"go.uber.org/zap"
 	"go.uber.org/zap/zapcore"
 )
@@ -136,3 +137,17 @@
 	}
 	return false
 }
+
+// SupervisorHook writes what a supervisor tells of its services.
+func SupervisorHook(logger *zap.Logger) suture.EventHook {
+	return func(e suture.Event) {
+		switch e := e.(type) {
+		case suture.EventServicePanic:
+			logger.Error("service panicked", zap.String("service", e.ServiceName), zap.String("panic", e.PanicMsg), zap.String("stack", e.Stacktrace))
+		case suture.EventServiceTerminate:
+			logger.Error("service ended", zap.String("service", e.ServiceName), zap.Any("error", e.Err), zap.Bool("restarting", e.Restarting))
+		case suture.EventBackoff:
+			logger.Warn("supervisor backs off", zap.String("supervisor", e.SupervisorName))
+		}
+	}
+}
