--- /dev/null
+++ b/internal/platform/beechfence/guard.go
@@ -0,0 +1,238 @@
+package beechfence
+
+import (
+	"context"
+	"crypto/rand"
+	"encoding/hex"
+	"errors"
+	"fmt"
+	"net/netip"
+	"sync"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+
+	"github.com/beechring/beechring/internal/platform/beechstore"
+)
+
+type (
+	// Settings of a Guard and of Slots. Zero fields get the defaults named.
+	Settings struct {
+		TTL    time.Duration // of a lease; 10 s, longer than any order takes
+		Margin time.Duration // an order must end so long before its lease; 2 s
+	}
+
+	// Guard gives the orders of one agent to one backend server.
+	Guard struct {
+		store    beechstore.Store
+		clock    clockwork.Clock
+		server   netip.AddrPort
+		settings Settings
+		id       string // random, of this agent's Guard
+
+		mu   sync.Mutex
+		term term
+	}
+
+	// term is a time of holding the server's lease under one number.
+	term struct {
+		lease  beechstore.Lease
+		asked  time.Time
+		number uint64 // 0: none is held
+	}
+
+	// fenceRecord is the value under a server's fence key, which is never
+	// deleted.
+	fenceRecord struct {
+		Number uint64 `json:"number"`
+		Holder string `json:"holder"`
+	}
+)
+
+const (
+	format        = 1
+	defaultTTL    = 10 * time.Second
+	defaultMargin = 2 * time.Second
+	idBytes       = 12
+	numberTries   = 8
+)
+
+var errContended = errors.New("the fencing number changed at each try to take it")
+
+// New makes a guard that holds nothing yet.
+func New(store beechstore.Store, clock clockwork.Clock, server netip.AddrPort, settings Settings) *Guard {
+	return &Guard{store: store, clock: clock, server: server, settings: settings.withDefaults(), id: newID()}
+}
+
+func (s Settings) withDefaults() Settings {
+	if s.TTL == 0 {
+		s.TTL = defaultTTL
+	}
+	if s.Margin == 0 {
+		s.Margin = defaultMargin
+	}
+	return s
+}
+
+// Order runs send with the fencing number, one order at a time. The context
+// that send gets ends a margin before the lease; send must give up with it.
+// Errors from before the send are Held, Lapsed and those of beechstore;
+// Superseded comes after it; others are send's own.
+func (g *Guard) Order(ctx context.Context, send func(ctx context.Context, fence uint64) error) error {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if err := g.hold(ctx); err != nil {
+		return err
+	}
+	t := g.term
+	left := g.left(t)
+	if left <= 0 {
+		g.term = term{}
+		return Lapsed{Server: g.server, Number: t.number}
+	}
+	sendCtx, cancel := clockwork.WithTimeout(ctx, g.clock, left)
+	defer cancel()
+	err := send(sendCtx, t.number)
+	if g.left(t) <= 0 || !g.stillHighest(ctx, t) {
+		g.term = term{}
+		return Superseded{Server: g.server, Number: t.number, Err: err}
+	}
+	return err
+}
+
+// Close gives the lease back, so that a successor need not wait for its end.
+func (g *Guard) Close(ctx context.Context) error {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.term.number == 0 {
+		return nil
+	}
+	g.term = term{}
+	v, err := g.store.Get(ctx, holderKey(g.server), beechstore.ImportanceRest)
+	if err != nil || string(v.Data) != g.id {
+		return err
+	}
+	return g.store.Delete(ctx, v.Key, v.Version, beechstore.ImportanceRest)
+}
+
+// left is the time for an order under this term, by whichever clock has
+// moved more.
+func (g *Guard) left(t term) time.Duration {
+	now := g.clock.Now()
+	passed := max(now.Sub(t.asked), now.Round(0).Sub(t.asked.Round(0)))
+	return t.lease.TTL - g.settings.Margin - passed
+}
+
+// hold makes sure that the term has time and its number is the highest.
+func (g *Guard) hold(ctx context.Context) error {
+	if g.term.number > 0 && g.left(g.term) > 0 {
+		g.renew(ctx)
+		if g.stillHighest(ctx, g.term) {
+			return nil
+		}
+	}
+	g.term = term{}
+	return g.take(ctx)
+}
+
+// renew asks for more time once half is gone. A failure leaves the term as it
+// is: its time simply runs out.
+func (g *Guard) renew(ctx context.Context) {
+	if g.left(g.term) > g.term.lease.TTL/2 {
+		return
+	}
+	asked := g.clock.Now()
+	l, err := g.store.KeepAlive(ctx, g.term.lease, beechstore.ImportanceConfiguration)
+	if err != nil {
+		return
+	}
+	g.term.lease, g.term.asked = l, asked
+}
+
+func (g *Guard) stillHighest(ctx context.Context, t term) bool {
+	r, _, err := g.read(ctx)
+	return err == nil && r.Number == t.number && r.Holder == g.id
+}
+
+// take gets the lease and then the next number. The lease comes first: a
+// number taken without it would make a server refuse the rightful holder.
+func (g *Guard) take(ctx context.Context) error {
+	asked := g.clock.Now()
+	l, err := g.store.Grant(ctx, g.settings.TTL, beechstore.ImportanceConfiguration)
+	if err != nil {
+		return fmt.Errorf("order to %s: %w", g.server, err)
+	}
+	if err := g.takeHolder(ctx, l); err != nil {
+		return err
+	}
+	number, err := g.takeNumber(ctx)
+	if err != nil {
+		return fmt.Errorf("order to %s: %w", g.server, err)
+	}
+	g.term = term{lease: l, asked: asked, number: number}
+	return nil
+}
+
+func (g *Guard) takeHolder(ctx context.Context, l beechstore.Lease) error {
+	key := holderKey(g.server)
+	_, err := g.store.CompareAndSwap(ctx, key, 0, []byte(g.id), l.ID, beechstore.ImportanceConfiguration)
+	var conflict beechstore.Conflict
+	if errors.As(err, &conflict) {
+		return Held{Server: g.server, After: g.settings.TTL}
+	}
+	if err != nil {
+		// After a lost reply the key may be there under this lease, and ends
+		// with it. Taking it for ours is not worth the doubt.
+		return fmt.Errorf("order to %s: %w", g.server, err)
+	}
+	return nil
+}
+
+// takeNumber moves the number on by one. After a lost reply it looks whether
+// the number there is its own; if not it takes the next, since a number that
+// was skipped does no harm.
+func (g *Guard) takeNumber(ctx context.Context) (uint64, error) {
+	for range numberTries {
+		r, version, err := g.read(ctx)
+		if err != nil {
+			return 0, err
+		}
+		r.Number++
+		r.Holder = g.id
+		data, err := beechstore.Seal(format, r)
+		if err != nil {
+			return 0, err
+		}
+		_, err = g.store.CompareAndSwap(ctx, fenceKey(g.server), version, data, "", beechstore.ImportanceConfiguration)
+		var conflict beechstore.Conflict
+		var unknown beechstore.UnknownOutcome
+		switch {
+		case err == nil:
+			return r.Number, nil
+		case errors.As(err, &conflict), errors.As(err, &unknown):
+		default:
+			return 0, err
+		}
+	}
+	return 0, errContended
+}
+
+func (g *Guard) read(ctx context.Context) (fenceRecord, uint64, error) {
+	v, err := g.store.Get(ctx, fenceKey(g.server), beechstore.ImportanceConfiguration)
+	if err != nil || v.Version == 0 {
+		return fenceRecord{}, 0, err
+	}
+	var r fenceRecord
+	err = beechstore.Unseal(v.Key, v.Data, format, &r)
+	return r, v.Version, err
+}
+
+func fenceKey(server netip.AddrPort) string { return "fence/" + server.String() }
+
+func holderKey(server netip.AddrPort) string { return "fence/" + server.String() + "/holder" }
+
+func newID() string {
+	b := make([]byte, idBytes)
+	_, _ = rand.Read(b)
+	return hex.EncodeToString(b)
+}
