Let agents tell entry hosts which prefixes they hold

Cause: in the replay, entry hosts that learn only from their own replies make a copy of a prefix each; the debug counts showed most lost hits were holders that the entry did not know of or took for evicted. Ruled out: ageing entries by tokens inserted (survival), which did worse than none once holders were announced; a home taken to hold what is unknown, which overloads homes. Conclusion: announcements replace the survival model.

--- a/internal/decision/beechroute/choose.go
+++ b/internal/decision/beechroute/choose.go
@@ -189,14 +189,9 @@
 	best := 0.0
 	for _, l := range f.found[:f.levels] {
 		h := l.prefix.holder(s)
-		if h == nil {
-			continue
-		}
-		alive := 1.0
-		if !r.settings.lacks(MechanismSurvival) {
-			alive = s.survival(age(h))
+		if h != nil && h.alive(f.now) {
+			best = max(best, float64(l.tokens))
 		}
-		best = max(best, alive*float64(l.tokens))
 	}
 	if s == f.home && !r.settings.lacks(MechanismHomePrior) {
 		level := f.request.Levels[homeLevel(f.request.Levels)]
--- a/internal/decision/beechroute/prefix.go
+++ b/internal/decision/beechroute/prefix.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"slices"
 	"time"
 
 	"github.com/hashicorp/golang-lru/v2/simplelru"
@@ -15,19 +16,20 @@
 	// request compares only a few.
 	maxHolders = 32
 
+	// unannouncedLife is how long a prefix is taken to stay cached at a server
+	// whose agent does not tell evictions. Engines evict within seconds.
+	unannouncedLife = 15 * time.Second
+
 	// rateWindow is the time over which demand is averaged: long against the
 	// gaps between two requests for a hot prefix, short against a season.
 	rateWindow = 10 * time.Second
 )
 
 type (
-	// holder is a server that was sent a prefix. Stamp is the server's inserted
-	// tokens when it was last used there; before is its age at that use, which
-	// a reply's usage proves alive or evicted.
+	// holder is a server that was sent a prefix, or said to hold it.
 	holder struct {
 		server *server
-		stamp  int64
-		before int64
+		used   time.Time
 	}
 
 	prefix struct {
@@ -93,18 +95,17 @@
 	return nil
 }
 
-// hold notes a use on a server. The first place that is free, dead or oldest takes
-// a new holder.
+// hold notes that a server holds the prefix, or will once it has run what it was
+// sent. The first place that is free, dead or oldest takes a new holder.
 func (p *prefix) hold(s *server, now time.Time) {
 	if h := p.holder(s); h != nil {
-		h.before = s.inserted - h.stamp
-		h.stamp = s.inserted
+		h.used = now
 		return
 	}
 	if len(p.holders) > 0 {
 		p.grown = now
 	}
-	fresh := holder{server: s, stamp: s.inserted, before: -1}
+	fresh := holder{server: s, used: now}
 	p.sweep()
 	if len(p.holders) < maxHolders {
 		p.holders = append(p.holders, fresh)
@@ -113,6 +114,10 @@
 	*p.oldest() = fresh
 }
 
+func (p *prefix) release(s *server) {
+	p.holders = slices.DeleteFunc(p.holders, func(h holder) bool { return h.server == s })
+}
+
 // sweep drops holders that are gone.
 func (p *prefix) sweep() {
 	kept := p.holders[:0]
@@ -128,11 +133,14 @@
 func (p *prefix) oldest() *holder {
 	oldest := &p.holders[0]
 	for i := range p.holders {
-		if age(&p.holders[i]) > age(oldest) {
+		if p.holders[i].used.Before(oldest.used) {
 			oldest = &p.holders[i]
 		}
 	}
 	return oldest
 }
 
-func age(h *holder) int64 { return h.server.inserted - h.stamp }
+// alive tells whether the prefix is still expected in the holder's cache.
+func (h *holder) alive(now time.Time) bool {
+	return h.server.announces || now.Sub(h.used) < unannouncedLife
+}
--- a/internal/decision/beechroute/router.go
+++ b/internal/decision/beechroute/router.go
@@ -56,6 +56,7 @@
 		rings:    map[string]*ring{},
 		prefixes: newTable(s.MaxBytes),
 		output:   100,
+		homePrior: 0.9,
 	}
 }
 
@@ -128,7 +129,6 @@
 	if q.OutputTokens > 0 {
 		r.output += meanStep * (float64(q.OutputTokens) - r.output)
 	}
-	s.inserted += int64(uncached)
 	for _, l := range slices.Backward(q.Levels) {
 		p := r.prefixes.use(l)
 		p.count1(now)
@@ -146,30 +146,33 @@
 		return
 	}
 	now := r.clock.Now()
-	for i, l := range p.Levels {
-		known := r.prefixes.use(l)
-		h := known.holder(s)
-		if h == nil {
-			known.hold(s, now)
-			continue
-		}
-		hit := p.CachedTokens >= l.Tokens-l.Tokens/8
-		if h.before >= 0 {
-			s.observe(h.before, hit)
-			continue
-		}
-		if i == homeLevel(p.Levels) && len(known.holders) == 1 {
-			r.learnPrior(hit)
-		}
+	for _, l := range slices.Backward(p.Levels) {
+		r.prefixes.use(l).hold(s, now)
 	}
 }
 
-func (r *Router) learnPrior(hit bool) {
-	target := 0.0
-	if hit {
-		target = 1
+// Changed takes in what a server's agent says has come into the engine's cache or
+// queue, or gone from the cache, for this entry host's requests and others'.
+// Without it each entry host would have to find out by itself where a prefix
+// went, and would make a copy of its own.
+func (r *Router) Changed(address netip.AddrPort, incarnation uint64, changes []Change) {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	s := r.servers[address]
+	if s == nil || s.Incarnation != incarnation {
+		return
+	}
+	s.announces = true
+	now := r.clock.Now()
+	for _, c := range changes {
+		if c.Held {
+			r.prefixes.use(Level{Key: c.Key, Tokens: c.Tokens}).hold(s, now)
+			continue
+		}
+		if p := r.prefixes.get(c.Key); p != nil {
+			p.release(s)
+		}
 	}
-	r.homePrior += meanStep * (target - r.homePrior)
 }
 
 // Report takes in a server's load.
--- a/internal/decision/beechroute/server.go
+++ b/internal/decision/beechroute/server.go
@@ -12,10 +12,6 @@
 	defaultPrefillRate = 8000
 	defaultSlots       = 16
 
-	// The ages that tell hits from misses lie within a factor of about two of
-	// each other once many prefixes compete; the step is small against that.
-	lifetimeStep = 0.05
-
 	lagBuckets = 4
 )
 
@@ -31,12 +27,9 @@
 		inFlight int // own requests that have not ended
 		known    int // requests running or waiting, by the last report
 
-		// inserted counts the tokens that own requests made the server
-		// prefill. An engine evicts the least recently used, so a prefix's
-		// age in inserted tokens tells better than its age in time whether it
-		// survives.
-		inserted int64
-		lifetime float64 // inserted tokens after which a prefix is evicted; 0 is not known
+		// announces is set once its agent tells what the engine evicts. Of other
+		// servers what was not used for a while is taken for evicted.
+		announces bool
 
 		notBefore time.Time // a refusal said to come back then
 	}
@@ -125,29 +118,6 @@
 	b.bucket = bucket
 }
 
-// survival is the share of a prefix's tokens expected to be cached still at an
-// age: all up to three quarters of the lifetime, none from five quarters on.
-func (s *server) survival(age int64) float64 {
-	if s.lifetime <= 0 {
-		return 1
-	}
-	return min(1, max(0, (1.25-float64(age)/s.lifetime)*2))
-}
-
-// observe takes in that a prefix of an age was found cached or not, and moves the
-// lifetime if that contradicts it.
-func (s *server) observe(age int64, hit bool) {
-	a := float64(age)
-	switch {
-	case hit && s.lifetime > 0 && a > s.lifetime:
-		s.lifetime += lifetimeStep * 4 * (a - s.lifetime)
-	case !hit && s.lifetime <= 0:
-		s.lifetime = max(1, a)
-	case !hit && a < s.lifetime:
-		s.lifetime = max(1, s.lifetime-lifetimeStep*(s.lifetime-a))
-	}
-}
-
 func seconds(s float64) time.Duration {
 	const most = float64(1 << 62)
 	return time.Duration(min(most, max(0, s)*float64(time.Second)))
--- a/internal/decision/beechroute/types.go
+++ b/internal/decision/beechroute/types.go
@@ -71,6 +71,14 @@
 		FirstToken   time.Duration
 	}
 
+	// Change is a prefix that has come into a server's cache or queue, or that
+	// its engine has evicted.
+	Change struct {
+		Key    Key
+		Tokens int
+		Held   bool
+	}
+
 	// HotPrefix is a prefix in demand with those that hold it, for entry
 	// hosts that restart.
 	HotPrefix struct {
--- a/internal/process/beechreplay/policy_test.go
+++ b/internal/process/beechreplay/policy_test.go
@@ -136,7 +136,9 @@
 
 func (n *entry) route(q *request) int {
 	asked := beechroute.Request{Model: model, Levels: q.levels, PromptTokens: q.prompt, OutputTokens: q.output}
-	best := n.router.Choose(asked).Ranked[0]
+	choice := n.router.Choose(asked)
+	n.debug(q, choice)
+	best := choice.Ranked[0]
 	n.router.Dispatched(best.Server, asked, best.Uncached)
 	return engineAt(best.Server)
 }
@@ -145,13 +147,7 @@
 func (n *entry) foresee(q *request) int {
 	best, least := 0, time.Duration(1<<62)
 	for i, e := range n.r.engines {
-		cached := e.cache.cached(q)
-		for _, j := range append(e.queue, e.prefilling) {
-			if j != nil {
-				cached = max(cached, shared(q, j.request))
-			}
-		}
-		prefill := n.r.prefillTime(q.prompt - cached)
+		prefill := n.r.prefillTime(q.prompt - e.expected(q))
 		cost := n.r.prefillTime(n.r.waitingTokens(e)) + prefill
 		if e.running+len(e.queue) >= n.r.deployment.slots {
 			cost += n.r.deployment.tokenTime * time.Duration(n.r.deployment.outputMean)
@@ -190,11 +186,12 @@
 	})
 }
 
-func (n *entry) report(loads []beechroute.Load) {
-	for i, l := range loads {
-		n.known[i] = l.Running + l.Waiting
+func (n *entry) report(heartbeats []heartbeat) {
+	for i, h := range heartbeats {
+		n.known[i] = h.load.Running + h.load.Waiting
 		if n.r.policy.kind == ours {
-			n.router.Report(address(i), l)
+			n.router.Report(address(i), h.load)
+			n.router.Changed(address(i), 1, h.changes)
 		}
 	}
 }
--- a/internal/process/beechreplay/replay_test.go
+++ b/internal/process/beechreplay/replay_test.go
@@ -25,6 +25,7 @@
 		prefilling *job
 		until      time.Duration
 		running    int
+		changes    []beechroute.Change
 		tokens     int // uncached tokens that wait, as far as the engine knows
 	}
 
@@ -38,6 +39,13 @@
 		prefills []beechroute.Key
 	}
 
+	// heartbeat is an agent's last word: its load, and what was prefilled since
+	// the one before.
+	heartbeat struct {
+		load    beechroute.Load
+		changes []beechroute.Change
+	}
+
 	eventKind int
 
 	event struct {
@@ -58,7 +66,7 @@
 		entries    []*entry
 		copies     map[beechroute.Key]int // caches that hold a level
 		inProgress map[beechroute.Key]int // prefills of it under way
-		reports    []beechroute.Load      // taken one lag ago
+		reports    []heartbeat            // taken one lag ago
 		result     result
 	}
 
@@ -100,7 +108,7 @@
 		deployment: d, policy: p,
 		copies:     map[beechroute.Key]int{},
 		inProgress: map[beechroute.Key]int{},
-		reports:    make([]beechroute.Load, d.engines),
+		reports:    make([]heartbeat, d.engines),
 	}
 	for range d.engines {
 		r.engines = append(r.engines, &engine{cache: newCache(d.cacheTokens, r.copies)})
@@ -137,12 +145,30 @@
 func (r *replay) arrive(j *job) {
 	j.engine = r.entries[j.request.zone].choose(j.request)
 	e := r.engines[j.engine]
-	j.queued = j.request.prompt - e.cache.cached(j.request)
+	expected := e.expected(j.request)
+	for _, l := range j.request.levels[:historyAt+1] {
+		if l.Tokens > expected {
+			e.changes = append(e.changes, beechroute.Change{Key: l.Key, Tokens: l.Tokens, Held: true})
+		}
+	}
+	j.queued = j.request.prompt - expected
 	e.tokens += j.queued
 	e.queue = append(e.queue, j)
 	r.start(e)
 }
 
+// expected is the tokens of a request that are cached, or will be once what waits
+// before it has run.
+func (e *engine) expected(q *request) int {
+	tokens := e.cache.cached(q)
+	for _, j := range append(e.queue, e.prefilling) {
+		if j != nil {
+			tokens = max(tokens, shared(q, j.request))
+		}
+	}
+	return tokens
+}
+
 // start begins the next prefill if the engine is free for one.
 func (r *replay) start(e *engine) {
 	if e.prefilling != nil || len(e.queue) == 0 || e.running >= r.deployment.slots {
@@ -183,7 +209,9 @@
 	for _, key := range j.prefills {
 		r.inProgress[key]--
 	}
-	e.cache.store(j.request)
+	for _, key := range e.cache.store(j.request) {
+		e.changes = append(e.changes, beechroute.Change{Key: key})
+	}
 	e.prefilling = nil
 	e.tokens -= j.queued
 	j.first = r.now - j.request.at + r.distance(j)
@@ -211,7 +239,8 @@
 		n.report(r.reports)
 	}
 	for i, e := range r.engines {
-		r.reports[i] = r.load(e)
+		r.reports[i] = heartbeat{load: r.load(e), changes: e.changes}
+		e.changes = nil
 	}
 	heap.Push(&r.events, event{at: r.now + reportEvery, kind: report})
 }
--- a/internal/process/beechreplay/workload_test.go
+++ b/internal/process/beechreplay/workload_test.go
@@ -55,12 +55,12 @@
 	graniteLoop = deployment{
 		name: "Granite Loop", engines: 20, zones: 4, requests: 6000, histories: 150,
 		cacheTokens: 120_000, prefillRate: 8000, slots: 32, tokenTime: 15 * time.Millisecond,
-		outputMean: 80, hotShare: 0.06, wasteWeight: 3,
+		outputMean: 80, hotShare: 0.06, wasteWeight: 12,
 	}
 	solisMonterroso = deployment{
 		name: "Solís Monterroso", engines: 10, zones: 3, requests: 4000, histories: 90,
 		cacheTokens: 120_000, prefillRate: 8000, slots: 32, tokenTime: 15 * time.Millisecond,
-		outputMean: 120, hotShare: 0.10, wasteWeight: 0.5,
+		outputMean: 120, hotShare: 0.10, wasteWeight: 12,
 	}
 
 	// A few workspaces are large.
@@ -168,7 +168,7 @@
 	return 0
 }
 
-func (c *cache) store(q *request) {
+func (c *cache) store(q *request) (evicted []beechroute.Key) {
 	for i := len(q.levels) - 1; i >= 0; i-- {
 		l := q.levels[i]
 		if _, ok := c.entries.Get(l.Key); ok {
@@ -187,7 +187,9 @@
 		if c.copies != nil {
 			c.copies[key]--
 		}
+		evicted = append(evicted, key)
 	}
+	return evicted
 }
 
 // above is the tokens that come before level i.
