--- /dev/null
+++ b/internal/decision/beechroute/router.go
@@ -0,0 +1,274 @@
+package beechroute
+
+import (
+	"cmp"
+	"math/rand/v2"
+	"net/netip"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+)
+
+const (
+	defaultZoneDistance = 2 * time.Millisecond
+	defaultReportLag    = 100 * time.Millisecond
+
+	meanStep = 0.02 // share of one observation that a running mean takes in
+)
+
+// Router chooses servers for an entry host's requests. It is safe for concurrent
+// use.
+type Router struct {
+	settings Settings
+	clock    clockwork.Clock
+	random   *rand.Rand
+	health   Health
+
+	mutex     sync.Mutex
+	servers   map[netip.AddrPort]*server
+	rings     map[string]*ring
+	prefixes  table
+	output    float64 // mean output tokens of a request
+	homePrior float64 // share of prefixes not known here that their home held
+}
+
+// New is a router that knows no server yet. Random is used under the router's own
+// lock and must not be shared.
+func New(s Settings, clock clockwork.Clock, random *rand.Rand, health Health) *Router {
+	if s.ZoneDistance <= 0 {
+		s.ZoneDistance = defaultZoneDistance
+	}
+	if s.ReportLag <= 0 {
+		s.ReportLag = defaultReportLag
+	}
+	s.WasteWeight = max(0, s.WasteWeight)
+	if s.lacks(MechanismWaste) {
+		s.WasteWeight = 0
+	}
+	return &Router{
+		settings: s,
+		clock:    clock,
+		random:   random,
+		health:   health,
+		servers:  map[netip.AddrPort]*server{},
+		rings:    map[string]*ring{},
+		prefixes: newTable(s.MaxBytes),
+		output:   100,
+		homePrior: 0.9,
+	}
+}
+
+func (s Settings) lacks(m Mechanism) bool { return s.Without&m != 0 }
+
+// SetServers replaces the servers that may be chosen. What is known of one that
+// stays with the same incarnation is kept.
+func (r *Router) SetServers(servers []Server) {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	next := make(map[netip.AddrPort]*server, len(servers))
+	for _, s := range servers {
+		next[s.Address] = r.keep(s)
+	}
+	for address, s := range r.servers {
+		if next[address] != s {
+			s.gone = true
+		}
+	}
+	r.servers = next
+	r.rebuild()
+}
+
+func (r *Router) keep(s Server) *server {
+	old := r.servers[s.Address]
+	if old == nil || old.Incarnation != s.Incarnation {
+		return newServer(s)
+	}
+	old.Zone = s.Zone
+	old.Models = slices.Clone(s.Models)
+	return old
+}
+
+// rebuild makes the rings anew for models whose servers have changed.
+func (r *Router) rebuild() {
+	members := map[string][]*server{}
+	for _, s := range r.servers {
+		for _, model := range s.Models {
+			members[model] = append(members[model], s)
+		}
+	}
+	rings := make(map[string]*ring, len(members))
+	for model, servers := range members {
+		slices.SortFunc(servers, func(a, b *server) int { return a.Address.Compare(b.Address) })
+		servers = slices.Compact(servers)
+		if old := r.rings[model]; old != nil && slices.Equal(old.servers, servers) {
+			rings[model] = old
+			continue
+		}
+		rings[model] = newRing(servers)
+	}
+	r.rings = rings
+}
+
+// Dispatched notes that a request was sent to a server, with the uncached tokens
+// that Choose predicted for it.
+func (r *Router) Dispatched(address netip.AddrPort, q Request, uncached int) {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	s := r.servers[address]
+	if s == nil {
+		return
+	}
+	now := r.clock.Now()
+	uncached = max(0, uncached)
+	s.inFlight++
+	if !r.settings.lacks(MechanismOwn) {
+		s.work.add(float64(uncached), now, float64(s.load.PrefillRate), r.settings.ReportLag)
+	}
+	if q.OutputTokens > 0 {
+		r.output += meanStep * (float64(q.OutputTokens) - r.output)
+	}
+	for _, l := range slices.Backward(q.Levels) {
+		p := r.prefixes.use(l)
+		p.count1(now)
+		p.hold(s, now)
+	}
+}
+
+// Learn takes in what a reply said of its prompt's cached part. A reply of an
+// incarnation that is not the server's present one is dropped.
+func (r *Router) Learn(p Reply) {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	s := r.servers[p.Server]
+	if s == nil || s.Incarnation != p.Incarnation {
+		return
+	}
+	now := r.clock.Now()
+	for _, l := range slices.Backward(p.Levels) {
+		r.prefixes.use(l).hold(s, now)
+	}
+}
+
+// Changed takes in what a server's agent says has come into the engine's cache or
+// queue, or gone from the cache, for this entry host's requests and others'.
+// Without it each entry host would have to find out by itself where a prefix
+// went, and would make a copy of its own.
+func (r *Router) Changed(address netip.AddrPort, incarnation uint64, changes []Change) {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	s := r.servers[address]
+	if s == nil || s.Incarnation != incarnation {
+		return
+	}
+	s.announces = true
+	now := r.clock.Now()
+	for _, c := range changes {
+		if c.Held {
+			r.prefixes.use(Level{Key: c.Key, Tokens: c.Tokens}).hold(s, now)
+			continue
+		}
+		if p := r.prefixes.get(c.Key); p != nil {
+			p.release(s)
+		}
+	}
+}
+
+// Report takes in a server's load.
+func (r *Router) Report(address netip.AddrPort, l Load) {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	if s := r.servers[address]; s != nil {
+		s.report(l, r.clock.Now(), r.settings.ReportLag)
+	}
+}
+
+// Finished notes that a request sent to a server has ended there, whatever its
+// outcome. Each Dispatched has one Finished or Refused.
+func (r *Router) Finished(address netip.AddrPort) {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	if s := r.servers[address]; s != nil {
+		s.inFlight = max(0, s.inFlight-1)
+	}
+}
+
+// Refused notes that a server turned a request away, not run, and when it may be
+// asked again.
+func (r *Router) Refused(address netip.AddrPort, after time.Duration) {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	s := r.servers[address]
+	if s == nil {
+		return
+	}
+	s.inFlight = max(0, s.inFlight-1)
+	s.notBefore = r.clock.Now().Add(max(0, after))
+}
+
+// Forget drops what is known of a server's cache if its incarnation is that one
+// or an older one.
+func (r *Router) Forget(address netip.AddrPort, incarnation uint64) {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	s := r.servers[address]
+	if s == nil || s.Incarnation > incarnation {
+		return
+	}
+	s.gone = true
+	r.servers[address] = newServer(s.Server)
+	r.rebuild()
+}
+
+// Hot is the prefixes in demand, those with the most tokens asked for a second
+// first, for entry hosts that restart.
+func (r *Router) Hot() []HotPrefix {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	now := r.clock.Now()
+	var hot []HotPrefix
+	for _, key := range r.prefixes.entries.Keys() {
+		p := r.prefixes.get(key)
+		rate := p.rate(now)
+		if rate < hotRate {
+			continue
+		}
+		hot = append(hot, HotPrefix{Key: key, Tokens: p.tokens, Rate: rate, Holders: p.addresses()})
+	}
+	slices.SortFunc(hot, func(a, b HotPrefix) int {
+		return cmp.Compare(b.Rate*float64(b.Tokens), a.Rate*float64(a.Tokens))
+	})
+	return hot[:min(len(hot), maxHot)]
+}
+
+// Restore takes in prefixes that another entry host knew to be in demand. What is
+// known here already is kept.
+func (r *Router) Restore(hot []HotPrefix) {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	now := r.clock.Now()
+	for _, h := range slices.Backward(hot) {
+		if r.prefixes.get(h.Key) != nil {
+			continue
+		}
+		p := r.prefixes.use(Level{Key: h.Key, Tokens: h.Tokens})
+		p.count = max(0, h.Rate) * rateWindow.Seconds()
+		p.counted = now
+		for _, address := range h.Holders {
+			if s := r.servers[address]; s != nil {
+				p.hold(s, now)
+			}
+		}
+	}
+}
+
+func (p *prefix) addresses() []netip.AddrPort {
+	var addresses []netip.AddrPort
+	for _, h := range p.holders {
+		if !h.server.gone {
+			addresses = append(addresses, h.server.Address)
+		}
+	}
+	return addresses
+}
--- a/internal/link/beechwire/doc.go
+++ b/internal/link/beechwire/doc.go
@@ -59,8 +59,13 @@
 // States of a record of a request that may not be repeated.
 const (
 	StateGranted  = "granted"  // the token may be used once
+	StateRunning  = "running"  // repeatable and placed at Agent under RequestID
 	StateDone     = "done"     // Status, ContentType and Answer hold the outcome
 	StateUnknown  = "unknown"  // claimed, outcome not known: never run again
 	StateMismatch = "mismatch" // same key, another body
 	StateRefused  = "refused"  // not claimed: platform down or over budget
 )
+
+// ServiceTarget is a plain service's name in Heartbeat.Models, where engines
+// have "model@weights".
+func ServiceTarget(service string) string { return "service:" + service }
--- a/internal/link/beechwire/wire_gen.go
+++ b/internal/link/beechwire/wire_gen.go
@@ -4,6 +4,40 @@
 
 package beechwire
 
+// Beat goes both ways as the sign of life. It carries what changed since the
+// sender's last one on the connection; the first carries everything.
+type Beat struct {
+	// The other side answers with a Beat at once.
+	Ask *bool `msg:"Ask,omitempty"`
+
+	// Entries corresponds to the JSON schema field "Entries".
+	Entries *int `msg:"Entries,omitempty"`
+
+	// Time between the sender's beats while nothing is outstanding.
+	EveryMillis *int64 `msg:"EveryMillis,omitempty"`
+
+	// Generation corresponds to the JSON schema field "Generation".
+	Generation *uint64 `msg:"Generation,omitempty"`
+
+	// Incarnation corresponds to the JSON schema field "Incarnation".
+	Incarnation *uint64 `msg:"Incarnation,omitempty"`
+
+	// Leaving corresponds to the JSON schema field "Leaving".
+	Leaving *bool `msg:"Leaving,omitempty"`
+
+	// Load corresponds to the JSON schema field "Load".
+	Load *Load `msg:"Load,omitempty"`
+
+	// Models corresponds to the JSON schema field "Models".
+	Models *Names `msg:"Models,omitempty"`
+
+	// Ready corresponds to the JSON schema field "Ready".
+	Ready *bool `msg:"Ready,omitempty"`
+
+	// Suspects corresponds to the JSON schema field "Suspects".
+	Suspects []Suspect `msg:"Suspects,omitempty"`
+}
+
 // Body carries a piece of the request's body, entry to agent.
 type Body struct {
 	// Data corresponds to the JSON schema field "Data".
@@ -27,7 +61,10 @@
 	// A Method constant of this package.
 	Method string `msg:"Method"`
 
-	// The method's message in msgpack.
+	// Further pieces of the payload follow.
+	More bool `msg:"More"`
+
+	// The method's message in msgpack, or a piece of it.
 	Payload []byte `msg:"Payload"`
 }
 
@@ -47,12 +84,18 @@
 	// AfterMillis corresponds to the JSON schema field "AfterMillis".
 	AfterMillis int64 `msg:"AfterMillis"`
 
+	// Where the first request runs, or empty.
+	Agent string `msg:"Agent"`
+
 	// Answer corresponds to the JSON schema field "Answer".
 	Answer []byte `msg:"Answer"`
 
 	// ContentType corresponds to the JSON schema field "ContentType".
 	ContentType string `msg:"ContentType"`
 
+	// Of the first request under the key.
+	RequestID string `msg:"RequestID"`
+
 	// State corresponds to the JSON schema field "State".
 	State string `msg:"State"`
 
@@ -71,6 +114,9 @@
 	// RecordKey corresponds to the JSON schema field "RecordKey".
 	RecordKey string `msg:"RecordKey"`
 
+	// True: the record is kept in memory only and a repeat joins the first.
+	Repeatable bool `msg:"Repeatable"`
+
 	// RequestID corresponds to the JSON schema field "RequestID".
 	RequestID string `msg:"RequestID"`
 }
@@ -169,6 +215,9 @@
 
 // FinishAsk records the outcome under a token. NotRun releases the claim.
 type FinishAsk struct {
+	// Where a repeatable request was placed; empty otherwise.
+	Agent string `msg:"Agent"`
+
 	// Answer corresponds to the JSON schema field "Answer".
 	Answer []byte `msg:"Answer"`
 
@@ -209,8 +258,8 @@
 	Stream uint64 `msg:"Stream"`
 }
 
-// Heartbeat goes both ways. An entry leaves the agent's fields empty and the other
-// way round.
+// Heartbeat is the state that Beats add up to. An entry leaves the agent's fields
+// empty and the other way round.
 type Heartbeat struct {
 	// Agent: number of live entries linked to it.
 	Entries int `msg:"Entries"`
@@ -324,6 +373,12 @@
 	Zone string `msg:"Zone"`
 }
 
+// Names is a list that may have changed to an empty one.
+type Names struct {
+	// Names corresponds to the JSON schema field "Names".
+	Names []string `msg:"Names"`
+}
+
 // Open starts a stream, entry to agent.
 type Open struct {
 	// Bytes of Data the agent may send before the first Credit.
@@ -467,6 +522,9 @@
 	// Streamed corresponds to the JSON schema field "Streamed".
 	Streamed bool `msg:"Streamed"`
 
+	// The caller asked for the usage event of a streamed answer.
+	WantsUsage bool `msg:"WantsUsage"`
+
 	// Weights version.
 	Weights string `msg:"Weights"`
 
@@ -482,6 +540,9 @@
 	// Error corresponds to the JSON schema field "Error".
 	Error string `msg:"Error"`
 
+	// Further pieces of the payload follow.
+	More bool `msg:"More"`
+
 	// Payload corresponds to the JSON schema field "Payload".
 	Payload []byte `msg:"Payload"`
 }
