Let requests be counted while a burn report is made

Change: it copies 64 workspaces at a time and encodes without the lock.

Ruled out: a second copy of the counts to swap (twice the memory).

--- a/internal/process/beechburn/burn.go
+++ b/internal/process/beechburn/burn.go
@@ -1,6 +1,7 @@
 package beechburn
 
 import (
+	"maps"
 	"slices"
 	"strings"
 	"sync"
@@ -9,6 +10,11 @@
 	"github.com/jonboulle/clockwork"
 )
 
+// copiedAtOnce is how many workspaces a snapshot copies before it lets requests
+// be counted again. Copying thousands at once held them up for 20 ms and more,
+// which callers saw as late first tokens whenever somebody read the report.
+const copiedAtOnce = 64
+
 type (
 	// Burn counts the outcomes that one process sees. Make it by New. It is
 	// safe for concurrent use.
@@ -128,56 +134,78 @@
 // sweep frees what has expired. Without it a workspace seen once would hold its
 // place for as long as the process runs.
 func (b *Burn) sweep(elapsed time.Duration) {
-	half := halfHour(elapsed)
 	for name, w := range b.named {
-		if w.recent != nil && w.recent.empty(half) {
-			w.recent = nil
-			b.recents--
-		}
-		if w.idle(elapsed) {
-			if w.recent != nil {
-				b.recents--
-			}
-			delete(b.named, name)
-		}
+		b.free(name, w, elapsed)
 	}
 }
 
-// Snapshot returns the counts of all windows, by workspace and over all.
+// free drops a workspace's percentiles once they have expired, and the workspace
+// once all has. It tells whether the workspace is gone.
+func (b *Burn) free(name string, w *workspace, elapsed time.Duration) bool {
+	gone := w.idle(elapsed)
+	if w.recent != nil && (gone || w.recent.empty(halfHour(elapsed))) {
+		w.recent = nil
+		b.recents--
+	}
+	if gone {
+		delete(b.named, name)
+	}
+	return gone
+}
+
+// Snapshot returns the counts of all windows, by workspace and over all. What is
+// observed meanwhile may be in some of its rows and not in others.
 func (b *Burn) Snapshot() Snapshot {
-	s, latencies := b.copy()
-	for _, l := range latencies {
+	s, names := b.copyAll()
+	var copies []latencies
+	for i := range s.All.Windows {
+		copies = append(copies, b.copyLatencies(i, &s.All.Windows[i]))
+	}
+	s.Workspaces = make([]Series, 0, len(names))
+	for chunk := range slices.Chunk(names, copiedAtOnce) {
+		rows, more := b.copyWorkspaces(chunk)
+		s.Workspaces = append(s.Workspaces, rows...)
+		copies = append(copies, more...)
+	}
+	for _, l := range copies {
 		l.window.FirstTimes = encode(l.first)
 		l.window.TotalTimes = encode(l.total)
 	}
+	sortByName(s.Workspaces)
 	return s
 }
 
-// copy takes the counts, and copies of the latencies, which are encoded after
-// the lock is given back: encoding thousands of histograms would hold up every
-// request that wants to be counted.
-func (b *Burn) copy() (Snapshot, []latencies) {
+func (b *Burn) copyAll() (Snapshot, []string) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	s := Snapshot{At: b.clock.Now(), Hosts: 1, Objectives: b.objectives, All: b.all.snapshot("", b.elapsed())}
+	return s, slices.Collect(maps.Keys(b.named))
+}
+
+func (b *Burn) copyLatencies(i int, into *Window) latencies {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	first, total := b.latencies[i].merged(windows[i].bucketAt(b.elapsed()))
+	return latencies{into, first, total}
+}
+
+func (b *Burn) copyWorkspaces(names []string) (rows []Series, copies []latencies) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	elapsed := b.elapsed()
-	b.sweep(elapsed)
-	s := Snapshot{At: b.clock.Now(), Hosts: 1, Objectives: b.objectives, All: b.all.snapshot("", elapsed)}
-	var copies []latencies
-	for i, v := range windows {
-		first, total := b.latencies[i].merged(v.bucketAt(elapsed))
-		copies = append(copies, latencies{&s.All.Windows[i], first, total})
-	}
-	s.Workspaces = make([]Series, 0, len(b.named))
-	for name, w := range b.named {
+	for _, name := range names {
+		w, ok := b.named[name]
+		if !ok || b.free(name, w, elapsed) {
+			continue
+		}
 		row := w.snapshot(name, elapsed)
-		s.Workspaces = append(s.Workspaces, row)
+		rows = append(rows, row)
 		if w.recent != nil {
 			sum := w.recent.merged(halfHour(elapsed))
 			copies = append(copies, latencies{&row.Windows[hourWindow], sum.first, sum.total})
 		}
 	}
-	sortByName(s.Workspaces)
-	return s, copies
+	return rows, copies
 }
 
 // Report is the snapshot's.
--- a/internal/process/beechburn/burn_test.go
+++ b/internal/process/beechburn/burn_test.go
@@ -203,13 +203,32 @@
 		}
 		b.ReportMetric(float64(heap()-before)/workspaces, "B/workspace")
 		b.ReportMetric(float64(burn.recents), "histograms")
-		began := time.Now()
-		burn.copy()
-		b.ReportMetric(float64(time.Since(began).Milliseconds()), "ms-locked/snapshot")
+		b.ReportMetric(longestWait(burn), "us-wait/snapshot")
 		runtime.KeepAlive(burn)
 	}
 }
 
+// longestWait is for how long at most a snapshot holds up a request that wants
+// to be counted, in microseconds.
+func longestWait(b *Burn) float64 {
+	done := make(chan struct{})
+	go func() {
+		b.Snapshot()
+		close(done)
+	}()
+	longest := time.Duration(0)
+	for {
+		select {
+		case <-done:
+			return float64(longest.Microseconds())
+		default:
+		}
+		began := time.Now()
+		b.Observe(Outcome{Workspace: "w0", Result: Invalid})
+		longest = max(longest, time.Since(began))
+	}
+}
+
 func fill(b *Burn, workspaces int) {
 	for i := range workspaces {
 		b.Observe(Outcome{Workspace: fmt.Sprint("w", i), Result: Served, FirstToken: time.Duration(rand.ExpFloat64() * float64(time.Second))})
