--- /dev/null
+++ b/internal/process/beechbackend/fuzz_test.go
@@ -0,0 +1,75 @@
+package beechbackend
+
+import (
+	"bytes"
+	"encoding/json"
+	"io"
+	"reflect"
+	"strings"
+	"testing"
+)
+
+// FuzzCompleteBody compares the spans that are cut out of a body with what
+// encoding/json reads before and after.
+func FuzzCompleteBody(f *testing.F) {
+	for _, s := range []string{body, `{}`, ` { "a" : [ { } , "\"}" ] } `, `{"cache_salt":"x"}`, `{"a":,"b":1}`, `{"a":1}x`, `[]`, `{"`, `{"stream_options":{"a":1}}`, `{"stream_options":null}`, `{"\ud800":1}`} {
+		f.Add([]byte(s))
+	}
+	f.Fuzz(func(t *testing.T, data []byte) {
+		done, err := completeBody(Generate{Body: data, Salt: "agent", Priority: 3, Streamed: true})
+		var before map[string]any
+		if !json.Valid(data) || json.Unmarshal(data, &before) != nil || before == nil {
+			return // the engine refuses what it cannot read
+		}
+		if err != nil {
+			t.Fatalf("%q: %v", data, err)
+		}
+		var after map[string]any
+		if err := json.Unmarshal(done, &after); err != nil {
+			t.Fatalf("%q became %q: %v", data, done, err)
+		}
+		if after["cache_salt"] != "agent" || after["priority"] != 3.0 || after["stream"] != true {
+			t.Fatalf("%q became %q", data, done)
+		}
+		for name, value := range before {
+			if !decided(name) && !reflect.DeepEqual(after[name], value) {
+				t.Fatalf("%q became %q: %s differs", data, done, name)
+			}
+		}
+		for name := range after {
+			if _, ok := before[name]; !ok && !decided(name) {
+				t.Fatalf("%q became %q: %s is new", data, done, name)
+			}
+		}
+	})
+}
+
+func decided(name string) bool {
+	for _, n := range []string{"cache_salt", "priority", "stream", "resume_text", "adapter", "stream_options"} {
+		if strings.EqualFold(n, name) {
+			return true
+		}
+	}
+	return false
+}
+
+// FuzzEvents reads random bytes as server-sent events.
+func FuzzEvents(f *testing.F) {
+	f.Add([]byte("data: a\n\ndata: [DONE]\n\n"))
+	f.Add([]byte("id: 1\r\ndata\r\n\r\n:\n"))
+	f.Fuzz(func(t *testing.T, data []byte) {
+		r := Events(bytes.NewReader(data), 64)
+		for n := 0; ; n++ {
+			e, err := r.Next()
+			if err == io.EOF && !bytes.Contains(data, doneData) {
+				t.Fatalf("%q: whole without its last event", data)
+			}
+			if err != nil {
+				return
+			}
+			if len(e.Data) > 64 || n > len(data) {
+				t.Fatalf("%q: %d bytes in event %d", data, len(e.Data), n)
+			}
+		}
+	})
+}
