Entry: the request's way through it (building)

Cause: callers' requests need one path with every outcome of an attempt a type of its own, so that what is said of a run is never more than is known. Ruled out: writing plain answers as they come (a dead server would leave half an answer behind a status of 200).

--- a/internal/process/beechagent/admin.go
+++ b/internal/process/beechagent/admin.go
@@ -28,22 +28,22 @@
 
 	// Status is what an agent tells operators.
 	Status struct {
-		Name        string            `json:"name"`
-		Zone        string            `json:"zone"`
-		Address     string            `json:"address"`
-		Pool        string            `json:"pool"`
-		Incarnation uint64            `json:"incarnation"`
-		Generation  uint64            `json:"generation"`
-		Ready       bool              `json:"ready"`
-		Leaving     bool              `json:"leaving"`
-		Offers      []string          `json:"offers"`
-		Entries     int               `json:"entries"`
-		Queue       beechqueue.State  `json:"queue"`
-		Load        beechwire.Load    `json:"load"`
-		Cache       beechindex.Counts `json:"cache"`
+		Name        string             `json:"name"`
+		Zone        string             `json:"zone"`
+		Address     string             `json:"address"`
+		Pool        string             `json:"pool"`
+		Incarnation uint64             `json:"incarnation"`
+		Generation  uint64             `json:"generation"`
+		Ready       bool               `json:"ready"`
+		Leaving     bool               `json:"leaving"`
+		Offers      []string           `json:"offers"`
+		Entries     int                `json:"entries"`
+		Queue       beechqueue.State   `json:"queue"`
+		Load        beechwire.Load     `json:"load"`
+		Cache       beechindex.Counts  `json:"cache"`
 		Links       beechlink.Counters `json:"links"`
-		Kept        int               `json:"keptAnswers"`
-		Counts      map[string]int64  `json:"counts"`
+		Kept        int                `json:"keptAnswers"`
+		Counts      map[string]int64   `json:"counts"`
 	}
 )
 
--- a/internal/process/beechagent/agent.go
+++ b/internal/process/beechagent/agent.go
@@ -48,20 +48,21 @@
 		service     beechbackend.Service
 		incarnation uint64
 
-		holder    *beechmanifest.Holder
-		server    *beechlink.Server
-		listener  net.Listener
-		records   *beechrecord.Records
-		memory    *beechrecord.Memory
-		index     *beechindex.Index
-		suspects  *beechsuspect.Register
-		scheduler *scheduler
-		library   *library
-		view      *backendView
-		fleet     *fleet
-		running   *runningSet
-		used      *usedClaims
-		numbers   counters
+		holder     *beechmanifest.Holder
+		server     *beechlink.Server
+		listener   net.Listener
+		records    *beechrecord.Records
+		memory     *beechrecord.Memory
+		index      *beechindex.Index
+		suspects   *beechsuspect.Register
+		scheduler  *scheduler
+		library    *library
+		view       *backendView
+		fleet      *fleet
+		running    *runningSet
+		used       *usedClaims
+		placements *placements
+		numbers    counters
 
 		leaving    atomic.Bool
 		supervisor *suture.Supervisor
--- /dev/null
+++ b/internal/process/beechentry/admin.go
@@ -0,0 +1,144 @@
+package beechentry
+
+import (
+	"context"
+	"encoding/json"
+	"expvar"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"github.com/beechring/beechring/internal/decision/beechhealth"
+	"github.com/beechring/beechring/internal/link/beechlink"
+	"github.com/beechring/beechring/internal/link/beechwire"
+	"github.com/beechring/beechring/internal/platform/beechmember"
+	"github.com/beechring/beechring/internal/process/beechadmin"
+	"github.com/beechring/beechring/internal/process/beechburn"
+)
+
+type (
+	// counters are the entry's, published by expvar.
+	counters struct {
+		Requests   atomic.Int64
+		Overloaded atomic.Int64
+		Retries    atomic.Int64
+		Broken     atomic.Int64
+		Reattached atomic.Int64
+		Joined     atomic.Int64
+	}
+
+	// Status is what an entry tells operators.
+	Status struct {
+		Name        string               `json:"name"`
+		Zone        string               `json:"zone"`
+		Address     string               `json:"address"`
+		Incarnation uint64               `json:"incarnation"`
+		Generation  uint64               `json:"generation"`
+		Ready       bool                 `json:"ready"`
+		Leaving     bool                 `json:"leaving"`
+		Watching    bool                 `json:"watching"`
+		Linked      int                  `json:"linkedAgents"`
+		Streams     int64                `json:"openRequests"`
+		Members     []beechmember.Member `json:"members"`
+		Servers     []beechhealth.Status `json:"servers"`
+		Links       beechlink.Counters   `json:"links"`
+		Counts      map[string]int64     `json:"counts"`
+	}
+)
+
+// Status tells what the entry is doing now.
+func (e *Entry) Status() Status {
+	return Status{
+		Name:        e.settings.Name,
+		Zone:        e.settings.Zone,
+		Address:     e.settings.Listen.String(),
+		Incarnation: e.incarnation,
+		Generation:  e.holder.Generation(),
+		Ready:       e.ready(),
+		Leaving:     e.leaving.Load(),
+		Watching:    e.isWatcher(),
+		Linked:      e.fleet.linked(),
+		Streams:     e.streams.Load(),
+		Members:     e.fleet.members.Members(),
+		Servers:     e.health.Status(),
+		Links:       e.fleet.dialer.Counters(),
+		Counts:      e.numbers.values(),
+	}
+}
+
+// Burn gives the service-level figures of this entry.
+func (e *Entry) Burn() beechburn.Snapshot { return e.burn.Snapshot() }
+
+func (c *counters) values() map[string]int64 {
+	return map[string]int64{
+		"requests":   c.Requests.Load(),
+		"overloaded": c.Overloaded.Load(),
+		"retries":    c.Retries.Load(),
+		"broken":     c.Broken.Load(),
+		"reattached": c.Reattached.Load(),
+		"joined":     c.Joined.Load(),
+	}
+}
+
+// newAdmin opens the admin listener and returns what serves it.
+func (e *Entry) newAdmin() (func(ctx context.Context) error, error) {
+	vars := new(expvar.Map).Init()
+	vars.Set("entry", expvar.Func(func() any { return e.Status() }))
+	mux := beechadmin.Mux(e.settings.AdminKey, e.ready, vars)
+	mux.Handle("GET /status", beechadmin.Guard(e.settings.AdminKey, serveJSON(func() any { return e.Status() })))
+	mux.Handle("GET /burn", beechadmin.Guard(e.settings.AdminKey, serveJSON(func() any { return e.Burn() })))
+	return beechadmin.Listen(e.settings.Admin, mux)
+}
+
+func serveJSON(value func() any) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Content-Type", "application/json")
+		_ = json.NewEncoder(w).Encode(value())
+	})
+}
+
+// observe counts how a job ended for the burn report.
+func (e *Entry) observe(j *job, f *failure) {
+	outcome := beechburn.Outcome{
+		Workspace:  j.workspace.Name,
+		Result:     resultOf(f),
+		FirstToken: j.firstToken,
+		Total:      e.clock.Since(j.began),
+		Prompt:     j.usage.Prompt,
+		Cached:     j.usage.Cached,
+		Wasted:     wasted(j.usage, j.reachable),
+	}
+	if j.request.Service != "" {
+		outcome.FirstToken = 0
+	}
+	e.burn.Observe(outcome)
+}
+
+func (e *Entry) observeRefusal(workspace string, f *failure) {
+	e.burn.Observe(beechburn.Outcome{Workspace: workspace, Result: resultOf(f), Total: time.Millisecond})
+}
+
+// wasted is prompt tokens computed that a candidate was predicted to hold.
+func wasted(usage beechwire.Usage, least int) int {
+	if !usage.Known {
+		return 0
+	}
+	return max(0, usage.Prompt-usage.Cached-least)
+}
+
+func resultOf(f *failure) beechburn.Result {
+	switch {
+	case f == nil:
+		return beechburn.Served
+	case f.Status == statusClientGone:
+		return beechburn.Cancelled
+	case f.Status == http.StatusTooManyRequests:
+		return beechburn.Limited
+	case f.Status < http.StatusInternalServerError && f.Ran == beechwire.RanNo:
+		return beechburn.Invalid
+	case f.Ran == beechwire.RanNo:
+		return beechburn.Refused
+	default:
+		return beechburn.Failed
+	}
+}
--- /dev/null
+++ b/internal/process/beechentry/completion.go
@@ -0,0 +1,215 @@
+package beechentry
+
+import (
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"errors"
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/zeebo/xxh3"
+
+	"github.com/beechring/beechring/internal/decision/beechlimit"
+	"github.com/beechring/beechring/internal/link/beechwire"
+	"github.com/beechring/beechring/internal/platform/beechmanifest"
+	"github.com/beechring/beechring/internal/prompt/beechprefix"
+)
+
+const (
+	defaultOutputTokens = 512
+	adapterSeparator    = ":"
+)
+
+// serveCompletion serves chat and plain completions, streamed or not.
+func (e *Entry) serveCompletion(w http.ResponseWriter, r *http.Request) {
+	began := e.clock.Now()
+	configuration, workspace, f := e.authenticate(r)
+	if f != nil {
+		f.write(w)
+		return
+	}
+	j, f := e.readCompletion(w, r, configuration, workspace)
+	if f != nil {
+		e.observeRefusal(workspace.Name, f)
+		f.write(w)
+		return
+	}
+	j.began = began
+	e.admitAndRun(w, r, j)
+}
+
+// readCompletion turns an HTTP request into a job.
+func (e *Entry) readCompletion(w http.ResponseWriter, r *http.Request, c *beechmanifest.Configuration, workspace *beechmanifest.Workspace) (*job, *failure) {
+	deadline, f := callerDeadline(r)
+	if f != nil {
+		return nil, f
+	}
+	key, f := idempotencyKey(r)
+	if f != nil {
+		return nil, f
+	}
+	body, f := e.readBody(w, r, workspace)
+	if f != nil {
+		return nil, f
+	}
+	prompt, err := beechprefix.Read(r.URL.Path, body)
+	if err != nil {
+		return nil, promptFailure(err)
+	}
+	j := &job{
+		configuration: c,
+		workspace:     workspace,
+		prompt:        prompt,
+		body:          body,
+		timeout:       deadline,
+		lastEventID:   r.Header.Get(headerLastEvent),
+		resumable:     prompt.Fields.Resumable && prompt.Fields.Stream,
+	}
+	j.request = beechwire.Request{
+		ID:          newRequestID(),
+		Workspace:   workspace.Name,
+		Method:      http.MethodPost,
+		Path:        r.URL.Path,
+		ContentType: "application/json",
+		Repeatable:  true,
+		Streamed:    prompt.Fields.Stream,
+		WantsUsage:  prompt.Fields.WantsUsage,
+		BodyBytes:   len(body),
+		Fingerprint: fingerprint(workspace.Name, body),
+	}
+	j.setBody(body, key)
+	if f := e.resolveModel(j); f != nil {
+		return nil, f
+	}
+	return j, nil
+}
+
+func (j *job) setBody(body []byte, key string) {
+	sum := sha256.Sum256(body)
+	j.request.BodyHash = sum[:]
+	if key != "" {
+		j.request.RecordKey = recordKey(j.workspace.Name, key)
+	}
+}
+
+// recordKey scopes an idempotency key to its workspace.
+func recordKey(workspace, key string) string {
+	sum := sha256.Sum256([]byte(workspace + "\x00" + key))
+	return hex.EncodeToString(sum[:])
+}
+
+// fingerprint names a request however often and by whichever entry it is sent.
+func fingerprint(workspace string, body []byte) uint64 {
+	return xxh3.Hash(body) ^ xxh3.HashString(workspace)
+}
+
+func promptFailure(err error) *failure {
+	var bad *beechprefix.Error
+	if !errors.As(err, &bad) {
+		return notRun(http.StatusBadRequest, typeInvalid, "invalid_body", "%v", err)
+	}
+	f := notRun(http.StatusBadRequest, typeInvalid, "invalid_"+string(bad.Kind), "%v", bad)
+	f.Param = bad.Field
+	return f
+}
+
+// resolveModel sets what the configuration and the fleet say of the model: the
+// adapter, the weights version that serves now, and with them the prefix chain.
+func (e *Entry) resolveModel(j *job) *failure {
+	name, adapter, _ := strings.Cut(j.prompt.Fields.Model, adapterSeparator)
+	model, known := j.configuration.Model(name)
+	if !known || !j.workspace.AllowsModel(name) || !model.HasAdapter(adapter) {
+		return unknownModel(j.prompt.Fields.Model)
+	}
+	weights := e.fleet.weights(name, model.Weights)
+	chain := j.prompt.Chain(beechprefix.Root{
+		Workspace: j.workspace.Name, Model: name, Adapter: adapter, Weights: weights,
+	}, &e.estimator)
+	j.chain = chain
+	r := &j.request
+	r.Model = name
+	r.Adapter = adapter
+	r.Weights = weights
+	r.Generation = j.configuration.Generation
+	r.Priority = j.configuration.Priority(j.workspace.Priority)
+	r.Salt = chain.Salt
+	r.Levels = wireLevels(chain.Levels)
+	r.PromptTokens = chain.PromptTokens
+	r.OutputTokens = outputTokens(j.prompt.Fields.MaxTokens, j.workspace.DefaultMaxTokens)
+	return nil
+}
+
+func outputTokens(asked, usual int) int {
+	switch {
+	case asked > 0:
+		return asked
+	case usual > 0:
+		return usual
+	default:
+		return defaultOutputTokens
+	}
+}
+
+func wireLevels(levels []beechprefix.Level) []beechwire.Level {
+	out := make([]beechwire.Level, len(levels))
+	for i, l := range levels {
+		out[i] = beechwire.Level{Key: l.Key[:], Tokens: l.Tokens}
+	}
+	return out
+}
+
+// admitAndRun asks the limits, runs the job and answers the caller.
+func (e *Entry) admitAndRun(w http.ResponseWriter, r *http.Request, j *job) {
+	decision := e.limiter.Admit(j.workspace.Name, j.request.PromptTokens+j.request.OutputTokens)
+	admitted, ok := decision.(beechlimit.Admitted)
+	if !ok {
+		f := limitFailure(decision)
+		e.observe(j, f)
+		f.write(w)
+		return
+	}
+	ctx, cancel := j.context(r.Context())
+	defer cancel()
+	w.Header().Set(headerRequestID, j.request.ID)
+	j.writer = newAnswerWriter(w, j, e.signer, time.Duration(e.settings.Limits.WriteTime))
+	f := e.execute(ctx, j)
+	e.release(admitted.Grant, j, f)
+	e.observe(j, f)
+	if f != nil {
+		j.writer.fail(f)
+	}
+}
+
+func (e *Entry) release(grant *beechlimit.Grant, j *job, f *failure) {
+	if f != nil && f.Ran == beechwire.RanNo {
+		grant.Cancel()
+		return
+	}
+	grant.Release(beechlimit.Usage{Known: j.usage.Known, Tokens: j.usage.Prompt + j.usage.Output})
+}
+
+func limitFailure(decision beechlimit.Decision) *failure {
+	refuse, ok := decision.(beechlimit.Refuse)
+	if !ok {
+		return notRun(http.StatusInternalServerError, typeServer, "limit", "the limits gave no answer")
+	}
+	switch refuse.Reason {
+	case beechlimit.ReasonTooLarge:
+		return notRun(http.StatusBadRequest, typeInvalid, "request_too_large", "the request's tokens exceed the workspace's limit a minute")
+	case beechlimit.ReasonUnknown:
+		return busy(http.StatusServiceUnavailable, "no_configuration", time.Second, "the workspace's limits are not known yet")
+	default:
+		return busy(http.StatusTooManyRequests, "limit_"+string(refuse.Reason), refuse.After, "the workspace is over its limit of %s", refuse.Reason)
+	}
+}
+
+// context carries the caller's deadline.
+func (j *job) context(parent context.Context) (context.Context, context.CancelFunc) {
+	if j.timeout <= 0 {
+		return context.WithCancel(parent)
+	}
+	j.deadline = time.Now().Add(j.timeout)
+	return context.WithDeadline(parent, j.deadline)
+}
--- /dev/null
+++ b/internal/process/beechentry/configuration.go
@@ -0,0 +1,148 @@
+package beechentry
+
+import (
+	"context"
+	"fmt"
+	"net/netip"
+	"time"
+
+	"github.com/tinylib/msgp/msgp"
+	"go.uber.org/zap"
+
+	"github.com/beechring/beechring/internal/decision/beechlimit"
+	"github.com/beechring/beechring/internal/decision/beechsuspect"
+	"github.com/beechring/beechring/internal/link/beechlink"
+	"github.com/beechring/beechring/internal/link/beechwire"
+	"github.com/beechring/beechring/internal/platform/beechmanifest"
+	"github.com/beechring/beechring/internal/process/beechlog"
+)
+
+type (
+	marshaler   = msgp.Marshaler
+	unmarshaler = msgp.Unmarshaler
+)
+
+// watchersPerZone follow the platform's service; the zone's other entries hear
+// of new generations from agents. One watcher could be slow or cut off without
+// anyone noticing, and all of them together would cost a call each.
+const watchersPerZone = 2
+
+// watchConfiguration follows the published configuration until ctx ends.
+func (e *Entry) watchConfiguration(ctx context.Context) error {
+	watcher := beechmanifest.NewWatcher(e.store, e.holder, e.clock, beechmanifest.WatcherSettings{
+		Watching: e.isWatcher,
+		Report: func(err error) {
+			e.log.Warn("configuration not followed", beechlog.Step("watch configuration"), zap.Error(err))
+		},
+	})
+	return watcher.Serve(ctx)
+}
+
+// isWatcher tells whether this entry is one of its zone's watchers. Without a
+// configuration it always watches.
+func (e *Entry) isWatcher() bool {
+	if e.holder.Current() == nil {
+		return true
+	}
+	self := e.settings.Listen
+	live := []netip.AddrPort{self}
+	for _, m := range e.fleet.members.Members() {
+		if m.Host.Role == beechwire.RoleEntry && m.Host.Zone == e.settings.Zone && !m.Leaving && m.Host.Address != self {
+			live = append(live, m.Host.Address)
+		}
+	}
+	return beechmanifest.Watches(self, live, watchersPerZone)
+}
+
+// applyConfigurations puts what a new configuration says into the limits, until
+// ctx ends.
+func (e *Entry) applyConfigurations(ctx context.Context) error {
+	for {
+		changed := e.holder.Changed()
+		if configuration := e.holder.Current(); configuration != nil {
+			e.applyConfiguration(configuration)
+		}
+		select {
+		case <-changed:
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+	}
+}
+
+func (e *Entry) applyConfiguration(c *beechmanifest.Configuration) {
+	limits := make(map[string]beechlimit.Limit, len(c.Manifest.Workspaces))
+	for _, w := range c.Manifest.Workspaces {
+		limits[w.Name] = beechlimit.Limit{Requests: w.RequestsPerMin, Tokens: w.TokensPerMin, Concurrent: w.MaxConcurrent}
+	}
+	e.limiter.SetLimits(limits)
+	e.fleet.router.SetWasteWeight(c.Manifest.Targets.WasteWeight)
+	e.burn.SetTarget(time.Duration(c.Manifest.Targets.FirstToken), c.Manifest.Targets.Share)
+	e.log.Info("configuration in force", beechlog.Generation(c.Generation))
+}
+
+// pullIfNewer fetches a configuration that an agent has and this entry has
+// not. It must not block: it is called from link events.
+func (e *Entry) pullIfNewer(agent netip.AddrPort, generation uint64) {
+	if generation <= e.holder.Generation() {
+		return
+	}
+	go func() {
+		ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
+		defer cancel()
+		e.pull(ctx, agent)
+	}()
+}
+
+// pull asks an agent for a newer configuration and puts it in force.
+func (e *Entry) pull(ctx context.Context, agent netip.AddrPort) {
+	var got beechwire.Configuration
+	ask := &beechwire.ConfigurationAsk{Have: e.holder.Generation()}
+	if err := e.fleet.call(ctx, agent, beechwire.MethodConfiguration, ask, &got); err != nil {
+		e.log.Warn("configuration not pulled", beechlog.Step("pull configuration"), beechlog.Peer(agent), zap.Error(err))
+		return
+	}
+	if len(got.Manifest) == 0 {
+		return
+	}
+	if _, err := e.holder.Offer(got.Generation, got.Manifest); err != nil {
+		e.log.Error("configuration refused", beechlog.Step("offer configuration"), beechlog.Peer(agent), zap.Error(err))
+	}
+}
+
+// Answer implements beechlink.Caller: the questions of agents.
+func (e *Entry) Answer(_ context.Context, p beechlink.Peer, method string, payload []byte) ([]byte, error) {
+	if method != beechwire.MethodConfiguration {
+		return nil, fmt.Errorf("no such method: %s", method)
+	}
+	var ask beechwire.ConfigurationAsk
+	if _, err := ask.UnmarshalMsg(payload); err != nil {
+		return nil, fmt.Errorf("read question of %s: %w", p.Address, err)
+	}
+	generation, data := e.holder.Encoded()
+	reply := beechwire.Configuration{Generation: generation}
+	if generation > ask.Have {
+		reply.Manifest = data
+	}
+	return reply.MarshalMsg(nil)
+}
+
+func wireSuspects(records []beechsuspect.Record) []beechwire.Suspect {
+	out := make([]beechwire.Suspect, 0, len(records))
+	for _, r := range records {
+		out = append(out, beechwire.Suspect{
+			Fingerprint: r.Fingerprint, Crashes: r.Crashes, AgeMillis: r.Age.Milliseconds(), Cleared: r.Cleared,
+		})
+	}
+	return out
+}
+
+func suspectRecords(suspects []beechwire.Suspect) []beechsuspect.Record {
+	out := make([]beechsuspect.Record, 0, len(suspects))
+	for _, s := range suspects {
+		out = append(out, beechsuspect.Record{
+			Fingerprint: s.Fingerprint, Crashes: s.Crashes, Age: time.Duration(s.AgeMillis) * time.Millisecond, Cleared: s.Cleared,
+		})
+	}
+	return out
+}
--- /dev/null
+++ b/internal/process/beechentry/judge.go
@@ -0,0 +1,195 @@
+package beechentry
+
+import (
+	"context"
+	"net/http"
+	"net/netip"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/beechring/beechring/internal/decision/beechretry"
+	"github.com/beechring/beechring/internal/link/beechwire"
+	"github.com/beechring/beechring/internal/process/beechbackend"
+	"github.com/beechring/beechring/internal/process/beechlog"
+)
+
+// judge decides after an attempt: again, or what the caller is told. A nil
+// failure with again false is a job that is over.
+func (e *Entry) judge(ctx context.Context, j *job, server netip.AddrPort, how ending) (again bool, f *failure) {
+	switch h := how.(type) {
+	case whole:
+		return false, nil
+	case away:
+		return false, e.awayFailure(ctx, j)
+	case stale:
+		return false, busy(http.StatusServiceUnavailable, "configuration_changing", time.Second, "the configuration is changing")
+	case gone:
+		return e.judgeGone(j)
+	case refused:
+		return e.judgeRefused(ctx, j, server, h)
+	case broken:
+		return e.judgeBroken(ctx, j, server, h)
+	default:
+		return false, nil
+	}
+}
+
+func (e *Entry) awayFailure(ctx context.Context, j *job) *failure {
+	f := &failure{Status: http.StatusGatewayTimeout, Type: typeServer, Code: "timeout", Ran: beechwire.RanUnknown, Message: "the caller's deadline passed"}
+	if j.sequence > 0 {
+		f.Ran = beechwire.RanYes
+	}
+	if e.detach(ctx) {
+		f.Status = statusClientGone
+		f.Code = "caller_gone"
+		f.Message = "the caller went away"
+	}
+	return f
+}
+
+// statusClientGone is what logs show for a caller that went away; nobody
+// receives it.
+const statusClientGone = 499
+
+// judgeGone handles a generation that was to be joined and is not kept any
+// more. A request without its first pieces cannot be run from the middle.
+func (e *Entry) judgeGone(j *job) (bool, *failure) {
+	if j.sequence == 0 && j.writer.fresh() && j.request.Repeatable {
+		return true, nil
+	}
+	return false, goneFailure()
+}
+
+func goneFailure() *failure {
+	return &failure{
+		Status: http.StatusGone, Type: typeInvalid, Code: "stream_gone", Ran: beechwire.RanUnknown,
+		Message: "the answer is not kept any more; send the request again without " + headerLastEvent,
+	}
+}
+
+func (e *Entry) judgeRefused(ctx context.Context, j *job, server netip.AddrPort, h refused) (bool, *failure) {
+	after := time.Duration(h.AfterMillis) * time.Millisecond
+	if f := finalRefusal(h.Refused, after); f != nil {
+		return false, f
+	}
+	better, _ := netip.ParseAddrPort(h.Better)
+	if server.IsValid() {
+		j.tried = append(j.tried, server)
+	}
+	hasOther := better.IsValid() || len(e.fleet.router.Choose(j.routeRequest()).Ranked) > 0
+	if !hasOther {
+		return false, e.refusedFailure(j, h.Refused, after)
+	}
+	if e.pauseForRetry(ctx, j, e.decideRetry(j, beechwire.RanNo, better, 0)) {
+		return true, nil
+	}
+	return false, e.refusedFailure(j, h.Refused, after)
+}
+
+// finalRefusal is for refusals that no other server would answer otherwise.
+func finalRefusal(r beechwire.Refused, after time.Duration) *failure {
+	switch r.Reason {
+	case beechwire.ReasonSuspect:
+		f := notRun(http.StatusUnprocessableEntity, typeInvalid, "request_crashes_servers",
+			"each backend server that ran this request crashed; this time it was not run")
+		f.After = after
+		return f
+	case beechwire.ReasonMalformed:
+		return notRun(http.StatusBadRequest, typeInvalid, "malformed", "%s", r.Message)
+	default:
+		return nil
+	}
+}
+
+// refusedFailure is what a caller is told when no server would take the job.
+// Where earlier attempts ran, it must not say that nothing did.
+func (e *Entry) refusedFailure(j *job, r beechwire.Refused, after time.Duration) *failure {
+	var f *failure
+	switch r.Reason {
+	case beechwire.ReasonDeadline:
+		f = busy(http.StatusServiceUnavailable, "deadline", after, "the first token would come after the caller's deadline")
+	case beechwire.ReasonModel:
+		f = busy(http.StatusServiceUnavailable, "no_server", after, "no backend server offers it now")
+	default:
+		f = busy(http.StatusServiceUnavailable, "busy", after, "every backend server that could run it is full")
+	}
+	if j.ran != "" {
+		f.Ran = j.ran
+	}
+	return f
+}
+
+func (e *Entry) judgeBroken(ctx context.Context, j *job, server netip.AddrPort, h broken) (bool, *failure) {
+	j.ran = h.ran
+	e.numbers.Broken.Add(1)
+	e.log.Warn("attempt broken", beechlog.RequestID(j.request.ID), beechlog.Attempt(j.request.Attempt), beechlog.Step("run"),
+		beechlog.Peer(server), beechlog.Workspace(j.workspace.Name), zap.String("reason", h.reason), zap.Bool("crashed", h.crashed))
+	if j.ended && !j.request.WantsUsage {
+		return false, e.closeComplete(j)
+	}
+	f := &failure{
+		Status: http.StatusBadGateway, Type: typeServer, Code: "server_failed", Ran: h.ran,
+		Message: "the backend server did not finish its answer",
+	}
+	if h.reason == beechwire.ReasonTimeout {
+		f.Status = http.StatusGatewayTimeout
+		f.Code = "timeout"
+		f.Message = "the caller's deadline passed"
+		return false, f
+	}
+	if !j.canRunAgain() {
+		return false, f
+	}
+	j.tried = append(j.tried, server)
+	return e.pauseForRetry(ctx, j, e.decideRetry(j, h.ran, netip.AddrPort{}, 0)), f
+}
+
+// closeComplete ends an answer whose finish reason was already given: only the
+// end mark of the stream was lost.
+func (e *Entry) closeComplete(j *job) *failure {
+	if err := j.writer.end(); err != nil {
+		return &failure{Status: statusClientGone, Ran: beechwire.RanYes, Code: "caller_gone"}
+	}
+	return nil
+}
+
+// canRunAgain tells whether another attempt can give the caller the rest: the
+// request may be repeated, and either nothing was given yet or the text so far
+// is all an engine needs.
+func (j *job) canRunAgain() bool {
+	if !j.request.Repeatable {
+		return false
+	}
+	return j.writer.fresh() || j.resumable
+}
+
+// pauseForRetry waits as the budget says; false is no retry.
+func (e *Entry) pauseForRetry(ctx context.Context, j *job, decision beechretry.Decision) bool {
+	retry, ok := decision.(beechretry.Retry)
+	if !ok {
+		return false
+	}
+	e.numbers.Retries.Add(1)
+	j.preferred = retry.Server
+	if retry.After <= 0 {
+		return ctx.Err() == nil
+	}
+	select {
+	case <-e.clock.After(retry.After):
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+// note keeps the text of a piece and whether it carried the finish reason.
+func (j *job) note(data []byte) {
+	chunk, err := beechbackend.ReadChunk(data)
+	if err != nil {
+		j.resumable = false
+		return
+	}
+	j.text = append(j.text, chunk.Text...)
+	j.ended = j.ended || chunk.Finish != ""
+}
--- /dev/null
+++ b/internal/process/beechentry/once.go
@@ -0,0 +1,251 @@
+package beechentry
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"net/netip"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/beechring/beechring/internal/link/beechlink"
+	"github.com/beechring/beechring/internal/link/beechwire"
+	"github.com/beechring/beechring/internal/platform/beechrecord"
+	"github.com/beechring/beechring/internal/process/beechlog"
+)
+
+const (
+	// claimTimeout bounds the wait for a claim; it covers the platform's
+	// service answering slowly, and a first request under the key that runs.
+	claimTimeout   = 5 * time.Second
+	finishTimeout  = 2 * time.Second
+	ownersTried    = 2
+	placementTries = 40
+	placementPause = 50 * time.Millisecond
+	recordShards   = 64 // beechrecord's default, the same in all processes
+)
+
+var errNoOwner = errors.New("no agent can be reached")
+
+// prepare settles what was before the first attempt: an answer to be joined,
+// or a record of the request's idempotency key.
+func (e *Entry) prepare(ctx context.Context, j *job) *failure {
+	switch {
+	case j.lastEventID != "":
+		return e.prepareReconnect(j)
+	case j.request.RecordKey == "":
+		return nil
+	case j.request.Repeatable:
+		return e.prepareRepeat(ctx, j)
+	default:
+		return e.prepareOnce(ctx, j)
+	}
+}
+
+// prepareReconnect joins the generation that an event id names, from the event
+// after it. Where the text so far is all that an engine needs, the generation
+// is read from its start, so that the answer can be resumed elsewhere should
+// this engine die too; the caller gets only what it has not seen.
+func (e *Entry) prepareReconnect(j *job) *failure {
+	id, err := e.signer.parse(j.workspace.Name, j.lastEventID)
+	if err != nil {
+		return notRun(http.StatusBadRequest, typeInvalid, "invalid_event_id", "%v", err)
+	}
+	j.attach = &placed{agent: id.Agent, incarnation: id.Incarnation, requestID: id.RequestID}
+	j.skip(id.Sequence)
+	return nil
+}
+
+// skip makes the caller's answer go on after what it has.
+func (j *job) skip(sequence uint64) {
+	if s, ok := j.writer.(*streamWriter); ok {
+		s.skip = sequence
+	}
+	if !j.resumable {
+		j.sequence = sequence
+	}
+}
+
+// prepareRepeat finds where the first request under the key runs. Without an
+// answer the request runs for itself, which it may.
+func (e *Entry) prepareRepeat(ctx context.Context, j *job) *failure {
+	for range placementTries {
+		answer, err := e.askClaim(ctx, j)
+		switch {
+		case err != nil:
+			e.log.Info("repeat not looked up", beechlog.RequestID(j.request.ID), beechlog.Step("claim"), zap.Error(err))
+			return nil
+		case answer.State == beechwire.StateMismatch:
+			return keyReused()
+		case answer.State != beechwire.StateRunning:
+			return nil
+		}
+		if agent, err := netip.ParseAddrPort(answer.Agent); err == nil {
+			e.numbers.Joined.Add(1)
+			j.attach = &placed{agent: agent, requestID: answer.RequestID}
+			return nil
+		}
+		select {
+		case <-e.clock.After(placementPause):
+		case <-ctx.Done():
+			return e.awayFailure(ctx, j)
+		}
+	}
+	return nil
+}
+
+// prepareOnce claims a request that may not be repeated. Only a granted claim
+// lets it run; everything else is answered here.
+func (e *Entry) prepareOnce(ctx context.Context, j *job) *failure {
+	answer, err := e.askClaim(ctx, j)
+	if err != nil {
+		e.log.Warn("not claimed", beechlog.RequestID(j.request.ID), beechlog.Step("claim"), zap.Error(err))
+		return busy(http.StatusServiceUnavailable, "not_claimed", time.Second, "the request could not be claimed, so it was not run")
+	}
+	switch answer.State {
+	case beechwire.StateGranted:
+		j.request.Claim = answer.Token
+		return nil
+	case beechwire.StateDone:
+		j.recorded = &answer
+		return nil
+	case beechwire.StateMismatch:
+		return keyReused()
+	case beechwire.StateRefused:
+		return busy(http.StatusServiceUnavailable, "not_claimed", time.Duration(answer.AfterMillis)*time.Millisecond,
+			"the request could not be claimed, so it was not run")
+	default:
+		return &failure{
+			Status: http.StatusConflict, Type: typeServer, Code: "outcome_unknown", Ran: beechwire.RanUnknown,
+			Message: "a request with this key was begun and its outcome is not known; it is not run again",
+		}
+	}
+}
+
+func keyReused() *failure {
+	return notRun(http.StatusUnprocessableEntity, typeInvalid, "idempotency_key_reused", "the key was used with another body")
+}
+
+func (e *Entry) askClaim(ctx context.Context, j *job) (beechwire.ClaimAnswer, error) {
+	asking, cancel := context.WithTimeout(ctx, claimTimeout)
+	defer cancel()
+	var answer beechwire.ClaimAnswer
+	ask := &beechwire.ClaimAsk{
+		RecordKey: j.request.RecordKey, BodyHash: j.request.BodyHash, RequestID: j.request.ID, Repeatable: j.request.Repeatable,
+	}
+	err := e.callOwner(asking, j, beechwire.MethodClaim, ask, &answer)
+	return answer, err
+}
+
+// callOwner asks the agent that owns the key's shard. Another agent is asked
+// only where nothing was sent to the first: any agent can claim, and the
+// platform's compare-and-swap decides between two that try.
+func (e *Entry) callOwner(ctx context.Context, j *job, method string, ask marshaler, reply unmarshaler) error {
+	agents := e.fleet.reachable()
+	shard := beechrecord.Key{Name: j.request.RecordKey}.Shard(recordShards)
+	var err error = errNoOwner
+	for range ownersTried {
+		owner := beechrecord.Owner(shard, agents)
+		if !owner.IsValid() {
+			return err
+		}
+		err = e.fleet.call(ctx, owner, method, ask, reply)
+		var notSent *beechlink.OpenError
+		if !errors.As(err, &notSent) {
+			return err
+		}
+		agents = without(agents, owner)
+	}
+	return err
+}
+
+func without(agents []netip.AddrPort, gone netip.AddrPort) []netip.AddrPort {
+	var left []netip.AddrPort
+	for _, a := range agents {
+		if a != gone {
+			left = append(left, a)
+		}
+	}
+	return left
+}
+
+// place tells the owner of a repeatable request's key where it runs, so that a
+// repeat can join it.
+func (e *Entry) place(j *job, server netip.AddrPort) {
+	if !j.request.Repeatable || j.request.RecordKey == "" {
+		return
+	}
+	ask := &beechwire.FinishAsk{RecordKey: j.request.RecordKey, Token: j.request.ID, Agent: server.String()}
+	go e.tellOwner(j, ask)
+}
+
+func (e *Entry) tellOwner(j *job, ask *beechwire.FinishAsk) {
+	ctx, cancel := context.WithTimeout(context.Background(), finishTimeout)
+	defer cancel()
+	if err := e.callOwner(ctx, j, beechwire.MethodFinish, ask, nil); err != nil {
+		e.log.Info("record not told", beechlog.RequestID(j.request.ID), beechlog.Step("record"), zap.Error(err))
+	}
+}
+
+// settle records the outcome of a request that may not be repeated, before its
+// caller sees the answer, so that a repeat right after it gets the same answer.
+// If that fails the caller still gets its answer, and a repeat is told that the
+// outcome is unknown.
+func (e *Entry) settle(j *job) error {
+	p, plain := j.writer.(*plainWriter)
+	if j.request.Claim == "" || !plain {
+		return nil
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), finishTimeout)
+	defer cancel()
+	return e.callOwner(ctx, j, beechwire.MethodFinish, &beechwire.FinishAsk{
+		RecordKey: j.request.RecordKey, Token: j.request.Claim, Status: p.status, ContentType: p.contentType, Answer: p.body,
+	}, nil)
+}
+
+// giveBack frees the key of a request that was proved not run.
+func (e *Entry) giveBack(j *job) {
+	if j.request.RecordKey == "" {
+		return
+	}
+	token := j.request.Claim
+	if j.request.Repeatable {
+		token = j.request.ID
+	}
+	if token == "" {
+		return
+	}
+	e.tellOwner(j, &beechwire.FinishAsk{RecordKey: j.request.RecordKey, Token: token, NotRun: true})
+}
+
+// join follows a generation that runs, or ran, at an agent.
+func (e *Entry) join(ctx context.Context, j *job, target placed) ending {
+	client := e.joinClient(ctx, target.agent)
+	if client == nil {
+		return gone{}
+	}
+	j.request.ID = target.requestID
+	stream, err := client.Reattach(ctx, beechwire.Reattach{
+		Workspace: j.workspace.Name, RequestID: target.requestID, Incarnation: target.incarnation, After: j.sequence,
+	})
+	if err != nil {
+		return gone{}
+	}
+	return e.follow(ctx, j, client, target.agent, stream)
+}
+
+// joinClient gives a link to an agent that this entry may not have linked yet,
+// as after a restart.
+func (e *Entry) joinClient(ctx context.Context, agent netip.AddrPort) *beechlink.Client {
+	e.fleet.link(agent, "")
+	client := e.fleet.client(agent)
+	limit := e.clock.Now().Add(reattachTime)
+	for client != nil && !client.Ready() {
+		if ctx.Err() != nil || !e.clock.Now().Before(limit) {
+			return nil
+		}
+		e.clock.Sleep(reattachPause)
+	}
+	return client
+}
--- /dev/null
+++ b/internal/process/beechentry/restart.go
@@ -0,0 +1,184 @@
+package beechentry
+
+import (
+	"context"
+	"net/netip"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/beechring/beechring/internal/decision/beechroute"
+	"github.com/beechring/beechring/internal/link/beechwire"
+	"github.com/beechring/beechring/internal/platform/beechmember"
+	"github.com/beechring/beechring/internal/platform/beechstore"
+	"github.com/beechring/beechring/internal/process/beechlog"
+)
+
+const (
+	hostsInterval  = time.Second
+	hostsTimeout   = 2 * time.Second
+	shareInterval  = 2 * time.Second
+	shareAgents    = 3
+	restoreTries   = 40
+	restorePause   = 25 * time.Millisecond
+	otherHostsPace = 15 // entries that do not watch read the list this much less often
+)
+
+// watchMembers reads the platform's host list until ctx ends. At the start it
+// asks agents for what other entries left with them, which works also while
+// the platform's service is down.
+func (e *Entry) watchMembers(ctx context.Context) error {
+	e.restore(ctx)
+	ticker := e.clock.NewTicker(hostsInterval)
+	defer ticker.Stop()
+	for round := 0; ; round++ {
+		if e.isWatcher() || round%otherHostsPace == 0 {
+			e.readHosts(ctx)
+		} else {
+			e.fleet.rebuild()
+		}
+		select {
+		case <-ticker.Chan():
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+	}
+}
+
+func (e *Entry) readHosts(ctx context.Context) {
+	reading, cancel := context.WithTimeout(ctx, hostsTimeout)
+	defer cancel()
+	hosts, err := e.store.Hosts(reading, beechstore.ImportanceRest)
+	if err != nil {
+		e.log.Warn("host list not read", beechlog.Step("read hosts"), zap.Error(err))
+		e.fleet.rebuild()
+		return
+	}
+	e.fleet.setHosts(hosts)
+}
+
+// restore asks the first agents that answer for members, hot prefixes and
+// suspects. An entry that starts without them would send hot prefixes to
+// servers that must compute them again.
+func (e *Entry) restore(ctx context.Context) {
+	for range restoreTries {
+		for _, agent := range e.fleet.reachable() {
+			if e.restoreFrom(ctx, agent) {
+				return
+			}
+		}
+		select {
+		case <-e.clock.After(restorePause):
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// restoreFrom returns false where the agent has nothing to tell.
+func (e *Entry) restoreFrom(ctx context.Context, agent netip.AddrPort) bool {
+	asking, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	var got beechwire.Snapshot
+	if err := e.fleet.call(asking, agent, beechwire.MethodSnapshot, &beechwire.ConfigurationAsk{}, &got); err != nil {
+		return false
+	}
+	e.suspects.Merge(suspectRecords(got.Suspects))
+	if len(got.Members) == 0 {
+		return false
+	}
+	e.fleet.setHosts(hostsOf(got.Members))
+	e.fleet.router.Restore(hotPrefixes(got.Hot))
+	e.log.Info("state restored", beechlog.Step("restore"), beechlog.Peer(agent),
+		zap.Int("members", len(got.Members)), zap.Int("hot", len(got.Hot)))
+	return true
+}
+
+// shareState leaves what this entry knows with a few agents, until ctx ends.
+func (e *Entry) shareState(ctx context.Context) error {
+	ticker := e.clock.NewTicker(shareInterval)
+	defer ticker.Stop()
+	for {
+		e.shareOnce(ctx)
+		select {
+		case <-ticker.Chan():
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+	}
+}
+
+func (e *Entry) shareOnce(ctx context.Context) {
+	state := &beechwire.Snapshot{Members: e.wireMembers(), Hot: wireHot(e.fleet.router.Hot())}
+	if len(state.Members) == 0 {
+		return
+	}
+	for _, agent := range e.shareTargets() {
+		sharing, cancel := context.WithTimeout(ctx, callTimeout)
+		if err := e.fleet.call(sharing, agent, beechwire.MethodShare, state, nil); err != nil {
+			e.log.Debug("state not shared", beechlog.Step("share"), beechlog.Peer(agent), zap.Error(err))
+		}
+		cancel()
+	}
+}
+
+// shareTargets are the agents that a restarted entry of this zone asks: the
+// seeds, or without seeds the same few for all.
+func (e *Entry) shareTargets() []netip.AddrPort {
+	if len(e.settings.Seeds) > 0 {
+		return e.settings.Seeds[:min(len(e.settings.Seeds), shareAgents)]
+	}
+	return beechmember.Rank("share", e.fleet.reachable(), shareAgents)
+}
+
+func (e *Entry) wireMembers() []beechwire.Member {
+	var out []beechwire.Member
+	for _, m := range e.fleet.members.Members() {
+		if m.Host.Role == "" {
+			continue
+		}
+		out = append(out, beechwire.Member{
+			Address: m.Host.Address.String(), Role: m.Host.Role, Zone: m.Host.Zone, Incarnation: m.Incarnation, Leaving: m.Leaving,
+		})
+	}
+	return out
+}
+
+func hostsOf(members []beechwire.Member) []beechstore.Host {
+	var out []beechstore.Host
+	for _, m := range members {
+		address, err := netip.ParseAddrPort(m.Address)
+		if err != nil {
+			continue
+		}
+		out = append(out, beechstore.Host{Address: address, Role: m.Role, Zone: m.Zone, Leaving: m.Leaving})
+	}
+	return out
+}
+
+func wireHot(hot []beechroute.HotPrefix) []beechwire.HotPrefix {
+	out := make([]beechwire.HotPrefix, 0, len(hot))
+	for _, h := range hot {
+		holders := make([]string, 0, len(h.Holders))
+		for _, a := range h.Holders {
+			holders = append(holders, a.String())
+		}
+		out = append(out, beechwire.HotPrefix{Key: h.Key[:], Tokens: h.Tokens, Rate: h.Rate, Holders: holders})
+	}
+	return out
+}
+
+func hotPrefixes(hot []beechwire.HotPrefix) []beechroute.HotPrefix {
+	out := make([]beechroute.HotPrefix, 0, len(hot))
+	for _, h := range hot {
+		prefix := beechroute.HotPrefix{Tokens: h.Tokens, Rate: h.Rate}
+		copy(prefix.Key[:], h.Key)
+		for _, text := range h.Holders {
+			if address, err := netip.ParseAddrPort(text); err == nil {
+				prefix.Holders = append(prefix.Holders, address)
+			}
+		}
+		out = append(out, prefix)
+	}
+	return out
+}
--- /dev/null
+++ b/internal/process/beechentry/routes.go
@@ -0,0 +1,181 @@
+package beechentry
+
+import (
+	"encoding/json"
+	"errors"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/beechring/beechring/internal/link/beechwire"
+	"github.com/beechring/beechring/internal/platform/beechmanifest"
+	"github.com/beechring/beechring/internal/prompt/beechprefix"
+)
+
+type (
+	// modelList and modelObject are OpenAI's shapes for GET /v1/models.
+	modelList struct {
+		Object string        `json:"object"`
+		Data   []modelObject `json:"data"`
+	}
+
+	modelObject struct {
+		ID      string `json:"id"`
+		Object  string `json:"object"`
+		Created int64  `json:"created"`
+		OwnedBy string `json:"owned_by"`
+	}
+)
+
+// Headers of callers.
+const (
+	headerIdempotency = "Idempotency-Key"
+	headerLastEvent   = "Last-Event-ID"
+	headerTimeout     = "X-Request-Timeout-Ms" // milliseconds the caller will wait
+	headerRequestID   = "X-Request-Id"
+	maxKeyLength      = 255
+	maxTimeout        = 30 * time.Minute
+	servicesPath      = "/v1/services/"
+	owner             = "beechring"
+)
+
+func (e *Entry) routes() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("POST "+beechprefix.PathChat, e.counted(e.serveCompletion))
+	mux.HandleFunc("POST "+beechprefix.PathCompletions, e.counted(e.serveCompletion))
+	mux.HandleFunc("GET /v1/models", e.counted(e.serveModels))
+	mux.HandleFunc("GET /v1/models/{model}", e.counted(e.serveModel))
+	mux.HandleFunc(servicesPath+"{name}/{rest...}", e.counted(e.serveService))
+	mux.HandleFunc("/", e.counted(func(w http.ResponseWriter, r *http.Request) {
+		notRun(http.StatusNotFound, typeNotFound, "unknown_path", "no such path: %s %s", r.Method, r.URL.Path).write(w)
+	}))
+	return mux
+}
+
+// counted refuses what would be more requests at once than the host bears.
+func (e *Entry) counted(next http.HandlerFunc) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		e.numbers.Requests.Add(1)
+		defer e.streams.Add(-1)
+		if e.streams.Add(1) > int64(e.settings.Limits.Streams) {
+			e.numbers.Overloaded.Add(1)
+			busy(http.StatusServiceUnavailable, "entry_full", time.Second, "this entry host has all the requests it can hold").write(w)
+			return
+		}
+		next(w, r)
+	}
+}
+
+// authenticate finds the workspace of the bearer key under the configuration in
+// force.
+func (e *Entry) authenticate(r *http.Request) (*beechmanifest.Configuration, *beechmanifest.Workspace, *failure) {
+	configuration := e.holder.Current()
+	if configuration == nil {
+		return nil, nil, busy(http.StatusServiceUnavailable, "no_configuration", time.Second, "no configuration is in force yet")
+	}
+	scheme, key, _ := strings.Cut(r.Header.Get("Authorization"), " ")
+	if !strings.EqualFold(scheme, "Bearer") || key == "" {
+		return nil, nil, notRun(http.StatusUnauthorized, typeKey, "missing_key", "give the workspace's key as Authorization: Bearer KEY")
+	}
+	workspace, known := configuration.WorkspaceOf(strings.TrimSpace(key))
+	if !known {
+		return nil, nil, notRun(http.StatusUnauthorized, typeKey, "invalid_api_key", "the key is not one of any workspace")
+	}
+	return configuration, workspace, nil
+}
+
+// readBody reads the whole body within the limits of size and time.
+func (e *Entry) readBody(w http.ResponseWriter, r *http.Request, workspace *beechmanifest.Workspace) ([]byte, *failure) {
+	limit := e.settings.Limits.BodyBytes
+	if workspace.MaxBodyBytes > 0 {
+		limit = min(limit, workspace.MaxBodyBytes)
+	}
+	allowed := time.Duration(e.settings.Limits.BodyTime)
+	control := http.NewResponseController(w)
+	_ = control.SetReadDeadline(time.Now().Add(allowed))
+	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, int64(limit)))
+	_ = control.SetReadDeadline(time.Time{})
+	var tooLarge *http.MaxBytesError
+	switch {
+	case errors.As(err, &tooLarge):
+		return nil, notRun(http.StatusRequestEntityTooLarge, typeInvalid, "body_too_large", "the body is larger than %d bytes", limit)
+	case err != nil:
+		return nil, notRun(http.StatusRequestTimeout, typeInvalid, "body_not_read", "the body did not arrive within %s", allowed)
+	}
+	return body, nil
+}
+
+// callerDeadline reads how long the caller will wait; 0 is no deadline.
+func callerDeadline(r *http.Request) (time.Duration, *failure) {
+	text := r.Header.Get(headerTimeout)
+	if text == "" {
+		return 0, nil
+	}
+	millis, err := strconv.ParseInt(text, 10, 64)
+	if err != nil || millis <= 0 || millis > maxTimeout.Milliseconds() {
+		return 0, notRun(http.StatusBadRequest, typeInvalid, "invalid_timeout",
+			"%s must be a number of milliseconds from 1 to %d", headerTimeout, maxTimeout.Milliseconds())
+	}
+	return time.Duration(millis) * time.Millisecond, nil
+}
+
+func idempotencyKey(r *http.Request) (string, *failure) {
+	key := r.Header.Get(headerIdempotency)
+	if len(key) > maxKeyLength {
+		return "", notRun(http.StatusBadRequest, typeInvalid, "invalid_idempotency_key",
+			"%s is longer than %d characters", headerIdempotency, maxKeyLength)
+	}
+	return key, nil
+}
+
+func (e *Entry) serveModels(w http.ResponseWriter, r *http.Request) {
+	configuration, workspace, f := e.authenticate(r)
+	if f != nil {
+		f.write(w)
+		return
+	}
+	list := modelList{Object: "list", Data: []modelObject{}}
+	for _, m := range configuration.Manifest.Models {
+		if workspace.AllowsModel(m.Name) {
+			list.Data = append(list.Data, modelObject{ID: m.Name, Object: "model", OwnedBy: owner})
+		}
+	}
+	writeJSON(w, list)
+}
+
+func (e *Entry) serveModel(w http.ResponseWriter, r *http.Request) {
+	configuration, workspace, f := e.authenticate(r)
+	if f != nil {
+		f.write(w)
+		return
+	}
+	name := r.PathValue("model")
+	if _, known := configuration.Model(name); !known || !workspace.AllowsModel(name) {
+		unknownModel(name).write(w)
+		return
+	}
+	writeJSON(w, modelObject{ID: name, Object: "model", OwnedBy: owner})
+}
+
+func unknownModel(name string) *failure {
+	f := notRun(http.StatusNotFound, typeNotFound, "model_not_found", "the model %q does not exist or this workspace may not use it", name)
+	f.Param = "model"
+	return f
+}
+
+func writeJSON(w http.ResponseWriter, value any) {
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(value)
+}
+
+// ranOf keeps what was said of a run within the known words.
+func ranOf(text string) string {
+	switch text {
+	case beechwire.RanNo, beechwire.RanYes:
+		return text
+	default:
+		return beechwire.RanUnknown
+	}
+}
--- /dev/null
+++ b/internal/process/beechentry/service.go
@@ -0,0 +1,76 @@
+package beechentry
+
+import (
+	"net/http"
+	"strings"
+
+	"github.com/beechring/beechring/internal/link/beechwire"
+	"github.com/beechring/beechring/internal/platform/beechmanifest"
+)
+
+// serveService relays a call of a plain service as it is.
+func (e *Entry) serveService(w http.ResponseWriter, r *http.Request) {
+	began := e.clock.Now()
+	configuration, workspace, f := e.authenticate(r)
+	if f != nil {
+		f.write(w)
+		return
+	}
+	j, f := e.readService(w, r, configuration, workspace)
+	if f != nil {
+		e.observeRefusal(workspace.Name, f)
+		f.write(w)
+		return
+	}
+	j.began = began
+	e.admitAndRun(w, r, j)
+}
+
+func (e *Entry) readService(w http.ResponseWriter, r *http.Request, c *beechmanifest.Configuration, workspace *beechmanifest.Workspace) (*job, *failure) {
+	name := r.PathValue("name")
+	if _, known := c.Service(name); !known || !workspace.AllowsService(name) {
+		return nil, notRun(http.StatusNotFound, typeNotFound, "service_not_found", "the service %q does not exist or this workspace may not use it", name)
+	}
+	deadline, f := callerDeadline(r)
+	if f != nil {
+		return nil, f
+	}
+	key, f := idempotencyKey(r)
+	if f != nil {
+		return nil, f
+	}
+	path := strings.TrimPrefix(r.URL.EscapedPath(), servicesPath+name)
+	once := c.Once(name, r.Method, r.URL.Path[len(servicesPath+name):])
+	if once && key == "" {
+		return nil, notRun(http.StatusBadRequest, typeInvalid, "idempotency_key_required",
+			"this call may not be repeated; give it an %s", headerIdempotency)
+	}
+	body, f := e.readBody(w, r, workspace)
+	if f != nil {
+		return nil, f
+	}
+	if r.URL.RawQuery != "" {
+		path += "?" + r.URL.RawQuery
+	}
+	j := &job{configuration: c, workspace: workspace, body: body, timeout: deadline}
+	j.request = beechwire.Request{
+		ID:          newRequestID(),
+		Workspace:   workspace.Name,
+		Service:     name,
+		Method:      r.Method,
+		Path:        path,
+		ContentType: r.Header.Get("Content-Type"),
+		Generation:  c.Generation,
+		Priority:    c.Priority(workspace.Priority),
+		Repeatable:  !once,
+		BodyBytes:   len(body),
+	}
+	j.setBody(callBytes(r.Method, path, body), key)
+	return j, nil
+}
+
+// callBytes is what two calls under one key must share: the same body sent to
+// another path is another call.
+func callBytes(method, path string, body []byte) []byte {
+	return append([]byte(method+" "+path+"\n"), body...)
+}
