--- a/internal/decision/beechroute/choose.go
+++ b/internal/decision/beechroute/choose.go
@@ -1,22 +1,32 @@
 package beechroute
 
 import (
+	"cmp"
 	"slices"
 	"time"
 )
 
 const (
-	maxCandidates    = 12
+	// A handful of holders and homes is enough: with two choices queues even
+	// out, and each candidate costs a tenth of a microsecond.
+	maxCandidates    = 8
 	holderCandidates = 5
 	homeCandidates   = 3
-	randomCandidates = 2
-	maxFound         = 6 // levels of a prompt that are looked at
 
-	// fallbackProbes bounds the search where every candidate is ruled out.
+	maxFound = 6 // levels of a prompt that are looked at
+
+	// Where fewer candidates than this are left, probes look for others.
+	minCandidates  = 2
 	fallbackProbes = 64
 
-	hotRate = 0.2 // requests a second
-	maxHot  = 256
+	// homeTrust is the share of the history's tokens that the first home is
+	// credited with if its agent announces nothing. Entry hosts that know
+	// nothing of one another's choices then agree on the home, which may well
+	// hold what another one sent there.
+	homeTrust = 0.75
+
+	// minWeight keeps the cost of a server in slow start finite.
+	minWeight = 0.01
 )
 
 type (
@@ -33,6 +43,7 @@
 		found      [maxFound]found // deepest first
 		levels     int
 		candidates [maxCandidates]*server
+		weights    [maxCandidates]float64
 		count      int
 		home       *server
 	}
@@ -51,8 +62,7 @@
 	r.find(&f)
 	r.addHolders(&f)
 	r.addHomes(&f, g)
-	r.addRandom(&f, g)
-	if f.count == 0 {
+	if f.count < minCandidates {
 		r.addAny(&f, g)
 	}
 	return r.rank(&f)
@@ -95,12 +105,14 @@
 	if f.count == maxCandidates || s.gone || !s.serves(f.request.Model) {
 		return
 	}
-	if slices.Contains(f.candidates[:f.count], s) || contains(f.request.Avoid, s.Address) {
+	if slices.Contains(f.candidates[:f.count], s) || slices.Contains(f.request.Avoid, s.Address) {
 		return
 	}
-	if r.health.Weight(s.Address) <= 0 {
+	weight := r.health.Weight(s.Address)
+	if !(weight > 0) { // 0, negative or not a number
 		return
 	}
+	f.weights[f.count] = max(minWeight, min(1, weight))
 	f.candidates[f.count] = s
 	f.count++
 }
@@ -135,18 +147,14 @@
 	}
 }
 
-func (r *Router) addRandom(f *search, g *ring) {
-	if r.settings.lacks(MechanismRandom) {
-		return
-	}
-	for range randomCandidates {
-		r.add(f, g.servers[r.random.IntN(len(g.servers))])
-	}
-}
-
+// addAny looks for servers from a random place on, where those that the prompt
+// points to may not be used.
 func (r *Router) addAny(f *search, g *ring) {
 	start := r.random.IntN(len(g.servers))
 	for i := range min(fallbackProbes, len(g.servers)) {
+		if f.count >= minCandidates {
+			return
+		}
 		r.add(f, g.servers[(start+i)%len(g.servers)])
 	}
 }
@@ -154,52 +162,45 @@
 func (r *Router) rank(f *search) Choice {
 	ranked := make([]Candidate, f.count)
 	for i, s := range f.candidates[:f.count] {
-		ranked[i] = r.predict(f, s)
-	}
-	slices.SortStableFunc(ranked, func(a, b Candidate) int {
-		switch {
-		case a.Cost < b.Cost:
-			return -1
-		case a.Cost > b.Cost:
-			return 1
-		}
-		return 0
-	})
+		ranked[i] = r.predict(f, s, f.weights[i])
+	}
+	slices.SortStableFunc(ranked, func(a, b Candidate) int { return cmp.Compare(a.Cost, b.Cost) })
 	return Choice{Ranked: ranked}
 }
 
 // predict is the cost of the request on a server, in seconds: time to first token,
-// and the deployment's weight on the part of it that recomputes.
-func (r *Router) predict(f *search, s *server) Candidate {
-	prompt := max(0, f.request.PromptTokens)
-	uncached := max(0, prompt-r.cached(f, s))
+// and the deployment's weight on the part of it that recomputes. A server in slow
+// start counts as slower than it is.
+func (r *Router) predict(f *search, s *server, weight float64) Candidate {
+	uncached := max(0, f.request.PromptTokens-r.cached(f, s))
 	prefill := float64(uncached) / float64(s.load.PrefillRate)
-	wait := s.wait(f.now, r.output, !r.settings.lacks(MechanismDrain))
+	wait := s.wait(f.now, r.output)
 	if s.Zone != r.settings.Zone && !r.settings.lacks(MechanismZones) {
 		wait += r.settings.ZoneDistance
 	}
 	first := wait + seconds(prefill)
-	weight := min(1, r.health.Weight(s.Address))
-	cost := first.Seconds()/max(weight, minWeight) + r.settings.WasteWeight*prefill
-	if s == f.home && !s.announces && r.cached(f, s) < f.request.Levels[homeLevel(f.request.Levels)].Tokens {
-		cost -= HomeBias * prefill * (1 + r.settings.WasteWeight)
-	}
+	credit := r.homeCredit(f, s)
+	cost := first.Seconds()/weight + r.settings.WasteWeight*prefill - (1+r.settings.WasteWeight)*credit
 	return Candidate{Server: s.Address, FirstToken: first, Uncached: uncached, Cost: cost}
 }
 
-// cached is the expected number of prompt tokens that the server has cached.
+// cached is the number of prompt tokens that the server is known to have cached.
 func (r *Router) cached(f *search, s *server) int {
-	best := 0.0
 	for _, l := range f.found[:f.levels] {
-		h := l.prefix.holder(s)
-		if h != nil && h.alive(f.now) {
-			best = max(best, float64(l.tokens))
+		if h := l.prefix.holder(s); h != nil && h.alive(f.now) {
+			return l.tokens
 		}
 	}
-	return int(best)
+	return 0
 }
 
-// minWeight keeps a cost finite.
-const minWeight = 0.01
-
-var HomeBias = 1.0
+// homeCredit is the prefill time, in seconds, that a home whose agent announces
+// nothing is credited with.
+func (r *Router) homeCredit(f *search, s *server) float64 {
+	if s != f.home || s.announces {
+		return 0
+	}
+	level := f.request.Levels[homeLevel(f.request.Levels)]
+	missing := max(0, min(level.Tokens, f.request.PromptTokens)-r.cached(f, s))
+	return homeTrust * float64(missing) / float64(s.load.PrefillRate)
+}
--- a/internal/decision/beechroute/prefix.go
+++ b/internal/decision/beechroute/prefix.go
@@ -37,7 +37,6 @@
 		holders []holder
 		count   float64 // requests, decayed over rateWindow
 		counted time.Time
-		grown   time.Time // when it last got a holder beside others
 	}
 
 	// table is the prefixes used last, the oldest dropped first.
@@ -70,7 +69,8 @@
 	return p
 }
 
-func (p *prefix) count1(now time.Time) {
+// demandOne counts one request.
+func (p *prefix) demandOne(now time.Time) {
 	p.count = p.demand(now) + 1
 	p.counted = now
 }
@@ -102,9 +102,6 @@
 		h.used = now
 		return
 	}
-	if len(p.holders) > 0 {
-		p.grown = now
-	}
 	fresh := holder{server: s, used: now}
 	p.sweep()
 	if len(p.holders) < maxHolders {
--- a/internal/decision/beechroute/router.go
+++ b/internal/decision/beechroute/router.go
@@ -16,6 +16,11 @@
 	defaultReportLag    = 100 * time.Millisecond
 
 	meanStep = 0.02 // share of one observation that a running mean takes in
+
+	typicalOutput = 100 // tokens, until requests have told
+
+	hotRate = 0.2 // requests a second that make a prefix worth telling others
+	maxHot  = 256
 )
 
 // Router chooses servers for an entry host's requests. It is safe for concurrent
@@ -54,7 +59,7 @@
 		servers:  map[netip.AddrPort]*server{},
 		rings:    map[string]*ring{},
 		prefixes: newTable(s.MaxBytes),
-		output:   100,
+		output:   typicalOutput,
 	}
 }
 
@@ -122,14 +127,14 @@
 	uncached = max(0, uncached)
 	s.inFlight++
 	if !r.settings.lacks(MechanismOwn) {
-		s.work.add(float64(uncached), now, float64(s.load.PrefillRate), r.settings.ReportLag)
+		s.work.add(float64(uncached), now, r.settings.ReportLag)
 	}
 	if q.OutputTokens > 0 {
 		r.output += meanStep * (float64(q.OutputTokens) - r.output)
 	}
 	for _, l := range slices.Backward(q.Levels) {
 		p := r.prefixes.use(l)
-		p.count1(now)
+		p.demandOne(now)
 		p.hold(s, now)
 	}
 }
--- a/internal/decision/beechroute/server.go
+++ b/internal/decision/beechroute/server.go
@@ -1,7 +1,6 @@
 package beechroute
 
 import (
-	"net/netip"
 	"slices"
 	"time"
 )
@@ -34,17 +33,15 @@
 		notBefore time.Time // a refusal said to come back then
 	}
 
-	// backlog is the prefill work ahead of a new request, as a fluid: it drains
-	// at the server's rate between reports. Own dispatches that a report cannot
-	// have seen yet, since it lags, are kept and added to it; otherwise the
-	// whole stream of one report's interval would go to the server that looked
-	// idle in it.
+	// backlog is the prefill tokens ahead of a new request. Own dispatches that
+	// a report cannot have seen yet, since it lags, are kept and added to it;
+	// otherwise all that arrives between two reports would go to the server
+	// that looked idle in the first. It shows as first tokens that are late on
+	// one server at a time, while the others idle.
 	backlog struct {
-		tokens  float64
-		at      time.Time
-		recent  [lagBuckets]float64
-		bucket  int64
-		started bool
+		tokens float64
+		recent [lagBuckets]float64 // own dispatches by time
+		bucket int64
 	}
 )
 
@@ -66,12 +63,8 @@
 }
 
 // wait is the predicted time until a new request's prefill starts.
-func (s *server) wait(now time.Time, output float64, drains bool) time.Duration {
-	tokens := s.work.tokens
-	if drains {
-		tokens = s.work.now(now, float64(s.load.PrefillRate))
-	}
-	wait := seconds(tokens / float64(s.load.PrefillRate))
+func (s *server) wait(now time.Time, output float64) time.Duration {
+	wait := seconds(s.work.tokens / float64(s.load.PrefillRate))
 	if ahead := max(s.known, s.inFlight) - s.load.Slots; ahead >= 0 {
 		residence := output * s.load.TokenTime.Seconds()
 		wait = max(wait, seconds(residence*float64(ahead+1)/float64(s.load.Slots)))
@@ -81,15 +74,9 @@
 
 func (s *server) serves(model string) bool { return slices.Contains(s.Models, model) }
 
-func (b *backlog) now(now time.Time, rate float64) float64 {
-	passed := max(0, now.Sub(b.at).Seconds())
-	return max(0, b.tokens-passed*rate)
-}
-
-func (b *backlog) add(tokens float64, now time.Time, rate float64, lag time.Duration) {
-	b.tokens = b.now(now, rate) + tokens
-	b.at = now
+func (b *backlog) add(tokens float64, now time.Time, lag time.Duration) {
 	b.turn(now, lag)
+	b.tokens += tokens
 	b.recent[b.bucket%lagBuckets] += tokens
 }
 
@@ -100,14 +87,13 @@
 	for _, t := range b.recent {
 		b.tokens += t
 	}
-	b.at = now
 }
 
 // turn empties the buckets that have passed out of the lag. A clock that steps
 // back empties them all.
 func (b *backlog) turn(now time.Time, lag time.Duration) {
 	width := max(1, int64(lag)/lagBuckets)
-	bucket := now.UnixNano() / width
+	bucket := max(0, now.UnixNano()) / width
 	if passed := bucket - b.bucket; passed < 0 || passed >= lagBuckets {
 		clear(b.recent[:])
 	} else {
@@ -122,7 +108,3 @@
 	const most = float64(1 << 62)
 	return time.Duration(min(most, max(0, s)*float64(time.Second)))
 }
-
-func contains(addresses []netip.AddrPort, address netip.AddrPort) bool {
-	return slices.Contains(addresses, address)
-}
--- a/internal/decision/beechroute/types.go
+++ b/internal/decision/beechroute/types.go
@@ -96,7 +96,8 @@
 
 	// Settings are the deployment's. WasteWeight is the worth of recomputed
 	// prefill time against time to first token: Granite Loop's is high, Solís
-	// Monterroso's low. The rest has defaults for zero: ZoneDistance is what a
+	// Monterroso's low; 0 counts the request's own prefill time alone. The rest
+	// has defaults for zero: ZoneDistance is what a
 	// request to another availability zone takes longer, there and back;
 	// ReportLag is how old a load report is when it arrives; MaxBytes bounds
 	// the table of prefixes. Without switches mechanisms off, for measurement.
@@ -117,9 +118,7 @@
 const (
 	MechanismHolders       Mechanism = 1 << iota // known holders as candidates
 	MechanismHomes                               // homes by consistent hashing
-	MechanismRandom                              // two random candidates
 	MechanismOwn                                 // own dispatches added to the load report
-	MechanismDrain                               // reported work drains as time passes
 	MechanismAnnouncements                       // what agents say of their caches
 	MechanismWaste                               // recomputation weighs more than its time
 	MechanismZones                               // distance to other availability zones
--- a/internal/process/beechreplay/compare_test.go
+++ b/internal/process/beechreplay/compare_test.go
@@ -27,9 +27,7 @@
 		{name: "all mechanisms", kind: ours},
 		{name: "no learned holders", kind: ours, without: beechroute.MechanismHolders},
 		{name: "no homes", kind: ours, without: beechroute.MechanismHomes},
-		{name: "no random candidates", kind: ours, without: beechroute.MechanismRandom},
 		{name: "no own dispatches", kind: ours, without: beechroute.MechanismOwn},
-		{name: "no drain", kind: ours, without: beechroute.MechanismDrain},
 		{name: "no announcements", kind: ours, without: beechroute.MechanismAnnouncements},
 		{name: "no waste weight", kind: ours, without: beechroute.MechanismWaste},
 		{name: "no zone distance", kind: ours, without: beechroute.MechanismZones},
@@ -103,9 +101,3 @@
 		printTable(ablations)
 	}
 }
-
-func init() {
-	if b := os.Getenv("BIAS"); b != "" {
-		fmt.Sscan(b, &beechroute.HomeBias)
-	}
-}
--- a/internal/process/beechreplay/workload_test.go
+++ b/internal/process/beechreplay/workload_test.go
@@ -55,12 +55,12 @@
 	graniteLoop = deployment{
 		name: "Granite Loop", engines: 20, zones: 4, requests: 6000, histories: 150,
 		cacheTokens: 120_000, prefillRate: 8000, slots: 32, tokenTime: 15 * time.Millisecond,
-		outputMean: 80, hotShare: 0.06, wasteWeight: 12,
+		outputMean: 80, hotShare: 0.06, wasteWeight: 16,
 	}
 	solisMonterroso = deployment{
 		name: "Solís Monterroso", engines: 10, zones: 3, requests: 4000, histories: 90,
 		cacheTokens: 120_000, prefillRate: 8000, slots: 32, tokenTime: 15 * time.Millisecond,
-		outputMean: 120, hotShare: 0.10, wasteWeight: 12,
+		outputMean: 120, hotShare: 0.10, wasteWeight: 10,
 	}
 
 	// A few workspaces are large.
