--- a/internal/command/beechcommand/command.go
+++ b/internal/command/beechcommand/command.go
@@ -1,5 +1,6 @@
-// Package beechcommand is beechring's command line: one file a command and
-// the table that lists them.
+// Package beechcommand is beechring's command line: one file a command, all of
+// one shape (a constructor that sets usage text, flags and the worker), and the
+// table below that lists them. A new command is a file and a line in the table.
 //
 // # Usage
 //
@@ -7,8 +8,23 @@
 package beechcommand
 
 import (
+	"context"
+	"errors"
 	"fmt"
 	"io"
+	"os/signal"
+	"syscall"
+
+	"github.com/spf13/cobra"
+)
+
+type (
+	// refusedError is an answer of no: the command worked and what it asked
+	// for was refused.
+	refusedError struct{ err error }
+
+	// usageError is a command line that makes no sense.
+	usageError struct{ err error }
 )
 
 // Exit codes of every command.
@@ -18,8 +34,80 @@
 	ExitUsage   = 2
 )
 
-// Run executes one command line and returns the exit code.
-func Run(_ []string, _, errs io.Writer) int {
-	fmt.Fprintln(errs, "beechring: no commands yet")
-	return ExitUsage
+// table lists the commands.
+var table = []func() *cobra.Command{
+	newEntryCommand,
+	newAgentCommand,
+	newCheckCommand,
+	newApplyCommand,
+	newStatusCommand,
+	newBurnCommand,
+	newDemoCommand,
+	newStandinCommand,
+	newVersionCommand,
+}
+
+// Run executes one command line and returns the exit code. An interrupt or a
+// termination signal ends the command gracefully.
+func Run(arguments []string, out, errs io.Writer) int {
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
+	defer stop()
+	root := newRoot()
+	root.SetArgs(arguments)
+	root.SetOut(out)
+	root.SetErr(errs)
+	err := root.ExecuteContext(ctx)
+	if err == nil {
+		return ExitOK
+	}
+	fmt.Fprintf(errs, "beechring: %v\n", err)
+	var usage *usageError
+	if errors.As(err, &usage) {
+		return ExitUsage
+	}
+	return ExitRefused
+}
+
+func newRoot() *cobra.Command {
+	root := &cobra.Command{
+		Use:           "beechring",
+		Short:         "Routes language-model traffic with long shared prompts",
+		SilenceErrors: true,
+		SilenceUsage:  true,
+		Args:          cobra.NoArgs,
+		RunE: func(c *cobra.Command, _ []string) error {
+			return c.Help()
+		},
+	}
+	root.SetFlagErrorFunc(func(_ *cobra.Command, err error) error { return &usageError{err} })
+	for _, construct := range table {
+		command := construct()
+		command.Args = asUsage(command.Args)
+		for _, sub := range command.Commands() {
+			sub.Args = asUsage(sub.Args)
+		}
+		root.AddCommand(command)
+	}
+	return root
+}
+
+// asUsage makes a wrong number of arguments a usage error.
+func asUsage(check cobra.PositionalArgs) cobra.PositionalArgs {
+	return func(c *cobra.Command, arguments []string) error {
+		if check == nil {
+			return nil
+		}
+		if err := check(c, arguments); err != nil {
+			return &usageError{err}
+		}
+		return nil
+	}
 }
+
+func (e *refusedError) Error() string { return e.err.Error() }
+
+func (e *refusedError) Unwrap() error { return e.err }
+
+func (e *usageError) Error() string { return e.err.Error() }
+
+func (e *usageError) Unwrap() error { return e.err }
--- a/internal/link/beechwire/doc.go
+++ b/internal/link/beechwire/doc.go
@@ -15,6 +15,12 @@
 // Version is the protocol version of this package's messages.
 const Version = 1
 
+// RecordShards is how many shards the records of requests that may not be
+// repeated have, the same in all processes. Few shards make large groups: with
+// 64, a hundred claims a second were a write each, and the platform's service
+// takes some hundred.
+const RecordShards = 8
+
 // Roles of a process on a link.
 const (
 	RoleEntry = "entry"
--- a/internal/platform/beechmanifest/configuration.go
+++ b/internal/platform/beechmanifest/configuration.go
@@ -129,6 +129,12 @@
 	return len(w.Models) == 0 || slices.Contains(w.Models, name)
 }
 
+// HasAdapter tells whether the model has an adapter; every model has the empty
+// one.
+func (m *Model) HasAdapter(name string) bool {
+	return name == "" || slices.Contains(m.Adapters, name)
+}
+
 // AllowsService tells whether the workspace may use a plain service.
 func (w *Workspace) AllowsService(name string) bool {
 	return len(w.Services) == 0 || slices.Contains(w.Services, name)
--- a/internal/process/beechagent/agent.go
+++ b/internal/process/beechagent/agent.go
@@ -52,7 +52,6 @@
 		server     *beechlink.Server
 		listener   net.Listener
 		records    *beechrecord.Records
-		memory     *beechrecord.Memory
 		index      *beechindex.Index
 		suspects   *beechsuspect.Register
 		scheduler  *scheduler
@@ -62,6 +61,7 @@
 		running    *runningSet
 		used       *usedClaims
 		placements *placements
+		unsettled  *unsettled
 		numbers    counters
 
 		leaving    atomic.Bool
@@ -106,7 +106,7 @@
 		incarnation: uint64(d.Clock.Now().UnixNano()),
 		holder:      beechmanifest.NewHolder(),
 		listener:    listener,
-		records:     beechrecord.New(d.Store, d.Clock, beechrecord.Settings{}),
+		records:     beechrecord.New(d.Store, d.Clock, beechrecord.Settings{Shards: beechwire.RecordShards}),
 		index:       beechindex.New(beechindex.Settings{}),
 		suspects:    beechsuspect.New(beechsuspect.Settings{}, d.Clock),
 		library:     newLibrary(settings.Limits, d.Clock),
@@ -114,6 +114,7 @@
 		running:     newRunningSet(),
 		used:        newUsedClaims(),
 		placements:  newPlacements(),
+		unsettled:   newUnsettled(d.Clock),
 		life:        life,
 		endLife:     endLife,
 	}
--- a/internal/process/beechagent/fleet.go
+++ b/internal/process/beechagent/fleet.go
@@ -14,12 +14,15 @@
 	// the platform's service is down has nobody else to ask.
 	fleet struct {
 		mu      sync.Mutex
+		leaving map[uint64]bool           // entries that end gracefully
 		entries map[uint64]beechlink.Peer // by incarnation
 		shared  beechwire.Snapshot
 	}
 )
 
-func newFleet() *fleet { return &fleet{entries: map[uint64]beechlink.Peer{}} }
+func newFleet() *fleet {
+	return &fleet{entries: map[uint64]beechlink.Peer{}, leaving: map[uint64]bool{}}
+}
 
 func (f *fleet) up(p beechlink.Peer) {
 	f.mu.Lock()
@@ -27,10 +30,20 @@
 	f.entries[p.Incarnation] = p
 }
 
-func (f *fleet) down(p beechlink.Peer) {
+// down forgets an entry host and tells whether it ended gracefully.
+func (f *fleet) down(p beechlink.Peer) (graceful bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	graceful = f.leaving[p.Incarnation]
+	delete(f.leaving, p.Incarnation)
 	delete(f.entries, p.Incarnation)
+	return graceful
+}
+
+func (f *fleet) leave(p beechlink.Peer) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.leaving[p.Incarnation] = true
 }
 
 func (f *fleet) count() int {
@@ -66,12 +79,25 @@
 	a.pullIfNewer(p, p.Generation)
 }
 
-// Down implements beechlink.Events.
-func (a *Agent) Down(p beechlink.Peer, _ error) { a.fleet.down(p) }
+// Down implements beechlink.Events. What the lost entry host may not have
+// recorded is recorded here.
+func (a *Agent) Down(p beechlink.Peer, _ error) {
+	graceful := a.fleet.down(p)
+	given := a.unsettled.take(p)
+	if graceful {
+		return
+	}
+	for _, g := range given {
+		a.runs.Go(func() { a.record(g) })
+	}
+}
 
 // Heartbeat implements beechlink.Events.
 func (a *Agent) Heartbeat(p beechlink.Peer, h beechwire.Heartbeat) {
 	a.pullIfNewer(p, h.Generation)
+	if h.Leaving {
+		a.fleet.leave(p)
+	}
 	if len(h.Suspects) > 0 {
 		a.suspects.Merge(suspectRecords(h.Suspects))
 	}
--- a/internal/process/beechagent/generation.go
+++ b/internal/process/beechagent/generation.go
@@ -192,12 +192,12 @@
 	return g.attached == 0
 }
 
-// whole returns the answer of a plain service in one piece.
-func (g *generation) whole() (status int, contentType string, body []byte) {
+// whole returns the answer of a plain service in one piece, if it is whole.
+func (g *generation) whole() (status int, contentType string, body []byte, ended bool) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if g.head == nil {
-		return 0, "", nil
+	if _, ended = g.last.(beechlink.EndReply); !ended || g.head == nil {
+		return 0, "", nil, false
 	}
-	return g.head.Status, g.head.ContentType, slices.Concat(g.pieces...)
+	return g.head.Status, g.head.ContentType, slices.Concat(g.pieces...), true
 }
--- a/internal/process/beechagent/runner.go
+++ b/internal/process/beechagent/runner.go
@@ -68,8 +68,10 @@
 	last := t.execute(ctx, body)
 	a.running.remove(id)
 	a.scheduler.finish(id, beechqueue.Usage{Known: t.usageKnown, Prompt: t.usage.Prompt, Cached: t.usage.Cached, Output: t.usage.Output})
-	a.record(g, last)
 	a.close(g, last)
+	if g.alone() {
+		a.record(g)
+	}
 }
 
 // close gives a generation its last reply. Only a whole answer is kept for
@@ -305,33 +307,20 @@
 	_ = t.agent.engine.Cancel(ctx, t.generation.request.ID)
 }
 
-// record writes the outcome of a request that may not be repeated, before the
-// caller can see the answer's end, so that a repeat right after it gets the
-// same answer. If the platform's service is down the caller still gets its
-// answer, and a repeat is told that the outcome is unknown.
-func (a *Agent) record(g *generation, last beechlink.Reply) {
+// record writes the outcome of a request that may not be repeated. The entry
+// host does so before its caller sees the answer; this is for an entry host
+// that is gone, since a repeat would otherwise be told that the outcome is
+// unknown although this agent knows it.
+func (a *Agent) record(g *generation) {
 	r := &g.request
-	if r.Claim == "" {
-		return
-	}
-	outcome := outcomeOf(g, last)
-	if outcome == nil {
+	status, contentType, body, ended := g.whole()
+	if r.Claim == "" || !ended {
 		return
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), recordTimeout)
 	defer cancel()
+	outcome := beechrecord.Ran{Status: status, ContentType: contentType, Body: body}
 	if err := a.records.Finish(ctx, beechrecord.Key{Name: r.RecordKey}, r.Claim, outcome); err != nil {
 		a.log.Warn("outcome not recorded", beechlog.RequestID(r.ID), beechlog.Step("record"), zap.Error(err))
 	}
 }
-
-// outcomeOf is nil where it is not known whether the request ran.
-func outcomeOf(g *generation, last beechlink.Reply) beechrecord.Outcome {
-	switch last.(type) {
-	case beechlink.EndReply:
-		status, contentType, body := g.whole()
-		return beechrecord.Ran{Status: status, ContentType: contentType, Body: body}
-	default:
-		return nil
-	}
-}
--- a/internal/process/beechagent/stream.go
+++ b/internal/process/beechagent/stream.go
@@ -89,6 +89,7 @@
 	g.attach()
 	err := g.follow(ctx, s, after)
 	g.detach(a.clock.Now())
+	a.unsettled.note(s.Peer(), g)
 	if err != nil && !s.Detached() && g.alone() && g.request.Repeatable {
 		a.numbers.Cancelled.Add(1)
 		g.cancel()
--- a/internal/process/beechentry/admin.go
+++ b/internal/process/beechentry/admin.go
@@ -25,6 +25,7 @@
 		Broken     atomic.Int64
 		Reattached atomic.Int64
 		Joined     atomic.Int64
+		Wasted     atomic.Int64
 	}
 
 	// Status is what an entry tells operators.
@@ -38,6 +39,7 @@
 		Leaving     bool                 `json:"leaving"`
 		Watching    bool                 `json:"watching"`
 		Linked      int                  `json:"linkedAgents"`
+		Serving     int                  `json:"servingAgents"`
 		Streams     int64                `json:"openRequests"`
 		Members     []beechmember.Member `json:"members"`
 		Servers     []beechhealth.Status `json:"servers"`
@@ -58,6 +60,7 @@
 		Leaving:     e.leaving.Load(),
 		Watching:    e.isWatcher(),
 		Linked:      e.fleet.linked(),
+		Serving:     e.fleet.serving(),
 		Streams:     e.streams.Load(),
 		Members:     e.fleet.members.Members(),
 		Servers:     e.health.Status(),
@@ -69,6 +72,10 @@
 // Burn gives the service-level figures of this entry.
 func (e *Entry) Burn() beechburn.Snapshot { return e.burn.Snapshot() }
 
+// WastedTokens is the prompt tokens computed so far although a live server was
+// predicted to hold them.
+func (e *Entry) WastedTokens() uint64 { return uint64(e.numbers.Wasted.Load()) }
+
 func (c *counters) values() map[string]int64 {
 	return map[string]int64{
 		"requests":   c.Requests.Load(),
@@ -77,6 +84,7 @@
 		"broken":     c.Broken.Load(),
 		"reattached": c.Reattached.Load(),
 		"joined":     c.Joined.Load(),
+		"wasted":     c.Wasted.Load(),
 	}
 }
 
@@ -111,6 +119,7 @@
 	if j.request.Service != "" {
 		outcome.FirstToken = 0
 	}
+	e.numbers.Wasted.Add(int64(outcome.Wasted))
 	e.burn.Observe(outcome)
 }
 
--- a/internal/process/beechentry/completion.go
+++ b/internal/process/beechentry/completion.go
@@ -86,12 +86,19 @@
 	return j, nil
 }
 
+// setBody sets what names the body on its way, and what a repeat under the same
+// key must share with it: the same body sent to another path is another call.
 func (j *job) setBody(body []byte, key string) {
 	sum := sha256.Sum256(body)
 	j.request.BodyHash = sum[:]
-	if key != "" {
-		j.request.RecordKey = recordKey(j.workspace.Name, key)
+	if key == "" {
+		return
 	}
+	j.request.RecordKey = recordKey(j.workspace.Name, key)
+	call := sha256.New()
+	call.Write([]byte(j.request.Method + " " + j.request.Path + "\n"))
+	call.Write(sum[:])
+	j.callSum = call.Sum(nil)
 }
 
 // recordKey scopes an idempotency key to its workspace.
@@ -118,11 +125,11 @@
 // resolveModel sets what the configuration and the fleet say of the model: the
 // adapter, the weights version that serves now, and with them the prefix chain.
 func (e *Entry) resolveModel(j *job) *failure {
-	name, adapter, _ := strings.Cut(j.prompt.Fields.Model, adapterSeparator)
-	model, known := j.configuration.Model(name)
-	if !known || !j.workspace.AllowsModel(name) || !model.HasAdapter(adapter) {
+	model, adapter, known := findModel(j.configuration, j.prompt.Fields.Model)
+	if !known || !j.workspace.AllowsModel(model.Name) {
 		return unknownModel(j.prompt.Fields.Model)
 	}
+	name := model.Name
 	weights := e.fleet.weights(name, model.Weights)
 	chain := j.prompt.Chain(beechprefix.Root{
 		Workspace: j.workspace.Name, Model: name, Adapter: adapter, Weights: weights,
@@ -141,6 +148,20 @@
 	return nil
 }
 
+// findModel reads "model" or "model:adapter".
+func findModel(c *beechmanifest.Configuration, asked string) (model *beechmanifest.Model, adapter string, known bool) {
+	if model, known = c.Model(asked); known {
+		return model, "", true
+	}
+	cut := strings.LastIndex(asked, adapterSeparator)
+	if cut < 0 {
+		return nil, "", false
+	}
+	adapter = asked[cut+1:]
+	model, known = c.Model(asked[:cut])
+	return model, adapter, known && adapter != "" && model.HasAdapter(adapter)
+}
+
 func outputTokens(asked, usual int) int {
 	switch {
 	case asked > 0:
--- a/internal/process/beechentry/configuration.go
+++ b/internal/process/beechentry/configuration.go
@@ -14,6 +14,7 @@
 	"github.com/beechring/beechring/internal/link/beechlink"
 	"github.com/beechring/beechring/internal/link/beechwire"
 	"github.com/beechring/beechring/internal/platform/beechmanifest"
+	"github.com/beechring/beechring/internal/process/beechburn"
 	"github.com/beechring/beechring/internal/process/beechlog"
 )
 
@@ -27,6 +28,9 @@
 // anyone noticing, and all of them together would cost a call each.
 const watchersPerZone = 2
 
+// servedShare is the part of requests that must get their whole answer.
+const servedShare = 0.999
+
 // watchConfiguration follows the published configuration until ctx ends.
 func (e *Entry) watchConfiguration(ctx context.Context) error {
 	watcher := beechmanifest.NewWatcher(e.store, e.holder, e.clock, beechmanifest.WatcherSettings{
@@ -77,7 +81,11 @@
 	}
 	e.limiter.SetLimits(limits)
 	e.fleet.router.SetWasteWeight(c.Manifest.Targets.WasteWeight)
-	e.burn.SetTarget(time.Duration(c.Manifest.Targets.FirstToken), c.Manifest.Targets.Share)
+	e.burn.SetObjectives(beechburn.Objectives{
+		ServedShare:     servedShare,
+		FirstToken:      time.Duration(c.Manifest.Targets.FirstToken),
+		FirstTokenShare: c.Manifest.Targets.Share,
+	})
 	e.log.Info("configuration in force", beechlog.Generation(c.Generation))
 }
 
--- a/internal/process/beechentry/dispatch.go
+++ b/internal/process/beechentry/dispatch.go
@@ -62,6 +62,17 @@
 	if f := e.prepare(ctx, j); f != nil {
 		return f
 	}
+	if j.recorded != nil {
+		return e.writeRecorded(j)
+	}
+	f := e.runAttempts(ctx, j)
+	if f != nil && f.Ran == beechwire.RanNo {
+		e.giveBack(j)
+	}
+	return f
+}
+
+func (e *Entry) runAttempts(ctx context.Context, j *job) *failure {
 	e.budget.Sent()
 	staleCount := 0
 	for {
--- a/internal/process/beechentry/entry.go
+++ b/internal/process/beechentry/entry.go
@@ -10,7 +10,6 @@
 	randv2 "math/rand/v2"
 	"net"
 	"net/http"
-	"sync"
 	"sync/atomic"
 	"time"
 
@@ -28,6 +27,7 @@
 	"github.com/beechring/beechring/internal/process/beechburn"
 	"github.com/beechring/beechring/internal/process/beechlog"
 	"github.com/beechring/beechring/internal/process/beechsettings"
+	"github.com/beechring/beechring/internal/prompt/beechprefix"
 )
 
 type (
@@ -48,22 +48,22 @@
 		store       beechstore.Store
 		incarnation uint64
 
-		holder   *beechmanifest.Holder
-		fleet    *fleet
-		limiter  *beechlimit.Limiter
-		budget   *beechretry.Budget
-		health   *beechhealth.Tracker
-		suspects *beechsuspect.Register
-		burn     *beechburn.Burn
-		signer   *streamSigner
-		numbers  counters
+		holder    *beechmanifest.Holder
+		fleet     *fleet
+		limiter   *beechlimit.Limiter
+		budget    *beechretry.Budget
+		health    *beechhealth.Tracker
+		suspects  *beechsuspect.Register
+		burn      *beechburn.Burn
+		signer    *streamSigner
+		estimator beechprefix.Estimator
+		numbers   counters
 
 		http       *http.Server
 		listener   net.Listener
 		supervisor *suture.Supervisor
 		leaving    atomic.Bool
 		streams    atomic.Int64
-		requests   sync.WaitGroup
 	}
 
 	// service is one supervised closure.
@@ -111,7 +111,7 @@
 		}, d.Clock, randv2.NewPCG(randv2.Uint64(), randv2.Uint64())),
 		health:   beechhealth.New(beechhealth.Settings{MaxEjected: maxEjected}, d.Clock),
 		suspects: beechsuspect.New(beechsuspect.Settings{}, d.Clock),
-		burn:     beechburn.New(d.Clock, beechburn.Settings{}),
+		burn:     beechburn.New(beechburn.Settings{}, d.Clock),
 		signer:   newStreamSigner(settings.Secret),
 		listener: listener,
 	}
--- a/internal/process/beechentry/fleet.go
+++ b/internal/process/beechentry/fleet.go
@@ -281,6 +281,19 @@
 	return count
 }
 
+// serving counts the agents that offer something now.
+func (f *fleet) serving() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	count := 0
+	for _, l := range f.links {
+		if l.up && len(l.offers) > 0 {
+			count++
+		}
+	}
+	return count
+}
+
 // reachable lists the agents that can be reached now, sorted.
 func (f *fleet) reachable() []netip.AddrPort {
 	f.mu.Lock()
@@ -312,3 +325,13 @@
 	_, err = reply.UnmarshalMsg(data)
 	return err
 }
+
+// incarnation is that of the agent linked now, or 0.
+func (f *fleet) incarnation(address netip.AddrPort) uint64 {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if l := f.links[address]; l != nil {
+		return l.incarnation
+	}
+	return 0
+}
--- a/internal/process/beechentry/job.go
+++ b/internal/process/beechentry/job.go
@@ -19,6 +19,7 @@
 		chain         beechprefix.Chain
 		request       beechwire.Request
 		body          []byte
+		callSum       []byte // what repeats under the idempotency key must share
 		timeout       time.Duration
 		deadline      time.Time // zero is none
 		began         time.Time
@@ -27,7 +28,8 @@
 		writer        answerWriter
 
 		// what the attempts have brought
-		attach     *placed // join this generation first
+		attach     *placed                // join this generation first
+		recorded   *beechwire.ClaimAnswer // the outcome of an earlier run, to be given again
 		tried      []netip.AddrPort
 		preferred  netip.AddrPort
 		sequence   uint64 // of the last piece taken
@@ -35,8 +37,8 @@
 		ended      bool   // the finish reason was given
 		firstToken time.Duration
 		usage      beechwire.Usage
-		uncached   int // predicted at the server chosen
-		reachable  int // least uncached tokens predicted at any candidate
+		uncached   int    // predicted at the server chosen
+		reachable  int    // least uncached tokens predicted at any candidate
 		ran        string // what is known of earlier attempts; empty is nothing
 	}
 
--- a/internal/process/beechentry/judge.go
+++ b/internal/process/beechentry/judge.go
@@ -149,7 +149,7 @@
 // end mark of the stream was lost.
 func (e *Entry) closeComplete(j *job) *failure {
 	if err := j.writer.end(); err != nil {
-		return &failure{Status: statusClientGone, Ran: beechwire.RanYes, Code: "caller_gone"}
+		return e.goneCaller()
 	}
 	return nil
 }
--- a/internal/process/beechentry/once.go
+++ b/internal/process/beechentry/once.go
@@ -23,7 +23,6 @@
 	ownersTried    = 2
 	placementTries = 40
 	placementPause = 50 * time.Millisecond
-	recordShards   = 64 // beechrecord's default, the same in all processes
 )
 
 var errNoOwner = errors.New("no agent can be reached")
@@ -123,6 +122,24 @@
 	}
 }
 
+// writeRecorded gives the outcome of the run that there was.
+func (e *Entry) writeRecorded(j *job) *failure {
+	e.numbers.Joined.Add(1)
+	j.request.ID = j.recorded.RequestID
+	j.writer.head(j.recorded.Status, j.recorded.ContentType, placed{})
+	if err := j.writer.piece(1, j.recorded.Answer); err != nil {
+		return e.goneCaller()
+	}
+	if err := j.writer.end(); err != nil {
+		return e.goneCaller()
+	}
+	return nil
+}
+
+func (e *Entry) goneCaller() *failure {
+	return &failure{Status: statusClientGone, Type: typeServer, Code: "caller_gone", Ran: beechwire.RanYes, Message: "the caller went away"}
+}
+
 func keyReused() *failure {
 	return notRun(http.StatusUnprocessableEntity, typeInvalid, "idempotency_key_reused", "the key was used with another body")
 }
@@ -132,7 +149,7 @@
 	defer cancel()
 	var answer beechwire.ClaimAnswer
 	ask := &beechwire.ClaimAsk{
-		RecordKey: j.request.RecordKey, BodyHash: j.request.BodyHash, RequestID: j.request.ID, Repeatable: j.request.Repeatable,
+		RecordKey: j.request.RecordKey, BodyHash: j.callSum, RequestID: j.request.ID, Repeatable: j.request.Repeatable,
 	}
 	err := e.callOwner(asking, j, beechwire.MethodClaim, ask, &answer)
 	return answer, err
@@ -143,8 +160,8 @@
 // platform's compare-and-swap decides between two that try.
 func (e *Entry) callOwner(ctx context.Context, j *job, method string, ask marshaler, reply unmarshaler) error {
 	agents := e.fleet.reachable()
-	shard := beechrecord.Key{Name: j.request.RecordKey}.Shard(recordShards)
-	var err error = errNoOwner
+	shard := beechrecord.Key{Name: j.request.RecordKey}.Shard(beechwire.RecordShards)
+	err := errNoOwner
 	for range ownersTried {
 		owner := beechrecord.Owner(shard, agents)
 		if !owner.IsValid() {
--- a/internal/process/beechentry/service.go
+++ b/internal/process/beechentry/service.go
@@ -65,12 +65,6 @@
 		Repeatable:  !once,
 		BodyBytes:   len(body),
 	}
-	j.setBody(callBytes(r.Method, path, body), key)
+	j.setBody(body, key)
 	return j, nil
 }
-
-// callBytes is what two calls under one key must share: the same body sent to
-// another path is another call.
-func callBytes(method, path string, body []byte) []byte {
-	return append([]byte(method+" "+path+"\n"), body...)
-}
