Check manifests, publish them by parts, prove the head's histories

Cause: two operators race, replies are lost after the write took effect, values are damaged; an accepted configuration must be in force everywhere and never revert. Found and mended: numbers like 1e6000000 passed the schema and cost time (now refused); a charge spelt /%63harges was not seen as one; a lost part that a new manifest reuses was not written again, so the generation was accepted but no process could load it.

--- a/internal/platform/beechfence/errors.go
+++ b/internal/platform/beechfence/errors.go
@@ -21,10 +21,10 @@
 		Number uint64
 	}
 
-	// Superseded says that the order was sent, and that the lease had ended
-	// or a newer number was taken by the time it was done. What the server
-	// holds has to be compared with what it should. Err is the order's own
-	// error, if any.
+	// Superseded says that the order was sent, and that by the time it was
+	// done the lease had ended, a newer number was taken, or neither could be
+	// checked. What the server holds has to be compared with what it should.
+	// Err is the order's own error, if any.
 	Superseded struct {
 		Server netip.AddrPort
 		Number uint64
--- a/internal/platform/beechfence/guard.go
+++ b/internal/platform/beechfence/guard.go
@@ -107,9 +107,10 @@
 	if g.term.number == 0 {
 		return nil
 	}
+	mark := g.mark(g.term.lease)
 	g.term = term{}
 	v, err := g.store.Get(ctx, holderKey(g.server), beechstore.ImportanceRest)
-	if err != nil || string(v.Data) != g.id {
+	if err != nil || string(v.Data) != mark {
 		return err
 	}
 	return g.store.Delete(ctx, v.Key, v.Version, beechstore.ImportanceRest)
@@ -175,19 +176,28 @@
 
 func (g *Guard) takeHolder(ctx context.Context, l beechstore.Lease) error {
 	key := holderKey(g.server)
-	_, err := g.store.CompareAndSwap(ctx, key, 0, []byte(g.id), l.ID, beechstore.ImportanceConfiguration)
+	mark := g.mark(l)
+	_, err := g.store.CompareAndSwap(ctx, key, 0, []byte(mark), l.ID, beechstore.ImportanceConfiguration)
 	var conflict beechstore.Conflict
-	if errors.As(err, &conflict) {
+	var unknown beechstore.UnknownOutcome
+	switch {
+	case err == nil:
+		return nil
+	case errors.As(err, &conflict):
 		return Held{Server: g.server, After: g.settings.TTL}
+	case errors.As(err, &unknown):
+		v, readErr := g.store.Get(ctx, key, beechstore.ImportanceConfiguration)
+		if readErr == nil && string(v.Data) == mark {
+			return nil
+		}
 	}
-	if err != nil {
-		// After a lost reply the key may be there under this lease, and ends
-		// with it. Taking it for ours is not worth the doubt.
-		return fmt.Errorf("order to %s: %w", g.server, err)
-	}
-	return nil
+	return fmt.Errorf("order to %s: %w", g.server, err)
 }
 
+// mark is the holder key's value: this guard under this lease. A guard that
+// finds its own id under another lease must not take that for its own.
+func (g *Guard) mark(l beechstore.Lease) string { return g.id + "/" + l.ID }
+
 // takeNumber moves the number on by one. After a lost reply it looks whether
 // the number there is its own; if not it takes the next, since a number that
 // was skipped does no harm.
--- a/internal/platform/beechmanifest/check.go
+++ b/internal/platform/beechmanifest/check.go
@@ -18,6 +18,7 @@
 func checkAcross(m *Manifest) []Problem {
 	c := &checker{manifest: m}
 	c.targets()
+	c.priorities()
 	c.uniqueNames()
 	c.uniqueKeys()
 	c.workspaces()
@@ -35,6 +36,12 @@
 	}
 }
 
+func (c *checker) priorities() {
+	if len(c.manifest.Priorities) == 0 {
+		c.add("priorities", "is empty", "a list of 1 to 16 names, the first served first")
+	}
+}
+
 func (c *checker) uniqueNames() {
 	m := c.manifest
 	c.unique("models", "name", modelNames(m))
@@ -104,6 +111,8 @@
 				c.add(place+"/models", "is set on a pool of a plain service", "no models where kind is service")
 			}
 			c.known(place+"/service", "service", p.Service, services, serviceNames(c.manifest))
+		default:
+			c.add(place+"/kind", fmt.Sprintf("%q", p.Kind), "engine or service")
 		}
 	}
 }
--- a/internal/platform/beechmanifest/configuration.go
+++ b/internal/platform/beechmanifest/configuration.go
@@ -4,6 +4,7 @@
 	"crypto/sha256"
 	"crypto/subtle"
 	"encoding/hex"
+	"net/url"
 	"path"
 	"slices"
 	"strings"
@@ -26,6 +27,10 @@
 	keySum [sha256.Size]byte
 )
 
+// maxUnescapes bounds how often a path is decoded: once by an entry host, once
+// by a server, and once more for a server behind it.
+const maxUnescapes = 4
+
 // Compile makes the look-ups of a manifest that Parse has accepted.
 func Compile(m *Manifest, generation uint64) *Configuration {
 	c := &Configuration{
@@ -115,10 +120,10 @@
 	return len(c.Manifest.Priorities)
 }
 
-// Once tells whether a call of a service may not be repeated. The path is
-// matched as it came and cleaned, the method in any case: a call that a
-// backend server might understand as one that may not be repeated is taken
-// for one, since the wrong guess here bills or ships twice.
+// Once tells whether a call of a service may not be repeated. A call that a
+// backend server might read as one that may not be repeated is taken for one,
+// however its path and method are spelt: the wrong guess here bills or ships
+// twice.
 func (c *Configuration) Once(service, method, requestPath string) bool {
 	s, ok := c.services[service]
 	return ok && s.once(method, requestPath)
@@ -135,14 +140,35 @@
 }
 
 func (s *Service) once(method, requestPath string) bool {
-	clean := path.Clean("/" + requestPath)
+	spellings := spellingsOf(requestPath)
 	for _, r := range s.Once {
 		if r.Method != "" && !strings.EqualFold(r.Method, method) {
 			continue
 		}
-		if strings.HasPrefix(requestPath, r.Path) || strings.HasPrefix(clean, r.Path) || strings.HasPrefix(clean+"/", r.Path) {
-			return true
+		prefix := strings.ToLower(r.Path)
+		for _, path := range spellings {
+			if strings.HasPrefix(path, prefix) {
+				return true
+			}
 		}
 	}
 	return false
 }
+
+// spellingsOf gives the paths that a backend server might read: as it came,
+// with its percent signs decoded, more than once if need be, and each without
+// dots and double slashes; all in lower case.
+func spellingsOf(requestPath string) []string {
+	var all []string
+	for range maxUnescapes {
+		lower := strings.ToLower(requestPath)
+		clean := path.Clean("/" + lower)
+		all = append(all, lower, clean, clean+"/")
+		decoded, err := url.PathUnescape(requestPath)
+		if err != nil || decoded == requestPath {
+			break
+		}
+		requestPath = decoded
+	}
+	return all
+}
--- /dev/null
+++ b/internal/platform/beechmanifest/history_test.go
@@ -0,0 +1,291 @@
+package beechmanifest
+
+import (
+	"context"
+	"errors"
+	"flag"
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/anishathalye/porcupine"
+	"github.com/jonboulle/clockwork"
+
+	"github.com/beechring/beechring/internal/platform/beechstore"
+)
+
+type (
+	// headState is what a linearizable head would hold.
+	headState struct {
+		generation uint64
+		sum        string
+	}
+
+	publishInput struct {
+		base uint64
+		sum  string
+	}
+
+	readInput struct{}
+
+	// fleet is one random run: operators that publish, readers and processes
+	// that follow, all on one service through faults of their own.
+	fleet struct {
+		t     *testing.T
+		seed  uint64
+		clock clockwork.Clock
+		fake  *beechstore.Fake
+		ticks atomic.Int64
+		wait  sync.WaitGroup
+
+		mu      sync.Mutex
+		history []porcupine.Operation
+		sums    map[uint64]string // what processes had in force, by generation
+	}
+)
+
+const (
+	operators       = 3
+	publishesEach   = 5
+	readers         = 2
+	readsEach       = 8
+	followers       = 2
+	randomRunLength = 20 * time.Second
+)
+
+var runs = flag.Int("runs", 1000, "random runs of each history test")
+
+// Operators race one another while replies of the service are lost, writes
+// arrive late, processes stall and the service goes down. If two changes were
+// accepted on one base, or an accepted one were lost, one half of the
+// deployment would bill by a manifest that its operators believe replaced.
+func TestHeadHistoriesAreLinearizable(t *testing.T) {
+	for seed := range uint64(*runs) {
+		synctest.Test(t, func(t *testing.T) { runFleet(t, seed) })
+		if t.Failed() {
+			t.Fatalf("seed %d failed", seed)
+		}
+	}
+}
+
+func runFleet(t *testing.T, seed uint64) {
+	clock := clockwork.NewRealClock() // virtual here
+	f := &fleet{t: t, seed: seed, clock: clock, fake: beechstore.NewFake(clock), sums: map[uint64]string{}}
+	ctx, cancel := context.WithTimeout(t.Context(), randomRunLength)
+	for i := range operators {
+		f.wait.Go(func() { f.operate(ctx, i) })
+	}
+	for i := range readers {
+		f.wait.Go(func() { f.read(ctx, operators+i) })
+	}
+	var following sync.WaitGroup
+	for i := range followers {
+		following.Go(func() { f.follow(ctx, operators+readers+i) })
+	}
+	f.wait.Go(func() { f.outages(ctx) })
+	f.wait.Wait()
+	f.fake.SetFaults(beechstore.Faults{})
+	time.Sleep(2 * defaultMaxPause)
+	f.checkEnd()
+	cancel()
+	following.Wait()
+}
+
+func (f *fleet) rng(client int) *rand.Rand {
+	return rand.New(rand.NewPCG(f.seed, uint64(client)))
+}
+
+func (f *fleet) store(client int) beechstore.Store {
+	return beechstore.NewFlaky(f.fake, f.clock, f.seed*1000+uint64(client), beechstore.Odds{
+		Refused: 0.05, LostCall: 0.03, LostReply: 0.06, LateWrite: 0.04, Stalled: 0.03,
+		Delay: 4 * time.Millisecond, Stall: 2 * time.Second,
+	})
+}
+
+func (f *fleet) outages(ctx context.Context) {
+	r := f.rng(100)
+	for range 3 {
+		time.Sleep(upTo(r, time.Second))
+		f.fake.SetFaults(beechstore.Faults{Down: true})
+		time.Sleep(upTo(r, time.Second))
+		f.fake.SetFaults(beechstore.Faults{})
+		if ctx.Err() != nil {
+			return
+		}
+	}
+}
+
+func (f *fleet) operate(ctx context.Context, client int) {
+	r, store := f.rng(client), f.store(client)
+	for range publishesEach {
+		time.Sleep(upTo(r, 300*time.Millisecond))
+		base := uint64(r.IntN(4))
+		if g, _, err := Load(ctx, store); err == nil && r.IntN(10) > 0 {
+			base = g
+		}
+		m := variant(r.IntN(4))
+		call, within := f.ticks.Add(1), upTo(r, 3*time.Second)
+		publishCtx, cancel := context.WithTimeout(ctx, within)
+		o := Publish(publishCtx, store, f.clock, base, m)
+		cancel()
+		f.record(client, call, publishInput{base: base, sum: encodedSum(m)}, o)
+	}
+}
+
+func (f *fleet) read(ctx context.Context, client int) {
+	r, store := f.rng(client), f.store(client)
+	for range readsEach {
+		time.Sleep(upTo(r, 300*time.Millisecond))
+		call := f.ticks.Add(1)
+		g, m, err := Load(ctx, store)
+		switch {
+		case errors.Is(err, ErrNone):
+			f.record(client, call, readInput{}, headState{})
+		case err == nil:
+			f.record(client, call, readInput{}, headState{generation: g, sum: encodedSum(m)})
+		}
+	}
+}
+
+// follow is a process that watches, and now and then restarts.
+func (f *fleet) follow(ctx context.Context, client int) {
+	r, store := f.rng(client), f.store(client)
+	for ctx.Err() == nil {
+		life, cancel := context.WithTimeout(ctx, time.Second+upTo(r, 10*time.Second))
+		holder := NewHolder()
+		var watching sync.WaitGroup
+		watching.Go(func() { _ = NewWatcher(store, holder, f.clock, WatcherSettings{}).Serve(life) })
+		var last uint64
+		for life.Err() == nil {
+			changed := holder.Changed()
+			last = f.inForce(holder, last)
+			select {
+			case <-changed:
+			case <-life.Done():
+			}
+		}
+		cancel()
+		watching.Wait()
+	}
+}
+
+func (f *fleet) inForce(h *Holder, last uint64) uint64 {
+	g, data := h.Encoded()
+	if g < last {
+		f.t.Errorf("a process went back from generation %d to %d", last, g)
+	}
+	if g == 0 {
+		return last
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if sum, ok := f.sums[g]; ok && sum != sumOf(data) {
+		f.t.Errorf("generation %d had two contents in force", g)
+	}
+	f.sums[g] = sumOf(data)
+	return g
+}
+
+func (f *fleet) record(client int, call int64, in, out any) {
+	end := f.ticks.Add(1)
+	if _, ok := out.(Unknown); ok {
+		end = math.MaxInt64 // it may yet take effect
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.history = append(f.history, porcupine.Operation{ClientId: client, Input: in, Call: call, Output: out, Return: end})
+}
+
+func (f *fleet) checkEnd() {
+	model := headModel().ToModel()
+	if !porcupine.CheckOperations(model, f.history) {
+		for _, o := range f.history {
+			f.t.Log(model.DescribeOperation(o.Input, o.Output), o.Call, o.Return)
+		}
+		f.t.Error("the history is not linearizable")
+	}
+	changes, err := History(context.Background(), f.fake)
+	if err != nil {
+		f.t.Errorf("history: %v", err)
+	}
+	for i, c := range changes {
+		if c.Generation != uint64(i+1) {
+			f.t.Errorf("history lists generation %d in place %d", c.Generation, i)
+		}
+		if sum, ok := f.sums[c.Generation]; ok && sum != c.Sum {
+			f.t.Errorf("generation %d in force is not the accepted one", c.Generation)
+		}
+	}
+	if _, _, err := Load(context.Background(), f.fake); err != nil && !errors.Is(err, ErrNone) {
+		f.t.Errorf("the published manifest cannot be read at the end: %v", err)
+	}
+	if n := uint64(len(changes)); n > 0 && f.sums[n] == "" {
+		f.t.Errorf("generation %d is in force nowhere", n)
+	}
+}
+
+func headModel() *porcupine.NondeterministicModel {
+	return &porcupine.NondeterministicModel{
+		Init: func() []any { return []any{headState{}} },
+		Step: func(state, input, output any) []any { return headStep(state.(headState), input, output) },
+		DescribeOperation: func(input, output any) string {
+			return fmt.Sprintf("%+v -> %T%+v", input, output, output)
+		},
+	}
+}
+
+func headStep(s headState, input, output any) []any {
+	in, ok := input.(publishInput)
+	if !ok {
+		return only(s, output.(headState) == s)
+	}
+	next := headState{generation: in.base + 1, sum: in.sum}
+	switch o := output.(type) {
+	case Accepted:
+		return only(next, s.generation == in.base && o.Generation == next.generation)
+	case Conflict:
+		return only(s, s.generation != in.base && s.generation == o.Current)
+	case Unknown:
+		return append(only(next, s.generation == in.base), s)
+	}
+	return only(s, true)
+}
+
+func only(s headState, ok bool) []any {
+	if !ok {
+		return nil
+	}
+	return []any{s}
+}
+
+// variant cycles through few contents, so that parts retire and come back.
+func variant(i int) *Manifest {
+	m := &Manifest{
+		Deployment: "random",
+		Targets:    Targets{FirstToken: Duration(time.Second), Share: 0.5, WasteWeight: float64(i % 2), MaxLoads: 1},
+		Priorities: []string{"one"},
+	}
+	for n := range 2 + i/2 {
+		m.Workspaces = append(m.Workspaces, Workspace{
+			Name: fmt.Sprintf("w%d", n), Keys: []string{sumOf([]byte{byte(n)})}, Priority: "one", Weight: 1,
+		})
+	}
+	return m
+}
+
+func encodedSum(m *Manifest) string {
+	data, err := Encode(normal(m))
+	if err != nil {
+		panic(err)
+	}
+	return sumOf(data)
+}
+
+func upTo(r *rand.Rand, d time.Duration) time.Duration {
+	return time.Duration(r.Int64N(int64(d)))
+}
--- a/internal/platform/beechmanifest/holder.go
+++ b/internal/platform/beechmanifest/holder.go
@@ -64,14 +64,15 @@
 
 // Offer puts a manifest in force if its generation is newer, and tells
 // whether it did. An older one is passed over without an error. A manifest
-// that does not parse is refused, as is another one under the generation in
-// force; what is in force then stays.
+// that cannot be read is refused, as is another one under the generation in
+// force; what is in force then stays. Data must have been through Parse, as
+// all that Publish accepts has, and is not to be changed afterwards.
 func (h *Holder) Offer(generation uint64, data []byte) (bool, error) {
 	sum := sha256.Sum256(data)
 	if now := h.held.Load(); now != nil && generation <= now.configuration.Generation {
 		return false, now.compare(generation, sum)
 	}
-	m, err := Parse(data)
+	m, err := decode(data)
 	if err != nil {
 		return false, fmt.Errorf("offer of generation %d: %w", generation, err)
 	}
--- a/internal/platform/beechmanifest/parse.go
+++ b/internal/platform/beechmanifest/parse.go
@@ -13,6 +13,8 @@
 // MaxBytes is the size of the largest manifest that Parse reads.
 const MaxBytes = 32 << 20
 
+var errTrailing = errors.New("something follows the manifest")
+
 // Parse reads and checks a manifest. The error is Invalid, with every problem
 // found. Absent weights of workspaces become 1.
 func Parse(data []byte) (*Manifest, error) {
@@ -23,13 +25,28 @@
 	if err != nil {
 		return nil, notJSON(err)
 	}
+	if problems := checkNumbers("", value); len(problems) > 0 {
+		return nil, Invalid{Problems: sorted(problems)}
+	}
 	if problems := checkSchema(value); len(problems) > 0 {
 		return nil, Invalid{Problems: problems}
 	}
+	return decode(data)
+}
+
+// decode reads a manifest that its publisher has put through Parse: it checks
+// all but the schema, which at 9,300 workspaces takes several times longer
+// than the rest and would be paid by each process for each change.
+func decode(data []byte) (*Manifest, error) {
 	var m Manifest
-	if err := json.Unmarshal(data, &m); err != nil {
+	d := json.NewDecoder(bytes.NewReader(data))
+	d.DisallowUnknownFields()
+	if err := d.Decode(&m); err != nil {
 		return nil, badValue(err)
 	}
+	if d.More() {
+		return nil, notJSON(errTrailing)
+	}
 	for i := range m.Workspaces {
 		m.Workspaces[i].Weight = max(1, m.Workspaces[i].Weight)
 	}
@@ -39,15 +56,28 @@
 	return &m, nil
 }
 
-// Encode writes the manifest as Parse reads it.
+// Encode writes the manifest as Parse reads it: lists that are absent become
+// empty ones.
 func Encode(m *Manifest) ([]byte, error) {
-	data, err := json.Marshal(m)
+	full := *m
+	fill(&full.Models)
+	fill(&full.Priorities)
+	fill(&full.Workspaces)
+	fill(&full.Pools)
+	fill(&full.Services)
+	data, err := json.Marshal(full)
 	if err != nil {
 		return nil, fmt.Errorf("encode a manifest: %w", err)
 	}
 	return data, nil
 }
 
+func fill[T any](list *[]T) {
+	if *list == nil {
+		*list = []T{}
+	}
+}
+
 func checkText(data []byte) (Problem, bool) {
 	if len(data) > MaxBytes {
 		return Problem{Field: "manifest", Wrong: fmt.Sprintf("has %d bytes", len(data)), Allowed: fmt.Sprintf("at most %d bytes", MaxBytes)}, false
@@ -59,11 +89,11 @@
 }
 
 func notJSON(err error) error {
-	return Invalid{Problems: []Problem{{Field: "manifest", Wrong: "is not JSON: " + err.Error(), Allowed: "one JSON object in UTF-8"}}}
+	return Invalid{Problems: []Problem{{Field: "manifest", Wrong: "cannot be read: " + err.Error(), Allowed: "one JSON object in UTF-8"}}}
 }
 
 // badValue covers numbers that are whole by the schema but not as Go reads
-// them, such as 1e3.
+// them, such as 3.0.
 func badValue(err error) error {
 	var wrongType *json.UnmarshalTypeError
 	if errors.As(err, &wrongType) {
--- a/internal/platform/beechmanifest/publish.go
+++ b/internal/platform/beechmanifest/publish.go
@@ -1,13 +1,14 @@
 package beechmanifest
 
 import (
+	"bytes"
 	"context"
 	"errors"
 	"fmt"
 	"slices"
-	"time"
 
 	"github.com/jonboulle/clockwork"
+	"golang.org/x/sync/errgroup"
 
 	"github.com/beechring/beechring/internal/platform/beechstore"
 )
@@ -35,13 +36,14 @@
 
 	// publication is one Publish under way.
 	publication struct {
-		store beechstore.Store
-		clock clockwork.Clock
-		base  uint64
-		old   head
-		value beechstore.Value // of the old head
-		next  head
-		parts []part
+		store   beechstore.Store
+		clock   clockwork.Clock
+		base    uint64
+		restore bool // the old head may be lost or corrupt
+		old     head
+		value   beechstore.Value // of the old head
+		next    head
+		parts   []part
 	}
 
 	// staleKey is a key to delete, at the version it had before the head
@@ -54,20 +56,32 @@
 
 const (
 	partTries   = 5
-	settleTries = 8
-	settlePause = 50 * time.Millisecond
+	partsAtOnce = 8
 )
 
-var errStillUnsettled = errors.New("the head was still unsettled after the last try")
+var errReadable = errors.New("the published head can be read, so there is nothing to restore")
 
 // Publish makes m the generation after base, 0 for the first. It ends by
 // ctx's deadline at the latest.
 func Publish(ctx context.Context, store beechstore.Store, clock clockwork.Clock, base uint64, m *Manifest) Outcome {
 	p := &publication{store: store, clock: clock, base: base}
+	return p.run(ctx, m)
+}
+
+// Restore makes m the generation after inForce where the head is lost or
+// corrupt, and changes nothing where it can be read. Processes take only
+// newer generations, so inForce must be the newest that any of them reports;
+// the history begins anew.
+func Restore(ctx context.Context, store beechstore.Store, clock clockwork.Clock, inForce uint64, m *Manifest) Outcome {
+	p := &publication{store: store, clock: clock, base: inForce, restore: true}
+	return p.run(ctx, m)
+}
+
+func (p *publication) run(ctx context.Context, m *Manifest) Outcome {
 	if err := p.prepare(ctx, m); err != nil {
 		return Refused{Err: err}
 	}
-	if p.old.Generation != base {
+	if p.old.Generation != p.base {
 		return Conflict{Current: p.old.Generation}
 	}
 	if err := p.writeParts(ctx); err != nil {
@@ -140,7 +154,13 @@
 		return head{}, err
 	}
 	h, err := decodeHead(p.value)
-	if errors.Is(err, ErrNone) {
+	var corrupt beechstore.CorruptValue
+	switch {
+	case p.restore && (errors.Is(err, ErrNone) || errors.As(err, &corrupt)):
+		return head{Generation: p.base}, nil
+	case p.restore && err == nil:
+		return head{}, errReadable
+	case errors.Is(err, ErrNone):
 		return head{}, nil
 	}
 	return h, err
@@ -162,19 +182,39 @@
 	}
 }
 
-// writeParts writes each part that the old head does not name, even if it is
-// there already: the write gives it a new version, and so another publisher
-// that is about to delete it as stale, at the version it saw, cannot.
+// writeParts makes sure of each part, a few at a time.
 func (p *publication) writeParts(ctx context.Context) error {
+	g, ctx := errgroup.WithContext(ctx)
+	g.SetLimit(partsAtOnce)
 	for _, x := range p.parts {
-		if slices.Contains(p.old.Parts, x.sum) {
-			continue
-		}
-		if err := p.writePart(ctx, x); err != nil {
-			return fmt.Errorf("write a part of the manifest: %w", err)
-		}
+		g.Go(func() error {
+			if err := p.ensurePart(ctx, x); err != nil {
+				return fmt.Errorf("write a part of the manifest: %w", err)
+			}
+			return nil
+		})
 	}
-	return nil
+	return g.Wait()
+}
+
+// ensurePart reads a part that the old head names: if it were lost or damaged,
+// the generation would be accepted but no process could take it. A part that
+// the old head does not name is written even if it is there already: the
+// write gives it a new version, and so another publisher that is about to
+// delete it as stale, at the version it saw, cannot.
+func (p *publication) ensurePart(ctx context.Context, x part) error {
+	if !slices.Contains(p.old.Parts, x.sum) {
+		return p.writePart(ctx, x)
+	}
+	var v beechstore.Value
+	err := p.patient(ctx, func() (err error) {
+		v, err = p.store.Get(ctx, partKey(x.sum), beechstore.ImportanceConfiguration)
+		return err
+	})
+	if err != nil || bytes.Equal(v.Data, x.data) {
+		return err
+	}
+	return p.writePart(ctx, x)
 }
 
 func (p *publication) writePart(ctx context.Context, x part) error {
@@ -233,77 +273,6 @@
 	}
 }
 
-// moveHead swaps the head and settles what becomes of it. Sending the same
-// swap again after a lost reply is harmless: it has the same version and
-// content, so at most one of them takes effect. Once a reply was lost a
-// refusal is no longer an answer, since the lost one may still arrive.
-func (p *publication) moveHead(ctx context.Context) Outcome {
-	data, err := beechstore.Seal(format, p.next)
-	if err != nil {
-		return Refused{Err: err}
-	}
-	lost := false
-	for range settleTries {
-		err = p.patient(ctx, func() error {
-			_, err := p.store.CompareAndSwap(ctx, HeadKey, p.value.Version, data, "", beechstore.ImportanceConfiguration)
-			return err
-		})
-		var conflict beechstore.Conflict
-		var unknown beechstore.UnknownOutcome
-		switch {
-		case err == nil:
-			return Accepted{Generation: p.next.Generation}
-		case errors.As(err, &unknown):
-			lost = true
-		case !errors.As(err, &conflict) && !lost:
-			return Refused{Err: err}
-		}
-		if o, ok := p.settle(ctx); ok {
-			return o
-		}
-		if !p.pause(ctx) {
-			break
-		}
-	}
-	if !lost {
-		// Only conflicts whose winner could not be read: nothing was written.
-		return Refused{Err: errors.Join(err, errStillUnsettled)}
-	}
-	return Unknown{Change: p.next.Change, Err: errors.Join(err, errStillUnsettled)}
-}
-
-// settle reads the head back. It is sure if the head has moved: then this
-// change either is in the history at its generation or never will be.
-func (p *publication) settle(ctx context.Context) (Outcome, bool) {
-	v, err := p.store.Get(ctx, HeadKey, beechstore.ImportanceConfiguration)
-	if err != nil || v.Version == p.value.Version {
-		return nil, false
-	}
-	h, err := decodeHead(v)
-	if err != nil {
-		return nil, false
-	}
-	for _, c := range h.History {
-		switch {
-		case c.Generation != p.next.Generation:
-		case c.ID == p.next.Change:
-			return Accepted{Generation: c.Generation}, true
-		default:
-			return Conflict{Current: h.Generation}, true
-		}
-	}
-	return nil, false
-}
-
-func (p *publication) pause(ctx context.Context) bool {
-	select {
-	case <-ctx.Done():
-		return false
-	case <-p.clock.After(settlePause):
-		return true
-	}
-}
-
 func (Accepted) outcome() {}
 func (Conflict) outcome() {}
 func (Unknown) outcome()  {}
--- a/internal/platform/beechmanifest/schema.go
+++ b/internal/platform/beechmanifest/schema.go
@@ -60,6 +60,10 @@
 	for _, leaf := range leaves(invalid) {
 		problems = append(problems, problemsOf(leaf, value, document)...)
 	}
+	return sorted(problems)
+}
+
+func sorted(problems []Problem) []Problem {
 	slices.SortFunc(problems, func(a, b Problem) int { return strings.Compare(a.Field, b.Field) })
 	return slices.Compact(problems)
 }
@@ -97,11 +101,7 @@
 func eachField(parent string, names []string, wrong, allowed string) []Problem {
 	problems := make([]Problem, 0, len(names))
 	for _, n := range names {
-		field := n
-		if parent != "" {
-			field = parent + "/" + n
-		}
-		problems = append(problems, Problem{Field: field, Wrong: wrong, Allowed: allowed})
+		problems = append(problems, Problem{Field: joinField(parent, n), Wrong: wrong, Allowed: allowed})
 	}
 	return problems
 }
