Index an engine's cache from replies, events and what waits

Cause: the agent needs to know what its engine holds, and entry hosts need to hear of it, from events that are late and lost and name blocks by the engine's hashes. The seam gains Change and Changes.

--- a/internal/decision/beechroute/prefix.go
+++ b/internal/decision/beechroute/prefix.go
@@ -29,6 +29,7 @@
 	// holder is a server that was sent a prefix, or said to hold it.
 	holder struct {
 		server *server
+		epoch  uint64 // the server's when it was noted
 		used   time.Time
 	}
 
@@ -100,9 +101,10 @@
 func (p *prefix) hold(s *server, now time.Time) {
 	if h := p.holder(s); h != nil {
 		h.used = now
+		h.epoch = s.epoch
 		return
 	}
-	fresh := holder{server: s, used: now}
+	fresh := holder{server: s, epoch: s.epoch, used: now}
 	p.sweep()
 	if len(p.holders) < maxHolders {
 		p.holders = append(p.holders, fresh)
@@ -115,11 +117,11 @@
 	p.holders = slices.DeleteFunc(p.holders, func(h holder) bool { return h.server == s })
 }
 
-// sweep drops holders that are gone.
+// sweep drops holders that are no longer valid.
 func (p *prefix) sweep() {
 	kept := p.holders[:0]
 	for _, h := range p.holders {
-		if !h.server.gone {
+		if h.valid() {
 			kept = append(kept, h)
 		}
 	}
@@ -139,5 +141,8 @@
 
 // alive tells whether the prefix is still expected in the holder's cache.
 func (h *holder) alive(now time.Time) bool {
-	return h.server.announces || now.Sub(h.used) < unannouncedLife
+	return h.valid() && (h.server.announces || now.Sub(h.used) < unannouncedLife)
 }
+
+// valid is false once the server is gone or its cache was to be forgotten.
+func (h *holder) valid() bool { return !h.server.gone && h.epoch == h.server.epoch }
--- a/internal/decision/beechroute/router.go
+++ b/internal/decision/beechroute/router.go
@@ -158,7 +158,7 @@
 // queue, or gone from the cache, for this entry host's requests and others'.
 // Without it each entry host would have to find out by itself where a prefix
 // went, and would make a copy of its own.
-func (r *Router) Changed(address netip.AddrPort, incarnation uint64, changes []Change) {
+func (r *Router) Changed(address netip.AddrPort, incarnation uint64, changes Changes) {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
 	s := r.servers[address]
@@ -166,8 +166,11 @@
 		return
 	}
 	s.announces = true
+	if changes.All {
+		s.epoch++
+	}
 	now := r.clock.Now()
-	for _, c := range changes {
+	for _, c := range changes.List {
 		if c.Held {
 			r.prefixes.use(Level{Key: c.Key, Tokens: c.Tokens}).hold(s, now)
 			continue
@@ -219,9 +222,7 @@
 	if s == nil || s.Incarnation > incarnation {
 		return
 	}
-	s.gone = true
-	r.servers[address] = newServer(s.Server)
-	r.rebuild()
+	s.epoch++
 }
 
 // Hot is the prefixes in demand, those with the most tokens asked for a second
@@ -269,7 +270,7 @@
 func (p *prefix) addresses() []netip.AddrPort {
 	var addresses []netip.AddrPort
 	for _, h := range p.holders {
-		if !h.server.gone {
+		if h.valid() {
 			addresses = append(addresses, h.server.Address)
 		}
 	}
--- a/internal/decision/beechroute/server.go
+++ b/internal/decision/beechroute/server.go
@@ -21,6 +21,7 @@
 	server struct {
 		Server
 		gone     bool
+		epoch    uint64 // how often its cache was to be forgotten
 		load     Load
 		work     backlog
 		inFlight int // own requests that have not ended
--- a/internal/decision/beechroute/types.go
+++ b/internal/decision/beechroute/types.go
@@ -79,6 +79,13 @@
 		Held   bool
 	}
 
+	// Changes is what an agent says of its cache. All says that the list is
+	// everything held, so that anything else is to be forgotten.
+	Changes struct {
+		All  bool
+		List []Change
+	}
+
 	// HotPrefix is a prefix in demand with those that hold it, for entry
 	// hosts that restart.
 	HotPrefix struct {
--- a/internal/process/beechreplay/policy_test.go
+++ b/internal/process/beechreplay/policy_test.go
@@ -191,7 +191,7 @@
 		n.known[i] = h.load.Running + h.load.Waiting
 		if n.r.policy.kind == ours {
 			n.router.Report(address(i), h.load)
-			n.router.Changed(address(i), 1, h.changes)
+			n.router.Changed(address(i), 1, beechroute.Changes{List: h.changes})
 		}
 	}
 }
--- a/internal/prompt/beechindex/index.go
+++ b/internal/prompt/beechindex/index.go
@@ -1,6 +1,7 @@
 package beechindex
 
 import (
+	"slices"
 	"sync"
 
 	"github.com/hashicorp/golang-lru/v2/simplelru"
@@ -8,7 +9,10 @@
 
 const (
 	defaultBytes = 8 << 20
-	entryBytes   = 320 // an entry with its key, list links and its block's link
+	entryBytes   = 320 // an entry with its key and list links
+	blockBytes   = 240 // a block's tie with its key and list links
+
+	maxEnded = 64 // incarnations remembered as ended
 )
 
 type (
@@ -17,18 +21,32 @@
 		key  Key
 	}
 
+	// entry is one level. Epoch counts the gaps before it was last confirmed;
+	// doubt the evictions of unknown blocks, which count against it while it is
+	// tied to no block of its own.
 	entry struct {
-		tokens int
-		epoch  uint64
+		tokens    int
+		stored    bool
+		tied      bool
+		epoch     uint64
+		doubt     uint64
+		waiting   int // requests that wait and will bring it
+		announced bool
 	}
 
 	// Index is the picture of one engine's prompt cache.
 	Index struct {
 		mutex       sync.Mutex
 		incarnation uint64
+		begun       bool
+		ended       []uint64
 		sequence    uint64
+		whole       bool // every prompt since the incarnation began is still known
 		epoch       uint64
-		entries     *simplelru.LRU[entryKey, entry]
+		doubt       uint64
+		entries     *simplelru.LRU[entryKey, *entry]
+		ties        ties
+		log         changeLog
 		counts      Counts
 	}
 )
@@ -39,73 +57,214 @@
 		s.MaxBytes = defaultBytes
 	}
 	x := &Index{}
-	x.entries, _ = simplelru.NewLRU[entryKey, entry](max(1, s.MaxBytes/entryBytes), nil)
+	x.entries, _ = simplelru.NewLRU(max(1, s.MaxBytes/2/entryBytes), x.dropped)
+	x.ties = newTies(max(1, s.MaxBytes/2/blockBytes))
 	return x
 }
 
-// Begin starts an incarnation of the engine and empties the index, unless it has
-// begun already.
+// Begin starts an incarnation of the engine and empties the index. An incarnation
+// that has begun or ended before is passed over, so a late report of a dead engine
+// cannot bring its entries back.
 func (x *Index) Begin(incarnation uint64) {
 	x.mutex.Lock()
 	defer x.mutex.Unlock()
-	if incarnation == x.incarnation {
+	if x.begun && incarnation == x.incarnation || slices.Contains(x.ended, incarnation) {
 		return
 	}
-	x.incarnation = incarnation
-	x.sequence = 0
-	x.entries.Purge()
+	if x.begun {
+		x.ended = append(x.ended, x.incarnation)
+		x.ended = x.ended[max(0, len(x.ended)-maxEnded):]
+	}
+	x.incarnation, x.begun = incarnation, true
+	x.sequence, x.epoch, x.doubt, x.whole = 0, 0, 0, false
+	x.clear()
 }
 
-// Apply takes in cache events of an incarnation, in the order they came.
+// Apply takes in cache events of an incarnation, in the order they came. An event
+// that came before is passed over.
 func (x *Index) Apply(incarnation uint64, events []Event) {
 	x.mutex.Lock()
 	defer x.mutex.Unlock()
-	if incarnation != x.incarnation {
-		x.counts.Ended++
+	if !x.current(incarnation) {
 		return
 	}
 	for _, e := range events {
-		if e.Sequence != x.sequence+1 {
-			x.epoch++
-			x.counts.Gaps++
+		if e.Sequence <= x.sequence {
+			continue
+		}
+		switch {
+		case e.Sequence != x.sequence+1:
+			x.gap()
+		case e.Sequence == 1:
+			x.whole = true
 		}
 		x.sequence = e.Sequence
-		if e.Cleared {
-			x.entries.Purge()
+		x.apply(e)
+	}
+	x.tie()
+}
+
+func (x *Index) apply(e Event) {
+	switch {
+	case e.Cleared:
+		x.clear()
+	case e.Stored:
+		x.ties.store(e)
+		if key, ok := x.ties.level(e); ok {
+			x.restore(key, e)
+		}
+	default:
+		x.evict(e)
+	}
+}
+
+// gap makes everything learned so far unknown. Runs of blocks that were being
+// gathered may miss one and are given up.
+func (x *Index) gap() {
+	x.epoch++
+	x.counts.Gaps++
+	x.ties.forgetRuns()
+}
+
+func (x *Index) clear() {
+	whole := x.whole
+	x.entries.Purge()
+	x.whole = whole
+	x.ties.clear()
+	x.log.forget()
+}
+
+// restore notes that a block of a level was stored again. The level is whole again
+// only with its last block, which the engine stores last.
+func (x *Index) restore(key entryKey, event Event) {
+	e, ok := x.entries.Get(key)
+	if !ok || !x.ties.isLast(event) {
+		return
+	}
+	e.stored, e.epoch = true, x.epoch
+	x.announce(key, e, true)
+}
+
+func (x *Index) evict(event Event) {
+	key, ok := x.ties.level(event)
+	if !ok {
+		x.counts.Unmatched++
+		x.doubt++
+		return
+	}
+	e, ok := x.entries.Peek(key)
+	if !ok || !e.stored {
+		return
+	}
+	e.stored = false
+	x.counts.Evictions++
+	if e.waiting == 0 {
+		x.announce(key, e, false)
+	}
+}
+
+// Queued notes that a request waits which will bring its levels into the cache.
+// Each Queued has one Left.
+func (x *Index) Queued(salt string, levels []Level) {
+	x.mutex.Lock()
+	defer x.mutex.Unlock()
+	for _, l := range slices.Backward(shared(levels)) {
+		key := entryKey{salt: salt, key: l.Key}
+		e := x.use(key, l)
+		e.waiting++
+		x.announce(key, e, true)
+	}
+}
+
+// Left notes that a request counted by Queued has ended, whatever its outcome.
+func (x *Index) Left(salt string, levels []Level) {
+	x.mutex.Lock()
+	defer x.mutex.Unlock()
+	for _, l := range shared(levels) {
+		key := entryKey{salt: salt, key: l.Key}
+		e, ok := x.entries.Peek(key)
+		if !ok {
+			continue
+		}
+		e.waiting = max(0, e.waiting-1)
+		if e.waiting == 0 && !e.stored {
+			x.announce(key, e, false)
 		}
 	}
 }
 
-// Learn takes in a reply's usage.
+// Learn takes in a reply's usage: the engine has prefilled the whole prompt, so its
+// levels are cached now. Counts that make no sense are passed over.
 func (x *Index) Learn(p Reply) {
 	x.mutex.Lock()
 	defer x.mutex.Unlock()
-	if p.Incarnation != x.incarnation {
-		x.counts.Ended++
+	if !x.current(p.Incarnation) || p.Prompt <= 0 || p.Cached < 0 || p.Cached > p.Prompt {
 		return
 	}
-	for _, l := range p.Levels {
-		x.entries.Add(entryKey{salt: p.Salt, key: l.Key}, entry{tokens: l.Tokens, epoch: x.epoch})
+	for i, l := range slices.Backward(p.Levels) {
+		key := entryKey{salt: p.Salt, key: l.Key}
+		e := x.use(key, l)
+		e.stored, e.epoch, e.doubt = true, x.epoch, x.doubt
+		if i < len(shared(p.Levels)) {
+			x.announce(key, e, true)
+		}
+	}
+	x.ties.learn(p)
+	x.tie()
+}
+
+// tie ties levels to blocks where a run of stored blocks fits a reply.
+func (x *Index) tie() {
+	for _, key := range x.ties.match() {
+		if e, ok := x.entries.Peek(key); ok {
+			e.tied = true
+		}
 	}
 }
 
-// Cached is how many tokens of the prompt the engine has cached. Known is false
-// where a lost event or an eviction leaves that open; tokens is then what is
-// still vouched for.
+// Cached is how many tokens of the prompt, by the levels' own count, the engine has
+// cached. Known is false where a lost event or an eviction that fits no level
+// leaves more of it open; tokens is then what is still vouched for.
 func (x *Index) Cached(salt string, levels []Level) (tokens int, known bool) {
 	x.mutex.Lock()
 	defer x.mutex.Unlock()
-	known = true
-	for i := len(levels) - 1; i >= 0; i-- {
-		e, ok := x.entries.Get(entryKey{salt: salt, key: levels[i].Key})
-		if ok && e.epoch == x.epoch {
-			return levels[i].Tokens, known
+	if !x.begun {
+		return 0, false
+	}
+	for _, l := range levels {
+		e, ok := x.entries.Peek(entryKey{salt: salt, key: l.Key})
+		if !ok {
+			return tokens, x.whole
+		}
+		if !e.stored {
+			return tokens, true
 		}
-		if ok {
-			known = false
+		if e.epoch != x.epoch || !e.tied && e.doubt != x.doubt {
+			return tokens, false
+		}
+		tokens = l.Tokens
+	}
+	return tokens, true
+}
+
+// Changes is what has come and gone since a version that an earlier call gave, and
+// the version to give next. From version 0, or one that is too old, it is
+// everything held, the most recent if that is too much for one message; All then
+// says to forget the rest.
+func (x *Index) Changes(after uint64) (changes Changes, next uint64) {
+	x.mutex.Lock()
+	defer x.mutex.Unlock()
+	if list, ok := x.log.since(after); ok {
+		return Changes{List: list}, x.log.version
+	}
+	changes.All = true
+	for _, key := range slices.Backward(x.entries.Keys()) {
+		e, _ := x.entries.Peek(key)
+		if e.announced && len(changes.List) < maxLog {
+			changes.List = append(changes.List, Change{Key: key.key, Tokens: e.tokens, Held: true})
 		}
 	}
-	return 0, known
+	return changes, x.log.version
 }
 
 // Counts is what the index has seen so far.
@@ -116,3 +275,45 @@
 	counts.Entries = x.entries.Len()
 	return counts
 }
+
+func (x *Index) current(incarnation uint64) bool {
+	if x.begun && incarnation == x.incarnation {
+		return true
+	}
+	x.counts.Ended++
+	return false
+}
+
+func (x *Index) use(key entryKey, l Level) *entry {
+	e, ok := x.entries.Get(key)
+	if !ok {
+		e = &entry{}
+		x.entries.Add(key, e)
+	}
+	e.tokens = l.Tokens
+	return e
+}
+
+func (x *Index) announce(key entryKey, e *entry, held bool) {
+	if e.announced == held {
+		return
+	}
+	e.announced = held
+	x.log.add(Change{Key: key.key, Tokens: e.tokens, Held: held})
+}
+
+// dropped is called for an entry that has to make room, or is cleared away. The
+// engine may hold it still, so it is not called gone; its use to others ends with
+// the first reply that says so.
+func (x *Index) dropped(_ entryKey, e *entry) {
+	x.whole = false
+	e.announced = false
+}
+
+// shared is the levels that another prompt may have in common with this one.
+func shared(levels []Level) []Level {
+	if len(levels) < 2 {
+		return levels
+	}
+	return levels[:len(levels)-1]
+}
--- a/internal/prompt/beechindex/types.go
+++ b/internal/prompt/beechindex/types.go
@@ -25,15 +25,31 @@
 	}
 
 	// Reply is what the engine's usage said of a prompt that it has prefilled.
-	// Prompt and Cached are the engine's own token counts.
+	// Prompt and Cached are the engine's own token counts, Estimated is the
+	// entry host's for the whole prompt.
 	Reply struct {
 		Incarnation uint64
 		Salt        string
 		Levels      []Level
+		Estimated   int
 		Prompt      int
 		Cached      int
 	}
 
+	// Change is a level that has come into the cache or queue, or gone.
+	Change struct {
+		Key    Key
+		Tokens int
+		Held   bool
+	}
+
+	// Changes is a part of what an agent tells entry hosts. All says that the
+	// list is everything held, so that anything else is to be forgotten.
+	Changes struct {
+		All  bool
+		List []Change
+	}
+
 	// Settings bound the index. MaxBytes of 0 is the default.
 	Settings struct {
 		MaxBytes int
@@ -45,5 +61,6 @@
 		Gaps      uint64 // holes in the events' sequence
 		Ended     uint64 // events and replies of an ended incarnation, dropped
 		Evictions uint64 // entries that an event took away
+		Unmatched uint64 // evictions of blocks that no entry is tied to
 	}
 )
