Prove the whole path as separate processes by a script

Cause: what holds must be shown with real processes, kills and cuts, and in a language an operator can read. Ruled out: one process with fakes (no kill, no freeze); a cluster simulator.

--- a/Makefile
+++ b/Makefile
@@ -35,7 +35,7 @@
 	go test -run '^$$' -bench . -benchtime $(BENCH_TIME) work
 
 scenarios:
-	go test -count=1 -run 'TestScenarios' ./internal/command/...
+	go test -count=1 -run "TestScenarios" ./internal/command/beechscenario
 
 soak:
-	go test -count=1 -timeout 60m -run 'TestSoak' ./internal/command/... -seeds $(SEEDS)
+	go test -count=1 -timeout 60m -run "TestSoak" ./internal/command/beechscenario -seeds $(SEEDS)
--- /dev/null
+++ b/internal/command/beechscenario/caller_test.go
@@ -0,0 +1,263 @@
+package beechscenario
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"net/netip"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/beechring/beechring/internal/standin/beechengine"
+)
+
+type (
+	// request is what a caller asks.
+	request struct {
+		Entry     netip.AddrPort
+		Key       string
+		Model     string
+		System    string // the common instruction
+		History   string
+		Prompt    string
+		Tokens    int
+		Stream    bool
+		Idem      string
+		LastEvent string
+		Timeout   time.Duration
+		Service   string // path below /v1/services/, with the service's name
+		Method    string
+		Body      string
+		Slow      time.Duration // pause between reads
+		LeaveAt   int           // goes away after so many events
+	}
+
+	// call is one request and what its caller saw.
+	call struct {
+		name    string
+		request request
+		done    chan struct{}
+
+		mu        sync.Mutex
+		status    int
+		retry     string
+		header    http.Header
+		events    int
+		lastID    string
+		text      string
+		body      []byte
+		finished  bool // the stream's last event came, or the whole plain body
+		ran       string
+		code      string
+		prompt    int
+		cached    int
+		err       error
+		firstByte time.Duration
+		took      time.Duration
+	}
+
+	chunk struct {
+		Choices []struct {
+			Text    string                   `json:"text"`
+			Delta   struct{ Content string } `json:"delta"`
+			Message struct{ Content string } `json:"message"`
+		} `json:"choices"`
+		Usage *struct {
+			Prompt  int `json:"prompt_tokens"`
+			Details struct {
+				Cached int `json:"cached_tokens"`
+			} `json:"prompt_tokens_details"`
+		} `json:"usage"`
+		Error *struct {
+			Code string `json:"code"`
+			Ran  string `json:"ran"`
+		} `json:"error"`
+	}
+)
+
+var (
+	callers = &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 64, DisableCompression: true}}
+	errLeft = errors.New("the caller left")
+)
+
+// newCall starts a caller in a goroutine of its own.
+func newCall(ctx context.Context, name string, r request) *call {
+	c := &call{name: name, request: r, done: make(chan struct{})}
+	go func() {
+		defer close(c.done)
+		began := time.Now()
+		err := c.run(ctx, began)
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		c.err = err
+		c.took = time.Since(began)
+	}()
+	return c
+}
+
+func (c *call) run(ctx context.Context, began time.Time) error {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	asked, err := c.build(ctx)
+	if err != nil {
+		return err
+	}
+	response, err := callers.Do(asked)
+	if err != nil {
+		return err
+	}
+	defer response.Body.Close()
+	c.mu.Lock()
+	c.status = response.StatusCode
+	c.header = response.Header
+	c.retry = response.Header.Get("Retry-After")
+	c.firstByte = time.Since(began)
+	c.mu.Unlock()
+	if strings.HasPrefix(response.Header.Get("Content-Type"), "text/event-stream") {
+		return c.readEvents(response.Body)
+	}
+	body, err := io.ReadAll(response.Body)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.body = body
+	c.finished = err == nil
+	c.takeChunkLocked(body)
+	return err
+}
+
+func (c *call) build(ctx context.Context) (*http.Request, error) {
+	r := &c.request
+	method, path, body := http.MethodPost, "/v1/chat/completions", r.completion()
+	if r.Service != "" {
+		path = "/v1/services/" + r.Service
+		body = []byte(r.Body)
+		if r.Method != "" {
+			method = r.Method
+		}
+	}
+	asked, err := http.NewRequestWithContext(ctx, method, "http://"+r.Entry.String()+path, bytes.NewReader(body))
+	if err != nil {
+		return nil, err
+	}
+	asked.Header.Set("Authorization", "Bearer "+r.Key)
+	asked.Header.Set("Content-Type", "application/json")
+	setHeader(asked.Header, "Idempotency-Key", r.Idem)
+	setHeader(asked.Header, "Last-Event-ID", r.LastEvent)
+	if r.Timeout > 0 {
+		asked.Header.Set("X-Request-Timeout-Ms", fmt.Sprint(r.Timeout.Milliseconds()))
+	}
+	return asked, nil
+}
+
+func setHeader(h http.Header, name, value string) {
+	if value != "" {
+		h.Set(name, value)
+	}
+}
+
+// completion is the body of a chat with the levels that callers' prompts have.
+func (r *request) completion() []byte {
+	var messages []map[string]string
+	for _, level := range []struct{ role, content string }{{"system", r.System}, {"user", r.History}, {"user", r.Prompt}} {
+		if level.content != "" {
+			messages = append(messages, map[string]string{"role": level.role, "content": level.content})
+		}
+	}
+	data, _ := json.Marshal(map[string]any{
+		"model": r.Model, "messages": messages, "stream": r.Stream, "max_tokens": r.Tokens,
+		"stream_options": map[string]bool{"include_usage": true},
+	})
+	return data
+}
+
+// expected is the text of the whole answer under the given weights.
+func (r *request) expected(weights string) string {
+	prompt, err := beechengine.Prompt(r.completion())
+	if err != nil {
+		return ""
+	}
+	return beechengine.Answer(r.Model+"@"+weights, prompt, r.Tokens)
+}
+
+func (c *call) readEvents(body io.Reader) error {
+	lines := bufio.NewScanner(body)
+	lines.Buffer(nil, 1<<20)
+	for lines.Scan() {
+		if c.takeLine(lines.Text()) {
+			c.mu.Lock()
+			c.finished = true
+			c.mu.Unlock()
+			return nil
+		}
+		if c.request.LeaveAt > 0 && c.eventCount() >= c.request.LeaveAt {
+			return errLeft
+		}
+		time.Sleep(c.request.Slow)
+	}
+	return lines.Err()
+}
+
+// takeLine returns true for the stream's last event.
+func (c *call) takeLine(line string) bool {
+	name, value, _ := strings.Cut(line, ": ")
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	switch name {
+	case "id":
+		c.lastID = value
+	case "data":
+		if value == "[DONE]" {
+			return true
+		}
+		c.events++
+		c.takeChunkLocked([]byte(value))
+	}
+	return false
+}
+
+func (c *call) takeChunkLocked(data []byte) {
+	var got chunk
+	if json.Unmarshal(data, &got) != nil {
+		return
+	}
+	if len(got.Choices) > 0 {
+		c.text += got.Choices[0].Text + got.Choices[0].Delta.Content + got.Choices[0].Message.Content
+	}
+	if got.Usage != nil {
+		c.prompt = got.Usage.Prompt
+		c.cached = got.Usage.Details.Cached
+	}
+	if got.Error != nil {
+		c.ran = got.Error.Ran
+		c.code = got.Error.Code
+	}
+}
+
+func (c *call) eventCount() int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.events
+}
+
+func (c *call) waitDone(limit time.Duration) error {
+	select {
+	case <-c.done:
+		return nil
+	case <-time.After(limit):
+		return fmt.Errorf("call %s got no end within %s", c.name, limit)
+	}
+}
+
+// describe is for messages of failed checks.
+func (c *call) describe() string {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return fmt.Sprintf("call %s: status %d, code %q, ran %q, retry %q, events %d, finished %t, error %v, text %.60q, body %.200q",
+		c.name, c.status, c.code, c.ran, c.retry, c.events, c.finished, c.err, c.text, c.body)
+}
--- /dev/null
+++ b/internal/command/beechscenario/holds_test.go
@@ -0,0 +1,218 @@
+package beechscenario
+
+import (
+	"bufio"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"os"
+	"slices"
+	"strings"
+
+	"github.com/beechring/beechring/internal/standin/beechengine"
+	"github.com/beechring/beechring/internal/standin/beechservice"
+)
+
+// invariants are what must hold, by name, over what callers saw and what the
+// stand-ins ran. Each returns what it saw broken.
+var invariants = map[string]func(w *world) error{
+	"whole":    holdsWhole,
+	"once":     holdsOnce,
+	"notrun":   holdsNotRun,
+	"isolated": holdsIsolated,
+	"served":   holdsServed,
+}
+
+// holdsWhole: every caller that got 200 got the whole answer to its own request,
+// in order, nothing doubled, nothing missing; or was told in the stream that it
+// is broken. A caller that left has a beginning of it.
+func holdsWhole(w *world) error {
+	for _, c := range w.allCalls() {
+		if c.request.Service != "" || c.status != http.StatusOK {
+			continue
+		}
+		if err := c.checkText(w.weights()); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (c *call) checkText(weights []string) error {
+	c.mu.Lock()
+	text, finished, code := c.text, c.finished, c.code
+	c.mu.Unlock()
+	for _, version := range weights {
+		want := c.request.expected(version)
+		if c.request.LastEvent != "" {
+			if finished && strings.HasSuffix(want, text) {
+				return nil
+			}
+			continue
+		}
+		if finished && text == want || !finished && strings.HasPrefix(want, text) && (code != "" || c.err != nil) {
+			return nil
+		}
+	}
+	return fmt.Errorf("not whole and in order: %s", c.describe())
+}
+
+// weights lists the versions that engines have served.
+func (w *world) weights() []string {
+	var out []string
+	for _, e := range w.engineRuns() {
+		if _, version, found := strings.Cut(e.Model, "@"); found && !slices.Contains(out, version) {
+			out = append(out, version)
+		}
+	}
+	return out
+}
+
+// holdsOnce: no key of a call that may not be repeated ran more than once, and
+// a call that was answered ran.
+func holdsOnce(w *world) error {
+	bodies := w.serviceRuns()
+	for _, c := range w.allCalls() {
+		if c.request.Service == "" || c.request.Idem == "" {
+			continue
+		}
+		runs := bodies[beechservice.BodyHash([]byte(c.request.Body))]
+		if runs > 1 {
+			return fmt.Errorf("ran %d times: %s", runs, c.describe())
+		}
+		if runs == 0 && c.status == http.StatusOK {
+			return fmt.Errorf("answered and never ran: %s", c.describe())
+		}
+	}
+	return nil
+}
+
+// holdsNotRun: what was refused with "ran: no" never ran at any server, unless
+// another call with the same body did. Requests of a scenario differ in their
+// bodies.
+func holdsNotRun(w *world) error {
+	bodies := w.serviceRuns()
+	prompts := map[string]int{}
+	for _, e := range w.engineRuns() {
+		if e.Ran {
+			prompts[e.Fingerprint]++
+		}
+	}
+	answered := w.answeredBodies()
+	for _, c := range w.allCalls() {
+		if c.ran != "no" {
+			continue
+		}
+		body, runs := c.journalKey(), 0
+		if c.request.Service != "" {
+			runs = bodies[body]
+		} else {
+			runs = prompts[body]
+		}
+		if runs > 0 && !answered[body] {
+			return fmt.Errorf("said not run and ran %d times: %s", runs, c.describe())
+		}
+	}
+	return nil
+}
+
+func (c *call) journalKey() string {
+	if c.request.Service != "" {
+		return beechservice.BodyHash([]byte(c.request.Body))
+	}
+	prompt, err := beechengine.Prompt(c.request.completion())
+	if err != nil {
+		return ""
+	}
+	return beechengine.Fingerprint(prompt)
+}
+
+// answeredBodies names what some call was not told to be not run.
+func (w *world) answeredBodies() map[string]bool {
+	out := map[string]bool{}
+	for _, c := range w.allCalls() {
+		if c.ran != "no" {
+			out[c.journalKey()] = true
+		}
+	}
+	return out
+}
+
+// holdsIsolated: no run relied on cache of other weights, no salt served two
+// workspaces, and no salt served two weights versions.
+func holdsIsolated(w *world) error {
+	models := map[string]string{}
+	for _, e := range w.engineRuns() {
+		if e.Stale > 0 {
+			return fmt.Errorf("request %s relied on %d tokens of other weights", e.RequestID, e.Stale)
+		}
+		if e.Salt == "" {
+			return fmt.Errorf("request %s ran without a cache salt", e.RequestID)
+		}
+		if model, seen := models[e.Salt]; seen && model != e.Model {
+			return fmt.Errorf("salt %s served %s and %s", e.Salt, model, e.Model)
+		}
+		models[e.Salt] = e.Model
+	}
+	return nil
+}
+
+// holdsServed: every call that ended got its whole answer.
+func holdsServed(w *world) error {
+	for _, c := range w.allCalls() {
+		if c.status != http.StatusOK || !c.finished || c.code != "" {
+			return fmt.Errorf("not served: %s", c.describe())
+		}
+	}
+	return nil
+}
+
+// engineRuns reads what the engines' stand-ins ran, the last word on each run.
+// Journals are files, so that they outlast a kill.
+func (w *world) engineRuns() []beechengine.Entry {
+	var out []beechengine.Entry
+	for _, name := range w.names("engine") {
+		last := map[string]int{}
+		readLines(w.processes[name].journal, func(line []byte) {
+			var e beechengine.Entry
+			if json.Unmarshal(line, &e) != nil || e.RequestID == "" {
+				return
+			}
+			key := fmt.Sprintf("%s/%d/%d", e.RequestID, e.Attempt, e.Incarnation)
+			if at, seen := last[key]; seen {
+				out[at] = e
+				return
+			}
+			last[key] = len(out)
+			out = append(out, e)
+		})
+	}
+	return out
+}
+
+// serviceRuns counts what the plain services' stand-ins ran, by body.
+func (w *world) serviceRuns() map[string]int {
+	counts := map[string]int{}
+	for _, name := range w.names("service") {
+		readLines(w.processes[name].journal, func(line []byte) {
+			var r beechservice.Run
+			if json.Unmarshal(line, &r) == nil {
+				counts[r.BodyHash]++
+			}
+		})
+	}
+	return counts
+}
+
+func readLines(file string, take func(line []byte)) {
+	f, err := os.Open(file)
+	if err != nil {
+		return
+	}
+	defer f.Close()
+	lines := bufio.NewScanner(f)
+	lines.Buffer(nil, 1<<20)
+	for lines.Scan() {
+		take(lines.Bytes())
+	}
+}
--- /dev/null
+++ b/internal/command/beechscenario/scenario_test.go
@@ -0,0 +1,56 @@
+package beechscenario
+
+import (
+	"fmt"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"testing"
+
+	"github.com/rogpeppe/go-internal/testscript"
+)
+
+type worldKey struct{}
+
+const scripts = "../../../scenarios"
+
+func TestMain(m *testing.M) {
+	os.Exit(runTests(m))
+}
+
+// runTests builds the program once for all scenarios.
+func runTests(m *testing.M) int {
+	dir, err := os.MkdirTemp("", "beechring")
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return 1
+	}
+	defer os.RemoveAll(dir)
+	binary = filepath.Join(dir, "beechring")
+	build := exec.Command("go", "build", "-o", binary, "github.com/beechring/beechring/cmd/beechring")
+	build.Stderr = os.Stderr
+	if err := build.Run(); err != nil {
+		fmt.Fprintln(os.Stderr, "build beechring:", err)
+		return 1
+	}
+	return m.Run()
+}
+
+// TestScenarios runs every script under scenarios/, side by side.
+func TestScenarios(t *testing.T) {
+	files, err := filepath.Glob(filepath.Join(scripts, "*", "*.txtar"))
+	if err != nil || len(files) == 0 {
+		t.Fatalf("no scripts under %s: %v", scripts, err)
+	}
+	testscript.Run(t, testscript.Params{
+		Files: files,
+		Setup: func(env *testscript.Env) error {
+			w := newWorld(env.T().(testing.TB), env.WorkDir)
+			env.Values[worldKey{}] = w
+			env.Defer(w.close)
+			env.Setenv("PATH", filepath.Dir(binary)+string(os.PathListSeparator)+os.Getenv("PATH"))
+			return nil
+		},
+		Cmds: scriptCommands(),
+	})
+}
