Prove resume, cuts, engine crashes and graceful stops by scripts

Cause: what must always hold needs a proof under kills and cuts. The first version of these scripts proved nothing: testscript's own kill, wait and stop took precedence, and stop ended the script early with success. Ruled out: overriding the built-in words; ours are sigkill, sigterm, await.

--- a/internal/command/beechscenario/commands_test.go
+++ b/internal/command/beechscenario/commands_test.go
@@ -38,8 +38,8 @@
 	"service":  commandService,
 	"entry":    commandEntry,
 	"seeds":    commandSeeds,
-	"kill":     eachName((*world).kill),
-	"stop":     eachName((*world).stop),
+	"sigkill":  eachName((*world).kill),
+	"sigterm":  eachName((*world).stop),
 	"restart":  eachName((*world).restart),
 	"freeze":   eachName(func(w *world, name string) error { return w.signal(name, syscall.SIGSTOP) }),
 	"thaw":     eachName(func(w *world, name string) error { return w.signal(name, syscall.SIGCONT) }),
@@ -50,7 +50,7 @@
 	"send":     commandSend,
 	"load":     commandLoad,
 	"halt":     commandHalt,
-	"wait":     commandWait,
+	"await":    commandWait,
 	"expect":   commandExpect,
 	"until":    commandUntil,
 	"holds":    commandHolds,
@@ -359,7 +359,7 @@
 	return nil
 }
 
-// wait NAME...: until the calls have ended.
+// await NAME...: until the calls have ended.
 func commandWait(w *world, arguments []string) error {
 	for _, name := range arguments {
 		c, err := w.call(name)
--- a/internal/command/beechscenario/holds_test.go
+++ b/internal/command/beechscenario/holds_test.go
@@ -16,11 +16,14 @@
 // invariants are what must hold, by name, over what callers saw and what the
 // stand-ins ran. Each returns what it saw broken.
 var invariants = map[string]func(w *world) error{
-	"whole":    holdsWhole,
-	"once":     holdsOnce,
-	"notrun":   holdsNotRun,
-	"isolated": holdsIsolated,
-	"served":   holdsServed,
+	"whole":     holdsWhole,
+	"once":      holdsOnce,
+	"notrun":    holdsNotRun,
+	"isolated":  holdsIsolated,
+	"served":    holdsServed,
+	"runs":      holdsNoSecondRun,
+	"crashes":   holdsFewCrashes,
+	"innocents": holdsInnocents,
 }
 
 // holdsWhole: every caller that got 200 got the whole answer to its own request,
@@ -157,6 +160,56 @@
 	return nil
 }
 
+// holdsNoSecondRun: no prompt was computed twice, however often it was asked
+// for.
+func holdsNoSecondRun(w *world) error {
+	runs := map[string]int{}
+	for _, e := range w.engineRuns() {
+		if !e.Ran {
+			continue
+		}
+		runs[e.Fingerprint]++
+		if runs[e.Fingerprint] > 1 {
+			return fmt.Errorf("request %s ran more than once", e.RequestID)
+		}
+	}
+	return nil
+}
+
+// poisonCrashes is how many servers a request may crash before it is refused.
+const poisonCrashes = 2
+
+// holdsFewCrashes: no request was running at more than two crashes, those that
+// were beside a poisonous one apart.
+func holdsFewCrashes(w *world) error {
+	crashes := map[string]int{}
+	for _, e := range w.engineRuns() {
+		if e.State == beechengine.StateCrashed || e.State == beechengine.StateRunning {
+			crashes[e.Fingerprint]++
+		}
+	}
+	for fingerprint, count := range crashes {
+		if count > poisonCrashes {
+			return fmt.Errorf("prompt %s was running at %d crashes", fingerprint, count)
+		}
+	}
+	return nil
+}
+
+// holdsInnocents: every call of a load got its whole answer, whatever happened
+// to the engines beside it.
+func holdsInnocents(w *world) error {
+	for _, c := range w.allCalls() {
+		if !strings.HasPrefix(c.name, "members-") {
+			continue
+		}
+		if c.status != http.StatusOK || !c.finished || c.code != "" {
+			return fmt.Errorf("not served: %s", c.describe())
+		}
+	}
+	return nil
+}
+
 // holdsServed: every call that ended got its whole answer.
 func holdsServed(w *world) error {
 	for _, c := range w.allCalls() {
