--- a/internal/process/beechburn/burn.go
+++ b/internal/process/beechburn/burn.go
@@ -178,7 +178,7 @@
 func (b *Burn) copyAll() (Snapshot, []string) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	s := Snapshot{At: b.clock.Now(), Hosts: 1, Objectives: b.objectives, All: b.all.snapshot("", b.elapsed())}
+	s := Snapshot{At: b.clock.Now(), Since: b.start, Hosts: 1, Objectives: b.objectives, All: b.all.snapshot("", b.elapsed())}
 	return s, slices.Collect(maps.Keys(b.named))
 }
 
--- a/internal/process/beechburn/report.go
+++ b/internal/process/beechburn/report.go
@@ -47,6 +47,7 @@
 	// Report is what an operator reads. Workspaces come with the worst first.
 	Report struct {
 		At         time.Time  `json:"at"`
+		Since      time.Time  `json:"since"`
 		Hosts      int        `json:"hosts"`
 		Objectives Objectives `json:"objectives"`
 		All        Row        `json:"all"`
@@ -81,7 +82,7 @@
 
 // Report computes burn, percentiles and alerts.
 func (s Snapshot) Report() Report {
-	r := Report{At: s.At, Hosts: s.Hosts, Objectives: s.Objectives, All: s.All.row(s.Objectives)}
+	r := Report{At: s.At, Since: s.Since, Hosts: s.Hosts, Objectives: s.Objectives, All: s.All.row(s.Objectives)}
 	for _, w := range s.Workspaces {
 		r.Workspaces = append(r.Workspaces, w.row(s.Objectives))
 	}
--- a/internal/process/beechburn/snapshot.go
+++ b/internal/process/beechburn/snapshot.go
@@ -11,9 +11,11 @@
 
 type (
 	// Snapshot is what one process has counted, or several together. Its JSON
-	// is what entry hosts hand to the burn command.
+	// is what entry hosts hand to the burn command. Since is when the youngest
+	// of the processes started: windows that reach back further miss its share.
 	Snapshot struct {
 		At         time.Time  `json:"at"`
+		Since      time.Time  `json:"since"`
 		Hosts      int        `json:"hosts"`
 		Objectives Objectives `json:"objectives"`
 		All        Series     `json:"all"`
@@ -49,6 +51,9 @@
 			merged.At = s.At
 			merged.Objectives = s.Objectives
 		}
+		if s.Since.After(merged.Since) {
+			merged.Since = s.Since
+		}
 		merged.Hosts += s.Hosts
 		if err := merged.All.merge(s.All); err != nil {
 			return Snapshot{}, fmt.Errorf("merge burn over all: %w", err)
--- a/internal/process/beechburn/table.go
+++ b/internal/process/beechburn/table.go
@@ -19,13 +19,14 @@
 func Table(w io.Writer, r Report, most int) error {
 	t := tabwriter.NewWriter(w, 0, 0, columnGap, ' ', 0)
 	fmt.Fprintf(t, "burn at %s over %d entry hosts%s\n", r.At.UTC().Format(time.RFC3339), r.Hosts, alertText(r.All.Alert))
+	fmt.Fprintf(t, "whole since %s, when the youngest host started\n", r.Since.UTC().Format(time.RFC3339))
 	fmt.Fprintf(t, "promised: %s\n\n", promises(r.Objectives))
-	fmt.Fprintln(t, "WINDOW\tBURN\tSERVED\tFIRST\tTOTAL\tREQUESTS\tREFUSED\tFAILED\tFIRST P50\tP95\tP99\tTOTAL P50\tP99\tHIT\tWASTED")
+	fmt.Fprintln(t, "WINDOW\tBURN\tBY SERVED\tBY FIRST\tBY TOTAL\tREQUESTS\tREFUSED\tFAILED\tFIRST P50\tP95\tP99\tTOTAL P50\tP99\tHIT\tWASTED")
 	for _, v := range r.All.Windows {
 		fmt.Fprintln(t, v.cells(v.Window, ""))
 	}
 	fmt.Fprintf(t, "\nworkspaces in the last hour, worst first (%d of %d)\n", min(most, len(r.Workspaces)), len(r.Workspaces))
-	fmt.Fprintln(t, "WORKSPACE\tBURN\tSERVED\tFIRST\tTOTAL\tREQUESTS\tREFUSED\tFAILED\tFIRST P50\tP95\tP99\tTOTAL P50\tP99\tHIT\tWASTED\tALERT")
+	fmt.Fprintln(t, "WORKSPACE\tBURN\tBY SERVED\tBY FIRST\tBY TOTAL\tREQUESTS\tREFUSED\tFAILED\tFIRST P50\tP95\tP99\tTOTAL P50\tP99\tHIT\tWASTED\tALERT")
 	for i, v := range r.Workspaces {
 		if i == most {
 			break
@@ -59,15 +60,20 @@
 	return fmt.Sprintf("%s\t%.2f\t%.2f\t%.2f\t%.2f\t%d\t%d\t%d\t%s\t%s\t%s\t%s\t%s\t%s\t%s\t%s",
 		name, r.Burn, r.ServedBurn, r.FirstBurn, r.TotalBurn,
 		r.Served+r.Refused+r.Failed, r.Refused, r.Failed,
-		millis(r.FirstP50), millis(r.FirstP95), millis(r.FirstP99), millis(r.TotalP50), millis(r.TotalP99),
+		short(r.FirstP50), short(r.FirstP95), short(r.FirstP99), short(r.TotalP50), short(r.TotalP99),
 		part(r.HitRate, r.Prompt), part(r.WastedShare, r.Prompt), a)
 }
 
-func millis(d time.Duration) string {
-	if d <= 0 {
+// short is a time with the digits that a histogram vouches for.
+func short(d time.Duration) string {
+	switch {
+	case d <= 0:
 		return unknown
+	case d < time.Second:
+		return strconv.FormatFloat(float64(d)/float64(time.Millisecond), 'f', 1, 64) + "ms"
+	default:
+		return strconv.FormatFloat(d.Seconds(), 'f', 2, 64) + "s"
 	}
-	return strconv.FormatFloat(float64(d)/float64(time.Millisecond), 'f', 1, 64) + "ms"
 }
 
 func part(share float64, of uint64) string {
