--- a/internal/decision/beechroute/router.go
+++ b/internal/decision/beechroute/router.go
@@ -16,6 +16,11 @@
 	defaultReportLag    = 100 * time.Millisecond
 
 	meanStep = 0.02 // share of one observation that a running mean takes in
+
+	typicalOutput = 100 // tokens, until requests have told
+
+	hotRate = 0.2 // requests a second that make a prefix worth telling others
+	maxHot  = 256
 )
 
 // Router chooses servers for an entry host's requests. It is safe for concurrent
@@ -54,7 +59,7 @@
 		servers:  map[netip.AddrPort]*server{},
 		rings:    map[string]*ring{},
 		prefixes: newTable(s.MaxBytes),
-		output:   100,
+		output:   typicalOutput,
 	}
 }
 
@@ -122,14 +127,14 @@
 	uncached = max(0, uncached)
 	s.inFlight++
 	if !r.settings.lacks(MechanismOwn) {
-		s.work.add(float64(uncached), now, float64(s.load.PrefillRate), r.settings.ReportLag)
+		s.work.add(float64(uncached), now, r.settings.ReportLag)
 	}
 	if q.OutputTokens > 0 {
 		r.output += meanStep * (float64(q.OutputTokens) - r.output)
 	}
 	for _, l := range slices.Backward(q.Levels) {
 		p := r.prefixes.use(l)
-		p.count1(now)
+		p.demandOne(now)
 		p.hold(s, now)
 	}
 }
@@ -153,7 +158,7 @@
 // queue, or gone from the cache, for this entry host's requests and others'.
 // Without it each entry host would have to find out by itself where a prefix
 // went, and would make a copy of its own.
-func (r *Router) Changed(address netip.AddrPort, incarnation uint64, changes []Change) {
+func (r *Router) Changed(address netip.AddrPort, incarnation uint64, changes Changes) {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
 	s := r.servers[address]
@@ -161,8 +166,11 @@
 		return
 	}
 	s.announces = true
+	if changes.All {
+		s.epoch++
+	}
 	now := r.clock.Now()
-	for _, c := range changes {
+	for _, c := range changes.List {
 		if c.Held {
 			r.prefixes.use(Level{Key: c.Key, Tokens: c.Tokens}).hold(s, now)
 			continue
@@ -214,9 +222,7 @@
 	if s == nil || s.Incarnation > incarnation {
 		return
 	}
-	s.gone = true
-	r.servers[address] = newServer(s.Server)
-	r.rebuild()
+	s.epoch++
 }
 
 // Hot is the prefixes in demand, those with the most tokens asked for a second
@@ -264,7 +270,7 @@
 func (p *prefix) addresses() []netip.AddrPort {
 	var addresses []netip.AddrPort
 	for _, h := range p.holders {
-		if !h.server.gone {
+		if h.valid() {
 			addresses = append(addresses, h.server.Address)
 		}
 	}
