At most once: outcomes written by another agent are seen, repeats are told soon

Cause: found by scripts. (1) A repeat after its entry host was killed got 'outcome unknown' although the agent beside the service had recorded the outcome: the shard's owner answered from its own copy of the open segment. (2) A repeat after a lost reply waited 5 s and was told 'not run', since the owner waited for an outcome that nobody would bring, and the entry host's own limit ended first. (3) An agent replaced while its link was down ended a member's stream with 'gone' instead of going on elsewhere. Ruled out: reading the segment at every claim (only claims without an outcome read it again); a longer limit at the entry host. Conclusion: an unknown outcome is given up by the entry host in words, and the owner waits at most 3 s, less than anybody waits for it.

--- a/internal/command/beechscenario/commands_test.go
+++ b/internal/command/beechscenario/commands_test.go
@@ -39,7 +39,7 @@
 	"entry":    commandEntry,
 	"seeds":    commandSeeds,
 	"sigkill":  eachName((*world).kill),
-	"sigterm":  eachName((*world).stop),
+	"sigterm":  commandTerminate,
 	"restart":  eachName((*world).restart),
 	"freeze":   eachName(func(w *world, name string) error { return w.signal(name, syscall.SIGSTOP) }),
 	"thaw":     eachName(func(w *world, name string) error { return w.signal(name, syscall.SIGCONT) }),
@@ -54,6 +54,8 @@
 	"expect":   commandExpect,
 	"until":    commandUntil,
 	"holds":    commandHolds,
+	"mark":     commandMark,
+	"ranonly":  commandRanOnly,
 }
 
 func eachName(do func(w *world, name string) error) command {
@@ -67,6 +69,9 @@
 	}
 }
 
+// usage is the error of a command that was written wrongly.
+func usage(form string) error { return fmt.Errorf("usage: %s", form) }
+
 func readValues(arguments []string) (plain []string, named values) {
 	named = values{}
 	for _, a := range arguments {
@@ -142,7 +147,7 @@
 // engine NAME ZONE [flags]: a stand-in NAME.engine and its agent NAME.
 func commandEngine(w *world, arguments []string) error {
 	if len(arguments) < 2 {
-		return fmt.Errorf("engine NAME ZONE [flags]")
+		return usage("engine NAME ZONE [flags]")
 	}
 	name, zone := arguments[0], arguments[1]
 	flags := append([]string{
@@ -159,7 +164,7 @@
 // service NAME ZONE [flags]: a stand-in NAME.service and its agent NAME.
 func commandService(w *world, arguments []string) error {
 	if len(arguments) < 2 {
-		return fmt.Errorf("service NAME ZONE [flags]")
+		return usage("service NAME ZONE [flags]")
 	}
 	name, zone := arguments[0], arguments[1]
 	service, err := w.startStandin("service", name+".service", arguments[2:])
@@ -172,7 +177,7 @@
 // entry NAME ZONE: an entry host.
 func commandEntry(w *world, arguments []string) error {
 	if len(arguments) != 2 {
-		return fmt.Errorf("entry NAME ZONE")
+		return usage("entry NAME ZONE")
 	}
 	return w.startEntry(arguments[0], arguments[1])
 }
@@ -189,10 +194,38 @@
 	return nil
 }
 
+// sigterm NAME... [&]: ends processes gracefully; each must exit with 0.
+func commandTerminate(w *world, arguments []string) error {
+	if arguments[len(arguments)-1] == "&" {
+		return eachName(func(w *world, name string) error { return w.signal(name, syscall.SIGTERM) })(w, arguments[:len(arguments)-1])
+	}
+	return eachName((*world).stop)(w, arguments)
+}
+
+// mark: what engines begin from here on is looked at by ranonly.
+func commandMark(w *world, _ []string) error {
+	w.markedAt = time.Now()
+	return nil
+}
+
+// ranonly ENGINE...: nothing began elsewhere since the mark.
+func commandRanOnly(w *world, arguments []string) error {
+	allowed := map[string]bool{}
+	for _, name := range arguments {
+		allowed[name] = true
+	}
+	for name, began := range w.beganSince(w.markedAt) {
+		if !allowed[name] {
+			return fmt.Errorf("%s began %d runs since the mark", name, began)
+		}
+	}
+	return nil
+}
+
 // cut NAME once|stay|silent|mend: the connections to an agent.
 func commandCut(w *world, arguments []string) error {
 	if len(arguments) != 2 || w.cutters[arguments[0]] == nil {
-		return fmt.Errorf("cut AGENT once|stay|silent|mend")
+		return usage("cut AGENT once|stay|silent|mend")
 	}
 	c := w.cutters[arguments[0]]
 	switch arguments[1] {
@@ -211,7 +244,7 @@
 // fault NAME JSON: a stand-in's fault, as its page POST /standin/fault takes it.
 func commandFault(w *world, arguments []string) error {
 	if len(arguments) != 2 {
-		return fmt.Errorf("fault NAME JSON")
+		return usage("fault NAME JSON")
 	}
 	p, err := w.process(arguments[0])
 	if err != nil {
@@ -253,7 +286,7 @@
 func commandApply(w *world, arguments []string) error {
 	plain, named := readValues(arguments)
 	if len(plain) != 1 {
-		return fmt.Errorf("apply FILE [base=N] [expect=OUTCOME]")
+		return usage("apply FILE [base=N] [expect=OUTCOME]")
 	}
 	p, err := w.process("platform")
 	if err != nil {
@@ -323,7 +356,7 @@
 func commandSend(w *world, arguments []string) error {
 	plain, named := readValues(arguments)
 	if len(plain) == 0 {
-		return fmt.Errorf("send NAME entry=ENTRY ... [&]")
+		return usage("send NAME entry=ENTRY ... [&]")
 	}
 	r, err := w.readRequest(named)
 	if err != nil {
@@ -341,7 +374,7 @@
 func commandLoad(w *world, arguments []string) error {
 	plain, named := readValues(arguments)
 	if len(plain) != 1 {
-		return fmt.Errorf("load NAME entries=A,B callers=N ...")
+		return usage("load NAME entries=A,B callers=N ...")
 	}
 	r, err := w.readRequest(named)
 	if err != nil {
@@ -377,7 +410,7 @@
 func commandExpect(w *world, arguments []string) error {
 	plain, named := readValues(arguments)
 	if len(plain) != 1 {
-		return fmt.Errorf("expect NAME ...")
+		return usage("expect NAME ...")
 	}
 	c, err := w.call(plain[0])
 	if err != nil {
@@ -428,11 +461,12 @@
 	return "no"
 }
 
-// until ready NAME... | serving ENTRY N | generation N NAME... | events CALL N |
-// calls N | running ENGINE N | log NAME TEXT.
+// until CONDITION: ready NAME..., serving ENTRY N, usable ENTRY N, generation N
+// NAME..., offers AGENT MODELS, shared AGENT..., gaps AGENT..., emptycache
+// AGENT..., cancelled ENGINE N, events CALL N, calls N, ran N, log NAME TEXT.
 func commandUntil(w *world, arguments []string) error {
 	if len(arguments) < 2 {
-		return fmt.Errorf("until CONDITION ...")
+		return usage("until CONDITION ...")
 	}
 	condition, err := w.condition(arguments[0], arguments[1:])
 	if err != nil {
@@ -445,6 +479,18 @@
 	switch kind {
 	case "ready":
 		return func() bool { return w.all(a, func(s roleStatus) bool { return s.Ready }) }, nil
+	case "usable":
+		count, err := strconv.Atoi(a[1])
+		return func() bool { return w.all(a[:1], func(s roleStatus) bool { return s.usable() == count }) }, err
+	case "shared":
+		return func() bool { return w.all(a, func(s roleStatus) bool { return s.Shared > 0 }) }, nil
+	case "gaps":
+		return func() bool { return w.all(a, func(s roleStatus) bool { return s.Cache.Gaps > 0 }) }, nil
+	case "emptycache":
+		return func() bool { return w.all(a, func(s roleStatus) bool { return s.Cache.Entries == 0 }) }, nil
+	case "cancelled":
+		count, err := strconv.Atoi(a[1])
+		return func() bool { return w.countState(a[0], beechengine.StateCancelled) >= count }, err
 	case "serving":
 		count, err := strconv.Atoi(a[1])
 		return func() bool { return w.all(a[:1], func(s roleStatus) bool { return s.Serving == count }) }, err
@@ -483,6 +529,25 @@
 	Serving    int      `json:"servingAgents"`
 	Generation int      `json:"generation"`
 	Offers     []string `json:"offers"`
+	Shared     int      `json:"sharedMembers"`
+	Members    []struct {
+		Host   struct{ Role string }
+		Usable bool
+	} `json:"members"`
+	Cache struct {
+		Entries int
+		Gaps    uint64
+	} `json:"cache"`
+}
+
+func (s roleStatus) usable() int {
+	count := 0
+	for _, m := range s.Members {
+		if m.Usable && m.Host.Role == "agent" {
+			count++
+		}
+	}
+	return count
 }
 
 func (w *world) all(names []string, good func(s roleStatus) bool) bool {
--- a/internal/command/beechscenario/holds_test.go
+++ b/internal/command/beechscenario/holds_test.go
@@ -8,6 +8,7 @@
 	"os"
 	"slices"
 	"strings"
+	"time"
 
 	"github.com/beechring/beechring/internal/standin/beechengine"
 	"github.com/beechring/beechring/internal/standin/beechservice"
@@ -21,6 +22,7 @@
 	"notrun":    holdsNotRun,
 	"isolated":  holdsIsolated,
 	"served":    holdsServed,
+	"monotone":  holdsMonotone,
 	"runs":      holdsNoSecondRun,
 	"crashes":   holdsFewCrashes,
 	"innocents": holdsInnocents,
@@ -220,29 +222,97 @@
 	return nil
 }
 
+// holdsMonotone: no process went back a generation while it lived.
+func holdsMonotone(w *world) error {
+	type logLine struct {
+		Message    string `json:"message"`
+		Generation uint64 `json:"generation"`
+	}
+	for _, kind := range []string{"entry", "agent"} {
+		for _, name := range w.names(kind) {
+			var last uint64
+			var broken error
+			readLines(w.processes[name].log, func(text []byte) {
+				var line logLine
+				if json.Unmarshal(text, &line) != nil {
+					return
+				}
+				if strings.HasSuffix(line.Message, " serves") {
+					last = 0
+				}
+				if line.Message != "configuration in force" {
+					return
+				}
+				if line.Generation < last {
+					broken = fmt.Errorf("%s went from generation %d to %d", name, last, line.Generation)
+				}
+				last = line.Generation
+			})
+			if broken != nil {
+				return broken
+			}
+		}
+	}
+	return nil
+}
+
+// beganSince counts runs that began after a time, by engine.
+func (w *world) beganSince(at time.Time) map[string]int {
+	counts := map[string]int{}
+	for _, name := range w.names("engine") {
+		for _, e := range w.runsOf(name) {
+			if e.Began.After(at) {
+				counts[name]++
+			}
+		}
+	}
+	return counts
+}
+
+// countState counts an engine's runs that ended so.
+func (w *world) countState(engine string, state beechengine.State) int {
+	count := 0
+	for _, e := range w.runsOf(engine) {
+		if e.State == state {
+			count++
+		}
+	}
+	return count
+}
+
 // engineRuns reads what the engines' stand-ins ran, the last word on each run.
 // Journals are files, so that they outlast a kill.
 func (w *world) engineRuns() []beechengine.Entry {
 	var out []beechengine.Entry
 	for _, name := range w.names("engine") {
-		last := map[string]int{}
-		readLines(w.processes[name].journal, func(line []byte) {
-			var e beechengine.Entry
-			if json.Unmarshal(line, &e) != nil || e.RequestID == "" {
-				return
-			}
-			key := fmt.Sprintf("%s/%d/%d", e.RequestID, e.Attempt, e.Incarnation)
-			if at, seen := last[key]; seen {
-				out[at] = e
-				return
-			}
-			last[key] = len(out)
-			out = append(out, e)
-		})
+		out = append(out, w.runsOf(name)...)
 	}
 	return out
 }
 
+func (w *world) runsOf(engine string) []beechengine.Entry {
+	p, err := w.process(engine)
+	if err != nil {
+		return nil
+	}
+	var out []beechengine.Entry
+	last := map[string]int{}
+	readLines(p.journal, func(line []byte) {
+		var e beechengine.Entry
+		if json.Unmarshal(line, &e) != nil || e.RequestID == "" {
+			return
+		}
+		key := fmt.Sprintf("%s/%d/%d", e.RequestID, e.Attempt, e.Incarnation)
+		if at, seen := last[key]; seen {
+			out[at] = e
+			return
+		}
+		last[key] = len(out)
+		out = append(out, e)
+	})
+	return out
+}
+
 // serviceRuns counts what the plain services' stand-ins ran, by body.
 func (w *world) serviceRuns() map[string]int {
 	counts := map[string]int{}
--- a/internal/command/beechscenario/scenario_test.go
+++ b/internal/command/beechscenario/scenario_test.go
@@ -51,6 +51,7 @@
 			env.Setenv("PATH", filepath.Dir(binary)+string(os.PathListSeparator)+os.Getenv("PATH"))
 			return nil
 		},
-		Cmds: scriptCommands(),
+		Cmds:     scriptCommands(),
+		TestWork: os.Getenv("SCENARIO_KEEP") != "",
 	})
 }
--- a/internal/command/beechscenario/world_test.go
+++ b/internal/command/beechscenario/world_test.go
@@ -37,6 +37,7 @@
 		order     []string
 		loads     []*load
 		seeds     []netip.AddrPort
+		markedAt  time.Time
 	}
 
 	// process is one child of the test.
--- a/internal/link/beechwire/wire_gen.go
+++ b/internal/link/beechwire/wire_gen.go
@@ -213,7 +213,8 @@
 	Stream uint64 `msg:"Stream"`
 }
 
-// FinishAsk records the outcome under a token. NotRun releases the claim.
+// FinishAsk records the outcome under a token. NotRun releases the claim. Without
+// NotRun, Status and Agent the outcome will not be known.
 type FinishAsk struct {
 	// Where a repeatable request was placed; empty otherwise.
 	Agent string `msg:"Agent"`
--- a/internal/platform/beechrecord/decide.go
+++ b/internal/platform/beechrecord/decide.go
@@ -64,6 +64,15 @@
 	return entry{}, false, false
 }
 
+func (s *shard) inCurrent(token string) bool {
+	for _, e := range s.chain.current().segment.Entries {
+		if e.Token == token {
+			return true
+		}
+	}
+	return false
+}
+
 func (s *shard) finishedInCurrent(token string) bool {
 	for _, e := range s.chain.current().segment.Entries {
 		if e.Token == token {
@@ -85,15 +94,20 @@
 	return -1
 }
 
-// refreshClosed reads those closed segments again that hold a claim of the
-// batch without an outcome: another owner may have added it since.
-func (s *shard) refreshClosed(ctx context.Context, batch []*operation) error {
+// refresh reads those segments again that hold a claim of the batch without an
+// outcome: another agent may have added it since, as the one that ran the
+// request does when its entry host is lost. An outcome whose token is not
+// known here may be for a claim that another owner has written since.
+func (s *shard) refresh(ctx context.Context, batch []*operation) error {
 	stale := map[string]bool{}
 	for _, o := range batch {
 		if o.claim == nil {
+			if s.closedWith(o.token) < 0 && !s.inCurrent(o.token) {
+				stale[s.chain.current().id] = true
+			}
 			continue
 		}
-		for i := len(s.chain.segments) - 2; i >= 0; i-- {
+		for i := len(s.chain.segments) - 1; i >= 0; i-- {
 			if e, ok := s.chain.segments[i].find(o.key); ok {
 				if e.Outcome == nil {
 					stale[s.chain.segments[i].id] = true
@@ -102,7 +116,7 @@
 			}
 		}
 	}
-	for i := 0; i < len(s.chain.segments)-1; i++ {
+	for i := 0; i < len(s.chain.segments); i++ {
 		if !stale[s.chain.segments[i].id] {
 			continue
 		}
--- a/internal/platform/beechrecord/records.go
+++ b/internal/platform/beechrecord/records.go
@@ -106,16 +106,22 @@
 // may be told Unknown; calling it again is harmless.
 func (r *Records) Finish(ctx context.Context, key Key, token string, o Outcome) error {
 	got := r.submit(ctx, key, &operation{ctx: ctx, key: key.id().String(), token: token, outcome: r.recorded(o)})
+	r.Abandon(token)
+	if got.err != nil {
+		return fmt.Errorf("record the outcome of %s: %w", key, got.err)
+	}
+	return nil
+}
+
+// Abandon says that the outcome of a granted request will not be known, so
+// that repeats need not wait for it.
+func (r *Records) Abandon(token string) {
 	r.mu.Lock()
+	defer r.mu.Unlock()
 	if finished, ok := r.running[token]; ok {
 		close(finished)
 		delete(r.running, token)
 	}
-	r.mu.Unlock()
-	if got.err != nil {
-		return fmt.Errorf("record the outcome of %s: %w", key, got.err)
-	}
-	return nil
 }
 
 // Close refuses what waits and ends the goroutines.
--- a/internal/platform/beechrecord/shard.go
+++ b/internal/platform/beechrecord/shard.go
@@ -175,7 +175,7 @@
 	if err := s.ready(ctx); err != nil {
 		return batch, beforeWrite{err}
 	}
-	if err := s.refreshClosed(ctx, batch); err != nil {
+	if err := s.refresh(ctx, batch); err != nil {
 		return batch, beforeWrite{err}
 	}
 	last := len(s.chain.segments) - 1
--- a/internal/process/beechagent/admin.go
+++ b/internal/process/beechagent/admin.go
@@ -42,6 +42,7 @@
 		Load        beechwire.Load     `json:"load"`
 		Cache       beechindex.Counts  `json:"cache"`
 		Links       beechlink.Counters `json:"links"`
+		Shared      int                `json:"sharedMembers"`
 		Kept        int                `json:"keptAnswers"`
 		Counts      map[string]int64   `json:"counts"`
 	}
@@ -64,6 +65,7 @@
 		Load:        a.wireLoad(),
 		Cache:       a.index.Counts(),
 		Links:       a.server.Counters(),
+		Shared:      a.fleet.sharedMembers(),
 		Kept:        a.library.size(),
 		Counts:      a.numbers.values(),
 	}
--- a/internal/process/beechagent/calls.go
+++ b/internal/process/beechagent/calls.go
@@ -14,6 +14,11 @@
 	"github.com/beechring/beechring/internal/platform/beechrecord"
 )
 
+// claimWait is how long a repeat waits for the first run's outcome. It is less
+// than entry hosts wait for the answer: a caller that is told too late that the
+// outcome is unknown would be told that nobody could be asked.
+const claimWait = 3 * time.Second
+
 var errMethod = errors.New("no such method")
 
 // Answer implements beechlink.Caller: the questions of entry hosts.
@@ -72,6 +77,8 @@
 		return nil, fmt.Errorf("claim: body hash of %d bytes", len(ask.BodyHash))
 	}
 	key := beechrecord.Key{Name: ask.RecordKey}
+	ctx, cancel := context.WithTimeout(ctx, claimWait)
+	defer cancel()
 	reply := claimAnswer(a.records.Claim(ctx, key, beechrecord.BodySum(ask.BodyHash), ask.RequestID))
 	return &reply, nil
 }
@@ -102,6 +109,10 @@
 		a.placements.finish(ask)
 		return &beechwire.ClaimAnswer{State: beechwire.StateDone}, nil
 	}
+	if !ask.NotRun && ask.Status == 0 {
+		a.records.Abandon(ask.Token)
+		return &beechwire.ClaimAnswer{State: beechwire.StateUnknown}, nil
+	}
 	var outcome beechrecord.Outcome = beechrecord.Ran{Status: ask.Status, ContentType: ask.ContentType, Body: ask.Answer}
 	if ask.NotRun {
 		outcome = beechrecord.NotRun{}
--- a/internal/process/beechagent/fleet.go
+++ b/internal/process/beechagent/fleet.go
@@ -58,6 +58,12 @@
 	f.shared = shared
 }
 
+func (f *fleet) sharedMembers() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return len(f.shared.Members)
+}
+
 func (f *fleet) snapshot(entries int, suspects []beechwire.Suspect) beechwire.Snapshot {
 	f.mu.Lock()
 	defer f.mu.Unlock()
--- a/internal/process/beechentry/dispatch.go
+++ b/internal/process/beechentry/dispatch.go
@@ -66,8 +66,12 @@
 		return e.writeRecorded(j)
 	}
 	f := e.runAttempts(ctx, j)
-	if f != nil && f.Ran == beechwire.RanNo {
+	switch {
+	case f == nil:
+	case f.Ran == beechwire.RanNo:
 		e.giveBack(j)
+	case j.request.Claim != "":
+		go e.tellOwner(j, &beechwire.FinishAsk{RecordKey: j.request.RecordKey, Token: j.request.Claim})
 	}
 	return f
 }
@@ -196,8 +200,13 @@
 // joins the same generation again, so that a cut between two hosts costs the
 // caller nothing.
 func (e *Entry) follow(ctx context.Context, j *job, client *beechlink.Client, server netip.AddrPort, stream beechlink.Stream) ending {
-	for {
+	for tries := 0; ; tries++ {
 		how, lost := e.drainStream(ctx, j, server, stream)
+		if _, isGone := how.(gone); isGone && tries > 0 {
+			// The agent was replaced meanwhile. What it was running is lost,
+			// as with a server that died.
+			return e.lostEnding(ctx)
+		}
 		if !lost {
 			return how
 		}
