Push suspicion, leaving and generations at once; queue shares by configuration

Cause: a poisonous request repeated at another entry host within milliseconds was run again, since suspicion travelled with the next heartbeat, and two agents that saw one crash each both counted one. Ruled out: asking the platform's service at each request; a shorter heartbeat (its cost grows with the number of links). Change: what is urgent and has changed is sent at once, and the request carries how many servers it has crashed.

--- a/internal/link/beechlink/client.go
+++ b/internal/link/beechlink/client.go
@@ -75,6 +75,9 @@
 // Counters returns those of all links.
 func (d *Dialer) Counters() Counters { return d.counters.snapshot() }
 
+// Push sends at once what has changed in the heartbeat, as Server.Push does.
+func (d *Dialer) Push() { d.pacer.push() }
+
 // Close closes all links.
 func (d *Dialer) Close() {
 	d.mu.Lock()
--- a/internal/link/beechlink/pacer.go
+++ b/internal/link/beechlink/pacer.go
@@ -17,6 +17,7 @@
 		settings Settings
 		pulse    Pulse
 		stop     chan struct{}
+		soon     chan struct{} // room for one; asks for a round now
 
 		mu          sync.Mutex
 		connections map[*connection]struct{}
@@ -39,6 +40,7 @@
 		settings:    s,
 		pulse:       pulse,
 		stop:        make(chan struct{}),
+		soon:        make(chan struct{}, 1),
 		connections: map[*connection]struct{}{},
 	}
 	period := s.Heartbeat / 2
@@ -50,6 +52,9 @@
 			select {
 			case <-p.stop:
 				return
+			case <-p.soon:
+				p.round(clock.Now(), false)
+				continue
 			case <-ticker.Chan():
 			}
 			now := clock.Now()
@@ -62,6 +67,14 @@
 
 func (p *pacer) close() { close(p.stop) }
 
+// push sends what is urgent and has changed now instead of at the next round.
+func (p *pacer) push() {
+	select {
+	case p.soon <- struct{}{}:
+	default:
+	}
+}
+
 func (p *pacer) round(now time.Time, late bool) {
 	h := p.pulse.Beat()
 	p.mu.Lock()
--- a/internal/link/beechlink/server.go
+++ b/internal/link/beechlink/server.go
@@ -284,6 +284,10 @@
 	s.roster.close()
 }
 
+// Push sends at once what has changed in the heartbeat and must be known soon:
+// leaving, generation, models, suspects.
+func (s *Server) Push() { s.pacer.push() }
+
 // Peers returns the processes linked now.
 func (s *Server) Peers() []Peer { return s.roster.peers() }
 
--- a/internal/link/beechwire/wire_gen.go
+++ b/internal/link/beechwire/wire_gen.go
@@ -469,6 +469,9 @@
 	// ContentType corresponds to the JSON schema field "ContentType".
 	ContentType string `msg:"ContentType"`
 
+	// Servers that died while they ran it, as the entry host knows.
+	Crashes int `msg:"Crashes"`
+
 	// Time left at sending; 0 is none.
 	DeadlineMillis int64 `msg:"DeadlineMillis"`
 
--- a/internal/link/beechwire/wire_msgp_gen.go
+++ b/internal/link/beechwire/wire_msgp_gen.go
@@ -2596,9 +2596,9 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *Request) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 28
+	// map header, size 29
 	// string "Adapter"
-	o = append(o, 0xde, 0x0, 0x1c, 0xa7, 0x41, 0x64, 0x61, 0x70, 0x74, 0x65, 0x72)
+	o = append(o, 0xde, 0x0, 0x1d, 0xa7, 0x41, 0x64, 0x61, 0x70, 0x74, 0x65, 0x72)
 	o = msgp.AppendString(o, z.Adapter)
 	// string "Alone"
 	o = append(o, 0xa5, 0x41, 0x6c, 0x6f, 0x6e, 0x65)
@@ -2618,6 +2618,9 @@
 	// string "ContentType"
 	o = append(o, 0xab, 0x43, 0x6f, 0x6e, 0x74, 0x65, 0x6e, 0x74, 0x54, 0x79, 0x70, 0x65)
 	o = msgp.AppendString(o, z.ContentType)
+	// string "Crashes"
+	o = append(o, 0xa7, 0x43, 0x72, 0x61, 0x73, 0x68, 0x65, 0x73)
+	o = msgp.AppendInt(o, z.Crashes)
 	// string "DeadlineMillis"
 	o = append(o, 0xae, 0x44, 0x65, 0x61, 0x64, 0x6c, 0x69, 0x6e, 0x65, 0x4d, 0x69, 0x6c, 0x6c, 0x69, 0x73)
 	o = msgp.AppendInt64(o, z.DeadlineMillis)
@@ -2753,6 +2756,12 @@
 				err = msgp.WrapError(err, "ContentType")
 				return
 			}
+		case "Crashes":
+			z.Crashes, bts, err = msgp.ReadIntBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Crashes")
+				return
+			}
 		case "DeadlineMillis":
 			z.DeadlineMillis, bts, err = msgp.ReadInt64Bytes(bts)
 			if err != nil {
@@ -2935,7 +2944,7 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *Request) Msgsize() (s int) {
-	s = 3 + 8 + msgp.StringPrefixSize + len(z.Adapter) + 6 + msgp.BoolSize + 8 + msgp.IntSize + 10 + msgp.IntSize + 9 + msgp.BytesPrefixSize + len(z.BodyHash) + 6 + msgp.StringPrefixSize + len(z.Claim) + 12 + msgp.StringPrefixSize + len(z.ContentType) + 15 + msgp.Int64Size + 12 + msgp.Uint64Size + 11 + msgp.Uint64Size + 3 + msgp.StringPrefixSize + len(z.ID) + 7 + msgp.ArrayHeaderSize
+	s = 3 + 8 + msgp.StringPrefixSize + len(z.Adapter) + 6 + msgp.BoolSize + 8 + msgp.IntSize + 10 + msgp.IntSize + 9 + msgp.BytesPrefixSize + len(z.BodyHash) + 6 + msgp.StringPrefixSize + len(z.Claim) + 12 + msgp.StringPrefixSize + len(z.ContentType) + 8 + msgp.IntSize + 15 + msgp.Int64Size + 12 + msgp.Uint64Size + 11 + msgp.Uint64Size + 3 + msgp.StringPrefixSize + len(z.ID) + 7 + msgp.ArrayHeaderSize
 	for za0001 := range z.Levels {
 		s += 1 + 4 + msgp.BytesPrefixSize + len(z.Levels[za0001].Key) + 7 + msgp.IntSize
 	}
--- a/internal/process/beechagent/agent.go
+++ b/internal/process/beechagent/agent.go
@@ -14,7 +14,6 @@
 	"github.com/thejerf/suture/v4"
 	"go.uber.org/zap"
 
-	"github.com/beechring/beechring/internal/decision/beechqueue"
 	"github.com/beechring/beechring/internal/decision/beechsuspect"
 	"github.com/beechring/beechring/internal/link/beechlink"
 	"github.com/beechring/beechring/internal/link/beechwire"
@@ -85,6 +84,7 @@
 	longPrefill     = 8192 // tokens; a few seconds on the engines of today
 	maxLongPrefills = 2
 	prefillWait     = 2 * time.Second
+	maxWait         = 30 * time.Second // callers without a deadline
 	shutdownTimeout = 2 * time.Second
 )
 
@@ -119,12 +119,7 @@
 		endLife:     endLife,
 	}
 	a.view = newBackendView()
-	a.scheduler = newScheduler(beechqueue.Settings{
-		MaxWaiting:      settings.Limits.Waiting,
-		MaxLongPrefills: maxLongPrefills,
-		LongPrefill:     longPrefill,
-		PrefillWait:     prefillWait,
-	}, d.Clock, a.view.queueLoad)
+	a.scheduler = newScheduler(a.queueSettings(nil), d.Clock, a.view.queueLoad)
 	a.server = beechlink.New(
 		beechlink.Settings{Key: settings.Secret}, a.hello, a, a, a, a, d.LinkTLS, d.Clock)
 	if err := a.supervise(); err != nil {
@@ -148,6 +143,7 @@
 	a.supervisor.Add(service{"report", a.watchReport})
 	a.supervisor.Add(service{"cache events", a.watchCache})
 	a.supervisor.Add(service{"configuration", a.watchConfiguration})
+	a.supervisor.Add(service{"apply configuration", a.applyConfigurations})
 	a.supervisor.Add(service{"loads", a.keepModels})
 	return nil
 }
@@ -181,6 +177,7 @@
 // not run, and goes elsewhere.
 func (a *Agent) drain() error {
 	a.leaving.Store(true)
+	a.server.Push()
 	a.log.Info("agent leaves", beechlog.Step("drain"))
 	a.clock.Sleep(leavingNotice)
 	ctx, cancel := context.WithTimeout(context.Background(), drainLimit)
--- a/internal/process/beechagent/configuration.go
+++ b/internal/process/beechagent/configuration.go
@@ -6,6 +6,7 @@
 
 	"go.uber.org/zap"
 
+	"github.com/beechring/beechring/internal/decision/beechqueue"
 	"github.com/beechring/beechring/internal/link/beechlink"
 	"github.com/beechring/beechring/internal/link/beechwire"
 	"github.com/beechring/beechring/internal/platform/beechmanifest"
@@ -72,6 +73,7 @@
 		return
 	}
 	if taken {
+		a.server.Push()
 		a.log.Info("configuration in force", beechlog.Generation(generation), beechlog.Peer(p.Address))
 	}
 }
@@ -88,3 +90,38 @@
 	})
 	return watcher.Serve(ctx)
 }
+
+// applyConfigurations puts what a new configuration says into the queue, until
+// ctx ends.
+func (a *Agent) applyConfigurations(ctx context.Context) error {
+	for {
+		changed := a.holder.Changed()
+		if configuration := a.holder.Current(); configuration != nil {
+			a.scheduler.queue.Configure(a.queueSettings(configuration))
+		}
+		select {
+		case <-changed:
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+	}
+}
+
+// queueSettings are the queue's bounds with the configuration's shares.
+func (a *Agent) queueSettings(c *beechmanifest.Configuration) beechqueue.Settings {
+	s := beechqueue.Settings{
+		MaxWaiting:      a.settings.Limits.Waiting,
+		MaxWait:         maxWait,
+		MaxLongPrefills: maxLongPrefills,
+		LongPrefill:     longPrefill,
+		PrefillWait:     prefillWait,
+	}
+	if c == nil {
+		return s
+	}
+	s.Weights = make(map[string]int, len(c.Manifest.Workspaces))
+	for _, w := range c.Manifest.Workspaces {
+		s.Weights[w.Name] = w.Weight
+	}
+	return s
+}
--- a/internal/process/beechentry/configuration.go
+++ b/internal/process/beechentry/configuration.go
@@ -79,6 +79,7 @@
 	for _, w := range c.Manifest.Workspaces {
 		limits[w.Name] = beechlimit.Limit{Requests: w.RequestsPerMin, Tokens: w.TokensPerMin, Concurrent: w.MaxConcurrent}
 	}
+	e.fleet.dialer.Push()
 	e.limiter.SetLimits(limits)
 	e.fleet.router.SetWasteWeight(c.Manifest.Targets.WasteWeight)
 	e.burn.SetObjectives(beechburn.Objectives{
--- a/internal/process/beechentry/dispatch.go
+++ b/internal/process/beechentry/dispatch.go
@@ -121,10 +121,20 @@
 		return refused{beechwire.Refused{Reason: beechwire.ReasonSuspect, AfterMillis: v.After.Milliseconds()}}
 	case beechsuspect.Alone:
 		j.request.Alone = true
+		j.request.Crashes = e.knownCrashes(j.request.Fingerprint)
 	}
 	return nil
 }
 
+func (e *Entry) knownCrashes(fingerprint uint64) int {
+	for _, r := range e.suspects.List() {
+		if r.Fingerprint == fingerprint && !r.Cleared {
+			return r.Crashes
+		}
+	}
+	return 0
+}
+
 // choose takes the best ranked server whose link is up. A refusal's hint goes
 // first.
 func (e *Entry) choose(j *job) (beechroute.Candidate, error) {
@@ -342,7 +352,9 @@
 func (e *Entry) failedBy(j *job, server netip.AddrPort, r beechwire.Failed) ending {
 	e.health.Observe(beechhealth.Sample{Server: server, Model: j.target(), Failed: true})
 	if r.Crashed {
-		e.suspects.Crashed([]uint64{j.request.Fingerprint})
+		j.request.Crashes++
+		e.suspects.Merge([]beechsuspect.Record{{Fingerprint: j.request.Fingerprint, Crashes: j.request.Crashes}})
+		e.fleet.dialer.Push()
 	}
 	return broken{ran: ranOf(r.Ran), crashed: r.Crashed, reason: r.Reason}
 }
--- a/internal/process/beechentry/entry.go
+++ b/internal/process/beechentry/entry.go
@@ -175,6 +175,7 @@
 // still served.
 func (e *Entry) drain() error {
 	e.leaving.Store(true)
+	e.fleet.dialer.Push()
 	e.log.Info("entry leaves", beechlog.Step("drain"))
 	e.clock.Sleep(balancerNotice)
 	ctx, cancel := context.WithTimeout(context.Background(), drainLimit)
