--- a/internal/command/beechdemo/deployment.go
+++ b/internal/command/beechdemo/deployment.go
@@ -31,12 +31,14 @@
 type (
 	// deployment is everything that runs. Its group ends with its context.
 	deployment struct {
+		settings Settings
 		log      *zap.Logger
 		clock    clockwork.Clock
 		platform netip.AddrPort
 		hosts    []beechstore.Host
 		entries  []*beechentry.Entry
 		callers  []netip.AddrPort
+		engines  []netip.AddrPort
 		group    *errgroup.Group
 	}
 )
@@ -47,7 +49,7 @@
 	demoAdminKey = "demo-admin-key-of-one-process"
 	model        = "fit-advisor"
 	weights      = "1"
-	engines      = 4
+	engineCount  = 4
 	readyTimeout = 10 * time.Second
 	readyPause   = 10 * time.Millisecond
 	closeTimeout = time.Second
@@ -66,13 +68,13 @@
 )
 
 // start brings a deployment up and returns once every entry serves.
-func start(ctx context.Context, level string, errs io.Writer) (*deployment, error) {
-	log, err := beechlog.New(errs, level)
+func start(ctx context.Context, s Settings, errs io.Writer) (*deployment, error) {
+	log, err := beechlog.New(errs, s.Log)
 	if err != nil {
 		return nil, err
 	}
 	group, ctx := errgroup.WithContext(ctx)
-	d := &deployment{log: log, clock: clockwork.NewRealClock(), group: group}
+	d := &deployment{settings: s, log: log, clock: clockwork.NewRealClock(), group: group}
 	if err := d.startAll(ctx); err != nil {
 		return nil, err
 	}
@@ -89,7 +91,7 @@
 	if err := d.publish(ctx); err != nil {
 		return err
 	}
-	for i := range engines {
+	for i := range engineCount {
 		if err := d.startEngine(ctx, i); err != nil {
 			return err
 		}
@@ -165,14 +167,19 @@
 }
 
 func (d *deployment) startEngine(ctx context.Context, number int) error {
-	engine := beechengine.New(beechengine.Settings{
+	settings := beechengine.Settings{
 		Models: []string{model + "@" + weights}, Slots: engineSlots, PrefillRate: enginePrefillRate,
 		TokenTime: engineTokenTime, CacheTokens: engineCacheTokens, CheckFence: true,
-	}, d.clock)
-	address, err := d.serve(ctx, engine.Handler())
+	}
+	if d.settings.instant {
+		settings.PrefillRate = 0
+		settings.TokenTime = 0
+	}
+	address, err := d.serve(ctx, beechengine.New(settings, d.clock).Handler())
 	if err != nil {
 		return err
 	}
+	d.engines = append(d.engines, address)
 	return d.startAgent(ctx, fmt.Sprintf("agent-%d", number+1), zones[number%len(zones)], "advisors", address)
 }
 
@@ -270,7 +277,7 @@
 func (d *deployment) ready() bool {
 	for _, e := range d.entries {
 		status := e.Status()
-		if !status.Ready || status.Serving < engines+1 {
+		if !status.Ready || status.Serving < engineCount+1 {
 			return false
 		}
 	}
--- a/internal/command/beechdemo/load.go
+++ b/internal/command/beechdemo/load.go
@@ -25,6 +25,8 @@
 		Callers  int
 		Keep     bool
 		Log      string
+
+		instant bool // engines compute in no time
 	}
 
 	// figures add up what callers saw.
@@ -85,12 +87,12 @@
 	if s.Log == "" {
 		s.Log = "error"
 	}
-	d, err := start(ctx, s.Log, errs)
+	d, err := start(ctx, s, errs)
 	if err != nil {
 		return err
 	}
 	fmt.Fprintf(out, "%d entry hosts, %d engines and a plain service are up; sending %d requests from %d callers\n",
-		len(d.callers), engines, s.Requests, s.Callers)
+		len(d.callers), engineCount, s.Requests, s.Callers)
 	f := &figures{firstToken: hdrhistogram.New(1, maxMicros, figuresDigits)}
 	began := time.Now()
 	d.load(ctx, s, f)
--- a/internal/process/beechagent/fleet.go
+++ b/internal/process/beechagent/fleet.go
@@ -4,8 +4,11 @@
 	"slices"
 	"sync"
 
+	"go.uber.org/zap"
+
 	"github.com/beechring/beechring/internal/link/beechlink"
 	"github.com/beechring/beechring/internal/link/beechwire"
+	"github.com/beechring/beechring/internal/process/beechlog"
 )
 
 type (
@@ -87,7 +90,8 @@
 
 // Down implements beechlink.Events. What the lost entry host may not have
 // recorded is recorded here.
-func (a *Agent) Down(p beechlink.Peer, _ error) {
+func (a *Agent) Down(p beechlink.Peer, err error) {
+	a.log.Info("entry lost", beechlog.Peer(p.Address), zap.Error(err))
 	graceful := a.fleet.down(p)
 	given := a.unsettled.take(p)
 	if graceful {
--- a/internal/process/beechentry/dispatch.go
+++ b/internal/process/beechentry/dispatch.go
@@ -261,6 +261,8 @@
 			return away{}, false
 		}
 		if err != nil {
+			e.log.Warn("stream lost", beechlog.RequestID(j.request.ID), beechlog.Attempt(j.request.Attempt),
+				beechlog.Step("follow"), beechlog.Peer(server), zap.Error(err))
 			stream.Close(true)
 			return nil, true
 		}
