--- a/internal/command/beechdemo/speed_test.go
+++ b/internal/command/beechdemo/speed_test.go
@@ -145,6 +145,7 @@
 	d := startBench(b)
 	client := benchClient()
 	var number atomic.Int64
+	b.ResetTimer()
 	b.SetParallelism(plainCallers / runtime.GOMAXPROCS(0))
 	b.RunParallel(func(p *testing.PB) {
 		for p.Next() {
