Bound retries by one budget per entry host

Decide tried everything again up to a count. Now a retry needs proof that nothing ran or leave to repeat, time before the deadline and credit; refusals leave half of the spare credit to failures, follow the hint, and what is given up says when to come back, spread by chance. A budget by time was ruled out: it would let a quiet host retry as much as a busy one.

go test -v ./internal/decision/beechretry: an outage meets 11,019 attempts for 10,000 requests; with every second request refused, 0 of 100 crashed requests found the budget empty. Conclusion: amplification is bounded at 1.1 and the spare. New in Outcome: Server, Refused, Others.

--- a/internal/decision/beechretry/budget.go
+++ b/internal/decision/beechretry/budget.go
@@ -9,19 +9,28 @@
 	"github.com/jonboulle/clockwork"
 )
 
+const (
+	// maxShift keeps the doubling of the backoff from overflowing.
+	maxShift = 16
+
+	// unknownAfter is the soonest to come back where nobody knows: the servers
+	// failed, and callers that return at once would keep them down. Up to as
+	// much is added by chance, so that they don't return together.
+	unknownAfter = time.Second
+)
+
 type (
-	// Ran says what is known of whether an attempt ran.
+	// Ran says what is known of whether an attempt ran. Any other value counts
+	// as RanUnknown.
 	Ran string
 
-	// Settings of the budget. Percent of first attempts may be retried; Spare
-	// retries are allowed beyond it in a quiet time. Backoff is the first
-	// mean delay, which doubles with each attempt up to MaxBackoff.
+	// Settings of the budget. Zero values are taken from Defaults.
 	Settings struct {
-		Percent     int
-		Spare       int
-		MaxAttempts int
-		Backoff     time.Duration
-		MaxBackoff  time.Duration
+		Percent     int           // of first attempts that may be retried
+		Spare       int           // retries beyond that, after a quiet time
+		MaxAttempts int           // for one request, the first included
+		Backoff     time.Duration // the longest before the first retry; doubles
+		MaxBackoff  time.Duration // the longest before any retry
 	}
 
 	// Outcome is a failed or refused attempt.
@@ -30,8 +39,11 @@
 		Ran        Ran
 		Repeatable bool
 		Deadline   time.Time      // zero is none
-		Better     netip.AddrPort // the refusal's hint; invalid is none
-		After      time.Duration  // the refusal's hint; 0 is none
+		Server     netip.AddrPort // that gave it
+		Better     netip.AddrPort // a refusal's hint; invalid is none
+		After      time.Duration  // a refusal's hint; 0 is none
+		Refused    bool           // turned away by choice, not failed
+		Others     bool           // other servers may be tried
 	}
 
 	// Decision is the answer to Decide: Retry or GiveUp.
@@ -45,7 +57,7 @@
 	}
 
 	// GiveUp answers the caller at once. Ran is what may truly be said, After
-	// when to come back.
+	// when to come back; 0 where the caller should not.
 	GiveUp struct {
 		Ran   Ran
 		After time.Duration
@@ -58,6 +70,7 @@
 		settings Settings
 		clock    clockwork.Clock
 		random   *rand.Rand
+		credit   int // in hundredths of a retry
 	}
 )
 
@@ -68,23 +81,126 @@
 	RanUnknown Ran = "unknown"
 )
 
+// one is the price of a retry in credit.
+const one = 100
+
+// Defaults are the settings where none are given; the package comment says
+// why.
+var Defaults = Settings{
+	Percent: 10, Spare: 20, MaxAttempts: 3,
+	Backoff: 50 * time.Millisecond, MaxBackoff: 500 * time.Millisecond,
+}
+
 func (Retry) decision()  {}
 func (GiveUp) decision() {}
 
 // New returns a budget with its spare retries. The source gives the jitter.
 func New(s Settings, c clockwork.Clock, source rand.Source) *Budget {
-	return &Budget{settings: s, clock: c, random: rand.New(source)}
+	s = s.withDefaults()
+	return &Budget{settings: s, clock: c, random: rand.New(source), credit: s.Spare * one}
+}
+
+func (s Settings) withDefaults() Settings {
+	if s.Percent <= 0 || s.Percent > 100 {
+		s.Percent = Defaults.Percent
+	}
+	if s.Spare <= 0 {
+		s.Spare = Defaults.Spare
+	}
+	if s.MaxAttempts <= 0 {
+		s.MaxAttempts = Defaults.MaxAttempts
+	}
+	if s.Backoff <= 0 {
+		s.Backoff = Defaults.Backoff
+	}
+	if s.MaxBackoff <= 0 {
+		s.MaxBackoff = Defaults.MaxBackoff
+	}
+	s.MaxBackoff = max(s.MaxBackoff, s.Backoff)
+	return s
 }
 
 // Sent counts a first attempt, of which a fraction may be retried.
-func (b *Budget) Sent() {}
+func (b *Budget) Sent() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.credit = min(b.credit+b.settings.Percent, b.settings.Spare*one)
+}
 
-// Decide says whether an attempt that failed is tried again.
+// Decide says whether an attempt that failed is tried again. A Retry has been
+// paid for.
 func (b *Budget) Decide(o Outcome) Decision {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if o.Attempt >= b.settings.MaxAttempts || (o.Ran != RanNo && !o.Repeatable) {
-		return GiveUp{Ran: o.Ran, After: o.After}
+	if o.Ran != RanNo && o.Ran != RanYes {
+		o.Ran = RanUnknown
+	}
+	o.Attempt = max(o.Attempt, 1)
+	o.After = max(o.After, 0)
+	if o.Attempt >= b.settings.MaxAttempts || !mayRunAgain(o) {
+		return b.giveUp(o)
+	}
+	r, ok := b.plan(o)
+	if !ok || !inTime(o, b.clock.Now().Add(r.After)) || !b.pay(o) {
+		return b.giveUp(o)
+	}
+	return r
+}
+
+// mayRunAgain tells whether a second run does no harm: there was no first, or
+// the request may be repeated. A booking that may have run must not run again.
+func mayRunAgain(o Outcome) bool { return o.Ran == RanNo || o.Repeatable }
+
+// plan says where and when to try again, if anywhere: at the better server that
+// was named, at another one, or at the same one once it has said that it can.
+func (b *Budget) plan(o Outcome) (r Retry, ok bool) {
+	if o.Better.IsValid() && o.Better != o.Server {
+		return Retry{Server: o.Better}, true
+	}
+	if o.Others && o.Refused {
+		return Retry{}, true
+	}
+	if o.Others {
+		return Retry{After: b.backoff(o.Attempt)}, true
+	}
+	after := max(o.After, b.backoff(o.Attempt))
+	return Retry{After: after, Server: o.Server}, after <= b.settings.MaxBackoff
+}
+
+// backoff is drawn from all times up to a bound that doubles: with a fixed
+// one, all that failed together would come back together.
+func (b *Budget) backoff(attempt int) time.Duration {
+	bound := b.settings.Backoff << min(attempt-1, maxShift)
+	bound = min(bound, b.settings.MaxBackoff)
+	return time.Duration(b.random.Int64N(int64(bound) + 1))
+}
+
+// pay takes a retry out of the budget. Refusals leave half of the spare: under
+// saturation they are many, and a request whose server crashed, which is rare,
+// would find nothing left.
+func (b *Budget) pay(o Outcome) bool {
+	floor := 0
+	if o.Refused {
+		floor = b.settings.Spare * one / 2
+	}
+	if b.credit-one < floor {
+		return false
+	}
+	b.credit -= one
+	return true
+}
+
+func inTime(o Outcome, at time.Time) bool {
+	return o.Deadline.IsZero() || at.Before(o.Deadline)
+}
+
+// giveUp tells the truth: what is not proved is not said.
+func (b *Budget) giveUp(o Outcome) GiveUp {
+	if !mayRunAgain(o) {
+		return GiveUp{Ran: o.Ran}
+	}
+	if o.After == 0 {
+		o.After = unknownAfter + time.Duration(b.random.Int64N(int64(unknownAfter)))
 	}
-	return Retry{Server: o.Better}
+	return GiveUp{Ran: o.Ran, After: o.After}
 }
--- /dev/null
+++ b/internal/decision/beechretry/budget_test.go
@@ -0,0 +1,176 @@
+package beechretry
+
+import (
+	"flag"
+	"math/rand/v2"
+	"net/netip"
+	"os"
+	"testing"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+)
+
+var (
+	first  = netip.MustParseAddrPort("10.0.0.1:7000")
+	second = netip.MustParseAddrPort("10.0.0.2:7000")
+)
+
+// TestMain gives the random tests the same seed each time; -rapid.seed tries
+// others.
+func TestMain(m *testing.M) {
+	flag.Parse()
+	if s := flag.Lookup("rapid.seed"); s.Value.String() == s.DefValue {
+		_ = flag.Set(s.Name, "1")
+	}
+	os.Exit(m.Run())
+}
+
+func newBudget(s Settings) (*Budget, *clockwork.FakeClock) {
+	clock := clockwork.NewFakeClock()
+	return New(s, clock, rand.NewPCG(1, 1)), clock
+}
+
+// send plays a request whose every attempt has the same outcome and counts the
+// attempts.
+func send(b *Budget, o Outcome) int {
+	b.Sent()
+	for o.Attempt = 1; ; o.Attempt++ {
+		if _, again := b.Decide(o).(Retry); !again {
+			return o.Attempt
+		}
+	}
+}
+
+// All servers of a model fail for a while. Were each request tried three
+// times, the servers would get three times the load when they can bear it
+// least, and stay down.
+func TestOutageIsNotAmplified(t *testing.T) {
+	is := is.New(t)
+	b, _ := newBudget(Settings{})
+	attempts := 0
+	for range 10000 {
+		attempts += send(b, Outcome{Ran: RanNo, Others: true})
+	}
+	t.Logf("%d attempts for 10000 requests", attempts)
+	is.True(attempts <= 11000+Defaults.Spare)
+}
+
+// Under saturation every second request is refused, and now and then a server
+// crashes under one. The refusals must not use up what the crashed one needs.
+func TestRefusalsLeaveRoomForFailures(t *testing.T) {
+	is := is.New(t)
+	b, _ := newBudget(Settings{})
+	lost := 0
+	for i := range 10000 {
+		if i%2 == 0 {
+			send(b, Outcome{Ran: RanNo, Refused: true, Others: true, After: time.Second})
+		}
+		if i%100 == 1 {
+			b.Sent()
+			if _, again := b.Decide(Outcome{Ran: RanUnknown, Repeatable: true, Others: true}).(Retry); !again {
+				lost++
+			}
+		}
+	}
+	is.Equal(lost, 0)
+}
+
+// A refusal names a better server, or a time; a booking may have run; the
+// deadline is near; only one server is there.
+func TestEachOutcome(t *testing.T) {
+	b, clock := newBudget(Settings{Spare: 1000})
+	soon := clock.Now().Add(time.Millisecond)
+	for _, c := range []struct {
+		name string
+		o    Outcome
+		want Decision
+	}{
+		{"better server", Outcome{Attempt: 1, Ran: RanNo, Refused: true, Server: first, Better: second}, Retry{Server: second}},
+		{"better is the same", Outcome{Attempt: 1, Ran: RanNo, Refused: true, Server: first, Better: first, After: time.Minute}, GiveUp{Ran: RanNo, After: time.Minute}},
+		{"another server", Outcome{Attempt: 1, Ran: RanNo, Refused: true, Others: true, After: time.Minute}, Retry{}},
+		{"one server, later", Outcome{Attempt: 1, Ran: RanNo, Refused: true, Server: first, After: 400 * time.Millisecond}, Retry{After: 400 * time.Millisecond, Server: first}},
+		{"one server, much later", Outcome{Attempt: 1, Ran: RanNo, Refused: true, Server: first, After: time.Minute}, GiveUp{Ran: RanNo, After: time.Minute}},
+		{"may have run", Outcome{Attempt: 1, Ran: RanUnknown, Others: true}, GiveUp{Ran: RanUnknown}},
+		{"nothing said", Outcome{Others: true}, GiveUp{Ran: RanUnknown}},
+		{"ran", Outcome{Attempt: 1, Ran: RanYes, Others: true, Better: second}, GiveUp{Ran: RanYes}},
+		{"not run", Outcome{Attempt: 1, Ran: RanNo, Better: second}, Retry{Server: second}},
+		{"last attempt", Outcome{Attempt: 3, Ran: RanNo, Better: second, After: time.Minute}, GiveUp{Ran: RanNo, After: time.Minute}},
+		{"deadline", Outcome{Attempt: 1, Ran: RanNo, Server: first, After: 2 * time.Millisecond, Deadline: soon}, GiveUp{Ran: RanNo, After: 2 * time.Millisecond}},
+		{"deadline gone", Outcome{Attempt: 1, Ran: RanNo, Better: second, After: time.Minute, Deadline: clock.Now()}, GiveUp{Ran: RanNo, After: time.Minute}},
+		{"before the first", Outcome{Attempt: -5, Ran: RanNo, Better: second, After: -time.Hour}, Retry{Server: second}},
+	} {
+		t.Run(c.name, func(t *testing.T) { is.New(t).Equal(b.Decide(c.o), c.want) })
+	}
+	g := b.Decide(Outcome{Attempt: 9, Ran: RanNo}).(GiveUp)
+	is.New(t).True(g.After >= unknownAfter && g.After < 2*unknownAfter)
+}
+
+// A server with 200 streams crashes. If all were sent again at the same
+// moment, the next server would get them as one burst.
+func TestRetriesAreSpread(t *testing.T) {
+	is := is.New(t)
+	b, _ := newBudget(Settings{Spare: 200, Backoff: 100 * time.Millisecond})
+	var tenths [10]int
+	for range 200 {
+		r := b.Decide(Outcome{Attempt: 1, Ran: RanUnknown, Repeatable: true, Others: true}).(Retry)
+		tenths[min(r.After/(10*time.Millisecond), 9)]++
+	}
+	for _, n := range tenths {
+		is.True(n >= 8 && n <= 40)
+	}
+}
+
+// Whatever the outcome says, what may have run and may not be repeated is never
+// sent again, nothing is sent after its deadline or too often, and not more than
+// the budget holds.
+func TestAnyOutcomeKeepsTheBounds(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		b, clock := newBudget(Settings{Percent: rapid.IntRange(-1, 200).Draw(t, "percent"), Spare: rapid.IntRange(-1, 5).Draw(t, "spare")})
+		spent, sent := 0, 0
+		for range 100 {
+			b.Sent()
+			sent++
+			clock.Advance(time.Duration(rapid.Int64Range(-1e9, 1e9).Draw(t, "time")))
+			o := Outcome{
+				Attempt: rapid.IntRange(-1, 1<<40).Draw(t, "attempt"), Ran: rapid.SampledFrom([]Ran{RanNo, RanYes, RanUnknown, "", "maybe"}).Draw(t, "ran"),
+				Repeatable: rapid.Bool().Draw(t, "repeatable"), After: time.Duration(rapid.Int64().Draw(t, "after")),
+				Refused: rapid.Bool().Draw(t, "refused"), Others: rapid.Bool().Draw(t, "others"), Server: first,
+			}
+			if rapid.Bool().Draw(t, "small") {
+				o.Attempt %= 4
+			}
+			if rapid.Bool().Draw(t, "bounded") {
+				o.Deadline = clock.Now().Add(time.Duration(rapid.Int64Range(-1e9, 1e9).Draw(t, "deadline")))
+			}
+			r, again := b.Decide(o).(Retry)
+			if !again {
+				continue
+			}
+			spent++
+			if o.Ran != RanNo && !o.Repeatable {
+				t.Fatal("ran twice", o)
+			}
+			if !o.Deadline.IsZero() && !clock.Now().Add(r.After).Before(o.Deadline) {
+				t.Fatal("after the deadline", o, r)
+			}
+			if o.Attempt >= b.settings.MaxAttempts || r.After < 0 || r.After > b.settings.MaxBackoff {
+				t.Fatal("too often or too late", o, r)
+			}
+		}
+		if spent*one > sent*b.settings.Percent+b.settings.Spare*one {
+			t.Fatal("over budget", spent)
+		}
+	})
+}
+
+func BenchmarkDecide(b *testing.B) {
+	budget, _ := newBudget(Settings{})
+	b.ReportAllocs()
+	for b.Loop() {
+		budget.Sent()
+		budget.Decide(Outcome{Attempt: 1, Ran: RanNo, Others: true})
+	}
+}
