--- a/internal/decision/beechqueue/queue.go
+++ b/internal/decision/beechqueue/queue.go
@@ -153,8 +153,10 @@
 		return
 	}
 	q.tick(q.load)
+	if it.prefilled {
+		q.slow.learnRun(q.now.Sub(it.started), q.serviceOf(it, u))
+	}
 	q.endPrefill(it)
-	q.slow.learnRun(q.now.Sub(it.started), q.serviceOf(it, u))
 	q.stop(it)
 	q.reconcile(it, u)
 	q.forgetIdle()
--- a/internal/decision/beechretry/budget.go
+++ b/internal/decision/beechretry/budget.go
@@ -43,7 +43,7 @@
 		Better     netip.AddrPort // a refusal's hint; invalid is none
 		After      time.Duration  // a refusal's hint; 0 is none
 		Refused    bool           // turned away by choice, not failed
-		Others     bool           // other servers may be tried
+		Only       bool           // no other server may be tried
 	}
 
 	// Decision is the answer to Decide: Retry or GiveUp.
@@ -157,10 +157,10 @@
 	if o.Better.IsValid() && o.Better != o.Server {
 		return Retry{Server: o.Better}, true
 	}
-	if o.Others && o.Refused {
+	if !o.Only && o.Refused {
 		return Retry{}, true
 	}
-	if o.Others {
+	if !o.Only {
 		return Retry{After: b.backoff(o.Attempt)}, true
 	}
 	after := max(o.After, b.backoff(o.Attempt))
--- a/internal/decision/beechretry/budget_test.go
+++ b/internal/decision/beechretry/budget_test.go
@@ -52,7 +52,7 @@
 	b, _ := newBudget(Settings{})
 	attempts := 0
 	for range 10000 {
-		attempts += send(b, Outcome{Ran: RanNo, Others: true})
+		attempts += send(b, Outcome{Ran: RanNo})
 	}
 	t.Logf("%d attempts for 10000 requests", attempts)
 	is.True(attempts <= 11000+Defaults.Spare)
@@ -66,11 +66,11 @@
 	lost := 0
 	for i := range 10000 {
 		if i%2 == 0 {
-			send(b, Outcome{Ran: RanNo, Refused: true, Others: true, After: time.Second})
+			send(b, Outcome{Ran: RanNo, Refused: true, After: time.Second})
 		}
 		if i%100 == 1 {
 			b.Sent()
-			if _, again := b.Decide(Outcome{Ran: RanUnknown, Repeatable: true, Others: true}).(Retry); !again {
+			if _, again := b.Decide(Outcome{Ran: RanUnknown, Repeatable: true}).(Retry); !again {
 				lost++
 			}
 		}
@@ -89,16 +89,16 @@
 		want Decision
 	}{
 		{"better server", Outcome{Attempt: 1, Ran: RanNo, Refused: true, Server: first, Better: second}, Retry{Server: second}},
-		{"better is the same", Outcome{Attempt: 1, Ran: RanNo, Refused: true, Server: first, Better: first, After: time.Minute}, GiveUp{Ran: RanNo, After: time.Minute}},
-		{"another server", Outcome{Attempt: 1, Ran: RanNo, Refused: true, Others: true, After: time.Minute}, Retry{}},
-		{"one server, later", Outcome{Attempt: 1, Ran: RanNo, Refused: true, Server: first, After: 400 * time.Millisecond}, Retry{After: 400 * time.Millisecond, Server: first}},
-		{"one server, much later", Outcome{Attempt: 1, Ran: RanNo, Refused: true, Server: first, After: time.Minute}, GiveUp{Ran: RanNo, After: time.Minute}},
-		{"may have run", Outcome{Attempt: 1, Ran: RanUnknown, Others: true}, GiveUp{Ran: RanUnknown}},
-		{"nothing said", Outcome{Others: true}, GiveUp{Ran: RanUnknown}},
-		{"ran", Outcome{Attempt: 1, Ran: RanYes, Others: true, Better: second}, GiveUp{Ran: RanYes}},
+		{"better is the same", Outcome{Attempt: 1, Ran: RanNo, Refused: true, Only: true, Server: first, Better: first, After: time.Minute}, GiveUp{Ran: RanNo, After: time.Minute}},
+		{"another server", Outcome{Attempt: 1, Ran: RanNo, Refused: true, After: time.Minute}, Retry{}},
+		{"one server, later", Outcome{Attempt: 1, Ran: RanNo, Refused: true, Only: true, Server: first, After: 400 * time.Millisecond}, Retry{After: 400 * time.Millisecond, Server: first}},
+		{"one server, much later", Outcome{Attempt: 1, Ran: RanNo, Refused: true, Only: true, Server: first, After: time.Minute}, GiveUp{Ran: RanNo, After: time.Minute}},
+		{"may have run", Outcome{Attempt: 1, Ran: RanUnknown}, GiveUp{Ran: RanUnknown}},
+		{"nothing said", Outcome{}, GiveUp{Ran: RanUnknown}},
+		{"ran", Outcome{Attempt: 1, Ran: RanYes, Better: second}, GiveUp{Ran: RanYes}},
 		{"not run", Outcome{Attempt: 1, Ran: RanNo, Better: second}, Retry{Server: second}},
 		{"last attempt", Outcome{Attempt: 3, Ran: RanNo, Better: second, After: time.Minute}, GiveUp{Ran: RanNo, After: time.Minute}},
-		{"deadline", Outcome{Attempt: 1, Ran: RanNo, Server: first, After: 2 * time.Millisecond, Deadline: soon}, GiveUp{Ran: RanNo, After: 2 * time.Millisecond}},
+		{"deadline", Outcome{Attempt: 1, Ran: RanNo, Only: true, Server: first, After: 500 * time.Millisecond, Deadline: soon}, GiveUp{Ran: RanNo, After: 500 * time.Millisecond}},
 		{"deadline gone", Outcome{Attempt: 1, Ran: RanNo, Better: second, After: time.Minute, Deadline: clock.Now()}, GiveUp{Ran: RanNo, After: time.Minute}},
 		{"before the first", Outcome{Attempt: -5, Ran: RanNo, Better: second, After: -time.Hour}, Retry{Server: second}},
 	} {
@@ -115,7 +115,7 @@
 	b, _ := newBudget(Settings{Spare: 200, Backoff: 100 * time.Millisecond})
 	var tenths [10]int
 	for range 200 {
-		r := b.Decide(Outcome{Attempt: 1, Ran: RanUnknown, Repeatable: true, Others: true}).(Retry)
+		r := b.Decide(Outcome{Attempt: 1, Ran: RanUnknown, Repeatable: true}).(Retry)
 		tenths[min(r.After/(10*time.Millisecond), 9)]++
 	}
 	for _, n := range tenths {
@@ -137,7 +137,7 @@
 			o := Outcome{
 				Attempt: rapid.IntRange(-1, 1<<40).Draw(t, "attempt"), Ran: rapid.SampledFrom([]Ran{RanNo, RanYes, RanUnknown, "", "maybe"}).Draw(t, "ran"),
 				Repeatable: rapid.Bool().Draw(t, "repeatable"), After: time.Duration(rapid.Int64().Draw(t, "after")),
-				Refused: rapid.Bool().Draw(t, "refused"), Others: rapid.Bool().Draw(t, "others"), Server: first,
+				Refused: rapid.Bool().Draw(t, "refused"), Only: rapid.Bool().Draw(t, "only"), Server: first,
 			}
 			if rapid.Bool().Draw(t, "small") {
 				o.Attempt %= 4
@@ -171,6 +171,6 @@
 	b.ReportAllocs()
 	for b.Loop() {
 		budget.Sent()
-		budget.Decide(Outcome{Attempt: 1, Ran: RanNo, Others: true})
+		budget.Decide(Outcome{Attempt: 1, Ran: RanNo})
 	}
 }
