Stop a request that crashes engines after two of them

The register counted each report of a crash, so that an agent's and an entry's word of one crash made two, and an innocent batch would have been refused. Now a crash counts one more than was known when the request was let run. Records are merged by the later event; two faults of that were found by tests and mended: records that each hop made younger never ended, and two processes gave an expiring record back to each other (still suspect after 40 minutes with Keep at 30). Counting by time between reports was ruled out: a retry crashes within seconds too.

go test -v ./internal/decision/beechsuspect: a poison request in a batch of 20 crashes two engines, sent again at the same or at another entry; the 19 others are clear. Conclusion: copies let run before the first crash is known still crash an engine each; nothing but the first crash can tell of them. New: News, for heartbeats.

--- a/internal/decision/beechsuspect/register.go
+++ b/internal/decision/beechsuspect/register.go
@@ -1,19 +1,39 @@
 package beechsuspect
 
 import (
+	"cmp"
+	"slices"
 	"sync"
 	"time"
 
 	"github.com/jonboulle/clockwork"
 )
 
+const (
+	// sameTime is how far apart two reports of one event may be. Each hop between
+	// processes makes a record look younger by its transit; were that believed, two
+	// processes that tell each other would keep a suspicion alive for ever.
+	sameTime = 2 * time.Second
+
+	// lastPart: a record in the last tenth of its time is not taken in as new.
+	// Two processes whose records are a little apart would else give it back to
+	// each other each time it expires at one of them.
+	lastPart = 10
+
+	// news is how long a change is passed on with heartbeats: several of them,
+	// so that one that is lost does no harm.
+	news = 5 * time.Second
+
+	// maxCrashes bounds what is told of a request.
+	maxCrashes = 16
+)
+
 type (
-	// Settings of the register. Keep is how long a suspicion lasts, Refuse how
-	// long a request is refused after its last crash. Max bounds the records.
+	// Settings of the register. Zero values are taken from Defaults.
 	Settings struct {
-		Keep   time.Duration
-		Refuse time.Duration
-		Max    int
+		Keep   time.Duration // how long a suspicion or its clearing lasts
+		Refuse time.Duration // after the second crash; doubles with each more, up to Keep
+		Max    int           // records
 	}
 
 	// Record is a request that was running when a server crashed. Age is the
@@ -44,51 +64,222 @@
 		mu       sync.Mutex
 		settings Settings
 		clock    clockwork.Clock
-		crashes  map[uint64]int
+		now      time.Time // never steps back
+		entries  map[uint64]*entry
+	}
+
+	entry struct {
+		crashes int
+		at      time.Time // of the last crash or the clearing
+		cleared bool
+		tried   int       // crashes that were known when it was last let run
+		changed time.Time // when this process learned of it
 	}
 )
 
+// Defaults are the settings where none are given; the package comment says
+// why.
+var Defaults = Settings{Keep: 30 * time.Minute, Refuse: 5 * time.Minute, Max: 1024}
+
 func (Clear) verdict()  {}
 func (Alone) verdict()  {}
 func (Refuse) verdict() {}
 
 // New returns an empty register.
 func New(s Settings, c clockwork.Clock) *Register {
-	return &Register{settings: s, clock: c, crashes: make(map[uint64]int)}
+	if s.Keep <= 0 {
+		s.Keep = Defaults.Keep
+	}
+	if s.Refuse <= 0 {
+		s.Refuse = Defaults.Refuse
+	}
+	if s.Max <= 0 {
+		s.Max = Defaults.Max
+	}
+	return &Register{settings: s, clock: c, now: c.Now(), entries: make(map[uint64]*entry)}
 }
 
-// Crashed tells what was running when a server crashed.
+// Crashed tells what was running when a server crashed. A request that was let
+// run as a suspect has crashed once more than was known then. One that was let
+// run before anything was known has crashed once, however many processes tell
+// of that crash, so that none is refused for a single one.
 func (r *Register) Crashed(running []uint64) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	r.tick()
 	for _, f := range running {
-		r.crashes[f]++
+		if f == 0 {
+			continue
+		}
+		e := r.live(f)
+		if e == nil || e.cleared {
+			e = &entry{}
+			r.entries[f] = e
+		}
+		e.crashes = min(max(e.crashes, e.tried+1), maxCrashes)
+		e.at, e.changed = r.now, r.now
 	}
+	r.shrink()
 }
 
-// Finished clears a request that ran to its end.
+// Finished clears a request that ran to its end. It is no poison, and a
+// process that has not heard so yet must not bring the suspicion back; so the
+// record stays, as cleared.
 func (r *Register) Finished(fingerprint uint64) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	delete(r.crashes, fingerprint)
+	r.tick()
+	e := r.live(fingerprint)
+	if e == nil || e.cleared {
+		return
+	}
+	*e = entry{crashes: e.crashes, at: r.now, cleared: true, changed: r.now}
 }
 
-// Check says how a request may run.
+// Check says how a request may run, and is asked before each attempt.
 func (r *Register) Check(fingerprint uint64) Verdict {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	switch n := r.crashes[fingerprint]; {
-	case n == 0:
+	r.tick()
+	e := r.live(fingerprint)
+	if e == nil || e.cleared {
 		return Clear{}
-	case n == 1:
-		return Alone{}
-	default:
-		return Refuse{After: r.settings.Refuse}
+	}
+	if left := e.at.Add(r.refusal(e.crashes)).Sub(r.now); left > 0 {
+		return Refuse{After: left}
+	}
+	e.tried = e.crashes
+	return Alone{}
+}
+
+// List gives all records, for a process that starts; the most dangerous first,
+// then the latest.
+func (r *Register) List() []Record { return r.list(0) }
+
+// News gives the records that changed lately, for heartbeats. The whole list
+// on each would cost more than all else that heartbeats carry.
+func (r *Register) News() []Record { return r.list(news) }
+
+// Merge takes in other processes' records. The later event counts, and of one
+// crash that both know the higher number.
+func (r *Register) Merge(records []Record) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.tick()
+	for _, n := range records {
+		if n.Fingerprint == 0 || n.Crashes <= 0 || n.Age >= r.settings.Keep {
+			continue
+		}
+		r.merge(n)
+	}
+	r.shrink()
+}
+
+func (r *Register) merge(n Record) {
+	crashes := min(n.Crashes, maxCrashes)
+	at := r.now.Add(-max(n.Age, 0))
+	e := r.live(n.Fingerprint)
+	if e == nil && n.Age >= r.settings.Keep-r.settings.Keep/lastPart {
+		return
+	}
+	if e == nil {
+		r.entries[n.Fingerprint] = &entry{crashes: crashes, at: at, cleared: n.Cleared, changed: r.now}
+		return
+	}
+	later := at.Sub(e.at)
+	switch {
+	case e.cleared == n.Cleared && crashes > e.crashes:
+		e.crashes, e.changed = crashes, r.now
+		if later > 0 {
+			e.at = at
+		}
+	case e.cleared == n.Cleared && later > sameTime:
+		e.at, e.changed = at, r.now
+	case e.cleared != n.Cleared && overrides(n.Cleared, later):
+		*e = entry{crashes: crashes, at: at, cleared: n.Cleared, changed: r.now}
 	}
 }
 
-// List gives the records to pass on to other processes.
-func (r *Register) List() []Record { return nil }
+// overrides tells whether news replaces what is known where one says cleared
+// and the other not. A request is cleared after its crash, so at about the same
+// time the clearing is the later of the two.
+func overrides(cleared bool, later time.Duration) bool {
+	if cleared {
+		return later > -sameTime
+	}
+	return later > sameTime
+}
+
+// live gives a record that has not expired.
+func (r *Register) live(fingerprint uint64) *entry {
+	e := r.entries[fingerprint]
+	if e != nil && r.now.Sub(e.at) >= r.settings.Keep {
+		delete(r.entries, fingerprint)
+		return nil
+	}
+	return e
+}
+
+// refusal is how long a request is refused after its last crash.
+func (r *Register) refusal(crashes int) time.Duration {
+	if crashes < 2 {
+		return 0
+	}
+	return min(r.settings.Refuse<<(crashes-2), r.settings.Keep)
+}
+
+func (r *Register) list(changed time.Duration) []Record {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.tick()
+	var out []Record
+	for f, e := range r.entries {
+		if r.live(f) == nil || (changed > 0 && r.now.Sub(e.changed) > changed) {
+			continue
+		}
+		out = append(out, Record{Fingerprint: f, Crashes: e.crashes, Age: r.now.Sub(e.at), Cleared: e.cleared})
+	}
+	slices.SortFunc(out, func(a, b Record) int {
+		return cmp.Or(b.rank()-a.rank(), cmp.Compare(a.Age, b.Age), cmp.Compare(a.Fingerprint, b.Fingerprint))
+	})
+	return out
+}
 
-// Merge takes in other processes' records.
-func (r *Register) Merge(_ []Record) {}
+// rank orders records by the harm that forgetting them would do.
+func (n Record) rank() int {
+	if n.Cleared {
+		return 0
+	}
+	return n.Crashes
+}
+
+// shrink keeps the number of records within Max. A crash of a large batch must not
+// push out what has crashed twice.
+func (r *Register) shrink() {
+	if len(r.entries) <= r.settings.Max {
+		return
+	}
+	type kept struct {
+		fingerprint uint64
+		entry       *entry
+	}
+	all := make([]kept, 0, len(r.entries))
+	for f, e := range r.entries {
+		all = append(all, kept{f, e})
+	}
+	slices.SortFunc(all, func(a, b kept) int {
+		return cmp.Or(b.entry.rank()-a.entry.rank(), b.entry.at.Compare(a.entry.at), cmp.Compare(a.fingerprint, b.fingerprint))
+	})
+	for _, k := range all[r.settings.Max:] {
+		delete(r.entries, k.fingerprint)
+	}
+}
+
+func (e *entry) rank() int { return Record{Crashes: e.crashes, Cleared: e.cleared}.rank() }
+
+// tick takes over the time, which stands still while the clock steps back.
+func (r *Register) tick() {
+	if now := r.clock.Now(); now.After(r.now) {
+		r.now = now
+	}
+}
--- /dev/null
+++ b/internal/decision/beechsuspect/register_test.go
@@ -0,0 +1,169 @@
+package beechsuspect
+
+import (
+	"testing"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"github.com/matryer/is"
+)
+
+const poison = 666
+
+func registers(n int) ([]*Register, *clockwork.FakeClock) {
+	clock := clockwork.NewFakeClock()
+	var out []*Register
+	for range n {
+		out = append(out, New(Settings{}, clock))
+	}
+	return out, clock
+}
+
+// One request crashes each engine that runs it; it ran in a batch of 20. Its
+// caller sends it again, through the same or another entry host. Two engines may
+// crash and no more; the 19 others must be served, and the refusal must end.
+func TestPoisonRequestIsStopped(t *testing.T) {
+	for _, c := range []struct {
+		name  string
+		entry int // where it is sent again
+	}{{"same entry", 0}, {"other entry", 1}} {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			r, clock := registers(4) // two entries, two agents
+			gossip := func() {
+				for range 2 {
+					for _, from := range r {
+						for _, to := range r {
+							to.Merge(from.News())
+						}
+					}
+				}
+				clock.Advance(time.Second)
+			}
+			batch := []uint64{poison}
+			for f := range uint64(19) {
+				batch = append(batch, f+1)
+			}
+			for _, f := range batch {
+				is.Equal(r[0].Check(f), Clear{})
+				is.Equal(r[2].Check(f), Clear{})
+			}
+			r[2].Crashed(batch)
+			r[2].Merge(nil)
+			r[0].Merge(r[2].News()) // the heartbeat comes before the failed replies
+			r[0].Crashed(batch)
+			gossip()
+			crashes := 1
+			for _, f := range batch {
+				is.Equal(r[c.entry].Check(f), Alone{}) // one crash, told twice
+				is.Equal(r[3].Check(f), Alone{})
+				if f == poison {
+					r[3].Crashed([]uint64{f})
+					r[c.entry].Crashed([]uint64{f})
+					crashes++
+				} else {
+					r[3].Finished(f)
+					r[c.entry].Finished(f)
+				}
+			}
+			gossip()
+			for _, each := range r {
+				is.Equal(each.Check(poison), Refuse{After: Defaults.Refuse - time.Second})
+				for f := range uint64(19) {
+					is.Equal(each.Check(f+1), Clear{})
+				}
+			}
+			is.Equal(crashes, 2)
+			clock.Advance(Defaults.Refuse)
+			is.Equal(r[0].Check(poison), Alone{})
+			r[0].Crashed([]uint64{poison})
+			is.Equal(r[0].Check(poison), Refuse{After: 2 * Defaults.Refuse})
+		})
+	}
+}
+
+// Two processes tell each other of a crash on every heartbeat, each a little
+// late. The suspicion must still end.
+func TestGossipDoesNotKeepSuspicionsAlive(t *testing.T) {
+	is := is.New(t)
+	r, clock := registers(2)
+	r[0].Crashed([]uint64{1})
+	for range 40 * 60 {
+		news := r[0].List()
+		clock.Advance(500 * time.Millisecond)
+		r[1].Merge(news)
+		news = r[1].List()
+		clock.Advance(500 * time.Millisecond)
+		r[0].Merge(news)
+	}
+	is.Equal(r[0].Check(1), Clear{})
+	is.Equal(r[1].Check(1), Clear{})
+	is.Equal(len(r[0].List())+len(r[1].List()), 0)
+}
+
+// A process that was cut off still holds a suspicion that others have cleared,
+// and one that was cleared may crash a server later. The later event counts.
+func TestLaterEventCounts(t *testing.T) {
+	is := is.New(t)
+	r, clock := registers(2)
+	r[0].Crashed([]uint64{1})
+	r[1].Merge(r[0].List())
+	clock.Advance(500 * time.Millisecond)
+	r[1].Finished(1)
+	r[1].Merge(r[0].List()) // old news
+	is.Equal(r[1].Check(1), Clear{})
+	r[0].Merge(r[1].List())
+	is.Equal(r[0].Check(1), Clear{})
+	clock.Advance(time.Minute)
+	r[0].Crashed([]uint64{1})
+	r[1].Merge(r[0].List())
+	is.Equal(r[1].Check(1), Alone{})
+	clock.Advance(news + time.Second)
+	is.Equal(len(r[0].News()), 0)
+	is.Equal(len(r[0].List()), 1)
+}
+
+// Large batches crash again and again, and a process sends records that make no
+// sense. Memory is bounded, and what crashed twice is kept.
+func TestBounds(t *testing.T) {
+	is := is.New(t)
+	clock := clockwork.NewFakeClock()
+	r := New(Settings{Max: 100, Keep: -1, Refuse: -1}, clock)
+	r.Crashed([]uint64{poison})
+	is.Equal(r.Check(poison), Alone{})
+	r.Crashed([]uint64{poison, 0})
+	for f := range uint64(2000) {
+		clock.Advance(time.Millisecond)
+		r.Crashed([]uint64{1000 + f})
+	}
+	is.Equal(len(r.List()), 100)
+	is.Equal(r.List()[0].Fingerprint, uint64(poison))
+	r = New(Settings{}, clock)
+	r.Merge([]Record{
+		{Fingerprint: 0, Crashes: 2},
+		{Fingerprint: 1, Crashes: -5},
+		{Fingerprint: 2, Crashes: 2, Age: 1 << 62},
+		{Fingerprint: 3, Crashes: 1 << 40, Age: -time.Hour},
+	})
+	is.Equal(r.Check(0), Clear{})
+	is.Equal(r.Check(1), Clear{})
+	is.Equal(r.Check(2), Clear{})
+	is.Equal(r.Check(3), Refuse{After: Defaults.Keep})
+	clock.Advance(-time.Hour)
+	is.Equal(r.Check(3), Refuse{After: Defaults.Keep})
+	r.Finished(99)
+	is.Equal(len(r.List()), 1)
+}
+
+func BenchmarkCheck(b *testing.B) {
+	r := New(Settings{}, clockwork.NewRealClock())
+	for f := range uint64(1000) {
+		r.Crashed([]uint64{f})
+	}
+	b.ReportAllocs()
+	i := uint64(0)
+	for b.Loop() {
+		i++
+		r.Check(i % 2000)
+	}
+}
