--- a/internal/decision/beechload/doc.go
+++ b/internal/decision/beechload/doc.go
@@ -51,6 +51,6 @@
 //	case beechload.Unload: // once nothing runs on it
 //	}
 //
-// All members of the pool must be given: with only one, the plan knows no other
-// server that serves, and quotas can't be met.
+// Where pools set Hold or Room, all members of the pool must be given: with only
+// one, the plan knows no other server that serves. Without them one is enough.
 package beechload
--- a/internal/decision/beechqueue/queue_test.go
+++ b/internal/decision/beechqueue/queue_test.go
@@ -255,3 +255,27 @@
 	is.True(estimated > counted)
 	is.True(corrected > estimated)
 }
+
+// One workspace has three times the weight of another, and both ask without
+// end; a third has a higher class and asks for little. Callers get the server
+// by weight, and the higher class is hardly kept waiting.
+func TestWeightsAndClasses(t *testing.T) {
+	is := is.New(t)
+	r := rand.New(rand.NewPCG(1, 6))
+	p := play{settings: settings(), load: engine, stop: 60 * time.Second}
+	p.settings.Weights = map[string]int{"three": 3, "zero": 0}
+	work := Work{PromptTokens: 1000, OutputTokens: 100, Priority: 1}
+	arrivals := stream(r, 1, "three", 30, p.stop, work, 100)
+	arrivals = append(arrivals, stream(r, 1<<32, "zero", 30, p.stop, work, 100)...) // counts as 1
+	work.Priority = 0
+	arrivals = append(arrivals, stream(r, 1<<33, "urgent", 0.7, p.stop, work, 100)...)
+	fates := p.run(arrivals)
+	three := usefulCost(of(fates, "three"), 10*time.Second, p.stop, p.stop)
+	one := usefulCost(of(fates, "zero"), 10*time.Second, p.stop, p.stop)
+	urgent := of(fates, "urgent")
+	t.Logf("three to one is %.2f; urgent: offered %d refused %d p99 %v, others' p50 %v",
+		three/one, len(urgent), len(where(urgent, refused)), percentile(urgent, 99), percentile(of(fates, "three"), 50))
+	is.True(three/one >= 2.5 && three/one <= 3.5)
+	is.Equal(len(where(urgent, refused)), 0)
+	is.True(percentile(urgent, 99)*2 <= percentile(of(fates, "three"), 50))
+}
