Test the fields that resuming reads from a body

Measured: go test ./internal/prompt/... passes. Conclusion: the test now holds both new fields, set and not set.

--- a/internal/prompt/beechprefix/prefix_test.go
+++ b/internal/prompt/beechprefix/prefix_test.go
@@ -28,7 +28,7 @@
 func TestChatBecomesNestedLevels(t *testing.T) {
 	is := is.New(t)
 	chain, fields := parse(t, PathChat, chat)
-	is.Equal(fields, Fields{Model: "advisor", Stream: true, MaxTokens: 50, Messages: 3})
+	is.Equal(fields, Fields{Model: "advisor", Stream: true, Resumable: true, MaxTokens: 50, Messages: 3})
 	is.Equal(len(chain.Levels), 3)
 	is.Equal(chain.PromptTokens, chain.Levels[2].Tokens)
 
@@ -37,6 +37,14 @@
 	is.True(chain.Levels[2].Key != other.Levels[2].Key)
 }
 
+func TestFieldsThatResumingNeeds(t *testing.T) {
+	is := is.New(t)
+	_, fields := parse(t, PathChat, strings.Replace(chat, `"stream":true`, `"n":2,"stream_options":{"include_usage":true}`, 1))
+	is.Equal(fields, Fields{Model: "advisor", WantsUsage: true, MaxTokens: 50, Messages: 3})
+	_, fields = parse(t, PathChat, strings.Replace(chat, `"stream":true`, `"tools":[{}]`, 1))
+	is.True(!fields.Resumable)
+}
+
 // Two members' clients write the same prompt with other spaces, escapes and key order.
 // Taken for different prompts, each would be recomputed.
 func TestSpellingsOfOnePromptShareTheChain(t *testing.T) {
