Count what recomputation takes from others at any waste weight

Ruled out: a warning in the settings; the value is of the fleet's queueing, not a wish. Conclusion: a base of 8 always counts and the deployment's weight is added. The router tests' weight goes from 10 to 2 for the same sum of 10.

--- a/internal/decision/beechroute/bench_test.go
+++ b/internal/decision/beechroute/bench_test.go
@@ -35,7 +35,7 @@
 }
 
 func testRouter(n int, clock clockwork.Clock, health Health) *Router {
-	r := New(Settings{Zone: "a", WasteWeight: 10}, clock, rand.New(rand.NewPCG(1, 1)), health)
+	r := New(Settings{Zone: "a", WasteWeight: 2}, clock, rand.New(rand.NewPCG(1, 1)), health)
 	r.SetServers(testServers(n))
 	return r
 }
--- a/internal/decision/beechroute/choose.go
+++ b/internal/decision/beechroute/choose.go
@@ -169,7 +169,7 @@
 }
 
 // predict is the cost of the request on a server, in seconds: time to first token,
-// and the deployment's weight on the part of it that recomputes. A server in slow
+// and what recomputation takes from others. A server in slow
 // start counts as slower than it is.
 func (r *Router) predict(f *search, s *server, weight float64) Candidate {
 	uncached := max(0, f.request.PromptTokens-r.cached(f, s))
@@ -179,9 +179,9 @@
 		wait += r.settings.ZoneDistance
 	}
 	first := wait + seconds(prefill)
-	cost := first.Seconds()/weight + r.settings.WasteWeight*prefill
+	cost := first.Seconds()/weight + r.prefillWeight()*prefill
 	if s == f.home && !s.announces && weight == 1 {
-		cost -= (1 + r.settings.WasteWeight) * r.homeCredit(f, s)
+		cost -= (1 + r.prefillWeight()) * r.homeCredit(f, s)
 	}
 	return Candidate{Server: s.Address, FirstToken: first, Uncached: uncached, Cost: cost}
 }
--- a/internal/decision/beechroute/router.go
+++ b/internal/decision/beechroute/router.go
@@ -49,9 +49,6 @@
 		s.ReportLag = defaultReportLag
 	}
 	s.WasteWeight = max(0, s.WasteWeight)
-	if s.lacks(MechanismWaste) {
-		s.WasteWeight = 0
-	}
 	return &Router{
 		settings: s,
 		clock:    clock,
--- a/internal/decision/beechroute/types.go
+++ b/internal/decision/beechroute/types.go
@@ -102,9 +102,9 @@
 	}
 
 	// Settings are the deployment's. WasteWeight is the worth of recomputed
-	// prefill time against time to first token: Granite Loop's is high, Solís
-	// Monterroso's low; 0 counts the request's own prefill time alone. The rest
-	// has defaults for zero: ZoneDistance is what a
+	// prefill time against time to first token, beyond what recomputation takes
+	// from other requests in any case: Granite Loop's is about 8, Solís
+	// Monterroso's 0 to 2. The rest has defaults for zero: ZoneDistance is what a
 	// request to another availability zone takes longer, there and back;
 	// ReportLag is how old a load report is when it arrives; MaxBytes bounds
 	// the table of prefixes. Without switches mechanisms off, for measurement.
--- a/internal/process/beechreplay/compare_test.go
+++ b/internal/process/beechreplay/compare_test.go
@@ -105,6 +105,17 @@
 	}
 }
 
+// BenchmarkWeights shows what the weight of waste against first token does.
+func BenchmarkWeights(b *testing.B) {
+	var weights []policy
+	for _, w := range []float64{0, 2, 8, 24, 56} {
+		weights = append(weights, policy{name: fmt.Sprint("weight ", w), kind: ours, weighted: true, weight: w})
+	}
+	for range b.N {
+		printTable(weights)
+	}
+}
+
 // The bounds are the figures reached, with room for changes that trade a little of
 // one for another: a point of hit rate, half of the waste, a sixth of the times.
 type bound struct {
--- a/internal/process/beechreplay/policy_test.go
+++ b/internal/process/beechreplay/policy_test.go
@@ -21,6 +21,8 @@
 		factor    float64       // of the mean load, that bounds a hashed engine's
 		tellEvery time.Duration // between announcements, if longer than usual
 		lost      float64       // share of announcements
+		weighted  bool          // by weight, in place of the deployment's
+		weight    float64
 	}
 
 	ringPoint struct {
@@ -61,6 +63,9 @@
 func newEntry(r *replay, zone int, random *rand.Rand) *entry {
 	n := &entry{r: r, zone: zone, random: random, known: make([]int, r.deployment.engines)}
 	settings := beechroute.Settings{Zone: zoneName(zone), WasteWeight: r.deployment.wasteWeight, Without: r.policy.without}
+	if r.policy.weighted {
+		settings.WasteWeight = r.policy.weight
+	}
 	n.router = beechroute.New(settings, r.clock, random, fullHealth{})
 	var servers []beechroute.Server
 	places := rand.New(rand.NewPCG(1, 2))
@@ -155,7 +160,7 @@
 		if e.running+len(e.queue) >= slots {
 			cost += tokenTime * time.Duration(n.r.deployment.outputMean)
 		}
-		cost += time.Duration(n.r.deployment.wasteWeight * float64(prefill))
+		cost += time.Duration((8 + n.r.deployment.wasteWeight) * float64(prefill))
 		if zoneOf(i, n.r.deployment) != n.zone {
 			cost += zoneDistance
 		}
--- a/internal/process/beechreplay/workload_test.go
+++ b/internal/process/beechreplay/workload_test.go
@@ -45,11 +45,11 @@
 var (
 	graniteLoop = deployment{
 		name: "Granite Loop", engines: 20, zones: 4, requests: 6000, histories: 150,
-		outputMean: 80, hotShare: 0.06, wasteWeight: 16,
+		outputMean: 80, hotShare: 0.06, wasteWeight: 8,
 	}
 	solisMonterroso = deployment{
 		name: "Solís Monterroso", engines: 10, zones: 3, requests: 4000, histories: 90,
-		outputMean: 120, hotShare: 0.10, wasteWeight: 10,
+		outputMean: 120, hotShare: 0.10, wasteWeight: 2,
 	}
 
 	// A few workspaces are large.
