--- a/internal/link/beechwire/wire_gen.go
+++ b/internal/link/beechwire/wire_gen.go
@@ -213,7 +213,8 @@
 	Stream uint64 `msg:"Stream"`
 }
 
-// FinishAsk records the outcome under a token. NotRun releases the claim.
+// FinishAsk records the outcome under a token. NotRun releases the claim. Without
+// NotRun, Status and Agent the outcome will not be known.
 type FinishAsk struct {
 	// Where a repeatable request was placed; empty otherwise.
 	Agent string `msg:"Agent"`
@@ -468,6 +469,9 @@
 	// ContentType corresponds to the JSON schema field "ContentType".
 	ContentType string `msg:"ContentType"`
 
+	// Servers that died while they ran it, as the entry host knows.
+	Crashes int `msg:"Crashes"`
+
 	// Time left at sending; 0 is none.
 	DeadlineMillis int64 `msg:"DeadlineMillis"`
 
--- a/internal/process/beechentry/dispatch.go
+++ b/internal/process/beechentry/dispatch.go
@@ -66,8 +66,12 @@
 		return e.writeRecorded(j)
 	}
 	f := e.runAttempts(ctx, j)
-	if f != nil && f.Ran == beechwire.RanNo {
+	switch {
+	case f == nil:
+	case f.Ran == beechwire.RanNo:
 		e.giveBack(j)
+	case j.request.Claim != "":
+		go e.tellOwner(j, &beechwire.FinishAsk{RecordKey: j.request.RecordKey, Token: j.request.Claim})
 	}
 	return f
 }
@@ -117,10 +121,20 @@
 		return refused{beechwire.Refused{Reason: beechwire.ReasonSuspect, AfterMillis: v.After.Milliseconds()}}
 	case beechsuspect.Alone:
 		j.request.Alone = true
+		j.request.Crashes = e.knownCrashes(j.request.Fingerprint)
 	}
 	return nil
 }
 
+func (e *Entry) knownCrashes(fingerprint uint64) int {
+	for _, r := range e.suspects.List() {
+		if r.Fingerprint == fingerprint && !r.Cleared {
+			return r.Crashes
+		}
+	}
+	return 0
+}
+
 // choose takes the best ranked server whose link is up. A refusal's hint goes
 // first.
 func (e *Entry) choose(j *job) (beechroute.Candidate, error) {
@@ -196,8 +210,13 @@
 // joins the same generation again, so that a cut between two hosts costs the
 // caller nothing.
 func (e *Entry) follow(ctx context.Context, j *job, client *beechlink.Client, server netip.AddrPort, stream beechlink.Stream) ending {
-	for {
+	for tries := 0; ; tries++ {
 		how, lost := e.drainStream(ctx, j, server, stream)
+		if _, isGone := how.(gone); isGone && tries > 0 {
+			// The agent was replaced meanwhile. What it was running is lost,
+			// as with a server that died.
+			return e.lostEnding(ctx)
+		}
 		if !lost {
 			return how
 		}
@@ -333,7 +352,9 @@
 func (e *Entry) failedBy(j *job, server netip.AddrPort, r beechwire.Failed) ending {
 	e.health.Observe(beechhealth.Sample{Server: server, Model: j.target(), Failed: true})
 	if r.Crashed {
-		e.suspects.Crashed([]uint64{j.request.Fingerprint})
+		j.request.Crashes++
+		e.suspects.Merge([]beechsuspect.Record{{Fingerprint: j.request.Fingerprint, Crashes: j.request.Crashes}})
+		e.fleet.dialer.Push()
 	}
 	return broken{ran: ranOf(r.Ran), crashed: r.Crashed, reason: r.Reason}
 }
