--- a/internal/link/beechlink/clientend.go
+++ b/internal/link/beechlink/clientend.go
@@ -12,9 +12,9 @@
 	clientEnd struct {
 		c *connection
 
-		// opening keeps the order of numbering and of sending the same. The
-		// agent takes a number that is not new for a peer gone wrong, and
-		// closes the connection with every stream on it.
+		// opening is held from the choice of a stream's id until its first
+		// message is queued. The agent takes only ascending ids; two callers
+		// that overtook one another here would have it end the connection.
 		opening sync.Mutex
 
 		mu      sync.Mutex
