Entry hosts learn what has come into engines' caches, and gone

Ruled out: events pushed to every entry host (an idle fleet would pay); asking every agent every 100 ms (218 KB/s with 364 agents, reckoned). Entry hosts ask only where a load report names another version.

--- a/internal/link/beechwire/doc.go
+++ b/internal/link/beechwire/doc.go
@@ -35,7 +35,7 @@
 	MethodShare         = "share"
 	MethodClaim         = "claim"
 	MethodFinish        = "finish"
-	MethodStatus        = "status"
+	MethodChanges       = "changes"
 )
 
 // Reasons of Refused and Failed.
--- a/internal/link/beechwire/wire_gen.go
+++ b/internal/link/beechwire/wire_gen.go
@@ -78,6 +78,41 @@
 	Stream uint64 `msg:"Stream"`
 }
 
+// Change is a prefix that has come into an engine's cache or queue, or gone.
+type Change struct {
+	// Held corresponds to the JSON schema field "Held".
+	Held bool `msg:"Held"`
+
+	// Key corresponds to the JSON schema field "Key".
+	Key []byte `msg:"Key"`
+
+	// Tokens corresponds to the JSON schema field "Tokens".
+	Tokens int `msg:"Tokens"`
+}
+
+// Changes answers ChangesAsk. With All, what is not in the list is to be
+// forgotten. Next is the version to ask with next.
+type Changes struct {
+	// All corresponds to the JSON schema field "All".
+	All bool `msg:"All"`
+
+	// Of the agent.
+	Incarnation uint64 `msg:"Incarnation"`
+
+	// List corresponds to the JSON schema field "List".
+	List []Change `msg:"List"`
+
+	// Next corresponds to the JSON schema field "Next".
+	Next uint64 `msg:"Next"`
+}
+
+// ChangesAsk asks an agent what has come into its engine's cache, and gone, since
+// a version; 0 asks for everything.
+type ChangesAsk struct {
+	// After corresponds to the JSON schema field "After".
+	After uint64 `msg:"After"`
+}
+
 // ClaimAnswer is the state of a record after a claim or a finish. State is a State
 // constant of this package.
 type ClaimAnswer struct {
@@ -337,6 +372,10 @@
 
 // Load is the agent's word on its server.
 type Load struct {
+	// Version of what the engine's cache holds; where it differs from the one known,
+	// MethodChanges tells what changed.
+	Cache uint64 `msg:"Cache"`
+
 	// Time between output tokens, microseconds.
 	DecodeMicros int `msg:"DecodeMicros"`
 
--- a/internal/link/beechwire/wire_msgp_gen.go
+++ b/internal/link/beechwire/wire_msgp_gen.go
@@ -722,6 +722,271 @@
 	return
 }
 
+// MarshalMsg implements msgp.Marshaler
+func (z *Change) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// map header, size 3
+	// string "Held"
+	o = append(o, 0x83, 0xa4, 0x48, 0x65, 0x6c, 0x64)
+	o = msgp.AppendBool(o, z.Held)
+	// string "Key"
+	o = append(o, 0xa3, 0x4b, 0x65, 0x79)
+	o = msgp.AppendBytes(o, z.Key)
+	// string "Tokens"
+	o = append(o, 0xa6, 0x54, 0x6f, 0x6b, 0x65, 0x6e, 0x73)
+	o = msgp.AppendInt(o, z.Tokens)
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *Change) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var field []byte
+	_ = field
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadMapHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	for zb0001 > 0 {
+		zb0001--
+		field, bts, err = msgp.ReadMapKeyZC(bts)
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		switch msgp.UnsafeString(field) {
+		case "Held":
+			z.Held, bts, err = msgp.ReadBoolBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Held")
+				return
+			}
+		case "Key":
+			z.Key, bts, err = msgp.ReadBytesBytes(bts, z.Key)
+			if err != nil {
+				err = msgp.WrapError(err, "Key")
+				return
+			}
+		case "Tokens":
+			z.Tokens, bts, err = msgp.ReadIntBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Tokens")
+				return
+			}
+		default:
+			bts, err = msgp.Skip(bts)
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
+			}
+		}
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z *Change) Msgsize() (s int) {
+	s = 1 + 5 + msgp.BoolSize + 4 + msgp.BytesPrefixSize + len(z.Key) + 7 + msgp.IntSize
+	return
+}
+
+// MarshalMsg implements msgp.Marshaler
+func (z *Changes) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// map header, size 4
+	// string "All"
+	o = append(o, 0x84, 0xa3, 0x41, 0x6c, 0x6c)
+	o = msgp.AppendBool(o, z.All)
+	// string "Incarnation"
+	o = append(o, 0xab, 0x49, 0x6e, 0x63, 0x61, 0x72, 0x6e, 0x61, 0x74, 0x69, 0x6f, 0x6e)
+	o = msgp.AppendUint64(o, z.Incarnation)
+	// string "List"
+	o = append(o, 0xa4, 0x4c, 0x69, 0x73, 0x74)
+	o = msgp.AppendArrayHeader(o, uint32(len(z.List)))
+	for za0001 := range z.List {
+		// map header, size 3
+		// string "Held"
+		o = append(o, 0x83, 0xa4, 0x48, 0x65, 0x6c, 0x64)
+		o = msgp.AppendBool(o, z.List[za0001].Held)
+		// string "Key"
+		o = append(o, 0xa3, 0x4b, 0x65, 0x79)
+		o = msgp.AppendBytes(o, z.List[za0001].Key)
+		// string "Tokens"
+		o = append(o, 0xa6, 0x54, 0x6f, 0x6b, 0x65, 0x6e, 0x73)
+		o = msgp.AppendInt(o, z.List[za0001].Tokens)
+	}
+	// string "Next"
+	o = append(o, 0xa4, 0x4e, 0x65, 0x78, 0x74)
+	o = msgp.AppendUint64(o, z.Next)
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *Changes) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var field []byte
+	_ = field
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadMapHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	for zb0001 > 0 {
+		zb0001--
+		field, bts, err = msgp.ReadMapKeyZC(bts)
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		switch msgp.UnsafeString(field) {
+		case "All":
+			z.All, bts, err = msgp.ReadBoolBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "All")
+				return
+			}
+		case "Incarnation":
+			z.Incarnation, bts, err = msgp.ReadUint64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Incarnation")
+				return
+			}
+		case "List":
+			var zb0002 uint32
+			zb0002, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "List")
+				return
+			}
+			if cap(z.List) >= int(zb0002) {
+				z.List = z.List[:zb0002]
+			} else {
+				z.List = make([]Change, zb0002)
+			}
+			for za0001 := range z.List {
+				var zb0003 uint32
+				zb0003, bts, err = msgp.ReadMapHeaderBytes(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "List", za0001)
+					return
+				}
+				for zb0003 > 0 {
+					zb0003--
+					field, bts, err = msgp.ReadMapKeyZC(bts)
+					if err != nil {
+						err = msgp.WrapError(err, "List", za0001)
+						return
+					}
+					switch msgp.UnsafeString(field) {
+					case "Held":
+						z.List[za0001].Held, bts, err = msgp.ReadBoolBytes(bts)
+						if err != nil {
+							err = msgp.WrapError(err, "List", za0001, "Held")
+							return
+						}
+					case "Key":
+						z.List[za0001].Key, bts, err = msgp.ReadBytesBytes(bts, z.List[za0001].Key)
+						if err != nil {
+							err = msgp.WrapError(err, "List", za0001, "Key")
+							return
+						}
+					case "Tokens":
+						z.List[za0001].Tokens, bts, err = msgp.ReadIntBytes(bts)
+						if err != nil {
+							err = msgp.WrapError(err, "List", za0001, "Tokens")
+							return
+						}
+					default:
+						bts, err = msgp.Skip(bts)
+						if err != nil {
+							err = msgp.WrapError(err, "List", za0001)
+							return
+						}
+					}
+				}
+			}
+		case "Next":
+			z.Next, bts, err = msgp.ReadUint64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Next")
+				return
+			}
+		default:
+			bts, err = msgp.Skip(bts)
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
+			}
+		}
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z *Changes) Msgsize() (s int) {
+	s = 1 + 4 + msgp.BoolSize + 12 + msgp.Uint64Size + 5 + msgp.ArrayHeaderSize
+	for za0001 := range z.List {
+		s += 1 + 5 + msgp.BoolSize + 4 + msgp.BytesPrefixSize + len(z.List[za0001].Key) + 7 + msgp.IntSize
+	}
+	s += 5 + msgp.Uint64Size
+	return
+}
+
+// MarshalMsg implements msgp.Marshaler
+func (z ChangesAsk) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// map header, size 1
+	// string "After"
+	o = append(o, 0x81, 0xa5, 0x41, 0x66, 0x74, 0x65, 0x72)
+	o = msgp.AppendUint64(o, z.After)
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *ChangesAsk) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var field []byte
+	_ = field
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadMapHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	for zb0001 > 0 {
+		zb0001--
+		field, bts, err = msgp.ReadMapKeyZC(bts)
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		switch msgp.UnsafeString(field) {
+		case "After":
+			z.After, bts, err = msgp.ReadUint64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "After")
+				return
+			}
+		default:
+			bts, err = msgp.Skip(bts)
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
+			}
+		}
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z ChangesAsk) Msgsize() (s int) {
+	s = 1 + 6 + msgp.Uint64Size
+	return
+}
+
 // MarshalMsg implements msgp.Marshaler
 func (z *ClaimAnswer) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
@@ -2032,9 +2297,12 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *Load) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 6
+	// map header, size 7
+	// string "Cache"
+	o = append(o, 0x87, 0xa5, 0x43, 0x61, 0x63, 0x68, 0x65)
+	o = msgp.AppendUint64(o, z.Cache)
 	// string "DecodeMicros"
-	o = append(o, 0x86, 0xac, 0x44, 0x65, 0x63, 0x6f, 0x64, 0x65, 0x4d, 0x69, 0x63, 0x72, 0x6f, 0x73)
+	o = append(o, 0xac, 0x44, 0x65, 0x63, 0x6f, 0x64, 0x65, 0x4d, 0x69, 0x63, 0x72, 0x6f, 0x73)
 	o = msgp.AppendInt(o, z.DecodeMicros)
 	// string "PrefillRate"
 	o = append(o, 0xab, 0x50, 0x72, 0x65, 0x66, 0x69, 0x6c, 0x6c, 0x52, 0x61, 0x74, 0x65)
@@ -2072,6 +2340,12 @@
 			return
 		}
 		switch msgp.UnsafeString(field) {
+		case "Cache":
+			z.Cache, bts, err = msgp.ReadUint64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Cache")
+				return
+			}
 		case "DecodeMicros":
 			z.DecodeMicros, bts, err = msgp.ReadIntBytes(bts)
 			if err != nil {
@@ -2122,7 +2396,7 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *Load) Msgsize() (s int) {
-	s = 1 + 13 + msgp.IntSize + 12 + msgp.IntSize + 8 + msgp.IntSize + 6 + msgp.IntSize + 8 + msgp.IntSize + 14 + msgp.Int64Size
+	s = 1 + 6 + msgp.Uint64Size + 13 + msgp.IntSize + 12 + msgp.IntSize + 8 + msgp.IntSize + 6 + msgp.IntSize + 8 + msgp.IntSize + 14 + msgp.Int64Size
 	return
 }
 
--- a/internal/process/beechagent/calls.go
+++ b/internal/process/beechagent/calls.go
@@ -27,6 +27,9 @@
 	case beechwire.MethodConfiguration:
 		var ask beechwire.ConfigurationAsk
 		return answer(payload, &ask, func() (msgp.Marshaler, error) { return a.configurationFor(ask), nil })
+	case beechwire.MethodChanges:
+		var ask beechwire.ChangesAsk
+		return answer(payload, &ask, func() (msgp.Marshaler, error) { return a.changesSince(ask.After), nil })
 	case beechwire.MethodSnapshot:
 		snapshot := a.fleet.snapshot(a.entryCount(), a.wireSuspects())
 		return snapshot.MarshalMsg(nil)
@@ -68,6 +71,17 @@
 	return &beechwire.Configuration{Generation: generation, Manifest: data}
 }
 
+// changesSince tells an entry host what has come into the engine's cache, and
+// gone, since the version it knows.
+func (a *Agent) changesSince(after uint64) *beechwire.Changes {
+	changes, next := a.index.Changes(after)
+	reply := &beechwire.Changes{Incarnation: a.incarnation, Next: next, All: changes.All, List: make([]beechwire.Change, 0, len(changes.List))}
+	for _, c := range changes.List {
+		reply.List = append(reply.List, beechwire.Change{Key: c.Key[:], Tokens: c.Tokens, Held: c.Held})
+	}
+	return reply
+}
+
 func (a *Agent) claim(ctx context.Context, ask beechwire.ClaimAsk) (msgp.Marshaler, error) {
 	if ask.Repeatable {
 		reply := a.placements.claim(ask)
--- a/internal/process/beechagent/runner.go
+++ b/internal/process/beechagent/runner.go
@@ -49,6 +49,9 @@
 // run takes one request from the queue to its last reply. It always sets one.
 func (a *Agent) run(ctx context.Context, g *generation, body []byte, deadline time.Time) {
 	id := a.work.Add(1)
+	levels := indexLevels(g.request.Levels)
+	a.index.Queued(g.request.Salt, levels)
+	defer a.index.Left(g.request.Salt, levels)
 	refuse, err := a.scheduler.acquire(ctx, a.workOf(&g.request, id, deadline))
 	switch {
 	case refuse != nil:
@@ -236,6 +239,7 @@
 		Incarnation: t.incarnation,
 		Salt:        r.Salt,
 		Levels:      indexLevels(r.Levels),
+		Estimated:   r.PromptTokens,
 		Prompt:      t.usage.Prompt,
 		Cached:      t.usage.Cached,
 	})
--- a/internal/process/beechagent/view.go
+++ b/internal/process/beechagent/view.go
@@ -126,6 +126,7 @@
 		Slots:         load.Slots,
 		PrefillRate:   load.PrefillRate,
 		DecodeMicros:  int(load.TokenTime / time.Microsecond),
+		Cache:         a.index.Version(),
 	}
 }
 
--- a/internal/process/beechentry/dispatch.go
+++ b/internal/process/beechentry/dispatch.go
@@ -305,7 +305,7 @@
 // finished closes a whole answer and learns from it.
 func (e *Entry) finished(j *job, server netip.AddrPort, end beechwire.End) ending {
 	j.usage = end.Usage
-	e.fleet.router.Report(server, routeLoad(end.Load))
+	e.fleet.report(server, end.Load)
 	e.learn(j, server, end)
 	if err := e.settle(j); err != nil {
 		e.log.Warn("outcome not recorded", beechlog.RequestID(j.request.ID), beechlog.Step("record"), zap.Error(err))
@@ -338,7 +338,7 @@
 }
 
 func (e *Entry) refusedBy(server netip.AddrPort, r beechwire.Refused) ending {
-	e.fleet.router.Report(server, routeLoad(r.Load))
+	e.fleet.report(server, r.Load)
 	e.fleet.router.Refused(server, time.Duration(r.AfterMillis)*time.Millisecond)
 	switch {
 	case r.Reason == beechwire.ReasonGone:
--- a/internal/process/beechentry/entry.go
+++ b/internal/process/beechentry/entry.go
@@ -142,6 +142,7 @@
 	e.supervisor.Add(service{"configuration", e.watchConfiguration})
 	e.supervisor.Add(service{"apply configuration", e.applyConfigurations})
 	e.supervisor.Add(service{"members", e.watchMembers})
+	e.supervisor.Add(service{"cache changes", e.followCaches})
 	e.supervisor.Add(service{"share", e.shareState})
 	return nil
 }
--- a/internal/process/beechentry/fleet.go
+++ b/internal/process/beechentry/fleet.go
@@ -42,6 +42,8 @@
 		up          bool
 		entries     int
 		offers      []string
+		known       uint64 // version of the engine's cache that the router has
+		told        uint64 // newest version that the agent spoke of
 	}
 )
 
@@ -149,6 +151,8 @@
 	l.up = true
 	l.zone = p.Zone
 	l.offers = nil
+	l.known = 0
+	l.told = 0
 	old := l.incarnation
 	l.incarnation = p.Incarnation
 	f.mu.Unlock()
@@ -186,7 +190,7 @@
 	l.offers = h.Models
 	f.mu.Unlock()
 	f.members.Said(p.Address, h.Incarnation, h.Leaving)
-	f.router.Report(p.Address, routeLoad(h.Load))
+	f.report(p.Address, h.Load)
 	f.entry.suspects.Merge(suspectRecords(h.Suspects))
 	f.entry.pullIfNewer(p.Address, h.Generation)
 	if changed || h.Leaving {
@@ -205,6 +209,17 @@
 	}
 }
 
+// report takes in an agent's word on its load, and that its engine's cache may
+// have changed.
+func (f *fleet) report(agent netip.AddrPort, load beechwire.Load) {
+	f.router.Report(agent, routeLoad(load))
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if l := f.links[agent]; l != nil {
+		l.told = load.Cache
+	}
+}
+
 func routeLoad(l beechwire.Load) beechroute.Load {
 	return beechroute.Load{
 		Running:       l.Running,
