--- a/internal/decision/beechroute/doc.go
+++ b/internal/decision/beechroute/doc.go
@@ -24,7 +24,7 @@
 // ring, where a history that nobody holds goes to the least busy. Holders come from
 // own dispatches, from replies, and from what agents announce. Announcements count
 // most: without them each entry host makes copies of its own, and first tokens at
-// the 99th percentile take three to five times as long.
+// the 99th percentile take two to five times as long.
 //
 // A hot prefix needs no rule of its own. When the queue before its holders costs more
 // than one more prefill, the cheapest candidate is a server without it, which then is
