Say whether an announcement was taken in; a waiting request proves no eviction

Cause: an announcement that comes before the server is known to the router would be lost for good; and beside a live engine, a level that merely waits was reported as known not to be cached.

--- a/internal/decision/beechroute/router.go
+++ b/internal/decision/beechroute/router.go
@@ -164,13 +164,14 @@
 // Changed takes in what a server's agent says has come into the engine's cache or
 // queue, or gone from the cache, for this entry host's requests and others'.
 // Without it each entry host would have to find out by itself where a prefix
-// went, and would make a copy of its own.
-func (r *Router) Changed(address netip.AddrPort, incarnation uint64, changes Changes) {
+// went, and would make a copy of its own. False says that the server is not known in
+// that incarnation, now or any more, and that nothing was taken in.
+func (r *Router) Changed(address netip.AddrPort, incarnation uint64, changes Changes) bool {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
 	s := r.servers[address]
 	if s == nil || s.Incarnation != incarnation || r.settings.lacks(MechanismAnnouncements) {
-		return
+		return false
 	}
 	s.announces = true
 	if changes.All {
@@ -186,6 +187,7 @@
 			p.release(s)
 		}
 	}
+	return true
 }
 
 // Report takes in a server's load.
--- a/internal/decision/beechroute/router_test.go
+++ b/internal/decision/beechroute/router_test.go
@@ -56,7 +56,7 @@
 	}
 	r.SetServers(servers)
 	learn(r, holder, 1, q) // a late reply of the dead one
-	r.Changed(holder, 1, Changes{List: []Change{{Key: q.Levels[1].Key, Tokens: 5800, Held: true}}})
+	is.True(!r.Changed(holder, 1, Changes{List: []Change{{Key: q.Levels[1].Key, Tokens: 5800, Held: true}}}))
 	for _, c := range r.Choose(q).Ranked {
 		is.Equal(c.Uncached, q.PromptTokens)
 	}
@@ -78,7 +78,7 @@
 	q := testRequest(1, 1)
 	announceAll(r, 20)
 	history := Change{Key: q.Levels[1].Key, Tokens: 5800, Held: true}
-	r.Changed(testAddress(9), 1, Changes{All: true, List: []Change{{Key: q.Levels[0].Key, Tokens: 1000, Held: true}, history}})
+	is.True(r.Changed(testAddress(9), 1, Changes{All: true, List: []Change{{Key: q.Levels[0].Key, Tokens: 1000, Held: true}, history}}))
 	best := r.Choose(q).Ranked[0]
 	is.Equal(best.Server, testAddress(9))
 	is.Equal(best.Uncached, 200)
--- a/internal/prompt/beechindex/index.go
+++ b/internal/prompt/beechindex/index.go
@@ -27,6 +27,7 @@
 	entry struct {
 		tokens    int
 		stored    bool
+		gone      bool // was stored, then evicted
 		tied      bool
 		epoch     uint64
 		doubt     uint64
@@ -141,7 +142,7 @@
 	if !ok || !x.ties.isLast(event) {
 		return
 	}
-	e.stored, e.epoch = true, x.epoch
+	e.stored, e.gone, e.epoch = true, false, x.epoch
 	x.announce(key, e, true)
 }
 
@@ -156,7 +157,7 @@
 	if !ok || !e.stored {
 		return
 	}
-	e.stored = false
+	e.stored, e.gone = false, true
 	x.counts.Evictions++
 	if e.waiting == 0 {
 		x.announce(key, e, false)
@@ -204,7 +205,7 @@
 	for i, l := range slices.Backward(p.Levels) {
 		key := entryKey{salt: p.Salt, key: l.Key}
 		e := x.use(key, l)
-		e.stored, e.epoch, e.doubt = true, x.epoch, x.doubt
+		e.stored, e.gone, e.epoch, e.doubt = true, false, x.epoch, x.doubt
 		if i < len(shared(p.Levels)) {
 			x.announce(key, e, true)
 		}
@@ -237,7 +238,7 @@
 			return tokens, x.whole
 		}
 		if !e.stored {
-			return tokens, true
+			return tokens, e.gone || x.whole
 		}
 		if e.epoch != x.epoch || !e.tied && e.doubt != x.doubt {
 			return tokens, false
--- a/internal/prompt/beechindex/index_test.go
+++ b/internal/prompt/beechindex/index_test.go
@@ -196,6 +196,9 @@
 	s.index.Apply(1, []Event{s.event("loop/7", levels(2, 2), 16, true)})
 	_, known = s.index.Cached("loop/7", levels(1, 1))
 	is.True(!known)
+	s.index.Queued("loop/7", levels(1, 1)) // that one waits says nothing of the cache
+	_, known = s.index.Cached("loop/7", levels(1, 1))
+	is.True(!known)
 }
 
 func held(c Changes) map[Key]bool {
