--- a/internal/link/beechlink/call.go
+++ b/internal/link/beechlink/call.go
@@ -139,7 +139,8 @@
 		return nil
 	}
 	if !c.answers.begin() {
-		return c.refuseCall(m.Call, "too many calls at once")
+		c.refuseCall(m.Call, "too many calls at once")
+		return nil
 	}
 	go func() {
 		defer c.answers.finish()
@@ -152,13 +153,14 @@
 			c.refuseCall(m.Call, fmt.Sprintf("result of %d bytes is over %d", len(result), c.settings.MaxBody))
 			return
 		}
-		c.out.start(&transfer{kind: kindResult, id: m.Call, rest: result})
+		// An error means that the connection ends; the peer learns from that.
+		_ = c.out.start(&transfer{kind: kindResult, id: m.Call, rest: result})
 	}()
 	return nil
 }
 
-func (c *connection) refuseCall(id uint64, reason string) error {
-	return c.out.send(kindResult, &beechwire.Result{Call: id, Error: reason})
+func (c *connection) refuseCall(id uint64, reason string) {
+	_ = c.out.send(kindResult, &beechwire.Result{Call: id, Error: reason})
 }
 
 // collect puts the pieces of a call together. What a peer may leave unfinished
--- a/internal/link/beechlink/client.go
+++ b/internal/link/beechlink/client.go
@@ -351,17 +351,19 @@
 // connect dials and shakes hands.
 func (c *Client) connect() (net.Conn, *frameReader, beechwire.Hello, error) {
 	d := c.dialer
-	ctx, cancel := clockwork.WithTimeout(c.context, d.clock, 2*d.settings.DialTimeout)
-	defer cancel()
+	ctx, cancel := context.WithCancelCause(c.context)
+	defer cancel(nil)
+	timer := d.clock.AfterFunc(2*d.settings.DialTimeout, func() { cancel(errSlow) })
+	defer timer.Stop()
 	dialer := net.Dialer{KeepAlive: -1}
 	raw, err := dialer.DialContext(ctx, "tcp", c.address.String())
 	if err != nil {
-		return nil, nil, beechwire.Hello{}, fmt.Errorf("dial %s: %w", c.address, err)
+		return nil, nil, beechwire.Hello{}, fmt.Errorf("dial %s: %w", c.address, orCause(ctx, err))
 	}
 	stop := context.AfterFunc(ctx, func() { raw.Close() })
 	conn, frames, hello, err := c.greet(ctx, raw)
-	if !stop() && err == nil {
-		err = ctx.Err()
+	if !stop() {
+		err = context.Cause(ctx)
 	}
 	if err != nil {
 		raw.Close()
@@ -370,6 +372,14 @@
 	return conn, frames, hello, nil
 }
 
+// orCause prefers the reason for which ctx was ended to what came of it.
+func orCause(ctx context.Context, err error) error {
+	if cause := context.Cause(ctx); cause != nil {
+		return cause
+	}
+	return err
+}
+
 func (c *Client) greet(ctx context.Context, raw net.Conn) (net.Conn, *frameReader, beechwire.Hello, error) {
 	conn, err := c.secure(ctx, raw)
 	if err != nil {
--- /dev/null
+++ b/internal/link/beechlink/client_test.go
@@ -0,0 +1,340 @@
+package beechlink
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/beechring/beechring/internal/link/beechwire"
+	"github.com/jonboulle/clockwork"
+	"github.com/matryer/is"
+)
+
+func openStream(t testing.TB, c *Client, id string) Stream {
+	t.Helper()
+	s, err := c.Open(context.Background(), request(id), []byte("body"))
+	is.New(t).NoErr(err)
+	return s
+}
+
+func head(stream uint64, id string) *beechwire.Head {
+	return &beechwire.Head{Stream: stream, RequestID: id, Attempt: 1, Status: 200}
+}
+
+func data(stream, sequence uint64, text string) *beechwire.Data {
+	return &beechwire.Data{Stream: stream, Sequence: sequence, Data: []byte(text)}
+}
+
+func end1(stream uint64, id string, last uint64) *beechwire.End {
+	return &beechwire.End{Stream: stream, RequestID: id, Attempt: 1, Last: last}
+}
+
+// An agent with a fault, or replies that a retry left behind, can send an
+// answer twice, after its stream is over, or on the stream of another
+// request. A member of the cooperative would read a neighbour's answer, or
+// words twice. Such replies are dropped and counted; the right ones still make
+// the whole answer.
+func TestStrayRepliesAreDropped(t *testing.T) {
+	is := is.New(t)
+	c, f := newFakeAgent(t, Settings{})
+	a := openStream(t, c, "a")
+	b := openStream(t, c, "b")
+	var m beechwire.Body
+	f.await(kindBody, &m)
+	f.await(kindBody, &m)
+
+	f.send(kindHead, head(2, "a")) // a's head on b's stream
+	f.send(kindHead, head(1, "a"))
+	f.send(kindHead, head(1, "a"))
+	f.send(kindData, data(1, 1, "one "))
+	f.send(kindData, data(1, 1, "one "))
+	f.send(kindData, data(9, 1, "nobody's"))
+	f.send(kindEnd, end1(1, "b", 0))                                                              // b's end on a's stream
+	f.send(kindEnd, &beechwire.End{Stream: 1, RequestID: "a", Attempt: 2, Last: 1})               // another attempt
+	f.send(kindRefused, &beechwire.Refused{Stream: 1, RequestID: "b", Attempt: 1})                // b's refusal
+	f.send(kindFailed, &beechwire.Failed{Stream: 1, RequestID: "a", Attempt: 3, Reason: "crash"}) // a third one's failure
+	f.send(kindData, data(1, 2, "two"))
+	f.send(kindEnd, end1(1, "a", 2))
+	f.send(kindData, data(1, 3, "late"))
+	f.send(kindEnd, end1(1, "a", 2))
+	f.send(kindResult, &beechwire.Result{Call: 3, Payload: []byte("unasked")})
+	f.send(kindHead, head(2, "b"))
+	f.send(kindEnd, end1(2, "b", 0))
+
+	got, _, err := collect(context.Background(), a)
+	is.NoErr(err)
+	is.Equal(string(got), "one two")
+	got, _, err = collect(context.Background(), b)
+	is.NoErr(err)
+	is.Equal(len(got), 0)
+	k := c.dialer.Counters()
+	is.Equal(k.Crossed, uint64(5))
+	is.Equal(k.Doubled, uint64(2))
+	is.Equal(k.Late, uint64(4))
+	is.Equal(k.Lost, uint64(0))
+}
+
+// A piece of an answer goes missing inside a faulty agent. The caller would
+// read a text with a hole that looks whole. The stream fails instead, after
+// what came before the hole, and the agent is told to keep the generation for
+// the caller's return; other streams go on.
+func TestGapsFailTheStream(t *testing.T) {
+	is := is.New(t)
+	c, f := newFakeAgent(t, Settings{})
+	for i, tell := range []func(id uint64, name string){
+		func(id uint64, _ string) { f.send(kindData, data(id, 3, "three")) },
+		func(id uint64, name string) { f.send(kindEnd, end1(id, name, 2)) },
+		func(id uint64, name string) { f.send(kindEnd, end1(id, name, 0)) },
+	} {
+		name := fmt.Sprint(i)
+		id := uint64(2*i + 1)
+		s := openStream(t, c, name)
+		other := openStream(t, c, "other")
+		f.send(kindHead, head(id, name))
+		f.send(kindData, data(id, 1, "one"))
+		tell(id, name)
+		got, _, err := collect(context.Background(), s)
+		is.Equal(string(got), "one")
+		var gap *GapError
+		is.True(errors.As(err, &gap))
+		var m beechwire.Cancel
+		f.await(kindCancel, &m)
+		is.Equal(m, beechwire.Cancel{Stream: id, Detached: true})
+		f.send(kindEnd, end1(id+1, "other", 0))
+		_, _, err = collect(context.Background(), other)
+		is.NoErr(err)
+	}
+	is.Equal(c.dialer.Counters().Gaps, uint64(3))
+}
+
+// An agent that ignores credit would fill the entry's memory with what one
+// slow phone does not read. The stream is failed at its credit.
+func TestCreditIsEnforced(t *testing.T) {
+	is := is.New(t)
+	c, f := newFakeAgent(t, Settings{Credit: 4096})
+	s := openStream(t, c, "b")
+	f.send(kindHead, head(1, "b"))
+	for i := range uint64(5) {
+		f.send(kindData, data(1, i+1, strings.Repeat("x", 1024)))
+	}
+	f.send(kindEnd, end1(1, "b", 5))
+	var m beechwire.Cancel
+	f.await(kindCancel, &m)
+	got, _, err := collect(context.Background(), s)
+	is.True(errors.Is(err, ErrCredit))
+	is.Equal(len(got), 4*1024)
+}
+
+// The port of an agent is wrong in the settings, or its program is of another
+// version or deployment. The operator sees which of these it is.
+func TestHandshakeErrorsAreClear(t *testing.T) {
+	is := is.New(t)
+	frame := func(h beechwire.Hello) []byte {
+		return append([]byte(preamble), frameOf(t, kindHello, &h)...)
+	}
+	for _, v := range []struct {
+		reply []byte
+		want  string
+	}{
+		{[]byte("HTTP/1.1 400 Bad Request\r\n\r\n"), errProtocol.Error()},
+		{frame(beechwire.Hello{Version: 99, Role: beechwire.RoleAgent}), "version 99 is not spoken here"},
+		{frame(beechwire.Hello{Version: beechwire.Version, Role: beechwire.RoleAgent, Key: "other"}), errKey.Error()},
+		{frame(beechwire.Hello{Version: beechwire.Version, Role: "cook", Key: "k"}), `role "cook" is not known`},
+		{append([]byte(preamble), frameOf(t, kindData, data(1, 1, ""))...), "instead of a hello"},
+		{append([]byte(preamble), 0xff, 0xff, 0xff, 0xff, 1), "malformed frame"},
+		{append([]byte(preamble), frameOf(t, kindBye, &beechwire.Bye{Reason: "full"})...), "refused by peer: full"},
+	} {
+		l := loopback(t)
+		go func() {
+			for {
+				conn, err := l.Accept()
+				if err != nil {
+					return
+				}
+				_, _ = conn.Write(v.reply)
+				refuse(conn, errProtocol) // reads on, so that the reply arrives
+				conn.Close()
+			}
+		}()
+		d := newDialer(Settings{Key: "k"}, &recorder{}, nil, realClock)
+		c := d.Dial(addressOf(l.Addr()))
+		until(t, "the handshake fails", func() bool { return d.Counters().Rejected > 0 })
+		var err error
+		until(t, "the cause is known", func() bool {
+			_, err = c.Open(context.Background(), request("a"), nil)
+			return strings.Contains(err.Error(), v.want)
+		})
+		is.True(errors.Is(err, ErrDown))
+		is.True(strings.Contains(err.Error(), c.Peer().Address.String()))
+		d.Close()
+		l.Close()
+	}
+}
+
+// A connection may be cut after any byte. Wherever that is, the entry either
+// has the whole answer or is told of the loss; it never takes a part for the
+// whole, and the next request goes over a new connection.
+func TestCutAtEveryByte(t *testing.T) {
+	is := is.New(t)
+	answer := func(ctx context.Context, s ServerStream, _ beechwire.Request, _ []byte) {
+		_ = s.Send(ctx, HeadReply{})
+		_ = s.Send(ctx, DataReply{Data: beechwire.Data{Sequence: 1, Data: []byte("one ")}})
+		_ = s.Send(ctx, DataReply{Data: beechwire.Data{Sequence: 2, Data: []byte("two")}})
+		_ = s.Send(ctx, EndReply{End: beechwire.End{Last: 2}})
+	}
+	p := newPair(t, Settings{}, handlerFuncs{open: answer})
+	for _, replies := range []bool{false, true} {
+		cut := newCutter(t, p.address.String(), replies, 32<<10)
+		whole, lost := 0, 0
+		for limit := int64(0); whole < 20; limit += 3 {
+			cut.limit.Store(limit)
+			if oneCutRequest(t, cut) {
+				whole++
+			} else {
+				lost++
+			}
+		}
+		is.True(lost > 50)
+		cut.limit.Store(-1)
+		is.True(oneCutRequest(t, cut))
+		cut.close()
+	}
+}
+
+// oneCutRequest tells whether the answer was whole.
+func oneCutRequest(t *testing.T, cut *cutter) bool {
+	is := is.New(t)
+	d := newDialer(Settings{Connections: 1}, &recorder{}, nil, realClock)
+	defer d.Close()
+	c := d.Dial(addressOf(cut.listener.Addr()))
+	until(t, "the handshake is over", func() bool {
+		k := d.Counters()
+		return c.Ready() || k.Rejected+k.Lost+k.Up > 0
+	})
+	s, err := c.Open(context.Background(), request("a"), []byte("body"))
+	if err != nil {
+		var refused *OpenError
+		is.True(errors.As(err, &refused))
+		return false
+	}
+	got, last, err := collect(context.Background(), s)
+	if err != nil {
+		var lost *LostError
+		is.True(errors.As(err, &lost))
+		is.True(strings.HasPrefix("one two", string(got)))
+		return false
+	}
+	_, ended := last.(EndReply)
+	is.True(ended)
+	is.Equal(string(got), "one two")
+	return true
+}
+
+// The host of an agent loses power: no packet ends the connection, it just
+// falls silent. A caller whose answer was under way must not wait for TCP's
+// own limits, which are minutes.
+func TestSilentAgentIsNoticed(t *testing.T) {
+	is := is.New(t)
+	clock := clockwork.NewFakeClockAt(time.Unix(1_700_000_000, 0))
+	l := loopback(t)
+	defer l.Close()
+	r := &recorder{}
+	pulse := &countingPulse{polls: make(chan struct{}, 1)}
+	d := NewDialer(Settings{Connections: 1}, hello(beechwire.RoleEntry, 5), r, answerFunc(echoCall), pulse, nil, clock)
+	defer d.Close()
+	c := d.Dial(addressOf(l.Addr()))
+	acceptAsAgent(t, l)
+	until(t, "the link is up", c.Ready)
+
+	advance := func() {
+		for len(pulse.polls) > 0 {
+			<-pulse.polls
+		}
+		clock.Advance(d.settings.Heartbeat / 2)
+		<-pulse.polls
+	}
+	for range 10 { // idle, silent and not missed
+		advance()
+	}
+	is.True(c.Ready())
+	s := openStream(t, c, "a")
+	began := clock.Now()
+	for d.Counters().Silent == 0 && clock.Since(began) < time.Minute {
+		advance()
+	}
+	_, err := s.Next(context.Background())
+	var lost *LostError
+	is.True(errors.As(err, &lost))
+	is.True(errors.Is(err, errSilent))
+	is.True(clock.Since(began) <= 2*time.Second)
+	until(t, "the owner is told", func() bool {
+		_, downs, _ := r.counts()
+		return downs == 1
+	})
+}
+
+// countingPulse tells of each poll.
+type countingPulse struct{ polls chan struct{} }
+
+func (p *countingPulse) Beat() beechwire.Heartbeat {
+	p.polls <- struct{}{}
+	return beechwire.Heartbeat{}
+}
+
+// An agent is replaced on the same address while its old connections look
+// alive. Work sent to the old one would be lost; the owner must hear that the
+// old process is gone before it hears of the new one.
+func TestNewIncarnationReplacesTheOld(t *testing.T) {
+	is := is.New(t)
+	l := loopback(t)
+	defer l.Close()
+	r := &recorder{}
+	d := newDialer(Settings{Connections: 2}, r, nil, realClock)
+	defer d.Close()
+	c := d.Dial(addressOf(l.Addr()))
+	acceptAsAgent(t, l)
+	until(t, "the old one is up", c.Ready)
+	s := openStream(t, c, "a")
+	conn, err := l.Accept()
+	is.NoErr(err)
+	defer conn.Close()
+	is.NoErr(sendHello(conn, hello(beechwire.RoleAgent, 8)(), ""))
+	_, err = s.Next(context.Background())
+	var lost *LostError
+	is.True(errors.As(err, &lost))
+	is.True(strings.Contains(err.Error(), "replaced by incarnation 8"))
+	until(t, "the owner was told in order", func() bool {
+		ups, downs, _ := r.counts()
+		return ups == 2 && downs == 1
+	})
+	is.Equal(c.Peer().Incarnation, uint64(8))
+}
+
+func TestCallsEndWithTheirContextAndLink(t *testing.T) {
+	is := is.New(t)
+	c, f := newFakeAgent(t, Settings{})
+	ctx, cancel := context.WithCancel(context.Background())
+	go func() {
+		var m beechwire.Call
+		f.await(kindCall, &m)
+		cancel()
+	}()
+	_, err := c.Call(ctx, "m", nil)
+	is.True(errors.Is(err, context.Canceled))
+	f.send(kindResult, &beechwire.Result{Call: 1})
+	until(t, "the late result is counted", func() bool { return c.dialer.Counters().Late == 1 })
+	go func() {
+		var m beechwire.Call
+		f.await(kindCall, &m)
+		f.conn.Close()
+	}()
+	_, err = c.Call(context.Background(), "m", nil)
+	var lost *LostError
+	is.True(errors.As(err, &lost))
+	_, err = c.Call(context.Background(), "m", nil)
+	var refused *OpenError
+	is.True(errors.As(err, &refused) || errors.As(err, &lost))
+}
--- a/internal/link/beechlink/clientend.go
+++ b/internal/link/beechlink/clientend.go
@@ -12,6 +12,11 @@
 	clientEnd struct {
 		c *connection
 
+		// opening is held from the choice of a stream's id until its first
+		// message is queued. The agent takes only ascending ids; two callers
+		// that overtook one another here would have it end the connection.
+		opening sync.Mutex
+
 		mu      sync.Mutex
 		table   map[uint64]*clientStream
 		last    uint64
@@ -65,6 +70,8 @@
 }
 
 func (e *clientEnd) open(r *beechwire.Request, body []byte) (*clientStream, error) {
+	e.opening.Lock()
+	defer e.opening.Unlock()
 	s, err := e.add(r.ID, r.Attempt, r.ResumeSequence+1)
 	if err != nil {
 		return nil, err
@@ -85,6 +92,8 @@
 }
 
 func (e *clientEnd) reattach(r beechwire.Reattach) (*clientStream, error) {
+	e.opening.Lock()
+	defer e.opening.Unlock()
 	s, err := e.add(r.RequestID, 0, r.After+1)
 	if err != nil {
 		return nil, err
--- a/internal/link/beechlink/connection.go
+++ b/internal/link/beechlink/connection.go
@@ -85,10 +85,13 @@
 	c.pacer.remove(c)
 	c.fail(err)
 	<-writerDone
-	c.cancel()
 	failure := c.reason()
 	c.asks.failAll(&LostError{Peer: c.peer.Address, Err: failure})
+	// Streams are told before their contexts end: a handler that saw its
+	// context end first would take a lost link for a caller who gave up, and
+	// cancel a generation that should wait for the caller's return.
 	c.end.lost(c, failure)
+	c.cancel()
 	return failure
 }
 
--- a/internal/link/beechlink/errors.go
+++ b/internal/link/beechlink/errors.go
@@ -64,6 +64,7 @@
 	ErrCredit = errors.New("peer sent more than its credit")
 
 	errSilent = errors.New("peer was silent for longer than the deadline")
+	errSlow   = errors.New("peer did not finish the handshake in time")
 	errKey    = errors.New("link key differs")
 )
 
--- a/internal/link/beechlink/pair_test.go
+++ b/internal/link/beechlink/pair_test.go
@@ -48,6 +48,8 @@
 
 const waitLimit = 20 * time.Second
 
+var realClock = clockwork.NewRealClock()
+
 func (r *recorder) Up(p Peer) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -144,7 +146,7 @@
 
 func newPair(t testing.TB, s Settings, h StreamHandler) *pair {
 	t.Helper()
-	clock := clockwork.NewRealClock()
+	clock := realClock
 	p := &pair{entry: &recorder{}, agent: &recorder{}}
 	l := loopback(t)
 	p.address = addressOf(l.Addr())
--- /dev/null
+++ b/internal/link/beechlink/server_test.go
@@ -0,0 +1,485 @@
+package beechlink
+
+import (
+	"bytes"
+	"context"
+	"crypto/ecdsa"
+	"crypto/elliptic"
+	"crypto/rand"
+	"crypto/tls"
+	"crypto/x509"
+	"crypto/x509/pkix"
+	"errors"
+	"fmt"
+	"io"
+	"math/big"
+	randv2 "math/rand/v2"
+	"net"
+	"net/netip"
+	"runtime"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/beechring/beechring/internal/link/beechwire"
+	"github.com/matryer/is"
+)
+
+// answerIn returns a handler that answers with count pieces of size bytes.
+func answerIn(count, size int) func(context.Context, ServerStream, beechwire.Request, []byte) {
+	return func(ctx context.Context, s ServerStream, _ beechwire.Request, _ []byte) {
+		if s.Send(ctx, HeadReply{}) != nil {
+			return
+		}
+		for i := range count {
+			if s.Send(ctx, DataReply{Data: beechwire.Data{Sequence: uint64(i + 1), Data: make([]byte, size)}}) != nil {
+				return
+			}
+		}
+		_ = s.Send(ctx, EndReply{End: beechwire.End{Last: uint64(count)}})
+	}
+}
+
+// Anything may connect to an agent's port: a browser, a port scanner, an entry
+// of another version or deployment, or one with a fault. It is told why it is
+// not served and is closed, and streams of other entries go on.
+func TestBadPeersDisturbNobody(t *testing.T) {
+	is := is.New(t)
+	release := make(chan struct{})
+	p := newPair(t, Settings{Key: "k"}, handlerFuncs{open: func(ctx context.Context, s ServerStream, r beechwire.Request, body []byte) {
+		<-release
+		echo(ctx, s, r, body)
+	}})
+	running := openStream(t, p.client, "good")
+	frame := func(h beechwire.Hello) []byte {
+		return append([]byte(preamble), frameOf(t, kindHello, &h)...)
+	}
+	seeded := randv2.New(randv2.NewPCG(3, 7))
+	random := make([]byte, 4096)
+	for i := range random {
+		random[i] = byte(seeded.UintN(256))
+	}
+	good := beechwire.Hello{Version: beechwire.Version, Role: beechwire.RoleEntry, Key: "k", Incarnation: 9}
+	after := func(b ...byte) []byte { return append(frame(good), b...) }
+	open := frameOf(t, kindOpen, &beechwire.Open{Stream: 4, Request: beechwire.Request{BodyBytes: 2}})
+	for _, v := range []struct {
+		name  string
+		bytes []byte
+		want  string // in what the peer is told
+	}{
+		{"browser", []byte("GET / HTTP/1.1\r\nHost: a\r\n\r\n"), wrongProtocol},
+		{"random bytes", random, wrongProtocol},
+		{"random bytes after the preamble", append([]byte(preamble), random...), "malformed frame"},
+		{"version", frame(beechwire.Hello{Version: 9, Role: beechwire.RoleEntry, Key: "k"}), "version 9 is not spoken here, version 1 is"},
+		{"key", frame(beechwire.Hello{Version: beechwire.Version, Role: beechwire.RoleEntry, Key: "K"}), errKey.Error()},
+		{"oversize hello", append([]byte(preamble), 0, 0, 0x20, 0, byte(kindHello)), "malformed frame"},
+		{"oversize frame", after(0x7f, 0, 0, 0, byte(kindOpen)), ""},
+		{"random frames", after(random...), ""},
+		{"no msgpack", after(0, 0, 0, 3, byte(kindOpen), 0xc1, 0xc1), ""},
+		{"an agent's frame", after(frameOf(t, kindEnd, end1(1, "a", 0))...), ""},
+		{"a stream id twice", after(append(bytes.Clone(open), open...)...), ""},
+		{"more body than said", after(append(bytes.Clone(open), frameOf(t, kindBody, &beechwire.Body{Stream: 4, Data: []byte("abc")})...)...), ""},
+		{"second hello", after(frameOf(t, kindHello, &good)...), ""},
+	} {
+		conn, err := net.Dial("tcp", p.address.String())
+		is.NoErr(err)
+		_, err = conn.Write(v.bytes)
+		is.NoErr(err)
+		told, err := io.ReadAll(half(t, conn, v.want != ""))
+		if !strings.Contains(string(told), v.want) {
+			t.Errorf("%s: told %q (%v)", v.name, told, err)
+		}
+		conn.Close()
+	}
+	close(release)
+	got, _, err := collect(context.Background(), running)
+	is.NoErr(err)
+	is.Equal(string(got), "body")
+	until(t, "all are counted", func() bool {
+		k := p.server.Counters()
+		return k.Rejected >= 6 && k.Malformed >= 7
+	})
+	k := p.server.Counters()
+	is.Equal(k.Rejected, uint64(6))
+	is.Equal(k.Malformed, uint64(7))
+}
+
+// half ends this side's direction, if so asked, so that a refusing peer is
+// done reading at once.
+func half(t *testing.T, conn net.Conn, yes bool) net.Conn {
+	if yes {
+		is.New(t).NoErr(conn.(closeWriter).CloseWrite())
+	}
+	return conn
+}
+
+// One member's phone reads nothing while the answer grows. Its stream waits at
+// its credit, and another's on the same connection comes through whole.
+func TestSlowReaderHoldsNobody(t *testing.T) {
+	is := is.New(t)
+	var sent atomic.Int64
+	fast := answerIn(1000, 100)
+	p := newPair(t, Settings{Connections: 1, Credit: 8 << 10}, handlerFuncs{open: func(ctx context.Context, s ServerStream, r beechwire.Request, body []byte) {
+		if r.ID != "slow" {
+			fast(ctx, s, r, body)
+			return
+		}
+		_ = s.Send(ctx, HeadReply{})
+		for i := range uint64(1000) {
+			if s.Send(ctx, DataReply{Data: beechwire.Data{Sequence: i + 1, Data: make([]byte, 1000)}}) != nil {
+				return
+			}
+			sent.Add(1)
+		}
+		_ = s.Send(ctx, EndReply{End: beechwire.End{Last: 1000}})
+	}})
+	slow := openStream(t, p.client, "slow")
+	until(t, "the slow stream has used its credit", func() bool { return sent.Load() == 8 })
+	for range 3 {
+		got, last, err := collect(context.Background(), openStream(t, p.client, "fast"))
+		is.NoErr(err)
+		is.Equal(len(got), 100_000)
+		_, whole := last.(EndReply)
+		is.True(whole)
+	}
+	is.Equal(sent.Load(), int64(8)) // 8 pieces of 1,000 and overhead pass 8 KiB
+	got, _, err := collect(context.Background(), slow)
+	is.NoErr(err)
+	is.Equal(len(got), 1_000_000)
+}
+
+// A lease file of some megabytes is on its way to an agent when a grower asks
+// a short question. The question's request goes out after at most one batch.
+func TestLargeBodyLetsSmallOnesPass(t *testing.T) {
+	is := is.New(t)
+	o := newOutbox(1<<20, &counters{})
+	is.NoErr(o.sendWith(kindOpen, &beechwire.Open{Stream: 1}, &transfer{kind: kindBody, id: 1, rest: make([]byte, 8<<20)}))
+	is.NoErr(o.sendWith(kindOpen, &beechwire.Open{Stream: 2}, &transfer{kind: kindBody, id: 2, rest: make([]byte, 40<<10)}))
+	batch, _ := o.take()
+	is.True(len(batch) < writeBatch+2*pieceBytes)
+	is.NoErr(o.sendWith(kindOpen, &beechwire.Open{Stream: 3}, &transfer{kind: kindBody, id: 3, rest: []byte("short")}))
+	batch, _ = o.take()
+	kinds, bodies, _ := readAll(batch, 1<<20, false)
+	is.Equal(kinds[0], kindOpen)
+	var m beechwire.Body
+	_, err := m.UnmarshalMsg(bodies[1])
+	is.NoErr(err)
+	is.Equal(string(m.Data), "short")
+	count := 0
+	for _, body := range bodies[2:] { // in turn: the second body is not behind the first's megabytes
+		m = beechwire.Body{}
+		_, err := m.UnmarshalMsg(body)
+		is.NoErr(err)
+		if m.Stream == 2 {
+			count += len(m.Data)
+		}
+	}
+	is.True(count > 0)
+}
+
+// A caller gives up, goes away for a moment, or its entry's link is cut. The
+// agent must tell these apart: it stops the engine at once for the first, and
+// lets the generation wait for the caller's return in the others.
+func TestHandlerLearnsWhyItsStreamEnded(t *testing.T) {
+	is := is.New(t)
+	detached := make(chan bool)
+	p := newPair(t, Settings{}, handlerFuncs{open: func(ctx context.Context, s ServerStream, _ beechwire.Request, _ []byte) {
+		_ = s.Send(ctx, HeadReply{})
+		<-ctx.Done()
+		is.Equal(s.Send(context.Background(), EndReply{}), ErrStreamOver)
+		detached <- s.Detached()
+	}})
+	for _, want := range []bool{false, true} {
+		s := openStream(t, p.client, "a")
+		_, err := s.Next(context.Background())
+		is.NoErr(err)
+		s.Close(want)
+		is.Equal(<-detached, want)
+		_, err = s.Next(context.Background())
+		is.Equal(err, ErrClosed)
+	}
+	_, err := openStream(t, p.client, "a").Next(context.Background())
+	is.NoErr(err)
+	p.client.Close()
+	is.Equal(<-detached, true)
+}
+
+// An agent is stopped for a new version while callers read. Every answer comes
+// whole, new requests are refused as not run, and so are those that crossed
+// the agent's last word on the wire.
+func TestDrainCutsNothing(t *testing.T) {
+	is := is.New(t)
+	release := make(chan struct{})
+	slow := answerIn(200, 500)
+	p := newPair(t, Settings{}, handlerFuncs{open: func(ctx context.Context, s ServerStream, r beechwire.Request, body []byte) {
+		<-release
+		slow(ctx, s, r, body)
+	}})
+	var streams []Stream
+	for i := range 50 {
+		streams = append(streams, openStream(t, p.client, fmt.Sprint(i)))
+	}
+	until(t, "all have begun", func() bool { return p.server.Counters().Opened == 50 })
+	drained := make(chan error)
+	go func() { drained <- p.server.Drain(context.Background()) }()
+	until(t, "the drain has begun", p.server.isDraining)
+	_, last, err := collect(context.Background(), openStream(t, p.client, "late"))
+	is.NoErr(err)
+	refused, ok := last.(RefusedReply)
+	is.True(ok)
+	is.Equal(refused.Reason, beechwire.ReasonLeaving)
+
+	var asked, notRun atomic.Int64
+	stop := make(chan struct{})
+	var asking sync.WaitGroup
+	asking.Go(func() { // requests go on through the agent's last moment
+		for {
+			select {
+			case <-stop:
+				return
+			default:
+			}
+			s, err := p.client.Open(context.Background(), request("late"), nil)
+			if err != nil {
+				continue
+			}
+			asked.Add(1)
+			_, last, err := collect(context.Background(), s)
+			if _, ok := last.(RefusedReply); ok && err == nil {
+				notRun.Add(1)
+			} else {
+				t.Errorf("request %d: %T, %v", asked.Load(), last, err)
+			}
+		}
+	})
+	close(release)
+	for _, s := range streams {
+		got, last, err := collect(context.Background(), s)
+		is.NoErr(err)
+		is.Equal(len(got), 100_000)
+		_, whole := last.(EndReply)
+		is.True(whole)
+	}
+	is.NoErr(<-drained)
+	close(stop)
+	asking.Wait()
+	is.Equal(asked.Load(), notRun.Load())
+	is.True(asked.Load() > 0)
+}
+
+// An entry hangs while an agent is to stop. The agent's shutdown ends with its
+// context all the same, and says so.
+func TestDrainEndsWithItsContext(t *testing.T) {
+	is := is.New(t)
+	p := newPair(t, Settings{}, handlerFuncs{open: func(ctx context.Context, _ ServerStream, _ beechwire.Request, _ []byte) { <-ctx.Done() }})
+	s := openStream(t, p.client, "a")
+	until(t, "it has begun", func() bool { return p.server.Counters().Opened == 1 })
+	ctx, cancel := context.WithCancel(context.Background())
+	cancel()
+	is.True(errors.Is(p.server.Drain(ctx), context.Canceled))
+	_, err := s.Next(context.Background())
+	var lost *LostError
+	is.True(errors.As(err, &lost))
+}
+
+// A handler panics or returns without a word. The caller is not left to wait
+// for its deadline, and is not told that nothing ran.
+func TestEveryStreamGetsALastReply(t *testing.T) {
+	is := is.New(t)
+	p := newPair(t, Settings{}, handlerFuncs{open: func(_ context.Context, _ ServerStream, r beechwire.Request, _ []byte) {
+		if r.ID == "panic" {
+			panic("bug")
+		}
+	}})
+	for _, id := range []string{"panic", "silent"} {
+		_, last, err := collect(context.Background(), openStream(t, p.client, id))
+		is.NoErr(err)
+		failed, ok := last.(FailedReply)
+		is.True(ok)
+		is.Equal(failed.Ran, beechwire.RanUnknown)
+	}
+	is.Equal(p.server.Counters().Panics, uint64(1))
+}
+
+// Limits refuse a request as not run and leave the connection up.
+func TestLimits(t *testing.T) {
+	is := is.New(t)
+	block := make(chan struct{})
+	p := newPair(t, Settings{Connections: 1, MaxStreams: 2, MaxBody: 1000, Key: ""}, handlerFuncs{open: func(ctx context.Context, s ServerStream, r beechwire.Request, body []byte) {
+		<-block
+		echo(ctx, s, r, body)
+	}})
+	a, b := openStream(t, p.client, "a"), openStream(t, p.client, "b")
+	_, err := p.client.Open(context.Background(), request("c"), nil)
+	is.True(errors.Is(err, ErrBusy))
+	_, err = p.client.Open(context.Background(), request("c"), make([]byte, 1001))
+	var refused *OpenError
+	is.True(errors.As(err, &refused))
+
+	f := dialAsEntry(t, p.address.String())
+	open := func(stream uint64, size int) {
+		f.send(kindOpen, &beechwire.Open{Stream: stream, Request: beechwire.Request{ID: "f", Attempt: 1, BodyBytes: size}})
+	}
+	var m beechwire.Refused
+	open(1, 1001)
+	f.await(kindRefused, &m)
+	is.Equal(m.Reason, beechwire.ReasonMalformed)
+	open(2, 500)
+	open(3, 500)
+	open(4, 0)
+	f.await(kindRefused, &m)
+	is.Equal(m.Reason, beechwire.ReasonBusy)
+	is.Equal(m.Stream, uint64(4))
+	f.send(kindCancel, &beechwire.Cancel{Stream: 2})
+	f.send(kindBody, &beechwire.Body{Stream: 2, Data: []byte("late")}) // crossed the cancel
+	open(5, 0)
+	f.send(kindCancel, &beechwire.Cancel{Stream: 3})
+	open(6, 0)
+	open(7, 0)
+	f.await(kindRefused, &m)
+	is.Equal(m.Stream, uint64(7))
+	close(block)
+	for _, s := range []Stream{a, b} {
+		_, _, err := collect(context.Background(), s)
+		is.NoErr(err)
+	}
+	// Neither bodies that were never finished nor a peer that does not close
+	// hold up the end.
+	is.NoErr(p.server.Drain(context.Background()))
+}
+
+// Many callers at once over connections that hand over a few bytes at a time:
+// each gets exactly its own answer. The seed is fixed.
+func TestManyStreamsGetTheirOwnAnswers(t *testing.T) {
+	is := is.New(t)
+	p := newPair(t, Settings{}, handlerFuncs{open: func(ctx context.Context, s ServerStream, _ beechwire.Request, body []byte) {
+		_ = s.Send(ctx, HeadReply{})
+		sequence := uint64(0)
+		for len(body) > 0 {
+			piece := body[:min(len(body), 1+int(body[0]))]
+			body = body[len(piece):]
+			sequence++
+			if s.Send(ctx, DataReply{Data: beechwire.Data{Sequence: sequence, Data: piece}}) != nil {
+				return
+			}
+		}
+		_ = s.Send(ctx, EndReply{End: beechwire.End{Last: sequence}})
+	}})
+	cut := newCutter(t, p.address.String(), true, 700)
+	defer cut.close()
+	d := newDialer(Settings{Credit: 4 << 10}, &recorder{}, nil, realClock)
+	defer d.Close()
+	c := d.Dial(addressOf(cut.listener.Addr()))
+	until(t, "the link is up", c.Ready)
+	var callers sync.WaitGroup
+	for i := range 200 {
+		callers.Go(func() {
+			seeded := randv2.New(randv2.NewPCG(11, uint64(i)))
+			body := make([]byte, seeded.IntN(60_000))
+			for j := range body {
+				body[j] = byte(seeded.UintN(256))
+			}
+			s, err := c.Open(context.Background(), request(fmt.Sprint(i)), body)
+			is.NoErr(err)
+			got, last, err := collect(context.Background(), s)
+			is.NoErr(err)
+			is.True(bytes.Equal(got, body))
+			is.Equal(last.(EndReply).RequestID, fmt.Sprint(i))
+		})
+	}
+	callers.Wait()
+	k := d.Counters()
+	is.Equal(k.Late+k.Doubled+k.Crossed+k.Gaps+k.Lost, uint64(0))
+}
+
+// Links are made and lost all day. What stays behind of each would fill a
+// host's memory within weeks.
+func TestNothingIsLeftBehind(t *testing.T) {
+	is := is.New(t)
+	before := runtime.NumGoroutine()
+	for i := range 5 {
+		server := newServer(Settings{}, handlerFuncs{open: echo}, &recorder{}, nil, realClock)
+		l := loopback(t)
+		served := make(chan error, 1)
+		go func() { served <- server.Serve(context.Background(), l) }()
+		d := newDialer(Settings{}, &recorder{}, nil, realClock)
+		c := d.Dial(addressOf(l.Addr()))
+		gone := d.Dial(netip.MustParseAddrPort("127.0.0.1:1"))
+		until(t, "the link is up", c.Ready)
+		is.True(!gone.Ready())
+		_, _, err := collect(context.Background(), openStream(t, c, "a"))
+		is.NoErr(err)
+		openStream(t, c, "left open")
+		if i%2 == 0 {
+			d.Close()
+			server.Close()
+		} else {
+			server.Close()
+			d.Close()
+		}
+		is.NoErr(<-served)
+	}
+	until(t, "the goroutines have ended", func() bool { return runtime.NumGoroutine() <= before })
+}
+
+// Without certificates on both sides, whoever reaches the port could read
+// members' histories.
+func TestMutualTLS(t *testing.T) {
+	is := is.New(t)
+	pool, certificate := authority(t)
+	_, stranger := authority(t)
+	server := newServer(Settings{}, handlerFuncs{open: echo}, &recorder{}, &tls.Config{
+		Certificates: []tls.Certificate{certificate},
+		ClientAuth:   tls.RequireAndVerifyClientCert,
+		ClientCAs:    pool,
+	}, realClock)
+	l := loopback(t)
+	go func() { _ = server.Serve(context.Background(), l) }()
+	defer server.Close()
+	for _, v := range []struct {
+		certificates []tls.Certificate
+		accepted     bool
+	}{
+		{[]tls.Certificate{certificate}, true},
+		{[]tls.Certificate{stranger}, false},
+		{nil, false},
+	} {
+		d := newDialer(Settings{Connections: 1}, &recorder{}, &tls.Config{RootCAs: pool, Certificates: v.certificates}, realClock)
+		c := d.Dial(addressOf(l.Addr()))
+		until(t, "the handshake is over", func() bool { return c.Ready() || d.Counters().Rejected > 0 })
+		is.Equal(c.Ready(), v.accepted)
+		if v.accepted {
+			got, _, err := collect(context.Background(), openStream(t, c, "a"))
+			is.NoErr(err)
+			is.Equal(string(got), "body")
+		}
+		d.Close()
+	}
+}
+
+// authority makes a certificate for 127.0.0.1 that signs itself.
+func authority(t *testing.T) (*x509.CertPool, tls.Certificate) {
+	t.Helper()
+	is := is.New(t)
+	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
+	is.NoErr(err)
+	template := &x509.Certificate{
+		SerialNumber:          big.NewInt(1),
+		Subject:               pkix.Name{CommonName: "link"},
+		NotBefore:             time.Now().Add(-time.Hour),
+		NotAfter:              time.Now().Add(time.Hour),
+		IPAddresses:           []net.IP{net.IPv4(127, 0, 0, 1)},
+		ExtKeyUsage:           []x509.ExtKeyUsage{x509.ExtKeyUsageServerAuth, x509.ExtKeyUsageClientAuth},
+		IsCA:                  true,
+		BasicConstraintsValid: true,
+	}
+	der, err := x509.CreateCertificate(rand.Reader, template, template, &key.PublicKey, key)
+	is.NoErr(err)
+	parsed, err := x509.ParseCertificate(der)
+	is.NoErr(err)
+	pool := x509.NewCertPool()
+	pool.AddCert(parsed)
+	return pool, tls.Certificate{Certificate: [][]byte{der}, PrivateKey: key}
+}
--- a/internal/link/beechlink/serverend.go
+++ b/internal/link/beechlink/serverend.go
@@ -133,7 +133,8 @@
 		return err
 	}
 	if reason, message := e.admit(s, r.BodyBytes); reason != "" {
-		return e.refuse(s, reason, message)
+		e.refuse(s, reason, message)
+		return nil
 	}
 	e.c.counters.opened.Add(1)
 	s.request = r
@@ -154,17 +155,21 @@
 		return err
 	}
 	if reason, message := e.admit(s, 0); reason != "" {
-		return e.refuse(s, reason, message)
+		e.refuse(s, reason, message)
+		return nil
 	}
 	e.c.counters.reattached.Add(1)
 	e.serve(s, func() { e.server.handler.Reattach(s.context, s, *m) })
 	return nil
 }
 
-func (e *serverEnd) refuse(s *serverStream, reason, message string) error {
+// refuse closes a stream that was not taken. It cannot be sent after Bye,
+// which says the same; to end the connection for that would reset it, and the
+// entry could lose the Bye and with it the proof that nothing was run.
+func (e *serverEnd) refuse(s *serverStream, reason, message string) {
 	s.cancel()
 	e.c.counters.refused.Add(1)
-	return e.c.out.send(kindRefused, &beechwire.Refused{
+	_ = e.c.out.send(kindRefused, &beechwire.Refused{
 		Stream:    s.id,
 		RequestID: s.requestID,
 		Attempt:   s.attempt,
