--- a/internal/link/beechlink/server_test.go
+++ b/internal/link/beechlink/server_test.go
@@ -97,6 +97,10 @@
 	got, _, err := collect(context.Background(), running)
 	is.NoErr(err)
 	is.Equal(string(got), "body")
+	until(t, "all are counted", func() bool {
+		k := p.server.Counters()
+		return k.Rejected >= 6 && k.Malformed >= 7
+	})
 	k := p.server.Counters()
 	is.Equal(k.Rejected, uint64(6))
 	is.Equal(k.Malformed, uint64(7))
@@ -245,6 +249,8 @@
 			_, last, err := collect(context.Background(), s)
 			if _, ok := last.(RefusedReply); ok && err == nil {
 				notRun.Add(1)
+			} else {
+				t.Errorf("request %d: %T, %v", asked.Load(), last, err)
 			}
 		}
 	})
