Link: idle cost within its bounds, connections by need, benchmarks

Cause: 400 idle links with two connections each took 1.2% of a core, 19.3 MB and 12.2 KB/s with TCP's headers (5.0 KB/s without); the bound is 2.1%, 32 MB, 8 KB/s. Ruled out: encoding Load without names, since headers are three fifths of the bytes and a new field would need a new version.

--- /dev/null
+++ b/internal/link/beechlink/bench_test.go
@@ -0,0 +1,272 @@
+package beechlink
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"net/netip"
+	"os"
+	"os/exec"
+	"runtime"
+	"strconv"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/beechring/beechring/internal/link/beechwire"
+	"github.com/matryer/is"
+)
+
+// agentsVariable makes this test binary serve as many agents, for benchmarks
+// that measure an entry alone.
+const agentsVariable = "BEECHLINK_AGENTS"
+
+func TestMain(m *testing.M) {
+	if count, err := strconv.Atoi(os.Getenv(agentsVariable)); err == nil {
+		serveAgents(count)
+		return
+	}
+	os.Exit(m.Run())
+}
+
+// changingPulse gives another load at each poll.
+type changingPulse struct {
+	recorder
+	rounds int
+}
+
+func (p *changingPulse) Beat() beechwire.Heartbeat {
+	p.rounds++
+	return beechwire.Heartbeat{
+		Ready:      true,
+		Generation: 7,
+		Load:       beechwire.Load{Running: p.rounds % 9, WaitingTokens: int64(p.rounds) * 1000, Slots: 8, PrefillRate: 8000, DecodeMicros: 20000},
+	}
+}
+
+// serveAgents prints an address for each agent and serves until its input
+// ends.
+func serveAgents(count int) {
+	pulse := &changingPulse{}
+	s := New(Settings{}, hello(beechwire.RoleAgent, 7), handlerFuncs{open: echo}, answerFunc(echoCall), &recorder{}, pulse, nil, realClock)
+	for range count {
+		l, err := Listen(netip.MustParseAddrPort("127.0.0.1:0"))
+		if err != nil {
+			panic(err)
+		}
+		fmt.Println(l.Addr())
+		go func() { _ = s.Serve(context.Background(), l) }()
+	}
+	_, _ = bufio.NewReader(os.Stdin).ReadString(0)
+	s.Close()
+}
+
+// startAgents runs them in a process of their own.
+func startAgents(b *testing.B, count int) []netip.AddrPort {
+	b.Helper()
+	is := is.New(b)
+	command := exec.Command(os.Args[0])
+	command.Env = append(os.Environ(), fmt.Sprintf("%s=%d", agentsVariable, count))
+	input, err := command.StdinPipe()
+	is.NoErr(err)
+	output, err := command.StdoutPipe()
+	is.NoErr(err)
+	is.NoErr(command.Start())
+	b.Cleanup(func() {
+		input.Close()
+		_ = command.Wait()
+	})
+	lines := bufio.NewScanner(output)
+	addresses := make([]netip.AddrPort, 0, count)
+	for len(addresses) < count && lines.Scan() {
+		addresses = append(addresses, netip.MustParseAddrPort(lines.Text()))
+	}
+	is.Equal(len(addresses), count)
+	return addresses
+}
+
+// processorTime is what this process has used.
+func processorTime() time.Duration {
+	var u syscall.Rusage
+	if syscall.Getrusage(syscall.RUSAGE_SELF, &u) != nil {
+		return 0
+	}
+	return time.Duration(u.Utime.Nano() + u.Stime.Nano())
+}
+
+// resident is the process's memory in bytes, after a collection.
+func resident() int64 {
+	runtime.GC()
+	b, err := os.ReadFile("/proc/self/status")
+	if err != nil {
+		return 0
+	}
+	for line := range strings.SplitSeq(string(b), "\n") {
+		if fields := strings.Fields(line); len(fields) == 3 && fields[0] == "VmRSS:" {
+			kilobytes, _ := strconv.ParseInt(fields[1], 10, 64)
+			return kilobytes << 10
+		}
+	}
+	return 0
+}
+
+// inUse is the memory of heap and stacks in bytes, after a collection.
+func inUse() int64 {
+	runtime.GC()
+	runtime.GC()
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	return int64(m.HeapInuse + m.StackInuse)
+}
+
+// BenchmarkRoundTrip opens a stream with a small body and reads a small
+// answer, both sides in one process.
+func BenchmarkRoundTrip(b *testing.B) {
+	for _, callers := range []int{1, 64, 512} {
+		b.Run(fmt.Sprintf("callers=%d", callers), func(b *testing.B) {
+			p := newPair(b, Settings{}, handlerFuncs{open: echo})
+			body := make([]byte, 512)
+			ctx := context.Background()
+			b.SetParallelism(max(1, callers/runtime.GOMAXPROCS(0)))
+			b.ReportAllocs()
+			one := func() {
+				s, err := p.client.Open(ctx, request("a"), body)
+				if err != nil {
+					b.Error(err)
+					return
+				}
+				if _, _, err := collect(ctx, s); err != nil {
+					b.Error(err)
+				}
+			}
+			began := processorTime()
+			b.ResetTimer()
+			if callers == 1 {
+				for b.Loop() {
+					one()
+				}
+			} else {
+				b.RunParallel(func(pb *testing.PB) {
+					for pb.Next() {
+						one()
+					}
+				})
+			}
+			b.ReportMetric(float64(b.N)/b.Elapsed().Seconds(), "requests/s")
+			b.ReportMetric(float64((processorTime()-began).Nanoseconds())/float64(b.N), "cpu-ns/op")
+			k := p.dialer.Counters()
+			b.ReportMetric(float64(k.FramesOut)/float64(max(1, k.Writes)), "frames/write")
+		})
+	}
+}
+
+// BenchmarkTokens streams tokens of 200 bytes, as a generation does.
+func BenchmarkTokens(b *testing.B) {
+	p := newPair(b, Settings{}, handlerFuncs{open: answerIn(1000, 200)})
+	ctx := context.Background()
+	b.ReportAllocs()
+	began := processorTime()
+	b.ResetTimer()
+	b.RunParallel(func(pb *testing.PB) {
+		for pb.Next() {
+			s, err := p.client.Open(ctx, request("a"), nil)
+			if err != nil {
+				b.Error(err)
+				return
+			}
+			if _, _, err := collect(ctx, s); err != nil {
+				b.Error(err)
+			}
+		}
+	})
+	b.ReportMetric(float64(b.N)*1000/b.Elapsed().Seconds(), "tokens/s")
+	b.ReportMetric(float64((processorTime()-began).Nanoseconds())/float64(b.N)/1000, "cpu-ns/token")
+}
+
+// BenchmarkOpenStreams holds 5,000 streams whose answer has begun, both sides
+// in one process, with a goroutine that reads each.
+func BenchmarkOpenStreams(b *testing.B) {
+	const streams = 5000
+	for b.Loop() {
+		b.StopTimer()
+		p := newPair(b, Settings{}, handlerFuncs{open: func(ctx context.Context, s ServerStream, _ beechwire.Request, _ []byte) {
+			_ = s.Send(ctx, HeadReply{})
+			_ = s.Send(ctx, DataReply{Data: beechwire.Data{Sequence: 1, Data: []byte("first")}})
+			<-ctx.Done()
+		}})
+		before := inUse()
+		b.StartTimer()
+		first := make(chan struct{}, streams)
+		ctx, cancel := context.WithCancel(context.Background())
+		for range streams {
+			go func() {
+				s, err := p.client.Open(ctx, request("a"), make([]byte, 512))
+				if err != nil {
+					b.Error(err)
+					return
+				}
+				defer s.Close(false)
+				for range 2 {
+					if _, err := s.Next(ctx); err != nil {
+						b.Error(err)
+					}
+				}
+				first <- struct{}{}
+				_, _ = s.Next(ctx)
+			}()
+		}
+		for range streams {
+			<-first
+		}
+		b.StopTimer()
+		b.ReportMetric(float64(inUse()-before)/streams, "B/stream")
+		cancel()
+		b.StartTimer()
+	}
+}
+
+// BenchmarkIdleLinks holds links of an entry to agents in another process,
+// whose load changes all the time, and carries no requests.
+func BenchmarkIdleLinks(b *testing.B) {
+	for _, links := range []int{100, 400} {
+		b.Run(fmt.Sprintf("links=%d", links), func(b *testing.B) { idleLinks(b, links) })
+	}
+}
+
+func idleLinks(b *testing.B, links int) {
+	const (
+		settle = 5 * time.Second
+		span   = 20 * time.Second
+		// header is that of IP and TCP with time stamps; a beat, its answer
+		// and their acknowledgement are three packets.
+		header = 52
+	)
+	addresses := startAgents(b, links)
+	for b.Loop() {
+		before := resident()
+		dialer := newDialer(Settings{}, &recorder{}, nil, realClock)
+		clients := make([]*Client, 0, links)
+		for _, a := range addresses {
+			clients = append(clients, dialer.Dial(a))
+		}
+		for _, c := range clients {
+			until(b, "all links are up", c.Ready)
+		}
+		time.Sleep(settle)
+		from, cpu := dialer.Counters(), processorTime()
+		time.Sleep(span)
+		to, used := dialer.Counters(), processorTime()-cpu
+		seconds := span.Seconds()
+		beats := float64(to.BeatsOut - from.BeatsOut)
+		payload := float64(to.BytesIn + to.BytesOut - from.BytesIn - from.BytesOut)
+		b.ReportMetric(100*used.Seconds()/seconds, "%core")
+		b.ReportMetric(payload/seconds, "B/s")
+		b.ReportMetric((payload+3*header*beats)/seconds, "B/s-with-headers")
+		b.ReportMetric(beats/seconds, "beats/s")
+		b.ReportMetric(payload/beats, "B/beat")
+		b.ReportMetric(float64(resident()-before)/(1<<20), "MB")
+		b.ReportMetric(float64(to.Lost), "lost")
+		dialer.Close()
+	}
+}
--- a/internal/link/beechlink/client.go
+++ b/internal/link/beechlink/client.go
@@ -42,11 +42,11 @@
 		cancel  context.CancelFunc
 		running sync.WaitGroup
 
-		mu    sync.Mutex
-		ends  []*clientEnd
-		peer  Peer
-		up    chan struct{} // closed while a connection is up
-		cause error         // of the last failure
+		mu      sync.Mutex
+		ends    []*clientEnd
+		peer    Peer
+		cause   error // of the last failure
+		growing bool  // a spare connection is being opened
 	}
 )
 
@@ -103,7 +103,6 @@
 		context: ctx,
 		cancel:  cancel,
 		peer:    Peer{Address: peer},
-		up:      make(chan struct{}),
 		cause:   errors.New("not yet dialed"),
 	}
 	d.mu.Lock()
@@ -114,13 +113,11 @@
 		cancel()
 		return c
 	}
-	for i := range d.settings.Connections {
-		c.running.Add(1)
-		go func() {
-			defer c.running.Done()
-			c.keep(i == 0)
-		}()
-	}
+	c.running.Add(1)
+	go func() {
+		defer c.running.Done()
+		c.keep()
+	}()
 	return c
 }
 
@@ -205,7 +202,8 @@
 	return e.c.call(ctx, method, payload)
 }
 
-// choose returns the connection with the fewest streams.
+// choose returns the connection with the fewest streams, and sees to a
+// further one if these are many.
 func (c *Client) choose() (*clientEnd, error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -224,19 +222,31 @@
 	if best == nil {
 		return nil, fmt.Errorf("%w (%w)", ErrDown, c.cause)
 	}
+	if fewest >= spareStreams && !c.growing && len(c.ends) < c.dialer.settings.Connections && c.context.Err() == nil {
+		c.grow()
+	}
 	return best, nil
 }
 
-// keep holds one connection up. Only the first of a link is dialed while the
-// agent cannot be reached, so that lost agents cost few dials.
-func (c *Client) keep(first bool) {
+// grow opens a spare connection. It is called with the lock held.
+func (c *Client) grow() {
+	c.growing = true
+	c.running.Add(1)
+	go func() {
+		defer c.running.Done()
+		_ = c.once(true) // the kept connection tells what is wrong with the agent
+		c.mu.Lock()
+		c.growing = false
+		c.mu.Unlock()
+	}()
+}
+
+// keep holds one connection up.
+func (c *Client) keep() {
 	failures := 0
 	for {
-		if !first && !c.waitUp() {
-			return
-		}
 		began := c.dialer.clock.Now()
-		err := c.once()
+		err := c.once(false)
 		if c.context.Err() != nil {
 			return
 		}
@@ -251,18 +261,6 @@
 	}
 }
 
-func (c *Client) waitUp() bool {
-	c.mu.Lock()
-	up := c.up
-	c.mu.Unlock()
-	select {
-	case <-up:
-		return true
-	case <-c.context.Done():
-		return false
-	}
-}
-
 func (c *Client) noteFailure(err error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -291,7 +289,7 @@
 }
 
 // once makes a connection and returns when it has ended.
-func (c *Client) once() error {
+func (c *Client) once(spare bool) error {
 	d := c.dialer
 	conn, frames, hello, err := c.connect()
 	if err != nil {
@@ -302,6 +300,7 @@
 	peer.Address = c.address
 	key.address = c.address
 	e := newClientEnd()
+	e.spare = spare
 	frames.limit = d.settings.MaxFrame
 	k := newConnection(conn, peer, key, d.settings, &d.counters, d.pacer, d.caller, d.roster, e)
 	k.beats = true
@@ -321,10 +320,8 @@
 		old.fail(replaced)
 	}
 	c.mu.Lock()
-	if len(c.ends) == 0 {
-		close(c.up)
-	}
 	c.ends = append(c.ends, e)
+	c.growing = c.growing && !e.spare
 	c.peer = e.c.peer
 	c.mu.Unlock()
 	d.roster.join(e.c)
@@ -341,9 +338,6 @@
 			break
 		}
 	}
-	if len(c.ends) == 0 {
-		c.up = make(chan struct{})
-	}
 	c.mu.Unlock()
 	c.dialer.roster.leave(e.c, err)
 }
--- a/internal/link/beechlink/client_test.go
+++ b/internal/link/beechlink/client_test.go
@@ -298,6 +298,9 @@
 	acceptAsAgent(t, l)
 	until(t, "the old one is up", c.Ready)
 	s := openStream(t, c, "a")
+	for range spareStreams { // so that a second connection is made
+		openStream(t, c, "b")
+	}
 	conn, err := l.Accept()
 	is.NoErr(err)
 	defer conn.Close()
@@ -338,3 +341,40 @@
 	var refused *OpenError
 	is.True(errors.As(err, &refused) || errors.As(err, &lost))
 }
+
+// A burst needs a further connection; kept for ever, those of hundreds of
+// agents would cost an idle entry memory and beats.
+func TestSpareConnectionsComeAndGo(t *testing.T) {
+	is := is.New(t)
+	p := newPair(t, Settings{Connections: 3}, handlerFuncs{open: func(ctx context.Context, _ ServerStream, _ beechwire.Request, _ []byte) { <-ctx.Done() }})
+	var streams []Stream
+	for len(streams) < spareStreams {
+		streams = append(streams, openStream(t, p.client, "a"))
+	}
+	is.Equal(p.dialer.Counters().Up, uint64(1))
+	streams = append(streams, openStream(t, p.client, "a"))
+	until(t, "a second is up", func() bool { return len(p.dialer.roster.all()) == 2 })
+	p.client.mu.Lock()
+	kept, spare := p.client.ends[0], p.client.ends[1]
+	p.client.mu.Unlock()
+	s := openStream(t, p.client, "a")
+	is.Equal(spare.streams(), 1)
+	later := func(d time.Duration) {
+		for _, e := range []*clientEnd{kept, spare} {
+			e.rest(e.c, time.Now().Add(d))
+		}
+	}
+	later(0)
+	later(2 * spareTime)
+	is.True(spare.usable())
+	s.Close(false)
+	later(3 * spareTime)
+	is.True(!spare.usable())
+	until(t, "the second is closed", func() bool { return len(p.dialer.roster.all()) == 1 })
+	for _, s := range streams {
+		s.Close(false)
+	}
+	later(9 * spareTime)
+	is.True(kept.usable())
+	is.Equal(p.dialer.Counters().Lost, uint64(0))
+}
--- a/internal/link/beechlink/clientend.go
+++ b/internal/link/beechlink/clientend.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"sync"
+	"time"
 
 	"github.com/beechring/beechring/internal/link/beechwire"
 )
@@ -20,7 +21,9 @@
 		mu      sync.Mutex
 		table   map[uint64]*clientStream
 		last    uint64
-		leaving bool // the agent takes no more streams here
+		leaving bool // no more streams are opened here
+		spare   bool // opened for a burst, and closed after it
+		used    time.Time
 		err     error
 	}
 )
@@ -216,6 +219,24 @@
 	}
 }
 
+// rest closes a spare connection that had no work for spareTime.
+func (e *clientEnd) rest(c *connection, now time.Time) {
+	if !e.spare {
+		return
+	}
+	busy := c.busy()
+	e.mu.Lock()
+	if busy || e.used.IsZero() {
+		e.used = now
+	}
+	resting := now.Sub(e.used) >= spareTime && len(e.table) == 0 && !e.leaving
+	e.leaving = e.leaving || resting
+	e.mu.Unlock()
+	if resting {
+		c.finish(byeClosed)
+	}
+}
+
 // bye ends the connection. An agent that drained has closed every stream that
 // it took with a last reply, so those still open were never taken: they are
 // refused, which is true, in place of a loss that could not be retried.
--- a/internal/link/beechlink/connection.go
+++ b/internal/link/beechlink/connection.go
@@ -40,6 +40,7 @@
 		writer    beatWriter
 		lastHeard time.Time
 		lastBeat  time.Time
+		lastAsk   time.Time
 		busySince time.Time // zero while idle
 		idle      time.Duration
 		peerIdle  time.Duration
@@ -47,6 +48,9 @@
 		failure   error
 	}
 
+	// demand says what is wanted of a beat beside what is due.
+	demand int
+
 	// end is what differs between the two sides of a connection.
 	end interface {
 		// receive takes a frame that is not the connection's own business.
@@ -55,19 +59,35 @@
 		streams() int
 		// lost ends all streams.
 		lost(c *connection, err error)
+		// rest is called each round, for what follows from a time of no work.
+		rest(c *connection, now time.Time)
 		// bye takes the peer's word that it closes on purpose.
 		bye(c *connection, reason string)
 	}
 )
 
+const (
+	demandNone   demand = iota
+	demandBeat          // send one
+	demandAnswer        // send one that asks for an answer
+)
+
 const (
 	byeDrained = "drained"
 	byeClosed  = "closed"
 
-	// idleMissed is how many beats of an idle peer may be missing. Nothing
-	// waits for an idle peer, so being slow to notice costs nothing; being
-	// quick would drop hundreds of links at once after a short pause.
-	idleMissed = 3
+	// idleMissed is how many beats of an idle entry may be missing before the
+	// agent takes it for dead. Nothing waits for it, so being slow costs
+	// little; being quick would drop many links after a short pause.
+	idleMissed = 2
+
+	// idlePatience is by how much more than Deadline an idle peer may take to
+	// answer a beat, for the same reason.
+	idlePatience = 2
+
+	// loadShare is how often in an idle period a changed load is told on a
+	// connection with streams. Each closing reply tells it too.
+	loadShare = 4
 )
 
 // run reads until the connection ends and returns why; nil after an orderly
@@ -210,10 +230,15 @@
 func (c *connection) check(m moment) {
 	if c.silent(m) {
 		c.counters.silent.Add(1)
+		// The other connections to a dead host die with this one.
+		for _, other := range c.roster.siblings(c) {
+			other.beat(m, demandAnswer)
+		}
 		c.fail(errSilent)
 		return
 	}
-	c.beat(m, false)
+	c.beat(m, demandNone)
+	c.end.rest(c, m.now)
 }
 
 // silent tells whether the peer must be taken for dead. Silence counts from
@@ -229,8 +254,7 @@
 	}
 	if !busy {
 		c.busySince = time.Time{}
-		limit := c.settings.Deadline + idleMissed*max(c.idle, c.peerIdle)
-		return m.now.Sub(c.lastHeard) > limit
+		return c.silentIdle(m.now)
 	}
 	if c.busySince.IsZero() {
 		c.busySince = m.now
@@ -242,8 +266,18 @@
 	return m.now.Sub(since) > c.settings.Deadline
 }
 
-// beat sends a beat if one is due or asked for.
-func (c *connection) beat(m moment, asked bool) {
+func (c *connection) silentIdle(now time.Time) bool {
+	patience := idlePatience * c.settings.Deadline
+	owed := !c.lastAsk.IsZero() && !c.lastHeard.After(c.lastAsk)
+	if owed && now.Sub(c.lastAsk) > patience {
+		return true
+	}
+	missed := idleMissed * max(c.idle, c.peerIdle)
+	return now.Sub(c.lastHeard) > missed+patience
+}
+
+// beat sends a beat if one is due or demanded.
+func (c *connection) beat(m moment, d demand) {
 	if c.out.queued() > queueLimit {
 		return
 	}
@@ -251,36 +285,60 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.idle = m.idle
-	every := int64(0)
-	if c.beats {
-		every = m.idle.Milliseconds()
-	}
-	announced := every
-	if announced <= c.writer.every && announced*2 > c.writer.every {
-		announced = c.writer.every // a shrinking fleet need not be told at once
-	}
-	b, urgent := c.writer.next(m.heartbeat, announced)
-	period := m.idle
-	if busy {
-		period = c.settings.Heartbeat
-	}
-	due := (c.beats || busy) && m.now.Sub(c.lastBeat) >= period
-	if !urgent && !due && !asked {
+	every := c.announced(m.idle)
+	b, urgent := c.writer.next(m.heartbeat, every)
+	ask := d == demandAnswer || c.askDue(m.now, busy)
+	load := busy && b.Load != nil && m.now.Sub(c.lastBeat) >= c.loadPeriod()
+	if !urgent && !ask && !load && d == demandNone {
 		return
 	}
-	if due && m.now.Sub(c.lastHeard) >= c.settings.Heartbeat {
-		ask := true
+	if ask {
 		b.Ask = &ask
 	}
 	if c.out.send(kindBeat, &b) != nil {
 		return
 	}
 	c.counters.beatsOut.Add(1)
-	c.writer.taken(m.heartbeat, announced)
+	c.writer.taken(m.heartbeat, every)
 	c.lastBeat = m.now
-	if urgent && !busy {
-		c.lastBeat = m.now.Add(-rand.N(m.idle)) // spreads the links over the period
+	if ask {
+		c.lastAsk = m.now
+	}
+}
+
+// askDue tells whether the peer should show that it lives: on a connection
+// with work outstanding when nothing was heard for a heartbeat, on an idle one
+// of the client's once in the idle period.
+func (c *connection) askDue(now time.Time, busy bool) bool {
+	if busy {
+		return now.Sub(c.lastHeard) >= c.settings.Heartbeat && now.Sub(c.lastAsk) >= c.settings.Heartbeat
+	}
+	if !c.beats {
+		return false
+	}
+	if c.lastAsk.IsZero() {
+		c.lastAsk = now.Add(-rand.N(c.idle)) // spreads the links over the period
+		c.lastHeard = now.Add(1)             // nothing is owed for it
+		return false
 	}
+	return now.Sub(c.lastAsk) >= c.idle
+}
+
+// announced is the idle period that the peer is told, in milliseconds; a
+// shrinking fleet need not be told at once.
+func (c *connection) announced(idle time.Duration) int64 {
+	if !c.beats {
+		return 0
+	}
+	every := idle.Milliseconds()
+	if every <= c.writer.every && 2*every > c.writer.every {
+		return c.writer.every
+	}
+	return every
+}
+
+func (c *connection) loadPeriod() time.Duration {
+	return max(c.settings.Heartbeat, c.idle/loadShare, c.peerIdle/loadShare)
 }
 
 func (c *connection) receiveBeat(body []byte) error {
@@ -297,7 +355,7 @@
 	}
 	c.mu.Unlock()
 	if b.Ask != nil && *b.Ask {
-		c.beat(c.pacer.moment(), true)
+		c.beat(c.pacer.moment(), demandBeat)
 	}
 	c.roster.heartbeat(c, h)
 	return nil
--- a/internal/link/beechlink/roster.go
+++ b/internal/link/beechlink/roster.go
@@ -158,6 +158,21 @@
 	return old
 }
 
+// siblings are the other connections to c's process.
+func (r *roster) siblings(c *connection) []*connection {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	var others []*connection
+	if s := r.sessions[c.key]; s != nil {
+		for _, other := range s.connections {
+			if other != c {
+				others = append(others, other)
+			}
+		}
+	}
+	return others
+}
+
 func (r *roster) heartbeat(c *connection, h beechwire.Heartbeat) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
--- a/internal/link/beechlink/serverend.go
+++ b/internal/link/beechlink/serverend.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"sync"
+	"time"
 
 	"github.com/beechring/beechring/internal/link/beechwire"
 )
@@ -266,3 +267,6 @@
 }
 
 func (e *serverEnd) bye(c *connection, _ string) { c.out.finish() }
+
+// rest does nothing: which connections are kept is the entry's choice.
+func (e *serverEnd) rest(*connection, time.Time) {}
--- a/internal/link/beechlink/settings.go
+++ b/internal/link/beechlink/settings.go
@@ -32,6 +32,17 @@
 	pendingLimit = 4
 )
 
+const (
+	// spareStreams is how many streams each connection of a link carries
+	// before a further one is opened. An idle entry thus holds one to each of
+	// hundreds of agents.
+	spareStreams = 64
+
+	// spareTime is after how long without work a further connection is
+	// closed.
+	spareTime = 30 * time.Second
+)
+
 // DefaultSettings are those of both deployments.
 func DefaultSettings() Settings {
 	return Settings{
@@ -39,9 +50,9 @@
 		Credit:      32 << 10,
 		MaxFrame:    256 << 10,
 		MaxBody:     8 << 20,
-		Heartbeat:   400 * time.Millisecond,
-		Deadline:    1400 * time.Millisecond,
-		IdleSpread:  20 * time.Millisecond,
+		Heartbeat:   500 * time.Millisecond,
+		Deadline:    1500 * time.Millisecond,
+		IdleSpread:  35 * time.Millisecond,
 		DialTimeout: time.Second,
 		MaxStreams:  4096,
 	}
