--- a/internal/link/beechwire/wire_gen.go
+++ b/internal/link/beechwire/wire_gen.go
@@ -78,18 +78,59 @@
 	Stream uint64 `msg:"Stream"`
 }
 
+// Change is a prefix that has come into an engine's cache or queue, or gone.
+type Change struct {
+	// Held corresponds to the JSON schema field "Held".
+	Held bool `msg:"Held"`
+
+	// Key corresponds to the JSON schema field "Key".
+	Key []byte `msg:"Key"`
+
+	// Tokens corresponds to the JSON schema field "Tokens".
+	Tokens int `msg:"Tokens"`
+}
+
+// Changes answers ChangesAsk. With All, what is not in the list is to be
+// forgotten. Next is the version to ask with next.
+type Changes struct {
+	// All corresponds to the JSON schema field "All".
+	All bool `msg:"All"`
+
+	// Of the agent.
+	Incarnation uint64 `msg:"Incarnation"`
+
+	// List corresponds to the JSON schema field "List".
+	List []Change `msg:"List"`
+
+	// Next corresponds to the JSON schema field "Next".
+	Next uint64 `msg:"Next"`
+}
+
+// ChangesAsk asks an agent what has come into its engine's cache, and gone, since
+// a version; 0 asks for everything.
+type ChangesAsk struct {
+	// After corresponds to the JSON schema field "After".
+	After uint64 `msg:"After"`
+}
+
 // ClaimAnswer is the state of a record after a claim or a finish. State is a State
 // constant of this package.
 type ClaimAnswer struct {
 	// AfterMillis corresponds to the JSON schema field "AfterMillis".
 	AfterMillis int64 `msg:"AfterMillis"`
 
+	// Where the first request runs, or empty.
+	Agent string `msg:"Agent"`
+
 	// Answer corresponds to the JSON schema field "Answer".
 	Answer []byte `msg:"Answer"`
 
 	// ContentType corresponds to the JSON schema field "ContentType".
 	ContentType string `msg:"ContentType"`
 
+	// Of the first request under the key.
+	RequestID string `msg:"RequestID"`
+
 	// State corresponds to the JSON schema field "State".
 	State string `msg:"State"`
 
@@ -108,6 +149,9 @@
 	// RecordKey corresponds to the JSON schema field "RecordKey".
 	RecordKey string `msg:"RecordKey"`
 
+	// True: the record is kept in memory only and a repeat joins the first.
+	Repeatable bool `msg:"Repeatable"`
+
 	// RequestID corresponds to the JSON schema field "RequestID".
 	RequestID string `msg:"RequestID"`
 }
@@ -204,8 +248,12 @@
 	Stream uint64 `msg:"Stream"`
 }
 
-// FinishAsk records the outcome under a token. NotRun releases the claim.
+// FinishAsk records the outcome under a token. NotRun releases the claim. Without
+// NotRun, Status and Agent the outcome will not be known.
 type FinishAsk struct {
+	// Where a repeatable request was placed; empty otherwise.
+	Agent string `msg:"Agent"`
+
 	// Answer corresponds to the JSON schema field "Answer".
 	Answer []byte `msg:"Answer"`
 
@@ -324,6 +372,10 @@
 
 // Load is the agent's word on its server.
 type Load struct {
+	// Version of what the engine's cache holds; where it differs from the one known,
+	// MethodChanges tells what changed.
+	Cache uint64 `msg:"Cache"`
+
 	// Time between output tokens, microseconds.
 	DecodeMicros int `msg:"DecodeMicros"`
 
@@ -456,6 +508,9 @@
 	// ContentType corresponds to the JSON schema field "ContentType".
 	ContentType string `msg:"ContentType"`
 
+	// Servers that died while they ran it, as the entry host knows.
+	Crashes int `msg:"Crashes"`
+
 	// Time left at sending; 0 is none.
 	DeadlineMillis int64 `msg:"DeadlineMillis"`
 
@@ -510,6 +565,9 @@
 	// Streamed corresponds to the JSON schema field "Streamed".
 	Streamed bool `msg:"Streamed"`
 
+	// The caller asked for the usage event of a streamed answer.
+	WantsUsage bool `msg:"WantsUsage"`
+
 	// Weights version.
 	Weights string `msg:"Weights"`
 
--- a/internal/link/beechwire/wire_msgp_gen.go
+++ b/internal/link/beechwire/wire_msgp_gen.go
@@ -722,19 +722,290 @@
 	return
 }
 
+// MarshalMsg implements msgp.Marshaler
+func (z *Change) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// map header, size 3
+	// string "Held"
+	o = append(o, 0x83, 0xa4, 0x48, 0x65, 0x6c, 0x64)
+	o = msgp.AppendBool(o, z.Held)
+	// string "Key"
+	o = append(o, 0xa3, 0x4b, 0x65, 0x79)
+	o = msgp.AppendBytes(o, z.Key)
+	// string "Tokens"
+	o = append(o, 0xa6, 0x54, 0x6f, 0x6b, 0x65, 0x6e, 0x73)
+	o = msgp.AppendInt(o, z.Tokens)
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *Change) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var field []byte
+	_ = field
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadMapHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	for zb0001 > 0 {
+		zb0001--
+		field, bts, err = msgp.ReadMapKeyZC(bts)
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		switch msgp.UnsafeString(field) {
+		case "Held":
+			z.Held, bts, err = msgp.ReadBoolBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Held")
+				return
+			}
+		case "Key":
+			z.Key, bts, err = msgp.ReadBytesBytes(bts, z.Key)
+			if err != nil {
+				err = msgp.WrapError(err, "Key")
+				return
+			}
+		case "Tokens":
+			z.Tokens, bts, err = msgp.ReadIntBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Tokens")
+				return
+			}
+		default:
+			bts, err = msgp.Skip(bts)
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
+			}
+		}
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z *Change) Msgsize() (s int) {
+	s = 1 + 5 + msgp.BoolSize + 4 + msgp.BytesPrefixSize + len(z.Key) + 7 + msgp.IntSize
+	return
+}
+
+// MarshalMsg implements msgp.Marshaler
+func (z *Changes) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// map header, size 4
+	// string "All"
+	o = append(o, 0x84, 0xa3, 0x41, 0x6c, 0x6c)
+	o = msgp.AppendBool(o, z.All)
+	// string "Incarnation"
+	o = append(o, 0xab, 0x49, 0x6e, 0x63, 0x61, 0x72, 0x6e, 0x61, 0x74, 0x69, 0x6f, 0x6e)
+	o = msgp.AppendUint64(o, z.Incarnation)
+	// string "List"
+	o = append(o, 0xa4, 0x4c, 0x69, 0x73, 0x74)
+	o = msgp.AppendArrayHeader(o, uint32(len(z.List)))
+	for za0001 := range z.List {
+		// map header, size 3
+		// string "Held"
+		o = append(o, 0x83, 0xa4, 0x48, 0x65, 0x6c, 0x64)
+		o = msgp.AppendBool(o, z.List[za0001].Held)
+		// string "Key"
+		o = append(o, 0xa3, 0x4b, 0x65, 0x79)
+		o = msgp.AppendBytes(o, z.List[za0001].Key)
+		// string "Tokens"
+		o = append(o, 0xa6, 0x54, 0x6f, 0x6b, 0x65, 0x6e, 0x73)
+		o = msgp.AppendInt(o, z.List[za0001].Tokens)
+	}
+	// string "Next"
+	o = append(o, 0xa4, 0x4e, 0x65, 0x78, 0x74)
+	o = msgp.AppendUint64(o, z.Next)
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *Changes) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var field []byte
+	_ = field
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadMapHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	for zb0001 > 0 {
+		zb0001--
+		field, bts, err = msgp.ReadMapKeyZC(bts)
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		switch msgp.UnsafeString(field) {
+		case "All":
+			z.All, bts, err = msgp.ReadBoolBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "All")
+				return
+			}
+		case "Incarnation":
+			z.Incarnation, bts, err = msgp.ReadUint64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Incarnation")
+				return
+			}
+		case "List":
+			var zb0002 uint32
+			zb0002, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "List")
+				return
+			}
+			if cap(z.List) >= int(zb0002) {
+				z.List = z.List[:zb0002]
+			} else {
+				z.List = make([]Change, zb0002)
+			}
+			for za0001 := range z.List {
+				var zb0003 uint32
+				zb0003, bts, err = msgp.ReadMapHeaderBytes(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "List", za0001)
+					return
+				}
+				for zb0003 > 0 {
+					zb0003--
+					field, bts, err = msgp.ReadMapKeyZC(bts)
+					if err != nil {
+						err = msgp.WrapError(err, "List", za0001)
+						return
+					}
+					switch msgp.UnsafeString(field) {
+					case "Held":
+						z.List[za0001].Held, bts, err = msgp.ReadBoolBytes(bts)
+						if err != nil {
+							err = msgp.WrapError(err, "List", za0001, "Held")
+							return
+						}
+					case "Key":
+						z.List[za0001].Key, bts, err = msgp.ReadBytesBytes(bts, z.List[za0001].Key)
+						if err != nil {
+							err = msgp.WrapError(err, "List", za0001, "Key")
+							return
+						}
+					case "Tokens":
+						z.List[za0001].Tokens, bts, err = msgp.ReadIntBytes(bts)
+						if err != nil {
+							err = msgp.WrapError(err, "List", za0001, "Tokens")
+							return
+						}
+					default:
+						bts, err = msgp.Skip(bts)
+						if err != nil {
+							err = msgp.WrapError(err, "List", za0001)
+							return
+						}
+					}
+				}
+			}
+		case "Next":
+			z.Next, bts, err = msgp.ReadUint64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Next")
+				return
+			}
+		default:
+			bts, err = msgp.Skip(bts)
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
+			}
+		}
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z *Changes) Msgsize() (s int) {
+	s = 1 + 4 + msgp.BoolSize + 12 + msgp.Uint64Size + 5 + msgp.ArrayHeaderSize
+	for za0001 := range z.List {
+		s += 1 + 5 + msgp.BoolSize + 4 + msgp.BytesPrefixSize + len(z.List[za0001].Key) + 7 + msgp.IntSize
+	}
+	s += 5 + msgp.Uint64Size
+	return
+}
+
+// MarshalMsg implements msgp.Marshaler
+func (z ChangesAsk) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// map header, size 1
+	// string "After"
+	o = append(o, 0x81, 0xa5, 0x41, 0x66, 0x74, 0x65, 0x72)
+	o = msgp.AppendUint64(o, z.After)
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *ChangesAsk) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var field []byte
+	_ = field
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadMapHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	for zb0001 > 0 {
+		zb0001--
+		field, bts, err = msgp.ReadMapKeyZC(bts)
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		switch msgp.UnsafeString(field) {
+		case "After":
+			z.After, bts, err = msgp.ReadUint64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "After")
+				return
+			}
+		default:
+			bts, err = msgp.Skip(bts)
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
+			}
+		}
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z ChangesAsk) Msgsize() (s int) {
+	s = 1 + 6 + msgp.Uint64Size
+	return
+}
+
 // MarshalMsg implements msgp.Marshaler
 func (z *ClaimAnswer) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 6
+	// map header, size 8
 	// string "AfterMillis"
-	o = append(o, 0x86, 0xab, 0x41, 0x66, 0x74, 0x65, 0x72, 0x4d, 0x69, 0x6c, 0x6c, 0x69, 0x73)
+	o = append(o, 0x88, 0xab, 0x41, 0x66, 0x74, 0x65, 0x72, 0x4d, 0x69, 0x6c, 0x6c, 0x69, 0x73)
 	o = msgp.AppendInt64(o, z.AfterMillis)
+	// string "Agent"
+	o = append(o, 0xa5, 0x41, 0x67, 0x65, 0x6e, 0x74)
+	o = msgp.AppendString(o, z.Agent)
 	// string "Answer"
 	o = append(o, 0xa6, 0x41, 0x6e, 0x73, 0x77, 0x65, 0x72)
 	o = msgp.AppendBytes(o, z.Answer)
 	// string "ContentType"
 	o = append(o, 0xab, 0x43, 0x6f, 0x6e, 0x74, 0x65, 0x6e, 0x74, 0x54, 0x79, 0x70, 0x65)
 	o = msgp.AppendString(o, z.ContentType)
+	// string "RequestID"
+	o = append(o, 0xa9, 0x52, 0x65, 0x71, 0x75, 0x65, 0x73, 0x74, 0x49, 0x44)
+	o = msgp.AppendString(o, z.RequestID)
 	// string "State"
 	o = append(o, 0xa5, 0x53, 0x74, 0x61, 0x74, 0x65)
 	o = msgp.AppendString(o, z.State)
@@ -771,6 +1042,12 @@
 				err = msgp.WrapError(err, "AfterMillis")
 				return
 			}
+		case "Agent":
+			z.Agent, bts, err = msgp.ReadStringBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Agent")
+				return
+			}
 		case "Answer":
 			z.Answer, bts, err = msgp.ReadBytesBytes(bts, z.Answer)
 			if err != nil {
@@ -783,6 +1060,12 @@
 				err = msgp.WrapError(err, "ContentType")
 				return
 			}
+		case "RequestID":
+			z.RequestID, bts, err = msgp.ReadStringBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "RequestID")
+				return
+			}
 		case "State":
 			z.State, bts, err = msgp.ReadStringBytes(bts)
 			if err != nil {
@@ -815,20 +1098,23 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *ClaimAnswer) Msgsize() (s int) {
-	s = 1 + 12 + msgp.Int64Size + 7 + msgp.BytesPrefixSize + len(z.Answer) + 12 + msgp.StringPrefixSize + len(z.ContentType) + 6 + msgp.StringPrefixSize + len(z.State) + 7 + msgp.IntSize + 6 + msgp.StringPrefixSize + len(z.Token)
+	s = 1 + 12 + msgp.Int64Size + 6 + msgp.StringPrefixSize + len(z.Agent) + 7 + msgp.BytesPrefixSize + len(z.Answer) + 12 + msgp.StringPrefixSize + len(z.ContentType) + 10 + msgp.StringPrefixSize + len(z.RequestID) + 6 + msgp.StringPrefixSize + len(z.State) + 7 + msgp.IntSize + 6 + msgp.StringPrefixSize + len(z.Token)
 	return
 }
 
 // MarshalMsg implements msgp.Marshaler
 func (z *ClaimAsk) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 3
+	// map header, size 4
 	// string "BodyHash"
-	o = append(o, 0x83, 0xa8, 0x42, 0x6f, 0x64, 0x79, 0x48, 0x61, 0x73, 0x68)
+	o = append(o, 0x84, 0xa8, 0x42, 0x6f, 0x64, 0x79, 0x48, 0x61, 0x73, 0x68)
 	o = msgp.AppendBytes(o, z.BodyHash)
 	// string "RecordKey"
 	o = append(o, 0xa9, 0x52, 0x65, 0x63, 0x6f, 0x72, 0x64, 0x4b, 0x65, 0x79)
 	o = msgp.AppendString(o, z.RecordKey)
+	// string "Repeatable"
+	o = append(o, 0xaa, 0x52, 0x65, 0x70, 0x65, 0x61, 0x74, 0x61, 0x62, 0x6c, 0x65)
+	o = msgp.AppendBool(o, z.Repeatable)
 	// string "RequestID"
 	o = append(o, 0xa9, 0x52, 0x65, 0x71, 0x75, 0x65, 0x73, 0x74, 0x49, 0x44)
 	o = msgp.AppendString(o, z.RequestID)
@@ -865,6 +1151,12 @@
 				err = msgp.WrapError(err, "RecordKey")
 				return
 			}
+		case "Repeatable":
+			z.Repeatable, bts, err = msgp.ReadBoolBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Repeatable")
+				return
+			}
 		case "RequestID":
 			z.RequestID, bts, err = msgp.ReadStringBytes(bts)
 			if err != nil {
@@ -885,7 +1177,7 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *ClaimAsk) Msgsize() (s int) {
-	s = 1 + 9 + msgp.BytesPrefixSize + len(z.BodyHash) + 10 + msgp.StringPrefixSize + len(z.RecordKey) + 10 + msgp.StringPrefixSize + len(z.RequestID)
+	s = 1 + 9 + msgp.BytesPrefixSize + len(z.BodyHash) + 10 + msgp.StringPrefixSize + len(z.RecordKey) + 11 + msgp.BoolSize + 10 + msgp.StringPrefixSize + len(z.RequestID)
 	return
 }
 
@@ -1374,9 +1666,12 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *FinishAsk) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 6
+	// map header, size 7
+	// string "Agent"
+	o = append(o, 0x87, 0xa5, 0x41, 0x67, 0x65, 0x6e, 0x74)
+	o = msgp.AppendString(o, z.Agent)
 	// string "Answer"
-	o = append(o, 0x86, 0xa6, 0x41, 0x6e, 0x73, 0x77, 0x65, 0x72)
+	o = append(o, 0xa6, 0x41, 0x6e, 0x73, 0x77, 0x65, 0x72)
 	o = msgp.AppendBytes(o, z.Answer)
 	// string "ContentType"
 	o = append(o, 0xab, 0x43, 0x6f, 0x6e, 0x74, 0x65, 0x6e, 0x74, 0x54, 0x79, 0x70, 0x65)
@@ -1414,6 +1709,12 @@
 			return
 		}
 		switch msgp.UnsafeString(field) {
+		case "Agent":
+			z.Agent, bts, err = msgp.ReadStringBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Agent")
+				return
+			}
 		case "Answer":
 			z.Answer, bts, err = msgp.ReadBytesBytes(bts, z.Answer)
 			if err != nil {
@@ -1464,7 +1765,7 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *FinishAsk) Msgsize() (s int) {
-	s = 1 + 7 + msgp.BytesPrefixSize + len(z.Answer) + 12 + msgp.StringPrefixSize + len(z.ContentType) + 7 + msgp.BoolSize + 10 + msgp.StringPrefixSize + len(z.RecordKey) + 7 + msgp.IntSize + 6 + msgp.StringPrefixSize + len(z.Token)
+	s = 1 + 6 + msgp.StringPrefixSize + len(z.Agent) + 7 + msgp.BytesPrefixSize + len(z.Answer) + 12 + msgp.StringPrefixSize + len(z.ContentType) + 7 + msgp.BoolSize + 10 + msgp.StringPrefixSize + len(z.RecordKey) + 7 + msgp.IntSize + 6 + msgp.StringPrefixSize + len(z.Token)
 	return
 }
 
@@ -1996,9 +2297,12 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *Load) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 6
+	// map header, size 7
+	// string "Cache"
+	o = append(o, 0x87, 0xa5, 0x43, 0x61, 0x63, 0x68, 0x65)
+	o = msgp.AppendUint64(o, z.Cache)
 	// string "DecodeMicros"
-	o = append(o, 0x86, 0xac, 0x44, 0x65, 0x63, 0x6f, 0x64, 0x65, 0x4d, 0x69, 0x63, 0x72, 0x6f, 0x73)
+	o = append(o, 0xac, 0x44, 0x65, 0x63, 0x6f, 0x64, 0x65, 0x4d, 0x69, 0x63, 0x72, 0x6f, 0x73)
 	o = msgp.AppendInt(o, z.DecodeMicros)
 	// string "PrefillRate"
 	o = append(o, 0xab, 0x50, 0x72, 0x65, 0x66, 0x69, 0x6c, 0x6c, 0x52, 0x61, 0x74, 0x65)
@@ -2036,6 +2340,12 @@
 			return
 		}
 		switch msgp.UnsafeString(field) {
+		case "Cache":
+			z.Cache, bts, err = msgp.ReadUint64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Cache")
+				return
+			}
 		case "DecodeMicros":
 			z.DecodeMicros, bts, err = msgp.ReadIntBytes(bts)
 			if err != nil {
@@ -2086,7 +2396,7 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *Load) Msgsize() (s int) {
-	s = 1 + 13 + msgp.IntSize + 12 + msgp.IntSize + 8 + msgp.IntSize + 6 + msgp.IntSize + 8 + msgp.IntSize + 14 + msgp.Int64Size
+	s = 1 + 6 + msgp.Uint64Size + 13 + msgp.IntSize + 12 + msgp.IntSize + 8 + msgp.IntSize + 6 + msgp.IntSize + 8 + msgp.IntSize + 14 + msgp.Int64Size
 	return
 }
 
@@ -2560,9 +2870,9 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *Request) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 27
+	// map header, size 29
 	// string "Adapter"
-	o = append(o, 0xde, 0x0, 0x1b, 0xa7, 0x41, 0x64, 0x61, 0x70, 0x74, 0x65, 0x72)
+	o = append(o, 0xde, 0x0, 0x1d, 0xa7, 0x41, 0x64, 0x61, 0x70, 0x74, 0x65, 0x72)
 	o = msgp.AppendString(o, z.Adapter)
 	// string "Alone"
 	o = append(o, 0xa5, 0x41, 0x6c, 0x6f, 0x6e, 0x65)
@@ -2582,6 +2892,9 @@
 	// string "ContentType"
 	o = append(o, 0xab, 0x43, 0x6f, 0x6e, 0x74, 0x65, 0x6e, 0x74, 0x54, 0x79, 0x70, 0x65)
 	o = msgp.AppendString(o, z.ContentType)
+	// string "Crashes"
+	o = append(o, 0xa7, 0x43, 0x72, 0x61, 0x73, 0x68, 0x65, 0x73)
+	o = msgp.AppendInt(o, z.Crashes)
 	// string "DeadlineMillis"
 	o = append(o, 0xae, 0x44, 0x65, 0x61, 0x64, 0x6c, 0x69, 0x6e, 0x65, 0x4d, 0x69, 0x6c, 0x6c, 0x69, 0x73)
 	o = msgp.AppendInt64(o, z.DeadlineMillis)
@@ -2645,6 +2958,9 @@
 	// string "Streamed"
 	o = append(o, 0xa8, 0x53, 0x74, 0x72, 0x65, 0x61, 0x6d, 0x65, 0x64)
 	o = msgp.AppendBool(o, z.Streamed)
+	// string "WantsUsage"
+	o = append(o, 0xaa, 0x57, 0x61, 0x6e, 0x74, 0x73, 0x55, 0x73, 0x61, 0x67, 0x65)
+	o = msgp.AppendBool(o, z.WantsUsage)
 	// string "Weights"
 	o = append(o, 0xa7, 0x57, 0x65, 0x69, 0x67, 0x68, 0x74, 0x73)
 	o = msgp.AppendString(o, z.Weights)
@@ -2714,6 +3030,12 @@
 				err = msgp.WrapError(err, "ContentType")
 				return
 			}
+		case "Crashes":
+			z.Crashes, bts, err = msgp.ReadIntBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Crashes")
+				return
+			}
 		case "DeadlineMillis":
 			z.DeadlineMillis, bts, err = msgp.ReadInt64Bytes(bts)
 			if err != nil {
@@ -2864,6 +3186,12 @@
 				err = msgp.WrapError(err, "Streamed")
 				return
 			}
+		case "WantsUsage":
+			z.WantsUsage, bts, err = msgp.ReadBoolBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "WantsUsage")
+				return
+			}
 		case "Weights":
 			z.Weights, bts, err = msgp.ReadStringBytes(bts)
 			if err != nil {
@@ -2890,11 +3218,11 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *Request) Msgsize() (s int) {
-	s = 3 + 8 + msgp.StringPrefixSize + len(z.Adapter) + 6 + msgp.BoolSize + 8 + msgp.IntSize + 10 + msgp.IntSize + 9 + msgp.BytesPrefixSize + len(z.BodyHash) + 6 + msgp.StringPrefixSize + len(z.Claim) + 12 + msgp.StringPrefixSize + len(z.ContentType) + 15 + msgp.Int64Size + 12 + msgp.Uint64Size + 11 + msgp.Uint64Size + 3 + msgp.StringPrefixSize + len(z.ID) + 7 + msgp.ArrayHeaderSize
+	s = 3 + 8 + msgp.StringPrefixSize + len(z.Adapter) + 6 + msgp.BoolSize + 8 + msgp.IntSize + 10 + msgp.IntSize + 9 + msgp.BytesPrefixSize + len(z.BodyHash) + 6 + msgp.StringPrefixSize + len(z.Claim) + 12 + msgp.StringPrefixSize + len(z.ContentType) + 8 + msgp.IntSize + 15 + msgp.Int64Size + 12 + msgp.Uint64Size + 11 + msgp.Uint64Size + 3 + msgp.StringPrefixSize + len(z.ID) + 7 + msgp.ArrayHeaderSize
 	for za0001 := range z.Levels {
 		s += 1 + 4 + msgp.BytesPrefixSize + len(z.Levels[za0001].Key) + 7 + msgp.IntSize
 	}
-	s += 7 + msgp.StringPrefixSize + len(z.Method) + 6 + msgp.StringPrefixSize + len(z.Model) + 13 + msgp.IntSize + 5 + msgp.StringPrefixSize + len(z.Path) + 9 + msgp.IntSize + 13 + msgp.IntSize + 10 + msgp.StringPrefixSize + len(z.RecordKey) + 11 + msgp.BoolSize + 7 + msgp.StringPrefixSize + len(z.Resume) + 15 + msgp.Uint64Size + 5 + msgp.StringPrefixSize + len(z.Salt) + 8 + msgp.StringPrefixSize + len(z.Service) + 9 + msgp.BoolSize + 8 + msgp.StringPrefixSize + len(z.Weights) + 10 + msgp.StringPrefixSize + len(z.Workspace)
+	s += 7 + msgp.StringPrefixSize + len(z.Method) + 6 + msgp.StringPrefixSize + len(z.Model) + 13 + msgp.IntSize + 5 + msgp.StringPrefixSize + len(z.Path) + 9 + msgp.IntSize + 13 + msgp.IntSize + 10 + msgp.StringPrefixSize + len(z.RecordKey) + 11 + msgp.BoolSize + 7 + msgp.StringPrefixSize + len(z.Resume) + 15 + msgp.Uint64Size + 5 + msgp.StringPrefixSize + len(z.Salt) + 8 + msgp.StringPrefixSize + len(z.Service) + 9 + msgp.BoolSize + 11 + msgp.BoolSize + 8 + msgp.StringPrefixSize + len(z.Weights) + 10 + msgp.StringPrefixSize + len(z.Workspace)
 	return
 }
 
