Answer a caller that never sends the rest of its body

After a body that did not arrive in time the read deadline was cleared; net/http then reads the rest of the body before it sends the answer, and waited for it without end. Ruled out: closing the connection by a header (the rest is read all the same). Conclusion: the deadline is cleared only after a body that was read.

--- a/internal/process/beechentry/routes.go
+++ b/internal/process/beechentry/routes.go
@@ -86,7 +86,10 @@
 	return configuration, workspace, nil
 }
 
-// readBody reads the whole body within the limits of size and time.
+// readBody reads the whole body within the limits of size and time. After a
+// failure the read deadline stays: net/http reads what is left of a body before
+// it sends the answer, and without the deadline a caller that never sends the
+// rest would wait for its error without end and keep the connection.
 func (e *Entry) readBody(w http.ResponseWriter, r *http.Request, workspace *beechmanifest.Workspace) ([]byte, *failure) {
 	limit := e.settings.Limits.BodyBytes
 	if workspace.MaxBodyBytes > 0 {
@@ -96,7 +99,9 @@
 	control := http.NewResponseController(w)
 	_ = control.SetReadDeadline(time.Now().Add(allowed))
 	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, int64(limit)))
-	_ = control.SetReadDeadline(time.Time{})
+	if err == nil {
+		_ = control.SetReadDeadline(time.Time{})
+	}
 	var tooLarge *http.MaxBytesError
 	switch {
 	case errors.As(err, &tooLarge):
