One lease for a backend server, whichever agent stands beside it

The lease and the fencing number were kept under the agent's own address, so two agents beside one engine, an old one that was paused and its successor, each held a lease and both gave orders under the number 1. Ruled out: a check at the engine (not all engines check numbers). Conclusion: the key is the backend server's address.

--- a/internal/process/beechagent/models.go
+++ b/internal/process/beechagent/models.go
@@ -24,7 +24,10 @@
 // ends: new versions are loaded beside old ones, and old ones are dropped once
 // nothing uses them, so that the model keeps serving.
 func (a *Agent) keepModels(ctx context.Context) error {
-	guard := beechfence.New(a.store, a.clock, a.settings.Listen, beechfence.Settings{})
+	// The lease is on the backend server, not on this agent: two agents beside
+	// one server, an old one that was paused and its successor, must not each
+	// hold a lease of their own.
+	guard := beechfence.New(a.store, a.clock, a.settings.Backend, beechfence.Settings{})
 	defer a.closeGuard(guard)
 	slots := beechfence.NewSlots(a.store, a.clock, beechfence.Settings{})
 	return a.every(ctx, loadInterval, func() { a.stepModels(ctx, guard, slots) })
