A repeat that waits for an outcome sees it whoever recorded it

A repeat waits at the shard's owner for the outcome of the first run; where the agent beside the server records it, for an entry host that was killed, the owner is not told and waited its 3 s for nothing. Which agent owns the shard depends on the addresses, so the script failed by chance. Ruled out: telling the owner (the agent does not know the other agents). Before: 409 outcome_unknown after 3 s although the outcome was recorded. After: 200 with the first answer; a waiting repeat reads the segment twice a second.

--- a/internal/platform/beechrecord/records.go
+++ b/internal/platform/beechrecord/records.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"sync"
+	"time"
 
 	"github.com/jonboulle/clockwork"
 
@@ -14,6 +15,7 @@
 // may be called at once.
 type Records struct {
 	settings Settings
+	clock    clockwork.Clock
 	shards   []*shard
 	stop     context.CancelFunc
 	stopped  context.Context
@@ -23,13 +25,17 @@
 	running map[string]chan struct{} // by token; closed when finished here
 }
 
+// lookAgain is how often a repeat that waits for an outcome reads the segment:
+// rarely enough that some hundred repeats at once stay within the budget.
+const lookAgain = 500 * time.Millisecond
+
 var _ Claimer = (*Records)(nil)
 
 // New starts one goroutine a shard; Close ends them.
 func New(store beechstore.Store, clock clockwork.Clock, settings Settings) *Records {
 	settings = settings.withDefaults()
 	ctx, stop := context.WithCancel(context.Background())
-	r := &Records{settings: settings, stop: stop, stopped: ctx, running: map[string]chan struct{}{}}
+	r := &Records{settings: settings, clock: clock, stop: stop, stopped: ctx, running: map[string]chan struct{}{}}
 	for i := range settings.Shards {
 		s := &shard{
 			chain:    chain{store: store, clock: clock, settings: settings, shard: i},
@@ -83,6 +89,10 @@
 		}
 		select {
 		case <-finished:
+		case <-r.clock.After(lookAgain):
+			// Another process may have recorded the outcome, as the agent
+			// beside the server does for an entry host that was killed. It
+			// does not tell this one, so the segment is read again.
 		case <-ctx.Done():
 			return unknown
 		}
