An entry host is ready once it has asked for what others left

A restarted entry host said that it was ready after its first link; asked then, it sent a member's history to an engine that had to compute it anew. Without seeds it asked nobody for 1 s before it read the host list. Ruled out: a fixed pause (a wait that ends early where every agent has answered and offers something is as safe and shorter).

--- a/internal/process/beechentry/entry.go
+++ b/internal/process/beechentry/entry.go
@@ -63,6 +63,7 @@
 		listener   net.Listener
 		supervisor *suture.Supervisor
 		leaving    atomic.Bool
+		restored   atomic.Bool // what other entries left with agents was asked for
 		streams    atomic.Int64
 	}
 
@@ -188,7 +189,7 @@
 }
 
 func (e *Entry) ready() bool {
-	return !e.leaving.Load() && e.holder.Current() != nil && e.fleet.linked() > 0
+	return !e.leaving.Load() && e.restored.Load() && e.holder.Current() != nil && e.fleet.linked() > 0
 }
 
 func (e *Entry) hello() beechwire.Hello {
--- a/internal/process/beechentry/fleet.go
+++ b/internal/process/beechentry/fleet.go
@@ -296,6 +296,13 @@
 	return count
 }
 
+// known counts the agents that there are links to, up or not.
+func (f *fleet) known() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return len(f.links)
+}
+
 // serving counts the agents that offer something now.
 func (f *fleet) serving() int {
 	f.mu.Lock()
--- a/internal/process/beechentry/restart.go
+++ b/internal/process/beechentry/restart.go
@@ -22,13 +22,19 @@
 	restoreTries   = 40
 	restorePause   = 25 * time.Millisecond
 	otherHostsPace = 15 // entries that do not watch read the list this much less often
+	serversTries   = 12 // so many pauses are waited for agents that do not answer
 )
 
 // watchMembers reads the platform's host list until ctx ends. At the start it
 // asks agents for what other entries left with them, which works also while
-// the platform's service is down.
+// the platform's service is down. Without seeds only the list can name agents.
 func (e *Entry) watchMembers(ctx context.Context) error {
+	if len(e.settings.Seeds) == 0 {
+		e.readHosts(ctx)
+	}
 	e.restore(ctx)
+	e.awaitServers(ctx)
+	e.restored.Store(true)
 	ticker := e.clock.NewTicker(hostsInterval)
 	defer ticker.Stop()
 	for round := 0; ; round++ {
@@ -59,14 +65,36 @@
 
 // restore asks the first agents that answer for members, hot prefixes and
 // suspects. An entry that starts without them would send hot prefixes to
-// servers that must compute them again.
+// servers that must compute them again. Once every agent has said that it was
+// left nothing there is nothing to wait for.
 func (e *Entry) restore(ctx context.Context) {
 	for range restoreTries {
-		for _, agent := range e.fleet.reachable() {
+		agents := e.fleet.reachable()
+		for _, agent := range agents {
 			if e.restoreFrom(ctx, agent) {
 				return
 			}
 		}
+		if len(agents) > 0 && len(agents) == e.fleet.known() {
+			return
+		}
+		select {
+		case <-e.clock.After(restorePause):
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// awaitServers waits a moment until the agents that are known offer something.
+// An entry that took requests after its first link would send all of them to
+// one server, past those that hold the prompts' prefixes: first tokens would
+// come late for a while after each restart.
+func (e *Entry) awaitServers(ctx context.Context) {
+	for range serversTries {
+		if e.fleet.serving() == e.fleet.known() {
+			return
+		}
 		select {
 		case <-e.clock.After(restorePause):
 		case <-ctx.Done():
