Three faults around engines that die or hang, and claims within the budget

(1) poison-request: requests that waited behind a poisonous one were sent to the engine that it had just crashed, were broken and were counted as crashing it; innocents were refused as suspects. (2) The same refusal said 'ran: no' to a caller that had got three events. (4) graceful-keepalive: with some hundred shipments a second a claim was refused, and outcomes were not recorded, because the process's budget of calls to the platform was spent for a few milliseconds. Ruled out: a limit for each answer (a long prompt gives nothing for a while; only an engine whose reports fail too is taken for stopped).

--- a/internal/process/beechagent/calls.go
+++ b/internal/process/beechagent/calls.go
@@ -12,12 +12,20 @@
 	"github.com/beechring/beechring/internal/link/beechlink"
 	"github.com/beechring/beechring/internal/link/beechwire"
 	"github.com/beechring/beechring/internal/platform/beechrecord"
+	"github.com/beechring/beechring/internal/platform/beechstore"
 )
 
-// claimWait is how long a repeat waits for the first run's outcome. It is less
-// than entry hosts wait for the answer: a caller that is told too late that the
-// outcome is unknown would be told that nobody could be asked.
-const claimWait = 3 * time.Second
+const (
+	// claimWait is how long a repeat waits for the first run's outcome. It is
+	// less than entry hosts wait for the answer: a caller that is told too late
+	// that the outcome is unknown would be told that nobody could be asked.
+	claimWait = 3 * time.Second
+
+	// budgetWait is how long a claim waits for the budget of calls. Beyond it
+	// the process is overloaded, and the caller is refused and told when to
+	// come back.
+	budgetWait = 500 * time.Millisecond
+)
 
 var errMethod = errors.New("no such method")
 
@@ -93,10 +101,53 @@
 	key := beechrecord.Key{Name: ask.RecordKey}
 	ctx, cancel := context.WithTimeout(ctx, claimWait)
 	defer cancel()
-	reply := claimAnswer(a.records.Claim(ctx, key, beechrecord.BodySum(ask.BodyHash), ask.RequestID))
+	reply := claimAnswer(a.claimWithinBudget(ctx, key, beechrecord.BodySum(ask.BodyHash), ask.RequestID))
 	return &reply, nil
 }
 
+// claimWithinBudget claims again after a moment where only this process's
+// budget of calls to the platform's service was spent. Claims that come
+// meanwhile share the next write, so that a burst is carried by a few writes
+// instead of being refused.
+func (a *Agent) claimWithinBudget(ctx context.Context, key beechrecord.Key, body beechrecord.BodySum, requestID string) beechrecord.Answer {
+	limit := a.clock.Now().Add(budgetWait)
+	for {
+		answer := a.records.Claim(ctx, key, body, requestID)
+		refused, isRefused := answer.(beechrecord.Refused)
+		if !isRefused || !a.awaitBudget(ctx, refused.Err, limit) {
+			return answer
+		}
+	}
+}
+
+// finishWithinBudget records an outcome likewise. An outcome that is lost for
+// want of a few milliseconds would leave every repeat with "unknown" for as
+// long as records are kept.
+func (a *Agent) finishWithinBudget(ctx context.Context, key beechrecord.Key, token string, outcome beechrecord.Outcome) error {
+	limit := a.clock.Now().Add(recordTimeout)
+	for {
+		err := a.records.Finish(ctx, key, token, outcome)
+		if err == nil || !a.awaitBudget(ctx, err, limit) {
+			return err
+		}
+	}
+}
+
+// awaitBudget waits until the budget allows another call; false is an error of
+// another kind or too long a wait.
+func (a *Agent) awaitBudget(ctx context.Context, err error, limit time.Time) bool {
+	var over beechstore.OverBudget
+	if !errors.As(err, &over) || !a.clock.Now().Add(over.After).Before(limit) {
+		return false
+	}
+	select {
+	case <-a.clock.After(over.After):
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
 func claimAnswer(answer beechrecord.Answer) beechwire.ClaimAnswer {
 	switch r := answer.(type) {
 	case beechrecord.Granted:
@@ -131,7 +182,7 @@
 	if ask.NotRun {
 		outcome = beechrecord.NotRun{}
 	}
-	if err := a.records.Finish(ctx, beechrecord.Key{Name: ask.RecordKey}, ask.Token, outcome); err != nil {
+	if err := a.finishWithinBudget(ctx, beechrecord.Key{Name: ask.RecordKey}, ask.Token, outcome); err != nil {
 		return nil, err
 	}
 	return &beechwire.ClaimAnswer{State: beechwire.StateDone}, nil
--- a/internal/process/beechagent/runner.go
+++ b/internal/process/beechagent/runner.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"go.uber.org/zap"
@@ -32,6 +33,8 @@
 		usage       beechbackend.Usage
 		usageKnown  bool
 		headSent    bool
+		moved       atomic.Int64 // when the server gave something last, in ns since 1970
+		abort       context.CancelCauseFunc
 	}
 )
 
@@ -44,6 +47,7 @@
 var (
 	errAnswerTooLong = errors.New("the answer is longer than the agent keeps")
 	errServerFailed  = errors.New("the server ended its answer with an error")
+	errStalled       = errors.New("the server gives nothing and does not answer its reports")
 )
 
 // run takes one request from the queue to its last reply. It always sets one.
@@ -61,12 +65,23 @@
 		a.close(g, a.refusal(beechwire.ReasonCancelled, 0, "given up while it waited"))
 		return
 	}
-	report, _ := a.view.last()
-	t := &attempt{agent: a, generation: g, id: id, incarnation: report.Incarnation, began: a.clock.Now()}
+	report, alive := a.view.last()
+	if !alive {
+		// The server died while this waited. Sent now it would be broken by a
+		// crash that it had no part in, and be taken for the cause.
+		a.scheduler.finish(id, beechqueue.Usage{})
+		a.close(g, a.refusal(beechwire.ReasonServer, retrySoon, "the backend server does not answer"))
+		return
+	}
+	ctx, abort := context.WithCancelCause(ctx)
+	defer abort(nil)
+	t := &attempt{agent: a, generation: g, id: id, incarnation: report.Incarnation, began: a.clock.Now(), abort: abort}
+	t.move()
 	a.running.add(id, run{
 		fingerprint: g.request.Fingerprint,
 		model:       modelKey(g.request.Model, g.request.Weights),
 		incarnation: report.Incarnation,
+		attempt:     t,
 	})
 	last := t.execute(ctx, body)
 	a.running.remove(id)
@@ -206,12 +221,17 @@
 }
 
 func (t *attempt) keep(piece []byte) error {
+	t.move()
 	if t.generation.add(piece) > t.agent.settings.Limits.AnswerBytes {
 		return errAnswerTooLong
 	}
 	return nil
 }
 
+func (t *attempt) move() { t.moved.Store(t.agent.clock.Now().UnixNano()) }
+
+func (t *attempt) movedAt() time.Time { return time.Unix(0, t.moved.Load()) }
+
 func (t *attempt) noteFirst() {
 	if t.firstToken > 0 {
 		return
@@ -273,6 +293,8 @@
 			a.brokenByCrash(ctx, t.incarnation)
 		}
 		return a.refusal(beechwire.ReasonServer, retrySoon, "the backend server could not be reached")
+	case errors.Is(context.Cause(ctx), errStalled):
+		return t.ended(beechwire.ReasonServer, false)
 	case ctx.Err() != nil:
 		t.cancelAtServer()
 		return t.ended(cancelReason(ctx), false)
@@ -324,7 +346,7 @@
 	ctx, cancel := context.WithTimeout(context.Background(), recordTimeout)
 	defer cancel()
 	outcome := beechrecord.Ran{Status: status, ContentType: contentType, Body: body}
-	if err := a.records.Finish(ctx, beechrecord.Key{Name: r.RecordKey}, r.Claim, outcome); err != nil {
+	if err := a.finishWithinBudget(ctx, beechrecord.Key{Name: r.RecordKey}, r.Claim, outcome); err != nil {
 		a.log.Warn("outcome not recorded", beechlog.RequestID(r.ID), beechlog.Step("record"), zap.Error(err))
 	}
 }
--- a/internal/process/beechagent/running.go
+++ b/internal/process/beechagent/running.go
@@ -20,6 +20,7 @@
 		fingerprint uint64
 		model       string
 		incarnation uint64
+		attempt     *attempt
 	}
 
 	// usedClaims remembers which tokens to run were used here. An entry host
@@ -62,6 +63,19 @@
 	return false
 }
 
+// unmoved returns the attempts that the server has given nothing since a time.
+func (s *runningSet) unmoved(since time.Time) []*attempt {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var out []*attempt
+	for _, r := range s.runs {
+		if r.attempt.movedAt().Before(since) {
+			out = append(out, r.attempt)
+		}
+	}
+	return out
+}
+
 // crashed returns the fingerprints of what ran on the incarnation that ended,
 // and whether this is the first to ask for it. Each broken answer asks, and a
 // crash counted once for each of them would condemn innocent requests.
--- a/internal/process/beechagent/view.go
+++ b/internal/process/beechagent/view.go
@@ -31,6 +31,7 @@
 const (
 	reportInterval = 200 * time.Millisecond
 	reportTimeout  = time.Second
+	stallTime      = 2 * time.Second // many times what lies between two tokens
 	cacheInterval  = 50 * time.Millisecond
 	defaultSlots   = 64
 	defaultPrefill = 10000 // tokens a second, before the first report
@@ -146,6 +147,7 @@
 		a.view.setSlots(a.pool().Slots)
 		if a.isEngine() {
 			a.readReport(ctx)
+			a.breakStalled()
 			return
 		}
 		a.readReady(ctx)
@@ -168,6 +170,20 @@
 	a.scheduler.wake()
 }
 
+// breakStalled ends what runs at an engine that has stopped without ending its
+// connections, as a machine does that hangs. Its callers would wait without end
+// for their next word; broken off here, their answers go on at another engine.
+// Only an engine that does not answer its reports either is taken for stopped:
+// one that computes a long prompt gives nothing for a while.
+func (a *Agent) breakStalled() {
+	if _, alive := a.view.last(); alive {
+		return
+	}
+	for _, t := range a.running.unmoved(a.clock.Now().Add(-stallTime)) {
+		t.abort(errStalled)
+	}
+}
+
 func (a *Agent) readReady(ctx context.Context) {
 	calling, cancel := context.WithTimeout(ctx, reportTimeout)
 	defer cancel()
--- a/internal/process/beechentry/judge.go
+++ b/internal/process/beechentry/judge.go
@@ -71,7 +71,7 @@
 func (e *Entry) judgeRefused(ctx context.Context, j *job, server netip.AddrPort, h refused) (bool, *failure) {
 	after := time.Duration(h.AfterMillis) * time.Millisecond
 	if f := finalRefusal(h.Refused, after); f != nil {
-		return false, f
+		return false, j.withRan(f)
 	}
 	better, _ := netip.ParseAddrPort(h.Better)
 	if server.IsValid() {
@@ -114,6 +114,13 @@
 	default:
 		f = busy(http.StatusServiceUnavailable, "busy", after, "every backend server that could run it is full")
 	}
+	return j.withRan(f)
+}
+
+// withRan keeps a refusal from saying that nothing ran where an earlier attempt
+// did: the caller would send again what has partly been done, or count it as
+// never begun.
+func (j *job) withRan(f *failure) *failure {
 	if j.ran != "" {
 		f.Ran = j.ran
 	}
