--- a/internal/command/beechscenario/soak_test.go
+++ b/internal/command/beechscenario/soak_test.go
@@ -184,7 +184,7 @@
 		change(&p)
 		s.world.startLoad(p)
 	}
-	add("streams", 4, func(p *loadPlan) {})
+	add("streams", 4, func(_ *loadPlan) {})
 	add("plain", 2, func(p *loadPlan) { p.base.Stream = false })
 	add("solis", 2, func(p *loadPlan) { p.base.Key = "solis-key" })
 	add("resumed", 3, func(p *loadPlan) { p.resume = true })
