--- a/internal/command/beechcommand/command.go
+++ b/internal/command/beechcommand/command.go
@@ -52,7 +52,8 @@
 func Run(arguments []string, out, errs io.Writer) int {
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
 	defer stop()
-	root := newRoot()
+	started := false
+	root := newRoot(func() { started = true })
 	root.SetArgs(arguments)
 	root.SetOut(out)
 	root.SetErr(errs)
@@ -62,13 +63,15 @@
 	}
 	fmt.Fprintf(errs, "beechring: %v\n", err)
 	var usage *usageError
-	if errors.As(err, &usage) {
+	if errors.As(err, &usage) || !started {
 		return ExitUsage
 	}
 	return ExitRefused
 }
 
-func newRoot() *cobra.Command {
+// newRoot makes the command tree. Started is called when a command's worker
+// begins; an error before that is the command line's.
+func newRoot(started func()) *cobra.Command {
 	root := &cobra.Command{
 		Use:           "beechring",
 		Short:         "Routes language-model traffic with long shared prompts",
@@ -79,28 +82,22 @@
 			return c.Help()
 		},
 	}
-	root.SetFlagErrorFunc(func(_ *cobra.Command, err error) error { return &usageError{err} })
 	for _, construct := range table {
 		command := construct()
-		command.Args = asUsage(command.Args)
+		announce(command, started)
 		for _, sub := range command.Commands() {
-			sub.Args = asUsage(sub.Args)
+			announce(sub, started)
 		}
 		root.AddCommand(command)
 	}
 	return root
 }
 
-// asUsage makes a wrong number of arguments a usage error.
-func asUsage(check cobra.PositionalArgs) cobra.PositionalArgs {
-	return func(c *cobra.Command, arguments []string) error {
-		if check == nil {
-			return nil
-		}
-		if err := check(c, arguments); err != nil {
-			return &usageError{err}
-		}
-		return nil
+func announce(c *cobra.Command, started func()) {
+	work := c.RunE
+	c.RunE = func(c *cobra.Command, arguments []string) error {
+		started()
+		return work(c, arguments)
 	}
 }
 
--- a/internal/process/beechentry/admin.go
+++ b/internal/process/beechentry/admin.go
@@ -114,7 +114,7 @@
 		Total:      e.clock.Since(j.began),
 		Prompt:     j.usage.Prompt,
 		Cached:     j.usage.Cached,
-		Wasted:     wasted(j.usage, j.reachable),
+		Wasted:     wasted(j.usage, j.request.PromptTokens, j.reachable),
 	}
 	if j.request.Service != "" {
 		outcome.FirstToken = 0
@@ -127,12 +127,15 @@
 	e.burn.Observe(beechburn.Outcome{Workspace: workspace, Result: resultOf(f), Total: time.Millisecond})
 }
 
-// wasted is prompt tokens computed that a candidate was predicted to hold.
-func wasted(usage beechwire.Usage, least int) int {
-	if !usage.Known {
+// wasted is prompt tokens that were computed although a server was predicted to
+// hold them. The prediction is in estimated tokens and is scaled to the
+// engine's count, so that a wrong estimate is not taken for waste.
+func wasted(usage beechwire.Usage, estimated, leastUncached int) int {
+	if !usage.Known || estimated <= 0 {
 		return 0
 	}
-	return max(0, usage.Prompt-usage.Cached-least)
+	held := int64(max(0, estimated-leastUncached)) * int64(usage.Prompt) / int64(estimated)
+	return max(0, int(held)-usage.Cached)
 }
 
 func resultOf(f *failure) beechburn.Result {
--- /dev/null
+++ b/internal/process/beechentry/admin_test.go
@@ -0,0 +1,21 @@
+package beechentry
+
+import (
+	"testing"
+
+	"github.com/matryer/is"
+
+	"github.com/beechring/beechring/internal/link/beechwire"
+)
+
+func TestWasteIsWhatAServerHeldAndWasComputed(t *testing.T) {
+	is := is.New(t)
+	usage := func(prompt, cached int) beechwire.Usage {
+		return beechwire.Usage{Known: true, Prompt: prompt, Cached: cached}
+	}
+	is.Equal(wasted(usage(500, 0), 1000, 1000), 0) // nobody held anything
+	is.Equal(wasted(usage(500, 0), 1000, 200), 400)
+	is.Equal(wasted(usage(500, 400), 1000, 200), 0)
+	is.Equal(wasted(usage(500, 0), 0, 0), 0)
+	is.Equal(wasted(beechwire.Usage{}, 1000, 0), 0)
+}
--- a/internal/process/beechentry/dispatch.go
+++ b/internal/process/beechentry/dispatch.go
@@ -83,7 +83,7 @@
 		if _, isStale := how.(stale); isStale && staleCount < maxStale {
 			staleCount++
 			if f := e.readmit(ctx, j, server); f != nil {
-				return f
+				return j.withRan(f)
 			}
 			continue
 		}
--- a/internal/process/beechentry/judge.go
+++ b/internal/process/beechentry/judge.go
@@ -23,7 +23,7 @@
 	case away:
 		return false, e.awayFailure(ctx, j)
 	case stale:
-		return false, busy(http.StatusServiceUnavailable, "configuration_changing", time.Second, "the configuration is changing")
+		return false, j.withRan(busy(http.StatusServiceUnavailable, "configuration_changing", time.Second, "the configuration is changing"))
 	case gone:
 		return e.judgeGone(j)
 	case refused:
@@ -92,7 +92,7 @@
 	switch r.Reason {
 	case beechwire.ReasonSuspect:
 		f := notRun(http.StatusUnprocessableEntity, typeInvalid, "request_crashes_servers",
-			"each backend server that ran this request crashed; this time it was not run")
+			"each backend server that ran this request crashed; it is not run again for a while")
 		f.After = after
 		return f
 	case beechwire.ReasonMalformed:
@@ -120,6 +120,14 @@
 // withRan keeps a refusal from saying that nothing ran where an earlier attempt
 // did: the caller would send again what has partly been done, or count it as
 // never begun.
+// noteRan keeps the most that is known of all attempts: one that surely ran is
+// not made doubtful by a later one that may have.
+func (j *job) noteRan(ran string) {
+	if j.ran != beechwire.RanYes {
+		j.ran = ran
+	}
+}
+
 func (j *job) withRan(f *failure) *failure {
 	if j.ran != "" {
 		f.Ran = j.ran
@@ -128,7 +136,7 @@
 }
 
 func (e *Entry) judgeBroken(ctx context.Context, j *job, server netip.AddrPort, h broken) (bool, *failure) {
-	j.ran = h.ran
+	j.noteRan(h.ran)
 	e.numbers.Broken.Add(1)
 	e.log.Warn("attempt broken", beechlog.RequestID(j.request.ID), beechlog.Attempt(j.request.Attempt), beechlog.Step("run"),
 		beechlog.Peer(server), beechlog.Workspace(j.workspace.Name), zap.String("reason", h.reason), zap.Bool("crashed", h.crashed))
@@ -136,7 +144,7 @@
 		return false, e.closeComplete(j)
 	}
 	f := &failure{
-		Status: http.StatusBadGateway, Type: typeServer, Code: "server_failed", Ran: h.ran,
+		Status: http.StatusBadGateway, Type: typeServer, Code: "server_failed", Ran: j.ran,
 		Message: "the backend server did not finish its answer",
 	}
 	if h.reason == beechwire.ReasonTimeout {
