Prove claims, record outcomes late, measure grouping

Cause: a claim's reply may be lost, its agent die, the service go down while a booking runs. Now 4 shards, each at least 20 ms between writes.

--- a/internal/platform/beechmanifest/history_test.go
+++ b/internal/platform/beechmanifest/history_test.go
@@ -66,10 +66,9 @@
 // deployment would bill by a manifest that its operators believe replaced.
 func TestHeadHistoriesAreLinearizable(t *testing.T) {
 	for seed := range uint64(*runs) {
-		synctest.Test(t, func(t *testing.T) { runFleet(t, seed) })
-		if t.Failed() {
-			t.Fatalf("seed %d failed", seed)
-		}
+		t.Run(fmt.Sprintf("seed-%d", seed), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) { runFleet(t, seed) })
+		})
 	}
 }
 
@@ -202,6 +201,8 @@
 }
 
 func (f *fleet) checkEnd() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
 	model := headModel().ToModel()
 	if !porcupine.CheckOperations(model, f.history) {
 		for _, o := range f.history {
--- a/internal/platform/beechrecord/decide.go
+++ b/internal/platform/beechrecord/decide.go
@@ -56,12 +56,8 @@
 		w, there := s.chain.current().find(key)
 		return e, true, there && w.Token == e.Token && (w.Outcome == nil) == (e.Outcome == nil)
 	}
-	for i := len(s.chain.segments) - 2; i >= 0; i-- {
-		if e, ok := s.chain.segments[i].find(key); ok {
-			return e, true, true
-		}
-	}
-	return entry{}, false, false
+	_, e, ok = s.holder(key)
+	return e, ok, ok
 }
 
 func (s *shard) finishedInCurrent(token string) bool {
@@ -85,34 +81,40 @@
 	return -1
 }
 
-// refreshClosed reads those closed segments again that hold a claim of the
-// batch without an outcome: another owner may have added it since.
-func (s *shard) refreshClosed(ctx context.Context, batch []*operation) error {
+// refresh reads those segments again that hold a claim of the batch without
+// an outcome: another owner may have added it since.
+func (s *shard) refresh(ctx context.Context, batch []*operation) error {
 	stale := map[string]bool{}
 	for _, o := range batch {
 		if o.claim == nil {
 			continue
 		}
-		for i := len(s.chain.segments) - 2; i >= 0; i-- {
-			if e, ok := s.chain.segments[i].find(o.key); ok {
-				if e.Outcome == nil {
-					stale[s.chain.segments[i].id] = true
-				}
-				break
-			}
+		if x, e, ok := s.holder(o.key); ok && e.Outcome == nil {
+			stale[x.id] = true
 		}
 	}
-	for i := 0; i < len(s.chain.segments)-1; i++ {
-		if !stale[s.chain.segments[i].id] {
+	for id := range stale {
+		at := s.position(id)
+		if at < 0 {
 			continue
 		}
-		if err := s.chain.refresh(ctx, i); err != nil {
+		if err := s.chain.refresh(ctx, at); err != nil {
 			return err
 		}
 	}
 	return nil
 }
 
+// holder gives the segment with the newest entry of a key.
+func (s *shard) holder(key string) (*stored, entry, bool) {
+	for i := len(s.chain.segments) - 1; i >= 0; i-- {
+		if e, ok := s.chain.segments[i].find(key); ok {
+			return s.chain.segments[i], e, true
+		}
+	}
+	return nil, entry{}, false
+}
+
 // finishClosed writes the outcomes of claims in closed segments, one write a
 // segment. It gives the operations that are not answered yet.
 func (s *shard) finishClosed(ctx context.Context, rest []*operation) ([]*operation, error) {
--- a/internal/platform/beechrecord/records.go
+++ b/internal/platform/beechrecord/records.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"sync"
 
@@ -14,22 +15,33 @@
 // may be called at once.
 type Records struct {
 	settings Settings
+	clock    clockwork.Clock
 	shards   []*shard
 	stop     context.CancelFunc
 	stopped  context.Context
 	done     sync.WaitGroup
 
-	mu      sync.Mutex
-	running map[string]chan struct{} // by token; closed when finished here
+	mu         sync.Mutex
+	running    map[string]chan struct{} // by token; closed when finished here
+	unrecorded map[string]*unrecorded   // by token
+	more       chan struct{}            // holds one: unrecorded has grown
 }
 
 var _ Claimer = (*Records)(nil)
 
-// New starts one goroutine a shard; Close ends them.
+// New starts one goroutine a shard and one more; Close ends them.
 func New(store beechstore.Store, clock clockwork.Clock, settings Settings) *Records {
 	settings = settings.withDefaults()
 	ctx, stop := context.WithCancel(context.Background())
-	r := &Records{settings: settings, stop: stop, stopped: ctx, running: map[string]chan struct{}{}}
+	r := &Records{
+		settings:   settings,
+		clock:      clock,
+		stop:       stop,
+		stopped:    ctx,
+		running:    map[string]chan struct{}{},
+		unrecorded: map[string]*unrecorded{},
+		more:       make(chan struct{}, 1),
+	}
 	for i := range settings.Shards {
 		s := &shard{
 			chain:    chain{store: store, clock: clock, settings: settings, shard: i},
@@ -40,12 +52,14 @@
 		r.shards = append(r.shards, s)
 		r.done.Go(func() { s.run(ctx) })
 	}
+	r.done.Go(func() { r.recordLate(ctx) })
 	return r
 }
 
 func (s Settings) withDefaults() Settings {
 	setDefault(&s.Shards, defaultShards)
 	setDefault(&s.Window, defaultWindow)
+	setDefault(&s.Pace, defaultPace)
 	setDefault(&s.MaxBatch, defaultMaxBatch)
 	setDefault(&s.MaxWaiting, defaultMaxWaiting)
 	setDefault(&s.CallTimeout, defaultCallTimeout)
@@ -77,6 +91,9 @@
 		if !ok {
 			return got.answer
 		}
+		if done, ok := r.notYetRecorded(got.token, unknown.RequestID); ok {
+			return done
+		}
 		finished := r.runningHere(got.token)
 		if finished == nil {
 			return unknown
@@ -91,21 +108,34 @@
 
 func (r *Records) claim(ctx context.Context, key Key, body BodySum, requestID string) result {
 	token := newToken()
-	got := r.submit(ctx, key, &operation{
+	o := &operation{
 		ctx: ctx, key: key.id().String(), token: token, claim: &claim{body: body.text(), requestID: requestID},
-	})
-	if _, ok := got.answer.(Granted); ok {
+	}
+	got := r.submit(ctx, key, o)
+	switch got.answer.(type) {
+	case Granted:
 		r.mu.Lock()
 		r.running[token] = make(chan struct{})
 		r.mu.Unlock()
+	case Unknown:
+		if got.token == "" {
+			// The claim may be made, but this process never gave its token to
+			// anyone: the request provably did not run.
+			r.recordLater(key, token, &outcome{NotRun: true})
+		}
 	}
 	return got
 }
 
-// Finish records the outcome of a granted request. An error says that repeats
-// may be told Unknown; calling it again is harmless.
+// Finish records the outcome of a granted request. An error says that it is
+// not recorded yet: repeats at this process get it, repeats elsewhere get
+// Unknown until this process has recorded it, which it goes on trying.
 func (r *Records) Finish(ctx context.Context, key Key, token string, o Outcome) error {
-	got := r.submit(ctx, key, &operation{ctx: ctx, key: key.id().String(), token: token, outcome: r.recorded(o)})
+	recorded := r.recorded(o)
+	got := r.submit(ctx, key, &operation{ctx: ctx, key: key.id().String(), token: token, outcome: recorded})
+	if got.err != nil && !errors.Is(got.err, errTokenUnknown) {
+		r.recordLater(key, token, recorded)
+	}
 	r.mu.Lock()
 	if finished, ok := r.running[token]; ok {
 		close(finished)
@@ -126,11 +156,7 @@
 
 func (r *Records) submit(ctx context.Context, key Key, o *operation) result {
 	o.result = make(chan result, 1)
-	select {
-	case r.shards[key.Shard(r.settings.Shards)].arrivals <- o:
-	default:
-		return result{answer: Refused{After: r.settings.CallTimeout, Err: errBusy}, err: errBusy}
-	}
+	r.enqueue(key, o)
 	select {
 	case got := <-o.result:
 		return got
@@ -141,6 +167,14 @@
 	}
 }
 
+func (r *Records) enqueue(key Key, o *operation) {
+	select {
+	case r.shards[key.Shard(r.settings.Shards)].arrivals <- o:
+	default:
+		o.result <- result{answer: Refused{After: r.settings.CallTimeout, Err: errBusy}, err: errBusy}
+	}
+}
+
 func (r *Records) runningHere(token string) <-chan struct{} {
 	r.mu.Lock()
 	defer r.mu.Unlock()
--- a/internal/platform/beechrecord/records_test.go
+++ b/internal/platform/beechrecord/records_test.go
@@ -1,8 +1,16 @@
 package beechrecord
 
 import (
+	"bytes"
 	"context"
+	"errors"
+	"fmt"
+	"net/netip"
+	"strings"
+	"sync"
 	"testing"
+	"testing/synctest"
+	"time"
 
 	"github.com/jonboulle/clockwork"
 	"github.com/matryer/is"
@@ -13,18 +21,305 @@
 var (
 	testKey  = Key{Workspace: "desk", Name: "renewal-7"}
 	testBody = BodySum{1}
+	booked   = Ran{Status: 200, ContentType: "text/plain", Body: []byte("booked")}
 )
 
-func TestClaimThenRepeat(t *testing.T) {
+// bubble runs test in virtual time with a service and a way to start agents.
+func bubble(t *testing.T, test func(*is.I, *beechstore.Fake, func(Settings) *Records)) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		clock := clockwork.NewRealClock()
+		store := beechstore.NewFake(clock)
+		test(is.New(t), store, func(s Settings) *Records {
+			s.Shards = 1
+			r := New(store, clock, s)
+			t.Cleanup(r.Close)
+			return r
+		})
+	})
+}
+
+func claimAs(r *Records, requestID string) Answer {
+	return r.Claim(context.Background(), testKey, testBody, requestID)
+}
+
+func doneAs(requestID string) Done {
+	return Done{RequestID: requestID, Status: 200, ContentType: "text/plain", Body: []byte("booked"), Complete: true}
+}
+
+func TestRepeatGetsTheSameAnswer(t *testing.T) {
+	bubble(t, func(is *is.I, _ *beechstore.Fake, agent func(Settings) *Records) {
+		first, second := agent(Settings{}), agent(Settings{})
+		granted, ok := claimAs(first, "one").(Granted)
+		is.True(ok)
+		is.Equal(claimAs(second, "two"), Unknown{RequestID: "one"})
+		is.Equal(second.Claim(context.Background(), testKey, BodySum{2}, "two"), Mismatch{RequestID: "one"})
+		is.NoErr(first.Finish(context.Background(), testKey, granted.Token, booked))
+		is.Equal(claimAs(first, "three"), doneAs("one"))
+		is.Equal(claimAs(second, "four"), doneAs("one"))
+		other := Key{Workspace: "portal", Name: testKey.Name}
+		_, ok = second.Claim(context.Background(), other, testBody, "five").(Granted)
+		is.True(ok) // another workspace's key is another key
+	})
+}
+
+// The claim stands in a segment that was closed before its outcome was added
+// by another agent. An agent that remembers the closed segment as it was would
+// tell a member that the renewal is unknown, though it is done.
+func TestOutcomeInClosedSegmentIsFound(t *testing.T) {
+	bubble(t, func(is *is.I, _ *beechstore.Fake, agent func(Settings) *Records) {
+		small := Settings{SegmentBytes: 300}
+		first, second := agent(small), agent(small)
+		granted := claimAs(first, "one").(Granted)
+		for i := range 10 {
+			key := Key{Name: fmt.Sprint(i)}
+			_, ok := second.Claim(context.Background(), key, testBody, "x").(Granted)
+			is.True(ok)
+		}
+		is.Equal(claimAs(second, "two"), Unknown{RequestID: "one"})
+		is.NoErr(first.Finish(context.Background(), testKey, granted.Token, booked))
+		is.Equal(claimAs(second, "three"), doneAs("one"))
+	})
+}
+
+// The service is down when the run ends and stays down for minutes. The agent
+// knows the outcome; its member asks again meanwhile and after.
+func TestOutcomeIsRecordedAfterOutage(t *testing.T) {
+	bubble(t, func(is *is.I, store *beechstore.Fake, agent func(Settings) *Records) {
+		first := agent(Settings{})
+		granted := claimAs(first, "one").(Granted)
+		store.SetFaults(beechstore.Faults{Down: true})
+		is.True(first.Finish(context.Background(), testKey, granted.Token, booked) != nil)
+		time.Sleep(5 * time.Minute)
+		is.Equal(first.Unrecorded(), 1)
+		refused, ok := claimAs(agent(Settings{}), "elsewhere").(Refused)
+		is.True(ok)
+		is.True(strings.Contains(refused.Err.Error(), "the service is down"))
+		store.SetFaults(beechstore.Faults{})
+		time.Sleep(5 * time.Second)
+		is.Equal(first.Unrecorded(), 0)
+		is.Equal(claimAs(agent(Settings{}), "two"), doneAs("one"))
+	})
+}
+
+// The caller's phone loses its network while the claim is being written, so
+// the token is granted to nobody. The claim would stay unknown for a day and
+// the member could not renew; instead the agent records that it did not run.
+func TestAbandonedClaimBecomesFree(t *testing.T) {
+	bubble(t, func(is *is.I, store *beechstore.Fake, _ func(Settings) *Records) {
+		clock := clockwork.NewRealClock()
+		slow := beechstore.NewFlaky(store, clock, 1, beechstore.Odds{Delay: 100 * time.Millisecond})
+		r := New(slow, clock, Settings{Shards: 1})
+		defer r.Close()
+		claimAs(r, "warm")
+		ctx, cancel := context.WithTimeout(context.Background(), 5*time.Millisecond)
+		key := Key{Name: "vanished"}
+		_, ok := r.Claim(ctx, key, testBody, "one").(Unknown)
+		cancel()
+		is.True(ok)
+		time.Sleep(10 * time.Second)
+		_, ok = r.Claim(context.Background(), key, testBody, "two").(Granted)
+		is.True(ok)
+	})
+}
+
+// A repeat comes while the first still runs at the same agent, as when a weak
+// link drops and the phone sends again. It gets the first one's answer.
+func TestRepeatWaitsForTheRunningFirst(t *testing.T) {
+	bubble(t, func(is *is.I, _ *beechstore.Fake, agent func(Settings) *Records) {
+		r := agent(Settings{})
+		granted := claimAs(r, "one").(Granted)
+		var repeat Answer
+		var wait sync.WaitGroup
+		wait.Go(func() { repeat = claimAs(r, "two") })
+		time.Sleep(time.Minute)
+		is.NoErr(r.Finish(context.Background(), testKey, granted.Token, booked))
+		wait.Wait()
+		is.Equal(repeat, doneAs("one"))
+	})
+}
+
+func TestNotRunFreesTheKeyForTheSameBody(t *testing.T) {
+	bubble(t, func(is *is.I, _ *beechstore.Fake, agent func(Settings) *Records) {
+		r := agent(Settings{})
+		is.NoErr(r.Finish(context.Background(), testKey, claimAs(r, "one").(Granted).Token, NotRun{}))
+		is.Equal(r.Claim(context.Background(), testKey, BodySum{2}, "two"), Mismatch{RequestID: "one"})
+		_, ok := claimAs(r, "three").(Granted)
+		is.True(ok)
+	})
+}
+
+// Many callers book at once. One write for each claim would use up the few
+// hundred writes a second that the service gives to the whole deployment.
+func TestClaimsShareWrites(t *testing.T) {
+	bubble(t, func(is *is.I, store *beechstore.Fake, agent func(Settings) *Records) {
+		const claims = 2000
+		r := agent(Settings{})
+		claimAs(r, "warm")
+		before := store.Counts().Writes
+		var wait sync.WaitGroup
+		for i := range claims {
+			wait.Go(func() {
+				key := Key{Name: fmt.Sprint(i)}
+				_, ok := r.Claim(context.Background(), key, testBody, "r").(Granted)
+				is.True(ok)
+			})
+		}
+		wait.Wait()
+		writes := store.Counts().Writes - before
+		is.True(claims/writes >= 50)
+	})
+}
+
+// Segments are closed as they grow and dropped after the retention. Without
+// that the service would fill up; dropped too early, a booking runs twice.
+func TestSegmentsAreDroppedAfterRetention(t *testing.T) {
+	bubble(t, func(is *is.I, store *beechstore.Fake, agent func(Settings) *Records) {
+		r := agent(Settings{SegmentAge: time.Hour, Retention: 24 * time.Hour})
+		granted := claimAs(r, "one").(Granted)
+		is.NoErr(r.Finish(context.Background(), testKey, granted.Token, booked))
+		tick := func(n int) {
+			for i := range n {
+				time.Sleep(time.Hour)
+				r.Claim(context.Background(), Key{Name: fmt.Sprintf("%d-%d", n, i)}, testBody, "tick")
+			}
+		}
+		tick(24)
+		is.Equal(claimAs(r, "day later"), doneAs("one"))
+		is.Equal(claimAs(agent(Settings{}), "day later"), doneAs("one"))
+		tick(60)
+		_, ok := claimAs(r, "days later").(Granted)
+		is.True(ok)
+		x := readIndex(t, store)
+		is.True(len(x.Segments) > 12 && len(x.Segments) < 30)
+		_, ok = claimAs(agent(Settings{}), "fresh agent").(Unknown)
+		is.True(ok)
+	})
+}
+
+func readIndex(t *testing.T, store beechstore.Store) index {
+	t.Helper()
+	var x index
+	v, err := store.Get(context.Background(), indexKey(0), 0)
+	if err == nil {
+		err = beechstore.Unseal(v.Key, v.Data, format, &x)
+	}
+	if err != nil {
+		t.Fatal(err)
+	}
+	return x
+}
+
+// A record in the service is damaged, lost, or written by a newer version of
+// the program. Whoever took it for empty would grant a booking again.
+func TestBadRecordsRefuseClaims(t *testing.T) {
+	cases := []struct {
+		name   string
+		change func([]byte) []byte
+		want   string
+	}{
+		{"truncated", func(b []byte) []byte { return b[:len(b)-3] }, "is corrupt"},
+		{"altered", func(b []byte) []byte { return bytes.Replace(b, []byte(`"one"`), []byte(`"two"`), 1) }, "checksum"},
+		{"newer format", func(b []byte) []byte { return bytes.Replace(b, []byte(`"format":1`), []byte(`"format":2`), 1) }, "has format 2; this version reads formats up to 1"},
+		{"missing", func([]byte) []byte { return nil }, "is missing"},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			bubble(t, func(is *is.I, store *beechstore.Fake, agent func(Settings) *Records) {
+				claimAs(agent(Settings{}), "one")
+				key := segmentKey(0, readIndex(t, store).Segments[0].ID)
+				good, err := store.Get(context.Background(), key, 0)
+				is.NoErr(err)
+				replace(t, store, good, c.change(good.Data))
+				reader := agent(Settings{})
+				refused, ok := claimAs(reader, "two").(Refused)
+				is.True(ok)
+				is.True(strings.Contains(refused.Err.Error(), c.want))
+				reads := store.Counts().Reads
+				for range 1000 {
+					claimAs(reader, "three")
+				}
+				is.True(store.Counts().Reads-reads < 100) // no storm of reads
+
+				now, err := store.Get(context.Background(), key, 0)
+				is.NoErr(err)
+				replace(t, store, now, good.Data)
+				time.Sleep(time.Second)
+				is.Equal(claimAs(reader, "four"), Unknown{RequestID: "one"})
+			})
+		})
+	}
+}
+
+func replace(t *testing.T, store beechstore.Store, v beechstore.Value, data []byte) {
+	t.Helper()
+	var err error
+	if data == nil {
+		err = store.Delete(context.Background(), v.Key, v.Version, 0)
+	} else {
+		_, err = store.CompareAndSwap(context.Background(), v.Key, v.Version, data, "", 0)
+	}
+	if err != nil {
+		t.Fatal(err)
+	}
+}
+
+// Answers that are small alone could together outgrow the value that holds
+// them, and then no outcome of the segment could be recorded any more.
+func TestAnswersNeverOutgrowTheSegment(t *testing.T) {
+	bubble(t, func(is *is.I, _ *beechstore.Fake, agent func(Settings) *Records) {
+		r := agent(Settings{SegmentBytes: 200 << 10})
+		tokens := map[Key]string{}
+		for i := range 700 {
+			key := Key{Name: fmt.Sprint(i)}
+			tokens[key] = r.Claim(context.Background(), key, testBody, "r").(Granted).Token
+		}
+		answer := Ran{Status: 200, Body: bytes.Repeat([]byte("x"), 4<<10)}
+		var wait sync.WaitGroup
+		for key, token := range tokens {
+			wait.Go(func() { is.NoErr(r.Finish(context.Background(), key, token, answer)) })
+		}
+		wait.Wait()
+		complete := 0
+		for key := range tokens {
+			done, ok := r.Claim(context.Background(), key, testBody, "again").(Done)
+			is.True(ok)
+			if done.Complete {
+				complete++
+			}
+		}
+		is.True(complete > 100 && complete < 700)
+		is.Equal(r.Unrecorded(), 0)
+	})
+}
+
+func TestOwnerMovesOnlyWhatALostMemberHad(t *testing.T) {
+	is := is.New(t)
+	var members []netip.AddrPort
+	for i := range 10 {
+		members = append(members, netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, byte(i)}), 7000))
+	}
+	owned := map[netip.AddrPort]int{}
+	for s := range 640 {
+		before := Owner(s, members)
+		owned[before]++
+		after := Owner(s, members[:9])
+		is.True(after == before || before == members[9])
+	}
+	for _, m := range members {
+		is.True(owned[m] > 30 && owned[m] < 110)
+	}
+	is.True(!Owner(1, nil).IsValid())
+}
+
+func TestClosedRecordsRefuse(t *testing.T) {
 	is := is.New(t)
-	ctx := context.Background()
 	clock := clockwork.NewRealClock()
 	r := New(beechstore.NewFake(clock), clock, Settings{})
-	defer r.Close()
-
-	granted, ok := r.Claim(ctx, testKey, testBody, "one").(Granted)
-	is.True(ok)
-	is.Equal(r.Claim(ctx, testKey, BodySum{2}, "two"), Mismatch{RequestID: "one"})
-	is.NoErr(r.Finish(ctx, testKey, granted.Token, Ran{Status: 200, ContentType: "text/plain", Body: []byte("booked")}))
-	is.Equal(r.Claim(ctx, testKey, testBody, "three"), Done{RequestID: "one", Status: 200, ContentType: "text/plain", Body: []byte("booked"), Complete: true})
+	r.Close()
+	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+	defer cancel()
+	_, granted := r.Claim(ctx, testKey, testBody, "one").(Granted)
+	is.True(!granted)
+	is.True(errors.Is(r.Finish(ctx, testKey, "t", NotRun{}), errClosed))
 }
--- a/internal/platform/beechrecord/segment.go
+++ b/internal/platform/beechrecord/segment.go
@@ -168,6 +168,9 @@
 	case e.Outcome.NotRun:
 		return nil, true
 	}
-	o := e.Outcome
-	return Done{RequestID: e.Request, Status: o.Status, ContentType: o.Type, Body: o.Body, Complete: o.Complete}, false
+	return e.Outcome.done(e.Request), false
+}
+
+func (o *outcome) done(requestID string) Done {
+	return Done{RequestID: requestID, Status: o.Status, ContentType: o.Type, Body: o.Body, Complete: o.Complete}
 }
--- a/internal/platform/beechrecord/shard.go
+++ b/internal/platform/beechrecord/shard.go
@@ -17,6 +17,13 @@
 		clock    clockwork.Clock
 		settings Settings
 		arrivals chan *operation
+
+		// After a failure nothing is tried until downUntil: each claim would
+		// wait for the same answer, and its caller with it.
+		down      error
+		downUntil time.Time
+
+		wrote time.Time // when the last batch began
 	}
 
 	// operation is a claim or an outcome that waits for its batch.
@@ -56,7 +63,10 @@
 	}
 )
 
-const settlePause = 20 * time.Millisecond
+const (
+	settlePause = 20 * time.Millisecond
+	holdOff     = 250 * time.Millisecond
+)
 
 var (
 	errTokenUnknown = errors.New("the token is in no segment that is kept")
@@ -73,6 +83,7 @@
 			deliverAll(batch, result{answer: Refused{Err: errClosed}, err: errClosed})
 			return
 		}
+		s.wrote = s.clock.Now()
 		s.process(ctx, batch)
 	}
 }
@@ -86,7 +97,11 @@
 	case first := <-s.arrivals:
 		batch = append(batch, first)
 	}
-	window := s.clock.NewTimer(s.settings.Window)
+	if s.heldOff() {
+		return s.drain(batch) // a refusal need not wait for company
+	}
+	paced := s.settings.Pace - s.clock.Since(s.wrote)
+	window := s.clock.NewTimer(max(s.settings.Window, paced))
 	defer window.Stop()
 	for len(batch) < s.settings.MaxBatch {
 		select {
@@ -101,6 +116,8 @@
 	return batch
 }
 
+func (s *shard) heldOff() bool { return s.clock.Now().Before(s.downUntil) }
+
 func (s *shard) drain(batch []*operation) []*operation {
 	for len(batch) < s.settings.MaxBatch {
 		select {
@@ -119,6 +136,10 @@
 	ctx, cancel := clockwork.WithTimeout(ctx, s.clock, s.settings.CallTimeout)
 	defer cancel()
 	batch = dropExpired(batch)
+	if s.heldOff() {
+		deliverAll(batch, failure(false, s.down))
+		return
+	}
 	lost := false
 	for {
 		rest, err := s.try(ctx, batch)
@@ -135,6 +156,7 @@
 			lost = true
 		case lost && ctx.Err() == nil:
 		default:
+			s.down, s.downUntil = err, s.clock.Now().Add(holdOff)
 			deliverAll(batch, failure(lost, err))
 			return
 		}
@@ -175,7 +197,7 @@
 	if err := s.ready(ctx); err != nil {
 		return batch, beforeWrite{err}
 	}
-	if err := s.refreshClosed(ctx, batch); err != nil {
+	if err := s.refresh(ctx, batch); err != nil {
 		return batch, beforeWrite{err}
 	}
 	last := len(s.chain.segments) - 1
--- a/internal/platform/beechrecord/types.go
+++ b/internal/platform/beechrecord/types.go
@@ -81,8 +81,9 @@
 
 	// Settings of Records. Zero fields get the defaults named.
 	Settings struct {
-		Shards       int           // must be the same in all processes; 64
+		Shards       int           // must be the same in all processes; 4
 		Window       time.Duration // claims of this time go into one write; 3 ms
+		Pace         time.Duration // least time between two writes of a shard; 20 ms
 		MaxBatch     int           // claims in one write; 512
 		MaxWaiting   int           // claims that wait in a shard, more are refused; 4096
 		CallTimeout  time.Duration // time a batch may take; 2 s
@@ -94,7 +95,11 @@
 )
 
 const (
-	defaultShards       = 64
+	// Four shards at this pace make at most 200 writes a second, half of what
+	// the service takes, however many claim; a claim that comes alone waits
+	// only for the window.
+	defaultShards       = 4
+	defaultPace         = 20 * time.Millisecond
 	defaultWindow       = 3 * time.Millisecond
 	defaultMaxBatch     = 512
 	defaultMaxWaiting   = 4096
--- a/internal/platform/beechstore/flaky.go
+++ b/internal/platform/beechstore/flaky.go
@@ -60,119 +60,104 @@
 }
 
 // Get is Store's.
-func (f *Flaky) Get(ctx context.Context, key string, importance Importance) (v Value, err error) {
-	err = f.read(ctx, "get "+key, func() error {
-		v, err = f.store.Get(ctx, key, importance)
-		return err
+func (f *Flaky) Get(ctx context.Context, key string, importance Importance) (Value, error) {
+	return flakyRead(ctx, f, "get "+key, func() (Value, error) {
+		return f.store.Get(ctx, key, importance)
 	})
-	return v, err
 }
 
 // CompareAndSwap is Store's.
-func (f *Flaky) CompareAndSwap(ctx context.Context, key string, version uint64, data []byte, lease string, importance Importance) (v Value, err error) {
-	err = f.write(ctx, "compare and swap "+key, func(ctx context.Context) error {
-		got, err := f.store.CompareAndSwap(ctx, key, version, data, lease, importance)
-		if err == nil {
-			v = got
-		}
-		return err
+func (f *Flaky) CompareAndSwap(ctx context.Context, key string, version uint64, data []byte, lease string, importance Importance) (Value, error) {
+	return flakyWrite(ctx, f, "compare and swap "+key, func(ctx context.Context) (Value, error) {
+		return f.store.CompareAndSwap(ctx, key, version, data, lease, importance)
 	})
-	if err != nil {
-		return Value{}, err
-	}
-	return v, nil
 }
 
 // Delete is Store's.
 func (f *Flaky) Delete(ctx context.Context, key string, version uint64, importance Importance) error {
-	return f.write(ctx, "delete "+key, func(ctx context.Context) error {
-		return f.store.Delete(ctx, key, version, importance)
+	_, err := flakyWrite(ctx, f, "delete "+key, func(ctx context.Context) (Value, error) {
+		return Value{}, f.store.Delete(ctx, key, version, importance)
 	})
+	return err
 }
 
 // Watch is Store's.
-func (f *Flaky) Watch(ctx context.Context, key string, version uint64, importance Importance) (v Value, err error) {
-	err = f.read(ctx, "watch "+key, func() error {
-		v, err = f.store.Watch(ctx, key, version, importance)
-		return err
+func (f *Flaky) Watch(ctx context.Context, key string, version uint64, importance Importance) (Value, error) {
+	return flakyRead(ctx, f, "watch "+key, func() (Value, error) {
+		return f.store.Watch(ctx, key, version, importance)
 	})
-	return v, err
 }
 
 // Grant is Store's.
-func (f *Flaky) Grant(ctx context.Context, ttl time.Duration, importance Importance) (l Lease, err error) {
+func (f *Flaky) Grant(ctx context.Context, ttl time.Duration, importance Importance) (Lease, error) {
 	asked := f.clock.Now()
-	err = f.write(ctx, "grant", func(ctx context.Context) error {
-		got, err := f.store.Grant(ctx, ttl, importance)
-		got.Expires = asked.Add(ttl)
-		if err == nil {
-			l = got
-		}
-		return err
+	return flakyWrite(ctx, f, "grant", func(ctx context.Context) (Lease, error) {
+		l, err := f.store.Grant(ctx, ttl, importance)
+		l.Expires = asked.Add(ttl)
+		return l, err
 	})
-	return l, err
 }
 
 // KeepAlive is Store's.
-func (f *Flaky) KeepAlive(ctx context.Context, lease Lease, importance Importance) (l Lease, err error) {
+func (f *Flaky) KeepAlive(ctx context.Context, lease Lease, importance Importance) (Lease, error) {
 	asked := f.clock.Now()
-	err = f.write(ctx, "keep alive "+lease.ID, func(ctx context.Context) error {
-		got, err := f.store.KeepAlive(ctx, lease, importance)
-		got.Expires = asked.Add(got.TTL)
-		if err == nil {
-			l = got
-		}
-		return err
+	return flakyWrite(ctx, f, "keep alive "+lease.ID, func(ctx context.Context) (Lease, error) {
+		l, err := f.store.KeepAlive(ctx, lease, importance)
+		l.Expires = asked.Add(l.TTL)
+		return l, err
 	})
-	return l, err
 }
 
 // Hosts is Store's.
-func (f *Flaky) Hosts(ctx context.Context, importance Importance) (hosts []Host, err error) {
-	err = f.read(ctx, "hosts", func() error {
-		hosts, err = f.store.Hosts(ctx, importance)
-		return err
+func (f *Flaky) Hosts(ctx context.Context, importance Importance) ([]Host, error) {
+	return flakyRead(ctx, f, "hosts", func() ([]Host, error) {
+		return f.store.Hosts(ctx, importance)
 	})
-	return hosts, err
 }
 
-func (f *Flaky) read(ctx context.Context, step string, do func() error) error {
+func flakyRead[T any](ctx context.Context, f *Flaky, step string, do func() (T, error)) (T, error) {
+	var none T
 	if err := f.sleep(ctx); err != nil || f.roll() == faultRefused {
-		return Refused{Step: step, Peer: flakyPeer, After: flakyAfter, Err: errors.Join(errFlaky, err)}
+		return none, Refused{Step: step, Peer: flakyPeer, After: flakyAfter, Err: errors.Join(errFlaky, err)}
 	}
-	if err := do(); err != nil {
-		return err
+	got, err := do()
+	if err != nil {
+		return none, err
 	}
 	if err := f.sleep(ctx); err != nil {
-		return Refused{Step: step, Peer: flakyPeer, After: flakyAfter, Err: err}
+		return none, Refused{Step: step, Peer: flakyPeer, After: flakyAfter, Err: err}
 	}
-	return nil
+	return got, nil
 }
 
-func (f *Flaky) write(ctx context.Context, step string, do func(context.Context) error) error {
+func flakyWrite[T any](ctx context.Context, f *Flaky, step string, do func(context.Context) (T, error)) (T, error) {
+	var none T
 	unknown := UnknownOutcome{Step: step, Peer: flakyPeer, Err: errFlaky}
 	rolled := f.roll()
 	if rolled == faultRefused {
-		return Refused{Step: step, Peer: flakyPeer, After: flakyAfter, Err: errFlaky}
+		return none, Refused{Step: step, Peer: flakyPeer, After: flakyAfter, Err: errFlaky}
 	}
 	if rolled == faultLateWrite {
 		late := f.upTo(f.odds.Stall)
 		go func() {
 			<-f.clock.After(late)
-			_ = do(context.WithoutCancel(ctx))
+			_, _ = do(context.WithoutCancel(ctx))
 		}()
 	}
 	if err := f.sleep(ctx); err != nil {
-		return unknown
+		return none, unknown
 	}
 	if rolled == faultLostCall || rolled == faultLateWrite {
-		return unknown
+		return none, unknown
 	}
-	err := do(ctx)
+	got, err := do(ctx)
 	if sleepErr := f.sleep(ctx); sleepErr != nil || rolled == faultLostReply {
-		return unknown
+		return none, unknown
 	}
-	return err
+	if err != nil {
+		return none, err
+	}
+	return got, nil
 }
 
 func (f *Flaky) roll() fault {
