Prove that a paused agent's order does no harm

Cause: an agent that is paused between its check and its order may wake beside its successor. Found and mended by the tests: an agent that woke after its successor's lease had ended took a new number by right and gave its old order under it, so the engine went back to old weights. Now a guard that had a term and finds another's number answers Lapsed, and its caller looks at the server anew. Ruled out: comparing only when the lease is still held, since the pause may outlast both. Not proved: a stop between a client library's last look at its context and the socket, longer than the lease, at a server that ignores numbers; a machine suspended as a whole.

--- a/internal/platform/beechfence/guard.go
+++ b/internal/platform/beechfence/guard.go
@@ -57,7 +57,10 @@
 	numberTries   = 8
 )
 
-var errContended = errors.New("the fencing number changed at each try to take it")
+var (
+	errContended = errors.New("the fencing number changed at each try to take it")
+	errMoved     = errors.New("another agent has taken a number since")
+)
 
 // New makes a guard that holds nothing yet.
 func New(store beechstore.Store, clock clockwork.Clock, server netip.AddrPort, settings Settings) *Guard {
@@ -87,8 +90,7 @@
 	t := g.term
 	left := g.left(t)
 	if left <= 0 {
-		g.term = term{}
-		return Lapsed{Server: g.server, Number: t.number}
+		return g.lapsed()
 	}
 	sendCtx, cancel := clockwork.WithTimeout(ctx, g.clock, left)
 	defer cancel()
@@ -124,22 +126,38 @@
 	return t.lease.TTL - g.settings.Margin - passed
 }
 
-// hold makes sure that the term has time and its number is the highest.
+// hold makes sure that the term has time and its number is the highest. If
+// another agent has held the server since, the order was decided on what was
+// true before that, so it is not given under a new number: Lapsed sends the
+// caller back to look at what the server holds now.
 func (g *Guard) hold(ctx context.Context) error {
-	if g.term.number > 0 && g.left(g.term) > 0 {
-		g.renew(ctx)
-		if g.stillHighest(ctx, g.term) {
-			return nil
-		}
+	if g.term.number == 0 {
+		return g.take(ctx, 0)
+	}
+	r, _, err := g.read(ctx)
+	if err != nil {
+		return fmt.Errorf("order to %s: %w", g.server, err)
+	}
+	if r.Number != g.term.number || r.Holder != g.id {
+		return g.lapsed()
+	}
+	g.renew(ctx)
+	if g.left(g.term) > 0 {
+		return nil
 	}
+	return g.take(ctx, g.term.number)
+}
+
+func (g *Guard) lapsed() error {
+	number := g.term.number
 	g.term = term{}
-	return g.take(ctx)
+	return Lapsed{Server: g.server, Number: number}
 }
 
 // renew asks for more time once half is gone. A failure leaves the term as it
 // is: its time simply runs out.
 func (g *Guard) renew(ctx context.Context) {
-	if g.left(g.term) > g.term.lease.TTL/2 {
+	if left := g.left(g.term); left <= 0 || left > g.term.lease.TTL/2 {
 		return
 	}
 	asked := g.clock.Now()
@@ -157,7 +175,10 @@
 
 // take gets the lease and then the next number. The lease comes first: a
 // number taken without it would make a server refuse the rightful holder.
-func (g *Guard) take(ctx context.Context) error {
+//
+// Last is the number of the term that ran out, 0 for none: if the number has
+// moved on since, another agent was there.
+func (g *Guard) take(ctx context.Context, last uint64) error {
 	asked := g.clock.Now()
 	l, err := g.store.Grant(ctx, g.settings.TTL, beechstore.ImportanceConfiguration)
 	if err != nil {
@@ -166,7 +187,10 @@
 	if err := g.takeHolder(ctx, l); err != nil {
 		return err
 	}
-	number, err := g.takeNumber(ctx)
+	number, err := g.takeNumber(ctx, last)
+	if errors.Is(err, errMoved) {
+		return g.lapsed()
+	}
 	if err != nil {
 		return fmt.Errorf("order to %s: %w", g.server, err)
 	}
@@ -198,15 +222,17 @@
 // finds its own id under another lease must not take that for its own.
 func (g *Guard) mark(l beechstore.Lease) string { return g.id + "/" + l.ID }
 
-// takeNumber moves the number on by one. After a lost reply it looks whether
-// the number there is its own; if not it takes the next, since a number that
-// was skipped does no harm.
-func (g *Guard) takeNumber(ctx context.Context) (uint64, error) {
+// takeNumber moves the number on by one. After a lost reply it takes the next
+// one: a number that was skipped does no harm.
+func (g *Guard) takeNumber(ctx context.Context, last uint64) (uint64, error) {
 	for range numberTries {
 		r, version, err := g.read(ctx)
 		if err != nil {
 			return 0, err
 		}
+		if last > 0 && r.Number != last && r.Holder != g.id {
+			return 0, errMoved
+		}
 		r.Number++
 		r.Holder = g.id
 		data, err := beechstore.Seal(format, r)
