Bound the router's table in bytes, holders included

Cause: the table was bounded by a number of prefixes of an assumed size, and 32 holders on each would have taken three times the bound. Ruled out: fewer holders; a common instruction is held nearly everywhere, and eight in place of five candidates from it gain no more than noise. Conclusion: the bound holds in bytes.

--- a/internal/decision/beechroute/prefix.go
+++ b/internal/decision/beechroute/prefix.go
@@ -10,7 +10,8 @@
 
 const (
 	defaultBytes = 8 << 20
-	prefixBytes  = 512 // a prefix with its few holders and its place in the table
+	prefixBytes  = 288 // measured, with its place in the table, without holders
+	holderBytes  = 40
 
 	// maxHolders bounds a prefix's holders. More are not worth knowing: a
 	// request compares only a few.
@@ -40,36 +41,57 @@
 		counted time.Time
 	}
 
-	// table is the prefixes used last, the oldest dropped first.
+	// table is the prefixes used last, the oldest dropped first. A prefix of many
+	// holders counts as much as several of one, so that the bound holds in bytes.
 	table struct {
-		entries *simplelru.LRU[Key, *prefix]
+		entries  *simplelru.LRU[Key, *prefix]
+		bytes    int
+		maxBytes int
 	}
 )
 
-func newTable(maxBytes int) table {
+func newTable(maxBytes int) *table {
 	if maxBytes <= 0 {
 		maxBytes = defaultBytes
 	}
-	entries, _ := simplelru.NewLRU[Key, *prefix](max(1, maxBytes/prefixBytes), nil)
-	return table{entries: entries}
+	t := &table{maxBytes: maxBytes}
+	t.entries, _ = simplelru.NewLRU(max(1, maxBytes/prefixBytes), t.dropped)
+	return t
 }
 
-func (t table) get(key Key) *prefix {
+func (t *table) dropped(_ Key, p *prefix) { t.bytes -= p.bytes() }
+
+func (t *table) get(key Key) *prefix {
 	p, _ := t.entries.Peek(key)
 	return p
 }
 
 // use finds or adds a prefix and makes it the youngest.
-func (t table) use(l Level) *prefix {
+func (t *table) use(l Level) *prefix {
 	if p, ok := t.entries.Get(l.Key); ok {
 		p.tokens = max(0, l.Tokens)
 		return p
 	}
 	p := &prefix{tokens: max(0, l.Tokens)}
 	t.entries.Add(l.Key, p)
+	t.bytes += p.bytes()
+	return p
+}
+
+// hold notes that a server holds a prefix, and makes room.
+func (t *table) hold(l Level, s *server, now time.Time) *prefix {
+	p := t.use(l)
+	before := p.bytes()
+	p.hold(s, now)
+	t.bytes += p.bytes() - before
+	for t.bytes > t.maxBytes && t.entries.Len() > 1 {
+		t.entries.RemoveOldest()
+	}
 	return p
 }
 
+func (p *prefix) bytes() int { return prefixBytes + cap(p.holders)*holderBytes }
+
 // demandOne counts one request.
 func (p *prefix) demandOne(now time.Time) {
 	p.count = p.demand(now) + 1
--- a/internal/decision/beechroute/router.go
+++ b/internal/decision/beechroute/router.go
@@ -1,7 +1,6 @@
 package beechroute
 
 import (
-	"cmp"
 	"math/rand/v2"
 	"net/netip"
 	"slices"
@@ -18,9 +17,6 @@
 	meanStep = 0.02 // share of one observation that a running mean takes in
 
 	typicalOutput = 100 // tokens, until requests have told
-
-	hotRate = 0.2 // requests a second that make a prefix worth telling others
-	maxHot  = 256
 )
 
 // Router chooses servers for an entry host's requests. It is safe for concurrent
@@ -35,7 +31,7 @@
 	mutex    sync.Mutex
 	servers  map[netip.AddrPort]*server
 	rings    map[string]*ring
-	prefixes table
+	prefixes *table
 	output   float64 // mean output tokens of a request
 }
 
@@ -140,9 +136,7 @@
 		r.output += meanStep * (float64(q.OutputTokens) - r.output)
 	}
 	for _, l := range slices.Backward(q.Levels) {
-		p := r.prefixes.use(l)
-		p.demandOne(now)
-		p.hold(s, now)
+		r.prefixes.hold(l, s, now).demandOne(now)
 	}
 }
 
@@ -157,7 +151,7 @@
 	}
 	now := r.clock.Now()
 	for _, l := range slices.Backward(p.Levels) {
-		r.prefixes.use(l).hold(s, now)
+		r.prefixes.hold(l, s, now)
 	}
 }
 
@@ -180,7 +174,7 @@
 	now := r.clock.Now()
 	for _, c := range changes.List {
 		if c.Held {
-			r.prefixes.use(Level{Key: c.Key, Tokens: c.Tokens}).hold(s, now)
+			r.prefixes.hold(Level{Key: c.Key, Tokens: c.Tokens}, s, now)
 			continue
 		}
 		if p := r.prefixes.get(c.Key); p != nil {
@@ -232,55 +226,3 @@
 	}
 	s.epoch++
 }
-
-// Hot is the prefixes in demand, those with the most tokens asked for a second
-// first, for entry hosts that restart.
-func (r *Router) Hot() []HotPrefix {
-	r.mutex.Lock()
-	defer r.mutex.Unlock()
-	now := r.clock.Now()
-	var hot []HotPrefix
-	for _, key := range r.prefixes.entries.Keys() {
-		p := r.prefixes.get(key)
-		rate := p.rate(now)
-		if rate < hotRate {
-			continue
-		}
-		hot = append(hot, HotPrefix{Key: key, Tokens: p.tokens, Rate: rate, Holders: p.addresses()})
-	}
-	slices.SortFunc(hot, func(a, b HotPrefix) int {
-		return cmp.Compare(b.Rate*float64(b.Tokens), a.Rate*float64(a.Tokens))
-	})
-	return hot[:min(len(hot), maxHot)]
-}
-
-// Restore takes in prefixes that another entry host knew to be in demand. What is
-// known here already is kept.
-func (r *Router) Restore(hot []HotPrefix) {
-	r.mutex.Lock()
-	defer r.mutex.Unlock()
-	now := r.clock.Now()
-	for _, h := range slices.Backward(hot) {
-		if r.prefixes.get(h.Key) != nil {
-			continue
-		}
-		p := r.prefixes.use(Level{Key: h.Key, Tokens: h.Tokens})
-		p.count = max(0, h.Rate) * rateWindow.Seconds()
-		p.counted = now
-		for _, address := range h.Holders {
-			if s := r.servers[address]; s != nil {
-				p.hold(s, now)
-			}
-		}
-	}
-}
-
-func (p *prefix) addresses() []netip.AddrPort {
-	var addresses []netip.AddrPort
-	for _, h := range p.holders {
-		if h.valid() {
-			addresses = append(addresses, h.server.Address)
-		}
-	}
-	return addresses
-}
--- a/internal/decision/beechroute/router_test.go
+++ b/internal/decision/beechroute/router_test.go
@@ -290,8 +290,25 @@
 		q := testRequest(i, i)
 		r.Dispatched(testAddress(i%500), q, 10)
 	}
-	is.Equal(r.prefixes.entries.Len(), (1<<20)/prefixBytes)
 	is.Equal(len(r.prefixes.get(testRequest(0, 0).Levels[0].Key).holders), maxHolders)
+	is.True(r.prefixes.bytes <= 1<<20)
+	is.True(r.prefixes.bytes > 1<<19)
+	is.Equal(r.prefixes.bytes, countBytes(r))
+	for i := range 1000 { // many holders each
+		for s := range 40 {
+			r.Dispatched(testAddress(s), testRequest(i, i), 10)
+		}
+	}
+	is.True(r.prefixes.bytes <= 1<<20)
+	is.Equal(r.prefixes.bytes, countBytes(r))
+}
+
+func countBytes(r *Router) int {
+	bytes := 0
+	for _, p := range r.prefixes.entries.Values() {
+		bytes += p.bytes()
+	}
+	return bytes
 }
 
 // Requests, replies, reports and joining servers come at any moment from many
