Tie blocks to levels by the engine's block size

Cause: two prompts stored one after the other could run together, a run of one block fitted nearly any reply, a prompt of whole blocks fitted none (an engine computes at least one token anew), and 32 runs are too few for answers that take seconds. Ruled out: a block size in the settings; it is the greatest common divisor of the events' token counts.

--- a/internal/prompt/beechindex/index_test.go
+++ b/internal/prompt/beechindex/index_test.go
@@ -163,6 +163,42 @@
 	is.Equal(tokens, 256)
 }
 
+// An engine computes at least one token anew, so a prompt of whole blocks is stored
+// without its last one, and a question may add a single block to a long history.
+func TestRunsOfOneBlockAndWholePromptsAreTied(t *testing.T) {
+	is := is.New(t)
+	s := newScene()
+	asked := levels(1, 1)
+	short := append([]Level{}, asked...)
+	short[2].Tokens = 304
+	s.storeRun("loop/7", short, 0)
+	s.reply(1, "loop/7", asked, 0) // 320 tokens, 304 stored
+	s.index.Apply(1, []Event{s.event("loop/7", asked, 256, false)})
+	tokens, _ := s.index.Cached("loop/7", asked)
+	is.Equal(tokens, 64)
+
+	other := levels(2, 1)
+	s.storeRun("loop/7", other, 0)
+	s.reply(1, "loop/7", other, 0)
+	longer := levels(2, 2)
+	longer[2].Tokens = 272
+	s.storeRun("loop/7", longer, 256) // one block
+	s.reply(1, "loop/7", longer, 256)
+	s.index.Apply(1, []Event{s.event("loop/7", longer, 272, false)})
+	tokens, known := s.index.Cached("loop/7", longer)
+	is.Equal(tokens, 256)
+	is.True(known)
+	is.Equal(s.index.Counts().Unmatched, uint64(0))
+
+	s.storeRun("loop/7", levels(3, 1)[:1], 0) // two prompts stored one after the other
+	third := levels(4, 1)
+	s.storeRun("loop/7", third, 256)
+	s.reply(1, "loop/7", third, 256)
+	s.index.Apply(1, []Event{s.event("loop/7", third, 320, false)})
+	tokens, _ = s.index.Cached("loop/7", third)
+	is.Equal(tokens, 256)
+}
+
 // A lost event may have been an eviction. Whatever was learned before is not vouched
 // for, and a reply confirms it again.
 func TestGapLeavesUnknownUntilConfirmed(t *testing.T) {
--- a/internal/prompt/beechindex/ties.go
+++ b/internal/prompt/beechindex/ties.go
@@ -8,9 +8,12 @@
 )
 
 const (
-	maxRuns      = 32
-	maxReplies   = 32
+	// A reply comes at the end of its answer, so runs wait for as long as the
+	// longest answers take: 256 is ten seconds at 25 prompts a second.
+	maxRuns      = 256
+	maxReplies   = 64
 	maxRunBlocks = 8192
+	maxGathered  = 1 << 16 // blocks in all runs
 )
 
 type (
@@ -33,8 +36,8 @@
 		tokens int
 	}
 
-	// run is blocks of one salt that were stored one after the other, each with
-	// more tokens before it than the one before: one prompt's.
+	// run is blocks of one salt that were stored one after the other and follow
+	// each other in the prompt: one prompt's.
 	run struct {
 		salt   string
 		blocks []block
@@ -44,9 +47,11 @@
 	// prompt how many tokens were cached and how many it has; the blocks stored
 	// for it are a run that starts at the former and reaches the latter.
 	ties struct {
-		blocks  *simplelru.LRU[blockKey, tie]
-		runs    []run
-		replies []Reply
+		blocks   *simplelru.LRU[blockKey, tie]
+		runs     []run
+		gathered int
+		replies  []Reply
+		size     int // tokens of a block: the greatest common divisor of all counts
 	}
 )
 
@@ -70,24 +75,38 @@
 // store adds a stored block to the run it continues, or starts one.
 func (t *ties) store(e Event) {
 	b := block{hash: keyOf(e).hash, tokens: e.Tokens}
-	if last := len(t.runs) - 1; last >= 0 && t.runs[last].takes(e) {
+	t.gathered++
+	t.size = divisor(t.size, max(1, e.Tokens))
+	if last := len(t.runs) - 1; last >= 0 && t.runs[last].takes(e, t.size) {
 		t.runs[last].blocks = append(t.runs[last].blocks, b)
-		return
+	} else {
+		t.runs = append(t.runs, run{salt: e.Salt, blocks: []block{b}})
 	}
-	if len(t.runs) == maxRuns {
-		t.runs = slices.Delete(t.runs, 0, 1)
+	for len(t.runs) > maxRuns || t.gathered > maxGathered && len(t.runs) > 1 {
+		t.removeRun(0)
 	}
-	t.runs = append(t.runs, run{salt: e.Salt, blocks: []block{b}})
 }
 
-func (n *run) takes(e Event) bool {
+func (t *ties) removeRun(i int) {
+	t.gathered -= len(t.runs[i].blocks)
+	t.runs = slices.Delete(t.runs, i, i+1)
+}
+
+func (n *run) takes(e Event, size int) bool {
 	last := n.blocks[len(n.blocks)-1]
-	return n.salt == e.Salt && e.Tokens > last.tokens && len(n.blocks) < maxRunBlocks
+	return n.salt == e.Salt && e.Tokens == last.tokens+size && len(n.blocks) < maxRunBlocks
+}
+
+func divisor(a, b int) int {
+	for b != 0 {
+		a, b = b, a%b
+	}
+	return a
 }
 
 func (t *ties) learn(p Reply) {
-	if len(p.Levels) == 0 {
-		return
+	if len(p.Levels) == 0 || p.Prompt-p.Cached < t.size {
+		return // nothing was stored for it
 	}
 	if p.Estimated <= 0 {
 		p.Estimated = max(1, p.Levels[len(p.Levels)-1].Tokens)
@@ -103,35 +122,27 @@
 func (t *ties) match() []entryKey {
 	var tied []entryKey
 	t.replies = slices.DeleteFunc(t.replies, func(p Reply) bool {
-		i := slices.IndexFunc(t.runs, func(n run) bool { return n.fits(p) })
+		i := slices.IndexFunc(t.runs, func(n run) bool { return n.fits(p, t.size) })
 		if i < 0 {
 			return false
 		}
 		tied = append(tied, t.tieRun(t.runs[i], p)...)
-		t.runs = slices.Delete(t.runs, i, i+1)
+		t.removeRun(i)
 		return true
 	})
 	return tied
 }
 
 // fits tells whether the run starts where the reply's cached part ends and reaches
-// the prompt's last whole block. Blocks of the answer may follow.
-func (n *run) fits(p Reply) bool {
+// the prompt's last whole block, or the one before it, since an engine computes at
+// least one token anew. Blocks of the answer may follow.
+func (n *run) fits(p Reply, size int) bool {
 	if n.salt != p.Salt {
 		return false
 	}
-	size := n.blockTokens()
 	start := n.blocks[0].tokens - size
 	end := n.blocks[len(n.blocks)-1].tokens
-	return start <= p.Cached && p.Cached < start+size && end > p.Prompt-size
-}
-
-// blockTokens is the engine's block size, as far as the run shows it.
-func (n *run) blockTokens() int {
-	if len(n.blocks) == 1 {
-		return max(1, n.blocks[0].tokens)
-	}
-	return n.blocks[1].tokens - n.blocks[0].tokens
+	return start <= p.Cached && p.Cached < start+size && end >= p.Prompt-size
 }
 
 // tieRun ties each block to the level its tokens fall in. Levels count estimated
@@ -157,6 +168,7 @@
 
 func (t *ties) forgetRuns() {
 	t.runs = nil
+	t.gathered = 0
 	t.replies = nil
 }
 
