--- a/internal/link/beechlink/bench_test.go
+++ b/internal/link/beechlink/bench_test.go
@@ -49,7 +49,7 @@
 // ends.
 func serveAgents(count int) {
 	pulse := &changingPulse{}
-	s := New(Settings{}, hello(beechwire.RoleAgent, 7), handlerFuncs{open: echo}, answerFunc(echoCall), &recorder{}, pulse, nil, realClock)
+	s := New(Settings{}, hello(beechwire.RoleAgent, 7), handlerFuncs{open: engine}, answerFunc(echoCall), &recorder{}, pulse, nil, realClock)
 	for range count {
 		l, err := Listen(netip.MustParseAddrPort("127.0.0.1:0"))
 		if err != nil {
@@ -62,6 +62,28 @@
 	s.Close()
 }
 
+// engine answers nothing, or tokens of 200 bytes at the pace of a generation,
+// by the request's id.
+func engine(ctx context.Context, s ServerStream, r beechwire.Request, _ []byte) {
+	if r.ID == "wait" {
+		<-ctx.Done()
+		return
+	}
+	ticker := time.NewTicker(71 * time.Millisecond)
+	defer ticker.Stop()
+	token := make([]byte, 200)
+	for i := uint64(1); ; i++ {
+		if s.Send(ctx, DataReply{Data: beechwire.Data{Sequence: i, Data: token}}) != nil {
+			return
+		}
+		select {
+		case <-ticker.C:
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
 // startAgents runs them in a process of their own.
 func startAgents(b *testing.B, count int) []netip.AddrPort {
 	b.Helper()
@@ -230,11 +252,62 @@
 // whose load changes all the time, and carries no requests.
 func BenchmarkIdleLinks(b *testing.B) {
 	for _, links := range []int{100, 400} {
-		b.Run(fmt.Sprintf("links=%d", links), func(b *testing.B) { idleLinks(b, links) })
+		b.Run(fmt.Sprintf("links=%d", links), func(b *testing.B) { heldLinks(b, links, "") })
+	}
+}
+
+// BenchmarkBusyLinks does the same with a stream on each link that waits for
+// its first token, or brings one every 71 ms.
+func BenchmarkBusyLinks(b *testing.B) {
+	for _, stream := range []string{"wait", "tokens"} {
+		b.Run(stream, func(b *testing.B) { heldLinks(b, 400, stream) })
 	}
 }
 
-func idleLinks(b *testing.B, links int) {
+// BenchmarkBeat makes a beat with a changed load, and takes it.
+func BenchmarkBeat(b *testing.B) {
+	var (
+		w     beatWriter
+		pulse changingPulse
+		state beechwire.Heartbeat
+		frame []byte
+	)
+	w.taken(pulse.Beat(), 0)
+	b.ReportAllocs()
+	for b.Loop() {
+		h := pulse.Beat()
+		beat, _ := w.next(h, 0)
+		w.taken(h, 0)
+		frame, _ = appendFrame(frame[:0], 1<<20, kindBeat, &beat)
+		var got beechwire.Beat
+		if _, err := got.UnmarshalMsg(frame[headBytes:]); err != nil {
+			b.Fatal(err)
+		}
+		merge(&state, &got)
+	}
+	b.ReportMetric(float64(len(frame)), "B/beat")
+}
+
+// hold reads a stream until its end.
+func hold(ctx context.Context, b *testing.B, c *Client, id string) {
+	s, err := c.Open(ctx, request(id), nil)
+	if err != nil {
+		b.Error(err)
+		return
+	}
+	go func() {
+		defer s.Close(false)
+		for {
+			if _, err := s.Next(ctx); err != nil {
+				return
+			}
+		}
+	}()
+}
+
+// heldLinks measures an entry with links to agents, and with a stream on each
+// link where stream is the id of its request.
+func heldLinks(b *testing.B, links int, stream string) {
 	const (
 		settle = 5 * time.Second
 		span   = 20 * time.Second
@@ -253,6 +326,12 @@
 		for _, c := range clients {
 			until(b, "all links are up", c.Ready)
 		}
+		ctx, cancel := context.WithCancel(context.Background())
+		for _, c := range clients {
+			if stream != "" {
+				hold(ctx, b, c, stream)
+			}
+		}
 		time.Sleep(settle)
 		from, cpu := dialer.Counters(), processorTime()
 		time.Sleep(span)
@@ -262,11 +341,15 @@
 		payload := float64(to.BytesIn + to.BytesOut - from.BytesIn - from.BytesOut)
 		b.ReportMetric(100*used.Seconds()/seconds, "%core")
 		b.ReportMetric(payload/seconds, "B/s")
-		b.ReportMetric((payload+3*header*beats)/seconds, "B/s-with-headers")
-		b.ReportMetric(beats/seconds, "beats/s")
-		b.ReportMetric(payload/beats, "B/beat")
+		if stream != "tokens" {
+			b.ReportMetric((payload+3*header*beats)/seconds, "B/s-with-headers")
+		}
+		b.ReportMetric(beats/seconds, "beats-out/s")
+		b.ReportMetric(float64(to.BeatsIn-from.BeatsIn)/seconds, "beats-in/s")
+		b.ReportMetric(payload/max(1, beats), "B/exchange")
 		b.ReportMetric(float64(resident()-before)/(1<<20), "MB")
 		b.ReportMetric(float64(to.Lost), "lost")
+		cancel()
 		dialer.Close()
 	}
 }
--- a/internal/link/beechlink/server_test.go
+++ b/internal/link/beechlink/server_test.go
@@ -483,3 +483,44 @@
 	pool.AddCert(parsed)
 	return pool, tls.Certificate{Certificate: [][]byte{der}, PrivateKey: key}
 }
+
+// An entry's process hangs with hundreds of answers on their way, and its
+// socket takes no more. The agent holds a bounded amount for it, whatever
+// credit its streams have, until the entry is taken for dead.
+func TestPeerThatDoesNotReadIsBounded(t *testing.T) {
+	is := is.New(t)
+	const streams, size = 200, 16 << 10
+	var sent atomic.Int64
+	p := newPair(t, Settings{Deadline: time.Minute}, handlerFuncs{open: func(ctx context.Context, s ServerStream, _ beechwire.Request, _ []byte) {
+		for i := uint64(1); ; i++ {
+			if s.Send(ctx, DataReply{Data: beechwire.Data{Sequence: i, Data: make([]byte, size)}}) != nil {
+				return
+			}
+			sent.Add(size)
+		}
+	}})
+	f := dialAsEntry(t, p.address.String())
+	for i := range uint64(streams) {
+		f.send(kindOpen, &beechwire.Open{Stream: i + 1, Credit: 64 << 20, Request: beechwire.Request{ID: "a", Attempt: 1}})
+	}
+	var c *connection
+	until(t, "the agent knows the entry", func() bool {
+		for _, other := range p.server.roster.all() {
+			if other.peer.Incarnation == 6 {
+				c = other
+			}
+		}
+		return c != nil && p.server.Counters().Opened == streams
+	})
+	before := int64(-1)
+	until(t, "nothing more is sent", func() bool {
+		last := before
+		before = sent.Load()
+		time.Sleep(50 * time.Millisecond)
+		return before > 0 && last == before
+	})
+	// Each stream may have passed the check with one more piece.
+	is.True(c.out.queued() <= queueLimit+streams*(size+replyOverhead))
+	f.conn.Close()
+	until(t, "all have ended", func() bool { return c.end.streams() == 0 })
+}
