Link: each Data is matched to its request and attempt

Cause: a Data named only its stream; one that a fault put on another request's stream with just the expected sequence was delivered. It now carries a tag of request id and attempt; one that differs is dropped and counted as crossed. The link fills the tag in; an agent that sets it itself (beechwire.Tag) is checked end to end. A tag of 0, from an older agent, is not checked. Ruled out: the request id in every Data, 36 bytes a token. TestSilentAgentIsNoticed failed 1 of 300 runs: the first beat's poll could be taken for a later round's. The test now waits for it and for each round's end; its bound of 2 s is the same.

--- a/internal/link/beechlink/client_test.go
+++ b/internal/link/beechlink/client_test.go
@@ -49,7 +49,9 @@
 	f.send(kindHead, head(2, "a")) // a's head on b's stream
 	f.send(kindHead, head(1, "a"))
 	f.send(kindHead, head(1, "a"))
-	f.send(kindData, data(1, 1, "one "))
+	f.send(kindData, &beechwire.Data{Stream: 1, Sequence: 1, Tag: beechwire.Tag("b", 1), Data: []byte("b's")})
+	f.send(kindData, &beechwire.Data{Stream: 1, Sequence: 1, Tag: beechwire.Tag("a", 2), Data: []byte("another attempt's")})
+	f.send(kindData, &beechwire.Data{Stream: 1, Sequence: 1, Tag: beechwire.Tag("a", 1), Data: []byte("one ")})
 	f.send(kindData, data(1, 1, "one "))
 	f.send(kindData, data(9, 1, "nobody's"))
 	f.send(kindEnd, end1(1, "b", 0))                                                              // b's end on a's stream
@@ -71,7 +73,7 @@
 	is.NoErr(err)
 	is.Equal(len(got), 0)
 	k := c.dialer.Counters()
-	is.Equal(k.Crossed, uint64(5))
+	is.Equal(k.Crossed, uint64(7))
 	is.Equal(k.Doubled, uint64(2))
 	is.Equal(k.Late, uint64(4))
 	is.Equal(k.Lost, uint64(0))
@@ -249,12 +251,12 @@
 	acceptAsAgent(t, l)
 	until(t, "the link is up", c.Ready)
 
+	<-pulse.polls // the one for the first beat
 	advance := func() {
-		for len(pulse.polls) > 0 {
-			<-pulse.polls
-		}
 		clock.Advance(d.settings.Heartbeat / 2)
 		<-pulse.polls
+		d.Push() // the next round's poll shows that this one is over
+		<-pulse.polls
 	}
 	for range 10 { // idle, silent and not missed
 		advance()
--- a/internal/link/beechlink/clientend.go
+++ b/internal/link/beechlink/clientend.go
@@ -68,6 +68,9 @@
 		credit:    e.c.settings.Credit,
 		wake:      make(chan struct{}, 1),
 	}
+	if requestID != "" && attempt != 0 {
+		s.tag = beechwire.Tag(requestID, attempt)
+	}
 	e.table[s.id] = s
 	return s, nil
 }
--- a/internal/link/beechlink/serverend.go
+++ b/internal/link/beechlink/serverend.go
@@ -104,6 +104,9 @@
 		context:   ctx,
 		cancel:    cancel,
 	}
+	if requestID != "" && attempt != 0 {
+		s.tag = beechwire.Tag(requestID, attempt)
+	}
 	return s, nil
 }
 
--- a/internal/link/beechlink/serverstream.go
+++ b/internal/link/beechlink/serverstream.go
@@ -15,6 +15,7 @@
 		id        uint64
 		requestID string
 		attempt   int
+		tag       uint32 // of both; 0 until they are known
 		context   context.Context
 		cancel    context.CancelFunc
 
@@ -40,7 +41,9 @@
 }
 
 // Send implements ServerStream. Stream is filled in, as are RequestID and
-// Attempt where they are empty.
+// Attempt where they are empty, and a Data's Tag where it is 0. A handler that
+// knows which request a Data is of should set the Tag itself: the entry then
+// drops what a fault put on another request's stream.
 func (s *serverStream) Send(ctx context.Context, r Reply) error {
 	switch r := r.(type) {
 	case HeadReply:
@@ -51,6 +54,9 @@
 	case DataReply:
 		m := r.Data
 		m.Stream = s.id
+		if m.Tag == 0 {
+			m.Tag = s.tag
+		}
 		if err := s.takeCredit(ctx, costOf(m.Data)); err != nil {
 			return err
 		}
@@ -75,6 +81,8 @@
 	}
 }
 
+// name fills in what the handler left empty, and learns what only it knows on
+// a Reattach.
 func (s *serverStream) name(requestID *string, attempt *int) {
 	if *requestID == "" {
 		*requestID = s.requestID
@@ -82,6 +90,9 @@
 	if *attempt == 0 {
 		*attempt = s.attempt
 	}
+	if s.tag == 0 && *requestID != "" && *attempt != 0 {
+		s.tag = beechwire.Tag(*requestID, *attempt)
+	}
 }
 
 // send queues a reply unless the stream is over; the last one makes it over.
--- a/internal/link/beechlink/stream.go
+++ b/internal/link/beechlink/stream.go
@@ -15,6 +15,7 @@
 		id        uint64
 		requestID string // empty until Head where a Reattach does not know it
 		attempt   int    // 0 until Head where a Reattach does not know it
+		tag       uint32 // of both; 0 until they are known
 
 		mu       sync.Mutex
 		queue    []Reply
@@ -127,7 +128,13 @@
 	if s.attempt == 0 {
 		s.attempt = attempt
 	}
-	return s.requestID == requestID && s.attempt == attempt
+	if s.requestID != requestID || s.attempt != attempt {
+		return false
+	}
+	if s.tag == 0 {
+		s.tag = beechwire.Tag(requestID, attempt)
+	}
+	return true
 }
 
 func (s *clientStream) head(m *beechwire.Head) {
@@ -161,6 +168,10 @@
 		counters.late.Add(1)
 		return nil
 	}
+	if s.tag != 0 && m.Tag != 0 && m.Tag != s.tag {
+		counters.crossed.Add(1)
+		return nil
+	}
 	if m.Sequence < s.next {
 		counters.doubled.Add(1)
 		return nil
--- a/internal/link/beechwire/wire_gen.go
+++ b/internal/link/beechwire/wire_gen.go
@@ -192,6 +192,9 @@
 
 	// Stream corresponds to the JSON schema field "Stream".
 	Stream uint64 `msg:"Stream"`
+
+	// Tag of the request and attempt; 0 is not told.
+	Tag uint32 `msg:"Tag"`
 }
 
 // End closes a stream after a whole answer. Last is the sequence of the last Data.
--- a/internal/link/beechwire/wire_msgp_gen.go
+++ b/internal/link/beechwire/wire_msgp_gen.go
@@ -1358,9 +1358,9 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *Data) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 3
+	// map header, size 4
 	// string "Data"
-	o = append(o, 0x83, 0xa4, 0x44, 0x61, 0x74, 0x61)
+	o = append(o, 0x84, 0xa4, 0x44, 0x61, 0x74, 0x61)
 	o = msgp.AppendBytes(o, z.Data)
 	// string "Sequence"
 	o = append(o, 0xa8, 0x53, 0x65, 0x71, 0x75, 0x65, 0x6e, 0x63, 0x65)
@@ -1368,6 +1368,9 @@
 	// string "Stream"
 	o = append(o, 0xa6, 0x53, 0x74, 0x72, 0x65, 0x61, 0x6d)
 	o = msgp.AppendUint64(o, z.Stream)
+	// string "Tag"
+	o = append(o, 0xa3, 0x54, 0x61, 0x67)
+	o = msgp.AppendUint32(o, z.Tag)
 	return
 }
 
@@ -1407,6 +1410,12 @@
 				err = msgp.WrapError(err, "Stream")
 				return
 			}
+		case "Tag":
+			z.Tag, bts, err = msgp.ReadUint32Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Tag")
+				return
+			}
 		default:
 			bts, err = msgp.Skip(bts)
 			if err != nil {
@@ -1421,7 +1430,7 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *Data) Msgsize() (s int) {
-	s = 1 + 5 + msgp.BytesPrefixSize + len(z.Data) + 9 + msgp.Uint64Size + 7 + msgp.Uint64Size
+	s = 1 + 5 + msgp.BytesPrefixSize + len(z.Data) + 9 + msgp.Uint64Size + 7 + msgp.Uint64Size + 4 + msgp.Uint32Size
 	return
 }
 
