A resumed answer can be resumed; a link that gives nothing is left

The entry host joined it from its first piece, which no agent keeps; the link refused the sequence, the entry host joined again at once, and so on: the caller waited without end and the log grew by some thousand lines a second. Ruled out: serving such an answer from where it is kept (the entry host would resume it elsewhere without its beginning). Conclusion: an agent says from where an answer is kept; the entry host then joins after the caller's event. Such an answer is not resumed a third time. After three joins that bring nothing the attempt is given up.

--- a/internal/process/beechagent/stream.go
+++ b/internal/process/beechagent/stream.go
@@ -69,6 +69,10 @@
 		_ = s.Send(ctx, a.refusal(beechwire.ReasonGone, 0, "no such answer is kept here"))
 		return
 	}
+	if r.After < g.base {
+		_ = s.Send(ctx, a.refusal(beechwire.ReasonGone, 0, "the answer is kept from piece %d on", g.base+1))
+		return
+	}
 	a.numbers.Joined.Add(1)
 	a.serveStream(ctx, s, g, r.After)
 }
--- a/internal/process/beechentry/dispatch.go
+++ b/internal/process/beechentry/dispatch.go
@@ -51,6 +51,7 @@
 	// sought elsewhere. An agent that is alive is linked again within it.
 	reattachTime  = 1200 * time.Millisecond
 	reattachPause = 20 * time.Millisecond
+	maxIdleJoins  = 3
 	maxStale      = 5
 )
 
@@ -208,9 +209,13 @@
 
 // follow gives a stream's replies to the caller. Where the link is lost it
 // joins the same generation again, so that a cut between two hosts costs the
-// caller nothing.
+// caller nothing. A link that gives nothing each time it is joined is left:
+// joined again and again it would keep the caller and the host's processor busy
+// without end.
 func (e *Entry) follow(ctx context.Context, j *job, client *beechlink.Client, server netip.AddrPort, stream beechlink.Stream) ending {
+	idle := 0
 	for tries := 0; ; tries++ {
+		before := j.sequence
 		how, lost := e.drainStream(ctx, j, server, stream)
 		if _, isGone := how.(gone); isGone && tries > 0 {
 			// The agent was replaced meanwhile. What it was running is lost,
@@ -220,6 +225,12 @@
 		if !lost {
 			return how
 		}
+		if idle++; j.sequence > before {
+			idle = 0
+		}
+		if idle > maxIdleJoins {
+			return e.lostEnding(ctx)
+		}
 		stream = e.reattach(ctx, j, client, client.Peer().Incarnation)
 		if stream == nil {
 			return e.lostEnding(ctx)
--- a/internal/process/beechentry/once.go
+++ b/internal/process/beechentry/once.go
@@ -236,8 +236,22 @@
 	e.tellOwner(j, &beechwire.FinishAsk{RecordKey: j.request.RecordKey, Token: token, NotRun: true})
 }
 
-// join follows a generation that runs, or ran, at an agent.
+// join follows a generation that runs, or ran, at an agent. One that was itself
+// resumed is kept only from where it was; then it is joined after the event that
+// the caller has, and cannot be resumed once more, since its earlier text is not
+// known here.
 func (e *Entry) join(ctx context.Context, j *job, target placed) ending {
+	how := e.joinAfter(ctx, j, target)
+	s, streamed := j.writer.(*streamWriter)
+	if _, isGone := how.(gone); !isGone || !streamed || s.skip <= j.sequence {
+		return how
+	}
+	j.resumable = false
+	j.sequence = s.skip
+	return e.joinAfter(ctx, j, target)
+}
+
+func (e *Entry) joinAfter(ctx context.Context, j *job, target placed) ending {
 	client := e.joinClient(ctx, target.agent)
 	if client == nil {
 		return gone{}
