--- a/internal/platform/beechrecord/shard.go
+++ b/internal/platform/beechrecord/shard.go
@@ -66,6 +66,7 @@
 const (
 	settlePause = 20 * time.Millisecond
 	holdOff     = 250 * time.Millisecond
+	slowFailure = 100 * time.Millisecond
 )
 
 var (
@@ -141,6 +142,7 @@
 		return
 	}
 	lost := false
+	began := s.clock.Now()
 	for {
 		rest, err := s.try(ctx, batch)
 		if err == nil && len(rest) == 0 {
@@ -156,7 +158,7 @@
 			lost = true
 		case lost && ctx.Err() == nil:
 		default:
-			s.down, s.downUntil = err, s.clock.Now().Add(holdOff)
+			s.holdOffAfter(began, err)
 			deliverAll(batch, failure(lost, err))
 			return
 		}
@@ -170,6 +172,18 @@
 	}
 }
 
+// holdOffAfter remembers a failure. The service's own refusal that came at once
+// is not remembered: asking again costs the next claim nothing, and the service
+// may be back.
+func (s *shard) holdOffAfter(began time.Time, err error) {
+	now := s.clock.Now()
+	var refused beechstore.Refused
+	if errors.As(err, &refused) && now.Sub(began) < slowFailure {
+		return
+	}
+	s.down, s.downUntil = err, now.Add(holdOff)
+}
+
 // dropExpired leaves out what nobody waits for any more: a claim whose caller
 // is gone would be granted to no one and stay unknown for ever.
 func dropExpired(batch []*operation) []*operation {
--- a/internal/process/beechagent/calls.go
+++ b/internal/process/beechagent/calls.go
@@ -7,12 +7,14 @@
 	"time"
 
 	"github.com/tinylib/msgp/msgp"
+	"go.uber.org/zap"
 
 	"github.com/beechring/beechring/internal/decision/beechsuspect"
 	"github.com/beechring/beechring/internal/link/beechlink"
 	"github.com/beechring/beechring/internal/link/beechwire"
 	"github.com/beechring/beechring/internal/platform/beechrecord"
 	"github.com/beechring/beechring/internal/platform/beechstore"
+	"github.com/beechring/beechring/internal/process/beechlog"
 )
 
 const (
@@ -101,7 +103,11 @@
 	key := beechrecord.Key{Name: ask.RecordKey}
 	ctx, cancel := context.WithTimeout(ctx, claimWait)
 	defer cancel()
-	reply := claimAnswer(a.claimWithinBudget(ctx, key, beechrecord.BodySum(ask.BodyHash), ask.RequestID))
+	got := a.claimWithinBudget(ctx, key, beechrecord.BodySum(ask.BodyHash), ask.RequestID)
+	if refused, ok := got.(beechrecord.Refused); ok {
+		a.log.Warn("claim refused", beechlog.RequestID(ask.RequestID), beechlog.Step("claim"), zap.Error(refused.Err))
+	}
+	reply := claimAnswer(got)
 	return &reply, nil
 }
 
