--- a/internal/process/beechsettings/settings_test.go
+++ b/internal/process/beechsettings/settings_test.go
@@ -29,6 +29,7 @@
 		{`"127.0.0.1:8080"`, `"localhost:8080"`, "listen"},
 		{`"5s"`, `5`, "limits.bodyTime"},
 		{`"ne-1"`, `7`, "zone"},
+		{`"limits"`, `"linkTLS":{"certificate":"c.pem","key":"k.pem"},"limits"`, "linkTLS"},
 		{goodEntry, `[]`, "(file)"},
 		{goodEntry, `{`, "(file)"},
 	}
