--- a/Makefile
+++ b/Makefile
@@ -14,7 +14,7 @@
 
 test:
 	go vet work
-	go test work
+	go test -count=1 work
 
 $(SCRATCH_TOOLS): tools/go.mod tools/go.sum
 	cd tools && GOWORK=off go build -o bin/ tool
@@ -35,7 +35,7 @@
 	go test -run '^$$' -bench . -benchtime $(BENCH_TIME) work
 
 scenarios:
-	go test -count=1 -run 'TestScenarios' ./internal/command/...
+	go test -count=1 -run "TestScenarios" ./internal/command/beechscenario
 
 soak:
-	go test -count=1 -timeout 60m -run 'TestSoak' ./internal/command/... -seeds $(SEEDS)
+	go test -count=1 -timeout 60m -run "TestSoak" ./internal/command/beechscenario -seeds $(SEEDS)
--- a/internal/link/beechwire/doc.go
+++ b/internal/link/beechwire/doc.go
@@ -15,6 +15,12 @@
 // Version is the protocol version of this package's messages.
 const Version = 1
 
+// RecordShards is how many shards the records of requests that may not be
+// repeated have, the same in all processes. Few shards make large groups: with
+// 64, a hundred claims a second were a write each, and the platform's service
+// takes some hundred.
+const RecordShards = 8
+
 // Roles of a process on a link.
 const (
 	RoleEntry = "entry"
@@ -29,7 +35,7 @@
 	MethodShare         = "share"
 	MethodClaim         = "claim"
 	MethodFinish        = "finish"
-	MethodStatus        = "status"
+	MethodChanges       = "changes"
 )
 
 // Reasons of Refused and Failed.
@@ -59,8 +65,13 @@
 // States of a record of a request that may not be repeated.
 const (
 	StateGranted  = "granted"  // the token may be used once
+	StateRunning  = "running"  // repeatable and placed at Agent under RequestID
 	StateDone     = "done"     // Status, ContentType and Answer hold the outcome
 	StateUnknown  = "unknown"  // claimed, outcome not known: never run again
 	StateMismatch = "mismatch" // same key, another body
 	StateRefused  = "refused"  // not claimed: platform down or over budget
 )
+
+// ServiceTarget is a plain service's name in Heartbeat.Models, where engines
+// have "model@weights".
+func ServiceTarget(service string) string { return "service:" + service }
--- a/internal/link/beechwire/wire_gen.go
+++ b/internal/link/beechwire/wire_gen.go
@@ -4,6 +4,40 @@
 
 package beechwire
 
+// Beat goes both ways as the sign of life. It carries what changed since the
+// sender's last one on the connection; the first carries everything.
+type Beat struct {
+	// The other side answers with a Beat at once.
+	Ask *bool `msg:"Ask,omitempty"`
+
+	// Entries corresponds to the JSON schema field "Entries".
+	Entries *int `msg:"Entries,omitempty"`
+
+	// Time between the sender's beats while nothing is outstanding.
+	EveryMillis *int64 `msg:"EveryMillis,omitempty"`
+
+	// Generation corresponds to the JSON schema field "Generation".
+	Generation *uint64 `msg:"Generation,omitempty"`
+
+	// Incarnation corresponds to the JSON schema field "Incarnation".
+	Incarnation *uint64 `msg:"Incarnation,omitempty"`
+
+	// Leaving corresponds to the JSON schema field "Leaving".
+	Leaving *bool `msg:"Leaving,omitempty"`
+
+	// Load corresponds to the JSON schema field "Load".
+	Load *Load `msg:"Load,omitempty"`
+
+	// Models corresponds to the JSON schema field "Models".
+	Models *Names `msg:"Models,omitempty"`
+
+	// Ready corresponds to the JSON schema field "Ready".
+	Ready *bool `msg:"Ready,omitempty"`
+
+	// Suspects corresponds to the JSON schema field "Suspects".
+	Suspects []Suspect `msg:"Suspects,omitempty"`
+}
+
 // Body carries a piece of the request's body, entry to agent.
 type Body struct {
 	// Data corresponds to the JSON schema field "Data".
@@ -27,7 +61,10 @@
 	// A Method constant of this package.
 	Method string `msg:"Method"`
 
-	// The method's message in msgpack.
+	// Further pieces of the payload follow.
+	More bool `msg:"More"`
+
+	// The method's message in msgpack, or a piece of it.
 	Payload []byte `msg:"Payload"`
 }
 
@@ -41,18 +78,59 @@
 	Stream uint64 `msg:"Stream"`
 }
 
+// Change is a prefix that has come into an engine's cache or queue, or gone.
+type Change struct {
+	// Held corresponds to the JSON schema field "Held".
+	Held bool `msg:"Held"`
+
+	// Key corresponds to the JSON schema field "Key".
+	Key []byte `msg:"Key"`
+
+	// Tokens corresponds to the JSON schema field "Tokens".
+	Tokens int `msg:"Tokens"`
+}
+
+// Changes answers ChangesAsk. With All, what is not in the list is to be
+// forgotten. Next is the version to ask with next.
+type Changes struct {
+	// All corresponds to the JSON schema field "All".
+	All bool `msg:"All"`
+
+	// Of the agent.
+	Incarnation uint64 `msg:"Incarnation"`
+
+	// List corresponds to the JSON schema field "List".
+	List []Change `msg:"List"`
+
+	// Next corresponds to the JSON schema field "Next".
+	Next uint64 `msg:"Next"`
+}
+
+// ChangesAsk asks an agent what has come into its engine's cache, and gone, since
+// a version; 0 asks for everything.
+type ChangesAsk struct {
+	// After corresponds to the JSON schema field "After".
+	After uint64 `msg:"After"`
+}
+
 // ClaimAnswer is the state of a record after a claim or a finish. State is a State
 // constant of this package.
 type ClaimAnswer struct {
 	// AfterMillis corresponds to the JSON schema field "AfterMillis".
 	AfterMillis int64 `msg:"AfterMillis"`
 
+	// Where the first request runs, or empty.
+	Agent string `msg:"Agent"`
+
 	// Answer corresponds to the JSON schema field "Answer".
 	Answer []byte `msg:"Answer"`
 
 	// ContentType corresponds to the JSON schema field "ContentType".
 	ContentType string `msg:"ContentType"`
 
+	// Of the first request under the key.
+	RequestID string `msg:"RequestID"`
+
 	// State corresponds to the JSON schema field "State".
 	State string `msg:"State"`
 
@@ -71,6 +149,9 @@
 	// RecordKey corresponds to the JSON schema field "RecordKey".
 	RecordKey string `msg:"RecordKey"`
 
+	// True: the record is kept in memory only and a repeat joins the first.
+	Repeatable bool `msg:"Repeatable"`
+
 	// RequestID corresponds to the JSON schema field "RequestID".
 	RequestID string `msg:"RequestID"`
 }
@@ -167,8 +248,12 @@
 	Stream uint64 `msg:"Stream"`
 }
 
-// FinishAsk records the outcome under a token. NotRun releases the claim.
+// FinishAsk records the outcome under a token. NotRun releases the claim. Without
+// NotRun, Status and Agent the outcome will not be known.
 type FinishAsk struct {
+	// Where a repeatable request was placed; empty otherwise.
+	Agent string `msg:"Agent"`
+
 	// Answer corresponds to the JSON schema field "Answer".
 	Answer []byte `msg:"Answer"`
 
@@ -209,8 +294,8 @@
 	Stream uint64 `msg:"Stream"`
 }
 
-// Heartbeat goes both ways. An entry leaves the agent's fields empty and the other
-// way round.
+// Heartbeat is the state that Beats add up to. An entry leaves the agent's fields
+// empty and the other way round.
 type Heartbeat struct {
 	// Agent: number of live entries linked to it.
 	Entries int `msg:"Entries"`
@@ -287,6 +372,10 @@
 
 // Load is the agent's word on its server.
 type Load struct {
+	// Version of what the engine's cache holds; where it differs from the one known,
+	// MethodChanges tells what changed.
+	Cache uint64 `msg:"Cache"`
+
 	// Time between output tokens, microseconds.
 	DecodeMicros int `msg:"DecodeMicros"`
 
@@ -324,6 +413,12 @@
 	Zone string `msg:"Zone"`
 }
 
+// Names is a list that may have changed to an empty one.
+type Names struct {
+	// Names corresponds to the JSON schema field "Names".
+	Names []string `msg:"Names"`
+}
+
 // Open starts a stream, entry to agent.
 type Open struct {
 	// Bytes of Data the agent may send before the first Credit.
@@ -413,6 +508,9 @@
 	// ContentType corresponds to the JSON schema field "ContentType".
 	ContentType string `msg:"ContentType"`
 
+	// Servers that died while they ran it, as the entry host knows.
+	Crashes int `msg:"Crashes"`
+
 	// Time left at sending; 0 is none.
 	DeadlineMillis int64 `msg:"DeadlineMillis"`
 
@@ -467,6 +565,9 @@
 	// Streamed corresponds to the JSON schema field "Streamed".
 	Streamed bool `msg:"Streamed"`
 
+	// The caller asked for the usage event of a streamed answer.
+	WantsUsage bool `msg:"WantsUsage"`
+
 	// Weights version.
 	Weights string `msg:"Weights"`
 
@@ -482,6 +583,9 @@
 	// Error corresponds to the JSON schema field "Error".
 	Error string `msg:"Error"`
 
+	// Further pieces of the payload follow.
+	More bool `msg:"More"`
+
 	// Payload corresponds to the JSON schema field "Payload".
 	Payload []byte `msg:"Payload"`
 }
--- a/internal/platform/beechrecord/decide.go
+++ b/internal/platform/beechrecord/decide.go
@@ -60,6 +60,15 @@
 	return e, ok, ok
 }
 
+func (s *shard) inCurrent(token string) bool {
+	for _, e := range s.chain.current().segment.Entries {
+		if e.Token == token {
+			return true
+		}
+	}
+	return false
+}
+
 func (s *shard) finishedInCurrent(token string) bool {
 	for _, e := range s.chain.current().segment.Entries {
 		if e.Token == token {
@@ -81,12 +90,17 @@
 	return -1
 }
 
-// refresh reads those segments again that hold a claim of the batch without
-// an outcome: another owner may have added it since.
+// refresh reads those segments again that hold a claim of the batch without an
+// outcome: another agent may have added it since, as the one that ran the
+// request does when its entry host is lost. An outcome whose token is not
+// known here may be for a claim that another owner has written since.
 func (s *shard) refresh(ctx context.Context, batch []*operation) error {
 	stale := map[string]bool{}
 	for _, o := range batch {
 		if o.claim == nil {
+			if s.closedWith(o.token) < 0 && !s.inCurrent(o.token) {
+				stale[s.chain.current().id] = true
+			}
 			continue
 		}
 		if x, e, ok := s.holder(o.key); ok && e.Outcome == nil {
--- a/internal/platform/beechrecord/records.go
+++ b/internal/platform/beechrecord/records.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"sync"
+	"time"
 
 	"github.com/jonboulle/clockwork"
 
@@ -27,6 +28,10 @@
 	more       chan struct{}            // holds one: unrecorded has grown
 }
 
+// lookAgain is how often a repeat that waits for an outcome reads the segment:
+// rarely enough that some hundred repeats at once stay within the budget.
+const lookAgain = 500 * time.Millisecond
+
 var _ Claimer = (*Records)(nil)
 
 // New starts one goroutine a shard and one more; Close ends them.
@@ -59,7 +64,7 @@
 func (s Settings) withDefaults() Settings {
 	setDefault(&s.Shards, defaultShards)
 	setDefault(&s.Window, defaultWindow)
-	setDefault(&s.Pace, defaultPace)
+	setDefault(&s.Pace, time.Duration(s.Shards)*defaultPacePerShard)
 	setDefault(&s.MaxBatch, defaultMaxBatch)
 	setDefault(&s.MaxWaiting, defaultMaxWaiting)
 	setDefault(&s.CallTimeout, defaultCallTimeout)
@@ -100,6 +105,10 @@
 		}
 		select {
 		case <-finished:
+		case <-r.clock.After(lookAgain):
+			// Another process may have recorded the outcome, as the agent
+			// beside the server does for an entry host that was killed. It
+			// does not tell this one, so the segment is read again.
 		case <-ctx.Done():
 			return unknown
 		}
@@ -136,16 +145,22 @@
 	if got.err != nil && !errors.Is(got.err, errTokenUnknown) {
 		r.recordLater(key, token, recorded)
 	}
+	r.Abandon(token)
+	if got.err != nil {
+		return fmt.Errorf("record the outcome of %s: %w", key, got.err)
+	}
+	return nil
+}
+
+// Abandon says that the outcome of a granted request will not be known, so
+// that repeats need not wait for it.
+func (r *Records) Abandon(token string) {
 	r.mu.Lock()
+	defer r.mu.Unlock()
 	if finished, ok := r.running[token]; ok {
 		close(finished)
 		delete(r.running, token)
 	}
-	r.mu.Unlock()
-	if got.err != nil {
-		return fmt.Errorf("record the outcome of %s: %w", key, got.err)
-	}
-	return nil
 }
 
 // Close refuses what waits and ends the goroutines.
--- a/internal/platform/beechrecord/shard.go
+++ b/internal/platform/beechrecord/shard.go
@@ -18,8 +18,7 @@
 		settings Settings
 		arrivals chan *operation
 
-		// After a failure nothing is tried until downUntil: each claim would
-		// wait for the same answer, and its caller with it.
+		// After some failures nothing is tried until downUntil, see holdBack.
 		down      error
 		downUntil time.Time
 
@@ -116,6 +115,23 @@
 	return batch
 }
 
+// holdBack keeps the next batches from being tried. A service that does not
+// answer would have each of them wait as long, and their callers with them; a
+// bad value would be read again for each. A service that refuses at once costs
+// nothing, and is tried again at once.
+func (s *shard) holdBack(err error, took time.Duration) {
+	var refused beechstore.Refused
+	var over beechstore.OverBudget
+	s.down, s.downUntil = err, time.Time{}
+	switch {
+	case errors.As(err, &over):
+	case !errors.As(err, &refused):
+		s.downUntil = s.clock.Now().Add(holdOff)
+	case took > holdOff:
+		s.downUntil = s.clock.Now().Add(took)
+	}
+}
+
 func (s *shard) heldOff() bool { return s.clock.Now().Before(s.downUntil) }
 
 func (s *shard) drain(batch []*operation) []*operation {
@@ -140,7 +156,7 @@
 		deliverAll(batch, failure(false, s.down))
 		return
 	}
-	lost := false
+	lost, began := false, s.clock.Now()
 	for {
 		rest, err := s.try(ctx, batch)
 		if err == nil && len(rest) == 0 {
@@ -156,7 +172,7 @@
 			lost = true
 		case lost && ctx.Err() == nil:
 		default:
-			s.down, s.downUntil = err, s.clock.Now().Add(holdOff)
+			s.holdBack(err, s.clock.Since(began))
 			deliverAll(batch, failure(lost, err))
 			return
 		}
