Keep only the keys of closed segments, load long chains in steps

Cause: an owner kept every claim of the retention in memory, scanned all of them for each outcome, and loaded a chain in one go: with more segments than its budget of calls allows in 2 s the shard would have been refused until the retention ended. Ruled out: a filter instead of the keys (a false find would read a segment for nothing each time, and 16 bytes a claim are little). Conclusion: a shard's memory follows the number of claims at some 20 bytes each.

--- a/internal/platform/beechrecord/chain.go
+++ b/internal/platform/beechrecord/chain.go
@@ -22,7 +22,8 @@
 		settings Settings
 		shard    int
 
-		segments []*stored // empty: not loaded
+		segments []*stored          // empty: not loaded
+		known    map[string]*stored // closed segments once read, compact, by id
 	}
 
 	// MissingSegment says that a segment that a shard needs is not in the
@@ -33,7 +34,10 @@
 	}
 )
 
-const loadTries = 4
+const (
+	loadTries    = 4
+	closedInFull = 2
+)
 
 var errMoving = errors.New("the segments changed at each try to read them")
 
@@ -71,7 +75,7 @@
 	}
 	var segments []*stored
 	for _, r := range refs {
-		s, err := c.fetch(ctx, r.ID)
+		s, err := c.fetchOrKnown(ctx, r.ID)
 		var missing MissingSegment
 		if errors.As(err, &missing) && c.indexMoved(ctx, v.Version) {
 			return false, nil
@@ -114,6 +118,40 @@
 	return decodeSegment(id, v)
 }
 
+// fetchOrKnown reads a segment unless it was read before and is closed. So a
+// shard that has more segments than the budget of calls allows at once is
+// loaded by several tries, each going on where the last one ended.
+func (c *chain) fetchOrKnown(ctx context.Context, id string) (*stored, error) {
+	if s, ok := c.known[id]; ok {
+		return s, nil
+	}
+	s, err := c.fetch(ctx, id)
+	if err == nil && !s.open() {
+		s = s.compacted()
+		c.remember(s)
+	}
+	return s, err
+}
+
+func (c *chain) remember(s *stored) {
+	if c.known == nil {
+		c.known = map[string]*stored{}
+	}
+	c.known[s.id] = s
+}
+
+// compact gives up the entries of closed segments but the newest: most
+// repeats and outcomes come soon after their claim.
+func (c *chain) compact() {
+	for i, s := range c.segments {
+		if s.compact() || i >= len(c.segments)-1-closedInFull {
+			continue
+		}
+		c.segments[i] = s.compacted()
+		c.remember(c.segments[i])
+	}
+}
+
 // walk follows Next to the open segment.
 func (c *chain) walk(ctx context.Context) error {
 	for !c.current().open() {
@@ -248,6 +286,7 @@
 	dropped := c.segments[:len(refs)-len(kept)]
 	c.segments = c.segments[len(dropped):]
 	for _, s := range dropped {
+		delete(c.known, s.id)
 		// What fails to be deleted only takes room.
 		_ = c.store.Delete(ctx, segmentKey(c.shard, s.id), s.version, beechstore.ImportanceRest)
 	}
--- a/internal/platform/beechrecord/decide.go
+++ b/internal/platform/beechrecord/decide.go
@@ -22,6 +22,12 @@
 	if o.claim == nil {
 		return s.decideOutcome(draft, o)
 	}
+	if at := s.newest(o.key); at >= 0 && s.chain.segments[at].compact() {
+		// The segments were read anew while the batch was prepared. To take
+		// the key for free because its entry is not at hand would grant the
+		// claim twice.
+		return verdict{operation: o, result: result{answer: Refused{After: defaultRetryAfter, Err: errMoving}}, settled: true}, false
+	}
 	e, ok, written := s.find(draft, o.key)
 	if ok && e.Token == o.token {
 		return verdict{operation: o, result: result{answer: Granted{Token: o.token}, token: o.token}, settled: written}, false
@@ -37,13 +43,13 @@
 }
 
 func (s *shard) decideOutcome(draft *stored, o *operation) (verdict, bool) {
-	found, changed := draft.finish(o.token, *o.outcome)
+	found, changed := draft.finish(o.key, o.token, *o.outcome)
 	switch {
 	case changed:
 		return verdict{operation: o, inOpen: true}, true
 	case found:
-		return verdict{operation: o, inOpen: true, settled: s.finishedInCurrent(o.token)}, false
-	case s.closedWith(o.token) < 0:
+		return verdict{operation: o, inOpen: true, settled: s.finishedInCurrent(o.key)}, false
+	case s.closedWith(o) < 0:
 		return verdict{operation: o, result: result{err: errTokenUnknown}, settled: true}, false
 	}
 	return verdict{operation: o}, false // finishClosed writes it
@@ -56,62 +62,45 @@
 		w, there := s.chain.current().find(key)
 		return e, true, there && w.Token == e.Token && (w.Outcome == nil) == (e.Outcome == nil)
 	}
-	_, e, ok = s.holder(key)
+	at := s.newest(key)
+	if at < 0 {
+		return entry{}, false, false
+	}
+	e, ok = s.chain.segments[at].find(key)
 	return e, ok, ok
 }
 
-func (s *shard) inCurrent(token string) bool {
-	for _, e := range s.chain.current().segment.Entries {
-		if e.Token == token {
-			return true
-		}
-	}
-	return false
+func (s *shard) finishedInCurrent(key string) bool {
+	e, ok := s.chain.current().find(key)
+	return ok && e.Outcome != nil
 }
 
-func (s *shard) finishedInCurrent(token string) bool {
-	for _, e := range s.chain.current().segment.Entries {
-		if e.Token == token {
-			return e.Outcome != nil
-		}
+// closedWith gives the closed segment that has the entry which an outcome is
+// for, -1 for none.
+func (s *shard) closedWith(o *operation) int {
+	i := s.newest(o.key)
+	if i < 0 || i == len(s.chain.segments)-1 {
+		return -1
 	}
-	return false
-}
-
-// closedWith gives the closed segment that has a token, -1 for none.
-func (s *shard) closedWith(token string) int {
-	for i := len(s.chain.segments) - 2; i >= 0; i-- {
-		for _, e := range s.chain.segments[i].segment.Entries {
-			if e.Token == token {
-				return i
-			}
-		}
+	if e, ok := s.chain.segments[i].find(o.key); !ok || e.Token != o.token {
+		return -1
 	}
-	return -1
+	return i
 }
 
-// refresh reads those segments again that hold a claim of the batch without an
-// outcome: another agent may have added it since, as the one that ran the
-// request does when its entry host is lost. An outcome whose token is not
-// known here may be for a claim that another owner has written since.
+// refresh reads those segments again that an operation of the batch needs in
+// full: a compact one that has its key; one with its claim but no outcome,
+// which another agent may have added since, as the one that ran the request
+// does when its entry host is lost; and the open one for an outcome whose
+// token is not known here, which another owner may have written since.
 func (s *shard) refresh(ctx context.Context, batch []*operation) error {
-	stale := map[string]bool{}
+	done := map[string]bool{}
 	for _, o := range batch {
-		if o.claim == nil {
-			if s.closedWith(o.token) < 0 && !s.inCurrent(o.token) {
-				stale[s.chain.current().id] = true
-			}
-			continue
-		}
-		if x, e, ok := s.holder(o.key); ok && e.Outcome == nil {
-			stale[x.id] = true
-		}
-	}
-	for id := range stale {
-		at := s.position(id)
-		if at < 0 {
+		at := s.stale(o)
+		if at < 0 || done[s.chain.segments[at].id] {
 			continue
 		}
+		done[s.chain.segments[at].id] = true
 		if err := s.chain.refresh(ctx, at); err != nil {
 			return err
 		}
@@ -119,14 +108,37 @@
 	return nil
 }
 
-// holder gives the segment with the newest entry of a key.
-func (s *shard) holder(key string) (*stored, entry, bool) {
+// stale gives the segment to read again for an operation, -1 for none.
+func (s *shard) stale(o *operation) int {
+	at := s.newest(o.key)
+	if at < 0 {
+		if o.claim != nil {
+			return -1
+		}
+		return len(s.chain.segments) - 1
+	}
+	x := s.chain.segments[at]
+	if x.compact() {
+		return at
+	}
+	e, _ := x.find(o.key)
+	switch {
+	case o.claim != nil && e.Outcome == nil:
+		return at
+	case o.claim == nil && e.Token != o.token:
+		return len(s.chain.segments) - 1
+	}
+	return -1
+}
+
+// newest gives the segment with the newest entry of a key, -1 for none.
+func (s *shard) newest(key string) int {
 	for i := len(s.chain.segments) - 1; i >= 0; i-- {
-		if e, ok := s.chain.segments[i].find(key); ok {
-			return s.chain.segments[i], e, true
+		if s.chain.segments[i].has(key) {
+			return i
 		}
 	}
-	return nil, entry{}, false
+	return -1
 }
 
 // finishClosed writes the outcomes of claims in closed segments, one write a
@@ -135,7 +147,7 @@
 	groups := map[string][]*operation{}
 	var order []string
 	for _, o := range rest {
-		i := s.closedWith(o.token)
+		i := s.closedWith(o)
 		if i < 0 {
 			continue
 		}
@@ -161,7 +173,7 @@
 	draft := s.chain.segments[at].draft()
 	wrote := false
 	for _, o := range operations {
-		_, changed := draft.finish(o.token, *o.outcome)
+		_, changed := draft.finish(o.key, o.token, *o.outcome)
 		wrote = wrote || changed
 	}
 	if wrote {
--- a/internal/platform/beechrecord/records_test.go
+++ b/internal/platform/beechrecord/records_test.go
@@ -264,6 +264,54 @@
 	}
 }
 
+// A shard has more segments than its agent's budget of calls allows at once,
+// as when an agent takes over after another's death. It must get there in
+// several tries, or the shard's bookings are refused until the retention ends.
+func TestLongChainLoadsWithinBudget(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		clock := clockwork.NewRealClock()
+		store := beechstore.NewFake(clock)
+		first := New(store, clock, Settings{Shards: 1, SegmentBytes: 300})
+		defer first.Close()
+		granted := claimAs(first, "one").(Granted)
+		is.NoErr(first.Finish(context.Background(), testKey, granted.Token, booked))
+		for i := range 400 {
+			first.Claim(context.Background(), Key{Name: fmt.Sprint(i)}, testBody, "r")
+		}
+		is.True(len(readIndex(t, store).Segments) > 100)
+		heir := New(&budgeted{Fake: store, clock: clock}, clock, Settings{Shards: 1})
+		defer heir.Close()
+		var answer Answer
+		for tries := 0; tries < 100; tries++ {
+			answer = claimAs(heir, "two")
+			if _, refused := answer.(Refused); !refused {
+				break
+			}
+			time.Sleep(100 * time.Millisecond)
+		}
+		is.Equal(answer, doneAs("one"))
+	})
+}
+
+// budgeted allows 50 reads a second.
+type budgeted struct {
+	*beechstore.Fake
+	clock  clockwork.Clock
+	second time.Time
+	reads  int
+}
+
+func (b *budgeted) Get(ctx context.Context, key string, i beechstore.Importance) (beechstore.Value, error) {
+	if now := b.clock.Now().Truncate(time.Second); now != b.second {
+		b.second, b.reads = now, 0
+	}
+	if b.reads++; b.reads > 50 {
+		return beechstore.Value{}, beechstore.OverBudget{Step: "get " + key, After: time.Second}
+	}
+	return b.Fake.Get(ctx, key, i)
+}
+
 // Answers that are small alone could together outgrow the value that holds
 // them, and then no outcome of the segment could be recorded any more.
 func TestAnswersNeverOutgrowTheSegment(t *testing.T) {
@@ -280,14 +328,20 @@
 			wait.Go(func() { is.NoErr(r.Finish(context.Background(), key, token, answer)) })
 		}
 		wait.Wait()
+		var mu sync.Mutex
 		complete := 0
 		for key := range tokens {
-			done, ok := r.Claim(context.Background(), key, testBody, "again").(Done)
-			is.True(ok)
-			if done.Complete {
-				complete++
-			}
+			wait.Go(func() {
+				done, ok := r.Claim(context.Background(), key, testBody, "again").(Done)
+				is.True(ok)
+				mu.Lock()
+				defer mu.Unlock()
+				if done.Complete {
+					complete++
+				}
+			})
 		}
+		wait.Wait()
 		is.True(complete > 100 && complete < 700)
 		is.Equal(r.Unrecorded(), 0)
 	})
--- a/internal/platform/beechrecord/segment.go
+++ b/internal/platform/beechrecord/segment.go
@@ -1,6 +1,7 @@
 package beechrecord
 
 import (
+	"bytes"
 	"crypto/rand"
 	"encoding/base64"
 	"encoding/hex"
@@ -50,13 +51,17 @@
 		Opened time.Time `json:"opened"`
 	}
 
-	// stored is a segment as last read or written, with a look-up by key.
+	// stored is a segment as last read or written, with a look-up by key. A
+	// closed one is kept compact: only its keys, since a day's entries would
+	// not fit in an agent's memory, and nearly every claim needs to know no
+	// more than that its key is not there.
 	stored struct {
 		id      string
 		version uint64
 		segment segment
 		bytes   int
-		byKey   map[string]int // the newest entry of a key
+		byKey   map[string]int // the newest entry of a key; nil in a compact one
+		keys    []keyID        // sorted; of a compact one
 	}
 )
 
@@ -104,6 +109,30 @@
 
 func (x *stored) open() bool { return x.segment.Next == "" }
 
+func (x *stored) compact() bool { return x.byKey == nil }
+
+// compacted is the segment without its entries.
+func (x *stored) compacted() *stored {
+	c := &stored{id: x.id, version: x.version, bytes: x.bytes, keys: make([]keyID, 0, len(x.byKey))}
+	c.segment = segment{Opened: x.segment.Opened, Next: x.segment.Next}
+	for key := range x.byKey {
+		c.keys = append(c.keys, parseKeyID(key))
+	}
+	slices.SortFunc(c.keys, compareKeys)
+	return c
+}
+
+// has tells whether the segment has an entry of a key, compact or not.
+func (x *stored) has(key string) bool {
+	if x.compact() {
+		_, ok := slices.BinarySearchFunc(x.keys, parseKeyID(key), compareKeys)
+		return ok
+	}
+	_, ok := x.byKey[key]
+	return ok
+}
+
+// find gives the newest entry of a key; in a compact segment there is none.
 func (x *stored) find(key string) (entry, bool) {
 	i, ok := x.byKey[key]
 	if !ok {
@@ -128,25 +157,35 @@
 
 // finish sets the outcome of a token. A second outcome changes nothing: the
 // first is the one that repeats have been given.
-func (x *stored) finish(token string, o outcome) (found, changed bool) {
-	for i := range x.segment.Entries {
-		e := &x.segment.Entries[i]
-		if e.Token != token {
-			continue
-		}
-		if e.Outcome != nil {
-			return true, false
-		}
-		if x.bytes+len(o.Body)*4/3 > hardLimitBytes {
-			o.Body, o.Complete = nil, false
-		}
-		e.Outcome = &o
-		x.bytes += sizeOf(o)
-		return true, true
-	}
-	return false, false
+func (x *stored) finish(key, token string, o outcome) (found, changed bool) {
+	i, ok := x.byKey[key]
+	if !ok || x.segment.Entries[i].Token != token {
+		return false, false
+	}
+	e := &x.segment.Entries[i]
+	if e.Outcome != nil {
+		return true, false
+	}
+	if x.bytes+len(o.Body)*4/3 > hardLimitBytes {
+		o.Body, o.Complete = nil, false
+	}
+	e.Outcome = &o
+	x.bytes += sizeOf(o)
+	return true, true
 }
 
+// parseKeyID reads what keyID.String wrote; anything else, which only a
+// damaged entry can have, gives the zero id.
+func parseKeyID(text string) keyID {
+	var id keyID
+	if b, err := hex.DecodeString(text); err == nil && len(b) == len(id) {
+		copy(id[:], b)
+	}
+	return id
+}
+
+func compareKeys(a, b keyID) int { return bytes.Compare(a[:], b[:]) }
+
 func sizeOf(v any) int {
 	data, err := json.Marshal(v)
 	if err != nil {
--- a/internal/platform/beechrecord/shard.go
+++ b/internal/platform/beechrecord/shard.go
@@ -151,6 +151,7 @@
 func (s *shard) process(ctx context.Context, batch []*operation) {
 	ctx, cancel := clockwork.WithTimeout(ctx, s.clock, s.settings.CallTimeout)
 	defer cancel()
+	defer s.chain.compact()
 	batch = dropExpired(batch)
 	if s.heldOff() {
 		deliverAll(batch, failure(false, s.down))
