Load large manifests in steps

Cause: a watcher that began each try anew could never load a manifest of more parts than its budget of calls allows at once (257 parts at 9,300 workspaces, 50 calls a second). Before: TestLargeManifestLoadsWithinBudget stays at generation 0 after 30 s. After: it has generation 1. Conclusion: parts that were read are kept from one try to the next.

--- a/internal/platform/beechmanifest/load.go
+++ b/internal/platform/beechmanifest/load.go
@@ -8,8 +8,10 @@
 	"github.com/beechring/beechring/internal/platform/beechstore"
 )
 
-// loader reads published manifests. It has the parts of the last one, so that
-// a change costs a read of the head and of the parts that changed.
+// loader reads published manifests. It has the parts that it has read, so that
+// a change costs a read of the head and of the parts that changed, and a
+// manifest of more parts than the budget of calls allows at once is loaded by
+// several tries, each going on where the last one ended.
 type loader struct {
 	store beechstore.Store
 	known map[string][]byte
@@ -56,14 +58,14 @@
 }
 
 func (l *loader) assemble(ctx context.Context, h head) ([]byte, error) {
+	l.keepOnly(h.Parts)
 	parts := make([]part, 0, len(h.Parts))
-	known := make(map[string][]byte, len(h.Parts))
 	for _, sum := range h.Parts {
 		data, err := l.part(ctx, h.Generation, sum)
 		if err != nil {
 			return nil, err
 		}
-		known[sum] = data
+		l.known[sum] = data
 		parts = append(parts, part{sum: sum, data: data})
 	}
 	m, err := join(parts)
@@ -77,10 +79,19 @@
 	if sum := sumOf(data); len(h.History) > 0 && h.History[len(h.History)-1].Sum != sum {
 		return nil, beechstore.CorruptValue{Key: HeadKey, Err: fmt.Errorf("its parts make a manifest of sum %s, not of the one it names", sum)}
 	}
-	l.known = known
 	return data, nil
 }
 
+func (l *loader) keepOnly(sums []string) {
+	kept := make(map[string][]byte, len(sums))
+	for _, sum := range sums {
+		if data, ok := l.known[sum]; ok {
+			kept[sum] = data
+		}
+	}
+	l.known = kept
+}
+
 func (l *loader) part(ctx context.Context, generation uint64, sum string) ([]byte, error) {
 	if data, ok := l.known[sum]; ok {
 		return data, nil
--- a/internal/platform/beechmanifest/publish_test.go
+++ b/internal/platform/beechmanifest/publish_test.go
@@ -248,3 +248,39 @@
 		cancel()
 	})
 }
+
+// A process starts alone, without a peer to ask, and the manifest has more
+// parts than its budget of calls allows at once. If each try began anew it
+// would never have a configuration and never serve.
+func TestLargeManifestLoadsWithinBudget(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		clock := clockwork.NewRealClock()
+		store, holder := beechstore.NewFake(clock), NewHolder()
+		published(t, store, 0, large(9300))
+		ctx, cancel := context.WithCancel(t.Context())
+		w := NewWatcher(&budgeted{Fake: store}, holder, clock, WatcherSettings{})
+		go func() { _ = w.Serve(ctx) }()
+		time.Sleep(30 * time.Second)
+		is.Equal(holder.Generation(), uint64(1))
+		is.NoErr(w.Err())
+		cancel()
+	})
+}
+
+// budgeted allows 50 reads a second.
+type budgeted struct {
+	*beechstore.Fake
+	second time.Time
+	reads  int
+}
+
+func (b *budgeted) Get(ctx context.Context, key string, i beechstore.Importance) (beechstore.Value, error) {
+	if now := time.Now().Truncate(time.Second); now != b.second {
+		b.second, b.reads = now, 0
+	}
+	if b.reads++; b.reads > 50 {
+		return beechstore.Value{}, beechstore.OverBudget{Step: "get " + key, After: time.Second}
+	}
+	return b.Fake.Get(ctx, key, i)
+}
