--- a/internal/platform/beechrecord/records.go
+++ b/internal/platform/beechrecord/records.go
@@ -64,7 +64,7 @@
 func (s Settings) withDefaults() Settings {
 	setDefault(&s.Shards, defaultShards)
 	setDefault(&s.Window, defaultWindow)
-	setDefault(&s.Pace, defaultPace)
+	setDefault(&s.Pace, time.Duration(s.Shards)*defaultPacePerShard)
 	setDefault(&s.MaxBatch, defaultMaxBatch)
 	setDefault(&s.MaxWaiting, defaultMaxWaiting)
 	setDefault(&s.CallTimeout, defaultCallTimeout)
