Give the engine a quarter of a second of prefill at once

With mixed prompts every slot went to a prefill: seconds of prompts were under way in the engine, where no order, deadline or priority counts, and whoever came next waited for all of it.

--- a/internal/decision/beechqueue/doc.go
+++ b/internal/decision/beechqueue/doc.go
@@ -24,7 +24,9 @@
 //     cost.go).
 //   - One request at a time brings a shared prefix into the cache, the others
 //     that need it follow; bounded by PrefillWait (prefix.go).
-//   - Long prefills and suspects run in limited number (queue.go).
+//   - The server is given a quarter of a second of short prefills at once, and
+//     long prefills and suspects in limited number; the rest waits here, where
+//     order, deadlines and priorities count (queue.go).
 //   - The first token is predicted at arrival. What would miss its deadline, or
 //     without one would wait beyond MaxWait, is refused at once (forecast.go,
 //     habit.go, slow.go). What was let in and is about to miss its time goes first.
--- a/internal/decision/beechqueue/engine_test.go
+++ b/internal/decision/beechqueue/engine_test.go
@@ -49,6 +49,7 @@
 		offered  func(w Work) Work                // nil offers the truth
 		stop     time.Duration
 		queue    *Queue
+		start    time.Time
 		cache    map[Key]bool
 		jobs     []*job
 		fates    map[uint64]*fate
@@ -58,6 +59,7 @@
 func (p *play) run(arrivals []arrival) []*fate {
 	clock := clockwork.NewFakeClock()
 	start := clock.Now()
+	p.start = start
 	p.queue = New(p.settings, clock)
 	p.cache = make(map[Key]bool)
 	p.fates = make(map[uint64]*fate)
--- a/internal/decision/beechqueue/fair.go
+++ b/internal/decision/beechqueue/fair.go
@@ -194,6 +194,7 @@
 	c.cursor = slices.Index(c.active, t.flow)
 	t.flow.deficit -= t.item.cost
 	q.learnTurn(t.item)
+	q.slow.learnWait(q.now.Sub(t.item.arrived), t.item.predicted)
 	t.flow.charged++
 	t.item.charged = true
 	c.passed = 0
--- a/internal/decision/beechqueue/forecast.go
+++ b/internal/decision/beechqueue/forecast.go
@@ -23,14 +23,26 @@
 
 // firstToken predicts the time to the item's first token if it waits now.
 func (q *Queue) firstToken(it *item) time.Duration {
+	it.predicted = q.startWait(it)
+	wait := stretch(it.predicted, q.slow.wait())
+	if wait > 0 {
+		wait = max(wait, q.turnWait(it))
+	}
+	return wait + q.inPrefill() + q.ownPrefill(it)
+}
+
+// startWait predicts when the item starts: when a slot is free and the prefill
+// of those before it is done but for what may be under way.
+func (q *Queue) startWait(it *item) time.Duration {
 	requests, tokens := q.ahead(it)
 	tokens = min(tokens, q.pending)
-	slot := q.slotWait(requests)
-	if slot > 0 {
-		slot = max(slot, q.turnWait(it))
-	}
-	wait := max(slot, q.prefillTime(int(tokens+q.runningTokens())))
-	return wait + q.ownPrefill(it)
+	prefill := q.prefillTime(int(tokens+q.runningTokens())) - prefillAhead
+	return max(q.slotWait(requests), prefill, 0)
+}
+
+// inPrefill is the prefill that the item finds under way when it starts.
+func (q *Queue) inPrefill() time.Duration {
+	return min(q.prefillTime(int(q.runningTokens())), prefillAhead)
 }
 
 // late tells by how much the item would miss its deadline; 0 or less is in
@@ -77,19 +89,20 @@
 // slotWait predicts when a slot is free for the one behind some waiting
 // requests.
 func (q *Queue) slotWait(requests int) time.Duration {
-	behind := requests - (q.load.Slots - len(q.running))
-	if behind < 0 || len(q.running) == 0 {
+	free := q.load.Slots - len(q.running)
+	if requests < free || len(q.running) == 0 {
 		return 0
 	}
-	ends := make([]time.Duration, len(q.running))
+	ends := make([]time.Duration, max(free, 0), max(q.load.Slots, len(q.running)))
 	var total time.Duration
-	for i, it := range q.running {
-		ends[i] = q.remaining(it)
+	for _, it := range q.running {
+		ends = append(ends, q.remaining(it))
 		total += q.service(it)
 	}
 	slices.Sort(ends)
 	n := len(ends)
-	return ends[behind%n] + time.Duration(behind/n)*(total/time.Duration(n))
+	behind := requests + max(-free, 0) // more run than there are slots now
+	return ends[behind%n] + time.Duration(behind/n)*(total/time.Duration(len(q.running)))
 }
 
 // service predicts how long an item holds a slot. Of a plain service no rates
--- a/internal/decision/beechqueue/prefix.go
+++ b/internal/decision/beechqueue/prefix.go
@@ -82,6 +82,7 @@
 		}
 	}
 	q.unwant(it)
+	q.countShorts()
 }
 
 // held tells whether the item should wait for a running one that computes the
--- a/internal/decision/beechqueue/queue.go
+++ b/internal/decision/beechqueue/queue.go
@@ -22,6 +22,7 @@
 		running  []*item
 		waiting  int
 		longs    int // running long prefills
+		shorts   int // uncached tokens of the other prefills under way
 		alone    int // running suspects
 		prefixes map[Key]*prefix
 		pending  int64         // uncached tokens waited for, each prefix once
@@ -37,10 +38,11 @@
 		flow      *flow
 		cost      int64
 		arrived   time.Time
-		heldSince time.Time // zero until it is first held back for a prefix
-		started   time.Time // zero while it waits
-		long      bool      // counted in longs
-		charged   bool      // paid for by its flow
+		predicted time.Duration // wait, at arrival
+		heldSince time.Time     // zero until it is first held back for a prefix
+		started   time.Time     // zero while it waits
+		long      bool          // counted in longs
+		charged   bool          // paid for by its flow
 		prefilled bool
 	}
 )
@@ -224,6 +226,9 @@
 			wake = earlier(wake, released)
 		}
 	}
+	if q.waiting > 0 {
+		wake = q.nextHang(wake)
+	}
 	return wake, !wake.IsZero()
 }
 
@@ -245,6 +250,7 @@
 	}
 	q.spread = max(0, q.spread-now.Sub(q.now))
 	q.now = now
+	q.countShorts()
 }
 
 // start makes an item run.
@@ -259,6 +265,7 @@
 	}
 	q.running = append(q.running, it)
 	q.beginPrefill(it)
+	q.countShorts()
 }
 
 // stop takes an item out of the running ones.
@@ -292,16 +299,57 @@
 	if it.Alone && q.alone > 0 {
 		return false
 	}
-	if q.isLong(it) && q.longs >= max(1, q.settings.MaxLongPrefills) {
+	if q.held(it) {
 		return false
 	}
-	return !q.held(it)
+	if q.isLong(it) {
+		return q.longs < max(1, q.settings.MaxLongPrefills)
+	}
+	return !q.prefillIsFull()
+}
+
+// prefillIsFull tells whether the server has enough to prefill. What it has
+// beyond that makes no answer sooner, and among what has been started there
+// are no turns any more: whoever comes next waits for all of it.
+func (q *Queue) prefillIsFull() bool {
+	return q.load.PrefillRate > 0 && q.prefillTime(q.shorts) >= prefillAhead
+}
+
+// countShorts counts the uncached tokens of running short prefills. One that
+// takes twice as long as predicted hangs, and must not stop the others.
+func (q *Queue) countShorts() {
+	q.shorts = 0
+	for _, it := range q.running {
+		if !it.prefilled && !it.long && q.now.Before(q.hangsAt(it)) {
+			q.shorts += it.uncached()
+		}
+	}
+}
+
+func (q *Queue) hangsAt(it *item) time.Time {
+	return it.started.Add(2 * (q.ownPrefill(it) + prefillAhead))
+}
+
+// nextHang gives the time at which the next running prefill counts as hanging,
+// if that is before another one.
+func (q *Queue) nextHang(wake time.Time) time.Time {
+	for _, it := range q.running {
+		at := q.hangsAt(it)
+		if !it.prefilled && !it.long && at.After(q.now) {
+			wake = earlier(wake, at)
+		}
+	}
+	return wake
 }
 
 // isLong tells whether the item's prefill would keep short work from its first
 // token for long.
 func (q *Queue) isLong(it *item) bool {
-	return q.settings.LongPrefill > 0 && it.uncached() >= q.settings.LongPrefill
+	long := q.settings.LongPrefill
+	if long <= 0 {
+		long = q.load.PrefillRate
+	}
+	return long > 0 && it.uncached() >= long
 }
 
 // overdueAt gives the last time at which waiting work is worth a start.
--- a/internal/decision/beechqueue/slow.go
+++ b/internal/decision/beechqueue/slow.go
@@ -15,8 +15,9 @@
 	// the prefill among all slots at once.
 	prior = 1.25
 
-	minSlow = 0.5
-	maxSlow = 16
+	minSlow    = 0.5
+	waitMemory = 16
+	maxSlow    = 16
 )
 
 // slowness is how much longer work takes than the server's own rates say: its
@@ -24,8 +25,24 @@
 // whose report lags. Without it the queue promises what cannot be kept, and
 // work that was let wait is refused late. 0 is not known yet.
 type slowness struct {
-	prefill float64
-	run     float64
+	prefill                 float64
+	run                     float64
+	waitTook, waitPredicted time.Duration
+}
+
+// learnWait takes the time that work waited for its start, and the time that
+// was predicted. Means are compared, since the ratio of a short wait says little.
+func (s *slowness) learnWait(took, predicted time.Duration) {
+	s.waitTook += (took - s.waitTook) / waitMemory
+	s.waitPredicted += (predicted - s.waitPredicted) / waitMemory
+}
+
+// wait is the ratio of real to predicted waits.
+func (s *slowness) wait() float64 {
+	if s.waitPredicted < minSample {
+		return 1
+	}
+	return min(max(float64(s.waitTook)/float64(s.waitPredicted), minSlow), maxSlow)
 }
 
 func (s *slowness) learnPrefill(took, predicted time.Duration) {
--- a/internal/decision/beechqueue/types.go
+++ b/internal/decision/beechqueue/types.go
@@ -71,7 +71,7 @@
 
 	// Settings bound the queue. Weights holds each workspace's share; one
 	// that is missing or below 1 has 1. MaxWaiting 0 lets nothing wait.
-	// LongPrefill 0 makes no prefill a long one. PrefillWait 0 holds nothing
+	// LongPrefill 0 is what the server prefills in a second. PrefillWait 0 holds nothing
 	// back for a shared prefix. MaxWait 0 bounds only work with a deadline.
 	Settings struct {
 		MaxWaiting      int
