--- a/internal/command/beechscenario/holds_test.go
+++ b/internal/command/beechscenario/holds_test.go
@@ -31,6 +31,7 @@
 	"fenced":    holdsFenced,
 	"told":      holdsTold,
 	"settled":   holdsSettled,
+	"uncut":     holdsUncut,
 }
 
 // holdsWhole: every caller that got 200 got the whole answer to its own request,
@@ -244,6 +245,18 @@
 	return nil
 }
 
+// holdsUncut: every call got its whole answer, or was refused as not run. None
+// saw its connection end.
+func holdsUncut(w *world) error {
+	for _, c := range w.allCalls() {
+		served := c.status == http.StatusOK && c.finished && c.code == ""
+		if c.err != nil || !served && c.ran != "no" {
+			return fmt.Errorf("cut: %s", c.describe())
+		}
+	}
+	return nil
+}
+
 // holdsFenced: no engine was sent an order with a lower fencing number than an
 // earlier one.
 func holdsFenced(w *world) error {
