--- a/internal/platform/beechmanifest/publish.go
+++ b/internal/platform/beechmanifest/publish.go
@@ -112,6 +112,16 @@
 	return h.History, err
 }
 
+// Published gives the newest accepted generation by one read, 0 if there is
+// none.
+func Published(ctx context.Context, store beechstore.Store) (uint64, error) {
+	changes, err := History(ctx, store)
+	if err != nil || len(changes) == 0 {
+		return 0, err
+	}
+	return changes[len(changes)-1].Generation, nil
+}
+
 func (p *publication) prepare(ctx context.Context, m *Manifest) error {
 	n := normal(m)
 	data, err := Encode(n)
--- a/internal/platform/beechmanifest/publish_test.go
+++ b/internal/platform/beechmanifest/publish_test.go
@@ -71,6 +71,9 @@
 	g, back, err := Load(context.Background(), store)
 	is.NoErr(err)
 	is.Equal(g, uint64(3))
+	newest, err := Published(context.Background(), store)
+	is.NoErr(err)
+	is.Equal(newest, uint64(3))
 	is.Equal(encodedSum(back), encodedSum(m))
 }
 
--- a/internal/platform/beechrecord/records.go
+++ b/internal/platform/beechrecord/records.go
@@ -23,14 +23,28 @@
 	done     sync.WaitGroup
 
 	mu         sync.Mutex
-	running    map[string]chan struct{} // by token; closed when finished here
-	unrecorded map[string]*unrecorded   // by token
-	more       chan struct{}            // holds one: unrecorded has grown
+	running    map[string]*running    // by token; finished here or given up
+	unrecorded map[string]*unrecorded // by token
+	more       chan struct{}          // holds one: unrecorded has grown
 }
 
-// lookAgain is how often a repeat that waits for an outcome reads the segment:
-// rarely enough that some hundred repeats at once stay within the budget.
-const lookAgain = 500 * time.Millisecond
+// running is a request whose token was granted by this process.
+type running struct {
+	ended chan struct{}
+	since time.Time
+}
+
+const (
+	// lookAgain is how often a repeat that waits for an outcome reads the
+	// segment: rarely enough that some hundred repeats at once stay within the
+	// budget.
+	lookAgain  = 500 * time.Millisecond
+	maxRunning = 1 << 14
+	runningFor = 10 * time.Minute
+	// maxText bounds what is kept of a request id and a content type, which
+	// come from callers and backend servers.
+	maxText = 256
+)
 
 var _ Claimer = (*Records)(nil)
 
@@ -43,7 +57,7 @@
 		clock:      clock,
 		stop:       stop,
 		stopped:    ctx,
-		running:    map[string]chan struct{}{},
+		running:    map[string]*running{},
 		unrecorded: map[string]*unrecorded{},
 		more:       make(chan struct{}, 1),
 	}
@@ -118,14 +132,12 @@
 func (r *Records) claim(ctx context.Context, key Key, body BodySum, requestID string) result {
 	token := newToken()
 	o := &operation{
-		ctx: ctx, key: key.id().String(), token: token, claim: &claim{body: body.text(), requestID: requestID},
+		ctx: ctx, key: key.id().String(), token: token, claim: &claim{body: body.text(), requestID: bounded(requestID)},
 	}
 	got := r.submit(ctx, key, o)
 	switch got.answer.(type) {
 	case Granted:
-		r.mu.Lock()
-		r.running[token] = make(chan struct{})
-		r.mu.Unlock()
+		r.begin(token)
 	case Unknown:
 		if got.token == "" {
 			// The claim may be made, but this process never gave its token to
@@ -157,8 +169,8 @@
 func (r *Records) Abandon(token string) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if finished, ok := r.running[token]; ok {
-		close(finished)
+	if x, ok := r.running[token]; ok {
+		close(x.ended)
 		delete(r.running, token)
 	}
 }
@@ -190,10 +202,29 @@
 	}
 }
 
+// begin notes a run that repeats may wait for. What was never finished, since
+// whoever ran it is gone, is forgotten when there are many; repeats are then
+// told Unknown at once.
+func (r *Records) begin(token string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if len(r.running) >= maxRunning {
+		for t, x := range r.running {
+			if r.clock.Since(x.since) > runningFor {
+				delete(r.running, t)
+			}
+		}
+	}
+	r.running[token] = &running{ended: make(chan struct{}), since: r.clock.Now()}
+}
+
 func (r *Records) runningHere(token string) <-chan struct{} {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.running[token]
+	if x, ok := r.running[token]; ok {
+		return x.ended
+	}
+	return nil
 }
 
 func (r *Records) recorded(o Outcome) *outcome {
@@ -201,9 +232,11 @@
 	if !ok {
 		return &outcome{NotRun: true}
 	}
-	recorded := &outcome{Status: ran.Status, Type: ran.ContentType}
+	recorded := &outcome{Status: ran.Status, Type: bounded(ran.ContentType)}
 	if len(ran.Body) <= r.settings.AnswerBytes {
 		recorded.Body, recorded.Complete = ran.Body, true
 	}
 	return recorded
 }
+
+func bounded(text string) string { return text[:min(len(text), maxText)] }
--- a/internal/platform/beechstore/client.go
+++ b/internal/platform/beechstore/client.go
@@ -7,12 +7,10 @@
 	"errors"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"net/netip"
 	"net/url"
 	"strconv"
-	"strings"
 	"sync/atomic"
 	"time"
 
@@ -252,46 +250,6 @@
 	return request, nil
 }
 
-// failed sorts a call without an answer: a connection that was never made
-// carried nothing, so the write surely did not take effect.
-func (c *client) failed(l call, err error) error {
-	peer := c.peer()
-	c.address.Add(1)
-	var op *net.OpError
-	if l.write && !(errors.As(err, &op) && op.Op == "dial") {
-		return UnknownOutcome{Step: l.step, Peer: peer, Err: err}
-	}
-	return Refused{Step: l.step, Peer: peer, After: c.settings.Backoff, Err: err}
-}
-
-func (c *client) judge(l call, r reply, h http.Header) error {
-	err := fmt.Errorf("status %d: %s", r.status, strings.TrimSpace(string(r.body[:min(len(r.body), 256)])))
-	switch r.status {
-	case http.StatusOK:
-		return nil
-	case http.StatusNotFound:
-		if l.method == http.MethodGet {
-			return nil
-		}
-		return Refused{Step: l.step, Peer: c.peer(), Err: err}
-	case http.StatusPreconditionFailed:
-		return Conflict{Step: l.step, Peer: c.peer(), Current: r.version}
-	case http.StatusTooManyRequests, http.StatusServiceUnavailable:
-		return Refused{Step: l.step, Peer: c.peer(), After: c.retryAfter(h), Err: err}
-	case http.StatusBadRequest, http.StatusUnauthorized, http.StatusForbidden, http.StatusRequestEntityTooLarge:
-		return Refused{Step: l.step, Peer: c.peer(), Err: err}
-	}
-	return c.failed(l, err)
-}
-
-func (c *client) retryAfter(h http.Header) time.Duration {
-	seconds, err := strconv.Atoi(h.Get("Retry-After"))
-	if err != nil || seconds <= 0 {
-		return c.settings.Backoff
-	}
-	return time.Duration(seconds) * time.Second
-}
-
 func (c *client) peer() string {
 	n := len(c.settings.Addresses)
 	if n == 0 {
