--- a/internal/command/beechscenario/commands_test.go
+++ b/internal/command/beechscenario/commands_test.go
@@ -241,8 +241,8 @@
 	return nil
 }
 
-// freezeholder AGENT...: stops the one of the agents that has given its server
-// an order, and so holds the lease.
+// freezeholder AGENT...: stops the one of the agents that gave its server the
+// last order, and so holds the lease.
 func commandFreezeHolder(w *world, arguments []string) error {
 	holder := ""
 	err := w.until("an order given by one of "+strings.Join(arguments, " "), func() bool {
@@ -255,14 +255,18 @@
 	return w.signal(holder, syscall.SIGSTOP)
 }
 
+// orderedBy names the one of the agents that gave an order last.
 func (w *world) orderedBy(agents []string) string {
+	last, latest := "", ""
 	for _, name := range agents {
-		data, _ := os.ReadFile(filepath.Join(w.dir, name+".log"))
-		if bytes.Contains(data, []byte("order given")) {
-			return name
-		}
+		readLines(filepath.Join(w.dir, name+".log"), func(text []byte) {
+			var line struct{ Message, Time string }
+			if json.Unmarshal(text, &line) == nil && line.Message == "order given" && line.Time > latest {
+				last, latest = name, line.Time
+			}
+		})
 	}
-	return ""
+	return last
 }
 
 // cut NAME once|stay|silent|mend: the connections to an agent.
