Write once what entry and agent had twice

Cause: the supervised closure, the ticker loop, suspects to and from the wire and a request's steps each stood twice.

--- a/internal/process/beechagent/agent.go
+++ b/internal/process/beechagent/agent.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"crypto/tls"
-	"errors"
 	"fmt"
 	"net"
 	"sync"
@@ -24,6 +23,7 @@
 	"github.com/beechring/beechring/internal/process/beechlog"
 	"github.com/beechring/beechring/internal/process/beechmemory"
 	"github.com/beechring/beechring/internal/process/beechsettings"
+	"github.com/beechring/beechring/internal/process/beechtask"
 	"github.com/beechring/beechring/internal/prompt/beechindex"
 )
 
@@ -71,12 +71,6 @@
 		runs       sync.WaitGroup
 		work       atomic.Uint64
 	}
-
-	// service is one supervised closure.
-	service struct {
-		name string
-		run  func(ctx context.Context) error
-	}
 )
 
 const (
@@ -138,15 +132,15 @@
 		return err
 	}
 	a.supervisor = suture.New("agent", suture.Spec{EventHook: beechlog.SupervisorHook(a.log)})
-	a.supervisor.Add(service{"admin", admin})
+	a.supervisor.Add(beechtask.Task{Name: "admin", Run: admin})
 	a.supervisor.Add(beechmemory.New(a.clock))
-	a.supervisor.Add(service{"scheduler", a.scheduler.serve})
-	a.supervisor.Add(service{"library", a.sweep})
-	a.supervisor.Add(service{"report", a.watchReport})
-	a.supervisor.Add(service{"cache events", a.watchCache})
-	a.supervisor.Add(service{"configuration", a.watchConfiguration})
-	a.supervisor.Add(service{"apply configuration", a.applyConfigurations})
-	a.supervisor.Add(service{"loads", a.keepModels})
+	a.supervisor.Add(beechtask.Task{Name: "scheduler", Run: a.scheduler.serve})
+	a.supervisor.Add(beechtask.Task{Name: "library", Run: a.sweep})
+	a.supervisor.Add(beechtask.Task{Name: "report", Run: a.watchReport})
+	a.supervisor.Add(beechtask.Task{Name: "cache events", Run: a.watchCache})
+	a.supervisor.Add(beechtask.Task{Name: "configuration", Run: a.watchConfiguration})
+	a.supervisor.Add(beechtask.Task{Name: "apply configuration", Run: a.applyConfigurations})
+	a.supervisor.Add(beechtask.Task{Name: "loads", Run: a.keepModels})
 	return nil
 }
 
@@ -224,15 +218,3 @@
 		a.log.Warn("links listen beyond loopback without TLS", zap.Stringer("listen", a.settings.Listen))
 	}
 }
-
-// Serve implements suture.Service.
-func (s service) Serve(ctx context.Context) error {
-	err := s.run(ctx)
-	if err != nil && !errors.Is(err, context.Canceled) {
-		return fmt.Errorf("%s: %w", s.name, err)
-	}
-	return err
-}
-
-// String names the service in the supervisor's log lines.
-func (s service) String() string { return s.name }
--- a/internal/process/beechagent/calls.go
+++ b/internal/process/beechagent/calls.go
@@ -9,12 +9,12 @@
 	"github.com/tinylib/msgp/msgp"
 	"go.uber.org/zap"
 
-	"github.com/beechring/beechring/internal/decision/beechsuspect"
 	"github.com/beechring/beechring/internal/link/beechlink"
 	"github.com/beechring/beechring/internal/link/beechwire"
 	"github.com/beechring/beechring/internal/platform/beechrecord"
 	"github.com/beechring/beechring/internal/platform/beechstore"
 	"github.com/beechring/beechring/internal/process/beechlog"
+	"github.com/beechring/beechring/internal/process/beechshare"
 )
 
 const (
@@ -195,22 +195,5 @@
 }
 
 func (a *Agent) wireSuspects() []beechwire.Suspect {
-	records := a.suspects.List()
-	out := make([]beechwire.Suspect, 0, len(records))
-	for _, r := range records {
-		out = append(out, beechwire.Suspect{
-			Fingerprint: r.Fingerprint, Crashes: r.Crashes, AgeMillis: r.Age.Milliseconds(), Cleared: r.Cleared,
-		})
-	}
-	return out
-}
-
-func suspectRecords(suspects []beechwire.Suspect) []beechsuspect.Record {
-	out := make([]beechsuspect.Record, 0, len(suspects))
-	for _, s := range suspects {
-		out = append(out, beechsuspect.Record{
-			Fingerprint: s.Fingerprint, Crashes: s.Crashes, Age: time.Duration(s.AgeMillis) * time.Millisecond, Cleared: s.Cleared,
-		})
-	}
-	return out
+	return beechshare.WireSuspects(a.suspects.List())
 }
--- a/internal/process/beechagent/fleet.go
+++ b/internal/process/beechagent/fleet.go
@@ -9,6 +9,7 @@
 	"github.com/beechring/beechring/internal/link/beechlink"
 	"github.com/beechring/beechring/internal/link/beechwire"
 	"github.com/beechring/beechring/internal/process/beechlog"
+	"github.com/beechring/beechring/internal/process/beechshare"
 )
 
 type (
@@ -109,7 +110,7 @@
 		a.fleet.leave(p)
 	}
 	if len(h.Suspects) > 0 {
-		a.suspects.Merge(suspectRecords(h.Suspects))
+		a.suspects.Merge(beechshare.SuspectRecords(h.Suspects))
 	}
 }
 
--- a/internal/process/beechagent/models.go
+++ b/internal/process/beechagent/models.go
@@ -12,6 +12,7 @@
 	"github.com/beechring/beechring/internal/platform/beechmanifest"
 	"github.com/beechring/beechring/internal/process/beechbackend"
 	"github.com/beechring/beechring/internal/process/beechlog"
+	"github.com/beechring/beechring/internal/process/beechtask"
 )
 
 const (
@@ -30,7 +31,7 @@
 	guard := beechfence.New(a.store, a.clock, a.settings.Backend, beechfence.Settings{})
 	defer a.closeGuard(guard)
 	slots := beechfence.NewSlots(a.store, a.clock, beechfence.Settings{})
-	return a.every(ctx, loadInterval, func() { a.stepModels(ctx, guard, slots) })
+	return beechtask.Every(ctx, a.clock, loadInterval, func() { a.stepModels(ctx, guard, slots) })
 }
 
 // closeGuard gives the right to order back, so that the next agent of this
--- a/internal/process/beechagent/stream.go
+++ b/internal/process/beechagent/stream.go
@@ -6,6 +6,7 @@
 
 	"github.com/beechring/beechring/internal/link/beechlink"
 	"github.com/beechring/beechring/internal/link/beechwire"
+	"github.com/beechring/beechring/internal/process/beechtask"
 	"github.com/beechring/beechring/internal/prompt/beechindex"
 )
 
@@ -103,7 +104,7 @@
 // sweep ends generations without callers and drops old answers, until ctx
 // ends. What may not be repeated is never cancelled half way.
 func (a *Agent) sweep(ctx context.Context) error {
-	return a.every(ctx, sweepInterval, func() {
+	return beechtask.Every(ctx, a.clock, sweepInterval, func() {
 		for _, g := range a.library.sweep() {
 			if g.request.Repeatable {
 				a.numbers.Abandoned.Add(1)
--- a/internal/process/beechagent/view.go
+++ b/internal/process/beechagent/view.go
@@ -12,6 +12,7 @@
 	"github.com/beechring/beechring/internal/link/beechwire"
 	"github.com/beechring/beechring/internal/process/beechbackend"
 	"github.com/beechring/beechring/internal/process/beechlog"
+	"github.com/beechring/beechring/internal/process/beechtask"
 	"github.com/beechring/beechring/internal/prompt/beechindex"
 )
 
@@ -140,7 +141,7 @@
 
 // watchReport keeps the view of the backend server until ctx ends.
 func (a *Agent) watchReport(ctx context.Context) error {
-	return a.every(ctx, reportInterval, func() {
+	return beechtask.Every(ctx, a.clock, reportInterval, func() {
 		switch {
 		case a.pool() == nil:
 		case a.isEngine():
@@ -200,7 +201,7 @@
 // watchCache follows the engine's cache events until ctx ends.
 func (a *Agent) watchCache(ctx context.Context) error {
 	var incarnation, after uint64
-	return a.every(ctx, cacheInterval, func() {
+	return beechtask.Every(ctx, a.clock, cacheInterval, func() {
 		if !a.isEngine() {
 			return
 		}
@@ -230,20 +231,6 @@
 	return out
 }
 
-// every calls step until ctx ends, with interval between the calls.
-func (a *Agent) every(ctx context.Context, interval time.Duration, step func()) error {
-	ticker := a.clock.NewTicker(interval)
-	defer ticker.Stop()
-	for {
-		step()
-		select {
-		case <-ticker.Chan():
-		case <-ctx.Done():
-			return ctx.Err()
-		}
-	}
-}
-
 // engineCrashed tells the suspects' register what was running, once for an
 // incarnation.
 func (a *Agent) engineCrashed(ended uint64) {
--- a/internal/process/beechentry/caches.go
+++ b/internal/process/beechentry/caches.go
@@ -11,6 +11,7 @@
 	"github.com/beechring/beechring/internal/decision/beechroute"
 	"github.com/beechring/beechring/internal/link/beechwire"
 	"github.com/beechring/beechring/internal/process/beechlog"
+	"github.com/beechring/beechring/internal/process/beechtask"
 )
 
 const (
@@ -28,16 +29,7 @@
 // that an idle fleet costs nothing. Without it each entry host would learn of
 // prefixes only by its own requests, and would make a copy of each.
 func (e *Entry) followCaches(ctx context.Context) error {
-	ticker := e.clock.NewTicker(changesInterval)
-	defer ticker.Stop()
-	for {
-		e.askChanges(ctx)
-		select {
-		case <-ticker.Chan():
-		case <-ctx.Done():
-			return ctx.Err()
-		}
-	}
+	return beechtask.Every(ctx, e.clock, changesInterval, func() { e.askChanges(ctx) })
 }
 
 func (e *Entry) askChanges(ctx context.Context) {
--- a/internal/process/beechentry/completion.go
+++ b/internal/process/beechentry/completion.go
@@ -24,20 +24,7 @@
 
 // serveCompletion serves chat and plain completions, streamed or not.
 func (e *Entry) serveCompletion(w http.ResponseWriter, r *http.Request) {
-	began := e.clock.Now()
-	configuration, workspace, f := e.authenticate(r)
-	if f != nil {
-		f.write(w)
-		return
-	}
-	j, f := e.readCompletion(w, r, configuration, workspace)
-	if f != nil {
-		e.observeRefusal(workspace.Name, f)
-		f.write(w)
-		return
-	}
-	j.began = began
-	e.admitAndRun(w, r, j)
+	e.serve(w, r, e.readCompletion)
 }
 
 // readCompletion turns an HTTP request into a job.
--- a/internal/process/beechentry/configuration.go
+++ b/internal/process/beechentry/configuration.go
@@ -10,7 +10,6 @@
 	"go.uber.org/zap"
 
 	"github.com/beechring/beechring/internal/decision/beechlimit"
-	"github.com/beechring/beechring/internal/decision/beechsuspect"
 	"github.com/beechring/beechring/internal/link/beechlink"
 	"github.com/beechring/beechring/internal/link/beechwire"
 	"github.com/beechring/beechring/internal/platform/beechmanifest"
@@ -135,23 +134,3 @@
 	}
 	return reply.MarshalMsg(nil)
 }
-
-func wireSuspects(records []beechsuspect.Record) []beechwire.Suspect {
-	out := make([]beechwire.Suspect, 0, len(records))
-	for _, r := range records {
-		out = append(out, beechwire.Suspect{
-			Fingerprint: r.Fingerprint, Crashes: r.Crashes, AgeMillis: r.Age.Milliseconds(), Cleared: r.Cleared,
-		})
-	}
-	return out
-}
-
-func suspectRecords(suspects []beechwire.Suspect) []beechsuspect.Record {
-	out := make([]beechsuspect.Record, 0, len(suspects))
-	for _, s := range suspects {
-		out = append(out, beechsuspect.Record{
-			Fingerprint: s.Fingerprint, Crashes: s.Crashes, Age: time.Duration(s.AgeMillis) * time.Millisecond, Cleared: s.Cleared,
-		})
-	}
-	return out
-}
--- a/internal/process/beechentry/entry.go
+++ b/internal/process/beechentry/entry.go
@@ -28,6 +28,7 @@
 	"github.com/beechring/beechring/internal/process/beechlog"
 	"github.com/beechring/beechring/internal/process/beechmemory"
 	"github.com/beechring/beechring/internal/process/beechsettings"
+	"github.com/beechring/beechring/internal/process/beechtask"
 	"github.com/beechring/beechring/internal/prompt/beechprefix"
 )
 
@@ -67,12 +68,6 @@
 		restored   atomic.Bool // what other entries left with agents was asked for
 		streams    atomic.Int64
 	}
-
-	// service is one supervised closure.
-	service struct {
-		name string
-		run  func(ctx context.Context) error
-	}
 )
 
 const (
@@ -140,13 +135,13 @@
 		return err
 	}
 	e.supervisor = suture.New("entry", suture.Spec{EventHook: beechlog.SupervisorHook(e.log)})
-	e.supervisor.Add(service{"admin", admin})
+	e.supervisor.Add(beechtask.Task{Name: "admin", Run: admin})
 	e.supervisor.Add(beechmemory.New(e.clock))
-	e.supervisor.Add(service{"configuration", e.watchConfiguration})
-	e.supervisor.Add(service{"apply configuration", e.applyConfigurations})
-	e.supervisor.Add(service{"members", e.watchMembers})
-	e.supervisor.Add(service{"cache changes", e.followCaches})
-	e.supervisor.Add(service{"share", e.shareState})
+	e.supervisor.Add(beechtask.Task{Name: "configuration", Run: e.watchConfiguration})
+	e.supervisor.Add(beechtask.Task{Name: "apply configuration", Run: e.applyConfigurations})
+	e.supervisor.Add(beechtask.Task{Name: "members", Run: e.watchMembers})
+	e.supervisor.Add(beechtask.Task{Name: "cache changes", Run: e.followCaches})
+	e.supervisor.Add(beechtask.Task{Name: "share", Run: e.shareState})
 	return nil
 }
 
@@ -221,15 +216,3 @@
 	_, _ = rand.Read(raw)
 	return "req-" + hex.EncodeToString(raw)
 }
-
-// Serve implements suture.Service.
-func (s service) Serve(ctx context.Context) error {
-	err := s.run(ctx)
-	if err != nil && !errors.Is(err, context.Canceled) {
-		return fmt.Errorf("%s: %w", s.name, err)
-	}
-	return err
-}
-
-// String names the service in the supervisor's log lines.
-func (s service) String() string { return s.name }
--- a/internal/process/beechentry/fleet.go
+++ b/internal/process/beechentry/fleet.go
@@ -18,6 +18,7 @@
 	"github.com/beechring/beechring/internal/platform/beechmember"
 	"github.com/beechring/beechring/internal/platform/beechstore"
 	"github.com/beechring/beechring/internal/process/beechlog"
+	"github.com/beechring/beechring/internal/process/beechshare"
 )
 
 type (
@@ -191,7 +192,7 @@
 	f.mu.Unlock()
 	f.members.Said(p.Address, h.Incarnation, h.Leaving)
 	f.report(p.Address, h.Load)
-	f.entry.suspects.Merge(suspectRecords(h.Suspects))
+	f.entry.suspects.Merge(beechshare.SuspectRecords(h.Suspects))
 	f.entry.pullIfNewer(p.Address, h.Generation)
 	if changed || h.Leaving {
 		f.rebuild()
@@ -205,7 +206,7 @@
 		Generation:  f.entry.holder.Generation(),
 		Leaving:     f.entry.leaving.Load(),
 		Ready:       f.entry.ready(),
-		Suspects:    wireSuspects(f.entry.suspects.List()),
+		Suspects:    beechshare.WireSuspects(f.entry.suspects.List()),
 	}
 }
 
--- a/internal/process/beechentry/restart.go
+++ b/internal/process/beechentry/restart.go
@@ -12,6 +12,8 @@
 	"github.com/beechring/beechring/internal/platform/beechmember"
 	"github.com/beechring/beechring/internal/platform/beechstore"
 	"github.com/beechring/beechring/internal/process/beechlog"
+	"github.com/beechring/beechring/internal/process/beechshare"
+	"github.com/beechring/beechring/internal/process/beechtask"
 )
 
 const (
@@ -35,20 +37,15 @@
 	e.restore(ctx)
 	e.awaitServers(ctx)
 	e.restored.Store(true)
-	ticker := e.clock.NewTicker(hostsInterval)
-	defer ticker.Stop()
-	for round := 0; ; round++ {
+	round := 0
+	return beechtask.Every(ctx, e.clock, hostsInterval, func() {
 		if e.isWatcher() || round%otherHostsPace == 0 {
 			e.readHosts(ctx)
 		} else {
 			e.fleet.rebuild()
 		}
-		select {
-		case <-ticker.Chan():
-		case <-ctx.Done():
-			return ctx.Err()
-		}
-	}
+		round++
+	})
 }
 
 func (e *Entry) readHosts(ctx context.Context) {
@@ -111,7 +108,7 @@
 	if err := e.fleet.call(asking, agent, beechwire.MethodSnapshot, &beechwire.ConfigurationAsk{}, &got); err != nil {
 		return false
 	}
-	e.suspects.Merge(suspectRecords(got.Suspects))
+	e.suspects.Merge(beechshare.SuspectRecords(got.Suspects))
 	if len(got.Members) == 0 {
 		return false
 	}
@@ -124,16 +121,7 @@
 
 // shareState leaves what this entry knows with a few agents, until ctx ends.
 func (e *Entry) shareState(ctx context.Context) error {
-	ticker := e.clock.NewTicker(shareInterval)
-	defer ticker.Stop()
-	for {
-		e.shareOnce(ctx)
-		select {
-		case <-ticker.Chan():
-		case <-ctx.Done():
-			return ctx.Err()
-		}
-	}
+	return beechtask.Every(ctx, e.clock, shareInterval, func() { e.shareOnce(ctx) })
 }
 
 func (e *Entry) shareOnce(ctx context.Context) {
--- a/internal/process/beechentry/routes.go
+++ b/internal/process/beechentry/routes.go
@@ -68,6 +68,27 @@
 	}
 }
 
+// reader turns an HTTP request into a job.
+type reader func(w http.ResponseWriter, r *http.Request, c *beechmanifest.Configuration, workspace *beechmanifest.Workspace) (*job, *failure)
+
+// serve takes a request through all its steps.
+func (e *Entry) serve(w http.ResponseWriter, r *http.Request, read reader) {
+	began := e.clock.Now()
+	configuration, workspace, f := e.authenticate(r)
+	if f != nil {
+		f.write(w)
+		return
+	}
+	j, f := read(w, r, configuration, workspace)
+	if f != nil {
+		e.observeRefusal(workspace.Name, f)
+		f.write(w)
+		return
+	}
+	j.began = began
+	e.admitAndRun(w, r, j)
+}
+
 // authenticate finds the workspace of the bearer key under the configuration in
 // force.
 func (e *Entry) authenticate(r *http.Request) (*beechmanifest.Configuration, *beechmanifest.Workspace, *failure) {
--- a/internal/process/beechentry/service.go
+++ b/internal/process/beechentry/service.go
@@ -10,20 +10,7 @@
 
 // serveService relays a call of a plain service as it is.
 func (e *Entry) serveService(w http.ResponseWriter, r *http.Request) {
-	began := e.clock.Now()
-	configuration, workspace, f := e.authenticate(r)
-	if f != nil {
-		f.write(w)
-		return
-	}
-	j, f := e.readService(w, r, configuration, workspace)
-	if f != nil {
-		e.observeRefusal(workspace.Name, f)
-		f.write(w)
-		return
-	}
-	j.began = began
-	e.admitAndRun(w, r, j)
+	e.serve(w, r, e.readService)
 }
 
 func (e *Entry) readService(w http.ResponseWriter, r *http.Request, c *beechmanifest.Configuration, workspace *beechmanifest.Workspace) (*job, *failure) {
--- /dev/null
+++ b/internal/process/beechtask/task.go
@@ -0,0 +1,43 @@
+package beechtask
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+)
+
+// Task is one supervised closure. It implements suture.Service.
+type Task struct {
+	Name string
+	Run  func(ctx context.Context) error
+}
+
+// Serve implements suture.Service; errors carry the task's name.
+func (t Task) Serve(ctx context.Context) error {
+	err := t.Run(ctx)
+	if err != nil && !errors.Is(err, context.Canceled) {
+		return fmt.Errorf("%s: %w", t.Name, err)
+	}
+	return err
+}
+
+// String names the task in the supervisor's log lines.
+func (t Task) String() string { return t.Name }
+
+// Every calls step at once and then each interval, until ctx ends. Calls never
+// overlap; one that takes longer than the interval delays the next.
+func Every(ctx context.Context, clock clockwork.Clock, interval time.Duration, step func()) error {
+	ticker := clock.NewTicker(interval)
+	defer ticker.Stop()
+	for {
+		step()
+		select {
+		case <-ticker.Chan():
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+	}
+}
