--- a/internal/decision/beechqueue/doc.go
+++ b/internal/decision/beechqueue/doc.go
@@ -24,7 +24,7 @@
 //     cost.go).
 //   - One request at a time brings a shared prefix into the cache, the others
 //     that need it follow; bounded by PrefillWait (prefix.go).
-//   - The server is given a quarter of a second of short prefills at once, and
+//   - PrefillAhead bounds the short prefills that the server is given at once, and
 //     long prefills and suspects in limited number; the rest waits here, where
 //     order, deadlines and priorities count (queue.go).
 //   - The first token is predicted at arrival. What would miss its deadline, or
