Take no foreign page for the service's answer

Cause: a 200 or 404 without a version, as from a proxy at a wrongly set address, was read as a key that is not there. Ruled out: trusting the status alone; compare-and-swap would have kept the harm small, but a process would have been told that nothing is published. Before: TestForeignReplyIsNoAnswer fails for 200, 404 and 412. After: it passes. Conclusion: a reply that must name a version and does not is no answer.

--- a/internal/platform/beechstore/client.go
+++ b/internal/platform/beechstore/client.go
@@ -49,13 +49,15 @@
 		importance Importance
 		timeout    time.Duration
 		write      bool
+		versioned  bool // its reply must name a version
 	}
 
 	// reply is a whole answer of the service.
 	reply struct {
-		status  int
-		version uint64
-		body    []byte
+		status    int
+		version   uint64
+		versioned bool // the reply names a version
+		body      []byte
 	}
 )
 
@@ -96,7 +98,7 @@
 }
 
 func (c *client) Get(ctx context.Context, key string, importance Importance) (Value, error) {
-	r, err := c.retry(ctx, call{step: "get " + key, method: http.MethodGet, path: valuePath(key), importance: importance})
+	r, err := c.retry(ctx, call{step: "get " + key, method: http.MethodGet, path: valuePath(key), importance: importance, versioned: true})
 	return r.value(key), err
 }
 
@@ -107,7 +109,7 @@
 	}
 	r, err := c.retry(ctx, call{
 		step: "compare and swap " + key, method: http.MethodPut, path: valuePath(key),
-		header: h, body: data, importance: importance, write: true,
+		header: h, body: data, importance: importance, write: true, versioned: true,
 	})
 	if err != nil {
 		return Value{}, err
@@ -130,7 +132,7 @@
 	}
 	r, err := c.retry(ctx, call{
 		step: "watch " + key, method: http.MethodGet, path: valuePath(key) + "?" + query.Encode(),
-		importance: importance, timeout: MaxWait + c.settings.CallTimeout,
+		importance: importance, timeout: MaxWait + c.settings.CallTimeout, versioned: true,
 	})
 	return r.value(key), err
 }
@@ -229,8 +231,8 @@
 	if err != nil {
 		return reply{}, c.failed(l, err)
 	}
-	version, _ := strconv.ParseUint(response.Header.Get(HeaderVersion), 10, 64)
-	r := reply{status: response.StatusCode, version: version, body: body}
+	version, err := strconv.ParseUint(response.Header.Get(HeaderVersion), 10, 64)
+	r := reply{status: response.StatusCode, version: version, versioned: err == nil, body: body}
 	return r, c.judge(l, r, response.Header)
 }
 
--- a/internal/platform/beechstore/judge.go
+++ b/internal/platform/beechstore/judge.go
@@ -10,6 +10,8 @@
 	"time"
 )
 
+var errNoVersion = errors.New("the reply names no version, so it is not the service's")
+
 // failed sorts a call without an answer: a connection that was never made
 // carried nothing, so the write surely did not take effect.
 func (c *client) failed(l call, err error) error {
@@ -24,6 +26,12 @@
 
 func (c *client) judge(l call, r reply, h http.Header) error {
 	err := fmt.Errorf("status %d: %s", r.status, strings.TrimSpace(string(r.body[:min(len(r.body), 256)])))
+	if needsVersion(l, r.status) && !r.versioned {
+		// Something else than the service has answered, such as a proxy with a
+		// page of its own. Taken for an answer it would say that the key is
+		// not there.
+		return c.failed(l, fmt.Errorf("%w: %w", errNoVersion, err))
+	}
 	switch r.status {
 	case http.StatusOK:
 		return nil
@@ -42,6 +50,18 @@
 	return c.failed(l, err)
 }
 
+func needsVersion(l call, status int) bool {
+	switch status {
+	case http.StatusOK:
+		return l.versioned
+	case http.StatusNotFound:
+		return l.method == http.MethodGet && l.versioned
+	case http.StatusPreconditionFailed:
+		return true
+	}
+	return false
+}
+
 func (c *client) retryAfter(h http.Header) time.Duration {
 	seconds, err := strconv.Atoi(h.Get("Retry-After"))
 	if err != nil || seconds <= 0 {
--- a/internal/standin/beechplatform/platform_test.go
+++ b/internal/standin/beechplatform/platform_test.go
@@ -207,6 +207,34 @@
 	is.NoErr(err)
 }
 
+// A proxy between a process and the service answers with a page of its own,
+// as when the service's address is set wrongly. Taken for an answer it would
+// say that nothing is published and that no booking was ever made.
+func TestForeignReplyIsNoAnswer(t *testing.T) {
+	for _, status := range []int{http.StatusOK, http.StatusNotFound, http.StatusPreconditionFailed, http.StatusBadGateway} {
+		t.Run(fmt.Sprint(status), func(t *testing.T) {
+			is := is.New(t)
+			proxy := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+				w.WriteHeader(status)
+				_, _ = w.Write([]byte("<html>"))
+			}))
+			defer proxy.Close()
+			address := netip.MustParseAddrPort(proxy.Listener.Addr().String())
+			store := beechstore.New(beechstore.Settings{Addresses: []netip.AddrPort{address}}, proxy.Client(), clockwork.NewRealClock())
+			_, err := store.Get(context.Background(), "k", importance)
+			var refused beechstore.Refused
+			is.True(errors.As(err, &refused))
+			_, err = store.CompareAndSwap(context.Background(), "k", 0, nil, "", importance)
+			var unknown beechstore.UnknownOutcome
+			is.True(errors.As(err, &unknown) || (status == http.StatusNotFound && errors.As(err, &refused)))
+			_, err = store.Hosts(context.Background(), importance)
+			is.True(err != nil)
+			_, err = store.Grant(context.Background(), time.Second, importance)
+			is.True(err != nil)
+		})
+	}
+}
+
 // A herd of processes restarts and calls at once. Beyond its rate the service
 // refuses, and a process's own budget keeps its claims before the rest.
 func TestRatesAndBudgetShareCalls(t *testing.T) {
