Make the bound on prefills under way a setting, off unless set

The comparison of policies got worse with it: its test of bounds failed. What is left is its price: heavy workspaces wait for the others where nobody is refused. So it is Settings.PrefillAhead, 0 by default, and the comparison's bounds hold.

--- a/internal/decision/beechqueue/bounds_test.go
+++ b/internal/decision/beechqueue/bounds_test.go
@@ -40,7 +40,7 @@
 		q := New(Settings{
 			MaxWaiting: rapid.IntRange(-1, 20).Draw(t, "waiting"), MaxWait: rapid.SampledFrom([]time.Duration{-1, 0, time.Second}).Draw(t, "wait"),
 			MaxLongPrefills: rapid.IntRange(-1, 2).Draw(t, "longs"), LongPrefill: rapid.IntRange(-1, 2000).Draw(t, "long"),
-			PrefillWait: time.Second, Weights: map[string]int{"a": 0, "b": -5, "c": 1 << 40},
+			PrefillWait: time.Second, PrefillAhead: rapid.SampledFrom([]time.Duration{-1, 0, 100 * time.Millisecond}).Draw(t, "ahead"), Weights: map[string]int{"a": 0, "b": -5, "c": 1 << 40},
 		}, clock)
 		number := rapid.SampledFrom([]int{-1 << 62, -1, 0, 1, 300, 5000, 1 << 62})
 		load := Load{Slots: 3, PrefillRate: 1000, TokenTime: time.Millisecond}
--- a/internal/decision/beechqueue/cost.go
+++ b/internal/decision/beechqueue/cost.go
@@ -15,14 +15,6 @@
 
 	maxWeight = 1000
 
-	// prefillAhead is the prefill, in time, that the server is given at once. An
-	// engine that gets all that its slots hold has seconds of prefill under way, and
-	// no order, deadline or priority helps who comes next. In trials with mixed
-	// prompts at more than capacity, small workspaces were refused 31% of
-	// their requests without the bound, 16% to 18% with an eighth to a half of a
-	// second; useful work was the same.
-	prefillAhead = 250 * time.Millisecond
-
 	// runMemory is how many runs the mean time of a run goes back.
 	runMemory = 8
 )
--- a/internal/decision/beechqueue/doc.go
+++ b/internal/decision/beechqueue/doc.go
@@ -24,9 +24,9 @@
 //     cost.go).
 //   - One request at a time brings a shared prefix into the cache, the others
 //     that need it follow; bounded by PrefillWait (prefix.go).
-//   - The server is given a quarter of a second of short prefills at once, and
-//     long prefills and suspects in limited number; the rest waits here, where
-//     order, deadlines and priorities count (queue.go).
+//   - Long prefills and suspects run in limited number, and short prefills of at
+//     most PrefillAhead are under way at once; the rest waits here, where order,
+//     deadlines and priorities count (queue.go).
 //   - The first token is predicted at arrival. What would miss its deadline, or
 //     without one would wait beyond MaxWait, is refused at once (forecast.go,
 //     habit.go, slow.go). What was let in and is about to miss its time goes first.
@@ -40,7 +40,9 @@
 // bounds memory and is seldom met, since MaxWait and deadlines refuse earlier;
 // about 8 times the slots is enough. LongPrefill is best what the server
 // prefills in a second, MaxLongPrefills 1, PrefillWait what the longest prompt
-// takes to prefill.
+// takes to prefill. PrefillAhead 250 ms makes priorities, deadlines and fairness
+// hold better where prompts fill the server; 0 leaves it at the slots, which is
+// better for the tail of large workspaces where nobody is refused.
 //
 // # Bad input
 //
--- a/internal/decision/beechqueue/forecast.go
+++ b/internal/decision/beechqueue/forecast.go
@@ -36,13 +36,13 @@
 func (q *Queue) startWait(it *item) time.Duration {
 	requests, tokens := q.ahead(it)
 	tokens = min(tokens, q.pending)
-	prefill := q.prefillTime(int(tokens+q.runningTokens())) - prefillAhead
+	prefill := q.prefillTime(int(tokens+q.runningTokens())) - q.settings.PrefillAhead
 	return max(q.slotWait(requests), prefill, 0)
 }
 
 // inPrefill is the prefill that the item finds under way when it starts.
 func (q *Queue) inPrefill() time.Duration {
-	return min(q.prefillTime(int(q.runningTokens())), prefillAhead)
+	return min(q.prefillTime(int(q.runningTokens())), q.settings.PrefillAhead)
 }
 
 // late tells by how much the item would miss its deadline; 0 or less is in
--- a/internal/decision/beechqueue/queue.go
+++ b/internal/decision/beechqueue/queue.go
@@ -226,7 +226,7 @@
 			wake = earlier(wake, released)
 		}
 	}
-	if q.waiting > 0 {
+	if q.waiting > 0 && q.settings.PrefillAhead > 0 {
 		wake = q.nextHang(wake)
 	}
 	return wake, !wake.IsZero()
@@ -302,17 +302,20 @@
 	if q.held(it) {
 		return false
 	}
-	if q.isLong(it) {
-		return q.longs < max(1, q.settings.MaxLongPrefills)
+	if q.isLong(it) && q.longs >= max(1, q.settings.MaxLongPrefills) {
+		return false
 	}
 	return !q.prefillIsFull()
 }
 
 // prefillIsFull tells whether the server has enough to prefill. What it has
 // beyond that makes no answer sooner, and among what has been started there
-// are no turns any more: whoever comes next waits for all of it.
+// are no turns any more: whoever comes next waits for all of it. Long prefills
+// are held back too then, or each short one that ends would let a long one pass
+// all that wait.
 func (q *Queue) prefillIsFull() bool {
-	return q.load.PrefillRate > 0 && q.prefillTime(q.shorts) >= prefillAhead
+	ahead := q.settings.PrefillAhead
+	return ahead > 0 && q.load.PrefillRate > 0 && q.prefillTime(q.shorts) >= ahead
 }
 
 // countShorts counts the uncached tokens of running short prefills. One that
@@ -327,7 +330,7 @@
 }
 
 func (q *Queue) hangsAt(it *item) time.Time {
-	return it.started.Add(2 * (q.ownPrefill(it) + prefillAhead))
+	return it.started.Add(2 * (q.ownPrefill(it) + q.settings.PrefillAhead))
 }
 
 // nextHang gives the time at which the next running prefill counts as hanging,
--- a/internal/decision/beechqueue/queue_test.go
+++ b/internal/decision/beechqueue/queue_test.go
@@ -17,6 +17,7 @@
 	return Settings{
 		MaxWaiting: 128, MaxWait: 10 * time.Second,
 		MaxLongPrefills: 1, LongPrefill: 8000, PrefillWait: 2 * time.Second,
+		PrefillAhead: 250 * time.Millisecond,
 	}
 }
 
@@ -54,12 +55,15 @@
 // idle. Callers who are refused must hear it when they ask, and a small
 // workspace must not pay for the large ones.
 func TestSaturationAtTwiceCapacity(t *testing.T) {
+	bounded, open := settings(), settings()
+	open.PrefillAhead = 0
 	for seed := range uint64(5) {
-		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) { saturate(t, seed) })
+		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) { saturate(t, seed, bounded) })
+		t.Run(fmt.Sprint("prefills as slots, seed ", seed), func(t *testing.T) { saturate(t, seed, open) })
 	}
 }
 
-func saturate(t *testing.T, seed uint64) {
+func saturate(t *testing.T, seed uint64, s Settings) {
 	const until, wait = 60 * time.Second, 3 * time.Second
 	work := Work{PromptTokens: 1000, OutputTokens: 100}
 	r := rand.New(rand.NewPCG(seed, 1))
@@ -68,7 +72,7 @@
 	capacity := full / 40 / (1000 + 100*10) // requests a second
 
 	work.Deadline = in(wait)
-	p := play{settings: settings(), load: engine, stop: until}
+	p := play{settings: s, load: engine, stop: until}
 	var arrivals []arrival
 	for i := range 8 {
 		rate := 0.05 * 2 * capacity
--- a/internal/decision/beechqueue/types.go
+++ b/internal/decision/beechqueue/types.go
@@ -72,13 +72,15 @@
 	// Settings bound the queue. Weights holds each workspace's share; one
 	// that is missing or below 1 has 1. MaxWaiting 0 lets nothing wait.
 	// LongPrefill 0 is what the server prefills in a second. PrefillWait 0 holds nothing
-	// back for a shared prefix. MaxWait 0 bounds only work with a deadline.
+	// back for a shared prefix. PrefillAhead 0 gives the server as many prefills
+	// as it has slots. MaxWait 0 bounds only work with a deadline.
 	Settings struct {
 		MaxWaiting      int
 		MaxWait         time.Duration // to the first token, without a deadline
 		MaxLongPrefills int
 		LongPrefill     int // tokens
 		PrefillWait     time.Duration
+		PrefillAhead    time.Duration // of short prefills under way at once
 		Weights         map[string]int
 	}
 
