A replaced host whose clock is behind gets work; the prefill bound is a setting of agents

Cause: incarnations come from clocks, and members passed over a link of a smaller incarnation as late news. A host replaced under the same address with a clock that is behind would get no work until its clock had caught up. Ruled out: counters kept by hosts (they keep nothing); asking the platform's service for a number at each start (it may be down). Before: the new test fails with Linked. After: a handshake made just now is believed; late news still is not. Conclusion: links tell the truth of the moment, everything else may be late.

--- a/internal/platform/beechmember/members.go
+++ b/internal/platform/beechmember/members.go
@@ -107,6 +107,21 @@
 	}
 }
 
+// Met says that a handshake with the process was made just now. Unlike late
+// news it is believed also with a smaller incarnation: incarnations come from
+// clocks, and a host that was replaced may have one that is behind. Without this
+// a replaced host would get no work until its clock had caught up.
+func (m *Members) Met(address netip.AddrPort, incarnation uint64) {
+	m.mu.Lock()
+	x := m.get(address)
+	if incarnation < x.incarnation {
+		x.incarnation = incarnation
+		x.leaving = false
+	}
+	m.mu.Unlock()
+	m.Linked(address, incarnation)
+}
+
 // Linked says that a link to the process is up.
 func (m *Members) Linked(address netip.AddrPort, incarnation uint64) {
 	m.mu.Lock()
--- a/internal/platform/beechmember/members_test.go
+++ b/internal/platform/beechmember/members_test.go
@@ -149,3 +149,20 @@
 	m.Linked(agent, 1)
 	is.True(m.Usable(agent)) // and an ordinary restart after that at once
 }
+
+// A host is replaced under the same address, and the new one's clock is behind.
+// Its agent's incarnation is then smaller than the one before. It must get work
+// at once, and late news of the one before must not count.
+func TestReplacedHostWithAClockBehindIsUsed(t *testing.T) {
+	is := is.New(t)
+	clock := clockwork.NewFakeClock()
+	m := New(clock, Settings{})
+	address := netip.MustParseAddrPort("10.0.0.1:7100")
+	m.Met(address, 1000)
+	m.Said(address, 1000, true)
+	m.Lost(address, 1000)
+	is.True(!m.Usable(address))
+
+	m.Met(address, 400)
+	is.True(m.Usable(address))
+}
--- a/internal/process/beechagent/configuration.go
+++ b/internal/process/beechagent/configuration.go
@@ -118,6 +118,7 @@
 		MaxLongPrefills: maxLongPrefills,
 		LongPrefill:     longPrefill,
 		PrefillWait:     prefillWait,
+		PrefillAhead:    time.Duration(a.settings.Limits.PrefillAhead),
 	}
 	if c == nil {
 		return s
--- a/internal/process/beechentry/fleet.go
+++ b/internal/process/beechentry/fleet.go
@@ -160,7 +160,7 @@
 	if restarted {
 		f.router.Forget(p.Address, old)
 	}
-	f.members.Linked(p.Address, p.Incarnation)
+	f.members.Met(p.Address, p.Incarnation)
 	f.entry.log.Info("agent linked", beechlog.Peer(p.Address), zap.Uint64("incarnation", p.Incarnation))
 	f.entry.pullIfNewer(p.Address, p.Generation)
 	f.rebuild()
--- a/internal/process/beechsettings/settings.go
+++ b/internal/process/beechsettings/settings.go
@@ -73,6 +73,11 @@
 		Keep        Duration `json:"keep,omitempty"`  // an ended answer is kept for a late caller
 		AnswerBytes int      `json:"answerBytes,omitempty"`
 		Waiting     int      `json:"waiting,omitempty"` // requests in the queue
+
+		// PrefillAhead bounds the short prefills under way in the engine: 250ms
+		// where deadlines and priorities matter most, none where the tail of
+		// large workspaces does. docs/decisions/queue.md has both measurements.
+		PrefillAhead Duration `json:"prefillAhead,omitempty"`
 	}
 
 	// Duration is a time.Duration written as "1.3s" in JSON.
