Let a suspect's trial reach the agent without renewing its refusal

Cause: an entry host tells the agent with a request how many crashes it knows. Merged as a record, that crash is of now, so an agent refuses for five minutes what the entry host has just let run after its refusal, and its list brings the refusal back to the entry host: a request wrongly held for poison is never tried again while its caller comes back. Tried takes the count without a new time. Leaving it to the register's own list was ruled out: an agent may not have heard of it yet, and would count the next crash as the first. Conclusion: agents should call Tried where they merge the request's count.

--- a/internal/decision/beechsuspect/doc.go
+++ b/internal/decision/beechsuspect/doc.go
@@ -43,6 +43,7 @@
 //	case beechsuspect.Alone: // mark it so for the queue
 //	case beechsuspect.Refuse: // answer now: not run, come back after v.After
 //	}
+//	r.Tried(fingerprint, crashes) // what came with a request, before Check
 //	r.Finished(fingerprint)      // at each whole answer
 //	r.Crashed(fingerprints)      // what was running when an engine crashed
 //	heartbeat = r.News()         // r.List() for a process that starts
--- a/internal/decision/beechsuspect/register.go
+++ b/internal/decision/beechsuspect/register.go
@@ -32,7 +32,7 @@
 	// Settings of the register. Zero values are taken from Defaults.
 	Settings struct {
 		Keep   time.Duration // how long a suspicion or its clearing lasts
-		Refuse time.Duration // after the second crash; doubles with each more, up to Keep
+		Refuse time.Duration // after the second crash; doubles with each more, up to half of Keep
 		Max    int           // records
 	}
 
@@ -152,6 +152,27 @@
 	return Alone{}
 }
 
+// Tried tells that another process lets the request run, and how many crashes
+// it knows of. Merged as a record, whose crash is of now, a request that may be
+// tried again after its refusal would be refused anew by each process it comes to.
+func (r *Register) Tried(fingerprint uint64, crashes int) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.tick()
+	crashes = min(crashes, maxCrashes)
+	if fingerprint == 0 || crashes <= 0 {
+		return
+	}
+	e := r.live(fingerprint)
+	if e == nil || e.cleared {
+		e = &entry{at: r.now.Add(-r.refusal(crashes))}
+		r.entries[fingerprint] = e
+	}
+	e.crashes = max(e.crashes, crashes)
+	e.tried = max(e.tried, crashes)
+	r.shrink()
+}
+
 // List gives all records, for a process that starts; the most dangerous first,
 // then the latest.
 func (r *Register) List() []Record { return r.list(0) }
@@ -225,7 +246,7 @@
 	if crashes < 2 {
 		return 0
 	}
-	return min(r.settings.Refuse<<(crashes-2), r.settings.Keep)
+	return min(r.settings.Refuse<<(crashes-2), r.settings.Keep/2)
 }
 
 func (r *Register) list(changed time.Duration) []Record {
