--- a/internal/decision/beechqueue/cost.go
+++ b/internal/decision/beechqueue/cost.go
@@ -15,6 +15,10 @@
 
 	maxWeight = 1000
 
+	// hangSlack is how much longer than twice its own time a prefill may take
+	// before it counts as hanging.
+	hangSlack = 500 * time.Millisecond
+
 	// runMemory is how many runs the mean time of a run goes back.
 	runMemory = 8
 )
--- a/internal/decision/beechqueue/queue.go
+++ b/internal/decision/beechqueue/queue.go
@@ -314,7 +314,7 @@
 // are held back too then, or each short one that ends would let a long one pass
 // all that wait.
 func (q *Queue) prefillIsFull() bool {
-	ahead := q.settings.PrefillAhead
+	ahead := q.prefillAhead()
 	return ahead > 0 && q.load.PrefillRate > 0 && q.prefillTime(q.shorts) >= ahead
 }
 
@@ -330,7 +330,7 @@
 }
 
 func (q *Queue) hangsAt(it *item) time.Time {
-	return it.started.Add(2 * (q.ownPrefill(it) + q.settings.PrefillAhead))
+	return it.started.Add(2*q.ownPrefill(it) + hangSlack)
 }
 
 // nextHang gives the time at which the next running prefill counts as hanging,
