Link: the benchmark of open streams no longer hangs

Cause: since links open a second connection only by need, 5,000 streams that come at once pass the 4,096 of the first; the refused ones were not counted and the benchmark waited for ever (seen by the stacks: 4,109 running). It now allows 5,000 on a connection and counts refusals. The limit itself is as meant and is in the decision record.

--- a/internal/link/beechlink/bench_test.go
+++ b/internal/link/beechlink/bench_test.go
@@ -212,7 +212,8 @@
 	const streams = 5000
 	for b.Loop() {
 		b.StopTimer()
-		p := newPair(b, Settings{}, handlerFuncs{open: func(ctx context.Context, s ServerStream, _ beechwire.Request, _ []byte) {
+		// All come at once, before a second connection can be up.
+		p := newPair(b, Settings{MaxStreams: streams}, handlerFuncs{open: func(ctx context.Context, s ServerStream, _ beechwire.Request, _ []byte) {
 			_ = s.Send(ctx, HeadReply{})
 			_ = s.Send(ctx, DataReply{Data: beechwire.Data{Sequence: 1, Data: []byte("first")}})
 			<-ctx.Done()
@@ -226,6 +227,7 @@
 				s, err := p.client.Open(ctx, request("a"), make([]byte, 512))
 				if err != nil {
 					b.Error(err)
+					first <- struct{}{}
 					return
 				}
 				defer s.Close(false)
