Wire the load decisions as they are meant

Cause: the decisions' author read the wiring: queue time counted as a server's slowness; each beat carried the whole list of suspects; a suspect's trial renewed its refusal; refusals spent the retry credit kept for failures; a deadline could be told up to 250 ms late. Change: health gets the time without the queue and a tick each second, and forgets targets that nobody offers; beats carry news only; Tried in place of Merge; refusals are marked; the scheduler looks at once. Conclusion: five differences between what was built and what was meant.

--- a/internal/process/beechagent/admission.go
+++ b/internal/process/beechagent/admission.go
@@ -103,7 +103,7 @@
 // admitSuspect keeps apart requests that were running when an engine crashed.
 func (a *Agent) admitSuspect(r *beechwire.Request) beechlink.Reply {
 	if r.Crashes > 0 {
-		a.suspects.Merge([]beechsuspect.Record{{Fingerprint: r.Fingerprint, Crashes: r.Crashes}})
+		a.suspects.Tried(r.Fingerprint, r.Crashes)
 	}
 	switch v := a.suspects.Check(r.Fingerprint).(type) {
 	case beechsuspect.Refuse:
--- a/internal/process/beechagent/fleet.go
+++ b/internal/process/beechagent/fleet.go
@@ -124,7 +124,7 @@
 		Entries:     a.entryCount(),
 		Load:        a.wireLoad(),
 		Models:      a.offered(),
-		Suspects:    a.wireSuspects(),
+		Suspects:    beechshare.WireSuspects(a.suspects.News()),
 	}
 }
 
--- a/internal/process/beechagent/scheduler.go
+++ b/internal/process/beechagent/scheduler.go
@@ -59,6 +59,7 @@
 	case beechqueue.Refuse:
 		return &decision, nil
 	}
+	s.wake() // its deadline may be before the time that serve sleeps to
 	select {
 	case v := <-told:
 		return v.refuse, nil
@@ -71,6 +72,7 @@
 // its place is given back unused.
 func (s *scheduler) withdraw(ctx context.Context, id uint64, told chan verdict) (*beechqueue.Refuse, error) {
 	if s.queue.Cancel(id) {
+		s.wake()
 		return nil, ctx.Err()
 	}
 	v := <-told
--- a/internal/process/beechentry/dispatch.go
+++ b/internal/process/beechentry/dispatch.go
@@ -10,7 +10,6 @@
 	"go.uber.org/zap"
 
 	"github.com/beechring/beechring/internal/decision/beechhealth"
-	"github.com/beechring/beechring/internal/decision/beechretry"
 	"github.com/beechring/beechring/internal/decision/beechroute"
 	"github.com/beechring/beechring/internal/decision/beechsuspect"
 	"github.com/beechring/beechring/internal/link/beechlink"
@@ -353,8 +352,9 @@
 func (e *Entry) learn(j *job, server netip.AddrPort, end beechwire.End) {
 	e.suspects.Finished(j.request.Fingerprint)
 	firstToken := time.Duration(end.FirstTokenMicros) * time.Microsecond
+	queued := time.Duration(end.QueueMicros) * time.Microsecond
 	e.health.Observe(beechhealth.Sample{
-		Server: server, Model: j.target(), FirstToken: firstToken, Tokens: max(0, end.Usage.Prompt-end.Usage.Cached),
+		Server: server, Model: j.target(), FirstToken: firstToken - queued, Tokens: max(0, end.Usage.Prompt-end.Usage.Cached),
 	})
 	if j.request.Service != "" || !end.Usage.Known {
 		return
@@ -421,15 +421,3 @@
 func (stale) ending()   {}
 func (gone) ending()    {}
 func (away) ending()    {}
-
-// decideRetry asks the budget.
-func (e *Entry) decideRetry(j *job, ran string, better netip.AddrPort, after time.Duration) beechretry.Decision {
-	return e.budget.Decide(beechretry.Outcome{
-		Attempt:    j.request.Attempt,
-		Ran:        beechretry.Ran(ran),
-		Repeatable: j.request.Repeatable,
-		Deadline:   j.deadline,
-		Better:     better,
-		After:      after,
-	})
-}
--- a/internal/process/beechentry/entry.go
+++ b/internal/process/beechentry/entry.go
@@ -83,6 +83,7 @@
 	limitBurst     = 10 * time.Second
 	limitSettle    = 10 * time.Second
 	maxEjected     = 30 // percent
+	healthInterval = time.Second
 )
 
 // New makes an entry and opens its listeners, so that an address that is taken
@@ -140,6 +141,7 @@
 	e.supervisor.Add(beechtask.Task{Name: "configuration", Run: e.watchConfiguration})
 	e.supervisor.Add(beechtask.Task{Name: "apply configuration", Run: e.applyConfigurations})
 	e.supervisor.Add(beechtask.Task{Name: "members", Run: e.watchMembers})
+	e.supervisor.Add(beechtask.Task{Name: "health", Run: e.tickHealth})
 	e.supervisor.Add(beechtask.Task{Name: "cache changes", Run: e.followCaches})
 	e.supervisor.Add(beechtask.Task{Name: "share", Run: e.shareState})
 	return nil
@@ -189,6 +191,12 @@
 	return !e.leaving.Load() && e.restored.Load() && e.holder.Current() != nil && e.fleet.linked() > 0
 }
 
+// tickHealth lets the health tracker judge servers that nobody sends to, until
+// ctx ends.
+func (e *Entry) tickHealth(ctx context.Context) error {
+	return beechtask.Every(ctx, e.clock, healthInterval, e.health.Tick)
+}
+
 func (e *Entry) hello() beechwire.Hello {
 	return beechwire.Hello{
 		Version:     beechwire.Version,
--- a/internal/process/beechentry/fleet.go
+++ b/internal/process/beechentry/fleet.go
@@ -30,9 +30,10 @@
 		members *beechmember.Members
 		router  *beechroute.Router
 
-		mu     sync.Mutex
-		links  map[netip.AddrPort]*agentLink
-		models map[string][]string // weights offered of a model, by name
+		mu      sync.Mutex
+		links   map[netip.AddrPort]*agentLink
+		models  map[string][]string // weights offered of a model, by name
+		targets map[string]bool     // that the health tracker knows
 	}
 
 	// agentLink is the link to one agent and what it said last.
@@ -206,7 +207,7 @@
 		Generation:  f.entry.holder.Generation(),
 		Leaving:     f.entry.leaving.Load(),
 		Ready:       f.entry.ready(),
-		Suspects:    beechshare.WireSuspects(f.entry.suspects.List()),
+		Suspects:    beechshare.WireSuspects(f.entry.suspects.News()),
 	}
 }
 
@@ -257,10 +258,27 @@
 	}
 	f.mu.Unlock()
 	f.router.SetServers(offered.servers)
-	for target, addresses := range offered.byTarget {
+	f.setTargets(offered.byTarget)
+	f.entry.limiter.SetEntries(entries)
+}
+
+// setTargets names each target's servers to the health tracker, which compares
+// a server with its peers, and forgets the targets that nobody offers any more.
+func (f *fleet) setTargets(byTarget map[string][]netip.AddrPort) {
+	f.mu.Lock()
+	gone := f.targets
+	f.targets = map[string]bool{}
+	for target := range byTarget {
+		delete(gone, target)
+		f.targets[target] = true
+	}
+	f.mu.Unlock()
+	for target, addresses := range byTarget {
 		f.entry.health.SetServers(target, addresses)
 	}
-	f.entry.limiter.SetEntries(entries)
+	for target := range gone {
+		f.entry.health.SetServers(target, nil)
+	}
 }
 
 // offers is what can be had where now.
--- a/internal/process/beechentry/judge.go
+++ b/internal/process/beechentry/judge.go
@@ -81,7 +81,7 @@
 	if !hasOther {
 		return false, e.refusedFailure(j, h.Refused, after)
 	}
-	if e.pauseForRetry(ctx, j, e.decideRetry(j, beechwire.RanNo, better, 0)) {
+	if e.pauseForRetry(ctx, j, e.decideRetry(j, beechretry.Outcome{Ran: beechretry.RanNo, Server: server, Better: better, Refused: true})) {
 		return true, nil
 	}
 	return false, e.refusedFailure(j, h.Refused, after)
@@ -157,7 +157,7 @@
 		return false, f
 	}
 	j.tried = append(j.tried, server)
-	return e.pauseForRetry(ctx, j, e.decideRetry(j, h.ran, netip.AddrPort{}, 0)), f
+	return e.pauseForRetry(ctx, j, e.decideRetry(j, beechretry.Outcome{Ran: beechretry.Ran(h.ran), Server: server})), f
 }
 
 // closeComplete ends an answer whose finish reason was already given: only the
@@ -208,3 +208,11 @@
 	j.text = append(j.text, chunk.Text...)
 	j.ended = j.ended || chunk.Finish != ""
 }
+
+// decideRetry asks the budget about an attempt that was refused or broken.
+func (e *Entry) decideRetry(j *job, outcome beechretry.Outcome) beechretry.Decision {
+	outcome.Attempt = j.request.Attempt
+	outcome.Repeatable = j.request.Repeatable
+	outcome.Deadline = j.deadline
+	return e.budget.Decide(outcome)
+}
