Bound slow readers of plain answers; an engine's 5xx is a failed attempt

Ruled out: one deadline for the whole body (it would cut off slow links). Conclusion: not proved by a script of its own yet.

--- a/internal/command/beechcommand/standin.go
+++ b/internal/command/beechcommand/standin.go
@@ -19,6 +19,12 @@
 	"github.com/beechring/beechring/internal/standin/beechservice"
 )
 
+// standinFlags are those that stand-ins with a journal share.
+type standinFlags struct {
+	listen  string
+	journal string
+}
+
 const (
 	standinHeaderTimeout = 5 * time.Second
 	standinClose         = 2 * time.Second
@@ -37,7 +43,7 @@
 }
 
 func newEngineStandin() *cobra.Command {
-	var listen, journal string
+	flags := standinFlags{}
 	s := beechengine.Settings{}
 	command := &cobra.Command{
 		Use:     "engine --listen IP:PORT",
@@ -45,17 +51,13 @@
 		Example: "  beechring standin engine --listen 127.0.0.1:8000 --models fit-advisor@1",
 		Args:    cobra.NoArgs,
 		RunE: func(c *cobra.Command, _ []string) error {
-			closeJournal, err := openJournal(journal, &s.Journal)
-			if err != nil {
-				return err
-			}
-			defer closeJournal()
-			return serveStandin(c, listen, beechengine.New(s, clockwork.NewRealClock()).Handler())
+			return flags.serve(c, &s.Journal, func() http.Handler {
+				return beechengine.New(s, clockwork.NewRealClock()).Handler()
+			})
 		},
 	}
 	f := command.Flags()
-	addListen(command, &listen)
-	f.StringVar(&journal, "journal", "", "file that gets what ran, as JSON lines")
+	flags.add(command)
 	f.StringSliceVar(&s.Models, "models", nil, "model@weights loaded at the start")
 	f.IntVar(&s.Slots, "slots", 0, "requests run at once")
 	f.IntVar(&s.PrefillRate, "prefill-rate", 0, "prompt tokens a second; 0 takes no time")
@@ -71,7 +73,7 @@
 }
 
 func newServiceStandin() *cobra.Command {
-	var listen, journal string
+	flags := standinFlags{}
 	s := beechservice.Settings{}
 	command := &cobra.Command{
 		Use:     "service --listen IP:PORT",
@@ -79,16 +81,12 @@
 		Example: "  beechring standin service --listen 127.0.0.1:8100",
 		Args:    cobra.NoArgs,
 		RunE: func(c *cobra.Command, _ []string) error {
-			closeJournal, err := openJournal(journal, &s.Journal)
-			if err != nil {
-				return err
-			}
-			defer closeJournal()
-			return serveStandin(c, listen, beechservice.New(s, clockwork.NewRealClock()).Handler())
+			return flags.serve(c, &s.Journal, func() http.Handler {
+				return beechservice.New(s, clockwork.NewRealClock()).Handler()
+			})
 		},
 	}
-	addListen(command, &listen)
-	command.Flags().StringVar(&journal, "journal", "", "file that gets what ran, as JSON lines")
+	flags.add(command)
 	command.Flags().DurationVar(&s.Delay, "delay", 0, "time from running a request to its answer")
 	return command
 }
@@ -112,6 +110,21 @@
 	return command
 }
 
+func (f *standinFlags) add(c *cobra.Command) {
+	addListen(c, &f.listen)
+	c.Flags().StringVar(&f.journal, "journal", "", "file that gets what ran, as JSON lines")
+}
+
+// serve opens the journal, makes the stand-in with it and serves it.
+func (f *standinFlags) serve(c *cobra.Command, journal *io.Writer, handler func() http.Handler) error {
+	closeJournal, err := openJournal(f.journal, journal)
+	if err != nil {
+		return err
+	}
+	defer closeJournal()
+	return serveStandin(c, f.listen, handler())
+}
+
 func addListen(c *cobra.Command, listen *string) {
 	c.Flags().StringVar(listen, "listen", "", "address to listen on, IP:PORT")
 	_ = c.MarkFlagRequired("listen")
--- a/internal/process/beechagent/runner.go
+++ b/internal/process/beechagent/runner.go
@@ -137,6 +137,10 @@
 		return t.failure(ctx, err)
 	}
 	defer answer.Body.Close()
+	if t.generation.request.Service == "" && answer.Status >= http.StatusInternalServerError {
+		// The engine's own failure, not an answer: another may do better.
+		return t.ended(beechwire.ReasonServer, false)
+	}
 	t.generation.begin(beechwire.Head{
 		Status:      answer.Status,
 		ContentType: answer.ContentType,
--- a/internal/process/beechentry/writer.go
+++ b/internal/process/beechentry/writer.go
@@ -38,6 +38,8 @@
 
 	plainWriter struct {
 		out         http.ResponseWriter
+		control     *http.ResponseController
+		writeTime   time.Duration
 		status      int
 		contentType string
 		body        []byte
@@ -45,11 +47,14 @@
 	}
 )
 
-const eventStream = "text/event-stream"
+const (
+	eventStream = "text/event-stream"
+	partBytes   = 64 << 10
+)
 
 func newAnswerWriter(w http.ResponseWriter, j *job, signer *streamSigner, writeTime time.Duration) answerWriter {
 	if !j.request.Streamed {
-		return &plainWriter{out: w}
+		return &plainWriter{out: w, control: http.NewResponseController(w), writeTime: writeTime}
 	}
 	return &streamWriter{
 		out:       w,
@@ -148,8 +153,20 @@
 	}
 	header.Set("Content-Length", strconv.Itoa(len(p.body)))
 	p.out.WriteHeader(p.status)
-	_, err := p.out.Write(p.body)
-	return err
+	return p.writeBody()
+}
+
+// writeBody gives each part of the body a deadline of its own: one for the whole
+// would cut off callers on slow links, none would let one that has stopped
+// reading hold its answer for ever.
+func (p *plainWriter) writeBody() error {
+	for start := 0; start < len(p.body); start += partBytes {
+		_ = p.control.SetWriteDeadline(time.Now().Add(p.writeTime))
+		if _, err := p.out.Write(p.body[start:min(start+partBytes, len(p.body))]); err != nil {
+			return err
+		}
+	}
+	return nil
 }
 
 func (p *plainWriter) fail(f *failure) {
