Errors of settings come in the same order each time

Cause: a regression case failed in one run of several: the schema names unknown fields in the order of a map. Conclusion: fields and their names are sorted before they are printed.

--- a/internal/process/beechsettings/settings.go
+++ b/internal/process/beechsettings/settings.go
@@ -2,15 +2,18 @@
 
 import (
 	"bytes"
+	"cmp"
 	_ "embed"
 	"encoding/json"
 	"errors"
 	"fmt"
 	"net/netip"
+	"slices"
 	"strings"
 	"time"
 
 	"github.com/santhosh-tekuri/jsonschema/v6"
+	"github.com/santhosh-tekuri/jsonschema/v6/kind"
 	"golang.org/x/text/language"
 	"golang.org/x/text/message"
 )
@@ -179,17 +182,28 @@
 	if !errors.As(err, &invalid) {
 		return err
 	}
-	var all []error
-	collectFields(invalid, &all)
+	var fields []*FieldError
+	collectFields(invalid, &fields)
+	// The schema's own order is that of a map, another one each time.
+	slices.SortStableFunc(fields, func(x, y *FieldError) int {
+		return cmp.Or(strings.Compare(x.Field, y.Field), strings.Compare(x.Problem, y.Problem))
+	})
+	all := make([]error, len(fields))
+	for i, f := range fields {
+		all[i] = f
+	}
 	return errors.Join(all...)
 }
 
-func collectFields(invalid *jsonschema.ValidationError, all *[]error) {
+func collectFields(invalid *jsonschema.ValidationError, all *[]*FieldError) {
 	if len(invalid.Causes) == 0 {
 		field := strings.Join(invalid.InstanceLocation, ".")
 		if field == "" {
 			field = "(file)"
 		}
+		if unknown, ok := invalid.ErrorKind.(*kind.AdditionalProperties); ok {
+			slices.Sort(unknown.Properties)
+		}
 		problem := invalid.ErrorKind.LocalizedString(message.NewPrinter(language.English))
 		*all = append(*all, &FieldError{Field: field, Problem: problem})
 		return
