Let batches of claims wait for the budget of calls

Cause: an agent that owns several shards spends its budget of calls under load, and claims were refused with it although the service was well. Conclusion: claims are grouped further; the budget of agents should still fit their shards. TestClaimsFitTheBudget failed before and passes.

--- a/internal/platform/beechrecord/records_test.go
+++ b/internal/platform/beechrecord/records_test.go
@@ -294,24 +294,68 @@
 	})
 }
 
-// budgeted allows 50 reads a second.
+// One agent owns each shard and callers claim all the time. Its budget of
+// calls is far below what the shards would use; claims are grouped further
+// rather than refused.
+func TestClaimsFitTheBudget(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		clock := clockwork.NewRealClock()
+		r := New(&budgeted{Fake: beechstore.NewFake(clock), clock: clock}, clock, Settings{Shards: 8})
+		defer r.Close()
+		var wait sync.WaitGroup
+		for i := range 200 {
+			wait.Go(func() {
+				for n := range 20 {
+					key := Key{Name: fmt.Sprintf("%d-%d", i, n)}
+					granted, ok := r.Claim(context.Background(), key, testBody, "r").(Granted)
+					is.True(ok)
+					is.NoErr(r.Finish(context.Background(), key, granted.Token, booked))
+				}
+			})
+		}
+		wait.Wait()
+	})
+}
+
+// budgeted allows a burst of 50 calls, then 50 a second, as the client does.
 type budgeted struct {
 	*beechstore.Fake
-	clock  clockwork.Clock
-	second time.Time
-	reads  int
+	clock clockwork.Clock
+
+	mu   sync.Mutex
+	full time.Time // when the whole burst is there again
 }
 
-func (b *budgeted) Get(ctx context.Context, key string, i beechstore.Importance) (beechstore.Value, error) {
-	if now := b.clock.Now().Truncate(time.Second); now != b.second {
-		b.second, b.reads = now, 0
+func (b *budgeted) spend(step string) error {
+	const interval, burst = 20 * time.Millisecond, 50
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	now := b.clock.Now()
+	if b.full.Before(now) {
+		b.full = now
 	}
-	if b.reads++; b.reads > 50 {
-		return beechstore.Value{}, beechstore.OverBudget{Step: "get " + key, After: time.Second}
+	if wait := b.full.Sub(now) - (burst-1)*interval; wait > 0 {
+		return beechstore.OverBudget{Step: step, After: wait}
+	}
+	b.full = b.full.Add(interval)
+	return nil
+}
+
+func (b *budgeted) Get(ctx context.Context, key string, i beechstore.Importance) (beechstore.Value, error) {
+	if err := b.spend("get " + key); err != nil {
+		return beechstore.Value{}, err
 	}
 	return b.Fake.Get(ctx, key, i)
 }
 
+func (b *budgeted) CompareAndSwap(ctx context.Context, key string, version uint64, data []byte, lease string, i beechstore.Importance) (beechstore.Value, error) {
+	if err := b.spend("compare and swap " + key); err != nil {
+		return beechstore.Value{}, err
+	}
+	return b.Fake.CompareAndSwap(ctx, key, version, data, lease, i)
+}
+
 // Answers that are small alone could together outgrow the value that holds
 // them, and then no outcome of the segment could be recorded any more.
 func TestAnswersNeverOutgrowTheSegment(t *testing.T) {
--- a/internal/platform/beechrecord/shard.go
+++ b/internal/platform/beechrecord/shard.go
@@ -65,6 +65,10 @@
 const (
 	settlePause = 20 * time.Millisecond
 	holdOff     = 250 * time.Millisecond
+	// budgetWait is how long a batch waits for the process's budget of calls.
+	// It grows meanwhile, so that claims share the calls there are; refused,
+	// they would come again and cost more.
+	budgetWait = 100 * time.Millisecond
 )
 
 var (
@@ -167,7 +171,13 @@
 		var conflict beechstore.Conflict
 		var unknown beechstore.UnknownOutcome
 		var before beforeWrite
+		var over beechstore.OverBudget
 		switch {
+		case errors.As(err, &over) && over.After <= budgetWait:
+			s.pause(ctx, over.After)
+			if !lost {
+				batch = s.drain(batch)
+			}
 		case err == nil, errors.As(err, &conflict) && !errors.As(err, &before):
 		case errors.As(err, &unknown) && !errors.As(err, &before):
 			lost = true
@@ -178,7 +188,7 @@
 			return
 		}
 		if lost {
-			s.pause(ctx)
+			s.pause(ctx, settlePause)
 		}
 		if ctx.Err() != nil {
 			deliverAll(batch, failure(lost, errTooSlow))
@@ -201,10 +211,10 @@
 	return live
 }
 
-func (s *shard) pause(ctx context.Context) {
+func (s *shard) pause(ctx context.Context, d time.Duration) {
 	select {
 	case <-ctx.Done():
-	case <-s.clock.After(settlePause):
+	case <-s.clock.After(d):
 	}
 }
 
