--- a/internal/process/beechentry/fleet.go
+++ b/internal/process/beechentry/fleet.go
@@ -18,6 +18,7 @@
 	"github.com/beechring/beechring/internal/platform/beechmember"
 	"github.com/beechring/beechring/internal/platform/beechstore"
 	"github.com/beechring/beechring/internal/process/beechlog"
+	"github.com/beechring/beechring/internal/process/beechshare"
 )
 
 type (
@@ -29,9 +30,10 @@
 		members *beechmember.Members
 		router  *beechroute.Router
 
-		mu     sync.Mutex
-		links  map[netip.AddrPort]*agentLink
-		models map[string][]string // weights offered of a model, by name
+		mu      sync.Mutex
+		links   map[netip.AddrPort]*agentLink
+		models  map[string][]string // weights offered of a model, by name
+		targets map[string]bool     // that the health tracker knows
 	}
 
 	// agentLink is the link to one agent and what it said last.
@@ -159,7 +161,7 @@
 	if restarted {
 		f.router.Forget(p.Address, old)
 	}
-	f.members.Linked(p.Address, p.Incarnation)
+	f.members.Met(p.Address, p.Incarnation)
 	f.entry.log.Info("agent linked", beechlog.Peer(p.Address), zap.Uint64("incarnation", p.Incarnation))
 	f.entry.pullIfNewer(p.Address, p.Generation)
 	f.rebuild()
@@ -191,7 +193,7 @@
 	f.mu.Unlock()
 	f.members.Said(p.Address, h.Incarnation, h.Leaving)
 	f.report(p.Address, h.Load)
-	f.entry.suspects.Merge(suspectRecords(h.Suspects))
+	f.entry.suspects.Merge(beechshare.SuspectRecords(h.Suspects))
 	f.entry.pullIfNewer(p.Address, h.Generation)
 	if changed || h.Leaving {
 		f.rebuild()
@@ -205,7 +207,7 @@
 		Generation:  f.entry.holder.Generation(),
 		Leaving:     f.entry.leaving.Load(),
 		Ready:       f.entry.ready(),
-		Suspects:    wireSuspects(f.entry.suspects.List()),
+		Suspects:    beechshare.WireSuspects(f.entry.suspects.News()),
 	}
 }
 
@@ -256,10 +258,27 @@
 	}
 	f.mu.Unlock()
 	f.router.SetServers(offered.servers)
-	for target, addresses := range offered.byTarget {
+	f.setTargets(offered.byTarget)
+	f.entry.limiter.SetEntries(entries)
+}
+
+// setTargets names each target's servers to the health tracker, which compares
+// a server with its peers, and forgets the targets that nobody offers any more.
+func (f *fleet) setTargets(byTarget map[string][]netip.AddrPort) {
+	f.mu.Lock()
+	gone := f.targets
+	f.targets = map[string]bool{}
+	for target := range byTarget {
+		delete(gone, target)
+		f.targets[target] = true
+	}
+	f.mu.Unlock()
+	for target, addresses := range byTarget {
 		f.entry.health.SetServers(target, addresses)
 	}
-	f.entry.limiter.SetEntries(entries)
+	for target := range gone {
+		f.entry.health.SetServers(target, nil)
+	}
 }
 
 // offers is what can be had where now.
