Pass over late news of a replaced host whose clock was ahead

Cause: after Met of a smaller incarnation, the loss of the greater one's link, which comes late, took the new link for lost, and the server got no work though it was up. Before: TestReplacedHostWithAClockBehindIsUsed, with late news added, fails. Conclusion: the incarnation that was replaced is remembered and its news passed over.

--- a/internal/platform/beechmember/members.go
+++ b/internal/platform/beechmember/members.go
@@ -44,6 +44,7 @@
 		listed      bool
 		listLeaving bool // the list said that it leaves
 		incarnation uint64
+		replaced    uint64 // a greater incarnation that was there before
 		linked      bool
 		leaving     bool
 		since       time.Time // of the last change of linked
@@ -115,8 +116,10 @@
 	m.mu.Lock()
 	x := m.get(address)
 	if incarnation < x.incarnation {
+		x.replaced = x.incarnation
 		x.incarnation = incarnation
 		x.leaving = false
+		x.linked = false
 	}
 	m.mu.Unlock()
 	m.Linked(address, incarnation)
@@ -127,7 +130,7 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	x := m.get(address)
-	if incarnation < x.incarnation {
+	if x.outdated(incarnation) {
 		return
 	}
 	x.renew(incarnation)
@@ -143,7 +146,7 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	x, ok := m.members[address]
-	if !ok || incarnation < x.incarnation || !x.linked {
+	if !ok || x.outdated(incarnation) || !x.linked {
 		return
 	}
 	if m.clock.Since(x.since) >= m.settings.Forget {
@@ -160,7 +163,7 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	x := m.get(address)
-	if incarnation < x.incarnation {
+	if x.outdated(incarnation) {
 		return
 	}
 	x.renew(incarnation)
@@ -233,6 +236,11 @@
 	return min(m.settings.Damping<<min(losses-2, maxDoublings), m.settings.MaxDamping)
 }
 
+// outdated tells whether news of an incarnation is about one that is gone.
+func (x *member) outdated(incarnation uint64) bool {
+	return incarnation < x.incarnation || (incarnation == x.replaced && x.replaced > 0)
+}
+
 // renew forgets what an earlier incarnation has said, and its link, whose
 // loss would be passed over as late news. The first one that is seen keeps
 // what the list has said of it.
--- a/internal/platform/beechmember/members_test.go
+++ b/internal/platform/beechmember/members_test.go
@@ -165,4 +165,11 @@
 
 	m.Met(address, 400)
 	is.True(m.Usable(address))
+
+	m.Lost(address, 1000)
+	m.Said(address, 1000, false)
+	m.Linked(address, 1000)
+	is.True(m.Usable(address)) // late news of the one before
+	m.Said(address, 400, true)
+	is.True(!m.Usable(address))
 }
