Relay plain services with their headers, both ways

Ruled out: passing all of them on: a header that overrides the method would let a call that may not be repeated pass as another, an idempotency key makes net/http resend by itself, the workspace's key is not the service's business. Conclusion: a recorded answer still has status, type and body only.

--- a/internal/link/beechwire/wire_gen.go
+++ b/internal/link/beechwire/wire_gen.go
@@ -284,6 +284,9 @@
 	// ContentType corresponds to the JSON schema field "ContentType".
 	ContentType string `msg:"ContentType"`
 
+	// Of a plain service's answer, besides the content type.
+	Headers []Header `msg:"Headers"`
+
 	// Agent incarnation.
 	Incarnation uint64 `msg:"Incarnation"`
 
@@ -297,6 +300,15 @@
 	Stream uint64 `msg:"Stream"`
 }
 
+// Header is one line of an HTTP header that is passed on as it is.
+type Header struct {
+	// Name corresponds to the JSON schema field "Name".
+	Name string `msg:"Name"`
+
+	// Value corresponds to the JSON schema field "Value".
+	Value string `msg:"Value"`
+}
+
 // Heartbeat is the state that Beats add up to. An entry leaves the agent's fields
 // empty and the other way round.
 type Heartbeat struct {
@@ -523,6 +535,9 @@
 	// Configuration generation it was admitted under.
 	Generation uint64 `msg:"Generation"`
 
+	// Of a plain service's caller, besides the content type.
+	Headers []Header `msg:"Headers"`
+
 	// Request id, unique over all entries.
 	ID string `msg:"ID"`
 
--- a/internal/link/beechwire/wire_msgp_gen.go
+++ b/internal/link/beechwire/wire_msgp_gen.go
@@ -1781,13 +1781,25 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *Head) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 6
+	// map header, size 7
 	// string "Attempt"
-	o = append(o, 0x86, 0xa7, 0x41, 0x74, 0x74, 0x65, 0x6d, 0x70, 0x74)
+	o = append(o, 0x87, 0xa7, 0x41, 0x74, 0x74, 0x65, 0x6d, 0x70, 0x74)
 	o = msgp.AppendInt(o, z.Attempt)
 	// string "ContentType"
 	o = append(o, 0xab, 0x43, 0x6f, 0x6e, 0x74, 0x65, 0x6e, 0x74, 0x54, 0x79, 0x70, 0x65)
 	o = msgp.AppendString(o, z.ContentType)
+	// string "Headers"
+	o = append(o, 0xa7, 0x48, 0x65, 0x61, 0x64, 0x65, 0x72, 0x73)
+	o = msgp.AppendArrayHeader(o, uint32(len(z.Headers)))
+	for za0001 := range z.Headers {
+		// map header, size 2
+		// string "Name"
+		o = append(o, 0x82, 0xa4, 0x4e, 0x61, 0x6d, 0x65)
+		o = msgp.AppendString(o, z.Headers[za0001].Name)
+		// string "Value"
+		o = append(o, 0xa5, 0x56, 0x61, 0x6c, 0x75, 0x65)
+		o = msgp.AppendString(o, z.Headers[za0001].Value)
+	}
 	// string "Incarnation"
 	o = append(o, 0xab, 0x49, 0x6e, 0x63, 0x61, 0x72, 0x6e, 0x61, 0x74, 0x69, 0x6f, 0x6e)
 	o = msgp.AppendUint64(o, z.Incarnation)
@@ -1833,6 +1845,54 @@
 				err = msgp.WrapError(err, "ContentType")
 				return
 			}
+		case "Headers":
+			var zb0002 uint32
+			zb0002, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Headers")
+				return
+			}
+			if cap(z.Headers) >= int(zb0002) {
+				z.Headers = z.Headers[:zb0002]
+			} else {
+				z.Headers = make([]Header, zb0002)
+			}
+			for za0001 := range z.Headers {
+				var zb0003 uint32
+				zb0003, bts, err = msgp.ReadMapHeaderBytes(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Headers", za0001)
+					return
+				}
+				for zb0003 > 0 {
+					zb0003--
+					field, bts, err = msgp.ReadMapKeyZC(bts)
+					if err != nil {
+						err = msgp.WrapError(err, "Headers", za0001)
+						return
+					}
+					switch msgp.UnsafeString(field) {
+					case "Name":
+						z.Headers[za0001].Name, bts, err = msgp.ReadStringBytes(bts)
+						if err != nil {
+							err = msgp.WrapError(err, "Headers", za0001, "Name")
+							return
+						}
+					case "Value":
+						z.Headers[za0001].Value, bts, err = msgp.ReadStringBytes(bts)
+						if err != nil {
+							err = msgp.WrapError(err, "Headers", za0001, "Value")
+							return
+						}
+					default:
+						bts, err = msgp.Skip(bts)
+						if err != nil {
+							err = msgp.WrapError(err, "Headers", za0001)
+							return
+						}
+					}
+				}
+			}
 		case "Incarnation":
 			z.Incarnation, bts, err = msgp.ReadUint64Bytes(bts)
 			if err != nil {
@@ -1871,7 +1931,72 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *Head) Msgsize() (s int) {
-	s = 1 + 8 + msgp.IntSize + 12 + msgp.StringPrefixSize + len(z.ContentType) + 12 + msgp.Uint64Size + 10 + msgp.StringPrefixSize + len(z.RequestID) + 7 + msgp.IntSize + 7 + msgp.Uint64Size
+	s = 1 + 8 + msgp.IntSize + 12 + msgp.StringPrefixSize + len(z.ContentType) + 8 + msgp.ArrayHeaderSize
+	for za0001 := range z.Headers {
+		s += 1 + 5 + msgp.StringPrefixSize + len(z.Headers[za0001].Name) + 6 + msgp.StringPrefixSize + len(z.Headers[za0001].Value)
+	}
+	s += 12 + msgp.Uint64Size + 10 + msgp.StringPrefixSize + len(z.RequestID) + 7 + msgp.IntSize + 7 + msgp.Uint64Size
+	return
+}
+
+// MarshalMsg implements msgp.Marshaler
+func (z Header) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// map header, size 2
+	// string "Name"
+	o = append(o, 0x82, 0xa4, 0x4e, 0x61, 0x6d, 0x65)
+	o = msgp.AppendString(o, z.Name)
+	// string "Value"
+	o = append(o, 0xa5, 0x56, 0x61, 0x6c, 0x75, 0x65)
+	o = msgp.AppendString(o, z.Value)
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *Header) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var field []byte
+	_ = field
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadMapHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	for zb0001 > 0 {
+		zb0001--
+		field, bts, err = msgp.ReadMapKeyZC(bts)
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		switch msgp.UnsafeString(field) {
+		case "Name":
+			z.Name, bts, err = msgp.ReadStringBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Name")
+				return
+			}
+		case "Value":
+			z.Value, bts, err = msgp.ReadStringBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Value")
+				return
+			}
+		default:
+			bts, err = msgp.Skip(bts)
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
+			}
+		}
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z Header) Msgsize() (s int) {
+	s = 1 + 5 + msgp.StringPrefixSize + len(z.Name) + 6 + msgp.StringPrefixSize + len(z.Value)
 	return
 }
 
@@ -2879,9 +3004,9 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *Request) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 29
+	// map header, size 30
 	// string "Adapter"
-	o = append(o, 0xde, 0x0, 0x1d, 0xa7, 0x41, 0x64, 0x61, 0x70, 0x74, 0x65, 0x72)
+	o = append(o, 0xde, 0x0, 0x1e, 0xa7, 0x41, 0x64, 0x61, 0x70, 0x74, 0x65, 0x72)
 	o = msgp.AppendString(o, z.Adapter)
 	// string "Alone"
 	o = append(o, 0xa5, 0x41, 0x6c, 0x6f, 0x6e, 0x65)
@@ -2913,20 +3038,32 @@
 	// string "Generation"
 	o = append(o, 0xaa, 0x47, 0x65, 0x6e, 0x65, 0x72, 0x61, 0x74, 0x69, 0x6f, 0x6e)
 	o = msgp.AppendUint64(o, z.Generation)
+	// string "Headers"
+	o = append(o, 0xa7, 0x48, 0x65, 0x61, 0x64, 0x65, 0x72, 0x73)
+	o = msgp.AppendArrayHeader(o, uint32(len(z.Headers)))
+	for za0001 := range z.Headers {
+		// map header, size 2
+		// string "Name"
+		o = append(o, 0x82, 0xa4, 0x4e, 0x61, 0x6d, 0x65)
+		o = msgp.AppendString(o, z.Headers[za0001].Name)
+		// string "Value"
+		o = append(o, 0xa5, 0x56, 0x61, 0x6c, 0x75, 0x65)
+		o = msgp.AppendString(o, z.Headers[za0001].Value)
+	}
 	// string "ID"
 	o = append(o, 0xa2, 0x49, 0x44)
 	o = msgp.AppendString(o, z.ID)
 	// string "Levels"
 	o = append(o, 0xa6, 0x4c, 0x65, 0x76, 0x65, 0x6c, 0x73)
 	o = msgp.AppendArrayHeader(o, uint32(len(z.Levels)))
-	for za0001 := range z.Levels {
+	for za0002 := range z.Levels {
 		// map header, size 2
 		// string "Key"
 		o = append(o, 0x82, 0xa3, 0x4b, 0x65, 0x79)
-		o = msgp.AppendBytes(o, z.Levels[za0001].Key)
+		o = msgp.AppendBytes(o, z.Levels[za0002].Key)
 		// string "Tokens"
 		o = append(o, 0xa6, 0x54, 0x6f, 0x6b, 0x65, 0x6e, 0x73)
-		o = msgp.AppendInt(o, z.Levels[za0001].Tokens)
+		o = msgp.AppendInt(o, z.Levels[za0002].Tokens)
 	}
 	// string "Method"
 	o = append(o, 0xa6, 0x4d, 0x65, 0x74, 0x68, 0x6f, 0x64)
@@ -3063,6 +3200,54 @@
 				err = msgp.WrapError(err, "Generation")
 				return
 			}
+		case "Headers":
+			var zb0002 uint32
+			zb0002, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Headers")
+				return
+			}
+			if cap(z.Headers) >= int(zb0002) {
+				z.Headers = z.Headers[:zb0002]
+			} else {
+				z.Headers = make([]Header, zb0002)
+			}
+			for za0001 := range z.Headers {
+				var zb0003 uint32
+				zb0003, bts, err = msgp.ReadMapHeaderBytes(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Headers", za0001)
+					return
+				}
+				for zb0003 > 0 {
+					zb0003--
+					field, bts, err = msgp.ReadMapKeyZC(bts)
+					if err != nil {
+						err = msgp.WrapError(err, "Headers", za0001)
+						return
+					}
+					switch msgp.UnsafeString(field) {
+					case "Name":
+						z.Headers[za0001].Name, bts, err = msgp.ReadStringBytes(bts)
+						if err != nil {
+							err = msgp.WrapError(err, "Headers", za0001, "Name")
+							return
+						}
+					case "Value":
+						z.Headers[za0001].Value, bts, err = msgp.ReadStringBytes(bts)
+						if err != nil {
+							err = msgp.WrapError(err, "Headers", za0001, "Value")
+							return
+						}
+					default:
+						bts, err = msgp.Skip(bts)
+						if err != nil {
+							err = msgp.WrapError(err, "Headers", za0001)
+							return
+						}
+					}
+				}
+			}
 		case "ID":
 			z.ID, bts, err = msgp.ReadStringBytes(bts)
 			if err != nil {
@@ -3070,48 +3255,48 @@
 				return
 			}
 		case "Levels":
-			var zb0002 uint32
-			zb0002, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			var zb0004 uint32
+			zb0004, bts, err = msgp.ReadArrayHeaderBytes(bts)
 			if err != nil {
 				err = msgp.WrapError(err, "Levels")
 				return
 			}
-			if cap(z.Levels) >= int(zb0002) {
-				z.Levels = z.Levels[:zb0002]
+			if cap(z.Levels) >= int(zb0004) {
+				z.Levels = z.Levels[:zb0004]
 			} else {
-				z.Levels = make([]Level, zb0002)
+				z.Levels = make([]Level, zb0004)
 			}
-			for za0001 := range z.Levels {
-				var zb0003 uint32
-				zb0003, bts, err = msgp.ReadMapHeaderBytes(bts)
+			for za0002 := range z.Levels {
+				var zb0005 uint32
+				zb0005, bts, err = msgp.ReadMapHeaderBytes(bts)
 				if err != nil {
-					err = msgp.WrapError(err, "Levels", za0001)
+					err = msgp.WrapError(err, "Levels", za0002)
 					return
 				}
-				for zb0003 > 0 {
-					zb0003--
+				for zb0005 > 0 {
+					zb0005--
 					field, bts, err = msgp.ReadMapKeyZC(bts)
 					if err != nil {
-						err = msgp.WrapError(err, "Levels", za0001)
+						err = msgp.WrapError(err, "Levels", za0002)
 						return
 					}
 					switch msgp.UnsafeString(field) {
 					case "Key":
-						z.Levels[za0001].Key, bts, err = msgp.ReadBytesBytes(bts, z.Levels[za0001].Key)
+						z.Levels[za0002].Key, bts, err = msgp.ReadBytesBytes(bts, z.Levels[za0002].Key)
 						if err != nil {
-							err = msgp.WrapError(err, "Levels", za0001, "Key")
+							err = msgp.WrapError(err, "Levels", za0002, "Key")
 							return
 						}
 					case "Tokens":
-						z.Levels[za0001].Tokens, bts, err = msgp.ReadIntBytes(bts)
+						z.Levels[za0002].Tokens, bts, err = msgp.ReadIntBytes(bts)
 						if err != nil {
-							err = msgp.WrapError(err, "Levels", za0001, "Tokens")
+							err = msgp.WrapError(err, "Levels", za0002, "Tokens")
 							return
 						}
 					default:
 						bts, err = msgp.Skip(bts)
 						if err != nil {
-							err = msgp.WrapError(err, "Levels", za0001)
+							err = msgp.WrapError(err, "Levels", za0002)
 							return
 						}
 					}
@@ -3227,9 +3412,13 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *Request) Msgsize() (s int) {
-	s = 3 + 8 + msgp.StringPrefixSize + len(z.Adapter) + 6 + msgp.BoolSize + 8 + msgp.IntSize + 10 + msgp.IntSize + 9 + msgp.BytesPrefixSize + len(z.BodyHash) + 6 + msgp.StringPrefixSize + len(z.Claim) + 12 + msgp.StringPrefixSize + len(z.ContentType) + 8 + msgp.IntSize + 15 + msgp.Int64Size + 12 + msgp.Uint64Size + 11 + msgp.Uint64Size + 3 + msgp.StringPrefixSize + len(z.ID) + 7 + msgp.ArrayHeaderSize
-	for za0001 := range z.Levels {
-		s += 1 + 4 + msgp.BytesPrefixSize + len(z.Levels[za0001].Key) + 7 + msgp.IntSize
+	s = 3 + 8 + msgp.StringPrefixSize + len(z.Adapter) + 6 + msgp.BoolSize + 8 + msgp.IntSize + 10 + msgp.IntSize + 9 + msgp.BytesPrefixSize + len(z.BodyHash) + 6 + msgp.StringPrefixSize + len(z.Claim) + 12 + msgp.StringPrefixSize + len(z.ContentType) + 8 + msgp.IntSize + 15 + msgp.Int64Size + 12 + msgp.Uint64Size + 11 + msgp.Uint64Size + 8 + msgp.ArrayHeaderSize
+	for za0001 := range z.Headers {
+		s += 1 + 5 + msgp.StringPrefixSize + len(z.Headers[za0001].Name) + 6 + msgp.StringPrefixSize + len(z.Headers[za0001].Value)
+	}
+	s += 3 + msgp.StringPrefixSize + len(z.ID) + 7 + msgp.ArrayHeaderSize
+	for za0002 := range z.Levels {
+		s += 1 + 4 + msgp.BytesPrefixSize + len(z.Levels[za0002].Key) + 7 + msgp.IntSize
 	}
 	s += 7 + msgp.StringPrefixSize + len(z.Method) + 6 + msgp.StringPrefixSize + len(z.Model) + 13 + msgp.IntSize + 5 + msgp.StringPrefixSize + len(z.Path) + 9 + msgp.IntSize + 13 + msgp.IntSize + 10 + msgp.StringPrefixSize + len(z.RecordKey) + 11 + msgp.BoolSize + 7 + msgp.StringPrefixSize + len(z.Resume) + 15 + msgp.Uint64Size + 5 + msgp.StringPrefixSize + len(z.Salt) + 8 + msgp.StringPrefixSize + len(z.Service) + 9 + msgp.BoolSize + 11 + msgp.BoolSize + 8 + msgp.StringPrefixSize + len(z.Weights) + 10 + msgp.StringPrefixSize + len(z.Workspace)
 	return
--- a/internal/process/beechagent/runner.go
+++ b/internal/process/beechagent/runner.go
@@ -18,6 +18,7 @@
 	"github.com/beechring/beechring/internal/platform/beechrecord"
 	"github.com/beechring/beechring/internal/process/beechbackend"
 	"github.com/beechring/beechring/internal/process/beechlog"
+	"github.com/beechring/beechring/internal/process/beechshare"
 	"github.com/beechring/beechring/internal/prompt/beechindex"
 )
 
@@ -141,11 +142,7 @@
 		// The engine's own failure, not an answer: another may do better.
 		return t.ended(beechwire.ReasonServer, false)
 	}
-	t.generation.begin(beechwire.Head{
-		Status:      answer.Status,
-		ContentType: answer.ContentType,
-		Incarnation: t.agent.incarnation,
-	})
+	t.generation.begin(t.head(answer))
 	t.headSent = true
 	if answer.Streamed {
 		err = t.copyEvents(answer.Body)
@@ -159,11 +156,20 @@
 	return t.end()
 }
 
+// head is what the caller is told first. An engine's own headers stay here.
+func (t *attempt) head(answer *beechbackend.Answer) beechwire.Head {
+	head := beechwire.Head{Status: answer.Status, ContentType: answer.ContentType, Incarnation: t.agent.incarnation}
+	if t.generation.request.Service != "" {
+		head.Headers = beechshare.WireAnswerHeaders(answer.Header)
+	}
+	return head
+}
+
 func (t *attempt) call(ctx context.Context, body []byte) (*beechbackend.Answer, error) {
 	r := &t.generation.request
 	if r.Service != "" {
 		return t.agent.service.Relay(ctx, beechbackend.Relay{
-			RequestID: r.ID, Method: r.Method, Path: r.Path, ContentType: r.ContentType, Body: body,
+			RequestID: r.ID, Method: r.Method, Path: r.Path, ContentType: r.ContentType, Header: beechshare.Header(r.Headers), Body: body,
 		})
 	}
 	return t.agent.engine.Generate(ctx, beechbackend.Generate{
--- a/internal/process/beechbackend/client.go
+++ b/internal/process/beechbackend/client.go
@@ -7,6 +7,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"maps"
 	"net"
 	"net/http"
 	"net/http/httptrace"
@@ -83,7 +84,7 @@
 }
 
 // send returns the server's answer, whatever its status.
-func (p peer) send(ctx context.Context, step, method, path, id, contentType string, body []byte) (*http.Response, error) {
+func (p peer) send(ctx context.Context, step, method, path, id, contentType string, header http.Header, body []byte) (*http.Response, error) {
 	var sent atomic.Bool
 	traced := httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
 		GotConn: func(httptrace.GotConnInfo) { sent.Store(true) },
@@ -92,6 +93,7 @@
 	if err != nil {
 		return nil, &NotSent{Step: step, Peer: p.address, Err: err}
 	}
+	maps.Copy(r.Header, header)
 	if id != "" {
 		r.Header.Set(RequestHeader, id)
 	}
@@ -153,7 +155,7 @@
 
 // call sends a request whose answer is small JSON, and reads it.
 func (p peer) call(ctx context.Context, step, method, path string, body []byte, into any) error {
-	response, err := p.send(ctx, step, method, path, "", "application/json", body)
+	response, err := p.send(ctx, step, method, path, "", "application/json", nil, body)
 	if err != nil {
 		return err
 	}
@@ -219,6 +221,7 @@
 	return &Answer{
 		Status:      response.StatusCode,
 		ContentType: contentType,
+		Header:      response.Header,
 		Streamed:    isEventStream(contentType),
 		Body:        answerBody{ReadCloser: response.Body, ctx: ctx, step: step, peer: p.address},
 	}, nil
--- a/internal/process/beechbackend/openai.go
+++ b/internal/process/beechbackend/openai.go
@@ -70,7 +70,7 @@
 	if err != nil {
 		return nil, &NotSent{Step: step, Peer: e.peer.address, Err: err}
 	}
-	response, err := e.peer.send(ctx, step, http.MethodPost, g.Path, g.RequestID, "application/json", body)
+	response, err := e.peer.send(ctx, step, http.MethodPost, g.Path, g.RequestID, "application/json", nil, body)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/process/beechbackend/service.go
+++ b/internal/process/beechbackend/service.go
@@ -23,7 +23,7 @@
 // also 503, may come from something that failed half way.
 func (s plainService) Relay(ctx context.Context, r Relay) (*Answer, error) {
 	const step = "relay"
-	response, err := s.peer.send(ctx, step, r.Method, r.Path, r.RequestID, r.ContentType, r.Body)
+	response, err := s.peer.send(ctx, step, r.Method, r.Path, r.RequestID, r.ContentType, r.Header, r.Body)
 	if err != nil {
 		return nil, err
 	}
@@ -40,7 +40,7 @@
 	if path == "" {
 		path = "/"
 	}
-	response, err := s.peer.send(ctx, "check readiness", http.MethodGet, path, "", "", nil)
+	response, err := s.peer.send(ctx, "check readiness", http.MethodGet, path, "", "", nil, nil)
 	if err != nil {
 		return err
 	}
--- a/internal/process/beechbackend/types.go
+++ b/internal/process/beechbackend/types.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"io"
+	"net/http"
 	"time"
 )
 
@@ -28,6 +29,7 @@
 	Answer struct {
 		Status      int
 		ContentType string
+		Header      http.Header
 		Streamed    bool
 		Body        io.ReadCloser
 	}
@@ -83,6 +85,7 @@
 		Method      string
 		Path        string
 		ContentType string
+		Header      http.Header // of the caller, what may be passed on
 		Body        []byte
 	}
 
--- a/internal/process/beechentry/dispatch.go
+++ b/internal/process/beechentry/dispatch.go
@@ -302,7 +302,10 @@
 func (e *Entry) takeReply(j *job, server netip.AddrPort, reply beechlink.Reply) (how ending, over bool) {
 	switch r := reply.(type) {
 	case beechlink.HeadReply:
-		j.writer.head(r.Status, r.ContentType, placed{agent: server, incarnation: r.Incarnation, requestID: j.request.ID})
+		j.writer.head(answerHead{
+			status: r.Status, contentType: r.ContentType, headers: r.Headers,
+			at: placed{agent: server, incarnation: r.Incarnation, requestID: j.request.ID},
+		})
 	case beechlink.DataReply:
 		if err := e.take(j, r); err != nil {
 			return away{}, true
--- a/internal/process/beechentry/once.go
+++ b/internal/process/beechentry/once.go
@@ -126,7 +126,7 @@
 func (e *Entry) writeRecorded(j *job) *failure {
 	e.numbers.Joined.Add(1)
 	j.request.ID = j.recorded.RequestID
-	j.writer.head(j.recorded.Status, j.recorded.ContentType, placed{})
+	j.writer.head(answerHead{status: j.recorded.Status, contentType: j.recorded.ContentType})
 	if err := j.writer.piece(1, j.recorded.Answer); err != nil {
 		return e.goneCaller()
 	}
--- a/internal/process/beechentry/service.go
+++ b/internal/process/beechentry/service.go
@@ -6,6 +6,7 @@
 
 	"github.com/beechring/beechring/internal/link/beechwire"
 	"github.com/beechring/beechring/internal/platform/beechmanifest"
+	"github.com/beechring/beechring/internal/process/beechshare"
 )
 
 // serveService relays a call of a plain service as it is.
@@ -47,6 +48,7 @@
 		Method:      r.Method,
 		Path:        path,
 		ContentType: r.Header.Get("Content-Type"),
+		Headers:     beechshare.WireRequestHeaders(r.Header),
 		Generation:  c.Generation,
 		Priority:    c.Priority(workspace.Priority),
 		Repeatable:  !once,
--- a/internal/process/beechentry/writer.go
+++ b/internal/process/beechentry/writer.go
@@ -2,10 +2,14 @@
 
 import (
 	"bytes"
+	"maps"
 	"net/http"
 	"strconv"
 	"strings"
 	"time"
+
+	"github.com/beechring/beechring/internal/link/beechwire"
+	"github.com/beechring/beechring/internal/process/beechshare"
 )
 
 type (
@@ -15,7 +19,7 @@
 	answerWriter interface {
 		// restart begins another attempt.
 		restart()
-		head(status int, contentType string, at placed)
+		head(h answerHead)
 		piece(sequence uint64, data []byte) error
 		end() error
 		fail(f *failure)
@@ -23,6 +27,14 @@
 		fresh() bool
 	}
 
+	// answerHead is what an answer begins with, and where it is held.
+	answerHead struct {
+		status      int
+		contentType string
+		headers     []beechwire.Header
+		at          placed
+	}
+
 	streamWriter struct {
 		out       http.ResponseWriter
 		control   *http.ResponseController
@@ -42,6 +54,7 @@
 		writeTime   time.Duration
 		status      int
 		contentType string
+		headers     []beechwire.Header
 		body        []byte
 		written     bool
 	}
@@ -67,18 +80,18 @@
 
 // head starts the caller's stream at the first attempt that is answered. Later
 // attempts only change where the event ids point.
-func (s *streamWriter) head(status int, contentType string, at placed) {
-	s.prefix = s.signer.prefix(s.workspace, streamID{Agent: at.agent, Incarnation: at.incarnation, RequestID: at.requestID})
+func (s *streamWriter) head(h answerHead) {
+	s.prefix = s.signer.prefix(s.workspace, streamID{Agent: h.at.agent, Incarnation: h.at.incarnation, RequestID: h.at.requestID})
 	if s.started {
 		return
 	}
 	s.started = true
-	s.raw = !strings.HasPrefix(contentType, eventStream)
+	s.raw = !strings.HasPrefix(h.contentType, eventStream)
 	header := s.out.Header()
-	header.Set("Content-Type", contentType)
+	header.Set("Content-Type", h.contentType)
 	header.Set("Cache-Control", "no-cache")
 	header.Set("X-Accel-Buffering", "no")
-	s.out.WriteHeader(status)
+	s.out.WriteHeader(h.status)
 }
 
 // piece writes one event. A caller that reads too slowly for too long is given
@@ -135,9 +148,10 @@
 // restart drops what an earlier attempt left.
 func (p *plainWriter) restart() { p.body = p.body[:0] }
 
-func (p *plainWriter) head(status int, contentType string, _ placed) {
-	p.status = status
-	p.contentType = contentType
+func (p *plainWriter) head(h answerHead) {
+	p.status = h.status
+	p.contentType = h.contentType
+	p.headers = h.headers
 }
 
 func (p *plainWriter) piece(_ uint64, data []byte) error {
@@ -148,6 +162,7 @@
 func (p *plainWriter) end() error {
 	p.written = true
 	header := p.out.Header()
+	maps.Copy(header, beechshare.Header(p.headers))
 	if p.contentType != "" {
 		header.Set("Content-Type", p.contentType)
 	}
