Test runs side by side on one machine use networks of their own

Cause: the second byte of a run's loopback addresses came from its process id, one of 128, so two runs at once, as of two worktrees, could meet and fail by chance. Ruled out: ports chosen by the system (agents' addresses must outlast a restart). Before: one pair of runs in 128 meets. After: a run takes the first network whose lock port is free. Conclusion: no such failure was seen; it was found by reading.

--- a/internal/command/beechscenario/scenario_test.go
+++ b/internal/command/beechscenario/scenario_test.go
@@ -26,6 +26,11 @@
 		return 1
 	}
 	defer os.RemoveAll(dir)
+	if err := takeNetwork(); err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return 1
+	}
+	defer networkLock.Close()
 	binary = filepath.Join(dir, "beechring")
 	build := exec.Command("go", "build", "-o", binary, "github.com/beechring/beechring/cmd/beechring")
 	build.Stderr = os.Stderr
--- a/internal/command/beechscenario/world_test.go
+++ b/internal/command/beechscenario/world_test.go
@@ -3,7 +3,9 @@
 import (
 	"bytes"
 	"encoding/json"
+	"errors"
 	"fmt"
+	"net"
 	"net/http"
 	"net/netip"
 	"os"
@@ -60,11 +62,18 @@
 	adminKey  = "scenario-admin-key-0123456789"
 	patience  = 20 * time.Second // for conditions; a run that is well takes milliseconds
 	pollPause = 10 * time.Millisecond
+
+	firstNetwork byte   = 64
+	lastNetwork  byte   = 250
+	lockPort     uint16 = 7999
 )
 
 var (
 	binary   string
 	networks atomic.Int32
+
+	ownNetwork  byte
+	networkLock net.Listener
 )
 
 func newWorld(t testing.TB, dir string) *world {
@@ -74,13 +83,25 @@
 	}
 }
 
-// address gives the next loopback address of this world. The process id keeps
-// two test runs on one machine apart.
+// address gives the next loopback address of this world.
 func (w *world) address(port uint16) netip.AddrPort {
 	w.lastByte++
-	second := byte(64 + os.Getpid()%128)
-	third := byte(w.network)
-	return netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, second, third, w.lastByte}), port)
+	return netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, ownNetwork, byte(w.network), w.lastByte}), port)
+}
+
+// takeNetwork finds a loopback network that no other test run on this machine
+// uses, and keeps it by a listener for as long as this process lives. Two runs
+// on the same addresses would fail by chance.
+func takeNetwork() error {
+	for second := firstNetwork; second <= lastNetwork; second++ {
+		lock := netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, second, 0, 1}), lockPort)
+		listener, err := net.Listen("tcp", lock.String())
+		if err == nil {
+			ownNetwork, networkLock = second, listener
+			return nil
+		}
+	}
+	return errors.New("every loopback network is in use by another test run")
 }
 
 func (w *world) start(p *process) error {
