Hold and send less: idle entry hosts, stacks of open streams

It sent all members to three agents every 2 s, and the collector let 16 MB gather in a process that does nothing. Change: members are shared when they change, when an agent is new, or after 30 s; an agent keeps them where a message brings none. The collector's slack is 4 to 16 MB by the rate of allocation, and is a share of heap, stacks and globals, which the collector counts.

Cause, open streams: an entry host's stack of 16 KB for each. The runtime halves a stack while less than a quarter is used; frames of 3,352 bytes and its own 800 were 56 bytes too many. At the agent each stream's handler had two copies of the request in its frames. Change: what only the start needs left these frames; StreamHandler.Open takes the request by pointer (seam type of beechlink). Ruled out: collecting more often (six forced collections changed nothing before the frames did); smaller buffers of net/http's server cannot be set.

--- /dev/null
+++ b/internal/decision/beechroute/memory_test.go
@@ -0,0 +1,52 @@
+package beechroute
+
+import (
+	"runtime"
+	"testing"
+
+	"github.com/jonboulle/clockwork"
+)
+
+// BenchmarkMemory reports what a server takes in a router, and a prefix that
+// two servers hold.
+func BenchmarkMemory(b *testing.B) {
+	const servers, prefixes = 12_000, 10_000
+	for b.Loop() {
+		before := liveHeap()
+		r := testRouter(servers, clockwork.NewRealClock(), weights{})
+		filled := liveHeap()
+		b.ReportMetric(float64(filled-before)/servers, "B/server")
+		for i := range prefixes {
+			for holder := range 2 {
+				changes := Changes{List: []Change{{Key: testRequest(i, 0).Levels[1].Key, Tokens: 5800, Held: true}}}
+				r.Changed(testAddress((i+holder)%servers), 1, changes)
+			}
+		}
+		b.ReportMetric(float64(liveHeap()-filled)/prefixes, "B/prefix")
+		runtime.KeepAlive(r)
+	}
+}
+
+// BenchmarkChanged takes in one announced change of a server's cache.
+func BenchmarkChanged(b *testing.B) {
+	const servers = 400
+	r := testRouter(servers, clockwork.NewRealClock(), weights{})
+	changes := Changes{List: make([]Change, 4)}
+	i := 0
+	for b.Loop() {
+		i++
+		for k := range changes.List {
+			changes.List[k] = Change{Key: testRequest(i*len(changes.List)+k, 0).Levels[1].Key, Tokens: 5800, Held: true}
+		}
+		r.Changed(testAddress(i%servers), 1, changes)
+	}
+	b.ReportMetric(float64(b.Elapsed().Nanoseconds())/float64(i*len(changes.List)), "ns/change")
+}
+
+func liveHeap() int64 {
+	runtime.GC()
+	runtime.GC()
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	return int64(m.HeapAlloc)
+}
--- a/internal/link/beechlink/pair_test.go
+++ b/internal/link/beechlink/pair_test.go
@@ -93,8 +93,8 @@
 	return r.latest
 }
 
-func (h handlerFuncs) Open(ctx context.Context, s ServerStream, r beechwire.Request, body []byte) {
-	h.open(ctx, s, r, body)
+func (h handlerFuncs) Open(ctx context.Context, s ServerStream, r *beechwire.Request, body []byte) {
+	h.open(ctx, s, *r, body)
 }
 
 func (h handlerFuncs) Reattach(ctx context.Context, s ServerStream, r beechwire.Reattach) {
--- a/internal/link/beechlink/serverend.go
+++ b/internal/link/beechlink/serverend.go
@@ -207,7 +207,7 @@
 }
 
 func (e *serverEnd) begin(s *serverStream) {
-	e.serve(s, func() { e.server.handler.Open(s.context, s, *s.request, s.body) })
+	e.serve(s, func() { e.server.handler.Open(s.context, s, s.request, s.body) })
 }
 
 // serve runs a handler in its goroutine.
--- /dev/null
+++ b/internal/link/beechwire/bench_test.go
@@ -0,0 +1,28 @@
+package beechwire
+
+import "testing"
+
+// BenchmarkChanges encodes and decodes an agent's answer to the question what
+// has changed in its engine's cache.
+func BenchmarkChanges(b *testing.B) {
+	const count = 4
+	changes := Changes{Incarnation: 1 << 60, Next: 1 << 30}
+	for i := range count {
+		key := make([]byte, 16)
+		key[0] = byte(i)
+		changes.List = append(changes.List, Change{Key: key, Tokens: 5800, Held: true})
+	}
+	var data []byte
+	for b.Loop() {
+		var err error
+		if data, err = changes.MarshalMsg(data[:0]); err != nil {
+			b.Fatal(err)
+		}
+		var got Changes
+		if _, err := got.UnmarshalMsg(data); err != nil {
+			b.Fatal(err)
+		}
+	}
+	b.ReportMetric(float64(len(data)), "B/answer")
+	b.ReportMetric(float64(len(data))/count, "B/change")
+}
--- a/internal/process/beechagent/fleet.go
+++ b/internal/process/beechagent/fleet.go
@@ -55,9 +55,14 @@
 	return len(f.entries)
 }
 
+// take keeps what an entry host shared. One without members has not changed
+// them.
 func (f *fleet) take(shared beechwire.Snapshot) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	if len(shared.Members) == 0 {
+		shared.Members = f.shared.Members
+	}
 	f.shared = shared
 }
 
--- a/internal/process/beechagent/stream.go
+++ b/internal/process/beechagent/stream.go
@@ -10,25 +10,36 @@
 )
 
 // Open implements beechlink.StreamHandler: it runs a request, or joins the run
-// of the same request that an earlier link asked for.
-func (a *Agent) Open(ctx context.Context, s beechlink.ServerStream, r beechwire.Request, body []byte) {
-	if g := a.library.find(r.Workspace, r.ID); g != nil && g.joinable() {
-		a.serveStream(ctx, s, g, r.ResumeSequence)
-		return
-	}
-	if reply := a.admit(ctx, s.Peer(), &r, body); reply != nil {
+// of the same request that an earlier link asked for. Only what follows the
+// answer stays on the stream's stack, which is then 4 KB instead of 8.
+func (a *Agent) Open(ctx context.Context, s beechlink.ServerStream, r *beechwire.Request, body []byte) {
+	g, reply := a.accept(ctx, s, r, body)
+	if reply != nil {
 		_ = s.Send(ctx, reply)
 		return
 	}
+	a.serveStream(ctx, s, g, r.ResumeSequence)
+}
+
+// accept finds or starts the generation that a request asks for, or gives the
+// reply that ends its stream.
+//
+//go:noinline
+func (a *Agent) accept(ctx context.Context, s beechlink.ServerStream, r *beechwire.Request, body []byte) (*generation, beechlink.Reply) {
+	if g := a.library.find(r.Workspace, r.ID); g != nil && g.joinable() {
+		return g, nil
+	}
+	if reply := a.admit(ctx, s.Peer(), r, body); reply != nil {
+		return nil, reply
+	}
 	if r.Claim != "" && !a.used.use(r.Claim) {
-		_ = s.Send(ctx, failed(beechwire.ReasonClaim, beechwire.RanUnknown, "the token to run was used before"))
-		return
+		return nil, failed(beechwire.ReasonClaim, beechwire.RanUnknown, "the token to run was used before")
 	}
-	g, added := a.begin(r, body)
+	g, added := a.begin(*r, body)
 	if !added {
 		a.numbers.Joined.Add(1)
 	}
-	a.serveStream(ctx, s, g, r.ResumeSequence)
+	return g, nil
 }
 
 // begin starts a generation in a goroutine of its own, so that it outlives the
--- a/internal/process/beechentry/dispatch.go
+++ b/internal/process/beechentry/dispatch.go
@@ -96,22 +96,41 @@
 }
 
 // attempt sends the job to one server, or joins the generation it is to join.
+// What comes before is in functions of its own: this frame and those below it
+// stay on the stack of every open stream. With some hundred bytes more on them
+// the runtime keeps 16 KB for each stream's stack where 8 KB are enough, since
+// it halves a stack only while less than a quarter of it is in use.
 func (e *Entry) attempt(ctx context.Context, j *job) (netip.AddrPort, ending) {
 	if j.attach != nil {
-		target := *j.attach
-		j.attach = nil
-		return target.agent, e.join(ctx, j, target)
+		return e.joinPlaced(ctx, j)
 	}
-	if how := e.checkSuspect(j); how != nil {
+	candidate, how := e.candidate(j)
+	if how != nil {
 		return netip.AddrPort{}, how
 	}
-	candidate := e.choose(j)
-	if candidate == nil {
-		return netip.AddrPort{}, noServer()
-	}
 	return candidate.Server, e.send(ctx, j, candidate)
 }
 
+//go:noinline
+func (e *Entry) joinPlaced(ctx context.Context, j *job) (netip.AddrPort, ending) {
+	target := *j.attach
+	j.attach = nil
+	return target.agent, e.join(ctx, j, target)
+}
+
+// candidate is the server to send the job to, or why there is none.
+//
+//go:noinline
+func (e *Entry) candidate(j *job) (*beechroute.Candidate, ending) {
+	if how := e.checkSuspect(j); how != nil {
+		return nil, how
+	}
+	if candidate := e.choose(j); candidate != nil {
+		return candidate, nil
+	}
+	return nil, noServer()
+}
+
 func noServer() ending {
 	return refused{beechwire.Refused{
 		Reason: beechwire.ReasonModel, Message: "no backend server offers it", AfterMillis: time.Second.Milliseconds(),
@@ -179,32 +198,38 @@
 	return least
 }
 
-// send opens a stream to the server and follows it. What only the opening needs
-// is in functions of its own: this frame stays on the stack of every open
-// stream.
+// send opens a stream to the server and follows it.
 func (e *Entry) send(ctx context.Context, j *job, candidate *beechroute.Candidate) ending {
-	server := candidate.Server
-	client := e.fleet.client(server)
+	client := e.fleet.client(candidate.Server)
 	if client == nil {
-		return refused{beechwire.Refused{Reason: beechwire.ReasonServer}}
+		return refusedByDown()
 	}
-	stream, err := e.open(ctx, j, client, candidate)
-	defer e.fleet.router.Finished(server)
-	if err != nil {
-		return e.openFailure(ctx, err)
+	defer e.fleet.router.Finished(candidate.Server)
+	stream, how := e.open(ctx, j, client, candidate)
+	if how != nil {
+		return how
 	}
-	e.place(j, server)
-	return e.follow(ctx, j, client, server, stream)
+	return e.follow(ctx, j, client, candidate.Server, stream)
 }
 
-func (e *Entry) open(ctx context.Context, j *job, client *beechlink.Client, candidate *beechroute.Candidate) (beechlink.Stream, error) {
+//go:noinline
+func refusedByDown() ending {
+	return refused{beechwire.Refused{Reason: beechwire.ReasonServer}}
+}
+
+func (e *Entry) open(ctx context.Context, j *job, client *beechlink.Client, candidate *beechroute.Candidate) (beechlink.Stream, ending) {
 	j.uncached = candidate.Uncached
 	j.startOver()
 	j.request.DeadlineMillis = j.remaining(time.Now())
 	j.request.Resume = string(j.text)
 	j.request.ResumeSequence = j.sequence
 	e.fleet.router.Dispatched(candidate.Server, j.routeRequest(), candidate.Uncached)
-	return client.Open(ctx, j.request, j.body)
+	stream, err := client.Open(ctx, j.request, j.body)
+	if err != nil {
+		return nil, e.openFailure(ctx, err)
+	}
+	e.place(j, candidate.Server)
+	return stream, nil
 }
 
 // openFailure tells what an error of Open means: nothing was sent.
@@ -247,6 +272,7 @@
 	}
 }
 
+//go:noinline
 func (e *Entry) lostEnding(ctx context.Context) ending {
 	if ctx.Err() != nil {
 		return away{}
--- a/internal/process/beechentry/restart.go
+++ b/internal/process/beechentry/restart.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/netip"
+	"slices"
 	"time"
 
 	"go.uber.org/zap"
@@ -14,10 +15,29 @@
 	"github.com/beechring/beechring/internal/process/beechlog"
 )
 
+type (
+	// shared is what was left with agents, where and when.
+	shared struct {
+		members []beechwire.Member
+		targets []shareTarget
+		at      time.Time
+	}
+
+	shareTarget struct {
+		address     netip.AddrPort
+		incarnation uint64
+	}
+)
+
 const (
-	hostsInterval  = time.Second
-	hostsTimeout   = 2 * time.Second
-	shareInterval  = 2 * time.Second
+	hostsInterval = time.Second
+	hostsTimeout  = 2 * time.Second
+	shareInterval = 2 * time.Second
+
+	// membersInterval is after how long agents are sent the members again
+	// though nothing changed.
+	membersInterval = 30 * time.Second
+
 	shareAgents    = 3
 	restoreTries   = 40
 	restorePause   = 25 * time.Millisecond
@@ -126,8 +146,9 @@
 func (e *Entry) shareState(ctx context.Context) error {
 	ticker := e.clock.NewTicker(shareInterval)
 	defer ticker.Stop()
+	last := &shared{}
 	for {
-		e.shareOnce(ctx)
+		e.shareOnce(ctx, last)
 		select {
 		case <-ticker.Chan():
 		case <-ctx.Done():
@@ -136,27 +157,51 @@
 	}
 }
 
-func (e *Entry) shareOnce(ctx context.Context) {
-	state := &beechwire.Snapshot{Members: e.wireMembers(), Hot: wireHot(e.fleet.router.Hot())}
-	if len(state.Members) == 0 {
+// shareOnce sends the members only where they changed, an agent has not had
+// them, or they were sent long ago. Sent each time, those of 400 hosts would be
+// most of what an idle entry host sends. Agents keep the members that they have
+// where a message brings none.
+func (e *Entry) shareOnce(ctx context.Context, last *shared) {
+	now := shared{members: e.wireMembers(), targets: e.shareTargets(), at: e.clock.Now()}
+	if len(now.members) == 0 {
 		return
 	}
-	for _, agent := range e.shareTargets() {
+	state := &beechwire.Snapshot{Members: now.members, Hot: wireHot(e.fleet.router.Hot())}
+	if last.covers(now) {
+		state.Members = nil
+		now.at = last.at
+	}
+	if len(state.Members) == 0 && len(state.Hot) == 0 {
+		return
+	}
+	*last = now
+	for _, target := range now.targets {
 		sharing, cancel := context.WithTimeout(ctx, callTimeout)
-		if err := e.fleet.call(sharing, agent, beechwire.MethodShare, state, nil); err != nil {
-			e.log.Debug("state not shared", beechlog.Step("share"), beechlog.Peer(agent), zap.Error(err))
+		if err := e.fleet.call(sharing, target.address, beechwire.MethodShare, state, nil); err != nil {
+			e.log.Debug("state not shared", beechlog.Step("share"), beechlog.Peer(target.address), zap.Error(err))
+			*last = shared{}
 		}
 		cancel()
 	}
 }
 
+// covers tells whether agents still have the members from the last time.
+func (s *shared) covers(now shared) bool {
+	return now.at.Sub(s.at) < membersInterval && slices.Equal(s.members, now.members) && slices.Equal(s.targets, now.targets)
+}
+
 // shareTargets are the agents that a restarted entry of this zone asks: the
 // seeds, or without seeds the same few for all.
-func (e *Entry) shareTargets() []netip.AddrPort {
-	if len(e.settings.Seeds) > 0 {
-		return e.settings.Seeds[:min(len(e.settings.Seeds), shareAgents)]
+func (e *Entry) shareTargets() []shareTarget {
+	addresses := e.settings.Seeds[:min(len(e.settings.Seeds), shareAgents)]
+	if len(addresses) == 0 {
+		addresses = beechmember.Rank("share", e.fleet.reachable(), shareAgents)
+	}
+	targets := make([]shareTarget, 0, len(addresses))
+	for _, address := range addresses {
+		targets = append(targets, shareTarget{address: address, incarnation: e.fleet.incarnation(address)})
 	}
-	return beechmember.Rank("share", e.fleet.reachable(), shareAgents)
+	return targets
 }
 
 func (e *Entry) wireMembers() []beechwire.Member {
--- a/internal/process/beechmemory/pacer.go
+++ b/internal/process/beechmemory/pacer.go
@@ -15,16 +15,26 @@
 }
 
 const (
-	interval   = 200 * time.Millisecond
-	liveMetric = "/gc/heap/live:bytes"
+	interval = 200 * time.Millisecond
 
-	// slack is the garbage that may gather before a collection. At 10,000 small
-	// requests a second it fills in some tens of milliseconds.
-	slack = 16 << 20
+	liveMetric    = "/gc/heap/live:bytes"
+	stackMetric   = "/gc/scan/stack:bytes"
+	globalsMetric = "/gc/scan/globals:bytes"
+	allocsMetric  = "/gc/heap/allocs:bytes"
+
+	// mostSlack is the garbage that may gather before a collection. At 10,000
+	// small requests a second it fills in some tens of milliseconds. A process
+	// with little to do gets less: it would hold the rest for nothing, and
+	// be over its 32 MB.
+	mostSlack  = 16 << 20
+	leastSlack = 4 << 20
+
+	// slackTime is for how long at the present rate the slack should last.
+	slackTime = 250 * time.Millisecond
 
 	// leastShare keeps collections from following one another without a pause
 	// when the live heap is large.
-	leastShare = 25 // percent
+	leastShare = 5 // percent
 
 	// mostShare bounds a nearly empty process within its 32 MB.
 	mostShare = 400 // percent
@@ -37,11 +47,14 @@
 func (p *Pacer) Serve(ctx context.Context) error {
 	ticker := p.clock.NewTicker(interval)
 	defer ticker.Stop()
-	sample := []metrics.Sample{{Name: liveMetric}}
+	samples := []metrics.Sample{{Name: liveMetric}, {Name: stackMetric}, {Name: globalsMetric}}
+	rate := []metrics.Sample{{Name: allocsMetric}}
 	current := 0
+	allocated := total(rate)
 	for {
-		metrics.Read(sample)
-		if wanted := percentage(sample[0].Value.Uint64()); wanted != current {
+		last := allocated
+		allocated = total(rate)
+		if wanted := percentage(total(samples), slackFor(allocated-last)); wanted != current {
 			debug.SetGCPercent(wanted)
 			current = wanted
 		}
@@ -53,12 +66,39 @@
 	}
 }
 
-// percentage gives the slack as a share of the live heap, in steps of 5 so that
-// small changes of the heap do not set it anew: setting it stops the world.
-func percentage(live uint64) int {
-	if live == 0 {
+// slackFor gives the slack for what was allocated in the last interval. It is
+// doubled in steps, so that a rate that wavers does not set the percentage anew
+// each time.
+func slackFor(allocated uint64) uint64 {
+	wanted := allocated * uint64(slackTime/time.Millisecond) / uint64(interval/time.Millisecond)
+	slack := uint64(leastSlack)
+	for slack < min(wanted, mostSlack) {
+		slack *= 2
+	}
+	return slack
+}
+
+// total adds up metrics. The live heap, the stacks and the globals are what the
+// collector's percentage is a share of. With thousands of open streams the
+// stacks are as large as the heap; taken as a share of the heap alone the slack
+// would be twice as large as wanted, on top of what the streams hold.
+func total(samples []metrics.Sample) (bytes uint64) {
+	metrics.Read(samples)
+	for _, s := range samples {
+		if s.Value.Kind() == metrics.KindUint64 {
+			bytes += s.Value.Uint64()
+		}
+	}
+	return bytes
+}
+
+// percentage gives the slack as a share of what is marked, in steps of a tenth
+// so that small changes do not set it anew: setting it stops the world.
+func percentage(marked, slack uint64) int {
+	if marked == 0 {
 		return mostShare
 	}
-	share := int(min(slack*100/live, mostShare))
-	return max(share/5*5, leastShare)
+	share := int(min(slack*100/marked, mostShare))
+	step := max(1, share/10)
+	return max(share/step*step, leastShare)
 }
