Read a configuration with more parts than the budget of calls allows

Cause, found while sizing for 9,300 workspaces: the manifest has 257 parts, a process may make 50 calls a second, and a watcher that was over its budget gave up and began anew. It never got a configuration. Change: reading the parts waits for the budget, as publishing them does. Ruled out: a larger burst; it would only move the size at which it fails.

--- a/internal/link/beechwire/bench_test.go
+++ b/internal/link/beechwire/bench_test.go
@@ -26,3 +26,21 @@
 	b.ReportMetric(float64(len(data)), "B/answer")
 	b.ReportMetric(float64(len(data))/count, "B/change")
 }
+
+// BenchmarkMembers encodes what an entry host leaves with agents of the other
+// processes.
+func BenchmarkMembers(b *testing.B) {
+	const count = 400
+	var state Snapshot
+	for range count {
+		state.Members = append(state.Members, Member{Address: "10.12.13.114:7100", Role: RoleAgent, Zone: "region-1-zone-12", Incarnation: 1 << 60})
+	}
+	var data []byte
+	for b.Loop() {
+		var err error
+		if data, err = state.MarshalMsg(data[:0]); err != nil {
+			b.Fatal(err)
+		}
+	}
+	b.ReportMetric(float64(len(data))/count, "B/member")
+}
--- a/internal/platform/beechmanifest/load.go
+++ b/internal/platform/beechmanifest/load.go
@@ -5,6 +5,8 @@
 	"errors"
 	"fmt"
 
+	"github.com/jonboulle/clockwork"
+
 	"github.com/beechring/beechring/internal/platform/beechstore"
 )
 
@@ -13,6 +15,7 @@
 type loader struct {
 	store beechstore.Store
 	known map[string][]byte
+	clock clockwork.Clock
 }
 
 const loadTries = 4
@@ -21,7 +24,7 @@
 // and beechstore.CorruptValue, beechstore.NewerFormat, MissingPart or Invalid
 // if it cannot be used.
 func Load(ctx context.Context, store beechstore.Store) (uint64, *Manifest, error) {
-	l := &loader{store: store}
+	l := &loader{store: store, clock: clockwork.NewRealClock()}
 	v, err := store.Get(ctx, HeadKey, beechstore.ImportanceConfiguration)
 	if err != nil {
 		return 0, nil, fmt.Errorf("load the manifest: %w", err)
@@ -85,7 +88,7 @@
 	if data, ok := l.known[sum]; ok {
 		return data, nil
 	}
-	v, err := l.store.Get(ctx, partKey(sum), beechstore.ImportanceConfiguration)
+	v, err := l.patient(ctx, partKey(sum))
 	if err != nil {
 		return nil, fmt.Errorf("load a part of the manifest: %w", err)
 	}
@@ -97,3 +100,22 @@
 	}
 	return v.Data, nil
 }
+
+// patient waits for the budget of calls. A manifest of thousands of workspaces
+// has more parts than a process may read at once; given up on and begun anew
+// each time it would never be read, and a process without a configuration would
+// stay so.
+func (l *loader) patient(ctx context.Context, key string) (beechstore.Value, error) {
+	for {
+		v, err := l.store.Get(ctx, key, beechstore.ImportanceConfiguration)
+		var over beechstore.OverBudget
+		if !errors.As(err, &over) {
+			return v, err
+		}
+		select {
+		case <-l.clock.After(over.After):
+		case <-ctx.Done():
+			return v, err
+		}
+	}
+}
--- a/internal/platform/beechmanifest/watcher.go
+++ b/internal/platform/beechmanifest/watcher.go
@@ -57,7 +57,7 @@
 	if settings.MaxPause == 0 {
 		settings.MaxPause = defaultMaxPause
 	}
-	return &Watcher{store: store, holder: holder, clock: clock, settings: settings, loader: &loader{store: store}}
+	return &Watcher{store: store, holder: holder, clock: clock, settings: settings, loader: &loader{store: store, clock: clock}}
 }
 
 // Watches tells whether self is one of the n watchers among the live
