--- a/internal/command/beechcommand/apply.go
+++ b/internal/command/beechcommand/apply.go
@@ -91,11 +91,7 @@
 	if given != newestBase {
 		return uint64(max(0, given)), nil
 	}
-	generation, _, err := beechmanifest.Load(ctx, store)
-	if errors.Is(err, beechmanifest.ErrNone) {
-		return 0, nil
-	}
-	return generation, err
+	return beechmanifest.Published(ctx, store)
 }
 
 func reportApply(c *cobra.Command, format outputFormat, outcome beechmanifest.Outcome) error {
--- a/internal/process/beechagent/agent.go
+++ b/internal/process/beechagent/agent.go
@@ -81,6 +81,7 @@
 	prefillWait     = 2 * time.Second
 	maxWait         = 30 * time.Second // callers without a deadline
 	shutdownTimeout = 2 * time.Second
+	recordsPause    = 20 * time.Millisecond
 )
 
 // New makes an agent and opens its listeners, so that an address that is
@@ -181,12 +182,14 @@
 	if err := a.server.Drain(ctx); err != nil {
 		return fmt.Errorf("drain: %w", err)
 	}
+	a.awaitRuns(ctx)
 	return a.finishRecords(ctx)
 }
 
-func (a *Agent) finishRecords(ctx context.Context) error {
-	closing, cancel := context.WithTimeout(ctx, shutdownTimeout)
-	defer cancel()
+// awaitRuns lets what may not be repeated end. Generations whose callers are
+// gone are cancelled: nobody can come back to them any more.
+func (a *Agent) awaitRuns(ctx context.Context) {
+	a.library.cancelRepeatable()
 	done := make(chan struct{})
 	go func() {
 		a.runs.Wait()
@@ -194,7 +197,22 @@
 	}()
 	select {
 	case <-done:
-	case <-closing.Done():
+	case <-ctx.Done():
+	}
+}
+
+// finishRecords waits until the outcomes known here are in the platform's
+// service. One that is lost with this process would be told as unknown.
+func (a *Agent) finishRecords(ctx context.Context) error {
+	closing, cancel := context.WithTimeout(ctx, shutdownTimeout)
+	defer cancel()
+	_ = beechtask.Every(closing, a.clock, recordsPause, func() {
+		if a.records.Unrecorded() == 0 {
+			cancel()
+		}
+	})
+	if left := a.records.Unrecorded(); left > 0 {
+		a.log.Warn("outcomes not recorded", beechlog.Step("drain"), zap.Int("left", left))
 	}
 	a.records.Close()
 	return nil
--- a/internal/process/beechagent/library.go
+++ b/internal/process/beechagent/library.go
@@ -160,3 +160,14 @@
 	}
 	return false
 }
+
+// cancelRepeatable ends what runs and may be run again elsewhere.
+func (l *library) cancelRepeatable() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for _, g := range l.generations {
+		if g.request.Repeatable {
+			g.cancel()
+		}
+	}
+}
