--- a/internal/command/beechscenario/world_test.go
+++ b/internal/command/beechscenario/world_test.go
@@ -39,6 +39,8 @@
 		order     []*call // all calls, as they began
 		loads     []*load
 		seeds     []netip.AddrPort
+		counted   int                // calls that hits has looked at
+		hits      map[string]float64 // by name, in percent
 		markedAt  time.Time
 	}
 
