--- a/Makefile
+++ b/Makefile
@@ -32,7 +32,7 @@
 	cd internal/link/beechwire && go generate ./...
 
 bench:
-	go test -run '^$$' -bench . -benchtime $(BENCH_TIME) work
+	go test -p 1 -timeout 60m -run '^$$' -bench . -benchtime $(BENCH_TIME) work
 
 scenarios:
 	go test -count=1 -run "TestScenarios" ./internal/command/beechscenario
--- a/internal/command/beechscenario/cost_test.go
+++ b/internal/command/beechscenario/cost_test.go
@@ -21,23 +21,13 @@
 	b.Helper()
 	w := newWorld(b, b.TempDir())
 	b.Cleanup(w.close)
-	steps := []struct {
-		do        command
-		arguments []string
-	}{
-		{commandPlatform, nil},
-		{commandEngine, []string{"e1", "zone-a", "--slots", "6000", "--prefill-rate", "0", "--token-time", "71ms"}},
-		{commandEntry, []string{"n1", "zone-a"}},
-		{commandUntil, []string{"serving", "n1", "1"}},
-		{applyManySlots, nil},
-		{commandUntil, []string{"generation", "2", "n1", "e1"}},
-		{commandSend, []string{"warm", "entry=n1", "tokens=1"}},
-	}
-	for _, step := range steps {
-		if err := step.do(w, step.arguments); err != nil {
-			b.Fatal(err)
-		}
-	}
+	run(b, w, commandPlatform)
+	run(b, w, commandEngine, "e1", "zone-a", "--slots", "6000", "--prefill-rate", "0", "--token-time", "71ms")
+	run(b, w, commandEntry, "n1", "zone-a")
+	run(b, w, commandUntil, "serving", "n1", "1")
+	run(b, w, applyManySlots)
+	run(b, w, commandUntil, "generation", "2", "n1", "e1")
+	run(b, w, commandSend, "warm", "entry=n1", "tokens=1")
 	return w
 }
 
@@ -121,3 +111,70 @@
 	}
 	wait.Wait()
 }
+
+// BenchmarkInForce is the time from the start of `apply` until two entry hosts
+// and two agents have the new configuration, and of that what apply takes.
+func BenchmarkInForce(b *testing.B) {
+	w := twoZones(b)
+	generation := 1
+	for b.Loop() {
+		began := time.Now()
+		run(b, w, commandApply, "usual.json", fmt.Sprint("base=", generation))
+		applied := time.Since(began)
+		generation++
+		run(b, w, commandUntil, "generation", fmt.Sprint(generation), "n1", "n2", "e1", "e2")
+		b.ReportMetric(float64(applied.Milliseconds()), "apply-ms")
+		b.ReportMetric(float64(time.Since(began).Milliseconds()), "in-force-ms")
+	}
+}
+
+// BenchmarkRestart is the time from the start of all entry hosts' processes, with
+// the platform's service down, until they are ready and serve both agents.
+func BenchmarkRestart(b *testing.B) {
+	w := twoZones(b)
+	run(b, w, commandUntil, "shared", "e1")
+	if err := w.kill("platform"); err != nil {
+		b.Fatal(err)
+	}
+	for b.Loop() {
+		for _, name := range []string{"n1", "n2"} {
+			if err := w.kill(name); err != nil {
+				b.Fatal(err)
+			}
+		}
+		began := time.Now()
+		for _, name := range []string{"n1", "n2"} {
+			if err := w.restart(name); err != nil {
+				b.Fatal(err)
+			}
+		}
+		run(b, w, commandUntil, "ready", "n1", "n2")
+		run(b, w, commandUntil, "serving", "n1", "2")
+		run(b, w, commandUntil, "serving", "n2", "2")
+		b.ReportMetric(float64(time.Since(began).Milliseconds()), "ready-ms")
+	}
+}
+
+// twoZones has two entry hosts and two agents.
+func twoZones(b *testing.B) *world {
+	b.Helper()
+	w := newWorld(b, b.TempDir())
+	b.Cleanup(w.close)
+	run(b, w, commandPlatform)
+	run(b, w, commandEngine, "e1", "zone-a")
+	run(b, w, commandEngine, "e2", "zone-b")
+	run(b, w, commandSeeds, "e1", "e2")
+	run(b, w, commandEntry, "n1", "zone-a")
+	run(b, w, commandEntry, "n2", "zone-b")
+	run(b, w, commandUntil, "serving", "n1", "2")
+	run(b, w, commandUntil, "serving", "n2", "2")
+	run(b, w, commandUntil, "generation", "1", "n1", "n2", "e1", "e2")
+	return w
+}
+
+func run(b *testing.B, w *world, do command, arguments ...string) {
+	b.Helper()
+	if err := do(w, arguments); err != nil {
+		b.Fatal(err)
+	}
+}
