--- a/internal/process/beechagent/models.go
+++ b/internal/process/beechagent/models.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"errors"
+	"math/rand/v2"
 	"slices"
 	"time"
 
@@ -18,6 +20,12 @@
 	loadInterval = 200 * time.Millisecond
 	loadTimeout  = 2 * time.Minute
 	slotMargin   = 2 * time.Second
+
+	// slotPause and up to as much again lies between two requests for a load
+	// slot. Each costs the platform's service a lease and a write for each slot:
+	// asked for at every step, 17 engines that wait for three others would take
+	// 340 writes a second, and claims would be refused.
+	slotPause = 500 * time.Millisecond
 )
 
 // keepModels brings the engine to what the configuration asks for, until ctx
@@ -30,7 +38,14 @@
 	guard := beechfence.New(a.store, a.clock, a.settings.Backend, beechfence.Settings{})
 	defer a.closeGuard(guard)
 	slots := beechfence.NewSlots(a.store, a.clock, beechfence.Settings{})
-	return a.every(ctx, loadInterval, func() { a.stepModels(ctx, guard, slots) })
+	var next time.Time
+	return a.every(ctx, loadInterval, func() {
+		if a.clock.Now().Before(next) {
+			return
+		}
+		err := a.stepModels(ctx, guard, slots)
+		next = a.clock.Now().Add(pauseAfter(err))
+	})
 }
 
 // closeGuard gives the right to order back, so that the next agent of this
@@ -43,12 +58,21 @@
 	}
 }
 
-func (a *Agent) stepModels(ctx context.Context, guard *beechfence.Guard, slots *beechfence.Slots) {
+// pauseAfter is how long nothing is asked for after a step.
+func pauseAfter(err error) time.Duration {
+	var busy beechfence.Busy
+	if !errors.As(err, &busy) {
+		return 0
+	}
+	return slotPause + rand.N(slotPause)
+}
+
+func (a *Agent) stepModels(ctx context.Context, guard *beechfence.Guard, slots *beechfence.Slots) error {
 	configuration := a.holder.Current()
 	pool := a.pool()
 	report, alive := a.view.last()
 	if pool == nil || pool.Kind != engineKind || !alive || a.leaving.Load() {
-		return
+		return nil
 	}
 	plan := beechload.Plan(
 		[]beechload.Pool{{Name: pool.Name, Models: wantedModels(configuration, pool)}},
@@ -57,15 +81,17 @@
 	step, found := beechload.Next(plan, a.settings.Listen)
 	if !found {
 		a.view.retire(nil)
-		return
+		return nil
 	}
 	switch step := step.(type) {
 	case beechload.Load:
 		err := a.load(ctx, guard, slots, step.Model, configuration.Manifest.Targets.MaxLoads)
 		a.logOrder("load", step.Model, err)
+		return err
 	case beechload.Unload:
 		a.unload(ctx, guard, step.Model)
 	}
+	return nil
 }
 
 func wantedModels(configuration *beechmanifest.Configuration, pool *beechmanifest.Pool) []string {
