A booking's outcome is recorded also after its caller left

Cause: found by reading: when the caller of a request that may not be repeated left, or its deadline passed, the entry host gave the outcome up and the agent cut the service off at the deadline; a repeat was told 'unknown' for ever. Ruled out: keeping the caller waiting; having the agent record everything (two writes for each outcome). Conclusion: a graceful stop waits for these outcomes too.

--- a/internal/process/beechagent/stream.go
+++ b/internal/process/beechagent/stream.go
@@ -50,6 +50,10 @@
 	deadline := time.Time{}
 	if r.DeadlineMillis > 0 {
 		deadline = a.clock.Now().Add(time.Duration(r.DeadlineMillis) * time.Millisecond)
+	}
+	if r.Repeatable && !deadline.IsZero() {
+		// What may not be repeated goes on: cut off, its outcome would be
+		// unknown for ever.
 		ctx, cancel = deadlineContext(ctx, cancel, deadline)
 	}
 	g, added := a.library.add(newGeneration(r, a.clock.Now(), cancel))
--- a/internal/process/beechentry/dispatch.go
+++ b/internal/process/beechentry/dispatch.go
@@ -2,14 +2,11 @@
 
 import (
 	"context"
-	"errors"
-	"net/http"
 	"net/netip"
 	"time"
 
 	"go.uber.org/zap"
 
-	"github.com/beechring/beechring/internal/decision/beechhealth"
 	"github.com/beechring/beechring/internal/decision/beechroute"
 	"github.com/beechring/beechring/internal/decision/beechsuspect"
 	"github.com/beechring/beechring/internal/link/beechlink"
@@ -68,8 +65,11 @@
 	case f == nil:
 	case f.Ran == beechwire.RanNo:
 		e.giveBack(j)
-	case j.request.Claim != "":
-		go e.tellOwner(j, &beechwire.FinishAsk{RecordKey: j.request.RecordKey, Token: j.request.Claim})
+	case j.request.Claim == "":
+	case j.leftAt.IsValid():
+		e.background.Go(func() { e.settleLater(j) })
+	default:
+		e.background.Go(func() { e.abandon(j) })
 	}
 	return f
 }
@@ -240,210 +240,6 @@
 	return refused{beechwire.Refused{Reason: beechwire.ReasonServer, Message: "the link is down"}}
 }
 
-// follow gives a stream's replies to the caller. Where the link is lost it
-// joins the same generation again, so that a cut between two hosts costs the
-// caller nothing. A link that gives nothing each time it is joined is left:
-// joined again and again it would keep the caller and the host's processor busy
-// without end.
-func (e *Entry) follow(ctx context.Context, j *job, client *beechlink.Client, server netip.AddrPort, stream beechlink.Stream) ending {
-	idle := 0
-	for tries := 0; ; tries++ {
-		before := j.sequence
-		how, lost := e.drainStream(ctx, j, server, stream)
-		if _, isGone := how.(gone); isGone && tries > 0 {
-			// The agent was replaced meanwhile. What it was running is lost,
-			// as with a server that died.
-			return e.lostEnding(ctx)
-		}
-		if !lost {
-			return how
-		}
-		if idle++; j.sequence > before {
-			idle = 0
-		}
-		if idle > maxIdleJoins {
-			return e.lostEnding(ctx)
-		}
-		stream = e.reattach(ctx, j, client, client.Peer().Incarnation)
-		if stream == nil {
-			return e.lostEnding(ctx)
-		}
-	}
-}
-
-//go:noinline
-func (e *Entry) lostEnding(ctx context.Context) ending {
-	if ctx.Err() != nil {
-		return away{}
-	}
-	return broken{ran: beechwire.RanUnknown, reason: beechwire.ReasonGone}
-}
-
-// reattach joins the job's generation again over a new connection, or returns
-// nil when that fails for too long.
-func (e *Entry) reattach(ctx context.Context, j *job, client *beechlink.Client, incarnation uint64) beechlink.Stream {
-	e.numbers.Reattached.Add(1)
-	limit := e.clock.Now().Add(reattachTime)
-	for e.clock.Now().Before(limit) && ctx.Err() == nil {
-		stream, err := client.Reattach(ctx, beechwire.Reattach{
-			Workspace: j.workspace.Name, RequestID: j.request.ID, Incarnation: incarnation, After: j.sequence,
-		})
-		if err == nil {
-			return stream
-		}
-		e.clock.Sleep(reattachPause)
-	}
-	return nil
-}
-
-// drainStream takes replies until the last. Lost is true where the link was
-// lost before it.
-func (e *Entry) drainStream(ctx context.Context, j *job, server netip.AddrPort, stream beechlink.Stream) (how ending, lost bool) {
-	for {
-		reply, err := stream.Next(ctx)
-		if ctx.Err() != nil {
-			stream.Close(e.detach(ctx))
-			return away{}, false
-		}
-		if err != nil {
-			e.logLost(j, server, err)
-			stream.Close(true)
-			return nil, true
-		}
-		if how, over := e.takeReply(j, server, reply); over {
-			if _, left := how.(away); left {
-				stream.Close(true)
-			}
-			return how, false
-		}
-	}
-}
-
-func (e *Entry) logLost(j *job, server netip.AddrPort, err error) {
-	e.log.Warn("stream lost", beechlog.RequestID(j.request.ID), beechlog.Attempt(j.request.Attempt),
-		beechlog.Step("follow"), beechlog.Peer(server), zap.Error(err))
-}
-
-// takeReply gives one reply to the caller; over is true after the last.
-func (e *Entry) takeReply(j *job, server netip.AddrPort, reply beechlink.Reply) (how ending, over bool) {
-	switch r := reply.(type) {
-	case beechlink.HeadReply:
-		j.writer.head(answerHead{
-			status: r.Status, contentType: r.ContentType, headers: r.Headers,
-			at: placed{agent: server, incarnation: r.Incarnation, requestID: j.request.ID},
-		})
-	case beechlink.DataReply:
-		if err := e.take(j, r); err != nil {
-			return away{}, true
-		}
-	case beechlink.EndReply:
-		return e.finished(j, server, r.End), true
-	case beechlink.RefusedReply:
-		return e.refusedBy(server, r.Refused), true
-	case beechlink.FailedReply:
-		return e.failedBy(j, server, r.Failed), true
-	}
-	return nil, false
-}
-
-// detach tells whether a generation whose caller left goes on for its grace
-// time: yes for a lost caller, no once the caller's own deadline has passed.
-func (e *Entry) detach(ctx context.Context) bool {
-	return !errors.Is(context.Cause(ctx), context.DeadlineExceeded)
-}
-
-// take gives one piece to the caller and notes what a resume needs.
-func (e *Entry) take(j *job, r beechlink.DataReply) error {
-	if j.firstToken == 0 {
-		j.firstToken = max(1, e.clock.Since(j.began))
-	}
-	j.sequence = r.Sequence
-	if j.resumable {
-		j.note(r.Data.Data)
-	}
-	return j.writer.piece(r.Sequence, r.Data.Data)
-}
-
-// finished closes a whole answer and learns from it.
-func (e *Entry) finished(j *job, server netip.AddrPort, end beechwire.End) ending {
-	j.usage = end.Usage
-	e.fleet.report(server, end.Load)
-	e.learn(j, server, end)
-	if err := e.settle(j); err != nil {
-		e.log.Warn("outcome not recorded", beechlog.RequestID(j.request.ID), beechlog.Step("record"), zap.Error(err))
-	}
-	if err := j.writer.end(); err != nil {
-		return away{}
-	}
-	return whole{}
-}
-
-func (e *Entry) learn(j *job, server netip.AddrPort, end beechwire.End) {
-	e.suspects.Finished(j.request.Fingerprint)
-	firstToken := time.Duration(end.FirstTokenMicros) * time.Microsecond
-	queued := time.Duration(end.QueueMicros) * time.Microsecond
-	e.health.Observe(beechhealth.Sample{
-		Server: server, Model: j.target(), FirstToken: firstToken - queued, Tokens: max(0, end.Usage.Prompt-end.Usage.Cached),
-	})
-	if j.request.Service != "" || !end.Usage.Known {
-		return
-	}
-	e.estimator.Correct(j.request.PromptTokens, end.Usage.Prompt)
-	e.fleet.router.Learn(beechroute.Reply{
-		Server:       server,
-		Incarnation:  e.fleet.incarnation(server),
-		Model:        j.target(),
-		Levels:       j.routeLevels(),
-		PromptTokens: end.Usage.Prompt,
-		CachedTokens: end.Usage.Cached,
-		FirstToken:   firstToken,
-	})
-}
-
-func (e *Entry) refusedBy(server netip.AddrPort, r beechwire.Refused) ending {
-	e.fleet.report(server, r.Load)
-	e.fleet.router.Refused(server, time.Duration(r.AfterMillis)*time.Millisecond)
-	switch {
-	case r.Reason == beechwire.ReasonGone:
-		return gone{}
-	case r.Reason == beechwire.ReasonGeneration && r.Generation > e.holder.Generation():
-		return stale{}
-	case r.Reason == beechwire.ReasonGeneration && r.Generation == e.holder.Generation():
-		return stale{}
-	}
-	return refused{r}
-}
-
-func (e *Entry) failedBy(j *job, server netip.AddrPort, r beechwire.Failed) ending {
-	e.health.Observe(beechhealth.Sample{Server: server, Model: j.target(), Failed: true})
-	if r.Crashed {
-		j.request.Crashes++
-		e.suspects.Merge([]beechsuspect.Record{{Fingerprint: j.request.Fingerprint, Crashes: j.request.Crashes}})
-		e.fleet.dialer.Push()
-	}
-	return broken{ran: ranOf(r.Ran), crashed: r.Crashed, reason: r.Reason}
-}
-
-// readmit brings a job that was refused as stale under the newer
-// configuration. Nothing of it ran.
-func (e *Entry) readmit(ctx context.Context, j *job, agent netip.AddrPort) *failure {
-	pulling, cancel := context.WithTimeout(ctx, callTimeout)
-	defer cancel()
-	e.pull(pulling, agent)
-	configuration := e.holder.Current()
-	workspace, known := configuration.Workspace(j.workspace.Name)
-	if !known {
-		return notRun(http.StatusUnauthorized, typeKey, "invalid_api_key", "the workspace was removed")
-	}
-	j.configuration = configuration
-	j.workspace = workspace
-	j.request.Generation = configuration.Generation
-	if j.prompt == nil {
-		return nil
-	}
-	return e.resolveModel(j)
-}
-
 func (whole) ending()   {}
 func (refused) ending() {}
 func (broken) ending()  {}
--- a/internal/process/beechentry/entry.go
+++ b/internal/process/beechentry/entry.go
@@ -10,6 +10,7 @@
 	randv2 "math/rand/v2"
 	"net"
 	"net/http"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -67,6 +68,7 @@
 		leaving    atomic.Bool
 		restored   atomic.Bool // what other entries left with agents was asked for
 		streams    atomic.Int64
+		background sync.WaitGroup // outcomes that are followed for callers that left
 	}
 )
 
@@ -184,9 +186,22 @@
 	if err := e.http.Shutdown(ctx); err != nil && !errors.Is(err, http.ErrServerClosed) {
 		return fmt.Errorf("drain: %w", err)
 	}
+	e.awaitBackground(ctx)
 	return nil
 }
 
+func (e *Entry) awaitBackground(ctx context.Context) {
+	done := make(chan struct{})
+	go func() {
+		e.background.Wait()
+		close(done)
+	}()
+	select {
+	case <-done:
+	case <-ctx.Done():
+	}
+}
+
 func (e *Entry) ready() bool {
 	return !e.leaving.Load() && e.restored.Load() && e.holder.Current() != nil && e.fleet.linked() > 0
 }
--- a/internal/process/beechentry/judge.go
+++ b/internal/process/beechentry/judge.go
@@ -21,6 +21,7 @@
 	case whole:
 		return false, nil
 	case away:
+		j.leftAt = server
 		return false, e.awayFailure(ctx, j)
 	case stale:
 		return false, j.withRan(busy(http.StatusServiceUnavailable, "configuration_changing", time.Second, "the configuration is changing"))
@@ -117,9 +118,6 @@
 	return j.withRan(f)
 }
 
-// withRan keeps a refusal from saying that nothing ran where an earlier attempt
-// did: the caller would send again what has partly been done, or count it as
-// never begun.
 // noteRan keeps the most that is known of all attempts: one that surely ran is
 // not made doubtful by a later one that may have.
 func (j *job) noteRan(ran string) {
@@ -128,6 +126,9 @@
 	}
 }
 
+// withRan keeps a refusal from saying that nothing ran where an earlier attempt
+// did: the caller would send again what has partly been done, or count it as
+// never begun.
 func (j *job) withRan(f *failure) *failure {
 	if j.ran != "" {
 		f.Ran = j.ran
--- a/internal/process/beechentry/once.go
+++ b/internal/process/beechentry/once.go
@@ -205,22 +205,6 @@
 	}
 }
 
-// settle records the outcome of a request that may not be repeated, before its
-// caller sees the answer, so that a repeat right after it gets the same answer.
-// If that fails the caller still gets its answer, and a repeat is told that the
-// outcome is unknown.
-func (e *Entry) settle(j *job) error {
-	p, plain := j.writer.(*plainWriter)
-	if j.request.Claim == "" || !plain {
-		return nil
-	}
-	ctx, cancel := context.WithTimeout(context.Background(), finishTimeout)
-	defer cancel()
-	return e.callOwner(ctx, j, beechwire.MethodFinish, &beechwire.FinishAsk{
-		RecordKey: j.request.RecordKey, Token: j.request.Claim, Status: p.status, ContentType: p.contentType, Answer: p.body,
-	}, nil)
-}
-
 // giveBack frees the key of a request that was proved not run.
 func (e *Entry) giveBack(j *job) {
 	if j.request.RecordKey == "" {
--- a/internal/process/beechentry/writer.go
+++ b/internal/process/beechentry/writer.go
@@ -191,3 +191,15 @@
 }
 
 func (p *plainWriter) fresh() bool { return !p.written }
+
+// discard is the caller of an answer that nobody waits for any more.
+type discard struct{}
+
+// Header implements http.ResponseWriter.
+func (discard) Header() http.Header { return http.Header{} }
+
+// Write implements http.ResponseWriter.
+func (discard) Write(b []byte) (int, error) { return len(b), nil }
+
+// WriteHeader implements http.ResponseWriter.
+func (discard) WriteHeader(int) {}
