--- a/internal/platform/beechrecord/records_test.go
+++ b/internal/platform/beechrecord/records_test.go
@@ -264,6 +264,98 @@
 	}
 }
 
+// A shard has more segments than its agent's budget of calls allows at once,
+// as when an agent takes over after another's death. It must get there in
+// several tries, or the shard's bookings are refused until the retention ends.
+func TestLongChainLoadsWithinBudget(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		clock := clockwork.NewRealClock()
+		store := beechstore.NewFake(clock)
+		first := New(store, clock, Settings{Shards: 1, SegmentBytes: 300})
+		defer first.Close()
+		granted := claimAs(first, "one").(Granted)
+		is.NoErr(first.Finish(context.Background(), testKey, granted.Token, booked))
+		for i := range 400 {
+			first.Claim(context.Background(), Key{Name: fmt.Sprint(i)}, testBody, "r")
+		}
+		is.True(len(readIndex(t, store).Segments) > 100)
+		heir := New(&budgeted{Fake: store, clock: clock}, clock, Settings{Shards: 1})
+		defer heir.Close()
+		var answer Answer
+		for tries := 0; tries < 100; tries++ {
+			answer = claimAs(heir, "two")
+			if _, refused := answer.(Refused); !refused {
+				break
+			}
+			time.Sleep(100 * time.Millisecond)
+		}
+		is.Equal(answer, doneAs("one"))
+	})
+}
+
+// One agent owns each shard and callers claim all the time. Its budget of
+// calls is far below what the shards would use; claims are grouped further
+// rather than refused.
+func TestClaimsFitTheBudget(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		clock := clockwork.NewRealClock()
+		r := New(&budgeted{Fake: beechstore.NewFake(clock), clock: clock}, clock, Settings{Shards: 8})
+		defer r.Close()
+		var wait sync.WaitGroup
+		for i := range 200 {
+			wait.Go(func() {
+				for n := range 20 {
+					key := Key{Name: fmt.Sprintf("%d-%d", i, n)}
+					granted, ok := r.Claim(context.Background(), key, testBody, "r").(Granted)
+					is.True(ok)
+					is.NoErr(r.Finish(context.Background(), key, granted.Token, booked))
+				}
+			})
+		}
+		wait.Wait()
+	})
+}
+
+// budgeted allows a burst of 50 calls, then 50 a second, as the client does.
+type budgeted struct {
+	*beechstore.Fake
+	clock clockwork.Clock
+
+	mu   sync.Mutex
+	full time.Time // when the whole burst is there again
+}
+
+func (b *budgeted) spend(step string) error {
+	const interval, burst = 20 * time.Millisecond, 50
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	now := b.clock.Now()
+	if b.full.Before(now) {
+		b.full = now
+	}
+	if wait := b.full.Sub(now) - (burst-1)*interval; wait > 0 {
+		return beechstore.OverBudget{Step: step, After: wait}
+	}
+	b.full = b.full.Add(interval)
+	return nil
+}
+
+func (b *budgeted) Get(ctx context.Context, key string, i beechstore.Importance) (beechstore.Value, error) {
+	if err := b.spend("get " + key); err != nil {
+		return beechstore.Value{}, err
+	}
+	return b.Fake.Get(ctx, key, i)
+}
+
+func (b *budgeted) CompareAndSwap(ctx context.Context, key string, version uint64, data []byte, lease string, i beechstore.Importance) (beechstore.Value, error) {
+	if err := b.spend("compare and swap " + key); err != nil {
+		return beechstore.Value{}, err
+	}
+	return b.Fake.CompareAndSwap(ctx, key, version, data, lease, i)
+}
+
 // Answers that are small alone could together outgrow the value that holds
 // them, and then no outcome of the segment could be recorded any more.
 func TestAnswersNeverOutgrowTheSegment(t *testing.T) {
@@ -280,14 +372,20 @@
 			wait.Go(func() { is.NoErr(r.Finish(context.Background(), key, token, answer)) })
 		}
 		wait.Wait()
+		var mu sync.Mutex
 		complete := 0
 		for key := range tokens {
-			done, ok := r.Claim(context.Background(), key, testBody, "again").(Done)
-			is.True(ok)
-			if done.Complete {
-				complete++
-			}
+			wait.Go(func() {
+				done, ok := r.Claim(context.Background(), key, testBody, "again").(Done)
+				is.True(ok)
+				mu.Lock()
+				defer mu.Unlock()
+				if done.Complete {
+					complete++
+				}
+			})
 		}
+		wait.Wait()
 		is.True(complete > 100 && complete < 700)
 		is.Equal(r.Unrecorded(), 0)
 	})
--- a/internal/platform/beechrecord/shard.go
+++ b/internal/platform/beechrecord/shard.go
@@ -18,8 +18,7 @@
 		settings Settings
 		arrivals chan *operation
 
-		// After a failure nothing is tried until downUntil: each claim would
-		// wait for the same answer, and its caller with it.
+		// After some failures nothing is tried until downUntil, see holdBack.
 		down      error
 		downUntil time.Time
 
@@ -66,7 +65,10 @@
 const (
 	settlePause = 20 * time.Millisecond
 	holdOff     = 250 * time.Millisecond
-	slowFailure = 100 * time.Millisecond
+	// budgetWait is how long a batch waits for the process's budget of calls.
+	// It grows meanwhile, so that claims share the calls there are; refused,
+	// they would come again and cost more.
+	budgetWait = 100 * time.Millisecond
 )
 
 var (
@@ -117,6 +119,23 @@
 	return batch
 }
 
+// holdBack keeps the next batches from being tried. A service that does not
+// answer would have each of them wait as long, and their callers with them; a
+// bad value would be read again for each. A service that refuses at once costs
+// nothing, and is tried again at once.
+func (s *shard) holdBack(err error, took time.Duration) {
+	var refused beechstore.Refused
+	var over beechstore.OverBudget
+	s.down, s.downUntil = err, time.Time{}
+	switch {
+	case errors.As(err, &over):
+	case !errors.As(err, &refused):
+		s.downUntil = s.clock.Now().Add(holdOff)
+	case took > holdOff:
+		s.downUntil = s.clock.Now().Add(took)
+	}
+}
+
 func (s *shard) heldOff() bool { return s.clock.Now().Before(s.downUntil) }
 
 func (s *shard) drain(batch []*operation) []*operation {
@@ -136,13 +155,13 @@
 func (s *shard) process(ctx context.Context, batch []*operation) {
 	ctx, cancel := clockwork.WithTimeout(ctx, s.clock, s.settings.CallTimeout)
 	defer cancel()
+	defer s.chain.compact()
 	batch = dropExpired(batch)
 	if s.heldOff() {
 		deliverAll(batch, failure(false, s.down))
 		return
 	}
-	lost := false
-	began := s.clock.Now()
+	lost, began := false, s.clock.Now()
 	for {
 		rest, err := s.try(ctx, batch)
 		if err == nil && len(rest) == 0 {
@@ -152,18 +171,24 @@
 		var conflict beechstore.Conflict
 		var unknown beechstore.UnknownOutcome
 		var before beforeWrite
+		var over beechstore.OverBudget
 		switch {
+		case errors.As(err, &over) && over.After <= budgetWait:
+			s.pause(ctx, over.After)
+			if !lost {
+				batch = s.drain(batch)
+			}
 		case err == nil, errors.As(err, &conflict) && !errors.As(err, &before):
 		case errors.As(err, &unknown) && !errors.As(err, &before):
 			lost = true
 		case lost && ctx.Err() == nil:
 		default:
-			s.holdOffAfter(began, err)
+			s.holdBack(err, s.clock.Since(began))
 			deliverAll(batch, failure(lost, err))
 			return
 		}
 		if lost {
-			s.pause(ctx)
+			s.pause(ctx, settlePause)
 		}
 		if ctx.Err() != nil {
 			deliverAll(batch, failure(lost, errTooSlow))
@@ -172,18 +197,6 @@
 	}
 }
 
-// holdOffAfter remembers a failure. The service's own refusal that came at once
-// is not remembered: asking again costs the next claim nothing, and the service
-// may be back.
-func (s *shard) holdOffAfter(began time.Time, err error) {
-	now := s.clock.Now()
-	var refused beechstore.Refused
-	if errors.As(err, &refused) && now.Sub(began) < slowFailure {
-		return
-	}
-	s.down, s.downUntil = err, now.Add(holdOff)
-}
-
 // dropExpired leaves out what nobody waits for any more: a claim whose caller
 // is gone would be granted to no one and stay unknown for ever.
 func dropExpired(batch []*operation) []*operation {
@@ -198,10 +211,10 @@
 	return live
 }
 
-func (s *shard) pause(ctx context.Context) {
+func (s *shard) pause(ctx context.Context, d time.Duration) {
 	select {
 	case <-ctx.Done():
-	case <-s.clock.After(settlePause):
+	case <-s.clock.After(d):
 	}
 }
 
--- a/internal/platform/beechstore/client.go
+++ b/internal/platform/beechstore/client.go
@@ -7,12 +7,10 @@
 	"errors"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"net/netip"
 	"net/url"
 	"strconv"
-	"strings"
 	"sync/atomic"
 	"time"
 
@@ -51,13 +49,15 @@
 		importance Importance
 		timeout    time.Duration
 		write      bool
+		versioned  bool // its reply must name a version
 	}
 
 	// reply is a whole answer of the service.
 	reply struct {
-		status  int
-		version uint64
-		body    []byte
+		status    int
+		version   uint64
+		versioned bool // the reply names a version
+		body      []byte
 	}
 )
 
@@ -98,7 +98,7 @@
 }
 
 func (c *client) Get(ctx context.Context, key string, importance Importance) (Value, error) {
-	r, err := c.retry(ctx, call{step: "get " + key, method: http.MethodGet, path: valuePath(key), importance: importance})
+	r, err := c.retry(ctx, call{step: "get " + key, method: http.MethodGet, path: valuePath(key), importance: importance, versioned: true})
 	return r.value(key), err
 }
 
@@ -109,7 +109,7 @@
 	}
 	r, err := c.retry(ctx, call{
 		step: "compare and swap " + key, method: http.MethodPut, path: valuePath(key),
-		header: h, body: data, importance: importance, write: true,
+		header: h, body: data, importance: importance, write: true, versioned: true,
 	})
 	if err != nil {
 		return Value{}, err
@@ -132,7 +132,7 @@
 	}
 	r, err := c.retry(ctx, call{
 		step: "watch " + key, method: http.MethodGet, path: valuePath(key) + "?" + query.Encode(),
-		importance: importance, timeout: MaxWait + c.settings.CallTimeout,
+		importance: importance, timeout: MaxWait + c.settings.CallTimeout, versioned: true,
 	})
 	return r.value(key), err
 }
@@ -231,8 +231,8 @@
 	if err != nil {
 		return reply{}, c.failed(l, err)
 	}
-	version, _ := strconv.ParseUint(response.Header.Get(HeaderVersion), 10, 64)
-	r := reply{status: response.StatusCode, version: version, body: body}
+	version, err := strconv.ParseUint(response.Header.Get(HeaderVersion), 10, 64)
+	r := reply{status: response.StatusCode, version: version, versioned: err == nil, body: body}
 	return r, c.judge(l, r, response.Header)
 }
 
@@ -252,46 +252,6 @@
 	return request, nil
 }
 
-// failed sorts a call without an answer: a connection that was never made
-// carried nothing, so the write surely did not take effect.
-func (c *client) failed(l call, err error) error {
-	peer := c.peer()
-	c.address.Add(1)
-	var op *net.OpError
-	if l.write && !(errors.As(err, &op) && op.Op == "dial") {
-		return UnknownOutcome{Step: l.step, Peer: peer, Err: err}
-	}
-	return Refused{Step: l.step, Peer: peer, After: c.settings.Backoff, Err: err}
-}
-
-func (c *client) judge(l call, r reply, h http.Header) error {
-	err := fmt.Errorf("status %d: %s", r.status, strings.TrimSpace(string(r.body[:min(len(r.body), 256)])))
-	switch r.status {
-	case http.StatusOK:
-		return nil
-	case http.StatusNotFound:
-		if l.method == http.MethodGet {
-			return nil
-		}
-		return Refused{Step: l.step, Peer: c.peer(), Err: err}
-	case http.StatusPreconditionFailed:
-		return Conflict{Step: l.step, Peer: c.peer(), Current: r.version}
-	case http.StatusTooManyRequests, http.StatusServiceUnavailable:
-		return Refused{Step: l.step, Peer: c.peer(), After: c.retryAfter(h), Err: err}
-	case http.StatusBadRequest, http.StatusUnauthorized, http.StatusForbidden, http.StatusRequestEntityTooLarge:
-		return Refused{Step: l.step, Peer: c.peer(), Err: err}
-	}
-	return c.failed(l, err)
-}
-
-func (c *client) retryAfter(h http.Header) time.Duration {
-	seconds, err := strconv.Atoi(h.Get("Retry-After"))
-	if err != nil || seconds <= 0 {
-		return c.settings.Backoff
-	}
-	return time.Duration(seconds) * time.Second
-}
-
 func (c *client) peer() string {
 	n := len(c.settings.Addresses)
 	if n == 0 {
--- a/internal/process/beechagent/agent.go
+++ b/internal/process/beechagent/agent.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"crypto/tls"
-	"errors"
 	"fmt"
 	"net"
 	"sync"
@@ -24,6 +23,7 @@
 	"github.com/beechring/beechring/internal/process/beechlog"
 	"github.com/beechring/beechring/internal/process/beechmemory"
 	"github.com/beechring/beechring/internal/process/beechsettings"
+	"github.com/beechring/beechring/internal/process/beechtask"
 	"github.com/beechring/beechring/internal/prompt/beechindex"
 )
 
@@ -71,12 +71,6 @@
 		runs       sync.WaitGroup
 		work       atomic.Uint64
 	}
-
-	// service is one supervised closure.
-	service struct {
-		name string
-		run  func(ctx context.Context) error
-	}
 )
 
 const (
@@ -87,6 +81,7 @@
 	prefillWait     = 2 * time.Second
 	maxWait         = 30 * time.Second // callers without a deadline
 	shutdownTimeout = 2 * time.Second
+	recordsPause    = 20 * time.Millisecond
 )
 
 // New makes an agent and opens its listeners, so that an address that is
@@ -138,15 +133,15 @@
 		return err
 	}
 	a.supervisor = suture.New("agent", suture.Spec{EventHook: beechlog.SupervisorHook(a.log)})
-	a.supervisor.Add(service{"admin", admin})
+	a.supervisor.Add(beechtask.Task{Name: "admin", Run: admin})
 	a.supervisor.Add(beechmemory.New(a.clock))
-	a.supervisor.Add(service{"scheduler", a.scheduler.serve})
-	a.supervisor.Add(service{"library", a.sweep})
-	a.supervisor.Add(service{"report", a.watchReport})
-	a.supervisor.Add(service{"cache events", a.watchCache})
-	a.supervisor.Add(service{"configuration", a.watchConfiguration})
-	a.supervisor.Add(service{"apply configuration", a.applyConfigurations})
-	a.supervisor.Add(service{"loads", a.keepModels})
+	a.supervisor.Add(beechtask.Task{Name: "scheduler", Run: a.scheduler.serve})
+	a.supervisor.Add(beechtask.Task{Name: "library", Run: a.sweep})
+	a.supervisor.Add(beechtask.Task{Name: "report", Run: a.watchReport})
+	a.supervisor.Add(beechtask.Task{Name: "cache events", Run: a.watchCache})
+	a.supervisor.Add(beechtask.Task{Name: "configuration", Run: a.watchConfiguration})
+	a.supervisor.Add(beechtask.Task{Name: "apply configuration", Run: a.applyConfigurations})
+	a.supervisor.Add(beechtask.Task{Name: "loads", Run: a.keepModels})
 	return nil
 }
 
@@ -187,12 +182,14 @@
 	if err := a.server.Drain(ctx); err != nil {
 		return fmt.Errorf("drain: %w", err)
 	}
+	a.awaitRuns(ctx)
 	return a.finishRecords(ctx)
 }
 
-func (a *Agent) finishRecords(ctx context.Context) error {
-	closing, cancel := context.WithTimeout(ctx, shutdownTimeout)
-	defer cancel()
+// awaitRuns lets what may not be repeated end. Generations whose callers are
+// gone are cancelled: nobody can come back to them any more.
+func (a *Agent) awaitRuns(ctx context.Context) {
+	a.library.cancelRepeatable()
 	done := make(chan struct{})
 	go func() {
 		a.runs.Wait()
@@ -200,7 +197,22 @@
 	}()
 	select {
 	case <-done:
-	case <-closing.Done():
+	case <-ctx.Done():
+	}
+}
+
+// finishRecords waits until the outcomes known here are in the platform's
+// service. One that is lost with this process would be told as unknown.
+func (a *Agent) finishRecords(ctx context.Context) error {
+	closing, cancel := context.WithTimeout(ctx, shutdownTimeout)
+	defer cancel()
+	_ = beechtask.Every(closing, a.clock, recordsPause, func() {
+		if a.records.Unrecorded() == 0 {
+			cancel()
+		}
+	})
+	if left := a.records.Unrecorded(); left > 0 {
+		a.log.Warn("outcomes not recorded", beechlog.Step("drain"), zap.Int("left", left))
 	}
 	a.records.Close()
 	return nil
@@ -224,15 +236,3 @@
 		a.log.Warn("links listen beyond loopback without TLS", zap.Stringer("listen", a.settings.Listen))
 	}
 }
-
-// Serve implements suture.Service.
-func (s service) Serve(ctx context.Context) error {
-	err := s.run(ctx)
-	if err != nil && !errors.Is(err, context.Canceled) {
-		return fmt.Errorf("%s: %w", s.name, err)
-	}
-	return err
-}
-
-// String names the service in the supervisor's log lines.
-func (s service) String() string { return s.name }
--- a/internal/process/beechagent/models.go
+++ b/internal/process/beechagent/models.go
@@ -14,6 +14,7 @@
 	"github.com/beechring/beechring/internal/platform/beechmanifest"
 	"github.com/beechring/beechring/internal/process/beechbackend"
 	"github.com/beechring/beechring/internal/process/beechlog"
+	"github.com/beechring/beechring/internal/process/beechtask"
 )
 
 const (
@@ -39,7 +40,7 @@
 	defer a.closeGuard(guard)
 	slots := beechfence.NewSlots(a.store, a.clock, beechfence.Settings{})
 	var next time.Time
-	return a.every(ctx, loadInterval, func() {
+	return beechtask.Every(ctx, a.clock, loadInterval, func() {
 		if a.clock.Now().Before(next) {
 			return
 		}
--- a/internal/process/beechentry/service.go
+++ b/internal/process/beechentry/service.go
@@ -6,24 +6,12 @@
 
 	"github.com/beechring/beechring/internal/link/beechwire"
 	"github.com/beechring/beechring/internal/platform/beechmanifest"
+	"github.com/beechring/beechring/internal/process/beechshare"
 )
 
 // serveService relays a call of a plain service as it is.
 func (e *Entry) serveService(w http.ResponseWriter, r *http.Request) {
-	began := e.clock.Now()
-	configuration, workspace, f := e.authenticate(r)
-	if f != nil {
-		f.write(w)
-		return
-	}
-	j, f := e.readService(w, r, configuration, workspace)
-	if f != nil {
-		e.observeRefusal(workspace.Name, f)
-		f.write(w)
-		return
-	}
-	j.began = began
-	e.admitAndRun(w, r, j)
+	e.serve(w, r, e.readService)
 }
 
 func (e *Entry) readService(w http.ResponseWriter, r *http.Request, c *beechmanifest.Configuration, workspace *beechmanifest.Workspace) (*job, *failure) {
@@ -60,6 +48,7 @@
 		Method:      r.Method,
 		Path:        path,
 		ContentType: r.Header.Get("Content-Type"),
+		Headers:     beechshare.WireRequestHeaders(r.Header),
 		Generation:  c.Generation,
 		Priority:    c.Priority(workspace.Priority),
 		Repeatable:  !once,
