Give apply a budget of calls for thousands of workspaces

Cause: publishing a change of one of 9,300 workspaces reads 257 parts back, at the 50 calls a second of a process that stays: 4.85 s before anyone hears of it, with 5 s promised for everywhere. Ruled out: not reading them back (a lost part would make an accepted generation that no process can take). Change: 500 calls a second for apply, a quarter of what the service takes.

--- a/internal/command/beechcommand/apply.go
+++ b/internal/command/beechcommand/apply.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"net/http"
 	"net/netip"
 	"time"
 
@@ -35,6 +36,12 @@
 const (
 	newestBase   = -1
 	applyTimeout = 15 * time.Second
+
+	// applyCalls is the budget of calls a second. A manifest of 9,300 workspaces
+	// has 257 parts that are read back; at the 50 a second of a process that
+	// stays, a change would take 5 s before anyone could hear of it. It is a
+	// quarter of what the service takes.
+	applyCalls = 500
 )
 
 var errPlatform = errors.New("give the platform's address as --platform IP:PORT")
@@ -79,7 +86,7 @@
 	ctx, cancel := context.WithTimeout(c.Context(), flags.timeout)
 	defer cancel()
 	clock := clockwork.NewRealClock()
-	store := newStore(addresses, flags.key, clock)
+	store := beechstore.New(beechstore.Settings{Addresses: addresses, Key: flags.key, CallsPerSecond: applyCalls}, &http.Client{}, clock)
 	base, err := baseGeneration(ctx, store, flags.base)
 	if err != nil {
 		return &refusedError{err}
--- a/internal/standin/beechplatform/manifest_test.go
+++ b/internal/standin/beechplatform/manifest_test.go
@@ -62,3 +62,36 @@
 		t.Fatal("no configuration within many times what its reads take at the budget's rate")
 	}
 }
+
+// BenchmarkPublish changes one of 9,300 workspaces, with the budget of calls of a
+// process that stays, and with that of apply.
+func BenchmarkPublish(b *testing.B) {
+	for _, calls := range []int{50, 500} {
+		b.Run(fmt.Sprint("calls=", calls), func(b *testing.B) { publishOne(b, calls) })
+	}
+}
+
+func publishOne(b *testing.B, calls int) {
+	b.Helper()
+	clock := clockwork.NewRealClock()
+	s := start(b, Settings{}, beechstore.Settings{})
+	address := netip.MustParseAddrPort(s.http.Listener.Addr().String())
+	ctx := context.Background()
+	m := manyWorkspaces(9300)
+	if first := beechmanifest.Publish(ctx, s.store, clock, 0, m); first != (beechmanifest.Accepted{Generation: 1}) {
+		b.Fatal(first)
+	}
+	generation := uint64(1)
+	for b.Loop() {
+		m.Workspaces[7].RequestsPerMin++
+		before := s.platform.Counts()
+		operator := beechstore.New(beechstore.Settings{Addresses: []netip.AddrPort{address}, CallsPerSecond: calls}, s.http.Client(), clock)
+		if got := beechmanifest.Publish(ctx, operator, clock, generation, m); got != (beechmanifest.Accepted{Generation: generation + 1}) {
+			b.Fatal(got)
+		}
+		generation++
+		after := s.platform.Counts()
+		b.ReportMetric(float64(after.Reads-before.Reads), "reads")
+		b.ReportMetric(float64(after.Writes-before.Writes), "writes")
+	}
+}
