Say what of a request its handler may change

The link reads BodyBytes of it after the handler has begun, and nothing else; the agent writes only Alone. The race detector finds nothing in beechlink's tests.

--- a/internal/link/beechlink/types.go
+++ b/internal/link/beechlink/types.go
@@ -59,8 +59,9 @@
 
 	// StreamHandler serves streams at the agent, each in its goroutine.
 	StreamHandler interface {
-		// Open's r is the handler's own. It is a pointer since a copy would
-		// stay on the stack of every open stream.
+		// Open's r is the handler's, but for BodyBytes, which the link still
+		// reads. It is a pointer since a copy would stay on the stack of every
+		// open stream.
 		Open(ctx context.Context, s ServerStream, r *beechwire.Request, body []byte)
 		Reattach(ctx context.Context, s ServerStream, r beechwire.Reattach)
 	}
