Name the results of an attempt by the field's words

Cause: read as a newcomer: whole, broken, gone and away said little. Change: completed, interrupted, expired and callerLeft; behaviour as it was. Conclusion: judge.go now reads as a table of them.

--- a/internal/process/beechentry/dispatch.go
+++ b/internal/process/beechentry/dispatch.go
@@ -15,18 +15,18 @@
 )
 
 type (
-	// ending is how one attempt ended: whole, refused, broken, stale, gone or
-	// away.
-	ending interface{ ending() }
+	// attemptResult is how one attempt ended: completed, refused, interrupted,
+	// stale, expired or callerLeft.
+	attemptResult interface{ attemptResult() }
 
-	// whole is an answer that was given to its end.
-	whole struct{}
+	// completed is an answer that was given to its end.
+	completed struct{}
 
 	// refused was not run.
 	refused struct{ beechwire.Refused }
 
-	// broken was begun, or may have been.
-	broken struct {
+	// interrupted was begun, or may have been.
+	interrupted struct {
 		ran     string
 		crashed bool
 		reason  string
@@ -35,11 +35,11 @@
 	// stale was refused, not run, since the agent has a newer configuration.
 	stale struct{}
 
-	// gone is a generation to be joined that is not kept any more.
-	gone struct{}
+	// expired is a generation to be joined that is not kept any more.
+	expired struct{}
 
-	// away is a caller that left.
-	away struct{}
+	// callerLeft is a caller that went away.
+	callerLeft struct{}
 )
 
 const (
@@ -79,15 +79,15 @@
 	staleCount := 0
 	for {
 		j.request.Attempt++
-		server, how := e.attempt(ctx, j)
-		if _, isStale := how.(stale); isStale && staleCount < maxStale {
+		server, result := e.attempt(ctx, j)
+		if _, isStale := result.(stale); isStale && staleCount < maxStale {
 			staleCount++
 			if f := e.readmit(ctx, j, server); f != nil {
 				return j.withRan(f)
 			}
 			continue
 		}
-		again, f := e.judge(ctx, j, server, how)
+		again, f := e.judge(ctx, j, server, result)
 		if !again {
 			return f
 		}
@@ -99,19 +99,19 @@
 // stay on the stack of every open stream. With some hundred bytes more on them
 // the runtime keeps 16 KB for each stream's stack where 8 KB are enough, since
 // it halves a stack only while less than a quarter of it is in use.
-func (e *Entry) attempt(ctx context.Context, j *job) (netip.AddrPort, ending) {
+func (e *Entry) attempt(ctx context.Context, j *job) (netip.AddrPort, attemptResult) {
 	if j.attach != nil {
 		return e.joinPlaced(ctx, j)
 	}
-	candidate, how := e.candidate(j)
-	if how != nil {
-		return netip.AddrPort{}, how
+	candidate, result := e.candidate(j)
+	if result != nil {
+		return netip.AddrPort{}, result
 	}
 	return candidate.Server, e.send(ctx, j, candidate)
 }
 
 //go:noinline
-func (e *Entry) joinPlaced(ctx context.Context, j *job) (netip.AddrPort, ending) {
+func (e *Entry) joinPlaced(ctx context.Context, j *job) (netip.AddrPort, attemptResult) {
 	target := *j.attach
 	j.attach = nil
 	return target.agent, e.join(ctx, j, target)
@@ -120,9 +120,9 @@
 // candidate is the server to send the job to, or why there is none.
 //
 //go:noinline
-func (e *Entry) candidate(j *job) (*beechroute.Candidate, ending) {
-	if how := e.checkSuspect(j); how != nil {
-		return nil, how
+func (e *Entry) candidate(j *job) (*beechroute.Candidate, attemptResult) {
+	if result := e.checkSuspect(j); result != nil {
+		return nil, result
 	}
 	if candidate := e.choose(j); candidate != nil {
 		return candidate, nil
@@ -130,14 +130,14 @@
 	return nil, noServer()
 }
 
-func noServer() ending {
+func noServer() attemptResult {
 	return refused{beechwire.Refused{
 		Reason: beechwire.ReasonModel, Message: "no backend server offers it", AfterMillis: time.Second.Milliseconds(),
 	}}
 }
 
 // checkSuspect refuses a request that keeps crashing engines.
-func (e *Entry) checkSuspect(j *job) ending {
+func (e *Entry) checkSuspect(j *job) attemptResult {
 	j.request.Alone = false
 	switch v := e.suspects.Check(j.request.Fingerprint).(type) {
 	case beechsuspect.Refuse:
@@ -198,25 +198,25 @@
 }
 
 // send opens a stream to the server and follows it.
-func (e *Entry) send(ctx context.Context, j *job, candidate *beechroute.Candidate) ending {
+func (e *Entry) send(ctx context.Context, j *job, candidate *beechroute.Candidate) attemptResult {
 	client := e.fleet.client(candidate.Server)
 	if client == nil {
 		return refusedByDown()
 	}
 	defer e.fleet.router.Finished(candidate.Server)
-	stream, how := e.open(ctx, j, client, candidate)
-	if how != nil {
-		return how
+	stream, result := e.open(ctx, j, client, candidate)
+	if result != nil {
+		return result
 	}
 	return e.follow(ctx, j, client, candidate.Server, stream)
 }
 
 //go:noinline
-func refusedByDown() ending {
+func refusedByDown() attemptResult {
 	return refused{beechwire.Refused{Reason: beechwire.ReasonServer}}
 }
 
-func (e *Entry) open(ctx context.Context, j *job, client *beechlink.Client, candidate *beechroute.Candidate) (beechlink.Stream, ending) {
+func (e *Entry) open(ctx context.Context, j *job, client *beechlink.Client, candidate *beechroute.Candidate) (beechlink.Stream, attemptResult) {
 	j.uncached = candidate.Uncached
 	j.startOver()
 	j.request.DeadlineMillis = j.remaining(time.Now())
@@ -232,17 +232,17 @@
 }
 
 // openFailure tells what an error of Open means: nothing was sent.
-func (e *Entry) openFailure(ctx context.Context, err error) ending {
+func (e *Entry) openFailure(ctx context.Context, err error) attemptResult {
 	if ctx.Err() != nil {
-		return away{}
+		return callerLeft{}
 	}
 	e.log.Info("stream not opened", beechlog.Step("open"), zap.Error(err))
 	return refused{beechwire.Refused{Reason: beechwire.ReasonServer, Message: "the link is down"}}
 }
 
-func (whole) ending()   {}
-func (refused) ending() {}
-func (broken) ending()  {}
-func (stale) ending()   {}
-func (gone) ending()    {}
-func (away) ending()    {}
+func (completed) attemptResult()   {}
+func (refused) attemptResult()     {}
+func (interrupted) attemptResult() {}
+func (stale) attemptResult()       {}
+func (expired) attemptResult()     {}
+func (callerLeft) attemptResult()  {}
--- a/internal/process/beechentry/follow.go
+++ b/internal/process/beechentry/follow.go
@@ -17,38 +17,38 @@
 // caller nothing. A link that gives nothing each time it is joined is left:
 // joined again and again it would keep the caller and the host's processor busy
 // without end.
-func (e *Entry) follow(ctx context.Context, j *job, client *beechlink.Client, server netip.AddrPort, stream beechlink.Stream) ending {
+func (e *Entry) follow(ctx context.Context, j *job, client *beechlink.Client, server netip.AddrPort, stream beechlink.Stream) attemptResult {
 	idle := 0
 	for tries := 0; ; tries++ {
 		before := j.sequence
-		how, lost := e.drainStream(ctx, j, server, stream)
-		if _, isGone := how.(gone); isGone && tries > 0 {
+		result, lost := e.drainStream(ctx, j, server, stream)
+		if _, isExpired := result.(expired); isExpired && tries > 0 {
 			// The agent was replaced meanwhile. What it was running is lost,
 			// as with a server that died.
-			return e.lostEnding(ctx)
+			return e.lostResult(ctx)
 		}
 		if !lost {
-			return how
+			return result
 		}
 		if idle++; j.sequence > before {
 			idle = 0
 		}
 		if idle > maxIdleJoins {
-			return e.lostEnding(ctx)
+			return e.lostResult(ctx)
 		}
 		stream = e.reattach(ctx, j, client, client.Peer().Incarnation)
 		if stream == nil {
-			return e.lostEnding(ctx)
+			return e.lostResult(ctx)
 		}
 	}
 }
 
 //go:noinline
-func (e *Entry) lostEnding(ctx context.Context) ending {
+func (e *Entry) lostResult(ctx context.Context) attemptResult {
 	if ctx.Err() != nil {
-		return away{}
+		return callerLeft{}
 	}
-	return broken{ran: beechwire.RanUnknown, reason: beechwire.ReasonGone}
+	return interrupted{ran: beechwire.RanUnknown, reason: beechwire.ReasonGone}
 }
 
 // reattach joins the job's generation again over a new connection, or returns
@@ -70,23 +70,23 @@
 
 // drainStream takes replies until the last. Lost is true where the link was
 // lost before it.
-func (e *Entry) drainStream(ctx context.Context, j *job, server netip.AddrPort, stream beechlink.Stream) (how ending, lost bool) {
+func (e *Entry) drainStream(ctx context.Context, j *job, server netip.AddrPort, stream beechlink.Stream) (result attemptResult, lost bool) {
 	for {
 		reply, err := stream.Next(ctx)
 		if ctx.Err() != nil {
 			stream.Close(e.detach(ctx))
-			return away{}, false
+			return callerLeft{}, false
 		}
 		if err != nil {
 			e.logLost(j, server, err)
 			stream.Close(true)
 			return nil, true
 		}
-		if how, over := e.takeReply(j, server, reply); over {
-			if _, left := how.(away); left {
+		if result, over := e.takeReply(j, server, reply); over {
+			if _, left := result.(callerLeft); left {
 				stream.Close(true)
 			}
-			return how, false
+			return result, false
 		}
 	}
 }
@@ -97,7 +97,7 @@
 }
 
 // takeReply gives one reply to the caller; over is true after the last.
-func (e *Entry) takeReply(j *job, server netip.AddrPort, reply beechlink.Reply) (how ending, over bool) {
+func (e *Entry) takeReply(j *job, server netip.AddrPort, reply beechlink.Reply) (result attemptResult, over bool) {
 	switch r := reply.(type) {
 	case beechlink.HeadReply:
 		j.writer.head(answerHead{
@@ -106,7 +106,7 @@
 		})
 	case beechlink.DataReply:
 		if err := e.take(j, r); err != nil {
-			return away{}, true
+			return callerLeft{}, true
 		}
 	case beechlink.EndReply:
 		return e.finished(j, server, r.End), true
--- a/internal/process/beechentry/judge.go
+++ b/internal/process/beechentry/judge.go
@@ -16,27 +16,27 @@
 
 // judge decides after an attempt: again, or what the caller is told. A nil
 // failure with again false is a job that is over.
-func (e *Entry) judge(ctx context.Context, j *job, server netip.AddrPort, how ending) (again bool, f *failure) {
-	switch h := how.(type) {
-	case whole:
+func (e *Entry) judge(ctx context.Context, j *job, server netip.AddrPort, result attemptResult) (again bool, f *failure) {
+	switch h := result.(type) {
+	case completed:
 		return false, nil
-	case away:
+	case callerLeft:
 		j.leftAt = server
-		return false, e.awayFailure(ctx, j)
+		return false, e.leftFailure(ctx, j)
 	case stale:
 		return false, j.withRan(busy(http.StatusServiceUnavailable, "configuration_changing", time.Second, "the configuration is changing"))
-	case gone:
-		return e.judgeGone(j)
+	case expired:
+		return e.judgeExpired(j)
 	case refused:
 		return e.judgeRefused(ctx, j, server, h)
-	case broken:
-		return e.judgeBroken(ctx, j, server, h)
+	case interrupted:
+		return e.judgeInterrupted(ctx, j, server, h)
 	default:
 		return false, nil
 	}
 }
 
-func (e *Entry) awayFailure(ctx context.Context, j *job) *failure {
+func (e *Entry) leftFailure(ctx context.Context, j *job) *failure {
 	f := &failure{Status: http.StatusGatewayTimeout, Type: typeServer, Code: "timeout", Ran: beechwire.RanUnknown, Message: "the caller's deadline passed"}
 	if j.sequence > 0 {
 		f.Ran = beechwire.RanYes
@@ -53,16 +53,16 @@
 // receives it.
 const statusClientGone = 499
 
-// judgeGone handles a generation that was to be joined and is not kept any
+// judgeExpired handles a generation that was to be joined and is not kept any
 // more. A request without its first pieces cannot be run from the middle.
-func (e *Entry) judgeGone(j *job) (bool, *failure) {
+func (e *Entry) judgeExpired(j *job) (bool, *failure) {
 	if j.sequence == 0 && j.writer.fresh() && j.request.Repeatable {
 		return true, nil
 	}
-	return false, goneFailure()
+	return false, expiredFailure()
 }
 
-func goneFailure() *failure {
+func expiredFailure() *failure {
 	return &failure{
 		Status: http.StatusGone, Type: typeInvalid, Code: "stream_gone", Ran: beechwire.RanUnknown,
 		Message: "the answer is not kept any more; send the request again without " + headerLastEvent,
@@ -136,7 +136,7 @@
 	return f
 }
 
-func (e *Entry) judgeBroken(ctx context.Context, j *job, server netip.AddrPort, h broken) (bool, *failure) {
+func (e *Entry) judgeInterrupted(ctx context.Context, j *job, server netip.AddrPort, h interrupted) (bool, *failure) {
 	j.noteRan(h.ran)
 	e.numbers.Broken.Add(1)
 	e.log.Warn("attempt broken", beechlog.RequestID(j.request.ID), beechlog.Attempt(j.request.Attempt), beechlog.Step("run"),
--- a/internal/process/beechentry/learn.go
+++ b/internal/process/beechentry/learn.go
@@ -16,7 +16,7 @@
 )
 
 // finished closes a whole answer and learns from it.
-func (e *Entry) finished(j *job, server netip.AddrPort, end beechwire.End) ending {
+func (e *Entry) finished(j *job, server netip.AddrPort, end beechwire.End) attemptResult {
 	j.usage = end.Usage
 	e.fleet.report(server, end.Load)
 	e.learn(j, server, end)
@@ -24,9 +24,9 @@
 		e.log.Warn("outcome not recorded", beechlog.RequestID(j.request.ID), beechlog.Step("record"), zap.Error(err))
 	}
 	if err := j.writer.end(); err != nil {
-		return away{}
+		return callerLeft{}
 	}
-	return whole{}
+	return completed{}
 }
 
 func (e *Entry) learn(j *job, server netip.AddrPort, end beechwire.End) {
@@ -51,12 +51,12 @@
 	})
 }
 
-func (e *Entry) refusedBy(server netip.AddrPort, r beechwire.Refused) ending {
+func (e *Entry) refusedBy(server netip.AddrPort, r beechwire.Refused) attemptResult {
 	e.fleet.report(server, r.Load)
 	e.fleet.router.Refused(server, time.Duration(r.AfterMillis)*time.Millisecond)
 	switch {
 	case r.Reason == beechwire.ReasonGone:
-		return gone{}
+		return expired{}
 	case r.Reason == beechwire.ReasonGeneration && r.Generation > e.holder.Generation():
 		return stale{}
 	case r.Reason == beechwire.ReasonGeneration && r.Generation == e.holder.Generation():
@@ -65,14 +65,14 @@
 	return refused{r}
 }
 
-func (e *Entry) failedBy(j *job, server netip.AddrPort, r beechwire.Failed) ending {
+func (e *Entry) failedBy(j *job, server netip.AddrPort, r beechwire.Failed) attemptResult {
 	e.health.Observe(beechhealth.Sample{Server: server, Model: j.target(), Failed: true})
 	if r.Crashed {
 		j.request.Crashes++
 		e.suspects.Merge([]beechsuspect.Record{{Fingerprint: j.request.Fingerprint, Crashes: j.request.Crashes}})
 		e.fleet.dialer.Push()
 	}
-	return broken{ran: ranOf(r.Ran), crashed: r.Crashed, reason: r.Reason}
+	return interrupted{ran: ranOf(r.Ran), crashed: r.Crashed, reason: r.Reason}
 }
 
 // readmit brings a job that was refused as stale under the newer
--- a/internal/process/beechentry/once.go
+++ b/internal/process/beechentry/once.go
@@ -88,7 +88,7 @@
 		select {
 		case <-e.clock.After(placementPause):
 		case <-ctx.Done():
-			return e.awayFailure(ctx, j)
+			return e.leftFailure(ctx, j)
 		}
 	}
 	return nil
@@ -224,28 +224,28 @@
 // resumed is kept only from where it was; then it is joined after the event that
 // the caller has, and cannot be resumed once more, since its earlier text is not
 // known here.
-func (e *Entry) join(ctx context.Context, j *job, target placed) ending {
-	how := e.joinAfter(ctx, j, target)
+func (e *Entry) join(ctx context.Context, j *job, target placed) attemptResult {
+	result := e.joinAfter(ctx, j, target)
 	s, streamed := j.writer.(*streamWriter)
-	if _, isGone := how.(gone); !isGone || !streamed || s.skip <= j.sequence {
-		return how
+	if _, isExpired := result.(expired); !isExpired || !streamed || s.skip <= j.sequence {
+		return result
 	}
 	j.resumable = false
 	j.sequence = s.skip
 	return e.joinAfter(ctx, j, target)
 }
 
-func (e *Entry) joinAfter(ctx context.Context, j *job, target placed) ending {
+func (e *Entry) joinAfter(ctx context.Context, j *job, target placed) attemptResult {
 	client := e.joinClient(ctx, target.agent)
 	if client == nil {
-		return gone{}
+		return expired{}
 	}
 	j.request.ID = target.requestID
 	stream, err := client.Reattach(ctx, beechwire.Reattach{
 		Workspace: j.workspace.Name, RequestID: target.requestID, Incarnation: target.incarnation, After: j.sequence,
 	})
 	if err != nil {
-		return gone{}
+		return expired{}
 	}
 	return e.follow(ctx, j, client, target.agent, stream)
 }
