A caller whose deadline passed gets its error, not an empty 200

The outcome is followed in the background after its caller's deadline, and the background put its own writer into the job from which the caller's error was then written. Ruled out: the agent (its log shows the run going on as it should). Conclusion: the background works on a copy of the job.

--- a/internal/process/beechentry/dispatch.go
+++ b/internal/process/beechentry/dispatch.go
@@ -67,7 +67,10 @@
 		e.giveBack(j)
 	case j.request.Claim == "":
 	case j.leftAt.IsValid():
-		e.background.Go(func() { e.settleLater(j) })
+		// The caller's answer is still written from j: without a copy the error
+		// that it is due would go to the writer that nobody reads.
+		later := *j
+		e.background.Go(func() { e.settleLater(&later) })
 	default:
 		e.background.Go(func() { e.abandon(j) })
 	}
