Wait for a group of goroutines in one place; drop a field that nobody reads

Cause: agent and entry each had their own wait for a group that a context bounds, and the job kept a prediction that was only written. Change: beechtask.Wait serves both; the field is gone. Behaviour as it was.

--- a/internal/process/beechagent/agent.go
+++ b/internal/process/beechagent/agent.go
@@ -190,15 +190,7 @@
 // gone are cancelled: nobody can come back to them any more.
 func (a *Agent) awaitRuns(ctx context.Context) {
 	a.library.cancelRepeatable()
-	done := make(chan struct{})
-	go func() {
-		a.runs.Wait()
-		close(done)
-	}()
-	select {
-	case <-done:
-	case <-ctx.Done():
-	}
+	beechtask.Wait(ctx, &a.runs)
 }
 
 // finishRecords waits until the outcomes known here are in the platform's
--- a/internal/process/beechentry/dispatch.go
+++ b/internal/process/beechentry/dispatch.go
@@ -220,7 +220,6 @@
 }
 
 func (e *Entry) open(ctx context.Context, j *job, client *beechlink.Client, candidate *beechroute.Candidate) (beechlink.Stream, attemptResult) {
-	j.uncached = candidate.Uncached
 	j.startOver()
 	j.request.DeadlineMillis = j.remaining(time.Now())
 	j.request.Resume = string(j.text)
--- a/internal/process/beechentry/entry.go
+++ b/internal/process/beechentry/entry.go
@@ -186,22 +186,10 @@
 	if err := e.http.Shutdown(ctx); err != nil && !errors.Is(err, http.ErrServerClosed) {
 		return fmt.Errorf("drain: %w", err)
 	}
-	e.awaitBackground(ctx)
+	beechtask.Wait(ctx, &e.background)
 	return nil
 }
 
-func (e *Entry) awaitBackground(ctx context.Context) {
-	done := make(chan struct{})
-	go func() {
-		e.background.Wait()
-		close(done)
-	}()
-	select {
-	case <-done:
-	case <-ctx.Done():
-	}
-}
-
 func (e *Entry) ready() bool {
 	return !e.leaving.Load() && e.restored.Load() && e.holder.Current() != nil && e.fleet.linked() > 0
 }
--- a/internal/process/beechentry/job.go
+++ b/internal/process/beechentry/job.go
@@ -37,7 +37,6 @@
 		ended      bool   // the finish reason was given
 		firstToken time.Duration
 		usage      beechwire.Usage
-		uncached   int            // predicted at the server chosen
 		reachable  int            // least uncached tokens predicted at any candidate
 		leftAt     netip.AddrPort // where it ran when its caller left
 		ran        string         // what is known of earlier attempts; empty is nothing
--- a/internal/process/beechtask/task.go
+++ b/internal/process/beechtask/task.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"sync"
 	"time"
 
 	"github.com/jonboulle/clockwork"
@@ -41,3 +42,16 @@
 		}
 	}
 }
+
+// Wait waits for the group's goroutines, or until ctx ends.
+func Wait(ctx context.Context, group *sync.WaitGroup) {
+	done := make(chan struct{})
+	go func() {
+		group.Wait()
+		close(done)
+	}()
+	select {
+	case <-done:
+	case <-ctx.Done():
+	}
+}
