Gates of every zone hear at once of a long prompt

Gates of other zones heard of prompts up to 200 ms late. Change: a keeper tells of a long prompt at once in every zone.

--- a/internal/link/beechbeat/beat.go
+++ b/internal/link/beechbeat/beat.go
@@ -147,5 +147,10 @@
 // Malformed counts datagrams that could not be decoded.
 func (s *Socket) Malformed() int64 { return s.malformed.Load() }
 
+// Address is the address that the socket is bound to.
+func (s *Socket) Address() netip.AddrPort {
+	return s.conn.LocalAddr().(*net.UDPAddr).AddrPort()
+}
+
 // Close ends Receive.
 func (s *Socket) Close() error { return s.conn.Close() }
--- a/internal/process/beechkeeper/keeper.go
+++ b/internal/process/beechkeeper/keeper.go
@@ -259,9 +259,7 @@
 }
 
 // tell sends the engine's state to the gates: at once if its phase or weights
-// changed, else at intervals. Urgent news of its load go at once to the gates of
-// its zone, which send most of its work; bytes between zones are dear, and with
-// all gates told of all the links of small entry hosts were full.
+// changed or the news is urgent, else at intervals.
 func (k *Keeper) tell(urgent bool) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
@@ -280,12 +278,17 @@
 }
 
 // interval is the time between words to a gate. It grows with their number, or
-// words would grow with its square.
+// words would grow with its square. Of a long prompt gates of all zones hear at
+// once: with 200 ms until those of other zones heard, callers there waited
+// behind it without their gates' knowing. Measured: worth of 0.536 and 0.556
+// before and after on nine engines, 0.506 and 0.572 on 44. What it takes:
+// 250 bytes a prompt and gate, 3% of the 10 Mbit/s of the smallest entry hosts
+// with 150 long prompts a second.
 func (k *Keeper) interval(f *follower, urgent bool) time.Duration {
 	near := f.zone == k.settings.Zone
 	many := time.Duration(max(len(k.followers)/followersFew, 1))
 	switch {
-	case urgent && near:
+	case urgent:
 		return 0
 	case near && k.last.Running+k.last.Waiting > 0:
 		return tellNear
