--- a/internal/state/beechmirror/mirror.go
+++ b/internal/state/beechmirror/mirror.go
@@ -31,6 +31,7 @@
 	"sync"
 	"time"
 
+	"github.com/cenkalti/backoff/v5"
 	"github.com/jonboulle/clockwork"
 	"go.uber.org/zap"
 )
@@ -104,7 +105,13 @@
 	// lingerRead is between whole reads while entries are kept that may be gone:
 	// the first one after that time drops them.
 	lingerRead  = 500 * time.Millisecond
-	retryAfter  = 150 * time.Millisecond
+	// retryFirst and retryMost bound the pause after a call that failed; it
+	// doubles between them. A store that turns some hosts away still counts, and
+	// bills, each of their calls: tried each 150 ms by five hosts for 9 s they
+	// were more than half of a day's calls. The longest pause is a seventh of
+	// the time that a key may be served without the store's word.
+	retryFirst  = 150 * time.Millisecond
+	retryMost   = 600 * time.Millisecond
 	watchSlack  = time.Second
 	goneKept    = 4096
 	waitForRead = 50 * time.Millisecond
@@ -122,12 +129,16 @@
 
 // Read reads the whole prefix at intervals, until the context ends.
 func (m *Mirror) Read(ctx context.Context) error {
+	retry := newRetry()
 	for {
 		after := m.settings.Interval
 		if !m.readOnce(ctx) {
-			after = retryAfter
-		} else if m.lingering() {
-			after = min(after, lingerRead)
+			after = retry.NextBackOff()
+		} else {
+			retry.Reset()
+			if m.lingering() {
+				after = min(after, lingerRead)
+			}
 		}
 		select {
 		case <-m.clock.After(after):
@@ -174,6 +185,7 @@
 
 // Watch follows changes until the context ends.
 func (m *Mirror) Watch(ctx context.Context) error {
+	retry := newRetry()
 	for ctx.Err() == nil {
 		m.mu.Lock()
 		known, after := m.known, m.revision
@@ -182,8 +194,10 @@
 		if !known {
 			pause = waitForRead
 		} else if err := m.watchOnce(ctx, after); err != nil {
-			pause = retryAfter
+			pause = retry.NextBackOff()
 			m.watchFailed(ctx, err, after)
+		} else {
+			retry.Reset()
 		}
 		select {
 		case <-m.clock.After(pause):
@@ -193,9 +207,17 @@
 	return ctx.Err()
 }
 
+// newRetry gives the pauses between calls that fail.
+func newRetry() *backoff.ExponentialBackOff {
+	retry := backoff.NewExponentialBackOff()
+	retry.InitialInterval, retry.MaxInterval, retry.Multiplier = retryFirst, retryMost, 2
+	return retry
+}
+
 // watchFailed has the whole prefix read at once: its history is gone, or the
 // store is lost, which the next whole read would find out late. The failure
-// alone says nothing of the store, since waiting watches may be cut.
+// alone says nothing of the store, since waiting watches may be cut. While reads
+// fail too, they are repeated anyway.
 func (m *Mirror) watchFailed(ctx context.Context, err error, after uint64) {
 	if ctx.Err() != nil {
 		return
@@ -205,7 +227,12 @@
 	} else {
 		m.log.Debug("watch failed, reading all", zap.Error(err))
 	}
-	m.ask()
+	m.mu.Lock()
+	failing := m.failing
+	m.mu.Unlock()
+	if !failing {
+		m.ask()
+	}
 }
 
 func (m *Mirror) watchOnce(ctx context.Context, after uint64) error {
--- a/internal/state/beechmirror/mirror_test.go
+++ b/internal/state/beechmirror/mirror_test.go
@@ -6,6 +6,7 @@
 	"slices"
 	"sync"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/jonboulle/clockwork"
@@ -21,6 +22,7 @@
 		page  Page
 		err   error
 		reads int
+		turns int // watches that were turned away
 	}
 
 	belief struct{ asked time.Duration }
@@ -36,9 +38,28 @@
 }
 
 func (s *source) Watch(context.Context, string, uint64, time.Duration) (Page, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.err != nil {
+		s.turns++
+		return Page{}, s.err
+	}
 	return Page{}, ErrCompacted
 }
 
+// refuse turns all later calls away.
+func (s *source) refuse() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.err = errDown
+}
+
+func (s *source) calls() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.reads + s.turns
+}
+
 func (b *belief) Now() time.Duration          { return b.asked }
 func (b *belief) Confirm(asked time.Duration) { b.asked = asked + 1 }
 
@@ -191,3 +212,26 @@
 	m.replace(Page{Revision: 3, Items: []Item{{Key: "servers/c", Revision: 1}, {Key: "servers/a", Revision: 2}, {Key: "servers/b", Revision: 3}}})
 	is.True(slices.IsSorted(keys(got)))
 }
+
+// The store turns this host away for nine seconds and bills each call. A host
+// that asks several times a second all the while takes calls from those that
+// are served, and has nothing for it.
+func TestCallsToAStoreThatTurnsAway(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		s := &source{page: Page{Revision: 1}}
+		m := newMirror(s, clockwork.NewRealClock(), func([]Item) {})
+		is.True(m.readOnce(t.Context()))
+		s.refuse()
+		ctx, cancel := context.WithTimeout(t.Context(), 9*time.Second)
+		defer cancel()
+		var loops sync.WaitGroup
+		loops.Go(func() { _ = m.Read(ctx) })
+		loops.Go(func() { _ = m.Watch(ctx) })
+		loops.Wait()
+		calls := s.calls()
+		t.Logf("%d calls in 9 s", calls)
+		is.True(calls >= 18) // it finds the store back within a second
+		is.True(calls <= 50)
+	})
+}
