--- a/internal/process/beechkeeper/cache.go
+++ b/internal/process/beechkeeper/cache.go
@@ -25,6 +25,15 @@
 	cachePace  = 100 * time.Millisecond
 	cacheAgain = 500 * time.Millisecond
 	cacheSlack = time.Second
+	// heldMost bounds what is remembered of an engine's cache: some changes are
+	// never told, so parts would stay for good. An engine's memory of 100
+	// thousand tokens holds a few hundred parts at most.
+	heldMost = 1024
+	// worthTelling is the tokens of a part in the engine's list that is worth a
+	// word: reading it takes ten milliseconds or more.
+	worthTelling = 512
+	// listAgain is the least time between the engine's lists, which hold it up.
+	listAgain = 2 * time.Second
 )
 
 func (n *news) add(key uint64) {
@@ -64,26 +73,39 @@
 	return told
 }
 
-// watchCache follows what the engine drops from its cache, and tells gates of
-// the parts that they believe there. Without it they would have other engines
+// watchCache follows the engine's cache, and tells gates of the parts that it
+// drops and that they believe there. Without it they would have other engines
 // fetch from this one what it no longer has, and these would read it again.
+//
+// What comes into the cache is known from gates' announcements. At the start and
+// after a gap the engine's own list stands in for them.
 func (k *Keeper) watchCache(ctx context.Context) error {
 	var since, epoch uint64
+	listed := false
 	for ctx.Err() == nil {
-		limited, cancel := clockwork.WithTimeout(ctx, k.needs.Clock, cacheWait+cacheSlack)
-		dropped, err := k.needs.Engine.Dropped(limited, since, cacheWait)
-		cancel()
 		pause := cachePace
-		switch {
-		case err != nil:
-			pause = cacheAgain
-		case dropped.Lost || (epoch != 0 && dropped.Epoch != epoch):
-			k.needs.Log.Info("cache not known any more", zap.Bool("lost", dropped.Lost), zap.Uint64("epoch", dropped.Epoch))
-			k.dropAll()
-			since, epoch = dropped.Next, dropped.Epoch
-		default:
-			k.drop(dropped.Parts)
-			since, epoch = dropped.Next, dropped.Epoch
+		if !listed {
+			held, err := k.listCache(ctx)
+			if listed = err == nil; listed {
+				since, epoch = held.Next, held.Epoch
+			} else {
+				pause = cacheAgain
+			}
+		} else {
+			limited, cancel := clockwork.WithTimeout(ctx, k.needs.Clock, cacheWait+cacheSlack)
+			shrunk, err := k.needs.Engine.Shrunk(limited, since, cacheWait)
+			cancel()
+			switch {
+			case err != nil:
+				pause = cacheAgain
+			case shrunk.Lost || shrunk.Epoch != epoch:
+				k.needs.Log.Info("cache not known any more", zap.Bool("lost", shrunk.Lost), zap.Uint64("epoch", shrunk.Epoch))
+				k.dropAll()
+				listed, pause = false, listAgain
+			default:
+				k.drop(shrunk.Parts)
+				since = shrunk.Next
+			}
 		}
 		select {
 		case <-k.needs.Clock.After(pause):
@@ -93,13 +115,58 @@
 	return ctx.Err()
 }
 
-func (k *Keeper) drop(parts []uint64) {
+// listCache takes in what the engine holds by its own word. Small parts are
+// passed over: reading them takes less than telling all gates of them is worth.
+func (k *Keeper) listCache(ctx context.Context) (Held, error) {
+	limited, cancel := clockwork.WithTimeout(ctx, k.needs.Clock, reportPatience)
+	defer cancel()
+	held, err := k.needs.Engine.Held(limited)
+	if err != nil {
+		k.needs.Log.Info("cache not listed", zap.Error(err))
+		return held, err
+	}
+	k.needs.Log.Info("cache listed", zap.Int("parts", len(held.Parts)), zap.Uint64("epoch", held.Epoch))
+	k.mu.Lock()
+	for _, part := range held.Parts {
+		if part.Tokens >= worthTelling {
+			k.hold(part.Key, false)
+		}
+	}
+	k.mu.Unlock()
+	k.tell(true)
+	return held, nil
+}
+
+// hold notes a part that the engine has, or will have when it has read what is
+// on its way, and has gates told. The caller holds the lock.
+func (k *Keeper) hold(part uint64, kept bool) {
+	k.held.Add(part, struct{}{})
+	for _, f := range k.followers {
+		f.parts.add(part)
+		if kept {
+			f.kept.add(part)
+		}
+	}
+}
+
+// introduce has a gate that is new told of what the engine holds, the
+// newest. A gate that started knows nothing; it would send each history to
+// another engine and have it read or moved there, all of them in the first
+// second: measured, 150 thousand tokens in 0.4 s on nine engines, and answers
+// late for two seconds. The caller holds the lock.
+func (k *Keeper) introduce(f *follower) {
+	held := k.held.Keys()
+	for _, part := range held[max(len(held)-newsMost, 0):] {
+		f.parts.add(part)
+	}
+}
+
+func (k *Keeper) drop(parts []Part) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	for _, part := range parts {
-		if k.held[part] {
-			delete(k.held, part)
-			k.tellGone(part)
+		if k.held.Remove(part.Key) {
+			k.tellGone(part.Key)
 		}
 	}
 }
@@ -107,10 +174,10 @@
 func (k *Keeper) dropAll() {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	for part := range k.held {
+	for _, part := range k.held.Keys() {
 		k.tellGone(part)
 	}
-	clear(k.held)
+	k.held.Purge()
 }
 
 // tellGone has all gates told of a part. The caller holds the lock.
--- a/internal/process/beechkeeper/keeper.go
+++ b/internal/process/beechkeeper/keeper.go
@@ -7,6 +7,7 @@
 	"sync"
 	"time"
 
+	lru "github.com/hashicorp/golang-lru/v2"
 	"github.com/jonboulle/clockwork"
 	"github.com/thejerf/suture/v4"
 	"go.uber.org/zap"
@@ -27,16 +28,32 @@
 		Report(ctx context.Context) (Report, error)
 		// Order sends an order. An error says why it was not taken.
 		Order(ctx context.Context, holder string, o beechrollout.Order) (beechrollout.Answer, error)
-		// Dropped waits for parts that left the engine's cache after a number.
-		Dropped(ctx context.Context, since uint64, wait time.Duration) (Dropped, error)
+		// Held lists what is in the engine's cache now. It holds the engine up for
+		// a moment.
+		Held(ctx context.Context) (Held, error)
+		// Shrunk waits for parts that lost tokens after a number.
+		Shrunk(ctx context.Context, since uint64, wait time.Duration) (Shrunk, error)
 	}
 
-	// Dropped is what left an engine's cache, by the parts' keys.
-	Dropped struct {
+	// Part is a part in an engine's cache, by its key.
+	Part struct {
+		Key    uint64
+		Tokens int // in the cache
+	}
+
+	// Held is what an engine's cache holds.
+	Held struct {
 		Epoch uint64 // another one: the engine has started anew, with nothing
+		Next  uint64 // for the first call of Shrunk
+		Parts []Part
+	}
+
+	// Shrunk is what left an engine's cache after a number.
+	Shrunk struct {
+		Epoch uint64
 		Next  uint64
-		Lost  bool // some are not told any more
-		Parts []uint64
+		Lost  bool   // some are not told any more
+		Parts []Part // with the tokens that are left
 	}
 
 	// Report is what an engine says of itself.
@@ -67,7 +84,7 @@
 		followers map[netip.AddrPort]*follower
 		last      Report
 		reading   beechrollout.Reading
-		held      map[uint64]bool // announced and not seen to be dropped
+		held      *lru.Cache[uint64, struct{}] // announced or listed, and not seen to be dropped
 		phase     beechrollout.Phase
 	}
 
@@ -111,11 +128,15 @@
 	if err != nil {
 		return nil, err
 	}
+	held, err := lru.New[uint64, struct{}](heldMost)
+	if err != nil {
+		panic(err) // the size is a constant above zero
+	}
 	k := &Keeper{
 		settings: s, needs: needs, socket: socket,
 		suspects: beechsuspect.New(beechsuspect.Settings{}, needs.Clock),
 		turn:     beechrollout.NewTurn(beechrollout.Settings{}), followers: make(map[netip.AddrPort]*follower),
-		wake: make(chan struct{}, 1), held: make(map[uint64]bool),
+		wake: make(chan struct{}, 1), held: held,
 	}
 	k.supervisor = suture.New("keeper", suture.Spec{EventHook: beechlog.SupervisorHook(needs.Log)})
 	k.supervisor.Add(beechtask.Task{Name: "hear gates", Run: func(ctx context.Context) error { return socket.Receive(ctx, k.hear) }})
@@ -152,13 +173,7 @@
 	k.mu.Lock()
 	k.reading.Add(a.Read, now)
 	for _, part := range a.Parts {
-		k.held[part] = true
-		for _, f := range k.followers {
-			f.parts.add(part)
-			if a.Kept {
-				f.kept.add(part)
-			}
-		}
+		k.hold(part, a.Kept)
 	}
 	k.mu.Unlock()
 	if a.Read >= longPrompt {
@@ -173,6 +188,7 @@
 	if !known {
 		f = &follower{zone: follow.Zone}
 		k.followers[from] = f
+		k.introduce(f)
 	}
 	f.heard = now
 	for _, t := range follow.Targets {
--- a/internal/process/beechkeeper/keeper_test.go
+++ b/internal/process/beechkeeper/keeper_test.go
@@ -17,19 +17,22 @@
 	"github.com/beechring/beechring/internal/request/beechrollout"
 )
 
-// noEngine is an engine that is not asked.
-type noEngine struct{}
+// engine is an engine that has something in its cache and does nothing.
+type engine struct{ held []Part }
 
 var errNoEngine = errors.New("there is no engine")
 
-func (noEngine) Report(context.Context) (Report, error) { return Report{}, errNoEngine }
+func (engine) Report(context.Context) (Report, error) { return Report{}, errNoEngine }
 
-func (noEngine) Order(context.Context, string, beechrollout.Order) (beechrollout.Answer, error) {
+func (engine) Order(context.Context, string, beechrollout.Order) (beechrollout.Answer, error) {
 	return beechrollout.Silent, errNoEngine
 }
 
-func (noEngine) Dropped(context.Context, uint64, time.Duration) (Dropped, error) {
-	return Dropped{}, errNoEngine
+func (e engine) Held(context.Context) (Held, error) { return Held{Epoch: 7, Parts: e.held}, nil }
+
+func (engine) Shrunk(ctx context.Context, _ uint64, _ time.Duration) (Shrunk, error) {
+	<-ctx.Done()
+	return Shrunk{}, ctx.Err()
 }
 
 // gate is a gate's socket with the words that have come to it.
@@ -66,6 +69,17 @@
 	}
 }
 
+// newKeeper gives a keeper whose clock stands still: nothing is told for its age.
+func newKeeper(t *testing.T, e Engine) *Keeper {
+	settings := &beechsettings.Keeper{Zone: "mill", Beats: netip.MustParseAddrPort("127.0.0.1:0")}
+	k, err := New(settings, Dependencies{Clock: clockwork.NewFakeClock(), Log: zap.NewNop(), Engine: e})
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = k.socket.Close() })
+	return k
+}
+
 // A gate sends a long prompt to an engine. A gate in another zone does not hear
 // of it for a fifth of a second and sends its own callers' questions there,
 // which all wait behind the prompt: engines read prompts one after another.
@@ -73,10 +87,7 @@
 func TestLongPromptIsToldToEveryZone(t *testing.T) {
 	is := is.New(t)
 	far := newGate(t)
-	clock := clockwork.NewFakeClock() // stands still: nothing is told for its age
-	k, err := New(&beechsettings.Keeper{Zone: "mill", Beats: netip.MustParseAddrPort("127.0.0.1:0")}, Dependencies{Clock: clock, Log: zap.NewNop(), Engine: noEngine{}})
-	is.NoErr(err)
-	defer k.socket.Close()
+	k := newKeeper(t, engine{})
 	k.hear(far.Address(), beechbeat.Follow{Follow: &beechwire.Follow{Zone: "loft"}})
 	is.True(far.word() != nil) // a gate that is new is told at once
 
@@ -85,3 +96,39 @@
 	is.True(told != nil)
 	is.Equal(told.Read, 6000)
 }
+
+// A gate is restarted, or all gates at once. If nobody tells it where histories
+// lie it sends them to other engines, which read them anew, all in the first
+// second; its callers wait for that.
+func TestNewGateIsToldWhatTheEngineHolds(t *testing.T) {
+	is := is.New(t)
+	k := newKeeper(t, engine{})
+	k.hear(netip.MustParseAddrPort("127.0.0.1:9"), beechbeat.Announce{Announce: &beechwire.Announce{Parts: []uint64{1, 2, 3}}})
+	k.drop([]Part{{Key: 2}})
+	late := newGate(t)
+	k.hear(late.Address(), beechbeat.Follow{Follow: &beechwire.Follow{Zone: "loft"}})
+	told := late.word()
+	is.True(told != nil)
+	is.Equal(told.Parts, []uint64{1, 3})
+}
+
+// All processes are killed at once; the engines go on with full caches. A keeper
+// that knows only what gates announce to it would know nothing of them.
+func TestKeeperThatStartsLearnsWhatItsEngineHolds(t *testing.T) {
+	is := is.New(t)
+	k := newKeeper(t, engine{held: []Part{{Key: 1, Tokens: 3000}, {Key: 2, Tokens: 40}, {Key: 3, Tokens: 2500}}})
+	g := newGate(t)
+	k.hear(g.Address(), beechbeat.Follow{Follow: &beechwire.Follow{}})
+	is.Equal(len(g.word().Parts), 0)
+	ctx, cancel := context.WithCancel(context.Background())
+	ended := make(chan struct{})
+	go func() {
+		_ = k.watchCache(ctx)
+		close(ended)
+	}()
+	told := g.word()
+	cancel()
+	<-ended
+	is.True(told != nil)
+	is.Equal(told.Parts, []uint64{1, 3}) // the second is too small to be worth a word
+}
--- a/internal/standin/beechhome/engine.go
+++ b/internal/standin/beechhome/engine.go
@@ -73,6 +73,7 @@
 	headerWeights  = "Beechring-Weight-Versions"
 	headerLoad     = "Beechring-Server-Load"
 	usage          = "Beechring-Token-Usage"
+	eventsPoll     = 10 * time.Millisecond
 	defaultSlots   = 8
 )
 
@@ -155,6 +156,8 @@
 		e.order(w, r)
 	case "/beechring/kv-events":
 		e.cacheEvents(w, r)
+	case "/beechring/kv-list":
+		e.cacheList(w)
 	default:
 		e.request(w, r)
 	}
@@ -205,19 +208,41 @@
 
 func (e *Engine) cacheEvents(w http.ResponseWriter, r *http.Request) {
 	wait, _ := strconv.Atoi(r.Header.Get("Wait-Ms"))
-	select {
-	case <-time.After(time.Duration(wait) * time.Millisecond):
-	case <-r.Context().Done():
-		return
+	since, _ := strconv.Atoi(r.URL.Query().Get("since"))
+	for end := time.Now().Add(time.Duration(wait) * time.Millisecond); time.Now().Before(end) && !e.hasEvents(since); {
+		select {
+		case <-time.After(eventsPoll):
+		case <-r.Context().Done():
+			return
+		}
 	}
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	events := e.events
-	if events == nil {
-		events = [][]any{}
+	events := [][]any{}
+	if since < len(e.events) {
+		events = e.events[since:]
 	}
 	answer(w, map[string]any{"bootEpoch": 1, "next": len(e.events), "lost": false, "events": events})
-	e.events = nil
+}
+
+// cacheList tells all that is cached now.
+func (e *Engine) cacheList(w http.ResponseWriter) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	held := [][]any{}
+	for key, tokens := range e.cached {
+		salt, part, _ := strings.Cut(key, "|")
+		if tokens > 0 {
+			held = append(held, []any{salt, part, tokens, e.settings.Model})
+		}
+	}
+	answer(w, map[string]any{"bootEpoch": 1, "next": len(e.events), "held": held})
+}
+
+func (e *Engine) hasEvents(since int) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return since < len(e.events)
 }
 
 // Drop has the engine forget a part, and tell so.
@@ -225,7 +250,12 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	delete(e.cached, salt+"|"+part)
-	e.events = append(e.events, []any{len(e.events) + 1, "-", salt, part, 0, e.settings.Model})
+	e.tell("-", salt, part, 0)
+}
+
+// tell adds a cache event. The caller holds the lock.
+func (e *Engine) tell(sign, salt, part string, tokens int) {
+	e.events = append(e.events, []any{len(e.events) + 1, sign, salt, part, tokens, e.settings.Model})
 }
 
 func (e *Engine) request(w http.ResponseWriter, r *http.Request) {
@@ -302,6 +332,7 @@
 		if e.cached[salt+"|"+part] == 0 {
 			tokens += n
 			e.cached[salt+"|"+part] = n
+			e.tell("+", salt, part, n)
 		}
 	}
 	e.reread += tokens
--- a/internal/state/beechmirror/mirror.go
+++ b/internal/state/beechmirror/mirror.go
@@ -104,7 +104,7 @@
 const (
 	// lingerRead is between whole reads while entries are kept that may be gone:
 	// the first one after that time drops them.
-	lingerRead  = 500 * time.Millisecond
+	lingerRead = 500 * time.Millisecond
 	// retryFirst and retryMost bound the pause after a call that failed; it
 	// doubles between them. A store that turns some hosts away still counts, and
 	// bills, each of their calls: tried each 150 ms by five hosts for 9 s they
