Fewer calls to the store; a watch that does not tell what a whole read found is begun again

Change: servers' changes come together a second apart, whole reads of them each 4 s, their watch waits 25 s. A silent connection would hide changes for so long, so a whole read that finds news ends the pending watch.

--- a/internal/process/beechgate/gate.go
+++ b/internal/process/beechgate/gate.go
@@ -82,12 +82,13 @@
 )
 
 const (
-	operatorRead   = 2 * time.Second // each read is paid for; it confirms the age of the keys, and makes a silent watch good
-	serverRead     = 2500 * time.Millisecond
-	operatorSpace  = 20 * time.Millisecond  // between watches
-	serverSpace    = 400 * time.Millisecond // servers change in rows, and keepers tell of most changes sooner
+	operatorRead   = 2 * time.Second       // each read is paid for; it confirms the age of the keys, and makes a silent watch good
+	serverRead     = 4 * time.Second       // keepers tell sooner; these reads make a silent watch good
+	operatorSpace  = 20 * time.Millisecond // between watches
+	serverSpace    = time.Second           // servers change in rows, each row a call that is paid for, and keepers tell of most changes sooner
 	readPatience   = time.Second
-	watchWait      = 10 * time.Second
+	operatorWait   = 10 * time.Second // of a watch
+	serverWait     = 25 * time.Second
 	linger         = 2200 * time.Millisecond // entries that lapsed with the store are back within two seconds
 	followInterval = 700 * time.Millisecond
 	keptInterval   = 1500 * time.Millisecond // between looks at the store of kept KV cache, each a connection that is paid for
@@ -129,8 +130,12 @@
 	g.metrics = newMetrics(g)
 	g.placer = beechplace.New(beechplace.Settings{Zone: s.Zone, OldMost: time.Duration(float64(s.Bounds.Weights) * oldShare)}, needs.Clock, g.health, g.announce)
 	g.core = beechattempt.New(g.placer, needs.Backend, g.budgets, g.suspects, g, needs.Clock, needs.Log)
-	operators := beechmirror.New(g.mirror(needs.OperatorPrefix, operatorRead, operatorSpace, 0), needs.Source, g.belief, needs.Clock, needs.Log, g.setOperators)
-	servers := beechmirror.New(g.mirror(needs.ServerPrefix, serverRead, serverSpace, linger), needs.Source, beechfresh.New(needs.Age), needs.Clock, needs.Log, g.setServers)
+	operators := beechmirror.New(beechmirror.Settings{
+		Prefix: needs.OperatorPrefix, Interval: operatorRead, Patience: readPatience, Wait: operatorWait, Space: operatorSpace,
+	}, needs.Source, g.belief, needs.Clock, needs.Log, g.setOperators)
+	servers := beechmirror.New(beechmirror.Settings{
+		Prefix: needs.ServerPrefix, Interval: serverRead, Patience: readPatience, Wait: serverWait, Space: serverSpace, Linger: linger,
+	}, needs.Source, beechfresh.New(needs.Age), needs.Clock, needs.Log, g.setServers)
 	g.supervisor = suture.New("gate", suture.Spec{EventHook: beechlog.SupervisorHook(needs.Log)})
 	for _, task := range []beechtask.Task{
 		{Name: "read operators", Run: operators.Read},
@@ -147,10 +152,6 @@
 	return g, nil
 }
 
-func (g *Gate) mirror(prefix string, read, space, linger time.Duration) beechmirror.Settings {
-	return beechmirror.Settings{Prefix: prefix, Interval: read, Patience: readPatience, Wait: watchWait, Space: space, Linger: linger}
-}
-
 // Ready tells whether new connections are welcome.
 func (g *Gate) Ready() bool {
 	if g.leaving.Load() || g.configuration.Load() == nil {
--- a/internal/state/beechmirror/mirror.go
+++ b/internal/state/beechmirror/mirror.go
@@ -93,8 +93,9 @@
 		whole    uint64 // revision of the last whole read: no change up to it is news
 		known    bool
 		failing  bool
-		regained time.Time     // when a lost store answered again
-		again    chan struct{} // asks for a whole read now
+		regained time.Time          // when a lost store answered again
+		again    chan struct{}      // asks for a whole read now
+		endWatch context.CancelFunc // of the watch that waits now
 	}
 )
 
@@ -161,11 +162,24 @@
 	if err != nil {
 		return false
 	}
-	m.replace(page)
+	if m.replace(page) {
+		m.cutWatch()
+	}
 	m.belief.Confirm(asked)
 	return true
 }
 
+// cutWatch ends a watch that has not told what a whole read found: its
+// connection may have gone silent, and it would wait there to its end while
+// changes come only with the next whole reads.
+func (m *Mirror) cutWatch() {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.endWatch != nil {
+		m.endWatch()
+	}
+}
+
 // told logs a dependency that is lost or regained, once each.
 func (m *Mirror) told(err error) {
 	m.mu.Lock()
@@ -238,7 +252,20 @@
 func (m *Mirror) watchOnce(ctx context.Context, after uint64) error {
 	limited, cancel := clockwork.WithTimeout(ctx, m.clock, m.settings.Wait+watchSlack)
 	defer cancel()
-	page, err := m.source.Watch(limited, m.settings.Prefix, after, m.settings.Wait)
+	untold, end := context.WithCancel(limited)
+	m.mu.Lock()
+	m.endWatch = end
+	m.mu.Unlock()
+	page, err := m.source.Watch(untold, m.settings.Prefix, after, m.settings.Wait)
+	m.mu.Lock()
+	m.endWatch = nil
+	m.mu.Unlock()
+	cut := untold.Err() != nil && limited.Err() == nil
+	end()
+	if cut {
+		m.log.Info("watch did not tell what a whole read found", zap.Uint64("after", after))
+		return nil
+	}
 	if err != nil {
 		return err
 	}
@@ -254,14 +281,14 @@
 	}
 }
 
-// replace takes in a whole read.
-func (m *Mirror) replace(p Page) {
+// replace takes in a whole read, and tells whether anything changed.
+func (m *Mirror) replace(p Page) (changed bool) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	if m.known && p.Revision < m.whole {
-		return
+		return false
 	}
-	changed := !m.known
+	changed = !m.known
 	next := make(map[string]Item, len(p.Items))
 	for _, item := range p.Items {
 		held, ok := m.items[item.Key]
@@ -289,6 +316,7 @@
 	if changed {
 		m.changed(m.list())
 	}
+	return changed
 }
 
 // merge takes in changes.
--- a/internal/state/beechmirror/mirror_test.go
+++ b/internal/state/beechmirror/mirror_test.go
@@ -18,11 +18,12 @@
 type (
 	// source is a store of which tests say what each call gives.
 	source struct {
-		mu    sync.Mutex
-		page  Page
-		err   error
-		reads int
-		turns int // watches that were turned away
+		mu      sync.Mutex
+		page    Page
+		err     error
+		reads   int
+		watches int
+		silent  bool // watches wait and hear nothing
 	}
 
 	belief struct{ asked time.Duration }
@@ -37,12 +38,17 @@
 	return s.page, s.err
 }
 
-func (s *source) Watch(context.Context, string, uint64, time.Duration) (Page, error) {
+func (s *source) Watch(ctx context.Context, _ string, _ uint64, _ time.Duration) (Page, error) {
 	s.mu.Lock()
-	defer s.mu.Unlock()
-	if s.err != nil {
-		s.turns++
-		return Page{}, s.err
+	s.watches++
+	err, silent := s.err, s.silent
+	s.mu.Unlock()
+	switch {
+	case err != nil:
+		return Page{}, err
+	case silent:
+		<-ctx.Done()
+		return Page{}, ctx.Err()
 	}
 	return Page{}, ErrCompacted
 }
@@ -57,7 +63,7 @@
 func (s *source) calls() int {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.reads + s.turns
+	return s.reads + s.watches
 }
 
 func (b *belief) Now() time.Duration          { return b.asked }
@@ -235,3 +241,31 @@
 		is.True(calls <= 50)
 	})
 }
+
+// The connection of a watch goes silent: nothing is closed, and nothing comes.
+// Whole reads show what changes, but late, each time, for as long as the watch
+// waits; callers meet routes and keys that were changed seconds ago.
+func TestSilentWatchIsBegunAgain(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		s := &source{page: Page{Revision: 1}, silent: true}
+		m := newMirror(s, clockwork.NewRealClock(), func([]Item) {})
+		m.settings.Wait = time.Hour
+		is.True(m.readOnce(t.Context()))
+		ctx, cancel := context.WithCancel(t.Context())
+		var loop sync.WaitGroup
+		loop.Go(func() { _ = m.Watch(ctx) })
+		synctest.Wait()
+		is.Equal(s.calls(), 2) // the read and the watch
+		is.True(m.readOnce(ctx))
+		synctest.Wait()
+		is.Equal(s.calls(), 3) // a read without news says nothing of the watch
+
+		s.page = Page{Revision: 2, Items: []Item{{Key: "servers/a", Revision: 2}}}
+		is.True(m.readOnce(ctx))
+		synctest.Wait()
+		is.Equal(s.calls(), 5) // the read, and another watch
+		cancel()
+		loop.Wait()
+	})
+}
