Callers' idle connections follow the operators' bound; settings and fields that nobody read are gone

Cause: the gate held connections idle for two minutes whatever operators wrote. A longer bound of theirs would have callers send on connections that the gate closes at that moment (LOST); net/http takes its bound once, at the start. Change: a timer a connection, by the configuration in force. Gone: the setting 'window' (checked, never used: the retry budget's share and spare hold in any window), the kept store's zone and capacity, an engine's capacity, bounds of header size and time, which were decoded and read by nobody; the gate's own fixed bounds of these are above what callers send.

--- a/internal/command/beechplay/soak_test.go
+++ b/internal/command/beechplay/soak_test.go
@@ -195,7 +195,7 @@
 	}
 	bounds := beechsettings.GateBounds{
 		Revoke: beechsettings.Duration(revokeBound), Grace: beechsettings.Duration(6 * time.Second), Weights: beechsettings.Duration(8 * time.Second),
-		Window: beechsettings.Duration(10 * time.Second), Retries: 0.2, Spare: 50,
+		Retries: 0.2, Spare: 50,
 	}
 	for i := range 3 {
 		name := fmt.Sprintf("gate-%d", i)
--- a/internal/process/beechgate/gate.go
+++ b/internal/process/beechgate/gate.go
@@ -98,8 +98,8 @@
 	stopMargin     = 600 * time.Millisecond
 	headerBytes    = 64 << 10
 	headerTime     = 10 * time.Second
-	idleTime       = 2 * time.Minute
-	oldShare       = 0.65 // of the bound for weights: the rest is for the request's way
+	idleTime       = 2 * time.Minute // of callers' connections, where operators name none
+	oldShare       = 0.65            // of the bound for weights: the rest is for the request's way
 )
 
 // healthSettings are quicker than the defaults, since callers' deadlines here
@@ -177,8 +177,13 @@
 		return fmt.Errorf("listen for readiness: %w", err)
 	}
 	server := &http.Server{
-		Handler: door, MaxHeaderBytes: headerBytes, ReadHeaderTimeout: headerTime, IdleTimeout: idleTime,
-		ConnContext: beechguard.Context, ConnState: beechguard.State, ErrorLog: zap.NewStdLog(g.log),
+		Handler: door, MaxHeaderBytes: headerBytes, ReadHeaderTimeout: headerTime,
+		ConnContext: beechguard.Context, ErrorLog: zap.NewStdLog(g.log),
+	}
+	idle := newIdlers(g.clock, g.idleLimit)
+	server.ConnState = func(c net.Conn, state http.ConnState) {
+		beechguard.State(c, state)
+		idle.state(c, state)
 	}
 	checks := &http.Server{Handler: ready, ReadHeaderTimeout: headerTime, ErrorLog: zap.NewStdLog(g.log)}
 	failed := make(chan error, 2)
--- a/internal/process/beechsettings/settings.go
+++ b/internal/process/beechsettings/settings.go
@@ -103,7 +103,6 @@
 		Revoke  Duration `json:"revoke,omitempty"`  // no key is served so long after it was taken away
 		Grace   Duration `json:"grace,omitempty"`   // from the stop signal to the kill
 		Weights Duration `json:"weights,omitempty"` // no old weights so long after newer ones were named
-		Window  Duration `json:"window,omitempty"`  // over which retries are counted
 		Retries float64  `json:"retries,omitempty"` // share of a service's requests, over all gates
 		Spare   float64  `json:"spare,omitempty"`   // retries beyond that, over all gates
 	}
@@ -144,7 +143,6 @@
 	defaultRevoke      = 5 * time.Second
 	defaultStop        = 8 * time.Second
 	defaultWeights     = 8 * time.Second
-	defaultWindow      = 10 * time.Second
 	defaultRetries     = 0.1
 	defaultSpare       = 20
 	schemaURL          = "settings.schema.json"
@@ -192,7 +190,6 @@
 	setDefault(&b.Revoke, Duration(defaultRevoke))
 	setDefault(&b.Grace, Duration(defaultStop))
 	setDefault(&b.Weights, Duration(defaultWeights))
-	setDefault(&b.Window, Duration(defaultWindow))
 	setDefault(&b.Retries, defaultRetries)
 	setDefault(&b.Spare, defaultSpare)
 	return gate, nil
--- a/internal/request/beechcall/configuration.go
+++ b/internal/request/beechcall/configuration.go
@@ -61,11 +61,9 @@
 		Name           string
 		MaxConnections int // of all callers to one server; 0 is not known
 		Slots          int // requests that an engine runs at once; 0 for plain services
-		CacheTokens    int // what an engine's memory holds
 		TokenBytes     int // KV cache of one token
 		Models         []string
 		Kept           netip.AddrPort
-		KeptZone       string
 		Link           float64 // of a kept store: bytes that it sends or takes in a millisecond; 0 is not known
 	}
 
@@ -78,10 +76,8 @@
 
 	// Limits bound what a caller may send. Zero is not known.
 	Limits struct {
-		HeaderBytes int
-		BodyBytes   int64
-		HeaderTime  time.Duration
-		IdleTime    time.Duration
+		BodyBytes int64
+		IdleTime  time.Duration // of a connection between requests
 	}
 
 	// Named is a version of a model's weights that operators want in use.
