--- /dev/null
+++ b/internal/command/beechchart/chart.go
@@ -0,0 +1,79 @@
+// Package beechchart shows plays side by side: what callers got in each, as a
+// table or as a plot, so that a round of changes can be seen as a whole.
+//
+// # Usage
+//
+//	err := beechchart.Table(out, records)
+//	err = beechchart.Plot(out, records) // SVG
+package beechchart
+
+import (
+	"errors"
+	"fmt"
+	"io"
+	"strconv"
+	"text/tabwriter"
+	"time"
+
+	"github.com/wcharczuk/go-chart/v2"
+
+	"github.com/beechring/beechring/internal/command/beechplay"
+)
+
+const (
+	width     = 900
+	height    = 400
+	percent   = 100
+	dotWidth  = 3
+	plotLeast = 2 // a line needs two points
+)
+
+// ErrTooFew says that there are too few plays for a plot.
+var ErrTooFew = errors.New("a plot needs two plays or more")
+
+// Table writes a line for each play, the earliest first.
+func Table(out io.Writer, records []beechplay.Record) error {
+	w := tabwriter.NewWriter(out, 0, 0, 2, ' ', tabwriter.AlignRight)
+	_, _ = fmt.Fprintln(w, "play\twhole\tin time\trefused\tfailed\tp50\tp99\tread\tbroken\t  why")
+	for i, r := range records {
+		_, _ = fmt.Fprintf(w, "%d\t%.1f%%\t%.1f%%\t%d\t%d\t%s\t%s\t%.1f%%\t%d\t  %s\n", i+1,
+			percent*r.Whole(), percent*r.InTime(), r.Refused, r.Failed, r.Median.Round(time.Millisecond), r.Tail.Round(time.Millisecond),
+			percent*r.ReadShare(), r.Promises, r.Why)
+	}
+	return w.Flush() // also tells of the writes before
+}
+
+// Plot writes the plays' shares as an SVG picture.
+func Plot(out io.Writer, records []beechplay.Record) error {
+	if len(records) < plotLeast {
+		return fmt.Errorf("%w: there are %d", ErrTooFew, len(records))
+	}
+	plays := make([]float64, len(records))
+	ticks := make([]chart.Tick, len(records))
+	for i := range records {
+		plays[i] = float64(i + 1)
+		ticks[i] = chart.Tick{Value: plays[i], Label: strconv.Itoa(i + 1)}
+	}
+	graph := chart.Chart{
+		Width: width, Height: height, Background: chart.Style{Padding: chart.Box{Top: 20, Left: 160}},
+		XAxis: chart.XAxis{Name: "play", Ticks: ticks},
+		YAxis: chart.YAxis{Name: "% of requests, or of prompt tokens", Range: &chart.ContinuousRange{Min: 0, Max: percent}},
+	}
+	for _, line := range []struct {
+		name  string
+		value func(beechplay.Record) float64
+	}{
+		{"whole answers", beechplay.Record.Whole}, {"in time", beechplay.Record.InTime}, {"prompt tokens read", beechplay.Record.ReadShare},
+	} {
+		shares := make([]float64, len(records))
+		for i, r := range records {
+			shares[i] = percent * line.value(r)
+		}
+		graph.Series = append(graph.Series, chart.ContinuousSeries{Name: line.name, XValues: plays, YValues: shares, Style: chart.Style{DotWidth: dotWidth}})
+	}
+	graph.Elements = []chart.Renderable{chart.LegendLeft(&graph)}
+	if err := graph.Render(chart.SVG, out); err != nil {
+		return fmt.Errorf("plot plays: %w", err)
+	}
+	return nil
+}
--- a/internal/command/beechcommand/command.go
+++ b/internal/command/beechcommand/command.go
@@ -47,6 +47,7 @@
 	newBurnCommand,
 	newDemoCommand,
 	newPlayCommand,
+	newReportCommand,
 	newStandinCommand,
 	newVersionCommand,
 }
--- a/internal/command/beechplay/play.go
+++ b/internal/command/beechplay/play.go
@@ -326,13 +326,15 @@
 	}
 }
 
+// first is the time to the first byte of so many in a hundred whole answers.
+func (r *Report) first(quantile float64) time.Duration {
+	return time.Duration(r.First.ValueAtQuantile(quantile)) * time.Microsecond
+}
+
 // Print writes the report for people.
 func (r *Report) Print(w io.Writer) {
-	at := func(quantile float64) time.Duration {
-		return time.Duration(r.First.ValueAtQuantile(quantile)) * time.Microsecond
-	}
 	_, _ = fmt.Fprintf(w, "asked            %d\nwhole answers    %d, %d of them late\nrefused, not run %d\nfailed           %d\nfirst byte       p50 %s, p99 %s\n",
-		r.Asked, r.Served, r.Late, r.Refused, r.Failed, at(50).Round(10*time.Microsecond), at(99).Round(10*time.Microsecond))
+		r.Asked, r.Served, r.Late, r.Refused, r.Failed, r.first(medianAt).Round(10*time.Microsecond), r.first(tailAt).Round(10*time.Microsecond))
 	if r.Prompts > 0 {
 		_, _ = fmt.Fprintf(w, "prompt tokens    %d, %.1f%% of them read\n", r.Prompts, 100*float64(r.Read)/float64(r.Prompts))
 	}
