A full link of the kept store is left alone

Traced: every request that fetched from the store of kept KV cache had its first word after 1.8 s, whatever its size (126 tokens fetched, 15 ms expected, 1,820 ms seen), every other one after 120 ms. Transfers wait up to two seconds at the store's one link; late answers hold memory, less stays in engines, more is fetched. Parts of which a gate knew nothing were fetched from there without regard to the gate's share. Change: each way of the link has its share; all fetches count; the share shrinks by half when a first byte comes 0.5 s later than twice what was expected, and grows again by a fiftieth a transfer in time; below 1,024 tokens nothing is fetched while transfers are late.

--- a/internal/request/beechplace/place_test.go
+++ b/internal/request/beechplace/place_test.go
@@ -433,3 +433,42 @@
 	short := ask("q", 90, 60)
 	is.True(f.choose(t, short).Ahead < c.Ahead)
 }
+
+// The link of the store of kept KV cache is full, and everything that is fetched
+// there comes two seconds late. Questions that would fetch a hundred tokens wait
+// as long as long prompts do, their runs fill the engines, and more is fetched:
+// it goes on after the burst that began it. They are read instead, at once, and
+// long prompts leave the link alone until transfers come in time again.
+func TestFullLinkIsLeftAlone(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(4)
+	f.SetConfiguration(&beechcall.Configuration{Services: map[string]beechcall.Service{
+		"llm": {Name: "llm", TokenBytes: 1000}, "kept": {Name: "kept", Kept: kept, Link: 100000}, // 100 tokens in a millisecond
+	}})
+	run := func(name string, shared int, first time.Duration) Choice {
+		call := ask(name, shared, 100)
+		c := f.choose(t, call)
+		ticket := f.Sent(call, c)
+		f.clock.Advance(first)
+		ticket.Read()
+		ticket.Done(Answered)
+		return c
+	}
+	is.Equal(run("small-0", 120, 20*time.Millisecond).Fetch, kept)
+	is.Equal(run("long-0", 6000, 200*time.Millisecond).Fetch, kept)
+	for i := range 8 {
+		run(fmt.Sprint("long-late-", i), 6000, 2500*time.Millisecond)
+	}
+	is.True(!run("small-1", 120, 20*time.Millisecond).Fetch.IsValid())
+	fetched := 0
+	for i := range 40 {
+		if run(fmt.Sprint("long-then-", i), 6000, 10*time.Millisecond).Fetch == kept {
+			fetched++
+		}
+	}
+	is.True(fetched < 10) // 40 would be 600 tokens in a millisecond
+	for i := range 200 {
+		run(fmt.Sprint("long-soon-", i), 6000, 400*time.Millisecond)
+	}
+	is.Equal(run("small-2", 120, 20*time.Millisecond).Fetch, kept)
+}
--- a/internal/request/beechplace/placer.go
+++ b/internal/request/beechplace/placer.go
@@ -30,7 +30,8 @@
 		kept      beechcall.Service
 		keptDown  time.Time
 		keptSince time.Time // when it was seen down last
-		link      keptLink
+		fetches   keptLink
+		saves     keptLink
 		named     map[string][]named // by model, the oldest first
 		holders   *lru.Cache[uint64, holding]
 		rate      float64 // tokens that an engine reads in a millisecond, as learned
@@ -151,14 +152,15 @@
 	p.setLink()
 }
 
-// setLink works out this gate's share of the kept store's link. The caller
+// setLink works out this gate's share of both ways of the kept store's link. The caller
 // holds the lock.
 func (p *Placer) setLink() {
 	bytes := 0
 	for _, s := range p.sheets {
 		bytes = max(bytes, s.TokenBytes)
 	}
-	p.link.set(p.kept.Link, bytes, p.settings.Fronts)
+	p.fetches.set(p.kept.Link, bytes, p.settings.Fronts)
+	p.saves.set(p.kept.Link, bytes, p.settings.Fronts)
 }
 
 // SetFronts tells how many gates send to the same engines.
--- a/internal/request/beechplace/prefix.go
+++ b/internal/request/beechplace/prefix.go
@@ -40,6 +40,9 @@
 	// its reading included. From then on the store is the better source: what
 	// engines hold is dropped within seconds.
 	savedIn = 300 * time.Millisecond
+	// smallFetch is the tokens below which a part is read rather than fetched over
+	// a link that is slow: reading them takes less than 25 ms.
+	smallFetch = 1024
 	// newsLeast is the shared tokens that a server must be missing for other
 	// gates to be told that it will hold them now.
 	newsLeast = 32
@@ -122,13 +125,11 @@
 	c.Missing = missing
 	if missing > 0 {
 		fresh := !saved.IsZero() && now.Sub(saved) > savedIn
-		if !c.Fetch.IsValid() || (fresh && p.link.room(missing, now)) {
+		if (fresh || !c.Fetch.IsValid()) && p.fetches.room(missing, now) && (missing >= smallFetch || !p.fetches.slow()) {
 			c.Fetch = p.keptAddress()
-			if fresh {
-				c.Moved = missing
-			}
+			c.Moved = missing
 		}
-		if now.Sub(saved) > saveAgain && p.link.room(call.PromptTokens, now) {
+		if now.Sub(saved) > saveAgain && p.saves.room(call.PromptTokens, now) {
 			c.Save = p.keptAddress()
 		}
 	}
@@ -179,9 +180,9 @@
 // keys.
 func (p *Placer) remember(call *beechcall.Call, c Choice, now time.Time) []uint64 {
 	var keys []uint64
-	p.link.use(c.Moved, now)
+	p.fetches.use(c.Moved, now)
 	if c.Save.IsValid() {
-		p.link.use(call.PromptTokens, now)
+		p.saves.use(call.PromptTokens, now)
 	}
 	from := now
 	if s, ok := p.byID[c.Server.ID]; ok {
--- a/internal/request/beechplace/ticket.go
+++ b/internal/request/beechplace/ticket.go
@@ -12,6 +12,8 @@
 	placer  *Placer
 	server  *server
 	prompt  int // tokens; 0 for plain services
+	moved   int // tokens from the store of kept KV cache
+	expect  time.Duration
 	unread  int
 	work    float64 // tokens that had to be read, those ahead included
 	sent    time.Time
@@ -31,6 +33,7 @@
 	}
 	t.server = s
 	t.sent = p.clock.Now().Add(c.Wait)
+	t.moved, t.expect = c.Moved, time.Duration((c.Expected-milliseconds(c.Wait))*float64(time.Millisecond))
 	t.work = p.ahead(s, t.sent) + float64(c.Unread)
 	s.flying++
 	s.unread += c.Unread
@@ -64,11 +67,18 @@
 	t.First()
 	t.placer.mu.Lock()
 	defer t.placer.mu.Unlock()
-	took := milliseconds(t.placer.clock.Since(t.sent))
-	if t.work < learnLeast || took <= 0 || t.learned {
+	if t.learned {
 		return
 	}
 	t.learned = true
+	now := t.placer.clock.Now()
+	took := milliseconds(now.Sub(t.sent))
+	if t.moved > 0 {
+		t.placer.fetches.took(now.Sub(t.sent), t.expect, now)
+	}
+	if t.work < learnLeast || took <= 0 {
+		return
+	}
 	seen := min(max(t.work/took, rateLeast), rateMost)
 	t.placer.rate += (seen - t.placer.rate) / rateOver
 }
