An idle connection is ended by its wait, not closed under a request; following a cache reads in steps

Change: the timer ends the wait for the next request, which the server itself then closes; tests on a real connection. watchCache is split in steps.

--- a/internal/process/beechgate/idle.go
+++ b/internal/process/beechgate/idle.go
@@ -22,6 +22,8 @@
 	timers map[net.Conn]clockwork.Timer
 }
 
+var longAgo = time.Unix(1, 0)
+
 func newIdlers(clock clockwork.Clock, limit func() time.Duration) *idlers {
 	return &idlers{clock: clock, limit: limit, timers: make(map[net.Conn]clockwork.Timer)}
 }
@@ -39,14 +41,15 @@
 	}
 }
 
-// expire closes a connection that is still idle.
+// expire ends the wait of a connection that is still idle, upon which the server
+// closes it. Closed from here, it could be closed under a request that has just
+// been read and is passed on.
 func (d *idlers) expire(c net.Conn) {
 	d.mu.Lock()
-	_, idle := d.timers[c]
-	delete(d.timers, c)
-	d.mu.Unlock()
-	if idle {
-		_ = c.Close() // the server sees it and forgets the connection
+	defer d.mu.Unlock()
+	if _, idle := d.timers[c]; idle {
+		delete(d.timers, c)
+		_ = c.SetReadDeadline(longAgo) // fails only where the connection is closed already
 	}
 }
 
--- a/internal/process/beechgate/idle_test.go
+++ b/internal/process/beechgate/idle_test.go
@@ -1,8 +1,10 @@
 package beechgate
 
 import (
+	"io"
 	"net"
 	"net/http"
+	"strings"
 	"sync/atomic"
 	"testing"
 	"testing/synctest"
@@ -12,14 +14,16 @@
 	"github.com/matryer/is"
 )
 
-// countedConn counts how often it is closed.
-type countedConn struct {
+// waitingConn notes how often the wait for its next request was ended.
+type waitingConn struct {
 	net.Conn
-	closed atomic.Int32
+	ended atomic.Int32
 }
 
-func (c *countedConn) Close() error {
-	c.closed.Add(1)
+func (c *waitingConn) SetReadDeadline(at time.Time) error {
+	if at.Before(time.Now()) {
+		c.ended.Add(1)
+	}
 	return nil
 }
 
@@ -31,7 +35,7 @@
 		is := is.New(t)
 		limit := 10 * time.Second
 		d := newIdlers(clockwork.NewRealClock(), func() time.Duration { return limit })
-		c := &countedConn{}
+		c := &waitingConn{}
 		d.state(c, http.StateNew)
 		d.state(c, http.StateActive)
 		d.state(c, http.StateIdle)
@@ -41,10 +45,31 @@
 		time.Sleep(time.Minute)      // a long answer is not idleness
 		d.state(c, http.StateIdle)
 		time.Sleep(29 * time.Second)
-		is.Equal(c.closed.Load(), int32(0))
+		is.Equal(c.ended.Load(), int32(0))
 		time.Sleep(2 * time.Second)
-		is.Equal(c.closed.Load(), int32(1))
+		is.Equal(c.ended.Load(), int32(1))
 		d.state(c, http.StateClosed)
 		is.Equal(len(d.timers), 0)
 	})
 }
+
+// The bound is reached on a real connection: the caller finds it closed, and one
+// that asks in time does not.
+func TestIdleConnectionIsClosed(t *testing.T) {
+	is := is.New(t)
+	d := newIdlers(clockwork.NewRealClock(), func() time.Duration { return 150 * time.Millisecond })
+	listener, err := net.Listen("tcp4", "127.0.0.1:0")
+	is.NoErr(err)
+	server := &http.Server{Handler: http.NotFoundHandler(), ConnState: d.state, ReadHeaderTimeout: time.Minute}
+	go func() { _ = server.Serve(listener) }()
+	defer server.Close()
+	c, err := net.Dial("tcp4", listener.Addr().String())
+	is.NoErr(err)
+	defer c.Close()
+	is.NoErr(c.SetDeadline(time.Now().Add(10 * time.Second)))
+	_, err = c.Write([]byte("GET / HTTP/1.1\r\nHost: x\r\n\r\n"))
+	is.NoErr(err)
+	answer, err := io.ReadAll(c) // to the end of the connection
+	is.NoErr(err)
+	is.True(strings.HasPrefix(string(answer), "HTTP/1.1 404"))
+}
--- a/internal/process/beechkeeper/cache.go
+++ b/internal/process/beechkeeper/cache.go
@@ -9,6 +9,13 @@
 	"go.uber.org/zap"
 )
 
+// cacheWatch is how far a keeper has followed its engine's cache.
+type cacheWatch struct {
+	since  uint64 // number of the last change
+	epoch  uint64
+	listed bool // what was held then is known
+}
+
 // news is keys that gates are to be told, each some times, since a datagram may
 // be lost.
 type news struct {
@@ -80,33 +87,9 @@
 // What comes into the cache is known from gates' announcements. At the start and
 // after a gap the engine's own list stands in for them.
 func (k *Keeper) watchCache(ctx context.Context) error {
-	var since, epoch uint64
-	listed := false
+	var w cacheWatch
 	for ctx.Err() == nil {
-		pause := cachePace
-		if !listed {
-			held, err := k.listCache(ctx)
-			if listed = err == nil; listed {
-				since, epoch = held.Next, held.Epoch
-			} else {
-				pause = cacheAgain
-			}
-		} else {
-			limited, cancel := clockwork.WithTimeout(ctx, k.needs.Clock, cacheWait+cacheSlack)
-			shrunk, err := k.needs.Engine.Shrunk(limited, since, cacheWait)
-			cancel()
-			switch {
-			case err != nil:
-				pause = cacheAgain
-			case shrunk.Lost || shrunk.Epoch != epoch:
-				k.needs.Log.Info("cache not known any more", zap.Bool("lost", shrunk.Lost), zap.Uint64("epoch", shrunk.Epoch))
-				k.dropAll()
-				listed, pause = false, listAgain
-			default:
-				k.drop(shrunk.Parts)
-				since = shrunk.Next
-			}
-		}
+		pause := k.followCache(ctx, &w)
 		select {
 		case <-k.needs.Clock.After(pause):
 		case <-ctx.Done():
@@ -115,6 +98,33 @@
 	return ctx.Err()
 }
 
+// followCache does one step, and gives the pause before the next.
+func (k *Keeper) followCache(ctx context.Context, w *cacheWatch) time.Duration {
+	if !w.listed {
+		held, err := k.listCache(ctx)
+		if err != nil {
+			return cacheAgain
+		}
+		*w = cacheWatch{since: held.Next, epoch: held.Epoch, listed: true}
+		return cachePace
+	}
+	limited, cancel := clockwork.WithTimeout(ctx, k.needs.Clock, cacheWait+cacheSlack)
+	defer cancel()
+	shrunk, err := k.needs.Engine.Shrunk(limited, w.since, cacheWait)
+	switch {
+	case err != nil:
+		return cacheAgain
+	case shrunk.Lost || shrunk.Epoch != w.epoch:
+		k.needs.Log.Info("cache not known any more", zap.Bool("lost", shrunk.Lost), zap.Uint64("epoch", shrunk.Epoch))
+		k.dropAll()
+		w.listed = false
+		return listAgain
+	}
+	k.drop(shrunk.Parts)
+	w.since = shrunk.Next
+	return cachePace
+}
+
 // listCache takes in what the engine holds by its own word. Small parts are
 // passed over: reading them takes less than telling all gates of them is worth.
 func (k *Keeper) listCache(ctx context.Context) (Held, error) {
@@ -149,8 +159,8 @@
 	}
 }
 
-// introduce has a gate that is new told of what the engine holds, the
-// newest. A gate that started knows nothing; it would send each history to
+// introduce has a gate that is new told of what the engine holds, the newest
+// parts. A gate that started knows nothing; it would send each history to
 // another engine and have it read or moved there, all of them in the first
 // second: measured, 150 thousand tokens in 0.4 s on nine engines, and answers
 // late for two seconds. The caller holds the lock.
--- a/internal/process/beechkeeper/keeper.go
+++ b/internal/process/beechkeeper/keeper.go
@@ -294,10 +294,10 @@
 }
 
 // interval is the time between words to a gate. It grows with their number, or
-// words would grow with its square. Of a long prompt gates of all zones hear at
-// once: with 200 ms until those of other zones heard, callers there waited
+// words would grow with its square. Of a long prompt the gates of all zones hear
+// at once: with 200 ms until those of other zones heard, callers there waited
 // behind it without their gates' knowing. Measured: worth of 0.536 and 0.556
-// before and after on nine engines, 0.506 and 0.572 on 44. What it takes:
+// before and after on nine engines, 0.506 and 0.572 on 44. It takes
 // 250 bytes a prompt and gate, 3% of the 10 Mbit/s of the smallest entry hosts
 // with 150 long prompts a second.
 func (k *Keeper) interval(f *follower, urgent bool) time.Duration {
