A store that one mirror finds lost is looked at by the other at once

Traced: servers' entries are read each 4 s now; when the operators' reads had found the store lost, the servers' mirror had not, and took the entries that lapsed with the store for gone at its return. Ruled out: age of the keys (a store lost for 2 to 3 s, 4.2 s are allowed). Change: the mirror that finds the store lost has the other one read at once; it fails, and what lapsed is kept for its 2.2 s.

--- a/internal/process/beechgate/gate.go
+++ b/internal/process/beechgate/gate.go
@@ -130,12 +130,12 @@
 	g.metrics = newMetrics(g)
 	g.placer = beechplace.New(beechplace.Settings{Zone: s.Zone, OldMost: time.Duration(float64(s.Bounds.Weights) * oldShare)}, needs.Clock, g.health, g.announce)
 	g.core = beechattempt.New(g.placer, needs.Backend, g.budgets, g.suspects, g, needs.Clock, needs.Log)
-	operators := beechmirror.New(beechmirror.Settings{
-		Prefix: needs.OperatorPrefix, Interval: operatorRead, Patience: readPatience, Wait: operatorWait, Space: operatorSpace,
-	}, needs.Source, g.belief, needs.Clock, needs.Log, g.setOperators)
 	servers := beechmirror.New(beechmirror.Settings{
 		Prefix: needs.ServerPrefix, Interval: serverRead, Patience: readPatience, Wait: serverWait, Space: serverSpace, Linger: linger,
 	}, needs.Source, beechfresh.New(needs.Age), needs.Clock, needs.Log, g.setServers)
+	operators := beechmirror.New(beechmirror.Settings{
+		Prefix: needs.OperatorPrefix, Interval: operatorRead, Patience: readPatience, Wait: operatorWait, Space: operatorSpace, Lost: servers.Ask,
+	}, needs.Source, g.belief, needs.Clock, needs.Log, g.setOperators)
 	g.supervisor = suture.New("gate", suture.Spec{EventHook: beechlog.SupervisorHook(needs.Log)})
 	for _, task := range []beechtask.Task{
 		{Name: "read operators", Run: operators.Read},
--- a/internal/state/beechmirror/mirror.go
+++ b/internal/state/beechmirror/mirror.go
@@ -75,6 +75,7 @@
 		Wait     time.Duration // of a watch
 		Space    time.Duration // between watches, so that changes in a row come together
 		Linger   time.Duration // what is missing when a lost store answers again is kept for so long
+		Lost     func()        // called when a whole read fails after one that did not; may be nil
 	}
 
 	// Mirror is the copy. It is safe for concurrent use.
@@ -192,6 +193,9 @@
 	switch {
 	case err != nil && !was:
 		m.log.Warn("store lost", zap.Error(err))
+		if m.settings.Lost != nil {
+			m.settings.Lost()
+		}
 	case err == nil && was:
 		m.log.Info("store regained")
 	}
@@ -245,7 +249,7 @@
 	failing := m.failing
 	m.mu.Unlock()
 	if !failing {
-		m.ask()
+		m.Ask()
 	}
 }
 
@@ -273,8 +277,10 @@
 	return nil
 }
 
-// ask has the whole prefix read at once.
-func (m *Mirror) ask() {
+// Ask has the whole prefix read at once. A mirror that is read seldom learns
+// that way that the store is lost, as another one found: what lapses with the
+// store would be taken for gone otherwise.
+func (m *Mirror) Ask() {
 	select {
 	case m.again <- struct{}{}:
 	default:
--- a/internal/state/beechmirror/mirror_test.go
+++ b/internal/state/beechmirror/mirror_test.go
@@ -269,3 +269,29 @@
 		loop.Wait()
 	})
 }
+
+// Servers' entries are read seldom and lapse while the store is down. The mirror
+// that reads often finds the store lost; if it keeps that to itself, the other
+// one takes the entries for gone when the store is back, and callers are refused
+// for two seconds.
+func TestLossIsTold(t *testing.T) {
+	is := is.New(t)
+	clock := clockwork.NewFakeClock()
+	s := &source{page: Page{Revision: 1, Items: []Item{{Key: "servers/a", Revision: 1}}}}
+	var got []Item
+	servers := newMirror(s, clock, func(items []Item) { got = items })
+	operators := newMirror(s, clock, func([]Item) {})
+	operators.settings.Lost = servers.Ask
+	is.True(servers.readOnce(t.Context()))
+	is.True(operators.readOnce(t.Context()))
+	s.refuse()
+	is.True(!operators.readOnce(t.Context()))
+	select {
+	case <-servers.again:
+	default:
+		t.Fatal("the other mirror is not asked to read")
+	}
+	is.True(!servers.readOnce(t.Context()))
+	servers.merge(Page{Revision: 3, Items: []Item{{Key: "servers/a", Revision: 3, Removed: true}}})
+	is.Equal(keys(got), []string{"servers/a"})
+}
