--- a/internal/standin/beechhome/documents.go
+++ b/internal/standin/beechhome/documents.go
@@ -38,6 +38,8 @@
 	ReadyPath = "/beechring/ready"
 	// RangePath is where whole reads come in.
 	RangePath = "/beechring/kv-range"
+	// WatchPath is where watches come in.
+	WatchPath = "/beechring/kv-watch"
 )
 
 // Name names a version of a model's weights, as operators do.
--- a/internal/standin/beechhome/store.go
+++ b/internal/standin/beechhome/store.go
@@ -142,9 +142,9 @@
 		w.WriteHeader(trouble.Status)
 	case trouble.Body != "":
 		_, _ = w.Write([]byte(trouble.Body))
-	case r.URL.Path == "/beechring/kv-range":
+	case r.URL.Path == RangePath:
 		s.answerRange(w, r)
-	case r.URL.Path == "/beechring/kv-watch":
+	case r.URL.Path == WatchPath:
 		s.answerWatch(w, r, trouble.Deaf)
 	default:
 		http.NotFound(w, r)
