--- a/internal/link/beechwire/wire_gen.go
+++ b/internal/link/beechwire/wire_gen.go
@@ -668,18 +668,22 @@
 	Fingerprint uint64 `msg:"Fingerprint"`
 }
 
-// Target is the weights that an engine is to have, and when its turn to load them
-// comes.
+// Target is the weights that an engine is to have, and whether its turn to load
+// them has come.
 type Target struct {
+	// Milliseconds from now; the engine takes its turn by itself then, if no gate is
+	// heard.
+	Alone int64 `msg:"Alone"`
+
 	// Grows with the version.
 	Fence uint64 `msg:"Fence"`
 
+	// The engine's turn has come.
+	Granted bool `msg:"Granted"`
+
 	// Model corresponds to the JSON schema field "Model".
 	Model string `msg:"Model"`
 
-	// Milliseconds from now.
-	Turn int64 `msg:"Turn"`
-
 	// Version corresponds to the JSON schema field "Version".
 	Version uint64 `msg:"Version"`
 }
--- a/internal/link/beechwire/wire_msgp_gen.go
+++ b/internal/link/beechwire/wire_msgp_gen.go
@@ -3948,16 +3948,19 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *Target) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 4
+	// map header, size 5
+	// string "Alone"
+	o = append(o, 0x85, 0xa5, 0x41, 0x6c, 0x6f, 0x6e, 0x65)
+	o = msgp.AppendInt64(o, z.Alone)
 	// string "Fence"
-	o = append(o, 0x84, 0xa5, 0x46, 0x65, 0x6e, 0x63, 0x65)
+	o = append(o, 0xa5, 0x46, 0x65, 0x6e, 0x63, 0x65)
 	o = msgp.AppendUint64(o, z.Fence)
+	// string "Granted"
+	o = append(o, 0xa7, 0x47, 0x72, 0x61, 0x6e, 0x74, 0x65, 0x64)
+	o = msgp.AppendBool(o, z.Granted)
 	// string "Model"
 	o = append(o, 0xa5, 0x4d, 0x6f, 0x64, 0x65, 0x6c)
 	o = msgp.AppendString(o, z.Model)
-	// string "Turn"
-	o = append(o, 0xa4, 0x54, 0x75, 0x72, 0x6e)
-	o = msgp.AppendInt64(o, z.Turn)
 	// string "Version"
 	o = append(o, 0xa7, 0x56, 0x65, 0x72, 0x73, 0x69, 0x6f, 0x6e)
 	o = msgp.AppendUint64(o, z.Version)
@@ -3982,22 +3985,28 @@
 			return
 		}
 		switch msgp.UnsafeString(field) {
+		case "Alone":
+			z.Alone, bts, err = msgp.ReadInt64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Alone")
+				return
+			}
 		case "Fence":
 			z.Fence, bts, err = msgp.ReadUint64Bytes(bts)
 			if err != nil {
 				err = msgp.WrapError(err, "Fence")
 				return
 			}
-		case "Model":
-			z.Model, bts, err = msgp.ReadStringBytes(bts)
+		case "Granted":
+			z.Granted, bts, err = msgp.ReadBoolBytes(bts)
 			if err != nil {
-				err = msgp.WrapError(err, "Model")
+				err = msgp.WrapError(err, "Granted")
 				return
 			}
-		case "Turn":
-			z.Turn, bts, err = msgp.ReadInt64Bytes(bts)
+		case "Model":
+			z.Model, bts, err = msgp.ReadStringBytes(bts)
 			if err != nil {
-				err = msgp.WrapError(err, "Turn")
+				err = msgp.WrapError(err, "Model")
 				return
 			}
 		case "Version":
@@ -4020,7 +4029,7 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *Target) Msgsize() (s int) {
-	s = 1 + 6 + msgp.Uint64Size + 6 + msgp.StringPrefixSize + len(z.Model) + 5 + msgp.Int64Size + 8 + msgp.Uint64Size
+	s = 1 + 6 + msgp.Int64Size + 6 + msgp.Uint64Size + 8 + msgp.BoolSize + 6 + msgp.StringPrefixSize + len(z.Model) + 8 + msgp.Uint64Size
 	return
 }
 
--- a/internal/process/beechgate/gate.go
+++ b/internal/process/beechgate/gate.go
@@ -27,6 +27,7 @@
 	"github.com/beechring/beechring/internal/request/beechcall"
 	"github.com/beechring/beechring/internal/request/beechfresh"
 	"github.com/beechring/beechring/internal/request/beechplace"
+	"github.com/beechring/beechring/internal/request/beechrollout"
 	"github.com/beechring/beechring/internal/state/beechmirror"
 )
 
@@ -71,7 +72,10 @@
 		named   map[string]naming
 		servers []beechcall.Server
 		gates   int
+		pace    *beechrollout.Pace
 		news    chan struct{} // a follow is due now
+
+		turnNews chan struct{} // an engine's turn has ended
 	}
 
 	// naming is a named version with when this gate learned of it.
@@ -124,7 +128,9 @@
 		suspects: beechsuspect.New(beechsuspect.Settings{}, needs.Clock),
 		budgets:  NewBudgets(s.Bounds.Retries, s.Bounds.Spare, needs.Clock),
 		named:    make(map[string]naming),
+		pace:     beechrollout.NewPace(),
 		news:     make(chan struct{}, 1),
+		turnNews: make(chan struct{}, 1),
 	}
 	g.bounds.Store(&s.Bounds)
 	g.metrics = newMetrics(g)
--- a/internal/process/beechgate/keepers.go
+++ b/internal/process/beechgate/keepers.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"net/netip"
+	"slices"
+	"time"
 
 	"go.uber.org/zap"
 
@@ -27,11 +29,19 @@
 func (g *Gate) followKeepers(ctx context.Context) error {
 	for {
 		g.followOnce()
-		select {
-		case <-g.clock.After(followInterval):
-		case <-g.news:
-		case <-ctx.Done():
-			return ctx.Err()
+		next := g.clock.After(followInterval)
+	turns:
+		for {
+			select {
+			case <-g.turnNews:
+				g.grantTurns()
+			case <-next:
+				break turns
+			case <-g.news:
+				break turns
+			case <-ctx.Done():
+				return ctx.Err()
+			}
 		}
 	}
 }
@@ -42,40 +52,84 @@
 	}
 	g.mu.Lock()
 	servers := g.servers
-	turns := g.turns()
 	g.mu.Unlock()
+	targets := g.targets()
 	suspects := beechshare.WireSuspects(beechshare.Worst(g.suspects.News()))
 	for _, s := range servers {
-		if len(s.Weights) == 0 {
-			continue // a plain service's server has no keeper
+		if len(s.Weights) > 0 { // a plain service's server has no keeper
+			g.follow(s, targets[s.ID], suspects)
 		}
-		to := netip.AddrPortFrom(s.Address.Addr(), g.settings.Beats.Port())
-		follow := &beechwire.Follow{Gate: g.settings.Name, Zone: g.settings.Zone, Targets: turns[s.ID], Suspects: suspects}
-		if err := g.socket.Send(to, beechbeat.Follow{Follow: follow}); err != nil {
-			g.log.Debug("keeper not told", zap.String("server", s.ID), zap.Error(err))
+	}
+}
+
+// grantTurns tells the keepers whose turn has come now that another engine's
+// has ended. At the follow interval alone, turns of half a second would stand
+// empty for as long again.
+func (g *Gate) grantTurns() {
+	if g.Leaving() {
+		return
+	}
+	g.mu.Lock()
+	servers := g.servers
+	g.mu.Unlock()
+	targets := g.targets()
+	for _, s := range servers {
+		if slices.ContainsFunc(targets[s.ID], func(t beechwire.Target) bool { return t.Granted }) {
+			g.follow(s, targets[s.ID], beechshare.WireSuspects(nil))
 		}
 	}
 }
 
-// turns gives the targets of each server. The caller holds the lock.
-func (g *Gate) turns() map[string][]beechwire.Target {
+func (g *Gate) follow(s beechcall.Server, targets []beechwire.Target, suspects []beechwire.Suspect) {
+	to := netip.AddrPortFrom(s.Address.Addr(), g.settings.Beats.Port())
+	follow := &beechwire.Follow{Gate: g.settings.Name, Zone: g.settings.Zone, Targets: targets, Suspects: suspects}
+	if err := g.socket.Send(to, beechbeat.Follow{Follow: follow}); err != nil {
+		g.log.Debug("keeper not told", zap.String("server", s.ID), zap.Error(err))
+	}
+}
+
+// targets gives the targets of each server.
+func (g *Gate) targets() map[string][]beechwire.Target {
+	g.mu.Lock()
+	defer g.mu.Unlock()
 	targets := make(map[string][]beechwire.Target)
 	now := g.clock.Now()
 	for model, n := range g.named {
-		var engines []beechrollout.Engine
-		for _, s := range g.servers {
-			if _, serves := s.Weights[model]; serves && !s.Leaving {
-				engines = append(engines, beechrollout.Engine{ID: s.ID, Zone: s.Zone})
-			}
-		}
-		for id, turn := range beechrollout.Plan(engines, beechrollout.Settings{}) {
-			left := max(n.at.Add(turn).Sub(now), 0)
-			targets[id] = append(targets[id], beechwire.Target{Model: model, Version: n.Version, Fence: n.Revision, Turn: left.Milliseconds()})
+		engines := g.placer.Standing(model)
+		granted := beechrollout.Turns(engines, n.Version, g.pace.Most(len(engines)))
+		for id, alone := range beechrollout.Alone(engines, time.Duration(g.bounds.Load().Weights)) {
+			targets[id] = append(targets[id], beechwire.Target{
+				Model: model, Version: n.Version, Fence: n.Revision, Granted: slices.Contains(granted, id),
+				Alone: max(n.at.Add(alone).Sub(now), 0).Milliseconds(),
+			})
 		}
 	}
 	return targets
 }
 
+// sawPhase takes in an engine's phase. When its turn ends another one's comes.
+func (g *Gate) sawPhase(engine string, phase beechrollout.Phase, weights map[string]uint64) {
+	if engine == "" {
+		return
+	}
+	versions := uint64(0)
+	for _, version := range weights {
+		versions += version // any model's newer version is a load
+	}
+	g.mu.Lock()
+	took := g.pace.Saw(engine, phase, versions, g.clock.Now())
+	window, load := g.pace.Window(), g.pace.Load()
+	g.mu.Unlock()
+	if took == 0 {
+		return
+	}
+	g.log.Info("weights loaded", zap.String("server", engine), zap.Duration("took", took), zap.Duration("alone", load), zap.Float64("window", window))
+	select {
+	case g.turnNews <- struct{}{}:
+	default:
+	}
+}
+
 // announce tells a keeper of a prompt that is on its way to its engine.
 func (g *Gate) announce(s beechcall.Server, tokens int, parts []uint64, kept bool) {
 	to := netip.AddrPortFrom(s.Address.Addr(), g.settings.Beats.Port())
@@ -94,10 +148,11 @@
 	for _, w := range tell.Have {
 		weights[w.Model] = w.Version
 	}
-	g.placer.Tell(beechplace.State{
+	engine := g.placer.Tell(beechplace.State{
 		Address: netip.AddrPortFrom(from.Addr(), tell.Port), Phase: beechrollout.Phase(tell.Phase), Weights: weights,
 		Reading: tell.Read, Running: tell.Run, Waiting: tell.Wait, CacheUsed: tell.Used, CacheTotal: tell.Room, Parts: tell.Parts, Gone: tell.Gone, Kept: tell.Kept,
 	})
+	g.sawPhase(engine, beechrollout.Phase(tell.Phase), weights)
 	g.suspects.Merge(beechshare.SuspectRecords(tell.Suspects))
 	g.setGates(tell.Gates)
 }
--- a/internal/process/beechkeeper/keeper.go
+++ b/internal/process/beechkeeper/keeper.go
@@ -192,7 +192,9 @@
 	}
 	f.heard = now
 	for _, t := range follow.Targets {
-		k.turn.Told(beechrollout.Target{Model: t.Model, Version: t.Version, Fence: t.Fence, At: now.Add(time.Duration(t.Turn) * time.Millisecond)})
+		k.turn.Told(beechrollout.Target{
+			Model: t.Model, Version: t.Version, Fence: t.Fence, Granted: t.Granted, Alone: now.Add(time.Duration(t.Alone) * time.Millisecond),
+		}, now)
 	}
 	k.mu.Unlock()
 	k.suspects.Merge(beechshare.SuspectRecords(follow.Suspects))
--- a/internal/request/beechplace/placer.go
+++ b/internal/request/beechplace/placer.go
@@ -197,13 +197,32 @@
 	return 0, false
 }
 
-// Tell takes in what a keeper says of its engine.
-func (p *Placer) Tell(s State) {
+// Standing gives what is known of the engines that serve a model, for a rollout
+// of its weights. Those that leave the fleet are not among them.
+func (p *Placer) Standing(model string) []beechrollout.Engine {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	now := p.clock.Now()
+	var engines []beechrollout.Engine
+	for _, s := range p.byID {
+		if _, serves := s.Server.Weights[model]; !serves || s.Leaving || s.over {
+			continue
+		}
+		engines = append(engines, beechrollout.Engine{
+			ID: s.ID, Zone: s.Zone, Version: s.weights[model], Phase: s.state.Phase, Silent: !s.fresh(now),
+		})
+	}
+	return engines
+}
+
+// Tell takes in what a keeper says of its engine. The answer is the engine's
+// ID, empty if none is known at its address.
+func (p *Placer) Tell(s State) string {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	v, ok := p.byPlace[s.Address]
 	if !ok {
-		return
+		return ""
 	}
 	v.told, v.state, v.atTold = p.clock.Now(), s, v.flying
 	for model, version := range s.Weights {
@@ -221,6 +240,7 @@
 	for _, key := range s.Parts {
 		p.hold(key, v.ID, v.told, p.readBy(v, v.told), false)
 	}
+	return v.ID
 }
 
 // KeptFailed tells that the store of kept KV cache does not answer. It comes
--- /dev/null
+++ b/internal/request/beechrollout/pace_test.go
@@ -0,0 +1,83 @@
+package beechrollout
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+// waves loads a number of times as many engines at once as the pace allows,
+// where each load takes as long as takes says, and gives what it allows then.
+func waves(p *Pace, engines, times int, takes func(atOnce int) time.Duration) int {
+	now := time.Unix(1000, 0)
+	for version := range uint64(times) {
+		n := p.Most(engines)
+		for i := range n {
+			p.Saw(string(rune('a'+i)), Loading, version, now)
+		}
+		now = now.Add(takes(n))
+		for i := range n {
+			p.Saw(string(rune('a'+i)), Serving, version+1, now)
+		}
+		now = now.Add(time.Second)
+	}
+	return p.Most(engines)
+}
+
+// shared is a store of weights that serves some loads at once in a time, and more
+// of them the slower.
+func shared(serves int, alone time.Duration) func(int) time.Duration {
+	return func(atOnce int) time.Duration {
+		over := max(float64(atOnce)/float64(serves), 1)
+		return time.Duration(over * over * float64(alone))
+	}
+}
+
+// A store that serves many loads at once is used; engines would otherwise wait
+// on old weights for nothing.
+func TestPaceGrowsWhileLoadsTakeNoLonger(t *testing.T) {
+	is := is.New(t)
+	is.True(waves(NewPace(), 40, 30, shared(100, 2*time.Second)) >= 12)
+}
+
+// Loads of 2 s take 18 s where nine are at it and three are served well; all
+// engines that load so are away for that time.
+func TestPaceShrinksWhereLoadsStretch(t *testing.T) {
+	is := is.New(t)
+	for _, alone := range []time.Duration{400 * time.Millisecond, 2 * time.Second, 8 * time.Second} {
+		most := waves(NewPace(), 40, 30, shared(3, alone))
+		is.True(most >= 2 && most <= 5)
+	}
+}
+
+// The store is slowed by others for a while. The pace must come back.
+func TestPaceRecovers(t *testing.T) {
+	is := is.New(t)
+	p := NewPace()
+	waves(p, 40, 20, shared(100, time.Second))
+	slow := waves(p, 40, 4, func(int) time.Duration { return 5 * time.Second })
+	is.True(slow <= 6)
+	is.True(waves(p, 40, 40, shared(100, time.Second)) >= 10)
+}
+
+// An engine that goes down while it loads tells nothing of loads' times.
+func TestLoadThatEndsWithACrashIsNotLearned(t *testing.T) {
+	is := is.New(t)
+	p, now := NewPace(), time.Unix(1000, 0)
+	p.Saw("a", Loading, 1, now)
+	is.Equal(p.Saw("a", Down, 1, now.Add(time.Second)), time.Duration(0))
+	is.Equal(p.Saw("a", Serving, 1, now.Add(2*time.Second)), time.Duration(0))
+	is.Equal(p.Load(), time.Duration(0))
+}
+
+// An order is lost: the engine seems to load for a moment, and serves on with
+// what it has. Taken for a load of 75 ms it made all others look stretched, and
+// one engine at a time was refreshed for the rest of the day.
+func TestLostOrderIsNotLearned(t *testing.T) {
+	is := is.New(t)
+	p, now := NewPace(), time.Unix(1000, 0)
+	p.Saw("a", Loading, 1, now)
+	is.Equal(p.Saw("a", Serving, 1, now.Add(75*time.Millisecond)), time.Duration(0))
+	is.Equal(p.Load(), time.Duration(0))
+}
--- /dev/null
+++ b/internal/request/beechrollout/reading_test.go
@@ -0,0 +1,25 @@
+package beechrollout
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+func TestReading(t *testing.T) {
+	is := is.New(t)
+	var r Reading
+	now := time.Unix(1000, 0)
+	is.Equal(r.Left(now), 0)
+	r.Add(10*readRate, now)
+	is.Equal(r.Left(now.Add(4*time.Millisecond)), 6*readRate)
+	r.Add(4*readRate, now.Add(4*time.Millisecond))
+	is.Equal(r.Left(now.Add(4*time.Millisecond)), 10*readRate)
+	r.Clear(now) // seen before the second prompt came in
+	is.Equal(r.Left(now.Add(4*time.Millisecond)), 10*readRate)
+	r.Clear(now.Add(5 * time.Millisecond))
+	is.Equal(r.Left(now.Add(5*time.Millisecond)), 0)
+	r.Add(-5, now.Add(6*time.Millisecond))
+	is.Equal(r.Left(now.Add(6*time.Millisecond)), 0)
+}
--- /dev/null
+++ b/internal/request/beechrollout/settings.go
@@ -0,0 +1,19 @@
+package beechrollout
+
+import "time"
+
+// Settings of an engine's turns. Zero values are taken from Defaults.
+type Settings struct {
+	Lead time.Duration // an engine is left alone for so long before its order
+}
+
+// Defaults are the settings where none are given. Lead is measured in
+// docs/decisions/weights.md.
+var Defaults = Settings{Lead: 500 * time.Millisecond}
+
+func (s Settings) withDefaults() Settings {
+	if s.Lead <= 0 {
+		s.Lead = Defaults.Lead
+	}
+	return s
+}
--- a/internal/request/beechrollout/turn.go
+++ b/internal/request/beechrollout/turn.go
@@ -7,8 +7,9 @@
 	Target struct {
 		Model   string
 		Version uint64
-		Fence   uint64 // grows with the version
-		At      time.Time
+		Fence   uint64    // grows with the version
+		Granted bool      // the engine's turn has come
+		Alone   time.Time // it takes its turn by itself then, if no gate is heard
 	}
 
 	// Report is what an engine says of itself.
@@ -26,11 +27,13 @@
 	Turn struct {
 		settings   Settings
 		targets    map[string]Target
+		heard      time.Time // when a gate last named a target
 		left       time.Time // when the engine left the choice; zero: it is in it
 		tried      time.Time // when the last order was sent
 		silent     int       // reports in a row that did not come
 		unanswered int       // orders in a row
 		loading    bool      // an order was sent and is not seen to have ended
+		ordered    Target    // by the last order
 	}
 
 	// Step is what to do next: Wait, Leave or Order.
@@ -76,6 +79,7 @@
 	activePoll  = 40 * time.Millisecond
 	repeatAfter = 700 * time.Millisecond // an order without effect is sent again
 	silentMost  = 2                      // one report may be lost with a kept connection
+	aloneAfter  = 3 * time.Second        // without a gate's word a keeper acts by itself; gates speak each 0.7 s
 	settleTime  = 60 * time.Millisecond  // what was sent before the gates heard of leaving has arrived by then
 )
 
@@ -84,16 +88,22 @@
 
 // NewTurn returns the turns of one engine, which has no target yet.
 func NewTurn(s Settings) *Turn {
-	return &Turn{settings: s.withDefaults(0), targets: make(map[string]Target)}
+	return &Turn{settings: s.withDefaults(), targets: make(map[string]Target)}
 }
 
-// Told takes in a target. The first time that was told for a version stays;
-// older versions are passed over, so a version that was overtaken before its
-// turn is never loaded.
-func (t *Turn) Told(target Target) {
-	if old, ok := t.targets[target.Model]; ok && old.Version >= target.Version {
+// Told takes in a gate's word on a target. A turn that any gate has granted
+// stays granted. Older versions are passed over, so a version that was overtaken
+// before the order is never loaded.
+func (t *Turn) Told(target Target, now time.Time) {
+	t.heard = now
+	old, ok := t.targets[target.Model]
+	if ok && old.Version > target.Version {
 		return
 	}
+	leaving := !t.left.IsZero() && !t.loading
+	if ok && old.Granted && (old.Version == target.Version || leaving) {
+		target.Granted = true
+	}
 	t.targets[target.Model] = target
 }
 
@@ -110,13 +120,16 @@
 		t.loading, t.unanswered = true, 0
 		return Wait{After: activePoll, Phase: Loading}
 	}
+	if t.loading && r.Versions[t.ordered.Model] >= t.ordered.Version {
+		t.done() // a newer one that was named meanwhile has a turn of its own
+	}
 	target, ok := t.due(r)
 	if !ok {
-		t.left, t.loading, t.unanswered = time.Time{}, false, 0
+		t.done()
 		return Wait{After: idlePoll, Phase: Serving}
 	}
-	if early := target.At.Add(-t.settings.Lead).Sub(now); early > 0 && t.left.IsZero() {
-		return Wait{After: min(early, idlePoll), Phase: Serving}
+	if t.left.IsZero() && !t.comes(target, now) {
+		return Wait{After: idlePoll, Phase: Serving}
 	}
 	if t.left.IsZero() {
 		t.left = now
@@ -135,7 +148,7 @@
 	if t.unanswered == 0 && !empty && now.Sub(t.left) < t.settings.Lead {
 		return Wait{After: activePoll, Phase: Leaving}
 	}
-	t.tried, t.loading = now, true
+	t.tried, t.loading, t.ordered = now, true, target
 	return Order{Target: target, Sequence: r.Sequence}
 }
 
@@ -164,7 +177,16 @@
 	return Serving
 }
 
-// due gives the earliest target that the engine does not have yet.
+// done puts the engine back into the choice.
+func (t *Turn) done() { t.left, t.loading, t.unanswered = time.Time{}, false, 0 }
+
+// comes tells whether the engine's turn has come.
+func (t *Turn) comes(target Target, now time.Time) bool {
+	return target.Granted || (now.Sub(t.heard) >= aloneAfter && !now.Before(target.Alone))
+}
+
+// due gives a target that the engine does not have yet, one whose turn was
+// granted before others.
 func (t *Turn) due(r Report) (Target, bool) {
 	var due Target
 	found := false
@@ -173,7 +195,7 @@
 		if !serves || have >= target.Version {
 			continue
 		}
-		if !found || target.At.Before(due.At) {
+		if !found || (target.Granted && !due.Granted) {
 			due, found = target, true
 		}
 	}
