--- a/internal/link/beechwire/wire_gen.go
+++ b/internal/link/beechwire/wire_gen.go
@@ -691,6 +691,9 @@
 // Tell is the datagram by which a keeper tells the gates of its engine. Many are
 // sent, so the names are short.
 type Tell struct {
+	// Unix milliseconds at which the engine's lifetime began; 0 is not told.
+	Born uint64 `msg:"Born"`
+
 	// Gates that follow this keeper now.
 	Gates int `msg:"Gates"`
 
--- a/internal/link/beechwire/wire_msgp_gen.go
+++ b/internal/link/beechwire/wire_msgp_gen.go
@@ -4036,9 +4036,12 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *Tell) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 13
+	// map header, size 14
+	// string "Born"
+	o = append(o, 0x8e, 0xa4, 0x42, 0x6f, 0x72, 0x6e)
+	o = msgp.AppendUint64(o, z.Born)
 	// string "Gates"
-	o = append(o, 0x8d, 0xa5, 0x47, 0x61, 0x74, 0x65, 0x73)
+	o = append(o, 0xa5, 0x47, 0x61, 0x74, 0x65, 0x73)
 	o = msgp.AppendInt(o, z.Gates)
 	// string "Gone"
 	o = append(o, 0xa4, 0x47, 0x6f, 0x6e, 0x65)
@@ -4122,6 +4125,12 @@
 			return
 		}
 		switch msgp.UnsafeString(field) {
+		case "Born":
+			z.Born, bts, err = msgp.ReadUint64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Born")
+				return
+			}
 		case "Gates":
 			z.Gates, bts, err = msgp.ReadIntBytes(bts)
 			if err != nil {
@@ -4308,7 +4317,7 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *Tell) Msgsize() (s int) {
-	s = 1 + 6 + msgp.IntSize + 5 + msgp.ArrayHeaderSize + (len(z.Gone) * msgp.Uint64Size) + 5 + msgp.ArrayHeaderSize
+	s = 1 + 5 + msgp.Uint64Size + 6 + msgp.IntSize + 5 + msgp.ArrayHeaderSize + (len(z.Gone) * msgp.Uint64Size) + 5 + msgp.ArrayHeaderSize
 	for za0002 := range z.Have {
 		s += 1 + 6 + msgp.StringPrefixSize + len(z.Have[za0002].Model) + 8 + msgp.Uint64Size
 	}
--- a/internal/process/beechgate/gate.go
+++ b/internal/process/beechgate/gate.go
@@ -72,8 +72,10 @@
 		named   map[string]naming
 		servers []beechcall.Server
 		gates   int
-		pace    *beechrollout.Pace
-		news    chan struct{} // a follow is due now
+
+		passedOver string // what is wrong with servers' entries now
+		pace       *beechrollout.Pace
+		news       chan struct{} // a follow is due now
 
 		turnNews chan struct{} // an engine's turn has ended
 	}
@@ -282,11 +284,26 @@
 	connectionsShareOf = 18 // some gates have more callers than others
 )
 
-func (g *Gate) setServers(items []beechmirror.Item) {
-	servers, err := g.needs.Servers(items)
+// passOver tells of entries that name no server to use, once each time that they
+// change: they may lie there for long, beside others that change often.
+func (g *Gate) passOver(err error) {
+	text := ""
 	if err != nil {
+		text = err.Error()
+	}
+	g.mu.Lock()
+	was := g.passedOver
+	g.passedOver = text
+	g.mu.Unlock()
+	if text != "" && text != was {
+		g.metrics.passedOver.Add(1)
 		g.log.Error("server's entry passed over", zap.Error(err))
 	}
+}
+
+func (g *Gate) setServers(items []beechmirror.Item) {
+	servers, err := g.needs.Servers(items)
+	g.passOver(err)
 	g.mu.Lock()
 	old := g.servers
 	g.servers = servers
--- a/internal/process/beechgate/keepers.go
+++ b/internal/process/beechgate/keepers.go
@@ -56,7 +56,7 @@
 	targets := g.targets()
 	suspects := beechshare.WireSuspects(beechshare.Worst(g.suspects.News()))
 	for _, s := range servers {
-		if len(s.Weights) > 0 { // a plain service's server has no keeper
+		if g.keeps(s) {
 			g.follow(s, targets[s.ID], suspects)
 		}
 	}
@@ -80,6 +80,17 @@
 	}
 }
 
+// keeps tells whether a server has a keeper: plain services' have none, nor has
+// what somebody wrote there for a service that operators do not name.
+func (g *Gate) keeps(s beechcall.Server) bool {
+	if c := g.configuration.Load(); c != nil {
+		if _, named := c.Services[s.Service]; !named {
+			return false
+		}
+	}
+	return len(s.Weights) > 0
+}
+
 func (g *Gate) follow(s beechcall.Server, targets []beechwire.Target, suspects []beechwire.Suspect) {
 	to := netip.AddrPortFrom(s.Address.Addr(), g.settings.Beats.Port())
 	follow := &beechwire.Follow{Gate: g.settings.Name, Zone: g.settings.Zone, Targets: targets, Suspects: suspects}
@@ -149,7 +160,7 @@
 		weights[w.Model] = w.Version
 	}
 	engine := g.placer.Tell(beechplace.State{
-		Address: netip.AddrPortFrom(from.Addr(), tell.Port), Phase: beechrollout.Phase(tell.Phase), Weights: weights,
+		Address: netip.AddrPortFrom(from.Addr(), tell.Port), Phase: beechrollout.Phase(tell.Phase), Weights: weights, Born: tell.Born,
 		Reading: tell.Read, Running: tell.Run, Waiting: tell.Wait, CacheUsed: tell.Used, CacheTotal: tell.Room, Parts: tell.Parts, Gone: tell.Gone, Kept: tell.Kept,
 	})
 	g.sawPhase(engine, beechrollout.Phase(tell.Phase), weights)
--- a/internal/process/beechgate/metrics.go
+++ b/internal/process/beechgate/metrics.go
@@ -18,8 +18,10 @@
 		endings *expvar.Map
 		retried *expvar.Int
 		denied  *expvar.Map
-		first   *latency
-		whole   *latency
+
+		passedOver *expvar.Int // changes of servers' entries that cannot be used
+		first      *latency
+		whole      *latency
 	}
 
 	// latency is a histogram that tells some of its percentiles.
@@ -37,11 +39,12 @@
 func newMetrics(g *Gate) *metrics {
 	m := &metrics{
 		vars: new(expvar.Map), endings: new(expvar.Map), retried: new(expvar.Int), denied: new(expvar.Map),
-		first: newLatency(), whole: newLatency(),
+		passedOver: new(expvar.Int), first: newLatency(), whole: newLatency(),
 	}
 	m.vars.Set("endings", m.endings)
 	m.vars.Set("retried", m.retried)
 	m.vars.Set("denied", m.denied)
+	m.vars.Set("entriesPassedOver", m.passedOver)
 	m.vars.Set("firstByteMicros", expvar.Func(m.first.percentiles))
 	m.vars.Set("wholeAnswerMicros", expvar.Func(m.whole.percentiles))
 	m.vars.Set("configurationAgeMillis", expvar.Func(func() any { return g.belief.Age().Milliseconds() }))
--- a/internal/process/beechkeeper/keeper.go
+++ b/internal/process/beechkeeper/keeper.go
@@ -228,6 +228,7 @@
 	cancel()
 	report.Known = err == nil
 	k.mu.Lock()
+	anew := report.Known && report.StartedAnew(k.last.Report)
 	next := k.turn.Next(k.needs.Clock.Now(), report.Report)
 	if report.Known {
 		k.last = report
@@ -237,6 +238,9 @@
 	}
 	reading := k.reading.Left(k.needs.Clock.Now()) > 0
 	k.mu.Unlock()
+	if anew {
+		k.startedAnew(report)
+	}
 	switch v := next.(type) {
 	case beechrollout.Wait:
 		k.setPhase(v.Phase, err)
@@ -253,6 +257,18 @@
 	return 0
 }
 
+// startedAnew forgets what is believed of an engine that has begun another
+// lifetime under its ID: it holds nothing. Gates that go on believing would have
+// others fetch from it what it lost.
+func (k *Keeper) startedAnew(r Report) {
+	k.needs.Log.Info("engine started anew", zap.Uint64("born", r.Born), zap.Uint64("sequence", r.Sequence))
+	k.mu.Lock()
+	k.reading = beechrollout.Reading{}
+	k.mu.Unlock()
+	k.dropAll()
+	k.tell(true)
+}
+
 func (k *Keeper) order(ctx context.Context, o beechrollout.Order) {
 	limited, cancel := clockwork.WithTimeout(ctx, k.needs.Clock, orderPatience)
 	defer cancel()
@@ -320,7 +336,7 @@
 	message := &beechwire.Tell{
 		Port: k.settings.Engine.Port(), Phase: int(k.phase), Run: k.last.Running, Wait: k.last.Waiting,
 		Used: k.last.CacheUsed, Room: k.last.CacheTotal, Read: k.reading.Left(at), Gates: len(k.followers),
-		Parts: f.parts.take(), Gone: f.gone.take(), Kept: f.kept.take(), Have: []beechwire.Weights{}, Suspects: beechshare.WireSuspects(beechshare.Worst(k.suspects.News())),
+		Born: k.last.Born, Parts: f.parts.take(), Gone: f.gone.take(), Kept: f.kept.take(), Have: []beechwire.Weights{}, Suspects: beechshare.WireSuspects(beechshare.Worst(k.suspects.News())),
 	}
 	for model, version := range k.last.Versions {
 		message.Have = append(message.Have, beechwire.Weights{Model: model, Version: version})
--- a/internal/process/beechkeeper/keeper_test.go
+++ b/internal/process/beechkeeper/keeper_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"net/netip"
+	"slices"
 	"testing"
 	"time"
 
@@ -17,12 +18,23 @@
 	"github.com/beechring/beechring/internal/request/beechrollout"
 )
 
-// engine is an engine that has something in its cache and does nothing.
-type engine struct{ held []Part }
+// engine is an engine that has something in its cache and does nothing. Without
+// reports it does not answer.
+type engine struct {
+	held    []Part
+	reports chan Report
+}
 
 var errNoEngine = errors.New("there is no engine")
 
-func (engine) Report(context.Context) (Report, error) { return Report{}, errNoEngine }
+func (e engine) Report(context.Context) (Report, error) {
+	select {
+	case r := <-e.reports:
+		return r, nil
+	default:
+		return Report{}, errNoEngine
+	}
+}
 
 func (engine) Order(context.Context, string, beechrollout.Order) (beechrollout.Answer, error) {
 	return beechrollout.Silent, errNoEngine
@@ -132,3 +144,28 @@
 	is.True(told != nil)
 	is.Equal(told.Parts, []uint64{1, 3}) // the second is too small to be worth a word
 }
+
+// An engine starts again under the ID that it had, with nothing in its cache.
+// Gates go on having others fetch from it until they hear that it lost all.
+func TestEngineThatStartsAnewIsToldAsEmpty(t *testing.T) {
+	is := is.New(t)
+	reports := make(chan Report, 2)
+	k := newKeeper(t, engine{reports: reports})
+	g := newGate(t)
+	k.hear(g.Address(), beechbeat.Follow{Follow: &beechwire.Follow{}})
+	is.True(g.word() != nil)
+	k.hear(g.Address(), beechbeat.Announce{Announce: &beechwire.Announce{Read: longPrompt, Parts: []uint64{1, 2}}})
+	is.Equal(g.word().Parts, []uint64{1, 2})
+	for _, born := range []uint64{100, 200} {
+		reports <- Report{Report: beechrollout.Report{Born: born}}
+		k.step(t.Context())
+	}
+	told := g.word()
+	for told != nil && len(told.Gone) == 0 {
+		told = g.word()
+	}
+	is.True(told != nil)
+	slices.Sort(told.Gone)
+	is.Equal(told.Gone, []uint64{1, 2})
+	is.Equal(told.Born, uint64(200))
+}
--- a/internal/request/beechcall/call.go
+++ b/internal/request/beechcall/call.go
@@ -90,12 +90,13 @@
 	}
 
 	// NotRun says that the server turned the request away, by its own word.
-	// Replaced tells that another lifetime answered at its address, Other that
-	// it was the right one with other weights.
+	// Replaced tells that another server answered at its address, There which,
+	// Other that it was the right one with other weights.
 	NotRun struct {
 		Peer     netip.AddrPort
 		Status   int
 		Replaced bool
+		There    string // ID
 		Other    bool
 		Weights  uint64 // that it has, where told
 		Load     Load
--- a/internal/request/beechcall/configuration.go
+++ b/internal/request/beechcall/configuration.go
@@ -94,6 +94,7 @@
 		Address netip.AddrPort
 		Zone    string
 		Since   uint64 // revision at which it was listed first; orders lifetimes
+		Born    uint64 // Unix milliseconds at which this lifetime began, the same ID may have several; 0 is not told
 		Slots   int
 		Leaving bool
 		Weights map[string]uint64 // version by model, as the list says; late
--- a/internal/request/beechplace/place_test.go
+++ b/internal/request/beechplace/place_test.go
@@ -351,6 +351,49 @@
 	is.True(!ok)
 }
 
+// An engine starts again under the ID that it had, and holds nothing. A gate that
+// goes by the ID alone would send requests there for the parts that it lost, and
+// have others fetch them from it.
+func TestEngineThatStartsAnewHoldsNothing(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(2)
+	f.tellAll(func(_ int, s *State) { s.Born = 100 })
+	history := ask("history", 6000, 100)
+	first := f.choose(t, history)
+	f.Sent(history, first)
+	f.clock.Advance(time.Second)
+	f.tellAll(func(_ int, s *State) { s.Born = 100 })
+	is.Equal(f.choose(t, history).Missing, 0)
+
+	f.tellAll(func(_ int, s *State) { s.Born = 200 })
+	again := f.choose(t, history)
+	is.Equal(again.Missing, 6000)
+	is.True(!again.Fetch.IsValid() || again.Fetch == kept)
+
+	f.tellAll(func(_ int, s *State) { s.Born = 100 }) // late word of the lifetime before
+	is.Equal(f.byID[first.Server.ID].Born, uint64(200))
+}
+
+// Somebody else writes an entry with the address of a server that is well. Taken
+// for a later lifetime it would hide the server for good; callers would find one
+// server less.
+func TestForeignEntryAtAServersAddress(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(1)
+	real := f.servers[0]
+	foreign := real
+	foreign.ID, foreign.Since = "somebody", 9
+	for range 2 {
+		f.SetServers([]beechcall.Server{real, foreign})
+		if c := f.choose(t, ask("s", 0, 10)); c.Server.ID == foreign.ID {
+			f.Refused(foreign.ID, beechcall.NotRun{Replaced: true, There: real.ID}, "m")
+		}
+		is.Equal(f.choose(t, ask("s", 0, 10)).Server.ID, real.ID)
+	}
+	f.SetServers([]beechcall.Server{real})
+	is.Equal(f.choose(t, ask("s", 0, 10)).Server.ID, real.ID)
+}
+
 func TestLeavingServerIsNotChosen(t *testing.T) {
 	is := is.New(t)
 	f := newFleet(2)
--- a/internal/request/beechplace/placer.go
+++ b/internal/request/beechplace/placer.go
@@ -43,11 +43,13 @@
 	// server is a backend server in one lifetime with what is believed of it.
 	server struct {
 		beechcall.Server
-		slots int
-		over  bool // another lifetime has its address
+		slots   int
+		over    bool // another lifetime has its address
+		refuted bool // another one answered there
 
 		told    time.Time // when its keeper last spoke; zero: never
 		state   State
+		empty   time.Time         // when it was seen to have started anew under its ID; zero: never
 		weights map[string]uint64 // the latest word, the list's or the engine's own
 
 		flying  int // sent by this gate, not answered
@@ -114,23 +116,18 @@
 		s, ok := old[line.ID]
 		if !ok {
 			s = &server{weights: make(map[string]uint64)}
+		} else {
+			p.born(s, line.Born)
+			line.Born = max(line.Born, s.Born) // the list may be older than the keeper's word
 		}
 		s.Server = line
 		s.slots = line.Slots
+		s.over = false
 		for model, version := range line.Weights {
 			s.weights[model] = max(s.weights[model], version)
 		}
 		p.byID[line.ID] = s
-		// An address has one server at a time: of two lines the earlier is that
-		// of a lifetime that has ended.
-		if there, taken := p.byPlace[line.Address]; !taken || there.Since < line.Since {
-			if taken {
-				there.over = true
-			}
-			p.byPlace[line.Address] = s
-		} else {
-			s.over = true
-		}
+		p.place(s)
 		p.services[line.Service] = append(p.services[line.Service], s)
 	}
 	for _, servers := range p.services {
@@ -143,6 +140,23 @@
 	}
 }
 
+// place gives a server its address. An address has one server at a time: of two
+// lines the earlier is that of a lifetime that has ended.
+func (p *Placer) place(s *server) {
+	there, taken := p.byPlace[s.Address]
+	switch {
+	case s.refuted:
+		s.over = true
+	case !taken:
+		p.byPlace[s.Address] = s
+	case there.Since < s.Since:
+		there.over = true
+		p.byPlace[s.Address] = s
+	default:
+		s.over = true
+	}
+}
+
 // SetConfiguration takes in the services' sheets.
 func (p *Placer) SetConfiguration(c *beechcall.Configuration) {
 	p.mu.Lock()
@@ -197,6 +211,22 @@
 	return 0, false
 }
 
+// born takes in when a server's lifetime began. One that has started anew under
+// its ID holds nothing, owes nothing and has which weights it says; beliefs of
+// before would send it requests for parts that it lost.
+func (p *Placer) born(s *server, at uint64) {
+	if at <= s.Born {
+		return // not told, known, or late word of a lifetime before
+	}
+	if s.Born != 0 {
+		s.empty = p.clock.Now()
+		s.weights = make(map[string]uint64)
+		s.unread, s.fails = 0, 0
+		s.told, s.downTil, s.darkTil = time.Time{}, time.Time{}, time.Time{}
+	}
+	s.Born = at
+}
+
 // Standing gives what is known of the engines that serve a model, for a rollout
 // of its weights. Those that leave the fleet are not among them.
 func (p *Placer) Standing(model string) []beechrollout.Engine {
@@ -224,6 +254,7 @@
 	if !ok {
 		return ""
 	}
+	p.born(v, s.Born)
 	v.told, v.state, v.atTold = p.clock.Now(), s, v.flying
 	for model, version := range s.Weights {
 		v.weights[model] = version
--- a/internal/request/beechplace/prefix.go
+++ b/internal/request/beechplace/prefix.go
@@ -99,7 +99,7 @@
 			saved = time.Time{}
 		}
 		if held {
-			if wait, ok := h.at(s.ID, now); ok {
+			if wait, ok := h.at(s, now); ok {
 				c.Wait = max(c.Wait, wait)
 				continue
 			}
@@ -144,7 +144,7 @@
 	for _, h := range held.servers {
 		v, ok := p.byID[h.id]
 		wait := max(h.from.Sub(now), 0)
-		if !ok || v == s || v.over || now.Sub(h.at) > heldFor || wait > waitMost || now.Before(v.downTil) {
+		if !ok || v == s || v.over || !h.stands(v, now) || wait > waitMost || now.Before(v.downTil) {
 			continue
 		}
 		if v.Zone == s.Zone && wait == 0 {
@@ -158,16 +158,21 @@
 }
 
 // at tells whether a server holds the part, or will after a wait.
-func (h holding) at(id string, now time.Time) (time.Duration, bool) {
-	for _, s := range h.servers {
-		if s.id == id && now.Sub(s.at) <= heldFor {
-			wait := max(s.from.Sub(now), 0)
+func (h holding) at(s *server, now time.Time) (time.Duration, bool) {
+	for _, v := range h.servers {
+		if v.id == s.ID && v.stands(s, now) {
+			wait := max(v.from.Sub(now), 0)
 			return wait, wait <= waitMost
 		}
 	}
 	return 0, false
 }
 
+// stands tells whether what a server was sent is probably there still.
+func (h holder) stands(s *server, now time.Time) bool {
+	return now.Sub(h.at) <= heldFor && !h.at.Before(s.empty)
+}
+
 // keptAddress is the store of kept KV cache, while it answers.
 func (p *Placer) keptAddress() netip.AddrPort {
 	if p.clock.Now().Before(p.keptDown) {
--- a/internal/request/beechplace/ticket.go
+++ b/internal/request/beechplace/ticket.go
@@ -142,8 +142,10 @@
 	}
 }
 
-// Refused takes in why a server turned a request away. A lifetime that was
-// replaced at its address is over for good, however long the list still has it.
+// Refused takes in why a server turned a request away. One at whose address
+// another answered is over for good, however long the list still has it; if the
+// list has that other too, it is the one to use there, whichever was listed
+// later: an entry that somebody else wrote would hide the real server otherwise.
 func (p *Placer) Refused(id string, f beechcall.NotRun, model string) {
 	p.Has(id, model, f.Weights)
 	p.mu.Lock()
@@ -152,7 +154,11 @@
 	switch {
 	case !ok:
 	case f.Replaced:
-		s.over = true
+		s.over, s.refuted = true, true
+		if there, listed := p.byID[f.There]; listed && there.Address == s.Address {
+			there.over = false
+			p.byPlace[s.Address] = there
+		}
 	case f.Other && f.Weights == 0:
 		s.darkTil = p.clock.Now().Add(refusalDark)
 	}
--- a/internal/request/beechplace/types.go
+++ b/internal/request/beechplace/types.go
@@ -31,7 +31,8 @@
 		Address    netip.AddrPort
 		Phase      beechrollout.Phase
 		Weights    map[string]uint64
-		Reading    int // tokens of long prompts that it has probably not read yet
+		Born       uint64 // of its lifetime; 0 is not told
+		Reading    int    // tokens of long prompts that it has probably not read yet
 		Running    int
 		Waiting    int
 		CacheUsed  int
--- a/internal/request/beechrollout/turn.go
+++ b/internal/request/beechrollout/turn.go
@@ -18,6 +18,7 @@
 		Versions map[string]uint64
 		Busy     bool // an order is being carried out
 		Sequence uint64
+		Born     uint64 // Unix milliseconds at which its lifetime began; 0 is not told
 		Running  int
 		Waiting  int
 	}
@@ -34,6 +35,7 @@
 		unanswered int       // orders in a row
 		loading    bool      // an order was sent and is not seen to have ended
 		ordered    Target    // by the last order
+		last       Report    // the last that came
 	}
 
 	// Step is what to do next: Wait, Leave or Order.
@@ -107,6 +109,13 @@
 	t.targets[target.Model] = target
 }
 
+// StartedAnew tells whether the engine has begun another lifetime since an
+// earlier report, under the same ID: by its birth, or since its count of orders
+// has gone back.
+func (r Report) StartedAnew(before Report) bool {
+	return (r.Born != before.Born && before.Born != 0) || r.Sequence < before.Sequence
+}
+
 // Next says what to do, given what the engine reports.
 func (t *Turn) Next(now time.Time, r Report) Step {
 	if !r.Known {
@@ -116,6 +125,10 @@
 		return Wait{After: activePoll, Phase: Down}
 	}
 	t.silent = 0
+	if r.StartedAnew(t.last) {
+		t.done() // an order that was under way is lost with the lifetime it was for
+	}
+	t.last = r
 	if r.Busy {
 		t.loading, t.unanswered = true, 0
 		return Wait{After: activePoll, Phase: Loading}
--- a/internal/request/beechrollout/turn_test.go
+++ b/internal/request/beechrollout/turn_test.go
@@ -188,3 +188,29 @@
 		is.Equal(phaseOf(c.next(at(1))), Serving)
 	}
 }
+
+// An engine starts again under its ID while it loads, before anybody saw it gone.
+// The order is lost with the lifetime that it was for; the engine is not left
+// out of the choice for it.
+func TestEngineThatStartsAnewWhileItLoads(t *testing.T) {
+	is := is.New(t)
+	for _, anew := range []Report{{Born: 200, Sequence: 3}, {Born: 100, Sequence: 0}} {
+		c := begin()
+		before := at(1)
+		before.Born, before.Sequence = 100, 2
+		c.Told(Target{Model: "m", Version: 2, Granted: true}, c.now)
+		c.next(before)
+		_, ok := c.after(Defaults.Lead).next(before).(Order)
+		is.True(ok)
+		c.Answered(Taken)
+		before.Busy, before.Sequence = true, 3
+		is.Equal(phaseOf(c.after(100*time.Millisecond).next(before)), Loading)
+		after := at(1)
+		after.Born, after.Sequence = anew.Born, anew.Sequence
+		is.Equal(phaseOf(c.after(100*time.Millisecond).next(after)), Leaving) // its turn still stands
+		after.Running = 0
+		again, ok := c.after(settleTime).next(after).(Order)
+		is.True(ok)
+		is.Equal(again.Sequence, anew.Sequence)
+	}
+}
