--- a/internal/link/beechwire/wire_gen.go
+++ b/internal/link/beechwire/wire_gen.go
@@ -707,6 +707,10 @@
 	// cache lately.
 	Kept []uint64 `msg:"Kept"`
 
+	// Milliseconds since the engine's weights were overtaken, as the keeper was told;
+	// 0: they were not.
+	Old int64 `msg:"Old"`
+
 	// Keys of shared parts that gates announced lately.
 	Parts []uint64 `msg:"Parts"`
 
--- a/internal/link/beechwire/wire_msgp_gen.go
+++ b/internal/link/beechwire/wire_msgp_gen.go
@@ -4036,9 +4036,9 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *Tell) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 14
+	// map header, size 15
 	// string "Born"
-	o = append(o, 0x8e, 0xa4, 0x42, 0x6f, 0x72, 0x6e)
+	o = append(o, 0x8f, 0xa4, 0x42, 0x6f, 0x72, 0x6e)
 	o = msgp.AppendUint64(o, z.Born)
 	// string "Gates"
 	o = append(o, 0xa5, 0x47, 0x61, 0x74, 0x65, 0x73)
@@ -4067,6 +4067,9 @@
 	for za0003 := range z.Kept {
 		o = msgp.AppendUint64(o, z.Kept[za0003])
 	}
+	// string "Old"
+	o = append(o, 0xa3, 0x4f, 0x6c, 0x64)
+	o = msgp.AppendInt64(o, z.Old)
 	// string "Parts"
 	o = append(o, 0xa5, 0x50, 0x61, 0x72, 0x74, 0x73)
 	o = msgp.AppendArrayHeader(o, uint32(len(z.Parts)))
@@ -4223,6 +4226,12 @@
 					return
 				}
 			}
+		case "Old":
+			z.Old, bts, err = msgp.ReadInt64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Old")
+				return
+			}
 		case "Parts":
 			var zb0006 uint32
 			zb0006, bts, err = msgp.ReadArrayHeaderBytes(bts)
@@ -4321,7 +4330,7 @@
 	for za0002 := range z.Have {
 		s += 1 + 6 + msgp.StringPrefixSize + len(z.Have[za0002].Model) + 8 + msgp.Uint64Size
 	}
-	s += 5 + msgp.ArrayHeaderSize + (len(z.Kept) * msgp.Uint64Size) + 6 + msgp.ArrayHeaderSize + (len(z.Parts) * msgp.Uint64Size) + 6 + msgp.IntSize + 5 + msgp.Uint16Size + 5 + msgp.IntSize + 5 + msgp.IntSize + 4 + msgp.IntSize + 9 + msgp.ArrayHeaderSize
+	s += 5 + msgp.ArrayHeaderSize + (len(z.Kept) * msgp.Uint64Size) + 4 + msgp.Int64Size + 6 + msgp.ArrayHeaderSize + (len(z.Parts) * msgp.Uint64Size) + 6 + msgp.IntSize + 5 + msgp.Uint16Size + 5 + msgp.IntSize + 5 + msgp.IntSize + 4 + msgp.IntSize + 9 + msgp.ArrayHeaderSize
 	for za0005 := range z.Suspects {
 		s += z.Suspects[za0005].Msgsize()
 	}
--- a/internal/process/beechgate/gate.go
+++ b/internal/process/beechgate/gate.go
@@ -6,7 +6,6 @@
 	"fmt"
 	"net"
 	"net/http"
-	"net/netip"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -73,17 +72,10 @@
 		servers []beechcall.Server
 		gates   int
 
-		passedOver string // what is wrong with servers' entries now
 		pace       *beechrollout.Pace
+		passedOver string        // what is wrong with servers' entries now
 		news       chan struct{} // a follow is due now
-
-		turnNews chan struct{} // an engine's turn has ended
-	}
-
-	// naming is a named version with when this gate learned of it.
-	naming struct {
-		beechcall.Named
-		at time.Time
+		turnNews   chan struct{} // an engine's turn has ended
 	}
 )
 
@@ -105,7 +97,10 @@
 	headerBytes    = 64 << 10
 	headerTime     = 10 * time.Second
 	idleTime       = 2 * time.Minute // of callers' connections, where operators name none
-	oldShare       = 0.65            // of the bound for weights: the rest is for the request's way
+	// oldMargin before the operators' bound no new work goes to old weights. A
+	// request waits in an engine for two seconds at most, since callers of
+	// streams leave then; the rest is for the word that a version was named.
+	oldMargin = 2800 * time.Millisecond
 )
 
 // healthSettings are quicker than the defaults, since callers' deadlines here
@@ -136,7 +131,7 @@
 	}
 	g.bounds.Store(&s.Bounds)
 	g.metrics = newMetrics(g)
-	g.placer = beechplace.New(beechplace.Settings{Zone: s.Zone, OldMost: time.Duration(float64(s.Bounds.Weights) * oldShare)}, needs.Clock, g.health, g.announce)
+	g.placer = beechplace.New(beechplace.Settings{Zone: s.Zone, OldMost: max(time.Duration(s.Bounds.Weights)-oldMargin, time.Duration(s.Bounds.Weights)/2)}, needs.Clock, g.health, g.announce)
 	g.core = beechattempt.New(g.placer, needs.Backend, g.budgets, g.suspects, g, needs.Clock, needs.Log)
 	servers := beechmirror.New(beechmirror.Settings{
 		Prefix: needs.ServerPrefix, Interval: serverRead, Patience: readPatience, Wait: serverWait, Space: serverSpace, Linger: linger,
@@ -238,128 +233,6 @@
 		zap.Float64("retries", s.Bounds.Retries), zap.Float64("spare", s.Bounds.Spare))
 }
 
-// setOperators takes in what operators wrote. What cannot be read leaves the
-// last good state in force.
-func (g *Gate) setOperators(items []beechmirror.Item) {
-	c, named, err := g.needs.Operators(items)
-	if err != nil {
-		g.log.Error("operators' document passed over", zap.Error(err))
-	}
-	old := g.configuration.Load()
-	if c != nil && (old == nil || c.Revision > old.Revision) {
-		g.configuration.Store(c)
-		g.placer.SetConfiguration(c)
-		g.bound(c)
-		g.log.Info("configuration in force", zap.Uint64("version", c.Version), zap.Uint64("revision", c.Revision), zap.Int("routes", len(c.Routes)))
-	}
-	for _, n := range named {
-		if !g.placer.Named(n.Model, n.Version) {
-			continue
-		}
-		g.mu.Lock()
-		g.named[n.Model] = naming{Named: n, at: g.clock.Now()}
-		g.mu.Unlock()
-		g.log.Info("weights named", zap.String("model", n.Model), zap.Uint64("version", n.Version), zap.Uint64("revision", n.Revision))
-		g.followNow()
-	}
-}
-
-// bound keeps the connections to a server within what it accepts from all
-// gates together.
-func (g *Gate) bound(c *beechcall.Configuration) {
-	least := 0
-	for _, s := range c.Services {
-		if s.MaxConnections > 0 && (least == 0 || s.MaxConnections < least) {
-			least = s.MaxConnections
-		}
-	}
-	g.mu.Lock()
-	gates := max(g.gates, 2)
-	g.mu.Unlock()
-	g.needs.Pool.Bound(least * connectionsShareOf / connectionsShare / gates)
-}
-
-const (
-	connectionsShare   = 10
-	connectionsShareOf = 18 // some gates have more callers than others
-)
-
-// passOver tells of entries that name no server to use, once each time that they
-// change: they may lie there for long, beside others that change often.
-func (g *Gate) passOver(err error) {
-	text := ""
-	if err != nil {
-		text = err.Error()
-	}
-	g.mu.Lock()
-	was := g.passedOver
-	g.passedOver = text
-	g.mu.Unlock()
-	if text != "" && text != was {
-		g.metrics.passedOver.Add(1)
-		g.log.Error("server's entry passed over", zap.Error(err))
-	}
-}
-
-func (g *Gate) setServers(items []beechmirror.Item) {
-	servers, err := g.needs.Servers(items)
-	g.passOver(err)
-	g.mu.Lock()
-	old := g.servers
-	g.servers = servers
-	g.mu.Unlock()
-	g.placer.SetServers(servers)
-	byService := make(map[string][]netip.AddrPort)
-	now := make(map[string]beechcall.Server, len(servers))
-	for _, s := range servers {
-		byService[s.Service] = append(byService[s.Service], s.Address)
-		now[s.ID] = s
-	}
-	for service, addresses := range byService {
-		g.health.SetServers(service, addresses)
-	}
-	before := make(map[string]beechcall.Server, len(old))
-	for _, s := range old {
-		before[s.ID] = s
-		if _, ok := now[s.ID]; !ok {
-			g.log.Info("server gone", zap.String("server", s.ID), zap.Stringer("peer", s.Address))
-			g.needs.Pool.Forget(s.Address)
-		}
-	}
-	for _, s := range servers {
-		was, known := before[s.ID]
-		if !known || was.Leaving != s.Leaving {
-			g.log.Info("server listed", zap.String("server", s.ID), zap.Stringer("peer", s.Address), zap.String("service", s.Service), zap.String("zone", s.Zone), zap.Bool("leaving", s.Leaving))
-		}
-	}
-}
-
-// Served implements beechattempt.Observer.
-func (g *Gate) Served(server beechcall.Server, _ string, first time.Duration, unread int, failed bool) {
-	g.health.Observe(beechhealth.Sample{Server: server.Address, Model: server.Service, FirstToken: first, Tokens: unread, Failed: failed})
-}
-
-// Ended implements beechattempt.Observer. Of requests that ended as they should
-// a line is written at level debug only, of all others always.
-func (g *Gate) Ended(e beechattempt.Ending) {
-	g.metrics.ended(e)
-	level := zap.DebugLevel
-	if e.How != "answered" || e.Sends > 1 || e.First > e.Call.Route.Objective {
-		level = zap.InfoLevel
-	}
-	line := g.log.Check(level, "request ended")
-	if line == nil {
-		return
-	}
-	c := e.Choice
-	line.Write(
-		zap.String("request", e.Call.ID), zap.String("route", e.Call.Route.Name), zap.String("ending", e.How), zap.Uint64("configuration", e.Call.Version),
-		zap.Duration("first", e.First), zap.Duration("took", e.Took), zap.Int("sends", e.Sends),
-		zap.String("server", c.Server.ID), zap.Uint64("weights", c.Weights), zap.Float64("cost", c.Cost), zap.Float64("expected", c.Expected), zap.Duration("wait", c.Wait),
-		zap.Int("tokens", e.Call.PromptTokens), zap.Int("shared", e.Call.SharedTokens()), zap.Int("missing", c.Missing), zap.Int("unread", c.Unread),
-		zap.Stringer("fetch", c.Fetch), zap.Stringer("save", c.Save))
-}
-
 // reachKept looks whether the store of kept KV cache takes connections. A
 // request that names a dead one as its source waits some hundred milliseconds
 // for it.
--- a/internal/process/beechgate/keepers.go
+++ b/internal/process/beechgate/keepers.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"net/netip"
-	"slices"
 	"time"
 
 	"go.uber.org/zap"
@@ -62,24 +61,6 @@
 	}
 }
 
-// grantTurns tells the keepers whose turn has come now that another engine's
-// has ended. At the follow interval alone, turns of half a second would stand
-// empty for as long again.
-func (g *Gate) grantTurns() {
-	if g.Leaving() {
-		return
-	}
-	g.mu.Lock()
-	servers := g.servers
-	g.mu.Unlock()
-	targets := g.targets()
-	for _, s := range servers {
-		if slices.ContainsFunc(targets[s.ID], func(t beechwire.Target) bool { return t.Granted }) {
-			g.follow(s, targets[s.ID], beechshare.WireSuspects(nil))
-		}
-	}
-}
-
 // keeps tells whether a server has a keeper: plain services' have none, nor has
 // what somebody wrote there for a service that operators do not name.
 func (g *Gate) keeps(s beechcall.Server) bool {
@@ -99,48 +80,6 @@
 	}
 }
 
-// targets gives the targets of each server.
-func (g *Gate) targets() map[string][]beechwire.Target {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	targets := make(map[string][]beechwire.Target)
-	now := g.clock.Now()
-	for model, n := range g.named {
-		engines := g.placer.Standing(model)
-		granted := beechrollout.Turns(engines, n.Version, g.pace.Most(len(engines)))
-		for id, alone := range beechrollout.Alone(engines, time.Duration(g.bounds.Load().Weights)) {
-			targets[id] = append(targets[id], beechwire.Target{
-				Model: model, Version: n.Version, Fence: n.Revision, Granted: slices.Contains(granted, id),
-				Alone: max(n.at.Add(alone).Sub(now), 0).Milliseconds(),
-			})
-		}
-	}
-	return targets
-}
-
-// sawPhase takes in an engine's phase. When its turn ends another one's comes.
-func (g *Gate) sawPhase(engine string, phase beechrollout.Phase, weights map[string]uint64) {
-	if engine == "" {
-		return
-	}
-	versions := uint64(0)
-	for _, version := range weights {
-		versions += version // any model's newer version is a load
-	}
-	g.mu.Lock()
-	took := g.pace.Saw(engine, phase, versions, g.clock.Now())
-	window, load := g.pace.Window(), g.pace.Load()
-	g.mu.Unlock()
-	if took == 0 {
-		return
-	}
-	g.log.Info("weights loaded", zap.String("server", engine), zap.Duration("took", took), zap.Duration("alone", load), zap.Float64("window", window))
-	select {
-	case g.turnNews <- struct{}{}:
-	default:
-	}
-}
-
 // announce tells a keeper of a prompt that is on its way to its engine.
 func (g *Gate) announce(s beechcall.Server, tokens int, parts []uint64, kept bool) {
 	to := netip.AddrPortFrom(s.Address.Addr(), g.settings.Beats.Port())
@@ -160,7 +99,7 @@
 		weights[w.Model] = w.Version
 	}
 	engine := g.placer.Tell(beechplace.State{
-		Address: netip.AddrPortFrom(from.Addr(), tell.Port), Phase: beechrollout.Phase(tell.Phase), Weights: weights, Born: tell.Born,
+		Address: netip.AddrPortFrom(from.Addr(), tell.Port), Phase: beechrollout.Phase(tell.Phase), Weights: weights, Born: tell.Born, Old: time.Duration(tell.Old) * time.Millisecond,
 		Reading: tell.Read, Running: tell.Run, Waiting: tell.Wait, CacheUsed: tell.Used, CacheTotal: tell.Room, Parts: tell.Parts, Gone: tell.Gone, Kept: tell.Kept,
 	})
 	g.sawPhase(engine, beechrollout.Phase(tell.Phase), weights)
--- /dev/null
+++ b/internal/process/beechgate/turns.go
@@ -0,0 +1,72 @@
+package beechgate
+
+import (
+	"slices"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/beechring/beechring/internal/link/beechwire"
+	"github.com/beechring/beechring/internal/process/beechshare"
+	"github.com/beechring/beechring/internal/request/beechrollout"
+)
+
+// grantTurns tells the keepers whose turn has come now that another engine's
+// has ended. At the follow interval alone, turns of half a second would stand
+// empty for as long again.
+func (g *Gate) grantTurns() {
+	if g.Leaving() {
+		return
+	}
+	g.mu.Lock()
+	servers := g.servers
+	g.mu.Unlock()
+	targets := g.targets()
+	for _, s := range servers {
+		if slices.ContainsFunc(targets[s.ID], func(t beechwire.Target) bool { return t.Granted }) {
+			g.follow(s, targets[s.ID], beechshare.WireSuspects(nil))
+		}
+	}
+}
+
+// targets gives the targets of each server.
+func (g *Gate) targets() map[string][]beechwire.Target {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	targets := make(map[string][]beechwire.Target)
+	now := g.clock.Now()
+	for model, n := range g.named {
+		engines := g.placer.Standing(model)
+		granted := beechrollout.Turns(engines, n.Version, g.pace.Most(len(engines)))
+		for id, alone := range beechrollout.Alone(engines, time.Duration(g.bounds.Load().Weights)) {
+			targets[id] = append(targets[id], beechwire.Target{
+				Model: model, Version: n.Version, Fence: n.Revision, Granted: slices.Contains(granted, id),
+				Alone: max(n.at.Add(alone).Sub(now), 0).Milliseconds(),
+			})
+		}
+	}
+	return targets
+}
+
+// sawPhase takes in an engine's phase. When its turn ends another one's comes.
+func (g *Gate) sawPhase(engine string, phase beechrollout.Phase, weights map[string]uint64) {
+	if engine == "" {
+		return
+	}
+	versions := uint64(0)
+	for _, version := range weights {
+		versions += version // any model's newer version is a load
+	}
+	g.mu.Lock()
+	took := g.pace.Saw(engine, phase, versions, g.clock.Now())
+	window, load := g.pace.Window(), g.pace.Load()
+	g.mu.Unlock()
+	if took == 0 {
+		return
+	}
+	g.log.Info("weights loaded", zap.String("server", engine), zap.Duration("took", took), zap.Duration("alone", load), zap.Float64("window", window))
+	select {
+	case g.turnNews <- struct{}{}:
+	default:
+	}
+}
--- a/internal/request/beechplace/choose.go
+++ b/internal/request/beechplace/choose.go
@@ -62,7 +62,7 @@
 			return c, false
 		}
 		c.Weights = have
-		if age, old := p.overtaken(call.Model, have, now); old && age > p.settings.OldMost {
+		if age, old := p.overtaken(s, call.Model, have, now); old && age > p.settings.OldMost {
 			return c, false
 		} else if old && age > p.settings.OldFree {
 			c.Cost += p.settings.OldPenalty
--- a/internal/request/beechplace/place_test.go
+++ b/internal/request/beechplace/place_test.go
@@ -351,6 +351,24 @@
 	is.True(!ok)
 }
 
+// A gate is started again while an engine has old weights for long. Every version
+// is new to it; went it by that, callers would be served by old weights for
+// twice the operators' bound.
+func TestGateThatStartsIsToldHowOldWeightsAre(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(2)
+	f.Named("m", 2)
+	f.tellAll(func(i int, s *State) {
+		if i == 0 {
+			s.Old = Defaults.OldMost - time.Second
+		}
+	})
+	is.Equal(f.choose(t, ask("s", 0, 10)).Server.ID, "e01") // the other one is not overtaken for long
+	f.clock.Advance(1100 * time.Millisecond)
+	_, ok := f.Choose(ask("s", 0, 10), []string{"e01"})
+	is.True(!ok)
+}
+
 // An engine starts again under the ID that it had, and holds nothing. A gate that
 // goes by the ID alone would send requests there for the parts that it lost, and
 // have others fetch them from it.
--- a/internal/request/beechplace/placer.go
+++ b/internal/request/beechplace/placer.go
@@ -32,7 +32,7 @@
 		keptSince time.Time // when it was seen down last
 		fetches   keptLink
 		saves     keptLink
-		named     map[string][]named // by model, the oldest first
+		versions  map[string]*beechrollout.Versions // by model
 		holders   *lru.Cache[uint64, *holding]
 		rate      float64 // tokens that an engine reads in a millisecond, as learned
 		usual     float64 // tokens that a request has to read, the mean of the last
@@ -47,10 +47,11 @@
 		over    bool // another lifetime has its address
 		refuted bool // another one answered there
 
-		told    time.Time // when its keeper last spoke; zero: never
-		state   State
-		empty   time.Time         // when it was seen to have started anew under its ID; zero: never
-		weights map[string]uint64 // the latest word, the list's or the engine's own
+		told     time.Time // when its keeper last spoke; zero: never
+		state    State
+		empty    time.Time         // when it was seen to have started anew under its ID; zero: never
+		oldSince time.Time         // since when its weights are overtaken, by its keeper; zero: they are not, as it knows
+		weights  map[string]uint64 // the latest word, the list's or the engine's own
 
 		flying  int // sent by this gate, not answered
 		unread  int // tokens that these still have to read
@@ -60,11 +61,6 @@
 		darkTil time.Time // by the plan or by its own refusal: it loads weights
 	}
 
-	named struct {
-		version uint64
-		at      time.Time
-	}
-
 	// holding is where a shared part was sent lately. An instruction that all
 	// requests share lies in every engine, so all holders are remembered: with
 	// the latest four only, one of 42 engines that held both the instruction and
@@ -90,7 +86,6 @@
 	announceLeast = 1500                    // tokens; a shorter prompt holds nobody up for long
 	keptDownLasts = 3 * time.Second
 	defaultSlots  = 8
-	namedMost     = 16 // versions of a model that are remembered
 )
 
 // New returns a placer that knows no server.
@@ -103,7 +98,7 @@
 	return &Placer{
 		settings: s, rate: s.PrefillRate, clock: clock, health: health, announce: announce,
 		services: make(map[string][]*server), byID: make(map[string]*server), byPlace: make(map[netip.AddrPort]*server),
-		sheets: make(map[string]beechcall.Service), named: make(map[string][]named), holders: holders,
+		sheets: make(map[string]beechcall.Service), versions: make(map[string]*beechrollout.Versions), holders: holders,
 	}
 }
 
@@ -194,25 +189,27 @@
 func (p *Placer) Named(model string, version uint64) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	list := p.named[model]
-	if len(list) > 0 && list[len(list)-1].version >= version {
-		return false
+	v, ok := p.versions[model]
+	if !ok {
+		v = &beechrollout.Versions{}
+		p.versions[model] = v
 	}
-	list = append(list, named{version: version, at: p.clock.Now()})
-	p.named[model] = list[max(len(list)-namedMost, 0):]
-	return true
+	return v.Name(version, p.clock.Now())
 }
 
-// overtaken is the time since weights that an engine has were overtaken, by the
-// first newer ones that were named: while versions follow one another quickly,
-// the last one's age says nothing of how old an engine's weights are.
-func (p *Placer) overtaken(model string, have uint64, now time.Time) (age time.Duration, old bool) {
-	for _, n := range p.named[model] {
-		if n.version > have {
-			return now.Sub(n.at), true
-		}
+// overtaken is the time since an engine's weights were overtaken, by what this
+// gate has heard or, if that is longer, by its keeper's word: a gate that was
+// started a moment ago takes every version for new.
+func (p *Placer) overtaken(s *server, model string, have uint64, now time.Time) (age time.Duration, old bool) {
+	v, ok := p.versions[model]
+	if !ok {
+		return 0, false
+	}
+	age, old = v.Overtaken(have, now)
+	if old && !s.oldSince.IsZero() {
+		age = max(age, now.Sub(s.oldSince))
 	}
-	return 0, false
+	return age, old
 }
 
 // born takes in when a server's lifetime began. One that has started anew under
@@ -259,6 +256,10 @@
 		return ""
 	}
 	p.born(v, s.Born)
+	v.oldSince = time.Time{}
+	if s.Old > 0 {
+		v.oldSince = p.clock.Now().Add(-s.Old)
+	}
 	v.told, v.state, v.atTold = p.clock.Now(), s, v.flying
 	for model, version := range s.Weights {
 		v.weights[model] = version
--- a/internal/request/beechplace/types.go
+++ b/internal/request/beechplace/types.go
@@ -31,8 +31,9 @@
 		Address    netip.AddrPort
 		Phase      beechrollout.Phase
 		Weights    map[string]uint64
-		Born       uint64 // of its lifetime; 0 is not told
-		Reading    int    // tokens of long prompts that it has probably not read yet
+		Old        time.Duration // since its weights were overtaken; 0: they are not, as the keeper knows
+		Born       uint64        // of its lifetime; 0 is not told
+		Reading    int           // tokens of long prompts that it has probably not read yet
 		Running    int
 		Waiting    int
 		CacheUsed  int
--- a/internal/request/beechrollout/turn.go
+++ b/internal/request/beechrollout/turn.go
@@ -28,6 +28,7 @@
 	Turn struct {
 		settings   Settings
 		targets    map[string]Target
+		versions   map[string]*Versions
 		heard      time.Time // when a gate last named a target
 		left       time.Time // when the engine left the choice; zero: it is in it
 		tried      time.Time // when the last order was sent
@@ -90,7 +91,7 @@
 
 // NewTurn returns the turns of one engine, which has no target yet.
 func NewTurn(s Settings) *Turn {
-	return &Turn{settings: s.withDefaults(), targets: make(map[string]Target)}
+	return &Turn{settings: s.withDefaults(), targets: make(map[string]Target), versions: make(map[string]*Versions)}
 }
 
 // Told takes in a gate's word on a target. A turn that any gate has granted
@@ -98,6 +99,10 @@
 // before the order is never loaded.
 func (t *Turn) Told(target Target, now time.Time) {
 	t.heard = now
+	if t.versions[target.Model] == nil {
+		t.versions[target.Model] = &Versions{}
+	}
+	t.versions[target.Model].Name(target.Version, now)
 	old, ok := t.targets[target.Model]
 	if ok && old.Version > target.Version {
 		return
@@ -109,6 +114,19 @@
 	t.targets[target.Model] = target
 }
 
+// Old is the time since the engine's weights were overtaken, as far as this
+// keeper was told; 0: they were not.
+func (t *Turn) Old(now time.Time) time.Duration {
+	var longest time.Duration
+	for model, have := range t.last.Versions {
+		if v, ok := t.versions[model]; ok {
+			age, _ := v.Overtaken(have, now)
+			longest = max(longest, age)
+		}
+	}
+	return longest
+}
+
 // StartedAnew tells whether the engine has begun another lifetime since an
 // earlier report, under the same ID: by its birth, or since its count of orders
 // has gone back.
--- a/internal/request/beechrollout/turn_test.go
+++ b/internal/request/beechrollout/turn_test.go
@@ -214,3 +214,21 @@
 		is.Equal(again.Sequence, anew.Sequence)
 	}
 }
+
+// Versions follow one another; how old an engine's weights are goes by the first
+// that overtook them.
+func TestOldGoesByTheFirstNewerVersion(t *testing.T) {
+	is := is.New(t)
+	c := begin()
+	c.next(at(1))
+	is.Equal(c.Old(c.now), time.Duration(0))
+	c.Told(Target{Model: "m", Version: 2}, c.now)
+	c.after(3 * time.Second)
+	c.Told(Target{Model: "m", Version: 3}, c.now)
+	c.after(time.Second)
+	is.Equal(c.Old(c.now), 4*time.Second)
+	c.next(at(2))
+	is.Equal(c.Old(c.now), time.Second)
+	c.next(at(3))
+	is.Equal(c.Old(c.now), time.Duration(0))
+}
