--- a/internal/request/beechplace/place_test.go
+++ b/internal/request/beechplace/place_test.go
@@ -398,18 +398,18 @@
 func TestForeignEntryAtAServersAddress(t *testing.T) {
 	is := is.New(t)
 	f := newFleet(1)
-	real := f.servers[0]
-	foreign := real
+	own := f.servers[0]
+	foreign := own
 	foreign.ID, foreign.Since = "somebody", 9
 	for range 2 {
-		f.SetServers([]beechcall.Server{real, foreign})
+		f.SetServers([]beechcall.Server{own, foreign})
 		if c := f.choose(t, ask("s", 0, 10)); c.Server.ID == foreign.ID {
-			f.Refused(foreign.ID, beechcall.NotRun{Replaced: true, There: real.ID}, "m")
+			f.Refused(foreign.ID, beechcall.NotRun{Replaced: true, There: own.ID}, "m")
 		}
-		is.Equal(f.choose(t, ask("s", 0, 10)).Server.ID, real.ID)
+		is.Equal(f.choose(t, ask("s", 0, 10)).Server.ID, own.ID)
 	}
-	f.SetServers([]beechcall.Server{real})
-	is.Equal(f.choose(t, ask("s", 0, 10)).Server.ID, real.ID)
+	f.SetServers([]beechcall.Server{own})
+	is.Equal(f.choose(t, ask("s", 0, 10)).Server.ID, own.ID)
 }
 
 func TestLeavingServerIsNotChosen(t *testing.T) {
