--- a/internal/command/beechcommand/gate.go
+++ b/internal/command/beechcommand/gate.go
@@ -1,7 +1,9 @@
 package beechcommand
 
 import (
+	"context"
 	"net/http"
+	"net/netip"
 	"runtime/debug"
 
 	"github.com/jonboulle/clockwork"
@@ -56,17 +58,7 @@
 		}
 		return err
 	})
-	if settings.Admin.IsValid() {
-		serve, err := beechadmin.Listen(settings.Admin, http.HandlerFunc(gate.Vars))
-		if err != nil {
-			return err
-		}
-		go func() {
-			if err := serve(c.Context()); c.Context().Err() == nil {
-				log.Warn("metrics not served any more", zap.Error(err))
-			}
-		}()
-	}
+	serveMetrics(c.Context(), settings.Admin, gate.Metrics(), log)
 	door := platform.NewDoor(gate, clock)
 	return gate.Run(c.Context(), door, http.HandlerFunc(door.ServeReady))
 }
@@ -83,3 +75,22 @@
 		debug.SetMemoryLimit(int64(megabytes) * megabyte * memoryShare / 100)
 	}
 }
+
+// serveMetrics serves a process's metrics until the context ends. An address
+// that is not set serves nothing. One that cannot be had is told and left: the
+// port is the same on all hosts, and callers come before metrics.
+func serveMetrics(ctx context.Context, address netip.AddrPort, metrics http.Handler, log *zap.Logger) {
+	if !address.IsValid() {
+		return
+	}
+	serve, err := beechadmin.Listen(address, metrics)
+	if err != nil {
+		log.Error("metrics not served", zap.Stringer("listen", address), zap.Error(err))
+		return
+	}
+	go func() {
+		if err := serve(ctx); ctx.Err() == nil {
+			log.Warn("metrics not served any more", zap.Error(err))
+		}
+	}()
+}
--- a/internal/command/beechcommand/keeper.go
+++ b/internal/command/beechcommand/keeper.go
@@ -44,5 +44,6 @@
 	if err != nil {
 		return err
 	}
+	serveMetrics(c.Context(), settings.Admin, keeper.Metrics(), log)
 	return keeper.Run(c.Context())
 }
--- a/internal/process/beechkeeper/keeper.go
+++ b/internal/process/beechkeeper/keeper.go
@@ -77,6 +77,7 @@
 		socket     *beechbeat.Socket
 		supervisor *suture.Supervisor
 		suspects   *beechsuspect.Register
+		metrics    *metrics
 		wake       chan struct{}
 
 		mu        sync.Mutex
@@ -138,6 +139,7 @@
 		turn:     beechrollout.NewTurn(beechrollout.Settings{}), followers: make(map[netip.AddrPort]*follower),
 		wake: make(chan struct{}, 1), held: held,
 	}
+	k.metrics = newMetrics(k)
 	k.supervisor = suture.New("keeper", suture.Spec{EventHook: beechlog.SupervisorHook(needs.Log)})
 	k.supervisor.Add(beechtask.Task{Name: "hear gates", Run: func(ctx context.Context) error { return socket.Receive(ctx, k.hear) }})
 	k.supervisor.Add(beechtask.Task{Name: "keep engine", Run: k.keep})
@@ -227,6 +229,9 @@
 	report, err := k.needs.Engine.Report(limited)
 	cancel()
 	report.Known = err == nil
+	if !report.Known {
+		k.metrics.silent.Add(1)
+	}
 	k.mu.Lock()
 	anew := report.Known && report.StartedAnew(k.last.Report)
 	next := k.turn.Next(k.needs.Clock.Now(), report.Report)
@@ -261,6 +266,7 @@
 // lifetime under its ID: it holds nothing. Gates that go on believing would have
 // others fetch from it what it lost.
 func (k *Keeper) startedAnew(r Report) {
+	k.metrics.anew.Add(1)
 	k.needs.Log.Info("engine started anew", zap.Uint64("born", r.Born), zap.Uint64("sequence", r.Sequence))
 	k.mu.Lock()
 	k.reading = beechrollout.Reading{}
@@ -275,6 +281,7 @@
 	answer, err := k.needs.Engine.Order(limited, k.settings.Name, o)
 	k.needs.Log.Info("order sent", zap.String("model", o.Target.Model), zap.Uint64("version", o.Target.Version),
 		zap.Uint64("fence", o.Target.Fence), zap.Uint64("sequence", o.Sequence), zap.Int("outcome", int(answer)), zap.Error(err))
+	k.metrics.orders.Add(answerNames[answer], 1)
 	k.mu.Lock()
 	k.turn.Answered(answer)
 	k.mu.Unlock()
@@ -287,6 +294,7 @@
 	last := k.last
 	k.mu.Unlock()
 	if old != p {
+		k.metrics.entered(p, k.needs.Clock.Now())
 		k.needs.Log.Info("engine's phase", zap.Int("phase", int(p)), zap.Int("was", int(old)), zap.Any("weights", last.Versions),
 			zap.Int("running", last.Running), zap.Int("waiting", last.Waiting), zap.Error(err))
 	}
--- /dev/null
+++ b/internal/process/beechmetric/metric.go
@@ -0,0 +1,100 @@
+// Package beechmetric serves a process's counters and latency histograms: as
+// JSON, as expvar gives them, and as plain text with a line a figure.
+//
+// # Usage
+//
+//	vars := new(expvar.Map)
+//	first := beechmetric.NewLatency()
+//	vars.Set("firstByteMicros", expvar.Func(first.Percentiles))
+//	first.Record(took)
+//	http.Serve(listener, beechmetric.Handler(vars)) // /metrics is the text, any other path JSON
+package beechmetric
+
+import (
+	"encoding/json"
+	"expvar"
+	"fmt"
+	"io"
+	"maps"
+	"net/http"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+)
+
+// Latency is a histogram that tells some of its percentiles. It is safe for
+// concurrent use.
+type Latency struct {
+	mu        sync.Mutex
+	histogram *hdrhistogram.Histogram
+}
+
+const (
+	// TextPath is where Handler serves plain text.
+	TextPath      = "/metrics"
+	latencyMost   = int64(time.Hour / time.Microsecond)
+	latencyDigits = 2
+)
+
+// NewLatency returns an empty histogram.
+func NewLatency() *Latency {
+	return &Latency{histogram: hdrhistogram.New(1, latencyMost, latencyDigits)}
+}
+
+// Record takes in a time, to the microsecond, an hour at most.
+func (l *Latency) Record(d time.Duration) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	_ = l.histogram.RecordValue(min(max(d.Microseconds(), 1), latencyMost)) // within bounds, so it cannot fail
+}
+
+// Percentiles gives the count and some percentiles in microseconds, for
+// expvar.Func.
+func (l *Latency) Percentiles() any {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return map[string]int64{
+		"count": l.histogram.TotalCount(), "p50": l.histogram.ValueAtQuantile(50),
+		"p90": l.histogram.ValueAtQuantile(90), "p99": l.histogram.ValueAtQuantile(99), "max": l.histogram.Max(),
+	}
+}
+
+// Handler serves metrics: as text at TextPath, as JSON elsewhere.
+func Handler(vars *expvar.Map) http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /", func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Content-Type", "application/json")
+		_, _ = io.WriteString(w, vars.String()) // a reader that has left needs nothing
+	})
+	mux.HandleFunc("GET "+TextPath, func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Content-Type", "text/plain; charset=utf-8")
+		_, _ = io.WriteString(w, Text(vars))
+	})
+	return mux
+}
+
+// Text gives metrics as lines of a name and a value, by name. Names of figures
+// inside others are joined with a dot.
+func Text(vars *expvar.Map) string {
+	var tree map[string]any
+	if err := json.Unmarshal([]byte(vars.String()), &tree); err != nil {
+		return fmt.Sprintf("# unreadable: %v\n", err)
+	}
+	var b strings.Builder
+	write(&b, "", tree)
+	return b.String()
+}
+
+func write(b *strings.Builder, prefix string, tree map[string]any) {
+	for _, name := range slices.Sorted(maps.Keys(tree)) {
+		switch v := tree[name].(type) {
+		case map[string]any:
+			write(b, prefix+name+".", v)
+		default:
+			fmt.Fprintf(b, "%s%s %v\n", prefix, strings.ReplaceAll(name, " ", "_"), v)
+		}
+	}
+}
--- a/internal/request/beechplace/choose.go
+++ b/internal/request/beechplace/choose.go
@@ -69,10 +69,10 @@
 		}
 		c.Salt = salt(call, have)
 		c.Cost += p.prefix(call, s, levels, now, &c)
-		before := p.ahead(s, now.Add(c.Wait))/p.rate + p.blocked(s, call.PromptTokens, now)
+		before := p.ahead(s, now.Add(c.Wait))/p.speed.rate + p.blocked(s, call.PromptTokens, now)
 		c.Ahead = milliseconds(c.Wait) + before
-		own := float64(c.Unread) / p.rate
-		c.Expected = c.Ahead + own
+		own := float64(c.Unread) / p.speed.rate
+		c.Expected = c.Ahead + own + p.speed.fixed
 		c.Cost += before + own + p.fill(s, now) + late(c.Expected, milliseconds(call.Route.Objective))
 	}
 	if s.Zone != p.settings.Zone {
@@ -129,8 +129,8 @@
 	ahead := float64(s.unread)
 	if s.fresh(now) {
 		since := milliseconds(now.Sub(s.told))
-		ahead = max(ahead, float64(s.state.Reading)-since*p.rate)
-		ahead = max(ahead, float64(s.state.Waiting)*p.usual-since*p.rate)
+		ahead = max(ahead, float64(s.state.Reading)-since*p.speed.rate)
+		ahead = max(ahead, float64(s.state.Waiting)*p.usual-since*p.speed.rate)
 	}
 	return ahead
 }
--- a/internal/request/beechplace/place_test.go
+++ b/internal/request/beechplace/place_test.go
@@ -452,7 +452,36 @@
 		ticket.Read()
 		ticket.Done(Answered)
 	}
-	is.True(f.rate > 70 && f.rate < 90)
+	is.True(f.speed.rate > 70 && f.speed.rate < 90)
+}
+
+// Engines take 80 ms for any first word and read 75 tokens in a millisecond
+// beyond that. Taken as one they seem to read 30; a history's engine is believed
+// to have callers wait three times as long as it does, and they go elsewhere.
+func TestFixedTimeIsNoReading(t *testing.T) {
+	is := is.New(t)
+	s := speed{rate: Defaults.PrefillRate}
+	for i := range 600 {
+		tokens := float64(200)
+		if i%3 == 0 {
+			tokens = 4000
+		}
+		wait := 0.0
+		if i%2 == 0 {
+			wait = 30 // behind another prompt
+		}
+		s.learn(tokens, 80+wait+tokens/75)
+	}
+	is.True(s.fixed > 70 && s.fixed < 95)
+	is.True(s.rate > 50 && s.rate < 85)
+	for i := range 600 { // engines are full: all wait half a second
+		tokens := float64(200)
+		if i%3 == 0 {
+			tokens = 4000
+		}
+		s.learn(tokens, 580+tokens/75)
+	}
+	is.True(s.rate < 40) // they read no quicker for that
 }
 
 func BenchmarkChoose(b *testing.B) {
--- a/internal/request/beechplace/placer.go
+++ b/internal/request/beechplace/placer.go
@@ -34,7 +34,7 @@
 		saves     keptLink
 		versions  map[string]*beechrollout.Versions // by model
 		holders   *lru.Cache[uint64, *holding]
-		rate      float64 // tokens that an engine reads in a millisecond, as learned
+		speed     speed   // of engines, as learned
 		usual     float64 // tokens that a request has to read, the mean of the last
 		size      float64 // tokens of a prompt, the mean of the last
 		stay      stay
@@ -96,7 +96,7 @@
 	}
 	s = s.withDefaults()
 	return &Placer{
-		settings: s, rate: s.PrefillRate, clock: clock, health: health, announce: announce,
+		settings: s, speed: speed{rate: s.PrefillRate}, clock: clock, health: health, announce: announce,
 		services: make(map[string][]*server), byID: make(map[string]*server), byPlace: make(map[netip.AddrPort]*server),
 		sheets: make(map[string]beechcall.Service), versions: make(map[string]*beechrollout.Versions), holders: holders,
 	}
--- /dev/null
+++ b/internal/request/beechplace/speed.go
@@ -0,0 +1,47 @@
+package beechplace
+
+// speed is how fast engines read prompts, as seen from this gate: a time that
+// every first word takes, however short the prompt, and a rate beyond it. Taken
+// as one, the fixed 80 ms of engines that read 75 tokens in a millisecond made
+// them look as if they read 25 to 35; waits were believed two to three times as
+// long as they were, prompts went elsewhere than where their history lay, and
+// were read again there.
+type speed struct {
+	rate  float64 // tokens in a millisecond
+	fixed float64 // milliseconds
+}
+
+const (
+	learnLeast = 2500 // tokens; shorter prompts show the fixed time instead
+	shortMost  = 1000 // tokens; of longer prompts the reading is most of the time
+	rateOver   = 32   // samples
+	rateLeast  = 8    // tokens in a millisecond
+	rateMost   = 200
+	// fixedShare of short prompts take less than the fixed time as it is
+	// followed, in steps of fixedStep: a low share, since the others have waited
+	// behind something. With their mean, engines that were full seemed to have
+	// become slow to start and quick to read.
+	fixedShare = 0.1
+	fixedStep  = 4  // milliseconds
+	readLeast  = 10 // milliseconds that are left for the reading at the least
+)
+
+// learn takes in how many tokens had to be read before a first word, and how many
+// milliseconds it took.
+func (s *speed) learn(tokens, took float64) {
+	if took <= 0 {
+		return
+	}
+	if tokens <= shortMost {
+		if took-tokens/s.rate < s.fixed {
+			s.fixed = max(s.fixed-(1-fixedShare)*fixedStep, 0)
+		} else {
+			s.fixed += fixedShare * fixedStep
+		}
+	}
+	if tokens < learnLeast {
+		return
+	}
+	seen := min(max(tokens/max(took-s.fixed, readLeast), rateLeast), rateMost)
+	s.rate += (seen - s.rate) / rateOver
+}
--- a/internal/request/beechplace/ticket.go
+++ b/internal/request/beechplace/ticket.go
@@ -76,11 +76,7 @@
 	if t.moved > 0 {
 		t.placer.fetches.took(now.Sub(t.sent), t.expect, now)
 	}
-	if t.work < learnLeast || took <= 0 {
-		return
-	}
-	seen := min(max(t.work/took, rateLeast), rateMost)
-	t.placer.rate += (seen - t.placer.rate) / rateOver
+	t.placer.speed.learn(t.work, took)
 }
 
 // Done ends the attempt.
@@ -121,10 +117,6 @@
 }
 
 const (
-	learnLeast = 2500 // tokens; shorter prompts show the way there and back instead
-	rateOver   = 32   // samples
-	rateLeast  = 8    // tokens in a millisecond
-	rateMost   = 200
 	usualOver  = 64 // requests
 	failsLeast = 2  // failures in a row: one broken answer is no sign of a dead server
 	downShift  = 6
