--- a/internal/link/beechwire/wire_gen.go
+++ b/internal/link/beechwire/wire_gen.go
@@ -733,6 +733,9 @@
 	// Suspects corresponds to the JSON schema field "Suspects".
 	Suspects []Suspect `msg:"Suspects"`
 
+	// Orders in a row that the engine has left unanswered.
+	Tries int `msg:"Tries"`
+
 	// Tokens in the engine's memory that cannot yield.
 	Used int `msg:"Used"`
 
--- a/internal/link/beechwire/wire_msgp_gen.go
+++ b/internal/link/beechwire/wire_msgp_gen.go
@@ -4036,9 +4036,9 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *Tell) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 15
+	// map header, size 16
 	// string "Born"
-	o = append(o, 0x8f, 0xa4, 0x42, 0x6f, 0x72, 0x6e)
+	o = append(o, 0xde, 0x0, 0x10, 0xa4, 0x42, 0x6f, 0x72, 0x6e)
 	o = msgp.AppendUint64(o, z.Born)
 	// string "Gates"
 	o = append(o, 0xa5, 0x47, 0x61, 0x74, 0x65, 0x73)
@@ -4101,6 +4101,9 @@
 			return
 		}
 	}
+	// string "Tries"
+	o = append(o, 0xa5, 0x54, 0x72, 0x69, 0x65, 0x73)
+	o = msgp.AppendInt(o, z.Tries)
 	// string "Used"
 	o = append(o, 0xa4, 0x55, 0x73, 0x65, 0x64)
 	o = msgp.AppendInt(o, z.Used)
@@ -4300,6 +4303,12 @@
 					return
 				}
 			}
+		case "Tries":
+			z.Tries, bts, err = msgp.ReadIntBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Tries")
+				return
+			}
 		case "Used":
 			z.Used, bts, err = msgp.ReadIntBytes(bts)
 			if err != nil {
@@ -4326,7 +4335,7 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *Tell) Msgsize() (s int) {
-	s = 1 + 5 + msgp.Uint64Size + 6 + msgp.IntSize + 5 + msgp.ArrayHeaderSize + (len(z.Gone) * msgp.Uint64Size) + 5 + msgp.ArrayHeaderSize
+	s = 3 + 5 + msgp.Uint64Size + 6 + msgp.IntSize + 5 + msgp.ArrayHeaderSize + (len(z.Gone) * msgp.Uint64Size) + 5 + msgp.ArrayHeaderSize
 	for za0002 := range z.Have {
 		s += 1 + 6 + msgp.StringPrefixSize + len(z.Have[za0002].Model) + 8 + msgp.Uint64Size
 	}
@@ -4334,7 +4343,7 @@
 	for za0005 := range z.Suspects {
 		s += z.Suspects[za0005].Msgsize()
 	}
-	s += 5 + msgp.IntSize + 5 + msgp.IntSize
+	s += 6 + msgp.IntSize + 5 + msgp.IntSize + 5 + msgp.IntSize
 	return
 }
 
--- a/internal/process/beechgate/keepers.go
+++ b/internal/process/beechgate/keepers.go
@@ -99,7 +99,7 @@
 		weights[w.Model] = w.Version
 	}
 	engine := g.placer.Tell(beechplace.State{
-		Address: netip.AddrPortFrom(from.Addr(), tell.Port), Phase: beechrollout.Phase(tell.Phase), Weights: weights, Born: tell.Born, Old: time.Duration(tell.Old) * time.Millisecond,
+		Address: netip.AddrPortFrom(from.Addr(), tell.Port), Phase: beechrollout.Phase(tell.Phase), Weights: weights, Tries: tell.Tries, Born: tell.Born, Old: time.Duration(tell.Old) * time.Millisecond,
 		Reading: tell.Read, Running: tell.Run, Waiting: tell.Wait, CacheUsed: tell.Used, CacheTotal: tell.Room, Parts: tell.Parts, Gone: tell.Gone, Kept: tell.Kept,
 	})
 	g.sawPhase(engine, beechrollout.Phase(tell.Phase), weights)
--- a/internal/request/beechplace/placer.go
+++ b/internal/request/beechplace/placer.go
@@ -240,7 +240,7 @@
 			continue
 		}
 		engines = append(engines, beechrollout.Engine{
-			ID: s.ID, Zone: s.Zone, Version: s.weights[model], Phase: s.state.Phase, Silent: !s.fresh(now),
+			ID: s.ID, Zone: s.Zone, Version: s.weights[model], Phase: s.state.Phase, Silent: !s.fresh(now), Tries: s.state.Tries,
 		})
 	}
 	return engines
--- a/internal/request/beechplace/types.go
+++ b/internal/request/beechplace/types.go
@@ -31,6 +31,7 @@
 		Address    netip.AddrPort
 		Phase      beechrollout.Phase
 		Weights    map[string]uint64
+		Tries      int           // orders in a row that the engine has left unanswered
 		Old        time.Duration // since its weights were overtaken; 0: they are not, as the keeper knows
 		Born       uint64        // of its lifetime; 0 is not told
 		Reading    int           // tokens of long prompts that it has probably not read yet
--- a/internal/request/beechrollout/fleet_test.go
+++ b/internal/request/beechrollout/fleet_test.go
@@ -33,6 +33,7 @@
 		lost                  float64       // of words and orders
 		crash                 float64       // chance of an engine in a second
 		bound                 time.Duration
+		deaf                  int // engines that leave all orders unanswered
 	}
 
 	simulated struct {
@@ -43,6 +44,7 @@
 		downTil time.Time
 		has     uint64
 		taken   uint64 // sequence
+		deaf    bool
 	}
 
 	simulatedGate struct {
@@ -58,6 +60,7 @@
 	f := &simulation{fleetSettings: s, random: rand.New(rand.NewPCG(seed, 1)), now: time.Unix(1000, 0), newest: 1}
 	for i := range s.engines {
 		f.engines = append(f.engines, &simulated{
+			deaf:   i < s.deaf,
 			Engine: Engine{ID: fmt.Sprintf("e%d", i), Zone: fmt.Sprintf("z%d", i%s.zones), Version: 1}, turn: NewTurn(Settings{}), has: 1,
 		})
 	}
@@ -114,7 +117,7 @@
 	case Wait:
 		phase = step.Phase
 	case Order:
-		if f.random.Float64() < f.lost {
+		if e.deaf || f.random.Float64() < f.lost {
 			e.turn.Answered(Silent)
 			break
 		}
@@ -124,7 +127,7 @@
 	}
 	for _, g := range f.gates {
 		if f.random.Float64() >= f.lost {
-			g.view[e.ID] = Engine{ID: e.ID, Zone: e.Zone, Version: e.has, Phase: phase}
+			g.view[e.ID] = Engine{ID: e.ID, Zone: e.Zone, Version: e.has, Phase: phase, Tries: e.turn.Tries()}
 			g.pace.Saw(e.ID, phase, e.has, f.now)
 		}
 	}
@@ -213,3 +216,15 @@
 		}
 	}
 }
+
+// Some engines leave all orders unanswered, as many as may load at once. They
+// would have all turns for good; callers of all the others would be served by
+// old weights up to the bound, and by nobody after it.
+func TestEnginesThatTakeNoOrdersHoldNobodyUp(t *testing.T) {
+	is := is.New(t)
+	f := newSimulation(fleetSettings{engines: 18, zones: 3, gates: 5, load: 2 * time.Second, serves: 3, bound: 15 * time.Second, deaf: 6}, 5)
+	f.run(time.Second)
+	f.name()
+	f.run(25 * time.Second)
+	is.Equal(f.old(), 6)
+}
--- a/internal/request/beechrollout/pace.go
+++ b/internal/request/beechrollout/pace.go
@@ -1,6 +1,9 @@
 package beechrollout
 
-import "time"
+import (
+	"maps"
+	"time"
+)
 
 // Pace learns how many engines may load at once from how long loads take, as
 // TCP learns its window from round trips: one more while they take no longer
@@ -40,6 +43,9 @@
 	// baseShift weighs a load with few beside it that took longer than before:
 	// 1/8, so that a changed engine or store is followed within ten such loads.
 	baseShift = 3
+	// forgotten is when a load that was not seen to end is not counted any more:
+	// its engine is gone. The slowest known store takes 17 s with many at it.
+	forgotten = time.Minute
 )
 
 // NewPace returns a pace that has seen no load.
@@ -68,6 +74,7 @@
 	l, loading := p.began[engine]
 	switch {
 	case phase == Loading && !loading:
+		maps.DeleteFunc(p.began, func(_ string, l *load) bool { return now.Sub(l.at) > forgotten })
 		p.began[engine] = &load{at: now, had: version}
 		for _, other := range p.began {
 			other.beside = max(other.beside, len(p.began))
--- a/internal/request/beechrollout/turn.go
+++ b/internal/request/beechrollout/turn.go
@@ -127,6 +127,9 @@
 	return longest
 }
 
+// Tries is how many orders in a row the engine has left unanswered.
+func (t *Turn) Tries() int { return t.unanswered }
+
 // StartedAnew tells whether the engine has begun another lifetime since an
 // earlier report, under the same ID: by its birth, or since its count of orders
 // has gone back.
--- a/internal/request/beechrollout/turns.go
+++ b/internal/request/beechrollout/turns.go
@@ -16,7 +16,7 @@
 // # Usage
 //
 //	pace := beechrollout.NewPace()
-//	pace.Saw(engine, phase, now)                      // a keeper's word
+//	pace.Saw(engine, phase, version, now)             // a keeper's word
 //	ids := beechrollout.Turns(engines, newest, pace.Most(len(engines)))
 //
 //	turn := beechrollout.NewTurn(settings)            // in the keeper
@@ -42,8 +42,14 @@
 	Version uint64 // that it has
 	Phase   Phase
 	Silent  bool // its keeper has not spoken lately
+	Tries   int  // orders in a row that it has left unanswered
 }
 
+// triesMost orders without an answer, and an engine keeps no turn from others. Its
+// keeper goes on trying by itself. Kept at the head of the queue, as many such
+// engines as may load at once would stop the rollout for all.
+const triesMost = 2
+
 // Turns gives the engines whose turn it is to take the newest version: as many
 // as may load at once, less those that are at it, whatever version they load.
 // The oldest weights go first, so that no engine runs into the operators' bound
@@ -55,7 +61,7 @@
 	var waiting []Engine
 	for _, e := range alternate(engines) {
 		switch {
-		case e.Silent || e.Phase == Down:
+		case e.Silent || e.Phase == Down || e.Tries >= triesMost:
 		case e.Phase == Leaving || e.Phase == Loading:
 			most--
 		case e.Version < newest:
@@ -71,9 +77,9 @@
 }
 
 // Alone gives, for each engine, the time after a version was named at which its
-// keeper takes its turn by itself if it hears from no gate: spread over the
-// second half of the operators' bound, or a fleet that has lost its gates would
-// load all at once.
+// keeper takes its turn by itself if it hears from no gate: spread from a half
+// to three quarters of the operators' bound, or a fleet that has lost its gates
+// would load all at once.
 func Alone(engines []Engine, within time.Duration) map[string]time.Duration {
 	times := make(map[string]time.Duration, len(engines))
 	for i, e := range alternate(engines) {
