--- a/internal/command/beechcommand/follow.go
+++ b/internal/command/beechcommand/follow.go
@@ -8,7 +8,6 @@
 	"syscall"
 	"time"
 
-	"github.com/spf13/cobra"
 	"go.uber.org/zap"
 
 	"github.com/beechring/beechring/platform"
@@ -18,24 +17,6 @@
 // without a signal.
 const settingsPoll = 5 * time.Second
 
-// newRoleCommand makes the command of a process on the users' platform. The
-// platform's variable names the settings where the command line does not.
-func newRoleCommand(name, short, long string, run func(c *cobra.Command, file string) error) *cobra.Command {
-	var file string
-	command := &cobra.Command{
-		Use:     name + " [--settings FILE]",
-		Short:   short,
-		Long:    long,
-		Example: "  beechring " + name + " --settings " + name + ".json",
-		Args:    cobra.NoArgs,
-		RunE: func(c *cobra.Command, _ []string) error {
-			return run(c, file)
-		},
-	}
-	command.Flags().StringVar(&file, "settings", "", "settings file in JSON, or - for standard input")
-	return command
-}
-
 // settingsFile is the file that was named, or the platform's.
 func settingsFile(named string) string {
 	if named != "" {
--- a/internal/process/beechgate/keepers.go
+++ b/internal/process/beechgate/keepers.go
@@ -46,30 +46,31 @@
 }
 
 func (g *Gate) followOnce() {
-	if g.Leaving() {
-		return
-	}
-	g.mu.Lock()
-	servers := g.servers
-	g.mu.Unlock()
 	targets := g.targets()
 	suspects := beechshare.WireSuspects(beechshare.Worst(g.suspects.News()))
-	for _, s := range servers {
-		if g.keeps(s) {
-			g.follow(s, targets[s.ID], suspects)
-		}
+	for _, s := range g.keptServers() {
+		g.follow(s, targets[s.ID], suspects)
 	}
 }
 
-// keeps tells whether a server has a keeper: plain services' have none, nor has
-// what somebody wrote there for a service that operators do not name.
-func (g *Gate) keeps(s beechcall.Server) bool {
-	if c := g.configuration.Load(); c != nil {
-		if _, named := c.Services[s.Service]; !named {
-			return false
+// keptServers gives the servers that have a keeper; none where this gate is
+// about to end. Plain services' have none, nor has what somebody wrote among the
+// servers for a service that operators do not name.
+func (g *Gate) keptServers() []beechcall.Server {
+	c := g.configuration.Load()
+	if g.Leaving() || c == nil {
+		return nil
+	}
+	g.mu.Lock()
+	servers := g.servers
+	g.mu.Unlock()
+	var kept []beechcall.Server
+	for _, s := range servers {
+		if _, named := c.Services[s.Service]; named && len(s.Weights) > 0 {
+			kept = append(kept, s)
 		}
 	}
-	return len(s.Weights) > 0
+	return kept
 }
 
 func (g *Gate) follow(s beechcall.Server, targets []beechwire.Target, suspects []beechwire.Suspect) {
--- a/internal/process/beechgate/turns.go
+++ b/internal/process/beechgate/turns.go
@@ -15,14 +15,8 @@
 // has ended. At the follow interval alone, turns of half a second would stand
 // empty for as long again.
 func (g *Gate) grantTurns() {
-	if g.Leaving() {
-		return
-	}
-	g.mu.Lock()
-	servers := g.servers
-	g.mu.Unlock()
 	targets := g.targets()
-	for _, s := range servers {
+	for _, s := range g.keptServers() {
 		if slices.ContainsFunc(targets[s.ID], func(t beechwire.Target) bool { return t.Granted }) {
 			g.follow(s, targets[s.ID], beechshare.WireSuspects(nil))
 		}
