--- a/internal/link/beechwire/wire_gen.go
+++ b/internal/link/beechwire/wire_gen.go
@@ -295,6 +295,9 @@
 	// Gate corresponds to the JSON schema field "Gate".
 	Gate string `msg:"Gate"`
 
+	// Prompt tokens in a millisecond that the gate sees engines read; 0 is not known.
+	Rate int `msg:"Rate"`
+
 	// Suspects corresponds to the JSON schema field "Suspects".
 	Suspects []Suspect `msg:"Suspects"`
 
--- a/internal/link/beechwire/wire_msgp_gen.go
+++ b/internal/link/beechwire/wire_msgp_gen.go
@@ -1867,10 +1867,13 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *Follow) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 4
+	// map header, size 5
 	// string "Gate"
-	o = append(o, 0x84, 0xa4, 0x47, 0x61, 0x74, 0x65)
+	o = append(o, 0x85, 0xa4, 0x47, 0x61, 0x74, 0x65)
 	o = msgp.AppendString(o, z.Gate)
+	// string "Rate"
+	o = append(o, 0xa4, 0x52, 0x61, 0x74, 0x65)
+	o = msgp.AppendInt(o, z.Rate)
 	// string "Suspects"
 	o = append(o, 0xa8, 0x53, 0x75, 0x73, 0x70, 0x65, 0x63, 0x74, 0x73)
 	o = msgp.AppendArrayHeader(o, uint32(len(z.Suspects)))
@@ -1921,6 +1924,12 @@
 				err = msgp.WrapError(err, "Gate")
 				return
 			}
+		case "Rate":
+			z.Rate, bts, err = msgp.ReadIntBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Rate")
+				return
+			}
 		case "Suspects":
 			var zb0002 uint32
 			zb0002, bts, err = msgp.ReadArrayHeaderBytes(bts)
@@ -1979,7 +1988,7 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *Follow) Msgsize() (s int) {
-	s = 1 + 5 + msgp.StringPrefixSize + len(z.Gate) + 9 + msgp.ArrayHeaderSize
+	s = 1 + 5 + msgp.StringPrefixSize + len(z.Gate) + 5 + msgp.IntSize + 9 + msgp.ArrayHeaderSize
 	for za0001 := range z.Suspects {
 		s += z.Suspects[za0001].Msgsize()
 	}
--- a/internal/process/beechgate/keepers.go
+++ b/internal/process/beechgate/keepers.go
@@ -75,7 +75,7 @@
 
 func (g *Gate) follow(s beechcall.Server, targets []beechwire.Target, suspects []beechwire.Suspect) {
 	to := netip.AddrPortFrom(s.Address.Addr(), g.settings.Beats.Port())
-	follow := &beechwire.Follow{Gate: g.settings.Name, Zone: g.settings.Zone, Targets: targets, Suspects: suspects}
+	follow := &beechwire.Follow{Gate: g.settings.Name, Zone: g.settings.Zone, Targets: targets, Rate: g.placer.ReadRate(), Suspects: suspects}
 	if err := g.socket.Send(to, beechbeat.Follow{Follow: follow}); err != nil {
 		g.log.Debug("keeper not told", zap.String("server", s.ID), zap.Error(err))
 	}
--- a/internal/process/beechkeeper/keeper.go
+++ b/internal/process/beechkeeper/keeper.go
@@ -193,6 +193,7 @@
 		k.introduce(f)
 	}
 	f.heard = now
+	k.reading.Learn(float64(follow.Rate), now)
 	for _, t := range follow.Targets {
 		k.turn.Told(beechrollout.Target{
 			Model: t.Model, Version: t.Version, Fence: t.Fence, Granted: t.Granted, Alone: now.Add(time.Duration(t.Alone) * time.Millisecond),
@@ -269,7 +270,7 @@
 	k.metrics.anew.Add(1)
 	k.needs.Log.Info("engine started anew", zap.Uint64("born", r.Born), zap.Uint64("sequence", r.Sequence))
 	k.mu.Lock()
-	k.reading = beechrollout.Reading{}
+	k.reading.Clear(k.needs.Clock.Now())
 	k.mu.Unlock()
 	k.dropAll()
 	k.tell(true)
--- a/internal/request/beechplace/placer.go
+++ b/internal/request/beechplace/placer.go
@@ -279,6 +279,17 @@
 	return v.ID
 }
 
+// ReadRate is how many prompt tokens engines read in a millisecond, as learned;
+// 0 until something was.
+func (p *Placer) ReadRate() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if !p.speed.known {
+		return 0
+	}
+	return int(p.speed.rate + 0.5)
+}
+
 // KeptFailed tells that the store of kept KV cache does not answer. It comes
 // back empty, so what was saved before counts no more.
 func (p *Placer) KeptFailed() {
--- a/internal/request/beechplace/speed.go
+++ b/internal/request/beechplace/speed.go
@@ -9,6 +9,7 @@
 type speed struct {
 	rate  float64 // tokens in a millisecond
 	fixed float64 // milliseconds
+	known bool    // something was learned of the rate
 }
 
 const (
@@ -44,4 +45,5 @@
 	}
 	seen := min(max(tokens/max(took-s.fixed, readLeast), rateLeast), rateMost)
 	s.rate += (seen - s.rate) / rateOver
+	s.known = true
 }
--- a/internal/request/beechrollout/reading.go
+++ b/internal/request/beechrollout/reading.go
@@ -8,12 +8,33 @@
 type Reading struct {
 	left float64
 	at   time.Time
+	rate float64 // prompt tokens in a millisecond, as gates tell; 0 is not known
 }
 
-// readRate is the prompt tokens that an engine reads in a millisecond, beside
-// the tokens that it makes meanwhile: below what the known engines read alone
-// (41 and 70).
-const readRate = 38
+const (
+	// readRate is taken until a gate has told a rate: below what the known
+	// engines read alone (41 to 75 tokens in a millisecond).
+	readRate = 38
+	// ratesOver is over how many gates' words the rate is followed.
+	ratesOver = 8
+)
+
+// Learn takes in how many tokens in a millisecond a gate sees engines read; 0 is
+// nothing.
+func (r *Reading) Learn(rate float64, now time.Time) {
+	if rate <= 0 {
+		return
+	}
+	r.left, r.at = float64(r.Left(now)), now
+	r.rate = r.pace() + (rate-r.pace())/ratesOver
+}
+
+func (r *Reading) pace() float64 {
+	if r.rate > 0 {
+		return r.rate
+	}
+	return readRate
+}
 
 // Add takes in a prompt that is on its way.
 func (r *Reading) Add(tokens int, now time.Time) {
@@ -24,7 +45,7 @@
 // Left is what is left to read.
 func (r *Reading) Left(now time.Time) int {
 	passed := float64(max(now.Sub(r.at), 0)) / float64(time.Millisecond)
-	return int(max(r.left-passed*readRate, 0))
+	return int(max(r.left-passed*r.pace(), 0))
 }
 
 // Clear tells that at a time the engine had nothing waiting.
--- a/internal/request/beechrollout/reading_test.go
+++ b/internal/request/beechrollout/reading_test.go
@@ -23,3 +23,19 @@
 	r.Add(-5, now.Add(6*time.Millisecond))
 	is.Equal(r.Left(now.Add(6*time.Millisecond)), 0)
 }
+
+// Engines read twice as fast as was assumed. Gates see it and tell; believed to be
+// busy for twice as long, an engine would be passed over by callers whose history
+// lies there.
+func TestReadingFollowsWhatGatesSee(t *testing.T) {
+	is := is.New(t)
+	var r Reading
+	now := time.Unix(1000, 0)
+	r.Learn(0, now) // a gate that has seen nothing yet
+	for range 100 {
+		r.Learn(2*readRate, now)
+	}
+	r.Add(10*readRate, now)
+	is.Equal(r.Left(now.Add(5*time.Millisecond)), 0)
+	is.True(r.Left(now.Add(4*time.Millisecond)) > 0)
+}
