--- a/internal/request/beechplace/place_test.go
+++ b/internal/request/beechplace/place_test.go
@@ -351,6 +351,31 @@
 	is.True(!ok)
 }
 
+// Every engine holds the instruction that all prompts begin with, and each holds
+// some histories. If a gate remembers only a few holders of the instruction, the
+// others seem to hold nothing, as a history is of no use without what comes
+// before it; prompts go where they are read again, and their callers wait for it.
+func TestInstructionThatLiesInAllEngines(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(12)
+	f.tellAll(nil)
+	for i := range 12 {
+		call := ask(fmt.Sprint("history", i), 6000, 100)
+		c, ok := f.weigh(call, f.byID[fmt.Sprintf("e%02d", i)], f.levels(call, f.clock.Now()), f.clock.Now())
+		is.True(ok)
+		ticket := f.Sent(call, c)
+		f.clock.Advance(10 * time.Millisecond)
+		ticket.Done(Answered)
+	}
+	f.clock.Advance(time.Second)
+	f.tellAll(nil)
+	for i := range 12 {
+		c := f.choose(t, ask(fmt.Sprint("history", i), 6000, 100))
+		is.Equal(c.Server.ID, fmt.Sprintf("e%02d", i))
+		is.Equal(c.Missing, 0)
+	}
+}
+
 // A gate is started again while an engine has old weights for long. Every version
 // is new to it; went it by that, callers would be served by old weights for
 // twice the operators' bound.
--- a/internal/request/beechplace/types.go
+++ b/internal/request/beechplace/types.go
@@ -53,7 +53,7 @@
 		Save     netip.AddrPort
 		Wait     time.Duration // before it is sent: a part that it needs is being read
 		Expected float64       // milliseconds until the prompt is read
-		Ahead    float64       // of these, before it is the request\'s turn
+		Ahead    float64       // of these, before it is the request's turn
 		Cost     float64       // in milliseconds
 		Missing  int           // shared tokens that it does not hold, fetched or read
 		Moved    int           // of these, from the store of kept KV cache
