--- a/internal/request/beechrollout/pace.go
+++ b/internal/request/beechrollout/pace.go
@@ -6,8 +6,9 @@
 )
 
 // Pace learns how many engines may load at once from how long loads take, as
-// TCP learns its window from round trips: one more while they take no longer
-// than alone, fewer when they stretch. It is not safe for concurrent use.
+// TCP learns its window from round trips: one more a round while they take no
+// longer than alone, fewer when they stretch, and from then on more slowly up
+// again. It is not safe for concurrent use.
 //
 // How many a store of weights serves without slowing down is on no sheet that
 // the router reads. With nine at once where three are served well, loads of
@@ -27,9 +28,9 @@
 }
 
 const (
-	// paceLeast load at once at first. It doubles with each round until loads
-	// stretch, as a slow start does: begun with more than the store serves, no
-	// load would show how long one takes alone.
+	// paceLeast load at once at first, and one more with each round until loads
+	// stretch: begun with more than the store serves, no load would show how
+	// long one takes alone.
 	paceLeast = 2
 	// paceMostShare of the engines at the most: the others carry the callers.
 	paceMostShare = 3
