--- a/internal/process/beechgate/keepers.go
+++ b/internal/process/beechgate/keepers.go
@@ -26,22 +26,20 @@
 // followKeepers asks the keepers for their engines' state, and tells them what
 // these are to have.
 func (g *Gate) followKeepers(ctx context.Context) error {
+	g.followOnce()
+	next := g.clock.After(followInterval)
 	for {
-		g.followOnce()
-		next := g.clock.After(followInterval)
-	turns:
-		for {
-			select {
-			case <-g.turnNews:
-				g.grantTurns()
-			case <-next:
-				break turns
-			case <-g.news:
-				break turns
-			case <-ctx.Done():
-				return ctx.Err()
-			}
+		select {
+		case <-g.turnNews:
+			g.grantTurns()
+			continue
+		case <-next:
+		case <-g.news:
+		case <-ctx.Done():
+			return ctx.Err()
 		}
+		g.followOnce()
+		next = g.clock.After(followInterval)
 	}
 }
 
--- a/internal/process/beechkeeper/keeper.go
+++ b/internal/process/beechkeeper/keeper.go
@@ -282,7 +282,7 @@
 	answer, err := k.needs.Engine.Order(limited, k.settings.Name, o)
 	k.needs.Log.Info("order sent", zap.String("model", o.Target.Model), zap.Uint64("version", o.Target.Version),
 		zap.Uint64("fence", o.Target.Fence), zap.Uint64("sequence", o.Sequence), zap.Int("outcome", int(answer)), zap.Error(err))
-	k.metrics.orders.Add(answerNames[answer], 1)
+	k.metrics.orders.Add(answer.String(), 1)
 	k.mu.Lock()
 	k.turn.Answered(answer)
 	k.mu.Unlock()
--- a/internal/process/beechkeeper/metrics.go
+++ b/internal/process/beechkeeper/metrics.go
@@ -20,11 +20,6 @@
 	loading time.Time // when the load under way began
 }
 
-var (
-	phaseNames  = map[beechrollout.Phase]string{beechrollout.Serving: "serving", beechrollout.Leaving: "leaving", beechrollout.Loading: "loading", beechrollout.Down: "down"}
-	answerNames = map[beechrollout.Answer]string{beechrollout.Taken: "taken", beechrollout.Conflict: "conflict", beechrollout.Silent: "silent"}
-)
-
 func newMetrics(k *Keeper) *metrics {
 	m := &metrics{
 		vars: new(expvar.Map), orders: new(expvar.Map), phases: new(expvar.Map),
@@ -40,7 +35,7 @@
 		k.mu.Lock()
 		defer k.mu.Unlock()
 		return map[string]any{
-			"phase": phaseNames[k.phase], "running": k.last.Running, "waiting": k.last.Waiting, "cacheUsed": k.last.CacheUsed,
+			"phase": k.phase.String(), "running": k.last.Running, "waiting": k.last.Waiting, "cacheUsed": k.last.CacheUsed,
 			"partsHeld": k.held.Len(), "gates": len(k.followers), "oldMillis": k.turn.Old(k.needs.Clock.Now()).Milliseconds(),
 		}
 	}))
@@ -50,7 +45,7 @@
 // entered counts a change of phase. What goes from loading to serving was a
 // load, or an order that came to nothing.
 func (m *metrics) entered(p beechrollout.Phase, now time.Time) {
-	m.phases.Add(phaseNames[p], 1)
+	m.phases.Add(p.String(), 1)
 	if p == beechrollout.Loading {
 		m.loading = now
 		return
--- a/internal/request/beechrollout/turn.go
+++ b/internal/request/beechrollout/turn.go
@@ -89,6 +89,32 @@
 func (Wait) step()  {}
 func (Order) step() {}
 
+// String names a phase, as metrics do.
+func (p Phase) String() string {
+	switch p {
+	case Serving:
+		return "serving"
+	case Leaving:
+		return "leaving"
+	case Loading:
+		return "loading"
+	case Down:
+		return "down"
+	}
+	return "unknown" // it came in a datagram
+}
+
+// String names an answer, as metrics do.
+func (a Answer) String() string {
+	switch a {
+	case Taken:
+		return "taken"
+	case Conflict:
+		return "conflict"
+	}
+	return "silent"
+}
+
 // NewTurn returns the turns of one engine, which has no target yet.
 func NewTurn(s Settings) *Turn {
 	return &Turn{settings: s.withDefaults(), targets: make(map[string]Target), versions: make(map[string]*Versions)}
--- a/internal/request/beechrollout/turns.go
+++ b/internal/request/beechrollout/turns.go
@@ -29,6 +29,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"time"
 
@@ -91,25 +92,25 @@
 // alternate orders engines so that zones take turns. Within a zone a hash
 // decides, alike in all gates.
 func alternate(engines []Engine) []Engine {
-	zones := make(map[string][]Engine)
-	names := make([]string, 0, len(zones))
+	type hashed struct {
+		Engine
+		hash uint64
+	}
+	zones := make(map[string][]hashed)
 	for _, e := range engines {
-		if _, ok := zones[e.Zone]; !ok {
-			names = append(names, e.Zone)
-		}
-		zones[e.Zone] = append(zones[e.Zone], e)
+		zones[e.Zone] = append(zones[e.Zone], hashed{e, xxhash.Sum64String(e.ID)})
 	}
-	slices.Sort(names)
 	for _, list := range zones {
-		slices.SortFunc(list, func(x, y Engine) int {
-			return cmp.Or(cmp.Compare(xxhash.Sum64String(x.ID), xxhash.Sum64String(y.ID)), cmp.Compare(x.ID, y.ID))
+		slices.SortFunc(list, func(x, y hashed) int {
+			return cmp.Or(cmp.Compare(x.hash, y.hash), cmp.Compare(x.ID, y.ID))
 		})
 	}
+	names := slices.Sorted(maps.Keys(zones))
 	order := make([]Engine, 0, len(engines))
 	for i := 0; len(order) < len(engines); i++ {
 		for _, name := range names {
 			if list := zones[name]; i < len(list) {
-				order = append(order, list[i])
+				order = append(order, list[i].Engine)
 			}
 		}
 	}
