A request is to blame for a broken answer only if its server is gone

Change: after an answer broke off the server is asked for a connection (one for all that broke off together, the caller does not wait for it); only where it takes none the request becomes a suspect. TestCalmDay: a gate's two ports were chosen one after the other and could be the same one; both are held now until both are known.

--- a/internal/command/beechplay/launch.go
+++ b/internal/command/beechplay/launch.go
@@ -63,7 +63,7 @@
 		return nil, err
 	}
 	door := platform.NewDoor(g, clock)
-	return launch(s.Name, func(ctx context.Context) error { return g.Run(ctx, door, http.HandlerFunc(door.ServeReady)) }), nil
+	return i.launch(s.Name, func(ctx context.Context) error { return g.Run(ctx, door, http.HandlerFunc(door.ServeReady)) }), nil
 }
 
 // Keeper implements Launcher.
@@ -76,13 +76,19 @@
 	if err != nil {
 		return nil, err
 	}
-	return launch(s.Name, k.Run), nil
+	return i.launch(s.Name, k.Run), nil
 }
 
-func launch(name string, run func(context.Context) error) *inside {
+func (i Inside) launch(name string, run func(context.Context) error) *inside {
 	ctx, cancel := context.WithCancel(context.Background())
 	p := &inside{name: name, cancel: cancel, done: make(chan error, 1)}
-	go func() { p.done <- run(ctx) }()
+	go func() {
+		err := run(ctx)
+		if err != nil {
+			i.Log.Error("process ended", zap.String("process", name), zap.Error(err))
+		}
+		p.done <- err
+	}()
 	return p
 }
 
--- a/internal/command/beechplay/world.go
+++ b/internal/command/beechplay/world.go
@@ -134,11 +134,7 @@
 // AddGate starts a gate; its front door and its readiness stand in Places.
 func (w *World) AddGate(name string, bounds beechsettings.GateBounds) error {
 	address := loopback()
-	front, err := freePort(address)
-	if err != nil {
-		return err
-	}
-	ready, err := freePort(address)
+	front, ready, err := freePorts(address)
 	if err != nil {
 		return err
 	}
@@ -166,14 +162,24 @@
 	return nil
 }
 
-// freePort gives a port that nobody listens on now.
-func freePort(address netip.Addr) (netip.AddrPort, error) {
-	l, err := net.Listen("tcp4", netip.AddrPortFrom(address, 0).String())
-	if err != nil {
-		return netip.AddrPort{}, err
-	}
-	defer l.Close()
-	return netip.ParseAddrPort(l.Addr().String())
+// freePorts gives two ports that nobody listens on now. Both are held until both
+// are known: chosen one after the other they may be the same one, and then a
+// gate could not open its second door.
+func freePorts(address netip.Addr) (front, ready netip.AddrPort, err error) {
+	places := make([]netip.AddrPort, 0, 2)
+	for range cap(places) {
+		l, err := net.Listen("tcp4", netip.AddrPortFrom(address, 0).String())
+		if err != nil {
+			return front, ready, err
+		}
+		defer l.Close()
+		place, err := netip.ParseAddrPort(l.Addr().String())
+		if err != nil {
+			return front, ready, err
+		}
+		places = append(places, place)
+	}
+	return places[0], places[1], nil
 }
 
 // Process gives a process that was started.
--- a/internal/process/beechgate/gate.go
+++ b/internal/process/beechgate/gate.go
@@ -132,7 +132,7 @@
 	g.bounds.Store(&s.Bounds)
 	g.metrics = newMetrics(g)
 	g.placer = beechplace.New(beechplace.Settings{Zone: s.Zone, OldMost: max(time.Duration(s.Bounds.Weights)-oldMargin, time.Duration(s.Bounds.Weights)/2)}, needs.Clock, g.health, g.announce)
-	g.core = beechattempt.New(g.placer, needs.Backend, g.budgets, g.suspects, g, needs.Clock, needs.Log)
+	g.core = beechattempt.New(g.placer, needs.Backend, needs.Pool, g.budgets, g.suspects, g, needs.Clock, needs.Log)
 	servers := beechmirror.New(beechmirror.Settings{
 		Prefix: needs.ServerPrefix, Interval: serverRead, Patience: readPatience, Wait: serverWait, Space: serverSpace, Linger: linger,
 	}, needs.Source, beechfresh.New(needs.Age), needs.Clock, needs.Log, g.setServers)
--- a/internal/request/beechattempt/attempt_test.go
+++ b/internal/request/beechattempt/attempt_test.go
@@ -50,6 +50,9 @@
 
 	trusting struct{}
 	deaf     struct{}
+
+	// standing says which servers take connections; the others are gone.
+	standing map[netip.AddrPort]bool
 )
 
 var errReset = errors.New("connection reset")
@@ -59,6 +62,13 @@
 func (deaf) Served(beechcall.Server, string, time.Duration, int, bool) {}
 func (deaf) Ended(Ending)                                              {}
 
+func (s standing) Reach(_ context.Context, peer netip.AddrPort) error {
+	if s[peer] {
+		return nil
+	}
+	return errReset
+}
+
 func (b *budget) Sent(string) {}
 
 func (b *budget) Decide(_ string, o beechretry.Outcome) beechretry.Decision {
@@ -103,12 +113,13 @@
 	backend  *backend
 	budget   *budget
 	suspects *beechsuspect.Register
+	standing standing
 }
 
 type step = func(ctx context.Context, a beechcall.Attempt) (*beechcall.Answer, error)
 
 func newWorld(servers, retries int, script ...step) *world {
-	w := &world{clock: clockwork.NewFakeClock(), backend: &backend{script: script}, budget: &budget{left: retries}}
+	w := &world{clock: clockwork.NewFakeClock(), backend: &backend{script: script}, budget: &budget{left: retries}, standing: standing{}}
 	w.suspects = beechsuspect.New(beechsuspect.Settings{}, w.clock)
 	placer := beechplace.New(beechplace.Settings{Zone: "a"}, w.clock, trusting{}, func(beechcall.Server, int, []uint64, bool) {})
 	var list []beechcall.Server
@@ -118,7 +129,7 @@
 		})
 	}
 	placer.SetServers(list)
-	w.core = New(placer, w.backend, w.budget, w.suspects, deaf{}, w.clock, zap.NewNop())
+	w.core = New(placer, w.backend, w.standing, w.budget, w.suspects, deaf{}, w.clock, zap.NewNop())
 	return w
 }
 
@@ -140,6 +151,7 @@
 	for {
 		select {
 		case <-done:
+			w.core.blamer.looks.Wait()
 			return c
 		case <-time.After(200 * time.Microsecond):
 			w.clock.Advance(5 * time.Millisecond)
@@ -396,6 +408,21 @@
 	is.True(ok)
 }
 
+// A server that lives breaks off its answers for a while, and many callers ask it
+// the same. Taken for a request that crashes servers, the question would be
+// refused everywhere for minutes after the server is well again.
+func TestFailingServerIsNotTheRequestsFault(t *testing.T) {
+	is := is.New(t)
+	w := newWorld(5, 50, resets, resets, resets, resets, answers(http.StatusOK, "well again"))
+	for i := range 5 {
+		w.standing[netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, byte(i)}), 80)] = true
+	}
+	for range 4 {
+		w.serve(t.Context(), w.call(beechcall.RuleOnce, false))
+	}
+	is.Equal(w.serve(t.Context(), w.call(beechcall.RuleOnce, false)).body, "well again")
+}
+
 func TestWholeEvents(t *testing.T) {
 	is := is.New(t)
 	is.Equal(wholeEvents([]byte("id: 1\ndata: x\n\nid: 2")), len("id: 1\ndata: x\n\n"))
--- a/internal/request/beechattempt/core.go
+++ b/internal/request/beechattempt/core.go
@@ -22,6 +22,7 @@
 		backend  beechcall.Backend
 		budget   Budget
 		suspects *beechsuspect.Register
+		blamer   *blamer
 		observer Observer
 		clock    clockwork.Clock
 		log      *zap.Logger
@@ -87,11 +88,11 @@
 func (Overdue) refusal() {}
 
 // New returns a core. The dependencies are used until the last call ends.
-func New(placer *beechplace.Placer, backend beechcall.Backend, budget Budget, suspects *beechsuspect.Register,
+func New(placer *beechplace.Placer, backend beechcall.Backend, prober Prober, budget Budget, suspects *beechsuspect.Register,
 	observer Observer, clock clockwork.Clock, log *zap.Logger,
 ) *Core {
 	return &Core{
-		placer: placer, backend: backend, budget: budget, suspects: suspects,
+		placer: placer, backend: backend, budget: budget, suspects: suspects, blamer: newBlamer(prober, suspects, clock, log),
 		observer: observer, clock: clock, log: log, patience: newPatience(),
 	}
 }
--- a/internal/request/beechattempt/doc.go
+++ b/internal/request/beechattempt/doc.go
@@ -22,6 +22,6 @@
 //
 // # Usage
 //
-//	core := beechattempt.New(placer, backend, budget, suspects, clock, log)
+//	core := beechattempt.New(placer, backend, pool, budget, suspects, clock, log)
 //	core.Serve(ctx, call, responder) // ctx ends when the caller leaves
 package beechattempt
--- a/internal/request/beechattempt/run.go
+++ b/internal/request/beechattempt/run.go
@@ -243,7 +243,7 @@
 	}
 	if r.core.clock.Now().Before(r.call.Deadline) {
 		ticket.Done(beechplace.Failed)
-		r.core.suspects.Crashed([]uint64{r.call.Fingerprint()})
+		r.core.blamer.brokeOff(r.call.Fingerprint(), choice.Server.Address)
 		r.core.observer.Served(choice.Server, r.call.Model, 0, choice.Unread, true)
 	} else {
 		ticket.Done(beechplace.Left)
