Retries are counted over the operators' window

A gate's budget held at most its share of the spare retries in hand: 132 over 68 gates, one each; and a refusal must leave half of the spare, so that no refused request was ever tried again in a fleet of this size, though the bound (a fifth of the requests) was far. Change: with a window the budget is what the operators' bound says: in any window at most the ratio of this gate's requests in it, and its share of the spare, with the same caution (three quarters) as before. Refusals leave half. The window comes with the settings. Measured: TestManyHostsShareABound (0 of 7 refused tries before), TestNoWindowExceedsTheBound (rapid).

--- a/internal/command/beechplay/play.go
+++ b/internal/command/beechplay/play.go
@@ -127,7 +127,7 @@
 	name := fmt.Sprintf("gate-%d", p.made)
 	bounds := beechsettings.GateBounds{
 		Revoke: beechsettings.Duration(5 * time.Second), Grace: beechsettings.Duration(grace), Weights: beechsettings.Duration(8 * time.Second),
-		Retries: 0.2, Spare: 50,
+		Retries: 0.2, Spare: 50, Window: beechsettings.Duration(10 * time.Second),
 	}
 	if err := p.world.AddGate(name, bounds); err != nil {
 		return err
--- a/internal/decision/beechretry/budget.go
+++ b/internal/decision/beechretry/budget.go
@@ -28,6 +28,7 @@
 	Settings struct {
 		Percent     int           // of first attempts that may be retried
 		Spare       int           // retries beyond that, after a quiet time
+		Window      time.Duration // over which both are counted; 0 counts requests instead of time
 		MaxAttempts int           // for one request, the first included
 		Backoff     time.Duration // the longest before the first retry; doubles
 		MaxBackoff  time.Duration // the longest before any retry
@@ -70,7 +71,8 @@
 		settings Settings
 		clock    clockwork.Clock
 		random   *rand.Rand
-		credit   int // in hundredths of a retry
+		credit   int    // in hundredths of a retry; without a window
+		ledger   ledger // with one
 	}
 )
 
@@ -97,7 +99,7 @@
 // New returns a budget with its spare retries. The source gives the jitter.
 func New(s Settings, c clockwork.Clock, source rand.Source) *Budget {
 	s = s.withDefaults()
-	return &Budget{settings: s, clock: c, random: rand.New(source), credit: s.Spare * one}
+	return &Budget{settings: s, clock: c, random: rand.New(source), credit: s.Spare * one, ledger: ledger{slot: s.Window / ledgerSlots}}
 }
 
 func (s Settings) withDefaults() Settings {
@@ -124,6 +126,10 @@
 func (b *Budget) Sent() {
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	if b.settings.Window > 0 {
+		b.ledger.sent(b.clock.Now())
+		return
+	}
 	b.credit = min(b.credit+b.settings.Percent, b.settings.Spare*one)
 }
 
@@ -175,10 +181,13 @@
 	return time.Duration(b.random.Int64N(int64(bound) + 1))
 }
 
-// pay takes a retry out of the budget. Refusals leave half of the spare: under
-// saturation they are many, and a request whose server crashed, which is rare,
-// would find nothing left.
+// pay takes a retry out of the budget. Refusals leave half of it, or of the spare
+// where requests are counted: under saturation they are many, and a request whose
+// server crashed, which is rare, would find nothing left.
 func (b *Budget) pay(o Outcome) bool {
+	if b.settings.Window > 0 {
+		return b.payInWindow(o)
+	}
 	floor := 0
 	if o.Refused {
 		floor = b.settings.Spare * one / 2
@@ -190,6 +199,20 @@
 	return true
 }
 
+func (b *Budget) payInWindow(o Outcome) bool {
+	now := b.clock.Now()
+	first, retries := b.ledger.sums(now)
+	allowed := b.settings.Spare*one + first*b.settings.Percent
+	if o.Refused {
+		allowed /= 2
+	}
+	if (retries+1)*one > allowed {
+		return false
+	}
+	b.ledger.retried(now)
+	return true
+}
+
 func inTime(o Outcome, at time.Time) bool {
 	return o.Deadline.IsZero() || at.Before(o.Deadline)
 }
--- a/internal/decision/beechretry/budget_test.go
+++ b/internal/decision/beechretry/budget_test.go
@@ -5,6 +5,7 @@
 	"math/rand/v2"
 	"net/netip"
 	"os"
+	"slices"
 	"testing"
 	"time"
 
@@ -174,3 +175,65 @@
 		budget.Decide(Outcome{Attempt: 1, Ran: RanNo})
 	}
 }
+
+// Operators bound the retries of all entry hosts together, and 68 hosts share the
+// bound. Each has hardly any spare retry of its own, but dozens of requests in a
+// window. A third of the servers crash and return as others; requests that were
+// turned away, not run, were given up though the bound was far.
+func TestManyHostsShareABound(t *testing.T) {
+	is := is.New(t)
+	clock := clockwork.NewFakeClock()
+	b := New(Settings{Percent: 15, Spare: 1, Window: 10 * time.Second, MaxAttempts: 8}, clock, rand.NewPCG(1, 2))
+	for range 93 {
+		b.Sent()
+		clock.Advance(100 * time.Millisecond)
+	}
+	refused, failed := 0, 0
+	for range 20 {
+		if _, ok := b.Decide(Outcome{Ran: RanNo, Refused: true}).(Retry); ok {
+			refused++
+		}
+	}
+	for range 20 {
+		if _, ok := b.Decide(Outcome{Ran: RanUnknown, Repeatable: true}).(Retry); ok {
+			failed++
+		}
+	}
+	is.Equal(refused, 7) // half of 93 x 0.15 and 1
+	is.Equal(failed, 7)  // the rest
+	clock.Advance(11 * time.Second)
+	_, ok := b.Decide(Outcome{Ran: RanUnknown, Repeatable: true}).(Retry)
+	is.True(ok) // the spare one
+	_, ok = b.Decide(Outcome{Ran: RanUnknown, Repeatable: true}).(Retry)
+	is.True(!ok)
+}
+
+// Whenever requests and failures come, retries in any window stay within the
+// share of the requests of it and of the one before, and the spare.
+func TestNoWindowExceedsTheBound(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		const window = 10 * time.Second
+		clock := clockwork.NewFakeClock()
+		s := Settings{Percent: rapid.IntRange(1, 50).Draw(t, "percent"), Spare: rapid.IntRange(1, 5).Draw(t, "spare"), Window: window, MaxAttempts: 8}
+		b := New(s, clock, rand.NewPCG(1, 2))
+		var sent, retried []time.Time
+		for range rapid.IntRange(1, 200).Draw(t, "steps") {
+			clock.Advance(time.Duration(rapid.IntRange(0, 1500).Draw(t, "ms")) * time.Millisecond)
+			for range rapid.IntRange(0, 8).Draw(t, "requests") {
+				b.Sent()
+				sent = append(sent, clock.Now())
+			}
+			if _, ok := b.Decide(Outcome{Ran: RanNo, Refused: rapid.Bool().Draw(t, "refused")}).(Retry); !ok {
+				continue
+			}
+			retried = append(retried, clock.Now())
+			in := func(list []time.Time, d time.Duration) int {
+				return len(slices.DeleteFunc(slices.Clone(list), func(at time.Time) bool { return clock.Since(at) >= d }))
+			}
+			slots := window - window/ledgerSlots // whole slots that are counted at least
+			if most := (s.Percent*in(sent, window) + s.Spare*one) / one; in(retried, slots) > most {
+				t.Fatalf("%d retries in a window of %d", in(retried, slots), most)
+			}
+		}
+	})
+}
--- a/internal/decision/beechretry/doc.go
+++ b/internal/decision/beechretry/doc.go
@@ -15,6 +15,10 @@
 //   - All retries of an entry host come out of one budget: Percent of its first
 //     attempts, and Spare for a quiet host. Refusals leave half of the spare to
 //     failures.
+//   - With a Window the same is counted over it: retries in any window are at most
+//     Percent of the first attempts in it, and Spare. Many hosts that share an
+//     operator's bound have little of the spare each, so it is their requests that
+//     carry their retries.
 //   - A refusal's better server is taken at once; another server at once after a
 //     refusal, after a jittered backoff else; the same server only if it is the
 //     only one and can serve within MaxBackoff.
@@ -34,8 +38,9 @@
 // # Bad input
 //
 // An outcome that says nothing of a run counts as unknown, an attempt below 1 as the
-// first, a time below 0 as none. The budget counts requests, not time; a clock that
-// steps back only moves deadlines.
+// first, a time below 0 as none. Without a window the budget counts
+// requests, not time; a clock that steps back only moves deadlines, and what falls
+// into a window counts there for longer.
 //
 // # Usage
 //
--- a/internal/process/beechgate/budget.go
+++ b/internal/process/beechgate/budget.go
@@ -12,11 +12,13 @@
 
 // Budgets bounds the retries of each service over all gates, without a call for
 // each: every gate takes an equal share of the spare retries, and its own
-// requests' share of the rest. It is safe for concurrent use.
+// requests' share of the rest, counted over the operators' window. It is safe for
+// concurrent use.
 type Budgets struct {
-	ratio float64
-	spare float64
-	clock clockwork.Clock
+	ratio  float64
+	spare  float64
+	window time.Duration
+	clock  clockwork.Clock
 
 	mu       sync.Mutex
 	gates    int
@@ -35,8 +37,8 @@
 
 // NewBudgets returns budgets for a ratio of requests and spare retries a
 // window, both over all gates.
-func NewBudgets(ratio, spare float64, clock clockwork.Clock) *Budgets {
-	return &Budgets{ratio: ratio, spare: spare, clock: clock, gates: gatesUnknown, services: make(map[string]*beechretry.Budget)}
+func NewBudgets(ratio, spare float64, window time.Duration, clock clockwork.Clock) *Budgets {
+	return &Budgets{ratio: ratio, spare: spare, window: window, clock: clock, gates: gatesUnknown, services: make(map[string]*beechretry.Budget)}
 }
 
 // SetGates tells how many gates share the budget.
@@ -51,13 +53,13 @@
 }
 
 // SetBounds changes the operators' bounds.
-func (b *Budgets) SetBounds(ratio, spare float64) {
+func (b *Budgets) SetBounds(ratio, spare float64, window time.Duration) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if ratio == b.ratio && spare == b.spare {
+	if ratio == b.ratio && spare == b.spare && window == b.window {
 		return
 	}
-	b.ratio, b.spare = ratio, spare
+	b.ratio, b.spare, b.window = ratio, spare, window
 	clear(b.services)
 }
 
@@ -75,7 +77,7 @@
 	budget, ok := b.services[service]
 	if !ok {
 		settings := beechretry.Settings{
-			Percent: max(int(b.ratio*percent*cautious), 1), Spare: max(int(b.spare*cautious)/b.gates, 1),
+			Percent: max(int(b.ratio*percent*cautious), 1), Spare: max(int(b.spare*cautious)/b.gates, 1), Window: b.window,
 			MaxAttempts: triesMost, Backoff: time.Millisecond, MaxBackoff: time.Millisecond,
 		}
 		budget = beechretry.New(settings, b.clock, rand.NewPCG(rand.Uint64(), rand.Uint64()))
--- a/internal/process/beechgate/gate.go
+++ b/internal/process/beechgate/gate.go
@@ -131,7 +131,7 @@
 		belief:   beechfresh.New(needs.Age),
 		health:   beechhealth.New(healthSettings, needs.Clock),
 		suspects: beechsuspect.New(beechsuspect.Settings{}, needs.Clock),
-		budgets:  NewBudgets(s.Bounds.Retries, s.Bounds.Spare, needs.Clock),
+		budgets:  NewBudgets(s.Bounds.Retries, s.Bounds.Spare, time.Duration(s.Bounds.Window), needs.Clock),
 		named:    make(map[string]naming),
 		pace:     beechrollout.NewPace(),
 		news:     make(chan struct{}, 1),
@@ -238,9 +238,9 @@
 // and names are in force from the next start on; the bounds at once.
 func (g *Gate) Apply(s *beechsettings.Gate) {
 	g.bounds.Store(&s.Bounds)
-	g.budgets.SetBounds(s.Bounds.Retries, s.Bounds.Spare)
+	g.budgets.SetBounds(s.Bounds.Retries, s.Bounds.Spare, time.Duration(s.Bounds.Window))
 	g.log.Info("bounds in force", zap.Duration("revoke", time.Duration(s.Bounds.Revoke)), zap.Duration("grace", time.Duration(s.Bounds.Grace)),
-		zap.Float64("retries", s.Bounds.Retries), zap.Float64("spare", s.Bounds.Spare))
+		zap.Float64("retries", s.Bounds.Retries), zap.Float64("spare", s.Bounds.Spare), zap.Duration("window", time.Duration(s.Bounds.Window)))
 }
 
 // reachKept looks whether the store of kept KV cache takes connections. A
--- a/internal/process/beechsettings/settings.go
+++ b/internal/process/beechsettings/settings.go
@@ -105,6 +105,7 @@
 		Weights Duration `json:"weights,omitempty"` // no old weights so long after newer ones were named
 		Retries float64  `json:"retries,omitempty"` // share of a service's requests, over all gates
 		Spare   float64  `json:"spare,omitempty"`   // retries beyond that, over all gates
+		Window  Duration `json:"window,omitempty"`  // over which retries are counted
 	}
 
 	// Keeper holds the settings of the process beside an engine that gives it
@@ -145,6 +146,7 @@
 	defaultWeights     = 8 * time.Second
 	defaultRetries     = 0.1
 	defaultSpare       = 20
+	defaultWindow      = 10 * time.Second
 	schemaURL          = "settings.schema.json"
 )
 
@@ -192,6 +194,7 @@
 	setDefault(&b.Weights, Duration(defaultWeights))
 	setDefault(&b.Retries, defaultRetries)
 	setDefault(&b.Spare, defaultSpare)
+	setDefault(&b.Window, Duration(defaultWindow))
 	return gate, nil
 }
 
