All stores of kept KV cache are used, alike in all gates

Change: the innermost shared part of a prompt decides by rendezvous hashing which store it is saved in and fetched from; each store has its own share of its link, its own loss, and is looked at by turns. Measured: TestGatesAgreeOnTheStoreOfAPart fails before.

--- a/internal/process/beechgate/gate.go
+++ b/internal/process/beechgate/gate.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"net"
 	"net/http"
+	"net/netip"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -243,23 +244,26 @@
 		zap.Float64("retries", s.Bounds.Retries), zap.Float64("spare", s.Bounds.Spare), zap.Duration("window", time.Duration(s.Bounds.Window)))
 }
 
-// reachKept looks whether the store of kept KV cache takes connections. A
-// request that names a dead one as its source waits some hundred milliseconds
-// for it.
+// reachKept looks whether the stores of kept KV cache take connections, one after
+// the other. A request that names a dead one as its source waits some hundred
+// milliseconds for it.
 func (g *Gate) reachKept(ctx context.Context) error {
-	lost := false
+	lost := make(map[netip.AddrPort]bool)
+	next := 0
 	return beechtask.Every(ctx, g.clock, keptInterval, func() {
-		kept := g.placer.Kept()
-		if !kept.IsValid() {
+		stores := g.placer.Kept()
+		if len(stores) == 0 {
 			return
 		}
+		kept := stores[next%len(stores)]
+		next++
 		err := g.needs.Pool.Reach(ctx, kept)
 		if err != nil {
-			g.placer.KeptFailed()
+			g.placer.KeptFailed(kept)
 		}
-		if was := lost; was != (err != nil) {
-			lost = err != nil
-			g.log.Info("kept store", zap.Bool("lost", lost), zap.Stringer("peer", kept), zap.Error(err))
+		if was := lost[kept]; was != (err != nil) {
+			lost[kept] = err != nil
+			g.log.Info("kept store", zap.Bool("lost", lost[kept]), zap.Stringer("peer", kept), zap.Error(err))
 		}
 	})
 }
--- a/internal/request/beechcall/configuration.go
+++ b/internal/request/beechcall/configuration.go
@@ -142,12 +142,14 @@
 	return r.Targets[len(r.Targets)-1].Service
 }
 
-// KeptStore gives the address of the store of kept KV cache, if there is one.
-func (c *Configuration) KeptStore() (Service, bool) {
+// KeptStores gives the stores of kept KV cache, by address.
+func (c *Configuration) KeptStores() []Service {
+	var stores []Service
 	for _, s := range c.Services {
 		if s.Kept.IsValid() {
-			return s, true
+			stores = append(stores, s)
 		}
 	}
-	return Service{}, false
+	slices.SortFunc(stores, func(x, y Service) int { return x.Kept.Compare(y.Kept) })
+	return stores
 }
--- a/internal/request/beechplace/place_test.go
+++ b/internal/request/beechplace/place_test.go
@@ -212,13 +212,43 @@
 	is.Equal(c.Fetch, kept)
 	f.tellAll(func(_ int, s *State) { s.Kept = []uint64{PartKey(c.Salt, "s")} })
 	is.True(!f.choose(t, ask("s", 6300, 900)).Save.IsValid())
-	f.KeptFailed()
+	f.KeptFailed(kept)
 	is.True(!f.choose(t, ask("s", 6300, 900)).Fetch.IsValid())
 	f.clock.Advance(keptDownLasts)
 	f.tellAll(nil)
 	is.Equal(f.choose(t, ask("s", 6300, 900)).Save, kept) // it came back empty
 }
 
+// A large fleet has two stores of kept KV cache. Gates that each save in one of
+// their own choice seek what others saved where it is not, and histories are read
+// again that lie in a store.
+func TestGatesAgreeOnTheStoreOfAPart(t *testing.T) {
+	is := is.New(t)
+	other := netip.MustParseAddrPort("10.9.0.2:80")
+	used := map[netip.AddrPort]int{}
+	for i := range 40 {
+		call := ask(fmt.Sprint("h", i), 6300, 900)
+		var places []netip.AddrPort
+		for range 5 { // gates
+			f := newFleet(2)
+			f.SetConfiguration(&beechcall.Configuration{Services: map[string]beechcall.Service{
+				"llm": {Name: "llm"}, "one": {Name: "one", Kept: kept}, "two": {Name: "two", Kept: other},
+			}})
+			f.tellAll(nil)
+			c := f.choose(t, call)
+			is.Equal(c.Fetch, c.Save)
+			places = append(places, c.Save)
+			f.KeptFailed(c.Save)
+			is.True(!f.choose(t, call).Fetch.IsValid()) // what the other store holds is others'
+		}
+		for _, place := range places {
+			is.Equal(place, places[0])
+		}
+		used[places[0]]++
+	}
+	is.True(used[kept] > 10 && used[other] > 10) // both links carry
+}
+
 // The link of the store of kept KV cache carries what it can. Beyond this gate's
 // share of it engines fetch from one another, and nothing more is saved.
 func TestNarrowLinkOfTheKeptStore(t *testing.T) {
--- a/internal/request/beechplace/placer.go
+++ b/internal/request/beechplace/placer.go
@@ -22,22 +22,18 @@
 		health   Health
 		announce Announce
 
-		mu        sync.Mutex
-		services  map[string][]*server
-		byID      map[string]*server
-		byPlace   map[netip.AddrPort]*server
-		sheets    map[string]beechcall.Service
-		kept      beechcall.Service
-		keptDown  time.Time
-		keptSince time.Time // when it was seen down last
-		fetches   keptLink
-		saves     keptLink
-		versions  map[string]*beechrollout.Versions // by model
-		holders   *lru.Cache[uint64, *holding]
-		speed     speed   // of engines, as learned
-		usual     float64 // tokens that a request has to read, the mean of the last
-		size      float64 // tokens of a prompt, the mean of the last
-		stay      stay
+		mu       sync.Mutex
+		services map[string][]*server
+		byID     map[string]*server
+		byPlace  map[netip.AddrPort]*server
+		sheets   map[string]beechcall.Service
+		stores   []*keptStore
+		versions map[string]*beechrollout.Versions // by model
+		holders  *lru.Cache[uint64, *holding]
+		speed    speed   // of engines, as learned
+		usual    float64 // tokens that a request has to read, the mean of the last
+		size     float64 // tokens of a prompt, the mean of the last
+		stay     stay
 	}
 
 	// server is a backend server in one lifetime with what is believed of it.
@@ -84,7 +80,6 @@
 	toldLasts     = 1500 * time.Millisecond // a keeper speaks several times in this
 	refusalDark   = 150 * time.Millisecond  // a server that turned work away gets none for a moment
 	announceLeast = 1500                    // tokens; a shorter prompt holds nobody up for long
-	keptDownLasts = 3 * time.Second
 	defaultSlots  = 8
 )
 
@@ -161,26 +156,18 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.sheets = c.Services
-	p.kept, _ = c.KeptStore()
-	p.setLink()
-}
-
-// setLink works out this gate's share of both ways of the kept store's link. The caller
-// holds the lock.
-func (p *Placer) setLink() {
-	bytes := 0
-	for _, s := range p.sheets {
-		bytes = max(bytes, s.TokenBytes)
-	}
-	p.fetches.set(p.kept.Link, bytes, p.settings.Fronts)
-	p.saves.set(p.kept.Link, bytes, p.settings.Fronts)
+	p.setStores(c.KeptStores())
 }
 
 // SetFronts tells how many gates send to the same engines.
 func (p *Placer) SetFronts(n int) {
 	p.mu.Lock()
 	p.settings.Fronts = max(n, 1)
-	p.setLink()
+	sheets := make([]beechcall.Service, 0, len(p.stores))
+	for _, store := range p.stores {
+		sheets = append(sheets, store.Service)
+	}
+	p.setStores(sheets)
 	p.mu.Unlock()
 }
 
@@ -298,22 +285,6 @@
 	return int(p.speed.rate + 0.5)
 }
 
-// KeptFailed tells that the store of kept KV cache does not answer. It comes
-// back empty, so what was saved before counts no more.
-func (p *Placer) KeptFailed() {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	now := p.clock.Now()
-	p.keptDown, p.keptSince = now.Add(keptDownLasts), now
-}
-
-// Kept is the address of the store of kept KV cache; invalid if there is none.
-func (p *Placer) Kept() netip.AddrPort {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	return p.kept.Kept
-}
-
 // salt keeps the cache of other weights and of other workspaces apart where one
 // of them is isolated: a part is found only under the salt it was read with.
 func salt(call *beechcall.Call, version uint64) string {
--- a/internal/request/beechplace/prefix.go
+++ b/internal/request/beechplace/prefix.go
@@ -15,7 +15,8 @@
 type level struct {
 	id     string
 	tokens int
-	home   string // the engine that all gates agree on for it
+	home   string     // the engine that all gates agree on for it
+	store  *keptStore // and the store of kept KV cache; nil is none
 }
 
 const (
@@ -60,7 +61,8 @@
 		chain += part.ID + ","
 		levels = append(levels, level{id: part.ID, tokens: part.Tokens})
 	}
-	levels[len(levels)-1].home = p.home(call.Service, chain, now)
+	last := &levels[len(levels)-1]
+	last.home, last.store = p.home(call.Service, chain, now), p.storeOf(last.id)
 	return levels
 }
 
@@ -90,6 +92,10 @@
 // time, so it waits until the first has read it.
 func (p *Placer) prefix(call *beechcall.Call, s *server, levels []level, now time.Time, c *Choice) float64 {
 	shared, missing, fetched := 0, 0, 0
+	var store *keptStore
+	if len(levels) > 0 {
+		store = levels[len(levels)-1].store
+	}
 	held, known := true, true
 	var saved time.Time
 	for _, l := range levels {
@@ -98,10 +104,7 @@
 		if !met {
 			h = &holding{}
 		}
-		saved = h.saved
-		if !saved.After(p.keptSince) {
-			saved = time.Time{}
-		}
+		saved = store.savedSince(h)
 		if held {
 			if wait, ok := h.at(s, now); ok {
 				c.Wait = max(c.Wait, wait)
@@ -127,14 +130,14 @@
 	}
 	c.Unread = max(call.PromptTokens-shared, 0) + int(unread)
 	c.Missing = missing
-	if missing > 0 {
+	if missing > 0 && store != nil {
 		fresh := !saved.IsZero() && now.Sub(saved) > savedIn
-		if (fresh || !c.Fetch.IsValid()) && p.fetches.room(missing, now) && (missing >= smallFetch || !p.fetches.slow()) {
-			c.Fetch = p.keptAddress()
+		if (fresh || !c.Fetch.IsValid()) && store.fetches.room(missing, now) && (missing >= smallFetch || !store.fetches.slow()) {
+			c.Fetch = store.address(now)
 			c.Moved = missing
 		}
-		if now.Sub(saved) > saveAgain && p.saves.room(call.PromptTokens, now) {
-			c.Save = p.keptAddress()
+		if now.Sub(saved) > saveAgain && store.saves.room(call.PromptTokens, now) {
+			c.Save = store.address(now)
 		}
 	}
 	return p.settings.Waste*unread + p.settings.Move*float64(fetched) + milliseconds(c.Wait)
@@ -177,21 +180,15 @@
 	return now.Sub(h.at) <= heldFor && !h.at.Before(s.empty)
 }
 
-// keptAddress is the store of kept KV cache, while it answers.
-func (p *Placer) keptAddress() netip.AddrPort {
-	if p.clock.Now().Before(p.keptDown) {
-		return netip.AddrPort{}
-	}
-	return p.kept.Kept
-}
-
 // remember notes that a server will hold a call's shared parts, and gives their
 // keys.
 func (p *Placer) remember(call *beechcall.Call, c Choice, now time.Time) []uint64 {
 	var keys []uint64
-	p.fetches.use(c.Moved, now)
-	if c.Save.IsValid() {
-		p.saves.use(call.PromptTokens, now)
+	if store := p.storeAt(c.Fetch); store != nil {
+		store.fetches.use(c.Moved, now)
+	}
+	if store := p.storeAt(c.Save); store != nil {
+		store.saves.use(call.PromptTokens, now)
 	}
 	from := now
 	if s, ok := p.byID[c.Server.ID]; ok {
--- a/internal/request/beechplace/ticket.go
+++ b/internal/request/beechplace/ticket.go
@@ -1,6 +1,7 @@
 package beechplace
 
 import (
+	"net/netip"
 	"sync"
 	"time"
 
@@ -12,7 +13,8 @@
 	placer  *Placer
 	server  *server
 	prompt  int // tokens; 0 for plain services
-	moved   int // tokens from the store of kept KV cache
+	moved   int // tokens from a store of kept KV cache
+	source  netip.AddrPort
 	expect  time.Duration
 	unread  int
 	work    float64 // tokens that had to be read, those ahead included
@@ -33,6 +35,7 @@
 	}
 	t.server = s
 	t.sent = p.clock.Now().Add(c.Wait)
+	t.source = c.Fetch
 	t.moved, t.expect = c.Moved, time.Duration((c.Expected-milliseconds(c.Wait))*float64(time.Millisecond))
 	t.work = p.ahead(s, t.sent) + float64(c.Unread)
 	s.flying++
@@ -73,8 +76,8 @@
 	t.learned = true
 	now := t.placer.clock.Now()
 	took := milliseconds(now.Sub(t.sent))
-	if t.moved > 0 {
-		t.placer.fetches.took(now.Sub(t.sent), t.expect, now)
+	if store := t.placer.storeAt(t.source); t.moved > 0 && store != nil {
+		store.fetches.took(now.Sub(t.sent), t.expect, now)
 	}
 	t.placer.speed.learn(t.work, took)
 }
