A keeper's word crosses a zone's border once, through two relays by turns

Change: a zone of more than three gates hears through one of them, which passes the word on; two take turns by rendezvous hash (beechrelay, without network), phases go through both; a word's number keeps a late one from undoing a newer; a gate that has heard nothing for 0.9 s asks the keeper itself. What operators name in a few bytes is passed on like servers' entries. Words to far keepers go without suspects and names.

--- a/internal/process/beechgate/gate.go
+++ b/internal/process/beechgate/gate.go
@@ -151,10 +151,10 @@
 	}, needs.Clock, g.health, g.announce)
 	g.core = beechattempt.New(g.placer, needs.Backend, needs.Pool, g.budgets, g.suspects, g, needs.Clock, needs.Log)
 	g.serverCopy = beechmirror.New(beechmirror.Settings{
-		Prefix: needs.ServerPrefix, Interval: serverReads.First, Patience: readPatience, Wait: serverWait, Space: serverSpace, Linger: linger, Forward: g.tellOfServers,
+		Prefix: needs.ServerPrefix, Interval: serverReads.First, Patience: readPatience, Wait: serverWait, Space: serverSpace, Linger: linger, Forward: g.forward,
 	}, needs.Source, beechfresh.New(needs.Age), needs.Clock, needs.Log, g.setServers)
 	g.operatorCopy = beechmirror.New(beechmirror.Settings{
-		Prefix: needs.OperatorPrefix, Interval: operatorReads.First, Patience: readPatience, Wait: operatorWait, Space: operatorSpace, Lost: g.serverCopy.Ask, Forward: g.tellOfOperators,
+		Prefix: needs.OperatorPrefix, Interval: operatorReads.First, Patience: readPatience, Wait: operatorWait, Space: operatorSpace, Lost: g.serverCopy.Ask, Forward: g.forward,
 	}, needs.Source, g.belief, needs.Clock, needs.Log, g.setOperators)
 	g.supervisor = suture.New("gate", suture.Spec{EventHook: beechlog.SupervisorHook(needs.Log)})
 	for _, task := range []beechtask.Task{
--- a/internal/process/beechgate/keepers.go
+++ b/internal/process/beechgate/keepers.go
@@ -50,7 +50,7 @@
 	targets := g.targets()
 	suspects := beechshare.WireSuspects(beechshare.Worst(g.suspects.News()))
 	for _, s := range g.keptServers() {
-		if farthest == beechbeat.Far || g.way(s) == beechbeat.Near {
+		if farthest == beechbeat.Far || g.way(s) == beechbeat.Near || g.placer.Unheard(s.ID) {
 			g.follow(s, targets[s.ID], suspects)
 		}
 	}
@@ -79,9 +79,16 @@
 	return kept
 }
 
+// follow has a word with a server's keeper. Suspects reach the keepers of other
+// zones by those of this one, and what a keeper logs of a gate is of its own zone;
+// so words that cross a border do without both: they were 29 MB in 45 s of 68 gates,
+// and take 40 bytes each now.
 func (g *Gate) follow(s beechcall.Server, targets []beechwire.Target, suspects []beechwire.Suspect) {
 	to := netip.AddrPortFrom(s.Address.Addr(), g.settings.Beats.Port())
-	follow := &beechwire.Follow{Gate: g.settings.Name, Zone: g.settings.Zone, Targets: targets, Rate: g.placer.ReadRate(), Suspects: suspects}
+	follow := &beechwire.Follow{Zone: g.settings.Zone, Targets: targets, Ask: g.placer.Unheard(s.ID), Rate: g.placer.ReadRate()}
+	if g.way(s) == beechbeat.Near {
+		follow.Gate, follow.Suspects = g.settings.Name, suspects
+	}
 	if err := g.socket.Send(to, g.way(s), beechbeat.Follow{Follow: follow}); err != nil {
 		g.log.Debug("keeper not told", zap.String("server", s.ID), zap.Error(err))
 	}
@@ -99,7 +106,11 @@
 func (g *Gate) hear(from netip.AddrPort, m beechbeat.Message) {
 	switch v := m.(type) {
 	case beechbeat.Tell:
-		g.hearTell(from, v)
+		g.hearTell(from.Addr(), v.Tell)
+	case beechbeat.Pass:
+		g.passOn(from.Addr(), v)
+	case beechbeat.Passed:
+		g.hearPassed(from, v)
 	case beechbeat.Peers:
 		g.hearPeers(v)
 	case beechbeat.Inquiry:
@@ -111,13 +122,31 @@
 	}
 }
 
-func (g *Gate) hearTell(from netip.AddrPort, tell beechbeat.Tell) {
+// passOn takes in a keeper's word and hands it to the other gates of this zone.
+func (g *Gate) passOn(host netip.Addr, p beechbeat.Pass) {
+	passed := beechbeat.Passed{Passed: &beechwire.Passed{Host: host.String(), Tell: p.Tell}}
+	if err := g.socket.SendAll(g.circle.Peers(g.clock.Now()), beechbeat.Near, passed); err != nil {
+		g.log.Debug("word not passed on", zap.Error(err))
+	}
+	g.hearTell(host, &p.Tell)
+}
+
+func (g *Gate) hearPassed(from netip.AddrPort, p beechbeat.Passed) {
+	host, err := netip.ParseAddr(p.Host)
+	if err != nil || !g.circle.Knows(from) {
+		return
+	}
+	g.hearTell(host, &p.Tell)
+}
+
+// hearTell takes in a keeper's word on the engine of its host.
+func (g *Gate) hearTell(host netip.Addr, tell *beechwire.Tell) {
 	weights := make(map[string]uint64, len(tell.Have))
 	for _, w := range tell.Have {
 		weights[w.Model] = w.Version
 	}
 	engine := g.placer.Tell(beechplace.State{
-		Address: netip.AddrPortFrom(from.Addr(), tell.Port), Phase: beechrollout.Phase(tell.Phase), Weights: weights, Tries: tell.Tries, Born: tell.Born, Old: time.Duration(tell.Old) * time.Millisecond,
+		Number: tell.Number, Address: netip.AddrPortFrom(host, tell.Port), Phase: beechrollout.Phase(tell.Phase), Weights: weights, Tries: tell.Tries, Born: tell.Born, Old: time.Duration(tell.Old) * time.Millisecond,
 		Reading: tell.Read, Running: tell.Run, Waiting: tell.Wait, CacheUsed: tell.Used, CacheTotal: tell.Room, Parts: tell.Parts, Gone: tell.Gone, Kept: tell.Kept,
 	})
 	g.sawPhase(engine, beechrollout.Phase(tell.Phase), weights, time.Duration(tell.Took)*time.Millisecond)
--- a/internal/process/beechgate/peers.go
+++ b/internal/process/beechgate/peers.go
@@ -5,6 +5,7 @@
 	"context"
 	"net/netip"
 	"slices"
+	"strings"
 	"time"
 
 	"go.uber.org/zap"
@@ -21,8 +22,13 @@
 // younger than the age at which this gate would read.
 const askInterval = 300 * time.Millisecond
 
-// entriesMost go into one datagram: an entry is some 400 bytes.
-const entriesMost = 16
+const (
+	// entriesMost go into one datagram: a server's entry is some 400 bytes.
+	entriesMost = 16
+	// entryMost is the bytes of an entry that is passed on: a whole datagram of
+	// such entries is far below what one may hold.
+	entryMost = 768
+)
 
 var (
 	// operatorReads are ages at which what operators wrote is read whole. A gate
@@ -109,12 +115,14 @@
 	}
 }
 
-// tellOfOperators has the other gates of this zone look for themselves what
-// operators have written: it may be long.
-func (g *Gate) tellOfOperators(beechmirror.Changes) { g.toPeers(g.vouch(0)) }
-
-// tellOfServers tells the other gates of this zone what servers have written.
-func (g *Gate) tellOfServers(c beechmirror.Changes) {
+// forward tells the other gates of this zone what the store's watch has brought. A
+// whole configuration is too long for that: they hear only that this copy is another
+// one now, and look for themselves.
+func (g *Gate) forward(c beechmirror.Changes) {
+	if slices.ContainsFunc(c.Items, func(item beechmirror.Item) bool { return len(item.Value) > entryMost }) {
+		g.toPeers(g.vouch(0))
+		return
+	}
 	for _, entries := range entriesOf(c) {
 		g.toPeers(beechbeat.Entries{Entries: entries})
 	}
@@ -161,5 +169,10 @@
 			Key: entry.Key, Value: entry.Value, Revision: entry.Revision, Created: entry.Created, Removed: entry.Removed,
 		})
 	}
-	g.serverCopy.Told(beechmirror.Changes{After: e.After, Page: page})
+	changes := beechmirror.Changes{After: e.After, Page: page}
+	if len(e.List) > 0 && strings.HasPrefix(e.List[0].Key, g.needs.OperatorPrefix) {
+		g.operatorCopy.Told(changes)
+		return
+	}
+	g.serverCopy.Told(changes)
 }
--- a/internal/process/beechkeeper/cache.go
+++ b/internal/process/beechkeeper/cache.go
@@ -151,10 +151,10 @@
 // on its way, and has gates told. The caller holds the lock.
 func (k *Keeper) hold(part uint64, kept bool) {
 	k.held.Add(part, struct{}{})
-	for _, f := range k.followers {
-		f.parts.add(part)
+	for a := range k.audiences() {
+		a.parts.add(part)
 		if kept {
-			f.kept.add(part)
+			a.kept.add(part)
 		}
 	}
 }
@@ -192,8 +192,8 @@
 
 // tellGone has all gates told of a part. The caller holds the lock.
 func (k *Keeper) tellGone(part uint64) {
-	for _, f := range k.followers {
-		f.parts.remove(part)
-		f.gone.add(part)
+	for a := range k.audiences() {
+		a.parts.remove(part)
+		a.gone.add(part)
 	}
 }
--- a/internal/process/beechkeeper/keeper.go
+++ b/internal/process/beechkeeper/keeper.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"maps"
 	"net/netip"
 	"sync"
 	"time"
@@ -14,7 +13,6 @@
 
 	"github.com/beechring/beechring/internal/decision/beechsuspect"
 	"github.com/beechring/beechring/internal/link/beechbeat"
-	"github.com/beechring/beechring/internal/link/beechwire"
 	"github.com/beechring/beechring/internal/process/beechlog"
 	"github.com/beechring/beechring/internal/process/beechsettings"
 	"github.com/beechring/beechring/internal/process/beechshare"
@@ -83,6 +81,8 @@
 		mu        sync.Mutex
 		turn      *beechrollout.Turn
 		followers map[netip.AddrPort]*follower
+		zones     map[string]*audience // that are told through relays
+		number    uint32               // of the last word
 		last      Report
 		reading   beechrollout.Reading
 		held      *lru.Cache[uint64, struct{}] // announced or listed, and not seen to be dropped
@@ -91,14 +91,10 @@
 
 	// follower is a gate as this keeper knows it.
 	follower struct {
+		audience
 		zone  string
 		heard time.Time
-		told  time.Time
 		named time.Time // when it was told last of the other gates of its zone
-		is    state     // that it was told last
-		parts news
-		gone  news
-		kept  news
 	}
 
 	// state is what is told at once when it changes.
@@ -116,14 +112,7 @@
 	namesInterval   = time.Second             // between words to gates of this zone of one another
 	readingPoll     = 60 * time.Millisecond   // between reports while long prompts are read
 	onTheWay        = 15 * time.Millisecond   // an announced prompt may not have come in yet
-	tellNear        = 120 * time.Millisecond  // between words of an engine that works, to gates of its zone
-	tellFar         = 200 * time.Millisecond  // and to others
 	longPrompt      = 1500                    // tokens; reading them takes longer than a word to all gates
-	chainTold       = 2                       // times that gates are told of a chain: a datagram may be lost
-	chainsMost      = 64                      // in one datagram
-	tellMost        = 1200 * time.Millisecond // a gate believes a keeper's word for 1.5 s
-	followersFew    = 16                      // gates that are told as often as each alone
-	tellIdle        = 600 * time.Millisecond
 )
 
 // New returns a keeper that is bound to its beat address.
@@ -139,8 +128,9 @@
 	k := &Keeper{
 		settings: s, needs: needs, socket: socket,
 		suspects: beechsuspect.New(beechsuspect.Settings{}, needs.Clock),
-		turn:     beechrollout.NewTurn(beechrollout.Settings{}), followers: make(map[netip.AddrPort]*follower),
-		wake: make(chan struct{}, 1), held: held,
+		turn:     beechrollout.NewTurn(beechrollout.Settings{}), followers: make(map[netip.AddrPort]*follower), zones: make(map[string]*audience),
+		number: uint32(needs.Clock.Now().Unix()) << numberBits,
+		wake:   make(chan struct{}, 1), held: held,
 	}
 	k.metrics = newMetrics(k)
 	k.supervisor = suture.New("keeper", suture.Spec{EventHook: beechlog.SupervisorHook(needs.Log)})
@@ -199,6 +189,7 @@
 		f = &follower{zone: follow.Zone}
 		k.followers[from] = f
 		k.introduce(f)
+		k.regroup()
 	}
 	f.heard = now
 	k.reading.Learn(float64(follow.Rate), now)
@@ -207,11 +198,17 @@
 			Model: t.Model, Version: t.Version, Fence: t.Fence, Granted: t.Granted, Alone: now.Add(time.Duration(t.Alone) * time.Millisecond),
 		}, now)
 	}
+	if !known || follow.Ask {
+		k.tellGate(from, f, now)
+	}
 	k.mu.Unlock()
 	k.suspects.Merge(beechshare.SuspectRecords(follow.Suspects))
 	if !known {
-		k.needs.Log.Info("gate follows", zap.String("gate", follow.Gate), zap.Stringer("peer", from))
-		k.tell(true)
+		level := zap.DebugLevel
+		if k.way(f) == beechbeat.Near {
+			level = zap.InfoLevel // a line for each keeper and gate of a fleet would grow with its square
+		}
+		k.needs.Log.Log(level, "gate follows", zap.String("gate", follow.Gate), zap.Stringer("peer", from))
 	}
 	select {
 	case k.wake <- struct{}{}:
@@ -308,78 +305,3 @@
 			zap.Int("running", last.Running), zap.Int("waiting", last.Waiting), zap.Error(err))
 	}
 }
-
-// tell sends the engine's state to the gates: at once if its phase or weights
-// changed or the news is urgent, else at intervals.
-func (k *Keeper) tell(urgent bool) {
-	k.mu.Lock()
-	defer k.mu.Unlock()
-	at := k.needs.Clock.Now()
-	is := state{phase: k.phase}
-	for _, version := range k.last.Versions {
-		is.version += version
-	}
-	maps.DeleteFunc(k.followers, func(_ netip.AddrPort, f *follower) bool { return at.Sub(f.heard) > followerLasts })
-	for gate, f := range k.followers {
-		if is != f.is || at.Sub(f.told) >= k.interval(f, urgent) {
-			f.told, f.is = at, is
-			k.send(gate, f, at)
-		}
-		if k.way(f) == beechbeat.Near && at.Sub(f.named) >= namesInterval {
-			f.named = at
-			k.name(gate)
-		}
-	}
-}
-
-// way tells whether words to a gate cross the border of this zone.
-func (k *Keeper) way(f *follower) beechbeat.Way { return f.zone != k.settings.Zone }
-
-// name tells a gate of the gates of this zone, itself among them: they share their
-// reads of the store. The caller holds the lock.
-func (k *Keeper) name(gate netip.AddrPort) {
-	peers := &beechwire.Peers{Gates: []string{}}
-	for peer, f := range k.followers {
-		if k.way(f) == beechbeat.Near {
-			peers.Gates = append(peers.Gates, peer.String())
-		}
-	}
-	if err := k.socket.Send(gate, beechbeat.Near, beechbeat.Peers{Peers: peers}); err != nil {
-		k.needs.Log.Debug("gate not told of others", zap.Stringer("peer", gate), zap.Error(err))
-	}
-}
-
-// interval is the time between words to a gate. It grows with their number, or
-// words would grow with its square. Of a long prompt the gates of all zones hear
-// at once: with 200 ms until those of other zones heard, callers there waited
-// behind it without their gates' knowing. Measured: worth of 0.536 and 0.556
-// before and after on nine engines, 0.506 and 0.572 on 44. It takes
-// 250 bytes a prompt and gate, 3% of the 10 Mbit/s of the smallest entry hosts
-// with 150 long prompts a second.
-func (k *Keeper) interval(f *follower, urgent bool) time.Duration {
-	near := k.way(f) == beechbeat.Near
-	many := time.Duration(max(len(k.followers)/followersFew, 1))
-	switch {
-	case urgent:
-		return 0
-	case near && k.last.Running+k.last.Waiting > 0:
-		return tellNear
-	case k.last.Running+k.last.Waiting > 0:
-		return min(tellFar*many, tellMost)
-	}
-	return min(tellIdle*many, tellMost)
-}
-
-func (k *Keeper) send(gate netip.AddrPort, f *follower, at time.Time) {
-	message := &beechwire.Tell{
-		Port: k.settings.Engine.Port(), Phase: int(k.phase), Run: k.last.Running, Wait: k.last.Waiting,
-		Used: k.last.CacheUsed, Room: k.last.CacheTotal, Read: k.reading.Left(at), Gates: len(k.followers),
-		Born: k.last.Born, Tries: k.turn.Tries(), Old: k.turn.Old(at).Milliseconds(), Took: k.turn.Took().Milliseconds(), Parts: f.parts.take(), Gone: f.gone.take(), Kept: f.kept.take(), Have: []beechwire.Weights{}, Suspects: beechshare.WireSuspects(beechshare.Worst(k.suspects.News())),
-	}
-	for model, version := range k.last.Versions {
-		message.Have = append(message.Have, beechwire.Weights{Model: model, Version: version})
-	}
-	if err := k.socket.Send(gate, k.way(f), beechbeat.Tell{Tell: message}); err != nil {
-		k.needs.Log.Debug("gate not told", zap.Stringer("peer", gate), zap.Error(err))
-	}
-}
--- a/internal/process/beechkeeper/keeper_test.go
+++ b/internal/process/beechkeeper/keeper_test.go
@@ -51,6 +51,7 @@
 type gate struct {
 	*beechbeat.Socket
 	told chan *beechwire.Tell
+	pass chan *beechwire.Tell // to be passed on
 }
 
 func newGate(t *testing.T) *gate {
@@ -58,13 +59,16 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	g := &gate{socket, make(chan *beechwire.Tell, 16)}
+	g := &gate{socket, make(chan *beechwire.Tell, 16), make(chan *beechwire.Tell, 16)}
 	ctx, cancel := context.WithCancel(context.Background())
 	t.Cleanup(cancel)
 	go func() {
 		_ = socket.Receive(ctx, func(_ netip.AddrPort, m beechbeat.Message) {
-			if tell, ok := m.(beechbeat.Tell); ok {
-				g.told <- tell.Tell
+			switch v := m.(type) {
+			case beechbeat.Tell:
+				g.told <- v.Tell
+			case beechbeat.Pass:
+				g.pass <- &v.Tell
 			}
 		})
 	}()
@@ -145,6 +149,55 @@
 	is.Equal(told.Parts, []uint64{1, 3}) // the second is too small to be worth a word
 }
 
+// Five gates of another zone follow a keeper. Each word to each of them crosses the
+// border of the zone, and those bytes are paid for; so one of them is told, and what
+// must not be lost goes to two. A gate that has heard nothing for a while, since the
+// one that should pass words on is dead, is told directly.
+func TestZoneIsToldThroughItsRelays(t *testing.T) {
+	is := is.New(t)
+	k := newKeeper(t, engine{})
+	var gates []*gate
+	for range 5 {
+		g := newGate(t)
+		gates = append(gates, g)
+		k.hear(g.Address(), beechbeat.Follow{Follow: &beechwire.Follow{Zone: "loft"}})
+		is.True(g.word() != nil) // it is introduced directly
+	}
+	passed := func() (n int) {
+		time.Sleep(50 * time.Millisecond) // datagrams on this host are there
+		for _, g := range gates {
+			n += len(g.pass)
+			for len(g.pass) > 0 {
+				is.Equal((<-g.pass).Parts, []uint64{7})
+			}
+		}
+		return n
+	}
+	for _, g := range gates { // words of when the zone had come to four
+		for len(g.pass) > 0 {
+			<-g.pass
+		}
+	}
+	k.hear(gates[0].Address(), beechbeat.Announce{Announce: &beechwire.Announce{Read: longPrompt, Parts: []uint64{7}}})
+	first := passed()
+	is.True(first >= 1 && first <= 2)
+	k.hear(gates[0].Address(), beechbeat.Announce{Announce: &beechwire.Announce{Read: longPrompt, Parts: []uint64{7}}})
+	is.Equal(passed(), 1)
+	k.setPhase(beechrollout.Leaving, nil)
+	k.tell(false)
+	time.Sleep(50 * time.Millisecond)
+	relays := 0
+	for _, g := range gates {
+		is.Equal(len(g.told), 0)
+		relays += len(g.pass)
+	}
+	is.Equal(relays, 2)
+	k.hear(gates[2].Address(), beechbeat.Follow{Follow: &beechwire.Follow{Zone: "loft", Ask: true}})
+	told := gates[2].word()
+	is.True(told != nil)
+	is.Equal(told.Phase, int(beechrollout.Leaving))
+}
+
 // An engine starts again under the ID that it had, with nothing in its cache.
 // Gates go on having others fetch from it until they hear that it lost all.
 func TestEngineThatStartsAnewIsToldAsEmpty(t *testing.T) {
