--- a/internal/process/beechgate/beliefs.go
+++ b/internal/process/beechgate/beliefs.go
@@ -13,7 +13,8 @@
 // naming is a named version with when this gate learned of it.
 type naming struct {
 	beechcall.Named
-	at time.Time
+	at    time.Time
+	short bool // it was told that not all engines can have it in time
 }
 
 // connectionsUneven is how many times its even share of a server's connections a
--- a/internal/process/beechgate/metrics.go
+++ b/internal/process/beechgate/metrics.go
@@ -19,6 +19,7 @@
 		vouches *expvar.Map // other gates' words on their copies, by what they proved
 		bodies  *expvar.Map // bytes of requests' bodies, by way
 
+		short      *expvar.Int // versions that not all engines could have in time
 		passedOver *expvar.Int // changes of servers' entries that cannot be used
 		first      *beechmetric.Latency
 		whole      *beechmetric.Latency
@@ -29,7 +30,7 @@
 	m := &metrics{
 		vars: new(expvar.Map), endings: new(expvar.Map), retried: new(expvar.Int), denied: new(expvar.Map),
 		vouches: new(expvar.Map), bodies: new(expvar.Map),
-		passedOver: new(expvar.Int), first: beechmetric.NewLatency(), whole: beechmetric.NewLatency(),
+		short: new(expvar.Int), passedOver: new(expvar.Int), first: beechmetric.NewLatency(), whole: beechmetric.NewLatency(),
 	}
 	m.vars.Set("endings", m.endings)
 	m.vars.Set("retried", m.retried)
@@ -40,6 +41,7 @@
 	if g.needs.StoreUse != nil {
 		m.vars.Set("store", g.needs.StoreUse)
 	}
+	m.vars.Set("versionsShort", m.short)
 	m.vars.Set("entriesPassedOver", m.passedOver)
 	m.vars.Set("firstByteMicros", expvar.Func(m.first.Percentiles))
 	m.vars.Set("wholeAnswerMicros", expvar.Func(m.whole.Percentiles))
--- a/internal/process/beechgate/peers.go
+++ b/internal/process/beechgate/peers.go
@@ -28,6 +28,8 @@
 	// entryMost is the bytes of an entry that is passed on: a whole datagram of
 	// such entries is far below what one may hold.
 	entryMost = 768
+	// usualRevoke is the operators' bound for keys that operatorReads are stated for.
+	usualRevoke = 5 * time.Second
 )
 
 var (
@@ -35,7 +37,7 @@
 	// asks for no new callers from 2.75 s on (0.55 of the usual bound of 5 s for
 	// keys), and says 401 and 404 up to 2.6 s: the last to read does so before.
 	// The second reads when the first has missed two questions, the others when
-	// both have.
+	// both have. Under a shorter bound all are as much shorter.
 	operatorReads = beechvouch.Schedule{First: 1300 * time.Millisecond, Second: 2 * time.Second, Others: 2400 * time.Millisecond}
 	// serverReads are those for servers' entries. Keepers tell of most changes
 	// sooner; these reads make a silent watch good.
@@ -49,7 +51,8 @@
 	return beechtask.Every(ctx, g.clock, askInterval, func() {
 		now := g.clock.Now()
 		rank := g.circle.Rank(now)
-		g.operatorCopy.SetInterval(operatorReads.Of(rank), rank == 0)
+		within := time.Duration(g.bounds.Load().Revoke)
+		g.operatorCopy.SetInterval(operatorReads.Scaled(min(float64(within)/float64(usualRevoke), 1)).Of(rank), rank == 0)
 		g.serverCopy.SetInterval(serverReads.Of(rank), rank == 0)
 		readers := g.circle.Readers(now)
 		if len(readers) == 0 || g.Leaving() {
--- a/internal/process/beechgate/turns.go
+++ b/internal/process/beechgate/turns.go
@@ -11,6 +11,9 @@
 	"github.com/beechring/beechring/internal/request/beechrollout"
 )
 
+// shortAfter a version was named the pace has seen what loads take now.
+const shortAfter = 2 * time.Second
+
 // grantTurns tells the keepers whose turn has come now that another engine's
 // has ended. At the follow interval alone, turns of half a second would stand
 // empty for as long again.
@@ -34,6 +37,13 @@
 		bound := time.Duration(g.bounds.Load().Weights)
 		fleet := beechrollout.FleetOf(engines, n.Version, bound-oldMargin)
 		granted := beechrollout.Turns(engines, n.Version, g.pace.Most(fleet))
+		if !n.short && now.Sub(n.at) > shortAfter && g.pace.Short(fleet) {
+			n.short = true
+			g.named[model] = n
+			g.metrics.short.Add(1)
+			g.log.Warn("weights cannot be in all engines in time", zap.String("model", model), zap.Uint64("version", n.Version),
+				zap.Int("engines", fleet.Engines), zap.Int("behind", len(fleet.Left)), zap.Int("lost", fleet.Lost), zap.Float64("window", g.pace.Window()), zap.Duration("load", g.pace.Load()))
+		}
 		for id, alone := range beechrollout.Alone(engines, bound) {
 			targets[id] = append(targets[id], beechwire.Target{
 				Model: model, Version: n.Version, Fence: n.Revision, Granted: slices.Contains(granted, id),
--- a/internal/request/beechplace/kept.go
+++ b/internal/request/beechplace/kept.go
@@ -24,13 +24,9 @@
 // looked at by turns.
 const keptDownLasts = 4 * time.Second
 
-// setStores takes in the stores of a configuration, and works out this gate's share
-// of both ways of their links. The caller holds the lock.
+// setStores takes in the stores of a configuration. What is known of one stays. The
+// caller holds the lock.
 func (p *Placer) setStores(list []beechcall.Service) {
-	bytes := 0
-	for _, s := range p.sheets {
-		bytes = max(bytes, s.TokenBytes)
-	}
 	stores := make([]*keptStore, 0, len(list))
 	for _, sheet := range list {
 		store := p.storeAt(sheet.Kept)
@@ -38,11 +34,23 @@
 			store = &keptStore{}
 		}
 		store.Service = sheet
-		store.fetches.set(sheet.Link, bytes, p.settings.Fronts)
-		store.saves.set(sheet.Link, bytes, p.settings.Fronts)
 		stores = append(stores, store)
 	}
 	p.stores = stores
+	p.shareLinks()
+}
+
+// shareLinks works out this gate's share of both ways of the stores' links. The
+// caller holds the lock.
+func (p *Placer) shareLinks() {
+	bytes := 0
+	for _, s := range p.sheets {
+		bytes = max(bytes, s.TokenBytes)
+	}
+	for _, store := range p.stores {
+		store.fetches.set(store.Link, bytes, p.settings.Fronts)
+		store.saves.set(store.Link, bytes, p.settings.Fronts)
+	}
 }
 
 // storeAt gives the store at an address, nil if there is none. The caller holds the
--- a/internal/request/beechplace/placer.go
+++ b/internal/request/beechplace/placer.go
@@ -170,11 +170,7 @@
 func (p *Placer) SetFronts(n int) {
 	p.mu.Lock()
 	p.settings.Fronts = max(n, 1)
-	sheets := make([]beechcall.Service, 0, len(p.stores))
-	for _, store := range p.stores {
-		sheets = append(sheets, store.Service)
-	}
-	p.setStores(sheets)
+	p.shareLinks()
 	p.mu.Unlock()
 }
 
--- a/internal/request/beechrollout/pace.go
+++ b/internal/request/beechrollout/pace.go
@@ -93,6 +93,13 @@
 	return max(min(int(p.most), atOnce), 1)
 }
 
+// Short tells whether not all engines can be refreshed before their weights may not
+// be used any more, as loads take their time now. Callers come to those that are,
+// and an operator who names versions faster than that should know.
+func (p *Pace) Short(f Fleet) bool {
+	return f.Lost > 0 || p.needed(f) > min(int(p.most), int(spareMost*float64(f.Engines)))
+}
+
 // needed is how many must take their turns at once for all to be done in time: for
 // each engine those that have as little time left as it, or less.
 func (p *Pace) needed(f Fleet) int {
--- a/internal/request/beechrollout/pace_test.go
+++ b/internal/request/beechrollout/pace_test.go
@@ -120,3 +120,15 @@
 	is.Equal(p.Most(Fleet{Engines: 120, Busy: 1.5}), 12)
 	is.Equal(p.Most(Fleet{Engines: 120, Busy: 1.5, Left: slices.Repeat([]time.Duration{7200 * time.Millisecond}, 120)}), 19)
 }
+
+// Versions are named faster than a fleet can load them. An operator who is not told
+// sees callers refused when the bound comes, and looks for the cause elsewhere.
+func TestWhatCannotBeDoneInTimeIsSeenAhead(t *testing.T) {
+	is := is.New(t)
+	p := NewPace()
+	waves(p, 120, 30, shared(8, 1600*time.Millisecond))
+	behind := func(d time.Duration) Fleet { return Fleet{Engines: 120, Left: slices.Repeat([]time.Duration{d}, 120)} }
+	is.True(p.Short(behind(7200 * time.Millisecond))) // 120 loads of 1.6 s, eight at once, take 24 s
+	is.True(!p.Short(behind(time.Minute)))
+	is.True(p.Short(Fleet{Engines: 120, Lost: 1}))
+}
--- a/internal/state/beechvouch/circle.go
+++ b/internal/state/beechvouch/circle.go
@@ -148,3 +148,9 @@
 	}
 	return s.Others
 }
+
+// Scaled gives all ages times a factor.
+func (s Schedule) Scaled(factor float64) Schedule {
+	scale := func(d time.Duration) time.Duration { return time.Duration(float64(d) * factor) }
+	return Schedule{First: scale(s.First), Second: scale(s.Second), Others: scale(s.Others)}
+}
--- a/internal/state/beechvouch/circle_test.go
+++ b/internal/state/beechvouch/circle_test.go
@@ -54,6 +54,16 @@
 	is.Equal(schedule.Of(c.Rank(now)), schedule.First)
 }
 
+// Operators who want removed keys gone sooner have the store read as much more often.
+func TestShorterBoundShortensAges(t *testing.T) {
+	is := is.New(t)
+	s := schedule.Scaled(0.5)
+	is.Equal(s, Schedule{First: 650 * time.Millisecond, Second: time.Second, Others: 1200 * time.Millisecond})
+	is.Equal(s.Of(0), s.First)
+	is.Equal(s.Of(1), s.Second)
+	is.Equal(s.Of(7), s.Others)
+}
+
 func boolInt(b bool) int {
 	if b {
 		return 1
