A gate finds the store back though others vouch for its copy

While another vouched for its copy no read was due, so it stayed in the belief that the store was lost, kept what was gone, and passed over what the other told of removals. Change: while the store is lost a read is due after each pause, as before reads were shared; what a gate that follows the store tells as gone is gone, and nothing is passed on while entries may have lapsed with the store.

--- a/internal/process/beechgate/keepers.go
+++ b/internal/process/beechgate/keepers.go
@@ -114,7 +114,7 @@
 	case beechbeat.Peers:
 		g.hearPeers(v)
 	case beechbeat.Inquiry:
-		g.toPeer(from, g.vouch(v.Number))
+		g.toPeers([]netip.AddrPort{from}, g.vouch(v.Number))
 	case beechbeat.Vouch:
 		g.hearVouch(v)
 	case beechbeat.Entries:
@@ -125,9 +125,7 @@
 // passOn takes in a keeper's word and hands it to the other gates of this zone.
 func (g *Gate) passOn(host netip.Addr, p beechbeat.Pass) {
 	passed := beechbeat.Passed{Passed: &beechwire.Passed{Host: host.String(), Tell: p.Tell}}
-	if err := g.socket.SendAll(g.circle.Peers(g.clock.Now()), beechbeat.Near, passed); err != nil {
-		g.log.Debug("word not passed on", zap.Error(err))
-	}
+	g.toPeers(g.circle.Peers(g.clock.Now()), passed)
 	g.hearTell(host, &p.Tell)
 }
 
--- a/internal/process/beechgate/peers.go
+++ b/internal/process/beechgate/peers.go
@@ -59,15 +59,13 @@
 			return
 		}
 		number := g.circle.Ask(g.needs.Age.Now())
-		for _, reader := range readers {
-			g.toPeer(reader, beechbeat.Inquiry{Inquiry: &beechwire.Inquiry{Number: number}})
-		}
+		g.toPeers(readers, beechbeat.Inquiry{Inquiry: &beechwire.Inquiry{Number: number}})
 	})
 }
 
-func (g *Gate) toPeer(peer netip.AddrPort, m beechbeat.Message) {
-	if err := g.socket.Send(peer, beechbeat.Near, m); err != nil {
-		g.log.Debug("gate not told", zap.Stringer("peer", peer), zap.Error(err))
+func (g *Gate) toPeers(peers []netip.AddrPort, m beechbeat.Message) {
+	if err := g.socket.SendAll(peers, beechbeat.Near, m); err != nil {
+		g.log.Debug("gate not told", zap.Error(err))
 	}
 }
 
@@ -118,28 +116,21 @@
 	}
 }
 
-// forward tells the other gates of this zone what the store's watch has brought. A
-// whole configuration is too long for that: they hear only that this copy is another
-// one now, and look for themselves.
+// forward tells the other gates of this zone what the store's watch has brought, if
+// this one follows the store for them. A whole configuration is too long for that:
+// they hear only that this copy is another one now, and look for themselves.
 func (g *Gate) forward(c beechmirror.Changes) {
-	if slices.ContainsFunc(c.Items, func(item beechmirror.Item) bool { return len(item.Value) > entryMost }) {
-		g.toPeers(g.vouch(0))
-		return
-	}
-	for _, entries := range entriesOf(c) {
-		g.toPeers(beechbeat.Entries{Entries: entries})
-	}
-}
-
-// toPeers tells all other gates of this zone, if this one follows the store for
-// them.
-func (g *Gate) toPeers(m beechbeat.Message) {
 	now := g.clock.Now()
 	if g.circle.Rank(now) != 0 {
 		return
 	}
-	for _, peer := range g.circle.Peers(now) {
-		g.toPeer(peer, m)
+	peers := g.circle.Peers(now)
+	if slices.ContainsFunc(c.Items, func(item beechmirror.Item) bool { return len(item.Value) > entryMost }) {
+		g.toPeers(peers, g.vouch(0))
+		return
+	}
+	for _, entries := range entriesOf(c) {
+		g.toPeers(peers, beechbeat.Entries{Entries: entries})
 	}
 }
 
--- a/internal/state/beechmirror/mirror.go
+++ b/internal/state/beechmirror/mirror.go
@@ -160,6 +160,9 @@
 }
 
 // waitUntilDue waits for the pause, and on until a whole read is due or asked for.
+// While the store is lost a read is due after each pause, however young others' word
+// makes the copy: what is missing is kept until the store is found back, and a
+// server that has left would go on getting requests for as long.
 func (m *Mirror) waitUntilDue(ctx context.Context, pause time.Duration) {
 	for {
 		select {
@@ -180,7 +183,10 @@
 func (m *Mirror) due() time.Duration {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	if m.lingered {
+	switch {
+	case m.failing:
+		return 0
+	case m.lingered:
 		return lingerRead - m.clock.Since(m.replaced)
 	}
 	return m.interval - m.belief.Age()
@@ -312,8 +318,8 @@
 	if err != nil {
 		return err
 	}
-	m.merge(page)
-	if len(page.Items) > 0 && m.settings.Forward != nil {
+	lingers := m.merge(page)
+	if len(page.Items) > 0 && m.settings.Forward != nil && !lingers {
 		m.settings.Forward(Changes{After: after, Page: page})
 	}
 	return nil
@@ -368,10 +374,17 @@
 	return changed
 }
 
-// merge takes in changes.
-func (m *Mirror) merge(p Page) {
+// merge takes in what a watch has told, and tells whether what is gone lingers.
+func (m *Mirror) merge(p Page) (lingers bool) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	lingers = m.lingers()
+	m.take(p, lingers)
+	return lingers
+}
+
+// take takes in changes. The caller holds the lock.
+func (m *Mirror) take(p Page, lingers bool) {
 	changed := false
 	for _, item := range p.Items {
 		if !strings.HasPrefix(item.Key, m.settings.Prefix) || m.items[item.Key].Revision >= item.Revision {
@@ -380,7 +393,7 @@
 		if item.Revision <= m.whole {
 			continue // told late: the key may have been removed since, and the whole read knows
 		}
-		if item.Removed && m.lingers() {
+		if item.Removed && lingers {
 			continue // the next whole read decides
 		}
 		changed = true
--- a/internal/state/beechmirror/mirror_test.go
+++ b/internal/state/beechmirror/mirror_test.go
@@ -415,3 +415,50 @@
 	is.True(m.Told(Changes{After: 6, Page: Page{Revision: 10, Items: []Item{{Key: "servers/a", Revision: 9, Removed: true}}}}))
 	is.Equal(keys(got), []string{"servers/b"})
 }
+
+// A gate loses the store for a moment, and another gate of its zone goes on vouching
+// for the same copy. The gate must find the store back by itself all the same: while
+// it takes the store for lost it keeps servers that are gone, and sent them requests
+// for three seconds after they had left.
+func TestStoreIsFoundBackThoughTheCopyIsVouchedFor(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		s := &source{page: Page{Revision: 2, Items: []Item{{Key: "servers/a", Revision: 2}}}}
+		m := newMirror(s, clockwork.NewRealClock(), func([]Item) {})
+		m.SetInterval(time.Hour, false)
+		ctx, cancel := context.WithCancel(t.Context())
+		var loop sync.WaitGroup
+		loop.Go(func() { _ = m.Read(ctx) })
+		synctest.Wait()
+		word, _, _ := m.Vouch()
+		word.Proof = true
+		s.refuse()
+		m.Ask()
+		for range 10 {
+			time.Sleep(300 * time.Millisecond)
+			is.True(m.Vouched(word))
+		}
+		s.mu.Lock()
+		s.err = nil
+		s.mu.Unlock()
+		time.Sleep(time.Second)
+		m.mu.Lock()
+		is.True(!m.failing)
+		m.mu.Unlock()
+		cancel()
+		loop.Wait()
+	})
+}
+
+// A gate has lost the store, and one that reaches it tells of a server that is gone.
+func TestWhatIsToldAsGoneIsGone(t *testing.T) {
+	is := is.New(t)
+	s := &source{page: Page{Revision: 3, Items: []Item{{Key: "servers/a", Revision: 2}, {Key: "servers/b", Revision: 3}}}}
+	var got []Item
+	m := newMirror(s, clockwork.NewFakeClock(), func(items []Item) { got = items })
+	is.True(m.readOnce(t.Context()))
+	s.refuse()
+	is.True(!m.readOnce(t.Context()))
+	is.True(m.Told(Changes{After: 3, Page: Page{Revision: 4, Items: []Item{{Key: "servers/a", Revision: 4, Removed: true}}}}))
+	is.Equal(keys(got), []string{"servers/b"})
+}
--- a/internal/state/beechmirror/share.go
+++ b/internal/state/beechmirror/share.go
@@ -83,15 +83,17 @@
 
 // Told takes in what another process's watch has told. Where changes before that
 // are missing it is passed over: the copies differ then, and a watch of this
-// process's own brings all of them.
+// process's own brings all of them. That process reaches the store and forwards
+// nothing while entries may have lapsed with it, so what it says is gone is gone,
+// also where this one has lost the store.
 func (m *Mirror) Told(c Changes) bool {
 	m.mu.Lock()
-	follows := m.known && c.After <= m.revision && c.Revision > m.revision
-	m.mu.Unlock()
-	if follows {
-		m.merge(c.Page)
+	defer m.mu.Unlock()
+	if !m.known || c.After > m.revision || c.Revision <= m.revision {
+		return false
 	}
-	return follows
+	m.take(c.Page, false)
+	return true
 }
 
 // followedElsewhere tells whether a process that follows the store holds the
