A prompt that an engine's memory has no room for costs the run that yields

Change: what a preempted run has to read again is added to the cost. TestFullMemoryIsNotCrowded fails before.

--- a/internal/request/beechplace/choose.go
+++ b/internal/request/beechplace/choose.go
@@ -74,14 +74,15 @@
 		}
 		c.Salt = salt(call, have)
 		c.Cost += p.prefix(call, s, levels, now, &c)
-		before := p.ahead(s, now.Add(c.Wait))/p.speed.rate + p.blocked(s, call.PromptTokens, now)
+		short := p.short(s, call.PromptTokens, now)
+		before := p.ahead(s, now.Add(c.Wait))/p.speed.rate + p.blocked(short, s)
 		c.Ahead = milliseconds(c.Wait) + before
 		own := float64(c.Unread) / p.speed.rate
 		c.Expected = c.Ahead + own + p.speed.fixed
 		if old && !p.beginsInTime(&c, age) {
 			return c, false
 		}
-		c.Cost += before + own + p.fill(s, now) + late(c.Expected, milliseconds(call.Route.Objective))
+		c.Cost += before + own + p.crowding(short) + p.fill(s, now) + late(c.Expected, milliseconds(call.Route.Objective))
 	}
 	if s.Zone != p.settings.Zone {
 		c.Cost += p.settings.Crossing + p.settings.CrossingByte*float64(len(call.Body))
--- a/internal/request/beechplace/memory.go
+++ b/internal/request/beechplace/memory.go
@@ -37,12 +37,26 @@
 // read. Counted by reading alone (243 ms expected, 1,525 ms seen) it went where
 // it was late and kept others out; worth of 0.577 and 0.583 without and with
 // this, 36 days of nine engines, and 0.50 and 0.52 with a quarter of them dark.
-func (p *Placer) blocked(s *server, tokens int, now time.Time) float64 {
+func (p *Placer) blocked(short float64, s *server) float64 {
+	if short <= 0 {
+		return 0
+	}
+	return short * p.stay.mean() / float64(s.state.CacheUsed)
+}
+
+// short is the tokens that an engine's memory lacks for a prompt beside what runs
+// and what is on its way there; 0 where it has room or is not known.
+func (p *Placer) short(s *server, tokens int, now time.Time) float64 {
 	if !s.fresh(now) || s.state.CacheTotal <= 0 || s.state.CacheUsed <= 0 {
 		return 0
 	}
 	arriving := s.state.Waiting + max(s.flying-s.atTold, 0)
 	need := float64(tokens) + float64(arriving)*p.size
-	short := need - float64(s.state.CacheTotal-s.state.CacheUsed)
-	return max(short, 0) * p.stay.mean() / float64(s.state.CacheUsed)
+	return max(need-float64(s.state.CacheTotal-s.state.CacheUsed), 0)
+}
+
+// crowding is the cost of a prompt that an engine's memory has no room for: a run
+// yields there, and is read again from its start.
+func (p *Placer) crowding(short float64) float64 {
+	return p.settings.Waste * min(short, p.size)
 }
--- a/internal/request/beechplace/place_test.go
+++ b/internal/request/beechplace/place_test.go
@@ -673,6 +673,30 @@
 	is.True(f.choose(t, short).Ahead < c.Ahead)
 }
 
+// The engine that holds a history has no room left for the prompt beside what runs
+// there: a run would yield and be read again from its start, its own history with it.
+// The history is fetched by the next engine for a hundredth of that.
+func TestFullMemoryIsNotCrowded(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(2)
+	call := ask("h", 6000, 3000)
+	for range 300 { // the size of prompts is known
+		f.Sent(call, f.choose(t, call)).Done(Answered)
+		f.clock.Advance(time.Second)
+	}
+	f.tellAll(func(_ int, s *State) { s.CacheUsed = 30000 })
+	home := f.choose(t, call).Server
+	f.tellAll(func(_ int, s *State) {
+		s.Running, s.CacheUsed = 4, 30000
+		if s.Address == home.Address {
+			s.CacheUsed = s.CacheTotal - 1000
+		}
+	})
+	c := f.choose(t, call)
+	is.True(c.Server.ID != home.ID)
+	is.True(c.Fetch.IsValid())
+}
+
 // The link of the store of kept KV cache is full, and everything that is fetched
 // there comes two seconds late. Questions that would fetch a hundred tokens wait
 // as long as long prompts do, their runs fill the engines, and more is fetched:
