--- a/internal/decision/beechretry/ledger.go
+++ b/internal/decision/beechretry/ledger.go
@@ -15,8 +15,9 @@
 	slots [ledgerSlots]struct{ first, retries int }
 }
 
-// ledgerSlots divide the window: the count is off by a tenth of what comes in a
-// window at most, and always to the side of fewer retries.
+// ledgerSlots divide the window. What is counted covers nine tenths of it at least,
+// so a window may see a ninth more than is allowed; who sets the share leaves room
+// for more than that.
 const ledgerSlots = 10
 
 // turn drops what has left the window.
--- a/internal/request/beechplace/link.go
+++ b/internal/request/beechplace/link.go
@@ -32,9 +32,9 @@
 	linkShare = 1.6
 	// linkLump is how much may be used at once, as time of the share, and lumpPrompts
 	// is that as prompts at the least. The more gates share a link the smaller each
-	// share, and the more unevenly it is asked for: with 68 gates 300 ms of it were
-	// half a prompt, and histories that lay in a store were read again while its link
-	// was half idle: 19.9 million tokens of a day of 34 s, and 18.3 in such lumps.
+	// share, and the more unevenly it is asked for: with 68 gates 300 ms of it are
+	// half a prompt, so that the second of two histories in a row would be read again
+	// though it lies in a store whose link is idle.
 	linkLump    = 300 * time.Millisecond
 	lumpPrompts = 3
 	// lateTransfer is how much later than expected a first byte must come for
