--- /dev/null
+++ b/internal/decision/beechquota/ledger_test.go
@@ -0,0 +1,343 @@
+package beechquota
+
+import (
+	"fmt"
+	"math"
+	"testing"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+)
+
+var usualLimit = Limit{Rate: 1000, Burst: 1000}
+
+// tight tolerates little, so that a level is what a test expects.
+var tight = Bounds{Window: 8 * time.Second, Overage: 0.1}
+
+func newGates(n int, b Bounds, clock clockwork.Clock) []*Ledger {
+	var all []*Ledger
+	for i := range n {
+		l := New(fmt.Sprintf("gate-%d", i), uint64(i+1), b, clock)
+		l.SetGates(n)
+		l.SetLimits(map[string]Limit{"w": usualLimit}, nil)
+		all = append(all, l)
+	}
+	return all
+}
+
+// tellAll has each gate tell all others.
+func tellAll(all []*Ledger) {
+	for _, from := range all {
+		w := from.Word()
+		for _, to := range all {
+			if to != from {
+				to.Hear(w)
+			}
+		}
+	}
+}
+
+// settle lets gates that know nothing live for a while.
+func settle(all []*Ledger, clock *clockwork.FakeClock) {
+	for range 30 {
+		tellAll(all)
+		clock.Advance(100 * time.Millisecond)
+	}
+	tellAll(all)
+}
+
+func admitted(l *Ledger, size float64) bool {
+	_, ok := l.Admit("w", size).(Admitted)
+	return ok
+}
+
+func level(l *Ledger) float64 { return l.accounts["w"].level }
+
+// A workspace's callers all come to one gate. It gets its whole limit there.
+func TestFewCallersComeToOneGate(t *testing.T) {
+	is := is.New(t)
+	clock := clockwork.NewFakeClock()
+	all := newGates(26, tight, clock)
+	settle(all, clock)
+	got := 0.0
+	for range 1000 {
+		for admitted(all[3], 50) {
+			got += 50
+		}
+		tellAll(all)
+		clock.Advance(10 * time.Millisecond)
+	}
+	is.True(got >= usualLimit.Burst+10*usualLimit.Rate-50)
+}
+
+// One gate has let a whole burst in. The others know it with its next word.
+func TestOthersHearWhatIsSpent(t *testing.T) {
+	is := is.New(t)
+	clock := clockwork.NewFakeClock()
+	all := newGates(3, tight, clock)
+	settle(all, clock)
+	is.True(admitted(all[0], 1900)) // a debt
+	tellAll(all)
+	is.True(!admitted(all[1], 1))
+	for range 10 { // the debt is paid
+		clock.Advance(100 * time.Millisecond)
+		tellAll(all)
+	}
+	is.True(admitted(all[1], 1))
+}
+
+// Words are lost, and come twice or late. What they tell is a total, so nothing is
+// taken twice, and the next word makes the loss good.
+func TestWordsThatAreLostDoubledAndLate(t *testing.T) {
+	is := is.New(t)
+	clock := clockwork.NewFakeClock()
+	all := newGates(2, tight, clock)
+	settle(all, clock)
+	admitted(all[0], 100)
+	early := all[0].Word()
+	admitted(all[0], 100)
+	_ = all[0].Word() // lost
+	late := all[0].Word()
+	before := level(all[1])
+	all[1].Hear(late)
+	all[1].Hear(late)
+	all[1].Hear(early)
+	is.True(math.Abs(before-200-level(all[1])) < 1)
+	is.Equal(all[1].State().PassedOver.Falling, 1)
+}
+
+// A gate starts while the workspace has used its quota up. It takes the level
+// from one that knows, and does not let a burst in once more.
+func TestGateThatStartsTakesTheLevel(t *testing.T) {
+	is := is.New(t)
+	clock := clockwork.NewFakeClock()
+	all := newGates(2, tight, clock)
+	settle(all, clock)
+	is.True(admitted(all[0], 1900))
+	tellAll(all)
+	fresh := New("gate-9", 77, tight, clock)
+	fresh.SetGates(3)
+	fresh.SetLimits(map[string]Limit{"w": usualLimit}, nil)
+	all = append(all, fresh)
+	tellAll(all)
+	tellAll(all)
+	is.True(level(fresh) < 0)
+	is.True(!admitted(fresh, 1))
+}
+
+// All gates are killed at once after a burst: nobody knows what was used. Together
+// they may begin with no more than a quarter of what is tolerated.
+func TestAllGatesStartAnew(t *testing.T) {
+	is := is.New(t)
+	clock := clockwork.NewFakeClock()
+	all := newGates(26, tight, clock)
+	got := 0.0
+	for _, l := range all {
+		for admitted(l, 1) {
+			got++
+		}
+	}
+	tolerated := tight.Overage * (8*usualLimit.Rate + usualLimit.Burst)
+	is.True(got <= tolerated*(startPart+gracePart)+float64(len(all)))
+}
+
+// A gate is cut off from all others. It keeps to its share by use, and the others
+// leave that to it, so that together they stay within the limit.
+func TestGateThatIsCutOffKeepsToItsShare(t *testing.T) {
+	is := is.New(t)
+	clock := clockwork.NewFakeClock()
+	all := newGates(4, tight, clock)
+	settle(all, clock)
+	ask := func(gates []*Ledger) float64 {
+		got := 0.0
+		for _, l := range gates {
+			for range 5 {
+				if admitted(l, 40) {
+					got += 40
+				}
+			}
+		}
+		return got
+	}
+	for range 40 { // all four use it up
+		ask(all)
+		clock.Advance(100 * time.Millisecond)
+		tellAll(all)
+	}
+	got := 0.0
+	for range 80 { // the last one hears nobody, and nobody hears it
+		got += ask(all)
+		clock.Advance(100 * time.Millisecond)
+		tellAll(all[:3])
+	}
+	bound := 1.1 * (8*usualLimit.Rate + usualLimit.Burst)
+	t.Log(got, bound)
+	is.True(got <= bound)
+	is.True(got >= 0.8*8*usualLimit.Rate)
+	is.True(all[3].State().Alone)
+	is.True(!all[0].State().Alone)
+}
+
+// A gate stands still for some seconds while others use the quota up. When it goes on,
+// its first words are old ones; it must not let in what is gone.
+func TestGateThatWasFrozen(t *testing.T) {
+	is := is.New(t)
+	clock := clockwork.NewFakeClock()
+	all := newGates(3, tight, clock)
+	settle(all, clock)
+	got := 0.0
+	use := func(l *Ledger) {
+		for admitted(l, 50) {
+			got += 50
+		}
+	}
+	for range 30 {
+		use(all[0])
+		clock.Advance(100 * time.Millisecond)
+		tellAll(all[:2])
+	}
+	before := got
+	use(all[2])
+	is.True(got-before <= usualLimit.Burst*0.6) // its share, as it hears nobody
+	tellAll(all)
+	tellAll(all)
+	use(all[2])
+	is.True(got <= usualLimit.Burst+3*usualLimit.Rate+all[0].tolerance(usualLimit)/2)
+}
+
+// Operators lower a limit, raise it, take it away and bring it back. None of it gives
+// a burst that was used already.
+func TestLimitsThatChangeGiveNoBurst(t *testing.T) {
+	is := is.New(t)
+	clock := clockwork.NewFakeClock()
+	all := newGates(1, tight, clock)
+	l := all[0]
+	settle(all, clock)
+	l.SetLimits(map[string]Limit{"w": {Rate: 100, Burst: 100}}, nil)
+	is.Equal(level(l), 100.0)
+	l.SetLimits(map[string]Limit{"w": usualLimit}, nil)
+	is.Equal(level(l), 100.0)
+	for admitted(l, 10) {
+	}
+	l.SetLimits(nil, nil)
+	is.True(admitted(l, 1e6)) // no limit
+	clock.Advance(100 * time.Millisecond)
+	l.SetLimits(map[string]Limit{"w": usualLimit}, nil)
+	is.True(level(l) < 150)
+}
+
+// What operators wrote of a quota cannot be used. The last good limit stays.
+func TestLimitThatCannotBeUsed(t *testing.T) {
+	is := is.New(t)
+	l := New("g", 1, tight, clockwork.NewFakeClock())
+	l.SetGates(1)
+	l.SetLimits(map[string]Limit{"w": usualLimit}, nil)
+	l.SetLimits(nil, map[string]bool{"w": true})
+	is.True(admitted(l, 500))
+	is.True(!admitted(l, 500))
+	for _, bad := range []Limit{{Rate: math.NaN()}, {Rate: -1, Burst: 1}, {Rate: math.Inf(1)}, {Rate: 1, Burst: -1}, {Rate: 1, Burst: math.NaN()}} {
+		l.SetLimits(map[string]Limit{"w": bad}, nil)
+		is.Equal(l.accounts["w"].limit, usualLimit)
+	}
+}
+
+// A request is admitted and then turned away by all servers. What it took is back.
+func TestWhatHasNotRunIsGivenBack(t *testing.T) {
+	is := is.New(t)
+	clock := clockwork.NewFakeClock()
+	all := newGates(2, tight, clock)
+	settle(all, clock)
+	before := level(all[0])
+	is.True(admitted(all[0], 300))
+	all[0].GiveBack("w", 300)
+	is.Equal(level(all[0]), before)
+	total := all[0].accounts["w"].total
+	is.True(admitted(all[0], 300))
+	is.Equal(all[0].accounts["w"].total, total) // never falls, and does not count twice
+	all[0].Charge("w", 300)                     // it ran on a second server
+	is.Equal(all[0].accounts["w"].total, total+300)
+}
+
+// Words of this gate itself, and of a lifetime that is over, are passed over.
+func TestWordsThatAreNotHeard(t *testing.T) {
+	is := is.New(t)
+	clock := clockwork.NewFakeClock()
+	all := newGates(2, tight, clock)
+	settle(all, clock)
+	admitted(all[0], 100)
+	old := all[0].Word()
+	again := New("gate-0", 99, tight, clock)
+	all[1].Hear(again.Word())
+	before := level(all[1])
+	all[1].Hear(old)
+	all[1].Hear(all[1].Word())
+	is.Equal(level(all[1]), before)
+	is.Equal(all[1].State().PassedOver, Dropped{Old: 1, Own: 1})
+}
+
+// A refused caller is told when there is something left again, and it holds.
+func TestTimeToComeBackHolds(t *testing.T) {
+	is := is.New(t)
+	clock := clockwork.NewFakeClock()
+	all := newGates(2, tight, clock)
+	settle(all, clock)
+	is.True(admitted(all[0], 1800))
+	refused, ok := all[0].Admit("w", 10).(Refused)
+	is.True(ok)
+	is.True(refused.After >= 600*time.Millisecond && refused.After <= 1100*time.Millisecond)
+	clock.Advance(refused.After)
+	tellAll(all)
+	is.True(admitted(all[0], 10))
+}
+
+// Whatever befalls the gates, in any order, a limit lets no more in than is tolerated
+// and what one request for each gate leaves as a debt.
+func TestNoWindowExceedsTheBound(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		limit := Limit{Rate: rapid.Float64Range(5000, 600000).Draw(t, "rate")}
+		limit.Burst = limit.Rate * rapid.Float64Range(0.3, 2).Draw(t, "burst")
+		c := sceneOf(limit, func(c *scene) {
+			c.gates = rapid.IntRange(1, 30).Draw(t, "gates")
+			c.places = rapid.IntRange(1, c.gates).Draw(t, "places")
+			c.hot = rapid.Float64Range(1, 10).Draw(t, "hot")
+			c.loss = rapid.Float64Range(0, 0.3).Draw(t, "loss")
+			c.from, c.until, c.length = 3*time.Second, 9*time.Second, 12*time.Second
+			c.events = make(map[time.Duration]func(*simulation))
+		})
+		for range rapid.IntRange(0, 3).Draw(t, "events") {
+			at := time.Duration(rapid.IntRange(0, 9000).Draw(t, "at")) * time.Millisecond
+			every := rapid.IntRange(1, 8).Draw(t, "every")
+			picks := func(i int) bool { return i%every == 0 }
+			if rapid.Bool().Draw(t, "cut") {
+				c.events[at] = each(picks, func(s *simulation, i int) { s.cut[i] = !s.cut[i] })
+			} else {
+				c.events[at] = each(picks, killed)
+			}
+		}
+		if o := simulate(c, counting, rapid.Uint64().Draw(t, "seed")).most(); o > 1 {
+			t.Fatalf("%.3f of what is tolerated", o)
+		}
+	})
+}
+
+func BenchmarkAdmit(b *testing.B) {
+	clock := clockwork.NewRealClock()
+	all := newGates(26, testBounds, clock)
+	l := all[0]
+	limits := make(map[string]Limit)
+	for i := range 9300 {
+		limits[fmt.Sprintf("w%d", i)] = Limit{Rate: 1e6, Burst: 1e6}
+	}
+	l.SetLimits(limits, nil)
+	tellAll(all)
+	names := make([]string, 0, len(limits))
+	for name := range limits {
+		names = append(names, name)
+	}
+	b.ReportAllocs()
+	for i := 0; b.Loop(); i++ {
+		l.Admit(names[i%len(names)], 100)
+	}
+}
--- /dev/null
+++ b/internal/decision/beechquota/word.go
@@ -0,0 +1,221 @@
+package beechquota
+
+import (
+	"time"
+)
+
+type (
+	// Word is what a gate tells the others.
+	Word struct {
+		Host     uint64 // the gate, in all its lifetimes
+		Lifetime uint64
+		Settled  bool // its levels stand on what others told
+		Full     bool // all buckets that are not nearly full are listed
+		Uses     []Use
+	}
+
+	// Use is what a gate has admitted of a workspace in its lifetime, and how full
+	// it believes the whole bucket to be.
+	Use struct {
+		Workspace uint64 // hash of its name
+		Total     float64
+		Level     float64
+	}
+
+	// peer is another gate.
+	peer struct {
+		host     uint64
+		lifetime uint64
+		former   []uint64 // lifetimes that this one has followed
+		heard    time.Time
+		silent   bool
+		gone     bool
+		active   map[uint64]*use // by workspace, those with a pace
+	}
+)
+
+const (
+	// formerKept are more lifetimes than a host has in the time that words may be
+	// under way.
+	formerKept = 4
+	// fullPart of a burst is nearly full: a gate that starts need not hear of it.
+	fullPart = 0.9
+	// partFresh since another gate was heard, this one's share is what the others believe
+	// too: later it may see a rush that they have not been told of.
+	partFresh = 350 * time.Millisecond
+	// paceLeast a second is nothing.
+	paceLeast = 1
+)
+
+// Word gives what the other gates are to be told now.
+func (l *Ledger) Word() Word {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.tick()
+	w := Word{Host: l.host, Lifetime: l.lifetime, Settled: l.settled, Full: l.asked && l.settled}
+	l.asked = false
+	for _, a := range l.accounts {
+		if a.limit.Rate <= 0 {
+			continue
+		}
+		a.refill(l)
+		if !l.alone && l.now.Sub(l.heard) < partFresh {
+			a.part = l.sharedOut(a)
+		}
+		if a.repeats > 0 || w.Full && a.level < fullPart*a.limit.Burst {
+			w.Uses = append(w.Uses, Use{Workspace: a.key, Total: a.total, Level: a.level})
+			a.untold = 0
+			a.repeats = max(a.repeats-1, 0)
+		}
+	}
+	return w
+}
+
+// Hear takes in another gate's word.
+func (l *Ledger) Hear(w Word) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if w.Host == l.host {
+		l.dropped.Own++
+		return
+	}
+	l.tick()
+	p, fresh := l.speaker(w)
+	if p == nil {
+		l.dropped.Old++
+		return
+	}
+	adopt := !l.settled && w.Settled && w.Full
+	baseline := p.gone || adopt || fresh && !l.settled && w.Settled
+	if l.alone {
+		l.join()
+	}
+	l.heard, p.heard = l.now, l.now
+	l.words++
+	for _, u := range w.Uses {
+		a := l.byKey[u.Workspace]
+		if a == nil || a.limit.Rate <= 0 || u.Total < 0 {
+			continue
+		}
+		a.refill(l)
+		if a.told(l, p, u.Total, baseline) && l.settled && w.Settled {
+			a.level += (min(u.Level, a.limit.Burst) - a.level) * min(pullMost, 1/float64(2*l.gates))
+		}
+	}
+	l.rested(p)
+	if adopt {
+		l.adopt(w)
+	}
+	if !w.Settled {
+		l.asked = true
+	}
+}
+
+// speaker gives the gate that a word is of, nil where the word is of a lifetime that
+// is over. It is fresh where nothing was heard of this lifetime yet.
+func (l *Ledger) speaker(w Word) (p *peer, fresh bool) {
+	p = l.peers[w.Host]
+	switch {
+	case p == nil:
+		p = &peer{host: w.Host, lifetime: w.Lifetime, active: make(map[uint64]*use)}
+		l.peers[w.Host] = p
+		return p, true
+	case p.lifetime == w.Lifetime:
+		return p, false
+	}
+	for _, former := range p.former {
+		if former == w.Lifetime {
+			return nil, false
+		}
+	}
+	p.former = append(p.former, p.lifetime)
+	p.former = p.former[max(len(p.former)-formerKept, 0):]
+	p.lifetime = w.Lifetime
+	for _, a := range l.accounts {
+		if u := a.uses[p.host]; u != nil {
+			a.refill(l)
+			a.speakAgain(u)
+			u.total = 0
+		}
+	}
+	p.gone = false
+	return p, true
+}
+
+// rested takes in that a gate has not used workspaces that its word does not list, and
+// that what was left to it while it was silent is free again.
+func (l *Ledger) rested(p *peer) {
+	now := l.second()
+	for key, u := range p.active {
+		a := l.byKey[key]
+		if a == nil || a.uses[p.host] != u {
+			delete(p.active, key)
+			continue
+		}
+		if u.heard < now {
+			a.setPace(l, u, 0)
+		}
+		if u.pace < paceLeast {
+			delete(p.active, key)
+		}
+	}
+	if !p.silent {
+		return
+	}
+	p.silent, p.gone = false, false
+	for _, a := range l.accounts {
+		if u := a.uses[p.host]; u != nil {
+			a.refill(l)
+			a.settle(l, u)
+		}
+	}
+}
+
+// adopt takes over the levels of a gate that knows them.
+func (l *Ledger) adopt(w Word) {
+	told := make(map[uint64]float64, len(w.Uses))
+	for _, u := range w.Uses {
+		told[u.Workspace] = u.Level
+	}
+	for key, a := range l.byKey {
+		level, ok := told[key]
+		if !ok {
+			level = fullPart * a.limit.Burst
+		}
+		a.level = min(level-a.untold, a.limit.Burst)
+	}
+	l.settled = true
+}
+
+func (l *Ledger) sweepPeer(p *peer) {
+	quiet := l.now.Sub(p.heard)
+	if !p.silent && quiet > silentAfter {
+		p.silent = true
+		for _, a := range l.accounts {
+			if a.limit.Rate <= 0 {
+				continue
+			}
+			a.refill(l)
+			u := a.uses[p.host]
+			if u == nil { // it may have used little: it has a share all the same
+				u = &use{heard: l.second(), part: a.partOf(l, 0)}
+				a.uses[p.host] = u
+			}
+			a.fallSilent(l, u)
+		}
+	}
+	if p.silent && !p.gone && quiet > goneAfter {
+		p.gone = true
+		for _, a := range l.accounts {
+			if u := a.uses[p.host]; u != nil {
+				a.refill(l)
+				a.others = max(a.others-u.usual, 0)
+				u.usual = 0
+				a.speakAgain(u)
+			}
+		}
+	}
+}
+
+// second is the time since this ledger began.
+func (l *Ledger) second() float64 { return l.now.Sub(l.started).Seconds() }
--- a/internal/link/beechbeat/beat.go
+++ b/internal/link/beechbeat/beat.go
@@ -29,8 +29,8 @@
 )
 
 type (
-	// Message is a Follow, a Tell, an Announce, a Pass, a Passed, a Peers, an
-	// Inquiry, a Vouch or an Entries.
+	// Message is a Follow, a Tell, an Announce, a Pass, a Passed, a Peers, a
+	// Roster, an Inquiry, a Vouch, an Entries or a Spent.
 	Message interface{ message() }
 
 	// Follow is a gate's word to a keeper.
@@ -51,6 +51,12 @@
 	// Peers is a keeper's word to gates of its zone, of one another.
 	Peers struct{ *beechwire.Peers }
 
+	// Roster is a keeper's word to gates of its zone, of those of other zones.
+	Roster struct{ *beechwire.Roster }
+
+	// Spent is a gate's word to the others on what it has admitted.
+	Spent struct{ *beechwire.Spent }
+
 	// Inquiry is a gate's question to another.
 	Inquiry struct{ *beechwire.Inquiry }
 
@@ -88,6 +94,8 @@
 	kindInquiry  = 'I'
 	kindVouch    = 'V'
 	kindEntries  = 'E'
+	kindRoster   = 'Z'
+	kindSpent    = 'S'
 	datagramMost = 16 << 10
 )
 
@@ -102,6 +110,8 @@
 func (Inquiry) message()  {}
 func (Vouch) message()    {}
 func (Entries) message()  {}
+func (Roster) message()   {}
+func (Spent) message()    {}
 
 // Open binds an address.
 func Open(address netip.AddrPort) (*Socket, error) {
@@ -133,6 +143,10 @@
 		return v.MarshalMsg([]byte{kindVouch})
 	case Entries:
 		return v.MarshalMsg([]byte{kindEntries})
+	case Roster:
+		return v.MarshalMsg([]byte{kindRoster})
+	case Spent:
+		return v.MarshalMsg([]byte{kindSpent})
 	}
 	return nil, errKind
 }
@@ -182,6 +196,12 @@
 	case kindEntries:
 		m := &beechwire.Entries{}
 		return Entries{m}, m
+	case kindRoster:
+		m := &beechwire.Roster{}
+		return Roster{m}, m
+	case kindSpent:
+		m := &beechwire.Spent{}
+		return Spent{m}, m
 	}
 	return nil, nil
 }
@@ -229,6 +249,10 @@
 		return "inquiry"
 	case kindEntries:
 		return "entries"
+	case kindRoster:
+		return "roster"
+	case kindSpent:
+		return "spent"
 	}
 	return "vouch"
 }
--- a/internal/link/beechwire/wire_gen.go
+++ b/internal/link/beechwire/wire_gen.go
@@ -2,7 +2,7 @@
 
 //msgp:ignore WireSchemaJson
 //msgp:limit arrays:65536
-//msgp:tuple Follow Announce Tell Target Weights Copy Peers Inquiry Vouch Entry Entries Pass Passed
+//msgp:tuple Follow Announce Tell Target Weights Copy Peers Inquiry Vouch Entry Entries Pass Passed Zone Roster Use Spent
 
 package beechwire
 
@@ -720,6 +720,13 @@
 	Payload []byte `msg:"Payload"`
 }
 
+// Roster is the datagram by which a keeper tells the gates of its availability
+// zone of those of the others.
+type Roster struct {
+	// Zones corresponds to the JSON schema field "Zones".
+	Zones []Zone `msg:"Zones"`
+}
+
 // Snapshot is what an entry that starts needs: the answer to MethodSnapshot, and
 // what entries leave with agents by MethodShare.
 type Snapshot struct {
@@ -736,6 +743,28 @@
 	Suspects []Suspect `msg:"Suspects"`
 }
 
+// Spent is the datagram by which a gate tells the others what it has admitted of
+// the workspaces' quotas.
+type Spent struct {
+	// A workspace that is not listed has nearly all of its burst.
+	Full bool `msg:"Full"`
+
+	// Hash of the gate's name.
+	Host uint64 `msg:"Host"`
+
+	// Lifetime corresponds to the JSON schema field "Lifetime".
+	Lifetime uint64 `msg:"Lifetime"`
+
+	// The gate that gets it passes it on to the others of its availability zone.
+	Pass bool `msg:"Pass"`
+
+	// The levels stand on what other gates told.
+	Settled bool `msg:"Settled"`
+
+	// Uses corresponds to the JSON schema field "Uses".
+	Uses []Use `msg:"Uses"`
+}
+
 // Suspect is a request that was running when its server crashed.
 type Suspect struct {
 	// AgeMillis corresponds to the JSON schema field "AgeMillis".
@@ -849,6 +878,18 @@
 	Prompt int `msg:"Prompt"`
 }
 
+// Use is what a gate has admitted of a workspace's quota.
+type Use struct {
+	// What the gate believes to be left of the whole bucket; below 0 is a debt.
+	Level int64 `msg:"Level"`
+
+	// In this lifetime of the gate; never falls.
+	Total uint64 `msg:"Total"`
+
+	// Hash of its name.
+	Workspace uint64 `msg:"Workspace"`
+}
+
 // Vouch answers an Inquiry.
 type Vouch struct {
 	// Number corresponds to the JSON schema field "Number".
@@ -869,3 +910,12 @@
 	// Version corresponds to the JSON schema field "Version".
 	Version uint64 `msg:"Version"`
 }
+
+// Zone is the gates of an availability zone.
+type Zone struct {
+	// IP:port to which datagrams go, as binary text.
+	Gates []string `msg:"Gates"`
+
+	// Name corresponds to the JSON schema field "Name".
+	Name string `msg:"Name"`
+}
--- a/internal/link/beechwire/wire_msgp_gen.go
+++ b/internal/link/beechwire/wire_msgp_gen.go
@@ -4343,6 +4343,107 @@
 	return
 }
 
+// MarshalMsg implements msgp.Marshaler
+func (z *Roster) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// array header, size 1
+	o = append(o, 0x91)
+	o = msgp.AppendArrayHeader(o, uint32(len(z.Zones)))
+	for za0001 := range z.Zones {
+		// array header, size 2
+		o = append(o, 0x92)
+		o = msgp.AppendArrayHeader(o, uint32(len(z.Zones[za0001].Gates)))
+		for za0002 := range z.Zones[za0001].Gates {
+			o = msgp.AppendString(o, z.Zones[za0001].Gates[za0002])
+		}
+		o = msgp.AppendString(o, z.Zones[za0001].Name)
+	}
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *Roster) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadArrayHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 != 1 {
+		err = msgp.ArrayError{Wanted: 1, Got: zb0001}
+		return
+	}
+	var zb0002 uint32
+	zb0002, bts, err = msgp.ReadArrayHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Zones")
+		return
+	}
+	if zb0002 > z311325c6limitArrays {
+		err = msgp.ErrLimitExceeded
+		return
+	}
+	if cap(z.Zones) >= int(zb0002) {
+		z.Zones = z.Zones[:zb0002]
+	} else {
+		z.Zones = make([]Zone, zb0002)
+	}
+	for za0001 := range z.Zones {
+		var zb0003 uint32
+		zb0003, bts, err = msgp.ReadArrayHeaderBytes(bts)
+		if err != nil {
+			err = msgp.WrapError(err, "Zones", za0001)
+			return
+		}
+		if zb0003 != 2 {
+			err = msgp.ArrayError{Wanted: 2, Got: zb0003}
+			return
+		}
+		var zb0004 uint32
+		zb0004, bts, err = msgp.ReadArrayHeaderBytes(bts)
+		if err != nil {
+			err = msgp.WrapError(err, "Zones", za0001, "Gates")
+			return
+		}
+		if zb0004 > z311325c6limitArrays {
+			err = msgp.ErrLimitExceeded
+			return
+		}
+		if cap(z.Zones[za0001].Gates) >= int(zb0004) {
+			z.Zones[za0001].Gates = z.Zones[za0001].Gates[:zb0004]
+		} else {
+			z.Zones[za0001].Gates = make([]string, zb0004)
+		}
+		for za0002 := range z.Zones[za0001].Gates {
+			z.Zones[za0001].Gates[za0002], bts, err = msgp.ReadStringBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Zones", za0001, "Gates", za0002)
+				return
+			}
+		}
+		z.Zones[za0001].Name, bts, err = msgp.ReadStringBytes(bts)
+		if err != nil {
+			err = msgp.WrapError(err, "Zones", za0001, "Name")
+			return
+		}
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z *Roster) Msgsize() (s int) {
+	s = 1 + msgp.ArrayHeaderSize
+	for za0001 := range z.Zones {
+		s += 1 + msgp.ArrayHeaderSize
+		for za0002 := range z.Zones[za0001].Gates {
+			s += msgp.StringPrefixSize + len(z.Zones[za0001].Gates[za0002])
+		}
+		s += msgp.StringPrefixSize + len(z.Zones[za0001].Name)
+	}
+	return
+}
+
 // MarshalMsg implements msgp.Marshaler
 func (z *Snapshot) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
@@ -4505,6 +4606,116 @@
 	return
 }
 
+// MarshalMsg implements msgp.Marshaler
+func (z *Spent) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// array header, size 6
+	o = append(o, 0x96)
+	o = msgp.AppendBool(o, z.Full)
+	o = msgp.AppendUint64(o, z.Host)
+	o = msgp.AppendUint64(o, z.Lifetime)
+	o = msgp.AppendBool(o, z.Pass)
+	o = msgp.AppendBool(o, z.Settled)
+	o = msgp.AppendArrayHeader(o, uint32(len(z.Uses)))
+	for za0001 := range z.Uses {
+		// array header, size 3
+		o = append(o, 0x93)
+		o = msgp.AppendInt64(o, z.Uses[za0001].Level)
+		o = msgp.AppendUint64(o, z.Uses[za0001].Total)
+		o = msgp.AppendUint64(o, z.Uses[za0001].Workspace)
+	}
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *Spent) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadArrayHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 != 6 {
+		err = msgp.ArrayError{Wanted: 6, Got: zb0001}
+		return
+	}
+	z.Full, bts, err = msgp.ReadBoolBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Full")
+		return
+	}
+	z.Host, bts, err = msgp.ReadUint64Bytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Host")
+		return
+	}
+	z.Lifetime, bts, err = msgp.ReadUint64Bytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Lifetime")
+		return
+	}
+	z.Pass, bts, err = msgp.ReadBoolBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Pass")
+		return
+	}
+	z.Settled, bts, err = msgp.ReadBoolBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Settled")
+		return
+	}
+	var zb0002 uint32
+	zb0002, bts, err = msgp.ReadArrayHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Uses")
+		return
+	}
+	if zb0002 > z311325c6limitArrays {
+		err = msgp.ErrLimitExceeded
+		return
+	}
+	if cap(z.Uses) >= int(zb0002) {
+		z.Uses = z.Uses[:zb0002]
+	} else {
+		z.Uses = make([]Use, zb0002)
+	}
+	for za0001 := range z.Uses {
+		var zb0003 uint32
+		zb0003, bts, err = msgp.ReadArrayHeaderBytes(bts)
+		if err != nil {
+			err = msgp.WrapError(err, "Uses", za0001)
+			return
+		}
+		if zb0003 != 3 {
+			err = msgp.ArrayError{Wanted: 3, Got: zb0003}
+			return
+		}
+		z.Uses[za0001].Level, bts, err = msgp.ReadInt64Bytes(bts)
+		if err != nil {
+			err = msgp.WrapError(err, "Uses", za0001, "Level")
+			return
+		}
+		z.Uses[za0001].Total, bts, err = msgp.ReadUint64Bytes(bts)
+		if err != nil {
+			err = msgp.WrapError(err, "Uses", za0001, "Total")
+			return
+		}
+		z.Uses[za0001].Workspace, bts, err = msgp.ReadUint64Bytes(bts)
+		if err != nil {
+			err = msgp.WrapError(err, "Uses", za0001, "Workspace")
+			return
+		}
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z *Spent) Msgsize() (s int) {
+	s = 1 + msgp.BoolSize + msgp.Uint64Size + msgp.Uint64Size + msgp.BoolSize + msgp.BoolSize + msgp.ArrayHeaderSize + (len(z.Uses) * (23 + msgp.Int64Size + msgp.Uint64Size + msgp.Uint64Size))
+	return
+}
+
 // MarshalMsg implements msgp.Marshaler
 func (z *Suspect) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
@@ -4991,6 +5202,54 @@
 	return
 }
 
+// MarshalMsg implements msgp.Marshaler
+func (z Use) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// array header, size 3
+	o = append(o, 0x93)
+	o = msgp.AppendInt64(o, z.Level)
+	o = msgp.AppendUint64(o, z.Total)
+	o = msgp.AppendUint64(o, z.Workspace)
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *Use) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadArrayHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 != 3 {
+		err = msgp.ArrayError{Wanted: 3, Got: zb0001}
+		return
+	}
+	z.Level, bts, err = msgp.ReadInt64Bytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Level")
+		return
+	}
+	z.Total, bts, err = msgp.ReadUint64Bytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Total")
+		return
+	}
+	z.Workspace, bts, err = msgp.ReadUint64Bytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Workspace")
+		return
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z Use) Msgsize() (s int) {
+	s = 1 + msgp.Int64Size + msgp.Uint64Size + msgp.Uint64Size
+	return
+}
+
 // MarshalMsg implements msgp.Marshaler
 func (z *Vouch) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
@@ -5128,3 +5387,69 @@
 	s = 1 + msgp.StringPrefixSize + len(z.Model) + msgp.Uint64Size
 	return
 }
+
+// MarshalMsg implements msgp.Marshaler
+func (z *Zone) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// array header, size 2
+	o = append(o, 0x92)
+	o = msgp.AppendArrayHeader(o, uint32(len(z.Gates)))
+	for za0001 := range z.Gates {
+		o = msgp.AppendString(o, z.Gates[za0001])
+	}
+	o = msgp.AppendString(o, z.Name)
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *Zone) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadArrayHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 != 2 {
+		err = msgp.ArrayError{Wanted: 2, Got: zb0001}
+		return
+	}
+	var zb0002 uint32
+	zb0002, bts, err = msgp.ReadArrayHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Gates")
+		return
+	}
+	if zb0002 > z311325c6limitArrays {
+		err = msgp.ErrLimitExceeded
+		return
+	}
+	if cap(z.Gates) >= int(zb0002) {
+		z.Gates = z.Gates[:zb0002]
+	} else {
+		z.Gates = make([]string, zb0002)
+	}
+	for za0001 := range z.Gates {
+		z.Gates[za0001], bts, err = msgp.ReadStringBytes(bts)
+		if err != nil {
+			err = msgp.WrapError(err, "Gates", za0001)
+			return
+		}
+	}
+	z.Name, bts, err = msgp.ReadStringBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Name")
+		return
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z *Zone) Msgsize() (s int) {
+	s = 1 + msgp.ArrayHeaderSize
+	for za0001 := range z.Gates {
+		s += msgp.StringPrefixSize + len(z.Gates[za0001])
+	}
+	s += msgp.StringPrefixSize + len(z.Name)
+	return
+}
--- a/internal/process/beechgate/admit.go
+++ b/internal/process/beechgate/admit.go
@@ -106,7 +106,10 @@
 	return admitted
 }
 
-// Serve answers a call that was let in.
+// Serve answers a call that was let in, as far as its workspace's quota goes.
 func (g *Gate) Serve(ctx context.Context, call *beechcall.Call, out beechattempt.Responder) {
-	g.core.Serve(ctx, call, out)
+	if !g.spend(call, out) {
+		return
+	}
+	g.spent(call, g.core.Serve(ctx, call, out))
 }
--- a/internal/process/beechgate/beliefs.go
+++ b/internal/process/beechgate/beliefs.go
@@ -32,6 +32,7 @@
 	if c != nil && (old == nil || c.Revision > old.Revision) {
 		g.configuration.Store(c)
 		g.placer.SetConfiguration(c)
+		g.setQuotas(c)
 		g.bound(c)
 		g.log.Info("configuration in force", zap.Uint64("version", c.Version), zap.Uint64("revision", c.Revision), zap.Int("routes", len(c.Routes)))
 	}
--- a/internal/process/beechgate/gate.go
+++ b/internal/process/beechgate/gate.go
@@ -5,6 +5,7 @@
 	"errors"
 	"expvar"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"net/netip"
@@ -17,6 +18,7 @@
 	"go.uber.org/zap"
 
 	"github.com/beechring/beechring/internal/decision/beechhealth"
+	"github.com/beechring/beechring/internal/decision/beechquota"
 	"github.com/beechring/beechring/internal/decision/beechsuspect"
 	"github.com/beechring/beechring/internal/link/beechbeat"
 	"github.com/beechring/beechring/internal/link/beechguard"
@@ -65,6 +67,8 @@
 		health        *beechhealth.Tracker
 		suspects      *beechsuspect.Register
 		budgets       *Budgets
+		quotas        *beechquota.Ledger
+		others        *roster // gates of the other zones
 		core          *beechattempt.Core
 		socket        *beechbeat.Socket
 		circle        *beechvouch.Circle // of gates that share their reads of the store
@@ -83,6 +87,7 @@
 		passedOver string        // what is wrong with servers' entries now
 		news       chan struct{} // a follow is due now
 		turnNews   chan struct{} // an engine's turn has ended
+		spentNews  chan struct{} // other gates are to hear at once what was admitted
 	}
 )
 
@@ -137,11 +142,13 @@
 		belief:   beechfresh.New(needs.Age),
 		health:   beechhealth.New(healthSettings, needs.Clock),
 		suspects: beechsuspect.New(beechsuspect.Settings{}, needs.Clock),
+		quotas:   beechquota.New(s.Name, rand.Uint64(), quotaBounds(s.Bounds.Quota), needs.Clock),
+		others:   newRoster(),
 		budgets:  NewBudgets(s.Bounds.Retries, s.Bounds.Spare, time.Duration(s.Bounds.Window), needs.Clock),
 		named:    make(map[string]naming),
 		pace:     beechrollout.NewPace(),
 		news:     make(chan struct{}, 1),
-		turnNews: make(chan struct{}, 1),
+		turnNews: make(chan struct{}, 1), spentNews: make(chan struct{}, 1),
 	}
 	g.bounds.Store(&s.Bounds)
 	g.metrics = newMetrics(g)
@@ -165,6 +172,7 @@
 		{Name: "follow keepers", Run: g.followKeepers},
 		{Name: "hear keepers", Run: func(ctx context.Context) error { return g.socket.Receive(ctx, g.hear) }},
 		{Name: "ask peers", Run: g.askPeers},
+		{Name: "tell spent", Run: g.tellSpent},
 		{Name: "tell traffic", Run: g.tellTraffic},
 		{Name: "tick", Run: g.tick},
 		{Name: "reach kept store", Run: g.reachKept},
@@ -247,6 +255,7 @@
 // and names are in force from the next start on; the bounds at once.
 func (g *Gate) Apply(s *beechsettings.Gate) {
 	g.bounds.Store(&s.Bounds)
+	g.quotas.SetBounds(quotaBounds(s.Bounds.Quota))
 	g.budgets.SetBounds(s.Bounds.Retries, s.Bounds.Spare, time.Duration(s.Bounds.Window))
 	g.log.Info("bounds in force", zap.Duration("revoke", time.Duration(s.Bounds.Revoke)), zap.Duration("grace", time.Duration(s.Bounds.Grace)),
 		zap.Float64("retries", s.Bounds.Retries), zap.Float64("spare", s.Bounds.Spare), zap.Duration("window", time.Duration(s.Bounds.Window)))
--- a/internal/process/beechgate/keepers.go
+++ b/internal/process/beechgate/keepers.go
@@ -113,6 +113,10 @@
 		g.hearPassed(from, v)
 	case beechbeat.Peers:
 		g.hearPeers(v)
+	case beechbeat.Roster:
+		g.others.named(v, g.clock.Now())
+	case beechbeat.Spent:
+		g.hearSpent(from, v)
 	case beechbeat.Inquiry:
 		g.toPeers([]netip.AddrPort{from}, g.vouch(v.Number))
 	case beechbeat.Vouch:
@@ -165,6 +169,7 @@
 	}
 	g.budgets.SetGates(now)
 	g.placer.SetFronts(now)
+	g.quotas.SetGates(now)
 	if c := g.configuration.Load(); c != nil {
 		g.bound(c)
 	}
--- /dev/null
+++ b/internal/process/beechgate/quota.go
@@ -0,0 +1,149 @@
+package beechgate
+
+import (
+	"context"
+	"net/netip"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/beechring/beechring/internal/decision/beechquota"
+	"github.com/beechring/beechring/internal/decision/beechrelay"
+	"github.com/beechring/beechring/internal/link/beechbeat"
+	"github.com/beechring/beechring/internal/link/beechwire"
+	"github.com/beechring/beechring/internal/process/beechsettings"
+	"github.com/beechring/beechring/internal/request/beechattempt"
+	"github.com/beechring/beechring/internal/request/beechcall"
+)
+
+const (
+	// spentInterval is the time between words on what was admitted: a gate that has
+	// not been heard for several of them counts as silent.
+	spentInterval = 300 * time.Millisecond
+	// spentSpace is that between urgent ones: a workspace far beyond its quota would
+	// otherwise have each of its requests told to all gates.
+	spentSpace = 50 * time.Millisecond
+	// usesMost go into one datagram: a use is some 20 bytes.
+	usesMost = 400
+)
+
+func quotaBounds(q beechsettings.Quota) beechquota.Bounds {
+	return beechquota.Bounds{Window: time.Duration(q.Window), Overage: q.Overage, Slack: q.Slack}
+}
+
+// setQuotas puts the workspaces' quotas of a configuration in force.
+func (g *Gate) setQuotas(c *beechcall.Configuration) {
+	limits := make(map[string]beechquota.Limit)
+	unknown := make(map[string]bool)
+	for _, w := range c.Workspaces {
+		switch {
+		case w.Quota.Unknown:
+			unknown[w.Name] = true
+		case w.Quota.Rate > 0:
+			limits[w.Name] = beechquota.Limit{Rate: w.Quota.Rate, Burst: w.Quota.Burst}
+		}
+	}
+	g.quotas.SetLimits(limits, unknown)
+}
+
+// spend takes a call's size from its workspace's quota, or answers it.
+func (g *Gate) spend(call *beechcall.Call, out beechattempt.Responder) bool {
+	switch d := g.quotas.Admit(call.Workspace.Name, call.Size()).(type) {
+	case beechquota.Refused:
+		g.metrics.denied.Add("over quota", 1)
+		g.log.Warn("request refused", zap.String("request", call.ID), zap.String("route", call.Route.Name), zap.String("reason", "over quota"),
+			zap.String("workspace", call.Workspace.Name), zap.Float64("size", call.Size()), zap.Duration("after", d.After),
+			zap.Float64("level", d.Level), zap.Float64("unread", d.Unread), zap.Float64("rate", d.Limit.Rate), zap.Float64("burst", d.Limit.Burst),
+			zap.Bool("alone", d.Alone), zap.Duration("age", d.Age))
+		out.Refuse(beechattempt.OverQuota{After: d.After})
+		return false
+	case beechquota.Admitted:
+		if d.Tell {
+			select {
+			case g.spentNews <- struct{}{}:
+			default:
+			}
+		}
+	}
+	return true
+}
+
+// spent settles a call's size: each server that may have run it counts.
+func (g *Gate) spent(call *beechcall.Call, runs int) {
+	switch {
+	case runs == 0:
+		g.quotas.GiveBack(call.Workspace.Name, call.Size())
+	case runs > 1:
+		g.quotas.Charge(call.Workspace.Name, call.Size()*float64(runs-1))
+	}
+}
+
+// tellSpent tells the other gates what this one has admitted.
+func (g *Gate) tellSpent(ctx context.Context) error {
+	for number := uint32(0); ; number++ {
+		urgent := false
+		select {
+		case <-g.clock.After(spentInterval):
+		case <-g.spentNews:
+			urgent = true
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+		for _, spent := range wireSpent(g.quotas.Word()) {
+			g.toGates(spent, number, urgent)
+		}
+		g.clock.Sleep(spentSpace)
+	}
+}
+
+// toGates tells all other gates: those of this zone directly, each other zone through
+// relays that pass the word on there.
+func (g *Gate) toGates(spent *beechwire.Spent, number uint32, certain bool) {
+	now := g.clock.Now()
+	g.toPeers(g.circle.Peers(now), beechbeat.Spent{Spent: spent})
+	for _, zone := range g.others.zones(now) {
+		to := zone
+		passed := *spent
+		if relays := beechrelay.Of(g.circle.Self(), zone); relays != nil {
+			to, passed.Pass = beechrelay.Take(relays, number, certain), true
+		}
+		if err := g.socket.SendAll(to, beechbeat.Far, beechbeat.Spent{Spent: &passed}); err != nil {
+			g.log.Debug("gate not told", zap.Error(err))
+		}
+	}
+}
+
+// hearSpent takes in what another gate has admitted.
+func (g *Gate) hearSpent(from netip.AddrPort, s beechbeat.Spent) {
+	if !g.circle.Knows(from) && !g.others.knows(from) {
+		g.metrics.quotas.Add("stranger", 1)
+		return
+	}
+	if s.Pass {
+		passed := *s.Spent
+		passed.Pass = false
+		g.toPeers(g.circle.Peers(g.clock.Now()), beechbeat.Spent{Spent: &passed})
+	}
+	word := beechquota.Word{Host: s.Host, Lifetime: s.Lifetime, Settled: s.Settled, Full: s.Full}
+	for _, u := range s.Uses {
+		word.Uses = append(word.Uses, beechquota.Use{Workspace: u.Workspace, Total: float64(u.Total), Level: float64(u.Level)})
+	}
+	g.quotas.Hear(word)
+}
+
+// wireSpent packs a word into messages that go into a datagram each. Only one that
+// holds all buckets may say so.
+func wireSpent(w beechquota.Word) []*beechwire.Spent {
+	var all []*beechwire.Spent
+	for {
+		n := min(len(w.Uses), usesMost)
+		spent := &beechwire.Spent{Host: w.Host, Lifetime: w.Lifetime, Settled: w.Settled, Full: w.Full && n == len(w.Uses) && all == nil}
+		for _, u := range w.Uses[:n] {
+			spent.Uses = append(spent.Uses, beechwire.Use{Workspace: u.Workspace, Total: uint64(u.Total), Level: int64(u.Level)})
+		}
+		all = append(all, spent)
+		if w.Uses = w.Uses[n:]; len(w.Uses) == 0 {
+			return all
+		}
+	}
+}
--- a/internal/process/beechkeeper/tell.go
+++ b/internal/process/beechkeeper/tell.go
@@ -192,6 +192,22 @@
 	return word
 }
 
+// roster gives the gates of the other zones. The caller holds the lock.
+func (k *Keeper) roster() *beechwire.Roster {
+	zones := make(map[string][]string)
+	for peer, f := range k.followers {
+		if k.way(f) == beechbeat.Far {
+			text, _ := peer.MarshalBinary() // never fails
+			zones[f.zone] = append(zones[f.zone], string(text))
+		}
+	}
+	roster := &beechwire.Roster{}
+	for _, zone := range slices.Sorted(maps.Keys(zones)) {
+		roster.Zones = append(roster.Zones, beechwire.Zone{Name: zone, Gates: zones[zone]})
+	}
+	return roster
+}
+
 // name tells a gate of the gates of this zone, itself among them: they share their
 // reads of the store, and pass words on to one another. The caller holds the lock.
 func (k *Keeper) name(gate netip.AddrPort) {
@@ -202,4 +218,7 @@
 		}
 	}
 	k.send([]netip.AddrPort{gate}, beechbeat.Near, beechbeat.Peers{Peers: peers})
+	if roster := k.roster(); len(roster.Zones) > 0 {
+		k.send([]netip.AddrPort{gate}, beechbeat.Near, beechbeat.Roster{Roster: roster})
+	}
 }
--- a/internal/process/beechsettings/settings.go
+++ b/internal/process/beechsettings/settings.go
@@ -106,6 +106,14 @@
 		Retries float64  `json:"retries,omitempty"` // share of a service's requests, over all gates
 		Spare   float64  `json:"spare,omitempty"`   // retries beyond that, over all gates
 		Window  Duration `json:"window,omitempty"`  // over which retries are counted
+		Quota   Quota    `json:"quota,omitzero"`
+	}
+
+	// Quota is what operators tolerate beyond workspaces' quotas.
+	Quota struct {
+		Window  Duration `json:"window,omitempty"` // over which use is counted
+		Overage float64  `json:"overage"`          // part of the quota
+		Slack   float64  `json:"slack"`            // tokens or requests besides
 	}
 
 	// Keeper holds the settings of the process beside an engine that gives it
@@ -147,7 +155,11 @@
 	defaultRetries     = 0.1
 	defaultSpare       = 20
 	defaultWindow      = 10 * time.Second
-	schemaURL          = "settings.schema.json"
+
+	defaultQuotaWindow  = 8 * time.Second
+	defaultQuotaOverage = 0.1
+
+	schemaURL = "settings.schema.json"
 )
 
 //go:embed settings.schema.json
@@ -195,6 +207,9 @@
 	setDefault(&b.Retries, defaultRetries)
 	setDefault(&b.Spare, defaultSpare)
 	setDefault(&b.Window, Duration(defaultWindow))
+	if b.Quota == (Quota{}) {
+		b.Quota = Quota{Window: Duration(defaultQuotaWindow), Overage: defaultQuotaOverage}
+	}
 	return gate, nil
 }
 
--- a/internal/request/beechattempt/core.go
+++ b/internal/request/beechattempt/core.go
@@ -65,8 +65,8 @@
 		Break()
 	}
 
-	// Refusal is an answer without a server's answer: NotRun, Unknown or
-	// Overdue.
+	// Refusal is an answer without a server's answer: NotRun, OverQuota, Unknown
+	// or Overdue.
 	Refusal interface{ refusal() }
 
 	// NotRun says that the request has not run and will not. After is when to
@@ -76,6 +76,10 @@
 		Reason string
 	}
 
+	// OverQuota says that the workspace has used its quota up; the request has not
+	// run and will not. After is when there will be some for it.
+	OverQuota struct{ After time.Duration }
+
 	// Unknown says that the request may have run.
 	Unknown struct{ Reason string }
 
@@ -83,9 +87,10 @@
 	Overdue struct{}
 )
 
-func (NotRun) refusal()  {}
-func (Unknown) refusal() {}
-func (Overdue) refusal() {}
+func (NotRun) refusal()    {}
+func (OverQuota) refusal() {}
+func (Unknown) refusal()   {}
+func (Overdue) refusal()   {}
 
 // New returns a core. The dependencies are used until the last call ends.
 func New(placer *beechplace.Placer, backend beechcall.Backend, prober Prober, budget Budget, suspects *beechsuspect.Register,
@@ -98,18 +103,19 @@
 }
 
 // Serve answers a call. The context ends when the caller leaves; what runs for
-// it then is cancelled.
-func (c *Core) Serve(ctx context.Context, call *beechcall.Call, out Responder) {
+// it then is cancelled. It tells on how many servers the call may have run.
+func (c *Core) Serve(ctx context.Context, call *beechcall.Call, out Responder) int {
 	if refuse, ok := c.suspects.Check(call.Fingerprint()).(beechsuspect.Refuse); ok {
 		c.log.Warn("request refused", zap.String("request", call.ID), zap.String("reason", "it crashed servers before"), zap.Duration("after", refuse.After))
 		out.Refuse(NotRun{After: refuse.After, Reason: "suspect"})
-		return
+		return 0
 	}
 	limited, cancel := clockwork.WithDeadline(ctx, c.clock, call.Deadline)
 	defer cancel()
 	r := &run{core: c, call: call, out: out, caller: ctx, started: c.clock.Now()}
 	ending := r.serve(limited)
 	c.observer.Ended(Ending{Call: call, How: ending, Choice: r.choice, Sends: r.sends, First: r.first, Took: c.clock.Since(r.started)})
+	return r.sends - r.notRun
 }
 
 // spread is a time around d, so that callers that were refused together do not
--- a/internal/request/beechattempt/run.go
+++ b/internal/request/beechattempt/run.go
@@ -27,7 +27,8 @@
 		tried  []string          // servers, by ID
 		sends  int               // attempts, whatever came of them
 		waits  int               // for parts that were being read
-		ran    int               // attempts that may have run
+		ran    int               // attempts without a good answer that may have run
+		notRun int               // attempts of which it is proved that they have not
 		choice beechplace.Choice // the last
 		first  time.Duration     // from the start to the first byte
 		failed *plain            // a server's own failure, given if no better answer comes
@@ -220,6 +221,7 @@
 	var notRun beechcall.NotRun
 	switch {
 	case errors.As(err, &notSent):
+		r.notRun++
 		ticket.Done(beechplace.Unreached)
 		r.note("not sent", choice, zap.Error(err))
 		if r.sends < sendsMost {
@@ -227,6 +229,7 @@
 		}
 		return stop
 	case errors.As(err, &notRun):
+		r.notRun++
 		ticket.Done(beechplace.TurnedAway)
 		r.core.placer.Refused(choice.Server.ID, notRun, r.call.Model)
 		r.note("turned away", choice, zap.Int("status", notRun.Status), zap.Bool("replaced", notRun.Replaced), zap.Bool("other weights", notRun.Other))
--- a/internal/request/beechcall/call.go
+++ b/internal/request/beechcall/call.go
@@ -30,7 +30,8 @@
 		Model        string // empty for plain services
 		Parts        []Part // the last belongs to the request or its session
 		PromptTokens int
-		OutputTokens int // at most
+		OutputTokens int  // at most
+		UsageTold    bool // the caller named the tokens
 		LastEvent    string
 		Received     time.Time
 		Deadline     time.Time // the caller's own or the route's, the earlier
@@ -136,6 +137,17 @@
 // Left is the time until the call's deadline.
 func (c *Call) Left(now time.Time) time.Duration { return c.Deadline.Sub(now) }
 
+// Size is what the call counts of its workspace's quota.
+func (c *Call) Size() float64 {
+	switch {
+	case !c.Workspace.Quota.Tokens:
+		return 1
+	case c.UsageTold:
+		return float64(c.PromptTokens + c.OutputTokens)
+	}
+	return float64(c.Workspace.Quota.Plain)
+}
+
 // SharedTokens counts the tokens of the parts that other requests may share.
 func (c *Call) SharedTokens() int {
 	total := 0
--- a/internal/request/beechcall/configuration.go
+++ b/internal/request/beechcall/configuration.go
@@ -72,6 +72,16 @@
 		Name     string
 		Isolated bool // shares no cache with other workspaces
 		Priority int  // goes before the route's; negative is none
+		Quota    Quota
+	}
+
+	// Quota is what a workspace may use over all gates together.
+	Quota struct {
+		Rate    float64 // a second; 0 is no limit
+		Burst   float64
+		Tokens  bool // both are tokens, else requests
+		Plain   int  // tokens that a request counts which names none
+		Unknown bool // what operators wrote cannot be used: the last good one stays
 	}
 
 	// Limits bound what a caller may send. Zero is not known.
--- a/internal/state/beechvouch/circle.go
+++ b/internal/state/beechvouch/circle.go
@@ -100,6 +100,9 @@
 	return slices.DeleteFunc(slices.Clone(first), func(peer netip.AddrPort) bool { return peer == c.self })
 }
 
+// Self is the address of this process.
+func (c *Circle) Self() netip.AddrPort { return c.self }
+
 // Peers gives all peers.
 func (c *Circle) Peers(now time.Time) []netip.AddrPort {
 	c.mu.Lock()
