The number of gates falls again, and what was spent of retries stays spent

Cause: setGates only ever grew, though its comment said otherwise: after hosts were replaced all shares of retries, connections, links and quotas were too small for good. A number that changes gave each service a new retry budget.

Change: the largest number that keepers told within 10 to 20 s counts; budgets keep their ledger.

--- a/internal/decision/beechretry/budget.go
+++ b/internal/decision/beechretry/budget.go
@@ -122,6 +122,16 @@
 	return s
 }
 
+// SetSpare changes the spare retries. What was spent stays spent.
+func (b *Budget) SetSpare(n int) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if n > 0 {
+		b.settings.Spare = n
+		b.credit = min(b.credit, n*one)
+	}
+}
+
 // Sent counts a first attempt, of which a fraction may be retried.
 func (b *Budget) Sent() {
 	b.mu.Lock()
--- a/internal/process/beechgate/budget.go
+++ b/internal/process/beechgate/budget.go
@@ -41,7 +41,8 @@
 	return &Budgets{ratio: ratio, spare: spare, window: window, clock: clock, gates: gatesUnknown, services: make(map[string]*beechretry.Budget)}
 }
 
-// SetGates tells how many gates share the budget.
+// SetGates tells how many gates share the budget. What was spent stays spent: the
+// number changes whenever one comes or goes.
 func (b *Budgets) SetGates(n int) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
@@ -49,9 +50,14 @@
 		return
 	}
 	b.gates = n
-	clear(b.services)
+	for _, budget := range b.services {
+		budget.SetSpare(b.share())
+	}
 }
 
+// share is this gate's part of the spare retries. The caller holds the lock.
+func (b *Budgets) share() int { return max(int(b.spare*cautious)/b.gates, 1) }
+
 // SetBounds changes the operators' bounds.
 func (b *Budgets) SetBounds(ratio, spare float64, window time.Duration) {
 	b.mu.Lock()
@@ -77,7 +83,7 @@
 	budget, ok := b.services[service]
 	if !ok {
 		settings := beechretry.Settings{
-			Percent: max(int(b.ratio*percent*cautious), 1), Spare: max(int(b.spare*cautious)/b.gates, 1), Window: b.window,
+			Percent: max(int(b.ratio*percent*cautious), 1), Spare: b.share(), Window: b.window,
 			MaxAttempts: triesMost, Backoff: time.Millisecond, MaxBackoff: time.Millisecond,
 		}
 		budget = beechretry.New(settings, b.clock, rand.NewPCG(rand.Uint64(), rand.Uint64()))
--- a/internal/process/beechgate/gate.go
+++ b/internal/process/beechgate/gate.go
@@ -82,6 +82,7 @@
 		named   map[string]naming
 		servers []beechcall.Server
 		gates   int
+		seen    most // gates, by keepers' words
 
 		pace       *beechrollout.Pace
 		passedOver string        // what is wrong with servers' entries now
--- a/internal/process/beechgate/keepers.go
+++ b/internal/process/beechgate/keepers.go
@@ -161,7 +161,7 @@
 func (g *Gate) setGates(n int) {
 	g.mu.Lock()
 	old := g.gates
-	g.gates = max(g.gates, n)
+	g.gates = g.seen.told(n, g.clock.Now())
 	now := g.gates
 	g.mu.Unlock()
 	if now == old {
