Gates find out together which engines are slower

Change: each engine has a pace: the mean logarithm of the time of first words over what the common speed lets expect, against the middle one of all engines, shrunk by what engines alike differ by. One gate sees an engine a few times in ten seconds, so gates tell one another each second (Paces, on the same rails as Spent). Reading, fixed time, what is ahead and the fill cost of an engine follow its pace. It fades, so that one that has recovered is tried again.

--- a/internal/link/beechbeat/beat.go
+++ b/internal/link/beechbeat/beat.go
@@ -30,7 +30,7 @@
 
 type (
 	// Message is a Follow, a Tell, an Announce, a Pass, a Passed, a Peers, a
-	// Roster, an Inquiry, a Vouch, an Entries or a Spent.
+	// Roster, an Inquiry, a Vouch, an Entries, a Spent or a Paces.
 	Message interface{ message() }
 
 	// Follow is a gate's word to a keeper.
@@ -57,6 +57,9 @@
 	// Spent is a gate's word to the others on what it has admitted.
 	Spent struct{ *beechwire.Spent }
 
+	// Paces is a gate's word to the others on how fast engines are.
+	Paces struct{ *beechwire.Paces }
+
 	// Inquiry is a gate's question to another.
 	Inquiry struct{ *beechwire.Inquiry }
 
@@ -96,6 +99,7 @@
 	kindEntries  = 'E'
 	kindRoster   = 'Z'
 	kindSpent    = 'S'
+	kindPaces    = 'Q'
 	datagramMost = 16 << 10
 )
 
@@ -112,6 +116,7 @@
 func (Entries) message()  {}
 func (Roster) message()   {}
 func (Spent) message()    {}
+func (Paces) message()    {}
 
 // Open binds an address.
 func Open(address netip.AddrPort) (*Socket, error) {
@@ -147,6 +152,8 @@
 		return v.MarshalMsg([]byte{kindRoster})
 	case Spent:
 		return v.MarshalMsg([]byte{kindSpent})
+	case Paces:
+		return v.MarshalMsg([]byte{kindPaces})
 	}
 	return nil, errKind
 }
@@ -202,6 +209,9 @@
 	case kindSpent:
 		m := &beechwire.Spent{}
 		return Spent{m}, m
+	case kindPaces:
+		m := &beechwire.Paces{}
+		return Paces{m}, m
 	}
 	return nil, nil
 }
@@ -253,6 +263,8 @@
 		return "roster"
 	case kindSpent:
 		return "spent"
+	case kindPaces:
+		return "paces"
 	}
 	return "vouch"
 }
--- a/internal/link/beechwire/wire_gen.go
+++ b/internal/link/beechwire/wire_gen.go
@@ -2,7 +2,7 @@
 
 //msgp:ignore WireSchemaJson
 //msgp:limit arrays:65536
-//msgp:tuple Follow Announce Tell Target Weights Copy Peers Inquiry Vouch Entry Entries Pass Passed Zone Roster Use Spent
+//msgp:tuple Follow Announce Tell Target Weights Copy Peers Inquiry Vouch Entry Entries Pass Passed Zone Roster Use Spent Seen Paces
 
 package beechwire
 
@@ -534,6 +534,16 @@
 	Stream uint64 `msg:"Stream"`
 }
 
+// Paces is the datagram by which a gate tells the others how fast it has seen
+// engines to be.
+type Paces struct {
+	// List corresponds to the JSON schema field "List".
+	List []Seen `msg:"List"`
+
+	// The gate that gets it passes it on to the others of its availability zone.
+	Pass bool `msg:"Pass"`
+}
+
 // Pass is the datagram by which a keeper tells one gate of another availability
 // zone what that gate is to pass on to the others there.
 type Pass struct {
@@ -727,6 +737,18 @@
 	Zones []Zone `msg:"Zones"`
 }
 
+// Seen is what first words of an engine told a gate of its pace.
+type Seen struct {
+	// Hash of its ID.
+	Engine uint64 `msg:"Engine"`
+
+	// Mean of the logarithm of their time against what was expected, in thousandths.
+	Log int `msg:"Log"`
+
+	// Samples corresponds to the JSON schema field "Samples".
+	Samples int `msg:"Samples"`
+}
+
 // Snapshot is what an entry that starts needs: the answer to MethodSnapshot, and
 // what entries leave with agents by MethodShare.
 type Snapshot struct {
--- a/internal/link/beechwire/wire_msgp_gen.go
+++ b/internal/link/beechwire/wire_msgp_gen.go
@@ -3406,6 +3406,92 @@
 	return
 }
 
+// MarshalMsg implements msgp.Marshaler
+func (z *Paces) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// array header, size 2
+	o = append(o, 0x92)
+	o = msgp.AppendArrayHeader(o, uint32(len(z.List)))
+	for za0001 := range z.List {
+		// array header, size 3
+		o = append(o, 0x93)
+		o = msgp.AppendUint64(o, z.List[za0001].Engine)
+		o = msgp.AppendInt(o, z.List[za0001].Log)
+		o = msgp.AppendInt(o, z.List[za0001].Samples)
+	}
+	o = msgp.AppendBool(o, z.Pass)
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *Paces) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadArrayHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 != 2 {
+		err = msgp.ArrayError{Wanted: 2, Got: zb0001}
+		return
+	}
+	var zb0002 uint32
+	zb0002, bts, err = msgp.ReadArrayHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "List")
+		return
+	}
+	if zb0002 > z311325c6limitArrays {
+		err = msgp.ErrLimitExceeded
+		return
+	}
+	if cap(z.List) >= int(zb0002) {
+		z.List = z.List[:zb0002]
+	} else {
+		z.List = make([]Seen, zb0002)
+	}
+	for za0001 := range z.List {
+		var zb0003 uint32
+		zb0003, bts, err = msgp.ReadArrayHeaderBytes(bts)
+		if err != nil {
+			err = msgp.WrapError(err, "List", za0001)
+			return
+		}
+		if zb0003 != 3 {
+			err = msgp.ArrayError{Wanted: 3, Got: zb0003}
+			return
+		}
+		z.List[za0001].Engine, bts, err = msgp.ReadUint64Bytes(bts)
+		if err != nil {
+			err = msgp.WrapError(err, "List", za0001, "Engine")
+			return
+		}
+		z.List[za0001].Log, bts, err = msgp.ReadIntBytes(bts)
+		if err != nil {
+			err = msgp.WrapError(err, "List", za0001, "Log")
+			return
+		}
+		z.List[za0001].Samples, bts, err = msgp.ReadIntBytes(bts)
+		if err != nil {
+			err = msgp.WrapError(err, "List", za0001, "Samples")
+			return
+		}
+	}
+	z.Pass, bts, err = msgp.ReadBoolBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Pass")
+		return
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z *Paces) Msgsize() (s int) {
+	s = 1 + msgp.ArrayHeaderSize + (len(z.List) * (20 + msgp.Uint64Size + msgp.IntSize + msgp.IntSize)) + msgp.BoolSize
+	return
+}
+
 // MarshalMsg implements msgp.Marshaler
 func (z *Pass) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
@@ -4444,6 +4530,54 @@
 	return
 }
 
+// MarshalMsg implements msgp.Marshaler
+func (z Seen) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// array header, size 3
+	o = append(o, 0x93)
+	o = msgp.AppendUint64(o, z.Engine)
+	o = msgp.AppendInt(o, z.Log)
+	o = msgp.AppendInt(o, z.Samples)
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *Seen) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadArrayHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 != 3 {
+		err = msgp.ArrayError{Wanted: 3, Got: zb0001}
+		return
+	}
+	z.Engine, bts, err = msgp.ReadUint64Bytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Engine")
+		return
+	}
+	z.Log, bts, err = msgp.ReadIntBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Log")
+		return
+	}
+	z.Samples, bts, err = msgp.ReadIntBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Samples")
+		return
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z Seen) Msgsize() (s int) {
+	s = 1 + msgp.Uint64Size + msgp.IntSize + msgp.IntSize
+	return
+}
+
 // MarshalMsg implements msgp.Marshaler
 func (z *Snapshot) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
--- a/internal/process/beechgate/gate.go
+++ b/internal/process/beechgate/gate.go
@@ -174,6 +174,7 @@
 		{Name: "hear keepers", Run: func(ctx context.Context) error { return g.socket.Receive(ctx, g.hear) }},
 		{Name: "ask peers", Run: g.askPeers},
 		{Name: "tell spent", Run: g.tellSpent},
+		{Name: "tell paces", Run: g.tellPaces},
 		{Name: "tell traffic", Run: g.tellTraffic},
 		{Name: "tick", Run: g.tick},
 		{Name: "reach kept store", Run: g.reachKept},
@@ -290,6 +291,9 @@
 // to the store are paid for, and a fleet's bill is explained from these lines.
 func (g *Gate) tellTraffic(ctx context.Context) error {
 	return beechtask.Every(ctx, g.clock, trafficInterval, func() {
+		if slow := slowest(g.placer.Paces()); len(slow) > 0 {
+			g.log.Info("engines differ in pace", zap.Any("times", slow))
+		}
 		g.log.Info("traffic", beechlog.Counts("datagrams", g.socket.Sent()), beechlog.Counts("bodies", g.metrics.bodies), beechlog.Counts("store", g.needs.StoreUse))
 	})
 }
--- a/internal/process/beechgate/keepers.go
+++ b/internal/process/beechgate/keepers.go
@@ -117,6 +117,8 @@
 		g.others.named(v, g.clock.Now())
 	case beechbeat.Spent:
 		g.hearSpent(from, v)
+	case beechbeat.Paces:
+		g.hearPaces(from, v)
 	case beechbeat.Inquiry:
 		g.toPeers([]netip.AddrPort{from}, g.vouch(v.Number))
 	case beechbeat.Vouch:
--- a/internal/process/beechgate/metrics.go
+++ b/internal/process/beechgate/metrics.go
@@ -12,13 +12,13 @@
 type (
 	// metrics is what a gate counts; docs/OPERATIONS.md explains each name.
 	metrics struct {
-		vars    *expvar.Map
-		endings *expvar.Map
-		retried *expvar.Int
-		denied  *expvar.Map
-		quotas  *expvar.Map // words on quotas that were passed over
-		vouches *expvar.Map // other gates' words on their copies, by what they proved
-		bodies  *expvar.Map // bytes of requests' bodies, by way
+		vars      *expvar.Map
+		endings   *expvar.Map
+		retried   *expvar.Int
+		denied    *expvar.Map
+		strangers *expvar.Int // words of hosts that no keeper names
+		vouches   *expvar.Map // other gates' words on their copies, by what they proved
+		bodies    *expvar.Map // bytes of requests' bodies, by way
 
 		short      *expvar.Int // versions that not all engines could have in time
 		passedOver *expvar.Int // changes of servers' entries that cannot be used
@@ -30,14 +30,15 @@
 func newMetrics(g *Gate) *metrics {
 	m := &metrics{
 		vars: new(expvar.Map), endings: new(expvar.Map), retried: new(expvar.Int), denied: new(expvar.Map),
-		vouches: new(expvar.Map), bodies: new(expvar.Map), quotas: new(expvar.Map),
+		vouches: new(expvar.Map), bodies: new(expvar.Map), strangers: new(expvar.Int),
 		short: new(expvar.Int), passedOver: new(expvar.Int), first: beechmetric.NewLatency(), whole: beechmetric.NewLatency(),
 	}
 	m.vars.Set("endings", m.endings)
 	m.vars.Set("retried", m.retried)
 	m.vars.Set("denied", m.denied)
 	m.vars.Set("vouches", m.vouches)
-	m.vars.Set("quotaWordsPassedOver", m.quotas)
+	m.vars.Set("paces", expvar.Func(func() any { return slowest(g.placer.Paces()) }))
+	m.vars.Set("strangers", m.strangers)
 	m.vars.Set("quotas", expvar.Func(func() any { return g.quotas.State() }))
 	m.vars.Set("bodyBytes", m.bodies)
 	m.vars.Set("datagramBytes", g.socket.Sent())
--- a/internal/process/beechgate/quota.go
+++ b/internal/process/beechgate/quota.go
@@ -8,7 +8,6 @@
 	"go.uber.org/zap"
 
 	"github.com/beechring/beechring/internal/decision/beechquota"
-	"github.com/beechring/beechring/internal/decision/beechrelay"
 	"github.com/beechring/beechring/internal/link/beechbeat"
 	"github.com/beechring/beechring/internal/link/beechwire"
 	"github.com/beechring/beechring/internal/process/beechsettings"
@@ -90,39 +89,25 @@
 			return ctx.Err()
 		}
 		for _, spent := range wireSpent(g.quotas.Word()) {
-			g.toGates(spent, number, urgent)
+			g.toGates(number, urgent, func(pass bool) beechbeat.Message {
+				word := *spent
+				word.Pass = pass
+				return beechbeat.Spent{Spent: &word}
+			})
 		}
 		g.clock.Sleep(spentSpace)
 	}
 }
 
-// toGates tells all other gates: those of this zone directly, each other zone through
-// relays that pass the word on there.
-func (g *Gate) toGates(spent *beechwire.Spent, number uint32, certain bool) {
-	now := g.clock.Now()
-	g.toPeers(g.circle.Peers(now), beechbeat.Spent{Spent: spent})
-	for _, zone := range g.others.zones(now) {
-		to := zone
-		passed := *spent
-		if relays := beechrelay.Of(g.circle.Self(), zone); relays != nil {
-			to, passed.Pass = beechrelay.Take(relays, number, certain), true
-		}
-		if err := g.socket.SendAll(to, beechbeat.Far, beechbeat.Spent{Spent: &passed}); err != nil {
-			g.log.Debug("gate not told", zap.Error(err))
-		}
-	}
-}
-
 // hearSpent takes in what another gate has admitted.
 func (g *Gate) hearSpent(from netip.AddrPort, s beechbeat.Spent) {
-	if !g.circle.Knows(from) && !g.others.knows(from) {
-		g.metrics.quotas.Add("stranger", 1)
+	if !g.knows(from) {
 		return
 	}
 	if s.Pass {
 		passed := *s.Spent
 		passed.Pass = false
-		g.toPeers(g.circle.Peers(g.clock.Now()), beechbeat.Spent{Spent: &passed})
+		g.toZone(beechbeat.Spent{Spent: &passed})
 	}
 	word := beechquota.Word{Host: s.Host, Lifetime: s.Lifetime, Settled: s.Settled, Full: s.Full}
 	for _, u := range s.Uses {
--- a/internal/process/beechgate/roster.go
+++ b/internal/process/beechgate/roster.go
@@ -7,6 +7,9 @@
 	"sync"
 	"time"
 
+	"go.uber.org/zap"
+
+	"github.com/beechring/beechring/internal/decision/beechrelay"
 	"github.com/beechring/beechring/internal/link/beechbeat"
 )
 
@@ -63,3 +66,32 @@
 	_, ok := r.gates[gate]
 	return ok
 }
+
+// toZone tells all other gates of this zone.
+func (g *Gate) toZone(m beechbeat.Message) { g.toPeers(g.circle.Peers(g.clock.Now()), m) }
+
+// toGates tells all other gates its n-th word: those of this zone directly, each other
+// zone through relays that pass it on there. One that must not be lost goes through all
+// relays.
+func (g *Gate) toGates(n uint32, certain bool, word func(pass bool) beechbeat.Message) {
+	g.toZone(word(false))
+	for _, zone := range g.others.zones(g.clock.Now()) {
+		to := zone
+		relays := beechrelay.Of(g.circle.Self(), zone)
+		if relays != nil {
+			to = beechrelay.Take(relays, n, certain)
+		}
+		if err := g.socket.SendAll(to, beechbeat.Far, word(relays != nil)); err != nil {
+			g.log.Debug("gate not told", zap.Error(err))
+		}
+	}
+}
+
+// knows tells whether a word is of a gate that keepers name. Others are counted.
+func (g *Gate) knows(from netip.AddrPort) bool {
+	if g.circle.Knows(from) || g.others.knows(from) {
+		return true
+	}
+	g.metrics.strangers.Add(1)
+	return false
+}
--- a/internal/request/beechplace/choose.go
+++ b/internal/request/beechplace/choose.go
@@ -75,14 +75,17 @@
 		c.Salt = salt(call, have)
 		c.Cost += p.prefix(call, s, levels, now, &c)
 		short := p.short(s, call.PromptTokens, now)
-		before := p.ahead(s, now.Add(c.Wait))/p.speed.rate + p.blocked(short, s)
+		slow := p.factor(s, now)
+		rate := p.speed.rate / slow
+		before := p.ahead(s, now.Add(c.Wait))/rate + p.blocked(short, s)
 		c.Ahead = milliseconds(c.Wait) + before
-		own := float64(c.Unread) / p.speed.rate
-		c.Expected = c.Ahead + own + p.speed.fixed
+		own := float64(c.Unread) / rate
+		fixed := p.speed.fixed * slow
+		c.Expected = c.Ahead + own + fixed
 		if old && !p.beginsInTime(&c, age) {
 			return c, false
 		}
-		c.Cost += before + own + p.crowding(short) + p.fill(s, now) + late(c.Expected, milliseconds(call.Route.Objective))
+		c.Cost += before + own + (fixed - p.speed.fixed) + p.crowding(short) + slow*p.fill(s, now) + late(c.Expected, milliseconds(call.Route.Objective))
 	}
 	if s.Zone != p.settings.Zone {
 		c.Cost += p.settings.Crossing + p.settings.CrossingByte*float64(len(call.Body))
@@ -153,13 +156,18 @@
 func (p *Placer) ahead(s *server, now time.Time) float64 {
 	ahead := float64(s.unread)
 	if s.fresh(now) {
-		since := milliseconds(now.Sub(s.told))
-		ahead = max(ahead, float64(s.state.Reading)-since*p.speed.rate)
-		ahead = max(ahead, float64(s.state.Waiting)*p.usual-since*p.speed.rate)
+		read := milliseconds(now.Sub(s.told)) * p.rateOf(s, now)
+		ahead = max(ahead, float64(s.state.Reading)-read)
+		ahead = max(ahead, float64(s.state.Waiting)*p.usual-read)
 	}
 	return ahead
 }
 
+// rateOf is the prompt tokens that a server reads in a millisecond.
+func (p *Placer) rateOf(s *server, now time.Time) float64 {
+	return p.speed.rate / p.factor(s, now)
+}
+
 // Still tells whether the server of a choice may be used yet, after the
 // choice's wait.
 func (p *Placer) Still(c Choice) bool {
--- a/internal/request/beechplace/placer.go
+++ b/internal/request/beechplace/placer.go
@@ -7,6 +7,7 @@
 	"sync"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	lru "github.com/hashicorp/golang-lru/v2"
 	"github.com/jonboulle/clockwork"
 
@@ -26,11 +27,13 @@
 		services map[string][]*server
 		byID     map[string]*server
 		byPlace  map[netip.AddrPort]*server
+		byHash   map[uint64]*server // of the ID
 		sheets   map[string]beechcall.Service
 		stores   []*keptStore
 		versions map[string]*beechrollout.Versions // by model
 		holders  *lru.Cache[uint64, *holding]
-		speed    speed   // of engines, as learned
+		speed    speed   // of engines in common, as learned
+		common   float64 // what first words tell of the middle one's pace
 		usual    float64 // tokens that a request has to read, the mean of the last
 		size     float64 // tokens of a prompt, the mean of the last
 		stay     stay
@@ -49,6 +52,7 @@
 		oldSince time.Time         // since when its weights are overtaken, by its keeper; zero: they are not, as it knows
 		weights  map[string]uint64 // the latest word, the list's or the engine's own
 
+		pace    pace
 		flying  int // sent by this gate, not answered
 		unread  int // tokens that these still have to read
 		atTold  int // flying when the keeper spoke
@@ -112,6 +116,7 @@
 	old := p.byID
 	p.byID = make(map[string]*server, len(list))
 	p.byPlace = make(map[netip.AddrPort]*server, len(list))
+	p.byHash = make(map[uint64]*server, len(list))
 	p.services = make(map[string][]*server)
 	for _, line := range list {
 		s, ok := old[line.ID]
@@ -128,6 +133,7 @@
 			s.weights[model] = max(s.weights[model], version)
 		}
 		p.byID[line.ID] = s
+		p.byHash[xxhash.Sum64String(line.ID)] = s
 		p.place(s)
 		p.services[line.Service] = append(p.services[line.Service], s)
 	}
@@ -213,6 +219,7 @@
 		s.empty = p.clock.Now()
 		s.weights = make(map[string]uint64)
 		s.unread, s.fails = 0, 0
+		s.pace = pace{}
 		s.told, s.downTil, s.darkTil = time.Time{}, time.Time{}, time.Time{}
 	}
 	s.Born = at
--- a/internal/request/beechplace/prefix.go
+++ b/internal/request/beechplace/prefix.go
@@ -204,7 +204,7 @@
 
 // readBy is when a server will have read what it was sent so far.
 func (p *Placer) readBy(s *server, now time.Time) time.Time {
-	return now.Add(time.Duration(p.ahead(s, now)/p.speed.rate*float64(time.Millisecond)) + readSlack)
+	return now.Add(time.Duration(p.ahead(s, now)/p.rateOf(s, now)*float64(time.Millisecond)) + readSlack)
 }
 
 // holding gives what is believed of a part, empty if nothing is.
--- a/internal/request/beechplace/ticket.go
+++ b/internal/request/beechplace/ticket.go
@@ -18,6 +18,7 @@
 	expect  time.Duration
 	unread  int
 	work    float64 // tokens that had to be read, those ahead included
+	usual   float64 // milliseconds that an engine of the common speed takes for it
 	sent    time.Time
 	learned bool
 	first   sync.Once
@@ -38,6 +39,7 @@
 	t.source = c.Fetch
 	t.moved, t.expect = c.Moved, time.Duration((c.Expected-milliseconds(c.Wait))*float64(time.Millisecond))
 	t.work = p.ahead(s, t.sent) + float64(c.Unread)
+	t.usual = t.work/p.speed.rate + p.speed.fixed
 	s.flying++
 	s.unread += c.Unread
 	if call.Model != "" {
@@ -79,6 +81,9 @@
 	if store := t.placer.storeAt(t.source); t.moved > 0 && store != nil {
 		store.fetches.took(now.Sub(t.sent), t.expect, now)
 	}
+	if t.prompt > 0 && t.moved == 0 {
+		t.placer.paced(t.server, took, t.usual, now)
+	}
 	t.placer.speed.learn(t.work, took)
 }
 
