--- a/internal/decision/beechrelay/relay.go
+++ b/internal/decision/beechrelay/relay.go
@@ -3,10 +3,10 @@
 //
 // # Load it answers
 //
-// A keeper tells every gate how its engine stands, several times a second: 120
-// keepers and 68 gates in six zones were 114 MB in 48 s across the borders of
-// zones, half of all that crossed them. Inside a zone bytes cost nothing. So a
-// zone hears through one of its gates, which passes the word on.
+// A keeper tells every gate how its engine stands, several times a second, so that
+// words grow with keepers times gates and become most of what crosses the borders
+// of zones. Inside a zone bytes cost nothing. So a zone hears through one of its
+// gates, which passes the word on.
 //
 // # How it decides
 //
--- a/internal/decision/beechretry/ledger.go
+++ b/internal/decision/beechretry/ledger.go
@@ -6,9 +6,9 @@
 // with a slot set has counted nothing.
 //
 // A credit that is earned by requests and capped by the spare holds little where
-// many hosts share a bound: with 68 of them each had one retry in hand, a refusal
-// needs half of the spare left beside it, and so none was ever tried again. What
-// a host may do within a window is counted instead.
+// many hosts share a bound: each has one retry in hand, a refusal needs half of the
+// spare left beside it, and so none would ever be tried again. What a host may do
+// within a window is counted instead.
 type ledger struct {
 	slot  time.Duration
 	now   int64 // slots since the epoch
--- a/internal/decision/beechroute/doc.go
+++ b/internal/decision/beechroute/doc.go
@@ -16,8 +16,8 @@
 // where wait is the prefill work ahead of the request. The last term is the time
 // that recomputation takes from others; without it the choice is greedy and the fleet
 // falls into the state above once queues grow. WasteWeight is the deployment's own.
-// In all, a weight of 8 to 32 is measured to do well: below, hit rate and tail fall
-// together; above, callers of a hot prefix wait longer for its second copy.
+// With less in all, hit rate and tail fall together; with more than some 32, callers of a
+// hot prefix wait longer for its second copy.
 //
 // Candidates are few whatever the size of the fleet: up to five known holders of the
 // prompt's deepest levels, and three homes, the places of the history's key on a hash
--- a/internal/process/beechgate/beliefs.go
+++ b/internal/process/beechgate/beliefs.go
@@ -107,8 +107,7 @@
 
 // noteServers logs what has changed among the servers: one line for all of them,
 // and one for each of this gate's zone. With a line for each server at each gate
-// the lines of a fleet grew with its square: 9,860 in 48 s with 68 gates and 126
-// servers.
+// the lines of a fleet would grow with its square.
 func (g *Gate) noteServers(old, servers []beechcall.Server) {
 	before := make(map[string]beechcall.Server, len(old))
 	for _, s := range old {
--- a/internal/process/beechgate/gate.go
+++ b/internal/process/beechgate/gate.go
@@ -123,8 +123,7 @@
 )
 
 // healthSettings are quicker than the defaults, since callers' deadlines here
-// are of seconds; measured on days with engines that fail part of their
-// requests.
+// are of seconds.
 var healthSettings = beechhealth.Settings{
 	MaxEjected: 40, Slow: 6, Failed: 0.3, Confirm: 400 * time.Millisecond,
 	Eject: 3 * time.Second, MaxEject: 15 * time.Second, Probes: 2, SlowStart: 2 * time.Second,
--- a/internal/process/beechgate/keepers.go
+++ b/internal/process/beechgate/keepers.go
@@ -81,8 +81,7 @@
 
 // follow has a word with a server's keeper. Suspects reach the keepers of other
 // zones by those of this one, and what a keeper logs of a gate is of its own zone;
-// so words that cross a border do without both: they were 29 MB in 45 s of 68 gates,
-// and take 40 bytes each now.
+// so words that cross a border, where bytes are paid for, do without both.
 func (g *Gate) follow(s beechcall.Server, targets []beechwire.Target, suspects []beechwire.Suspect) {
 	to := netip.AddrPortFrom(s.Address.Addr(), g.settings.Beats.Port())
 	follow := &beechwire.Follow{Zone: g.settings.Zone, Targets: targets, Ask: g.placer.Unheard(s.ID), Rate: g.placer.ReadRate()}
--- a/internal/process/beechgate/peers.go
+++ b/internal/process/beechgate/peers.go
@@ -45,8 +45,8 @@
 )
 
 // askPeers asks the gates that read for this zone how old their copies are.
-// Read and watched by each of 68 gates, the same two prefixes were most of 5,644
-// calls a day of 48 s, and an eighth of the bytes between zones.
+// If each gate read and watched the same two prefixes, that would be most calls to the
+// store, and each is paid for.
 func (g *Gate) askPeers(ctx context.Context) error {
 	return beechtask.Every(ctx, g.clock, askInterval, func() {
 		now := g.clock.Now()
--- a/internal/process/beechkeeper/cache.go
+++ b/internal/process/beechkeeper/cache.go
@@ -162,8 +162,7 @@
 // introduce has a gate that is new told of what the engine holds, the newest
 // parts. A gate that started knows nothing; it would send each history to
 // another engine and have it read or moved there, all of them in the first
-// second: measured, 150 thousand tokens in 0.4 s on nine engines, and answers
-// late for two seconds. The caller holds the lock.
+// second, and answers would be late for some. The caller holds the lock.
 func (k *Keeper) introduce(f *follower) {
 	held := k.held.Keys()
 	for _, part := range held[max(len(held)-newsMost, 0):] {
--- a/internal/process/beechkeeper/tell.go
+++ b/internal/process/beechkeeper/tell.go
@@ -129,9 +129,8 @@
 
 // interval is the time between words to a gate. It grows with the number of those
 // that are told directly, or words would grow with its square. Of a long prompt the
-// gates of all zones hear at once: with 200 ms until those of other zones heard,
-// callers there waited behind it without their gates' knowing. Measured: worth of
-// 0.536 and 0.556 before and after on nine engines, 0.506 and 0.572 on 44.
+// gates of all zones hear at once: those that hear an interval later have callers
+// wait behind it without knowing.
 func (k *Keeper) interval(way beechbeat.Way) time.Duration {
 	many := time.Duration(max(len(k.followers)/followersFew, 1))
 	switch {
--- a/internal/request/beechattempt/blame.go
+++ b/internal/request/beechattempt/blame.go
@@ -22,9 +22,7 @@
 	// A server that a request crashes is gone afterwards; one that resets
 	// connections or breaks off answers while it lives is at fault itself. Were
 	// both blamed on the request, a failing server would have the same question of
-	// many callers refused everywhere, for minutes: 154 of 642 requests, seen on a
-	// day in which one engine of four broke off its answers for a second. It is
-	// safe for concurrent use.
+	// many callers refused everywhere, for minutes. It is safe for concurrent use.
 	blamer struct {
 		prober   Prober
 		suspects *beechsuspect.Register
--- a/internal/request/beechattempt/patience.go
+++ b/internal/request/beechattempt/patience.go
@@ -36,16 +36,13 @@
 	stretchFrom = 50 * time.Millisecond
 	stretchMost = 8
 	// hopelessTimes is how often its objective a first byte may be expected to
-	// take. Callers here leave after four times, and lateness is worth to them a
-	// half or a tenth. Measured on days with a quarter of the engines dark: 3
-	// and 2 help, 1.5 helps one of the users more and the other less, 1.1
-	// starves the longest kind of request.
+	// take: callers leave after four times, and the longest kind of request would
+	// starve if little more than one were allowed.
 	hopelessTimes = 2
 	// stretchFades is the time in which half of a stretch is forgotten while no
 	// answer comes: about what it takes engines to work off what has queued up.
 	// Without it a stretch that has most calls refused stays, since it is
-	// unlearned from answers only. Measured with a third of 18 engines crashed three
-	// times in eight seconds: 1,849 calls refused by it in a day of 34 s.
+	// unlearned from answers only.
 	stretchFades = 2 * time.Second
 )
 
--- a/internal/request/beechplace/choose.go
+++ b/internal/request/beechplace/choose.go
@@ -98,10 +98,9 @@
 // always, and then only if by what is expected it begins before it with time to
 // spare. What does not begin by then is taken back.
 //
-// With one edge for all, engines that were not refreshed yet left the choice at one
-// moment, 99 of 120 on a day on which half of the orders were late, and four seconds
-// of callers were refused or late at the rest. So those with little ahead go on
-// until shortly before the bound, while the others are refreshed.
+// With one edge for all, most engines can leave the choice at one moment, where orders
+// are late, and callers are refused or late at the rest. So those with little ahead
+// go on until shortly before the bound, while the others are refreshed.
 func (p *Placer) beginsInTime(c *Choice, age time.Duration) bool {
 	c.Begin = p.settings.OldBegin - age - c.Wait
 	if age <= p.settings.OldMost {
--- a/internal/request/beechplace/link.go
+++ b/internal/request/beechplace/link.go
@@ -25,16 +25,13 @@
 	// linkShare of each way's rate may be asked for by all gates together. It is
 	// more than the link carries, since gates have uneven shares of the callers
 	// and not all that is asked for is there; what is too much shows in transfers
-	// that come late. Measured with two bursts of 1.8 to 3 times the load, worth
-	// on 18 and 9 engines: without bounds on fetches 0.38 and 0.40, with 0.8 of
-	// the rate 0.68 and 0.38, with 1.6 0.65 and 0.41; on days without bursts 0.8
-	// costs nine engines 0.02.
+	// that come late.
 	linkShare = 1.6
 	// linkLump is how much may be used at once, as time of the share, and lumpPrompts
 	// is that as prompts at the least. The more gates share a link the smaller each
-	// share, and the more unevenly it is asked for: with 68 gates 300 ms of it are
-	// half a prompt, so that the second of two histories in a row would be read again
-	// though it lies in a store whose link is idle.
+	// share, and the more unevenly it is asked for: with less than some prompts, the
+	// second of two histories in a row would be read again though it lies in a store
+	// whose link is idle.
 	linkLump    = 300 * time.Millisecond
 	lumpPrompts = 3
 	// lateTransfer is how much later than expected a first byte must come for
--- a/internal/request/beechplace/memory.go
+++ b/internal/request/beechplace/memory.go
@@ -34,9 +34,7 @@
 //
 // With part of a fleet dark the others' memory fills with runs, and a long
 // prompt waits a second and more for room while little is ahead of it to be
-// read. Counted by reading alone (243 ms expected, 1,525 ms seen) it went where
-// it was late and kept others out; worth of 0.577 and 0.583 without and with
-// this, 36 days of nine engines, and 0.50 and 0.52 with a quarter of them dark.
+// read. Counted by reading alone it would go where it is late and keep others out.
 func (p *Placer) blocked(short float64, s *server) float64 {
 	if short <= 0 {
 		return 0
--- a/internal/request/beechplace/placer.go
+++ b/internal/request/beechplace/placer.go
@@ -60,17 +60,16 @@
 		downTil time.Time
 		darkTil time.Time // by the plan or by its own refusal: it loads weights
 		// doubtTil is while what answers at its address after it was down may be
-		// another lifetime, which the list does not tell yet. Sent on at once, 422
-		// requests in two seconds were turned away by a third of 120 engines that
-		// had just come back, and the tries that each cost were missed elsewhere.
+		// another lifetime, which the list does not tell yet. Sent on at once,
+		// requests would be turned away there, and the tries that each costs would be
+		// missed elsewhere.
 		doubtTil time.Time
 	}
 
 	// holding is where a shared part was sent lately. An instruction that all
 	// requests share lies in every engine, so all holders are remembered: with
-	// the latest four only, one of 42 engines that held both the instruction and
-	// a history was taken for one that had neither, and of the long prompts 21
-	// in 100 went where their history lay.
+	// the latest few only, an engine that holds both the instruction and a history
+	// would be taken for one that has neither, and the history be read elsewhere.
 	holding struct {
 		servers map[string]holder // by ID
 		latest  []string          // IDs to fetch from, the latest first
--- a/internal/request/beechplace/prefix.go
+++ b/internal/request/beechplace/prefix.go
@@ -29,8 +29,8 @@
 	homeHolds = 0.1
 	// saveAgain is how long a part is taken to lie in the store of kept KV cache
 	// without being saved again; fetching it keeps it there. Each saving takes
-	// the request's own part along, which nobody fetches: saved each 20 s the
-	// prompts of 44 engines were more than the store's link carries.
+	// the request's own part along, which nobody fetches: saved more often, prompts
+	// would be more than the store's link carries.
 	saveAgain = time.Minute
 	// waitMost is the longest wait for a part that is being read. Reading a
 	// history takes engines 100 to 200 ms; with more ahead it is not sure when
--- a/internal/request/beechplace/speed.go
+++ b/internal/request/beechplace/speed.go
@@ -2,10 +2,9 @@
 
 // speed is how fast engines read prompts, as seen from this gate: a time that
 // every first word takes, however short the prompt, and a rate beyond it. Taken
-// as one, the fixed 80 ms of engines that read 75 tokens in a millisecond made
-// them look as if they read 25 to 35; waits were believed two to three times as
-// long as they were, prompts went elsewhere than where their history lay, and
-// were read again there.
+// as one, the fixed time makes engines look much slower than they read; waits are
+// believed to be longer than they are, prompts go elsewhere than where their
+// history lies, and are read again there.
 type speed struct {
 	rate  float64 // tokens in a millisecond
 	fixed float64 // milliseconds
--- a/internal/request/beechplace/types.go
+++ b/internal/request/beechplace/types.go
@@ -87,13 +87,12 @@
 	Left                      // the caller left
 )
 
-// Defaults are the settings where none are given. PrefillRate is below what the known engines read (41 and 70 tokens
-// in a millisecond); it is where the estimate begins. Costs stand in
-// milliseconds of a caller's wait, taken as 150 for the worth of one plain
-// request. Waste and Move: the users pay about 0.9 for a thousand shared tokens
-// that are read again and 0.03 for a thousand that are moved; but a copy displaces
-// other parts, so a moved token costs half as much as one read again. Measured on
-// 9, 18 and 44 engines: from 0.04 to 0.12 there is no difference. Crossing: a byte
+// Defaults are the settings where none are given. PrefillRate is below what engines read;
+// it is where the estimate begins. Costs stand in milliseconds of a caller's wait, taken
+// as 150 for the worth of one plain request. Waste and Move: the users pay about 0.9
+// for a thousand shared tokens that are read again and 0.03 for a thousand that are
+// moved; but a copy displaces other parts, so a moved token costs half as much as one
+// read again. Crossing: a byte
 // between zones costs up to 8 millionths, and the way there and back some
 // milliseconds. Old*: weights that are 1.5 s old cost their callers a part of
 // the answer's worth. Down: a restart takes some seconds, a lost packet less.
--- a/internal/request/beechrollout/pace.go
+++ b/internal/request/beechrollout/pace.go
@@ -12,8 +12,8 @@
 // is not safe for concurrent use.
 //
 // How many a store of weights serves without slowing down is on no sheet that
-// the router reads. With nine at once where three are served well, loads of
-// 1.9 s were seen to take 10 to 17 s, and no engine could be used for seconds.
+// the router reads. With some times as many, each load takes several times as long,
+// and no engine can be used for seconds.
 type Pace struct {
 	most  float64       // engines; 0 is not known yet
 	base  time.Duration // of a load where few are at it
