Gates say nothing of quotas where there are none

Cause: a word each 300 ms to all gates of deployments without quotas, which crosses borders where bytes are paid for. Change: no word while no workspace has a limit.

--- a/internal/decision/beechquota/ledger.go
+++ b/internal/decision/beechquota/ledger.go
@@ -302,6 +302,18 @@
 	change(a)
 }
 
+// Limited tells whether any workspace has a limit.
+func (l *Ledger) Limited() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for _, a := range l.accounts {
+		if a.limit.Rate > 0 {
+			return true
+		}
+	}
+	return false
+}
+
 // State gives the buckets that are asked most of, for metrics.
 func (l *Ledger) State() State {
 	l.mu.Lock()
--- a/internal/process/beechgate/quota.go
+++ b/internal/process/beechgate/quota.go
@@ -88,6 +88,9 @@
 		case <-ctx.Done():
 			return ctx.Err()
 		}
+		if !g.quotas.Limited() {
+			continue // there is nothing to agree on
+		}
 		for _, spent := range wireSpent(g.quotas.Word()) {
 			g.toGates(number, urgent, func(pass bool) beechbeat.Message {
 				word := *spent
