A gate that starts does not take old totals for new use; what is left to silent gates is a part of the limit

Cause, found by reading the whole once more: after a gate had adopted the levels of one that knew, the first total of each other gate, of its whole lifetime, was taken off the bucket, and a workspace's callers were refused there for seconds; the share of a silent gate was kept as a rate, which is more than all of a limit that is lowered meanwhile; an absurd level in a word shut a workspace out.

Change: words carry the age of their gate's lifetime, and totals of an older one begin where they are first heard; shares are parts; levels are bounded.

--- a/internal/decision/beechquota/account.go
+++ b/internal/decision/beechquota/account.go
@@ -31,7 +31,7 @@
 		others  float64         // sum of what they use lately
 		speed   float64         // sum of the paces of those that are heard
 		speedAt float64         // sum of pace times the second of its last word
-		silent  float64         // sum of the rates left to those that are not heard
+		silent  float64         // sum of the parts left to those that are not heard
 
 		admitted, refused int
 	}
@@ -43,7 +43,7 @@
 		pace     float64 // over the last words
 		usual    float64 // over some seconds
 		part     float64 // of what all used, when it was heard last
-		withheld float64 // rate left to it while it is silent
+		withheld float64 // part of the limit left to it while it is silent
 		since    float64 // second from which on that is so
 	}
 
@@ -81,7 +81,7 @@
 	a.at = l.now
 	rate, share := a.limit.Rate, l.share(a)
 	// Silent gates have their part of the burst too.
-	heard := max(1-l.missing-a.silent/rate, 0)
+	heard := max(1-l.missing-a.silent, 0)
 	a.level = min(a.level+rate*heard*passed, a.limit.Burst*heard)
 	a.local = min(a.local+rate*share*passed, a.limit.Burst*share)
 }
@@ -128,8 +128,7 @@
 // spent takes off what another gate has admitted. A debt is bounded: one faulty
 // word must not shut a workspace out for long.
 func (a *account) spent(l *Ledger, size float64) {
-	least := -(a.limit.Burst + l.tolerance(a.limit))
-	a.level = max(a.level-size, min(least, a.level))
+	a.level = max(a.level-size, min(l.least(a), a.level))
 }
 
 // told takes in another gate's total. Baseline says that what it used so far is in the
@@ -140,7 +139,7 @@
 	if u == nil {
 		u = &use{heard: now}
 		a.uses[p.host] = u
-		if baseline {
+		if baseline || p.older {
 			u.total = total
 		}
 	}
@@ -191,16 +190,16 @@
 	a.speed -= u.pace
 	a.speedAt -= u.pace * u.heard
 	u.pace = 0
-	u.withheld = a.limit.Rate * u.part
+	u.withheld = u.part
 	u.since = u.heard
-	a.spent(l, u.withheld*(l.second()-u.since))
+	a.spent(l, a.limit.Rate*u.withheld*(l.second()-u.since))
 	a.silent += u.withheld
 }
 
 // settle gives back what was left to a gate while it was silent: what it has used of it, it
 // tells.
 func (a *account) settle(l *Ledger, u *use) {
-	a.level = min(a.level+u.withheld*(l.second()-u.since), a.limit.Burst)
+	a.level = min(a.level+a.limit.Rate*u.withheld*(l.second()-u.since), a.limit.Burst)
 	a.speakAgain(u)
 }
 
--- a/internal/decision/beechquota/ledger.go
+++ b/internal/decision/beechquota/ledger.go
@@ -210,6 +210,9 @@
 	return l.bounds.Overage*(limit.Rate*l.bounds.Window.Seconds()+limit.Burst) + l.bounds.Slack
 }
 
+// least is the lowest level that is believed. More is a fault of who tells it.
+func (l *Ledger) least(a *account) float64 { return -(a.limit.Burst + l.tolerance(a.limit)) }
+
 // debt is how far this gate may go beyond its share while it is alone. If each gate could
 // let in one large request beyond it, many gates would exceed a small limit together:
 // a lot that is drawn for each window lets some do so and not the others.
--- a/internal/decision/beechquota/ledger_test.go
+++ b/internal/decision/beechquota/ledger_test.go
@@ -127,6 +127,82 @@
 	is.True(!admitted(fresh, 1))
 }
 
+// A gate starts late in the day and takes the level from one that knows. The others then
+// tell totals of the whole day: none of that may be taken for new, or the workspace's
+// callers are refused at this gate for seconds.
+func TestTotalsOfOlderGatesAreNoNewUse(t *testing.T) {
+	is := is.New(t)
+	clock := clockwork.NewFakeClock()
+	all := newGates(4, tight, clock)
+	settle(all, clock)
+	for range 200 { // a long day well below the limit
+		for _, l := range all[1:] {
+			is.True(admitted(l, 20))
+		}
+		clock.Advance(100 * time.Millisecond)
+		tellAll(all)
+	}
+	fresh := New("gate-9", 77, tight, clock)
+	fresh.SetGates(5)
+	fresh.SetLimits(map[string]Limit{"w": usualLimit}, nil)
+	all = append(all, fresh)
+	for range 4 {
+		admitted(all[1], 20)
+		admitted(all[2], 20)
+		tellAll(all)
+		clock.Advance(100 * time.Millisecond)
+	}
+	is.True(fresh.State().Settled)
+	admitted(all[3], 20) // its first word on the workspace since
+	tellAll(all)
+	is.True(level(fresh) > 0.5*usualLimit.Burst)
+}
+
+// Operators lower a limit to a fifth while a gate is cut off. What was left to it is
+// a part of the limit, not more than all of it: the others go on serving.
+func TestLowerLimitBesideASilentGate(t *testing.T) {
+	is := is.New(t)
+	clock := clockwork.NewFakeClock()
+	all := newGates(4, tight, clock)
+	settle(all, clock)
+	for range 40 { // half of it is used at the last gate
+		admitted(all[3], 50)
+		admitted(all[0], 50)
+		clock.Advance(100 * time.Millisecond)
+		tellAll(all)
+	}
+	for range 30 {
+		clock.Advance(100 * time.Millisecond)
+		tellAll(all[:3])
+	}
+	low := Limit{Rate: usualLimit.Rate / 5, Burst: usualLimit.Burst / 5}
+	for _, l := range all {
+		l.SetLimits(map[string]Limit{"w": low}, nil)
+	}
+	got := 0.0
+	for range 50 {
+		for admitted(all[0], 5) {
+			got += 5
+		}
+		clock.Advance(100 * time.Millisecond)
+		tellAll(all[:3])
+	}
+	is.True(got > 0.35*5*low.Rate)
+}
+
+// Another gate tells a level that makes no sense. It must not shut the workspace out.
+func TestLevelThatMakesNoSense(t *testing.T) {
+	is := is.New(t)
+	clock := clockwork.NewFakeClock()
+	all := newGates(3, tight, clock)
+	settle(all, clock)
+	admitted(all[0], 10)
+	w := all[0].Word()
+	w.Uses[0].Level = -1e18
+	all[1].Hear(w)
+	is.True(level(all[1]) > 0)
+}
+
 // All gates are killed at once after a burst: nobody knows what was used. Together
 // they may begin with no more than a quarter of what is tolerated.
 func TestAllGatesStartAnew(t *testing.T) {
--- a/internal/decision/beechquota/word.go
+++ b/internal/decision/beechquota/word.go
@@ -9,8 +9,9 @@
 	Word struct {
 		Host     uint64 // the gate, in all its lifetimes
 		Lifetime uint64
-		Settled  bool // its levels stand on what others told
-		Full     bool // all buckets that are not nearly full are listed
+		Age      time.Duration // of this lifetime
+		Settled  bool          // its levels stand on what others told
+		Full     bool          // all buckets that are not nearly full are listed
 		Uses     []Use
 	}
 
@@ -27,6 +28,7 @@
 		host     uint64
 		lifetime uint64
 		former   []uint64 // lifetimes that this one has followed
+		older    bool     // than this gate: what it used before is in the levels that others told
 		heard    time.Time
 		silent   bool
 		gone     bool
@@ -52,7 +54,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.tick()
-	w := Word{Host: l.host, Lifetime: l.lifetime, Settled: l.settled, Full: l.asked && l.settled}
+	w := Word{Host: l.host, Lifetime: l.lifetime, Age: l.now.Sub(l.started), Settled: l.settled, Full: l.asked && l.settled}
 	l.asked = false
 	for _, a := range l.accounts {
 		if a.limit.Rate <= 0 {
@@ -80,13 +82,13 @@
 		return
 	}
 	l.tick()
-	p, fresh := l.speaker(w)
+	p := l.speaker(w)
 	if p == nil {
 		l.dropped.Old++
 		return
 	}
 	adopt := !l.settled && w.Settled && w.Full
-	baseline := p.gone || adopt || fresh && !l.settled && w.Settled
+	baseline := p.gone || adopt
 	if l.alone {
 		l.join()
 	}
@@ -99,7 +101,7 @@
 		}
 		a.refill(l)
 		if a.told(l, p, u.Total, baseline) && l.settled && w.Settled {
-			a.level += (min(u.Level, a.limit.Burst) - a.level) * min(pullMost, 1/float64(2*l.gates))
+			a.level += (l.believable(a, u.Level) - a.level) * min(pullMost, 1/float64(2*l.gates))
 		}
 	}
 	l.rested(p)
@@ -112,25 +114,25 @@
 }
 
 // speaker gives the gate that a word is of, nil where the word is of a lifetime that
-// is over. It is fresh where nothing was heard of this lifetime yet.
-func (l *Ledger) speaker(w Word) (p *peer, fresh bool) {
-	p = l.peers[w.Host]
+// is over.
+func (l *Ledger) speaker(w Word) *peer {
+	p := l.peers[w.Host]
 	switch {
 	case p == nil:
-		p = &peer{host: w.Host, lifetime: w.Lifetime, active: make(map[uint64]*use)}
+		p = &peer{host: w.Host, lifetime: w.Lifetime, older: w.Age > l.now.Sub(l.started), active: make(map[uint64]*use)}
 		l.peers[w.Host] = p
-		return p, true
+		return p
 	case p.lifetime == w.Lifetime:
-		return p, false
+		return p
 	}
 	for _, former := range p.former {
 		if former == w.Lifetime {
-			return nil, false
+			return nil
 		}
 	}
 	p.former = append(p.former, p.lifetime)
 	p.former = p.former[max(len(p.former)-formerKept, 0):]
-	p.lifetime = w.Lifetime
+	p.lifetime, p.older = w.Lifetime, false
 	for _, a := range l.accounts {
 		if u := a.uses[p.host]; u != nil {
 			a.refill(l)
@@ -139,7 +141,12 @@
 		}
 	}
 	p.gone = false
-	return p, true
+	return p
+}
+
+// believable bounds a level that another gate tells.
+func (l *Ledger) believable(a *account, level float64) float64 {
+	return min(max(level, l.least(a)), a.limit.Burst)
 }
 
 // rested takes in that a gate has not used workspaces that its word does not list, and
@@ -182,7 +189,7 @@
 		if !ok {
 			level = fullPart * a.limit.Burst
 		}
-		a.level = min(level-a.untold, a.limit.Burst)
+		a.level = l.believable(a, level) - a.untold
 	}
 	l.settled = true
 }
--- a/internal/link/beechwire/wire_gen.go
+++ b/internal/link/beechwire/wire_gen.go
@@ -768,6 +768,9 @@
 // Spent is the datagram by which a gate tells the others what it has admitted of
 // the workspaces' quotas.
 type Spent struct {
+	// Milliseconds since this lifetime began.
+	Age int64 `msg:"Age"`
+
 	// A workspace that is not listed has nearly all of its burst.
 	Full bool `msg:"Full"`
 
--- a/internal/link/beechwire/wire_msgp_gen.go
+++ b/internal/link/beechwire/wire_msgp_gen.go
@@ -4743,8 +4743,9 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *Spent) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// array header, size 6
-	o = append(o, 0x96)
+	// array header, size 7
+	o = append(o, 0x97)
+	o = msgp.AppendInt64(o, z.Age)
 	o = msgp.AppendBool(o, z.Full)
 	o = msgp.AppendUint64(o, z.Host)
 	o = msgp.AppendUint64(o, z.Lifetime)
@@ -4769,8 +4770,13 @@
 		err = msgp.WrapError(err)
 		return
 	}
-	if zb0001 != 6 {
-		err = msgp.ArrayError{Wanted: 6, Got: zb0001}
+	if zb0001 != 7 {
+		err = msgp.ArrayError{Wanted: 7, Got: zb0001}
+		return
+	}
+	z.Age, bts, err = msgp.ReadInt64Bytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Age")
 		return
 	}
 	z.Full, bts, err = msgp.ReadBoolBytes(bts)
@@ -4846,7 +4852,7 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *Spent) Msgsize() (s int) {
-	s = 1 + msgp.BoolSize + msgp.Uint64Size + msgp.Uint64Size + msgp.BoolSize + msgp.BoolSize + msgp.ArrayHeaderSize + (len(z.Uses) * (23 + msgp.Int64Size + msgp.Uint64Size + msgp.Uint64Size))
+	s = 1 + msgp.Int64Size + msgp.BoolSize + msgp.Uint64Size + msgp.Uint64Size + msgp.BoolSize + msgp.BoolSize + msgp.ArrayHeaderSize + (len(z.Uses) * (23 + msgp.Int64Size + msgp.Uint64Size + msgp.Uint64Size))
 	return
 }
 
--- a/internal/process/beechgate/quota.go
+++ b/internal/process/beechgate/quota.go
@@ -112,7 +112,7 @@
 		passed.Pass = false
 		g.toZone(beechbeat.Spent{Spent: &passed})
 	}
-	word := beechquota.Word{Host: s.Host, Lifetime: s.Lifetime, Settled: s.Settled, Full: s.Full}
+	word := beechquota.Word{Host: s.Host, Lifetime: s.Lifetime, Age: time.Duration(s.Age) * time.Millisecond, Settled: s.Settled, Full: s.Full}
 	for _, u := range s.Uses {
 		word.Uses = append(word.Uses, beechquota.Use{Workspace: u.Workspace, Total: float64(u.Total), Level: float64(u.Level)})
 	}
@@ -125,7 +125,7 @@
 	var all []*beechwire.Spent
 	for {
 		n := min(len(w.Uses), usesMost)
-		spent := &beechwire.Spent{Host: w.Host, Lifetime: w.Lifetime, Settled: w.Settled, Full: w.Full && n == len(w.Uses) && all == nil}
+		spent := &beechwire.Spent{Host: w.Host, Lifetime: w.Lifetime, Age: w.Age.Milliseconds(), Settled: w.Settled, Full: w.Full && n == len(w.Uses) && all == nil}
 		for _, u := range w.Uses[:n] {
 			spent.Uses = append(spent.Uses, beechwire.Use{Workspace: u.Workspace, Total: uint64(u.Total), Level: int64(u.Level)})
 		}
