--- a/internal/decision/beechquota/ledger_test.go
+++ b/internal/decision/beechquota/ledger_test.go
@@ -142,6 +142,11 @@
 		clock.Advance(100 * time.Millisecond)
 		tellAll(all)
 	}
+	for range 5 { // the last one's callers pause, so that its words list nothing
+		admitted(all[1], 20)
+		clock.Advance(100 * time.Millisecond)
+		tellAll(all)
+	}
 	fresh := New("gate-9", 77, tight, clock)
 	fresh.SetGates(5)
 	fresh.SetLimits(map[string]Limit{"w": usualLimit}, nil)
