--- a/internal/request/beechplace/pace.go
+++ b/internal/request/beechplace/pace.go
@@ -42,7 +42,7 @@
 	paceMost  = 8
 	// paceNoise of the logarithm is what engines of the same speed differ by, as one or the
 	// other has more waiting than is known.
-	paceNoise = 0.2
+	paceNoise = 0.45
 	// seenMost samples are more than a gate sees of an engine between two words.
 	seenMost = 10000
 )
