A gate that starts again is told of the others at once

Change: a gate that asks a keeper is named the others at its next word. TestGateThatStartsAgainIsToldOfTheOthers fails before.

--- a/internal/process/beechkeeper/keeper.go
+++ b/internal/process/beechkeeper/keeper.go
@@ -199,6 +199,7 @@
 		}, now)
 	}
 	if !known || follow.Ask {
+		f.named = time.Time{} // it may have just started, and know no other gate
 		k.tellGate(from, f, now)
 	}
 	k.mu.Unlock()
--- a/internal/process/beechkeeper/keeper_test.go
+++ b/internal/process/beechkeeper/keeper_test.go
@@ -52,6 +52,8 @@
 	*beechbeat.Socket
 	told chan *beechwire.Tell
 	pass chan *beechwire.Tell // to be passed on
+
+	rosters chan *beechwire.Roster
 }
 
 func newGate(t *testing.T) *gate {
@@ -59,7 +61,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	g := &gate{socket, make(chan *beechwire.Tell, 16), make(chan *beechwire.Tell, 16)}
+	g := &gate{socket, make(chan *beechwire.Tell, 16), make(chan *beechwire.Tell, 16), make(chan *beechwire.Roster, 16)}
 	ctx, cancel := context.WithCancel(context.Background())
 	t.Cleanup(cancel)
 	go func() {
@@ -69,6 +71,8 @@
 				g.told <- v.Tell
 			case beechbeat.Pass:
 				g.pass <- &v.Tell
+			case beechbeat.Roster:
+				g.rosters <- v.Roster
 			}
 		})
 	}()
@@ -198,6 +202,32 @@
 	is.Equal(told.Phase, int(beechrollout.Leaving))
 }
 
+// A gate is killed and starts again at its address. It knows no other gate, and until it
+// does it keeps to a small share of each workspace's quota, so it is told of them as soon
+// as it asks.
+func TestGateThatStartsAgainIsToldOfTheOthers(t *testing.T) {
+	is := is.New(t)
+	k := newKeeper(t, engine{})
+	near, far := newGate(t), newGate(t)
+	k.hear(near.Address(), beechbeat.Follow{Follow: &beechwire.Follow{Zone: k.settings.Zone}})
+	k.hear(far.Address(), beechbeat.Follow{Follow: &beechwire.Follow{Zone: "loft"}})
+	rosters := func() int {
+		k.tell(false)
+		time.Sleep(50 * time.Millisecond) // datagrams on this host are there
+		return len(near.rosters)
+	}
+	is.Equal(rosters(), 1)
+	is.Equal(rosters(), 1) // it knows
+	k.hear(near.Address(), beechbeat.Follow{Follow: &beechwire.Follow{Zone: k.settings.Zone, Ask: true}})
+	is.Equal(rosters(), 2)
+	roster := <-near.rosters
+	is.Equal(len(roster.Zones), 1)
+	is.Equal(roster.Zones[0].Name, "loft")
+	var gate netip.AddrPort
+	is.NoErr(gate.UnmarshalBinary([]byte(roster.Zones[0].Gates[0])))
+	is.Equal(gate, far.Address())
+}
+
 // An engine starts again under the ID that it had, with nothing in its cache.
 // Gates go on having others fetch from it until they hear that it lost all.
 func TestEngineThatStartsAnewIsToldAsEmpty(t *testing.T) {
