--- a/internal/decision/beechquota/doc.go
+++ b/internal/decision/beechquota/doc.go
@@ -19,7 +19,9 @@
 // all of its tokens, small ones would take them before a large one ever did.
 //
 // A gate that has admitted its part of what the operators tolerate says so at once
-// where the bucket runs low, else with its next word.
+// where the bucket runs low, else with its next word. Before it has told the others,
+// and before it has heard of them, it may admit a part of the level only: otherwise
+// all gates together would let a rush in before any of them knows.
 //
 // # Gates that do not hear
 //
@@ -28,7 +30,14 @@
 // to it until they take it for gone; by then it has halved its own. A gate
 // that starts takes the level from those who know it. Where nobody does, all
 // begin with a part of what the operators tolerate beyond the limit, so that a
-// burst never comes twice.
+// burst never comes twice. A lot decides which of many gates that are alone may let
+// in a request larger than its share.
+//
+// # What a caller sees
+//
+// 429 at once, with the time at which there will be something left. Who comes back
+// reaches another gate under a new id and cannot be told from who is new, so
+// nothing is kept for him.
 //
 // # Bad input
 //
