A refusal over quota names what is left in a field of its own

Cause: the line had two fields called level, the line's own and the bucket's, and readers of JSON keep one of them: explain showed neither. Change: the bucket's is left.

--- a/internal/process/beechgate/quota.go
+++ b/internal/process/beechgate/quota.go
@@ -52,7 +52,7 @@
 		g.metrics.denied.Add("over quota", 1)
 		g.log.Warn("request refused", zap.String("request", call.ID), zap.String("route", call.Route.Name), zap.String("reason", "over quota"),
 			zap.String("workspace", call.Workspace.Name), zap.Float64("size", call.Size()), zap.Duration("after", d.After),
-			zap.Float64("level", d.Level), zap.Float64("unread", d.Unread), zap.Float64("rate", d.Limit.Rate), zap.Float64("burst", d.Limit.Burst),
+			zap.Float64("left", d.Level), zap.Float64("unread", d.Unread), zap.Float64("rate", d.Limit.Rate), zap.Float64("burst", d.Limit.Burst),
 			zap.Bool("alone", d.Alone), zap.Duration("age", d.Age))
 		out.Refuse(beechattempt.OverQuota{After: d.After})
 		return false
