--- a/internal/decision/beechroute/prefix.go
+++ b/internal/decision/beechroute/prefix.go
@@ -10,7 +10,7 @@
 
 const (
 	defaultBytes = 8 << 20
-	prefixBytes  = 288 // measured, with its place in the table, without holders
+	prefixBytes  = 288 // with its place in the table, without holders
 	holderBytes  = 40
 
 	// maxHolders bounds a prefix's holders. More are not worth knowing: a
