One starting gate's debt is not believed to be that of all

Cause: a gate that hears the others again scaled what was left of its share up to the whole bucket, a debt too: one large request let in by one of a hundred gates looked like a debt of a hundred such requests, and the workspace's callers were refused there for seconds. Change: only what is left is scaled up; debts of the others come with their words. Shown by TestDebtOfOneStartingGateIsNotThatOfAll, which fails before; 3,000 draws of TestNoWindowExceedsTheBound pass.

--- a/internal/decision/beechquota/ledger.go
+++ b/internal/decision/beechquota/ledger.go
@@ -393,12 +393,13 @@
 }
 
 // join ends that this gate is alone. The others have probably left as much of their
-// shares as it has of its own.
+// shares as it has of its own; but a debt is of one large request here, and those of the
+// others are told.
 func (l *Ledger) join() {
 	for _, a := range l.accounts {
 		if a.limit.Rate > 0 {
 			a.refill(l)
-			a.level = min(a.level, a.local/l.share(a))
+			a.level = min(a.level, max(a.local, 0)/l.share(a)+min(a.local, 0))
 		}
 	}
 	l.alone = false
--- a/internal/decision/beechquota/ledger_test.go
+++ b/internal/decision/beechquota/ledger_test.go
@@ -224,6 +224,29 @@
 	is.True(got <= tolerated*(startPart+gracePart)+float64(len(all)))
 }
 
+// A hundred gates start at once, and one lets a request in that is larger than its share.
+// When it hears the others, it must not believe that each of them has done so: all
+// callers of the workspace would be refused there for seconds.
+func TestDebtOfOneStartingGateIsNotThatOfAll(t *testing.T) {
+	is := is.New(t)
+	clock := clockwork.NewFakeClock()
+	loose := Bounds{Window: 8 * time.Second, Overage: 0.1, Slack: 20000}
+	all := newGates(100, loose, clock)
+	var lucky *Ledger
+	for _, l := range all { // the lot lets some do so
+		if lucky == nil && admitted(l, 1000) {
+			lucky = l
+		}
+	}
+	is.True(lucky != nil)
+	for _, l := range all {
+		if l != lucky {
+			lucky.Hear(l.Word())
+		}
+	}
+	is.True(level(lucky) > -1000)
+}
+
 // A gate is cut off from all others. It keeps to its share by use, and the others
 // leave that to it, so that together they stay within the limit.
 func TestGateThatIsCutOffKeepsToItsShare(t *testing.T) {
