--- a/internal/process/beechgate/keepers.go
+++ b/internal/process/beechgate/keepers.go
@@ -130,7 +130,7 @@
 // passOn takes in a keeper's word and hands it to the other gates of this zone.
 func (g *Gate) passOn(host netip.Addr, p beechbeat.Pass) {
 	passed := beechbeat.Passed{Passed: &beechwire.Passed{Host: host.String(), Tell: p.Tell}}
-	g.toPeers(g.circle.Peers(g.clock.Now()), passed)
+	g.toZone(passed)
 	g.hearTell(host, &p.Tell)
 }
 
--- a/internal/process/beechgate/most.go
+++ b/internal/process/beechgate/most.go
@@ -2,8 +2,8 @@
 
 import "time"
 
-// mostLasts is how long the largest number that was told counts at least, and half of the
-// time that it may.
+// mostLasts is the shortest time for which the largest number counts; the longest is
+// twice that.
 const mostLasts = 10 * time.Second
 
 // most is the largest number that was told lately. The zero value was told none.
--- a/internal/request/beechrollout/pace.go
+++ b/internal/request/beechrollout/pace.go
@@ -17,7 +17,7 @@
 type Pace struct {
 	most  float64       // engines; 0 is not known yet
 	base  time.Duration // of a load where few are at it
-	cutAt time.Time     // when loads were seen to stretch last; zero: never
+	cutAt time.Time     // when loads stretched last; zero: never
 	began map[string]*load
 }
 
