Gates see what engines say of their limits

Logs and metrics could not tell whether an engine's limit came, on which answers, in which spelling, and how many requests it was sent. A gate keeps what is believed of each server's limit (answers overtake one another, so an older one does not lift it), logs once when it is known, changes or ends, and counts what it sends there meanwhile; a keeper logs a limit in its engine's report. No decision uses any of it yet.

--- /dev/null
+++ b/internal/decision/beechthrottle/register.go
@@ -0,0 +1,99 @@
+package beechthrottle
+
+import (
+	"math"
+	"time"
+)
+
+type (
+	// Said is what an answer says of its server's limit: Silent, Names or Faulty.
+	Said interface{ said() }
+
+	// Silent says that the answer names no limit.
+	Silent struct{}
+
+	// Names says how many requests a second the server takes from all gates
+	// together. Rate is finite and not below 0.
+	Names struct {
+		Rate  float64
+		Field string // of the answer that named it, for logs
+	}
+
+	// Faulty says that the answer names a limit that cannot be used.
+	Faulty struct{ Text string }
+
+	// Notice is what is known of a server's limit from one answer. The server said so
+	// at some moment from Sent to Received, by a clock that counts suspensions.
+	Notice struct {
+		Born     uint64 // of the server's lifetime; 0 is not told
+		Rate     float64
+		Sent     time.Duration
+		Received time.Duration
+	}
+
+	// register is what is believed of servers' limits, by the hash of their IDs.
+	register struct{ beliefs map[uint64]*belief }
+
+	// belief is what is believed of one server.
+	belief struct {
+		Notice
+		server string        // ID; empty where only other gates have named it
+		named  time.Duration // when the limit was last confirmed
+		since  time.Duration // when this need was first known of here
+	}
+)
+
+// unlimited is the rate of a server that names none any more.
+var unlimited = math.Inf(1)
+
+func (Silent) said() {}
+func (Names) said()  {}
+func (Faulty) said() {}
+
+// limited tells whether the server is believed to have a limit.
+func (b *belief) limited() bool { return b != nil && !math.IsInf(b.Rate, 1) }
+
+// take takes in a notice, and tells whether what is believed has changed.
+//
+// Answers overtake one another, so the last to arrive is not always the newest. Of two
+// that may have been given in either order the stricter counts, until one comes whose
+// request was sent after the other had arrived.
+func (r *register) take(key uint64, n Notice, now time.Duration) (b *belief, changed bool) {
+	b = r.beliefs[key]
+	if b == nil {
+		if math.IsInf(n.Rate, 1) || len(r.beliefs) >= serversMost {
+			return nil, false
+		}
+		b = &belief{Notice: n, named: n.Received, since: now}
+		r.beliefs[key] = b
+		return b, true
+	}
+	if n.Born != 0 && b.Born != 0 && n.Born != b.Born {
+		if n.Born < b.Born {
+			return b, false // word of a lifetime that is over
+		}
+		changed = n.Rate != b.Rate
+		b.replace(n, now)
+		return b, changed
+	}
+	n.Born = max(n.Born, b.Born)
+	switch {
+	case n.Rate == b.Rate:
+		b.Born = n.Born
+		b.Sent, b.Received = max(b.Sent, n.Sent), max(b.Received, n.Received)
+		b.named = max(b.named, n.Received)
+		return b, false
+	case n.Sent > b.Received, n.Rate < b.Rate && n.Received >= b.Sent:
+		b.replace(n, now)
+		return b, true
+	}
+	return b, false
+}
+
+func (b *belief) replace(n Notice, now time.Duration) {
+	if !b.limited() {
+		b.since = now
+	}
+	b.Notice = n
+	b.named = n.Received
+}
--- /dev/null
+++ b/internal/decision/beechthrottle/register_test.go
@@ -0,0 +1,55 @@
+package beechthrottle
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+const (
+	server = "i-1"
+	key    = 1
+)
+
+func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
+
+// A server names a limit, another one, and none; answers overtake one another on their
+// way. Taken as they arrive, an older one would lift a limit that is in force.
+func TestAnswersThatOvertakeOneAnother(t *testing.T) {
+	type step struct{ sent, received, rate, want float64 }
+	for name, steps := range map[string][]step{
+		"rises":                      {{0, 1, 2, 2}, {1.1, 1.5, 4, 4}},
+		"falls":                      {{0, 1, 2, 2}, {0.5, 1.2, 1, 1}},
+		"ends":                       {{0, 1, 2, 2}, {1.1, 1.5, unlimited, unlimited}},
+		"end overtaken by a naming":  {{0, 1, 2, 2}, {0.9, 1.5, unlimited, 2}, {1.2, 1.6, unlimited, unlimited}},
+		"naming overtaken by an end": {{0, 1, 2, 2}, {1.1, 1.5, unlimited, unlimited}, {0.2, 1.6, 2, 2}},
+		"older for certain":          {{0, 1, 2, 2}, {1.1, 1.5, unlimited, unlimited}, {0.2, 1.05, 2, unlimited}},
+		"the higher of two at once":  {{0, 1, 2, 2}, {0, 1.1, 3, 2}},
+		"comes back":                 {{0, 1, 2, 2}, {1.1, 1.5, unlimited, unlimited}, {1.6, 1.8, 1, 1}},
+		"nothing":                    {{0, 1, 0, 0}, {1.1, 1.5, 0.25, 0.25}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			r := register{make(map[uint64]*belief)}
+			for _, s := range steps {
+				r.take(key, Notice{Rate: s.rate, Sent: seconds(s.sent), Received: seconds(s.received)}, seconds(s.received))
+				is.Equal(r.beliefs[key].Rate, s.want)
+			}
+		})
+	}
+}
+
+// A server starts anew under its ID. It has no limit until it says so, and late word of
+// the lifetime before does not give it one.
+func TestNewLifetimeHasNoLimit(t *testing.T) {
+	is := is.New(t)
+	r := register{make(map[uint64]*belief)}
+	r.take(key, Notice{Born: 5, Rate: 2, Received: 1}, 1)
+	r.take(key, Notice{Born: 9, Rate: unlimited, Sent: 0, Received: 2}, 2)
+	is.True(!r.beliefs[key].limited())
+	r.take(key, Notice{Born: 5, Rate: 2, Sent: 3, Received: 4}, 4)
+	is.True(!r.beliefs[key].limited())
+	r.take(key, Notice{Born: 9, Rate: 3, Sent: 5, Received: 6}, 6)
+	is.Equal(r.beliefs[key].Rate, 3.0)
+}
--- a/internal/process/beechgate/gate.go
+++ b/internal/process/beechgate/gate.go
@@ -16,10 +16,12 @@
 	"github.com/jonboulle/clockwork"
 	"github.com/thejerf/suture/v4"
 	"go.uber.org/zap"
+	"go.uber.org/zap/zapcore"
 
 	"github.com/beechring/beechring/internal/decision/beechhealth"
 	"github.com/beechring/beechring/internal/decision/beechquota"
 	"github.com/beechring/beechring/internal/decision/beechsuspect"
+	"github.com/beechring/beechring/internal/decision/beechthrottle"
 	"github.com/beechring/beechring/internal/link/beechbeat"
 	"github.com/beechring/beechring/internal/link/beechguard"
 	"github.com/beechring/beechring/internal/link/beechpool"
@@ -58,6 +60,7 @@
 		settings *beechsettings.Gate
 		needs    Dependencies
 		log      *zap.Logger
+		limitLog *zap.Logger // at most limitLines a second of each message
 		clock    clockwork.Clock
 
 		configuration atomic.Pointer[beechcall.Configuration]
@@ -68,7 +71,8 @@
 		suspects      *beechsuspect.Register
 		budgets       *Budgets
 		quotas        *beechquota.Ledger
-		others        *roster // gates of the other zones
+		limits        *beechthrottle.Throttle // of servers
+		others        *roster                 // gates of the other zones
 		core          *beechattempt.Core
 		socket        *beechbeat.Socket
 		circle        *beechvouch.Circle // of gates that share their reads of the store
@@ -151,11 +155,15 @@
 		turnNews: make(chan struct{}, 1), spentNews: make(chan struct{}, 1),
 	}
 	g.bounds.Store(&s.Bounds)
+	g.limitLog = needs.Log.WithOptions(zap.WrapCore(func(c zapcore.Core) zapcore.Core {
+		return zapcore.NewSamplerWithOptions(c, time.Second, limitLines, 0)
+	}))
+	g.limits = beechthrottle.New(needs.Age, g.noteLimit)
 	g.metrics = newMetrics(g)
 	weights := time.Duration(s.Bounds.Weights)
 	g.placer = beechplace.New(beechplace.Settings{
 		Zone: s.Zone, OldMost: max(weights-oldMargin, weights/2), OldBegin: max(weights-beginMargin, weights/2),
-	}, needs.Clock, g.health, g.announce)
+	}, needs.Clock, g.health, g.limits, g.announce)
 	g.core = beechattempt.New(g.placer, needs.Backend, needs.Pool, g.budgets, g.suspects, g, needs.Clock, needs.Log)
 	g.serverCopy = beechmirror.New(beechmirror.Settings{
 		Prefix: needs.ServerPrefix, Interval: serverReads.First, Patience: readPatience, Wait: serverWait, Space: serverSpace, Linger: linger, Forward: g.forward,
--- a/internal/process/beechgate/metrics.go
+++ b/internal/process/beechgate/metrics.go
@@ -40,6 +40,7 @@
 	m.vars.Set("paces", expvar.Func(func() any { return slowest(g.placer.Paces()) }))
 	m.vars.Set("strangers", m.strangers)
 	m.vars.Set("quotas", expvar.Func(func() any { return g.quotas.State() }))
+	m.vars.Set("limits", expvar.Func(func() any { return g.limits.State() }))
 	m.vars.Set("bodyBytes", m.bodies)
 	m.vars.Set("datagramBytes", g.socket.Sent())
 	if g.needs.StoreUse != nil {
--- a/internal/process/beechkeeper/keeper.go
+++ b/internal/process/beechkeeper/keeper.go
@@ -12,6 +12,7 @@
 	"go.uber.org/zap"
 
 	"github.com/beechring/beechring/internal/decision/beechsuspect"
+	"github.com/beechring/beechring/internal/decision/beechthrottle"
 	"github.com/beechring/beechring/internal/link/beechbeat"
 	"github.com/beechring/beechring/internal/process/beechlog"
 	"github.com/beechring/beechring/internal/process/beechsettings"
@@ -59,6 +60,7 @@
 		beechrollout.Report
 		CacheUsed  int
 		CacheTotal int
+		Limit      beechthrottle.Said // nil is not known
 	}
 
 	// Dependencies of a keeper.
@@ -240,6 +242,9 @@
 		k.metrics.silent.Add(1)
 	}
 	k.mu.Lock()
+	if report.Known && report.Limit != k.last.Limit && (names(report.Limit) || names(k.last.Limit)) {
+		k.needs.Log.Info("engine's limit in its report", zap.Any("said", report.Limit))
+	}
 	anew := report.Known && report.StartedAnew(k.last.Report)
 	next := k.turn.Next(k.needs.Clock.Now(), report.Report)
 	if report.Known {
@@ -269,6 +274,15 @@
 	return 0
 }
 
+// names tells whether an answer named a limit, be it one that cannot be used.
+func names(said beechthrottle.Said) bool {
+	switch said.(type) {
+	case beechthrottle.Names, beechthrottle.Faulty:
+		return true
+	}
+	return false
+}
+
 // startedAnew forgets what is believed of an engine that has begun another
 // lifetime under its ID: it holds nothing. Gates that go on believing would have
 // others fetch from it what it lost.
--- a/internal/request/beechattempt/attempt_test.go
+++ b/internal/request/beechattempt/attempt_test.go
@@ -18,7 +18,9 @@
 
 	"github.com/beechring/beechring/internal/decision/beechretry"
 	"github.com/beechring/beechring/internal/decision/beechsuspect"
+	"github.com/beechring/beechring/internal/decision/beechthrottle"
 	"github.com/beechring/beechring/internal/request/beechcall"
+	"github.com/beechring/beechring/internal/request/beechfresh"
 	"github.com/beechring/beechring/internal/request/beechplace"
 )
 
@@ -121,7 +123,7 @@
 func newWorld(servers, retries int, script ...step) *world {
 	w := &world{clock: clockwork.NewFakeClock(), backend: &backend{script: script}, budget: &budget{left: retries}, standing: standing{}}
 	w.suspects = beechsuspect.New(beechsuspect.Settings{}, w.clock)
-	placer := beechplace.New(beechplace.Settings{Zone: "a"}, w.clock, trusting{}, func(beechcall.Server, int, []uint64, bool) {})
+	placer := beechplace.New(beechplace.Settings{Zone: "a"}, w.clock, trusting{}, beechthrottle.New(beechfresh.Boot{}, func(beechthrottle.Event) {}), func(beechcall.Server, int, []uint64, bool) {})
 	var list []beechcall.Server
 	for i := range servers {
 		list = append(list, beechcall.Server{
--- a/internal/request/beechattempt/run.go
+++ b/internal/request/beechattempt/run.go
@@ -141,6 +141,7 @@
 	defer cancel(nil)
 	watch := r.newWatch(cancel, choice)
 	defer watch.stop()
+	ticket.Send()
 	sent := r.core.clock.Now()
 	answer, err := r.core.backend.Send(ctx, beechcall.Attempt{
 		Call: r.call, Server: choice.Server, Weights: choice.Weights, Salt: choice.Salt,
@@ -150,6 +151,7 @@
 		return r.judge(choice, ticket, watch, err)
 	}
 	defer answer.Body.Close()
+	ticket.Said(answer.Limit)
 	r.core.placer.Has(choice.Server.ID, r.call.Model, answer.Weights)
 	if r.call.Route.Stream && answer.Status == http.StatusOK {
 		return r.follow(choice, ticket, watch, answer, sent)
@@ -230,6 +232,9 @@
 		return stop
 	case errors.As(err, &notRun):
 		r.notRun++
+		if !notRun.Replaced {
+			ticket.Said(notRun.Limit)
+		}
 		ticket.Done(beechplace.TurnedAway)
 		r.core.placer.Refused(choice.Server.ID, notRun, r.call.Model)
 		r.note("turned away", choice, zap.Int("status", notRun.Status), zap.Bool("replaced", notRun.Replaced), zap.Bool("other weights", notRun.Other))
--- a/internal/request/beechcall/call.go
+++ b/internal/request/beechcall/call.go
@@ -9,6 +9,8 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+
+	"github.com/beechring/beechring/internal/decision/beechthrottle"
 )
 
 type (
@@ -62,6 +64,7 @@
 		Body    io.ReadCloser
 		Weights uint64 // version that made it; 0 where not told
 		Load    Load
+		Limit   beechthrottle.Said // nil is not known
 	}
 
 	// Load is what a server said of itself with an answer.
@@ -101,6 +104,7 @@
 		Other    bool
 		Weights  uint64 // that it has, where told
 		Load     Load
+		Limit    beechthrottle.Said // nil is not known
 	}
 
 	// Unknown says that the request was sent and may have run.
--- a/internal/request/beechplace/doc.go
+++ b/internal/request/beechplace/doc.go
@@ -30,10 +30,12 @@
 //
 // # Usage
 //
-//	p := beechplace.New(settings, clock, health, announce)
+//	p := beechplace.New(settings, clock, health, limits, announce)
 //	p.SetServers(servers); p.SetConfiguration(c); p.Named(model, version)
 //	choice, ok := p.Choose(call, tried)
 //	ticket := p.Sent(call, choice)
+//	ticket.Send()           // now
+//	ticket.Said(limit)      // an answer came
 //	ticket.First()          // the first byte came
 //	ticket.Done(outcome)
 package beechplace
--- a/internal/request/beechplace/place_test.go
+++ b/internal/request/beechplace/place_test.go
@@ -9,7 +9,9 @@
 	"github.com/jonboulle/clockwork"
 	"github.com/matryer/is"
 
+	"github.com/beechring/beechring/internal/decision/beechthrottle"
 	"github.com/beechring/beechring/internal/request/beechcall"
+	"github.com/beechring/beechring/internal/request/beechfresh"
 	"github.com/beechring/beechring/internal/request/beechrollout"
 )
 
@@ -26,6 +28,11 @@
 	weights map[netip.AddrPort]float64
 )
 
+// unlimited knows servers without limits.
+func unlimited() *beechthrottle.Throttle {
+	return beechthrottle.New(beechfresh.Boot{}, func(beechthrottle.Event) {})
+}
+
 func (w weights) Weight(s netip.AddrPort) float64 {
 	if v, ok := w[s]; ok {
 		return v
@@ -43,7 +50,7 @@
 // version 1, and as many servers of a plain service.
 func newFleet(n int) *fleet {
 	f := &fleet{clock: clockwork.NewFakeClock(), announced: make(map[string]int), doubts: weights{}}
-	f.Placer = New(Settings{Zone: "a", Fronts: 1}, f.clock, f.doubts, func(s beechcall.Server, tokens int, _ []uint64, _ bool) { f.announced[s.ID] += tokens })
+	f.Placer = New(Settings{Zone: "a", Fronts: 1}, f.clock, f.doubts, unlimited(), func(s beechcall.Server, tokens int, _ []uint64, _ bool) { f.announced[s.ID] += tokens })
 	for i := range n {
 		zone := []string{"a", "b"}[i%2]
 		f.servers = append(f.servers,
--- a/internal/request/beechplace/ticket.go
+++ b/internal/request/beechplace/ticket.go
@@ -5,6 +5,7 @@
 	"sync"
 	"time"
 
+	"github.com/beechring/beechring/internal/decision/beechthrottle"
 	"github.com/beechring/beechring/internal/request/beechcall"
 )
 
@@ -20,6 +21,7 @@
 	work    float64 // tokens that had to be read, those ahead included
 	usual   float64 // milliseconds that an engine of the common speed takes for it
 	sent    time.Time
+	asked   time.Duration // when it was sent, by the clock of the limits
 	learned bool
 	first   sync.Once
 	done    sync.Once
@@ -54,6 +56,26 @@
 	return t
 }
 
+// Send tells that the attempt goes to the server now.
+func (t *Ticket) Send() {
+	if t.server == nil {
+		return
+	}
+	t.asked = t.placer.limits.Now()
+	t.placer.limits.Sent(t.server.ID)
+}
+
+// Said takes in what the server's answer says of its limit.
+func (t *Ticket) Said(limit beechthrottle.Said) {
+	if t.server == nil {
+		return
+	}
+	t.placer.mu.Lock()
+	born := t.server.Born
+	t.placer.mu.Unlock()
+	t.placer.limits.Heard(t.server.ID, born, limit, t.asked)
+}
+
 // First takes the prompt off what the server has to read.
 func (t *Ticket) First() {
 	t.first.Do(func() {
