--- a/internal/standin/beechhome/engine.go
+++ b/internal/standin/beechhome/engine.go
@@ -39,6 +39,9 @@
 		reread   int
 		trouble  EngineTrouble
 		orders   []Order
+		limit    string // named with each answer; empty is none
+		born     int64  // Unix milliseconds; 0 is not told
+		arrivals []time.Time
 	}
 
 	// EngineTrouble is what is wrong with an engine.
@@ -72,6 +75,7 @@
 	headerIdentity = "Beechring-Instance-Id"
 	headerWeights  = "Beechring-Weight-Versions"
 	headerLoad     = "Beechring-Server-Load"
+	headerLimit    = "Server-Limit"
 	usage          = "Beechring-Token-Usage"
 	eventsPoll     = 10 * time.Millisecond
 	defaultSlots   = 8
@@ -140,6 +144,32 @@
 	return e.reread
 }
 
+// SetLimit has the engine name a limit with each answer from now on, as it is written;
+// empty names none.
+func (e *Engine) SetLimit(text string) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.limit = text
+}
+
+// Arrivals gives when requests came in, those that were turned away too.
+func (e *Engine) Arrivals() []time.Time {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return append([]time.Time(nil), e.arrivals...)
+}
+
+// Restart begins another lifetime under the engine's ID: what it held, named and was told
+// is gone.
+func (e *Engine) Restart() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.born = time.Now().UnixMilli()
+	e.limit, e.sequence, e.busy = "", 0, false
+	clear(e.cached)
+	e.events = nil
+}
+
 // SetTrouble changes what is wrong from now on.
 func (e *Engine) SetTrouble(t EngineTrouble) {
 	e.mu.Lock()
@@ -170,10 +200,14 @@
 	if e.settings.Model != "" {
 		models = append(models, map[string]any{"name": e.settings.Model, "version": e.version, "adapters": []string{}})
 	}
-	answer(w, map[string]any{
+	report := map[string]any{
 		"stage": "colocated", "models": models, "busy": e.busy, "sequence": e.sequence,
 		"waiting": 0, "running": e.running, "kvUsed": 0, "kvTotal": 100000, "handles": 0,
-	})
+	}
+	if e.born > 0 {
+		report["born"] = e.born
+	}
+	answer(w, report)
 }
 
 func (e *Engine) order(w http.ResponseWriter, r *http.Request) {
@@ -262,6 +296,12 @@
 	body, _ := io.ReadAll(r.Body)
 	id := r.Header.Get(headerID)
 	w.Header().Set(headerID, id)
+	e.mu.Lock()
+	e.arrivals = append(e.arrivals, time.Now())
+	if e.limit != "" {
+		w.Header().Set(headerLimit, e.limit)
+	}
+	e.mu.Unlock()
 	if !e.admit(w, r) {
 		return
 	}
