Counting together serves limits of a few requests a second

A server's limit may be 0.3 requests a second over 68 gates. What a gate may admit unheard is less than one request there, and each gate would let one in at the same moment: Bounds.Lots has them draw, by how often they have a request at all. Words become rarer beyond 100 gates.

--- a/internal/decision/beechquota/account.go
+++ b/internal/decision/beechquota/account.go
@@ -26,6 +26,7 @@
 		words   int     // of the ledger, when that was begun
 		repeats int     // words that still tell the total
 		own     pace    // of this gate
+		asked   pace    // of it, what it refused too
 
 		uses    map[uint64]*use // of the other gates, by host
 		others  float64         // sum of what they use lately
@@ -68,7 +69,7 @@
 )
 
 func newAccount(name string, now time.Time) *account {
-	return &account{key: xxhash.Sum64String(name), at: now, own: pace{at: now}, uses: make(map[uint64]*use)}
+	return &account{key: xxhash.Sum64String(name), at: now, own: pace{at: now}, asked: pace{at: now}, uses: make(map[uint64]*use)}
 }
 
 // refill lets the bucket fill by the time that has passed. What silent gates may use
@@ -86,6 +87,12 @@
 	a.local = min(a.local+rate*share*passed, a.limit.Burst*share)
 }
 
+// end takes the limit away. What was used stays known for a while.
+func (a *account) end(l *Ledger) {
+	a.refill(l)
+	a.limit, a.ended = Limit{}, l.now
+}
+
 // left is what may still be admitted; a request goes on while it is above 0.
 func (a *account) left(l *Ledger) float64 {
 	grace := gracePart * l.tolerance(a.limit)
@@ -175,6 +182,13 @@
 	u.part = a.partOf(l, u.usual)
 }
 
+// rest takes a gate's pace off what is reckoned to be used.
+func (a *account) rest(u *use) {
+	a.speed -= u.pace
+	a.speedAt -= u.pace * u.heard
+	u.pace = 0
+}
+
 // partOf is the part of what all use lately that one gate uses, with a little for each.
 // All have the same until it is known who uses what.
 func (a *account) partOf(l *Ledger, used float64) float64 {
@@ -187,9 +201,7 @@
 
 // fallSilent leaves a gate that is not heard its share of the rate.
 func (a *account) fallSilent(l *Ledger, u *use) {
-	a.speed -= u.pace
-	a.speedAt -= u.pace * u.heard
-	u.pace = 0
+	a.rest(u)
 	u.withheld = u.part
 	u.since = u.heard
 	a.spent(l, a.limit.Rate*u.withheld*(l.second()-u.since))
--- a/internal/decision/beechquota/ledger.go
+++ b/internal/decision/beechquota/ledger.go
@@ -27,6 +27,13 @@
 		Window  time.Duration
 		Overage float64
 		Slack   float64
+		// Lots has gates draw who admits a request that is more than a gate's part of
+		// what may be admitted unheard. Where a limit is below a request a second and
+		// gate, every gate would otherwise let one in at the same moment.
+		Lots bool
+		// Remember is how long an account without a limit keeps what was used; 0 is
+		// rememberFor.
+		Remember time.Duration
 	}
 
 	// Decision is the answer to Admit: Admitted or Refused.
@@ -103,9 +110,9 @@
 	gatesUnknown = 32
 	// aloneAfter without any word a gate keeps to its share; some words may be lost.
 	aloneAfter = 700 * time.Millisecond
-	// silentAfter without its word a gate is left its share; more than one word in a row
-	// may be lost.
-	silentAfter = 1500 * time.Millisecond
+	// silentWords that do not come leave a gate its share; more than one in a row may be
+	// lost.
+	silentWords = 5
 	// goneAfter a silent gate's share is free for the others.
 	goneAfter = 12 * time.Second
 	// settledAfter a gate that knew nothing has seen what others use.
@@ -113,6 +120,15 @@
 	// rememberFor is how long a workspace without a limit keeps its level: one that
 	// comes back has no new burst.
 	rememberFor = time.Minute
+	// lotTime is in which a gate draws once: a word reaches all others in it.
+	lotTime = 150 * time.Millisecond
+	// busyLeast of its draws a gate is taken to have a request in: all may have one at
+	// once when a rush begins.
+	busyLeast = 0.5
+	// wordInterval is the time between words of up to manyGates; with more of them words
+	// become rarer, or what each hears would grow with their square.
+	wordInterval = 300 * time.Millisecond
+	manyGates    = 100
 
 	// What the operators tolerate is divided: startPart is there when nobody knows a
 	// level, gracePart may be admitted beyond an empty bucket, since a
@@ -140,6 +156,11 @@
 func (Admitted) decision() {}
 func (Refused) decision()  {}
 
+// Interval is the time between words that are not urgent, of so many gates.
+func Interval(gates int) time.Duration {
+	return wordInterval * time.Duration(max(gates, manyGates)) / manyGates
+}
+
 // New returns a ledger that knows no limits. Host names this gate, the same in all its
 // lifetimes; lifetime tells this one from the others.
 func New(host string, lifetime uint64, b Bounds, clock clockwork.Clock) *Ledger {
@@ -174,8 +195,7 @@
 	l.tick()
 	for name, a := range l.accounts {
 		if _, ok := limits[name]; !ok && !unknown[name] && a.limit.Rate > 0 {
-			a.refill(l)
-			a.limit, a.ended = Limit{}, l.now
+			a.end(l)
 		}
 	}
 	for name, limit := range limits {
@@ -186,6 +206,21 @@
 	}
 }
 
+// SetLimit puts the limit of one account in force, as SetLimits does for all. A limit
+// that is not valid takes it away.
+func (l *Ledger) SetLimit(name string, limit Limit) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.tick()
+	if limit.valid() {
+		l.limit(name, limit)
+		return
+	}
+	if a := l.accounts[name]; a != nil && a.limit.Rate > 0 {
+		a.end(l)
+	}
+}
+
 func (l *Ledger) limit(name string, limit Limit) {
 	a := l.accounts[name]
 	if a == nil {
@@ -221,8 +256,19 @@
 	var text [16]byte
 	binary.BigEndian.PutUint64(text[:8], l.lifetime)
 	binary.BigEndian.PutUint64(text[8:], uint64(l.now.Sub(l.started)/window))
-	lot := (float64(xxhash.Sum64(text[:])>>11) + 1) / (1 << 53)
-	return debtPart * l.tolerance(a.limit) / (float64(l.gates) * lot)
+	return debtPart * l.tolerance(a.limit) / (float64(l.gates) * lot(text[:]))
+}
+
+// lot gives a number above 0 and up to 1, always the same for a text.
+func lot(text []byte) float64 { return (float64(xxhash.Sum64(text)>>11) + 1) / (1 << 53) }
+
+// draw is this gate's lot for an account, drawn anew in each lotTime.
+func (l *Ledger) draw(a *account) float64 {
+	var text [24]byte
+	binary.BigEndian.PutUint64(text[:8], l.lifetime)
+	binary.BigEndian.PutUint64(text[8:16], a.key)
+	binary.BigEndian.PutUint64(text[16:], uint64(l.now.Sub(l.started)/lotTime))
+	return lot(text[:])
 }
 
 // Admit asks whether a request of a size may go on.
@@ -233,16 +279,10 @@
 	if a == nil || a.limit.Rate <= 0 {
 		return Admitted{}
 	}
-	l.tick()
-	a.refill(l)
 	size = min(max(size, 0), maxSize)
-	if left := a.left(l); left <= 0 || l.alone && size-left > l.debt(a) {
-		a.refused++
-		return l.refuse(a, min(left, 0))
-	}
-	if !l.alone && max(a.untold, a.sinceHeard(l)) >= l.unheard(a) {
+	if refused, ok := l.weigh(a, size).(Refused); ok {
 		a.refused++
-		return l.refuse(a, 0) // until the others have heard
+		return refused
 	}
 	a.admitted++
 	a.take(size)
@@ -250,11 +290,51 @@
 	return Admitted{Tell: a.untold > l.lump(a) && a.level < lowPart*a.limit.Burst || 2*a.untold > l.unheard(a)}
 }
 
+// Ask tells what Admit would answer, and takes nothing.
+func (l *Ledger) Ask(workspace string, size float64) Decision {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	a := l.accounts[workspace]
+	if a == nil || a.limit.Rate <= 0 {
+		return Admitted{}
+	}
+	return l.weigh(a, min(max(size, 0), maxSize))
+}
+
+// weigh decides on a request of a size. The caller holds the lock.
+func (l *Ledger) weigh(a *account, size float64) Decision {
+	l.tick()
+	a.refill(l)
+	a.asked.sum += size
+	a.asked.turn(l.now, shareTime)
+	if left := a.left(l); left <= 0 || l.alone && size-left > l.debt(a) {
+		return l.refuse(a, min(left, 0))
+	}
+	if !l.alone && !l.mayUnheard(a, size) {
+		return l.refuse(a, 0) // until the others have heard
+	}
+	return Admitted{}
+}
+
+// mayUnheard tells whether a request may go on before the others hear of it.
+func (l *Ledger) mayUnheard(a *account, size float64) bool {
+	used := max(a.untold, a.sinceHeard(l))
+	if !l.bounds.Lots {
+		return used < l.unheard(a)
+	}
+	return (used+size)*l.draw(a) <= l.unheard(a)/l.busy(a)
+}
+
 // lump is what a gate may admit untold where the bucket runs low.
 func (l *Ledger) lump(a *account) float64 {
 	return untoldPart * l.tolerance(a.limit) / float64(l.gates)
 }
 
+// busy is in how many of its draws this gate has a request.
+func (l *Ledger) busy(a *account) float64 {
+	return min(max(a.asked.rate*lotTime.Seconds(), busyLeast), 1)
+}
+
 // unheard is what a gate may admit before it has told the others, and before it has heard
 // of them: with more, all gates together, or those that have just been cut off,
 // would let in many times what is left before any knows.
@@ -305,6 +385,9 @@
 	change(a)
 }
 
+// Age is the time since this lifetime began.
+func (l *Ledger) Age() time.Duration { return l.clock.Since(l.started) }
+
 // Limited tells whether any workspace has a limit.
 func (l *Ledger) Limited() bool {
 	l.mu.Lock()
@@ -376,7 +459,7 @@
 		l.missing = missing
 	}
 	for name, a := range l.accounts {
-		if a.limit.Rate <= 0 && l.now.Sub(a.ended) > rememberFor {
+		if a.limit.Rate <= 0 && l.now.Sub(a.ended) > cmp.Or(l.bounds.Remember, rememberFor) {
 			delete(l.accounts, name)
 			delete(l.byKey, a.key)
 		}
@@ -424,9 +507,6 @@
 
 // sharedOut is this gate's part of what all use lately, with a little for each.
 func (l *Ledger) sharedOut(a *account) float64 {
-	if len(a.uses) == 0 {
-		return 1 / float64(l.gates)
-	}
 	a.own.turn(l.now, shareTime)
 	return a.partOf(l, a.own.rate)
 }
--- a/internal/decision/beechquota/simulate_test.go
+++ b/internal/decision/beechquota/simulate_test.go
@@ -20,6 +20,8 @@
 		from    time.Duration // while it is hot
 		until   time.Duration
 		sizes   func(r *rand.Rand) float64
+		mean    float64 // of the sizes
+		bounds  Bounds
 		loss    float64
 		far     time.Duration // until a word arrives
 		events  map[time.Duration]func(s *simulation)
@@ -129,7 +131,7 @@
 // begin starts a gate with nothing in its memory.
 func (s *simulation) begin(i int) {
 	s.lives++
-	l := New(fmt.Sprintf("gate-%d", i), s.lives, testBounds, s.clock)
+	l := New(fmt.Sprintf("gate-%d", i), s.lives, s.bounds, s.clock)
 	l.SetLimits(map[string]Limit{"w": s.limit}, nil)
 	l.SetGates(s.gates)
 	if s.way == oneOwner {
@@ -166,7 +168,7 @@
 	if s.now >= s.from && s.now < s.until {
 		rate *= s.hot
 	}
-	mean := rate / promptMean * simulationStep.Seconds()
+	mean := rate / s.mean * simulationStep.Seconds()
 	for range poisson(s.demand, mean) {
 		// callers are uneven: half of them come to a third of the places
 		place := s.demand.IntN(s.places)
@@ -272,14 +274,14 @@
 }
 
 // most is the most that was admitted in a window, as a part of what is tolerated.
-func (s *simulation) most() float64 { return mostOf(s.admitted, s.limit) }
+func (s *simulation) most() float64 { return mostOf(s.admitted, s.limit, s.bounds) }
 
-func mostOf(admitted []admission, limit Limit) float64 {
-	bound := (limit.Rate*testBounds.Window.Seconds()+limit.Burst)*(1+testBounds.Overage) + testBounds.Slack
+func mostOf(admitted []admission, limit Limit, b Bounds) float64 {
+	bound := (limit.Rate*b.Window.Seconds()+limit.Burst)*(1+b.Overage) + b.Slack
 	most, sum, first := 0.0, 0.0, 0
 	for _, a := range admitted {
 		sum += a.size
-		for admitted[first].at <= a.at-testBounds.Window {
+		for admitted[first].at <= a.at-b.Window {
 			sum -= admitted[first].size
 			first++
 		}
--- a/internal/decision/beechquota/ways_test.go
+++ b/internal/decision/beechquota/ways_test.go
@@ -37,7 +37,7 @@
 
 func sceneOf(limit Limit, change func(c *scene)) scene {
 	c := scene{
-		gates: 26, places: 20, limit: limit, usual: 0.55, hot: 1, from: 8 * time.Second, until: 15 * time.Second, sizes: prompts,
+		gates: 26, places: 20, limit: limit, usual: 0.55, hot: 1, from: 8 * time.Second, until: 15 * time.Second, sizes: prompts, mean: promptMean, bounds: testBounds,
 		far: 20 * time.Millisecond, loss: 0.01, length: 30 * time.Second, retries: true,
 	}
 	change(&c)
@@ -92,7 +92,7 @@
 			c.usual, c.events = 0.9, map[time.Duration]func(*simulation){at: each(everybody, limited(low))}
 		}), counting, 1)
 		first := slices.IndexFunc(s.admitted, func(a admission) bool { return a.at > at })
-		if most := mostOf(s.admitted[first:], low); most > 1 {
+		if most := mostOf(s.admitted[first:], low, s.bounds); most > 1 {
 			t.Errorf("limit %.0f: %.3f of what is tolerated", low.Rate, most)
 		}
 	}
--- a/internal/decision/beechquota/word.go
+++ b/internal/decision/beechquota/word.go
@@ -45,8 +45,8 @@
 	// partFresh since another gate was heard, this one's share is what the others believe
 	// too: later it may see a rush that they have not been told of.
 	partFresh = 350 * time.Millisecond
-	// paceLeast a second is nothing.
-	paceLeast = 1
+	// paceLeast of a limit is nothing.
+	paceLeast = 0.001
 )
 
 // Word gives what the other gates are to be told now.
@@ -162,7 +162,8 @@
 		if u.heard < now {
 			a.setPace(l, u, 0)
 		}
-		if u.pace < paceLeast {
+		if u.pace < paceLeast*a.limit.Rate {
+			a.rest(u)
 			delete(p.active, key)
 		}
 	}
@@ -196,7 +197,7 @@
 
 func (l *Ledger) sweepPeer(p *peer) {
 	quiet := l.now.Sub(p.heard)
-	if !p.silent && quiet > silentAfter {
+	if !p.silent && quiet > silentWords*Interval(l.gates) {
 		p.silent = true
 		for _, a := range l.accounts {
 			if a.limit.Rate <= 0 {
