Gates keep together to what a server says it takes

What users saw: an engine in need named a limit of requests a second and got as much as before. Evidence: arrivals did not fall when limits were named, and no log named one; the test brings it about. Now a gate tells the others at once what an answer said, and all keep to it with beechquota's counting, the server as the key and a request as the unit (beechthrottle). Every send takes its place at the moment of sending, repeats and requests that had waited too; servers at their limits are passed over by placing, are nobody's home, and are asked again when nobody has heard from them. Where all of a service are, callers are refused at once with a time to come back.

--- a/internal/decision/beechthrottle/register.go
+++ b/internal/decision/beechthrottle/register.go
@@ -37,9 +37,14 @@
 	// belief is what is believed of one server.
 	belief struct {
 		Notice
-		server string        // ID; empty where only other gates have named it
-		named  time.Duration // when the limit was last confirmed
-		since  time.Duration // when this need was first known of here
+		server    string        // ID; empty where only other gates have named it
+		named     time.Duration // when it was last confirmed
+		firsthand bool          // the server itself said so to this gate
+		repeats   int           // words that still tell it
+		account   string        // of the counting
+		enforced  float64       // the rate that is kept to
+		given     int
+		held      int
 	}
 )
 
@@ -58,13 +63,13 @@
 // Answers overtake one another, so the last to arrive is not always the newest. Of two
 // that may have been given in either order the stricter counts, until one comes whose
 // request was sent after the other had arrived.
-func (r *register) take(key uint64, n Notice, now time.Duration) (b *belief, changed bool) {
+func (r *register) take(key uint64, n Notice) (b *belief, changed bool) {
 	b = r.beliefs[key]
 	if b == nil {
 		if math.IsInf(n.Rate, 1) || len(r.beliefs) >= serversMost {
 			return nil, false
 		}
-		b = &belief{Notice: n, named: n.Received, since: now}
+		b = &belief{Notice: n, named: n.Received}
 		r.beliefs[key] = b
 		return b, true
 	}
@@ -73,7 +78,7 @@
 			return b, false // word of a lifetime that is over
 		}
 		changed = n.Rate != b.Rate
-		b.replace(n, now)
+		b.replace(n)
 		return b, changed
 	}
 	n.Born = max(n.Born, b.Born)
@@ -84,16 +89,13 @@
 		b.named = max(b.named, n.Received)
 		return b, false
 	case n.Sent > b.Received, n.Rate < b.Rate && n.Received >= b.Sent:
-		b.replace(n, now)
+		b.replace(n)
 		return b, true
 	}
 	return b, false
 }
 
-func (b *belief) replace(n Notice, now time.Duration) {
-	if !b.limited() {
-		b.since = now
-	}
+func (b *belief) replace(n Notice) {
 	b.Notice = n
 	b.named = n.Received
 }
--- /dev/null
+++ b/internal/decision/beechthrottle/throttle_test.go
@@ -0,0 +1,284 @@
+package beechthrottle
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"github.com/matryer/is"
+
+	"github.com/beechring/beechring/internal/decision/beechquota"
+)
+
+type (
+	// fleet is gates in virtual time.
+	fleet struct {
+		clock  *clockwork.FakeClock
+		began  time.Time
+		gates  []*Throttle
+		events [][]Event
+		urgent []bool // gates that are to speak at once
+	}
+
+	// since gives the time since a fleet began.
+	since struct{ f *fleet }
+)
+
+func (s since) Now() time.Duration { return s.f.now() }
+
+func (f *fleet) now() time.Duration { return f.clock.Since(f.began) }
+
+func newFleet(n int) *fleet {
+	f := &fleet{clock: clockwork.NewFakeClock()}
+	f.began = f.clock.Now()
+	for range n {
+		f.add(n)
+	}
+	f.live(3*time.Second, nil)
+	return f
+}
+
+// add starts a gate among so many.
+func (f *fleet) add(n int) *Throttle {
+	i := len(f.gates)
+	f.events, f.urgent = append(f.events, nil), append(f.urgent, false)
+	t := New(fmt.Sprintf("gate-%d", i), uint64(i+1), since{f}, f.clock, func(e Event) { f.events[i] = append(f.events[i], e) }, func() { f.urgent[i] = true })
+	t.SetGates(n)
+	f.gates = append(f.gates, t)
+	return t
+}
+
+// live lets time pass, in which gates speak each 300 ms and at once where it is urgent,
+// and calls step every ten milliseconds.
+func (f *fleet) live(length time.Duration, step func()) {
+	for n := range int(length / (10 * time.Millisecond)) {
+		f.clock.Advance(10 * time.Millisecond)
+		if step != nil {
+			step()
+		}
+		for i := range f.gates {
+			if n%30 == i%30 || f.urgent[i] && n%5 == 0 {
+				f.tell(i)
+			}
+		}
+	}
+}
+
+func (f *fleet) speak() {
+	for i := range f.gates {
+		f.tell(i)
+	}
+}
+
+func (f *fleet) tell(i int) {
+	f.urgent[i] = false
+	if !f.gates[i].Speaks() {
+		return
+	}
+	w := f.gates[i].Word()
+	for j, to := range f.gates {
+		if j != i {
+			to.Hear(w)
+		}
+	}
+}
+
+// ask has a gate send a request to the server, which answers at once with a limit.
+func (f *fleet) ask(i int, said Said) bool {
+	if _, ok := f.gates[i].Take(server).(beechquota.Admitted); !ok {
+		return false
+	}
+	f.gates[i].Heard(server, 0, said, f.now())
+	return true
+}
+
+// A gate has never been answered by a server in need. It knows of the limit from the
+// others, and keeps to it with them.
+func TestGateThatWasNotToldItself(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(8)
+	is.True(f.ask(0, Names{Rate: 2}))
+	f.speak()
+	for i, g := range f.gates {
+		is.True(g.Limited(server))
+		began, ok := f.events[i][0].(Began)
+		is.True(ok)
+		is.Equal(began.Told, i != 0)
+		is.Equal(began.Rate, 2.0)
+	}
+	var sent []time.Duration
+	f.live(30*time.Second, func() {
+		for i := range f.gates {
+			if f.ask(i, Names{Rate: 2}) {
+				sent = append(sent, f.now())
+			}
+		}
+	})
+	t.Log(len(sent))
+	is.True(len(sent) <= 2*30+5)
+	is.True(len(sent) >= 2*30*7/10) // it is not left idle
+	for i, at := range sent {
+		if i >= tolerated {
+			is.True(at-sent[i-tolerated] > bounds.Window)
+		}
+	}
+}
+
+// tolerated of two requests a second in a window.
+const tolerated = 2*4*3/2 + 5
+
+// A gate starts while a server is in need, and asks. The others tell it before it sends.
+func TestGateThatStartsIsToldOfLimits(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(3)
+	is.True(f.ask(0, Names{Rate: 1}))
+	f.speak()
+	f.live(2*time.Second, nil)
+	fresh := f.add(4)
+	f.speak()
+	f.speak()
+	is.True(fresh.Limited(server))
+}
+
+// A server's need is over: its limit is lifted at all gates by one answer.
+func TestNeedThatIsOver(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(3)
+	is.True(f.ask(0, Names{Rate: 1}))
+	f.speak()
+	f.live(3*time.Second, nil)
+	is.True(f.ask(1, Silent{}))
+	f.speak()
+	for i, g := range f.gates {
+		is.True(!g.Limited(server))
+		_, ended := f.events[i][len(f.events[i])-1].(Ended)
+		is.True(ended)
+	}
+}
+
+// A server names 0, and nobody would ever hear that its need is over. It is asked again,
+// seldom.
+func TestLimitOfNothing(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(4)
+	is.True(f.ask(0, Names{Rate: 0}))
+	f.speak()
+	sent := 0
+	f.live(40*time.Second, func() {
+		for i := range f.gates {
+			if f.ask(i, Names{Rate: 0}) {
+				sent++
+			}
+		}
+	})
+	is.True(sent >= 2)
+	is.True(sent <= 10)
+}
+
+// Nobody has sent anything to a server in need for a while. It is due to be asked, and
+// by and by its limit is believed less.
+func TestServerThatIsSeldomAsked(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(2)
+	is.True(f.ask(0, Names{Rate: 0.5}))
+	is.True(!f.gates[0].Due(server))
+	f.live(6*time.Second, nil)
+	is.True(f.gates[0].Due(server))
+	is.True(f.gates[1].Due(server))
+	f.live(10*time.Second, nil)
+	is.True(f.gates[0].Rate(server) > 0.5)
+	is.True(f.gates[0].Rate(server) <= riseMost*0.5+askRate)
+	f.live(time.Minute, nil)
+	is.True(!f.gates[0].Any())
+	is.True(!f.gates[1].Any())
+}
+
+// A server begins another lifetime under its ID. It has no limit, and what others say of
+// the lifetime before gives it none.
+func TestServerThatStartsAnew(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(2)
+	f.gates[0].Heard(server, 5, Names{Rate: 1}, f.now())
+	f.speak()
+	f.live(time.Second, nil)
+	f.gates[0].Anew(server, 9)
+	is.True(!f.gates[0].Limited(server))
+	f.speak()
+	f.live(3*time.Second, nil)
+	is.True(!f.gates[0].Limited(server))
+	is.True(!f.gates[1].Limited(server))
+}
+
+// A gate was suspended while a server's need began and grew. What it believed before must
+// not lift the limit at the others.
+func TestOldBeliefDoesNotLiftALimit(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(2)
+	is.True(f.ask(1, Names{Rate: 1}))
+	f.speak()
+	f.live(time.Second, nil)
+	is.True(f.ask(1, Silent{}))
+	old := f.gates[1].Word()
+	f.speak()
+	f.live(2*time.Second, nil)
+	is.True(f.ask(0, Names{Rate: 1}))
+	f.gates[0].Hear(old) // it comes seconds late
+	is.True(f.gates[0].Limited(server))
+}
+
+// Answers name limits that cannot be used. They are counted and told, and neither lift
+// the last good one nor keep it for ever.
+func TestLimitsThatCannotBeUsed(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(1)
+	g := f.gates[0]
+	g.Heard(server, 0, Faulty{Text: "-1"}, f.now())
+	is.True(!g.Limited(server))
+	g.Heard(server, 0, Names{Rate: 1}, f.now())
+	g.Heard(server, 0, Faulty{Text: "many"}, f.now())
+	is.True(g.Limited(server))
+	is.Equal(g.State().PassedOver, 2)
+	f.live(lasts+time.Second, func() { g.Heard(server, 0, Faulty{Text: "many"}, f.now()) })
+	is.True(!g.Limited(server))
+	for _, bad := range []Told{{Rate: -5, Sent: -1}, {Rate: 1e300, Sent: 2, Received: 1}, {Rate: 1, Sent: 1, Received: 2}, {Rate: 1, Sent: 25 * time.Hour}} {
+		bad.Server = 77
+		g.Hear(Word{Limits: []Told{bad}})
+	}
+	is.True(!g.Any())
+}
+
+// A gate hears no other. It keeps to a share of the limit.
+func TestGateThatIsAloneKeepsToAShare(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(4)
+	alone := f.gates[3]
+	alone.Heard(server, 0, Names{Rate: 4}, f.now())
+	f.gates = f.gates[3:]
+	sent := 0
+	f.live(20*time.Second, func() {
+		if _, ok := alone.Take(server).(beechquota.Admitted); ok {
+			sent++
+			alone.Heard(server, 0, Names{Rate: 4}, f.now())
+		}
+	})
+	t.Log(sent)
+	is.True(sent <= 20*4/4*3/2)
+	is.True(sent >= 20*4/4/3)
+}
+
+func BenchmarkTake(b *testing.B) {
+	f := newFleet(2)
+	for n := range 1000 {
+		f.gates[0].Heard(fmt.Sprintf("i-%d", n), 0, Names{Rate: 2}, f.now())
+	}
+	f.speak()
+	names := make([]string, 4000)
+	for n := range names {
+		names[n] = fmt.Sprintf("i-%d", n)
+	}
+	b.ReportAllocs()
+	for n := 0; b.Loop(); n++ {
+		f.gates[0].Take(names[n%len(names)])
+	}
+}
--- a/internal/link/beechbeat/beat.go
+++ b/internal/link/beechbeat/beat.go
@@ -30,7 +30,7 @@
 
 type (
 	// Message is a Follow, a Tell, an Announce, a Pass, a Passed, a Peers, a
-	// Roster, an Inquiry, a Vouch, an Entries, a Spent or a Paces.
+	// Roster, an Inquiry, a Vouch, an Entries, a Spent, a Paces or a Limits.
 	Message interface{ message() }
 
 	// Follow is a gate's word to a keeper.
@@ -60,6 +60,10 @@
 	// Paces is a gate's word to the others on how fast engines are.
 	Paces struct{ *beechwire.Paces }
 
+	// Limits is a gate's word to the others on what servers take, and what it has sent
+	// them.
+	Limits struct{ *beechwire.Limits }
+
 	// Inquiry is a gate's question to another.
 	Inquiry struct{ *beechwire.Inquiry }
 
@@ -100,6 +104,7 @@
 	kindRoster   = 'Z'
 	kindSpent    = 'S'
 	kindPaces    = 'Q'
+	kindLimits   = 'L'
 	datagramMost = 16 << 10
 )
 
@@ -117,6 +122,7 @@
 func (Roster) message()   {}
 func (Spent) message()    {}
 func (Paces) message()    {}
+func (Limits) message()   {}
 
 // Open binds an address.
 func Open(address netip.AddrPort) (*Socket, error) {
@@ -154,6 +160,8 @@
 		return v.MarshalMsg([]byte{kindSpent})
 	case Paces:
 		return v.MarshalMsg([]byte{kindPaces})
+	case Limits:
+		return v.MarshalMsg([]byte{kindLimits})
 	}
 	return nil, errKind
 }
@@ -212,6 +220,9 @@
 	case kindPaces:
 		m := &beechwire.Paces{}
 		return Paces{m}, m
+	case kindLimits:
+		m := &beechwire.Limits{}
+		return Limits{m}, m
 	}
 	return nil, nil
 }
@@ -265,6 +276,8 @@
 		return "spent"
 	case kindPaces:
 		return "paces"
+	case kindLimits:
+		return "limits"
 	}
 	return "vouch"
 }
--- a/internal/link/beechwire/wire_gen.go
+++ b/internal/link/beechwire/wire_gen.go
@@ -2,7 +2,7 @@
 
 //msgp:ignore WireSchemaJson
 //msgp:limit arrays:65536
-//msgp:tuple Follow Announce Tell Target Weights Copy Peers Inquiry Vouch Entry Entries Pass Passed Zone Roster Use Spent Seen Paces
+//msgp:tuple Follow Announce Tell Target Weights Copy Peers Inquiry Vouch Entry Entries Pass Passed Zone Roster Use Spent Seen Paces Limit Limits
 
 package beechwire
 
@@ -473,6 +473,35 @@
 	Tokens int `msg:"Tokens"`
 }
 
+// Limit is what a server said of the requests that it takes from all gates
+// together.
+type Limit struct {
+	// Of its lifetime; 0 is not told.
+	Born uint64 `msg:"Born"`
+
+	// Thousandths of a request a second; below 0 it names none any more.
+	Rate int64 `msg:"Rate"`
+
+	// Milliseconds since the answer came.
+	Received int64 `msg:"Received"`
+
+	// Milliseconds since the request was sent that was answered so.
+	Sent int64 `msg:"Sent"`
+
+	// Hash of its ID.
+	Server uint64 `msg:"Server"`
+}
+
+// Limits is the datagram by which a gate tells the others which servers name
+// limits, and in thousandths of a request what it has sent them.
+type Limits struct {
+	// List corresponds to the JSON schema field "List".
+	List []Limit `msg:"List"`
+
+	// Sent corresponds to the JSON schema field "Sent".
+	Sent Spent `msg:"Sent"`
+}
+
 // Load is the agent's word on its server.
 type Load struct {
 	// Version of what the engine's cache holds; where it differs from the one known,
--- a/internal/link/beechwire/wire_msgp_gen.go
+++ b/internal/link/beechwire/wire_msgp_gen.go
@@ -3063,6 +3063,140 @@
 	return
 }
 
+// MarshalMsg implements msgp.Marshaler
+func (z *Limit) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// array header, size 5
+	o = append(o, 0x95)
+	o = msgp.AppendUint64(o, z.Born)
+	o = msgp.AppendInt64(o, z.Rate)
+	o = msgp.AppendInt64(o, z.Received)
+	o = msgp.AppendInt64(o, z.Sent)
+	o = msgp.AppendUint64(o, z.Server)
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *Limit) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadArrayHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 != 5 {
+		err = msgp.ArrayError{Wanted: 5, Got: zb0001}
+		return
+	}
+	z.Born, bts, err = msgp.ReadUint64Bytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Born")
+		return
+	}
+	z.Rate, bts, err = msgp.ReadInt64Bytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Rate")
+		return
+	}
+	z.Received, bts, err = msgp.ReadInt64Bytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Received")
+		return
+	}
+	z.Sent, bts, err = msgp.ReadInt64Bytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Sent")
+		return
+	}
+	z.Server, bts, err = msgp.ReadUint64Bytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Server")
+		return
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z *Limit) Msgsize() (s int) {
+	s = 1 + msgp.Uint64Size + msgp.Int64Size + msgp.Int64Size + msgp.Int64Size + msgp.Uint64Size
+	return
+}
+
+// MarshalMsg implements msgp.Marshaler
+func (z *Limits) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// array header, size 2
+	o = append(o, 0x92)
+	o = msgp.AppendArrayHeader(o, uint32(len(z.List)))
+	for za0001 := range z.List {
+		o, err = z.List[za0001].MarshalMsg(o)
+		if err != nil {
+			err = msgp.WrapError(err, "List", za0001)
+			return
+		}
+	}
+	o, err = z.Sent.MarshalMsg(o)
+	if err != nil {
+		err = msgp.WrapError(err, "Sent")
+		return
+	}
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *Limits) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadArrayHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 != 2 {
+		err = msgp.ArrayError{Wanted: 2, Got: zb0001}
+		return
+	}
+	var zb0002 uint32
+	zb0002, bts, err = msgp.ReadArrayHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "List")
+		return
+	}
+	if zb0002 > z311325c6limitArrays {
+		err = msgp.ErrLimitExceeded
+		return
+	}
+	if cap(z.List) >= int(zb0002) {
+		z.List = z.List[:zb0002]
+	} else {
+		z.List = make([]Limit, zb0002)
+	}
+	for za0001 := range z.List {
+		bts, err = z.List[za0001].UnmarshalMsg(bts)
+		if err != nil {
+			err = msgp.WrapError(err, "List", za0001)
+			return
+		}
+	}
+	bts, err = z.Sent.UnmarshalMsg(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Sent")
+		return
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z *Limits) Msgsize() (s int) {
+	s = 1 + msgp.ArrayHeaderSize
+	for za0001 := range z.List {
+		s += z.List[za0001].Msgsize()
+	}
+	s += z.Sent.Msgsize()
+	return
+}
+
 // MarshalMsg implements msgp.Marshaler
 func (z *Load) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
--- a/internal/process/beechgate/endings.go
+++ b/internal/process/beechgate/endings.go
@@ -19,6 +19,10 @@
 // a line is written at level debug only, of all others always.
 func (g *Gate) Ended(e beechattempt.Ending) {
 	g.metrics.ended(e, g.way(e.Choice.Server))
+	if e.Choice.Passed != "" {
+		g.limitLog.Info("request kept from a server at its limit", zap.String("request", e.Call.ID), zap.String("limited", e.Choice.Passed),
+			zap.Float64("rate", g.limits.Rate(e.Choice.Passed)), zap.String("server", e.Choice.Server.ID), zap.String("ending", e.How))
+	}
 	level := zap.DebugLevel
 	if e.How != "answered" || e.Sends > 1 || e.First > e.Call.Route.Objective {
 		level = zap.InfoLevel
--- a/internal/process/beechgate/gate.go
+++ b/internal/process/beechgate/gate.go
@@ -93,6 +93,7 @@
 		news       chan struct{} // a follow is due now
 		turnNews   chan struct{} // an engine's turn has ended
 		spentNews  chan struct{} // other gates are to hear at once what was admitted
+		limitNews  chan struct{} // or what servers with limits were sent
 	}
 )
 
@@ -152,13 +153,13 @@
 		named:    make(map[string]naming),
 		pace:     beechrollout.NewPace(),
 		news:     make(chan struct{}, 1),
-		turnNews: make(chan struct{}, 1), spentNews: make(chan struct{}, 1),
+		turnNews: make(chan struct{}, 1), spentNews: make(chan struct{}, 1), limitNews: make(chan struct{}, 1),
 	}
 	g.bounds.Store(&s.Bounds)
 	g.limitLog = needs.Log.WithOptions(zap.WrapCore(func(c zapcore.Core) zapcore.Core {
 		return zapcore.NewSamplerWithOptions(c, time.Second, limitLines, 0)
 	}))
-	g.limits = beechthrottle.New(needs.Age, g.noteLimit)
+	g.limits = beechthrottle.New(s.Name, rand.Uint64(), needs.Age, needs.Clock, g.noteLimit, g.limitChanged)
 	g.metrics = newMetrics(g)
 	weights := time.Duration(s.Bounds.Weights)
 	g.placer = beechplace.New(beechplace.Settings{
@@ -182,6 +183,7 @@
 		{Name: "ask peers", Run: g.askPeers},
 		{Name: "tell spent", Run: g.tellSpent},
 		{Name: "tell paces", Run: g.tellPaces},
+		{Name: "tell limits", Run: g.tellLimits},
 		{Name: "tell traffic", Run: g.tellTraffic},
 		{Name: "tick", Run: g.tick},
 		{Name: "reach kept store", Run: g.reachKept},
--- a/internal/process/beechgate/keepers.go
+++ b/internal/process/beechgate/keepers.go
@@ -118,6 +118,8 @@
 		g.hearSpent(from, v)
 	case beechbeat.Paces:
 		g.hearPaces(from, v)
+	case beechbeat.Limits:
+		g.hearLimits(from, v)
 	case beechbeat.Inquiry:
 		g.toPeers([]netip.AddrPort{from}, g.vouch(v.Number))
 	case beechbeat.Vouch:
@@ -171,6 +173,7 @@
 	g.budgets.SetGates(now)
 	g.placer.SetFronts(now)
 	g.quotas.SetGates(now)
+	g.limits.SetGates(now)
 	if c := g.configuration.Load(); c != nil {
 		g.bound(c)
 	}
--- a/internal/process/beechgate/limits.go
+++ b/internal/process/beechgate/limits.go
@@ -1,15 +1,25 @@
 package beechgate
 
 import (
+	"context"
+	"net/netip"
+	"slices"
 	"time"
 
 	"go.uber.org/zap"
 
+	"github.com/beechring/beechring/internal/decision/beechquota"
 	"github.com/beechring/beechring/internal/decision/beechthrottle"
+	"github.com/beechring/beechring/internal/link/beechbeat"
+	"github.com/beechring/beechring/internal/link/beechwire"
 )
 
-// limitLines of each message are written a second: limits may change with each answer.
-const limitLines = 10
+const (
+	// limitLines of each message are written a second: limits may change with each answer.
+	limitLines = 10
+	// limitsMost go into one datagram: a limit is some 30 bytes.
+	limitsMost = 300
+)
 
 // noteLimit logs what has changed in a server's limit, or in what is known of it.
 func (g *Gate) noteLimit(e beechthrottle.Event) {
@@ -29,3 +39,78 @@
 	g.limitLog.Info(what, append(fields, zap.String("server", s.Server), zap.Uint64("hash", s.Hash), zap.Bool("told", s.Told), zap.String("field", s.Field),
 		zap.Duration("age", s.Age.Round(time.Millisecond)), zap.Int("given", s.Given))...)
 }
+
+// tellLimits tells the other gates which servers name limits, and what this one has sent
+// to them: at once what the others must count with their next choice.
+func (g *Gate) tellLimits(ctx context.Context) error {
+	for number := uint32(0); ; number++ {
+		urgent := false
+		select {
+		case <-g.clock.After(beechquota.Interval(g.manyGates())):
+		case <-g.limitNews:
+			urgent = true
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+		if !g.limits.Speaks() {
+			continue
+		}
+		for _, limits := range wireLimits(g.limits.Word()) {
+			g.toGates(number, urgent, func(pass bool) beechbeat.Message {
+				word := *limits
+				word.Sent.Pass = pass
+				return beechbeat.Limits{Limits: &word}
+			})
+		}
+		g.clock.Sleep(spentSpace)
+	}
+}
+
+// limitChanged has the other gates told at once.
+func (g *Gate) limitChanged() {
+	select {
+	case g.limitNews <- struct{}{}:
+	default:
+	}
+}
+
+// hearLimits takes in another gate's word.
+func (g *Gate) hearLimits(from netip.AddrPort, l beechbeat.Limits) {
+	if !g.knows(from) {
+		return
+	}
+	if l.Sent.Pass {
+		passed := *l.Limits
+		passed.Sent.Pass = false
+		g.toZone(beechbeat.Limits{Limits: &passed})
+	}
+	word := beechthrottle.Word{Counting: spentWord(&l.Sent, thousand)}
+	for _, told := range l.List {
+		word.Limits = append(word.Limits, beechthrottle.Told{
+			Server: told.Server, Born: told.Born, Rate: float64(told.Rate) / thousand,
+			Sent: time.Duration(told.Sent) * time.Millisecond, Received: time.Duration(told.Received) * time.Millisecond,
+		})
+	}
+	g.limits.Hear(word)
+}
+
+// wireLimits packs a word into messages that go into a datagram each.
+func wireLimits(w beechthrottle.Word) []*beechwire.Limits {
+	var all []*beechwire.Limits
+	for _, spent := range wireSpent(w.Counting, thousand) {
+		all = append(all, &beechwire.Limits{Sent: *spent})
+	}
+	for n, list := range slices.Collect(slices.Chunk(w.Limits, limitsMost)) {
+		if n == len(all) {
+			next := &beechwire.Limits{Sent: all[0].Sent}
+			next.Sent.Uses, next.Sent.Full = nil, false
+			all = append(all, next)
+		}
+		for _, told := range list {
+			all[n].List = append(all[n].List, beechwire.Limit{
+				Server: told.Server, Born: told.Born, Rate: int64(told.Rate * thousand), Sent: told.Sent.Milliseconds(), Received: told.Received.Milliseconds(),
+			})
+		}
+	}
+	return all
+}
--- a/internal/process/beechgate/quota.go
+++ b/internal/process/beechgate/quota.go
@@ -16,9 +16,6 @@
 )
 
 const (
-	// spentInterval is the time between words on what was admitted: a gate that has
-	// not been heard for several of them counts as silent.
-	spentInterval = 300 * time.Millisecond
 	// spentSpace is that between urgent ones: a workspace far beyond its quota would
 	// otherwise have each of its requests told to all gates.
 	spentSpace = 50 * time.Millisecond
@@ -77,12 +74,19 @@
 	}
 }
 
+// manyGates is how many gates there are, as far as this one knows.
+func (g *Gate) manyGates() int {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.gates
+}
+
 // tellSpent tells the other gates what this one has admitted.
 func (g *Gate) tellSpent(ctx context.Context) error {
 	for number := uint32(0); ; number++ {
 		urgent := false
 		select {
-		case <-g.clock.After(spentInterval):
+		case <-g.clock.After(beechquota.Interval(g.manyGates())):
 		case <-g.spentNews:
 			urgent = true
 		case <-ctx.Done():
@@ -91,7 +95,7 @@
 		if !g.quotas.Limited() {
 			continue // there is nothing to agree on
 		}
-		for _, spent := range wireSpent(g.quotas.Word()) {
+		for _, spent := range wireSpent(g.quotas.Word(), 1) {
 			g.toGates(number, urgent, func(pass bool) beechbeat.Message {
 				word := *spent
 				word.Pass = pass
@@ -112,22 +116,27 @@
 		passed.Pass = false
 		g.toZone(beechbeat.Spent{Spent: &passed})
 	}
+	g.quotas.Hear(spentWord(s.Spent, 1))
+}
+
+// spentWord unpacks a word whose amounts are told as so many parts of one.
+func spentWord(s *beechwire.Spent, parts float64) beechquota.Word {
 	word := beechquota.Word{Host: s.Host, Lifetime: s.Lifetime, Age: time.Duration(s.Age) * time.Millisecond, Settled: s.Settled, Full: s.Full}
 	for _, u := range s.Uses {
-		word.Uses = append(word.Uses, beechquota.Use{Workspace: u.Workspace, Total: float64(u.Total), Level: float64(u.Level)})
+		word.Uses = append(word.Uses, beechquota.Use{Workspace: u.Workspace, Total: float64(u.Total) / parts, Level: float64(u.Level) / parts})
 	}
-	g.quotas.Hear(word)
+	return word
 }
 
-// wireSpent packs a word into messages that go into a datagram each. Only one that
-// holds all buckets may say so.
-func wireSpent(w beechquota.Word) []*beechwire.Spent {
+// wireSpent packs a word into messages that go into a datagram each, amounts as so many
+// parts of one. Only one that holds all buckets may say so.
+func wireSpent(w beechquota.Word, parts float64) []*beechwire.Spent {
 	var all []*beechwire.Spent
 	for {
 		n := min(len(w.Uses), usesMost)
 		spent := &beechwire.Spent{Host: w.Host, Lifetime: w.Lifetime, Age: w.Age.Milliseconds(), Settled: w.Settled, Full: w.Full && n == len(w.Uses) && all == nil}
 		for _, u := range w.Uses[:n] {
-			spent.Uses = append(spent.Uses, beechwire.Use{Workspace: u.Workspace, Total: uint64(u.Total), Level: int64(u.Level)})
+			spent.Uses = append(spent.Uses, beechwire.Use{Workspace: u.Workspace, Total: uint64(u.Total * parts), Level: int64(u.Level * parts)})
 		}
 		all = append(all, spent)
 		if w.Uses = w.Uses[n:]; len(w.Uses) == 0 {
--- a/internal/request/beechattempt/run.go
+++ b/internal/request/beechattempt/run.go
@@ -27,6 +27,8 @@
 		tried  []string          // servers, by ID
 		sends  int               // attempts, whatever came of them
 		waits  int               // for parts that were being read
+		held   int               // attempts that were not sent for a server's limit
+		back   time.Duration     // where all servers are at their limits: when one has room
 		ran    int               // attempts without a good answer that may have run
 		notRun int               // attempts of which it is proved that they have not
 		choice beechplace.Choice // the last
@@ -62,6 +64,9 @@
 	// waitsMost bounds the waits for parts: servers that go away meanwhile would
 	// otherwise have a call wait again and again.
 	waitsMost = 2
+	// heldMost bounds choices of servers that come to their limits before the call is sent:
+	// many gates may be after the same few requests.
+	heldMost = 4
 	// comeBack is when a refused caller may come back: an engine loads weights
 	// in half a second.
 	comeBack = 300 * time.Millisecond
@@ -87,6 +92,10 @@
 	r.core.budget.Sent(r.call.Service)
 	for {
 		choice, ok := r.choose(ctx)
+		if !ok && choice.Back > 0 {
+			r.back = choice.Back
+			return r.giveUp(ctx, "servers at their limits")
+		}
 		if !ok {
 			return r.giveUp(ctx, "no server may be used")
 		}
@@ -112,13 +121,13 @@
 
 // choose asks for a server, and waits a moment where none may be used: an
 // engine that takes new weights is back soon, and a caller that is sent away
-// takes longer to return.
+// takes longer to return. Where servers have room only later it does not wait.
 func (r *run) choose(ctx context.Context) (beechplace.Choice, bool) {
 	hold := max(r.call.Route.Objective/holdShare, holdLeast)
 	until := r.core.clock.Now().Add(hold)
 	for {
 		choice, ok := r.core.placer.Choose(r.call, r.tried)
-		if ok || r.core.clock.Now().After(until) || ended(ctx) {
+		if now := r.core.clock.Now(); ok || now.Add(choice.Back).After(until) || ended(ctx) {
 			return choice, ok && !ended(ctx)
 		}
 		select {
@@ -136,12 +145,19 @@
 		ticket.Done(beechplace.Left)
 		return again
 	}
+	if !ticket.Send() {
+		ticket.Done(beechplace.Left)
+		if r.held++; r.held < heldMost {
+			return again
+		}
+		r.back = comeBack
+		return stop
+	}
 	r.sends++
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	watch := r.newWatch(cancel, choice)
 	defer watch.stop()
-	ticket.Send()
 	sent := r.core.clock.Now()
 	answer, err := r.core.backend.Send(ctx, beechcall.Attempt{
 		Call: r.call, Server: choice.Server, Weights: choice.Weights, Salt: choice.Salt,
@@ -307,6 +323,9 @@
 		return "answered"
 	case r.ran == 0:
 		after := min(spread(comeBack), max(r.call.Left(r.core.clock.Now())/3, 0))
+		if r.back > 0 {
+			after = r.core.placer.ComeBack(r.call.Service, r.back)
+		}
 		r.core.log.Warn("request refused", append(fields, zap.Duration("after", after))...)
 		r.out.Refuse(NotRun{After: after, Reason: reason})
 		return "refused"
--- a/internal/request/beechplace/choose.go
+++ b/internal/request/beechplace/choose.go
@@ -1,9 +1,11 @@
 package beechplace
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
+	"github.com/beechring/beechring/internal/decision/beechquota"
 	"github.com/beechring/beechring/internal/request/beechcall"
 	"github.com/beechring/beechring/internal/request/beechrollout"
 )
@@ -17,18 +19,24 @@
 	lateFrom   = 0.5 // of the objective
 	memoryFull = 0.9 // of an engine's memory that cannot yield; beyond it runs are preempted
 	memoryCost = 300
+	// askAgain is what it is worth to hear whether a server's need is over.
+	askAgain = 150
+	// returnMost is the longest time after which a caller is told to come back.
+	returnMost = 10 * time.Second
 	// beginsWithin times what is expected a first byte usually comes: expectations
 	// miss half of what waits where engines are full.
 	beginsWithin = 3
 )
 
 // Choose gives the cheapest server for a call that is not among those tried.
-// It is false where no server may be used.
+// It is false where no server may be used; the choice has Back then if that is for
+// servers' limits alone.
 func (p *Placer) Choose(call *beechcall.Call, tried []string) (Choice, bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	now := p.clock.Now()
 	var best Choice
+	var limited []Choice
 	found := false
 	levels := p.levels(call, now)
 	for _, s := range p.services[call.Service] {
@@ -36,11 +44,72 @@
 			continue
 		}
 		c, ok := p.weigh(call, s, levels, now)
-		if ok && (!found || c.Cost < best.Cost) {
+		switch {
+		case !ok:
+		case p.limits.Limited(s.ID):
+			limited = append(limited, c)
+		case !found || c.Cost < best.Cost:
 			best, found = c, true
 		}
 	}
-	return best, found
+	if len(limited) == 0 {
+		return best, found
+	}
+	return p.amongLimited(best, found, limited)
+}
+
+// amongLimited chooses between the best server without a limit, if there is one, and those
+// with one that are cheaper and have room.
+func (p *Placer) amongLimited(best Choice, found bool, limited []Choice) (Choice, bool) {
+	for i := range limited {
+		if p.limits.Due(limited[i].Server.ID) {
+			limited[i].Cost -= askAgain
+		}
+	}
+	slices.SortFunc(limited, func(x, y Choice) int { return cmp.Compare(x.Cost, y.Cost) })
+	passed, back := "", returnMost
+	for _, c := range limited {
+		if found && best.Cost <= c.Cost {
+			break
+		}
+		switch d := p.limits.Room(c.Server.ID).(type) {
+		case beechquota.Admitted:
+			c.Passed = passed
+			return c, true
+		case beechquota.Refused:
+			p.limits.Held(c.Server.ID)
+			passed, back = cmp.Or(passed, c.Server.ID), min(back, d.After)
+		}
+	}
+	if !found {
+		return Choice{Passed: passed, Back: back}, false
+	}
+	best.Passed = passed
+	return best, true
+}
+
+// ComeBack is when a caller of a service may come back whose servers are all at their
+// limits, given when one of them has room. Callers are told times one after the other, as
+// fast as the servers take them; told the same time, most would come to be refused again.
+func (p *Placer) ComeBack(service string, room time.Duration) time.Duration {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	now := p.clock.Now()
+	rate := 0.0
+	for _, s := range p.services[service] {
+		if p.usable(s, now) && p.limits.Limited(s.ID) {
+			rate += p.limits.Rate(s.ID) / float64(p.settings.Fronts)
+		}
+	}
+	at, latest := now.Add(room), now.Add(returnMost)
+	if next := p.returns[service]; next.After(at) {
+		at = next
+	}
+	if !at.Before(latest) || rate <= 0 {
+		return returnMost
+	}
+	p.returns[service] = at.Add(min(time.Duration(float64(time.Second)/rate), returnMost))
+	return at.Sub(now)
 }
 
 func (p *Placer) usable(s *server, now time.Time) bool {
--- a/internal/request/beechplace/place_test.go
+++ b/internal/request/beechplace/place_test.go
@@ -30,7 +30,7 @@
 
 // unlimited knows servers without limits.
 func unlimited() *beechthrottle.Throttle {
-	return beechthrottle.New(beechfresh.Boot{}, func(beechthrottle.Event) {})
+	return beechthrottle.New("gate", 1, beechfresh.Boot{}, clockwork.NewRealClock(), func(beechthrottle.Event) {}, func() {})
 }
 
 func (w weights) Weight(s netip.AddrPort) float64 {
--- a/internal/request/beechplace/placer.go
+++ b/internal/request/beechplace/placer.go
@@ -39,6 +39,7 @@
 		usual    float64 // tokens that a request has to read, the mean of the last
 		size     float64 // tokens of a prompt, the mean of the last
 		stay     stay
+		returns  map[string]time.Time // by service: when the last caller was told to come back
 	}
 
 	// server is a backend server in one lifetime with what is believed of it.
@@ -106,6 +107,7 @@
 		settings: s, speed: speed{rate: s.PrefillRate}, clock: clock, health: health, limits: limits, announce: announce,
 		services: make(map[string][]*server), byID: make(map[string]*server), byPlace: make(map[netip.AddrPort]*server),
 		sheets: make(map[string]beechcall.Service), versions: make(map[string]*beechrollout.Versions), holders: holders,
+		returns: make(map[string]time.Time),
 	}
 }
 
@@ -138,6 +140,11 @@
 		p.place(s)
 		p.services[line.Service] = append(p.services[line.Service], s)
 	}
+	for id := range old {
+		if _, listed := p.byID[id]; !listed {
+			p.limits.Anew(id, 0)
+		}
+	}
 	for _, servers := range p.services {
 		slices.SortFunc(servers, func(x, y *server) int {
 			if x.ID < y.ID {
@@ -217,6 +224,7 @@
 		return // not told, known, or late word of a lifetime before
 	}
 	if s.Born != 0 {
+		p.limits.Anew(s.ID, at)
 		s.empty = p.clock.Now()
 		s.weights = make(map[string]uint64)
 		s.unread, s.fails = 0, 0
--- a/internal/request/beechplace/prefix.go
+++ b/internal/request/beechplace/prefix.go
@@ -68,11 +68,12 @@
 
 // home is the engine that all gates choose by themselves for a part that they
 // know nothing of, by rendezvous hashing. Two gates that meet a part in the
-// same moment then read it once.
+// same moment then read it once. A server with a limit is none's home, as most of
+// those who look for the part there would be sent elsewhere.
 func (p *Placer) home(service, name string, now time.Time) string {
 	best, bestScore := "", uint64(0)
 	for _, s := range p.services[service] {
-		if !p.usable(s, now) {
+		if !p.usable(s, now) || p.limits.Limited(s.ID) {
 			continue
 		}
 		if score := xxhash.Sum64String(name + s.ID); best == "" || score > bestScore {
--- a/internal/request/beechplace/ticket.go
+++ b/internal/request/beechplace/ticket.go
@@ -5,6 +5,7 @@
 	"sync"
 	"time"
 
+	"github.com/beechring/beechring/internal/decision/beechquota"
 	"github.com/beechring/beechring/internal/decision/beechthrottle"
 	"github.com/beechring/beechring/internal/request/beechcall"
 )
@@ -56,13 +57,15 @@
 	return t
 }
 
-// Send tells that the attempt goes to the server now.
-func (t *Ticket) Send() {
+// Send tells that the attempt goes to the server now. It is false where the server has
+// come to its limit since it was chosen.
+func (t *Ticket) Send() bool {
 	if t.server == nil {
-		return
+		return true
 	}
 	t.asked = t.placer.limits.Now()
-	t.placer.limits.Sent(t.server.ID)
+	_, ok := t.placer.limits.Take(t.server.ID).(beechquota.Admitted)
+	return ok
 }
 
 // Said takes in what the server's answer says of its limit.
@@ -123,6 +126,9 @@
 			t.placer.stay.learn(t.prompt, t.placer.clock.Since(t.sent))
 		}
 		t.placer.judge(t.server, o)
+		if o == Unreached {
+			t.placer.limits.GiveBack(t.server.ID)
+		}
 	})
 }
 
--- a/internal/request/beechplace/types.go
+++ b/internal/request/beechplace/types.go
@@ -61,6 +61,8 @@
 		Missing  int           // shared tokens that it does not hold, fetched or read
 		Moved    int           // of these, from the store of kept KV cache
 		Unread   int           // tokens that the server will probably have to read
+		Passed   string        // ID of a cheaper server that is at its limit
+		Back     time.Duration // where all that may be used are at their limits: when one has room
 	}
 
 	// Announce tells other gates, by way of the server's keeper, of a prompt
