--- /dev/null
+++ b/internal/request/beechplace/limit_test.go
@@ -0,0 +1,86 @@
+package beechplace
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/beechring/beechring/internal/decision/beechthrottle"
+)
+
+// full has a server name a limit and be sent what it takes.
+func (f *fleet) full(id string, rate float64) {
+	f.limits.Heard(id, 0, beechthrottle.Names{Rate: rate}, f.limits.Now())
+	for range 8 {
+		f.limits.Take(id)
+	}
+}
+
+// The server that holds a history names a limit and has had what it takes. Requests for
+// the history go elsewhere and not there, though it is read once more, and its home moves.
+func TestHistoryGivesWayToALimit(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(4)
+	f.tellAll(nil)
+	call := ask("h", 4000, 100)
+	first := f.choose(t, call)
+	f.Sent(call, first).Done(Answered)
+	f.clock.Advance(time.Second)
+	f.tellAll(nil)
+	is.Equal(f.choose(t, call).Server.ID, first.Server.ID)
+	f.full(first.Server.ID, 0.1)
+	other := f.choose(t, call)
+	is.True(other.Server.ID != first.Server.ID)
+	is.Equal(other.Passed, first.Server.ID)
+	is.True(f.levels(call, f.clock.Now())[0].home != first.Server.ID)
+}
+
+// All servers have had what they take. A caller is turned away at once, and those who
+// come after him are told later times, as fast as the servers take requests.
+func TestAllServersAtTheirLimits(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(2)
+	f.tellAll(nil)
+	f.full(f.servers[0].ID, 2)
+	f.full(f.servers[2].ID, 2)
+	c, ok := f.Choose(ask("h", 4000, 100), nil)
+	is.True(!ok)
+	is.True(c.Back > 0)
+	is.True(c.Back <= returnMost)
+	var last time.Duration
+	for n := range 8 {
+		back := f.ComeBack("llm", c.Back)
+		is.True(back >= last)
+		is.True(n == 0 || back-last <= time.Second/2)
+		last = back
+	}
+	is.True(last >= c.Back+7*time.Second/4-10*time.Millisecond) // four a second
+	for range 100 {
+		last = f.ComeBack("llm", c.Back)
+	}
+	is.Equal(last, returnMost)
+}
+
+// A request is chosen for a server and waits; meanwhile the server comes to its limit. It
+// does not go there, and one that found no connection does not count.
+func TestLimitIsKeptToWhenSending(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(1)
+	f.tellAll(nil)
+	call := ask("h", 4000, 100)
+	choice := f.choose(t, call)
+	late := f.Sent(call, choice)
+	f.full(choice.Server.ID, 0.1)
+	is.True(!late.Send())
+	late.Done(Left)
+
+	f = newFleet(1)
+	f.tellAll(nil)
+	f.limits.Heard(choice.Server.ID, 0, beechthrottle.Names{Rate: 0.1}, f.limits.Now())
+	for range 20 { // a connection is never made
+		attempt := f.Sent(call, choice)
+		is.True(attempt.Send())
+		attempt.Done(Unreached)
+	}
+}
--- a/internal/request/beechplace/pace_test.go
+++ b/internal/request/beechplace/pace_test.go
@@ -41,7 +41,7 @@
 		list = append(list, beechcall.Server{ID: id, Service: "llm", Zone: "a", Slots: 8, Address: address(i), Weights: map[string]uint64{"m": 1}})
 	}
 	for range gates {
-		p := New(Settings{Zone: "a", Fronts: gates}, f.clock, weights{}, unlimited(), func(beechcall.Server, int, []uint64, bool) {})
+		p := New(Settings{Zone: "a", Fronts: gates}, f.clock, weights{}, throttle(f.clock), func(beechcall.Server, int, []uint64, bool) {})
 		p.SetServers(list)
 		f.gates = append(f.gates, p)
 	}
--- a/internal/request/beechplace/place_test.go
+++ b/internal/request/beechplace/place_test.go
@@ -28,9 +28,11 @@
 	weights map[netip.AddrPort]float64
 )
 
-// unlimited knows servers without limits.
-func unlimited() *beechthrottle.Throttle {
-	return beechthrottle.New("gate", 1, beechfresh.Boot{}, clockwork.NewRealClock(), func(beechthrottle.Event) {}, func() {})
+// throttle knows no limits yet, and is the only gate's.
+func throttle(clock clockwork.Clock) *beechthrottle.Throttle {
+	t := beechthrottle.New("gate", 1, beechfresh.Boot{}, clock, func(beechthrottle.Event) {}, func() {})
+	t.SetGates(1)
+	return t
 }
 
 func (w weights) Weight(s netip.AddrPort) float64 {
@@ -50,7 +52,7 @@
 // version 1, and as many servers of a plain service.
 func newFleet(n int) *fleet {
 	f := &fleet{clock: clockwork.NewFakeClock(), announced: make(map[string]int), doubts: weights{}}
-	f.Placer = New(Settings{Zone: "a", Fronts: 1}, f.clock, f.doubts, unlimited(), func(s beechcall.Server, tokens int, _ []uint64, _ bool) { f.announced[s.ID] += tokens })
+	f.Placer = New(Settings{Zone: "a", Fronts: 1}, f.clock, f.doubts, throttle(f.clock), func(s beechcall.Server, tokens int, _ []uint64, _ bool) { f.announced[s.ID] += tokens })
 	for i := range n {
 		zone := []string{"a", "b"}[i%2]
 		f.servers = append(f.servers,
