--- a/internal/command/beechplay/day.go
+++ b/internal/command/beechplay/day.go
@@ -34,7 +34,8 @@
 		At   beechsettings.Duration `json:"at"`
 		For  beechsettings.Duration `json:"for,omitempty"`
 		Kind string                 `json:"kind"`
-		On   string                 `json:"on,omitempty"` // a server's name, as e1 or s1
+		On   string                 `json:"on,omitempty"`   // a server's name, as e1 or s1
+		Rate float64                `json:"rate,omitempty"` // of a limit
 	}
 )
 
@@ -50,6 +51,7 @@
 	"reset":        "a server runs requests and resets the connection",
 	"cut":          "a server's streams break off after two events",
 	"fail":         "a server answers 500",
+	"limit":        "a server names a limit of so many requests a second, rate, over all gates",
 	"stop":         "a gate is stopped; another one starts in its place",
 }
 
@@ -91,6 +93,9 @@
 		if _, ok := Kinds[f.Kind]; !ok {
 			return Day{}, fmt.Errorf("%w: field faults.%d.kind: %q is no kind of fault", errDay, i, f.Kind)
 		}
+		if f.Rate < 0 {
+			return Day{}, fmt.Errorf("%w: field faults.%d.rate must not be below zero", errDay, i)
+		}
 	}
 	slices.SortStableFunc(day.Faults, func(x, y Fault) int { return int(x.At - y.At) })
 	return day, nil
--- a/internal/command/beechplay/play.go
+++ b/internal/command/beechplay/play.go
@@ -1,11 +1,13 @@
 package beechplay
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"io"
 	"math/rand/v2"
 	"net/http"
+	"strconv"
 	"strings"
 	"sync"
 	"time"
@@ -64,6 +66,12 @@
 	latencyMax = int64(time.Hour / time.Microsecond)
 	digits     = 2
 	grace      = 8 * time.Second
+
+	// A limit must be kept from limitKnown after it was first named on.
+	limitKnown   = 3 * time.Second
+	limitWindow  = 4 * time.Second
+	limitOverage = 0.5
+	limitSlack   = 5
 )
 
 var kinds = []kind{
@@ -216,6 +224,9 @@
 		servers(beechhome.EngineTrouble{CutAfter: 2})
 	case "fail":
 		servers(beechhome.EngineTrouble{Status: http.StatusInternalServerError})
+	case "limit":
+		p.limit(f)
+		return
 	case "stop":
 		p.replaceGate()
 	}
@@ -227,6 +238,35 @@
 	servers(beechhome.EngineTrouble{})
 }
 
+// limit has servers name a limit for a time, to the day's end if none is given, and checks
+// that they are not sent more.
+func (p *player) limit(f Fault) {
+	length := time.Duration(cmp.Or(f.For, p.day.Length-f.At))
+	from := time.Now().Add(limitKnown)
+	for name, e := range p.world.Engines {
+		if f.On == "" || f.On == name {
+			e.SetLimit(strconv.FormatFloat(f.Rate, 'f', -1, 64))
+		}
+	}
+	time.Sleep(length)
+	until := time.Now()
+	for name, e := range p.world.Engines {
+		if f.On != "" && f.On != name {
+			continue
+		}
+		e.SetLimit("")
+		if most := e.MostArrivals(limitWindow, from, until); float64(most) > Tolerated(f.Rate) {
+			p.broken("%s: was sent %d requests in %s, and takes %g a second", name, most, limitWindow, f.Rate)
+		}
+	}
+}
+
+// Tolerated is what a server that names a limit may be sent in limitWindow, some of it
+// under way when the limit was named.
+func Tolerated(rate float64) float64 {
+	return rate*limitWindow.Seconds()*(1+limitOverage) + limitSlack
+}
+
 // replaceGate has the first gate leave, as a balancer would see it: it gets no
 // new callers, and ends when those it has are answered.
 func (p *player) replaceGate() {
--- a/internal/standin/beechhome/engine.go
+++ b/internal/standin/beechhome/engine.go
@@ -159,6 +159,22 @@
 	return append([]time.Time(nil), e.arrivals...)
 }
 
+// MostArrivals gives the largest number of requests that came in a window which ends after
+// from and not after until.
+func (e *Engine) MostArrivals(window time.Duration, from, until time.Time) int {
+	arrivals := e.Arrivals()
+	most, first := 0, 0
+	for i, at := range arrivals {
+		for arrivals[first].Before(at.Add(-window)) {
+			first++
+		}
+		if at.After(from) && !at.After(until) {
+			most = max(most, i-first+1)
+		}
+	}
+	return most
+}
+
 // Restart begins another lifetime under the engine's ID: what it held, named and was told
 // is gone.
 func (e *Engine) Restart() {
