A send that fails with the link leaves its stream's answer kept

Cause: the agent's writer fails its queue before the reader notices that the link is lost, and only the reader's side marks streams as detached; a handler that sends in between takes the caller for gone for good and cancels the generation. Now only the entry's own Cancel ends a generation for good.

--- a/internal/link/beechlink/server_test.go
+++ b/internal/link/beechlink/server_test.go
@@ -209,6 +209,28 @@
 // An agent is stopped for a new version while callers read. Every answer comes
 // whole, new requests are refused as not run, and so are those that crossed
 // the agent's last word on the wire.
+// The agent's writer notices that a link is lost before its reader does. A handler whose
+// send fails at that moment must not take the caller for gone for good: the answer that
+// the caller comes back for would be thrown away.
+func TestSendThatFailsWithTheLinkLeavesTheStreamDetached(t *testing.T) {
+	is := is.New(t)
+	type end struct {
+		failed   error
+		detached bool
+	}
+	ends := make(chan end, 1)
+	p := newPair(t, Settings{}, handlerFuncs{open: func(ctx context.Context, s ServerStream, _ beechwire.Request, _ []byte) {
+		s.(*serverStream).end.c.out.fail(io.EOF) // as the writer does first
+		err := s.Send(ctx, DataReply{beechwire.Data{Sequence: 1, Data: []byte("x")}})
+		ends <- end{err, s.Detached()}
+	}})
+	_, err := p.client.Open(t.Context(), request("r"), nil)
+	is.NoErr(err)
+	e := <-ends
+	is.True(e.failed != nil)
+	is.True(e.detached)
+}
+
 func TestDrainCutsNothing(t *testing.T) {
 	is := is.New(t)
 	release := make(chan struct{})
--- a/internal/link/beechlink/serverstream.go
+++ b/internal/link/beechlink/serverstream.go
@@ -22,22 +22,23 @@
 		request *beechwire.Request // of an Open
 		body    []byte             // received so far
 
-		mu       sync.Mutex
-		credit   int
-		more     chan struct{} // room for one; told when credit grew
-		over     bool
-		detached bool
+		mu      sync.Mutex
+		credit  int
+		more    chan struct{} // room for one; told when credit grew
+		over    bool
+		forGood bool // the entry cancelled it and wants no more of its generation
 	}
 )
 
 // Peer implements ServerStream.
 func (s *serverStream) Peer() Peer { return s.end.c.known() }
 
-// Detached implements ServerStream.
+// Detached implements ServerStream. Only the entry's own word ends a generation: a send
+// may fail before this side has noticed that the link is lost.
 func (s *serverStream) Detached() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.detached
+	return !s.forGood
 }
 
 // Send implements ServerStream. Stream is filled in, as are RequestID and
@@ -158,7 +159,7 @@
 func (s *serverStream) stop(detached bool) {
 	s.mu.Lock()
 	s.over = true
-	s.detached = detached
+	s.forGood = !detached
 	s.mu.Unlock()
 	s.cancel()
 }
