--- a/internal/decision/beechquota/few_ways_test.go
+++ b/internal/decision/beechquota/few_ways_test.go
@@ -3,7 +3,7 @@
 import "testing"
 
 // Ways to keep a limit of few requests a second over many gates, side by side.
-// go test -v -run SideOfFew prints them.
+// go test -v -run FewRequestsSideBySide prints them.
 func TestFewRequestsSideBySide(t *testing.T) {
 	for _, gates := range []int{4, 26, 68} {
 		for _, rate := range []float64{0.3, 1.5, 12} {
