Lines on limits that are dropped are counted; a request that is held at each try says so

Volume of these lines is bounded at ten a second and message; what went beyond was lost without a trace. A request whose servers came to their limits at each of its tries ended with the reason "no more tries", which points at the retry budget.

--- a/internal/command/beechplay/world.go
+++ b/internal/command/beechplay/world.go
@@ -119,6 +119,9 @@
 	w.Store.List(e, service, w.Places[name].String(), w.zone, state)
 }
 
+// In has what is added from now on stand in an availability zone.
+func (w *World) In(zone string) { w.zone = zone }
+
 // Configure writes a configuration; edit may change it before.
 func (w *World) Configure(version int, edit func(c Document)) {
 	c := beechhome.Configuration(version, Host, Model, Generation, Plain, Key, IsolateKey)
--- a/internal/process/beechgate/gate.go
+++ b/internal/process/beechgate/gate.go
@@ -16,7 +16,6 @@
 	"github.com/jonboulle/clockwork"
 	"github.com/thejerf/suture/v4"
 	"go.uber.org/zap"
-	"go.uber.org/zap/zapcore"
 
 	"github.com/beechring/beechring/internal/decision/beechhealth"
 	"github.com/beechring/beechring/internal/decision/beechquota"
@@ -156,11 +155,9 @@
 		turnNews: make(chan struct{}, 1), spentNews: make(chan struct{}, 1), limitNews: make(chan struct{}, 1),
 	}
 	g.bounds.Store(&s.Bounds)
-	g.limitLog = needs.Log.WithOptions(zap.WrapCore(func(c zapcore.Core) zapcore.Core {
-		return zapcore.NewSamplerWithOptions(c, time.Second, limitLines, 0)
-	}))
 	g.limits = beechthrottle.New(s.Name, rand.Uint64(), needs.Age, needs.Clock, g.noteLimit, g.limitChanged)
 	g.metrics = newMetrics(g)
+	g.limitLog = sampled(needs.Log, g.metrics.linesDropped)
 	weights := time.Duration(s.Bounds.Weights)
 	g.placer = beechplace.New(beechplace.Settings{
 		Zone: s.Zone, OldMost: max(weights-oldMargin, weights/2), OldBegin: max(weights-beginMargin, weights/2),
--- a/internal/process/beechgate/limits.go
+++ b/internal/process/beechgate/limits.go
@@ -2,11 +2,13 @@
 
 import (
 	"context"
+	"expvar"
 	"net/netip"
 	"slices"
 	"time"
 
 	"go.uber.org/zap"
+	"go.uber.org/zap/zapcore"
 
 	"github.com/beechring/beechring/internal/decision/beechquota"
 	"github.com/beechring/beechring/internal/decision/beechthrottle"
@@ -21,6 +23,18 @@
 	limitsMost = 300
 )
 
+// sampled writes the first limitLines of each message in a second and counts the rest.
+func sampled(log *zap.Logger, dropped *expvar.Int) *zap.Logger {
+	count := zapcore.SamplerHook(func(_ zapcore.Entry, d zapcore.SamplingDecision) {
+		if d&zapcore.LogDropped != 0 {
+			dropped.Add(1)
+		}
+	})
+	return log.WithOptions(zap.WrapCore(func(c zapcore.Core) zapcore.Core {
+		return zapcore.NewSamplerWithOptions(c, time.Second, limitLines, 0, count)
+	}))
+}
+
 // noteLimit logs what has changed in a server's limit, or in what is known of it.
 func (g *Gate) noteLimit(e beechthrottle.Event) {
 	switch v := e.(type) {
--- a/internal/process/beechgate/metrics.go
+++ b/internal/process/beechgate/metrics.go
@@ -20,10 +20,11 @@
 		vouches   *expvar.Map // other gates' words on their copies, by what they proved
 		bodies    *expvar.Map // bytes of requests' bodies, by way
 
-		short      *expvar.Int // versions that not all engines could have in time
-		passedOver *expvar.Int // changes of servers' entries that cannot be used
-		first      *beechmetric.Latency
-		whole      *beechmetric.Latency
+		linesDropped *expvar.Int // on limits, beyond limitLines
+		short        *expvar.Int // versions that not all engines could have in time
+		passedOver   *expvar.Int // changes of servers' entries that cannot be used
+		first        *beechmetric.Latency
+		whole        *beechmetric.Latency
 	}
 )
 
@@ -31,7 +32,7 @@
 	m := &metrics{
 		vars: new(expvar.Map), endings: new(expvar.Map), retried: new(expvar.Int), denied: new(expvar.Map),
 		vouches: new(expvar.Map), bodies: new(expvar.Map), strangers: new(expvar.Int),
-		short: new(expvar.Int), passedOver: new(expvar.Int), first: beechmetric.NewLatency(), whole: beechmetric.NewLatency(),
+		linesDropped: new(expvar.Int), short: new(expvar.Int), passedOver: new(expvar.Int), first: beechmetric.NewLatency(), whole: beechmetric.NewLatency(),
 	}
 	m.vars.Set("endings", m.endings)
 	m.vars.Set("retried", m.retried)
@@ -40,6 +41,7 @@
 	m.vars.Set("paces", expvar.Func(func() any { return slowest(g.placer.Paces()) }))
 	m.vars.Set("strangers", m.strangers)
 	m.vars.Set("quotas", expvar.Func(func() any { return g.quotas.State() }))
+	m.vars.Set("limitLinesDropped", m.linesDropped)
 	m.vars.Set("limits", expvar.Func(func() any { return g.limits.State() }))
 	m.vars.Set("bodyBytes", m.bodies)
 	m.vars.Set("datagramBytes", g.socket.Sent())
--- a/internal/request/beechattempt/run.go
+++ b/internal/request/beechattempt/run.go
@@ -80,6 +80,7 @@
 	urgencyLast   = 9
 	workspaceRank = 1 // where operators give none
 	answerMost    = 16 << 20
+	atLimits      = "servers at their limits"
 )
 
 var (
@@ -94,7 +95,7 @@
 		choice, ok := r.choose(ctx)
 		if !ok && choice.Back > 0 {
 			r.back = choice.Back
-			return r.giveUp(ctx, "servers at their limits")
+			return r.giveUp(ctx, atLimits)
 		}
 		if !ok {
 			return r.giveUp(ctx, "no server may be used")
@@ -106,6 +107,9 @@
 		case over:
 			return r.ending()
 		case stop:
+			if r.back > 0 {
+				return r.giveUp(ctx, atLimits)
+			}
 			return r.giveUp(ctx, "no more tries")
 		case again:
 		}
