Gates ask a server in need again one after the other, and bursts of lots are smaller

TestLimitOverZones (ten gates, 0.8 requests a second) had 10 in a window under the race detector beside four busy cores, where 9.8 are tolerated. Trace: nobody had sent anything for four seconds, then the server was due to be asked at all ten gates in the same moment and got five requests within 0.25 s; its limit began to rise in that moment too. Now each gate asks at its own time within two more seconds, the first answer is told at once, and a limit rises only after eight seconds.

Of servers that cost the same one with a limit goes first: it takes what it takes, and the others have the rest.

--- a/internal/decision/beechquota/ledger.go
+++ b/internal/decision/beechquota/ledger.go
@@ -339,8 +339,11 @@
 // of them: with more, all gates together, or those that have just been cut off,
 // would let in many times what is left before any knows.
 func (l *Ledger) unheard(a *account) float64 {
-	part := min(l.sharedOut(a)+1/float64(l.gates), 1)
-	return max(part*a.level, 2*l.lump(a))
+	part, lumps := min(l.sharedOut(a)+1/float64(l.gates), 1), 2.0
+	if l.bounds.Lots {
+		lumps = 1 // several requests may be let in by one lot
+	}
+	return max(part*a.level, lumps*l.lump(a))
 }
 
 // refuse tells when what is left will be above 0 again. Who comes back cannot be told
--- a/internal/decision/beechthrottle/register.go
+++ b/internal/decision/beechthrottle/register.go
@@ -43,6 +43,7 @@
 		repeats   int           // words that still tell it
 		account   string        // of the counting
 		enforced  float64       // the rate that is kept to
+		turn      float64       // 0 to 1: when this gate asks a server again
 		given     int
 		held      int
 	}
--- a/internal/decision/beechthrottle/throttle.go
+++ b/internal/decision/beechthrottle/throttle.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"math"
+	"math/rand/v2"
 	"slices"
 	"strconv"
 	"sync"
@@ -85,12 +86,16 @@
 	// once.
 	burst = 1
 	// sureFor a limit is believed without being named again. Then a server that is asked
-	// seldom is asked again, lest nobody hears that its need is over.
-	sureFor = 4 * time.Second
-	// riseMost times its rate a limit rises to while it is not named again, and by askRate
-	// a second: one of 0 would never be asked for otherwise.
-	riseMost = 4
-	askRate  = 0.25
+	// seldom is asked again, lest nobody hears that its need is over: each gate in turn,
+	// within as long again.
+	sureFor = 2 * time.Second
+	// riseAfter a limit that is not named again rises, doubling in each riseTime to riseMost
+	// times its rate at the most, and by askRate a second: one of 0 would never be asked for
+	// otherwise.
+	riseAfter = 8 * time.Second
+	riseTime  = 4 * time.Second
+	riseMost  = 4
+	askRate   = 0.25
 	// leastRate stands for a limit of 0, which the counting does not know.
 	leastRate = 0.001
 	// lasts is how long a limit is remembered that is never named again, or one that has
@@ -149,9 +154,9 @@
 		return // not known
 	}
 	t.mu.Lock()
-	event := t.take(xxhash.Sum64String(server), server, notice, false)
+	event, sure := t.take(xxhash.Sum64String(server), server, notice, false)
 	t.mu.Unlock()
-	if event != nil {
+	if event != nil || sure {
 		t.news()
 	}
 	t.tell(event, field)
@@ -176,25 +181,30 @@
 	t.tell(event, "")
 }
 
-// take takes in a notice and gives what the log tells of it. The caller holds the lock.
-func (t *Throttle) take(key uint64, server string, n Notice, told bool) Event {
+// take takes in a notice. It gives what the log tells of it, and whether a limit is sure
+// again that was not. The caller holds the lock.
+func (t *Throttle) take(key uint64, server string, n Notice, told bool) (e Event, sure bool) {
 	now := t.clock.Now()
-	was := unlimited
+	was, unsure := unlimited, false
 	if old := t.register.beliefs[key]; old != nil {
-		was = old.Rate
+		was, unsure = old.Rate, old.limited() && now-old.named > sureFor
 	}
 	b, changed := t.register.take(key, n)
 	if b == nil {
-		return nil
+		return nil, false
 	}
 	b.server = cmp.Or(server, b.server)
 	if !told && b.Received == n.Received {
 		b.firsthand = true
 	}
-	if !changed {
-		return nil
+	if changed {
+		return t.changed(key, b, was, now, told), false
+	}
+	if sure = unsure && now-b.named <= sureFor; sure {
+		b.repeats = repeats
+		t.enforce(key, b, now)
 	}
-	return t.changed(key, b, was, now, told)
+	return nil, sure
 }
 
 // changed puts a belief in force, and gives what the log tells of it. The caller holds
@@ -224,6 +234,7 @@
 func (t *Throttle) enforce(key uint64, b *belief, now time.Duration) {
 	if b.account == "" {
 		b.account = strconv.FormatUint(key, 16)
+		b.turn = rand.Float64()
 	}
 	if !b.limited() {
 		t.ledger.SetLimit(b.account, beechquota.Limit{})
@@ -235,11 +246,11 @@
 
 // believed is the limit as far as it is believed still: what is not named again rises.
 func (b *belief) believed(now time.Duration) float64 {
-	unsure := now - b.named - sureFor
+	unsure := now - b.named - riseAfter
 	if unsure <= 0 {
 		return b.Rate
 	}
-	rise := min(math.Exp2(float64(unsure)/float64(sureFor)), riseMost)
+	rise := min(math.Exp2(float64(unsure)/float64(riseTime)), riseMost)
 	return b.Rate*rise + askRate
 }
 
@@ -306,8 +317,8 @@
 	return b.Rate
 }
 
-// Due tells whether a server is to be asked again, as its limit has not been named for a
-// while.
+// Due tells whether this gate is to ask a server again, as its limit has not been named
+// for a while. If all gates asked at once, a server in need would be sent a burst.
 func (t *Throttle) Due(server string) bool {
 	b := t.belief(server)
 	if b == nil {
@@ -315,7 +326,7 @@
 	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return t.clock.Now()-b.named > sureFor
+	return t.clock.Now()-b.named > sureFor+time.Duration(b.turn*float64(sureFor))
 }
 
 // Limited tells whether a server names a limit.
--- a/internal/decision/beechthrottle/word.go
+++ b/internal/decision/beechthrottle/word.go
@@ -91,7 +91,7 @@
 		if told.Rate < 0 {
 			n.Rate = unlimited
 		}
-		event := t.take(told.Server, "", n, true)
+		event, _ := t.take(told.Server, "", n, true)
 		t.mu.Unlock()
 		t.tell(event, "")
 	}
--- a/internal/request/beechplace/choose.go
+++ b/internal/request/beechplace/choose.go
@@ -69,7 +69,7 @@
 	slices.SortFunc(limited, func(x, y Choice) int { return cmp.Compare(x.Cost, y.Cost) })
 	passed, back := "", returnMost
 	for _, c := range limited {
-		if found && best.Cost <= c.Cost {
+		if found && best.Cost < c.Cost {
 			break
 		}
 		switch d := p.limits.Room(c.Server.ID).(type) {
