A limit's log line says which server and which gate it is from; explain shows it

A gate that was told of a limit by another one logged an empty name and the hash of one, which no reader can turn back, and not who had told it. Decisions are unchanged.

--- a/internal/command/beechcommand/explain.go
+++ b/internal/command/beechcommand/explain.go
@@ -40,6 +40,7 @@
 var beliefMessages = map[string]bool{
 	"configuration in force": true, "weights named": true, "store lost": true, "store regained": true,
 	"engine's phase": true, "server gone": true, "gate leaving": true, "gate started": true, "bounds in force": true,
+	"server's limit known": true, "server's limit changed": true, "server's limit ended": true,
 }
 
 // plainFields stand in a line's own columns.
--- a/internal/command/beechplay/play_test.go
+++ b/internal/command/beechplay/play_test.go
@@ -85,3 +85,17 @@
 		is.True(strings.Contains(err.Error(), want))
 	}
 }
+
+// Two servers name limits while callers ask, one of them with a keeper. Nobody is refused,
+// and neither server is sent more than it takes.
+func TestDayOfLimits(t *testing.T) {
+	is := is.New(t)
+	data, err := os.ReadFile("../../../docs/examples/limit.json")
+	is.NoErr(err)
+	day, err := ParseDay(data)
+	is.NoErr(err)
+	report, err := Play(t.Context(), day, logged(t))
+	is.NoErr(err)
+	is.Equal(report.Promises, nil)
+	is.True(report.Served > report.Asked*98/100)
+}
--- a/internal/decision/beechthrottle/doc.go
+++ b/internal/decision/beechthrottle/doc.go
@@ -45,5 +45,5 @@
 //	t.GiveBack(server)                // it found no connection
 //	t.Heard(server, born, said, sent) // with each answer
 //	word := t.Word()                  // tell the other gates, regularly and when news is called
-//	t.Hear(word)                      // another gate's
+//	t.Hear(word, from)                // another gate's
 package beechthrottle
--- a/internal/decision/beechthrottle/register.go
+++ b/internal/decision/beechthrottle/register.go
@@ -37,7 +37,6 @@
 	// belief is what is believed of one server.
 	belief struct {
 		Notice
-		server    string        // ID; empty where only other gates have named it
 		named     time.Duration // when it was last confirmed
 		firsthand bool          // the server itself said so to this gate
 		repeats   int           // words that still tell it
--- a/internal/decision/beechthrottle/throttle.go
+++ b/internal/decision/beechthrottle/throttle.go
@@ -40,10 +40,9 @@
 
 	// Standing is how it stands with a server's limit.
 	Standing struct {
-		Server string  // ID; empty where only other gates have named it
-		Hash   uint64  // of the ID
+		Server string  // ID, or its hash where no server is listed that has it
 		Rate   float64 // requests a second
-		Told   bool    // by another gate, not by the server itself
+		From   string  // the gate that told it; empty where the server itself did
 		Field  string  // of the answer that named it
 		Age    time.Duration
 		Given  int // requests that this gate has sent there since the limit is known
@@ -70,6 +69,7 @@
 
 		mu          sync.Mutex
 		register    register
+		names       map[uint64]string // IDs of the listed servers, by hash
 		swept       time.Duration
 		refreshed   time.Duration
 		given, held int
@@ -130,6 +130,17 @@
 // Now is the time by the throttle's clock.
 func (t *Throttle) Now() time.Duration { return t.clock.Now() }
 
+// SetServers tells which servers are listed, by ID.
+func (t *Throttle) SetServers(ids []string) {
+	names := make(map[uint64]string, len(ids))
+	for _, id := range ids {
+		names[xxhash.Sum64String(id)] = id
+	}
+	t.mu.Lock()
+	t.names = names
+	t.mu.Unlock()
+}
+
 // Any tells whether any server names a limit.
 func (t *Throttle) Any() bool { return t.limited.Load() > 0 }
 
@@ -154,7 +165,7 @@
 		return // not known
 	}
 	t.mu.Lock()
-	event, sure := t.take(xxhash.Sum64String(server), server, notice, false)
+	event, sure := t.take(xxhash.Sum64String(server), notice, "")
 	t.mu.Unlock()
 	if event != nil || sure {
 		t.news()
@@ -175,15 +186,15 @@
 	if b := t.register.beliefs[key]; b.limited() {
 		was := b.Rate
 		b.replace(Notice{Born: max(born, b.Born), Rate: unlimited, Sent: now, Received: now})
-		event = t.changed(key, b, was, now, false)
+		event = t.changed(key, b, was, now, "")
 	}
 	t.mu.Unlock()
 	t.tell(event, "")
 }
 
-// take takes in a notice. It gives what the log tells of it, and whether a limit is sure
+// take takes in a notice of a server, or of the gate that it is from. It gives what the log tells of it, and whether a limit is sure
 // again that was not. The caller holds the lock.
-func (t *Throttle) take(key uint64, server string, n Notice, told bool) (e Event, sure bool) {
+func (t *Throttle) take(key uint64, n Notice, from string) (e Event, sure bool) {
 	now := t.clock.Now()
 	was, unsure := unlimited, false
 	if old := t.register.beliefs[key]; old != nil {
@@ -193,12 +204,11 @@
 	if b == nil {
 		return nil, false
 	}
-	b.server = cmp.Or(server, b.server)
-	if !told && b.Received == n.Received {
+	if from == "" && b.Received == n.Received {
 		b.firsthand = true
 	}
 	if changed {
-		return t.changed(key, b, was, now, told), false
+		return t.changed(key, b, was, now, from), false
 	}
 	if sure = unsure && now-b.named <= sureFor; sure {
 		b.repeats = repeats
@@ -209,10 +219,10 @@
 
 // changed puts a belief in force, and gives what the log tells of it. The caller holds
 // the lock.
-func (t *Throttle) changed(key uint64, b *belief, was float64, now time.Duration, told bool) Event {
+func (t *Throttle) changed(key uint64, b *belief, was float64, now time.Duration, from string) Event {
 	s := t.standing(key, b, now)
-	s.Told = told
-	b.repeats, b.firsthand = repeats, !told
+	s.From = from
+	b.repeats, b.firsthand = repeats, from == ""
 	t.enforce(key, b, now)
 	switch {
 	case !b.limited() && math.IsInf(was, 1):
@@ -381,7 +391,8 @@
 }
 
 func (t *Throttle) standing(key uint64, b *belief, now time.Duration) Standing {
-	return Standing{Server: b.server, Hash: key, Rate: b.Rate, Age: max(now-b.named, 0), Given: b.given, Held: b.held}
+	name := cmp.Or(t.names[key], strconv.FormatUint(key, 16))
+	return Standing{Server: name, Rate: b.Rate, Age: max(now-b.named, 0), Given: b.given, Held: b.held}
 }
 
 // State gives what is believed, those that were asked most first.
@@ -398,7 +409,7 @@
 		}
 	}
 	slices.SortFunc(s.Servers, func(x, y Standing) int {
-		return cmp.Or(cmp.Compare(y.Given+y.Held, x.Given+x.Held), cmp.Compare(x.Hash, y.Hash))
+		return cmp.Or(cmp.Compare(y.Given+y.Held, x.Given+x.Held), cmp.Compare(x.Server, y.Server))
 	})
 	s.Servers = s.Servers[:min(len(s.Servers), standingMost)]
 	return s
--- a/internal/decision/beechthrottle/throttle_test.go
+++ b/internal/decision/beechthrottle/throttle_test.go
@@ -45,6 +45,7 @@
 	f.events, f.urgent = append(f.events, nil), append(f.urgent, false)
 	t := New(fmt.Sprintf("gate-%d", i), uint64(i+1), since{f}, f.clock, func(e Event) { f.events[i] = append(f.events[i], e) }, func() { f.urgent[i] = true })
 	t.SetGates(n)
+	t.SetServers([]string{server})
 	f.gates = append(f.gates, t)
 	return t
 }
@@ -79,7 +80,7 @@
 	w := f.gates[i].Word()
 	for j, to := range f.gates {
 		if j != i {
-			to.Hear(w)
+			to.Hear(w, fmt.Sprint("gate-", i))
 		}
 	}
 }
@@ -104,8 +105,9 @@
 		is.True(g.Limited(server))
 		began, ok := f.events[i][0].(Began)
 		is.True(ok)
-		is.Equal(began.Told, i != 0)
+		is.Equal(began.From != "", i != 0)
 		is.Equal(began.Rate, 2.0)
+		is.Equal(began.Server, server)
 	}
 	var sent []time.Duration
 	f.live(30*time.Second, func() {
@@ -226,7 +228,7 @@
 	f.speak()
 	f.live(2*time.Second, nil)
 	is.True(f.ask(0, Names{Rate: 1}))
-	f.gates[0].Hear(old) // it comes seconds late
+	f.gates[0].Hear(old, "gate-1") // it comes seconds late
 	is.True(f.gates[0].Limited(server))
 }
 
@@ -246,7 +248,7 @@
 	is.True(!g.Limited(server))
 	for _, bad := range []Told{{Rate: -5, Sent: -1}, {Rate: 1e300, Sent: 2, Received: 1}, {Rate: 1, Sent: 1, Received: 2}, {Rate: 1, Sent: 25 * time.Hour}} {
 		bad.Server = 77
-		g.Hear(Word{Limits: []Told{bad}})
+		g.Hear(Word{Limits: []Told{bad}}, "gate-1")
 	}
 	is.True(!g.Any())
 }
--- a/internal/decision/beechthrottle/word.go
+++ b/internal/decision/beechthrottle/word.go
@@ -80,7 +80,7 @@
 }
 
 // Hear takes in another gate's word.
-func (t *Throttle) Hear(w Word) {
+func (t *Throttle) Hear(w Word, from string) {
 	for _, told := range w.Limits {
 		if told.Received < 0 || told.Sent < told.Received || told.Sent > oldest || math.IsNaN(told.Rate) || told.Rate > math.MaxInt32 {
 			continue
@@ -91,7 +91,7 @@
 		if told.Rate < 0 {
 			n.Rate = unlimited
 		}
-		event, _ := t.take(told.Server, "", n, true)
+		event, _ := t.take(told.Server, n, from)
 		t.mu.Unlock()
 		t.tell(event, "")
 	}
--- a/internal/process/beechgate/beliefs.go
+++ b/internal/process/beechgate/beliefs.go
@@ -87,6 +87,11 @@
 	old := g.servers
 	g.servers = servers
 	g.mu.Unlock()
+	ids := make([]string, 0, len(servers))
+	for _, s := range servers {
+		ids = append(ids, s.ID)
+	}
+	g.limits.SetServers(ids)
 	g.placer.SetServers(servers)
 	byService := make(map[string][]netip.AddrPort)
 	now := make(map[string]beechcall.Server, len(servers))
--- a/internal/process/beechgate/limits.go
+++ b/internal/process/beechgate/limits.go
@@ -50,7 +50,7 @@
 }
 
 func (g *Gate) logLimit(what string, s beechthrottle.Standing, fields ...zap.Field) {
-	g.limitLog.Info(what, append(fields, zap.String("server", s.Server), zap.Uint64("hash", s.Hash), zap.Bool("told", s.Told), zap.String("field", s.Field),
+	g.limitLog.Info(what, append(fields, zap.String("server", s.Server), zap.String("from", s.From), zap.String("field", s.Field),
 		zap.Duration("age", s.Age.Round(time.Millisecond)), zap.Int("given", s.Given))...)
 }
 
@@ -105,7 +105,7 @@
 			Sent: time.Duration(told.Sent) * time.Millisecond, Received: time.Duration(told.Received) * time.Millisecond,
 		})
 	}
-	g.limits.Hear(word)
+	g.limits.Hear(word, from.String())
 }
 
 // wireLimits packs a word into messages that go into a datagram each.
