--- a/internal/decision/beechthrottle/throttle.go
+++ b/internal/decision/beechthrottle/throttle.go
@@ -106,8 +106,10 @@
 )
 
 // bounds are what is tolerated beyond a limit: half of it, for what was under way, and
-// some requests, one and a half of which are the burst's.
-var bounds = beechquota.Bounds{Window: 4 * time.Second, Overage: 0.5, Slack: 3.5, Lots: true, Remember: 24 * time.Hour}
+// some requests, one and a half of which are the burst's. What was counted is remembered
+// for longer than needs come and go: counted from nothing at some gates and not at others,
+// the totals that they tell would seem to fall and be passed over.
+var bounds = beechquota.Bounds{Window: 4 * time.Second, Overage: 0.5, Slack: 3.5, Lots: true, Remember: 10 * time.Minute}
 
 func (Began) event()      {}
 func (Changed) event()    {}
@@ -192,7 +194,8 @@
 	t.tell(event, "")
 }
 
-// take takes in a notice of a server, or of the gate that it is from. It gives what the log tells of it, and whether a limit is sure
+// take takes in a notice on a server; from is the gate that told it, empty for the
+// server's own answer. It gives what the log tells of it, and whether a limit is sure
 // again that was not. The caller holds the lock.
 func (t *Throttle) take(key uint64, n Notice, from string) (e Event, sure bool) {
 	now := t.clock.Now()
@@ -211,9 +214,11 @@
 		return t.changed(key, b, was, now, from), false
 	}
 	if sure = unsure && now-b.named <= sureFor; sure {
-		b.repeats = repeats
 		t.enforce(key, b, now)
 	}
+	if sure && from == "" {
+		b.repeats = repeats
+	}
 	return nil, sure
 }
 
@@ -313,18 +318,16 @@
 	}
 }
 
-// Held counts a request that did not go to a server for its limit, and tells what the
-// limit is.
-func (t *Throttle) Held(server string) float64 {
+// Held counts a request that did not go to a server for its limit.
+func (t *Throttle) Held(server string) {
 	b := t.belief(server)
 	if b == nil {
-		return unlimited
+		return
 	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	b.held++
 	t.held++
-	return b.Rate
 }
 
 // Due tells whether this gate is to ask a server again, as its limit has not been named
--- a/internal/request/beechplace/doc.go
+++ b/internal/request/beechplace/doc.go
@@ -22,6 +22,12 @@
 //
 // Load reports lag, so what this gate has sent since is added to them.
 //
+// # Limits
+//
+// Some servers name how many requests a second they take from all gates together
+// (beechthrottle). One that has had them is passed over; where all have, the caller is
+// told when to come back.
+//
 // # Weights
 //
 // An engine that its keeper takes out of the choice gets no new work. Old
