A failed scenario, soak or test leaves the logs of all its processes

The one red run of TestScenarios/stream-resume could not be explained: its logs were gone with its folder, and of the processes only a panic was printed.

Two causes of a 410 could not be told apart even with logs. An agent now says when a stream is detached and with which error, when it cancels or abandons a generation, how many answers it drops by age or for room, and why an answer that is asked for is not joined.

--- a/internal/command/beechcommand/standin.go
+++ b/internal/command/beechcommand/standin.go
@@ -62,6 +62,7 @@
 	f.IntVar(&s.Slots, "slots", 0, "requests run at once")
 	f.IntVar(&s.PrefillRate, "prefill-rate", 0, "prompt tokens a second; 0 takes no time")
 	f.DurationVar(&s.TokenTime, "token-time", 0, "time between output tokens")
+	f.DurationVar(&s.EndTime, "end-time", 0, "time between the last output token and the answer's end")
 	f.IntVar(&s.CacheTokens, "cache-tokens", 0, "prompt tokens the cache holds")
 	f.DurationVar(&s.EventLag, "event-lag", 0, "age at which a cache event is published")
 	f.IntVar(&s.LoseEvery, "lose-every", 0, "lose each n-th cache event")
--- a/internal/command/beechplay/play_test.go
+++ b/internal/command/beechplay/play_test.go
@@ -7,26 +7,11 @@
 	"time"
 
 	"github.com/matryer/is"
-	"go.uber.org/zap"
-	"go.uber.org/zap/zapcore"
-	"go.uber.org/zap/zaptest"
 
+	"github.com/beechring/beechring/internal/command/beechtrace"
 	"github.com/beechring/beechring/internal/process/beechsettings"
 )
 
-// logged gives a log that is printed if the test fails: what a day looked like
-// cannot be played again.
-func logged(t *testing.T) *zap.Logger {
-	t.Helper()
-	lines := &zaptest.Buffer{}
-	t.Cleanup(func() {
-		if t.Failed() {
-			t.Log(lines.String())
-		}
-	})
-	return zap.New(zapcore.NewCore(zapcore.NewJSONEncoder(zap.NewProductionEncoderConfig()), zapcore.Lock(lines), zap.InfoLevel))
-}
-
 // Servers refuse, hang, reset and cut, the store falls silent, weights and
 // configuration change and a gate is replaced, all within some seconds. Callers
 // may be refused, but no promise is broken.
@@ -36,7 +21,7 @@
 	is.NoErr(err)
 	day, err := ParseDay(data)
 	is.NoErr(err)
-	report, err := Play(t.Context(), day, logged(t))
+	report, err := Play(t.Context(), day, beechtrace.Logger(t))
 	is.NoErr(err)
 	is.Equal(report.Promises, nil)
 	is.True(report.Asked > 300)
@@ -47,7 +32,7 @@
 	is := is.New(t)
 	day := Default
 	day.Length = beechsettings.Duration(3 * time.Second)
-	report, err := Play(t.Context(), day, logged(t))
+	report, err := Play(t.Context(), day, beechtrace.Logger(t))
 	is.NoErr(err)
 	is.Equal(report.Promises, nil)
 	is.Equal(report.Failed, 0)
@@ -94,7 +79,7 @@
 	is.NoErr(err)
 	day, err := ParseDay(data)
 	is.NoErr(err)
-	report, err := Play(t.Context(), day, logged(t))
+	report, err := Play(t.Context(), day, beechtrace.Logger(t))
 	is.NoErr(err)
 	is.Equal(report.Promises, nil)
 	is.True(report.Served > report.Asked*98/100)
--- a/internal/command/beechplay/soak_test.go
+++ b/internal/command/beechplay/soak_test.go
@@ -18,6 +18,7 @@
 	"testing"
 	"time"
 
+	"github.com/beechring/beechring/internal/command/beechtrace"
 	"github.com/beechring/beechring/internal/process/beechsettings"
 	"github.com/beechring/beechring/internal/standin/beechhome"
 )
@@ -176,7 +177,7 @@
 }
 
 func play(t *testing.T, binary string, seed uint64) {
-	w, err := NewWorld(outside{t: t, program: binary, folder: t.TempDir()})
+	w, err := NewWorld(outside{t: t, program: binary, folder: beechtrace.Folder(t)})
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/command/beechscenario/commands_test.go
+++ b/internal/command/beechscenario/commands_test.go
@@ -271,19 +271,21 @@
 	return last
 }
 
-// cut NAME once|stay|silent|mend: the connections to an agent.
+// cut NAME once|reset|stay|silent|mend: the connections to an agent.
 func commandCut(w *world, arguments []string) error {
 	if len(arguments) != 2 || w.cutters[arguments[0]] == nil {
-		return usage("cut AGENT once|stay|silent|mend")
+		return usage("cut AGENT once|reset|stay|silent|mend")
 	}
 	c := w.cutters[arguments[0]]
 	switch arguments[1] {
 	case "once":
 		c.cut(false)
+	case "reset":
+		c.reset()
 	case "stay":
 		c.cut(true)
 	case "silent":
-		c.hush()
+		c.hush(inward, outward)
 	default:
 		c.mend()
 	}
--- a/internal/command/beechscenario/cutter_test.go
+++ b/internal/command/beechscenario/cutter_test.go
@@ -7,19 +7,29 @@
 	"sync"
 )
 
-// cutter stands between entries and one agent and cuts their connections, as a
-// switch that fails does. Silent lets nothing through and keeps connections
-// open, as a link does that loses every packet; once it is mended what was sent
-// meanwhile arrives, as TCP sends it again.
-type cutter struct {
-	listener net.Listener
-	target   netip.AddrPort
-
-	mu     sync.Mutex
-	open   map[net.Conn]struct{}
-	broken bool
-	silent chan struct{} // closed by mend; nil unless silent
-}
+type (
+	// cutter stands before one process and cuts the connections to it, as a
+	// switch that fails does. Silent lets nothing through and keeps connections
+	// open, as a link does that loses every packet; once it is mended what was
+	// sent meanwhile arrives, as TCP sends it again.
+	cutter struct {
+		listener net.Listener
+		target   netip.AddrPort
+
+		mu     sync.Mutex
+		open   map[net.Conn]struct{}
+		broken bool
+		silent [2]chan struct{} // by direction; closed by mend, nil unless silent
+	}
+
+	// direction is where bytes go.
+	direction int
+)
+
+const (
+	inward  direction = iota // to the process
+	outward                  // from it
+)
 
 func newCutter(public, target netip.AddrPort) (*cutter, error) {
 	listener, err := net.Listen("tcp", public.String())
@@ -55,8 +65,8 @@
 		return
 	}
 	done := make(chan struct{}, 2)
-	go c.copy(far, near, done)
-	go c.copy(near, far, done)
+	go c.copy(far, near, inward, done)
+	go c.copy(near, far, outward, done)
 	<-done
 	c.mu.Lock()
 	delete(c.open, near)
@@ -64,12 +74,12 @@
 	c.mu.Unlock()
 }
 
-func (c *cutter) copy(to, from net.Conn, done chan<- struct{}) {
+func (c *cutter) copy(to, from net.Conn, d direction, done chan<- struct{}) {
 	buffer := make([]byte, 32<<10)
 	for {
 		n, err := from.Read(buffer)
 		if n > 0 {
-			c.awaitSound()
+			c.awaitSound(d)
 			if _, err := to.Write(buffer[:n]); err != nil {
 				break
 			}
@@ -99,10 +109,10 @@
 	return c.broken
 }
 
-// awaitSound holds bytes back while the link is silent.
-func (c *cutter) awaitSound() {
+// awaitSound holds bytes back while the link is silent in their direction.
+func (c *cutter) awaitSound(d direction) {
 	c.mu.Lock()
-	silent := c.silent
+	silent := c.silent[d]
 	c.mu.Unlock()
 	if silent != nil {
 		<-silent
@@ -120,11 +130,25 @@
 	c.open = map[net.Conn]struct{}{}
 }
 
-func (c *cutter) hush() {
+// reset ends every connection without an orderly end, so that what was on its
+// way is lost.
+func (c *cutter) reset() {
+	c.mu.Lock()
+	for conn := range c.open {
+		_ = conn.(*net.TCPConn).SetLinger(0)
+	}
+	c.mu.Unlock()
+	c.cut(false)
+}
+
+// hush silences the given directions.
+func (c *cutter) hush(directions ...direction) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.silent == nil {
-		c.silent = make(chan struct{})
+	for _, d := range directions {
+		if c.silent[d] == nil {
+			c.silent[d] = make(chan struct{})
+		}
 	}
 }
 
@@ -132,9 +156,11 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.broken = false
-	if c.silent != nil {
-		close(c.silent)
-		c.silent = nil
+	for d, silent := range c.silent {
+		if silent != nil {
+			close(silent)
+			c.silent[d] = nil
+		}
 	}
 }
 
--- a/internal/command/beechscenario/scenario_test.go
+++ b/internal/command/beechscenario/scenario_test.go
@@ -8,6 +8,8 @@
 	"testing"
 
 	"github.com/rogpeppe/go-internal/testscript"
+
+	"github.com/beechring/beechring/internal/command/beechtrace"
 )
 
 type worldKey struct{}
@@ -52,7 +54,12 @@
 		Setup: func(env *testscript.Env) error {
 			w := newWorld(env.T().(testing.TB), env.WorkDir)
 			env.Values[worldKey{}] = w
-			env.Defer(w.close)
+			env.Defer(func() {
+				w.close()
+				if w.t.Failed() {
+					beechtrace.Show(w.t, env.WorkDir)
+				}
+			})
 			env.Setenv("PATH", filepath.Dir(binary)+string(os.PathListSeparator)+os.Getenv("PATH"))
 			return nil
 		},
--- a/internal/command/beechscenario/soak_test.go
+++ b/internal/command/beechscenario/soak_test.go
@@ -12,6 +12,7 @@
 	"testing"
 	"time"
 
+	"github.com/beechring/beechring/internal/command/beechtrace"
 	"github.com/beechring/beechring/internal/standin/beechengine"
 	"github.com/beechring/beechring/internal/standin/beechplatform"
 	"github.com/beechring/beechring/internal/standin/beechservice"
@@ -128,13 +129,8 @@
 
 func runSoak(t *testing.T, seed uint64) {
 	t.Logf("play again: go test -count=1 -run TestSoak ./internal/command/beechscenario -seed %d", seed)
-	dir := t.TempDir()
-	if os.Getenv("SCENARIO_KEEP") != "" {
-		dir, _ = os.MkdirTemp("", fmt.Sprintf("soak-%d-", seed))
-		t.Logf("logs and journals: %s", dir)
-	}
 	s := &soak{
-		t: t, world: newWorld(t, dir), random: rand.New(rand.NewPCG(seed, 0)),
+		t: t, world: newWorld(t, beechtrace.Folder(t)), random: rand.New(rand.NewPCG(seed, 0)),
 		broken: map[string]bool{}, base: 1,
 	}
 	defer s.world.close()
@@ -350,7 +346,7 @@
 }
 
 func beginSilent(s *soak, name string) (func() error, error) {
-	s.world.cutters[name].hush()
+	s.world.cutters[name].hush(inward, outward)
 	return s.mend(name), nil
 }
 
--- a/internal/process/beechagent/library.go
+++ b/internal/process/beechagent/library.go
@@ -31,6 +31,12 @@
 		generations map[generationKey]*generation
 		byRecord    map[string]*generation
 	}
+
+	// dropped counts ended answers that a sweep let go.
+	dropped struct {
+		byAge   int
+		forRoom int
+	}
 )
 
 const (
@@ -99,13 +105,12 @@
 	}
 }
 
-// sweep drops old answers and returns the generations whose callers have been
-// away for the grace time.
-func (l *library) sweep() []*generation {
+// sweep drops old answers, counts them and returns the generations whose callers
+// have been away for the grace time.
+func (l *library) sweep() (abandoned []*generation, gone dropped) {
 	now := l.clock.Now()
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	var abandoned []*generation
 	kept := 0
 	var oldest []*generation
 	for _, g := range l.generations {
@@ -119,28 +124,32 @@
 		}
 		if now.Sub(at) >= l.keep {
 			l.removeLocked(g)
+			gone.byAge++
 			continue
 		}
 		kept += size
 		oldest = append(oldest, g)
 	}
-	l.shrink(oldest, kept)
-	return abandoned
+	gone.forRoom = l.shrink(oldest, kept)
+	return abandoned, gone
 }
 
-func (l *library) shrink(ended []*generation, kept int) {
+// shrink drops the oldest answers until the others fit, and counts them.
+func (l *library) shrink(ended []*generation, kept int) (dropped int) {
 	if kept <= l.keepBytes {
-		return
+		return 0
 	}
 	sortByEnd(ended)
 	for _, g := range ended {
 		if kept <= l.keepBytes {
-			return
+			break
 		}
 		_, _, size := g.endedSince()
 		kept -= size
 		l.removeLocked(g)
+		dropped++
 	}
+	return dropped
 }
 
 func (l *library) size() int {
--- a/internal/process/beechagent/stream.go
+++ b/internal/process/beechagent/stream.go
@@ -2,10 +2,14 @@
 
 import (
 	"context"
+	"fmt"
 	"time"
 
+	"go.uber.org/zap"
+
 	"github.com/beechring/beechring/internal/link/beechlink"
 	"github.com/beechring/beechring/internal/link/beechwire"
+	"github.com/beechring/beechring/internal/process/beechlog"
 	"github.com/beechring/beechring/internal/process/beechtask"
 	"github.com/beechring/beechring/internal/prompt/beechindex"
 )
@@ -80,27 +84,34 @@
 // Reattach implements beechlink.StreamHandler: it joins a generation by its
 // request's id or by its idempotency key.
 func (a *Agent) Reattach(ctx context.Context, s beechlink.ServerStream, r beechwire.Reattach) {
-	g := a.findGeneration(r)
+	g, missing := a.findGeneration(r)
 	if g == nil {
-		_ = s.Send(ctx, a.refusal(beechwire.ReasonGone, 0, "no such answer is kept here"))
-		return
-	}
-	if r.After < g.base {
-		_ = s.Send(ctx, a.refusal(beechwire.ReasonGone, 0, "the answer is kept from piece %d on", g.base+1))
+		a.log.Info("answer not joined", beechlog.RequestID(r.RequestID), beechlog.Step("join"), beechlog.Peer(s.Peer().Address),
+			beechlog.Workspace(r.Workspace), zap.Uint64("after", r.After), zap.String("reason", missing))
+		_ = s.Send(ctx, a.refusal(beechwire.ReasonGone, 0, "%s", missing))
 		return
 	}
 	a.numbers.Joined.Add(1)
 	a.serveStream(ctx, s, g, r.After)
 }
 
-func (a *Agent) findGeneration(r beechwire.Reattach) *generation {
+// findGeneration returns the generation to join, or why there is none.
+func (a *Agent) findGeneration(r beechwire.Reattach) (g *generation, missing string) {
 	if r.Incarnation != 0 && r.Incarnation != a.incarnation {
-		return nil
+		return nil, "the agent was started again since"
+	}
+	g = a.library.find(r.Workspace, r.RequestID)
+	if r.RequestID == "" {
+		g = a.library.findRecord(r.Workspace, r.RecordKey)
 	}
-	if r.RequestID != "" {
-		return a.library.find(r.Workspace, r.RequestID)
+	switch {
+	case g == nil:
+		return nil, "no such answer is kept here"
+	case r.After < g.base:
+		return nil, fmt.Sprintf("the answer is kept from piece %d on", g.base+1)
+	default:
+		return g, ""
 	}
-	return a.library.findRecord(r.Workspace, r.RecordKey)
 }
 
 // serveStream lets a stream follow a generation. A caller that cancels for
@@ -110,22 +121,40 @@
 	err := g.follow(ctx, s, after)
 	g.detach(a.clock.Now())
 	a.unsettled.note(s.Peer(), g)
-	if err != nil && !s.Detached() && g.alone() && g.request.Repeatable {
+	switch {
+	case err == nil:
+	case !s.Detached() && g.alone() && g.request.Repeatable:
 		a.numbers.Cancelled.Add(1)
+		a.logLeft("generation cancelled", s, g, err)
 		g.cancel()
+	default:
+		a.logLeft("stream detached", s, g, err)
 	}
 }
 
+// logLeft tells how far a stream had come whose entry host takes no more of it.
+func (a *Agent) logLeft(message string, s beechlink.ServerStream, g *generation, err error) {
+	ended, _, size := g.endedSince()
+	a.log.Info(message, beechlog.RequestID(g.request.ID), beechlog.Step("follow"), beechlog.Peer(s.Peer().Address),
+		beechlog.Workspace(g.request.Workspace), zap.Uint64("last", g.lastSequence()), zap.Int("bytes", size), zap.Bool("ended", ended), zap.Error(err))
+}
+
 // sweep ends generations without callers and drops old answers, until ctx
 // ends. What may not be repeated is never cancelled half way.
 func (a *Agent) sweep(ctx context.Context) error {
 	return beechtask.Every(ctx, a.clock, sweepInterval, func() {
-		for _, g := range a.library.sweep() {
+		abandoned, dropped := a.library.sweep()
+		for _, g := range abandoned {
 			if g.request.Repeatable {
 				a.numbers.Abandoned.Add(1)
+				a.log.Info("generation abandoned", beechlog.RequestID(g.request.ID), beechlog.Step("sweep"),
+					beechlog.Workspace(g.request.Workspace), zap.Uint64("last", g.lastSequence()))
 				g.cancel()
 			}
 		}
+		if dropped.byAge+dropped.forRoom > 0 {
+			a.log.Info("answers dropped", beechlog.Step("sweep"), zap.Int("byAge", dropped.byAge), zap.Int("forRoom", dropped.forRoom))
+		}
 	})
 }
 
--- a/internal/standin/beechengine/generate.go
+++ b/internal/standin/beechengine/generate.go
@@ -219,7 +219,10 @@
 		out.token(token(g.seed, i))
 		e.journal.update(g.entry, func(n *Entry) { n.Output++ })
 	}
-	return nil
+	if e.settings.EndTime <= 0 {
+		return nil
+	}
+	return e.sleepUntil(ctx, e.clock.Now().Add(e.settings.EndTime))
 }
 
 func (e *Engine) end(g *run, err error) {
--- a/internal/standin/beechengine/settings.go
+++ b/internal/standin/beechengine/settings.go
@@ -27,6 +27,7 @@
 	WaitLimit   int           // requests that may wait for a slot before 503
 	PrefillRate int           // prompt tokens a second over all slots, 0 takes no time
 	TokenTime   time.Duration // between output tokens of one request
+	EndTime     time.Duration // between the last token and the answer's end
 	CacheTokens int           // prompt tokens the cache holds
 	BlockTokens int           // tokens to a block
 	EventLag    time.Duration // age at which a cache event is published
