An agent that cannot be reached does not make an answer gone

What a caller saw: 410 (the answer is not kept any more; send the request again) for the rest of an answer that its agent still kept, where the link to that agent was down for more than 1.2 s or failed as the rest was asked for. The caller then throws away what it has and has all of it computed again. Cause: an entry host took its own failure to ask for the agent's word. Now only the agent's word makes an answer gone; where it cannot be asked the caller gets 503 `stream_unreachable` with a time to come back, and the same request sent again joins the run. Found while the places were listed in which one side decides by itself that the other has gone, after the fault of TestScenarios/stream-resume.

--- a/internal/process/beechentry/dispatch.go
+++ b/internal/process/beechentry/dispatch.go
@@ -16,7 +16,7 @@
 
 type (
 	// attemptResult is how one attempt ended: completed, refused, interrupted,
-	// stale, expired or callerLeft.
+	// stale, expired, unreachable or callerLeft.
 	attemptResult interface{ attemptResult() }
 
 	// completed is an answer that was given to its end.
@@ -38,6 +38,10 @@
 	// expired is a generation to be joined that is not kept any more.
 	expired struct{}
 
+	// unreachable is a generation to be joined whose agent cannot be asked now.
+	// It may well be kept there.
+	unreachable struct{}
+
 	// callerLeft is a caller that went away.
 	callerLeft struct{}
 )
@@ -247,4 +251,5 @@
 func (interrupted) attemptResult() {}
 func (stale) attemptResult()       {}
 func (expired) attemptResult()     {}
+func (unreachable) attemptResult() {}
 func (callerLeft) attemptResult()  {}
--- a/internal/process/beechentry/failure.go
+++ b/internal/process/beechentry/failure.go
@@ -21,6 +21,7 @@
 		Param   string
 		Ran     string
 		After   time.Duration // when to come back; 0 is not known
+		Joins   bool          // the same request sent again joins the run that there was
 	}
 
 	errorBody struct {
@@ -90,7 +91,7 @@
 	}
 	// Official client libraries repeat on 409, 429 and 5xx by themselves. Where
 	// the request ran or may have, a repeat by habit could run it twice.
-	if f.Ran != beechwire.RanNo {
+	if f.Ran != beechwire.RanNo && !f.Joins {
 		header.Set("X-Should-Retry", "false")
 	}
 	w.WriteHeader(f.Status)
--- a/internal/process/beechentry/job.go
+++ b/internal/process/beechentry/job.go
@@ -86,6 +86,13 @@
 	return max(1, j.deadline.Sub(now).Milliseconds())
 }
 
+// missesText tells whether the caller has events of an earlier answer whose text
+// is not known here.
+func (j *job) missesText() bool {
+	s, streamed := j.writer.(*streamWriter)
+	return streamed && s.skip > 0 && (!j.resumable || j.sequence < s.skip)
+}
+
 // startOver prepares for another attempt: a resumable answer goes on after what
 // the caller has, any other is given from its beginning.
 func (j *job) startOver() {
--- a/internal/process/beechentry/judge.go
+++ b/internal/process/beechentry/judge.go
@@ -27,6 +27,8 @@
 		return false, j.withRan(busy(http.StatusServiceUnavailable, "configuration_changing", time.Second, "the configuration is changing"))
 	case expired:
 		return e.judgeExpired(j)
+	case unreachable:
+		return e.judgeUnreachable(j)
 	case refused:
 		return e.judgeRefused(ctx, j, server, h)
 	case interrupted:
@@ -56,12 +58,29 @@
 // judgeExpired handles a generation that was to be joined and is not kept any
 // more. A request without its first pieces cannot be run from the middle.
 func (e *Entry) judgeExpired(j *job) (bool, *failure) {
-	if j.sequence == 0 && j.writer.fresh() && j.request.Repeatable {
+	if j.sequence == 0 && !j.missesText() && j.writer.fresh() && j.request.Repeatable {
 		return true, nil
 	}
 	return false, expiredFailure()
 }
 
+// judgeUnreachable handles a generation whose agent cannot be asked. A request
+// of which its caller has nothing yet may run anew.
+func (e *Entry) judgeUnreachable(j *job) (bool, *failure) {
+	if !j.missesText() && j.writer.fresh() && j.request.Repeatable {
+		return true, nil
+	}
+	return false, unreachableFailure()
+}
+
+func unreachableFailure() *failure {
+	f := busy(http.StatusServiceUnavailable, "stream_unreachable", time.Second,
+		"the agent that keeps the answer cannot be reached now; ask for the rest again")
+	f.Ran = beechwire.RanYes
+	f.Joins = true
+	return f
+}
+
 func expiredFailure() *failure {
 	return &failure{
 		Status: http.StatusGone, Type: typeInvalid, Code: "stream_gone", Ran: beechwire.RanUnknown,
--- a/internal/process/beechentry/once.go
+++ b/internal/process/beechentry/once.go
@@ -25,7 +25,10 @@
 	placementPause = 50 * time.Millisecond
 )
 
-var errNoOwner = errors.New("no agent can be reached")
+var (
+	errNoOwner = errors.New("no agent can be reached")
+	errNoLink  = errors.New("no link to the agent came up in time")
+)
 
 // prepare settles what was before the first attempt: an answer to be joined,
 // or a record of the request's idempotency key.
@@ -236,20 +239,30 @@
 }
 
 func (e *Entry) joinAfter(ctx context.Context, j *job, target placed) attemptResult {
+	j.request.ID = target.requestID
 	client := e.joinClient(ctx, target.agent)
 	if client == nil {
-		return expired{}
+		return e.notJoined(ctx, j, target, errNoLink)
 	}
-	j.request.ID = target.requestID
 	stream, err := client.Reattach(ctx, beechwire.Reattach{
 		Workspace: j.workspace.Name, RequestID: target.requestID, Incarnation: target.incarnation, After: j.sequence,
 	})
 	if err != nil {
-		return expired{}
+		return e.notJoined(ctx, j, target, err)
 	}
 	return e.follow(ctx, j, client, target.agent, stream)
 }
 
+// notJoined is the result where the agent could not be asked. Only its own word
+// makes an answer gone.
+func (e *Entry) notJoined(ctx context.Context, j *job, target placed, err error) attemptResult {
+	if ctx.Err() != nil {
+		return callerLeft{}
+	}
+	e.log.Info("answer not joined", beechlog.RequestID(j.request.ID), beechlog.Step("join"), beechlog.Peer(target.agent), zap.Error(err))
+	return unreachable{}
+}
+
 // joinClient gives a link to an agent that this entry may not have linked yet,
 // as after a restart.
 func (e *Entry) joinClient(ctx context.Context, agent netip.AddrPort) *beechlink.Client {
