The rest of an answer never comes from another run

What a caller saw: 200 and the rest of an answer whose beginning came from another run, where the agent that keeps the answer stopped, or was leaving, just as the rest was asked for. With an engine that samples, the two halves do not belong together. Cause: the entry host took a caller to which it had not written anything for one that has nothing, and ran the request anew, leaving out as many events as the caller had. Evidence: scenarios stream-other-run (the agent frozen while the rest is asked for: 200 before, prompt computed twice) and leaving-agent. Now a caller that has events whose text is not known here is told to ask again (503 `stream_unreachable`), or that the answer is gone where its run failed.

Both scenarios failed before.

--- a/internal/process/beechentry/judge.go
+++ b/internal/process/beechentry/judge.go
@@ -17,6 +17,9 @@
 // judge decides after an attempt: again, or what the caller is told. A nil
 // failure with again false is a job that is over.
 func (e *Entry) judge(ctx context.Context, j *job, server netip.AddrPort, result attemptResult) (again bool, f *failure) {
+	if j.missesText() {
+		result = e.onlyThere(j, server, result)
+	}
 	switch h := result.(type) {
 	case completed:
 		return false, nil
@@ -64,6 +67,29 @@
 	return false, expiredFailure()
 }
 
+// onlyThere is for an answer of which the caller has a part that is not known
+// here. A run anywhere else would give it the rest of another answer, so whatever
+// kept this one from being joined, it can only be asked for again where it is.
+func (e *Entry) onlyThere(j *job, server netip.AddrPort, result attemptResult) attemptResult {
+	switch h := result.(type) {
+	case refused:
+		e.log.Info("answer not joined", beechlog.RequestID(j.request.ID), beechlog.Step("join"), beechlog.Peer(server), zap.String("reason", h.Reason))
+		return unreachable{}
+	case stale:
+		return unreachable{}
+	case interrupted:
+		switch h.reason {
+		case beechwire.ReasonGone:
+			return unreachable{}
+		case beechwire.ReasonTimeout:
+			return result
+		}
+		return expired{} // its run failed, and what it had brought is not kept
+	default:
+		return result
+	}
+}
+
 // judgeUnreachable handles a generation whose agent cannot be asked. A request
 // of which its caller has nothing yet may run anew.
 func (e *Entry) judgeUnreachable(j *job) (bool, *failure) {
