A repeat claimed in the same batch as its first waits for its outcome

What a caller saw: 409 (its outcome is not known; it is never run again) for a booking sent twice within some milliseconds, as HTTP libraries do by themselves for a request with an idempotency key whose connection is reset, while the first one was just being run. Cause: that a token was granted was noted by the goroutine of the first claim; a claim of the same batch that was answered before that goroutine ran found nobody that runs the request. Now it is noted before any claim of the batch is answered.

--- a/internal/state/beechrecord/deliver.go
+++ b/internal/state/beechrecord/deliver.go
@@ -77,6 +77,9 @@
 		return
 	}
 	o.done = true
+	if g, ok := r.answer.(Granted); ok {
+		o.granted(g.Token)
+	}
 	o.result <- r
 }
 
--- a/internal/state/beechrecord/records.go
+++ b/internal/state/beechrecord/records.go
@@ -133,17 +133,13 @@
 	token := newToken()
 	o := &operation{
 		ctx: ctx, key: key.id().String(), token: token, claim: &claim{body: body.text(), requestID: bounded(requestID)},
+		granted: r.begin,
 	}
 	got := r.submit(ctx, key, o)
-	switch got.answer.(type) {
-	case Granted:
-		r.begin(token)
-	case Unknown:
-		if got.token == "" {
-			// The claim may be made, but this process never gave its token to
-			// anyone: the request provably did not run.
-			r.recordLater(key, token, &outcome{NotRun: true})
-		}
+	if _, unknown := got.answer.(Unknown); unknown && got.token == "" {
+		// The claim may be made, but this process never gave its token to
+		// anyone: the request provably did not run.
+		r.recordLater(key, token, &outcome{NotRun: true})
 	}
 	return got
 }
--- a/internal/state/beechrecord/records_test.go
+++ b/internal/state/beechrecord/records_test.go
@@ -8,6 +8,7 @@
 	"net/netip"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -139,6 +140,37 @@
 	})
 }
 
+// A caller's repeat is claimed in the same batch as its first. It waits for the
+// outcome like any other; it is not told that nobody will ever know it.
+func TestRepeatInTheSameBatchWaits(t *testing.T) {
+	bubble(t, func(is *is.I, _ *beechstore.Fake, agent func(Settings) *Records) {
+		const keys = 300
+		r := agent(Settings{})
+		claimAs(r, "warm")
+		var done, lost atomic.Int64
+		var wait sync.WaitGroup
+		for i := range keys {
+			key := Key{Name: fmt.Sprint(i)}
+			for _, id := range []string{"one", "two"} {
+				wait.Go(func() {
+					switch a := r.Claim(context.Background(), key, testBody, id).(type) {
+					case Granted:
+						time.Sleep(time.Second)
+						is.NoErr(r.Finish(context.Background(), key, a.Token, booked))
+					case Done:
+						done.Add(1)
+					default:
+						lost.Add(1)
+					}
+				})
+			}
+		}
+		wait.Wait()
+		is.Equal(lost.Load(), int64(0))
+		is.Equal(done.Load(), int64(keys))
+	})
+}
+
 func TestNotRunFreesTheKeyForTheSameBody(t *testing.T) {
 	bubble(t, func(is *is.I, _ *beechstore.Fake, agent func(Settings) *Records) {
 		r := agent(Settings{})
--- a/internal/state/beechrecord/shard.go
+++ b/internal/state/beechrecord/shard.go
@@ -38,6 +38,7 @@
 		key     string
 		token   string
 		claim   *claim
+		granted func(token string) // called before a claim of the same batch is answered
 		outcome *outcome
 		result  chan result // holds one
 		done    bool        // result was given; the shard's goroutine only
