A repeat at another agent waits for a first that may still run

What a caller saw: 409 (its outcome is not known; it is never run again) for a repeat of a booking that was under way and was answered a moment later. Cause: claims of a shard go to one agent, but entry hosts that see different agents ask different ones; an agent that had not granted the first claim itself took its missing outcome for one that nobody will know. Now it looks again for two seconds, unless it was told itself that the outcome will not be known. A claim whose own write is lost is answered at once as before, and a store that is lost while a repeat waits does not turn its answer into a refusal as not run.

TestRepeatElsewhereWaitsForTheRunningFirst: unknown before, the first one's answer now.

--- a/internal/state/beechrecord/records.go
+++ b/internal/state/beechrecord/records.go
@@ -30,15 +30,20 @@
 
 // running is a request whose token was granted by this process.
 type running struct {
-	ended chan struct{}
-	since time.Time
+	ended     chan struct{}
+	since     time.Time
+	abandoned bool // nobody will know its outcome
 }
 
 const (
 	// lookAgain is how often a repeat that waits for an outcome reads the
 	// segment: rarely enough that some hundred repeats at once stay within the
 	// budget.
-	lookAgain  = 500 * time.Millisecond
+	lookAgain = 500 * time.Millisecond
+	// elsewhere is how long a repeat waits for the outcome of a claim that
+	// another process granted. Whether its request still runs is not known here.
+	elsewhere  = 2 * time.Second
+	lookFirst  = 100 * time.Millisecond
 	maxRunning = 1 << 14
 	runningFor = 10 * time.Minute
 	// maxText bounds what is kept of a request id and a content type, which
@@ -99,13 +104,18 @@
 // Shards gives the number of shards, for Owner.
 func (r *Records) Shards() int { return r.settings.Shards }
 
-// Claim asks to run a request. A repeat of a request that runs in this
-// process waits for its outcome until ctx ends; everything else is answered
-// within Settings.CallTimeout. If ctx ends while a write is under way the
-// answer is Unknown, since the claim may be made.
+// Claim asks to run a request. A repeat of a request that this process granted
+// waits for its outcome until ctx ends, one that another granted for a while;
+// everything else is answered within Settings.CallTimeout. If ctx ends while a
+// write is under way the answer is Unknown, since the claim may be made.
 func (r *Records) Claim(ctx context.Context, key Key, body BodySum, requestID string) Answer {
+	began, pause := r.clock.Now(), lookFirst
+	var first Answer // of another request under the key
 	for {
 		got := r.claim(ctx, key, body, requestID)
+		if _, refused := got.answer.(Refused); refused && first != nil {
+			return first // that one may have run
+		}
 		unknown, ok := got.answer.(Unknown)
 		if !ok {
 			return got.answer
@@ -113,16 +123,19 @@
 		if done, ok := r.notYetRecorded(got.token, unknown.RequestID); ok {
 			return done
 		}
-		finished := r.runningHere(got.token)
-		if finished == nil {
+		finished, abandoned := r.runningHere(got.token)
+		lost := got.token == "" // this claim's own write
+		if lost || abandoned || finished == nil && r.clock.Since(began) >= elsewhere {
 			return unknown
 		}
+		first = unknown
 		select {
 		case <-finished:
-		case <-r.clock.After(lookAgain):
+		case <-r.clock.After(pause):
 			// Another process may have recorded the outcome, as the agent
 			// beside the server does for an entry host that was killed. It
 			// does not tell this one, so the segment is read again.
+			pause = min(2*pause, lookAgain)
 		case <-ctx.Done():
 			return unknown
 		}
@@ -153,7 +166,7 @@
 	if got.err != nil && !errors.Is(got.err, errTokenUnknown) {
 		r.recordLater(key, token, recorded)
 	}
-	r.Abandon(token)
+	r.forget(token)
 	if got.err != nil {
 		return fmt.Errorf("record the outcome of %s: %w", key, got.err)
 	}
@@ -165,12 +178,26 @@
 func (r *Records) Abandon(token string) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if x, ok := r.running[token]; ok {
+	if x, ok := r.running[token]; ok && !x.abandoned {
+		x.abandoned = true
 		close(x.ended)
-		delete(r.running, token)
 	}
 }
 
+// forget lets repeats look at what is recorded now.
+func (r *Records) forget(token string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	x, ok := r.running[token]
+	if !ok {
+		return
+	}
+	if !x.abandoned {
+		close(x.ended)
+	}
+	delete(r.running, token)
+}
+
 // Close refuses what waits and ends the goroutines.
 func (r *Records) Close() {
 	r.stop()
@@ -214,13 +241,15 @@
 	r.running[token] = &running{ended: make(chan struct{}), since: r.clock.Now()}
 }
 
-func (r *Records) runningHere(token string) <-chan struct{} {
+// runningHere gives what closes when a request that this process granted ends;
+// nil is one that it did not grant.
+func (r *Records) runningHere(token string) (ended <-chan struct{}, abandoned bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if x, ok := r.running[token]; ok {
-		return x.ended
+		return x.ended, x.abandoned
 	}
-	return nil
+	return nil, false
 }
 
 func (r *Records) recorded(o Outcome) *outcome {
--- a/internal/state/beechrecord/records_test.go
+++ b/internal/state/beechrecord/records_test.go
@@ -171,6 +171,34 @@
 	})
 }
 
+// A repeat reaches another agent than the one that granted its first, as where
+// entry hosts see different agents. The first still runs; its outcome is a moment
+// away and the repeat gets it, instead of being told that nobody knows it.
+func TestRepeatElsewhereWaitsForTheRunningFirst(t *testing.T) {
+	bubble(t, func(is *is.I, _ *beechstore.Fake, agent func(Settings) *Records) {
+		first, second := agent(Settings{}), agent(Settings{})
+		granted := claimAs(first, "one").(Granted)
+		var repeat Answer
+		var wait sync.WaitGroup
+		wait.Go(func() { repeat = claimAs(second, "two") })
+		time.Sleep(elsewhere / 2)
+		is.NoErr(first.Finish(context.Background(), testKey, granted.Token, booked))
+		wait.Wait()
+		is.Equal(repeat, doneAs("one"))
+	})
+}
+
+// Once nobody will know the outcome, a repeat does not wait for it.
+func TestRepeatOfAnAbandonedFirstIsToldAtOnce(t *testing.T) {
+	bubble(t, func(is *is.I, _ *beechstore.Fake, agent func(Settings) *Records) {
+		r := agent(Settings{})
+		r.Abandon(claimAs(r, "one").(Granted).Token)
+		began := time.Now()
+		is.Equal(claimAs(r, "two"), Unknown{RequestID: "one"})
+		is.True(time.Since(began) < lookFirst)
+	})
+}
+
 func TestNotRunFreesTheKeyForTheSameBody(t *testing.T) {
 	bubble(t, func(is *is.I, _ *beechstore.Fake, agent func(Settings) *Records) {
 		r := agent(Settings{})
