A claim that nobody will use frees its key

Cause: the owner of the key grants the token and the entry host has stopped listening: it gave the claim up with its caller's context, or took a lost link for the end of it, and nobody told the owner. A refusal or an outcome that was told once and lost with its link (giveBack, settle) had the same end.

Now a claim goes on without its caller, and a token that nobody takes is given back. A claim whose answer was lost is withdrawn by its request's id, which only this entry host could have used, until the owner has found it (30 s); words on an outcome are told again likewise. A request that was withdrawn is not run: an entry host never takes up a claim again that it has given up.

TestWithdrawnClaimBecomesFree.

--- a/internal/command/beechscenario/commands_test.go
+++ b/internal/command/beechscenario/commands_test.go
@@ -271,10 +271,10 @@
 	return last
 }
 
-// cut NAME once|reset|stay|silent|mend: the connections to an agent.
+// cut NAME once|reset|stay|silent|mute|mend: the connections to an agent.
 func commandCut(w *world, arguments []string) error {
 	if len(arguments) != 2 || w.cutters[arguments[0]] == nil {
-		return usage("cut AGENT once|reset|stay|silent|mend")
+		return usage("cut AGENT once|reset|stay|silent|mute|mend")
 	}
 	c := w.cutters[arguments[0]]
 	switch arguments[1] {
@@ -286,6 +286,8 @@
 		c.cut(true)
 	case "silent":
 		c.hush(inward, outward)
+	case "mute":
+		c.hush(outward)
 	default:
 		c.mend()
 	}
--- a/internal/link/beechwire/wire_gen.go
+++ b/internal/link/beechwire/wire_gen.go
@@ -328,6 +328,10 @@
 	// RecordKey corresponds to the JSON schema field "RecordKey".
 	RecordKey string `msg:"RecordKey"`
 
+	// With NotRun and no Token: withdraws the claim of this request, whose answer was
+	// lost on its way.
+	RequestID string `msg:"RequestID"`
+
 	// Status corresponds to the JSON schema field "Status".
 	Status int `msg:"Status"`
 
--- a/internal/link/beechwire/wire_msgp_gen.go
+++ b/internal/link/beechwire/wire_msgp_gen.go
@@ -2088,9 +2088,9 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *FinishAsk) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 7
+	// map header, size 8
 	// string "Agent"
-	o = append(o, 0x87, 0xa5, 0x41, 0x67, 0x65, 0x6e, 0x74)
+	o = append(o, 0x88, 0xa5, 0x41, 0x67, 0x65, 0x6e, 0x74)
 	o = msgp.AppendString(o, z.Agent)
 	// string "Answer"
 	o = append(o, 0xa6, 0x41, 0x6e, 0x73, 0x77, 0x65, 0x72)
@@ -2104,6 +2104,9 @@
 	// string "RecordKey"
 	o = append(o, 0xa9, 0x52, 0x65, 0x63, 0x6f, 0x72, 0x64, 0x4b, 0x65, 0x79)
 	o = msgp.AppendString(o, z.RecordKey)
+	// string "RequestID"
+	o = append(o, 0xa9, 0x52, 0x65, 0x71, 0x75, 0x65, 0x73, 0x74, 0x49, 0x44)
+	o = msgp.AppendString(o, z.RequestID)
 	// string "Status"
 	o = append(o, 0xa6, 0x53, 0x74, 0x61, 0x74, 0x75, 0x73)
 	o = msgp.AppendInt(o, z.Status)
@@ -2177,6 +2180,12 @@
 				err = msgp.WrapError(err, "RecordKey")
 				return
 			}
+		case "RequestID":
+			z.RequestID, bts, err = msgp.ReadStringBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "RequestID")
+				return
+			}
 		case "Status":
 			z.Status, bts, err = msgp.ReadIntBytes(bts)
 			if err != nil {
@@ -2203,7 +2212,7 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *FinishAsk) Msgsize() (s int) {
-	s = 1 + 6 + msgp.StringPrefixSize + len(z.Agent) + 7 + msgp.BytesPrefixSize + len(z.Answer) + 12 + msgp.StringPrefixSize + len(z.ContentType) + 7 + msgp.BoolSize + 10 + msgp.StringPrefixSize + len(z.RecordKey) + 7 + msgp.IntSize + 6 + msgp.StringPrefixSize + len(z.Token)
+	s = 1 + 6 + msgp.StringPrefixSize + len(z.Agent) + 7 + msgp.BytesPrefixSize + len(z.Answer) + 12 + msgp.StringPrefixSize + len(z.ContentType) + 7 + msgp.BoolSize + 10 + msgp.StringPrefixSize + len(z.RecordKey) + 10 + msgp.StringPrefixSize + len(z.RequestID) + 7 + msgp.IntSize + 6 + msgp.StringPrefixSize + len(z.Token)
 	return
 }
 
--- a/internal/process/beechagent/calls.go
+++ b/internal/process/beechagent/calls.go
@@ -108,6 +108,7 @@
 		a.log.Warn("claim refused", beechlog.RequestID(ask.RequestID), beechlog.Step("claim"), zap.Error(refused.Err))
 	}
 	reply := claimAnswer(got)
+	a.log.Debug("claim answered", beechlog.RequestID(ask.RequestID), beechlog.Step("claim"), zap.String("record", key.String()), zap.String("state", reply.State))
 	return &reply, nil
 }
 
@@ -176,6 +177,13 @@
 }
 
 func (a *Agent) finish(ctx context.Context, ask beechwire.FinishAsk) (msgp.Marshaler, error) {
+	if ask.NotRun && ask.Token == "" {
+		if err := a.records.Withdraw(ctx, beechrecord.Key{Name: ask.RecordKey}, ask.RequestID); err != nil {
+			return nil, err
+		}
+		a.log.Info("claim withdrawn", beechlog.RequestID(ask.RequestID), beechlog.Step("claim"))
+		return &beechwire.ClaimAnswer{State: beechwire.StateDone}, nil
+	}
 	if ask.Agent != "" || ask.NotRun && a.placements.holds(ask) {
 		a.placements.finish(ask)
 		return &beechwire.ClaimAnswer{State: beechwire.StateDone}, nil
--- a/internal/process/beechentry/learn.go
+++ b/internal/process/beechentry/learn.go
@@ -6,13 +6,10 @@
 	"net/netip"
 	"time"
 
-	"go.uber.org/zap"
-
 	"github.com/beechring/beechring/internal/decision/beechhealth"
 	"github.com/beechring/beechring/internal/decision/beechroute"
 	"github.com/beechring/beechring/internal/decision/beechsuspect"
 	"github.com/beechring/beechring/internal/link/beechwire"
-	"github.com/beechring/beechring/internal/process/beechlog"
 )
 
 // finished closes a whole answer and learns from it.
@@ -20,9 +17,7 @@
 	j.usage = end.Usage
 	e.fleet.report(server, end.Load)
 	e.learn(j, server, end)
-	if err := e.settle(j); err != nil {
-		e.log.Warn("outcome not recorded", beechlog.RequestID(j.request.ID), beechlog.Step("record"), zap.Error(err))
-	}
+	e.settle(j)
 	if err := j.writer.end(); err != nil {
 		return callerLeft{}
 	}
--- a/internal/process/beechentry/once.go
+++ b/internal/process/beechentry/once.go
@@ -15,12 +15,24 @@
 	"github.com/beechring/beechring/internal/state/beechrecord"
 )
 
+// claimed is what came of a claim.
+type claimed struct {
+	answer beechwire.ClaimAnswer
+	err    error
+}
+
 const (
 	// claimTimeout bounds the wait for a claim; it covers the platform's
 	// service answering slowly, and a first request under the key that runs.
-	claimTimeout   = 5 * time.Second
-	finishTimeout  = 2 * time.Second
-	ownersTried    = 2
+	claimTimeout  = 5 * time.Second
+	finishTimeout = 2 * time.Second
+	ownersTried   = 2
+
+	// tellLimit is longer than a claim that was lost on its way may take to be
+	// recorded.
+	tellLimit      = 30 * time.Second
+	tellPause      = 100 * time.Millisecond
+	tellMostPause  = 5 * time.Second
 	placementTries = 40
 	placementPause = 50 * time.Millisecond
 )
@@ -147,23 +159,80 @@
 	return notRun(http.StatusUnprocessableEntity, typeInvalid, "idempotency_key_reused", "the key was used with another body")
 }
 
+// askClaim claims the request's key. The claim goes on where its caller leaves
+// or its answer is lost: a token that nobody has would keep the key for as long
+// as records are kept.
 func (e *Entry) askClaim(ctx context.Context, j *job) (beechwire.ClaimAnswer, error) {
-	asking, cancel := context.WithTimeout(ctx, claimTimeout)
-	defer cancel()
-	var answer beechwire.ClaimAnswer
-	ask := &beechwire.ClaimAsk{
+	ask := beechwire.ClaimAsk{
 		RecordKey: j.request.RecordKey, BodyHash: j.callSum, RequestID: j.request.ID, Repeatable: j.request.Repeatable,
 	}
-	err := e.callOwner(asking, j, beechwire.MethodClaim, ask, &answer)
-	return answer, err
+	got := make(chan claimed) // no room: an answer that is not taken is given back
+	e.background.Go(func() {
+		claiming, cancel := context.WithTimeout(context.WithoutCancel(ctx), claimTimeout)
+		defer cancel()
+		var c claimed
+		c.err = e.callOwner(claiming, ask.RecordKey, beechwire.MethodClaim, &ask, &c.answer)
+		select {
+		case got <- c:
+			if c.err != nil {
+				e.withdraw(ask, c)
+			}
+		case <-ctx.Done():
+			e.withdraw(ask, c)
+		}
+	})
+	select {
+	case c := <-got:
+		return c.answer, c.err
+	case <-ctx.Done():
+		return beechwire.ClaimAnswer{}, ctx.Err()
+	}
+}
+
+// withdraw frees the key of a claim that nobody will use. Where its answer was
+// lost the claim may still be on its way, so that it is asked for until found.
+func (e *Entry) withdraw(ask beechwire.ClaimAsk, c claimed) {
+	word := &beechwire.FinishAsk{RecordKey: ask.RecordKey, NotRun: true}
+	var notSent *beechlink.OpenError
+	switch {
+	case errors.As(c.err, &notSent):
+		return
+	case c.err == nil && c.answer.State != beechwire.StateGranted:
+		return
+	case ask.Repeatable:
+		word.Token = ask.RequestID
+	case c.err != nil:
+		word.RequestID = ask.RequestID
+	default:
+		word.Token = c.answer.Token
+	}
+	e.keepTelling(ask.RequestID, word)
+}
+
+// keepTelling tells the owner of a key what became of its request, again and
+// again for a while until it has taken it in. What nobody records, every repeat
+// would be told is unknown.
+func (e *Entry) keepTelling(requestID string, word *beechwire.FinishAsk) {
+	limit := e.clock.Now().Add(tellLimit)
+	for pause := tellPause; ; pause = min(2*pause, tellMostPause) {
+		err := e.tellOwner(word)
+		if err == nil {
+			return
+		}
+		if e.clock.Now().Add(pause).After(limit) {
+			e.log.Warn("record not told", beechlog.RequestID(requestID), beechlog.Step("record"), zap.Error(err))
+			return
+		}
+		e.clock.Sleep(pause)
+	}
 }
 
 // callOwner asks the agent that owns the key's shard. Another agent is asked
 // only where nothing was sent to the first: any agent can claim, and the
 // platform's compare-and-swap decides between two that try.
-func (e *Entry) callOwner(ctx context.Context, j *job, method string, ask marshaler, reply unmarshaler) error {
+func (e *Entry) callOwner(ctx context.Context, recordKey, method string, ask marshaler, reply unmarshaler) error {
 	agents := e.fleet.reachable()
-	shard := beechrecord.Key{Name: j.request.RecordKey}.Shard(beechwire.RecordShards)
+	shard := beechrecord.Key{Name: recordKey}.Shard(beechwire.RecordShards)
 	err := errNoOwner
 	for range ownersTried {
 		owner := beechrecord.Owner(shard, agents)
@@ -196,16 +265,15 @@
 	if !j.request.Repeatable || j.request.RecordKey == "" {
 		return
 	}
-	ask := &beechwire.FinishAsk{RecordKey: j.request.RecordKey, Token: j.request.ID, Agent: server.String()}
-	go e.tellOwner(j, ask)
+	word := &beechwire.FinishAsk{RecordKey: j.request.RecordKey, Token: j.request.ID, Agent: server.String()}
+	requestID := j.request.ID
+	e.background.Go(func() { e.keepTelling(requestID, word) })
 }
 
-func (e *Entry) tellOwner(j *job, ask *beechwire.FinishAsk) {
+func (e *Entry) tellOwner(word *beechwire.FinishAsk) error {
 	ctx, cancel := context.WithTimeout(context.Background(), finishTimeout)
 	defer cancel()
-	if err := e.callOwner(ctx, j, beechwire.MethodFinish, ask, nil); err != nil {
-		e.log.Info("record not told", beechlog.RequestID(j.request.ID), beechlog.Step("record"), zap.Error(err))
-	}
+	return e.callOwner(ctx, word.RecordKey, beechwire.MethodFinish, word, nil)
 }
 
 // giveBack frees the key of a request that was proved not run.
@@ -220,7 +288,16 @@
 	if token == "" {
 		return
 	}
-	e.tellOwner(j, &beechwire.FinishAsk{RecordKey: j.request.RecordKey, Token: token, NotRun: true})
+	e.tellOrKeepTelling(j.request.ID, &beechwire.FinishAsk{RecordKey: j.request.RecordKey, Token: token, NotRun: true})
+}
+
+// tellOrKeepTelling tells the owner before the caller is answered, and goes on in
+// the background where that fails.
+func (e *Entry) tellOrKeepTelling(requestID string, word *beechwire.FinishAsk) {
+	if err := e.tellOwner(word); err != nil {
+		e.log.Info("record not told yet", beechlog.RequestID(requestID), beechlog.Step("record"), zap.Error(err))
+		e.background.Go(func() { e.keepTelling(requestID, word) })
+	}
 }
 
 // join follows a generation that runs, or ran, at an agent. One that was itself
--- a/internal/process/beechentry/settle.go
+++ b/internal/process/beechentry/settle.go
@@ -17,18 +17,16 @@
 
 // settle records the outcome of a request that may not be repeated, before its
 // caller sees the answer, so that a repeat right after it gets the same answer.
-// If that fails the caller still gets its answer, and a repeat is told that the
-// outcome is unknown.
-func (e *Entry) settle(j *job) error {
+// If that fails the caller still gets its answer, and until it is recorded a
+// repeat is told that the outcome is unknown.
+func (e *Entry) settle(j *job) {
 	p, plain := j.writer.(*plainWriter)
 	if j.request.Claim == "" || !plain {
-		return nil
+		return
 	}
-	ctx, cancel := context.WithTimeout(context.Background(), finishTimeout)
-	defer cancel()
-	return e.callOwner(ctx, j, beechwire.MethodFinish, &beechwire.FinishAsk{
+	e.tellOrKeepTelling(j.request.ID, &beechwire.FinishAsk{
 		RecordKey: j.request.RecordKey, Token: j.request.Claim, Status: p.status, ContentType: p.contentType, Answer: p.body,
-	}, nil)
+	})
 }
 
 // settleLater follows a request that may not be repeated to its end after its
@@ -40,9 +38,8 @@
 	defer cancel()
 	j.writer = &plainWriter{out: discard{}}
 	if e.collect(ctx, j) {
-		if err := e.settle(j); err == nil {
-			return
-		}
+		e.settle(j)
+		return
 	}
 	e.abandon(j)
 }
@@ -81,5 +78,7 @@
 // abandon tells the owner that the outcome will not be known, so that repeats
 // need not wait for it.
 func (e *Entry) abandon(j *job) {
-	e.tellOwner(j, &beechwire.FinishAsk{RecordKey: j.request.RecordKey, Token: j.request.Claim})
+	if err := e.tellOwner(&beechwire.FinishAsk{RecordKey: j.request.RecordKey, Token: j.request.Claim}); err != nil {
+		e.log.Info("record not told", beechlog.RequestID(j.request.ID), beechlog.Step("record"), zap.Error(err))
+	}
 }
--- a/internal/state/beechrecord/decide.go
+++ b/internal/state/beechrecord/decide.go
@@ -43,6 +43,9 @@
 }
 
 func (s *shard) decideOutcome(draft *stored, o *operation) (verdict, bool) {
+	if o.withdraws != "" {
+		o.token = s.tokenOf(draft, o)
+	}
 	found, changed := draft.finish(o.key, o.token, *o.outcome)
 	switch {
 	case changed:
@@ -55,6 +58,14 @@
 	return verdict{operation: o}, false // finishClosed writes it
 }
 
+// tokenOf gives the token of the claim that an operation withdraws, or none.
+func (s *shard) tokenOf(draft *stored, o *operation) string {
+	if e, ok, _ := s.find(draft, o.key); ok && e.Request == o.withdraws {
+		return e.Token
+	}
+	return ""
+}
+
 // find gives the newest entry of a key; written says that it is in the
 // service, not only in the draft.
 func (s *shard) find(draft *stored, key string) (e entry, ok, written bool) {
--- a/internal/state/beechrecord/records.go
+++ b/internal/state/beechrecord/records.go
@@ -173,6 +173,18 @@
 	return nil
 }
 
+// Withdraw records that a request did not run whose claim's answer was lost on
+// its way: whoever claimed under this request id has no token and will use none.
+// An error says that no such claim is recorded; it may be under way still.
+func (r *Records) Withdraw(ctx context.Context, key Key, requestID string) error {
+	o := &operation{ctx: ctx, key: key.id().String(), withdraws: bounded(requestID), outcome: &outcome{NotRun: true}}
+	if got := r.submit(ctx, key, o); got.err != nil {
+		return fmt.Errorf("withdraw the claim of %s: %w", key, got.err)
+	}
+	r.forget(o.token)
+	return nil
+}
+
 // Abandon says that the outcome of a granted request will not be known, so
 // that repeats need not wait for it.
 func (r *Records) Abandon(token string) {
--- a/internal/state/beechrecord/records_test.go
+++ b/internal/state/beechrecord/records_test.go
@@ -199,6 +199,25 @@
 	})
 }
 
+// A claim is granted and its answer is lost with the link. Whoever asked has no
+// token, so the key becomes free; another request's claim is left as it is.
+func TestWithdrawnClaimBecomesFree(t *testing.T) {
+	bubble(t, func(is *is.I, _ *beechstore.Fake, agent func(Settings) *Records) {
+		first, second := agent(Settings{}), agent(Settings{})
+		_, ok := claimAs(first, "one").(Granted)
+		is.True(ok)
+		is.True(second.Withdraw(context.Background(), testKey, "another") != nil)
+		is.Equal(claimAs(second, "two"), Unknown{RequestID: "one"})
+		is.NoErr(second.Withdraw(context.Background(), testKey, "one"))
+		granted, ok := claimAs(second, "three").(Granted)
+		is.True(ok)
+		is.True(first.Withdraw(context.Background(), testKey, "one") != nil) // it is the third's now
+		is.NoErr(second.Finish(context.Background(), testKey, granted.Token, booked))
+		is.NoErr(second.Withdraw(context.Background(), testKey, "three")) // changes nothing: it ran
+		is.Equal(claimAs(first, "four"), doneAs("three"))
+	})
+}
+
 func TestNotRunFreesTheKeyForTheSameBody(t *testing.T) {
 	bubble(t, func(is *is.I, _ *beechstore.Fake, agent func(Settings) *Records) {
 		r := agent(Settings{})
--- a/internal/state/beechrecord/shard.go
+++ b/internal/state/beechrecord/shard.go
@@ -32,16 +32,18 @@
 		fresh map[string]bool
 	}
 
-	// operation is a claim or an outcome that waits for its batch.
+	// operation is a claim or an outcome that waits for its batch. Withdraws
+	// names the request of a claim whose token is not known: it is looked up.
 	operation struct {
-		ctx     context.Context
-		key     string
-		token   string
-		claim   *claim
-		granted func(token string) // called before a claim of the same batch is answered
-		outcome *outcome
-		result  chan result // holds one
-		done    bool        // result was given; the shard's goroutine only
+		ctx       context.Context
+		key       string
+		token     string
+		claim     *claim
+		granted   func(token string) // called before a claim of the same batch is answered
+		outcome   *outcome
+		withdraws string
+		result    chan result // holds one
+		done      bool        // result was given; the shard's goroutine only
 	}
 
 	claim struct {
