A join that a leaving agent does not take says nothing of the run

What a caller would see: a booking made twice, where a link to an agent that leaves is lost and a second one is left on which the booking is joined again. Cause: an agent that drains answered each stream that it does not take with Refused, which says that the request was not run; that is true of a request and not of a join, whose request may be running there. The entry host would have sent it, with the same token, to another server.

TestJoinThatALeavingAgentDoesNotTake failed before (Refused). Such a join now ends with Failed, ran unknown, also where the agent's last word crosses it. The comment of TestDrainCutsNothing stands at its test again.

--- a/internal/link/beechlink/clientend.go
+++ b/internal/link/beechlink/clientend.go
@@ -45,8 +45,8 @@
 	return e.err == nil && !e.leaving
 }
 
-// add makes a stream whose first Data has the sequence next.
-func (e *clientEnd) add(requestID string, attempt int, next uint64) (*clientStream, error) {
+// add gives a stream its id and takes it into the table.
+func (e *clientEnd) add(s *clientStream) (*clientStream, error) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	if e.err != nil {
@@ -59,17 +59,12 @@
 		return nil, ErrBusy
 	}
 	e.last++
-	s := &clientStream{
-		end:       e,
-		id:        e.last,
-		requestID: requestID,
-		attempt:   attempt,
-		next:      next,
-		credit:    e.c.settings.Credit,
-		wake:      make(chan struct{}, 1),
-	}
-	if requestID != "" && attempt != 0 {
-		s.tag = beechwire.Tag(requestID, attempt)
+	s.end = e
+	s.id = e.last
+	s.credit = e.c.settings.Credit
+	s.wake = make(chan struct{}, 1)
+	if s.requestID != "" && s.attempt != 0 {
+		s.tag = beechwire.Tag(s.requestID, s.attempt)
 	}
 	e.table[s.id] = s
 	return s, nil
@@ -78,7 +73,7 @@
 func (e *clientEnd) open(r *beechwire.Request, body []byte) (*clientStream, error) {
 	e.opening.Lock()
 	defer e.opening.Unlock()
-	s, err := e.add(r.ID, r.Attempt, r.ResumeSequence+1)
+	s, err := e.add(&clientStream{requestID: r.ID, attempt: r.Attempt, next: r.ResumeSequence + 1})
 	if err != nil {
 		return nil, err
 	}
@@ -100,7 +95,7 @@
 func (e *clientEnd) reattach(r beechwire.Reattach) (*clientStream, error) {
 	e.opening.Lock()
 	defer e.opening.Unlock()
-	s, err := e.add(r.RequestID, 0, r.After+1)
+	s, err := e.add(&clientStream{requestID: r.RequestID, next: r.After + 1, joins: true})
 	if err != nil {
 		return nil, err
 	}
@@ -242,7 +237,8 @@
 
 // bye ends the connection. An agent that drained has closed every stream that
 // it took with a last reply, so those still open were never taken: they are
-// refused, which is true, in place of a loss that could not be retried.
+// refused, which is true, in place of a loss that could not be retried. Of a
+// request that was to be joined it says nothing.
 func (e *clientEnd) bye(c *connection, reason string) {
 	e.mu.Lock()
 	e.leaving = true
@@ -265,12 +261,16 @@
 	if s.over {
 		return
 	}
-	s.push(RefusedReply{Refused: beechwire.Refused{
-		Stream:    s.id,
-		RequestID: s.requestID,
-		Attempt:   s.attempt,
-		Reason:    beechwire.ReasonLeaving,
-		Message:   "agent is leaving",
-	}})
+	if s.joins {
+		s.push(FailedReply{Failed: beechwire.Failed{
+			Stream: s.id, RequestID: s.requestID, Attempt: s.attempt,
+			Reason: beechwire.ReasonLeaving, Message: leavingMessage, Ran: beechwire.RanUnknown,
+		}})
+	} else {
+		s.push(RefusedReply{Refused: beechwire.Refused{
+			Stream: s.id, RequestID: s.requestID, Attempt: s.attempt,
+			Reason: beechwire.ReasonLeaving, Message: leavingMessage,
+		}})
+	}
 	s.over = true
 }
--- a/internal/link/beechlink/frame_test.go
+++ b/internal/link/beechlink/frame_test.go
@@ -114,7 +114,7 @@
 		c := newConnection(nil, Peer{}, sessionKey{}, s, &counters{}, fuzzServer.pacer, answerFunc(echoCall), fuzzServer.roster, e)
 		client.c, server.c = c, c
 		// A stream with id 1, for replies to find.
-		if _, err := client.add("a", 1, 1); e == end(client) && err != nil {
+		if _, err := client.add(&clientStream{requestID: "a", attempt: 1, next: 1}); e == end(client) && err != nil {
 			panic(err)
 		}
 		for i, k := range kinds {
--- a/internal/link/beechlink/server_test.go
+++ b/internal/link/beechlink/server_test.go
@@ -206,9 +206,6 @@
 	is.Equal(<-detached, true)
 }
 
-// An agent is stopped for a new version while callers read. Every answer comes
-// whole, new requests are refused as not run, and so are those that crossed
-// the agent's last word on the wire.
 // The agent's writer notices that a link is lost before its reader does. A handler whose
 // send fails at that moment must not take the caller for gone for good: the answer that
 // the caller comes back for would be thrown away.
@@ -231,6 +228,38 @@
 	is.True(e.detached)
 }
 
+// A link is lost while a booking runs at an agent that leaves, and the booking is
+// joined again there. That the agent takes no more streams does not say that the
+// booking was not run; taken so, it would be run again elsewhere.
+func TestJoinThatALeavingAgentDoesNotTake(t *testing.T) {
+	is := is.New(t)
+	release := make(chan struct{})
+	p := newPair(t, Settings{}, handlerFuncs{open: func(ctx context.Context, s ServerStream, r beechwire.Request, body []byte) {
+		<-release
+		echo(ctx, s, r, body)
+	}})
+	running := openStream(t, p.client, "r")
+	until(t, "it has begun", func() bool { return p.server.Counters().Opened == 1 })
+	drained := make(chan error)
+	go func() { drained <- p.server.Drain(context.Background()) }()
+	until(t, "the drain has begun", p.server.isDraining)
+	s, err := p.client.Reattach(t.Context(), beechwire.Reattach{RequestID: "r"})
+	is.NoErr(err)
+	_, last, err := collect(t.Context(), s)
+	is.NoErr(err)
+	failed, ok := last.(FailedReply)
+	is.True(ok)
+	is.Equal(failed.Ran, beechwire.RanUnknown)
+	is.Equal(failed.Reason, beechwire.ReasonLeaving)
+	close(release)
+	_, _, err = collect(t.Context(), running)
+	is.NoErr(err)
+	is.NoErr(<-drained)
+}
+
+// An agent is stopped for a new version while callers read. Every answer comes
+// whole, new requests are refused as not run, and so are those that crossed
+// the agent's last word on the wire.
 func TestDrainCutsNothing(t *testing.T) {
 	is := is.New(t)
 	release := make(chan struct{})
--- a/internal/link/beechlink/serverend.go
+++ b/internal/link/beechlink/serverend.go
@@ -124,7 +124,7 @@
 		return beechwire.ReasonBusy, "too many bodies on their way on the connection"
 	}
 	if !e.server.enter() {
-		return beechwire.ReasonLeaving, "agent is leaving"
+		return beechwire.ReasonLeaving, leavingMessage
 	}
 	e.table[s.id] = s
 	return "", ""
@@ -159,7 +159,7 @@
 		return err
 	}
 	if reason, message := e.admit(s, 0); reason != "" {
-		e.refuse(s, reason, message)
+		e.failJoin(s, reason, message)
 		return nil
 	}
 	e.c.counters.reattached.Add(1)
@@ -182,6 +182,21 @@
 	})
 }
 
+// failJoin closes a stream that was to join a request. Refused would say that
+// the request was not run.
+func (e *serverEnd) failJoin(s *serverStream, reason, message string) {
+	s.cancel()
+	e.c.counters.refused.Add(1)
+	_ = e.c.out.send(kindFailed, &beechwire.Failed{
+		Stream:    s.id,
+		RequestID: s.requestID,
+		Attempt:   s.attempt,
+		Reason:    reason,
+		Message:   message,
+		Ran:       beechwire.RanUnknown,
+	})
+}
+
 func (e *serverEnd) addBody(m *beechwire.Body) error {
 	s := e.find(m.Stream)
 	if s == nil {
--- a/internal/link/beechlink/settings.go
+++ b/internal/link/beechlink/settings.go
@@ -32,6 +32,9 @@
 	pendingLimit = 4
 )
 
+// leavingMessage is what streams are told that a draining agent does not take.
+const leavingMessage = "agent is leaving"
+
 const (
 	// spareStreams is how many streams each connection of a link carries
 	// before a further one is opened. An idle entry thus holds one to each of
--- a/internal/link/beechlink/stream.go
+++ b/internal/link/beechlink/stream.go
@@ -16,6 +16,7 @@
 		requestID string // empty until Head where a Reattach does not know it
 		attempt   int    // 0 until Head where a Reattach does not know it
 		tag       uint32 // of both; 0 until they are known
+		joins     bool   // a request that was sent before
 
 		mu       sync.Mutex
 		queue    []Reply
@@ -29,6 +30,9 @@
 	}
 )
 
+// Peer implements Stream.
+func (s *clientStream) Peer() Peer { return s.end.c.peer }
+
 // Next implements Stream. After the last reply it returns io.EOF.
 func (s *clientStream) Next(ctx context.Context) (Reply, error) {
 	for {
--- a/internal/link/beechlink/types.go
+++ b/internal/link/beechlink/types.go
@@ -82,6 +82,8 @@
 	// late, doubled or crossed ones are dropped and counted. An error means
 	// that the link was lost before the last reply.
 	Stream interface {
+		// Peer is the agent as it was when the stream was opened.
+		Peer() Peer
 		Next(ctx context.Context) (Reply, error)
 		// Close cancels a stream that has not ended. Detached leaves the
 		// generation running for its grace time.
--- a/internal/process/beechentry/judge.go
+++ b/internal/process/beechentry/judge.go
@@ -79,7 +79,7 @@
 		return unreachable{}
 	case interrupted:
 		switch h.reason {
-		case beechwire.ReasonGone:
+		case beechwire.ReasonGone, beechwire.ReasonLeaving, beechwire.ReasonBusy:
 			return unreachable{}
 		case beechwire.ReasonTimeout:
 			return result
--- a/internal/process/beechentry/learn.go
+++ b/internal/process/beechentry/learn.go
@@ -61,7 +61,9 @@
 }
 
 func (e *Entry) failedBy(j *job, server netip.AddrPort, r beechwire.Failed) attemptResult {
-	e.health.Observe(beechhealth.Sample{Server: server, Model: j.target(), Failed: true})
+	if r.Reason != beechwire.ReasonLeaving && r.Reason != beechwire.ReasonBusy { // of a join that was not taken
+		e.health.Observe(beechhealth.Sample{Server: server, Model: j.target(), Failed: true})
+	}
 	if r.Crashed {
 		j.request.Crashes++
 		e.suspects.Merge([]beechsuspect.Record{{Fingerprint: j.request.Fingerprint, Crashes: j.request.Crashes}})
