A booking that is lost on its way to its server is not taken for one that ran

What a caller saw: 502 and then 409 (its outcome is not known; it is never run again) for a booking that no server had been sent, where the link to the service's agent was lost with it. Cause: the entry host asked for the run again, was told that no such answer is kept, and took that for one whose end is not known; an agent that is not reached for 1.2 s was never asked again. Now the question carries the claim's token: an agent that was never sent it says so and uses the token up, so that the request is not run even if it should still arrive; the booking then goes to another server or its key is freed. A run whose link is lost is looked for in the background for 30 s, like one whose caller left. Which incarnation of the agent is asked is that of the connection on which the request was sent, not that of the newest one. A caller that leaves before anything was sent is not one whose outcome is unknown.

--- a/internal/command/beechscenario/commands_test.go
+++ b/internal/command/beechscenario/commands_test.go
@@ -271,10 +271,10 @@
 	return last
 }
 
-// cut NAME once|reset|stay|silent|mute|mend: the connections to an agent.
+// cut NAME once|reset|stay|silent|mute|deaf|mend: the connections to an agent.
 func commandCut(w *world, arguments []string) error {
 	if len(arguments) != 2 || w.cutters[arguments[0]] == nil {
-		return usage("cut AGENT once|reset|stay|silent|mute|mend")
+		return usage("cut AGENT once|reset|stay|silent|mute|deaf|mend")
 	}
 	c := w.cutters[arguments[0]]
 	switch arguments[1] {
@@ -288,6 +288,8 @@
 		c.hush(inward, outward)
 	case "mute":
 		c.hush(outward)
+	case "deaf":
+		c.hush(inward)
 	default:
 		c.mend()
 	}
--- a/internal/link/beechwire/doc.go
+++ b/internal/link/beechwire/doc.go
@@ -51,6 +51,7 @@
 	ReasonServer     = "server"
 	ReasonCancelled  = "cancelled"
 	ReasonGone       = "gone"
+	ReasonNever      = "never" // the request to be joined never came, and is not run here any more
 	ReasonMalformed  = "malformed"
 	ReasonTimeout    = "timeout"
 )
--- a/internal/link/beechwire/wire_gen.go
+++ b/internal/link/beechwire/wire_gen.go
@@ -606,6 +606,10 @@
 	// Sequence of the last Data the caller has; 0 is none.
 	After uint64 `msg:"After"`
 
+	// Token of a request that may not be repeated. An agent that was never sent it
+	// answers that it is not run, and takes it no more.
+	Claim string `msg:"Claim"`
+
 	// Credit corresponds to the JSON schema field "Credit".
 	Credit int `msg:"Credit"`
 
--- a/internal/link/beechwire/wire_msgp_gen.go
+++ b/internal/link/beechwire/wire_msgp_gen.go
@@ -3783,10 +3783,13 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *Reattach) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 7
+	// map header, size 8
 	// string "After"
-	o = append(o, 0x87, 0xa5, 0x41, 0x66, 0x74, 0x65, 0x72)
+	o = append(o, 0x88, 0xa5, 0x41, 0x66, 0x74, 0x65, 0x72)
 	o = msgp.AppendUint64(o, z.After)
+	// string "Claim"
+	o = append(o, 0xa5, 0x43, 0x6c, 0x61, 0x69, 0x6d)
+	o = msgp.AppendString(o, z.Claim)
 	// string "Credit"
 	o = append(o, 0xa6, 0x43, 0x72, 0x65, 0x64, 0x69, 0x74)
 	o = msgp.AppendInt(o, z.Credit)
@@ -3832,6 +3835,12 @@
 				err = msgp.WrapError(err, "After")
 				return
 			}
+		case "Claim":
+			z.Claim, bts, err = msgp.ReadStringBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Claim")
+				return
+			}
 		case "Credit":
 			z.Credit, bts, err = msgp.ReadIntBytes(bts)
 			if err != nil {
@@ -3882,7 +3891,7 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *Reattach) Msgsize() (s int) {
-	s = 1 + 6 + msgp.Uint64Size + 7 + msgp.IntSize + 12 + msgp.Uint64Size + 10 + msgp.StringPrefixSize + len(z.RecordKey) + 10 + msgp.StringPrefixSize + len(z.RequestID) + 7 + msgp.Uint64Size + 10 + msgp.StringPrefixSize + len(z.Workspace)
+	s = 1 + 6 + msgp.Uint64Size + 6 + msgp.StringPrefixSize + len(z.Claim) + 7 + msgp.IntSize + 12 + msgp.Uint64Size + 10 + msgp.StringPrefixSize + len(z.RecordKey) + 10 + msgp.StringPrefixSize + len(z.RequestID) + 7 + msgp.Uint64Size + 10 + msgp.StringPrefixSize + len(z.Workspace)
 	return
 }
 
--- a/internal/process/beechagent/stream.go
+++ b/internal/process/beechagent/stream.go
@@ -86,15 +86,26 @@
 func (a *Agent) Reattach(ctx context.Context, s beechlink.ServerStream, r beechwire.Reattach) {
 	g, missing := a.findGeneration(r)
 	if g == nil {
+		reason := beechwire.ReasonGone
+		if a.neverCame(r) {
+			reason, missing = beechwire.ReasonNever, "the request never came here"
+		}
 		a.log.Info("answer not joined", beechlog.RequestID(r.RequestID), beechlog.Step("join"), beechlog.Peer(s.Peer().Address),
 			beechlog.Workspace(r.Workspace), zap.Uint64("after", r.After), zap.String("reason", missing))
-		_ = s.Send(ctx, a.refusal(beechwire.ReasonGone, 0, "%s", missing))
+		_ = s.Send(ctx, a.refusal(reason, 0, "%s", missing))
 		return
 	}
 	a.numbers.Joined.Add(1)
 	a.serveStream(ctx, s, g, r.After)
 }
 
+// neverCame tells whether a request that may not be repeated, and that an entry
+// host wants to join, was lost on its way here. Its token is used up with that:
+// should the request still come, it is not run.
+func (a *Agent) neverCame(r beechwire.Reattach) bool {
+	return r.Claim != "" && r.Incarnation == a.incarnation && a.used.use(r.Claim)
+}
+
 // findGeneration returns the generation to join, or why there is none.
 func (a *Agent) findGeneration(r beechwire.Reattach) (g *generation, missing string) {
 	if r.Incarnation != 0 && r.Incarnation != a.incarnation {
--- a/internal/process/beechentry/dispatch.go
+++ b/internal/process/beechentry/dispatch.go
@@ -70,7 +70,7 @@
 	case f.Ran == beechwire.RanNo:
 		e.giveBack(j)
 	case j.request.Claim == "":
-	case j.leftAt.IsValid():
+	case j.unfollowed && j.sentTo.agent.IsValid():
 		// The caller's answer is still written from j: without a copy the error
 		// that it is due would go to the writer that nobody reads.
 		later := *j
@@ -121,6 +121,7 @@
 func (e *Entry) joinPlaced(ctx context.Context, j *job) (netip.AddrPort, attemptResult) {
 	target := *j.attach
 	j.attach = nil
+	j.sentTo = target
 	return target.agent, e.join(ctx, j, target)
 }
 
@@ -233,6 +234,7 @@
 	if err != nil {
 		return nil, e.openFailure(ctx, err)
 	}
+	j.sentTo = placed{agent: candidate.Server, incarnation: stream.Peer().Incarnation, requestID: j.request.ID}
 	e.place(j, candidate.Server)
 	return stream, nil
 }
--- a/internal/process/beechentry/follow.go
+++ b/internal/process/beechentry/follow.go
@@ -18,7 +18,7 @@
 // joined again and again it would keep the caller and the host's processor busy
 // without end.
 func (e *Entry) follow(ctx context.Context, j *job, client *beechlink.Client, server netip.AddrPort, stream beechlink.Stream) attemptResult {
-	idle := 0
+	idle, incarnation := 0, stream.Peer().Incarnation
 	for tries := 0; ; tries++ {
 		before := j.sequence
 		result, lost := e.drainStream(ctx, j, server, stream)
@@ -36,7 +36,7 @@
 		if idle > maxIdleJoins {
 			return e.lostResult(ctx)
 		}
-		stream = e.reattach(ctx, j, client, client.Peer().Incarnation)
+		stream = e.reattach(ctx, j, client, incarnation)
 		if stream == nil {
 			return e.lostResult(ctx)
 		}
@@ -58,7 +58,7 @@
 	limit := e.clock.Now().Add(reattachTime)
 	for e.clock.Now().Before(limit) && ctx.Err() == nil {
 		stream, err := client.Reattach(ctx, beechwire.Reattach{
-			Workspace: j.workspace.Name, RequestID: j.request.ID, Incarnation: incarnation, After: j.sequence,
+			Workspace: j.workspace.Name, RequestID: j.request.ID, Incarnation: incarnation, After: j.sequence, Claim: j.request.Claim,
 		})
 		if err == nil {
 			return stream
--- a/internal/process/beechentry/job.go
+++ b/internal/process/beechentry/job.go
@@ -37,9 +37,10 @@
 		ended      bool   // the finish reason was given
 		firstToken time.Duration
 		usage      beechwire.Usage
-		reachable  int            // least uncached tokens predicted at any candidate
-		leftAt     netip.AddrPort // where it ran when its caller left
-		ran        string         // what is known of earlier attempts; empty is nothing
+		reachable  int    // least uncached tokens predicted at any candidate
+		sentTo     placed // by this attempt; none where nothing was sent
+		unfollowed bool   // its caller left, or its link was lost, before its end
+		ran        string // what is known of earlier attempts; empty is nothing
 	}
 
 	// placed names a generation at an agent.
@@ -96,6 +97,7 @@
 // startOver prepares for another attempt: a resumable answer goes on after what
 // the caller has, any other is given from its beginning.
 func (j *job) startOver() {
+	j.sentTo = placed{}
 	j.writer.restart()
 	if !j.resumable {
 		j.sequence = 0
--- a/internal/process/beechentry/judge.go
+++ b/internal/process/beechentry/judge.go
@@ -24,7 +24,7 @@
 	case completed:
 		return false, nil
 	case callerLeft:
-		j.leftAt = server
+		j.unfollowed = true
 		return false, e.leftFailure(ctx, j)
 	case stale:
 		return false, j.withRan(busy(http.StatusServiceUnavailable, "configuration_changing", time.Second, "the configuration is changing"))
@@ -43,15 +43,18 @@
 
 func (e *Entry) leftFailure(ctx context.Context, j *job) *failure {
 	f := &failure{Status: http.StatusGatewayTimeout, Type: typeServer, Code: "timeout", Ran: beechwire.RanUnknown, Message: "the caller's deadline passed"}
-	if j.sequence > 0 {
+	switch {
+	case j.sequence > 0:
 		f.Ran = beechwire.RanYes
+	case !j.sentTo.agent.IsValid():
+		f.Ran = beechwire.RanNo
 	}
 	if e.detach(ctx) {
 		f.Status = statusClientGone
 		f.Code = "caller_gone"
 		f.Message = "the caller went away"
 	}
-	return f
+	return j.withRan(f)
 }
 
 // statusClientGone is what logs show for a caller that went away; nobody
@@ -193,6 +196,7 @@
 		Status: http.StatusBadGateway, Type: typeServer, Code: "server_failed", Ran: j.ran,
 		Message: "the backend server did not finish its answer",
 	}
+	j.unfollowed = h.reason == beechwire.ReasonGone
 	if h.reason == beechwire.ReasonTimeout {
 		f.Status = http.StatusGatewayTimeout
 		f.Code = "timeout"
--- a/internal/process/beechentry/settle.go
+++ b/internal/process/beechentry/settle.go
@@ -11,9 +11,21 @@
 	"github.com/beechring/beechring/internal/process/beechlog"
 )
 
-// laterLimit is how long the outcome of a request is waited for after its
-// caller left.
-const laterLimit = 5 * time.Minute
+// collected is what is found of a request whose caller left.
+type collected int
+
+const (
+	ranUnknown collected = iota
+	ranWhole             // its answer is in the job's writer
+	ranNever             // it never came to its server, and is not run there any more
+
+	// laterLimit is how long the outcome of a request is waited for after its
+	// caller left.
+	laterLimit = 5 * time.Minute
+
+	// rejoinLimit is how long a lost link to its server is waited for then.
+	rejoinLimit = 30 * time.Second
+)
 
 // settle records the outcome of a request that may not be repeated, before its
 // caller sees the answer, so that a repeat right after it gets the same answer.
@@ -37,30 +49,28 @@
 	ctx, cancel := context.WithTimeout(context.Background(), laterLimit)
 	defer cancel()
 	j.writer = &plainWriter{out: discard{}}
-	if e.collect(ctx, j) {
+	switch e.collect(ctx, j) {
+	case ranWhole:
 		e.settle(j)
-		return
+	case ranNever:
+		e.giveBack(j)
+	default:
+		e.abandon(j)
 	}
-	e.abandon(j)
 }
 
-// collect reads the whole answer of a request that runs, or ran, at an agent;
-// false is one that cannot be had.
-func (e *Entry) collect(ctx context.Context, j *job) bool {
-	client := e.joinClient(ctx, j.leftAt)
-	if client == nil {
-		return false
-	}
-	stream, err := client.Reattach(ctx, beechwire.Reattach{Workspace: j.workspace.Name, RequestID: j.request.ID})
-	if err != nil {
-		return false
+// collect reads the whole answer of a request that runs, or ran, at an agent.
+func (e *Entry) collect(ctx context.Context, j *job) collected {
+	stream := e.joinLater(ctx, j)
+	if stream == nil {
+		return ranUnknown
 	}
 	defer stream.Close(true)
 	for {
 		reply, err := stream.Next(ctx)
 		if err != nil {
-			e.log.Info("outcome not followed", beechlog.RequestID(j.request.ID), beechlog.Step("settle"), beechlog.Peer(j.leftAt), zap.Error(err))
-			return false
+			e.log.Info("outcome not followed", beechlog.RequestID(j.request.ID), beechlog.Step("settle"), beechlog.Peer(j.sentTo.agent), zap.Error(err))
+			return ranUnknown
 		}
 		switch r := reply.(type) {
 		case beechlink.HeadReply:
@@ -68,11 +78,36 @@
 		case beechlink.DataReply:
 			_ = j.writer.piece(r.Sequence, r.Data.Data)
 		case beechlink.EndReply:
-			return true
+			return ranWhole
+		case beechlink.RefusedReply:
+			if r.Reason == beechwire.ReasonNever {
+				return ranNever
+			}
+			return ranUnknown
 		default:
-			return false
+			return ranUnknown
+		}
+	}
+}
+
+// joinLater joins the request where it was sent, or returns nil where that
+// agent cannot be reached for a while.
+func (e *Entry) joinLater(ctx context.Context, j *job) beechlink.Stream {
+	limit := e.clock.Now().Add(rejoinLimit)
+	for e.clock.Now().Before(limit) && !e.leaving.Load() {
+		client := e.joinClient(ctx, j.sentTo.agent)
+		if client == nil {
+			continue
+		}
+		stream, err := client.Reattach(ctx, beechwire.Reattach{
+			Workspace: j.workspace.Name, RequestID: j.request.ID, Incarnation: j.sentTo.incarnation, Claim: j.request.Claim,
+		})
+		if err == nil {
+			return stream
 		}
+		e.clock.Sleep(reattachPause)
 	}
+	return nil
 }
 
 // abandon tells the owner that the outcome will not be known, so that repeats
