An answer on its way to a lost entry host is recorded by the agent

What a caller would see: 409 (its outcome is not known) for a booking that was made, after its entry host was killed. Cause: what was given to an entry host was noted when its stream had ended, and the loss of the entry host is told in a goroutine of its own: noted after it, an outcome was left to an entry host that is gone, and stayed in memory for good. An entry host that had said that it leaves was believed to have recorded everything, also if it was killed since.

Now an answer is noted before its stream begins, the end of a stream that could not be given its answer records it, and leaving changes nothing.

--- a/internal/process/beechagent/fleet.go
+++ b/internal/process/beechagent/fleet.go
@@ -18,14 +18,13 @@
 	// the platform's service is down has nobody else to ask.
 	fleet struct {
 		mu      sync.Mutex
-		leaving map[uint64]bool           // entries that end gracefully
 		entries map[uint64]beechlink.Peer // by incarnation
 		shared  beechwire.Snapshot
 	}
 )
 
 func newFleet() *fleet {
-	return &fleet{entries: map[uint64]beechlink.Peer{}, leaving: map[uint64]bool{}}
+	return &fleet{entries: map[uint64]beechlink.Peer{}}
 }
 
 func (f *fleet) up(p beechlink.Peer) {
@@ -34,20 +33,10 @@
 	f.entries[p.Incarnation] = p
 }
 
-// down forgets an entry host and tells whether it ended gracefully.
-func (f *fleet) down(p beechlink.Peer) (graceful bool) {
+func (f *fleet) down(p beechlink.Peer) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	graceful = f.leaving[p.Incarnation]
-	delete(f.leaving, p.Incarnation)
 	delete(f.entries, p.Incarnation)
-	return graceful
-}
-
-func (f *fleet) leave(p beechlink.Peer) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	f.leaving[p.Incarnation] = true
 }
 
 func (f *fleet) count() int {
@@ -95,15 +84,12 @@
 }
 
 // Down implements beechlink.Events. What the lost entry host may not have
-// recorded is recorded here.
+// recorded is recorded here, also of one that said that it leaves: it may have
+// been killed since.
 func (a *Agent) Down(p beechlink.Peer, err error) {
 	a.log.Info("entry lost", beechlog.Peer(p.Address), zap.Error(err))
-	graceful := a.fleet.down(p)
-	given := a.unsettled.take(p)
-	if graceful {
-		return
-	}
-	for _, g := range given {
+	a.fleet.down(p)
+	for _, g := range a.unsettled.take(p) {
 		a.runs.Go(func() { a.record(g) })
 	}
 }
@@ -111,9 +97,6 @@
 // Heartbeat implements beechlink.Events.
 func (a *Agent) Heartbeat(p beechlink.Peer, h beechwire.Heartbeat) {
 	a.pullIfNewer(p, h.Generation)
-	if h.Leaving {
-		a.fleet.leave(p)
-	}
 	if len(h.Suspects) > 0 {
 		a.suspects.Merge(beechshare.SuspectRecords(h.Suspects))
 	}
--- a/internal/process/beechagent/runner.go
+++ b/internal/process/beechagent/runner.go
@@ -68,8 +68,14 @@
 	a.running.remove(t.id)
 	a.scheduler.finish(t.id, beechqueue.Usage{Known: t.usageKnown, Prompt: t.usage.Prompt, Cached: t.usage.Cached, Output: t.usage.Output})
 	a.close(t.generation, last)
-	if t.generation.alone() {
-		a.record(t.generation)
+	a.recordIfAlone(t.generation)
+}
+
+// recordIfAlone records the outcome where no entry host has the answer, or is
+// being given it.
+func (a *Agent) recordIfAlone(g *generation) {
+	if g.alone() {
+		a.record(g)
 	}
 }
 
--- a/internal/process/beechagent/stream.go
+++ b/internal/process/beechagent/stream.go
@@ -129,9 +129,11 @@
 // good ends the generation, unless another stream follows it too.
 func (a *Agent) serveStream(ctx context.Context, s beechlink.ServerStream, g *generation, after uint64) {
 	g.attach()
+	if g.request.Claim != "" {
+		defer a.unsettled.end(a.unsettled.begin(s.Peer(), g))
+	}
 	err := g.follow(ctx, s, after)
 	g.detach(a.clock.Now())
-	a.unsettled.note(s.Peer(), g)
 	switch {
 	case err == nil:
 	case !s.Detached() && g.alone() && g.request.Repeatable:
@@ -140,6 +142,7 @@
 		g.cancel()
 	default:
 		a.logLeft("stream detached", s, g, err)
+		a.recordIfAlone(g)
 	}
 }
 
