A repeat takes the place of a first that was never placed

What a caller saw: each repeat of a question under an idempotency key waited two seconds, for ten minutes, where the first one's entry host was lost between its claim and its word where the request runs; callers that wait less long were never answered. Cause: the agent that keeps the key believed that the first would still be placed. Now it does so for two seconds.

--- a/internal/process/beechagent/agent.go
+++ b/internal/process/beechagent/agent.go
@@ -109,7 +109,7 @@
 		fleet:       newFleet(),
 		running:     newRunningSet(),
 		used:        newUsedClaims(),
-		placements:  newPlacements(),
+		placements:  newPlacements(d.Clock),
 		unsettled:   newUnsettled(d.Clock),
 		life:        life,
 		endLife:     endLife,
