What an agent keeps of answers stays within its bound of memory

What operators would see: an agent beyond the 16 MB that it may keep of ended answers, by as many small answers as come within the time that they are kept. Only an answer's bytes were counted, not its request, its prompt's levels and the pieces' own memory. Found while asking what bounds the answers of an entry host that never comes back, now that only its own word ends a generation for good.

What an answer takes is counted, and what only its run needed is let go at its end.

--- a/internal/process/beechagent/generation.go
+++ b/internal/process/beechagent/generation.go
@@ -34,6 +34,14 @@
 	}
 )
 
+const (
+	// keptBytes and pieceOverhead are what a kept answer takes beside its bytes:
+	// its request and its places in the library, and a piece's slice and the
+	// rounding of its memory.
+	keptBytes     = 1600
+	pieceOverhead = 40
+)
+
 func newGeneration(request beechwire.Request, now time.Time, cancel context.CancelFunc) *generation {
 	return &generation{
 		request:  request,
@@ -72,6 +80,8 @@
 	}
 	g.last = last
 	g.ended = now
+	g.pieces = slices.Clip(g.pieces)
+	g.request.Levels, g.request.Headers, g.request.Resume = nil, nil, "" // only the run needed them
 	g.signal()
 }
 
@@ -108,11 +118,12 @@
 	return g.last == nil && g.attached == 0 && now.Sub(g.detached) >= grace
 }
 
-// endedSince tells whether the generation is over, since when, and its size.
-func (g *generation) endedSince() (ended bool, at time.Time, size int) {
+// endedSince tells whether the generation is over, since when, and the memory
+// that it takes.
+func (g *generation) endedSince() (ended bool, at time.Time, bytes int) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return g.last != nil, g.ended, g.size
+	return g.last != nil, g.ended, keptBytes + g.size + pieceOverhead*len(g.pieces)
 }
 
 // next returns what follows the state a follower has: whether it has sent the
