--- a/internal/process/beechentry/once.go
+++ b/internal/process/beechentry/once.go
@@ -30,11 +30,13 @@
 
 	// tellLimit is longer than a claim that was lost on its way may take to be
 	// recorded.
-	tellLimit      = 30 * time.Second
-	tellPause      = 100 * time.Millisecond
-	tellMostPause  = 5 * time.Second
-	placementTries = 40
-	placementPause = 50 * time.Millisecond
+	tellLimit     = 30 * time.Second
+	tellPause     = 100 * time.Millisecond
+	tellMostPause = 5 * time.Second
+	// leavingMostPause ends what is told in vain while an entry host stops.
+	leavingMostPause = 400 * time.Millisecond
+	placementTries   = 40
+	placementPause   = 50 * time.Millisecond
 )
 
 var (
@@ -219,7 +221,8 @@
 		if err == nil {
 			return
 		}
-		if e.clock.Now().Add(pause).After(limit) {
+		last := e.clock.Now().Add(pause).After(limit)
+		if last || e.leaving.Load() && pause > leavingMostPause {
 			e.log.Warn("record not told", beechlog.RequestID(requestID), beechlog.Step("record"), zap.Error(err))
 			return
 		}
