--- a/internal/command/beechplay/soak_test.go
+++ b/internal/command/beechplay/soak_test.go
@@ -152,11 +152,7 @@
 // hang, reset, cut and fail, new weights, new configurations and a key that is
 // taken away. Whatever comes, what the users' brief says must always hold does.
 func TestSoak(t *testing.T) {
-	program := filepath.Join(t.TempDir(), "beechring")
-	build := exec.Command("go", "build", "-o", program, "github.com/beechring/beechring/cmd/beechring")
-	if out, err := build.CombinedOutput(); err != nil {
-		t.Fatalf("build: %v\n%s", err, out)
-	}
+	program := buildProgram(t)
 	seeds := []uint64{*soakSeed}
 	if *soakSeed == 0 {
 		seeds = nil
@@ -176,6 +172,16 @@
 	}
 }
 
+func buildProgram(t *testing.T) string {
+	t.Helper()
+	program := filepath.Join(t.TempDir(), "beechring")
+	build := exec.Command("go", "build", "-o", program, "github.com/beechring/beechring/cmd/beechring")
+	if out, err := build.CombinedOutput(); err != nil {
+		t.Fatalf("build: %v\n%s", err, out)
+	}
+	return program
+}
+
 func play(t *testing.T, binary string, seed uint64) {
 	w, err := NewWorld(outside{t: t, program: binary, folder: beechtrace.Folder(t)})
 	if err != nil {
