What is left is shared out as soon as gates are late

Cause: a gate that is not heard was reckoned to go on at its last pace for 1.5 s, and each half let the whole bucket in during a rush of which it saw its own part only.

Now a gate whose words are a quarter of an interval late keeps its share of the level, as a gate that is alone believes to have; it is given back with its next word.

--- a/internal/decision/beechquota/account.go
+++ b/internal/decision/beechquota/account.go
@@ -33,6 +33,7 @@
 		speed   float64         // sum of the paces of those that are heard
 		speedAt float64         // sum of pace times the second of its last word
 		silent  float64         // sum of the parts left to those that are not heard
+		kept    float64         // sum of what is kept of the level for those that are late
 
 		admitted, refused int
 	}
@@ -46,6 +47,7 @@
 		part     float64 // of what all used, when it was heard last
 		withheld float64 // part of the limit left to it while it is silent
 		since    float64 // second from which on that is so
+		kept     float64 // of the level, for it, while it is late
 	}
 
 	// pace is a mean rate that fades.
@@ -99,7 +101,7 @@
 	if l.alone {
 		return min(a.local+grace*l.share(a), a.level+grace)
 	}
-	return a.level - a.unread(l) + grace
+	return a.level - a.unread(l) - a.kept + grace
 }
 
 // unread is what the other gates have probably admitted since their last words.
@@ -199,9 +201,24 @@
 	return (used + prior/float64(l.gates)) / (a.own.rate + a.others + prior)
 }
 
+// keep leaves a gate whose words are late its share of what is left: a rush may come to it
+// of which this one would hear too late.
+func (a *account) keep(u *use) {
+	u.kept = max(a.level, 0) * u.part
+	a.kept += u.kept
+}
+
+// letGo ends that.
+func (a *account) letGo(u *use) {
+	a.kept = max(a.kept-u.kept, 0)
+	u.kept = 0
+}
+
 // fallSilent leaves a gate that is not heard its share of the rate.
 func (a *account) fallSilent(l *Ledger, u *use) {
 	a.rest(u)
+	a.spent(l, u.kept)
+	a.letGo(u)
 	u.withheld = u.part
 	u.since = u.heard
 	a.spent(l, a.limit.Rate*u.withheld*(l.second()-u.since))
--- a/internal/decision/beechquota/ledger.go
+++ b/internal/decision/beechquota/ledger.go
@@ -161,6 +161,9 @@
 	return wordInterval * time.Duration(max(gates, manyGates)) / manyGates
 }
 
+// lateAfter without a word a gate is late: a quarter of an interval covers its way.
+func lateAfter(gates int) time.Duration { return Interval(gates) * 5 / 4 }
+
 // New returns a ledger that knows no limits. Host names this gate, the same in all its
 // lifetimes; lifetime tells this one from the others.
 func New(host string, lifetime uint64, b Bounds, clock clockwork.Clock) *Ledger {
--- a/internal/decision/beechquota/ways_test.go
+++ b/internal/decision/beechquota/ways_test.go
@@ -119,3 +119,28 @@
 		}
 	}
 }
+
+// The gates are cut into two halves, and shortly after it the workspace sends ten times
+// its usual to both. Until they notice, each half believes in the whole bucket.
+func TestRushRightAfterACut(t *testing.T) {
+	t.Parallel()
+	const rush = 8 * time.Second
+	for _, cut := range []time.Duration{7500 * time.Millisecond, 7760 * time.Millisecond} {
+		for _, gates := range []int{8, 26} {
+			for _, usual := range []float64{0.55, 0.9} {
+				worst := 0.0
+				for seed := range uint64(4 * seeds) {
+					c := sceneOf(Limit{Rate: 500000, Burst: 1000000}, func(c *scene) {
+						c.gates, c.places, c.hot, c.usual = gates, gates*5/8, 9.8, usual
+						c.from, c.until, c.length = rush, rush+6*time.Second, rush+9*time.Second
+						c.events = map[time.Duration]func(*simulation){cut: each(everySecond, func(s *simulation, i int) { s.cut[i] = true })}
+					})
+					worst = max(worst, simulate(c, counting, seed).most())
+				}
+				if worst > 1 {
+					t.Errorf("cut at %s, %d gates, usually %.2f of the limit: %.3f of what is tolerated", cut, gates, usual, worst)
+				}
+			}
+		}
+	}
+}
--- a/internal/decision/beechquota/word.go
+++ b/internal/decision/beechquota/word.go
@@ -30,6 +30,7 @@
 		former   []uint64 // lifetimes that this one has followed
 		older    bool     // than this gate: what it used before is in the levels that others told
 		heard    time.Time
+		late     bool
 		silent   bool
 		gone     bool
 		active   map[uint64]*use // by workspace, those with a pace
@@ -93,6 +94,7 @@
 		l.join()
 	}
 	l.heard, p.heard = l.now, l.now
+	l.lastWords(p)
 	l.words++
 	for _, u := range w.Uses {
 		a := l.byKey[u.Workspace]
@@ -195,8 +197,30 @@
 	l.settled = true
 }
 
+// lastWords takes back what was kept for a gate while its words were late.
+func (l *Ledger) lastWords(p *peer) {
+	if !p.late {
+		return
+	}
+	p.late = false
+	for _, a := range l.accounts {
+		if u := a.uses[p.host]; u != nil {
+			a.letGo(u)
+		}
+	}
+}
+
 func (l *Ledger) sweepPeer(p *peer) {
 	quiet := l.now.Sub(p.heard)
+	if !p.late && quiet > lateAfter(l.gates) {
+		p.late = true
+		for _, a := range l.accounts {
+			if u := a.uses[p.host]; u != nil && a.limit.Rate > 0 {
+				a.refill(l)
+				a.keep(u)
+			}
+		}
+	}
 	if !p.silent && quiet > silentWords*Interval(l.gates) {
 		p.silent = true
 		for _, a := range l.accounts {
