A gate that starts follows the keepers as soon as it knows both servers and routes

What a caller saw: after all gates had started anew, 429 at half of his workspace's limit for up to a second, and choices without the engines' state. Cause: a gate asks keepers when it starts, when it hears of named weights, and each 700 ms. At the start it knows no server yet; weights are told of once, by whichever of the two copies of the store is read first; where that was the operators' copy, the servers' list was still empty and nothing was asked for 700 ms. Keepers name the other gates in their answer, so such a gate counted alone. Evidence: the log line "gates known" of six gates: three at once, three after 400 to 1,100 ms.

Now the first configuration and the first list of servers each have the keepers asked.

--- a/internal/process/beechgate/beliefs.go
+++ b/internal/process/beechgate/beliefs.go
@@ -35,6 +35,9 @@
 		g.setQuotas(c)
 		g.bound(c)
 		g.log.Info("configuration in force", zap.Uint64("version", c.Version), zap.Uint64("revision", c.Revision), zap.Int("routes", len(c.Routes)))
+		if old == nil {
+			g.followNow()
+		}
 	}
 	for _, n := range named {
 		if !g.placer.Named(n.Model, n.Version) {
@@ -108,6 +111,9 @@
 			g.needs.Pool.Forget(s.Address)
 		}
 	}
+	if len(old) == 0 && len(servers) > 0 {
+		g.followNow()
+	}
 }
 
 // noteServers logs what has changed among the servers: one line for all of them,
