A gate that starts speaks to the others at once, and holds a call for a moment instead of refusing it

What a caller saw: a refusal for quota far below the limit from a gate that had just started, and knew nothing but its own share. Cause: the first word on what is used was due only after an interval, and nothing told a gate that does not know others yet from one that has lost them. Now a gate that learns of others speaks at once, and a call that its share does not cover waits up to 250 ms (or half of its objective) while the gate starts.

--- a/internal/decision/beechquota/ledger.go
+++ b/internal/decision/beechquota/ledger.go
@@ -50,6 +50,7 @@
 		Unread float64       // reckoned to be admitted elsewhere since the last words
 		Limit  Limit
 		Alone  bool          // no other gate is heard
+		Starts bool          // this gate has just started, and will hear the others soon
 		Age    time.Duration // of the last word heard; 0 where there was none
 	}
 
@@ -115,6 +116,10 @@
 	silentWords = 5
 	// goneAfter a silent gate's share is free for the others.
 	goneAfter = 12 * time.Second
+	// startTime is longer than a gate takes from its start until it hears the others.
+	startTime = time.Second
+	// startAfter is when to come back to a gate that starts.
+	startAfter = 200 * time.Millisecond
 	// settledAfter a gate that knew nothing has seen what others use.
 	settledAfter = 2 * time.Second
 	// rememberFor is how long a workspace without a limit keeps its level: one that
@@ -367,6 +372,10 @@
 	}
 	if !l.heard.IsZero() {
 		r.Age = l.now.Sub(l.heard)
+		return r
+	}
+	if r.Starts = l.alone && l.gates > 1 && l.now.Sub(l.started) < startTime; r.Starts {
+		r.After = min(r.After, startAfter+time.Duration(spreadPart*rand.Float64()*float64(startAfter)))
 	}
 	return r
 }
--- a/internal/decision/beechquota/ledger_test.go
+++ b/internal/decision/beechquota/ledger_test.go
@@ -456,3 +456,26 @@
 		l.Admit(names[i%len(names)], 100)
 	}
 }
+
+// A gate that has just started refuses what its share does not cover, and says that it
+// will know more in a moment. One that stays alone, or has heard the others, does not.
+func TestRefusalOfAGateThatStarts(t *testing.T) {
+	is := is.New(t)
+	clock := clockwork.NewFakeClock()
+	refusal := func(l *Ledger) Refused {
+		for {
+			if r, ok := l.Admit("w", 50).(Refused); ok {
+				return r
+			}
+		}
+	}
+	all := newGates(4, tight, clock)
+	first := refusal(all[0])
+	is.True(first.Starts)
+	is.True(first.After <= 2*startAfter)
+	all[0].Hear(all[1].Word())
+	is.True(!refusal(all[0]).Starts)
+	clock.Advance(startTime)
+	is.True(!refusal(all[2]).Starts)
+	is.True(!refusal(newGates(1, tight, clock)[0]).Starts)
+}
--- a/internal/process/beechgate/admit.go
+++ b/internal/process/beechgate/admit.go
@@ -108,7 +108,7 @@
 
 // Serve answers a call that was let in, as far as its workspace's quota goes.
 func (g *Gate) Serve(ctx context.Context, call *beechcall.Call, out beechattempt.Responder) {
-	if !g.spend(call, out) {
+	if !g.spend(ctx, call, out) {
 		return
 	}
 	g.spent(call, g.core.Serve(ctx, call, out))
--- a/internal/process/beechgate/keepers.go
+++ b/internal/process/beechgate/keepers.go
@@ -113,7 +113,7 @@
 	case beechbeat.Peers:
 		g.hearPeers(v)
 	case beechbeat.Roster:
-		g.others.named(v, g.clock.Now())
+		g.hearRoster(v)
 	case beechbeat.Spent:
 		g.hearSpent(from, v)
 	case beechbeat.Paces:
--- a/internal/process/beechgate/peers.go
+++ b/internal/process/beechgate/peers.go
@@ -76,7 +76,26 @@
 			peers = append(peers, peer)
 		}
 	}
-	g.circle.Named(peers, g.clock.Now())
+	now := g.clock.Now()
+	alone := len(g.circle.Peers(now)) == 0
+	g.circle.Named(peers, now)
+	if alone {
+		g.met("zone", len(g.circle.Peers(now)))
+	}
+}
+
+// met has the other gates told at once what this one knows, where it has just learned of
+// them: until it is heard, and hears them, it keeps to its own share of what they use
+// together.
+func (g *Gate) met(where string, gates int) {
+	if gates == 0 {
+		return
+	}
+	g.log.Info("gates known", zap.String("where", where), zap.Int("gates", gates), zap.Duration("after", g.quotas.Age()))
+	select {
+	case g.spentNews <- struct{}{}:
+	default:
+	}
 }
 
 // vouch is this gate's word on its copies, as the answer to a question. Without
--- a/internal/process/beechgate/quota.go
+++ b/internal/process/beechgate/quota.go
@@ -19,6 +19,11 @@
 	// spentSpace is that between urgent ones: a workspace far beyond its quota would
 	// otherwise have each of its requests told to all gates.
 	spentSpace = 50 * time.Millisecond
+	// startHold and a share of the objective are the longest that a call waits for a gate
+	// that starts.
+	startHold      = 250 * time.Millisecond
+	startHoldShare = 2
+	startPoll      = 20 * time.Millisecond
 	// usesMost go into one datagram: a use is some 20 bytes.
 	usesMost = 400
 )
@@ -42,9 +47,28 @@
 	g.quotas.SetLimits(limits, unknown)
 }
 
+// askQuota asks whether a call may go on. A gate that has just started knows its own
+// share only; it will hear the others in a moment, which is sooner than its caller
+// would be back.
+func (g *Gate) askQuota(ctx context.Context, call *beechcall.Call) beechquota.Decision {
+	until := g.clock.Now().Add(min(startHold, call.Route.Objective/startHoldShare))
+	for {
+		d := g.quotas.Admit(call.Workspace.Name, call.Size())
+		refused, ok := d.(beechquota.Refused)
+		if !ok || !refused.Starts || !g.clock.Now().Before(until) {
+			return d
+		}
+		select {
+		case <-g.clock.After(startPoll):
+		case <-ctx.Done():
+			return d
+		}
+	}
+}
+
 // spend takes a call's size from its workspace's quota, or answers it.
-func (g *Gate) spend(call *beechcall.Call, out beechattempt.Responder) bool {
-	switch d := g.quotas.Admit(call.Workspace.Name, call.Size()).(type) {
+func (g *Gate) spend(ctx context.Context, call *beechcall.Call, out beechattempt.Responder) bool {
+	switch d := g.askQuota(ctx, call).(type) {
 	case beechquota.Refused:
 		g.metrics.denied.Add("over quota", 1)
 		g.log.Warn("request refused", zap.String("request", call.ID), zap.String("route", call.Route.Name), zap.String("reason", "over quota"),
--- a/internal/process/beechgate/roster.go
+++ b/internal/process/beechgate/roster.go
@@ -46,6 +46,16 @@
 	maps.DeleteFunc(r.gates, func(_ netip.AddrPort, l listed) bool { return now.Sub(l.at) > rosterLasts })
 }
 
+// hearRoster takes in a keeper's word on the gates of the other zones.
+func (g *Gate) hearRoster(word beechbeat.Roster) {
+	now := g.clock.Now()
+	alone := len(g.others.zones(now)) == 0
+	g.others.named(word, now)
+	if alone {
+		g.met("other zones", len(g.others.zones(now)))
+	}
+}
+
 // zones gives the gates of each other zone.
 func (r *roster) zones(now time.Time) [][]netip.AddrPort {
 	r.mu.Lock()
