Gates tell one another which servers are full, and keep to the time that a server asks for

What callers saw: where one server of a plain service was full, half of their requests went there first, were turned away and paid for with an attempt and with retry budget. Cause: only the gate whose request was turned away hears it, so each gate found out by itself every 150 ms; `Retry-After` was not read.

Now beechroom takes in what one gate is told, tells the others once in a datagram of its own (50 words a second of all gates together at most), and takes the server for the last choice for a time, drawn longer by each gate, so that one asks first and the others hear from it. A server that stays full is asked more rarely, one that names a time is left alone for it, up to 2 s. It is never excluded: where all are full, room that becomes free is used.

--- /dev/null
+++ b/internal/decision/beechroom/register.go
@@ -0,0 +1,193 @@
+package beechroom
+
+import (
+	"cmp"
+	"maps"
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/jonboulle/clockwork"
+)
+
+type (
+	// Register is what a gate knows of full servers. It is safe for concurrent use.
+	Register struct {
+		clock clockwork.Clock
+		news  func()
+
+		mu    sync.Mutex
+		full  map[uint64]belief // by the hash of a server's ID
+		state State
+	}
+
+	// Told says that a server is full, and for how long.
+	Told struct {
+		Server uint64
+		Left   time.Duration
+	}
+
+	// State counts what has happened so far.
+	State struct {
+		Full       int // servers, now
+		TurnedAway int // requests of this gate, where it knew nothing
+		Again      int // those of servers that it had heard of
+		Heard      int // words on servers
+	}
+
+	belief struct {
+		since time.Time
+		until time.Time
+		told  time.Time // until when others are to believe it; zero: they need not be told
+		again int       // times that it was full once more, one after the other
+	}
+)
+
+const (
+	// fullFor is how long a server that names no time is taken to be full.
+	fullFor = 150 * time.Millisecond
+	// fullShift doublings of it at most are for one that stays full.
+	fullShift = 2
+	// staysWithin is the time after a belief in which a server that is full again has
+	// stayed so.
+	staysWithin = time.Second
+	// fullMost bounds the time that a server asks for.
+	fullMost = 2 * time.Second
+	// serversMost bounds memory.
+	serversMost = 4096
+	// wordSpace between words of a gate, times the number of gates: all of them together
+	// send 50 a second.
+	wordSpace = 20 * time.Millisecond
+)
+
+// New returns a register. news is called when the other gates are to be told; it must not
+// block.
+func New(clock clockwork.Clock, news func()) *Register {
+	return &Register{clock: clock, news: news, full: make(map[uint64]belief)}
+}
+
+// Interval is the least time between words of one of so many gates.
+func Interval(gates int) time.Duration { return wordSpace * time.Duration(max(gates, 1)) }
+
+// TurnedAway takes in that a server turned a request away as it is full, and after which
+// time it asks to be tried again; 0 is not told.
+func (r *Register) TurnedAway(server string, after time.Duration) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	key, now := xxhash.Sum64String(server), r.clock.Now()
+	if now.Before(r.full[key].until) {
+		r.state.Again++
+		return
+	}
+	r.state.TurnedAway++
+	if after > 0 {
+		after = min(max(after, fullFor), fullMost)
+	} else {
+		after = fullFor << min(r.again(key), fullShift)
+	}
+	if r.believe(key, after, now.Add(after)) {
+		r.news()
+	}
+}
+
+// Took takes in that a server answered a request that was sent at a time.
+func (r *Register) Took(server string, sent time.Time) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	key := xxhash.Sum64String(server)
+	if b, ok := r.full[key]; ok && sent.After(b.since) {
+		delete(r.full, key)
+	}
+}
+
+// Knows tells whether a server is believed to be full.
+func (r *Register) Knows(server string) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	b, ok := r.full[xxhash.Sum64String(server)]
+	return ok && r.clock.Now().Before(b.until)
+}
+
+// Word is what the other gates are to hear, the most lasting first. Each server is told
+// once.
+func (r *Register) Word() []Told {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	now := r.clock.Now()
+	var word []Told
+	for key, b := range r.full {
+		if left := b.told.Sub(now); !b.told.IsZero() && left > 0 {
+			word = append(word, Told{Server: key, Left: left})
+		}
+		b.told = time.Time{}
+		r.full[key] = b
+	}
+	slices.SortFunc(word, func(x, y Told) int {
+		return cmp.Or(cmp.Compare(y.Left, x.Left), cmp.Compare(x.Server, y.Server))
+	})
+	return word
+}
+
+// Hear takes in another gate's word.
+func (r *Register) Hear(word []Told) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, told := range word {
+		if told.Left > 0 {
+			r.state.Heard++
+			r.believe(told.Server, min(told.Left, fullMost), time.Time{})
+		}
+	}
+}
+
+// State gives what has happened so far.
+func (r *Register) State() State {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	s, now := r.state, r.clock.Now()
+	for _, b := range r.full {
+		if now.Before(b.until) {
+			s.Full++
+		}
+	}
+	return s
+}
+
+// believe takes a server for full for a time and a random part of it. The caller holds the lock.
+func (r *Register) believe(key uint64, left time.Duration, told time.Time) bool {
+	if len(r.full) >= serversMost {
+		r.sweep()
+	}
+	old, known := r.full[key]
+	if !known && len(r.full) >= serversMost {
+		return false
+	}
+	now := r.clock.Now()
+	until := now.Add(left + time.Duration(rand.Float64()*float64(left)))
+	if old.until.After(until) {
+		until = old.until
+	}
+	r.full[key] = belief{since: now, until: until, told: told, again: r.again(key)}
+	return true
+}
+
+// again is how often in a row a server has been full once more if it is full now. The
+// caller holds the lock.
+func (r *Register) again(key uint64) int {
+	b, known := r.full[key]
+	switch now := r.clock.Now(); {
+	case !known || now.Sub(b.until) > staysWithin:
+		return 0
+	case now.Before(b.until):
+		return b.again
+	}
+	return min(b.again+1, fullShift)
+}
+
+// sweep drops what is over. The caller holds the lock.
+func (r *Register) sweep() {
+	now := r.clock.Now()
+	maps.DeleteFunc(r.full, func(_ uint64, b belief) bool { return now.Sub(b.until) > staysWithin })
+}
--- a/internal/link/beechbeat/beat.go
+++ b/internal/link/beechbeat/beat.go
@@ -30,7 +30,8 @@
 
 type (
 	// Message is a Follow, a Tell, an Announce, a Pass, a Passed, a Peers, a
-	// Roster, an Inquiry, a Vouch, an Entries, a Spent, a Paces or a Limits.
+	// Roster, an Inquiry, a Vouch, an Entries, a Spent, a Paces, a Limits
+	// or a Full.
 	Message interface{ message() }
 
 	// Follow is a gate's word to a keeper.
@@ -64,6 +65,9 @@
 	// them.
 	Limits struct{ *beechwire.Limits }
 
+	// Full is a gate's word to the others on which servers turn work away.
+	Full struct{ *beechwire.Full }
+
 	// Inquiry is a gate's question to another.
 	Inquiry struct{ *beechwire.Inquiry }
 
@@ -105,6 +109,7 @@
 	kindSpent    = 'S'
 	kindPaces    = 'Q'
 	kindLimits   = 'L'
+	kindFull     = 'B'
 	datagramMost = 16 << 10
 )
 
@@ -123,6 +128,7 @@
 func (Spent) message()    {}
 func (Paces) message()    {}
 func (Limits) message()   {}
+func (Full) message()     {}
 
 // Open binds an address.
 func Open(address netip.AddrPort) (*Socket, error) {
@@ -162,6 +168,8 @@
 		return v.MarshalMsg([]byte{kindPaces})
 	case Limits:
 		return v.MarshalMsg([]byte{kindLimits})
+	case Full:
+		return v.MarshalMsg([]byte{kindFull})
 	}
 	return nil, errKind
 }
@@ -223,6 +231,9 @@
 	case kindLimits:
 		m := &beechwire.Limits{}
 		return Limits{m}, m
+	case kindFull:
+		m := &beechwire.Full{}
+		return Full{m}, m
 	}
 	return nil, nil
 }
@@ -278,6 +289,8 @@
 		return "paces"
 	case kindLimits:
 		return "limits"
+	case kindFull:
+		return "full"
 	}
 	return "vouch"
 }
--- a/internal/link/beechbeat/beat_test.go
+++ b/internal/link/beechbeat/beat_test.go
@@ -25,6 +25,7 @@
 	Roster{&beechwire.Roster{Zones: []beechwire.Zone{{Name: "barn", Gates: []string{"\x0a\x01\x00\x1e\x1c\xac"}}}}},
 	Spent{&beechwire.Spent{Host: 1 << 63, Lifetime: 2, Pass: true, Settled: true, Uses: []beechwire.Use{{Workspace: 1 << 60, Total: 9200, Level: -5}}}},
 	Paces{&beechwire.Paces{Pass: true, List: []beechwire.Seen{{Engine: 1 << 60, Samples: 7, Log: -260}}}},
+	Full{&beechwire.Full{Pass: true, List: []beechwire.FullServer{{Server: 1 << 60, Left: 150}}}},
 	Entries{&beechwire.Entries{After: 4, Revision: 6, List: []beechwire.Entry{{Key: "servers/i-1", Value: []byte("{}"), Revision: 6, Created: 2}}}},
 }
 
--- a/internal/link/beechwire/wire_gen.go
+++ b/internal/link/beechwire/wire_gen.go
@@ -2,7 +2,7 @@
 
 //msgp:ignore WireSchemaJson
 //msgp:limit arrays:65536
-//msgp:tuple Follow Announce Tell Target Weights Copy Peers Inquiry Vouch Entry Entries Pass Passed Zone Roster Use Spent Seen Paces Limit Limits
+//msgp:tuple Follow Announce Tell Target Weights Copy Peers Inquiry Vouch Entry Entries Pass Passed Zone Roster Use Spent Seen Paces Limit Limits Full FullServer
 
 package beechwire
 
@@ -361,6 +361,24 @@
 	Zone string `msg:"Zone"`
 }
 
+// Full is the datagram by which a gate tells the others which servers are full.
+type Full struct {
+	// List corresponds to the JSON schema field "List".
+	List []FullServer `msg:"List"`
+
+	// The gate that gets it passes it on to the others of its availability zone.
+	Pass bool `msg:"Pass"`
+}
+
+// FullServer is a server that turned work away as it is full.
+type FullServer struct {
+	// Milliseconds for which it is taken to be full.
+	Left int64 `msg:"Left"`
+
+	// Hash of its ID.
+	Server uint64 `msg:"Server"`
+}
+
 // Head tells that the backend server has begun to answer, agent to entry.
 type Head struct {
 	// Attempt corresponds to the JSON schema field "Attempt".
--- a/internal/link/beechwire/wire_msgp_gen.go
+++ b/internal/link/beechwire/wire_msgp_gen.go
@@ -2338,6 +2338,128 @@
 	return
 }
 
+// MarshalMsg implements msgp.Marshaler
+func (z *Full) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// array header, size 2
+	o = append(o, 0x92)
+	o = msgp.AppendArrayHeader(o, uint32(len(z.List)))
+	for za0001 := range z.List {
+		// array header, size 2
+		o = append(o, 0x92)
+		o = msgp.AppendInt64(o, z.List[za0001].Left)
+		o = msgp.AppendUint64(o, z.List[za0001].Server)
+	}
+	o = msgp.AppendBool(o, z.Pass)
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *Full) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadArrayHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 != 2 {
+		err = msgp.ArrayError{Wanted: 2, Got: zb0001}
+		return
+	}
+	var zb0002 uint32
+	zb0002, bts, err = msgp.ReadArrayHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "List")
+		return
+	}
+	if zb0002 > z311325c6limitArrays {
+		err = msgp.ErrLimitExceeded
+		return
+	}
+	if cap(z.List) >= int(zb0002) {
+		z.List = z.List[:zb0002]
+	} else {
+		z.List = make([]FullServer, zb0002)
+	}
+	for za0001 := range z.List {
+		var zb0003 uint32
+		zb0003, bts, err = msgp.ReadArrayHeaderBytes(bts)
+		if err != nil {
+			err = msgp.WrapError(err, "List", za0001)
+			return
+		}
+		if zb0003 != 2 {
+			err = msgp.ArrayError{Wanted: 2, Got: zb0003}
+			return
+		}
+		z.List[za0001].Left, bts, err = msgp.ReadInt64Bytes(bts)
+		if err != nil {
+			err = msgp.WrapError(err, "List", za0001, "Left")
+			return
+		}
+		z.List[za0001].Server, bts, err = msgp.ReadUint64Bytes(bts)
+		if err != nil {
+			err = msgp.WrapError(err, "List", za0001, "Server")
+			return
+		}
+	}
+	z.Pass, bts, err = msgp.ReadBoolBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Pass")
+		return
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z *Full) Msgsize() (s int) {
+	s = 1 + msgp.ArrayHeaderSize + (len(z.List) * (13 + msgp.Int64Size + msgp.Uint64Size)) + msgp.BoolSize
+	return
+}
+
+// MarshalMsg implements msgp.Marshaler
+func (z FullServer) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// array header, size 2
+	o = append(o, 0x92)
+	o = msgp.AppendInt64(o, z.Left)
+	o = msgp.AppendUint64(o, z.Server)
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *FullServer) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadArrayHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 != 2 {
+		err = msgp.ArrayError{Wanted: 2, Got: zb0001}
+		return
+	}
+	z.Left, bts, err = msgp.ReadInt64Bytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Left")
+		return
+	}
+	z.Server, bts, err = msgp.ReadUint64Bytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Server")
+		return
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z FullServer) Msgsize() (s int) {
+	s = 1 + msgp.Int64Size + msgp.Uint64Size
+	return
+}
+
 // MarshalMsg implements msgp.Marshaler
 func (z *Head) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
--- /dev/null
+++ b/internal/process/beechgate/full.go
@@ -0,0 +1,63 @@
+package beechgate
+
+import (
+	"context"
+	"net/netip"
+	"time"
+
+	"github.com/beechring/beechring/internal/decision/beechroom"
+	"github.com/beechring/beechring/internal/link/beechbeat"
+	"github.com/beechring/beechring/internal/link/beechwire"
+)
+
+// fullListMost go into one datagram: a server is some 12 bytes.
+const fullListMost = 400
+
+// foundFull has the other gates told at once of a server that turns work away.
+func (g *Gate) foundFull() {
+	select {
+	case g.fullNews <- struct{}{}:
+	default:
+	}
+}
+
+// tellFull tells the other gates which servers have turned away this one's requests.
+func (g *Gate) tellFull(ctx context.Context) error {
+	for number := uint32(0); ; number++ {
+		select {
+		case <-g.fullNews:
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+		var list []beechwire.FullServer
+		for _, told := range g.full.Word() {
+			list = append(list, beechwire.FullServer{Server: told.Server, Left: told.Left.Milliseconds()})
+		}
+		list = list[:min(len(list), fullListMost)]
+		if len(list) > 0 {
+			g.toGates(number, false, func(pass bool) beechbeat.Message {
+				return beechbeat.Full{Full: &beechwire.Full{Pass: pass, List: list}}
+			})
+		}
+		select {
+		case <-g.clock.After(beechroom.Interval(g.manyGates())):
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+	}
+}
+
+// hearFull takes in another gate's word.
+func (g *Gate) hearFull(from netip.AddrPort, f beechbeat.Full) {
+	if !g.knows(from) {
+		return
+	}
+	if f.Pass {
+		g.toZone(beechbeat.Full{Full: &beechwire.Full{List: f.List}})
+	}
+	word := make([]beechroom.Told, 0, len(f.List))
+	for _, s := range f.List {
+		word = append(word, beechroom.Told{Server: s.Server, Left: time.Duration(s.Left) * time.Millisecond})
+	}
+	g.full.Hear(word)
+}
--- a/internal/process/beechgate/gate.go
+++ b/internal/process/beechgate/gate.go
@@ -19,6 +19,7 @@
 
 	"github.com/beechring/beechring/internal/decision/beechhealth"
 	"github.com/beechring/beechring/internal/decision/beechquota"
+	"github.com/beechring/beechring/internal/decision/beechroom"
 	"github.com/beechring/beechring/internal/decision/beechsuspect"
 	"github.com/beechring/beechring/internal/decision/beechthrottle"
 	"github.com/beechring/beechring/internal/link/beechbeat"
@@ -71,6 +72,7 @@
 		budgets       *Budgets
 		quotas        *beechquota.Ledger
 		limits        *beechthrottle.Throttle // of servers
+		full          *beechroom.Register     // servers
 		others        *roster                 // gates of the other zones
 		core          *beechattempt.Core
 		socket        *beechbeat.Socket
@@ -93,6 +95,7 @@
 		turnNews   chan struct{} // an engine's turn has ended
 		spentNews  chan struct{} // other gates are to hear at once what was admitted
 		limitNews  chan struct{} // or what servers with limits were sent
+		fullNews   chan struct{} // or that a server is full
 	}
 )
 
@@ -152,16 +155,17 @@
 		named:    make(map[string]naming),
 		pace:     beechrollout.NewPace(),
 		news:     make(chan struct{}, 1),
-		turnNews: make(chan struct{}, 1), spentNews: make(chan struct{}, 1), limitNews: make(chan struct{}, 1),
+		turnNews: make(chan struct{}, 1), spentNews: make(chan struct{}, 1), limitNews: make(chan struct{}, 1), fullNews: make(chan struct{}, 1),
 	}
 	g.bounds.Store(&s.Bounds)
 	g.limits = beechthrottle.New(s.Name, rand.Uint64(), needs.Age, needs.Clock, g.noteLimit, g.limitChanged)
 	g.metrics = newMetrics(g)
 	g.limitLog = sampled(needs.Log, g.metrics.linesDropped)
 	weights := time.Duration(s.Bounds.Weights)
+	g.full = beechroom.New(needs.Clock, g.foundFull)
 	g.placer = beechplace.New(beechplace.Settings{
 		Zone: s.Zone, OldMost: max(weights-oldMargin, weights/2), OldBegin: max(weights-beginMargin, weights/2),
-	}, needs.Clock, g.health, g.limits, g.announce)
+	}, needs.Clock, g.health, g.limits, g.full, g.announce)
 	g.core = beechattempt.New(g.placer, needs.Backend, needs.Pool, g.budgets, g.suspects, g, needs.Clock, needs.Log)
 	g.serverCopy = beechmirror.New(beechmirror.Settings{
 		Prefix: needs.ServerPrefix, Interval: serverReads.First, Patience: readPatience, Wait: serverWait, Space: serverSpace, Linger: linger, Forward: g.forward,
@@ -181,6 +185,7 @@
 		{Name: "tell spent", Run: g.tellSpent},
 		{Name: "tell paces", Run: g.tellPaces},
 		{Name: "tell limits", Run: g.tellLimits},
+		{Name: "tell full", Run: g.tellFull},
 		{Name: "tell traffic", Run: g.tellTraffic},
 		{Name: "tick", Run: g.tick},
 		{Name: "reach kept store", Run: g.reachKept},
--- a/internal/process/beechgate/keepers.go
+++ b/internal/process/beechgate/keepers.go
@@ -120,6 +120,8 @@
 		g.hearPaces(from, v)
 	case beechbeat.Limits:
 		g.hearLimits(from, v)
+	case beechbeat.Full:
+		g.hearFull(from, v)
 	case beechbeat.Inquiry:
 		g.toPeers([]netip.AddrPort{from}, g.vouch(v.Number))
 	case beechbeat.Vouch:
--- a/internal/process/beechgate/metrics.go
+++ b/internal/process/beechgate/metrics.go
@@ -43,6 +43,7 @@
 	m.vars.Set("quotas", expvar.Func(func() any { return g.quotas.State() }))
 	m.vars.Set("limitLinesDropped", m.linesDropped)
 	m.vars.Set("limits", expvar.Func(func() any { return g.limits.State() }))
+	m.vars.Set("full", expvar.Func(func() any { return g.full.State() }))
 	m.vars.Set("bodyBytes", m.bodies)
 	m.vars.Set("datagramBytes", g.socket.Sent())
 	if g.needs.StoreUse != nil {
--- a/internal/request/beechcall/call.go
+++ b/internal/request/beechcall/call.go
@@ -105,6 +105,7 @@
 		Weights  uint64 // that it has, where told
 		Load     Load
 		Limit    beechthrottle.Said // nil is not known
+		After    time.Duration      // when it asks to be tried again; 0 is not told
 	}
 
 	// Unknown says that the request was sent and may have run.
--- a/internal/request/beechplace/choose.go
+++ b/internal/request/beechplace/choose.go
@@ -11,13 +11,14 @@
 )
 
 const (
-	fillCost   = 120 // of an engine whose slots are all taken, at a full batch each token takes several times as long
-	overCost   = 40  // of each request beyond the slots
-	plainCost  = 25  // of a plain server's slots all taken: about one request's work
-	doubtCost  = 400 // of a server of weight 0 that is the only one
-	lateCost   = 700 // of an answer that misses its objective
-	lateFrom   = 0.5 // of the objective
-	memoryFull = 0.9 // of an engine's memory that cannot yield; beyond it runs are preempted
+	fillCost   = 120  // of an engine whose slots are all taken, at a full batch each token takes several times as long
+	overCost   = 40   // of each request beyond the slots
+	plainCost  = 25   // of a plain server's slots all taken: about one request's work
+	doubtCost  = 400  // of a server of weight 0 that is the only one
+	fullCost   = 1000 // of one that turns work away: the last that is tried
+	lateCost   = 700  // of an answer that misses its objective
+	lateFrom   = 0.5  // of the objective
+	memoryFull = 0.9  // of an engine's memory that cannot yield; beyond it runs are preempted
 	memoryCost = 300
 	// askAgain is what it is worth to hear whether a server's need is over.
 	askAgain = 150
@@ -160,6 +161,9 @@
 		c.Cost += p.settings.Crossing + p.settings.CrossingByte*float64(len(call.Body))
 	}
 	c.Cost += doubtCost * (1 - p.health.Weight(s.Address))
+	if !s.fresh(now) && p.full.Knows(s.ID) {
+		c.Cost += fullCost
+	}
 	return c, true
 }
 
--- a/internal/request/beechplace/doc.go
+++ b/internal/request/beechplace/doc.go
@@ -36,7 +36,7 @@
 //
 // # Usage
 //
-//	p := beechplace.New(settings, clock, health, limits, announce)
+//	p := beechplace.New(settings, clock, health, limits, full, announce)
 //	p.SetServers(servers); p.SetConfiguration(c); p.Named(model, version)
 //	choice, ok := p.Choose(call, tried)
 //	ticket := p.Sent(call, choice)
--- /dev/null
+++ b/internal/request/beechplace/full_test.go
@@ -0,0 +1,65 @@
+package beechplace
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/beechring/beechring/internal/decision/beechroom"
+	"github.com/beechring/beechring/internal/request/beechcall"
+)
+
+// Another gate tells that the plain servers of this zone are full. Those of the other zone
+// are chosen, until all are full: then the nearest, as before.
+func TestFullServersAreTheLast(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(4)
+	call := &beechcall.Call{Service: "app", Route: route}
+	other := beechroom.New(f.clock, func() {})
+	is.Equal(f.choose(t, call).Server.Zone, "a")
+	for _, s := range f.servers {
+		if s.Service == "app" && s.Zone == "a" {
+			other.TurnedAway(s.ID, 0)
+		}
+	}
+	f.Placer.full.Hear(other.Word())
+	is.Equal(f.choose(t, call).Server.Zone, "b")
+	for _, s := range f.servers {
+		other.TurnedAway(s.ID, 0)
+	}
+	f.Placer.full.Hear(other.Word())
+	is.Equal(f.choose(t, call).Server.Zone, "a")
+}
+
+// A server turns a request of this gate away and asks for a second. It is the last choice
+// for as long, until it answers a newer request.
+func TestServerThatAsksForTime(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(2)
+	call := &beechcall.Call{Service: "app", Route: route}
+	c := f.choose(t, call)
+	ticket := f.Sent(call, c)
+	ticket.Done(TurnedAway)
+	f.Refused(c.Server.ID, beechcall.NotRun{Status: 503, After: time.Second}, "")
+	f.clock.Advance(900 * time.Millisecond)
+	next := f.choose(t, call)
+	is.True(next.Server.ID != c.Server.ID)
+	last := f.choose(t, call, next.Server.ID)
+	is.Equal(last.Server.ID, c.Server.ID)
+	f.Sent(call, last).Done(Answered)
+	is.Equal(f.choose(t, call).Server.ID, c.Server.ID)
+}
+
+// A keeper that speaks knows better than an answer that is a moment old.
+func TestKeeperKnowsWhetherThereIsRoom(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(2)
+	f.tellAll(nil)
+	call := ask("s", 300, 100)
+	c := f.choose(t, call)
+	ticket := f.Sent(call, c)
+	ticket.Done(TurnedAway)
+	f.Refused(c.Server.ID, beechcall.NotRun{Status: 503}, "m")
+	is.Equal(len(f.Placer.full.Word()), 0)
+}
--- a/internal/request/beechplace/placer.go
+++ b/internal/request/beechplace/placer.go
@@ -11,6 +11,7 @@
 	lru "github.com/hashicorp/golang-lru/v2"
 	"github.com/jonboulle/clockwork"
 
+	"github.com/beechring/beechring/internal/decision/beechroom"
 	"github.com/beechring/beechring/internal/decision/beechthrottle"
 	"github.com/beechring/beechring/internal/request/beechcall"
 	"github.com/beechring/beechring/internal/request/beechrollout"
@@ -23,6 +24,7 @@
 		clock    clockwork.Clock
 		health   Health
 		limits   *beechthrottle.Throttle
+		full     *beechroom.Register
 		announce Announce
 
 		mu       sync.Mutex
@@ -97,14 +99,14 @@
 )
 
 // New returns a placer that knows no server.
-func New(s Settings, clock clockwork.Clock, health Health, limits *beechthrottle.Throttle, announce Announce) *Placer {
+func New(s Settings, clock clockwork.Clock, health Health, limits *beechthrottle.Throttle, full *beechroom.Register, announce Announce) *Placer {
 	holders, err := lru.New[uint64, *holding](holdersKept)
 	if err != nil {
 		panic(err) // the size is a constant above zero
 	}
 	s = s.withDefaults()
 	return &Placer{
-		settings: s, speed: speed{rate: s.PrefillRate}, clock: clock, health: health, limits: limits, announce: announce,
+		settings: s, speed: speed{rate: s.PrefillRate}, clock: clock, health: health, limits: limits, full: full, announce: announce,
 		services: make(map[string][]*server), byID: make(map[string]*server), byPlace: make(map[netip.AddrPort]*server),
 		sheets: make(map[string]beechcall.Service), versions: make(map[string]*beechrollout.Versions), holders: holders,
 		returns: make(map[string]time.Time),
--- a/internal/request/beechplace/ticket.go
+++ b/internal/request/beechplace/ticket.go
@@ -125,17 +125,18 @@
 		if o == Answered && t.prompt > 0 {
 			t.placer.stay.learn(t.prompt, t.placer.clock.Since(t.sent))
 		}
-		t.placer.judge(t.server, o)
+		t.placer.judge(t.server, o, t.sent)
 		if o == Unreached {
 			t.placer.limits.GiveBack(t.server.ID)
 		}
 	})
 }
 
-func (p *Placer) judge(s *server, o Outcome) {
+func (p *Placer) judge(s *server, o Outcome, sent time.Time) {
 	now := p.clock.Now()
 	switch o {
 	case Answered:
+		p.full.Took(s.ID, sent)
 		s.fails = 0
 		s.downTil = time.Time{}
 	case TurnedAway:
@@ -189,5 +190,7 @@
 		}
 	case f.Other && f.Weights == 0:
 		s.darkTil = p.clock.Now().Add(refusalDark)
+	case !f.Other && !s.fresh(p.clock.Now()):
+		p.full.TurnedAway(id, f.After)
 	}
 }
