A server's own word on its load counts where no keeper speaks

What callers saw: a plain server that is busy with other gates' requests is chosen as if it were idle, and the request waits in its queue or is turned away (503), while another server of the zone is free.

Cause: servers name what runs and waits with each answer (Server-Load). It was decoded and used by no decision. For a server without a keeper a gate took its own requests under way times the number of gates, so with none of its own a full server looked idle.

Now the placer keeps what the last answer said, adds what it has sent since and takes off what has ended, and goes over to the old estimate within 500 ms, as other gates' requests come and go.

Evidence: TestLoadThatAServerNames fails before (the second request goes to the server that has just said that it has eight requests in six places), passes now.

--- a/internal/request/beechattempt/run.go
+++ b/internal/request/beechattempt/run.go
@@ -172,6 +172,7 @@
 	}
 	defer answer.Body.Close()
 	ticket.Said(answer.Limit)
+	ticket.Load(answer.Load)
 	r.core.placer.Has(choice.Server.ID, r.call.Model, answer.Weights)
 	if r.call.Route.Stream && answer.Status == http.StatusOK {
 		return r.follow(choice, ticket, watch, answer, sent)
@@ -254,6 +255,7 @@
 		r.notRun++
 		if !notRun.Replaced {
 			ticket.Said(notRun.Limit)
+			ticket.Load(notRun.Load)
 		}
 		ticket.Done(beechplace.TurnedAway)
 		r.core.placer.Refused(choice.Server.ID, notRun, r.call.Model)
--- a/internal/request/beechplace/choose.go
+++ b/internal/request/beechplace/choose.go
@@ -189,13 +189,19 @@
 }
 
 // load estimates what runs and waits at a server: the keeper's word, with what
-// this gate has sent or seen answered since; without a keeper the gates are
-// taken to send alike.
+// this gate has sent or seen answered since. Without a keeper it is the server's own
+// word with an answer, and as that grows old the gates are taken to send alike.
 func (p *Placer) load(s *server) float64 {
 	if !s.told.IsZero() && p.clock.Since(s.told) < toldLasts {
 		return max(float64(s.state.Running+s.state.Waiting+s.flying-s.atTold), float64(s.flying))
 	}
-	return float64(s.flying * p.settings.Fronts)
+	alike := float64(s.flying * p.settings.Fronts)
+	age := p.clock.Since(s.saidAt)
+	if !s.said.Known || age >= saidLasts {
+		return alike
+	}
+	said := float64(max(s.said.Running+s.said.Waiting-s.atSaid, 0) + s.flying)
+	return said + (alike-said)*float64(age)/float64(saidLasts)
 }
 
 func (p *Placer) fill(s *server, now time.Time) float64 {
--- a/internal/request/beechplace/full_test.go
+++ b/internal/request/beechplace/full_test.go
@@ -63,3 +63,20 @@
 	f.Refused(c.Server.ID, beechcall.NotRun{Status: 503}, "m")
 	is.Equal(len(f.Placer.full.Word()), 0)
 }
+
+// A server says with its answers that it is busy with others' requests. The next request
+// goes to one that is not; after a while what it said counts no more.
+func TestLoadThatAServerNames(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(4)
+	call := &beechcall.Call{Service: "app", Route: route}
+	c := f.choose(t, call)
+	ticket := f.Sent(call, c)
+	ticket.Load(beechcall.Load{Known: true, Running: 6, Waiting: 2, Slots: 6})
+	ticket.Done(Answered)
+	next := f.choose(t, call)
+	is.True(next.Server.ID != c.Server.ID)
+	is.Equal(next.Server.Zone, c.Server.Zone)
+	f.clock.Advance(saidLasts)
+	is.Equal(f.choose(t, call).Server.ID, c.Server.ID)
+}
--- a/internal/request/beechplace/placer.go
+++ b/internal/request/beechplace/placer.go
@@ -57,6 +57,10 @@
 		oldSince time.Time         // since when its weights are overtaken, by its keeper; zero: they are not, as it knows
 		weights  map[string]uint64 // the latest word, the list's or the engine's own
 
+		said   beechcall.Load // with its last answer to this gate
+		saidAt time.Time
+		atSaid int // flying then
+
 		pace    pace
 		flying  int // sent by this gate, not answered
 		unread  int // tokens that these still have to read
@@ -93,6 +97,7 @@
 	toldLasts     = 1500 * time.Millisecond // a keeper speaks several times in this
 	doubtLasts    = 1500 * time.Millisecond // a server that starts writes its entry at once, and the list tells of it within a second
 	unheardAfter  = 900 * time.Millisecond  // two intervals of a keeper whose engine works, and an idle one's
+	saidLasts     = 500 * time.Millisecond  // other gates' requests come and go
 	refusalDark   = 150 * time.Millisecond  // a server that turned work away gets none for a moment
 	announceLeast = 1500                    // tokens; a shorter prompt holds nobody up for long
 	defaultSlots  = 8
--- a/internal/request/beechplace/ticket.go
+++ b/internal/request/beechplace/ticket.go
@@ -79,6 +79,16 @@
 	t.placer.limits.Heard(t.server.ID, born, limit, t.asked)
 }
 
+// Load takes in what the server's answer says of its load.
+func (t *Ticket) Load(l beechcall.Load) {
+	if t.server == nil || !l.Known {
+		return
+	}
+	t.placer.mu.Lock()
+	defer t.placer.mu.Unlock()
+	t.server.said, t.server.saidAt, t.server.atSaid = l, t.placer.clock.Now(), t.server.flying
+}
+
 // First takes the prompt off what the server has to read.
 func (t *Ticket) First() {
 	t.first.Do(func() {
