--- a/internal/decision/beechquota/doc.go
+++ b/internal/decision/beechquota/doc.go
@@ -26,16 +26,20 @@
 // # Gates that do not hear
 //
 // A gate that hears no other (it has just started, or is cut off) admits only its
-// share, by what each of them used lately. The others leave a silent gate's share
-// to it until they take it for gone; by then it has halved its own. A gate
-// that starts takes the level from those who know it. Where nobody does, all
-// begin with a part of what the operators tolerate beyond the limit, so that a
-// burst never comes twice. A lot decides which of many gates that are alone may let
-// in a request larger than its share.
+// share, by what each of them used lately. The others keep its share of the level as
+// soon as its words are late, and leave a silent gate's share of the rate to it until
+// they take it for gone; by then it has halved its own. A lot decides which of many
+// gates that are alone may let in a request larger than its share.
+//
+// A gate that starts takes the level from those who know it. Where nobody does, all
+// begin with a part of what the operators tolerate beyond the limit, so that a burst
+// never comes twice. Each sets aside of it what belongs to gates that it has not heard
+// yet, and takes that back as it hears them.
 //
 // # What a caller sees
 //
-// 429 at once, with the time at which there will be something left. Who comes back
+// 429 at once, with the time at which there will be something left. A refusal of a gate
+// that has just started says so: waiting a moment helps more than coming back. Who comes back
 // reaches another gate under a new id and cannot be told from who is new, so
 // nothing is kept for him.
 //
