What an entry host left of an agent that leaves is a word on that incarnation only

What callers saw: 503 no_server for good from an entry host, for a service whose only agent had been replaced.

Cause: entry hosts leave with agents which members leave, with their incarnations. One that starts took them in as if the platform's list had said so, without incarnations. The first incarnation of an agent that is met keeps what the list says of it, so a replaced agent was taken for leaving until it was replaced once more.

The list of the same platform had never said that the agent leaves.

The soak's message tells the last answer where it gives up; its check is as it was.

--- a/internal/command/beechscenario/soak_test.go
+++ b/internal/command/beechscenario/soak_test.go
@@ -292,6 +292,9 @@
 			return err
 		}
 		if err := commandUntil(s.world, []string{"persisted", call[0]}); err != nil {
+			if c, callErr := s.world.call(call[0]); callErr == nil {
+				return fmt.Errorf("%w: over %t, %s", err, c.isOver(), c.describe())
+			}
 			return err
 		}
 		if err := commandExpect(s.world, []string{call[0], "status=200", "whole=yes"}); err != nil {
--- a/internal/process/beechentry/restart.go
+++ b/internal/process/beechentry/restart.go
@@ -132,7 +132,7 @@
 	if len(got.Members) == 0 {
 		return false
 	}
-	e.fleet.setHosts(hostsOf(got.Members))
+	e.fleet.restoreMembers(got.Members)
 	e.fleet.router.Restore(hotPrefixes(got.Hot))
 	e.log.Info("state restored", beechlog.Step("restore"), beechlog.Peer(agent),
 		zap.Int("members", len(got.Members)), zap.Int("hot", len(got.Hot)))
@@ -205,16 +205,22 @@
 	return out
 }
 
-func hostsOf(members []beechwire.Member) []beechstore.Host {
-	var out []beechstore.Host
+// restoreMembers takes in what another entry left. That an agent leaves is a word on
+// its incarnation of then, which may have been replaced since.
+func (f *fleet) restoreMembers(members []beechwire.Member) {
+	var hosts []beechstore.Host
 	for _, m := range members {
 		address, err := netip.ParseAddrPort(m.Address)
 		if err != nil {
 			continue
 		}
-		out = append(out, beechstore.Host{Address: address, Role: m.Role, Zone: m.Zone, Leaving: m.Leaving})
+		seen := m.Incarnation > 0
+		if seen {
+			f.members.Said(address, m.Incarnation, m.Leaving)
+		}
+		hosts = append(hosts, beechstore.Host{Address: address, Role: m.Role, Zone: m.Zone, Leaving: m.Leaving && !seen})
 	}
-	return out
+	f.setHosts(hosts)
 }
 
 func wireHot(hot []beechroute.HotPrefix) []beechwire.HotPrefix {
