The host list takes back that a process leaves

What callers saw: 503 for the only agent of a service, from an entry host that started while the list still said of the address that its process leaves, though that one had been replaced. It stayed so after the list had been put right.

Cause: the first incarnation that is met keeps what the list said before; a list that says no longer that it leaves changed nothing. Now what only the list said ends when the list no longer says it; a process's own word stays final. TestListTakesItsWordBack fails before; the rapid test on members passes 3,000 draws.

--- a/internal/state/beechmember/members.go
+++ b/internal/state/beechmember/members.go
@@ -47,6 +47,7 @@
 		replaced    uint64 // a greater incarnation that was there before
 		linked      bool
 		leaving     bool
+		onlyList    bool      // leaving by the list's word, not by its own
 		since       time.Time // of the last change of linked
 		losses      int
 	}
@@ -79,8 +80,8 @@
 
 // Listed takes the platform's host list. A host that is no longer listed
 // stays while a link to it is up. That it leaves is believed once, of the
-// incarnation that is there then: the list is late, and may go on saying so of
-// a process that has been replaced at the same address.
+// incarnation that is there then, until the list takes it back: the list is late,
+// and may go on saying so of a process that has been replaced at the same address.
 func (m *Members) Listed(hosts []beechstore.Host) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
@@ -91,7 +92,12 @@
 		x := m.get(h.Address)
 		x.host = h
 		x.listed = true
-		x.leaving = x.leaving || (h.Leaving && !x.listLeaving)
+		switch {
+		case h.Leaving && !x.listLeaving && !x.leaving:
+			x.leaving, x.onlyList = true, true
+		case !h.Leaving && x.onlyList:
+			x.leaving, x.onlyList = false, false
+		}
 		x.listLeaving = h.Leaving
 	}
 	m.forget()
@@ -118,7 +124,7 @@
 	if incarnation < x.incarnation {
 		x.replaced = x.incarnation
 		x.incarnation = incarnation
-		x.leaving = false
+		x.leaving, x.onlyList = false, false
 		x.linked = false
 	}
 	m.mu.Unlock()
@@ -167,8 +173,8 @@
 		return
 	}
 	x.renew(incarnation)
-	if leaving && !x.leaving {
-		x.leaving = true
+	if leaving && (!x.leaving || x.onlyList) {
+		x.leaving, x.onlyList = true, false
 		m.notify()
 	}
 }
@@ -249,7 +255,7 @@
 		return
 	}
 	if x.incarnation > 0 {
-		x.leaving = false
+		x.leaving, x.onlyList = false, false
 		x.linked = false
 	}
 	x.incarnation = incarnation
--- a/internal/state/beechmember/members_test.go
+++ b/internal/state/beechmember/members_test.go
@@ -114,6 +114,25 @@
 	is.Equal(len(m.Members()), 1)
 }
 
+// The list says of an address that its process leaves, and later that it does not: the
+// process was replaced before this one started.
+func TestListTakesItsWordBack(t *testing.T) {
+	is := is.New(t)
+	clock := clockwork.NewFakeClock()
+	m := New(clock, Settings{})
+	m.Listed(hostList(true))
+	m.Linked(agent, 2)
+	m.Said(agent, 2, false)
+	is.True(!m.Usable(agent)) // the list may know more than the process itself
+	m.Listed(hostList(false))
+	is.True(m.Usable(agent))
+	m.Listed(hostList(true))
+	is.True(!m.Usable(agent))
+	m.Said(agent, 2, true)
+	m.Listed(hostList(false))
+	is.True(!m.Usable(agent)) // its own word is final
+}
+
 // A server's link comes and goes every second, as with a bad cable. Work that
 // follows it each time is cut each time; over a minute it may be offered only
 // now and then.
