An answer that is not the rest of a begun stream no longer ends it as if it were whole

What a caller saw: six of ten events of an answer, status 200 and a clean end; behind them the body of an engine's error, where it had one.

Cause: where an engine breaks off, the rest is asked for elsewhere. An answer there of any status but 200 was given to the caller as it came, though the stream had begun.

Now such an answer is a failed attempt: tried again where that is due, else the caller's connection is broken off. TestOtherAnswerDoesNotEndABegunStream fails before with 500, 404, 504 and 204.

--- a/internal/request/beechattempt/attempt_test.go
+++ b/internal/request/beechattempt/attempt_test.go
@@ -376,6 +376,28 @@
 	is.True(!c.ended)
 }
 
+// The rest of a begun stream is asked for elsewhere, and the answer there is another one,
+// as of a server that fails. It must not follow the events that the caller has, nor end
+// the stream as if it were whole.
+func TestOtherAnswerDoesNotEndABegunStream(t *testing.T) {
+	is := is.New(t)
+	given := event(1) + event(2)
+	for _, status := range []int{http.StatusInternalServerError, http.StatusNotFound, http.StatusGatewayTimeout, http.StatusNoContent} {
+		w := newWorld(3, 5, breaks(given), answers(status, "sorry"))
+		c := w.serve(t.Context(), w.call(beechcall.RuleResumable, true))
+		is.True(c.broken)
+		is.True(!c.ended)
+		is.Equal(c.status, http.StatusOK)
+		is.Equal(c.body, given)
+	}
+	w := newWorld(3, 5, breaks(given), answers(http.StatusInternalServerError, "sorry"), answers(http.StatusOK, event(3)))
+	call := w.call(beechcall.RuleResumable, true)
+	call.Route.MaxAttempts = 3
+	c := w.serve(t.Context(), call)
+	is.True(c.ended)
+	is.Equal(c.body, given+event(3))
+}
+
 // A stream that may not be resumed is never begun twice.
 func TestBegunStreamIsNotRepeated(t *testing.T) {
 	is := is.New(t)
--- a/internal/request/beechattempt/run.go
+++ b/internal/request/beechattempt/run.go
@@ -213,7 +213,9 @@
 		return r.judge(choice, ticket, watch, beechcall.Unknown{Peer: choice.Server.Address, Step: "read the answer's body", Err: err})
 	}
 	watch.stop()
-	r.first = r.core.clock.Since(r.started)
+	if !r.stream.begun {
+		r.first = r.core.clock.Since(r.started)
+	}
 	ticket.Done(beechplace.Answered)
 	r.core.patience.learn(r.call.Route.Name, r.core.clock.Since(sent), 0, r.core.clock.Now())
 	bad := answer.Status >= http.StatusInternalServerError
@@ -227,6 +229,10 @@
 			return again
 		}
 	}
+	if r.stream.begun {
+		r.note("answered otherwise", choice, zap.Int("status", answer.Status))
+		return stop // it is not the rest of what the caller has
+	}
 	r.core.suspects.Finished(r.call.Fingerprint())
 	r.out.Plain(answer.Status, answer.Header, body)
 	return over
