Engines that fail in two ways within a stream are played

TestEnginesThatFailInTwoWays: engines break off, answer 500 or 404 by turns while 24 callers read streams and come back.

--- a/internal/command/beechplay/moments_test.go
+++ b/internal/command/beechplay/moments_test.go
@@ -43,6 +43,17 @@
 // missing, comes twice or never comes where a gate is killed, stopped or
 // suspended, or an engine breaks off, at any moment of them.
 func TestStreamsOutliveEveryMoment(t *testing.T) {
+	playMoments(t, func(r *momentRun) func() { return r.fail })
+}
+
+// TestEnginesThatFailInTwoWays guards against streams whose rest is asked for at an
+// engine that answers with an error, and which then end as if they were whole.
+func TestEnginesThatFailInTwoWays(t *testing.T) {
+	playMoments(t, func(r *momentRun) func() { return r.failEngines })
+}
+
+// playMoments plays some seeds with failures of a kind.
+func playMoments(t *testing.T, failure func(r *momentRun) func()) {
 	program := buildProgram(t)
 	for seed := range uint64(3) {
 		t.Run(fmt.Sprint("seed-", seed+1), func(t *testing.T) {
@@ -53,7 +64,7 @@
 			}
 			r := &momentRun{t: t, ended: map[string]int{}, soak: &soak{t: t, world: w, random: rand.New(rand.NewPCG(seed+1, 0))}}
 			r.deploy()
-			r.play(seed + 1)
+			r.play(seed+1, failure(r))
 			t.Log(r.ended)
 			if err := w.Close(); err != nil {
 				t.Error(err)
@@ -85,7 +96,7 @@
 	time.Sleep(time.Second)
 }
 
-func (r *momentRun) play(seed uint64) {
+func (r *momentRun) play(seed uint64, fail func()) {
 	over := make(chan struct{})
 	var callers sync.WaitGroup
 	for i := range momentCallers {
@@ -103,7 +114,7 @@
 	}
 	for end := time.Now().Add(momentSpan); time.Now().Before(end); {
 		time.Sleep(time.Duration(r.soak.random.Int64N(int64(momentGap))))
-		r.fail()
+		fail()
 	}
 	r.soak.heal()
 	close(over)
@@ -136,6 +147,14 @@
 	}
 }
 
+// failEngines has each engine break off, answer with an error, or do neither for a while.
+func (r *momentRun) failEngines() {
+	troubles := []beechhome.EngineTrouble{{}, {CutAfter: 5}, {Status: http.StatusInternalServerError}, {Status: http.StatusNotFound}}
+	for i := range 3 {
+		r.soak.world.Engines[fmt.Sprintf("e%d", i)].SetTrouble(troubles[r.soak.random.IntN(len(troubles))])
+	}
+}
+
 // read is one caller, who comes back for the rest until it has the last event.
 func (r *momentRun) read(name string, random *rand.Rand) {
 	seen, last := 0, ""
