A stream that an agent does not take is answered in one place

refuse and failJoin of the agent's end, and the entry host's end at a Bye, each built the last reply by themselves, with the rule that a join is never called not run. Now notTaken has that rule for all three. Behaviour as it was; tests of beechlink untouched.

--- a/internal/link/beechlink/clientend.go
+++ b/internal/link/beechlink/clientend.go
@@ -261,16 +261,6 @@
 	if s.over {
 		return
 	}
-	if s.joins {
-		s.push(FailedReply{Failed: beechwire.Failed{
-			Stream: s.id, RequestID: s.requestID, Attempt: s.attempt,
-			Reason: beechwire.ReasonLeaving, Message: leavingMessage, Ran: beechwire.RanUnknown,
-		}})
-	} else {
-		s.push(RefusedReply{Refused: beechwire.Refused{
-			Stream: s.id, RequestID: s.requestID, Attempt: s.attempt,
-			Reason: beechwire.ReasonLeaving, Message: leavingMessage,
-		}})
-	}
+	s.push(notTaken(s.id, s.requestID, s.attempt, s.joins, beechwire.ReasonLeaving, leavingMessage))
 	s.over = true
 }
--- a/internal/link/beechlink/serverend.go
+++ b/internal/link/beechlink/serverend.go
@@ -137,7 +137,7 @@
 		return err
 	}
 	if reason, message := e.admit(s, r.BodyBytes); reason != "" {
-		e.refuse(s, reason, message)
+		e.refuse(s, false, reason, message)
 		return nil
 	}
 	e.c.counters.opened.Add(1)
@@ -159,7 +159,7 @@
 		return err
 	}
 	if reason, message := e.admit(s, 0); reason != "" {
-		e.failJoin(s, reason, message)
+		e.refuse(s, true, reason, message)
 		return nil
 	}
 	e.c.counters.reattached.Add(1)
@@ -170,31 +170,28 @@
 // refuse closes a stream that was not taken. It cannot be sent after Bye,
 // which says the same; to end the connection for that would reset it, and the
 // entry could lose the Bye and with it the proof that nothing was run.
-func (e *serverEnd) refuse(s *serverStream, reason, message string) {
+func (e *serverEnd) refuse(s *serverStream, joins bool, reason, message string) {
 	s.cancel()
 	e.c.counters.refused.Add(1)
-	_ = e.c.out.send(kindRefused, &beechwire.Refused{
-		Stream:    s.id,
-		RequestID: s.requestID,
-		Attempt:   s.attempt,
-		Reason:    reason,
-		Message:   message,
-	})
+	switch r := notTaken(s.id, s.requestID, s.attempt, joins, reason, message).(type) {
+	case RefusedReply:
+		_ = e.c.out.send(kindRefused, &r.Refused)
+	case FailedReply:
+		_ = e.c.out.send(kindFailed, &r.Failed)
+	}
 }
 
-// failJoin closes a stream that was to join a request. Refused would say that
-// the request was not run.
-func (e *serverEnd) failJoin(s *serverStream, reason, message string) {
-	s.cancel()
-	e.c.counters.refused.Add(1)
-	_ = e.c.out.send(kindFailed, &beechwire.Failed{
-		Stream:    s.id,
-		RequestID: s.requestID,
-		Attempt:   s.attempt,
-		Reason:    reason,
-		Message:   message,
-		Ran:       beechwire.RanUnknown,
-	})
+// notTaken is the last reply of a stream that an agent does not take. Refused says
+// that the request was not run, which is not known of one that was to be joined.
+func notTaken(stream uint64, requestID string, attempt int, joins bool, reason, message string) Reply {
+	if joins {
+		return FailedReply{Failed: beechwire.Failed{
+			Stream: stream, RequestID: requestID, Attempt: attempt, Reason: reason, Message: message, Ran: beechwire.RanUnknown,
+		}}
+	}
+	return RefusedReply{Refused: beechwire.Refused{
+		Stream: stream, RequestID: requestID, Attempt: attempt, Reason: reason, Message: message,
+	}}
 }
 
 func (e *serverEnd) addBody(m *beechwire.Body) error {
