A member's leaving is two words, its own and the list's

One flag said that it leaves and a second that only the list said so; each place had to keep them in step. Now each word has a field, and leaving is either.

--- a/internal/state/beechmember/members.go
+++ b/internal/state/beechmember/members.go
@@ -46,8 +46,8 @@
 		incarnation uint64
 		replaced    uint64 // a greater incarnation that was there before
 		linked      bool
-		leaving     bool
-		onlyList    bool      // leaving by the list's word, not by its own
+		saidLeaving bool      // its own word, which is final
+		toldLeaving bool      // the list's word on this incarnation
 		since       time.Time // of the last change of linked
 		losses      int
 	}
@@ -92,12 +92,7 @@
 		x := m.get(h.Address)
 		x.host = h
 		x.listed = true
-		switch {
-		case h.Leaving && !x.listLeaving && !x.leaving:
-			x.leaving, x.onlyList = true, true
-		case !h.Leaving && x.onlyList:
-			x.leaving, x.onlyList = false, false
-		}
+		x.toldLeaving = h.Leaving && (x.toldLeaving || !x.listLeaving)
 		x.listLeaving = h.Leaving
 	}
 	m.forget()
@@ -124,7 +119,7 @@
 	if incarnation < x.incarnation {
 		x.replaced = x.incarnation
 		x.incarnation = incarnation
-		x.leaving, x.onlyList = false, false
+		x.saidLeaving, x.toldLeaving = false, false
 		x.linked = false
 	}
 	m.mu.Unlock()
@@ -173,8 +168,8 @@
 		return
 	}
 	x.renew(incarnation)
-	if leaving && (!x.leaving || x.onlyList) {
-		x.leaving, x.onlyList = true, false
+	if leaving && !x.saidLeaving {
+		x.saidLeaving = true
 		m.notify()
 	}
 }
@@ -192,7 +187,7 @@
 			Host:        x.host,
 			Incarnation: x.incarnation,
 			Linked:      x.linked,
-			Leaving:     x.leaving,
+			Leaving:     x.leaving(),
 			Usable:      m.usable(x),
 		})
 	}
@@ -231,7 +226,7 @@
 }
 
 func (m *Members) usable(x *member) bool {
-	return x.linked && !x.leaving && m.clock.Since(x.since) >= m.damping(x.losses)
+	return x.linked && !x.leaving() && m.clock.Since(x.since) >= m.damping(x.losses)
 }
 
 // damping is nothing for the first loss: an ordinary restart is no flapping.
@@ -242,6 +237,8 @@
 	return min(m.settings.Damping<<min(losses-2, maxDoublings), m.settings.MaxDamping)
 }
 
+func (x *member) leaving() bool { return x.saidLeaving || x.toldLeaving }
+
 // outdated tells whether news of an incarnation is about one that is gone.
 func (x *member) outdated(incarnation uint64) bool {
 	return incarnation < x.incarnation || (incarnation == x.replaced && x.replaced > 0)
@@ -255,7 +252,7 @@
 		return
 	}
 	if x.incarnation > 0 {
-		x.leaving, x.onlyList = false, false
+		x.saidLeaving, x.toldLeaving = false, false
 		x.linked = false
 	}
 	x.incarnation = incarnation
