--- a/internal/process/beechagent/scheduler.go
+++ b/internal/process/beechagent/scheduler.go
@@ -8,6 +8,7 @@
 	"github.com/jonboulle/clockwork"
 
 	"github.com/beechring/beechring/internal/decision/beechqueue"
+	"github.com/beechring/beechring/internal/process/beechtask"
 )
 
 type (
@@ -99,10 +100,7 @@
 }
 
 func (s *scheduler) wake() {
-	select {
-	case s.kick <- struct{}{}:
-	default:
-	}
+	beechtask.Wake(s.kick)
 }
 
 // serve gives out work until ctx ends.
--- a/internal/process/beechgate/full.go
+++ b/internal/process/beechgate/full.go
@@ -8,6 +8,7 @@
 	"github.com/beechring/beechring/internal/decision/beechroom"
 	"github.com/beechring/beechring/internal/link/beechbeat"
 	"github.com/beechring/beechring/internal/link/beechwire"
+	"github.com/beechring/beechring/internal/process/beechtask"
 )
 
 // fullListMost go into one datagram: a server is some 12 bytes.
@@ -15,10 +16,7 @@
 
 // foundFull has the other gates told at once of a server that turns work away.
 func (g *Gate) foundFull() {
-	select {
-	case g.fullNews <- struct{}{}:
-	default:
-	}
+	beechtask.Wake(g.fullNews)
 }
 
 // tellFull tells the other gates which servers have turned away this one's requests.
--- a/internal/process/beechgate/keepers.go
+++ b/internal/process/beechgate/keepers.go
@@ -10,6 +10,7 @@
 	"github.com/beechring/beechring/internal/link/beechbeat"
 	"github.com/beechring/beechring/internal/link/beechwire"
 	"github.com/beechring/beechring/internal/process/beechshare"
+	"github.com/beechring/beechring/internal/process/beechtask"
 	"github.com/beechring/beechring/internal/request/beechcall"
 	"github.com/beechring/beechring/internal/request/beechplace"
 	"github.com/beechring/beechring/internal/request/beechrollout"
@@ -17,10 +18,7 @@
 
 // followNow has the keepers told at once.
 func (g *Gate) followNow() {
-	select {
-	case g.news <- struct{}{}:
-	default:
-	}
+	beechtask.Wake(g.news)
 }
 
 // followKeepers asks the keepers for their engines' state, and tells them what
--- a/internal/process/beechgate/limits.go
+++ b/internal/process/beechgate/limits.go
@@ -14,6 +14,7 @@
 	"github.com/beechring/beechring/internal/decision/beechthrottle"
 	"github.com/beechring/beechring/internal/link/beechbeat"
 	"github.com/beechring/beechring/internal/link/beechwire"
+	"github.com/beechring/beechring/internal/process/beechtask"
 )
 
 const (
@@ -82,10 +83,7 @@
 
 // limitChanged has the other gates told at once.
 func (g *Gate) limitChanged() {
-	select {
-	case g.limitNews <- struct{}{}:
-	default:
-	}
+	beechtask.Wake(g.limitNews)
 }
 
 // hearLimits takes in another gate's word.
--- a/internal/process/beechgate/peers.go
+++ b/internal/process/beechgate/peers.go
@@ -92,10 +92,7 @@
 		return
 	}
 	g.log.Info("gates known", zap.String("where", where), zap.Int("gates", gates), zap.Duration("after", g.quotas.Age()))
-	select {
-	case g.spentNews <- struct{}{}:
-	default:
-	}
+	beechtask.Wake(g.spentNews)
 }
 
 // vouch is this gate's word on its copies, as the answer to a question. Without
--- a/internal/process/beechgate/quota.go
+++ b/internal/process/beechgate/quota.go
@@ -11,6 +11,7 @@
 	"github.com/beechring/beechring/internal/link/beechbeat"
 	"github.com/beechring/beechring/internal/link/beechwire"
 	"github.com/beechring/beechring/internal/process/beechsettings"
+	"github.com/beechring/beechring/internal/process/beechtask"
 	"github.com/beechring/beechring/internal/request/beechattempt"
 	"github.com/beechring/beechring/internal/request/beechcall"
 )
@@ -79,10 +80,7 @@
 		return false
 	case beechquota.Admitted:
 		if d.Tell {
-			select {
-			case g.spentNews <- struct{}{}:
-			default:
-			}
+			beechtask.Wake(g.spentNews)
 		}
 	}
 	return true
--- a/internal/process/beechgate/turns.go
+++ b/internal/process/beechgate/turns.go
@@ -8,6 +8,7 @@
 
 	"github.com/beechring/beechring/internal/link/beechwire"
 	"github.com/beechring/beechring/internal/process/beechshare"
+	"github.com/beechring/beechring/internal/process/beechtask"
 	"github.com/beechring/beechring/internal/request/beechrollout"
 )
 
@@ -75,8 +76,5 @@
 		level = zap.InfoLevel // each gate tells of its own zone's engines, or lines would grow with gates times engines
 	}
 	g.log.Log(level, "weights loaded", zap.String("server", engine), zap.Duration("took", took), zap.Duration("alone", load), zap.Float64("window", window))
-	select {
-	case g.turnNews <- struct{}{}:
-	default:
-	}
+	beechtask.Wake(g.turnNews)
 }
--- a/internal/process/beechkeeper/keeper.go
+++ b/internal/process/beechkeeper/keeper.go
@@ -213,10 +213,7 @@
 		}
 		k.needs.Log.Log(level, "gate follows", zap.String("gate", follow.Gate), zap.Stringer("peer", from))
 	}
-	select {
-	case k.wake <- struct{}{}:
-	default:
-	}
+	beechtask.Wake(k.wake)
 }
 
 // keep looks at the engine, gives it what is due, and tells the gates.
--- a/internal/process/beechtask/task.go
+++ b/internal/process/beechtask/task.go
@@ -43,6 +43,15 @@
 	}
 }
 
+// Wake tells a goroutine that waits on a channel with room for one, without waiting
+// for it. What was told and not yet taken is told once.
+func Wake(news chan<- struct{}) {
+	select {
+	case news <- struct{}{}:
+	default:
+	}
+}
+
 // Wait waits for the group's goroutines, or until ctx ends.
 func Wait(ctx context.Context, group *sync.WaitGroup) {
 	done := make(chan struct{})
