No lock-long look at full servers where there are none

Each choice asks for each server without a keeper whether it is full; the ID was hashed also where no server is, which is nearly always. Behaviour as it was; not measured.

--- a/internal/decision/beechroom/register.go
+++ b/internal/decision/beechroom/register.go
@@ -106,6 +106,9 @@
 func (r *Register) Knows(server string) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	if len(r.full) == 0 { // as it mostly is, and every choice asks for each server
+		return false
+	}
 	b, ok := r.full[xxhash.Sum64String(server)]
 	return ok && r.clock.Now().Before(b.until)
 }
