--- a/internal/command/beechdemo/load.go
+++ b/internal/command/beechdemo/load.go
@@ -74,7 +74,7 @@
 
 var errCut = errors.New("the answer ended without its last event")
 
-// Run brings the demo up, sends its load and prints what was measured.
+// Run brings the demo up, sends its load and prints its figures.
 func Run(ctx context.Context, s Settings, out, errs io.Writer) error {
 	ctx, stop := context.WithCancel(ctx)
 	defer stop()
--- a/internal/request/beechrollout/settings.go
+++ b/internal/request/beechrollout/settings.go
@@ -7,8 +7,8 @@
 	Lead time.Duration // an engine is left alone for so long before its order
 }
 
-// Defaults are the settings where none are given. Lead is measured in
-// docs/decisions/weights.md.
+// Defaults are the settings where none are given; docs/decisions/weights.md has the
+// reason for Lead.
 var Defaults = Settings{Lead: 500 * time.Millisecond}
 
 func (s Settings) withDefaults() Settings {
