--- a/internal/command/beechplay/cluster.go
+++ b/internal/command/beechplay/cluster.go
@@ -29,6 +29,7 @@
 		servers       []*http.Server
 		processes     map[string]Process
 		gates         map[string]*beechsettings.Gate
+		seeds         []netip.AddrPort // of gates that are added later
 		keepers       map[string]*beechsettings.Keeper
 	}
 
@@ -146,8 +147,9 @@
 		return err
 	}
 	w.gates[name] = &beechsettings.Gate{
-		Name: name, Zone: w.zone, Listen: listen, Ready: ready, Beats: netip.AddrPortFrom(address, w.heartbeatPort), Store: w.Places["store"], Bounds: bounds,
+		Name: name, Zone: w.zone, Listen: listen, Ready: ready, Beats: netip.AddrPortFrom(address, w.heartbeatPort), Store: w.Places["store"], Bounds: bounds, Seeds: w.seeds,
 	}
+	w.seeds = append(w.seeds, w.gates[name].Beats)
 	w.Places[name], w.Places[name+"-ready"] = listen, ready
 	return w.Start(name)
 }
--- a/internal/decision/beechgossip/group.go
+++ b/internal/decision/beechgossip/group.go
@@ -73,9 +73,9 @@
 		alive     []Member // members that are alive or suspected, with this process, by address
 		version   uint64   // changes with alive
 		digest    uint64
-		stale     bool // alive is to be made anew
+		stale     bool                   // alive is to be made anew
 		changes   map[netip.AddrPort]int // how often a member's state was sent since it changed
-		order     []netip.AddrPort // members left to be probed in this round
+		order     []netip.AddrPort       // members left to be probed in this round
 		probe     *probe
 		probeAt   time.Time
 		relayed   map[uint64]relayedProbe
@@ -173,6 +173,9 @@
 	}
 }
 
+// Self returns the address of this process.
+func (g *Group) Self() netip.AddrPort { return g.self.Address }
+
 // Members returns all members that are alive or suspected, with this process, by address. The
 // caller must not change the list.
 func (g *Group) Members() []Member {
@@ -205,6 +208,13 @@
 	return now.Sub(g.grownAt) >= g.settings.SettleTime || now.Sub(g.startedAt) >= g.settings.MaxSettleTime
 }
 
+// Search returns a message that asks any process for the members that it knows.
+func (g *Group) Search() Message {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return List{Members: []Member{g.self}, Reply: true}
+}
+
 // Counts returns the counters.
 func (g *Group) Counts() Counts {
 	g.mu.Lock()
--- a/internal/link/beechdatagram/datagram.go
+++ b/internal/link/beechdatagram/datagram.go
@@ -30,9 +30,8 @@
 )
 
 type (
-	// Message is a Follow, a Tell, an Announce, a Pass, a Passed, a Peers, a
-	// Roster, an Inquiry, a Vouch, an Entries, a Spent, a Paces, a Limits
-	// or a Full.
+	// Message is a Follow, a Tell, an Announce, an Inquiry, a Vouch, a Proof, an
+	// Entries, a Gossip, a Summary, a Recall, a Spent, a Limits or a Full.
 	Message interface{ message() }
 
 	// Follow is sent by a gate to a keeper: it asks for the engine's state, and names
@@ -45,24 +44,9 @@
 	// Announce is sent by a gate to a keeper: a long prompt is on its way to the engine.
 	Announce struct{ *beechwire.Announce }
 
-	// Pass is sent by a keeper to a gate, which forwards it to the gates of its zone.
-	Pass struct{ *beechwire.Pass }
-
-	// Passed is a keeper's Pass, forwarded by a gate.
-	Passed struct{ *beechwire.Passed }
-
-	// Peers is sent by a keeper to the gates of its zone: the addresses of these gates.
-	Peers struct{ *beechwire.Peers }
-
-	// Roster is sent by a keeper to the gates of its zone: the gates of other zones.
-	Roster struct{ *beechwire.Roster }
-
 	// Spent is sent by a gate to the others: how much it has admitted by workspace.
 	Spent struct{ *beechwire.Spent }
 
-	// Paces is sent by a gate to the others: how fast engines are.
-	Paces struct{ *beechwire.Paces }
-
 	// Limits is sent by a gate to the others: the rate limits of servers, and how much
 	// it has sent to these servers.
 	Limits struct{ *beechwire.Limits }
@@ -80,6 +64,18 @@
 	// Entries is sent by a gate to the others of its zone: changed entries of servers.
 	Entries struct{ *beechwire.Entries }
 
+	// Gossip is exchanged by gates to find and lose one another.
+	Gossip struct{ *beechwire.Gossip }
+
+	// Summary is sent by a collector to other gates: the state of many engines. A gate sends its own measurements to a collector in the same form.
+	Summary struct{ *beechwire.Summary }
+
+	// Recall is sent by a gate to a collector: it asks for the state of engines.
+	Recall struct{ *beechwire.Recall }
+
+	// Proof is the answer to an Inquiry, and tells that a copy has changed.
+	Proof struct{ *beechwire.Proof }
+
 	// Scope tells whether a datagram leaves its availability zone. Traffic between
 	// zones is billed by the byte.
 	Scope bool
@@ -102,17 +98,16 @@
 	kindFollow       = 'F'
 	kindTell         = 'T'
 	kindAnnounce     = 'A'
-	kindPass         = 'R'
-	kindPassed       = 'r'
-	kindPeers        = 'P'
 	kindInquiry      = 'I'
 	kindVouch        = 'V'
 	kindEntries      = 'E'
-	kindRoster       = 'Z'
 	kindSpent        = 'S'
-	kindPaces        = 'Q'
 	kindLimits       = 'L'
 	kindFull         = 'B'
+	kindGossip       = 'G'
+	kindSummary      = 'C'
+	kindRecall       = 'W'
+	kindProof        = 'H'
 	maxDatagramBytes = 16 << 10
 )
 
@@ -121,17 +116,16 @@
 func (Follow) message()   {}
 func (Tell) message()     {}
 func (Announce) message() {}
-func (Pass) message()     {}
-func (Passed) message()   {}
-func (Peers) message()    {}
 func (Inquiry) message()  {}
 func (Vouch) message()    {}
 func (Entries) message()  {}
-func (Roster) message()   {}
 func (Spent) message()    {}
-func (Paces) message()    {}
 func (Limits) message()   {}
 func (Full) message()     {}
+func (Gossip) message()   {}
+func (Summary) message()  {}
+func (Recall) message()   {}
+func (Proof) message()    {}
 
 // Open binds a UDP socket to an address.
 func Open(address netip.AddrPort) (*Socket, error) {
@@ -151,28 +145,26 @@
 		return v.MarshalMsg([]byte{kindTell})
 	case Announce:
 		return v.MarshalMsg([]byte{kindAnnounce})
-	case Pass:
-		return v.MarshalMsg([]byte{kindPass})
-	case Passed:
-		return v.MarshalMsg([]byte{kindPassed})
-	case Peers:
-		return v.MarshalMsg([]byte{kindPeers})
 	case Inquiry:
 		return v.MarshalMsg([]byte{kindInquiry})
 	case Vouch:
 		return v.MarshalMsg([]byte{kindVouch})
 	case Entries:
 		return v.MarshalMsg([]byte{kindEntries})
-	case Roster:
-		return v.MarshalMsg([]byte{kindRoster})
 	case Spent:
 		return v.MarshalMsg([]byte{kindSpent})
-	case Paces:
-		return v.MarshalMsg([]byte{kindPaces})
 	case Limits:
 		return v.MarshalMsg([]byte{kindLimits})
 	case Full:
 		return v.MarshalMsg([]byte{kindFull})
+	case Gossip:
+		return v.MarshalMsg([]byte{kindGossip})
+	case Summary:
+		return v.MarshalMsg([]byte{kindSummary})
+	case Recall:
+		return v.MarshalMsg([]byte{kindRecall})
+	case Proof:
+		return v.MarshalMsg([]byte{kindProof})
 	}
 	return nil, errUnknownKind
 }
@@ -205,15 +197,6 @@
 	case kindAnnounce:
 		m := &beechwire.Announce{}
 		return Announce{m}, m
-	case kindPass:
-		m := &beechwire.Pass{}
-		return Pass{m}, m
-	case kindPassed:
-		m := &beechwire.Passed{}
-		return Passed{m}, m
-	case kindPeers:
-		m := &beechwire.Peers{}
-		return Peers{m}, m
 	case kindInquiry:
 		m := &beechwire.Inquiry{}
 		return Inquiry{m}, m
@@ -223,21 +206,27 @@
 	case kindEntries:
 		m := &beechwire.Entries{}
 		return Entries{m}, m
-	case kindRoster:
-		m := &beechwire.Roster{}
-		return Roster{m}, m
 	case kindSpent:
 		m := &beechwire.Spent{}
 		return Spent{m}, m
-	case kindPaces:
-		m := &beechwire.Paces{}
-		return Paces{m}, m
 	case kindLimits:
 		m := &beechwire.Limits{}
 		return Limits{m}, m
 	case kindFull:
 		m := &beechwire.Full{}
 		return Full{m}, m
+	case kindGossip:
+		m := &beechwire.Gossip{}
+		return Gossip{m}, m
+	case kindSummary:
+		m := &beechwire.Summary{}
+		return Summary{m}, m
+	case kindRecall:
+		m := &beechwire.Recall{}
+		return Recall{m}, m
+	case kindProof:
+		m := &beechwire.Proof{}
+		return Proof{m}, m
 	}
 	return nil, nil
 }
@@ -276,26 +265,24 @@
 		return "tell"
 	case kindAnnounce:
 		return "announce"
-	case kindPass:
-		return "pass"
-	case kindPassed:
-		return "passed"
-	case kindPeers:
-		return "peers"
 	case kindInquiry:
 		return "inquiry"
 	case kindEntries:
 		return "entries"
-	case kindRoster:
-		return "roster"
 	case kindSpent:
 		return "spent"
-	case kindPaces:
-		return "paces"
 	case kindLimits:
 		return "limits"
 	case kindFull:
 		return "full"
+	case kindGossip:
+		return "gossip"
+	case kindSummary:
+		return "summary"
+	case kindRecall:
+		return "recall"
+	case kindProof:
+		return "proof"
 	}
 	return "vouch"
 }
--- a/internal/link/beechwire/wire_gen.go
+++ b/internal/link/beechwire/wire_gen.go
@@ -2,7 +2,7 @@
 
 //msgp:ignore WireSchemaJson
 //msgp:limit arrays:65536
-//msgp:tuple Follow Announce Tell Target Weights Copy Peers Inquiry Vouch Entry Entries Pass Passed Zone Roster Use Spent Seen Paces Limit Limits Full FullServer
+//msgp:tuple Follow Announce Tell Target Weights Copy Inquiry Vouch Entry Entries Node Gossip Status Engine Heard Speed Busy Summary Recall Held Proof Use Spent Seen Limit Limits Full FullServer
 
 package beechwire
 
@@ -63,6 +63,21 @@
 	Stream uint64 `msg:"Stream"`
 }
 
+// Busy is the load that a server without a keeper told with an answer.
+type Busy struct {
+	// Milliseconds since the answer.
+	Age int64 `msg:"Age"`
+
+	// Running requests.
+	Run int `msg:"Run"`
+
+	// Hash of the ID.
+	Server uint64 `msg:"Server"`
+
+	// Waiting requests.
+	Wait int `msg:"Wait"`
+}
+
 // Bye announces that the sender is about to close the link.
 type Bye struct {
 	// Reason corresponds to the JSON schema field "Reason".
@@ -256,6 +271,43 @@
 	Usage Usage `msg:"Usage"`
 }
 
+// Engine is what has changed at an engine.
+type Engine struct {
+	// Low byte of the number with which the status last changed.
+	Base uint8 `msg:"Base"`
+
+	// Keys of shared prefix blocks that the engine evicted recently.
+	Gone []uint64 `msg:"Gone"`
+
+	// IP of the engine in binary form.
+	Host string `msg:"Host"`
+
+	// Keys of shared prefix blocks that the engine was recently told to save to the
+	// external KV cache store.
+	Kept []uint64 `msg:"Kept"`
+
+	// Number of its keeper's report.
+	Number uint32 `msg:"Number"`
+
+	// Keys of shared prefix blocks that gates announced recently.
+	Parts []uint64 `msg:"Parts"`
+
+	// Prompt tokens that are announced and probably not prefilled yet.
+	Read int `msg:"Read"`
+
+	// Running requests.
+	Run int `msg:"Run"`
+
+	// At most one; empty: unchanged.
+	Status []Status `msg:"Status"`
+
+	// Tokens in the engine's KV cache that cannot be evicted.
+	Used int `msg:"Used"`
+
+	// Waiting requests.
+	Wait int `msg:"Wait"`
+}
+
 // Entries is the datagram in which the gate that watches the store sends the
 // changes to the others of its availability zone.
 type Entries struct {
@@ -386,6 +438,30 @@
 	Server uint64 `msg:"Server"`
 }
 
+// Gossip is the datagram with which processes find and lose one another.
+type Gossip struct {
+	// Kind of message.
+	Act int `msg:"Act"`
+
+	// Digest of the members that the sender knows.
+	Digest uint64 `msg:"Digest"`
+
+	// Members corresponds to the JSON schema field "Members".
+	Members []Node `msg:"Members"`
+
+	// The sender asks for the receiver's list.
+	Reply bool `msg:"Reply"`
+
+	// Number of a probe.
+	Sequence uint64 `msg:"Sequence"`
+
+	// Member to be probed, in binary form; empty: none.
+	Target string `msg:"Target"`
+
+	// Names of the zones of the members.
+	Zones []string `msg:"Zones"`
+}
+
 // Head reports that the backend server has started to respond; from agent to
 // entry.
 type Head struct {
@@ -420,6 +496,15 @@
 	Value string `msg:"Value"`
 }
 
+// Heard says that an engine's keeper is heard.
+type Heard struct {
+	// IP of the engine in binary form.
+	Host string `msg:"Host"`
+
+	// Low byte of the number of the last change that was sent.
+	Number uint8 `msg:"Number"`
+}
+
 // Heartbeat is the state that results from all Beats. Entries leave the fields of
 // agents empty, and agents those of entries.
 type Heartbeat struct {
@@ -448,6 +533,22 @@
 	Suspects []Suspect `msg:"Suspects"`
 }
 
+// Held describes a copy of the keys under a prefix of the store.
+type Held struct {
+	// Milliseconds since the store confirmed the copy, rounded up, by the sender's
+	// clock; negative: the sender has no copy.
+	Age int64 `msg:"Age"`
+
+	// Digest of all keys and their revisions.
+	Digest uint64 `msg:"Digest"`
+
+	// The copy has all changes up to this one.
+	Revision uint64 `msg:"Revision"`
+
+	// The sender, or a reader that it asks, watches the store.
+	Watched bool `msg:"Watched"`
+}
+
 // Hello is the first message in each direction of a link. Addresses are IP:port.
 type Hello struct {
 	// Link address of an agent; the listener's address of an entry.
@@ -584,6 +685,25 @@
 	Names []string `msg:"Names"`
 }
 
+// Node is a member of the fleet.
+type Node struct {
+	// IP and port in binary form.
+	Address string `msg:"Address"`
+
+	// Thousandths of a processor core; 0: not known.
+	Capacity int `msg:"Capacity"`
+
+	// Start of the process in Unix milliseconds, or greater; 0: only the address is
+	// known.
+	Incarnation uint64 `msg:"Incarnation"`
+
+	// 0: alive, 1: suspected, 2: dead, 3: left.
+	Status int `msg:"Status"`
+
+	// Index in the zones of the message; negative: not known.
+	Zone int `msg:"Zone"`
+}
+
 // Open starts a stream, from entry to agent.
 type Open struct {
 	// Bytes of Data that the agent may send before the first Credit.
@@ -596,39 +716,17 @@
 	Stream uint64 `msg:"Stream"`
 }
 
-// Paces is the datagram in which a gate tells the others the pace of engines that
-// it measured.
-type Paces struct {
-	// List corresponds to the JSON schema field "List".
-	List []Seen `msg:"List"`
-
-	// The gate that receives the datagram forwards it to the others of its
-	// availability zone.
-	Pass bool `msg:"Pass"`
-}
-
-// Pass is the datagram in which a keeper sends its Tell to one gate of another
-// availability zone, which forwards it to the others there.
-type Pass struct {
-	// Tell corresponds to the JSON schema field "Tell".
-	Tell Tell `msg:"Tell"`
-}
-
-// Passed is the datagram in which a gate forwards a keeper's Pass to the others of
-// its availability zone. It is not forwarded again.
-type Passed struct {
-	// IP of the keeper.
-	Host string `msg:"Host"`
+// Proof answers an Inquiry, as Vouch does in earlier releases. Number 0 tells that
+// a copy has changed.
+type Proof struct {
+	// Number corresponds to the JSON schema field "Number".
+	Number uint64 `msg:"Number"`
 
-	// Tell corresponds to the JSON schema field "Tell".
-	Tell Tell `msg:"Tell"`
-}
+	// Operators corresponds to the JSON schema field "Operators".
+	Operators Held `msg:"Operators"`
 
-// Peers is the datagram in which a keeper sends the gates of its availability zone
-// one another's addresses.
-type Peers struct {
-	// IP:port to send datagrams to.
-	Gates []string `msg:"Gates"`
+	// Servers corresponds to the JSON schema field "Servers".
+	Servers Held `msg:"Servers"`
 }
 
 // Reattach joins a generation that is running or has recently ended at the agent.
@@ -660,6 +758,13 @@
 	Workspace string `msg:"Workspace"`
 }
 
+// Recall is the datagram in which a gate asks a collector for the state of
+// engines.
+type Recall struct {
+	// IPs in binary form; empty: all.
+	Hosts []string `msg:"Hosts"`
+}
+
 // Refused closes a stream whose request was not executed.
 type Refused struct {
 	// When to retry; 0: unknown.
@@ -801,13 +906,6 @@
 	Payload []byte `msg:"Payload"`
 }
 
-// Roster is the datagram in which a keeper sends the gates of its availability
-// zone the gates of the other zones.
-type Roster struct {
-	// Zones corresponds to the JSON schema field "Zones".
-	Zones []Zone `msg:"Zones"`
-}
-
 // Seen is the pace of an engine as a gate measured it by times to first token.
 type Seen struct {
 	// Hash of the ID.
@@ -837,6 +935,18 @@
 	Suspects []Suspect `msg:"Suspects"`
 }
 
+// Speed is the speed of engines as measured by times to first token.
+type Speed struct {
+	// Microseconds that a first token takes besides.
+	Fixed int `msg:"Fixed"`
+
+	// Prompt tokens per second, mean of the samples.
+	Rate int `msg:"Rate"`
+
+	// Samples corresponds to the JSON schema field "Samples".
+	Samples int `msg:"Samples"`
+}
+
 // Spent is the datagram in which a gate tells the others how much it has admitted
 // of the workspaces' quotas.
 type Spent struct {
@@ -863,6 +973,64 @@
 	Uses []Use `msg:"Uses"`
 }
 
+// Status is the part of the state of an engine that changes seldom.
+type Status struct {
+	// Start of the engine process in Unix milliseconds; 0: not given.
+	Born uint64 `msg:"Born"`
+
+	// The weights that the engine has.
+	Have []Weights `msg:"Have"`
+
+	// Milliseconds since the keeper learned of newer weights than the engine's; 0:
+	// there are none.
+	Old int64 `msg:"Old"`
+
+	// Phase corresponds to the JSON schema field "Phase".
+	Phase int `msg:"Phase"`
+
+	// Port of the engine.
+	Port uint16 `msg:"Port"`
+
+	// Capacity of the engine's KV cache in tokens.
+	Room int `msg:"Room"`
+
+	// Duration in milliseconds of the engine's last load of weights; 0: there was
+	// none.
+	Took int64 `msg:"Took"`
+
+	// Number of consecutive orders without a reply from the engine.
+	Tries int `msg:"Tries"`
+}
+
+// Summary is the datagram in which a collector tells the gates of its availability
+// zone, or a collector of another zone, what has changed at all engines. A gate
+// sends its own measurements to a collector in the same form.
+type Summary struct {
+	// Busy corresponds to the JSON schema field "Busy".
+	Busy []Busy `msg:"Busy"`
+
+	// Changes corresponds to the JSON schema field "Changes".
+	Changes []Engine `msg:"Changes"`
+
+	// Confirmed corresponds to the JSON schema field "Confirmed".
+	Confirmed []Heard `msg:"Confirmed"`
+
+	// IPs of engines of which nothing is heard any more.
+	Lost []string `msg:"Lost"`
+
+	// Paces corresponds to the JSON schema field "Paces".
+	Paces []Seen `msg:"Paces"`
+
+	// The receiver hands it on to the gates of its zone.
+	Pass bool `msg:"Pass"`
+
+	// At most one.
+	Speed []Speed `msg:"Speed"`
+
+	// Suspects corresponds to the JSON schema field "Suspects".
+	Suspects []Suspect `msg:"Suspects"`
+}
+
 // Suspect is a request that was running when its server crashed.
 type Suspect struct {
 	// AgeMillis corresponds to the JSON schema field "AgeMillis".
@@ -1010,12 +1178,3 @@
 	// Version corresponds to the JSON schema field "Version".
 	Version uint64 `msg:"Version"`
 }
-
-// Zone lists the gates of an availability zone.
-type Zone struct {
-	// IP:port to send datagrams to, in binary form.
-	Gates []string `msg:"Gates"`
-
-	// Name corresponds to the JSON schema field "Name".
-	Name string `msg:"Name"`
-}
--- a/internal/link/beechwire/wire_msgp_gen.go
+++ b/internal/link/beechwire/wire_msgp_gen.go
@@ -627,6 +627,60 @@
 	return
 }
 
+// MarshalMsg implements msgp.Marshaler
+func (z *Busy) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// array header, size 4
+	o = append(o, 0x94)
+	o = msgp.AppendInt64(o, z.Age)
+	o = msgp.AppendInt(o, z.Run)
+	o = msgp.AppendUint64(o, z.Server)
+	o = msgp.AppendInt(o, z.Wait)
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *Busy) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadArrayHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 != 4 {
+		err = msgp.ArrayError{Wanted: 4, Got: zb0001}
+		return
+	}
+	z.Age, bts, err = msgp.ReadInt64Bytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Age")
+		return
+	}
+	z.Run, bts, err = msgp.ReadIntBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Run")
+		return
+	}
+	z.Server, bts, err = msgp.ReadUint64Bytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Server")
+		return
+	}
+	z.Wait, bts, err = msgp.ReadIntBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Wait")
+		return
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z *Busy) Msgsize() (s int) {
+	s = 1 + msgp.Int64Size + msgp.IntSize + msgp.Uint64Size + msgp.IntSize
+	return
+}
+
 // MarshalMsg implements msgp.Marshaler
 func (z Bye) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
@@ -1818,6 +1872,190 @@
 	return
 }
 
+// MarshalMsg implements msgp.Marshaler
+func (z *Engine) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// array header, size 11
+	o = append(o, 0x9b)
+	o = msgp.AppendUint8(o, z.Base)
+	o = msgp.AppendArrayHeader(o, uint32(len(z.Gone)))
+	for za0001 := range z.Gone {
+		o = msgp.AppendUint64(o, z.Gone[za0001])
+	}
+	o = msgp.AppendString(o, z.Host)
+	o = msgp.AppendArrayHeader(o, uint32(len(z.Kept)))
+	for za0002 := range z.Kept {
+		o = msgp.AppendUint64(o, z.Kept[za0002])
+	}
+	o = msgp.AppendUint32(o, z.Number)
+	o = msgp.AppendArrayHeader(o, uint32(len(z.Parts)))
+	for za0003 := range z.Parts {
+		o = msgp.AppendUint64(o, z.Parts[za0003])
+	}
+	o = msgp.AppendInt(o, z.Read)
+	o = msgp.AppendInt(o, z.Run)
+	o = msgp.AppendArrayHeader(o, uint32(len(z.Status)))
+	for za0004 := range z.Status {
+		o, err = z.Status[za0004].MarshalMsg(o)
+		if err != nil {
+			err = msgp.WrapError(err, "Status", za0004)
+			return
+		}
+	}
+	o = msgp.AppendInt(o, z.Used)
+	o = msgp.AppendInt(o, z.Wait)
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *Engine) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadArrayHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 != 11 {
+		err = msgp.ArrayError{Wanted: 11, Got: zb0001}
+		return
+	}
+	z.Base, bts, err = msgp.ReadUint8Bytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Base")
+		return
+	}
+	var zb0002 uint32
+	zb0002, bts, err = msgp.ReadArrayHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Gone")
+		return
+	}
+	if zb0002 > z311325c6limitArrays {
+		err = msgp.ErrLimitExceeded
+		return
+	}
+	if cap(z.Gone) >= int(zb0002) {
+		z.Gone = z.Gone[:zb0002]
+	} else {
+		z.Gone = make([]uint64, zb0002)
+	}
+	for za0001 := range z.Gone {
+		z.Gone[za0001], bts, err = msgp.ReadUint64Bytes(bts)
+		if err != nil {
+			err = msgp.WrapError(err, "Gone", za0001)
+			return
+		}
+	}
+	z.Host, bts, err = msgp.ReadStringBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Host")
+		return
+	}
+	var zb0003 uint32
+	zb0003, bts, err = msgp.ReadArrayHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Kept")
+		return
+	}
+	if zb0003 > z311325c6limitArrays {
+		err = msgp.ErrLimitExceeded
+		return
+	}
+	if cap(z.Kept) >= int(zb0003) {
+		z.Kept = z.Kept[:zb0003]
+	} else {
+		z.Kept = make([]uint64, zb0003)
+	}
+	for za0002 := range z.Kept {
+		z.Kept[za0002], bts, err = msgp.ReadUint64Bytes(bts)
+		if err != nil {
+			err = msgp.WrapError(err, "Kept", za0002)
+			return
+		}
+	}
+	z.Number, bts, err = msgp.ReadUint32Bytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Number")
+		return
+	}
+	var zb0004 uint32
+	zb0004, bts, err = msgp.ReadArrayHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Parts")
+		return
+	}
+	if zb0004 > z311325c6limitArrays {
+		err = msgp.ErrLimitExceeded
+		return
+	}
+	if cap(z.Parts) >= int(zb0004) {
+		z.Parts = z.Parts[:zb0004]
+	} else {
+		z.Parts = make([]uint64, zb0004)
+	}
+	for za0003 := range z.Parts {
+		z.Parts[za0003], bts, err = msgp.ReadUint64Bytes(bts)
+		if err != nil {
+			err = msgp.WrapError(err, "Parts", za0003)
+			return
+		}
+	}
+	z.Read, bts, err = msgp.ReadIntBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Read")
+		return
+	}
+	z.Run, bts, err = msgp.ReadIntBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Run")
+		return
+	}
+	var zb0005 uint32
+	zb0005, bts, err = msgp.ReadArrayHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Status")
+		return
+	}
+	if zb0005 > z311325c6limitArrays {
+		err = msgp.ErrLimitExceeded
+		return
+	}
+	if cap(z.Status) >= int(zb0005) {
+		z.Status = z.Status[:zb0005]
+	} else {
+		z.Status = make([]Status, zb0005)
+	}
+	for za0004 := range z.Status {
+		bts, err = z.Status[za0004].UnmarshalMsg(bts)
+		if err != nil {
+			err = msgp.WrapError(err, "Status", za0004)
+			return
+		}
+	}
+	z.Used, bts, err = msgp.ReadIntBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Used")
+		return
+	}
+	z.Wait, bts, err = msgp.ReadIntBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Wait")
+		return
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z *Engine) Msgsize() (s int) {
+	s = 1 + msgp.Uint8Size + msgp.ArrayHeaderSize + (len(z.Gone) * msgp.Uint64Size) + msgp.StringPrefixSize + len(z.Host) + msgp.ArrayHeaderSize + (len(z.Kept) * msgp.Uint64Size) + msgp.Uint32Size + msgp.ArrayHeaderSize + (len(z.Parts) * msgp.Uint64Size) + msgp.IntSize + msgp.IntSize + msgp.ArrayHeaderSize
+	for za0004 := range z.Status {
+		s += z.Status[za0004].Msgsize()
+	}
+	s += msgp.IntSize + msgp.IntSize
+	return
+}
+
 // MarshalMsg implements msgp.Marshaler
 func (z *Entries) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
@@ -2461,76 +2699,199 @@
 }
 
 // MarshalMsg implements msgp.Marshaler
-func (z *Head) MarshalMsg(b []byte) (o []byte, err error) {
+func (z *Gossip) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 7
-	// string "Attempt"
-	o = append(o, 0x87, 0xa7, 0x41, 0x74, 0x74, 0x65, 0x6d, 0x70, 0x74)
-	o = msgp.AppendInt(o, z.Attempt)
-	// string "ContentType"
-	o = append(o, 0xab, 0x43, 0x6f, 0x6e, 0x74, 0x65, 0x6e, 0x74, 0x54, 0x79, 0x70, 0x65)
-	o = msgp.AppendString(o, z.ContentType)
-	// string "Headers"
-	o = append(o, 0xa7, 0x48, 0x65, 0x61, 0x64, 0x65, 0x72, 0x73)
-	o = msgp.AppendArrayHeader(o, uint32(len(z.Headers)))
-	for za0001 := range z.Headers {
-		// map header, size 2
-		// string "Name"
-		o = append(o, 0x82, 0xa4, 0x4e, 0x61, 0x6d, 0x65)
-		o = msgp.AppendString(o, z.Headers[za0001].Name)
-		// string "Value"
-		o = append(o, 0xa5, 0x56, 0x61, 0x6c, 0x75, 0x65)
-		o = msgp.AppendString(o, z.Headers[za0001].Value)
+	// array header, size 7
+	o = append(o, 0x97)
+	o = msgp.AppendInt(o, z.Act)
+	o = msgp.AppendUint64(o, z.Digest)
+	o = msgp.AppendArrayHeader(o, uint32(len(z.Members)))
+	for za0001 := range z.Members {
+		o, err = z.Members[za0001].MarshalMsg(o)
+		if err != nil {
+			err = msgp.WrapError(err, "Members", za0001)
+			return
+		}
+	}
+	o = msgp.AppendBool(o, z.Reply)
+	o = msgp.AppendUint64(o, z.Sequence)
+	o = msgp.AppendString(o, z.Target)
+	o = msgp.AppendArrayHeader(o, uint32(len(z.Zones)))
+	for za0002 := range z.Zones {
+		o = msgp.AppendString(o, z.Zones[za0002])
 	}
-	// string "Incarnation"
-	o = append(o, 0xab, 0x49, 0x6e, 0x63, 0x61, 0x72, 0x6e, 0x61, 0x74, 0x69, 0x6f, 0x6e)
-	o = msgp.AppendUint64(o, z.Incarnation)
-	// string "RequestID"
-	o = append(o, 0xa9, 0x52, 0x65, 0x71, 0x75, 0x65, 0x73, 0x74, 0x49, 0x44)
-	o = msgp.AppendString(o, z.RequestID)
-	// string "Status"
-	o = append(o, 0xa6, 0x53, 0x74, 0x61, 0x74, 0x75, 0x73)
-	o = msgp.AppendInt(o, z.Status)
-	// string "Stream"
-	o = append(o, 0xa6, 0x53, 0x74, 0x72, 0x65, 0x61, 0x6d)
-	o = msgp.AppendUint64(o, z.Stream)
 	return
 }
 
 // UnmarshalMsg implements msgp.Unmarshaler
-func (z *Head) UnmarshalMsg(bts []byte) (o []byte, err error) {
-	var field []byte
-	_ = field
+func (z *Gossip) UnmarshalMsg(bts []byte) (o []byte, err error) {
 	var zb0001 uint32
-	zb0001, bts, err = msgp.ReadMapHeaderBytes(bts)
+	zb0001, bts, err = msgp.ReadArrayHeaderBytes(bts)
 	if err != nil {
 		err = msgp.WrapError(err)
 		return
 	}
-	for zb0001 > 0 {
-		zb0001--
-		field, bts, err = msgp.ReadMapKeyZC(bts)
-		if err != nil {
-			err = msgp.WrapError(err)
-			return
-		}
-		switch msgp.UnsafeString(field) {
-		case "Attempt":
-			z.Attempt, bts, err = msgp.ReadIntBytes(bts)
-			if err != nil {
-				err = msgp.WrapError(err, "Attempt")
-				return
-			}
-		case "ContentType":
-			z.ContentType, bts, err = msgp.ReadStringBytes(bts)
-			if err != nil {
-				err = msgp.WrapError(err, "ContentType")
-				return
-			}
-		case "Headers":
-			var zb0002 uint32
-			zb0002, bts, err = msgp.ReadArrayHeaderBytes(bts)
-			if err != nil {
+	if zb0001 != 7 {
+		err = msgp.ArrayError{Wanted: 7, Got: zb0001}
+		return
+	}
+	z.Act, bts, err = msgp.ReadIntBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Act")
+		return
+	}
+	z.Digest, bts, err = msgp.ReadUint64Bytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Digest")
+		return
+	}
+	var zb0002 uint32
+	zb0002, bts, err = msgp.ReadArrayHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Members")
+		return
+	}
+	if zb0002 > z311325c6limitArrays {
+		err = msgp.ErrLimitExceeded
+		return
+	}
+	if cap(z.Members) >= int(zb0002) {
+		z.Members = z.Members[:zb0002]
+	} else {
+		z.Members = make([]Node, zb0002)
+	}
+	for za0001 := range z.Members {
+		bts, err = z.Members[za0001].UnmarshalMsg(bts)
+		if err != nil {
+			err = msgp.WrapError(err, "Members", za0001)
+			return
+		}
+	}
+	z.Reply, bts, err = msgp.ReadBoolBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Reply")
+		return
+	}
+	z.Sequence, bts, err = msgp.ReadUint64Bytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Sequence")
+		return
+	}
+	z.Target, bts, err = msgp.ReadStringBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Target")
+		return
+	}
+	var zb0003 uint32
+	zb0003, bts, err = msgp.ReadArrayHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Zones")
+		return
+	}
+	if zb0003 > z311325c6limitArrays {
+		err = msgp.ErrLimitExceeded
+		return
+	}
+	if cap(z.Zones) >= int(zb0003) {
+		z.Zones = z.Zones[:zb0003]
+	} else {
+		z.Zones = make([]string, zb0003)
+	}
+	for za0002 := range z.Zones {
+		z.Zones[za0002], bts, err = msgp.ReadStringBytes(bts)
+		if err != nil {
+			err = msgp.WrapError(err, "Zones", za0002)
+			return
+		}
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z *Gossip) Msgsize() (s int) {
+	s = 1 + msgp.IntSize + msgp.Uint64Size + msgp.ArrayHeaderSize
+	for za0001 := range z.Members {
+		s += z.Members[za0001].Msgsize()
+	}
+	s += msgp.BoolSize + msgp.Uint64Size + msgp.StringPrefixSize + len(z.Target) + msgp.ArrayHeaderSize
+	for za0002 := range z.Zones {
+		s += msgp.StringPrefixSize + len(z.Zones[za0002])
+	}
+	return
+}
+
+// MarshalMsg implements msgp.Marshaler
+func (z *Head) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// map header, size 7
+	// string "Attempt"
+	o = append(o, 0x87, 0xa7, 0x41, 0x74, 0x74, 0x65, 0x6d, 0x70, 0x74)
+	o = msgp.AppendInt(o, z.Attempt)
+	// string "ContentType"
+	o = append(o, 0xab, 0x43, 0x6f, 0x6e, 0x74, 0x65, 0x6e, 0x74, 0x54, 0x79, 0x70, 0x65)
+	o = msgp.AppendString(o, z.ContentType)
+	// string "Headers"
+	o = append(o, 0xa7, 0x48, 0x65, 0x61, 0x64, 0x65, 0x72, 0x73)
+	o = msgp.AppendArrayHeader(o, uint32(len(z.Headers)))
+	for za0001 := range z.Headers {
+		// map header, size 2
+		// string "Name"
+		o = append(o, 0x82, 0xa4, 0x4e, 0x61, 0x6d, 0x65)
+		o = msgp.AppendString(o, z.Headers[za0001].Name)
+		// string "Value"
+		o = append(o, 0xa5, 0x56, 0x61, 0x6c, 0x75, 0x65)
+		o = msgp.AppendString(o, z.Headers[za0001].Value)
+	}
+	// string "Incarnation"
+	o = append(o, 0xab, 0x49, 0x6e, 0x63, 0x61, 0x72, 0x6e, 0x61, 0x74, 0x69, 0x6f, 0x6e)
+	o = msgp.AppendUint64(o, z.Incarnation)
+	// string "RequestID"
+	o = append(o, 0xa9, 0x52, 0x65, 0x71, 0x75, 0x65, 0x73, 0x74, 0x49, 0x44)
+	o = msgp.AppendString(o, z.RequestID)
+	// string "Status"
+	o = append(o, 0xa6, 0x53, 0x74, 0x61, 0x74, 0x75, 0x73)
+	o = msgp.AppendInt(o, z.Status)
+	// string "Stream"
+	o = append(o, 0xa6, 0x53, 0x74, 0x72, 0x65, 0x61, 0x6d)
+	o = msgp.AppendUint64(o, z.Stream)
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *Head) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var field []byte
+	_ = field
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadMapHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	for zb0001 > 0 {
+		zb0001--
+		field, bts, err = msgp.ReadMapKeyZC(bts)
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		switch msgp.UnsafeString(field) {
+		case "Attempt":
+			z.Attempt, bts, err = msgp.ReadIntBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Attempt")
+				return
+			}
+		case "ContentType":
+			z.ContentType, bts, err = msgp.ReadStringBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "ContentType")
+				return
+			}
+		case "Headers":
+			var zb0002 uint32
+			zb0002, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			if err != nil {
 				err = msgp.WrapError(err, "Headers")
 				return
 			}
@@ -2686,6 +3047,48 @@
 	return
 }
 
+// MarshalMsg implements msgp.Marshaler
+func (z Heard) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// array header, size 2
+	o = append(o, 0x92)
+	o = msgp.AppendString(o, z.Host)
+	o = msgp.AppendUint8(o, z.Number)
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *Heard) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadArrayHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 != 2 {
+		err = msgp.ArrayError{Wanted: 2, Got: zb0001}
+		return
+	}
+	z.Host, bts, err = msgp.ReadStringBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Host")
+		return
+	}
+	z.Number, bts, err = msgp.ReadUint8Bytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Number")
+		return
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z Heard) Msgsize() (s int) {
+	s = 1 + msgp.StringPrefixSize + len(z.Host) + msgp.Uint8Size
+	return
+}
+
 // MarshalMsg implements msgp.Marshaler
 func (z *Heartbeat) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
@@ -2856,6 +3259,60 @@
 	return
 }
 
+// MarshalMsg implements msgp.Marshaler
+func (z *Held) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// array header, size 4
+	o = append(o, 0x94)
+	o = msgp.AppendInt64(o, z.Age)
+	o = msgp.AppendUint64(o, z.Digest)
+	o = msgp.AppendUint64(o, z.Revision)
+	o = msgp.AppendBool(o, z.Watched)
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *Held) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadArrayHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 != 4 {
+		err = msgp.ArrayError{Wanted: 4, Got: zb0001}
+		return
+	}
+	z.Age, bts, err = msgp.ReadInt64Bytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Age")
+		return
+	}
+	z.Digest, bts, err = msgp.ReadUint64Bytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Digest")
+		return
+	}
+	z.Revision, bts, err = msgp.ReadUint64Bytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Revision")
+		return
+	}
+	z.Watched, bts, err = msgp.ReadBoolBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Watched")
+		return
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z *Held) Msgsize() (s int) {
+	s = 1 + msgp.Int64Size + msgp.Uint64Size + msgp.Uint64Size + msgp.BoolSize
+	return
+}
+
 // MarshalMsg implements msgp.Marshaler
 func (z *Hello) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
@@ -3598,153 +4055,53 @@
 }
 
 // MarshalMsg implements msgp.Marshaler
-func (z *Open) MarshalMsg(b []byte) (o []byte, err error) {
+func (z *Node) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 3
-	// string "Credit"
-	o = append(o, 0x83, 0xa6, 0x43, 0x72, 0x65, 0x64, 0x69, 0x74)
-	o = msgp.AppendInt(o, z.Credit)
-	// string "Request"
-	o = append(o, 0xa7, 0x52, 0x65, 0x71, 0x75, 0x65, 0x73, 0x74)
-	o, err = z.Request.MarshalMsg(o)
-	if err != nil {
-		err = msgp.WrapError(err, "Request")
-		return
-	}
-	// string "Stream"
-	o = append(o, 0xa6, 0x53, 0x74, 0x72, 0x65, 0x61, 0x6d)
-	o = msgp.AppendUint64(o, z.Stream)
+	// array header, size 5
+	o = append(o, 0x95)
+	o = msgp.AppendString(o, z.Address)
+	o = msgp.AppendInt(o, z.Capacity)
+	o = msgp.AppendUint64(o, z.Incarnation)
+	o = msgp.AppendInt(o, z.Status)
+	o = msgp.AppendInt(o, z.Zone)
 	return
 }
 
 // UnmarshalMsg implements msgp.Unmarshaler
-func (z *Open) UnmarshalMsg(bts []byte) (o []byte, err error) {
-	var field []byte
-	_ = field
+func (z *Node) UnmarshalMsg(bts []byte) (o []byte, err error) {
 	var zb0001 uint32
-	zb0001, bts, err = msgp.ReadMapHeaderBytes(bts)
+	zb0001, bts, err = msgp.ReadArrayHeaderBytes(bts)
 	if err != nil {
 		err = msgp.WrapError(err)
 		return
 	}
-	for zb0001 > 0 {
-		zb0001--
-		field, bts, err = msgp.ReadMapKeyZC(bts)
-		if err != nil {
-			err = msgp.WrapError(err)
-			return
-		}
-		switch msgp.UnsafeString(field) {
-		case "Credit":
-			z.Credit, bts, err = msgp.ReadIntBytes(bts)
-			if err != nil {
-				err = msgp.WrapError(err, "Credit")
-				return
-			}
-		case "Request":
-			bts, err = z.Request.UnmarshalMsg(bts)
-			if err != nil {
-				err = msgp.WrapError(err, "Request")
-				return
-			}
-		case "Stream":
-			z.Stream, bts, err = msgp.ReadUint64Bytes(bts)
-			if err != nil {
-				err = msgp.WrapError(err, "Stream")
-				return
-			}
-		default:
-			bts, err = msgp.Skip(bts)
-			if err != nil {
-				err = msgp.WrapError(err)
-				return
-			}
-		}
-	}
-	o = bts
-	return
-}
-
-// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
-func (z *Open) Msgsize() (s int) {
-	s = 1 + 7 + msgp.IntSize + 8 + z.Request.Msgsize() + 7 + msgp.Uint64Size
-	return
-}
-
-// MarshalMsg implements msgp.Marshaler
-func (z *Paces) MarshalMsg(b []byte) (o []byte, err error) {
-	o = msgp.Require(b, z.Msgsize())
-	// array header, size 2
-	o = append(o, 0x92)
-	o = msgp.AppendArrayHeader(o, uint32(len(z.List)))
-	for za0001 := range z.List {
-		// array header, size 3
-		o = append(o, 0x93)
-		o = msgp.AppendUint64(o, z.List[za0001].Engine)
-		o = msgp.AppendInt(o, z.List[za0001].Log)
-		o = msgp.AppendInt(o, z.List[za0001].Samples)
+	if zb0001 != 5 {
+		err = msgp.ArrayError{Wanted: 5, Got: zb0001}
+		return
 	}
-	o = msgp.AppendBool(o, z.Pass)
-	return
-}
-
-// UnmarshalMsg implements msgp.Unmarshaler
-func (z *Paces) UnmarshalMsg(bts []byte) (o []byte, err error) {
-	var zb0001 uint32
-	zb0001, bts, err = msgp.ReadArrayHeaderBytes(bts)
+	z.Address, bts, err = msgp.ReadStringBytes(bts)
 	if err != nil {
-		err = msgp.WrapError(err)
+		err = msgp.WrapError(err, "Address")
 		return
 	}
-	if zb0001 != 2 {
-		err = msgp.ArrayError{Wanted: 2, Got: zb0001}
+	z.Capacity, bts, err = msgp.ReadIntBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Capacity")
 		return
 	}
-	var zb0002 uint32
-	zb0002, bts, err = msgp.ReadArrayHeaderBytes(bts)
+	z.Incarnation, bts, err = msgp.ReadUint64Bytes(bts)
 	if err != nil {
-		err = msgp.WrapError(err, "List")
+		err = msgp.WrapError(err, "Incarnation")
 		return
 	}
-	if zb0002 > z311325c6limitArrays {
-		err = msgp.ErrLimitExceeded
+	z.Status, bts, err = msgp.ReadIntBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Status")
 		return
 	}
-	if cap(z.List) >= int(zb0002) {
-		z.List = z.List[:zb0002]
-	} else {
-		z.List = make([]Seen, zb0002)
-	}
-	for za0001 := range z.List {
-		var zb0003 uint32
-		zb0003, bts, err = msgp.ReadArrayHeaderBytes(bts)
-		if err != nil {
-			err = msgp.WrapError(err, "List", za0001)
-			return
-		}
-		if zb0003 != 3 {
-			err = msgp.ArrayError{Wanted: 3, Got: zb0003}
-			return
-		}
-		z.List[za0001].Engine, bts, err = msgp.ReadUint64Bytes(bts)
-		if err != nil {
-			err = msgp.WrapError(err, "List", za0001, "Engine")
-			return
-		}
-		z.List[za0001].Log, bts, err = msgp.ReadIntBytes(bts)
-		if err != nil {
-			err = msgp.WrapError(err, "List", za0001, "Log")
-			return
-		}
-		z.List[za0001].Samples, bts, err = msgp.ReadIntBytes(bts)
-		if err != nil {
-			err = msgp.WrapError(err, "List", za0001, "Samples")
-			return
-		}
-	}
-	z.Pass, bts, err = msgp.ReadBoolBytes(bts)
+	z.Zone, bts, err = msgp.ReadIntBytes(bts)
 	if err != nil {
-		err = msgp.WrapError(err, "Pass")
+		err = msgp.WrapError(err, "Zone")
 		return
 	}
 	o = bts
@@ -3752,153 +4109,138 @@
 }
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
-func (z *Paces) Msgsize() (s int) {
-	s = 1 + msgp.ArrayHeaderSize + (len(z.List) * (20 + msgp.Uint64Size + msgp.IntSize + msgp.IntSize)) + msgp.BoolSize
+func (z *Node) Msgsize() (s int) {
+	s = 1 + msgp.StringPrefixSize + len(z.Address) + msgp.IntSize + msgp.Uint64Size + msgp.IntSize + msgp.IntSize
 	return
 }
 
 // MarshalMsg implements msgp.Marshaler
-func (z *Pass) MarshalMsg(b []byte) (o []byte, err error) {
+func (z *Open) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// array header, size 1
-	o = append(o, 0x91)
-	o, err = z.Tell.MarshalMsg(o)
+	// map header, size 3
+	// string "Credit"
+	o = append(o, 0x83, 0xa6, 0x43, 0x72, 0x65, 0x64, 0x69, 0x74)
+	o = msgp.AppendInt(o, z.Credit)
+	// string "Request"
+	o = append(o, 0xa7, 0x52, 0x65, 0x71, 0x75, 0x65, 0x73, 0x74)
+	o, err = z.Request.MarshalMsg(o)
 	if err != nil {
-		err = msgp.WrapError(err, "Tell")
+		err = msgp.WrapError(err, "Request")
 		return
 	}
+	// string "Stream"
+	o = append(o, 0xa6, 0x53, 0x74, 0x72, 0x65, 0x61, 0x6d)
+	o = msgp.AppendUint64(o, z.Stream)
 	return
 }
 
 // UnmarshalMsg implements msgp.Unmarshaler
-func (z *Pass) UnmarshalMsg(bts []byte) (o []byte, err error) {
+func (z *Open) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var field []byte
+	_ = field
 	var zb0001 uint32
-	zb0001, bts, err = msgp.ReadArrayHeaderBytes(bts)
+	zb0001, bts, err = msgp.ReadMapHeaderBytes(bts)
 	if err != nil {
 		err = msgp.WrapError(err)
 		return
 	}
-	if zb0001 != 1 {
-		err = msgp.ArrayError{Wanted: 1, Got: zb0001}
-		return
-	}
-	bts, err = z.Tell.UnmarshalMsg(bts)
-	if err != nil {
-		err = msgp.WrapError(err, "Tell")
-		return
+	for zb0001 > 0 {
+		zb0001--
+		field, bts, err = msgp.ReadMapKeyZC(bts)
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		switch msgp.UnsafeString(field) {
+		case "Credit":
+			z.Credit, bts, err = msgp.ReadIntBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Credit")
+				return
+			}
+		case "Request":
+			bts, err = z.Request.UnmarshalMsg(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Request")
+				return
+			}
+		case "Stream":
+			z.Stream, bts, err = msgp.ReadUint64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Stream")
+				return
+			}
+		default:
+			bts, err = msgp.Skip(bts)
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
+			}
+		}
 	}
 	o = bts
 	return
 }
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
-func (z *Pass) Msgsize() (s int) {
-	s = 1 + z.Tell.Msgsize()
+func (z *Open) Msgsize() (s int) {
+	s = 1 + 7 + msgp.IntSize + 8 + z.Request.Msgsize() + 7 + msgp.Uint64Size
 	return
 }
 
 // MarshalMsg implements msgp.Marshaler
-func (z *Passed) MarshalMsg(b []byte) (o []byte, err error) {
+func (z *Proof) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// array header, size 2
-	o = append(o, 0x92)
-	o = msgp.AppendString(o, z.Host)
-	o, err = z.Tell.MarshalMsg(o)
-	if err != nil {
-		err = msgp.WrapError(err, "Tell")
-		return
-	}
-	return
-}
-
-// UnmarshalMsg implements msgp.Unmarshaler
-func (z *Passed) UnmarshalMsg(bts []byte) (o []byte, err error) {
-	var zb0001 uint32
-	zb0001, bts, err = msgp.ReadArrayHeaderBytes(bts)
-	if err != nil {
-		err = msgp.WrapError(err)
-		return
-	}
-	if zb0001 != 2 {
-		err = msgp.ArrayError{Wanted: 2, Got: zb0001}
-		return
-	}
-	z.Host, bts, err = msgp.ReadStringBytes(bts)
+	// array header, size 3
+	o = append(o, 0x93)
+	o = msgp.AppendUint64(o, z.Number)
+	o, err = z.Operators.MarshalMsg(o)
 	if err != nil {
-		err = msgp.WrapError(err, "Host")
+		err = msgp.WrapError(err, "Operators")
 		return
 	}
-	bts, err = z.Tell.UnmarshalMsg(bts)
+	o, err = z.Servers.MarshalMsg(o)
 	if err != nil {
-		err = msgp.WrapError(err, "Tell")
+		err = msgp.WrapError(err, "Servers")
 		return
 	}
-	o = bts
-	return
-}
-
-// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
-func (z *Passed) Msgsize() (s int) {
-	s = 1 + msgp.StringPrefixSize + len(z.Host) + z.Tell.Msgsize()
-	return
-}
-
-// MarshalMsg implements msgp.Marshaler
-func (z *Peers) MarshalMsg(b []byte) (o []byte, err error) {
-	o = msgp.Require(b, z.Msgsize())
-	// array header, size 1
-	o = append(o, 0x91)
-	o = msgp.AppendArrayHeader(o, uint32(len(z.Gates)))
-	for za0001 := range z.Gates {
-		o = msgp.AppendString(o, z.Gates[za0001])
-	}
 	return
 }
 
 // UnmarshalMsg implements msgp.Unmarshaler
-func (z *Peers) UnmarshalMsg(bts []byte) (o []byte, err error) {
+func (z *Proof) UnmarshalMsg(bts []byte) (o []byte, err error) {
 	var zb0001 uint32
 	zb0001, bts, err = msgp.ReadArrayHeaderBytes(bts)
 	if err != nil {
 		err = msgp.WrapError(err)
 		return
 	}
-	if zb0001 != 1 {
-		err = msgp.ArrayError{Wanted: 1, Got: zb0001}
+	if zb0001 != 3 {
+		err = msgp.ArrayError{Wanted: 3, Got: zb0001}
 		return
 	}
-	var zb0002 uint32
-	zb0002, bts, err = msgp.ReadArrayHeaderBytes(bts)
+	z.Number, bts, err = msgp.ReadUint64Bytes(bts)
 	if err != nil {
-		err = msgp.WrapError(err, "Gates")
+		err = msgp.WrapError(err, "Number")
 		return
 	}
-	if zb0002 > z311325c6limitArrays {
-		err = msgp.ErrLimitExceeded
+	bts, err = z.Operators.UnmarshalMsg(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Operators")
 		return
 	}
-	if cap(z.Gates) >= int(zb0002) {
-		z.Gates = z.Gates[:zb0002]
-	} else {
-		z.Gates = make([]string, zb0002)
-	}
-	for za0001 := range z.Gates {
-		z.Gates[za0001], bts, err = msgp.ReadStringBytes(bts)
-		if err != nil {
-			err = msgp.WrapError(err, "Gates", za0001)
-			return
-		}
+	bts, err = z.Servers.UnmarshalMsg(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Servers")
+		return
 	}
 	o = bts
 	return
 }
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
-func (z *Peers) Msgsize() (s int) {
-	s = 1 + msgp.ArrayHeaderSize
-	for za0001 := range z.Gates {
-		s += msgp.StringPrefixSize + len(z.Gates[za0001])
-	}
+func (z *Proof) Msgsize() (s int) {
+	s = 1 + msgp.Uint64Size + z.Operators.Msgsize() + z.Servers.Msgsize()
 	return
 }
 
@@ -4017,6 +4359,65 @@
 	return
 }
 
+// MarshalMsg implements msgp.Marshaler
+func (z *Recall) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// array header, size 1
+	o = append(o, 0x91)
+	o = msgp.AppendArrayHeader(o, uint32(len(z.Hosts)))
+	for za0001 := range z.Hosts {
+		o = msgp.AppendString(o, z.Hosts[za0001])
+	}
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *Recall) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadArrayHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 != 1 {
+		err = msgp.ArrayError{Wanted: 1, Got: zb0001}
+		return
+	}
+	var zb0002 uint32
+	zb0002, bts, err = msgp.ReadArrayHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Hosts")
+		return
+	}
+	if zb0002 > z311325c6limitArrays {
+		err = msgp.ErrLimitExceeded
+		return
+	}
+	if cap(z.Hosts) >= int(zb0002) {
+		z.Hosts = z.Hosts[:zb0002]
+	} else {
+		z.Hosts = make([]string, zb0002)
+	}
+	for za0001 := range z.Hosts {
+		z.Hosts[za0001], bts, err = msgp.ReadStringBytes(bts)
+		if err != nil {
+			err = msgp.WrapError(err, "Hosts", za0001)
+			return
+		}
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z *Recall) Msgsize() (s int) {
+	s = 1 + msgp.ArrayHeaderSize
+	for za0001 := range z.Hosts {
+		s += msgp.StringPrefixSize + len(z.Hosts[za0001])
+	}
+	return
+}
+
 // MarshalMsg implements msgp.Marshaler
 func (z *Refused) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
@@ -4704,108 +5105,7 @@
 }
 
 // MarshalMsg implements msgp.Marshaler
-func (z *Roster) MarshalMsg(b []byte) (o []byte, err error) {
-	o = msgp.Require(b, z.Msgsize())
-	// array header, size 1
-	o = append(o, 0x91)
-	o = msgp.AppendArrayHeader(o, uint32(len(z.Zones)))
-	for za0001 := range z.Zones {
-		// array header, size 2
-		o = append(o, 0x92)
-		o = msgp.AppendArrayHeader(o, uint32(len(z.Zones[za0001].Gates)))
-		for za0002 := range z.Zones[za0001].Gates {
-			o = msgp.AppendString(o, z.Zones[za0001].Gates[za0002])
-		}
-		o = msgp.AppendString(o, z.Zones[za0001].Name)
-	}
-	return
-}
-
-// UnmarshalMsg implements msgp.Unmarshaler
-func (z *Roster) UnmarshalMsg(bts []byte) (o []byte, err error) {
-	var zb0001 uint32
-	zb0001, bts, err = msgp.ReadArrayHeaderBytes(bts)
-	if err != nil {
-		err = msgp.WrapError(err)
-		return
-	}
-	if zb0001 != 1 {
-		err = msgp.ArrayError{Wanted: 1, Got: zb0001}
-		return
-	}
-	var zb0002 uint32
-	zb0002, bts, err = msgp.ReadArrayHeaderBytes(bts)
-	if err != nil {
-		err = msgp.WrapError(err, "Zones")
-		return
-	}
-	if zb0002 > z311325c6limitArrays {
-		err = msgp.ErrLimitExceeded
-		return
-	}
-	if cap(z.Zones) >= int(zb0002) {
-		z.Zones = z.Zones[:zb0002]
-	} else {
-		z.Zones = make([]Zone, zb0002)
-	}
-	for za0001 := range z.Zones {
-		var zb0003 uint32
-		zb0003, bts, err = msgp.ReadArrayHeaderBytes(bts)
-		if err != nil {
-			err = msgp.WrapError(err, "Zones", za0001)
-			return
-		}
-		if zb0003 != 2 {
-			err = msgp.ArrayError{Wanted: 2, Got: zb0003}
-			return
-		}
-		var zb0004 uint32
-		zb0004, bts, err = msgp.ReadArrayHeaderBytes(bts)
-		if err != nil {
-			err = msgp.WrapError(err, "Zones", za0001, "Gates")
-			return
-		}
-		if zb0004 > z311325c6limitArrays {
-			err = msgp.ErrLimitExceeded
-			return
-		}
-		if cap(z.Zones[za0001].Gates) >= int(zb0004) {
-			z.Zones[za0001].Gates = z.Zones[za0001].Gates[:zb0004]
-		} else {
-			z.Zones[za0001].Gates = make([]string, zb0004)
-		}
-		for za0002 := range z.Zones[za0001].Gates {
-			z.Zones[za0001].Gates[za0002], bts, err = msgp.ReadStringBytes(bts)
-			if err != nil {
-				err = msgp.WrapError(err, "Zones", za0001, "Gates", za0002)
-				return
-			}
-		}
-		z.Zones[za0001].Name, bts, err = msgp.ReadStringBytes(bts)
-		if err != nil {
-			err = msgp.WrapError(err, "Zones", za0001, "Name")
-			return
-		}
-	}
-	o = bts
-	return
-}
-
-// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
-func (z *Roster) Msgsize() (s int) {
-	s = 1 + msgp.ArrayHeaderSize
-	for za0001 := range z.Zones {
-		s += 1 + msgp.ArrayHeaderSize
-		for za0002 := range z.Zones[za0001].Gates {
-			s += msgp.StringPrefixSize + len(z.Zones[za0001].Gates[za0002])
-		}
-		s += msgp.StringPrefixSize + len(z.Zones[za0001].Name)
-	}
-	return
-}
-
-// MarshalMsg implements msgp.Marshaler
-func (z Seen) MarshalMsg(b []byte) (o []byte, err error) {
+func (z Seen) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
 	// array header, size 3
 	o = append(o, 0x93)
@@ -5014,6 +5314,54 @@
 	return
 }
 
+// MarshalMsg implements msgp.Marshaler
+func (z Speed) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// array header, size 3
+	o = append(o, 0x93)
+	o = msgp.AppendInt(o, z.Fixed)
+	o = msgp.AppendInt(o, z.Rate)
+	o = msgp.AppendInt(o, z.Samples)
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *Speed) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadArrayHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 != 3 {
+		err = msgp.ArrayError{Wanted: 3, Got: zb0001}
+		return
+	}
+	z.Fixed, bts, err = msgp.ReadIntBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Fixed")
+		return
+	}
+	z.Rate, bts, err = msgp.ReadIntBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Rate")
+		return
+	}
+	z.Samples, bts, err = msgp.ReadIntBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Samples")
+		return
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z Speed) Msgsize() (s int) {
+	s = 1 + msgp.IntSize + msgp.IntSize + msgp.IntSize
+	return
+}
+
 // MarshalMsg implements msgp.Marshaler
 func (z *Spent) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
@@ -5130,6 +5478,441 @@
 	return
 }
 
+// MarshalMsg implements msgp.Marshaler
+func (z *Status) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// array header, size 8
+	o = append(o, 0x98)
+	o = msgp.AppendUint64(o, z.Born)
+	o = msgp.AppendArrayHeader(o, uint32(len(z.Have)))
+	for za0001 := range z.Have {
+		// array header, size 2
+		o = append(o, 0x92)
+		o = msgp.AppendString(o, z.Have[za0001].Model)
+		o = msgp.AppendUint64(o, z.Have[za0001].Version)
+	}
+	o = msgp.AppendInt64(o, z.Old)
+	o = msgp.AppendInt(o, z.Phase)
+	o = msgp.AppendUint16(o, z.Port)
+	o = msgp.AppendInt(o, z.Room)
+	o = msgp.AppendInt64(o, z.Took)
+	o = msgp.AppendInt(o, z.Tries)
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *Status) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadArrayHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 != 8 {
+		err = msgp.ArrayError{Wanted: 8, Got: zb0001}
+		return
+	}
+	z.Born, bts, err = msgp.ReadUint64Bytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Born")
+		return
+	}
+	var zb0002 uint32
+	zb0002, bts, err = msgp.ReadArrayHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Have")
+		return
+	}
+	if zb0002 > z311325c6limitArrays {
+		err = msgp.ErrLimitExceeded
+		return
+	}
+	if cap(z.Have) >= int(zb0002) {
+		z.Have = z.Have[:zb0002]
+	} else {
+		z.Have = make([]Weights, zb0002)
+	}
+	for za0001 := range z.Have {
+		var zb0003 uint32
+		zb0003, bts, err = msgp.ReadArrayHeaderBytes(bts)
+		if err != nil {
+			err = msgp.WrapError(err, "Have", za0001)
+			return
+		}
+		if zb0003 != 2 {
+			err = msgp.ArrayError{Wanted: 2, Got: zb0003}
+			return
+		}
+		z.Have[za0001].Model, bts, err = msgp.ReadStringBytes(bts)
+		if err != nil {
+			err = msgp.WrapError(err, "Have", za0001, "Model")
+			return
+		}
+		z.Have[za0001].Version, bts, err = msgp.ReadUint64Bytes(bts)
+		if err != nil {
+			err = msgp.WrapError(err, "Have", za0001, "Version")
+			return
+		}
+	}
+	z.Old, bts, err = msgp.ReadInt64Bytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Old")
+		return
+	}
+	z.Phase, bts, err = msgp.ReadIntBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Phase")
+		return
+	}
+	z.Port, bts, err = msgp.ReadUint16Bytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Port")
+		return
+	}
+	z.Room, bts, err = msgp.ReadIntBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Room")
+		return
+	}
+	z.Took, bts, err = msgp.ReadInt64Bytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Took")
+		return
+	}
+	z.Tries, bts, err = msgp.ReadIntBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Tries")
+		return
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z *Status) Msgsize() (s int) {
+	s = 1 + msgp.Uint64Size + msgp.ArrayHeaderSize
+	for za0001 := range z.Have {
+		s += 1 + msgp.StringPrefixSize + len(z.Have[za0001].Model) + msgp.Uint64Size
+	}
+	s += msgp.Int64Size + msgp.IntSize + msgp.Uint16Size + msgp.IntSize + msgp.Int64Size + msgp.IntSize
+	return
+}
+
+// MarshalMsg implements msgp.Marshaler
+func (z *Summary) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// array header, size 8
+	o = append(o, 0x98)
+	o = msgp.AppendArrayHeader(o, uint32(len(z.Busy)))
+	for za0001 := range z.Busy {
+		o, err = z.Busy[za0001].MarshalMsg(o)
+		if err != nil {
+			err = msgp.WrapError(err, "Busy", za0001)
+			return
+		}
+	}
+	o = msgp.AppendArrayHeader(o, uint32(len(z.Changes)))
+	for za0002 := range z.Changes {
+		o, err = z.Changes[za0002].MarshalMsg(o)
+		if err != nil {
+			err = msgp.WrapError(err, "Changes", za0002)
+			return
+		}
+	}
+	o = msgp.AppendArrayHeader(o, uint32(len(z.Confirmed)))
+	for za0003 := range z.Confirmed {
+		// array header, size 2
+		o = append(o, 0x92)
+		o = msgp.AppendString(o, z.Confirmed[za0003].Host)
+		o = msgp.AppendUint8(o, z.Confirmed[za0003].Number)
+	}
+	o = msgp.AppendArrayHeader(o, uint32(len(z.Lost)))
+	for za0004 := range z.Lost {
+		o = msgp.AppendString(o, z.Lost[za0004])
+	}
+	o = msgp.AppendArrayHeader(o, uint32(len(z.Paces)))
+	for za0005 := range z.Paces {
+		// array header, size 3
+		o = append(o, 0x93)
+		o = msgp.AppendUint64(o, z.Paces[za0005].Engine)
+		o = msgp.AppendInt(o, z.Paces[za0005].Log)
+		o = msgp.AppendInt(o, z.Paces[za0005].Samples)
+	}
+	o = msgp.AppendBool(o, z.Pass)
+	o = msgp.AppendArrayHeader(o, uint32(len(z.Speed)))
+	for za0006 := range z.Speed {
+		// array header, size 3
+		o = append(o, 0x93)
+		o = msgp.AppendInt(o, z.Speed[za0006].Fixed)
+		o = msgp.AppendInt(o, z.Speed[za0006].Rate)
+		o = msgp.AppendInt(o, z.Speed[za0006].Samples)
+	}
+	o = msgp.AppendArrayHeader(o, uint32(len(z.Suspects)))
+	for za0007 := range z.Suspects {
+		o, err = z.Suspects[za0007].MarshalMsg(o)
+		if err != nil {
+			err = msgp.WrapError(err, "Suspects", za0007)
+			return
+		}
+	}
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *Summary) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadArrayHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 != 8 {
+		err = msgp.ArrayError{Wanted: 8, Got: zb0001}
+		return
+	}
+	var zb0002 uint32
+	zb0002, bts, err = msgp.ReadArrayHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Busy")
+		return
+	}
+	if zb0002 > z311325c6limitArrays {
+		err = msgp.ErrLimitExceeded
+		return
+	}
+	if cap(z.Busy) >= int(zb0002) {
+		z.Busy = z.Busy[:zb0002]
+	} else {
+		z.Busy = make([]Busy, zb0002)
+	}
+	for za0001 := range z.Busy {
+		bts, err = z.Busy[za0001].UnmarshalMsg(bts)
+		if err != nil {
+			err = msgp.WrapError(err, "Busy", za0001)
+			return
+		}
+	}
+	var zb0003 uint32
+	zb0003, bts, err = msgp.ReadArrayHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Changes")
+		return
+	}
+	if zb0003 > z311325c6limitArrays {
+		err = msgp.ErrLimitExceeded
+		return
+	}
+	if cap(z.Changes) >= int(zb0003) {
+		z.Changes = z.Changes[:zb0003]
+	} else {
+		z.Changes = make([]Engine, zb0003)
+	}
+	for za0002 := range z.Changes {
+		bts, err = z.Changes[za0002].UnmarshalMsg(bts)
+		if err != nil {
+			err = msgp.WrapError(err, "Changes", za0002)
+			return
+		}
+	}
+	var zb0004 uint32
+	zb0004, bts, err = msgp.ReadArrayHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Confirmed")
+		return
+	}
+	if zb0004 > z311325c6limitArrays {
+		err = msgp.ErrLimitExceeded
+		return
+	}
+	if cap(z.Confirmed) >= int(zb0004) {
+		z.Confirmed = z.Confirmed[:zb0004]
+	} else {
+		z.Confirmed = make([]Heard, zb0004)
+	}
+	for za0003 := range z.Confirmed {
+		var zb0005 uint32
+		zb0005, bts, err = msgp.ReadArrayHeaderBytes(bts)
+		if err != nil {
+			err = msgp.WrapError(err, "Confirmed", za0003)
+			return
+		}
+		if zb0005 != 2 {
+			err = msgp.ArrayError{Wanted: 2, Got: zb0005}
+			return
+		}
+		z.Confirmed[za0003].Host, bts, err = msgp.ReadStringBytes(bts)
+		if err != nil {
+			err = msgp.WrapError(err, "Confirmed", za0003, "Host")
+			return
+		}
+		z.Confirmed[za0003].Number, bts, err = msgp.ReadUint8Bytes(bts)
+		if err != nil {
+			err = msgp.WrapError(err, "Confirmed", za0003, "Number")
+			return
+		}
+	}
+	var zb0006 uint32
+	zb0006, bts, err = msgp.ReadArrayHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Lost")
+		return
+	}
+	if zb0006 > z311325c6limitArrays {
+		err = msgp.ErrLimitExceeded
+		return
+	}
+	if cap(z.Lost) >= int(zb0006) {
+		z.Lost = z.Lost[:zb0006]
+	} else {
+		z.Lost = make([]string, zb0006)
+	}
+	for za0004 := range z.Lost {
+		z.Lost[za0004], bts, err = msgp.ReadStringBytes(bts)
+		if err != nil {
+			err = msgp.WrapError(err, "Lost", za0004)
+			return
+		}
+	}
+	var zb0007 uint32
+	zb0007, bts, err = msgp.ReadArrayHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Paces")
+		return
+	}
+	if zb0007 > z311325c6limitArrays {
+		err = msgp.ErrLimitExceeded
+		return
+	}
+	if cap(z.Paces) >= int(zb0007) {
+		z.Paces = z.Paces[:zb0007]
+	} else {
+		z.Paces = make([]Seen, zb0007)
+	}
+	for za0005 := range z.Paces {
+		var zb0008 uint32
+		zb0008, bts, err = msgp.ReadArrayHeaderBytes(bts)
+		if err != nil {
+			err = msgp.WrapError(err, "Paces", za0005)
+			return
+		}
+		if zb0008 != 3 {
+			err = msgp.ArrayError{Wanted: 3, Got: zb0008}
+			return
+		}
+		z.Paces[za0005].Engine, bts, err = msgp.ReadUint64Bytes(bts)
+		if err != nil {
+			err = msgp.WrapError(err, "Paces", za0005, "Engine")
+			return
+		}
+		z.Paces[za0005].Log, bts, err = msgp.ReadIntBytes(bts)
+		if err != nil {
+			err = msgp.WrapError(err, "Paces", za0005, "Log")
+			return
+		}
+		z.Paces[za0005].Samples, bts, err = msgp.ReadIntBytes(bts)
+		if err != nil {
+			err = msgp.WrapError(err, "Paces", za0005, "Samples")
+			return
+		}
+	}
+	z.Pass, bts, err = msgp.ReadBoolBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Pass")
+		return
+	}
+	var zb0009 uint32
+	zb0009, bts, err = msgp.ReadArrayHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Speed")
+		return
+	}
+	if zb0009 > z311325c6limitArrays {
+		err = msgp.ErrLimitExceeded
+		return
+	}
+	if cap(z.Speed) >= int(zb0009) {
+		z.Speed = z.Speed[:zb0009]
+	} else {
+		z.Speed = make([]Speed, zb0009)
+	}
+	for za0006 := range z.Speed {
+		var zb0010 uint32
+		zb0010, bts, err = msgp.ReadArrayHeaderBytes(bts)
+		if err != nil {
+			err = msgp.WrapError(err, "Speed", za0006)
+			return
+		}
+		if zb0010 != 3 {
+			err = msgp.ArrayError{Wanted: 3, Got: zb0010}
+			return
+		}
+		z.Speed[za0006].Fixed, bts, err = msgp.ReadIntBytes(bts)
+		if err != nil {
+			err = msgp.WrapError(err, "Speed", za0006, "Fixed")
+			return
+		}
+		z.Speed[za0006].Rate, bts, err = msgp.ReadIntBytes(bts)
+		if err != nil {
+			err = msgp.WrapError(err, "Speed", za0006, "Rate")
+			return
+		}
+		z.Speed[za0006].Samples, bts, err = msgp.ReadIntBytes(bts)
+		if err != nil {
+			err = msgp.WrapError(err, "Speed", za0006, "Samples")
+			return
+		}
+	}
+	var zb0011 uint32
+	zb0011, bts, err = msgp.ReadArrayHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Suspects")
+		return
+	}
+	if zb0011 > z311325c6limitArrays {
+		err = msgp.ErrLimitExceeded
+		return
+	}
+	if cap(z.Suspects) >= int(zb0011) {
+		z.Suspects = z.Suspects[:zb0011]
+	} else {
+		z.Suspects = make([]Suspect, zb0011)
+	}
+	for za0007 := range z.Suspects {
+		bts, err = z.Suspects[za0007].UnmarshalMsg(bts)
+		if err != nil {
+			err = msgp.WrapError(err, "Suspects", za0007)
+			return
+		}
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z *Summary) Msgsize() (s int) {
+	s = 1 + msgp.ArrayHeaderSize
+	for za0001 := range z.Busy {
+		s += z.Busy[za0001].Msgsize()
+	}
+	s += msgp.ArrayHeaderSize
+	for za0002 := range z.Changes {
+		s += z.Changes[za0002].Msgsize()
+	}
+	s += msgp.ArrayHeaderSize
+	for za0003 := range z.Confirmed {
+		s += 1 + msgp.StringPrefixSize + len(z.Confirmed[za0003].Host) + msgp.Uint8Size
+	}
+	s += msgp.ArrayHeaderSize
+	for za0004 := range z.Lost {
+		s += msgp.StringPrefixSize + len(z.Lost[za0004])
+	}
+	s += msgp.ArrayHeaderSize + (len(z.Paces) * (20 + msgp.Uint64Size + msgp.IntSize + msgp.IntSize)) + msgp.BoolSize + msgp.ArrayHeaderSize + (len(z.Speed) * (20 + msgp.IntSize + msgp.IntSize + msgp.IntSize)) + msgp.ArrayHeaderSize
+	for za0007 := range z.Suspects {
+		s += z.Suspects[za0007].Msgsize()
+	}
+	return
+}
+
 // MarshalMsg implements msgp.Marshaler
 func (z *Suspect) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
@@ -5801,69 +6584,3 @@
 	s = 1 + msgp.StringPrefixSize + len(z.Model) + msgp.Uint64Size
 	return
 }
-
-// MarshalMsg implements msgp.Marshaler
-func (z *Zone) MarshalMsg(b []byte) (o []byte, err error) {
-	o = msgp.Require(b, z.Msgsize())
-	// array header, size 2
-	o = append(o, 0x92)
-	o = msgp.AppendArrayHeader(o, uint32(len(z.Gates)))
-	for za0001 := range z.Gates {
-		o = msgp.AppendString(o, z.Gates[za0001])
-	}
-	o = msgp.AppendString(o, z.Name)
-	return
-}
-
-// UnmarshalMsg implements msgp.Unmarshaler
-func (z *Zone) UnmarshalMsg(bts []byte) (o []byte, err error) {
-	var zb0001 uint32
-	zb0001, bts, err = msgp.ReadArrayHeaderBytes(bts)
-	if err != nil {
-		err = msgp.WrapError(err)
-		return
-	}
-	if zb0001 != 2 {
-		err = msgp.ArrayError{Wanted: 2, Got: zb0001}
-		return
-	}
-	var zb0002 uint32
-	zb0002, bts, err = msgp.ReadArrayHeaderBytes(bts)
-	if err != nil {
-		err = msgp.WrapError(err, "Gates")
-		return
-	}
-	if zb0002 > z311325c6limitArrays {
-		err = msgp.ErrLimitExceeded
-		return
-	}
-	if cap(z.Gates) >= int(zb0002) {
-		z.Gates = z.Gates[:zb0002]
-	} else {
-		z.Gates = make([]string, zb0002)
-	}
-	for za0001 := range z.Gates {
-		z.Gates[za0001], bts, err = msgp.ReadStringBytes(bts)
-		if err != nil {
-			err = msgp.WrapError(err, "Gates", za0001)
-			return
-		}
-	}
-	z.Name, bts, err = msgp.ReadStringBytes(bts)
-	if err != nil {
-		err = msgp.WrapError(err, "Name")
-		return
-	}
-	o = bts
-	return
-}
-
-// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
-func (z *Zone) Msgsize() (s int) {
-	s = 1 + msgp.ArrayHeaderSize
-	for za0001 := range z.Gates {
-		s += msgp.StringPrefixSize + len(z.Gates[za0001])
-	}
-	s += msgp.StringPrefixSize + len(z.Name)
-	return
-}
--- a/internal/process/beechgate/configuration.go
+++ b/internal/process/beechgate/configuration.go
@@ -36,6 +36,7 @@
 		g.limitConnections(c)
 		g.log.Info("configuration in force", zap.Uint64("version", c.Version), zap.Uint64("revision", c.Revision), zap.Int("routes", len(c.Routes)))
 		if previous == nil {
+			g.refreshDuty()
 			g.requestFollow()
 		}
 	}
@@ -111,9 +112,38 @@
 			g.deps.Pool.CloseIdle(s.Address)
 		}
 	}
-	if len(previous) == 0 && len(servers) > 0 {
-		g.requestFollow()
+	g.updateStates(previous, servers)
+}
+
+// updateStates applies the states of engines that were heard of before they were listed, and
+// drops those of engines that are gone.
+func (g *Gate) updateStates(previous, servers []beechcall.Server) {
+	known := make(map[netip.AddrPort]bool, len(previous))
+	for _, s := range previous {
+		known[s.Address] = true
+	}
+	hosts := make(map[netip.Addr]bool, len(servers))
+	added := make(map[netip.AddrPort]bool)
+	for _, s := range servers {
+		hosts[s.Address.Addr()] = true
+		if !known[s.Address] {
+			added[s.Address] = true
+		}
+	}
+	g.board.Forget(func(host netip.Addr) bool { return hosts[host] })
+	if len(added) == 0 {
+		return
+	}
+	g.refreshDuty()
+	for _, state := range g.board.States() {
+		if added[state.Engine] {
+			g.applyState(state)
+		}
+	}
+	if len(previous) == 0 {
+		g.askForStates()
 	}
+	g.requestFollow()
 }
 
 // logServerChanges logs changes of the server list: one line in total, and one for each server
--- /dev/null
+++ b/internal/process/beechgate/copies.go
@@ -0,0 +1,427 @@
+package beechgate
+
+import (
+	"bytes"
+	"cmp"
+	"compress/gzip"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"net/netip"
+	"net/url"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/beechring/beechring/internal/link/beechdatagram"
+	"github.com/beechring/beechring/internal/link/beechwire"
+	"github.com/beechring/beechring/internal/process/beechtask"
+	"github.com/beechring/beechring/internal/state/beechmirror"
+	"github.com/beechring/beechring/internal/state/beechreader"
+)
+
+const (
+	// inquiryInterval is the interval of inquiries to the gates that read the store for this
+	// one. A lost inquiry makes the mirrors older by one interval, which leaves them younger
+	// than the age at which this gate reads itself.
+	inquiryInterval = 300 * time.Millisecond
+	// startInterval is that of a gate that has no configuration yet.
+	startInterval = 60 * time.Millisecond
+	// startWait is the time from the start of all gates at once until the first reads the
+	// store: by then they know one another.
+	startWait = 400 * time.Millisecond
+
+	// maxEntriesPerDatagram is chosen for some 400 bytes per server entry.
+	maxEntriesPerDatagram = 16
+	// maxForwardedEntry is the size in bytes up to which entries are forwarded; a full
+	// datagram of such entries is far below the maximum size.
+	maxForwardedEntry = 768
+	// nominalRevoke is the operators' bound for keys on which operatorReadAges are based.
+	nominalRevoke = 5 * time.Second
+
+	copyPath       = "/copy"
+	copyTimeout    = 700 * time.Millisecond
+	copySpread     = 60 * time.Millisecond // so that not all gates of a zone fetch a copy at once
+	maxCopyBytes   = 16 << 20
+	copyIdleTime   = 10 * time.Second
+	headerReadTime = 2 * time.Second
+)
+
+var (
+	// operatorReadAges are the ages at which a gate reads the operators' documents itself. At
+	// 2.75 s (0.55 of the nominal bound of 5 s for keys) a gate stops asking for new
+	// connections, and up to 2.6 s it answers 401 and 404, so the last gate must have read
+	// before. Copies are proved by inquiries over two steps, so that a follower's copy is up
+	// to two intervals older than the first reader's. Under a shorter bound the ages shrink in
+	// proportion.
+	operatorReadAges = beechreader.Schedule{
+		First: time.Second, Second: 1700 * time.Millisecond, ZoneFirst: 2000 * time.Millisecond, ZoneSecond: 2200 * time.Millisecond, Others: 2400 * time.Millisecond,
+	}
+	// serverReadAges are the corresponding ages for servers' entries. Keepers report most
+	// changes sooner; these reads compensate for a watch that has stopped delivering.
+	serverReadAges = beechreader.Schedule{
+		First: 4 * time.Second, Second: 4700 * time.Millisecond, ZoneFirst: 5000 * time.Millisecond, ZoneSecond: 5200 * time.Millisecond, Others: 5400 * time.Millisecond,
+	}
+
+	errCopyStatus = errors.New("unexpected status")
+)
+
+// copies fetches whole copies of the store's prefixes from other gates, and hands them out.
+type copies struct {
+	client *http.Client
+
+	mu       sync.Mutex
+	fetching map[string]bool           // by prefix
+	packed   map[string]packedSnapshot // by prefix
+}
+
+// packedSnapshot is a copy as it is handed out.
+type packedSnapshot struct {
+	held beechmirror.Held
+	data []byte
+}
+
+func newCopies() *copies {
+	dialer := &net.Dialer{Timeout: copyTimeout}
+	return &copies{
+		client:   &http.Client{Timeout: copyTimeout, Transport: &http.Transport{DialContext: dialer.DialContext, IdleConnTimeout: copyIdleTime, MaxIdleConnsPerHost: 1}},
+		fetching: make(map[string]bool), packed: make(map[string]packedSnapshot),
+	}
+}
+
+// inquireReaders asks the gates that read the store how old their mirrors are. If each gate
+// read and watched both prefixes itself, that would account for most calls to the store, and
+// each call is paid for.
+func (g *Gate) inquireReaders(ctx context.Context) error {
+	for ctx.Err() == nil {
+		interval := inquiryInterval
+		if g.configuration.Load() == nil {
+			interval = startInterval
+		}
+		g.inquire()
+		select {
+		case <-g.clock.After(interval):
+		case <-g.inquiryDue:
+		case <-ctx.Done():
+		}
+	}
+	return ctx.Err()
+}
+
+func (g *Gate) inquire() {
+	role := beechreader.Follower
+	if g.topology.Load().settled {
+		role = g.readers.Role()
+	}
+	revoke := time.Duration(g.bounds.Load().Revoke)
+	g.operatorMirror.SetMaxAge(operatorReadAges.Scaled(min(float64(revoke)/float64(nominalRevoke), 1)).ForRole(role), role == beechreader.First)
+	g.serverMirror.SetMaxAge(serverReadAges.ForRole(role), role == beechreader.First)
+	targets := g.readers.Targets()
+	if len(targets) == 0 || g.Draining() {
+		return
+	}
+	number := g.readers.StartInquiry(g.deps.Age.Now())
+	for _, to := range targets {
+		if err := g.socket.Send(to, g.scopeToGate(to), beechdatagram.Inquiry{Inquiry: &beechwire.Inquiry{Number: number}}); err != nil {
+			g.log.Debug("send to gate failed", zap.Error(err))
+		}
+	}
+}
+
+// sendProof tells other gates about this gate's mirrors. With the number of an inquiry it proves
+// their age; with 0 it only tells their contents.
+func (g *Gate) sendProof(to []netip.AddrPort, number uint64) {
+	proof := beechdatagram.Proof{Proof: &beechwire.Proof{Number: number, Operators: g.heldCopy(g.operatorMirror), Servers: g.heldCopy(g.serverMirror)}}
+	for _, peer := range to {
+		if err := g.socket.Send(peer, g.scopeToGate(peer), proof); err != nil {
+			g.log.Debug("send to gate failed", zap.Error(err))
+		}
+	}
+}
+
+// heldCopy describes a mirror. Its age is rounded up, so that peers never take it for younger
+// than it is. A reader of a zone also counts as watching while a reader of the fleet does;
+// these count only their own watch, since they ask each other.
+func (g *Gate) heldCopy(m *beechmirror.Mirror) beechwire.Held {
+	status, age, known := m.Status()
+	if !known {
+		return beechwire.Held{Age: -1}
+	}
+	held, _ := m.Held()
+	watched := status.Watching
+	if role := g.readers.Role(); role == beechreader.ZoneFirst || role == beechreader.ZoneSecond {
+		watched = watched || m.WatchedByPeer()
+	}
+	return beechwire.Held{Digest: held.Digest, Revision: held.Revision, Age: (age + time.Millisecond - 1).Milliseconds(), Watched: watched}
+}
+
+func (g *Gate) receiveInquiry(from netip.AddrPort, number uint64) {
+	g.sendProof([]netip.AddrPort{from}, number)
+}
+
+func (g *Gate) receiveProof(from netip.AddrPort, p beechdatagram.Proof) {
+	if !g.isKnownGate(from) {
+		return
+	}
+	g.applyProof(from, g.operatorMirror, g.deps.OperatorPrefix, p.Number, p.Operators)
+	g.applyProof(from, g.serverMirror, g.deps.ServerPrefix, p.Number, p.Servers)
+}
+
+func (g *Gate) applyProof(from netip.AddrPort, m *beechmirror.Mirror, prefix string, number uint64, h beechwire.Held) {
+	if h.Age < 0 {
+		return
+	}
+	confirmed, proof := g.readers.ConfirmedAt(number, time.Duration(h.Age)*time.Millisecond)
+	status := beechmirror.CopyStatus{Digest: h.Digest, Watching: h.Watched, Confirmed: proof, ConfirmedAt: confirmed}
+	held, known := m.Held()
+	switch {
+	case known && held.Digest == h.Digest:
+		m.ApplyPeerStatus(status)
+		if proof {
+			g.metrics.vouches.Add("same copy", 1)
+		} else {
+			g.metrics.vouches.Add("no proof", 1)
+		}
+	case known && h.Revision < held.Revision:
+		g.metrics.vouches.Add("older copy", 1)
+	default:
+		g.metrics.vouches.Add("another copy", 1)
+		g.fetchCopy(from, m, prefix, status)
+	}
+}
+
+// fetchCopy fetches a whole copy from another gate in the background, one at a time for each
+// prefix. If that fails this gate watches the store itself.
+func (g *Gate) fetchCopy(from netip.AddrPort, m *beechmirror.Mirror, prefix string, status beechmirror.CopyStatus) {
+	c := g.copies
+	c.mu.Lock()
+	busy := c.fetching[prefix]
+	c.fetching[prefix] = true
+	c.mu.Unlock()
+	if busy {
+		return
+	}
+	go func() {
+		defer func() {
+			c.mu.Lock()
+			delete(c.fetching, prefix)
+			c.mu.Unlock()
+		}()
+		if g.readers.Role() == beechreader.Follower {
+			g.clock.Sleep(rand.N(copySpread))
+		}
+		page, err := c.fetch(context.Background(), from, prefix)
+		if err != nil || !m.ApplyPeerCopy(page) {
+			g.log.Debug("copy not taken from gate", zap.Stringer("peer", from), zap.String("prefix", prefix), zap.Error(err))
+			m.ApplyPeerStatus(status)
+			return
+		}
+		g.metrics.copiesFetched.Add(1)
+		g.announceCopy()
+		beechtask.Notify(g.inquiryDue)
+	}()
+}
+
+// fetch returns the items under a prefix as another gate holds them. Errors name the step and
+// the peer.
+func (c *copies) fetch(ctx context.Context, from netip.AddrPort, prefix string) (beechmirror.Page, error) {
+	address := url.URL{Scheme: "http", Host: from.String(), Path: copyPath, RawQuery: url.Values{"prefix": {prefix}}.Encode()}
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, address.String(), nil)
+	if err != nil {
+		return beechmirror.Page{}, fmt.Errorf("fetch %s from %s: %w", prefix, from, err)
+	}
+	response, err := c.client.Do(request)
+	if err != nil {
+		return beechmirror.Page{}, fmt.Errorf("fetch %s from %s: %w", prefix, from, err)
+	}
+	defer response.Body.Close()
+	data, err := io.ReadAll(io.LimitReader(response.Body, maxCopyBytes))
+	if err == nil && response.StatusCode != http.StatusOK {
+		err = fmt.Errorf("%w %d", errCopyStatus, response.StatusCode)
+	}
+	var entries beechwire.Entries
+	if err == nil {
+		_, err = entries.UnmarshalMsg(data)
+	}
+	if err != nil {
+		return beechmirror.Page{}, fmt.Errorf("fetch %s from %s: %w", prefix, from, err)
+	}
+	return entriesPage(&entries), nil
+}
+
+// serveCopy hands out a copy. It has the keys of all workspaces, so only other gates get it.
+func (g *Gate) serveCopy(w http.ResponseWriter, r *http.Request) {
+	remote, err := netip.ParseAddrPort(r.RemoteAddr)
+	if err != nil || !g.isGateHost(remote.Addr().Unmap()) {
+		g.metrics.unknownSenders.Add(1)
+		http.Error(w, "not a gate of this fleet", http.StatusForbidden)
+		return
+	}
+	var m *beechmirror.Mirror
+	switch r.URL.Query().Get("prefix") {
+	case g.deps.OperatorPrefix:
+		m = g.operatorMirror
+	case g.deps.ServerPrefix:
+		m = g.serverMirror
+	default:
+		http.NotFound(w, r)
+		return
+	}
+	data, known, err := g.copies.pack(r.URL.Query().Get("prefix"), m)
+	if err != nil || !known {
+		http.Error(w, "no copy", http.StatusServiceUnavailable)
+		return
+	}
+	w.Header().Set("Content-Encoding", "gzip")
+	_, _ = w.Write(data) // the other gate notices a short answer
+}
+
+func (g *Gate) isGateHost(host netip.Addr) bool {
+	for gate := range g.topology.Load().zoneOf {
+		if gate.Addr() == host {
+			return true
+		}
+	}
+	return host == g.members.Self().Addr()
+}
+
+// pack returns a mirror's copy, encoded and compressed once for all gates that fetch it.
+func (c *copies) pack(prefix string, m *beechmirror.Mirror) (data []byte, known bool, err error) {
+	held, known := m.Held()
+	if !known {
+		return nil, false, nil
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if p, ok := c.packed[prefix]; ok && p.held == held {
+		return p.data, true, nil
+	}
+	page, _ := m.Copy()
+	entries := beechwire.Entries{Revision: page.Revision, List: wireEntries(page.Items)}
+	encoded, err := entries.MarshalMsg(nil)
+	if err != nil {
+		return nil, true, err
+	}
+	var buffer bytes.Buffer
+	zipped, err := gzip.NewWriterLevel(&buffer, gzip.BestSpeed)
+	if err != nil {
+		return nil, true, err
+	}
+	_, err = zipped.Write(encoded)
+	if err = errors.Join(err, zipped.Close()); err != nil {
+		return nil, true, err
+	}
+	c.packed[prefix] = packedSnapshot{held: held, data: buffer.Bytes()}
+	return buffer.Bytes(), true, nil
+}
+
+// copyServer returns the server from which other gates fetch copies.
+func (g *Gate) copyServer() *http.Server {
+	mux := http.NewServeMux()
+	mux.HandleFunc(copyPath, g.serveCopy)
+	return &http.Server{Handler: mux, ReadHeaderTimeout: headerReadTime, IdleTimeout: copyIdleTime, ErrorLog: zap.NewStdLog(g.log)}
+}
+
+// audience returns the gates that this one tells of changes: the first reader of the fleet
+// tells the readers of all zones, and the first reader of a zone tells the others of it.
+func (g *Gate) audience() []netip.AddrPort {
+	t := g.topology.Load()
+	var list []netip.AddrPort
+	role := g.readers.Role()
+	if role == beechreader.First {
+		for zone := range t.otherZones {
+			list = append(list, t.readers[zone][1]...)
+		}
+		list = append(list, t.readers[g.settings.Zone][0]...)
+	}
+	if zone := t.readers[g.settings.Zone][1]; len(zone) > 0 && zone[0] == g.members.Self() {
+		list = append(list, t.zone...)
+	}
+	slices.SortFunc(list, netip.AddrPort.Compare)
+	return slices.DeleteFunc(slices.Compact(list), func(a netip.AddrPort) bool { return a == g.members.Self() })
+}
+
+// announceCopy tells the gates that rely on this one that its copy has changed.
+func (g *Gate) announceCopy() {
+	if to := g.audience(); len(to) > 0 {
+		g.sendProof(to, 0)
+	}
+}
+
+// forwardChanges sends changes from the store's watch to the gates that rely on this one. A
+// whole configuration is too large for a datagram: then they are only told that the mirror has
+// changed, and fetch the copy.
+func (g *Gate) forwardChanges(c beechmirror.Changes) {
+	to := g.audience()
+	if len(to) == 0 {
+		return
+	}
+	if slices.ContainsFunc(c.Items, func(item beechmirror.Item) bool { return len(item.Value) > maxForwardedEntry }) {
+		g.sendProof(to, 0)
+		return
+	}
+	for _, entries := range packEntries(c) {
+		for _, peer := range to {
+			if err := g.socket.Send(peer, g.scopeToGate(peer), beechdatagram.Entries{Entries: entries}); err != nil {
+				g.log.Debug("send to gate failed", zap.Error(err))
+			}
+		}
+	}
+}
+
+// packEntries splits changes into messages that fit into a datagram each.
+func packEntries(c beechmirror.Changes) []*beechwire.Entries {
+	slices.SortFunc(c.Items, func(x, y beechmirror.Item) int { return cmp.Compare(x.Revision, y.Revision) })
+	var messages []*beechwire.Entries
+	after := c.After
+	for list := range slices.Chunk(c.Items, maxEntriesPerDatagram) {
+		message := &beechwire.Entries{After: after, Revision: list[len(list)-1].Revision, List: wireEntries(list)}
+		after = message.Revision
+		messages = append(messages, message)
+	}
+	if len(messages) > 0 {
+		messages[len(messages)-1].Revision = c.Revision
+	}
+	return messages
+}
+
+func wireEntries(items []beechmirror.Item) []beechwire.Entry {
+	list := make([]beechwire.Entry, 0, len(items))
+	for _, item := range items {
+		list = append(list, beechwire.Entry{Key: item.Key, Value: item.Value, Revision: item.Revision, Created: item.Created, Removed: item.Removed})
+	}
+	return list
+}
+
+func entriesPage(e *beechwire.Entries) beechmirror.Page {
+	page := beechmirror.Page{Revision: e.Revision}
+	for _, entry := range e.List {
+		page.Items = append(page.Items, beechmirror.Item{
+			Key: entry.Key, Value: entry.Value, Revision: entry.Revision, Created: entry.Created, Removed: entry.Removed,
+		})
+	}
+	return page
+}
+
+// receiveEntries applies changes that a reader has forwarded, and forwards them if others rely
+// on this gate.
+func (g *Gate) receiveEntries(from netip.AddrPort, e beechdatagram.Entries) {
+	if !g.isKnownGate(from) || len(e.List) == 0 {
+		return
+	}
+	changes := beechmirror.Changes{After: e.After, Page: entriesPage(e.Entries)}
+	m := g.serverMirror
+	if strings.HasPrefix(e.List[0].Key, g.deps.OperatorPrefix) {
+		m = g.operatorMirror
+	}
+	if m.ApplyPeerChanges(changes) {
+		g.forwardChanges(changes)
+	}
+}
--- a/internal/process/beechgate/gate.go
+++ b/internal/process/beechgate/gate.go
@@ -17,9 +17,11 @@
 	"github.com/thejerf/suture/v4"
 	"go.uber.org/zap"
 
+	"github.com/beechring/beechring/internal/decision/beechgossip"
 	"github.com/beechring/beechring/internal/decision/beechhealth"
 	"github.com/beechring/beechring/internal/decision/beechquota"
 	"github.com/beechring/beechring/internal/decision/beechsaturation"
+	"github.com/beechring/beechring/internal/decision/beechsummary"
 	"github.com/beechring/beechring/internal/decision/beechsuspect"
 	"github.com/beechring/beechring/internal/decision/beechthrottle"
 	"github.com/beechring/beechring/internal/link/beechdatagram"
@@ -73,10 +75,16 @@
 		quotas         *beechquota.Limiter
 		limits         *beechthrottle.Throttle  // request limits that servers announce
 		overloaded     *beechsaturation.Tracker // servers that reject requests
-		otherZones     *roster                  // gates of the other zones
+		members        *beechgossip.Group       // all gates
+		topology       atomic.Pointer[topology] // what follows from the members
+		topologyMutex  sync.Mutex               // held while the topology is derived
+		board          *beechsummary.Board      // states of all engines
+		bulletin       *beechsummary.Bulletin   // measurements of other gates, to be handed on
+		ownPaces       ownPaces
+		copies         *copies
 		core           *beechattempt.Dispatcher
 		socket         *beechdatagram.Socket
-		peers          *beechreader.Group // gates of this zone, which share their reads of the store
+		readers        *beechreader.Group // gates that read the store for this one
 		operatorMirror *beechmirror.Mirror
 		serverMirror   *beechmirror.Mirror
 		supervisor     *suture.Supervisor
@@ -87,7 +95,7 @@
 		announced   map[string]announcedVersion
 		servers     []beechcall.Server
 		gates       int
-		recentGates recentMax // maximum of the gate counts that keepers report
+		recentGates recentMax // maximum of the numbers of members
 
 		rolloutPace  *beechrollout.LoadWindow
 		entryError   string        // current errors in servers' entries
@@ -96,6 +104,8 @@
 		usageDue     chan struct{} // signals that quota usage should be sent to the other gates now
 		limitsDue    chan struct{} // signals that usage of servers' limits should be sent now
 		overloadsDue chan struct{} // signals that overloaded servers should be sent now
+		summariesDue chan struct{} // signals that sendSummaries should look what is due
+		inquiryDue   chan struct{} // signals that the readers should be asked now
 	}
 )
 
@@ -107,7 +117,6 @@
 	serverWatchTimeout   = 25 * time.Second
 	removalDelay         = 2200 * time.Millisecond // entries that expired while the store was down return within two seconds
 	followInterval       = 700 * time.Millisecond
-	otherZoneRounds      = 2                       // every n-th round reaches keepers of other zones, since traffic between zones is paid for by the byte
 	kvStoreProbeInterval = 1500 * time.Millisecond // each probe is a connection that is paid for
 	tickInterval         = 500 * time.Millisecond
 	// trafficLogInterval limits the traffic log to four lines a minute and host.
@@ -143,18 +152,23 @@
 	}
 	g := &Gate{
 		settings: s, deps: deps, log: deps.Log, clock: deps.Clock, socket: socket,
-		peers:       beechreader.New(socket.Address()),
+		readers:     beechreader.New(socket.Address()),
+		board:       beechsummary.New(beechsummary.DefaultSettings, deps.Clock),
+		bulletin:    beechsummary.NewBulletin(),
+		copies:      newCopies(),
 		freshness:   beechfresh.New(deps.Age),
 		health:      beechhealth.New(healthSettings, deps.Clock),
 		suspects:    beechsuspect.New(beechsuspect.Settings{}, deps.Clock),
 		quotas:      beechquota.New(s.Name, rand.Uint64(), quotaBounds(s.Bounds.Quota), deps.Clock),
-		otherZones:  newRoster(),
 		budgets:     NewBudgets(s.Bounds.Retries, s.Bounds.Spare, time.Duration(s.Bounds.Window), deps.Clock),
 		announced:   make(map[string]announcedVersion),
 		rolloutPace: beechrollout.NewLoadWindow(),
 		followDue:   make(chan struct{}, 1),
 		turnEnded:   make(chan struct{}, 1), usageDue: make(chan struct{}, 1), limitsDue: make(chan struct{}, 1), overloadsDue: make(chan struct{}, 1),
+		summariesDue: make(chan struct{}, 1), inquiryDue: make(chan struct{}, 1),
 	}
+	g.members = newGossip(g)
+	g.topology.Store(&topology{gates: 1})
 	g.bounds.Store(&s.Bounds)
 	g.limits = beechthrottle.New(s.Name, rand.Uint64(), deps.Age, deps.Clock, g.logLimitEvent, g.wakeLimitSender)
 	g.metrics = newMetrics(g)
@@ -166,10 +180,10 @@
 	}, deps.Clock, g.health, g.limits, g.overloaded, g.announcePrompt)
 	g.core = beechattempt.New(g.placer, deps.Backend, deps.Pool, g.budgets, g.suspects, g, deps.Clock, deps.Log)
 	g.serverMirror = beechmirror.New(beechmirror.Settings{
-		Prefix: deps.ServerPrefix, MaxAge: serverReadAges.First, ReadTimeout: readTimeout, WatchTimeout: serverWatchTimeout, WatchPause: serverWatchPause, RemovalDelay: removalDelay, Forward: g.forwardChanges,
+		Prefix: deps.ServerPrefix, MaxAge: serverReadAges.Others, StartAge: serverReadAges.First - startWait, ReadTimeout: readTimeout, WatchTimeout: serverWatchTimeout, WatchPause: serverWatchPause, RemovalDelay: removalDelay, Forward: g.forwardChanges,
 	}, deps.Source, beechfresh.New(deps.Age), deps.Clock, deps.Log, g.setServers)
 	g.operatorMirror = beechmirror.New(beechmirror.Settings{
-		Prefix: deps.OperatorPrefix, MaxAge: operatorReadAges.First, ReadTimeout: readTimeout, WatchTimeout: operatorWatchTimeout, WatchPause: operatorWatchPause, OnStoreLost: g.serverMirror.ReadNow, Forward: g.forwardChanges,
+		Prefix: deps.OperatorPrefix, MaxAge: operatorReadAges.Others, StartAge: operatorReadAges.First - startWait, ReadTimeout: readTimeout, WatchTimeout: operatorWatchTimeout, WatchPause: operatorWatchPause, OnStoreLost: g.serverMirror.ReadNow, Forward: g.forwardChanges,
 	}, deps.Source, g.freshness, deps.Clock, deps.Log, g.setOperators)
 	g.supervisor = suture.New("gate", suture.Spec{EventHook: beechlog.SupervisorHook(deps.Log)})
 	for _, task := range []beechtask.Task{
@@ -179,9 +193,11 @@
 		{Name: "watch servers", Run: g.serverMirror.Watch},
 		{Name: "follow keepers", Run: g.followKeepers},
 		{Name: "receive messages", Run: func(ctx context.Context) error { return g.socket.Receive(ctx, g.receive) }},
-		{Name: "inquire peers", Run: g.inquirePeers},
+		{Name: "gossip", Run: g.gossip},
+		{Name: "inquire readers", Run: g.inquireReaders},
+		{Name: "send summaries", Run: g.sendSummaries},
+		{Name: "send news", Run: g.sendNews},
 		{Name: "send usage", Run: g.sendUsage},
-		{Name: "send paces", Run: g.sendPaces},
 		{Name: "send limits", Run: g.sendLimits},
 		{Name: "send overloads", Run: g.sendOverloads},
 		{Name: "log traffic", Run: g.logTraffic},
@@ -226,10 +242,17 @@
 		beechframing.ConnState(c, state)
 		idle.trackState(c, state)
 	}
+	copyListener, err := net.Listen("tcp4", g.socket.Address().String())
+	if err != nil {
+		return fmt.Errorf("listen for gates: %w", err)
+	}
+	copyServer := g.copyServer()
+	defer copyServer.Close()
 	readyServer := &http.Server{Handler: ready, ReadHeaderTimeout: headerTimeout, ErrorLog: zap.NewStdLog(g.log)}
-	failed := make(chan error, 2)
+	failed := make(chan error, 3)
 	go func() { failed <- server.Serve(beechframing.Listen(callerListener)) }()
 	go func() { failed <- readyServer.Serve(readyListener) }()
+	go func() { failed <- copyServer.Serve(copyListener) }()
 	supervised := g.supervisor.ServeBackground(background)
 	g.log.Info("gate started", zap.Stringer("listen", g.settings.Listen), zap.String("zone", g.settings.Zone))
 	select {
@@ -249,6 +272,8 @@
 	start := g.clock.Now()
 	g.draining.Store(true)
 	g.log.Info("gate leaving")
+	g.leave()
+	g.refreshDuty()
 	g.clock.Sleep(drainDelay)
 	remaining := time.Duration(g.bounds.Load().Grace) - stopMargin - g.clock.Since(start)
 	ctx, cancel := clockwork.WithTimeout(context.Background(), g.clock, remaining)
@@ -302,7 +327,7 @@
 		if slow := slowEngines(g.placer.Paces()); len(slow) > 0 {
 			g.log.Info("engines slower than the median", zap.Any("times", slow))
 		}
-		g.log.Info("traffic", beechlog.Counts("datagrams", g.socket.SentBytes()), beechlog.Counts("bodies", g.metrics.bodies), beechlog.Counts("store", g.deps.StoreUse))
+		g.log.Info("traffic", zap.Any("members", g.members.Counts()), zap.Any("states", g.board.Counts()), beechlog.Counts("datagrams", g.socket.SentBytes()), beechlog.Counts("bodies", g.metrics.bodies), beechlog.Counts("store", g.deps.StoreUse))
 	})
 }
 
--- a/internal/process/beechgate/rollout.go
+++ b/internal/process/beechgate/rollout.go
@@ -20,8 +20,12 @@
 // turn has ended. If it waited for the next round, turns of half a second would be followed by
 // idle time of the same length.
 func (g *Gate) grantTurns() {
+	servers := g.collectedServers()
+	if len(servers) == 0 {
+		return
+	}
 	targets := g.targets()
-	for _, s := range g.keeperServers() {
+	for _, s := range servers {
 		if slices.ContainsFunc(targets[s.ID], func(t beechwire.Target) bool { return t.Granted }) {
 			g.sendFollow(s, targets[s.ID], beechconvert.WireSuspects(nil))
 		}
--- a/internal/process/beechkeeper/cache.go
+++ b/internal/process/beechkeeper/cache.go
@@ -16,8 +16,8 @@
 	listed bool // the cache was listed at the start of this epoch
 }
 
-// keyQueue holds keys to be sent to a recipient. Each is sent several times, since a
-// datagram may be lost.
+// keyQueue holds keys to be sent to gates. Each is sent several times, since a datagram
+// may be lost.
 type keyQueue struct {
 	keys       []uint64
 	sendCounts []int
@@ -149,25 +149,12 @@
 }
 
 // addPart records a part that is in the engine's cache, or will be once announced prompts
-// are prefilled, and queues it for all recipients. The caller holds the lock.
+// are prefilled, and queues it. The caller holds the lock.
 func (k *Keeper) addPart(part uint64, stored bool) {
 	k.cachedParts.Add(part, struct{}{})
-	for r := range k.recipients() {
-		r.added.add(part)
-		if stored {
-			r.stored.add(part)
-		}
-	}
-}
-
-// queueAllParts queues the most recent cached parts for a new gate. A gate that has just
-// started knows none; it would send each history to another engine, which would have to
-// prefill or fetch it. All of that would fall into the first second, and some answers would
-// be late. The caller holds the lock.
-func (k *Keeper) queueAllParts(gate *gateState) {
-	keys := k.cachedParts.Keys()
-	for _, part := range keys[max(len(keys)-maxKeysPerMessage, 0):] {
-		gate.added.add(part)
+	k.added.add(part)
+	if stored {
+		k.stored.add(part)
 	}
 }
 
@@ -190,10 +177,8 @@
 	k.cachedParts.Purge()
 }
 
-// queueRemoval queues a part's removal for all recipients. The caller holds the lock.
+// queueRemoval queues a part's removal. The caller holds the lock.
 func (k *Keeper) queueRemoval(part uint64) {
-	for r := range k.recipients() {
-		r.added.remove(part)
-		r.removed.add(part)
-	}
+	k.added.remove(part)
+	k.removed.add(part)
 }
--- a/internal/process/beechkeeper/keeper.go
+++ b/internal/process/beechkeeper/keeper.go
@@ -80,38 +80,34 @@
 		metrics    *metrics
 		wake       chan struct{}
 
-		mu           sync.Mutex
-		updater      *beechrollout.Updater
-		gates        map[netip.AddrPort]*gateState
-		relayedZones map[string]*recipient // zones that receive messages through relays
-		lastNumber   uint32                // sequence number of the last state message
-		lastReport   Report
-		backlog      beechrollout.PrefillBacklog
-		cachedParts  *lru.Cache[uint64, struct{}] // announced or listed, and not known to be evicted
-		phase        beechrollout.Phase
+		mu          sync.Mutex
+		updater     *beechrollout.Updater
+		gates       map[netip.AddrPort]*gateState // that follow
+		lastNumber  uint32                        // sequence number of the last state message
+		lastReport  Report
+		backlog     beechrollout.PrefillBacklog
+		cachedParts *lru.Cache[uint64, struct{}] // announced or listed, and not known to be evicted
+		phase       beechrollout.Phase
+		added       keyQueue // parts that came into the cache
+		removed     keyQueue // parts that the cache has evicted
+		stored      keyQueue // parts that were also sent to the KV cache store
+		sentAt      time.Time
+		sentState   urgentState // the last one sent
+		sentLoad    load
 	}
 
 	// gateState is a gate as this keeper knows it.
 	gateState struct {
-		recipient
-		zone        string
-		lastHeard   time.Time
-		peersSentAt time.Time // when it was last sent the list of gates
-	}
-
-	// urgentState is the part of the state whose changes are sent at once.
-	urgentState struct {
-		phase   beechrollout.Phase
-		version uint64
+		zone      string
+		lastHeard time.Time
 	}
 )
 
 const (
 	reportTimeout       = 400 * time.Millisecond
 	orderTimeout        = 800 * time.Millisecond
-	gateTimeout         = 4500 * time.Millisecond // three messages of a gate in another zone
+	gateTimeout         = 2500 * time.Millisecond // three messages of a gate
 	trafficInterval     = 15 * time.Second        // as in gates: four lines a minute per host
-	peersInterval       = time.Second             // between lists of gates sent to a gate of this zone
 	backlogPollInterval = 60 * time.Millisecond   // between reports while long prompts are prefilled
 	promptArrivalDelay  = 15 * time.Millisecond   // an announced prompt may arrive this much later
 	longPromptTokens    = 1500                    // prefilling more takes longer than a message to all gates
@@ -130,7 +126,7 @@
 	k := &Keeper{
 		settings: s, deps: deps, socket: socket,
 		suspects: beechsuspect.New(beechsuspect.Settings{}, deps.Clock),
-		updater:  beechrollout.NewUpdater(beechrollout.Settings{}), gates: make(map[netip.AddrPort]*gateState), relayedZones: make(map[string]*recipient),
+		updater:  beechrollout.NewUpdater(beechrollout.Settings{}), gates: make(map[netip.AddrPort]*gateState),
 		lastNumber: uint32(deps.Clock.Now().Unix()) << sequenceBits,
 		wake:       make(chan struct{}, 1), cachedParts: cachedParts,
 	}
@@ -165,6 +161,8 @@
 		k.receiveFollow(from, v)
 	case beechdatagram.Announce:
 		k.receiveAnnounce(v)
+	case beechdatagram.Gossip:
+		k.receiveGossip(from, v)
 	}
 }
 
@@ -191,8 +189,6 @@
 	if !known {
 		gate = &gateState{zone: follow.Zone}
 		k.gates[from] = gate
-		k.queueAllParts(gate)
-		k.updateRelays()
 	}
 	gate.lastHeard = now
 	k.backlog.ObserveRate(float64(follow.Rate), now)
@@ -202,17 +198,12 @@
 		}, now)
 	}
 	if !known || follow.Ask {
-		gate.peersSentAt = time.Time{} // it may have just started and know no other gate
-		k.notifyGate(from, gate, now)
+		k.notifyNewGate(from, gate, now)
 	}
 	k.mu.Unlock()
 	k.suspects.Merge(beechconvert.SuspectRecords(follow.Suspects))
 	if !known {
-		level := zap.DebugLevel
-		if k.scopeTo(gate) == beechdatagram.SameZone {
-			level = zap.InfoLevel // a line per keeper and gate would grow with the square of the fleet
-		}
-		k.deps.Log.Log(level, "gate follows", zap.String("gate", follow.Gate), zap.Stringer("peer", from))
+		k.deps.Log.Info("gate follows", zap.String("gate", follow.Gate), zap.Stringer("peer", from))
 	}
 	beechtask.Notify(k.wake)
 }
--- a/internal/process/beechsettings/settings.go
+++ b/internal/process/beechsettings/settings.go
@@ -97,6 +97,9 @@
 		Memory int            `json:"memory,omitempty"` // MB available to the process
 		Log    string         `json:"log,omitempty"`
 		Bounds GateBounds     `json:"bounds"`
+
+		Seeds []netip.AddrPort `json:"seeds,omitempty"` // of a few gates, which may be stale; heartbeats go to their IPs at the port of Beats
+		Cores float64          `json:"cores,omitempty"` // processor cores of the host; 0: not known
 	}
 
 	// GateBounds are the operators' guarantees that a gate must keep.
--- a/internal/request/beechplace/attempt.go
+++ b/internal/request/beechplace/attempt.go
@@ -86,7 +86,10 @@
 	}
 	a.placer.mu.Lock()
 	defer a.placer.mu.Unlock()
-	a.server.answerLoad, a.server.answerLoadAt, a.server.inFlightAtAnswer = l, a.placer.clock.Now(), a.server.inFlight
+	now := a.placer.clock.Now()
+	a.server.answerLoad, a.server.answerLoadAt, a.server.inFlightAtAnswer = l, now, a.server.inFlight
+	a.server.answerUnreported = !a.server.hasRecentReport(now)
+	a.placer.observeServiceLoad(a.server.Service, l)
 }
 
 // finishPrefill subtracts the attempt's prompt from the server's pending prefill.
--- a/internal/request/beechplace/choose.go
+++ b/internal/request/beechplace/choose.go
@@ -5,6 +5,8 @@
 	"slices"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/beechring/beechring/internal/decision/beechquota"
 	"github.com/beechring/beechring/internal/request/beechcall"
 	"github.com/beechring/beechring/internal/request/beechrollout"
@@ -38,6 +40,7 @@
 	now := p.clock.Now()
 	var best Choice
 	var limited []Choice
+	var bestServer *server
 	found := false
 	parts := p.sharedParts(call, now)
 	for _, s := range p.services[call.Service] {
@@ -49,8 +52,8 @@
 		case !ok:
 		case p.limits.Limited(s.ID):
 			limited = append(limited, c)
-		case !found || c.Cost < best.Cost:
-			best, found = c, true
+		case !found || c.Cost < best.Cost || (c.Cost == best.Cost && tieRank(call, s) < tieRank(call, bestServer)):
+			best, bestServer, found = c, s, true
 		}
 	}
 	if len(limited) == 0 {
@@ -59,6 +62,10 @@
 	return p.chooseWithLimited(best, found, limited)
 }
 
+// tieRank orders servers of the same cost differently for each call. With a fixed order, all
+// gates would send to the same one of many idle servers.
+func tieRank(call *beechcall.Call, s *server) uint64 { return xxhash.Sum64String(call.ID + s.ID) }
+
 // chooseWithLimited selects the cheapest of the best server without a limit, if any, and the
 // servers whose limit admits another request.
 func (p *Placer) chooseWithLimited(best Choice, found bool, limited []Choice) (Choice, bool) {
@@ -189,23 +196,6 @@
 	return plainUtilizationCost * p.estimatedLoad(s) / slots
 }
 
-// estimatedLoad returns the estimated number of running and waiting requests at a server. With
-// a recent keeper's report it is the reported number plus this gate's requests since then.
-// Otherwise it is the load in the server's last response, which as it ages is replaced by the
-// assumption that all gates send equally much.
-func (p *Placer) estimatedLoad(s *server) float64 {
-	if !s.reportedAt.IsZero() && p.clock.Since(s.reportedAt) < reportTTL {
-		return max(float64(s.state.Running+s.state.Waiting+s.inFlight-s.inFlightAtReport), float64(s.inFlight))
-	}
-	assumed := float64(s.inFlight * p.settings.Gates)
-	age := p.clock.Since(s.answerLoadAt)
-	if !s.answerLoad.Known || age >= answerLoadTTL {
-		return assumed
-	}
-	reported := float64(max(s.answerLoad.Running+s.answerLoad.Waiting-s.inFlightAtAnswer, 0) + s.inFlight)
-	return reported + (assumed-reported)*float64(age)/float64(answerLoadTTL)
-}
-
 func (p *Placer) utilizationCost(s *server, now time.Time) float64 {
 	slots := float64(max(s.slots, defaultSlots))
 	load := p.estimatedLoad(s)
--- a/internal/request/beechplace/placer.go
+++ b/internal/request/beechplace/placer.go
@@ -41,6 +41,7 @@
 		meanPrefill    float64      // running mean of the tokens that a request has to prefill
 		meanPrompt     float64      // running mean of the tokens of a prompt
 		residence      residenceTime
+		serviceLoads   map[string]float64   // by service: mean of the loads that its servers tell with answers
 		nextRetry      map[string]time.Time // by service: the latest retry time that a caller was given
 	}
 
@@ -52,6 +53,7 @@
 		replaced   bool // a different server answered at the address
 
 		reportedAt    time.Time // time of the keeper's last report; zero if there was none
+		confirmedAt   time.Time // until when the last report is known to hold
 		state         State
 		restartedAt   time.Time         // time at which a restart under the same ID was detected; zero if there was none
 		outdatedSince time.Time         // since when its weights are outdated, as its keeper reports; zero if they are current
@@ -59,7 +61,8 @@
 
 		answerLoad       beechcall.Load // load reported with its last response to this gate
 		answerLoadAt     time.Time
-		inFlightAtAnswer int // value of inFlight when answerLoad arrived
+		inFlightAtAnswer int  // value of inFlight when answerLoad arrived
+		answerUnreported bool // answerLoad was not yet sent to other gates
 
 		pace             pace
 		inFlight         int // requests of this gate that have not ended
@@ -92,11 +95,14 @@
 )
 
 const (
-	maxTrackedParts    = 8192 // distinct parts and salts; deployments use fewer than a thousand at once
+	// minTrackedParts and maxTrackedParts bound the distinct parts and salts whose locations are
+	// kept: partsPerServer for each server, at some 400 bytes each.
+	minTrackedParts    = 8192
+	maxTrackedParts    = 32768
+	partsPerServer     = 32
 	maxSources         = 4
-	reportTTL          = 1500 * time.Millisecond // a keeper sends several reports in this time
+	reportTTL          = 3 * time.Second         // collectors confirm each report every second, and tell at once if a keeper is silent
 	identityDoubtTime  = 1500 * time.Millisecond // a starting server registers at once, and the server list shows it within a second
-	keeperSilentAfter  = 900 * time.Millisecond  // two report intervals of the keeper of a busy engine, one of an idle engine's
 	answerLoadTTL      = 500 * time.Millisecond  // requests of other gates come and go within this time
 	rejectionPause     = 150 * time.Millisecond  // pause after a rejection without a recent keeper's report
 	minAnnouncedTokens = 1500                    // shorter prompts do not delay others for long
@@ -105,7 +111,7 @@
 
 // New returns a placer without servers.
 func New(s Settings, clock clockwork.Clock, health Health, limits *beechthrottle.Throttle, overloaded *beechsaturation.Tracker, announce Announce) *Placer {
-	locations, err := lru.New[uint64, *partLocations](maxTrackedParts)
+	locations, err := lru.New[uint64, *partLocations](minTrackedParts)
 	if err != nil {
 		panic(err) // unreachable: the size is a positive constant
 	}
@@ -114,7 +120,7 @@
 		settings: s, prefill: prefillModel{rate: s.PrefillRate}, clock: clock, health: health, limits: limits, overloaded: overloaded, announce: announce,
 		services: make(map[string][]*server), byID: make(map[string]*server), byAddress: make(map[netip.AddrPort]*server),
 		serviceConfigs: make(map[string]beechcall.Service), versions: make(map[string]*beechrollout.VersionHistory), locations: locations,
-		nextRetry: make(map[string]time.Time),
+		serviceLoads: make(map[string]float64), nextRetry: make(map[string]time.Time),
 	}
 }
 
@@ -147,6 +153,7 @@
 		p.assignAddress(s)
 		p.services[entry.Service] = append(p.services[entry.Service], s)
 	}
+	p.locations.Resize(min(max(partsPerServer*len(list), minTrackedParts), maxTrackedParts))
 	for id := range previous {
 		if _, listed := p.byID[id]; !listed {
 			p.limits.ServerRestarted(id, 0)
@@ -236,7 +243,7 @@
 		s.weights = make(map[string]uint64)
 		s.pendingPrefill, s.failures = 0, 0
 		s.pace = pace{}
-		s.reportedAt, s.downUntil, s.unavailableUntil = time.Time{}, time.Time{}, time.Time{}
+		s.reportedAt, s.confirmedAt, s.downUntil, s.unavailableUntil = time.Time{}, time.Time{}, time.Time{}, time.Time{}
 	}
 	s.Born = start
 }
@@ -283,7 +290,8 @@
 	if s.Old > 0 {
 		engine.outdatedSince = p.clock.Now().Add(-s.Old)
 	}
-	engine.reportedAt, engine.state, engine.inFlightAtReport = p.clock.Now(), s, engine.inFlight
+	now := p.clock.Now()
+	engine.reportedAt, engine.confirmedAt, engine.state, engine.inFlightAtReport = now, now, s, engine.inFlight
 	for model, version := range s.Weights {
 		engine.weights[model] = version
 	}
@@ -310,13 +318,49 @@
 	return ok && s.Zone == p.settings.Zone
 }
 
-// KeeperSilent reports whether no recent report of a server's keeper has arrived. Relayed
-// reports may have been lost, so the keeper should be asked directly.
-func (p *Placer) KeeperSilent(id string) bool {
+// ConfirmState records that the last report on an engine still holds.
+func (p *Placer) ConfirmState(address netip.AddrPort) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	s, ok := p.byID[id]
-	return ok && p.clock.Since(s.reportedAt) > keeperSilentAfter
+	if s, ok := p.byAddress[address]; ok && !s.confirmedAt.IsZero() {
+		s.confirmedAt = p.clock.Now()
+	}
+}
+
+// LoseState records that the keeper of an engine is silent.
+func (p *Placer) LoseState(address netip.AddrPort) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if s, ok := p.byAddress[address]; ok {
+		s.confirmedAt = time.Time{}
+	}
+}
+
+// PartsOn returns the keys of the shared parts that each engine is believed to cache, the
+// latest first and at most maxParts for each engine, and those that a KV cache store has.
+func (p *Placer) PartsOn(maxParts int) map[netip.Addr]CachedParts {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	parts := make(map[netip.Addr]CachedParts)
+	keys := p.locations.Keys()
+	for _, key := range slices.Backward(keys) {
+		locations, _ := p.locations.Peek(key)
+		for id := range locations.servers {
+			s, ok := p.byID[id]
+			if !ok {
+				continue
+			}
+			list := parts[s.Address.Addr()]
+			if len(list.Cached) < maxParts {
+				list.Cached = append(list.Cached, key)
+			}
+			if !locations.savedAt.IsZero() && len(list.Stored) < maxParts {
+				list.Stored = append(list.Stored, key)
+			}
+			parts[s.Address.Addr()] = list
+		}
+	}
+	return parts
 }
 
 // PrefillRate returns the learned number of prompt tokens that engines prefill per
--- a/internal/request/beechplace/types.go
+++ b/internal/request/beechplace/types.go
@@ -47,6 +47,13 @@
 		Kept       []uint64 // keys of those that it was told to save to the KV cache store
 	}
 
+	// CachedParts are keys of shared parts that an engine is believed to cache, and of those
+	// that a KV cache store has too.
+	CachedParts struct {
+		Cached []uint64
+		Stored []uint64
+	}
+
 	// Choice is a server for a call and how to send the call to it.
 	Choice struct {
 		Server           beechcall.Server
--- a/internal/state/beechmirror/mirror.go
+++ b/internal/state/beechmirror/mirror.go
@@ -87,6 +87,7 @@
 		ReadTimeout  time.Duration // of a full read
 		WatchTimeout time.Duration // of a watch
 		WatchPause   time.Duration // between watches, so that successive changes arrive together
+		StartAge     time.Duration // age that an empty copy counts as having at the start, so that a peer's copy may come before the first full read; 0: the read is due at once
 		RemovalDelay time.Duration // how long missing items are kept after the store has recovered; 0: not at all
 		Forward      func(Changes) // called with the changes from a watch, to send them to peers; may be nil
 		OnStoreLost  func()        // called when a full read fails and the previous one did not; may be nil
@@ -108,7 +109,8 @@
 		fullReadRevision uint64 // revision of the last full read, which includes all changes up to it
 		loaded           bool
 		failing          bool
-		recoveredAt      time.Time          // when the store last answered again after an outage
+		recoveredAt      time.Time // when the store last answered again after an outage
+		startedAt        time.Time
 		maxAge           time.Duration      // age of the copy at which a full read is due
 		lastFullRead     time.Time          // when the last full read was applied
 		keptMissing      bool               // the last full read may have kept missing items
@@ -147,7 +149,7 @@
 	return &Mirror{
 		settings: s, source: source, freshness: freshness, clock: clock, changed: changed,
 		log:   log.With(zap.String("prefix", s.Prefix)),
-		items: make(map[string]Item), removed: make(map[string]uint64), maxAge: s.MaxAge, readNow: make(chan struct{}, 1),
+		items: make(map[string]Item), removed: make(map[string]uint64), maxAge: s.MaxAge, startedAt: clock.Now(), readNow: make(chan struct{}, 1),
 		sharing: sharing{alwaysWatch: true, peerDiffers: make(chan struct{}, 1)},
 	}
 }
@@ -156,6 +158,9 @@
 // ends.
 func (m *Mirror) Read(ctx context.Context) error {
 	retry := newBackoff()
+	if m.settings.StartAge > 0 {
+		m.waitUntilReadDue(ctx, 0)
+	}
 	for ctx.Err() == nil {
 		pause := time.Duration(0)
 		if m.readOnce(ctx) {
@@ -175,7 +180,7 @@
 func (m *Mirror) waitUntilReadDue(ctx context.Context, pause time.Duration) {
 	for {
 		select {
-		case <-m.clock.After(max(pause, m.timeUntilRead())):
+		case <-m.clock.After(max(pause, min(m.timeUntilRead(), m.pollInterval()))):
 		case <-m.readNow:
 			return
 		case <-ctx.Done():
@@ -188,6 +193,16 @@
 	}
 }
 
+// pollInterval bounds the wait for a read, since the maximum age may become less meanwhile.
+func (m *Mirror) pollInterval() time.Duration {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.loaded {
+		return m.maxAge
+	}
+	return firstReadPoll
+}
+
 // timeUntilRead returns the time until a full read is due.
 func (m *Mirror) timeUntilRead() time.Duration {
 	m.mu.Lock()
@@ -195,6 +210,8 @@
 	switch {
 	case m.failing:
 		return 0
+	case !m.loaded && m.settings.StartAge > 0:
+		return m.maxAge - m.settings.StartAge - m.clock.Since(m.startedAt)
 	case m.keptMissing:
 		return missingReadInterval - m.clock.Since(m.lastFullRead)
 	}
--- a/internal/state/beechmirror/mirror_test.go
+++ b/internal/state/beechmirror/mirror_test.go
@@ -465,3 +465,67 @@
 	is.True(m.ApplyPeerChanges(Changes{After: 3, Page: Page{Revision: 4, Items: []Item{{Key: "servers/a", Revision: 4, Removed: true}}}}))
 	is.Equal(keys(got), []string{"servers/b"})
 }
+
+// All processes of a fleet start at once. If each read the store, these reads would be most of
+// the calls of a day; a copy of a peer must be enough, and the age is proved by the peer.
+func TestPeerCopyReplacesFirstRead(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		s := &source{page: Page{Revision: 9}}
+		m := newMirror(s, clockwork.NewRealClock(), func([]Item) {})
+		m.settings.StartAge = 600 * time.Millisecond
+		ctx, cancel := context.WithTimeout(t.Context(), 900*time.Millisecond)
+		defer cancel()
+		done := make(chan struct{})
+		go func() {
+			_ = m.Read(ctx)
+			close(done)
+		}()
+		time.Sleep(300 * time.Millisecond)
+		is.True(m.ApplyPeerCopy(Page{Revision: 7, Items: []Item{{Key: "servers/a", Revision: 4}}}))
+		held, known := m.Held()
+		is.True(known)
+		is.Equal(held.Revision, uint64(7))
+		is.True(m.ApplyPeerStatus(CopyStatus{Digest: held.Digest, Confirmed: true, ConfirmedAt: 1}))
+		<-done
+		is.Equal(s.calls(), 0)
+	})
+}
+
+// No peer answers. The first read must come when the start age has grown to the age for the
+// role.
+func TestFirstReadWithoutPeers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		s := &source{page: Page{Revision: 9}}
+		m := newMirror(s, clockwork.NewRealClock(), func([]Item) {})
+		m.settings.StartAge = 600 * time.Millisecond
+		m.SetMaxAge(2400*time.Millisecond, false)
+		ctx, cancel := context.WithTimeout(t.Context(), 2*time.Second)
+		defer cancel()
+		go func() { _ = m.Read(ctx) }()
+		time.Sleep(100 * time.Millisecond)
+		m.SetMaxAge(time.Second, true) // it turns out to be the reader
+		time.Sleep(290 * time.Millisecond)
+		is.Equal(s.calls(), 0)
+		time.Sleep(120 * time.Millisecond)
+		is.Equal(s.calls(), 1)
+		<-ctx.Done()
+	})
+}
+
+// A copy is fetched from a peer that lags behind, or that holds other keys. It must not undo
+// newer changes.
+func TestOlderPeerCopyIsIgnored(t *testing.T) {
+	is := is.New(t)
+	var got []Item
+	m := newMirror(&source{}, clockwork.NewFakeClock(), func(items []Item) { got = items })
+	m.applyFullRead(Page{Revision: 5, Items: []Item{{Key: "servers/a", Revision: 5}}})
+	is.True(!m.ApplyPeerCopy(Page{Revision: 4, Items: []Item{{Key: "servers/b", Revision: 3}}}))
+	is.True(!m.ApplyPeerCopy(Page{Revision: 8, Items: []Item{{Key: "op/config", Revision: 8}}}))
+	is.Equal(keys(got), []string{"servers/a"})
+	is.True(m.ApplyPeerCopy(Page{Revision: 9, Items: []Item{{Key: "servers/b", Revision: 7}}}))
+	is.Equal(keys(got), []string{"servers/b"}) // the other one was removed
+	m.applyWatch(Page{Revision: 8, Items: []Item{{Key: "servers/a", Revision: 8}}})
+	is.Equal(keys(got), []string{"servers/b"}) // older than the copy
+}
--- a/internal/state/beechmirror/peers.go
+++ b/internal/state/beechmirror/peers.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/binary"
+	"strings"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -15,6 +16,12 @@
 		Page
 	}
 
+	// Held describes a copy, to decide whether it should be fetched.
+	Held struct {
+		Digest   uint64
+		Revision uint64
+	}
+
 	// CopyStatus is the status of the copy in another process or, as returned by
 	// Status, in this one.
 	CopyStatus struct {
@@ -55,6 +62,62 @@
 	return CopyStatus{Digest: m.digest, Watching: m.watching && !m.failing}, m.freshness.Age(), m.loaded
 }
 
+// Held describes the copy. Known is false before there is one.
+func (m *Mirror) Held() (held Held, known bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return Held{Digest: m.digest, Revision: m.revision}, m.loaded
+}
+
+// Copy returns all items, for a peer that lacks some of them.
+func (m *Mirror) Copy() (p Page, known bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return Page{Items: m.sortedItems(), Revision: m.revision}, m.loaded
+}
+
+// ApplyPeerCopy applies a whole copy that was fetched from a peer, and reports whether it is
+// not older than this one. It confirms nothing: only a status with a proof does.
+func (m *Mirror) ApplyPeerCopy(p Page) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.loaded && p.Revision < m.revision {
+		return false
+	}
+	next := make(map[string]Item, len(p.Items))
+	changed := !m.loaded || len(p.Items) != len(m.items)
+	for _, item := range p.Items {
+		held, ok := m.items[item.Key]
+		if !strings.HasPrefix(item.Key, m.settings.Prefix) {
+			return false
+		}
+		if ok && held.Revision >= item.Revision {
+			next[item.Key] = held
+			continue
+		}
+		next[item.Key] = item
+		changed = true
+	}
+	for key := range m.items {
+		if _, ok := next[key]; !ok {
+			changed = true
+		}
+	}
+	m.items, m.revision, m.fullReadRevision, m.loaded = next, p.Revision, max(m.fullReadRevision, p.Revision), true
+	if changed {
+		m.notifyChanged()
+	}
+	return true
+}
+
+// WatchedByPeer reports whether a peer that watches the store has proved that it has the same
+// copy.
+func (m *Mirror) WatchedByPeer() bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.clock.Since(m.peerWatchAt) < peerWatchTTL
+}
+
 // ApplyPeerStatus applies the status of a peer's copy and reports whether this copy is the
 // same. If it is, and the age of the peer's copy is proved, this copy is confirmed as of
 // the same time.
--- a/internal/state/beechreader/doc.go
+++ b/internal/state/beechreader/doc.go
@@ -1,19 +1,21 @@
-// Package beechreader selects which processes of an availability zone read a store on
-// behalf of all of them, and computes how old the copies of the others may be.
+// Package beechreader selects which processes of a fleet read a store on behalf of all of
+// them, and computes how old the copies of the others may be.
 //
-// Reads of the store and traffic between zones are billed. If sixty processes each read
+// Reads of the store and traffic between zones are billed. If hundreds of processes each read
 // the same prefix every two seconds, these reads are most of the calls of a deployment.
-// Therefore one process of a zone reads, a second is its standby, and the others ask these
-// two how old their copies are. Traffic inside a zone is free.
+// Therefore one process of the fleet reads and a second is its standby. Two processes of
+// each zone ask these how old their copies are, and all others of a zone ask the two of
+// their zone.
 //
-// # Ranks
+// # Roles
 //
-// There is no election. Each process ranks itself and the peers that it knows by a hash of
-// their addresses, and reads the store when its copy reaches the age for its rank (see
-// Schedule). The process with rank 0 reads at the lowest age, so its answers confirm the
-// copies of the others before their reads are due. If it stops answering, the second reads
-// next, and then all others: no process depends on another after its own copy has reached
-// the age for its rank. If processes know different peers, the only effect is extra reads.
+// There is no election. Each process is told the readers that follow from its list of
+// members, and reads the store when its copy reaches the age for its role (see Schedule).
+// The first reader reads at the lowest age, so its answers confirm the copies of all
+// others before their reads are due. If it stops answering, its standby reads next, then
+// the readers of the zones, and then all others: no process depends on another after its
+// own copy has reached the age for its role. If processes know different members, the only
+// effect is extra reads.
 //
 // # Age of a copy
 //
@@ -23,11 +25,14 @@
 // holds for any delay of the datagrams, and also if the peer is suspended before or after it
 // answers. An answer without a known inquiry, or with a negative age, proves nothing.
 //
+// Answers over two steps add up: a process of a zone is answered with the age that the reader
+// of its zone has itself only by an answer.
+//
 // # Usage
 //
 //	group := beechreader.New(self)
-//	group.UpdatePeers(peers, now)                 // repeatedly, as reported by a third process
-//	number := group.StartInquiry(clock)           // sent to group.Readers(now)
-//	at, ok := group.ConfirmedAt(number, age)      // the peer's copy was confirmed at or after at
-//	interval := schedule.ForRank(group.Rank(now)) // age of the copy at which this process reads
+//	group.SetReaders(fleet, zone)                // when the members change
+//	number := group.StartInquiry(clock)          // sent to group.Targets()
+//	at, ok := group.ConfirmedAt(number, age)     // the peer's copy was confirmed at or after at
+//	interval := schedule.ForRole(group.Role())   // age of the copy at which this process reads
 package beechreader
--- a/internal/state/beechreader/group.go
+++ b/internal/state/beechreader/group.go
@@ -1,123 +1,113 @@
 package beechreader
 
 import (
-	"cmp"
-	"maps"
 	"net/netip"
 	"slices"
 	"sync"
 	"time"
-
-	"github.com/cespare/xxhash/v2"
 )
 
 type (
-	// Group is the set of processes of a zone that share their reads, as known to one of
-	// them. It is safe for concurrent use.
+	// Group is what a process knows of the others that share reads with it. It is safe for
+	// concurrent use.
 	Group struct {
 		self netip.AddrPort
 
-		mu           sync.Mutex
-		lastReported map[netip.AddrPort]time.Time // when a peer was last reported
-		inquiries    []inquiry
-		lastNumber   uint64
+		mu         sync.Mutex
+		fleet      []netip.AddrPort // the readers of the fleet, by rank
+		zone       []netip.AddrPort // those of this process's zone
+		inquiries  []inquiry
+		lastNumber uint64
 	}
 
+	// Role is what a process does for the others.
+	Role int
+
 	// inquiry is an inquiry that was sent, with the time by this process's clock.
 	inquiry struct {
 		number uint64
 		sent   time.Duration
 	}
 
-	// Schedule is the age of its copy at which a process reads the store, by rank.
+	// Schedule is the age of its copy at which a process reads the store, by role.
 	Schedule struct {
-		First  time.Duration
-		Second time.Duration
-		Others time.Duration
+		First      time.Duration
+		Second     time.Duration
+		ZoneFirst  time.Duration
+		ZoneSecond time.Duration
+		Others     time.Duration
 	}
 )
 
+// Roles.
 const (
-	// readersPerZone is the number of processes that receive inquiries: the reader and
-	// its standby.
-	readersPerZone = 2
-	// peerTTL is how long a peer counts after it was last reported. The processes that
-	// report peers forget a peer after about the same time.
-	peerTTL = 4 * time.Second
+	Follower Role = iota
+	ZoneSecond
+	ZoneFirst
+	Second
+	First
+)
+
+const (
+	// Readers is the number of readers of the fleet and of each zone: one and its standby.
+	Readers = 2
 	// maxInquiries is the number of inquiries whose answers are still accepted. Later
 	// answers are useless: answers to newer inquiries confirm a copy as of a later time.
 	maxInquiries = 8
 )
 
-// New returns the group of a process that knows no peers.
+// New returns the group of a process that knows no others and therefore reads for itself.
 func New(self netip.AddrPort) *Group {
-	return &Group{self: self, lastReported: make(map[netip.AddrPort]time.Time)}
+	return &Group{self: self, fleet: []netip.AddrPort{self}}
 }
 
-// UpdatePeers adds the peers that a third process reports in the zone, and drops the peers
-// that have not been reported for longer than peerTTL.
-func (g *Group) UpdatePeers(peers []netip.AddrPort, now time.Time) {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	for _, peer := range peers {
-		if peer.IsValid() && peer != g.self {
-			g.lastReported[peer] = now
-		}
+// SetReaders sets the readers of the fleet and of this process's zone, by rank. Without
+// readers of the fleet this process reads for itself.
+func (g *Group) SetReaders(fleet, zone []netip.AddrPort) {
+	if len(fleet) == 0 {
+		fleet = []netip.AddrPort{g.self}
 	}
-	maps.DeleteFunc(g.lastReported, func(_ netip.AddrPort, at time.Time) bool { return now.Sub(at) > peerTTL })
-}
-
-// ranked returns all processes by rank. The caller must hold the lock.
-func (g *Group) ranked(now time.Time) []netip.AddrPort {
-	list := []netip.AddrPort{g.self}
-	for peer, at := range g.lastReported {
-		if now.Sub(at) <= peerTTL {
-			list = append(list, peer)
-		}
-	}
-	slices.SortFunc(list, func(x, y netip.AddrPort) int {
-		return cmp.Or(cmp.Compare(rankHash(x), rankHash(y)), x.Compare(y))
-	})
-	return list
-}
-
-func rankHash(peer netip.AddrPort) uint64 { return xxhash.Sum64String(peer.String()) }
-
-// Rank returns the rank of this process, from 0.
-func (g *Group) Rank(now time.Time) int {
 	g.mu.Lock()
-	defer g.mu.Unlock()
-	return slices.Index(g.ranked(now), g.self)
+	g.fleet, g.zone = fleet, zone
+	g.mu.Unlock()
 }
 
-// Readers returns the peers to send inquiries to: the processes with the two lowest ranks,
-// without this process itself.
-func (g *Group) Readers(now time.Time) []netip.AddrPort {
+// Role returns what this process does.
+func (g *Group) Role() Role {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	list := g.ranked(now)
-	first := list[:min(readersPerZone, len(list))]
-	return slices.DeleteFunc(slices.Clone(first), func(peer netip.AddrPort) bool { return peer == g.self })
+	return g.role()
 }
 
-// Self returns the address of this process.
-func (g *Group) Self() netip.AddrPort { return g.self }
-
-// Peers returns all peers by rank.
-func (g *Group) Peers(now time.Time) []netip.AddrPort {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	return slices.DeleteFunc(g.ranked(now), func(peer netip.AddrPort) bool { return peer == g.self })
+func (g *Group) role() Role {
+	switch {
+	case g.fleet[0] == g.self:
+		return First
+	case slices.Contains(g.fleet, g.self):
+		return Second
+	case len(g.zone) > 0 && g.zone[0] == g.self:
+		return ZoneFirst
+	case slices.Contains(g.zone, g.self):
+		return ZoneSecond
+	}
+	return Follower
 }
 
-// HasPeer reports whether a process is a peer.
-func (g *Group) HasPeer(peer netip.AddrPort) bool {
+// Targets returns the processes that are sent inquiries: the readers of the fleet by its
+// other readers and the readers of a zone, and these by all others of the zone.
+func (g *Group) Targets() []netip.AddrPort {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	_, ok := g.lastReported[peer]
-	return ok
+	list := g.fleet
+	if g.role() == Follower && len(g.zone) > 0 {
+		list = g.zone
+	}
+	return slices.DeleteFunc(slices.Clone(list), func(peer netip.AddrPort) bool { return peer == g.self })
 }
 
+// Self returns the address of this process.
+func (g *Group) Self() netip.AddrPort { return g.self }
+
 // StartInquiry records that an inquiry is sent now, and returns its number.
 func (g *Group) StartInquiry(now time.Duration) uint64 {
 	g.mu.Lock()
@@ -141,13 +131,18 @@
 	return g.inquiries[i].sent - age, true
 }
 
-// ForRank returns the age for a rank.
-func (s Schedule) ForRank(rank int) time.Duration {
-	switch rank {
-	case 0:
+// ForRole returns the age for a role.
+func (s Schedule) ForRole(r Role) time.Duration {
+	switch r {
+	case First:
 		return s.First
-	case 1:
+	case Second:
 		return s.Second
+	case ZoneFirst:
+		return s.ZoneFirst
+	case ZoneSecond:
+		return s.ZoneSecond
+	case Follower:
 	}
 	return s.Others
 }
@@ -155,5 +150,7 @@
 // Scaled returns a schedule with all ages multiplied by a factor.
 func (s Schedule) Scaled(factor float64) Schedule {
 	scale := func(d time.Duration) time.Duration { return time.Duration(float64(d) * factor) }
-	return Schedule{First: scale(s.First), Second: scale(s.Second), Others: scale(s.Others)}
+	return Schedule{
+		First: scale(s.First), Second: scale(s.Second), ZoneFirst: scale(s.ZoneFirst), ZoneSecond: scale(s.ZoneSecond), Others: scale(s.Others),
+	}
 }
