Connections by service, quotas from the start, paces around the median; baseline of the fleet

Connections: the smallest limit of any service, divided by the gates, held for all servers and became 0, which means unlimited, with more gates than 1.8 times it: 342 gates for 190 connections. Each server now has its service's limit, and a gate always some connections (TestConnectionShareOfManyGates).

Quotas: gates that start together now learn the configuration some 0.3 s after the start, from the first that reads it, and callers that have waited come at once. Copies are fetched from the gate's own address, by which the others know it; from another one they were refused, and each gate read the store itself.

Paces: a sample was cut off at eight times the assumed speed.

--- a/internal/decision/beechgossip/choose.go
+++ b/internal/decision/beechgossip/choose.go
@@ -37,18 +37,3 @@
 	}
 	return chosen
 }
-
-// InZone returns the members of an availability zone.
-func InZone(list []Member, zone string) []Member {
-	return slices.DeleteFunc(slices.Clone(list), func(m Member) bool { return m.Zone != zone })
-}
-
-// Zones returns the names of all availability zones that have members, in order.
-func Zones(list []Member) []string {
-	var zones []string
-	for _, m := range list {
-		zones = append(zones, m.Zone)
-	}
-	slices.Sort(zones)
-	return slices.Compact(zones)
-}
--- /dev/null
+++ b/internal/decision/beechgossip/duties.go
@@ -0,0 +1,93 @@
+package beechgossip
+
+import (
+	"net/netip"
+	"slices"
+)
+
+// Duties is what follows for one member from the list of all members.
+type Duties struct {
+	Self        netip.AddrPort
+	Zone        string
+	Gates       int                         // members, with this one
+	Neighbors   []netip.AddrPort            // the other members of this zone
+	OtherZones  map[string][]netip.AddrPort // members, by zone
+	ZoneOf      map[netip.AddrPort]string   // of all other members
+	Readers     []netip.AddrPort            // of the fleet, by rank
+	ZoneReaders map[string][]netip.AddrPort // by zone, by rank
+	Collectors  map[string][]netip.AddrPort // by zone, by rank
+	Collects    map[string]bool             // zones whose engines this member collects
+	Slot        int                         // its rank among the collectors of these
+	Alone       bool                        // there is no second collector
+	Engines     int                         // in the zones that it collects
+}
+
+const (
+	dutyRead    = "read"
+	dutyCollect = "collect"
+
+	readersPerGroup   = 2 // one and its standby
+	collectorsPerZone = 2
+)
+
+// Assign derives a member's duties. Engines has the number of engines with a keeper by zone.
+// The engines of a zone without members are collected by members of others.
+func Assign(list []Member, self netip.AddrPort, zone string, engines map[string]int) *Duties {
+	d := &Duties{
+		Self: self, Zone: zone, Gates: len(list), OtherZones: make(map[string][]netip.AddrPort), ZoneOf: make(map[netip.AddrPort]string),
+		ZoneReaders: make(map[string][]netip.AddrPort), Collectors: make(map[string][]netip.AddrPort), Collects: make(map[string]bool),
+	}
+	byZone := make(map[string][]Member)
+	for _, m := range list {
+		byZone[m.Zone] = append(byZone[m.Zone], m)
+		switch {
+		case m.Address == self:
+		case m.Zone == zone:
+			d.Neighbors = append(d.Neighbors, m.Address)
+			d.ZoneOf[m.Address] = m.Zone
+		default:
+			d.OtherZones[m.Zone] = append(d.OtherZones[m.Zone], m.Address)
+			d.ZoneOf[m.Address] = m.Zone
+		}
+	}
+	d.Readers = Choose(list, dutyRead, readersPerGroup)
+	for name, members := range byZone {
+		d.ZoneReaders[name] = Choose(members, dutyRead, readersPerGroup)
+		d.Collectors[name] = Choose(members, dutyCollect, collectorsPerZone)
+	}
+	for name, count := range engines {
+		collectors, ok := d.Collectors[name]
+		if !ok {
+			collectors = Choose(list, dutyCollect, collectorsPerZone)
+		}
+		if slot := slices.Index(collectors, self); slot >= 0 {
+			d.Collects[name] = true
+			d.Slot, d.Alone, d.Engines = slot, len(collectors) == 1, d.Engines+count
+		}
+	}
+	return d
+}
+
+// Audience returns the members that this one tells of changes in the store: the first reader
+// of the fleet tells the readers of all zones, and the first reader of a zone its neighbors.
+func (d *Duties) Audience() []netip.AddrPort {
+	var list []netip.AddrPort
+	if first(d.Readers) == d.Self {
+		list = append(list, d.Readers...)
+		for _, readers := range d.ZoneReaders {
+			list = append(list, readers...)
+		}
+	}
+	if first(d.ZoneReaders[d.Zone]) == d.Self {
+		list = append(list, d.Neighbors...)
+	}
+	slices.SortFunc(list, netip.AddrPort.Compare)
+	return slices.DeleteFunc(slices.Compact(list), func(a netip.AddrPort) bool { return a == d.Self })
+}
+
+func first(list []netip.AddrPort) netip.AddrPort {
+	if len(list) == 0 {
+		return netip.AddrPort{}
+	}
+	return list[0]
+}
--- a/internal/decision/beechgossip/group.go
+++ b/internal/decision/beechgossip/group.go
@@ -139,7 +139,7 @@
 // DefaultSettings are the settings of gates.
 var DefaultSettings = Settings{
 	ProbeInterval: 500 * time.Millisecond, AckTimeout: 250 * time.Millisecond, SuspicionFactor: 3, Retention: 2 * time.Minute,
-	JoinInterval: 200 * time.Millisecond, SettleTime: 300 * time.Millisecond, MaxSettleTime: 1200 * time.Millisecond,
+	JoinInterval: 200 * time.Millisecond, SettleTime: 150 * time.Millisecond, MaxSettleTime: 1200 * time.Millisecond,
 }
 
 // New returns the group of a process that knows only its seeds. The incarnation of self is
--- a/internal/decision/beechquota/limiter.go
+++ b/internal/decision/beechquota/limiter.go
@@ -63,6 +63,7 @@
 		bounds          Bounds
 		now             time.Time // never steps back
 		started         time.Time
+		limited         bool // limits were set once
 		lastSweep       time.Time
 		lastReceived    time.Time // when another gate's update was last received
 		isolated        bool
@@ -222,6 +223,7 @@
 		}
 		l.setLimit(name, limit)
 	}
+	l.limited = true
 }
 
 // SetLimit applies the limit of one account in the same way. An invalid limit, such as the
@@ -243,6 +245,9 @@
 	a := l.accounts[name]
 	if a == nil {
 		a = newAccount(name, l.now)
+		if !l.limited {
+			a.refilledAt = l.started // this gate has granted nothing since
+		}
 		l.accounts[name], l.byHash[a.hash] = a, a
 		a.limit = limit
 		a.level = min(l.initialLevel(limit), limit.Burst)
--- a/internal/link/beechpool/pool.go
+++ b/internal/link/beechpool/pool.go
@@ -55,11 +55,11 @@
 		clock    clockwork.Clock
 		dialer   net.Dialer
 
-		mu       sync.Mutex
-		idle     map[netip.AddrPort][]*conn // by server; the most recently used is last
-		open     map[netip.AddrPort]int
-		maxConns int
-		dialed   int
+		mu     sync.Mutex
+		idle   map[netip.AddrPort][]*conn // by server; the most recently used is last
+		open   map[netip.AddrPort]int
+		limits map[netip.AddrPort]int // by server; 0 or none: Settings.MaxConns
+		dialed int
 	}
 
 	// DialError reports that no connection was available, so nothing was sent.
@@ -127,7 +127,7 @@
 // New returns an empty pool.
 func New(s Settings, clock clockwork.Clock) *Pool {
 	p := &Pool{
-		settings: s, clock: clock, maxConns: s.MaxConns,
+		settings: s, clock: clock,
 		idle: make(map[netip.AddrPort][]*conn), open: make(map[netip.AddrPort]int),
 	}
 	p.dialer = net.Dialer{
@@ -150,13 +150,23 @@
 	return p.dialed
 }
 
-// SetMaxConns limits the number of connections to one server; 0 removes the limit.
-func (p *Pool) SetMaxConns(limit int) {
+// SetLimits limits the number of connections to each server. Servers that are not named have
+// the limit of the settings.
+func (p *Pool) SetLimits(limits map[netip.AddrPort]int) {
 	p.mu.Lock()
-	p.maxConns = limit
+	p.limits = limits
 	p.mu.Unlock()
 }
 
+// limit returns the maximum number of connections to a server, or 0 if there is none. The caller
+// holds the lock.
+func (p *Pool) limit(peer netip.AddrPort) int {
+	if limit := p.limits[peer]; limit > 0 {
+		return limit
+	}
+	return p.settings.MaxConns
+}
+
 // Probe checks whether a server accepts connections, by opening and closing one.
 func (p *Pool) Probe(ctx context.Context, peer netip.AddrPort) error {
 	c, err := p.dialer.DialContext(ctx, "tcp", peer.String())
@@ -254,7 +264,7 @@
 		c.drop()
 	}
 	p.mu.Lock()
-	if p.maxConns > 0 && p.open[peer] >= p.maxConns {
+	if limit := p.limit(peer); limit > 0 && p.open[peer] >= limit {
 		p.mu.Unlock()
 		return nil, errMaxConns
 	}
--- a/internal/process/beechgate/collect.go
+++ b/internal/process/beechgate/collect.go
@@ -79,8 +79,8 @@
 // them.
 func (g *Gate) sendToOtherZones(round uint32, all bool, m beechdatagram.Message) {
 	t := g.topology.Load()
-	for zone := range t.otherZones {
-		to := t.collectors[zone]
+	for zone := range t.OtherZones {
+		to := t.Collectors[zone]
 		if !all && len(to) > 1 {
 			i := int(round % uint32(len(to)))
 			to = to[i : i+1]
@@ -165,7 +165,7 @@
 // askForStates asks the collectors of this zone for the states of all engines.
 func (g *Gate) askForStates() {
 	t := g.topology.Load()
-	collectors := slices.DeleteFunc(slices.Clone(t.collectors[g.settings.Zone]), func(a netip.AddrPort) bool { return a == g.members.Self() })
+	collectors := slices.DeleteFunc(slices.Clone(t.Collectors[g.settings.Zone]), func(a netip.AddrPort) bool { return a == g.members.Self() })
 	if len(collectors) > 0 {
 		g.recallStates(collectors[:1], nil)
 	}
@@ -209,12 +209,12 @@
 		t := g.topology.Load()
 		suspects := beechconvert.WireSuspects(beechconvert.MostCrashes(g.suspects.RecentChanges()))
 		news := g.takeNews(round)
-		if t.duty.Collects || t.gates <= 1 {
+		if t.duty.Collects || t.Gates <= 1 {
 			g.bulletin.Add(news, true)
 			g.sendBulletin(uint32(round), suspects)
 			return
 		}
-		collectors := t.collectors[g.settings.Zone]
+		collectors := t.Collectors[g.settings.Zone]
 		if len(collectors) > 0 && (!news.Empty() || len(suspects) > 0) {
 			message := beechconvert.WireNews(news, suspects, g.clock.Now(), true)
 			g.sendToPeers(collectors[round%len(collectors):][:1], beechdatagram.Summary{Summary: message})
--- a/internal/process/beechgate/configuration.go
+++ b/internal/process/beechgate/configuration.go
@@ -6,6 +6,7 @@
 
 	"go.uber.org/zap"
 
+	"github.com/beechring/beechring/internal/process/beechtask"
 	"github.com/beechring/beechring/internal/request/beechcall"
 	"github.com/beechring/beechring/internal/state/beechmirror"
 )
@@ -21,6 +22,11 @@
 // because some gates have more callers than others.
 const connectionSkew = 1.8
 
+const (
+	minConnections = 2 // to each server
+	minGates       = 2 // that are assumed to share a server
+)
+
 // setOperators applies the operators' documents. Invalid documents leave the last valid state
 // in force.
 func (g *Gate) setOperators(items []beechmirror.Item) {
@@ -36,8 +42,9 @@
 		g.limitConnections(c)
 		g.log.Info("configuration in force", zap.Uint64("version", c.Version), zap.Uint64("revision", c.Revision), zap.Int("routes", len(c.Routes)))
 		if previous == nil {
-			g.refreshDuty()
+			g.refreshDuties()
 			g.requestFollow()
+			beechtask.Notify(g.usageDue) // until it has exchanged usage, this gate uses only a share of the quotas
 		}
 	}
 	for _, version := range named {
@@ -55,16 +62,25 @@
 // limitConnections bounds this gate's connections to each server, so that all gates together
 // stay within what the server accepts.
 func (g *Gate) limitConnections(c *beechcall.Configuration) {
-	limit := 0
-	for _, s := range c.Services {
-		if s.MaxConnections > 0 && (limit == 0 || s.MaxConnections < limit) {
-			limit = s.MaxConnections
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	limits := make(map[netip.AddrPort]int, len(g.servers))
+	for _, s := range g.servers {
+		if share := connectionShare(c.Services[s.Service].MaxConnections, g.gates); share > 0 {
+			limits[s.Address] = share
 		}
 	}
-	g.mu.Lock()
-	gates := max(g.gates, 2)
-	g.mu.Unlock()
-	g.deps.Pool.SetMaxConns(int(float64(limit)*connectionSkew) / gates)
+	g.deps.Pool.SetLimits(limits)
+}
+
+// connectionShare returns how many connections to a server one of the gates may open, or 0 if
+// the server names no limit. Each gate may open a few, however many there are: with none it
+// would serve nothing, and a server resets the connections beyond its limit.
+func connectionShare(limit, gates int) int {
+	if limit <= 0 {
+		return 0
+	}
+	return max(int(float64(limit)*connectionSkew)/max(gates, minGates), minConnections)
 }
 
 // logEntryError logs invalid server entries once each time that the set of them changes: they
@@ -106,6 +122,9 @@
 	for service, addresses := range byService {
 		g.health.SetServers(service, addresses)
 	}
+	if c := g.configuration.Load(); c != nil {
+		g.limitConnections(c)
+	}
 	g.logServerChanges(previous, servers)
 	for _, s := range previous {
 		if _, ok := current[s.ID]; !ok {
@@ -134,7 +153,7 @@
 	if len(added) == 0 {
 		return
 	}
-	g.refreshDuty()
+	g.refreshDuties()
 	for _, state := range g.board.States() {
 		if added[state.Engine] {
 			g.applyState(state)
--- a/internal/process/beechgate/copies.go
+++ b/internal/process/beechgate/copies.go
@@ -36,7 +36,7 @@
 	startInterval = 60 * time.Millisecond
 	// startWait is the time from the start of all gates at once until the first reads the
 	// store: by then they know one another.
-	startWait = 400 * time.Millisecond
+	startWait = 250 * time.Millisecond
 
 	// maxEntriesPerDatagram is chosen for some 400 bytes per server entry.
 	maxEntriesPerDatagram = 16
@@ -88,8 +88,9 @@
 	data []byte
 }
 
-func newCopies() *copies {
-	dialer := &net.Dialer{Timeout: copyTimeout}
+func newCopies(self netip.AddrPort) *copies {
+	// From the address by which other gates know this one.
+	dialer := &net.Dialer{Timeout: copyTimeout, LocalAddr: net.TCPAddrFromAddrPort(netip.AddrPortFrom(self.Addr(), 0))}
 	return &copies{
 		client:   &http.Client{Timeout: copyTimeout, Transport: &http.Transport{DialContext: dialer.DialContext, IdleConnTimeout: copyIdleTime, MaxIdleConnsPerHost: 1}},
 		fetching: make(map[string]bool), packed: make(map[string]packedSnapshot),
@@ -214,7 +215,7 @@
 			delete(c.fetching, prefix)
 			c.mu.Unlock()
 		}()
-		if g.readers.Role() == beechreader.Follower {
+		if _, known := m.Held(); known && g.readers.Role() == beechreader.Follower {
 			g.clock.Sleep(rand.N(copySpread))
 		}
 		page, err := c.fetch(context.Background(), from, prefix)
@@ -284,7 +285,7 @@
 }
 
 func (g *Gate) isGateHost(host netip.Addr) bool {
-	for gate := range g.topology.Load().zoneOf {
+	for gate := range g.topology.Load().ZoneOf {
 		if gate.Addr() == host {
 			return true
 		}
@@ -329,28 +330,9 @@
 	return &http.Server{Handler: mux, ReadHeaderTimeout: headerReadTime, IdleTimeout: copyIdleTime, ErrorLog: zap.NewStdLog(g.log)}
 }
 
-// audience returns the gates that this one tells of changes: the first reader of the fleet
-// tells the readers of all zones, and the first reader of a zone tells the others of it.
-func (g *Gate) audience() []netip.AddrPort {
-	t := g.topology.Load()
-	var list []netip.AddrPort
-	role := g.readers.Role()
-	if role == beechreader.First {
-		for zone := range t.otherZones {
-			list = append(list, t.readers[zone][1]...)
-		}
-		list = append(list, t.readers[g.settings.Zone][0]...)
-	}
-	if zone := t.readers[g.settings.Zone][1]; len(zone) > 0 && zone[0] == g.members.Self() {
-		list = append(list, t.zone...)
-	}
-	slices.SortFunc(list, netip.AddrPort.Compare)
-	return slices.DeleteFunc(slices.Compact(list), func(a netip.AddrPort) bool { return a == g.members.Self() })
-}
-
 // announceCopy tells the gates that rely on this one that its copy has changed.
 func (g *Gate) announceCopy() {
-	if to := g.audience(); len(to) > 0 {
+	if to := g.topology.Load().Audience(); len(to) > 0 {
 		g.sendProof(to, 0)
 	}
 }
@@ -359,7 +341,7 @@
 // whole configuration is too large for a datagram: then they are only told that the mirror has
 // changed, and fetch the copy.
 func (g *Gate) forwardChanges(c beechmirror.Changes) {
-	to := g.audience()
+	to := g.topology.Load().Audience()
 	if len(to) == 0 {
 		return
 	}
--- a/internal/process/beechgate/gate.go
+++ b/internal/process/beechgate/gate.go
@@ -155,7 +155,7 @@
 		readers:     beechreader.New(socket.Address()),
 		board:       beechsummary.New(beechsummary.DefaultSettings, deps.Clock),
 		bulletin:    beechsummary.NewBulletin(),
-		copies:      newCopies(),
+		copies:      newCopies(socket.Address()),
 		freshness:   beechfresh.New(deps.Age),
 		health:      beechhealth.New(healthSettings, deps.Clock),
 		suspects:    beechsuspect.New(beechsuspect.Settings{}, deps.Clock),
@@ -168,7 +168,7 @@
 		summariesDue: make(chan struct{}, 1), inquiryDue: make(chan struct{}, 1),
 	}
 	g.members = newGossip(g)
-	g.topology.Store(&topology{gates: 1})
+	g.topology.Store(&topology{Duties: beechgossip.Assign(g.members.Members(), g.members.Self(), s.Zone, nil)})
 	g.bounds.Store(&s.Bounds)
 	g.limits = beechthrottle.New(s.Name, rand.Uint64(), deps.Age, deps.Clock, g.logLimitEvent, g.wakeLimitSender)
 	g.metrics = newMetrics(g)
@@ -273,7 +273,7 @@
 	g.draining.Store(true)
 	g.log.Info("gate leaving")
 	g.leave()
-	g.refreshDuty()
+	g.refreshDuties()
 	g.clock.Sleep(drainDelay)
 	remaining := time.Duration(g.bounds.Load().Grace) - stopMargin - g.clock.Since(start)
 	ctx, cancel := clockwork.WithTimeout(context.Background(), g.clock, remaining)
--- a/internal/process/beechgate/keeper.go
+++ b/internal/process/beechgate/keeper.go
@@ -54,10 +54,10 @@
 // collectedServers returns the servers whose keepers report to this gate.
 func (g *Gate) collectedServers() []beechcall.Server {
 	t := g.topology.Load()
-	if !t.settled || len(t.collects) == 0 {
+	if !t.settled || len(t.Collects) == 0 {
 		return nil
 	}
-	return slices.DeleteFunc(g.keeperServers(), func(s beechcall.Server) bool { return !t.collects[s.Zone] })
+	return slices.DeleteFunc(g.keeperServers(), func(s beechcall.Server) bool { return !t.Collects[s.Zone] })
 }
 
 // scopeTo returns whether messages to a server's keeper leave this zone.
--- a/internal/process/beechgate/membership.go
+++ b/internal/process/beechgate/membership.go
@@ -4,7 +4,6 @@
 	"context"
 	"math/rand/v2"
 	"net/netip"
-	"slices"
 
 	"go.uber.org/zap"
 
@@ -14,32 +13,20 @@
 	"github.com/beechring/beechring/internal/link/beechdatagram"
 	"github.com/beechring/beechring/internal/process/beechconvert"
 	"github.com/beechring/beechring/internal/process/beechtask"
-	"github.com/beechring/beechring/internal/state/beechreader"
 )
 
 type (
 	// topology is what follows from the list of gates.
 	topology struct {
-		version    uint64
-		settled    bool
-		gates      int
-		zone       []netip.AddrPort               // the other gates of this zone
-		otherZones map[string][]netip.AddrPort    // gates, by zone
-		zoneOf     map[netip.AddrPort]string      // of all other gates
-		collectors map[string][]netip.AddrPort    // by zone, by rank
-		readers    map[string][2][]netip.AddrPort // by zone: readers of the zone, without those of the fleet
-		collects   map[string]bool                // zones for whose engines this gate is a collector
-		duty       beechsummary.Duty
+		*beechgossip.Duties
+		version uint64 // of the list
+		settled bool   // the list is probably complete
+		duty    beechsummary.Duty
 	}
 )
 
-// Duties that are assigned by rendezvous hashing.
 const (
-	dutyRead    = "read"
-	dutyCollect = "collect"
-
-	collectorsPerZone = 2
-	millicores        = 1000
+	millicores = 1000
 	// searchRounds is the number of ticks between the questions of a gate that knows no other
 	// to searchedKeepers keepers.
 	searchRounds    = 10
@@ -62,7 +49,7 @@
 	return beechtask.Every(ctx, g.clock, beechgossip.TickInterval, func() {
 		g.sendGossip(g.members.Tick())
 		g.updateTopology()
-		if rounds++; rounds%searchRounds == 0 && g.topology.Load().gates <= 1 {
+		if rounds++; rounds%searchRounds == 0 && g.topology.Load().Gates <= 1 {
 			g.searchThroughKeepers()
 		}
 	})
@@ -103,90 +90,44 @@
 // scopeToGate returns whether a message to a gate leaves this zone. Gates that are not known
 // are counted as being in another one.
 func (g *Gate) scopeToGate(gate netip.AddrPort) beechdatagram.Scope {
-	return g.topology.Load().zoneOf[gate] != g.settings.Zone
+	return g.topology.Load().ZoneOf[gate] != g.settings.Zone
 }
 
-// updateTopology derives the duties from the list of gates, if it has changed.
+// updateTopology derives the duties anew if the list of gates has changed.
 func (g *Gate) updateTopology() {
 	old := g.topology.Load()
-	version, settled := g.members.Version(), g.members.Settled()
-	if old.version == version && old.settled == settled {
-		return
+	if old.version != g.members.Version() || old.settled != g.members.Settled() {
+		g.refreshDuties()
 	}
-	g.topologyMutex.Lock()
-	defer g.topologyMutex.Unlock()
-	t := g.deriveTopology(g.members.Members(), g.engineZones())
-	t.version, t.settled = version, settled
-	g.topology.Store(t)
-	g.applyTopology(old, t)
 }
 
-// refreshDuty derives the duties anew after the servers have changed.
-func (g *Gate) refreshDuty() {
+// refreshDuties derives the duties from the list of gates and the servers.
+func (g *Gate) refreshDuties() {
 	g.topologyMutex.Lock()
 	defer g.topologyMutex.Unlock()
 	old := g.topology.Load()
-	t := g.deriveTopology(g.members.Members(), g.engineZones())
-	t.version, t.settled = old.version, old.settled
+	t := &topology{version: g.members.Version(), settled: g.members.Settled()}
+	t.Duties = beechgossip.Assign(g.members.Members(), g.members.Self(), g.settings.Zone, g.engineZones())
+	t.duty = beechsummary.Duty{Collects: len(t.Collects) > 0, Slot: t.Slot, Alone: t.Alone, Gates: len(t.Neighbors), ZoneEngines: t.Engines}
 	g.topology.Store(t)
 	g.applyTopology(old, t)
 }
 
-func (g *Gate) deriveTopology(members []beechgossip.Member, engines map[string]int) *topology {
-	self := g.members.Self()
-	t := &topology{
-		gates: len(members), otherZones: make(map[string][]netip.AddrPort), zoneOf: make(map[netip.AddrPort]string),
-		collectors: make(map[string][]netip.AddrPort), readers: make(map[string][2][]netip.AddrPort), collects: make(map[string]bool),
-	}
-	for _, m := range members {
-		switch {
-		case m.Address == self:
-		case m.Zone == g.settings.Zone:
-			t.zone = append(t.zone, m.Address)
-			t.zoneOf[m.Address] = m.Zone
-		default:
-			t.otherZones[m.Zone] = append(t.otherZones[m.Zone], m.Address)
-			t.zoneOf[m.Address] = m.Zone
-		}
-	}
-	fleet := beechgossip.Choose(members, dutyRead, beechreader.Readers)
-	for _, zone := range beechgossip.Zones(members) {
-		list := beechgossip.InZone(members, zone)
-		t.collectors[zone] = beechgossip.Choose(list, dutyCollect, collectorsPerZone)
-		t.readers[zone] = [2][]netip.AddrPort{fleet, beechgossip.Choose(list, dutyRead, beechreader.Readers)}
-	}
-	t.duty.Gates = len(t.zone)
-	for zone, count := range engines {
-		collectors, ok := t.collectors[zone]
-		if !ok { // a zone without gates
-			collectors = beechgossip.Choose(members, dutyCollect, collectorsPerZone)
-		}
-		slot := slices.Index(collectors, self)
-		if slot < 0 || g.Draining() {
-			continue
-		}
-		t.collects[zone] = true
-		t.duty = beechsummary.Duty{Collects: true, Slot: slot, Alone: len(collectors) == 1, Gates: len(t.zone), ZoneEngines: t.duty.ZoneEngines + count}
-	}
-	return t
-}
-
 // applyTopology passes a changed topology to what depends on it.
 func (g *Gate) applyTopology(old, t *topology) {
-	readers := t.readers[g.settings.Zone]
-	g.readers.SetReaders(readers[0], readers[1])
+	g.readers.SetReaders(t.Readers, t.ZoneReaders[g.settings.Zone])
 	g.board.SetDuty(t.duty)
 	if t.settled {
-		g.setGates(t.gates)
+		g.setGates(t.Gates)
 	}
-	if old.gates <= 1 && t.gates > 1 {
-		g.log.Info("gates known", zap.Int("gates", t.gates), zap.Int("zones", len(t.collectors)), zap.Duration("after", g.quotas.Age()))
+	if old.Gates <= 1 && t.Gates > 1 {
+		g.log.Info("gates known", zap.Int("gates", t.Gates), zap.Int("zones", len(t.Collectors)), zap.Duration("after", g.quotas.Age()))
 		beechtask.Notify(g.usageDue)
 	}
 	if t.duty.Collects != old.duty.Collects {
-		g.log.Info("collects states", zap.Bool("now", t.duty.Collects), zap.Int("gates", t.gates), zap.Int("engines", t.duty.ZoneEngines))
+		g.log.Info("collects states", zap.Bool("now", t.duty.Collects), zap.Int("gates", t.Gates), zap.Int("engines", t.Engines))
 	}
-	if t.settled && (len(t.collects) > len(old.collects) || !old.settled) {
+	if t.settled && (len(t.Collects) > len(old.Collects) || !old.settled) {
 		g.requestFollow()
 	}
 	beechtask.Notify(g.summariesDue)
@@ -222,7 +163,7 @@
 }
 
 // sendToZone sends a message to all other gates of this zone.
-func (g *Gate) sendToZone(m beechdatagram.Message) { g.sendToPeers(g.topology.Load().zone, m) }
+func (g *Gate) sendToZone(m beechdatagram.Message) { g.sendToPeers(g.topology.Load().Neighbors, m) }
 
 func (g *Gate) sendToPeers(peers []netip.AddrPort, m beechdatagram.Message) {
 	if err := g.socket.SendAll(peers, beechdatagram.SameZone, m); err != nil {
@@ -235,7 +176,7 @@
 // all relays, so that it is not lost with one of them.
 func (g *Gate) sendToGates(round uint32, urgent bool, message func(pass bool) beechdatagram.Message) {
 	g.sendToZone(message(false))
-	for _, zone := range g.topology.Load().otherZones {
+	for _, zone := range g.topology.Load().OtherZones {
 		targets := zone
 		relays := beechrelay.Select(g.members.Self(), zone)
 		if relays != nil {
--- a/internal/request/beechplace/pace.go
+++ b/internal/request/beechplace/pace.go
@@ -47,6 +47,9 @@
 	maxReportSamples = 10000
 )
 
+// maxPaceLog bounds how much slower or faster than the median a sample may be.
+var maxPaceLog = math.Log(maxPaceRatio)
+
 // paceFactor returns how many times as long as the median engine an engine takes.
 func (p *Placer) paceFactor(s *server, now time.Time) float64 {
 	e := &s.pace
@@ -76,7 +79,10 @@
 
 // recordPace adds the sample of one request.
 func (p *Placer) recordPace(s *server, took, expected float64, now time.Time) {
-	log := math.Log(min(max(took/max(expected, 1), 1./maxPaceRatio), maxPaceRatio))
+	// Bounded around the median: while all engines are slower than assumed, a bound around 1
+	// would cut off what tells a slow one from the others.
+	log := math.Log(max(took, 1) / max(expected, 1))
+	log = min(max(log, p.medianPace-maxPaceLog), p.medianPace+maxPaceLog)
 	s.pace.learn(log, 1, now)
 	unreported := &s.pace.unreported
 	unreported.Log = (unreported.Log*float64(unreported.Samples) + log) / float64(unreported.Samples+1)
@@ -121,7 +127,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	s, ok := p.byHash[report.Engine]
-	if !ok || report.Samples <= 0 || report.Samples > maxReportSamples || !(math.Abs(report.Log) <= math.Log(maxPaceRatio)) {
+	if !ok || report.Samples <= 0 || report.Samples > maxReportSamples || !(math.Abs(report.Log) <= 2*maxPaceLog) {
 		return
 	}
 	s.pace.learn(report.Log, float64(report.Samples), p.clock.Now())
