--- a/internal/command/beechcommand/command.go
+++ b/internal/command/beechcommand/command.go
@@ -49,6 +49,7 @@
 	newBurnCommand,
 	newDemoCommand,
 	newPlayCommand,
+	newLabCommand,
 	newReportCommand,
 	newStandinCommand,
 	newVersionCommand,
--- a/internal/decision/beechgossip/duties.go
+++ b/internal/decision/beechgossip/duties.go
@@ -1,8 +1,10 @@
 package beechgossip
 
 import (
+	"maps"
 	"net/netip"
 	"slices"
+	"strings"
 )
 
 // Duties is what follows for one member from the list of all members.
@@ -68,6 +70,11 @@
 	return d
 }
 
+// CollectedZones returns the names of the zones whose engines this member collects.
+func (d *Duties) CollectedZones() string {
+	return strings.Join(slices.Sorted(maps.Keys(d.Collects)), " ")
+}
+
 // Audience returns the members that this one tells of changes in the store: the first reader
 // of the fleet tells the readers of all zones, and the first reader of a zone its neighbors.
 func (d *Duties) Audience() []netip.AddrPort {
--- a/internal/decision/beechgossip/group.go
+++ b/internal/decision/beechgossip/group.go
@@ -117,8 +117,8 @@
 	// TickInterval is the time between calls of Tick.
 	TickInterval = 100 * time.Millisecond
 
-	newsFanout         = 3  // members that are sent each News
-	maxChanges         = 64 // per message
+	newsFanout         = 3   // members that are sent each News
+	maxChanges         = 160 // per message, at some 24 bytes each
 	maxListed          = 400
 	extraTransmissions = 3 // beyond half the binary logarithm of the number of members
 	indirectProbes     = 3
@@ -138,7 +138,7 @@
 
 // DefaultSettings are the settings of gates.
 var DefaultSettings = Settings{
-	ProbeInterval: 500 * time.Millisecond, AckTimeout: 250 * time.Millisecond, SuspicionFactor: 3, Retention: 2 * time.Minute,
+	ProbeInterval: 500 * time.Millisecond, AckTimeout: 250 * time.Millisecond, SuspicionFactor: 2, Retention: 2 * time.Minute,
 	JoinInterval: 200 * time.Millisecond, SettleTime: 150 * time.Millisecond, MaxSettleTime: 1200 * time.Millisecond,
 }
 
@@ -361,11 +361,16 @@
 // nextTarget returns the member to probe next: each in turn, in a random order.
 func (g *Group) nextTarget() (netip.AddrPort, bool) {
 	if g.random.Float64() < reconnectShare {
+		var dead []netip.AddrPort
 		for address, m := range g.members {
 			if m.Status == Dead {
-				return address, true
+				dead = append(dead, address)
 			}
 		}
+		if len(dead) > 0 {
+			slices.SortFunc(dead, netip.AddrPort.Compare)
+			return dead[g.random.IntN(len(dead))], true
+		}
 	}
 	for range 2 {
 		for len(g.order) > 0 {
@@ -427,7 +432,7 @@
 	if len(g.changes) == 0 {
 		return nil
 	}
-	due := slices.SortedFunc(maps.Keys(g.changes), func(x, y netip.AddrPort) int { return cmp.Compare(g.changes[x], g.changes[y]) })
+	due := slices.SortedFunc(maps.Keys(g.changes), func(x, y netip.AddrPort) int { return cmp.Or(cmp.Compare(g.changes[x], g.changes[y]), x.Compare(y)) })
 	limit := extraTransmissions + int(math.Ceil(math.Log2(float64(len(g.alive)+1))/2))
 	var list []Member
 	for _, address := range due[:min(len(due), maxChanges)] {
--- a/internal/decision/beechsummary/board.go
+++ b/internal/decision/beechsummary/board.go
@@ -82,7 +82,7 @@
 // would be, at a thousandth of the messages.
 var DefaultSettings = Settings{
 	NearSpacingPerGate: 800 * time.Microsecond, FarSpacingPerEngine: 500 * time.Microsecond, MinSpacing: 4 * time.Millisecond, MaxSpacing: 100 * time.Millisecond,
-	FarDelay: 200 * time.Millisecond, StandbyDelay: 150 * time.Millisecond, ConfirmInterval: time.Second, Silence: 1200 * time.Millisecond,
+	FarDelay: 200 * time.Millisecond, StandbyDelay: 150 * time.Millisecond, ConfirmInterval: time.Second, Silence: 800 * time.Millisecond,
 }
 
 const (
@@ -108,16 +108,16 @@
 	return b
 }
 
-// SetDuty sets what this gate does. A gate that becomes a collector sends each engine's state
-// with its next report.
+// SetDuty sets what this gate does. If the zones that it collects have changed, it sends each
+// engine's state with its next report.
 func (b *Board) SetDuty(d Duty) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if d.Collects == b.duty.Collects {
-		b.duty = d
+	changed := d.Zones != b.duty.Zones
+	b.duty = d
+	if !changed {
 		return
 	}
-	b.duty = d
 	for i := range b.audiences {
 		clear(b.audiences[i].pending)
 		b.audiences[i].lost = nil
@@ -127,6 +127,8 @@
 	}
 }
 
+func (d Duty) collects() bool { return d.Zones != "" }
+
 // Counts returns the counters.
 func (b *Board) Counts() Counts {
 	b.mu.Lock()
@@ -150,9 +152,10 @@
 	}
 }
 
-// Report takes the report of an engine's keeper. It returns false if it is older than the last
-// one.
-func (b *Board) Report(host netip.Addr, s State, parts Parts) bool {
+// Report takes the report of an engine's keeper. Collected is false if the engine is in a zone
+// that this gate does not collect any more: keepers report to it for a while after. It returns
+// false if the report is older than the last one.
+func (b *Board) Report(host netip.Addr, s State, parts Parts, collected bool) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	now := b.clock.Now()
@@ -161,11 +164,11 @@
 	if e.known && !e.lost && s.Number < e.Number && now.Sub(e.heardAt) < b.settings.Silence {
 		return false
 	}
-	first := !e.known || !e.ownZone || e.lost
+	first := !e.known || e.ownZone != collected || e.lost
 	statusChanged := first || !s.Status.equal(e.Status) || s.OutdatedSince.IsZero() != e.OutdatedSince.IsZero()
 	loadChanged := first || loadChanged(e.Load, s.Load)
 	urgent := statusChanged || len(parts.Added) > 0 || s.Reading-e.Reading >= longPrompt
-	e.ownZone, e.known, e.lost, e.heardAt = true, true, false, now
+	e.ownZone, e.known, e.lost, e.heardAt = collected, true, false, now
 	if !statusChanged && !loadChanged && parts.empty() {
 		e.State.Reading = s.Reading
 		return true
@@ -174,7 +177,7 @@
 	if statusChanged {
 		e.base = uint8(s.Number)
 	}
-	if b.duty.Collects {
+	if collected && b.duty.collects() {
 		b.notify(host, e, parts, statusChanged, urgent, now)
 	}
 	return true
@@ -266,7 +269,7 @@
 	return updates, recall
 }
 
-func (b *Board) handsOn(origin Origin) bool { return origin == Other && b.duty.Collects }
+func (b *Board) handsOn(origin Origin) bool { return origin == Other && b.duty.collects() }
 
 // applyChange returns false if this gate lacks an earlier change of the engine.
 func (b *Board) applyChange(c Change, origin Origin, now time.Time) (Update, bool) {
@@ -321,7 +324,7 @@
 func (b *Board) Due(to Audience) time.Duration {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if !b.duty.Collects {
+	if !b.duty.collects() {
 		return Never
 	}
 	now := b.clock.Now()
@@ -354,7 +357,7 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	now := b.clock.Now()
-	if !b.duty.Collects {
+	if !b.duty.collects() {
 		return nil
 	}
 	b.findLost(now)
--- a/internal/decision/beechsummary/board_test.go
+++ b/internal/decision/beechsummary/board_test.go
@@ -41,7 +41,7 @@
 	for i := range gates {
 		g := &gate{Board: New(DefaultSettings, z.clock), states: map[netip.Addr]State{}, heard: map[netip.Addr]time.Time{}, parts: map[netip.Addr]Parts{}}
 		if i < 2 {
-			g.SetDuty(Duty{Collects: true, Slot: i, Gates: gates - 1, ZoneEngines: engines})
+			g.SetDuty(Duty{Zones: "mill", Slot: i, Gates: gates - 1, ZoneEngines: engines})
 		}
 		z.gates = append(z.gates, g)
 	}
@@ -56,7 +56,7 @@
 	z.engines[i].Number++
 	for _, g := range z.gates[:2] {
 		if !g.dead && z.random.Float64() >= z.loss {
-			g.Report(host(i), z.engines[i], parts)
+			g.Report(host(i), z.engines[i], parts, true)
 		}
 	}
 }
@@ -208,16 +208,36 @@
 	}
 }
 
+// While gates start, one takes itself for the only one and collects the engines of all zones.
+// Once it knows the others it must believe them, and must not report the engines as lost whose
+// keepers report to it no longer.
+func TestFormerCollectorBelievesOthers(t *testing.T) {
+	is := is.New(t)
+	clock := clockwork.NewFakeClock()
+	b := New(DefaultSettings, clock)
+	b.SetDuty(Duty{Zones: "barn mill", Alone: true})
+	b.Report(host(1), State{Number: 1, Status: Status{Port: 80}}, Parts{}, true)
+	b.SetDuty(Duty{Zones: "mill", Alone: true})
+	b.Report(host(1), State{Number: 2, Load: Load{Running: 1}, Status: Status{Port: 80}}, Parts{}, false)
+	status := Status{Port: 80}
+	updates, _ := b.Apply(Summary{Changes: []Change{{Host: host(1), Number: 3, Base: 3, Load: Load{Running: 7}, Status: &status}}}, Other)
+	is.Equal(updates[0].(Changed).State.Running, 7)
+	is.Equal(b.Next(Near)[0].Changes[0].Load.Running, 7) // handed on
+	clock.Advance(2 * DefaultSettings.Silence)
+	b.Next(Near)
+	is.Equal(len(b.TakeSilent()), 0)
+}
+
 // Another zone's collector sends its summary to one collector of this zone, which hands it on.
 func TestOtherZonesAreHandedOn(t *testing.T) {
 	is := is.New(t)
 	z, other := newZone(5, 3), newZone(2, 0)
 	other.clock = z.clock
 	far := New(DefaultSettings, z.clock)
-	far.SetDuty(Duty{Collects: true, Alone: true, ZoneEngines: 1})
+	far.SetDuty(Duty{Zones: "mill", Alone: true, ZoneEngines: 1})
 	engine := netip.MustParseAddr("10.2.0.1")
 	z.run(time.Second)
-	far.Report(engine, State{Number: 5, Load: Load{Running: 2}, Status: Status{Port: 80}}, Parts{Added: []uint64{9}})
+	far.Report(engine, State{Number: 5, Load: Load{Running: 2}, Status: Status{Port: 80}}, Parts{Added: []uint64{9}}, true)
 	for _, s := range far.Next(Far) {
 		z.deliver(&gate{Board: far}, z.gates[0], s, Other)
 	}
@@ -234,17 +254,15 @@
 	is := is.New(t)
 	clock := clockwork.NewFakeClock()
 	b := New(DefaultSettings, clock)
-	b.SetDuty(Duty{Collects: true, Alone: true, ZoneEngines: 10})
+	b.SetDuty(Duty{Zones: "mill", Alone: true, ZoneEngines: 10})
 	report := func(edit func(s *State)) {
 		s := State{Number: uint32(clock.Now().UnixMilli()), Status: Status{Port: 80}}
 		edit(&s)
-		b.Report(host(1), s, Parts{})
+		b.Report(host(1), s, Parts{}, true)
 	}
 	report(func(*State) {})
 	b.Next(Far)
-	clock.Advance(time.Second)
-	b.Next(Far)
-	clock.Advance(50 * time.Millisecond)
+	clock.Advance(DefaultSettings.ConfirmInterval / 2)
 	report(func(s *State) { s.Running = 1 })
 	is.Equal(b.Due(Far), DefaultSettings.FarDelay)
 	report(func(s *State) { s.Running, s.Status.Phase = 1, 2 })
--- a/internal/decision/beechsummary/types.go
+++ b/internal/decision/beechsummary/types.go
@@ -96,11 +96,11 @@
 
 	// Duty is what a gate does for the engines of its zone.
 	Duty struct {
-		Collects    bool
-		Slot        int  // 0 or 1, the rank among the zone's collectors
-		Alone       bool // there is no second collector
-		Gates       int  // receivers of near summaries
-		ZoneEngines int  // with a keeper
+		Zones       string // names of the zones whose engines it collects; empty: none
+		Slot        int    // 0 or 1, the rank among the zone's collectors
+		Alone       bool   // there is no second collector
+		Gates       int    // receivers of near summaries
+		ZoneEngines int    // with a keeper
 	}
 )
 
--- a/internal/process/beechgate/collect.go
+++ b/internal/process/beechgate/collect.go
@@ -94,11 +94,12 @@
 // receiveReport handles a report of a keeper that this gate follows.
 func (g *Gate) receiveReport(host netip.Addr, tell *beechwire.Tell) {
 	state, parts := beechconvert.EngineReport(tell, g.clock.Now())
-	if !g.board.Report(host, state, parts) {
+	engine := netip.AddrPortFrom(host, tell.Port)
+	if !g.board.Report(host, state, parts, g.topology.Load().Collects[g.placer.ZoneOf(engine)]) {
 		return
 	}
 	g.suspects.Merge(beechconvert.SuspectRecords(tell.Suspects))
-	g.applyState(beechsummary.Changed{Engine: netip.AddrPortFrom(host, tell.Port), State: state, Parts: parts})
+	g.applyState(beechsummary.Changed{Engine: engine, State: state, Parts: parts})
 	beechtask.Notify(g.summariesDue)
 }
 
@@ -209,7 +210,7 @@
 		t := g.topology.Load()
 		suspects := beechconvert.WireSuspects(beechconvert.MostCrashes(g.suspects.RecentChanges()))
 		news := g.takeNews(round)
-		if t.duty.Collects || t.Gates <= 1 {
+		if len(t.Collects) > 0 || t.Gates <= 1 {
 			g.bulletin.Add(news, true)
 			g.sendBulletin(uint32(round), suspects)
 			return
--- a/internal/process/beechgate/membership.go
+++ b/internal/process/beechgate/membership.go
@@ -108,7 +108,7 @@
 	old := g.topology.Load()
 	t := &topology{version: g.members.Version(), settled: g.members.Settled()}
 	t.Duties = beechgossip.Assign(g.members.Members(), g.members.Self(), g.settings.Zone, g.engineZones())
-	t.duty = beechsummary.Duty{Collects: len(t.Collects) > 0, Slot: t.Slot, Alone: t.Alone, Gates: len(t.Neighbors), ZoneEngines: t.Engines}
+	t.duty = beechsummary.Duty{Zones: t.CollectedZones(), Slot: t.Slot, Alone: t.Alone, Gates: len(t.Neighbors), ZoneEngines: t.Engines}
 	g.topology.Store(t)
 	g.applyTopology(old, t)
 }
@@ -124,8 +124,8 @@
 		g.log.Info("gates known", zap.Int("gates", t.Gates), zap.Int("zones", len(t.Collectors)), zap.Duration("after", g.quotas.Age()))
 		beechtask.Notify(g.usageDue)
 	}
-	if t.duty.Collects != old.duty.Collects {
-		g.log.Info("collects states", zap.Bool("now", t.duty.Collects), zap.Int("gates", t.Gates), zap.Int("engines", t.Engines))
+	if t.duty.Zones != old.duty.Zones {
+		g.log.Info("collects states", zap.String("zones", t.duty.Zones), zap.Int("gates", t.Gates), zap.Int("engines", t.Engines))
 	}
 	if t.settled && (len(t.Collects) > len(old.Collects) || !old.settled) {
 		g.requestFollow()
--- a/internal/process/beechkeeper/notify.go
+++ b/internal/process/beechkeeper/notify.go
@@ -28,7 +28,7 @@
 
 const (
 	changeInterval = 40 * time.Millisecond  // between messages about a changed load
-	idleInterval   = 300 * time.Millisecond // between messages without a change; gates take an engine for lost after four of them
+	idleInterval   = 200 * time.Millisecond // between messages without a change; gates take an engine for lost after four of them
 	// sequenceBits is the number of bits for the messages of one second. The other bits hold
 	// the second in which the keeper started, so that its message numbers continue after
 	// those of the process before it.
--- a/internal/request/beechplace/placer.go
+++ b/internal/request/beechplace/placer.go
@@ -318,6 +318,16 @@
 	return ok && s.Zone == p.settings.Zone
 }
 
+// ZoneOf returns the zone of the server at an address, or an empty name if there is none.
+func (p *Placer) ZoneOf(address netip.AddrPort) string {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if s, ok := p.byAddress[address]; ok {
+		return s.Zone
+	}
+	return ""
+}
+
 // ConfirmState records that the last report on an engine still holds.
 func (p *Placer) ConfirmState(address netip.AddrPort) {
 	p.mu.Lock()
