Scenario booking-lost-on-its-way draws its keys by their owner

All six keys could belong to the agent that is cut off, as owners follow from the addresses of a run: in 5 of the first 60 networks no attempt was broken, which the script waits for. What the script expects is unchanged.

--- a/internal/command/beechscenario/deployment_test.go
+++ b/internal/command/beechscenario/deployment_test.go
@@ -35,6 +35,7 @@
 		mu              sync.Mutex
 		processes       map[string]*process
 		proxies         map[string]*faultProxy
+		drawnKeys       map[string]string // idempotency keys, by the name that the script uses
 		hosts           []beechstore.Host
 		lastAddressByte byte
 		calls           map[string]*call
@@ -83,7 +84,7 @@
 func newDeployment(t testing.TB, dir string) *deployment {
 	return &deployment{
 		t: t, dir: dir, network: int(networks.Add(1)), level: "info",
-		processes: map[string]*process{}, proxies: map[string]*faultProxy{}, calls: map[string]*call{},
+		processes: map[string]*process{}, proxies: map[string]*faultProxy{}, calls: map[string]*call{}, drawnKeys: map[string]string{},
 	}
 }
 
--- a/internal/command/beechscenario/requests_test.go
+++ b/internal/command/beechscenario/requests_test.go
@@ -2,14 +2,26 @@
 
 import (
 	"bytes"
+	"cmp"
 	"context"
+	"crypto/sha256"
+	"encoding/hex"
 	"encoding/json"
 	"fmt"
+	"net/netip"
 	"os/exec"
 	"path/filepath"
 	"slices"
 	"strings"
 	"time"
+
+	"github.com/beechring/beechring/internal/link/beechwire"
+	"github.com/beechring/beechring/internal/state/beechrecord"
+)
+
+const (
+	keyWorkspace = "loop" // workspace of the default key
+	maxDrawnKeys = 1000
 )
 
 // commandApply implements apply FILE [base=N]
@@ -43,6 +55,36 @@
 	return nil
 }
 
+// idempotencyKey returns the key that a script calls by name. With an agent in away, the key is
+// drawn so that another agent owns its claim, whatever the addresses of this run: owners follow
+// from them.
+func (d *deployment) idempotencyKey(name, away string) string {
+	if away == "" {
+		return cmp.Or(d.drawnKeys[name], name)
+	}
+	var agents []netip.AddrPort
+	var avoided netip.AddrPort
+	for _, h := range d.hosts {
+		if h.Role == "agent" {
+			agents = append(agents, h.Address)
+		}
+		if h.Name == away {
+			avoided = h.Address
+		}
+	}
+	for n := range maxDrawnKeys {
+		drawn := fmt.Sprintf("%s-%d", name, n)
+		sum := sha256.Sum256([]byte(keyWorkspace + "\x00" + drawn))
+		shard := beechrecord.Key{Name: hex.EncodeToString(sum[:])}.Shard(beechwire.RecordShards)
+		if beechrecord.Owner(shard, agents) != avoided {
+			d.drawnKeys[name] = drawn
+			return drawn
+		}
+	}
+	d.t.Errorf("no key is owned by another agent than %s", away)
+	return name
+}
+
 // readRequest builds a request from the arguments of send and load.
 func (d *deployment) readRequest(v values) (request, error) {
 	r := request{
@@ -53,7 +95,7 @@
 		Prompt:           v.text("prompt", "Which size?"),
 		Tokens:           v.number("tokens", 20),
 		Stream:           v.text("stream", "yes") == "yes",
-		IdempotencyKey:   v["idem"],
+		IdempotencyKey:   d.idempotencyKey(v["idem"], v["away"]),
 		Timeout:          v.duration("timeout"),
 		Service:          v["service"],
 		Method:           v["method"],
