A status that promises too much is not passed on for requests that run at most once

408, 421, 429 and 503 tell a caller that its request has not run and never will. A server's own such status came through unchanged, also without the server's word that it has not run the request, and the caller of a booking would send it again. TestNotRunIsOnlySaidWhereItIsTrue draws what servers answer to one attempt after another and failed on a 408.

--- a/internal/request/beechattempt/run.go
+++ b/internal/request/beechattempt/run.go
@@ -235,10 +235,27 @@
 		return noRetry // not a continuation of the events that the caller has
 	}
 	r.dispatcher.suspects.RecordSuccess(r.call.Fingerprint())
+	if r.call.Route.RetryPolicy == beechcall.AtMostOnce && promisesNotRun(answer.Status) {
+		// The server has not said that it did not run the request, but the status would say so
+		// to the caller, who would send it again.
+		r.maybeExecuted++
+		r.logAttempt("answered with a status that it does not prove", choice, zap.Int("status", answer.Status))
+		return noRetry
+	}
 	r.out.Respond(answer.Status, answer.Header, body)
 	return finished
 }
 
+// promisesNotRun reports whether a status tells callers that their request has not run and never
+// will.
+func promisesNotRun(status int) bool {
+	switch status {
+	case http.StatusRequestTimeout, http.StatusMisdirectedRequest, http.StatusTooManyRequests, http.StatusServiceUnavailable:
+		return true
+	}
+	return false
+}
+
 // handleFailure decides what follows an attempt without a complete answer.
 func (r *execution) handleFailure(choice beechplace.Choice, placement *beechplace.Attempt, watch *watchdog, err error) verdict {
 	watch.stop()
