Duties only after a seed has answered; who watches and retries goes by role

On a start each gate took itself for the only one 150 ms after its start, before its seeds had started, and read and watched the store: 4 calls each. With seeds it now waits for one of them, up to 0.7 s (TestStartBeforeSeeds). After a change of the configuration, or while the reader is turned away by the store, gates that had heard of no watching reader for 0.7 s all watched themselves; now the standby does first, then the readers of zones, the others after 3 s. A gate that is turned away retries each 2 s while others confirm its copy.

--- a/internal/decision/beechgossip/group.go
+++ b/internal/decision/beechgossip/group.go
@@ -36,6 +36,7 @@
 		SuspicionFactor float64       // suspicion lasts so many probe intervals, times the decimal logarithm of the number of members
 		Retention       time.Duration // how long a dead member is remembered
 		JoinInterval    time.Duration // between attempts to reach a seed
+		SeedTime        time.Duration // from the start, in which seeds that start too are waited for
 		SettleTime      time.Duration // without new members, until the list is considered complete
 		MaxSettleTime   time.Duration
 	}
@@ -139,7 +140,7 @@
 // DefaultSettings are the settings of gates.
 var DefaultSettings = Settings{
 	ProbeInterval: 500 * time.Millisecond, AckTimeout: 250 * time.Millisecond, SuspicionFactor: 2, Retention: 2 * time.Minute,
-	JoinInterval: 200 * time.Millisecond, SettleTime: 150 * time.Millisecond, MaxSettleTime: 1200 * time.Millisecond,
+	JoinInterval: 200 * time.Millisecond, SeedTime: 700 * time.Millisecond, SettleTime: 150 * time.Millisecond, MaxSettleTime: 1200 * time.Millisecond,
 }
 
 // New returns the group of a process that knows only its seeds. The incarnation of self is
@@ -200,12 +201,17 @@
 }
 
 // Settled reports whether the list of members is probably complete: no member was added for a
-// while after the start. Duties that are taken before would be taken by each process.
+// while after the start, and if there are seeds, one was found or none has answered for long.
+// Duties that are taken before would be taken by each process.
 func (g *Group) Settled() bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	now := g.clock.Now()
-	return now.Sub(g.grownAt) >= g.settings.SettleTime || now.Sub(g.startedAt) >= g.settings.MaxSettleTime
+	age := now.Sub(g.startedAt)
+	if len(g.seeds) > 0 && len(g.members) == 0 && age < g.settings.SeedTime {
+		return false
+	}
+	return now.Sub(g.grownAt) >= g.settings.SettleTime || age >= g.settings.MaxSettleTime
 }
 
 // Search returns a message that asks any process for the members that it knows.
--- a/internal/decision/beechgossip/group_test.go
+++ b/internal/decision/beechgossip/group_test.go
@@ -301,6 +301,23 @@
 	is.True(len(victim.Members()) <= maxMembers+1)
 }
 
+// A process starts a moment before its seeds. If it took all duties meanwhile, each process of a
+// fleet that starts would read the store for itself.
+func TestStartBeforeSeeds(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(11)
+	early := f.start(5, 1, 2)
+	f.run(400 * time.Millisecond)
+	is.True(!early.Settled())
+	f.start(1, 1, 2)
+	f.run(500 * time.Millisecond)
+	is.True(early.Settled())
+	is.Equal(len(early.Members()), 2)
+	alone := f.start(6, 99)
+	f.run(time.Second)
+	is.True(alone.Settled()) // no seed has ever answered
+}
+
 // Seeds are stale. An address learned elsewhere must be enough to join.
 func TestJoinByAddressFromElsewhere(t *testing.T) {
 	f := newFleet(10)
--- a/internal/process/beechgate/copies.go
+++ b/internal/process/beechgate/copies.go
@@ -70,6 +70,13 @@
 		First: 4 * time.Second, Second: 4700 * time.Millisecond, ZoneFirst: 5000 * time.Millisecond, ZoneSecond: 5200 * time.Millisecond, Others: 5400 * time.Millisecond,
 	}
 
+	// watchPatience is how long a gate waits for a reader that watches the store before it watches
+	// itself, by role: the standby first, the others when both are gone.
+	watchPatience = map[beechreader.Role]time.Duration{
+		beechreader.First: 0, beechreader.Second: 700 * time.Millisecond, beechreader.ZoneFirst: 1500 * time.Millisecond,
+		beechreader.ZoneSecond: 2 * time.Second, beechreader.Follower: 3 * time.Second,
+	}
+
 	errCopyStatus = errors.New("unexpected status")
 )
 
@@ -124,6 +131,8 @@
 	revoke := time.Duration(g.bounds.Load().Revoke)
 	g.operatorMirror.SetMaxAge(operatorReadAges.Scaled(min(float64(revoke)/float64(nominalRevoke), 1)).ForRole(role), role == beechreader.First)
 	g.serverMirror.SetMaxAge(serverReadAges.ForRole(role), role == beechreader.First)
+	g.operatorMirror.SetWatchPatience(watchPatience[role])
+	g.serverMirror.SetWatchPatience(watchPatience[role])
 	targets := g.readers.Targets()
 	if len(targets) == 0 || g.Draining() {
 		return
--- a/internal/state/beechmirror/mirror.go
+++ b/internal/state/beechmirror/mirror.go
@@ -135,6 +135,9 @@
 	// may be served without confirmation by the store.
 	minRetryPause = 150 * time.Millisecond
 	maxRetryPause = 600 * time.Millisecond
+	// confirmedRetryPause is the pause after a failed read while a peer that reaches the store
+	// confirms the copy.
+	confirmedRetryPause = 2 * time.Second
 	// watchTimeoutMargin is added to WatchTimeout before a watch is canceled locally.
 	watchTimeoutMargin = time.Second
 	// maxRemovedKeys bounds the remembered removals; all are forgotten when it is reached.
@@ -150,7 +153,7 @@
 		settings: s, source: source, freshness: freshness, clock: clock, changed: changed,
 		log:   log.With(zap.String("prefix", s.Prefix)),
 		items: make(map[string]Item), removed: make(map[string]uint64), maxAge: s.MaxAge, startedAt: clock.Now(), readNow: make(chan struct{}, 1),
-		sharing: sharing{alwaysWatch: true, peerDiffers: make(chan struct{}, 1)},
+		sharing: sharing{patience: peerWatchTTL, alwaysWatch: true, peerDiffers: make(chan struct{}, 1)},
 	}
 }
 
@@ -167,6 +170,9 @@
 			retry.Reset()
 		} else {
 			pause = retry.NextBackOff()
+			if m.confirmedByPeer() {
+				pause = max(pause, confirmedRetryPause)
+			}
 		}
 		m.waitUntilReadDue(ctx, pause)
 	}
@@ -218,6 +224,13 @@
 	return m.maxAge - m.freshness.Age()
 }
 
+// confirmedByPeer reports whether the copy is young although this process cannot read.
+func (m *Mirror) confirmedByPeer() bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.loaded && m.freshness.Age() < m.maxAge
+}
+
 func (m *Mirror) readOnce(ctx context.Context) bool {
 	asked := m.freshness.Now()
 	limited, cancel := clockwork.WithTimeout(ctx, m.clock, m.settings.ReadTimeout)
--- a/internal/state/beechmirror/peers.go
+++ b/internal/state/beechmirror/peers.go
@@ -35,6 +35,7 @@
 	// lock of the mirror.
 	sharing struct {
 		digest      uint64        // of the keys and revisions in the copy
+		patience    time.Duration // without a watching peer, until this process watches
 		alwaysWatch bool          // peers rely on this copy, so it watches the store whatever their status is
 		watching    bool          // this process watches the store, and the last watch has not failed
 		peerWatchAt time.Time     // when a watching peer last proved that it has the same copy
@@ -54,6 +55,14 @@
 	m.mu.Unlock()
 }
 
+// SetWatchPatience changes how long this process waits for a peer that watches the store before it
+// watches itself. A change would reach it later meanwhile, by a full read or from a peer.
+func (m *Mirror) SetWatchPatience(d time.Duration) {
+	m.mu.Lock()
+	m.patience = d
+	m.mu.Unlock()
+}
+
 // Status returns the status and the age of the copy. Known is false before the first full
 // read.
 func (m *Mirror) Status() (status CopyStatus, age time.Duration, known bool) {
@@ -165,7 +174,7 @@
 func (m *Mirror) watchedByPeer() bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	if m.alwaysWatch || m.clock.Since(m.peerWatchAt) >= peerWatchTTL {
+	if m.alwaysWatch || m.clock.Since(m.peerWatchAt) >= m.patience {
 		return false
 	}
 	m.watching = false
