Retries: half of the spare is lent from a pool of each zone where shares are a few retries only

Divided by 356 gates the operators' 1,040 spare retries are two each, and one each at any number above 780, more than the spare in all. Now shares of under eight retries are halved, and the first collector of a zone lends from the other half; a request waits 25 ms at most for a loan. Fewer than some hundred gates have shares as before.

--- a/internal/decision/beechretry/budget.go
+++ b/internal/decision/beechretry/budget.go
@@ -3,6 +3,7 @@
 import (
 	"math/rand/v2"
 	"net/netip"
+	"slices"
 	"sync"
 	"time"
 
@@ -65,6 +66,7 @@
 	GiveUp struct {
 		Ran        Ran
 		RetryAfter time.Duration
+		Exhausted  bool // only the budget forbids a retry
 	}
 
 	// Budget limits the retries of one entry host. It is safe for concurrent use.
@@ -75,6 +77,7 @@
 		random   *rand.Rand
 		credit   int           // in hundredths of a retry; unused with a window
 		window   slidingWindow // unused without a window
+		loans    []loan        // retries beyond the budget that were lent to this host
 	}
 )
 
@@ -124,11 +127,11 @@
 	return s
 }
 
-// SetReserve changes the reserve. Retries made so far still count.
+// SetReserve changes the reserve, which may be 0. Retries made so far still count.
 func (b *Budget) SetReserve(n int) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if n > 0 {
+	if n >= 0 {
 		b.settings.Reserve = n
 		b.credit = min(b.credit, n*retryCost)
 	}
@@ -160,12 +163,37 @@
 		return b.giveUp(o)
 	}
 	r, ok := b.plan(o)
-	if !ok || !beforeDeadline(o, b.clock.Now().Add(r.Delay)) || !b.spend(o) {
+	if !ok || !beforeDeadline(o, b.clock.Now().Add(r.Delay)) {
 		return b.giveUp(o)
 	}
+	if !b.spend(o) && !b.spendLoan() {
+		g := b.giveUp(o)
+		g.Exhausted = true
+		return g
+	}
 	return r
 }
 
+// AddLoan adds retries that may be used within LoanTime.
+func (b *Budget) AddLoan(count int) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if count > 0 {
+		b.loans = append(b.loans, loan{count, b.clock.Now()})
+	}
+}
+
+// spendLoan takes a retry from the oldest loan that may still be used.
+func (b *Budget) spendLoan() bool {
+	now := b.clock.Now()
+	b.loans = slices.DeleteFunc(b.loans, func(x loan) bool { return x.count <= 0 || now.Sub(x.at) >= LoanTime })
+	if len(b.loans) == 0 {
+		return false
+	}
+	b.loans[0].count--
+	return true
+}
+
 // safeToRetry reports whether a second run does no harm: either the first attempt
 // did not run, or the request is repeatable. A booking that may have run must not
 // run again.
--- a/internal/link/beechdatagram/datagram.go
+++ b/internal/link/beechdatagram/datagram.go
@@ -31,7 +31,7 @@
 
 type (
 	// Message is a Follow, a Tell, an Announce, an Inquiry, a Vouch, a Proof, an
-	// Entries, a Gossip, a Summary, a Recall, a Spent, a Limits or a Full.
+	// Entries, a Gossip, a Summary, a Recall, a Borrow, a Loan, a Spent, a Limits or a Full.
 	Message interface{ message() }
 
 	// Follow is sent by a gate to a keeper: it asks for the engine's state, and names
@@ -76,6 +76,12 @@
 	// Proof is the answer to an Inquiry, and tells that a copy has changed.
 	Proof struct{ *beechwire.Proof }
 
+	// Borrow is sent by a gate to the one that lends the retries of its zone.
+	Borrow struct{ *beechwire.Borrow }
+
+	// Loan answers a Borrow.
+	Loan struct{ *beechwire.Loan }
+
 	// Scope tells whether a datagram leaves its availability zone. Traffic between
 	// zones is billed by the byte.
 	Scope bool
@@ -108,6 +114,8 @@
 	kindSummary      = 'C'
 	kindRecall       = 'W'
 	kindProof        = 'H'
+	kindBorrow       = 'K'
+	kindLoan         = 'N'
 	maxDatagramBytes = 16 << 10
 )
 
@@ -125,6 +133,8 @@
 func (Gossip) message()   {}
 func (Summary) message()  {}
 func (Recall) message()   {}
+func (Borrow) message()   {}
+func (Loan) message()     {}
 func (Proof) message()    {}
 
 // Open binds a UDP socket to an address.
@@ -163,6 +173,10 @@
 		return v.MarshalMsg([]byte{kindSummary})
 	case Recall:
 		return v.MarshalMsg([]byte{kindRecall})
+	case Borrow:
+		return v.MarshalMsg([]byte{kindBorrow})
+	case Loan:
+		return v.MarshalMsg([]byte{kindLoan})
 	case Proof:
 		return v.MarshalMsg([]byte{kindProof})
 	}
@@ -224,6 +238,12 @@
 	case kindRecall:
 		m := &beechwire.Recall{}
 		return Recall{m}, m
+	case kindBorrow:
+		m := &beechwire.Borrow{}
+		return Borrow{m}, m
+	case kindLoan:
+		m := &beechwire.Loan{}
+		return Loan{m}, m
 	case kindProof:
 		m := &beechwire.Proof{}
 		return Proof{m}, m
@@ -281,6 +301,10 @@
 		return "summary"
 	case kindRecall:
 		return "recall"
+	case kindBorrow:
+		return "borrow"
+	case kindLoan:
+		return "loan"
 	case kindProof:
 		return "proof"
 	}
--- a/internal/link/beechdatagram/datagram_test.go
+++ b/internal/link/beechdatagram/datagram_test.go
@@ -27,6 +27,8 @@
 		Confirmed: []beechwire.Heard{{Host: "\x0a\x01\x00\x1e", Number: 200}}, Lost: []string{"\x0a\x01\x00\x1f"}, Paces: []beechwire.Seen{{Engine: 1 << 60, Samples: 7, Log: -260}},
 		Speed: []beechwire.Speed{{Samples: 3, Rate: 69800, Fixed: 9000}}, Busy: []beechwire.Busy{{Server: 1 << 60, Run: 4}},
 	}},
+	Borrow{&beechwire.Borrow{Service: "llm", Wanted: 2}},
+	Loan{&beechwire.Loan{Service: "llm", Count: 1}},
 	Recall{&beechwire.Recall{Hosts: []string{"\x0a\x01\x00\x1e"}}},
 	Proof{&beechwire.Proof{Number: 7, Operators: beechwire.Held{Digest: 1 << 63, Revision: 40, Age: 1300, Watched: true}, Servers: beechwire.Held{Age: -1}}},
 	Spent{&beechwire.Spent{Host: 1 << 63, Lifetime: 2, Pass: true, Settled: true, Uses: []beechwire.Use{{Workspace: 1 << 60, Total: 9200, Level: -5}}}},
--- a/internal/link/beechwire/wire_gen.go
+++ b/internal/link/beechwire/wire_gen.go
@@ -2,7 +2,7 @@
 
 //msgp:ignore WireSchemaJson
 //msgp:limit arrays:65536
-//msgp:tuple Follow Announce Tell Target Weights Copy Inquiry Vouch Entry Entries Node Gossip Status Engine Heard Speed Busy Summary Recall Held Proof Use Spent Seen Limit Limits Full FullServer
+//msgp:tuple Follow Announce Tell Target Weights Copy Inquiry Vouch Entry Entries Node Gossip Status Engine Heard Speed Busy Summary Recall Held Proof Borrow Loan Use Spent Seen Limit Limits Full FullServer
 
 package beechwire
 
@@ -63,6 +63,16 @@
 	Stream uint64 `msg:"Stream"`
 }
 
+// Borrow is the datagram in which a gate that has no retries left asks the gate
+// that lends those of its availability zone.
+type Borrow struct {
+	// Service corresponds to the JSON schema field "Service".
+	Service string `msg:"Service"`
+
+	// Wanted corresponds to the JSON schema field "Wanted".
+	Wanted int `msg:"Wanted"`
+}
+
 // Busy is the load that a server without a keeper told with an answer.
 type Busy struct {
 	// Milliseconds since the answer.
@@ -660,6 +670,15 @@
 	WaitingTokens int64 `msg:"WaitingTokens"`
 }
 
+// Loan answers a Borrow.
+type Loan struct {
+	// Count corresponds to the JSON schema field "Count".
+	Count int `msg:"Count"`
+
+	// Service corresponds to the JSON schema field "Service".
+	Service string `msg:"Service"`
+}
+
 // Member is a process known to the sender.
 type Member struct {
 	// Address corresponds to the JSON schema field "Address".
--- a/internal/link/beechwire/wire_msgp_gen.go
+++ b/internal/link/beechwire/wire_msgp_gen.go
@@ -627,6 +627,48 @@
 	return
 }
 
+// MarshalMsg implements msgp.Marshaler
+func (z Borrow) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// array header, size 2
+	o = append(o, 0x92)
+	o = msgp.AppendString(o, z.Service)
+	o = msgp.AppendInt(o, z.Wanted)
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *Borrow) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadArrayHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 != 2 {
+		err = msgp.ArrayError{Wanted: 2, Got: zb0001}
+		return
+	}
+	z.Service, bts, err = msgp.ReadStringBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Service")
+		return
+	}
+	z.Wanted, bts, err = msgp.ReadIntBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Wanted")
+		return
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z Borrow) Msgsize() (s int) {
+	s = 1 + msgp.StringPrefixSize + len(z.Service) + msgp.IntSize
+	return
+}
+
 // MarshalMsg implements msgp.Marshaler
 func (z *Busy) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
@@ -3891,6 +3933,48 @@
 	return
 }
 
+// MarshalMsg implements msgp.Marshaler
+func (z Loan) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// array header, size 2
+	o = append(o, 0x92)
+	o = msgp.AppendInt(o, z.Count)
+	o = msgp.AppendString(o, z.Service)
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *Loan) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadArrayHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 != 2 {
+		err = msgp.ArrayError{Wanted: 2, Got: zb0001}
+		return
+	}
+	z.Count, bts, err = msgp.ReadIntBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Count")
+		return
+	}
+	z.Service, bts, err = msgp.ReadStringBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Service")
+		return
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z Loan) Msgsize() (s int) {
+	s = 1 + msgp.IntSize + msgp.StringPrefixSize + len(z.Service)
+	return
+}
+
 // MarshalMsg implements msgp.Marshaler
 func (z *Member) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
--- a/internal/process/beechgate/gate.go
+++ b/internal/process/beechgate/gate.go
@@ -20,6 +20,7 @@
 	"github.com/beechring/beechring/internal/decision/beechgossip"
 	"github.com/beechring/beechring/internal/decision/beechhealth"
 	"github.com/beechring/beechring/internal/decision/beechquota"
+	"github.com/beechring/beechring/internal/decision/beechretry"
 	"github.com/beechring/beechring/internal/decision/beechsaturation"
 	"github.com/beechring/beechring/internal/decision/beechsummary"
 	"github.com/beechring/beechring/internal/decision/beechsuspect"
@@ -72,6 +73,7 @@
 		health         *beechhealth.Tracker
 		suspects       *beechsuspect.Registry
 		budgets        *Budgets
+		loans          *beechretry.Lender // lends to the gates of this zone if this gate is the first to collect
 		quotas         *beechquota.Limiter
 		limits         *beechthrottle.Throttle  // request limits that servers announce
 		overloaded     *beechsaturation.Tracker // servers that reject requests
@@ -160,13 +162,14 @@
 		health:      beechhealth.New(healthSettings, deps.Clock),
 		suspects:    beechsuspect.New(beechsuspect.Settings{}, deps.Clock),
 		quotas:      beechquota.New(s.Name, rand.Uint64(), quotaBounds(s.Bounds.Quota), deps.Clock),
-		budgets:     NewBudgets(s.Bounds.Retries, s.Bounds.Spare, time.Duration(s.Bounds.Window), deps.Clock),
+		loans:       beechretry.NewLender(deps.Clock),
 		announced:   make(map[string]announcedVersion),
 		rolloutPace: beechrollout.NewLoadWindow(),
 		followDue:   make(chan struct{}, 1),
 		turnEnded:   make(chan struct{}, 1), usageDue: make(chan struct{}, 1), limitsDue: make(chan struct{}, 1), overloadsDue: make(chan struct{}, 1),
 		summariesDue: make(chan struct{}, 1), inquiryDue: make(chan struct{}, 1),
 	}
+	g.budgets = NewBudgets(s.Bounds.Retries, s.Bounds.Spare, time.Duration(s.Bounds.Window), deps.Clock, g.askForLoan)
 	g.members = newGossip(g)
 	g.topology.Store(&topology{Duties: beechgossip.Assign(g.members.Members(), g.members.Self(), s.Zone, nil)})
 	g.bounds.Store(&s.Bounds)
--- a/internal/process/beechgate/keeper.go
+++ b/internal/process/beechgate/keeper.go
@@ -111,6 +111,10 @@
 		g.receiveSummary(from, v)
 	case beechdatagram.Recall:
 		g.receiveRecall(from, v)
+	case beechdatagram.Borrow:
+		g.receiveBorrow(from, v)
+	case beechdatagram.Loan:
+		g.receiveLoan(from, v)
 	case beechdatagram.Spent:
 		g.receiveUsage(from, v)
 	case beechdatagram.Limits:
--- a/internal/process/beechgate/membership.go
+++ b/internal/process/beechgate/membership.go
@@ -117,6 +117,8 @@
 func (g *Gate) applyTopology(old, t *topology) {
 	g.readers.SetReaders(t.Readers, t.ZoneReaders[g.settings.Zone])
 	g.board.SetDuty(t.duty)
+	collectors := t.Collectors[g.settings.Zone]
+	g.loans.SetActive(t.settled && len(collectors) > 0 && collectors[0] == t.Self && !g.Draining())
 	if t.settled {
 		g.setGates(t.Gates)
 	}
--- a/internal/process/beechgate/metrics.go
+++ b/internal/process/beechgate/metrics.go
@@ -18,6 +18,7 @@
 		denied         *expvar.Map
 		unknownSenders *expvar.Int // messages from hosts that are not members
 		invalidGossip  *expvar.Int // membership messages of unknown kinds
+		lent           *expvar.Int // retries lent to gates of this zone
 		copiesFetched  *expvar.Int // whole copies taken from other gates
 		vouches        *expvar.Map // other gates' statements about their mirrors, by result
 		bodies         *expvar.Map // bytes of request bodies, within the zone and to other zones
@@ -33,7 +34,7 @@
 func newMetrics(g *Gate) *metrics {
 	m := &metrics{
 		vars: new(expvar.Map), endings: new(expvar.Map), retried: new(expvar.Int), denied: new(expvar.Map),
-		vouches: new(expvar.Map), bodies: new(expvar.Map), unknownSenders: new(expvar.Int), invalidGossip: new(expvar.Int), copiesFetched: new(expvar.Int),
+		vouches: new(expvar.Map), bodies: new(expvar.Map), unknownSenders: new(expvar.Int), invalidGossip: new(expvar.Int), copiesFetched: new(expvar.Int), lent: new(expvar.Int),
 		limitLinesDropped: new(expvar.Int), lateVersions: new(expvar.Int), invalidEntries: new(expvar.Int), firstByte: beechmetric.NewLatency(), wholeAnswer: beechmetric.NewLatency(),
 	}
 	m.vars.Set("endings", m.endings)
@@ -44,6 +45,7 @@
 	m.vars.Set("strangers", m.unknownSenders)
 	m.vars.Set("gossipMalformed", m.invalidGossip)
 	m.vars.Set("copiesFetched", m.copiesFetched)
+	m.vars.Set("retriesLent", m.lent)
 	m.vars.Set("members", expvar.Func(func() any { return g.members.Counts() }))
 	m.vars.Set("states", expvar.Func(func() any { return g.board.Counts() }))
 	m.vars.Set("quotas", expvar.Func(func() any { return g.quotas.State() }))
--- a/internal/process/beechgate/recentmax_test.go
+++ b/internal/process/beechgate/recentmax_test.go
@@ -28,7 +28,7 @@
 // at each change would have failing servers run all requests again.
 func TestChangingGateCountGrantsNoRetries(t *testing.T) {
 	is := is.New(t)
-	b := NewBudgets(0.1, 80, 10*time.Second, clockwork.NewFakeClock())
+	b := NewBudgets(0.1, 80, 10*time.Second, clockwork.NewFakeClock(), nil)
 	failed := beechretry.Outcome{Attempt: 1, Ran: beechretry.RanYes, Repeatable: true}
 	spent := func() int {
 		for n := 0; ; n++ {
--- /dev/null
+++ b/internal/process/beechgate/retrybudget_test.go
@@ -0,0 +1,58 @@
+package beechgate
+
+import (
+	"testing"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"github.com/matryer/is"
+
+	"github.com/beechring/beechring/internal/decision/beechretry"
+)
+
+// However many gates share the operators' spare retries, their shares and pools stay within it:
+// one retry each would be more than the spare of a fleet of a thousand gates.
+func TestSharesAndPoolsStayWithinTheSpare(t *testing.T) {
+	is := is.New(t)
+	for _, gates := range []int{1, 4, 68, 356, 780, 781, 2000} {
+		b := NewBudgets(0.2, 1040, 10*time.Second, clockwork.NewFakeClock(), nil)
+		b.SetGates(gates)
+		pools := 0
+		for range 2 { // of each of two zones, two lenders
+			pool, _ := b.Pool(gates / 2)
+			pools += 2 * pool
+		}
+		is.True(b.share()*gates+pools <= 780) // three quarters of the spare
+	}
+}
+
+// A gate has used its retries. It asks the lender, and the request that waits gets the loan.
+func TestExhaustedGateBorrows(t *testing.T) {
+	is := is.New(t)
+	var b *Budgets
+	asked := 0
+	b = NewBudgets(0.2, 100, 10*time.Second, clockwork.NewRealClock(), func(service string, wanted int) {
+		asked += wanted
+		go b.AddLoan(service, wanted)
+	})
+	b.SetGates(356)
+	is.Equal(b.share(), 0)
+	for range 4 {
+		_, retried := b.Decide("llm", beechretry.Outcome{Ran: beechretry.RanNo}).(beechretry.Retry)
+		is.True(retried)
+	}
+	is.Equal(asked, 4) // two at a time
+	b.SetGates(4)      // each has enough for itself
+	is.Equal(b.share(), 18)
+}
+
+// The lender does not answer. The caller must not wait for it for long.
+func TestLenderDoesNotAnswer(t *testing.T) {
+	is := is.New(t)
+	b := NewBudgets(0.2, 100, 10*time.Second, clockwork.NewRealClock(), func(string, int) {})
+	b.SetGates(356)
+	began := time.Now()
+	_, gaveUp := b.Decide("llm", beechretry.Outcome{Ran: beechretry.RanNo}).(beechretry.GiveUp)
+	is.True(gaveUp)
+	is.True(time.Since(began) < time.Second)
+}
