--- a/internal/request/beechplace/load.go
+++ b/internal/request/beechplace/load.go
@@ -18,7 +18,8 @@
 const (
 	// loadPrior is the weight of the mean load of a service against this gate's own requests,
 	// as the number of requests that it stands for.
-	loadPrior       = 0.5
+	loadPrior       = 1
+	initialLoad     = 1. // mean load of a service of which nothing is known
 	serviceLoadMean = 32 // weight of the running mean, in answers
 	maxReportedLoad = 1 << 20
 )
@@ -46,21 +47,21 @@
 // of its own stood for one of each gate, a gate of a large fleet would take each server that
 // it has just used for full, and send all its requests to the others.
 func (p *Placer) expectedLoad(s *server) float64 {
-	mean, known := p.serviceLoads[s.Service]
-	if !known {
-		mean = 1
-	}
+	mean := p.serviceLoad(s.Service)
 	sampled := 1 / float64(max(p.settings.Gates, 1))
 	return max((float64(s.inFlight)+loadPrior)/(loadPrior/max(mean, sampled)+sampled), float64(s.inFlight))
 }
 
-func (p *Placer) observeServiceLoad(service string, l beechcall.Load) {
-	load := float64(l.Running + l.Waiting)
-	mean, known := p.serviceLoads[service]
-	if !known {
-		mean = load
+func (p *Placer) serviceLoad(service string) float64 {
+	if mean, known := p.serviceLoads[service]; known {
+		return mean
 	}
-	p.serviceLoads[service] = mean + (load-mean)/serviceLoadMean
+	return initialLoad
+}
+
+func (p *Placer) observeServiceLoad(service string, l beechcall.Load) {
+	mean := p.serviceLoad(service)
+	p.serviceLoads[service] = mean + (float64(l.Running+l.Waiting)-mean)/serviceLoadMean
 }
 
 // TakeLoadReports returns the loads that servers without a keeper have told since the last
