Summaries go through gates of the zone that forward them

Now it sends to about the square root of them, and each of these to as many others, named in the datagram; they change with the round, so that a dead one costs its group a round.

--- a/internal/command/beechlab/fleet.go
+++ b/internal/command/beechlab/fleet.go
@@ -62,6 +62,7 @@
 		board    *beechsummary.Board
 		observed bool // applies what it is sent
 		dead     bool
+		round    uint32
 		flushAt  time.Time // of the next flush; zero if none is planned
 
 		confirmed time.Duration // when its copy was last valid, by the time since the start
@@ -427,10 +428,7 @@
 func (f *fleet) flush(g *gate) {
 	if g.board.Due(beechsummary.Near) == 0 {
 		for _, s := range g.board.Next(beechsummary.Near) {
-			message := beechdatagram.Summary{Summary: beechconvert.WireSummary(s, false)}
-			for _, to := range g.duties.Neighbors {
-				f.send(g, to, message, func(to *gate) { f.apply(g, to, s, beechsummary.Peer) })
-			}
+			f.sendSummary(g, s)
 		}
 	}
 	if g.board.Due(beechsummary.Far) == 0 {
@@ -444,6 +442,22 @@
 	}
 }
 
+// sendSummary sends a summary to the gates of a collector's zone, some of which forward it.
+func (f *fleet) sendSummary(g *gate, s beechsummary.Summary) {
+	g.round++
+	plain := beechconvert.WireSummary(s, false)
+	for _, branch := range beechsummary.Fan(g.duties.Neighbors, g.round) {
+		message := *plain
+		message.Forward = beechconvert.WireAddresses(branch.Forward)
+		f.send(g, branch.To, beechdatagram.Summary{Summary: &message}, func(relay *gate) {
+			f.apply(g, relay, s, beechsummary.Peer)
+			for _, to := range branch.Forward {
+				f.send(relay, to, beechdatagram.Summary{Summary: plain}, func(to *gate) { f.apply(g, to, s, beechsummary.Peer) })
+			}
+		})
+	}
+}
+
 func (f *fleet) apply(from, to *gate, s beechsummary.Summary, origin beechsummary.Origin) {
 	collects := to.duties != nil && len(to.duties.Collects) > 0
 	if !to.observed && !collects {
--- a/internal/link/beechwire/wire_gen.go
+++ b/internal/link/beechwire/wire_gen.go
@@ -1034,6 +1034,9 @@
 	// Confirmed corresponds to the JSON schema field "Confirmed".
 	Confirmed []Heard `msg:"Confirmed"`
 
+	// Gates that the receiver forwards the datagram to, IP and port in binary form.
+	Forward []string `msg:"Forward"`
+
 	// IPs of engines of which nothing is heard any more.
 	Lost []string `msg:"Lost"`
 
--- a/internal/link/beechwire/wire_msgp_gen.go
+++ b/internal/link/beechwire/wire_msgp_gen.go
@@ -5685,8 +5685,8 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *Summary) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// array header, size 8
-	o = append(o, 0x98)
+	// array header, size 9
+	o = append(o, 0x99)
 	o = msgp.AppendArrayHeader(o, uint32(len(z.Busy)))
 	for za0001 := range z.Busy {
 		o, err = z.Busy[za0001].MarshalMsg(o)
@@ -5710,32 +5710,36 @@
 		o = msgp.AppendString(o, z.Confirmed[za0003].Host)
 		o = msgp.AppendUint8(o, z.Confirmed[za0003].Number)
 	}
+	o = msgp.AppendArrayHeader(o, uint32(len(z.Forward)))
+	for za0004 := range z.Forward {
+		o = msgp.AppendString(o, z.Forward[za0004])
+	}
 	o = msgp.AppendArrayHeader(o, uint32(len(z.Lost)))
-	for za0004 := range z.Lost {
-		o = msgp.AppendString(o, z.Lost[za0004])
+	for za0005 := range z.Lost {
+		o = msgp.AppendString(o, z.Lost[za0005])
 	}
 	o = msgp.AppendArrayHeader(o, uint32(len(z.Paces)))
-	for za0005 := range z.Paces {
+	for za0006 := range z.Paces {
 		// array header, size 3
 		o = append(o, 0x93)
-		o = msgp.AppendUint64(o, z.Paces[za0005].Engine)
-		o = msgp.AppendInt(o, z.Paces[za0005].Log)
-		o = msgp.AppendInt(o, z.Paces[za0005].Samples)
+		o = msgp.AppendUint64(o, z.Paces[za0006].Engine)
+		o = msgp.AppendInt(o, z.Paces[za0006].Log)
+		o = msgp.AppendInt(o, z.Paces[za0006].Samples)
 	}
 	o = msgp.AppendBool(o, z.Pass)
 	o = msgp.AppendArrayHeader(o, uint32(len(z.Speed)))
-	for za0006 := range z.Speed {
+	for za0007 := range z.Speed {
 		// array header, size 3
 		o = append(o, 0x93)
-		o = msgp.AppendInt(o, z.Speed[za0006].Fixed)
-		o = msgp.AppendInt(o, z.Speed[za0006].Rate)
-		o = msgp.AppendInt(o, z.Speed[za0006].Samples)
+		o = msgp.AppendInt(o, z.Speed[za0007].Fixed)
+		o = msgp.AppendInt(o, z.Speed[za0007].Rate)
+		o = msgp.AppendInt(o, z.Speed[za0007].Samples)
 	}
 	o = msgp.AppendArrayHeader(o, uint32(len(z.Suspects)))
-	for za0007 := range z.Suspects {
-		o, err = z.Suspects[za0007].MarshalMsg(o)
+	for za0008 := range z.Suspects {
+		o, err = z.Suspects[za0008].MarshalMsg(o)
 		if err != nil {
-			err = msgp.WrapError(err, "Suspects", za0007)
+			err = msgp.WrapError(err, "Suspects", za0008)
 			return
 		}
 	}
@@ -5750,8 +5754,8 @@
 		err = msgp.WrapError(err)
 		return
 	}
-	if zb0001 != 8 {
-		err = msgp.ArrayError{Wanted: 8, Got: zb0001}
+	if zb0001 != 9 {
+		err = msgp.ArrayError{Wanted: 9, Got: zb0001}
 		return
 	}
 	var zb0002 uint32
@@ -5838,64 +5842,86 @@
 	var zb0006 uint32
 	zb0006, bts, err = msgp.ReadArrayHeaderBytes(bts)
 	if err != nil {
-		err = msgp.WrapError(err, "Lost")
+		err = msgp.WrapError(err, "Forward")
 		return
 	}
 	if zb0006 > z311325c6limitArrays {
 		err = msgp.ErrLimitExceeded
 		return
 	}
-	if cap(z.Lost) >= int(zb0006) {
-		z.Lost = z.Lost[:zb0006]
+	if cap(z.Forward) >= int(zb0006) {
+		z.Forward = z.Forward[:zb0006]
 	} else {
-		z.Lost = make([]string, zb0006)
+		z.Forward = make([]string, zb0006)
 	}
-	for za0004 := range z.Lost {
-		z.Lost[za0004], bts, err = msgp.ReadStringBytes(bts)
+	for za0004 := range z.Forward {
+		z.Forward[za0004], bts, err = msgp.ReadStringBytes(bts)
 		if err != nil {
-			err = msgp.WrapError(err, "Lost", za0004)
+			err = msgp.WrapError(err, "Forward", za0004)
 			return
 		}
 	}
 	var zb0007 uint32
 	zb0007, bts, err = msgp.ReadArrayHeaderBytes(bts)
 	if err != nil {
-		err = msgp.WrapError(err, "Paces")
+		err = msgp.WrapError(err, "Lost")
 		return
 	}
 	if zb0007 > z311325c6limitArrays {
 		err = msgp.ErrLimitExceeded
 		return
 	}
-	if cap(z.Paces) >= int(zb0007) {
-		z.Paces = z.Paces[:zb0007]
+	if cap(z.Lost) >= int(zb0007) {
+		z.Lost = z.Lost[:zb0007]
 	} else {
-		z.Paces = make([]Seen, zb0007)
+		z.Lost = make([]string, zb0007)
 	}
-	for za0005 := range z.Paces {
-		var zb0008 uint32
-		zb0008, bts, err = msgp.ReadArrayHeaderBytes(bts)
+	for za0005 := range z.Lost {
+		z.Lost[za0005], bts, err = msgp.ReadStringBytes(bts)
 		if err != nil {
-			err = msgp.WrapError(err, "Paces", za0005)
+			err = msgp.WrapError(err, "Lost", za0005)
 			return
 		}
-		if zb0008 != 3 {
-			err = msgp.ArrayError{Wanted: 3, Got: zb0008}
+	}
+	var zb0008 uint32
+	zb0008, bts, err = msgp.ReadArrayHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Paces")
+		return
+	}
+	if zb0008 > z311325c6limitArrays {
+		err = msgp.ErrLimitExceeded
+		return
+	}
+	if cap(z.Paces) >= int(zb0008) {
+		z.Paces = z.Paces[:zb0008]
+	} else {
+		z.Paces = make([]Seen, zb0008)
+	}
+	for za0006 := range z.Paces {
+		var zb0009 uint32
+		zb0009, bts, err = msgp.ReadArrayHeaderBytes(bts)
+		if err != nil {
+			err = msgp.WrapError(err, "Paces", za0006)
+			return
+		}
+		if zb0009 != 3 {
+			err = msgp.ArrayError{Wanted: 3, Got: zb0009}
 			return
 		}
-		z.Paces[za0005].Engine, bts, err = msgp.ReadUint64Bytes(bts)
+		z.Paces[za0006].Engine, bts, err = msgp.ReadUint64Bytes(bts)
 		if err != nil {
-			err = msgp.WrapError(err, "Paces", za0005, "Engine")
+			err = msgp.WrapError(err, "Paces", za0006, "Engine")
 			return
 		}
-		z.Paces[za0005].Log, bts, err = msgp.ReadIntBytes(bts)
+		z.Paces[za0006].Log, bts, err = msgp.ReadIntBytes(bts)
 		if err != nil {
-			err = msgp.WrapError(err, "Paces", za0005, "Log")
+			err = msgp.WrapError(err, "Paces", za0006, "Log")
 			return
 		}
-		z.Paces[za0005].Samples, bts, err = msgp.ReadIntBytes(bts)
+		z.Paces[za0006].Samples, bts, err = msgp.ReadIntBytes(bts)
 		if err != nil {
-			err = msgp.WrapError(err, "Paces", za0005, "Samples")
+			err = msgp.WrapError(err, "Paces", za0006, "Samples")
 			return
 		}
 	}
@@ -5904,67 +5930,67 @@
 		err = msgp.WrapError(err, "Pass")
 		return
 	}
-	var zb0009 uint32
-	zb0009, bts, err = msgp.ReadArrayHeaderBytes(bts)
+	var zb0010 uint32
+	zb0010, bts, err = msgp.ReadArrayHeaderBytes(bts)
 	if err != nil {
 		err = msgp.WrapError(err, "Speed")
 		return
 	}
-	if zb0009 > z311325c6limitArrays {
+	if zb0010 > z311325c6limitArrays {
 		err = msgp.ErrLimitExceeded
 		return
 	}
-	if cap(z.Speed) >= int(zb0009) {
-		z.Speed = z.Speed[:zb0009]
+	if cap(z.Speed) >= int(zb0010) {
+		z.Speed = z.Speed[:zb0010]
 	} else {
-		z.Speed = make([]Speed, zb0009)
+		z.Speed = make([]Speed, zb0010)
 	}
-	for za0006 := range z.Speed {
-		var zb0010 uint32
-		zb0010, bts, err = msgp.ReadArrayHeaderBytes(bts)
+	for za0007 := range z.Speed {
+		var zb0011 uint32
+		zb0011, bts, err = msgp.ReadArrayHeaderBytes(bts)
 		if err != nil {
-			err = msgp.WrapError(err, "Speed", za0006)
+			err = msgp.WrapError(err, "Speed", za0007)
 			return
 		}
-		if zb0010 != 3 {
-			err = msgp.ArrayError{Wanted: 3, Got: zb0010}
+		if zb0011 != 3 {
+			err = msgp.ArrayError{Wanted: 3, Got: zb0011}
 			return
 		}
-		z.Speed[za0006].Fixed, bts, err = msgp.ReadIntBytes(bts)
+		z.Speed[za0007].Fixed, bts, err = msgp.ReadIntBytes(bts)
 		if err != nil {
-			err = msgp.WrapError(err, "Speed", za0006, "Fixed")
+			err = msgp.WrapError(err, "Speed", za0007, "Fixed")
 			return
 		}
-		z.Speed[za0006].Rate, bts, err = msgp.ReadIntBytes(bts)
+		z.Speed[za0007].Rate, bts, err = msgp.ReadIntBytes(bts)
 		if err != nil {
-			err = msgp.WrapError(err, "Speed", za0006, "Rate")
+			err = msgp.WrapError(err, "Speed", za0007, "Rate")
 			return
 		}
-		z.Speed[za0006].Samples, bts, err = msgp.ReadIntBytes(bts)
+		z.Speed[za0007].Samples, bts, err = msgp.ReadIntBytes(bts)
 		if err != nil {
-			err = msgp.WrapError(err, "Speed", za0006, "Samples")
+			err = msgp.WrapError(err, "Speed", za0007, "Samples")
 			return
 		}
 	}
-	var zb0011 uint32
-	zb0011, bts, err = msgp.ReadArrayHeaderBytes(bts)
+	var zb0012 uint32
+	zb0012, bts, err = msgp.ReadArrayHeaderBytes(bts)
 	if err != nil {
 		err = msgp.WrapError(err, "Suspects")
 		return
 	}
-	if zb0011 > z311325c6limitArrays {
+	if zb0012 > z311325c6limitArrays {
 		err = msgp.ErrLimitExceeded
 		return
 	}
-	if cap(z.Suspects) >= int(zb0011) {
-		z.Suspects = z.Suspects[:zb0011]
+	if cap(z.Suspects) >= int(zb0012) {
+		z.Suspects = z.Suspects[:zb0012]
 	} else {
-		z.Suspects = make([]Suspect, zb0011)
+		z.Suspects = make([]Suspect, zb0012)
 	}
-	for za0007 := range z.Suspects {
-		bts, err = z.Suspects[za0007].UnmarshalMsg(bts)
+	for za0008 := range z.Suspects {
+		bts, err = z.Suspects[za0008].UnmarshalMsg(bts)
 		if err != nil {
-			err = msgp.WrapError(err, "Suspects", za0007)
+			err = msgp.WrapError(err, "Suspects", za0008)
 			return
 		}
 	}
@@ -5987,12 +6013,16 @@
 		s += 1 + msgp.StringPrefixSize + len(z.Confirmed[za0003].Host) + msgp.Uint8Size
 	}
 	s += msgp.ArrayHeaderSize
-	for za0004 := range z.Lost {
-		s += msgp.StringPrefixSize + len(z.Lost[za0004])
+	for za0004 := range z.Forward {
+		s += msgp.StringPrefixSize + len(z.Forward[za0004])
+	}
+	s += msgp.ArrayHeaderSize
+	for za0005 := range z.Lost {
+		s += msgp.StringPrefixSize + len(z.Lost[za0005])
 	}
 	s += msgp.ArrayHeaderSize + (len(z.Paces) * (20 + msgp.Uint64Size + msgp.IntSize + msgp.IntSize)) + msgp.BoolSize + msgp.ArrayHeaderSize + (len(z.Speed) * (20 + msgp.IntSize + msgp.IntSize + msgp.IntSize)) + msgp.ArrayHeaderSize
-	for za0007 := range z.Suspects {
-		s += z.Suspects[za0007].Msgsize()
+	for za0008 := range z.Suspects {
+		s += z.Suspects[za0008].Msgsize()
 	}
 	return
 }
--- a/internal/process/beechconvert/gossip.go
+++ b/internal/process/beechconvert/gossip.go
@@ -73,6 +73,26 @@
 	return nil, false
 }
 
+// WireAddresses converts addresses to their wire form.
+func WireAddresses(list []netip.AddrPort) []string {
+	converted := make([]string, 0, len(list))
+	for _, a := range list {
+		converted = append(converted, wireAddress(a))
+	}
+	return converted
+}
+
+// Addresses converts addresses from their wire form and leaves out invalid ones.
+func Addresses(list []string) []netip.AddrPort {
+	var converted []netip.AddrPort
+	for _, text := range list {
+		if a := address(text); a.IsValid() {
+			converted = append(converted, a)
+		}
+	}
+	return converted
+}
+
 func wireAddress(a netip.AddrPort) string {
 	data, _ := a.MarshalBinary() // never fails
 	return string(data)
--- a/internal/process/beechgate/collect.go
+++ b/internal/process/beechgate/collect.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"net/netip"
 	"slices"
 	"time"
@@ -33,7 +34,8 @@
 // sendSummaries sends the states of engines to the gates of this zone and to other zones
 // while this gate is a collector.
 func (g *Gate) sendSummaries(ctx context.Context) error {
-	for round := uint32(0); ctx.Err() == nil; round++ {
+	round := rand.Uint32()
+	for ; ctx.Err() == nil; round++ {
 		near, far := g.board.Due(beechsummary.Near), g.board.Due(beechsummary.Far)
 		if wait := min(near, far); wait > 0 {
 			g.waitForSummaries(ctx, wait)
@@ -41,7 +43,7 @@
 		}
 		if near == 0 {
 			for _, s := range g.board.Next(beechsummary.Near) {
-				g.sendToZone(beechdatagram.Summary{Summary: beechconvert.WireSummary(s, false)})
+				g.sendSummary(round, beechconvert.WireSummary(s, false))
 			}
 		}
 		if far == 0 {
@@ -57,6 +59,30 @@
 	return ctx.Err()
 }
 
+// sendSummary sends a summary to all gates of this zone. If they are many, some of them forward it.
+func (g *Gate) sendSummary(round uint32, s *beechwire.Summary) {
+	var direct []netip.AddrPort
+	for _, branch := range beechsummary.Fan(g.topology.Load().Neighbors, round) {
+		if len(branch.Forward) == 0 {
+			direct = append(direct, branch.To)
+			continue
+		}
+		message := *s
+		message.Forward = beechconvert.WireAddresses(branch.Forward)
+		g.sendToPeers([]netip.AddrPort{branch.To}, beechdatagram.Summary{Summary: &message})
+	}
+	g.sendToPeers(direct, beechdatagram.Summary{Summary: s})
+}
+
+// forwardSummary sends a collector's summary on to the gates of this zone that it names.
+func (g *Gate) forwardSummary(m beechdatagram.Summary) {
+	t := g.topology.Load()
+	to := slices.DeleteFunc(beechconvert.Addresses(m.Forward), func(a netip.AddrPort) bool { return t.ZoneOf[a] != g.settings.Zone })
+	message := *m.Summary
+	message.Forward = nil
+	g.sendToPeers(to, beechdatagram.Summary{Summary: &message})
+}
+
 func (g *Gate) waitForSummaries(ctx context.Context, wait time.Duration) {
 	var timer <-chan time.Time
 	if wait != beechsummary.Never {
@@ -108,6 +134,9 @@
 	if !g.isKnownGate(from) {
 		return
 	}
+	if len(m.Forward) > 0 {
+		g.forwardSummary(m)
+	}
 	origin := beechsummary.Peer
 	ownZone := g.scopeToGate(from) == beechdatagram.SameZone
 	if m.Pass && !ownZone {
@@ -227,7 +256,7 @@
 	near, far := g.bulletin.Take(beechsummary.Near, maxNews), g.bulletin.Take(beechsummary.Far, maxNews)
 	now := g.clock.Now()
 	if !near.Empty() || len(suspects) > 0 {
-		g.sendToZone(beechdatagram.Summary{Summary: beechconvert.WireNews(near, suspects, now, false)})
+		g.sendSummary(round, beechconvert.WireNews(near, suspects, now, false))
 	}
 	if !far.Empty() || len(suspects) > 0 {
 		g.sendToOtherZones(round, false, beechdatagram.Summary{Summary: beechconvert.WireNews(far, suspects, now, true)})
--- a/internal/process/beechgate/membership.go
+++ b/internal/process/beechgate/membership.go
@@ -168,6 +168,9 @@
 func (g *Gate) sendToZone(m beechdatagram.Message) { g.sendToPeers(g.topology.Load().Neighbors, m) }
 
 func (g *Gate) sendToPeers(peers []netip.AddrPort, m beechdatagram.Message) {
+	if len(peers) == 0 {
+		return
+	}
 	if err := g.socket.SendAll(peers, beechdatagram.SameZone, m); err != nil {
 		g.log.Debug("send to gate failed", zap.Error(err))
 	}
