--- a/internal/decision/beechsummary/fan.go
+++ b/internal/decision/beechsummary/fan.go
@@ -27,7 +27,7 @@
 	if n > maxDirect {
 		size = int(math.Ceil(math.Sqrt(float64(n))))
 	}
-	start := int(round%uint32(n)) * size % n
+	start := int(round % uint32(n))
 	var branches []Branch
 	for i := 0; i < n; i += size {
 		branch := Branch{To: receivers[(start+i)%n]}
