Few gates follow all keepers themselves; duties begin with the first member found

Duties are now taken as soon as a member is known or seeds have been silent for 0.12 s, and the first reader reads 0.06 s after its start; two seeds are asked at a time. Loads go to other zones after 2 ms an engine of the zone, 200 ms at most.

--- a/internal/command/beechlab/fleet.go
+++ b/internal/command/beechlab/fleet.go
@@ -109,7 +109,7 @@
 	weakCapacity      = 144 // thousandths of a core, of five in six gates
 	strongCapacity    = 800
 	strongEvery       = 6
-	firstStartAge     = 750 * time.Millisecond
+	firstStartAge     = 880 * time.Millisecond
 	maxZones          = 200
 )
 
@@ -235,7 +235,7 @@
 }
 
 func (f *fleet) refreshDuties(g *gate) {
-	if g.version == g.members.Version() || !g.members.Settled() {
+	if g.version == g.members.Version() || !g.members.Joined() {
 		return
 	}
 	g.version = g.members.Version()
@@ -297,7 +297,7 @@
 	if f.measured {
 		f.ages.add(age)
 	}
-	if role := g.readers.Role(); g.members.Settled() && age >= readAges.ForRole(role)-inquiryInterval {
+	if role := g.readers.Role(); g.members.Joined() && age >= readAges.ForRole(role)-inquiryInterval {
 		f.reads++
 		g.confirmed, g.revision = now, f.revision
 	}
@@ -397,7 +397,7 @@
 func (f *fleet) collectors(zone string) []*gate {
 	var list []*gate
 	for _, g := range f.gates {
-		if !g.dead && g.duties != nil && g.duties.Collects[zone] {
+		if !g.dead && g.duties != nil && (g.duties.Direct || g.duties.Collects[zone]) {
 			list = append(list, g)
 		}
 	}
--- a/internal/decision/beechgossip/duties.go
+++ b/internal/decision/beechgossip/duties.go
@@ -21,6 +21,7 @@
 	Collects    map[string]bool             // zones whose engines this member collects
 	Slot        int                         // its rank among the collectors of these
 	Alone       bool                        // there is no second collector
+	Direct      bool                        // all members follow all keepers themselves
 	Engines     int                         // in the zones that it collects
 }
 
@@ -30,10 +31,13 @@
 
 	readersPerGroup   = 2 // one and its standby
 	collectorsPerZone = 2
+	// maxDirectMembers is the number of members up to which all follow all keepers. What they
+	// hear is as fresh as it can be, and does not end for a moment with a collector.
+	maxDirectMembers = 8
 )
 
 // Assign derives a member's duties. Engines has the number of engines with a keeper by zone.
-// The engines of a zone without members are collected by members of others.
+// Members of other zones help to collect the engines of a zone that has fewer than two.
 func Assign(list []Member, self netip.AddrPort, zone string, engines map[string]int) *Duties {
 	d := &Duties{
 		Self: self, Zone: zone, Gates: len(list), OtherZones: make(map[string][]netip.AddrPort), ZoneOf: make(map[netip.AddrPort]string),
@@ -57,10 +61,15 @@
 		d.ZoneReaders[name] = Choose(members, dutyRead, readersPerGroup)
 		d.Collectors[name] = Choose(members, dutyCollect, collectorsPerZone)
 	}
+	if d.Direct = len(list) <= maxDirectMembers; d.Direct {
+		return d
+	}
 	for name, count := range engines {
-		collectors, ok := d.Collectors[name]
-		if !ok {
-			collectors = Choose(list, dutyCollect, collectorsPerZone)
+		collectors := slices.Clone(d.Collectors[name])
+		for _, other := range Choose(list, dutyCollect+" "+name, collectorsPerZone) {
+			if len(collectors) < collectorsPerZone && !slices.Contains(collectors, other) {
+				collectors = append(collectors, other)
+			}
 		}
 		if slot := slices.Index(collectors, self); slot >= 0 {
 			d.Collects[name] = true
--- a/internal/decision/beechgossip/group.go
+++ b/internal/decision/beechgossip/group.go
@@ -121,13 +121,15 @@
 	newsFanout         = 3   // members that are sent each News
 	maxChanges         = 160 // per message, at some 24 bytes each
 	maxListed          = 400
-	extraTransmissions = 3 // beyond half the binary logarithm of the number of members
+	extraTransmissions = 5 // beyond half the binary logarithm of the number of members
 	indirectProbes     = 3
 	maxHealth          = 8
 	stallTime          = 4 * TickInterval // a tick so late means that this process was stopped
 	syncInterval       = 500 * time.Millisecond
 	reconnectShare     = 0.1 // of the probes go to a dead member, which may have been cut off
+	recentlyGone       = 15 * time.Second
 	maxSeeds           = 16
+	seedsAtOnce        = 2
 	rejoinInterval     = 5 * time.Second // between attempts to reach seeds that were lost
 	maxRelayed         = 256
 	// maxMembers bounds the memory that messages of unknown origin can take.
@@ -140,7 +142,7 @@
 // DefaultSettings are the settings of gates.
 var DefaultSettings = Settings{
 	ProbeInterval: 500 * time.Millisecond, AckTimeout: 250 * time.Millisecond, SuspicionFactor: 2, Retention: 2 * time.Minute,
-	JoinInterval: 200 * time.Millisecond, SeedTime: 700 * time.Millisecond, SettleTime: 150 * time.Millisecond, MaxSettleTime: 1200 * time.Millisecond,
+	JoinInterval: 100 * time.Millisecond, SeedTime: 120 * time.Millisecond, SettleTime: 150 * time.Millisecond, MaxSettleTime: 1200 * time.Millisecond,
 }
 
 // New returns the group of a process that knows only its seeds. The incarnation of self is
@@ -200,18 +202,26 @@
 	return ok && m.Status <= Suspect
 }
 
+// Joined reports whether duties may be taken: another member is known, there are no seeds, or none
+// has answered for SeedTime. If all processes of a fleet start at once, those that find no seed yet
+// would otherwise each take all duties.
+func (g *Group) Joined() bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.ready()
+}
+
+func (g *Group) ready() bool {
+	return len(g.members) > 0 || len(g.seeds) == 0 || g.clock.Since(g.startedAt) >= g.settings.SeedTime
+}
+
 // Settled reports whether the list of members is probably complete: no member was added for a
-// while after the start, and if there are seeds, one was found or none has answered for long.
-// Duties that are taken before would be taken by each process.
+// while after the start.
 func (g *Group) Settled() bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	now := g.clock.Now()
-	age := now.Sub(g.startedAt)
-	if len(g.seeds) > 0 && len(g.members) == 0 && age < g.settings.SeedTime {
-		return false
-	}
-	return now.Sub(g.grownAt) >= g.settings.SettleTime || age >= g.settings.MaxSettleTime
+	return g.ready() && (now.Sub(g.grownAt) >= g.settings.SettleTime || now.Sub(g.startedAt) >= g.settings.MaxSettleTime)
 }
 
 // Search returns a message that asks any process for the members that it knows.
@@ -282,13 +292,14 @@
 	if g.joined {
 		g.joinAt = now.Add(rejoinInterval)
 	}
-	if len(candidates) == 0 {
-		return nil
+	var sends []Send
+	for range min(seedsAtOnce, len(candidates)) {
+		g.counts.Lists++
+		g.joinTries++
+		seed := candidates[(g.firstSeed+g.joinTries)%len(candidates)]
+		sends = append(sends, Send{seed, List{Members: []Member{g.self}, Reply: true}})
 	}
-	g.counts.Lists++
-	g.joinTries++
-	seed := candidates[(g.firstSeed+g.joinTries)%len(candidates)]
-	return []Send{{seed, List{Members: []Member{g.self}, Reply: true}}}
+	return sends
 }
 
 // expire declares suspects dead and forgets dead members.
@@ -531,10 +542,17 @@
 	return g.lists(with, true)
 }
 
-// lists returns messages with all members, which are several if there are many.
+// lists returns messages with all members, and those that are gone since lately, which the receiver
+// may not have heard. They are several if there are many members.
 func (g *Group) lists(to netip.AddrPort, reply bool) []Send {
 	var sends []Send
-	for part := range slices.Chunk(g.alive, maxListed) {
+	all := slices.Clone(g.alive)
+	for _, m := range g.members {
+		if m.Status > Suspect && g.clock.Since(m.changedAt) < recentlyGone {
+			all = append(all, m.Member)
+		}
+	}
+	for part := range slices.Chunk(all, maxListed) {
 		sends = append(sends, Send{to, List{Members: part}})
 	}
 	g.counts.Lists += len(sends)
--- a/internal/decision/beechgossip/group_test.go
+++ b/internal/decision/beechgossip/group_test.go
@@ -307,15 +307,18 @@
 	is := is.New(t)
 	f := newFleet(11)
 	early := f.start(5, 1, 2)
-	f.run(400 * time.Millisecond)
-	is.True(!early.Settled())
+	f.run(100 * time.Millisecond)
+	is.True(!early.Joined())
 	f.start(1, 1, 2)
-	f.run(500 * time.Millisecond)
+	f.run(120 * time.Millisecond)
+	is.True(early.Joined())
+	is.Equal(len(early.Members()), 2)
+	f.run(300 * time.Millisecond)
 	is.True(early.Settled())
 	is.Equal(len(early.Members()), 2)
 	alone := f.start(6, 99)
 	f.run(time.Second)
-	is.True(alone.Settled()) // no seed has ever answered
+	is.True(alone.Joined() && alone.Settled()) // no seed has ever answered
 }
 
 // Seeds are stale. An address learned elsewhere must be enough to join.
@@ -354,23 +357,37 @@
 	is.Equal(len(Choose(nil, "read", 2)), 0)
 }
 
-// The only gate of a zone dies. The engines of that zone must still be reported.
+// The only gate of a zone dies, or is the only one. The engines of that zone must still be
+// reported by two.
 func TestZoneWithoutGatesIsCollected(t *testing.T) {
 	is := is.New(t)
+	const members = maxDirectMembers + 4
 	var all []Member
-	for n := 1; n <= 4; n++ {
-		all = append(all, Member{Address: address(n), Zone: fmt.Sprint("zone-", n)})
-	}
-	engines := map[string]int{"zone-1": 5, "zone-2": 5, "zone-9": 5}
-	collecting := 0
-	for n := 1; n <= 4; n++ {
-		d := Assign(all, address(n), fmt.Sprint("zone-", n), engines)
-		is.Equal(d.Collects[fmt.Sprint("zone-", n)], n <= 2)
-		if d.Collects["zone-9"] {
-			collecting++
+	for n := 1; n <= members; n++ {
+		all = append(all, Member{Address: address(n), Zone: fmt.Sprint("zone-", min(n, 3))})
+	}
+	engines := map[string]int{"zone-1": 5, "zone-3": 5, "zone-9": 5}
+	collecting := map[string]int{}
+	for n := 1; n <= members; n++ {
+		d := Assign(all, address(n), fmt.Sprint("zone-", min(n, 3)), engines)
+		is.True(n != 1 || d.Collects["zone-1"])
+		for zone := range d.Collects {
+			collecting[zone]++
 		}
 	}
-	is.Equal(collecting, collectorsPerZone)
+	is.Equal(collecting, map[string]int{"zone-1": 2, "zone-3": 2, "zone-9": 2})
+}
+
+// A fleet of a few gates: each follows all keepers itself.
+func TestFewMembersFollowDirectly(t *testing.T) {
+	is := is.New(t)
+	var all []Member
+	for n := 1; n <= maxDirectMembers+1; n++ {
+		all = append(all, Member{Address: address(n), Zone: "a"})
+	}
+	engines := map[string]int{"a": 5}
+	is.True(Assign(all[:maxDirectMembers], address(1), "a", engines).Direct)
+	is.True(!Assign(all, address(1), "a", engines).Direct)
 }
 
 // A change of the store must reach each member by one step to its zone and one within it.
--- a/internal/decision/beechsummary/board.go
+++ b/internal/decision/beechsummary/board.go
@@ -20,7 +20,8 @@
 		FarSpacingPerEngine time.Duration
 		MinSpacing          time.Duration
 		MaxSpacing          time.Duration
-		FarDelay            time.Duration // of loads to other zones
+		FarDelayPerEngine   time.Duration // of loads to other zones
+		MaxFarDelay         time.Duration
 		StandbyDelay        time.Duration
 		ConfirmInterval     time.Duration
 		Silence             time.Duration // of a keeper, after which its engine is lost
@@ -55,6 +56,7 @@
 		base      uint8
 		known     bool // State holds
 		ownZone   bool // its keeper reports to this gate
+		direct    bool // it was last heard of by its keeper's report
 		handedOn  bool // what is known of it came from another zone to be handed on
 		lost      bool
 		heardAt   time.Time // its keeper, or another zone's collector
@@ -82,7 +84,7 @@
 // would be, at a thousandth of the messages.
 var DefaultSettings = Settings{
 	NearSpacingPerGate: 800 * time.Microsecond, FarSpacingPerEngine: 500 * time.Microsecond, MinSpacing: 4 * time.Millisecond, MaxSpacing: 100 * time.Millisecond,
-	FarDelay: 200 * time.Millisecond, StandbyDelay: 150 * time.Millisecond, ConfirmInterval: time.Second, Silence: 800 * time.Millisecond,
+	FarDelayPerEngine: 2 * time.Millisecond, MaxFarDelay: 200 * time.Millisecond, StandbyDelay: 150 * time.Millisecond, ConfirmInterval: time.Second, Silence: 800 * time.Millisecond,
 }
 
 const (
@@ -123,7 +125,7 @@
 		b.audiences[i].lost = nil
 	}
 	for _, e := range b.engines {
-		e.ownZone = false
+		e.ownZone, e.direct = false, false
 	}
 }
 
@@ -168,7 +170,7 @@
 	statusChanged := first || !s.Status.equal(e.Status) || s.OutdatedSince.IsZero() != e.OutdatedSince.IsZero()
 	loadChanged := first || loadChanged(e.Load, s.Load)
 	urgent := statusChanged || len(parts.Added) > 0 || s.Reading-e.Reading >= longPrompt
-	e.ownZone, e.known, e.lost, e.heardAt = collected, true, false, now
+	e.ownZone, e.direct, e.known, e.lost, e.heardAt = collected, true, true, false, now
 	if !statusChanged && !loadChanged && parts.empty() {
 		e.State.Reading = s.Reading
 		return true
@@ -192,7 +194,7 @@
 
 // notify notes a change of an engine of this zone for both audiences.
 func (b *Board) notify(host netip.Addr, e *engine, parts Parts, status, urgent bool, now time.Time) {
-	near, far := now, now.Add(b.settings.FarDelay)
+	near, far := now, now.Add(min(b.settings.FarDelayPerEngine*time.Duration(b.duty.ZoneEngines), b.settings.MaxFarDelay))
 	if urgent {
 		far = now
 	}
@@ -251,7 +253,7 @@
 		switch {
 		case e.ownZone:
 		case e.known && uint8(e.Number) == c.Number:
-			e.heardAt, e.lost, e.handedOn = now, false, b.handsOn(origin)
+			e.heardAt, e.lost, e.direct, e.handedOn = now, false, false, b.handsOn(origin)
 			updates = append(updates, Confirmed{e.address(c.Host)})
 		case b.recall(c.Host, now):
 			recall = append(recall, c.Host)
@@ -284,7 +286,7 @@
 	if c.Status == nil && (!e.known || e.base != c.Base) {
 		return nil, false
 	}
-	e.Number, e.Load, e.known, e.lost, e.heardAt = c.Number, c.Load, true, false, now
+	e.Number, e.Load, e.known, e.lost, e.direct, e.heardAt = c.Number, c.Load, true, false, false, now
 	if c.Status != nil {
 		e.Status, e.base, e.OutdatedSince = *c.Status, c.Base, time.Time{}
 		if c.OutdatedFor > 0 {
@@ -426,13 +428,16 @@
 	return c
 }
 
-// findLost notes the engines of this zone whose keepers are silent.
+// findLost notes the engines whose keepers report to this gate and are silent.
 func (b *Board) findLost(now time.Time) {
 	for host, e := range b.engines {
-		if e.ownZone && e.known && now.Sub(e.heardAt) >= b.settings.Silence {
+		if e.direct && e.known && now.Sub(e.heardAt) >= b.settings.Silence {
 			e.known, e.lost = false, true
 			b.counts.LostHere++
 			b.silent = append(b.silent, e.address(host))
+			if !e.ownZone {
+				continue
+			}
 			for i := range b.audiences {
 				b.audiences[i].lost = append(b.audiences[i].lost, host)
 				delete(b.audiences[i].pending, host)
@@ -441,10 +446,12 @@
 	}
 }
 
-// TakeSilent returns the engines of this zone whose keepers have gone silent since the last call.
+// TakeSilent returns the engines whose keepers reported to this gate and have gone silent since
+// the last call.
 func (b *Board) TakeSilent() []netip.AddrPort {
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	b.findLost(b.clock.Now())
 	list := b.silent
 	b.silent = nil
 	return list
--- a/internal/decision/beechsummary/board_test.go
+++ b/internal/decision/beechsummary/board_test.go
@@ -264,7 +264,7 @@
 	b.Next(Far)
 	clock.Advance(DefaultSettings.ConfirmInterval / 2)
 	report(func(s *State) { s.Running = 1 })
-	is.Equal(b.Due(Far), DefaultSettings.FarDelay)
+	is.Equal(b.Due(Far), 10*DefaultSettings.FarDelayPerEngine)
 	report(func(s *State) { s.Running, s.Status.Phase = 1, 2 })
 	is.Equal(b.Due(Far), time.Duration(0))
 	is.True(b.Next(Far)[0].Changes[0].Status != nil)
--- a/internal/process/beechgate/collect.go
+++ b/internal/process/beechgate/collect.go
@@ -51,14 +51,18 @@
 				g.sendToOtherZones(round, urgentSummary(s), beechdatagram.Summary{Summary: beechconvert.WireSummary(s, true)})
 			}
 		}
-		for _, engine := range g.board.TakeSilent() {
-			g.log.Info("keeper silent", zap.Stringer("engine", engine))
-			g.placer.LoseState(engine)
-		}
 	}
 	return ctx.Err()
 }
 
+// loseSilent notes the engines whose keepers no longer report to this gate.
+func (g *Gate) loseSilent() {
+	for _, engine := range g.board.TakeSilent() {
+		g.log.Info("keeper silent", zap.Stringer("engine", engine))
+		g.placer.LoseState(engine)
+	}
+}
+
 // sendSummary sends a summary to all gates of this zone. If they are many, some of them forward it.
 func (g *Gate) sendSummary(round uint32, s *beechwire.Summary) {
 	var direct []netip.AddrPort
@@ -195,6 +199,9 @@
 // askForStates asks the collectors of this zone for the states of all engines.
 func (g *Gate) askForStates() {
 	t := g.topology.Load()
+	if t.Direct {
+		return // keepers tell their states when this gate begins to follow them
+	}
 	collectors := slices.DeleteFunc(slices.Clone(t.Collectors[g.settings.Zone]), func(a netip.AddrPort) bool { return a == g.members.Self() })
 	if len(collectors) > 0 {
 		g.recallStates(collectors[:1], nil)
@@ -239,13 +246,13 @@
 		t := g.topology.Load()
 		suspects := beechconvert.WireSuspects(beechconvert.MostCrashes(g.suspects.RecentChanges()))
 		news := g.takeNews(round)
-		if len(t.Collects) > 0 || t.Gates <= 1 {
+		collectors := t.Collectors[g.settings.Zone]
+		if slices.Contains(collectors, t.Self) || len(collectors) == 0 {
 			g.bulletin.Add(news, true)
 			g.sendBulletin(uint32(round), suspects)
 			return
 		}
-		collectors := t.Collectors[g.settings.Zone]
-		if len(collectors) > 0 && (!news.Empty() || len(suspects) > 0) {
+		if !news.Empty() || len(suspects) > 0 {
 			message := beechconvert.WireNews(news, suspects, g.clock.Now(), true)
 			g.sendToPeers(collectors[round%len(collectors):][:1], beechdatagram.Summary{Summary: message})
 		}
--- a/internal/process/beechgate/copies.go
+++ b/internal/process/beechgate/copies.go
@@ -33,10 +33,10 @@
 	// than the age at which this gate reads itself.
 	inquiryInterval = 300 * time.Millisecond
 	// startInterval is that of a gate that has no configuration yet.
-	startInterval = 60 * time.Millisecond
+	startInterval = 40 * time.Millisecond
 	// startWait is the time from the start of all gates at once until the first reads the
-	// store: by then they know one another.
-	startWait = 250 * time.Millisecond
+	// store: by then those that have found a seed know one another.
+	startWait = 60 * time.Millisecond
 
 	// maxEntriesPerDatagram is chosen for some 400 bytes per server entry.
 	maxEntriesPerDatagram = 16
@@ -125,7 +125,7 @@
 
 func (g *Gate) inquire() {
 	role := beechreader.Follower
-	if g.topology.Load().settled {
+	if g.topology.Load().joined {
 		role = g.readers.Role()
 	}
 	revoke := time.Duration(g.bounds.Load().Revoke)
--- a/internal/process/beechgate/keeper.go
+++ b/internal/process/beechgate/keeper.go
@@ -54,8 +54,11 @@
 // collectedServers returns the servers whose keepers report to this gate.
 func (g *Gate) collectedServers() []beechcall.Server {
 	t := g.topology.Load()
-	if !t.settled || len(t.Collects) == 0 {
+	switch {
+	case !t.joined:
 		return nil
+	case t.Direct:
+		return g.keeperServers()
 	}
 	return slices.DeleteFunc(g.keeperServers(), func(s beechcall.Server) bool { return !t.Collects[s.Zone] })
 }
--- a/internal/process/beechgate/membership.go
+++ b/internal/process/beechgate/membership.go
@@ -20,6 +20,7 @@
 	topology struct {
 		*beechgossip.Duties
 		version uint64 // of the list
+		joined  bool   // duties may be taken
 		settled bool   // the list is probably complete
 		duty    beechsummary.Duty
 	}
@@ -49,6 +50,7 @@
 	return beechtask.Every(ctx, g.clock, beechgossip.TickInterval, func() {
 		g.sendGossip(g.members.Tick())
 		g.updateTopology()
+		g.loseSilent()
 		if rounds++; rounds%searchRounds == 0 && g.topology.Load().Gates <= 1 {
 			g.searchThroughKeepers()
 		}
@@ -96,7 +98,7 @@
 // updateTopology derives the duties anew if the list of gates has changed.
 func (g *Gate) updateTopology() {
 	old := g.topology.Load()
-	if old.version != g.members.Version() || old.settled != g.members.Settled() {
+	if old.version != g.members.Version() || old.settled != g.members.Settled() || old.joined != g.members.Joined() {
 		g.refreshDuties()
 	}
 }
@@ -106,7 +108,7 @@
 	g.topologyMutex.Lock()
 	defer g.topologyMutex.Unlock()
 	old := g.topology.Load()
-	t := &topology{version: g.members.Version(), settled: g.members.Settled()}
+	t := &topology{version: g.members.Version(), joined: g.members.Joined(), settled: g.members.Settled()}
 	t.Duties = beechgossip.Assign(g.members.Members(), g.members.Self(), g.settings.Zone, g.engineZones())
 	t.duty = beechsummary.Duty{Zones: t.CollectedZones(), Slot: t.Slot, Alone: t.Alone, Gates: len(t.Neighbors), ZoneEngines: t.Engines}
 	g.topology.Store(t)
@@ -119,8 +121,11 @@
 	g.board.SetDuty(t.duty)
 	collectors := t.Collectors[g.settings.Zone]
 	g.loans.SetActive(t.settled && len(collectors) > 0 && collectors[0] == t.Self && !g.Draining())
-	if t.settled {
+	switch {
+	case t.settled:
 		g.setGates(t.Gates)
+	case t.joined:
+		g.shareAmong(max(t.Gates, defaultGates)) // more will be found
 	}
 	if old.Gates <= 1 && t.Gates > 1 {
 		g.log.Info("gates known", zap.Int("gates", t.Gates), zap.Int("zones", len(t.Collectors)), zap.Duration("after", g.quotas.Age()))
@@ -129,7 +134,7 @@
 	if t.duty.Zones != old.duty.Zones {
 		g.log.Info("collects states", zap.String("zones", t.duty.Zones), zap.Int("gates", t.Gates), zap.Int("engines", t.Engines))
 	}
-	if t.settled && (len(t.Collects) > len(old.Collects) || !old.settled) {
+	if t.joined && (len(t.Collects) > len(old.Collects) || t.Direct && !old.Direct || !old.joined) {
 		g.requestFollow()
 	}
 	beechtask.Notify(g.summariesDue)
@@ -148,17 +153,24 @@
 // and decreases slowly, as a gate that is not heard may still be serving.
 func (g *Gate) setGates(n int) {
 	g.mu.Lock()
-	previous := g.gates
-	g.gates = g.recentGates.add(n, g.clock.Now())
-	current := g.gates
+	recent := g.recentGates.add(n, g.clock.Now())
 	g.mu.Unlock()
-	if current == previous {
+	g.shareAmong(recent)
+}
+
+// shareAmong shares the bounds among a number of gates.
+func (g *Gate) shareAmong(gates int) {
+	g.mu.Lock()
+	unchanged := g.gates == gates
+	g.gates = gates
+	g.mu.Unlock()
+	if unchanged {
 		return
 	}
-	g.budgets.SetGates(current)
-	g.placer.SetGates(current)
-	g.quotas.SetGates(current)
-	g.limits.SetGates(current)
+	g.budgets.SetGates(gates)
+	g.placer.SetGates(gates)
+	g.quotas.SetGates(gates)
+	g.limits.SetGates(gates)
 	if c := g.configuration.Load(); c != nil {
 		g.limitConnections(c)
 	}
--- a/internal/process/beechkeeper/keeper.go
+++ b/internal/process/beechkeeper/keeper.go
@@ -100,6 +100,7 @@
 	gateState struct {
 		zone      string
 		lastHeard time.Time
+		sentAt    time.Time
 	}
 )
 
--- a/internal/process/beechkeeper/notify.go
+++ b/internal/process/beechkeeper/notify.go
@@ -28,6 +28,7 @@
 
 const (
 	changeInterval = 40 * time.Millisecond  // between messages about a changed load
+	farInterval    = 150 * time.Millisecond // between messages about a changed load, to gates of other zones
 	idleInterval   = 200 * time.Millisecond // between messages without a change; gates take an engine for lost after four of them
 	// sequenceBits is the number of bits for the messages of one second. The other bits hold
 	// the second in which the keeper started, so that its message numbers continue after
@@ -47,7 +48,7 @@
 	age := now.Sub(k.sentAt)
 	changed := k.currentLoad() != k.sentLoad || len(k.added.keys)+len(k.removed.keys)+len(k.stored.keys) > 0
 	if urgent || k.currentState() != k.sentState || age >= idleInterval || (changed && age >= changeInterval) {
-		k.notifyGates(now)
+		k.notifyGates(now, urgent || k.currentState() != k.sentState)
 	}
 }
 
@@ -65,21 +66,27 @@
 	return load{k.lastReport.Running, k.lastReport.Waiting, k.lastReport.CacheUsed}
 }
 
-// notifyGates sends the state to all gates that follow. The caller holds the lock.
-func (k *Keeper) notifyGates(now time.Time) {
+// notifyGates sends the state to the gates that follow. Those of other zones, to which each byte
+// is paid for, get a change of the load alone less often. The caller holds the lock.
+func (k *Keeper) notifyGates(now time.Time, urgent bool) {
 	if len(k.gates) == 0 {
 		return
 	}
 	k.sentAt, k.sentState, k.sentLoad = now, k.currentState(), k.currentLoad()
-	message := beechdatagram.Tell{Tell: k.stateMessage(now, k.added.take(), k.removed.take(), k.stored.take())}
-	near := make([]netip.AddrPort, 0, len(k.gates))
-	var far []netip.AddrPort
+	tell := k.stateMessage(now, k.added.take(), k.removed.take(), k.stored.take())
+	urgent = urgent || len(tell.Parts)+len(tell.Gone)+len(tell.Kept) > 0
+	message := beechdatagram.Tell{Tell: tell}
+	var near, far []netip.AddrPort
 	for address, gate := range k.gates {
-		if gate.zone == k.settings.Zone {
+		switch {
+		case gate.zone == k.settings.Zone:
 			near = append(near, address)
-		} else {
+		case urgent || now.Sub(gate.sentAt) >= farInterval:
 			far = append(far, address)
+		default:
+			continue
 		}
+		gate.sentAt = now
 	}
 	k.send(near, beechdatagram.SameZone, message)
 	k.send(far, beechdatagram.CrossZone, message)
