A gate's rank as a collector is told for each zone

A gate that collects the engines of two zones may be first in one and second in the other, but one rank held for all: changes of some engines were sent twice, of others only after the standby's delay, as chance had it.

--- a/internal/command/beechlab/fleet.go
+++ b/internal/command/beechlab/fleet.go
@@ -35,20 +35,24 @@
 
 	fleet struct {
 		Settings
-		clock    *clockwork.FakeClock
-		random   *rand.Rand
-		started  time.Time
-		events   queue
-		gates    []*gate
-		byAddr   map[netip.AddrPort]*gate
-		engines  []*engine
-		byHost   map[netip.Addr]*engine
-		measured bool // messages count
-		reads    int  // of the store
-		revision uint64
-		near     samples // ages of states at gates of the engine's zone
-		far      samples // and of others
-		ages     samples // of copies
+		clock   *clockwork.FakeClock
+		random  *rand.Rand
+		started time.Time
+		events  queue
+		gates   []*gate
+		byAddr  map[netip.AddrPort]*gate
+		engines []*engine
+		byHost  map[netip.Addr]*engine
+		// zoneEngines counts the engines of each zone, following has the gates that collect them;
+		// nil: to be made anew.
+		zoneEngines map[string]int
+		following   map[string][]*gate
+		measured    bool // messages count
+		reads       int  // of the store
+		revision    uint64
+		near        samples // ages of states at gates of the engine's zone
+		far         samples // and of others
+		ages        samples // of copies
 	}
 
 	gate struct {
@@ -184,7 +188,7 @@
 }
 
 func newFleet(s Settings) *fleet {
-	f := &fleet{Settings: s, clock: clockwork.NewFakeClock(), random: rand.New(rand.NewPCG(s.Seed, 1)), byAddr: make(map[netip.AddrPort]*gate), byHost: make(map[netip.Addr]*engine)}
+	f := &fleet{Settings: s, clock: clockwork.NewFakeClock(), random: rand.New(rand.NewPCG(s.Seed, 1)), byAddr: make(map[netip.AddrPort]*gate), byHost: make(map[netip.Addr]*engine), zoneEngines: make(map[string]int)}
 	f.started, f.revision = f.clock.Now(), 1
 	var seeds []netip.AddrPort
 	for i := range min(seedCount, s.Gates) {
@@ -239,14 +243,10 @@
 		return
 	}
 	g.version = g.members.Version()
-	engines := make(map[string]int)
-	for _, e := range f.engines {
-		engines[e.zone]++
-	}
-	d := beechgossip.Assign(g.members.Members(), g.address, g.zone, engines)
-	g.duties = d
+	d := beechgossip.Assign(g.members.Members(), g.address, g.zone, f.zoneEngines)
+	g.duties, f.following = d, nil
 	g.readers.SetReaders(d.Readers, d.ZoneReaders[g.zone])
-	g.board.SetDuty(beechsummary.Duty{Zones: d.CollectedZones(), Slot: d.Slot, Alone: d.Alone, Gates: len(d.Neighbors), ZoneEngines: d.Engines})
+	g.board.SetDuty(beechsummary.Duty{Zones: d.CollectedZones(), Gates: len(d.Neighbors), ZoneEngines: d.Engines})
 	f.planFlush(g)
 }
 
@@ -345,6 +345,7 @@
 	}
 	f.engines = append(f.engines, e)
 	f.byHost[e.host] = e
+	f.zoneEngines[e.zone]++
 	f.after(time.Duration(f.random.Int64N(int64(heartbeatInterval))), func() {
 		f.repeat(heartbeatInterval, func() bool {
 			if !e.dead {
@@ -386,7 +387,8 @@
 		}
 		f.after(f.delay(), func() {
 			if !g.dead && f.random.Float64() >= f.Loss {
-				g.board.Report(e.host, state, parts, g.duties.Collects[e.zone])
+				rank, collected := g.duties.Collects[e.zone]
+				g.board.Report(e.host, state, parts, beechsummary.Collecting{Collected: collected, Slot: rank.Slot, Alone: rank.Alone})
 				f.planFlush(g)
 			}
 		})
@@ -395,13 +397,20 @@
 
 // collectors returns the gates that follow the keepers of a zone.
 func (f *fleet) collectors(zone string) []*gate {
-	var list []*gate
-	for _, g := range f.gates {
-		if !g.dead && g.duties != nil && (g.duties.Direct || g.duties.Collects[zone]) {
-			list = append(list, g)
+	if f.following == nil {
+		f.following = make(map[string][]*gate)
+		for _, g := range f.gates {
+			if g.duties == nil {
+				continue
+			}
+			for name := range f.zoneEngines {
+				if _, collects := g.duties.Collects[name]; collects || g.duties.Direct {
+					f.following[name] = append(f.following[name], g)
+				}
+			}
 		}
 	}
-	return list
+	return slices.DeleteFunc(slices.Clone(f.following[zone]), func(g *gate) bool { return g.dead })
 }
 
 // planFlush plans the next summary of a collector.
--- a/internal/command/beechlab/report.go
+++ b/internal/command/beechlab/report.go
@@ -151,9 +151,10 @@
 	}
 	var times samples
 	for _, g := range f.gates {
+		_, collects := g.duties.Collects[victim.zone]
 		if at, ok := g.lost[victim.host]; ok && g.observed {
 			times.add(at.Sub(began))
-		} else if g.observed && (g.duties == nil || !g.duties.Collects[victim.zone]) {
+		} else if g.observed && !collects && !g.duties.Direct {
 			times.add(settleTime)
 		}
 	}
--- a/internal/decision/beechgossip/duties.go
+++ b/internal/decision/beechgossip/duties.go
@@ -18,13 +18,17 @@
 	Readers     []netip.AddrPort            // of the fleet, by rank
 	ZoneReaders map[string][]netip.AddrPort // by zone, by rank
 	Collectors  map[string][]netip.AddrPort // by zone, by rank
-	Collects    map[string]bool             // zones whose engines this member collects
-	Slot        int                         // its rank among the collectors of these
-	Alone       bool                        // there is no second collector
+	Collects    map[string]Rank             // zones whose engines this member collects
 	Direct      bool                        // all members follow all keepers themselves
 	Engines     int                         // in the zones that it collects
 }
 
+// Rank is a member's place among the collectors of a zone.
+type Rank struct {
+	Slot  int  // from 0
+	Alone bool // there is no second collector
+}
+
 const (
 	dutyRead    = "read"
 	dutyCollect = "collect"
@@ -41,7 +45,7 @@
 func Assign(list []Member, self netip.AddrPort, zone string, engines map[string]int) *Duties {
 	d := &Duties{
 		Self: self, Zone: zone, Gates: len(list), OtherZones: make(map[string][]netip.AddrPort), ZoneOf: make(map[netip.AddrPort]string),
-		ZoneReaders: make(map[string][]netip.AddrPort), Collectors: make(map[string][]netip.AddrPort), Collects: make(map[string]bool),
+		ZoneReaders: make(map[string][]netip.AddrPort), Collectors: make(map[string][]netip.AddrPort), Collects: make(map[string]Rank),
 	}
 	byZone := make(map[string][]Member)
 	for _, m := range list {
@@ -72,8 +76,8 @@
 			}
 		}
 		if slot := slices.Index(collectors, self); slot >= 0 {
-			d.Collects[name] = true
-			d.Slot, d.Alone, d.Engines = slot, len(collectors) == 1, d.Engines+count
+			d.Collects[name] = Rank{Slot: slot, Alone: len(collectors) == 1}
+			d.Engines += count
 		}
 	}
 	return d
--- a/internal/decision/beechgossip/group.go
+++ b/internal/decision/beechgossip/group.go
@@ -552,6 +552,7 @@
 			all = append(all, m.Member)
 		}
 	}
+	slices.SortFunc(all, func(x, y Member) int { return x.Address.Compare(y.Address) })
 	for part := range slices.Chunk(all, maxListed) {
 		sends = append(sends, Send{to, List{Members: part}})
 	}
--- a/internal/decision/beechgossip/group_test.go
+++ b/internal/decision/beechgossip/group_test.go
@@ -370,7 +370,8 @@
 	collecting := map[string]int{}
 	for n := 1; n <= members; n++ {
 		d := Assign(all, address(n), fmt.Sprint("zone-", min(n, 3)), engines)
-		is.True(n != 1 || d.Collects["zone-1"])
+		_, collects := d.Collects["zone-1"]
+		is.True(n != 1 || collects)
 		for zone := range d.Collects {
 			collecting[zone]++
 		}
--- a/internal/decision/beechsummary/board.go
+++ b/internal/decision/beechsummary/board.go
@@ -56,6 +56,7 @@
 		base      uint8
 		known     bool // State holds
 		ownZone   bool // its keeper reports to this gate
+		primary   bool // this gate sends its changes at once
 		direct    bool // it was last heard of by its keeper's report
 		handedOn  bool // what is known of it came from another zone to be handed on
 		lost      bool
@@ -154,10 +155,10 @@
 	}
 }
 
-// Report takes the report of an engine's keeper. Collected is false if the engine is in a zone
-// that this gate does not collect any more: keepers report to it for a while after. It returns
-// false if the report is older than the last one.
-func (b *Board) Report(host netip.Addr, s State, parts Parts, collected bool) bool {
+// Report takes the report of an engine's keeper, which may be in a zone that this gate does not
+// collect any more: keepers report to it for a while after. It returns false if the report is
+// older than the last one.
+func (b *Board) Report(host netip.Addr, s State, parts Parts, c Collecting) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	now := b.clock.Now()
@@ -166,11 +167,12 @@
 	if e.known && !e.lost && s.Number < e.Number && now.Sub(e.heardAt) < b.settings.Silence {
 		return false
 	}
-	first := !e.known || e.ownZone != collected || e.lost
+	first := !e.known || e.ownZone != c.Collected || e.lost
 	statusChanged := first || !s.Status.equal(e.Status) || s.OutdatedSince.IsZero() != e.OutdatedSince.IsZero()
 	loadChanged := first || loadChanged(e.Load, s.Load)
 	urgent := statusChanged || len(parts.Added) > 0 || s.Reading-e.Reading >= longPrompt
-	e.ownZone, e.direct, e.known, e.lost, e.heardAt = collected, true, true, false, now
+	e.ownZone, e.direct, e.known, e.lost, e.heardAt = c.Collected, true, true, false, now
+	e.primary = c.Alone || int(e.digest%2) == c.Slot
 	if !statusChanged && !loadChanged && parts.empty() {
 		e.State.Reading = s.Reading
 		return true
@@ -179,7 +181,7 @@
 	if statusChanged {
 		e.base = uint8(s.Number)
 	}
-	if collected && b.duty.collects() {
+	if c.Collected && b.duty.collects() {
 		b.notify(host, e, parts, statusChanged, urgent, now)
 	}
 	return true
@@ -198,16 +200,13 @@
 	if urgent {
 		far = now
 	}
-	if !b.primary(e) {
+	if !e.primary {
 		near, far = near.Add(b.settings.StandbyDelay), far.Add(b.settings.StandbyDelay)
 	}
 	b.audiences[Near].add(host, parts, status, near)
 	b.audiences[Far].add(host, parts, status, far)
 }
 
-// primary reports whether this gate sends an engine's changes at once.
-func (b *Board) primary(e *engine) bool { return b.duty.Alone || int(e.digest%2) == b.duty.Slot }
-
 func (a *audience) add(host netip.Addr, parts Parts, status bool, due time.Time) {
 	p, ok := a.pending[host]
 	if !ok {
@@ -303,7 +302,7 @@
 // covered drops a change that the other collector of the zone has sent.
 func (b *Board) covered(c Change) {
 	e := b.engines[c.Host]
-	if b.primary(e) || c.Number < e.Number {
+	if e.primary || c.Number < e.Number {
 		return
 	}
 	for i := range b.audiences {
@@ -466,7 +465,7 @@
 		_, pending := b.audiences[to].pending[host]
 		switch {
 		case !e.known || pending:
-		case e.ownZone && !b.primary(e):
+		case e.ownZone && !e.primary:
 		case !e.ownZone && (to == Far || !e.handedOn || !e.heardAt.After(e.confirmed)):
 		default:
 			if to == Near {
--- a/internal/decision/beechsummary/board_test.go
+++ b/internal/decision/beechsummary/board_test.go
@@ -34,6 +34,9 @@
 	}
 )
 
+// alone is the only collector of an engine's zone.
+var alone = Collecting{Collected: true, Alone: true}
+
 func host(i int) netip.Addr { return netip.AddrFrom4([4]byte{10, 1, byte(i >> 8), byte(i)}) }
 
 func newZone(gates, engines int) *zone {
@@ -41,7 +44,7 @@
 	for i := range gates {
 		g := &gate{Board: New(DefaultSettings, z.clock), states: map[netip.Addr]State{}, heard: map[netip.Addr]time.Time{}, parts: map[netip.Addr]Parts{}}
 		if i < 2 {
-			g.SetDuty(Duty{Zones: "mill", Slot: i, Gates: gates - 1, ZoneEngines: engines})
+			g.SetDuty(Duty{Zones: "mill", Gates: gates - 1, ZoneEngines: engines})
 		}
 		z.gates = append(z.gates, g)
 	}
@@ -54,9 +57,9 @@
 // report sends an engine's state to both collectors.
 func (z *zone) report(i int, parts Parts) {
 	z.engines[i].Number++
-	for _, g := range z.gates[:2] {
+	for slot, g := range z.gates[:2] {
 		if !g.dead && z.random.Float64() >= z.loss {
-			g.Report(host(i), z.engines[i], parts, true)
+			g.Report(host(i), z.engines[i], parts, Collecting{Collected: true, Slot: slot})
 		}
 	}
 }
@@ -215,10 +218,10 @@
 	is := is.New(t)
 	clock := clockwork.NewFakeClock()
 	b := New(DefaultSettings, clock)
-	b.SetDuty(Duty{Zones: "barn mill", Alone: true})
-	b.Report(host(1), State{Number: 1, Status: Status{Port: 80}}, Parts{}, true)
-	b.SetDuty(Duty{Zones: "mill", Alone: true})
-	b.Report(host(1), State{Number: 2, Load: Load{Running: 1}, Status: Status{Port: 80}}, Parts{}, false)
+	b.SetDuty(Duty{Zones: "barn mill"})
+	b.Report(host(1), State{Number: 1, Status: Status{Port: 80}}, Parts{}, alone)
+	b.SetDuty(Duty{Zones: "mill"})
+	b.Report(host(1), State{Number: 2, Load: Load{Running: 1}, Status: Status{Port: 80}}, Parts{}, Collecting{})
 	status := Status{Port: 80}
 	updates, _ := b.Apply(Summary{Changes: []Change{{Host: host(1), Number: 3, Base: 3, Load: Load{Running: 7}, Status: &status}}}, Other)
 	is.Equal(updates[0].(Changed).State.Running, 7)
@@ -234,10 +237,10 @@
 	z, other := newZone(5, 3), newZone(2, 0)
 	other.clock = z.clock
 	far := New(DefaultSettings, z.clock)
-	far.SetDuty(Duty{Zones: "mill", Alone: true, ZoneEngines: 1})
+	far.SetDuty(Duty{Zones: "mill", ZoneEngines: 1})
 	engine := netip.MustParseAddr("10.2.0.1")
 	z.run(time.Second)
-	far.Report(engine, State{Number: 5, Load: Load{Running: 2}, Status: Status{Port: 80}}, Parts{Added: []uint64{9}}, true)
+	far.Report(engine, State{Number: 5, Load: Load{Running: 2}, Status: Status{Port: 80}}, Parts{Added: []uint64{9}}, alone)
 	for _, s := range far.Next(Far) {
 		z.deliver(&gate{Board: far}, z.gates[0], s, Other)
 	}
@@ -254,11 +257,11 @@
 	is := is.New(t)
 	clock := clockwork.NewFakeClock()
 	b := New(DefaultSettings, clock)
-	b.SetDuty(Duty{Zones: "mill", Alone: true, ZoneEngines: 10})
+	b.SetDuty(Duty{Zones: "mill", ZoneEngines: 10})
 	report := func(edit func(s *State)) {
 		s := State{Number: uint32(clock.Now().UnixMilli()), Status: Status{Port: 80}}
 		edit(&s)
-		b.Report(host(1), s, Parts{}, true)
+		b.Report(host(1), s, Parts{}, alone)
 	}
 	report(func(*State) {})
 	b.Next(Far)
--- a/internal/decision/beechsummary/types.go
+++ b/internal/decision/beechsummary/types.go
@@ -94,11 +94,17 @@
 	// Audience is a group of receivers.
 	Audience int
 
+	// Collecting tells whether a gate collects an engine, and its place among the collectors of the
+	// engine's zone.
+	Collecting struct {
+		Collected bool
+		Slot      int  // 0 or 1
+		Alone     bool // there is no second collector
+	}
+
 	// Duty is what a gate does for the engines of its zone.
 	Duty struct {
 		Zones       string // names of the zones whose engines it collects; empty: none
-		Slot        int    // 0 or 1, the rank among the zone's collectors
-		Alone       bool   // there is no second collector
 		Gates       int    // receivers of near summaries
 		ZoneEngines int    // with a keeper
 	}
--- a/internal/process/beechgate/collect.go
+++ b/internal/process/beechgate/collect.go
@@ -125,7 +125,8 @@
 func (g *Gate) receiveReport(host netip.Addr, tell *beechwire.Tell) {
 	state, parts := beechconvert.EngineReport(tell, g.clock.Now())
 	engine := netip.AddrPortFrom(host, tell.Port)
-	if !g.board.Report(host, state, parts, g.topology.Load().Collects[g.placer.ZoneOf(engine)]) {
+	rank, collected := g.topology.Load().Collects[g.placer.ZoneOf(engine)]
+	if !g.board.Report(host, state, parts, beechsummary.Collecting{Collected: collected, Slot: rank.Slot, Alone: rank.Alone}) {
 		return
 	}
 	g.suspects.Merge(beechconvert.SuspectRecords(tell.Suspects))
--- a/internal/process/beechgate/keeper.go
+++ b/internal/process/beechgate/keeper.go
@@ -60,7 +60,10 @@
 	case t.Direct:
 		return g.keeperServers()
 	}
-	return slices.DeleteFunc(g.keeperServers(), func(s beechcall.Server) bool { return !t.Collects[s.Zone] })
+	return slices.DeleteFunc(g.keeperServers(), func(s beechcall.Server) bool {
+		_, collects := t.Collects[s.Zone]
+		return !collects
+	})
 }
 
 // scopeTo returns whether messages to a server's keeper leave this zone.
--- a/internal/process/beechgate/membership.go
+++ b/internal/process/beechgate/membership.go
@@ -110,7 +110,7 @@
 	old := g.topology.Load()
 	t := &topology{version: g.members.Version(), joined: g.members.Joined(), settled: g.members.Settled()}
 	t.Duties = beechgossip.Assign(g.members.Members(), g.members.Self(), g.settings.Zone, g.engineZones())
-	t.duty = beechsummary.Duty{Zones: t.CollectedZones(), Slot: t.Slot, Alone: t.Alone, Gates: len(t.Neighbors), ZoneEngines: t.Engines}
+	t.duty = beechsummary.Duty{Zones: t.CollectedZones(), Gates: len(t.Neighbors), ZoneEngines: t.Engines}
 	g.topology.Store(t)
 	g.applyTopology(old, t)
 }
