--- a/internal/decision/beechgossip/duties.go
+++ b/internal/decision/beechgossip/duties.go
@@ -88,11 +88,11 @@
 	return strings.Join(slices.Sorted(maps.Keys(d.Collects)), " ")
 }
 
-// Audience returns the members that this one tells of changes in the store: the first reader
-// of the fleet tells the readers of all zones, and the first reader of a zone its neighbors.
+// Audience returns the members that this one tells of changes in the store: the readers of the
+// fleet tell those of all zones, and the first reader of a zone its neighbors.
 func (d *Duties) Audience() []netip.AddrPort {
 	var list []netip.AddrPort
-	if first(d.Readers) == d.Self {
+	if slices.Contains(d.Readers, d.Self) {
 		list = append(list, d.Readers...)
 		for _, readers := range d.ZoneReaders {
 			list = append(list, readers...)
--- a/internal/decision/beechgossip/group_test.go
+++ b/internal/decision/beechgossip/group_test.go
@@ -407,7 +407,7 @@
 			reached[a] = true
 		}
 	}
-	is.Equal(len(reached), 59) // all but the first reader, who tells the others
+	is.Equal(len(reached), 60) // the first reader too, by its standby
 	is.True(sends <= 2*60)
 }
 
--- a/internal/process/beechgate/copies.go
+++ b/internal/process/beechgate/copies.go
@@ -71,9 +71,9 @@
 	}
 
 	// watchPatience is how long a gate waits for a reader that watches the store before it watches
-	// itself, by role: the standby first, the others when both are gone.
+	// itself, by role. The readers of the fleet always watch.
 	watchPatience = map[beechreader.Role]time.Duration{
-		beechreader.First: 0, beechreader.Second: 700 * time.Millisecond, beechreader.ZoneFirst: 1500 * time.Millisecond,
+		beechreader.First: 0, beechreader.Second: 0, beechreader.ZoneFirst: 1500 * time.Millisecond,
 		beechreader.ZoneSecond: 2 * time.Second, beechreader.Follower: 3 * time.Second,
 	}
 
@@ -128,9 +128,10 @@
 	if g.topology.Load().joined {
 		role = g.readers.Role()
 	}
+	watches := role == beechreader.First || role == beechreader.Second // so that a change is not missed with one of them
 	revoke := time.Duration(g.bounds.Load().Revoke)
-	g.operatorMirror.SetMaxAge(operatorReadAges.Scaled(min(float64(revoke)/float64(nominalRevoke), 1)).ForRole(role), role == beechreader.First)
-	g.serverMirror.SetMaxAge(serverReadAges.ForRole(role), role == beechreader.First)
+	g.operatorMirror.SetMaxAge(operatorReadAges.Scaled(min(float64(revoke)/float64(nominalRevoke), 1)).ForRole(role), watches)
+	g.serverMirror.SetMaxAge(serverReadAges.ForRole(role), watches)
 	g.operatorMirror.SetWatchPatience(watchPatience[role])
 	g.serverMirror.SetWatchPatience(watchPatience[role])
 	targets := g.readers.Targets()
