Keepers are followed only once the list of gates has settled

While all gates of a fleet start, each knows a few others at first and takes itself for a collector of its zone, or of a fleet so small that all follow all keepers: each of hundreds followed a hundred keepers or more, was told all cached parts, and was told each change for the 2.5 s until it was forgotten.

--- a/internal/process/beechgate/keeper.go
+++ b/internal/process/beechgate/keeper.go
@@ -55,8 +55,8 @@
 func (g *Gate) collectedServers() []beechcall.Server {
 	t := g.topology.Load()
 	switch {
-	case !t.joined:
-		return nil
+	case !t.settled:
+		return nil // while all gates start, each would follow keepers that others will follow
 	case t.Direct:
 		return g.keeperServers()
 	}
--- a/internal/process/beechgate/membership.go
+++ b/internal/process/beechgate/membership.go
@@ -134,7 +134,7 @@
 	if t.duty.Zones != old.duty.Zones {
 		g.log.Info("collects states", zap.String("zones", t.duty.Zones), zap.Int("gates", t.Gates), zap.Int("engines", t.Engines))
 	}
-	if t.joined && (len(t.Collects) > len(old.Collects) || t.Direct && !old.Direct || !old.joined) {
+	if t.settled && (len(t.Collects) > len(old.Collects) || t.Direct && !old.Direct || !old.settled) {
 		g.requestFollow()
 	}
 	beechtask.Notify(g.summariesDue)
