--- a/internal/process/beechgate/copies.go
+++ b/internal/process/beechgate/copies.go
@@ -48,7 +48,10 @@
 
 	copyPath       = "/copy"
 	copyTimeout    = 700 * time.Millisecond
-	copySpread     = 60 * time.Millisecond // so that not all gates of a zone fetch a copy at once
+	maxFetchTries  = 8
+	fetchPause     = 20 * time.Millisecond // between tries, and up to twice that
+	maxCopyReaders = 6                     // gates that fetch copies from this one at a time
+	startInquiries = 3                     // neighbors that a gate without a configuration asks besides the readers
 	maxCopyBytes   = 16 << 20
 	copyIdleTime   = 10 * time.Second
 	headerReadTime = 2 * time.Second
@@ -86,6 +89,7 @@
 
 	mu       sync.Mutex
 	fetching map[string]bool           // by prefix
+	readers  int                       // gates that fetch a copy now
 	packed   map[string]packedSnapshot // by prefix
 }
 
@@ -138,6 +142,9 @@
 	if len(targets) == 0 || g.Draining() {
 		return
 	}
+	if g.configuration.Load() == nil {
+		targets = append(targets, g.someNeighbors(startInquiries)...)
+	}
 	number := g.readers.StartInquiry(g.deps.Age.Now())
 	for _, to := range targets {
 		if err := g.socket.Send(to, g.scopeToGate(to), beechdatagram.Inquiry{Inquiry: &beechwire.Inquiry{Number: number}}); err != nil {
@@ -146,6 +153,16 @@
 	}
 }
 
+// someNeighbors returns up to n other gates of this zone, drawn at random.
+func (g *Gate) someNeighbors(n int) []netip.AddrPort {
+	neighbors := g.topology.Load().Neighbors
+	var some []netip.AddrPort
+	for _, i := range rand.Perm(len(neighbors))[:min(n, len(neighbors))] {
+		some = append(some, neighbors[i])
+	}
+	return some
+}
+
 // sendProof tells other gates about this gate's mirrors. With the number of an inquiry it proves
 // their age; with 0 it only tells their contents.
 func (g *Gate) sendProof(to []netip.AddrPort, number uint64) {
@@ -204,13 +221,13 @@
 		g.metrics.vouches.Add("older copy", 1)
 	default:
 		g.metrics.vouches.Add("another copy", 1)
-		g.fetchCopy(from, m, prefix, status)
+		g.fetchCopy(from, m, prefix, h.Revision, status)
 	}
 }
 
 // fetchCopy fetches a whole copy from another gate in the background, one at a time for each
 // prefix. If that fails this gate watches the store itself.
-func (g *Gate) fetchCopy(from netip.AddrPort, m *beechmirror.Mirror, prefix string, status beechmirror.CopyStatus) {
+func (g *Gate) fetchCopy(from netip.AddrPort, m *beechmirror.Mirror, prefix string, wanted uint64, status beechmirror.CopyStatus) {
 	c := g.copies
 	c.mu.Lock()
 	busy := c.fetching[prefix]
@@ -225,12 +242,7 @@
 			delete(c.fetching, prefix)
 			c.mu.Unlock()
 		}()
-		if _, known := m.Held(); known && g.readers.Role() == beechreader.Follower {
-			g.clock.Sleep(rand.N(copySpread))
-		}
-		page, err := c.fetch(context.Background(), from, prefix)
-		if err != nil || !m.ApplyPeerCopy(page) {
-			g.log.Debug("copy not taken from gate", zap.Stringer("peer", from), zap.String("prefix", prefix), zap.Error(err))
+		if !g.tryFetches(from, m, prefix, wanted) {
 			m.ApplyPeerStatus(status)
 			return
 		}
@@ -240,6 +252,29 @@
 	}()
 }
 
+// tryFetches fetches a copy of at least the wanted revision from the gate that has told of it, or
+// from another one of this zone: if all gates of a zone fetched from the same one, its link would
+// be full for a second. It reports whether the copy was taken.
+func (g *Gate) tryFetches(from netip.AddrPort, m *beechmirror.Mirror, prefix string, wanted uint64) bool {
+	for try := range maxFetchTries {
+		source := from
+		neighbors := g.topology.Load().Neighbors
+		if try%2 == 1 && len(neighbors) > 0 {
+			source = neighbors[rand.IntN(len(neighbors))]
+		}
+		page, err := g.copies.fetch(context.Background(), source, prefix)
+		if err == nil && m.ApplyPeerCopy(page) && page.Revision >= wanted {
+			return true
+		}
+		if held, known := m.Held(); known && held.Revision >= wanted {
+			return true // it came another way
+		}
+		g.log.Debug("copy not taken from gate", zap.Stringer("peer", source), zap.String("prefix", prefix), zap.Error(err))
+		g.clock.Sleep(fetchPause + rand.N(fetchPause))
+	}
+	return false
+}
+
 // fetch returns the items under a prefix as another gate holds them. Errors name the step and
 // the peer.
 func (c *copies) fetch(ctx context.Context, from netip.AddrPort, prefix string) (beechmirror.Page, error) {
@@ -275,6 +310,11 @@
 		http.Error(w, "not a gate of this fleet", http.StatusForbidden)
 		return
 	}
+	if !g.copies.begin() {
+		http.Error(w, "too many gates fetch copies here", http.StatusServiceUnavailable)
+		return
+	}
+	defer g.copies.end()
 	var m *beechmirror.Mirror
 	switch r.URL.Query().Get("prefix") {
 	case g.deps.OperatorPrefix:
@@ -303,6 +343,23 @@
 	return host == g.members.Self().Addr()
 }
 
+// begin reports whether another gate may fetch a copy now, which ends with end.
+func (c *copies) begin() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.readers >= maxCopyReaders {
+		return false
+	}
+	c.readers++
+	return true
+}
+
+func (c *copies) end() {
+	c.mu.Lock()
+	c.readers--
+	c.mu.Unlock()
+}
+
 // pack returns a mirror's copy, encoded and compressed once for all gates that fetch it.
 func (c *copies) pack(prefix string, m *beechmirror.Mirror) (data []byte, known bool, err error) {
 	held, known := m.Held()
