The answer of the release before to an inquiry is gone whole; package comments follow

Gates answer inquiries with a proof that has the revision. The old answer had neither sender nor receiver left; a gate of the release before that asks gets none it knows and reads for itself, as when it is alone.

--- a/internal/link/beechdatagram/datagram.go
+++ b/internal/link/beechdatagram/datagram.go
@@ -30,7 +30,7 @@
 )
 
 type (
-	// Message is a Follow, a Tell, an Announce, an Inquiry, a Vouch, a Proof, an
+	// Message is a Follow, a Tell, an Announce, an Inquiry, a Proof, an
 	// Entries, a Gossip, a Summary, a Recall, a Borrow, a Loan, a Spent, a Limits or a Full.
 	Message interface{ message() }
 
@@ -58,9 +58,6 @@
 	// operators' document and of the list of servers are.
 	Inquiry struct{ *beechwire.Inquiry }
 
-	// Vouch is the answer to an Inquiry.
-	Vouch struct{ *beechwire.Vouch }
-
 	// Entries is sent by a gate to the others of its zone: changed entries of servers.
 	Entries struct{ *beechwire.Entries }
 
@@ -105,7 +102,6 @@
 	kindTell         = 'T'
 	kindAnnounce     = 'A'
 	kindInquiry      = 'I'
-	kindVouch        = 'V'
 	kindEntries      = 'E'
 	kindSpent        = 'S'
 	kindLimits       = 'L'
@@ -125,7 +121,6 @@
 func (Tell) message()     {}
 func (Announce) message() {}
 func (Inquiry) message()  {}
-func (Vouch) message()    {}
 func (Entries) message()  {}
 func (Spent) message()    {}
 func (Limits) message()   {}
@@ -157,8 +152,6 @@
 		return v.MarshalMsg([]byte{kindAnnounce})
 	case Inquiry:
 		return v.MarshalMsg([]byte{kindInquiry})
-	case Vouch:
-		return v.MarshalMsg([]byte{kindVouch})
 	case Entries:
 		return v.MarshalMsg([]byte{kindEntries})
 	case Spent:
@@ -214,9 +207,6 @@
 	case kindInquiry:
 		m := &beechwire.Inquiry{}
 		return Inquiry{m}, m
-	case kindVouch:
-		m := &beechwire.Vouch{}
-		return Vouch{m}, m
 	case kindEntries:
 		m := &beechwire.Entries{}
 		return Entries{m}, m
@@ -308,7 +298,7 @@
 	case kindProof:
 		return "proof"
 	}
-	return "vouch"
+	return "unknown"
 }
 
 // String returns the label of a scope in the metrics.
--- a/internal/link/beechdatagram/datagram_test.go
+++ b/internal/link/beechdatagram/datagram_test.go
@@ -21,7 +21,6 @@
 	}},
 	Gossip{&beechwire.Gossip{Act: 1, Sequence: 9, Digest: 1 << 63, Zones: []string{"mill"}, Members: []beechwire.Node{{Address: "\x0a\x01\x00\x1e\x1c\xac", Capacity: 144, Incarnation: 1700000000123}}}},
 	Inquiry{&beechwire.Inquiry{Number: 7}},
-	Vouch{&beechwire.Vouch{Number: 7, Operators: beechwire.Copy{Digest: 1 << 63, Age: 1300, Watched: true}, Servers: beechwire.Copy{Age: -1}}},
 	Summary{&beechwire.Summary{
 		Pass: true, Changes: []beechwire.Engine{{Host: "\x0a\x01\x00\x1e", Number: 1 << 31, Run: 3, Used: 40000, Read: 5000, Parts: []uint64{1 << 60}, Status: []beechwire.Status{{Port: 8080, Have: []beechwire.Weights{{Model: "m", Version: 2}}}}}},
 		Confirmed: []beechwire.Heard{{Host: "\x0a\x01\x00\x1e", Number: 200}}, Lost: []string{"\x0a\x01\x00\x1f"}, Paces: []beechwire.Seen{{Engine: 1 << 60, Samples: 7, Log: -260}},
--- a/internal/link/beechwire/wire_gen.go
+++ b/internal/link/beechwire/wire_gen.go
@@ -2,7 +2,7 @@
 
 //msgp:ignore WireSchemaJson
 //msgp:limit arrays:65536
-//msgp:tuple Follow Announce Tell Target Weights Copy Inquiry Vouch Entry Entries Node Gossip Status Engine Heard Speed Busy Summary Recall Held Proof Borrow Loan Use Spent Seen Limit Limits Full FullServer
+//msgp:tuple Follow Announce Tell Target Weights Inquiry Entry Entries Node Gossip Status Engine Heard Speed Busy Summary Recall Held Proof Borrow Loan Use Spent Seen Limit Limits Full FullServer
 
 package beechwire
 
@@ -213,20 +213,6 @@
 	Have uint64 `msg:"Have"`
 }
 
-// Copy describes the state of a gate's copy of the keys under a prefix of the
-// store.
-type Copy struct {
-	// Milliseconds since the store confirmed the copy, rounded up, by the sender's
-	// clock; negative: the sender has no copy.
-	Age int64 `msg:"Age"`
-
-	// Digest of all keys and their revisions.
-	Digest uint64 `msg:"Digest"`
-
-	// The sender itself watches the store.
-	Watched bool `msg:"Watched"`
-}
-
 // Credit permits the agent to send more bytes of Data; from entry to agent.
 type Credit struct {
 	// Bytes corresponds to the JSON schema field "Bytes".
@@ -735,8 +721,7 @@
 	Stream uint64 `msg:"Stream"`
 }
 
-// Proof answers an Inquiry, as Vouch does in earlier releases. Number 0 tells that
-// a copy has changed.
+// Proof answers an Inquiry. Number 0 tells that a copy has changed.
 type Proof struct {
 	// Number corresponds to the JSON schema field "Number".
 	Number uint64 `msg:"Number"`
@@ -1180,18 +1165,6 @@
 	Workspace uint64 `msg:"Workspace"`
 }
 
-// Vouch answers an Inquiry.
-type Vouch struct {
-	// Number corresponds to the JSON schema field "Number".
-	Number uint64 `msg:"Number"`
-
-	// Operators corresponds to the JSON schema field "Operators".
-	Operators Copy `msg:"Operators"`
-
-	// Servers corresponds to the JSON schema field "Servers".
-	Servers Copy `msg:"Servers"`
-}
-
 // Weights is a model and the version of its weights on an engine.
 type Weights struct {
 	// Model corresponds to the JSON schema field "Model".
--- a/internal/process/beechgate/doc.go
+++ b/internal/process/beechgate/doc.go
@@ -6,11 +6,13 @@
 //
 //	HTTP handler -> Admit (configuration, key) -> Serve (quota, beechattempt) -> response
 //
-// A gate mirrors the operators' documents and the servers' entries from the store,
-// and receives engine state from the keepers, the agents on the engines' hosts. Gates
-// of a zone share their reads of the store, and all gates exchange quota usage, server
-// limits and overloads. Nothing is persisted: a gate that starts reads both prefixes
-// of the store and is ready.
+// A gate mirrors the operators' documents and the servers' entries from the store. All
+// gates know one another (membership.go), and one reads the store for all of them
+// (copies.go). Two gates of each zone collect the states of its engines from the keepers,
+// the processes on the engines' hosts, and send what changes to all gates (collect.go).
+// Gates also exchange quota usage, server limits and overloads, and lend one another
+// retries (loans.go). Nothing is persisted: a gate that starts takes both copies from
+// another gate, or reads the store, and is ready.
 //
 // # Usage
 //
