--- a/internal/state/beechmirror/mirror.go
+++ b/internal/state/beechmirror/mirror.go
@@ -137,7 +137,7 @@
 	maxRetryPause = 600 * time.Millisecond
 	// confirmedRetryPause is the pause after a failed read while a peer that reaches the store
 	// confirms the copy.
-	confirmedRetryPause = 2 * time.Second
+	confirmedRetryPause = 800 * time.Millisecond
 	// watchTimeoutMargin is added to WatchTimeout before a watch is canceled locally.
 	watchTimeoutMargin = time.Second
 	// maxRemovedKeys bounds the remembered removals; all are forgotten when it is reached.
