--- a/internal/decision/beechrelay/relay.go
+++ b/internal/decision/beechrelay/relay.go
@@ -3,10 +3,10 @@
 //
 // # Why
 //
-// A keeper reports the state of its engine to every gate several times a second, so
-// the number of messages grows with keepers times gates, and they make up most of
-// the traffic between zones. Traffic inside a zone is free. Each message is
-// therefore sent to one gate of a zone, which relays it to the others.
+// A gate tells all others several times a second what it has admitted of quotas and
+// servers' limits, so the number of messages grows with the square of the gates. Traffic
+// between zones is billed, traffic inside a zone is free. Each message is therefore sent to
+// one gate of another zone, which relays it to the others there.
 //
 // # Algorithm
 //
--- a/internal/process/beechgate/copies.go
+++ b/internal/process/beechgate/copies.go
@@ -213,14 +213,14 @@
 	case known && held.Digest == h.Digest:
 		m.ApplyPeerStatus(status)
 		if proof {
-			g.metrics.vouches.Add("same copy", 1)
+			g.metrics.proofs.Add("same copy", 1)
 		} else {
-			g.metrics.vouches.Add("no proof", 1)
+			g.metrics.proofs.Add("no proof", 1)
 		}
 	case known && h.Revision < held.Revision:
-		g.metrics.vouches.Add("older copy", 1)
+		g.metrics.proofs.Add("older copy", 1)
 	default:
-		g.metrics.vouches.Add("another copy", 1)
+		g.metrics.proofs.Add("another copy", 1)
 		g.fetchCopy(from, m, prefix, h.Revision, status)
 	}
 }
--- a/internal/process/beechgate/metrics.go
+++ b/internal/process/beechgate/metrics.go
@@ -20,7 +20,7 @@
 		invalidGossip  *expvar.Int // membership messages of unknown kinds
 		lent           *expvar.Int // retries lent to gates of this zone
 		copiesFetched  *expvar.Int // whole copies taken from other gates
-		vouches        *expvar.Map // other gates' statements about their mirrors, by result
+		proofs        *expvar.Map // other gates' statements about their mirrors, by result
 		bodies         *expvar.Map // bytes of request bodies, within the zone and to other zones
 
 		limitLinesDropped *expvar.Int // log lines on limits beyond maxLimitLogLines
@@ -34,13 +34,13 @@
 func newMetrics(g *Gate) *metrics {
 	m := &metrics{
 		vars: new(expvar.Map), endings: new(expvar.Map), retried: new(expvar.Int), denied: new(expvar.Map),
-		vouches: new(expvar.Map), bodies: new(expvar.Map), unknownSenders: new(expvar.Int), invalidGossip: new(expvar.Int), copiesFetched: new(expvar.Int), lent: new(expvar.Int),
+		proofs: new(expvar.Map), bodies: new(expvar.Map), unknownSenders: new(expvar.Int), invalidGossip: new(expvar.Int), copiesFetched: new(expvar.Int), lent: new(expvar.Int),
 		limitLinesDropped: new(expvar.Int), lateVersions: new(expvar.Int), invalidEntries: new(expvar.Int), firstByte: beechmetric.NewLatency(), wholeAnswer: beechmetric.NewLatency(),
 	}
 	m.vars.Set("endings", m.endings)
 	m.vars.Set("retried", m.retried)
 	m.vars.Set("denied", m.denied)
-	m.vars.Set("vouches", m.vouches)
+	m.vars.Set("proofs", m.proofs)
 	m.vars.Set("paces", expvar.Func(func() any { return slowEngines(g.placer.Paces()) }))
 	m.vars.Set("strangers", m.unknownSenders)
 	m.vars.Set("gossipMalformed", m.invalidGossip)
--- a/internal/process/beechgate/retrybudget.go
+++ b/internal/process/beechgate/retrybudget.go
@@ -32,7 +32,7 @@
 	// budgetShare is the share of the operators' bound that is used: gates that have just
 	// started do not know how many retries others, or they themselves, have used.
 	budgetShare = 0.75
-	// defaultGates is assumed until keepers have reported the number of gates.
+	// defaultGates is assumed until the list of gates has settled.
 	defaultGates = 6
 	// enoughShare is the number of spare retries from which on a gate needs no pool.
 	enoughShare = 8
