--- a/internal/command/beechlab/fleet.go
+++ b/internal/command/beechlab/fleet.go
@@ -333,7 +333,7 @@
 	if g.duties == nil {
 		return
 	}
-	for _, to := range g.duties.Audience() {
+	for _, to := range g.duties.Dependents() {
 		f.sendProof(g, to, 0)
 	}
 }
--- a/internal/decision/beechgossip/duties.go
+++ b/internal/decision/beechgossip/duties.go
@@ -88,9 +88,9 @@
 	return strings.Join(slices.Sorted(maps.Keys(d.Collects)), " ")
 }
 
-// Audience returns the members that this one tells of changes in the store: the readers of the
+// Dependents returns the members that this one tells of changes in the store: the readers of the
 // fleet tell those of all zones, and the first reader of a zone its neighbors.
-func (d *Duties) Audience() []netip.AddrPort {
+func (d *Duties) Dependents() []netip.AddrPort {
 	var list []netip.AddrPort
 	if slices.Contains(d.Readers, d.Self) {
 		list = append(list, d.Readers...)
--- a/internal/decision/beechgossip/group.go
+++ b/internal/decision/beechgossip/group.go
@@ -118,7 +118,7 @@
 	// TickInterval is the time between calls of Tick.
 	TickInterval = 100 * time.Millisecond
 
-	newsFanout         = 3   // members that are sent each News
+	changesFanout      = 3   // members that are sent each Changes
 	maxChanges         = 160 // per message, at some 24 bytes each
 	maxListed          = 400
 	extraTransmissions = 5 // beyond half the binary logarithm of the number of members
@@ -431,11 +431,11 @@
 	if len(g.changes) == 0 {
 		return nil
 	}
-	targets := g.pick(newsFanout, netip.AddrPort{})
+	targets := g.pick(changesFanout, netip.AddrPort{})
 	var sends []Send
 	for _, to := range targets {
 		if list := g.takeChanges(); len(list) > 0 {
-			sends = append(sends, Send{to, News{Members: list}})
+			sends = append(sends, Send{to, Changes{Members: list}})
 		}
 	}
 	return sends
@@ -497,7 +497,7 @@
 		if v.Reply {
 			return g.lists(from, false)
 		}
-	case News:
+	case Changes:
 	}
 	return nil
 }
--- a/internal/decision/beechgossip/group_test.go
+++ b/internal/decision/beechgossip/group_test.go
@@ -196,7 +196,7 @@
 	for _, m := range old {
 		if m.Address == address(5) {
 			m.Status = Dead
-			f.send(address(1), []Send{{address(2), News{Members: []Member{m}}}})
+			f.send(address(1), []Send{{address(2), Changes{Members: []Member{m}}}})
 		}
 	}
 	f.run(3 * time.Second)
@@ -212,7 +212,7 @@
 	}
 	f.until(t, "all know all", 3*time.Second, f.agree)
 	ahead := Member{Address: address(4), Zone: "zone-4", Incarnation: uint64(f.clock.Now().Add(time.Minute).UnixMilli()), Status: Dead}
-	f.send(address(1), []Send{{address(2), News{Members: []Member{ahead}}}, {address(3), News{Members: []Member{ahead}}}})
+	f.send(address(1), []Send{{address(2), Changes{Members: []Member{ahead}}}, {address(3), Changes{Members: []Member{ahead}}}})
 	f.run(200 * time.Millisecond)
 	f.until(t, "the member is back everywhere", 5*time.Second, f.agree)
 }
@@ -288,7 +288,7 @@
 		{Address: address(3), Incarnation: math.MaxUint64, Status: Dead},
 		{Address: address(3), Incarnation: 1, Status: 9},
 	}
-	victim.Receive(address(66), News{Members: forged})
+	victim.Receive(address(66), Changes{Members: forged})
 	is.Equal(victim.Counts().Rejected, len(forged))
 	is.True(victim.Contains(address(3)))
 	for n := range maxMembers/maxListed + 2 {
@@ -401,7 +401,7 @@
 	reached := map[netip.AddrPort]bool{}
 	sends := 0
 	for n := 1; n <= 60; n++ {
-		audience := Assign(all, address(n), fmt.Sprint("zone-", n%6), nil).Audience()
+		audience := Assign(all, address(n), fmt.Sprint("zone-", n%6), nil).Dependents()
 		sends += len(audience)
 		for _, a := range audience {
 			reached[a] = true
--- a/internal/decision/beechgossip/message.go
+++ b/internal/decision/beechgossip/message.go
@@ -3,7 +3,7 @@
 import "net/netip"
 
 type (
-	// Message is a Ping, an Ack, a ProbeRequest, a News or a List.
+	// Message is a Ping, an Ack, a ProbeRequest, a Changes or a List.
 	Message interface{ message() }
 
 	// Ping asks for an Ack with the same sequence number.
@@ -27,8 +27,8 @@
 		Members  []Member
 	}
 
-	// News spreads changes.
-	News struct{ Members []Member }
+	// Changes spreads changes.
+	Changes struct{ Members []Member }
 
 	// List has all members that the sender knows, or a part of them. Reply asks for the
 	// receiver's list. A member with incarnation 0 is only an address at which a member
@@ -48,7 +48,7 @@
 func (Ping) message()         {}
 func (Ack) message()          {}
 func (ProbeRequest) message() {}
-func (News) message()         {}
+func (Changes) message()      {}
 func (List) message()         {}
 
 // members returns the members that a message carries.
@@ -60,7 +60,7 @@
 		return v.Members
 	case ProbeRequest:
 		return v.Members
-	case News:
+	case Changes:
 		return v.Members
 	case List:
 		return v.Members
--- a/internal/decision/beechsummary/board.go
+++ b/internal/decision/beechsummary/board.go
@@ -81,8 +81,8 @@
 	}
 )
 
-// DefaultSettings keep news at most a few ten milliseconds younger than a message to each gate
-// would be, at a thousandth of the messages.
+// DefaultSettings make a state at most some tens of milliseconds older than a message to each
+// gate would.
 var DefaultSettings = Settings{
 	NearSpacingPerGate: 800 * time.Microsecond, FarSpacingPerEngine: 500 * time.Microsecond, MinSpacing: 4 * time.Millisecond, MaxSpacing: 100 * time.Millisecond,
 	FarDelayPerEngine: 2 * time.Millisecond, MaxFarDelay: 200 * time.Millisecond, StandbyDelay: 150 * time.Millisecond, ConfirmInterval: time.Second, Silence: 800 * time.Millisecond,
--- a/internal/decision/beechsummary/board_test.go
+++ b/internal/decision/beechsummary/board_test.go
@@ -307,13 +307,13 @@
 }
 
 // The samples of many gates are summed up, and a zone's own go to the other zones once.
-func TestBulletinSumsUp(t *testing.T) {
+func TestTotalsSumUp(t *testing.T) {
 	is := is.New(t)
-	b := NewBulletin()
+	b := NewTotals()
 	now := time.Unix(100, 0)
-	b.Add(News{Paces: []Pace{{Engine: 1, Samples: 1, Log: 1}}, Speed: Speed{Samples: 1, Rate: 60, Fixed: 10}, Loads: []ServerLoad{{Server: 5, Running: 3, At: now}}}, true)
-	b.Add(News{Paces: []Pace{{Engine: 1, Samples: 3, Log: 0}, {Engine: 2, Samples: 0, Log: 9}}, Speed: Speed{Samples: 3, Rate: 80, Fixed: 30}, Loads: []ServerLoad{{Server: 5, Running: 1, At: now.Add(-time.Second)}}}, false)
-	is.Equal(b.Take(Near, 9), News{Paces: []Pace{{Engine: 1, Samples: 4, Log: 0.25}}, Speed: Speed{Samples: 4, Rate: 75, Fixed: 25}, Loads: []ServerLoad{{Server: 5, Running: 3, At: now}}})
+	b.Add(Measurements{Paces: []Pace{{Engine: 1, Samples: 1, Log: 1}}, Speed: Speed{Samples: 1, Rate: 60, Fixed: 10}, Loads: []ServerLoad{{Server: 5, Running: 3, At: now}}}, true)
+	b.Add(Measurements{Paces: []Pace{{Engine: 1, Samples: 3, Log: 0}, {Engine: 2, Samples: 0, Log: 9}}, Speed: Speed{Samples: 3, Rate: 80, Fixed: 30}, Loads: []ServerLoad{{Server: 5, Running: 1, At: now.Add(-time.Second)}}}, false)
+	is.Equal(b.Take(Near, 9), Measurements{Paces: []Pace{{Engine: 1, Samples: 4, Log: 0.25}}, Speed: Speed{Samples: 4, Rate: 75, Fixed: 25}, Loads: []ServerLoad{{Server: 5, Running: 3, At: now}}})
 	is.Equal(b.Take(Far, 9).Paces, []Pace{{Engine: 1, Samples: 1, Log: 1}})
 	is.True(b.Take(Near, 9).Empty())
 	is.True(b.Take(Far, 9).Empty())
--- a/internal/decision/beechsummary/doc.go
+++ b/internal/decision/beechsummary/doc.go
@@ -21,7 +21,7 @@
 //
 // Both hear each report. One, by a hash of the engine, is its primary and sends its changes at
 // once; the other sends them only if it has not seen them in a summary of the first within
-// StandbyDelay. A collector that dies or is cut off thus delays news by that time.
+// StandbyDelay. A collector that dies or is cut off thus delays changes by that time.
 //
 // # Usage
 //
--- a/internal/decision/beechsummary/bulletin.go
+++ b/internal/decision/beechsummary/totals.go
@@ -30,16 +30,16 @@
 		At      time.Time
 	}
 
-	// News is what gates have measured.
-	News struct {
+	// Measurements is what gates have measured.
+	Measurements struct {
 		Paces []Pace
 		Speed Speed
 		Loads []ServerLoad
 	}
 
-	// Bulletin collects the measurements of many gates, of which each sees few requests. It is
+	// Totals collects the measurements of many gates, of which each sees few requests. It is
 	// safe for concurrent use.
-	Bulletin struct {
+	Totals struct {
 		mu        sync.Mutex
 		audiences [2]digest
 	}
@@ -51,9 +51,9 @@
 	}
 )
 
-// NewBulletin returns an empty bulletin.
-func NewBulletin() *Bulletin {
-	b := &Bulletin{}
+// NewTotals returns an empty totals.
+func NewTotals() *Totals {
+	b := &Totals{}
 	for i := range b.audiences {
 		b.audiences[i] = digest{paces: make(map[uint64]Pace), loads: make(map[uint64]ServerLoad)}
 	}
@@ -62,7 +62,7 @@
 
 // Add takes the measurements of a gate, or those of another zone, which are not sent to other
 // zones again.
-func (b *Bulletin) Add(n News, ownZone bool) {
+func (b *Totals) Add(n Measurements, ownZone bool) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.audiences[Near].add(n)
@@ -71,7 +71,7 @@
 	}
 }
 
-func (d *digest) add(n News) {
+func (d *digest) add(n Measurements) {
 	for _, p := range n.Paces {
 		sum := d.paces[p.Engine]
 		total := sum.Samples + p.Samples
@@ -98,15 +98,15 @@
 }
 
 // Empty reports whether there are no measurements.
-func (n News) Empty() bool { return len(n.Paces)+len(n.Loads)+n.Speed.Samples == 0 }
+func (n Measurements) Empty() bool { return len(n.Paces)+len(n.Loads)+n.Speed.Samples == 0 }
 
 // Take returns and clears what was collected for an audience, of at most the given number of
 // paces and of loads.
-func (b *Bulletin) Take(to Audience, limit int) News {
+func (b *Totals) Take(to Audience, limit int) Measurements {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	d := &b.audiences[to]
-	n := News{Speed: d.speed}
+	n := Measurements{Speed: d.speed}
 	d.speed = Speed{}
 	for _, engine := range slices.Sorted(maps.Keys(d.paces)) {
 		if len(n.Paces) < limit {
--- a/internal/process/beechconvert/gossip.go
+++ b/internal/process/beechconvert/gossip.go
@@ -13,7 +13,7 @@
 	actPing = iota + 1
 	actAck
 	actProbeRequest
-	actNews
+	actChanges
 	actList
 )
 
@@ -28,8 +28,8 @@
 		g.Act, g.Sequence, g.Digest, members = actAck, v.Sequence, v.Digest, v.Members
 	case beechgossip.ProbeRequest:
 		g.Act, g.Sequence, g.Target, members = actProbeRequest, v.Sequence, wireAddress(v.Target), v.Members
-	case beechgossip.News:
-		g.Act, members = actNews, v.Members
+	case beechgossip.Changes:
+		g.Act, members = actChanges, v.Members
 	case beechgossip.List:
 		g.Act, g.Reply, members = actList, v.Reply, v.Members
 	}
@@ -65,8 +65,8 @@
 		return beechgossip.Ack{Sequence: g.Sequence, Digest: g.Digest, Members: members}, true
 	case actProbeRequest:
 		return beechgossip.ProbeRequest{Sequence: g.Sequence, Target: address(g.Target), Members: members}, true
-	case actNews:
-		return beechgossip.News{Members: members}, true
+	case actChanges:
+		return beechgossip.Changes{Members: members}, true
 	case actList:
 		return beechgossip.List{Members: members, Reply: g.Reply}, true
 	}
--- a/internal/process/beechconvert/summary.go
+++ b/internal/process/beechconvert/summary.go
@@ -111,8 +111,8 @@
 	return hosts
 }
 
-// WireNews converts gates' measurements. Pass asks the receiver to hand them on.
-func WireNews(n beechsummary.News, suspects []beechwire.Suspect, now time.Time, pass bool) *beechwire.Summary {
+// WireMeasurements converts gates' measurements. Pass asks the receiver to hand them on.
+func WireMeasurements(n beechsummary.Measurements, suspects []beechwire.Suspect, now time.Time, pass bool) *beechwire.Summary {
 	w := &beechwire.Summary{Pass: pass, Suspects: suspects}
 	for _, p := range n.Paces {
 		w.Paces = append(w.Paces, beechwire.Seen{Engine: p.Engine, Samples: p.Samples, Log: int(p.Log * fixedPointScale)})
@@ -126,9 +126,9 @@
 	return w
 }
 
-// News converts gates' measurements from their wire form.
-func News(w *beechwire.Summary, now time.Time) beechsummary.News {
-	var n beechsummary.News
+// Measurements converts gates' measurements from their wire form.
+func Measurements(w *beechwire.Summary, now time.Time) beechsummary.Measurements {
+	var n beechsummary.Measurements
 	for _, p := range w.Paces {
 		n.Paces = append(n.Paces, beechsummary.Pace{Engine: p.Engine, Samples: p.Samples, Log: float64(p.Log) / fixedPointScale})
 	}
--- a/internal/process/beechgate/collect.go
+++ b/internal/process/beechgate/collect.go
@@ -19,11 +19,11 @@
 )
 
 const (
-	// newsInterval is the time between messages with measurements of this gate to a collector,
+	// measurementsInterval is the time between messages with measurements of this gate to a collector,
 	// and between those of a collector to the other gates.
-	newsInterval = 250 * time.Millisecond
-	// maxNews is the number of paces and of loads in one message, at some 15 bytes each.
-	maxNews = 300
+	measurementsInterval = 250 * time.Millisecond
+	// maxMeasurements is the number of paces and of loads in one message, at some 15 bytes each.
+	maxMeasurements = 300
 	// maxPartsPerEngine is the number of cached parts that a gate that starts is told of each
 	// engine, as keepers tell collectors.
 	maxPartsPerEngine = 64
@@ -152,10 +152,10 @@
 		g.applyUpdate(u)
 	}
 	g.suspects.Merge(beechconvert.SuspectRecords(m.Suspects))
-	news := beechconvert.News(m.Summary, g.clock.Now())
-	g.mergeNews(news)
+	measured := beechconvert.Measurements(m.Summary, g.clock.Now())
+	g.mergeMeasurements(measured)
 	if m.Pass {
-		g.bulletin.Add(news, ownZone)
+		g.totals.Add(measured, ownZone)
 	}
 	if len(recall) > 0 {
 		g.recallStates([]netip.AddrPort{from}, recall)
@@ -238,70 +238,70 @@
 	g.observePhase(engine, state.Phase, weights, c.State.Status.LoadTime)
 }
 
-// sendNews sends what this gate has measured to a collector of its zone, which sums up what all
+// sendMeasurements sends what this gate has measured to a collector of its zone, which sums up what all
 // gates have measured. Each gate sees only few of the requests.
-func (g *Gate) sendNews(ctx context.Context) error {
+func (g *Gate) sendMeasurements(ctx context.Context) error {
 	round := 0
-	return beechtask.Every(ctx, g.clock, newsInterval, func() {
+	return beechtask.Every(ctx, g.clock, measurementsInterval, func() {
 		round++
 		t := g.topology.Load()
 		suspects := beechconvert.WireSuspects(beechconvert.MostCrashes(g.suspects.RecentChanges()))
-		news := g.takeNews(round)
+		measured := g.takeMeasurements(round)
 		collectors := t.Collectors[g.settings.Zone]
 		if slices.Contains(collectors, t.Self) || len(collectors) == 0 {
-			g.bulletin.Add(news, true)
-			g.sendBulletin(uint32(round), suspects)
+			g.totals.Add(measured, true)
+			g.sendTotals(uint32(round), suspects)
 			return
 		}
-		if !news.Empty() || len(suspects) > 0 {
-			message := beechconvert.WireNews(news, suspects, g.clock.Now(), true)
+		if !measured.Empty() || len(suspects) > 0 {
+			message := beechconvert.WireMeasurements(measured, suspects, g.clock.Now(), true)
 			g.sendToPeers(collectors[round%len(collectors):][:1], beechdatagram.Summary{Summary: message})
 		}
 	})
 }
 
-func (g *Gate) sendBulletin(round uint32, suspects []beechwire.Suspect) {
-	near, far := g.bulletin.Take(beechsummary.Near, maxNews), g.bulletin.Take(beechsummary.Far, maxNews)
+func (g *Gate) sendTotals(round uint32, suspects []beechwire.Suspect) {
+	near, far := g.totals.Take(beechsummary.Near, maxMeasurements), g.totals.Take(beechsummary.Far, maxMeasurements)
 	now := g.clock.Now()
 	if !near.Empty() || len(suspects) > 0 {
-		g.sendSummary(round, beechconvert.WireNews(near, suspects, now, false))
+		g.sendSummary(round, beechconvert.WireMeasurements(near, suspects, now, false))
 	}
 	if !far.Empty() || len(suspects) > 0 {
-		g.sendToOtherZones(round, false, beechdatagram.Summary{Summary: beechconvert.WireNews(far, suspects, now, true)})
+		g.sendToOtherZones(round, false, beechdatagram.Summary{Summary: beechconvert.WireMeasurements(far, suspects, now, true)})
 	}
 }
 
-// pacesEvery is the number of rounds of sendNews after which paces and speed are sent: they
+// pacesEvery is the number of rounds of sendMeasurements after which paces and speed are sent: they
 // change slowly, loads at once.
 const pacesEvery = 4
 
-func (g *Gate) takeNews(round int) beechsummary.News {
-	var news beechsummary.News
-	for _, l := range g.placer.TakeLoadReports(maxNews) {
-		news.Loads = append(news.Loads, beechsummary.ServerLoad(l))
+func (g *Gate) takeMeasurements(round int) beechsummary.Measurements {
+	var measured beechsummary.Measurements
+	for _, l := range g.placer.TakeLoadReports(maxMeasurements) {
+		measured.Loads = append(measured.Loads, beechsummary.ServerLoad(l))
 	}
 	if round%pacesEvery != 0 {
-		return news
+		return measured
 	}
-	for _, p := range g.placer.TakePaceReports(maxNews) {
-		news.Paces = append(news.Paces, beechsummary.Pace(p))
+	for _, p := range g.placer.TakePaceReports(maxMeasurements) {
+		measured.Paces = append(measured.Paces, beechsummary.Pace(p))
 	}
-	news.Speed = beechsummary.Speed(g.placer.TakeSpeedReport())
-	g.ownPaces.sent(news.Paces)
-	return news
+	measured.Speed = beechsummary.Speed(g.placer.TakeSpeedReport())
+	g.ownPaces.sent(measured.Paces)
+	return measured
 }
 
-// mergeNews adds the measurements of other gates.
-func (g *Gate) mergeNews(news beechsummary.News) {
-	for _, p := range news.Paces {
+// mergeMeasurements adds the measurements of other gates.
+func (g *Gate) mergeMeasurements(measured beechsummary.Measurements) {
+	for _, p := range measured.Paces {
 		if others, ok := g.ownPaces.without(p); ok {
 			g.placer.MergePaceReport(beechplace.PaceReport(others))
 		}
 	}
-	if news.Speed.Samples > 0 {
-		g.placer.MergeSpeedReport(beechplace.SpeedReport(news.Speed))
+	if measured.Speed.Samples > 0 {
+		g.placer.MergeSpeedReport(beechplace.SpeedReport(measured.Speed))
 	}
-	for _, l := range news.Loads {
+	for _, l := range measured.Loads {
 		g.placer.MergeLoadReport(beechplace.LoadReport(l))
 	}
 }
--- a/internal/process/beechgate/copies.go
+++ b/internal/process/beechgate/copies.go
@@ -88,13 +88,13 @@
 	client *http.Client
 
 	mu       sync.Mutex
-	fetching map[string]bool           // by prefix
-	readers  int                       // gates that fetch a copy now
-	packed   map[string]packedSnapshot // by prefix
+	fetching map[string]bool       // by prefix
+	readers  int                   // gates that fetch a copy now
+	packed   map[string]packedCopy // by prefix
 }
 
-// packedSnapshot is a copy as it is handed out.
-type packedSnapshot struct {
+// packedCopy is a copy as it is handed out.
+type packedCopy struct {
 	held beechmirror.Held
 	data []byte
 }
@@ -104,7 +104,7 @@
 	dialer := &net.Dialer{Timeout: copyTimeout, LocalAddr: net.TCPAddrFromAddrPort(netip.AddrPortFrom(self.Addr(), 0))}
 	return &copies{
 		client:   &http.Client{Timeout: copyTimeout, Transport: &http.Transport{DialContext: dialer.DialContext, IdleConnTimeout: copyIdleTime, MaxIdleConnsPerHost: 1}},
-		fetching: make(map[string]bool), packed: make(map[string]packedSnapshot),
+		fetching: make(map[string]bool), packed: make(map[string]packedCopy),
 	}
 }
 
@@ -386,7 +386,7 @@
 	if err = errors.Join(err, zipped.Close()); err != nil {
 		return nil, true, err
 	}
-	c.packed[prefix] = packedSnapshot{held: held, data: buffer.Bytes()}
+	c.packed[prefix] = packedCopy{held: held, data: buffer.Bytes()}
 	return buffer.Bytes(), true, nil
 }
 
@@ -399,7 +399,7 @@
 
 // announceCopy tells the gates that rely on this one that its copy has changed.
 func (g *Gate) announceCopy() {
-	if to := g.topology.Load().Audience(); len(to) > 0 {
+	if to := g.topology.Load().Dependents(); len(to) > 0 {
 		g.sendProof(to, 0)
 	}
 }
@@ -408,7 +408,7 @@
 // whole configuration is too large for a datagram: then they are only told that the mirror has
 // changed, and fetch the copy.
 func (g *Gate) forwardChanges(c beechmirror.Changes) {
-	to := g.topology.Load().Audience()
+	to := g.topology.Load().Dependents()
 	if len(to) == 0 {
 		return
 	}
--- a/internal/process/beechgate/gate.go
+++ b/internal/process/beechgate/gate.go
@@ -81,7 +81,7 @@
 		topology       atomic.Pointer[topology] // what follows from the members
 		topologyMutex  sync.Mutex               // held while the topology is derived
 		board          *beechsummary.Board      // states of all engines
-		bulletin       *beechsummary.Bulletin   // measurements of other gates, to be handed on
+		totals         *beechsummary.Totals     // measurements of other gates, to be handed on
 		ownPaces       ownPaces
 		copies         *copies
 		core           *beechattempt.Dispatcher
@@ -156,7 +156,7 @@
 		settings: s, deps: deps, log: deps.Log, clock: deps.Clock, socket: socket,
 		readers:     beechreader.New(socket.Address()),
 		board:       beechsummary.New(beechsummary.DefaultSettings, deps.Clock),
-		bulletin:    beechsummary.NewBulletin(),
+		totals:      beechsummary.NewTotals(),
 		copies:      newCopies(socket.Address()),
 		freshness:   beechfresh.New(deps.Age),
 		health:      beechhealth.New(healthSettings, deps.Clock),
@@ -199,7 +199,7 @@
 		{Name: "gossip", Run: g.gossip},
 		{Name: "inquire readers", Run: g.inquireReaders},
 		{Name: "send summaries", Run: g.sendSummaries},
-		{Name: "send news", Run: g.sendNews},
+		{Name: "send measurements", Run: g.sendMeasurements},
 		{Name: "send usage", Run: g.sendUsage},
 		{Name: "send limits", Run: g.sendLimits},
 		{Name: "send overloads", Run: g.sendOverloads},
--- a/internal/process/beechgate/metrics.go
+++ b/internal/process/beechgate/metrics.go
@@ -20,7 +20,7 @@
 		invalidGossip  *expvar.Int // membership messages of unknown kinds
 		lent           *expvar.Int // retries lent to gates of this zone
 		copiesFetched  *expvar.Int // whole copies taken from other gates
-		proofs        *expvar.Map // other gates' statements about their mirrors, by result
+		proofs         *expvar.Map // other gates' statements about their mirrors, by result
 		bodies         *expvar.Map // bytes of request bodies, within the zone and to other zones
 
 		limitLinesDropped *expvar.Int // log lines on limits beyond maxLimitLogLines
