Servers that fail at once no longer attract requests

What callers saw: errors of engines (500), one after another, while an engine of the same service worked and was nearly idle.

Cause: an error answer counted as an answer, so a server that fails at once was never busy and had the lowest cost; both attempts of a request went to the two servers that failed. Outlier detection does not help there: it ejects one of three at the most, and compares with the median.

--- a/internal/request/beechattempt/run.go
+++ b/internal/request/beechattempt/run.go
@@ -217,9 +217,13 @@
 	if !r.stream.started {
 		r.firstByte = r.dispatcher.clock.Since(r.started)
 	}
-	placement.Done(beechplace.Answered)
-	r.dispatcher.timeouts.observe(r.call.Route.Name, r.dispatcher.clock.Since(sent), 0, r.dispatcher.clock.Now())
 	serverError := answer.Status >= http.StatusInternalServerError
+	if serverError {
+		placement.Done(beechplace.Errored)
+	} else {
+		placement.Done(beechplace.Answered)
+	}
+	r.dispatcher.timeouts.observe(r.call.Route.Name, r.dispatcher.clock.Since(sent), 0, r.dispatcher.clock.Now())
 	r.dispatcher.observer.ObserveAttempt(choice.Server, r.call.Model, r.dispatcher.clock.Since(sent), choice.PrefillTokens, serverError)
 	if serverError && r.repeatable() && answer.Status != http.StatusGatewayTimeout {
 		r.maybeExecuted++
--- a/internal/request/beechplace/attempt.go
+++ b/internal/request/beechplace/attempt.go
@@ -148,7 +148,8 @@
 func (p *Placer) updateAvailability(s *server, o Outcome, sent time.Time) {
 	now := p.clock.Now()
 	switch o {
-	case Answered:
+	case Answered, Errored:
+		s.errors.record(o == Errored, now)
 		p.overloaded.Answered(s.ID, sent)
 		s.failures = 0
 		s.downUntil = time.Time{}
@@ -157,6 +158,7 @@
 			s.unavailableUntil = now.Add(rejectionPause)
 		}
 	case Failed, Unreachable:
+		s.errors.record(true, now)
 		s.failures++
 		if o == Failed && s.failures < minFailures {
 			return
--- a/internal/request/beechplace/placer.go
+++ b/internal/request/beechplace/placer.go
@@ -65,6 +65,7 @@
 		answerUnreported bool // answerLoad was not yet sent to other gates
 
 		pace             pace
+		errors           errorRate
 		inFlight         int // requests of this gate that have not ended
 		pendingPrefill   int // tokens that these requests still have to prefill
 		inFlightAtReport int // value of inFlight at the last report
@@ -242,7 +243,7 @@
 		s.restartedAt = p.clock.Now()
 		s.weights = make(map[string]uint64)
 		s.pendingPrefill, s.failures = 0, 0
-		s.pace = pace{}
+		s.pace, s.errors = pace{}, errorRate{}
 		s.reportedAt, s.confirmedAt, s.downUntil, s.unavailableUntil = time.Time{}, time.Time{}, time.Time{}, time.Time{}
 	}
 	s.Born = start
--- a/internal/request/beechplace/types.go
+++ b/internal/request/beechplace/types.go
@@ -90,6 +90,7 @@
 // Outcomes of attempts.
 const (
 	Answered    Outcome = iota // the response is complete
+	Errored                    // the response is complete, and reports an error of the server
 	Rejected                   // the server reported that the request did not run
 	Failed                     // no response, or an incomplete one
 	Unreachable                // no connection
