Log lines and a metric say why a request is not tried again

A request that is refused or fails with "no more tries" did not tell which bound ended it: the retry budget, the route's number of attempts, a request that may have run and must not be repeated, the deadline, or an answer that does not fit. The lines carry it as `cause`, and the gates' metric `notRetried` counts the requests by it. What callers get is unchanged.

--- a/internal/process/beechgate/metrics.go
+++ b/internal/process/beechgate/metrics.go
@@ -15,6 +15,7 @@
 		vars           *expvar.Map
 		endings        *expvar.Map
 		retried        *expvar.Int
+		stops          *expvar.Map // calls that were not tried again, by cause
 		denied         *expvar.Map
 		unknownSenders *expvar.Int // messages from hosts that are not members
 		invalidGossip  *expvar.Int // membership messages of unknown kinds
@@ -33,12 +34,13 @@
 
 func newMetrics(g *Gate) *metrics {
 	m := &metrics{
-		vars: new(expvar.Map), endings: new(expvar.Map), retried: new(expvar.Int), denied: new(expvar.Map),
+		vars: new(expvar.Map), endings: new(expvar.Map), retried: new(expvar.Int), stops: new(expvar.Map), denied: new(expvar.Map),
 		proofs: new(expvar.Map), bodies: new(expvar.Map), unknownSenders: new(expvar.Int), invalidGossip: new(expvar.Int), copiesFetched: new(expvar.Int), lent: new(expvar.Int),
 		limitLinesDropped: new(expvar.Int), lateVersions: new(expvar.Int), invalidEntries: new(expvar.Int), firstByte: beechmetric.NewLatency(), wholeAnswer: beechmetric.NewLatency(),
 	}
 	m.vars.Set("endings", m.endings)
 	m.vars.Set("retried", m.retried)
+	m.vars.Set("notRetried", m.stops)
 	m.vars.Set("denied", m.denied)
 	m.vars.Set("proofs", m.proofs)
 	m.vars.Set("paces", expvar.Func(func() any { return slowEngines(g.placer.Paces()) }))
@@ -84,6 +86,9 @@
 	if e.Attempts > 1 {
 		m.retried.Add(int64(e.Attempts - 1))
 	}
+	if e.Stop != "" {
+		m.stops.Add(e.Stop, 1)
+	}
 	if e.FirstByte > 0 {
 		m.firstByte.Record(e.FirstByte)
 	}
--- a/internal/request/beechattempt/dispatcher.go
+++ b/internal/request/beechattempt/dispatcher.go
@@ -48,6 +48,7 @@
 	Result struct {
 		Call      *beechcall.Call
 		Outcome   string            // answered, refused, failed, overdue, broken or left
+		Stop      string            // why it was not tried again; empty if that was not the reason for its end
 		Choice    beechplace.Choice // of the last attempt; zero if there was none
 		Attempts  int
 		FirstByte time.Duration // until the first byte
@@ -116,7 +117,7 @@
 	defer cancel()
 	r := &execution{dispatcher: d, call: call, out: out, callerCtx: ctx, started: d.clock.Now()}
 	outcome := r.serve(limited)
-	d.observer.ObserveEnd(Result{Call: call, Outcome: outcome, Choice: r.choice, Attempts: r.attempts, FirstByte: r.firstByte, Duration: d.clock.Since(r.started)})
+	d.observer.ObserveEnd(Result{Call: call, Outcome: outcome, Stop: string(r.stop), Choice: r.choice, Attempts: r.attempts, FirstByte: r.firstByte, Duration: d.clock.Since(r.started)})
 	return r.attempts - r.notExecuted
 }
 
--- a/internal/request/beechattempt/run.go
+++ b/internal/request/beechattempt/run.go
@@ -35,6 +35,7 @@
 		firstByte       time.Duration     // since the start
 		serverError     *response         // a server's error response, forwarded if no better answer comes
 		stream          streamState
+		stop            stopCause // of the verdict noRetry
 	}
 
 	response struct {
@@ -45,6 +46,9 @@
 
 	// verdict is what follows an attempt.
 	verdict int
+
+	// stopCause is why a call is not tried again, for logs and metrics.
+	stopCause string
 )
 
 const (
@@ -53,6 +57,16 @@
 	noRetry                 // reject the call or abort its stream
 )
 
+const (
+	stopAttempts      stopCause = "attempts used up"     // the bound of the route or of rejected attempts
+	stopBudget        stopCause = "retry budget spent"   // this gate may retry no more to the service now
+	stopDeadline      stopCause = "no time left"         // the deadline has passed, or would before the retry
+	stopNotRepeatable stopCause = "not repeatable"       // it may have been executed
+	stopOtherAnswer   stopCause = "stream not continued" // the answer is not the rest of the stream
+	stopLimit         stopCause = reasonAtLimits
+	stopStatus        stopCause = "status not proven" // the server's status says not executed, without its word
+)
+
 const (
 	// maxAttempts bounds attempts that were not executed: each costs the caller a
 	// round trip, and after five rejections another server is unlikely to accept.
@@ -156,7 +170,7 @@
 			return tryAgain
 		}
 		r.limitRetryAfter = defaultRetryAfter
-		return noRetry
+		return r.noRetry(stopLimit)
 	}
 	r.attempts++
 	ctx, cancel := context.WithCancelCause(ctx)
@@ -236,7 +250,7 @@
 	}
 	if r.stream.started {
 		r.logAttempt("answered with another response", choice, zap.Int("status", answer.Status))
-		return noRetry // not a continuation of the events that the caller has
+		return r.noRetry(stopOtherAnswer) // not a continuation of the events that the caller has
 	}
 	r.dispatcher.suspects.RecordSuccess(r.call.Fingerprint())
 	if r.call.Route.RetryPolicy == beechcall.AtMostOnce && promisesNotRun(answer.Status) {
@@ -244,7 +258,7 @@
 		// to the caller, who would send it again.
 		r.maybeExecuted++
 		r.logAttempt("answered with a status that it does not prove", choice, zap.Int("status", answer.Status))
-		return noRetry
+		return r.noRetry(stopStatus)
 	}
 	r.out.Respond(answer.Status, answer.Header, body)
 	return finished
@@ -278,7 +292,7 @@
 		if r.attempts < maxAttempts {
 			return tryAgain
 		}
-		return noRetry
+		return r.noRetry(stopAttempts)
 	case errors.As(err, &notExecuted):
 		r.notExecuted++
 		if !notExecuted.Replaced {
@@ -288,10 +302,10 @@
 		placement.Done(beechplace.Rejected)
 		r.dispatcher.placer.ObserveRejection(choice.Server.ID, notExecuted, r.call.Model)
 		r.logAttempt("turned away", choice, zap.Int("status", notExecuted.Status), zap.Bool("replaced", notExecuted.Replaced), zap.Bool("other weights", notExecuted.WeightsDiffer))
-		if r.attempts < maxAttempts && r.takeRetry(beechretry.RanNo, choice, true) {
-			return tryAgain
+		if r.attempts >= maxAttempts {
+			return r.noRetry(stopAttempts)
 		}
-		return noRetry
+		return r.retry(beechretry.RanNo, choice, true)
 	}
 	r.maybeExecuted++
 	r.logAttempt("failed", choice, zap.Error(err), zap.Bool("patience", watch.hasRetry()))
@@ -308,14 +322,36 @@
 		r.dispatcher.observer.ObserveAttempt(choice.Server, r.call.Model, 0, choice.PrefillTokens, true)
 	} else {
 		placement.Done(beechplace.Cancelled)
-		return noRetry
+		return r.noRetry(stopDeadline)
 	}
-	if r.repeatable() && r.maybeExecuted < r.call.Route.MaxAttempts && r.takeRetry(beechretry.RanUnknown, choice, false) {
-		return tryAgain
+	switch {
+	case !r.repeatable():
+		return r.noRetry(stopNotRepeatable)
+	case r.maybeExecuted >= r.call.Route.MaxAttempts:
+		return r.noRetry(stopAttempts)
 	}
+	return r.retry(beechretry.RanUnknown, choice, false)
+}
+
+// noRetry records why the call is not tried again.
+func (r *execution) noRetry(cause stopCause) verdict {
+	r.stop = cause
 	return noRetry
 }
 
+// retry takes a retry from the budget if it has one left.
+func (r *execution) retry(ran beechretry.Ran, choice beechplace.Choice, rejected bool) verdict {
+	switch d := r.decideRetry(ran, choice, rejected).(type) {
+	case beechretry.Retry:
+		return tryAgain
+	case beechretry.GiveUp:
+		if !d.Exhausted {
+			return r.noRetry(stopDeadline)
+		}
+	}
+	return r.noRetry(stopBudget)
+}
+
 // repeatable reports whether a call that may have been executed may be sent again. A stream
 // that has started goes on only if it can be resumed after its last event.
 func (r *execution) repeatable() bool {
@@ -330,12 +366,15 @@
 
 // takeRetry takes a retry from the budget, and reports whether one was left.
 func (r *execution) takeRetry(ran beechretry.Ran, choice beechplace.Choice, rejected bool) bool {
-	d := r.dispatcher.budget.Decide(r.call.Service, beechretry.Outcome{
+	_, ok := r.decideRetry(ran, choice, rejected).(beechretry.Retry)
+	return ok
+}
+
+func (r *execution) decideRetry(ran beechretry.Ran, choice beechplace.Choice, rejected bool) beechretry.Decision {
+	return r.dispatcher.budget.Decide(r.call.Service, beechretry.Outcome{
 		Attempt: 1, Ran: ran, Repeatable: r.repeatable(), Deadline: r.call.Deadline,
 		Server: choice.Server.Address, Rejected: rejected,
 	})
-	_, ok := d.(beechretry.Retry)
-	return ok
 }
 
 // giveUp ends a call that gets no further attempt, and returns the outcome.
@@ -347,6 +386,9 @@
 		zap.String("request", r.call.ID), zap.String("route", r.call.Route.Name), zap.String("reason", reason),
 		zap.Int("sends", r.attempts), zap.Int("ran", r.maybeExecuted), zap.Duration("took", r.dispatcher.clock.Since(r.started)),
 	}
+	if r.stop != "" {
+		fields = append(fields, zap.String("cause", string(r.stop)))
+	}
 	switch {
 	case r.stream.started:
 		r.dispatcher.log.Warn("stream broken off", fields...)
