A retry reserve that grows can be used

What callers saw: a request refused with "no more tries" after one send, although another server was free and no retry had been made (TestTurnedAway).

Cause: a gate's first request creates the service's budget with the share of an assumed number of gates. Once the list of gates settled, its share of the spare retries grew (50 to 300 in the tests), but not its credit, while rejected requests have to leave half of the new reserve. Only budgets without a window are affected; settings files always have one.

Why it works: the budget counts what was spent of the reserve, so a change of the reserve leaves just that used; a reserve that goes back and forth grants nothing.

--- a/internal/decision/beechretry/budget.go
+++ b/internal/decision/beechretry/budget.go
@@ -75,7 +75,7 @@
 		settings Settings
 		clock    clockwork.Clock
 		random   *rand.Rand
-		credit   int           // in hundredths of a retry; unused with a window
+		spent    int           // of the reserve, in hundredths of a retry; unused with a window
 		window   slidingWindow // unused without a window
 		loans    []loan        // retries beyond the budget that were lent to this host
 	}
@@ -88,7 +88,7 @@
 	RanUnknown Ran = "unknown"
 )
 
-// retryCost is the credit that a retry costs; each request earns RetryPercent.
+// retryCost is what a retry costs; each request earns RetryPercent.
 const retryCost = 100
 
 // Defaults are the default settings; the package comment explains them.
@@ -104,7 +104,7 @@
 // jitter.
 func New(s Settings, c clockwork.Clock, source rand.Source) *Budget {
 	s = s.withDefaults()
-	return &Budget{settings: s, clock: c, random: rand.New(source), credit: s.Reserve * retryCost, window: slidingWindow{slotLength: s.Window / windowSlots}}
+	return &Budget{settings: s, clock: c, random: rand.New(source), window: slidingWindow{slotLength: s.Window / windowSlots}}
 }
 
 func (s Settings) withDefaults() Settings {
@@ -133,7 +133,6 @@
 	defer b.mu.Unlock()
 	if n >= 0 {
 		b.settings.Reserve = n
-		b.credit = min(b.credit, n*retryCost)
 	}
 }
 
@@ -146,7 +145,7 @@
 		b.window.addRequest(b.clock.Now())
 		return
 	}
-	b.credit = min(b.credit+b.settings.RetryPercent, b.settings.Reserve*retryCost)
+	b.spent = max(b.spent-b.settings.RetryPercent, 0)
 }
 
 // Decide returns whether a failed or rejected attempt is retried. A Retry has
@@ -232,14 +231,14 @@
 	if b.settings.Window > 0 {
 		return b.spendInWindow(o)
 	}
-	minCredit := 0
+	allowed := b.settings.Reserve * retryCost
 	if o.Rejected {
-		minCredit = b.settings.Reserve * retryCost / 2
+		allowed /= 2
 	}
-	if b.credit-retryCost < minCredit {
+	if b.spent+retryCost > allowed {
 		return false
 	}
-	b.credit -= retryCost
+	b.spent += retryCost
 	return true
 }
 
--- a/internal/decision/beechretry/budget_test.go
+++ b/internal/decision/beechretry/budget_test.go
@@ -238,3 +238,36 @@
 		}
 	})
 }
+
+// A host starts among an assumed number of gates and learns that it is alone, so that its reserve
+// grows. Rejected requests must not be given up although no retry was made.
+func TestReserveThatGrowsIsUsable(t *testing.T) {
+	is := is.New(t)
+	b, _ := newBudget(Settings{RetryPercent: 15, Reserve: 50, MaxAttempts: 8})
+	b.RecordRequest()
+	b.SetReserve(300)
+	retried := 0
+	for range 400 {
+		if _, ok := b.Decide(Outcome{Ran: RanNo, Rejected: true}).(Retry); ok {
+			retried++
+		}
+	}
+	is.Equal(retried, 150) // half of the reserve is left to failures
+}
+
+// The number of gates goes up and down again. Retries that were made must stay used.
+func TestUsedRetriesStayUsedWhenReserveChanges(t *testing.T) {
+	is := is.New(t)
+	b, _ := newBudget(Settings{RetryPercent: 1, Reserve: 60, MaxAttempts: 8})
+	retried := 0
+	for range 10 {
+		for range 20 {
+			if _, ok := b.Decide(Outcome{Ran: RanNo}).(Retry); ok {
+				retried++
+			}
+		}
+		b.SetReserve(10)
+		b.SetReserve(60)
+	}
+	is.Equal(retried, 60)
+}
--- a/internal/process/beechgate/retrybudget_test.go
+++ b/internal/process/beechgate/retrybudget_test.go
@@ -56,3 +56,16 @@
 	is.True(gaveUp)
 	is.True(time.Since(began) < time.Second)
 }
+
+// A gate serves its first request before the list of gates has settled, and its share then grows.
+// The retries that come with the larger share must be usable.
+func TestShareGrowsAfterTheFirstRequest(t *testing.T) {
+	is := is.New(t)
+	for _, window := range []time.Duration{0, 10 * time.Second} {
+		b := NewBudgets(0.2, 400, window, clockwork.NewFakeClock(), nil)
+		b.RecordRequest("app")
+		b.SetGates(1)
+		_, retried := b.Decide("app", beechretry.Outcome{Ran: beechretry.RanNo, Rejected: true}).(beechretry.Retry)
+		is.True(retried)
+	}
+}
