An agent logs when the fencing number was read and when the order left

The lines `order given` and `order not given` now carry the number, the time before the read (readAt), the time at which the order was handed to the client (sendAt) and the times between which it left (connectedAt, writtenAt).

No behaviour changes.

--- a/internal/process/beechagent/models.go
+++ b/internal/process/beechagent/models.go
@@ -89,8 +89,9 @@
 	}
 	switch step := step.(type) {
 	case beechload.Load:
-		err := a.load(ctx, guard, slots, step.Model, configuration.Manifest.Targets.MaxLoads)
-		a.logOrder("load", step.Model, err)
+		trace := &orderTrace{clock: a.clock}
+		err := a.load(ctx, guard, slots, trace, step.Model, configuration.Manifest.Targets.MaxLoads)
+		a.logOrder("load", step.Model, guard, trace, err)
 		return err
 	case beechload.Unload:
 		a.unload(ctx, guard, step.Model)
@@ -118,7 +119,7 @@
 // load acquires one of the deployment's load slots, orders the load and waits until
 // it is done. The slots limit how many engines load at the same time to what the
 // weight store can serve.
-func (a *Agent) load(ctx context.Context, guard *beechfence.Guard, slots *beechfence.Slots, model string, maxLoads int) error {
+func (a *Agent) load(ctx context.Context, guard *beechfence.Guard, slots *beechfence.Slots, trace *orderTrace, model string, maxLoads int) error {
 	loading, cancel := context.WithTimeout(ctx, loadTimeout)
 	defer cancel()
 	slot, err := slots.Acquire(loading, max(1, maxLoads))
@@ -127,7 +128,7 @@
 	}
 	defer slot.Release(context.WithoutCancel(loading))
 	err = guard.Order(loading, func(ctx context.Context, fence uint64) error {
-		return a.engine.Order(ctx, beechbackend.Order{Fence: fence, Load: model})
+		return a.engine.Order(trace.attach(ctx), beechbackend.Order{Fence: fence, Load: model})
 	})
 	if err != nil {
 		return err
@@ -143,21 +144,14 @@
 	if a.running.uses(model) || a.generations.needsModel(model) {
 		return
 	}
+	trace := &orderTrace{clock: a.clock}
 	err := guard.Order(ctx, func(ctx context.Context, fence uint64) error {
-		return a.engine.Order(ctx, beechbackend.Order{Fence: fence, Unload: model})
+		return a.engine.Order(trace.attach(ctx), beechbackend.Order{Fence: fence, Unload: model})
 	})
-	a.logOrder("unload", model, err)
+	a.logOrder("unload", model, guard, trace, err)
 	a.refreshReport(ctx)
 }
 
-func (a *Agent) logOrder(kind, model string, err error) {
-	if err != nil {
-		a.log.Warn("order not given", beechlog.Step(kind), beechlog.Peer(a.settings.Backend), zap.String("model", model), zap.Error(err))
-		return
-	}
-	a.log.Info("order given", beechlog.Step(kind), beechlog.Peer(a.settings.Backend), zap.String("model", model))
-}
-
 // waitForModel waits until the engine reports the model as loaded, and renews the
 // lease of the load slot in the meantime.
 func (a *Agent) waitForModel(ctx context.Context, slot *beechfence.Slot, model string) error {
--- a/internal/state/beechfence/guard.go
+++ b/internal/state/beechfence/guard.go
@@ -30,8 +30,17 @@
 		settings Settings
 		id       string // random, identifies this Guard
 
-		mu   sync.Mutex
-		term term
+		mu     sync.Mutex
+		term   term
+		timing Timing
+	}
+
+	// Timing tells how old the knowledge of an order was when it was sent. Times are those
+	// of the Guard's clock.
+	Timing struct {
+		Number uint64
+		ReadAt time.Time // just before the number was read from the store, or incremented
+		SentAt time.Time // when send was called; zero if it was not
 	}
 
 	// term is a period in which a Guard holds the server's lease with one fencing number.
@@ -83,16 +92,19 @@
 func (g *Guard) Order(ctx context.Context, send func(ctx context.Context, fence uint64) error) error {
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	g.timing = Timing{ReadAt: g.clock.Now()}
 	if err := g.ensureTerm(ctx); err != nil {
 		return err
 	}
 	t := g.term
+	g.timing.Number = t.number
 	left := g.remaining(t)
 	if left <= 0 {
 		return g.expireTerm()
 	}
 	sendCtx, cancel := clockwork.WithTimeout(ctx, g.clock, left)
 	defer cancel()
+	g.timing.SentAt = g.clock.Now()
 	err := send(sendCtx, t.number)
 	if g.remaining(t) <= 0 || !g.isHighest(ctx, t) {
 		g.term = term{}
@@ -101,6 +113,13 @@
 	return err
 }
 
+// LastTiming returns the timing of the latest call of Order.
+func (g *Guard) LastTiming() Timing {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.timing
+}
+
 // Close deletes the holder key, so that another agent need not wait for the end of the
 // lease.
 func (g *Guard) Close(ctx context.Context) error {
