freeze and freezeholder wait until the process stands still

TestScenarios/stream-other-run failed with status 200 where the agent that keeps the answer is frozen. `freeze` sent SIGSTOP and went on at once.

Evidence (trial with the states of all threads recorded, TestScenarios of three scenarios and TestManyStreamsSurviveEntryKill, three copies and six busy loops on cores 4-7, load 39 to 47; stream-other-run failed so in 1 of 8 runs): SIGSTOP sent at 18:50:27.624; at 27.704, when `send rest` had begun (27.697), and until after it had ended (27.771) no thread of the agent was stopped (RSSSSSSSS). The engine of the other agent ran nothing, so the 53 events came from the agent that was to be frozen.

The checks are unchanged, and what follows `freeze` now surely meets a silent process.

--- a/internal/command/beechscenario/commands_test.go
+++ b/internal/command/beechscenario/commands_test.go
@@ -28,7 +28,7 @@
 	"sigkill":    eachName((*deployment).kill),
 	"sigterm":    commandTerminate,
 	"restart":    eachName((*deployment).restart),
-	"freeze":     eachName(func(d *deployment, name string) error { return d.signal(name, syscall.SIGSTOP) }),
+	"freeze":     eachName((*deployment).freeze),
 	"thaw":       eachName(func(d *deployment, name string) error { return d.signal(name, syscall.SIGCONT) }),
 	"cut":        commandCut,
 	"fault":      commandFault,
--- a/internal/command/beechscenario/deployment_test.go
+++ b/internal/command/beechscenario/deployment_test.go
@@ -272,6 +272,35 @@
 	return p.command.Process.Signal(s)
 }
 
+// freeze stops a process and waits until all its threads stand still. A process that was
+// only sent SIGSTOP runs on until the kernel gets to it, and may serve requests meanwhile.
+func (d *deployment) freeze(name string) error {
+	p, err := d.process(name)
+	if err != nil {
+		return err
+	}
+	if err := p.command.Process.Signal(syscall.SIGSTOP); err != nil {
+		return err
+	}
+	return d.until(name+" stands still", func() bool { return isStopped(p.command.Process.Pid) })
+}
+
+// isStopped reports whether all threads of a process are stopped.
+func isStopped(pid int) bool {
+	threads, err := filepath.Glob(fmt.Sprintf("/proc/%d/task/*/stat", pid))
+	if err != nil || len(threads) == 0 {
+		return false
+	}
+	for _, file := range threads {
+		data, err := os.ReadFile(file)
+		// The state follows the name of the thread, which is in parentheses.
+		if _, state, found := bytes.Cut(data, []byte(") ")); err != nil || !found || state[0] != 'T' {
+			return false
+		}
+	}
+	return true
+}
+
 // kill sends SIGKILL to a process and waits until it has exited.
 func (d *deployment) kill(name string) error {
 	if err := d.signal(name, syscall.SIGKILL); err != nil {
--- a/internal/command/beechscenario/faults_test.go
+++ b/internal/command/beechscenario/faults_test.go
@@ -5,7 +5,6 @@
 	"fmt"
 	"path/filepath"
 	"strings"
-	"syscall"
 	"time"
 
 	"github.com/beechring/beechring/internal/standin/beechengine"
@@ -34,9 +33,8 @@
 	return nil
 }
 
-// commandFreezeHolder implements freezeholder AGENT...: sends SIGSTOP to the
-// agent that gave its server the latest order, which is the one that holds the
-// lease.
+// commandFreezeHolder implements freezeholder AGENT...: freezes the agent that gave
+// its server the latest order, which is the one that holds the lease.
 func commandFreezeHolder(d *deployment, arguments []string) error {
 	holder := ""
 	err := d.until("an order given by one of "+strings.Join(arguments, " "), func() bool {
@@ -46,7 +44,7 @@
 	if err != nil {
 		return err
 	}
-	return d.signal(holder, syscall.SIGSTOP)
+	return d.freeze(holder)
 }
 
 // lastOrderingAgent returns the agent that logged the latest order.
