A condition that is not seen keeps what every process knew

TestManyStreamsSurviveEntryKill and lost-cache-events failed with `not seen within 20s` and nothing that told who waited for what. A condition or a call that does not come in time now leaves state.txt in the folder that is kept: open and failed calls, and the status page and goroutines of each entry host and agent. The error names processes with runnable threads that got no processor for a second, which no condition survives.

Checks and bounds are unchanged.

--- a/internal/command/beechscenario/deployment_test.go
+++ b/internal/command/beechscenario/deployment_test.go
@@ -287,18 +287,13 @@
 
 // isStopped reports whether all threads of a process are stopped.
 func isStopped(pid int) bool {
-	threads, err := filepath.Glob(fmt.Sprintf("/proc/%d/task/*/stat", pid))
-	if err != nil || len(threads) == 0 {
-		return false
-	}
-	for _, file := range threads {
-		data, err := os.ReadFile(file)
-		// The state follows the name of the thread, which is in parentheses.
-		if _, state, found := bytes.Cut(data, []byte(") ")); err != nil || !found || state[0] != 'T' {
+	threads := sampleThreads(pid)
+	for _, thread := range threads {
+		if thread.state != 'T' {
 			return false
 		}
 	}
-	return true
+	return len(threads) > 0
 }
 
 // kill sends SIGKILL to a process and waits until it has exited.
@@ -348,7 +343,8 @@
 	return nil
 }
 
-// until polls a condition until it holds, for at most conditionTimeout.
+// until polls a condition until it holds, for at most conditionTimeout. If it does not
+// hold by then, what the processes know is kept.
 func (d *deployment) until(what string, condition func() bool) error {
 	limit := time.Now().Add(conditionTimeout)
 	for time.Now().Before(limit) {
@@ -357,7 +353,7 @@
 		}
 		time.Sleep(pollInterval)
 	}
-	return fmt.Errorf("not seen within %s: %s", conditionTimeout, what)
+	return fmt.Errorf("not seen within %s: %s (%s)", conditionTimeout, what, d.keepEvidence(what))
 }
 
 // close stops all loads and processes, and fails the test if a process panicked.
--- a/internal/command/beechscenario/requests_test.go
+++ b/internal/command/beechscenario/requests_test.go
@@ -150,7 +150,7 @@
 	if len(plain) > 1 && plain[1] == "&" {
 		return nil
 	}
-	return c.waitDone(conditionTimeout)
+	return d.awaitCall(c)
 }
 
 // sendUntilRun repeats a call while it is refused as not run, as real callers do.
@@ -208,13 +208,23 @@
 		if err != nil {
 			return err
 		}
-		if err := c.waitDone(conditionTimeout); err != nil {
+		if err := d.awaitCall(c); err != nil {
 			return err
 		}
 	}
 	return nil
 }
 
+// awaitCall waits until a call has ended. If it does not end within conditionTimeout, what
+// the processes know is kept.
+func (d *deployment) awaitCall(c *call) error {
+	err := c.waitDone(conditionTimeout)
+	if err != nil {
+		return fmt.Errorf("%w (%s)", err, d.keepEvidence(err.Error()))
+	}
+	return nil
+}
+
 // commandExpect implements expect NAME [status=N] [ran=R] [code=C] [whole=yes|no]
 // [retry=yes|no] [cached=some|none] [body=TEXT] [open=yes|no]: checks a call.
 func commandExpect(d *deployment, arguments []string) error {
--- a/internal/command/beechscenario/resume_test.go
+++ b/internal/command/beechscenario/resume_test.go
@@ -183,6 +183,11 @@
 		return !slices.ContainsFunc(calls, func(c *call) bool { return c.eventCount() < minEvents })
 	})
 	if err != nil {
+		for _, c := range calls {
+			if c.eventCount() < minEvents {
+				r.t.Log(c.describe())
+			}
+		}
 		r.t.Fatal(err)
 	}
 	return calls
