An order leaves only while the reads that allow it are recent

What callers saw: an engine could execute an order under an older fencing number after one under a newer one, and unload or load what another agent had decided about since; engines that check numbers refused it (TestScenarios/lapsed-lease).

Cause: Guard.Order decided by a read of the number and by its own clock, and nothing was looked at again before the bytes left. An agent stopped in between for less than the rest of its lease sent its order on waking, although the store had ended the lease and another agent held it. A refused renewal was passed over.

Why it works: number and holder key are read last, and each write of an order's own connection checks their age by both clocks, and the lease; else nothing is written and all is read again. Left: the microseconds between the check and the write.

--- a/internal/process/beechbackend/client.go
+++ b/internal/process/beechbackend/client.go
@@ -16,6 +16,8 @@
 	"strings"
 	"sync/atomic"
 	"time"
+
+	"github.com/beechring/beechring/internal/state/beechfence"
 )
 
 // Headers between an agent and a backend server. RequestHeader carries the request
@@ -34,6 +36,7 @@
 	// buffers for each open stream, and the event of a token has about 200 bytes.
 	streamBufferSize = 1 << 10
 	maxReplyBytes    = 256 << 20
+	orderBufferSize  = 4 << 10 // an order with its headers fits, and leaves in one write
 )
 
 type (
@@ -51,6 +54,12 @@
 		*bytes.Reader
 	}
 
+	// checkedConnection writes only while the check succeeds.
+	checkedConnection struct {
+		net.Conn
+		check func() error
+	}
+
 	// answerBody converts errors of reading an answer to the types of this package.
 	answerBody struct {
 		io.ReadCloser
@@ -76,6 +85,36 @@
 	}}
 }
 
+// newOrderClient returns a client that opens a connection for each request, so that the check of
+// an order's Guard can be made at the write: the process may be paused while it connects.
+func newOrderClient(c *http.Client) *http.Client {
+	shared, ok := c.Transport.(*http.Transport)
+	if !ok {
+		return c
+	}
+	transport := shared.Clone()
+	transport.DisableKeepAlives = true
+	transport.WriteBufferSize = orderBufferSize
+	dial := transport.DialContext
+	transport.DialContext = func(ctx context.Context, network, address string) (net.Conn, error) {
+		connection, err := dial(ctx, network, address)
+		if check := beechfence.CheckBeforeWrite(ctx); check != nil && err == nil {
+			return checkedConnection{connection, check}, nil
+		}
+		return connection, err
+	}
+	orders := *c
+	orders.Transport = transport
+	return &orders
+}
+
+func (c checkedConnection) Write(data []byte) (int, error) {
+	if err := c.check(); err != nil {
+		return 0, err
+	}
+	return c.Conn.Write(data)
+}
+
 // newServerClient copies the client and disables redirects: following one would send
 // the request a second time, and to a server that was not selected for it.
 func newServerClient(address netip.AddrPort, client *http.Client) serverClient {
@@ -121,6 +160,11 @@
 		return nil, err
 	}
 	r.ContentLength = int64(len(body))
+	if beechfence.CheckBeforeWrite(ctx) != nil {
+		// net/http writes the headers on their own unless it knows the type of the body. Without
+		// GetBody it cannot resend the request.
+		r.Body, r.GetBody = io.NopCloser(bytes.NewReader(body)), nil
+	}
 	return r, nil
 }
 
@@ -139,7 +183,7 @@
 // sendError converts the error of a request that got no response. Only a request for
 // which no connection was made is known not to have run.
 func (c serverClient) sendError(ctx context.Context, step string, sent bool, err error) error {
-	if !sent {
+	if !sent || errors.Is(err, beechfence.ErrOutdated) {
 		return &NotSent{Step: step, Peer: c.address, Err: err}
 	}
 	return transportError(ctx, step, c.address, err)
--- a/internal/process/beechbackend/openai.go
+++ b/internal/process/beechbackend/openai.go
@@ -17,6 +17,7 @@
 	// extensions documented in the package internal/standin/beechengine.
 	openAI struct {
 		server serverClient
+		orders serverClient // for orders only, see newOrderClient
 	}
 
 	openAIEventsReply struct {
@@ -59,7 +60,7 @@
 // NewOpenAI returns the Engine for an engine at address. The client's timeout
 // must be 0; see NewClient.
 func NewOpenAI(address netip.AddrPort, client *http.Client) Engine {
-	return openAI{server: newServerClient(address, client)}
+	return openAI{server: newServerClient(address, client), orders: newServerClient(address, newOrderClient(client))}
 }
 
 // Generate sends a request and returns the engine's answer. The statuses 404, 429 and
@@ -135,7 +136,7 @@
 	if err != nil {
 		return err
 	}
-	return e.server.callJSON(ctx, "order", http.MethodPost, "/orders", body, nil)
+	return e.orders.callJSON(ctx, "order", http.MethodPost, "/orders", body, nil)
 }
 
 // Export returns the cached blocks of the prompt, in the format of the engine.
--- a/internal/state/beechfence/guard.go
+++ b/internal/state/beechfence/guard.go
@@ -50,6 +50,9 @@
 		number      uint64 // 0: the Guard holds no lease
 	}
 
+	// checkKey is the key of an order's check in its context.
+	checkKey struct{}
+
 	// fenceRecord is the value of a server's fence key, which is never deleted.
 	fenceRecord struct {
 		Number uint64 `json:"number"`
@@ -63,11 +66,27 @@
 	defaultMargin     = 2 * time.Second
 	idBytes           = 12
 	maxNumberAttempts = 8
+
+	// maxSends and maxReads bound how often an order is started again, and its reads repeated.
+	maxSends = 4
+	maxReads = 4
+
+	// fastRead is the longest read that is trusted at once. A longer one means that the store is
+	// slow or that the process was paused, which only another read tells apart.
+	fastRead = 100 * time.Millisecond
+
+	// maxWriteDelay is the longest time from the reply of the reads to the write of an order. A
+	// successor needs three calls to the store after the lease has ended before it sends an order.
+	maxWriteDelay = 50 * time.Millisecond
 )
 
 var (
 	errNumberContended = errors.New("the fencing number changed during each attempt to increment it")
 	errNumberTaken     = errors.New("another agent has taken a newer fencing number")
+
+	// ErrOutdated means that the lease and the fencing number were read too long ago, or that the
+	// lease is about to end. Nothing was sent.
+	ErrOutdated = errors.New("the lease and the fencing number were read too long ago")
 )
 
 // New returns a Guard without a lease.
@@ -86,18 +105,33 @@
 }
 
 // Order calls send with the fencing number, one call at a time. The context of send ends a
-// margin before the lease, and send must return then. LeaseHeld, LeaseExpired and the errors of
-// beechstore mean that send was not called. Superseded is returned after send. All other
-// errors are those of send.
+// margin before the lease, and send must return then. The order's bytes must be written only
+// while CheckBeforeWrite of that context succeeds; if it fails, send must return its error, and
+// is called again after the lease and the number were read again. LeaseHeld, LeaseExpired,
+// ErrOutdated and the errors of beechstore mean that no order was sent. Superseded is returned
+// after send. All other errors are those of send.
 func (g *Guard) Order(ctx context.Context, send func(ctx context.Context, fence uint64) error) error {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.timing = Timing{ReadAt: g.clock.Now()}
+	for range maxSends {
+		if err := g.order(ctx, send); !errors.Is(err, ErrOutdated) {
+			return err
+		}
+	}
+	return fmt.Errorf("order to %s: %w", g.server, ErrOutdated)
+}
+
+func (g *Guard) order(ctx context.Context, send func(ctx context.Context, fence uint64) error) error {
 	if err := g.ensureTerm(ctx); err != nil {
 		return err
 	}
 	t := g.term
 	g.timing.Number = t.number
+	confirmedAt, err := g.confirm(ctx, t)
+	if err != nil {
+		return err
+	}
 	left := g.remaining(t)
 	if left <= 0 {
 		return g.expireTerm()
@@ -105,7 +139,15 @@
 	sendCtx, cancel := clockwork.WithTimeout(ctx, g.clock, left)
 	defer cancel()
 	g.timing.SentAt = g.clock.Now()
-	err := send(sendCtx, t.number)
+	err = send(context.WithValue(sendCtx, checkKey{}, func() error {
+		if g.passed(confirmedAt) > maxWriteDelay || g.remaining(t) <= 0 {
+			return ErrOutdated
+		}
+		return nil
+	}), t.number)
+	if errors.Is(err, ErrOutdated) {
+		return err
+	}
 	if g.remaining(t) <= 0 || !g.isHighest(ctx, t) {
 		g.term = term{}
 		return Superseded{Server: g.server, Number: t.number, Err: err}
@@ -113,6 +155,58 @@
 	return err
 }
 
+// CheckBeforeWrite returns the check of an order's context, which succeeds while the order may
+// leave. It must be called directly before the write, since the process may be paused at any time
+// before. It returns nil for other contexts.
+func CheckBeforeWrite(ctx context.Context) func() error {
+	check, _ := ctx.Value(checkKey{}).(func() error)
+	return check
+}
+
+// confirm reads that the term's number is the highest and that its lease is held, and returns the
+// time of the reply. Reads during which the process may have been paused are repeated.
+func (g *Guard) confirm(ctx context.Context, t term) (time.Time, error) {
+	shortest := time.Duration(0) // of the reads that took long
+	for range maxReads {
+		g.timing.ReadAt = g.clock.Now()
+		if err := g.readTerm(ctx, t); err != nil {
+			return time.Time{}, err
+		}
+		repliedAt := g.clock.Now()
+		took := g.passed(g.timing.ReadAt)
+		if took <= fastRead || took/2 <= shortest {
+			return repliedAt, nil
+		}
+		if shortest == 0 || took < shortest {
+			shortest = took
+		}
+	}
+	return time.Time{}, ErrOutdated
+}
+
+// readTerm reads the number and then the holder key. The key alone tells that the lease has ended
+// while no other agent has taken a number yet.
+func (g *Guard) readTerm(ctx context.Context, t term) error {
+	r, _, err := g.readNumber(ctx)
+	if err != nil {
+		return fmt.Errorf("order to %s: %w", g.server, err)
+	}
+	holder, err := g.store.Get(ctx, holderKey(g.server), beechstore.ImportanceConfiguration)
+	if err != nil {
+		return fmt.Errorf("order to %s: %w", g.server, err)
+	}
+	if r.Number != t.number || r.Holder != g.id || string(holder.Data) != g.holderValue(t.lease) {
+		return g.expireTerm()
+	}
+	return nil
+}
+
+// passed returns the time since t by the clock that has advanced more.
+func (g *Guard) passed(t time.Time) time.Duration {
+	now := g.clock.Now()
+	return max(now.Sub(t), now.Round(0).Sub(t.Round(0)))
+}
+
 // LastTiming returns the timing of the latest call of Order.
 func (g *Guard) LastTiming() Timing {
 	g.mu.Lock()
@@ -140,9 +234,7 @@
 // remaining returns the time left for an order in this term, by the clock that has
 // advanced more.
 func (g *Guard) remaining(t term) time.Duration {
-	now := g.clock.Now()
-	passed := max(now.Sub(t.requestedAt), now.Round(0).Sub(t.requestedAt.Round(0)))
-	return t.lease.TTL - g.settings.Margin - passed
+	return t.lease.TTL - g.settings.Margin - g.passed(t.requestedAt)
 }
 
 // ensureTerm makes sure that the term has time left and that its number is the highest. If
@@ -153,13 +245,6 @@
 	if g.term.number == 0 {
 		return g.acquireTerm(ctx, 0)
 	}
-	r, _, err := g.readNumber(ctx)
-	if err != nil {
-		return fmt.Errorf("order to %s: %w", g.server, err)
-	}
-	if r.Number != g.term.number || r.Holder != g.id {
-		return g.expireTerm()
-	}
 	g.renew(ctx)
 	if g.remaining(g.term) > 0 {
 		return nil
