An agent whose load slot has ended orders no load

What callers saw: nothing directly; more engines than allowed load at the same time, and all loads take longer.

Agent.load acquired a slot and ordered the load without looking at the slot's lease again, so an agent that was stopped in between ordered a load beside the next holder.

Evidence: TestAgentWhoseSlotEndedDuringAStopOrdersNoLoad; without the change the load is sent, and the test ends by its time limit while the agent waits for the model.

--- a/internal/process/beechagent/models.go
+++ b/internal/process/beechagent/models.go
@@ -128,6 +128,9 @@
 	}
 	defer slot.Release(context.WithoutCancel(loading))
 	err = guard.Order(loading, func(ctx context.Context, fence uint64) error {
+		if err := renewSlot(ctx, slot); err != nil {
+			return err
+		}
 		return a.engine.Order(trace.attach(ctx), beechbackend.Order{Fence: fence, Load: model})
 	})
 	if err != nil {
@@ -166,10 +169,8 @@
 			a.refreshReport(ctx)
 			return nil
 		}
-		if slot.Remaining() < slotRenewMargin {
-			if err := slot.Renew(ctx); err != nil {
-				return err
-			}
+		if err := renewSlot(ctx, slot); err != nil {
+			return err
 		}
 		select {
 		case <-ticker.Chan():
@@ -178,3 +179,12 @@
 		}
 	}
 }
+
+// renewSlot renews the lease of a load slot that is about to end. It returns an error if the
+// lease has ended, since another agent may hold the slot then.
+func renewSlot(ctx context.Context, slot *beechfence.Slot) error {
+	if slot.Remaining() >= slotRenewMargin {
+		return nil
+	}
+	return slot.Renew(ctx)
+}
--- a/internal/process/beechagent/orders_test.go
+++ b/internal/process/beechagent/orders_test.go
@@ -78,6 +78,7 @@
 	holderKeySuffix    = "/holder"
 	fenceKeyPrefix     = "fence/"
 	slowStoreReplyTime = 400 * time.Millisecond
+	slotLeaseTime      = 10 * time.Second
 )
 
 func (s *stop) reached(point string) {
@@ -128,6 +129,10 @@
 func startOrderedEngine(t *testing.T) *orderedEngine {
 	e := &orderedEngine{}
 	s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.Method == http.MethodGet {
+			_, _ = w.Write([]byte("{}"))
+			return
+		}
 		var o orderSeen
 		if err := json.NewDecoder(r.Body).Decode(&o); err != nil {
 			t.Error(err)
