A starting gate that has heard others still lets a call wait for its quota

A caller saw 429 at half of its workspace's limit just after all gates had started (TestGatesThatStartBelowAQuota).

Cause: a call waits at a starting gate only until the gate has received its first update. Then the gate holds the low level of a bucket that nobody knows, and refuses at once what is covered some milliseconds later. The entry's line shows it: alone false, age 14.6 ms, left -0.047, which 60 a second make up in 3 ms.

Now a call also waits while the gate's levels are not settled, if it may retry within the same bound (250 ms or half of the objective); what takes longer is refused at once as before. What is admitted does not change.

--- a/internal/decision/beechquota/admit.go
+++ b/internal/decision/beechquota/admit.go
@@ -119,7 +119,7 @@
 	}
 	wait := -deficit / rate
 	wait += rand.Float64() * jitterFraction * wait
-	r := Refused{Level: a.level, Unreported: a.unreported(l), Limit: a.limit, Isolated: l.isolated, After: maxAfter}
+	r := Refused{Level: a.level, Unreported: a.unreported(l), Limit: a.limit, Isolated: l.isolated, Settled: l.settled, After: maxAfter}
 	if wait < maxAfter.Seconds() {
 		r.After = max(time.Duration(wait*float64(time.Second)), minAfter)
 	}
--- a/internal/decision/beechquota/limiter.go
+++ b/internal/decision/beechquota/limiter.go
@@ -51,6 +51,7 @@
 		Limit      Limit
 		Isolated   bool          // no updates arrive from other gates
 		Starting   bool          // this gate has just started and is about to receive updates
+		Settled    bool          // the level is known, see Update.Settled; until then it rises as the gate hears the others
 		UpdateAge  time.Duration // time since the last update was received; 0 if there was none
 	}
 
--- a/internal/process/beechgate/quota.go
+++ b/internal/process/beechgate/quota.go
@@ -49,14 +49,17 @@
 }
 
 // admitQuota decides whether the workspace's quota admits a call. A gate that has just started
-// knows only its own share, so a call that exceeds it waits until the other gates have sent
-// their usage, which takes less time than a retry of the caller.
+// knows only its own share, and then a low estimate of the whole level, so a call that exceeds
+// it waits until the other gates have sent their usage or enough has accrued, which takes less
+// time than a retry of the caller.
 func (g *Gate) admitQuota(ctx context.Context, call *beechcall.Call) beechquota.Decision {
-	deadline := g.clock.Now().Add(min(startupWait, call.Route.Objective/startupWaitDivisor))
+	patience := min(startupWait, call.Route.Objective/startupWaitDivisor)
+	deadline := g.clock.Now().Add(patience)
 	for {
 		decision := g.quotas.Admit(call.Workspace.Name, call.QuotaCost())
 		refused, ok := decision.(beechquota.Refused)
-		if !ok || !refused.Starting || !g.clock.Now().Before(deadline) {
+		soon := refused.Starting || !refused.Settled && refused.After <= patience
+		if !ok || !soon || !g.clock.Now().Before(deadline) {
 			return decision
 		}
 		select {
