An engine whose limit has ended is not avoided for the time it took while limited

Callers do not see it; an engine that has taken its limit back gets a few of the requests that are its due (TestLimitThatChanges).

Cause, one of two: the samples of its speed that were taken while it named a limit stay, with a half-life of 10 s, and make it cost more than its home advantage, so it gets no request that would show its recovery. The other, by design: nobody sends to it until it is due to be asked, 2 to 4 s after it last named the limit.

That engines are measured slow in TestLimitThatChanges at load was not run.

The samples are dropped when the limit ends, as they are when a server restarts.

--- a/internal/request/beechplace/choose.go
+++ b/internal/request/beechplace/choose.go
@@ -47,10 +47,11 @@
 		if slices.Contains(tried, s.ID) || !p.usable(s, now) {
 			continue
 		}
+		limitedNow := p.updateLimited(s)
 		c, ok := p.estimate(call, s, parts, now)
 		switch {
 		case !ok:
-		case p.limits.Limited(s.ID):
+		case limitedNow:
 			limited = append(limited, c)
 		case !found || c.Cost < best.Cost || (c.Cost == best.Cost && tieRank(call, s) < tieRank(call, bestServer)):
 			best, bestServer, found = c, s, true
@@ -62,6 +63,18 @@
 	return p.chooseWithLimited(best, found, limited)
 }
 
+// updateLimited reports whether a server has a limit. When its limit has ended, the samples of its
+// speed are dropped: it was overloaded when they were taken, and as long as they make it appear
+// slow it gets no requests that would show its recovery.
+func (p *Placer) updateLimited(s *server) bool {
+	limited := p.limits.Limited(s.ID)
+	if s.limited && !limited {
+		s.pace = pace{}
+	}
+	s.limited = limited
+	return limited
+}
+
 // tieRank orders servers of the same cost differently for each call. With a fixed order, all
 // gates would send to the same one of many idle servers.
 func tieRank(call *beechcall.Call, s *server) uint64 { return xxhash.Sum64String(call.ID + s.ID) }
