An entry host is ready only when its limits are in force

What a caller sees: 503 no_configuration ("the workspace's limits are not known yet") from an entry host that reports itself as ready. The holder has the configuration before its limits are applied by another goroutine, and readiness asked only the holder. Now it asks whether limits are in force.

TestReadyOnlyWithLimitsInForce holds that moment: fails before (ready while 503), passes now.

--- a/internal/process/beechentry/configuration.go
+++ b/internal/process/beechentry/configuration.go
@@ -86,6 +86,7 @@
 		FirstToken:      time.Duration(c.Manifest.Targets.FirstToken),
 		FirstTokenShare: c.Manifest.Targets.Share,
 	})
+	e.configured.Store(true)
 	e.log.Info("configuration in force", beechlog.Generation(c.Generation))
 }
 
--- a/internal/process/beechentry/entry.go
+++ b/internal/process/beechentry/entry.go
@@ -67,6 +67,7 @@
 		supervisor   *suture.Supervisor
 		draining     atomic.Bool
 		restored     atomic.Bool // the start-up restore of shared state has run, successfully or not
+		configured   atomic.Bool // the limits of a configuration are in force
 		openRequests atomic.Int64
 		background   sync.WaitGroup // work that outlives its request: claims, outcomes, owner notifications
 	}
@@ -191,7 +192,7 @@
 }
 
 func (e *Entry) ready() bool {
-	return !e.draining.Load() && e.restored.Load() && e.holder.Current() != nil && e.fleet.countUp() > 0
+	return !e.draining.Load() && e.restored.Load() && e.configured.Load() && e.fleet.countUp() > 0
 }
 
 // tickHealth runs the health tracker's periodic evaluation until ctx ends, so
