An entry host counts requests that it refuses for lack of a configuration

Such a request leaves no trace: no log line, no count. In the known failure of TestManyStreamsSurviveEntryKill no process said anything of the stream that waited.

--- a/internal/process/beechentry/admin.go
+++ b/internal/process/beechentry/admin.go
@@ -19,13 +19,14 @@
 type (
 	// counters are published through expvar and in Status.
 	counters struct {
-		Requests   atomic.Int64
-		Overloaded atomic.Int64
-		Retries    atomic.Int64
-		Broken     atomic.Int64
-		Reattached atomic.Int64
-		Joined     atomic.Int64
-		Wasted     atomic.Int64
+		Requests     atomic.Int64
+		Overloaded   atomic.Int64
+		Unconfigured atomic.Int64 // refused because no configuration or no limits were in force
+		Retries      atomic.Int64
+		Broken       atomic.Int64
+		Reattached   atomic.Int64
+		Joined       atomic.Int64
+		Wasted       atomic.Int64
 	}
 
 	// Status is the state of an entry for operators.
@@ -80,13 +81,14 @@
 
 func (c *counters) values() map[string]int64 {
 	return map[string]int64{
-		"requests":   c.Requests.Load(),
-		"overloaded": c.Overloaded.Load(),
-		"retries":    c.Retries.Load(),
-		"broken":     c.Broken.Load(),
-		"reattached": c.Reattached.Load(),
-		"joined":     c.Joined.Load(),
-		"wasted":     c.Wasted.Load(),
+		"requests":     c.Requests.Load(),
+		"overloaded":   c.Overloaded.Load(),
+		"unconfigured": c.Unconfigured.Load(),
+		"retries":      c.Retries.Load(),
+		"broken":       c.Broken.Load(),
+		"reattached":   c.Reattached.Load(),
+		"joined":       c.Joined.Load(),
+		"wasted":       c.Wasted.Load(),
 	}
 }
 
--- a/internal/process/beechentry/completion.go
+++ b/internal/process/beechentry/completion.go
@@ -20,6 +20,7 @@
 const (
 	defaultOutputTokens = 512
 	adapterSeparator    = ":"
+	codeNoConfiguration = "no_configuration"
 )
 
 // serveCompletion handles chat and text completions, streamed or not.
@@ -178,6 +179,9 @@
 	admitted, ok := decision.(beechlimit.Admitted)
 	if !ok {
 		f := limitFailure(decision)
+		if f.Code == codeNoConfiguration {
+			e.counters.Unconfigured.Add(1)
+		}
 		e.observe(j, f)
 		f.write(w)
 		return
@@ -211,7 +215,7 @@
 	case beechlimit.ReasonTooLarge:
 		return notRun(http.StatusBadRequest, typeInvalid, "request_too_large", "the request's tokens exceed the workspace's limit a minute")
 	case beechlimit.ReasonUnknown:
-		return retryLater(http.StatusServiceUnavailable, "no_configuration", time.Second, "the workspace's limits are not known yet")
+		return retryLater(http.StatusServiceUnavailable, codeNoConfiguration, time.Second, "the workspace's limits are not known yet")
 	default:
 		return retryLater(http.StatusTooManyRequests, "limit_"+string(rejected.Reason), rejected.RetryAfter, "the workspace is over its limit of %s", rejected.Reason)
 	}
--- a/internal/process/beechentry/routes.go
+++ b/internal/process/beechentry/routes.go
@@ -96,7 +96,8 @@
 func (e *Entry) authenticate(r *http.Request) (*beechmanifest.Configuration, *beechmanifest.Workspace, *failure) {
 	configuration := e.holder.Current()
 	if configuration == nil {
-		return nil, nil, retryLater(http.StatusServiceUnavailable, "no_configuration", time.Second, "no configuration is in force yet")
+		e.counters.Unconfigured.Add(1)
+		return nil, nil, retryLater(http.StatusServiceUnavailable, codeNoConfiguration, time.Second, "no configuration is in force yet")
 	}
 	scheme, key, _ := strings.Cut(r.Header.Get("Authorization"), " ")
 	if !strings.EqualFold(scheme, "Bearer") || key == "" {
