--- a/internal/command/beechscenario/fault_proxy_test.go
+++ b/internal/command/beechscenario/fault_proxy_test.go
@@ -21,6 +21,7 @@
 		open     map[net.Conn]struct{}
 		refusing bool             // whether new connections are closed
 		stalled  [2]chan struct{} // by direction; closed by restore, nil unless stalled
+		held     [2]int           // bytes received while their direction was stalled
 	}
 
 	// direction is the direction in which bytes are forwarded.
@@ -80,7 +81,7 @@
 	for {
 		n, err := from.Read(buffer)
 		if n > 0 {
-			p.waitWhileStalled(d)
+			p.waitWhileStalled(d, n)
 			if _, err := to.Write(buffer[:n]); err != nil {
 				break
 			}
@@ -110,10 +111,13 @@
 	return p.refusing
 }
 
-// waitWhileStalled blocks while the given direction is stalled.
-func (p *faultProxy) waitWhileStalled(d direction) {
+// waitWhileStalled holds count bytes while the given direction is stalled.
+func (p *faultProxy) waitWhileStalled(d direction, count int) {
 	p.mu.Lock()
 	stalled := p.stalled[d]
+	if stalled != nil {
+		p.held[d] += count
+	}
 	p.mu.Unlock()
 	if stalled != nil {
 		<-stalled
@@ -154,6 +158,13 @@
 	}
 }
 
+// heldBytes returns the number of bytes that were ever held in a direction.
+func (p *faultProxy) heldBytes(d direction) int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.held[d]
+}
+
 func (p *faultProxy) restore() {
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/internal/command/beechscenario/resume_test.go
+++ b/internal/command/beechscenario/resume_test.go
@@ -185,7 +185,7 @@
 	if err != nil {
 		for _, c := range calls {
 			if c.eventCount() < minEvents {
-				r.t.Log(c.describe())
+				r.t.Logf("too few events, ended %t: %s", c.isOver(), c.describe())
 			}
 		}
 		r.t.Fatal(err)
