A gate that hears no other refuses callers beyond their quota at once

What a caller saw: a 429 that came after up to 250 ms instead of at once, at a gate that is the only one, or is cut off from the others, for as long as that lasts.

--- a/internal/process/beechgate/quota.go
+++ b/internal/process/beechgate/quota.go
@@ -58,7 +58,7 @@
 	for {
 		decision := g.quotas.Admit(call.Workspace.Name, call.QuotaCost())
 		refused, ok := decision.(beechquota.Refused)
-		soon := refused.Starting || !refused.Settled && refused.After <= patience
+		soon := refused.Starting || !refused.Settled && !refused.Isolated && refused.After <= patience
 		if !ok || !soon || !g.clock.Now().Before(deadline) {
 			return decision
 		}
--- a/internal/process/beechgate/quota_test.go
+++ b/internal/process/beechgate/quota_test.go
@@ -55,3 +55,30 @@
 		is.True(time.Since(began) <= 50*time.Millisecond)
 	})
 }
+
+// A gate that hears no others never settles. A caller beyond the quota must be refused at once
+// there, and not be held while nothing changes.
+func TestGateThatHearsNobodyRefusesAtOnce(t *testing.T) {
+	for name, heard := range map[string]bool{"only gate": false, "cut off": true} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				g, peer := newQuotaGate(0, beechquota.Bounds{}), newQuotaGate(1, beechquota.Bounds{})
+				g.quotas.SetGates(1)
+				if heard {
+					g.quotas.SetGates(2)
+					g.quotas.ApplyUpdate(peer.quotas.NextUpdate())
+				}
+				g.quotas.SetLimits(quotaLimits, nil)
+				time.Sleep(10 * time.Second)
+				for admitted := true; admitted; {
+					_, admitted = g.quotas.Admit("w", 1).(beechquota.Admitted)
+				}
+				began := time.Now()
+				_, refused := g.admitQuota(t.Context(), quotaCall(time.Second)).(beechquota.Refused)
+				is.True(refused)
+				is.Equal(time.Since(began), time.Duration(0))
+			})
+		})
+	}
+}
