Late samples of a limited engine's speed do not keep its share from it

What is seen: an engine whose limit has ended gets none of the requests that are its due, although the samples of its speed were dropped when the limit ended.

Cause: two kinds of samples from before the end arrive after it: those of other gates, by way of a collector, and the first bytes of requests that were sent before. With two engines, one such sample is enough, as it sets the median with which both are compared.

TestLimitThatChanges was not run.

Why it works: samples of requests sent before the end are dropped, and those of other gates for as long as they may be from before it.

--- a/internal/request/beechplace/attempt.go
+++ b/internal/request/beechplace/attempt.go
@@ -119,7 +119,7 @@
 	if store := a.placer.kvStoreAt(a.source); a.storeTokens > 0 && store != nil {
 		store.fetches.observe(now.Sub(a.sentAt), a.expected, now)
 	}
-	if a.prompt > 0 && a.storeTokens == 0 {
+	if a.prompt > 0 && a.storeTokens == 0 && a.sentAt.After(a.server.limitEndedAt) {
 		a.placer.recordPace(a.server, took, a.expectedTime, now)
 	}
 	a.placer.prefill.learn(a.queuedTokens, took)
--- a/internal/request/beechplace/choose.go
+++ b/internal/request/beechplace/choose.go
@@ -69,7 +69,7 @@
 func (p *Placer) updateLimited(s *server) bool {
 	limited := p.limits.Limited(s.ID)
 	if s.limited && !limited {
-		s.pace = pace{}
+		s.pace, s.limitEndedAt = pace{}, p.clock.Now()
 	}
 	s.limited = limited
 	return limited
--- a/internal/request/beechplace/limit_end_test.go
+++ b/internal/request/beechplace/limit_end_test.go
@@ -100,3 +100,50 @@
 		is.True(toFirst > all/3) // its share is half
 	}
 }
+
+// Samples of an engine's speed that other gates took while it named a limit arrive after the limit
+// has ended here. They must not keep its share from it.
+func TestLatePacesOfALimitedEngineAreIgnored(t *testing.T) {
+	is := is.New(t)
+	for range 20 { // gates probe at random times
+		f, other := newLimitedPair(), newLimitedPair()
+		f.run(2*time.Second, 8, usualTime, beechthrottle.NoLimit{})
+		for _, rate := range []float64{4, 1} {
+			f.run(7*time.Second, 8, 12*usualTime, beechthrottle.RateLimit{Rate: rate})
+		}
+		for range 3 {
+			other.recordPace(other.byID["e1"], 12*milliseconds(usualTime), milliseconds(usualTime), other.clock.Now())
+		}
+		for f.limits.Limited("e1") {
+			f.run(callInterval, 1000, usualTime, beechthrottle.NoLimit{})
+		}
+		f.run(callInterval, 1000, usualTime, beechthrottle.NoLimit{})
+		for _, report := range other.TakePaceReports(2) {
+			f.MergePaceReport(report)
+		}
+		all, toFirst := f.run(3*time.Second, 1000, usualTime, beechthrottle.NoLimit{})
+		t.Logf("%d of %d", toFirst, all)
+		is.True(toFirst > all/3) // its share is half
+	}
+}
+
+// A request was sent to an engine while it had a limit, and its first byte arrives after the limit
+// has ended. The time that it took must not keep the engine's share from it.
+func TestLateFirstByteOfALimitedEngineIsIgnored(t *testing.T) {
+	is := is.New(t)
+	for range 20 { // gates probe at random times
+		f := newLimitedPair()
+		f.run(2*time.Second, 8, usualTime, beechthrottle.NoLimit{})
+		f.run(7*time.Second, 8, 12*usualTime, beechthrottle.RateLimit{Rate: 4})
+		late := f.StartAttempt(newCall("late", 1000, 10), Choice{Server: f.byID["e1"].Server, PrefillTokens: 1010})
+		for f.limits.Limited("e1") {
+			f.run(callInterval, 1000, usualTime, beechthrottle.NoLimit{})
+		}
+		f.run(callInterval, 1000, usualTime, beechthrottle.NoLimit{})
+		late.FirstByte()
+		late.Done(Answered)
+		all, toFirst := f.run(3*time.Second, 1000, usualTime, beechthrottle.NoLimit{})
+		t.Logf("%d of %d", toFirst, all)
+		is.True(toFirst > all/3) // its share is half
+	}
+}
--- a/internal/request/beechplace/pace.go
+++ b/internal/request/beechplace/pace.go
@@ -43,6 +43,9 @@
 	// paceNoise is the difference of the logarithm between engines of equal speed, caused by
 	// queues that are not known.
 	paceNoise = 0.45
+	// lateReportTime is longer than a sample takes from its gate to all others: a gate reports each
+	// second, and a collector passes the sum on.
+	lateReportTime = 2 * time.Second
 	// maxReportSamples exceeds the samples that a gate takes of an engine between two reports.
 	maxReportSamples = 10000
 )
@@ -130,7 +133,11 @@
 	if !ok || report.Samples <= 0 || report.Samples > maxReportSamples || !(math.Abs(report.Log) <= 2*maxPaceLog) {
 		return
 	}
-	s.pace.learn(report.Log, float64(report.Samples), p.clock.Now())
+	now := p.clock.Now()
+	if now.Sub(s.limitEndedAt) < lateReportTime {
+		return // the samples may be from the time with a limit
+	}
+	s.pace.learn(report.Log, float64(report.Samples), now)
 }
 
 // Paces returns, by engine ID, how many times as long as the median engine each engine takes.
--- a/internal/request/beechplace/placer.go
+++ b/internal/request/beechplace/placer.go
@@ -67,9 +67,10 @@
 		pace             pace
 		errors           errorRate
 		limited          bool // it had a limit when it was last considered
-		inFlight         int  // requests of this gate that have not ended
-		pendingPrefill   int  // tokens that these requests still have to prefill
-		inFlightAtReport int  // value of inFlight at the last report
+		limitEndedAt     time.Time
+		inFlight         int // requests of this gate that have not ended
+		pendingPrefill   int // tokens that these requests still have to prefill
+		inFlightAtReport int // value of inFlight at the last report
 		failures         int
 		downUntil        time.Time
 		unavailableUntil time.Time // the server is loading weights, as planned or by its own response
