A single error of a server does not move other callers from their cached prompts

What is seen: after one error answer that is the request's own fault and is not tried again (a route that asks for one run, or a spent retry budget), the next requests leave the server that caches their prompts.

--- a/internal/request/beechplace/choose.go
+++ b/internal/request/beechplace/choose.go
@@ -181,7 +181,7 @@
 	if s.Zone != p.settings.Zone {
 		c.Cost += p.settings.CrossZoneCost + p.settings.CrossZoneByteCost*float64(len(call.Body))
 	}
-	c.Cost += unhealthyCost * max(1-p.health.Weight(s.Address), s.errors.at(now))
+	c.Cost += unhealthyCost * max(1-p.health.Weight(s.Address), s.errors.costly(now))
 	if !s.hasRecentReport(now) && p.overloaded.IsFull(s.ID) {
 		c.Cost += overloadedCost
 	}
--- a/internal/request/beechplace/errorrate.go
+++ b/internal/request/beechplace/errorrate.go
@@ -19,6 +19,9 @@
 	errorHalfLife = time.Second
 	// minErrorShare is treated as none, so that servers of equal cost share requests again.
 	minErrorShare = 0.05
+	// costlyErrorShare is above the share of a single recent error, which may be the fault of its
+	// request and would move other callers away from their cached prompts.
+	costlyErrorShare = 0.3
 )
 
 // at returns the estimated share, which halves over errorHalfLife without answers.
@@ -30,6 +33,14 @@
 	return share
 }
 
+// costly returns the share that costs a server requests.
+func (e *errorRate) costly(now time.Time) float64 {
+	if share := e.at(now); share >= costlyErrorShare {
+		return share
+	}
+	return 0
+}
+
 func (e *errorRate) record(failed bool, now time.Time) {
 	sample := 0.0
 	if failed {
--- a/internal/request/beechplace/errorrate_test.go
+++ b/internal/request/beechplace/errorrate_test.go
@@ -74,3 +74,21 @@
 	t.Logf("%d of 100 requests went to the server that failed before", received)
 	is.True(received >= 40)
 }
+
+// One request fails by its own fault and is not tried again. Other callers must stay with the server
+// that caches their prompts.
+func TestSingleErrorMovesNoOtherCaller(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(4)
+	f.reportAll(nil)
+	call := newCall("s", 300, 30)
+	first := f.choose(t, call)
+	f.StartAttempt(call, first).Done(Answered)
+	for _, outcome := range []Outcome{Errored, Failed} {
+		f.clock.Advance(10 * time.Second)
+		f.reportAll(nil)
+		is.Equal(f.choose(t, call).Server.ID, first.Server.ID)
+		f.StartAttempt(newCall("invalid", 0, 30), first).Done(outcome)
+		is.Equal(f.choose(t, call).Server.ID, first.Server.ID)
+	}
+}
