One slow sample of one of two engines does not make the other appear fast

What is seen: of two engines one gets no requests after a single slow first byte of its own (TestLatePacesOfALimitedEngineAreIgnored showed it with one sample, 0 of 120).

Cause: the median of two engines was the higher one, whatever its number of samples, and the other engine with its many samples was compared with it: factor 0.21.

Run: TestSingleSlowSampleOfTwoEnginesCountsLittle 5 of 5 fail without the change.

--- a/internal/request/beechplace/pace.go
+++ b/internal/request/beechplace/pace.go
@@ -92,7 +92,8 @@
 	unreported.Samples++
 }
 
-// updateMedianPace sets medianPace from all engines.
+// updateMedianPace sets medianPace from all engines. Of an even number it takes the lower middle one:
+// of two engines, one slow sample must not make the other appear fast.
 func (p *Placer) updateMedianPace() {
 	var logs []float64
 	for _, s := range p.byID {
@@ -102,7 +103,7 @@
 	}
 	if len(logs) > 0 {
 		slices.Sort(logs)
-		p.medianPace = logs[len(logs)/2]
+		p.medianPace = logs[(len(logs)-1)/2]
 	}
 }
 
--- a/internal/request/beechplace/pace_test.go
+++ b/internal/request/beechplace/pace_test.go
@@ -177,3 +177,17 @@
 	}
 	is.Equal(p.Paces(), before)
 }
+
+// One of two engines has a single slow sample. The other must not appear many times as fast, which
+// would leave the first without requests.
+func TestSingleSlowSampleOfTwoEnginesCountsLittle(t *testing.T) {
+	is := is.New(t)
+	f := newLimitedPair()
+	now := f.clock.Now()
+	for range maxPaceSamples {
+		f.recordPace(f.byID["e2"], 10, 10, now)
+	}
+	f.recordPace(f.byID["e1"], 80, 10, now)
+	f.updateMedianPace()
+	is.Equal(f.Paces(), map[string]float64{"e1": 1, "e2": 1})
+}
