Retries made before a change of the bounds stay used

What a service sees: up to as many retries again as the bound allows, within one window, each time operators change the ratio or the spare.

Cause: SetBounds dropped the budgets with what was used of them.

A change of the window still drops the budgets, as its counts are kept in slots of its length.

--- a/internal/decision/beechretry/budget.go
+++ b/internal/decision/beechretry/budget.go
@@ -136,6 +136,16 @@
 	}
 }
 
+// SetRetryPercent changes the share of first attempts that may be retried. Values outside of 1 to
+// 100 are ignored. Retries made so far still count.
+func (b *Budget) SetRetryPercent(n int) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if n > 0 && n <= 100 {
+		b.settings.RetryPercent = n
+	}
+}
+
 // RecordRequest counts a first attempt, which adds a fraction of a retry to the
 // budget.
 func (b *Budget) RecordRequest() {
--- a/internal/process/beechgate/retrybudget.go
+++ b/internal/process/beechgate/retrybudget.go
@@ -75,6 +75,9 @@
 	return b.usable() / b.gates
 }
 
+// retryPercent returns the share of a gate's own requests that it may retry.
+func (b *Budgets) retryPercent() int { return max(int(b.ratio*percent*budgetShare), 1) }
+
 // usable returns the spare retries of all gates together.
 func (b *Budgets) usable() int { return int(b.spare * budgetShare) }
 
@@ -93,15 +96,21 @@
 	return b.usable() / 4 * zoneGates / b.gates, b.window
 }
 
-// SetBounds sets the operators' bounds.
+// SetBounds sets the operators' bounds. Used retries stay used unless the window changes.
 func (b *Budgets) SetBounds(ratio, spare float64, window time.Duration) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	if ratio == b.ratio && spare == b.spare && window == b.window {
 		return
 	}
+	if window != b.window {
+		clear(b.services)
+	}
 	b.ratio, b.spare, b.window = ratio, spare, window
-	clear(b.services)
+	for _, budget := range b.services {
+		budget.SetRetryPercent(b.retryPercent())
+		budget.SetReserve(b.share())
+	}
 }
 
 // RecordRequest implements beechattempt.RetryBudget.
@@ -155,7 +164,7 @@
 	budget, ok := b.services[service]
 	if !ok {
 		settings := beechretry.Settings{
-			RetryPercent: max(int(b.ratio*percent*budgetShare), 1), Reserve: b.share(), Window: b.window,
+			RetryPercent: b.retryPercent(), Reserve: b.share(), Window: b.window,
 			MaxAttempts: maxAttempts, BaseBackoff: time.Millisecond, MaxBackoff: time.Millisecond,
 		}
 		budget = beechretry.New(settings, b.clock, rand.NewPCG(rand.Uint64(), rand.Uint64()))
--- a/internal/process/beechgate/retrybudget_test.go
+++ b/internal/process/beechgate/retrybudget_test.go
@@ -69,3 +69,20 @@
 		is.True(retried)
 	}
 }
+
+// The operators change a bound within a window. The retries that were made must stay used.
+func TestChangedBoundsKeepUsedRetries(t *testing.T) {
+	is := is.New(t)
+	b := NewBudgets(0.2, 400, 10*time.Second, clockwork.NewFakeClock(), nil)
+	b.SetGates(1)
+	retried := 0
+	for _, spare := range []float64{400, 399, 400} {
+		b.SetBounds(0.2, spare, 10*time.Second)
+		for range 1000 {
+			if _, ok := b.Decide("app", beechretry.Outcome{Ran: beechretry.RanNo}).(beechretry.Retry); ok {
+				retried++
+			}
+		}
+	}
+	is.True(retried <= 400)
+}
