A collector that was stopped reports no engine as lost on waking

What callers saw: not traced to a request; every gate of the zone and the other zones took the states of all the zone's engines for unknown.

Cause: the board counts the silence of a keeper from its last report that was read. A collector that goes on after a stop of 0.8 s or more decides before it has read what waits in its socket, and sends all engines as lost.

Evidence: TestCollectorThatWasStoppedLosesNoEngine failed before, 5 of 5 engines taken for silent.

Why it works: a board that was not called for 400 ms (gates call it every 100 ms) counts the silence of all keepers from then on. Engines not heard since are neither confirmed nor sent to gates that ask, since they may have been lost meanwhile: TestCollectorThatWasStoppedConfirmsNoLostEngine fails without that.

--- a/internal/decision/beechsummary/board.go
+++ b/internal/decision/beechsummary/board.go
@@ -49,6 +49,8 @@
 		audiences [2]audience
 		silent    []netip.AddrPort // engines that were lost here and not yet taken by TakeSilent
 		counts    Counts
+		calledAt  time.Time // the last call that notices stops of this process
+		resumedAt time.Time // when this process was last found to have been stopped
 	}
 
 	engine struct {
@@ -96,6 +98,9 @@
 	maxChanges   = 120
 	maxConfirmed = 800
 	maxParts     = 400 // keys in one summary
+	// stallTime is the time between two calls of a board after which this process counts as
+	// stopped. Gates call TakeSilent every 100 ms.
+	stallTime = 400 * time.Millisecond
 	// recallInterval is the time between two recalls of an engine's state.
 	recallInterval = 500 * time.Millisecond
 	// Never is the time until an audience is due to which nothing is to be sent.
@@ -163,6 +168,7 @@
 	defer b.mu.Unlock()
 	now := b.clock.Now()
 	b.counts.Reports++
+	b.noticeStop(now)
 	e := b.engine(host)
 	if e.known && !e.lost && s.Number < e.Number && now.Sub(e.heardAt) < b.settings.Silence {
 		return false
@@ -329,6 +335,7 @@
 		return Never
 	}
 	now := b.clock.Now()
+	b.noticeStop(now)
 	a := &b.audiences[to]
 	next := a.confirmedAt.Add(b.settings.ConfirmInterval)
 	if len(a.lost) > 0 {
@@ -361,6 +368,7 @@
 	if !b.duty.collects() {
 		return nil
 	}
+	b.noticeStop(now)
 	b.findLost(now)
 	a := &b.audiences[to]
 	var s Summary
@@ -427,10 +435,33 @@
 	return c
 }
 
+// noticeStop starts the silence of all keepers again after this process was stopped: what they
+// sent meanwhile may not have been read yet.
+func (b *Board) noticeStop(now time.Time) {
+	if !b.calledAt.IsZero() && now.Sub(b.calledAt) >= stallTime {
+		b.resumedAt = now
+	}
+	b.calledAt = now
+}
+
+// heardSinceStop reports whether what is known of an engine is not older than a stop of this
+// process, in which the engine may have been lost.
+func (b *Board) heardSinceStop(e *engine) bool {
+	return !e.direct || b.resumedAt.IsZero() || !e.heardAt.Before(b.resumedAt)
+}
+
+// silence returns for how long an engine's keeper could have been heard and was not.
+func (b *Board) silence(e *engine, now time.Time) time.Duration {
+	if e.heardAt.Before(b.resumedAt) {
+		return now.Sub(b.resumedAt)
+	}
+	return now.Sub(e.heardAt)
+}
+
 // findLost notes the engines whose keepers report to this gate and are silent.
 func (b *Board) findLost(now time.Time) {
 	for host, e := range b.engines {
-		if e.direct && e.known && now.Sub(e.heardAt) >= b.settings.Silence {
+		if e.direct && e.known && b.silence(e, now) >= b.settings.Silence {
 			e.known, e.lost = false, true
 			b.counts.LostHere++
 			b.silent = append(b.silent, e.address(host))
@@ -450,7 +481,9 @@
 func (b *Board) TakeSilent() []netip.AddrPort {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.findLost(b.clock.Now())
+	now := b.clock.Now()
+	b.noticeStop(now)
+	b.findLost(now)
 	list := b.silent
 	b.silent = nil
 	return list
@@ -464,7 +497,7 @@
 		e := b.engines[host]
 		_, pending := b.audiences[to].pending[host]
 		switch {
-		case !e.known || pending:
+		case !e.known || pending || !b.heardSinceStop(e):
 		case e.ownZone && !e.primary:
 		case !e.ownZone && (to == Far || !e.handedOn || !e.heardAt.After(e.confirmed)):
 		default:
@@ -504,7 +537,7 @@
 	keys := 0
 	for _, host := range hosts {
 		e, ok := b.engines[host]
-		if !ok || !e.known {
+		if !ok || !e.known || !b.heardSinceStop(e) {
 			continue
 		}
 		p := &pendingChange{status: true, parts: parts(host)}
--- a/internal/decision/beechsummary/board_test.go
+++ b/internal/decision/beechsummary/board_test.go
@@ -318,3 +318,44 @@
 	is.True(b.Take(Near, 9).Empty())
 	is.True(b.Take(Far, 9).Empty())
 }
+
+// Guards against a collector that goes on after a stop and reports all engines as lost, since it
+// has not yet read what their keepers sent meanwhile.
+func TestCollectorThatWasStoppedLosesNoEngine(t *testing.T) {
+	is := is.New(t)
+	z := newZone(6, 5)
+	z.run(2 * time.Second)
+	z.gates[0].dead = true
+	z.run(DefaultSettings.Silence + time.Second)
+	z.gates[0].dead = false
+	is.Equal(len(z.gates[0].TakeSilent()), 0)
+	z.flush()
+	for _, g := range z.gates[2:] {
+		is.Equal(len(g.states), 5)
+	}
+	z.run(time.Second)
+	for i := range z.engines {
+		is.True(z.holds(i))
+	}
+}
+
+// Guards against a collector that goes on after a stop and confirms an engine that was lost
+// meanwhile.
+func TestCollectorThatWasStoppedConfirmsNoLostEngine(t *testing.T) {
+	is := is.New(t)
+	z := newZone(6, 5)
+	z.run(2 * time.Second)
+	z.gates[0].dead = true
+	z.engines = z.engines[:4]
+	z.run(DefaultSettings.Silence + DefaultSettings.ConfirmInterval + 100*time.Millisecond)
+	z.gates[0].dead = false
+	for range 400 {
+		z.run(5 * time.Millisecond)
+		for _, g := range z.gates[2:] {
+			_, ok := g.states[host(4)]
+			is.True(!ok)
+			is.Equal(len(g.states), 4)
+		}
+	}
+	is.Equal(len(z.gates[0].TakeSilent()), 1)
+}
