The log line of an order that did not leave has no time of writing

Cause: the HTTP client reports a request as written before it flushes its buffer, so an order that the check before the write held back was logged with writtenAt; after another attempt that ended at the reads, readAt was later than sendAt.

Why it works: the timing belongs to one attempt, and an attempt that the check ended counts as not sent.

--- a/internal/process/beechagent/orderlog.go
+++ b/internal/process/beechagent/orderlog.go
@@ -35,13 +35,18 @@
 }
 
 // logOrder logs the fencing number of an order, when it was read and when the order left.
-// A process that is paused between the two sends an order that is older than it looks.
+// A process that is paused between the two sends an order that is older than it looks. The
+// times of an attempt whose bytes did not leave are omitted: the HTTP client reports a request as
+// written before it flushes its buffer.
 func (a *Agent) logOrder(kind, model string, guard *beechfence.Guard, trace *orderTrace, err error) {
 	t := guard.LastTiming()
 	fields := []zap.Field{
 		beechlog.Step(kind), beechlog.Peer(a.settings.Backend), zap.String("model", model), zap.Uint64("fence", t.Number),
-		zap.Time("readAt", t.ReadAt), zap.Time("sendAt", t.SentAt),
-		zap.Timep("connectedAt", trace.connected.Load()), zap.Timep("writtenAt", trace.written.Load()),
+		zap.Time("readAt", t.ReadAt),
+	}
+	if !t.SentAt.IsZero() {
+		fields = append(fields, zap.Time("sendAt", t.SentAt),
+			zap.Timep("connectedAt", trace.connected.Load()), zap.Timep("writtenAt", trace.written.Load()))
 	}
 	if err != nil {
 		a.log.Warn("order not given", append(fields, zap.Error(err))...)
--- a/internal/state/beechfence/guard.go
+++ b/internal/state/beechfence/guard.go
@@ -35,12 +35,12 @@
 		timing Timing
 	}
 
-	// Timing tells how old the knowledge of an order was when it was sent. Times are those
+	// Timing tells how old the knowledge of an order was when it was last sent. Times are those
 	// of the Guard's clock.
 	Timing struct {
 		Number uint64
 		ReadAt time.Time // just before the number was read from the store, or incremented
-		SentAt time.Time // when send was called; zero if it was not
+		SentAt time.Time // when send was called; zero if it was not, or if the check before the write failed
 	}
 
 	// term is a period in which a Guard holds the server's lease with one fencing number.
@@ -113,7 +113,6 @@
 func (g *Guard) Order(ctx context.Context, send func(ctx context.Context, fence uint64) error) error {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.timing = Timing{ReadAt: g.clock.Now()}
 	for range maxSends {
 		if err := g.order(ctx, send); !errors.Is(err, ErrOutdated) {
 			return err
@@ -123,6 +122,7 @@
 }
 
 func (g *Guard) order(ctx context.Context, send func(ctx context.Context, fence uint64) error) error {
+	g.timing = Timing{ReadAt: g.clock.Now()}
 	if err := g.ensureTerm(ctx); err != nil {
 		return err
 	}
@@ -146,6 +146,7 @@
 		return nil
 	}), t.number)
 	if errors.Is(err, ErrOutdated) {
+		g.timing.SentAt = time.Time{}
 		return err
 	}
 	if g.remaining(t) <= 0 || !g.isHighest(ctx, t) {
