A load slot whose lease the store ended orders no load

What callers saw: nothing directly; more engines than allowed load at a time.

Cause: before the order only the slot's time by the holder's own clock was looked at, and its lease was renewed only in the last 2 s. A slot whose lease the store had ended, and that another agent held, still let the load out.

Why it works: the lease of the slot is renewed with the reads that allow the order, so it is as recent as these when the order leaves. A renewal within send would have used up the time until the write while the store is slow. One call more for a load.

--- a/internal/process/beechagent/models.go
+++ b/internal/process/beechagent/models.go
@@ -128,11 +128,8 @@
 	}
 	defer slot.Release(context.WithoutCancel(loading))
 	err = guard.Order(loading, func(ctx context.Context, fence uint64) error {
-		if err := renewSlot(ctx, slot); err != nil {
-			return err
-		}
 		return a.engine.Order(trace.attach(ctx), beechbackend.Order{Fence: fence, Load: model})
-	})
+	}, slot.Renew) // the store may have ended the lease of the slot
 	if err != nil {
 		return err
 	}
--- a/internal/state/beechfence/guard.go
+++ b/internal/state/beechfence/guard.go
@@ -39,7 +39,7 @@
 	// of the Guard's clock.
 	Timing struct {
 		Number uint64
-		ReadAt time.Time // just before the number was read from the store, or incremented
+		ReadAt time.Time // just before the conditions and the number were read from the store
 		SentAt time.Time // when send was called; zero if it was not, or if the check before the write failed
 	}
 
@@ -110,25 +110,28 @@
 // is called again after the lease and the number were read again. LeaseHeld, LeaseExpired,
 // ErrOutdated and the errors of beechstore mean that no order was sent. Superseded is returned
 // after send. All other errors are those of send.
-func (g *Guard) Order(ctx context.Context, send func(ctx context.Context, fence uint64) error) error {
+//
+// Conditions are called before the number is read and whenever it is read again. Their errors end
+// the order before send.
+func (g *Guard) Order(ctx context.Context, send func(ctx context.Context, fence uint64) error, conditions ...func(context.Context) error) error {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	for range maxSends {
-		if err := g.order(ctx, send); !errors.Is(err, ErrOutdated) {
+		if err := g.order(ctx, send, conditions); !errors.Is(err, ErrOutdated) {
 			return err
 		}
 	}
 	return fmt.Errorf("order to %s: %w", g.server, ErrOutdated)
 }
 
-func (g *Guard) order(ctx context.Context, send func(ctx context.Context, fence uint64) error) error {
+func (g *Guard) order(ctx context.Context, send func(ctx context.Context, fence uint64) error, conditions []func(context.Context) error) error {
 	g.timing = Timing{ReadAt: g.clock.Now()}
 	if err := g.ensureTerm(ctx); err != nil {
 		return err
 	}
 	t := g.term
 	g.timing.Number = t.number
-	confirmedAt, err := g.confirm(ctx, t)
+	confirmedAt, err := g.confirm(ctx, t, conditions)
 	if err != nil {
 		return err
 	}
@@ -166,10 +169,15 @@
 
 // confirm reads that the term's number is the highest and that its lease is held, and returns the
 // time of the reply. Reads during which the process may have been paused are repeated.
-func (g *Guard) confirm(ctx context.Context, t term) (time.Time, error) {
+func (g *Guard) confirm(ctx context.Context, t term, conditions []func(context.Context) error) (time.Time, error) {
 	shortest := time.Duration(0) // of the reads that took long
 	for range maxReads {
 		g.timing.ReadAt = g.clock.Now()
+		for _, confirm := range conditions {
+			if err := confirm(ctx); err != nil {
+				return time.Time{}, err
+			}
+		}
 		if err := g.readTerm(ctx, t); err != nil {
 			return time.Time{}, err
 		}
