Two stops during the reads of an order do not pass for a slow store

What callers saw: an engine that does not check numbers could execute an order under an older number after one under a newer one.

Cause: reads that took over 100 ms were repeated, and the repeat was trusted if it took at most twice as long. A stop in each of the two made them look alike.

Evidence: TestHolderStoppedTwiceSendsNoOrderAfterANewerOne failed before: {1} {2} {1}.

Why it works: repeated reads must also take at most twice as long as as many calls of the median; two stops lengthen two calls of four. The bound before stays, so nothing is trusted that was not.

--- a/internal/process/beechagent/orders_test.go
+++ b/internal/process/beechagent/orders_test.go
@@ -274,3 +274,27 @@
 	s.clock.Advance(slowStoreReplyTime)
 	return renewed, err
 }
+
+// Guards against an order under an older number that leaves when an agent was stopped in two
+// repeated reads, so that the second seems no slower than the store.
+func TestHolderStoppedTwiceSendsNoOrderAfterANewerOne(t *testing.T) {
+	for _, at := range []string{afterGet, afterHolderGet} {
+		t.Run(at, func(t *testing.T) {
+			is := is.New(t)
+			clock := clockwork.NewFakeClock()
+			store := beechstore.NewFake(clock)
+			e := startOrderedEngine(t)
+			first, second := &stop{at: at}, &stop{at: at}
+			old := beechfence.New(stoppedStore{stoppedStore{store, second}, first}, clock, e.address, beechfence.Settings{})
+			is.NoErr(e.order(t.Context(), old, e.client(), &stop{}, firstHolder))
+			first.run = func() {
+				clock.Advance(stopTime)
+				second.run = func() { e.takeOver(t, clock, store) }
+			}
+			err := e.order(t.Context(), old, e.client(), &stop{}, firstHolderOnceUp)
+			t.Logf("orders %v, error of the stopped holder: %v", e.seen(), err)
+			is.True(err != nil)
+			is.Equal(e.seen(), []orderSeen{{1, firstHolder}, {2, newHolder}})
+		})
+	}
+}
--- a/internal/state/beechfence/guard.go
+++ b/internal/state/beechfence/guard.go
@@ -6,7 +6,9 @@
 	"encoding/hex"
 	"errors"
 	"fmt"
+	"math"
 	"net/netip"
+	"slices"
 	"sync"
 	"time"
 
@@ -75,6 +77,10 @@
 	// slow or that the process was paused, which only another read tells apart.
 	fastRead = 100 * time.Millisecond
 
+	// maxSlowdown is how much longer slow reads may take than the fastest reads before and than as
+	// many typical calls: two stops make two calls longer, but not half of all.
+	maxSlowdown = 2
+
 	// maxWriteDelay is the longest time from the reply of the reads to the write of an order. A
 	// successor needs three calls to the store after the lease has ended before it sends an order.
 	maxWriteDelay = 50 * time.Millisecond
@@ -167,44 +173,59 @@
 	return check
 }
 
-// confirm reads that the term's number is the highest and that its lease is held, and returns the
-// time of the reply. Reads during which the process may have been paused are repeated.
+// confirm reads that the conditions hold, that the term's number is the highest and that its lease
+// is held, and returns the time of the reply. Reads during which the process may have been paused
+// are repeated.
 func (g *Guard) confirm(ctx context.Context, t term, conditions []func(context.Context) error) (time.Time, error) {
-	shortest := time.Duration(0) // of the reads that took long
-	for range maxReads {
+	calls := append(slices.Clone(conditions),
+		func(ctx context.Context) error { return g.readHighest(ctx, t) },
+		func(ctx context.Context) error { return g.readHolder(ctx, t) })
+	var callTimes []time.Duration
+	fastest := time.Duration(math.MaxInt64) // of the reads that took long
+	for i := range maxReads {
 		g.timing.ReadAt = g.clock.Now()
-		for _, confirm := range conditions {
-			if err := confirm(ctx); err != nil {
+		for _, call := range calls {
+			calledAt := g.clock.Now()
+			if err := call(ctx); err != nil {
 				return time.Time{}, err
 			}
-		}
-		if err := g.readTerm(ctx, t); err != nil {
-			return time.Time{}, err
+			callTimes = append(callTimes, g.passed(calledAt))
 		}
 		repliedAt := g.clock.Now()
 		took := g.passed(g.timing.ReadAt)
-		if took <= fastRead || took/2 <= shortest {
+		typical := lowerMedian(callTimes) * time.Duration(len(calls))
+		if took <= fastRead || i > 0 && took/maxSlowdown <= min(fastest, typical) {
 			return repliedAt, nil
 		}
-		if shortest == 0 || took < shortest {
-			shortest = took
-		}
+		fastest = min(fastest, took)
 	}
 	return time.Time{}, ErrOutdated
 }
 
-// readTerm reads the number and then the holder key. The key alone tells that the lease has ended
-// while no other agent has taken a number yet.
-func (g *Guard) readTerm(ctx context.Context, t term) error {
+// lowerMedian returns the median, or the smaller of the two middle values.
+func lowerMedian(list []time.Duration) time.Duration {
+	return slices.Sorted(slices.Values(list))[(len(list)-1)/2]
+}
+
+func (g *Guard) readHighest(ctx context.Context, t term) error {
 	r, _, err := g.readNumber(ctx)
 	if err != nil {
 		return fmt.Errorf("order to %s: %w", g.server, err)
 	}
+	if r.Number != t.number || r.Holder != g.id {
+		return g.expireTerm()
+	}
+	return nil
+}
+
+// readHolder reads the holder key, which alone tells that the lease has ended while no other agent
+// has taken a number yet.
+func (g *Guard) readHolder(ctx context.Context, t term) error {
 	holder, err := g.store.Get(ctx, holderKey(g.server), beechstore.ImportanceConfiguration)
 	if err != nil {
 		return fmt.Errorf("order to %s: %w", g.server, err)
 	}
-	if r.Number != t.number || r.Holder != g.id || string(holder.Data) != g.holderValue(t.lease) {
+	if string(holder.Data) != g.holderValue(t.lease) {
 		return g.expireTerm()
 	}
 	return nil
