An order is checked before its write with any HTTP transport

Cause: with a client whose Transport is nil or not an *http.Transport the check was silently left out, and one without DialContext crashed the process at its first order. Both of the product's clients come from beechbackend.NewClient and are not affected.

Evidence: TestOrderIsCheckedWithAnyTransport failed before: {2} {1} with the default transport, a nil dereference with a zero one.

Why it works: the default transport and the default dialer are used, and any other transport refuses an order that has a check.

--- a/internal/process/beechagent/orders_test.go
+++ b/internal/process/beechagent/orders_test.go
@@ -49,6 +49,9 @@
 		stop *stop
 	}
 
+	// otherTransport hides the type of a transport.
+	otherTransport struct{}
+
 	// slowStore answers each call late.
 	slowStore struct {
 		beechstore.Store
@@ -298,3 +301,26 @@
 		})
 	}
 }
+
+// Guards against an order that leaves unchecked, or a crash, with an HTTP client that was not made
+// by beechbackend.NewClient.
+func TestOrderIsCheckedWithAnyTransport(t *testing.T) {
+	for name, transport := range map[string]http.RoundTripper{"default": nil, "zero": &http.Transport{}, "of another type": otherTransport{}} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			clock := clockwork.NewFakeClock()
+			store := beechstore.NewFake(clock)
+			e := startOrderedEngine(t)
+			s := &stop{at: beforeSend, run: func() { e.takeOver(t, clock, store) }}
+			old := beechfence.New(store, clock, e.address, beechfence.Settings{})
+			err := e.order(t.Context(), old, beechbackend.NewOpenAI(e.address, &http.Client{Transport: transport}), s, firstHolder)
+			t.Logf("orders %v, error of the stopped holder: %v", e.seen(), err)
+			is.True(err != nil)
+			is.Equal(e.seen(), []orderSeen{{2, newHolder}})
+		})
+	}
+}
+
+func (otherTransport) RoundTrip(r *http.Request) (*http.Response, error) {
+	return http.DefaultTransport.RoundTrip(r)
+}
--- a/internal/process/beechbackend/client.go
+++ b/internal/process/beechbackend/client.go
@@ -39,6 +39,8 @@
 	orderBufferSize  = 4 << 10 // an order with its headers fits, and leaves in one write
 )
 
+var errNoCheck = errors.New("the HTTP transport cannot check an order before it is written")
+
 type (
 	// serverClient sends requests to one server and returns errors of the types of
 	// this package.
@@ -60,6 +62,11 @@
 		check func() error
 	}
 
+	// uncheckedTransport is a transport whose connections cannot be replaced by checked ones.
+	uncheckedTransport struct {
+		http.RoundTripper
+	}
+
 	// answerBody converts errors of reading an answer to the types of this package.
 	answerBody struct {
 		io.ReadCloser
@@ -88,14 +95,23 @@
 // newOrderClient returns a client that opens a connection for each request, so that the check of
 // an order's Guard can be made at the write: the process may be paused while it connects.
 func newOrderClient(c *http.Client) *http.Client {
-	shared, ok := c.Transport.(*http.Transport)
+	orders := *c
+	roundTripper := c.Transport
+	if roundTripper == nil {
+		roundTripper = http.DefaultTransport
+	}
+	shared, ok := roundTripper.(*http.Transport)
 	if !ok {
-		return c
+		orders.Transport = uncheckedTransport{roundTripper}
+		return &orders
 	}
 	transport := shared.Clone()
 	transport.DisableKeepAlives = true
 	transport.WriteBufferSize = orderBufferSize
 	dial := transport.DialContext
+	if dial == nil {
+		dial = (&net.Dialer{}).DialContext
+	}
 	transport.DialContext = func(ctx context.Context, network, address string) (net.Conn, error) {
 		connection, err := dial(ctx, network, address)
 		if check := beechfence.CheckBeforeWrite(ctx); check != nil && err == nil {
@@ -103,11 +119,18 @@
 		}
 		return connection, err
 	}
-	orders := *c
 	orders.Transport = transport
 	return &orders
 }
 
+// RoundTrip refuses requests that have a check.
+func (t uncheckedTransport) RoundTrip(r *http.Request) (*http.Response, error) {
+	if beechfence.CheckBeforeWrite(r.Context()) != nil {
+		return nil, errNoCheck
+	}
+	return t.RoundTripper.RoundTrip(r)
+}
+
 func (c checkedConnection) Write(data []byte) (int, error) {
 	if err := c.check(); err != nil {
 		return 0, err
