--- a/internal/state/beechfence/errors.go
+++ b/internal/state/beechfence/errors.go
@@ -20,10 +20,10 @@
 		Number uint64
 	}
 
-	// Superseded means that the order was sent, and that when it ended, the lease had
+	// Superseded means that send was called, and that when it returned, the lease had
 	// ended or was about to, a newer number existed, or the number could not be read. The
-	// caller must compare the server's state with the wanted one. Err is the error of the
-	// order itself, if any.
+	// caller must compare the server's state with the wanted one. Err is the error of
+	// send, if any, and tells whether the order left.
 	Superseded struct {
 		Server netip.AddrPort
 		Number uint64
