One slow answer does not eject a server that is not asked again

Callers: requests stay away from a healthy engine for the ejection, 3 s and more, though it answered slowly once (an engine that has taken its limit back gets less than its share, TestLimitThatChanges).

Cause: a server whose mean is raised by one slow answer counts as too slow for ConfirmationTime also if nothing is sent to it in that time, so nothing was confirmed.

Ejecting for slowness now needs one more answer, itself too slow, after the server became an outlier. TestRarelyAskedSlowServerIsEjected: the second slow answer ejects. Failures eject as before.

--- a/internal/decision/beechhealth/server.go
+++ b/internal/decision/beechhealth/server.go
@@ -65,6 +65,7 @@
 		returnedAt   time.Time     // start of slow start; zero if never ejected
 		ejectionTime time.Duration // length of the latest ejection
 		outlierSince time.Time
+		confirmed    bool    // it gave a slow answer after outlierSince
 		severity     float64 // at least 1 for an outlier
 		probes       int
 		failedProbes int
@@ -105,6 +106,11 @@
 	return duration.Seconds() / float64(max(s.Tokens, 0)+overheadTokens)
 }
 
+// isSlow reports whether the sample alone is too slow compared with the model's median.
+func (s Sample) isSlow(m *model, maxLatencyRatio float64) bool {
+	return m.medianLatency > 0 && s.latencyPerToken() > maxLatencyRatio*m.medianLatency
+}
+
 func (s *server) isActive() bool { return s.state == active }
 
 // eject takes the server out of service, for twice as long as the last time.
@@ -115,7 +121,7 @@
 	s.ejectionTime = min(2*s.ejectionTime, settings.MaxEjectionTime)
 	s.state = ejected
 	s.ejectedUntil = now.Add(s.ejectionTime)
-	s.outlierSince = time.Time{}
+	s.outlierSince, s.confirmed = time.Time{}, false
 }
 
 // advance moves the server to its next state, depending on the time and its
@@ -147,7 +153,7 @@
 // recordProbe judges one answer of a server that is being probed.
 func (s *server) recordProbe(sample Sample, m *model, maxLatencyRatio float64) {
 	s.probes++
-	if sample.Failed || (m.medianLatency > 0 && sample.latencyPerToken() > maxLatencyRatio*m.medianLatency) {
+	if sample.Failed || sample.isSlow(m, maxLatencyRatio) {
 		s.failedProbes++
 	}
 }
--- a/internal/decision/beechhealth/tracker.go
+++ b/internal/decision/beechhealth/tracker.go
@@ -18,7 +18,7 @@
 		MaxEjectedPercent int           // of a model's servers that may be out of service at once
 		MaxLatencyRatio   float64       // of a server's latency to the median of its peers
 		MaxExcessFailures float64       // share of failed requests above the median of its peers
-		ConfirmationTime  time.Duration // how long a server must be too slow before it is ejected
+		ConfirmationTime  time.Duration // how long a server must be too slow, with another slow answer, before it is ejected
 		EjectionTime      time.Duration // length of the first ejection; doubles with each further one
 		MaxEjectionTime   time.Duration
 		ProbeCount        int           // answers needed before a server returns to service
@@ -171,6 +171,9 @@
 	if s.state == probing {
 		s.recordProbe(sample, m, t.settings.MaxLatencyRatio)
 	}
+	if !s.outlierSince.IsZero() && !sample.Failed && sample.isSlow(m, t.settings.MaxLatencyRatio) {
+		s.confirmed = true
+	}
 	minInterval := evaluationInterval
 	if sample.Failed {
 		minInterval = failureInterval
@@ -298,18 +301,20 @@
 }
 
 // isOutlier reports whether a server fails too much more than its peers, or has
-// been too much slower than them for ConfirmationTime.
+// been too much slower than them for ConfirmationTime, with a slow answer in that
+// time. Without one, a single slow answer would eject a server that gets no more
+// requests.
 func (t *Tracker) isOutlier(s *server) bool {
 	latencyRatio, excessFailures := t.compareWithPeers(s)
 	s.severity = max(latencyRatio/t.settings.MaxLatencyRatio, excessFailures/t.settings.MaxExcessFailures)
 	if s.severity < 1 {
-		s.outlierSince = time.Time{}
+		s.outlierSince, s.confirmed = time.Time{}, false
 		return false
 	}
 	if s.outlierSince.IsZero() {
 		s.outlierSince = t.now
 	}
-	return excessFailures >= t.settings.MaxExcessFailures || t.now.Sub(s.outlierSince) >= t.settings.ConfirmationTime
+	return excessFailures >= t.settings.MaxExcessFailures || (s.confirmed && t.now.Sub(s.outlierSince) >= t.settings.ConfirmationTime)
 }
 
 // mayEject reports whether the server can be ejected without exceeding the limit
