An engine that appears slow is offered a call now and then

Callers do not see it; an engine that has recovered gets no requests for 10 to 20 s, and the others carry its load (TestEngineSlowdownAndRecovery).

Cause: the belief that it is slow is renewed by requests only, and a small difference of cost keeps them all away, even at a factor of 1.05. Until then it only fades by its half-life.

Each gate charges one of 8 calls, divided by the number of gates, without the pace of an engine whose samples are 3 s old or whose latest sample was not slow. That a call would miss its objective there is still charged.

--- a/internal/request/beechplace/choose.go
+++ b/internal/request/beechplace/choose.go
@@ -167,16 +167,18 @@
 		c.Cost += p.estimatePrefix(call, s, parts, now, &c)
 		shortfall := p.memoryShortfall(s, call.PromptTokens, now)
 		pace := p.paceFactor(s, now)
-		rate := p.prefill.rate / pace
-		queueTime := p.queuedTokens(s, now.Add(c.Wait))/rate + p.memoryWait(shortfall, s)
-		c.QueueTime = milliseconds(c.Wait) + queueTime
-		prefillTime := float64(c.PrefillTokens) / rate
-		fixed := p.prefill.fixed * pace
+		queueTime, prefillTime, fixed := p.startTime(&c, s, pace, shortfall, now)
+		c.QueueTime = queueTime + milliseconds(c.Wait)
 		c.Expected = c.QueueTime + prefillTime + fixed
 		if outdated && !p.startsInTime(&c, age) {
 			return c, false
 		}
-		c.Cost += queueTime + prefillTime + (fixed - p.prefill.fixed) + p.preemptionCost(shortfall) + pace*p.utilizationCost(s, now) + latenessCost(c.Expected, milliseconds(call.Route.Objective))
+		lateness := latenessCost(c.Expected, milliseconds(call.Route.Objective))
+		if charged := p.chargedPace(call, s, pace, now); charged != pace {
+			pace = charged
+			queueTime, prefillTime, fixed = p.startTime(&c, s, pace, shortfall, now)
+		}
+		c.Cost += queueTime + prefillTime + (fixed - p.prefill.fixed) + p.preemptionCost(shortfall) + pace*p.utilizationCost(s, now) + lateness
 	}
 	if s.Zone != p.settings.Zone {
 		c.Cost += p.settings.CrossZoneCost + p.settings.CrossZoneByteCost*float64(len(call.Body))
@@ -188,6 +190,14 @@
 	return c, true
 }
 
+// startTime returns the milliseconds that a call waits for others at a server, takes to prefill
+// and has to wait besides, if the server has the given pace.
+func (p *Placer) startTime(c *Choice, s *server, pace, shortfall float64, now time.Time) (queueTime, prefillTime, fixed float64) {
+	rate := p.prefill.rate / pace
+	queueTime = p.queuedTokens(s, now.Add(c.Wait))/rate + p.memoryWait(shortfall, s)
+	return queueTime, float64(c.PrefillTokens) / rate, p.prefill.fixed * pace
+}
+
 // startsInTime reports whether a call may go to outdated weights: always until the soft limit,
 // and after it only if it is expected to start well before the hard limit. A request that has
 // not started by then is withdrawn.
--- a/internal/request/beechplace/pace.go
+++ b/internal/request/beechplace/pace.go
@@ -4,6 +4,8 @@
 	"math"
 	"slices"
 	"time"
+
+	"github.com/beechring/beechring/internal/request/beechcall"
 )
 
 type (
@@ -18,6 +20,7 @@
 	pace struct {
 		meanLog    float64 // mean of the recent samples
 		samples    float64 // weight of the samples in meanLog
+		latestLog  float64 // latest sample, or mean of the latest report
 		updatedAt  time.Time
 		unreported PaceReport // samples not yet sent to other gates
 	}
@@ -40,6 +43,12 @@
 	// so that its recovery would otherwise go unnoticed.
 	paceHalfLife = 10 * time.Second
 	maxPaceRatio = 8
+	// paceRenewalTime is the age of the latest sample from which on an engine that appears slow
+	// is offered requests again.
+	paceRenewalTime = 3 * time.Second
+	// paceRenewalCalls is how many calls of a gate there are for each that is offered to such an
+	// engine, times the number of gates.
+	paceRenewalCalls = 8
 	// paceNoise is the difference of the logarithm between engines of equal speed, caused by
 	// queues that are not known.
 	paceNoise = 0.45
@@ -67,6 +76,18 @@
 	return math.Exp(log * (1 - paceNoise*paceNoise/(log*log)))
 }
 
+// chargedPace returns the pace by which an engine is compared with others for a call. One that
+// appears slow without recent samples, or contrary to the latest, is charged as a usual one for a
+// few calls: it gets hardly any others that would show its recovery.
+func (p *Placer) chargedPace(call *beechcall.Call, s *server, pace float64, now time.Time) float64 {
+	e := &s.pace
+	outdated := now.Sub(e.updatedAt) >= paceRenewalTime || e.latestLog-p.medianPace <= paceNoise
+	if pace > 1 && outdated && tieRank(call, s)%uint64(paceRenewalCalls*p.settings.Gates) == 0 {
+		return 1
+	}
+	return pace
+}
+
 // effectiveSamples returns the weight of the samples after their decay.
 func (e *pace) effectiveSamples(now time.Time) float64 {
 	return e.samples * math.Pow(0.5, float64(max(now.Sub(e.updatedAt), 0))/float64(paceHalfLife))
@@ -77,7 +98,7 @@
 	samples = min(samples, maxPaceSamples)
 	previous := min(e.effectiveSamples(now), maxPaceSamples-samples)
 	e.meanLog = (e.meanLog*previous + log*samples) / (previous + samples)
-	e.samples, e.updatedAt = previous+samples, now
+	e.samples, e.latestLog, e.updatedAt = previous+samples, log, now
 }
 
 // recordPace adds the sample of one request.
