An ejected engine is probed also if the others can carry all the load

Callers do not see it; an engine that was ejected for its latency gets no requests after its recovery, as long as the load is light, and is missing when the load grows.

Cause: in its probe window a server has weight 0.5, which costs 200, and that is more than any other difference between servers that are not busy. So there are no probes, and after a second the weight is 0 again for 10 s.

One of 8 calls is placed without regard to the weight of a server that may receive any. Its own errors are still charged.

--- a/internal/request/beechplace/choose.go
+++ b/internal/request/beechplace/choose.go
@@ -17,6 +17,7 @@
 	queuedRequestCost    = 40   // per request beyond the slots
 	plainUtilizationCost = 25   // plain server with all slots taken: about the work of one request
 	unhealthyCost        = 400  // server with health weight 0
+	healthProbeCalls     = 8    // calls for each that is offered to a server that returns after an ejection
 	overloadedCost       = 1000 // server that rejects requests, so that it is tried last
 	missedObjectiveCost  = 700  // response that misses its objective
 	latenessStart        = 0.5  // share of the objective from which on missedObjectiveCost applies in part
@@ -183,13 +184,24 @@
 	if s.Zone != p.settings.Zone {
 		c.Cost += p.settings.CrossZoneCost + p.settings.CrossZoneByteCost*float64(len(call.Body))
 	}
-	c.Cost += unhealthyCost * max(1-p.health.Weight(s.Address), s.errors.costly(now))
+	c.Cost += unhealthyCost * max(1-p.chargedWeight(call, s), s.errors.costly(now))
 	if !s.hasRecentReport(now) && p.overloaded.IsFull(s.ID) {
 		c.Cost += overloadedCost
 	}
 	return c, true
 }
 
+// chargedWeight returns the health weight by which a server is compared with others for a call.
+// One that may receive requests at all is charged as a healthy one for a few calls: otherwise an
+// ejected server would not be probed while the others can carry all the load.
+func (p *Placer) chargedWeight(call *beechcall.Call, s *server) float64 {
+	w := p.health.Weight(s.Address)
+	if 0 < w && w < 1 && tieRank(call, s)%healthProbeCalls == 0 {
+		return 1
+	}
+	return w
+}
+
 // startTime returns the milliseconds that a call waits for others at a server, takes to prefill
 // and has to wait besides, if the server has the given pace.
 func (p *Placer) startTime(c *Choice, s *server, pace, shortfall float64, now time.Time) (queueTime, prefillTime, fixed float64) {
