Requests that reach a starting entry host wait for its configuration

What callers saw: an entry host that had just started answered at once with 503 no_configuration, or no_server, although agents with free engines were there. Cause: it takes requests before its first configuration and limits are in force and before its first servers can be chosen; each of these moments is short, and each refused at once.

For 250 ms after its start (startupWait) a request now waits for what is missing, not beyond its caller's deadline, and not after its caller has left once the body is read. The time counts from the start of the host, so a host that cannot read its configuration refuses at once from then on. A shutdown ends the wait. A request that waits for the configuration has not been read yet, so it holds no body; it counts against limits.streams as before. What it waited is taken from the deadline that the agents are given.

TestServingWithoutConfiguration and TestReadyOnlyWithLimitsInForce assert what they did; only the sending of the request in post was split so that the new tests share it.

--- a/internal/process/beechentry/configuration.go
+++ b/internal/process/beechentry/configuration.go
@@ -87,6 +87,7 @@
 		FirstTokenShare: c.Manifest.Targets.Share,
 	})
 	e.configured.Store(true)
+	e.startup.notify()
 	e.log.Info("configuration in force", beechlog.Generation(c.Generation))
 }
 
--- a/internal/process/beechentry/dispatch.go
+++ b/internal/process/beechentry/dispatch.go
@@ -113,7 +113,7 @@
 	if j.joinTarget != nil {
 		return e.joinGeneration(ctx, j)
 	}
-	candidate, result := e.candidate(j)
+	candidate, result := e.candidate(ctx, j)
 	if result != nil {
 		return netip.AddrPort{}, result
 	}
@@ -132,11 +132,11 @@
 // none.
 //
 //go:noinline
-func (e *Entry) candidate(j *job) (*beechroute.Candidate, attemptResult) {
+func (e *Entry) candidate(ctx context.Context, j *job) (*beechroute.Candidate, attemptResult) {
 	if result := e.checkSuspect(j); result != nil {
 		return nil, result
 	}
-	if candidate := e.choose(j); candidate != nil {
+	if candidate := e.awaitCandidate(ctx, j); candidate != nil {
 		return candidate, nil
 	}
 	return nil, noServer()
--- a/internal/process/beechentry/entry.go
+++ b/internal/process/beechentry/entry.go
@@ -59,6 +59,7 @@
 		suspects  *beechsuspect.Registry
 		burn      *beechburn.Burn
 		signer    *streamSigner
+		startup   *startup
 		estimator beechprefix.Estimator
 		counters  counters
 
@@ -114,6 +115,7 @@
 		suspects: beechsuspect.New(beechsuspect.Settings{}, d.Clock),
 		burn:     beechburn.New(beechburn.Settings{}, d.Clock),
 		signer:   newStreamSigner(settings.Secret),
+		startup:  newStartup(d.Clock),
 		listener: listener,
 	}
 	e.fleet = newFleet(e, d.LinkTLS)
@@ -155,6 +157,7 @@
 func (e *Entry) Serve(ctx context.Context) error {
 	inner, stop := context.WithCancel(context.Background())
 	defer stop()
+	e.startup.begin()
 	e.fleet.linkSeeds()
 	supervised := e.supervisor.ServeBackground(inner)
 	served := make(chan error, 1)
@@ -179,6 +182,7 @@
 // sends in that time are served.
 func (e *Entry) drain() error {
 	e.draining.Store(true)
+	e.startup.end()
 	e.fleet.dialer.PushHeartbeat()
 	e.log.Info("entry draining", beechlog.Step("drain"))
 	e.clock.Sleep(drainDelay)
--- a/internal/process/beechentry/offers.go
+++ b/internal/process/beechentry/offers.go
@@ -36,6 +36,7 @@
 	f.router.SetServers(offered.servers)
 	f.setTargets(offered.byTarget)
 	f.entry.limiter.SetEntryHosts(entries)
+	f.entry.startup.notify()
 }
 
 // setTargets registers each target's servers with the health tracker, which
--- a/internal/process/beechentry/restart_test.go
+++ b/internal/process/beechentry/restart_test.go
@@ -170,17 +170,33 @@
 // post sends a completion and returns the status and body of its response.
 func post(t *testing.T, e *Entry) (int, string) {
 	is := is.New(t)
-	request, err := http.NewRequest(http.MethodPost, "http://"+e.listener.Addr().String()+"/v1/chat/completions",
-		strings.NewReader(`{"model":"fit-advisor","stream":true,"max_tokens":5,"messages":[{"role":"user","content":"Which size?"}]}`))
+	request, err := newCompletion(t.Context(), e)
+	is.NoErr(err)
+	status, body, err := do(request)
 	is.NoErr(err)
+	return status, body
+}
+
+func newCompletion(ctx context.Context, e *Entry) (*http.Request, error) {
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+e.listener.Addr().String()+"/v1/chat/completions",
+		strings.NewReader(`{"model":"fit-advisor","stream":true,"max_tokens":5,"messages":[{"role":"user","content":"Which size?"}]}`))
+	if err != nil {
+		return nil, err
+	}
 	request.Header.Set("Authorization", "Bearer loop-key")
+	return request, nil
+}
+
+// do sends a request and returns the status and body of its response.
+func do(request *http.Request) (status int, body string, err error) {
 	client := http.Client{Timeout: testLimit, Transport: &http.Transport{DisableKeepAlives: true}}
 	response, err := client.Do(request)
-	is.NoErr(err)
+	if err != nil {
+		return 0, "", err
+	}
 	defer response.Body.Close()
-	body, err := io.ReadAll(response.Body)
-	is.NoErr(err)
-	return response.StatusCode, string(body)
+	data, err := io.ReadAll(response.Body)
+	return response.StatusCode, string(data), err
 }
 
 // TestServingWithoutConfiguration guards against taking an entry that knows a
--- a/internal/process/beechentry/routes.go
+++ b/internal/process/beechentry/routes.go
@@ -76,6 +76,7 @@
 // serve authenticates, parses and runs a request.
 func (e *Entry) serve(w http.ResponseWriter, r *http.Request, read requestReader) {
 	began := e.clock.Now()
+	waited := e.awaitConfiguration(r)
 	configuration, workspace, f := e.authenticate(r)
 	if f != nil {
 		f.write(w)
@@ -88,6 +89,7 @@
 		return
 	}
 	j.startedAt = began
+	j.shortenTimeout(waited)
 	e.admitAndRun(w, r, j)
 }
 
@@ -160,6 +162,7 @@
 }
 
 func (e *Entry) serveModels(w http.ResponseWriter, r *http.Request) {
+	e.awaitConfiguration(r)
 	configuration, workspace, f := e.authenticate(r)
 	if f != nil {
 		f.write(w)
@@ -175,6 +178,7 @@
 }
 
 func (e *Entry) serveModel(w http.ResponseWriter, r *http.Request) {
+	e.awaitConfiguration(r)
 	configuration, workspace, f := e.authenticate(r)
 	if f != nil {
 		f.write(w)
