--- a/internal/request/beechplace/doc.go
+++ b/internal/request/beechplace/doc.go
@@ -12,7 +12,7 @@
 // A choice minimizes a predicted cost in milliseconds:
 //
 //	time in queue + own prefill, with repeated prefill of shared tokens weighted extra
-//	+ engine utilization + other zone + outdated weights + poor health
+//	+ engine utilization + other zone + outdated weights + poor health or recent errors
 //
 // Each chain of shared prompt parts has a home engine, selected over all zones by
 // rendezvous hashing, so that gates which see a prefix for the first time at once
