--- a/internal/process/beechgate/gate.go
+++ b/internal/process/beechgate/gate.go
@@ -17,6 +17,7 @@
 	"github.com/thejerf/suture/v4"
 	"go.uber.org/zap"
 
+	"github.com/beechring/beechring/internal/decision/beechbackoff"
 	"github.com/beechring/beechring/internal/decision/beechgossip"
 	"github.com/beechring/beechring/internal/decision/beechhealth"
 	"github.com/beechring/beechring/internal/decision/beechquota"
@@ -77,6 +78,7 @@
 		quotas         *beechquota.Limiter
 		limits         *beechthrottle.Throttle  // request limits that servers announce
 		overloaded     *beechsaturation.Tracker // servers that reject requests
+		backoff        *beechbackoff.Tracker    // servers that have asked this gate for no requests
 		members        *beechgossip.Group       // all gates
 		topology       atomic.Pointer[topology] // what follows from the members
 		topologyMutex  sync.Mutex               // held while the topology is derived
@@ -178,9 +180,10 @@
 	g.limitLog = sampledLogger(deps.Log, g.metrics.limitLinesDropped)
 	weights := time.Duration(s.Bounds.Weights)
 	g.overloaded = beechsaturation.New(deps.Clock, g.wakeOverloadSender)
+	g.backoff = beechbackoff.New(deps.Clock)
 	g.placer = beechplace.New(beechplace.Settings{
 		Zone: s.Zone, OutdatedSoftLimit: max(weights-outdatedMargin, weights/2), OutdatedHardLimit: max(weights-startMargin, weights/2),
-	}, deps.Clock, g.health, g.limits, g.overloaded, g.announcePrompt)
+	}, deps.Clock, g.health, g.limits, g.overloaded, g.backoff, g.announcePrompt)
 	g.core = beechattempt.New(g.placer, deps.Backend, deps.Pool, g.budgets, g.suspects, g, deps.Clock, deps.Log)
 	g.serverMirror = beechmirror.New(beechmirror.Settings{
 		Prefix: deps.ServerPrefix, MaxAge: serverReadAges.Others, StartAge: serverReadAges.First - startWait, ReadTimeout: readTimeout, WatchTimeout: serverWatchTimeout, WatchPause: serverWatchPause, RemovalDelay: removalDelay, Forward: g.forwardChanges,
--- a/internal/request/beechattempt/attempt_test.go
+++ b/internal/request/beechattempt/attempt_test.go
@@ -16,6 +16,7 @@
 	"github.com/matryer/is"
 	"go.uber.org/zap"
 
+	"github.com/beechring/beechring/internal/decision/beechbackoff"
 	"github.com/beechring/beechring/internal/decision/beechretry"
 	"github.com/beechring/beechring/internal/decision/beechsaturation"
 	"github.com/beechring/beechring/internal/decision/beechsuspect"
@@ -124,7 +125,7 @@
 func newFixture(servers, retries int, script ...step) *fixture {
 	f := &fixture{clock: clockwork.NewFakeClock(), backend: &backend{script: script}, budget: &budget{left: retries}, reachable: reachable{}}
 	f.suspects = beechsuspect.New(beechsuspect.Settings{}, f.clock)
-	placer := beechplace.New(beechplace.Settings{Zone: "a"}, f.clock, fullyUsable{}, beechthrottle.New("gate", 1, beechfresh.BootClock{}, f.clock, func(beechthrottle.Event) {}, func() {}), beechsaturation.New(f.clock, func() {}), func(beechcall.Server, int, []uint64, bool) {})
+	placer := beechplace.New(beechplace.Settings{Zone: "a"}, f.clock, fullyUsable{}, beechthrottle.New("gate", 1, beechfresh.BootClock{}, f.clock, func(beechthrottle.Event) {}, func() {}), beechsaturation.New(f.clock, func() {}), beechbackoff.New(f.clock), func(beechcall.Server, int, []uint64, bool) {})
 	var list []beechcall.Server
 	for i := range servers {
 		list = append(list, beechcall.Server{
--- a/internal/request/beechattempt/run.go
+++ b/internal/request/beechattempt/run.go
@@ -188,6 +188,7 @@
 	defer answer.Body.Close()
 	placement.ObserveLimit(answer.Limit)
 	placement.ObserveLoad(answer.Load)
+	r.observeBackoff(placement, answer.Backoff)
 	r.dispatcher.placer.ObserveVersion(choice.Server.ID, r.call.Model, answer.Weights)
 	if r.call.Route.Stream && answer.Status == http.StatusOK {
 		return r.forwardStream(choice, placement, watch, answer, sent)
@@ -195,6 +196,15 @@
 	return r.forwardWhole(choice, placement, watch, answer, sent)
 }
 
+// observeBackoff records that the server asked for no requests for a time.
+func (r *execution) observeBackoff(placement *beechplace.Attempt, after time.Duration) {
+	if after <= 0 {
+		return
+	}
+	remaining, reported := placement.ObserveBackoff(after)
+	r.logAttempt("asked to back off", r.choice, zap.Duration("after", after), zap.Duration("remaining", remaining), zap.Bool("reported", reported))
+}
+
 // waitForPart waits for a prompt part that is being prefilled for another request, and
 // reports whether the choice is still valid.
 func (r *execution) waitForPart(ctx context.Context, choice beechplace.Choice) bool {
@@ -298,6 +308,7 @@
 		if !notExecuted.Replaced {
 			placement.ObserveLimit(notExecuted.Limit)
 			placement.ObserveLoad(notExecuted.Load)
+			r.observeBackoff(placement, notExecuted.Backoff)
 		}
 		placement.Done(beechplace.Rejected)
 		r.dispatcher.placer.ObserveRejection(choice.Server.ID, notExecuted, r.call.Model)
--- a/internal/request/beechcall/call.go
+++ b/internal/request/beechcall/call.go
@@ -65,6 +65,7 @@
 		Weights uint64 // version that computed it; 0: not reported
 		Load    Load
 		Limit   beechthrottle.ServerLimit // nil: not known
+		Backoff time.Duration             // time for which the server asks this client for no requests; 0: none
 	}
 
 	// Load is the load that a server reports with an answer.
@@ -105,7 +106,7 @@
 		Weights       uint64 // version that it has, if reported
 		Load          Load
 		Limit         beechthrottle.ServerLimit // nil: not known
-		RetryAfter    time.Duration             // when the server asks for a retry; 0: not reported
+		Backoff       time.Duration             // time for which the server asks this client for no requests; 0: none
 	}
 
 	// OutcomeUnknown means that the request was sent and may have been executed.
--- a/internal/request/beechplace/attempt.go
+++ b/internal/request/beechplace/attempt.go
@@ -79,6 +79,20 @@
 	a.placer.limits.Observe(a.server.ID, born, limit, a.limitTime)
 }
 
+// ObserveBackoff records the time for which the server asks for no requests. It returns what was
+// left of a time that it had named before, and whether its keeper has reported recently.
+func (a *Attempt) ObserveBackoff(after time.Duration) (remaining time.Duration, reported bool) {
+	if a.server == nil {
+		return 0, false
+	}
+	a.placer.mu.Lock()
+	reported = a.server.hasRecentReport(a.placer.clock.Now())
+	a.placer.mu.Unlock()
+	remaining = a.placer.backoff.Remaining(a.server.ID)
+	a.placer.backoff.Record(a.server.ID, after)
+	return remaining, reported
+}
+
 // ObserveLoad records the load in a server's response.
 func (a *Attempt) ObserveLoad(l beechcall.Load) {
 	if a.server == nil || !l.Known {
@@ -206,6 +220,6 @@
 	case notRun.WeightsDiffer && notRun.Weights == 0:
 		s.unavailableUntil = p.clock.Now().Add(rejectionPause)
 	case !notRun.WeightsDiffer && !s.hasRecentReport(p.clock.Now()):
-		p.overloaded.Rejected(id, notRun.RetryAfter)
+		p.overloaded.Rejected(id, notRun.Backoff)
 	}
 }
--- a/internal/request/beechplace/doc.go
+++ b/internal/request/beechplace/doc.go
@@ -37,7 +37,7 @@
 //
 // # Usage
 //
-//	p := beechplace.New(settings, clock, health, limits, overloaded, announce)
+//	p := beechplace.New(settings, clock, health, limits, overloaded, backoff, announce)
 //	p.SetServers(servers); p.SetConfiguration(c); p.SetLatestVersion(model, version)
 //	choice, ok := p.Choose(call, tried)
 //	attempt := p.StartAttempt(call, choice)
--- a/internal/request/beechplace/limit_end_test.go
+++ b/internal/request/beechplace/limit_end_test.go
@@ -8,6 +8,7 @@
 	"github.com/jonboulle/clockwork"
 	"github.com/matryer/is"
 
+	"github.com/beechring/beechring/internal/decision/beechbackoff"
 	"github.com/beechring/beechring/internal/decision/beechsaturation"
 	"github.com/beechring/beechring/internal/decision/beechthrottle"
 	"github.com/beechring/beechring/internal/request/beechcall"
@@ -34,7 +35,7 @@
 	f.start = f.clock.Now()
 	limits := beechthrottle.New("gate", 1, f, f.clock, func(beechthrottle.Event) {}, func() {})
 	limits.SetGates(1)
-	f.Placer = New(Settings{Zone: "a", Gates: 1}, f.clock, fixedWeights{}, limits, beechsaturation.New(f.clock, func() {}), func(beechcall.Server, int, []uint64, bool) {})
+	f.Placer = New(Settings{Zone: "a", Gates: 1}, f.clock, fixedWeights{}, limits, beechsaturation.New(f.clock, func() {}), beechbackoff.New(f.clock), func(beechcall.Server, int, []uint64, bool) {})
 	var servers []beechcall.Server
 	for i, id := range []string{"e1", "e2"} {
 		servers = append(servers, beechcall.Server{ID: id, Service: "llm", Address: address(i), Zone: "a", Slots: 48, ListedAt: 1, Weights: map[string]uint64{"m": 1}})
--- a/internal/request/beechplace/load_test.go
+++ b/internal/request/beechplace/load_test.go
@@ -8,13 +8,14 @@
 	"github.com/jonboulle/clockwork"
 	"github.com/matryer/is"
 
+	"github.com/beechring/beechring/internal/decision/beechbackoff"
 	"github.com/beechring/beechring/internal/decision/beechsaturation"
 	"github.com/beechring/beechring/internal/request/beechcall"
 )
 
 // newPlainPlacer returns a placer of one of many gates before plain servers.
 func newPlainPlacer(clock clockwork.Clock, gates, servers int) *Placer {
-	p := New(Settings{Zone: "a", Gates: gates}, clock, fixedWeights{}, newThrottle(clock), beechsaturation.New(clock, func() {}), func(beechcall.Server, int, []uint64, bool) {})
+	p := New(Settings{Zone: "a", Gates: gates}, clock, fixedWeights{}, newThrottle(clock), beechsaturation.New(clock, func() {}), beechbackoff.New(clock), func(beechcall.Server, int, []uint64, bool) {})
 	var list []beechcall.Server
 	for i := range servers {
 		list = append(list, beechcall.Server{ID: fmt.Sprintf("s%02d", i), Service: "app", Zone: "a", Slots: 6, Address: address(i)})
--- a/internal/request/beechplace/overload_test.go
+++ b/internal/request/beechplace/overload_test.go
@@ -41,7 +41,7 @@
 	c := f.choose(t, call)
 	attempt := f.StartAttempt(call, c)
 	attempt.Done(Rejected)
-	f.ObserveRejection(c.Server.ID, beechcall.NotExecuted{Status: 503, RetryAfter: time.Second}, "")
+	f.ObserveRejection(c.Server.ID, beechcall.NotExecuted{Status: 503, Backoff: time.Second}, "")
 	f.clock.Advance(900 * time.Millisecond)
 	next := f.choose(t, call)
 	is.True(next.Server.ID != c.Server.ID)
--- a/internal/request/beechplace/pace_test.go
+++ b/internal/request/beechplace/pace_test.go
@@ -11,6 +11,7 @@
 	"github.com/jonboulle/clockwork"
 	"github.com/matryer/is"
 
+	"github.com/beechring/beechring/internal/decision/beechbackoff"
 	"github.com/beechring/beechring/internal/decision/beechsaturation"
 	"github.com/beechring/beechring/internal/request/beechcall"
 )
@@ -42,7 +43,7 @@
 		list = append(list, beechcall.Server{ID: id, Service: "llm", Zone: "a", Slots: 8, Address: address(i), Weights: map[string]uint64{"m": 1}})
 	}
 	for range gates {
-		p := New(Settings{Zone: "a", Gates: gates}, f.clock, fixedWeights{}, newThrottle(f.clock), beechsaturation.New(f.clock, func() {}), func(beechcall.Server, int, []uint64, bool) {})
+		p := New(Settings{Zone: "a", Gates: gates}, f.clock, fixedWeights{}, newThrottle(f.clock), beechsaturation.New(f.clock, func() {}), beechbackoff.New(f.clock), func(beechcall.Server, int, []uint64, bool) {})
 		p.SetServers(list)
 		f.gates = append(f.gates, p)
 	}
--- a/internal/request/beechplace/placer.go
+++ b/internal/request/beechplace/placer.go
@@ -11,6 +11,7 @@
 	lru "github.com/hashicorp/golang-lru/v2"
 	"github.com/jonboulle/clockwork"
 
+	"github.com/beechring/beechring/internal/decision/beechbackoff"
 	"github.com/beechring/beechring/internal/decision/beechsaturation"
 	"github.com/beechring/beechring/internal/decision/beechthrottle"
 	"github.com/beechring/beechring/internal/request/beechcall"
@@ -25,6 +26,7 @@
 		health     Health
 		limits     *beechthrottle.Throttle
 		overloaded *beechsaturation.Tracker
+		backoff    *beechbackoff.Tracker
 		announce   Announce
 
 		mu             sync.Mutex
@@ -113,14 +115,14 @@
 )
 
 // New returns a placer without servers.
-func New(s Settings, clock clockwork.Clock, health Health, limits *beechthrottle.Throttle, overloaded *beechsaturation.Tracker, announce Announce) *Placer {
+func New(s Settings, clock clockwork.Clock, health Health, limits *beechthrottle.Throttle, overloaded *beechsaturation.Tracker, backoff *beechbackoff.Tracker, announce Announce) *Placer {
 	locations, err := lru.New[uint64, *partLocations](minTrackedParts)
 	if err != nil {
 		panic(err) // unreachable: the size is a positive constant
 	}
 	s = s.withDefaults()
 	return &Placer{
-		settings: s, prefill: prefillModel{rate: s.PrefillRate}, clock: clock, health: health, limits: limits, overloaded: overloaded, announce: announce,
+		settings: s, prefill: prefillModel{rate: s.PrefillRate}, clock: clock, health: health, limits: limits, overloaded: overloaded, backoff: backoff, announce: announce,
 		services: make(map[string][]*server), byID: make(map[string]*server), byAddress: make(map[netip.AddrPort]*server),
 		serviceConfigs: make(map[string]beechcall.Service), versions: make(map[string]*beechrollout.VersionHistory), locations: locations,
 		serviceLoads: make(map[string]float64), nextRetry: make(map[string]time.Time),
--- a/internal/request/beechplace/placer_test.go
+++ b/internal/request/beechplace/placer_test.go
@@ -9,6 +9,7 @@
 	"github.com/jonboulle/clockwork"
 	"github.com/matryer/is"
 
+	"github.com/beechring/beechring/internal/decision/beechbackoff"
 	"github.com/beechring/beechring/internal/decision/beechsaturation"
 	"github.com/beechring/beechring/internal/decision/beechthrottle"
 	"github.com/beechring/beechring/internal/request/beechcall"
@@ -52,7 +53,7 @@
 // version 1, and as many servers of a plain service.
 func newFleet(n int) *fleet {
 	f := &fleet{clock: clockwork.NewFakeClock(), announced: make(map[string]int), healthWeights: fixedWeights{}}
-	f.Placer = New(Settings{Zone: "a", Gates: 1}, f.clock, f.healthWeights, newThrottle(f.clock), beechsaturation.New(f.clock, func() {}), func(s beechcall.Server, tokens int, _ []uint64, _ bool) { f.announced[s.ID] += tokens })
+	f.Placer = New(Settings{Zone: "a", Gates: 1}, f.clock, f.healthWeights, newThrottle(f.clock), beechsaturation.New(f.clock, func() {}), beechbackoff.New(f.clock), func(s beechcall.Server, tokens int, _ []uint64, _ bool) { f.announced[s.ID] += tokens })
 	for i := range n {
 		zone := []string{"a", "b"}[i%2]
 		f.servers = append(f.servers,
