--- a/internal/standin/beechsimulator/engine.go
+++ b/internal/standin/beechsimulator/engine.go
@@ -49,6 +49,7 @@
 	// EngineFaults are the faults that an engine simulates.
 	EngineFaults struct {
 		Refuse       bool   // every request is refused as not executed
+		RetryAfter   string // Retry-After of refusals; empty is none
 		Hang         bool   // requests run and get no response
 		Drop         bool   // requests run and the connection is reset
 		CutAfter     int    // number of events after which a stream is cut; 0 is never
@@ -376,6 +377,9 @@
 		w.WriteHeader(http.StatusMisdirectedRequest)
 	case e.busy || e.faults.Refuse || e.running >= e.settings.Slots:
 		w.Header().Set(headerNotExecuted, "1")
+		if e.faults.RetryAfter != "" {
+			w.Header().Set("Retry-After", e.faults.RetryAfter)
+		}
 		w.WriteHeader(http.StatusServiceUnavailable)
 	default:
 		e.running++
