A server that asks a gate for no requests gets none until its time is over

Cause: the time that a server names was a hint about load, and hints are passed over while a keeper reports. An engine that rejects everything has nothing running, so its keeper's reports made it the cheapest choice. Without a keeper the time was cut at 2 s, ended by any answer, and the server stayed the last choice. Class: what a peer demands was kept as an estimate of its state, which newer estimates replace.

The choice now leaves out servers within their time, and each call looks again before it is sent (StillUsable, for all calls and not only those that waited for a prompt part). If all that can be reached back off, the call is refused at once with the time of the first end, spread over 300 ms.

--- a/internal/decision/beechsaturation/doc.go
+++ b/internal/decision/beechsaturation/doc.go
@@ -16,7 +16,8 @@
 // learn from it. All gates together therefore probe a full server about as often as a single
 // gate would.
 //
-// A server that counts as full may still be used, as the last choice. If it were excluded and
+// A server that counts as full may still be used, as the last choice. Package beechbackoff has
+// the servers that have asked this gate itself for no requests. If a full one were excluded and
 // all servers of a service were full, capacity that becomes free would stay unused until the
 // entry ends.
 //
--- a/internal/request/beechattempt/run.go
+++ b/internal/request/beechattempt/run.go
@@ -28,7 +28,7 @@
 		attempts        int               // with any outcome
 		partWaits       int               // waits for a prompt part that another request was prefilling
 		limitedAttempts int               // attempts not sent because the server was at its limit
-		limitRetryAfter time.Duration     // if all servers are at their limits: when one has capacity
+		limitRetryAfter time.Duration     // if all servers are at their limits or back off: when one accepts requests
 		maybeExecuted   int               // attempts without a good answer that may have been executed
 		notExecuted     int               // attempts that were certainly not executed
 		choice          beechplace.Choice // of the last attempt
@@ -96,6 +96,7 @@
 	defaultWorkspaceRank = 1 // where the operators' configuration has none
 	maxAnswerBytes       = 16 << 20
 	reasonAtLimits       = "servers at their limits"
+	reasonBackingOff     = "servers asked to back off"
 )
 
 var (
@@ -110,6 +111,9 @@
 		choice, ok := r.choose(ctx)
 		if !ok && choice.RetryAfter > 0 {
 			r.limitRetryAfter = choice.RetryAfter
+			if choice.BackingOff {
+				return r.giveUp(ctx, reasonBackingOff)
+			}
 			return r.giveUp(ctx, reasonAtLimits)
 		}
 		if !ok {
@@ -140,7 +144,7 @@
 
 // choose returns a server. If none may be used it waits for a short time, since an engine
 // that loads weights is soon available again and a rejected caller takes longer to retry.
-// It does not wait if all servers are at their limits for longer than that.
+// It does not wait if all servers are at their limits or back off for longer than that.
 func (r *execution) choose(ctx context.Context) (beechplace.Choice, bool) {
 	wait := max(r.call.Route.Objective/serverWaitDivisor, minServerWait)
 	until := r.dispatcher.clock.Now().Add(wait)
@@ -164,6 +168,10 @@
 		placement.Done(beechplace.Cancelled)
 		return tryAgain
 	}
+	if !r.dispatcher.placer.StillUsable(choice) {
+		placement.Done(beechplace.Cancelled)
+		return tryAgain
+	}
 	if !placement.AcquireLimit() {
 		placement.Done(beechplace.Cancelled)
 		if r.limitedAttempts++; r.limitedAttempts < maxLimitedAttempts {
@@ -205,15 +213,15 @@
 	r.logAttempt("asked to back off", r.choice, zap.Duration("after", after), zap.Duration("remaining", remaining), zap.Bool("reported", reported))
 }
 
-// waitForPart waits for a prompt part that is being prefilled for another request, and
-// reports whether the choice is still valid.
+// waitForPart waits for a prompt part that is being prefilled for another request. It returns
+// false if the call ends meanwhile.
 func (r *execution) waitForPart(ctx context.Context, choice beechplace.Choice) bool {
 	r.partWaits++
 	select {
 	case <-r.dispatcher.clock.After(choice.Wait):
 	case <-ctx.Done():
 	}
-	return !isDone(ctx) && r.dispatcher.placer.StillUsable(choice)
+	return !isDone(ctx)
 }
 
 // urgency returns the call's priority at an engine: by the workspace's priority first, then by
--- a/internal/request/beechplace/choose.go
+++ b/internal/request/beechplace/choose.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"math/rand/v2"
 	"slices"
 	"time"
 
@@ -27,6 +28,9 @@
 	limitProbeBonus = 150
 	// maxRetryAfter bounds the retry time that callers are given.
 	maxRetryAfter = 10 * time.Second
+	// retrySpread is the time over which callers return to a server that accepts requests
+	// again. If all returned at once, it would reject most of them.
+	retrySpread = 300 * time.Millisecond
 	// firstByteMargin is the factor on the expected time within which first bytes usually
 	// arrive: at full engines the estimate misses half of the queue.
 	firstByteMargin = 3
@@ -34,7 +38,7 @@
 
 // Choose returns the cheapest server for a call that is not among those tried. It returns
 // false if no server may be used; the choice then has RetryAfter set if only the servers'
-// limits are the reason.
+// limits are the reason, or that they have asked for no requests.
 func (p *Placer) Choose(call *beechcall.Call, tried []string) (Choice, bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -45,7 +49,7 @@
 	found := false
 	parts := p.sharedParts(call, now)
 	for _, s := range p.services[call.Service] {
-		if slices.Contains(tried, s.ID) || !p.usable(s, now) {
+		if slices.Contains(tried, s.ID) || !p.mayReceive(s, now) {
 			continue
 		}
 		limitedNow := p.updateLimited(s)
@@ -58,10 +62,34 @@
 			best, bestServer, found = c, s, true
 		}
 	}
-	if len(limited) == 0 {
-		return best, found
+	if len(limited) > 0 {
+		return p.chooseWithLimited(best, found, limited)
 	}
-	return p.chooseWithLimited(best, found, limited)
+	if !found {
+		best.RetryAfter = p.backoffEnd(call.Service, now)
+		best.BackingOff = best.RetryAfter > 0
+	}
+	return best, found
+}
+
+// backoffEnd returns the time until the first server of a service accepts requests again, if
+// all that can be reached have asked for none. Otherwise it returns 0: it is not known when one
+// of the others accepts the call.
+func (p *Placer) backoffEnd(service string, now time.Time) time.Duration {
+	first := time.Duration(0)
+	for _, s := range p.services[service] {
+		if s.Leaving || s.superseded || now.Before(s.downUntil) {
+			continue
+		}
+		remaining := p.backoff.Remaining(s.ID)
+		if remaining == 0 {
+			return 0
+		}
+		if first == 0 || remaining < first {
+			first = remaining
+		}
+	}
+	return first
 }
 
 // updateLimited reports whether a server has a limit. When its limit has ended, the samples of its
@@ -111,19 +139,23 @@
 }
 
 // RetryAfter returns when a caller should retry a service whose servers are all at their
-// limits; firstRoom is the time until one of them accepts a request. Callers get successive
-// times at the rate that the servers accept. If all were given the same time, most would be
-// rejected again.
+// limits or have asked for no requests; firstRoom is the time until one of them accepts a
+// request. At servers with limits, callers get successive times at the rate that the servers
+// accept. If all were given the same time, most would be rejected again.
 func (p *Placer) RetryAfter(service string, firstRoom time.Duration) time.Duration {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	now := p.clock.Now()
-	rate := 0.0
+	rate, limited := 0.0, false
 	for _, s := range p.services[service] {
-		if p.usable(s, now) && p.limits.Limited(s.ID) {
+		if p.mayReceive(s, now) && p.limits.Limited(s.ID) {
+			limited = true
 			rate += p.limits.Rate(s.ID) / float64(p.settings.Gates)
 		}
 	}
+	if !limited {
+		return min(firstRoom+time.Duration(rand.Float64()*float64(retrySpread)), maxRetryAfter)
+	}
 	at, latest := now.Add(firstRoom), now.Add(maxRetryAfter)
 	if next := p.nextRetry[service]; next.After(at) {
 		at = next
@@ -142,6 +174,12 @@
 	return !s.hasRecentReport(now) || s.state.Phase == beechrollout.Serving
 }
 
+// mayReceive reports whether a request may be sent to a server now. One that has asked this
+// gate for none gets none, whatever its keeper reports: an overloaded server may look idle.
+func (p *Placer) mayReceive(s *server, now time.Time) bool {
+	return p.usable(s, now) && p.backoff.Remaining(s.ID) == 0
+}
+
 // hasRecentReport reports whether the keeper has reported within reportTTL.
 func (s *server) hasRecentReport(now time.Time) bool {
 	return !s.reportedAt.IsZero() && now.Sub(s.reportedAt) < reportTTL
@@ -273,10 +311,10 @@
 	return p.prefill.rate / p.paceFactor(s, now)
 }
 
-// StillUsable reports whether the chosen server may still be used after the choice's wait.
+// StillUsable reports whether a request may still be sent to the chosen server.
 func (p *Placer) StillUsable(c Choice) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	s, ok := p.byID[c.Server.ID]
-	return ok && p.usable(s, p.clock.Now())
+	return ok && p.mayReceive(s, p.clock.Now())
 }
--- a/internal/request/beechplace/placer.go
+++ b/internal/request/beechplace/placer.go
@@ -244,6 +244,7 @@
 	}
 	if s.Born != 0 {
 		p.limits.ServerRestarted(s.ID, start)
+		p.backoff.Forget(s.ID)
 		s.restartedAt = p.clock.Now()
 		s.weights = make(map[string]uint64)
 		s.pendingPrefill, s.failures = 0, 0
--- a/internal/request/beechplace/prefix.go
+++ b/internal/request/beechplace/prefix.go
@@ -66,12 +66,12 @@
 
 // homeServer selects, by rendezvous hashing, the engine that all gates use for a part of which
 // they have no record. Two gates that see a part for the first time at once then prefill it
-// only once. Servers with a limit are excluded, as most requests for the part would have to go
-// elsewhere.
+// only once. Servers with a limit or that have asked for no requests are excluded, as most
+// requests for the part would have to go elsewhere.
 func (p *Placer) homeServer(service, name string, now time.Time) string {
 	best, bestScore := "", uint64(0)
 	for _, s := range p.services[service] {
-		if !p.usable(s, now) || p.limits.Limited(s.ID) {
+		if !p.mayReceive(s, now) || p.limits.Limited(s.ID) {
 			continue
 		}
 		if score := xxhash.Sum64String(name + s.ID); best == "" || score > bestScore {
--- a/internal/request/beechplace/types.go
+++ b/internal/request/beechplace/types.go
@@ -70,7 +70,8 @@
 		StoreTokens      int            // part of Missing that is fetched from the KV cache store
 		PrefillTokens    int            // estimated tokens that the server has to prefill
 		LimitedServer    string         // ID of a cheaper server that was skipped because it is at its limit
-		RetryAfter       time.Duration  // if all usable servers are at their limits: time until one accepts a request
+		RetryAfter       time.Duration  // if all usable servers are at their limits or have asked for no requests: time until one accepts a request
+		BackingOff       bool           // RetryAfter is the time that servers have asked for
 	}
 
 	// Announce tells other gates, by way of the server's keeper, of a prompt with the given
