Log the store's era, dropped reads and the revision of a server's entry

The adapter reads Store-Era; a mirror logs that it rose, with both revisions, and the reads that it drops as outdated; 'server listed' has the revision of the entry. No decision changes.

--- a/internal/process/beechgate/configuration.go
+++ b/internal/process/beechgate/configuration.go
@@ -185,7 +185,7 @@
 			leaving++
 		}
 		if s.Zone == g.settings.Zone {
-			g.log.Info("server listed", zap.String("server", s.ID), zap.Stringer("peer", s.Address), zap.String("service", s.Service), zap.Bool("leaving", s.Leaving))
+			g.log.Info("server listed", zap.String("server", s.ID), zap.Stringer("peer", s.Address), zap.String("service", s.Service), zap.Bool("leaving", s.Leaving), zap.Uint64("revision", s.Revision))
 		}
 	}
 	for _, s := range removed {
--- a/internal/request/beechcall/configuration.go
+++ b/internal/request/beechcall/configuration.go
@@ -103,6 +103,7 @@
 		Address  netip.AddrPort
 		Zone     string
 		ListedAt uint64 // revision at which it was first listed; orders lifetimes
+		Revision uint64 // at which its entry was last written
 		Born     uint64 // start of the lifetime in Unix milliseconds; one ID may have several lifetimes; 0: not reported
 		Slots    int
 		Leaving  bool
--- a/internal/standin/beechsimulator/store.go
+++ b/internal/standin/beechsimulator/store.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"maps"
 	"net/http"
 	"slices"
 	"strconv"
@@ -19,6 +20,7 @@
 		history  []item
 		dropped  uint64 // revisions up to this one were compacted
 		revision uint64
+		era      uint64 // rises with each Restore
 		faults   StoreFaults
 		changed  chan struct{} // closed and replaced at each change
 		calls    map[string]int
@@ -33,6 +35,12 @@
 		Body   string        // sent instead of the response, as by another server
 	}
 
+	// Snapshot is a copy of the store's contents at one moment.
+	Snapshot struct {
+		items    map[string]item
+		revision uint64
+	}
+
 	item struct {
 		Key      string `json:"key"`
 		Value    []byte `json:"value,omitempty"`
@@ -54,12 +62,16 @@
 	}
 )
 
-// PageItems is the maximum number of items in a page of a range.
-const PageItems = 500
+const (
+	// PageItems is the maximum number of items in a page of a range.
+	PageItems = 500
+
+	headerEra = "Store-Era"
+)
 
 // NewStore returns an empty store.
 func NewStore() *Store {
-	return &Store{items: make(map[string]*item), revision: 1, changed: make(chan struct{}), calls: make(map[string]int)}
+	return &Store{items: make(map[string]*item), revision: 1, era: 1, changed: make(chan struct{}), calls: make(map[string]int)}
 }
 
 // Put writes a value and returns its revision. A value other than []byte is encoded as
@@ -109,6 +121,34 @@
 	s.changed = make(chan struct{})
 }
 
+// Snapshot returns a copy of the current contents.
+func (s *Store) Snapshot() Snapshot {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	copied := Snapshot{items: make(map[string]item, len(s.items)), revision: s.revision}
+	for key, it := range s.items {
+		copied.items[key] = *it
+	}
+	return copied
+}
+
+// Restore replaces the contents with a snapshot, as after a failure: later writes are lost, and
+// their revisions are given out again. The era rises by one.
+func (s *Store) Restore(from Snapshot) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	clear(s.items)
+	for key := range maps.Keys(from.items) {
+		it := from.items[key]
+		s.items[key] = &it
+	}
+	s.history = slices.DeleteFunc(s.history, func(it item) bool { return it.Revision > from.revision })
+	s.revision, s.dropped = from.revision, min(s.dropped, from.revision)
+	s.era++
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
 // SetFaults replaces the simulated faults.
 func (s *Store) SetFaults(f StoreFaults) {
 	s.mu.Lock()
@@ -127,8 +167,9 @@
 func (s *Store) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	s.mu.Lock()
 	s.calls[r.URL.Path]++
-	faults := s.faults
+	faults, era := s.faults, s.era
 	s.mu.Unlock()
+	w.Header().Set(headerEra, strconv.FormatUint(era, 10))
 	if faults.Silent {
 		<-r.Context().Done()
 		return
@@ -180,7 +221,8 @@
 	timeout := time.After(time.Duration(wait) * time.Millisecond)
 	for {
 		s.mu.Lock()
-		compacted := after < s.dropped
+		compacted := after < s.dropped || after > s.revision
+		era := s.era
 		found := watchPage{Events: []item{}, Current: s.revision}
 		for _, it := range s.history {
 			if it.Revision > after && strings.HasPrefix(it.Key, query.Get("pathPrefix")) && !deaf {
@@ -193,6 +235,7 @@
 			<-r.Context().Done()
 			return
 		}
+		w.Header().Set(headerEra, strconv.FormatUint(era, 10)) // it may have risen while the watch waited
 		if compacted {
 			w.WriteHeader(http.StatusGone)
 			return
--- a/internal/state/beechmirror/mirror.go
+++ b/internal/state/beechmirror/mirror.go
@@ -60,6 +60,7 @@
 	Page struct {
 		Items    []Item
 		Revision uint64
+		Era      uint64 // how often the store was restored from a copy; 0: not reported
 	}
 
 	// Source is the store.
@@ -106,6 +107,7 @@
 		items            map[string]Item
 		removed          map[string]uint64 // revisions of the removals that a watch has returned, by key
 		revision         uint64
+		era              uint64 // of the last reply
 		fullReadRevision uint64 // revision of the last full read, which includes all changes up to it
 		loaded           bool
 		failing          bool
@@ -243,6 +245,7 @@
 	if err != nil {
 		return false
 	}
+	m.observeEra(page)
 	if m.applyFullRead(page) {
 		m.restartWatch()
 	}
@@ -250,6 +253,17 @@
 	return true
 }
 
+// observeEra logs that the store was restored from a copy.
+func (m *Mirror) observeEra(p Page) {
+	m.mu.Lock()
+	era, revision, loaded := m.era, m.revision, m.loaded
+	m.era = p.Era
+	m.mu.Unlock()
+	if loaded && p.Era != era {
+		m.log.Warn("store restored", zap.Uint64("era", p.Era), zap.Uint64("was", era), zap.Uint64("revision", p.Revision), zap.Uint64("held", revision))
+	}
+}
+
 // restartWatch cancels a watch that has missed a change found by a full read. Its
 // connection may hang, and until its timeout changes would be noticed only by full reads.
 func (m *Mirror) restartWatch() {
@@ -357,6 +371,7 @@
 	if err != nil {
 		return err
 	}
+	m.observeEra(page)
 	keepMissing := m.applyWatch(page)
 	if len(page.Items) > 0 && m.settings.Forward != nil && !keepMissing {
 		m.settings.Forward(Changes{After: after, Page: page})
@@ -380,6 +395,7 @@
 	defer m.mu.Unlock()
 	m.lastFullRead, m.keptMissing = m.clock.Now(), m.keepsMissing()
 	if m.loaded && p.Revision < m.fullReadRevision {
+		m.log.Info("outdated read ignored", zap.Uint64("revision", p.Revision), zap.Uint64("held", m.fullReadRevision))
 		return false
 	}
 	changed = !m.loaded
