Revisions of the store are ordered by its era first

Cause: the order of what the store says was taken from its revisions alone. A restored store gives them out again, so a mirror took each read and change below the revision that it held for an outdated one. Watches begun there got 410, or went on without the changes between the copy and their revision. The same in copies and proofs of other gates, whose digests cover keys and revisions only. Class: an order taken from a number that its giver may give out again.

Within the mirror and in all items that it passes on, a revision has the era in its high bits. A reply of a higher era replaces the copy, one of a lower era neither replaces nor confirms it, and a watch does not go on over a restore. What the restored store lacks is kept as after an outage. One mirror that notices has the other read. A configuration of a later era replaces the one in force unless its version is lower.

Tests that failed before: TestServerLeavesAfterStoreIsRestored, TestServerLeavesAfterUnnoticedRestore, TestKeyIsRevokedAfterStoreIsRestored, TestConfigurationDoesNotRevertWithTheStore, TestFencingNumbersRiseAfterRestore; beechmirror's era tests.

--- a/internal/link/beechwire/wire_gen.go
+++ b/internal/link/beechwire/wire_gen.go
@@ -310,6 +310,9 @@
 	// Contains all changes after this revision,
 	After uint64 `msg:"After"`
 
+	// Era of the store in which both revisions were given out.
+	Era uint64 `msg:"Era"`
+
 	// List corresponds to the JSON schema field "List".
 	List []Entry `msg:"List"`
 
@@ -322,6 +325,9 @@
 	// Created corresponds to the JSON schema field "Created".
 	Created uint64 `msg:"Created"`
 
+	// Era of the store in which the revisions were read.
+	Era uint64 `msg:"Era"`
+
 	// Key corresponds to the JSON schema field "Key".
 	Key string `msg:"Key"`
 
@@ -538,6 +544,9 @@
 	// Digest of all keys and their revisions.
 	Digest uint64 `msg:"Digest"`
 
+	// Era of the store in which the revision was given out.
+	Era uint64 `msg:"Era"`
+
 	// The copy has all changes up to this one.
 	Revision uint64 `msg:"Revision"`
 
--- a/internal/link/beechwire/wire_msgp_gen.go
+++ b/internal/link/beechwire/wire_msgp_gen.go
@@ -2053,9 +2053,10 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *Entries) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// array header, size 3
-	o = append(o, 0x93)
+	// array header, size 4
+	o = append(o, 0x94)
 	o = msgp.AppendUint64(o, z.After)
+	o = msgp.AppendUint64(o, z.Era)
 	o = msgp.AppendArrayHeader(o, uint32(len(z.List)))
 	for za0001 := range z.List {
 		o, err = z.List[za0001].MarshalMsg(o)
@@ -2076,8 +2077,8 @@
 		err = msgp.WrapError(err)
 		return
 	}
-	if zb0001 != 3 {
-		err = msgp.ArrayError{Wanted: 3, Got: zb0001}
+	if zb0001 != 4 {
+		err = msgp.ArrayError{Wanted: 4, Got: zb0001}
 		return
 	}
 	z.After, bts, err = msgp.ReadUint64Bytes(bts)
@@ -2085,6 +2086,11 @@
 		err = msgp.WrapError(err, "After")
 		return
 	}
+	z.Era, bts, err = msgp.ReadUint64Bytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Era")
+		return
+	}
 	var zb0002 uint32
 	zb0002, bts, err = msgp.ReadArrayHeaderBytes(bts)
 	if err != nil {
@@ -2118,7 +2124,7 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *Entries) Msgsize() (s int) {
-	s = 1 + msgp.Uint64Size + msgp.ArrayHeaderSize
+	s = 1 + msgp.Uint64Size + msgp.Uint64Size + msgp.ArrayHeaderSize
 	for za0001 := range z.List {
 		s += z.List[za0001].Msgsize()
 	}
@@ -2129,9 +2135,10 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *Entry) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// array header, size 5
-	o = append(o, 0x95)
+	// array header, size 6
+	o = append(o, 0x96)
 	o = msgp.AppendUint64(o, z.Created)
+	o = msgp.AppendUint64(o, z.Era)
 	o = msgp.AppendString(o, z.Key)
 	o = msgp.AppendBool(o, z.Removed)
 	o = msgp.AppendUint64(o, z.Revision)
@@ -2147,8 +2154,8 @@
 		err = msgp.WrapError(err)
 		return
 	}
-	if zb0001 != 5 {
-		err = msgp.ArrayError{Wanted: 5, Got: zb0001}
+	if zb0001 != 6 {
+		err = msgp.ArrayError{Wanted: 6, Got: zb0001}
 		return
 	}
 	z.Created, bts, err = msgp.ReadUint64Bytes(bts)
@@ -2156,6 +2163,11 @@
 		err = msgp.WrapError(err, "Created")
 		return
 	}
+	z.Era, bts, err = msgp.ReadUint64Bytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Era")
+		return
+	}
 	z.Key, bts, err = msgp.ReadStringBytes(bts)
 	if err != nil {
 		err = msgp.WrapError(err, "Key")
@@ -2198,7 +2210,7 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *Entry) Msgsize() (s int) {
-	s = 1 + msgp.Uint64Size + msgp.StringPrefixSize + len(z.Key) + msgp.BoolSize + msgp.Uint64Size + msgp.BytesPrefixSize + len(z.Value)
+	s = 1 + msgp.Uint64Size + msgp.Uint64Size + msgp.StringPrefixSize + len(z.Key) + msgp.BoolSize + msgp.Uint64Size + msgp.BytesPrefixSize + len(z.Value)
 	return
 }
 
@@ -3256,10 +3268,11 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *Held) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// array header, size 4
-	o = append(o, 0x94)
+	// array header, size 5
+	o = append(o, 0x95)
 	o = msgp.AppendInt64(o, z.Age)
 	o = msgp.AppendUint64(o, z.Digest)
+	o = msgp.AppendUint64(o, z.Era)
 	o = msgp.AppendUint64(o, z.Revision)
 	o = msgp.AppendBool(o, z.Watched)
 	return
@@ -3273,8 +3286,8 @@
 		err = msgp.WrapError(err)
 		return
 	}
-	if zb0001 != 4 {
-		err = msgp.ArrayError{Wanted: 4, Got: zb0001}
+	if zb0001 != 5 {
+		err = msgp.ArrayError{Wanted: 5, Got: zb0001}
 		return
 	}
 	z.Age, bts, err = msgp.ReadInt64Bytes(bts)
@@ -3287,6 +3300,11 @@
 		err = msgp.WrapError(err, "Digest")
 		return
 	}
+	z.Era, bts, err = msgp.ReadUint64Bytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Era")
+		return
+	}
 	z.Revision, bts, err = msgp.ReadUint64Bytes(bts)
 	if err != nil {
 		err = msgp.WrapError(err, "Revision")
@@ -3303,7 +3321,7 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *Held) Msgsize() (s int) {
-	s = 1 + msgp.Int64Size + msgp.Uint64Size + msgp.Uint64Size + msgp.BoolSize
+	s = 1 + msgp.Int64Size + msgp.Uint64Size + msgp.Uint64Size + msgp.Uint64Size + msgp.BoolSize
 	return
 }
 
--- a/internal/process/beechgate/configuration.go
+++ b/internal/process/beechgate/configuration.go
@@ -35,12 +35,12 @@
 		g.log.Error("invalid operator document ignored", zap.Error(err))
 	}
 	previous := g.configuration.Load()
-	if c != nil && (previous == nil || c.Revision > previous.Revision) {
+	if c != nil && (previous == nil || supersedes(c, previous)) {
 		g.configuration.Store(c)
 		g.placer.SetConfiguration(c)
 		g.setQuotas(c)
 		g.limitConnections(c)
-		g.log.Info("configuration in force", zap.Uint64("version", c.Version), zap.Uint64("revision", c.Revision), zap.Int("routes", len(c.Routes)))
+		g.log.Info("configuration in force", zap.Uint64("version", c.Version), zap.Uint64("revision", plainRevision(c.Revision)), zap.Int("routes", len(c.Routes)))
 		if previous == nil {
 			g.refreshDuties()
 			g.requestFollow()
@@ -54,11 +54,30 @@
 		g.mu.Lock()
 		g.announced[version.Model] = announcedVersion{WeightsVersion: version, learnedAt: g.clock.Now()}
 		g.mu.Unlock()
-		g.log.Info("weights named", zap.String("model", version.Model), zap.Uint64("version", version.Version), zap.Uint64("revision", version.Revision))
+		g.log.Info("weights named", zap.String("model", version.Model), zap.Uint64("version", version.Version), zap.Uint64("revision", plainRevision(version.Revision)))
 		g.requestFollow()
 	}
 }
 
+// supersedes reports whether a configuration replaces the one in force. A restored store may
+// list one that operators have replaced since, and which they will write again; until then the
+// one in force stays.
+func supersedes(c, inForce *beechcall.Configuration) bool {
+	if beechmirror.SameEra(c.Revision, inForce.Revision) {
+		return c.Revision > inForce.Revision
+	}
+	return c.Revision > inForce.Revision && c.Version >= inForce.Version
+}
+
+// readOperators has the operators' documents read now.
+func (g *Gate) readOperators() { g.operatorMirror.ReadNow() }
+
+// plainRevision returns a revision as the store shows it.
+func plainRevision(ordered uint64) uint64 {
+	_, revision := beechmirror.SplitRevision(ordered)
+	return revision
+}
+
 // limitConnections bounds this gate's connections to each server, so that all gates together
 // stay within what the server accepts.
 func (g *Gate) limitConnections(c *beechcall.Configuration) {
@@ -185,7 +204,7 @@
 			leaving++
 		}
 		if s.Zone == g.settings.Zone {
-			g.log.Info("server listed", zap.String("server", s.ID), zap.Stringer("peer", s.Address), zap.String("service", s.Service), zap.Bool("leaving", s.Leaving), zap.Uint64("revision", s.Revision))
+			g.log.Info("server listed", zap.String("server", s.ID), zap.Stringer("peer", s.Address), zap.String("service", s.Service), zap.Bool("leaving", s.Leaving), zap.Uint64("revision", plainRevision(s.Revision)))
 		}
 	}
 	for _, s := range removed {
--- a/internal/process/beechgate/copies.go
+++ b/internal/process/beechgate/copies.go
@@ -187,7 +187,8 @@
 	if role := g.readers.Role(); role == beechreader.ZoneFirst || role == beechreader.ZoneSecond {
 		watched = watched || m.WatchedByPeer()
 	}
-	return beechwire.Held{Digest: held.Digest, Revision: held.Revision, Age: (age + time.Millisecond - 1).Milliseconds(), Watched: watched}
+	era, revision := beechmirror.SplitRevision(held.Revision)
+	return beechwire.Held{Digest: held.Digest, Revision: revision, Era: era, Age: (age + time.Millisecond - 1).Milliseconds(), Watched: watched}
 }
 
 func (g *Gate) receiveInquiry(from netip.AddrPort, number uint64) {
@@ -209,6 +210,7 @@
 	confirmed, proof := g.readers.ConfirmedAt(number, time.Duration(h.Age)*time.Millisecond)
 	status := beechmirror.CopyStatus{Digest: h.Digest, Watching: h.Watched, Confirmed: proof, ConfirmedAt: confirmed}
 	held, known := m.Held()
+	revision := beechmirror.OrderedRevision(h.Era, h.Revision)
 	switch {
 	case known && held.Digest == h.Digest:
 		m.ApplyPeerStatus(status)
@@ -217,11 +219,11 @@
 		} else {
 			g.metrics.proofs.Add("no proof", 1)
 		}
-	case known && h.Revision < held.Revision:
+	case known && revision < held.Revision:
 		g.metrics.proofs.Add("older copy", 1)
 	default:
 		g.metrics.proofs.Add("another copy", 1)
-		g.fetchCopy(from, m, prefix, h.Revision, status)
+		g.fetchCopy(from, m, prefix, revision, status)
 	}
 }
 
@@ -372,7 +374,8 @@
 		return p.data, true, nil
 	}
 	page, _ := m.Copy()
-	entries := beechwire.Entries{Revision: page.Revision, List: wireEntries(page.Items)}
+	era, revision := beechmirror.SplitRevision(page.Revision)
+	entries := beechwire.Entries{Revision: revision, Era: era, List: wireEntries(page.Items)}
 	encoded, err := entries.MarshalMsg(nil)
 	if err != nil {
 		return nil, true, err
@@ -429,14 +432,15 @@
 func packEntries(c beechmirror.Changes) []*beechwire.Entries {
 	slices.SortFunc(c.Items, func(x, y beechmirror.Item) int { return cmp.Compare(x.Revision, y.Revision) })
 	var messages []*beechwire.Entries
-	after := c.After
+	era, after := beechmirror.SplitRevision(c.After)
 	for list := range slices.Chunk(c.Items, maxEntriesPerDatagram) {
-		message := &beechwire.Entries{After: after, Revision: list[len(list)-1].Revision, List: wireEntries(list)}
-		after = message.Revision
+		_, last := beechmirror.SplitRevision(list[len(list)-1].Revision)
+		message := &beechwire.Entries{After: after, Revision: last, Era: era, List: wireEntries(list)}
+		after = last
 		messages = append(messages, message)
 	}
 	if len(messages) > 0 {
-		messages[len(messages)-1].Revision = c.Revision
+		_, messages[len(messages)-1].Revision = beechmirror.SplitRevision(c.Revision)
 	}
 	return messages
 }
@@ -444,16 +448,19 @@
 func wireEntries(items []beechmirror.Item) []beechwire.Entry {
 	list := make([]beechwire.Entry, 0, len(items))
 	for _, item := range items {
-		list = append(list, beechwire.Entry{Key: item.Key, Value: item.Value, Revision: item.Revision, Created: item.Created, Removed: item.Removed})
+		era, revision := beechmirror.SplitRevision(item.Revision)
+		_, created := beechmirror.SplitRevision(item.Created)
+		list = append(list, beechwire.Entry{Key: item.Key, Value: item.Value, Revision: revision, Created: created, Era: era, Removed: item.Removed})
 	}
 	return list
 }
 
 func entriesPage(e *beechwire.Entries) beechmirror.Page {
-	page := beechmirror.Page{Revision: e.Revision}
+	page := beechmirror.Page{Revision: beechmirror.OrderedRevision(e.Era, e.Revision)}
 	for _, entry := range e.List {
 		page.Items = append(page.Items, beechmirror.Item{
-			Key: entry.Key, Value: entry.Value, Revision: entry.Revision, Created: entry.Created, Removed: entry.Removed,
+			Key: entry.Key, Revision: beechmirror.OrderedRevision(entry.Era, entry.Revision), Created: beechmirror.OrderedRevision(entry.Era, entry.Created),
+			Value: entry.Value, Removed: entry.Removed,
 		})
 	}
 	return page
@@ -465,7 +472,7 @@
 	if !g.isKnownGate(from) || len(e.List) == 0 {
 		return
 	}
-	changes := beechmirror.Changes{After: e.After, Page: entriesPage(e.Entries)}
+	changes := beechmirror.Changes{After: beechmirror.OrderedRevision(e.Era, e.After), Page: entriesPage(e.Entries)}
 	m := g.serverMirror
 	if strings.HasPrefix(e.List[0].Key, g.deps.OperatorPrefix) {
 		m = g.operatorMirror
--- a/internal/process/beechgate/gate.go
+++ b/internal/process/beechgate/gate.go
@@ -186,10 +186,10 @@
 	}, deps.Clock, g.health, g.limits, g.overloaded, g.backoff, g.announcePrompt)
 	g.core = beechattempt.New(g.placer, deps.Backend, deps.Pool, g.budgets, g.suspects, g, deps.Clock, deps.Log)
 	g.serverMirror = beechmirror.New(beechmirror.Settings{
-		Prefix: deps.ServerPrefix, MaxAge: serverReadAges.Others, StartAge: serverReadAges.First - startWait, ReadTimeout: readTimeout, WatchTimeout: serverWatchTimeout, WatchPause: serverWatchPause, RemovalDelay: removalDelay, Forward: g.forwardChanges,
+		Prefix: deps.ServerPrefix, MaxAge: serverReadAges.Others, StartAge: serverReadAges.First - startWait, ReadTimeout: readTimeout, WatchTimeout: serverWatchTimeout, WatchPause: serverWatchPause, RemovalDelay: removalDelay, OnRestored: g.readOperators, Forward: g.forwardChanges,
 	}, deps.Source, beechfresh.New(deps.Age), deps.Clock, deps.Log, g.setServers)
 	g.operatorMirror = beechmirror.New(beechmirror.Settings{
-		Prefix: deps.OperatorPrefix, MaxAge: operatorReadAges.Others, StartAge: operatorReadAges.First - startWait, ReadTimeout: readTimeout, WatchTimeout: operatorWatchTimeout, WatchPause: operatorWatchPause, OnStoreLost: g.serverMirror.ReadNow, Forward: g.forwardChanges,
+		Prefix: deps.OperatorPrefix, MaxAge: operatorReadAges.Others, StartAge: operatorReadAges.First - startWait, ReadTimeout: readTimeout, WatchTimeout: operatorWatchTimeout, WatchPause: operatorWatchPause, OnStoreLost: g.serverMirror.ReadNow, OnRestored: g.serverMirror.ReadNow, Forward: g.forwardChanges,
 	}, deps.Source, g.freshness, deps.Clock, deps.Log, g.setOperators)
 	g.supervisor = suture.New("gate", suture.Spec{EventHook: beechlog.SupervisorHook(deps.Log)})
 	for _, task := range []beechtask.Task{
--- a/internal/state/beechmirror/mirror.go
+++ b/internal/state/beechmirror/mirror.go
@@ -7,7 +7,16 @@
 // reaches a maximum age. These full reads are linearizable, and only they confirm the copy,
 // which means that its age starts again from the time at which the read was sent.
 //
-// Revisions never decrease: replies that are older than the copy are ignored.
+// Replies that are older than the copy are ignored.
+//
+// # Restores of the store
+//
+// The store may come back from a copy that lacks its latest writes. It then gives out their
+// revisions again, and its era rises by one with each restore. Revisions are therefore
+// ordered by era first (OrderedRevision): a reply of a higher era is newer than the copy, and
+// one of a lower era is a late one. A watch cannot go on over a restore, since the changes
+// between the store's copy and the watch's revision would be missing; a full read replaces
+// it. What the restored store lacks is kept for RemovalDelay, as after an outage.
 //
 // # Sharing with peers
 //
@@ -51,8 +60,8 @@
 	Item struct {
 		Key      string
 		Value    []byte
-		Revision uint64 // of the last change
-		Created  uint64 // revision of the creation
+		Revision uint64 // of the last change; ordered, unless the item comes from a Source
+		Created  uint64 // revision of the creation; the same
 		Removed  bool
 	}
 
@@ -60,7 +69,7 @@
 	Page struct {
 		Items    []Item
 		Revision uint64
-		Era      uint64 // how often the store was restored from a copy; 0: not reported
+		Era      uint64 // rises each time that the store is restored from a copy; 0: not reported
 	}
 
 	// Source is the store.
@@ -92,6 +101,7 @@
 		RemovalDelay time.Duration // how long missing items are kept after the store has recovered; 0: not at all
 		Forward      func(Changes) // called with the changes from a watch, to send them to peers; may be nil
 		OnStoreLost  func()        // called when a full read fails and the previous one did not; may be nil
+		OnRestored   func()        // called when a reply shows that the store was restored; may be nil
 	}
 
 	// Mirror is a local copy of the items under a prefix. It is safe for concurrent use.
@@ -107,7 +117,6 @@
 		items            map[string]Item
 		removed          map[string]uint64 // revisions of the removals that a watch has returned, by key
 		revision         uint64
-		era              uint64 // of the last reply
 		fullReadRevision uint64 // revision of the last full read, which includes all changes up to it
 		loaded           bool
 		failing          bool
@@ -126,6 +135,8 @@
 // requested revision.
 var ErrCompacted = errors.New("the store has dropped the history after this revision")
 
+var errOtherEra = errors.New("the watch began in another era of the store")
+
 const (
 	// missingReadInterval is the time between full reads while missing items are kept.
 	// The first full read after RemovalDelay removes them.
@@ -245,7 +256,10 @@
 	if err != nil {
 		return false
 	}
-	m.observeEra(page)
+	page = page.ordered()
+	if !m.observeEra(page.Revision) {
+		return false
+	}
 	if m.applyFullRead(page) {
 		m.restartWatch()
 	}
@@ -253,15 +267,31 @@
 	return true
 }
 
-// observeEra logs that the store was restored from a copy.
-func (m *Mirror) observeEra(p Page) {
+// observeEra notices that the store was restored. It returns false if a reply is of an earlier
+// era than the copy, so that it proves nothing.
+func (m *Mirror) observeEra(revision uint64) (current bool) {
 	m.mu.Lock()
-	era, revision, loaded := m.era, m.revision, m.loaded
-	m.era = p.Era
+	held, loaded := m.revision, m.loaded
+	restored := loaded && !SameEra(revision, held) && revision > held
+	if restored {
+		m.recoveredAt = m.clock.Now() // what the copy lacks is written again
+	}
 	m.mu.Unlock()
-	if loaded && p.Era != era {
-		m.log.Warn("store restored", zap.Uint64("era", p.Era), zap.Uint64("was", era), zap.Uint64("revision", p.Revision), zap.Uint64("held", revision))
+	if !loaded || SameEra(revision, held) {
+		return true
+	}
+	era, number := SplitRevision(revision)
+	was, heldNumber := SplitRevision(held)
+	fields := []zap.Field{zap.Uint64("era", era), zap.Uint64("was", was), zap.Uint64("revision", number), zap.Uint64("held", heldNumber)}
+	if !restored {
+		m.log.Info("reply of an earlier era ignored", fields...)
+		return false
+	}
+	m.log.Warn("store restored", fields...)
+	if m.settings.OnRestored != nil {
+		m.settings.OnRestored()
 	}
+	return true
 }
 
 // restartWatch cancels a watch that has missed a change found by a full read. Its
@@ -338,7 +368,8 @@
 		return
 	}
 	if errors.Is(err, ErrCompacted) {
-		m.log.Info("history dropped, reading all", zap.Uint64("after", after))
+		_, plain := SplitRevision(after)
+		m.log.Info("history dropped, reading all", zap.Uint64("after", plain))
 	} else {
 		m.log.Debug("watch failed, reading all", zap.Error(err))
 	}
@@ -358,20 +389,26 @@
 	m.mu.Lock()
 	m.cancelWatch, m.watching = end, true
 	m.mu.Unlock()
-	page, err := m.source.Watch(cancelable, m.settings.Prefix, after, m.settings.WatchTimeout)
+	_, plain := SplitRevision(after)
+	page, err := m.source.Watch(cancelable, m.settings.Prefix, plain, m.settings.WatchTimeout)
 	m.mu.Lock()
 	m.cancelWatch = nil
 	m.mu.Unlock()
 	restarted := cancelable.Err() != nil && limited.Err() == nil
 	end()
 	if restarted {
-		m.log.Info("watch missed a change that a full read found", zap.Uint64("after", after))
+		_, plain := SplitRevision(after)
+		m.log.Info("watch missed a change that a full read found", zap.Uint64("after", plain))
 		return nil
 	}
 	if err != nil {
 		return err
 	}
-	m.observeEra(page)
+	page = page.ordered()
+	if !SameEra(page.Revision, after) {
+		m.observeEra(page.Revision)
+		return errOtherEra
+	}
 	keepMissing := m.applyWatch(page)
 	if len(page.Items) > 0 && m.settings.Forward != nil && !keepMissing {
 		m.settings.Forward(Changes{After: after, Page: page})
@@ -395,7 +432,9 @@
 	defer m.mu.Unlock()
 	m.lastFullRead, m.keptMissing = m.clock.Now(), m.keepsMissing()
 	if m.loaded && p.Revision < m.fullReadRevision {
-		m.log.Info("outdated read ignored", zap.Uint64("revision", p.Revision), zap.Uint64("held", m.fullReadRevision))
+		_, revision := SplitRevision(p.Revision)
+		_, held := SplitRevision(m.fullReadRevision)
+		m.log.Info("outdated read ignored", zap.Uint64("revision", revision), zap.Uint64("held", held))
 		return false
 	}
 	changed = !m.loaded
--- a/internal/state/beechmirror/peers.go
+++ b/internal/state/beechmirror/peers.go
@@ -16,7 +16,7 @@
 		Page
 	}
 
-	// Held describes a copy, to decide whether it should be fetched.
+	// Held describes a copy, with its ordered revision, to decide whether it should be fetched.
 	Held struct {
 		Digest   uint64
 		Revision uint64
@@ -112,6 +112,9 @@
 			changed = true
 		}
 	}
+	if m.loaded && !SameEra(p.Revision, m.revision) {
+		m.recoveredAt = m.clock.Now() // what the restored store lacks is written again
+	}
 	m.items, m.revision, m.fullReadRevision, m.loaded = next, p.Revision, max(m.fullReadRevision, p.Revision), true
 	if changed {
 		m.notifyChanged()
