A server whose departure the restored store has lost stays excluded

Seen in a test: with reads ordered by era, a store whose copy lists a server as ready that gates know to be leaving, or gone, gets it 193 requests in 4 s while the others refuse.

Cause: what a gate knew of the seconds that the store has lost was replaced by the copy's older entry, as if the server had written it. Class: a restored value taken for a new one.

A gate keeps such a server as leaving until its entry is written again in the new era or belongs to another lifetime; one that is gone is remembered for 30 s, as a dead server's entry expires sooner.

--- a/internal/process/beechgate/configuration.go
+++ b/internal/process/beechgate/configuration.go
@@ -124,6 +124,7 @@
 	g.logEntryError(err)
 	g.mu.Lock()
 	previous := g.servers
+	g.departures.retain(previous, servers)
 	g.servers = servers
 	g.mu.Unlock()
 	ids := make([]string, 0, len(servers))
--- a/internal/process/beechgate/gate.go
+++ b/internal/process/beechgate/gate.go
@@ -98,6 +98,7 @@
 		mu          sync.Mutex
 		announced   map[string]announcedVersion
 		servers     []beechcall.Server
+		departures  *departures
 		gates       int
 		recentGates recentMax // maximum of the numbers of members
 
@@ -166,6 +167,7 @@
 		quotas:      beechquota.New(s.Name, rand.Uint64(), quotaBounds(s.Bounds.Quota), deps.Clock),
 		loans:       beechretry.NewLender(deps.Clock),
 		announced:   make(map[string]announcedVersion),
+		departures:  newDepartures(deps.Clock),
 		rolloutPace: beechrollout.NewLoadWindow(),
 		followDue:   make(chan struct{}, 1),
 		turnEnded:   make(chan struct{}, 1), usageDue: make(chan struct{}, 1), limitsDue: make(chan struct{}, 1), overloadsDue: make(chan struct{}, 1),
