A version's fencing number never decreases at a keeper

After a restore of the store, a gate that has started since knows the same version of weights under a higher fencing number than the others, and a keeper took whichever gate had told it last. An order under the lower one after one under the higher one is refused by engines that check, and taken by the others. Gates take the higher number of a version that they know, and keepers keep the highest they were told.

--- a/internal/process/beechgate/configuration.go
+++ b/internal/process/beechgate/configuration.go
@@ -49,6 +49,7 @@
 	}
 	for _, version := range named {
 		if !g.placer.SetLatestVersion(version.Model, version.Version) {
+			g.raiseFence(version)
 			continue
 		}
 		g.mu.Lock()
@@ -69,6 +70,17 @@
 	return c.Revision > inForce.Revision && c.Version >= inForce.Version
 }
 
+// raiseFence takes the fencing number of a version that is known, if it is higher: after a
+// restore of the store, gates that have started since know only the new one.
+func (g *Gate) raiseFence(version beechcall.WeightsVersion) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if known, ok := g.announced[version.Model]; ok && known.Version == version.Version && known.Revision < version.Revision {
+		known.Revision = version.Revision
+		g.announced[version.Model] = known
+	}
+}
+
 // readOperators has the operators' documents read now.
 func (g *Gate) readOperators() { g.operatorMirror.ReadNow() }
 
--- a/internal/request/beechrollout/updater.go
+++ b/internal/request/beechrollout/updater.go
@@ -138,6 +138,11 @@
 		return
 	}
 	draining := !u.drainingSince.IsZero() && !u.orderPending
+	if ok && old.Version == target.Version {
+		// Gates may know different numbers after a restore of the store, and an engine must
+		// not get an order under a lower one than before.
+		target.Fence = max(target.Fence, old.Fence)
+	}
 	if ok && old.Granted && (old.Version == target.Version || draining) {
 		target.Granted = true
 	}
