--- a/internal/standin/beechsimulator/engine.go
+++ b/internal/standin/beechsimulator/engine.go
@@ -42,6 +42,7 @@
 		faults        EngineFaults
 		orders        []Order
 		limit         string // Server-Limit of each response; empty is none
+		leaving       bool   // each response says so
 		born          int64  // start in Unix milliseconds; 0 is not reported
 		arrivals      []time.Time
 	}
@@ -79,6 +80,7 @@
 	headerWeightVersion = "Beechring-Weight-Versions"
 	headerLoad          = "Beechring-Server-Load"
 	headerLimit         = "Server-Limit"
+	headerLeaving       = "Server-Leaving"
 	headerTokenUsage    = "Beechring-Token-Usage"
 	eventPollInterval   = 10 * time.Millisecond
 	defaultSlots        = 8
@@ -156,6 +158,13 @@
 	e.limit = text
 }
 
+// SetLeaving has each response say from now on whether the engine is leaving.
+func (e *Engine) SetLeaving(leaving bool) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.leaving = leaving
+}
+
 // Arrivals returns the times at which requests arrived, including refused ones.
 func (e *Engine) Arrivals() []time.Time {
 	e.mu.Lock()
@@ -187,7 +196,7 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.born = time.Now().UnixMilli()
-	e.limit, e.sequence, e.busy = "", 0, false
+	e.limit, e.sequence, e.busy, e.leaving = "", 0, false, false
 	clear(e.cached)
 	e.events = nil
 }
@@ -202,6 +211,11 @@
 // ServeHTTP serves reports, orders and cache calls, and any other path as a caller's
 // request.
 func (e *Engine) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	e.mu.Lock()
+	if e.leaving {
+		w.Header().Set(headerLeaving, "1")
+	}
+	e.mu.Unlock()
 	switch r.URL.Path {
 	case "/beechring/report":
 		e.report(w)
