--- a/internal/state/beechmirror/mirror.go
+++ b/internal/state/beechmirror/mirror.go
@@ -277,10 +277,14 @@
 		m.recoveredAt = m.clock.Now() // what the copy lacks is written again
 	}
 	m.mu.Unlock()
-	if !loaded || SameEra(revision, held) {
+	era, number := SplitRevision(revision)
+	if !loaded {
+		m.log.Info("store read", zap.Uint64("era", era), zap.Uint64("revision", number))
+		return true
+	}
+	if SameEra(revision, held) {
 		return true
 	}
-	era, number := SplitRevision(revision)
 	was, heldNumber := SplitRevision(held)
 	fields := []zap.Field{zap.Uint64("era", era), zap.Uint64("was", was), zap.Uint64("revision", number), zap.Uint64("held", heldNumber)}
 	if !restored {
