--- a/internal/command/beechplay/soak_test.go
+++ b/internal/command/beechplay/soak_test.go
@@ -67,6 +67,7 @@
 		random  *rand.Rand
 		client  *http.Client
 		gates   []string
+		copied  beechsimulator.Snapshot // from which the store is restored
 
 		mu              sync.Mutex
 		statuses        map[string]int // status by request ID; 0 if there was no answer
@@ -197,6 +198,7 @@
 		statuses: make(map[string]int), atMostOnce: make(map[string]bool), revocableSentAt: make(map[string]time.Time),
 	}
 	s.deploy()
+	s.copied = w.Store.Snapshot()
 	s.sendRequests()
 	s.check()
 	s.client.CloseIdleConnections()
@@ -300,13 +302,22 @@
 	case 5:
 		s.cluster.Store.SetFaults(beechsimulator.StoreFaults{})
 		s.setStoreLost(false)
-		s.cluster.Store.Compact()
+		if version%2 == 0 {
+			s.cluster.Store.RestoreAndRewrite(s.copied)
+		} else {
+			s.cluster.Store.Compact()
+		}
+		s.copied = s.cluster.Store.Snapshot()
 	case 6:
 		s.cluster.SetWeights(version)
 	case 7:
 		s.revoke(version)
 	default:
-		engine.SetFaults(troubles[s.random.IntN(len(troubles))])
+		trouble := troubles[s.random.IntN(len(troubles))]
+		if trouble.Refuse && version%2 == 0 {
+			trouble.RetryAfter = "1.5"
+		}
+		engine.SetFaults(trouble)
 	}
 }
 
@@ -407,7 +418,12 @@
 		}
 	}
 	for name, e := range s.cluster.Engines {
+		fence := uint64(0)
 		for _, o := range e.Orders() {
+			if o.Fence < fence {
+				s.t.Errorf("%s: got an order under %d after one under %d", name, o.Fence, fence)
+			}
+			fence = o.Fence
 			if o.Holder != "keeper-"+name {
 				s.t.Errorf("%s: got an order from %s", name, o.Holder)
 			}
--- a/internal/standin/beechsimulator/store.go
+++ b/internal/standin/beechsimulator/store.go
@@ -132,6 +132,22 @@
 	return copied
 }
 
+// RestoreAndRewrite restores the store, after which its writers write again what was lost.
+func (s *Store) RestoreAndRewrite(from Snapshot) {
+	lost := s.Snapshot().items
+	s.Restore(from)
+	for key, it := range lost {
+		if it.Revision > from.revision {
+			s.Put(key, it.Value)
+		}
+	}
+	for key := range from.items {
+		if _, kept := lost[key]; !kept {
+			s.Remove(key)
+		}
+	}
+}
+
 // Restore replaces the contents with a snapshot, as after a failure: later writes are lost, and
 // their revisions are given out again. The era rises by one.
 func (s *Store) Restore(from Snapshot) {
