An agent sends nothing to a backend server that has asked for no requests

It keeps to the time now, for new requests and for those that waited in its queue, and tells entry hosts how much of it is left; a restart of the server ends it. TestBackendThatAsksForBackoffGetsNoRequests fails without the checks. Entry hosts hear the time with each refusal; that they choose another agent meanwhile is as before.

--- a/internal/process/beechagent/admission.go
+++ b/internal/process/beechagent/admission.go
@@ -38,6 +38,9 @@
 	if a.leaving.Load() {
 		return a.refusal(beechwire.ReasonLeaving, shortRetryDelay, "backend server is leaving")
 	}
+	if reply := a.admitBackoff(); reply != nil {
+		return reply
+	}
 	if len(body) != r.BodyBytes {
 		return a.refusal(beechwire.ReasonMalformed, 0, "body has %d bytes, %d were announced", len(body), r.BodyBytes)
 	}
@@ -53,6 +56,17 @@
 	return a.admitSuspect(r)
 }
 
+// admitBackoff refuses a request while the backend server has asked for none.
+func (a *Agent) admitBackoff() beechlink.Reply {
+	if remaining := a.backoff.Remaining(a.backendName()); remaining > 0 {
+		return a.refusal(beechwire.ReasonBusy, remaining, "the backend server has asked for no requests")
+	}
+	return nil
+}
+
+// backendName names the backend server in the tracker of backoffs.
+func (a *Agent) backendName() string { return a.settings.Backend.String() }
+
 // admitGeneration compares the configuration generation under which the entry
 // host admitted the request with the agent's own. If the entry host's is newer,
 // the agent pulls it first. If it is older, the request is refused, and the
--- a/internal/process/beechagent/agent.go
+++ b/internal/process/beechagent/agent.go
@@ -13,6 +13,7 @@
 	"github.com/thejerf/suture/v4"
 	"go.uber.org/zap"
 
+	"github.com/beechring/beechring/internal/decision/beechbackoff"
 	"github.com/beechring/beechring/internal/decision/beechsuspect"
 	"github.com/beechring/beechring/internal/link/beechlink"
 	"github.com/beechring/beechring/internal/link/beechwire"
@@ -57,6 +58,7 @@
 		scheduler       *scheduler
 		generations     *generationRegistry
 		backend         *backendState
+		backoff         *beechbackoff.Tracker // time for which the backend server has asked for no requests
 		entryHosts      *entryHosts
 		running         *activeRuns
 		usedClaims      *usedClaims
@@ -110,6 +112,7 @@
 		running:           newActiveRuns(),
 		usedClaims:        newUsedClaims(),
 		placements:        newPlacements(d.Clock),
+		backoff:           beechbackoff.New(d.Clock),
 		pendingOutcomes:   newPendingOutcomes(d.Clock),
 		generationContext: generationContext,
 		cancelGenerations: cancelGenerations,
--- a/internal/process/beechagent/attempt.go
+++ b/internal/process/beechagent/attempt.go
@@ -236,6 +236,9 @@
 	var refused *beechbackend.Refused
 	switch {
 	case errors.As(err, &refused):
+		if refused.Status == http.StatusServiceUnavailable || refused.Status == http.StatusTooManyRequests {
+			a.backoff.Record(a.backendName(), refused.After)
+		}
 		return a.refusal(beechwire.ReasonBusy, max(refused.After, shortRetryDelay), "the backend server refused it")
 	case beechbackend.NotRun(err):
 		if a.isEngine() {
--- a/internal/process/beechagent/backend.go
+++ b/internal/process/beechagent/backend.go
@@ -164,7 +164,7 @@
 	}
 	a.updateAlive(true, nil)
 	if ended := a.backend.setReport(report); ended != 0 {
-		a.recordCrash(ended)
+		a.observeRestart(ended)
 	}
 	a.index.StartIncarnation(report.Incarnation)
 	a.scheduler.wake()
@@ -233,6 +233,12 @@
 	return out
 }
 
+// observeRestart is called when the backend server has restarted, with the ended incarnation.
+func (a *Agent) observeRestart(ended uint64) {
+	a.backoff.Forget(a.backendName())
+	a.recordCrash(ended)
+}
+
 // recordCrash reports the requests that were running at the ended incarnation to the
 // registry of suspects, once per incarnation.
 func (a *Agent) recordCrash(ended uint64) {
--- a/internal/process/beechagent/runner.go
+++ b/internal/process/beechagent/runner.go
@@ -45,6 +45,11 @@
 		a.finishGeneration(g, a.refusal(beechwire.ReasonCancelled, 0, "given up while it waited"))
 		return nil
 	}
+	if reply := a.admitBackoff(); reply != nil {
+		a.scheduler.finish(id, beechqueue.Usage{})
+		a.finishGeneration(g, reply)
+		return nil
+	}
 	report, alive := a.backend.last()
 	if !alive {
 		// The server crashed while the request waited. If the request were sent
