--- a/internal/state/beechstore/fake.go
+++ b/internal/state/beechstore/fake.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"maps"
 	"slices"
 	"sync"
 	"time"
@@ -50,6 +51,12 @@
 		lease   string
 	}
 
+	// FakeSnapshot is a copy of a Fake's keys at one moment.
+	FakeSnapshot struct {
+		revision uint64
+		values   map[string]fakeValue
+	}
+
 	fakeLease struct {
 		ttl     time.Duration
 		expires time.Time
@@ -108,6 +115,24 @@
 	}
 }
 
+// Snapshot returns a copy of the current keys.
+func (f *Fake) Snapshot() FakeSnapshot {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return FakeSnapshot{revision: f.revision, values: maps.Clone(f.values)}
+}
+
+// Restore replaces the contents with a snapshot, as after a failure: later writes and all leases
+// are lost, and versions are given out again.
+func (f *Fake) Restore(from FakeSnapshot) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.revision, f.values = from.revision, maps.Clone(from.values)
+	maps.DeleteFunc(f.values, func(_ string, v fakeValue) bool { return v.lease != "" })
+	clear(f.leases)
+	f.notifyWatchers()
+}
+
 // Counts returns the numbers of calls so far.
 func (f *Fake) Counts() Counts {
 	f.mu.Lock()
