--- a/internal/standin/beechsimulator/engine.go
+++ b/internal/standin/beechsimulator/engine.go
@@ -50,7 +50,7 @@
 	// EngineFaults are the faults that an engine simulates.
 	EngineFaults struct {
 		Refuse       bool   // every request is refused as not executed
-		RetryAfter   string // Retry-After of refusals; empty is none
+		RetryAfter   string // Retry-After of refusals and of responses with Status; empty is none
 		Hang         bool   // requests run and get no response
 		Drop         bool   // requests run and the connection is reset
 		CutAfter     int    // number of events after which a stream is cut; 0 is never
@@ -366,6 +366,9 @@
 	case faults.Drop:
 		panic(http.ErrAbortHandler)
 	case faults.Status != 0:
+		if faults.RetryAfter != "" {
+			w.Header().Set("Retry-After", faults.RetryAfter)
+		}
 		w.WriteHeader(faults.Status)
 	case e.settings.Model == "":
 		_, _ = fmt.Fprintf(w, "%s %s %d", r.Method, r.URL.RequestURI(), len(body))
