A rejection tells of its server also if its caller has just left

What a rejection says of a server (limit, load, time to back off, leaving) was passed over if the caller had left by the time it was read, so the next request went there. Found by reading; TestBackoffIsKnownThoughTheCallerHasLeft fails before.

--- a/internal/request/beechattempt/attempt_test.go
+++ b/internal/request/beechattempt/attempt_test.go
@@ -495,3 +495,20 @@
 		_, _ = lastEventID(data)
 	})
 }
+
+// A server asks for no requests in its answer to a call whose caller has just left. The next call
+// must not be sent there.
+func TestBackoffIsKnownThoughTheCallerHasLeft(t *testing.T) {
+	is := is.New(t)
+	ctx, leave := context.WithCancel(context.Background())
+	f := newFixture(1, 0, func(_ context.Context, a beechcall.Attempt) (*beechcall.Answer, error) {
+		leave()
+		return nil, beechcall.NotExecuted{Peer: a.Server.Address, Status: http.StatusServiceUnavailable, Backoff: time.Minute}
+	})
+	f.serve(ctx, f.call(beechcall.AtMostOnce, false))
+	c := f.serve(context.Background(), f.call(beechcall.AtMostOnce, false))
+	is.Equal(len(f.backend.sent), 1)
+	refusal, ok := c.rejection.(NotExecuted)
+	is.True(ok)
+	is.True(refusal.RetryAfter > time.Second)
+}
--- a/internal/request/beechattempt/run.go
+++ b/internal/request/beechattempt/run.go
@@ -303,13 +303,19 @@
 // handleFailure decides what follows an attempt without a complete answer.
 func (r *execution) handleFailure(choice beechplace.Choice, placement *beechplace.Attempt, watch *watchdog, err error) verdict {
 	watch.stop()
+	var notExecuted beechcall.NotExecuted
+	if errors.As(err, &notExecuted) && !notExecuted.Replaced {
+		placement.ObserveLimit(notExecuted.Limit)
+		placement.ObserveLoad(notExecuted.Load)
+		r.observeBackoff(placement, notExecuted.Backoff)
+		r.observeLeaving(placement, notExecuted.Leaving)
+	}
 	if isDone(r.callerCtx) {
 		placement.Done(beechplace.Cancelled)
 		return finished
 	}
 	r.triedServers = append(r.triedServers, choice.Server.ID)
 	var notSent beechcall.NotSent
-	var notExecuted beechcall.NotExecuted
 	switch {
 	case errors.As(err, &notSent):
 		r.notExecuted++
@@ -321,12 +327,6 @@
 		return r.noRetry(stopAttempts)
 	case errors.As(err, &notExecuted):
 		r.notExecuted++
-		if !notExecuted.Replaced {
-			placement.ObserveLimit(notExecuted.Limit)
-			placement.ObserveLoad(notExecuted.Load)
-			r.observeBackoff(placement, notExecuted.Backoff)
-			r.observeLeaving(placement, notExecuted.Leaving)
-		}
 		placement.Done(beechplace.Rejected)
 		r.dispatcher.placer.ObserveRejection(choice.Server.ID, notExecuted, r.call.Model)
 		r.logAttempt("turned away", choice, zap.Int("status", notExecuted.Status), zap.Bool("replaced", notExecuted.Replaced), zap.Bool("other weights", notExecuted.WeightsDiffer))
