Test: proofs and entries without eras are not decoded

What keeps gates of the release before and of this one from comparing revisions of two eras is that their messages have another number of fields. It stands as a test now.

--- a/internal/link/beechdatagram/datagram_test.go
+++ b/internal/link/beechdatagram/datagram_test.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/matryer/is"
+	"github.com/tinylib/msgp/msgp"
 
 	"github.com/beechring/beechring/internal/link/beechwire"
 )
@@ -132,3 +133,24 @@
 		}
 	})
 }
+
+// A gate of a release that knows no eras sends a proof and entries without them. Taken for those of
+// era 0 they would be compared with revisions of the current one; they must not be decoded.
+func TestMessagesWithoutErasAreInvalid(t *testing.T) {
+	is := is.New(t)
+	held := func(b []byte) []byte {
+		b = msgp.AppendArrayHeader(b, 4)
+		b = msgp.AppendUint64(b, 1<<63)
+		b = msgp.AppendUint64(b, 40)
+		b = msgp.AppendInt64(b, 1300)
+		return msgp.AppendBool(b, true)
+	}
+	proof := msgp.AppendArrayHeader([]byte{kindProof}, 3)
+	proof = held(held(msgp.AppendUint64(proof, 7)))
+	_, err := Decode(proof)
+	is.True(err != nil)
+	entries := msgp.AppendArrayHeader([]byte{kindEntries}, 3)
+	entries = msgp.AppendUint64(msgp.AppendUint64(entries, 4), 6)
+	_, err = Decode(msgp.AppendArrayHeader(entries, 0))
+	is.True(err != nil)
+}
