--- a/internal/request/beechcall/configuration.go
+++ b/internal/request/beechcall/configuration.go
@@ -23,7 +23,7 @@
 	// once BuildIndex has been called.
 	Configuration struct {
 		Version    uint64 // number given by the operators
-		Revision   uint64 // of the store; orders configurations
+		Revision   uint64 // of the store, ordered by its era first; orders configurations
 		Routes     []Route
 		Services   map[string]Service
 		Workspaces map[string]Workspace // by API key; nil if requests carry none
@@ -102,8 +102,8 @@
 		Service  string
 		Address  netip.AddrPort
 		Zone     string
-		ListedAt uint64 // revision at which it was first listed; orders lifetimes
-		Revision uint64 // at which its entry was last written
+		ListedAt uint64 // revision of the store at which it was first listed; orders lifetimes
+		Revision uint64 // of the store at which its entry was last written
 		Born     uint64 // start of the lifetime in Unix milliseconds; one ID may have several lifetimes; 0: not reported
 		Slots    int
 		Leaving  bool
--- a/internal/request/beechplace/doc.go
+++ b/internal/request/beechplace/doc.go
@@ -41,7 +41,8 @@
 //	p.SetServers(servers); p.SetConfiguration(c); p.SetLatestVersion(model, version)
 //	choice, ok := p.Choose(call, tried)
 //	attempt := p.StartAttempt(call, choice)
-//	attempt.AcquireLimit()      // just before sending; false if the server reached its limit
+//	p.StillUsable(choice)       // just before sending
+//	attempt.AcquireLimit()      // the same; false if the server reached its limit
 //	attempt.ObserveLimit(limit) // response headers arrived
 //	attempt.FirstByte()         // the first byte of the body arrived
 //	attempt.Done(outcome)
