--- a/internal/process/beechgate/configuration.go
+++ b/internal/process/beechgate/configuration.go
@@ -8,6 +8,7 @@
 
 	"github.com/beechring/beechring/internal/process/beechtask"
 	"github.com/beechring/beechring/internal/request/beechcall"
+	"github.com/beechring/beechring/internal/state/beechera"
 	"github.com/beechring/beechring/internal/state/beechmirror"
 )
 
@@ -64,7 +65,7 @@
 // list one that operators have replaced since, and which they will write again; until then the
 // one in force stays.
 func supersedes(c, inForce *beechcall.Configuration) bool {
-	if beechmirror.SameEra(c.Revision, inForce.Revision) {
+	if beechera.Same(c.Revision, inForce.Revision) {
 		return c.Revision > inForce.Revision
 	}
 	return c.Revision > inForce.Revision && c.Version >= inForce.Version
@@ -86,7 +87,7 @@
 
 // plainRevision returns a revision as the store shows it.
 func plainRevision(ordered uint64) uint64 {
-	_, revision := beechmirror.SplitRevision(ordered)
+	_, revision := beechera.Split(ordered)
 	return revision
 }
 
--- a/internal/process/beechgate/copies.go
+++ b/internal/process/beechgate/copies.go
@@ -23,6 +23,7 @@
 	"github.com/beechring/beechring/internal/link/beechdatagram"
 	"github.com/beechring/beechring/internal/link/beechwire"
 	"github.com/beechring/beechring/internal/process/beechtask"
+	"github.com/beechring/beechring/internal/state/beechera"
 	"github.com/beechring/beechring/internal/state/beechmirror"
 	"github.com/beechring/beechring/internal/state/beechreader"
 )
@@ -187,7 +188,7 @@
 	if role := g.readers.Role(); role == beechreader.ZoneFirst || role == beechreader.ZoneSecond {
 		watched = watched || m.WatchedByPeer()
 	}
-	era, revision := beechmirror.SplitRevision(held.Revision)
+	era, revision := beechera.Split(held.Revision)
 	return beechwire.Held{Digest: held.Digest, Revision: revision, Era: era, Age: (age + time.Millisecond - 1).Milliseconds(), Watched: watched}
 }
 
@@ -210,7 +211,7 @@
 	confirmed, proof := g.readers.ConfirmedAt(number, time.Duration(h.Age)*time.Millisecond)
 	status := beechmirror.CopyStatus{Digest: h.Digest, Watching: h.Watched, Confirmed: proof, ConfirmedAt: confirmed}
 	held, known := m.Held()
-	revision := beechmirror.OrderedRevision(h.Era, h.Revision)
+	revision := beechera.Order(h.Era, h.Revision)
 	switch {
 	case known && held.Digest == h.Digest:
 		m.ApplyPeerStatus(status)
@@ -374,7 +375,7 @@
 		return p.data, true, nil
 	}
 	page, _ := m.Copy()
-	era, revision := beechmirror.SplitRevision(page.Revision)
+	era, revision := beechera.Split(page.Revision)
 	entries := beechwire.Entries{Revision: revision, Era: era, List: wireEntries(page.Items)}
 	encoded, err := entries.MarshalMsg(nil)
 	if err != nil {
@@ -432,15 +433,15 @@
 func packEntries(c beechmirror.Changes) []*beechwire.Entries {
 	slices.SortFunc(c.Items, func(x, y beechmirror.Item) int { return cmp.Compare(x.Revision, y.Revision) })
 	var messages []*beechwire.Entries
-	era, after := beechmirror.SplitRevision(c.After)
+	era, after := beechera.Split(c.After)
 	for list := range slices.Chunk(c.Items, maxEntriesPerDatagram) {
-		_, last := beechmirror.SplitRevision(list[len(list)-1].Revision)
+		_, last := beechera.Split(list[len(list)-1].Revision)
 		message := &beechwire.Entries{After: after, Revision: last, Era: era, List: wireEntries(list)}
 		after = last
 		messages = append(messages, message)
 	}
 	if len(messages) > 0 {
-		_, messages[len(messages)-1].Revision = beechmirror.SplitRevision(c.Revision)
+		_, messages[len(messages)-1].Revision = beechera.Split(c.Revision)
 	}
 	return messages
 }
@@ -448,18 +449,18 @@
 func wireEntries(items []beechmirror.Item) []beechwire.Entry {
 	list := make([]beechwire.Entry, 0, len(items))
 	for _, item := range items {
-		era, revision := beechmirror.SplitRevision(item.Revision)
-		_, created := beechmirror.SplitRevision(item.Created)
+		era, revision := beechera.Split(item.Revision)
+		_, created := beechera.Split(item.Created)
 		list = append(list, beechwire.Entry{Key: item.Key, Value: item.Value, Revision: revision, Created: created, Era: era, Removed: item.Removed})
 	}
 	return list
 }
 
 func entriesPage(e *beechwire.Entries) beechmirror.Page {
-	page := beechmirror.Page{Revision: beechmirror.OrderedRevision(e.Era, e.Revision)}
+	page := beechmirror.Page{Revision: beechera.Order(e.Era, e.Revision)}
 	for _, entry := range e.List {
 		page.Items = append(page.Items, beechmirror.Item{
-			Key: entry.Key, Revision: beechmirror.OrderedRevision(entry.Era, entry.Revision), Created: beechmirror.OrderedRevision(entry.Era, entry.Created),
+			Key: entry.Key, Revision: beechera.Order(entry.Era, entry.Revision), Created: beechera.Order(entry.Era, entry.Created),
 			Value: entry.Value, Removed: entry.Removed,
 		})
 	}
@@ -472,7 +473,7 @@
 	if !g.isKnownGate(from) || len(e.List) == 0 {
 		return
 	}
-	changes := beechmirror.Changes{After: beechmirror.OrderedRevision(e.Era, e.After), Page: entriesPage(e.Entries)}
+	changes := beechmirror.Changes{After: beechera.Order(e.Era, e.After), Page: entriesPage(e.Entries)}
 	m := g.serverMirror
 	if strings.HasPrefix(e.List[0].Key, g.deps.OperatorPrefix) {
 		m = g.operatorMirror
--- a/internal/process/beechgate/departures.go
+++ b/internal/process/beechgate/departures.go
@@ -7,7 +7,7 @@
 	"github.com/jonboulle/clockwork"
 
 	"github.com/beechring/beechring/internal/request/beechcall"
-	"github.com/beechring/beechring/internal/state/beechmirror"
+	"github.com/beechring/beechring/internal/state/beechera"
 )
 
 // departureMemory is how long a server that has gone is remembered. A dead server's entry that a
@@ -49,7 +49,7 @@
 		case listed:
 			s.Leaving = s.Leaving || (old.Leaving && sameLifetime(old, *s) && !writtenSince(old, *s))
 		case known:
-			s.Leaving = s.Leaving || (sameLifetime(gone.Server, *s) && !beechmirror.SameEra(gone.Revision, s.Revision))
+			s.Leaving = s.Leaving || (sameLifetime(gone.Server, *s) && !beechera.Same(gone.Revision, s.Revision))
 		}
 		delete(d.gone, s.ID)
 	}
@@ -60,7 +60,7 @@
 
 // writtenSince reports whether an entry was written after another, in the same era of the store.
 func writtenSince(old, s beechcall.Server) bool {
-	return beechmirror.SameEra(old.Revision, s.Revision) && s.Revision > old.Revision
+	return beechera.Same(old.Revision, s.Revision) && s.Revision > old.Revision
 }
 
 // sameLifetime reports whether two entries with one ID are not known to be of different lifetimes.
--- a/internal/process/beechgate/departures_test.go
+++ b/internal/process/beechgate/departures_test.go
@@ -8,11 +8,11 @@
 	"github.com/matryer/is"
 
 	"github.com/beechring/beechring/internal/request/beechcall"
-	"github.com/beechring/beechring/internal/state/beechmirror"
+	"github.com/beechring/beechring/internal/state/beechera"
 )
 
 func listedServer(era, revision, born uint64, leaving bool) []beechcall.Server {
-	return []beechcall.Server{{ID: "s", Born: born, Leaving: leaving, Revision: beechmirror.OrderedRevision(era, revision)}}
+	return []beechcall.Server{{ID: "s", Born: born, Leaving: leaving, Revision: beechera.Order(era, revision)}}
 }
 
 // A restored store has lost that a server leaves or is gone. Requests sent there would be lost
--- a/internal/state/beechmirror/era_test.go
+++ b/internal/state/beechmirror/era_test.go
@@ -10,6 +10,8 @@
 	"github.com/matryer/is"
 	"go.uber.org/zap"
 	"pgregory.net/rapid"
+
+	"github.com/beechring/beechring/internal/state/beechera"
 )
 
 // eraPage returns a read of one key with a value, in an era of the store.
@@ -28,7 +30,7 @@
 	is.Equal(string(got[0].Value), "restored")
 	m.applyWatch(eraPage(2, 85, 85, "draining").ordered())
 	is.Equal(string(got[0].Value), "draining")
-	era, revision := SplitRevision(got[0].Revision)
+	era, revision := beechera.Split(got[0].Revision)
 	is.Equal(era, uint64(2))
 	is.Equal(revision, uint64(85))
 }
@@ -86,7 +88,7 @@
 		is.True(restored > 0)
 		m.mu.Lock()
 		defer m.mu.Unlock()
-		is.Equal(m.fullReadRevision, OrderedRevision(2, 91))
+		is.Equal(m.fullReadRevision, beechera.Order(2, 91))
 	})
 }
 
@@ -128,8 +130,8 @@
 	is.True(!after.ApplyPeerStatus(status))
 	old, _ := before.Copy()
 	is.True(!after.ApplyPeerCopy(old))
-	is.True(!after.ApplyPeerChanges(Changes{After: OrderedRevision(1, 90), Page: eraPage(1, 95, 95, "ready").ordered()}))
-	is.True(!before.ApplyPeerChanges(Changes{After: OrderedRevision(2, 80), Page: eraPage(2, 95, 95, "draining").ordered()})) // it lacks the changes before
+	is.True(!after.ApplyPeerChanges(Changes{After: beechera.Order(1, 90), Page: eraPage(1, 95, 95, "ready").ordered()}))
+	is.True(!before.ApplyPeerChanges(Changes{After: beechera.Order(2, 80), Page: eraPage(2, 95, 95, "draining").ordered()})) // it lacks the changes before
 	newer, _ := after.Copy()
 	is.True(before.ApplyPeerCopy(newer))
 	status, _, _ = before.Status()
@@ -154,7 +156,7 @@
 		highest := uint64(0)
 		for _, i := range rapid.Permutation(indices(len(pages))).Draw(t, "order") {
 			m.applyFullRead(pages[i].ordered())
-			era, _ := SplitRevision(m.items["servers/a"].Revision)
+			era, _ := beechera.Split(m.items["servers/a"].Revision)
 			if era < highest {
 				t.Fatalf("era %d after %d", era, highest)
 			}
--- a/internal/state/beechmirror/mirror.go
+++ b/internal/state/beechmirror/mirror.go
@@ -13,7 +13,7 @@
 //
 // The store may come back from a copy that lacks its latest writes. It then gives out their
 // revisions again, and its era rises by one with each restore. Revisions are therefore
-// ordered by era first (OrderedRevision): a reply of a higher era is newer than the copy, and
+// ordered by era first (package beechera): a reply of a higher era is newer than the copy, and
 // one of a lower era is a late one. A watch cannot go on over a restore, since the changes
 // between the store's copy and the watch's revision would be missing; a full read replaces
 // it. What the restored store lacks is kept for RemovalDelay, as after an outage.
@@ -53,6 +53,8 @@
 	"github.com/cenkalti/backoff/v5"
 	"github.com/jonboulle/clockwork"
 	"go.uber.org/zap"
+
+	"github.com/beechring/beechring/internal/state/beechera"
 )
 
 type (
@@ -272,20 +274,20 @@
 func (m *Mirror) observeEra(revision uint64) (current bool) {
 	m.mu.Lock()
 	held, loaded := m.revision, m.loaded
-	restored := loaded && !SameEra(revision, held) && revision > held
+	restored := loaded && !beechera.Same(revision, held) && revision > held
 	if restored {
 		m.recoveredAt = m.clock.Now() // what the copy lacks is written again
 	}
 	m.mu.Unlock()
-	era, number := SplitRevision(revision)
+	era, number := beechera.Split(revision)
 	if !loaded {
 		m.log.Info("store read", zap.Uint64("era", era), zap.Uint64("revision", number))
 		return true
 	}
-	if SameEra(revision, held) {
+	if beechera.Same(revision, held) {
 		return true
 	}
-	was, heldNumber := SplitRevision(held)
+	was, heldNumber := beechera.Split(held)
 	fields := []zap.Field{zap.Uint64("era", era), zap.Uint64("was", was), zap.Uint64("revision", number), zap.Uint64("held", heldNumber)}
 	if !restored {
 		m.log.Info("reply of an earlier era ignored", fields...)
@@ -372,7 +374,7 @@
 		return
 	}
 	if errors.Is(err, ErrCompacted) {
-		_, plain := SplitRevision(after)
+		_, plain := beechera.Split(after)
 		m.log.Info("history dropped, reading all", zap.Uint64("after", plain))
 	} else {
 		m.log.Debug("watch failed, reading all", zap.Error(err))
@@ -393,7 +395,7 @@
 	m.mu.Lock()
 	m.cancelWatch, m.watching = end, true
 	m.mu.Unlock()
-	_, plain := SplitRevision(after)
+	_, plain := beechera.Split(after)
 	page, err := m.source.Watch(cancelable, m.settings.Prefix, plain, m.settings.WatchTimeout)
 	m.mu.Lock()
 	m.cancelWatch = nil
@@ -401,7 +403,7 @@
 	restarted := cancelable.Err() != nil && limited.Err() == nil
 	end()
 	if restarted {
-		_, plain := SplitRevision(after)
+		_, plain := beechera.Split(after)
 		m.log.Info("watch missed a change that a full read found", zap.Uint64("after", plain))
 		return nil
 	}
@@ -409,7 +411,7 @@
 		return err
 	}
 	page = page.ordered()
-	if !SameEra(page.Revision, after) {
+	if !beechera.Same(page.Revision, after) {
 		m.observeEra(page.Revision)
 		return errOtherEra
 	}
@@ -436,8 +438,8 @@
 	defer m.mu.Unlock()
 	m.lastFullRead, m.keptMissing = m.clock.Now(), m.keepsMissing()
 	if m.loaded && p.Revision < m.fullReadRevision {
-		_, revision := SplitRevision(p.Revision)
-		_, held := SplitRevision(m.fullReadRevision)
+		_, revision := beechera.Split(p.Revision)
+		_, held := beechera.Split(m.fullReadRevision)
 		m.log.Info("outdated read ignored", zap.Uint64("revision", revision), zap.Uint64("held", held))
 		return false
 	}
--- a/internal/state/beechmirror/peers.go
+++ b/internal/state/beechmirror/peers.go
@@ -7,6 +7,8 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+
+	"github.com/beechring/beechring/internal/state/beechera"
 )
 
 type (
@@ -112,7 +114,7 @@
 			changed = true
 		}
 	}
-	if m.loaded && !SameEra(p.Revision, m.revision) {
+	if m.loaded && !beechera.Same(p.Revision, m.revision) {
 		m.recoveredAt = m.clock.Now() // what the restored store lacks is written again
 	}
 	m.items, m.revision, m.fullReadRevision, m.loaded = next, p.Revision, max(m.fullReadRevision, p.Revision), true
