Fencing numbers of the agents are ordered by the era of their store

Seen in a test: an agent orders under number 1, the store comes back from a copy that lacks it, and the next agent orders under number 1 too. An engine that checks takes both.

The agents' store protocol tells an era with each value, 0 where a service has none. The number that engines get has the era in its high bits; the record counts within an era, and a number that was written in another era than it was read in is taken again. A holder of an earlier era finds another number at its next read and gives its lease up.

--- a/internal/standin/beechplatform/platform.go
+++ b/internal/standin/beechplatform/platform.go
@@ -256,7 +256,7 @@
 		writeStoreError(w, err)
 		return
 	}
-	w.Header().Set(beechstore.HeaderVersion, strconv.FormatUint(v.Version, 10))
+	setVersion(w, v)
 	w.WriteHeader(http.StatusOK)
 }
 
--- a/internal/standin/beechplatform/reply.go
+++ b/internal/standin/beechplatform/reply.go
@@ -33,7 +33,7 @@
 		writeStoreError(w, err)
 		return
 	}
-	w.Header().Set(beechstore.HeaderVersion, strconv.FormatUint(v.Version, 10))
+	setVersion(w, v)
 	if v.Version == 0 {
 		writeError(w, http.StatusNotFound, "no such key")
 		return
@@ -42,6 +42,11 @@
 	_, _ = w.Write(v.Data)
 }
 
+func setVersion(w http.ResponseWriter, v beechstore.Value) {
+	w.Header().Set(beechstore.HeaderVersion, strconv.FormatUint(v.Version, 10))
+	w.Header().Set(beechstore.HeaderEra, strconv.FormatUint(v.Era, 10))
+}
+
 func writeLease(w http.ResponseWriter, l beechstore.Lease, err error) {
 	if err != nil {
 		writeStoreError(w, err)
--- a/internal/state/beechfence/guard.go
+++ b/internal/state/beechfence/guard.go
@@ -14,6 +14,7 @@
 
 	"github.com/jonboulle/clockwork"
 
+	"github.com/beechring/beechring/internal/state/beechera"
 	"github.com/beechring/beechring/internal/state/beechstore"
 )
 
@@ -49,17 +50,26 @@
 	term struct {
 		lease       beechstore.Lease
 		requestedAt time.Time
-		number      uint64 // 0: the Guard holds no lease
+		number      uint64 // ordered by the store's era first; 0: the Guard holds no lease
 	}
 
 	// checkKey is the key of an order's check in its context.
 	checkKey struct{}
 
-	// fenceRecord is the value of a server's fence key, which is never deleted.
+	// fenceRecord is the value of a server's fence key, which is never deleted. Number counts
+	// within an era of the store: a restored store may have lost the latest numbers.
 	fenceRecord struct {
 		Number uint64 `json:"number"`
 		Holder string `json:"holder"`
 	}
+
+	// storedNumber is the latest fencing number in the store.
+	storedNumber struct {
+		fenceRecord
+		fence   uint64 // Number, ordered by the store's era first; 0: there is none
+		era     uint64
+		version uint64 // of the key
+	}
 )
 
 const (
@@ -208,11 +218,11 @@
 }
 
 func (g *Guard) readHighest(ctx context.Context, t term) error {
-	r, _, err := g.readNumber(ctx)
+	r, err := g.readNumber(ctx)
 	if err != nil {
 		return fmt.Errorf("order to %s: %w", g.server, err)
 	}
-	if r.Number != t.number || r.Holder != g.id {
+	if r.fence != t.number || r.Holder != g.id {
 		return g.expireTerm()
 	}
 	return nil
@@ -303,8 +313,8 @@
 }
 
 func (g *Guard) isHighest(ctx context.Context, t term) bool {
-	r, _, err := g.readNumber(ctx)
-	return err == nil && r.Number == t.number && r.Holder == g.id
+	r, err := g.readNumber(ctx)
+	return err == nil && r.fence == t.number && r.Holder == g.id
 }
 
 // acquireTerm acquires the lease and then the next number. The lease comes first, because
@@ -360,25 +370,25 @@
 // again, since skipped numbers are harmless.
 func (g *Guard) acquireNumber(ctx context.Context, last uint64) (uint64, error) {
 	for range maxNumberAttempts {
-		r, version, err := g.readNumber(ctx)
+		r, err := g.readNumber(ctx)
 		if err != nil {
 			return 0, err
 		}
-		if last > 0 && r.Number != last && r.Holder != g.id {
+		if last > 0 && r.fence != last && r.Holder != g.id {
 			return 0, errNumberTaken
 		}
-		r.Number++
-		r.Holder = g.id
-		data, err := beechstore.EncodeValue(recordFormat, r)
+		next := fenceRecord{Number: r.Number + 1, Holder: g.id}
+		data, err := beechstore.EncodeValue(recordFormat, next)
 		if err != nil {
 			return 0, err
 		}
-		_, err = g.store.CompareAndSwap(ctx, fenceKey(g.server), version, data, "", beechstore.ImportanceConfiguration)
+		written, err := g.store.CompareAndSwap(ctx, fenceKey(g.server), r.version, data, "", beechstore.ImportanceConfiguration)
 		var conflict beechstore.Conflict
 		var unknown beechstore.UnknownOutcome
 		switch {
-		case err == nil:
-			return r.Number, nil
+		case err == nil && written.Era == r.era:
+			return beechera.Order(r.era, next.Number), nil
+		case err == nil: // the store was restored since the read
 		case errors.As(err, &conflict), errors.As(err, &unknown):
 		default:
 			return 0, err
@@ -387,14 +397,15 @@
 	return 0, errNumberContended
 }
 
-func (g *Guard) readNumber(ctx context.Context) (fenceRecord, uint64, error) {
+func (g *Guard) readNumber(ctx context.Context) (storedNumber, error) {
 	v, err := g.store.Get(ctx, fenceKey(g.server), beechstore.ImportanceConfiguration)
+	n := storedNumber{era: v.Era, version: v.Version}
 	if err != nil || v.Version == 0 {
-		return fenceRecord{}, 0, err
+		return n, err
 	}
-	var r fenceRecord
-	err = beechstore.DecodeValue(v.Key, v.Data, recordFormat, &r)
-	return r, v.Version, err
+	err = beechstore.DecodeValue(v.Key, v.Data, recordFormat, &n.fenceRecord)
+	n.fence = beechera.Order(v.Era, n.Number)
+	return n, err
 }
 
 func fenceKey(server netip.AddrPort) string { return "fence/" + server.String() }
--- a/internal/state/beechstore/client.go
+++ b/internal/state/beechstore/client.go
@@ -16,6 +16,8 @@
 
 	"github.com/cenkalti/backoff/v5"
 	"github.com/jonboulle/clockwork"
+
+	"github.com/beechring/beechring/internal/state/beechera"
 )
 
 type (
@@ -58,6 +60,7 @@
 		status     int
 		version    uint64
 		hasVersion bool // the reply has a valid Version header
+		era        uint64
 		body       []byte
 	}
 )
@@ -70,7 +73,10 @@
 	maxReplyOverhead      = 64 << 10 // bytes allowed beyond MaxValueBytes
 )
 
-var errNoAddress = errors.New("no address of the platform's service is configured")
+var (
+	errNoAddress = errors.New("no address of the platform's service is configured")
+	errEraRange  = errors.New("out of range")
+)
 
 // New returns the client of the HTTP protocol. Deadlines, backoff and lease
 // expiry use clock.
@@ -115,7 +121,7 @@
 	if err != nil {
 		return Value{}, err
 	}
-	return Value{Key: key, Version: r.version, Data: data}, nil
+	return Value{Key: key, Version: r.version, Era: r.era, Data: data}, nil
 }
 
 func (c *client) Delete(ctx context.Context, key string, version uint64, importance Importance) error {
@@ -234,9 +240,35 @@
 	}
 	version, err := strconv.ParseUint(response.Header.Get(HeaderVersion), 10, 64)
 	r := reply{status: response.StatusCode, version: version, hasVersion: err == nil, body: body}
+	if r.era, err = decodeEra(response.Header); err != nil {
+		return r, c.invalidEra(cl, err)
+	}
 	return r, c.checkStatus(cl, r, response.Header)
 }
 
+// decodeEra returns the era of a reply, or 0 if it has none.
+func decodeEra(h http.Header) (uint64, error) {
+	text := h.Get(HeaderEra)
+	if text == "" {
+		return 0, nil
+	}
+	era, err := strconv.ParseUint(text, 10, 64)
+	if err == nil && era > beechera.MaxEra {
+		err = errEraRange
+	}
+	return era, err
+}
+
+// invalidEra returns the error of a call whose reply has an invalid era. A write may have taken
+// effect.
+func (c *client) invalidEra(cl call, err error) error {
+	err = fmt.Errorf("invalid era: %w", err)
+	if cl.write {
+		return UnknownOutcome{Step: cl.step, Peer: c.peer(), Err: err}
+	}
+	return Refused{Step: cl.step, Peer: c.peer(), Err: err}
+}
+
 func (c *client) request(ctx context.Context, cl call) (*http.Request, error) {
 	scheme := "http://"
 	if c.settings.TLS {
@@ -263,9 +295,9 @@
 
 func (r reply) value(key string) Value {
 	if r.status != http.StatusOK {
-		return Value{Key: key}
+		return Value{Key: key, Era: r.era}
 	}
-	return Value{Key: key, Version: r.version, Data: r.body}
+	return Value{Key: key, Version: r.version, Era: r.era, Data: r.body}
 }
 
 func valuePath(key string) string { return PathValues + url.PathEscape(key) }
--- a/internal/state/beechstore/doc.go
+++ b/internal/state/beechstore/doc.go
@@ -26,6 +26,9 @@
 //	POST   /v1/leases/ID                      200 keeps it alive, 404 if it has ended
 //	GET    /v1/hosts                          200 with a list of hosts
 //
+// The replies to GET and PUT carry an Era header if the service can be restored from a copy. Its
+// number rises by one with each restore; without it the era is 0.
+//
 // PUT may carry a Lease header: the key is deleted when the lease ends. 400,
 // 401, 403, 404, 413, 429 and 503 mean that nothing was done; any other status
 // of a write leaves its outcome unknown. Retry-After is honoured.
--- a/internal/state/beechstore/fake.go
+++ b/internal/state/beechstore/fake.go
@@ -22,6 +22,7 @@
 
 		mu       sync.Mutex
 		revision uint64
+		era      uint64
 		values   map[string]fakeValue
 		leases   map[string]fakeLease
 		hosts    []hostList
@@ -123,10 +124,11 @@
 }
 
 // Restore replaces the contents with a snapshot, as after a failure: later writes and all leases
-// are lost, and versions are given out again.
+// are lost, and versions are given out again. The era rises by one.
 func (f *Fake) Restore(from FakeSnapshot) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	f.era++
 	f.revision, f.values = from.revision, maps.Clone(from.values)
 	maps.DeleteFunc(f.values, func(_ string, v fakeValue) bool { return v.lease != "" })
 	clear(f.leases)
@@ -303,7 +305,7 @@
 
 func (f *Fake) value(key string) Value {
 	v := f.values[key]
-	return Value{Key: key, Version: v.version, Data: slices.Clone(v.data)}
+	return Value{Key: key, Version: v.version, Era: f.era, Data: slices.Clone(v.data)}
 }
 
 func (f *Fake) notifyWatchers() {
--- a/internal/state/beechstore/protocol.go
+++ b/internal/state/beechstore/protocol.go
@@ -38,6 +38,7 @@
 	PathLeases    = "/v1/leases"
 	PathHosts     = "/v1/hosts"
 	HeaderVersion = "Version"
+	HeaderEra     = "Era"
 	HeaderLease   = "Lease"
 	QueryWatch    = "watch"
 	QueryWait     = "wait"
--- a/internal/state/beechstore/types.go
+++ b/internal/state/beechstore/types.go
@@ -11,10 +11,12 @@
 	// configuration, configuration before all other calls.
 	Importance int
 
-	// Value is the content of a key. Version is 0 if the key does not exist.
+	// Value is the content of a key. Version is 0 if the key does not exist. Era rises each
+	// time that the service is restored from a copy, and versions are then given out again.
 	Value struct {
 		Key     string
 		Version uint64
+		Era     uint64
 		Data    []byte
 	}
 
