Generations of the manifest rise over a restore of the agents' store

Seen in a test: a generation is published, the store comes back from a copy that lacks it, and another manifest is published under its number; holders of the lost one pass it over for good.

Cause: as with fencing numbers, a counter in a store that may give it out again.

The next generation is numbered above all of earlier eras, by the store's era in its high bits; numbers are compared as before, in links too. A watcher also tells heads of one version and two eras apart.

--- a/internal/state/beechmanifest/publish.go
+++ b/internal/state/beechmanifest/publish.go
@@ -10,6 +10,7 @@
 	"github.com/jonboulle/clockwork"
 	"golang.org/x/sync/errgroup"
 
+	"github.com/beechring/beechring/internal/state/beechera"
 	"github.com/beechring/beechring/internal/state/beechstore"
 )
 
@@ -61,8 +62,8 @@
 
 var errHeadReadable = errors.New("nothing to restore: the published head can be read")
 
-// Publish publishes m as the generation after base, which is 0 for the first one. It
-// returns by the deadline of ctx at the latest.
+// Publish publishes m as the generation after base, which is 0 for the first one, or as the
+// first of the store's era if that is higher. It returns by the deadline of ctx at the latest.
 func Publish(ctx context.Context, store beechstore.Store, clock clockwork.Clock, base uint64, m *Manifest) Outcome {
 	p := &publication{store: store, clock: clock, base: base}
 	return p.run(ctx, m)
@@ -137,7 +138,7 @@
 	if p.old, err = p.readHead(ctx); err != nil {
 		return err
 	}
-	p.next = head{Generation: p.base + 1, Change: newChangeID()}
+	p.next = head{Generation: nextGeneration(p.value.Era, p.base), Change: newChangeID()}
 	for _, x := range p.parts {
 		p.next.Parts = append(p.next.Parts, x.sum)
 	}
@@ -154,6 +155,12 @@
 	return nil
 }
 
+// nextGeneration returns the generation after base. It is higher than all generations of earlier
+// eras of the store, since a restored store may have lost the latest ones.
+func nextGeneration(era, base uint64) uint64 {
+	return max(base+1, beechera.Order(era, 1))
+}
+
 // readHead reads the old head and keeps its value for the compare-and-swap. It returns the
 // zero head if none is published.
 func (p *publication) readHead(ctx context.Context) (head, error) {
--- a/internal/state/beechmanifest/watcher.go
+++ b/internal/state/beechmanifest/watcher.go
@@ -37,6 +37,7 @@
 		settings    WatcherSettings
 		loader      *loader
 		headVersion uint64 // version of the last head that was processed
+		headEra     uint64 // of the store at that time
 
 		mu  sync.Mutex
 		err error
@@ -106,7 +107,7 @@
 	if err != nil {
 		return err
 	}
-	if v.Version == w.headVersion {
+	if v.Version == w.headVersion && v.Era == w.headEra {
 		return nil // the watch timed out without a change
 	}
 	generation, data, err := w.loader.load(ctx, v)
@@ -121,7 +122,7 @@
 			return err
 		}
 	}
-	w.headVersion = v.Version
+	w.headVersion, w.headEra = v.Version, v.Era
 	return nil
 }
 
