--- a/internal/request/beechplace/leaving_test.go
+++ b/internal/request/beechplace/leaving_test.go
@@ -44,5 +44,5 @@
 		call := &beechcall.Call{Service: "app", Route: route}
 		f.StartAttempt(call, f.choose(t, call)).ObserveLeaving()
 	}
-	is.True(len(f.leaving) <= maxLeaving)
+	is.True(len(f.answeredLeaving) <= maxLeaving)
 }
--- a/internal/request/beechplace/placer.go
+++ b/internal/request/beechplace/placer.go
@@ -29,32 +29,32 @@
 		backoff    *beechbackoff.Tracker
 		announce   Announce
 
-		mu             sync.Mutex
-		services       map[string][]*server
-		byID           map[string]*server
-		byAddress      map[netip.AddrPort]*server
-		byHash         map[uint64]*server // by the hash of the server's ID
-		leaving        map[string]uint64  // start times of the lifetimes whose answers have said that they leave, by ID
-		serviceConfigs map[string]beechcall.Service
-		kvStores       []*kvStore
-		versions       map[string]*beechrollout.VersionHistory // by model
-		locations      *lru.Cache[uint64, *partLocations]
-		prefill        prefillModel // learned over all engines
-		medianPace     float64      // median of the engines' meanLog
-		meanPrefill    float64      // running mean of the tokens that a request has to prefill
-		meanPrompt     float64      // running mean of the tokens of a prompt
-		residence      residenceTime
-		serviceLoads   map[string]float64   // by service: mean of the loads that its servers tell with answers
-		nextRetry      map[string]time.Time // by service: the latest retry time that a caller was given
+		mu              sync.Mutex
+		services        map[string][]*server
+		byID            map[string]*server
+		byAddress       map[netip.AddrPort]*server
+		byHash          map[uint64]*server // by the hash of the server's ID
+		answeredLeaving map[string]uint64  // start times of the lifetimes whose answers have said that they leave, by ID
+		serviceConfigs  map[string]beechcall.Service
+		kvStores        []*kvStore
+		versions        map[string]*beechrollout.VersionHistory // by model
+		locations       *lru.Cache[uint64, *partLocations]
+		prefill         prefillModel // learned over all engines
+		medianPace      float64      // median of the engines' meanLog
+		meanPrefill     float64      // running mean of the tokens that a request has to prefill
+		meanPrompt      float64      // running mean of the tokens of a prompt
+		residence       residenceTime
+		serviceLoads    map[string]float64   // by service: mean of the loads that its servers tell with answers
+		nextRetry       map[string]time.Time // by service: the latest retry time that a caller was given
 	}
 
 	// server is what is known about one lifetime of a backend server.
 	server struct {
 		beechcall.Server
-		slots      int
-		departing  bool // its answers have said that it leaves, whatever its entry says
-		superseded bool // another lifetime owns the address
-		replaced   bool // a different server answered at the address
+		slots           int
+		answeredLeaving bool // its answers have said that it leaves, whatever its entry says
+		superseded      bool // another lifetime owns the address
+		replaced        bool // a different server answered at the address
 
 		reportedAt    time.Time // time of the keeper's last report; zero if there was none
 		confirmedAt   time.Time // until when the last report is known to hold
@@ -125,7 +125,7 @@
 	s = s.withDefaults()
 	return &Placer{
 		settings: s, prefill: prefillModel{rate: s.PrefillRate}, clock: clock, health: health, limits: limits, overloaded: overloaded, backoff: backoff, announce: announce,
-		services: make(map[string][]*server), leaving: make(map[string]uint64), byID: make(map[string]*server), byAddress: make(map[netip.AddrPort]*server),
+		services: make(map[string][]*server), answeredLeaving: make(map[string]uint64), byID: make(map[string]*server), byAddress: make(map[netip.AddrPort]*server),
 		serviceConfigs: make(map[string]beechcall.Service), versions: make(map[string]*beechrollout.VersionHistory), locations: locations,
 		serviceLoads: make(map[string]float64), nextRetry: make(map[string]time.Time),
 	}
@@ -150,7 +150,7 @@
 			entry.Born = max(entry.Born, s.Born) // the list may be older than the keeper's report
 		}
 		s.Server = entry
-		s.departing = p.hasSaidLeaving(entry)
+		s.answeredLeaving = p.hasAnsweredLeaving(entry)
 		s.slots = entry.Slots
 		s.superseded = false
 		for model, version := range entry.Weights {
@@ -248,7 +248,7 @@
 	if s.Born != 0 {
 		p.limits.ServerRestarted(s.ID, start)
 		p.backoff.Forget(s.ID)
-		s.departing = false
+		s.answeredLeaving = false
 		s.restartedAt = p.clock.Now()
 		s.weights = make(map[string]uint64)
 		s.pendingPrefill, s.failures = 0, 0
--- a/internal/state/beechmirror/era_test.go
+++ b/internal/state/beechmirror/era_test.go
@@ -36,7 +36,7 @@
 }
 
 // A reply that left the store before the restore arrives late. It must neither replace the copy
-// nor count as its confirmation.
+// nor confirm it.
 func TestReplyOfAnEarlierEraProvesNothing(t *testing.T) {
 	is := is.New(t)
 	var got []Item
@@ -119,7 +119,7 @@
 }
 
 // Two copies have the same keys and revisions, from before and after a restore, and different
-// values. A process must not take the one for a confirmation of the other.
+// values. The one must not confirm the other in a process.
 func TestCopiesOfTwoErasDiffer(t *testing.T) {
 	is := is.New(t)
 	clock := clockwork.NewFakeClock()
