Attempts keep their server's ID, which a new list of servers replaces

Both IDs are the same text, so nothing wrong was seen. The attempt keeps the ID from its start. TestListChangesWhileCallsAreSent fails before with the race detector.

--- a/internal/request/beechplace/attempt.go
+++ b/internal/request/beechplace/attempt.go
@@ -14,8 +14,9 @@
 type Attempt struct {
 	placer        *Placer
 	server        *server
-	prompt        int // tokens; 0 for plain services
-	storeTokens   int // tokens fetched from a KV cache store
+	serverID      string // SetServers replaces the fields of server
+	prompt        int    // tokens; 0 for plain services
+	storeTokens   int    // tokens fetched from a KV cache store
 	source        netip.AddrPort
 	expected      time.Duration // from sending to the first byte
 	prefillTokens int
@@ -37,7 +38,7 @@
 	if !ok {
 		return a
 	}
-	a.server = s
+	a.server, a.serverID = s, s.ID
 	a.sentAt = p.clock.Now().Add(c.Wait)
 	a.source = c.Fetch
 	a.storeTokens, a.expected = c.StoreTokens, time.Duration((c.Expected-milliseconds(c.Wait))*float64(time.Millisecond))
@@ -64,7 +65,7 @@
 		return true
 	}
 	a.limitTime = a.placer.limits.Now()
-	_, ok := a.placer.limits.Acquire(a.server.ID).(beechquota.Admitted)
+	_, ok := a.placer.limits.Acquire(a.serverID).(beechquota.Admitted)
 	return ok
 }
 
@@ -76,7 +77,7 @@
 	a.placer.mu.Lock()
 	born := a.server.Born
 	a.placer.mu.Unlock()
-	a.placer.limits.Observe(a.server.ID, born, limit, a.limitTime)
+	a.placer.limits.Observe(a.serverID, born, limit, a.limitTime)
 }
 
 // ObserveBackoff records the time for which the server asks for no requests. It returns what was
@@ -88,8 +89,8 @@
 	a.placer.mu.Lock()
 	reported = a.server.hasRecentReport(a.placer.clock.Now())
 	a.placer.mu.Unlock()
-	remaining = a.placer.backoff.Remaining(a.server.ID)
-	a.placer.backoff.Record(a.server.ID, after)
+	remaining = a.placer.backoff.Remaining(a.serverID)
+	a.placer.backoff.Record(a.serverID, after)
 	return remaining, reported
 }
 
--- a/internal/request/beechplace/usable_test.go
+++ b/internal/request/beechplace/usable_test.go
@@ -6,6 +6,7 @@
 
 	"github.com/matryer/is"
 
+	"github.com/beechring/beechring/internal/decision/beechthrottle"
 	"github.com/beechring/beechring/internal/request/beechcall"
 	"github.com/beechring/beechring/internal/request/beechrollout"
 )
@@ -207,3 +208,27 @@
 	f.SetServers(f.servers)
 	is.Equal(f.choose(t, newCall("s", 0, 10)).Server.ID, "e01")
 }
+
+// The list of servers changes while calls are sent. Under the race detector, an attempt must not
+// read what the new list replaces.
+func TestListChangesWhileCallsAreSent(t *testing.T) {
+	f := newFleet(2)
+	call := &beechcall.Call{Service: "app", Route: route}
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		for range 200 {
+			f.SetServers(f.servers)
+		}
+	}()
+	for range 200 {
+		attempt := f.StartAttempt(call, f.choose(t, call))
+		attempt.AcquireLimit()
+		attempt.ObserveLimit(beechthrottle.NoLimit{})
+		attempt.ObserveBackoff(0)
+		attempt.ObserveLoad(beechcall.Load{Known: true, Slots: 4})
+		attempt.FirstByte()
+		attempt.Done(Answered)
+	}
+	<-done
+}
