--- a/internal/state/beechera/era.go
+++ b/internal/state/beechera/era.go
@@ -11,6 +11,12 @@
 //	era, revision = beechera.Split(ordered)
 package beechera
 
+import (
+	"errors"
+	"fmt"
+	"strconv"
+)
+
 const (
 	// numberBits leaves enough bits for decades of writes.
 	numberBits = 40
@@ -20,6 +26,22 @@
 	MaxEra = 1<<(63-numberBits) - 1
 )
 
+// ErrInvalid is the error of an era that cannot be used. Taken for 0, it would make all that is
+// held look newer than the store.
+var ErrInvalid = errors.New("invalid era")
+
+// Parse returns the era in a header, or 0 if the text is empty because the store reports none.
+func Parse(text string) (uint64, error) {
+	if text == "" {
+		return 0, nil
+	}
+	era, err := strconv.ParseUint(text, 10, 64)
+	if err != nil || era > MaxEra {
+		return 0, fmt.Errorf("%w: %.20q", ErrInvalid, text)
+	}
+	return era, nil
+}
+
 // Order returns the ordered number of one that the store gave out in an era.
 func Order(era, number uint64) uint64 { return era<<numberBits | number&MaxNumber }
 
--- a/internal/state/beechstore/client.go
+++ b/internal/state/beechstore/client.go
@@ -73,10 +73,7 @@
 	maxReplyOverhead      = 64 << 10 // bytes allowed beyond MaxValueBytes
 )
 
-var (
-	errNoAddress = errors.New("no address of the platform's service is configured")
-	errEraRange  = errors.New("out of range")
-)
+var errNoAddress = errors.New("no address of the platform's service is configured")
 
 // New returns the client of the HTTP protocol. Deadlines, backoff and lease
 // expiry use clock.
@@ -240,29 +237,15 @@
 	}
 	version, err := strconv.ParseUint(response.Header.Get(HeaderVersion), 10, 64)
 	r := reply{status: response.StatusCode, version: version, hasVersion: err == nil, body: body}
-	if r.era, err = decodeEra(response.Header); err != nil {
+	if r.era, err = beechera.Parse(response.Header.Get(HeaderEra)); err != nil {
 		return r, c.invalidEra(cl, err)
 	}
 	return r, c.checkStatus(cl, r, response.Header)
 }
 
-// decodeEra returns the era of a reply, or 0 if it has none.
-func decodeEra(h http.Header) (uint64, error) {
-	text := h.Get(HeaderEra)
-	if text == "" {
-		return 0, nil
-	}
-	era, err := strconv.ParseUint(text, 10, 64)
-	if err == nil && era > beechera.MaxEra {
-		err = errEraRange
-	}
-	return era, err
-}
-
 // invalidEra returns the error of a call whose reply has an invalid era. A write may have taken
 // effect.
 func (c *client) invalidEra(cl call, err error) error {
-	err = fmt.Errorf("invalid era: %w", err)
 	if cl.write {
 		return UnknownOutcome{Step: cl.step, Peer: c.peer(), Err: err}
 	}
