--- a/internal/request/beechattempt/run.go
+++ b/internal/request/beechattempt/run.go
@@ -28,7 +28,7 @@
 		attempts        int               // with any outcome
 		partWaits       int               // waits for a prompt part that another request was prefilling
 		limitedAttempts int               // attempts not sent because the server was at its limit
-		limitRetryAfter time.Duration     // if all servers are at their limits or back off: when one accepts requests
+		retryAfter      time.Duration     // if all servers are at their limits or back off: when one accepts requests
 		maybeExecuted   int               // attempts without a good answer that may have been executed
 		notExecuted     int               // attempts that were certainly not executed
 		choice          beechplace.Choice // of the last attempt
@@ -110,7 +110,7 @@
 	for {
 		choice, ok := r.choose(ctx)
 		if !ok && choice.RetryAfter > 0 {
-			r.limitRetryAfter = choice.RetryAfter
+			r.retryAfter = choice.RetryAfter
 			if choice.BackingOff {
 				return r.giveUp(ctx, reasonBackingOff)
 			}
@@ -126,7 +126,7 @@
 		case finished:
 			return r.outcome()
 		case noRetry:
-			if r.limitRetryAfter > 0 {
+			if r.retryAfter > 0 {
 				return r.giveUp(ctx, reasonAtLimits)
 			}
 			return r.giveUp(ctx, "no more tries")
@@ -177,7 +177,7 @@
 		if r.limitedAttempts++; r.limitedAttempts < maxLimitedAttempts {
 			return tryAgain
 		}
-		r.limitRetryAfter = defaultRetryAfter
+		r.retryAfter = defaultRetryAfter
 		return r.noRetry(stopLimit)
 	}
 	r.attempts++
@@ -427,8 +427,8 @@
 		return "answered"
 	case r.maybeExecuted == 0:
 		after := min(jitter(defaultRetryAfter), max(r.call.TimeLeft(r.dispatcher.clock.Now())/3, 0))
-		if r.limitRetryAfter > 0 {
-			after = r.dispatcher.placer.RetryAfter(r.call.Service, r.limitRetryAfter)
+		if r.retryAfter > 0 {
+			after = r.dispatcher.placer.RetryAfter(r.call.Service, r.retryAfter)
 		}
 		r.dispatcher.log.Warn("request refused", append(fields, zap.Duration("after", after))...)
 		r.out.Reject(NotExecuted{RetryAfter: after, Reason: reason})
--- a/internal/state/beechmirror/mirror.go
+++ b/internal/state/beechmirror/mirror.go
@@ -63,14 +63,14 @@
 		Key      string
 		Value    []byte
 		Revision uint64 // of the last change; ordered, unless the item comes from a Source
-		Created  uint64 // revision of the creation; the same
+		Created  uint64 // revision of the creation; ordered likewise
 		Removed  bool
 	}
 
 	// Page is a reply of the store: the items or changes up to a revision.
 	Page struct {
 		Items    []Item
-		Revision uint64
+		Revision uint64 // plain from a Source, where Era is set; otherwise ordered
 		Era      uint64 // rises each time that the store is restored from a copy; 0: not reported
 	}
 
@@ -79,7 +79,7 @@
 		// Range reads all items under a prefix. The read is linearizable: it returns
 		// every write that was acknowledged before.
 		Range(ctx context.Context, prefix string) (Page, error)
-		// Watch waits for changes after a revision and returns them, or none after
+		// Watch waits for changes after a plain revision and returns them, or none after
 		// wait. The error is ErrCompacted if that history was dropped.
 		Watch(ctx context.Context, prefix string, after uint64, wait time.Duration) (Page, error)
 	}
