--- a/internal/process/beechgate/metrics.go
+++ b/internal/process/beechgate/metrics.go
@@ -29,6 +29,8 @@
 		invalidEntries    *expvar.Int // changes of servers' entries that were invalid
 		firstByte         *beechmetric.Latency
 		wholeAnswer       *beechmetric.Latency
+		departed          *expvar.Map          // calls whose callers left, by progress
+		departedAfter     *beechmetric.Latency // from the last attempt until it was noticed that the caller had left
 	}
 )
 
@@ -37,6 +39,7 @@
 		vars: new(expvar.Map), endings: new(expvar.Map), retried: new(expvar.Int), stops: new(expvar.Map), denied: new(expvar.Map),
 		proofs: new(expvar.Map), bodies: new(expvar.Map), unknownSenders: new(expvar.Int), invalidGossip: new(expvar.Int), copiesFetched: new(expvar.Int), lent: new(expvar.Int),
 		limitLinesDropped: new(expvar.Int), lateVersions: new(expvar.Int), invalidEntries: new(expvar.Int), firstByte: beechmetric.NewLatency(), wholeAnswer: beechmetric.NewLatency(),
+		departed: new(expvar.Map), departedAfter: beechmetric.NewLatency(),
 	}
 	m.vars.Set("endings", m.endings)
 	m.vars.Set("retried", m.retried)
@@ -64,6 +67,8 @@
 	m.vars.Set("entriesPassedOver", m.invalidEntries)
 	m.vars.Set("firstByteMicros", expvar.Func(m.firstByte.Percentiles))
 	m.vars.Set("wholeAnswerMicros", expvar.Func(m.wholeAnswer.Percentiles))
+	m.vars.Set("callersLeft", m.departed)
+	m.vars.Set("leftAfterSendMicros", expvar.Func(m.departedAfter.Percentiles))
 	m.vars.Set("configurationAgeMillis", expvar.Func(func() any { return g.freshness.Age().Milliseconds() }))
 	m.vars.Set("configurationVersion", expvar.Func(func() any {
 		if c := g.configuration.Load(); c != nil {
@@ -94,6 +99,12 @@
 		m.firstByte.Record(e.FirstByte)
 	}
 	m.wholeAnswer.Record(e.Duration)
+	if e.Outcome == beechattempt.OutcomeLeft {
+		m.departed.Add(string(e.Progress), 1)
+		if e.Attempts > 0 {
+			m.departedAfter.Record(e.SinceSend)
+		}
+	}
 }
 
 // Metrics serves the gate's counters and histograms.
--- a/internal/process/beechgate/observer.go
+++ b/internal/process/beechgate/observer.go
@@ -34,7 +34,7 @@
 	c := e.Choice
 	line.Write(
 		zap.String("request", e.Call.ID), zap.String("route", e.Call.Route.Name), zap.String("ending", e.Outcome), zap.Uint64("configuration", e.Call.Version),
-		zap.Duration("first", e.FirstByte), zap.Duration("took", e.Duration), zap.Int("sends", e.Attempts),
+		zap.Duration("first", e.FirstByte), zap.Duration("took", e.Duration), zap.Int("sends", e.Attempts), zap.String("progress", string(e.Progress)), zap.Duration("sinceSend", e.SinceSend),
 		zap.String("server", c.Server.ID), zap.Uint64("weights", c.Weights), zap.Float64("cost", c.Cost), zap.Float64("expected", c.Expected), zap.Duration("wait", c.Wait),
 		zap.Int("tokens", e.Call.PromptTokens), zap.Int("shared", e.Call.SharedTokens()), zap.Int("missing", c.Missing), zap.Int("unread", c.PrefillTokens),
 		zap.Stringer("fetch", c.Fetch), zap.Stringer("save", c.Save))
--- a/internal/request/beechattempt/dispatcher.go
+++ b/internal/request/beechattempt/dispatcher.go
@@ -53,8 +53,13 @@
 		Attempts  int
 		FirstByte time.Duration // until the first byte
 		Duration  time.Duration // of the whole call
+		Progress  Progress      // of the last attempt when the call ended
+		SinceSend time.Duration // since the last attempt was sent; 0 if none was
 	}
 
+	// Progress is how far a request has got on its way to a server and back.
+	Progress string
+
 	// Responder sends a caller its answer, in the protocol of the listener that accepted
 	// the call. Exactly one of Reject, Respond and StartStream is called, once; a stream
 	// ends with EndStream or AbortStream.
@@ -90,6 +95,18 @@
 	DeadlineExceeded struct{}
 )
 
+const (
+	// OutcomeLeft is the outcome of a call whose caller has disconnected.
+	OutcomeLeft = "left"
+
+	// NotSent means that no attempt was sent.
+	NotSent Progress = "not sent"
+	// Sent means that no byte of the answer has arrived.
+	Sent Progress = "sent"
+	// Answered means that the answer has begun.
+	Answered Progress = "answered"
+)
+
 func (NotExecuted) rejection()      {}
 func (QuotaExceeded) rejection()    {}
 func (OutcomeUnknown) rejection()   {}
@@ -117,7 +134,11 @@
 	defer cancel()
 	r := &execution{dispatcher: d, call: call, out: out, callerCtx: ctx, started: d.clock.Now()}
 	outcome := r.serve(limited)
-	d.observer.ObserveEnd(Result{Call: call, Outcome: outcome, Stop: string(r.stop), Choice: r.choice, Attempts: r.attempts, FirstByte: r.firstByte, Duration: d.clock.Since(r.started)})
+	result := Result{Call: call, Outcome: outcome, Stop: string(r.stop), Choice: r.choice, Attempts: r.attempts, FirstByte: r.firstByte, Duration: d.clock.Since(r.started), Progress: r.progress()}
+	if r.attempts > 0 {
+		result.SinceSend = d.clock.Since(r.sentAt)
+	}
+	d.observer.ObserveEnd(result)
 	return r.attempts - r.notExecuted
 }
 
--- a/internal/request/beechattempt/run.go
+++ b/internal/request/beechattempt/run.go
@@ -33,6 +33,7 @@
 		notExecuted     int               // attempts that were certainly not executed
 		choice          beechplace.Choice // of the last attempt
 		firstByte       time.Duration     // since the start
+		sentAt          time.Time         // of the last attempt
 		serverError     *response         // a server's error response, forwarded if no better answer comes
 		stream          streamState
 		stop            stopCause // of the verdict noRetry
@@ -137,11 +138,21 @@
 
 func (r *execution) outcome() string {
 	if isDone(r.callerCtx) {
-		return "left"
+		return OutcomeLeft
 	}
 	return "answered"
 }
 
+func (r *execution) progress() Progress {
+	switch {
+	case r.attempts == 0:
+		return NotSent
+	case r.firstByte == 0:
+		return Sent
+	}
+	return Answered
+}
+
 // choose returns a server. If none may be used it waits for a short time, since an engine
 // that loads weights is soon available again and a rejected caller takes longer to retry.
 // It does not wait if all servers are at their limits or back off for longer than that.
@@ -186,6 +197,7 @@
 	watch := r.newWatchdog(cancel, choice)
 	defer watch.stop()
 	sent := r.dispatcher.clock.Now()
+	r.sentAt = sent
 	answer, err := r.dispatcher.backend.Send(ctx, beechcall.Attempt{
 		Call: r.call, Server: choice.Server, Weights: choice.Weights, Salt: choice.Salt,
 		Urgency: r.urgency(), Fetch: choice.Fetch, Save: choice.Save, LastEventID: r.stream.lastEventID,
@@ -408,7 +420,7 @@
 // giveUp ends a call that gets no further attempt, and returns the outcome.
 func (r *execution) giveUp(ctx context.Context, reason string) string {
 	if isDone(r.callerCtx) {
-		return "left"
+		return OutcomeLeft
 	}
 	fields := []zap.Field{
 		zap.String("request", r.call.ID), zap.String("route", r.call.Route.Name), zap.String("reason", reason),
