--- a/internal/link/beechpool/pool_test.go
+++ b/internal/link/beechpool/pool_test.go
@@ -13,6 +13,7 @@
 	"net/url"
 	"strings"
 	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
@@ -333,3 +334,82 @@
 	is.Equal(accepted.Load(), int32(2))
 	is.Equal(p.ConnectionsMade(), 2)
 }
+
+// A caller has left before its request is sent on an idle connection.
+func TestEndedContextSendsNothing(t *testing.T) {
+	is := is.New(t)
+	seen := &atomic.Int32{}
+	peer, _ := serveRaw(t, func(c net.Conn, r *bufio.Reader) {
+		for id, ok := readRequestID(r); ok; id, ok = readRequestID(r) {
+			if id == "late" {
+				seen.Add(1)
+			}
+			writeResponse(c, id, "")
+		}
+	})
+	p := newPool()
+	for i := range 100 {
+		_, err := exchange(t.Context(), p, peer, fmt.Sprint(i), []byte("x"))
+		is.NoErr(err)
+		ended, cancel := context.WithCancel(t.Context())
+		cancel()
+		_, err = exchange(ended, p, peer, "late", []byte("x"))
+		var notSent *DialError
+		is.True(errors.As(err, &notSent))
+		is.True(errors.Is(err, context.Canceled))
+	}
+	time.Sleep(50 * time.Millisecond)
+	is.Equal(seen.Load(), int32(0))
+}
+
+// A server reads a request only after it was cancelled. It must not take it for a whole request
+// whose client has merely stopped sending.
+func TestCancelledRequestIsReset(t *testing.T) {
+	for name, cancelLate := range map[string]bool{"no answer": false, "answer begun": true} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			cancelled, ended := make(chan struct{}), make(chan error, 1)
+			peer, _ := serveRaw(t, func(c net.Conn, r *bufio.Reader) {
+				if cancelLate {
+					_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nId: a\r\nContent-Length: 5\r\n\r\nx")
+				}
+				<-cancelled
+				time.Sleep(20 * time.Millisecond)
+				_, err := io.Copy(io.Discard, r)
+				ended <- err
+			})
+			ctx, cancel := context.WithCancel(t.Context())
+			time.AfterFunc(50*time.Millisecond, cancel)
+			_, err := exchange(ctx, newPool(), peer, "a", []byte("x"))
+			is.True(err != nil)
+			close(cancelled)
+			is.True(errors.Is(<-ended, syscall.ECONNRESET))
+		})
+	}
+}
+
+// The reader of an answer is occupied elsewhere, such as in a write to its caller, when the caller
+// leaves.
+func TestCancelledAnswerIsResetWhileNobodyReadsIt(t *testing.T) {
+	is := is.New(t)
+	ended := make(chan error, 1)
+	peer, _ := serveRaw(t, func(c net.Conn, r *bufio.Reader) {
+		_, _ = readRequestID(r)
+		_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nId: a\r\nContent-Length: 5\r\n\r\nx")
+		_, err := r.ReadByte()
+		ended <- err
+	})
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	r := &http.Request{Method: http.MethodGet, URL: &url.URL{Opaque: "/x"}, Host: "h", Proto: "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1, Header: http.Header{}}
+	response, err := newPool().Exchange(ctx, peer, r, func(*http.Response) bool { return true })
+	is.NoErr(err)
+	cancel()
+	select {
+	case err := <-ended:
+		is.True(err != nil)
+	case <-time.After(500 * time.Millisecond):
+		t.Error("the request still runs half a second after it was cancelled")
+	}
+	_ = response.Body.Close()
+}
