A cancelled exchange is withdrawn by a reset of its connection

What callers saw: servers were busy with requests of callers that had left, and others waited for them. Cause: a cancelled exchange closed its connection with FIN. FIN queues behind the request, so that whatever still held the request back (a choked link, a full window, a server that reads late) delivered it whole, with a clean end behind it. And the end of the context only set a deadline, which acts when somebody reads: a gate that was blocked in a write to the caller let the engine work on for up to 10 s. Why it works: a reset discards what is queued and reaches the server at once, from the goroutine that learns of the cancellation, whoever reads the answer.

--- a/internal/link/beechpool/pool.go
+++ b/internal/link/beechpool/pool.go
@@ -10,6 +10,10 @@
 // Before an idle connection is reused, it is checked without blocking. It is dropped if
 // the server has closed it or has sent bytes that no request asked for.
 //
+// An exchange that ends early is withdrawn: its connection is reset, so that a request that
+// is still queued on its way is discarded, and a server that reads late does not take it for
+// a whole request whose client has merely finished sending.
+//
 // # Usage
 //
 //	pool := beechpool.New(beechpool.DefaultSettings, clock)
@@ -88,6 +92,7 @@
 		writeDone     chan error // gets the result of writing the current request
 		writeErr      error
 		writeDoneRead bool // writeErr holds the value of writeDone
+		ended         sync.Once
 	}
 
 	body struct {
@@ -184,11 +189,11 @@
 	if err != nil {
 		return nil, &DialError{Peer: peer, Err: err}
 	}
-	stop := context.AfterFunc(ctx, func() { _ = c.SetDeadline(time.Unix(1, 0)) })
+	stop := context.AfterFunc(ctx, c.reset)
 	response, failed := c.exchange(r, matches)
 	if failed != nil {
 		stop()
-		c.drop()
+		c.reset()
 		if cause := ctx.Err(); cause != nil {
 			failed.Err = fmt.Errorf("%w: %w", cause, failed.Err)
 		}
@@ -353,9 +358,20 @@
 	return err == nil && empty
 }
 
+// drop closes a connection that carries no exchange.
 func (c *conn) drop() {
-	_ = c.Close()
-	c.pool.decrementOpen(c.peer)
+	c.ended.Do(func() {
+		_ = c.Close()
+		c.pool.decrementOpen(c.peer)
+	})
+}
+
+// reset withdraws the exchange of a connection.
+func (c *conn) reset() {
+	if t, ok := c.Conn.(*net.TCPConn); ok {
+		_ = t.SetLinger(0)
+	}
+	c.drop()
 }
 
 // release returns the connection to the pool.
@@ -383,7 +399,7 @@
 }
 
 // Close ends the exchange. If the body was not read to its end, the connection is
-// closed, which cancels the request at the server.
+// reset, which cancels the request at the server.
 func (b *body) Close() error {
 	b.finish()
 	return nil
@@ -392,11 +408,14 @@
 func (b *body) finish() {
 	b.once.Do(func() {
 		cancelled := !b.stopCancel()
-		if cancelled || !b.reusable || !b.readToEOF || !b.conn.requestWritten() || b.conn.reader.Buffered() > 0 {
+		switch {
+		case cancelled || !b.readToEOF || !b.conn.requestWritten():
+			b.conn.reset()
+		case !b.reusable || b.conn.reader.Buffered() > 0:
 			b.conn.drop()
-			return
+		default:
+			b.conn.release()
 		}
-		b.conn.release()
 	})
 }
 
