Look at the caller's socket before a request is sent

What callers saw: servers ran requests of callers that had left, most at hosts that are behind with their work. Cause: what is started for a caller was tied to its connection only through the context of net/http, which ends when a background reader has run. On a process that was stopped or has a backlog, the handler reads, chooses and sends before it; and the pool wrote a request without looking at its context at all. The tests of beechattempt (departures while waiting, connecting and retrying) need the new question and could not run before. Why it works: the socket knows of the close before any goroutine does. It is asked, without blocking, before a server is chosen, while the call waits, before a retry is taken, and by the pool after a connection was found and just before the write. An attempt that is withdrawn says nothing of its server, and gives back its part of the server's limit.

--- a/internal/link/beechframing/framing.go
+++ b/internal/link/beechframing/framing.go
@@ -21,10 +21,12 @@
 import (
 	"bytes"
 	"context"
+	"errors"
 	"net"
 	"net/http"
 	"strings"
 	"sync"
+	"syscall"
 )
 
 type (
@@ -59,6 +61,14 @@
 	return &conn{Conn: c}, nil
 }
 
+// SyscallConn implements syscall.Conn.
+func (c *conn) SyscallConn() (syscall.RawConn, error) {
+	if s, ok := c.Conn.(syscall.Conn); ok {
+		return s.SyscallConn()
+	}
+	return nil, errors.ErrUnsupported
+}
+
 // Read reads from the connection and records the head of a request.
 func (c *conn) Read(data []byte) (int, error) {
 	n, err := c.Conn.Read(data)
--- a/internal/link/beechpool/pool.go
+++ b/internal/link/beechpool/pool.go
@@ -17,8 +17,8 @@
 // # Usage
 //
 //	pool := beechpool.New(beechpool.DefaultSettings, clock)
-//	response, err := pool.Exchange(ctx, address, request, func(r *http.Response) bool {
-//		return r.Header.Get("X-Id") == id
+//	response, err := pool.Exchange(ctx, address, request, beechpool.Conditions{
+//		Matches: func(r *http.Response) bool { return r.Header.Get("X-Id") == id },
 //	})
 //	var dial *beechpool.DialError // nothing was sent
 //	defer response.Body.Close()   // before the end of the body, this cancels the request
@@ -41,6 +41,8 @@
 
 	"github.com/jonboulle/clockwork"
 	"golang.org/x/sys/unix"
+
+	"github.com/beechring/beechring/internal/link/beechsocket"
 )
 
 type (
@@ -66,7 +68,14 @@
 		dialed int
 	}
 
-	// DialError reports that no connection was available, so nothing was sent.
+	// Conditions are what an exchange depends on besides its context. Each may be nil.
+	Conditions struct {
+		Matches   func(*http.Response) bool // false for a response to an earlier request
+		Withdrawn func() bool               // checked just before the request is written
+	}
+
+	// DialError reports that nothing was sent, since no connection was available or the
+	// exchange was withdrawn before.
 	DialError struct {
 		Peer netip.AddrPort
 		Err  error
@@ -125,6 +134,9 @@
 )
 
 var (
+	// ErrWithdrawn is the cause of a DialError if the context had ended or Conditions.Withdrawn held.
+	ErrWithdrawn = errors.New("withdrawn before it was sent")
+
 	errStaleResponses = errors.New("received only responses to earlier requests")
 	errMaxConns       = errors.New("maximum number of connections to the server reached")
 )
@@ -181,16 +193,20 @@
 	return c.Close()
 }
 
-// Exchange sends a request and returns the first response for which matches is true; it
-// discards others as responses to earlier requests. The context covers the whole
-// exchange, to the end of the body. Errors are *DialError or *ExchangeError.
-func (p *Pool) Exchange(ctx context.Context, peer netip.AddrPort, r *http.Request, matches func(*http.Response) bool) (*http.Response, error) {
+// Exchange sends a request and returns the first response that matches; it discards
+// others as responses to earlier requests. The context covers the whole exchange, to the
+// end of the body. Errors are *DialError or *ExchangeError.
+func (p *Pool) Exchange(ctx context.Context, peer netip.AddrPort, r *http.Request, conditions Conditions) (*http.Response, error) {
 	c, err := p.acquire(ctx, peer)
 	if err != nil {
 		return nil, &DialError{Peer: peer, Err: err}
 	}
+	if err := conditions.withdrawn(ctx); err != nil {
+		c.release()
+		return nil, &DialError{Peer: peer, Err: err}
+	}
 	stop := context.AfterFunc(ctx, c.reset)
-	response, failed := c.exchange(r, matches)
+	response, failed := c.exchange(r, conditions.Matches)
 	if failed != nil {
 		stop()
 		c.reset()
@@ -203,6 +219,17 @@
 	return response, nil
 }
 
+// withdrawn returns an error if the request must not be written any more.
+func (c Conditions) withdrawn(ctx context.Context) error {
+	if err := ctx.Err(); err != nil {
+		return fmt.Errorf("%w: %w", ErrWithdrawn, err)
+	}
+	if c.Withdrawn != nil && c.Withdrawn() {
+		return ErrWithdrawn
+	}
+	return nil
+}
+
 func (c *conn) exchange(r *http.Request, matches func(*http.Response) bool) (*http.Response, *ExchangeError) {
 	reused := c.uses > 0
 	c.uses++
@@ -223,7 +250,7 @@
 		if response.StatusCode < http.StatusOK {
 			continue
 		}
-		if matches(response) {
+		if matches == nil || matches(response) {
 			return response, nil
 		}
 		// A late or duplicate response to an earlier request.
@@ -340,22 +367,8 @@
 
 // openAndEmpty reports whether an idle connection is open and has no bytes to read.
 func (c *conn) openAndEmpty() bool {
-	t, ok := c.Conn.(*net.TCPConn)
-	if !ok {
-		return true
-	}
-	raw, err := t.SyscallConn()
-	if err != nil {
-		return false
-	}
-	empty := false
-	err = raw.Read(func(fd uintptr) bool {
-		var one [1]byte
-		_, _, err := unix.Recvfrom(int(fd), one[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
-		empty = errors.Is(err, unix.EAGAIN)
-		return true
-	})
-	return err == nil && empty
+	state := beechsocket.Look(c.Conn)
+	return state == beechsocket.Idle || state == beechsocket.Unknown
 }
 
 // drop closes a connection that carries no exchange.
--- a/internal/link/beechpool/pool_test.go
+++ b/internal/link/beechpool/pool_test.go
@@ -65,7 +65,7 @@
 		Method: http.MethodPost, URL: &url.URL{Opaque: "/x"}, Host: "h", Proto: "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1,
 		Header: http.Header{"Id": {id}}, ContentLength: int64(len(body)), Body: io.NopCloser(bytes.NewReader(body)),
 	}
-	response, err := p.Exchange(ctx, peer, r, func(r *http.Response) bool { return r.Header.Get("Id") == id })
+	response, err := p.Exchange(ctx, peer, r, Conditions{Matches: func(r *http.Response) bool { return r.Header.Get("Id") == id }})
 	if err != nil {
 		return "", err
 	}
@@ -317,7 +317,7 @@
 	p := New(DefaultSettings, clock)
 	get := func() {
 		r := &http.Request{Method: http.MethodGet, URL: &url.URL{Opaque: "/x"}, Host: "h", Header: http.Header{"Id": {"a"}}}
-		response, err := p.Exchange(t.Context(), peer, r, func(*http.Response) bool { return true })
+		response, err := p.Exchange(t.Context(), peer, r, Conditions{})
 		is.NoErr(err)
 		ApplyKeepAlive(response)
 		_, _ = io.Copy(io.Discard, response.Body)
@@ -402,7 +402,7 @@
 	ctx, cancel := context.WithCancel(t.Context())
 	defer cancel()
 	r := &http.Request{Method: http.MethodGet, URL: &url.URL{Opaque: "/x"}, Host: "h", Proto: "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1, Header: http.Header{}}
-	response, err := newPool().Exchange(ctx, peer, r, func(*http.Response) bool { return true })
+	response, err := newPool().Exchange(ctx, peer, r, Conditions{})
 	is.NoErr(err)
 	cancel()
 	select {
--- a/internal/process/beechgate/gate.go
+++ b/internal/process/beechgate/gate.go
@@ -29,6 +29,7 @@
 	"github.com/beechring/beechring/internal/link/beechdatagram"
 	"github.com/beechring/beechring/internal/link/beechframing"
 	"github.com/beechring/beechring/internal/link/beechpool"
+	"github.com/beechring/beechring/internal/link/beechsocket"
 	"github.com/beechring/beechring/internal/process/beechlog"
 	"github.com/beechring/beechring/internal/process/beechsettings"
 	"github.com/beechring/beechring/internal/process/beechtask"
@@ -243,7 +244,10 @@
 	}
 	server := &http.Server{
 		Handler: door, MaxHeaderBytes: maxHeaderBytes, ReadHeaderTimeout: headerTimeout,
-		ConnContext: beechframing.ConnContext, ErrorLog: zap.NewStdLog(g.log),
+		ErrorLog: zap.NewStdLog(g.log),
+		ConnContext: func(ctx context.Context, c net.Conn) context.Context {
+			return beechsocket.ConnContext(beechframing.ConnContext(ctx, c), c)
+		},
 	}
 	idle := newIdleTimeouts(g.clock, g.idleTimeout)
 	server.ConnState = func(c net.Conn, state http.ConnState) {
--- a/internal/request/beechattempt/attempt_test.go
+++ b/internal/request/beechattempt/attempt_test.go
@@ -9,6 +9,7 @@
 	"net/netip"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -50,6 +51,7 @@
 		ended     bool
 		broken    bool
 		sendErr   error
+		departed  atomic.Bool // its connection is closed, and the context does not tell yet
 	}
 
 	fullyUsable struct{}
@@ -108,8 +110,9 @@
 	return c.sendErr
 }
 
-func (c *caller) EndStream()   { c.ended = true }
-func (c *caller) AbortStream() { c.broken = true }
+func (c *caller) EndStream()     { c.ended = true }
+func (c *caller) AbortStream()   { c.broken = true }
+func (c *caller) Departed() bool { return c.departed.Load() }
 
 type fixture struct {
 	dispatcher *Dispatcher
--- a/internal/request/beechattempt/dispatcher.go
+++ b/internal/request/beechattempt/dispatcher.go
@@ -62,7 +62,7 @@
 
 	// Responder sends a caller its answer, in the protocol of the listener that accepted
 	// the call. Exactly one of Reject, Respond and StartStream is called, once; a stream
-	// ends with EndStream or AbortStream.
+	// ends with EndStream or AbortStream. None is called if the caller has departed.
 	Responder interface {
 		Reject(r Rejection)
 		Respond(status int, header http.Header, body []byte)
@@ -70,6 +70,9 @@
 		SendEvents(data []byte) error // complete events only
 		EndStream()
 		AbortStream()
+		// Departed reports, without blocking, whether the caller has disconnected. It may
+		// know so before the context of the call ends.
+		Departed() bool
 	}
 
 	// Rejection is the answer to a call that no server has answered: NotExecuted,
--- a/internal/request/beechattempt/run.go
+++ b/internal/request/beechattempt/run.go
@@ -6,6 +6,7 @@
 	"errors"
 	"io"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"go.uber.org/zap"
@@ -34,6 +35,7 @@
 		choice          beechplace.Choice // of the last attempt
 		firstByte       time.Duration     // since the start
 		sentAt          time.Time         // of the last attempt
+		departed        atomic.Bool       // the caller was seen to have disconnected
 		serverError     *response         // a server's error response, forwarded if no better answer comes
 		stream          streamState
 		stop            stopCause // of the verdict noRetry
@@ -109,6 +111,9 @@
 func (r *execution) serve(ctx context.Context) string {
 	r.dispatcher.budget.RecordRequest(r.call.Service)
 	for {
+		if r.callerLeft() {
+			return r.outcome()
+		}
 		choice, ok := r.choose(ctx)
 		if !ok && choice.RetryAfter > 0 {
 			r.retryAfter = choice.RetryAfter
@@ -137,12 +142,21 @@
 }
 
 func (r *execution) outcome() string {
-	if isDone(r.callerCtx) {
+	if r.departed.Load() || isDone(r.callerCtx) {
 		return OutcomeLeft
 	}
 	return "answered"
 }
 
+// callerLeft looks whether the caller has disconnected. The context may end later than that.
+func (r *execution) callerLeft() bool {
+	if isDone(r.callerCtx) || r.out.Departed() {
+		r.departed.Store(true)
+		return true
+	}
+	return false
+}
+
 func (r *execution) progress() Progress {
 	switch {
 	case r.attempts == 0:
@@ -161,7 +175,7 @@
 	until := r.dispatcher.clock.Now().Add(wait)
 	for {
 		choice, ok := r.dispatcher.placer.Choose(r.call, r.triedServers)
-		if now := r.dispatcher.clock.Now(); ok || now.Add(choice.RetryAfter).After(until) || isDone(ctx) {
+		if now := r.dispatcher.clock.Now(); ok || now.Add(choice.RetryAfter).After(until) || isDone(ctx) || r.callerLeft() {
 			return choice, ok && !isDone(ctx)
 		}
 		select {
@@ -200,7 +214,7 @@
 	r.sentAt = sent
 	answer, err := r.dispatcher.backend.Send(ctx, beechcall.Attempt{
 		Call: r.call, Server: choice.Server, Weights: choice.Weights, Salt: choice.Salt,
-		Urgency: r.urgency(), Fetch: choice.Fetch, Save: choice.Save, LastEventID: r.stream.lastEventID,
+		Urgency: r.urgency(), Fetch: choice.Fetch, Save: choice.Save, LastEventID: r.stream.lastEventID, Withdrawn: r.callerLeft,
 	})
 	if err != nil {
 		return r.handleFailure(choice, placement, watch, err)
@@ -281,7 +295,7 @@
 		r.maybeExecuted++
 		r.triedServers = append(r.triedServers, choice.Server.ID)
 		r.serverError = &response{answer.Status, answer.Header, body}
-		if r.maybeExecuted < r.call.Route.MaxAttempts && r.takeRetry(beechretry.RanYes, choice, false) {
+		if r.maybeExecuted < r.call.Route.MaxAttempts && !r.callerLeft() && r.takeRetry(beechretry.RanYes, choice, false) {
 			r.logAttempt("retried", choice, zap.Int("status", answer.Status))
 			return tryAgain
 		}
@@ -322,7 +336,10 @@
 		r.observeBackoff(placement, notExecuted.Backoff)
 		r.observeLeaving(placement, notExecuted.Leaving)
 	}
-	if isDone(r.callerCtx) {
+	if errors.Is(err, beechcall.ErrWithdrawn) {
+		return r.handleWithdrawn(placement)
+	}
+	if r.callerLeft() {
 		placement.Done(beechplace.Cancelled)
 		return finished
 	}
@@ -373,6 +390,19 @@
 	return r.retry(beechretry.RanUnknown, choice, false)
 }
 
+// handleWithdrawn decides what follows an attempt that was not sent, for a reason on this side.
+func (r *execution) handleWithdrawn(placement *beechplace.Attempt) verdict {
+	placement.Done(beechplace.Withdrawn)
+	r.attempts--
+	switch {
+	case r.callerLeft():
+		return finished
+	case !r.dispatcher.clock.Now().Before(r.call.Deadline):
+		return r.noRetry(stopDeadline)
+	}
+	return tryAgain
+}
+
 // noRetry records why the call is not tried again.
 func (r *execution) noRetry(cause stopCause) verdict {
 	r.stop = cause
@@ -419,7 +449,7 @@
 
 // giveUp ends a call that gets no further attempt, and returns the outcome.
 func (r *execution) giveUp(ctx context.Context, reason string) string {
-	if isDone(r.callerCtx) {
+	if r.callerLeft() {
 		return OutcomeLeft
 	}
 	fields := []zap.Field{
--- a/internal/request/beechattempt/stream.go
+++ b/internal/request/beechattempt/stream.go
@@ -61,7 +61,7 @@
 func (w *watchdog) onTimeout() {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	if w.stopped || w.retryGranted {
+	if w.stopped || w.retryGranted || w.execution.callerLeft() {
 		return
 	}
 	if w.execution.takeRetry(beechretry.RanUnknown, w.choice, false) {
--- a/internal/request/beechcall/call.go
+++ b/internal/request/beechcall/call.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"net/http"
@@ -54,6 +55,7 @@
 		Fetch       netip.AddrPort // where to fetch cached parts from; invalid: nowhere
 		Save        netip.AddrPort // where to save cached parts; invalid: nowhere
 		LastEventID string         // resume the stream after this event
+		Withdrawn   func() bool    // checked just before the attempt is sent, which must not be if it holds; nil: never
 	}
 
 	// Answer is a server's answer whose body has not been read. Closing the body before its
@@ -119,6 +121,9 @@
 	}
 )
 
+// ErrWithdrawn is the cause of NotSent if the context had ended or Attempt.Withdrawn held.
+var ErrWithdrawn = errors.New("withdrawn")
+
 func (NotSent) failure()        {}
 func (NotExecuted) failure()    {}
 func (OutcomeUnknown) failure() {}
--- a/internal/request/beechplace/attempt.go
+++ b/internal/request/beechplace/attempt.go
@@ -154,7 +154,7 @@
 			a.placer.residence.learn(a.prompt, a.placer.clock.Since(a.sentAt))
 		}
 		a.placer.updateAvailability(a.server, o, a.sentAt)
-		if o == Unreachable {
+		if o == Unreachable || o == Withdrawn {
 			a.placer.limits.Refund(a.server.ID)
 		}
 	})
@@ -179,7 +179,7 @@
 			return
 		}
 		s.downUntil = now.Add(min(p.settings.DownTime<<min(s.failures-1, maxDownDoublings), p.settings.MaxDownTime))
-	case Cancelled:
+	case Cancelled, Withdrawn:
 	}
 }
 
--- a/internal/request/beechplace/types.go
+++ b/internal/request/beechplace/types.go
@@ -96,6 +96,7 @@
 	Failed                     // no response, or an incomplete one
 	Unreachable                // no connection
 	Cancelled                  // the caller disconnected, or the request was not sent
+	Withdrawn                  // not sent after AcquireLimit
 )
 
 // Defaults are used for settings that are not given. PrefillRate starts below the rate of real
