An entry host looks at the caller's socket before it opens a stream to an agent

What callers saw: agents computed answers for callers that had left before their requests were read, and kept them for callers who never had an event. Why it works: the socket is asked just before the stream is opened; a claim of a booking that was not sent is released, as for any caller that leaves then.

--- a/internal/process/beechentry/dispatch.go
+++ b/internal/process/beechentry/dispatch.go
@@ -10,6 +10,7 @@
 	"github.com/beechring/beechring/internal/decision/beechroute"
 	"github.com/beechring/beechring/internal/decision/beechsuspect"
 	"github.com/beechring/beechring/internal/link/beechlink"
+	"github.com/beechring/beechring/internal/link/beechsocket"
 	"github.com/beechring/beechring/internal/link/beechwire"
 	"github.com/beechring/beechring/internal/process/beechlog"
 )
@@ -230,6 +231,9 @@
 }
 
 func (e *Entry) open(ctx context.Context, j *job, client *beechlink.Client, candidate *beechroute.Candidate) (beechlink.Stream, attemptResult) {
+	if ctx.Err() != nil || beechsocket.Departed(ctx) {
+		return nil, callerGone{}
+	}
 	j.resetForAttempt()
 	j.request.DeadlineMillis = j.remaining(time.Now())
 	j.request.Resume = string(j.text)
--- a/internal/process/beechentry/entry.go
+++ b/internal/process/beechentry/entry.go
@@ -22,6 +22,7 @@
 	"github.com/beechring/beechring/internal/decision/beechlimit"
 	"github.com/beechring/beechring/internal/decision/beechretry"
 	"github.com/beechring/beechring/internal/decision/beechsuspect"
+	"github.com/beechring/beechring/internal/link/beechsocket"
 	"github.com/beechring/beechring/internal/link/beechwire"
 	"github.com/beechring/beechring/internal/process/beechburn"
 	"github.com/beechring/beechring/internal/process/beechlog"
@@ -125,6 +126,7 @@
 		IdleTimeout:       idleTimeout,
 		MaxHeaderBytes:    settings.Limits.HeaderBytes,
 		ErrorLog:          zap.NewStdLog(e.log),
+		ConnContext:       beechsocket.ConnContext,
 	}
 	if err := e.supervise(); err != nil {
 		listener.Close()
--- a/internal/process/beechentry/restart_test.go
+++ b/internal/process/beechentry/restart_test.go
@@ -10,6 +10,7 @@
 	"net/http"
 	"net/netip"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -32,6 +33,7 @@
 	configuration []byte
 	asked         chan struct{} // receives a value for each call for the configuration
 	release       chan struct{}
+	opened        atomic.Int32
 }
 
 const (
@@ -111,6 +113,7 @@
 
 // Open implements beechlink.StreamHandler.
 func (a *linkedAgent) Open(ctx context.Context, s beechlink.ServerStream, _ *beechwire.Request, _ []byte) {
+	a.opened.Add(1)
 	_ = s.Send(ctx, beechlink.HeadReply{Head: beechwire.Head{Status: http.StatusOK, ContentType: eventStream, Incarnation: 1}})
 	_ = s.Send(ctx, beechlink.DataReply{Data: beechwire.Data{Sequence: 1, Data: []byte(`{"choices":[{"text":"a"}]}`)}})
 	_ = s.Send(ctx, beechlink.EndReply{End: beechwire.End{Last: 1}})
