Log the software version of servers, and what a resumed stream goes on from

The stand-in engines have a version of their software, which marks their events, and may restart under their ID at another one.

--- a/internal/process/beechgate/configuration.go
+++ b/internal/process/beechgate/configuration.go
@@ -218,7 +218,7 @@
 			leaving++
 		}
 		if s.Zone == g.settings.Zone {
-			g.log.Info("server listed", zap.String("server", s.ID), zap.Stringer("peer", s.Address), zap.String("service", s.Service), zap.Bool("leaving", s.Leaving), zap.Uint64("revision", plainRevision(s.Revision)))
+			g.log.Info("server listed", zap.String("server", s.ID), zap.Stringer("peer", s.Address), zap.String("service", s.Service), zap.String("software", s.Software), zap.Bool("leaving", s.Leaving), zap.Uint64("revision", plainRevision(s.Revision)))
 		}
 	}
 	for _, s := range removed {
--- a/internal/process/beechgate/observer.go
+++ b/internal/process/beechgate/observer.go
@@ -16,7 +16,7 @@
 }
 
 // ObserveEnd implements beechattempt.Observer. Requests that were answered as expected are logged
-// at level debug only, all others at info.
+// at level debug only, all others and resumed streams at info.
 func (g *Gate) ObserveEnd(e beechattempt.Result) {
 	g.metrics.recordEnding(e, g.scopeTo(e.Choice.Server))
 	if e.Choice.LimitedServer != "" {
@@ -24,7 +24,7 @@
 			zap.Float64("rate", g.limits.Rate(e.Choice.LimitedServer)), zap.String("server", e.Choice.Server.ID), zap.String("ending", e.Outcome))
 	}
 	level := zap.DebugLevel
-	if e.Outcome != "answered" || e.Attempts > 1 || e.FirstByte > e.Call.Route.Objective {
+	if e.Outcome != "answered" || e.Attempts > 1 || e.FirstByte > e.Call.Route.Objective || e.Call.LastEventID != "" {
 		level = zap.InfoLevel
 	}
 	line := g.log.Check(level, "request ended")
@@ -35,7 +35,8 @@
 	line.Write(
 		zap.String("request", e.Call.ID), zap.String("route", e.Call.Route.Name), zap.String("ending", e.Outcome), zap.Uint64("configuration", e.Call.Version),
 		zap.Duration("first", e.FirstByte), zap.Duration("took", e.Duration), zap.Int("sends", e.Attempts), zap.String("progress", string(e.Progress)), zap.Duration("sinceSend", e.SinceSend),
-		zap.String("server", c.Server.ID), zap.Uint64("weights", c.Weights), zap.Float64("cost", c.Cost), zap.Float64("expected", c.Expected), zap.Duration("wait", c.Wait),
+		zap.String("server", c.Server.ID), zap.String("software", c.Server.Software), zap.String("resumes", e.Call.Resumes), zap.String("after", e.Call.LastEventID),
+		zap.Uint64("weights", c.Weights), zap.Float64("cost", c.Cost), zap.Float64("expected", c.Expected), zap.Duration("wait", c.Wait),
 		zap.Int("tokens", e.Call.PromptTokens), zap.Int("shared", e.Call.SharedTokens()), zap.Int("missing", c.Missing), zap.Int("unread", c.PrefillTokens),
 		zap.Stringer("fetch", c.Fetch), zap.Stringer("save", c.Save))
 }
--- a/internal/request/beechcall/call.go
+++ b/internal/request/beechcall/call.go
@@ -36,6 +36,7 @@
 		OutputTokens   int    // the maximum
 		TokensDeclared bool   // the caller declared its token counts
 		LastEventID    string // of the last event the caller has, if it resumes a stream
+		Resumes        string // ID of the caller's request that the resumed stream began with; empty: not named
 		Received       time.Time
 		Deadline       time.Time // of the caller or the route, whichever is earlier
 		Method         string
--- a/internal/request/beechcall/configuration.go
+++ b/internal/request/beechcall/configuration.go
@@ -108,6 +108,7 @@
 		Slots    int
 		Leaving  bool
 		Weights  map[string]uint64 // version by model, as listed; may be out of date
+		Software string            // version of its software, not of weights; empty: not known
 	}
 )
 
--- a/internal/standin/beechsimulator/documents.go
+++ b/internal/standin/beechsimulator/documents.go
@@ -54,10 +54,14 @@
 	if e.settings.Model != "" {
 		models = append(models, Document{"name": e.settings.Model, "version": e.Version(), "adapters": []string{}})
 	}
-	s.Put(serverPrefix+e.settings.ID, Document{
-		"service": service, "address": address, "zone": zone, "version": "v1", "slots": advertisedSlots,
+	entry := Document{
+		"service": service, "address": address, "zone": zone, "version": e.Software(), "slots": advertisedSlots,
 		"state": state, "coldLeftMs": 0, "models": models, "sequence": 1,
-	})
+	}
+	if born := e.Born(); born > 0 {
+		entry["born"] = born
+	}
+	s.Put(serverPrefix+e.settings.ID, entry)
 }
 
 // RemoveServer deletes a server's entry.
--- a/internal/standin/beechsimulator/engine.go
+++ b/internal/standin/beechsimulator/engine.go
@@ -1,6 +1,7 @@
 package beechsimulator
 
 import (
+	"cmp"
 	"encoding/json"
 	"fmt"
 	"io"
@@ -23,6 +24,7 @@
 		Token    time.Duration // duration of each event of a stream
 		ReadRate float64       // prompt tokens per millisecond; 0 takes no time
 		Load     time.Duration // duration of loading new weights
+		Software string        // version of its software, which marks each event; empty: v1, without marks
 	}
 
 	// Engine simulates an engine. It is safe for concurrent use.
@@ -201,6 +203,29 @@
 	e.events = nil
 }
 
+// RestartWith simulates a restart under the same ID with another version of the software. The
+// entry in the store is not written.
+func (e *Engine) RestartWith(software string) {
+	e.Restart()
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.settings.Software = software
+}
+
+// Born returns the start of the engine's lifetime in Unix milliseconds; 0 is not reported.
+func (e *Engine) Born() int64 {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.born
+}
+
+// Software returns the version of the software that the engine writes into its entry.
+func (e *Engine) Software() string {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return cmp.Or(e.settings.Software, "v1")
+}
+
 // SetFaults replaces the simulated faults.
 func (e *Engine) SetFaults(f EngineFaults) {
 	e.mu.Lock()
@@ -434,13 +459,19 @@
 	from, _ := strconv.Atoi(r.Header.Get("Last-Event-Id"))
 	w.Header().Set("Content-Type", "text/event-stream")
 	control := http.NewResponseController(w)
+	e.mu.Lock()
+	mark := ""
+	if e.settings.Software != "" {
+		mark = " by " + e.settings.Software
+	}
+	e.mu.Unlock()
 	for i := from + 1; i <= count; i++ {
 		if faults.CutAfter > 0 && i > from+faults.CutAfter {
 			_, _ = fmt.Fprintf(w, "id: %d\ndata: to", i)
 			_ = control.Flush()
 			panic(http.ErrAbortHandler)
 		}
-		if _, err := fmt.Fprintf(w, "id: %d\ndata: token %d\n\n", i, i); err != nil {
+		if _, err := fmt.Fprintf(w, "id: %d\ndata: token %d%s\n\n", i, i, mark); err != nil {
 			return
 		}
 		_ = control.Flush()
