--- a/internal/standin/beechsimulator/engine.go
+++ b/internal/standin/beechsimulator/engine.go
@@ -36,6 +36,7 @@
 		busy          bool
 		sequence      uint64
 		running       int
+		streams       int // begun so far
 		runs          map[string]int
 		lastHeaders   map[string]http.Header // headers of the last run, by request id
 		cached        map[string]int         // tokens by "salt|part"
@@ -56,6 +57,7 @@
 		Hang         bool   // requests run and get no response
 		Drop         bool   // requests run and the connection is reset
 		CutAfter     int    // number of events after which a stream is cut; 0 is never
+		CutEvery     int    // of how many streams one is cut; 0 is all
 		Status       int    // status of every response; 0 for the normal 200
 		Twice        bool   // each response is to be sent twice; not implemented, so it has no effect
 		Foreign      string // another request's id, returned in responses
@@ -460,13 +462,15 @@
 	w.Header().Set("Content-Type", "text/event-stream")
 	control := http.NewResponseController(w)
 	e.mu.Lock()
+	e.streams++
+	cut := faults.CutAfter > 0 && (faults.CutEvery == 0 || e.streams%faults.CutEvery == 0)
 	mark := ""
 	if e.settings.Software != "" {
 		mark = " by " + e.settings.Software
 	}
 	e.mu.Unlock()
 	for i := from + 1; i <= count; i++ {
-		if faults.CutAfter > 0 && i > from+faults.CutAfter {
+		if cut && i > from+faults.CutAfter {
 			_, _ = fmt.Fprintf(w, "id: %d\ndata: to", i)
 			_ = control.Flush()
 			panic(http.ErrAbortHandler)
