A stream goes on only at the software version that began it

What callers saw: streams whose first events came from a server of one software version and the rest from a server of another; such parts do not fit together. Cause: what had produced the beginning of a stream was not part of what is remembered. An entry's version was decoded and dropped, a stream's state was its last event alone, and the request that a caller names as the beginning was read nowhere; so a second try within an answer, and a caller that came back, went to whichever server cost least. Why it works: a gate keeps the origin (service and version) of each resumable stream before its first event leaves, and tells it to three gates, chosen by rendezvous hashing, while the service has more than one version; when a second version appears, or the gate leaves, it tells what it had not. A gate that is asked to go on knows the origin, follows it from the only version that the service has had for as long as streams can be resumed, or asks those gates and the ones of its zone; what nobody knows is refused with 503 and Retry-After. Choice, the look before the write and the first event of each answer hold to that version. After a restart under the same ID a server's version is not known until its entry is written again.

--- /dev/null
+++ b/internal/decision/beechorigin/doc.go
@@ -0,0 +1,23 @@
+// Package beechorigin remembers by which version of a service's software the beginning of a
+// stream was generated, so that the stream is continued at that version only.
+//
+// What servers of two versions generate does not fit together, and servers do not check it. A
+// caller that comes back with the last event that it has may reach any gate. That gate knows the
+// origin of the stream if it served the beginning itself, or if it is one of the few gates, chosen
+// by rendezvous hashing of the request's ID, that are told of each beginning. Otherwise it asks
+// them and the gates of its zone.
+//
+// While a service has had one version only for longer than any stream can be resumed, beginnings
+// need not be told: the origin follows. An origin that is not known is never guessed from the
+// servers that are listed now.
+//
+// # Usage
+//
+//	versions := beechorigin.NewVersions(clock)
+//	versions.SetListed(map[string][]string{"llm": {"v1", "v2"}})
+//	registry := beechorigin.NewRegistry(clock)
+//	registry.Record(requestID, beechorigin.Origin{Service: "llm", Software: "v1"}, beechorigin.Own)
+//	peers := beechorigin.Keepers(requestID, gates)
+//	// at the gate that is asked to continue
+//	origin, known := registry.Find(requestID)
+package beechorigin
--- a/internal/link/beechdatagram/datagram.go
+++ b/internal/link/beechdatagram/datagram.go
@@ -31,7 +31,8 @@
 
 type (
 	// Message is a Follow, a Tell, an Announce, an Inquiry, a Proof, an
-	// Entries, a Gossip, a Summary, a Recall, a Borrow, a Loan, a Spent, a Limits or a Full.
+	// Entries, a Gossip, a Summary, a Recall, a Borrow, a Loan, a Spent, a Limits, a Full, an
+	// Origins, a Query or a Found.
 	Message interface{ message() }
 
 	// Follow is sent by a gate to a keeper: it asks for the engine's state, and names
@@ -79,6 +80,15 @@
 	// Loan answers a Borrow.
 	Loan struct{ *beechwire.Loan }
 
+	// Origins is sent by a gate to others: the software by which streams were begun.
+	Origins struct{ *beechwire.Origins }
+
+	// Query is sent by a gate to another: it asks for the origin of a stream.
+	Query struct{ *beechwire.Query }
+
+	// Found answers a Query.
+	Found struct{ *beechwire.Found }
+
 	// Scope tells whether a datagram leaves its availability zone. Traffic between
 	// zones is billed by the byte.
 	Scope bool
@@ -112,6 +122,9 @@
 	kindProof        = 'H'
 	kindBorrow       = 'K'
 	kindLoan         = 'N'
+	kindOrigins      = 'O'
+	kindQuery        = 'Q'
+	kindFound        = 'D'
 	maxDatagramBytes = 16 << 10
 )
 
@@ -131,6 +144,9 @@
 func (Borrow) message()   {}
 func (Loan) message()     {}
 func (Proof) message()    {}
+func (Origins) message()  {}
+func (Query) message()    {}
+func (Found) message()    {}
 
 // Open binds a UDP socket to an address.
 func Open(address netip.AddrPort) (*Socket, error) {
@@ -172,6 +188,12 @@
 		return v.MarshalMsg([]byte{kindLoan})
 	case Proof:
 		return v.MarshalMsg([]byte{kindProof})
+	case Origins:
+		return v.MarshalMsg([]byte{kindOrigins})
+	case Query:
+		return v.MarshalMsg([]byte{kindQuery})
+	case Found:
+		return v.MarshalMsg([]byte{kindFound})
 	}
 	return nil, errUnknownKind
 }
@@ -237,6 +259,15 @@
 	case kindProof:
 		m := &beechwire.Proof{}
 		return Proof{m}, m
+	case kindOrigins:
+		m := &beechwire.Origins{}
+		return Origins{m}, m
+	case kindQuery:
+		m := &beechwire.Query{}
+		return Query{m}, m
+	case kindFound:
+		m := &beechwire.Found{}
+		return Found{m}, m
 	}
 	return nil, nil
 }
@@ -297,6 +328,12 @@
 		return "loan"
 	case kindProof:
 		return "proof"
+	case kindOrigins:
+		return "origins"
+	case kindQuery:
+		return "query"
+	case kindFound:
+		return "found"
 	}
 	return "unknown"
 }
--- a/internal/link/beechwire/wire_gen.go
+++ b/internal/link/beechwire/wire_gen.go
@@ -2,7 +2,7 @@
 
 //msgp:ignore WireSchemaJson
 //msgp:limit arrays:65536
-//msgp:tuple Follow Announce Tell Target Weights Inquiry Entry Entries Node Gossip Status Engine Heard Speed Busy Summary Recall Held Proof Borrow Loan Use Spent Seen Limit Limits Full FullServer
+//msgp:tuple Follow Announce Tell Target Weights Inquiry Entry Entries Node Gossip Status Engine Heard Speed Busy Summary Recall Held Proof Borrow Loan Origins Query Found Use Spent Seen Limit Limits Full FullServer
 
 package beechwire
 
@@ -421,6 +421,25 @@
 	Zone string `msg:"Zone"`
 }
 
+// Found answers a Query.
+type Found struct {
+	// The stream began at this service and version.
+	Known bool `msg:"Known"`
+
+	// That of the query.
+	Number uint64 `msg:"Number"`
+
+	// Service corresponds to the JSON schema field "Service".
+	Service string `msg:"Service"`
+
+	// Software corresponds to the JSON schema field "Software".
+	Software string `msg:"Software"`
+
+	// The stream is not known, and the version is the only one that the service has
+	// had for as long as a stream can be resumed.
+	Sole bool `msg:"Sole"`
+}
+
 // Full is the datagram in which a gate tells the others which servers are full.
 type Full struct {
 	// List corresponds to the JSON schema field "List".
@@ -730,6 +749,23 @@
 	Stream uint64 `msg:"Stream"`
 }
 
+// Origins is the datagram in which a gate tells others by which software streams
+// were begun. Without requests it tells that the version serves.
+type Origins struct {
+	// The gate that receives the datagram forwards it to the others of its
+	// availability zone.
+	Pass bool `msg:"Pass"`
+
+	// IDs of the requests that the streams began with.
+	Requests []string `msg:"Requests"`
+
+	// Service corresponds to the JSON schema field "Service".
+	Service string `msg:"Service"`
+
+	// Version of the software of the service's servers.
+	Software string `msg:"Software"`
+}
+
 // Proof answers an Inquiry. Number 0 tells that a copy has changed.
 type Proof struct {
 	// Number corresponds to the JSON schema field "Number".
@@ -742,6 +778,18 @@
 	Servers Held `msg:"Servers"`
 }
 
+// Query is the datagram in which a gate asks another for the origin of a stream.
+type Query struct {
+	// Returned in the answer.
+	Number uint64 `msg:"Number"`
+
+	// ID of the request that the stream began with.
+	Request string `msg:"Request"`
+
+	// Service to which the request to resume the stream would go.
+	Service string `msg:"Service"`
+}
+
 // Reattach joins a generation that is running or has recently ended at the agent.
 type Reattach struct {
 	// Sequence of the last Data that the caller has; 0: none.
--- a/internal/link/beechwire/wire_msgp_gen.go
+++ b/internal/link/beechwire/wire_msgp_gen.go
@@ -2582,6 +2582,66 @@
 	return
 }
 
+// MarshalMsg implements msgp.Marshaler
+func (z *Found) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// array header, size 5
+	o = append(o, 0x95)
+	o = msgp.AppendBool(o, z.Known)
+	o = msgp.AppendUint64(o, z.Number)
+	o = msgp.AppendString(o, z.Service)
+	o = msgp.AppendString(o, z.Software)
+	o = msgp.AppendBool(o, z.Sole)
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *Found) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadArrayHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 != 5 {
+		err = msgp.ArrayError{Wanted: 5, Got: zb0001}
+		return
+	}
+	z.Known, bts, err = msgp.ReadBoolBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Known")
+		return
+	}
+	z.Number, bts, err = msgp.ReadUint64Bytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Number")
+		return
+	}
+	z.Service, bts, err = msgp.ReadStringBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Service")
+		return
+	}
+	z.Software, bts, err = msgp.ReadStringBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Software")
+		return
+	}
+	z.Sole, bts, err = msgp.ReadBoolBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Sole")
+		return
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z *Found) Msgsize() (s int) {
+	s = 1 + msgp.BoolSize + msgp.Uint64Size + msgp.StringPrefixSize + len(z.Service) + msgp.StringPrefixSize + len(z.Software) + msgp.BoolSize
+	return
+}
+
 // MarshalMsg implements msgp.Marshaler
 func (z *Full) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
@@ -4242,6 +4302,84 @@
 	return
 }
 
+// MarshalMsg implements msgp.Marshaler
+func (z *Origins) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// array header, size 4
+	o = append(o, 0x94)
+	o = msgp.AppendBool(o, z.Pass)
+	o = msgp.AppendArrayHeader(o, uint32(len(z.Requests)))
+	for za0001 := range z.Requests {
+		o = msgp.AppendString(o, z.Requests[za0001])
+	}
+	o = msgp.AppendString(o, z.Service)
+	o = msgp.AppendString(o, z.Software)
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *Origins) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadArrayHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 != 4 {
+		err = msgp.ArrayError{Wanted: 4, Got: zb0001}
+		return
+	}
+	z.Pass, bts, err = msgp.ReadBoolBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Pass")
+		return
+	}
+	var zb0002 uint32
+	zb0002, bts, err = msgp.ReadArrayHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Requests")
+		return
+	}
+	if zb0002 > z311325c6limitArrays {
+		err = msgp.ErrLimitExceeded
+		return
+	}
+	if cap(z.Requests) >= int(zb0002) {
+		z.Requests = z.Requests[:zb0002]
+	} else {
+		z.Requests = make([]string, zb0002)
+	}
+	for za0001 := range z.Requests {
+		z.Requests[za0001], bts, err = msgp.ReadStringBytes(bts)
+		if err != nil {
+			err = msgp.WrapError(err, "Requests", za0001)
+			return
+		}
+	}
+	z.Service, bts, err = msgp.ReadStringBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Service")
+		return
+	}
+	z.Software, bts, err = msgp.ReadStringBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Software")
+		return
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z *Origins) Msgsize() (s int) {
+	s = 1 + msgp.BoolSize + msgp.ArrayHeaderSize
+	for za0001 := range z.Requests {
+		s += msgp.StringPrefixSize + len(z.Requests[za0001])
+	}
+	s += msgp.StringPrefixSize + len(z.Service) + msgp.StringPrefixSize + len(z.Software)
+	return
+}
+
 // MarshalMsg implements msgp.Marshaler
 func (z *Proof) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
@@ -4298,6 +4436,54 @@
 	return
 }
 
+// MarshalMsg implements msgp.Marshaler
+func (z Query) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// array header, size 3
+	o = append(o, 0x93)
+	o = msgp.AppendUint64(o, z.Number)
+	o = msgp.AppendString(o, z.Request)
+	o = msgp.AppendString(o, z.Service)
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *Query) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadArrayHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 != 3 {
+		err = msgp.ArrayError{Wanted: 3, Got: zb0001}
+		return
+	}
+	z.Number, bts, err = msgp.ReadUint64Bytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Number")
+		return
+	}
+	z.Request, bts, err = msgp.ReadStringBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Request")
+		return
+	}
+	z.Service, bts, err = msgp.ReadStringBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Service")
+		return
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z Query) Msgsize() (s int) {
+	s = 1 + msgp.Uint64Size + msgp.StringPrefixSize + len(z.Request) + msgp.StringPrefixSize + len(z.Service)
+	return
+}
+
 // MarshalMsg implements msgp.Marshaler
 func (z *Reattach) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
--- a/internal/process/beechgate/admit.go
+++ b/internal/process/beechgate/admit.go
@@ -109,6 +109,9 @@
 
 // Serve runs an admitted call if its workspace's quota permits.
 func (g *Gate) Serve(ctx context.Context, call *beechcall.Call, out beechattempt.Responder) {
+	if call.LastEventID != "" && call.Route.RetryPolicy == beechcall.Resumable && !g.resumable(ctx, call, out) {
+		return
+	}
 	if !g.chargeQuota(ctx, call, out) {
 		return
 	}
--- a/internal/process/beechgate/configuration.go
+++ b/internal/process/beechgate/configuration.go
@@ -40,6 +40,7 @@
 		g.configuration.Store(c)
 		g.placer.SetConfiguration(c)
 		g.setQuotas(c)
+		g.origins.setLifetime(c)
 		g.limitConnections(c)
 		g.log.Info("configuration in force", zap.Uint64("version", c.Version), zap.Uint64("revision", plainRevision(c.Revision)), zap.Int("routes", len(c.Routes)))
 		if previous == nil {
@@ -146,6 +147,7 @@
 	}
 	g.limits.SetServers(ids)
 	g.placer.SetServers(servers)
+	g.observeVersions(servers)
 	byService := make(map[string][]netip.AddrPort)
 	current := make(map[string]beechcall.Server, len(servers))
 	for _, s := range servers {
--- a/internal/process/beechgate/gate.go
+++ b/internal/process/beechgate/gate.go
@@ -68,33 +68,35 @@
 		limitLog *zap.Logger // at most maxLimitLogLines per second of each message
 		clock    clockwork.Clock
 
-		configuration  atomic.Pointer[beechcall.Configuration]
-		draining       atomic.Bool
-		freshness      *beechfresh.Tracker // age of the operators' documents
-		placer         *beechplace.Placer
-		health         *beechhealth.Tracker
-		suspects       *beechsuspect.Registry
-		budgets        *Budgets
-		loans          *beechretry.Lender // lends to the gates of this zone if this gate is the first to collect
-		quotas         *beechquota.Limiter
-		limits         *beechthrottle.Throttle  // request limits that servers announce
-		overloaded     *beechsaturation.Tracker // servers that reject requests
-		backoff        *beechbackoff.Tracker    // servers that have asked this gate for no requests
-		members        *beechgossip.Group       // all gates
-		topology       atomic.Pointer[topology] // what follows from the members
-		topologyMutex  sync.Mutex               // held while the topology is derived
-		board          *beechsummary.Board      // states of all engines
-		totals         *beechsummary.Totals     // measurements of other gates, to be handed on
-		ownPaces       ownPaces
-		copies         *copies
-		core           *beechattempt.Dispatcher
-		socket         *beechdatagram.Socket
-		readers        *beechreader.Group // gates that read the store for this one
-		operatorMirror *beechmirror.Mirror
-		serverMirror   *beechmirror.Mirror
-		supervisor     *suture.Supervisor
-		metrics        *metrics
-		bounds         atomic.Pointer[beechsettings.GateBounds]
+		configuration   atomic.Pointer[beechcall.Configuration]
+		draining        atomic.Bool
+		freshness       *beechfresh.Tracker // age of the operators' documents
+		serverFreshness *beechfresh.Tracker // age of the list of servers
+		placer          *beechplace.Placer
+		health          *beechhealth.Tracker
+		suspects        *beechsuspect.Registry
+		budgets         *Budgets
+		loans           *beechretry.Lender // lends to the gates of this zone if this gate is the first to collect
+		quotas          *beechquota.Limiter
+		limits          *beechthrottle.Throttle  // request limits that servers announce
+		overloaded      *beechsaturation.Tracker // servers that reject requests
+		backoff         *beechbackoff.Tracker    // servers that have asked this gate for no requests
+		members         *beechgossip.Group       // all gates
+		topology        atomic.Pointer[topology] // what follows from the members
+		topologyMutex   sync.Mutex               // held while the topology is derived
+		board           *beechsummary.Board      // states of all engines
+		totals          *beechsummary.Totals     // measurements of other gates, to be handed on
+		ownPaces        ownPaces
+		copies          *copies
+		origins         *origins
+		core            *beechattempt.Dispatcher
+		socket          *beechdatagram.Socket
+		readers         *beechreader.Group // gates that read the store for this one
+		operatorMirror  *beechmirror.Mirror
+		serverMirror    *beechmirror.Mirror
+		supervisor      *suture.Supervisor
+		metrics         *metrics
+		bounds          atomic.Pointer[beechsettings.GateBounds]
 
 		mu          sync.Mutex
 		announced   map[string]announcedVersion
@@ -158,11 +160,11 @@
 	}
 	g := &Gate{
 		settings: s, deps: deps, log: deps.Log, clock: deps.Clock, socket: socket,
-		readers:     beechreader.New(socket.Address()),
-		board:       beechsummary.New(beechsummary.DefaultSettings, deps.Clock),
-		totals:      beechsummary.NewTotals(),
-		copies:      newCopies(socket.Address()),
-		freshness:   beechfresh.New(deps.Age),
+		readers:   beechreader.New(socket.Address()),
+		board:     beechsummary.New(beechsummary.DefaultSettings, deps.Clock),
+		totals:    beechsummary.NewTotals(),
+		copies:    newCopies(socket.Address()),
+		freshness: beechfresh.New(deps.Age), serverFreshness: beechfresh.New(deps.Age),
 		health:      beechhealth.New(healthSettings, deps.Clock),
 		suspects:    beechsuspect.New(beechsuspect.Settings{}, deps.Clock),
 		quotas:      beechquota.New(s.Name, rand.Uint64(), quotaBounds(s.Bounds.Quota), deps.Clock),
@@ -174,6 +176,7 @@
 		turnEnded:   make(chan struct{}, 1), usageDue: make(chan struct{}, 1), limitsDue: make(chan struct{}, 1), overloadsDue: make(chan struct{}, 1),
 		summariesDue: make(chan struct{}, 1), inquiryDue: make(chan struct{}, 1),
 	}
+	g.origins = newOrigins(g)
 	g.budgets = NewBudgets(s.Bounds.Retries, s.Bounds.Spare, time.Duration(s.Bounds.Window), deps.Clock, g.askForLoan)
 	g.members = newGossip(g)
 	g.topology.Store(&topology{Duties: beechgossip.Assign(g.members.Members(), g.members.Self(), s.Zone, nil)})
@@ -190,7 +193,7 @@
 	g.core = beechattempt.New(g.placer, deps.Backend, deps.Pool, g.budgets, g.suspects, g, deps.Clock, deps.Log)
 	g.serverMirror = beechmirror.New(beechmirror.Settings{
 		Prefix: deps.ServerPrefix, MaxAge: serverReadAges.Others, StartAge: serverReadAges.First - startWait, ReadTimeout: readTimeout, WatchTimeout: serverWatchTimeout, WatchPause: serverWatchPause, RemovalDelay: removalDelay, OnRestored: g.readOperators, Forward: g.forwardChanges,
-	}, deps.Source, beechfresh.New(deps.Age), deps.Clock, deps.Log, g.setServers)
+	}, deps.Source, g.serverFreshness, deps.Clock, deps.Log, g.setServers)
 	g.operatorMirror = beechmirror.New(beechmirror.Settings{
 		Prefix: deps.OperatorPrefix, MaxAge: operatorReadAges.Others, StartAge: operatorReadAges.First - startWait, ReadTimeout: readTimeout, WatchTimeout: operatorWatchTimeout, WatchPause: operatorWatchPause, OnStoreLost: g.serverMirror.ReadNow, OnRestored: g.serverMirror.ReadNow, Forward: g.forwardChanges,
 	}, deps.Source, g.freshness, deps.Clock, deps.Log, g.setOperators)
@@ -285,6 +288,7 @@
 	g.draining.Store(true)
 	g.log.Info("gate leaving")
 	g.leave()
+	g.tellOrigins(g.origins.registry.Served(""))
 	g.refreshDuties()
 	g.clock.Sleep(drainDelay)
 	remaining := time.Duration(g.bounds.Load().Grace) - stopMargin - g.clock.Since(start)
--- a/internal/process/beechgate/keeper.go
+++ b/internal/process/beechgate/keeper.go
@@ -133,5 +133,11 @@
 		g.receiveProof(from, v)
 	case beechdatagram.Entries:
 		g.receiveEntries(from, v)
+	case beechdatagram.Origins:
+		g.receiveOrigins(from, v)
+	case beechdatagram.Query:
+		g.receiveQuery(from, v)
+	case beechdatagram.Found:
+		g.receiveFound(from, v)
 	}
 }
--- /dev/null
+++ b/internal/process/beechgate/origins.go
@@ -0,0 +1,347 @@
+package beechgate
+
+import (
+	"context"
+	"math/rand/v2"
+	"net/netip"
+	"slices"
+	"sync"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/beechring/beechring/internal/decision/beechorigin"
+	"github.com/beechring/beechring/internal/link/beechdatagram"
+	"github.com/beechring/beechring/internal/link/beechwire"
+	"github.com/beechring/beechring/internal/request/beechattempt"
+	"github.com/beechring/beechring/internal/request/beechcall"
+)
+
+type (
+	// origins is what this gate knows of the software by which streams were begun.
+	origins struct {
+		registry *beechorigin.Registry
+		versions *beechorigin.Versions
+
+		mu      sync.Mutex
+		next    uint64
+		queries map[uint64]chan foundOrigin // by number
+	}
+
+	// foundOrigin is another gate's answer to a query.
+	foundOrigin struct {
+		from   netip.AddrPort
+		known  bool
+		sole   bool
+		origin beechorigin.Origin
+	}
+
+	// originSource tells how the origin of a resumed stream was found, for logs and metrics.
+	originSource string
+)
+
+const (
+	originRegistered originSource = "registered"   // this gate served the beginning, or was told
+	originOnly       originSource = "only version" // the service has had one version only
+	originAsked      originSource = "asked"        // another gate knew it
+	originUnknown    originSource = "not known"
+)
+
+const (
+	// Two queries are sent, since a datagram may be lost; gates answer within a few milliseconds
+	// unless they are busy.
+	queryRepeat  = 40 * time.Millisecond
+	queryTimeout = 120 * time.Millisecond
+	// unknownOriginRetryAfter is when a caller may ask for the rest of a stream again: another gate
+	// may be able to reach one that knows it.
+	unknownOriginRetryAfter = 300 * time.Millisecond
+	// lifetimeFactor times the longest time-out of a resumable route is how long a stream can be
+	// resumed after its beginning, for callers that resume it several times.
+	lifetimeFactor    = 2
+	minOriginLifetime = 10 * time.Second
+	maxOriginLifetime = 2 * time.Minute
+	// maxListAge is the age of the list of servers up to which it may show that a service has one
+	// version only. It is just above serverReadAges.
+	maxListAge         = 6 * time.Second
+	maxOriginsInOne    = 400 // requests in a datagram, at some 20 bytes each
+	maxQueriesInFlight = 1024
+)
+
+func newOrigins(g *Gate) *origins {
+	return &origins{
+		registry: beechorigin.NewRegistry(g.clock), versions: beechorigin.NewVersions(g.clock),
+		next: rand.Uint64(), queries: make(map[uint64]chan foundOrigin),
+	}
+}
+
+// setLifetime derives from the routes for how long streams can be resumed.
+func (o *origins) setLifetime(c *beechcall.Configuration) {
+	longest := time.Duration(0)
+	for _, route := range c.Routes {
+		if route.RetryPolicy != beechcall.Resumable {
+			continue
+		}
+		if route.Timeout <= 0 {
+			longest = maxOriginLifetime
+		}
+		longest = max(longest, route.Timeout)
+	}
+	lifetime := min(max(lifetimeFactor*longest, minOriginLifetime), maxOriginLifetime)
+	o.registry.SetLifetime(lifetime)
+	o.versions.SetLifetime(lifetime)
+}
+
+// otherGates returns all other members.
+func (g *Gate) otherGates() []beechorigin.Gate {
+	var gates []beechorigin.Gate
+	for _, m := range g.members.Members() {
+		if m.Address != g.members.Self() {
+			gates = append(gates, beechorigin.Gate{Address: m.Address, Zone: m.Zone})
+		}
+	}
+	return gates
+}
+
+// onlyVersion returns the version of a service's software if it has had no other recently, as far
+// as this gate can tell now.
+func (g *Gate) onlyVersion(service string) (string, bool) {
+	if g.freshness.Age() > denyMaxAge || g.serverFreshness.Age() > maxListAge {
+		return "", false
+	}
+	return g.origins.versions.Only(service)
+}
+
+// ObserveStart implements beechattempt.Observer.
+func (g *Gate) ObserveStart(call *beechcall.Call) {
+	origin := *call.Origin
+	g.origins.registry.Record(call.ID, origin, beechorigin.Own)
+	if call.Resumes != "" {
+		g.origins.registry.Record(call.Resumes, origin, beechorigin.Own)
+		return // its keepers were told at the beginning
+	}
+	if only, ok := g.onlyVersion(origin.Service); ok && only == origin.Software && !g.draining.Load() {
+		return
+	}
+	g.tellOrigins(map[beechorigin.Origin][]string{origin: {call.ID}})
+}
+
+// tellOrigins tells origins to the gates that keep them.
+func (g *Gate) tellOrigins(all map[beechorigin.Origin][]string) {
+	gates := g.otherGates()
+	for origin, ids := range all {
+		byKeeper := make(map[netip.AddrPort][]string)
+		for _, id := range ids {
+			for _, keeper := range beechorigin.Keepers(id, gates) {
+				byKeeper[keeper.Address] = append(byKeeper[keeper.Address], id)
+			}
+		}
+		for keeper, kept := range byKeeper {
+			for chunk := range slices.Chunk(kept, maxOriginsInOne) {
+				g.sendTo(keeper, beechdatagram.Origins{Origins: &beechwire.Origins{Service: origin.Service, Software: origin.Software, Requests: chunk}})
+			}
+		}
+	}
+}
+
+func (g *Gate) sendTo(gate netip.AddrPort, m beechdatagram.Message) {
+	if err := g.socket.Send(gate, g.scopeToGate(gate), m); err != nil {
+		g.log.Debug("send to gate failed", zap.Error(err))
+	}
+}
+
+// observeVersions records the versions of the servers that are listed. Streams that began while
+// there was only one are told as soon as there is another.
+func (g *Gate) observeVersions(servers []beechcall.Server) {
+	listed := make(map[string][]string)
+	for _, s := range servers {
+		if !slices.Contains(listed[s.Service], s.Software) {
+			listed[s.Service] = append(listed[s.Service], s.Software)
+		}
+	}
+	for _, service := range g.origins.versions.SetListed(listed) {
+		g.versionAppeared(service)
+		if slices.Contains(g.topology.Load().Readers, g.members.Self()) {
+			for round, software := range listed[service] {
+				g.sendToGates(uint32(round), true, func(pass bool) beechdatagram.Message {
+					return beechdatagram.Origins{Origins: &beechwire.Origins{Pass: pass, Service: service, Software: software}}
+				})
+			}
+		}
+	}
+}
+
+func (g *Gate) versionAppeared(service string) {
+	g.log.Info("software versions changed", zap.String("service", service), zap.Strings("versions", g.origins.versions.Recent(service)))
+	g.tellOrigins(g.origins.registry.Served(service))
+}
+
+// receiveOrigins handles the origins sent by another gate.
+func (g *Gate) receiveOrigins(from netip.AddrPort, m beechdatagram.Origins) {
+	if !g.isKnownGate(from) {
+		return
+	}
+	if m.Pass {
+		g.sendToZone(beechdatagram.Origins{Origins: &beechwire.Origins{Service: m.Service, Software: m.Software, Requests: m.Requests}})
+	}
+	origin := beechorigin.Origin{Service: m.Service, Software: m.Software}
+	for _, id := range m.Requests {
+		g.origins.registry.Record(id, origin, beechorigin.Told)
+	}
+	if g.origins.versions.Heard(m.Service, m.Software) {
+		g.versionAppeared(m.Service)
+	}
+}
+
+// receiveQuery answers a gate that is asked to continue a stream.
+func (g *Gate) receiveQuery(from netip.AddrPort, m beechdatagram.Query) {
+	if !g.isKnownGate(from) {
+		return
+	}
+	answer := &beechwire.Found{Number: m.Number}
+	if origin, ok := g.origins.registry.Find(m.Request); ok {
+		answer.Known, answer.Service, answer.Software = true, origin.Service, origin.Software
+	} else if only, ok := g.onlyVersion(m.Service); ok {
+		answer.Sole, answer.Service, answer.Software = true, m.Service, only
+	}
+	g.sendTo(from, beechdatagram.Found{Found: answer})
+}
+
+func (g *Gate) receiveFound(from netip.AddrPort, m beechdatagram.Found) {
+	g.origins.mu.Lock()
+	waiting := g.origins.queries[m.Number]
+	g.origins.mu.Unlock()
+	if waiting == nil {
+		return
+	}
+	found := foundOrigin{from: from, known: m.Known, sole: m.Sole, origin: beechorigin.Origin{Service: m.Service, Software: m.Software}}
+	select {
+	case waiting <- found:
+	default: // an answer to a repeated query
+	}
+}
+
+// resumable finds the origin of a stream that a call resumes, and binds the call to it. Otherwise
+// it rejects the call.
+func (g *Gate) resumable(ctx context.Context, call *beechcall.Call, out beechattempt.Responder) bool {
+	start := g.clock.Now()
+	origin, source := g.findOrigin(ctx, call)
+	if source != originUnknown && !g.routeAllows(call.Route, origin.Service) {
+		source = originUnknown
+	}
+	g.metrics.resumed.Add(string(source), 1)
+	g.log.Info("stream resumed", zap.String("request", call.ID), zap.String("resumes", call.Resumes), zap.String("after", call.LastEventID),
+		zap.String("origin", string(source)), zap.String("service", origin.Service), zap.String("software", origin.Software), zap.Duration("took", g.clock.Since(start)))
+	if source == originUnknown || origin.Software == "" {
+		if !out.Departed() {
+			out.Reject(beechattempt.NotExecuted{RetryAfter: unknownOriginRetryAfter, Reason: "origin of the stream not known"})
+		}
+		return false
+	}
+	call.Origin, call.Service = &origin, origin.Service
+	return true
+}
+
+// routeAllows reports whether a route's requests may go to a service.
+func (g *Gate) routeAllows(route *beechcall.Route, service string) bool {
+	return slices.ContainsFunc(route.Targets, func(t beechcall.Target) bool { return t.Service == service && t.Weight > 0 })
+}
+
+func (g *Gate) findOrigin(ctx context.Context, call *beechcall.Call) (beechorigin.Origin, originSource) {
+	if origin, ok := g.origins.registry.Find(call.Resumes); ok {
+		return origin, originRegistered
+	}
+	single := len(call.Route.Targets) == 1 // else another target may have served the beginning
+	if only, ok := g.onlyVersion(call.Service); ok && single {
+		return beechorigin.Origin{Service: call.Service, Software: only}, originOnly
+	}
+	if call.Resumes == "" {
+		return g.originOfUnnamed(call, single)
+	}
+	found, ok := g.askForOrigin(ctx, call)
+	switch {
+	case ok && found.known:
+		g.origins.registry.Record(call.Resumes, found.origin, beechorigin.Told)
+		return found.origin, originAsked
+	case ok && single && found.origin.Service == call.Service && g.noOtherVersion(found.origin):
+		return found.origin, originOnly
+	}
+	return beechorigin.Origin{}, originUnknown
+}
+
+// originOfUnnamed returns the origin of a stream whose caller does not name the request that it
+// began with. Nobody can look it up, so the caller is served as long as this gate knows of one version
+// only, even if it has not known so for long.
+func (g *Gate) originOfUnnamed(call *beechcall.Call, single bool) (beechorigin.Origin, originSource) {
+	versions := g.origins.versions.Recent(call.Service)
+	if !single || len(versions) != 1 || versions[0] == "" {
+		return beechorigin.Origin{}, originUnknown
+	}
+	return beechorigin.Origin{Service: call.Service, Software: versions[0]}, originOnly
+}
+
+// noOtherVersion reports whether this gate knows no other version of an origin's service.
+func (g *Gate) noOtherVersion(origin beechorigin.Origin) bool {
+	return slices.Equal(g.origins.versions.Recent(origin.Service), []string{origin.Software})
+}
+
+// askForOrigin asks other gates. It returns the first answer that knows the stream, otherwise one
+// of a gate that knows of one version only, if there is any.
+func (g *Gate) askForOrigin(ctx context.Context, call *beechcall.Call) (best foundOrigin, ok bool) {
+	asked := beechorigin.Asked(call.Resumes, g.settings.Zone, g.otherGates())
+	number, answers, ok := g.origins.begin(len(asked))
+	if !ok {
+		return foundOrigin{}, false
+	}
+	defer g.origins.end(number)
+	waiting := make(map[netip.AddrPort]bool, len(asked))
+	query := beechdatagram.Query{Query: &beechwire.Query{Number: number, Service: call.Service, Request: call.Resumes}}
+	for _, peer := range asked {
+		waiting[peer.Address] = true
+		g.sendTo(peer.Address, query)
+	}
+	repeat, timeout := g.clock.After(queryRepeat), g.clock.After(queryTimeout)
+	for len(waiting) > 0 {
+		select {
+		case found := <-answers:
+			if !waiting[found.from] {
+				continue
+			}
+			if found.known {
+				return found, true
+			}
+			delete(waiting, found.from)
+			if found.sole {
+				best, ok = found, true
+			}
+		case <-repeat:
+			for peer := range waiting {
+				g.sendTo(peer, query)
+			}
+		case <-timeout:
+			return best, best.sole
+		case <-ctx.Done():
+			return foundOrigin{}, false
+		}
+	}
+	return best, best.sole
+}
+
+// begin starts a query to a number of gates. It returns false if there are none, or if too many
+// queries are in flight.
+func (o *origins) begin(gates int) (uint64, <-chan foundOrigin, bool) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if gates == 0 || len(o.queries) >= maxQueriesInFlight {
+		return 0, nil, false
+	}
+	o.next++
+	answers := make(chan foundOrigin, 2*gates) // each gate may answer both queries
+	o.queries[o.next] = answers
+	return o.next, answers, true
+}
+
+func (o *origins) end(number uint64) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	delete(o.queries, number)
+}
--- a/internal/request/beechattempt/attempt_test.go
+++ b/internal/request/beechattempt/attempt_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"net/http"
 	"net/netip"
+	"slices"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -66,6 +67,7 @@
 func (fullyUsable) Weight(netip.AddrPort) float64 { return 1 }
 
 func (ignoring) ObserveAttempt(beechcall.Server, string, time.Duration, int, bool) {}
+func (ignoring) ObserveStart(*beechcall.Call)                                      {}
 func (ignoring) ObserveEnd(Result)                                                 {}
 
 func (s reachable) Probe(_ context.Context, peer netip.AddrPort) error {
@@ -121,6 +123,8 @@
 	budget     *budget
 	suspects   *beechsuspect.Registry
 	reachable  reachable
+	placer     *beechplace.Placer
+	servers    []beechcall.Server
 }
 
 type step = func(ctx context.Context, a beechcall.Attempt) (*beechcall.Answer, error)
@@ -132,14 +136,24 @@
 	var list []beechcall.Server
 	for i := range servers {
 		list = append(list, beechcall.Server{
-			ID: fmt.Sprint("s", i), Service: "app", Address: netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, byte(i)}), 80), Zone: "a", Slots: 4,
+			ID: fmt.Sprint("s", i), Service: "app", Address: netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, byte(i)}), 80), Zone: "a", Slots: 4, Software: "v1",
 		})
 	}
 	placer.SetServers(list)
+	f.placer, f.servers = placer, list
 	f.dispatcher = New(placer, f.backend, f.reachable, f.budget, f.suspects, ignoring{}, f.clock, zap.NewNop())
 	return f
 }
 
+// setSoftware has the servers run these versions in turn.
+func (f *fixture) setSoftware(versions ...string) {
+	servers := slices.Clone(f.servers)
+	for i := range servers {
+		servers[i].Software = versions[i%len(versions)]
+	}
+	f.placer.SetServers(servers)
+}
+
 func (f *fixture) call(policy beechcall.RetryPolicy, stream bool) *beechcall.Call {
 	return &beechcall.Call{
 		ID: "id", Service: "app", Method: http.MethodPost, Target: "/x", Deadline: f.clock.Now().Add(5 * time.Second),
@@ -515,3 +529,34 @@
 	is.True(ok)
 	is.True(refusal.RetryAfter > time.Second)
 }
+
+// The server's entry names other software just before the first event of its answer arrives: nobody
+// knows which version generated it.
+func TestAnswerOfChangedSoftwareIsNotForwarded(t *testing.T) {
+	is := is.New(t)
+	var f *fixture
+	changed := func(context.Context, beechcall.Attempt) (*beechcall.Answer, error) {
+		f.setSoftware("v2")
+		return &beechcall.Answer{Status: http.StatusOK, Body: io.NopCloser(strings.NewReader(event(2) + event(3)))}, nil
+	}
+	f = newFixture(3, 5, breaks(event(1)), changed)
+	c := f.serve(t.Context(), f.call(beechcall.Resumable, true))
+	is.Equal(c.body, event(1))
+	is.True(c.broken)
+	is.Equal(len(f.backend.sent), 2)
+}
+
+// A stream that breaks off is continued by servers of its version only.
+func TestBrokenStreamIsContinuedByItsVersion(t *testing.T) {
+	is := is.New(t)
+	f := newFixture(8, 10, breaks(event(1)), unreachable, unreachable, answers(http.StatusOK, event(2)))
+	f.setSoftware("v1", "v2")
+	call := f.call(beechcall.Resumable, true)
+	call.Route.MaxAttempts = 5
+	c := f.serve(t.Context(), call)
+	is.Equal(c.body, event(1)+event(2))
+	for _, a := range f.backend.sent {
+		is.Equal(a.Server.Software, call.Origin.Software)
+	}
+	is.Equal(len(f.backend.sent), 4)
+}
--- a/internal/request/beechattempt/dispatcher.go
+++ b/internal/request/beechattempt/dispatcher.go
@@ -40,6 +40,9 @@
 		// ObserveAttempt is called with the time to an answer's first byte, or for a
 		// failure. Unread is the number of prompt tokens that the server had to prefill.
 		ObserveAttempt(server beechcall.Server, model string, firstByte time.Duration, unread int, failed bool)
+		// ObserveStart is called before the first event of a resumable stream is sent to its
+		// caller, with the call's Origin set.
+		ObserveStart(call *beechcall.Call)
 		// ObserveEnd is called when a call has ended.
 		ObserveEnd(r Result)
 	}
--- a/internal/request/beechattempt/run.go
+++ b/internal/request/beechattempt/run.go
@@ -68,6 +68,7 @@
 	stopOtherAnswer   stopCause = "stream not continued" // the answer is not the rest of the stream
 	stopLimit         stopCause = reasonAtLimits
 	stopStatus        stopCause = "status not proven" // the server's status says not executed, without its word
+	stopOrigin        stopCause = "origin not known"  // the software version of the stream's beginning is not known
 )
 
 const (
@@ -193,7 +194,7 @@
 		placement.Done(beechplace.Cancelled)
 		return tryAgain
 	}
-	if !r.dispatcher.placer.StillUsable(choice) {
+	if !r.dispatcher.placer.StillUsable(r.call, choice) {
 		placement.Done(beechplace.Cancelled)
 		return tryAgain
 	}
@@ -214,7 +215,8 @@
 	r.sentAt = sent
 	answer, err := r.dispatcher.backend.Send(ctx, beechcall.Attempt{
 		Call: r.call, Server: choice.Server, Weights: choice.Weights, Salt: choice.Salt,
-		Urgency: r.urgency(), Fetch: choice.Fetch, Save: choice.Save, LastEventID: r.stream.lastEventID, Withdrawn: r.callerLeft,
+		Urgency: r.urgency(), Fetch: choice.Fetch, Save: choice.Save, LastEventID: r.stream.lastEventID,
+		Withdrawn: func() bool { return r.callerLeft() || !r.dispatcher.placer.StillUsable(r.call, choice) },
 	})
 	if err != nil {
 		return r.handleFailure(choice, placement, watch, err)
@@ -371,7 +373,7 @@
 		r.dispatcher.observer.ObserveAttempt(choice.Server, r.call.Model, 0, choice.PrefillTokens, true)
 		return tryAgain
 	}
-	if watch.startMissed() {
+	if watch.startMissed() || errors.Is(err, errOtherSoftware) {
 		placement.Done(beechplace.Cancelled)
 	} else if r.dispatcher.clock.Now().Before(r.call.Deadline) {
 		placement.Done(beechplace.Failed)
@@ -382,6 +384,8 @@
 		return r.noRetry(stopDeadline)
 	}
 	switch {
+	case r.call.Origin != nil && r.call.Origin.Software == "":
+		return r.noRetry(stopOrigin)
 	case !r.repeatable():
 		return r.noRetry(stopNotRepeatable)
 	case r.maybeExecuted >= r.call.Route.MaxAttempts:
@@ -429,7 +433,7 @@
 	case beechcall.Repeatable:
 		return !r.stream.started
 	case beechcall.Resumable:
-		return !r.stream.started || r.stream.lastEventID != ""
+		return !r.stream.started || (r.stream.lastEventID != "" && r.call.Origin.Software != "")
 	}
 	return false
 }
--- a/internal/request/beechattempt/stream.go
+++ b/internal/request/beechattempt/stream.go
@@ -10,6 +10,7 @@
 
 	"github.com/jonboulle/clockwork"
 
+	"github.com/beechring/beechring/internal/decision/beechorigin"
 	"github.com/beechring/beechring/internal/decision/beechretry"
 	"github.com/beechring/beechring/internal/request/beechcall"
 	"github.com/beechring/beechring/internal/request/beechplace"
@@ -41,7 +42,10 @@
 
 const readBufferBytes = 8 << 10
 
-var errIncompleteEvent = errors.New("the stream ends in the middle of an event")
+var (
+	errIncompleteEvent = errors.New("the stream ends in the middle of an event")
+	errOtherSoftware   = errors.New("the server's software is not, or may not be, of the version that began the stream")
+)
 
 // newWatchdog starts the time-out for the first byte.
 func (r *execution) newWatchdog(cancel context.CancelCauseFunc, choice beechplace.Choice) *watchdog {
@@ -124,6 +128,7 @@
 // forwardStream forwards a stream's complete events as they arrive.
 func (r *execution) forwardStream(choice beechplace.Choice, placement *beechplace.Attempt, watch *watchdog, answer *beechcall.Answer, sent time.Time) verdict {
 	buffer := make([]byte, 0, readBufferBytes)
+	verified := r.call.Route.RetryPolicy != beechcall.Resumable
 	for {
 		if len(buffer) == cap(buffer) {
 			buffer = append(buffer, 0)[:len(buffer)]
@@ -133,6 +138,11 @@
 		if n > 0 {
 			watch.dataReceived(r.call.Route.MaxPause)
 			if end := wholeEvents(buffer); end > 0 {
+				if !verified && !r.verifyOrigin(choice) {
+					err = errOtherSoftware
+					return r.handleFailure(choice, placement, watch, beechcall.OutcomeUnknown{Peer: choice.Server.Address, Step: "read the stream", Err: err})
+				}
+				verified = true
 				if !r.startStream(answer) {
 					r.dispatcher.timeouts.observe(r.call.Route.Name, r.dispatcher.clock.Since(sent), milliseconds(choice.Expected), r.dispatcher.clock.Now())
 					r.firstByte = r.dispatcher.clock.Since(r.started)
@@ -166,6 +176,22 @@
 	}
 }
 
+// verifyOrigin decides, before the first event of an answer is forwarded, whether it may continue
+// what the caller has. The first answer of a stream sets its origin.
+func (r *execution) verifyOrigin(choice beechplace.Choice) bool {
+	software := r.dispatcher.placer.Software(choice)
+	if r.call.Origin != nil && r.call.Origin.Software != software {
+		return false
+	}
+	if r.call.Origin == nil {
+		r.call.Origin = &beechorigin.Origin{Service: r.call.Service, Software: software}
+	}
+	if !r.stream.started {
+		r.dispatcher.observer.ObserveStart(r.call)
+	}
+	return true
+}
+
 // startStream sends the status and headers of the first answer; later answers continue the
 // same stream. It reports whether the stream had started before.
 func (r *execution) startStream(answer *beechcall.Answer) bool {
--- a/internal/request/beechcall/call.go
+++ b/internal/request/beechcall/call.go
@@ -11,6 +11,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"github.com/beechring/beechring/internal/decision/beechorigin"
 	"github.com/beechring/beechring/internal/decision/beechthrottle"
 )
 
@@ -33,10 +34,11 @@
 		Model          string // empty if the service is not an engine
 		Parts          []Part // the last one is particular to the request or its session
 		PromptTokens   int
-		OutputTokens   int    // the maximum
-		TokensDeclared bool   // the caller declared its token counts
-		LastEventID    string // of the last event the caller has, if it resumes a stream
-		Resumes        string // ID of the caller's request that the resumed stream began with; empty: not named
+		OutputTokens   int                 // the maximum
+		TokensDeclared bool                // the caller declared its token counts
+		LastEventID    string              // of the last event the caller has, if it resumes a stream
+		Resumes        string              // ID of the caller's request that the resumed stream began with; empty: not named
+		Origin         *beechorigin.Origin // of the stream, once it has begun; it goes on only there. nil: not begun
 		Received       time.Time
 		Deadline       time.Time // of the caller or the route, whichever is earlier
 		Method         string
--- a/internal/request/beechplace/choose.go
+++ b/internal/request/beechplace/choose.go
@@ -49,7 +49,7 @@
 	found := false
 	parts := p.sharedParts(call, now)
 	for _, s := range p.services[call.Service] {
-		if slices.Contains(tried, s.ID) || !p.mayReceive(s, now) {
+		if slices.Contains(tried, s.ID) || !p.mayServe(call, s, now) {
 			continue
 		}
 		limitedNow := p.updateLimited(s)
@@ -66,19 +66,19 @@
 		return p.chooseWithLimited(best, found, limited)
 	}
 	if !found {
-		best.RetryAfter = p.backoffEnd(call.Service, now)
+		best.RetryAfter = p.backoffEnd(call, now)
 		best.BackingOff = best.RetryAfter > 0
 	}
 	return best, found
 }
 
-// backoffEnd returns the time until the first server of a service accepts requests again, if
+// backoffEnd returns the time until the first server for a call accepts requests again, if
 // all that can be reached have asked for none. Otherwise it returns 0: it is not known when one
 // of the others accepts the call.
-func (p *Placer) backoffEnd(service string, now time.Time) time.Duration {
+func (p *Placer) backoffEnd(call *beechcall.Call, now time.Time) time.Duration {
 	first := time.Duration(0)
-	for _, s := range p.services[service] {
-		if s.isLeaving() || s.superseded || now.Before(s.downUntil) {
+	for _, s := range p.services[call.Service] {
+		if !s.continues(call) || s.isLeaving() || s.superseded || now.Before(s.downUntil) {
 			continue
 		}
 		remaining := p.backoff.Remaining(s.ID)
@@ -180,6 +180,17 @@
 	return p.usable(s, now) && p.backoff.Remaining(s.ID) == 0
 }
 
+// mayServe reports whether a call may be sent to a server now.
+func (p *Placer) mayServe(call *beechcall.Call, s *server, now time.Time) bool {
+	return s.continues(call) && p.mayReceive(s, now)
+}
+
+// continues reports whether a server's software may continue the stream of a call. All may begin
+// one.
+func (s *server) continues(call *beechcall.Call) bool {
+	return call.Origin == nil || (call.Origin.Software != "" && call.Origin.Software == s.softwareVersion())
+}
+
 // hasRecentReport reports whether the keeper has reported within reportTTL.
 func (s *server) hasRecentReport(now time.Time) bool {
 	return !s.reportedAt.IsZero() && now.Sub(s.reportedAt) < reportTTL
@@ -187,6 +198,7 @@
 
 func (p *Placer) estimate(call *beechcall.Call, s *server, parts []sharedPart, now time.Time) (Choice, bool) {
 	c := Choice{Server: s.Server}
+	c.Server.Software = s.softwareVersion()
 	if call.Model == "" {
 		c.Cost = p.plainServerCost(s)
 	} else {
@@ -311,10 +323,21 @@
 	return p.prefill.rate / p.paceFactor(s, now)
 }
 
-// StillUsable reports whether a request may still be sent to the chosen server.
-func (p *Placer) StillUsable(c Choice) bool {
+// StillUsable reports whether a call may still be sent to the chosen server.
+func (p *Placer) StillUsable(call *beechcall.Call, c Choice) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	s, ok := p.byID[c.Server.ID]
-	return ok && p.mayReceive(s, p.clock.Now())
+	return ok && p.mayServe(call, s, p.clock.Now())
+}
+
+// Software returns the version of the software that has answered, or an empty string if it may
+// have changed since the server was chosen.
+func (p *Placer) Software(c Choice) string {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if s, ok := p.byID[c.Server.ID]; ok && s.softwareVersion() != c.Server.Software {
+		return ""
+	}
+	return c.Server.Software
 }
--- a/internal/request/beechplace/leaving_test.go
+++ b/internal/request/beechplace/leaving_test.go
@@ -22,7 +22,7 @@
 	is.True(attempt.ObserveLeaving())
 	is.True(!other.ObserveLeaving()) // logged once
 	other.Done(Answered)
-	is.True(!f.StillUsable(c))
+	is.True(!f.StillUsable(call, c))
 	for _, list := range [][]beechcall.Server{servers, nil, servers} {
 		f.SetServers(list)
 		_, ok := f.Choose(call, nil)
--- a/internal/request/beechplace/overload_test.go
+++ b/internal/request/beechplace/overload_test.go
@@ -50,7 +50,7 @@
 		is.Equal(seen, reported)
 		attempt.Done(Rejected)
 		f.ObserveRejection(c.Server.ID, beechcall.NotExecuted{Status: 503, Backoff: time.Second}, "")
-		is.True(!f.StillUsable(c))
+		is.True(!f.StillUsable(call, c))
 		f.clock.Advance(900 * time.Millisecond)
 		if reported {
 			f.reportAll(nil)
@@ -99,9 +99,9 @@
 	c := f.choose(t, call)
 	first := f.StartAttempt(call, c)
 	f.StartAttempt(call, c)
-	is.True(f.StillUsable(c))
+	is.True(f.StillUsable(call, c))
 	first.ObserveBackoff(time.Second)
-	is.True(!f.StillUsable(c))
+	is.True(!f.StillUsable(call, c))
 }
 
 // A server's entry vanishes and returns while the platform's store is unavailable. The time that
--- a/internal/request/beechplace/placer.go
+++ b/internal/request/beechplace/placer.go
@@ -56,12 +56,13 @@
 		superseded      bool // another lifetime owns the address
 		replaced        bool // a different server answered at the address
 
-		reportedAt    time.Time // time of the keeper's last report; zero if there was none
-		confirmedAt   time.Time // until when the last report is known to hold
-		state         State
-		restartedAt   time.Time         // time at which a restart under the same ID was detected; zero if there was none
-		outdatedSince time.Time         // since when its weights are outdated, as its keeper reports; zero if they are current
-		weights       map[string]uint64 // latest known versions, from the server list or the engine itself
+		reportedAt      time.Time // time of the keeper's last report; zero if there was none
+		confirmedAt     time.Time // until when the last report is known to hold
+		state           State
+		softwareInDoubt bool              // the entry was written before the last restart
+		restartedAt     time.Time         // time at which a restart under the same ID was detected; zero if there was none
+		outdatedSince   time.Time         // since when its weights are outdated, as its keeper reports; zero if they are current
+		weights         map[string]uint64 // latest known versions, from the server list or the engine itself
 
 		answerLoad       beechcall.Load // load reported with its last response to this gate
 		answerLoadAt     time.Time
@@ -147,6 +148,7 @@
 			s = &server{weights: make(map[string]uint64)}
 		} else {
 			p.observeStart(s, entry.Born)
+			s.observeEntry(entry)
 			entry.Born = max(entry.Born, s.Born) // the list may be older than the keeper's report
 		}
 		s.Server = entry
@@ -248,7 +250,7 @@
 	if s.Born != 0 {
 		p.limits.ServerRestarted(s.ID, start)
 		p.backoff.Forget(s.ID)
-		s.answeredLeaving = false
+		s.answeredLeaving, s.softwareInDoubt = false, true
 		s.restartedAt = p.clock.Now()
 		s.weights = make(map[string]uint64)
 		s.pendingPrefill, s.failures = 0, 0
