Origins of streams reach the other gates from one that leaves, and from one that has just started

Cause: a gate that leaves is no member any more, and what it told was dropped as a stranger's; it told what it had only after its leave. A gate that had just started knew nobody to tell or to ask. The soak's engines have two versions as well, and its streams must be of one.

--- a/internal/command/beechplay/soak_test.go
+++ b/internal/command/beechplay/soak_test.go
@@ -28,6 +28,9 @@
 	soakSeeds = flag.Int("seeds", 3, "number of seeds of the soak test; beyond the first three they are taken from the clock")
 )
 
+// soakVersions are the software versions of the engines.
+var soakVersions = []string{"v1", "v2"}
+
 const (
 	soakDuration     = 14 * time.Second
 	soakRequestRate  = 40.0
@@ -211,7 +214,7 @@
 	s.cluster.Configure(1, nil)
 	s.cluster.SetWeights(1)
 	for i := range 3 {
-		s.must(s.cluster.AddEngine(fmt.Sprintf("e%d", i), beechsimulator.EngineSettings{Model: Model, Version: 1, Slots: 32, Token: 20 * time.Millisecond, Load: 300 * time.Millisecond}))
+		s.must(s.cluster.AddEngine(fmt.Sprintf("e%d", i), beechsimulator.EngineSettings{Model: Model, Version: 1, Slots: 32, Token: 20 * time.Millisecond, Load: 300 * time.Millisecond, Software: soakVersions[i%len(soakVersions)]}))
 		s.must(s.cluster.AddEngine(fmt.Sprintf("s%d", i), beechsimulator.EngineSettings{Slots: 32}))
 	}
 	bounds := beechsettings.GateBounds{
@@ -386,7 +389,7 @@
 		switch {
 		case failed != nil:
 			status = 0
-		case status == http.StatusOK && streams && string(body) != expectedStream(10):
+		case status == http.StatusOK && streams && !isStreamOfOneVersion(string(body)):
 			s.t.Errorf("%s: incomplete stream ended as complete: %q", id, body)
 		case status == http.StatusOK && !streams && !bytes.HasPrefix(body, []byte("POST "+path)):
 			s.t.Errorf("%s: answer of another request: %q", id, body)
@@ -403,6 +406,16 @@
 	}
 }
 
+// isStreamOfOneVersion reports whether a body is a whole stream by engines of one software version.
+func isStreamOfOneVersion(body string) bool {
+	for _, version := range soakVersions {
+		if strings.ReplaceAll(body, " by "+version+"\n", "\n") == expectedStream(10) {
+			return true
+		}
+	}
+	return false
+}
+
 // check compares the callers' results with the requests that ran.
 func (s *soak) check() {
 	for id, status := range s.statuses {
--- /dev/null
+++ b/internal/command/beechplay/streamversions_test.go
@@ -0,0 +1,207 @@
+package beechplay
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/beechring/beechring/internal/command/beechtrace"
+	"github.com/beechring/beechring/internal/process/beechsettings"
+	"github.com/beechring/beechring/internal/standin/beechsimulator"
+)
+
+type (
+	// versionTest runs callers that take their streams up at any gate, while gates and engines of
+	// two software versions fail.
+	versionTest struct {
+		*streamTest
+		begun, startsAsked   atomic.Int64 // requests for new streams that were answered, and all
+		wentOn, resumesAsked atomic.Int64 // requests to resume a stream that were answered, and all
+	}
+
+	// versionStream is what a caller has of a stream.
+	versionStream struct {
+		first    string // ID of the request that brought the first event
+		seen     int
+		software string
+	}
+)
+
+// maxUnanswered is how many requests in a row a caller sends for the rest of a stream before it
+// begins another one.
+const maxUnanswered = 8
+
+// TestStreamsOfTwoVersionsSurviveFailures guards against streams with events of two software
+// versions, and against refusing the rest of too many streams, when gates are killed, stopped or
+// suspended and engines fail.
+func TestStreamsOfTwoVersionsSurviveFailures(t *testing.T) {
+	program := buildProgram(t)
+	for seed := range uint64(*soakSeeds) {
+		t.Run(fmt.Sprint("seed-", seed+1), func(t *testing.T) {
+			t.Parallel()
+			w, err := NewCluster(processLauncher{t: t, program: program, folder: beechtrace.Folder(t)})
+			if err != nil {
+				t.Fatal(err)
+			}
+			r := &versionTest{streamTest: &streamTest{t: t, outcomes: map[string]int{}, soak: &soak{t: t, cluster: w, random: rand.New(rand.NewPCG(seed+1, 1))}}}
+			r.deployVersions()
+			r.runVersions(seed + 1)
+			if err := w.Close(); err != nil {
+				t.Error(err)
+			}
+			began, went := answeredShare(&r.begun, &r.startsAsked), answeredShare(&r.wentOn, &r.resumesAsked)
+			t.Logf("%.2f of %d new streams began, %.2f of %d requests to resume went on; %v", began, r.startsAsked.Load(), went, r.resumesAsked.Load(), r.outcomes)
+			if went < began/2 {
+				t.Errorf("%.2f of the streams that were taken up went on, %.2f of the new ones began", went, began)
+			}
+		})
+	}
+}
+
+func answeredShare(part, whole *atomic.Int64) float64 {
+	return float64(part.Load()) / float64(max(whole.Load(), 1))
+}
+
+func (r *versionTest) deployVersions() {
+	w := r.soak.cluster
+	w.Configure(1, func(c Document) {
+		c["routes"].([]Document)[0]["maxAttempts"] = 1 // so that callers see each break
+	})
+	w.SetWeights(1)
+	for i := range 4 {
+		r.soak.must(w.AddEngine(fmt.Sprintf("e%d", i), beechsimulator.EngineSettings{
+			Model: Model, Version: 1, Slots: 32, Token: 10 * time.Millisecond, Software: soakVersions[i%2],
+		}))
+	}
+	bounds := beechsettings.GateBounds{
+		Revoke: beechsettings.Duration(revokeBound), Grace: beechsettings.Duration(3 * time.Second), Weights: beechsettings.Duration(8 * time.Second),
+		Retries: 0.2, Spare: 400,
+	}
+	for i := range 3 {
+		name := fmt.Sprintf("gate-%d", i)
+		if err := w.AddGate(name, bounds); err != nil {
+			r.t.Fatal(err)
+		}
+		r.soak.gates = append(r.soak.gates, name)
+	}
+	time.Sleep(time.Second)
+}
+
+func (r *versionTest) runVersions(seed uint64) {
+	over := make(chan struct{})
+	var callers sync.WaitGroup
+	for i := range streamCallers {
+		random := rand.New(rand.NewPCG(seed, uint64(1+i)))
+		callers.Go(func() {
+			for n := 0; ; n++ {
+				r.readVersions(fmt.Sprintf("caller-%d-%d", i, n), random)
+				select {
+				case <-over:
+					return
+				default:
+				}
+			}
+		})
+	}
+	for end := time.Now().Add(faultDuration); time.Now().Before(end); {
+		time.Sleep(time.Duration(r.soak.random.Int64N(int64(maxFaultInterval))))
+		r.injectFault()
+	}
+	r.soak.endFaults()
+	close(over)
+	callers.Wait()
+}
+
+// readVersions reads a stream, and takes it up until it is whole or nobody continues it.
+func (r *versionTest) readVersions(name string, random *rand.Rand) {
+	var s versionStream
+	for try, unanswered := 0, 0; s.seen < streamEvents && unanswered < maxUnanswered; try++ {
+		gate := r.soak.gates[random.IntN(len(r.soak.gates))]
+		before := s.seen
+		r.attemptVersions(fmt.Sprintf("%s-%d", name, try), gate, &s)
+		if unanswered++; s.seen > before {
+			unanswered = 0
+		}
+		time.Sleep(time.Duration(random.Int64N(int64(maxReconnectDelay))))
+	}
+}
+
+func (r *versionTest) attemptVersions(id, gate string, s *versionStream) {
+	ask := beechsimulator.CallerRequest{
+		ID: id, Key: Key, Host: Host, URL: "http://" + r.soak.cluster.Places[gate].String() + "/pick/x", Left: 5 * time.Second, Body: "question",
+		Model: Model, Prompt: 1000, Output: streamEvents, Parts: "c0:400,5b:300," + id + ":300",
+	}
+	resumes := s.seen > 0
+	if resumes {
+		ask.Headers = map[string]string{lastEventHeader: strconv.Itoa(s.seen), "Resumes": s.first}
+	} else {
+		s.first = id
+	}
+	request, err := ask.NewRequest()
+	if err != nil {
+		r.t.Error(err)
+		return
+	}
+	ctx, leave := context.WithCancel(context.Background())
+	defer leave()
+	timeout := time.AfterFunc(eventTimeout, leave)
+	defer timeout.Stop()
+	response, err := http.DefaultTransport.RoundTrip(request.WithContext(ctx))
+	if err != nil {
+		return // a gate that is down or suspended says nothing of streams
+	}
+	defer response.Body.Close()
+	r.count(resumes, response.StatusCode)
+	if response.StatusCode == http.StatusOK {
+		r.readVersionEvents(response, s, func() { timeout.Reset(eventTimeout) })
+	}
+}
+
+func (r *versionTest) count(resumes bool, status int) {
+	asked, answered, kind := &r.startsAsked, &r.begun, "new"
+	if resumes {
+		asked, answered, kind = &r.resumesAsked, &r.wentOn, "resumed"
+	}
+	asked.Add(1)
+	if status == http.StatusOK {
+		answered.Add(1)
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.outcomes[fmt.Sprint(kind, " ", status)]++
+}
+
+func (r *versionTest) readVersionEvents(response *http.Response, s *versionStream, onEvent func()) {
+	lines := bufio.NewScanner(response.Body)
+	name, data := "", ""
+	for lines.Scan() {
+		field, value, _ := strings.Cut(lines.Text(), ": ")
+		switch field {
+		case "id":
+			name = value
+		case "data":
+			data = value
+		case "":
+			_, software, _ := strings.Cut(data, " by ")
+			if s.software == "" {
+				s.software = software
+			}
+			if name != strconv.Itoa(s.seen+1) || software != s.software {
+				r.t.Errorf("%s: event %q by %q followed event %d by %q", s.first, name, software, s.seen, s.software)
+			}
+			s.seen++
+			onEvent()
+		}
+	}
+	if lines.Err() == nil && s.seen < streamEvents {
+		r.t.Errorf("%s: ended as complete after %d of %d events", s.first, s.seen, streamEvents)
+	}
+}
--- a/internal/process/beechgate/membership.go
+++ b/internal/process/beechgate/membership.go
@@ -118,6 +118,7 @@
 // applyTopology passes a changed topology to what depends on it.
 func (g *Gate) applyTopology(old, t *topology) {
 	g.readers.SetReaders(t.Readers, t.ZoneReaders[g.settings.Zone])
+	g.origins.updateFormer(old.ZoneOf, t.ZoneOf, g.clock.Now())
 	g.board.SetDuty(t.duty)
 	collectors := t.Collectors[g.settings.Zone]
 	g.loans.SetActive(t.settled && len(collectors) > 0 && collectors[0] == t.Self && !g.Draining())
@@ -130,6 +131,7 @@
 	if old.Gates <= 1 && t.Gates > 1 {
 		g.log.Info("gates known", zap.Int("gates", t.Gates), zap.Int("zones", len(t.Collectors)), zap.Duration("after", g.quotas.Age()))
 		beechtask.Notify(g.usageDue)
+		g.tellOrigins(g.origins.registry.Served(""))
 	}
 	if t.duty.Zones != old.duty.Zones {
 		g.log.Info("collects states", zap.String("zones", t.duty.Zones), zap.Int("gates", t.Gates), zap.Int("engines", t.Engines))
--- a/internal/process/beechgate/origins.go
+++ b/internal/process/beechgate/origins.go
@@ -25,7 +25,8 @@
 
 		mu      sync.Mutex
 		next    uint64
-		queries map[uint64]chan foundOrigin // by number
+		queries map[uint64]chan foundOrigin  // by number
+		former  map[netip.AddrPort]time.Time // gates that have left, and when; they may still serve streams
 	}
 
 	// foundOrigin is another gate's answer to a query.
@@ -70,7 +71,7 @@
 func newOrigins(g *Gate) *origins {
 	return &origins{
 		registry: beechorigin.NewRegistry(g.clock), versions: beechorigin.NewVersions(g.clock),
-		next: rand.Uint64(), queries: make(map[uint64]chan foundOrigin),
+		next: rand.Uint64(), queries: make(map[uint64]chan foundOrigin), former: make(map[netip.AddrPort]time.Time),
 	}
 }
 
@@ -91,7 +92,7 @@
 	o.versions.SetLifetime(lifetime)
 }
 
-// otherGates returns all other members.
+// otherGates returns all other members, or the seeds until one is known.
 func (g *Gate) otherGates() []beechorigin.Gate {
 	var gates []beechorigin.Gate
 	for _, m := range g.members.Members() {
@@ -99,9 +100,42 @@
 			gates = append(gates, beechorigin.Gate{Address: m.Address, Zone: m.Zone})
 		}
 	}
+	if len(gates) > 0 {
+		return gates
+	}
+	for _, seed := range g.settings.Seeds {
+		if seed.Addr() != g.members.Self().Addr() {
+			gates = append(gates, beechorigin.Gate{Address: netip.AddrPortFrom(seed.Addr(), g.settings.Beats.Port())})
+		}
+	}
 	return gates
 }
 
+// updateFormer records which gates have left.
+func (o *origins) updateFormer(old, current map[netip.AddrPort]string, now time.Time) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	for gate := range old {
+		if _, still := current[gate]; !still {
+			o.former[gate] = now
+		}
+	}
+	for gate, leftAt := range o.former {
+		if now.Sub(leftAt) >= maxOriginLifetime {
+			delete(o.former, gate)
+		}
+	}
+}
+
+// isGateOrFormer reports whether the sender of a message is a gate, or one that has left and may
+// still have streams.
+func (g *Gate) isGateOrFormer(from netip.AddrPort) bool {
+	g.origins.mu.Lock()
+	_, former := g.origins.former[from]
+	g.origins.mu.Unlock()
+	return former || g.isKnownGate(from)
+}
+
 // onlyVersion returns the version of a service's software if it has had no other recently, as far
 // as this gate can tell now.
 func (g *Gate) onlyVersion(service string) (string, bool) {
@@ -177,7 +211,7 @@
 
 // receiveOrigins handles the origins sent by another gate.
 func (g *Gate) receiveOrigins(from netip.AddrPort, m beechdatagram.Origins) {
-	if !g.isKnownGate(from) {
+	if !g.isGateOrFormer(from) {
 		return
 	}
 	if m.Pass {
@@ -194,7 +228,7 @@
 
 // receiveQuery answers a gate that is asked to continue a stream.
 func (g *Gate) receiveQuery(from netip.AddrPort, m beechdatagram.Query) {
-	if !g.isKnownGate(from) {
+	if !g.isGateOrFormer(from) {
 		return
 	}
 	answer := &beechwire.Found{Number: m.Number}
