--- a/internal/decision/beechorigin/keepers.go
+++ b/internal/decision/beechorigin/keepers.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"encoding/binary"
 	"net/netip"
 	"slices"
 
@@ -21,20 +22,21 @@
 	// maxAsked bounds the gates that are asked for an origin: the copies, and gates of the zone in
 	// which the caller is, which has probably served the beginning.
 	maxAsked = 12
+	// keyBytes is the size of what is hashed: a hash of the ID, an address and a port.
+	keyBytes = 8 + 16 + 2
 )
 
 // Keepers returns the gates that keep the origin of the stream that began with a request. At least
 // one is in another zone than the first, if there are several zones.
 func Keepers(id string, gates []Gate) []Gate {
-	ranked := rank(id, gates)
-	if len(ranked) <= copies {
-		return ranked
+	kept := best(id, gates, copies, func(Gate) bool { return true })
+	if len(kept) < copies {
+		return kept
 	}
-	kept := ranked[:copies]
-	sameZone := func(g Gate) bool { return g.Zone == kept[0].Zone }
-	if !slices.ContainsFunc(kept, func(g Gate) bool { return !sameZone(g) }) {
-		if other := slices.IndexFunc(ranked, func(g Gate) bool { return !sameZone(g) }); other >= 0 {
-			kept[copies-1] = ranked[other]
+	otherZone := func(g Gate) bool { return g.Zone != kept[0].Zone }
+	if !slices.ContainsFunc(kept, otherZone) {
+		if other := best(id, gates, 1, otherZone); len(other) > 0 {
+			kept[copies-1] = other[0]
 		}
 	}
 	return kept
@@ -43,32 +45,33 @@
 // Asked returns the gates to ask for the origin of a stream: those that keep it, and others of the
 // given zone.
 func Asked(id, zone string, gates []Gate) []Gate {
-	asked := slices.Clone(Keepers(id, gates))
-	for _, g := range rank(id, gates) {
-		if len(asked) >= maxAsked {
-			break
-		}
-		if g.Zone == zone && !slices.Contains(asked, g) {
-			asked = append(asked, g)
-		}
-	}
-	return asked
+	asked := Keepers(id, gates)
+	return append(asked, best(id, gates, maxAsked-len(asked), func(g Gate) bool {
+		return g.Zone == zone && !slices.Contains(asked, g)
+	})...)
 }
 
-// rank orders gates by rendezvous hashing.
-func rank(id string, gates []Gate) []Gate {
+// best returns the first count accepted gates by rendezvous hashing.
+func best(id string, gates []Gate, count int, accept func(Gate) bool) []Gate {
 	type scored struct {
-		gate  Gate
 		score uint64
+		index int
 	}
-	list := make([]scored, 0, len(gates))
-	for _, g := range gates {
-		list = append(list, scored{g, xxhash.Sum64String(id + g.Address.String())})
+	key := binary.LittleEndian.AppendUint64(make([]byte, 0, keyBytes), xxhash.Sum64String(id))
+	first := make([]scored, 0, count+1) // by descending score
+	for i, g := range gates {
+		address := g.Address.Addr().As16()
+		s := scored{xxhash.Sum64(binary.LittleEndian.AppendUint16(append(key, address[:]...), g.Address.Port())), i}
+		if (len(first) == count && s.score <= first[count-1].score) || !accept(g) {
+			continue
+		}
+		at, _ := slices.BinarySearchFunc(first, s, func(x, y scored) int { return cmp.Compare(y.score, x.score) })
+		first = slices.Insert(first, at, s)
+		first = first[:min(len(first), count)]
 	}
-	slices.SortFunc(list, func(x, y scored) int { return cmp.Compare(y.score, x.score) })
-	ranked := make([]Gate, 0, len(list))
-	for _, s := range list {
-		ranked = append(ranked, s.gate)
+	chosen := make([]Gate, 0, len(first))
+	for _, s := range first {
+		chosen = append(chosen, gates[s.index])
 	}
-	return ranked
+	return chosen
 }
--- a/internal/decision/beechorigin/origin_test.go
+++ b/internal/decision/beechorigin/origin_test.go
@@ -170,3 +170,18 @@
 		is.True(moved <= 2)
 	}
 }
+
+func BenchmarkKeepers(b *testing.B) {
+	for _, count := range []int{4, 68, 450} {
+		var gates []Gate
+		for n := range count {
+			gates = append(gates, Gate{Address: netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, byte(n >> 8), byte(n)}), 7000), Zone: fmt.Sprint("z", n%33)})
+		}
+		b.Run(fmt.Sprint(count, " gates"), func(b *testing.B) {
+			b.ReportAllocs()
+			for b.Loop() {
+				Keepers("9c41d07be2a35f68", gates)
+			}
+		})
+	}
+}
