--- a/internal/decision/beechorigin/doc.go
+++ b/internal/decision/beechorigin/doc.go
@@ -17,7 +17,7 @@
 //	versions.SetListed(map[string][]string{"llm": {"v1", "v2"}})
 //	registry := beechorigin.NewRegistry(clock)
 //	registry.Record(requestID, beechorigin.Origin{Service: "llm", Software: "v1"}, beechorigin.Own)
-//	peers := beechorigin.Keepers(requestID, gates)
+//	peers := beechorigin.Replicas(requestID, gates)
 //	// at the gate that is asked to continue
 //	origin, known := registry.Find(requestID)
 package beechorigin
--- a/internal/decision/beechorigin/origin_test.go
+++ b/internal/decision/beechorigin/origin_test.go
@@ -119,13 +119,13 @@
 
 // Whoever is asked, gates that keep an origin are among them, in more than one zone if there are
 // several.
-func TestKeepersAreAsked(t *testing.T) {
+func TestReplicasAreAsked(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		gates := drawGates(t)
 		id := rapid.StringN(1, 16, 16).Draw(t, "id")
-		kept := Keepers(id, gates)
+		kept := Replicas(id, gates)
 		if len(kept) != min(copies, len(gates)) {
-			t.Fatalf("%d keepers of %d gates", len(kept), len(gates))
+			t.Fatalf("%d replicas of %d gates", len(kept), len(gates))
 		}
 		asked := Asked(id, "z0", rapid.Permutation(gates).Draw(t, "order"))
 		if len(asked) > maxAsked {
@@ -144,13 +144,13 @@
 			return len(names)
 		}
 		if zones(gates) > 1 && zones(kept) < 2 {
-			t.Fatalf("all keepers in one of %d zones", zones(gates))
+			t.Fatalf("all replicas in one of %d zones", zones(gates))
 		}
 	})
 }
 
 // A gate is lost: all but its own part of the origins stay where they are.
-func TestKeepersChangeLittle(t *testing.T) {
+func TestReplicasChangeLittle(t *testing.T) {
 	is := is.New(t)
 	var gates []Gate
 	for n := range 20 {
@@ -158,8 +158,8 @@
 	}
 	for n := range 500 {
 		id := fmt.Sprint(n)
-		before := Keepers(id, gates)
-		after := Keepers(id, gates[1:])
+		before := Replicas(id, gates)
+		after := Replicas(id, gates[1:])
 		moved := 0
 		for _, g := range after {
 			if !slices.Contains(before, g) {
@@ -171,7 +171,7 @@
 	}
 }
 
-func BenchmarkKeepers(b *testing.B) {
+func BenchmarkReplicas(b *testing.B) {
 	for _, count := range []int{4, 68, 450} {
 		var gates []Gate
 		for n := range count {
@@ -180,7 +180,7 @@
 		b.Run(fmt.Sprint(count, " gates"), func(b *testing.B) {
 			b.ReportAllocs()
 			for b.Loop() {
-				Keepers("9c41d07be2a35f68", gates)
+				Replicas("9c41d07be2a35f68", gates)
 			}
 		})
 	}
--- a/internal/decision/beechorigin/keepers.go
+++ b/internal/decision/beechorigin/replicas.go
@@ -26,9 +26,9 @@
 	keyBytes = 8 + 16 + 2
 )
 
-// Keepers returns the gates that keep the origin of the stream that began with a request. At least
+// Replicas returns the gates that keep the origin of the stream that began with a request. At least
 // one is in another zone than the first, if there are several zones.
-func Keepers(id string, gates []Gate) []Gate {
+func Replicas(id string, gates []Gate) []Gate {
 	kept := best(id, gates, copies, func(Gate) bool { return true })
 	if len(kept) < copies {
 		return kept
@@ -45,7 +45,7 @@
 // Asked returns the gates to ask for the origin of a stream: those that keep it, and others of the
 // given zone.
 func Asked(id, zone string, gates []Gate) []Gate {
-	asked := Keepers(id, gates)
+	asked := Replicas(id, gates)
 	return append(asked, best(id, gates, maxAsked-len(asked), func(g Gate) bool {
 		return g.Zone == zone && !slices.Contains(asked, g)
 	})...)
--- a/internal/process/beechgate/origins.go
+++ b/internal/process/beechgate/origins.go
@@ -151,7 +151,7 @@
 	g.origins.registry.Record(call.ID, origin, beechorigin.Own)
 	if call.Resumes != "" {
 		g.origins.registry.Record(call.Resumes, origin, beechorigin.Own)
-		return // its keepers were told at the beginning
+		return // its replicas were told at the beginning
 	}
 	if only, ok := g.onlyVersion(origin.Service); ok && only == origin.Software && !g.draining.Load() {
 		return
@@ -163,15 +163,15 @@
 func (g *Gate) tellOrigins(all map[beechorigin.Origin][]string) {
 	gates := g.otherGates()
 	for origin, ids := range all {
-		byKeeper := make(map[netip.AddrPort][]string)
+		byReplica := make(map[netip.AddrPort][]string)
 		for _, id := range ids {
-			for _, keeper := range beechorigin.Keepers(id, gates) {
-				byKeeper[keeper.Address] = append(byKeeper[keeper.Address], id)
+			for _, replica := range beechorigin.Replicas(id, gates) {
+				byReplica[replica.Address] = append(byReplica[replica.Address], id)
 			}
 		}
-		for keeper, kept := range byKeeper {
+		for replica, kept := range byReplica {
 			for chunk := range slices.Chunk(kept, maxOriginsInOne) {
-				g.sendTo(keeper, beechdatagram.Origins{Origins: &beechwire.Origins{Service: origin.Service, Software: origin.Software, Requests: chunk}})
+				g.sendTo(replica, beechdatagram.Origins{Origins: &beechwire.Origins{Service: origin.Service, Software: origin.Software, Requests: chunk}})
 			}
 		}
 	}
