A cancelled request of an agent is withdrawn by a reset of its connection

What callers saw: a backend server that reads late runs a request that its agent has cancelled. Why it works: connections to backend servers are closed with a reset always; what they carried has either been answered or is not wanted any more.

--- a/internal/process/beechbackend/client.go
+++ b/internal/process/beechbackend/client.go
@@ -82,7 +82,15 @@
 func NewClient(connect time.Duration) *http.Client {
 	dialer := &net.Dialer{Timeout: connect}
 	return &http.Client{Transport: &http.Transport{
-		DialContext:         dialer.DialContext,
+		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
+			connection, err := dialer.DialContext(ctx, network, address)
+			if t, ok := connection.(*net.TCPConn); ok {
+				// A cancelled request is discarded wherever it is queued: closed normally, the
+				// server would read it whole.
+				_ = t.SetLinger(0)
+			}
+			return connection, err
+		},
 		MaxIdleConns:        maxIdleConnections,
 		MaxIdleConnsPerHost: maxIdleConnections,
 		IdleConnTimeout:     idleTimeout,
