--- a/internal/process/beechgate/doc.go
+++ b/internal/process/beechgate/doc.go
@@ -4,7 +4,7 @@
 //
 // A request passes through:
 //
-//	HTTP handler -> Admit (configuration, key) -> Serve (quota, beechattempt) -> response
+//	HTTP handler -> Admit (configuration, key) -> Serve (origin of a resumed stream, quota, beechattempt) -> response
 //
 // A gate mirrors the operators' documents and the servers' entries from the store. All
 // gates know one another (membership.go), and one reads the store for all of them
@@ -12,7 +12,8 @@
 // the processes on the engines' hosts, and send what changes to all gates (collect.go).
 // Gates also exchange quota usage, server limits and overloads, and lend one another
 // retries (loans.go). What a restored store has lost of servers' departures is kept
-// (departures.go). Nothing is persisted: a gate that starts takes both copies from
+// (departures.go). By which software version streams were begun is told to other gates, and asked
+// of them when a caller resumes one (origins.go). Nothing is persisted: a gate that starts takes both copies from
 // another gate, or reads the store, and is ready.
 //
 // # Usage
--- a/internal/process/beechgate/origins.go
+++ b/internal/process/beechgate/origins.go
@@ -64,7 +64,7 @@
 	// maxListAge is the age of the list of servers up to which it may show that a service has one
 	// version only. It is just above serverReadAges.
 	maxListAge         = 6 * time.Second
-	maxOriginsInOne    = 400 // requests in a datagram, at some 20 bytes each
+	maxOriginsInOne    = 200 // requests in a datagram, at 66 bytes each at most
 	maxQueriesInFlight = 1024
 )
 
