Beginnings of streams are told where a route has several services

What callers saw: the rest of a stream on a route that is split between services with one version each was refused, as nobody was told and one version does not tell the service; callers that do not name the beginning were refused there as well. Cause: whether to tell was decided by the versions of the service alone. Why it works: only where a route has one service does its only version prove the origin.

--- a/internal/process/beechgate/origins.go
+++ b/internal/process/beechgate/origins.go
@@ -153,7 +153,7 @@
 		g.origins.registry.Record(call.Resumes, origin, beechorigin.Own)
 		return // its replicas were told at the beginning
 	}
-	if only, ok := g.onlyVersion(origin.Service); ok && only == origin.Software && !g.draining.Load() {
+	if only, ok := g.onlyVersion(origin.Service); ok && only == origin.Software && hasOneTarget(call.Route) && !g.draining.Load() {
 		return
 	}
 	g.tellOrigins(map[beechorigin.Origin][]string{origin: {call.ID}})
@@ -280,23 +280,25 @@
 	return slices.ContainsFunc(route.Targets, func(t beechcall.Target) bool { return t.Service == service && t.Weight > 0 })
 }
 
+// hasOneTarget reports whether only one service can have served the beginning of a route's streams.
+func hasOneTarget(route *beechcall.Route) bool { return len(route.Targets) == 1 }
+
 func (g *Gate) findOrigin(ctx context.Context, call *beechcall.Call) (beechorigin.Origin, originSource) {
 	if origin, ok := g.origins.registry.Find(call.Resumes); ok {
 		return origin, originRegistered
 	}
-	single := len(call.Route.Targets) == 1 // else another target may have served the beginning
-	if only, ok := g.onlyVersion(call.Service); ok && single {
+	if only, ok := g.onlyVersion(call.Service); ok && hasOneTarget(call.Route) {
 		return beechorigin.Origin{Service: call.Service, Software: only}, originOnly
 	}
 	if call.Resumes == "" {
-		return g.originOfUnnamed(call, single)
+		return g.originOfUnnamed(call)
 	}
 	found, ok := g.askForOrigin(ctx, call)
 	switch {
 	case ok && found.known:
 		g.origins.registry.Record(call.Resumes, found.origin, beechorigin.Told)
 		return found.origin, originAsked
-	case ok && single && found.origin.Service == call.Service && g.noOtherVersion(found.origin):
+	case ok && hasOneTarget(call.Route) && found.origin.Service == call.Service && g.noOtherVersion(found.origin):
 		return found.origin, originOnly
 	}
 	return beechorigin.Origin{}, originUnknown
@@ -305,9 +307,9 @@
 // originOfUnnamed returns the origin of a stream whose caller does not name the request that it
 // began with. Nobody can look it up, so the caller is served as long as this gate knows of one version
 // only, even if it has not known so for long.
-func (g *Gate) originOfUnnamed(call *beechcall.Call, single bool) (beechorigin.Origin, originSource) {
+func (g *Gate) originOfUnnamed(call *beechcall.Call) (beechorigin.Origin, originSource) {
 	versions := g.origins.versions.Recent(call.Service)
-	if !single || len(versions) != 1 || versions[0] == "" {
+	if len(versions) != 1 || versions[0] == "" {
 		return beechorigin.Origin{}, originUnknown
 	}
 	return beechorigin.Origin{Service: call.Service, Software: versions[0]}, originOnly
