--- a/internal/command/beechplay/streams_test.go
+++ b/internal/command/beechplay/streams_test.go
@@ -64,8 +64,8 @@
 				t.Fatal(err)
 			}
 			r := &streamTest{t: t, outcomes: map[string]int{}, restarts: map[string]time.Time{}, soak: &soak{t: t, cluster: w, random: rand.New(rand.NewPCG(seed+1, 0))}}
-			r.deploy()
-			r.run(seed+1, failure(r))
+			r.deploy([]string{"", "", ""}, nil)
+			r.run(seed+1, failure(r), r.readStream)
 			t.Log(r.outcomes)
 			if err := w.Close(); err != nil {
 				t.Error(err)
@@ -74,13 +74,14 @@
 	}
 }
 
-func (r *streamTest) deploy() {
+// deploy starts an engine for each of the given software versions, and three gates.
+func (r *streamTest) deploy(software []string, edit func(c Document)) {
 	w := r.soak.cluster
-	w.Configure(1, nil)
+	w.Configure(1, edit)
 	w.SetWeights(1)
-	for i := range 3 {
+	for i, version := range software {
 		r.soak.must(w.AddEngine(fmt.Sprintf("e%d", i), beechsimulator.EngineSettings{
-			Model: Model, Version: 1, Slots: 32, Token: 10 * time.Millisecond,
+			Model: Model, Version: 1, Slots: 32, Token: 10 * time.Millisecond, Software: version,
 		}))
 	}
 	bounds := beechsettings.GateBounds{
@@ -97,14 +98,15 @@
 	time.Sleep(time.Second)
 }
 
-func (r *streamTest) run(seed uint64, fail func()) {
+// run has callers read streams, one after the other, while fail injects faults.
+func (r *streamTest) run(seed uint64, fail func(), read func(name string, random *rand.Rand)) {
 	over := make(chan struct{})
 	var callers sync.WaitGroup
 	for i := range streamCallers {
 		random := rand.New(rand.NewPCG(seed, uint64(1+i)))
 		callers.Go(func() {
 			for n := 0; ; n++ {
-				r.readStream(fmt.Sprintf("moment-%d-%d", i, n), random)
+				read(fmt.Sprintf("moment-%d-%d", i, n), random)
 				select {
 				case <-over:
 					return
--- a/internal/command/beechplay/streamversions_test.go
+++ b/internal/command/beechplay/streamversions_test.go
@@ -8,13 +8,11 @@
 	"net/http"
 	"strconv"
 	"strings"
-	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
 
 	"github.com/beechring/beechring/internal/command/beechtrace"
-	"github.com/beechring/beechring/internal/process/beechsettings"
 	"github.com/beechring/beechring/internal/standin/beechsimulator"
 )
 
@@ -56,7 +54,7 @@
 			}
 			r := &versionTest{streamTest: &streamTest{t: t, outcomes: map[string]int{}, restarts: map[string]time.Time{}, soak: &soak{t: t, cluster: w, random: rand.New(rand.NewPCG(seed+1, 1))}}}
 			r.deployVersions()
-			r.runVersions(seed + 1)
+			r.run(seed+1, r.injectFault, r.readVersions)
 			if err := w.Close(); err != nil {
 				t.Error(err)
 			}
@@ -74,56 +72,13 @@
 }
 
 func (r *versionTest) deployVersions() {
-	w := r.soak.cluster
-	w.Configure(1, func(c Document) {
+	r.deploy([]string{"v1", "v2", "v1", "v2"}, func(c Document) {
 		c["routes"].([]Document)[0]["maxAttempts"] = 1 // so that callers see each break
 	})
-	w.SetWeights(1)
-	for i := range 4 {
-		r.soak.must(w.AddEngine(fmt.Sprintf("e%d", i), beechsimulator.EngineSettings{
-			Model: Model, Version: 1, Slots: 32, Token: 10 * time.Millisecond, Software: soakVersions[i%2],
-		}))
-	}
-	bounds := beechsettings.GateBounds{
-		Revoke: beechsettings.Duration(revokeBound), Grace: beechsettings.Duration(3 * time.Second), Weights: beechsettings.Duration(8 * time.Second),
-		Retries: 0.2, Spare: 400,
-	}
-	for i := range 3 {
-		name := fmt.Sprintf("gate-%d", i)
-		if err := w.AddGate(name, bounds); err != nil {
-			r.t.Fatal(err)
-		}
-		r.soak.gates = append(r.soak.gates, name)
-	}
+	w := r.soak.cluster
 	for _, name := range r.soak.gates {
 		w.gates[name].Seeds = w.seeds // from its next start on
 	}
-	time.Sleep(time.Second)
-}
-
-func (r *versionTest) runVersions(seed uint64) {
-	over := make(chan struct{})
-	var callers sync.WaitGroup
-	for i := range streamCallers {
-		random := rand.New(rand.NewPCG(seed, uint64(1+i)))
-		callers.Go(func() {
-			for n := 0; ; n++ {
-				r.readVersions(fmt.Sprintf("caller-%d-%d", i, n), random)
-				select {
-				case <-over:
-					return
-				default:
-				}
-			}
-		})
-	}
-	for end := time.Now().Add(faultDuration); time.Now().Before(end); {
-		time.Sleep(time.Duration(r.soak.random.Int64N(int64(maxFaultInterval))))
-		r.injectFault()
-	}
-	r.soak.endFaults()
-	close(over)
-	callers.Wait()
 }
 
 // readVersions reads a stream, and takes it up until it is whole or nobody continues it.
