--- a/internal/decision/beechorigin/doc.go
+++ b/internal/decision/beechorigin/doc.go
@@ -1,5 +1,5 @@
-// Package beechorigin remembers by which version of a service's software the beginning of a
-// stream was generated, so that the stream is continued at that version only.
+// Package beechorigin remembers which version of a service's software generated the
+// beginning of a stream, so that the stream is continued at that version only.
 //
 // What servers of two versions generate does not fit together, and servers do not check it. A
 // caller that comes back with the last event that it has may reach any gate. That gate knows the
@@ -8,8 +8,8 @@
 // them and the gates of its zone.
 //
 // While a service has had one version only for longer than any stream can be resumed, beginnings
-// need not be told: the origin follows. An origin that is not known is never guessed from the
-// servers that are listed now.
+// need not be told: the origin follows. The servers that are listed now prove nothing alone, as
+// those of another version may have left.
 //
 // # Usage
 //
