The soak's callers leave early, and nothing may begin to run half a second later

What callers would see: servers busy with requests whose callers have left. The soak had no caller that leaves, so that it could not find it. Change: one of eight callers closes its connection within 50 ms, drawn from a source of its own, so that other draws of a seed stay as they were; the stand-in engines tell when a request began to run. Test and stand-in only.

--- a/internal/command/beechplay/soak_test.go
+++ b/internal/command/beechplay/soak_test.go
@@ -8,6 +8,7 @@
 	"fmt"
 	"io"
 	"math/rand/v2"
+	"net"
 	"net/http"
 	"os"
 	"os/exec"
@@ -40,6 +41,11 @@
 	// keyValidity is how long a gate may accept keys without the store; it follows
 	// from the configured revocation bound.
 	keyValidity = revokeBound / 2
+	// One of departingEvery callers leaves within maxPatience, whatever it got.
+	departingEvery = 8
+	maxPatience    = 50 * time.Millisecond
+	// departureBound is how long after its caller's departure a request may still begin to run.
+	departureBound = 500 * time.Millisecond
 )
 
 type (
@@ -82,6 +88,7 @@
 		answered        int
 		disturbances    []time.Time // when a gate was killed, stopped, suspended or resumed
 		limitSpans      []limitSpan
+		departedAt      map[string]time.Time // when a caller closed its connection without an answer
 	}
 )
 
@@ -198,7 +205,7 @@
 	}
 	s := &soak{
 		t: t, seed: seed, cluster: w, random: rand.New(rand.NewPCG(seed, seed)), client: &http.Client{Timeout: 7 * time.Second},
-		statuses: make(map[string]int), atMostOnce: make(map[string]bool), revocableSentAt: make(map[string]time.Time),
+		statuses: make(map[string]int), atMostOnce: make(map[string]bool), revocableSentAt: make(map[string]time.Time), departedAt: make(map[string]time.Time),
 	}
 	s.deploy()
 	s.copied = w.Store.Snapshot()
@@ -253,12 +260,17 @@
 		s.endFaults()
 	}()
 	draw := rand.New(rand.NewPCG(s.random.Uint64(), 1))
+	departures := rand.New(rand.NewPCG(s.seed, 2)) // of its own, so that a seed's other draws stay as they were
 	for n, end := 0, time.Now().Add(soakDuration); time.Now().Before(end); n++ {
 		path, key := []string{"/pick/", "/card/", "/label/", "/check/"}[draw.IntN(4)], Key
 		if draw.IntN(5) == 0 {
 			key = IsolateKey
 		}
 		gate := s.gates[draw.IntN(len(s.gates))]
+		if departures.IntN(departingEvery) == 0 {
+			patience := time.Duration(departures.Int64N(int64(maxPatience)))
+			callers.Go(func() { s.sendAndDepart(fmt.Sprintf("departing-%d", n), gate, path, patience) })
+		}
 		callers.Add(1)
 		go func() {
 			defer callers.Done()
@@ -416,6 +428,46 @@
 	return false
 }
 
+// sendAndDepart sends a request and closes the connection soon after, whether it is answered or not.
+func (s *soak) sendAndDepart(id, gate, path string, patience time.Duration) {
+	c, err := net.Dial("tcp4", s.cluster.Places[gate].String())
+	if err != nil {
+		return // the gate is down
+	}
+	ask := beechsimulator.CallerRequest{ID: id, Key: Key, Host: Host, URL: "http://" + s.cluster.Places[gate].String() + path + "x", Left: 5 * time.Second, Body: "question"}
+	if path == "/pick/" || path == "/card/" {
+		ask.Model, ask.Prompt, ask.Output, ask.Parts = Model, 1000, 10, "c0:400,5b:300,"+id+":300"
+	}
+	r, err := ask.NewRequest()
+	if err != nil {
+		s.t.Error(err)
+		return
+	}
+	_ = r.Write(c)
+	time.Sleep(patience)
+	_ = c.Close()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.departedAt[id] = time.Now()
+}
+
+// checkDepartures checks that no request began to run long after its caller had left.
+func (s *soak) checkDepartures() {
+	begun := 0
+	for id, left := range s.departedAt {
+		for name, e := range s.cluster.Engines {
+			at := e.BegunAt(id)
+			if !at.IsZero() {
+				begun++
+			}
+			if at.After(left.Add(departureBound)) {
+				s.t.Errorf("%s: began to run at %s %s after its caller had left", id, name, at.Sub(left))
+			}
+		}
+	}
+	s.t.Logf("%d callers left early, %d of their requests ran", len(s.departedAt), begun)
+}
+
 // check compares the callers' results with the requests that ran.
 func (s *soak) check() {
 	for id, status := range s.statuses {
@@ -443,6 +495,7 @@
 		}
 	}
 	s.checkLimits()
+	s.checkDepartures()
 	for name, p := range s.cluster.processes {
 		if p.(*childProcess).exitedUnexpectedly() {
 			log, _ := os.ReadFile(p.(*childProcess).output)
--- a/internal/standin/beechsimulator/engine.go
+++ b/internal/standin/beechsimulator/engine.go
@@ -38,6 +38,7 @@
 		running       int
 		streams       int // begun so far
 		runs          map[string]int
+		begunAt       map[string]time.Time   // when a request ran last
 		lastHeaders   map[string]http.Header // headers of the last run, by request id
 		cached        map[string]int         // tokens by "salt|part"
 		events        [][]any
@@ -96,7 +97,7 @@
 		s.Slots = defaultSlots
 	}
 	return &Engine{
-		settings: s, version: s.Version, runs: make(map[string]int), lastHeaders: make(map[string]http.Header), cached: make(map[string]int),
+		settings: s, version: s.Version, runs: make(map[string]int), begunAt: make(map[string]time.Time), lastHeaders: make(map[string]http.Header), cached: make(map[string]int),
 	}
 }
 
@@ -107,6 +108,13 @@
 	return e.runs[id]
 }
 
+// BegunAt returns when a request ran last on this engine, or the zero time.
+func (e *Engine) BegunAt(id string) time.Time {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.begunAt[id]
+}
+
 // AllRuns returns the number of runs of each request, by id.
 func (e *Engine) AllRuns() map[string]int {
 	e.mu.Lock()
@@ -376,6 +384,7 @@
 	}()
 	e.mu.Lock()
 	e.runs[id]++
+	e.begunAt[id] = time.Now()
 	e.lastHeaders[id] = r.Header.Clone()
 	faults, version := e.faults, e.version
 	e.mu.Unlock()
