Tell what was under way at a crash: prompt parts, and whether answers had begun

What could not be told: which requests were under way when a server crashed, which prompt parts they had and whether their answers had begun. Without that, a part that crashes servers cannot be told from a request that is sent again, nor from bystanders. The line 'server gone with requests under way' has the number of answers that had begun, and the requests and shared parts of the others; the metrics have the same as counts. No decision is changed.

--- a/internal/request/beechattempt/crash.go
+++ b/internal/request/beechattempt/crash.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"expvar"
 	"net/netip"
+	"slices"
 	"sync"
 	"time"
 
@@ -10,6 +12,7 @@
 	"go.uber.org/zap"
 
 	"github.com/beechring/beechring/internal/decision/beechsuspect"
+	"github.com/beechring/beechring/internal/request/beechcall"
 )
 
 type (
@@ -30,28 +33,44 @@
 		log      *zap.Logger
 
 		mu      sync.Mutex
-		pending map[netip.AddrPort][]uint64 // fingerprints of requests, by the server being probed
+		pending map[netip.AddrPort][]brokenAnswer // by the server being probed
 		probes  sync.WaitGroup
+		counts  crashCounts
+	}
+
+	// brokenAnswer is a request whose answer broke off.
+	brokenAnswer struct {
+		call  *beechcall.Call
+		begun bool // its answer had begun
+	}
+
+	// crashCounts counts what was lost with crashed servers.
+	crashCounts struct {
+		servers, begun, notBegun expvar.Int
 	}
 )
 
-// probeTimeout is how long a server may take to accept a connection: several
-// round trips to the farthest availability zone, and well below the time in which
-// a crashed server restarts.
-const probeTimeout = 400 * time.Millisecond
+const (
+	// probeTimeout is how long a server may take to accept a connection: several
+	// round trips to the farthest availability zone, and well below the time in which
+	// a crashed server restarts.
+	probeTimeout = 400 * time.Millisecond
+	// maxLoggedParts bounds the prompt parts in a log line.
+	maxLoggedParts = 12
+)
 
 func newCrashDetector(prober Prober, suspects *beechsuspect.Registry, clock clockwork.Clock, log *zap.Logger) *crashDetector {
-	return &crashDetector{prober: prober, suspects: suspects, clock: clock, log: log, pending: make(map[netip.AddrPort][]uint64)}
+	return &crashDetector{prober: prober, suspects: suspects, clock: clock, log: log, pending: make(map[netip.AddrPort][]brokenAnswer)}
 }
 
 // answerBroken records a request whose answer broke off, and reports it as a suspect if
 // the server is down. The probe runs in the background, and is shared by all requests
 // that break off at a server meanwhile.
-func (d *crashDetector) answerBroken(fingerprint uint64, server netip.AddrPort) {
+func (d *crashDetector) answerBroken(broken brokenAnswer, server netip.AddrPort) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	list, probing := d.pending[server]
-	d.pending[server] = append(list, fingerprint)
+	d.pending[server] = append(list, broken)
 	if !probing {
 		d.probes.Go(func() { d.probe(server) })
 	}
@@ -62,12 +81,39 @@
 	defer cancel()
 	err := d.prober.Probe(ctx, server)
 	d.mu.Lock()
-	fingerprints := d.pending[server]
+	answers := d.pending[server]
 	delete(d.pending, server)
 	d.mu.Unlock()
 	if err == nil {
 		return
 	}
-	d.log.Info("server gone with requests under way", zap.Stringer("peer", server), zap.Int("requests", len(fingerprints)), zap.Error(err))
+	fingerprints := make([]uint64, 0, len(answers))
+	for _, answer := range answers {
+		fingerprints = append(fingerprints, answer.call.Fingerprint())
+	}
+	d.report(server, answers, err)
 	d.suspects.RecordCrash(fingerprints)
 }
+
+// report logs and counts the requests that were lost with a server.
+func (d *crashDetector) report(server netip.AddrPort, answers []brokenAnswer, err error) {
+	begun := 0
+	var requests, parts []string
+	for _, answer := range answers {
+		if answer.begun {
+			begun++
+			continue
+		}
+		requests = append(requests, answer.call.ID)
+		for _, part := range answer.call.SharedParts() {
+			if !slices.Contains(parts, part.ID) {
+				parts = append(parts, part.ID)
+			}
+		}
+	}
+	d.counts.servers.Add(1)
+	d.counts.begun.Add(int64(begun))
+	d.counts.notBegun.Add(int64(len(requests)))
+	d.log.Info("server gone with requests under way", zap.Stringer("peer", server), zap.Int("requests", len(answers)), zap.Int("begun", begun),
+		zap.Strings("notBegun", requests[:min(len(requests), maxLoggedParts)]), zap.Strings("parts", parts[:min(len(parts), maxLoggedParts)]), zap.Error(err))
+}
--- a/internal/request/beechattempt/dispatcher.go
+++ b/internal/request/beechattempt/dispatcher.go
@@ -148,6 +148,13 @@
 	return r.attempts - r.notExecuted
 }
 
+// Crashes returns the number of servers that crashed with requests under way, and of these requests by
+// whether their answers had begun.
+func (d *Dispatcher) Crashes() map[string]int64 {
+	c := &d.crashes.counts
+	return map[string]int64{"servers": c.servers.Value(), "begun": c.begun.Value(), "notBegun": c.notBegun.Value()}
+}
+
 // jitter returns a random duration around delay, so that callers that were rejected together
 // do not retry together.
 func jitter(delay time.Duration) time.Duration {
--- a/internal/request/beechattempt/run.go
+++ b/internal/request/beechattempt/run.go
@@ -35,6 +35,7 @@
 		choice          beechplace.Choice // of the last attempt
 		firstByte       time.Duration     // since the start
 		sentAt          time.Time         // of the last attempt
+		begunAt         time.Time         // first event of the last attempt; zero: none yet
 		departed        atomic.Bool       // the caller was seen to have disconnected
 		serverError     *response         // a server's error response, forwarded if no better answer comes
 		stream          streamState
@@ -212,7 +213,7 @@
 	watch := r.newWatchdog(cancel, choice)
 	defer watch.stop()
 	sent := r.dispatcher.clock.Now()
-	r.sentAt = sent
+	r.sentAt, r.begunAt = sent, time.Time{}
 	answer, err := r.dispatcher.backend.Send(ctx, beechcall.Attempt{
 		Call: r.call, Server: choice.Server, Weights: choice.Weights, Salt: choice.Salt,
 		Urgency: r.urgency(), Fetch: choice.Fetch, Save: choice.Save, LastEventID: r.stream.lastEventID,
@@ -377,7 +378,7 @@
 		placement.Done(beechplace.Cancelled)
 	} else if r.dispatcher.clock.Now().Before(r.call.Deadline) {
 		placement.Done(beechplace.Failed)
-		r.dispatcher.crashes.answerBroken(r.call.Fingerprint(), choice.Server.Address)
+		r.dispatcher.crashes.answerBroken(brokenAnswer{call: r.call, begun: !r.begunAt.IsZero()}, choice.Server.Address)
 		r.dispatcher.observer.ObserveAttempt(choice.Server, r.call.Model, 0, choice.PrefillTokens, true)
 	} else {
 		placement.Done(beechplace.Cancelled)
--- a/internal/request/beechattempt/stream.go
+++ b/internal/request/beechattempt/stream.go
@@ -143,6 +143,9 @@
 					return r.handleFailure(choice, placement, watch, beechcall.OutcomeUnknown{Peer: choice.Server.Address, Step: "read the stream", Err: err})
 				}
 				verified = true
+				if r.begunAt.IsZero() {
+					r.begunAt = r.dispatcher.clock.Now()
+				}
 				if !r.startStream(answer) {
 					r.dispatcher.timeouts.observe(r.call.Route.Name, r.dispatcher.clock.Since(sent), milliseconds(choice.Expected), r.dispatcher.clock.Now())
 					r.firstByte = r.dispatcher.clock.Since(r.started)
--- a/internal/request/beechcall/call.go
+++ b/internal/request/beechcall/call.go
@@ -165,11 +165,14 @@
 	return float64(c.Workspace.Quota.DefaultTokens)
 }
 
+// SharedParts returns the parts that other requests may share.
+func (c *Call) SharedParts() []Part { return c.Parts[:max(len(c.Parts)-1, 0)] }
+
 // SharedTokens returns the number of tokens in the parts that other requests may share.
 func (c *Call) SharedTokens() int {
 	total := 0
-	for i := 0; i+1 < len(c.Parts); i++ {
-		total += c.Parts[i].Tokens
+	for _, part := range c.SharedParts() {
+		total += part.Tokens
 	}
 	return total
 }
