Test that fails: a prompt part crashes one engine after the other

What callers see: their streams break off again and again, and in the end there is hardly an engine left. The stand-in engine crashes on a prompt part and is down for 3 s.

--- a/internal/command/beechplay/cluster.go
+++ b/internal/command/beechplay/cluster.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"net/netip"
 	"os"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -26,13 +27,23 @@
 		launcher      Launcher
 		zone          string
 		heartbeatPort uint16
-		servers       []*http.Server
+		endpoints     []*endpoint
 		processes     map[string]Process
 		gates         map[string]*beechsettings.Gate
 		seeds         []netip.AddrPort // of gates that are added later
 		keepers       map[string]*beechsettings.Keeper
 	}
 
+	// endpoint is a listener that can be down for a time. It is safe for concurrent use.
+	endpoint struct {
+		handler http.Handler
+
+		mu      sync.Mutex
+		address netip.AddrPort
+		server  *http.Server // nil while it is down
+		closed  bool
+	}
+
 	// Document is a JSON document in the store.
 	Document = beechsimulator.Document
 )
@@ -64,9 +75,12 @@
 		launcher: launcher, zone: "mill", heartbeatPort: uint16(baseHeartbeatPort + nextHost.Add(1)), processes: make(map[string]Process),
 		gates: make(map[string]*beechsettings.Gate), keepers: make(map[string]*beechsettings.Keeper),
 	}
-	var err error
-	w.Places["store"], err = w.listen(nextLoopbackAddress(), w.Store)
-	return w, err
+	e, err := w.listen(nextLoopbackAddress(), w.Store)
+	if err != nil {
+		return nil, err
+	}
+	w.Places["store"] = e.address
+	return w, nil
 }
 
 // nextLoopbackAddress returns an address that no other host of this process uses,
@@ -80,15 +94,51 @@
 	return netip.AddrFrom4([4]byte{127, byte(second), byte(process), byte(1 + int(n)%hostsPerSubnet)})
 }
 
-func (w *Cluster) listen(address netip.Addr, h http.Handler) (netip.AddrPort, error) {
-	l, err := net.Listen("tcp4", netip.AddrPortFrom(address, 0).String())
+func (w *Cluster) listen(address netip.Addr, h http.Handler) (*endpoint, error) {
+	e := &endpoint{handler: h, address: netip.AddrPortFrom(address, 0)}
+	if err := e.open(); err != nil {
+		return nil, err
+	}
+	w.endpoints = append(w.endpoints, e)
+	return e, nil
+}
+
+// open accepts connections, at the same address as before if there was one.
+func (e *endpoint) open() error {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.closed || e.server != nil {
+		return nil
+	}
+	l, err := net.Listen("tcp4", e.address.String())
 	if err != nil {
-		return netip.AddrPort{}, err
+		return err
+	}
+	e.address = l.Addr().(*net.TCPAddr).AddrPort()
+	e.server = &http.Server{Handler: e.handler, ReadHeaderTimeout: headerTimeout}
+	go func(s *http.Server) { _ = s.Serve(l) }(e.server) // until it is closed
+	return nil
+}
+
+// crash closes all connections and accepts none for a time.
+func (e *endpoint) crash(down time.Duration) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.server == nil {
+		return
+	}
+	_ = e.server.Close()
+	e.server = nil
+	time.AfterFunc(down, func() { _ = e.open() })
+}
+
+func (e *endpoint) close() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.closed = true
+	if e.server != nil {
+		_ = e.server.Close() // only simulated servers, which have no clients left
 	}
-	server := &http.Server{Handler: h, ReadHeaderTimeout: headerTimeout}
-	go func() { _ = server.Serve(l) }() // until Close
-	w.servers = append(w.servers, server)
-	return netip.ParseAddrPort(l.Addr().String())
 }
 
 // AddEngine starts a backend server and lists it in the store. If the server has
@@ -97,10 +147,12 @@
 	s.ID = name
 	e := beechsimulator.NewEngine(s)
 	address := nextLoopbackAddress()
-	endpoint, err := w.listen(address, e)
+	listener, err := w.listen(address, e)
 	if err != nil {
 		return nil, err
 	}
+	e.OnCrash(listener.crash)
+	endpoint := listener.address
 	w.Engines[name], w.Places[name] = e, endpoint
 	w.ListServer(name, "ready")
 	if s.Model == "" {
@@ -212,8 +264,8 @@
 	for _, p := range w.processes {
 		errs = append(errs, p.Wait())
 	}
-	for _, s := range w.servers {
-		_ = s.Close() // only simulated servers, which have no clients left
+	for _, e := range w.endpoints {
+		e.close()
 	}
 	return errors.Join(errs...)
 }
--- a/internal/standin/beechsimulator/engine.go
+++ b/internal/standin/beechsimulator/engine.go
@@ -49,6 +49,9 @@
 		leaving       bool   // each response says so
 		born          int64  // start in Unix milliseconds; 0 is not reported
 		arrivals      []time.Time
+		partArrivals  map[string][]time.Time // of requests by shared prompt part
+		crashes       []time.Time
+		onCrash       func(down time.Duration) // ends all connections, and accepts none for a time
 	}
 
 	// EngineFaults are the faults that an engine simulates.
@@ -64,8 +67,13 @@
 		Foreign      string // another request's id, returned in responses
 		Encoding     string // Content-Encoding of responses, as some proxies add one
 		SilentOrders bool   // orders get no response and are not carried out
+		CrashPart    string // shared prompt part on which the engine crashes before it responds; empty is none
+		Ending       Ending // how responses end
 	}
 
+	// Ending is how the end of a response is marked.
+	Ending int
+
 	// Order is an order that an engine received.
 	Order struct {
 		Model    string `json:"model"`
@@ -77,6 +85,16 @@
 	}
 )
 
+// The endings of responses.
+const (
+	Framed        Ending = iota // by a length or the last chunk
+	Unframed                    // by the end of the connection
+	UnframedBreak               // an unframed stream ends inside an event
+)
+
+// crashDowntime is the time until a crashed engine accepts connections again.
+const crashDowntime = 3 * time.Second
+
 const (
 	headerAttemptID     = "Beechring-Attempt-Id"
 	headerNotExecuted   = "Beechring-Not-Executed"
@@ -98,9 +116,53 @@
 	}
 	return &Engine{
 		settings: s, version: s.Version, runs: make(map[string]int), begunAt: make(map[string]time.Time), lastHeaders: make(map[string]http.Header), cached: make(map[string]int),
+		partArrivals: make(map[string][]time.Time), onCrash: func(time.Duration) {},
 	}
 }
 
+// OnCrash sets the function that ends all connections at a crash.
+func (e *Engine) OnCrash(crash func(down time.Duration)) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.onCrash = crash
+}
+
+// Crash ends all connections and running requests. The engine is back after some seconds, with an
+// empty cache.
+func (e *Engine) Crash() {
+	e.mu.Lock()
+	e.crashes = append(e.crashes, time.Now())
+	crash := e.onCrash
+	e.mu.Unlock()
+	e.Restart()
+	crash(crashDowntime)
+}
+
+// Crashes returns the times at which the engine crashed.
+func (e *Engine) Crashes() []time.Time {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return append([]time.Time(nil), e.crashes...)
+}
+
+// PartArrivals returns the times at which requests arrived whose prompts share a part.
+func (e *Engine) PartArrivals(part string) []time.Time {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return append([]time.Time(nil), e.partArrivals[part]...)
+}
+
+// sharedParts returns the IDs of a request's prompt parts but the last.
+func sharedParts(r *http.Request) []string {
+	fields := strings.Split(r.Header.Get("Beechring-Prompt-Prefix"), ",")
+	var ids []string
+	for _, field := range fields[:len(fields)-1] {
+		id, _, _ := strings.Cut(field, ":")
+		ids = append(ids, id)
+	}
+	return ids
+}
+
 // Runs returns how often a request ran on this engine.
 func (e *Engine) Runs(id string) int {
 	e.mu.Lock()
@@ -370,6 +432,9 @@
 	w.Header().Set(headerAttemptID, id)
 	e.mu.Lock()
 	e.arrivals = append(e.arrivals, time.Now())
+	for _, part := range sharedParts(r) {
+		e.partArrivals[part] = append(e.partArrivals[part], time.Now())
+	}
 	if e.limit != "" {
 		w.Header().Set(headerLimit, e.limit)
 	}
@@ -407,11 +472,34 @@
 		}
 		w.WriteHeader(faults.Status)
 	case e.settings.Model == "":
+		end := e.beginUnframed(w, faults)
 		_, _ = fmt.Fprintf(w, "%s %s %d", r.Method, r.URL.RequestURI(), len(body))
+		end()
 	default:
 		w.Header().Set(headerWeightVersion, strconv.FormatUint(version, 10))
 		e.prefill(r)
+		if faults.CrashPart != "" && slices.Contains(sharedParts(r), faults.CrashPart) {
+			e.Crash()
+			panic(http.ErrAbortHandler)
+		}
+		end := e.beginUnframed(w, faults)
 		e.stream(w, r, faults)
+		end()
+	}
+}
+
+// beginUnframed has the response end with its connection if the faults say so. The returned function
+// ends it.
+func (e *Engine) beginUnframed(w http.ResponseWriter, faults EngineFaults) func() {
+	if faults.Ending == Framed {
+		return func() {}
+	}
+	w.Header().Set("Connection", "close")
+	w.Header().Set("Transfer-Encoding", "identity")
+	return func() {
+		if faults.Ending == UnframedBreak && e.HasModel() {
+			_, _ = io.WriteString(w, "id: 1\ndata: to")
+		}
 	}
 }
 
