What servers crash on is found in what requests have in common, over all gates

Streams of others broke off with them.

Cause: blame lay on the identity of one whole request. Requests that share one part and nothing else are strangers to each other, so each crash was the first of another suspect, at each gate for itself, for ever.

Change: package beechpoison adds up crashes by trait (shared prompt parts, and the request as a whole) over requests, servers and gates. A trait is blamed for two moments of crashes without an answer to it since, if it was there at half of the moments meanwhile and nothing else explains them; its requests are refused at once, before each send. One trial in the fleet after ten seconds, then after five minutes and more; an answer ends the blame. Gates tell one another through the collectors of their zone (a datagram of its own kind), keepers hold it for the case that all gates start anew. A retry waits for the probe of the server that broke off, 50 ms at the most, so that it is not sent to the next one before the crash is known; a trial is not retried.

Why it works: the bad part has crashes and no answers, while what it shares its requests with is answered somewhere in the fleet; the gates only exchange observations and come to the same conclusion from them.

--- a/internal/link/beechdatagram/datagram.go
+++ b/internal/link/beechdatagram/datagram.go
@@ -32,7 +32,7 @@
 type (
 	// Message is a Follow, a Tell, an Announce, an Inquiry, a Proof, an
 	// Entries, a Gossip, a Summary, a Recall, a Borrow, a Loan, a Spent, a Limits, a Full, an
-	// Origins, a Query or a Found.
+	// Origins, a Query, a Found or a Poison.
 	Message interface{ message() }
 
 	// Follow is sent by a gate to a keeper: it asks for the engine's state, and names
@@ -89,6 +89,9 @@
 	// Found answers a Query.
 	Found struct{ *beechwire.Found }
 
+	// Poison is exchanged by gates, and by gates and keepers: what servers crashed on.
+	Poison struct{ *beechwire.Poison }
+
 	// Scope tells whether a datagram leaves its availability zone. Traffic between
 	// zones is billed by the byte.
 	Scope bool
@@ -125,6 +128,7 @@
 	kindOrigins      = 'O'
 	kindQuery        = 'Q'
 	kindFound        = 'D'
+	kindPoison       = 'P'
 	maxDatagramBytes = 16 << 10
 )
 
@@ -147,6 +151,7 @@
 func (Origins) message()  {}
 func (Query) message()    {}
 func (Found) message()    {}
+func (Poison) message()   {}
 
 // Open binds a UDP socket to an address.
 func Open(address netip.AddrPort) (*Socket, error) {
@@ -194,6 +199,8 @@
 		return v.MarshalMsg([]byte{kindQuery})
 	case Found:
 		return v.MarshalMsg([]byte{kindFound})
+	case Poison:
+		return v.MarshalMsg([]byte{kindPoison})
 	}
 	return nil, errUnknownKind
 }
@@ -268,6 +275,9 @@
 	case kindFound:
 		m := &beechwire.Found{}
 		return Found{m}, m
+	case kindPoison:
+		m := &beechwire.Poison{}
+		return Poison{m}, m
 	}
 	return nil, nil
 }
@@ -334,6 +344,8 @@
 		return "query"
 	case kindFound:
 		return "found"
+	case kindPoison:
+		return "poison"
 	}
 	return "unknown"
 }
--- a/internal/link/beechdatagram/datagram_test.go
+++ b/internal/link/beechdatagram/datagram_test.go
@@ -32,6 +32,10 @@
 	Origins{&beechwire.Origins{Pass: true, Service: "llm", Software: "v1.2", Requests: []string{"9c41d07be2a35f68"}}},
 	Query{&beechwire.Query{Number: 1 << 63, Service: "llm", Request: "9c41d07be2a35f68"}},
 	Found{&beechwire.Found{Number: 1 << 63, Known: true, Service: "llm", Software: "v1.2"}},
+	Poison{&beechwire.Poison{
+		Pass: true, Crashes: []beechwire.ServerCrash{{Server: 1 << 63, AgeMillis: 40, Suspects: []beechwire.CrashSuspect{{Key: 1 << 62, Rank: 1, Workspace: 1 << 31}}}},
+		Starts: []beechwire.TraitEvent{{Key: 1 << 61, AgeMillis: 30}}, Trials: []beechwire.TraitEvent{{Key: 1 << 62, AgeMillis: 20}},
+	}},
 	Recall{&beechwire.Recall{Hosts: []string{"\x0a\x01\x00\x1e"}}},
 	Proof{&beechwire.Proof{Number: 7, Operators: beechwire.Held{Digest: 1 << 63, Revision: 40, Age: 1300, Watched: true}, Servers: beechwire.Held{Age: -1}}},
 	Spent{&beechwire.Spent{Host: 1 << 63, Lifetime: 2, Pass: true, Settled: true, Uses: []beechwire.Use{{Workspace: 1 << 60, Total: 9200, Level: -5}}}},
--- a/internal/link/beechwire/wire_gen.go
+++ b/internal/link/beechwire/wire_gen.go
@@ -2,7 +2,7 @@
 
 //msgp:ignore WireSchemaJson
 //msgp:limit arrays:65536
-//msgp:tuple Follow Announce Tell Target Weights Inquiry Entry Entries Node Gossip Status Engine Heard Speed Busy Summary Recall Held Proof Borrow Loan Origins Query Found Use Spent Seen Limit Limits Full FullServer
+//msgp:tuple Follow Announce Tell Target Weights Inquiry Entry Entries Node Gossip Status Engine Heard Speed Busy Summary Recall Held Proof Borrow Loan Origins Query Found Use Spent Seen Limit Limits Full FullServer CrashSuspect ServerCrash TraitEvent Poison
 
 package beechwire
 
@@ -213,6 +213,20 @@
 	Have uint64 `msg:"Have"`
 }
 
+// CrashSuspect is something that a request of a workspace had whose answer had not
+// begun when its server crashed.
+type CrashSuspect struct {
+	// Key corresponds to the JSON schema field "Key".
+	Key uint64 `msg:"Key"`
+
+	// How specific it is: higher for deeper prompt parts, and highest for the request
+	// itself.
+	Rank int `msg:"Rank"`
+
+	// Hash of the workspace's name.
+	Workspace uint32 `msg:"Workspace"`
+}
+
 // Credit permits the agent to send more bytes of Data; from entry to agent.
 type Credit struct {
 	// Bytes corresponds to the JSON schema field "Bytes".
@@ -766,6 +780,22 @@
 	Software string `msg:"Software"`
 }
 
+// Poison is the datagram in which gates and keepers tell one another what servers
+// crashed on.
+type Poison struct {
+	// Crashes corresponds to the JSON schema field "Crashes".
+	Crashes []ServerCrash `msg:"Crashes"`
+
+	// It comes from another availability zone, and is to be passed on in this one.
+	Pass bool `msg:"Pass"`
+
+	// Answers that have begun.
+	Starts []TraitEvent `msg:"Starts"`
+
+	// Trials corresponds to the JSON schema field "Trials".
+	Trials []TraitEvent `msg:"Trials"`
+}
+
 // Proof answers an Inquiry. Number 0 tells that a copy has changed.
 type Proof struct {
 	// Number corresponds to the JSON schema field "Number".
@@ -980,6 +1010,18 @@
 	Samples int `msg:"Samples"`
 }
 
+// ServerCrash is a crash of a server with requests under way.
+type ServerCrash struct {
+	// AgeMillis corresponds to the JSON schema field "AgeMillis".
+	AgeMillis int64 `msg:"AgeMillis"`
+
+	// Hash of its ID.
+	Server uint64 `msg:"Server"`
+
+	// Suspects corresponds to the JSON schema field "Suspects".
+	Suspects []CrashSuspect `msg:"Suspects"`
+}
+
 // Snapshot is the state that an entry needs at its start: the reply to
 // MethodSnapshot, and what entries store at agents with MethodShare.
 type Snapshot struct {
@@ -1193,6 +1235,16 @@
 	Wait int `msg:"Wait"`
 }
 
+// TraitEvent is that an answer has begun, or a trial, to a request that has
+// something.
+type TraitEvent struct {
+	// AgeMillis corresponds to the JSON schema field "AgeMillis".
+	AgeMillis int64 `msg:"AgeMillis"`
+
+	// Key corresponds to the JSON schema field "Key".
+	Key uint64 `msg:"Key"`
+}
+
 // Usage is the token usage of a request as reported by the engine. Known is false
 // if the engine reported none.
 type Usage struct {
--- a/internal/link/beechwire/wire_msgp_gen.go
+++ b/internal/link/beechwire/wire_msgp_gen.go
@@ -1587,6 +1587,54 @@
 	return
 }
 
+// MarshalMsg implements msgp.Marshaler
+func (z CrashSuspect) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// array header, size 3
+	o = append(o, 0x93)
+	o = msgp.AppendUint64(o, z.Key)
+	o = msgp.AppendInt(o, z.Rank)
+	o = msgp.AppendUint32(o, z.Workspace)
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *CrashSuspect) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadArrayHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 != 3 {
+		err = msgp.ArrayError{Wanted: 3, Got: zb0001}
+		return
+	}
+	z.Key, bts, err = msgp.ReadUint64Bytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Key")
+		return
+	}
+	z.Rank, bts, err = msgp.ReadIntBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Rank")
+		return
+	}
+	z.Workspace, bts, err = msgp.ReadUint32Bytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Workspace")
+		return
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z CrashSuspect) Msgsize() (s int) {
+	s = 1 + msgp.Uint64Size + msgp.IntSize + msgp.Uint32Size
+	return
+}
+
 // MarshalMsg implements msgp.Marshaler
 func (z Credit) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
@@ -4380,6 +4428,164 @@
 	return
 }
 
+// MarshalMsg implements msgp.Marshaler
+func (z *Poison) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// array header, size 4
+	o = append(o, 0x94)
+	o = msgp.AppendArrayHeader(o, uint32(len(z.Crashes)))
+	for za0001 := range z.Crashes {
+		o, err = z.Crashes[za0001].MarshalMsg(o)
+		if err != nil {
+			err = msgp.WrapError(err, "Crashes", za0001)
+			return
+		}
+	}
+	o = msgp.AppendBool(o, z.Pass)
+	o = msgp.AppendArrayHeader(o, uint32(len(z.Starts)))
+	for za0002 := range z.Starts {
+		// array header, size 2
+		o = append(o, 0x92)
+		o = msgp.AppendInt64(o, z.Starts[za0002].AgeMillis)
+		o = msgp.AppendUint64(o, z.Starts[za0002].Key)
+	}
+	o = msgp.AppendArrayHeader(o, uint32(len(z.Trials)))
+	for za0003 := range z.Trials {
+		// array header, size 2
+		o = append(o, 0x92)
+		o = msgp.AppendInt64(o, z.Trials[za0003].AgeMillis)
+		o = msgp.AppendUint64(o, z.Trials[za0003].Key)
+	}
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *Poison) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadArrayHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 != 4 {
+		err = msgp.ArrayError{Wanted: 4, Got: zb0001}
+		return
+	}
+	var zb0002 uint32
+	zb0002, bts, err = msgp.ReadArrayHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Crashes")
+		return
+	}
+	if zb0002 > z311325c6limitArrays {
+		err = msgp.ErrLimitExceeded
+		return
+	}
+	if cap(z.Crashes) >= int(zb0002) {
+		z.Crashes = z.Crashes[:zb0002]
+	} else {
+		z.Crashes = make([]ServerCrash, zb0002)
+	}
+	for za0001 := range z.Crashes {
+		bts, err = z.Crashes[za0001].UnmarshalMsg(bts)
+		if err != nil {
+			err = msgp.WrapError(err, "Crashes", za0001)
+			return
+		}
+	}
+	z.Pass, bts, err = msgp.ReadBoolBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Pass")
+		return
+	}
+	var zb0003 uint32
+	zb0003, bts, err = msgp.ReadArrayHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Starts")
+		return
+	}
+	if zb0003 > z311325c6limitArrays {
+		err = msgp.ErrLimitExceeded
+		return
+	}
+	if cap(z.Starts) >= int(zb0003) {
+		z.Starts = z.Starts[:zb0003]
+	} else {
+		z.Starts = make([]TraitEvent, zb0003)
+	}
+	for za0002 := range z.Starts {
+		var zb0004 uint32
+		zb0004, bts, err = msgp.ReadArrayHeaderBytes(bts)
+		if err != nil {
+			err = msgp.WrapError(err, "Starts", za0002)
+			return
+		}
+		if zb0004 != 2 {
+			err = msgp.ArrayError{Wanted: 2, Got: zb0004}
+			return
+		}
+		z.Starts[za0002].AgeMillis, bts, err = msgp.ReadInt64Bytes(bts)
+		if err != nil {
+			err = msgp.WrapError(err, "Starts", za0002, "AgeMillis")
+			return
+		}
+		z.Starts[za0002].Key, bts, err = msgp.ReadUint64Bytes(bts)
+		if err != nil {
+			err = msgp.WrapError(err, "Starts", za0002, "Key")
+			return
+		}
+	}
+	var zb0005 uint32
+	zb0005, bts, err = msgp.ReadArrayHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Trials")
+		return
+	}
+	if zb0005 > z311325c6limitArrays {
+		err = msgp.ErrLimitExceeded
+		return
+	}
+	if cap(z.Trials) >= int(zb0005) {
+		z.Trials = z.Trials[:zb0005]
+	} else {
+		z.Trials = make([]TraitEvent, zb0005)
+	}
+	for za0003 := range z.Trials {
+		var zb0006 uint32
+		zb0006, bts, err = msgp.ReadArrayHeaderBytes(bts)
+		if err != nil {
+			err = msgp.WrapError(err, "Trials", za0003)
+			return
+		}
+		if zb0006 != 2 {
+			err = msgp.ArrayError{Wanted: 2, Got: zb0006}
+			return
+		}
+		z.Trials[za0003].AgeMillis, bts, err = msgp.ReadInt64Bytes(bts)
+		if err != nil {
+			err = msgp.WrapError(err, "Trials", za0003, "AgeMillis")
+			return
+		}
+		z.Trials[za0003].Key, bts, err = msgp.ReadUint64Bytes(bts)
+		if err != nil {
+			err = msgp.WrapError(err, "Trials", za0003, "Key")
+			return
+		}
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z *Poison) Msgsize() (s int) {
+	s = 1 + msgp.ArrayHeaderSize
+	for za0001 := range z.Crashes {
+		s += z.Crashes[za0001].Msgsize()
+	}
+	s += msgp.BoolSize + msgp.ArrayHeaderSize + (len(z.Starts) * (15 + msgp.Int64Size + msgp.Uint64Size)) + msgp.ArrayHeaderSize + (len(z.Trials) * (15 + msgp.Int64Size + msgp.Uint64Size))
+	return
+}
+
 // MarshalMsg implements msgp.Marshaler
 func (z *Proof) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
@@ -5392,6 +5598,98 @@
 	return
 }
 
+// MarshalMsg implements msgp.Marshaler
+func (z *ServerCrash) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// array header, size 3
+	o = append(o, 0x93)
+	o = msgp.AppendInt64(o, z.AgeMillis)
+	o = msgp.AppendUint64(o, z.Server)
+	o = msgp.AppendArrayHeader(o, uint32(len(z.Suspects)))
+	for za0001 := range z.Suspects {
+		// array header, size 3
+		o = append(o, 0x93)
+		o = msgp.AppendUint64(o, z.Suspects[za0001].Key)
+		o = msgp.AppendInt(o, z.Suspects[za0001].Rank)
+		o = msgp.AppendUint32(o, z.Suspects[za0001].Workspace)
+	}
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *ServerCrash) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadArrayHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 != 3 {
+		err = msgp.ArrayError{Wanted: 3, Got: zb0001}
+		return
+	}
+	z.AgeMillis, bts, err = msgp.ReadInt64Bytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "AgeMillis")
+		return
+	}
+	z.Server, bts, err = msgp.ReadUint64Bytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Server")
+		return
+	}
+	var zb0002 uint32
+	zb0002, bts, err = msgp.ReadArrayHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Suspects")
+		return
+	}
+	if zb0002 > z311325c6limitArrays {
+		err = msgp.ErrLimitExceeded
+		return
+	}
+	if cap(z.Suspects) >= int(zb0002) {
+		z.Suspects = z.Suspects[:zb0002]
+	} else {
+		z.Suspects = make([]CrashSuspect, zb0002)
+	}
+	for za0001 := range z.Suspects {
+		var zb0003 uint32
+		zb0003, bts, err = msgp.ReadArrayHeaderBytes(bts)
+		if err != nil {
+			err = msgp.WrapError(err, "Suspects", za0001)
+			return
+		}
+		if zb0003 != 3 {
+			err = msgp.ArrayError{Wanted: 3, Got: zb0003}
+			return
+		}
+		z.Suspects[za0001].Key, bts, err = msgp.ReadUint64Bytes(bts)
+		if err != nil {
+			err = msgp.WrapError(err, "Suspects", za0001, "Key")
+			return
+		}
+		z.Suspects[za0001].Rank, bts, err = msgp.ReadIntBytes(bts)
+		if err != nil {
+			err = msgp.WrapError(err, "Suspects", za0001, "Rank")
+			return
+		}
+		z.Suspects[za0001].Workspace, bts, err = msgp.ReadUint32Bytes(bts)
+		if err != nil {
+			err = msgp.WrapError(err, "Suspects", za0001, "Workspace")
+			return
+		}
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z *ServerCrash) Msgsize() (s int) {
+	s = 1 + msgp.Int64Size + msgp.Uint64Size + msgp.ArrayHeaderSize + (len(z.Suspects) * (20 + msgp.Uint64Size + msgp.IntSize + msgp.Uint32Size))
+	return
+}
+
 // MarshalMsg implements msgp.Marshaler
 func (z *Snapshot) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
@@ -6590,6 +6888,48 @@
 	return
 }
 
+// MarshalMsg implements msgp.Marshaler
+func (z TraitEvent) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// array header, size 2
+	o = append(o, 0x92)
+	o = msgp.AppendInt64(o, z.AgeMillis)
+	o = msgp.AppendUint64(o, z.Key)
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *TraitEvent) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadArrayHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 != 2 {
+		err = msgp.ArrayError{Wanted: 2, Got: zb0001}
+		return
+	}
+	z.AgeMillis, bts, err = msgp.ReadInt64Bytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "AgeMillis")
+		return
+	}
+	z.Key, bts, err = msgp.ReadUint64Bytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Key")
+		return
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z TraitEvent) Msgsize() (s int) {
+	s = 1 + msgp.Int64Size + msgp.Uint64Size
+	return
+}
+
 // MarshalMsg implements msgp.Marshaler
 func (z *Usage) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
--- a/internal/process/beechgate/gate.go
+++ b/internal/process/beechgate/gate.go
@@ -20,6 +20,7 @@
 	"github.com/beechring/beechring/internal/decision/beechbackoff"
 	"github.com/beechring/beechring/internal/decision/beechgossip"
 	"github.com/beechring/beechring/internal/decision/beechhealth"
+	"github.com/beechring/beechring/internal/decision/beechpoison"
 	"github.com/beechring/beechring/internal/decision/beechquota"
 	"github.com/beechring/beechring/internal/decision/beechretry"
 	"github.com/beechring/beechring/internal/decision/beechsaturation"
@@ -75,6 +76,7 @@
 		placer          *beechplace.Placer
 		health          *beechhealth.Tracker
 		suspects        *beechsuspect.Registry
+		poison          *beechpoison.Tracker // what servers crash on
 		budgets         *Budgets
 		loans           *beechretry.Lender // lends to the gates of this zone if this gate is the first to collect
 		quotas          *beechquota.Limiter
@@ -114,6 +116,7 @@
 		overloadsDue chan struct{} // signals that overloaded servers should be sent now
 		summariesDue chan struct{} // signals that sendSummaries should look what is due
 		inquiryDue   chan struct{} // signals that the readers should be asked now
+		poisonDue    chan struct{} // signals that what servers crashed on should be sent now
 	}
 )
 
@@ -174,9 +177,10 @@
 		rolloutPace: beechrollout.NewLoadWindow(),
 		followDue:   make(chan struct{}, 1),
 		turnEnded:   make(chan struct{}, 1), usageDue: make(chan struct{}, 1), limitsDue: make(chan struct{}, 1), overloadsDue: make(chan struct{}, 1),
-		summariesDue: make(chan struct{}, 1), inquiryDue: make(chan struct{}, 1),
+		summariesDue: make(chan struct{}, 1), inquiryDue: make(chan struct{}, 1), poisonDue: make(chan struct{}, 1),
 	}
 	g.origins = newOrigins(g)
+	g.poison = beechpoison.New(deps.Clock, g.poisonTurn, g.wakePoisonSender)
 	g.budgets = NewBudgets(s.Bounds.Retries, s.Bounds.Spare, time.Duration(s.Bounds.Window), deps.Clock, g.askForLoan)
 	g.members = newGossip(g)
 	g.topology.Store(&topology{Duties: beechgossip.Assign(g.members.Members(), g.members.Self(), s.Zone, nil)})
@@ -190,7 +194,7 @@
 	g.placer = beechplace.New(beechplace.Settings{
 		Zone: s.Zone, OutdatedSoftLimit: max(weights-outdatedMargin, weights/2), OutdatedHardLimit: max(weights-startMargin, weights/2),
 	}, deps.Clock, g.health, g.limits, g.overloaded, g.backoff, g.announcePrompt)
-	g.core = beechattempt.New(g.placer, deps.Backend, deps.Pool, g.budgets, g.suspects, g, deps.Clock, deps.Log)
+	g.core = beechattempt.New(g.placer, deps.Backend, deps.Pool, g.budgets, g.suspects, g.poison, g, deps.Clock, deps.Log)
 	g.serverMirror = beechmirror.New(beechmirror.Settings{
 		Prefix: deps.ServerPrefix, MaxAge: serverReadAges.Others, StartAge: serverReadAges.First - startWait, ReadTimeout: readTimeout, WatchTimeout: serverWatchTimeout, WatchPause: serverWatchPause, RemovalDelay: removalDelay, OnRestored: g.readOperators, Forward: g.forwardChanges,
 	}, deps.Source, g.serverFreshness, deps.Clock, deps.Log, g.setServers)
@@ -212,6 +216,7 @@
 		{Name: "send usage", Run: g.sendUsage},
 		{Name: "send limits", Run: g.sendLimits},
 		{Name: "send overloads", Run: g.sendOverloads},
+		{Name: "send poison", Run: g.sendPoison},
 		{Name: "log traffic", Run: g.logTraffic},
 		{Name: "tick", Run: g.tick},
 		{Name: "probe KV cache stores", Run: g.probeKVStores},
--- a/internal/process/beechgate/keeper.go
+++ b/internal/process/beechgate/keeper.go
@@ -23,7 +23,7 @@
 // versions, and asks for the engines' states.
 func (g *Gate) followKeepers(ctx context.Context) error {
 	next := g.clock.After(followInterval)
-	for {
+	for round := 0; ; round++ {
 		select {
 		case <-g.turnEnded:
 			g.grantTurns()
@@ -33,22 +33,25 @@
 		case <-ctx.Done():
 			return ctx.Err()
 		}
-		g.followRound()
+		g.followRound(round)
 		next = g.clock.After(followInterval)
 	}
 }
 
 // followRound contacts the keepers whose engines this gate collects.
-func (g *Gate) followRound() {
+func (g *Gate) followRound(round int) {
 	servers := g.collectedServers()
 	if len(servers) == 0 {
 		return
 	}
 	targets := g.targets()
 	suspects := beechconvert.WireSuspects(beechconvert.MostCrashes(g.suspects.RecentChanges()))
+	keepers := make([]netip.AddrPort, 0, len(servers))
 	for _, s := range servers {
 		g.sendFollow(s, targets[s.ID], suspects)
+		keepers = append(keepers, netip.AddrPortFrom(s.Address.Addr(), g.settings.Beats.Port()))
 	}
+	g.tellKeepersOfPoison(round, keepers)
 }
 
 // collectedServers returns the servers whose keepers report to this gate.
@@ -139,5 +142,7 @@
 		g.receiveQuery(from, v)
 	case beechdatagram.Found:
 		g.receiveFound(from, v)
+	case beechdatagram.Poison:
+		g.receivePoison(from, v)
 	}
 }
--- a/internal/process/beechkeeper/keeper.go
+++ b/internal/process/beechkeeper/keeper.go
@@ -11,6 +11,7 @@
 	"github.com/thejerf/suture/v4"
 	"go.uber.org/zap"
 
+	"github.com/beechring/beechring/internal/decision/beechpoison"
 	"github.com/beechring/beechring/internal/decision/beechsuspect"
 	"github.com/beechring/beechring/internal/decision/beechthrottle"
 	"github.com/beechring/beechring/internal/link/beechdatagram"
@@ -77,6 +78,7 @@
 		socket     *beechdatagram.Socket
 		supervisor *suture.Supervisor
 		suspects   *beechsuspect.Registry
+		poison     *beechpoison.Tracker // kept for gates that start anew
 		metrics    *metrics
 		wake       chan struct{}
 
@@ -127,6 +129,7 @@
 	k := &Keeper{
 		settings: s, deps: deps, socket: socket,
 		suspects: beechsuspect.New(beechsuspect.Settings{}, deps.Clock),
+		poison:   beechpoison.New(deps.Clock, func(uint64) int { return 0 }, func() {}),
 		updater:  beechrollout.NewUpdater(beechrollout.Settings{}), gates: make(map[netip.AddrPort]*gateState),
 		lastNumber: uint32(deps.Clock.Now().Unix()) << sequenceBits,
 		wake:       make(chan struct{}, 1), cachedParts: cachedParts,
@@ -164,6 +167,20 @@
 		k.receiveAnnounce(v)
 	case beechdatagram.Gossip:
 		k.receiveGossip(from, v)
+	case beechdatagram.Poison:
+		k.receivePoison(from, v)
+	}
+}
+
+// receivePoison keeps what a gate tells, and answers an empty message, which asks for it.
+func (k *Keeper) receivePoison(from netip.AddrPort, m beechdatagram.Poison) {
+	update := beechconvert.Poison(m.Poison)
+	if !update.IsEmpty() {
+		k.poison.Apply(update, beechpoison.Elsewhere)
+		return
+	}
+	if active := k.poison.Active(); !active.IsEmpty() {
+		k.send([]netip.AddrPort{from}, beechdatagram.SameZone, beechdatagram.Poison{Poison: beechconvert.WirePoison(active, false)})
 	}
 }
 
--- a/internal/request/beechattempt/attempt_test.go
+++ b/internal/request/beechattempt/attempt_test.go
@@ -19,6 +19,7 @@
 	"go.uber.org/zap"
 
 	"github.com/beechring/beechring/internal/decision/beechbackoff"
+	"github.com/beechring/beechring/internal/decision/beechpoison"
 	"github.com/beechring/beechring/internal/decision/beechretry"
 	"github.com/beechring/beechring/internal/decision/beechsaturation"
 	"github.com/beechring/beechring/internal/decision/beechsuspect"
@@ -122,6 +123,7 @@
 	backend    *backend
 	budget     *budget
 	suspects   *beechsuspect.Registry
+	poison     *beechpoison.Tracker
 	reachable  reachable
 	placer     *beechplace.Placer
 	servers    []beechcall.Server
@@ -132,6 +134,7 @@
 func newFixture(servers, retries int, script ...step) *fixture {
 	f := &fixture{clock: clockwork.NewFakeClock(), backend: &backend{script: script}, budget: &budget{left: retries}, reachable: reachable{}}
 	f.suspects = beechsuspect.New(beechsuspect.Settings{}, f.clock)
+	f.poison = beechpoison.New(f.clock, func(uint64) int { return 0 }, func() {})
 	placer := beechplace.New(beechplace.Settings{Zone: "a"}, f.clock, fullyUsable{}, beechthrottle.New("gate", 1, beechfresh.BootClock{}, f.clock, func(beechthrottle.Event) {}, func() {}), beechsaturation.New(f.clock, func() {}), beechbackoff.New(f.clock), func(beechcall.Server, int, []uint64, bool) {})
 	var list []beechcall.Server
 	for i := range servers {
@@ -141,7 +144,7 @@
 	}
 	placer.SetServers(list)
 	f.placer, f.servers = placer, list
-	f.dispatcher = New(placer, f.backend, f.reachable, f.budget, f.suspects, ignoring{}, f.clock, zap.NewNop())
+	f.dispatcher = New(placer, f.backend, f.reachable, f.budget, f.suspects, f.poison, ignoring{}, f.clock, zap.NewNop())
 	return f
 }
 
--- a/internal/request/beechattempt/crash.go
+++ b/internal/request/beechattempt/crash.go
@@ -8,9 +8,11 @@
 	"sync"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/jonboulle/clockwork"
 	"go.uber.org/zap"
 
+	"github.com/beechring/beechring/internal/decision/beechpoison"
 	"github.com/beechring/beechring/internal/decision/beechsuspect"
 	"github.com/beechring/beechring/internal/request/beechcall"
 )
@@ -29,19 +31,29 @@
 	crashDetector struct {
 		prober   Prober
 		suspects *beechsuspect.Registry
+		poison   *beechpoison.Tracker
 		clock    clockwork.Clock
 		log      *zap.Logger
 
 		mu      sync.Mutex
-		pending map[netip.AddrPort][]brokenAnswer // by the server being probed
+		pending map[netip.AddrPort]*probe // by the server being probed
 		probes  sync.WaitGroup
 		counts  crashCounts
 	}
 
+	// probe is a look at a server, and the requests that broke off there meanwhile.
+	probe struct {
+		answers []brokenAnswer
+		done    chan struct{} // closed when a crash has been recorded, or the server lives
+	}
+
 	// brokenAnswer is a request whose answer broke off.
 	brokenAnswer struct {
-		call  *beechcall.Call
-		begun bool // its answer had begun
+		call    *beechcall.Call
+		request beechpoison.Request
+		server  string // ID
+		begun   bool   // its answer had begun
+		at      time.Time
 	}
 
 	// crashCounts counts what was lost with crashed servers.
@@ -59,29 +71,33 @@
 	maxLoggedParts = 12
 )
 
-func newCrashDetector(prober Prober, suspects *beechsuspect.Registry, clock clockwork.Clock, log *zap.Logger) *crashDetector {
-	return &crashDetector{prober: prober, suspects: suspects, clock: clock, log: log, pending: make(map[netip.AddrPort][]brokenAnswer)}
+func newCrashDetector(prober Prober, suspects *beechsuspect.Registry, poison *beechpoison.Tracker, clock clockwork.Clock, log *zap.Logger) *crashDetector {
+	return &crashDetector{prober: prober, suspects: suspects, poison: poison, clock: clock, log: log, pending: make(map[netip.AddrPort]*probe)}
 }
 
 // answerBroken records a request whose answer broke off, and reports it as a suspect if
 // the server is down. The probe runs in the background, and is shared by all requests
-// that break off at a server meanwhile.
-func (d *crashDetector) answerBroken(broken brokenAnswer, server netip.AddrPort) {
+// that break off at a server meanwhile. The returned channel is closed after it.
+func (d *crashDetector) answerBroken(broken brokenAnswer, server netip.AddrPort) <-chan struct{} {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	list, probing := d.pending[server]
-	d.pending[server] = append(list, broken)
+	p, probing := d.pending[server]
 	if !probing {
-		d.probes.Go(func() { d.probe(server) })
+		p = &probe{done: make(chan struct{})}
+		d.pending[server] = p
+		d.probes.Go(func() { d.probe(server, p) })
 	}
+	p.answers = append(p.answers, broken)
+	return p.done
 }
 
-func (d *crashDetector) probe(server netip.AddrPort) {
+func (d *crashDetector) probe(server netip.AddrPort, p *probe) {
+	defer close(p.done)
 	ctx, cancel := clockwork.WithTimeout(context.Background(), d.clock, probeTimeout)
 	defer cancel()
 	err := d.prober.Probe(ctx, server)
 	d.mu.Lock()
-	answers := d.pending[server]
+	answers := p.answers
 	delete(d.pending, server)
 	d.mu.Unlock()
 	if err == nil {
@@ -93,6 +109,24 @@
 	}
 	d.report(server, answers, err)
 	d.suspects.RecordCrash(fingerprints)
+	d.recordPoison(answers)
+}
+
+// recordPoison records the crash of each server that was at the address.
+func (d *crashDetector) recordPoison(answers []brokenAnswer) {
+	first := make(map[string]time.Time)
+	notBegun := make(map[string][]beechpoison.Request)
+	for _, answer := range answers {
+		if at, ok := first[answer.server]; !ok || answer.at.Before(at) {
+			first[answer.server] = answer.at
+		}
+		if !answer.begun {
+			notBegun[answer.server] = append(notBegun[answer.server], answer.request)
+		}
+	}
+	for id, at := range first {
+		d.poison.RecordCrash(xxhash.Sum64String(id), at, notBegun[id])
+	}
 }
 
 // report logs and counts the requests that were lost with a server.
--- a/internal/request/beechattempt/dispatcher.go
+++ b/internal/request/beechattempt/dispatcher.go
@@ -9,6 +9,7 @@
 	"github.com/jonboulle/clockwork"
 	"go.uber.org/zap"
 
+	"github.com/beechring/beechring/internal/decision/beechpoison"
 	"github.com/beechring/beechring/internal/decision/beechretry"
 	"github.com/beechring/beechring/internal/decision/beechsuspect"
 	"github.com/beechring/beechring/internal/request/beechcall"
@@ -22,6 +23,7 @@
 		backend  beechcall.Backend
 		budget   RetryBudget
 		suspects *beechsuspect.Registry
+		poison   *beechpoison.Tracker
 		crashes  *crashDetector
 		observer Observer
 		clock    clockwork.Clock
@@ -119,11 +121,11 @@
 func (DeadlineExceeded) rejection() {}
 
 // New returns a dispatcher. The dependencies are used until the last call has ended.
-func New(placer *beechplace.Placer, backend beechcall.Backend, prober Prober, budget RetryBudget, suspects *beechsuspect.Registry,
+func New(placer *beechplace.Placer, backend beechcall.Backend, prober Prober, budget RetryBudget, suspects *beechsuspect.Registry, poison *beechpoison.Tracker,
 	observer Observer, clock clockwork.Clock, log *zap.Logger,
 ) *Dispatcher {
 	return &Dispatcher{
-		placer: placer, backend: backend, budget: budget, suspects: suspects, crashes: newCrashDetector(prober, suspects, clock, log),
+		placer: placer, backend: backend, budget: budget, suspects: suspects, poison: poison, crashes: newCrashDetector(prober, suspects, poison, clock, log),
 		observer: observer, clock: clock, log: log, timeouts: newRouteTimeouts(),
 	}
 }
--- a/internal/request/beechattempt/run.go
+++ b/internal/request/beechattempt/run.go
@@ -11,6 +11,7 @@
 
 	"go.uber.org/zap"
 
+	"github.com/beechring/beechring/internal/decision/beechpoison"
 	"github.com/beechring/beechring/internal/decision/beechretry"
 	"github.com/beechring/beechring/internal/request/beechcall"
 	"github.com/beechring/beechring/internal/request/beechplace"
@@ -36,8 +37,11 @@
 		firstByte       time.Duration     // since the start
 		sentAt          time.Time         // of the last attempt
 		begunAt         time.Time         // first event of the last attempt; zero: none yet
-		departed        atomic.Bool       // the caller was seen to have disconnected
-		serverError     *response         // a server's error response, forwarded if no better answer comes
+		startRecorded   bool              // the last attempt's answer has begun and gone on
+		traits          *beechpoison.Request
+		onTrial         bool        // of a blamed trait
+		departed        atomic.Bool // the caller was seen to have disconnected
+		serverError     *response   // a server's error response, forwarded if no better answer comes
 		stream          streamState
 		stop            stopCause // of the verdict noRetry
 	}
@@ -102,6 +106,13 @@
 	maxAnswerBytes       = 16 << 20
 	reasonAtLimits       = "servers at their limits"
 	reasonBackingOff     = "servers asked to back off"
+	reasonPoison         = "servers crash on it"
+	// settleTime is how long an answer must have gone on for its server to have survived its
+	// beginning.
+	settleTime = 100 * time.Millisecond
+	// maxProbeWait bounds the wait of a retry for the probe of the server that broke off: a crashed
+	// one refuses connections within a round trip, and one that is cut off is not worth the time.
+	maxProbeWait = 50 * time.Millisecond
 )
 
 var (
@@ -116,6 +127,10 @@
 		if r.callerLeft() {
 			return r.outcome()
 		}
+		if refuse, refused := r.refusedAsPoison(); refused {
+			r.retryAfter = refuse.After
+			return r.giveUp(ctx, reasonPoison, r.poisonFields(refuse)...)
+		}
 		choice, ok := r.choose(ctx)
 		if !ok && choice.RetryAfter > 0 {
 			r.retryAfter = choice.RetryAfter
@@ -213,11 +228,17 @@
 	watch := r.newWatchdog(cancel, choice)
 	defer watch.stop()
 	sent := r.dispatcher.clock.Now()
-	r.sentAt, r.begunAt = sent, time.Time{}
+	r.sentAt, r.begunAt, r.startRecorded = sent, time.Time{}, false
 	answer, err := r.dispatcher.backend.Send(ctx, beechcall.Attempt{
 		Call: r.call, Server: choice.Server, Weights: choice.Weights, Salt: choice.Salt,
 		Urgency: r.urgency(), Fetch: choice.Fetch, Save: choice.Save, LastEventID: r.stream.lastEventID,
-		Withdrawn: func() bool { return r.callerLeft() || !r.dispatcher.placer.StillUsable(r.call, choice) },
+		Withdrawn: func() bool {
+			if r.callerLeft() || !r.dispatcher.placer.StillUsable(r.call, choice) {
+				return true
+			}
+			_, refused := r.refusedAsPoison()
+			return refused
+		},
 	})
 	if err != nil {
 		return r.handleFailure(choice, placement, watch, err)
@@ -308,6 +329,9 @@
 		return r.noRetry(stopOtherAnswer) // not a continuation of the events that the caller has
 	}
 	r.dispatcher.suspects.RecordSuccess(r.call.Fingerprint())
+	if answer.Status < http.StatusMultipleChoices {
+		r.recordStart()
+	}
 	if r.call.Route.RetryPolicy == beechcall.AtMostOnce && promisesNotRun(answer.Status) {
 		// The server has not said that it did not run the request, but the status would say so
 		// to the caller, who would send it again.
@@ -368,17 +392,19 @@
 		return r.retry(beechretry.RanNo, choice, true)
 	}
 	r.maybeExecuted++
+	r.onTrial = false
 	r.logAttempt("failed", choice, zap.Error(err), zap.Bool("patience", watch.hasRetry()))
 	if watch.hasRetry() {
 		placement.Done(beechplace.Failed)
 		r.dispatcher.observer.ObserveAttempt(choice.Server, r.call.Model, 0, choice.PrefillTokens, true)
 		return tryAgain
 	}
+	var probed <-chan struct{}
 	if watch.startMissed() || errors.Is(err, errOtherSoftware) {
 		placement.Done(beechplace.Cancelled)
 	} else if r.dispatcher.clock.Now().Before(r.call.Deadline) {
 		placement.Done(beechplace.Failed)
-		r.dispatcher.crashes.answerBroken(brokenAnswer{call: r.call, begun: !r.begunAt.IsZero()}, choice.Server.Address)
+		probed = r.answerBroken(choice)
 		r.dispatcher.observer.ObserveAttempt(choice.Server, r.call.Model, 0, choice.PrefillTokens, true)
 	} else {
 		placement.Done(beechplace.Cancelled)
@@ -392,9 +418,30 @@
 	case r.maybeExecuted >= r.call.Route.MaxAttempts:
 		return r.noRetry(stopAttempts)
 	}
+	r.awaitProbe(probed)
 	return r.retry(beechretry.RanUnknown, choice, false)
 }
 
+// awaitProbe waits until it is known whether the server crashed. A retry that is sent before may
+// crash the next one.
+func (r *execution) awaitProbe(probed <-chan struct{}) {
+	if probed == nil {
+		return
+	}
+	select {
+	case <-probed:
+	case <-r.dispatcher.clock.After(maxProbeWait):
+	}
+}
+
+// answerBroken reports that the server may have crashed. The returned channel is closed when it is
+// known.
+func (r *execution) answerBroken(choice beechplace.Choice) <-chan struct{} {
+	now := r.dispatcher.clock.Now()
+	begun := !r.begunAt.IsZero() && now.Sub(r.begunAt) >= settleTime
+	return r.dispatcher.crashes.answerBroken(brokenAnswer{call: r.call, request: r.poisonTraits(), server: choice.Server.ID, begun: begun, at: now}, choice.Server.Address)
+}
+
 // handleWithdrawn decides what follows an attempt that was not sent, for a reason on this side.
 func (r *execution) handleWithdrawn(placement *beechplace.Attempt) verdict {
 	placement.Done(beechplace.Withdrawn)
@@ -453,7 +500,7 @@
 }
 
 // giveUp ends a call that gets no further attempt, and returns the outcome.
-func (r *execution) giveUp(ctx context.Context, reason string) string {
+func (r *execution) giveUp(ctx context.Context, reason string, details ...zap.Field) string {
 	if r.callerLeft() {
 		return OutcomeLeft
 	}
@@ -464,6 +511,7 @@
 	if r.stop != "" {
 		fields = append(fields, zap.String("cause", string(r.stop)))
 	}
+	fields = append(fields, details...)
 	switch {
 	case r.stream.started:
 		r.dispatcher.log.Warn("stream broken off", fields...)
@@ -474,7 +522,10 @@
 		return "answered"
 	case r.maybeExecuted == 0:
 		after := min(jitter(defaultRetryAfter), max(r.call.TimeLeft(r.dispatcher.clock.Now())/3, 0))
-		if r.retryAfter > 0 {
+		switch {
+		case reason == reasonPoison:
+			after = r.retryAfter
+		case r.retryAfter > 0:
 			after = r.dispatcher.placer.RetryAfter(r.call.Service, r.retryAfter)
 		}
 		r.dispatcher.log.Warn("request refused", append(fields, zap.Duration("after", after))...)
--- a/internal/request/beechattempt/stream.go
+++ b/internal/request/beechattempt/stream.go
@@ -155,6 +155,9 @@
 				if id, ok := lastEventID(buffer[:end]); ok {
 					r.stream.lastEventID = id
 				}
+				if r.dispatcher.clock.Since(r.begunAt) >= settleTime {
+					r.recordStart()
+				}
 				if failed := r.out.SendEvents(buffer[:end]); failed != nil {
 					placement.Done(beechplace.Cancelled)
 					return finished
@@ -170,6 +173,7 @@
 			placement.Done(beechplace.Answered)
 			r.startStream(answer)
 			r.dispatcher.suspects.RecordSuccess(r.call.Fingerprint())
+			r.recordStart()
 			r.out.EndStream()
 			return finished
 		case err == io.EOF:
