A stream without framing that ends before its first event is no answer

What callers would see: an empty stream with status 200, complete by all signs, when the server crashed before its first event; and the crash would count as an answer to the prompt's parts, so that a part that crashes servers would be cleared by each crash. Cause: where an answer has neither a length nor chunks, the end of the connection ends it, and a server that crashes may close it in order. Change: such a stream without any event is taken as broken off. One that ends inside an event was already. Evidence: TestUnframedStreamWithoutEventsIsNoAnswer gets 200 without the change and fails; it passes now. TestUnframedAnswersAreComplete (streams and others) and TestUnframedStreamThatEndsInsideAnEventIsBroken pass with and without it. The stand-in engine answers unframed, breaks off inside an event, and sends its headers before it crashes.

--- a/internal/request/beechcall/call.go
+++ b/internal/request/beechcall/call.go
@@ -72,6 +72,9 @@
 		Limit   beechthrottle.ServerLimit // nil: not known
 		Backoff time.Duration             // time for which the server asks this client for no requests; 0: none
 		Leaving bool                      // the server will stop soon
+		// Unframed means that the body ends with the connection, so that a server that crashes
+		// may end it like a complete one.
+		Unframed bool
 	}
 
 	// Load is the load that a server reports with an answer.
--- a/internal/standin/beechsimulator/engine.go
+++ b/internal/standin/beechsimulator/engine.go
@@ -36,7 +36,8 @@
 		busy          bool
 		sequence      uint64
 		running       int
-		streams       int // begun so far
+		streams       int            // begun so far
+		streamPaths   map[string]int // the same by path
 		runs          map[string]int
 		begunAt       map[string]time.Time   // when a request ran last
 		lastHeaders   map[string]http.Header // headers of the last run, by request id
@@ -116,7 +117,7 @@
 	}
 	return &Engine{
 		settings: s, version: s.Version, runs: make(map[string]int), begunAt: make(map[string]time.Time), lastHeaders: make(map[string]http.Header), cached: make(map[string]int),
-		partArrivals: make(map[string][]time.Time), onCrash: func(time.Duration) {},
+		streamPaths: make(map[string]int), partArrivals: make(map[string][]time.Time), onCrash: func(time.Duration) {},
 	}
 }
 
@@ -145,6 +146,13 @@
 	return append([]time.Time(nil), e.crashes...)
 }
 
+// Streams returns how many streams have begun on a path.
+func (e *Engine) Streams(path string) int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.streamPaths[path]
+}
+
 // PartArrivals returns the times at which requests arrived whose prompts share a part.
 func (e *Engine) PartArrivals(part string) []time.Time {
 	e.mu.Lock()
@@ -478,11 +486,13 @@
 	default:
 		w.Header().Set(headerWeightVersion, strconv.FormatUint(version, 10))
 		e.prefill(r)
+		end := e.beginUnframed(w, faults)
 		if faults.CrashPart != "" && slices.Contains(sharedParts(r), faults.CrashPart) {
+			w.Header().Set("Content-Type", "text/event-stream")
+			_ = http.NewResponseController(w).Flush() // the headers
 			e.Crash()
 			panic(http.ErrAbortHandler)
 		}
-		end := e.beginUnframed(w, faults)
 		e.stream(w, r, faults)
 		end()
 	}
@@ -560,6 +570,7 @@
 	control := http.NewResponseController(w)
 	e.mu.Lock()
 	e.streams++
+	e.streamPaths[r.URL.Path]++
 	cut := faults.CutAfter > 0 && (faults.CutEvery == 0 || e.streams%faults.CutEvery == 0)
 	mark := ""
 	if e.settings.Software != "" {
