A gate that cannot keep up closes new connections unread

What callers would see: the platform sends most new connections of a zone or a region to one host; beyond what its processor can do, each request that it has read gets slower until none is answered in time, while other hosts stand idle. Cause: nothing bounds what a gate reads. All requests share the processor at each of their steps. Change: package beechoverload decides by the median scheduling delay of the process (runtime/metrics). Over 50 ms for a second, and in the ten seconds after each single sample, new connections are closed unread, and a share of them when it has caught up; callers retry elsewhere.

--- a/internal/process/beechgate/gate.go
+++ b/internal/process/beechgate/gate.go
@@ -20,6 +20,7 @@
 	"github.com/beechring/beechring/internal/decision/beechbackoff"
 	"github.com/beechring/beechring/internal/decision/beechgossip"
 	"github.com/beechring/beechring/internal/decision/beechhealth"
+	"github.com/beechring/beechring/internal/decision/beechoverload"
 	"github.com/beechring/beechring/internal/decision/beechpoison"
 	"github.com/beechring/beechring/internal/decision/beechquota"
 	"github.com/beechring/beechring/internal/decision/beechretry"
@@ -76,7 +77,8 @@
 		placer          *beechplace.Placer
 		health          *beechhealth.Tracker
 		suspects        *beechsuspect.Registry
-		poison          *beechpoison.Tracker // what servers crash on
+		poison          *beechpoison.Tracker    // what servers crash on
+		overload        *beechoverload.Detector // whether the processor keeps up
 		budgets         *Budgets
 		loans           *beechretry.Lender // lends to the gates of this zone if this gate is the first to collect
 		quotas          *beechquota.Limiter
@@ -180,6 +182,7 @@
 		summariesDue: make(chan struct{}, 1), inquiryDue: make(chan struct{}, 1), poisonDue: make(chan struct{}, 1),
 	}
 	g.origins = newOrigins(g)
+	g.overload = beechoverload.New(deps.Clock, rand.Float64)
 	g.poison = beechpoison.New(deps.Clock, g.poisonTurn, g.wakePoisonSender)
 	g.budgets = NewBudgets(s.Bounds.Retries, s.Bounds.Spare, time.Duration(s.Bounds.Window), deps.Clock, g.askForLoan)
 	g.members = newGossip(g)
@@ -217,6 +220,7 @@
 		{Name: "send limits", Run: g.sendLimits},
 		{Name: "send overloads", Run: g.sendOverloads},
 		{Name: "send poison", Run: g.sendPoison},
+		{Name: "watch processor", Run: g.watchProcessor},
 		{Name: "log traffic", Run: g.logTraffic},
 		{Name: "tick", Run: g.tick},
 		{Name: "probe KV cache stores", Run: g.probeKVStores},
@@ -270,7 +274,9 @@
 	defer copyServer.Close()
 	readyServer := &http.Server{Handler: ready, ReadHeaderTimeout: headerTimeout, ErrorLog: zap.NewStdLog(g.log)}
 	failed := make(chan error, 3)
-	go func() { failed <- server.Serve(beechframing.Listen(callerListener)) }()
+	go func() {
+		failed <- server.Serve(beechframing.Listen(sheddingListener{Listener: callerListener, gate: g}))
+	}()
 	go func() { failed <- readyServer.Serve(readyListener) }()
 	go func() { failed <- copyServer.Serve(copyListener) }()
 	supervised := g.supervisor.ServeBackground(background)
--- a/internal/process/beechgate/metrics.go
+++ b/internal/process/beechgate/metrics.go
@@ -30,6 +30,8 @@
 		firstByte         *beechmetric.Latency
 		wholeAnswer       *beechmetric.Latency
 		resumed           *expvar.Map          // resumed streams, by how their origin was found
+		turnedAway        *expvar.Int          // connections closed unread
+		schedulingDelay   *expvar.Int          // median in microseconds
 		departed          *expvar.Map          // calls whose callers left, by progress
 		departedAfter     *beechmetric.Latency // from the last attempt until it was noticed that the caller had left
 	}
@@ -40,7 +42,7 @@
 		vars: new(expvar.Map), endings: new(expvar.Map), retried: new(expvar.Int), stops: new(expvar.Map), denied: new(expvar.Map),
 		proofs: new(expvar.Map), bodies: new(expvar.Map), unknownSenders: new(expvar.Int), invalidGossip: new(expvar.Int), copiesFetched: new(expvar.Int), lent: new(expvar.Int),
 		limitLinesDropped: new(expvar.Int), lateVersions: new(expvar.Int), invalidEntries: new(expvar.Int), firstByte: beechmetric.NewLatency(), wholeAnswer: beechmetric.NewLatency(),
-		resumed: new(expvar.Map), departed: new(expvar.Map), departedAfter: beechmetric.NewLatency(),
+		resumed: new(expvar.Map), turnedAway: new(expvar.Int), schedulingDelay: new(expvar.Int), departed: new(expvar.Map), departedAfter: beechmetric.NewLatency(),
 	}
 	m.vars.Set("endings", m.endings)
 	m.vars.Set("retried", m.retried)
@@ -72,6 +74,8 @@
 	m.vars.Set("wholeAnswerMicros", expvar.Func(m.wholeAnswer.Percentiles))
 	m.vars.Set("resumed", m.resumed)
 	m.vars.Set("originsKept", expvar.Func(func() any { return g.origins.registry.Len() }))
+	m.vars.Set("connectionsTurnedAway", m.turnedAway)
+	m.vars.Set("schedulingDelayMicros", m.schedulingDelay)
 	m.vars.Set("callersLeft", m.departed)
 	m.vars.Set("leftAfterSendMicros", expvar.Func(m.departedAfter.Percentiles))
 	m.vars.Set("configurationAgeMillis", expvar.Func(func() any { return g.freshness.Age().Milliseconds() }))
--- /dev/null
+++ b/internal/process/beechgate/processor.go
@@ -0,0 +1,89 @@
+package beechgate
+
+import (
+	"context"
+	"net"
+	runtimemetrics "runtime/metrics"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/beechring/beechring/internal/decision/beechoverload"
+	"github.com/beechring/beechring/internal/process/beechtask"
+)
+
+type (
+	// sheddingListener closes new connections unread while the processor cannot keep up.
+	sheddingListener struct {
+		net.Listener
+		gate *Gate
+	}
+
+	// schedulingDelays measures for how long goroutines that could run have waited for the
+	// processor. It is not safe for concurrent use.
+	schedulingDelays struct {
+		sample []runtimemetrics.Sample
+		counts []uint64 // of the last read
+	}
+)
+
+// minDelays is the number of delays without which there is no median: a process that does nothing is
+// not behind.
+const minDelays = 16
+
+func newSchedulingDelays() *schedulingDelays {
+	return &schedulingDelays{sample: []runtimemetrics.Sample{{Name: "/sched/latencies:seconds"}}}
+}
+
+// median returns the median delay since the last call.
+func (s *schedulingDelays) median() time.Duration {
+	runtimemetrics.Read(s.sample)
+	histogram := s.sample[0].Value.Float64Histogram()
+	recent := make([]uint64, len(histogram.Counts))
+	total := uint64(0)
+	for i, count := range histogram.Counts {
+		recent[i] = count
+		if i < len(s.counts) {
+			recent[i] -= s.counts[i]
+		}
+		total += recent[i]
+	}
+	s.counts = append(s.counts[:0], histogram.Counts...)
+	if total < minDelays {
+		return 0
+	}
+	seen := uint64(0)
+	for i, count := range recent {
+		if seen += count; 2*seen >= total {
+			return time.Duration(max(histogram.Buckets[i], 0) * float64(time.Second))
+		}
+	}
+	return 0
+}
+
+// watchProcessor measures whether the processor keeps up.
+func (g *Gate) watchProcessor(ctx context.Context) error {
+	delays := newSchedulingDelays()
+	guarded := false
+	return beechtask.Every(ctx, g.clock, beechoverload.SampleInterval, func() {
+		median := delays.median()
+		g.metrics.schedulingDelay.Set(median.Microseconds())
+		g.overload.Observe(median)
+		if now := g.overload.Guarded(); now != guarded {
+			guarded = now
+			g.log.Warn("processor overload changed", zap.Bool("overloaded", guarded), zap.Duration("delay", median), zap.Int64("turnedAway", g.metrics.turnedAway.Value()))
+		}
+	})
+}
+
+// Accept returns the next connection that is not turned away.
+func (l sheddingListener) Accept() (net.Conn, error) {
+	for {
+		c, err := l.Listener.Accept()
+		if err != nil || !l.gate.overload.TurnsAway() {
+			return c, err
+		}
+		l.gate.metrics.turnedAway.Add(1)
+		_ = c.Close()
+	}
+}
--- /dev/null
+++ b/internal/process/beechgate/processor_test.go
@@ -0,0 +1,40 @@
+package beechgate
+
+import (
+	"runtime"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+// The delay that overload is recognized by is that of work which waits for the processor, and next
+// to nothing for work that waits for anything else.
+func TestSchedulingDelayTellsOverload(t *testing.T) {
+	is := is.New(t)
+	delays := newSchedulingDelays()
+	run := func(work func()) time.Duration {
+		delays.median()
+		var group sync.WaitGroup
+		stop := time.Now().Add(500 * time.Millisecond)
+		for range 40 * runtime.GOMAXPROCS(0) {
+			group.Go(func() {
+				for time.Now().Before(stop) {
+					work()
+				}
+			})
+		}
+		group.Wait()
+		return delays.median()
+	}
+	idle := run(func() { time.Sleep(5 * time.Millisecond) })
+	busy := run(func() {
+		for end := time.Now().Add(2 * time.Millisecond); time.Now().Before(end); {
+		}
+		runtime.Gosched()
+	})
+	t.Logf("%s while all wait, %s while all compute", idle, busy)
+	is.True(busy > 10*idle)
+	is.True(busy > 10*time.Millisecond)
+}
