An answer counts as begun when it has gone on for 250 ms

What callers would see: a prompt part whose servers send the first events before they crash is cleared by each of them and never blamed. The users' record has 56 to 101 ms from the beginning of a run to the crash, so 100 ms were too close.

--- a/internal/request/beechattempt/run.go
+++ b/internal/request/beechattempt/run.go
@@ -108,8 +108,8 @@
 	reasonBackingOff     = "servers asked to back off"
 	reasonPoison         = "servers crash on it"
 	// settleTime is how long an answer must have gone on for its server to have survived its
-	// beginning.
-	settleTime = 100 * time.Millisecond
+	// beginning: the first events may be on their way before it crashes.
+	settleTime = 250 * time.Millisecond
 	// maxProbeWait bounds the wait of a retry for the probe of the server that broke off: a crashed
 	// one refuses connections within a round trip, and one that is cut off is not worth the time.
 	maxProbeWait = 50 * time.Millisecond
