--- a/internal/process/beechgate/processor_test.go
+++ b/internal/process/beechgate/processor_test.go
@@ -6,6 +6,7 @@
 	"testing"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/matryer/is"
 )
 
@@ -30,7 +31,9 @@
 	}
 	idle := run(func() { time.Sleep(5 * time.Millisecond) })
 	busy := run(func() {
-		for end := time.Now().Add(2 * time.Millisecond); time.Now().Before(end); {
+		end := time.Now().Add(2 * time.Millisecond)
+		for time.Now().Before(end) {
+			_ = xxhash.Sum64String("work")
 		}
 		runtime.Gosched()
 	})
