An answer without framing is whole only if its server still takes connections

What callers see: a stream that breaks off between two events looks complete, when its server has answered with neither a length nor chunks and crashed: the kernel of a process that ends closes its connections in order. An answer that is no stream is cut short in the same way. Cause: for such answers the end of the connection is all that tells the end, and it tells nothing of how the server ended. Change: at the end of such an answer the server is probed, together with the other requests that broke off there; if it refuses connections, the answer counts as broken off: it goes on or is repeated elsewhere where it may, and is visibly aborted where it may not. A probe that times out changes nothing.

--- a/internal/command/beechplay/limits_soak_test.go
+++ b/internal/command/beechplay/limits_soak_test.go
@@ -36,10 +36,11 @@
 
 // recordDisturbance records the time at which a gate is killed, stopped, suspended
 // or resumed. Limits need not be kept right after it.
-func (s *soak) recordDisturbance() {
+func (s *soak) recordDisturbance(gate string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.disturbances = append(s.disturbances, time.Now())
+	s.disturbedAt[gate] = append(s.disturbedAt[gate], time.Now())
 }
 
 // checkLimits checks how many requests servers received during a limit. Periods
--- a/internal/command/beechplay/soak_test.go
+++ b/internal/command/beechplay/soak_test.go
@@ -89,6 +89,10 @@
 		disturbances    []time.Time // when a gate was killed, stopped, suspended or resumed
 		limitSpans      []limitSpan
 		departedAt      map[string]time.Time // when a caller closed its connection without an answer
+		disturbedAt     map[string][]time.Time
+		poisonSentAt    map[string]time.Time // requests on which engines crash
+		poisonGate      map[string]string    // that they were sent to
+		favored         string               // gate that most requests go to; empty is none
 	}
 )
 
@@ -206,6 +210,7 @@
 	s := &soak{
 		t: t, seed: seed, cluster: w, random: rand.New(rand.NewPCG(seed, seed)), client: &http.Client{Timeout: 7 * time.Second},
 		statuses: make(map[string]int), atMostOnce: make(map[string]bool), revocableSentAt: make(map[string]time.Time), departedAt: make(map[string]time.Time),
+		disturbedAt: make(map[string][]time.Time), poisonSentAt: make(map[string]time.Time), poisonGate: make(map[string]string),
 	}
 	s.deploy()
 	s.copied = w.Store.Snapshot()
@@ -251,6 +256,8 @@
 		defer close(done)
 		var limits sync.WaitGroup
 		limits.Go(s.injectLimits)
+		limits.Go(s.injectPoison)
+		limits.Go(s.favorGate)
 		defer limits.Wait()
 		version := 1
 		for end := time.Now().Add(soakDuration - 4*time.Second); time.Now().Before(end); time.Sleep(faultInterval) {
@@ -261,12 +268,16 @@
 	}()
 	draw := rand.New(rand.NewPCG(s.random.Uint64(), 1))
 	departures := rand.New(rand.NewPCG(s.seed, 2)) // of its own, so that a seed's other draws stay as they were
+	skew := rand.New(rand.NewPCG(s.seed, 4))
 	for n, end := 0, time.Now().Add(soakDuration); time.Now().Before(end); n++ {
 		path, key := []string{"/pick/", "/card/", "/label/", "/check/"}[draw.IntN(4)], Key
 		if draw.IntN(5) == 0 {
 			key = IsolateKey
 		}
 		gate := s.gates[draw.IntN(len(s.gates))]
+		if favored := s.favoredGate(); favored != "" && skew.IntN(favoredOf) > 0 {
+			gate = favored
+		}
 		if departures.IntN(departingEvery) == 0 {
 			patience := time.Duration(departures.Int64N(int64(maxPatience)))
 			callers.Go(func() { s.sendAndDepart(fmt.Sprintf("departing-%d", n), gate, path, patience) })
@@ -291,21 +302,21 @@
 	troubles := []beechsimulator.EngineFaults{{}, {Refuse: true}, {Hang: true}, {Drop: true}, {CutAfter: 2}, {Status: http.StatusInternalServerError}, {SilentOrders: true}}
 	switch s.random.IntN(10) {
 	case 0:
-		s.recordDisturbance()
+		s.recordDisturbance(gate)
 		process.signal(syscall.SIGKILL, true)
 		s.restart(gate, process)
-		s.recordDisturbance()
+		s.recordDisturbance(gate)
 	case 1:
-		s.recordDisturbance()
+		s.recordDisturbance(gate)
 		process.Signal()
 		s.restart(gate, process)
-		s.recordDisturbance()
+		s.recordDisturbance(gate)
 	case 2:
-		s.recordDisturbance()
+		s.recordDisturbance(gate)
 		process.signal(syscall.SIGSTOP, false)
 		time.Sleep(time.Duration(s.random.IntN(2500)) * time.Millisecond)
 		process.signal(syscall.SIGCONT, false)
-		s.recordDisturbance()
+		s.recordDisturbance(gate)
 	case 3:
 		keeper := fmt.Sprintf("keeper-e%d", s.random.IntN(3))
 		p := s.cluster.Process(keeper).(*childProcess)
@@ -496,6 +507,7 @@
 	}
 	s.checkLimits()
 	s.checkDepartures()
+	s.checkPoison()
 	for name, p := range s.cluster.processes {
 		if p.(*childProcess).exitedUnexpectedly() {
 			log, _ := os.ReadFile(p.(*childProcess).output)
--- a/internal/request/beechattempt/crash.go
+++ b/internal/request/beechattempt/crash.go
@@ -2,10 +2,12 @@
 
 import (
 	"context"
+	"errors"
 	"expvar"
 	"net/netip"
 	"slices"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -45,6 +47,7 @@
 	probe struct {
 		answers []brokenAnswer
 		done    chan struct{} // closed when a crash has been recorded, or the server lives
+		refused bool          // the server is down for certain; set before done is closed
 	}
 
 	// brokenAnswer is a request whose answer broke off.
@@ -77,8 +80,8 @@
 
 // answerBroken records a request whose answer broke off, and reports it as a suspect if
 // the server is down. The probe runs in the background, and is shared by all requests
-// that break off at a server meanwhile. The returned channel is closed after it.
-func (d *crashDetector) answerBroken(broken brokenAnswer, server netip.AddrPort) <-chan struct{} {
+// that break off at a server meanwhile.
+func (d *crashDetector) answerBroken(broken brokenAnswer, server netip.AddrPort) *probe {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	p, probing := d.pending[server]
@@ -88,7 +91,7 @@
 		d.probes.Go(func() { d.probe(server, p) })
 	}
 	p.answers = append(p.answers, broken)
-	return p.done
+	return p
 }
 
 func (d *crashDetector) probe(server netip.AddrPort, p *probe) {
@@ -96,6 +99,7 @@
 	ctx, cancel := clockwork.WithTimeout(context.Background(), d.clock, probeTimeout)
 	defer cancel()
 	err := d.prober.Probe(ctx, server)
+	p.refused = errors.Is(err, syscall.ECONNREFUSED)
 	d.mu.Lock()
 	answers := p.answers
 	delete(d.pending, server)
--- a/internal/request/beechattempt/run.go
+++ b/internal/request/beechattempt/run.go
@@ -297,8 +297,12 @@
 // any of it, so that an incomplete one can be replaced by a retry.
 func (r *execution) forwardWhole(choice beechplace.Choice, placement *beechplace.Attempt, watch *watchdog, answer *beechcall.Answer, sent time.Time) verdict {
 	body, err := io.ReadAll(io.LimitReader(answer.Body, maxAnswerBytes+1))
-	if err == nil && len(body) > maxAnswerBytes {
+	switch {
+	case err != nil:
+	case len(body) > maxAnswerBytes:
 		err = errAnswerTooLong
+	case r.serverGone(choice, answer):
+		err = errServerGone
 	}
 	if err != nil {
 		return r.handleFailure(choice, placement, watch, beechcall.OutcomeUnknown{Peer: choice.Server.Address, Step: "read the answer's body", Err: err})
@@ -399,12 +403,14 @@
 		r.dispatcher.observer.ObserveAttempt(choice.Server, r.call.Model, 0, choice.PrefillTokens, true)
 		return tryAgain
 	}
-	var probed <-chan struct{}
+	var probed *probe
 	if watch.startMissed() || errors.Is(err, errOtherSoftware) {
 		placement.Done(beechplace.Cancelled)
 	} else if r.dispatcher.clock.Now().Before(r.call.Deadline) {
 		placement.Done(beechplace.Failed)
-		probed = r.answerBroken(choice)
+		if !errors.Is(err, errServerGone) {
+			probed = r.answerBroken(choice)
+		}
 		r.dispatcher.observer.ObserveAttempt(choice.Server, r.call.Model, 0, choice.PrefillTokens, true)
 	} else {
 		placement.Done(beechplace.Cancelled)
@@ -424,19 +430,29 @@
 
 // awaitProbe waits until it is known whether the server crashed. A retry that is sent before may
 // crash the next one.
-func (r *execution) awaitProbe(probed <-chan struct{}) {
+func (r *execution) awaitProbe(probed *probe) {
 	if probed == nil {
 		return
 	}
 	select {
-	case <-probed:
+	case <-probed.done:
 	case <-r.dispatcher.clock.After(maxProbeWait):
 	}
 }
 
-// answerBroken reports that the server may have crashed. The returned channel is closed when it is
-// known.
-func (r *execution) answerBroken(choice beechplace.Choice) <-chan struct{} {
+// serverGone reports whether the server of an answer that ended with its connection has crashed, so
+// that the answer may not be whole.
+func (r *execution) serverGone(choice beechplace.Choice, answer *beechcall.Answer) bool {
+	if !answer.Unframed {
+		return false
+	}
+	probed := r.answerBroken(choice)
+	<-probed.done
+	return probed.refused
+}
+
+// answerBroken reports that the server may have crashed.
+func (r *execution) answerBroken(choice beechplace.Choice) *probe {
 	now := r.dispatcher.clock.Now()
 	begun := !r.begunAt.IsZero() && now.Sub(r.begunAt) >= settleTime
 	return r.dispatcher.crashes.answerBroken(brokenAnswer{call: r.call, request: r.poisonTraits(), server: choice.Server.ID, begun: begun, at: now}, choice.Server.Address)
--- a/internal/request/beechattempt/stream.go
+++ b/internal/request/beechattempt/stream.go
@@ -44,6 +44,7 @@
 
 var (
 	errIncompleteEvent = errors.New("the stream ends in the middle of an event")
+	errServerGone      = errors.New("the server crashed as its answer, which ends with the connection, ended")
 	errNoEvent         = errors.New("the connection ended before the first event")
 	errOtherSoftware   = errors.New("the server's software is not, or may not be, of the version that began the stream")
 )
@@ -171,6 +172,8 @@
 			continue
 		case err == io.EOF && answer.Unframed && r.begunAt.IsZero():
 			err = errNoEvent
+		case err == io.EOF && len(bytes.TrimSpace(buffer)) == 0 && r.serverGone(choice, answer):
+			err = errServerGone
 		case err == io.EOF && len(bytes.TrimSpace(buffer)) == 0:
 			watch.stop()
 			placement.Done(beechplace.Answered)
--- a/internal/standin/beechsimulator/engine.go
+++ b/internal/standin/beechsimulator/engine.go
@@ -50,6 +50,7 @@
 		leaving       bool   // each response says so
 		born          int64  // start in Unix milliseconds; 0 is not reported
 		arrivals      []time.Time
+		lasting       EngineFaults           // those of CrashPart and Ending that SetFaults leaves as they are
 		partArrivals  map[string][]time.Time // of requests by shared prompt part
 		crashes       []time.Time
 		onCrash       func(down time.Duration) // ends all connections, and accepts none for a time
@@ -314,6 +315,13 @@
 	e.faults = f
 }
 
+// SetLasting sets a crashing part and an ending of responses that apply besides the faults.
+func (e *Engine) SetLasting(crashPart string, ending Ending) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.lasting = EngineFaults{CrashPart: crashPart, Ending: ending}
+}
+
 // ServeHTTP serves reports, orders and cache calls, and any other path as a caller's
 // request.
 func (e *Engine) ServeHTTP(w http.ResponseWriter, r *http.Request) {
@@ -461,6 +469,8 @@
 	e.begunAt[id] = time.Now()
 	e.lastHeaders[id] = r.Header.Clone()
 	faults, version := e.faults, e.version
+	faults.CrashPart = cmp.Or(faults.CrashPart, e.lasting.CrashPart)
+	faults.Ending = cmp.Or(faults.Ending, e.lasting.Ending)
 	e.mu.Unlock()
 	if faults.Foreign != "" {
 		w.Header().Set(headerAttemptID, faults.Foreign)
