--- a/internal/request/beechattempt/poison_test.go
+++ b/internal/request/beechattempt/poison_test.go
@@ -80,7 +80,7 @@
 }
 
 // refusing is a prober to whom servers refuse connections.
-type refusing struct{ reachable }
+type refusing struct{}
 
 func (refusing) Probe(context.Context, netip.AddrPort) error { return syscall.ECONNREFUSED }
 
