--- a/internal/decision/beechpoison/tracker.go
+++ b/internal/decision/beechpoison/tracker.go
@@ -119,6 +119,9 @@
 	return Allow{}
 }
 
+// Idle reports whether no crash is known, so that every request is allowed.
+func (t *Tracker) Idle() bool { return t.idle.Load() }
+
 // applies reports whether requests of a workspace are refused.
 func (b *blame) applies(workspace uint32) bool {
 	return len(b.workspaces) > 1 || slices.Contains(b.workspaces, workspace)
@@ -210,6 +213,9 @@
 
 // Apply merges an update of another process.
 func (t *Tracker) Apply(u Update, origin Origin) {
+	if u.IsEmpty() {
+		return
+	}
 	t.mu.Lock()
 	t.updateTime()
 	changed, decisive := false, false
--- a/internal/request/beechattempt/poison.go
+++ b/internal/request/beechattempt/poison.go
@@ -43,10 +43,10 @@
 // refusedAsPoison reports whether servers crash on something that the call has. If it may run as a
 // trial, it is one from then on.
 func (r *execution) refusedAsPoison() (beechpoison.Refuse, bool) {
-	if r.onTrial {
+	poison := r.dispatcher.poison
+	if r.onTrial || poison.Idle() {
 		return beechpoison.Refuse{}, false
 	}
-	poison := r.dispatcher.poison
 	verdict := poison.Check(r.poisonTraits())
 	if trial, ok := verdict.(beechpoison.Trial); ok {
 		if r.onTrial = poison.BeginTrial(trial); r.onTrial {
@@ -76,7 +76,7 @@
 
 // recordStart records that the server has survived the beginning of its answer.
 func (r *execution) recordStart() {
-	if r.startRecorded {
+	if r.startRecorded || r.dispatcher.poison.Idle() {
 		return
 	}
 	r.startRecorded = true
--- a/internal/request/beechattempt/run.go
+++ b/internal/request/beechattempt/run.go
@@ -441,9 +441,9 @@
 }
 
 // serverGone reports whether the server of an answer that ended with its connection has crashed, so
-// that the answer may not be whole.
+// that the answer may not be whole. One that leaves may finish its answers while it refuses connections.
 func (r *execution) serverGone(choice beechplace.Choice, answer *beechcall.Answer) bool {
-	if !answer.Unframed {
+	if !answer.Unframed || answer.Leaving {
 		return false
 	}
 	probed := r.answerBroken(choice)
