--- a/Makefile
+++ b/Makefile
@@ -17,7 +17,7 @@
 
 test:
 	go vet work
-	go test -count=1 $(if $(KNOWN_RED),-skip '$(KNOWN_RED)') work
+	go test -count=1 $(if $(KNOWN_RED),-skip '$(KNOWN_RED)') ./platform ./internal/command/... work # those that take longest first
 
 $(SCRATCH_TOOLS): tools/go.mod tools/go.sum
 	cd tools && GOWORK=off go build -o bin/ tool
