--- a/internal/process/beechagent/runs.go
+++ b/internal/process/beechagent/runs.go
@@ -77,8 +77,8 @@
 	return out
 }
 
-// endIncarnation returns the requests that were running on the ended incarnation, and whether this is the first call for it. It is called for
-// each interrupted answer. If a crash were counted more than once, requests that
+// endIncarnation returns the requests that were running on the ended incarnation, and
+// whether this is the first call for it. It is called for each interrupted answer. If a crash were counted more than once, requests that
 // did not cause it would be taken for its cause.
 func (s *activeRuns) endIncarnation(ended uint64) (lost []run, first bool) {
 	s.mu.Lock()
