Gate: when a caller's close was noticed, and when its attempt was withdrawn

A request that ends because its caller left now says how long the close went unnoticed (TCP_INFO: time since the caller's last segment), how long the withdrawal took after that, and whether the connection to the server was still alive to carry it. The 99th percentile of the scheduling delay is published beside the median.

TestSinceHeardIsTheTimeSinceTheClose.

--- a/internal/link/beechpool/pool.go
+++ b/internal/link/beechpool/pool.go
@@ -72,6 +72,7 @@
 	Conditions struct {
 		Matches   func(*http.Response) bool // false for a response to an earlier request
 		Withdrawn func() bool               // checked just before the request is written
+		Reset     func(told bool)           // called when the context has ended and the connection was reset; false: it was dead before
 	}
 
 	// DialError reports that nothing was sent, since no connection was available or the
@@ -205,7 +206,7 @@
 		c.release()
 		return nil, &DialError{Peer: peer, Err: err}
 	}
-	stop := context.AfterFunc(ctx, c.reset)
+	stop := context.AfterFunc(ctx, func() { c.withdraw(conditions.Reset) })
 	response, failed := c.exchange(r, conditions.Matches)
 	if failed != nil {
 		stop()
@@ -379,6 +380,15 @@
 	})
 }
 
+// withdraw resets a connection with an exchange under way, and reports whether it was still alive.
+func (c *conn) withdraw(report func(told bool)) {
+	alive := beechsocket.Look(c.Conn) != beechsocket.Closed
+	c.reset()
+	if report != nil {
+		report(alive)
+	}
+}
+
 // reset withdraws the exchange of a connection.
 func (c *conn) reset() {
 	if t, ok := c.Conn.(*net.TCPConn); ok {
--- a/internal/link/beechsocket/socket.go
+++ b/internal/link/beechsocket/socket.go
@@ -22,6 +22,7 @@
 	"errors"
 	"net"
 	"syscall"
+	"time"
 
 	"golang.org/x/sys/unix"
 )
@@ -87,3 +88,28 @@
 	c, ok := ctx.Value(contextKey{}).(net.Conn)
 	return ok && Look(c) == Closed
 }
+
+// SinceHeard returns how long ago the last segment of the caller of a request arrived, in steps of
+// a millisecond, whether or not this process has read it. Once the caller has closed the
+// connection, that is the time since the close. It returns false if that is not known.
+func SinceHeard(ctx context.Context) (time.Duration, bool) {
+	c, ok := ctx.Value(contextKey{}).(net.Conn)
+	if !ok {
+		return 0, false
+	}
+	s, ok := c.(syscall.Conn)
+	if !ok {
+		return 0, false
+	}
+	raw, err := s.SyscallConn()
+	if err != nil {
+		return 0, false
+	}
+	var info *unix.TCPInfo
+	infoErr := errors.ErrUnsupported
+	err = raw.Control(func(fd uintptr) { info, infoErr = unix.GetsockoptTCPInfo(int(fd), unix.IPPROTO_TCP, unix.TCP_INFO) })
+	if err != nil || infoErr != nil || info.Rcv_mss == 0 {
+		return 0, false // an emulated socket may accept the call and fill in nothing
+	}
+	return time.Duration(info.Last_ack_recv) * time.Millisecond, true
+}
--- a/internal/link/beechsocket/socket_test.go
+++ b/internal/link/beechsocket/socket_test.go
@@ -76,3 +76,17 @@
 	cancel()
 	is.True(Departed(ended))
 }
+
+func TestSinceHeardIsTheTimeSinceTheClose(t *testing.T) {
+	is := is.New(t)
+	near, far := pair(t)
+	time.Sleep(200 * time.Millisecond)
+	_ = far.Close()
+	time.Sleep(100 * time.Millisecond)
+	since, ok := SinceHeard(ConnContext(t.Context(), near))
+	is.True(ok)
+	is.True(since >= 90*time.Millisecond)
+	is.True(since < 190*time.Millisecond)
+	_, ok = SinceHeard(t.Context())
+	is.True(!ok)
+}
--- a/internal/process/beechgate/metrics.go
+++ b/internal/process/beechgate/metrics.go
@@ -34,6 +34,10 @@
 		schedulingDelay   *expvar.Int          // median in microseconds
 		departed          *expvar.Map          // calls whose callers left, by progress
 		departedAfter     *beechmetric.Latency // from the last attempt until it was noticed that the caller had left
+		unnoticed         *beechmetric.Latency // from a caller's close until it was noticed
+		withdrawn         *beechmetric.Latency // from then until the attempt was withdrawn
+		withdrawals       *expvar.Map          // attempts of callers that left, by outcome
+		schedulingTail    *expvar.Int          // 99th percentile in microseconds
 	}
 )
 
@@ -43,6 +47,7 @@
 		proofs: new(expvar.Map), bodies: new(expvar.Map), unknownSenders: new(expvar.Int), invalidGossip: new(expvar.Int), copiesFetched: new(expvar.Int), lent: new(expvar.Int),
 		limitLinesDropped: new(expvar.Int), lateVersions: new(expvar.Int), invalidEntries: new(expvar.Int), firstByte: beechmetric.NewLatency(), wholeAnswer: beechmetric.NewLatency(),
 		resumed: new(expvar.Map), turnedAway: new(expvar.Int), schedulingDelay: new(expvar.Int), departed: new(expvar.Map), departedAfter: beechmetric.NewLatency(),
+		unnoticed: beechmetric.NewLatency(), withdrawn: beechmetric.NewLatency(), withdrawals: new(expvar.Map), schedulingTail: new(expvar.Int),
 	}
 	m.vars.Set("endings", m.endings)
 	m.vars.Set("retried", m.retried)
@@ -78,6 +83,10 @@
 	m.vars.Set("schedulingDelayMicros", m.schedulingDelay)
 	m.vars.Set("callersLeft", m.departed)
 	m.vars.Set("leftAfterSendMicros", expvar.Func(m.departedAfter.Percentiles))
+	m.vars.Set("leaveNoticedMicros", expvar.Func(m.unnoticed.Percentiles))
+	m.vars.Set("withdrawnMicros", expvar.Func(m.withdrawn.Percentiles))
+	m.vars.Set("withdrawals", m.withdrawals)
+	m.vars.Set("schedulingDelayTailMicros", m.schedulingTail)
 	m.vars.Set("configurationAgeMillis", expvar.Func(func() any { return g.freshness.Age().Milliseconds() }))
 	m.vars.Set("configurationVersion", expvar.Func(func() any {
 		if c := g.configuration.Load(); c != nil {
@@ -112,6 +121,13 @@
 		m.departed.Add(string(e.Progress), 1)
 		if e.Attempts > 0 {
 			m.departedAfter.Record(e.SinceSend)
+			m.withdrawals.Add(string(e.Departure.Outcome), 1)
+		}
+		if e.Departure.Unnoticed >= 0 {
+			m.unnoticed.Record(e.Departure.Unnoticed)
+		}
+		if e.Departure.Outcome != beechattempt.NothingToWithdraw {
+			m.withdrawn.Record(e.Departure.Withdrawn)
 		}
 	}
 }
--- a/internal/process/beechgate/processor.go
+++ b/internal/process/beechgate/processor.go
@@ -35,8 +35,8 @@
 	return &schedulingDelays{sample: []runtimemetrics.Sample{{Name: "/sched/latencies:seconds"}}}
 }
 
-// median returns the median delay since the last call.
-func (s *schedulingDelays) median() time.Duration {
+// next returns the median and the 99th percentile of the delays since the last call.
+func (s *schedulingDelays) next() (median, tail time.Duration) {
 	runtimemetrics.Read(s.sample)
 	histogram := s.sample[0].Value.Float64Histogram()
 	recent := make([]uint64, len(histogram.Counts))
@@ -50,15 +50,18 @@
 	}
 	s.counts = append(s.counts[:0], histogram.Counts...)
 	if total < minDelays {
-		return 0
+		return 0, 0
 	}
-	seen := uint64(0)
-	for i, count := range recent {
-		if seen += count; 2*seen >= total {
-			return time.Duration(max(histogram.Buckets[i], 0) * float64(time.Second))
+	percentile := func(percent uint64) time.Duration {
+		seen := uint64(0)
+		for i, count := range recent {
+			if seen += count; 100*seen >= percent*total {
+				return time.Duration(max(histogram.Buckets[i], 0) * float64(time.Second))
+			}
 		}
+		return 0
 	}
-	return 0
+	return percentile(50), percentile(99)
 }
 
 // watchProcessor measures whether the processor keeps up.
@@ -66,8 +69,9 @@
 	delays := newSchedulingDelays()
 	guarded := false
 	return beechtask.Every(ctx, g.clock, beechoverload.SampleInterval, func() {
-		median := delays.median()
+		median, tail := delays.next()
 		g.metrics.schedulingDelay.Set(median.Microseconds())
+		g.metrics.schedulingTail.Set(tail.Microseconds())
 		g.overload.Observe(median)
 		if now := g.overload.Guarded(); now != guarded {
 			guarded = now
--- a/internal/process/beechgate/processor_test.go
+++ b/internal/process/beechgate/processor_test.go
@@ -16,7 +16,7 @@
 	is := is.New(t)
 	delays := newSchedulingDelays()
 	run := func(work func()) time.Duration {
-		delays.median()
+		delays.next()
 		var group sync.WaitGroup
 		stop := time.Now().Add(500 * time.Millisecond)
 		for range 40 * runtime.GOMAXPROCS(0) {
@@ -27,7 +27,8 @@
 			})
 		}
 		group.Wait()
-		return delays.median()
+		median, _ := delays.next()
+		return median
 	}
 	idle := run(func() { time.Sleep(5 * time.Millisecond) })
 	busy := run(func() {
--- a/internal/request/beechattempt/attempt_test.go
+++ b/internal/request/beechattempt/attempt_test.go
@@ -117,6 +117,8 @@
 func (c *caller) AbortStream()   { c.broken = true }
 func (c *caller) Departed() bool { return c.departed.Load() }
 
+func (c *caller) SinceHeard() (time.Duration, bool) { return 0, false }
+
 type fixture struct {
 	dispatcher *Dispatcher
 	clock      *clockwork.FakeClock
--- a/internal/request/beechattempt/dispatcher.go
+++ b/internal/request/beechattempt/dispatcher.go
@@ -60,8 +60,19 @@
 		Duration  time.Duration // of the whole call
 		Progress  Progress      // of the last attempt when the call ended
 		SinceSend time.Duration // since the last attempt was sent; 0 if none was
+		Departure Departure     // of the caller; zero if it stayed
 	}
 
+	// Departure is what followed when a caller disconnected.
+	Departure struct {
+		Unnoticed time.Duration // until it was noticed, at most; negative: not known
+		Withdrawn time.Duration // from then until the attempt under way was withdrawn
+		Outcome   Withdrawal
+	}
+
+	// Withdrawal is how an attempt ended whose caller has disconnected.
+	Withdrawal string
+
 	// Progress is how far a request has got on its way to a server and back.
 	Progress string
 
@@ -78,6 +89,9 @@
 		// Departed reports, without blocking, whether the caller has disconnected. It may
 		// know so before the context of the call ends.
 		Departed() bool
+		// SinceHeard returns how long ago the caller's last segment arrived, the close
+		// included. It returns false if that is not known.
+		SinceHeard() (time.Duration, bool)
 	}
 
 	// Rejection is the answer to a call that no server has answered: NotExecuted,
@@ -113,6 +127,13 @@
 	Sent Progress = "sent"
 	// Answered means that the answer has begun.
 	Answered Progress = "answered"
+
+	// NothingToWithdraw means that no attempt was under way.
+	NothingToWithdraw Withdrawal = "none"
+	// WithdrawnByReset means that the connection to the server was reset.
+	WithdrawnByReset Withdrawal = "reset"
+	// NotWithdrawn means that the connection was dead before, so that the server may run on.
+	NotWithdrawn Withdrawal = "connection dead"
 )
 
 func (NotExecuted) rejection()      {}
@@ -141,11 +162,17 @@
 	limited, cancel := clockwork.WithDeadline(ctx, d.clock, call.Deadline)
 	defer cancel()
 	r := &execution{dispatcher: d, call: call, out: out, callerCtx: ctx, started: d.clock.Now()}
+	r.departure = departureWatch{clock: d.clock, out: out}
+	stopWatch := context.AfterFunc(ctx, r.departure.notice)
 	outcome := r.serve(limited)
+	stopWatch()
 	result := Result{Call: call, Outcome: outcome, Stop: string(r.stop), Choice: r.choice, Attempts: r.attempts, FirstByte: r.firstByte, Duration: d.clock.Since(r.started), Progress: r.progress()}
 	if r.attempts > 0 {
 		result.SinceSend = d.clock.Since(r.sentAt)
 	}
+	if outcome == OutcomeLeft {
+		result.Departure = r.departure.result()
+	}
 	d.observer.ObserveEnd(result)
 	return r.attempts - r.notExecuted
 }
--- a/internal/request/beechattempt/run.go
+++ b/internal/request/beechattempt/run.go
@@ -41,7 +41,8 @@
 		traits          *beechpoison.Request
 		onTrial         bool        // of a blamed trait
 		departed        atomic.Bool // the caller was seen to have disconnected
-		serverError     *response   // a server's error response, forwarded if no better answer comes
+		departure       departureWatch
+		serverError     *response // a server's error response, forwarded if no better answer comes
 		stream          streamState
 		stop            stopCause // of the verdict noRetry
 	}
@@ -169,11 +170,20 @@
 func (r *execution) callerLeft() bool {
 	if isDone(r.callerCtx) || r.out.Departed() {
 		r.departed.Store(true)
+		r.departure.notice()
 		return true
 	}
 	return false
 }
 
+// attemptReset records that the attempt was withdrawn, if that was for its caller's departure.
+func (r *execution) attemptReset(told bool) {
+	if isDone(r.callerCtx) {
+		r.departure.notice()
+	}
+	r.departure.reset(told)
+}
+
 func (r *execution) progress() Progress {
 	switch {
 	case r.attempts == 0:
@@ -239,6 +249,7 @@
 			_, refused := r.refusedAsPoison()
 			return refused
 		},
+		Reset: r.attemptReset,
 	})
 	if err != nil {
 		return r.handleFailure(choice, placement, watch, err)
--- a/internal/request/beechcall/call.go
+++ b/internal/request/beechcall/call.go
@@ -52,13 +52,14 @@
 	Attempt struct {
 		Call        *Call
 		Server      Server
-		Weights     uint64         // version that the server must have; 0: any
-		Salt        string         // cache salt: separates the cached parts of workspaces
-		Urgency     int            // 0 is the most urgent
-		Fetch       netip.AddrPort // where to fetch cached parts from; invalid: nowhere
-		Save        netip.AddrPort // where to save cached parts; invalid: nowhere
-		LastEventID string         // resume the stream after this event
-		Withdrawn   func() bool    // checked just before the attempt is sent, which must not be if it holds; nil: never
+		Weights     uint64          // version that the server must have; 0: any
+		Salt        string          // cache salt: separates the cached parts of workspaces
+		Urgency     int             // 0 is the most urgent
+		Fetch       netip.AddrPort  // where to fetch cached parts from; invalid: nowhere
+		Save        netip.AddrPort  // where to save cached parts; invalid: nowhere
+		LastEventID string          // resume the stream after this event
+		Withdrawn   func() bool     // checked just before the attempt is sent, which must not be if it holds; nil: never
+		Reset       func(told bool) // called when the attempt was cancelled after it was sent; false: the server cannot be told, since the connection was dead; may be nil
 	}
 
 	// Answer is a server's answer whose body has not been read. Closing the body before its
