--- a/internal/command/beechplay/departed_test.go
+++ b/internal/command/beechplay/departed_test.go
@@ -1,10 +1,13 @@
 package beechplay
 
 import (
+	"bytes"
 	"fmt"
 	"net"
 	"os"
 	"strings"
+	"sync"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -16,6 +19,11 @@
 	"github.com/beechring/beechring/internal/standin/beechsimulator"
 )
 
+const (
+	floodPause = 300 * time.Millisecond // for which a connection of a flood stays open
+	leavePause = 40 * time.Millisecond  // between the departures of two callers
+)
+
 // TestSuspendedGateSendsNothingForDepartedCallers guards against sending requests whose callers
 // left while the gate was suspended, once it continues.
 func TestSuspendedGateSendsNothingForDepartedCallers(t *testing.T) {
@@ -60,8 +68,122 @@
 	is.NoErr(w.Close())
 }
 
+// TestOverloadedGateEndsRunsOfDepartedCallers guards against runs that go on since an overloaded gate
+// serves new connections before it notices that callers have left, or tells their servers.
+func TestOverloadedGateEndsRunsOfDepartedCallers(t *testing.T) {
+	is := is.New(t)
+	t.Setenv("GOMAXPROCS", "1")
+	w, err := NewCluster(processLauncher{t: t, program: buildProgram(t), folder: beechtrace.Folder(t)})
+	is.NoErr(err)
+	w.Configure(1, func(c Document) {
+		for _, route := range c["routes"].([]Document) {
+			route["timeoutMs"] = 60000
+		}
+	})
+	w.SetWeights(1)
+	engine, err := w.AddEngine("s1", beechsimulator.EngineSettings{Slots: 500})
+	is.NoErr(err)
+	is.NoErr(w.AddGate("gate", beechsettings.GateBounds{
+		Revoke: beechsettings.Duration(revokeBound), Grace: beechsettings.Duration(3 * time.Second), Weights: beechsettings.Duration(8 * time.Second), Retries: 0.2, Spare: 400,
+	}))
+	const callers, flooders = 60, 500
+	engine.SetFaults(beechsimulator.EngineFaults{Hang: true})
+	var all []net.Conn
+	for end := time.Now().Add(10 * time.Second); len(all) < callers && time.Now().Before(end); {
+		c, err := net.Dial("tcp4", w.Places["gate"].String())
+		if err != nil {
+			time.Sleep(50 * time.Millisecond)
+			continue
+		}
+		id := fmt.Sprintf("left-%d", len(all))
+		writeRequest(t, c, w, id, "/label/x", time.Minute)
+		for range 20 {
+			if time.Sleep(10 * time.Millisecond); w.Runs(id) > 0 {
+				all = append(all, c)
+				break
+			}
+		}
+	}
+	is.Equal(len(all), callers)
+	stop, sent := flood(t, w.Places["gate"].String(), flooders)
+	var left []time.Time
+	for _, c := range all {
+		time.Sleep(leavePause)
+		left = append(left, time.Now())
+		_ = c.Close()
+	}
+	time.Sleep(2 * time.Second)
+	stop()
+	late, latest := 0, time.Duration(0)
+	for n := range callers {
+		took := time.Minute
+		if ended := engine.EndedAt(fmt.Sprintf("left-%d", n)); !ended.IsZero() {
+			took = ended.Sub(left[n])
+		}
+		latest = max(latest, took)
+		if took > 500*time.Millisecond {
+			late++
+		}
+	}
+	t.Logf("%d of %d runs went on for over half a second, the longest for %s; %d connections meanwhile", late, callers, latest, sent())
+	is.Equal(late, 0)
+	is.NoErr(w.Close())
+}
+
+// flood opens connections, sends a request with a long prompt to a service without servers on each,
+// and resets it, from as many goroutines as given, until it is stopped.
+func flood(t *testing.T, address string, flooders int) (stop func(), sent func() int64) {
+	t.Helper()
+	var parts []string
+	for n := range 400 {
+		parts = append(parts, fmt.Sprintf("part%x:100", n))
+	}
+	ask := beechsimulator.CallerRequest{
+		ID: "flood", Key: Key, Host: Host, URL: "http://" + address + "/pick/x", Left: time.Second, Model: Model, Prompt: 40000, Output: 10, Parts: strings.Join(parts, ","),
+	}
+	r, err := ask.NewRequest()
+	if err != nil {
+		t.Fatal(err)
+	}
+	var text bytes.Buffer
+	if err := r.Write(&text); err != nil {
+		t.Fatal(err)
+	}
+	var group sync.WaitGroup
+	var count atomic.Int64
+	ended := make(chan struct{})
+	for range flooders {
+		group.Go(func() {
+			for {
+				select {
+				case <-ended:
+					return
+				default:
+				}
+				c, err := net.DialTimeout("tcp4", address, time.Second)
+				if err != nil {
+					time.Sleep(time.Millisecond)
+					continue
+				}
+				_, _ = c.Write(text.Bytes())
+				count.Add(1)
+				time.Sleep(floodPause)
+				_ = c.(*net.TCPConn).SetLinger(0)
+				_ = c.Close()
+			}
+		})
+	}
+	return func() { close(ended); group.Wait() }, count.Load
+}
+
 func writeCheck(t *testing.T, c net.Conn, w *Cluster, id string) {
-	ask := beechsimulator.CallerRequest{ID: id, Key: Key, Host: Host, URL: "http://" + w.Places["gate"].String() + "/check/x", Left: 5 * time.Second}
+	t.Helper()
+	writeRequest(t, c, w, id, "/check/x", 5*time.Second)
+}
+
+func writeRequest(t *testing.T, c net.Conn, w *Cluster, id, path string, left time.Duration) {
+	t.Helper()
+	ask := beechsimulator.CallerRequest{ID: id, Key: Key, Host: Host, URL: "http://" + w.Places["gate"].String() + path, Left: left}
 	r, err := ask.NewRequest()
 	if err == nil {
 		err = r.Write(c)
--- a/internal/standin/beechsimulator/engine.go
+++ b/internal/standin/beechsimulator/engine.go
@@ -39,6 +39,7 @@
 		streams       int            // begun so far
 		streamPaths   map[string]int // the same by path
 		runs          map[string]int
+		endedAt       map[string]time.Time   // when a request's last run ended
 		begunAt       map[string]time.Time   // when a request ran last
 		lastHeaders   map[string]http.Header // headers of the last run, by request id
 		cached        map[string]int         // tokens by "salt|part"
@@ -118,7 +119,7 @@
 		s.Slots = defaultSlots
 	}
 	return &Engine{
-		settings: s, version: s.Version, runs: make(map[string]int), begunAt: make(map[string]time.Time), lastHeaders: make(map[string]http.Header), cached: make(map[string]int),
+		settings: s, version: s.Version, runs: make(map[string]int), begunAt: make(map[string]time.Time), endedAt: make(map[string]time.Time), lastHeaders: make(map[string]http.Header), cached: make(map[string]int),
 		streamPaths: make(map[string]int), partArrivals: make(map[string][]time.Time), onCrash: func(time.Duration) {},
 	}
 }
@@ -187,6 +188,17 @@
 	return e.begunAt[id]
 }
 
+// EndedAt returns when a request's last run on this engine ended, or the zero time if it has not
+// run or runs still.
+func (e *Engine) EndedAt(id string) time.Time {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if ended := e.endedAt[id]; ended.After(e.begunAt[id]) {
+		return ended
+	}
+	return time.Time{}
+}
+
 // AllRuns returns the number of runs of each request, by id.
 func (e *Engine) AllRuns() map[string]int {
 	e.mu.Lock()
@@ -462,6 +474,7 @@
 	defer func() {
 		e.mu.Lock()
 		e.running--
+		e.endedAt[id] = time.Now()
 		e.mu.Unlock()
 	}()
 	e.mu.Lock()
