Gate: a caller's departure is noticed whatever it has sent before

What callers saw: nothing; servers went on with answers for callers that had left, if these had sent a byte, a line end or their next request before. Cause: net/http's background reader stops at the first byte beyond a request, and a look at the socket by peeking shows the byte and not the close behind it. From there on nobody looked until the answer was written. Change: a Watcher asks all callers' sockets for a close (EPOLLRDHUP) by one system call each 100 ms, and ends the contexts of their requests. It reads nothing, so the bytes stay for the next request, and it costs one system call a connection. Look asks by poll(2), which tells of a close behind bytes too. Why it works: the kernel marks the close when the FIN arrives, whatever lies unread before it, and under TLS as well.

--- a/internal/link/beechframing/framing.go
+++ b/internal/link/beechframing/framing.go
@@ -69,6 +69,9 @@
 	return nil, errors.ErrUnsupported
 }
 
+// NetConn returns the connection below.
+func (c *conn) NetConn() net.Conn { return c.Conn }
+
 // Read reads from the connection and records the head of a request.
 func (c *conn) Read(data []byte) (int, error) {
 	n, err := c.Conn.Read(data)
--- a/internal/link/beechsocket/socket.go
+++ b/internal/link/beechsocket/socket.go
@@ -1,12 +1,17 @@
 // Package beechsocket looks at open connections without blocking and without consuming bytes.
 //
 // net/http tells a handler that its caller has disconnected by ending the request's context, from
-// a goroutine of its own. On a process that is behind with its work that goroutine may run long
-// after the handler. The socket itself knows at once.
+// a goroutine that reads from the connection. On a process that is behind with its work that
+// goroutine runs last, and it reads no further than one byte beyond the request. The socket itself
+// knows at once: Look asks one, and a Watcher asks all of a server by one system call.
 //
 // # Usage
 //
-//	server := &http.Server{ConnContext: beechsocket.ConnContext}
+//	watcher, err := beechsocket.NewWatcher(clock)
+//	go watcher.Run(ctx)
+//	listener = watcher.Listen(listener)
+//	server := &http.Server{ConnContext: beechsocket.ConnContext} // contexts end when callers depart
+//	stop := beechsocket.AfterDeparture(r.Context(), cancelWork)
 //	// in the handler
 //	if beechsocket.Departed(r.Context()) {
 //		// nobody waits for the response
@@ -38,8 +43,8 @@
 const (
 	Unknown  State = iota // it is not a socket
 	Idle                  // open, with nothing to read
-	Readable              // with bytes to read; whether the peer has closed behind them is not known
-	Closed                // closed or reset by the peer, or by this process
+	Readable              // open, with bytes to read
+	Closed                // closed or reset by the peer, with or without bytes before, or closed by this process
 )
 
 // Look returns the state of a connection. It may be called while another goroutine reads.
@@ -55,13 +60,16 @@
 	state := Closed
 	// Control, unlike Read, does not wait for a read that is in progress.
 	err = raw.Control(func(fd uintptr) {
-		var one [1]byte
-		n, _, err := unix.Recvfrom(int(fd), one[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
-		switch {
-		case errors.Is(err, unix.EAGAIN):
-			state = Idle
-		case err == nil && n > 0:
+		poll := []unix.PollFd{{Fd: int32(fd), Events: unix.POLLIN | unix.POLLRDHUP}}
+		_, err := unix.Poll(poll, 0)
+		switch events := poll[0].Revents; {
+		case errors.Is(err, unix.EINTR):
+			state = Unknown
+		case err != nil || events&(unix.POLLRDHUP|unix.POLLHUP|unix.POLLERR|unix.POLLNVAL) != 0:
+		case events&unix.POLLIN != 0:
 			state = Readable
+		default:
+			state = Idle
 		}
 	})
 	if err != nil {
@@ -70,15 +78,17 @@
 	return state
 }
 
-// ConnContext stores the connection in the context of its requests. It is for
-// http.Server.ConnContext.
+// ConnContext stores the connection in the context of its requests. If the connection is watched,
+// the context ends when its caller departs. It is for http.Server.ConnContext.
 func ConnContext(ctx context.Context, c net.Conn) context.Context {
+	if watched := findWatched(c); watched != nil {
+		ctx = watched.context(ctx)
+	}
 	return context.WithValue(ctx, contextKey{}, c)
 }
 
 // Departed reports whether the context of a request has ended, or its caller has closed the
-// connection. A caller that has closed one direction only counts as departed, as in net/http. If
-// the caller has sent bytes beyond its request, only the context tells.
+// connection. A caller that has closed one direction only counts as departed, as in net/http.
 func Departed(ctx context.Context) bool {
 	select {
 	case <-ctx.Done():
@@ -86,7 +96,13 @@
 	default:
 	}
 	c, ok := ctx.Value(contextKey{}).(net.Conn)
-	return ok && Look(c) == Closed
+	if !ok {
+		return false
+	}
+	if watched := findWatched(c); watched != nil && watched.hasDeparted() {
+		return true
+	}
+	return Look(c) == Closed
 }
 
 // SinceHeard returns how long ago the last segment of the caller of a request arrived, in steps of
--- a/internal/link/beechsocket/socket_test.go
+++ b/internal/link/beechsocket/socket_test.go
@@ -36,6 +36,8 @@
 		{"open", func(_, _ *net.TCPConn) {}, Idle},
 		{"bytes", func(_, far *net.TCPConn) { _, _ = far.Write([]byte("x")) }, Readable},
 		{"closed", func(_, far *net.TCPConn) { _ = far.Close() }, Closed},
+		{"closed behind bytes", func(_, far *net.TCPConn) { _, _ = far.Write([]byte("x")); _ = far.Close() }, Closed},
+		{"half closed behind bytes", func(_, far *net.TCPConn) { _, _ = far.Write([]byte("x")); _ = far.CloseWrite() }, Closed},
 		{"half closed", func(_, far *net.TCPConn) { _ = far.CloseWrite() }, Closed},
 		{"reset", func(_, far *net.TCPConn) { _ = far.SetLinger(0); _ = far.Close() }, Closed},
 		{"closed here", func(near, _ *net.TCPConn) { _ = near.Close() }, Closed},
--- a/internal/process/beechgate/gate.go
+++ b/internal/process/beechgate/gate.go
@@ -95,7 +95,8 @@
 		origins         *origins
 		core            *beechattempt.Dispatcher
 		socket          *beechdatagram.Socket
-		readers         *beechreader.Group // gates that read the store for this one
+		callers         *beechsocket.Watcher // notices callers that leave
+		readers         *beechreader.Group   // gates that read the store for this one
 		operatorMirror  *beechmirror.Mirror
 		serverMirror    *beechmirror.Mirror
 		supervisor      *suture.Supervisor
@@ -163,8 +164,12 @@
 	if err != nil {
 		return nil, err
 	}
+	callers, err := beechsocket.NewWatcher(deps.Clock)
+	if err != nil {
+		return nil, err
+	}
 	g := &Gate{
-		settings: s, deps: deps, log: deps.Log, clock: deps.Clock, socket: socket,
+		settings: s, deps: deps, log: deps.Log, clock: deps.Clock, socket: socket, callers: callers,
 		readers:   beechreader.New(socket.Address()),
 		board:     beechsummary.New(beechsummary.DefaultSettings, deps.Clock),
 		totals:    beechsummary.NewTotals(),
@@ -221,6 +226,7 @@
 		{Name: "send overloads", Run: g.sendOverloads},
 		{Name: "send poison", Run: g.sendPoison},
 		{Name: "watch processor", Run: g.watchProcessor},
+		{Name: "watch callers", Run: g.callers.Run},
 		{Name: "log traffic", Run: g.logTraffic},
 		{Name: "tick", Run: g.tick},
 		{Name: "probe KV cache stores", Run: g.probeKVStores},
@@ -275,7 +281,7 @@
 	readyServer := &http.Server{Handler: ready, ReadHeaderTimeout: headerTimeout, ErrorLog: zap.NewStdLog(g.log)}
 	failed := make(chan error, 3)
 	go func() {
-		failed <- server.Serve(beechframing.Listen(sheddingListener{Listener: callerListener, gate: g}))
+		failed <- server.Serve(beechframing.Listen(g.callers.Listen(sheddingListener{Listener: callerListener, gate: g})))
 	}()
 	go func() { failed <- readyServer.Serve(readyListener) }()
 	go func() { failed <- copyServer.Serve(copyListener) }()
@@ -289,7 +295,7 @@
 	g.stop(server, readyServer)
 	stop()
 	<-supervised
-	return nil
+	return g.callers.Close()
 }
 
 // stop reports the gate as not ready, still accepts connections until the load balancer has
--- a/internal/request/beechattempt/run.go
+++ b/internal/request/beechattempt/run.go
@@ -178,9 +178,7 @@
 
 // attemptReset records that the attempt was withdrawn, if that was for its caller's departure.
 func (r *execution) attemptReset(told bool) {
-	if isDone(r.callerCtx) {
-		r.departure.notice()
-	}
+	r.callerLeft()
 	r.departure.reset(told)
 }
 
