Gate: departures are served before new connections

What callers saw: nothing, if they had left; servers worked on for them for seconds, and callers that stayed waited for servers that did so. Cause: a host that is sent more than its processor can do accepts connections as fast as they come. The scheduler runs goroutines that were just made first and those that wait for the network last, so the close of a caller is noticed after all new requests have been read, and its server is told after that once more, since the withdrawal ran in a goroutine of its own (context.AfterFunc). Change: the pool withdraws an exchange from the watcher itself, and new connections wait in a queue (beechaccept) until all other work that is ready has run. Why it works: the watcher is woken by a timer, which the runtime runs before other work, and what is ready to run stays short, since new work is let in last.

--- a/internal/link/beechpool/pool.go
+++ b/internal/link/beechpool/pool.go
@@ -206,7 +206,7 @@
 		c.release()
 		return nil, &DialError{Peer: peer, Err: err}
 	}
-	stop := context.AfterFunc(ctx, func() { c.withdraw(conditions.Reset) })
+	stop := c.withdrawAtEnd(ctx, conditions.Reset)
 	response, failed := c.exchange(r, conditions.Matches)
 	if failed != nil {
 		stop()
@@ -380,6 +380,18 @@
 	})
 }
 
+// withdrawAtEnd withdraws the exchange when the context ends or the caller of its request departs.
+// Stop prevents that, and returns false if it has begun.
+func (c *conn) withdrawAtEnd(ctx context.Context, report func(told bool)) (stop func() bool) {
+	withdraw := sync.OnceFunc(func() { c.withdraw(report) })
+	stopContext := context.AfterFunc(ctx, withdraw)
+	stopDeparture := beechsocket.AfterDeparture(ctx, withdraw)
+	return func() bool {
+		endedByContext, departed := !stopContext(), !stopDeparture()
+		return !endedByContext && !departed
+	}
+}
+
 // withdraw resets a connection with an exchange under way, and reports whether it was still alive.
 func (c *conn) withdraw(report func(told bool)) {
 	alive := beechsocket.Look(c.Conn) != beechsocket.Closed
--- a/internal/process/beechgate/gate.go
+++ b/internal/process/beechgate/gate.go
@@ -281,7 +281,7 @@
 	readyServer := &http.Server{Handler: ready, ReadHeaderTimeout: headerTimeout, ErrorLog: zap.NewStdLog(g.log)}
 	failed := make(chan error, 3)
 	go func() {
-		failed <- server.Serve(beechframing.Listen(g.callers.Listen(sheddingListener{Listener: callerListener, gate: g})))
+		failed <- server.Serve(beechframing.Listen(g.listenForCallers(callerListener)))
 	}()
 	go func() { failed <- readyServer.Serve(readyListener) }()
 	go func() { failed <- copyServer.Serve(copyListener) }()
--- a/internal/process/beechgate/processor.go
+++ b/internal/process/beechgate/processor.go
@@ -9,16 +9,11 @@
 	"go.uber.org/zap"
 
 	"github.com/beechring/beechring/internal/decision/beechoverload"
+	"github.com/beechring/beechring/internal/link/beechaccept"
 	"github.com/beechring/beechring/internal/process/beechtask"
 )
 
 type (
-	// sheddingListener closes new connections unread while the processor cannot keep up.
-	sheddingListener struct {
-		net.Listener
-		gate *Gate
-	}
-
 	// schedulingDelays measures for how long goroutines that could run have waited for the
 	// processor. It is not safe for concurrent use.
 	schedulingDelays struct {
@@ -64,6 +59,14 @@
 	return percentile(50), percentile(99)
 }
 
+// listenForCallers returns a listener whose connections wait until the process has done its other
+// work, and are closed unread while the processor cannot keep up.
+func (g *Gate) listenForCallers(l net.Listener) net.Listener {
+	return beechaccept.Listen(g.callers.Listen(l), beechaccept.Settings{
+		TurnsAway: g.overload.TurnsAway, TurnedAway: func() { g.metrics.turnedAway.Add(1) },
+	}, g.clock)
+}
+
 // watchProcessor measures whether the processor keeps up.
 func (g *Gate) watchProcessor(ctx context.Context) error {
 	delays := newSchedulingDelays()
@@ -79,15 +82,3 @@
 		}
 	})
 }
-
-// Accept returns the next connection that is not turned away.
-func (l sheddingListener) Accept() (net.Conn, error) {
-	for {
-		c, err := l.Listener.Accept()
-		if err != nil || !l.gate.overload.TurnsAway() {
-			return c, err
-		}
-		l.gate.metrics.turnedAway.Add(1)
-		_ = c.Close()
-	}
-}
