Gate: an overload is measured by the wait of new connections

What callers saw: at a host that is sent more than it can do, no answer until their deadlines, where another host could have served them. Cause: connections are turned away once the median scheduling delay has been 50 ms for a second. What has just arrived runs first, so most delays stay short while the rest waits for seconds: an average over all hides who waits. Change: the measure is the shortest wait of new connections, which are taken after all other work, in each sample; one that has waited for 500 ms is closed unread, so that its caller may go elsewhere. Why it works: only a queue that stands has no short wait, and a host that is behind has one there and nowhere else.

--- a/internal/command/beechplay/departed_test.go
+++ b/internal/command/beechplay/departed_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net"
 	"os"
+	"path/filepath"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -130,6 +131,39 @@
 	is.NoErr(w.Close())
 }
 
+// TestOverloadedGateTurnsConnectionsAway guards against an overload that goes unnoticed since what
+// has just arrived is served first.
+func TestOverloadedGateTurnsConnectionsAway(t *testing.T) {
+	is := is.New(t)
+	t.Setenv("GOMAXPROCS", "1")
+	folder := beechtrace.Folder(t)
+	w, err := NewCluster(processLauncher{t: t, program: buildProgram(t), folder: folder})
+	is.NoErr(err)
+	w.Configure(1, nil)
+	w.SetWeights(1)
+	is.NoErr(w.AddGate("gate", beechsettings.GateBounds{
+		Revoke: beechsettings.Duration(revokeBound), Grace: beechsettings.Duration(3 * time.Second), Weights: beechsettings.Duration(8 * time.Second), Retries: 0.2, Spare: 400,
+	}))
+	for end := time.Now().Add(10 * time.Second); !logged(t, folder, "configuration in force") && time.Now().Before(end); {
+		time.Sleep(50 * time.Millisecond)
+	}
+	stop, sent := flood(t, w.Places["gate"].String(), 2000)
+	time.Sleep(4 * time.Second)
+	stop()
+	t.Logf("%d connections", sent())
+	is.True(logged(t, folder, `"message":"processor overload changed","process":"gate","overloaded":true`))
+	is.NoErr(w.Close())
+}
+
+func logged(t *testing.T, folder, text string) bool {
+	t.Helper()
+	data, err := os.ReadFile(filepath.Join(folder, "gate.log"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	return bytes.Contains(data, []byte(text))
+}
+
 // flood opens connections, sends a request with a long prompt to a service without servers on each,
 // and resets it, from as many goroutines as given, until it is stopped.
 func flood(t *testing.T, address string, flooders int) (stop func(), sent func() int64) {
--- a/internal/decision/beechoverload/detector.go
+++ b/internal/decision/beechoverload/detector.go
@@ -41,7 +41,7 @@
 	return &Detector{clock: clock, random: random, now: clock.Now(), share: 1}
 }
 
-// Observe records the median scheduling delay since the last call.
+// Observe records the shortest wait of a new connection since the last call; 0: there was none.
 func (d *Detector) Observe(delay time.Duration) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
--- a/internal/decision/beechoverload/doc.go
+++ b/internal/decision/beechoverload/doc.go
@@ -10,11 +10,13 @@
 //
 // # Algorithm
 //
-// The measure is the scheduling delay: for how long work that is ready to run waits for the
-// processor. It is the same for all work of the process, grows without bound beyond the capacity,
-// and is close to nothing below it, whatever the requests cost.
+// The measure is the wait of new connections that are taken only when all other work that is ready
+// has run (package beechaccept), and of these the shortest in a sample. It grows without bound beyond
+// the capacity, and is close to nothing below it, whatever the requests cost. The mean or the median
+// delay of all work is no measure: the scheduler serves what has just arrived first, so that most
+// delays stay short while the rest waits for seconds.
 //
-// New connections are turned away once the median delay has exceeded overloadDelay for sustainTime.
+// New connections are turned away once the wait has exceeded overloadDelay for sustainTime.
 // A process that starts, or whose callers reconnect together, is behind for less than that. For
 // guardTime after the last such delay, each single sample decides: while the process is behind it
 // takes no new connections, and when it has caught up a share of them, which falls by half with each
@@ -22,8 +24,8 @@
 //
 // # Thresholds
 //
-// 50 ms of delay at each step of a request are some hundred for its first byte, as much as the
-// shortest objectives. One second is what callers wait for their requests to be read.
+// 50 ms of waiting are half of the shortest objectives. One second is what callers wait for their
+// requests to be read.
 //
 // # Invalid input
 //
--- a/internal/process/beechgate/gate.go
+++ b/internal/process/beechgate/gate.go
@@ -28,6 +28,7 @@
 	"github.com/beechring/beechring/internal/decision/beechsummary"
 	"github.com/beechring/beechring/internal/decision/beechsuspect"
 	"github.com/beechring/beechring/internal/decision/beechthrottle"
+	"github.com/beechring/beechring/internal/link/beechaccept"
 	"github.com/beechring/beechring/internal/link/beechdatagram"
 	"github.com/beechring/beechring/internal/link/beechframing"
 	"github.com/beechring/beechring/internal/link/beechpool"
@@ -96,7 +97,8 @@
 		core            *beechattempt.Dispatcher
 		socket          *beechdatagram.Socket
 		callers         *beechsocket.Watcher // notices callers that leave
-		readers         *beechreader.Group   // gates that read the store for this one
+		queue           atomic.Pointer[beechaccept.Queue]
+		readers         *beechreader.Group // gates that read the store for this one
 		operatorMirror  *beechmirror.Mirror
 		serverMirror    *beechmirror.Mirror
 		supervisor      *suture.Supervisor
--- a/internal/process/beechgate/metrics.go
+++ b/internal/process/beechgate/metrics.go
@@ -38,6 +38,7 @@
 		withdrawn         *beechmetric.Latency // from then until the attempt was withdrawn
 		withdrawals       *expvar.Map          // attempts of callers that left, by outcome
 		schedulingTail    *expvar.Int          // 99th percentile in microseconds
+		acceptWait        *expvar.Int          // shortest wait of new connections in microseconds
 	}
 )
 
@@ -47,7 +48,7 @@
 		proofs: new(expvar.Map), bodies: new(expvar.Map), unknownSenders: new(expvar.Int), invalidGossip: new(expvar.Int), copiesFetched: new(expvar.Int), lent: new(expvar.Int),
 		limitLinesDropped: new(expvar.Int), lateVersions: new(expvar.Int), invalidEntries: new(expvar.Int), firstByte: beechmetric.NewLatency(), wholeAnswer: beechmetric.NewLatency(),
 		resumed: new(expvar.Map), turnedAway: new(expvar.Int), schedulingDelay: new(expvar.Int), departed: new(expvar.Map), departedAfter: beechmetric.NewLatency(),
-		unnoticed: beechmetric.NewLatency(), withdrawn: beechmetric.NewLatency(), withdrawals: new(expvar.Map), schedulingTail: new(expvar.Int),
+		unnoticed: beechmetric.NewLatency(), withdrawn: beechmetric.NewLatency(), withdrawals: new(expvar.Map), schedulingTail: new(expvar.Int), acceptWait: new(expvar.Int),
 	}
 	m.vars.Set("endings", m.endings)
 	m.vars.Set("retried", m.retried)
@@ -87,6 +88,7 @@
 	m.vars.Set("withdrawnMicros", expvar.Func(m.withdrawn.Percentiles))
 	m.vars.Set("withdrawals", m.withdrawals)
 	m.vars.Set("schedulingDelayTailMicros", m.schedulingTail)
+	m.vars.Set("acceptWaitMicros", m.acceptWait)
 	m.vars.Set("configurationAgeMillis", expvar.Func(func() any { return g.freshness.Age().Milliseconds() }))
 	m.vars.Set("configurationVersion", expvar.Func(func() any {
 		if c := g.configuration.Load(); c != nil {
--- a/internal/process/beechgate/processor.go
+++ b/internal/process/beechgate/processor.go
@@ -22,9 +22,14 @@
 	}
 )
 
-// minDelays is the number of delays without which there is no median: a process that does nothing is
-// not behind.
-const minDelays = 16
+const (
+	// minDelays is the number of delays without which there is no median: a process that does
+	// nothing is not behind.
+	minDelays = 16
+	// maxUnreadTime is how long a new connection may wait to be read. Callers wait for a second,
+	// or a third of the time that they have.
+	maxUnreadTime = 500 * time.Millisecond
+)
 
 func newSchedulingDelays() *schedulingDelays {
 	return &schedulingDelays{sample: []runtimemetrics.Sample{{Name: "/sched/latencies:seconds"}}}
@@ -60,11 +65,13 @@
 }
 
 // listenForCallers returns a listener whose connections wait until the process has done its other
-// work, and are closed unread while the processor cannot keep up.
+// work, and are closed unread if they wait for too long or while the processor cannot keep up.
 func (g *Gate) listenForCallers(l net.Listener) net.Listener {
-	return beechaccept.Listen(g.callers.Listen(l), beechaccept.Settings{
-		TurnsAway: g.overload.TurnsAway, TurnedAway: func() { g.metrics.turnedAway.Add(1) },
+	queue := beechaccept.Listen(g.callers.Listen(l), beechaccept.Settings{
+		MaxWait: maxUnreadTime, TurnsAway: g.overload.TurnsAway, TurnedAway: func() { g.metrics.turnedAway.Add(1) },
 	}, g.clock)
+	g.queue.Store(queue)
+	return queue
 }
 
 // watchProcessor measures whether the processor keeps up.
@@ -75,10 +82,15 @@
 		median, tail := delays.next()
 		g.metrics.schedulingDelay.Set(median.Microseconds())
 		g.metrics.schedulingTail.Set(tail.Microseconds())
-		g.overload.Observe(median)
+		wait := time.Duration(0)
+		if queue := g.queue.Load(); queue != nil {
+			wait = queue.TakeWait()
+		}
+		g.metrics.acceptWait.Set(wait.Microseconds())
+		g.overload.Observe(wait)
 		if now := g.overload.Guarded(); now != guarded {
 			guarded = now
-			g.log.Warn("processor overload changed", zap.Bool("overloaded", guarded), zap.Duration("delay", median), zap.Int64("turnedAway", g.metrics.turnedAway.Value()))
+			g.log.Warn("processor overload changed", zap.Bool("overloaded", guarded), zap.Duration("wait", wait), zap.Duration("delay", median), zap.Int64("turnedAway", g.metrics.turnedAway.Value()))
 		}
 	})
 }
--- a/internal/process/beechgate/processor_test.go
+++ b/internal/process/beechgate/processor_test.go
@@ -10,8 +10,8 @@
 	"github.com/matryer/is"
 )
 
-// The delay that overload is recognized by is that of work which waits for the processor, and next
-// to nothing for work that waits for anything else.
+// The delay that is published is that of work which waits for the processor, and next to nothing for
+// work that waits for anything else.
 func TestSchedulingDelayTellsOverload(t *testing.T) {
 	is := is.New(t)
 	delays := newSchedulingDelays()
