Entry hosts: departures are noticed whatever callers have sent, and before new connections

What callers saw: nothing; agents went on with answers for callers that had sent a byte, a line end or their next request and left. Cause: the same as at the gate (net/http's background reader stops at the first byte beyond a request; new connections are read first). Change: the same watcher and queue; nothing is turned away here. Under TLS the connection below is watched. What has been sent still goes on for its grace period when its caller detaches, by design. Why it works: as at the gate.

--- a/internal/process/beechentry/departed_test.go
+++ b/internal/process/beechentry/departed_test.go
@@ -35,6 +35,53 @@
 	is.Equal(a.opened.Load()-before, int32(0))
 }
 
+// TestBytesBeyondACompletionDoNotHideADeparture guards against streams that go on since their callers
+// have sent bytes beyond their requests before they left.
+func TestBytesBeyondACompletionDoNotHideADeparture(t *testing.T) {
+	for _, extra := range []string{"", "G", "\r\n", "GET /next HTTP/1.1\r\nHost: h\r\n\r\n"} {
+		for _, way := range []struct {
+			name  string
+			leave func(c *net.TCPConn)
+		}{
+			{"closed", func(c *net.TCPConn) { _ = c.Close() }},
+			{"reset", func(c *net.TCPConn) { _ = c.SetLinger(0); _ = c.Close() }},
+			{"half closed", func(c *net.TCPConn) { _ = c.CloseWrite() }},
+		} {
+			t.Run(way.name+" behind "+extra, func(t *testing.T) {
+				t.Parallel()
+				is := is.New(t)
+				a := newLinkedAgent(t)
+				close(a.release)
+				e := newTestEntry(t, a)
+				serveTestEntry(t, e)
+				waitUntil(t, "an answer", func() bool {
+					status, _, err := sendCompletion(t.Context(), e, "")
+					return err == nil && status == http.StatusOK
+				})
+				a.silent.Store(true)
+				t.Cleanup(func() { close(a.quit) })
+				before := a.opened.Load()
+				request, err := newCompletion(t.Context(), e)
+				is.NoErr(err)
+				connection, err := net.Dial("tcp", e.listener.Addr().String())
+				is.NoErr(err)
+				defer connection.Close()
+				is.NoErr(request.Write(connection))
+				waitUntil(t, "the stream is open", func() bool { return a.opened.Load() > before })
+				_, err = connection.Write([]byte(extra))
+				is.NoErr(err)
+				time.Sleep(100 * time.Millisecond)
+				way.leave(connection.(*net.TCPConn))
+				select {
+				case <-a.ended:
+				case <-time.After(500 * time.Millisecond):
+					t.Fatal("the stream goes on")
+				}
+			})
+		}
+	}
+}
+
 // sendAndClose sends the end of a request and the close of its connection in one segment.
 func sendAndClose(t *testing.T, address string, request []byte) {
 	is := is.New(t)
--- a/internal/process/beechentry/entry.go
+++ b/internal/process/beechentry/entry.go
@@ -23,6 +23,7 @@
 	"github.com/beechring/beechring/internal/decision/beechpoison"
 	"github.com/beechring/beechring/internal/decision/beechretry"
 	"github.com/beechring/beechring/internal/decision/beechsuspect"
+	"github.com/beechring/beechring/internal/link/beechaccept"
 	"github.com/beechring/beechring/internal/link/beechsocket"
 	"github.com/beechring/beechring/internal/link/beechwire"
 	"github.com/beechring/beechring/internal/process/beechburn"
@@ -68,6 +69,7 @@
 
 		http         *http.Server
 		listener     net.Listener
+		callers      *beechsocket.Watcher // notices callers that leave
 		supervisor   *suture.Supervisor
 		draining     atomic.Bool
 		restored     atomic.Bool // the start-up restore of shared state has run, successfully or not
@@ -100,6 +102,12 @@
 	if err != nil {
 		return nil, fmt.Errorf("listen for callers on %s: %w", settings.Listen, err)
 	}
+	callers, err := beechsocket.NewWatcher(d.Clock)
+	if err != nil {
+		_ = listener.Close()
+		return nil, err
+	}
+	listener = beechaccept.Listen(callers.Listen(listener), beechaccept.Settings{}, d.Clock)
 	if d.TLS != nil {
 		listener = tls.NewListener(listener, d.TLS)
 	}
@@ -120,6 +128,7 @@
 		signer:   newStreamSigner(settings.Secret),
 		startup:  newStartup(d.Clock),
 		listener: listener,
+		callers:  callers,
 	}
 	e.poison = beechpoison.New(d.Clock, e.poisonTurn, func() { e.fleet.dialer.PushHeartbeat() })
 	e.fleet = newFleet(e, d.LinkTLS)
@@ -132,7 +141,8 @@
 		ConnContext:       beechsocket.ConnContext,
 	}
 	if err := e.supervise(); err != nil {
-		listener.Close()
+		_ = listener.Close()
+		_ = callers.Close()
 		return nil, err
 	}
 	e.warnWithoutTLS(d)
@@ -154,6 +164,7 @@
 	e.supervisor.Add(beechtask.Task{Name: "health", Run: e.tickHealth})
 	e.supervisor.Add(beechtask.Task{Name: "cache changes", Run: e.watchCaches})
 	e.supervisor.Add(beechtask.Task{Name: "share", Run: e.shareState})
+	e.supervisor.Add(beechtask.Task{Name: "watch callers", Run: e.callers.Run})
 	return nil
 }
 
@@ -179,7 +190,7 @@
 	<-supervised
 	e.fleet.close()
 	e.log.Info("entry stopped", zap.Error(err))
-	return err
+	return errors.Join(err, e.callers.Close())
 }
 
 // drain waits for the open requests to finish. The platform's load balancer is
--- a/internal/process/beechentry/restart_test.go
+++ b/internal/process/beechentry/restart_test.go
@@ -34,6 +34,9 @@
 	asked         chan struct{} // receives a value for each call for the configuration
 	release       chan struct{}
 	opened        atomic.Int32
+	silent        atomic.Bool   // streams get no answer
+	quit          chan struct{} // ends them
+	ended         chan struct{} // receives a value for each stream without an answer that the entry has ended
 }
 
 const (
@@ -66,6 +69,8 @@
 		configuration: data,
 		asked:         make(chan struct{}, 64),
 		release:       make(chan struct{}),
+		ended:         make(chan struct{}, 64),
+		quit:          make(chan struct{}),
 	}
 	a.server = beechlink.NewServer(beechlink.Settings{Key: testSecret}, a.hello, a, a, a, a, nil, clockwork.NewRealClock())
 	ctx, stop := context.WithCancel(context.Background())
@@ -114,6 +119,14 @@
 // Open implements beechlink.StreamHandler.
 func (a *linkedAgent) Open(ctx context.Context, s beechlink.ServerStream, _ *beechwire.Request, _ []byte) {
 	a.opened.Add(1)
+	if a.silent.Load() {
+		select {
+		case <-ctx.Done():
+			a.ended <- struct{}{}
+		case <-a.quit:
+		}
+		return
+	}
 	_ = s.Send(ctx, beechlink.HeadReply{Head: beechwire.Head{Status: http.StatusOK, ContentType: eventStream, Incarnation: 1}})
 	_ = s.Send(ctx, beechlink.DataReply{Data: beechwire.Data{Sequence: 1, Data: []byte(`{"choices":[{"text":"a"}]}`)}})
 	_ = s.Send(ctx, beechlink.EndReply{End: beechwire.End{Last: 1}})
