Soak: callers leave the middle of streams, and nothing of theirs may run on

One of four callers of streams leaves between 50 ms and 1.5 s, half of them with a byte, a line end or the next request behind their request, in three ways; half a second later nothing of theirs may still run, at gates in touch and unless the machine stood still.

--- a/internal/command/beechplay/soak_test.go
+++ b/internal/command/beechplay/soak_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"context"
 	"encoding/json"
 	"errors"
 	"flag"
@@ -88,6 +89,8 @@
 		answered        int
 		disturbances    []time.Time // when a gate was killed, stopped, suspended or resumed
 		limitSpans      []limitSpan
+		leavings        map[string]*leaving  // callers that left the middle of a stream
+		stalls          []time.Time          // when the machine had stood still
 		departedAt      map[string]time.Time // when a caller closed its connection without an answer
 		disturbedAt     map[string][]time.Time
 		poisonSentAt    map[string]time.Time // requests on which engines crash
@@ -209,9 +212,12 @@
 	}
 	s := &soak{
 		t: t, seed: seed, cluster: w, random: rand.New(rand.NewPCG(seed, seed)), client: &http.Client{Timeout: 7 * time.Second},
-		statuses: make(map[string]int), atMostOnce: make(map[string]bool), revocableSentAt: make(map[string]time.Time), departedAt: make(map[string]time.Time),
+		statuses: make(map[string]int), atMostOnce: make(map[string]bool), revocableSentAt: make(map[string]time.Time), departedAt: make(map[string]time.Time), leavings: make(map[string]*leaving),
 		disturbedAt: make(map[string][]time.Time), poisonSentAt: make(map[string]time.Time), poisonGate: make(map[string]string),
 	}
+	ctx, stop := context.WithCancel(t.Context())
+	defer stop()
+	go s.watchStalls(ctx)
 	s.deploy()
 	s.copied = w.Store.Snapshot()
 	s.sendRequests()
@@ -269,6 +275,7 @@
 	draw := rand.New(rand.NewPCG(s.random.Uint64(), 1))
 	departures := rand.New(rand.NewPCG(s.seed, 2)) // of its own, so that a seed's other draws stay as they were
 	skew := rand.New(rand.NewPCG(s.seed, 4))
+	midway := rand.New(rand.NewPCG(s.seed, 6))
 	for n, end := 0, time.Now().Add(soakDuration); time.Now().Before(end); n++ {
 		path, key := []string{"/pick/", "/card/", "/label/", "/check/"}[draw.IntN(4)], Key
 		if draw.IntN(5) == 0 {
@@ -282,6 +289,9 @@
 			patience := time.Duration(departures.Int64N(int64(maxPatience)))
 			callers.Go(func() { s.sendAndDepart(fmt.Sprintf("departing-%d", n), gate, path, patience) })
 		}
+		if l := drawLeaving(midway, gate); l != nil && (path == "/pick/" || path == "/card/") {
+			callers.Go(func() { s.leaveMidway(fmt.Sprintf("leaving-%d", n), path, l) })
+		}
 		callers.Add(1)
 		go func() {
 			defer callers.Done()
@@ -507,6 +517,7 @@
 	}
 	s.checkLimits()
 	s.checkDepartures()
+	s.checkLeavings()
 	s.checkPoison()
 	for name, p := range s.cluster.processes {
 		if p.(*childProcess).exitedUnexpectedly() {
