--- a/internal/link/beechsocket/watcher_test.go
+++ b/internal/link/beechsocket/watcher_test.go
@@ -152,3 +152,38 @@
 	is.True(Departed(ctx))
 	is.True(stop())
 }
+
+func benchmarkAccept(b *testing.B, listen func(net.Listener) net.Listener) {
+	inner, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		b.Fatal(err)
+	}
+	defer inner.Close()
+	l := listen(inner)
+	b.ReportAllocs()
+	for b.Loop() {
+		far, err := net.Dial("tcp4", inner.Addr().String())
+		if err != nil {
+			b.Fatal(err)
+		}
+		near, err := l.Accept()
+		if err != nil {
+			b.Fatal(err)
+		}
+		_ = ConnContext(context.Background(), near)
+		_ = near.Close()
+		_ = far.Close()
+	}
+}
+
+func BenchmarkAccept(b *testing.B) {
+	b.Run("plain", func(b *testing.B) { benchmarkAccept(b, func(l net.Listener) net.Listener { return l }) })
+	b.Run("watched", func(b *testing.B) {
+		w, err := NewWatcher(clockwork.NewRealClock())
+		if err != nil {
+			b.Fatal(err)
+		}
+		defer w.Close()
+		benchmarkAccept(b, w.Listen)
+	})
+}
