Rails for the parts under load: pressure datagrams, slowness of a server's host, urgency of a call

Interfaces first, so that the parts can be built side by side.

The urgency of a call moves from beechattempt to beechcall unchanged, since admission and placement need it too.

go test of the packages touched: green.

--- a/internal/link/beechdatagram/datagram.go
+++ b/internal/link/beechdatagram/datagram.go
@@ -32,7 +32,7 @@
 type (
 	// Message is a Follow, a Tell, an Announce, an Inquiry, a Proof, an
 	// Entries, a Gossip, a Summary, a Recall, a Borrow, a Loan, a Spent, a Limits, a Full, an
-	// Origins, a Query, a Found or a Poison.
+	// Origins, a Query, a Found, a Poison or a Pressure.
 	Message interface{ message() }
 
 	// Follow is sent by a gate to a keeper: it asks for the engine's state, and names
@@ -92,6 +92,10 @@
 	// Poison is exchanged by gates, and by gates and keepers: what servers crashed on.
 	Poison struct{ *beechwire.Poison }
 
+	// Pressure is sent by a keeper or a gate to a collector, and by a collector to gates: how the
+	// hosts of engines do at this moment, and what services are asked for.
+	Pressure struct{ *beechwire.Pressure }
+
 	// Scope tells whether a datagram leaves its availability zone. Traffic between
 	// zones is billed by the byte.
 	Scope bool
@@ -129,6 +133,7 @@
 	kindQuery        = 'Q'
 	kindFound        = 'D'
 	kindPoison       = 'P'
+	kindPressure     = 'R'
 	maxDatagramBytes = 16 << 10
 )
 
@@ -152,6 +157,7 @@
 func (Query) message()    {}
 func (Found) message()    {}
 func (Poison) message()   {}
+func (Pressure) message() {}
 
 // Open binds a UDP socket to an address.
 func Open(address netip.AddrPort) (*Socket, error) {
@@ -201,6 +207,8 @@
 		return v.MarshalMsg([]byte{kindFound})
 	case Poison:
 		return v.MarshalMsg([]byte{kindPoison})
+	case Pressure:
+		return v.MarshalMsg([]byte{kindPressure})
 	}
 	return nil, errUnknownKind
 }
@@ -278,6 +286,9 @@
 	case kindPoison:
 		m := &beechwire.Poison{}
 		return Poison{m}, m
+	case kindPressure:
+		m := &beechwire.Pressure{}
+		return Pressure{m}, m
 	}
 	return nil, nil
 }
@@ -346,6 +357,8 @@
 		return "found"
 	case kindPoison:
 		return "poison"
+	case kindPressure:
+		return "pressure"
 	}
 	return "unknown"
 }
--- a/internal/link/beechdatagram/datagram_test.go
+++ b/internal/link/beechdatagram/datagram_test.go
@@ -36,6 +36,10 @@
 		Pass: true, Crashes: []beechwire.ServerCrash{{Server: 1 << 63, AgeMillis: 40, Suspects: []beechwire.CrashSuspect{{Key: 1 << 62, Rank: 1, Workspace: 1 << 31}}}},
 		Starts: []beechwire.TraitEvent{{Key: 1 << 61, AgeMillis: 30}}, Trials: []beechwire.TraitEvent{{Key: 1 << 62, AgeMillis: 20}},
 	}},
+	Pressure{&beechwire.Pressure{
+		Pass: true, Millis: 250, Strains: []beechwire.Strain{{Host: "\x0a\x01\x00\x1e", Number: 1 << 31, Slow: 250, Ranks: []beechwire.RankLoad{{Urgency: 3, Run: 7, Used: 64000}}}},
+		Demands: []beechwire.Demand{{Service: 1 << 63, Urgency: 3, Workspace: 1 << 31, Asked: 9, Refused: 2, Work: 80000}},
+	}},
 	Recall{&beechwire.Recall{Hosts: []string{"\x0a\x01\x00\x1e"}}},
 	Proof{&beechwire.Proof{Number: 7, Operators: beechwire.Held{Digest: 1 << 63, Revision: 40, Age: 1300, Watched: true}, Servers: beechwire.Held{Age: -1}}},
 	Spent{&beechwire.Spent{Host: 1 << 63, Lifetime: 2, Pass: true, Settled: true, Uses: []beechwire.Use{{Workspace: 1 << 60, Total: 9200, Level: -5}}}},
--- a/internal/link/beechwire/wire_gen.go
+++ b/internal/link/beechwire/wire_gen.go
@@ -2,7 +2,7 @@
 
 //msgp:ignore WireSchemaJson
 //msgp:limit arrays:65536
-//msgp:tuple Follow Announce Tell Target Weights Inquiry Entry Entries Node Gossip Status Engine Heard Speed Busy Summary Recall Held Proof Borrow Loan Origins Query Found Use Spent Seen Limit Limits Full FullServer CrashSuspect ServerCrash TraitEvent Poison
+//msgp:tuple Follow Announce Tell Target Weights Inquiry Entry Entries Node Gossip Status Engine Heard Speed Busy Summary Recall Held Proof Borrow Loan Origins Query Found Use Spent Seen Limit Limits Full FullServer CrashSuspect ServerCrash TraitEvent Poison RankLoad Strain Demand Pressure
 
 package beechwire
 
@@ -256,6 +256,28 @@
 	Tag uint32 `msg:"Tag"`
 }
 
+// Demand is what a service was asked for by callers of one urgency since the last
+// message.
+type Demand struct {
+	// Requests, refused ones included.
+	Asked int `msg:"Asked"`
+
+	// Requests that were refused for want of room.
+	Refused int `msg:"Refused"`
+
+	// Hash of the service's name.
+	Service uint64 `msg:"Service"`
+
+	// 0 is the most urgent.
+	Urgency int `msg:"Urgency"`
+
+	// Work that was asked for, in tokens.
+	Work int `msg:"Work"`
+
+	// Hash of the workspace's name; 0: all.
+	Workspace uint32 `msg:"Workspace"`
+}
+
 // End closes a stream after a complete response. Last is the sequence of the last
 // Data.
 type End struct {
@@ -802,6 +824,26 @@
 	Trials []TraitEvent `msg:"Trials"`
 }
 
+// Pressure is the datagram in which a keeper tells collectors how its engine's
+// host does, a gate tells a collector what it was asked for, and a collector tells
+// gates both.
+type Pressure struct {
+	// Demands corresponds to the JSON schema field "Demands".
+	Demands []Demand `msg:"Demands"`
+
+	// Gates that the receiver forwards the datagram to, IP and port in binary form.
+	Forward []string `msg:"Forward"`
+
+	// Time that the demands cover, in milliseconds.
+	Millis int64 `msg:"Millis"`
+
+	// The receiver hands it on to the gates of its zone.
+	Pass bool `msg:"Pass"`
+
+	// Strains corresponds to the JSON schema field "Strains".
+	Strains []Strain `msg:"Strains"`
+}
+
 // Proof answers an Inquiry. Number 0 tells that a copy has changed.
 type Proof struct {
 	// Number corresponds to the JSON schema field "Number".
@@ -826,6 +868,18 @@
 	Service string `msg:"Service"`
 }
 
+// RankLoad is what an engine runs of one urgency.
+type RankLoad struct {
+	// Running requests.
+	Run int `msg:"Run"`
+
+	// 0 is the most urgent.
+	Urgency int `msg:"Urgency"`
+
+	// Tokens of these in the engine's memory.
+	Used int `msg:"Used"`
+}
+
 // Reattach joins a generation that is running or has recently ended at the agent.
 type Reattach struct {
 	// Sequence of the last Data that the caller has; 0: none.
@@ -1118,6 +1172,23 @@
 	Tries int `msg:"Tries"`
 }
 
+// Strain is how an engine's host does at this moment, and for whom the engine
+// works.
+type Strain struct {
+	// IP of the engine in binary form; empty: that of the sender.
+	Host string `msg:"Host"`
+
+	// Increases with each message of the keeper.
+	Number uint32 `msg:"Number"`
+
+	// Urgencies of which the engine runs requests.
+	Ranks []RankLoad `msg:"Ranks"`
+
+	// How long work takes on the host at this moment, in percent of the usual; 0: not
+	// known.
+	Slow int `msg:"Slow"`
+}
+
 // Summary is the datagram in which a collector tells the gates of its availability
 // zone, or a collector of another zone, what has changed at all engines. A gate
 // sends its own measurements to a collector in the same form.
--- a/internal/link/beechwire/wire_msgp_gen.go
+++ b/internal/link/beechwire/wire_msgp_gen.go
@@ -1831,6 +1831,72 @@
 	return
 }
 
+// MarshalMsg implements msgp.Marshaler
+func (z *Demand) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// array header, size 6
+	o = append(o, 0x96)
+	o = msgp.AppendInt(o, z.Asked)
+	o = msgp.AppendInt(o, z.Refused)
+	o = msgp.AppendUint64(o, z.Service)
+	o = msgp.AppendInt(o, z.Urgency)
+	o = msgp.AppendInt(o, z.Work)
+	o = msgp.AppendUint32(o, z.Workspace)
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *Demand) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadArrayHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 != 6 {
+		err = msgp.ArrayError{Wanted: 6, Got: zb0001}
+		return
+	}
+	z.Asked, bts, err = msgp.ReadIntBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Asked")
+		return
+	}
+	z.Refused, bts, err = msgp.ReadIntBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Refused")
+		return
+	}
+	z.Service, bts, err = msgp.ReadUint64Bytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Service")
+		return
+	}
+	z.Urgency, bts, err = msgp.ReadIntBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Urgency")
+		return
+	}
+	z.Work, bts, err = msgp.ReadIntBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Work")
+		return
+	}
+	z.Workspace, bts, err = msgp.ReadUint32Bytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Workspace")
+		return
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z *Demand) Msgsize() (s int) {
+	s = 1 + msgp.IntSize + msgp.IntSize + msgp.Uint64Size + msgp.IntSize + msgp.IntSize + msgp.Uint32Size
+	return
+}
+
 // MarshalMsg implements msgp.Marshaler
 func (z *End) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
@@ -4639,6 +4705,145 @@
 	return
 }
 
+// MarshalMsg implements msgp.Marshaler
+func (z *Pressure) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// array header, size 5
+	o = append(o, 0x95)
+	o = msgp.AppendArrayHeader(o, uint32(len(z.Demands)))
+	for za0001 := range z.Demands {
+		o, err = z.Demands[za0001].MarshalMsg(o)
+		if err != nil {
+			err = msgp.WrapError(err, "Demands", za0001)
+			return
+		}
+	}
+	o = msgp.AppendArrayHeader(o, uint32(len(z.Forward)))
+	for za0002 := range z.Forward {
+		o = msgp.AppendString(o, z.Forward[za0002])
+	}
+	o = msgp.AppendInt64(o, z.Millis)
+	o = msgp.AppendBool(o, z.Pass)
+	o = msgp.AppendArrayHeader(o, uint32(len(z.Strains)))
+	for za0003 := range z.Strains {
+		o, err = z.Strains[za0003].MarshalMsg(o)
+		if err != nil {
+			err = msgp.WrapError(err, "Strains", za0003)
+			return
+		}
+	}
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *Pressure) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadArrayHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 != 5 {
+		err = msgp.ArrayError{Wanted: 5, Got: zb0001}
+		return
+	}
+	var zb0002 uint32
+	zb0002, bts, err = msgp.ReadArrayHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Demands")
+		return
+	}
+	if zb0002 > z311325c6limitArrays {
+		err = msgp.ErrLimitExceeded
+		return
+	}
+	if cap(z.Demands) >= int(zb0002) {
+		z.Demands = z.Demands[:zb0002]
+	} else {
+		z.Demands = make([]Demand, zb0002)
+	}
+	for za0001 := range z.Demands {
+		bts, err = z.Demands[za0001].UnmarshalMsg(bts)
+		if err != nil {
+			err = msgp.WrapError(err, "Demands", za0001)
+			return
+		}
+	}
+	var zb0003 uint32
+	zb0003, bts, err = msgp.ReadArrayHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Forward")
+		return
+	}
+	if zb0003 > z311325c6limitArrays {
+		err = msgp.ErrLimitExceeded
+		return
+	}
+	if cap(z.Forward) >= int(zb0003) {
+		z.Forward = z.Forward[:zb0003]
+	} else {
+		z.Forward = make([]string, zb0003)
+	}
+	for za0002 := range z.Forward {
+		z.Forward[za0002], bts, err = msgp.ReadStringBytes(bts)
+		if err != nil {
+			err = msgp.WrapError(err, "Forward", za0002)
+			return
+		}
+	}
+	z.Millis, bts, err = msgp.ReadInt64Bytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Millis")
+		return
+	}
+	z.Pass, bts, err = msgp.ReadBoolBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Pass")
+		return
+	}
+	var zb0004 uint32
+	zb0004, bts, err = msgp.ReadArrayHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Strains")
+		return
+	}
+	if zb0004 > z311325c6limitArrays {
+		err = msgp.ErrLimitExceeded
+		return
+	}
+	if cap(z.Strains) >= int(zb0004) {
+		z.Strains = z.Strains[:zb0004]
+	} else {
+		z.Strains = make([]Strain, zb0004)
+	}
+	for za0003 := range z.Strains {
+		bts, err = z.Strains[za0003].UnmarshalMsg(bts)
+		if err != nil {
+			err = msgp.WrapError(err, "Strains", za0003)
+			return
+		}
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z *Pressure) Msgsize() (s int) {
+	s = 1 + msgp.ArrayHeaderSize
+	for za0001 := range z.Demands {
+		s += z.Demands[za0001].Msgsize()
+	}
+	s += msgp.ArrayHeaderSize
+	for za0002 := range z.Forward {
+		s += msgp.StringPrefixSize + len(z.Forward[za0002])
+	}
+	s += msgp.Int64Size + msgp.BoolSize + msgp.ArrayHeaderSize
+	for za0003 := range z.Strains {
+		s += z.Strains[za0003].Msgsize()
+	}
+	return
+}
+
 // MarshalMsg implements msgp.Marshaler
 func (z *Proof) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
@@ -4743,6 +4948,54 @@
 	return
 }
 
+// MarshalMsg implements msgp.Marshaler
+func (z RankLoad) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// array header, size 3
+	o = append(o, 0x93)
+	o = msgp.AppendInt(o, z.Run)
+	o = msgp.AppendInt(o, z.Urgency)
+	o = msgp.AppendInt(o, z.Used)
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *RankLoad) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadArrayHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 != 3 {
+		err = msgp.ArrayError{Wanted: 3, Got: zb0001}
+		return
+	}
+	z.Run, bts, err = msgp.ReadIntBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Run")
+		return
+	}
+	z.Urgency, bts, err = msgp.ReadIntBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Urgency")
+		return
+	}
+	z.Used, bts, err = msgp.ReadIntBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Used")
+		return
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z RankLoad) Msgsize() (s int) {
+	s = 1 + msgp.IntSize + msgp.IntSize + msgp.IntSize
+	return
+}
+
 // MarshalMsg implements msgp.Marshaler
 func (z *Reattach) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
@@ -6211,6 +6464,104 @@
 	return
 }
 
+// MarshalMsg implements msgp.Marshaler
+func (z *Strain) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// array header, size 4
+	o = append(o, 0x94)
+	o = msgp.AppendString(o, z.Host)
+	o = msgp.AppendUint32(o, z.Number)
+	o = msgp.AppendArrayHeader(o, uint32(len(z.Ranks)))
+	for za0001 := range z.Ranks {
+		// array header, size 3
+		o = append(o, 0x93)
+		o = msgp.AppendInt(o, z.Ranks[za0001].Run)
+		o = msgp.AppendInt(o, z.Ranks[za0001].Urgency)
+		o = msgp.AppendInt(o, z.Ranks[za0001].Used)
+	}
+	o = msgp.AppendInt(o, z.Slow)
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *Strain) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadArrayHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 != 4 {
+		err = msgp.ArrayError{Wanted: 4, Got: zb0001}
+		return
+	}
+	z.Host, bts, err = msgp.ReadStringBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Host")
+		return
+	}
+	z.Number, bts, err = msgp.ReadUint32Bytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Number")
+		return
+	}
+	var zb0002 uint32
+	zb0002, bts, err = msgp.ReadArrayHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Ranks")
+		return
+	}
+	if zb0002 > z311325c6limitArrays {
+		err = msgp.ErrLimitExceeded
+		return
+	}
+	if cap(z.Ranks) >= int(zb0002) {
+		z.Ranks = z.Ranks[:zb0002]
+	} else {
+		z.Ranks = make([]RankLoad, zb0002)
+	}
+	for za0001 := range z.Ranks {
+		var zb0003 uint32
+		zb0003, bts, err = msgp.ReadArrayHeaderBytes(bts)
+		if err != nil {
+			err = msgp.WrapError(err, "Ranks", za0001)
+			return
+		}
+		if zb0003 != 3 {
+			err = msgp.ArrayError{Wanted: 3, Got: zb0003}
+			return
+		}
+		z.Ranks[za0001].Run, bts, err = msgp.ReadIntBytes(bts)
+		if err != nil {
+			err = msgp.WrapError(err, "Ranks", za0001, "Run")
+			return
+		}
+		z.Ranks[za0001].Urgency, bts, err = msgp.ReadIntBytes(bts)
+		if err != nil {
+			err = msgp.WrapError(err, "Ranks", za0001, "Urgency")
+			return
+		}
+		z.Ranks[za0001].Used, bts, err = msgp.ReadIntBytes(bts)
+		if err != nil {
+			err = msgp.WrapError(err, "Ranks", za0001, "Used")
+			return
+		}
+	}
+	z.Slow, bts, err = msgp.ReadIntBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Slow")
+		return
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z *Strain) Msgsize() (s int) {
+	s = 1 + msgp.StringPrefixSize + len(z.Host) + msgp.Uint32Size + msgp.ArrayHeaderSize + (len(z.Ranks) * (18 + msgp.IntSize + msgp.IntSize + msgp.IntSize)) + msgp.IntSize
+	return
+}
+
 // MarshalMsg implements msgp.Marshaler
 func (z *Summary) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
--- a/internal/process/beechgate/keeper.go
+++ b/internal/process/beechgate/keeper.go
@@ -144,5 +144,7 @@
 		g.receiveFound(from, v)
 	case beechdatagram.Poison:
 		g.receivePoison(from, v)
+	case beechdatagram.Pressure:
+		g.receivePressure(from, v)
 	}
 }
--- a/internal/request/beechattempt/run.go
+++ b/internal/request/beechattempt/run.go
@@ -97,17 +97,12 @@
 	defaultRetryAfter = 300 * time.Millisecond
 	// A resumable stream may be silent for pauseFactor times its route's longest pause,
 	// but at least minPauseTimeout.
-	pauseFactor     = 4
-	minPauseTimeout = 800 * time.Millisecond
-	// routeRanks is the number of route priorities told apart within one workspace
-	// priority; engines know ten urgencies in all.
-	routeRanks           = 3
-	maxUrgency           = 9
-	defaultWorkspaceRank = 1 // where the operators' configuration has none
-	maxAnswerBytes       = 16 << 20
-	reasonAtLimits       = "servers at their limits"
-	reasonBackingOff     = "servers asked to back off"
-	reasonPoison         = "servers crash on it"
+	pauseFactor      = 4
+	minPauseTimeout  = 800 * time.Millisecond
+	maxAnswerBytes   = 16 << 20
+	reasonAtLimits   = "servers at their limits"
+	reasonBackingOff = "servers asked to back off"
+	reasonPoison     = "servers crash on it"
 	// settleTime is how long an answer must have gone on for its server to have survived its
 	// beginning: the first events may be on their way before it crashes.
 	settleTime = 250 * time.Millisecond
@@ -239,7 +234,7 @@
 	r.sentAt, r.begunAt, r.startRecorded = sent, time.Time{}, false
 	answer, err := r.dispatcher.backend.Send(ctx, beechcall.Attempt{
 		Call: r.call, Server: choice.Server, Weights: choice.Weights, Salt: choice.Salt,
-		Urgency: r.urgency(), Fetch: choice.Fetch, Save: choice.Save, LastEventID: r.stream.lastEventID,
+		Urgency: r.call.Urgency(), Fetch: choice.Fetch, Save: choice.Save, LastEventID: r.stream.lastEventID,
 		Withdrawn: func() bool {
 			if r.callerLeft() || !r.dispatcher.placer.StillUsable(r.call, choice) {
 				return true
@@ -291,17 +286,6 @@
 	return !isDone(ctx)
 }
 
-// urgency returns the call's priority at an engine: by the workspace's priority first, then by
-// the route's. Without the second, a short question waits behind all long reviews of
-// workspaces with the same priority.
-func (r *execution) urgency() int {
-	rank := defaultWorkspaceRank
-	if r.call.Workspace.Priority >= 0 {
-		rank = r.call.Workspace.Priority
-	}
-	return min(rank*routeRanks+min(max(r.call.Route.Priority, 0), routeRanks-1), maxUrgency)
-}
-
 // forwardWhole reads an answer that is not a stream to its end before the caller receives
 // any of it, so that an incomplete one can be replaced by a retry.
 func (r *execution) forwardWhole(choice beechplace.Choice, placement *beechplace.Attempt, watch *watchdog, answer *beechcall.Answer, sent time.Time) verdict {
--- a/internal/request/beechcall/call.go
+++ b/internal/request/beechcall/call.go
@@ -80,10 +80,11 @@
 
 	// Load is the load that a server reports with an answer.
 	Load struct {
-		Known   bool
-		Running int
-		Waiting int
-		Slots   int
+		Known    bool
+		Running  int
+		Waiting  int
+		Slots    int
+		Slowness int // how long work takes on its host at this moment, in percent of the usual; 0: not known
 	}
 
 	// Backend sends attempts. Errors are of type NotSent, NotExecuted or OutcomeUnknown.
@@ -128,6 +129,14 @@
 	}
 )
 
+const (
+	// MaxUrgency is the least urgent priority that engines know.
+	MaxUrgency = 9
+	// routeRanks is the number of route priorities told apart within one workspace priority.
+	routeRanks           = 3
+	defaultWorkspaceRank = 1 // where the operators' configuration has none
+)
+
 // ErrWithdrawn is the cause of NotSent if the context had ended or Attempt.Withdrawn held.
 var ErrWithdrawn = errors.New("withdrawn")
 
@@ -157,6 +166,17 @@
 // TimeLeft returns the time until the call's deadline.
 func (c *Call) TimeLeft(now time.Time) time.Duration { return c.Deadline.Sub(now) }
 
+// Urgency returns the call's priority at an engine: by the workspace's priority first, then by
+// the route's. Without the second, a short question waits behind all long reviews of
+// workspaces with the same priority.
+func (c *Call) Urgency() int {
+	rank := defaultWorkspaceRank
+	if c.Workspace.Priority >= 0 {
+		rank = c.Workspace.Priority
+	}
+	return min(rank*routeRanks+min(max(c.Route.Priority, 0), routeRanks-1), MaxUrgency)
+}
+
 // QuotaCost returns what the call takes from its workspace's quota, in requests or
 // tokens.
 func (c *Call) QuotaCost() float64 {
