Strain of an engine: slowness of its host and what it runs by urgency

The types that the keeper fills in, the gates pass on and placement uses, so that these can be built side by side. Nothing fills them in yet; decisions are unchanged.

--- a/internal/process/beechkeeper/keeper.go
+++ b/internal/process/beechkeeper/keeper.go
@@ -12,6 +12,7 @@
 	"go.uber.org/zap"
 
 	"github.com/beechring/beechring/internal/decision/beechpoison"
+	"github.com/beechring/beechring/internal/decision/beechstrain"
 	"github.com/beechring/beechring/internal/decision/beechsuspect"
 	"github.com/beechring/beechring/internal/decision/beechthrottle"
 	"github.com/beechring/beechring/internal/link/beechdatagram"
@@ -62,6 +63,8 @@
 		CacheUsed  int
 		CacheTotal int
 		Limit      beechthrottle.ServerLimit // nil: not known
+		Slowness   int                       // of its host, in percent of the usual; 0: not known
+		Ranks      []beechstrain.RankLoad    // what it runs by urgency; nil: not known
 	}
 
 	// Dependencies of a keeper.
--- a/internal/request/beechplace/placer.go
+++ b/internal/request/beechplace/placer.go
@@ -13,6 +13,7 @@
 
 	"github.com/beechring/beechring/internal/decision/beechbackoff"
 	"github.com/beechring/beechring/internal/decision/beechsaturation"
+	"github.com/beechring/beechring/internal/decision/beechstrain"
 	"github.com/beechring/beechring/internal/decision/beechthrottle"
 	"github.com/beechring/beechring/internal/request/beechcall"
 	"github.com/beechring/beechring/internal/request/beechrollout"
@@ -64,6 +65,9 @@
 		outdatedSince   time.Time         // since when its weights are outdated, as its keeper reports; zero if they are current
 		weights         map[string]uint64 // latest known versions, from the server list or the engine itself
 
+		strain   beechstrain.Strain // as its keeper reports; ordered by its number
+		strainAt time.Time          // zero if there was none
+
 		answerLoad       beechcall.Load // load reported with its last response to this gate
 		answerLoadAt     time.Time
 		inFlightAtAnswer int  // value of inFlight when answerLoad arrived
