strains: the path of an engine's strain from its keeper over the collectors to all gates

Gates know of an engine's load but neither how slow work is on its host at this moment nor for whom it works. A keeper whose engine tells the slowness now reports both to the gates that collect its zone (at once after a notable change, 40 ms apart, 100 ms for what runs, 150 ms to other zones, once a second anyway); one of the two collectors passes it on to its zone and to one collector of each other zone, the other one if it does not hear it within 150 ms. Engines without slowness are not spoken of.

Nothing decides by it yet. go test of beechstrain, beechkeeper, beechgate, beechconvert, platform (the tests named here): green.

--- a/internal/process/beechgate/configuration.go
+++ b/internal/process/beechgate/configuration.go
@@ -185,6 +185,7 @@
 		}
 	}
 	g.board.Forget(func(host netip.Addr) bool { return hosts[host] })
+	g.strains.Forget(func(host netip.Addr) bool { return hosts[host] })
 	if len(added) == 0 {
 		return
 	}
--- a/internal/process/beechgate/gate.go
+++ b/internal/process/beechgate/gate.go
@@ -25,6 +25,7 @@
 	"github.com/beechring/beechring/internal/decision/beechquota"
 	"github.com/beechring/beechring/internal/decision/beechretry"
 	"github.com/beechring/beechring/internal/decision/beechsaturation"
+	"github.com/beechring/beechring/internal/decision/beechstrain"
 	"github.com/beechring/beechring/internal/decision/beechsummary"
 	"github.com/beechring/beechring/internal/decision/beechsuspect"
 	"github.com/beechring/beechring/internal/decision/beechthrottle"
@@ -90,6 +91,7 @@
 		topology        atomic.Pointer[topology] // what follows from the members
 		topologyMutex   sync.Mutex               // held while the topology is derived
 		board           *beechsummary.Board      // states of all engines
+		strains         *beechstrain.Board       // of all engines' hosts
 		totals          *beechsummary.Totals     // measurements of other gates, to be handed on
 		ownPaces        ownPaces
 		copies          *copies
@@ -120,6 +122,7 @@
 		limitsDue    chan struct{} // signals that usage of servers' limits should be sent now
 		overloadsDue chan struct{} // signals that overloaded servers should be sent now
 		summariesDue chan struct{} // signals that sendSummaries should look what is due
+		strainsDue   chan struct{} // signals that sendStrains should look what is due
 		inquiryDue   chan struct{} // signals that the readers should be asked now
 		poisonDue    chan struct{} // signals that what servers crashed on should be sent now
 	}
@@ -174,6 +177,7 @@
 		settings: s, deps: deps, log: deps.Log, clock: deps.Clock, socket: socket, callers: callers,
 		readers:   beechreader.New(socket.Address()),
 		board:     beechsummary.New(beechsummary.DefaultSettings, deps.Clock),
+		strains:   beechstrain.New(beechstrain.DefaultSettings, deps.Clock),
 		totals:    beechsummary.NewTotals(),
 		copies:    newCopies(socket.Address()),
 		freshness: beechfresh.New(deps.Age), serverFreshness: beechfresh.New(deps.Age),
@@ -186,7 +190,7 @@
 		rolloutPace: beechrollout.NewLoadWindow(),
 		followDue:   make(chan struct{}, 1),
 		turnEnded:   make(chan struct{}, 1), usageDue: make(chan struct{}, 1), limitsDue: make(chan struct{}, 1), overloadsDue: make(chan struct{}, 1),
-		summariesDue: make(chan struct{}, 1), inquiryDue: make(chan struct{}, 1), poisonDue: make(chan struct{}, 1),
+		summariesDue: make(chan struct{}, 1), strainsDue: make(chan struct{}, 1), inquiryDue: make(chan struct{}, 1), poisonDue: make(chan struct{}, 1),
 	}
 	g.origins = newOrigins(g)
 	g.overload = beechoverload.New(deps.Clock, rand.Float64)
@@ -222,6 +226,7 @@
 		{Name: "gossip", Run: g.gossip},
 		{Name: "inquire readers", Run: g.inquireReaders},
 		{Name: "send summaries", Run: g.sendSummaries},
+		{Name: "send strains", Run: g.sendStrains},
 		{Name: "send measurements", Run: g.sendMeasurements},
 		{Name: "send usage", Run: g.sendUsage},
 		{Name: "send limits", Run: g.sendLimits},
--- a/internal/process/beechkeeper/keeper.go
+++ b/internal/process/beechkeeper/keeper.go
@@ -99,6 +99,7 @@
 		sentAt      time.Time
 		sentState   urgentState // the last one sent
 		sentLoad    load
+		strain      strainState
 	}
 
 	// gateState is a gate as this keeper knows it.
@@ -135,6 +136,7 @@
 		poison:   beechpoison.New(deps.Clock, func(uint64) int { return 0 }, func() {}),
 		updater:  beechrollout.NewUpdater(beechrollout.Settings{}), gates: make(map[netip.AddrPort]*gateState),
 		lastNumber: uint32(deps.Clock.Now().Unix()) << sequenceBits,
+		strain:     strainState{lastNumber: uint32(deps.Clock.Now().Unix()) << sequenceBits},
 		wake:       make(chan struct{}, 1), cachedParts: cachedParts,
 	}
 	k.metrics = newMetrics(k)
@@ -270,6 +272,9 @@
 	if restarted {
 		k.engineRestarted(report)
 	}
+	if report.Known {
+		k.notifyStrain()
+	}
 	switch v := step.(type) {
 	case beechrollout.Wait:
 		k.setPhase(v.Phase, err)
--- a/internal/process/beechkeeper/keeper_test.go
+++ b/internal/process/beechkeeper/keeper_test.go
@@ -54,8 +54,9 @@
 // gate is a gate's socket with the messages that it has received.
 type gate struct {
 	*beechdatagram.Socket
-	tells  chan *beechwire.Tell
-	gossip chan *beechwire.Gossip
+	tells    chan *beechwire.Tell
+	gossip   chan *beechwire.Gossip
+	pressure chan *beechwire.Pressure
 }
 
 func newGate(t *testing.T) *gate {
@@ -63,7 +64,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	g := &gate{socket, make(chan *beechwire.Tell, 16), make(chan *beechwire.Gossip, 16)}
+	g := &gate{socket, make(chan *beechwire.Tell, 16), make(chan *beechwire.Gossip, 16), make(chan *beechwire.Pressure, 16)}
 	ctx, cancel := context.WithCancel(context.Background())
 	t.Cleanup(cancel)
 	go func() {
@@ -73,6 +74,8 @@
 				g.tells <- v.Tell
 			case beechdatagram.Gossip:
 				g.gossip <- v.Gossip
+			case beechdatagram.Pressure:
+				g.pressure <- v.Pressure
 			}
 		})
 	}()
--- a/internal/process/beechkeeper/metrics.go
+++ b/internal/process/beechkeeper/metrics.go
@@ -16,6 +16,7 @@
 	phases        *expvar.Map // phase changes, by the new phase
 	missedReports *expvar.Int // polls without a report
 	restarts      *expvar.Int // of the engine under the same ID
+	strains       *expvar.Int // messages on the engine's host
 	loadTimes     *beechmetric.Latency
 	loadStartedAt time.Time // zero: no load under way
 }
@@ -23,12 +24,13 @@
 func newMetrics(k *Keeper) *metrics {
 	m := &metrics{
 		vars: new(expvar.Map), orders: new(expvar.Map), phases: new(expvar.Map),
-		missedReports: new(expvar.Int), restarts: new(expvar.Int), loadTimes: beechmetric.NewLatency(),
+		missedReports: new(expvar.Int), restarts: new(expvar.Int), strains: new(expvar.Int), loadTimes: beechmetric.NewLatency(),
 	}
 	m.vars.Set("orders", m.orders)
 	m.vars.Set("phases", m.phases)
 	m.vars.Set("reportsMissing", m.missedReports)
 	m.vars.Set("startedAnew", m.restarts)
+	m.vars.Set("strainsSent", m.strains)
 	m.vars.Set("loadMicros", expvar.Func(m.loadTimes.Percentiles))
 	m.vars.Set("datagramsMalformed", expvar.Func(func() any { return k.socket.MalformedCount() }))
 	m.vars.Set("datagramBytes", k.socket.SentBytes())
@@ -38,6 +40,7 @@
 		return map[string]any{
 			"phase": k.phase.String(), "running": k.lastReport.Running, "waiting": k.lastReport.Waiting, "cacheUsed": k.lastReport.CacheUsed,
 			"partsHeld": k.cachedParts.Len(), "gates": len(k.gates), "oldMillis": k.updater.SupersededFor(k.deps.Clock.Now()).Milliseconds(),
+			"slowness": k.lastReport.Slowness, "ranks": k.lastReport.Ranks,
 		}
 	}))
 	return m
--- a/internal/process/beechkeeper/notify.go
+++ b/internal/process/beechkeeper/notify.go
@@ -101,6 +101,7 @@
 	recent := slices.Clone(keys[max(len(keys)-maxKeysPerMessage, 0):])
 	scope := beechdatagram.Scope(gate.zone != k.settings.Zone)
 	k.send([]netip.AddrPort{address}, scope, beechdatagram.Tell{Tell: k.stateMessage(now, recent, []uint64{}, []uint64{})})
+	k.notifyNewGateOfStrain(address, scope)
 }
 
 func (k *Keeper) send(to []netip.AddrPort, scope beechdatagram.Scope, m beechdatagram.Message) {
--- a/internal/request/beechplace/placer.go
+++ b/internal/request/beechplace/placer.go
@@ -35,7 +35,8 @@
 		byID            map[string]*server
 		byAddress       map[netip.AddrPort]*server
 		byHash          map[uint64]*server // by the hash of the server's ID
-		answeredLeaving map[string]uint64  // start times of the lifetimes whose answers have said that they leave, by ID
+		onHost          map[netip.Addr][]netip.AddrPort
+		answeredLeaving map[string]uint64 // start times of the lifetimes whose answers have said that they leave, by ID
 		serviceConfigs  map[string]beechcall.Service
 		kvStores        []*kvStore
 		versions        map[string]*beechrollout.VersionHistory // by model
@@ -145,6 +146,7 @@
 	p.byID = make(map[string]*server, len(list))
 	p.byAddress = make(map[netip.AddrPort]*server, len(list))
 	p.byHash = make(map[uint64]*server, len(list))
+	p.onHost = make(map[netip.Addr][]netip.AddrPort, len(list))
 	p.services = make(map[string][]*server)
 	for _, entry := range list {
 		s, ok := previous[entry.ID]
@@ -165,6 +167,7 @@
 		p.byID[entry.ID] = s
 		p.byHash[xxhash.Sum64String(entry.ID)] = s
 		p.assignAddress(s)
+		p.onHost[s.Address.Addr()] = append(p.onHost[s.Address.Addr()], s.Address)
 		p.services[entry.Service] = append(p.services[entry.Service], s)
 	}
 	p.locations.Resize(min(max(partsPerServer*len(list), minTrackedParts), maxTrackedParts))
