--- a/internal/command/beechcommand/keeper.go
+++ b/internal/command/beechcommand/keeper.go
@@ -30,6 +30,7 @@
 	engines := platform.NewEngines(beechpool.New(beechpool.DefaultSettings, clock), clock)
 	keeper, err := beechkeeper.New(r.settings, beechkeeper.Dependencies{
 		Clock: clock, Log: r.log, Engine: platform.KeeperEngine{Engines: engines, Address: r.settings.Engine},
+		ReportUrgencies: platform.CallersCompete(r.settings.Contracts),
 	})
 	if err != nil {
 		return err
--- a/internal/decision/beechstrain/strain.go
+++ b/internal/decision/beechstrain/strain.go
@@ -25,11 +25,12 @@
 import "net/netip"
 
 type (
-	// RankLoad is what an engine runs of one urgency.
+	// RankLoad is what an engine runs and reads of one urgency.
 	RankLoad struct {
 		Urgency   int // 0 is the most urgent
 		Running   int
 		CacheUsed int // tokens in its memory
+		Reading   int // tokens of announced long prompts that are not prefilled yet
 	}
 
 	// Strain is the state of an engine's host and of what it runs. Number increases with each
@@ -38,7 +39,7 @@
 		Host     netip.Addr
 		Number   uint32
 		Slowness int        // how long work takes at this moment, in percent of the usual; 0: not known
-		Ranks    []RankLoad // urgencies of which it runs requests
+		Ranks    []RankLoad // urgencies of which it runs or reads requests
 	}
 )
 
@@ -50,6 +51,9 @@
 	// A sixteenth of the memory is about the smallest room that decides where a long prompt goes.
 	notableMemory  = 16
 	notableRunning = 8 // runs of one urgency
+	// notableReading is the number of tokens from which on a prompt delays others for longer
+	// than a message to all gates takes.
+	notableReading = 1500
 )
 
 // SlownessDiffers reports whether two strains differ in slowness so much that gates should be
@@ -70,6 +74,17 @@
 	return false
 }
 
+// ReadsMore reports whether an engine has got so much more to prefill of an urgency than when the
+// strain before was reported that gates should be told at once.
+func ReadsMore(before, now Strain) bool {
+	for urgency := range rankCount(now) {
+		if now.rank(urgency).Reading-before.rank(urgency).Reading >= notableReading {
+			return true
+		}
+	}
+	return false
+}
+
 func rankCount(strains ...Strain) int {
 	count := 0
 	for _, s := range strains {
--- a/internal/link/beechwire/wire_gen.go
+++ b/internal/link/beechwire/wire_gen.go
@@ -868,8 +868,12 @@
 	Service string `msg:"Service"`
 }
 
-// RankLoad is what an engine runs of one urgency.
+// RankLoad is what an engine runs and reads of one urgency.
 type RankLoad struct {
+	// Tokens of announced long prompts that are not prefilled yet; from a gate to a
+	// keeper: of one that it sends now.
+	Read int `msg:"Read"`
+
 	// Running requests.
 	Run int `msg:"Run"`
 
--- a/internal/link/beechwire/wire_msgp_gen.go
+++ b/internal/link/beechwire/wire_msgp_gen.go
@@ -4949,10 +4949,11 @@
 }
 
 // MarshalMsg implements msgp.Marshaler
-func (z RankLoad) MarshalMsg(b []byte) (o []byte, err error) {
+func (z *RankLoad) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// array header, size 3
-	o = append(o, 0x93)
+	// array header, size 4
+	o = append(o, 0x94)
+	o = msgp.AppendInt(o, z.Read)
 	o = msgp.AppendInt(o, z.Run)
 	o = msgp.AppendInt(o, z.Urgency)
 	o = msgp.AppendInt(o, z.Used)
@@ -4967,8 +4968,13 @@
 		err = msgp.WrapError(err)
 		return
 	}
-	if zb0001 != 3 {
-		err = msgp.ArrayError{Wanted: 3, Got: zb0001}
+	if zb0001 != 4 {
+		err = msgp.ArrayError{Wanted: 4, Got: zb0001}
+		return
+	}
+	z.Read, bts, err = msgp.ReadIntBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Read")
 		return
 	}
 	z.Run, bts, err = msgp.ReadIntBytes(bts)
@@ -4991,8 +4997,8 @@
 }
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
-func (z RankLoad) Msgsize() (s int) {
-	s = 1 + msgp.IntSize + msgp.IntSize + msgp.IntSize
+func (z *RankLoad) Msgsize() (s int) {
+	s = 1 + msgp.IntSize + msgp.IntSize + msgp.IntSize + msgp.IntSize
 	return
 }
 
@@ -6473,11 +6479,11 @@
 	o = msgp.AppendUint32(o, z.Number)
 	o = msgp.AppendArrayHeader(o, uint32(len(z.Ranks)))
 	for za0001 := range z.Ranks {
-		// array header, size 3
-		o = append(o, 0x93)
-		o = msgp.AppendInt(o, z.Ranks[za0001].Run)
-		o = msgp.AppendInt(o, z.Ranks[za0001].Urgency)
-		o = msgp.AppendInt(o, z.Ranks[za0001].Used)
+		o, err = z.Ranks[za0001].MarshalMsg(o)
+		if err != nil {
+			err = msgp.WrapError(err, "Ranks", za0001)
+			return
+		}
 	}
 	o = msgp.AppendInt(o, z.Slow)
 	return
@@ -6521,31 +6527,11 @@
 		z.Ranks = make([]RankLoad, zb0002)
 	}
 	for za0001 := range z.Ranks {
-		var zb0003 uint32
-		zb0003, bts, err = msgp.ReadArrayHeaderBytes(bts)
+		bts, err = z.Ranks[za0001].UnmarshalMsg(bts)
 		if err != nil {
 			err = msgp.WrapError(err, "Ranks", za0001)
 			return
 		}
-		if zb0003 != 3 {
-			err = msgp.ArrayError{Wanted: 3, Got: zb0003}
-			return
-		}
-		z.Ranks[za0001].Run, bts, err = msgp.ReadIntBytes(bts)
-		if err != nil {
-			err = msgp.WrapError(err, "Ranks", za0001, "Run")
-			return
-		}
-		z.Ranks[za0001].Urgency, bts, err = msgp.ReadIntBytes(bts)
-		if err != nil {
-			err = msgp.WrapError(err, "Ranks", za0001, "Urgency")
-			return
-		}
-		z.Ranks[za0001].Used, bts, err = msgp.ReadIntBytes(bts)
-		if err != nil {
-			err = msgp.WrapError(err, "Ranks", za0001, "Used")
-			return
-		}
 	}
 	z.Slow, bts, err = msgp.ReadIntBytes(bts)
 	if err != nil {
@@ -6558,7 +6544,11 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *Strain) Msgsize() (s int) {
-	s = 1 + msgp.StringPrefixSize + len(z.Host) + msgp.Uint32Size + msgp.ArrayHeaderSize + (len(z.Ranks) * (18 + msgp.IntSize + msgp.IntSize + msgp.IntSize)) + msgp.IntSize
+	s = 1 + msgp.StringPrefixSize + len(z.Host) + msgp.Uint32Size + msgp.ArrayHeaderSize
+	for za0001 := range z.Ranks {
+		s += z.Ranks[za0001].Msgsize()
+	}
+	s += msgp.IntSize
 	return
 }
 
--- a/internal/process/beechconvert/pressure.go
+++ b/internal/process/beechconvert/pressure.go
@@ -15,7 +15,7 @@
 		w.Host = WireHost(s.Host)
 	}
 	for _, r := range s.Ranks {
-		w.Ranks = append(w.Ranks, beechwire.RankLoad{Urgency: r.Urgency, Run: r.Running, Used: r.CacheUsed})
+		w.Ranks = append(w.Ranks, beechwire.RankLoad{Urgency: r.Urgency, Run: r.Running, Used: r.CacheUsed, Read: r.Reading})
 	}
 	return w
 }
@@ -44,8 +44,8 @@
 		}
 		s := beechstrain.Strain{Host: host, Number: w.Number, Slowness: max(w.Slow, 0)}
 		for _, r := range w.Ranks {
-			if r.Urgency >= 0 && r.Urgency <= beechcall.MaxUrgency && r.Run >= 0 && r.Used >= 0 {
-				s.Ranks = append(s.Ranks, beechstrain.RankLoad{Urgency: r.Urgency, Running: r.Run, CacheUsed: r.Used})
+			if r.Urgency >= 0 && r.Urgency <= beechcall.MaxUrgency && r.Run >= 0 && r.Used >= 0 && r.Read >= 0 {
+				s.Ranks = append(s.Ranks, beechstrain.RankLoad{Urgency: r.Urgency, Running: r.Run, CacheUsed: r.Used, Reading: r.Read})
 			}
 		}
 		strains = append(strains, s)
--- a/internal/process/beechgate/gate.go
+++ b/internal/process/beechgate/gate.go
@@ -208,6 +208,7 @@
 	g.placer = beechplace.New(beechplace.Settings{
 		Zone: s.Zone, OutdatedSoftLimit: max(weights-outdatedMargin, weights/2), OutdatedHardLimit: max(weights-startMargin, weights/2),
 	}, deps.Clock, g.health, g.limits, g.overloaded, g.backoff, g.announcePrompt)
+	g.placer.AnnounceUrgencies(g.announceUrgency)
 	g.core = beechattempt.New(g.placer, deps.Backend, deps.Pool, g.budgets, g.suspects, g.poison, g, deps.Clock, deps.Log)
 	g.serverMirror = beechmirror.New(beechmirror.Settings{
 		Prefix: deps.ServerPrefix, MaxAge: serverReadAges.Others, StartAge: serverReadAges.First - startWait, ReadTimeout: readTimeout, WatchTimeout: serverWatchTimeout, WatchPause: serverWatchPause, RemovalDelay: removalDelay, OnRestored: g.readOperators, Forward: g.forwardChanges,
--- a/internal/process/beechgate/strains.go
+++ b/internal/process/beechgate/strains.go
@@ -6,12 +6,15 @@
 	"net/netip"
 	"time"
 
+	"go.uber.org/zap"
+
 	"github.com/beechring/beechring/internal/decision/beechstrain"
 	"github.com/beechring/beechring/internal/decision/beechsummary"
 	"github.com/beechring/beechring/internal/link/beechdatagram"
 	"github.com/beechring/beechring/internal/link/beechwire"
 	"github.com/beechring/beechring/internal/process/beechconvert"
 	"github.com/beechring/beechring/internal/process/beechtask"
+	"github.com/beechring/beechring/internal/request/beechcall"
 )
 
 // receiveStrains handles how the hosts of engines do at this moment, as a keeper or another
@@ -53,6 +56,15 @@
 	}
 }
 
+// announceUrgency tells a keeper how urgent a long prompt is that is sent to its engine.
+func (g *Gate) announceUrgency(s beechcall.Server, urgency, tokens int) {
+	address := netip.AddrPortFrom(s.Address.Addr(), g.settings.Beats.Port())
+	message := &beechwire.Pressure{Strains: []beechwire.Strain{{Ranks: []beechwire.RankLoad{{Urgency: urgency, Run: 1, Read: tokens}}}}}
+	if err := g.socket.Send(address, g.scopeTo(s), beechdatagram.Pressure{Pressure: message}); err != nil {
+		g.log.Debug("send to keeper failed", zap.String("server", s.ID), zap.Error(err))
+	}
+}
+
 // forwardStrains sends a collector's message on to the gates of this zone that it names.
 func (g *Gate) forwardStrains(m beechdatagram.Pressure) {
 	t := g.topology.Load()
--- a/internal/process/beechkeeper/keeper.go
+++ b/internal/process/beechkeeper/keeper.go
@@ -72,6 +72,9 @@
 		Clock  clockwork.Clock
 		Log    *zap.Logger
 		Engine Engine
+		// ReportUrgencies makes the keeper tell what runs by urgency also of an engine that does
+		// not tell the slowness of its host.
+		ReportUrgencies bool
 	}
 
 	// Keeper is the process that controls one engine.
@@ -174,6 +177,8 @@
 		k.receiveGossip(from, v)
 	case beechdatagram.Poison:
 		k.receivePoison(from, v)
+	case beechdatagram.Pressure:
+		k.receivePressure(v)
 	}
 }
 
@@ -266,6 +271,7 @@
 	}
 	if report.Known && report.Waiting == 0 {
 		k.backlog.Clear(polledAt.Add(-promptArrivalDelay))
+		k.strain.reading.Clear(polledAt.Add(-promptArrivalDelay))
 	}
 	prefilling := k.backlog.Remaining(k.deps.Clock.Now()) > 0
 	k.mu.Unlock()
@@ -308,6 +314,7 @@
 	k.deps.Log.Info("engine restarted", zap.Uint64("born", r.Born), zap.Uint64("sequence", r.Sequence))
 	k.mu.Lock()
 	k.backlog.Clear(k.deps.Clock.Now())
+	k.strain.reading.Clear(k.deps.Clock.Now())
 	k.mu.Unlock()
 	k.removeAllParts()
 	k.notify(true)
--- a/internal/process/beechkeeper/strain.go
+++ b/internal/process/beechkeeper/strain.go
@@ -17,10 +17,11 @@
 	nearAt     time.Time
 	farAt      time.Time
 	told       bool // the engine has told the slowness of its host
+	reading    beechstrain.Backlog
 }
 
 const (
-	slownessInterval = 40 * time.Millisecond  // between messages about a changed slowness
+	urgentInterval   = 40 * time.Millisecond  // between messages about a changed slowness or a long prompt
 	ranksInterval    = 100 * time.Millisecond // between messages about what the engine runs
 	farStrainSpacing = 150 * time.Millisecond // between messages to gates of other zones, to which each byte is paid for
 	// strainInterval is the time between messages without a notable change: a lost message is
@@ -28,21 +29,35 @@
 	strainInterval = time.Second
 )
 
-// notifyStrain tells the gates that collect this engine's state how its host does, if the engine
-// says so: gates estimate for engines that do not as if all requests were equally urgent.
+// receivePressure records a long prompt that a gate announces with its urgency.
+func (k *Keeper) receivePressure(m beechdatagram.Pressure) {
+	now := k.deps.Clock.Now()
+	k.mu.Lock()
+	for _, s := range m.Strains {
+		for _, r := range s.Ranks {
+			k.strain.reading.Add(r.Urgency, r.Read, k.backlog.Rate(), now)
+		}
+	}
+	k.mu.Unlock()
+	k.notifyStrain()
+}
+
+// notifyStrain tells the gates that collect this engine's state how its host does and what it
+// works on by urgency. It does so if the engine tells of its host, or where callers compete:
+// gates estimate for other engines as if all requests were equally urgent.
 func (k *Keeper) notifyStrain() {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	k.strain.told = k.strain.told || k.lastReport.Slowness > 0
-	if !k.strain.told || len(k.gates) == 0 {
+	k.strain.told = k.strain.told || k.lastReport.Slowness > 0 || k.deps.ReportUrgencies
+	if !k.strain.told || !k.lastReport.Known || len(k.gates) == 0 {
 		return
 	}
 	now := k.deps.Clock.Now()
-	current := beechstrain.Strain{Slowness: k.lastReport.Slowness, Ranks: k.lastReport.Ranks}
+	current := beechstrain.Strain{Slowness: k.lastReport.Slowness, Ranks: k.strain.reading.AddReading(k.lastReport.Ranks, k.backlog.Rate(), now)}
 	interval := strainInterval
 	switch {
-	case beechstrain.SlownessDiffers(k.strain.last, current):
-		interval = slownessInterval
+	case beechstrain.SlownessDiffers(k.strain.last, current) || beechstrain.ReadsMore(k.strain.last, current):
+		interval = urgentInterval
 	case beechstrain.RanksDiffer(k.strain.last, current, k.lastReport.CacheTotal):
 		interval = ranksInterval
 	}
--- a/internal/process/beechkeeper/strain_test.go
+++ b/internal/process/beechkeeper/strain_test.go
@@ -56,17 +56,17 @@
 	is.Equal(first.Ranks, []beechwire.RankLoad{{Urgency: 3, Run: 9, Used: 60_000}})
 	is.True(far.nextStrain(arrives) != nil)
 
-	poll(t, k, reports, slownessInterval/2, strainReport(250, ranks...))
+	poll(t, k, reports, urgentInterval/2, strainReport(250, ranks...))
 	is.True(near.nextStrain(none) == nil) // too soon after the last
-	poll(t, k, reports, slownessInterval/2, strainReport(250, ranks...))
+	poll(t, k, reports, urgentInterval/2, strainReport(250, ranks...))
 	second := near.nextStrain(arrives)
 	is.True(second != nil)
 	is.Equal(second.Slow, 250)
 	is.True(second.Number > first.Number)
 	is.True(far.nextStrain(none) == nil) // bytes between zones are paid for
-	poll(t, k, reports, 2*slownessInterval, strainReport(260, ranks...))
+	poll(t, k, reports, 2*urgentInterval, strainReport(260, ranks...))
 	is.True(near.nextStrain(none) == nil) // about the same
-	poll(t, k, reports, slownessInterval, strainReport(100, ranks...))
+	poll(t, k, reports, urgentInterval, strainReport(100, ranks...))
 	is.True(far.nextStrain(arrives) != nil)
 }
 
--- a/internal/process/beechsettings/settings.go
+++ b/internal/process/beechsettings/settings.go
@@ -130,6 +130,9 @@
 		Admin  netip.AddrPort `json:"admin,omitzero"`
 		Memory int            `json:"memory,omitempty"` // MB
 		Log    string         `json:"log,omitempty"`
+
+		// Contracts are the parts of the operators' rules that are in force.
+		Contracts []string `json:"contracts,omitempty"`
 	}
 
 	// Duration is a time.Duration written as "1.3s" in JSON.
--- a/internal/request/beechplace/attempt.go
+++ b/internal/request/beechplace/attempt.go
@@ -20,7 +20,10 @@
 	source        netip.AddrPort
 	expected      time.Duration // from sending to the first byte
 	prefillTokens int
+	urgency       int
 	queuedTokens  float64 // tokens to prefill, those queued before it included
+	heldUp        bool    // it waits for more than prompts
+	firstByteAt   time.Time
 	expectedTime  float64 // milliseconds that an engine of the common speed takes for queuedTokens
 	sentAt        time.Time
 	limitTime     time.Duration // time of sending by the clock of the limits
@@ -42,10 +45,13 @@
 	a.sentAt = p.clock.Now().Add(c.Wait)
 	a.source = c.Fetch
 	a.storeTokens, a.expected = c.StoreTokens, time.Duration((c.Expected-milliseconds(c.Wait))*float64(time.Millisecond))
-	a.queuedTokens = p.queuedTokens(s, a.sentAt) + float64(c.PrefillTokens)
+	w := p.workAhead(call, s, c.Wait, p.clock.Now())
+	a.queuedTokens, a.heldUp = w.tokens+float64(c.PrefillTokens), w.heldUp(p.prefill.rate)
 	a.expectedTime = a.queuedTokens/p.prefill.rate + p.prefill.fixed
 	s.inFlight++
 	s.pendingPrefill += c.PrefillTokens
+	a.urgency = call.Urgency()
+	s.pending[a.urgency].add(c.PrefillTokens)
 	if call.Model != "" {
 		p.meanPrefill += (float64(c.PrefillTokens) - p.meanPrefill) / meanSamples
 		p.meanPrompt += (float64(call.PromptTokens) - p.meanPrompt) / meanSamples
@@ -55,6 +61,9 @@
 	if (c.PrefillTokens >= minAnnouncedTokens || c.Missing >= minAnnouncedMissing || c.Save.IsValid()) && !s.reportedAt.IsZero() {
 		p.announce(s.Server, c.PrefillTokens, parts, c.Save.IsValid())
 	}
+	if _, known := s.knownStrain(p.clock.Now()); known && p.ranked != nil && c.PrefillTokens >= minAnnouncedTokens {
+		p.ranked(s.Server, a.urgency, c.PrefillTokens)
+	}
 	return a
 }
 
@@ -115,6 +124,7 @@
 		}
 		a.placer.mu.Lock()
 		a.server.pendingPrefill = max(a.server.pendingPrefill-a.prefillTokens, 0)
+		a.server.pending[a.urgency].remove(a.prefillTokens)
 		a.placer.mu.Unlock()
 	})
 }
@@ -130,10 +140,14 @@
 	}
 	a.learned = true
 	now := a.placer.clock.Now()
+	a.firstByteAt = now
 	took := milliseconds(now.Sub(a.sentAt))
 	if store := a.placer.kvStoreAt(a.source); a.storeTokens > 0 && store != nil {
 		store.fetches.observe(now.Sub(a.sentAt), a.expected, now)
 	}
+	if a.heldUp {
+		return // neither the engine's pace nor its speed of prefilling
+	}
 	if a.prompt > 0 && a.storeTokens == 0 && a.sentAt.After(a.server.limitEndedAt) {
 		a.placer.recordPace(a.server, took, a.expectedTime, now)
 	}
@@ -152,6 +166,7 @@
 		a.server.inFlight = max(a.server.inFlight-1, 0)
 		if o == Answered && a.prompt > 0 {
 			a.placer.residence.learn(a.prompt, a.placer.clock.Since(a.sentAt))
+			a.placer.learnRunTime(a.firstByteAt)
 		}
 		a.placer.updateAvailability(a.server, o, a.sentAt)
 		if o == Unreachable || o == Withdrawn {
--- a/internal/request/beechplace/choose.go
+++ b/internal/request/beechplace/choose.go
@@ -216,9 +216,9 @@
 		}
 		c.Salt = cacheSalt(call, version)
 		c.Cost += p.estimatePrefix(call, s, parts, now, &c)
-		shortfall := p.memoryShortfall(s, call.PromptTokens, now)
+		w := p.workAhead(call, s, c.Wait, now)
 		pace := p.paceFactor(s, now)
-		queueTime, prefillTime, fixed := p.startTime(&c, s, pace, shortfall, now)
+		queueTime, prefillTime, fixed := p.startTime(&c, w, pace)
 		c.QueueTime = queueTime + milliseconds(c.Wait)
 		c.Expected = c.QueueTime + prefillTime + fixed
 		if outdated && !p.startsInTime(&c, age) {
@@ -227,9 +227,9 @@
 		lateness := latenessCost(c.Expected, milliseconds(call.Route.Objective))
 		if charged := p.chargedPace(call, s, pace, now); charged != pace {
 			pace = charged
-			queueTime, prefillTime, fixed = p.startTime(&c, s, pace, shortfall, now)
+			queueTime, prefillTime, fixed = p.startTime(&c, w, pace)
 		}
-		c.Cost += queueTime + prefillTime + (fixed - p.prefill.fixed) + p.preemptionCost(shortfall) + pace*p.utilizationCost(s, now) + lateness
+		c.Cost += queueTime + prefillTime + (fixed - p.prefill.fixed) + w.preemptionCost + pace*w.utilizationCost + lateness
 	}
 	if s.Zone != p.settings.Zone {
 		c.Cost += p.settings.CrossZoneCost + p.settings.CrossZoneByteCost*float64(len(call.Body))
@@ -254,10 +254,9 @@
 
 // startTime returns the milliseconds that a call waits for others at a server, takes to prefill
 // and has to wait besides, if the server has the given pace.
-func (p *Placer) startTime(c *Choice, s *server, pace, shortfall float64, now time.Time) (queueTime, prefillTime, fixed float64) {
+func (p *Placer) startTime(c *Choice, w workAhead, pace float64) (queueTime, prefillTime, fixed float64) {
 	rate := p.prefill.rate / pace
-	queueTime = p.queuedTokens(s, now.Add(c.Wait))/rate + p.memoryWait(shortfall, s)
-	return queueTime, float64(c.PrefillTokens) / rate, p.prefill.fixed * pace
+	return w.queueTime(rate), float64(c.PrefillTokens) / rate, p.prefill.fixed * pace
 }
 
 // startsInTime reports whether a call may go to outdated weights: always until the soft limit,
@@ -284,8 +283,7 @@
 func (p *Placer) utilizationCost(s *server, now time.Time) float64 {
 	slots := float64(max(s.slots, defaultSlots))
 	load := p.estimatedLoad(s)
-	share := min(load/slots, 1)
-	cost := fullBatchCost * share * share
+	cost := batchCost(load, s)
 	if load > slots {
 		cost += queuedRequestCost * (load - slots)
 	}
@@ -295,6 +293,13 @@
 	return cost
 }
 
+// batchCost is the cost of a batch of requests, in which each token takes the longer the more
+// there are.
+func batchCost(load float64, s *server) float64 {
+	share := min(load/float64(max(s.slots, defaultSlots)), 1)
+	return fullBatchCost * share * share
+}
+
 // latenessCost is the cost of a response that will probably miss its objective, which then
 // loses most of its worth to the caller; a cache hit does not compensate for that. The cost
 // begins to rise before the objective, because the time is only an estimate.
--- a/internal/request/beechplace/placer.go
+++ b/internal/request/beechplace/placer.go
@@ -29,6 +29,7 @@
 		overloaded *beechsaturation.Tracker
 		backoff    *beechbackoff.Tracker
 		announce   Announce
+		ranked     AnnounceUrgency // may be nil
 
 		mu              sync.Mutex
 		services        map[string][]*server
@@ -46,6 +47,7 @@
 		meanPrefill     float64      // running mean of the tokens that a request has to prefill
 		meanPrompt      float64      // running mean of the tokens of a prompt
 		residence       residenceTime
+		runTime         float64              // running mean of the milliseconds from first byte to end; 0: not known
 		serviceLoads    map[string]float64   // by service: mean of the loads that its servers tell with answers
 		nextRetry       map[string]time.Time // by service: the latest retry time that a caller was given
 	}
@@ -80,6 +82,7 @@
 		limitEndedAt     time.Time
 		inFlight         int // requests of this gate that have not ended
 		pendingPrefill   int // tokens that these requests still have to prefill
+		pending          [beechcall.MaxUrgency + 1]pendingRank
 		inFlightAtReport int // value of inFlight at the last report
 		failures         int
 		downUntil        time.Time
@@ -261,6 +264,7 @@
 		s.restartedAt = p.clock.Now()
 		s.weights = make(map[string]uint64)
 		s.pendingPrefill, s.failures = 0, 0
+		s.pending, s.strainAt = [beechcall.MaxUrgency + 1]pendingRank{}, time.Time{}
 		s.pace, s.errors = pace{}, errorRate{}
 		s.reportedAt, s.confirmedAt, s.downUntil, s.unavailableUntil = time.Time{}, time.Time{}, time.Time{}, time.Time{}
 	}
@@ -311,6 +315,7 @@
 	}
 	now := p.clock.Now()
 	engine.reportedAt, engine.confirmedAt, engine.state, engine.inFlightAtReport = now, now, s, engine.inFlight
+	engine.clearNew()
 	for model, version := range s.Weights {
 		engine.weights[model] = version
 	}
--- /dev/null
+++ b/internal/request/beechplace/urgency.go
@@ -0,0 +1,215 @@
+package beechplace
+
+import (
+	"time"
+
+	"github.com/beechring/beechring/internal/decision/beechstrain"
+	"github.com/beechring/beechring/internal/request/beechcall"
+)
+
+type (
+	// workAhead is what an engine does before it begins a call, and what beginning it costs
+	// others. Engines take the most urgent first and preempt the others for them, so where the
+	// keeper reports by urgency only what is at least as urgent as the call counts.
+	workAhead struct {
+		tokens          float64 // to prefill
+		slotWait        float64 // milliseconds until a slot is free
+		memoryWait      float64 // milliseconds until the memory has room
+		overlaps        bool    // prompts are prefilled while the call waits for a slot or memory
+		preemptionCost  float64 // for the call and for those that it displaces
+		utilizationCost float64
+	}
+
+	// pendingRank is what this gate has sent to an engine of one urgency.
+	pendingRank struct {
+		requests int // without a first byte
+		tokens   int // that these have to prefill
+		added    int // requests since the keeper's last report
+	}
+
+	// rankedLoad is an engine's load from the point of view of a call.
+	rankedLoad struct {
+		running       float64 // at least as urgent, or of unknown urgency
+		moreUrgent    float64 // running
+		waiting       float64 // that are admitted before the call
+		reading       float64 // tokens of announced prompts that are prefilled before the call
+		displaced     float64 // tokens in memory of less urgent runs, which yield
+		displacedRuns float64
+		last          bool // nothing less urgent runs
+	}
+)
+
+const (
+	runSamples = 32 // weight of the running mean of run times, in requests
+	// defaultRunTime is used until a stream has ended.
+	defaultRunTime = 1000. // milliseconds
+	// minOpenSlots is the share of slots that more urgent runs leave to a call at least: they
+	// come and go.
+	minOpenSlots = 0.125
+)
+
+// AnnounceUrgencies sets what is called for long prompts to servers whose keepers report by
+// urgency.
+func (p *Placer) AnnounceUrgencies(f AnnounceUrgency) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.ranked = f
+}
+
+func (r *pendingRank) add(tokens int) {
+	r.requests++
+	r.tokens += tokens
+	r.added++
+}
+
+func (r *pendingRank) remove(tokens int) {
+	r.requests, r.tokens = max(r.requests-1, 0), max(r.tokens-tokens, 0)
+}
+
+// clearNew records that a report includes all requests sent so far.
+func (s *server) clearNew() {
+	for i := range s.pending {
+		s.pending[i].added = 0
+	}
+}
+
+// workAhead estimates what an engine does before it begins a call that is sent after the given
+// time.
+func (p *Placer) workAhead(call *beechcall.Call, s *server, wait time.Duration, now time.Time) workAhead {
+	strain, known := s.knownStrain(now)
+	if !known || call.Model == "" {
+		shortfall := p.memoryShortfall(s, call.PromptTokens, now)
+		return workAhead{
+			tokens: p.queuedTokens(s, now.Add(wait)), memoryWait: p.memoryWait(shortfall, s),
+			preemptionCost: p.preemptionCost(shortfall), utilizationCost: p.utilizationCost(s, now),
+		}
+	}
+	load := s.loadBefore(call.Urgency(), strain)
+	w := workAhead{
+		tokens: p.tokensBefore(call.Urgency(), s, load, now.Add(wait)), slotWait: p.slotWait(s, load), overlaps: true,
+		utilizationCost: batchCost(p.estimatedLoad(s), s),
+	}
+	w.memoryWait, w.preemptionCost = p.memoryBefore(call, s, load)
+	return w
+}
+
+// queueTime returns the milliseconds until an engine that prefills at a rate begins the call.
+func (w workAhead) queueTime(rate float64) float64 {
+	if w.overlaps {
+		return max(w.tokens/rate, w.slotWait, w.memoryWait)
+	}
+	return w.tokens/rate + w.memoryWait
+}
+
+// heldUp reports whether a call waits longer for a slot or memory than for prompts. Its time to
+// the first byte then tells nothing of the speed at which the engine prefills.
+func (w workAhead) heldUp(rate float64) bool {
+	return w.overlaps && max(w.slotWait, w.memoryWait) > w.tokens/rate
+}
+
+// loadBefore returns an engine's load from the point of view of a call of an urgency. The
+// keeper does not know how urgent the waiting requests are. Those that are more urgent than some
+// run are admitted at once in its place, so nearly all that wait are as urgent as the least
+// urgent run, or less.
+func (s *server) loadBefore(urgency int, strain beechstrain.Strain) rankedLoad {
+	load := rankedLoad{last: true, running: float64(s.state.Running)}
+	inMemory := 0
+	for _, r := range strain.Ranks {
+		inMemory += r.CacheUsed
+		switch {
+		case r.Urgency > urgency && r.Running > 0:
+			load.last = false
+			load.displaced += float64(r.CacheUsed)
+			load.displacedRuns += float64(r.Running)
+		case r.Urgency < urgency:
+			load.moreUrgent += float64(r.Running)
+		}
+		if r.Urgency <= urgency {
+			load.reading += float64(r.Reading)
+		}
+	}
+	load.running = max(load.running-load.displacedRuns, 0)
+	if inMemory > s.state.CacheUsed { // runs share parts of their prompts
+		load.displaced *= float64(s.state.CacheUsed) / float64(inMemory)
+	}
+	for _, r := range s.pending[:urgency+1] {
+		if load.last {
+			load.waiting += float64(r.added)
+		} else {
+			load.waiting += float64(r.requests)
+		}
+	}
+	if load.last {
+		load.waiting += float64(s.state.Waiting)
+	}
+	return load
+}
+
+// tokensBefore estimates the prompt tokens that an engine prefills before a call: the maximum of
+// what this gate has sent, of what all gates have announced, and, if all that waits goes first,
+// the mean prefill of as many requests.
+func (p *Placer) tokensBefore(urgency int, s *server, load rankedLoad, at time.Time) float64 {
+	tokens := 0.
+	for _, r := range s.pending[:urgency+1] {
+		tokens += float64(r.tokens)
+	}
+	rate := p.serverPrefillRate(s, at)
+	tokens = max(tokens, load.reading-milliseconds(at.Sub(s.strainAt))*rate)
+	if load.last {
+		tokens = max(tokens, float64(s.state.Waiting)*p.meanPrefill-milliseconds(at.Sub(s.reportedAt))*rate)
+	}
+	return tokens
+}
+
+// slotWait estimates the milliseconds until a call gets a slot. Slots become free as runs end;
+// those of more urgent runs go to more urgent requests.
+func (p *Placer) slotWait(s *server, load rankedLoad) float64 {
+	slots := float64(max(s.slots, 1))
+	before := load.running + load.waiting + 1 - slots
+	if before <= 0 {
+		return 0
+	}
+	return before * p.meanRunTime() / max(slots-load.moreUrgent, minOpenSlots*slots)
+}
+
+func (p *Placer) meanRunTime() float64 {
+	if p.runTime <= 0 {
+		return defaultRunTime
+	}
+	return p.runTime
+}
+
+// learnRunTime adds the time that a stream ran.
+func (p *Placer) learnRunTime(firstByteAt time.Time) {
+	if firstByteAt.IsZero() {
+		return
+	}
+	took := milliseconds(p.clock.Since(firstByteAt))
+	if p.runTime <= 0 {
+		p.runTime = took
+	}
+	p.runTime += (took - p.runTime) / runSamples
+}
+
+// memoryBefore estimates the milliseconds until an engine's memory has room for a call, and the
+// cost of preemption: of the runs that yield to it, which are prefilled again and will be late,
+// or its own, if it is the first to yield and the memory is nearly full.
+func (p *Placer) memoryBefore(call *beechcall.Call, s *server, load rankedLoad) (wait, cost float64) {
+	total, used := float64(s.state.CacheTotal), float64(s.state.CacheUsed)
+	if total <= 0 || used <= 0 {
+		return 0, 0
+	}
+	prompt := float64(call.PromptTokens)
+	need := prompt + load.waiting*p.meanPrompt
+	kept := max(used-load.displaced, 0)
+	if shortfall := need - (total - kept); shortfall > 0 && kept > 0 {
+		wait = shortfall * p.residence.mean() / kept
+	}
+	if load.last {
+		risk := min(max((used+need)/total-cacheFullShare, 0)/(1-cacheFullShare), 1)
+		return wait, risk * (p.settings.ReprefillCost*prompt + cacheFullCost)
+	}
+	yielding := min(max(need-(total-used), 0), load.displaced, prompt)
+	runs := min(yielding*load.displacedRuns/max(load.displaced, 1), 1)
+	return wait, p.settings.ReprefillCost*yielding + missedObjectiveCost*runs
+}
--- a/internal/request/beechrollout/backlog.go
+++ b/internal/request/beechrollout/backlog.go
@@ -29,6 +29,9 @@
 	b.tokensPerMs = b.currentRate() + (rate-b.currentRate())/rateSmoothing
 }
 
+// Rate returns the tokens that the engine is taken to prefill per millisecond.
+func (b *PrefillBacklog) Rate() float64 { return b.currentRate() }
+
 func (b *PrefillBacklog) currentRate() float64 {
 	if b.tokensPerMs > 0 {
 		return b.tokensPerMs
