--- a/internal/decision/beechstrain/strain.go
+++ b/internal/decision/beechstrain/strain.go
@@ -25,21 +25,23 @@
 import "net/netip"
 
 type (
-	// RankLoad is what an engine runs and reads of one urgency.
+	// RankLoad is what an engine has of one urgency.
 	RankLoad struct {
 		Urgency   int // 0 is the most urgent
 		Running   int
-		CacheUsed int // tokens in its memory
-		Reading   int // tokens of announced long prompts that are not prefilled yet
+		CacheUsed int // tokens in its memory, of running requests
+		Waiting   int
+		Reading   int // tokens that the waiting requests have to prefill
 	}
 
-	// Strain is the state of an engine's host and of what it runs. Number increases with each
-	// message of its keeper.
+	// Strain is the state of an engine's host and of what the engine works on. Number increases
+	// with each message of its keeper.
 	Strain struct {
 		Host     netip.Addr
 		Number   uint32
 		Slowness int        // how long work takes at this moment, in percent of the usual; 0: not known
-		Ranks    []RankLoad // urgencies of which it runs or reads requests
+		Reading  int        // tokens that admitted requests still have to prefill
+		Ranks    []RankLoad // urgencies of which it has requests
 	}
 )
 
@@ -51,6 +53,7 @@
 	// A sixteenth of the memory is about the smallest room that decides where a long prompt goes.
 	notableMemory  = 16
 	notableRunning = 8 // runs of one urgency
+	notableWaiting = 4 // requests of one urgency
 	// notableReading is the number of tokens from which on a prompt delays others for longer
 	// than a message to all gates takes.
 	notableReading = 1500
@@ -62,23 +65,23 @@
 	return notableSlowness*abs(x.Slowness-y.Slowness) >= max(min(x.Slowness, y.Slowness), usualSlowness)
 }
 
-// RanksDiffer reports whether two strains of an engine with the given memory differ notably in
-// what the engine runs.
-func RanksDiffer(x, y Strain, cacheTotal int) bool {
+// QueueDiffers reports whether two strains of an engine differ notably in what waits for it.
+func QueueDiffers(x, y Strain) bool {
 	for urgency := range rankCount(x, y) {
 		a, b := x.rank(urgency), y.rank(urgency)
-		if abs(a.Running-b.Running) >= notableRunning || notableMemory*abs(a.CacheUsed-b.CacheUsed) >= max(cacheTotal, 1) {
+		if abs(a.Waiting-b.Waiting) >= notableWaiting || abs(a.Reading-b.Reading) >= notableReading {
 			return true
 		}
 	}
-	return false
+	return abs(x.Reading-y.Reading) >= notableReading
 }
 
-// ReadsMore reports whether an engine has got so much more to prefill of an urgency than when the
-// strain before was reported that gates should be told at once.
-func ReadsMore(before, now Strain) bool {
-	for urgency := range rankCount(now) {
-		if now.rank(urgency).Reading-before.rank(urgency).Reading >= notableReading {
+// RanksDiffer reports whether two strains of an engine with the given memory differ notably in
+// what the engine runs.
+func RanksDiffer(x, y Strain, cacheTotal int) bool {
+	for urgency := range rankCount(x, y) {
+		a, b := x.rank(urgency), y.rank(urgency)
+		if abs(a.Running-b.Running) >= notableRunning || notableMemory*abs(a.CacheUsed-b.CacheUsed) >= max(cacheTotal, 1) {
 			return true
 		}
 	}
--- a/internal/link/beechwire/wire_gen.go
+++ b/internal/link/beechwire/wire_gen.go
@@ -868,10 +868,9 @@
 	Service string `msg:"Service"`
 }
 
-// RankLoad is what an engine runs and reads of one urgency.
+// RankLoad is what an engine has of one urgency.
 type RankLoad struct {
-	// Tokens of announced long prompts that are not prefilled yet; from a gate to a
-	// keeper: of one that it sends now.
+	// Tokens that the waiting requests have to prefill.
 	Read int `msg:"Read"`
 
 	// Running requests.
@@ -882,6 +881,9 @@
 
 	// Tokens of these in the engine's memory.
 	Used int `msg:"Used"`
+
+	// Waiting requests; from a gate to a keeper: those that it sends now.
+	Wait int `msg:"Wait"`
 }
 
 // Reattach joins a generation that is running or has recently ended at the agent.
@@ -1185,9 +1187,12 @@
 	// Increases with each message of the keeper.
 	Number uint32 `msg:"Number"`
 
-	// Urgencies of which the engine runs requests.
+	// Urgencies of which the engine has requests.
 	Ranks []RankLoad `msg:"Ranks"`
 
+	// Tokens that admitted requests still have to prefill.
+	Read int `msg:"Read"`
+
 	// How long work takes on the host at this moment, in percent of the usual; 0: not
 	// known.
 	Slow int `msg:"Slow"`
--- a/internal/link/beechwire/wire_msgp_gen.go
+++ b/internal/link/beechwire/wire_msgp_gen.go
@@ -4951,12 +4951,13 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *RankLoad) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// array header, size 4
-	o = append(o, 0x94)
+	// array header, size 5
+	o = append(o, 0x95)
 	o = msgp.AppendInt(o, z.Read)
 	o = msgp.AppendInt(o, z.Run)
 	o = msgp.AppendInt(o, z.Urgency)
 	o = msgp.AppendInt(o, z.Used)
+	o = msgp.AppendInt(o, z.Wait)
 	return
 }
 
@@ -4968,8 +4969,8 @@
 		err = msgp.WrapError(err)
 		return
 	}
-	if zb0001 != 4 {
-		err = msgp.ArrayError{Wanted: 4, Got: zb0001}
+	if zb0001 != 5 {
+		err = msgp.ArrayError{Wanted: 5, Got: zb0001}
 		return
 	}
 	z.Read, bts, err = msgp.ReadIntBytes(bts)
@@ -4992,13 +4993,18 @@
 		err = msgp.WrapError(err, "Used")
 		return
 	}
+	z.Wait, bts, err = msgp.ReadIntBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Wait")
+		return
+	}
 	o = bts
 	return
 }
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *RankLoad) Msgsize() (s int) {
-	s = 1 + msgp.IntSize + msgp.IntSize + msgp.IntSize + msgp.IntSize
+	s = 1 + msgp.IntSize + msgp.IntSize + msgp.IntSize + msgp.IntSize + msgp.IntSize
 	return
 }
 
@@ -6473,8 +6479,8 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *Strain) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// array header, size 4
-	o = append(o, 0x94)
+	// array header, size 5
+	o = append(o, 0x95)
 	o = msgp.AppendString(o, z.Host)
 	o = msgp.AppendUint32(o, z.Number)
 	o = msgp.AppendArrayHeader(o, uint32(len(z.Ranks)))
@@ -6485,6 +6491,7 @@
 			return
 		}
 	}
+	o = msgp.AppendInt(o, z.Read)
 	o = msgp.AppendInt(o, z.Slow)
 	return
 }
@@ -6497,8 +6504,8 @@
 		err = msgp.WrapError(err)
 		return
 	}
-	if zb0001 != 4 {
-		err = msgp.ArrayError{Wanted: 4, Got: zb0001}
+	if zb0001 != 5 {
+		err = msgp.ArrayError{Wanted: 5, Got: zb0001}
 		return
 	}
 	z.Host, bts, err = msgp.ReadStringBytes(bts)
@@ -6533,6 +6540,11 @@
 			return
 		}
 	}
+	z.Read, bts, err = msgp.ReadIntBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Read")
+		return
+	}
 	z.Slow, bts, err = msgp.ReadIntBytes(bts)
 	if err != nil {
 		err = msgp.WrapError(err, "Slow")
@@ -6548,7 +6560,7 @@
 	for za0001 := range z.Ranks {
 		s += z.Ranks[za0001].Msgsize()
 	}
-	s += msgp.IntSize
+	s += msgp.IntSize + msgp.IntSize
 	return
 }
 
--- a/internal/process/beechconvert/pressure.go
+++ b/internal/process/beechconvert/pressure.go
@@ -10,12 +10,12 @@
 
 // WireStrain converts a strain. A keeper leaves out its own host.
 func WireStrain(s beechstrain.Strain) beechwire.Strain {
-	w := beechwire.Strain{Number: s.Number, Slow: s.Slowness}
+	w := beechwire.Strain{Number: s.Number, Slow: s.Slowness, Read: s.Reading}
 	if s.Host.IsValid() {
 		w.Host = WireHost(s.Host)
 	}
 	for _, r := range s.Ranks {
-		w.Ranks = append(w.Ranks, beechwire.RankLoad{Urgency: r.Urgency, Run: r.Running, Used: r.CacheUsed, Read: r.Reading})
+		w.Ranks = append(w.Ranks, beechwire.RankLoad{Urgency: r.Urgency, Run: r.Running, Used: r.CacheUsed, Wait: r.Waiting, Read: r.Reading})
 	}
 	return w
 }
@@ -42,10 +42,10 @@
 			}
 			host = named
 		}
-		s := beechstrain.Strain{Host: host, Number: w.Number, Slowness: max(w.Slow, 0)}
+		s := beechstrain.Strain{Host: host, Number: w.Number, Slowness: max(w.Slow, 0), Reading: max(w.Read, 0)}
 		for _, r := range w.Ranks {
-			if r.Urgency >= 0 && r.Urgency <= beechcall.MaxUrgency && r.Run >= 0 && r.Used >= 0 && r.Read >= 0 {
-				s.Ranks = append(s.Ranks, beechstrain.RankLoad{Urgency: r.Urgency, Running: r.Run, CacheUsed: r.Used, Reading: r.Read})
+			if r.Urgency >= 0 && r.Urgency <= beechcall.MaxUrgency && r.Run >= 0 && r.Used >= 0 && r.Wait >= 0 && r.Read >= 0 {
+				s.Ranks = append(s.Ranks, beechstrain.RankLoad{Urgency: r.Urgency, Running: r.Run, CacheUsed: r.Used, Waiting: r.Wait, Reading: r.Read})
 			}
 		}
 		strains = append(strains, s)
--- a/internal/process/beechgate/strains.go
+++ b/internal/process/beechgate/strains.go
@@ -56,10 +56,10 @@
 	}
 }
 
-// announceUrgency tells a keeper how urgent a long prompt is that is sent to its engine.
+// announceUrgency tells a keeper how urgent a request is that is sent to its engine.
 func (g *Gate) announceUrgency(s beechcall.Server, urgency, tokens int) {
 	address := netip.AddrPortFrom(s.Address.Addr(), g.settings.Beats.Port())
-	message := &beechwire.Pressure{Strains: []beechwire.Strain{{Ranks: []beechwire.RankLoad{{Urgency: urgency, Run: 1, Read: tokens}}}}}
+	message := &beechwire.Pressure{Strains: []beechwire.Strain{{Ranks: []beechwire.RankLoad{{Urgency: urgency, Wait: 1, Read: tokens}}}}}
 	if err := g.socket.Send(address, g.scopeTo(s), beechdatagram.Pressure{Pressure: message}); err != nil {
 		g.log.Debug("send to keeper failed", zap.String("server", s.ID), zap.Error(err))
 	}
--- a/internal/process/beechkeeper/keeper.go
+++ b/internal/process/beechkeeper/keeper.go
@@ -271,9 +271,11 @@
 	}
 	if report.Known && report.Waiting == 0 {
 		k.backlog.Clear(polledAt.Add(-promptArrivalDelay))
-		k.strain.reading.Clear(polledAt.Add(-promptArrivalDelay))
 	}
-	prefilling := k.backlog.Remaining(k.deps.Clock.Now()) > 0
+	if report.Known {
+		k.strain.queue.Update(queueReport(report, k.backlog.Rate(), polledAt))
+	}
+	prefilling := k.backlog.Remaining(k.deps.Clock.Now()) > 0 || (k.strain.told && report.Waiting > 0)
 	k.mu.Unlock()
 	if restarted {
 		k.engineRestarted(report)
@@ -314,7 +316,7 @@
 	k.deps.Log.Info("engine restarted", zap.Uint64("born", r.Born), zap.Uint64("sequence", r.Sequence))
 	k.mu.Lock()
 	k.backlog.Clear(k.deps.Clock.Now())
-	k.strain.reading.Clear(k.deps.Clock.Now())
+	k.strain.queue.Clear()
 	k.mu.Unlock()
 	k.removeAllParts()
 	k.notify(true)
--- a/internal/process/beechkeeper/strain.go
+++ b/internal/process/beechkeeper/strain.go
@@ -17,11 +17,11 @@
 	nearAt     time.Time
 	farAt      time.Time
 	told       bool // the engine has told the slowness of its host
-	reading    beechstrain.Backlog
+	queue      beechstrain.Backlog
 }
 
 const (
-	urgentInterval   = 40 * time.Millisecond  // between messages about a changed slowness or a long prompt
+	urgentInterval   = 40 * time.Millisecond  // between messages about a changed slowness or queue
 	ranksInterval    = 100 * time.Millisecond // between messages about what the engine runs
 	farStrainSpacing = 150 * time.Millisecond // between messages to gates of other zones, to which each byte is paid for
 	// strainInterval is the time between messages without a notable change: a lost message is
@@ -29,13 +29,23 @@
 	strainInterval = time.Second
 )
 
-// receivePressure records a long prompt that a gate announces with its urgency.
+// queueReport returns what an engine reports of its queue.
+func queueReport(r Report, prefillRate float64, at time.Time) beechstrain.Report {
+	queue := beechstrain.Report{At: at, Waiting: r.Waiting, Prefilling: r.Running, PrefillRate: prefillRate, ArrivalDelay: promptArrivalDelay}
+	for _, rank := range r.Ranks {
+		queue.Prefilling -= rank.Running
+		queue.LeastUrgent = max(queue.LeastUrgent, rank.Urgency)
+	}
+	return queue
+}
+
+// receivePressure records what a gate announces with its urgency.
 func (k *Keeper) receivePressure(m beechdatagram.Pressure) {
 	now := k.deps.Clock.Now()
 	k.mu.Lock()
 	for _, s := range m.Strains {
 		for _, r := range s.Ranks {
-			k.strain.reading.Add(r.Urgency, r.Read, k.backlog.Rate(), now)
+			k.strain.queue.Announce(r.Urgency, r.Read, now)
 		}
 	}
 	k.mu.Unlock()
@@ -53,10 +63,10 @@
 		return
 	}
 	now := k.deps.Clock.Now()
-	current := beechstrain.Strain{Slowness: k.lastReport.Slowness, Ranks: k.strain.reading.AddReading(k.lastReport.Ranks, k.backlog.Rate(), now)}
+	current := k.strain.queue.Fill(beechstrain.Strain{Slowness: k.lastReport.Slowness, Ranks: k.lastReport.Ranks})
 	interval := strainInterval
 	switch {
-	case beechstrain.SlownessDiffers(k.strain.last, current) || beechstrain.ReadsMore(k.strain.last, current):
+	case beechstrain.SlownessDiffers(k.strain.last, current) || beechstrain.QueueDiffers(k.strain.last, current):
 		interval = urgentInterval
 	case beechstrain.RanksDiffer(k.strain.last, current, k.lastReport.CacheTotal):
 		interval = ranksInterval
--- a/internal/request/beechplace/attempt.go
+++ b/internal/request/beechplace/attempt.go
@@ -61,9 +61,7 @@
 	if (c.PrefillTokens >= minAnnouncedTokens || c.Missing >= minAnnouncedMissing || c.Save.IsValid()) && !s.reportedAt.IsZero() {
 		p.announce(s.Server, c.PrefillTokens, parts, c.Save.IsValid())
 	}
-	if _, known := s.knownStrain(p.clock.Now()); known && p.ranked != nil && c.PrefillTokens >= minAnnouncedTokens {
-		p.ranked(s.Server, a.urgency, c.PrefillTokens)
-	}
+	p.announceUrgency(s, a.urgency, c.PrefillTokens)
 	return a
 }
 
--- a/internal/request/beechplace/placer.go
+++ b/internal/request/beechplace/placer.go
@@ -315,7 +315,6 @@
 	}
 	now := p.clock.Now()
 	engine.reportedAt, engine.confirmedAt, engine.state, engine.inFlightAtReport = now, now, s, engine.inFlight
-	engine.clearNew()
 	for model, version := range s.Weights {
 		engine.weights[model] = version
 	}
--- a/internal/request/beechplace/types.go
+++ b/internal/request/beechplace/types.go
@@ -79,8 +79,9 @@
 	// cache. saved is true if the server also saves them to the KV cache store.
 	Announce func(server beechcall.Server, tokens int, parts []uint64, saved bool)
 
-	// AnnounceUrgency tells other gates, by way of the server's keeper, how urgent a long prompt
-	// is. It is called for servers whose keepers report by urgency.
+	// AnnounceUrgency tells other gates, by way of the server's keeper, how urgent a request is
+	// that may wait there, and how many tokens it has to prefill. It is called for servers whose
+	// keepers report by urgency.
 	AnnounceUrgency func(server beechcall.Server, urgency, tokens int)
 
 	// Outcome is the result of an attempt.
--- a/internal/request/beechplace/urgency.go
+++ b/internal/request/beechplace/urgency.go
@@ -22,9 +22,10 @@
 
 	// pendingRank is what this gate has sent to an engine of one urgency.
 	pendingRank struct {
-		requests int // without a first byte
-		tokens   int // that these have to prefill
-		added    int // requests since the keeper's last report
+		requests    int // without a first byte
+		tokens      int // that these have to prefill
+		added       int // requests since the keeper's last report
+		addedTokens int
 	}
 
 	// rankedLoad is an engine's load from the point of view of a call.
@@ -32,10 +33,9 @@
 		running       float64 // at least as urgent, or of unknown urgency
 		moreUrgent    float64 // running
 		waiting       float64 // that are admitted before the call
-		reading       float64 // tokens of announced prompts that are prefilled before the call
+		tokens        float64 // that are prefilled before the call
 		displaced     float64 // tokens in memory of less urgent runs, which yield
 		displacedRuns float64
-		last          bool // nothing less urgent runs
 	}
 )
 
@@ -46,10 +46,11 @@
 	// minOpenSlots is the share of slots that more urgent runs leave to a call at least: they
 	// come and go.
 	minOpenSlots = 0.125
+	// busyShare of an engine's slots are taken when a request may have to wait soon.
+	busyShare = 0.5
 )
 
-// AnnounceUrgencies sets what is called for long prompts to servers whose keepers report by
-// urgency.
+// AnnounceUrgencies sets what is called for requests to servers whose keepers report by urgency.
 func (p *Placer) AnnounceUrgencies(f AnnounceUrgency) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -60,6 +61,7 @@
 	r.requests++
 	r.tokens += tokens
 	r.added++
+	r.addedTokens += tokens
 }
 
 func (r *pendingRank) remove(tokens int) {
@@ -69,7 +71,7 @@
 // clearNew records that a report includes all requests sent so far.
 func (s *server) clearNew() {
 	for i := range s.pending {
-		s.pending[i].added = 0
+		s.pending[i].added, s.pending[i].addedTokens = 0, 0
 	}
 }
 
@@ -107,25 +109,32 @@
 	return w.overlaps && max(w.slotWait, w.memoryWait) > w.tokens/rate
 }
 
-// loadBefore returns an engine's load from the point of view of a call of an urgency. The
-// keeper does not know how urgent the waiting requests are. Those that are more urgent than some
-// run are admitted at once in its place, so nearly all that wait are as urgent as the least
-// urgent run, or less.
+// announceUrgency announces a request to a server whose keeper reports by urgency, if it may
+// wait there or makes others wait.
+func (p *Placer) announceUrgency(s *server, urgency, tokens int) {
+	_, known := s.knownStrain(p.clock.Now())
+	busy := s.state.Waiting > 0 || busyShare*float64(s.slots) <= float64(s.state.Running)
+	if known && p.ranked != nil && (busy || tokens >= minAnnouncedTokens) {
+		p.ranked(s.Server, urgency, tokens)
+	}
+}
+
+// loadBefore returns an engine's load from the point of view of a call of an urgency. A prompt
+// that is being prefilled goes on whatever arrives; of those that wait the most urgent is next.
 func (s *server) loadBefore(urgency int, strain beechstrain.Strain) rankedLoad {
-	load := rankedLoad{last: true, running: float64(s.state.Running)}
+	load := rankedLoad{running: float64(s.state.Running), tokens: float64(strain.Reading)}
 	inMemory := 0
 	for _, r := range strain.Ranks {
 		inMemory += r.CacheUsed
-		switch {
-		case r.Urgency > urgency && r.Running > 0:
-			load.last = false
+		if r.Urgency > urgency {
 			load.displaced += float64(r.CacheUsed)
 			load.displacedRuns += float64(r.Running)
-		case r.Urgency < urgency:
-			load.moreUrgent += float64(r.Running)
+			continue
 		}
-		if r.Urgency <= urgency {
-			load.reading += float64(r.Reading)
+		load.waiting += float64(r.Waiting)
+		load.tokens += float64(r.Reading)
+		if r.Urgency < urgency {
+			load.moreUrgent += float64(r.Running)
 		}
 	}
 	load.running = max(load.running-load.displacedRuns, 0)
@@ -133,32 +142,21 @@
 		load.displaced *= float64(s.state.CacheUsed) / float64(inMemory)
 	}
 	for _, r := range s.pending[:urgency+1] {
-		if load.last {
-			load.waiting += float64(r.added)
-		} else {
-			load.waiting += float64(r.requests)
-		}
-	}
-	if load.last {
-		load.waiting += float64(s.state.Waiting)
+		load.waiting += float64(r.added)
 	}
 	return load
 }
 
 // tokensBefore estimates the prompt tokens that an engine prefills before a call: the maximum of
-// what this gate has sent, of what all gates have announced, and, if all that waits goes first,
-// the mean prefill of as many requests.
+// what this gate has sent, and of what all gates have announced.
 func (p *Placer) tokensBefore(urgency int, s *server, load rankedLoad, at time.Time) float64 {
-	tokens := 0.
+	own, added := 0., 0.
 	for _, r := range s.pending[:urgency+1] {
-		tokens += float64(r.tokens)
+		own += float64(r.tokens)
+		added += float64(r.addedTokens)
 	}
-	rate := p.serverPrefillRate(s, at)
-	tokens = max(tokens, load.reading-milliseconds(at.Sub(s.strainAt))*rate)
-	if load.last {
-		tokens = max(tokens, float64(s.state.Waiting)*p.meanPrefill-milliseconds(at.Sub(s.reportedAt))*rate)
-	}
-	return tokens
+	done := milliseconds(at.Sub(s.strainAt)) * p.serverPrefillRate(s, at)
+	return max(own, load.tokens+added-done)
 }
 
 // slotWait estimates the milliseconds until a call gets a slot. Slots become free as runs end;
@@ -192,24 +190,28 @@
 }
 
 // memoryBefore estimates the milliseconds until an engine's memory has room for a call, and the
-// cost of preemption: of the runs that yield to it, which are prefilled again and will be late,
-// or its own, if it is the first to yield and the memory is nearly full.
+// cost of preemption: of the runs that yield to the call, and of the call itself, which may have
+// to yield to more urgent ones as the newest of its urgency.
 func (p *Placer) memoryBefore(call *beechcall.Call, s *server, load rankedLoad) (wait, cost float64) {
 	total, used := float64(s.state.CacheTotal), float64(s.state.CacheUsed)
 	if total <= 0 || used <= 0 {
 		return 0, 0
 	}
-	prompt := float64(call.PromptTokens)
+	prompt, slots := float64(call.PromptTokens), float64(max(s.slots, 1))
 	need := prompt + load.waiting*p.meanPrompt
 	kept := max(used-load.displaced, 0)
 	if shortfall := need - (total - kept); shortfall > 0 && kept > 0 {
 		wait = shortfall * p.residence.mean() / kept
 	}
-	if load.last {
+	if load.displacedRuns == 0 {
 		risk := min(max((used+need)/total-cacheFullShare, 0)/(1-cacheFullShare), 1)
 		return wait, risk * (p.settings.ReprefillCost*prompt + cacheFullCost)
 	}
-	yielding := min(max(need-(total-used), 0), load.displaced, prompt)
-	runs := min(yielding*load.displacedRuns/max(load.displaced, 1), 1)
-	return wait, p.settings.ReprefillCost*yielding + missedObjectiveCost*runs
+	runSize := load.displaced / load.displacedRuns
+	runs := min(max(need-(total-used), 0), prompt) / max(runSize, 1)
+	if float64(s.state.Running)+load.waiting+1 > slots {
+		runs = max(runs, 1)
+	}
+	runs = min(runs, load.displacedRuns)
+	return wait, p.settings.ReprefillCost*runs*runSize + missedObjectiveCost*min(runs, 1)
 }
