--- a/internal/request/beechplace/choose.go
+++ b/internal/request/beechplace/choose.go
@@ -229,7 +229,7 @@
 			pace = charged
 			queueTime, prefillTime, fixed = p.startTime(&c, w, pace)
 		}
-		c.Cost += queueTime + prefillTime + (fixed - p.prefill.fixed) + w.preemptionCost + w.delayCost(prefillTime) + pace*w.utilizationCost + lateness
+		c.Cost += w.delayCost(p.prefill.rate/pace, queueTime) + prefillTime + (fixed - p.prefill.fixed) + w.preemptionCost + pace*w.utilizationCost + lateness
 	}
 	if s.Zone != p.settings.Zone {
 		c.Cost += p.settings.CrossZoneCost + p.settings.CrossZoneByteCost*float64(len(call.Body))
--- a/internal/request/beechplace/urgency.go
+++ b/internal/request/beechplace/urgency.go
@@ -18,8 +18,7 @@
 		overlaps        bool    // prompts are prefilled while the call waits for a slot or memory
 		preemptionCost  float64 // for the call and for those that it displaces
 		utilizationCost float64
-		passed          float64 // less urgent requests that wait, and that the call goes before
-		slotTime        float64 // milliseconds by which its run delays each of these
+		others          *workAhead // what the engine does for calls of any urgency; nil: the same
 	}
 
 	// pendingRank is what this gate has sent to an engine of one urgency.
@@ -38,14 +37,10 @@
 		tokens        float64 // that are prefilled before the call
 		displaced     float64 // tokens in memory of less urgent runs, which yield
 		displacedRuns float64
-		passed        float64 // less urgent requests that wait
 	}
 )
 
 const (
-	// passedCost is the cost of a millisecond of delay of a less urgent request: it will be late
-	// with a part of what it still has until its objective.
-	passedCost = 0.5
 	runSamples = 32 // weight of the running mean of run times, in requests
 	// defaultRunTime is used until a stream has ended.
 	defaultRunTime = 1000. // milliseconds
@@ -95,12 +90,10 @@
 	load := s.loadBefore(call.Urgency(), strain)
 	w := workAhead{
 		tokens: p.tokensBefore(call.Urgency(), s, load, now.Add(wait)), slotWait: p.slotWait(s, load), overlaps: true,
-		utilizationCost: batchCost(p.estimatedLoad(s), s), passed: load.passed,
-	}
-	if slots := float64(max(s.slots, 1)); float64(s.state.Running)+load.waiting+1 > slots {
-		w.slotTime = p.meanRunTime() / slots
+		utilizationCost: p.utilizationCost(s, now),
 	}
 	w.memoryWait, w.preemptionCost = p.memoryBefore(call, s, load)
+	w.others = &workAhead{tokens: p.queuedTokens(s, now.Add(wait)), memoryWait: p.memoryWait(p.memoryShortfall(s, call.PromptTokens, now), s)}
 	return w
 }
 
@@ -112,9 +105,13 @@
 	return w.tokens/rate + w.memoryWait
 }
 
-// delayCost is the cost of the time by which a call delays the less urgent requests that wait.
-func (w workAhead) delayCost(prefillTime float64) float64 {
-	return passedCost * w.passed * (prefillTime + w.slotTime)
+// delayCost is the cost of the queue in milliseconds. A call that goes before others delays all of
+// them, so whatever its urgency, the whole queue counts.
+func (w workAhead) delayCost(rate, own float64) float64 {
+	if w.others == nil {
+		return own
+	}
+	return max(w.others.queueTime(rate), own)
 }
 
 // heldUp reports whether a call waits longer for a slot or memory than for prompts. Its time to
@@ -143,7 +140,6 @@
 		if r.Urgency > urgency {
 			load.displaced += float64(r.CacheUsed)
 			load.displacedRuns += float64(r.Running)
-			load.passed += float64(r.Waiting)
 			continue
 		}
 		load.waiting += float64(r.Waiting)
