--- a/internal/request/beechplace/attempt.go
+++ b/internal/request/beechplace/attempt.go
@@ -23,6 +23,8 @@
 	urgency       int
 	queuedTokens  float64 // tokens to prefill, those queued before it included
 	heldUp        bool    // it waits for more than prompts
+	ranked        bool    // backlogTime is that of its urgency
+	backlogTime   float64 // milliseconds that were expected before its own prompt
 	firstByteAt   time.Time
 	expectedTime  float64 // milliseconds that an engine of the common speed takes for queuedTokens
 	sentAt        time.Time
@@ -47,6 +49,7 @@
 	a.storeTokens, a.expected = c.StoreTokens, time.Duration((c.Expected-milliseconds(c.Wait))*float64(time.Millisecond))
 	w := p.workAhead(call, s, c.Wait, p.clock.Now())
 	a.queuedTokens, a.heldUp = w.tokens+float64(c.PrefillTokens), w.heldUp(p.prefill.rate)
+	a.ranked, a.backlogTime = w.overlaps, w.backlogTime(p.serverPrefillRate(s, p.clock.Now()))
 	a.expectedTime = a.queuedTokens/p.prefill.rate + p.prefill.fixed
 	s.inFlight++
 	s.pendingPrefill += c.PrefillTokens
@@ -143,6 +146,10 @@
 	if store := a.placer.kvStoreAt(a.source); a.storeTokens > 0 && store != nil {
 		store.fetches.observe(now.Sub(a.sentAt), a.expected, now)
 	}
+	if a.ranked {
+		own := float64(a.prefillTokens)/a.placer.serverPrefillRate(a.server, now) + a.placer.prefill.fixed
+		a.placer.passing[a.urgency].learn(max(took-own, 0), a.backlogTime)
+	}
 	if a.heldUp {
 		return // neither the engine's pace nor its speed of prefilling
 	}
--- a/internal/request/beechplace/placer.go
+++ b/internal/request/beechplace/placer.go
@@ -47,6 +47,7 @@
 		meanPrefill     float64      // running mean of the tokens that a request has to prefill
 		meanPrompt      float64      // running mean of the tokens of a prompt
 		residence       residenceTime
+		passing         [beechcall.MaxUrgency + 1]passingFactor
 		runTime         float64              // running mean of the milliseconds from first byte to end; 0: not known
 		serviceLoads    map[string]float64   // by service: mean of the loads that its servers tell with answers
 		nextRetry       map[string]time.Time // by service: the latest retry time that a caller was given
--- a/internal/request/beechplace/urgency.go
+++ b/internal/request/beechplace/urgency.go
@@ -1,6 +1,7 @@
 package beechplace
 
 import (
+	"math"
 	"time"
 
 	"github.com/beechring/beechring/internal/decision/beechstrain"
@@ -16,6 +17,7 @@
 		slotWait        float64 // milliseconds until a slot is free
 		memoryWait      float64 // milliseconds until the memory has room
 		overlaps        bool    // prompts are prefilled while the call waits for a slot or memory
+		passing         float64 // factor for more urgent requests that arrive meanwhile; 0: none
 		preemptionCost  float64 // for the call and for those that it displaces
 		utilizationCost float64
 		others          *workAhead // what the engine does for calls of any urgency; nil: the same
@@ -40,8 +42,15 @@
 	}
 )
 
+// passingFactor is how many times longer than their backlog calls of one urgency wait, because
+// more urgent ones arrive meanwhile. The zero value has no samples.
+type passingFactor struct{ logarithm float64 }
+
 const (
-	runSamples = 32 // weight of the running mean of run times, in requests
+	passingSamples = 16  // weight of the running mean
+	maxPassing     = 8   // of one sample, either way
+	minBacklogTime = 50. // milliseconds; below it the ratio says little
+	runSamples     = 32  // weight of the running mean of run times, in requests
 	// defaultRunTime is used until a stream has ended.
 	defaultRunTime = 1000. // milliseconds
 	// minOpenSlots is the share of slots that more urgent runs leave to a call at least: they
@@ -58,6 +67,17 @@
 	p.ranked = f
 }
 
+func (f passingFactor) factor() float64 { return math.Exp(f.logarithm) }
+
+// learn adds a call that waited for a time, of which the backlog was expected to take a part.
+func (f *passingFactor) learn(waited, backlog float64) {
+	if backlog < minBacklogTime {
+		return
+	}
+	sample := min(max(waited/backlog, 1./maxPassing), maxPassing)
+	f.logarithm += (math.Log(sample) - f.logarithm) / passingSamples
+}
+
 func (r *pendingRank) add(tokens int) {
 	r.requests++
 	r.tokens += tokens
@@ -90,7 +110,7 @@
 	load := s.loadBefore(call.Urgency(), strain)
 	w := workAhead{
 		tokens: p.tokensBefore(call.Urgency(), s, load, now.Add(wait)), slotWait: p.slotWait(s, load), overlaps: true,
-		utilizationCost: p.utilizationCost(s, now),
+		passing: p.passing[call.Urgency()].factor(), utilizationCost: p.utilizationCost(s, now),
 	}
 	w.memoryWait, w.preemptionCost = p.memoryBefore(call, s, load)
 	w.others = &workAhead{tokens: p.queuedTokens(s, now.Add(wait)), memoryWait: p.memoryWait(p.memoryShortfall(s, call.PromptTokens, now), s)}
@@ -100,7 +120,7 @@
 // queueTime returns the milliseconds until an engine that prefills at a rate begins the call.
 func (w workAhead) queueTime(rate float64) float64 {
 	if w.overlaps {
-		return max(w.tokens/rate, w.slotWait, w.memoryWait)
+		return w.passing * w.backlogTime(rate)
 	}
 	return w.tokens/rate + w.memoryWait
 }
@@ -114,6 +134,11 @@
 	return max(w.others.queueTime(rate), own)
 }
 
+// backlogTime is the time in milliseconds for what is there now.
+func (w workAhead) backlogTime(rate float64) float64 {
+	return max(w.tokens/rate, w.slotWait, w.memoryWait)
+}
+
 // heldUp reports whether a call waits longer for a slot or memory than for prompts. Its time to
 // the first byte then tells nothing of the speed at which the engine prefills.
 func (w workAhead) heldUp(rate float64) bool {
