--- a/internal/request/beechplace/urgency.go
+++ b/internal/request/beechplace/urgency.go
@@ -244,10 +244,9 @@
 		return wait, risk * (p.settings.ReprefillCost*prompt + cacheFullCost)
 	}
 	runSize := load.displaced / load.displacedRuns
-	runs := min(max(need-(total-used), 0), prompt) / max(runSize, 1)
-	if float64(s.state.Running)+load.waiting+1 > slots {
-		runs = max(runs, 1)
+	preempted := min(max(need-(total-used), 0), prompt, load.displaced)
+	if preempted > 0 || float64(s.state.Running)+load.waiting+1 > slots {
+		preempted = max(min(preempted, p.meanPrompt), runSize) // whole runs yield
 	}
-	runs = min(runs, load.displacedRuns)
-	return wait, p.settings.ReprefillCost*runs*runSize + missedObjectiveCost*min(runs, 1)
+	return wait, p.settings.ReprefillCost * preempted
 }
