--- a/internal/process/beechkeeper/keeper.go
+++ b/internal/process/beechkeeper/keeper.go
@@ -72,6 +72,9 @@
 		Clock  clockwork.Clock
 		Log    *zap.Logger
 		Engine Engine
+		// ReportUrgencies makes the keeper tell what runs by urgency also of an engine that does
+		// not tell the slowness of its host.
+		ReportUrgencies bool
 	}
 
 	// Keeper is the process that controls one engine.
@@ -99,6 +102,7 @@
 		sentAt      time.Time
 		sentState   urgentState // the last one sent
 		sentLoad    load
+		strain      strainState
 	}
 
 	// gateState is a gate as this keeper knows it.
@@ -135,6 +139,7 @@
 		poison:   beechpoison.New(deps.Clock, func(uint64) int { return 0 }, func() {}),
 		updater:  beechrollout.NewUpdater(beechrollout.Settings{}), gates: make(map[netip.AddrPort]*gateState),
 		lastNumber: uint32(deps.Clock.Now().Unix()) << sequenceBits,
+		strain:     strainState{lastNumber: uint32(deps.Clock.Now().Unix()) << sequenceBits},
 		wake:       make(chan struct{}, 1), cachedParts: cachedParts,
 	}
 	k.metrics = newMetrics(k)
@@ -172,6 +177,8 @@
 		k.receiveGossip(from, v)
 	case beechdatagram.Poison:
 		k.receivePoison(from, v)
+	case beechdatagram.Pressure:
+		k.receivePressure(v)
 	}
 }
 
@@ -265,11 +272,17 @@
 	if report.Known && report.Waiting == 0 {
 		k.backlog.Clear(polledAt.Add(-promptArrivalDelay))
 	}
-	prefilling := k.backlog.Remaining(k.deps.Clock.Now()) > 0
+	if report.Known {
+		k.strain.queue.Update(queueReport(report, k.backlog.Rate(), polledAt))
+	}
+	prefilling := k.backlog.Remaining(k.deps.Clock.Now()) > 0 || (k.strain.told && report.Waiting > 0)
 	k.mu.Unlock()
 	if restarted {
 		k.engineRestarted(report)
 	}
+	if report.Known {
+		k.notifyStrain()
+	}
 	switch v := step.(type) {
 	case beechrollout.Wait:
 		k.setPhase(v.Phase, err)
@@ -303,6 +316,7 @@
 	k.deps.Log.Info("engine restarted", zap.Uint64("born", r.Born), zap.Uint64("sequence", r.Sequence))
 	k.mu.Lock()
 	k.backlog.Clear(k.deps.Clock.Now())
+	k.strain.queue.Clear()
 	k.mu.Unlock()
 	k.removeAllParts()
 	k.notify(true)
--- a/internal/request/beechplace/placer.go
+++ b/internal/request/beechplace/placer.go
@@ -29,13 +29,15 @@
 		overloaded *beechsaturation.Tracker
 		backoff    *beechbackoff.Tracker
 		announce   Announce
+		ranked     AnnounceUrgency // may be nil
 
 		mu              sync.Mutex
 		services        map[string][]*server
 		byID            map[string]*server
 		byAddress       map[netip.AddrPort]*server
 		byHash          map[uint64]*server // by the hash of the server's ID
-		answeredLeaving map[string]uint64  // start times of the lifetimes whose answers have said that they leave, by ID
+		onHost          map[netip.Addr][]netip.AddrPort
+		answeredLeaving map[string]uint64 // start times of the lifetimes whose answers have said that they leave, by ID
 		serviceConfigs  map[string]beechcall.Service
 		kvStores        []*kvStore
 		versions        map[string]*beechrollout.VersionHistory // by model
@@ -45,6 +47,8 @@
 		meanPrefill     float64      // running mean of the tokens that a request has to prefill
 		meanPrompt      float64      // running mean of the tokens of a prompt
 		residence       residenceTime
+		passing         [beechcall.MaxUrgency + 1]passingFactor
+		runTime         float64              // running mean of the milliseconds from first byte to end; 0: not known
 		serviceLoads    map[string]float64   // by service: mean of the loads that its servers tell with answers
 		nextRetry       map[string]time.Time // by service: the latest retry time that a caller was given
 	}
@@ -79,6 +83,7 @@
 		limitEndedAt     time.Time
 		inFlight         int // requests of this gate that have not ended
 		pendingPrefill   int // tokens that these requests still have to prefill
+		pending          [beechcall.MaxUrgency + 1]pendingRank
 		inFlightAtReport int // value of inFlight at the last report
 		failures         int
 		downUntil        time.Time
@@ -145,6 +150,7 @@
 	p.byID = make(map[string]*server, len(list))
 	p.byAddress = make(map[netip.AddrPort]*server, len(list))
 	p.byHash = make(map[uint64]*server, len(list))
+	p.onHost = make(map[netip.Addr][]netip.AddrPort, len(list))
 	p.services = make(map[string][]*server)
 	for _, entry := range list {
 		s, ok := previous[entry.ID]
@@ -165,6 +171,7 @@
 		p.byID[entry.ID] = s
 		p.byHash[xxhash.Sum64String(entry.ID)] = s
 		p.assignAddress(s)
+		p.onHost[s.Address.Addr()] = append(p.onHost[s.Address.Addr()], s.Address)
 		p.services[entry.Service] = append(p.services[entry.Service], s)
 	}
 	p.locations.Resize(min(max(partsPerServer*len(list), minTrackedParts), maxTrackedParts))
@@ -258,6 +265,7 @@
 		s.restartedAt = p.clock.Now()
 		s.weights = make(map[string]uint64)
 		s.pendingPrefill, s.failures = 0, 0
+		s.pending, s.strainAt = [beechcall.MaxUrgency + 1]pendingRank{}, time.Time{}
 		s.pace, s.errors = pace{}, errorRate{}
 		s.reportedAt, s.confirmedAt, s.downUntil, s.unavailableUntil = time.Time{}, time.Time{}, time.Time{}, time.Time{}
 	}
