--- a/internal/request/beechattempt/dispatcher.go
+++ b/internal/request/beechattempt/dispatcher.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"expvar"
 	"math/rand/v2"
 	"net/http"
 	"time"
@@ -29,6 +30,7 @@
 		clock    clockwork.Clock
 		log      *zap.Logger
 		timeouts *routeTimeouts
+		pauses   *pauses
 	}
 
 	// RetryBudget bounds the retries to each service; *beechgate.Budgets implements it.
@@ -147,7 +149,7 @@
 ) *Dispatcher {
 	return &Dispatcher{
 		placer: placer, backend: backend, budget: budget, suspects: suspects, poison: poison, crashes: newCrashDetector(prober, suspects, poison, clock, log),
-		observer: observer, clock: clock, log: log, timeouts: newRouteTimeouts(),
+		observer: observer, clock: clock, log: log, timeouts: newRouteTimeouts(), pauses: newPauses(clock, log),
 	}
 }
 
@@ -184,6 +186,10 @@
 	return map[string]int64{"servers": c.servers.Value(), "begun": c.begun.Value(), "notBegun": c.notBegun.Value()}
 }
 
+// LongPauses returns the number of streams that paused for longer than their routes allow, by route
+// and cause.
+func (d *Dispatcher) LongPauses() *expvar.Map { return d.pauses.counts }
+
 // jitter returns a random duration around delay, so that callers that were rejected together
 // do not retry together.
 func jitter(delay time.Duration) time.Duration {
--- a/internal/request/beechattempt/stream.go
+++ b/internal/request/beechattempt/stream.go
@@ -130,6 +130,7 @@
 // forwardStream forwards a stream's complete events as they arrive.
 func (r *execution) forwardStream(choice beechplace.Choice, placement *beechplace.Attempt, watch *watchdog, answer *beechcall.Answer, sent time.Time) verdict {
 	buffer := make([]byte, 0, readBufferBytes)
+	pace := streamPace{pauses: r.dispatcher.pauses, call: r.call, placement: placement}
 	verified := r.call.Route.RetryPolicy != beechcall.Resumable
 	for {
 		if len(buffer) == cap(buffer) {
@@ -154,6 +155,7 @@
 					r.dispatcher.observer.ObserveAttempt(choice.Server, r.call.Model, r.dispatcher.clock.Since(sent), choice.PrefillTokens, false)
 				}
 				placement.FirstByte()
+				pace.received()
 				if id, ok := lastEventID(buffer[:end]); ok {
 					r.stream.lastEventID = id
 				}
--- a/internal/request/beechplace/attempt.go
+++ b/internal/request/beechplace/attempt.go
@@ -46,6 +46,7 @@
 	a.expectedTime = a.queuedTokens/p.prefill.rate + p.prefill.fixed
 	s.inFlight++
 	s.pendingPrefill += c.PrefillTokens
+	s.observePrompts(c.PrefillTokens, a.sentAt)
 	if call.Model != "" {
 		p.meanPrefill += (float64(c.PrefillTokens) - p.meanPrefill) / meanSamples
 		p.meanPrompt += (float64(call.PromptTokens) - p.meanPrompt) / meanSamples
@@ -104,6 +105,7 @@
 	now := a.placer.clock.Now()
 	a.server.answerLoad, a.server.answerLoadAt, a.server.inFlightAtAnswer = l, now, a.server.inFlight
 	a.server.answerUnreported = !a.server.hasRecentReport(now)
+	a.server.observeAnswered(l.Slowness, now)
 	a.placer.observeServiceLoad(a.server.Service, l)
 }
 
@@ -137,6 +139,9 @@
 	if a.prompt > 0 && a.storeTokens == 0 && a.sentAt.After(a.server.limitEndedAt) {
 		a.placer.recordPace(a.server, took, a.expectedTime, now)
 	}
+	if slowness, known := a.server.slownessAt(now); known {
+		a.placer.pauses.ObservePrefill(a.queuedTokens, milliseconds2(took-a.placer.prefill.fixed), int(slowness))
+	}
 	a.placer.prefill.learn(a.queuedTokens, took)
 }
 
--- a/internal/request/beechplace/choose.go
+++ b/internal/request/beechplace/choose.go
@@ -229,7 +229,7 @@
 			pace = charged
 			queueTime, prefillTime, fixed = p.startTime(&c, s, pace, shortfall, now)
 		}
-		c.Cost += queueTime + prefillTime + (fixed - p.prefill.fixed) + p.preemptionCost(shortfall) + pace*p.utilizationCost(s, now) + lateness
+		c.Cost += queueTime + prefillTime + (fixed - p.prefill.fixed) + p.preemptionCost(shortfall) + p.pauseCost(call, s, c.PrefillTokens, now) + pace*p.utilizationCost(s, now) + lateness
 	}
 	if s.Zone != p.settings.Zone {
 		c.Cost += p.settings.CrossZoneCost + p.settings.CrossZoneByteCost*float64(len(call.Body))
--- /dev/null
+++ b/internal/request/beechplace/pauses.go
@@ -0,0 +1,176 @@
+package beechplace
+
+import (
+	"time"
+
+	"github.com/beechring/beechring/internal/decision/beechpause"
+	"github.com/beechring/beechring/internal/request/beechcall"
+)
+
+type (
+	// Pause is what is known of a server during a pause of one of its streams.
+	Pause struct {
+		Cause       PauseCause
+		Server      string
+		Slowness    float64 // of its host in percent of the usual; 0: not known
+		SlownessAge time.Duration
+		Unread      int // estimated tokens of prompts that it reads or has to read
+		Running     int
+	}
+
+	// PauseCause is the probable cause of a pause.
+	PauseCause string
+
+	// eventLog is what a server did lately.
+	eventLog struct {
+		count    uint64    // events of streams to this gate
+		promptAt time.Time // when long prompts were last known to be unread
+		slowAt   time.Time // when its host was last slower than usual
+	}
+)
+
+// Causes of pauses.
+const (
+	PauseSlowPrompt  PauseCause = "slowPrompt" // a prompt was read on a slow host
+	PausePrompt      PauseCause = "prompt"
+	PauseSlow        PauseCause = "slow"
+	PausePreempted   PauseCause = "preempted" // other streams of the server went on
+	PauseUnexplained PauseCause = "unexplained"
+)
+
+// moment is how slow the host of a server is, as its answers tell. Its keeper's word is in strain.
+type moment struct {
+	slowness int // in percent of the usual; 0: not known
+	at       time.Time
+	usual    float64 // running mean
+}
+
+const (
+	// answeredMomentTTL is the time for which the slowness in an answer holds, if the keeper of the
+	// engine does not report a later one.
+	answeredMomentTTL = 400 * time.Millisecond
+	// keptMomentTTL is longer than the interval at which keepers repeat an unchanged slowness.
+	keptMomentTTL = 1500 * time.Millisecond
+	usualSamples  = 64  // weight of the running mean, in words
+	slowMoment    = 1.5 // times the usual slowness
+	// eventsOfOthers is how many events each other stream of a server may have during a pause that
+	// concerns all: one, and another at either end.
+	eventsOfOthers = 2
+)
+
+func (m *moment) learnUsual(slowness int) {
+	if slowness <= 0 {
+		return
+	}
+	if m.usual == 0 {
+		m.usual = float64(slowness)
+	}
+	m.usual += (float64(slowness) - m.usual) / usualSamples
+}
+
+// observeMoment records the slowness that a server's keeper or answer tells.
+func (s *server) observeMoment(slowness int, now time.Time) {
+	s.moment.learnUsual(slowness)
+	if slowness > 0 && float64(slowness) >= slowMoment*s.moment.usual {
+		s.events.slowAt = now
+	}
+}
+
+// observeAnswered records the slowness in an answer.
+func (s *server) observeAnswered(slowness int, now time.Time) {
+	if slowness > 0 {
+		s.moment.slowness, s.moment.at = slowness, now
+		s.observeMoment(slowness, now)
+	}
+}
+
+// observePrompts records whether long prompts are unread.
+func (s *server) observePrompts(tokens int, now time.Time) {
+	if tokens >= minAnnouncedTokens {
+		s.events.promptAt = now
+	}
+}
+
+func (s *server) momentAt() time.Time {
+	if s.moment.at.After(s.strainAt) {
+		return s.moment.at
+	}
+	return s.strainAt
+}
+
+// slownessAt returns how slow the host of a server is: at this moment if that is known, else usually.
+func (s *server) slownessAt(now time.Time) (slowness float64, known bool) {
+	kept := s.strain.Slowness > 0 && now.Sub(s.strainAt) < keptMomentTTL
+	answered := s.moment.slowness > 0 && now.Sub(s.moment.at) < answeredMomentTTL
+	switch {
+	case answered && (!kept || s.moment.at.After(s.strainAt)):
+		return float64(s.moment.slowness), true
+	case kept:
+		return float64(s.strain.Slowness), true
+	}
+	return s.moment.usual, s.moment.usual > 0
+}
+
+// pauseCost returns what a prompt costs the streams that run at an engine: they pause while it is
+// read. A pause beyond the longest allowed makes the answer late.
+//
+// Long prompts that are sent to an engine on a slow host, or one after the other to the same
+// engine, make all streams there late.
+func (p *Placer) pauseCost(call *beechcall.Call, s *server, tokens int, now time.Time) float64 {
+	slowness, known := s.slownessAt(now)
+	longest := call.Route.MaxPause
+	if !known || longest <= 0 || !p.pauses.Known() {
+		return 0
+	}
+	ahead := p.queuedTokens(s, now)
+	before := beechpause.Risk(p.pauses.Pause(ahead, slowness), longest)
+	after := beechpause.Risk(p.pauses.Pause(ahead+float64(tokens), slowness), longest)
+	return missedObjectiveCost * (after - before) * p.estimatedLoad(s)
+}
+
+// ObserveEvents records that events of a stream have arrived, gap after those before them or 0 if
+// they are the first. It returns how many the server has sent this gate.
+func (a *Attempt) ObserveEvents(gap time.Duration) uint64 {
+	if a.server == nil {
+		return 0
+	}
+	a.placer.mu.Lock()
+	defer a.placer.mu.Unlock()
+	now := a.placer.clock.Now()
+	slowness, known := a.server.slownessAt(now)
+	if known {
+		a.placer.pauses.ObserveGap(gap, int(slowness))
+	}
+	a.server.events.count++
+	return a.server.events.count
+}
+
+// PauseSince tells what is known of a server since an event, at which it had sent the given
+// number.
+func (a *Attempt) PauseSince(at time.Time, events uint64) Pause {
+	if a.server == nil {
+		return Pause{Cause: PauseUnexplained}
+	}
+	a.placer.mu.Lock()
+	defer a.placer.mu.Unlock()
+	s, now := a.server, a.placer.clock.Now()
+	p := Pause{Server: s.ID, Cause: PauseUnexplained, Unread: int(a.placer.queuedTokens(s, now)), Running: int(a.placer.estimatedLoad(s))}
+	p.Slowness, _ = s.slownessAt(now)
+	p.SlownessAge = now.Sub(s.momentAt())
+	slow := p.Slowness >= slowMoment*s.moment.usual || s.events.slowAt.After(at)
+	prompt := p.Unread >= minAnnouncedTokens || s.events.promptAt.After(at)
+	others := uint64(max(s.inFlight-1, 0))
+	switch {
+	case others > 0 && s.events.count-events > eventsOfOthers*others:
+		p.Cause = PausePreempted
+	case slow && prompt:
+		p.Cause = PauseSlowPrompt
+	case slow:
+		p.Cause = PauseSlow
+	case prompt:
+		p.Cause = PausePrompt
+	}
+	return p
+}
+
+func milliseconds2(ms float64) time.Duration { return time.Duration(ms * float64(time.Millisecond)) }
--- a/internal/request/beechplace/placer.go
+++ b/internal/request/beechplace/placer.go
@@ -12,6 +12,7 @@
 	"github.com/jonboulle/clockwork"
 
 	"github.com/beechring/beechring/internal/decision/beechbackoff"
+	"github.com/beechring/beechring/internal/decision/beechpause"
 	"github.com/beechring/beechring/internal/decision/beechsaturation"
 	"github.com/beechring/beechring/internal/decision/beechstrain"
 	"github.com/beechring/beechring/internal/decision/beechthrottle"
@@ -42,9 +43,10 @@
 		versions        map[string]*beechrollout.VersionHistory // by model
 		locations       *lru.Cache[uint64, *partLocations]
 		prefill         prefillModel // learned over all engines
-		medianPace      float64      // median of the engines' meanLog
-		meanPrefill     float64      // running mean of the tokens that a request has to prefill
-		meanPrompt      float64      // running mean of the tokens of a prompt
+		pauses          beechpause.Model
+		medianPace      float64 // median of the engines' meanLog
+		meanPrefill     float64 // running mean of the tokens that a request has to prefill
+		meanPrompt      float64 // running mean of the tokens of a prompt
 		residence       residenceTime
 		serviceLoads    map[string]float64   // by service: mean of the loads that its servers tell with answers
 		nextRetry       map[string]time.Time // by service: the latest retry time that a caller was given
@@ -74,6 +76,8 @@
 		inFlightAtAnswer int  // value of inFlight when answerLoad arrived
 		answerUnreported bool // answerLoad was not yet sent to other gates
 
+		moment           moment
+		events           eventLog
 		pace             pace
 		errors           errorRate
 		limited          bool // it had a limit when it was last considered
@@ -261,7 +265,7 @@
 		s.restartedAt = p.clock.Now()
 		s.weights = make(map[string]uint64)
 		s.pendingPrefill, s.failures = 0, 0
-		s.pace, s.errors = pace{}, errorRate{}
+		s.pace, s.errors, s.moment = pace{}, errorRate{}, moment{}
 		s.reportedAt, s.confirmedAt, s.downUntil, s.unavailableUntil = time.Time{}, time.Time{}, time.Time{}, time.Time{}
 	}
 	s.Born = start
@@ -311,6 +315,7 @@
 	}
 	now := p.clock.Now()
 	engine.reportedAt, engine.confirmedAt, engine.state, engine.inFlightAtReport = now, now, s, engine.inFlight
+	engine.observePrompts(s.Reading, now)
 	for model, version := range s.Weights {
 		engine.weights[model] = version
 	}
