--- a/internal/request/beechattempt/dispatcher.go
+++ b/internal/request/beechattempt/dispatcher.go
@@ -188,7 +188,15 @@
 
 // LongPauses returns the number of streams that paused for longer than their routes allow, by route
 // and cause.
-func (d *Dispatcher) LongPauses() *expvar.Map { return d.pauses.counts }
+func (d *Dispatcher) LongPauses() map[string]int64 {
+	counts := make(map[string]int64)
+	d.pauses.counts.Do(func(v expvar.KeyValue) {
+		if n, ok := v.Value.(*expvar.Int); ok {
+			counts[v.Key] = n.Value()
+		}
+	})
+	return counts
+}
 
 // jitter returns a random duration around delay, so that callers that were rejected together
 // do not retry together.
