--- a/internal/process/beechkeeper/keeper.go
+++ b/internal/process/beechkeeper/keeper.go
@@ -64,6 +64,7 @@
 		CacheTotal int
 		Limit      beechthrottle.ServerLimit // nil: not known
 		Slowness   int                       // of its host, in percent of the usual; 0: not known
+		Prefilling int                       // running requests whose prompts it reads; 0: none, or not known
 		Ranks      []beechstrain.RankLoad    // what it runs by urgency; nil: not known
 	}
 
@@ -234,7 +235,7 @@
 // controlEngine polls the engine, sends it orders that are due, and notifies the gates.
 func (k *Keeper) controlEngine(ctx context.Context) error {
 	for ctx.Err() == nil {
-		after := k.pollEngine(ctx)
+		after := min(k.pollEngine(ctx), 100*time.Millisecond)
 		select {
 		case <-k.deps.Clock.After(after):
 		case <-k.wake:
@@ -264,7 +265,8 @@
 	if report.Known {
 		k.lastReport = report
 	}
-	if report.Known && report.Waiting == 0 {
+	k.backlog.SetSlowness(report.Slowness, k.deps.Clock.Now())
+	if report.Known && report.Waiting == 0 && (report.Slowness == 0 || report.Prefilling == 0) {
 		k.backlog.Clear(polledAt.Add(-promptArrivalDelay))
 	}
 	prefilling := k.backlog.Remaining(k.deps.Clock.Now()) > 0
--- a/internal/request/beechplace/pauses.go
+++ b/internal/request/beechplace/pauses.go
@@ -3,7 +3,6 @@
 import (
 	"time"
 
-	"github.com/beechring/beechring/internal/decision/beechpause"
 	"github.com/beechring/beechring/internal/request/beechcall"
 )
 
@@ -16,6 +15,7 @@
 		SlownessAge time.Duration
 		Unread      int // estimated tokens of prompts that it reads or has to read
 		Running     int
+		Learned     [3]float64
 	}
 
 	// PauseCause is the probable cause of a pause.
@@ -119,13 +119,25 @@
 func (p *Placer) pauseCost(call *beechcall.Call, s *server, tokens int, now time.Time) float64 {
 	slowness, known := s.slownessAt(now)
 	longest := call.Route.MaxPause
-	if !known || longest <= 0 || !p.pauses.Known() {
+	if !known || longest <= 0 {
 		return 0
 	}
-	ahead := p.queuedTokens(s, now)
-	before := beechpause.Risk(p.pauses.Pause(ahead, slowness), longest)
-	after := beechpause.Risk(p.pauses.Pause(ahead+float64(tokens), slowness), longest)
-	return missedObjectiveCost * (after - before) * p.estimatedLoad(s)
+	ahead := p.unreadTokens(s, slowness, now)
+	before := p.pauses.Risk(ahead, slowness, longest)
+	after := p.pauses.Risk(ahead+float64(tokens), slowness, longest)
+	return missedObjectiveCost * ((after-before)*p.estimatedLoad(s) + before)
+}
+
+// unreadTokens estimates the prompt tokens that a server on a host of the given slowness still has
+// to read.
+func (p *Placer) unreadTokens(s *server, slowness float64, now time.Time) float64 {
+	tokens := float64(s.pendingPrefill)
+	if s.hasRecentReport(now) {
+		done := milliseconds(now.Sub(s.reportedAt)) * p.pauses.Rate(slowness)
+		tokens = max(tokens, float64(s.state.Reading)-done)
+		tokens = max(tokens, float64(s.state.Waiting)*p.meanPrefill-done)
+	}
+	return tokens
 }
 
 // ObserveEvents records that events of a stream have arrived, gap after those before them or 0 if
@@ -139,7 +151,7 @@
 	now := a.placer.clock.Now()
 	slowness, known := a.server.slownessAt(now)
 	if known {
-		a.placer.pauses.ObserveGap(gap, int(slowness))
+		a.placer.pauses.ObserveGap(gap, slowness)
 	}
 	a.server.events.count++
 	return a.server.events.count
@@ -154,8 +166,9 @@
 	a.placer.mu.Lock()
 	defer a.placer.mu.Unlock()
 	s, now := a.server, a.placer.clock.Now()
-	p := Pause{Server: s.ID, Cause: PauseUnexplained, Unread: int(a.placer.queuedTokens(s, now)), Running: int(a.placer.estimatedLoad(s))}
+	p := Pause{Server: s.ID, Cause: PauseUnexplained, Unread: int(a.placer.unreadTokens(s, 100, now)), Running: int(a.placer.estimatedLoad(s))}
 	p.Slowness, _ = s.slownessAt(now)
+	p.Learned[0], p.Learned[1], p.Learned[2] = a.placer.pauses.Learned()
 	p.SlownessAge = now.Sub(s.momentAt())
 	slow := p.Slowness >= slowMoment*s.moment.usual || s.events.slowAt.After(at)
 	prompt := p.Unread >= minAnnouncedTokens || s.events.promptAt.After(at)
--- a/internal/request/beechrollout/backlog.go
+++ b/internal/request/beechrollout/backlog.go
@@ -9,6 +9,7 @@
 	tokens      float64 // at updatedAt
 	updatedAt   time.Time
 	tokensPerMs float64 // prefill rate reported by gates; 0: not known
+	slowness    int     // of the engine's host, in percent of the usual; 0: not known
 }
 
 const (
@@ -17,6 +18,7 @@
 	defaultTokensPerMs = 38
 	// rateSmoothing is the number of reports over which the rate is averaged.
 	rateSmoothing = 8
+	usualSlowness = 100 // percent
 )
 
 // ObserveRate records the prefill rate, in tokens per millisecond, that a gate has
@@ -29,6 +31,22 @@
 	b.tokensPerMs = b.currentRate() + (rate-b.currentRate())/rateSmoothing
 }
 
+// SetSlowness records how slow the engine's host is from now on, in percent of the usual; 0: not
+// known.
+func (b *PrefillBacklog) SetSlowness(slowness int, now time.Time) {
+	if slowness != b.slowness {
+		b.tokens, b.updatedAt, b.slowness = float64(b.Remaining(now)), now, slowness
+	}
+}
+
+// momentaryRate returns the rate on the engine's host at this moment.
+func (b *PrefillBacklog) momentaryRate() float64 {
+	if b.slowness <= 0 {
+		return b.currentRate()
+	}
+	return b.currentRate() * usualSlowness / float64(b.slowness)
+}
+
 func (b *PrefillBacklog) currentRate() float64 {
 	if b.tokensPerMs > 0 {
 		return b.tokensPerMs
@@ -45,7 +63,7 @@
 // Remaining returns the number of tokens still to prefill.
 func (b *PrefillBacklog) Remaining(now time.Time) int {
 	elapsed := float64(max(now.Sub(b.updatedAt), 0)) / float64(time.Millisecond)
-	return int(max(b.tokens-elapsed*b.currentRate(), 0))
+	return int(max(b.tokens-elapsed*b.momentaryRate(), 0))
 }
 
 // Clear records that the engine had no waiting requests at the given time.
