--- a/internal/process/beechkeeper/keeper.go
+++ b/internal/process/beechkeeper/keeper.go
@@ -235,7 +235,7 @@
 // controlEngine polls the engine, sends it orders that are due, and notifies the gates.
 func (k *Keeper) controlEngine(ctx context.Context) error {
 	for ctx.Err() == nil {
-		after := min(k.pollEngine(ctx), 100*time.Millisecond)
+		after := min(k.pollEngine(ctx), 150*time.Millisecond)
 		select {
 		case <-k.deps.Clock.After(after):
 		case <-k.wake:
--- a/internal/request/beechplace/attempt.go
+++ b/internal/request/beechplace/attempt.go
@@ -105,7 +105,7 @@
 	now := a.placer.clock.Now()
 	a.server.answerLoad, a.server.answerLoadAt, a.server.inFlightAtAnswer = l, now, a.server.inFlight
 	a.server.answerUnreported = !a.server.hasRecentReport(now)
-	a.server.observeAnswered(l.Slowness, now)
+	a.placer.observeAnswered(a.server, l.Slowness, now)
 	a.placer.observeServiceLoad(a.server.Service, l)
 }
 
--- a/internal/request/beechplace/pauses.go
+++ b/internal/request/beechplace/pauses.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/beechring/beechring/internal/decision/beechpause"
 	"github.com/beechring/beechring/internal/request/beechcall"
 )
 
@@ -38,11 +39,11 @@
 	PauseUnexplained PauseCause = "unexplained"
 )
 
-// moment is how slow the host of a server is, as its answers tell. Its keeper's word is in strain.
+// moment is how slow the host of a server is. Its keeper's word is in strain.
 type moment struct {
-	slowness int // in percent of the usual; 0: not known
-	at       time.Time
-	usual    float64 // running mean
+	beechpause.Moment
+	answered   int // slowness in the last answer, in percent of the usual; 0: not known
+	answeredAt time.Time
 }
 
 const (
@@ -51,36 +52,24 @@
 	answeredMomentTTL = 400 * time.Millisecond
 	// keptMomentTTL is longer than the interval at which keepers repeat an unchanged slowness.
 	keptMomentTTL = 1500 * time.Millisecond
-	usualSamples  = 64  // weight of the running mean, in words
-	slowMoment    = 1.5 // times the usual slowness
 	// eventsOfOthers is how many events each other stream of a server may have during a pause that
 	// concerns all: one, and another at either end.
 	eventsOfOthers = 2
 )
 
-func (m *moment) learnUsual(slowness int) {
-	if slowness <= 0 {
-		return
-	}
-	if m.usual == 0 {
-		m.usual = float64(slowness)
-	}
-	m.usual += (float64(slowness) - m.usual) / usualSamples
-}
-
 // observeMoment records the slowness that a server's keeper or answer tells.
-func (s *server) observeMoment(slowness int, now time.Time) {
-	s.moment.learnUsual(slowness)
-	if slowness > 0 && float64(slowness) >= slowMoment*s.moment.usual {
+func (p *Placer) observeMoment(s *server, slowness int, now time.Time) {
+	s.moment.Observe(slowness, now, &p.onsets)
+	if s.moment.IsSlow(float64(slowness)) {
 		s.events.slowAt = now
 	}
 }
 
 // observeAnswered records the slowness in an answer.
-func (s *server) observeAnswered(slowness int, now time.Time) {
+func (p *Placer) observeAnswered(s *server, slowness int, now time.Time) {
 	if slowness > 0 {
-		s.moment.slowness, s.moment.at = slowness, now
-		s.observeMoment(slowness, now)
+		s.moment.answered, s.moment.answeredAt = slowness, now
+		p.observeMoment(s, slowness, now)
 	}
 }
 
@@ -92,8 +81,8 @@
 }
 
 func (s *server) momentAt() time.Time {
-	if s.moment.at.After(s.strainAt) {
-		return s.moment.at
+	if s.moment.answeredAt.After(s.strainAt) {
+		return s.moment.answeredAt
 	}
 	return s.strainAt
 }
@@ -101,14 +90,14 @@
 // slownessAt returns how slow the host of a server is: at this moment if that is known, else usually.
 func (s *server) slownessAt(now time.Time) (slowness float64, known bool) {
 	kept := s.strain.Slowness > 0 && now.Sub(s.strainAt) < keptMomentTTL
-	answered := s.moment.slowness > 0 && now.Sub(s.moment.at) < answeredMomentTTL
+	answered := s.moment.answered > 0 && now.Sub(s.moment.answeredAt) < answeredMomentTTL
 	switch {
-	case answered && (!kept || s.moment.at.After(s.strainAt)):
-		return float64(s.moment.slowness), true
+	case answered && (!kept || s.moment.answeredAt.After(s.strainAt)):
+		return float64(s.moment.answered), true
 	case kept:
 		return float64(s.strain.Slowness), true
 	}
-	return s.moment.usual, s.moment.usual > 0
+	return s.moment.Usual(), s.moment.Usual() > 0
 }
 
 // pauseCost returns what a prompt costs the streams that run at an engine: they pause while it is
@@ -123,11 +112,22 @@
 		return 0
 	}
 	ahead := p.unreadTokens(s, slowness, now)
-	before := p.pauses.Risk(ahead, slowness, longest)
-	after := p.pauses.Risk(ahead+float64(tokens), slowness, longest)
+	before := p.pauseRisk(s, ahead, slowness, longest)
+	after := p.pauseRisk(s, ahead+float64(tokens), slowness, longest)
 	return missedObjectiveCost * ((after-before)*p.estimatedLoad(s) + before)
 }
 
+// pauseRisk returns the share of the streams at a server that pause for longer than allowed while it
+// reads tokens. Its host may turn slow meanwhile.
+func (p *Placer) pauseRisk(s *server, tokens, slowness float64, longest time.Duration) float64 {
+	risk := p.pauses.Risk(tokens, slowness, longest)
+	if s.moment.IsSlow(slowness) || risk >= 1 {
+		return risk
+	}
+	onset, factor := p.onsets.Within(tokens / max(p.pauses.Rate(slowness), 1))
+	return (1-onset)*risk + onset*p.pauses.Risk(tokens, factor*slowness, longest)
+}
+
 // unreadTokens estimates the prompt tokens that a server on a host of the given slowness still has
 // to read.
 func (p *Placer) unreadTokens(s *server, slowness float64, now time.Time) float64 {
@@ -170,7 +170,7 @@
 	p.Slowness, _ = s.slownessAt(now)
 	p.Learned[0], p.Learned[1], p.Learned[2] = a.placer.pauses.Learned()
 	p.SlownessAge = now.Sub(s.momentAt())
-	slow := p.Slowness >= slowMoment*s.moment.usual || s.events.slowAt.After(at)
+	slow := s.moment.IsSlow(p.Slowness) || s.events.slowAt.After(at)
 	prompt := p.Unread >= minAnnouncedTokens || s.events.promptAt.After(at)
 	others := uint64(max(s.inFlight-1, 0))
 	switch {
--- a/internal/request/beechplace/placer.go
+++ b/internal/request/beechplace/placer.go
@@ -44,6 +44,7 @@
 		locations       *lru.Cache[uint64, *partLocations]
 		prefill         prefillModel // learned over all engines
 		pauses          beechpause.Model
+		onsets          beechpause.Onsets
 		medianPace      float64 // median of the engines' meanLog
 		meanPrefill     float64 // running mean of the tokens that a request has to prefill
 		meanPrompt      float64 // running mean of the tokens of a prompt
--- a/internal/request/beechplace/strain.go
+++ b/internal/request/beechplace/strain.go
@@ -18,7 +18,7 @@
 			continue
 		}
 		engine.strain, engine.strainAt = s, now
-		engine.observeMoment(s.Slowness, now)
+		p.observeMoment(engine, s.Slowness, now)
 	}
 }
 
