--- a/internal/link/beechdatagram/datagram.go
+++ b/internal/link/beechdatagram/datagram.go
@@ -32,7 +32,7 @@
 type (
 	// Message is a Follow, a Tell, an Announce, an Inquiry, a Proof, an
 	// Entries, a Gossip, a Summary, a Recall, a Borrow, a Loan, a Spent, a Limits, a Full, an
-	// Origins, a Query, a Found, a Poison or a Pressure.
+	// Origins, a Query, a Found, a Poison, a Pressure or a Health.
 	Message interface{ message() }
 
 	// Follow is sent by a gate to a keeper: it asks for the engine's state, and names
@@ -96,6 +96,9 @@
 	// hosts of engines do at this moment, and what services are asked for.
 	Pressure struct{ *beechwire.Pressure }
 
+	// Health is sent by a gate to a keeper: where its engine says how slow its host is.
+	Health struct{ *beechwire.Health }
+
 	// Scope tells whether a datagram leaves its availability zone. Traffic between
 	// zones is billed by the byte.
 	Scope bool
@@ -134,6 +137,7 @@
 	kindFound        = 'D'
 	kindPoison       = 'P'
 	kindPressure     = 'R'
+	kindHealth       = 'J'
 	maxDatagramBytes = 16 << 10
 )
 
@@ -158,6 +162,7 @@
 func (Found) message()    {}
 func (Poison) message()   {}
 func (Pressure) message() {}
+func (Health) message()   {}
 
 // Open binds a UDP socket to an address.
 func Open(address netip.AddrPort) (*Socket, error) {
@@ -209,6 +214,8 @@
 		return v.MarshalMsg([]byte{kindPoison})
 	case Pressure:
 		return v.MarshalMsg([]byte{kindPressure})
+	case Health:
+		return v.MarshalMsg([]byte{kindHealth})
 	}
 	return nil, errUnknownKind
 }
@@ -289,6 +296,9 @@
 	case kindPressure:
 		m := &beechwire.Pressure{}
 		return Pressure{m}, m
+	case kindHealth:
+		m := &beechwire.Health{}
+		return Health{m}, m
 	}
 	return nil, nil
 }
@@ -359,6 +369,8 @@
 		return "poison"
 	case kindPressure:
 		return "pressure"
+	case kindHealth:
+		return "health"
 	}
 	return "unknown"
 }
--- a/internal/link/beechwire/wire_gen.go
+++ b/internal/link/beechwire/wire_gen.go
@@ -2,7 +2,7 @@
 
 //msgp:ignore WireSchemaJson
 //msgp:limit arrays:65536
-//msgp:tuple Follow Announce Tell Target Weights Inquiry Entry Entries Node Gossip Status Engine Heard Speed Busy Summary Recall Held Proof Borrow Loan Origins Query Found Use Spent Seen Limit Limits Full FullServer CrashSuspect ServerCrash TraitEvent Poison RankLoad Strain Demand Pressure
+//msgp:tuple Follow Announce Tell Target Weights Inquiry Entry Entries Node Gossip Status Engine Heard Speed Busy Summary Recall Held Proof Borrow Loan Origins Query Found Use Spent Seen Limit Limits Full FullServer CrashSuspect ServerCrash TraitEvent Poison RankLoad Strain Demand Pressure Health
 
 package beechwire
 
@@ -556,6 +556,13 @@
 	Value string `msg:"Value"`
 }
 
+// Health is the datagram in which a gate tells a keeper where its engine says how
+// slow its host is at this moment.
+type Health struct {
+	// Health path of the engine's service.
+	Path string `msg:"Path"`
+}
+
 // Heard says that an engine's keeper is heard.
 type Heard struct {
 	// IP of the engine in binary form.
--- a/internal/link/beechwire/wire_msgp_gen.go
+++ b/internal/link/beechwire/wire_msgp_gen.go
@@ -3267,6 +3267,42 @@
 	return
 }
 
+// MarshalMsg implements msgp.Marshaler
+func (z Health) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// array header, size 1
+	o = append(o, 0x91)
+	o = msgp.AppendString(o, z.Path)
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *Health) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadArrayHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 != 1 {
+		err = msgp.ArrayError{Wanted: 1, Got: zb0001}
+		return
+	}
+	z.Path, bts, err = msgp.ReadStringBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Path")
+		return
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z Health) Msgsize() (s int) {
+	s = 1 + msgp.StringPrefixSize + len(z.Path)
+	return
+}
+
 // MarshalMsg implements msgp.Marshaler
 func (z Heard) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
--- a/internal/process/beechgate/keeper.go
+++ b/internal/process/beechgate/keeper.go
@@ -49,6 +49,7 @@
 	keepers := make([]netip.AddrPort, 0, len(servers))
 	for _, s := range servers {
 		g.sendFollow(s, targets[s.ID], suspects)
+		g.sendHealthPath(s)
 		keepers = append(keepers, netip.AddrPortFrom(s.Address.Addr(), g.settings.Beats.Port()))
 	}
 	g.tellKeepersOfPoison(round, keepers)
--- a/internal/process/beechkeeper/keeper.go
+++ b/internal/process/beechkeeper/keeper.go
@@ -34,6 +34,9 @@
 		CacheSnapshot(ctx context.Context) (CacheSnapshot, error)
 		// WaitForEvictions waits for evictions after change number since.
 		WaitForEvictions(ctx context.Context, since uint64, wait time.Duration) (CacheEvictions, error)
+		// Slowness returns how slow the engine's host is at this moment, in percent of the usual,
+		// or 0 if it does not say. The path is that of its service's health check.
+		Slowness(ctx context.Context, path string) (int, error)
 	}
 
 	// Part is a part of a prompt in an engine's cache, identified by its key.
@@ -101,6 +104,7 @@
 		sentState   urgentState // the last one sent
 		sentLoad    load
 		strain      strainState
+		slowness    hostSlowness
 	}
 
 	// gateState is a gate as this keeper knows it.
@@ -145,6 +149,7 @@
 	k.supervisor.Add(beechtask.Task{Name: "receive from gates", Run: func(ctx context.Context) error { return socket.Receive(ctx, k.receive) }})
 	k.supervisor.Add(beechtask.Task{Name: "control engine", Run: k.controlEngine})
 	k.supervisor.Add(beechtask.Task{Name: "watch cache", Run: k.watchCache})
+	k.supervisor.Add(beechtask.Task{Name: "watch slowness", Run: k.watchSlowness})
 	k.supervisor.Add(beechtask.Task{Name: "log traffic", Run: func(ctx context.Context) error {
 		return beechtask.Every(ctx, deps.Clock, trafficInterval, func() {
 			deps.Log.Info("traffic", beechlog.Counts("datagrams", socket.SentBytes()))
@@ -175,6 +180,8 @@
 		k.receiveGossip(from, v)
 	case beechdatagram.Poison:
 		k.receivePoison(from, v)
+	case beechdatagram.Health:
+		k.receiveHealth(v)
 	}
 }
 
@@ -235,7 +242,7 @@
 // controlEngine polls the engine, sends it orders that are due, and notifies the gates.
 func (k *Keeper) controlEngine(ctx context.Context) error {
 	for ctx.Err() == nil {
-		after := min(k.pollEngine(ctx), 150*time.Millisecond)
+		after := k.pollEngine(ctx)
 		select {
 		case <-k.deps.Clock.After(after):
 		case <-k.wake:
@@ -257,6 +264,9 @@
 		k.metrics.missedReports.Add(1)
 	}
 	k.mu.Lock()
+	if slowness := k.slowness.current(k.deps.Clock.Now()); slowness > 0 {
+		report.Slowness = slowness
+	}
 	if report.Known && report.Limit != k.lastReport.Limit && (reportsLimit(report.Limit) || reportsLimit(k.lastReport.Limit)) {
 		k.deps.Log.Info("engine's limit in its report", zap.Any("said", report.Limit))
 	}
--- a/internal/process/beechkeeper/keeper_test.go
+++ b/internal/process/beechkeeper/keeper_test.go
@@ -38,6 +38,8 @@
 	}
 }
 
+func (engine) Slowness(context.Context, string) (int, error) { return 0, errNoEngine }
+
 func (engine) Order(context.Context, string, beechrollout.Order) (beechrollout.Answer, error) {
 	return beechrollout.Silent, errNoEngine
 }
--- a/internal/process/beechkeeper/metrics.go
+++ b/internal/process/beechkeeper/metrics.go
@@ -11,26 +11,30 @@
 
 // metrics are the keeper's metrics; docs/OPERATIONS.md explains each name.
 type metrics struct {
-	vars          *expvar.Map
-	orders        *expvar.Map // by outcome
-	phases        *expvar.Map // phase changes, by the new phase
-	missedReports *expvar.Int // polls without a report
-	restarts      *expvar.Int // of the engine under the same ID
-	strains       *expvar.Int // messages on the engine's host
-	loadTimes     *beechmetric.Latency
-	loadStartedAt time.Time // zero: no load under way
+	vars           *expvar.Map
+	orders         *expvar.Map // by outcome
+	phases         *expvar.Map // phase changes, by the new phase
+	missedReports  *expvar.Int // polls without a report
+	restarts       *expvar.Int // of the engine under the same ID
+	strains        *expvar.Int // messages on the engine's host
+	slownessPolls  *expvar.Int
+	missedSlowness *expvar.Int // polls of the slowness without an answer
+	loadTimes      *beechmetric.Latency
+	loadStartedAt  time.Time // zero: no load under way
 }
 
 func newMetrics(k *Keeper) *metrics {
 	m := &metrics{
 		vars: new(expvar.Map), orders: new(expvar.Map), phases: new(expvar.Map),
-		missedReports: new(expvar.Int), restarts: new(expvar.Int), strains: new(expvar.Int), loadTimes: beechmetric.NewLatency(),
+		missedReports: new(expvar.Int), restarts: new(expvar.Int), strains: new(expvar.Int), slownessPolls: new(expvar.Int), missedSlowness: new(expvar.Int), loadTimes: beechmetric.NewLatency(),
 	}
 	m.vars.Set("orders", m.orders)
 	m.vars.Set("phases", m.phases)
 	m.vars.Set("reportsMissing", m.missedReports)
 	m.vars.Set("startedAnew", m.restarts)
 	m.vars.Set("strainsSent", m.strains)
+	m.vars.Set("slownessPolls", m.slownessPolls)
+	m.vars.Set("slownessMissing", m.missedSlowness)
 	m.vars.Set("loadMicros", expvar.Func(m.loadTimes.Percentiles))
 	m.vars.Set("datagramsMalformed", expvar.Func(func() any { return k.socket.MalformedCount() }))
 	m.vars.Set("datagramBytes", k.socket.SentBytes())
--- a/internal/request/beechcall/configuration.go
+++ b/internal/request/beechcall/configuration.go
@@ -58,9 +58,10 @@
 	// Service is a set of backend servers, or a KV cache store if KVStore is valid.
 	Service struct {
 		Name           string
-		MaxConnections int // of all callers to one server; 0: not known
-		Slots          int // requests that an engine runs at once; 0: not an engine
-		TokenBytes     int // size of one token in the KV cache
+		HealthPath     string // of its servers; empty: not known
+		MaxConnections int    // of all callers to one server; 0: not known
+		Slots          int    // requests that an engine runs at once; 0: not an engine
+		TokenBytes     int    // size of one token in the KV cache
 		Models         []string
 		KVStore        netip.AddrPort
 		KVStoreRate    float64 // bytes that the store sends or receives per millisecond; 0: not known
@@ -153,6 +154,13 @@
 	return r.Targets[len(r.Targets)-1].Service
 }
 
+// LimitsPauses reports whether a route to a service has a longest pause between a stream's events.
+func (c *Configuration) LimitsPauses(service string) bool {
+	return slices.ContainsFunc(c.Routes, func(r Route) bool {
+		return r.Stream && r.MaxPause > 0 && slices.ContainsFunc(r.Targets, func(t Target) bool { return t.Service == service })
+	})
+}
+
 // KVStores returns the KV cache stores, sorted by address.
 func (c *Configuration) KVStores() []Service {
 	var stores []Service
--- a/internal/request/beechplace/pauses.go
+++ b/internal/request/beechplace/pauses.go
@@ -1,6 +1,7 @@
 package beechplace
 
 import (
+	"slices"
 	"time"
 
 	"github.com/beechring/beechring/internal/decision/beechpause"
@@ -117,6 +118,13 @@
 	return missedObjectiveCost * ((after-before)*p.estimatedLoad(s) + before)
 }
 
+// TellsSlowness reports whether a server of a service has told how slow its host is.
+func (p *Placer) TellsSlowness(service string) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return slices.ContainsFunc(p.services[service], func(s *server) bool { return s.moment.Usual() > 0 })
+}
+
 // pauseRisk returns the share of the streams at a server that pause for longer than allowed while it
 // reads tokens. Its host may turn slow meanwhile.
 func (p *Placer) pauseRisk(s *server, tokens, slowness float64, longest time.Duration) float64 {
