--- a/internal/request/beechplace/placer.go
+++ b/internal/request/beechplace/placer.go
@@ -12,6 +12,7 @@
 	"github.com/jonboulle/clockwork"
 
 	"github.com/beechring/beechring/internal/decision/beechbackoff"
+	"github.com/beechring/beechring/internal/decision/beechpause"
 	"github.com/beechring/beechring/internal/decision/beechsaturation"
 	"github.com/beechring/beechring/internal/decision/beechstrain"
 	"github.com/beechring/beechring/internal/decision/beechthrottle"
@@ -43,9 +44,11 @@
 		versions        map[string]*beechrollout.VersionHistory // by model
 		locations       *lru.Cache[uint64, *partLocations]
 		prefill         prefillModel // learned over all engines
-		medianPace      float64      // median of the engines' meanLog
-		meanPrefill     float64      // running mean of the tokens that a request has to prefill
-		meanPrompt      float64      // running mean of the tokens of a prompt
+		pauses          beechpause.Model
+		onsets          beechpause.Onsets
+		medianPace      float64 // median of the engines' meanLog
+		meanPrefill     float64 // running mean of the tokens that a request has to prefill
+		meanPrompt      float64 // running mean of the tokens of a prompt
 		residence       residenceTime
 		passing         [beechcall.MaxUrgency + 1]passingFactor
 		runTime         float64              // running mean of the milliseconds from first byte to end; 0: not known
@@ -77,6 +80,8 @@
 		inFlightAtAnswer int  // value of inFlight when answerLoad arrived
 		answerUnreported bool // answerLoad was not yet sent to other gates
 
+		moment           moment
+		events           eventLog
 		pace             pace
 		errors           errorRate
 		limited          bool // it had a limit when it was last considered
@@ -266,7 +271,7 @@
 		s.weights = make(map[string]uint64)
 		s.pendingPrefill, s.failures = 0, 0
 		s.pending, s.strainAt = [beechcall.MaxUrgency + 1]pendingRank{}, time.Time{}
-		s.pace, s.errors = pace{}, errorRate{}
+		s.pace, s.errors, s.moment = pace{}, errorRate{}, moment{}
 		s.reportedAt, s.confirmedAt, s.downUntil, s.unavailableUntil = time.Time{}, time.Time{}, time.Time{}, time.Time{}
 	}
 	s.Born = start
@@ -316,6 +321,7 @@
 	}
 	now := p.clock.Now()
 	engine.reportedAt, engine.confirmedAt, engine.state, engine.inFlightAtReport = now, now, s, engine.inFlight
+	engine.observePrompts(s.Reading, now)
 	for model, version := range s.Weights {
 		engine.weights[model] = version
 	}
--- a/internal/request/beechplace/strain.go
+++ b/internal/request/beechplace/strain.go
@@ -19,6 +19,7 @@
 		}
 		engine.strain, engine.strainAt = s, now
 		engine.clearNew()
+		p.observeMoment(engine, s.Slowness, now)
 	}
 }
 
