Admission under scarcity: less urgent calls leave room for more urgent ones

When a third of the engines is dark and callers come in bursts, engines fill to the brim and stay so after the burst: their memory holds running requests instead of shared parts, these are read again, and the most urgent kind, whose objective is the tightest, is refused first. beechadmission admits a call to an engine only while a typical call of each more urgent rank in demand would still get its first token within a share of its objective there; demands by rank and workspace are exchanged as Pressure datagrams. Off for services whose servers do not tell the slowness of their hosts, unless the operators' contracts have pressure.

--- /dev/null
+++ b/internal/decision/beechadmission/failure_test.go
@@ -0,0 +1,98 @@
+package beechadmission
+
+import (
+	"testing"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"github.com/matryer/is"
+)
+
+// servedAsWell checks over some plays that both ranks get about what they get without the failure.
+func servedAsWell(t *testing.T, tolerated float64, fail func(m *model)) {
+	t.Helper()
+	is := is.New(t)
+	const plays = 3
+	spans := [][2]float64{{5, burstEnd}, {burstEnd + 1, playTime - 1}}
+	lost := make(map[int][]float64)
+	for seed := range uint64(plays) {
+		sound, failing := scarcity(seed, 90), scarcity(seed, 90)
+		fail(failing)
+		sound.play(playTime)
+		failing.play(playTime)
+		for _, rank := range []int{0, 2} {
+			for _, span := range spans {
+				lost[rank] = append(lost[rank], sound.outcome(span[0], span[1], ofRank(rank)).inTime-failing.outcome(span[0], span[1], ofRank(rank)).inTime)
+			}
+		}
+	}
+	for rank, list := range lost {
+		for i, span := range spans {
+			mean := 0.
+			for at := i; at < len(list); at += len(spans) {
+				mean += list[at] / plays
+			}
+			t.Logf("rank %d from second %v: %.2f fewer in time", rank, span[0], mean)
+			is.True(mean < tolerated)
+		}
+	}
+}
+
+// Guards against a gate that hears of no demand but its own.
+func TestGateCutOffFromOthers(t *testing.T) {
+	servedAsWell(t, 0.1, func(m *model) { m.lost = func(from, to int) bool { return from == 0 || to == 0 } })
+}
+
+// Guards against demand messages that are lost, all of them or one in three.
+func TestDemandMessagesLost(t *testing.T) {
+	servedAsWell(t, 0.1, func(m *model) { m.lost = func(int, int) bool { return true } })
+	servedAsWell(t, 0.1, func(m *model) { m.lost = func(int, int) bool { return m.random.IntN(3) == 0 } })
+}
+
+// Guards against two groups of gates that hear different words.
+func TestGatesWithDifferentWords(t *testing.T) {
+	servedAsWell(t, 0.1, func(m *model) { m.lost = func(from, to int) bool { return from%2 != to%2 } })
+}
+
+// Guards against reports of engines that come late.
+func TestReportsLate(t *testing.T) {
+	servedAsWell(t, 0.25, func(m *model) { m.report = 250 * time.Millisecond })
+}
+
+// Guards against gates that start anew in the middle of a shortage.
+func TestGatesStartedAnew(t *testing.T) {
+	servedAsWell(t, 0.1, func(m *model) {
+		play := m.each
+		m.each = func(m *model, now int) {
+			play(m, now)
+			if now == 7000 {
+				for _, g := range m.gates[:4] {
+					g.controller = New(On, m.clock)
+				}
+			}
+		}
+	})
+}
+
+// Guards against a gate that was frozen and goes on with what it knew before.
+func TestGateFrozen(t *testing.T) {
+	servedAsWell(t, 0.1, func(m *model) {
+		play := m.each
+		m.each = func(m *model, now int) {
+			play(m, now)
+			m.gates[0].down = now >= 4000 && now < 9000
+		}
+	})
+}
+
+// Guards against invalid demands of other gates.
+func TestInvalidDemandsAreIgnored(t *testing.T) {
+	is := is.New(t)
+	c := New(On, clockwork.NewFakeClock())
+	c.Merge([]Demand{{Service: 1, Rank: -1, Asked: 1}, {Service: 1, Rank: ranks, Asked: 1}, {Service: 1, Asked: -1}, {Service: 1, Asked: 1, Refused: 2}, {Service: 1, Asked: 1, Work: -1}, {Service: 1, Asked: maxAsked + 1}})
+	is.Equal(len(c.services), 0)
+	for i := range uint64(2 * maxServices) {
+		c.Merge([]Demand{{Service: i, Asked: 1}})
+	}
+	is.Equal(len(c.services), maxServices)
+}
--- a/internal/process/beechgate/demands.go
+++ b/internal/process/beechgate/demands.go
@@ -1,10 +1,112 @@
 package beechgate
 
 import (
+	"context"
 	"net/netip"
+	"slices"
+	"time"
 
+	"github.com/beechring/beechring/internal/decision/beechadmission"
+	"github.com/beechring/beechring/internal/decision/beechsummary"
 	"github.com/beechring/beechring/internal/link/beechdatagram"
+	"github.com/beechring/beechring/internal/link/beechwire"
+	"github.com/beechring/beechring/internal/process/beechconvert"
+	"github.com/beechring/beechring/internal/process/beechsettings"
+	"github.com/beechring/beechring/internal/process/beechtask"
 )
 
+const (
+	// demandsInterval is the time between messages of this gate to a collector, and between those
+	// of a collector to the other gates. Ranks in demand and usual parts change within seconds.
+	demandsInterval = 500 * time.Millisecond
+	// maxDemands is the number of demands in one message, at some 20 bytes each: the ranks of
+	// a few services, and the workspaces that ask most.
+	maxDemands = 100
+	// contractPressure is the operators' word for a deployment whose callers at times ask for more
+	// than its servers can do.
+	contractPressure = "pressure"
+)
+
+func admissionMode(s *beechsettings.Gate) beechadmission.Mode {
+	mode := beechadmission.Mode(s.Admission)
+	if mode == beechadmission.Auto && slices.Contains(s.Contracts, contractPressure) {
+		return beechadmission.On
+	}
+	return mode
+}
+
+// sendDemands tells the other gates what this one is asked for, through the collectors of this zone,
+// which sum it up. Nothing is sent for services without admission control.
+func (g *Gate) sendDemands(ctx context.Context) error {
+	round := 0
+	return beechtask.Every(ctx, g.clock, demandsInterval, func() {
+		round++
+		t := g.topology.Load()
+		demands := g.admission.TakeDemands()
+		collectors := t.Collectors[g.settings.Zone]
+		if slices.Contains(collectors, t.Self) || len(collectors) == 0 {
+			g.demands.Add(demands, true)
+			g.sendDemandTotals(uint32(round))
+			return
+		}
+		if len(demands) > 0 {
+			g.sendToPeers(collectors[round%len(collectors):][:1], pressureOf(demands, true))
+		}
+	})
+}
+
+func (g *Gate) sendDemandTotals(round uint32) {
+	near, far := g.demands.Take(beechadmission.Near, maxDemands), g.demands.Take(beechadmission.Far, maxDemands)
+	if len(near) > 0 {
+		g.admission.Merge(near)
+		g.sendDemandsToZone(round, near)
+	}
+	if len(far) > 0 {
+		g.sendToOtherZones(round, false, pressureOf(far, true))
+	}
+}
+
+// sendDemandsToZone sends demands to all gates of this zone. If they are many, some of them forward
+// the message.
+func (g *Gate) sendDemandsToZone(round uint32, demands []beechadmission.Demand) {
+	var direct []netip.AddrPort
+	for _, branch := range beechsummary.Fan(g.topology.Load().Neighbors, round) {
+		if len(branch.Forward) == 0 {
+			direct = append(direct, branch.To)
+			continue
+		}
+		message := pressureOf(demands, false)
+		message.Forward = beechconvert.WireAddresses(branch.Forward)
+		g.sendToPeers([]netip.AddrPort{branch.To}, message)
+	}
+	g.sendToPeers(direct, pressureOf(demands, false))
+}
+
+// forwardDemands sends a collector's message on to the gates of this zone that it names.
+func (g *Gate) forwardDemands(m beechdatagram.Pressure) {
+	t := g.topology.Load()
+	to := slices.DeleteFunc(beechconvert.Addresses(m.Forward), func(a netip.AddrPort) bool { return t.ZoneOf[a] != g.settings.Zone })
+	g.sendToPeers(to, beechdatagram.Pressure{Pressure: &beechwire.Pressure{Millis: m.Millis, Demands: m.Demands}})
+}
+
+func pressureOf(demands []beechadmission.Demand, pass bool) beechdatagram.Pressure {
+	return beechdatagram.Pressure{Pressure: &beechwire.Pressure{
+		Pass: pass, Millis: demandsInterval.Milliseconds(), Demands: beechconvert.WireDemands(demands),
+	}}
+}
+
 // receiveDemands handles what other gates are asked for.
-func (g *Gate) receiveDemands(netip.AddrPort, beechdatagram.Pressure) {}
+func (g *Gate) receiveDemands(from netip.AddrPort, m beechdatagram.Pressure) {
+	if len(m.Demands) == 0 || !g.isKnownGate(from) {
+		return
+	}
+	if len(m.Forward) > 0 {
+		g.forwardDemands(m)
+	}
+	demands := beechconvert.Demands(m.Demands)
+	if m.Pass {
+		g.demands.Add(demands, g.scopeToGate(from) == beechdatagram.SameZone)
+		return
+	}
+	g.admission.Merge(demands)
+}
--- a/internal/process/beechgate/gate.go
+++ b/internal/process/beechgate/gate.go
@@ -17,6 +17,7 @@
 	"github.com/thejerf/suture/v4"
 	"go.uber.org/zap"
 
+	"github.com/beechring/beechring/internal/decision/beechadmission"
 	"github.com/beechring/beechring/internal/decision/beechbackoff"
 	"github.com/beechring/beechring/internal/decision/beechgossip"
 	"github.com/beechring/beechring/internal/decision/beechhealth"
@@ -78,7 +79,9 @@
 		placer          *beechplace.Placer
 		health          *beechhealth.Tracker
 		suspects        *beechsuspect.Registry
-		poison          *beechpoison.Tracker    // what servers crash on
+		poison          *beechpoison.Tracker // what servers crash on
+		admission       *beechadmission.Controller
+		demands         *beechadmission.Totals  // what other gates are asked for, to be handed on
 		overload        *beechoverload.Detector // whether the processor keeps up
 		budgets         *Budgets
 		loans           *beechretry.Lender // lends to the gates of this zone if this gate is the first to collect
@@ -191,6 +194,8 @@
 	g.origins = newOrigins(g)
 	g.overload = beechoverload.New(deps.Clock, rand.Float64)
 	g.poison = beechpoison.New(deps.Clock, g.poisonTurn, g.wakePoisonSender)
+	g.admission = beechadmission.New(admissionMode(s), deps.Clock)
+	g.demands = beechadmission.NewTotals()
 	g.budgets = NewBudgets(s.Bounds.Retries, s.Bounds.Spare, time.Duration(s.Bounds.Window), deps.Clock, g.askForLoan)
 	g.members = newGossip(g)
 	g.topology.Store(&topology{Duties: beechgossip.Assign(g.members.Members(), g.members.Self(), s.Zone, nil)})
@@ -204,7 +209,7 @@
 	g.placer = beechplace.New(beechplace.Settings{
 		Zone: s.Zone, OutdatedSoftLimit: max(weights-outdatedMargin, weights/2), OutdatedHardLimit: max(weights-startMargin, weights/2),
 	}, deps.Clock, g.health, g.limits, g.overloaded, g.backoff, g.announcePrompt)
-	g.core = beechattempt.New(g.placer, deps.Backend, deps.Pool, g.budgets, g.suspects, g.poison, g, deps.Clock, deps.Log)
+	g.core = beechattempt.New(g.placer, deps.Backend, deps.Pool, g.budgets, g.suspects, g.poison, g.admission, g, deps.Clock, deps.Log)
 	g.serverMirror = beechmirror.New(beechmirror.Settings{
 		Prefix: deps.ServerPrefix, MaxAge: serverReadAges.Others, StartAge: serverReadAges.First - startWait, ReadTimeout: readTimeout, WatchTimeout: serverWatchTimeout, WatchPause: serverWatchPause, RemovalDelay: removalDelay, OnRestored: g.readOperators, Forward: g.forwardChanges,
 	}, deps.Source, g.serverFreshness, deps.Clock, deps.Log, g.setServers)
@@ -223,6 +228,7 @@
 		{Name: "inquire readers", Run: g.inquireReaders},
 		{Name: "send summaries", Run: g.sendSummaries},
 		{Name: "send measurements", Run: g.sendMeasurements},
+		{Name: "send demands", Run: g.sendDemands},
 		{Name: "send usage", Run: g.sendUsage},
 		{Name: "send limits", Run: g.sendLimits},
 		{Name: "send overloads", Run: g.sendOverloads},
--- a/internal/process/beechgate/metrics.go
+++ b/internal/process/beechgate/metrics.go
@@ -69,6 +69,7 @@
 	m.vars.Set("backoff", expvar.Func(func() any { return g.backoff.State() }))
 	m.vars.Set("crashes", expvar.Func(func() any { return g.core.Crashes() }))
 	m.vars.Set("poison", expvar.Func(func() any { return g.poison.Counts() }))
+	m.vars.Set("admission", expvar.Func(func() any { return g.admission.States() }))
 	m.vars.Set("bodyBytes", m.bodies)
 	m.vars.Set("datagramBytes", g.socket.SentBytes())
 	if g.deps.StoreUse != nil {
--- a/internal/process/beechsettings/settings.go
+++ b/internal/process/beechsettings/settings.go
@@ -98,6 +98,12 @@
 		Log    string         `json:"log,omitempty"`
 		Bounds GateBounds     `json:"bounds"`
 
+		// Admission tells for which services requests are refused in favor of more urgent
+		// ones while room is short: on (all), off, or auto (all if Contracts has pressure, or
+		// else those whose servers tell how slow their hosts are at the moment).
+		Admission string   `json:"admission,omitempty"`
+		Contracts []string `json:"contracts,omitempty"` // what the operators have agreed on for the deployment
+
 		Seeds []netip.AddrPort `json:"seeds,omitempty"` // of a few gates, which may be stale; heartbeats go to their IPs at the port of Beats
 		Cores float64          `json:"cores,omitempty"` // processor cores of the host; 0: not known
 	}
@@ -159,6 +165,7 @@
 	defaultRetries     = 0.1
 	defaultSpare       = 20
 	defaultWindow      = 10 * time.Second
+	defaultAdmission   = "auto"
 
 	defaultQuotaWindow  = 8 * time.Second
 	defaultQuotaOverage = 0.1
@@ -204,6 +211,7 @@
 	if err := parse(data, "gate", gate); err != nil {
 		return nil, err
 	}
+	setDefault(&gate.Admission, defaultAdmission)
 	b := &gate.Bounds
 	setDefault(&b.Revoke, Duration(defaultRevoke))
 	setDefault(&b.Grace, Duration(defaultGateGrace))
--- a/internal/process/beechsettings/settings_test.go
+++ b/internal/process/beechsettings/settings_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"fmt"
 	"strings"
 	"testing"
 	"time"
@@ -43,3 +44,18 @@
 		})
 	}
 }
+
+// Guards against a switch that is misspelt and so turns nothing on or off.
+func TestAdmissionIsOneOfItsModes(t *testing.T) {
+	const gate = `{"name":"g","zone":"ne-1","listen":"127.0.0.1:1","ready":"127.0.0.1:2","beats":"127.0.0.1:3","store":"127.0.0.1:4","contracts":["base"]%s}`
+	is := is.New(t)
+	for text, want := range map[string]string{``: "auto", `,"admission":"on"`: "on", `,"admission":"off"`: "off"} {
+		settings, err := ParseGate([]byte(fmt.Sprintf(gate, text)))
+		is.NoErr(err)
+		is.Equal(settings.Admission, want)
+	}
+	_, err := ParseGate([]byte(fmt.Sprintf(gate, `,"admission":"yes"`)))
+	var field *FieldError
+	is.True(errors.As(err, &field))
+	is.Equal(field.Field, "admission")
+}
--- a/internal/request/beechattempt/attempt_test.go
+++ b/internal/request/beechattempt/attempt_test.go
@@ -18,6 +18,7 @@
 	"github.com/matryer/is"
 	"go.uber.org/zap"
 
+	"github.com/beechring/beechring/internal/decision/beechadmission"
 	"github.com/beechring/beechring/internal/decision/beechbackoff"
 	"github.com/beechring/beechring/internal/decision/beechpoison"
 	"github.com/beechring/beechring/internal/decision/beechretry"
@@ -146,7 +147,7 @@
 	}
 	placer.SetServers(list)
 	f.placer, f.servers = placer, list
-	f.dispatcher = New(placer, f.backend, f.reachable, f.budget, f.suspects, f.poison, ignoring{}, f.clock, zap.NewNop())
+	f.dispatcher = New(placer, f.backend, f.reachable, f.budget, f.suspects, f.poison, beechadmission.New(beechadmission.Auto, f.clock), ignoring{}, f.clock, zap.NewNop())
 	return f
 }
 
--- a/internal/request/beechattempt/dispatcher.go
+++ b/internal/request/beechattempt/dispatcher.go
@@ -9,6 +9,7 @@
 	"github.com/jonboulle/clockwork"
 	"go.uber.org/zap"
 
+	"github.com/beechring/beechring/internal/decision/beechadmission"
 	"github.com/beechring/beechring/internal/decision/beechpoison"
 	"github.com/beechring/beechring/internal/decision/beechretry"
 	"github.com/beechring/beechring/internal/decision/beechsuspect"
@@ -19,16 +20,17 @@
 type (
 	// Dispatcher serves calls. It is safe for concurrent use.
 	Dispatcher struct {
-		placer   *beechplace.Placer
-		backend  beechcall.Backend
-		budget   RetryBudget
-		suspects *beechsuspect.Registry
-		poison   *beechpoison.Tracker
-		crashes  *crashDetector
-		observer Observer
-		clock    clockwork.Clock
-		log      *zap.Logger
-		timeouts *routeTimeouts
+		placer    *beechplace.Placer
+		backend   beechcall.Backend
+		budget    RetryBudget
+		suspects  *beechsuspect.Registry
+		poison    *beechpoison.Tracker
+		admission *beechadmission.Controller
+		crashes   *crashDetector
+		observer  Observer
+		clock     clockwork.Clock
+		log       *zap.Logger
+		timeouts  *routeTimeouts
 	}
 
 	// RetryBudget bounds the retries to each service; *beechgate.Budgets implements it.
@@ -143,10 +145,10 @@
 
 // New returns a dispatcher. The dependencies are used until the last call has ended.
 func New(placer *beechplace.Placer, backend beechcall.Backend, prober Prober, budget RetryBudget, suspects *beechsuspect.Registry, poison *beechpoison.Tracker,
-	observer Observer, clock clockwork.Clock, log *zap.Logger,
+	admission *beechadmission.Controller, observer Observer, clock clockwork.Clock, log *zap.Logger,
 ) *Dispatcher {
 	return &Dispatcher{
-		placer: placer, backend: backend, budget: budget, suspects: suspects, poison: poison, crashes: newCrashDetector(prober, suspects, poison, clock, log),
+		placer: placer, backend: backend, budget: budget, suspects: suspects, poison: poison, admission: admission, crashes: newCrashDetector(prober, suspects, poison, clock, log),
 		observer: observer, clock: clock, log: log, timeouts: newRouteTimeouts(),
 	}
 }
--- a/internal/request/beechattempt/doc.go
+++ b/internal/request/beechattempt/doc.go
@@ -22,6 +22,6 @@
 //
 // # Usage
 //
-//	dispatcher := beechattempt.New(placer, backend, pool, budget, suspects, observer, clock, log)
+//	dispatcher := beechattempt.New(placer, backend, pool, budget, suspects, poison, admission, observer, clock, log)
 //	dispatcher.Serve(ctx, call, responder) // ctx ends when the caller disconnects
 package beechattempt
--- a/internal/request/beechattempt/run.go
+++ b/internal/request/beechattempt/run.go
@@ -29,6 +29,7 @@
 		triedServers    []string          // by ID
 		attempts        int               // with any outcome
 		partWaits       int               // waits for a prompt part that another request was prefilling
+		admitted        bool              // admission has let it pass
 		limitedAttempts int               // attempts not sent because the server was at its limit
 		retryAfter      time.Duration     // if all servers are at their limits or back off: when one accepts requests
 		maybeExecuted   int               // attempts without a good answer that may have been executed
@@ -141,6 +142,10 @@
 		if r.attempts == 0 && r.dispatcher.timeouts.expectedTooLate(r.call.Route.Name, milliseconds(choice.Expected), milliseconds(choice.QueueTime), r.call.Route.Objective, r.dispatcher.clock.Now()) {
 			return r.giveUp(ctx, "no server would answer in time")
 		}
+		choice, short := r.admit(choice)
+		if short != nil {
+			return r.refuseForRoom(ctx, short)
+		}
 		switch r.attempt(ctx, choice) {
 		case finished:
 			return r.outcome()
@@ -250,6 +255,9 @@
 	defer answer.Body.Close()
 	placement.ObserveLimit(answer.Limit)
 	placement.ObserveLoad(answer.Load)
+	if answer.Load.Slowness > 0 {
+		r.dispatcher.admission.Enable(r.call.Service)
+	}
 	r.observeBackoff(placement, answer.Backoff)
 	r.observeLeaving(placement, answer.Leaving)
 	r.dispatcher.placer.ObserveVersion(choice.Server.ID, r.call.Model, answer.Weights)
--- a/internal/request/beechplace/choose.go
+++ b/internal/request/beechplace/choose.go
@@ -8,6 +8,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"github.com/beechring/beechring/internal/decision/beechadmission"
 	"github.com/beechring/beechring/internal/decision/beechquota"
 	"github.com/beechring/beechring/internal/request/beechcall"
 	"github.com/beechring/beechring/internal/request/beechrollout"
@@ -40,6 +41,11 @@
 // false if no server may be used; the choice then has RetryAfter set if only the servers'
 // limits are the reason, or that they have asked for no requests.
 func (p *Placer) Choose(call *beechcall.Call, tried []string) (Choice, bool) {
+	return p.ChooseWhere(call, tried, nil)
+}
+
+// ChooseWhere is like Choose, and leaves out servers whose room admit refuses; nil admits all.
+func (p *Placer) ChooseWhere(call *beechcall.Call, tried []string, admit func(beechadmission.Room) bool) (Choice, bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	now := p.clock.Now()
@@ -49,7 +55,7 @@
 	found := false
 	parts := p.sharedParts(call, now)
 	for _, s := range p.services[call.Service] {
-		if slices.Contains(tried, s.ID) || !p.mayServe(call, s, now) {
+		if slices.Contains(tried, s.ID) || !p.mayServe(call, s, now) || (admit != nil && !admit(p.roomOf(s, now))) {
 			continue
 		}
 		limitedNow := p.updateLimited(s)
