--- a/internal/decision/beechquota/admit.go
+++ b/internal/decision/beechquota/admit.go
@@ -33,6 +33,12 @@
 
 // Admit decides whether a request of the given size may pass, and consumes the size if so.
 func (l *Limiter) Admit(workspace string, size float64) Decision {
+	return l.AdmitAbove(workspace, size, 0)
+}
+
+// AdmitAbove admits a request only while more than reserve is available over all gates: that much
+// was promised to others.
+func (l *Limiter) AdmitAbove(workspace string, size, reserve float64) Decision {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	a := l.accounts[workspace]
@@ -40,7 +46,7 @@
 		return Admitted{}
 	}
 	size = min(max(size, 0), maxSize)
-	if refused, ok := l.decide(a, size).(Refused); ok {
+	if refused, ok := l.decide(a, size, max(reserve, 0)).(Refused); ok {
 		a.refused++
 		return refused
 	}
@@ -58,20 +64,24 @@
 	if a == nil || a.limit.Rate <= 0 {
 		return Admitted{}
 	}
-	return l.decide(a, min(max(size, 0), maxSize))
+	return l.decide(a, min(max(size, 0), maxSize), 0)
 }
 
 // decide decides on a request of the given size. The caller holds the lock.
-func (l *Limiter) decide(a *account, size float64) Decision {
+func (l *Limiter) decide(a *account, size, reserve float64) Decision {
 	l.updateTime()
 	a.refill(l)
 	a.demandRate.pending += size
 	a.demandRate.update(l.now, longRateTime)
-	if left := a.available(l); left <= 0 || l.isolated && size-left > l.maxDebt(a) {
-		return l.refusal(a, min(left, 0))
+	left := a.available(l)
+	if l.isolated {
+		reserve *= l.localShare(a)
+	}
+	if left <= reserve || l.isolated && size-left > l.maxDebt(a) {
+		return l.refusal(a, left)
 	}
 	if !l.isolated && !l.mayAdmitUnsent(a, size) {
-		return l.refusal(a, 0) // until the other gates are informed
+		return l.refusal(a, max(left, 0)) // until the other gates are informed
 	}
 	return Admitted{}
 }
@@ -108,18 +118,16 @@
 	return max(part*a.level, allowances*l.unsentAllowance(a))
 }
 
-// refusal returns a refusal with the time at which the available amount will be above 0 again;
-// deficit is 0 or the negative amount that is available now. A caller that retries reaches
-// another gate and cannot be recognized there, so nothing is reserved for it, and a longer time
-// would only delay its answer.
-func (l *Limiter) refusal(a *account, deficit float64) Refused {
+// refusal returns a refusal with the time at which the available amount, which is left now, will
+// be above 0 again if no others come.
+func (l *Limiter) refusal(a *account, left float64) Refused {
 	rate := a.limit.Rate
 	if l.isolated {
 		rate *= l.localShare(a)
 	}
-	wait := -deficit / rate
+	wait := -min(left, 0) / rate
 	wait += rand.Float64() * jitterFraction * wait
-	r := Refused{Level: a.level, Unreported: a.unreported(l), Limit: a.limit, Isolated: l.isolated, Settled: l.settled, After: maxAfter}
+	r := Refused{Level: a.level, Unreported: a.unreported(l), Limit: a.limit, Isolated: l.isolated, Settled: l.settled, After: maxAfter, Available: left, Rate: rate}
 	if wait < maxAfter.Seconds() {
 		r.After = max(time.Duration(wait*float64(time.Second)), minAfter)
 	}
--- a/internal/decision/beechquota/doc.go
+++ b/internal/decision/beechquota/doc.go
@@ -41,10 +41,10 @@
 //
 // # Response to callers
 //
-// Callers get 429 at once, with the time at which the level will be above 0 again. A refusal
-// by a gate that has just started says so: waiting for a moment at that gate takes less time
-// than a retry. A retry reaches another gate under a new request ID and cannot be told from a
-// new request, so nothing is reserved for it.
+// A refusal tells the time at which the level will be above 0 again if no others come, and what
+// is available. When callers are told to return, and what is kept for them, is decided by
+// package beechreturns; AdmitAbove leaves that much in the bucket. A refusal by a gate that has
+// just started says so: waiting for a moment at that gate takes less time than a retry.
 //
 // # Invalid input
 //
--- a/internal/decision/beechquota/limiter.go
+++ b/internal/decision/beechquota/limiter.go
@@ -45,7 +45,9 @@
 	// Refused rejects a request before it has run. The fields below After are the values
 	// that led to the decision.
 	Refused struct {
-		After      time.Duration // when to retry
+		After      time.Duration // when something will be available, if no others come
+		Available  float64       // what may be admitted now; negative is a debt
+		Rate       float64       // at which it grows: the limit's, or the share of an isolated gate
 		Level      float64       // estimated level of the bucket
 		Unreported float64       // estimated usage at other gates since their last updates
 		Limit      Limit
@@ -277,6 +279,17 @@
 // Age returns the time since the limiter was created.
 func (l *Limiter) Age() time.Duration { return l.clock.Since(l.started) }
 
+// Limit returns the limit of a workspace, and false if it has none.
+func (l *Limiter) Limit(workspace string) (Limit, bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	a := l.accounts[workspace]
+	if a == nil || a.limit.Rate <= 0 {
+		return Limit{}, false
+	}
+	return a.limit, true
+}
+
 // HasLimits reports whether any account has a limit.
 func (l *Limiter) HasLimits() bool {
 	l.mu.Lock()
--- /dev/null
+++ b/internal/decision/beechreturns/book.go
@@ -0,0 +1,335 @@
+package beechreturns
+
+import (
+	"math"
+	"sync"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+)
+
+type (
+	// Supply is what an account can serve, in the unit of its callers' sizes.
+	Supply struct {
+		Available float64       // at once; negative is a debt
+		Rate      float64       // per second
+		Burst     float64       // the most that accumulates; 0: not bounded
+		Gates     int           // that promise parts of it, this one included
+		Earliest  time.Duration // nothing is available before
+	}
+
+	// Caller is a call that is refused now.
+	Caller struct {
+		Account  uint32
+		Call     uint32 // a fingerprint that is the same when it comes back
+		Size     float64
+		Useful   time.Duration // when it comes back until then, its answer can be in time
+		Patience time.Duration // the longest time that it honours
+	}
+
+	// Offer is what a refused caller is told.
+	Offer struct {
+		After    time.Duration
+		Promised bool // it will be served then, as far as is known
+		Again    bool // it came at its time and is refused again
+	}
+
+	// Arrival is New, Early or Returned.
+	Arrival interface{ arrival() }
+
+	// New is a caller that was told no time, or too long ago.
+	New struct{}
+
+	// Early is a caller that does not wait for its time.
+	Early struct{ Left time.Duration }
+
+	// Returned is a caller that comes at the time that it was told.
+	Returned struct {
+		Promised bool
+		Late     time.Duration
+	}
+
+	// Promise is what a gate tells the others of a caller that it has refused.
+	Promise struct {
+		Account, Call uint32
+		After         time.Duration // from the time of the message
+		Size          float64       // 0: the time was told, but nothing is reserved
+	}
+
+	// Book holds what was promised by all gates. It is safe for concurrent use.
+	Book struct {
+		clock   clockwork.Clock
+		random  func() float64 // in [0, 1)
+		started time.Time
+
+		mu       sync.Mutex
+		accounts map[uint32]*calendar
+		unsent   []unsent
+		swept    time.Duration
+	}
+
+	// unsent is a promise that the other gates have not been told often enough.
+	unsent struct {
+		account, call uint32
+		due           time.Duration
+		size          float64
+		sendsLeft     int
+	}
+)
+
+const (
+	// Shares of the refill that are promised, see the package comment.
+	halfShare   = 0.4
+	usefulShare = 0.7
+	lateShare   = 0.25
+	// totalShare bounds the promises up to any later time when a caller gets an earlier one.
+	totalShare = 0.8
+
+	// messageTime is longer than a promise takes to reach the other gates.
+	messageTime = 150 * time.Millisecond
+	// lateness is how long after its time a caller is still expected: it makes a new connection.
+	lateness = 150 * time.Millisecond
+	// recognizedFor is how long after its time a caller is recognized.
+	recognizedFor = time.Second
+	// earliness is how long before its time a caller counts as in time: times are rounded on the
+	// way.
+	earliness = 20 * time.Millisecond
+	// lead is how long before a caller's time its size is kept from others.
+	lead = 100 * time.Millisecond
+	// maxReserveFraction of a burst is kept from new callers at most.
+	maxReserveFraction = 0.25
+	// lastPart is the last part of a caller's patience, for callers to whom nothing is promised.
+	lastPart = 1.0 / 3
+	// spread is the random part that is added to a time, so that gates that do not know of each
+	// other's promises yet do not choose the same moment.
+	spread = 0.25
+
+	sends       = 2    // messages that tell a promise, as one may be lost
+	maxPerSend  = 400  // promises in a message, of some 15 bytes each
+	maxAccounts = 4096 // accounts with promises
+	maxCalls    = 20000
+)
+
+func (New) arrival()      {}
+func (Early) arrival()    {}
+func (Returned) arrival() {}
+
+// NewBook returns an empty book. random returns numbers in [0, 1).
+func NewBook(clock clockwork.Clock, random func() float64) *Book {
+	return &Book{clock: clock, random: random, started: clock.Now(), accounts: make(map[uint32]*calendar)}
+}
+
+// now returns the time since the book was created.
+func (b *Book) now() time.Duration { return b.clock.Since(b.started) }
+
+// Arrive says whether a call was refused before, and whether it comes at its time.
+func (b *Book) Arrive(account, call uint32) Arrival {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	now := b.now()
+	c := b.calendar(account, now)
+	if c == nil {
+		return New{}
+	}
+	p, ok := c.calls[call]
+	switch {
+	case !ok:
+		return New{}
+	case now < p.due-earliness:
+		return Early{Left: p.due - now}
+	}
+	p.returned = true
+	return Returned{Promised: p.size > 0, Late: max(now-p.due, 0)}
+}
+
+// Served ends what was promised to a call.
+func (b *Book) Served(account, call uint32) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if c := b.calendar(account, b.now()); c != nil {
+		c.remove(call)
+	}
+}
+
+// Reserve returns how much must be left after a new caller is admitted, so that promises hold.
+func (b *Book) Reserve(account uint32, s Supply) float64 {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	now := b.now()
+	c := b.calendar(account, now)
+	if c == nil {
+		return 0
+	}
+	reserve := c.reserve(now, s.Rate)
+	if s.Burst > 0 {
+		reserve = min(reserve, s.Burst*maxReserveFraction)
+	}
+	return reserve
+}
+
+// Offer decides what a refused caller is told, and reserves it.
+func (b *Book) Offer(caller Caller, s Supply) Offer {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	now := b.now()
+	c := b.calendar(caller.Account, now)
+	if c == nil {
+		if len(b.accounts) >= maxAccounts {
+			return Offer{After: b.unpromised(caller)}
+		}
+		c = newCalendar(now)
+		b.accounts[caller.Account] = c
+	}
+	again := false
+	if p, ok := c.calls[caller.Call]; ok {
+		if now < p.due-earliness { // it did not wait, and keeps the time that it has
+			return Offer{After: min(p.due-now, caller.Patience), Promised: p.size > 0}
+		}
+		again = p.returned
+		c.remove(caller.Call)
+	}
+	after, promised := b.place(c, caller, s, again, now)
+	size := caller.Size
+	if !promised {
+		after, size = b.unpromised(caller), 0
+	}
+	if len(c.calls) < maxCalls {
+		c.add(caller.Call, now+after, size)
+		b.unsent = append(b.unsent, unsent{account: caller.Account, call: caller.Call, due: now + after, size: size, sendsLeft: sends})
+	}
+	return Offer{After: after, Promised: promised, Again: again}
+}
+
+// unpromised returns the time for a caller for whom no slot is free.
+func (b *Book) unpromised(caller Caller) time.Duration {
+	return time.Duration((1 - lastPart*b.random()) * float64(caller.Patience))
+}
+
+// place returns the first time at which a caller can be served without breaking a promise.
+func (b *Book) place(c *calendar, caller Caller, s Supply, again bool, now time.Duration) (time.Duration, bool) {
+	if s.Rate <= 0 || math.IsNaN(s.Available) {
+		return 0, false
+	}
+	earliest := max(s.Earliest, messageTime)
+	base := s.Available - b.unheard(c, caller.Account, s)
+	for _, part := range parts(caller, again) {
+		from, to := max(part.from, earliest), min(part.to, caller.Patience)
+		if at, ok := c.free(now, from, to, base, s.Rate*part.share, s.Rate*max(part.share, totalShare), caller.Size); ok {
+			at += time.Duration(spread * b.random() * float64(at))
+			return min(at, caller.Patience), true
+		}
+	}
+	return 0, false
+}
+
+// part is a part of a caller's patience in which a share of the refill may be promised to it.
+type part struct {
+	from, to time.Duration
+	share    float64
+}
+
+func parts(caller Caller, again bool) []part {
+	if again {
+		return []part{{0, caller.Patience, 1}}
+	}
+	half := caller.Useful / 2
+	return []part{{0, half, halfShare}, {half, caller.Useful, usefulShare}, {caller.Useful, caller.Patience, lateShare}}
+}
+
+// unheard estimates what other gates have promised and not told yet: as much as this one each, or
+// at random a part of what they usually promise in that time.
+func (b *Book) unheard(c *calendar, account uint32, s Supply) float64 {
+	own := 0.0
+	for _, u := range b.unsent {
+		if u.account == account && u.sendsLeft == sends {
+			own += u.size
+		}
+	}
+	return max(own*float64(s.Gates-1), b.random()*c.heard.rate(b.now())*messageTime.Seconds())
+}
+
+// Empty reports whether nothing was told to anyone lately.
+func (b *Book) Empty() bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return len(b.accounts) == 0
+}
+
+// Unsent reports whether Next has something to return.
+func (b *Book) Unsent() bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return len(b.unsent) > 0
+}
+
+// Next returns the promises that the other gates are to be told now.
+func (b *Book) Next() []Promise {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	now := b.now()
+	var told []Promise
+	var later []unsent
+	for i, u := range b.unsent {
+		if len(told) == maxPerSend {
+			later = append(later, b.unsent[i:]...)
+			break
+		}
+		if u.due+recognizedFor < now {
+			continue
+		}
+		told = append(told, Promise{Account: u.account, Call: u.call, After: u.due - now, Size: u.size})
+		if u.sendsLeft--; u.sendsLeft > 0 {
+			later = append(later, u)
+		}
+	}
+	b.unsent = later
+	return told
+}
+
+// Apply takes over what another gate has promised.
+func (b *Book) Apply(promises []Promise) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	now := b.now()
+	for _, p := range promises {
+		if p.After > horizon || p.After < -recognizedFor || p.Size < 0 || math.IsNaN(p.Size) || math.IsInf(p.Size, 0) {
+			continue
+		}
+		c := b.calendar(p.Account, now)
+		if c == nil {
+			if len(b.accounts) >= maxAccounts {
+				continue
+			}
+			c = newCalendar(now)
+			b.accounts[p.Account] = c
+		}
+		due := now + p.After
+		if known, ok := c.calls[p.Call]; ok {
+			if due < known.due+messageTime {
+				continue // told before, or replaced since
+			}
+			c.remove(p.Call)
+		}
+		if len(c.calls) < maxCalls {
+			c.add(p.Call, due, p.Size)
+			c.heard.add(now, p.Size)
+		}
+	}
+}
+
+// calendar returns an account's calendar at the given time, or nil if it has none.
+func (b *Book) calendar(account uint32, now time.Duration) *calendar {
+	if now-b.swept >= recognizedFor {
+		b.swept = now
+		for key, c := range b.accounts {
+			if c.advance(now); len(c.calls) == 0 {
+				delete(b.accounts, key)
+			}
+		}
+	}
+	c := b.accounts[account]
+	if c != nil {
+		c.advance(now)
+	}
+	return c
+}
--- a/internal/link/beechdatagram/datagram.go
+++ b/internal/link/beechdatagram/datagram.go
@@ -32,7 +32,7 @@
 type (
 	// Message is a Follow, a Tell, an Announce, an Inquiry, a Proof, an
 	// Entries, a Gossip, a Summary, a Recall, a Borrow, a Loan, a Spent, a Limits, a Full, an
-	// Origins, a Query, a Found, a Poison or a Pressure.
+	// Origins, a Query, a Found, a Poison, a Pressure or a Returns.
 	Message interface{ message() }
 
 	// Follow is sent by a gate to a keeper: it asks for the engine's state, and names
@@ -96,6 +96,9 @@
 	// hosts of engines do at this moment, and what services are asked for.
 	Pressure struct{ *beechwire.Pressure }
 
+	// Returns is sent by a gate to the others: when callers that it has refused come back.
+	Returns struct{ *beechwire.Returns }
+
 	// Scope tells whether a datagram leaves its availability zone. Traffic between
 	// zones is billed by the byte.
 	Scope bool
@@ -134,6 +137,7 @@
 	kindFound        = 'D'
 	kindPoison       = 'P'
 	kindPressure     = 'R'
+	kindReturns      = 'U'
 	maxDatagramBytes = 16 << 10
 )
 
@@ -158,6 +162,7 @@
 func (Found) message()    {}
 func (Poison) message()   {}
 func (Pressure) message() {}
+func (Returns) message()  {}
 
 // Open binds a UDP socket to an address.
 func Open(address netip.AddrPort) (*Socket, error) {
@@ -209,6 +214,8 @@
 		return v.MarshalMsg([]byte{kindPoison})
 	case Pressure:
 		return v.MarshalMsg([]byte{kindPressure})
+	case Returns:
+		return v.MarshalMsg([]byte{kindReturns})
 	}
 	return nil, errUnknownKind
 }
@@ -289,6 +296,9 @@
 	case kindPressure:
 		m := &beechwire.Pressure{}
 		return Pressure{m}, m
+	case kindReturns:
+		m := &beechwire.Returns{}
+		return Returns{m}, m
 	}
 	return nil, nil
 }
@@ -359,6 +369,8 @@
 		return "poison"
 	case kindPressure:
 		return "pressure"
+	case kindReturns:
+		return "returns"
 	}
 	return "unknown"
 }
--- a/internal/link/beechwire/wire_gen.go
+++ b/internal/link/beechwire/wire_gen.go
@@ -2,7 +2,7 @@
 
 //msgp:ignore WireSchemaJson
 //msgp:limit arrays:65536
-//msgp:tuple Follow Announce Tell Target Weights Inquiry Entry Entries Node Gossip Status Engine Heard Speed Busy Summary Recall Held Proof Borrow Loan Origins Query Found Use Spent Seen Limit Limits Full FullServer CrashSuspect ServerCrash TraitEvent Poison RankLoad Strain Demand Pressure
+//msgp:tuple Follow Announce Tell Target Weights Inquiry Entry Entries Node Gossip Status Engine Heard Speed Busy Summary Recall Held Proof Borrow Loan Origins Query Found Use Spent Seen Limit Limits Full FullServer CrashSuspect ServerCrash TraitEvent Poison RankLoad Strain Demand Pressure Return Returns
 
 package beechwire
 
@@ -1061,6 +1061,32 @@
 	Payload []byte `msg:"Payload"`
 }
 
+// Return is when a refused caller was told to come back.
+type Return struct {
+	// Hash of what it was refused for.
+	Account uint32 `msg:"Account"`
+
+	// Fingerprint that is the same when it comes back.
+	Call uint32 `msg:"Call"`
+
+	// From when the datagram was sent.
+	Millis int64 `msg:"Millis"`
+
+	// What is kept for it, in units of the account; 0: nothing.
+	Size uint64 `msg:"Size"`
+}
+
+// Returns is the datagram in which a gate tells the others when callers that it
+// has refused come back.
+type Returns struct {
+	// List corresponds to the JSON schema field "List".
+	List []Return `msg:"List"`
+
+	// The gate that receives the datagram forwards it to the others of its
+	// availability zone.
+	Pass bool `msg:"Pass"`
+}
+
 // Seen is the pace of an engine as a gate measured it by times to first token.
 type Seen struct {
 	// Hash of the ID.
--- a/internal/link/beechwire/wire_msgp_gen.go
+++ b/internal/link/beechwire/wire_msgp_gen.go
@@ -5865,6 +5865,130 @@
 	return
 }
 
+// MarshalMsg implements msgp.Marshaler
+func (z *Return) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// array header, size 4
+	o = append(o, 0x94)
+	o = msgp.AppendUint32(o, z.Account)
+	o = msgp.AppendUint32(o, z.Call)
+	o = msgp.AppendInt64(o, z.Millis)
+	o = msgp.AppendUint64(o, z.Size)
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *Return) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadArrayHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 != 4 {
+		err = msgp.ArrayError{Wanted: 4, Got: zb0001}
+		return
+	}
+	z.Account, bts, err = msgp.ReadUint32Bytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Account")
+		return
+	}
+	z.Call, bts, err = msgp.ReadUint32Bytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Call")
+		return
+	}
+	z.Millis, bts, err = msgp.ReadInt64Bytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Millis")
+		return
+	}
+	z.Size, bts, err = msgp.ReadUint64Bytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Size")
+		return
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z *Return) Msgsize() (s int) {
+	s = 1 + msgp.Uint32Size + msgp.Uint32Size + msgp.Int64Size + msgp.Uint64Size
+	return
+}
+
+// MarshalMsg implements msgp.Marshaler
+func (z *Returns) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// array header, size 2
+	o = append(o, 0x92)
+	o = msgp.AppendArrayHeader(o, uint32(len(z.List)))
+	for za0001 := range z.List {
+		o, err = z.List[za0001].MarshalMsg(o)
+		if err != nil {
+			err = msgp.WrapError(err, "List", za0001)
+			return
+		}
+	}
+	o = msgp.AppendBool(o, z.Pass)
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *Returns) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadArrayHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 != 2 {
+		err = msgp.ArrayError{Wanted: 2, Got: zb0001}
+		return
+	}
+	var zb0002 uint32
+	zb0002, bts, err = msgp.ReadArrayHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "List")
+		return
+	}
+	if zb0002 > z311325c6limitArrays {
+		err = msgp.ErrLimitExceeded
+		return
+	}
+	if cap(z.List) >= int(zb0002) {
+		z.List = z.List[:zb0002]
+	} else {
+		z.List = make([]Return, zb0002)
+	}
+	for za0001 := range z.List {
+		bts, err = z.List[za0001].UnmarshalMsg(bts)
+		if err != nil {
+			err = msgp.WrapError(err, "List", za0001)
+			return
+		}
+	}
+	z.Pass, bts, err = msgp.ReadBoolBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Pass")
+		return
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z *Returns) Msgsize() (s int) {
+	s = 1 + msgp.ArrayHeaderSize
+	for za0001 := range z.List {
+		s += z.List[za0001].Msgsize()
+	}
+	s += msgp.BoolSize
+	return
+}
+
 // MarshalMsg implements msgp.Marshaler
 func (z Seen) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
--- a/internal/process/beechgate/admit.go
+++ b/internal/process/beechgate/admit.go
@@ -112,6 +112,7 @@
 	if call.LastEventID != "" && call.Route.RetryPolicy == beechcall.Resumable && !g.resumable(ctx, call, out) {
 		return
 	}
+	g.returns.arrive(call)
 	if !g.chargeQuota(ctx, call, out) {
 		return
 	}
--- a/internal/process/beechgate/gate.go
+++ b/internal/process/beechgate/gate.go
@@ -83,6 +83,7 @@
 		budgets         *Budgets
 		loans           *beechretry.Lender // lends to the gates of this zone if this gate is the first to collect
 		quotas          *beechquota.Limiter
+		returns         *returns
 		limits          *beechthrottle.Throttle  // request limits that servers announce
 		overloaded      *beechsaturation.Tracker // servers that reject requests
 		backoff         *beechbackoff.Tracker    // servers that have asked this gate for no requests
@@ -117,6 +118,7 @@
 		followDue    chan struct{} // signals that keepers should be contacted now
 		turnEnded    chan struct{} // signals that an engine's turn to load weights has ended
 		usageDue     chan struct{} // signals that quota usage should be sent to the other gates now
+		returnsDue   chan struct{} // signals that promised times should be sent to the other gates now
 		limitsDue    chan struct{} // signals that usage of servers' limits should be sent now
 		overloadsDue chan struct{} // signals that overloaded servers should be sent now
 		summariesDue chan struct{} // signals that sendSummaries should look what is due
@@ -185,9 +187,10 @@
 		departures:  newDepartures(deps.Clock),
 		rolloutPace: beechrollout.NewLoadWindow(),
 		followDue:   make(chan struct{}, 1),
-		turnEnded:   make(chan struct{}, 1), usageDue: make(chan struct{}, 1), limitsDue: make(chan struct{}, 1), overloadsDue: make(chan struct{}, 1),
+		turnEnded:   make(chan struct{}, 1), usageDue: make(chan struct{}, 1), returnsDue: make(chan struct{}, 1), limitsDue: make(chan struct{}, 1), overloadsDue: make(chan struct{}, 1),
 		summariesDue: make(chan struct{}, 1), inquiryDue: make(chan struct{}, 1), poisonDue: make(chan struct{}, 1),
 	}
+	g.returns = newReturns(g)
 	g.origins = newOrigins(g)
 	g.overload = beechoverload.New(deps.Clock, rand.Float64)
 	g.poison = beechpoison.New(deps.Clock, g.poisonTurn, g.wakePoisonSender)
@@ -205,6 +208,7 @@
 		Zone: s.Zone, OutdatedSoftLimit: max(weights-outdatedMargin, weights/2), OutdatedHardLimit: max(weights-startMargin, weights/2),
 	}, deps.Clock, g.health, g.limits, g.overloaded, g.backoff, g.announcePrompt)
 	g.core = beechattempt.New(g.placer, deps.Backend, deps.Pool, g.budgets, g.suspects, g.poison, g, deps.Clock, deps.Log)
+	g.core.SetReturns(g.returns)
 	g.serverMirror = beechmirror.New(beechmirror.Settings{
 		Prefix: deps.ServerPrefix, MaxAge: serverReadAges.Others, StartAge: serverReadAges.First - startWait, ReadTimeout: readTimeout, WatchTimeout: serverWatchTimeout, WatchPause: serverWatchPause, RemovalDelay: removalDelay, OnRestored: g.readOperators, Forward: g.forwardChanges,
 	}, deps.Source, g.serverFreshness, deps.Clock, deps.Log, g.setServers)
@@ -224,6 +228,7 @@
 		{Name: "send summaries", Run: g.sendSummaries},
 		{Name: "send measurements", Run: g.sendMeasurements},
 		{Name: "send usage", Run: g.sendUsage},
+		{Name: "send returns", Run: g.sendReturns},
 		{Name: "send limits", Run: g.sendLimits},
 		{Name: "send overloads", Run: g.sendOverloads},
 		{Name: "send poison", Run: g.sendPoison},
--- a/internal/process/beechgate/keeper.go
+++ b/internal/process/beechgate/keeper.go
@@ -146,5 +146,7 @@
 		g.receivePoison(from, v)
 	case beechdatagram.Pressure:
 		g.receivePressure(from, v)
+	case beechdatagram.Returns:
+		g.receiveReturns(from, v)
 	}
 }
--- a/internal/process/beechgate/metrics.go
+++ b/internal/process/beechgate/metrics.go
@@ -38,6 +38,8 @@
 		withdrawn         *beechmetric.Latency // from then until the attempt was withdrawn
 		withdrawals       *expvar.Map          // attempts of callers that left, by outcome
 		schedulingTail    *expvar.Int          // 99th percentile in microseconds
+		returns           *expvar.Map          // refused callers that were told a time, and what became of it
+		toldTimes         *beechmetric.Latency // times that refused callers were told
 		acceptWait        *expvar.Int          // shortest wait of new connections in microseconds
 	}
 )
@@ -49,6 +51,7 @@
 		limitLinesDropped: new(expvar.Int), lateVersions: new(expvar.Int), invalidEntries: new(expvar.Int), firstByte: beechmetric.NewLatency(), wholeAnswer: beechmetric.NewLatency(),
 		resumed: new(expvar.Map), turnedAway: new(expvar.Int), schedulingDelay: new(expvar.Int), departed: new(expvar.Map), departedAfter: beechmetric.NewLatency(),
 		unnoticed: beechmetric.NewLatency(), withdrawn: beechmetric.NewLatency(), withdrawals: new(expvar.Map), schedulingTail: new(expvar.Int), acceptWait: new(expvar.Int),
+		returns: new(expvar.Map), toldTimes: beechmetric.NewLatency(),
 	}
 	m.vars.Set("endings", m.endings)
 	m.vars.Set("retried", m.retried)
@@ -63,6 +66,8 @@
 	m.vars.Set("members", expvar.Func(func() any { return g.members.Counts() }))
 	m.vars.Set("states", expvar.Func(func() any { return g.board.Counts() }))
 	m.vars.Set("quotas", expvar.Func(func() any { return g.quotas.State() }))
+	m.vars.Set("returns", m.returns)
+	m.vars.Set("toldMicros", expvar.Func(m.toldTimes.Percentiles))
 	m.vars.Set("limitLinesDropped", m.limitLinesDropped)
 	m.vars.Set("limits", expvar.Func(func() any { return g.limits.State() }))
 	m.vars.Set("full", expvar.Func(func() any { return g.overloaded.State() }))
--- a/internal/process/beechgate/observer.go
+++ b/internal/process/beechgate/observer.go
@@ -18,6 +18,9 @@
 // ObserveEnd implements beechattempt.Observer. Requests that were answered as expected are logged
 // at level debug only, all others and resumed streams at info.
 func (g *Gate) ObserveEnd(e beechattempt.Result) {
+	if e.Outcome == "answered" {
+		g.returns.answered(e.Call)
+	}
 	g.metrics.recordEnding(e, g.scopeTo(e.Choice.Server))
 	if e.Choice.LimitedServer != "" {
 		g.limitLog.Info("request kept from a server at its limit", zap.String("request", e.Call.ID), zap.String("limited", e.Choice.LimitedServer),
--- a/internal/process/beechgate/quota.go
+++ b/internal/process/beechgate/quota.go
@@ -56,7 +56,7 @@
 	patience := min(startupWait, call.Route.Objective/startupWaitDivisor)
 	deadline := g.clock.Now().Add(patience)
 	for {
-		decision := g.quotas.Admit(call.Workspace.Name, call.QuotaCost())
+		decision := g.quotas.AdmitAbove(call.Workspace.Name, call.QuotaCost(), g.returns.reserve(call))
 		refused, ok := decision.(beechquota.Refused)
 		soon := refused.Starting || !refused.Settled && !refused.Isolated && refused.After <= patience
 		if !ok || !soon || !g.clock.Now().Before(deadline) {
@@ -74,14 +74,16 @@
 func (g *Gate) chargeQuota(ctx context.Context, call *beechcall.Call, out beechattempt.Responder) bool {
 	switch decision := g.admitQuota(ctx, call).(type) {
 	case beechquota.Refused:
+		offer := g.returns.offerQuota(call, decision)
 		g.metrics.denied.Add("over quota", 1)
 		g.log.Warn("request refused", zap.String("request", call.ID), zap.String("route", call.Route.Name), zap.String("reason", "over quota"),
-			zap.String("workspace", call.Workspace.Name), zap.Float64("size", call.QuotaCost()), zap.Duration("after", decision.After),
+			zap.String("workspace", call.Workspace.Name), zap.Float64("size", call.QuotaCost()), zap.Duration("after", offer.After), zap.Bool("promised", offer.Promised), zap.Bool("again", call.CameBack), zap.Uint32("call", callKey(call)),
 			zap.Float64("left", decision.Level), zap.Float64("unread", decision.Unreported), zap.Float64("rate", decision.Limit.Rate), zap.Float64("burst", decision.Limit.Burst),
 			zap.Bool("alone", decision.Isolated), zap.Duration("age", decision.UpdateAge))
-		out.Reject(beechattempt.QuotaExceeded{RetryAfter: decision.After})
+		out.Reject(beechattempt.QuotaExceeded{RetryAfter: offer.After})
 		return false
 	case beechquota.Admitted:
+		g.returns.quotaAdmitted(call)
 		if decision.Urgent {
 			beechtask.Notify(g.usageDue)
 		}
--- a/internal/process/beechgate/quota_test.go
+++ b/internal/process/beechgate/quota_test.go
@@ -20,7 +20,9 @@
 // newQuotaGate returns a gate that only decides on quotas.
 func newQuotaGate(i int, bounds beechquota.Bounds) *Gate {
 	clock := clockwork.NewRealClock()
-	return &Gate{clock: clock, quotas: beechquota.New(fmt.Sprint("gate-", i), uint64(i+1), bounds, clock), usageDue: make(chan struct{}, 1)}
+	g := &Gate{clock: clock, quotas: beechquota.New(fmt.Sprint("gate-", i), uint64(i+1), bounds, clock), usageDue: make(chan struct{}, 1)}
+	g.returns = newReturns(g)
+	return g
 }
 
 // quotaCall returns a call that counts as one request.
--- a/internal/request/beechattempt/dispatcher.go
+++ b/internal/request/beechattempt/dispatcher.go
@@ -29,6 +29,13 @@
 		clock    clockwork.Clock
 		log      *zap.Logger
 		timeouts *routeTimeouts
+		returns  Returns // nil: refused callers are told defaultRetryAfter
+	}
+
+	// Returns decides when callers may come back for whom no server has room.
+	Returns interface {
+		// After returns false if it does not decide for the call's service.
+		After(call *beechcall.Call) (time.Duration, bool)
 	}
 
 	// RetryBudget bounds the retries to each service; *beechgate.Budgets implements it.
@@ -151,6 +158,9 @@
 	}
 }
 
+// SetReturns sets who decides when refused callers may come back. It is called before Serve.
+func (d *Dispatcher) SetReturns(r Returns) { d.returns = r }
+
 // Serve answers a call. The context ends when the caller disconnects, which cancels the
 // attempt under way. It returns the number of attempts that may have been executed.
 func (d *Dispatcher) Serve(ctx context.Context, call *beechcall.Call, out Responder) int {
--- a/internal/request/beechattempt/run.go
+++ b/internal/request/beechattempt/run.go
@@ -530,13 +530,7 @@
 		r.out.Respond(r.serverError.status, r.serverError.header, r.serverError.body)
 		return "answered"
 	case r.maybeExecuted == 0:
-		after := min(jitter(defaultRetryAfter), max(r.call.TimeLeft(r.dispatcher.clock.Now())/3, 0))
-		switch {
-		case reason == reasonPoison:
-			after = r.retryAfter
-		case r.retryAfter > 0:
-			after = r.dispatcher.placer.RetryAfter(r.call.Service, r.retryAfter)
-		}
+		after := r.timeToReturn(reason)
 		r.dispatcher.log.Warn("request refused", append(fields, zap.Duration("after", after))...)
 		r.out.Reject(NotExecuted{RetryAfter: after, Reason: reason})
 		return "refused"
@@ -550,6 +544,22 @@
 	return "failed"
 }
 
+// timeToReturn returns when the caller of a refused call may come back.
+func (r *execution) timeToReturn(reason string) time.Duration {
+	switch {
+	case reason == reasonPoison:
+		return r.retryAfter
+	case r.retryAfter > 0:
+		return r.dispatcher.placer.RetryAfter(r.call.Service, r.retryAfter)
+	}
+	if r.dispatcher.returns != nil {
+		if after, ok := r.dispatcher.returns.After(r.call); ok {
+			return after
+		}
+	}
+	return min(jitter(defaultRetryAfter), max(r.call.TimeLeft(r.dispatcher.clock.Now())/3, 0))
+}
+
 func (r *execution) logAttempt(what string, choice beechplace.Choice, fields ...zap.Field) {
 	r.dispatcher.log.Info("attempt "+what, append(fields,
 		zap.String("request", r.call.ID), zap.String("server", choice.Server.ID), zap.Stringer("peer", choice.Server.Address),
--- a/internal/request/beechcall/call.go
+++ b/internal/request/beechcall/call.go
@@ -39,6 +39,8 @@
 		LastEventID    string              // of the last event the caller has, if it resumes a stream
 		Resumes        string              // ID of the caller's request that the resumed stream began with; empty: not named
 		Origin         *beechorigin.Origin // of the stream, once it has begun; it goes on only there. nil: not begun
+		CameBack       bool                // it was refused before, and comes at the time that it was told
+		Promised       bool                // it was promised to be served at that time
 		Received       time.Time
 		Deadline       time.Time // of the caller or the route, whichever is earlier
 		Method         string
