--- a/internal/decision/beechreturns/book.go
+++ b/internal/decision/beechreturns/book.go
@@ -21,6 +21,7 @@
 	// Caller is a call that is refused now.
 	Caller struct {
 		Account  uint32
+		Class    uint8  // callers of a class wait for about as long, such as those of one urgency
 		Call     uint32 // a fingerprint that is the same when it comes back
 		Size     float64
 		Useful   time.Duration // when it comes back until then, its answer can be in time
@@ -52,8 +53,10 @@
 	// Promise is what a gate tells the others of a caller that it has refused.
 	Promise struct {
 		Account, Call uint32
+		Class         uint8
 		After         time.Duration // from the time of the message
-		Size          float64       // 0: the time was told, but nothing is reserved
+		Size          float64
+		Kept          bool // false: the time was told, but nothing is reserved
 	}
 
 	// Book holds what was promised by all gates. It is safe for concurrent use.
@@ -64,29 +67,25 @@
 
 		mu       sync.Mutex
 		accounts map[uint32]*calendar
-		unsent   []unsent
+		unsent   []unsentPromise
 		swept    time.Duration
 	}
 
-	// unsent is a promise that the other gates have not been told often enough.
-	unsent struct {
-		account, call uint32
-		due           time.Duration
-		size          float64
-		sendsLeft     int
+	// unsentPromise is one that the other gates have not been told often enough.
+	unsentPromise struct {
+		Promise
+		due       time.Duration
+		sendsLeft int
 	}
 )
 
 const (
 	// Shares of the refill that are promised, see the package comment.
-	halfShare   = 0.4
-	usefulShare = 0.7
-	lateShare   = 0.25
-	// totalShare bounds the promises up to any later time when a caller gets an earlier one.
-	totalShare = 0.8
+	usefulShare = 0.8
+	lateShare   = 0.1
 
 	// messageTime is longer than a promise takes to reach the other gates.
-	messageTime = 150 * time.Millisecond
+	messageTime = 100 * time.Millisecond
 	// lateness is how long after its time a caller is still expected: it makes a new connection.
 	lateness = 150 * time.Millisecond
 	// recognizedFor is how long after its time a caller is recognized.
@@ -99,15 +98,15 @@
 	// maxReserveFraction of a burst is kept from new callers at most.
 	maxReserveFraction = 0.25
 	// lastPart is the last part of a caller's patience, for callers to whom nothing is promised.
-	lastPart = 1.0 / 3
+	lastPart = 0.2
 	// spread is the random part that is added to a time, so that gates that do not know of each
 	// other's promises yet do not choose the same moment.
 	spread = 0.25
 
-	sends       = 2    // messages that tell a promise, as one may be lost
-	maxPerSend  = 400  // promises in a message, of some 15 bytes each
-	maxAccounts = 4096 // accounts with promises
-	maxCalls    = 20000
+	sends       = 2     // messages that tell a promise, as one may be lost
+	maxPerSend  = 400   // promises in a message, of some 15 bytes each
+	maxAccounts = 4096  // accounts with promises
+	maxCalls    = 20000 // of an account
 )
 
 func (New) arrival()      {}
@@ -131,15 +130,15 @@
 	if c == nil {
 		return New{}
 	}
-	p, ok := c.calls[call]
+	e, ok := c.calls[call]
 	switch {
 	case !ok:
 		return New{}
-	case now < p.due-earliness:
-		return Early{Left: p.due - now}
+	case now < e.due-earliness:
+		return Early{Left: e.due - now}
 	}
-	p.returned = true
-	return Returned{Promised: p.size > 0, Late: max(now-p.due, 0)}
+	e.returned = true
+	return Returned{Promised: e.kept, Late: max(now-e.due, 0)}
 }
 
 // Served ends what was promised to a call.
@@ -172,32 +171,28 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	now := b.now()
-	c := b.calendar(caller.Account, now)
+	c := b.ensureCalendar(caller.Account, now)
 	if c == nil {
-		if len(b.accounts) >= maxAccounts {
-			return Offer{After: b.unpromised(caller)}
-		}
-		c = newCalendar(now)
-		b.accounts[caller.Account] = c
+		return Offer{After: b.unpromised(caller)}
 	}
 	again := false
-	if p, ok := c.calls[caller.Call]; ok {
-		if now < p.due-earliness { // it did not wait, and keeps the time that it has
-			return Offer{After: min(p.due-now, caller.Patience), Promised: p.size > 0}
+	if e, ok := c.calls[caller.Call]; ok {
+		if now < e.due-earliness { // it did not wait, and keeps the time that it has
+			return Offer{After: min(e.due-now, caller.Patience), Promised: e.kept}
 		}
-		again = p.returned
+		again = e.returned
 		c.remove(caller.Call)
 	}
-	after, promised := b.place(c, caller, s, again, now)
-	size := caller.Size
-	if !promised {
-		after, size = b.unpromised(caller), 0
+	c.refused(caller.Class, caller.Size, now)
+	after, kept := b.place(c, caller, s, again, now)
+	if !kept {
+		after = b.unpromised(caller)
 	}
-	if len(c.calls) < maxCalls {
-		c.add(caller.Call, now+after, size)
-		b.unsent = append(b.unsent, unsent{account: caller.Account, call: caller.Call, due: now + after, size: size, sendsLeft: sends})
+	p := Promise{Account: caller.Account, Call: caller.Call, Class: caller.Class, Size: caller.Size, Kept: kept}
+	if c.add(p, now+after) {
+		b.unsent = append(b.unsent, unsentPromise{Promise: p, due: now + after, sendsLeft: sends})
 	}
-	return Offer{After: after, Promised: promised, Again: again}
+	return Offer{After: after, Promised: kept, Again: again}
 }
 
 // unpromised returns the time for a caller for whom no slot is free.
@@ -210,42 +205,32 @@
 	if s.Rate <= 0 || math.IsNaN(s.Available) {
 		return 0, false
 	}
-	earliest := max(s.Earliest, messageTime)
-	base := s.Available - b.unheard(c, caller.Account, s)
-	for _, part := range parts(caller, again) {
-		from, to := max(part.from, earliest), min(part.to, caller.Patience)
-		if at, ok := c.free(now, from, to, base, s.Rate*part.share, s.Rate*max(part.share, totalShare), caller.Size); ok {
-			at += time.Duration(spread * b.random() * float64(at))
-			return min(at, caller.Patience), true
-		}
+	part := c.part(caller.Class, now)
+	available := s.Available*part - b.unheard(c, caller, s)
+	attempt := func(from, to time.Duration, share float64) (time.Duration, bool) {
+		from, to = max(from, s.Earliest, messageTime), min(to, caller.Patience)
+		at, ok := c.free(caller.Class, now, from, to, available, s.Rate*part*share)
+		return min(at+time.Duration(spread*b.random()*float64(at)), to), ok
 	}
-	return 0, false
-}
-
-// part is a part of a caller's patience in which a share of the refill may be promised to it.
-type part struct {
-	from, to time.Duration
-	share    float64
-}
-
-func parts(caller Caller, again bool) []part {
 	if again {
-		return []part{{0, caller.Patience, 1}}
+		return attempt(0, caller.Patience, 1)
+	}
+	if at, ok := attempt(0, caller.Useful, usefulShare); ok {
+		return at, true
 	}
-	half := caller.Useful / 2
-	return []part{{0, half, halfShare}, {half, caller.Useful, usefulShare}, {caller.Useful, caller.Patience, lateShare}}
+	return attempt(caller.Useful, caller.Patience, lateShare)
 }
 
 // unheard estimates what other gates have promised and not told yet: as much as this one each, or
 // at random a part of what they usually promise in that time.
-func (b *Book) unheard(c *calendar, account uint32, s Supply) float64 {
+func (b *Book) unheard(c *calendar, caller Caller, s Supply) float64 {
 	own := 0.0
 	for _, u := range b.unsent {
-		if u.account == account && u.sendsLeft == sends {
-			own += u.size
+		if u.Account == caller.Account && u.Class == caller.Class && u.Kept && u.sendsLeft == sends {
+			own += u.Size
 		}
 	}
-	return max(own*float64(s.Gates-1), b.random()*c.heard.rate(b.now())*messageTime.Seconds())
+	return max(own*float64(s.Gates-1), b.random()*c.classes[caller.Class].heard.rate(b.now())*messageTime.Seconds())
 }
 
 // Empty reports whether nothing was told to anyone lately.
@@ -268,7 +253,7 @@
 	defer b.mu.Unlock()
 	now := b.now()
 	var told []Promise
-	var later []unsent
+	var later []unsentPromise
 	for i, u := range b.unsent {
 		if len(told) == maxPerSend {
 			later = append(later, b.unsent[i:]...)
@@ -277,7 +262,8 @@
 		if u.due+recognizedFor < now {
 			continue
 		}
-		told = append(told, Promise{Account: u.account, Call: u.call, After: u.due - now, Size: u.size})
+		u.After = u.due - now
+		told = append(told, u.Promise)
 		if u.sendsLeft--; u.sendsLeft > 0 {
 			later = append(later, u)
 		}
@@ -292,16 +278,12 @@
 	defer b.mu.Unlock()
 	now := b.now()
 	for _, p := range promises {
-		if p.After > horizon || p.After < -recognizedFor || p.Size < 0 || math.IsNaN(p.Size) || math.IsInf(p.Size, 0) {
+		if !p.valid() {
 			continue
 		}
-		c := b.calendar(p.Account, now)
+		c := b.ensureCalendar(p.Account, now)
 		if c == nil {
-			if len(b.accounts) >= maxAccounts {
-				continue
-			}
-			c = newCalendar(now)
-			b.accounts[p.Account] = c
+			continue
 		}
 		due := now + p.After
 		if known, ok := c.calls[p.Call]; ok {
@@ -310,13 +292,29 @@
 			}
 			c.remove(p.Call)
 		}
-		if len(c.calls) < maxCalls {
-			c.add(p.Call, due, p.Size)
-			c.heard.add(now, p.Size)
+		if c.add(p, due) {
+			c.refused(p.Class, p.Size, now)
+			if p.Kept {
+				c.classes[p.Class].heard.add(now, p.Size)
+			}
 		}
 	}
 }
 
+func (p Promise) valid() bool {
+	return p.Class < classes && p.After <= horizon && p.After >= -recognizedFor && p.Size >= 0 && !math.IsInf(p.Size, 0)
+}
+
+// ensureCalendar returns an account's calendar, or nil if there are too many.
+func (b *Book) ensureCalendar(account uint32, now time.Duration) *calendar {
+	c := b.calendar(account, now)
+	if c == nil && len(b.accounts) < maxAccounts {
+		c = newCalendar(now)
+		b.accounts[account] = c
+	}
+	return c
+}
+
 // calendar returns an account's calendar at the given time, or nil if it has none.
 func (b *Book) calendar(account uint32, now time.Duration) *calendar {
 	if now-b.swept >= recognizedFor {
--- a/internal/decision/beechreturns/calendar.go
+++ b/internal/decision/beechreturns/calendar.go
@@ -8,24 +8,30 @@
 type (
 	// calendar holds what was promised of one account. Times are since the book was created.
 	calendar struct {
-		first int // number of the first slot that is kept
-		slots [slotCount]slot
-		last  int // number of the last slot with a promise
-		calls map[uint32]*entry
-		heard decayingSum
+		first   int // number of the first slot that is kept
+		last    int // number of the last slot with a promise
+		slots   [slotCount]slot
+		calls   map[uint32]*entry
+		classes [classes]class
 	}
 
 	slot struct {
-		size  float64
+		sizes [classes]float64
 		calls []uint32 // some of them may have been removed
 	}
 
 	entry struct {
 		due      time.Duration
 		size     float64
+		class    uint8
+		kept     bool // size is reserved
 		returned bool
 	}
 
+	// class measures what callers of a class are refused by all gates, and what the other gates
+	// have promised to them.
+	class struct{ refused, heard decayingSum }
+
 	// decayingSum is an exponentially decaying sum, as a measure of a rate.
 	decayingSum struct {
 		sum float64
@@ -34,11 +40,13 @@
 )
 
 const (
+	// classes is the number of classes of callers.
+	classes  = 10
 	slotTime = 50 * time.Millisecond
 	// horizon is the longest time that callers are told.
 	horizon   = 10 * time.Second
 	slotCount = int((horizon+recognizedFor)/slotTime) + 2
-	heardTime = 300 * time.Millisecond
+	decayTime = time.Second
 )
 
 func newCalendar(now time.Duration) *calendar {
@@ -49,6 +57,14 @@
 
 func (c *calendar) slot(n int) *slot { return &c.slots[((n%slotCount)+slotCount)%slotCount] }
 
+func (s *slot) total() float64 {
+	sum := 0.0
+	for _, size := range s.sizes {
+		sum += size
+	}
+	return sum
+}
+
 // advance drops the slots whose callers are no longer recognized.
 func (c *calendar) advance(now time.Duration) {
 	for to := slotOf(now - recognizedFor); c.first < to; c.first++ {
@@ -63,15 +79,20 @@
 	c.last = max(c.last, c.first)
 }
 
-func (c *calendar) add(call uint32, due time.Duration, size float64) {
+// add enters a call, unless there are too many.
+func (c *calendar) add(p Promise, due time.Duration) bool {
+	if len(c.calls) >= maxCalls {
+		return false
+	}
 	n := min(max(slotOf(due), c.first), c.first+slotCount-1)
 	s := c.slot(n)
-	s.size += size
-	s.calls = append(s.calls, call)
-	c.calls[call] = &entry{due: due, size: size}
-	if size > 0 {
+	s.calls = append(s.calls, p.Call)
+	c.calls[p.Call] = &entry{due: due, size: p.Size, class: p.Class, kept: p.Kept}
+	if p.Kept {
+		s.sizes[p.Class] += p.Size
 		c.last = max(c.last, n)
 	}
+	return true
 }
 
 func (c *calendar) remove(call uint32) {
@@ -80,27 +101,36 @@
 		return
 	}
 	delete(c.calls, call)
-	if n := slotOf(e.due); n >= c.first && n < c.first+slotCount {
+	if n := slotOf(e.due); e.kept && n >= c.first && n < c.first+slotCount {
 		s := c.slot(n)
-		s.size = max(s.size-e.size, 0)
+		s.sizes[e.class] = max(s.sizes[e.class]-e.size, 0)
 	}
 }
 
-// overdue returns what was promised for the time just before now.
-func (c *calendar) overdue(now time.Duration) float64 {
+// refused counts what a caller of a class was refused.
+func (c *calendar) refused(class uint8, size float64, now time.Duration) {
+	c.classes[class].refused.add(now, size)
+}
+
+// part returns the part of what is promised that callers of a class get: that of what they are
+// refused. Otherwise those who can wait for longer would take all later slots.
+func (c *calendar) part(class uint8, now time.Duration) float64 {
 	sum := 0.0
-	for n := max(slotOf(now-lateness), c.first); n < slotOf(now); n++ {
-		sum += c.slot(n).size
+	for i := range c.classes {
+		sum += c.classes[i].refused.rate(now)
 	}
-	return sum
+	if sum <= 0 {
+		return 1
+	}
+	return c.classes[class].refused.rate(now) / sum
 }
 
 // reserve returns how much must be left so that all promises hold if rate refills per second.
 func (c *calendar) reserve(now time.Duration, rate float64) float64 {
-	sum, most := c.overdue(now), 0.0
+	sum, most := 0.0, 0.0
 	begin := slotOf(now)
-	for n := begin; n <= c.last; n++ {
-		sum += c.slot(n).size
+	for n := max(slotOf(now-lateness), c.first); n <= c.last; n++ {
+		sum += c.slot(n).total()
 		wait := time.Duration(n-begin) * slotTime
 		if wait <= lead {
 			most = max(most, sum)
@@ -111,33 +141,33 @@
 	return most
 }
 
-// free returns the first time between from and to at which something is left of what is available
-// and of what refills at the rate of share, and from which on size is left at each later promise
-// of what refills at the rate of total.
-func (c *calendar) free(now, from, to time.Duration, available, share, total, size float64) (time.Duration, bool) {
+// free returns the first time between from and to from which on something is left at each promise
+// to the class, of what is available and of what refills at the given rate. As in the bucket, a
+// larger caller leaves a debt that all others wait for: it would never find all of its size.
+func (c *calendar) free(class uint8, now, from, to time.Duration, available, rate float64) (time.Duration, bool) {
 	if to < from {
 		return 0, false
 	}
 	begin := slotOf(now)
 	first, end := slotOf(now+from), slotOf(now+to)
-	sum := available - c.overdue(now)
+	sum := available
 	best := -1
-	for n := begin; n <= max(c.last, first); n++ {
-		wait := (time.Duration(n-begin) * slotTime).Seconds()
-		promised := c.slot(n).size
+	for n := max(slotOf(now-lateness), c.first); n <= max(c.last, first); n++ {
+		promised := c.slot(n).sizes[class]
 		sum -= promised
-		switch {
-		case n >= first && best < 0 && sum+share*wait > 0:
+		switch left := sum + rate*(time.Duration(max(n-begin, 0))*slotTime).Seconds(); {
+		case n < first:
+		case best < 0 && left > 0:
 			best = n
-		case n > first && best >= 0 && promised > 0 && sum+total*wait < size:
+		case best >= 0 && promised > 0 && left <= 0:
 			best = -1
 		}
 	}
 	if best < 0 { // after the last promise, once the debt is paid
 		best = max(c.last+1, first)
 		wait := (time.Duration(best-begin) * slotTime).Seconds()
-		if left := sum + share*wait; left <= 0 {
-			best += int(math.Ceil(min(-left/share, horizon.Seconds()) / slotTime.Seconds()))
+		if left := sum + rate*wait; left <= 0 {
+			best += int(math.Ceil(min(-left/rate, horizon.Seconds()) / slotTime.Seconds()))
 		}
 	}
 	if best > end {
@@ -152,12 +182,12 @@
 }
 
 func (d *decayingSum) decay(now time.Duration) {
-	d.sum *= math.Exp(-(now - d.at).Seconds() / heardTime.Seconds())
+	d.sum *= math.Exp(-(now - d.at).Seconds() / decayTime.Seconds())
 	d.at = now
 }
 
 // rate returns the rate per second.
 func (d *decayingSum) rate(now time.Duration) float64 {
 	d.decay(now)
-	return d.sum / heardTime.Seconds()
+	return d.sum / decayTime.Seconds()
 }
--- a/internal/decision/beechreturns/simulation_test.go
+++ b/internal/decision/beechreturns/simulation_test.go
@@ -15,6 +15,7 @@
 	// kind is a kind of callers.
 	kind struct {
 		share     float64 // of the callers
+		class     uint8
 		size      float64
 		objective time.Duration
 		patience  time.Duration // a third of the time that it has
@@ -85,7 +86,8 @@
 		returned, again     int // came at their time; and were refused again
 		promised, broken    int // came at a time that was promised; and were refused again
 		early               int
-		perSlot             map[int]int // returns by slots of 50 ms
+		bySize              map[float64]*[2]int // callers of the rush: asked, served
+		perSlot             map[int]int         // returns by slots of 50 ms
 	}
 )
 
@@ -95,12 +97,13 @@
 	urgentInterval = 50 * time.Millisecond
 	account        = uint32(7)
 	length         = 16 * time.Second
+	returnTime     = 100 * time.Millisecond
 	connectTime    = 30 * time.Millisecond // least time from a return until a gate has read the call
 )
 
 var (
 	shortBriefs = kind{share: 0.75, size: 1300, objective: 1500 * time.Millisecond, patience: 4800 * time.Millisecond}
-	longTags    = kind{share: 0.25, size: 9200, objective: 500 * time.Millisecond, patience: 1600 * time.Millisecond}
+	longTags    = kind{share: 0.25, class: 1, size: 9200, objective: 500 * time.Millisecond, patience: 1600 * time.Millisecond}
 	bounds      = beechquota.Bounds{Window: 8 * time.Second, Overage: 0.1, Slack: 110000}
 
 	// rush is a workspace at three times its quota for six seconds.
@@ -115,7 +118,10 @@
 		scenario: c, random: rand.New(rand.NewPCG(seed, 1)), clock: clockwork.NewFakeClockAt(time.Unix(1000000, 0)),
 		limiters: make([]*beechquota.Limiter, c.gates), books: make([]*Book, c.gates), lastUpdate: make([]time.Duration, c.gates), lastTold: make([]time.Duration, c.gates), urgent: make([]bool, c.gates), cut: make([]bool, c.gates),
 	}
-	s.perSlot = make(map[int]int)
+	s.perSlot, s.bySize = make(map[int]int), make(map[float64]*[2]int)
+	for _, k := range c.kinds {
+		s.bySize[k.size] = new([2]int)
+	}
 	for i := range c.gates {
 		s.start(i)
 	}
@@ -183,10 +189,23 @@
 			c.storm = 8
 		}
 		s.asked++
+		s.count(c, 0)
 		s.handle(c)
 	}
 }
 
+// count counts callers of the rush by size: those that asked, and those that were served.
+func (s *simulation) count(c *caller, served int) {
+	if c.firstAt >= s.rushStart && c.firstAt < s.rushEnd {
+		s.bySize[c.kind.size][served]++
+	}
+}
+
+// servedShare returns the share of the callers of a size that were served.
+func (s *simulation) servedShare(size float64) float64 {
+	return float64(s.bySize[size][1]) / max(float64(s.bySize[size][0]), 1)
+}
+
 func (s *simulation) handle(c *caller) {
 	i := s.random.IntN(s.gates)
 	l, b := s.limiters[i], s.books[i]
@@ -213,6 +232,7 @@
 	switch d := l.AdmitAbove("w", c.kind.size, reserve).(type) {
 	case beechquota.Admitted:
 		s.urgent[i] = s.urgent[i] || d.Urgent
+		s.count(c, 1)
 		s.admitted = append(s.admitted, admission{s.now, c.kind.size})
 		b.Served(account, c.id)
 		if s.now-c.firstAt <= c.kind.objective/2 {
@@ -239,7 +259,7 @@
 	if s.promises {
 		supply.Available, supply.Rate, supply.Earliest = d.Available, d.Rate, 0
 		offer = s.books[i].Offer(Caller{
-			Account: account, Call: c.id, Size: c.kind.size, Useful: max(c.kind.objective/2-(s.now-c.firstAt), 0), Patience: c.kind.patience,
+			Account: account, Class: c.kind.class, Call: c.id, Size: c.kind.size, Useful: max(c.kind.objective/2-returnTime-(s.now-c.firstAt), 0), Patience: c.kind.patience,
 		}, supply)
 	}
 	c.told, c.toldUntil = offer, s.now+offer.After
--- a/internal/link/beechdatagram/datagram_test.go
+++ b/internal/link/beechdatagram/datagram_test.go
@@ -40,7 +40,7 @@
 		Pass: true, Millis: 250, Strains: []beechwire.Strain{{Host: "\x0a\x01\x00\x1e", Number: 1 << 31, Slow: 250, Ranks: []beechwire.RankLoad{{Urgency: 3, Run: 7, Used: 64000}}}},
 		Demands: []beechwire.Demand{{Service: 1 << 63, Urgency: 3, Workspace: 1 << 31, Asked: 9, Refused: 2, Work: 80000}},
 	}},
-	Returns{&beechwire.Returns{Pass: true, List: []beechwire.Return{{Account: 1 << 31, Call: 1 << 30, Millis: -5, Size: 9200}}}},
+	Returns{&beechwire.Returns{Pass: true, List: []beechwire.Return{{Account: 1 << 31, Call: 1 << 30, Millis: -5, Class: 9, Size: 9200, Kept: true}}}},
 	Recall{&beechwire.Recall{Hosts: []string{"\x0a\x01\x00\x1e"}}},
 	Proof{&beechwire.Proof{Number: 7, Operators: beechwire.Held{Digest: 1 << 63, Revision: 40, Age: 1300, Watched: true}, Servers: beechwire.Held{Age: -1}}},
 	Spent{&beechwire.Spent{Host: 1 << 63, Lifetime: 2, Pass: true, Settled: true, Uses: []beechwire.Use{{Workspace: 1 << 60, Total: 9200, Level: -5}}}},
--- a/internal/link/beechwire/wire_gen.go
+++ b/internal/link/beechwire/wire_gen.go
@@ -1069,10 +1069,16 @@
 	// Fingerprint that is the same when it comes back.
 	Call uint32 `msg:"Call"`
 
+	// Callers of a class wait for about as long.
+	Class uint8 `msg:"Class"`
+
+	// That much is kept for it.
+	Kept bool `msg:"Kept"`
+
 	// From when the datagram was sent.
 	Millis int64 `msg:"Millis"`
 
-	// What is kept for it, in units of the account; 0: nothing.
+	// In units of the account.
 	Size uint64 `msg:"Size"`
 }
 
--- a/internal/link/beechwire/wire_msgp_gen.go
+++ b/internal/link/beechwire/wire_msgp_gen.go
@@ -5868,10 +5868,12 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *Return) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// array header, size 4
-	o = append(o, 0x94)
+	// array header, size 6
+	o = append(o, 0x96)
 	o = msgp.AppendUint32(o, z.Account)
 	o = msgp.AppendUint32(o, z.Call)
+	o = msgp.AppendUint8(o, z.Class)
+	o = msgp.AppendBool(o, z.Kept)
 	o = msgp.AppendInt64(o, z.Millis)
 	o = msgp.AppendUint64(o, z.Size)
 	return
@@ -5885,8 +5887,8 @@
 		err = msgp.WrapError(err)
 		return
 	}
-	if zb0001 != 4 {
-		err = msgp.ArrayError{Wanted: 4, Got: zb0001}
+	if zb0001 != 6 {
+		err = msgp.ArrayError{Wanted: 6, Got: zb0001}
 		return
 	}
 	z.Account, bts, err = msgp.ReadUint32Bytes(bts)
@@ -5899,6 +5901,16 @@
 		err = msgp.WrapError(err, "Call")
 		return
 	}
+	z.Class, bts, err = msgp.ReadUint8Bytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Class")
+		return
+	}
+	z.Kept, bts, err = msgp.ReadBoolBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Kept")
+		return
+	}
 	z.Millis, bts, err = msgp.ReadInt64Bytes(bts)
 	if err != nil {
 		err = msgp.WrapError(err, "Millis")
@@ -5915,7 +5927,7 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *Return) Msgsize() (s int) {
-	s = 1 + msgp.Uint32Size + msgp.Uint32Size + msgp.Int64Size + msgp.Uint64Size
+	s = 1 + msgp.Uint32Size + msgp.Uint32Size + msgp.Uint8Size + msgp.BoolSize + msgp.Int64Size + msgp.Uint64Size
 	return
 }
 
--- a/internal/process/beechgate/returns.go
+++ b/internal/process/beechgate/returns.go
@@ -44,6 +44,8 @@
 	patienceShare   = 0.95
 	// usefulDivisor leaves half of the objective for the answer itself.
 	usefulDivisor = 2
+	// returnTime is what the way back takes besides the time that a caller is told.
+	returnTime = 100 * time.Millisecond
 	// returnsPause gathers promises; a repeat may follow after returnsRepeat.
 	returnsPause  = 40 * time.Millisecond
 	returnsRepeat = 100 * time.Millisecond
@@ -134,8 +136,8 @@
 }
 
 func (r *returns) caller(call *beechcall.Call, account uint32, size float64) beechreturns.Caller {
-	useful := call.Route.Objective/usefulDivisor - r.gate.clock.Since(call.Received)
-	return beechreturns.Caller{Account: account, Call: callKey(call), Size: size, Useful: max(useful, 0), Patience: r.patience(call)}
+	useful := call.Route.Objective/usefulDivisor - returnTime - r.gate.clock.Since(call.Received)
+	return beechreturns.Caller{Account: account, Class: uint8(call.Urgency()), Call: callKey(call), Size: size, Useful: max(useful, 0), Patience: r.patience(call)}
 }
 
 // patience returns the longest time that a caller honours.
@@ -217,7 +219,7 @@
 		if promises := g.returns.book.Next(); len(promises) > 0 {
 			list := make([]beechwire.Return, 0, len(promises))
 			for _, p := range promises {
-				list = append(list, beechwire.Return{Account: p.Account, Call: p.Call, Millis: p.After.Milliseconds(), Size: uint64(p.Size)})
+				list = append(list, beechwire.Return{Account: p.Account, Call: p.Call, Class: p.Class, Millis: p.After.Milliseconds(), Size: uint64(p.Size), Kept: p.Kept})
 			}
 			g.sendToGates(round, true, func(pass bool) beechdatagram.Message {
 				return beechdatagram.Returns{Returns: &beechwire.Returns{Pass: pass, List: list}}
@@ -237,7 +239,7 @@
 	}
 	promises := make([]beechreturns.Promise, 0, len(m.List))
 	for _, p := range m.List {
-		promises = append(promises, beechreturns.Promise{Account: p.Account, Call: p.Call, After: time.Duration(p.Millis) * time.Millisecond, Size: float64(p.Size)})
+		promises = append(promises, beechreturns.Promise{Account: p.Account, Call: p.Call, Class: p.Class, After: time.Duration(p.Millis) * time.Millisecond, Size: float64(p.Size), Kept: p.Kept})
 	}
 	g.returns.book.Apply(promises)
 }
