--- a/internal/decision/beechreturns/book.go
+++ b/internal/decision/beechreturns/book.go
@@ -97,6 +97,8 @@
 	lead = 100 * time.Millisecond
 	// maxReserveFraction of a burst is kept from new callers at most.
 	maxReserveFraction = 0.25
+	// yieldFraction of a burst is left by callers that come back without a promise.
+	yieldFraction = 0.1
 	// lastPart is the last part of a caller's patience, for callers to whom nothing is promised.
 	lastPart = 0.2
 	// spread is the random part that is added to a time, so that gates that do not know of each
@@ -150,8 +152,10 @@
 	}
 }
 
-// Reserve returns how much must be left after a new caller is admitted, so that promises hold.
-func (b *Book) Reserve(account uint32, s Supply) float64 {
+// Reserve returns how much must be available to a caller to whom nothing was promised, so that
+// promises hold. One that comes back without a promise yields to new ones, as its answer would be
+// late: it is served once the rush is over.
+func (b *Book) Reserve(account uint32, s Supply, cameBack bool) float64 {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	now := b.now()
@@ -163,6 +167,9 @@
 	if s.Burst > 0 {
 		reserve = min(reserve, s.Burst*maxReserveFraction)
 	}
+	if cameBack {
+		reserve += s.Burst * yieldFraction
+	}
 	return reserve
 }
 
--- a/internal/decision/beechreturns/simulation_test.go
+++ b/internal/decision/beechreturns/simulation_test.go
@@ -216,7 +216,7 @@
 	reserve := 0.0
 	if s.promises {
 		if r, ok := b.Arrive(account, c.id).(Returned); !ok || !r.Promised {
-			reserve = b.Reserve(account, supply)
+			reserve = b.Reserve(account, supply, ok)
 		}
 	}
 	if onTime {
--- a/internal/process/beechgate/returns.go
+++ b/internal/process/beechgate/returns.go
@@ -105,7 +105,7 @@
 	if !ok {
 		return 0
 	}
-	return r.book.Reserve(quotaAccount(call), beechreturns.Supply{Rate: limit.Rate, Burst: limit.Burst})
+	return r.book.Reserve(quotaAccount(call), beechreturns.Supply{Rate: limit.Rate, Burst: limit.Burst}, call.CameBack)
 }
 
 // offerQuota tells a caller that is over its workspace's quota when to come back. While this gate
