--- a/internal/decision/beechreturns/book.go
+++ b/internal/decision/beechreturns/book.go
@@ -81,7 +81,7 @@
 
 const (
 	// Shares of the refill that are promised, see the package comment.
-	usefulShare = 0.8
+	usefulShare = 0.5
 	lateShare   = 0.1
 
 	// messageTime is longer than a promise takes to reach the other gates.
