--- a/internal/decision/beechquota/admit.go
+++ b/internal/decision/beechquota/admit.go
@@ -80,12 +80,21 @@
 	if left <= reserve || l.isolated && size-left > l.maxDebt(a) {
 		return l.refusal(a, left)
 	}
-	if !l.isolated && !l.mayAdmitUnsent(a, size) {
+	if !l.isolated && (!l.mayAdmitUnsent(a, size) || reserve > 0 && !l.mayAdmitExcess(a, size, left-reserve)) {
 		return l.refusal(a, max(left, 0)) // until the other gates are informed
 	}
 	return Admitted{}
 }
 
+// mayAdmitExcess reports whether a request may take of what is left beyond a reserve. A draw lets
+// few gates do so where little is left: each may see the same excess, and together they would take
+// the reserve.
+func (l *Limiter) mayAdmitExcess(a *account, size, excess float64) bool {
+	used := max(a.unsent, a.admittedSinceReceived(l))
+	part := min(l.usageShare(a)+1/float64(l.gates), 1)
+	return (used+size)*l.draw(a) <= excess*part/l.requestProbability(a)
+}
+
 // mayAdmitUnsent reports whether a request may pass before the other gates are informed of it.
 func (l *Limiter) mayAdmitUnsent(a *account, size float64) bool {
 	used := max(a.unsent, a.admittedSinceReceived(l))
@@ -128,6 +137,9 @@
 	wait := -min(left, 0) / rate
 	wait += rand.Float64() * jitterFraction * wait
 	r := Refused{Level: a.level, Unreported: a.unreported(l), Limit: a.limit, Isolated: l.isolated, Settled: l.settled, After: maxAfter, Available: left, Rate: rate}
+	if !l.isolated {
+		r.Undisclosed = l.unsentAllowance(a) * float64(l.gates-1)
+	}
 	if wait < maxAfter.Seconds() {
 		r.After = max(time.Duration(wait*float64(time.Second)), minAfter)
 	}
--- a/internal/decision/beechquota/limiter.go
+++ b/internal/decision/beechquota/limiter.go
@@ -45,16 +45,18 @@
 	// Refused rejects a request before it has run. The fields below After are the values
 	// that led to the decision.
 	Refused struct {
-		After      time.Duration // when something will be available, if no others come
-		Available  float64       // what may be admitted now; negative is a debt
-		Rate       float64       // at which it grows: the limit's, or the share of an isolated gate
-		Level      float64       // estimated level of the bucket
-		Unreported float64       // estimated usage at other gates since their last updates
-		Limit      Limit
-		Isolated   bool          // no updates arrive from other gates
-		Starting   bool          // this gate has just started and is about to receive updates
-		Settled    bool          // the level is known, see Update.Settled; until then it rises as the gate hears the others
-		UpdateAge  time.Duration // time since the last update was received; 0 if there was none
+		After     time.Duration // when something will be available, if no others come
+		Available float64       // what may be admitted now; negative is a debt
+		Rate      float64       // at which it grows: the limit's, or the share of an isolated gate
+		// Undisclosed is what the other gates may have admitted without having told this one.
+		Undisclosed float64
+		Level       float64 // estimated level of the bucket
+		Unreported  float64 // estimated usage at other gates since their last updates
+		Limit       Limit
+		Isolated    bool          // no updates arrive from other gates
+		Starting    bool          // this gate has just started and is about to receive updates
+		Settled     bool          // the level is known, see Update.Settled; until then it rises as the gate hears the others
+		UpdateAge   time.Duration // time since the last update was received; 0 if there was none
 	}
 
 	// Limiter enforces all quotas at one gate. It is safe for concurrent use.
--- a/internal/decision/beechreturns/book.go
+++ b/internal/decision/beechreturns/book.go
@@ -16,6 +16,9 @@
 		Burst     float64       // the most that accumulates; 0: not bounded
 		Gates     int           // that promise parts of it, this one included
 		Earliest  time.Duration // nothing is available before
+		// Undisclosed is what may be missing of Available when a rush begins, as gates have not
+		// told each other yet what they admitted.
+		Undisclosed float64
 	}
 
 	// Caller is a call that is refused now.
@@ -81,7 +84,7 @@
 
 const (
 	// Shares of the refill that are promised, see the package comment.
-	usefulShare = 0.5
+	usefulShare = 0.7
 	lateShare   = 0.1
 
 	// messageTime is longer than a promise takes to reach the other gates.
@@ -105,6 +108,9 @@
 	// other's promises yet do not choose the same moment.
 	spread = 0.25
 
+	// onsetTime is how long after the first refusal gates may not know what others admitted.
+	onsetTime = 300 * time.Millisecond
+
 	sends       = 2     // messages that tell a promise, as one may be lost
 	maxPerSend  = 400   // promises in a message, of some 15 bytes each
 	maxAccounts = 4096  // accounts with promises
@@ -213,7 +219,8 @@
 		return 0, false
 	}
 	part := c.part(caller.Class, now)
-	available := s.Available*part - b.unheard(c, caller, s)
+	available := s.Available - s.Undisclosed*max(1-float64(now-c.began)/float64(onsetTime), 0)
+	available = available*part - b.unheard(c, caller, s)
 	attempt := func(from, to time.Duration, share float64) (time.Duration, bool) {
 		from, to = max(from, s.Earliest, messageTime), min(to, caller.Patience)
 		at, ok := c.free(caller.Class, now, from, to, available, s.Rate*part*share)
--- a/internal/decision/beechreturns/calendar.go
+++ b/internal/decision/beechreturns/calendar.go
@@ -8,8 +8,9 @@
 type (
 	// calendar holds what was promised of one account. Times are since the book was created.
 	calendar struct {
-		first   int // number of the first slot that is kept
-		last    int // number of the last slot with a promise
+		began   time.Duration // when the first caller was refused
+		first   int           // number of the first slot that is kept
+		last    int           // number of the last slot with a promise
 		slots   [slotCount]slot
 		calls   map[uint32]*entry
 		classes [classes]class
@@ -50,7 +51,7 @@
 )
 
 func newCalendar(now time.Duration) *calendar {
-	return &calendar{first: slotOf(now - recognizedFor), last: slotOf(now), calls: make(map[uint32]*entry)}
+	return &calendar{began: now, first: slotOf(now - recognizedFor), last: slotOf(now), calls: make(map[uint32]*entry)}
 }
 
 func slotOf(at time.Duration) int { return int(math.Floor(float64(at) / float64(slotTime))) }
--- a/internal/decision/beechreturns/simulation_test.go
+++ b/internal/decision/beechreturns/simulation_test.go
@@ -257,7 +257,7 @@
 	}
 	offer := Offer{After: d.After}
 	if s.promises {
-		supply.Available, supply.Rate, supply.Earliest = d.Available, d.Rate, 0
+		supply.Available, supply.Rate, supply.Undisclosed = d.Available, d.Rate, d.Undisclosed
 		offer = s.books[i].Offer(Caller{
 			Account: account, Class: c.kind.class, Call: c.id, Size: c.kind.size, Useful: max(c.kind.objective/2-returnTime-(s.now-c.firstAt), 0), Patience: c.kind.patience,
 		}, supply)
@@ -339,3 +339,14 @@
 	}
 	return n
 }
+
+// servedShareOfAll returns the share of the callers of the rush that were served.
+func (s *simulation) servedShareOfAll() float64 {
+	asked, served := 0, 0
+	for _, n := range s.bySize {
+		asked, served = asked+n[0], served+n[1]
+	}
+	return float64(served) / max(float64(asked), 1)
+}
+
+func (s *simulation) inTimeShare() float64 { return float64(s.inTime) / max(float64(s.asked), 1) }
--- a/internal/process/beechgate/returns.go
+++ b/internal/process/beechgate/returns.go
@@ -114,7 +114,7 @@
 	if refused.Starting || refused.Available > r.reserve(call) {
 		return r.told(call, beechreturns.Offer{After: min(refused.After, r.patience(call))})
 	}
-	supply := beechreturns.Supply{Available: refused.Available, Rate: refused.Rate, Burst: refused.Limit.Burst, Gates: 1}
+	supply := beechreturns.Supply{Available: refused.Available, Rate: refused.Rate, Burst: refused.Limit.Burst, Undisclosed: refused.Undisclosed, Gates: 1}
 	if !refused.Isolated {
 		supply.Gates = r.gate.gateCount()
 	}
