--- a/internal/decision/beechreturns/book.go
+++ b/internal/decision/beechreturns/book.go
@@ -109,7 +109,7 @@
 	spread = 0.25
 
 	// onsetTime is how long after the first refusal gates may not know what others admitted.
-	onsetTime = 300 * time.Millisecond
+	onsetTime = 500 * time.Millisecond
 
 	sends       = 2     // messages that tell a promise, as one may be lost
 	maxPerSend  = 400   // promises in a message, of some 15 bytes each
--- a/internal/decision/beechreturns/book_test.go
+++ b/internal/decision/beechreturns/book_test.go
@@ -390,6 +390,7 @@
 	c.rushEnd = c.rushStart + time.Second
 	for seed := range uint64(seeds) {
 		s := simulate(c, seed)
+		t.Logf("promised %d, broken %.3f, served %.3f", s.promised, s.brokenShare(), s.servedShareOfAll())
 		is.True(s.brokenShare() <= maxBroken)
 		is.True(s.servedShareOfAll() >= 0.9)
 	}
