--- a/internal/process/beechgate/returns.go
+++ b/internal/process/beechgate/returns.go
@@ -111,7 +111,7 @@
 // offerQuota tells a caller that is over its workspace's quota when to come back. While this gate
 // starts or the others are not informed, the limiter's own time is the best one.
 func (r *returns) offerQuota(call *beechcall.Call, refused beechquota.Refused) beechreturns.Offer {
-	if refused.Starting || refused.Available > r.reserve(call) {
+	if refused.Starting || refused.Available > 0 && r.reserve(call) == 0 {
 		return r.told(call, beechreturns.Offer{After: min(refused.After, r.patience(call))})
 	}
 	supply := beechreturns.Supply{Available: refused.Available, Rate: refused.Rate, Burst: refused.Limit.Burst, Undisclosed: refused.Undisclosed, Gates: 1}
