--- a/internal/process/beechgate/returns.go
+++ b/internal/process/beechgate/returns.go
@@ -29,11 +29,12 @@
 		served map[uint32]*beechreturns.Rate // work of answered calls, by account of a room
 	}
 
-	// roomForecast tells when a service will have room for a call.
+	// roomForecast tells when a service has room; *beechadmission.Controller implements it.
 	roomForecast interface {
-		// After returns false if the service's admission is not limited, and 0 if no time is
-		// known.
-		After(call *beechcall.Call) (time.Duration, bool)
+		// After returns in what time there would be room for calls of an urgency if no others
+		// came, and 0 if that is not known. It returns false if the service's admission is not
+		// limited.
+		After(service string, urgency int) (time.Duration, bool)
 	}
 )
 
@@ -126,7 +127,7 @@
 	if r.room == nil {
 		return 0, false
 	}
-	earliest, limited := r.room.After(call)
+	earliest, limited := r.room.After(call.Service, call.Urgency())
 	if !limited {
 		return 0, false
 	}
--- a/internal/process/beechgate/returns_test.go
+++ b/internal/process/beechgate/returns_test.go
@@ -35,7 +35,7 @@
 	limited bool
 }
 
-func (f fixedRoom) After(*beechcall.Call) (time.Duration, bool) { return f.after, f.limited }
+func (f fixedRoom) After(string, int) (time.Duration, bool) { return f.after, f.limited }
 
 // newReturnsGates returns gates that know each other's usage of a quota of 60 requests per second.
 func newReturnsGates(n int) []*Gate {
