--- a/internal/decision/beechquota/limiter.go
+++ b/internal/decision/beechquota/limiter.go
@@ -45,14 +45,18 @@
 	// Refused rejects a request before it has run. The fields below After are the values
 	// that led to the decision.
 	Refused struct {
-		After      time.Duration // when to retry
-		Level      float64       // estimated level of the bucket
-		Unreported float64       // estimated usage at other gates since their last updates
-		Limit      Limit
-		Isolated   bool          // no updates arrive from other gates
-		Starting   bool          // this gate has just started and is about to receive updates
-		Settled    bool          // the level is known, see Update.Settled; until then it rises as the gate hears the others
-		UpdateAge  time.Duration // time since the last update was received; 0 if there was none
+		After     time.Duration // when something will be available, if no others come
+		Available float64       // what may be admitted now; negative is a debt
+		Rate      float64       // at which it grows: the limit's, or the share of an isolated gate
+		// Undisclosed is what the other gates may have admitted without having told this one.
+		Undisclosed float64
+		Level       float64 // estimated level of the bucket
+		Unreported  float64 // estimated usage at other gates since their last updates
+		Limit       Limit
+		Isolated    bool          // no updates arrive from other gates
+		Starting    bool          // this gate has just started and is about to receive updates
+		Settled     bool          // the level is known, see Update.Settled; until then it rises as the gate hears the others
+		UpdateAge   time.Duration // time since the last update was received; 0 if there was none
 	}
 
 	// Limiter enforces all quotas at one gate. It is safe for concurrent use.
@@ -277,6 +281,17 @@
 // Age returns the time since the limiter was created.
 func (l *Limiter) Age() time.Duration { return l.clock.Since(l.started) }
 
+// Limit returns the limit of a workspace, and false if it has none.
+func (l *Limiter) Limit(workspace string) (Limit, bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	a := l.accounts[workspace]
+	if a == nil || a.limit.Rate <= 0 {
+		return Limit{}, false
+	}
+	return a.limit, true
+}
+
 // HasLimits reports whether any account has a limit.
 func (l *Limiter) HasLimits() bool {
 	l.mu.Lock()
--- a/internal/link/beechdatagram/datagram.go
+++ b/internal/link/beechdatagram/datagram.go
@@ -32,7 +32,7 @@
 type (
 	// Message is a Follow, a Tell, an Announce, an Inquiry, a Proof, an
 	// Entries, a Gossip, a Summary, a Recall, a Borrow, a Loan, a Spent, a Limits, a Full, an
-	// Origins, a Query, a Found, a Poison, a Pressure or a Health.
+	// Origins, a Query, a Found, a Poison, a Pressure, a Health or a Returns.
 	Message interface{ message() }
 
 	// Follow is sent by a gate to a keeper: it asks for the engine's state, and names
@@ -99,6 +99,9 @@
 	// Health is sent by a gate to a keeper: where its engine says how slow its host is.
 	Health struct{ *beechwire.Health }
 
+	// Returns is sent by a gate to the others: when callers that it has refused come back.
+	Returns struct{ *beechwire.Returns }
+
 	// Scope tells whether a datagram leaves its availability zone. Traffic between
 	// zones is billed by the byte.
 	Scope bool
@@ -138,6 +141,7 @@
 	kindPoison       = 'P'
 	kindPressure     = 'R'
 	kindHealth       = 'J'
+	kindReturns      = 'U'
 	maxDatagramBytes = 16 << 10
 )
 
@@ -163,6 +167,7 @@
 func (Poison) message()   {}
 func (Pressure) message() {}
 func (Health) message()   {}
+func (Returns) message()  {}
 
 // Open binds a UDP socket to an address.
 func Open(address netip.AddrPort) (*Socket, error) {
@@ -216,6 +221,8 @@
 		return v.MarshalMsg([]byte{kindPressure})
 	case Health:
 		return v.MarshalMsg([]byte{kindHealth})
+	case Returns:
+		return v.MarshalMsg([]byte{kindReturns})
 	}
 	return nil, errUnknownKind
 }
@@ -299,6 +306,9 @@
 	case kindHealth:
 		m := &beechwire.Health{}
 		return Health{m}, m
+	case kindReturns:
+		m := &beechwire.Returns{}
+		return Returns{m}, m
 	}
 	return nil, nil
 }
@@ -371,6 +381,8 @@
 		return "pressure"
 	case kindHealth:
 		return "health"
+	case kindReturns:
+		return "returns"
 	}
 	return "unknown"
 }
