--- a/internal/process/beechgate/gate.go
+++ b/internal/process/beechgate/gate.go
@@ -205,6 +205,7 @@
 		Zone: s.Zone, OutdatedSoftLimit: max(weights-outdatedMargin, weights/2), OutdatedHardLimit: max(weights-startMargin, weights/2),
 	}, deps.Clock, g.health, g.limits, g.overloaded, g.backoff, g.announcePrompt)
 	g.core = beechattempt.New(g.placer, deps.Backend, deps.Pool, g.budgets, g.suspects, g.poison, g, deps.Clock, deps.Log)
+	g.core.SetBackups(s.Backups)
 	g.serverMirror = beechmirror.New(beechmirror.Settings{
 		Prefix: deps.ServerPrefix, MaxAge: serverReadAges.Others, StartAge: serverReadAges.First - startWait, ReadTimeout: readTimeout, WatchTimeout: serverWatchTimeout, WatchPause: serverWatchPause, RemovalDelay: removalDelay, OnRestored: g.readOperators, Forward: g.forwardChanges,
 	}, deps.Source, g.serverFreshness, deps.Clock, deps.Log, g.setServers)
@@ -362,7 +363,7 @@
 		if slow := slowEngines(g.placer.Paces()); len(slow) > 0 {
 			g.log.Info("engines slower than the median", zap.Any("times", slow))
 		}
-		g.log.Info("traffic", zap.Any("members", g.members.Counts()), zap.Any("states", g.board.Counts()), beechlog.Counts("datagrams", g.socket.SentBytes()), beechlog.Counts("bodies", g.metrics.bodies), beechlog.Counts("store", g.deps.StoreUse))
+		g.log.Info("traffic", zap.Any("members", g.members.Counts()), zap.Any("states", g.board.Counts()), beechlog.Counts("datagrams", g.socket.SentBytes()), beechlog.Counts("bodies", g.metrics.bodies), beechlog.Counts("backups", g.metrics.backups), beechlog.Counts("store", g.deps.StoreUse))
 	})
 }
 
--- a/internal/process/beechgate/metrics.go
+++ b/internal/process/beechgate/metrics.go
@@ -30,6 +30,7 @@
 		firstByte         *beechmetric.Latency
 		wholeAnswer       *beechmetric.Latency
 		resumed           *expvar.Map          // resumed streams, by how their origin was found
+		backups           *expvar.Map          // backups of runs, by what became of them
 		turnedAway        *expvar.Int          // connections closed unread
 		schedulingDelay   *expvar.Int          // median in microseconds
 		departed          *expvar.Map          // calls whose callers left, by progress
@@ -47,7 +48,7 @@
 		vars: new(expvar.Map), endings: new(expvar.Map), retried: new(expvar.Int), stops: new(expvar.Map), denied: new(expvar.Map),
 		proofs: new(expvar.Map), bodies: new(expvar.Map), unknownSenders: new(expvar.Int), invalidGossip: new(expvar.Int), copiesFetched: new(expvar.Int), lent: new(expvar.Int),
 		limitLinesDropped: new(expvar.Int), lateVersions: new(expvar.Int), invalidEntries: new(expvar.Int), firstByte: beechmetric.NewLatency(), wholeAnswer: beechmetric.NewLatency(),
-		resumed: new(expvar.Map), turnedAway: new(expvar.Int), schedulingDelay: new(expvar.Int), departed: new(expvar.Map), departedAfter: beechmetric.NewLatency(),
+		resumed: new(expvar.Map), backups: new(expvar.Map), turnedAway: new(expvar.Int), schedulingDelay: new(expvar.Int), departed: new(expvar.Map), departedAfter: beechmetric.NewLatency(),
 		unnoticed: beechmetric.NewLatency(), withdrawn: beechmetric.NewLatency(), withdrawals: new(expvar.Map), schedulingTail: new(expvar.Int), acceptWait: new(expvar.Int),
 	}
 	m.vars.Set("endings", m.endings)
@@ -79,6 +80,7 @@
 	m.vars.Set("firstByteMicros", expvar.Func(m.firstByte.Percentiles))
 	m.vars.Set("wholeAnswerMicros", expvar.Func(m.wholeAnswer.Percentiles))
 	m.vars.Set("resumed", m.resumed)
+	m.vars.Set("backups", m.backups)
 	m.vars.Set("originsKept", expvar.Func(func() any { return g.origins.registry.Len() }))
 	m.vars.Set("connectionsTurnedAway", m.turnedAway)
 	m.vars.Set("schedulingDelayMicros", m.schedulingDelay)
@@ -115,6 +117,7 @@
 	if e.Stop != "" {
 		m.stops.Add(e.Stop, 1)
 	}
+	m.recordBackup(e.Backup)
 	if e.FirstByte > 0 {
 		m.firstByte.Record(e.FirstByte)
 	}
@@ -134,5 +137,23 @@
 	}
 }
 
+func (m *metrics) recordBackup(b beechattempt.BackupResult) {
+	if b.Server != "" {
+		m.backups.Add("begun", 1)
+	}
+	if b.Used {
+		m.backups.Add("used", 1)
+	}
+	if b.Whole {
+		m.backups.Add("whole", 1)
+	}
+	if b.Denied != "" {
+		m.backups.Add("none: "+string(b.Denied), 1)
+	}
+	if b.Reason != "" {
+		m.backups.Add("given up: "+string(b.Reason), 1)
+	}
+}
+
 // Metrics serves the gate's counters and histograms.
 func (g *Gate) Metrics() http.Handler { return beechmetric.Handler(g.metrics.vars) }
--- a/internal/process/beechgate/observer.go
+++ b/internal/process/beechgate/observer.go
@@ -43,5 +43,8 @@
 	if e.Outcome == beechattempt.OutcomeLeft {
 		fields = append(fields, zap.Duration("unnoticed", e.Departure.Unnoticed), zap.Duration("withdrawn", e.Departure.Withdrawn), zap.String("withdrawal", string(e.Departure.Outcome)))
 	}
+	if b := e.Backup; b.Server != "" {
+		fields = append(fields, zap.String("backup", b.Server), zap.Bool("backupUsed", b.Used), zap.String("backupGivenUp", string(b.Reason)))
+	}
 	line.Write(fields...)
 }
--- a/internal/process/beechsettings/settings.go
+++ b/internal/process/beechsettings/settings.go
@@ -16,6 +16,8 @@
 	"github.com/santhosh-tekuri/jsonschema/v6/kind"
 	"golang.org/x/text/language"
 	"golang.org/x/text/message"
+
+	"github.com/beechring/beechring/internal/decision/beechbackup"
 )
 
 type (
@@ -100,6 +102,8 @@
 
 		Seeds []netip.AddrPort `json:"seeds,omitempty"` // of a few gates, which may be stale; heartbeats go to their IPs at the port of Beats
 		Cores float64          `json:"cores,omitempty"` // processor cores of the host; 0: not known
+
+		Backups beechbackup.Mode `json:"backups,omitempty"` // which streams get backups
 	}
 
 	// GateBounds are the operators' guarantees that a gate must keep.
@@ -204,6 +208,7 @@
 	if err := parse(data, "gate", gate); err != nil {
 		return nil, err
 	}
+	setDefault(&gate.Backups, beechbackup.Auto)
 	b := &gate.Bounds
 	setDefault(&b.Revoke, Duration(defaultRevoke))
 	setDefault(&b.Grace, Duration(defaultGateGrace))
--- a/internal/request/beechattempt/attempt_test.go
+++ b/internal/request/beechattempt/attempt_test.go
@@ -36,6 +36,8 @@
 		mu     sync.Mutex
 		script []func(ctx context.Context, a beechcall.Attempt) (*beechcall.Answer, error)
 		sent   []beechcall.Attempt
+
+		dropped []string // copies, as peer/call
 	}
 
 	// budget grants a number of retries.
@@ -98,6 +100,13 @@
 	return step(ctx, a)
 }
 
+func (b *backend) DropCopy(_ context.Context, peer netip.AddrPort, callID string) error {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.dropped = append(b.dropped, peer.String()+"/"+callID)
+	return nil
+}
+
 func (c *caller) Reject(r Rejection) { c.rejection = r }
 
 func (c *caller) Respond(status int, h http.Header, body []byte) {
--- a/internal/request/beechattempt/crash.go
+++ b/internal/request/beechattempt/crash.go
@@ -45,9 +45,10 @@
 
 	// probe is a look at a server, and the requests that broke off there meanwhile.
 	probe struct {
-		answers []brokenAnswer
-		done    chan struct{} // closed when a crash has been recorded, or the server lives
-		refused bool          // the server is down for certain; set before done is closed
+		answers  []brokenAnswer
+		done     chan struct{} // closed when a crash has been recorded, or the server lives
+		refused  bool          // the server is down for certain; set before done is closed
+		accepted bool          // its process runs, or another one at its address; set before done is closed
 	}
 
 	// brokenAnswer is a request whose answer broke off.
@@ -99,7 +100,7 @@
 	ctx, cancel := clockwork.WithTimeout(context.Background(), d.clock, probeTimeout)
 	defer cancel()
 	err := d.prober.Probe(ctx, server)
-	p.refused = errors.Is(err, syscall.ECONNREFUSED)
+	p.refused, p.accepted = errors.Is(err, syscall.ECONNREFUSED), err == nil
 	d.mu.Lock()
 	answers := p.answers
 	delete(d.pending, server)
--- a/internal/request/beechattempt/dispatcher.go
+++ b/internal/request/beechattempt/dispatcher.go
@@ -4,11 +4,13 @@
 	"context"
 	"math/rand/v2"
 	"net/http"
+	"sync"
 	"time"
 
 	"github.com/jonboulle/clockwork"
 	"go.uber.org/zap"
 
+	"github.com/beechring/beechring/internal/decision/beechbackup"
 	"github.com/beechring/beechring/internal/decision/beechpoison"
 	"github.com/beechring/beechring/internal/decision/beechretry"
 	"github.com/beechring/beechring/internal/decision/beechsuspect"
@@ -29,6 +31,10 @@
 		clock    clockwork.Clock
 		log      *zap.Logger
 		timeouts *routeTimeouts
+
+		backups   beechbackup.Mode
+		durations *beechbackup.Durations
+		drops     sync.WaitGroup // calls that free copies of runs
 	}
 
 	// RetryBudget bounds the retries to each service; *beechgate.Budgets implements it.
@@ -61,6 +67,16 @@
 		Progress  Progress      // of the last attempt when the call ended
 		SinceSend time.Duration // since the last attempt was sent; 0 if none was
 		Departure Departure     // of the caller; zero if it stayed
+		Backup    BackupResult
+	}
+
+	// BackupResult is what became of a run's backup.
+	BackupResult struct {
+		Server string             // ID of the engine; empty: there was none
+		Denied beechbackup.Reason // why there was none; empty if backups do not apply
+		Used   bool               // the run was sent there
+		Whole  bool               // and the stream was completed
+		Reason beechbackup.Reason // why a run that was lost did not go on; empty if it was not lost, or went on
 	}
 
 	// Departure is what followed when a caller disconnected.
@@ -121,6 +137,8 @@
 	// OutcomeLeft is the outcome of a call whose caller has disconnected.
 	OutcomeLeft = "left"
 
+	outcomeAnswered = "answered"
+
 	// NotSent means that no attempt was sent.
 	NotSent Progress = "not sent"
 	// Sent means that no byte of the answer has arrived.
@@ -147,10 +165,13 @@
 ) *Dispatcher {
 	return &Dispatcher{
 		placer: placer, backend: backend, budget: budget, suspects: suspects, poison: poison, crashes: newCrashDetector(prober, suspects, poison, clock, log),
-		observer: observer, clock: clock, log: log, timeouts: newRouteTimeouts(),
+		observer: observer, clock: clock, log: log, timeouts: newRouteTimeouts(), backups: beechbackup.Auto, durations: beechbackup.NewDurations(),
 	}
 }
 
+// SetBackups sets which streams get backups. It must be called before Serve; the default is Auto.
+func (d *Dispatcher) SetBackups(mode beechbackup.Mode) { d.backups = mode }
+
 // Serve answers a call. The context ends when the caller disconnects, which cancels the
 // attempt under way. It returns the number of attempts that may have been executed.
 func (d *Dispatcher) Serve(ctx context.Context, call *beechcall.Call, out Responder) int {
@@ -166,7 +187,8 @@
 	stopWatch := context.AfterFunc(ctx, r.departure.notice)
 	outcome := r.serve(limited)
 	stopWatch()
-	result := Result{Call: call, Outcome: outcome, Stop: string(r.stop), Choice: r.choice, Attempts: r.attempts, FirstByte: r.firstByte, Duration: d.clock.Since(r.started), Progress: r.progress()}
+	r.releaseBackup(outcome)
+	result := Result{Call: call, Outcome: outcome, Stop: string(r.stop), Choice: r.choice, Attempts: r.attempts, FirstByte: r.firstByte, Duration: d.clock.Since(r.started), Progress: r.progress(), Backup: r.backup.result}
 	if r.attempts > 0 {
 		result.SinceSend = d.clock.Since(r.sentAt)
 	}
--- a/internal/request/beechattempt/run.go
+++ b/internal/request/beechattempt/run.go
@@ -11,6 +11,7 @@
 
 	"go.uber.org/zap"
 
+	"github.com/beechring/beechring/internal/decision/beechbackup"
 	"github.com/beechring/beechring/internal/decision/beechpoison"
 	"github.com/beechring/beechring/internal/decision/beechretry"
 	"github.com/beechring/beechring/internal/request/beechcall"
@@ -44,6 +45,7 @@
 		departure       departureWatch
 		serverError     *response // a server's error response, forwarded if no better answer comes
 		stream          streamState
+		backup          runBackup
 		stop            stopCause // of the verdict noRetry
 	}
 
@@ -75,6 +77,7 @@
 	stopLimit         stopCause = reasonAtLimits
 	stopStatus        stopCause = "status not proven" // the server's status says not executed, without its word
 	stopOrigin        stopCause = "origin not known"  // the software version of the stream's beginning is not known
+	stopBackup        stopCause = "not gone on with"  // the run was lost, and so was its backup or the time for it
 )
 
 const (
@@ -158,7 +161,7 @@
 	if r.departed.Load() || isDone(r.callerCtx) {
 		return OutcomeLeft
 	}
-	return "answered"
+	return outcomeAnswered
 }
 
 // callerLeft looks whether the caller has disconnected. The context may end later than that.
@@ -193,6 +196,9 @@
 func (r *execution) choose(ctx context.Context) (beechplace.Choice, bool) {
 	wait := max(r.call.Route.Objective/serverWaitDivisor, minServerWait)
 	until := r.dispatcher.clock.Now().Add(wait)
+	if r.backup.continues {
+		return r.backup.copy.Continuation(r.backup.source), true
+	}
 	for {
 		choice, ok := r.dispatcher.placer.Choose(r.call, r.triedServers)
 		if now := r.dispatcher.clock.Now(); ok || now.Add(choice.RetryAfter).After(until) || isDone(ctx) || r.callerLeft() {
@@ -232,9 +238,11 @@
 	defer watch.stop()
 	sent := r.dispatcher.clock.Now()
 	r.sentAt, r.begunAt, r.startRecorded = sent, time.Time{}, false
+	r.planBackup(choice)
 	answer, err := r.dispatcher.backend.Send(ctx, beechcall.Attempt{
 		Call: r.call, Server: choice.Server, Weights: choice.Weights, Salt: choice.Salt,
 		Urgency: r.call.Urgency(), Fetch: choice.Fetch, Save: choice.Save, LastEventID: r.stream.lastEventID,
+		Backup: r.backup.sentTo(), CopyAt: r.backup.copyAt(),
 		Withdrawn: func() bool {
 			if r.callerLeft() || !r.dispatcher.placer.StillUsable(r.call, choice) {
 				return true
@@ -368,6 +376,9 @@
 		return finished
 	}
 	r.triedServers = append(r.triedServers, choice.Server.ID)
+	if r.backup.continues {
+		return r.continuationFailed(choice, placement, err)
+	}
 	var notSent beechcall.NotSent
 	switch {
 	case errors.As(err, &notSent):
@@ -413,7 +424,7 @@
 	case r.call.Origin != nil && r.call.Origin.Software == "":
 		return r.noRetry(stopOrigin)
 	case !r.repeatable():
-		return r.noRetry(stopNotRepeatable)
+		return r.continueAtBackup(choice, probed, errors.Is(err, errServerGone))
 	case r.maybeExecuted >= r.call.Route.MaxAttempts:
 		return r.noRetry(stopAttempts)
 	}
@@ -460,6 +471,8 @@
 		return finished
 	case !r.dispatcher.clock.Now().Before(r.call.Deadline):
 		return r.noRetry(stopDeadline)
+	case r.backup.continues:
+		return r.backupGivenUp(beechbackup.EngineLost)
 	}
 	return tryAgain
 }
--- a/internal/request/beechattempt/stream.go
+++ b/internal/request/beechattempt/stream.go
@@ -154,6 +154,7 @@
 					r.dispatcher.observer.ObserveAttempt(choice.Server, r.call.Model, r.dispatcher.clock.Since(sent), choice.PrefillTokens, false)
 				}
 				placement.FirstByte()
+				r.backup.observeEvents(buffer[:end], answer.WeightsLine)
 				if id, ok := lastEventID(buffer[:end]); ok {
 					r.stream.lastEventID = id
 				}
@@ -180,6 +181,7 @@
 			r.startStream(answer)
 			r.dispatcher.suspects.RecordSuccess(r.call.Fingerprint())
 			r.recordStart()
+			r.observeDuration()
 			r.out.EndStream()
 			return finished
 		case err == io.EOF:
--- a/internal/request/beechcall/call.go
+++ b/internal/request/beechcall/call.go
@@ -58,6 +58,8 @@
 		Fetch       netip.AddrPort  // where to fetch cached parts from; invalid: nowhere
 		Save        netip.AddrPort  // where to save cached parts; invalid: nowhere
 		LastEventID string          // resume the stream after this event
+		Backup      netip.AddrPort  // engine that is sent a copy of the run's memory as it grows; invalid: none
+		CopyAt      netip.AddrPort  // engine whose copy the run goes on with, which is the server itself; invalid: it begins
 		Withdrawn   func() bool     // checked just before the attempt is sent, which must not be if it holds; nil: never
 		Reset       func(told bool) // called when the attempt was cancelled after it was sent; false: the server cannot be told, since the connection was dead; may be nil
 	}
@@ -73,6 +75,8 @@
 		Limit   beechthrottle.ServerLimit // nil: not known
 		Backoff time.Duration             // time for which the server asks this client for no requests; 0: none
 		Leaving bool                      // the server will stop soon
+		// WeightsLine begins the line of an event at which the server's weights changed; empty: none does.
+		WeightsLine []byte
 		// Unframed means that the body ends with the connection, so that a server that crashes
 		// may end it like a complete one.
 		Unframed bool
@@ -90,6 +94,8 @@
 	// Backend sends attempts. Errors are of type NotSent, NotExecuted or OutcomeUnknown.
 	Backend interface {
 		Send(ctx context.Context, attempt Attempt) (*Answer, error)
+		// DropCopy frees the memory in which an engine keeps a copy of a call's run.
+		DropCopy(ctx context.Context, peer netip.AddrPort, callID string) error
 	}
 
 	// Failure is the error of an attempt without an answer.
--- a/internal/request/beechcall/configuration.go
+++ b/internal/request/beechcall/configuration.go
@@ -58,9 +58,11 @@
 	// Service is a set of backend servers, or a KV cache store if KVStore is valid.
 	Service struct {
 		Name           string
-		MaxConnections int // of all callers to one server; 0: not known
-		Slots          int // requests that an engine runs at once; 0: not an engine
-		TokenBytes     int // size of one token in the KV cache
+		MaxConnections int     // of all callers to one server; 0: not known
+		Slots          int     // requests that an engine runs at once; 0: not an engine
+		TokenBytes     int     // size of one token in the KV cache
+		LinkRate       float64 // bytes that an engine sends or receives per millisecond; 0: not known
+		Backups        bool    // its engines send copies of runs to each other
 		Models         []string
 		KVStore        netip.AddrPort
 		KVStoreRate    float64 // bytes that the store sends or receives per millisecond; 0: not known
--- a/internal/request/beechplace/attempt.go
+++ b/internal/request/beechplace/attempt.go
@@ -105,6 +105,9 @@
 	a.server.answerLoad, a.server.answerLoadAt, a.server.inFlightAtAnswer = l, now, a.server.inFlight
 	a.server.answerUnreported = !a.server.hasRecentReport(now)
 	a.placer.observeServiceLoad(a.server.Service, l)
+	if l.Slowness > 0 {
+		a.placer.tellSlowness[a.server.Service] = true
+	}
 }
 
 // finishPrefill subtracts the attempt's prompt from the server's pending prefill.
--- a/internal/request/beechplace/placer.go
+++ b/internal/request/beechplace/placer.go
@@ -46,6 +46,7 @@
 		meanPrompt      float64      // running mean of the tokens of a prompt
 		residence       residenceTime
 		serviceLoads    map[string]float64   // by service: mean of the loads that its servers tell with answers
+		tellSlowness    map[string]bool      // services whose servers have told how slow their hosts are
 		nextRetry       map[string]time.Time // by service: the latest retry time that a caller was given
 	}
 
@@ -79,6 +80,7 @@
 		limitEndedAt     time.Time
 		inFlight         int // requests of this gate that have not ended
 		pendingPrefill   int // tokens that these requests still have to prefill
+		copyTokens       int // copies of runs that this gate has sent there, at their full size
 		inFlightAtReport int // value of inFlight at the last report
 		failures         int
 		downUntil        time.Time
@@ -132,7 +134,7 @@
 		settings: s, prefill: prefillModel{rate: s.PrefillRate}, clock: clock, health: health, limits: limits, overloaded: overloaded, backoff: backoff, announce: announce,
 		services: make(map[string][]*server), answeredLeaving: make(map[string]uint64), byID: make(map[string]*server), byAddress: make(map[netip.AddrPort]*server),
 		serviceConfigs: make(map[string]beechcall.Service), versions: make(map[string]*beechrollout.VersionHistory), locations: locations,
-		serviceLoads: make(map[string]float64), nextRetry: make(map[string]time.Time),
+		serviceLoads: make(map[string]float64), tellSlowness: make(map[string]bool), nextRetry: make(map[string]time.Time),
 	}
 }
 
--- a/internal/request/beechplace/strain.go
+++ b/internal/request/beechplace/strain.go
@@ -14,5 +14,8 @@
 			continue
 		}
 		engine.strain, engine.strainAt = s, now
+		if s.Slowness > 0 {
+			p.tellSlowness[engine.Service] = true
+		}
 	}
 }
