--- a/internal/command/beechplay/cluster.go
+++ b/internal/command/beechplay/cluster.go
@@ -32,6 +32,7 @@
 		gates         map[string]*beechsettings.Gate
 		seeds         []netip.AddrPort // of gates that are added later
 		keepers       map[string]*beechsettings.Keeper
+		peers         sync.Map // engines by address
 	}
 
 	// endpoint is a listener that can be down for a time. It is safe for concurrent use.
@@ -154,6 +155,14 @@
 	e.OnCrash(listener.crash)
 	endpoint := listener.address
 	w.Engines[name], w.Places[name] = e, endpoint
+	w.peers.Store(endpoint.String(), e)
+	e.SetPeers(func(address string) *beechsimulator.Engine {
+		peer, ok := w.peers.Load(address)
+		if !ok {
+			return nil
+		}
+		return peer.(*beechsimulator.Engine)
+	})
 	w.ListServer(name, "ready")
 	if s.Model == "" {
 		return e, nil
--- /dev/null
+++ b/internal/request/beechattempt/backup_test.go
@@ -0,0 +1,372 @@
+package beechattempt
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"net/netip"
+	"slices"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/beechring/beechring/internal/decision/beechbackup"
+	"github.com/beechring/beechring/internal/request/beechcall"
+	"github.com/beechring/beechring/internal/request/beechplace"
+)
+
+type (
+	backupFixture struct {
+		*fixture
+		observed *endings
+		probes   *probes
+	}
+
+	// probes answer probes of servers: nil, ECONNREFUSED, or a time-out if there is no entry.
+	probes struct {
+		mu      sync.Mutex
+		results map[netip.AddrPort]error
+	}
+)
+
+const backupModel = "m"
+
+var errSilent = errors.New("i/o timeout")
+
+func (p *probes) Probe(_ context.Context, peer netip.AddrPort) error {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if err, ok := p.results[peer]; ok {
+		return err
+	}
+	return errSilent
+}
+
+func (p *probes) set(peer netip.AddrPort, err error) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.results[peer] = err
+}
+
+// newBackupFixture returns a fixture with three engines that have memory to spare.
+func newBackupFixture(script ...step) *backupFixture {
+	f := &backupFixture{newFixture(3, 5, script...), &endings{}, &probes{results: make(map[netip.AddrPort]error)}}
+	for i := range f.servers {
+		f.servers[i].Weights, f.servers[i].Born = map[string]uint64{backupModel: 1}, 1
+	}
+	f.placer.SetServers(f.servers)
+	f.placer.SetConfiguration(&beechcall.Configuration{Services: map[string]beechcall.Service{"app": {Name: "app", Backups: true, TokenBytes: 131072, LinkRate: 10e6}}})
+	for _, s := range f.servers {
+		f.report(s, 1, 1)
+	}
+	f.dispatcher.SetBackups(beechbackup.On)
+	f.dispatcher.observer = f.observed
+	f.dispatcher.crashes.prober = f.probes
+	return f
+}
+
+// report is a keeper's report of an engine.
+func (f *backupFixture) report(s beechcall.Server, born, weights uint64) {
+	f.placer.UpdateState(beechplace.State{
+		Number: uint32(f.clock.Now().UnixMilli()), Address: s.Address, Born: born, Weights: map[string]uint64{backupModel: weights}, CacheUsed: 1000, CacheTotal: 100000,
+	})
+}
+
+// run answers a stream that may not be repeated.
+func (f *backupFixture) run(t *testing.T) (*caller, Result) {
+	call := f.call(beechcall.AtMostOnce, true)
+	call.Model, call.PromptTokens, call.OutputTokens, call.Route.MaxAttempts = backupModel, 800, 60, 1
+	c := f.serve(t.Context(), call)
+	f.dispatcher.drops.Wait()
+	return c, f.observed.results[0]
+}
+
+// crashes returns the beginning of an answer whose server crashes.
+func (f *backupFixture) crashes(body string, then ...func()) step {
+	return f.ends(body, syscall.ECONNREFUSED, then...)
+}
+
+// ends returns the beginning of an answer that breaks off, and what a probe of its server gives then.
+func (f *backupFixture) ends(body string, probe error, then ...func()) step {
+	return func(ctx context.Context, a beechcall.Attempt) (*beechcall.Answer, error) {
+		if !errors.Is(probe, errSilent) {
+			f.probes.set(a.Server.Address, probe)
+		}
+		for _, act := range then {
+			act()
+		}
+		answer, err := breaks(body)(ctx, a)
+		answer.Header = http.Header{"Seal": {"first"}}
+		answer.WeightsLine = []byte("weights:")
+		return answer, err
+	}
+}
+
+// setScript replaces the script, which may refer to the fixture.
+func (f *backupFixture) setScript(script ...step) { f.backend.script = script }
+
+// backupOf returns the engine that an attempt named as its backup.
+func (f *backupFixture) backupOf(a beechcall.Attempt) beechcall.Server {
+	i := slices.IndexFunc(f.servers, func(s beechcall.Server) bool { return s.Address == a.Backup })
+	return f.servers[i]
+}
+
+// notContinued asserts that a stream was broken off after its first attempt.
+func notContinued(t *testing.T, f *backupFixture, c *caller, result Result, reason beechbackup.Reason) {
+	t.Helper()
+	is := is.New(t)
+	is.Equal(len(f.backend.sent), 1)
+	is.True(c.broken)
+	is.Equal(c.rejection, nil)
+	is.Equal(result.Backup.Reason, reason)
+	is.True(!result.Backup.Used)
+}
+
+// A server crashes in the middle of a stream.
+func TestRunGoesOnAtItsBackup(t *testing.T) {
+	is := is.New(t)
+	f := newBackupFixture()
+	f.setScript(f.crashes(event(1)+event(2)+"id: 3\nda"), answers(http.StatusOK, event(3)+event(4)))
+	c, result := f.run(t)
+	is.Equal(c.body, event(1)+event(2)+event(3)+event(4))
+	is.Equal(c.header.Get("Seal"), "first")
+	is.True(c.ended)
+	is.Equal(len(f.backend.sent), 2)
+	first, second := f.backend.sent[0], f.backend.sent[1]
+	is.True(first.Backup.IsValid() && first.Backup != first.Server.Address && !first.CopyAt.IsValid())
+	is.Equal(second.Server.Address, first.Backup)
+	is.Equal(second.CopyAt, first.Backup)
+	is.Equal(second.LastEventID, "2")
+	is.Equal(second.Weights, first.Weights)
+	is.Equal(second.Salt, first.Salt)
+	is.True(!second.Backup.IsValid())
+	is.True(result.Backup.Used && result.Backup.Whole)
+	is.Equal(len(f.backend.dropped), 0)
+}
+
+// A server crashes before the first event. What it had read goes on.
+func TestRunGoesOnBeforeItsFirstEvent(t *testing.T) {
+	is := is.New(t)
+	f := newBackupFixture()
+	f.setScript(f.crashes(""), answers(http.StatusOK, event(1)))
+	c, result := f.run(t)
+	is.Equal(c.body, event(1))
+	is.Equal(f.backend.sent[1].CopyAt, f.backend.sent[0].Backup)
+	is.True(result.Backup.Whole)
+}
+
+// The connection breaks, and the server still accepts others: it may be at work.
+func TestRunDoesNotGoOnWhileItsServerRuns(t *testing.T) {
+	f := newBackupFixture()
+	f.setScript(f.ends(event(1), nil), answers(http.StatusOK, event(2)))
+	c, result := f.run(t)
+	notContinued(t, f, c, result, beechbackup.SourceRunning)
+	is.New(t).Equal(f.backend.dropped, []string{f.backend.sent[0].Backup.String() + "/id"})
+}
+
+// The connection breaks and nothing answers: a broken link looks the same.
+func TestRunDoesNotGoOnWhileItsServerIsSilent(t *testing.T) {
+	f := newBackupFixture()
+	f.setScript(f.ends(event(1), errSilent), answers(http.StatusOK, event(2)))
+	c, result := f.run(t)
+	notContinued(t, f, c, result, beechbackup.SourceRunning)
+}
+
+// A silent server turns out to have started again under its ID.
+func TestRunGoesOnWhenItsServerHasRestarted(t *testing.T) {
+	is := is.New(t)
+	f := newBackupFixture()
+	restart := func() { f.report(f.backend.sent[0].Server, 2, 1) }
+	f.setScript(f.ends(event(1), errSilent, restart), answers(http.StatusOK, event(2)))
+	c, result := f.run(t)
+	is.Equal(c.body, event(1)+event(2))
+	is.True(result.Backup.Whole)
+}
+
+// The backup's engine refuses, as no copy has arrived. The run has begun at its first server, so that
+// its caller is not told otherwise, and it is not sent anywhere else.
+func TestNoCopyAtTheBackup(t *testing.T) {
+	for _, body := range []string{event(1), ""} {
+		is := is.New(t)
+		f := newBackupFixture()
+		f.setScript(f.crashes(body), refuses, answers(http.StatusOK, event(2)))
+		c, result := f.run(t)
+		is.Equal(len(f.backend.sent), 2)
+		is.Equal(result.Backup.Reason, beechbackup.NoCopy)
+		if body != "" {
+			is.True(c.broken)
+			continue
+		}
+		is.Equal(c.rejection, OutcomeUnknown{Reason: "no more tries"})
+	}
+}
+
+// The backup's engine answers 503 without saying that it has not run the request.
+func TestUnprovenRefusalAtTheBackup(t *testing.T) {
+	is := is.New(t)
+	f := newBackupFixture()
+	f.setScript(f.crashes(""), answers(http.StatusServiceUnavailable, ""), answers(http.StatusOK, event(2)))
+	c, _ := f.run(t)
+	is.Equal(len(f.backend.sent), 2)
+	is.Equal(c.rejection, OutcomeUnknown{Reason: "no more tries"})
+}
+
+func TestBothServersLost(t *testing.T) {
+	is := is.New(t)
+	f := newBackupFixture()
+	f.setScript(f.crashes(event(1)), unreachable, answers(http.StatusOK, event(2)))
+	c, result := f.run(t)
+	is.Equal(len(f.backend.sent), 2)
+	is.True(c.broken)
+	is.Equal(result.Backup.Reason, beechbackup.EngineLost)
+}
+
+// The backup's engine crashes too: a copy can be used once.
+func TestCopyIsUsedOnce(t *testing.T) {
+	is := is.New(t)
+	f := newBackupFixture()
+	f.setScript(f.crashes(event(1)), f.crashes(event(2)), answers(http.StatusOK, event(3)))
+	c, result := f.run(t)
+	is.Equal(len(f.backend.sent), 2)
+	is.Equal(c.body, event(1)+event(2))
+	is.True(c.broken)
+	is.Equal(result.Backup.Reason, beechbackup.LostAgain)
+	is.Equal(len(f.backend.dropped), 0)
+}
+
+// The backup's engine has loaded other weights meanwhile, as its keeper says or as it says itself.
+func TestRunDoesNotGoOnAtOtherWeights(t *testing.T) {
+	f := newBackupFixture()
+	load := func() { f.report(f.backupOf(f.backend.sent[0]), 1, 2) }
+	f.setScript(f.crashes(event(1), load), answers(http.StatusOK, event(2)))
+	c, result := f.run(t)
+	notContinued(t, f, c, result, beechbackup.WeightsChanged)
+
+	f = newBackupFixture()
+	f.setScript(f.crashes(event(1)), func(_ context.Context, a beechcall.Attempt) (*beechcall.Answer, error) {
+		return nil, beechcall.NotExecuted{Peer: a.Server.Address, Status: http.StatusMisdirectedRequest, WeightsDiffer: true, Weights: 2}
+	})
+	c, result = f.run(t)
+	is.New(t).True(c.broken)
+	is.New(t).Equal(result.Backup.Reason, beechbackup.WeightsChanged)
+	is.New(t).Equal(len(f.backend.sent), 2)
+}
+
+// The weights were changed under the run: the copy holds tokens of both.
+func TestRunOfChangedWeightsDoesNotGoOn(t *testing.T) {
+	f := newBackupFixture()
+	f.setScript(f.crashes(event(1)+"weights: 2\n"+event(2)), answers(http.StatusOK, event(3)))
+	c, result := f.run(t)
+	notContinued(t, f, c, result, beechbackup.WeightsChanged)
+}
+
+// The backup's engine has got other software under its ID.
+func TestRunDoesNotGoOnAtOtherSoftware(t *testing.T) {
+	f := newBackupFixture()
+	f.setScript(f.crashes(event(1), func() { f.setSoftware("v2") }), answers(http.StatusOK, event(2)))
+	c, result := f.run(t)
+	notContinued(t, f, c, result, beechbackup.SoftwareDiffer)
+}
+
+// The backup's engine has started again under its ID, without the copy.
+func TestRunDoesNotGoOnAtARestartedEngine(t *testing.T) {
+	f := newBackupFixture()
+	restart := func() { f.report(f.backupOf(f.backend.sent[0]), 2, 1) }
+	f.setScript(f.crashes(event(1), restart), answers(http.StatusOK, event(2)))
+	c, result := f.run(t)
+	notContinued(t, f, c, result, beechbackup.EngineLost)
+}
+
+func TestRunDoesNotGoOnWithoutRetryBudget(t *testing.T) {
+	f := newBackupFixture()
+	f.budget.left = 0
+	f.setScript(f.crashes(event(1)), answers(http.StatusOK, event(2)))
+	c, result := f.run(t)
+	notContinued(t, f, c, result, beechbackup.NoBudget)
+}
+
+// The request has crashed a server before.
+func TestRunThatCrashesServersDoesNotGoOn(t *testing.T) {
+	f := newBackupFixture()
+	f.setScript(f.crashes(event(1)), answers(http.StatusOK, event(2)))
+	call := f.call(beechcall.AtMostOnce, true)
+	f.suspects.RecordCrash([]uint64{call.Fingerprint()})
+	c, result := f.run(t)
+	notContinued(t, f, c, result, beechbackup.Blamed)
+}
+
+// The caller leaves while the run is at its first server: nothing goes on, and the copy is freed.
+func TestCallerLeavesARunWithABackup(t *testing.T) {
+	is := is.New(t)
+	f := newBackupFixture()
+	c := &caller{}
+	f.setScript(f.crashes(event(1), func() { c.departed.Store(true) }), answers(http.StatusOK, event(2)))
+	call := f.call(beechcall.AtMostOnce, true)
+	call.Model, call.PromptTokens, call.OutputTokens = backupModel, 800, 60
+	f.dispatcher.Serve(t.Context(), call, c)
+	f.dispatcher.drops.Wait()
+	is.Equal(len(f.backend.sent), 1)
+	is.Equal(f.observed.results[0].Outcome, OutcomeLeft)
+	is.Equal(f.backend.dropped, []string{f.backend.sent[0].Backup.String() + "/id"})
+}
+
+// The caller leaves while it is looked whether the server has ended.
+func TestCallerLeavesWhileItsRunIsLost(t *testing.T) {
+	is := is.New(t)
+	f := newBackupFixture()
+	f.setScript(f.ends(event(1), errSilent), answers(http.StatusOK, event(2)))
+	call := f.call(beechcall.AtMostOnce, true)
+	call.Model, call.PromptTokens, call.OutputTokens = backupModel, 800, 60
+	_, result := f.serveUntil(t, call, 100*time.Millisecond)
+	is.Equal(len(f.backend.sent), 1)
+	is.Equal(result.Outcome, OutcomeLeft)
+}
+
+// The first server has not run the request: the next one gets a backup of its own, elsewhere.
+func TestBackupFollowsTheAttempt(t *testing.T) {
+	is := is.New(t)
+	f := newBackupFixture(refuses, answers(http.StatusOK, event(1)))
+	c, result := f.run(t)
+	is.True(c.ended)
+	for _, a := range f.backend.sent {
+		is.True(a.Backup.IsValid() && a.Backup != a.Server.Address)
+	}
+	is.True(!result.Backup.Used)
+}
+
+// Engines do not tell how slow their hosts are, or operators do not want backups: attempts are as
+// without backups.
+func TestNoBackupsWhereTheyDoNotApply(t *testing.T) {
+	is := is.New(t)
+	for _, mode := range []beechbackup.Mode{beechbackup.Auto, beechbackup.Off} {
+		f := newBackupFixture()
+		f.dispatcher.SetBackups(mode)
+		f.setScript(f.crashes(event(1)), answers(http.StatusOK, event(2)))
+		c, result := f.run(t)
+		is.True(c.broken)
+		is.Equal(len(f.backend.sent), 1)
+		is.True(!f.backend.sent[0].Backup.IsValid())
+		is.Equal(result.Backup, BackupResult{})
+		is.Equal(result.Stop, string(stopNotRepeatable))
+	}
+}
+
+// Auto begins when an engine has told how slow its host is.
+func TestBackupsBeginWhenSlownessIsTold(t *testing.T) {
+	is := is.New(t)
+	tells := func(context.Context, beechcall.Attempt) (*beechcall.Answer, error) {
+		return &beechcall.Answer{Status: http.StatusOK, Body: io.NopCloser(strings.NewReader(event(1))), Load: beechcall.Load{Known: true, Slots: 8, Slowness: 100}}, nil
+	}
+	f := newBackupFixture(tells)
+	f.dispatcher.SetBackups(beechbackup.Auto)
+	for range 2 {
+		f.run(t)
+	}
+	is.True(!f.backend.sent[0].Backup.IsValid())
+	is.True(f.backend.sent[1].Backup.IsValid())
+}
--- a/internal/standin/beechsimulator/engine.go
+++ b/internal/standin/beechsimulator/engine.go
@@ -25,6 +25,7 @@
 		ReadRate float64       // prompt tokens per millisecond; 0 takes no time
 		Load     time.Duration // duration of loading new weights
 		Software string        // version of its software, which marks each event; empty: v1, without marks
+		Slowness int           // of its host in percent, which each response tells; 0: it does not
 	}
 
 	// Engine simulates an engine. It is safe for concurrent use.
@@ -55,6 +56,7 @@
 		partArrivals  map[string][]time.Time // of requests by shared prompt part
 		crashes       []time.Time
 		onCrash       func(down time.Duration) // ends all connections, and accepts none for a time
+		copies        copies
 	}
 
 	// EngineFaults are the faults that an engine simulates.
@@ -120,7 +122,7 @@
 	}
 	return &Engine{
 		settings: s, version: s.Version, runs: make(map[string]int), begunAt: make(map[string]time.Time), endedAt: make(map[string]time.Time), lastHeaders: make(map[string]http.Header), cached: make(map[string]int),
-		streamPaths: make(map[string]int), partArrivals: make(map[string][]time.Time), onCrash: func(time.Duration) {},
+		streamPaths: make(map[string]int), partArrivals: make(map[string][]time.Time), onCrash: func(time.Duration) {}, copies: newCopies(),
 	}
 }
 
@@ -294,6 +296,7 @@
 	e.born = time.Now().UnixMilli()
 	e.limit, e.sequence, e.busy, e.leaving = "", 0, false, false
 	clear(e.cached)
+	clear(e.copies.kept)
 	e.events = nil
 }
 
@@ -342,6 +345,10 @@
 		w.Header().Set(headerLeaving, "1")
 	}
 	e.mu.Unlock()
+	if id, ok := strings.CutPrefix(r.URL.Path, copyPath); ok && r.Method == http.MethodDelete {
+		e.dropCopy(w, id)
+		return
+	}
 	switch r.URL.Path {
 	case "/beechring/report":
 		e.report(w)
@@ -365,7 +372,7 @@
 	}
 	report := map[string]any{
 		"stage": "colocated", "models": models, "busy": e.busy, "sequence": e.sequence,
-		"waiting": 0, "running": e.running, "kvUsed": 0, "kvTotal": 100000, "handles": 0,
+		"waiting": 0, "running": e.running, "kvUsed": 0, "kvTotal": 100000, "handles": len(e.copies.kept),
 	}
 	if e.born > 0 {
 		report["born"] = e.born
@@ -399,6 +406,7 @@
 		defer e.mu.Unlock()
 		e.busy, e.version = false, o.Version
 		clear(e.cached)
+		clear(e.copies.kept)
 	})
 	w.WriteHeader(http.StatusAccepted)
 }
@@ -478,7 +486,11 @@
 		e.mu.Unlock()
 	}()
 	e.mu.Lock()
-	e.runs[id]++
+	if r.Header.Get(headerKVFrom) != "" {
+		e.copies.continued[id] = time.Now()
+	} else {
+		e.runs[id]++
+	}
 	e.begunAt[id] = time.Now()
 	e.lastHeaders[id] = r.Header.Clone()
 	faults, version := e.faults, e.version
@@ -492,7 +504,11 @@
 		w.Header().Set("Content-Encoding", faults.Encoding)
 	}
 	w.Header().Set(headerSeal, "seal."+id)
-	w.Header().Set(headerLoad, fmt.Sprintf("%d,0,%d", e.Running(), e.settings.Slots))
+	load := fmt.Sprintf("%d,0,%d", e.Running(), e.settings.Slots)
+	if e.settings.Slowness > 0 {
+		load += fmt.Sprintf(",%d", e.settings.Slowness)
+	}
+	w.Header().Set(headerLoad, load)
 	switch {
 	case faults.Hang:
 		<-r.Context().Done()
@@ -560,6 +576,9 @@
 			w.Header().Set("Retry-After", e.faults.RetryAfter)
 		}
 		w.WriteHeader(http.StatusServiceUnavailable)
+	case r.Header.Get(headerKVFrom) != "" && !e.takeCopy(r):
+		w.Header().Set(headerNotExecuted, "1")
+		w.WriteHeader(http.StatusServiceUnavailable)
 	default:
 		e.running++
 		return true
@@ -605,6 +624,7 @@
 		mark = " by " + e.settings.Software
 	}
 	e.mu.Unlock()
+	backup := e.beginBackup(r)
 	for i := from + 1; i <= count; i++ {
 		if cut && i > from+faults.CutAfter {
 			_, _ = fmt.Fprintf(w, "id: %d\ndata: to", i)
@@ -615,12 +635,14 @@
 			return
 		}
 		_ = control.Flush()
+		backup.send(i)
 		select {
 		case <-time.After(e.settings.Token):
 		case <-r.Context().Done():
 			return
 		}
 	}
+	backup.end()
 }
 
 // HasModel reports whether the engine serves a model.
