--- a/internal/request/beechplace/backups.go
+++ b/internal/request/beechplace/backups.go
@@ -64,7 +64,7 @@
 	return beechbackup.Engine{
 		Host: s.Address.Addr(), Zone: s.Zone, Weights: s.weights[call.Model], Software: s.softwareVersion(),
 		CacheUsed: s.state.CacheUsed + s.copyTokens, CacheTotal: s.state.CacheTotal,
-		Load: p.estimatedLoad(s) / float64(max(s.slots, defaultSlots)), Pace: p.paceFactor(s, now), Rank: xxhash.Sum64String(s.ID + call.ID),
+		Load: p.estimatedLoad(s) / float64(max(s.slots, defaultSlots)), Pace: p.paceFactor(s, now), Rank: xxhash.Sum64String(s.ID),
 	}
 }
 
