--- a/internal/command/beechplay/cluster.go
+++ b/internal/command/beechplay/cluster.go
@@ -11,6 +11,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/beechring/beechring/internal/decision/beechbackup"
 	"github.com/beechring/beechring/internal/process/beechsettings"
 	"github.com/beechring/beechring/internal/standin/beechsimulator"
 )
@@ -23,6 +24,7 @@
 		Store   *beechsimulator.Store
 		Engines map[string]*beechsimulator.Engine
 		Places  map[string]netip.AddrPort // addresses of the store, engines and gates by name, and of a gate's readiness check by NAME-ready
+		Backups beechbackup.Mode          // of gates that are added later; empty: the default
 
 		launcher      Launcher
 		zone          string
@@ -208,7 +210,7 @@
 		return err
 	}
 	w.gates[name] = &beechsettings.Gate{
-		Name: name, Zone: w.zone, Listen: listen, Ready: ready, Beats: netip.AddrPortFrom(address, w.heartbeatPort), Store: w.Places["store"], Bounds: bounds, Seeds: w.seeds,
+		Name: name, Zone: w.zone, Listen: listen, Ready: ready, Beats: netip.AddrPortFrom(address, w.heartbeatPort), Store: w.Places["store"], Bounds: bounds, Seeds: w.seeds, Backups: w.Backups,
 	}
 	w.seeds = append(w.seeds, w.gates[name].Beats)
 	w.Places[name], w.Places[name+"-ready"] = listen, ready
--- a/internal/decision/beechbackup/decide.go
+++ b/internal/decision/beechbackup/decide.go
@@ -18,6 +18,7 @@
 		TokenBytes    int     // size of a token in an engine's memory
 		LinkRate      float64 // bytes that an engine sends or receives per millisecond
 		TellsSlowness bool    // its engines tell how slow their hosts are
+		CrashRate     float64 // crashes of each engine, per second
 	}
 
 	// Run is a run that may get a backup.
@@ -41,7 +42,7 @@
 
 	// Loss is what is known when a stream has broken off.
 	Loss struct {
-		Backup         bool // there is one, and it was not used yet
+		Copy           CopyState
 		Source         SourceState
 		Waited         time.Duration // since the stream broke off
 		Left           time.Duration // until the deadline
@@ -55,6 +56,9 @@
 	// SourceState is what is known of the process that a stream broke off at.
 	SourceState int
 
+	// CopyState is what is known of the copy of a run.
+	CopyState int
+
 	// Verdict is what follows a loss: Continue, Wait or GiveUp.
 	Verdict interface{ verdict() }
 
@@ -83,27 +87,38 @@
 	Ended                      // its process has ended
 )
 
+// States of a copy.
+const (
+	NoCopyLeft CopyState = iota // it was not made, or it was used
+	OnItsWay
+	Arrived
+)
+
 // Reasons.
 const (
+	TooRare        Reason = "engines seldom crash"
 	TooShort       Reason = "answer too short"
 	TooLarge       Reason = "transfer too long for the answer"
 	NoEngine       Reason = "no engine with memory to spare"
-	NoBackup       Reason = "no backup"
 	SourceRunning  Reason = "server may be running"
 	Blamed         Reason = "servers crash on it"
 	WeightsChanged Reason = "weights changed"
 	SoftwareDiffer Reason = "other software"
 	EngineLost     Reason = "backup's engine lost"
-	NoCopy         Reason = "no copy at the backup's engine"
+	NoCopy         Reason = "no copy"
 	LostAgain      Reason = "lost again"
 	NoBudget       Reason = "retry budget spent"
 	NoTime         Reason = "no time left"
 )
 
 const (
-	// minDuration is how long an answer must take: copies are sent several times a second, so that a
-	// shorter one has ended before most of it has arrived.
-	minDuration = 250 * time.Millisecond
+	// minDuration is for how much longer an answer must be generated. Each copy pushes as many cached
+	// tokens out of the memory of its engine, whatever the answer's length, while what it saves grows with
+	// the time: the few longest answers take most of the engines' time.
+	minDuration = time.Second
+	// minRisk is the chance that the run is lost from which on a copy pays. It delays others: it pushes out
+	// cached tokens that have to be read again, and it is lost itself if its engine crashes at the same time.
+	minRisk = 0.04
 	// maxTransferShare is the share of the answer's time that the transfer may take. All running
 	// streams together then use as much of their engines' links at the most.
 	maxTransferShare = 0.05
@@ -134,8 +149,12 @@
 	return m == On || (m != Off && s.TellsSlowness)
 }
 
-// Pays returns why a backup of a run does not pay, or an empty reason.
-func Pays(s Service, r Run) Reason {
+// Pays returns why a backup of a run does not pay, or an empty reason. With mode On the operators have
+// decided that engines crash often enough.
+func (m Mode) Pays(s Service, r Run) Reason {
+	if m == Auto && s.CrashRate*r.Duration.Seconds() < minRisk {
+		return TooRare
+	}
 	if r.Duration < minDuration {
 		return TooShort
 	}
@@ -196,8 +215,8 @@
 // Decide returns what follows a loss.
 func Decide(l Loss) Verdict {
 	switch {
-	case !l.Backup:
-		return GiveUp{NoBackup}
+	case l.Copy == NoCopyLeft:
+		return GiveUp{NoCopy}
 	case l.Left < minLeft:
 		return GiveUp{NoTime}
 	case l.Source == Running || l.Waited >= maxWait && l.Source != Ended:
@@ -212,7 +231,7 @@
 		return GiveUp{WeightsChanged}
 	case !l.SameSoftware:
 		return GiveUp{SoftwareDiffer}
-	case l.Source == Silent:
+	case l.Source == Silent || l.Copy == OnItsWay:
 		return Wait{}
 	}
 	return Continue{}
--- a/internal/decision/beechbackup/doc.go
+++ b/internal/decision/beechbackup/doc.go
@@ -2,17 +2,18 @@
 //
 // # Purpose
 //
-// A stream that may not be repeated ends when its server crashes. An engine can send the memory of a
+// A stream that may not be repeated ends when its server crashes. An engine can copy the memory of a
 // run to another engine while it generates; after a crash the same run goes on there. This answers
 // the load of a fleet in which engines crash or are taken away under hundreds of running streams.
 //
 // # Whether a run gets a backup
 //
-// A backup costs the transfer of the run's whole memory, prompt included, and room for it at the
-// other engine. What it saves grows with the time for which the answer is generated, as a crash has to
-// fall into that time. So both are compared as times, which operators' configuration and earlier
-// answers of the route give: the transfer may take a small share of the time that the answer takes.
-// A long prompt with a short answer gets none.
+// A backup is one copy of a run's memory, made when its first event arrives: the prompt, which takes
+// the longest to read again. It costs the transfer, and room at the other engine, out of which it
+// pushes what is cached there. What it saves grows with the time for which the answer is still
+// generated, as a crash has to fall into that time, and with how often engines crash. So only long
+// answers get one, only if the transfer takes a small share of that time, and only while engines
+// crash, unless operators have it otherwise.
 //
 // # Where
 //
@@ -32,7 +33,7 @@
 // # Usage
 //
 //	durations := beechbackup.NewDurations()
-//	if beechbackup.Auto.Applies(service) && beechbackup.Pays(service, run) == nil {
+//	if mode.Applies(service) && mode.Pays(service, run) == "" {
 //		index, ok := beechbackup.Choose(run, source, engines)
 //	}
 //	switch v := beechbackup.Decide(loss).(type) {
--- a/internal/decision/beechbackup/durations.go
+++ b/internal/decision/beechbackup/durations.go
@@ -10,50 +10,56 @@
 	// safe for concurrent use.
 	Durations struct {
 		mu     sync.Mutex
-		routes map[string]*duration
+		routes map[string]*generated
 	}
 
-	duration struct {
-		perToken float64 // milliseconds for each token that the answer may have at the most
-		samples  int
+	// generated sums up answers; the older ones count less.
+	generated struct {
+		tokens float64
+		time   time.Duration
 	}
 )
 
 const (
-	maxSamples = 64 // weight of the running mean
-	// priorSamples is the weight of defaultTokenTime, so that a gate that has just started decides for
-	// its first streams too.
-	priorSamples     = 4
-	defaultTokenTime = 10. // milliseconds; engines generate about a hundred tokens a second for each stream
+	// maxTokens is how many tokens are remembered of each route.
+	maxTokens = 10000.
+	// priorTokens at defaultTokenTime let a gate that has just started decide for its first streams too.
+	priorTokens      = 200.
+	defaultTokenTime = 20 * time.Millisecond // busy engines generate about fifty tokens a second for each stream
 )
 
 // NewDurations returns estimates without samples.
-func NewDurations() *Durations { return &Durations{routes: make(map[string]*duration)} }
+func NewDurations() *Durations { return &Durations{routes: make(map[string]*generated)} }
 
-// Observe records that a whole answer of at most the given number of tokens took a time from its
-// first event to its last.
+// Observe records that a whole answer, of which the given number of tokens was expected, took a time from
+// its first event to its last.
 func (d *Durations) Observe(route string, tokens int, took time.Duration) {
-	if tokens <= 0 {
+	if tokens <= 0 || took < 0 {
 		return
 	}
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	r, ok := d.routes[route]
-	if !ok {
-		r = &duration{perToken: defaultTokenTime, samples: priorSamples}
-		d.routes[route] = r
+	g := d.of(route)
+	d.routes[route] = g
+	if excess := g.tokens + float64(tokens) - maxTokens; excess > 0 {
+		kept := max(1-excess/g.tokens, 0)
+		g.tokens, g.time = g.tokens*kept, time.Duration(float64(g.time)*kept)
 	}
-	r.samples = min(r.samples+1, maxSamples)
-	r.perToken += (float64(took)/float64(time.Millisecond)/float64(tokens) - r.perToken) / float64(r.samples)
+	g.tokens += float64(tokens)
+	g.time += took
 }
 
-// Expect returns how long an answer of at most the given number of tokens will take.
+// Expect returns how long an answer of the given number of tokens will take.
 func (d *Durations) Expect(route string, tokens int) time.Duration {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	perToken := defaultTokenTime
-	if r, ok := d.routes[route]; ok {
-		perToken = r.perToken
+	g := d.of(route)
+	return time.Duration(float64(g.time) * float64(tokens) / g.tokens)
+}
+
+func (d *Durations) of(route string) *generated {
+	if g, ok := d.routes[route]; ok {
+		return g
 	}
-	return time.Duration(perToken * float64(tokens) * float64(time.Millisecond))
+	return &generated{tokens: priorTokens, time: time.Duration(priorTokens * float64(defaultTokenTime))}
 }
--- a/internal/process/beechgate/metrics.go
+++ b/internal/process/beechgate/metrics.go
@@ -141,6 +141,9 @@
 	if b.Server != "" {
 		m.backups.Add("begun", 1)
 	}
+	if b.Copied {
+		m.backups.Add("copied", 1)
+	}
 	if b.Used {
 		m.backups.Add("used", 1)
 	}
--- a/internal/process/beechgate/observer.go
+++ b/internal/process/beechgate/observer.go
@@ -46,5 +46,8 @@
 	if b := e.Backup; b.Server != "" {
 		fields = append(fields, zap.String("backup", b.Server), zap.Bool("backupUsed", b.Used), zap.String("backupGivenUp", string(b.Reason)))
 	}
+	if reason := e.Backup.Denied; reason != "" {
+		fields = append(fields, zap.String("noBackup", string(reason)))
+	}
 	line.Write(fields...)
 }
--- a/internal/request/beechattempt/backup.go
+++ b/internal/request/beechattempt/backup.go
@@ -4,7 +4,6 @@
 	"bytes"
 	"context"
 	"errors"
-	"net/netip"
 	"time"
 
 	"github.com/jonboulle/clockwork"
@@ -17,62 +16,94 @@
 	"github.com/beechring/beechring/internal/request/beechplace"
 )
 
-// runBackup is the backup of a call's run. The zero value is a call without one.
-type runBackup struct {
-	copy           *beechplace.Backup // nil: none
-	source         beechplace.Choice  // where the run began
-	continues      bool               // the run goes on with the copy from now on
-	atRest         bool               // the copy lies at its engine and is in nobody's use
-	weightsChanged bool               // the run told that its weights changed
-	result         BackupResult
-}
+type (
+	// runBackup is the backup of a call's run. The zero value is a call without one.
+	runBackup struct {
+		decided        bool // whether a copy is made, for the attempt under way
+		engine         *beechplace.Backup
+		copying        *copying          // nil if there is no engine
+		source         beechplace.Choice // where the run began
+		continues      bool              // the run goes on with the copy from now on
+		used           bool              // the engine has taken the copy, or has none
+		weightsChanged bool              // the run told that its weights changed
+		result         BackupResult
+	}
+
+	// copying is a copy on its way.
+	copying struct {
+		done chan struct{}      // closed when name is set
+		name beechcall.CopyName // zero: it was not made
+	}
+)
 
 const (
 	// lossPoll is how often it is looked at whether a lost run's server has ended.
 	lossPoll = 20 * time.Millisecond
+	// copyTimeout bounds the call that makes a copy, which may wait for other transfers of both engines.
+	copyTimeout = time.Second
 	// dropTimeout bounds the call that frees a copy. Without it the engine frees it some seconds later.
 	dropTimeout = 500 * time.Millisecond
 )
 
-// planBackup chooses a backup for the attempt that is about to be sent.
-func (r *execution) planBackup(choice beechplace.Choice) {
+// mayHaveBackup reports whether a call is of the kind that gets backups.
+func (r *execution) mayHaveBackup() bool {
+	return r.call.Route.Stream && r.call.Model != "" && r.call.Route.RetryPolicy == beechcall.AtMostOnce && r.dispatcher.backups != beechbackup.Off
+}
+
+// considerBackup has a run copied to another engine, if that pays. It is called as events arrive: the
+// prompt has been read by then.
+func (r *execution) considerBackup(choice beechplace.Choice, events, weightsLine []byte) {
 	b := &r.backup
-	if b.continues || !r.call.Route.Stream || r.call.Model == "" || r.call.Route.RetryPolicy != beechcall.AtMostOnce {
+	if b.continues || !r.mayHaveBackup() {
+		return
+	}
+	b.observeWeights(events, weightsLine)
+	if b.decided || b.weightsChanged {
 		return
 	}
-	r.forgetCopy() // of an attempt that was not executed
-	expected := r.dispatcher.durations.Expect(r.call.Route.Name, r.call.OutputTokens)
-	chosen, denied := r.dispatcher.placer.Backup(r.call, choice, r.dispatcher.backups, expected)
-	b.copy, b.source, b.atRest = chosen, choice, chosen != nil
-	b.result = BackupResult{Denied: denied}
-	if chosen != nil {
-		b.result.Server = chosen.Server.ID
+	b.decided = true
+	expected := r.dispatcher.durations.Expect(r.call.Route.Name, r.call.ExpectedOutput())
+	engine, denied := r.dispatcher.placer.Backup(r.call, choice, r.dispatcher.backups, expected-r.dispatcher.clock.Since(r.begunAt))
+	b.engine, b.source, b.result.Denied = engine, choice, denied
+	if engine == nil {
+		return
 	}
+	b.result.Server, b.copying = engine.Server.ID, r.startCopy(choice.Server, engine.Server)
 }
 
-// sentTo returns the engine that is sent copies of the run that begins.
-func (b *runBackup) sentTo() netip.AddrPort {
-	if b.copy == nil || b.continues {
-		return netip.AddrPort{}
-	}
-	return b.copy.Server.Address
+// startCopy begins to copy a run.
+func (r *execution) startCopy(from, to beechcall.Server) *copying {
+	c, d, id := &copying{done: make(chan struct{})}, r.dispatcher, r.call.ID
+	d.copies.Go(func() {
+		defer close(c.done)
+		ctx, cancel := clockwork.WithTimeout(context.Background(), d.clock, copyTimeout)
+		defer cancel()
+		name, err := d.backend.CopyRun(ctx, from.Address, id, to.Address)
+		if err != nil {
+			d.log.Debug("run not copied", zap.String("request", id), zap.String("server", from.ID), zap.String("backup", to.ID), zap.Error(err))
+			return
+		}
+		c.name = name
+	})
+	return c
 }
 
-// copyAt returns the engine whose copy the run goes on with.
-func (b *runBackup) copyAt() netip.AddrPort {
+// copyName returns the name of the copy that the run goes on with.
+func (b *runBackup) copyName() beechcall.CopyName {
 	if !b.continues {
-		return netip.AddrPort{}
+		return beechcall.CopyName{}
 	}
-	return b.copy.Server.Address
+	return b.copying.name
 }
 
-// observeEvents notes whether the weights of the run have changed: a copy of its memory may then be
+// observeWeights notes whether the weights of the run have changed: a copy of its memory may then be
 // partly of the older ones.
-func (b *runBackup) observeEvents(events, weightsLine []byte) {
-	if b.copy == nil || b.weightsChanged || len(weightsLine) == 0 {
+func (b *runBackup) observeWeights(events, weightsLine []byte) {
+	if b.weightsChanged || len(weightsLine) == 0 {
 		return
 	}
-	b.weightsChanged = bytes.HasPrefix(events, weightsLine) || bytes.Contains(events, append([]byte("\n"), weightsLine...))
+	at := bytes.Index(events, weightsLine)
+	b.weightsChanged = at == 0 || at > 0 && events[at-1] == '\n'
 }
 
 // observeDuration records how long a whole answer took.
@@ -80,13 +111,13 @@
 	if r.backup.continues || r.begunAt.IsZero() || r.call.Model == "" || r.call.Route.RetryPolicy != beechcall.AtMostOnce {
 		return
 	}
-	r.dispatcher.durations.Observe(r.call.Route.Name, r.call.OutputTokens, r.dispatcher.clock.Since(r.begunAt))
+	r.dispatcher.durations.Observe(r.call.Route.Name, r.call.ExpectedOutput(), r.dispatcher.clock.Since(r.begunAt))
 }
 
 // continueAtBackup decides what follows when a run that may not be repeated has broken off: it goes on
 // with its copy once its server is known to have ended.
 func (r *execution) continueAtBackup(source beechplace.Choice, probed *probe, gone bool) verdict {
-	if r.backup.copy == nil {
+	if r.backup.engine == nil {
 		return r.noRetry(stopNotRepeatable)
 	}
 	brokenAt := r.dispatcher.clock.Now()
@@ -120,8 +151,8 @@
 	}
 	_, suspect := r.dispatcher.suspects.Check(r.call.Fingerprint()).(beechsuspect.Refuse)
 	_, poison := r.refusedAsPoison()
-	return r.dispatcher.placer.ObserveLoss(r.call, source, r.backup.copy, beechbackup.Loss{
-		Backup: !r.backup.continues, Source: state, Left: r.call.TimeLeft(r.dispatcher.clock.Now()),
+	return r.dispatcher.placer.ObserveLoss(r.call, source, r.backup.engine, beechbackup.Loss{
+		Copy: r.backup.copyState(), Source: state, Left: r.call.TimeLeft(r.dispatcher.clock.Now()),
 		Blamed: suspect || poison, WeightsChanged: r.backup.weightsChanged,
 	})
 }
@@ -149,7 +180,7 @@
 	}
 	r.backup.continues, r.backup.result.Used = true, true
 	r.dispatcher.log.Info("run goes on at its backup", zap.String("request", r.call.ID), zap.String("server", r.backup.source.Server.ID),
-		zap.String("backup", r.backup.copy.Server.ID), zap.String("after", r.stream.lastEventID), zap.Uint64("weights", r.backup.copy.Weights))
+		zap.String("backup", r.backup.engine.Server.ID), zap.String("after", r.stream.lastEventID), zap.Uint64("weights", r.backup.engine.Weights))
 	return tryAgain
 }
 
@@ -157,7 +188,7 @@
 func (r *execution) backupGivenUp(reason beechbackup.Reason) verdict {
 	r.backup.result.Reason = reason
 	r.dispatcher.log.Info("run does not go on at its backup", zap.String("request", r.call.ID), zap.String("server", r.backup.source.Server.ID),
-		zap.String("backup", r.backup.copy.Server.ID), zap.String("reason", string(reason)))
+		zap.String("backup", r.backup.engine.Server.ID), zap.String("reason", string(reason)))
 	return r.noRetry(stopBackup)
 }
 
@@ -173,7 +204,7 @@
 		return r.backupGivenUp(beechbackup.EngineLost)
 	case errors.As(err, &notExecuted):
 		r.notExecuted++
-		r.backup.atRest = false
+		r.backup.used = true
 		placement.Done(beechplace.Rejected)
 		r.dispatcher.placer.ObserveRejection(choice.Server.ID, notExecuted, r.call.Model)
 		r.logAttempt("turned away", choice, zap.Int("status", notExecuted.Status), zap.Bool("replaced", notExecuted.Replaced), zap.Bool("other weights", notExecuted.WeightsDiffer))
@@ -183,7 +214,7 @@
 		return r.backupGivenUp(beechbackup.NoCopy)
 	}
 	r.maybeExecuted++
-	r.backup.atRest = false
+	r.backup.used = true
 	r.logAttempt("failed", choice, zap.Error(err))
 	if !r.dispatcher.clock.Now().Before(r.call.Deadline) {
 		placement.Done(beechplace.Cancelled)
@@ -195,32 +226,38 @@
 	return r.backupGivenUp(beechbackup.LostAgain)
 }
 
-// forgetCopy ends the use of a copy of which the engine has nothing.
-func (r *execution) forgetCopy() {
-	if r.backup.copy != nil {
-		r.backup.copy.Done()
+// copyState returns what is known of the copy.
+func (b *runBackup) copyState() beechbackup.CopyState {
+	switch {
+	case b.continues:
+		return beechbackup.NoCopyLeft
+	case !isClosed(b.copying.done):
+		return beechbackup.OnItsWay
+	case b.copying.name.Handle == "":
+		return beechbackup.NoCopyLeft
 	}
-	r.backup = runBackup{}
+	return beechbackup.Arrived
 }
 
-// releaseBackup ends the use of the copy when the call has ended. A copy of a run that ended
-// successfully is freed by its engine; one that was left is told to be.
+// releaseBackup ends the use of the copy when the call has ended, and frees it if it was not used.
 func (r *execution) releaseBackup(outcome string) {
 	b := &r.backup
-	if b.copy == nil {
+	if b.engine == nil {
 		return
 	}
-	b.copy.Done()
+	b.result.Copied = isClosed(b.copying.done) && b.copying.name.Handle != ""
 	b.result.Whole = b.result.Used && outcome == outcomeAnswered && r.stop == ""
-	if !b.atRest || outcome == outcomeAnswered || r.attempts == 0 {
-		return
-	}
-	peer, id, d := b.copy.Server.Address, r.call.ID, r.dispatcher
-	d.drops.Go(func() {
+	engine, copied, id, unused, d := b.engine, b.copying, r.call.ID, !b.used && !b.result.Used, r.dispatcher
+	d.copies.Go(func() {
+		<-copied.done
+		engine.Done()
+		if copied.name.Handle == "" || !unused {
+			return
+		}
 		ctx, cancel := clockwork.WithTimeout(context.Background(), d.clock, dropTimeout)
 		defer cancel()
-		if err := d.backend.DropCopy(ctx, peer, id); err != nil {
-			d.log.Info("copy of a run not freed", zap.String("request", id), zap.Stringer("peer", peer), zap.Error(err))
+		if err := d.backend.DropCopy(ctx, engine.Server.Address, copied.name); err != nil {
+			d.log.Info("copy of a run not freed", zap.String("request", id), zap.Stringer("peer", engine.Server.Address), zap.Error(err))
 		}
 	})
 }
--- a/internal/request/beechattempt/dispatcher.go
+++ b/internal/request/beechattempt/dispatcher.go
@@ -1,6 +1,7 @@
 package beechattempt
 
 import (
+	"cmp"
 	"context"
 	"math/rand/v2"
 	"net/http"
@@ -34,7 +35,7 @@
 
 		backups   beechbackup.Mode
 		durations *beechbackup.Durations
-		drops     sync.WaitGroup // calls that free copies of runs
+		copies    sync.WaitGroup // calls that make copies of runs and free them
 	}
 
 	// RetryBudget bounds the retries to each service; *beechgate.Budgets implements it.
@@ -74,6 +75,7 @@
 	BackupResult struct {
 		Server string             // ID of the engine; empty: there was none
 		Denied beechbackup.Reason // why there was none; empty if backups do not apply
+		Copied bool               // a copy had arrived when the call ended or its server was lost
 		Used   bool               // the run was sent there
 		Whole  bool               // and the stream was completed
 		Reason beechbackup.Reason // why a run that was lost did not go on; empty if it was not lost, or went on
@@ -169,8 +171,8 @@
 	}
 }
 
-// SetBackups sets which streams get backups. It must be called before Serve; the default is Auto.
-func (d *Dispatcher) SetBackups(mode beechbackup.Mode) { d.backups = mode }
+// SetBackups sets which streams get backups. It must be called before Serve; an empty mode is Auto.
+func (d *Dispatcher) SetBackups(mode beechbackup.Mode) { d.backups = cmp.Or(mode, beechbackup.Auto) }
 
 // Serve answers a call. The context ends when the caller disconnects, which cancels the
 // attempt under way. It returns the number of attempts that may have been executed.
--- a/internal/request/beechattempt/run.go
+++ b/internal/request/beechattempt/run.go
@@ -197,7 +197,7 @@
 	wait := max(r.call.Route.Objective/serverWaitDivisor, minServerWait)
 	until := r.dispatcher.clock.Now().Add(wait)
 	if r.backup.continues {
-		return r.backup.copy.Continuation(r.backup.source), true
+		return r.backup.engine.Continuation(r.backup.source), true
 	}
 	for {
 		choice, ok := r.dispatcher.placer.Choose(r.call, r.triedServers)
@@ -238,11 +238,10 @@
 	defer watch.stop()
 	sent := r.dispatcher.clock.Now()
 	r.sentAt, r.begunAt, r.startRecorded = sent, time.Time{}, false
-	r.planBackup(choice)
 	answer, err := r.dispatcher.backend.Send(ctx, beechcall.Attempt{
 		Call: r.call, Server: choice.Server, Weights: choice.Weights, Salt: choice.Salt,
 		Urgency: r.call.Urgency(), Fetch: choice.Fetch, Save: choice.Save, LastEventID: r.stream.lastEventID,
-		Backup: r.backup.sentTo(), CopyAt: r.backup.copyAt(),
+		Copy: r.backup.copyName(),
 		Withdrawn: func() bool {
 			if r.callerLeft() || !r.dispatcher.placer.StillUsable(r.call, choice) {
 				return true
--- a/internal/request/beechattempt/stream.go
+++ b/internal/request/beechattempt/stream.go
@@ -154,7 +154,7 @@
 					r.dispatcher.observer.ObserveAttempt(choice.Server, r.call.Model, r.dispatcher.clock.Since(sent), choice.PrefillTokens, false)
 				}
 				placement.FirstByte()
-				r.backup.observeEvents(buffer[:end], answer.WeightsLine)
+				r.considerBackup(choice, buffer[:end], answer.WeightsLine)
 				if id, ok := lastEventID(buffer[:end]); ok {
 					r.stream.lastEventID = id
 				}
--- a/internal/request/beechcall/call.go
+++ b/internal/request/beechcall/call.go
@@ -35,6 +35,7 @@
 		Parts          []Part // the last one is particular to the request or its session
 		PromptTokens   int
 		OutputTokens   int                 // the maximum
+		ExpectedTokens int                 // of the output, as the caller estimates; often far off; 0: not told
 		TokensDeclared bool                // the caller declared its token counts
 		LastEventID    string              // of the last event the caller has, if it resumes a stream
 		Resumes        string              // ID of the caller's request that the resumed stream began with; empty: not named
@@ -58,12 +59,17 @@
 		Fetch       netip.AddrPort  // where to fetch cached parts from; invalid: nowhere
 		Save        netip.AddrPort  // where to save cached parts; invalid: nowhere
 		LastEventID string          // resume the stream after this event
-		Backup      netip.AddrPort  // engine that is sent a copy of the run's memory as it grows; invalid: none
-		CopyAt      netip.AddrPort  // engine whose copy the run goes on with, which is the server itself; invalid: it begins
+		Copy        CopyName        // with which the run goes on at the engine that keeps it; zero: the run begins
 		Withdrawn   func() bool     // checked just before the attempt is sent, which must not be if it holds; nil: never
 		Reset       func(told bool) // called when the attempt was cancelled after it was sent; false: the server cannot be told, since the connection was dead; may be nil
 	}
 
+	// CopyName names a copy of a run's memory.
+	CopyName struct {
+		Source netip.AddrPort // engine that it is a copy of
+		Handle string
+	}
+
 	// Answer is a server's answer whose body has not been read. Closing the body before its
 	// end cancels the execution.
 	Answer struct {
@@ -94,8 +100,11 @@
 	// Backend sends attempts. Errors are of type NotSent, NotExecuted or OutcomeUnknown.
 	Backend interface {
 		Send(ctx context.Context, attempt Attempt) (*Answer, error)
-		// DropCopy frees the memory in which an engine keeps a copy of a call's run.
-		DropCopy(ctx context.Context, peer netip.AddrPort, callID string) error
+		// CopyRun has the server that runs a call copy the memory of the run to another engine, and
+		// returns when that has it. The run continues.
+		CopyRun(ctx context.Context, server netip.AddrPort, callID string, to netip.AddrPort) (CopyName, error)
+		// DropCopy has an engine free a copy.
+		DropCopy(ctx context.Context, peer netip.AddrPort, name CopyName) error
 	}
 
 	// Failure is the error of an attempt without an answer.
@@ -169,6 +178,14 @@
 // Unwrap returns the cause.
 func (e OutcomeUnknown) Unwrap() error { return e.Err }
 
+// ExpectedOutput returns the best known number of output tokens.
+func (c *Call) ExpectedOutput() int {
+	if c.ExpectedTokens > 0 && (c.OutputTokens == 0 || c.ExpectedTokens < c.OutputTokens) {
+		return c.ExpectedTokens
+	}
+	return c.OutputTokens
+}
+
 // TimeLeft returns the time until the call's deadline.
 func (c *Call) TimeLeft(now time.Time) time.Duration { return c.Deadline.Sub(now) }
 
--- a/internal/request/beechcall/configuration.go
+++ b/internal/request/beechcall/configuration.go
@@ -62,7 +62,7 @@
 		Slots          int     // requests that an engine runs at once; 0: not an engine
 		TokenBytes     int     // size of one token in the KV cache
 		LinkRate       float64 // bytes that an engine sends or receives per millisecond; 0: not known
-		Backups        bool    // its engines send copies of runs to each other
+		CopiesRuns     bool    // its engines send copies of runs to each other
 		Models         []string
 		KVStore        netip.AddrPort
 		KVStoreRate    float64 // bytes that the store sends or receives per millisecond; 0: not known
--- a/internal/request/beechplace/backups.go
+++ b/internal/request/beechplace/backups.go
@@ -26,17 +26,18 @@
 	defer p.mu.Unlock()
 	config := p.serviceConfigs[call.Service]
 	service := beechbackup.Service{
-		Offered: config.Backups, TokenBytes: config.TokenBytes, LinkRate: config.LinkRate, TellsSlowness: p.tellSlowness[call.Service],
+		Offered: config.CopiesRuns, TokenBytes: config.TokenBytes, LinkRate: config.LinkRate, TellsSlowness: p.tellSlowness[call.Service],
 	}
 	source, ok := p.byID[c.Server.ID]
 	if !ok || !mode.Applies(service) {
 		return nil, ""
 	}
 	run := beechbackup.Run{Tokens: call.PromptTokens + call.OutputTokens, Duration: duration}
-	if reason := beechbackup.Pays(service, run); reason != "" {
+	now := p.clock.Now()
+	service.CrashRate = p.crashRisk(call.Service).Rate(len(p.services[call.Service]), now)
+	if reason := mode.Pays(service, run); reason != "" {
 		return nil, reason
 	}
-	now := p.clock.Now()
 	var servers []*server
 	var engines []beechbackup.Engine
 	for _, s := range p.services[call.Service] {
@@ -55,6 +56,16 @@
 	return b, ""
 }
 
+// crashRisk returns the risk that the engines of a service crash. The caller holds the lock.
+func (p *Placer) crashRisk(service string) *beechbackup.Risk {
+	risk, ok := p.crashRisks[service]
+	if !ok {
+		risk = &beechbackup.Risk{}
+		p.crashRisks[service] = risk
+	}
+	return risk
+}
+
 // mayKeepCopy reports whether an engine may keep a copy, as far as it does not depend on the run.
 func (p *Placer) mayKeepCopy(call *beechcall.Call, s *server, now time.Time) bool {
 	return p.mayServe(call, s, now) && s.hasRecentReport(now) && !p.limits.Limited(s.ID) && p.health.Weight(s.Address) >= 1
@@ -64,7 +75,7 @@
 	return beechbackup.Engine{
 		Host: s.Address.Addr(), Zone: s.Zone, Weights: s.weights[call.Model], Software: s.softwareVersion(),
 		CacheUsed: s.state.CacheUsed + s.copyTokens, CacheTotal: s.state.CacheTotal,
-		Load: p.estimatedLoad(s) / float64(max(s.slots, defaultSlots)), Pace: p.paceFactor(s, now), Rank: xxhash.Sum64String(s.ID),
+		Load: p.estimatedLoad(s) / float64(max(s.slots, defaultSlots)), Pace: p.paceFactor(s, now), Rank: xxhash.Sum64String(s.ID + call.ID),
 	}
 }
 
--- a/internal/request/beechplace/placer.go
+++ b/internal/request/beechplace/placer.go
@@ -12,6 +12,7 @@
 	"github.com/jonboulle/clockwork"
 
 	"github.com/beechring/beechring/internal/decision/beechbackoff"
+	"github.com/beechring/beechring/internal/decision/beechbackup"
 	"github.com/beechring/beechring/internal/decision/beechsaturation"
 	"github.com/beechring/beechring/internal/decision/beechstrain"
 	"github.com/beechring/beechring/internal/decision/beechthrottle"
@@ -45,9 +46,10 @@
 		meanPrefill     float64      // running mean of the tokens that a request has to prefill
 		meanPrompt      float64      // running mean of the tokens of a prompt
 		residence       residenceTime
-		serviceLoads    map[string]float64   // by service: mean of the loads that its servers tell with answers
-		tellSlowness    map[string]bool      // services whose servers have told how slow their hosts are
-		nextRetry       map[string]time.Time // by service: the latest retry time that a caller was given
+		serviceLoads    map[string]float64           // by service: mean of the loads that its servers tell with answers
+		tellSlowness    map[string]bool              // services whose servers have told how slow their hosts are
+		crashRisks      map[string]*beechbackup.Risk // by service
+		nextRetry       map[string]time.Time         // by service: the latest retry time that a caller was given
 	}
 
 	// server is what is known about one lifetime of a backend server.
@@ -134,7 +136,7 @@
 		settings: s, prefill: prefillModel{rate: s.PrefillRate}, clock: clock, health: health, limits: limits, overloaded: overloaded, backoff: backoff, announce: announce,
 		services: make(map[string][]*server), answeredLeaving: make(map[string]uint64), byID: make(map[string]*server), byAddress: make(map[netip.AddrPort]*server),
 		serviceConfigs: make(map[string]beechcall.Service), versions: make(map[string]*beechrollout.VersionHistory), locations: locations,
-		serviceLoads: make(map[string]float64), tellSlowness: make(map[string]bool), nextRetry: make(map[string]time.Time),
+		serviceLoads: make(map[string]float64), tellSlowness: make(map[string]bool), crashRisks: make(map[string]*beechbackup.Risk), nextRetry: make(map[string]time.Time),
 	}
 }
 
@@ -297,6 +299,9 @@
 	if !ok || (s.Number < engine.state.Number && engine.hasRecentReport(p.clock.Now())) {
 		return ""
 	}
+	if s.Phase == beechrollout.Down && engine.state.Phase == beechrollout.Serving && !engine.reportedAt.IsZero() && !engine.isLeaving() {
+		p.crashRisk(engine.Service).RecordCrash(p.clock.Now())
+	}
 	if engine.state.Phase == beechrollout.Down && s.Phase != beechrollout.Down {
 		engine.identityDoubtUntil = p.clock.Now().Add(identityDoubtTime)
 	}
