--- a/internal/command/beechplay/cluster.go
+++ b/internal/command/beechplay/cluster.go
@@ -11,6 +11,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/beechring/beechring/internal/decision/beechbackup"
 	"github.com/beechring/beechring/internal/process/beechsettings"
 	"github.com/beechring/beechring/internal/standin/beechsimulator"
 )
@@ -23,6 +24,7 @@
 		Store   *beechsimulator.Store
 		Engines map[string]*beechsimulator.Engine
 		Places  map[string]netip.AddrPort // addresses of the store, engines and gates by name, and of a gate's readiness check by NAME-ready
+		Backups beechbackup.Mode          // of gates that are added later; empty: the default
 
 		launcher      Launcher
 		zone          string
@@ -32,6 +34,7 @@
 		gates         map[string]*beechsettings.Gate
 		seeds         []netip.AddrPort // of gates that are added later
 		keepers       map[string]*beechsettings.Keeper
+		peers         sync.Map // engines by address
 	}
 
 	// endpoint is a listener that can be down for a time. It is safe for concurrent use.
@@ -154,6 +157,14 @@
 	e.OnCrash(listener.crash)
 	endpoint := listener.address
 	w.Engines[name], w.Places[name] = e, endpoint
+	w.peers.Store(endpoint.String(), e)
+	e.SetPeers(func(address string) *beechsimulator.Engine {
+		peer, ok := w.peers.Load(address)
+		if !ok {
+			return nil
+		}
+		return peer.(*beechsimulator.Engine)
+	})
 	w.ListServer(name, "ready")
 	if s.Model == "" {
 		return e, nil
@@ -199,7 +210,7 @@
 		return err
 	}
 	w.gates[name] = &beechsettings.Gate{
-		Name: name, Zone: w.zone, Listen: listen, Ready: ready, Beats: netip.AddrPortFrom(address, w.heartbeatPort), Store: w.Places["store"], Bounds: bounds, Seeds: w.seeds,
+		Name: name, Zone: w.zone, Listen: listen, Ready: ready, Beats: netip.AddrPortFrom(address, w.heartbeatPort), Store: w.Places["store"], Bounds: bounds, Seeds: w.seeds, Backups: w.Backups,
 	}
 	w.seeds = append(w.seeds, w.gates[name].Beats)
 	w.Places[name], w.Places[name+"-ready"] = listen, ready
--- a/internal/request/beechattempt/attempt_test.go
+++ b/internal/request/beechattempt/attempt_test.go
@@ -37,6 +37,10 @@
 		mu     sync.Mutex
 		script []func(ctx context.Context, a beechcall.Attempt) (*beechcall.Answer, error)
 		sent   []beechcall.Attempt
+
+		copiedTo []netip.AddrPort // engines that got copies
+		noCopies bool             // none can be made
+		dropped  []string         // copies, as peer/handle
 	}
 
 	// budget grants a number of retries.
@@ -99,6 +103,23 @@
 	return step(ctx, a)
 }
 
+func (b *backend) CopyRun(_ context.Context, server netip.AddrPort, callID string, to netip.AddrPort) (beechcall.CopyName, error) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.copiedTo = append(b.copiedTo, to)
+	if b.noCopies {
+		return beechcall.CopyName{}, errReset
+	}
+	return beechcall.CopyName{Source: server, Handle: "copy-" + callID}, nil
+}
+
+func (b *backend) DropCopy(_ context.Context, peer netip.AddrPort, name beechcall.CopyName) error {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.dropped = append(b.dropped, peer.String()+"/"+name.Handle)
+	return nil
+}
+
 func (c *caller) Reject(r Rejection) { c.rejection = r }
 
 func (c *caller) Respond(status int, h http.Header, body []byte) {
--- /dev/null
+++ b/internal/request/beechattempt/backup.go
@@ -0,0 +1,272 @@
+package beechattempt
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"go.uber.org/zap"
+
+	"github.com/beechring/beechring/internal/decision/beechbackup"
+	"github.com/beechring/beechring/internal/decision/beechretry"
+	"github.com/beechring/beechring/internal/decision/beechsuspect"
+	"github.com/beechring/beechring/internal/request/beechcall"
+	"github.com/beechring/beechring/internal/request/beechplace"
+)
+
+type (
+	// runBackup is the backup of a call's run. The zero value is a call without one.
+	runBackup struct {
+		decided        bool // whether a copy is made, for the attempt under way
+		engine         *beechplace.Backup
+		copying        *copying          // nil if there is no engine
+		source         beechplace.Choice // where the run began
+		continues      bool              // the run goes on with the copy from now on
+		used           bool              // the engine has taken the copy, or has none
+		weightsChanged bool              // the run told that its weights changed
+		result         BackupResult
+	}
+
+	// copying is a copy on its way.
+	copying struct {
+		done chan struct{}      // closed when name is set
+		name beechcall.CopyName // zero: it was not made
+	}
+)
+
+const (
+	// lossPoll is how often it is looked at whether a lost run's server has ended.
+	lossPoll = 20 * time.Millisecond
+	// copyTimeout bounds the call that makes a copy, which may wait for other transfers of both engines.
+	copyTimeout = time.Second
+	// dropTimeout bounds the call that frees a copy. Without it the engine frees it some seconds later.
+	dropTimeout = 500 * time.Millisecond
+)
+
+// mayHaveBackup reports whether a call is of the kind that gets backups.
+func (r *execution) mayHaveBackup() bool {
+	return r.call.Route.Stream && r.call.Model != "" && r.call.Route.RetryPolicy == beechcall.AtMostOnce && r.dispatcher.backups != beechbackup.Off
+}
+
+// considerBackup has a run copied to another engine, if that pays. It is called as events arrive: the
+// prompt has been read by then.
+func (r *execution) considerBackup(choice beechplace.Choice, events, weightsLine []byte) {
+	b := &r.backup
+	if b.continues || !r.mayHaveBackup() {
+		return
+	}
+	b.observeWeights(events, weightsLine)
+	if b.decided || b.weightsChanged {
+		return
+	}
+	b.decided = true
+	expected := r.dispatcher.durations.Expect(r.call.Route.Name, r.call.ExpectedOutput())
+	engine, denied := r.dispatcher.placer.Backup(r.call, choice, r.dispatcher.backups, expected-r.dispatcher.clock.Since(r.begunAt))
+	b.engine, b.source, b.result.Denied = engine, choice, denied
+	if engine == nil {
+		return
+	}
+	b.result.Server, b.copying = engine.Server.ID, r.startCopy(choice.Server, engine.Server)
+}
+
+// startCopy begins to copy a run.
+func (r *execution) startCopy(from, to beechcall.Server) *copying {
+	c, d, id := &copying{done: make(chan struct{})}, r.dispatcher, r.call.ID
+	d.copies.Go(func() {
+		defer close(c.done)
+		ctx, cancel := clockwork.WithTimeout(context.Background(), d.clock, copyTimeout)
+		defer cancel()
+		name, err := d.backend.CopyRun(ctx, from.Address, id, to.Address)
+		if err != nil {
+			d.log.Debug("run not copied", zap.String("request", id), zap.String("server", from.ID), zap.String("backup", to.ID), zap.Error(err))
+			return
+		}
+		c.name = name
+	})
+	return c
+}
+
+// copyName returns the name of the copy that the run goes on with.
+func (b *runBackup) copyName() beechcall.CopyName {
+	if !b.continues {
+		return beechcall.CopyName{}
+	}
+	return b.copying.name
+}
+
+// observeWeights notes whether the weights of the run have changed: a copy of its memory may then be
+// partly of the older ones.
+func (b *runBackup) observeWeights(events, weightsLine []byte) {
+	if b.weightsChanged || len(weightsLine) == 0 {
+		return
+	}
+	at := bytes.Index(events, weightsLine)
+	b.weightsChanged = at == 0 || at > 0 && events[at-1] == '\n'
+}
+
+// observeDuration records how long a whole answer took.
+func (r *execution) observeDuration() {
+	if r.backup.continues || r.begunAt.IsZero() || r.call.Model == "" || r.call.Route.RetryPolicy != beechcall.AtMostOnce {
+		return
+	}
+	r.dispatcher.durations.Observe(r.call.Route.Name, r.call.ExpectedOutput(), r.dispatcher.clock.Since(r.begunAt))
+}
+
+// continueAtBackup decides what follows when a run that may not be repeated has broken off: it goes on
+// with its copy once its server is known to have ended.
+func (r *execution) continueAtBackup(source beechplace.Choice, probed *probe, gone bool) verdict {
+	if r.backup.engine == nil {
+		return r.noRetry(stopNotRepeatable)
+	}
+	brokenAt := r.dispatcher.clock.Now()
+	for {
+		loss := r.loss(source, probed, gone)
+		loss.Waited = r.dispatcher.clock.Since(brokenAt)
+		switch v := beechbackup.Decide(loss).(type) {
+		case beechbackup.Continue:
+			return r.beginContinuation()
+		case beechbackup.GiveUp:
+			return r.backupGivenUp(v.Reason)
+		case beechbackup.Wait:
+		}
+		if r.callerLeft() {
+			return finished
+		}
+		r.awaitLossNews(probed)
+	}
+}
+
+// loss returns what is known of the run that broke off.
+func (r *execution) loss(source beechplace.Choice, probed *probe, gone bool) beechbackup.Loss {
+	state := beechbackup.Silent
+	switch {
+	case gone:
+		state = beechbackup.Ended
+	case probed != nil && isClosed(probed.done) && probed.refused:
+		state = beechbackup.Ended
+	case probed != nil && isClosed(probed.done) && probed.accepted:
+		state = beechbackup.Running
+	}
+	_, suspect := r.dispatcher.suspects.Check(r.call.Fingerprint()).(beechsuspect.Refuse)
+	_, poison := r.refusedAsPoison()
+	return r.dispatcher.placer.ObserveLoss(r.call, source, r.backup.engine, beechbackup.Loss{
+		Copy: r.backup.copyState(), Source: state, Left: r.call.TimeLeft(r.dispatcher.clock.Now()),
+		Blamed: suspect || poison, WeightsChanged: r.backup.weightsChanged,
+	})
+}
+
+// awaitLossNews waits for the probe of the server that was lost, or for a short time.
+func (r *execution) awaitLossNews(probed *probe) {
+	var done chan struct{}
+	if probed != nil && !isClosed(probed.done) {
+		done = probed.done
+	}
+	select {
+	case <-done:
+	case <-r.dispatcher.clock.After(lossPoll):
+	}
+}
+
+// beginContinuation takes a retry from the budget and has the run go on at the backup's engine.
+func (r *execution) beginContinuation() verdict {
+	decision := r.dispatcher.budget.Decide(r.call.Service, beechretry.Outcome{
+		Attempt: 1, Ran: beechretry.RanUnknown, Repeatable: true, Deadline: r.call.Deadline, Server: r.backup.source.Server.Address,
+	})
+	if _, ok := decision.(beechretry.Retry); !ok {
+		r.backup.result.Reason = beechbackup.NoBudget
+		return r.noRetry(stopBudget)
+	}
+	r.backup.continues, r.backup.result.Used = true, true
+	r.dispatcher.log.Info("run goes on at its backup", zap.String("request", r.call.ID), zap.String("server", r.backup.source.Server.ID),
+		zap.String("backup", r.backup.engine.Server.ID), zap.String("after", r.stream.lastEventID), zap.Uint64("weights", r.backup.engine.Weights))
+	return tryAgain
+}
+
+// backupGivenUp ends a run that was lost and does not go on.
+func (r *execution) backupGivenUp(reason beechbackup.Reason) verdict {
+	r.backup.result.Reason = reason
+	r.dispatcher.log.Info("run does not go on at its backup", zap.String("request", r.call.ID), zap.String("server", r.backup.source.Server.ID),
+		zap.String("backup", r.backup.engine.Server.ID), zap.String("reason", string(reason)))
+	return r.noRetry(stopBackup)
+}
+
+// continuationFailed ends a run that was sent to its backup's engine and did not go on there, or
+// broke off again. It may have run at its first server in any case.
+func (r *execution) continuationFailed(choice beechplace.Choice, placement *beechplace.Attempt, err error) verdict {
+	var notSent beechcall.NotSent
+	var notExecuted beechcall.NotExecuted
+	switch {
+	case errors.As(err, &notSent):
+		r.notExecuted++
+		placement.Done(beechplace.Unreachable)
+		return r.backupGivenUp(beechbackup.EngineLost)
+	case errors.As(err, &notExecuted):
+		r.notExecuted++
+		r.backup.used = true
+		placement.Done(beechplace.Rejected)
+		r.dispatcher.placer.ObserveRejection(choice.Server.ID, notExecuted, r.call.Model)
+		r.logAttempt("turned away", choice, zap.Int("status", notExecuted.Status), zap.Bool("replaced", notExecuted.Replaced), zap.Bool("other weights", notExecuted.WeightsDiffer))
+		if notExecuted.WeightsDiffer {
+			return r.backupGivenUp(beechbackup.WeightsChanged)
+		}
+		return r.backupGivenUp(beechbackup.NoCopy)
+	}
+	r.maybeExecuted++
+	r.backup.used = true
+	r.logAttempt("failed", choice, zap.Error(err))
+	if !r.dispatcher.clock.Now().Before(r.call.Deadline) {
+		placement.Done(beechplace.Cancelled)
+		return r.noRetry(stopDeadline)
+	}
+	placement.Done(beechplace.Failed)
+	r.answerBroken(choice)
+	r.dispatcher.observer.ObserveAttempt(choice.Server, r.call.Model, 0, choice.PrefillTokens, true)
+	return r.backupGivenUp(beechbackup.LostAgain)
+}
+
+// copyState returns what is known of the copy.
+func (b *runBackup) copyState() beechbackup.CopyState {
+	switch {
+	case b.continues:
+		return beechbackup.NoCopyLeft
+	case !isClosed(b.copying.done):
+		return beechbackup.OnItsWay
+	case b.copying.name.Handle == "":
+		return beechbackup.NoCopyLeft
+	}
+	return beechbackup.Arrived
+}
+
+// releaseBackup ends the use of the copy when the call has ended, and frees it if it was not used.
+func (r *execution) releaseBackup(outcome string) {
+	b := &r.backup
+	if b.engine == nil {
+		return
+	}
+	b.result.Copied = isClosed(b.copying.done) && b.copying.name.Handle != ""
+	b.result.Whole = b.result.Used && outcome == outcomeAnswered && r.stop == ""
+	engine, copied, id, unused, d := b.engine, b.copying, r.call.ID, !b.used && !b.result.Used, r.dispatcher
+	d.copies.Go(func() {
+		<-copied.done
+		engine.Done()
+		if copied.name.Handle == "" || !unused {
+			return
+		}
+		ctx, cancel := clockwork.WithTimeout(context.Background(), d.clock, dropTimeout)
+		defer cancel()
+		if err := d.backend.DropCopy(ctx, engine.Server.Address, copied.name); err != nil {
+			d.log.Info("copy of a run not freed", zap.String("request", id), zap.Stringer("peer", engine.Server.Address), zap.Error(err))
+		}
+	})
+}
+
+func isClosed(c chan struct{}) bool {
+	select {
+	case <-c:
+		return true
+	default:
+		return false
+	}
+}
--- a/internal/request/beechattempt/run.go
+++ b/internal/request/beechattempt/run.go
@@ -11,6 +11,7 @@
 
 	"go.uber.org/zap"
 
+	"github.com/beechring/beechring/internal/decision/beechbackup"
 	"github.com/beechring/beechring/internal/decision/beechpoison"
 	"github.com/beechring/beechring/internal/decision/beechretry"
 	"github.com/beechring/beechring/internal/request/beechcall"
@@ -45,6 +46,7 @@
 		departure       departureWatch
 		serverError     *response // a server's error response, forwarded if no better answer comes
 		stream          streamState
+		backup          runBackup
 		stop            stopCause // of the verdict noRetry
 	}
 
@@ -76,6 +78,7 @@
 	stopLimit         stopCause = reasonAtLimits
 	stopStatus        stopCause = "status not proven" // the server's status says not executed, without its word
 	stopOrigin        stopCause = "origin not known"  // the software version of the stream's beginning is not known
+	stopBackup        stopCause = "not gone on with"  // the run was lost, and so was its backup or the time for it
 )
 
 const (
@@ -163,7 +166,7 @@
 	if r.departed.Load() || isDone(r.callerCtx) {
 		return OutcomeLeft
 	}
-	return "answered"
+	return outcomeAnswered
 }
 
 // callerLeft looks whether the caller has disconnected. The context may end later than that.
@@ -198,6 +201,9 @@
 func (r *execution) choose(ctx context.Context) (beechplace.Choice, bool) {
 	wait := max(r.call.Route.Objective/serverWaitDivisor, minServerWait)
 	until := r.dispatcher.clock.Now().Add(wait)
+	if r.backup.continues {
+		return r.backup.engine.Continuation(r.backup.source), true
+	}
 	for {
 		choice, ok := r.dispatcher.placer.Choose(r.call, r.triedServers)
 		if now := r.dispatcher.clock.Now(); ok || now.Add(choice.RetryAfter).After(until) || isDone(ctx) || r.callerLeft() {
@@ -240,6 +246,7 @@
 	answer, err := r.dispatcher.backend.Send(ctx, beechcall.Attempt{
 		Call: r.call, Server: choice.Server, Weights: choice.Weights, Salt: choice.Salt,
 		Urgency: r.call.Urgency(), Fetch: choice.Fetch, Save: choice.Save, LastEventID: r.stream.lastEventID,
+		Copy: r.backup.copyName(),
 		Withdrawn: func() bool {
 			if r.callerLeft() || !r.dispatcher.placer.StillUsable(r.call, choice) {
 				return true
@@ -376,6 +383,9 @@
 		return finished
 	}
 	r.triedServers = append(r.triedServers, choice.Server.ID)
+	if r.backup.continues {
+		return r.continuationFailed(choice, placement, err)
+	}
 	var notSent beechcall.NotSent
 	switch {
 	case errors.As(err, &notSent):
@@ -421,7 +431,7 @@
 	case r.call.Origin != nil && r.call.Origin.Software == "":
 		return r.noRetry(stopOrigin)
 	case !r.repeatable():
-		return r.noRetry(stopNotRepeatable)
+		return r.continueAtBackup(choice, probed, errors.Is(err, errServerGone))
 	case r.maybeExecuted >= r.call.Route.MaxAttempts:
 		return r.noRetry(stopAttempts)
 	}
@@ -468,6 +478,8 @@
 		return finished
 	case !r.dispatcher.clock.Now().Before(r.call.Deadline):
 		return r.noRetry(stopDeadline)
+	case r.backup.continues:
+		return r.backupGivenUp(beechbackup.EngineLost)
 	}
 	return tryAgain
 }
--- a/internal/request/beechattempt/stream.go
+++ b/internal/request/beechattempt/stream.go
@@ -156,6 +156,7 @@
 				}
 				placement.FirstByte()
 				pace.received()
+				r.considerBackup(choice, buffer[:end], answer.WeightsLine)
 				if id, ok := lastEventID(buffer[:end]); ok {
 					r.stream.lastEventID = id
 				}
@@ -182,6 +183,7 @@
 			r.startStream(answer)
 			r.dispatcher.suspects.RecordSuccess(r.call.Fingerprint())
 			r.recordStart()
+			r.observeDuration()
 			r.out.EndStream()
 			return finished
 		case err == io.EOF:
--- a/internal/request/beechcall/configuration.go
+++ b/internal/request/beechcall/configuration.go
@@ -58,10 +58,12 @@
 	// Service is a set of backend servers, or a KV cache store if KVStore is valid.
 	Service struct {
 		Name           string
-		HealthPath     string // of its servers; empty: not known
-		MaxConnections int    // of all callers to one server; 0: not known
-		Slots          int    // requests that an engine runs at once; 0: not an engine
-		TokenBytes     int    // size of one token in the KV cache
+		HealthPath     string  // of its servers; empty: not known
+		MaxConnections int     // of all callers to one server; 0: not known
+		Slots          int     // requests that an engine runs at once; 0: not an engine
+		TokenBytes     int     // size of one token in the KV cache
+		LinkRate       float64 // bytes that an engine sends or receives per millisecond; 0: not known
+		CopiesRuns     bool    // its engines send copies of runs to each other
 		Models         []string
 		KVStore        netip.AddrPort
 		KVStoreRate    float64 // bytes that the store sends or receives per millisecond; 0: not known
--- a/internal/request/beechplace/attempt.go
+++ b/internal/request/beechplace/attempt.go
@@ -117,6 +117,9 @@
 	a.server.answerUnreported = !a.server.hasRecentReport(now)
 	a.placer.observeAnswered(a.server, l.Slowness, now)
 	a.placer.observeServiceLoad(a.server.Service, l)
+	if l.Slowness > 0 {
+		a.placer.tellSlowness[a.server.Service] = true
+	}
 }
 
 // finishPrefill subtracts the attempt's prompt from the server's pending prefill.
--- a/internal/request/beechplace/placer.go
+++ b/internal/request/beechplace/placer.go
@@ -12,6 +12,7 @@
 	"github.com/jonboulle/clockwork"
 
 	"github.com/beechring/beechring/internal/decision/beechbackoff"
+	"github.com/beechring/beechring/internal/decision/beechbackup"
 	"github.com/beechring/beechring/internal/decision/beechpause"
 	"github.com/beechring/beechring/internal/decision/beechsaturation"
 	"github.com/beechring/beechring/internal/decision/beechstrain"
@@ -51,9 +52,11 @@
 		meanPrompt      float64 // running mean of the tokens of a prompt
 		residence       residenceTime
 		passing         [beechcall.MaxUrgency + 1]passingFactor
-		runTime         float64              // running mean of the milliseconds from first byte to end; 0: not known
-		serviceLoads    map[string]float64   // by service: mean of the loads that its servers tell with answers
-		nextRetry       map[string]time.Time // by service: the latest retry time that a caller was given
+		runTime         float64                      // running mean of the milliseconds from first byte to end; 0: not known
+		serviceLoads    map[string]float64           // by service: mean of the loads that its servers tell with answers
+		tellSlowness    map[string]bool              // services whose servers have told how slow their hosts are
+		crashRisks      map[string]*beechbackup.Risk // by service
+		nextRetry       map[string]time.Time         // by service: the latest retry time that a caller was given
 	}
 
 	// server is what is known about one lifetime of a backend server.
@@ -89,6 +92,7 @@
 		inFlight         int // requests of this gate that have not ended
 		pendingPrefill   int // tokens that these requests still have to prefill
 		pending          [beechcall.MaxUrgency + 1]pendingRank
+		copyTokens       int // copies of runs that this gate has sent there, at their full size
 		inFlightAtReport int // value of inFlight at the last report
 		failures         int
 		downUntil        time.Time
@@ -142,7 +146,7 @@
 		settings: s, prefill: prefillModel{rate: s.PrefillRate}, clock: clock, health: health, limits: limits, overloaded: overloaded, backoff: backoff, announce: announce,
 		services: make(map[string][]*server), answeredLeaving: make(map[string]uint64), byID: make(map[string]*server), byAddress: make(map[netip.AddrPort]*server),
 		serviceConfigs: make(map[string]beechcall.Service), versions: make(map[string]*beechrollout.VersionHistory), locations: locations,
-		serviceLoads: make(map[string]float64), nextRetry: make(map[string]time.Time),
+		serviceLoads: make(map[string]float64), tellSlowness: make(map[string]bool), crashRisks: make(map[string]*beechbackup.Risk), nextRetry: make(map[string]time.Time),
 	}
 }
 
@@ -308,6 +312,9 @@
 	if !ok || (s.Number < engine.state.Number && engine.hasRecentReport(p.clock.Now())) {
 		return ""
 	}
+	if s.Phase == beechrollout.Down && engine.state.Phase == beechrollout.Serving && !engine.reportedAt.IsZero() && !engine.isLeaving() {
+		p.crashRisk(engine.Service).RecordCrash(p.clock.Now())
+	}
 	if engine.state.Phase == beechrollout.Down && s.Phase != beechrollout.Down {
 		engine.identityDoubtUntil = p.clock.Now().Add(identityDoubtTime)
 	}
--- a/internal/request/beechplace/strain.go
+++ b/internal/request/beechplace/strain.go
@@ -20,6 +20,9 @@
 		engine.strain, engine.strainAt = s, now
 		engine.clearNew()
 		p.observeMoment(engine, s.Slowness, now)
+		if s.Slowness > 0 {
+			p.tellSlowness[engine.Service] = true
+		}
 	}
 }
 
