--- a/internal/process/beechgate/metrics.go
+++ b/internal/process/beechgate/metrics.go
@@ -62,6 +62,7 @@
 	m.vars.Set("retriesLent", m.lent)
 	m.vars.Set("members", expvar.Func(func() any { return g.members.Counts() }))
 	m.vars.Set("states", expvar.Func(func() any { return g.board.Counts() }))
+	m.vars.Set("urgencies", expvar.Func(func() any { return g.placer.Urgencies() }))
 	m.vars.Set("strains", expvar.Func(func() any { return g.strains.Counts() }))
 	m.vars.Set("quotas", expvar.Func(func() any { return g.quotas.State() }))
 	m.vars.Set("limitLinesDropped", m.limitLinesDropped)
--- a/internal/process/beechkeeper/strain.go
+++ b/internal/process/beechkeeper/strain.go
@@ -4,6 +4,8 @@
 	"net/netip"
 	"time"
 
+	"go.uber.org/zap"
+
 	"github.com/beechring/beechring/internal/decision/beechstrain"
 	"github.com/beechring/beechring/internal/link/beechdatagram"
 	"github.com/beechring/beechring/internal/link/beechwire"
@@ -16,7 +18,7 @@
 	last       beechstrain.Strain
 	nearAt     time.Time
 	farAt      time.Time
-	told       bool // the engine has told the slowness of its host
+	told       bool // whether gates are told
 	queue      beechstrain.Backlog
 }
 
@@ -58,7 +60,10 @@
 func (k *Keeper) notifyStrain() {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	k.strain.told = k.strain.told || k.lastReport.Slowness > 0 || k.deps.ReportUrgencies
+	if !k.strain.told && (k.lastReport.Slowness > 0 || k.deps.ReportUrgencies) {
+		k.strain.told = true
+		k.deps.Log.Info("tells of host and urgencies", zap.Int("slowness", k.lastReport.Slowness), zap.Bool("callers compete", k.deps.ReportUrgencies))
+	}
 	if !k.strain.told || !k.lastReport.Known || len(k.gates) == 0 {
 		return
 	}
--- a/internal/process/beechkeeper/strain_test.go
+++ b/internal/process/beechkeeper/strain_test.go
@@ -114,3 +114,47 @@
 	}
 	is.True(g.nextStrain(none) == nil)
 }
+
+// Callers compete for room at engines whose hosts tell nothing. Gates announce what they send, and
+// the keeper tells all gates how urgent the requests are that wait.
+func TestQueueIsReportedByUrgency(t *testing.T) {
+	is := is.New(t)
+	reports := make(chan Report, 1)
+	k := newKeeper(t, engine{reports: reports})
+	k.deps.ReportUrgencies = true
+	g := newGate(t)
+	k.receive(g.Address(), beechdatagram.Follow{Follow: &beechwire.Follow{Zone: k.settings.Zone}})
+	poll(t, k, reports, 0, strainReport(0))
+	is.True(g.nextStrain(arrives) != nil)
+	for _, urgency := range []int{0, 5, 5, 5, 5} {
+		message := &beechwire.Pressure{Strains: []beechwire.Strain{{Ranks: []beechwire.RankLoad{{Urgency: urgency, Wait: 1, Read: 600}}}}}
+		k.receive(g.Address(), beechdatagram.Pressure{Pressure: message})
+	}
+	r := strainReport(0, beechstrain.RankLoad{Urgency: 5, Running: 9, CacheUsed: 9000})
+	r.Running, r.Waiting = 10, 4
+	poll(t, k, reports, urgentInterval, r)
+	strain := g.nextStrain(arrives)
+	is.True(strain != nil)
+	is.Equal(strain.Ranks, []beechwire.RankLoad{{Urgency: 5, Run: 9, Used: 9000, Wait: 4, Read: 2400}})
+	is.Equal(strain.Read, 600) // the urgent one was admitted and is being prefilled
+
+	k.engineRestarted(Report{})
+	poll(t, k, reports, strainInterval, strainReport(0))
+	strain = g.nextStrain(arrives)
+	is.True(strain != nil)
+	is.Equal(len(strain.Ranks), 0)
+}
+
+// An engine does not answer its keeper: what was last known of it is not told as news.
+func TestNoStrainOfSilentEngine(t *testing.T) {
+	is := is.New(t)
+	reports := make(chan Report, 1)
+	k := newKeeper(t, engine{reports: reports})
+	g := newGate(t)
+	k.receive(g.Address(), beechdatagram.Follow{Follow: &beechwire.Follow{Zone: k.settings.Zone}})
+	poll(t, k, reports, 0, strainReport(250))
+	is.True(g.nextStrain(arrives) != nil)
+	k.deps.Clock.(*clockwork.FakeClock).Advance(2 * strainInterval)
+	k.pollEngine(t.Context())
+	is.True(g.nextStrain(none) == nil)
+}
--- a/internal/request/beechplace/urgency.go
+++ b/internal/request/beechplace/urgency.go
@@ -60,6 +60,32 @@
 	busyShare = 0.5
 )
 
+// UrgencyState is what a gate has learned of waiting by urgency.
+type UrgencyState struct {
+	Engines   int             // whose keepers report by urgency
+	RunMillis float64         // mean time from first byte to end
+	Passing   map[int]float64 // by urgency: how many times longer than their backlog calls wait
+}
+
+// Urgencies returns what is known of waiting by urgency, for operators.
+func (p *Placer) Urgencies() UrgencyState {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	now := p.clock.Now()
+	state := UrgencyState{RunMillis: p.runTime, Passing: make(map[int]float64)}
+	for _, s := range p.byID {
+		if _, known := s.knownStrain(now); known {
+			state.Engines++
+		}
+	}
+	for urgency, f := range p.passing {
+		if f != (passingFactor{}) {
+			state.Passing[urgency] = f.factor()
+		}
+	}
+	return state
+}
+
 // AnnounceUrgencies sets what is called for requests to servers whose keepers report by urgency.
 func (p *Placer) AnnounceUrgencies(f AnnounceUrgency) {
 	p.mu.Lock()
