--- a/internal/request/beechplace/attempt.go
+++ b/internal/request/beechplace/attempt.go
@@ -159,6 +159,15 @@
 	a.placer.prefill.learn(a.queuedTokens, took)
 }
 
+// gaveUpWaiting learns from an attempt that ended without a first byte, if it had waited for
+// longer than was expected: otherwise only the calls that did not wait too long would be learned
+// from. The caller holds the lock.
+func (a *Attempt) gaveUpWaiting() {
+	if waited := milliseconds(a.placer.clock.Since(a.sentAt)); a.ranked && a.firstByteAt.IsZero() && waited > a.backlogTime*a.placer.passing[a.urgency].factor() {
+		a.placer.passing[a.urgency].learn(waited, a.backlogTime)
+	}
+}
+
 // Done ends the attempt.
 func (a *Attempt) Done(o Outcome) {
 	a.finishPrefill()
@@ -169,6 +178,7 @@
 		a.placer.mu.Lock()
 		defer a.placer.mu.Unlock()
 		a.server.inFlight = max(a.server.inFlight-1, 0)
+		a.gaveUpWaiting()
 		if o == Answered && a.prompt > 0 {
 			a.placer.residence.learn(a.prompt, a.placer.clock.Since(a.sentAt))
 			a.placer.learnRunTime(a.firstByteAt)
--- a/internal/request/beechplace/urgency.go
+++ b/internal/request/beechplace/urgency.go
@@ -261,18 +261,24 @@
 	}
 	prompt, slots := float64(call.PromptTokens), float64(max(s.slots, 1))
 	need := prompt + load.waiting*p.meanPrompt
+	requests := float64(s.state.Running) + load.waiting + 1
 	kept := max(used-load.displaced, 0)
 	if shortfall := need - (total - kept); shortfall > 0 && kept > 0 {
 		wait = shortfall * p.residence.mean() / kept
 	}
 	if load.displacedRuns == 0 {
-		risk := min(max((used+need)/total-cacheFullShare, 0)/(1-cacheFullShare), 1)
+		fill := (used + need) / total
+		if load.moreUrgent > 0 {
+			fill = max(fill, requests/slots)
+		}
+		risk := min(max(fill-cacheFullShare, 0)/(1-cacheFullShare), 1)
 		return wait, risk * (p.settings.ReprefillCost*prompt + cacheFullCost)
 	}
 	runSize := load.displaced / load.displacedRuns
-	preempted := min(max(need-(total-used), 0), prompt, load.displaced)
-	if preempted > 0 || float64(s.state.Running)+load.waiting+1 > slots {
-		preempted = max(min(preempted, p.meanPrompt), runSize) // whole runs yield
+	runs := min(max(need-(total-used), 0), prompt) / max(runSize, 1)
+	if requests > slots {
+		runs = max(runs, 1)
 	}
-	return wait, p.settings.ReprefillCost * preempted
+	runs = min(runs, load.displacedRuns)
+	return wait, p.settings.ReprefillCost*runs*runSize + missedObjectiveCost*min(runs, 1)
 }
