--- a/internal/request/beechplace/urgency.go
+++ b/internal/request/beechplace/urgency.go
@@ -60,6 +60,32 @@
 	busyShare = 0.5
 )
 
+// UrgencyState is what a gate has learned of waiting by urgency.
+type UrgencyState struct {
+	Engines   int             // whose keepers report by urgency
+	RunMillis float64         // mean time from first byte to end
+	Passing   map[int]float64 // by urgency: how many times longer than their backlog calls wait
+}
+
+// Urgencies returns what is known of waiting by urgency, for operators.
+func (p *Placer) Urgencies() UrgencyState {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	now := p.clock.Now()
+	state := UrgencyState{RunMillis: p.runTime, Passing: make(map[int]float64)}
+	for _, s := range p.byID {
+		if _, known := s.knownStrain(now); known {
+			state.Engines++
+		}
+	}
+	for urgency, f := range p.passing {
+		if f != (passingFactor{}) {
+			state.Passing[urgency] = f.factor()
+		}
+	}
+	return state
+}
+
 // AnnounceUrgencies sets what is called for requests to servers whose keepers report by urgency.
 func (p *Placer) AnnounceUrgencies(f AnnounceUrgency) {
 	p.mu.Lock()
@@ -235,18 +261,24 @@
 	}
 	prompt, slots := float64(call.PromptTokens), float64(max(s.slots, 1))
 	need := prompt + load.waiting*p.meanPrompt
+	requests := float64(s.state.Running) + load.waiting + 1
 	kept := max(used-load.displaced, 0)
 	if shortfall := need - (total - kept); shortfall > 0 && kept > 0 {
 		wait = shortfall * p.residence.mean() / kept
 	}
 	if load.displacedRuns == 0 {
-		risk := min(max((used+need)/total-cacheFullShare, 0)/(1-cacheFullShare), 1)
+		fill := (used + need) / total
+		if load.moreUrgent > 0 {
+			fill = max(fill, requests/slots)
+		}
+		risk := min(max(fill-cacheFullShare, 0)/(1-cacheFullShare), 1)
 		return wait, risk * (p.settings.ReprefillCost*prompt + cacheFullCost)
 	}
 	runSize := load.displaced / load.displacedRuns
-	preempted := min(max(need-(total-used), 0), prompt, load.displaced)
-	if preempted > 0 || float64(s.state.Running)+load.waiting+1 > slots {
-		preempted = max(min(preempted, p.meanPrompt), runSize) // whole runs yield
+	runs := min(max(need-(total-used), 0), prompt) / max(runSize, 1)
+	if requests > slots {
+		runs = max(runs, 1)
 	}
-	return wait, p.settings.ReprefillCost * preempted
+	runs = min(runs, load.displacedRuns)
+	return wait, p.settings.ReprefillCost*runs*runSize + missedObjectiveCost*min(runs, 1)
 }
