Streams keep their pace: too long pauses counted by cause, the moment of hosts to all gates, a charge for what prompts do to streams

Keepers ask their own engine's health path, which gates tell them, for the slowness of its host each 100 ms while it runs requests; it travels as part of the strain. Gates learn from events what reading does to streams, and choose with that.

--- a/internal/process/beechgate/metrics.go
+++ b/internal/process/beechgate/metrics.go
@@ -70,6 +70,7 @@
 	m.vars.Set("backoff", expvar.Func(func() any { return g.backoff.State() }))
 	m.vars.Set("crashes", expvar.Func(func() any { return g.core.Crashes() }))
 	m.vars.Set("longPauses", expvar.Func(func() any { return g.core.LongPauses() }))
+	m.vars.Set("pauseModel", expvar.Func(func() any { return g.placer.PauseModel() }))
 	m.vars.Set("poison", expvar.Func(func() any { return g.poison.Counts() }))
 	m.vars.Set("bodyBytes", m.bodies)
 	m.vars.Set("datagramBytes", g.socket.SentBytes())
--- a/internal/process/beechkeeper/slowness.go
+++ b/internal/process/beechkeeper/slowness.go
@@ -9,6 +9,7 @@
 	"go.uber.org/zap"
 
 	"github.com/beechring/beechring/internal/link/beechdatagram"
+	"github.com/beechring/beechring/internal/process/beechtask"
 )
 
 // hostSlowness is what the engine has last told of its host.
@@ -21,7 +22,7 @@
 const (
 	// slownessPoll is short against a slow moment, which lasts some hundred milliseconds. Each poll
 	// is billed as a probe.
-	slownessPoll = 150 * time.Millisecond
+	slownessPoll = 100 * time.Millisecond
 	// silentSlownessPoll is for engines that do not tell it: their software may be replaced.
 	silentSlownessPoll = 10 * time.Second
 	slownessTTL        = 4 * slownessPoll
@@ -74,6 +75,7 @@
 	k.lastReport.Slowness = figure
 	k.mu.Unlock()
 	k.notifyStrain()
+	beechtask.Notify(k.wake)
 	if figure == 0 {
 		return silentSlownessPoll
 	}
--- a/internal/request/beechattempt/pauses.go
+++ b/internal/request/beechattempt/pauses.go
@@ -66,6 +66,6 @@
 	}
 	p.log.Info("stream paused too long", zap.String("request", call.ID), zap.String("route", call.Route.Name), zap.Duration("gap", gap),
 		zap.Duration("longest", call.Route.MaxPause), zap.String("cause", string(seen.Cause)), zap.String("server", seen.Server),
-		zap.Float64("slowness", seen.Slowness), zap.Duration("slownessAge", seen.SlownessAge), zap.Int("unread", seen.Unread), zap.Any("learned", seen.Learned), zap.Int("running", seen.Running),
+		zap.Float64("slowness", seen.Slowness), zap.Duration("slownessAge", seen.SlownessAge), zap.Int("unread", seen.Unread), zap.Int("running", seen.Running),
 		zap.Int64("notLogged", p.dropped.Swap(0)))
 }
--- a/internal/request/beechplace/attempt.go
+++ b/internal/request/beechplace/attempt.go
@@ -140,7 +140,7 @@
 		a.placer.recordPace(a.server, took, a.expectedTime, now)
 	}
 	if slowness, known := a.server.slownessAt(now); known {
-		a.placer.pauses.ObservePrefill(a.queuedTokens, milliseconds2(took-a.placer.prefill.fixed), slowness)
+		a.placer.pauses.ObservePrefill(a.queuedTokens, time.Duration((took-a.placer.prefill.fixed)*float64(time.Millisecond)), slowness)
 	}
 	a.placer.prefill.learn(a.queuedTokens, took)
 }
--- a/internal/request/beechplace/pauses.go
+++ b/internal/request/beechplace/pauses.go
@@ -17,7 +17,6 @@
 		SlownessAge time.Duration
 		Unread      int // estimated tokens of prompts that it reads or has to read
 		Running     int
-		Learned     [3]float64
 	}
 
 	// PauseCause is the probable cause of a pause.
@@ -56,6 +55,12 @@
 	// eventsOfOthers is how many events each other stream of a server may have during a pause that
 	// concerns all: one, and another at either end.
 	eventsOfOthers = 2
+	// harmShare is the share of the harm to streams that is avoided if a prompt goes elsewhere: it
+	// holds up the streams there. With the whole harm, gates push long prompts together at the
+	// engines with the fewest streams.
+	harmShare = 0.1
+	// stayFactor: a stream stays for longer than the prompts ahead of it, and meets those that follow.
+	stayFactor = 5
 )
 
 // observeMoment records the slowness that a server's keeper or answer tells.
@@ -115,7 +120,17 @@
 	ahead := p.unreadTokens(s, slowness, now)
 	before := p.pauseRisk(s, ahead, slowness, longest)
 	after := p.pauseRisk(s, ahead+float64(tokens), slowness, longest)
-	return missedObjectiveCost * ((after-before)*p.estimatedLoad(s) + before)
+	return missedObjectiveCost * (harmShare*(after-before)*p.estimatedLoad(s) + stayFactor*before)
+}
+
+// PauseModel returns what was learned of pauses, for operators.
+func (p *Placer) PauseModel() map[string]float64 {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	gap, longest, rate := p.pauses.Learned()
+	const second = 1000
+	onsets, _ := p.onsets.Within(second)
+	return map[string]float64{"eventMillis": gap, "longestMillis": longest, "tokensPerMilli": rate, "slowOnsetsPerSecond": onsets}
 }
 
 // TellsSlowness reports whether a server of a service has told how slow its host is.
@@ -176,7 +191,6 @@
 	s, now := a.server, a.placer.clock.Now()
 	p := Pause{Server: s.ID, Cause: PauseUnexplained, Unread: int(a.placer.unreadTokens(s, 100, now)), Running: int(a.placer.estimatedLoad(s))}
 	p.Slowness, _ = s.slownessAt(now)
-	p.Learned[0], p.Learned[1], p.Learned[2] = a.placer.pauses.Learned()
 	p.SlownessAge = now.Sub(s.momentAt())
 	slow := s.moment.IsSlow(p.Slowness) || s.events.slowAt.After(at)
 	prompt := p.Unread >= minAnnouncedTokens || s.events.promptAt.After(at)
@@ -193,5 +207,3 @@
 	}
 	return p
 }
-
-func milliseconds2(ms float64) time.Duration { return time.Duration(ms * float64(time.Millisecond)) }
