Admission: what engines can prefill against what all gates are asked for

Limits at engines alone go by reports some 80 ms old, in which all gates send to the same engines. Demand and the time of single gates that it covers are summed up by collectors now, so that a gate knows which share of its callers' demand engines cannot prefill beside that of more urgent ranks; that share gets spare room only. Callers who come back at their time have the highest standing of their rank.

--- a/internal/decision/beechadmission/controller.go
+++ b/internal/decision/beechadmission/controller.go
@@ -22,6 +22,8 @@
 		ID        string
 		Objective time.Duration // for the first token
 		Prompt    int           // tokens
+		Returned  bool          // it was refused before and comes at the time that it was told
+		Capacity  float64       // prompt tokens that all engines in service prefill per millisecond; 0: not known
 	}
 
 	// Outcome is what became of a request.
@@ -59,6 +61,7 @@
 		clock clockwork.Clock
 
 		mu       sync.Mutex
+		gates    int
 		services map[uint64]*service // by the hash of the name
 	}
 
@@ -87,6 +90,7 @@
 		since, last time.Time
 		rank        int     // the most urgent that was refused
 		level       float64 // the highest of it
+		excess      [ranks]time.Duration
 	}
 )
 
@@ -102,12 +106,12 @@
 	// A typical request of a more urgent rank must get its first token within urgentShare of its
 	// objective, as the estimate of it is; the least standing is refused from lowShare on.
 	urgentShare = 0.5
-	lowShare    = 0.35
+	lowShare    = 0.4
 	// What is refused first leaves more to the others.
 	spareShare = 0.25
 	// A typical request of the same rank must get its first token within ownShare of its objective.
 	ownShare    = 0.75
-	ownLowShare = 0.5
+	ownLowShare = 0.6
 	// marginShare of the objective is accepted as a wait even if the prefill alone takes too
 	// long: refusing others cannot make it shorter.
 	marginShare  = 0.1
@@ -125,7 +129,7 @@
 
 // New returns a controller.
 func New(mode Mode, clock clockwork.Clock) *Controller {
-	return &Controller{mode: mode, clock: clock, services: make(map[uint64]*service)}
+	return &Controller{mode: mode, clock: clock, gates: 1, services: make(map[uint64]*service)}
 }
 
 // Enable starts to control a service in mode Auto.
@@ -140,6 +144,13 @@
 	}
 }
 
+// SetGates sets the number of gates that send to the same engines.
+func (c *Controller) SetGates(n int) {
+	c.mu.Lock()
+	c.gates = max(n, 1)
+	c.mu.Unlock()
+}
+
 // service returns the state of a service, or nil if there are too many. The caller holds the lock.
 func (c *Controller) service(key uint64) *service {
 	s, ok := c.services[key]
@@ -178,7 +189,7 @@
 	}
 	now := c.clock.Now()
 	inDemand := s.ranksInDemand(q.Rank, now)
-	within := s.standing(q, now)
+	within := s.standing(q, c.gates, now)
 	limits := &Limits{Rank: q.Rank, Level: rankedLevel(inDemand, q.Rank, within.place), idle: within.idleOnly}
 	for rank := range q.Rank + 1 {
 		k := &s.kinds[rank]
@@ -267,9 +278,9 @@
 	return s.kinds[rank].unread
 }
 
-// NoteRefusal records that a request was refused by its limits. It returns true for the first one of
-// a shortage.
-func (c *Controller) NoteRefusal(name string, l *Limits) bool {
+// NoteRefusal records that a request was refused by its limits, and the excess at the engine that it
+// would have got. It returns true for the first one of a shortage.
+func (c *Controller) NoteRefusal(name string, l *Limits, excess time.Duration) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	s := c.controlled(name)
@@ -281,13 +292,28 @@
 	if first {
 		s.short = shortage{since: now, rank: l.Rank, level: l.Level}
 	}
-	s.short.last = now
+	s.short.last, s.short.excess[l.Rank] = now, excess
 	if l.Rank < s.short.rank || (l.Rank == s.short.rank && l.Level > s.short.level) {
 		s.short.rank, s.short.level = l.Rank, l.Level
 	}
 	return first
 }
 
+// After returns in what time a service would have room for requests of a rank if no others came; 0 if
+// none was refused lately. It returns false if the service is not controlled.
+func (c *Controller) After(name string, rank int) (time.Duration, bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	s := c.controlled(name)
+	if s == nil || rank < 0 || rank >= ranks {
+		return 0, false
+	}
+	if c.clock.Since(s.short.last) > shortagePause {
+		return 0, true
+	}
+	return s.short.excess[rank], true
+}
+
 // Admit reports whether an engine may have the request.
 func (l *Limits) Admit(r Room) bool { return l.Excess(r) <= 0 }
 
--- a/internal/decision/beechadmission/controller_test.go
+++ b/internal/decision/beechadmission/controller_test.go
@@ -42,11 +42,14 @@
 	first, second := New(Auto, clock), New(Auto, clock)
 	first.Enable("llm")
 	ask(first, urgent)
-	second.Merge(first.TakeDemands())
+	demands, controls := first.TakeDemands()
+	is.True(controls)
+	second.Merge(demands, time.Second)
 	ask(second, urgent)
 	_, open := ask(second, other).(Open)
 	is.True(!open)
-	is.Equal(len(first.TakeDemands()), 0) // all has been taken
+	demands, _ = first.TakeDemands()
+	is.Equal(len(demands), 0) // all has been taken
 }
 
 func TestRoomIsKeptForMoreUrgentRanksInDemand(t *testing.T) {
@@ -83,6 +86,10 @@
 		clock.Advance(rotationTime)
 	}
 	is.True(lowest < 0.1 && highest > 0.4)
+	ask(c, urgent)
+	ask(c, middle)
+	other.Returned = true
+	is.Equal(ask(c, other).(*Limits).Level, 0.5) // above all others of its rank
 }
 
 func TestStatesShowTheShortage(t *testing.T) {
@@ -92,8 +99,13 @@
 	ask(c, urgent)
 	limits := c.Check(other).(*Limits)
 	c.Record(other, Outcome{Unread: 800, Refused: true})
-	is.True(c.NoteRefusal("llm", limits))
-	is.True(!c.NoteRefusal("llm", limits))
+	is.True(c.NoteRefusal("llm", limits, 80*time.Millisecond))
+	is.True(!c.NoteRefusal("llm", limits, 80*time.Millisecond))
+	after, controlled := c.After("llm", 2)
+	is.True(controlled)
+	is.Equal(after, 80*time.Millisecond)
+	_, controlled = New(Auto, clock).After("llm", 2)
+	is.True(!controlled)
 	state := c.States()["llm"]
 	is.True(state.Short)
 	is.Equal(state.Rank, 2)
@@ -101,15 +113,24 @@
 	is.True(state.AskedPerSecond[0] > 0 && state.RefusedPerSecond[2] > 0)
 	clock.Advance(shortagePause + time.Millisecond)
 	is.True(!c.States()["llm"].Short)
-	is.True(c.NoteRefusal("llm", limits))
+	after, controlled = c.After("llm", 2)
+	is.True(controlled)
+	is.Equal(after, time.Duration(0))
+	is.True(c.NoteRefusal("llm", limits, 80*time.Millisecond))
 }
 
 func TestTotalsSumUp(t *testing.T) {
 	is := is.New(t)
 	totals := NewTotals()
-	totals.Add([]Demand{{Service: 1, Rank: 2, Asked: 3, Work: 10}, {Service: 1, Rank: 2, Workspace: 7, Asked: 3}, {Service: 1, Rank: 2, Workspace: 8, Asked: 5}}, true)
-	totals.Add([]Demand{{Service: 1, Rank: 2, Asked: 4, Refused: 1, Work: 5}}, false)
-	is.Equal(totals.Take(Near, 2), []Demand{{Service: 1, Rank: 2, Asked: 7, Refused: 1, Work: 15}, {Service: 1, Rank: 2, Workspace: 8, Asked: 5}})
-	is.Equal(totals.Take(Far, 1), []Demand{{Service: 1, Rank: 2, Asked: 3, Work: 10}}) // not told back to other zones
-	is.Equal(len(totals.Take(Near, 9)), 0)
+	totals.Add([]Demand{{Service: 1, Rank: 2, Asked: 3, Work: 10}, {Service: 1, Rank: 2, Workspace: 7, Asked: 3}, {Service: 1, Rank: 2, Workspace: 8, Asked: 5}}, time.Second, true)
+	totals.Add([]Demand{{Service: 1, Rank: 2, Asked: 4, Refused: 1, Work: 5}}, 2*time.Second, false)
+	list, covered := totals.Take(Near, 2)
+	is.Equal(list, []Demand{{Service: 1, Rank: 2, Asked: 7, Refused: 1, Work: 15}, {Service: 1, Rank: 2, Workspace: 8, Asked: 5}})
+	is.Equal(covered, 3*time.Second)
+	list, covered = totals.Take(Far, 1) // not told back to other zones
+	is.Equal(list, []Demand{{Service: 1, Rank: 2, Asked: 3, Work: 10}})
+	is.Equal(covered, time.Second)
+	list, covered = totals.Take(Near, 9)
+	is.Equal(len(list), 0)
+	is.Equal(covered, time.Duration(0))
 }
--- a/internal/decision/beechadmission/demand.go
+++ b/internal/decision/beechadmission/demand.go
@@ -12,6 +12,7 @@
 	// demand counts what was asked of a service, by rank and workspace.
 	demand struct {
 		heardAt time.Time
+		covered decaying // seconds of single gates that the counts cover
 		meters  map[demandKey]*meter
 	}
 
@@ -64,6 +65,11 @@
 	// shedShare is the part of the refused share that is refused by standing before engines are
 	// nearly full. It is less than all, so that the cut-off opens when fewer have to be refused.
 	shedShare = 0.9
+	// usableShare is the part of the engines' capacity that demand is let come to: waits grow
+	// beyond all bounds as it nears the whole.
+	usableShare     = 0.7
+	maxExcessShare  = 0.99
+	millisPerSecond = 1000
 	// yieldFactor times the share of the others that is refused is the share of a workspace's
 	// unusual requests that get no room but on idle engines.
 	yieldFactor = 4
@@ -163,6 +169,26 @@
 	return min(m.refused.value(recentHalfLife, now)/max(m.asked.value(recentHalfLife, now), 1), 1)
 }
 
+// excessShare returns the share of a rank's demand that engines cannot prefill beside that of more
+// urgent ranks.
+func (d *demand) excessShare(q Request, now time.Time) float64 {
+	m, ok := d.meters[demandKey{rank: q.Rank}]
+	if !ok || q.Capacity <= 0 {
+		return 0
+	}
+	left := usableShare * q.Capacity * millisPerSecond
+	for rank := range q.Rank {
+		if more, asked := d.meters[demandKey{rank: rank}]; asked {
+			left -= more.work.rate(recentHalfLife, now)
+		}
+	}
+	work := m.work.rate(recentHalfLife, now)
+	if work <= 0 {
+		return 0
+	}
+	return min(max(1-left/work, 0), maxExcessShare)
+}
+
 // othersRefused returns the share of the requests of a rank's other workspaces that were refused.
 func (d *demand) othersRefused(key demandKey, now time.Time) float64 {
 	m, ok := d.meters[key]
@@ -209,22 +235,33 @@
 	return &s.own
 }
 
+// coveredShare returns the share of all gates whose demand is counted. They are allowed that share of
+// the engines.
+func (d *demand) coveredShare(gates int, now time.Time) float64 {
+	return min(max(d.covered.rate(recentHalfLife, now), 1)/float64(gates), 1)
+}
+
 // standing returns the standing of a request within its rank.
-func (s *service) standing(q Request, now time.Time) standing {
-	d, key := s.current(now), demandKey{q.Rank, uint32(xxhash.Sum64String(q.Workspace))}
+func (s *service) standing(q Request, gates int, now time.Time) standing {
+	d := s.current(now)
+	q.Capacity *= d.coveredShare(gates, now)
+	key := demandKey{q.Rank, uint32(xxhash.Sum64String(q.Workspace))}
 	if part := d.usualPart(key, now); part < 1 && fraction(xxhash.Sum64String(q.ID)) >= part {
 		// While others are refused, it gets ever less than spare room.
 		return standing{last: true, spare: spareShare, idleOnly: fraction(xxhash.Sum64String(q.ID+q.Service)) < yieldFactor*d.othersRefused(key, now)}
 	}
+	if q.Returned {
+		return standing{place: 1}
+	}
 	subject := q.Subject
 	if subject == "" {
 		subject = q.ID
 	}
 	turns := float64(now.UnixNano() / int64(rotationTime) % (1 << 20))
 	_, place := math.Modf(fraction(xxhash.Sum64String(subject)) + turns*goldenRatio)
-	cut := shedShare * d.refusedShare(key, now)
+	cut := max(shedShare*d.refusedShare(key, now), d.excessShare(q, now))
 	if place < cut {
-		return standing{last: true, spare: spareShare}
+		return standing{last: true, spare: spareShare * (1 - d.refusedShare(demandKey{rank: q.Rank}, now))}
 	}
 	return standing{place: (place - cut) / (1 - cut)}
 }
--- a/internal/decision/beechadmission/exchange.go
+++ b/internal/decision/beechadmission/exchange.go
@@ -25,7 +25,12 @@
 	// Totals sums up the demands of many gates. It is safe for concurrent use.
 	Totals struct {
 		mu        sync.Mutex
-		audiences [2]map[totalKey]counts
+		audiences [2]total
+	}
+
+	total struct {
+		covered time.Duration
+		sums    map[totalKey]counts
 	}
 
 	totalKey struct {
@@ -53,6 +58,8 @@
 const (
 	maxAsked = 1 << 24 // requests in one message
 	maxWork  = 1 << 40 // tokens in one message
+	// maxCovered is the time of a thousand gates between two messages.
+	maxCovered = 1000 * time.Second
 	// maxPending bounds what is not sent, for instance while there is no collector.
 	maxPending = 1024
 )
@@ -68,30 +75,36 @@
 	return counts{n.asked + m.asked, n.refused + m.refused, n.work + m.work}
 }
 
-// TakeDemands returns what was asked of this gate since the last call.
-func (c *Controller) TakeDemands() []Demand {
+// TakeDemands returns what was asked of this gate since the last call, and whether it controls any
+// service.
+func (c *Controller) TakeDemands() (list []Demand, controls bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	var list []Demand
 	for key, s := range c.services {
+		controls = controls || s.enabled || c.mode == On
 		for k, n := range s.pending {
 			list = append(list, newDemandMessage(totalKey{key, k}, n))
 		}
 		clear(s.pending)
 	}
-	return list
+	return list, controls
 }
 
 func newDemandMessage(k totalKey, n counts) Demand {
 	return Demand{Service: k.service, Rank: k.rank, Workspace: k.workspace, Asked: n.asked, Refused: n.refused, Work: n.work}
 }
 
-// Merge takes the demand of all gates as a collector has summed it up. Invalid entries are
-// ignored. In mode Auto it starts to control the services that others control.
-func (c *Controller) Merge(list []Demand) {
+// Merge takes the demand of several gates as a collector has summed it up, and the sum of the times that
+// it covers. Invalid entries are ignored. In mode Auto it starts to control the services that others
+// control.
+func (c *Controller) Merge(list []Demand, covered time.Duration) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	now := c.clock.Now()
+	covered = min(max(covered, 0), maxCovered)
+	for _, s := range c.services {
+		s.fleet.covered.add(covered.Seconds(), recentHalfLife, now)
+	}
 	for _, d := range list {
 		if c.mode == Off || !d.valid() {
 			continue
@@ -145,22 +158,28 @@
 func NewTotals() *Totals {
 	t := &Totals{}
 	for i := range t.audiences {
-		t.audiences[i] = make(map[totalKey]counts)
+		t.audiences[i].sums = make(map[totalKey]counts)
 	}
 	return t
 }
 
 // Add takes the demands of a gate, or those of another zone, which are not sent to other zones
-// again.
-func (t *Totals) Add(list []Demand, ownZone bool) {
+// again, and the time that they cover.
+func (t *Totals) Add(list []Demand, covered time.Duration, ownZone bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	for audience := range t.audiences {
+		if ownZone || Audience(audience) == Near {
+			t.audiences[audience].covered += min(max(covered, 0), maxCovered)
+		}
+	}
 	for _, d := range list {
 		if !d.valid() {
 			continue
 		}
 		key, n := totalKey{d.Service, demandKey{d.Rank, d.Workspace}}, counts{d.Asked, d.Refused, d.Work}
-		for audience, sums := range t.audiences {
+		for audience := range t.audiences {
+			sums := t.audiences[audience].sums
 			if _, known := sums[key]; (known || len(sums) < maxPending) && (ownZone || Audience(audience) == Near) {
 				sums[key] = sums[key].plus(n)
 			}
@@ -170,16 +189,17 @@
 
 // Take returns and clears the sums for an audience, the ranks first and then the workspaces that
 // asked most, at most limit of them.
-func (t *Totals) Take(to Audience, limit int) []Demand {
+func (t *Totals) Take(to Audience, limit int) (list []Demand, covered time.Duration) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	var list []Demand
-	for _, key := range slices.SortedFunc(maps.Keys(t.audiences[to]), func(x, y totalKey) int { return cmp.Compare(x.service, y.service) }) {
-		list = append(list, newDemandMessage(key, t.audiences[to][key]))
+	sums := t.audiences[to].sums
+	for _, key := range slices.SortedFunc(maps.Keys(sums), func(x, y totalKey) int { return cmp.Compare(x.service, y.service) }) {
+		list = append(list, newDemandMessage(key, sums[key]))
 	}
-	clear(t.audiences[to])
+	clear(sums)
+	covered, t.audiences[to].covered = t.audiences[to].covered, 0
 	slices.SortStableFunc(list, func(x, y Demand) int {
 		return cmp.Or(cmp.Compare(min(x.Workspace, 1), min(y.Workspace, 1)), cmp.Compare(y.Asked, x.Asked))
 	})
-	return list[:min(len(list), limit)]
+	return list[:min(len(list), limit)], covered
 }
--- a/internal/decision/beechadmission/failure_test.go
+++ b/internal/decision/beechadmission/failure_test.go
@@ -67,7 +67,7 @@
 			play(m, now)
 			if now == 7000 {
 				for _, g := range m.gates[:4] {
-					g.controller = New(On, m.clock)
+					g.controller = m.newController()
 				}
 			}
 		}
@@ -89,10 +89,10 @@
 func TestInvalidDemandsAreIgnored(t *testing.T) {
 	is := is.New(t)
 	c := New(On, clockwork.NewFakeClock())
-	c.Merge([]Demand{{Service: 1, Rank: -1, Asked: 1}, {Service: 1, Rank: ranks, Asked: 1}, {Service: 1, Asked: -1}, {Service: 1, Asked: 1, Refused: 2}, {Service: 1, Asked: 1, Work: -1}, {Service: 1, Asked: maxAsked + 1}})
+	c.Merge([]Demand{{Service: 1, Rank: -1, Asked: 1}, {Service: 1, Rank: ranks, Asked: 1}, {Service: 1, Asked: -1}, {Service: 1, Asked: 1, Refused: 2}, {Service: 1, Asked: 1, Work: -1}, {Service: 1, Asked: maxAsked + 1}}, -time.Second)
 	is.Equal(len(c.services), 0)
 	for i := range uint64(2 * maxServices) {
-		c.Merge([]Demand{{Service: i, Asked: 1}})
+		c.Merge([]Demand{{Service: i, Asked: 1}}, 0)
 	}
 	is.Equal(len(c.services), maxServices)
 }
--- a/internal/decision/beechadmission/model_test.go
+++ b/internal/decision/beechadmission/model_test.go
@@ -30,7 +30,6 @@
 
 	gate struct {
 		controller *Controller
-		totals     *Totals
 		down       bool
 		sent       []sending
 	}
@@ -86,6 +85,8 @@
 )
 
 const (
+	gateCount   = 8
+	engineCount = 30
 	prefillRate = 56. // tokens per millisecond
 	chunk       = 2048
 	baseStep    = 3.8
@@ -93,19 +94,24 @@
 )
 
 func newModel(seed uint64, kinds ...*callers) *model {
-	const gates, engines = 8, 30
 	start := time.Unix(1_000_000_000+int64(seed), 0)
 	m := &model{clock: clockwork.NewFakeClockAt(start), random: rand.New(rand.NewPCG(1, seed)), kinds: kinds, report: 80 * time.Millisecond}
 	m.start = m.clock.Now()
-	for range gates {
-		m.gates = append(m.gates, &gate{controller: New(On, m.clock), totals: NewTotals()})
+	for range gateCount {
+		m.gates = append(m.gates, &gate{controller: m.newController()})
 	}
-	for range engines {
+	for range engineCount {
 		m.engines = append(m.engines, &engine{slots: 64, memory: 107_000})
 	}
 	return m
 }
 
+func (m *model) newController() *Controller {
+	c := New(On, m.clock)
+	c.SetGates(gateCount)
+	return c
+}
+
 // without makes all gates admit everything.
 func (m *model) without() *model {
 	for _, g := range m.gates {
@@ -164,7 +170,7 @@
 	m.ids++
 	q := Request{
 		Service: "llm", Rank: c.kind.rank, Workspace: c.workspace, Subject: c.subject, ID: fmt.Sprint(m.ids),
-		Objective: c.kind.objective, Prompt: c.prompt,
+		Objective: c.kind.objective, Prompt: c.prompt, Capacity: m.capacity(),
 	}
 	admission := g.controller.Check(q)
 	best := m.choose(g, c, admission, now)
@@ -210,6 +216,16 @@
 	return -1
 }
 
+func (m *model) capacity() float64 {
+	sum := 0.
+	for _, e := range m.engines {
+		if !e.dead {
+			sum += prefillRate * 0.8
+		}
+	}
+	return sum
+}
+
 func (m *model) refuse(c *call, now int) {
 	c.refused, c.refusedAt = true, now
 	if !slices.ContainsFunc(m.engines, func(e *engine) bool { return !e.dead && (len(e.waiting) > 0 || len(e.running) >= e.slots/2) }) {
@@ -259,10 +275,10 @@
 		sum[i] = NewTotals()
 	}
 	for from, g := range m.gates {
-		demands := g.controller.TakeDemands()
+		demands, _ := g.controller.TakeDemands()
 		for to := range m.gates {
 			if m.lost == nil || from == to || !m.lost(from, to) {
-				sum[to].Add(demands, true)
+				sum[to].Add(demands, 500*time.Millisecond, true)
 			}
 		}
 		g.sent = slices.DeleteFunc(g.sent, func(s sending) bool { return s.at < now-500 })
--- a/internal/process/beechgate/demands.go
+++ b/internal/process/beechgate/demands.go
@@ -16,7 +16,7 @@
 )
 
 const (
-	// demandsInterval is the time between messages of this gate to a collector, and between those
+	// demandsInterval is the time that a message of this gate covers, and the time between messages of this gate to a collector, and between those
 	// of a collector to the other gates. Ranks in demand and usual parts change within seconds.
 	demandsInterval = 500 * time.Millisecond
 	// maxDemands is the number of demands in one message, at some 20 bytes each: the ranks of
@@ -42,44 +42,45 @@
 	return beechtask.Every(ctx, g.clock, demandsInterval, func() {
 		round++
 		t := g.topology.Load()
-		demands := g.admission.TakeDemands()
+		demands, controls := g.admission.TakeDemands()
 		collectors := t.Collectors[g.settings.Zone]
 		if slices.Contains(collectors, t.Self) || len(collectors) == 0 {
-			g.demands.Add(demands, true)
+			if controls {
+				g.demands.Add(demands, demandsInterval, true)
+			}
 			g.sendDemandTotals(uint32(round))
 			return
 		}
-		if len(demands) > 0 {
-			g.sendToPeers(collectors[round%len(collectors):][:1], pressureOf(demands, true))
+		if controls {
+			g.sendToPeers(collectors[round%len(collectors):][:1], pressureOf(demands, demandsInterval, true))
 		}
 	})
 }
 
 func (g *Gate) sendDemandTotals(round uint32) {
-	near, far := g.demands.Take(beechadmission.Near, maxDemands), g.demands.Take(beechadmission.Far, maxDemands)
-	if len(near) > 0 {
-		g.admission.Merge(near)
-		g.sendDemandsToZone(round, near)
+	if near, covered := g.demands.Take(beechadmission.Near, maxDemands); covered > 0 {
+		g.admission.Merge(near, covered)
+		g.sendDemandsToZone(round, pressureOf(near, covered, false))
 	}
-	if len(far) > 0 {
-		g.sendToOtherZones(round, false, pressureOf(far, true))
+	if far, covered := g.demands.Take(beechadmission.Far, maxDemands); covered > 0 {
+		g.sendToOtherZones(round, false, pressureOf(far, covered, true))
 	}
 }
 
-// sendDemandsToZone sends demands to all gates of this zone. If they are many, some of them forward
+// sendDemandsToZone sends a message to all gates of this zone. If they are many, some of them forward
 // the message.
-func (g *Gate) sendDemandsToZone(round uint32, demands []beechadmission.Demand) {
+func (g *Gate) sendDemandsToZone(round uint32, m beechdatagram.Pressure) {
 	var direct []netip.AddrPort
 	for _, branch := range beechsummary.Fan(g.topology.Load().Neighbors, round) {
 		if len(branch.Forward) == 0 {
 			direct = append(direct, branch.To)
 			continue
 		}
-		message := pressureOf(demands, false)
+		message := *m.Pressure
 		message.Forward = beechconvert.WireAddresses(branch.Forward)
-		g.sendToPeers([]netip.AddrPort{branch.To}, message)
+		g.sendToPeers([]netip.AddrPort{branch.To}, beechdatagram.Pressure{Pressure: &message})
 	}
-	g.sendToPeers(direct, pressureOf(demands, false))
+	g.sendToPeers(direct, m)
 }
 
 // forwardDemands sends a collector's message on to the gates of this zone that it names.
@@ -89,24 +90,24 @@
 	g.sendToPeers(to, beechdatagram.Pressure{Pressure: &beechwire.Pressure{Millis: m.Millis, Demands: m.Demands}})
 }
 
-func pressureOf(demands []beechadmission.Demand, pass bool) beechdatagram.Pressure {
+func pressureOf(demands []beechadmission.Demand, covered time.Duration, pass bool) beechdatagram.Pressure {
 	return beechdatagram.Pressure{Pressure: &beechwire.Pressure{
-		Pass: pass, Millis: demandsInterval.Milliseconds(), Demands: beechconvert.WireDemands(demands),
+		Pass: pass, Millis: covered.Milliseconds(), Demands: beechconvert.WireDemands(demands),
 	}}
 }
 
 // receiveDemands handles what other gates are asked for.
 func (g *Gate) receiveDemands(from netip.AddrPort, m beechdatagram.Pressure) {
-	if len(m.Demands) == 0 || !g.isKnownGate(from) {
+	if m.Millis <= 0 || !g.isKnownGate(from) {
 		return
 	}
 	if len(m.Forward) > 0 {
 		g.forwardDemands(m)
 	}
-	demands := beechconvert.Demands(m.Demands)
+	demands, covered := beechconvert.Demands(m.Demands), time.Duration(m.Millis)*time.Millisecond
 	if m.Pass {
-		g.demands.Add(demands, g.scopeToGate(from) == beechdatagram.SameZone)
+		g.demands.Add(demands, covered, g.scopeToGate(from) == beechdatagram.SameZone)
 		return
 	}
-	g.admission.Merge(demands)
+	g.admission.Merge(demands, covered)
 }
--- a/internal/process/beechgate/demands_test.go
+++ b/internal/process/beechgate/demands_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 
@@ -30,7 +31,8 @@
 func TestDemandsKeepTheirValues(t *testing.T) {
 	is := is.New(t)
 	demands := []beechadmission.Demand{{Service: 1 << 63, Rank: 5, Workspace: 1 << 31, Asked: 9, Refused: 2, Work: 80_000}}
-	message := pressureOf(demands, true)
+	message := pressureOf(demands, time.Second, true)
 	is.True(message.Pass)
+	is.Equal(message.Millis, int64(1000))
 	is.Equal(beechconvert.Demands(message.Demands), demands)
 }
--- a/internal/process/beechgate/membership.go
+++ b/internal/process/beechgate/membership.go
@@ -173,6 +173,7 @@
 	g.placer.SetGates(gates)
 	g.quotas.SetGates(gates)
 	g.limits.SetGates(gates)
+	g.admission.SetGates(gates)
 	if c := g.configuration.Load(); c != nil {
 		g.limitConnections(c)
 	}
--- a/internal/request/beechattempt/admission.go
+++ b/internal/request/beechattempt/admission.go
@@ -52,7 +52,7 @@
 func (r *execution) admissionRequest() beechadmission.Request {
 	request := beechadmission.Request{
 		Service: r.call.Service, Rank: r.call.Urgency(), Workspace: r.call.Workspace.Name, ID: r.call.ID,
-		Objective: r.call.Route.Objective, Prompt: r.call.PromptTokens,
+		Objective: r.call.Route.Objective, Prompt: r.call.PromptTokens, Capacity: r.dispatcher.placer.Capacity(r.call.Service),
 	}
 	if shared := r.call.SharedParts(); len(shared) > 0 {
 		request.Subject = shared[len(shared)-1].ID
@@ -63,7 +63,7 @@
 // refuseForRoom ends a call that admission refuses.
 func (r *execution) refuseForRoom(ctx context.Context, why *shortOfRoom) string {
 	fields := []zap.Field{zap.Int("rank", why.limits.Rank), zap.Float64("level", why.limits.Level), zap.Duration("excess", why.excess)}
-	if r.dispatcher.admission.NoteRefusal(r.call.Service, why.limits) {
+	if r.dispatcher.admission.NoteRefusal(r.call.Service, why.limits, why.excess) {
 		r.dispatcher.log.Info("room is short", append(fields, zap.String("service", r.call.Service))...)
 	}
 	return r.giveUp(ctx, reasonNoRoom, fields...)
--- a/internal/request/beechattempt/admission_test.go
+++ b/internal/request/beechattempt/admission_test.go
@@ -94,7 +94,9 @@
 		}
 	}
 	is.Equal(len(f.dispatcher.admission.States()), 0)
-	is.Equal(len(f.dispatcher.admission.TakeDemands()), 0)
+	demands, controls := f.dispatcher.admission.TakeDemands()
+	is.Equal(len(demands), 0)
+	is.True(!controls)
 }
 
 // A stream to be resumed is never refused for room: engines have worked on it.
--- a/internal/request/beechplace/room.go
+++ b/internal/request/beechplace/room.go
@@ -18,6 +18,19 @@
 	return p.roomOf(s, p.clock.Now()), true
 }
 
+// Capacity returns the prompt tokens that all engines in service prefill per millisecond.
+func (p *Placer) Capacity(service string) float64 {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	now, sum := p.clock.Now(), 0.0
+	for _, s := range p.services[service] {
+		if p.mayReceive(s, now) {
+			sum += p.serverPrefillRate(s, now)
+		}
+	}
+	return sum
+}
+
 // RoomShare returns the share of the servers in service whose room admit accepts.
 func (p *Placer) RoomShare(service string, admit func(beechadmission.Room) bool) float64 {
 	p.mu.Lock()
