--- a/internal/decision/beechadmission/controller.go
+++ b/internal/decision/beechadmission/controller.go
@@ -90,7 +90,15 @@
 		since, last time.Time
 		rank        int     // the most urgent that was refused
 		level       float64 // the highest of it
-		excess      [ranks]time.Duration
+		refused     int
+		excess      [ranks]time.Duration // at the last refusal of each rank
+	}
+
+	// Shortage is a time in which requests to a service were refused at this gate.
+	Shortage struct {
+		Service string
+		Lasted  time.Duration
+		Refused int
 	}
 )
 
@@ -179,6 +187,13 @@
 	return nil
 }
 
+// Controls reports whether the admission to a service is controlled.
+func (c *Controller) Controls(name string) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.controlled(name) != nil
+}
+
 // Check returns where a request may be sent.
 func (c *Controller) Check(q Request) Admission {
 	c.mu.Lock()
@@ -288,17 +303,33 @@
 		return false
 	}
 	now := c.clock.Now()
-	first := now.Sub(s.short.last) > shortagePause
+	first := s.short.refused == 0
 	if first {
 		s.short = shortage{since: now, rank: l.Rank, level: l.Level}
 	}
 	s.short.last, s.short.excess[l.Rank] = now, excess
+	s.short.refused++
 	if l.Rank < s.short.rank || (l.Rank == s.short.rank && l.Level > s.short.level) {
 		s.short.rank, s.short.level = l.Rank, l.Level
 	}
 	return first
 }
 
+// EndedShortages returns the shortages that have ended since the last call.
+func (c *Controller) EndedShortages() []Shortage {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	now := c.clock.Now()
+	var list []Shortage
+	for _, s := range c.services {
+		if s.short.refused > 0 && now.Sub(s.short.last) > shortagePause {
+			list = append(list, Shortage{Service: s.name, Lasted: s.short.last.Sub(s.short.since), Refused: s.short.refused})
+			s.short = shortage{}
+		}
+	}
+	return list
+}
+
 // After returns in what time a service would have room for requests of a rank if no others came; 0 if
 // none was refused lately. It returns false if the service is not controlled.
 func (c *Controller) After(name string, rank int) (time.Duration, bool) {
@@ -308,7 +339,7 @@
 	if s == nil || rank < 0 || rank >= ranks {
 		return 0, false
 	}
-	if c.clock.Since(s.short.last) > shortagePause {
+	if s.short.refused == 0 || c.clock.Since(s.short.last) > shortagePause {
 		return 0, true
 	}
 	return s.short.excess[rank], true
--- a/internal/decision/beechadmission/controller_test.go
+++ b/internal/decision/beechadmission/controller_test.go
@@ -116,6 +116,8 @@
 	after, controlled = c.After("llm", 2)
 	is.True(controlled)
 	is.Equal(after, time.Duration(0))
+	is.Equal(c.EndedShortages(), []Shortage{{Service: "llm", Refused: 2}})
+	is.Equal(len(c.EndedShortages()), 0)
 	is.True(c.NoteRefusal("llm", limits, 80*time.Millisecond))
 }
 
--- a/internal/decision/beechadmission/doc.go
+++ b/internal/decision/beechadmission/doc.go
@@ -13,21 +13,29 @@
 // A request is admitted to an engine only if a typical request of each more urgent rank that is in
 // demand would still get its first token there in good time: within a share of its objective,
 // counting what is queued for prefill, the wait for memory and its own prefill. The same holds for
-// the request's own rank with its whole objective. A request that no engine admits is refused at
+// the request's own rank with a larger share. A request that its engine does not admit is refused at
 // once. All gates see the same reports of engines, so they refuse alike without asking each other.
 //
 // The share grows with the request's standing, as in weighted random early detection: whole ranks
 // first, and within a rank by a hash of the subject that rotates, so that nobody is always the
-// first to be refused. What a workspace asks beyond its usual part of its rank's demand has the lowest
-// standing. The size of a prompt does not count, or large prompts would starve.
+// first to be refused. The size of a prompt does not count, or large prompts would starve. A request
+// that comes back at the time that it was told stands highest in its rank.
+//
+// Reports are some hundred milliseconds old, and all gates act on the same ones. So that not all of
+// them send at the same moment to the engines that show room, a part of each rank's requests gets
+// spare room only: the part that the engines cannot prefill beside the demand of more urgent ranks,
+// or that was refused lately if that is more. What a workspace asks beyond its usual part of its
+// rank's demand gets spare room too, and hardly that while others are refused.
 //
 // An engine where nothing waits and half of the slots are free admits everything.
 //
 // # State and messages
 //
 // What ranks and workspaces ask is counted by each gate and summed up over all gates in Demand
-// messages, which may be lost. A gate that hears of no others goes by its own counts. Nothing
-// else is kept: when the engines' queues are short, the next request is admitted.
+// messages, with the time of single gates that the sums cover. Messages may be lost: gates whose
+// demand is not covered count as absent with their share of the engines. A gate that hears of no
+// other goes by its own callers and its own share. Nothing else is kept: when the engines' queues
+// are short, the next request is admitted.
 //
 // # Switch
 //
@@ -44,6 +52,7 @@
 //	case *beechadmission.Limits: // an engine may have it if v.Admit(room)
 //	}
 //	c.Record(request, beechadmission.Outcome{Unread: 800, Refused: false})
-//	totals.Add(c.TakeDemands(), true) // to be summed up and sent
-//	c.Merge(demands)                  // received from others
+//	demands, controls := c.TakeDemands()
+//	totals.Add(demands, interval, true)              // to be summed up and sent
+//	c.Merge(totals.Take(beechadmission.Near, limit)) // sums of all gates
 package beechadmission
--- a/internal/decision/beechadmission/exchange.go
+++ b/internal/decision/beechadmission/exchange.go
@@ -148,7 +148,7 @@
 			state.Refused[rank] = s.refused[rank]
 		}
 	}
-	if state.Short = now.Sub(s.short.last) <= shortagePause; state.Short {
+	if state.Short = s.short.refused > 0 && now.Sub(s.short.last) <= shortagePause; state.Short {
 		state.Rank, state.Level = s.short.rank, s.short.level
 	}
 	return state
--- a/internal/decision/beechadmission/failure_test.go
+++ b/internal/decision/beechadmission/failure_test.go
@@ -96,3 +96,19 @@
 	}
 	is.Equal(len(c.services), maxServices)
 }
+
+// Guards against reports of engines that do not come at all: a gate goes by its own requests and its
+// share of the engines, and callers are not served worse than without any control.
+func TestReportsLost(t *testing.T) {
+	is := is.New(t)
+	before, now := scarcity(1, 90).without(), scarcity(1, 90)
+	for _, m := range []*model{before, now} {
+		m.report = time.Minute
+		m.play(playTime)
+	}
+	for _, rank := range []int{0, 2} {
+		was, got := before.outcome(5, playTime-1, ofRank(rank)), now.outcome(5, playTime-1, ofRank(rank))
+		t.Logf("rank %d in time %.2f, without control %.2f", rank, got.inTime, was.inTime)
+		is.True(got.inTime >= was.inTime)
+	}
+}
--- a/internal/process/beechgate/demands.go
+++ b/internal/process/beechgate/demands.go
@@ -6,6 +6,8 @@
 	"slices"
 	"time"
 
+	"go.uber.org/zap"
+
 	"github.com/beechring/beechring/internal/decision/beechadmission"
 	"github.com/beechring/beechring/internal/decision/beechsummary"
 	"github.com/beechring/beechring/internal/link/beechdatagram"
@@ -42,6 +44,9 @@
 	return beechtask.Every(ctx, g.clock, demandsInterval, func() {
 		round++
 		t := g.topology.Load()
+		for _, s := range g.admission.EndedShortages() {
+			g.log.Info("room is no longer short", zap.String("service", s.Service), zap.Duration("lasted", s.Lasted), zap.Int("refused", s.Refused))
+		}
 		demands, controls := g.admission.TakeDemands()
 		collectors := t.Collectors[g.settings.Zone]
 		if slices.Contains(collectors, t.Self) || len(collectors) == 0 {
--- a/internal/request/beechattempt/admission.go
+++ b/internal/request/beechattempt/admission.go
@@ -31,6 +31,9 @@
 		return choice, nil // also a stream to be resumed, on which engines have already spent work
 	}
 	d := r.dispatcher
+	if !d.admission.Controls(r.call.Service) {
+		return choice, nil
+	}
 	request := r.admissionRequest()
 	limits, limited := d.admission.Check(request).(*beechadmission.Limits)
 	var refusal *shortOfRoom
