--- a/internal/decision/beechadmission/demand.go
+++ b/internal/decision/beechadmission/demand.go
@@ -67,7 +67,7 @@
 	shedShare = 0.9
 	// usableShare is the part of the engines' capacity that demand is let come to: waits grow
 	// beyond all bounds as it nears the whole.
-	usableShare     = 0.7
+	usableShare     = 0.9
 	maxExcessShare  = 0.99
 	millisPerSecond = 1000
 	// yieldFactor times the share of the others that is refused is the share of a workspace's
