--- a/internal/process/beechgate/observer.go
+++ b/internal/process/beechgate/observer.go
@@ -18,8 +18,11 @@
 // ObserveEnd implements beechattempt.Observer. Requests that were answered as expected are logged
 // at level debug only, all others and resumed streams at info.
 func (g *Gate) ObserveEnd(e beechattempt.Result) {
-	if e.Outcome == "answered" {
+	switch e.Outcome {
+	case "answered":
 		g.returns.answered(e.Call)
+	case "refused":
+		g.returns.refused(e.Call)
 	}
 	g.metrics.recordEnding(e, g.scopeTo(e.Choice.Server))
 	if e.Choice.LimitedServer != "" {
--- a/internal/process/beechgate/quota.go
+++ b/internal/process/beechgate/quota.go
@@ -74,6 +74,7 @@
 func (g *Gate) chargeQuota(ctx context.Context, call *beechcall.Call, out beechattempt.Responder) bool {
 	switch decision := g.admitQuota(ctx, call).(type) {
 	case beechquota.Refused:
+		g.returns.refused(call)
 		offer := g.returns.offerQuota(call, decision)
 		g.metrics.denied.Add("over quota", 1)
 		g.log.Warn("request refused", zap.String("request", call.ID), zap.String("route", call.Route.Name), zap.String("reason", "over quota"),
--- a/internal/process/beechgate/returns.go
+++ b/internal/process/beechgate/returns.go
@@ -155,14 +155,18 @@
 	if offer.Promised {
 		m.returns.Add("promised", 1)
 	}
+	beechtask.Notify(r.gate.returnsDue)
+	return offer
+}
+
+// refused counts a call that was refused for any reason although it came at its time.
+func (r *returns) refused(call *beechcall.Call) {
 	if call.CameBack {
-		m.returns.Add("refusedAgain", 1)
+		r.gate.metrics.returns.Add("refusedAgain", 1)
 	}
 	if call.Promised {
-		m.returns.Add("promiseBroken", 1)
+		r.gate.metrics.returns.Add("promiseBroken", 1)
 	}
-	beechtask.Notify(r.gate.returnsDue)
-	return offer
 }
 
 // quotaAdmitted ends what was promised of a workspace's quota.
--- a/internal/request/beechattempt/run.go
+++ b/internal/request/beechattempt/run.go
@@ -531,7 +531,7 @@
 		return "answered"
 	case r.maybeExecuted == 0:
 		after := r.timeToReturn(reason)
-		r.dispatcher.log.Warn("request refused", append(fields, zap.Duration("after", after))...)
+		r.dispatcher.log.Warn("request refused", append(fields, zap.Duration("after", after), zap.Bool("again", r.call.CameBack))...)
 		r.out.Reject(NotExecuted{RetryAfter: after, Reason: reason})
 		return "refused"
 	case isDone(ctx) || !r.dispatcher.clock.Now().Before(r.call.Deadline):
