--- a/internal/process/beechgate/returns.go
+++ b/internal/process/beechgate/returns.go
@@ -113,13 +113,13 @@
 // starts or the others are not informed, the limiter's own time is the best one.
 func (r *returns) offerQuota(call *beechcall.Call, refused beechquota.Refused) beechreturns.Offer {
 	if refused.Starting || refused.Available > 0 && r.reserve(call) == 0 {
-		return r.told(call, beechreturns.Offer{After: min(refused.After, r.patience(call))})
+		return r.told(beechreturns.Offer{After: min(refused.After, r.patience(call))})
 	}
 	supply := beechreturns.Supply{Available: refused.Available, Rate: refused.Rate, Burst: refused.Limit.Burst, Undisclosed: refused.Undisclosed, Gates: 1}
 	if !refused.Isolated {
 		supply.Gates = r.gate.gateCount()
 	}
-	return r.told(call, r.book.Offer(r.caller(call, quotaAccount(call), call.QuotaCost()), supply))
+	return r.told(r.book.Offer(r.caller(call, quotaAccount(call), call.QuotaCost()), supply))
 }
 
 // After implements beechattempt.Returns.
@@ -133,7 +133,7 @@
 	}
 	account := roomAccount(call)
 	supply := beechreturns.Supply{Rate: r.servedRate(account), Gates: 1, Earliest: earliest}
-	return r.told(call, r.book.Offer(r.caller(call, account, work(call)), supply)).After, true
+	return r.told(r.book.Offer(r.caller(call, account, work(call)), supply)).After, true
 }
 
 func (r *returns) caller(call *beechcall.Call, account uint32, size float64) beechreturns.Caller {
@@ -148,7 +148,7 @@
 }
 
 // told counts what a refused caller is told, and has the other gates informed.
-func (r *returns) told(call *beechcall.Call, offer beechreturns.Offer) beechreturns.Offer {
+func (r *returns) told(offer beechreturns.Offer) beechreturns.Offer {
 	m := r.gate.metrics
 	m.returns.Add("told", 1)
 	m.toldTimes.Record(offer.After)
