--- a/internal/decision/beechreturns/book.go
+++ b/internal/decision/beechreturns/book.go
@@ -35,7 +35,6 @@
 	Offer struct {
 		After    time.Duration
 		Promised bool // it will be served then, as far as is known
-		Again    bool // it came at its time and is refused again
 	}
 
 	// Arrival is New, Early or Returned.
@@ -48,10 +47,7 @@
 	Early struct{ Left time.Duration }
 
 	// Returned is a caller that comes at the time that it was told.
-	Returned struct {
-		Promised bool
-		Late     time.Duration
-	}
+	Returned struct{ Promised bool }
 
 	// Promise is what a gate tells the others of a caller that it has refused.
 	Promise struct {
@@ -72,6 +68,7 @@
 		accounts map[uint32]*calendar
 		unsent   []unsentPromise
 		swept    time.Duration
+		calls    int // entered in calendars, as of the last sweep and since
 	}
 
 	// unsentPromise is one that the other gates have not been told often enough.
@@ -112,9 +109,9 @@
 	onsetTime = 500 * time.Millisecond
 
 	sends       = 2     // messages that tell a promise, as one may be lost
-	maxPerSend  = 400   // promises in a message, of some 15 bytes each
-	maxAccounts = 4096  // accounts with promises
-	maxCalls    = 20000 // of an account
+	maxPerSend  = 400   // promises in a message, of some 20 bytes each
+	maxAccounts = 256   // accounts with promises, of 25 KB each
+	maxCalls    = 20000 // of all accounts
 )
 
 func (New) arrival()      {}
@@ -146,7 +143,7 @@
 		return Early{Left: e.due - now}
 	}
 	e.returned = true
-	return Returned{Promised: e.kept, Late: max(now-e.due, 0)}
+	return Returned{Promised: e.kept}
 }
 
 // Served ends what was promised to a call.
@@ -202,10 +199,20 @@
 		after = b.unpromised(caller)
 	}
 	p := Promise{Account: caller.Account, Call: caller.Call, Class: caller.Class, Size: caller.Size, Kept: kept}
-	if c.add(p, now+after) {
+	if b.add(c, p, now+after) {
 		b.unsent = append(b.unsent, unsentPromise{Promise: p, due: now + after, sendsLeft: sends})
 	}
-	return Offer{After: after, Promised: kept, Again: again}
+	return Offer{After: after, Promised: kept}
+}
+
+// add enters a call, unless there are too many.
+func (b *Book) add(c *calendar, p Promise, due time.Duration) bool {
+	if b.calls >= maxCalls {
+		return false
+	}
+	b.calls++
+	c.add(p, due)
+	return true
 }
 
 // unpromised returns the time for a caller for whom no slot is free.
@@ -306,7 +313,7 @@
 			}
 			c.remove(p.Call)
 		}
-		if c.add(p, due) {
+		if b.add(c, p, due) {
 			c.refused(p.Class, p.Size, now)
 			if p.Kept {
 				c.classes[p.Class].heard.add(now, p.Size)
@@ -332,11 +339,12 @@
 // calendar returns an account's calendar at the given time, or nil if it has none.
 func (b *Book) calendar(account uint32, now time.Duration) *calendar {
 	if now-b.swept >= recognizedFor {
-		b.swept = now
+		b.swept, b.calls = now, 0
 		for key, c := range b.accounts {
 			if c.advance(now); len(c.calls) == 0 {
 				delete(b.accounts, key)
 			}
+			b.calls += len(c.calls)
 		}
 	}
 	c := b.accounts[account]
--- a/internal/decision/beechreturns/calendar.go
+++ b/internal/decision/beechreturns/calendar.go
@@ -8,7 +8,8 @@
 type (
 	// calendar holds what was promised of one account. Times are since the book was created.
 	calendar struct {
-		began   time.Duration // when the first caller was refused
+		began   time.Duration // of the rush: when the first caller was refused
+		refusal time.Duration // when the last one was
 		first   int           // number of the first slot that is kept
 		last    int           // number of the last slot with a promise
 		slots   [slotCount]slot
@@ -51,7 +52,7 @@
 )
 
 func newCalendar(now time.Duration) *calendar {
-	return &calendar{began: now, first: slotOf(now - recognizedFor), last: slotOf(now), calls: make(map[uint32]*entry)}
+	return &calendar{began: now, refusal: now, first: slotOf(now - recognizedFor), last: slotOf(now), calls: make(map[uint32]*entry)}
 }
 
 func slotOf(at time.Duration) int { return int(math.Floor(float64(at) / float64(slotTime))) }
@@ -80,11 +81,7 @@
 	c.last = max(c.last, c.first)
 }
 
-// add enters a call, unless there are too many.
-func (c *calendar) add(p Promise, due time.Duration) bool {
-	if len(c.calls) >= maxCalls {
-		return false
-	}
+func (c *calendar) add(p Promise, due time.Duration) {
 	n := min(max(slotOf(due), c.first), c.first+slotCount-1)
 	s := c.slot(n)
 	s.calls = append(s.calls, p.Call)
@@ -93,7 +90,6 @@
 		s.sizes[p.Class] += p.Size
 		c.last = max(c.last, n)
 	}
-	return true
 }
 
 func (c *calendar) remove(call uint32) {
@@ -110,6 +106,10 @@
 
 // refused counts what a caller of a class was refused.
 func (c *calendar) refused(class uint8, size float64, now time.Duration) {
+	if now-c.refusal > onsetTime {
+		c.began = now
+	}
+	c.refusal = now
 	c.classes[class].refused.add(now, size)
 }
 
