--- a/internal/decision/beechquota/account.go
+++ b/internal/decision/beechquota/account.go
@@ -28,6 +28,7 @@
 		sendsLeft     int      // further updates that report the total
 		admitRate     meanRate // admitted by this gate
 		demandRate    meanRate // requested at this gate, including what it refused
+		meanSize      float64  // of the requests at this gate
 
 		usages           map[uint64]*peerUsage // of the other gates, by host
 		longRateSum      float64               // sum of the peers' long rates
@@ -68,6 +69,8 @@
 	longRateTime = 4 * time.Second
 	// minRateInterval is the shortest interval over which a rate is computed.
 	minRateInterval = 50 * time.Millisecond
+	// sizeSamples is the number of requests that the mean size follows.
+	sizeSamples = 20
 	// updateSends is the number of updates that report each change of a total, because
 	// updates may be lost.
 	updateSends = 3
--- a/internal/decision/beechquota/admit.go
+++ b/internal/decision/beechquota/admit.go
@@ -72,6 +72,7 @@
 	l.updateTime()
 	a.refill(l)
 	a.demandRate.pending += size
+	a.meanSize += (size - a.meanSize) / sizeSamples
 	a.demandRate.update(l.now, longRateTime)
 	left := a.available(l)
 	if l.isolated {
@@ -80,7 +81,7 @@
 	if left <= reserve || l.isolated && size-left > l.maxDebt(a) {
 		return l.refusal(a, left)
 	}
-	if !l.isolated && (!l.mayAdmitUnsent(a, size) || reserve > 0 && !l.mayAdmitExcess(a, size, left-reserve)) {
+	if !l.isolated && (!l.mayAdmitUnsent(a, size) || reserve > 0 && !l.mayAdmitExcess(a, left-reserve)) {
 		return l.refusal(a, max(left, 0)) // until the other gates are informed
 	}
 	return Admitted{}
@@ -88,11 +89,11 @@
 
 // mayAdmitExcess reports whether a request may take of what is left beyond a reserve. A draw lets
 // few gates do so where little is left: each may see the same excess, and together they would take
-// the reserve.
-func (l *Limiter) mayAdmitExcess(a *account, size, excess float64) bool {
+// the reserve. It goes by the mean size, so that large requests pass as often as small ones.
+func (l *Limiter) mayAdmitExcess(a *account, excess float64) bool {
 	used := max(a.unsent, a.admittedSinceReceived(l))
 	part := min(l.usageShare(a)+1/float64(l.gates), 1)
-	return (used+size)*l.draw(a) <= excess*part/l.requestProbability(a)
+	return (used+a.meanSize)*l.draw(a) <= excess*part/l.requestProbability(a)
 }
 
 // mayAdmitUnsent reports whether a request may pass before the other gates are informed of it.
--- a/internal/decision/beechreturns/book.go
+++ b/internal/decision/beechreturns/book.go
@@ -85,7 +85,7 @@
 	lateShare   = 0.1
 
 	// messageTime is longer than a promise takes to reach the other gates.
-	messageTime = 100 * time.Millisecond
+	messageTime = 75 * time.Millisecond
 	// lateness is how long after its time a caller is still expected: it makes a new connection.
 	lateness = 150 * time.Millisecond
 	// recognizedFor is how long after its time a caller is recognized.
--- a/internal/process/beechgate/returns.go
+++ b/internal/process/beechgate/returns.go
@@ -46,7 +46,7 @@
 	// usefulDivisor leaves half of the objective for the answer itself.
 	usefulDivisor = 2
 	// returnTime is what the way back takes besides the time that a caller is told.
-	returnTime = 100 * time.Millisecond
+	returnTime = 75 * time.Millisecond
 	// returnsPause gathers promises; a repeat may follow after returnsRepeat.
 	returnsPause  = 40 * time.Millisecond
 	returnsRepeat = 100 * time.Millisecond
