--- a/internal/process/beechgate/returns.go
+++ b/internal/process/beechgate/returns.go
@@ -46,7 +46,7 @@
 	// usefulDivisor leaves half of the objective for the answer itself.
 	usefulDivisor = 2
 	// returnTime is what the way back takes besides the time that a caller is told.
-	returnTime = 100 * time.Millisecond
+	returnTime = 75 * time.Millisecond
 	// returnsPause gathers promises; a repeat may follow after returnsRepeat.
 	returnsPause  = 40 * time.Millisecond
 	returnsRepeat = 100 * time.Millisecond
@@ -113,13 +113,13 @@
 // starts or the others are not informed, the limiter's own time is the best one.
 func (r *returns) offerQuota(call *beechcall.Call, refused beechquota.Refused) beechreturns.Offer {
 	if refused.Starting || refused.Available > 0 && r.reserve(call) == 0 {
-		return r.told(call, beechreturns.Offer{After: min(refused.After, r.patience(call))})
+		return r.told(beechreturns.Offer{After: min(refused.After, r.patience(call))})
 	}
 	supply := beechreturns.Supply{Available: refused.Available, Rate: refused.Rate, Burst: refused.Limit.Burst, Undisclosed: refused.Undisclosed, Gates: 1}
 	if !refused.Isolated {
 		supply.Gates = r.gate.gateCount()
 	}
-	return r.told(call, r.book.Offer(r.caller(call, quotaAccount(call), call.QuotaCost()), supply))
+	return r.told(r.book.Offer(r.caller(call, quotaAccount(call), call.QuotaCost()), supply))
 }
 
 // After implements beechattempt.Returns.
@@ -133,7 +133,7 @@
 	}
 	account := roomAccount(call)
 	supply := beechreturns.Supply{Rate: r.servedRate(account), Gates: 1, Earliest: earliest}
-	return r.told(call, r.book.Offer(r.caller(call, account, work(call)), supply)).After, true
+	return r.told(r.book.Offer(r.caller(call, account, work(call)), supply)).After, true
 }
 
 func (r *returns) caller(call *beechcall.Call, account uint32, size float64) beechreturns.Caller {
@@ -148,21 +148,25 @@
 }
 
 // told counts what a refused caller is told, and has the other gates informed.
-func (r *returns) told(call *beechcall.Call, offer beechreturns.Offer) beechreturns.Offer {
+func (r *returns) told(offer beechreturns.Offer) beechreturns.Offer {
 	m := r.gate.metrics
 	m.returns.Add("told", 1)
 	m.toldTimes.Record(offer.After)
 	if offer.Promised {
 		m.returns.Add("promised", 1)
 	}
+	beechtask.Notify(r.gate.returnsDue)
+	return offer
+}
+
+// refused counts a call that was refused for any reason although it came at its time.
+func (r *returns) refused(call *beechcall.Call) {
 	if call.CameBack {
-		m.returns.Add("refusedAgain", 1)
+		r.gate.metrics.returns.Add("refusedAgain", 1)
 	}
 	if call.Promised {
-		m.returns.Add("promiseBroken", 1)
+		r.gate.metrics.returns.Add("promiseBroken", 1)
 	}
-	beechtask.Notify(r.gate.returnsDue)
-	return offer
 }
 
 // quotaAdmitted ends what was promised of a workspace's quota.
