--- a/internal/request/beechattempt/run.go
+++ b/internal/request/beechattempt/run.go
@@ -221,6 +221,9 @@
 	}
 	if !r.dispatcher.placer.StillUsable(r.call, choice) {
 		placement.Done(beechplace.Cancelled)
+		if r.backup.continues {
+			return r.backupGivenUp(beechbackup.EngineLost)
+		}
 		return tryAgain
 	}
 	if !placement.AcquireLimit() {
