--- a/internal/command/beechplay/soak_test.go
+++ b/internal/command/beechplay/soak_test.go
@@ -21,6 +21,7 @@
 	"time"
 
 	"github.com/beechring/beechring/internal/command/beechtrace"
+	"github.com/beechring/beechring/internal/decision/beechbackup"
 	"github.com/beechring/beechring/internal/process/beechsettings"
 	"github.com/beechring/beechring/internal/standin/beechsimulator"
 )
@@ -95,7 +96,9 @@
 		disturbedAt     map[string][]time.Time
 		poisonSentAt    map[string]time.Time // requests on which engines crash
 		poisonGate      map[string]string    // that they were sent to
-		favored         string               // gate that most requests go to; empty is none
+		longStatus      map[string]int       // of streams of sendLongStreams
+		longWhole       int
+		favored         string // gate that most requests go to; empty is none
 	}
 )
 
@@ -213,7 +216,7 @@
 	s := &soak{
 		t: t, seed: seed, cluster: w, random: rand.New(rand.NewPCG(seed, seed)), client: &http.Client{Timeout: 7 * time.Second},
 		statuses: make(map[string]int), atMostOnce: make(map[string]bool), revocableSentAt: make(map[string]time.Time), departedAt: make(map[string]time.Time), leavings: make(map[string]*leaving),
-		disturbedAt: make(map[string][]time.Time), poisonSentAt: make(map[string]time.Time), poisonGate: make(map[string]string),
+		disturbedAt: make(map[string][]time.Time), poisonSentAt: make(map[string]time.Time), poisonGate: make(map[string]string), longStatus: make(map[string]int),
 	}
 	ctx, stop := context.WithCancel(t.Context())
 	defer stop()
@@ -222,6 +225,7 @@
 	s.copied = w.Store.Snapshot()
 	s.sendRequests()
 	s.check()
+	s.checkBackups()
 	s.client.CloseIdleConnections()
 	if err := w.Close(); err != nil {
 		t.Error(err)
@@ -229,10 +233,11 @@
 }
 
 func (s *soak) deploy() {
+	s.cluster.Backups = beechbackup.On
 	s.cluster.Configure(1, nil)
 	s.cluster.SetWeights(1)
 	for i := range 3 {
-		s.must(s.cluster.AddEngine(fmt.Sprintf("e%d", i), beechsimulator.EngineSettings{Model: Model, Version: 1, Slots: 32, Token: 20 * time.Millisecond, Load: 300 * time.Millisecond, Software: soakVersions[i%len(soakVersions)]}))
+		s.must(s.cluster.AddEngine(fmt.Sprintf("e%d", i), beechsimulator.EngineSettings{Model: Model, Version: 1, Slots: 32, Token: 20 * time.Millisecond, Load: 300 * time.Millisecond, Software: soakVersions[i%len(soakVersions)], Slowness: 100}))
 		s.must(s.cluster.AddEngine(fmt.Sprintf("s%d", i), beechsimulator.EngineSettings{Slots: 32}))
 	}
 	bounds := beechsettings.GateBounds{
@@ -264,6 +269,7 @@
 		limits.Go(s.injectLimits)
 		limits.Go(s.injectPoison)
 		limits.Go(s.favorGate)
+		limits.Go(s.sendLongStreams)
 		defer limits.Wait()
 		version := 1
 		for end := time.Now().Add(soakDuration - 4*time.Second); time.Now().Before(end); time.Sleep(faultInterval) {
