Urgency: a steady queue is believed until its keeper says otherwise

A keeper repeats an unchanged strain each second, and gates took off what the engine prefills meanwhile: after some 0.3 s a queue that stayed as long was believed gone. TestSteadyQueueIsStillBelieved failed before.

--- a/internal/request/beechplace/urgency.go
+++ b/internal/request/beechplace/urgency.go
@@ -210,7 +210,8 @@
 }
 
 // tokensBefore estimates the prompt tokens that an engine prefills before a call: the maximum of
-// what this gate has sent, and of what all gates have announced.
+// what this gate has sent, and of what all gates have announced. The keeper tells at once if the
+// queue has changed by a long prompt, so without word from it no more was prefilled than has come.
 func (p *Placer) tokensBefore(urgency int, s *server, load rankedLoad, at time.Time) float64 {
 	own, added := 0., 0.
 	for _, r := range s.pending[:urgency+1] {
@@ -218,7 +219,7 @@
 		added += float64(r.addedTokens)
 	}
 	done := milliseconds(at.Sub(s.strainAt)) * p.serverPrefillRate(s, at)
-	return max(own, load.tokens+added-done)
+	return max(own, load.tokens+added-min(done, minAnnouncedTokens))
 }
 
 // slotWait estimates the milliseconds until a call gets a slot. Slots become free as runs end;
--- a/internal/request/beechplace/urgency_test.go
+++ b/internal/request/beechplace/urgency_test.go
@@ -260,3 +260,13 @@
 	is.True(f.passing[late].factor() > 1) // it took longer than the backlog
 	is.Equal(f.passing[urgent].factor(), 1.)
 }
+
+// The queue of an engine stays as long as it is for a second, so its keeper has nothing to tell.
+func TestSteadyQueueIsStillBelieved(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(1)
+	f.reportAll(func(_ int, s *State) { s.Running, s.Waiting = 30, 20 })
+	f.strain(0, 1, beechstrain.RankLoad{Urgency: late, Running: 30, CacheUsed: 1, Waiting: 20, Reading: 30_000})
+	f.clock.Advance(900 * time.Millisecond)
+	is.True(f.expected(t, urgencyCall("x", late, 500), 0) > 28_000/f.prefill.rate)
+}
