--- a/internal/process/beechgate/demands.go
+++ b/internal/process/beechgate/demands.go
@@ -18,8 +18,9 @@
 )
 
 const (
-	// demandsInterval is the time that a message of this gate covers, and the time between messages of this gate to a collector, and between those
-	// of a collector to the other gates. Ranks in demand and usual parts change within seconds.
+	// demandsInterval is the time between messages of this gate to a collector, which each of them
+	// covers, and between those of a collector to the other gates. What is asked changes within
+	// seconds.
 	demandsInterval = 500 * time.Millisecond
 	// maxDemands is the number of demands in one message, at some 20 bytes each: the ranks of
 	// a few services, and the workspaces that ask most.
