--- a/internal/decision/beechbackup/risk.go
+++ b/internal/decision/beechbackup/risk.go
@@ -12,7 +12,7 @@
 const (
 	// riskWindow is the time in which crashes are counted. What makes engines crash (bad requests, a
 	// release, a failing rack) mostly goes on for some seconds.
-	riskWindow = 15 * time.Second
+	riskWindow = 8 * time.Second
 	// sameMoment is within which keepers notice what happens to several engines at once.
 	sameMoment = time.Second
 	// maxCrashes bounds memory.
--- a/internal/process/beechsettings/settings_test.go
+++ b/internal/process/beechsettings/settings_test.go
@@ -2,11 +2,14 @@
 
 import (
 	"errors"
+	"fmt"
 	"strings"
 	"testing"
 	"time"
 
 	"github.com/matryer/is"
+
+	"github.com/beechring/beechring/internal/decision/beechbackup"
 )
 
 const goodEntry = `{"name":"entry-1","zone":"ne-1","listen":"127.0.0.1:8080","admin":"127.0.0.1:9090",
@@ -43,3 +46,21 @@
 		})
 	}
 }
+
+// Backups are of three modes; another value is refused with the field's name.
+func TestBackupsOfAGate(t *testing.T) {
+	is := is.New(t)
+	const settings = `{"name":"g","zone":"a","listen":"10.0.0.1:1","ready":"10.0.0.1:2","beats":"10.0.0.1:3","store":"10.0.0.2:1"%s}`
+	gate, err := ParseGate(fmt.Appendf(nil, settings, ""))
+	is.NoErr(err)
+	is.Equal(gate.Backups, beechbackup.Auto)
+	for _, mode := range []beechbackup.Mode{beechbackup.Auto, beechbackup.On, beechbackup.Off} {
+		gate, err = ParseGate(fmt.Appendf(nil, settings, fmt.Sprintf(`,"backups":%q`, mode)))
+		is.NoErr(err)
+		is.Equal(gate.Backups, mode)
+	}
+	_, err = ParseGate(fmt.Appendf(nil, settings, `,"backups":"always"`))
+	is.True(err != nil)
+	is.True(strings.Contains(err.Error(), "field backups"))
+	is.True(strings.Contains(err.Error(), "auto"))
+}
--- a/internal/request/beechattempt/backup.go
+++ b/internal/request/beechattempt/backup.go
@@ -19,7 +19,7 @@
 type (
 	// runBackup is the backup of a call's run. The zero value is a call without one.
 	runBackup struct {
-		decided        bool // whether a copy is made, for the attempt under way
+		decided        bool // whether a copy is made has been decided
 		engine         *beechplace.Backup
 		copying        *copying          // nil if there is no engine
 		source         beechplace.Choice // where the run began
