--- a/internal/command/beechcommand/gate.go
+++ b/internal/command/beechcommand/gate.go
@@ -30,6 +30,7 @@
 	gate, err := beechgate.New(r.settings, beechgate.Dependencies{
 		Clock: clock, Age: beechfresh.BootClock{}, Log: r.log,
 		Source: store, StoreUse: store.CallStats(), Backend: platform.NewEngines(pool, clock), Pool: pool,
+		CallersCompete: platform.CallersCompete(r.settings.Contracts),
 		OperatorPrefix: platform.OperatorPrefix, ServerPrefix: platform.ServerPrefix,
 		Operators: platform.DecodeConfiguration, Servers: platform.DecodeServers,
 	})
--- a/internal/decision/beechbackup/decide.go
+++ b/internal/decision/beechbackup/decide.go
@@ -14,11 +14,11 @@
 
 	// Service is what is known of the engines of a service.
 	Service struct {
-		Offered       bool    // its engines take backups
-		TokenBytes    int     // size of a token in an engine's memory
-		LinkRate      float64 // bytes that an engine sends or receives per millisecond
-		TellsSlowness bool    // its engines tell how slow their hosts are
-		CrashRate     float64 // crashes of each engine, per second
+		Offered    bool    // its engines take backups
+		TokenBytes int     // size of a token in an engine's memory
+		LinkRate   float64 // bytes that an engine sends or receives per millisecond
+		Strained   bool    // its engines tell how slow their hosts are, or callers compete for them
+		CrashRate  float64 // crashes of each engine, per second
 	}
 
 	// Run is a run that may get a backup.
@@ -146,7 +146,7 @@
 	if !s.Offered || s.TokenBytes <= 0 || s.LinkRate <= 0 {
 		return false
 	}
-	return m == On || (m != Off && s.TellsSlowness)
+	return m == On || (m != Off && s.Strained)
 }
 
 // Pays returns why a backup of a run does not pay, or an empty reason. With mode On the operators have
--- a/internal/process/beechgate/demands.go
+++ b/internal/process/beechgate/demands.go
@@ -13,7 +13,6 @@
 	"github.com/beechring/beechring/internal/link/beechdatagram"
 	"github.com/beechring/beechring/internal/link/beechwire"
 	"github.com/beechring/beechring/internal/process/beechconvert"
-	"github.com/beechring/beechring/internal/process/beechsettings"
 	"github.com/beechring/beechring/internal/process/beechtask"
 )
 
@@ -25,14 +24,12 @@
 	// maxDemands is the number of demands in one message, at some 20 bytes each: the ranks of
 	// a few services, and the workspaces that ask most.
 	maxDemands = 100
-	// contractPressure is the operators' word for a deployment whose callers at times ask for more
-	// than its servers can do.
-	contractPressure = "pressure"
 )
 
-func admissionMode(s *beechsettings.Gate) beechadmission.Mode {
-	mode := beechadmission.Mode(s.Admission)
-	if mode == beechadmission.Auto && slices.Contains(s.Contracts, contractPressure) {
+// admissionMode returns the mode in which services are controlled: where callers compete for room,
+// auto is on for all of them.
+func admissionMode(mode beechadmission.Mode, callersCompete bool) beechadmission.Mode {
+	if mode == beechadmission.Auto && callersCompete {
 		return beechadmission.On
 	}
 	return mode
--- a/internal/process/beechgate/demands_test.go
+++ b/internal/process/beechgate/demands_test.go
@@ -8,23 +8,21 @@
 
 	"github.com/beechring/beechring/internal/decision/beechadmission"
 	"github.com/beechring/beechring/internal/process/beechconvert"
-	"github.com/beechring/beechring/internal/process/beechsettings"
 )
 
 func TestAdmissionMode(t *testing.T) {
 	is := is.New(t)
-	pressed := []string{"base", "pressure"}
 	for _, c := range []struct {
-		admission string
-		contracts []string
-		want      beechadmission.Mode
+		mode    beechadmission.Mode
+		compete bool
+		want    beechadmission.Mode
 	}{
-		{"auto", nil, beechadmission.Auto},
-		{"auto", pressed, beechadmission.On},
-		{"on", nil, beechadmission.On},
-		{"off", pressed, beechadmission.Off},
+		{beechadmission.Auto, false, beechadmission.Auto},
+		{beechadmission.Auto, true, beechadmission.On},
+		{beechadmission.On, false, beechadmission.On},
+		{beechadmission.Off, true, beechadmission.Off},
 	} {
-		is.Equal(admissionMode(&beechsettings.Gate{Admission: c.admission, Contracts: c.contracts}), c.want)
+		is.Equal(admissionMode(c.mode, c.compete), c.want)
 	}
 }
 
--- a/internal/process/beechgate/gate.go
+++ b/internal/process/beechgate/gate.go
@@ -57,6 +57,7 @@
 		StoreUse       expvar.Var // calls and bytes of Source; may be nil
 		Backend        beechcall.Backend
 		Pool           *beechpool.Pool // connections of Backend
+		CallersCompete bool            // at times callers ask for more than the servers can do
 		OperatorPrefix string
 		ServerPrefix   string
 		// Operators decodes the operators' documents and Servers the servers' entries. Both
@@ -201,7 +202,7 @@
 	g.origins = newOrigins(g)
 	g.overload = beechoverload.New(deps.Clock, rand.Float64)
 	g.poison = beechpoison.New(deps.Clock, g.poisonTurn, g.wakePoisonSender)
-	g.admission = beechadmission.New(admissionMode(s), deps.Clock)
+	g.admission = beechadmission.New(admissionMode(beechadmission.Mode(s.Admission), deps.CallersCompete), deps.Clock)
 	g.demands = beechadmission.NewTotals()
 	g.budgets = NewBudgets(s.Bounds.Retries, s.Bounds.Spare, time.Duration(s.Bounds.Window), deps.Clock, g.askForLoan)
 	g.members = newGossip(g)
@@ -215,6 +216,7 @@
 	g.backoff = beechbackoff.New(deps.Clock)
 	g.placer = beechplace.New(beechplace.Settings{
 		Zone: s.Zone, OutdatedSoftLimit: max(weights-outdatedMargin, weights/2), OutdatedHardLimit: max(weights-startMargin, weights/2),
+		CallersCompete: deps.CallersCompete,
 	}, deps.Clock, g.health, g.limits, g.overloaded, g.backoff, g.announcePrompt)
 	g.placer.AnnounceUrgencies(g.announceUrgency)
 	g.core = beechattempt.New(g.placer, deps.Backend, deps.Pool, g.budgets, g.suspects, g.poison, g.admission, g, deps.Clock, deps.Log)
--- a/internal/process/beechsettings/settings.go
+++ b/internal/process/beechsettings/settings.go
@@ -101,10 +101,12 @@
 		Bounds GateBounds     `json:"bounds"`
 
 		// Admission tells for which services requests are refused in favor of more urgent
-		// ones while room is short: on (all), off, or auto (all if Contracts has pressure, or
-		// else those whose servers tell how slow their hosts are at the moment).
-		Admission string   `json:"admission,omitempty"`
-		Contracts []string `json:"contracts,omitempty"` // what the operators have agreed on for the deployment
+		// ones while room is short: on (all), off, or auto (all if the operators' rules are
+		// those for callers that compete for room, or else those whose servers tell how slow
+		// their hosts are at the moment).
+		Admission string `json:"admission,omitempty"`
+		// Contracts are the parts of the operators' rules that are in force.
+		Contracts []string `json:"contracts,omitempty"`
 
 		Seeds []netip.AddrPort `json:"seeds,omitempty"` // of a few gates, which may be stale; heartbeats go to their IPs at the port of Beats
 		Cores float64          `json:"cores,omitempty"` // processor cores of the host; 0: not known
--- a/internal/request/beechplace/types.go
+++ b/internal/request/beechplace/types.go
@@ -25,7 +25,8 @@
 		OutdatedHardLimit time.Duration // no request may start on weights outdated for longer
 		DownTime          time.Duration // first exclusion of an unreachable server; doubles up to MaxDownTime
 		MaxDownTime       time.Duration
-		Gates             int // number of gates that send to the same engines
+		Gates             int  // number of gates that send to the same engines
+		CallersCompete    bool // at times callers ask for more than the servers can do
 	}
 
 	// State is what a keeper reports about its engine.
@@ -134,5 +135,6 @@
 	d.DownTime = cmp.Or(s.DownTime, d.DownTime)
 	d.MaxDownTime = cmp.Or(s.MaxDownTime, d.MaxDownTime)
 	d.Gates = cmp.Or(s.Gates, d.Gates)
+	d.CallersCompete = s.CallersCompete
 	return d
 }
