--- a/internal/decision/beechreturns/book.go
+++ b/internal/decision/beechreturns/book.go
@@ -85,7 +85,7 @@
 	lateShare   = 0.1
 
 	// messageTime is longer than a promise takes to reach the other gates.
-	messageTime = 75 * time.Millisecond
+	messageTime = 100 * time.Millisecond
 	// lateness is how long after its time a caller is still expected: it makes a new connection.
 	lateness = 150 * time.Millisecond
 	// recognizedFor is how long after its time a caller is recognized.
@@ -243,7 +243,8 @@
 }
 
 // unheard estimates what other gates have promised and not told yet: as much as this one each, or
-// at random a part of what they usually promise in that time.
+// at random a part of what they usually promise in that time. When a rush begins, all of them may
+// be making their first promise, and a random part of these may come before this one.
 func (b *Book) unheard(c *calendar, caller Caller, s Supply) float64 {
 	own := 0.0
 	for _, u := range b.unsent {
@@ -251,7 +252,11 @@
 			own += u.Size
 		}
 	}
-	return max(own*float64(s.Gates-1), b.random()*c.classes[caller.Class].heard.rate(b.now())*messageTime.Seconds())
+	others := float64(s.Gates - 1)
+	if b.now()-c.began < messageTime {
+		own += caller.Size * b.random()
+	}
+	return max(own*others, b.random()*c.classes[caller.Class].heard.rate(b.now())*messageTime.Seconds())
 }
 
 // Empty reports whether nothing was told to anyone lately.
--- a/internal/decision/beechreturns/simulation_test.go
+++ b/internal/decision/beechreturns/simulation_test.go
@@ -255,6 +255,7 @@
 	}
 	offer := Offer{After: d.After}
 	if s.promises {
+		s.urgent[i] = true // as the gate does
 		supply.Available, supply.Rate, supply.Undisclosed = d.Available, d.Rate, d.Undisclosed
 		offer = s.books[i].Offer(Caller{
 			Account: account, Class: c.kind.class, Call: c.id, Size: c.kind.size, Useful: max(c.kind.objective/2-returnTime-(s.now-c.firstAt), 0), Patience: c.kind.patience,
--- a/internal/process/beechgate/quota.go
+++ b/internal/process/beechgate/quota.go
@@ -81,6 +81,7 @@
 			zap.String("workspace", call.Workspace.Name), zap.Float64("size", call.QuotaCost()), zap.Duration("after", offer.After), zap.Bool("promised", offer.Promised), zap.Bool("again", call.CameBack), zap.Uint32("call", callKey(call)),
 			zap.Float64("left", decision.Level), zap.Float64("unread", decision.Unreported), zap.Float64("rate", decision.Limit.Rate), zap.Float64("burst", decision.Limit.Burst),
 			zap.Bool("alone", decision.Isolated), zap.Duration("age", decision.UpdateAge))
+		beechtask.Notify(g.usageDue) // the others assume that this gate continues at the rate of its last update
 		out.Reject(beechattempt.QuotaExceeded{RetryAfter: offer.After})
 		return false
 	case beechquota.Admitted:
