--- a/internal/request/beechattempt/admission.go
+++ b/internal/request/beechattempt/admission.go
@@ -55,7 +55,7 @@
 func (r *execution) admissionRequest() beechadmission.Request {
 	request := beechadmission.Request{
 		Service: r.call.Service, Rank: r.call.Urgency(), Workspace: r.call.Workspace.Name, ID: r.call.ID,
-		Objective: r.call.Route.Objective, Prompt: r.call.PromptTokens, Capacity: r.dispatcher.placer.Capacity(r.call.Service),
+		Objective: r.call.Route.Objective, Prompt: r.call.PromptTokens, Returned: r.call.CameBack, Capacity: r.dispatcher.placer.Capacity(r.call.Service),
 	}
 	if shared := r.call.SharedParts(); len(shared) > 0 {
 		request.Subject = shared[len(shared)-1].ID
