--- a/internal/decision/beechreturns/doc.go
+++ b/internal/decision/beechreturns/doc.go
@@ -13,18 +13,21 @@
 // A Book holds a calendar for each account (a workspace's quota, or one urgency of a service).
 // A slot of the calendar holds the sizes of the callers that were told to come back in it. A
 // refused caller gets the first slot for which, up to the last promise, the debt is paid and
-// all that was promised has refilled. Only a part of the refill is promised:
+// something is left of what has refilled: as in the bucket, a larger caller leaves a debt. Only a
+// part of the refill is promised:
 //
-//   - half of the time in which its answer would be in time: halfShare, so that room is left for
-//     callers whose time is shorter;
-//   - the second half: usefulShare;
-//   - after that: lateShare, as an answer that is late serves a caller less than one in time
+//   - usefulShare while its answer would be in time; new callers get the rest;
+//   - lateShare after that, as an answer that is late serves a caller less than one in time
 //     serves a new one;
-//   - a caller that came at its time and was refused again: all of it.
+//   - all of it to a caller that came at its time and was refused again.
+//
+// Callers are divided into classes of about the same patience, and each class gets the part of
+// the promises that it has of what is refused. Otherwise those who can wait for longer, and
+// smaller ones, would take all slots.
 //
 // A caller never gets a time beyond its patience, which it would ignore. If no slot is free
 // before that, nothing is promised, and it is told to come in the last part of its patience,
-// when the rush is most likely over.
+// when the rush is most likely over. Coming then, it yields to new callers.
 //
 // New callers leave untouched what was promised for now and the next moment, see Reserve. A
 // promise only orders callers: it never admits more than the account's own limit does.
@@ -41,8 +44,8 @@
 //
 //	b := beechreturns.NewBook(clock, rand.Float64)
 //	switch a := b.Arrive(account, call).(type) {
-//	case beechreturns.Returned: // admit it without regard to b.Reserve
-//	case beechreturns.New, beechreturns.Early: // admit it if b.Reserve(account, supply) is left
+//	case beechreturns.Returned: // if a.Promised, admit it without regard to b.Reserve
+//	case beechreturns.New, beechreturns.Early: // admit it if more than b.Reserve(account, supply, false) is left
 //	}
 //	b.Served(account, call)             // the promise is fulfilled
 //	offer := b.Offer(caller, supply)    // or it was refused: tell it offer.After
