--- a/internal/request/beechrollout/backlog.go
+++ b/internal/request/beechrollout/backlog.go
@@ -33,6 +33,7 @@
 
 // Rate returns the tokens that the engine is taken to prefill per millisecond.
 func (b *PrefillBacklog) Rate() float64 { return b.currentRate() }
+
 // SetSlowness records how slow the engine's host is from now on, in percent of the usual; 0: not
 // known.
 func (b *PrefillBacklog) SetSlowness(slowness int, now time.Time) {
