Review of strains and pauses: three faults mended

A report with a negative number of waiting requests ended the keeper (index out of range in Backlog.Update); the risk of a pause was no number where nothing is read between events; calls that a crashed engine took with it made waits at all engines appear longer, so that others could be refused with places free. Each has a test that failed before: TestNegativeWaitingCountsAsNone, TestRiskIsANumberWithoutReadingBetweenEvents, TestCrashIsNoSampleOfWaits.

--- a/internal/decision/beechpause/model.go
+++ b/internal/decision/beechpause/model.go
@@ -80,7 +80,7 @@
 	}
 	most := (m.longest - m.gap) * m.rate // tokens read between two events
 	critical := (milliseconds(longest)*margin*usual/slowness - m.gap) * m.rate
-	if tokens < critical || most < critical {
+	if tokens < critical || most < critical || most <= 0 {
 		return 0
 	}
 	return min(max((most+tokens-2*max(critical, 0))/most, 0), 1)
--- a/internal/decision/beechpause/model_test.go
+++ b/internal/decision/beechpause/model_test.go
@@ -111,3 +111,12 @@
 	probability, _ := all.Within(float64(maxMomentGap.Milliseconds()))
 	is.Equal(probability, 1.)
 }
+
+// On a host so slow that each event alone takes the longest pause, nothing is read between events.
+func TestRiskIsANumberWithoutReadingBetweenEvents(t *testing.T) {
+	is := is.New(t)
+	m := Model{gap: 20, longest: 20, rate: 50, samples: 100}
+	risk := m.Risk(0, 10_000, 400*time.Millisecond)
+	is.True(risk >= 0)
+	is.True(risk <= 1)
+}
--- a/internal/decision/beechstrain/backlog.go
+++ b/internal/decision/beechstrain/backlog.go
@@ -54,6 +54,7 @@
 func (b *Backlog) Update(r Report) {
 	b.prefill(r)
 	b.takeArrived(r.At.Add(-r.ArrivalDelay))
+	r.Waiting = max(r.Waiting, 0)
 	waiting := 0
 	for _, q := range b.waiting {
 		waiting += q.requests
--- a/internal/decision/beechstrain/backlog_test.go
+++ b/internal/decision/beechstrain/backlog_test.go
@@ -108,3 +108,12 @@
 		}
 	})
 }
+
+// A report with a negative number of waiting requests must not end the keeper.
+func TestNegativeWaitingCountsAsNone(t *testing.T) {
+	is := is.New(t)
+	var b Backlog
+	b.Announce(urgent, 3000, start)
+	b.Update(reportAt(100*time.Millisecond, -1, 3, late))
+	is.Equal(b.Fill(Strain{}).Ranks, nil)
+}
--- a/internal/request/beechplace/attempt.go
+++ b/internal/request/beechplace/attempt.go
@@ -186,7 +186,9 @@
 		a.placer.mu.Lock()
 		defer a.placer.mu.Unlock()
 		a.server.inFlight = max(a.server.inFlight-1, 0)
-		a.gaveUpWaiting()
+		if o == Cancelled { // an engine that crashed says nothing of how long calls wait
+			a.gaveUpWaiting()
+		}
 		if o == Answered && a.prompt > 0 {
 			a.placer.residence.learn(a.prompt, a.placer.clock.Since(a.sentAt))
 			a.placer.learnRunTime(a.firstByteAt)
--- a/internal/request/beechplace/urgency_test.go
+++ b/internal/request/beechplace/urgency_test.go
@@ -261,6 +261,22 @@
 	is.Equal(f.passing[urgent].factor(), 1.)
 }
 
+// Calls that a crashed engine took with it must not make waits at the others appear longer.
+func TestCrashIsNoSampleOfWaits(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(1)
+	f.reportAll(func(_ int, s *State) { s.Running, s.CacheUsed = 48, 30_000 })
+	f.runTime = 2000
+	f.strain(0, 1, beechstrain.RankLoad{Urgency: late, Running: 48, CacheUsed: 30_000, Waiting: 20})
+	call := urgencyCall("x", late, 3000)
+	for _, outcome := range []Outcome{Failed, Cancelled} {
+		attempt := f.StartAttempt(call, f.choose(t, call))
+		f.clock.Advance(2500 * time.Millisecond)
+		attempt.Done(outcome)
+		is.Equal(f.passing[late].factor() > 1, outcome == Cancelled)
+	}
+}
+
 // The queue of an engine stays as long as it is for a second, so its keeper has nothing to tell.
 func TestSteadyQueueIsStillBelieved(t *testing.T) {
 	is := is.New(t)
