Refused connections do not prove a leaving server's end

A server that leaves may finish its answers while it refuses connections. Whole answers heed this (serverGone), but the decision on a lost run took every refusal for an end, so that the run could be at two engines at once.

A refusal counts no more if the first answer said that the server leaves, if the placer knows so, or if the server is not listed any more (it may have left). Only a later lifetime under its ID proves the end then; it is waited for as for a silent server, and then given up ("server may be running").

--- a/internal/request/beechattempt/backup.go
+++ b/internal/request/beechattempt/backup.go
@@ -26,6 +26,7 @@
 		continues      bool              // the run goes on with the copy from now on
 		used           bool              // the engine has taken the copy, or has none
 		weightsChanged bool              // the run told that its weights changed
+		sourceLeaves   bool              // the run's server said with its answer that it leaves
 		result         BackupResult
 	}
 
@@ -52,12 +53,13 @@
 
 // considerBackup has a run copied to another engine, if that pays. It is called as events arrive: the
 // prompt has been read by then.
-func (r *execution) considerBackup(choice beechplace.Choice, events, weightsLine []byte) {
+func (r *execution) considerBackup(choice beechplace.Choice, events []byte, answer *beechcall.Answer) {
 	b := &r.backup
 	if b.continues || !r.mayHaveBackup() {
 		return
 	}
-	b.observeWeights(events, weightsLine)
+	b.observeWeights(events, answer.WeightsLine)
+	b.sourceLeaves = answer.Leaving
 	if b.decided || b.weightsChanged {
 		return
 	}
@@ -138,14 +140,15 @@
 	}
 }
 
-// loss returns what is known of the run that broke off.
+// loss returns what is known of the run that broke off. A server that leaves may finish its answers
+// while it refuses connections: refusing is no proof of its end.
 func (r *execution) loss(source beechplace.Choice, probed *probe, gone bool) beechbackup.Loss {
 	state := beechbackup.Silent
 	switch {
-	case gone:
-		state = beechbackup.Ended
-	case probed != nil && isClosed(probed.done) && probed.refused:
-		state = beechbackup.Ended
+	case refused(probed, gone):
+		if !r.backup.sourceLeaves {
+			state = beechbackup.Ended
+		}
 	case probed != nil && isClosed(probed.done) && probed.accepted:
 		state = beechbackup.Running
 	}
@@ -157,6 +160,11 @@
 	})
 }
 
+// refused reports whether a server refuses connections.
+func refused(probed *probe, gone bool) bool {
+	return gone || probed != nil && isClosed(probed.done) && probed.refused
+}
+
 // awaitLossNews waits for the probe of the server that was lost, or for a short time.
 func (r *execution) awaitLossNews(probed *probe) {
 	var done chan struct{}
--- a/internal/request/beechattempt/backup_test.go
+++ b/internal/request/beechattempt/backup_test.go
@@ -130,6 +130,29 @@
 	}
 }
 
+// leaving has a server say with its answer that it leaves.
+func leaving(answer step) step {
+	return func(ctx context.Context, a beechcall.Attempt) (*beechcall.Answer, error) {
+		r, err := answer(ctx, a)
+		r.Leaving = true
+		return r, err
+	}
+}
+
+// sourceLeaves has the entry of the first server say that it leaves.
+func (f *backupFixture) sourceLeaves() {
+	servers := slices.Clone(f.servers)
+	for i := range servers {
+		servers[i].Leaving = servers[i].ID == f.backend.sent[0].Server.ID
+	}
+	f.placer.SetServers(servers)
+}
+
+// sourceUnlisted has the entry of the first server vanish.
+func (f *backupFixture) sourceUnlisted() {
+	f.placer.SetServers(slices.DeleteFunc(slices.Clone(f.servers), func(s beechcall.Server) bool { return s.ID == f.backend.sent[0].Server.ID }))
+}
+
 // setScript replaces the script, which may refer to the fixture.
 func (f *backupFixture) setScript(script ...step) { f.backend.script = script }
 
@@ -229,6 +252,37 @@
 	is.True(result.Backup.Whole)
 }
 
+// A server that leaves finishes its answers while it refuses connections: the run would be at two.
+func TestRunDoesNotGoOnWhileItsServerLeaves(t *testing.T) {
+	for name, script := range map[string]func(*backupFixture) step{
+		"by its answer":   func(f *backupFixture) step { return leaving(f.crashes(event(1))) },
+		"by its entry":    func(f *backupFixture) step { return f.crashes(event(1), f.sourceLeaves) },
+		"no longer known": func(f *backupFixture) step { return f.crashes(event(1), f.sourceUnlisted) },
+		"by its answer, without an entry": func(f *backupFixture) step {
+			return leaving(f.crashes(event(1), f.sourceUnlisted, func() { f.placer.SetServers(f.servers) }))
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			f := newBackupFixture()
+			f.setScript(script(f), answers(http.StatusOK, event(2)))
+			c, result := f.run(t)
+			notContinued(t, f, c, result, beechbackup.SourceRunning)
+			f.freed(t)
+		})
+	}
+}
+
+// A server that left has started again under its ID: its earlier lifetime has ended.
+func TestRunGoesOnWhenALeavingServerHasRestarted(t *testing.T) {
+	is := is.New(t)
+	f := newBackupFixture()
+	restart := func() { f.report(f.backend.sent[0].Server, 2, 1) }
+	f.setScript(leaving(f.crashes(event(1), restart)), answers(http.StatusOK, event(2)))
+	c, result := f.run(t)
+	is.Equal(c.body, event(1)+event(2))
+	is.True(result.Backup.Whole)
+}
+
 // The backup's engine refuses, as its copy was used or has expired, with its word that the request has
 // not run there or without. The request is not sent anywhere else, and its caller sees a broken stream.
 func TestCopyIsGoneAtTheBackup(t *testing.T) {
--- a/internal/request/beechattempt/stream.go
+++ b/internal/request/beechattempt/stream.go
@@ -156,7 +156,7 @@
 				}
 				placement.FirstByte()
 				pace.received()
-				r.considerBackup(choice, buffer[:end], answer.WeightsLine)
+				r.considerBackup(choice, buffer[:end], answer)
 				if id, ok := lastEventID(buffer[:end]); ok {
 					r.stream.lastEventID = id
 				}
--- a/internal/request/beechplace/backups.go
+++ b/internal/request/beechplace/backups.go
@@ -92,8 +92,11 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	now := p.clock.Now()
-	if p.hasSuccessor(source.Server) {
+	switch {
+	case p.hasSuccessor(source.Server):
 		loss.Source = beechbackup.Ended
+	case loss.Source == beechbackup.Ended && p.mayLeave(source.Server):
+		loss.Source = beechbackup.Silent
 	}
 	s, ok := p.byID[b.Server.ID]
 	loss.Usable = ok && s.Born == b.Server.Born && p.mayReceive(s, now)
@@ -113,6 +116,13 @@
 	return ok && lifetime.Born != 0 && s.Born > lifetime.Born
 }
 
+// mayLeave reports whether a server leaves, or may have left as it is not listed any more. Such a server
+// may finish its answers while it refuses connections.
+func (p *Placer) mayLeave(lifetime beechcall.Server) bool {
+	s, ok := p.byID[lifetime.ID]
+	return !ok || s.isLeaving()
+}
+
 // Continuation returns the choice of the backup's engine for a run that goes on there.
 func (b *Backup) Continuation(source Choice) Choice {
 	return Choice{Server: b.Server, Weights: b.Weights, Salt: source.Salt}
