Review of admission and returns: mends, and times for room are off

Callers with more patience than the calendar reaches filled the promise book for good; urgent calls refused as too late were not counted, so that their rank seemed to ask for nothing after two seconds; a gate's demand message could exceed a datagram; a huge workspace priority overflowed.

--- a/internal/decision/beechadmission/exchange.go
+++ b/internal/decision/beechadmission/exchange.go
@@ -198,8 +198,14 @@
 	}
 	clear(sums)
 	covered, t.audiences[to].covered = t.audiences[to].covered, 0
+	return MostAsked(list, limit), covered
+}
+
+// MostAsked returns the demands that fit into a message: the ranks first, and then the workspaces that
+// asked most.
+func MostAsked(list []Demand, limit int) []Demand {
 	slices.SortStableFunc(list, func(x, y Demand) int {
 		return cmp.Or(cmp.Compare(min(x.Workspace, 1), min(y.Workspace, 1)), cmp.Compare(y.Asked, x.Asked))
 	})
-	return list[:min(len(list), limit)], covered
+	return list[:min(len(list), limit)]
 }
--- a/internal/decision/beechreturns/book.go
+++ b/internal/decision/beechreturns/book.go
@@ -181,6 +181,7 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	now := b.now()
+	caller.Patience, caller.Useful = min(caller.Patience, horizon), min(caller.Useful, horizon)
 	c := b.ensureCalendar(caller.Account, now)
 	if c == nil {
 		return Offer{After: b.unpromised(caller)}
@@ -199,9 +200,10 @@
 		after = b.unpromised(caller)
 	}
 	p := Promise{Account: caller.Account, Call: caller.Call, Class: caller.Class, Size: caller.Size, Kept: kept}
-	if b.add(c, p, now+after) {
-		b.unsent = append(b.unsent, unsentPromise{Promise: p, due: now + after, sendsLeft: sends})
+	if !b.add(c, p, now+after) {
+		return Offer{After: after}
 	}
+	b.unsent = append(b.unsent, unsentPromise{Promise: p, due: now + after, sendsLeft: sends})
 	return Offer{After: after, Promised: kept}
 }
 
--- a/internal/decision/beechreturns/book_test.go
+++ b/internal/decision/beechreturns/book_test.go
@@ -424,3 +424,19 @@
 		}
 	}
 }
+
+// Times of callers with more patience than the calendar reaches filled it for good: they lay beyond its
+// last slot and were never dropped.
+func TestPatienceBeyondTheCalendarIsForgotten(t *testing.T) {
+	is := is.New(t)
+	books, clock := newBooks(1)
+	for n := range uint32(100) {
+		caller := patientCaller(n, 500)
+		caller.Patience = 20 * time.Second
+		offer := books[0].Offer(caller, testSupply)
+		is.True(offer.After <= horizon)
+	}
+	clock.Advance(horizon + 2*recognizedFor)
+	is.Equal(books[0].Arrive(account, 1), New{})
+	is.True(books[0].Empty())
+}
--- a/internal/decision/beechreturns/calendar.go
+++ b/internal/decision/beechreturns/calendar.go
@@ -83,6 +83,7 @@
 
 func (c *calendar) add(p Promise, due time.Duration) {
 	n := min(max(slotOf(due), c.first), c.first+slotCount-1)
+	due = min(due, time.Duration(n+1)*slotTime-1) // or advance would not find it in its slot
 	s := c.slot(n)
 	s.calls = append(s.calls, p.Call)
 	c.calls[p.Call] = &entry{due: due, size: p.Size, class: p.Class, kept: p.Kept}
--- a/internal/process/beechgate/demands.go
+++ b/internal/process/beechgate/demands.go
@@ -46,6 +46,7 @@
 			g.log.Info("room is no longer short", zap.String("service", s.Service), zap.Duration("lasted", s.Lasted), zap.Int("refused", s.Refused))
 		}
 		demands, controls := g.admission.TakeDemands()
+		demands = beechadmission.MostAsked(demands, maxDemands)
 		collectors := t.Collectors[g.settings.Zone]
 		if slices.Contains(collectors, t.Self) || len(collectors) == 0 {
 			if controls {
--- a/internal/process/beechgate/gate.go
+++ b/internal/process/beechgate/gate.go
@@ -203,7 +203,6 @@
 	g.overload = beechoverload.New(deps.Clock, rand.Float64)
 	g.poison = beechpoison.New(deps.Clock, g.poisonTurn, g.wakePoisonSender)
 	g.admission = beechadmission.New(admissionMode(beechadmission.Mode(s.Admission), deps.CallersCompete), deps.Clock)
-	g.returns.room = g.admission
 	g.demands = beechadmission.NewTotals()
 	g.budgets = NewBudgets(s.Bounds.Retries, s.Bounds.Spare, time.Duration(s.Bounds.Window), deps.Clock, g.askForLoan)
 	g.members = newGossip(g)
--- a/internal/request/beechattempt/admission.go
+++ b/internal/request/beechattempt/admission.go
@@ -52,6 +52,14 @@
 	return choice, refusal
 }
 
+// countTooLate counts a call that is refused since it would be too late by itself. Its rank stays in
+// demand: less urgent calls would otherwise fill the servers that are too slow for it.
+func (r *execution) countTooLate(choice beechplace.Choice) {
+	if r.call.Model != "" && r.call.LastEventID == "" && r.dispatcher.admission.Controls(r.call.Service) {
+		r.dispatcher.admission.Record(r.admissionRequest(), beechadmission.Outcome{Unread: choice.PrefillTokens, Refused: true})
+	}
+}
+
 func (r *execution) admissionRequest() beechadmission.Request {
 	request := beechadmission.Request{
 		Service: r.call.Service, Rank: r.call.Urgency(), Workspace: r.call.Workspace.Name, ID: r.call.ID,
--- a/internal/request/beechattempt/admission_test.go
+++ b/internal/request/beechattempt/admission_test.go
@@ -114,3 +114,24 @@
 	_, short := (&execution{dispatcher: f.dispatcher, call: call}).admit(choice)
 	is.Equal(short, nil)
 }
+
+// Urgent calls that are refused as too late were not counted: after two seconds their rank seemed to
+// ask for nothing, and less urgent calls filled the engines that were too slow for it.
+func TestCallsThatWouldBeTooLateStayInDemand(t *testing.T) {
+	is := is.New(t)
+	f := newFixture(3, 5, tellSlowness(100))
+	f.setEngines()
+	f.report(1, 2, 0, 0)
+	for _, id := range []string{"a", "a2"} {
+		is.Equal(f.serve(context.Background(), promptCall(f, id, 0, 500*time.Millisecond)).status, 200)
+	}
+	f.dispatcher.admission.TakeDemands()
+	f.report(2, 60, 6, 200_000)
+	refused := f.serve(context.Background(), promptCall(f, "b", 0, 500*time.Millisecond))
+	rejection, ok := refused.rejection.(NotExecuted)
+	is.True(ok)
+	is.Equal(rejection.Reason, "no server would answer in time")
+	demands, _ := f.dispatcher.admission.TakeDemands()
+	is.True(len(demands) > 0)
+	is.Equal(demands[0].Refused, int64(1))
+}
--- a/internal/request/beechattempt/run.go
+++ b/internal/request/beechattempt/run.go
@@ -143,6 +143,7 @@
 			return r.giveUp(ctx, "no server may be used")
 		}
 		if r.attempts == 0 && r.dispatcher.timeouts.expectedTooLate(r.call.Route.Name, milliseconds(choice.Expected), milliseconds(choice.QueueTime), r.call.Route.Objective, r.dispatcher.clock.Now()) {
+			r.countTooLate(choice)
 			return r.giveUp(ctx, "no server would answer in time")
 		}
 		choice, short := r.admit(choice)
--- a/internal/request/beechcall/call.go
+++ b/internal/request/beechcall/call.go
@@ -197,7 +197,7 @@
 func (c *Call) Urgency() int {
 	rank := defaultWorkspaceRank
 	if c.Workspace.Priority >= 0 {
-		rank = c.Workspace.Priority
+		rank = min(c.Workspace.Priority, MaxUrgency)
 	}
 	return min(rank*routeRanks+min(max(c.Route.Priority, 0), routeRanks-1), MaxUrgency)
 }
