A run whose weights changed untold does not go on with its copy

The gate knew of new weights under a run only from the event that says so. If the source changed weights during the copy and crashed before that event was out, the run went on with memory of both versions.

A backup now keeps the map of the weights of its source's lifetime, which the placer replaces, not edits, when a later lifetime is known; the run is given up ("weights changed") if these, or those of an entry that was listed anew, differ from what the run began on. The weights of a later lifetime do not count.

--- a/internal/request/beechattempt/backup_test.go
+++ b/internal/request/beechattempt/backup_test.go
@@ -153,6 +153,16 @@
 	f.placer.SetServers(slices.DeleteFunc(slices.Clone(f.servers), func(s beechcall.Server) bool { return s.ID == f.backend.sent[0].Server.ID }))
 }
 
+// sourceWeights changes the weights in the entry of the first server.
+func (f *backupFixture) sourceWeights(weights uint64) {
+	f.servers = slices.Clone(f.servers)
+	for i := range f.servers {
+		if f.servers[i].ID == f.backend.sent[0].Server.ID {
+			f.servers[i].Weights = map[string]uint64{backupModel: weights}
+		}
+	}
+}
+
 // setScript replaces the script, which may refer to the fixture.
 func (f *backupFixture) setScript(script ...step) { f.backend.script = script }
 
@@ -348,6 +358,42 @@
 	notContinued(t, f, c, result, beechbackup.WeightsChanged)
 }
 
+// The weights were changed under the run, and its server crashed before it told so in the stream. Its
+// keeper did, even if the next lifetime is known by now, or it told with another answer.
+func TestRunOfUntoldChangedWeightsDoesNotGoOn(t *testing.T) {
+	source := func(f *backupFixture) beechcall.Server { return f.backend.sent[0].Server }
+	for name, change := range map[string]func(*backupFixture){
+		"by its keeper":        func(f *backupFixture) { f.report(source(f), 1, 2) },
+		"by another answer":    func(f *backupFixture) { f.placer.ObserveVersion(source(f).ID, backupModel, 2) },
+		"by its entry":         func(f *backupFixture) { f.sourceWeights(2); f.placer.SetServers(f.servers) },
+		"and it has restarted": func(f *backupFixture) { f.report(source(f), 1, 2); f.report(source(f), 2, 1) },
+		"and it was listed anew": func(f *backupFixture) {
+			f.sourceUnlisted()
+			f.sourceWeights(2)
+			f.placer.SetServers(f.servers)
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			f := newBackupFixture()
+			f.setScript(f.crashes(event(1), func() { change(f) }), answers(http.StatusOK, event(2)))
+			c, result := f.run(t)
+			notContinued(t, f, c, result, beechbackup.WeightsChanged)
+			f.freed(t)
+		})
+	}
+}
+
+// The next lifetime of the run's server has other weights: this says nothing of the run.
+func TestRunGoesOnWhenItsServerRestartsWithOtherWeights(t *testing.T) {
+	is := is.New(t)
+	f := newBackupFixture()
+	restart := func() { f.report(f.backend.sent[0].Server, 2, 2) }
+	f.setScript(f.crashes(event(1), restart), answers(http.StatusOK, event(2)))
+	c, result := f.run(t)
+	is.Equal(c.body, event(1)+event(2))
+	is.True(result.Backup.Whole)
+}
+
 // The backup's engine has got other software under its ID.
 func TestRunDoesNotGoOnAtOtherSoftware(t *testing.T) {
 	f := newBackupFixture()
--- a/internal/request/beechplace/backups.go
+++ b/internal/request/beechplace/backups.go
@@ -17,6 +17,9 @@
 	placer  *Placer
 	server  *server
 	tokens  int
+	// sourceWeights are the latest known weights of the lifetime that runs the call, also once a later one is
+	// known: a server gets a new map when it restarts.
+	sourceWeights map[string]uint64
 }
 
 // Backup chooses the engine that keeps a copy of a call's run, which will generate for the given
@@ -51,7 +54,7 @@
 	if !found {
 		return nil, beechbackup.NoEngine
 	}
-	b := &Backup{Server: servers[index].Server, Weights: c.Weights, placer: p, server: servers[index], tokens: run.Tokens}
+	b := &Backup{Server: servers[index].Server, Weights: c.Weights, placer: p, server: servers[index], tokens: run.Tokens, sourceWeights: source.weights}
 	b.server.copyTokens += b.tokens
 	return b, ""
 }
@@ -98,6 +101,7 @@
 	case loss.Source == beechbackup.Ended && p.mayLeave(source.Server):
 		loss.Source = beechbackup.Silent
 	}
+	loss.WeightsChanged = loss.WeightsChanged || p.sourceChangedWeights(call, source.Server, b)
 	s, ok := p.byID[b.Server.ID]
 	loss.Usable = ok && s.Born == b.Server.Born && p.mayReceive(s, now)
 	if !loss.Usable {
@@ -116,6 +120,17 @@
 	return ok && lifetime.Born != 0 && s.Born > lifetime.Born
 }
 
+// sourceChangedWeights reports whether the lifetime that ran a call has had other weights since. It may
+// have crashed before it told so in the stream, with a copy of which a part is of the older weights.
+func (p *Placer) sourceChangedWeights(call *beechcall.Call, lifetime beechcall.Server, b *Backup) bool {
+	differ := func(weights map[string]uint64) bool {
+		version := weights[call.Model]
+		return version != 0 && version != b.Weights
+	}
+	s, ok := p.byID[lifetime.ID]
+	return differ(b.sourceWeights) || ok && s.Born == lifetime.Born && differ(s.weights) // it may have been listed anew
+}
+
 // mayLeave reports whether a server leaves, or may have left as it is not listed any more. Such a server
 // may finish its answers while it refuses connections.
 func (p *Placer) mayLeave(lifetime beechcall.Server) bool {
