Free a copy that its run was never sent to

A copy counted as used once the run was decided to go on. If the backup's engine could not be connected to, or the caller left before the run was sent, the copy was not freed and lay at its engine until it expired, and the metric `used` counted a run that was never sent.

Used is set when the attempt to send returns with anything but NotSent; the separate flag of the copy goes.

TestBothServersLost (extended by "not used" and "freed") and TestCallerLeavesBeforeItsRunGoesOn failed before. TestCallerLeavesARunThatGoesOn passed before too; it guards against freeing a copy in use. The fixture's serve is split so that tests can hold the caller.

--- a/internal/request/beechattempt/attempt_test.go
+++ b/internal/request/beechattempt/attempt_test.go
@@ -191,6 +191,12 @@
 // serve answers a call while the fake clock advances.
 func (f *fixture) serve(ctx context.Context, call *beechcall.Call) *caller {
 	c := &caller{}
+	f.serveTo(ctx, call, c)
+	return c
+}
+
+// serveTo answers a call to a caller while the fake clock advances.
+func (f *fixture) serveTo(ctx context.Context, call *beechcall.Call, c *caller) {
 	done := make(chan struct{})
 	go func() {
 		defer close(done)
@@ -200,7 +206,7 @@
 		select {
 		case <-done:
 			f.dispatcher.crashes.probes.Wait()
-			return c
+			return
 		case <-time.After(200 * time.Microsecond):
 			f.clock.Advance(5 * time.Millisecond)
 		}
--- a/internal/request/beechattempt/backup.go
+++ b/internal/request/beechattempt/backup.go
@@ -24,7 +24,6 @@
 		copying        *copying          // nil if there is no engine
 		source         beechplace.Choice // where the run began
 		continues      bool              // the run goes on with the copy from now on
-		used           bool              // the engine has taken the copy, or has none
 		weightsChanged bool              // the run told that its weights changed
 		sourceLeaves   bool              // the run's server said with its answer that it leaves
 		result         BackupResult
@@ -186,12 +185,19 @@
 		r.backup.result.Reason = beechbackup.NoBudget
 		return r.noRetry(stopBudget)
 	}
-	r.backup.continues, r.backup.result.Used = true, true
+	r.backup.continues = true
 	r.dispatcher.log.Info("run goes on at its backup", zap.String("request", r.call.ID), zap.String("server", r.backup.source.Server.ID),
 		zap.String("backup", r.backup.engine.Server.ID), zap.String("after", r.stream.lastEventID), zap.Uint64("weights", r.backup.engine.Weights))
 	return tryAgain
 }
 
+// continuationSent records that a run was sent to its backup's engine, which has taken the copy then or
+// has none, unless nothing reached it.
+func (r *execution) continuationSent(err error) {
+	var notSent beechcall.NotSent
+	r.backup.result.Used = r.backup.continues && !errors.As(err, &notSent)
+}
+
 // backupGivenUp ends a run that was lost and does not go on.
 func (r *execution) backupGivenUp(reason beechbackup.Reason) verdict {
 	r.backup.result.Reason = reason
@@ -212,7 +218,6 @@
 		return r.backupGivenUp(beechbackup.EngineLost)
 	case errors.As(err, &notExecuted):
 		r.notExecuted++
-		r.backup.used = true
 		placement.Done(beechplace.Rejected)
 		r.dispatcher.placer.ObserveRejection(choice.Server.ID, notExecuted, r.call.Model)
 		r.logAttempt("turned away", choice, zap.Int("status", notExecuted.Status), zap.Bool("replaced", notExecuted.Replaced), zap.Bool("other weights", notExecuted.WeightsDiffer))
@@ -222,7 +227,6 @@
 		return r.backupGivenUp(beechbackup.NoCopy)
 	}
 	r.maybeExecuted++
-	r.backup.used = true
 	r.logAttempt("failed", choice, zap.Error(err))
 	if !r.dispatcher.clock.Now().Before(r.call.Deadline) {
 		placement.Done(beechplace.Cancelled)
@@ -255,7 +259,7 @@
 	}
 	b.result.Copied = isClosed(b.copying.done) && b.copying.name.Handle != ""
 	b.result.Whole = b.result.Used && outcome == outcomeAnswered && r.stop == ""
-	engine, copied, id, unused, d := b.engine, b.copying, r.call.ID, !b.used && !b.result.Used, r.dispatcher
+	engine, copied, id, unused, d := b.engine, b.copying, r.call.ID, !b.result.Used, r.dispatcher
 	d.copies.Go(func() {
 		<-copied.done
 		engine.Done()
--- a/internal/request/beechattempt/backup_test.go
+++ b/internal/request/beechattempt/backup_test.go
@@ -317,6 +317,51 @@
 	is.Equal(len(f.backend.sent), 2)
 	is.True(c.broken)
 	is.Equal(result.Backup.Reason, beechbackup.EngineLost)
+	is.True(!result.Backup.Used) // it was not sent there
+	f.freed(t)
+}
+
+// The caller leaves after the decision to go on and before the run is sent to its backup's engine, whose
+// copy would stay there, and would be counted as used.
+func TestCallerLeavesBeforeItsRunGoesOn(t *testing.T) {
+	is := is.New(t)
+	f := newBackupFixture()
+	c := &caller{}
+	leaves := func(_ context.Context, a beechcall.Attempt) (*beechcall.Answer, error) {
+		c.departed.Store(true)
+		is.True(a.Withdrawn())
+		return nil, beechcall.NotSent{Peer: a.Server.Address, Step: "send", Err: beechcall.ErrWithdrawn}
+	}
+	f.setScript(f.crashes(event(1)), leaves)
+	call := f.call(beechcall.AtMostOnce, true)
+	call.Model, call.PromptTokens, call.OutputTokens = backupModel, 800, 120
+	f.serveTo(t.Context(), call, c)
+	f.dispatcher.copies.Wait()
+	result := f.observed.results[0]
+	is.Equal(len(f.backend.sent), 2)
+	is.Equal(result.Outcome, OutcomeLeft)
+	is.True(!result.Backup.Used)
+	f.freed(t)
+}
+
+// The caller leaves once the run was sent to its backup's engine: the copy is used up.
+func TestCallerLeavesARunThatGoesOn(t *testing.T) {
+	is := is.New(t)
+	f := newBackupFixture()
+	c := &caller{}
+	leaves := func(_ context.Context, a beechcall.Attempt) (*beechcall.Answer, error) {
+		c.departed.Store(true)
+		return nil, beechcall.OutcomeUnknown{Peer: a.Server.Address, Step: "read answer", Err: errReset}
+	}
+	f.setScript(f.crashes(event(1)), leaves)
+	call := f.call(beechcall.AtMostOnce, true)
+	call.Model, call.PromptTokens, call.OutputTokens = backupModel, 800, 120
+	f.serveTo(t.Context(), call, c)
+	f.dispatcher.copies.Wait()
+	result := f.observed.results[0]
+	is.Equal(result.Outcome, OutcomeLeft)
+	is.True(result.Backup.Used && !result.Backup.Whole)
+	is.Equal(len(f.backend.dropped), 0)
 }
 
 // The backup's engine crashes too: a copy can be used once.
--- a/internal/request/beechattempt/run.go
+++ b/internal/request/beechattempt/run.go
@@ -259,6 +259,7 @@
 		},
 		Reset: r.attemptReset,
 	})
+	r.continuationSent(err)
 	if err != nil {
 		return r.handleFailure(choice, placement, watch, err)
 	}
