A stream without event IDs does not go on

With an empty last event ID a run that goes on would be asked for without a place to begin after, and its caller would get the events twice.

The decision gives up ("events without IDs") if the last ID of the caller's stream is empty: none came, or the last one was empty.

TestRunWithoutEventIDsDoesNotGoOn (two sends instead of one) and the new row of TestDecisionsAfterALoss failed before.

--- a/internal/decision/beechbackup/backup_test.go
+++ b/internal/decision/beechbackup/backup_test.go
@@ -167,6 +167,7 @@
 		{"silent for too long", func(l *Loss) { l.Source, l.Waited = Silent, 2*time.Second }, GiveUp{SourceRunning}},
 		{"known to have ended late", func(l *Loss) { l.Waited = 2 * time.Second }, Continue{}},
 		{"no time left", func(l *Loss) { l.Left = 0 }, GiveUp{NoTime}},
+		{"events without IDs", func(l *Loss) { l.Unnumbered = true }, GiveUp{NoEventID}},
 		{"servers crash on it", func(l *Loss) { l.Blamed = true }, GiveUp{Blamed}},
 		{"weights changed in the run", func(l *Loss) { l.WeightsChanged = true }, GiveUp{WeightsChanged}},
 		{"weights changed at the backup's engine", func(l *Loss) { l.SameWeights = false }, GiveUp{WeightsChanged}},
@@ -188,10 +189,10 @@
 		l := Loss{
 			Copy: CopyState(rapid.IntRange(0, 2).Draw(t, "copy")), Source: SourceState(rapid.IntRange(0, 2).Draw(t, "source")),
 			Waited: time.Duration(rapid.IntRange(0, 3000).Draw(t, "waited")) * time.Millisecond, Left: time.Duration(rapid.IntRange(-10, 5000).Draw(t, "left")) * time.Millisecond,
-			Blamed: rapid.Bool().Draw(t, "blamed"), WeightsChanged: rapid.Bool().Draw(t, "changed"), Usable: rapid.Bool().Draw(t, "usable"),
+			Blamed: rapid.Bool().Draw(t, "blamed"), Unnumbered: rapid.Bool().Draw(t, "unnumbered"), WeightsChanged: rapid.Bool().Draw(t, "changed"), Usable: rapid.Bool().Draw(t, "usable"),
 			SameWeights: rapid.Bool().Draw(t, "weights"), SameSoftware: rapid.Bool().Draw(t, "software"),
 		}
-		if _, ok := Decide(l).(Continue); ok && (l.Source != Ended || l.Copy != Arrived || l.Blamed || l.WeightsChanged || !l.Usable || !l.SameWeights || !l.SameSoftware || l.Left <= 0) {
+		if _, ok := Decide(l).(Continue); ok && (l.Source != Ended || l.Copy != Arrived || l.Blamed || l.Unnumbered || l.WeightsChanged || !l.Usable || !l.SameWeights || !l.SameSoftware || l.Left <= 0) {
 			t.Fatalf("goes on: %+v", l)
 		}
 	})
--- a/internal/decision/beechbackup/decide.go
+++ b/internal/decision/beechbackup/decide.go
@@ -48,6 +48,7 @@
 		Left           time.Duration // until the deadline
 		Blamed         bool          // servers crash on the request
 		WeightsChanged bool          // during the run
+		Unnumbered     bool          // the caller's last event has no ID to go on after
 		Usable         bool          // the backup's engine takes requests, and is of the lifetime that got the copy
 		SameWeights    bool
 		SameSoftware   bool
@@ -109,6 +110,7 @@
 	LostAgain      Reason = "lost again"
 	NoBudget       Reason = "retry budget spent"
 	NoTime         Reason = "no time left"
+	NoEventID      Reason = "events without IDs"
 )
 
 const (
@@ -221,6 +223,8 @@
 		return GiveUp{NoTime}
 	case l.Source == Running || l.Waited >= maxWait && l.Source != Ended:
 		return GiveUp{SourceRunning}
+	case l.Unnumbered:
+		return GiveUp{NoEventID}
 	case l.Blamed:
 		return GiveUp{Blamed}
 	case l.WeightsChanged:
--- a/internal/decision/beechbackup/doc.go
+++ b/internal/decision/beechbackup/doc.go
@@ -29,7 +29,7 @@
 // place. A server that leaves may finish its answers while it refuses connections. A server that
 // still accepts connections has only lost the connection and may be at work; one that does not
 // answer may be behind a broken link. Requests that servers crash on do not go on, nor does a run
-// whose weights or software the other engine does not have.
+// whose events have no IDs, since its caller would get them again, nor one whose weights or software the other engine does not have.
 //
 // # Usage
 //
--- a/internal/request/beechattempt/backup.go
+++ b/internal/request/beechattempt/backup.go
@@ -154,7 +154,7 @@
 	_, suspect := r.dispatcher.suspects.Check(r.call.Fingerprint()).(beechsuspect.Refuse)
 	_, poison := r.refusedAsPoison()
 	return r.dispatcher.placer.ObserveLoss(r.call, source, r.backup.engine, beechbackup.Loss{
-		Copy: r.backup.copyState(), Source: state, Left: r.call.TimeLeft(r.dispatcher.clock.Now()),
+		Copy: r.backup.copyState(), Source: state, Unnumbered: r.stream.lastEventID == "", Left: r.call.TimeLeft(r.dispatcher.clock.Now()),
 		Blamed: suspect || poison, WeightsChanged: r.backup.weightsChanged,
 	})
 }
--- a/internal/request/beechattempt/backup_test.go
+++ b/internal/request/beechattempt/backup_test.go
@@ -439,6 +439,22 @@
 	is.True(result.Backup.Whole)
 }
 
+// Events without IDs: without a place to go on after, the caller would get them twice.
+func TestRunWithoutEventIDsDoesNotGoOn(t *testing.T) {
+	for name, body := range map[string]string{
+		"none":     "data: x\n\n",
+		"an empty": event(1) + "id:\ndata: x\n\n",
+	} {
+		t.Run(name, func(t *testing.T) {
+			f := newBackupFixture()
+			f.setScript(f.crashes(body), answers(http.StatusOK, event(2)))
+			c, result := f.run(t)
+			notContinued(t, f, c, result, beechbackup.NoEventID)
+			f.freed(t)
+		})
+	}
+}
+
 // The backup's engine has got other software under its ID.
 func TestRunDoesNotGoOnAtOtherSoftware(t *testing.T) {
 	f := newBackupFixture()
