--- a/internal/request/beechattempt/backup_test.go
+++ b/internal/request/beechattempt/backup_test.go
@@ -153,6 +153,16 @@
 	f.placer.SetServers(slices.DeleteFunc(slices.Clone(f.servers), func(s beechcall.Server) bool { return s.ID == f.backend.sent[0].Server.ID }))
 }
 
+// sourceWeights changes the weights in the entry of the first server.
+func (f *backupFixture) sourceWeights(weights uint64) {
+	f.servers = slices.Clone(f.servers)
+	for i := range f.servers {
+		if f.servers[i].ID == f.backend.sent[0].Server.ID {
+			f.servers[i].Weights = map[string]uint64{backupModel: weights}
+		}
+	}
+}
+
 // setScript replaces the script, which may refer to the fixture.
 func (f *backupFixture) setScript(script ...step) { f.backend.script = script }
 
@@ -307,6 +317,51 @@
 	is.Equal(len(f.backend.sent), 2)
 	is.True(c.broken)
 	is.Equal(result.Backup.Reason, beechbackup.EngineLost)
+	is.True(!result.Backup.Used) // it was not sent there
+	f.freed(t)
+}
+
+// The caller leaves after the decision to go on and before the run is sent to its backup's engine, whose
+// copy would stay there, and would be counted as used.
+func TestCallerLeavesBeforeItsRunGoesOn(t *testing.T) {
+	is := is.New(t)
+	f := newBackupFixture()
+	c := &caller{}
+	leaves := func(_ context.Context, a beechcall.Attempt) (*beechcall.Answer, error) {
+		c.departed.Store(true)
+		is.True(a.Withdrawn())
+		return nil, beechcall.NotSent{Peer: a.Server.Address, Step: "send", Err: beechcall.ErrWithdrawn}
+	}
+	f.setScript(f.crashes(event(1)), leaves)
+	call := f.call(beechcall.AtMostOnce, true)
+	call.Model, call.PromptTokens, call.OutputTokens = backupModel, 800, 120
+	f.serveTo(t.Context(), call, c)
+	f.dispatcher.copies.Wait()
+	result := f.observed.results[0]
+	is.Equal(len(f.backend.sent), 2)
+	is.Equal(result.Outcome, OutcomeLeft)
+	is.True(!result.Backup.Used)
+	f.freed(t)
+}
+
+// The caller leaves once the run was sent to its backup's engine: the copy is used up.
+func TestCallerLeavesARunThatGoesOn(t *testing.T) {
+	is := is.New(t)
+	f := newBackupFixture()
+	c := &caller{}
+	leaves := func(_ context.Context, a beechcall.Attempt) (*beechcall.Answer, error) {
+		c.departed.Store(true)
+		return nil, beechcall.OutcomeUnknown{Peer: a.Server.Address, Step: "read answer", Err: errReset}
+	}
+	f.setScript(f.crashes(event(1)), leaves)
+	call := f.call(beechcall.AtMostOnce, true)
+	call.Model, call.PromptTokens, call.OutputTokens = backupModel, 800, 120
+	f.serveTo(t.Context(), call, c)
+	f.dispatcher.copies.Wait()
+	result := f.observed.results[0]
+	is.Equal(result.Outcome, OutcomeLeft)
+	is.True(result.Backup.Used && !result.Backup.Whole)
+	is.Equal(len(f.backend.dropped), 0)
 }
 
 // The backup's engine crashes too: a copy can be used once.
@@ -348,6 +403,58 @@
 	notContinued(t, f, c, result, beechbackup.WeightsChanged)
 }
 
+// The weights were changed under the run, and its server crashed before it told so in the stream. Its
+// keeper did, even if the next lifetime is known by now, or it told with another answer.
+func TestRunOfUntoldChangedWeightsDoesNotGoOn(t *testing.T) {
+	source := func(f *backupFixture) beechcall.Server { return f.backend.sent[0].Server }
+	for name, change := range map[string]func(*backupFixture){
+		"by its keeper":        func(f *backupFixture) { f.report(source(f), 1, 2) },
+		"by another answer":    func(f *backupFixture) { f.placer.ObserveVersion(source(f).ID, backupModel, 2) },
+		"by its entry":         func(f *backupFixture) { f.sourceWeights(2); f.placer.SetServers(f.servers) },
+		"and it has restarted": func(f *backupFixture) { f.report(source(f), 1, 2); f.report(source(f), 2, 1) },
+		"and it was listed anew": func(f *backupFixture) {
+			f.sourceUnlisted()
+			f.sourceWeights(2)
+			f.placer.SetServers(f.servers)
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			f := newBackupFixture()
+			f.setScript(f.crashes(event(1), func() { change(f) }), answers(http.StatusOK, event(2)))
+			c, result := f.run(t)
+			notContinued(t, f, c, result, beechbackup.WeightsChanged)
+			f.freed(t)
+		})
+	}
+}
+
+// The next lifetime of the run's server has other weights: this says nothing of the run.
+func TestRunGoesOnWhenItsServerRestartsWithOtherWeights(t *testing.T) {
+	is := is.New(t)
+	f := newBackupFixture()
+	restart := func() { f.report(f.backend.sent[0].Server, 2, 2) }
+	f.setScript(f.crashes(event(1), restart), answers(http.StatusOK, event(2)))
+	c, result := f.run(t)
+	is.Equal(c.body, event(1)+event(2))
+	is.True(result.Backup.Whole)
+}
+
+// Events without IDs: without a place to go on after, the caller would get them twice.
+func TestRunWithoutEventIDsDoesNotGoOn(t *testing.T) {
+	for name, body := range map[string]string{
+		"none":     "data: x\n\n",
+		"an empty": event(1) + "id:\ndata: x\n\n",
+	} {
+		t.Run(name, func(t *testing.T) {
+			f := newBackupFixture()
+			f.setScript(f.crashes(body), answers(http.StatusOK, event(2)))
+			c, result := f.run(t)
+			notContinued(t, f, c, result, beechbackup.NoEventID)
+			f.freed(t)
+		})
+	}
+}
+
 // The backup's engine has got other software under its ID.
 func TestRunDoesNotGoOnAtOtherSoftware(t *testing.T) {
 	f := newBackupFixture()
