A gate that stops waits until copies of runs are freed

Copies are made and freed beside their calls. Nothing but tests waited for that, so that a gate could end its process with copies left at engines until they expired, and New's comment ("until the last call has ended") was not true.

Dispatcher.Wait returns when they are freed or its context ends; the gate calls it with what is left of its grace time once its requests are completed. A sync.WaitGroup may not be waited for while others begin from zero, which calls over the grace time do, so a count with a channel takes its place. Tests wait by the same method.

The call in the gate's stop has no test of its own.

--- a/internal/decision/beechbackup/doc.go
+++ b/internal/decision/beechbackup/doc.go
@@ -24,12 +24,13 @@
 //
 // # What follows when the server is lost
 //
-// At most one of the two engines may work on a run. So it goes on only if the first one's process is
-// known to have ended: its host refuses connections while it was not leaving, or another lifetime has taken its
-// place. A server that leaves may finish its answers while it refuses connections. A server that
-// still accepts connections has only lost the connection and may be at work; one that does not
-// answer may be behind a broken link. Requests that servers crash on do not go on, nor does a run
-// whose events have no IDs, since its caller would get them again, nor one whose weights or software the other engine does not have.
+// At most one of the two engines may work on a run. So it goes on only if the first one's process
+// is known to have ended: its host refuses connections while it was not leaving, or another
+// lifetime has taken its place. A server that leaves may finish its answers while it refuses
+// connections. A server that still accepts connections has only lost the connection and may be at
+// work; one that does not answer may be behind a broken link. Requests that servers crash on do not
+// go on, nor does a run whose events have no IDs, since its caller would get them again, nor one
+// whose weights or software the other engine does not have.
 //
 // # Usage
 //
--- a/internal/process/beechgate/gate.go
+++ b/internal/process/beechgate/gate.go
@@ -338,6 +338,7 @@
 	if errors.Is(err, context.DeadlineExceeded) {
 		g.log.Warn("grace time over with requests under way")
 	}
+	g.core.Wait(ctx)
 	_ = server.Close()
 	_ = readyServer.Close()
 	g.log.Info("gate stopped", zap.Duration("took", g.clock.Since(start)))
--- a/internal/request/beechattempt/attempt_test.go
+++ b/internal/request/beechattempt/attempt_test.go
@@ -41,6 +41,8 @@
 		copiedTo []netip.AddrPort // engines that got copies
 		noCopies bool             // none can be made
 		dropped  []string         // copies, as peer/handle
+
+		dropsHeld chan struct{} // copies are freed once it is closed; nil: at once
 	}
 
 	// budget grants a number of retries.
@@ -114,6 +116,9 @@
 }
 
 func (b *backend) DropCopy(_ context.Context, peer netip.AddrPort, name beechcall.CopyName) error {
+	if b.dropsHeld != nil {
+		<-b.dropsHeld
+	}
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.dropped = append(b.dropped, peer.String()+"/"+name.Handle)
--- a/internal/request/beechattempt/backup.go
+++ b/internal/request/beechattempt/backup.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"errors"
+	"sync"
 	"time"
 
 	"github.com/jonboulle/clockwork"
@@ -34,6 +35,14 @@
 		done chan struct{}      // closed when name is set
 		name beechcall.CopyName // zero: it was not made
 	}
+
+	// copyCalls are the calls under way that make copies of runs and free them. Unlike a sync.WaitGroup it
+	// may be waited for while others begin.
+	copyCalls struct {
+		mu    sync.Mutex
+		count int
+		idle  chan struct{} // closed when count has come back to zero
+	}
 )
 
 const (
@@ -274,7 +283,40 @@
 	})
 }
 
-func isClosed(c chan struct{}) bool {
+// Go makes a call in a goroutine of its own.
+func (c *copyCalls) Go(call func()) {
+	c.mu.Lock()
+	if c.count == 0 {
+		c.idle = make(chan struct{})
+	}
+	c.count++
+	c.mu.Unlock()
+	go func() {
+		defer c.done()
+		call()
+	}()
+}
+
+func (c *copyCalls) done() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.count--; c.count == 0 {
+		close(c.idle)
+	}
+}
+
+// ended returns a channel that is closed once no call is under way.
+func (c *copyCalls) ended() <-chan struct{} {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.idle == nil {
+		c.idle = make(chan struct{})
+		close(c.idle)
+	}
+	return c.idle
+}
+
+func isClosed(c <-chan struct{}) bool {
 	select {
 	case <-c:
 		return true
--- a/internal/request/beechattempt/backup_test.go
+++ b/internal/request/beechattempt/backup_test.go
@@ -9,6 +9,7 @@
 	"slices"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -97,7 +98,7 @@
 	call := f.call(beechcall.AtMostOnce, true)
 	call.Model, call.PromptTokens, call.OutputTokens, call.Route.MaxAttempts = backupModel, 800, 120, 1
 	c := f.serve(t.Context(), call)
-	f.dispatcher.copies.Wait()
+	f.dispatcher.Wait(context.Background())
 	return c, f.observed.results[0]
 }
 
@@ -113,7 +114,7 @@
 			f.probes.set(a.Server.Address, probe)
 		}
 		rest := readerFunc(func([]byte) (int, error) {
-			f.dispatcher.copies.Wait()
+			f.dispatcher.Wait(context.Background())
 			for _, act := range then {
 				act()
 			}
@@ -336,7 +337,7 @@
 	call := f.call(beechcall.AtMostOnce, true)
 	call.Model, call.PromptTokens, call.OutputTokens = backupModel, 800, 120
 	f.serveTo(t.Context(), call, c)
-	f.dispatcher.copies.Wait()
+	f.dispatcher.Wait(context.Background())
 	result := f.observed.results[0]
 	is.Equal(len(f.backend.sent), 2)
 	is.Equal(result.Outcome, OutcomeLeft)
@@ -357,7 +358,7 @@
 	call := f.call(beechcall.AtMostOnce, true)
 	call.Model, call.PromptTokens, call.OutputTokens = backupModel, 800, 120
 	f.serveTo(t.Context(), call, c)
-	f.dispatcher.copies.Wait()
+	f.dispatcher.Wait(context.Background())
 	result := f.observed.results[0]
 	is.Equal(result.Outcome, OutcomeLeft)
 	is.True(result.Backup.Used && !result.Backup.Whole)
@@ -499,7 +500,7 @@
 	call := f.call(beechcall.AtMostOnce, true)
 	call.Model, call.PromptTokens, call.OutputTokens = backupModel, 800, 120
 	f.dispatcher.Serve(t.Context(), call, c)
-	f.dispatcher.copies.Wait()
+	f.dispatcher.Wait(context.Background())
 	is.Equal(len(f.backend.sent), 1)
 	is.Equal(f.observed.results[0].Outcome, OutcomeLeft)
 	f.freed(t)
@@ -571,3 +572,51 @@
 	f.run(t)
 	is.Equal(len(f.backend.copiedTo), 0)
 }
+
+// A gate that stops ends its process while copies still have to be freed, and they lie at their engines
+// until they expire.
+func TestWaitUntilCopiesAreFreed(t *testing.T) {
+	is := is.New(t)
+	f := newBackupFixture(answers(http.StatusOK, event(1)))
+	f.backend.dropsHeld = make(chan struct{})
+	call := f.call(beechcall.AtMostOnce, true)
+	call.Model, call.PromptTokens, call.OutputTokens = backupModel, 800, 120
+	f.dispatcher.Wait(t.Context()) // nothing to wait for
+	f.serve(t.Context(), call)
+	ended, cancel := context.WithCancel(t.Context())
+	cancel()
+	f.dispatcher.Wait(ended) // no longer than the process may
+	waited := make(chan struct{})
+	go func() {
+		defer close(waited)
+		f.dispatcher.Wait(t.Context())
+	}()
+	select {
+	case <-waited:
+		t.Fatal("the copy is not freed yet")
+	case <-time.After(20 * time.Millisecond):
+	}
+	close(f.backend.dropsHeld)
+	<-waited
+	is.Equal(len(f.backend.dropped), 1)
+	f.freed(t)
+}
+
+// Calls that begin and end while a gate stops.
+func TestWaitWhileCopiesBegin(t *testing.T) {
+	is := is.New(t)
+	var c copyCalls
+	var made atomic.Int64
+	var callers sync.WaitGroup
+	for range 8 {
+		callers.Go(func() {
+			for range 200 {
+				c.Go(func() { made.Add(1) })
+				<-c.ended()
+			}
+		})
+	}
+	callers.Wait()
+	<-c.ended()
+	is.Equal(made.Load(), int64(1600))
+}
--- a/internal/request/beechattempt/dispatcher.go
+++ b/internal/request/beechattempt/dispatcher.go
@@ -6,7 +6,6 @@
 	"expvar"
 	"math/rand/v2"
 	"net/http"
-	"sync"
 	"time"
 
 	"github.com/jonboulle/clockwork"
@@ -40,7 +39,7 @@
 
 		backups   beechbackup.Mode
 		durations *beechbackup.Durations
-		copies    sync.WaitGroup // calls that make copies of runs and free them
+		copies    copyCalls
 	}
 
 	// Returns decides when callers may come back for whom no server has room.
@@ -172,7 +171,8 @@
 func (OutcomeUnknown) rejection()   {}
 func (DeadlineExceeded) rejection() {}
 
-// New returns a dispatcher. The dependencies are used until the last call has ended.
+// New returns a dispatcher. The dependencies are used until the last call has ended, and then until Wait
+// returns, as copies of runs are freed after their calls.
 func New(placer *beechplace.Placer, backend beechcall.Backend, prober Prober, budget RetryBudget, suspects *beechsuspect.Registry, poison *beechpoison.Tracker,
 	admission *beechadmission.Controller, observer Observer, clock clockwork.Clock, log *zap.Logger,
 ) *Dispatcher {
@@ -215,6 +215,19 @@
 	return r.attempts - r.notExecuted
 }
 
+// Wait returns when copies of the runs of calls that have ended are freed, or when the context ends.
+func (d *Dispatcher) Wait(ctx context.Context) {
+	ended := d.copies.ended()
+	select {
+	case <-ended:
+	case <-ctx.Done():
+		if isClosed(ended) {
+			return
+		}
+		d.log.Warn("copies of runs not freed in time")
+	}
+}
+
 // Crashes returns the number of servers that crashed with requests under way, and of these requests by
 // whether their answers had begun.
 func (d *Dispatcher) Crashes() map[string]int64 {
