Count a copy's slot when an engine for the next is chosen

A copy takes a slot at its engine, not only memory. A gate counted the memory of the copies it had sent, but no slots, and so could choose an engine that had none left for a copy.

The load that engines for copies are compared by, and only that one, counts the copies of this gate that are in use. The estimate that requests are placed by is as before. The count is a field of the placer's server (placer.go), beside that of the tokens.

--- a/internal/request/beechplace/backups.go
+++ b/internal/request/beechplace/backups.go
@@ -56,6 +56,7 @@
 	}
 	b := &Backup{Server: servers[index].Server, Weights: c.Weights, placer: p, server: servers[index], tokens: run.Tokens, sourceWeights: source.weights}
 	b.server.copyTokens += b.tokens
+	b.server.copies++
 	return b, ""
 }
 
@@ -78,7 +79,7 @@
 	return beechbackup.Engine{
 		Host: s.Address.Addr(), Zone: s.Zone, Weights: s.weights[call.Model], Software: s.softwareVersion(),
 		CacheUsed: s.state.CacheUsed + s.copyTokens, CacheTotal: s.state.CacheTotal,
-		Load: p.estimatedLoad(s) / float64(max(s.slots, defaultSlots)), Pace: p.paceFactor(s, now), Rank: xxhash.Sum64String(s.ID + call.ID),
+		Load: (p.estimatedLoad(s) + float64(s.copies)) / float64(max(s.slots, defaultSlots)), Pace: p.paceFactor(s, now), Rank: xxhash.Sum64String(s.ID + call.ID),
 	}
 }
 
@@ -86,6 +87,7 @@
 func (b *Backup) Done() {
 	b.placer.mu.Lock()
 	b.server.copyTokens = max(b.server.copyTokens-b.tokens, 0)
+	b.server.copies = max(b.server.copies-1, 0)
 	b.placer.mu.Unlock()
 }
 
--- a/internal/request/beechplace/placer.go
+++ b/internal/request/beechplace/placer.go
@@ -93,6 +93,7 @@
 		pendingPrefill   int // tokens that these requests still have to prefill
 		pending          [beechcall.MaxUrgency + 1]pendingRank
 		copyTokens       int // copies of runs that this gate has sent there, at their full size
+		copies           int // these copies, each of which takes a slot
 		inFlightAtReport int // value of inFlight at the last report
 		failures         int
 		downUntil        time.Time
