Soak: a limit ends with its server's crash; stand-in engines have a health path

Trace: two requests reach e1 while it announces the limit, the second is one that servers crash on; the engine crashes, and its next lifetime announces none, so that requests are allowed there once gates have learned of it (3 s later). The check counted them against the limit of the lifetime before. It ends with the crash now; within it nothing is eased.

The stand-in took health checks for requests, and keepers now make them: it answers them at once, with the load, as the users' engines do. A keeper does not ask an engine whose report names a limit: whether health checks count against one is not said anywhere.

--- a/internal/command/beechplay/limits_soak_test.go
+++ b/internal/command/beechplay/limits_soak_test.go
@@ -48,6 +48,11 @@
 func (s *soak) checkLimits() {
 	checked := 0
 	for _, span := range s.limitSpans {
+		for _, crash := range span.server.Crashes() {
+			if crash.After(span.from) && crash.Before(span.until) {
+				span.until = crash // its next lifetime announces no limit
+			}
+		}
 		calm := span.from
 		for _, at := range append(s.disturbances, span.until) {
 			until := at
--- a/internal/process/beechkeeper/slowness.go
+++ b/internal/process/beechkeeper/slowness.go
@@ -58,12 +58,13 @@
 func (k *Keeper) pollSlowness(ctx context.Context) time.Duration {
 	k.mu.Lock()
 	path, idle := k.slowness.path, k.lastReport.Running+k.lastReport.Waiting == 0
+	limited := reportsLimit(k.lastReport.Limit) // health checks may count against it
 	k.mu.Unlock()
-	if path == "" || idle {
+	if path == "" || idle || limited {
 		return slownessPoll
 	}
-	limited, cancel := clockwork.WithTimeout(ctx, k.deps.Clock, reportTimeout)
-	figure, err := k.deps.Engine.Slowness(limited, path)
+	timeout, cancel := clockwork.WithTimeout(ctx, k.deps.Clock, reportTimeout)
+	figure, err := k.deps.Engine.Slowness(timeout, path)
 	cancel()
 	if err != nil {
 		k.metrics.missedSlowness.Add(1)
--- a/internal/standin/beechsimulator/copies.go
+++ b/internal/standin/beechsimulator/copies.go
@@ -32,6 +32,7 @@
 const (
 	headerKVFrom = "Kv-From"
 	copyPath     = "/beechring/kv-handle/"
+	healthPath   = "/health" // of all services
 	handlePrefix = "h-"
 	// copyLifetime is how long a copy is kept that is neither used nor freed.
 	copyLifetime = 5 * time.Second
--- a/internal/standin/beechsimulator/documents.go
+++ b/internal/standin/beechsimulator/documents.go
@@ -87,8 +87,8 @@
 			route("check", "safe", plain, 1000, 100, 2, 2),
 		},
 		"services": []Document{
-			{"name": engines, "healthPath": "/health", "maxConns": 100, "engine": Document{"slots": advertisedSlots, "kvCapacity": 100000, "tokenKvBytes": 131072, "linkMbps": 100000, "moves": true, "models": []Document{{"name": model}}}},
-			{"name": plain, "healthPath": "/health", "maxConns": 100},
+			{"name": engines, "healthPath": healthPath, "maxConns": 100, "engine": Document{"slots": advertisedSlots, "kvCapacity": 100000, "tokenKvBytes": 131072, "linkMbps": 100000, "moves": true, "models": []Document{{"name": model}}}},
+			{"name": plain, "healthPath": healthPath, "maxConns": 100},
 		},
 		"limits": Document{"maxHeaderBytes": 16384, "maxBodyBytes": 65536, "headerTimeoutMs": 3000, "idleTimeoutMs": 15000},
 		"tenants": []Document{
--- a/internal/standin/beechsimulator/engine.go
+++ b/internal/standin/beechsimulator/engine.go
@@ -361,6 +361,8 @@
 		e.cacheEvents(w, r)
 	case "/beechring/kv-list":
 		e.cacheList(w)
+	case healthPath:
+		w.Header().Set(headerLoad, e.load())
 	default:
 		e.request(w, r)
 	}
@@ -466,6 +468,15 @@
 	e.events = append(e.events, []any{len(e.events) + 1, sign, salt, part, tokens, e.settings.Model})
 }
 
+// load returns the load that the engine tells with its responses.
+func (e *Engine) load() string {
+	load := fmt.Sprintf("%d,0,%d", e.Running(), e.settings.Slots)
+	if e.settings.Slowness > 0 {
+		load += fmt.Sprintf(",%d", e.settings.Slowness)
+	}
+	return load
+}
+
 func (e *Engine) request(w http.ResponseWriter, r *http.Request) {
 	body, _ := io.ReadAll(r.Body)
 	id := r.Header.Get(headerAttemptID)
@@ -509,11 +520,7 @@
 		w.Header().Set("Content-Encoding", faults.Encoding)
 	}
 	w.Header().Set(headerSeal, "seal."+id)
-	load := fmt.Sprintf("%d,0,%d", e.Running(), e.settings.Slots)
-	if e.settings.Slowness > 0 {
-		load += fmt.Sprintf(",%d", e.settings.Slowness)
-	}
-	w.Header().Set(headerLoad, load)
+	w.Header().Set(headerLoad, e.load())
 	switch {
 	case faults.Hang:
 		<-r.Context().Done()
