Backups: a service is contended, not strained

Strain is what keepers tell of an engine; the field that switches backups on said Strained beside it. Names and the comment on the modes only.

--- a/internal/decision/beechbackup/backup_test.go
+++ b/internal/decision/beechbackup/backup_test.go
@@ -10,7 +10,7 @@
 	"pgregory.net/rapid"
 )
 
-var offered = Service{Offered: true, TokenBytes: 131072, LinkRate: 10e6, Strained: true, CrashRate: 0.2}
+var offered = Service{Offered: true, TokenBytes: 131072, LinkRate: 10e6, Contended: true, CrashRate: 0.2}
 
 func host(n int) netip.Addr { return netip.AddrFrom4([4]byte{10, 0, 0, byte(n)}) }
 
@@ -22,7 +22,7 @@
 func TestModes(t *testing.T) {
 	is := is.New(t)
 	silent, notOffered := offered, offered
-	silent.Strained, notOffered.Offered = false, false
+	silent.Contended, notOffered.Offered = false, false
 	is.True(Auto.Applies(offered))
 	is.True(!Auto.Applies(silent))
 	is.True(!Auto.Applies(notOffered))
--- a/internal/decision/beechbackup/decide.go
+++ b/internal/decision/beechbackup/decide.go
@@ -17,7 +17,7 @@
 		Offered    bool    // its engines take backups
 		TokenBytes int     // size of a token in an engine's memory
 		LinkRate   float64 // bytes that an engine sends or receives per millisecond
-		Strained   bool    // its engines tell how slow their hosts are, or callers compete for them
+		Contended  bool    // its engines tell how slow their hosts are, or callers compete for them
 		CrashRate  float64 // crashes of each engine, per second
 	}
 
@@ -73,8 +73,8 @@
 	GiveUp struct{ Reason Reason }
 )
 
-// The modes. Auto is for services whose configuration offers backups and whose engines tell how slow
-// their hosts are.
+// The modes. Auto is for contended services whose configuration offers backups, while their engines
+// crash in series.
 const (
 	Auto Mode = "auto"
 	On   Mode = "on"
@@ -148,7 +148,7 @@
 	if !s.Offered || s.TokenBytes <= 0 || s.LinkRate <= 0 {
 		return false
 	}
-	return m == On || (m != Off && s.Strained)
+	return m == On || (m != Off && s.Contended)
 }
 
 // Pays returns why a backup of a run does not pay, or an empty reason. With mode On the operators have
--- a/internal/request/beechplace/backups.go
+++ b/internal/request/beechplace/backups.go
@@ -29,7 +29,7 @@
 	defer p.mu.Unlock()
 	config := p.serviceConfigs[call.Service]
 	service := beechbackup.Service{
-		Offered: config.CopiesRuns, TokenBytes: config.TokenBytes, LinkRate: config.LinkRate, Strained: p.settings.CallersCompete || p.tellSlowness[call.Service],
+		Offered: config.CopiesRuns, TokenBytes: config.TokenBytes, LinkRate: config.LinkRate, Contended: p.settings.CallersCompete || p.tellSlowness[call.Service],
 	}
 	source, ok := p.byID[c.Server.ID]
 	if !ok || !mode.Applies(service) {
