--- a/internal/decision/beechpoison/conclude.go
+++ b/internal/decision/beechpoison/conclude.go
@@ -13,8 +13,8 @@
 	crashes []*crash // without an answer since, by time
 }
 
-// conclude derives which traits are blamed. An answer to a trait that is not blamed changes that only
-// if several crashes are later: they may be a greater share of their shorter time.
+// conclude derives which traits are blamed. An answer to a trait that is not blamed cannot change
+// that, since only blamed ones explain crashes.
 func (t *Tracker) conclude() {
 	t.forget()
 	slices.SortStableFunc(t.crashes, func(x, y *crash) int { return x.at.Compare(y.at) })
--- a/internal/decision/beechpoison/tracker.go
+++ b/internal/decision/beechpoison/tracker.go
@@ -228,7 +228,7 @@
 		if t.mergeEvent(t.starts, e, origin) {
 			changed = true
 			t.reopen(e.Key)
-			decisive = decisive || t.blamed[e.Key] != nil || t.open[e.Key] >= minMoments
+			decisive = decisive || t.blamed[e.Key] != nil
 		}
 	}
 	for _, e := range u.Trials {
