poison: an answer never leads to blame

What callers saw: after the same crashes and answers one gate refused requests with a prompt part and another sent them on; and parts that innocent requests share could be blamed after two crashes that followed an answer to them.

Cause: an answer takes the older crashes away from a trait. A trait that was at fewer than half of the moments between its first and last crash was not blamed; with the older ones gone, the moments became fewer and it could be. Which gate blamed it depended on whether it concluded after hearing of the answer.

Change: a trait that an answer has cleared of a crash is blamed at four moments only, whatever its share. An answer then only ever lowers what speaks against a trait, so no conclusion is missed by not drawing one.

Evidence: TestAnswerNeverLeadsToBlame fails without the change and passes with it. Crashing parts at gates (go test ./platform -run 'Crash|Poison') pass.

What it costs: a part that was answered since a crash and crashes servers later takes four of them instead of two.

--- a/internal/decision/beechpoison/conclude.go
+++ b/internal/decision/beechpoison/conclude.go
@@ -10,7 +10,8 @@
 // evidence is what speaks against a trait.
 type evidence struct {
 	Trait
-	crashes []*crash // without an answer since, by time
+	crashes  []*crash // without an answer since, by time
+	answered bool     // since another crash
 }
 
 // conclude derives which traits are blamed. An answer to a trait that is not blamed cannot change
@@ -52,8 +53,8 @@
 
 // isBlamed reports whether a trait was there often enough among the crashes of its time.
 func isBlamed(e *evidence, count int, unexplained []*crash) bool {
-	if count >= sureMoments {
-		return true
+	if count >= sureMoments || e.answered {
+		return count >= sureMoments
 	}
 	first, last := e.crashes[0].at, e.crashes[len(e.crashes)-1].at
 	var meanwhile []*crash
@@ -87,7 +88,7 @@
 	byKey := make(map[uint64]*evidence)
 	for _, c := range t.crashes {
 		for _, s := range c.suspects {
-			if t.open[s.Key] < minMoments || t.answered(s.Key, c) {
+			if t.open[s.Key] < minMoments {
 				continue
 			}
 			e := byKey[s.Key]
@@ -95,6 +96,10 @@
 				e = &evidence{Trait: s.Trait}
 				byKey[s.Key] = e
 			}
+			if t.answered(s.Key, c) {
+				e.answered = true
+				continue
+			}
 			e.Rank = min(e.Rank, s.Rank)
 			if len(e.crashes) == 0 || e.crashes[len(e.crashes)-1] != c {
 				e.crashes = append(e.crashes, c)
--- a/internal/decision/beechpoison/doc.go
+++ b/internal/decision/beechpoison/doc.go
@@ -17,7 +17,9 @@
 //   - if no answer to a request that has it has begun since the first of them: what servers can
 //     answer does not crash them;
 //   - if it was there at half of the moments between its first and last crash at least, or at four
-//     moments: a rare trait is met at single ones of many crashes by chance;
+//     moments: a rare trait is met at single ones of many crashes by chance. Once an answer has
+//     cleared it of a crash, only four will do: servers can answer it, so that an answer never leads
+//     to blame;
 //   - and if no other trait explains these crashes: the one that was there most often is blamed
 //     first, and its crashes count against no other. Of equal ones, the most specific is blamed.
 //
--- a/internal/decision/beechpoison/tracker_test.go
+++ b/internal/decision/beechpoison/tracker_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
@@ -348,6 +349,26 @@
 	is.True(count <= maxSent+maxSuspects)
 }
 
+// An answer to a trait that is not blamed must not have it blamed, whenever a process hears of it.
+func TestAnswerNeverLeadsToBlame(t *testing.T) {
+	is := is.New(t)
+	crash := func(server, key uint64, age time.Duration) Update {
+		return Update{Crashes: []Crash{{Server: server, Age: age, Suspects: []Suspect{{Trait: Trait{Key: key}, Workspace: 1}}}}}
+	}
+	start := func(key uint64, age time.Duration) Update { return Update{Starts: []Event{{Key: key, Age: age}}} }
+	updates := []Update{
+		crash(0, 1, 0), crash(1, 2, 6*time.Second), start(2, 0), crash(3, 1, 3*time.Second), crash(4, 2, 9*time.Second),
+		crash(5, 2, 12*time.Second), crash(6, 2, 15*time.Second), crash(7, 1, 3*time.Minute), start(1, 6*time.Second),
+	}
+	for first := range updates {
+		f := newFleet(1)
+		for _, u := range append(slices.Clone(updates[first:]), updates[:first]...) {
+			f.trackers[0].Apply(u, Zone)
+		}
+		is.Equal(f.trackers[0].Check(Request{Workspace: 1, Traits: []Trait{{Key: 1}}}), Verdict(Allow{}))
+	}
+}
+
 // The order in which updates arrive, and repeats of them, change nothing.
 func TestMergingDependsOnNoOrder(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
