Suspects: crashes for which something else is blamed do not count

Cause: the registry of suspects counts the crashes at which a request was running, whatever else was there. A request that ran beside a bad prompt part twice, the second time alone but for a request that nobody suspected yet, was refused for five minutes, though the crashes were already blamed on the part.

Change: beechpoison tells for how many crashes of a request another trait is blamed, and these do not count for it, at both doors.

--- a/internal/decision/beechpoison/tracker.go
+++ b/internal/decision/beechpoison/tracker.go
@@ -119,6 +119,28 @@
 	return Allow{}
 }
 
+// Explained returns the number of crashes at which a trait was suspect and for which another one is
+// blamed.
+func (t *Tracker) Explained(key uint64) int {
+	if t.idle.Load() {
+		return 0
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	count := 0
+	for blamed, b := range t.blamed {
+		if blamed == key {
+			continue
+		}
+		for _, c := range b.crashes {
+			if slices.ContainsFunc(c.suspects, func(s Suspect) bool { return s.Key == key }) {
+				count++
+			}
+		}
+	}
+	return count
+}
+
 // Idle reports whether no crash is known, so that every request is allowed.
 func (t *Tracker) Idle() bool { return t.idle.Load() }
 
--- a/internal/decision/beechpoison/tracker_test.go
+++ b/internal/decision/beechpoison/tracker_test.go
@@ -497,3 +497,18 @@
 		}
 	})
 }
+
+// Of the requests that ran beside a bad part, only those that have it may be blamed.
+func TestCrashesOfBystandersAreExplained(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(1)
+	tracker := f.trackers[0]
+	for server := range uint64(3) {
+		tracker.RecordCrash(server, f.clock.Now(), []Request{{Workspace: 1, Traits: []Trait{{Key: 1}}}, {Workspace: 1, Traits: []Trait{{Key: 10 + server/2}}}})
+		f.clock.Advance(time.Second)
+	}
+	is.Equal(tracker.Explained(10), 2)
+	is.Equal(tracker.Explained(11), 1)
+	is.Equal(tracker.Explained(1), 0)  // it is blamed itself
+	is.Equal(tracker.Explained(20), 0) // it was not there
+}
--- a/internal/decision/beechsuspect/doc.go
+++ b/internal/decision/beechsuspect/doc.go
@@ -14,6 +14,7 @@
 //     workspace and body.
 //   - A suspect never runs together with another one, so that a second crash identifies it.
 //   - A suspect that finishes is cleared.
+//   - Crashes for which something else is blamed that the suspect does not have do not count.
 //   - A suspect that crashes again is refused for a time, which doubles with each further crash.
 //   - Processes exchange records with heartbeats; the later event applies.
 //
@@ -38,7 +39,7 @@
 // # Usage
 //
 //	r := beechsuspect.New(beechsuspect.Settings{}, clockwork.NewRealClock())
-//	switch v := r.Check(fingerprint).(type) { // before each attempt
+//	switch v := r.Check(fingerprint, explained).(type) { // before each attempt
 //	case beechsuspect.Allow:
 //	case beechsuspect.Isolate: // mark the request as isolated for the queue
 //	case beechsuspect.Refuse: // respond now: not run, retry after v.After
--- a/internal/decision/beechsuspect/registry.go
+++ b/internal/decision/beechsuspect/registry.go
@@ -132,8 +132,10 @@
 	*e = entry{crashes: e.crashes, lastEvent: r.now, cleared: true, changed: r.now}
 }
 
-// Check returns how a request may run. It must be called before each attempt.
-func (r *Registry) Check(fingerprint uint64) Verdict {
+// Check returns how a request may run. It must be called before each attempt. Explained is the number
+// of its crashes for which something that it does not have is blamed, such as a prompt part of a
+// request that ran beside it.
+func (r *Registry) Check(fingerprint uint64, explained int) Verdict {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.updateTime()
@@ -141,10 +143,14 @@
 	if e == nil || e.cleared {
 		return Allow{}
 	}
-	if left := e.lastEvent.Add(r.refusalTime(e.crashes)).Sub(r.now); left > 0 {
+	crashes := max(e.crashes-explained, 0)
+	if left := e.lastEvent.Add(r.refusalTime(crashes)).Sub(r.now); left > 0 {
 		return Refuse{After: left}
 	}
 	e.triedCrashes = e.crashes
+	if crashes == 0 {
+		return Allow{}
+	}
 	return Isolate{}
 }
 
--- a/internal/decision/beechsuspect/registry_test.go
+++ b/internal/decision/beechsuspect/registry_test.go
@@ -45,8 +45,8 @@
 				batch = append(batch, f+1)
 			}
 			for _, f := range batch {
-				is.Equal(r[0].Check(f), Allow{})
-				is.Equal(r[2].Check(f), Allow{})
+				is.Equal(r[0].Check(f, 0), Allow{})
+				is.Equal(r[2].Check(f, 0), Allow{})
 			}
 			r[2].RecordCrash(batch)
 			r[2].Merge(nil)
@@ -55,8 +55,8 @@
 			exchange()
 			crashes := 1
 			for _, f := range batch {
-				is.Equal(r[c.entry].Check(f), Isolate{}) // one crash, reported twice
-				is.Equal(r[3].Check(f), Isolate{})
+				is.Equal(r[c.entry].Check(f, 0), Isolate{}) // one crash, reported twice
+				is.Equal(r[3].Check(f, 0), Isolate{})
 				if f == poison {
 					r[3].RecordCrash([]uint64{f})
 					r[c.entry].RecordCrash([]uint64{f})
@@ -68,16 +68,16 @@
 			}
 			exchange()
 			for _, each := range r {
-				is.Equal(each.Check(poison), Refuse{After: Defaults.RefusalTime - time.Second})
+				is.Equal(each.Check(poison, 0), Refuse{After: Defaults.RefusalTime - time.Second})
 				for f := range uint64(19) {
-					is.Equal(each.Check(f+1), Allow{})
+					is.Equal(each.Check(f+1, 0), Allow{})
 				}
 			}
 			is.Equal(crashes, 2)
 			clock.Advance(Defaults.RefusalTime)
-			is.Equal(r[0].Check(poison), Isolate{})
+			is.Equal(r[0].Check(poison, 0), Isolate{})
 			r[0].RecordCrash([]uint64{poison})
-			is.Equal(r[0].Check(poison), Refuse{After: 2 * Defaults.RefusalTime})
+			is.Equal(r[0].Check(poison, 0), Refuse{After: 2 * Defaults.RefusalTime})
 		})
 	}
 }
@@ -96,8 +96,8 @@
 		clock.Advance(500 * time.Millisecond)
 		r[0].Merge(records)
 	}
-	is.Equal(r[0].Check(1), Allow{})
-	is.Equal(r[1].Check(1), Allow{})
+	is.Equal(r[0].Check(1, 0), Allow{})
+	is.Equal(r[1].Check(1, 0), Allow{})
 	is.Equal(len(r[0].List())+len(r[1].List()), 0)
 }
 
@@ -111,13 +111,13 @@
 	clock.Advance(500 * time.Millisecond)
 	r[1].RecordSuccess(1)
 	r[1].Merge(r[0].List()) // outdated
-	is.Equal(r[1].Check(1), Allow{})
+	is.Equal(r[1].Check(1, 0), Allow{})
 	r[0].Merge(r[1].List())
-	is.Equal(r[0].Check(1), Allow{})
+	is.Equal(r[0].Check(1, 0), Allow{})
 	clock.Advance(time.Minute)
 	r[0].RecordCrash([]uint64{1})
 	r[1].Merge(r[0].List())
-	is.Equal(r[1].Check(1), Isolate{})
+	is.Equal(r[1].Check(1, 0), Isolate{})
 	clock.Advance(recentTime + time.Second)
 	is.Equal(len(r[0].RecentChanges()), 0)
 	is.Equal(len(r[0].List()), 1)
@@ -131,25 +131,25 @@
 	r, clock := newRegistries(2)
 	entry, agent := r[0], r[1]
 	entry.RecordCrash([]uint64{poison})
-	is.Equal(entry.Check(poison), Isolate{})
+	is.Equal(entry.Check(poison, 0), Isolate{})
 	entry.RecordCrash([]uint64{poison})
 	clock.Advance(Defaults.RefusalTime)
-	is.Equal(entry.Check(poison), Isolate{})
+	is.Equal(entry.Check(poison, 0), Isolate{})
 	for range 3 { // attempts that were rejected for other reasons
 		agent.RecordAttempt(poison, 2)
-		is.Equal(agent.Check(poison), Isolate{})
+		is.Equal(agent.Check(poison, 0), Isolate{})
 		entry.Merge(agent.RecentChanges())
-		is.Equal(entry.Check(poison), Isolate{})
+		is.Equal(entry.Check(poison, 0), Isolate{})
 	}
 	agent.RecordCrash([]uint64{poison})
-	is.Equal(agent.Check(poison), Refuse{After: 2 * Defaults.RefusalTime})
+	is.Equal(agent.Check(poison, 0), Refuse{After: 2 * Defaults.RefusalTime})
 	entry.Merge(agent.RecentChanges())
-	is.Equal(entry.Check(poison), Refuse{After: 2 * Defaults.RefusalTime})
+	is.Equal(entry.Check(poison, 0), Refuse{After: 2 * Defaults.RefusalTime})
 	agent.RecordAttempt(0, 1)
 	agent.RecordAttempt(1, -1)
 	agent.RecordAttempt(2, 1<<40)
 	is.Equal(len(agent.List()), 2)
-	is.Equal(agent.Check(2), Isolate{})
+	is.Equal(agent.Check(2, 0), Isolate{})
 }
 
 // Large batches crash repeatedly, and a process sends invalid records. Memory must be bounded, and
@@ -159,7 +159,7 @@
 	clock := clockwork.NewFakeClock()
 	r := New(Settings{MaxRecords: 100, Retention: -1, RefusalTime: -1}, clock)
 	r.RecordCrash([]uint64{poison})
-	is.Equal(r.Check(poison), Isolate{})
+	is.Equal(r.Check(poison, 0), Isolate{})
 	r.RecordCrash([]uint64{poison, 0})
 	for f := range uint64(2000) {
 		clock.Advance(time.Millisecond)
@@ -174,12 +174,12 @@
 		{Fingerprint: 2, Crashes: 2, Age: 1 << 62},
 		{Fingerprint: 3, Crashes: 1 << 40, Age: -time.Hour},
 	})
-	is.Equal(r.Check(0), Allow{})
-	is.Equal(r.Check(1), Allow{})
-	is.Equal(r.Check(2), Allow{})
-	is.Equal(r.Check(3), Refuse{After: Defaults.Retention / 2})
+	is.Equal(r.Check(0, 0), Allow{})
+	is.Equal(r.Check(1, 0), Allow{})
+	is.Equal(r.Check(2, 0), Allow{})
+	is.Equal(r.Check(3, 0), Refuse{After: Defaults.Retention / 2})
 	clock.Advance(-time.Hour)
-	is.Equal(r.Check(3), Refuse{After: Defaults.Retention / 2})
+	is.Equal(r.Check(3, 0), Refuse{After: Defaults.Retention / 2})
 	r.RecordSuccess(99)
 	is.Equal(len(r.List()), 1)
 }
@@ -193,6 +193,20 @@
 	i := uint64(0)
 	for b.Loop() {
 		i++
-		r.Check(i % 2000)
+		r.Check(i%2000, 0)
 	}
 }
+
+// A request that ran beside two crashes of other causes must not be refused.
+func TestExplainedCrashesDoNotCount(t *testing.T) {
+	is := is.New(t)
+	r := New(Settings{}, clockwork.NewFakeClock())
+	r.RecordCrash([]uint64{poison})
+	is.Equal(r.Check(poison, 0), Isolate{})
+	r.RecordCrash([]uint64{poison})
+	is.Equal(r.Check(poison, 0), Refuse{After: Defaults.RefusalTime})
+	is.Equal(r.Check(poison, 1), Isolate{})
+	is.Equal(r.Check(poison, 2), Allow{})
+	r.RecordCrash([]uint64{poison})
+	is.Equal(r.Check(poison, 1), Refuse{After: Defaults.RefusalTime}) // one that is explained, and two that are not
+}
--- a/internal/process/beechagent/admission.go
+++ b/internal/process/beechagent/admission.go
@@ -124,7 +124,7 @@
 	if r.Crashes > 0 {
 		a.suspects.RecordAttempt(r.Fingerprint, r.Crashes)
 	}
-	switch v := a.suspects.Check(r.Fingerprint).(type) {
+	switch v := a.suspects.Check(r.Fingerprint, a.poison.Explained(r.Fingerprint)).(type) {
 	case beechsuspect.Refuse:
 		return a.refusal(beechwire.ReasonSuspect, v.After, "the request was running each time an engine crashed")
 	case beechsuspect.Isolate:
--- a/internal/process/beechentry/dispatch.go
+++ b/internal/process/beechentry/dispatch.go
@@ -156,7 +156,7 @@
 // run alone.
 func (e *Entry) checkSuspect(j *job) attemptResult {
 	j.request.Alone = false
-	switch v := e.suspects.Check(j.request.Fingerprint).(type) {
+	switch v := e.suspects.Check(j.request.Fingerprint, e.poison.Explained(j.request.Fingerprint)).(type) {
 	case beechsuspect.Refuse:
 		return refused{beechwire.Refused{Reason: beechwire.ReasonSuspect, AfterMillis: v.After.Milliseconds()}}
 	case beechsuspect.Isolate:
--- a/internal/request/beechattempt/attempt_test.go
+++ b/internal/request/beechattempt/attempt_test.go
@@ -521,7 +521,7 @@
 	f.clock.Advance(time.Millisecond)
 	is.Equal(<-ended, tryAgain)
 	is.Equal(f.clock.Since(r.started), choice.FirstByteTimeout)
-	_, unsuspected := f.suspects.Check(r.call.Fingerprint()).(beechsuspect.Allow)
+	_, unsuspected := f.suspects.Check(r.call.Fingerprint(), 0).(beechsuspect.Allow)
 	is.True(unsuspected)
 	choice, _ = f.dispatcher.placer.Choose(r.call, r.triedServers)
 	is.Equal(r.attempt(t.Context(), choice), finished)
--- a/internal/request/beechattempt/backup.go
+++ b/internal/request/beechattempt/backup.go
@@ -160,7 +160,7 @@
 	case probed != nil && isClosed(probed.done) && probed.accepted:
 		state = beechbackup.Running
 	}
-	_, suspect := r.dispatcher.suspects.Check(r.call.Fingerprint()).(beechsuspect.Refuse)
+	_, suspect := r.dispatcher.checkSuspect(r.call).(beechsuspect.Refuse)
 	_, poison := r.refusedAsPoison()
 	return r.dispatcher.placer.ObserveLoss(r.call, source, r.backup.engine, beechbackup.Loss{
 		Copy: r.backup.copyState(), Source: state, Unnumbered: r.stream.lastEventID == "", Left: r.call.TimeLeft(r.dispatcher.clock.Now()),
--- a/internal/request/beechattempt/dispatcher.go
+++ b/internal/request/beechattempt/dispatcher.go
@@ -191,7 +191,7 @@
 // Serve answers a call. The context ends when the caller disconnects, which cancels the
 // attempt under way. It returns the number of attempts that may have been executed.
 func (d *Dispatcher) Serve(ctx context.Context, call *beechcall.Call, out Responder) int {
-	if refuse, ok := d.suspects.Check(call.Fingerprint()).(beechsuspect.Refuse); ok {
+	if refuse, ok := d.checkSuspect(call).(beechsuspect.Refuse); ok {
 		d.log.Warn("request refused", zap.String("request", call.ID), zap.String("reason", "it crashed servers before"), zap.Duration("after", refuse.After))
 		out.Reject(NotExecuted{RetryAfter: refuse.After, Reason: "suspect"})
 		return 0
--- a/internal/request/beechattempt/poison.go
+++ b/internal/request/beechattempt/poison.go
@@ -7,6 +7,7 @@
 	"go.uber.org/zap"
 
 	"github.com/beechring/beechring/internal/decision/beechpoison"
+	"github.com/beechring/beechring/internal/decision/beechsuspect"
 	"github.com/beechring/beechring/internal/request/beechcall"
 	"github.com/beechring/beechring/internal/request/beechplace"
 )
@@ -82,3 +83,9 @@
 	r.startRecorded = true
 	r.dispatcher.poison.RecordStart(r.poisonTraits())
 }
+
+// checkSuspect returns how a call may run that was running when servers crashed.
+func (d *Dispatcher) checkSuspect(call *beechcall.Call) beechsuspect.Verdict {
+	fingerprint := call.Fingerprint()
+	return d.suspects.Check(fingerprint, d.poison.Explained(fingerprint))
+}
