Simulated servers fall silent for a time and go on

The simulated engines could hang, refuse, cut and crash, but none could be silent and keep its work; the stand-in engine's freeze let the end of an answer through, and a freeze that had begun earlier ended a later one. Change: Engine.FallSilent holds headers, events, ends of answers, reports and health for a time; connections stay open, requests that arrive begin to run, and what was held follows. Cluster.Silence has an availability zone's servers or all do so. Reports are written outside the engine's lock, which a silence would hold otherwise. The stand-in engine's freeze holds the end of an answer too, and of overlapping freezes the last end counts.

--- a/internal/command/beechplay/cluster.go
+++ b/internal/command/beechplay/cluster.go
@@ -34,7 +34,8 @@
 		gates         map[string]*beechsettings.Gate
 		seeds         []netip.AddrPort // of gates that are added later
 		keepers       map[string]*beechsettings.Keeper
-		peers         sync.Map // engines by address
+		peers         sync.Map          // engines by address
+		zones         map[string]string // of servers
 	}
 
 	// endpoint is a listener that can be down for a time. It is safe for concurrent use.
@@ -76,7 +77,7 @@
 	w := &Cluster{
 		Store: beechsimulator.NewStore(), Engines: make(map[string]*beechsimulator.Engine), Places: make(map[string]netip.AddrPort),
 		launcher: launcher, zone: "mill", heartbeatPort: uint16(baseHeartbeatPort + nextHost.Add(1)), processes: make(map[string]Process),
-		gates: make(map[string]*beechsettings.Gate), keepers: make(map[string]*beechsettings.Keeper),
+		gates: make(map[string]*beechsettings.Gate), keepers: make(map[string]*beechsettings.Keeper), zones: make(map[string]string),
 	}
 	e, err := w.listen(nextLoopbackAddress(), w.Store)
 	if err != nil {
@@ -156,7 +157,7 @@
 	}
 	e.OnCrash(listener.crash)
 	endpoint := listener.address
-	w.Engines[name], w.Places[name] = e, endpoint
+	w.Engines[name], w.Places[name], w.zones[name] = e, endpoint, w.zone
 	w.peers.Store(endpoint.String(), e)
 	e.SetPeers(func(address string) *beechsimulator.Engine {
 		peer, ok := w.peers.Load(address)
@@ -182,12 +183,22 @@
 	if e.HasModel() {
 		service = EngineService
 	}
-	w.Store.PutServer(e, service, w.Places[name].String(), w.zone, state)
+	w.Store.PutServer(e, service, w.Places[name].String(), w.zones[name], state)
 }
 
 // SetZone sets the availability zone of servers and gates that are added later.
 func (w *Cluster) SetZone(zone string) { w.zone = zone }
 
+// Silence has the servers of an availability zone, or all if zone is empty, write nothing for a time
+// and then go on.
+func (w *Cluster) Silence(zone string, d time.Duration) {
+	for name, e := range w.Engines {
+		if zone == "" || w.zones[name] == zone {
+			e.FallSilent(d)
+		}
+	}
+}
+
 // Configure writes a version of the configuration to the store. If edit is not
 // nil, it may change the document first.
 func (w *Cluster) Configure(version int, edit func(c Document)) {
--- a/internal/standin/beechengine/engine_test.go
+++ b/internal/standin/beechengine/engine_test.go
@@ -285,3 +285,24 @@
 		}
 	})
 }
+
+// TestOverlappingFreezesEndWithTheLast guards against a freeze that ends with an earlier, shorter one.
+func TestOverlappingFreezesEndWithTheLast(t *testing.T) {
+	is := is.New(t)
+	clock := clockwork.NewFakeClock()
+	e := New(Settings{Models: []string{served}}, clock)
+	frozen := func() bool {
+		ctx, cancel := context.WithTimeout(t.Context(), 20*time.Millisecond)
+		defer cancel()
+		return e.faults.waitWhileFrozen(ctx) != nil
+	}
+	e.Inject(Fault{Kind: FaultFreeze, PauseMillis: 1000})
+	e.Inject(Fault{Kind: FaultFreeze, PauseMillis: 2000})
+	e.Inject(Fault{Kind: FaultFreeze, PauseMillis: 500})
+	clock.Advance(1500 * time.Millisecond)
+	time.Sleep(10 * time.Millisecond) // timers of the fake clock run in goroutines
+	is.True(frozen())
+	clock.Advance(500 * time.Millisecond)
+	time.Sleep(10 * time.Millisecond)
+	is.True(!frozen())
+}
--- a/internal/standin/beechengine/faults.go
+++ b/internal/standin/beechengine/faults.go
@@ -37,6 +37,7 @@
 		mu      sync.Mutex
 		marker  []byte
 		frozen  chan struct{}
+		thawAt  time.Time // latest end of a freeze; zero: it has none
 		busy    int
 		wrongID int
 	}
@@ -55,10 +56,7 @@
 	case FaultPoison:
 		e.faults.update(func() { e.faults.marker = []byte(f.Marker) })
 	case FaultFreeze:
-		e.faults.freeze()
-		if f.Pause() > 0 {
-			e.clock.AfterFunc(f.Pause(), e.faults.thaw)
-		}
+		e.freeze(f.Pause())
 	case FaultThaw:
 		e.faults.thaw()
 	case FaultBusy:
@@ -94,23 +92,46 @@
 	change()
 }
 
-func (f *faults) freeze() {
-	f.update(func() {
-		if f.frozen == nil {
-			f.frozen = make(chan struct{})
+// freeze stops answers for a time, or until a thaw if the time is 0. Of overlapping freezes the one that
+// ends last counts.
+func (e *Engine) freeze(pause time.Duration) {
+	thawAt := e.clock.Now().Add(pause)
+	e.faults.update(func() {
+		switch {
+		case e.faults.frozen == nil:
+			e.faults.frozen = make(chan struct{})
+			e.faults.thawAt = thawAt
+		case !e.faults.thawAt.IsZero() && thawAt.After(e.faults.thawAt):
+			e.faults.thawAt = thawAt
+		}
+		if pause <= 0 {
+			e.faults.thawAt = time.Time{}
 		}
 	})
+	if pause > 0 {
+		e.clock.AfterFunc(pause, e.thawIfOver)
+	}
 }
 
-func (f *faults) thaw() {
-	f.update(func() {
-		if f.frozen != nil {
-			close(f.frozen)
-			f.frozen = nil
+func (e *Engine) thawIfOver() {
+	e.faults.update(func() {
+		if !e.faults.thawAt.IsZero() && !e.clock.Now().Before(e.faults.thawAt) {
+			e.faults.thawLocked()
 		}
 	})
 }
 
+func (f *faults) thaw() {
+	f.update(f.thawLocked)
+}
+
+func (f *faults) thawLocked() {
+	if f.frozen != nil {
+		close(f.frozen)
+		f.frozen = nil
+	}
+}
+
 // waitWhileFrozen blocks while the engine is frozen. It returns the cause of
 // ctx if ctx ends first.
 func (f *faults) waitWhileFrozen(ctx context.Context) error {
--- a/internal/standin/beechengine/generate.go
+++ b/internal/standin/beechengine/generate.go
@@ -222,7 +222,7 @@
 		e.journal.update(g.entry, func(n *Entry) { n.Output++ })
 	}
 	if e.settings.EndTime <= 0 {
-		return nil
+		return e.faults.waitWhileFrozen(ctx)
 	}
 	return e.sleepUntil(ctx, e.clock.Now().Add(e.settings.EndTime))
 }
--- a/internal/standin/beechsimulator/engine.go
+++ b/internal/standin/beechsimulator/engine.go
@@ -58,6 +58,7 @@
 		crashes       []time.Time
 		onCrash       func(down time.Duration) // ends all connections, and accepts none for a time
 		copies        copies
+		silences      []Silence
 	}
 
 	// EngineFaults are the faults that an engine simulates.
@@ -341,6 +342,8 @@
 // ServeHTTP serves reports, orders and cache calls, and any other path as a caller's
 // request.
 func (e *Engine) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	defer e.waitWhileSilent(r.Context()) // what ends the response is written after this
+	w = &silentWriter{ResponseWriter: w, engine: e, ctx: r.Context()}
 	e.mu.Lock()
 	if e.leaving {
 		w.Header().Set(headerLeaving, "1")
@@ -370,7 +373,6 @@
 
 func (e *Engine) report(w http.ResponseWriter) {
 	e.mu.Lock()
-	defer e.mu.Unlock()
 	models := []map[string]any{}
 	if e.settings.Model != "" {
 		models = append(models, map[string]any{"name": e.settings.Model, "version": e.version, "adapters": []string{}})
@@ -382,6 +384,7 @@
 	if e.born > 0 {
 		report["born"] = e.born
 	}
+	e.mu.Unlock()
 	writeJSON(w, report)
 }
 
@@ -427,26 +430,26 @@
 		}
 	}
 	e.mu.Lock()
-	defer e.mu.Unlock()
-	events := [][]any{}
-	if since < len(e.events) {
+	events, next := [][]any{}, len(e.events)
+	if since < next {
 		events = e.events[since:]
 	}
-	writeJSON(w, map[string]any{"bootEpoch": 1, "next": len(e.events), "lost": false, "events": events})
+	e.mu.Unlock()
+	writeJSON(w, map[string]any{"bootEpoch": 1, "next": next, "lost": false, "events": events})
 }
 
 // cacheList serves the content of the cache.
 func (e *Engine) cacheList(w http.ResponseWriter) {
 	e.mu.Lock()
-	defer e.mu.Unlock()
-	held := [][]any{}
+	held, next := [][]any{}, len(e.events)
 	for key, tokens := range e.cached {
 		salt, part, _ := strings.Cut(key, "|")
 		if tokens > 0 {
 			held = append(held, []any{salt, part, tokens, e.settings.Model})
 		}
 	}
-	writeJSON(w, map[string]any{"bootEpoch": 1, "next": len(e.events), "held": held})
+	e.mu.Unlock()
+	writeJSON(w, map[string]any{"bootEpoch": 1, "next": next, "held": held})
 }
 
 func (e *Engine) hasEvents(since int) bool {
