Attempts: the log and metrics say who ended a stream, after how long a silence

What operators saw: a stream that a gate gave up for its server's silence is logged as `stream broken off` with the cause of the last attempt only. Neither how long the silence was, nor what was known of the server, nor what was tried instead, and nothing of it is counted.

Change, none of it logic: each attempt's end has a cause and the time since its server's last data. Metrics attemptEnds, streamsBroken, silences.

The budget of the tests' fixture says that it is exhausted when it is, so that the cause is the real one.

--- a/internal/process/beechgate/observer.go
+++ b/internal/process/beechgate/observer.go
@@ -40,7 +40,7 @@
 	c := e.Choice
 	fields := []zap.Field{
 		zap.String("request", e.Call.ID), zap.String("route", e.Call.Route.Name), zap.String("ending", e.Outcome), zap.Uint64("configuration", e.Call.Version),
-		zap.Duration("first", e.FirstByte), zap.Duration("took", e.Duration), zap.Int("sends", e.Attempts), zap.String("progress", string(e.Progress)), zap.Duration("sinceSend", e.SinceSend),
+		zap.Duration("first", e.FirstByte), zap.Duration("took", e.Duration), zap.Int("sends", e.Attempts), zap.String("progress", string(e.Progress)), zap.Duration("sinceSend", e.SinceSend), zap.Duration("silence", e.Silence),
 		zap.String("server", c.Server.ID), zap.String("software", c.Server.Software), zap.String("resumes", e.Call.Resumes), zap.String("after", e.Call.LastEventID),
 		zap.Uint64("weights", c.Weights), zap.Float64("cost", c.Cost), zap.Float64("expected", c.Expected), zap.Duration("wait", c.Wait),
 		zap.Int("tokens", e.Call.PromptTokens), zap.Int("shared", e.Call.SharedTokens()), zap.Int("missing", c.Missing), zap.Int("unread", c.PrefillTokens),
--- a/internal/request/beechattempt/attempt_test.go
+++ b/internal/request/beechattempt/attempt_test.go
@@ -91,7 +91,7 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	if b.left <= 0 || (o.Ran != beechretry.RanNo && !o.Repeatable) {
-		return beechretry.GiveUp{}
+		return beechretry.GiveUp{Exhausted: b.left <= 0}
 	}
 	b.left--
 	return beechretry.Retry{}
--- a/internal/request/beechattempt/backup.go
+++ b/internal/request/beechattempt/backup.go
@@ -224,10 +224,12 @@
 	case errors.As(err, &notSent):
 		r.notExecuted++
 		placement.Done(beechplace.Unreachable)
+		r.ended(endNotSent)
 		return r.backupGivenUp(beechbackup.EngineLost)
 	case errors.As(err, &notExecuted):
 		r.notExecuted++
 		placement.Done(beechplace.Rejected)
+		r.ended(endTurnedAway)
 		r.dispatcher.placer.ObserveRejection(choice.Server.ID, notExecuted, r.call.Model)
 		r.logAttempt("turned away", choice, zap.Int("status", notExecuted.Status), zap.Bool("replaced", notExecuted.Replaced), zap.Bool("other weights", notExecuted.WeightsDiffer))
 		if notExecuted.WeightsDiffer {
@@ -236,12 +238,14 @@
 		return r.backupGivenUp(beechbackup.NoCopy)
 	}
 	r.maybeExecuted++
-	r.logAttempt("failed", choice, zap.Error(err))
+	r.logAttempt("failed", choice, zap.Error(err), zap.Duration("silence", r.silence()))
 	if !r.dispatcher.clock.Now().Before(r.call.Deadline) {
 		placement.Done(beechplace.Cancelled)
+		r.ended(endDeadline)
 		return r.noRetry(stopDeadline)
 	}
 	placement.Done(beechplace.Failed)
+	r.ended(endBroken)
 	r.answerBroken(choice)
 	r.dispatcher.observer.ObserveAttempt(choice.Server, r.call.Model, 0, choice.PrefillTokens, true)
 	return r.backupGivenUp(beechbackup.LostAgain)
--- a/internal/request/beechattempt/dispatcher.go
+++ b/internal/request/beechattempt/dispatcher.go
@@ -3,7 +3,6 @@
 import (
 	"cmp"
 	"context"
-	"expvar"
 	"math/rand/v2"
 	"net/http"
 	"time"
@@ -35,6 +34,7 @@
 		log       *zap.Logger
 		timeouts  *routeTimeouts
 		pauses    *pauses
+		ends      *attemptEnds
 		returns   Returns // nil: refused callers are told defaultRetryAfter
 
 		backups   beechbackup.Mode
@@ -77,6 +77,7 @@
 		Duration  time.Duration // of the whole call
 		Progress  Progress      // of the last attempt when the call ended
 		SinceSend time.Duration // since the last attempt was sent; 0 if none was
+		Silence   time.Duration // since the last attempt's server has sent data, or the attempt was sent; 0 if none was
 		Departure Departure     // of the caller; zero if it stayed
 		Backup    BackupResult
 	}
@@ -178,7 +179,7 @@
 ) *Dispatcher {
 	return &Dispatcher{
 		placer: placer, backend: backend, budget: budget, suspects: suspects, poison: poison, admission: admission, crashes: newCrashDetector(prober, suspects, poison, clock, log),
-		observer: observer, clock: clock, log: log, timeouts: newRouteTimeouts(), pauses: newPauses(clock, log), backups: beechbackup.Auto, durations: beechbackup.NewDurations(),
+		observer: observer, clock: clock, log: log, timeouts: newRouteTimeouts(), pauses: newPauses(clock, log), ends: newAttemptEnds(), backups: beechbackup.Auto, durations: beechbackup.NewDurations(),
 	}
 }
 
@@ -206,7 +207,7 @@
 	r.releaseBackup(outcome)
 	result := Result{Call: call, Outcome: outcome, Stop: string(r.stop), Choice: r.choice, Attempts: r.attempts, FirstByte: r.firstByte, Duration: d.clock.Since(r.started), Progress: r.progress(), Backup: r.backup.result}
 	if r.attempts > 0 {
-		result.SinceSend = d.clock.Since(r.sentAt)
+		result.SinceSend, result.Silence = d.clock.Since(r.sentAt), r.silence()
 	}
 	if outcome == OutcomeLeft {
 		result.Departure = r.departure.result()
@@ -238,15 +239,19 @@
 // LongPauses returns the number of streams that paused for longer than their routes allow, by route
 // and cause.
 func (d *Dispatcher) LongPauses() map[string]int64 {
-	counts := make(map[string]int64)
-	d.pauses.counts.Do(func(v expvar.KeyValue) {
-		if n, ok := v.Value.(*expvar.Int); ok {
-			counts[v.Key] = n.Value()
-		}
-	})
-	return counts
+	return counts(d.pauses.counts)
 }
 
+// AttemptEnds returns the number of attempts by what ended them.
+func (d *Dispatcher) AttemptEnds() map[string]int64 { return counts(d.ends.causes) }
+
+// StreamsBroken returns the number of streams broken off, by what ended their answers and why they did
+// not go on.
+func (d *Dispatcher) StreamsBroken() map[string]int64 { return counts(d.ends.broken) }
+
+// Silences returns the number of silent attempts, by what was done about them.
+func (d *Dispatcher) Silences() map[string]int64 { return counts(d.ends.silences) }
+
 // jitter returns a random duration around delay, so that callers that were rejected together
 // do not retry together.
 func jitter(delay time.Duration) time.Duration {
--- a/internal/request/beechattempt/run.go
+++ b/internal/request/beechattempt/run.go
@@ -39,7 +39,9 @@
 		firstByte       time.Duration     // since the start
 		sentAt          time.Time         // of the last attempt
 		begunAt         time.Time         // first event of the last attempt; zero: none yet
-		startRecorded   bool              // the last attempt's answer has begun and gone on
+		heardAt         time.Time         // last data from a server
+		ends            []attemptEnd
+		startRecorded   bool // the last attempt's answer has begun and gone on
 		traits          *beechpoison.Request
 		onTrial         bool        // of a blamed trait
 		departed        atomic.Bool // the caller was seen to have disconnected
@@ -243,7 +245,7 @@
 	r.attempts++
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
-	watch := r.newWatchdog(cancel, choice)
+	watch := r.newWatchdog(cancel, choice, placement)
 	defer watch.stop()
 	sent := r.dispatcher.clock.Now()
 	r.sentAt, r.begunAt, r.startRecorded = sent, time.Time{}, false
@@ -327,8 +329,10 @@
 	serverError := answer.Status >= http.StatusInternalServerError
 	if serverError {
 		placement.Done(beechplace.Errored)
+		r.ended(endServerError)
 	} else {
 		placement.Done(beechplace.Answered)
+		r.ended(r.wholeAnswerEnd())
 	}
 	r.dispatcher.timeouts.observe(r.call.Route.Name, r.dispatcher.clock.Since(sent), 0, r.dispatcher.clock.Now())
 	r.dispatcher.observer.ObserveAttempt(choice.Server, r.call.Model, r.dispatcher.clock.Since(sent), choice.PrefillTokens, serverError)
@@ -360,6 +364,14 @@
 	return finished
 }
 
+// wholeAnswerEnd returns what ends an attempt that a server has answered with no stream.
+func (r *execution) wholeAnswerEnd() endCause {
+	if r.stream.started {
+		return endOtherAnswer
+	}
+	return endAnswered
+}
+
 // promisesNotRun reports whether a status tells callers that their request has not run and never
 // will.
 func promisesNotRun(status int) bool {
@@ -385,6 +397,7 @@
 	}
 	if r.callerLeft() {
 		placement.Done(beechplace.Cancelled)
+		r.ended(endCallerLeft)
 		return finished
 	}
 	r.triedServers = append(r.triedServers, choice.Server.ID)
@@ -396,6 +409,7 @@
 	case errors.As(err, &notSent):
 		r.notExecuted++
 		placement.Done(beechplace.Unreachable)
+		r.ended(endNotSent)
 		r.logAttempt("not sent", choice, zap.Error(err))
 		if r.attempts < maxAttempts {
 			return tryAgain
@@ -404,6 +418,7 @@
 	case errors.As(err, &notExecuted):
 		r.notExecuted++
 		placement.Done(beechplace.Rejected)
+		r.ended(endTurnedAway)
 		r.dispatcher.placer.ObserveRejection(choice.Server.ID, notExecuted, r.call.Model)
 		r.logAttempt("turned away", choice, zap.Int("status", notExecuted.Status), zap.Bool("replaced", notExecuted.Replaced), zap.Bool("other weights", notExecuted.WeightsDiffer))
 		if r.attempts >= maxAttempts {
@@ -413,7 +428,9 @@
 	}
 	r.maybeExecuted++
 	r.onTrial = false
-	r.logAttempt("failed", choice, zap.Error(err), zap.Bool("patience", watch.hasRetry()))
+	cause := r.failureCause(watch, err)
+	r.logAttempt("failed", choice, zap.Error(err), zap.Bool("patience", watch.hasRetry()), zap.String("endedBy", string(cause)), zap.Duration("silence", r.silence()))
+	r.ended(cause)
 	if watch.hasRetry() {
 		placement.Done(beechplace.Failed)
 		r.dispatcher.observer.ObserveAttempt(choice.Server, r.call.Model, 0, choice.PrefillTokens, true)
@@ -444,6 +461,23 @@
 	return r.retry(beechretry.RanUnknown, choice, false)
 }
 
+// failureCause returns what ended an attempt that may have been executed and has no whole answer.
+func (r *execution) failureCause(watch *watchdog, err error) endCause {
+	switch {
+	case watch.hasRetry():
+		return endSilent
+	case watch.startMissed():
+		return endWeights
+	case errors.Is(err, errOtherSoftware):
+		return endSoftware
+	case !r.dispatcher.clock.Now().Before(r.call.Deadline):
+		return endDeadline
+	case errors.Is(err, errServerGone):
+		return endServerGone
+	}
+	return endBroken
+}
+
 // awaitProbe waits until it is known whether the server crashed. A retry that is sent before may
 // crash the next one.
 func (r *execution) awaitProbe(probed *probe) {
@@ -477,6 +511,7 @@
 // handleWithdrawn decides what follows an attempt that was not sent, for a reason on this side.
 func (r *execution) handleWithdrawn(placement *beechplace.Attempt) verdict {
 	placement.Done(beechplace.Withdrawn)
+	r.ended(endWithdrawn)
 	r.attempts--
 	switch {
 	case r.callerLeft():
@@ -545,9 +580,10 @@
 	if r.stop != "" {
 		fields = append(fields, zap.String("cause", string(r.stop)))
 	}
-	fields = append(fields, details...)
+	fields = append(append(fields, r.endFields()...), details...)
 	switch {
 	case r.stream.started:
+		r.countBroken()
 		r.dispatcher.log.Warn("stream broken off", fields...)
 		r.out.AbortStream()
 		return "broken"
--- a/internal/request/beechattempt/stream.go
+++ b/internal/request/beechattempt/stream.go
@@ -28,13 +28,15 @@
 	watchdog struct {
 		execution  *execution
 		choice     beechplace.Choice
+		placement  *beechplace.Attempt
 		cancel     context.CancelCauseFunc
 		timer      clockwork.Timer
 		startTimer clockwork.Timer // cancels an attempt that must not start any more
 
 		mu           sync.Mutex
 		retryGranted bool
-		missedStart  bool // cancelled by startTimer
+		heardAt      time.Time // when data has come, or the attempt was sent
+		missedStart  bool      // cancelled by startTimer
 		started      bool
 		stopped      bool
 	}
@@ -50,8 +52,8 @@
 )
 
 // newWatchdog starts the time-out for the first byte.
-func (r *execution) newWatchdog(cancel context.CancelCauseFunc, choice beechplace.Choice) *watchdog {
-	w := &watchdog{execution: r, choice: choice, cancel: cancel}
+func (r *execution) newWatchdog(cancel context.CancelCauseFunc, choice beechplace.Choice, placement *beechplace.Attempt) *watchdog {
+	w := &watchdog{execution: r, choice: choice, placement: placement, cancel: cancel, heardAt: r.dispatcher.clock.Now()}
 	if choice.FirstByteTimeout > 0 {
 		w.startTimer = r.dispatcher.clock.AfterFunc(choice.FirstByteTimeout, w.onStartDeadline)
 	}
@@ -70,10 +72,13 @@
 	if w.stopped || w.retryGranted || w.execution.callerLeft() {
 		return
 	}
+	done := silenceNoBudget
 	if w.execution.takeRetry(beechretry.RanUnknown, w.choice, false) {
-		w.retryGranted = true
+		w.retryGranted, done = true, silenceWithdrawn
 		w.cancel(errFirstByteTimeout)
 	}
+	d := w.execution.dispatcher
+	d.ends.silent(d, w.execution.call.ID, d.clock.Since(w.heardAt), w.placement.ServerState(), done)
 }
 
 // onStartDeadline cancels a request that still waits at an engine whose weights will
@@ -117,9 +122,9 @@
 // dataReceived records that the answer has started, and restarts the time-out for the
 // next data.
 func (w *watchdog) dataReceived(pause time.Duration) {
-	if w.startTimer != nil {
+	if w.startTimer != nil || w.timer != nil {
 		w.mu.Lock()
-		w.started = true
+		w.started, w.heardAt = true, w.execution.heardAt
 		w.mu.Unlock()
 	}
 	if w.timer != nil {
@@ -139,6 +144,7 @@
 		n, err := answer.Body.Read(buffer[len(buffer):cap(buffer)])
 		buffer = buffer[:len(buffer)+n]
 		if n > 0 {
+			r.heardAt = r.dispatcher.clock.Now()
 			watch.dataReceived(r.call.Route.MaxPause)
 			if end := wholeEvents(buffer); end > 0 {
 				if !verified && !r.verifyOrigin(choice) {
@@ -165,6 +171,7 @@
 				}
 				if failed := r.out.SendEvents(buffer[:end]); failed != nil {
 					placement.Done(beechplace.Cancelled)
+					r.ended(endNotConnected)
 					return finished
 				}
 				buffer = buffer[:copy(buffer, buffer[end:])]
@@ -180,6 +187,7 @@
 		case err == io.EOF && len(bytes.TrimSpace(buffer)) == 0:
 			watch.stop()
 			placement.Done(beechplace.Answered)
+			r.ended(endAnswered)
 			r.startStream(answer)
 			r.dispatcher.suspects.RecordSuccess(r.call.Fingerprint())
 			r.recordStart()
--- a/internal/request/beechplace/attempt.go
+++ b/internal/request/beechplace/attempt.go
@@ -122,6 +122,21 @@
 	}
 }
 
+// ServerState returns what is known of the server.
+func (a *Attempt) ServerState() ServerState {
+	if a.server == nil {
+		return ServerState{}
+	}
+	a.placer.mu.Lock()
+	defer a.placer.mu.Unlock()
+	now := a.placer.clock.Now()
+	s := ServerState{ID: a.serverID, Reported: a.server.hasRecentReport(now), Phase: a.server.state.Phase, InFlight: a.server.inFlight}
+	if !a.server.reportedAt.IsZero() {
+		s.ReportAge = now.Sub(a.server.reportedAt)
+	}
+	return s
+}
+
 // finishPrefill subtracts the attempt's prompt from the server's pending prefill.
 func (a *Attempt) finishPrefill() {
 	a.prefillOnce.Do(func() {
--- a/internal/request/beechplace/types.go
+++ b/internal/request/beechplace/types.go
@@ -75,6 +75,15 @@
 		BackingOff       bool           // RetryAfter is the time that servers have asked for
 	}
 
+	// ServerState is what is known of a server.
+	ServerState struct {
+		ID        string
+		Reported  bool               // its keeper has reported recently
+		ReportAge time.Duration      // since its keeper's last report; 0: there was none
+		Phase     beechrollout.Phase // in that report
+		InFlight  int                // attempts of this gate
+	}
+
 	// Announce tells other gates, by way of the server's keeper, of a prompt with the given
 	// number of tokens to prefill and of the keys of the shared parts that the server will
 	// cache. saved is true if the server also saves them to the KV cache store.
