Sight: why callers' connections are closed, with how many bytes unread

What callers saw: connections that ended under a request. Cause: not known; nothing told why a connection of a caller was closed, nor whether a request lay unread in it. Two figures existed, connectionsTurnedAway and the endings of requests, and a connection that is closed before a request is read is in neither.

Change: beechkeepalive, a group of callers' connections at both doors. It counts closings by cause (caller left, idle, no request, partial head, after response, unanswered, stopped) and those on which a caller that was still there had sent bytes that were not read. Such a closing has a log line with the bytes, the time since the last response and the time since the caller's last segment, ten a second at the most. A connection is looked at once, when it is closed: one system call, two more if bytes lie unread. Bytes that net/http has buffered already (a second request in the same segment) are not seen. When connections are closed and served is as before. The server set-up of the gate is a function of its own, so that tests serve as the process does.

--- a/internal/link/beechsocket/socket.go
+++ b/internal/link/beechsocket/socket.go
@@ -105,27 +105,45 @@
 	return Look(c) == Closed
 }
 
-// SinceHeard returns how long ago the last segment of the caller of a request arrived, in steps of
-// a millisecond, whether or not this process has read it. Once the caller has closed the
-// connection, that is the time since the close. It returns false if that is not known.
+// SinceHeard returns how long ago the last segment of the caller of a request arrived, as Heard.
 func SinceHeard(ctx context.Context) (time.Duration, bool) {
 	c, ok := ctx.Value(contextKey{}).(net.Conn)
 	if !ok {
 		return 0, false
 	}
-	s, ok := c.(syscall.Conn)
-	if !ok {
-		return 0, false
-	}
-	raw, err := s.SyscallConn()
-	if err != nil {
-		return 0, false
-	}
+	return Heard(c)
+}
+
+// Heard returns how long ago the last segment of the peer arrived, in steps of a millisecond,
+// whether or not this process has read it. Once the peer has closed the connection, that is the
+// time since the close. It returns false if that is not known.
+func Heard(c net.Conn) (time.Duration, bool) {
 	var info *unix.TCPInfo
 	infoErr := errors.ErrUnsupported
-	err = raw.Control(func(fd uintptr) { info, infoErr = unix.GetsockoptTCPInfo(int(fd), unix.IPPROTO_TCP, unix.TCP_INFO) })
+	err := control(c, func(fd uintptr) { info, infoErr = unix.GetsockoptTCPInfo(int(fd), unix.IPPROTO_TCP, unix.TCP_INFO) })
 	if err != nil || infoErr != nil || info.Rcv_mss == 0 {
 		return 0, false // an emulated socket may accept the call and fill in nothing
 	}
 	return time.Duration(info.Last_ack_recv) * time.Millisecond, true
 }
+
+// Unread returns how many bytes have arrived on a connection and were not read, or 0 if that is
+// not known.
+func Unread(c net.Conn) int {
+	count := 0
+	_ = control(c, func(fd uintptr) { count, _ = unix.IoctlGetInt(int(fd), unix.TIOCINQ) })
+	return max(count, 0)
+}
+
+// control calls f with the descriptor of a connection.
+func control(c net.Conn, f func(fd uintptr)) error {
+	s, ok := c.(syscall.Conn)
+	if !ok {
+		return errors.ErrUnsupported
+	}
+	raw, err := s.SyscallConn()
+	if err != nil {
+		return err
+	}
+	return raw.Control(f)
+}
--- a/internal/process/beechentry/admin.go
+++ b/internal/process/beechentry/admin.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/beechring/beechring/internal/decision/beechhealth"
+	"github.com/beechring/beechring/internal/link/beechkeepalive"
 	"github.com/beechring/beechring/internal/link/beechlink"
 	"github.com/beechring/beechring/internal/link/beechwire"
 	"github.com/beechring/beechring/internal/process/beechadmin"
@@ -31,22 +32,23 @@
 
 	// Status is the state of an entry for operators.
 	Status struct {
-		Name        string               `json:"name"`
-		Zone        string               `json:"zone"`
-		Address     string               `json:"address"`
-		Incarnation uint64               `json:"incarnation"`
-		Generation  uint64               `json:"generation"`
-		Ready       bool                 `json:"ready"`
-		Leaving     bool                 `json:"leaving"`
-		Watching    bool                 `json:"watching"`
-		Linked      int                  `json:"linkedAgents"`
-		Serving     int                  `json:"servingAgents"`
-		Streams     int64                `json:"openRequests"`
-		Members     []beechmember.Member `json:"members"`
-		Servers     []beechhealth.Status `json:"servers"`
-		Caches      map[string]uint64    `json:"cacheVersions"` // known version of each agent's cache index
-		Links       beechlink.Counters   `json:"links"`
-		Counts      map[string]int64     `json:"counts"`
+		Name        string                `json:"name"`
+		Zone        string                `json:"zone"`
+		Address     string                `json:"address"`
+		Incarnation uint64                `json:"incarnation"`
+		Generation  uint64                `json:"generation"`
+		Ready       bool                  `json:"ready"`
+		Leaving     bool                  `json:"leaving"`
+		Watching    bool                  `json:"watching"`
+		Linked      int                   `json:"linkedAgents"`
+		Serving     int                   `json:"servingAgents"`
+		Streams     int64                 `json:"openRequests"`
+		Members     []beechmember.Member  `json:"members"`
+		Servers     []beechhealth.Status  `json:"servers"`
+		Caches      map[string]uint64     `json:"cacheVersions"` // known version of each agent's cache index
+		Links       beechlink.Counters    `json:"links"`
+		Counts      map[string]int64      `json:"counts"`
+		Closings    beechkeepalive.Counts `json:"closings"` // connections of callers that were closed
 	}
 )
 
@@ -69,6 +71,7 @@
 		Caches:      e.fleet.cacheVersions(),
 		Links:       e.fleet.dialer.Counters(),
 		Counts:      e.counters.values(),
+		Closings:    e.connections.Counts(),
 	}
 }
 
--- a/internal/process/beechentry/entry.go
+++ b/internal/process/beechentry/entry.go
@@ -17,6 +17,7 @@
 	"github.com/jonboulle/clockwork"
 	"github.com/thejerf/suture/v4"
 	"go.uber.org/zap"
+	"go.uber.org/zap/zapcore"
 
 	"github.com/beechring/beechring/internal/decision/beechhealth"
 	"github.com/beechring/beechring/internal/decision/beechlimit"
@@ -24,6 +25,7 @@
 	"github.com/beechring/beechring/internal/decision/beechretry"
 	"github.com/beechring/beechring/internal/decision/beechsuspect"
 	"github.com/beechring/beechring/internal/link/beechaccept"
+	"github.com/beechring/beechring/internal/link/beechkeepalive"
 	"github.com/beechring/beechring/internal/link/beechsocket"
 	"github.com/beechring/beechring/internal/link/beechwire"
 	"github.com/beechring/beechring/internal/process/beechburn"
@@ -69,7 +71,8 @@
 
 		http         *http.Server
 		listener     net.Listener
-		callers      *beechsocket.Watcher // notices callers that leave
+		callers      *beechsocket.Watcher  // notices callers that leave
+		connections  *beechkeepalive.Group // of callers
 		supervisor   *suture.Supervisor
 		draining     atomic.Bool
 		restored     atomic.Bool // the start-up restore of shared state has run, successfully or not
@@ -93,6 +96,8 @@
 	limitGrowthDelay  = 10 * time.Second
 	maxEjectedPercent = 30
 	healthInterval    = time.Second
+	// maxClosingLogLines per second; all closings are counted.
+	maxClosingLogLines = 10
 )
 
 // New creates an entry and opens its listeners, so that an address already in
@@ -107,14 +112,16 @@
 		_ = listener.Close()
 		return nil, err
 	}
-	listener = beechaccept.Listen(callers.Listen(listener), beechaccept.Settings{}, d.Clock)
+	log := d.Log.Named("entry")
+	connections := beechkeepalive.New(beechkeepalive.Settings{Closed: logUnreadClosing(log)}, d.Clock)
+	listener = connections.Listen(beechaccept.Listen(callers.Listen(listener), beechaccept.Settings{}, d.Clock))
 	if d.TLS != nil {
 		listener = tls.NewListener(listener, d.TLS)
 	}
 	e := &Entry{
 		settings:    settings,
 		clock:       d.Clock,
-		log:         d.Log.Named("entry"),
+		log:         log,
 		store:       d.Store,
 		incarnation: uint64(d.Clock.Now().UnixNano()),
 		holder:      beechmanifest.NewHolder(),
@@ -128,7 +135,7 @@
 		signer:   newStreamSigner(settings.Secret),
 		startup:  newStartup(d.Clock),
 		listener: listener,
-		callers:  callers,
+		callers:  callers, connections: connections,
 	}
 	e.poison = beechpoison.New(d.Clock, e.poisonTurn, func() { e.fleet.dialer.PushHeartbeat() })
 	e.fleet = newFleet(e, d.LinkTLS)
@@ -139,6 +146,7 @@
 		MaxHeaderBytes:    settings.Limits.HeaderBytes,
 		ErrorLog:          zap.NewStdLog(e.log),
 		ConnContext:       beechsocket.ConnContext,
+		ConnState:         connections.ConnState,
 	}
 	if err := e.supervise(); err != nil {
 		_ = listener.Close()
@@ -244,6 +252,17 @@
 	}
 }
 
+// logUnreadClosing returns a function that logs a connection that is closed although its caller is
+// there and has sent bytes that were not read.
+func logUnreadClosing(log *zap.Logger) func(beechkeepalive.Closing) {
+	log = log.WithOptions(zap.WrapCore(func(c zapcore.Core) zapcore.Core {
+		return zapcore.NewSamplerWithOptions(c, time.Second, maxClosingLogLines, 0)
+	}))
+	return func(c beechkeepalive.Closing) {
+		log.Warn("connection closed with bytes unread", zap.String("cause", string(c.Cause)), zap.Int("unread", c.Unread), zap.Duration("idle", c.Idle), zap.Duration("heard", c.Heard))
+	}
+}
+
 func newRequestID() string {
 	raw := make([]byte, requestIDBytes)
 	_, _ = rand.Read(raw)
--- a/internal/process/beechgate/gate.go
+++ b/internal/process/beechgate/gate.go
@@ -33,6 +33,7 @@
 	"github.com/beechring/beechring/internal/link/beechaccept"
 	"github.com/beechring/beechring/internal/link/beechdatagram"
 	"github.com/beechring/beechring/internal/link/beechframing"
+	"github.com/beechring/beechring/internal/link/beechkeepalive"
 	"github.com/beechring/beechring/internal/link/beechpool"
 	"github.com/beechring/beechring/internal/link/beechsocket"
 	"github.com/beechring/beechring/internal/process/beechlog"
@@ -103,7 +104,8 @@
 		origins         *origins
 		core            *beechattempt.Dispatcher
 		socket          *beechdatagram.Socket
-		callers         *beechsocket.Watcher // notices callers that leave
+		callers         *beechsocket.Watcher  // notices callers that leave
+		connections     *beechkeepalive.Group // of callers
 		queue           atomic.Pointer[beechaccept.Queue]
 		readers         *beechreader.Group // gates that read the store for this one
 		operatorMirror  *beechmirror.Mirror
@@ -211,6 +213,7 @@
 	g.limits = beechthrottle.New(s.Name, rand.Uint64(), deps.Age, deps.Clock, g.logLimitEvent, g.wakeLimitSender)
 	g.metrics = newMetrics(g)
 	g.limitLog = sampledLogger(deps.Log, g.metrics.limitLinesDropped)
+	g.connections = beechkeepalive.New(beechkeepalive.Settings{Closed: g.logUnreadClosing}, deps.Clock)
 	weights := time.Duration(s.Bounds.Weights)
 	g.overloaded = beechsaturation.New(deps.Clock, g.wakeOverloadSender)
 	g.backoff = beechbackoff.New(deps.Clock)
@@ -282,18 +285,7 @@
 	if err != nil {
 		return fmt.Errorf("listen for readiness: %w", err)
 	}
-	server := &http.Server{
-		Handler: door, MaxHeaderBytes: maxHeaderBytes, ReadHeaderTimeout: headerTimeout,
-		ErrorLog: zap.NewStdLog(g.log),
-		ConnContext: func(ctx context.Context, c net.Conn) context.Context {
-			return beechsocket.ConnContext(beechframing.ConnContext(ctx, c), c)
-		},
-	}
-	idle := newIdleTimeouts(g.clock, g.idleTimeout)
-	server.ConnState = func(c net.Conn, state http.ConnState) {
-		beechframing.ConnState(c, state)
-		idle.trackState(c, state)
-	}
+	server := g.callerServer(door)
 	copyListener, err := net.Listen("tcp4", g.socket.Address().String())
 	if err != nil {
 		return fmt.Errorf("listen for gates: %w", err)
@@ -303,7 +295,7 @@
 	readyServer := &http.Server{Handler: ready, ReadHeaderTimeout: headerTimeout, ErrorLog: zap.NewStdLog(g.log)}
 	failed := make(chan error, 3)
 	go func() {
-		failed <- server.Serve(beechframing.Listen(g.listenForCallers(callerListener)))
+		failed <- server.Serve(g.listenForCallers(callerListener))
 	}()
 	go func() { failed <- readyServer.Serve(readyListener) }()
 	go func() { failed <- copyServer.Serve(copyListener) }()
@@ -320,6 +312,23 @@
 	return g.callers.Close()
 }
 
+// callerServer returns the server of callers' requests.
+func (g *Gate) callerServer(handler http.Handler) *http.Server {
+	idle := newIdleTimeouts(g.clock, g.idleTimeout)
+	return &http.Server{
+		Handler: handler, MaxHeaderBytes: maxHeaderBytes, ReadHeaderTimeout: headerTimeout,
+		ErrorLog: zap.NewStdLog(g.log),
+		ConnContext: func(ctx context.Context, c net.Conn) context.Context {
+			return beechsocket.ConnContext(beechframing.ConnContext(ctx, c), c)
+		},
+		ConnState: func(c net.Conn, state http.ConnState) {
+			beechframing.ConnState(c, state)
+			g.connections.ConnState(c, state)
+			idle.trackState(c, state)
+		},
+	}
+}
+
 // stop reports the gate as not ready, still accepts connections until the load balancer has
 // noticed, and returns when every request is completed.
 func (g *Gate) stop(server, readyServer *http.Server) {
@@ -333,7 +342,7 @@
 	remaining := time.Duration(g.bounds.Load().Grace) - stopMargin - g.clock.Since(start)
 	ctx, cancel := clockwork.WithTimeout(context.Background(), g.clock, remaining)
 	defer cancel()
-	err := server.Shutdown(ctx)
+	err := g.drainCallers(ctx, server)
 	if errors.Is(err, context.DeadlineExceeded) {
 		g.log.Warn("grace time over with requests under way")
 	}
@@ -343,6 +352,11 @@
 	g.log.Info("gate stopped", zap.Duration("took", g.clock.Since(start)))
 }
 
+// drainCallers returns when the connections of all callers are closed, or the context ends.
+func (g *Gate) drainCallers(ctx context.Context, server *http.Server) error {
+	return server.Shutdown(ctx)
+}
+
 // Apply applies settings that have changed while the process runs. Bounds take effect at once,
 // addresses and names at the next start.
 func (g *Gate) Apply(s *beechsettings.Gate) {
--- a/internal/process/beechgate/metrics.go
+++ b/internal/process/beechgate/metrics.go
@@ -32,6 +32,7 @@
 		resumed           *expvar.Map          // resumed streams, by how their origin was found
 		backups           *expvar.Map          // backups of runs, by what became of them
 		turnedAway        *expvar.Int          // connections closed unread
+		unreadAge         *beechmetric.Latency // of the last bytes on connections closed with bytes unread
 		schedulingDelay   *expvar.Int          // median in microseconds
 		departed          *expvar.Map          // calls whose callers left, by progress
 		departedAfter     *beechmetric.Latency // from the last attempt until it was noticed that the caller had left
@@ -50,7 +51,7 @@
 		vars: new(expvar.Map), endings: new(expvar.Map), retried: new(expvar.Int), stops: new(expvar.Map), denied: new(expvar.Map),
 		proofs: new(expvar.Map), bodies: new(expvar.Map), unknownSenders: new(expvar.Int), invalidGossip: new(expvar.Int), copiesFetched: new(expvar.Int), lent: new(expvar.Int),
 		limitLinesDropped: new(expvar.Int), lateVersions: new(expvar.Int), invalidEntries: new(expvar.Int), firstByte: beechmetric.NewLatency(), wholeAnswer: beechmetric.NewLatency(),
-		resumed: new(expvar.Map), backups: new(expvar.Map), turnedAway: new(expvar.Int), schedulingDelay: new(expvar.Int), departed: new(expvar.Map), departedAfter: beechmetric.NewLatency(),
+		resumed: new(expvar.Map), backups: new(expvar.Map), turnedAway: new(expvar.Int), unreadAge: beechmetric.NewLatency(), schedulingDelay: new(expvar.Int), departed: new(expvar.Map), departedAfter: beechmetric.NewLatency(),
 		unnoticed: beechmetric.NewLatency(), withdrawn: beechmetric.NewLatency(), withdrawals: new(expvar.Map), schedulingTail: new(expvar.Int), acceptWait: new(expvar.Int),
 		returns: new(expvar.Map), toldTimes: beechmetric.NewLatency(),
 	}
@@ -93,6 +94,9 @@
 	m.vars.Set("backups", m.backups)
 	m.vars.Set("originsKept", expvar.Func(func() any { return g.origins.registry.Len() }))
 	m.vars.Set("connectionsTurnedAway", m.turnedAway)
+	m.vars.Set("connectionsClosed", expvar.Func(func() any { return g.connections.Counts().Closed }))
+	m.vars.Set("connectionsClosedUnread", expvar.Func(func() any { return g.connections.Counts().Unread }))
+	m.vars.Set("unreadAgeMicros", expvar.Func(m.unreadAge.Percentiles))
 	m.vars.Set("schedulingDelayMicros", m.schedulingDelay)
 	m.vars.Set("callersLeft", m.departed)
 	m.vars.Set("leftAfterSendMicros", expvar.Func(m.departedAfter.Percentiles))
--- a/internal/process/beechgate/processor.go
+++ b/internal/process/beechgate/processor.go
@@ -10,6 +10,7 @@
 
 	"github.com/beechring/beechring/internal/decision/beechoverload"
 	"github.com/beechring/beechring/internal/link/beechaccept"
+	"github.com/beechring/beechring/internal/link/beechframing"
 	"github.com/beechring/beechring/internal/process/beechtask"
 )
 
@@ -71,7 +72,7 @@
 		MaxWait: maxUnreadTime, TurnsAway: g.overload.TurnsAway, TurnedAway: func() { g.metrics.turnedAway.Add(1) },
 	}, g.clock)
 	g.queue.Store(queue)
-	return queue
+	return beechframing.Listen(g.connections.Listen(queue))
 }
 
 // watchProcessor measures whether the processor keeps up.
