A caller's connection is closed only after a last look

What callers saw: requests on kept connections that ended without an answer: after the idle timeout was raised, when a host stood still, and at each shutdown.

Cause: whoever ended a connection did not look whether a request was there. A timer of the gate, set by the timeout of the moment, put the read deadline into the past from another goroutine; Go then does not try the read. It did so also between two pieces of a head. The entry used http.Server.IdleTimeout, which is the same. http.Server.Shutdown closes idle connections unread and drops requests that it has read, and beechaccept closed what it had accepted.

Change: beechkeepalive decides inside Read, in the goroutine that reads: when the wait ends, the timeout in force is asked again, then the socket; what is there is served. A changed timeout counts anew from the change; half a second is added to it. Drain replaces Shutdown: listeners first, what they have accepted is served, idle connections get the last look, requests that come are answered with Connection: close (at the entry that is new).

Why it works: the reader alone sets the deadline while a request is being read, and others may change it only during the wait (under a lock), so none is left behind; look and giving up are one step of one goroutine.

TestIdleTimeoutFollowsConfiguration moves to beechkeepalive, since the type that it made is gone; the numbers that it asserts are the same, it asserts the end of a real read instead of a call of SetReadDeadline, and the cause that is counted.

--- a/internal/link/beechaccept/queue.go
+++ b/internal/link/beechaccept/queue.go
@@ -51,6 +51,7 @@
 		waiting []waitingConn // the oldest is first
 		err     error         // of the listener, for the next call of Accept
 		closed  bool
+		ended   bool          // no connection will be added to waiting
 		minWait time.Duration // of the connections taken out since the last TakeWait
 		taken   bool          // there are any
 	}
@@ -89,30 +90,24 @@
 	q.awaitRoom()
 	c, err := q.Listener.Accept()
 	if err != nil {
+		var temporary interface{ Temporary() bool }
+		last := !errors.As(err, &temporary) || !temporary.Temporary()
 		q.mu.Lock()
-		q.err = err
+		q.err, q.ended = err, last
 		q.mu.Unlock()
 		notify(q.ready)
-		var temporary interface{ Temporary() bool }
-		if !errors.As(err, &temporary) || !temporary.Temporary() {
-			return false
+		if !last {
+			q.clock.Sleep(retryDelay)
 		}
-		q.clock.Sleep(retryDelay)
-		return true
+		return !last
 	}
 	if q.settings.TurnsAway != nil && q.settings.TurnsAway() {
 		q.turnAway(c)
 		return true
 	}
 	q.mu.Lock()
-	closed := q.closed
-	if !closed {
-		q.waiting = append(q.waiting, waitingConn{Conn: c, since: q.clock.Now()})
-	}
+	q.waiting = append(q.waiting, waitingConn{Conn: c, since: q.clock.Now()})
 	q.mu.Unlock()
-	if closed {
-		q.turnAway(c)
-	}
 	notify(q.ready)
 	return true
 }
@@ -161,15 +156,15 @@
 			q.turnAway(c.Conn)
 			continue
 		}
-		if len(q.waiting) > 0 || q.err != nil {
+		if len(q.waiting) > 0 || q.err != nil || q.closed {
 			notify(q.ready)
 		}
 		return c.Conn, nil
 	}
 	err := q.err
 	q.err = nil
-	if err != nil && q.closed {
-		q.err = err
+	if q.closed && q.ended {
+		err, q.err = net.ErrClosed, net.ErrClosed
 		notify(q.ready)
 	}
 	return nil, err
@@ -189,21 +184,15 @@
 	return wait
 }
 
-// Close closes the listener and the connections that wait.
+// Close closes the listener. The connections that wait are returned by Accept before its error, as
+// their callers may have sent requests.
 func (q *Queue) Close() error {
 	err := q.Listener.Close()
 	q.mu.Lock()
-	waiting := q.waiting
-	q.waiting, q.closed = nil, true
-	if q.err == nil {
-		q.err = net.ErrClosed
-	}
+	q.closed = true
 	q.mu.Unlock()
 	notify(q.room)
 	notify(q.ready)
-	for _, c := range waiting {
-		q.turnAway(c.Conn)
-	}
 	return err
 }
 
--- a/internal/link/beechkeepalive/conn.go
+++ b/internal/link/beechkeepalive/conn.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"math"
 	"net"
 	"net/http"
 	"os"
@@ -15,21 +16,22 @@
 
 type (
 	// phase is how far the next request of a connection has been read.
-	phase int
+	phase int32
 
 	// conn is a caller's connection.
 	conn struct {
 		net.Conn
-		group *Group
-
-		mu     sync.Mutex
-		phase  phase
-		kept   bool      // it has had a response
-		since  time.Time // when it was accepted or the last response ended
-		ended  Cause     // of the wait for a request
-		closed bool
-
+		group    *Group
+		phase    atomic.Int32
 		answered atomic.Bool // something was written since the last request was read
+		closed   atomic.Bool
+
+		mu       sync.Mutex
+		reading  bool      // a read waits for the first bytes of a request
+		kept     bool      // there was a response
+		since    time.Time // when it was accepted or the last response ended
+		deadline time.Time // of reads, as net/http has set it
+		ended    Cause     // of the wait for a request
 	}
 )
 
@@ -39,26 +41,149 @@
 	active                // its head; until the response ends
 )
 
-// Read reads from the connection.
+func (c *conn) phaseNow() phase { return phase(c.phase.Load()) }
+
+// Read reads from the connection. It does not time out before it has looked for bytes.
 func (c *conn) Read(data []byte) (int, error) {
+	switch c.phaseNow() {
+	case awaiting:
+		return c.readFirst(data)
+	case inHead:
+		return c.readHead(data)
+	default:
+		return c.Conn.Read(data)
+	}
+}
+
+// readFirst reads the first bytes of a request.
+func (c *conn) readFirst(data []byte) (int, error) {
+	for {
+		c.startWait()
+		n, err := c.Conn.Read(data)
+		c.endWait()
+		if n == 0 && timedOut(err) {
+			cause, left := c.timeLeft()
+			if left > 0 {
+				continue // the timeout was raised, or the wait began with a past deadline
+			}
+			if !readable(c.Conn) {
+				c.end(cause)
+				return 0, err
+			}
+			_ = c.Conn.SetReadDeadline(time.Time{})
+			n, err = c.Conn.Read(data)
+		}
+		if n > 0 {
+			c.beginHead()
+		}
+		return n, err
+	}
+}
+
+// readHead reads more of a request's head.
+func (c *conn) readHead(data []byte) (int, error) {
 	n, err := c.Conn.Read(data)
+	if n > 0 || !timedOut(err) {
+		return n, err
+	}
+	if !readable(c.Conn) {
+		c.end(PartialHead)
+		return 0, err
+	}
+	_ = c.Conn.SetReadDeadline(time.Time{})
+	n, err = c.Conn.Read(data)
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	expired := errors.Is(err, os.ErrDeadlineExceeded)
-	switch {
-	case c.phase == active:
-	case n > 0:
-		c.phase = inHead
-	case expired && c.phase == inHead:
-		c.ended = PartialHead
-	case expired && c.kept:
-		c.ended = Idle
-	case expired:
-		c.ended = NoRequest
-	}
+	_ = c.Conn.SetReadDeadline(c.deadline)
 	return n, err
 }
 
+// startWait sets the deadline of the read that follows. Until endWait, refresh may change it.
+func (c *conn) startWait() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.reading = true
+	c.setWaitDeadline()
+}
+
+func (c *conn) endWait() {
+	c.mu.Lock()
+	c.reading = false
+	c.mu.Unlock()
+}
+
+// refresh applies a timeout that has changed to a read that waits.
+func (c *conn) refresh() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.reading {
+		c.setWaitDeadline()
+	}
+}
+
+func (c *conn) setWaitDeadline() {
+	deadline := time.Time{}
+	if _, left := c.timeLeftLocked(); left < math.MaxInt64 {
+		deadline = time.Now().Add(left)
+	}
+	_ = c.Conn.SetReadDeadline(deadline) // fails only if the connection is already closed
+}
+
+func (c *conn) timeLeft() (Cause, time.Duration) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.timeLeftLocked()
+}
+
+// timeLeftLocked returns for how long the connection may still wait for a request, and why it is
+// closed then.
+func (c *conn) timeLeftLocked() (Cause, time.Duration) {
+	g := c.group
+	waited := g.clock.Since(c.since)
+	cause, left := NoRequest, time.Duration(math.MaxInt64)
+	if c.kept {
+		since := waited
+		if changed := g.changed.Load(); changed != nil {
+			since = min(since, g.clock.Since(*changed))
+		}
+		cause, left = Idle, g.settings.IdleTimeout()+idleMargin-since
+	} else if !c.deadline.IsZero() {
+		left = time.Until(c.deadline)
+	}
+	if g.draining.Load() && drainTimeout-waited < left {
+		cause, left = Drained, drainTimeout-waited
+	}
+	return cause, left
+}
+
+// beginHead restores the deadline for the rest of a request's head.
+func (c *conn) beginHead() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.phase.Store(int32(inHead))
+	if c.kept {
+		c.deadline = time.Now().Add(c.group.settings.HeadTimeout) // net/http sets one only after four bytes
+	}
+	_ = c.Conn.SetReadDeadline(c.deadline)
+}
+
+func (c *conn) end(cause Cause) {
+	c.mu.Lock()
+	c.ended = cause
+	c.mu.Unlock()
+}
+
+// SetReadDeadline sets the deadline of reads. That of a wait for a request follows from the group.
+func (c *conn) SetReadDeadline(deadline time.Time) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.deadline = deadline
+	if c.kept && !deadline.IsZero() && c.phaseNow() == awaiting {
+		c.phase.Store(int32(inHead)) // it arrived with the request before, and net/http has it
+	}
+	return c.Conn.SetReadDeadline(deadline)
+}
+
 // Write writes to the connection.
 func (c *conn) Write(data []byte) (int, error) {
 	c.answered.Store(true)
@@ -66,27 +191,27 @@
 }
 
 func (c *conn) setState(state http.ConnState) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
 	switch state {
 	case http.StateActive:
-		c.phase = active
 		c.answered.Store(false)
+		c.phase.Store(int32(active))
 	case http.StateIdle:
-		c.phase, c.kept, c.since = awaiting, true, c.group.clock.Now()
+		c.mu.Lock()
+		c.kept, c.since = true, c.group.clock.Now()
+		c.mu.Unlock()
+		c.phase.Store(int32(awaiting))
 	}
 }
 
 // Close closes the connection.
 func (c *conn) Close() error {
-	c.mu.Lock()
-	first := !c.closed
-	c.closed = true
-	c.mu.Unlock()
-	if first {
-		c.group.record(c.closing())
+	if c.closed.Swap(true) {
+		return c.Conn.Close()
 	}
-	return c.Conn.Close()
+	c.group.record(c.closing())
+	err := c.Conn.Close()
+	c.group.remove(c)
+	return err
 }
 
 // closing describes why the connection is closed now.
@@ -113,12 +238,12 @@
 	switch {
 	case c.ended != "":
 		return c.ended
-	case c.phase == active && c.answered.Load():
+	case c.phaseNow() != active || c.group.stopped.Load():
+		return Stopped
+	case c.answered.Load():
 		return AfterResponse
-	case c.phase == active:
-		return Unanswered
 	default:
-		return Stopped
+		return Unanswered
 	}
 }
 
@@ -132,3 +257,11 @@
 
 // NetConn returns the connection below.
 func (c *conn) NetConn() net.Conn { return c.Conn }
+
+// readable reports whether a read returns at once.
+func readable(c net.Conn) bool {
+	state := beechsocket.Look(c)
+	return state == beechsocket.Readable || state == beechsocket.Closed
+}
+
+func timedOut(err error) bool { return errors.Is(err, os.ErrDeadlineExceeded) }
--- a/internal/link/beechkeepalive/group.go
+++ b/internal/link/beechkeepalive/group.go
@@ -1,17 +1,33 @@
-// Package beechkeepalive tells why callers' connections are closed.
+// Package beechkeepalive closes callers' connections on which no request comes, and no others.
+//
+// net/http closes an idle connection when a time that was set as it became idle is over, or when
+// the server is shut down, without a look whether a request has arrived meanwhile. A process that
+// stood still, or a timeout that was raised, then costs requests that callers sent in time. Here
+// the goroutine that reads from a connection decides, after a look at the socket, so that nothing
+// can come between: a request that is there is read and served, and the timeout is the one in
+// force at that moment.
 //
 // # Usage
 //
-//	connections := beechkeepalive.New(beechkeepalive.Settings{Closed: logClosing}, clock)
-//	server := &http.Server{ConnState: connections.ConnState}
+//	connections := beechkeepalive.New(beechkeepalive.Settings{IdleTimeout: current, HeadTimeout: 10 * time.Second}, clock)
+//	server := &http.Server{ConnState: connections.ConnState, ReadHeaderTimeout: 10 * time.Second}
 //	err := server.Serve(connections.Listen(listener))
-//	counts := connections.Counts()
+//	connections.Refresh() // IdleTimeout returns another time from now on
+//	// to stop, instead of http.Server.Shutdown; responses should have Connection: close from now on
+//	err = connections.Drain(ctx)
+//	counts := connections.Counts() // of closed connections by cause
+//
+// The server must have a ReadHeaderTimeout and neither an IdleTimeout nor a ReadTimeout.
 package beechkeepalive
 
 import (
+	"context"
+	"errors"
+	"maps"
 	"net"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/jonboulle/clockwork"
@@ -31,6 +47,8 @@
 
 	// Settings configure a group.
 	Settings struct {
+		IdleTimeout func() time.Duration // for which a connection may be without a request between two
+		HeadTimeout time.Duration        // from the first byte of a request until the end of its head
 		// Closed is called for each connection that is closed while it has unread bytes of a
 		// caller that is still there; it may be nil.
 		Closed func(Closing)
@@ -40,10 +58,16 @@
 	Group struct {
 		settings Settings
 		clock    clockwork.Clock
-
-		mu     sync.Mutex
-		closed map[Cause]int64
-		unread map[Cause]int64 // those of closed with unread bytes
+		changed  atomic.Pointer[time.Time] // when IdleTimeout changed last; nil: never
+		draining atomic.Bool
+		stopped  atomic.Bool   // Drain has not waited for all connections
+		drained  chan struct{} // closed when there is neither a listener nor a connection after Drain
+
+		mu        sync.Mutex
+		listeners map[*listener]struct{} // that may still return connections
+		conns     map[*conn]struct{}
+		closed    map[Cause]int64
+		unread    map[Cause]int64 // those of closed with unread bytes
 	}
 
 	// Counts are numbers of closed connections by cause.
@@ -55,6 +79,7 @@
 	listener struct {
 		net.Listener
 		group *Group
+		close func() error
 	}
 
 	// netConner is a connection on top of another one, such as *tls.Conn.
@@ -69,64 +94,150 @@
 	PartialHead   Cause = "partial head"   // the head of a request did not arrive in time
 	AfterResponse Cause = "after response" // the response was the last one, or was broken off
 	Unanswered    Cause = "unanswered"     // a request was read and nothing of a response was written
-	Stopped       Cause = "stopped"        // the server stops
+	Drained       Cause = "drained"        // no request when the server was drained
+	Stopped       Cause = "stopped"        // the server was closed
+)
+
+const (
+	// idleMargin is added to the idle timeout: a caller counts from the end of a response at its
+	// side, its request takes time to arrive, and one segment of either may be lost and sent again.
+	idleMargin = 500 * time.Millisecond
+	// drainTimeout replaces the idle timeout while the server drains. Callers whose responses did
+	// not announce the end of the connection may be sending their next request.
+	drainTimeout = 200 * time.Millisecond
 )
 
 // New returns a group without connections.
 func New(s Settings, clock clockwork.Clock) *Group {
-	return &Group{settings: s, clock: clock, closed: make(map[Cause]int64), unread: make(map[Cause]int64)}
+	return &Group{
+		settings: s, clock: clock, drained: make(chan struct{}),
+		listeners: make(map[*listener]struct{}), conns: make(map[*conn]struct{}),
+		closed: make(map[Cause]int64), unread: make(map[Cause]int64),
+	}
 }
 
 // Listen returns a listener whose connections belong to the group. It may lie below TLS.
-func (g *Group) Listen(l net.Listener) net.Listener { return listener{Listener: l, group: g} }
+func (g *Group) Listen(l net.Listener) net.Listener {
+	grouped := &listener{Listener: l, group: g, close: sync.OnceValue(l.Close)}
+	g.mu.Lock()
+	g.listeners[grouped] = struct{}{}
+	g.mu.Unlock()
+	return grouped
+}
 
 // Accept returns the next connection.
-func (l listener) Accept() (net.Conn, error) {
+func (l *listener) Accept() (net.Conn, error) {
+	g := l.group
 	c, err := l.Listener.Accept()
+	g.mu.Lock()
+	defer g.mu.Unlock()
 	if err != nil {
+		var temporary interface{ Temporary() bool }
+		if !errors.As(err, &temporary) || !temporary.Temporary() {
+			delete(g.listeners, l)
+			g.checkDrained()
+		}
 		return nil, err
 	}
-	return &conn{Conn: c, group: l.group, since: l.group.clock.Now()}, nil
+	grouped := &conn{Conn: c, group: g, since: g.clock.Now()}
+	g.conns[grouped] = struct{}{}
+	return grouped, nil
 }
 
+// Close closes the listener. Accept may still return connections before its error.
+func (l *listener) Close() error { return l.close() }
+
 // ConnState follows a connection's state. It is for http.Server.ConnState.
 func (g *Group) ConnState(c net.Conn, state http.ConnState) {
-	if kept := find(c); kept != nil {
-		kept.setState(state)
+	if grouped := find(c); grouped != nil {
+		grouped.setState(state)
 	}
 }
 
-// Counts returns the numbers of connections that were closed so far.
-func (g *Group) Counts() Counts {
+// Refresh tells that IdleTimeout has changed. It holds for idle connections too, from now on, since
+// their callers may have relied on the one before until now.
+func (g *Group) Refresh() {
+	now := g.clock.Now()
+	g.changed.Store(&now)
+	g.refresh()
+}
+
+func (g *Group) refresh() {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	c := Counts{Closed: make(map[Cause]int64, len(g.closed)), Unread: make(map[Cause]int64, len(g.unread))}
-	for cause, n := range g.closed {
-		c.Closed[cause] = n
+	for c := range g.conns {
+		c.refresh()
 	}
-	for cause, n := range g.unread {
-		c.Unread[cause] = n
+}
+
+// Drain closes the listeners and, once they have no request, the connections. It returns when all
+// are closed, or with the context's error when that ends. Requests that come before are served.
+func (g *Group) Drain(ctx context.Context) error {
+	g.draining.Store(true)
+	g.mu.Lock()
+	listeners := maps.Clone(g.listeners)
+	g.mu.Unlock()
+	for l := range listeners {
+		_ = l.Close()
+	}
+	g.refresh()
+	g.mu.Lock()
+	g.checkDrained()
+	g.mu.Unlock()
+	select {
+	case <-g.drained:
+		return nil
+	case <-ctx.Done():
+		g.stopped.Store(true)
+		return ctx.Err()
 	}
-	return c
 }
 
-func (g *Group) record(c Closing) {
+// checkDrained ends Drain if nothing is left to wait for.
+func (g *Group) checkDrained() {
+	if !g.draining.Load() || len(g.listeners) > 0 || len(g.conns) > 0 {
+		return
+	}
+	select {
+	case <-g.drained:
+	default:
+		close(g.drained)
+	}
+}
+
+// Counts returns the numbers of connections that were closed so far.
+func (g *Group) Counts() Counts {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return Counts{Closed: maps.Clone(g.closed), Unread: maps.Clone(g.unread)}
+}
+
+// record counts a connection that is being closed.
+func (g *Group) record(closing Closing) {
 	g.mu.Lock()
-	g.closed[c.Cause]++
-	if c.Unread > 0 {
-		g.unread[c.Cause]++
+	g.closed[closing.Cause]++
+	if closing.Unread > 0 {
+		g.unread[closing.Cause]++
 	}
 	g.mu.Unlock()
-	if c.Unread > 0 && g.settings.Closed != nil {
-		g.settings.Closed(c)
+	if closing.Unread > 0 && g.settings.Closed != nil {
+		g.settings.Closed(closing)
 	}
 }
 
+// remove takes out a connection that is closed.
+func (g *Group) remove(c *conn) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	delete(g.conns, c)
+	g.checkDrained()
+}
+
 // find returns the connection of a group below c, or nil.
 func find(c net.Conn) *conn {
 	for c != nil {
-		if kept, ok := c.(*conn); ok {
-			return kept
+		if grouped, ok := c.(*conn); ok {
+			return grouped
 		}
 		inner, ok := c.(netConner)
 		if !ok {
--- a/internal/link/beechkeepalive/group_test.go
+++ b/internal/link/beechkeepalive/group_test.go
@@ -2,10 +2,14 @@
 
 import (
 	"bufio"
+	"errors"
 	"io"
 	"net"
 	"net/http"
+	"os"
+	"sync/atomic"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/jonboulle/clockwork"
@@ -98,7 +102,7 @@
 		t.Run(c.name, func(t *testing.T) {
 			is := is.New(t)
 			closings := make(chan Closing, 1)
-			g := New(Settings{Closed: func(c Closing) { closings <- c }}, clockwork.NewRealClock())
+			g := New(Settings{IdleTimeout: func() time.Duration { return time.Minute }, HeadTimeout: 100 * time.Millisecond, Closed: func(c Closing) { closings <- c }}, clockwork.NewRealClock())
 			server := &http.Server{ReadHeaderTimeout: 100 * time.Millisecond, Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 				switch r.URL.Path {
 				case "/last":
@@ -123,3 +127,121 @@
 		})
 	}
 }
+
+// pipeListener returns one connection.
+type pipeListener struct {
+	net.Listener
+	near net.Conn
+}
+
+func (l pipeListener) Accept() (net.Conn, error) { return l.near, nil }
+
+// limit is an idle timeout that changes.
+type limit struct{ atomic.Int64 }
+
+func newLimit(d time.Duration) *limit {
+	l := &limit{}
+	l.set(d)
+	return l
+}
+
+func (l *limit) set(d time.Duration) { l.Store(int64(d)) }
+func (l *limit) get() time.Duration  { return time.Duration(l.Load()) }
+
+// idleConn is a connection that waits for its second request, and the result of that wait.
+type idleConn struct {
+	*conn
+	far   net.Conn
+	ended atomic.Bool
+	err   error
+}
+
+// becomeIdle returns a connection of a group that has just had a response.
+func becomeIdle(t *testing.T, g *Group) *idleConn {
+	t.Helper()
+	near, far := net.Pipe()
+	accepted, err := g.Listen(pipeListener{near: near}).Accept()
+	if err != nil {
+		t.Fatal(err)
+	}
+	c := &idleConn{conn: accepted.(*conn), far: far}
+	g.ConnState(c.conn, http.StateActive)
+	c.wait(g)
+	return c
+}
+
+// wait waits for the next request as net/http does.
+func (c *idleConn) wait(g *Group) {
+	g.ConnState(c.conn, http.StateIdle)
+	_ = c.SetReadDeadline(time.Time{})
+	c.ended.Store(false)
+	go func() {
+		_, c.err = c.Read(make([]byte, 64))
+		c.ended.Store(true)
+	}()
+}
+
+func (c *idleConn) endedAfter(d time.Duration) bool {
+	time.Sleep(d)
+	synctest.Wait()
+	return c.ended.Load()
+}
+
+// Operators change the idle timeout at runtime. With the initial timeout, a connection could
+// be closed just as a caller sends a request, and the caller could not know whether the
+// request was read.
+func TestIdleTimeoutFollowsConfiguration(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		limit := newLimit(10 * time.Second)
+		g := New(Settings{IdleTimeout: limit.get, HeadTimeout: time.Second}, clockwork.NewRealClock())
+		c := becomeIdle(t, g)
+		limit.set(30 * time.Second)
+		is.True(!c.endedAfter(8 * time.Second))
+		_, err := c.far.Write([]byte("G")) // used again
+		is.NoErr(err)
+		synctest.Wait()
+		is.NoErr(c.err)
+		g.ConnState(c.conn, http.StateActive)
+		time.Sleep(time.Minute) // a long response does not count as idle
+		c.wait(g)
+		is.True(!c.endedAfter(29 * time.Second))
+		is.True(c.endedAfter(2 * time.Second))
+		is.True(errors.Is(c.err, os.ErrDeadlineExceeded))
+		is.NoErr(c.Close())
+		g.ConnState(c.conn, http.StateClosed)
+		is.Equal(len(g.conns), 0)
+		is.Equal(g.Counts().Closed, map[Cause]int64{Idle: 1})
+	})
+}
+
+// A timeout that is changed while a connection is idle holds for it, from the change on.
+func TestIdleTimeoutThatChangesWhileIdle(t *testing.T) {
+	for _, c := range []struct {
+		name                string
+		before, after, open time.Duration // open: from the change
+		told                bool
+	}{
+		{"raised", 10 * time.Second, 30 * time.Second, 25 * time.Second, false},
+		{"raised and told", 10 * time.Second, 30 * time.Second, 30 * time.Second, true},
+		{"lowered", 30 * time.Second, 10 * time.Second, 10 * time.Second, true},
+		{"lowered below what it has waited", 30 * time.Second, 3 * time.Second, 3 * time.Second, true},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				limit := newLimit(c.before)
+				g := New(Settings{IdleTimeout: limit.get, HeadTimeout: time.Second}, clockwork.NewRealClock())
+				idle := becomeIdle(t, g)
+				is.True(!idle.endedAfter(5 * time.Second))
+				limit.set(c.after)
+				if c.told {
+					g.Refresh()
+				}
+				is.True(!idle.endedAfter(c.open))
+				is.True(idle.endedAfter(time.Second))
+				is.NoErr(idle.Close())
+			})
+		})
+	}
+}
--- a/internal/link/beechsocket/socket.go
+++ b/internal/link/beechsocket/socket.go
@@ -62,9 +62,10 @@
 	err = raw.Control(func(fd uintptr) {
 		poll := []unix.PollFd{{Fd: int32(fd), Events: unix.POLLIN | unix.POLLRDHUP}}
 		_, err := unix.Poll(poll, 0)
+		for errors.Is(err, unix.EINTR) {
+			_, err = unix.Poll(poll, 0)
+		}
 		switch events := poll[0].Revents; {
-		case errors.Is(err, unix.EINTR):
-			state = Unknown
 		case err != nil || events&(unix.POLLRDHUP|unix.POLLHUP|unix.POLLERR|unix.POLLNVAL) != 0:
 		case events&unix.POLLIN != 0:
 			state = Readable
--- a/internal/process/beechentry/entry.go
+++ b/internal/process/beechentry/entry.go
@@ -113,7 +113,9 @@
 		return nil, err
 	}
 	log := d.Log.Named("entry")
-	connections := beechkeepalive.New(beechkeepalive.Settings{Closed: logUnreadClosing(log)}, d.Clock)
+	connections := beechkeepalive.New(beechkeepalive.Settings{
+		IdleTimeout: func() time.Duration { return idleTimeout }, HeadTimeout: time.Duration(settings.Limits.BodyTime), Closed: logUnreadClosing(log),
+	}, d.Clock)
 	listener = connections.Listen(beechaccept.Listen(callers.Listen(listener), beechaccept.Settings{}, d.Clock))
 	if d.TLS != nil {
 		listener = tls.NewListener(listener, d.TLS)
@@ -140,9 +142,8 @@
 	e.poison = beechpoison.New(d.Clock, e.poisonTurn, func() { e.fleet.dialer.PushHeartbeat() })
 	e.fleet = newFleet(e, d.LinkTLS)
 	e.http = &http.Server{
-		Handler:           e.routes(),
+		Handler:           e.announceDrain(e.routes()),
 		ReadHeaderTimeout: time.Duration(settings.Limits.BodyTime),
-		IdleTimeout:       idleTimeout,
 		MaxHeaderBytes:    settings.Limits.HeaderBytes,
 		ErrorLog:          zap.NewStdLog(e.log),
 		ConnContext:       beechsocket.ConnContext,
@@ -212,7 +213,7 @@
 	e.clock.Sleep(drainDelay)
 	ctx, cancel := context.WithTimeout(context.Background(), drainTimeout)
 	defer cancel()
-	if err := e.http.Shutdown(ctx); err != nil && !errors.Is(err, http.ErrServerClosed) {
+	if err := e.connections.Drain(ctx); err != nil {
 		return fmt.Errorf("drain: %w", err)
 	}
 	beechtask.Wait(ctx, &e.background)
--- a/internal/process/beechentry/routes.go
+++ b/internal/process/beechentry/routes.go
@@ -55,6 +55,17 @@
 	return mux
 }
 
+// announceDrain tells callers with each response that their connections will be closed, once the
+// entry drains.
+func (e *Entry) announceDrain(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if e.draining.Load() {
+			w.Header().Set("Connection", "close")
+		}
+		next.ServeHTTP(w, r)
+	})
+}
+
 // limitOpenRequests refuses requests beyond the host's limit of concurrent
 // requests.
 func (e *Entry) limitOpenRequests(next http.HandlerFunc) http.HandlerFunc {
--- a/internal/process/beechgate/callers_test.go
+++ b/internal/process/beechgate/callers_test.go
@@ -91,7 +91,7 @@
 }
 
 // serveCallers serves until the test ends.
-func serveCallers(t *testing.T, idle time.Duration, wrap func(net.Listener) net.Listener, change func(*http.Server)) *callerGate {
+func serveCallers(t testing.TB, idle time.Duration, wrap func(net.Listener) net.Listener, change func(*http.Server)) *callerGate {
 	t.Helper()
 	c := &callerGate{}
 	c.idle.Store(int64(idle))
@@ -136,7 +136,7 @@
 }
 
 // keep opens connections that have had a response each.
-func (c *callerGate) keep(t *testing.T, count int) []keptConn {
+func (c *callerGate) keep(t testing.TB, count int) []keptConn {
 	t.Helper()
 	var kept []keptConn
 	for range count {
@@ -277,7 +277,7 @@
 			drained := make(chan error, 1)
 			ctx, cancel := context.WithTimeout(t.Context(), 10*time.Second)
 			defer cancel()
-			go func() { drained <- c.drainCallers(ctx, c.server) }()
+			go func() { drained <- c.drainCallers(ctx) }()
 			time.Sleep(50 * time.Millisecond)
 			close(released)
 			is.Equal(lost(kept), 0)
@@ -285,3 +285,16 @@
 		}
 	}
 }
+
+func BenchmarkKeptConnection(b *testing.B) {
+	c := serveCallers(b, time.Minute, nil, nil)
+	kept := c.keep(b, 1)[0]
+	_ = kept.SetDeadline(time.Time{})
+	b.ReportAllocs()
+	for b.Loop() {
+		kept.send(plainRequest)
+		if !kept.answered() {
+			b.Fatal("no response")
+		}
+	}
+}
--- a/internal/process/beechgate/configuration.go
+++ b/internal/process/beechgate/configuration.go
@@ -37,7 +37,11 @@
 	}
 	previous := g.configuration.Load()
 	if c != nil && (previous == nil || supersedes(c, previous)) {
+		idle := g.idleTimeout()
 		g.configuration.Store(c)
+		if g.idleTimeout() != idle {
+			g.connections.Refresh()
+		}
 		g.placer.SetConfiguration(c)
 		g.setQuotas(c)
 		g.origins.setLifetime(c)
--- a/internal/process/beechgate/gate.go
+++ b/internal/process/beechgate/gate.go
@@ -213,7 +213,7 @@
 	g.limits = beechthrottle.New(s.Name, rand.Uint64(), deps.Age, deps.Clock, g.logLimitEvent, g.wakeLimitSender)
 	g.metrics = newMetrics(g)
 	g.limitLog = sampledLogger(deps.Log, g.metrics.limitLinesDropped)
-	g.connections = beechkeepalive.New(beechkeepalive.Settings{Closed: g.logUnreadClosing}, deps.Clock)
+	g.connections = beechkeepalive.New(beechkeepalive.Settings{IdleTimeout: g.idleTimeout, HeadTimeout: headerTimeout, Closed: g.logUnreadClosing}, deps.Clock)
 	weights := time.Duration(s.Bounds.Weights)
 	g.overloaded = beechsaturation.New(deps.Clock, g.wakeOverloadSender)
 	g.backoff = beechbackoff.New(deps.Clock)
@@ -314,7 +314,6 @@
 
 // callerServer returns the server of callers' requests.
 func (g *Gate) callerServer(handler http.Handler) *http.Server {
-	idle := newIdleTimeouts(g.clock, g.idleTimeout)
 	return &http.Server{
 		Handler: handler, MaxHeaderBytes: maxHeaderBytes, ReadHeaderTimeout: headerTimeout,
 		ErrorLog: zap.NewStdLog(g.log),
@@ -324,7 +323,6 @@
 		ConnState: func(c net.Conn, state http.ConnState) {
 			beechframing.ConnState(c, state)
 			g.connections.ConnState(c, state)
-			idle.trackState(c, state)
 		},
 	}
 }
@@ -342,7 +340,7 @@
 	remaining := time.Duration(g.bounds.Load().Grace) - stopMargin - g.clock.Since(start)
 	ctx, cancel := clockwork.WithTimeout(context.Background(), g.clock, remaining)
 	defer cancel()
-	err := g.drainCallers(ctx, server)
+	err := g.drainCallers(ctx)
 	if errors.Is(err, context.DeadlineExceeded) {
 		g.log.Warn("grace time over with requests under way")
 	}
@@ -353,8 +351,9 @@
 }
 
 // drainCallers returns when the connections of all callers are closed, or the context ends.
-func (g *Gate) drainCallers(ctx context.Context, server *http.Server) error {
-	return server.Shutdown(ctx)
+// Requests that arrive before that are served; http.Server.Shutdown would close their connections.
+func (g *Gate) drainCallers(ctx context.Context) error {
+	return g.connections.Drain(ctx)
 }
 
 // Apply applies settings that have changed while the process runs. Bounds take effect at once,
