The end of a request without a whole answer is told and counted

A caller whose request ends with a closed connection sees the same whatever the reason: the gate took it for gone, a stream was broken off, or the handler returned without a word. So did operators: net/http closes the connection, and neither a log line nor a counter said so.

beechending is the one place where the handlers of both doors end. It says by cause what had neither a whole answer nor a refusal: the caller's socket is closed, its context ended although the socket is open, a stream broken off, or no answer at all; with request, route, the configuration's version at arrival and at the end, how far it had got, sends and duration. Ten lines a second of each message at the most, the rest counted. How handlers end is as before.

--- a/internal/link/beechsocket/socket.go
+++ b/internal/link/beechsocket/socket.go
@@ -95,14 +95,19 @@
 		return true
 	default:
 	}
+	return LookAt(ctx) == Closed
+}
+
+// LookAt returns the state of the connection of a request, whether or not its context has ended.
+func LookAt(ctx context.Context) State {
 	c, ok := ctx.Value(contextKey{}).(net.Conn)
 	if !ok {
-		return false
+		return Unknown
 	}
 	if watched := findWatched(c); watched != nil && watched.hasDeparted() {
-		return true
+		return Closed
 	}
-	return Look(c) == Closed
+	return Look(c)
 }
 
 // SinceHeard returns how long ago the last segment of the caller of a request arrived, in steps of
--- a/internal/process/beechentry/admin.go
+++ b/internal/process/beechentry/admin.go
@@ -47,6 +47,7 @@
 		Caches      map[string]uint64    `json:"cacheVersions"` // known version of each agent's cache index
 		Links       beechlink.Counters   `json:"links"`
 		Counts      map[string]int64     `json:"counts"`
+		Unanswered  map[string]int64     `json:"unanswered"` // requests without a whole answer, by cause
 	}
 )
 
@@ -69,6 +70,7 @@
 		Caches:      e.fleet.cacheVersions(),
 		Links:       e.fleet.dialer.Counters(),
 		Counts:      e.counters.values(),
+		Unanswered:  e.door.Values(),
 	}
 }
 
--- a/internal/process/beechentry/completion.go
+++ b/internal/process/beechentry/completion.go
@@ -13,6 +13,7 @@
 
 	"github.com/beechring/beechring/internal/decision/beechlimit"
 	"github.com/beechring/beechring/internal/link/beechwire"
+	"github.com/beechring/beechring/internal/process/beechending"
 	"github.com/beechring/beechring/internal/prompt/beechprefix"
 	"github.com/beechring/beechring/internal/state/beechmanifest"
 )
@@ -24,12 +25,12 @@
 )
 
 // serveCompletion handles chat and text completions, streamed or not.
-func (e *Entry) serveCompletion(w http.ResponseWriter, r *http.Request) {
+func (e *Entry) serveCompletion(w *beechending.Request, r *http.Request) {
 	e.serve(w, r, e.readCompletion)
 }
 
 // readCompletion is the requestReader of completions.
-func (e *Entry) readCompletion(w http.ResponseWriter, r *http.Request, c *beechmanifest.Configuration, workspace *beechmanifest.Workspace) (*job, *failure) {
+func (e *Entry) readCompletion(w *beechending.Request, r *http.Request, c *beechmanifest.Configuration, workspace *beechmanifest.Workspace) (*job, *failure) {
 	deadline, f := callerDeadline(r)
 	if f != nil {
 		return nil, f
@@ -174,7 +175,7 @@
 
 // admitAndRun checks the workspace's limits, runs the job and answers the
 // caller.
-func (e *Entry) admitAndRun(w http.ResponseWriter, r *http.Request, j *job) {
+func (e *Entry) admitAndRun(w *beechending.Request, r *http.Request, j *job) {
 	decision := e.limiter.Admit(j.workspace.Name, j.request.PromptTokens+j.request.OutputTokens)
 	admitted, ok := decision.(beechlimit.Admitted)
 	if !ok {
@@ -193,8 +194,12 @@
 	f := e.execute(ctx, j)
 	e.release(admitted.Grant, j, f)
 	e.observe(j, f)
-	if f != nil {
-		j.writer.fail(f)
+	if f == nil {
+		return
+	}
+	j.writer.fail(f)
+	if f.Status == statusCallerGone {
+		w.CallerLeft()
 	}
 }
 
--- a/internal/process/beechentry/entry.go
+++ b/internal/process/beechentry/entry.go
@@ -27,6 +27,7 @@
 	"github.com/beechring/beechring/internal/link/beechsocket"
 	"github.com/beechring/beechring/internal/link/beechwire"
 	"github.com/beechring/beechring/internal/process/beechburn"
+	"github.com/beechring/beechring/internal/process/beechending"
 	"github.com/beechring/beechring/internal/process/beechlog"
 	"github.com/beechring/beechring/internal/process/beechmemory"
 	"github.com/beechring/beechring/internal/process/beechsettings"
@@ -66,6 +67,7 @@
 		startup   *startup
 		estimator beechprefix.Estimator
 		counters  counters
+		door      *beechending.Door
 
 		http         *http.Server
 		listener     net.Listener
@@ -130,6 +132,7 @@
 		listener: listener,
 		callers:  callers,
 	}
+	e.door = beechending.NewDoor(e.log, e.clock, e.holder.Generation)
 	e.poison = beechpoison.New(d.Clock, e.poisonTurn, func() { e.fleet.dialer.PushHeartbeat() })
 	e.fleet = newFleet(e, d.LinkTLS)
 	e.http = &http.Server{
--- a/internal/process/beechentry/routes.go
+++ b/internal/process/beechentry/routes.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/beechring/beechring/internal/link/beechwire"
+	"github.com/beechring/beechring/internal/process/beechending"
 	"github.com/beechring/beechring/internal/prompt/beechprefix"
 	"github.com/beechring/beechring/internal/state/beechmanifest"
 )
@@ -49,32 +50,34 @@
 	mux.HandleFunc("GET /v1/models", e.limitOpenRequests(e.serveModels))
 	mux.HandleFunc("GET /v1/models/{model}", e.limitOpenRequests(e.serveModel))
 	mux.HandleFunc(servicesPath+"{name}/{rest...}", e.limitOpenRequests(e.serveService))
-	mux.HandleFunc("/", e.limitOpenRequests(func(w http.ResponseWriter, r *http.Request) {
+	mux.HandleFunc("/", e.limitOpenRequests(func(w *beechending.Request, r *http.Request) {
 		notRun(http.StatusNotFound, typeNotFound, "unknown_path", "no such path: %s %s", r.Method, r.URL.Path).write(w)
 	}))
 	return mux
 }
 
 // limitOpenRequests refuses requests beyond the host's limit of concurrent
-// requests.
-func (e *Entry) limitOpenRequests(next http.HandlerFunc) http.HandlerFunc {
+// requests, and records how the others end.
+func (e *Entry) limitOpenRequests(next func(w *beechending.Request, r *http.Request)) http.HandlerFunc {
 	return func(w http.ResponseWriter, r *http.Request) {
+		request := e.door.Begin(w, r)
+		defer request.End()
 		e.counters.Requests.Add(1)
 		defer e.openRequests.Add(-1)
 		if e.openRequests.Add(1) > int64(e.settings.Limits.Streams) {
 			e.counters.Overloaded.Add(1)
-			retryLater(http.StatusServiceUnavailable, "entry_full", time.Second, "this entry host has all the requests it can hold").write(w)
+			retryLater(http.StatusServiceUnavailable, "entry_full", time.Second, "this entry host has all the requests it can hold").write(request)
 			return
 		}
-		next(w, r)
+		next(request, r)
 	}
 }
 
 // requestReader parses and validates an HTTP request into a job.
-type requestReader func(w http.ResponseWriter, r *http.Request, c *beechmanifest.Configuration, workspace *beechmanifest.Workspace) (*job, *failure)
+type requestReader func(w *beechending.Request, r *http.Request, c *beechmanifest.Configuration, workspace *beechmanifest.Workspace) (*job, *failure)
 
 // serve authenticates, parses and runs a request.
-func (e *Entry) serve(w http.ResponseWriter, r *http.Request, read requestReader) {
+func (e *Entry) serve(w *beechending.Request, r *http.Request, read requestReader) {
 	began := e.clock.Now()
 	waited := e.awaitConfiguration(r)
 	configuration, workspace, f := e.authenticate(r)
@@ -82,12 +85,15 @@
 		f.write(w)
 		return
 	}
+	w.Version = configuration.Generation
 	j, f := read(w, r, configuration, workspace)
 	if f != nil {
 		e.observeRefusal(workspace.Name, f)
 		f.write(w)
 		return
 	}
+	w.ID, w.Route = j.request.ID, j.target()
+	w.WholeRequestRead()
 	j.startedAt = began
 	j.shortenTimeout(waited)
 	e.admitAndRun(w, r, j)
@@ -116,7 +122,7 @@
 // failure the read deadline is kept: net/http reads the rest of a body before
 // it sends the response, and without the deadline a caller that never sends the
 // rest would never get its error and would hold the connection open.
-func (e *Entry) readBody(w http.ResponseWriter, r *http.Request, workspace *beechmanifest.Workspace) ([]byte, *failure) {
+func (e *Entry) readBody(w *beechending.Request, r *http.Request, workspace *beechmanifest.Workspace) ([]byte, *failure) {
 	limit := e.settings.Limits.BodyBytes
 	if workspace.MaxBodyBytes > 0 {
 		limit = min(limit, workspace.MaxBodyBytes)
@@ -124,7 +130,7 @@
 	allowed := time.Duration(e.settings.Limits.BodyTime)
 	control := http.NewResponseController(w)
 	_ = control.SetReadDeadline(time.Now().Add(allowed))
-	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, int64(limit)))
+	body, err := io.ReadAll(http.MaxBytesReader(w.Unwrap(), r.Body, int64(limit)))
 	if err == nil {
 		_ = control.SetReadDeadline(time.Time{})
 	}
@@ -161,7 +167,7 @@
 	return key, nil
 }
 
-func (e *Entry) serveModels(w http.ResponseWriter, r *http.Request) {
+func (e *Entry) serveModels(w *beechending.Request, r *http.Request) {
 	e.awaitConfiguration(r)
 	configuration, workspace, f := e.authenticate(r)
 	if f != nil {
@@ -177,7 +183,7 @@
 	writeJSON(w, list)
 }
 
-func (e *Entry) serveModel(w http.ResponseWriter, r *http.Request) {
+func (e *Entry) serveModel(w *beechending.Request, r *http.Request) {
 	e.awaitConfiguration(r)
 	configuration, workspace, f := e.authenticate(r)
 	if f != nil {
--- a/internal/process/beechentry/service.go
+++ b/internal/process/beechentry/service.go
@@ -6,15 +6,16 @@
 
 	"github.com/beechring/beechring/internal/link/beechwire"
 	"github.com/beechring/beechring/internal/process/beechconvert"
+	"github.com/beechring/beechring/internal/process/beechending"
 	"github.com/beechring/beechring/internal/state/beechmanifest"
 )
 
 // serveService relays a call to a plain service unchanged.
-func (e *Entry) serveService(w http.ResponseWriter, r *http.Request) {
+func (e *Entry) serveService(w *beechending.Request, r *http.Request) {
 	e.serve(w, r, e.readService)
 }
 
-func (e *Entry) readService(w http.ResponseWriter, r *http.Request, c *beechmanifest.Configuration, workspace *beechmanifest.Workspace) (*job, *failure) {
+func (e *Entry) readService(w *beechending.Request, r *http.Request, c *beechmanifest.Configuration, workspace *beechmanifest.Workspace) (*job, *failure) {
 	name := r.PathValue("name")
 	if _, known := c.Service(name); !known || !workspace.AllowsService(name) {
 		return nil, notRun(http.StatusNotFound, typeNotFound, "service_not_found", "the service %q does not exist or this workspace may not use it", name)
--- a/internal/process/beechentry/writer.go
+++ b/internal/process/beechentry/writer.go
@@ -10,6 +10,7 @@
 
 	"github.com/beechring/beechring/internal/link/beechwire"
 	"github.com/beechring/beechring/internal/process/beechconvert"
+	"github.com/beechring/beechring/internal/process/beechending"
 )
 
 type (
@@ -37,7 +38,7 @@
 	}
 
 	streamWriter struct {
-		out         http.ResponseWriter
+		out         *beechending.Request
 		control     *http.ResponseController
 		signer      *streamSigner
 		workspace   string
@@ -66,7 +67,7 @@
 	writeChunkBytes = 64 << 10
 )
 
-func newAnswerWriter(w http.ResponseWriter, j *job, signer *streamSigner, writeTime time.Duration) answerWriter {
+func newAnswerWriter(w *beechending.Request, j *job, signer *streamSigner, writeTime time.Duration) answerWriter {
 	if !j.request.Streamed {
 		return &plainWriter{out: w, control: http.NewResponseController(w), writeTime: writeTime}
 	}
@@ -87,6 +88,7 @@
 		return
 	}
 	s.started = true
+	s.out.BeginStream()
 	s.raw = !strings.HasPrefix(h.contentType, eventStream)
 	header := s.out.Header()
 	header.Set("Content-Type", h.contentType)
@@ -126,6 +128,7 @@
 }
 
 func (s *streamWriter) end() error {
+	s.out.Complete()
 	if s.raw {
 		return nil
 	}
--- a/internal/process/beechgate/admit.go
+++ b/internal/process/beechgate/admit.go
@@ -7,6 +7,7 @@
 
 	"go.uber.org/zap"
 
+	"github.com/beechring/beechring/internal/process/beechending"
 	"github.com/beechring/beechring/internal/request/beechattempt"
 	"github.com/beechring/beechring/internal/request/beechcall"
 )
@@ -107,14 +108,20 @@
 	return admitted
 }
 
-// Serve runs an admitted call if its workspace's quota permits.
-func (g *Gate) Serve(ctx context.Context, call *beechcall.Call, out beechattempt.Responder) {
+// Serve runs an admitted call if its workspace's quota permits. It returns the number of attempts
+// that may have run.
+func (g *Gate) Serve(ctx context.Context, call *beechcall.Call, out beechattempt.Responder) int {
 	if call.LastEventID != "" && call.Route.RetryPolicy == beechcall.Resumable && !g.resumable(ctx, call, out) {
-		return
+		return 0
 	}
 	g.returns.arrive(call)
 	if !g.chargeQuota(ctx, call, out) {
-		return
+		return 0
 	}
-	g.settleQuota(call, g.core.Serve(ctx, call, out))
+	attempts := g.core.Serve(ctx, call, out)
+	g.settleQuota(call, attempts)
+	return attempts
 }
+
+// Door returns what records the ends of callers' requests.
+func (g *Gate) Door() *beechending.Door { return g.door }
--- a/internal/process/beechgate/configuration.go
+++ b/internal/process/beechgate/configuration.go
@@ -83,6 +83,14 @@
 	}
 }
 
+// configurationVersion returns the version of the configuration in force, or 0 if there is none.
+func (g *Gate) configurationVersion() uint64 {
+	if c := g.configuration.Load(); c != nil {
+		return c.Version
+	}
+	return 0
+}
+
 // readOperators has the operators' documents read now.
 func (g *Gate) readOperators() { g.operatorMirror.ReadNow() }
 
--- a/internal/process/beechgate/gate.go
+++ b/internal/process/beechgate/gate.go
@@ -35,6 +35,7 @@
 	"github.com/beechring/beechring/internal/link/beechframing"
 	"github.com/beechring/beechring/internal/link/beechpool"
 	"github.com/beechring/beechring/internal/link/beechsocket"
+	"github.com/beechring/beechring/internal/process/beechending"
 	"github.com/beechring/beechring/internal/process/beechlog"
 	"github.com/beechring/beechring/internal/process/beechsettings"
 	"github.com/beechring/beechring/internal/process/beechtask"
@@ -110,6 +111,7 @@
 		serverMirror    *beechmirror.Mirror
 		supervisor      *suture.Supervisor
 		metrics         *metrics
+		door            *beechending.Door
 		bounds          atomic.Pointer[beechsettings.GateBounds]
 
 		mu          sync.Mutex
@@ -209,6 +211,7 @@
 	g.topology.Store(&topology{Duties: beechgossip.Assign(g.members.Members(), g.members.Self(), s.Zone, nil)})
 	g.bounds.Store(&s.Bounds)
 	g.limits = beechthrottle.New(s.Name, rand.Uint64(), deps.Age, deps.Clock, g.logLimitEvent, g.wakeLimitSender)
+	g.door = beechending.NewDoor(deps.Log, deps.Clock, g.configurationVersion)
 	g.metrics = newMetrics(g)
 	g.limitLog = sampledLogger(deps.Log, g.metrics.limitLinesDropped)
 	weights := time.Duration(s.Bounds.Weights)
--- a/internal/process/beechgate/metrics.go
+++ b/internal/process/beechgate/metrics.go
@@ -102,12 +102,9 @@
 	m.vars.Set("schedulingDelayTailMicros", m.schedulingTail)
 	m.vars.Set("acceptWaitMicros", m.acceptWait)
 	m.vars.Set("configurationAgeMillis", expvar.Func(func() any { return g.freshness.Age().Milliseconds() }))
-	m.vars.Set("configurationVersion", expvar.Func(func() any {
-		if c := g.configuration.Load(); c != nil {
-			return c.Version
-		}
-		return 0
-	}))
+	m.vars.Set("unanswered", g.door.Counts())
+	m.vars.Set("unansweredLinesDropped", g.door.DroppedLines())
+	m.vars.Set("configurationVersion", expvar.Func(func() any { return g.configurationVersion() }))
 	m.vars.Set("connectionsMade", expvar.Func(func() any { return g.deps.Pool.ConnectionsMade() }))
 	m.vars.Set("datagramsMalformed", expvar.Func(func() any { return g.socket.MalformedCount() }))
 	m.vars.Set("gates", expvar.Func(func() any {
