A panic in a handler ends in an answer

A caller whose handler panicked saw its connection closed without a word: net/http recovers, writes a line of its own to ErrorLog and closes. Whether a fault in the moment of a new configuration does that could not be told, and the caller was left with less than the 500 that it is owed.

The end of a request now handles the panic: status 500 with Connection: close if nothing was written, with what had been set for an answer's header taken away, so that it bears no server's seal; a visibly incomplete response if one had begun; and the answer itself if it was whole. 500 says nothing of having run, which is what is known. A line with the stack, ten a second at the most, and the cause `panic` of `unanswered`. At the other door the body is its error object with ran `unknown`.

--- a/internal/command/beechplay/launch.go
+++ b/internal/command/beechplay/launch.go
@@ -13,6 +13,7 @@
 	"github.com/beechring/beechring/internal/process/beechgate"
 	"github.com/beechring/beechring/internal/process/beechkeeper"
 	"github.com/beechring/beechring/internal/process/beechsettings"
+	"github.com/beechring/beechring/internal/request/beechcall"
 	"github.com/beechring/beechring/internal/request/beechfresh"
 	"github.com/beechring/beechring/platform"
 )
@@ -38,6 +39,8 @@
 	InProcess struct {
 		Age beechfresh.Clock // clock by which gates measure the age of their data
 		Log *zap.Logger
+		// WrapBackend may replace the backend of gates; nil keeps it.
+		WrapBackend func(beechcall.Backend) beechcall.Backend
 	}
 
 	inProcess struct {
@@ -56,9 +59,13 @@
 	clock := clockwork.NewRealClock()
 	pool := beechpool.New(beechpool.DefaultSettings, clock)
 	store := platform.NewStore(s.Store)
+	backend := beechcall.Backend(platform.NewEngines(pool, clock))
+	if i.WrapBackend != nil {
+		backend = i.WrapBackend(backend)
+	}
 	g, err := beechgate.New(s, beechgate.Dependencies{
 		Clock: clock, Age: i.Age, Log: i.Log.With(zap.String("process", s.Name)), Source: store, StoreUse: store.CallStats(),
-		Backend: platform.NewEngines(pool, clock), Pool: pool, OperatorPrefix: platform.OperatorPrefix, ServerPrefix: platform.ServerPrefix,
+		Backend: backend, Pool: pool, OperatorPrefix: platform.OperatorPrefix, ServerPrefix: platform.ServerPrefix,
 		Operators: platform.DecodeConfiguration, Servers: platform.DecodeServers,
 	})
 	if err != nil {
--- a/internal/process/beechending/ending.go
+++ b/internal/process/beechending/ending.go
@@ -2,7 +2,9 @@
 
 import (
 	"expvar"
+	"fmt"
 	"net/http"
+	"runtime/debug"
 	"time"
 
 	"github.com/jonboulle/clockwork"
@@ -18,6 +20,7 @@
 		clock   clockwork.Clock
 		log     *zap.Logger // at most maxLogLines per second of each message
 		version func() uint64
+		fail    func(w http.ResponseWriter)
 		counts  *expvar.Map
 		dropped *expvar.Int
 	}
@@ -54,6 +57,7 @@
 	CallerCanceled Cause = "caller left, context ended" // although its socket is open
 	StreamBroken   Cause = "stream broken off"
 	NoAnswer       Cause = "no answer"
+	Panic          Cause = "panic"
 )
 
 const (
@@ -66,9 +70,10 @@
 	maxLogLines = 10
 )
 
-// NewDoor returns a door; version returns that of the configuration in force.
-func NewDoor(log *zap.Logger, clock clockwork.Clock, version func() uint64) *Door {
-	d := &Door{clock: clock, version: version, counts: new(expvar.Map), dropped: new(expvar.Int)}
+// NewDoor returns a door. Version returns that of the configuration in force; fail writes the response
+// to a request of which it is not known whether it has run, with status 500.
+func NewDoor(log *zap.Logger, clock clockwork.Clock, version func() uint64, fail func(w http.ResponseWriter)) *Door {
+	d := &Door{clock: clock, version: version, fail: fail, counts: new(expvar.Map), dropped: new(expvar.Int)}
 	count := zapcore.SamplerHook(func(_ zapcore.Entry, decision zapcore.SamplingDecision) {
 		if decision&zapcore.LogDropped != 0 {
 			d.dropped.Add(1)
@@ -134,7 +139,8 @@
 // BeginStream records that the answer is complete only after Complete.
 func (q *Request) BeginStream() { q.streamed = true }
 
-// Complete records that the last part of a stream was written.
+// Complete records that the last part of an answer was written. It is optional for an answer that is
+// no stream.
 func (q *Request) Complete() { q.complete = true }
 
 // BreakOff records that a stream is not completed, although the caller is there.
@@ -143,14 +149,24 @@
 // CallerLeft records that the answer is not completed since the caller has left.
 func (q *Request) CallerLeft() { q.callerLeft = true }
 
-// End ends the request. It must be deferred by the handler. If the answer is not whole, it ends in
-// a way that the caller cannot take for a complete one.
+// End ends the request. It must be deferred by the handler, whose panic it handles. If the answer is
+// not whole, it ends in a way that the caller cannot take for a complete one.
 func (q *Request) End() {
+	p := recover()
+	if p != nil && p != http.ErrAbortHandler {
+		q.endPanic(p, debug.Stack())
+		return
+	}
 	cause := q.cause()
+	if cause != "" {
+		q.record(cause)
+	}
+	if p != nil {
+		panic(p)
+	}
 	if cause == "" {
 		return
 	}
-	q.record(cause)
 	if q.progress != answerBegun || q.brokenOff {
 		// net/http closes the connection without the final chunk, so that the caller detects
 		// the truncated response. It would answer 200 to a caller that has closed one direction
@@ -176,12 +192,23 @@
 	return NoAnswer
 }
 
+// endPanic ends a request whose handler has panicked.
+func (q *Request) endPanic(p any, stack []byte) {
+	q.door.counts.Add(string(Panic), 1)
+	q.door.log.Error("handler panicked", append(q.fields(Panic), zap.String("panic", fmt.Sprint(p)), zap.ByteString("stack", stack))...)
+	switch {
+	case q.progress != answerBegun:
+		clear(q.Header()) // some may have been set for an answer
+		q.Header().Set("Connection", "close")
+		q.door.fail(q.writer)
+	case !q.complete:
+		panic(http.ErrAbortHandler)
+	}
+}
+
 func (q *Request) record(c Cause) {
 	q.door.counts.Add(string(c), 1)
-	fields := []zap.Field{
-		zap.String("request", q.ID), zap.String("route", q.Route), zap.String("cause", string(c)), zap.String("progress", string(q.progress)), zap.Int("sends", q.Sends),
-		zap.Uint64("configuration", q.Version), zap.Uint64("now", q.door.version()), zap.Duration("took", q.door.clock.Since(q.arrived)),
-	}
+	fields := q.fields(c)
 	switch c {
 	case CallerClosed:
 		q.door.log.Info("caller left before the end of its answer", fields...)
@@ -189,3 +216,10 @@
 		q.door.log.Warn("request ended without a whole answer", fields...)
 	}
 }
+
+func (q *Request) fields(c Cause) []zap.Field {
+	return []zap.Field{
+		zap.String("request", q.ID), zap.String("route", q.Route), zap.String("cause", string(c)), zap.String("progress", string(q.progress)), zap.Int("sends", q.Sends),
+		zap.Uint64("configuration", q.Version), zap.Uint64("now", q.door.version()), zap.Duration("took", q.door.clock.Since(q.arrived)),
+	}
+}
--- a/internal/process/beechending/ending_test.go
+++ b/internal/process/beechending/ending_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strings"
 	"testing"
 	"time"
 
@@ -34,7 +35,7 @@
 	t.Helper()
 	core, logs := observer.New(zapcore.InfoLevel)
 	log := zap.New(core)
-	s := &testServer{logs: logs, door: NewDoor(log, clockwork.NewRealClock(), func() uint64 { return 8 }), ended: make(chan struct{}, 100)}
+	s := &testServer{logs: logs, door: NewDoor(log, clockwork.NewRealClock(), func() uint64 { return 8 }, func(w http.ResponseWriter) { w.WriteHeader(http.StatusInternalServerError) }), ended: make(chan struct{}, 100)}
 	l, err := net.Listen("tcp4", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
@@ -152,6 +153,57 @@
 	is.Equal(s.logs.FilterMessage("request ended without a whole answer").Len(), 1)
 }
 
+// TestPanic guards against a caller that gets neither an answer nor a refusal since its handler panics,
+// and against a failure that bears what was prepared for an answer.
+func TestPanic(t *testing.T) {
+	for _, c := range []struct {
+		name   string
+		handle handler
+		status int // 0: an incomplete response
+	}{
+		{"before it was read", func(_ *Request, _ *http.Request) { panic("fault") }, http.StatusInternalServerError},
+		{"with headers prepared", func(w *Request, _ *http.Request) {
+			w.WholeRequestRead()
+			w.Header().Set("Seal", "of an answer")
+			panic("fault")
+		}, http.StatusInternalServerError},
+		{"with a body begun", func(w *Request, _ *http.Request) {
+			w.Header().Set("Content-Length", "10")
+			_, _ = io.WriteString(w, "half")
+			panic("fault")
+		}, 0},
+		{"in a stream", func(w *Request, _ *http.Request) {
+			w.BeginStream()
+			_, _ = io.WriteString(w, "event")
+			_ = http.NewResponseController(w).Flush()
+			panic("fault")
+		}, 0},
+		{"after a whole answer", func(w *Request, _ *http.Request) {
+			_, _ = io.WriteString(w, "answer")
+			w.Complete()
+			panic("fault")
+		}, http.StatusOK},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			s := newTestServer(t, c.handle)
+			response, _, err := receive(s.send(t))
+			<-s.ended
+			is.Equal(err == nil, c.status != 0)
+			if c.status != 0 {
+				is.Equal(response.StatusCode, c.status)
+				is.Equal(response.Header.Get("Seal"), "")
+				is.Equal(response.Close, c.status != http.StatusOK)
+			}
+			is.Equal(s.door.Values(), map[string]int64{string(Panic): 1})
+			lines := s.logs.FilterMessage("handler panicked").All()
+			is.Equal(len(lines), 1)
+			is.Equal(lines[0].ContextMap()["panic"], "fault")
+			is.True(strings.Contains(lines[0].ContextMap()["stack"].(string), "ending_test.go"))
+		})
+	}
+}
+
 // TestManyEndsAtOnce guards against a log line for each of thousands of callers that leave at once.
 func TestManyEndsAtOnce(t *testing.T) {
 	is := is.New(t)
--- a/internal/process/beechentry/endings_test.go
+++ b/internal/process/beechentry/endings_test.go
@@ -3,6 +3,7 @@
 import (
 	"net"
 	"net/http"
+	"strings"
 	"testing"
 
 	"github.com/matryer/is"
@@ -41,3 +42,28 @@
 	waitUntil(t, "the departure is counted", func() bool { return len(e.Status().Unanswered) > 0 })
 	is.Equal(e.Status().Unanswered, map[string]int64{string(beechending.CallerClosed): 1})
 }
+
+// TestPanicBecomesAnAnswer guards against callers that get no answer since the handler panics.
+func TestPanicBecomesAnAnswer(t *testing.T) {
+	is := is.New(t)
+	a := newLinkedAgent(t)
+	close(a.release)
+	e := newTestEntry(t, a)
+	e.signer = nil // the head of a streamed answer panics
+	serveTestEntry(t, e)
+	var body string
+	waitUntil(t, "a status 500", func() bool {
+		var status int
+		var err error
+		status, body, err = sendCompletion(t.Context(), e, "")
+		return err == nil && status == http.StatusInternalServerError
+	})
+	is.True(strings.Contains(body, `"ran":"unknown"`))
+	is.Equal(e.Status().Unanswered, map[string]int64{string(beechending.Panic): 1})
+	request, err := http.NewRequestWithContext(t.Context(), http.MethodGet, "http://"+e.listener.Addr().String()+"/v1/models", http.NoBody)
+	is.NoErr(err)
+	request.Header.Set("Authorization", "Bearer loop-key")
+	status, _, err := do(request)
+	is.NoErr(err)
+	is.Equal(status, http.StatusOK) // the process goes on
+}
--- a/internal/process/beechentry/entry.go
+++ b/internal/process/beechentry/entry.go
@@ -132,7 +132,7 @@
 		listener: listener,
 		callers:  callers,
 	}
-	e.door = beechending.NewDoor(e.log, e.clock, e.holder.Generation)
+	e.door = beechending.NewDoor(e.log, e.clock, e.holder.Generation, writeFault)
 	e.poison = beechpoison.New(d.Clock, e.poisonTurn, func() { e.fleet.dialer.PushHeartbeat() })
 	e.fleet = newFleet(e, d.LinkTLS)
 	e.http = &http.Server{
--- a/internal/process/beechentry/failure.go
+++ b/internal/process/beechentry/failure.go
@@ -72,6 +72,12 @@
 	return f
 }
 
+// writeFault answers a request whose handler has no word for its caller.
+func writeFault(w http.ResponseWriter) {
+	f := &failure{Status: http.StatusInternalServerError, Type: typeServer, Code: "internal", Ran: beechwire.RanUnknown, Message: "the request ended in a fault of this entry host"}
+	f.write(w)
+}
+
 func (f *failure) json() []byte {
 	object := errorObject{Message: f.Message, Type: f.Type, Code: f.Code, Ran: f.Ran}
 	if f.Param != "" {
--- a/internal/process/beechgate/gate.go
+++ b/internal/process/beechgate/gate.go
@@ -211,7 +211,7 @@
 	g.topology.Store(&topology{Duties: beechgossip.Assign(g.members.Members(), g.members.Self(), s.Zone, nil)})
 	g.bounds.Store(&s.Bounds)
 	g.limits = beechthrottle.New(s.Name, rand.Uint64(), deps.Age, deps.Clock, g.logLimitEvent, g.wakeLimitSender)
-	g.door = beechending.NewDoor(deps.Log, deps.Clock, g.configurationVersion)
+	g.door = beechending.NewDoor(deps.Log, deps.Clock, g.configurationVersion, func(w http.ResponseWriter) { w.WriteHeader(http.StatusInternalServerError) })
 	g.metrics = newMetrics(g)
 	g.limitLog = sampledLogger(deps.Log, g.metrics.limitLinesDropped)
 	weights := time.Duration(s.Bounds.Weights)
