Half a stream never looks whole to a caller taken for gone

A caller that closes one direction in the middle of its stream, and reads on, counts as gone, as in net/http.

A stream is whole only once its last event was written; otherwise its connection is closed without the final chunk. A stream of the other door that ends with an error event is whole in its form, as before, and counted as broken off.

--- a/internal/process/beechending/ending.go
+++ b/internal/process/beechending/ending.go
@@ -41,6 +41,7 @@
 		streamed   bool // the answer ends with Complete
 		complete   bool
 		brokenOff  bool
+		told       bool // a stream ends with word of its failure
 		callerLeft bool
 	}
 
@@ -146,6 +147,9 @@
 // BreakOff records that a stream is not completed, although the caller is there.
 func (q *Request) BreakOff() { q.brokenOff = true }
 
+// TellFailure records that the last part of a stream tells that it is not complete.
+func (q *Request) TellFailure() { q.told = true }
+
 // CallerLeft records that the answer is not completed since the caller has left.
 func (q *Request) CallerLeft() { q.callerLeft = true }
 
@@ -164,23 +168,25 @@
 	if p != nil {
 		panic(p)
 	}
-	if cause == "" {
-		return
-	}
-	if q.progress != answerBegun || q.brokenOff {
+	if cause != "" && !q.whole() && !q.told {
 		// net/http closes the connection without the final chunk, so that the caller detects
-		// the truncated response. It would answer 200 to a caller that has closed one direction
-		// only and was not answered.
+		// the truncated response. Otherwise it would complete it, or answer 200: a caller that
+		// has closed one direction only counts as gone, and reads on.
 		panic(http.ErrAbortHandler)
 	}
 }
 
+// whole reports whether the answer has its last part.
+func (q *Request) whole() bool {
+	return q.progress == answerBegun && (q.complete || !q.streamed) && !q.brokenOff
+}
+
 // cause returns why the answer is not whole, or an empty cause if it is.
 func (q *Request) cause() Cause {
-	switch whole := q.progress == answerBegun && (q.complete || !q.streamed); {
+	switch {
 	case q.brokenOff:
 		return StreamBroken
-	case whole && !q.callerLeft:
+	case q.whole() && !q.callerLeft:
 		return ""
 	case beechsocket.LookAt(q.http.Context()) == beechsocket.Closed:
 		return CallerClosed
--- a/internal/process/beechending/ending_test.go
+++ b/internal/process/beechending/ending_test.go
@@ -103,13 +103,22 @@
 			_, _ = w.Write([]byte("event"))
 			w.BreakOff()
 		}, StreamBroken, "answer begun"},
+		{"stream without an end", func(w *Request, _ *http.Request) {
+			w.BeginStream()
+			_, _ = w.Write([]byte("event"))
+		}, StreamBroken, "answer begun"},
+		{"stream that tells its failure", func(w *Request, _ *http.Request) {
+			w.BeginStream()
+			_, _ = w.Write([]byte("event: error"))
+			w.TellFailure()
+		}, StreamBroken, "answer begun"},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			is := is.New(t)
 			s := newTestServer(t, c.handle)
-			_, _, err := receive(s.send(t))
+			_, body, err := receive(s.send(t))
 			<-s.ended
-			is.Equal(err == nil, c.cause == "")
+			is.Equal(err == nil, c.cause == "" || body == "event: error")
 			lines := s.logs.FilterMessage("request ended without a whole answer").All()
 			if c.cause == "" {
 				is.Equal(len(lines), 0)
--- a/internal/process/beechentry/writer.go
+++ b/internal/process/beechentry/writer.go
@@ -144,6 +144,7 @@
 		f.write(s.out)
 		return
 	}
+	s.out.TellFailure()
 	b := append([]byte("event: error\ndata: "), f.json()...)
 	_ = s.write(append(b, "\n\n"...))
 }
