A handler without a word for a caller that is there answers 500

Whatever path returns without having written anything, and a context that ends although the caller's socket is open (a read that fails for a past deadline is taken for its departure by net/http), closed the connection of a caller that was there.

Where the socket is not closed, nothing was written and the handler is over, its end writes status 500 with Connection: close, like after a panic: it says nothing of having run. A caller whose socket is closed, or closed in one direction, is treated as before. Counted and logged as before.

--- a/internal/process/beechending/ending.go
+++ b/internal/process/beechending/ending.go
@@ -153,8 +153,9 @@
 // CallerLeft records that the answer is not completed since the caller has left.
 func (q *Request) CallerLeft() { q.callerLeft = true }
 
-// End ends the request. It must be deferred by the handler, whose panic it handles. If the answer is
-// not whole, it ends in a way that the caller cannot take for a complete one.
+// End ends the request. It must be deferred by the handler, whose panic it handles. If nothing was
+// written to a caller that is there, it writes a failure. If the answer is not whole, it ends in a way
+// that the caller cannot take for a complete one.
 func (q *Request) End() {
 	p := recover()
 	if p != nil && p != http.ErrAbortHandler {
@@ -168,7 +169,11 @@
 	if p != nil {
 		panic(p)
 	}
-	if cause != "" && !q.whole() && !q.told {
+	switch {
+	case cause == "" || q.whole() || q.told:
+	case q.progress != answerBegun && cause != CallerClosed:
+		q.answerFault()
+	default:
 		// net/http closes the connection without the final chunk, so that the caller detects
 		// the truncated response. Otherwise it would complete it, or answer 200: a caller that
 		// has closed one direction only counts as gone, and reads on.
@@ -204,14 +209,19 @@
 	q.door.log.Error("handler panicked", append(q.fields(Panic), zap.String("panic", fmt.Sprint(p)), zap.ByteString("stack", stack))...)
 	switch {
 	case q.progress != answerBegun:
-		clear(q.Header()) // some may have been set for an answer
-		q.Header().Set("Connection", "close")
-		q.door.fail(q.writer)
+		q.answerFault()
 	case !q.complete:
 		panic(http.ErrAbortHandler)
 	}
 }
 
+// answerFault answers a request for which its handler has written nothing.
+func (q *Request) answerFault() {
+	clear(q.Header()) // some may have been set for an answer
+	q.Header().Set("Connection", "close")
+	q.door.fail(q.writer)
+}
+
 func (q *Request) record(c Cause) {
 	q.door.counts.Add(string(c), 1)
 	fields := q.fields(c)
--- a/internal/process/beechending/ending_test.go
+++ b/internal/process/beechending/ending_test.go
@@ -116,9 +116,13 @@
 		t.Run(c.name, func(t *testing.T) {
 			is := is.New(t)
 			s := newTestServer(t, c.handle)
-			_, body, err := receive(s.send(t))
+			response, body, err := receive(s.send(t))
 			<-s.ended
-			is.Equal(err == nil, c.cause == "" || body == "event: error")
+			is.Equal(err == nil, c.cause == "" || c.cause == NoAnswer || body == "event: error")
+			if c.cause == NoAnswer {
+				is.Equal(response.StatusCode, http.StatusInternalServerError)
+				is.True(response.Close)
+			}
 			lines := s.logs.FilterMessage("request ended without a whole answer").All()
 			if c.cause == "" {
 				is.Equal(len(lines), 0)
@@ -156,8 +160,10 @@
 		cancel()
 		w.http = r.WithContext(ctx)
 	})
-	s.send(t)
+	response, _, err := receive(s.send(t))
 	<-s.ended
+	is.NoErr(err)
+	is.Equal(response.StatusCode, http.StatusInternalServerError)
 	is.Equal(s.door.Values(), map[string]int64{string(CallerCanceled): 1})
 	is.Equal(s.logs.FilterMessage("request ended without a whole answer").Len(), 1)
 }
