--- a/internal/process/beechentry/admin.go
+++ b/internal/process/beechentry/admin.go
@@ -48,7 +48,8 @@
 		Caches      map[string]uint64     `json:"cacheVersions"` // known version of each agent's cache index
 		Links       beechlink.Counters    `json:"links"`
 		Counts      map[string]int64      `json:"counts"`
-		Closings    beechkeepalive.Counts `json:"closings"` // connections of callers that were closed
+		Closings    beechkeepalive.Counts `json:"closings"`   // connections of callers that were closed
+		Unanswered  map[string]int64      `json:"unanswered"` // requests without a whole answer, by cause
 	}
 )
 
@@ -72,6 +73,7 @@
 		Links:       e.fleet.dialer.Counters(),
 		Counts:      e.counters.values(),
 		Closings:    e.connections.Counts(),
+		Unanswered:  e.door.Values(),
 	}
 }
 
--- a/internal/process/beechgate/gate.go
+++ b/internal/process/beechgate/gate.go
@@ -36,6 +36,7 @@
 	"github.com/beechring/beechring/internal/link/beechkeepalive"
 	"github.com/beechring/beechring/internal/link/beechpool"
 	"github.com/beechring/beechring/internal/link/beechsocket"
+	"github.com/beechring/beechring/internal/process/beechending"
 	"github.com/beechring/beechring/internal/process/beechlog"
 	"github.com/beechring/beechring/internal/process/beechsettings"
 	"github.com/beechring/beechring/internal/process/beechtask"
@@ -112,6 +113,7 @@
 		serverMirror    *beechmirror.Mirror
 		supervisor      *suture.Supervisor
 		metrics         *metrics
+		door            *beechending.Door
 		bounds          atomic.Pointer[beechsettings.GateBounds]
 
 		mu          sync.Mutex
@@ -211,6 +213,7 @@
 	g.topology.Store(&topology{Duties: beechgossip.Assign(g.members.Members(), g.members.Self(), s.Zone, nil)})
 	g.bounds.Store(&s.Bounds)
 	g.limits = beechthrottle.New(s.Name, rand.Uint64(), deps.Age, deps.Clock, g.logLimitEvent, g.wakeLimitSender)
+	g.door = beechending.NewDoor(deps.Log, deps.Clock, g.configurationVersion, func(w http.ResponseWriter) { w.WriteHeader(http.StatusInternalServerError) })
 	g.metrics = newMetrics(g)
 	g.limitLog = sampledLogger(deps.Log, g.metrics.limitLinesDropped)
 	g.connections = beechkeepalive.New(beechkeepalive.Settings{IdleTimeout: g.idleTimeout, HeadTimeout: headerTimeout, Closed: g.logUnreadClosing}, deps.Clock)
