A leaving agent waits for entry hosts whose link was lost

Cause: Drain closed the listeners at its start and refused streams that are attached again, and the process ended as soon as no stream was open. A lost connection ends its streams, so the agent left with the answers while the entry host was dialling to go on with them.

Mend: a draining server refuses new requests as before, but accepts connections and attaches streams again; it ends when no stream is open and no connection with open streams was lost within Rejoin (2 s: the entry host tries for 1.2 s, and may notice the loss half a second later). An entry host that was killed delays the end by so much.

--- a/internal/link/beechlink/pair_test.go
+++ b/internal/link/beechlink/pair_test.go
@@ -253,3 +253,9 @@
 		return ups == 1 && downs == 1
 	})
 }
+
+func (s *Server) isDraining() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.draining
+}
--- a/internal/link/beechlink/serverendpoint.go
+++ b/internal/link/beechlink/serverendpoint.go
@@ -112,7 +112,7 @@
 
 // admit adds s to the open streams, or returns the reason and message of its
 // refusal.
-func (e *serverEndpoint) admit(s *serverStream, bodyBytes int) (reason, message string) {
+func (e *serverEndpoint) admit(s *serverStream, bodyBytes int, reattached bool) (reason, message string) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	if bodyBytes < 0 || bodyBytes > e.connection.settings.MaxBody {
@@ -124,7 +124,7 @@
 	if e.pendingBodyBytes+bodyBytes > pendingBodyFactor*e.connection.settings.MaxBody {
 		return beechwire.ReasonBusy, "too many bodies on their way on the connection"
 	}
-	if !e.server.beginStream() {
+	if !e.server.beginStream(reattached) {
 		return beechwire.ReasonLeaving, drainingMessage
 	}
 	e.openStreams[s.id] = s
@@ -137,7 +137,7 @@
 	if err != nil {
 		return err
 	}
-	if reason, message := e.admit(s, r.BodyBytes); reason != "" {
+	if reason, message := e.admit(s, r.BodyBytes, false); reason != "" {
 		e.refuseStream(s, false, reason, message)
 		return nil
 	}
@@ -159,7 +159,7 @@
 	if err != nil {
 		return err
 	}
-	if reason, message := e.admit(s, 0); reason != "" {
+	if reason, message := e.admit(s, 0, true); reason != "" {
 		e.refuseStream(s, true, reason, message)
 		return nil
 	}
@@ -281,6 +281,9 @@
 	table := e.openStreams
 	e.openStreams = map[uint64]*serverStream{}
 	e.mu.Unlock()
+	if len(table) > 0 {
+		e.server.noteLoss()
+	}
 	for _, s := range table {
 		s.closeByPeer(true)
 		e.releaseUnstarted(s)
--- a/internal/link/beechlink/settings.go
+++ b/internal/link/beechlink/settings.go
@@ -61,6 +61,7 @@
 		IdleIntervalPerConnection: 35 * time.Millisecond,
 		DialTimeout:               time.Second,
 		MaxStreams:                4096,
+		Rejoin:                    2 * time.Second,
 	}
 }
 
@@ -77,6 +78,7 @@
 	s.Deadline = orDefault(s.Deadline, d.Deadline)
 	s.IdleIntervalPerConnection = orDefault(s.IdleIntervalPerConnection, d.IdleIntervalPerConnection)
 	s.DialTimeout = orDefault(s.DialTimeout, d.DialTimeout)
+	s.Rejoin = orDefault(s.Rejoin, d.Rejoin)
 	return s
 }
 
--- a/internal/link/beechlink/types.go
+++ b/internal/link/beechlink/types.go
@@ -109,6 +109,7 @@
 		IdleIntervalPerConnection time.Duration // the beat interval of an idle connection is this times the number of connections
 		DialTimeout               time.Duration // for dialing and for the handshake, each
 		MaxStreams                int           // per connection
+		Rejoin                    time.Duration // for which a draining server waits for streams of a lost connection to be attached again
 		Key                       string
 	}
 )
