Agent: a late report of a backend server begins a silence and does not end its place

Callers saw: 503 no_server, ran unknown, for plain answers under way and for prompts still being read, and 503 for new requests and those in the queue, when the only engine was silent for 1.2 s and went on. Other engines were looked for only after the answers had been ended.

Cause: one report that took longer than 1 s made the server count as dead. Its models were no longer offered, waiting requests were refused, and every answer without data for 2 s was ended, though a long prompt alone takes as long. A broken connection beside a late report was taken for a crash, and its requests for suspects.

Mend: internal/decision/beechsilence decides, without a network: a question that times out begins a silence, and the server is gone after 2.5 s of it, longer than a sound one is silent; a refused connection or a reset counts at once, as before. A stop of the agent itself is not the server's silence. Answers are ended only if the server has answered nothing for 2.5 s and they have had no data for as long; a refused report alone no longer ends them. A late report confirms no crash; the next report of another incarnation does. A hanging engine is left after 2.5 to 2.8 s instead of some 2 s.

--- a/internal/process/beechagent/backend.go
+++ b/internal/process/beechagent/backend.go
@@ -12,6 +12,7 @@
 
 	"github.com/beechring/beechring/internal/decision/beechpoison"
 	"github.com/beechring/beechring/internal/decision/beechqueue"
+	"github.com/beechring/beechring/internal/decision/beechsilence"
 	"github.com/beechring/beechring/internal/link/beechwire"
 	"github.com/beechring/beechring/internal/process/beechbackend"
 	"github.com/beechring/beechring/internal/process/beechconvert"
@@ -26,7 +27,7 @@
 	// the number of slots and the models are taken from the reports.
 	backendState struct {
 		mu       sync.Mutex
-		alive    bool
+		watch    *beechsilence.Watch
 		report   beechbackend.Report
 		slots    int      // of the pool, from the manifest; 0 if not set
 		retiring []string // model@weights about to be unloaded
@@ -36,14 +37,16 @@
 const (
 	reportPollInterval = 200 * time.Millisecond
 	reportTimeout      = time.Second
-	stallTimeout       = 2 * time.Second // many times the interval between two tokens
+	silencePatience    = 2500 * time.Millisecond // a sound server may be silent for up to two seconds
 	cachePollInterval  = 50 * time.Millisecond
 	defaultSlots       = 64
 	defaultPrefillRate = 10000 // tokens per second, before the first report
 	defaultTokenTime   = 20 * time.Millisecond
 )
 
-func newBackendState() *backendState { return &backendState{} }
+func newBackendState() *backendState {
+	return &backendState{watch: beechsilence.New(beechsilence.Settings{Limit: reportTimeout, Patience: silencePatience})}
+}
 
 // setReport stores a load report. If the server has restarted since the previous
 // report, it returns the previous incarnation, and otherwise 0.
@@ -54,16 +57,47 @@
 		ended = v.report.Incarnation
 	}
 	v.report = r
-	v.alive = true
+	v.watch.Answered()
 	return ended
 }
 
-func (v *backendState) setAlive(alive bool) {
+// answered records an answer to a question for the server's state, and returns the state before it.
+func (v *backendState) answered() (before beechsilence.State) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	before = v.watch.State()
+	v.watch.Answered()
+	return before
+}
+
+// missed records a question for the server's state that got no answer, and returns the states before
+// and after it.
+func (v *backendState) missed(asked, now time.Time, timedOut bool) (before, after beechsilence.State) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	before = v.watch.State()
+	v.watch.Missed(asked, now, timedOut)
+	return before, v.watch.State()
+}
+
+// answerLimit returns how long the server may take to report its state.
+func (v *backendState) answerLimit() time.Duration {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	v.alive = alive
+	return v.watch.Limit()
 }
 
+// unheard reports whether the server has answered no question for longer than a sound one is silent.
+func (v *backendState) unheard() bool {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return v.watch.Exhausted()
+}
+
+// aliveLocked reports whether the server may be sent requests. One that has been silent for a moment
+// may. The caller holds the lock.
+func (v *backendState) aliveLocked() bool { return v.watch.State() != beechsilence.Gone }
+
 func (v *backendState) setSlots(slots int) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
@@ -79,7 +113,7 @@
 func (v *backendState) last() (beechbackend.Report, bool) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	return v.report, v.alive
+	return v.report, v.aliveLocked()
 }
 
 // models returns the models available to new requests: those that are loaded and
@@ -87,7 +121,7 @@
 func (v *backendState) models() []string {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	if !v.alive {
+	if !v.aliveLocked() {
 		return nil
 	}
 	var models []string
@@ -159,14 +193,14 @@
 }
 
 func (a *Agent) refreshReport(ctx context.Context) {
-	calling, cancel := context.WithTimeout(ctx, reportTimeout)
-	defer cancel()
-	report, err := a.engine.Report(calling)
+	var report beechbackend.Report
+	err := a.ask(ctx, func(ctx context.Context) (err error) {
+		report, err = a.engine.Report(ctx)
+		return err
+	})
 	if err != nil {
-		a.updateAlive(false, err)
 		return
 	}
-	a.updateAlive(true, nil)
 	if ended := a.backend.setReport(report); ended != 0 {
 		a.observeRestart(ended)
 	}
@@ -174,33 +208,43 @@
 	a.scheduler.wake()
 }
 
+// ask asks the backend server for its state, and records whether it answered.
+func (a *Agent) ask(ctx context.Context, question func(ctx context.Context) error) error {
+	asked := a.clock.Now()
+	calling, cancel := context.WithTimeout(ctx, a.backend.answerLimit())
+	defer cancel()
+	err := question(calling)
+	if err == nil {
+		a.logBackend(a.backend.answered(), beechsilence.Alive, nil)
+		return nil
+	}
+	before, after := a.backend.missed(asked, a.clock.Now(), beechbackend.TimedOut(err))
+	a.logBackend(before, after, err)
+	return err
+}
+
 // abortStalled aborts the attempts at an engine that has stopped without closing its
 // connections, as on a machine that hangs. Their callers would otherwise wait
 // indefinitely; after the abort, their answers are continued by another engine. An
-// engine counts as stopped only if it does not answer load reports either, since an
-// engine that processes a long prompt sends no data for a while.
+// engine counts as stopped only if it has answered no question for a load report either
+// for longer than a sound one is silent, since an engine that processes a long prompt sends
+// no data for a while.
 func (a *Agent) abortStalled() {
-	if _, alive := a.backend.last(); alive {
+	if !a.backend.unheard() {
 		return
 	}
-	for _, t := range a.running.stalledSince(a.clock.Now().Add(-stallTimeout)) {
+	for _, t := range a.running.stalledSince(a.clock.Now().Add(-silencePatience)) {
 		t.abort(errStalled)
 	}
 }
 
-func (a *Agent) checkReady(ctx context.Context) {
-	calling, cancel := context.WithTimeout(ctx, reportTimeout)
-	defer cancel()
-	err := a.service.Ready(calling)
-	a.updateAlive(err == nil, err)
-}
+func (a *Agent) checkReady(ctx context.Context) { _ = a.ask(ctx, a.service.Ready) }
 
-func (a *Agent) updateAlive(alive bool, cause error) {
-	if _, was := a.backend.last(); was != alive {
-		a.log.Info("backend server changed", beechlog.Step("report"),
-			beechlog.Peer(a.settings.Backend), zap.Bool("alive", alive), zap.Error(cause))
+func (a *Agent) logBackend(before, after beechsilence.State, cause error) {
+	if before != after {
+		a.log.Info("backend server changed", beechlog.Step("report"), beechlog.Peer(a.settings.Backend),
+			zap.Bool("alive", after != beechsilence.Gone), zap.Stringer("state", after), zap.Stringer("before", before), zap.Error(cause))
 	}
-	a.backend.setAlive(alive)
 }
 
 // pollCacheEvents applies the engine's cache events to the cache index until ctx
@@ -269,7 +313,8 @@
 
 // confirmCrash reports whether an answer was interrupted because the engine crashed.
 // It asks the engine, so that the loss of a single connection does not make all
-// running requests suspect. It also updates the state of the backend, so that no
+// running requests suspect. An engine that is silent has not crashed as far as is known; if it
+// has, the report of its next incarnation tells. It also updates the state of the backend, so that no
 // further requests are sent to an engine that has crashed.
 func (a *Agent) confirmCrash(ctx context.Context, incarnation uint64) bool {
 	a.refreshReport(context.WithoutCancel(ctx))
--- a/internal/process/beechbackend/errors.go
+++ b/internal/process/beechbackend/errors.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"fmt"
+	"net"
 	"net/netip"
 	"time"
 )
@@ -87,3 +88,11 @@
 	var refused *Refused
 	return errors.As(err, &notSent) || errors.As(err, &refused)
 }
+
+// TimedOut reports whether err only says that the server did not answer in time, so that it may be
+// about to.
+func TimedOut(err error) bool {
+	var timeout *Timeout
+	var network net.Error
+	return errors.As(err, &timeout) || errors.As(err, &network) && network.Timeout()
+}
