Entry host: new requests wait while the link to their only server is made again

Callers saw: 503 no_server or busy, ran no, for requests that came within some 0.1 s of the return of an agent, an entry host or a link that had been silent for 1.9 s: their server was sound and about to be reached.

Cause: a server left the list with its link, and a request found nobody. What the agent offers was forgotten too and known again only with its next beat. A stream that could not be opened, since its connection was failing in that moment, ended as "every server is full".

Mend: a link that was lost less than 1.2 s ago (the time for which answers under way are joined again) is one that may come back; requests that no other server can take wait for it, looking again at each change, and refusing at the end as before. Not waited for: an agent that has said that it leaves, or whose host refuses the connection. What the agent offered holds if the same process comes back. A connection on which nothing can be sent any more is not chosen, also in the moment before its streams are told.

--- a/internal/link/beechlink/client.go
+++ b/internal/link/beechlink/client.go
@@ -9,6 +9,7 @@
 	"net"
 	"net/netip"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/beechring/beechring/internal/link/beechwire"
@@ -46,6 +47,7 @@
 		endpoints    []*clientEndpoint
 		peer         Peer
 		lastFailure  error // why the last connection failed or ended
+		refused      bool  // the agent's host has refused a connection since the last one ended
 		openingExtra bool  // an extra connection is being opened
 	}
 )
@@ -160,6 +162,14 @@
 	return err == nil && e.usable()
 }
 
+// Refused reports whether no connection is up and the agent's host has refused the last attempt at
+// one: no process listens there.
+func (c *Client) Refused() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.refused && len(c.endpoints) == 0
+}
+
 // Open starts a stream with the request and its body, which must not be changed
 // until the stream has ended. *OpenError means that nothing was sent.
 func (c *Client) Open(ctx context.Context, r beechwire.Request, body []byte) (Stream, error) {
@@ -271,6 +281,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.lastFailure = err
+	c.refused = errors.Is(err, syscall.ECONNREFUSED)
 }
 
 // backoff doubles with each failure. Half of it is random, because entries that
--- a/internal/link/beechlink/clientendpoint.go
+++ b/internal/link/beechlink/clientendpoint.go
@@ -43,7 +43,7 @@
 func (e *clientEndpoint) usable() bool {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	return e.err == nil && !e.closing
+	return e.err == nil && !e.closing && e.connection.out.accepts()
 }
 
 // add assigns an id to a stream and adds it to the open streams.
--- a/internal/link/beechlink/outbox.go
+++ b/internal/link/beechlink/outbox.go
@@ -178,6 +178,14 @@
 	}
 }
 
+// accepts reports whether something can still be sent. It ends a moment before the streams are told
+// that their connection is lost.
+func (o *outbox) accepts() bool {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.err == nil && !o.finishing
+}
+
 func (o *outbox) queuedBytes() int {
 	o.mu.Lock()
 	defer o.mu.Unlock()
--- a/internal/process/beechentry/fleet.go
+++ b/internal/process/beechentry/fleet.go
@@ -43,6 +43,7 @@
 		zone                 string
 		incarnation          uint64
 		up                   bool
+		lostAt               time.Time // when the link was last lost
 		entryHosts           int
 		offers               []string
 		cacheVersion         uint64 // version of the engine's cache that the router knows
@@ -156,7 +157,9 @@
 	restarted := l.incarnation != 0 && l.incarnation != p.Incarnation
 	l.up = true
 	l.zone = p.Zone
-	l.offers = nil
+	if l.incarnation != p.Incarnation {
+		l.offers = nil
+	}
 	l.cacheVersion = 0
 	l.reportedCacheVersion = 0
 	old := l.incarnation
@@ -176,6 +179,7 @@
 	f.mu.Lock()
 	if l := f.links[p.Address]; l != nil && l.incarnation == p.Incarnation {
 		l.up = false
+		l.lostAt = f.entry.clock.Now()
 	}
 	f.mu.Unlock()
 	f.members.LinkDown(p.Address, p.Incarnation)
@@ -337,3 +341,28 @@
 	}
 	return 0
 }
+
+// rejoinTimeLeft returns for how long a server that offers a target may still come back, whose link was
+// lost a moment ago; 0 if there is none. One whose host refuses connections does not. A link that is up
+// again counts too: the router may not know of it yet.
+func (f *fleet) rejoinTimeLeft(target string) time.Duration {
+	left := make(map[netip.AddrPort]time.Duration)
+	f.mu.Lock()
+	for address, l := range f.links {
+		switch {
+		case !slices.Contains(l.offers, target) || l.client.Refused():
+		case l.up && !l.client.Ready():
+			left[address] = reattachTimeout // its loss has just been noticed
+		case !l.lostAt.IsZero():
+			left[address] = reattachTimeout - f.entry.clock.Since(l.lostAt)
+		}
+	}
+	f.mu.Unlock()
+	longest := time.Duration(0)
+	for address, d := range left {
+		if d > longest && !f.members.Leaving(address) {
+			longest = d
+		}
+	}
+	return longest
+}
--- a/internal/process/beechentry/retry.go
+++ b/internal/process/beechentry/retry.go
@@ -131,7 +131,7 @@
 	if server.IsValid() {
 		j.tried = append(j.tried, server)
 	}
-	hasOther := better.IsValid() || len(e.fleet.router.Choose(j.routeRequest()).Ranked) > 0
+	hasOther := better.IsValid() || len(e.fleet.router.Choose(j.routeRequest()).Ranked) > 0 || e.fleet.rejoinTimeLeft(j.target()) > 0
 	if !hasOther {
 		return false, e.refusedFailure(j, h.Refused, after)
 	}
--- a/internal/process/beechentry/startup.go
+++ b/internal/process/beechentry/startup.go
@@ -24,6 +24,10 @@
 	}
 )
 
+// rejoinPoll is the time after which a request looks again whether a server whose link was lost may
+// still come back.
+const rejoinPoll = 100 * time.Millisecond
+
 // startupWait is counted from the start of the entry and not from the request, so
 // that an entry that cannot read its configuration soon refuses at once.
 const startupWait = 250 * time.Millisecond
@@ -85,6 +89,22 @@
 	}
 }
 
+// waitForChange returns when known returns true, something has changed that waiting requests look at,
+// limit has passed or ctx has ended.
+func (s *startup) waitForChange(ctx context.Context, limit time.Duration, known func() bool) {
+	changed, _ := s.state()
+	if known() {
+		return
+	}
+	timer := s.clock.NewTimer(limit)
+	defer timer.Stop()
+	select {
+	case <-changed:
+	case <-timer.Chan():
+	case <-ctx.Done():
+	}
+}
+
 // awaitConfiguration waits, while the entry starts, for a configuration with its
 // limits, but not beyond the caller's deadline. It returns how long it waited.
 func (e *Entry) awaitConfiguration(r *http.Request) time.Duration {
@@ -98,7 +118,8 @@
 	return e.startup.wait(r.Context(), limit, e.configured.Load)
 }
 
-// awaitCandidate waits, while the entry starts, for a server for the job.
+// awaitCandidate waits for a server for the job while the entry starts, and while the link to one that
+// was lost a moment ago may be made again.
 //
 //go:noinline
 func (e *Entry) awaitCandidate(ctx context.Context, j *job) *beechroute.Candidate {
@@ -106,10 +127,18 @@
 	if candidate != nil {
 		return candidate
 	}
-	e.startup.wait(ctx, 0, func() bool {
+	choose := func() bool {
 		candidate = e.choose(j)
 		return candidate != nil
-	})
+	}
+	e.startup.wait(ctx, 0, choose)
+	for candidate == nil && ctx.Err() == nil {
+		left := e.fleet.rejoinTimeLeft(j.target())
+		if left <= 0 {
+			break
+		}
+		e.startup.waitForChange(ctx, min(left, rejoinPoll), choose)
+	}
 	return candidate
 }
 
--- a/internal/state/beechmember/members.go
+++ b/internal/state/beechmember/members.go
@@ -209,6 +209,14 @@
 	return ok && m.usable(x)
 }
 
+// Leaving reports whether the process is leaving.
+func (m *Members) Leaving(address netip.AddrPort) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	x, ok := m.members[address]
+	return ok && x.leaving()
+}
+
 // Changed returns a channel that is closed at the next change. The end of a
 // damping wait is not signalled; only Usable shows it.
 func (m *Members) Changed() <-chan struct{} {
