--- a/internal/process/beechgate/gate.go
+++ b/internal/process/beechgate/gate.go
@@ -78,8 +78,9 @@
 
 		configuration   atomic.Pointer[beechcall.Configuration]
 		draining        atomic.Bool
-		freshness       *beechfresh.Tracker // age of the operators' documents
-		serverFreshness *beechfresh.Tracker // age of the list of servers
+		endsAt          atomic.Pointer[time.Time] // when the grace time ends; nil: not while the listener is open
+		freshness       *beechfresh.Tracker       // age of the operators' documents
+		serverFreshness *beechfresh.Tracker       // age of the list of servers
 		placer          *beechplace.Placer
 		health          *beechhealth.Tracker
 		suspects        *beechsuspect.Registry
@@ -341,6 +342,8 @@
 	g.refreshDuties()
 	g.clock.Sleep(drainDelay)
 	remaining := time.Duration(g.bounds.Load().Grace) - stopMargin - g.clock.Since(start)
+	end := g.clock.Now().Add(remaining)
+	g.endsAt.Store(&end)
 	ctx, cancel := clockwork.WithTimeout(context.Background(), g.clock, remaining)
 	defer cancel()
 	err := g.drainCallers(ctx)
