Keepers tell an engine that is silent from one that is down

A sound engine that was silent for 1.2 s got no requests for 0.4 s of it and for 1.5 s after it.

Cause: two reports that took longer than 0.4 s counted as an engine that is down, like refused connections. All gates took it from their lists, also if all were silent at once; when it was back they left it alone as long as a new process at its address is doubted, though it was the same one; and a crash was counted, by which copies of runs are made.

Mend: the keeper tells by beechsilence whether reports time out or fail. A new phase, silent, is told after two late reports; down follows at 2.5 s, or with the second refused connection as before. Gates send requests to other engines meanwhile, as before, and to silent ones if a service has no other that may be used. From silent to serving is no new process, and no crash. Turns of rollouts treat silent as down. Beside any usable engine decisions are as before (TestSilentEngineKeepsItsPlace). The answer to an order that was called Silent is now Unanswered.

Not changed: a keeper that is itself silent; its last report holds for 3 s.

--- a/internal/process/beechkeeper/keeper.go
+++ b/internal/process/beechkeeper/keeper.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"errors"
+	"net"
 	"net/netip"
 	"sync"
 	"time"
@@ -12,6 +14,7 @@
 	"go.uber.org/zap"
 
 	"github.com/beechring/beechring/internal/decision/beechpoison"
+	"github.com/beechring/beechring/internal/decision/beechsilence"
 	"github.com/beechring/beechring/internal/decision/beechstrain"
 	"github.com/beechring/beechring/internal/decision/beechsuspect"
 	"github.com/beechring/beechring/internal/decision/beechthrottle"
@@ -90,6 +93,7 @@
 		suspects   *beechsuspect.Registry
 		poison     *beechpoison.Tracker // kept for gates that start anew
 		metrics    *metrics
+		watch      *beechsilence.Watch // of the engine; only for controlEngine
 		wake       chan struct{}
 
 		mu          sync.Mutex
@@ -120,6 +124,7 @@
 
 const (
 	reportTimeout       = 400 * time.Millisecond
+	silencePatience     = 2500 * time.Millisecond // a sound engine may be silent for up to two seconds
 	orderTimeout        = 800 * time.Millisecond
 	gateTimeout         = 2500 * time.Millisecond // three messages of a gate
 	trafficInterval     = 15 * time.Second        // as in gates: four lines a minute per host
@@ -145,6 +150,7 @@
 		updater:  beechrollout.NewUpdater(beechrollout.Settings{}), gates: make(map[netip.AddrPort]*gateState),
 		lastNumber: uint32(deps.Clock.Now().Unix()) << sequenceBits,
 		strain:     strainState{lastNumber: uint32(deps.Clock.Now().Unix()) << sequenceBits},
+		watch:      beechsilence.New(beechsilence.Settings{Limit: reportTimeout, Patience: silencePatience}),
 		wake:       make(chan struct{}, 1), cachedParts: cachedParts,
 	}
 	k.metrics = newMetrics(k)
@@ -260,13 +266,17 @@
 // pollEngine polls the engine once, acts on its report, and returns the time until the next
 // poll.
 func (k *Keeper) pollEngine(ctx context.Context) time.Duration {
-	limited, cancel := clockwork.WithTimeout(ctx, k.deps.Clock, reportTimeout)
+	limited, cancel := clockwork.WithTimeout(ctx, k.deps.Clock, k.watch.Limit())
 	polledAt := k.deps.Clock.Now()
 	report, err := k.deps.Engine.Report(limited)
 	cancel()
 	report.Known = err == nil
-	if !report.Known {
+	if report.Known {
+		k.watch.Answered()
+	} else {
 		k.metrics.missedReports.Add(1)
+		k.watch.Missed(polledAt, k.deps.Clock.Now(), timedOut(err))
+		report.Silent = k.watch.State() == beechsilence.Silent
 	}
 	k.mu.Lock()
 	if slowness := k.slowness.current(k.deps.Clock.Now()); slowness > 0 {
@@ -311,6 +321,12 @@
 	return 0
 }
 
+// timedOut reports whether an error only says that the engine did not answer in time.
+func timedOut(err error) bool {
+	var network net.Error
+	return errors.Is(err, context.DeadlineExceeded) || errors.As(err, &network) && network.Timeout()
+}
+
 // reportsLimit reports whether an answer named a limit, be it an invalid one.
 func reportsLimit(limit beechthrottle.ServerLimit) bool {
 	switch limit.(type) {
--- a/internal/process/beechkeeper/keeper_test.go
+++ b/internal/process/beechkeeper/keeper_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"net/netip"
 	"slices"
 	"testing"
@@ -41,7 +42,7 @@
 func (engine) Slowness(context.Context, string) (int, error) { return 0, errNoEngine }
 
 func (engine) Order(context.Context, string, beechrollout.Order) (beechrollout.Answer, error) {
-	return beechrollout.Silent, errNoEngine
+	return beechrollout.Unanswered, errNoEngine
 }
 
 func (e engine) CacheSnapshot(context.Context) (CacheSnapshot, error) {
@@ -245,3 +246,52 @@
 	is.Equal(tell.Gone, []uint64{1, 2})
 	is.Equal(tell.Born, uint64(200))
 }
+
+// silentEngine answers no question for its state in time.
+type silentEngine struct {
+	engine
+	clock clockwork.Clock
+}
+
+func (e silentEngine) Report(context.Context) (Report, error) {
+	e.clock.(*clockwork.FakeClock).Advance(reportTimeout)
+	return Report{}, fmt.Errorf("report: %w", context.DeadlineExceeded)
+}
+
+// An engine does not answer for two seconds, and then for good. Its keeper must not report it as down
+// before it is silent for longer than a sound one.
+func TestSilentEngineIsReportedAsSilent(t *testing.T) {
+	is := is.New(t)
+	e := engine{reports: make(chan Report, 1)}
+	k := newKeeper(t, e)
+	e.reports <- Report{}
+	k.pollEngine(t.Context())
+	is.Equal(k.phase, beechrollout.Serving)
+	k.deps.Engine = silentEngine{e, k.deps.Clock}
+	began := k.deps.Clock.Now()
+	k.pollEngine(t.Context())
+	is.Equal(k.phase, beechrollout.Serving)
+	for k.deps.Clock.Since(began) < 2*time.Second {
+		k.pollEngine(t.Context())
+		is.Equal(k.phase, beechrollout.Silent)
+	}
+	k.pollEngine(t.Context())
+	k.pollEngine(t.Context())
+	is.Equal(k.phase, beechrollout.Down)
+	k.deps.Engine = e
+	e.reports <- Report{}
+	k.pollEngine(t.Context())
+	is.Equal(k.phase, beechrollout.Serving)
+}
+
+// An engine's host refuses connections. Its keeper must report that at once.
+func TestRefusingEngineIsReportedAsDown(t *testing.T) {
+	is := is.New(t)
+	e := engine{reports: make(chan Report, 1)}
+	k := newKeeper(t, e)
+	e.reports <- Report{}
+	k.pollEngine(t.Context())
+	k.pollEngine(t.Context())
+	k.pollEngine(t.Context())
+	is.Equal(k.phase, beechrollout.Down)
+}
--- a/internal/request/beechplace/choose.go
+++ b/internal/request/beechplace/choose.go
@@ -53,9 +53,9 @@
 	var limited []Choice
 	var bestServer *server
 	found := false
-	parts := p.sharedParts(call, now)
+	parts, mayReceive := p.sharedParts(call, now), p.receivers(call.Service, now)
 	for _, s := range p.services[call.Service] {
-		if slices.Contains(tried, s.ID) || !p.mayServe(call, s, now) || (admit != nil && !admit(p.roomOf(s, now))) {
+		if slices.Contains(tried, s.ID) || !s.continues(call) || !mayReceive(s) || (admit != nil && !admit(p.roomOf(s, now))) {
 			continue
 		}
 		limitedNow := p.updateLimited(s)
@@ -152,9 +152,9 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	now := p.clock.Now()
-	rate, limited := 0.0, false
+	rate, limited, mayReceive := 0.0, false, p.receivers(service, now)
 	for _, s := range p.services[service] {
-		if p.mayReceive(s, now) && p.limits.Limited(s.ID) {
+		if mayReceive(s) && p.limits.Limited(s.ID) {
 			limited = true
 			rate += p.limits.Rate(s.ID) / float64(p.settings.Gates)
 		}
@@ -173,19 +173,60 @@
 	return at.Sub(now)
 }
 
+// inService reports whether a server may be used as far as its entry and its answers tell.
+func (p *Placer) inService(s *server, now time.Time) bool {
+	return !s.isLeaving() && !s.superseded && !now.Before(s.downUntil) && !now.Before(s.unavailableUntil) && !now.Before(s.identityDoubtUntil)
+}
+
 func (p *Placer) usable(s *server, now time.Time) bool {
-	if s.isLeaving() || s.superseded || now.Before(s.downUntil) || now.Before(s.unavailableUntil) || now.Before(s.identityDoubtUntil) {
+	if !p.inService(s, now) {
 		return false
 	}
 	return !s.hasRecentReport(now) || s.state.Phase == beechrollout.Serving
 }
 
-// mayReceive reports whether a request may be sent to a server now. One that has asked this
-// gate for none gets none, whatever its keeper reports: an overloaded server may look idle.
-func (p *Placer) mayReceive(s *server, now time.Time) bool {
-	return p.usable(s, now) && p.backoff.Remaining(s.ID) == 0
+// isSilent reports whether a server is in service and its keeper has no answer of it at the moment.
+func (p *Placer) isSilent(s *server, now time.Time) bool {
+	return s.hasRecentReport(now) && s.state.Phase == beechrollout.Silent && p.inService(s, now)
+}
+
+// onlySilent reports whether no server of a service is usable and some are only silent. These then
+// get the requests: all others are known not to take them.
+func (p *Placer) onlySilent(service string, now time.Time) bool {
+	silent := false
+	for _, s := range p.services[service] {
+		if p.usable(s, now) {
+			return false
+		}
+		silent = silent || p.isSilent(s, now)
+	}
+	return silent
+}
+
+// receivers returns a function that reports whether a request may be sent to a server of a service
+// now. One that has asked this gate for none gets none, whatever its keeper reports: an overloaded
+// server may look idle. The caller holds the lock, also while it calls the function.
+func (p *Placer) receivers(service string, now time.Time) func(*server) bool {
+	known, onlySilent := false, false
+	return func(s *server) bool {
+		if !p.usable(s, now) {
+			if !p.isSilent(s, now) {
+				return false
+			}
+			if !known {
+				known, onlySilent = true, p.onlySilent(service, now)
+			}
+			if !onlySilent {
+				return false
+			}
+		}
+		return p.backoff.Remaining(s.ID) == 0
+	}
 }
 
+// mayReceive reports whether a request may be sent to a server now.
+func (p *Placer) mayReceive(s *server, now time.Time) bool { return p.receivers(s.Service, now)(s) }
+
 // mayServe reports whether a call may be sent to a server now.
 func (p *Placer) mayServe(call *beechcall.Call, s *server, now time.Time) bool {
 	return s.continues(call) && p.mayReceive(s, now)
--- a/internal/request/beechplace/placer.go
+++ b/internal/request/beechplace/placer.go
@@ -313,7 +313,8 @@
 	if !ok || (s.Number < engine.state.Number && engine.hasRecentReport(p.clock.Now())) {
 		return ""
 	}
-	if s.Phase == beechrollout.Down && engine.state.Phase == beechrollout.Serving && !engine.reportedAt.IsZero() && !engine.isLeaving() {
+	serving := engine.state.Phase == beechrollout.Serving || engine.state.Phase == beechrollout.Silent
+	if s.Phase == beechrollout.Down && serving && !engine.reportedAt.IsZero() && !engine.isLeaving() {
 		p.crashRisk(engine.Service).RecordCrash(p.clock.Now())
 	}
 	if engine.state.Phase == beechrollout.Down && s.Phase != beechrollout.Down {
--- a/internal/request/beechplace/room.go
+++ b/internal/request/beechplace/room.go
@@ -23,8 +23,9 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	now, sum := p.clock.Now(), 0.0
+	mayReceive := p.receivers(service, now)
 	for _, s := range p.services[service] {
-		if p.mayReceive(s, now) {
+		if mayReceive(s) {
 			sum += p.serverPrefillRate(s, now)
 		}
 	}
@@ -36,9 +37,9 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	now := p.clock.Now()
-	usable, admitted := 0, 0
+	usable, admitted, mayReceive := 0, 0, p.receivers(service, now)
 	for _, s := range p.services[service] {
-		if !p.mayReceive(s, now) {
+		if !mayReceive(s) {
 			continue
 		}
 		usable++
--- a/internal/request/beechplace/usable_test.go
+++ b/internal/request/beechplace/usable_test.go
@@ -117,6 +117,32 @@
 	is.True(ok)
 }
 
+// An engine is silent for a moment. Others are used meanwhile, and it is used itself if all others are
+// silent too. It is back at once, since the same process goes on.
+func TestSilentEngineKeepsItsPlace(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(2)
+	phases := func(first, second beechrollout.Phase) {
+		f.reportAll(func(i int, s *State) { s.Phase = []beechrollout.Phase{first, second}[i] })
+	}
+	call := newCall("s", 0, 10)
+	phases(beechrollout.Silent, beechrollout.Serving)
+	is.Equal(f.choose(t, call).Server.ID, "e01")
+	_, ok := f.Choose(call, []string{"e01"})
+	is.True(!ok)
+	phases(beechrollout.Silent, beechrollout.Silent)
+	choice, ok := f.Choose(call, []string{"e01"})
+	is.True(ok)
+	is.Equal(choice.Server.ID, "e00")
+	is.True(f.StillUsable(call, choice))
+	is.True(f.Capacity(call.Service) > 0)
+	phases(beechrollout.Silent, beechrollout.Down)
+	is.Equal(f.choose(t, call).Server.ID, "e00")
+	phases(beechrollout.Serving, beechrollout.Down)
+	_, ok = f.Choose(call, []string{"e01"})
+	is.True(ok)
+}
+
 // An unreachable server is excluded for a time that doubles with each failure, and then tried
 // again.
 func TestUnreachableServerBacksOff(t *testing.T) {
--- a/internal/request/beechrollout/fleet_test.go
+++ b/internal/request/beechrollout/fleet_test.go
@@ -117,7 +117,7 @@
 		phase = step.Phase
 	case Order:
 		if e.unresponsive || f.random.Float64() < f.lost {
-			e.updater.RecordAnswer(Silent)
+			e.updater.RecordAnswer(Unanswered)
 			break
 		}
 		e.updater.RecordAnswer(Taken)
--- a/internal/request/beechrollout/schedule.go
+++ b/internal/request/beechrollout/schedule.go
@@ -40,7 +40,7 @@
 	var waiting []Engine
 	for _, e := range interleaveZones(engines) {
 		switch {
-		case e.KeeperTimedOut || e.Phase == Down || e.UnansweredOrders >= maxUnansweredOrders:
+		case e.KeeperTimedOut || e.Phase == Down || e.Phase == Silent || e.UnansweredOrders >= maxUnansweredOrders:
 		case e.Phase == Leaving || e.Phase == Loading:
 			limit--
 		case e.Version < newest:
@@ -69,7 +69,7 @@
 			f.TimeLeft = append(f.TimeLeft, maxAge-e.SupersededFor)
 		}
 		switch {
-		case e.KeeperTimedOut || e.Phase == Down:
+		case e.KeeperTimedOut || e.Phase == Down || e.Phase == Silent:
 			f.Down++
 		case e.Phase == Serving:
 			requests += e.Requests
--- a/internal/request/beechrollout/updater.go
+++ b/internal/request/beechrollout/updater.go
@@ -15,6 +15,7 @@
 	// Report is the state that an engine reports.
 	Report struct {
 		Known    bool
+		Silent   bool // not known since the engine does not answer now, as a sound one may for a moment
 		Versions map[string]uint64
 		Busy     bool // an order is being carried out
 		Sequence uint64
@@ -72,20 +73,21 @@
 	Leaving       // draining: it receives no new requests, since its update is about to start
 	Loading       // an order is being carried out
 	Down          // it does not answer its own host
+	Silent        // it serves, and has not answered its own host for a moment
 )
 
 // Answers to orders.
 const (
-	Taken    Answer = iota // the order is being carried out or already holds
-	Conflict               // another order is being carried out, or the sequence differs: check the state again
-	Silent                 // no answer
+	Taken      Answer = iota // the order is being carried out or already holds
+	Conflict                 // another order is being carried out, or the sequence differs: check the state again
+	Unanswered               // no answer
 )
 
 const (
 	idlePollInterval       = 200 * time.Millisecond
 	activePollInterval     = 40 * time.Millisecond
 	orderRetryInterval     = 700 * time.Millisecond // an order without effect is repeated
-	missedReportsUntilDown = 2                      // one report may be lost with a kept-alive connection
+	missedReportsUntilTold = 2                      // one report may be lost with a kept-alive connection
 	gateTimeout            = 3 * time.Second        // without messages from gates, a keeper acts on its own; gates send every 0.7 s
 	inFlightDelay          = 60 * time.Millisecond  // requests sent before the gates learned of the draining have arrived by then
 )
@@ -104,6 +106,8 @@
 		return "loading"
 	case Down:
 		return "down"
+	case Silent:
+		return "silent"
 	}
 	return "unknown" // received in a datagram
 }
@@ -201,10 +205,8 @@
 // Next returns what to do, given the engine's latest report.
 func (u *Updater) Next(now time.Time, r Report) Step {
 	if !r.Known {
-		if u.missedReports++; u.missedReports < missedReportsUntilDown {
-			return Wait{After: activePollInterval, Phase: u.phase()}
-		}
-		return Wait{After: activePollInterval, Phase: Down}
+		u.missedReports++
+		return Wait{After: activePollInterval, Phase: u.phaseWithoutReport(r.Silent)}
 	}
 	u.missedReports = 0
 	if r.Restarted(u.lastReport) {
@@ -261,12 +263,26 @@
 	case Conflict:
 		u.orderPending = false
 		u.orderedAt = time.Time{}
-	case Silent:
+	case Unanswered:
 		u.orderPending = false
 		u.unansweredOrders++
 	}
 }
 
+// phaseWithoutReport returns the phase while reports are missing.
+func (u *Updater) phaseWithoutReport(silent bool) Phase {
+	phase := u.phase()
+	switch {
+	case u.missedReports < missedReportsUntilTold:
+		return phase
+	case !silent:
+		return Down
+	case phase == Serving:
+		return Silent
+	}
+	return phase
+}
+
 func (u *Updater) phase() Phase {
 	switch {
 	case u.orderPending:
--- a/internal/request/beechrollout/updater_test.go
+++ b/internal/request/beechrollout/updater_test.go
@@ -91,12 +91,12 @@
 	u.next(at(1))
 	_, ok := u.after(time.Second).next(at(1)).(Order)
 	is.True(ok)
-	u.RecordAnswer(Silent)
+	u.RecordAnswer(Unanswered)
 	is.Equal(phaseOf(u.after(100*time.Millisecond).next(at(1))), Serving)
 	again, ok := u.after(orderRetryInterval).next(at(1)).(Order)
 	is.True(ok) // on the same condition: if the first is carried out, this one is not
 	is.Equal(again.Sequence, uint64(0))
-	u.RecordAnswer(Silent)
+	u.RecordAnswer(Unanswered)
 	busy := at(1)
 	busy.Busy, busy.Sequence = true, 1
 	is.Equal(phaseOf(u.after(10*time.Millisecond).next(busy)), Loading)
@@ -232,3 +232,26 @@
 	u.next(at(3))
 	is.Equal(u.SupersededFor(u.now), time.Duration(0))
 }
+
+// An engine is silent for a moment, and later refuses its keeper's connections.
+func TestSilentEngineIsNotDown(t *testing.T) {
+	is := is.New(t)
+	u := newUpdaterAt()
+	silent := Report{Silent: true}
+	is.Equal(phaseOf(u.next(at(1))), Serving)
+	is.Equal(phaseOf(u.after(400*time.Millisecond).next(silent)), Serving) // one report may be lost
+	for range 5 {
+		is.Equal(phaseOf(u.after(400*time.Millisecond).next(silent)), Silent)
+	}
+	is.Equal(phaseOf(u.after(time.Second).next(at(1))), Serving)
+	is.Equal(phaseOf(u.next(Report{})), Serving)
+	is.Equal(phaseOf(u.next(Report{})), Down)
+	is.Equal(phaseOf(u.next(at(1))), Serving)
+
+	busy := at(1)
+	busy.Busy = true
+	is.Equal(phaseOf(u.next(busy)), Loading)
+	for range 3 {
+		is.Equal(phaseOf(u.next(silent)), Loading) // it takes no requests, silent or not
+	}
+}
