Links: a round that is asked for after a stop of the process knows of the stop

Callers saw: nothing measured. By reading: all links of a process that was stopped for more than 1.5 s could be given up at once as it went on, and with them claims and other calls under way.

Cause: the periodic round sees that it comes late and lets the silence of peers begin anew; a round that is asked for by a change of the heartbeat (new configuration, suspects, a drain) did not, and may come first.

Mend: both compare with the last periodic round.

--- a/internal/link/beechlink/client_test.go
+++ b/internal/link/beechlink/client_test.go
@@ -381,3 +381,29 @@
 	is.True(kept.usable())
 	is.Equal(p.dialer.Counters().Lost, uint64(0))
 }
+
+// This process was stopped for longer than the deadline, and a change of its heartbeat asks for a round
+// before the periodic one has noticed the stop. The peer must not be taken for silent.
+func TestUrgentRoundAfterAStopEndsNoLink(t *testing.T) {
+	is := is.New(t)
+	clock := clockwork.NewFakeClock()
+	l := loopback(t)
+	t.Cleanup(func() { l.Close() })
+	d := newDialer(Settings{Connections: 1}, &recorder{}, nil, clock)
+	t.Cleanup(d.Close)
+	c := d.Dial(addressOf(l.Addr()))
+	acceptAsAgent(t, l)
+	waitFor(t, "the link is up", c.Ready)
+	openStream(t, c, "a")
+	for range 20 {
+		d.scheduler.mu.Lock() // holds up the round that is asked for first
+		d.PushHeartbeat()
+		waitFor(t, "the round has begun", func() bool { return len(d.scheduler.trigger) == 0 })
+		d.PushHeartbeat()
+		clock.Advance(10 * time.Second)
+		d.scheduler.mu.Unlock()
+		time.Sleep(5 * time.Millisecond)
+		is.True(c.Ready())
+	}
+	is.Equal(d.Counters().Silent, uint64(0))
+}
--- a/internal/link/beechlink/scheduler.go
+++ b/internal/link/beechlink/scheduler.go
@@ -53,7 +53,8 @@
 			case <-scheduler.stop:
 				return
 			case <-scheduler.trigger:
-				scheduler.runTick(clock.Now(), false)
+				now := clock.Now()
+				scheduler.runTick(now, now.Sub(last) > 2*period)
 				continue
 			case <-ticker.Chan():
 			}
