Entry host: a link that was lost a moment ago outlives the host list

Callers saw: nothing measured; by reading, the answers under way at an agent whose link had been silent for 1.5 s were given up if the platform's host list dropped the agent in the same moment, as it does when the agent leaves.

Cause: an unlisted agent's link was closed as soon as it was down, also while the streams that it carried were about to be joined again.

Mend: it is closed when it has been down for 5 s, longer than answers are joined again (1.2 s).

--- a/internal/process/beechentry/fleet.go
+++ b/internal/process/beechentry/fleet.go
@@ -58,6 +58,9 @@
 	maxRemoteLinks = 32
 
 	callTimeout = time.Second
+
+	// lostLinkTime is longer than answers under way are joined again after their link was lost.
+	lostLinkTime = 5 * time.Second
 )
 
 func newFleet(e *Entry, linkTLS *tls.Config) *fleet {
@@ -128,14 +131,15 @@
 	return wanted
 }
 
-// dropUnwanted closes links that are down and whose agent is neither wanted nor
-// a seed.
+// dropUnwanted closes links that have been down for a while and whose agent is neither
+// wanted nor a seed.
 func (f *fleet) dropUnwanted(wanted []beechstore.Host) {
 	var closing []*beechlink.Client
 	f.mu.Lock()
 	for address, l := range f.links {
 		listed := slices.ContainsFunc(wanted, func(h beechstore.Host) bool { return h.Address == address })
-		if !listed && !l.up && !slices.Contains(f.entry.settings.Seeds, address) {
+		joining := f.entry.clock.Since(l.lostAt) < lostLinkTime
+		if !listed && !l.up && !joining && !slices.Contains(f.entry.settings.Seeds, address) {
 			closing = append(closing, l.client)
 			delete(f.links, address)
 		}
