--- a/internal/decision/beechgossip/group_test.go
+++ b/internal/decision/beechgossip/group_test.go
@@ -478,3 +478,36 @@
 		t.Fatal("lists do not agree after 40 s")
 	})
 }
+
+// Members are suspended for a second or so and go on, alone or a third of them at once. None may be
+// taken for dead: its duties would move to others and back.
+func TestSilentMembersStayMembers(t *testing.T) {
+	for _, members := range []int{3, 8, 40} {
+		for _, silent := range []int{1, members / 3} {
+			for offset := time.Duration(0); offset < DefaultSettings.ProbeInterval; offset += 100 * time.Millisecond {
+				t.Run(fmt.Sprint(silent, " of ", members, " after ", offset), func(t *testing.T) {
+					is := is.New(t)
+					f := newFleet(uint64(members))
+					for n := 1; n <= members; n++ {
+						f.start(n, 1, 2)
+					}
+					f.until(t, "all are known", 10*time.Second, f.agree)
+					f.run(5*time.Second + offset)
+					for n := 1; n <= silent; n++ {
+						f.nodes[address(n)].frozen = true
+					}
+					f.run(1200 * time.Millisecond)
+					is.True(f.agree())
+					for n := 1; n <= silent; n++ {
+						f.nodes[address(n)].frozen = false
+					}
+					f.run(3 * time.Second)
+					is.True(f.agree())
+					for _, x := range f.nodes {
+						is.Equal(x.Counts().Died, 0)
+					}
+				})
+			}
+		}
+	}
+}
--- a/internal/process/beechkeeper/keeper_test.go
+++ b/internal/process/beechkeeper/keeper_test.go
@@ -295,3 +295,18 @@
 	k.pollEngine(t.Context())
 	is.Equal(k.phase, beechrollout.Down)
 }
+
+// A gate is silent for 1.2 s after its last message, of which it sends one each 0.7 s. It must still get
+// the state.
+func TestSilentGateIsStillToldTheState(t *testing.T) {
+	is := is.New(t)
+	k := newKeeper(t, engine{})
+	clock := k.deps.Clock.(*clockwork.FakeClock)
+	g := newGate(t)
+	k.receive(g.Address(), beechdatagram.Follow{Follow: &beechwire.Follow{Zone: k.settings.Zone}})
+	is.True(g.nextTell() != nil)
+	clock.Advance(700*time.Millisecond + 1200*time.Millisecond)
+	k.notify(true)
+	is.True(g.nextTell() != nil)
+	is.Equal(len(k.gates), 1)
+}
--- a/internal/request/beechplace/usable_test.go
+++ b/internal/request/beechplace/usable_test.go
@@ -258,3 +258,22 @@
 	}
 	<-done
 }
+
+// The keepers of all engines are silent for two seconds while the engines go on. What they reported last
+// still holds.
+func TestSilentKeepersChangeNothing(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(2)
+	f.reportAll(func(i int, s *State) {
+		if i == 1 {
+			s.Phase = beechrollout.Down
+		}
+	})
+	for _, s := range f.servers {
+		f.LoseState(s.Address)
+	}
+	f.clock.Advance(2 * time.Second)
+	is.Equal(f.choose(t, newCall("s", 0, 10)).Server.ID, "e00")
+	_, ok := f.Choose(newCall("s", 0, 10), []string{"e00"})
+	is.True(!ok)
+}
