Attempts: a silent server's call is sent to another one beside it, not instead of it

Cause: the watchdog withdrew the attempt as soon as the budget had a retry. Whether another server, of the same software, with room and an attempt left, would answer was known only afterwards. Its timer also went on while the gate wrote to a slow caller, and did not look for data when it struck late.

Change (docs/design/silence.md): the first attempt stays open and a hedge is sent after the last event that the caller has; whichever has whole events, or a whole answer, first goes on, the others are withdrawn then. A server, an attempt and a retry are there before anything is sent, else it is looked again. If the first breaks off, hedges under way are waited for. Servers on which this gate has silent attempts get no hedges, so that servers that fall silent together cause no sends and spend no budget. A silent server counts as failed only once another has gone on. Routes that ask for one run are served as before.

Why it works: nothing is ended by silence, only by the caller, the deadline, or a failure with nothing left.

--- /dev/null
+++ b/internal/request/beechattempt/activity.go
@@ -0,0 +1,81 @@
+package beechattempt
+
+import (
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+)
+
+type (
+	// activities tell which servers are silent to this gate. It is safe for concurrent use.
+	activities struct {
+		clock clockwork.Clock
+		start time.Time
+
+		mu      sync.Mutex
+		servers map[string]*activity // with attempts under way, by ID
+	}
+
+	// activity is what the attempts under way at a server tell of it. A nil one records nothing.
+	activity struct {
+		id       string
+		attempts int // guarded by activities.mu
+
+		overdue atomic.Int32 // attempts that have had no data for longer than their time-outs
+		reading atomic.Int32 // streams that have begun and wait for data
+		heardAt atomic.Int64 // when the last of their data came, since activities.start
+	}
+)
+
+func newActivities(clock clockwork.Clock) *activities {
+	return &activities{clock: clock, start: clock.Now(), servers: make(map[string]*activity)}
+}
+
+// begin counts an attempt at a server, until end.
+func (s *activities) begin(server string) *activity {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	a, ok := s.servers[server]
+	if !ok {
+		a = &activity{id: server}
+		s.servers[server] = a
+	}
+	a.attempts++
+	return a
+}
+
+func (s *activities) end(a *activity) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if a.attempts--; a.attempts == 0 {
+		delete(s.servers, a.id)
+	}
+}
+
+// silent returns the servers with an attempt that is overdue, and those of which no stream has had data
+// for longer than quiet.
+func (s *activities) silent(quiet time.Duration) []string {
+	now := s.clock.Since(s.start)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var silent []string
+	for id, a := range s.servers {
+		if a.overdue.Load() > 0 || a.reading.Load() > 0 && now-time.Duration(a.heardAt.Load()) > quiet {
+			silent = append(silent, id)
+		}
+	}
+	return silent
+}
+
+// beginReading records that a stream waits for data. The first one to do so has its server heard now: while
+// no stream waits, nothing is known of it.
+func (s *activities) beginReading(a *activity, now time.Time) {
+	if a.reading.Add(1) == 1 {
+		s.heard(a, now)
+	}
+}
+
+// heard records that data of a stream has come.
+func (s *activities) heard(a *activity, now time.Time) { a.heardAt.Store(int64(now.Sub(s.start))) }
--- a/internal/request/beechattempt/backup.go
+++ b/internal/request/beechattempt/backup.go
@@ -36,9 +36,9 @@
 		name beechcall.CopyName // zero: it was not made
 	}
 
-	// copyCalls are the calls under way that make copies of runs and free them. Unlike a sync.WaitGroup it
-	// may be waited for while others begin.
-	copyCalls struct {
+	// backgroundCalls are calls under way to servers, such as those that make copies of runs and free them.
+	// Unlike a sync.WaitGroup it may be waited for while others begin.
+	backgroundCalls struct {
 		mu    sync.Mutex
 		count int
 		idle  chan struct{} // closed when count has come back to zero
@@ -217,37 +217,35 @@
 
 // continuationFailed ends a run that was sent to its backup's engine and did not go on there, or
 // broke off again. It may have run at its first server in any case.
-func (r *execution) continuationFailed(choice beechplace.Choice, placement *beechplace.Attempt, err error) verdict {
+func (r *execution) continuationFailed(x *exchange, err error) verdict {
 	var notSent beechcall.NotSent
 	var notExecuted beechcall.NotExecuted
 	switch {
 	case errors.As(err, &notSent):
 		r.notExecuted++
-		placement.Done(beechplace.Unreachable)
+		x.placement.Done(beechplace.Unreachable)
 		r.ended(endNotSent)
 		return r.backupGivenUp(beechbackup.EngineLost)
 	case errors.As(err, &notExecuted):
 		r.notExecuted++
-		placement.Done(beechplace.Rejected)
+		r.dispatcher.endRejected(x, notExecuted)
 		r.ended(endTurnedAway)
-		r.dispatcher.placer.ObserveRejection(choice.Server.ID, notExecuted, r.call.Model)
-		r.logAttempt("turned away", choice, zap.Int("status", notExecuted.Status), zap.Bool("replaced", notExecuted.Replaced), zap.Bool("other weights", notExecuted.WeightsDiffer))
 		if notExecuted.WeightsDiffer {
 			return r.backupGivenUp(beechbackup.WeightsChanged)
 		}
 		return r.backupGivenUp(beechbackup.NoCopy)
 	}
 	r.maybeExecuted++
-	r.logAttempt("failed", choice, zap.Error(err), zap.Duration("silence", r.silence()))
+	r.dispatcher.logAttempt("failed", x, zap.Error(err), zap.Duration("silence", r.silence()))
 	if !r.dispatcher.clock.Now().Before(r.call.Deadline) {
-		placement.Done(beechplace.Cancelled)
+		x.placement.Done(beechplace.Cancelled)
 		r.ended(endDeadline)
 		return r.noRetry(stopDeadline)
 	}
-	placement.Done(beechplace.Failed)
+	x.placement.Done(beechplace.Failed)
 	r.ended(endBroken)
-	r.answerBroken(choice)
-	r.dispatcher.observer.ObserveAttempt(choice.Server, r.call.Model, 0, choice.PrefillTokens, true)
+	r.answerBroken(x.choice)
+	r.dispatcher.observer.ObserveAttempt(x.choice.Server, r.call.Model, 0, x.choice.PrefillTokens, true)
 	return r.backupGivenUp(beechbackup.LostAgain)
 }
 
@@ -288,7 +286,7 @@
 }
 
 // Go makes a call in a goroutine of its own.
-func (c *copyCalls) Go(call func()) {
+func (c *backgroundCalls) Go(call func()) {
 	c.mu.Lock()
 	if c.count == 0 {
 		c.idle = make(chan struct{})
@@ -301,7 +299,7 @@
 	}()
 }
 
-func (c *copyCalls) done() {
+func (c *backgroundCalls) done() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.count--; c.count == 0 {
@@ -310,7 +308,7 @@
 }
 
 // ended returns a channel that is closed once no call is under way.
-func (c *copyCalls) ended() <-chan struct{} {
+func (c *backgroundCalls) ended() <-chan struct{} {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.idle == nil {
--- a/internal/request/beechattempt/backup_test.go
+++ b/internal/request/beechattempt/backup_test.go
@@ -605,7 +605,7 @@
 // Calls that begin and end while a gate stops.
 func TestWaitWhileCopiesBegin(t *testing.T) {
 	is := is.New(t)
-	var c copyCalls
+	var c backgroundCalls
 	var made atomic.Int64
 	var callers sync.WaitGroup
 	for range 8 {
--- a/internal/request/beechattempt/dispatcher.go
+++ b/internal/request/beechattempt/dispatcher.go
@@ -39,7 +39,10 @@
 
 		backups   beechbackup.Mode
 		durations *beechbackup.Durations
-		copies    copyCalls
+		copies    backgroundCalls
+
+		activities *activities
+		hedges     backgroundCalls
 	}
 
 	// Returns decides when callers may come back for whom no server has room.
@@ -179,7 +182,7 @@
 ) *Dispatcher {
 	return &Dispatcher{
 		placer: placer, backend: backend, budget: budget, suspects: suspects, poison: poison, admission: admission, crashes: newCrashDetector(prober, suspects, poison, clock, log),
-		observer: observer, clock: clock, log: log, timeouts: newRouteTimeouts(), pauses: newPauses(clock, log), ends: newAttemptEnds(), backups: beechbackup.Auto, durations: beechbackup.NewDurations(),
+		observer: observer, clock: clock, log: log, timeouts: newRouteTimeouts(), pauses: newPauses(clock, log), ends: newAttemptEnds(), activities: newActivities(clock), backups: beechbackup.Auto, durations: beechbackup.NewDurations(),
 	}
 }
 
@@ -216,16 +219,18 @@
 	return r.attempts - r.notExecuted
 }
 
-// Wait returns when copies of the runs of calls that have ended are freed, or when the context ends.
+// Wait returns when copies of the runs of calls that have ended are freed and their hedges withdrawn, or
+// when the context ends.
 func (d *Dispatcher) Wait(ctx context.Context) {
-	ended := d.copies.ended()
-	select {
-	case <-ended:
-	case <-ctx.Done():
-		if isClosed(ended) {
-			return
+	for calls, late := range map[*backgroundCalls]string{&d.copies: "copies of runs not freed in time", &d.hedges: "hedges not withdrawn in time"} {
+		ended := calls.ended()
+		select {
+		case <-ended:
+		case <-ctx.Done():
+			if !isClosed(ended) {
+				d.log.Warn(late)
+			}
 		}
-		d.log.Warn("copies of runs not freed in time")
 	}
 }
 
--- a/internal/request/beechattempt/ends.go
+++ b/internal/request/beechattempt/ends.go
@@ -49,9 +49,8 @@
 	endWeights      endCause = "weights expire"
 	endServerGone   endCause = "server gone"
 	endNotConnected endCause = "caller not reached"
+	endDropped      endCause = "another was first"
 
-	silenceWithdrawn = "withdrawn"
-	silenceNoBudget  = "waited for: " + string(stopBudget)
 	// silenceLogInterval bounds the log lines on silent attempts: a zone that is cut off has all its
 	// answers silent at once.
 	silenceLogInterval = 100 * time.Millisecond
@@ -89,7 +88,7 @@
 }
 
 // endFields tell an operator who ended the answer that the caller had events of, after how long a silence,
-// and what became of the attempts after it.
+// and what became of the other attempts.
 func (r *execution) endFields() []zap.Field {
 	if len(r.ends) == 0 {
 		return nil
@@ -98,8 +97,10 @@
 	end := r.ends[last]
 	fields := []zap.Field{zap.String("endedBy", string(end.cause)), zap.String("by", end.server), zap.Duration("silence", end.silence)}
 	var tried []string
-	for _, later := range r.ends[last+1:] {
-		tried = append(tried, later.server+" "+string(later.cause))
+	for i, other := range r.ends {
+		if i != last {
+			tried = append(tried, other.server+" "+string(other.cause))
+		}
 	}
 	return append(fields, zap.Strings("tried", tried))
 }
@@ -128,8 +129,8 @@
 }
 
 // silent records that an attempt has been silent for too long, and what is done about it.
-func (e *attemptEnds) silent(d *Dispatcher, request string, silence time.Duration, server beechplace.ServerState, done string) {
-	e.silences.Add(done, 1)
+func (e *attemptEnds) silent(d *Dispatcher, request string, silence time.Duration, server beechplace.ServerState, done silenceAction) {
+	e.silences.Add(string(done), 1)
 	now, last := d.clock.Now().UnixMilli(), e.lastLog.Load()
 	if now-last < silenceLogInterval.Milliseconds() || !e.lastLog.CompareAndSwap(last, now) {
 		e.dropped.Add(1)
@@ -137,5 +138,5 @@
 	}
 	d.log.Info("server silent", zap.String("request", request), zap.String("server", server.ID), zap.Duration("silence", silence),
 		zap.Bool("reported", server.Reported), zap.Duration("reportAge", server.ReportAge), zap.Stringer("engine", server.Phase), zap.Int("underway", server.InFlight),
-		zap.String("then", done), zap.Int64("notLogged", e.dropped.Swap(0)))
+		zap.String("then", string(done)), zap.Int64("notLogged", e.dropped.Swap(0)))
 }
--- a/internal/request/beechattempt/poison.go
+++ b/internal/request/beechattempt/poison.go
@@ -18,11 +18,16 @@
 // which are apart for workspaces that share no cache, and the call itself.
 func (r *execution) poisonTraits() beechpoison.Request {
 	if r.traits == nil {
-		r.traits = &beechpoison.Request{Workspace: uint32(xxhash.Sum64String(r.call.Workspace.Name)), Traits: traitsOf(r.call)}
+		traits := requestOf(r.call)
+		r.traits = &traits
 	}
 	return *r.traits
 }
 
+func requestOf(call *beechcall.Call) beechpoison.Request {
+	return beechpoison.Request{Workspace: uint32(xxhash.Sum64String(call.Workspace.Name)), Traits: traitsOf(call)}
+}
+
 func traitsOf(call *beechcall.Call) []beechpoison.Trait {
 	shared := call.SharedParts()
 	traits := make([]beechpoison.Trait, 0, len(shared)+1)
--- a/internal/request/beechattempt/run.go
+++ b/internal/request/beechattempt/run.go
@@ -43,6 +43,8 @@
 		ends            []attemptEnd
 		startRecorded   bool // the last attempt's answer has begun and gone on
 		traits          *beechpoison.Request
+		current         *exchange // the attempt under way, or the last one
+		hedging         hedging
 		onTrial         bool        // of a blamed trait
 		departed        atomic.Bool // the caller was seen to have disconnected
 		departure       departureWatch
@@ -52,6 +54,21 @@
 		stop            stopCause // of the verdict noRetry
 	}
 
+	// exchange is an attempt at one server.
+	exchange struct {
+		call      *beechcall.Call
+		choice    beechplace.Choice
+		placement *beechplace.Attempt
+		number    int // of the attempts of its call
+		sent      time.Time
+		start     *startLimit
+		activity  *activity
+		withdraw  context.CancelCauseFunc
+		answer    *beechcall.Answer // nil until it has begun
+		read      []byte            // what a hedge has read of its body
+		readErr   error             // after that
+	}
+
 	response struct {
 		status int
 		header http.Header
@@ -69,6 +86,7 @@
 	finished verdict = iota // the caller has its answer or has disconnected
 	tryAgain                // on another server
 	noRetry                 // reject the call or abort its stream
+	hedgeWon                // it goes on with the hedge that has won
 )
 
 const (
@@ -118,13 +136,13 @@
 )
 
 var (
-	errFirstByteTimeout = errors.New("no first byte within the route's time-out")
-	errWeightsExpire    = errors.New("the server's weights expire before the request can start")
-	errAnswerTooLong    = errors.New("answer exceeds 16 MiB")
+	errWeightsExpire = errors.New("the server's weights expire before the request can start")
+	errAnswerTooLong = errors.New("answer exceeds 16 MiB")
 )
 
 func (r *execution) serve(ctx context.Context) string {
 	r.dispatcher.budget.RecordRequest(r.call.Service)
+	defer r.hedging.close()
 	for {
 		if r.callerLeft() {
 			return r.outcome()
@@ -160,7 +178,7 @@
 				return r.giveUp(ctx, reasonAtLimits)
 			}
 			return r.giveUp(ctx, "no more tries")
-		case tryAgain:
+		case tryAgain, hedgeWon:
 		}
 	}
 }
@@ -219,8 +237,18 @@
 	}
 }
 
-// attempt sends the call to one server and forwards the answer to the caller.
+// attempt sends the call to one server, and to others while that one is silent, and forwards the first
+// answer to the caller.
 func (r *execution) attempt(ctx context.Context, choice beechplace.Choice) verdict {
+	v := r.sendTo(ctx, choice)
+	for v == hedgeWon {
+		v = r.forwardHedge(ctx)
+	}
+	return v
+}
+
+// sendTo sends the call to one server and forwards its answer to the caller.
+func (r *execution) sendTo(ctx context.Context, choice beechplace.Choice) verdict {
 	placement := r.dispatcher.placer.StartAttempt(r.call, choice)
 	r.choice = choice
 	if choice.Wait > 0 && r.partWaits < maxPartWaits && !r.waitForPart(ctx, choice) {
@@ -243,13 +271,17 @@
 		return r.noRetry(stopLimit)
 	}
 	r.attempts++
-	ctx, cancel := context.WithCancelCause(ctx)
-	defer cancel(nil)
-	watch := r.newWatchdog(cancel, choice, placement)
-	defer watch.stop()
-	sent := r.dispatcher.clock.Now()
-	r.sentAt, r.begunAt, r.startRecorded = sent, time.Time{}, false
-	answer, err := r.dispatcher.backend.Send(ctx, beechcall.Attempt{
+	withdrawable, withdraw := context.WithCancelCause(ctx)
+	defer withdraw(nil)
+	x := &exchange{
+		call: r.call, choice: choice, placement: placement, number: r.attempts, sent: r.dispatcher.clock.Now(), withdraw: withdraw,
+		start: newStartLimit(r.dispatcher.clock, choice.FirstByteTimeout, withdraw), activity: r.dispatcher.activities.begin(choice.Server.ID),
+	}
+	defer r.dispatcher.activities.end(x.activity)
+	defer x.start.stop()
+	r.beginExchange(ctx, x, r.dispatcher.timeouts.firstByte(r.call.Route.Name, r.call.Route.Objective))
+	r.hedging.wait()
+	answer, err := r.dispatcher.backend.Send(withdrawable, beechcall.Attempt{
 		Call: r.call, Server: choice.Server, Weights: choice.Weights, Salt: choice.Salt,
 		Urgency: r.call.Urgency(), Fetch: choice.Fetch, Save: choice.Save, LastEventID: r.stream.lastEventID,
 		Copy: r.backup.copyName(),
@@ -262,38 +294,111 @@
 		},
 		Reset: r.attemptReset,
 	})
+	r.hedging.pause(false)
 	r.continuationSent(err)
 	if err != nil {
-		return r.handleFailure(choice, placement, watch, err)
+		return r.handleFailure(x, err)
 	}
 	defer answer.Body.Close()
-	placement.ObserveLimit(answer.Limit)
-	placement.ObserveLoad(answer.Load)
+	x.answer = answer
+	r.dispatcher.observeAnswer(x)
+	return r.forward(x)
+}
+
+// beginExchange makes an exchange the attempt under way.
+func (r *execution) beginExchange(ctx context.Context, x *exchange, timeout time.Duration) {
+	r.current, r.choice = x, x.choice
+	r.sentAt, r.begunAt, r.startRecorded = x.sent, time.Time{}, false
+	r.hedging.begin(ctx, r, x, timeout)
+}
+
+// forwardHedge forwards the answer of the hedge that has won.
+func (r *execution) forwardHedge(ctx context.Context) verdict {
+	x := r.hedging.take()
+	defer r.dispatcher.activities.end(x.activity)
+	defer x.withdraw(nil)
+	defer x.answer.Body.Close()
+	r.beginExchange(ctx, x, r.pauseTimeout())
+	r.heardAt = r.dispatcher.clock.Now()
+	if r.callerLeft() {
+		x.placement.Done(beechplace.Cancelled)
+		r.ended(endCallerLeft)
+		return finished
+	}
+	return r.forward(x)
+}
+
+// forward forwards the answer of an exchange.
+func (r *execution) forward(x *exchange) verdict {
+	if r.call.Route.Stream && x.answer.Status == http.StatusOK {
+		return r.forwardStream(x)
+	}
+	return r.forwardWhole(x)
+}
+
+// giveWay ends the attempt under way, which was silent until a hedge had won.
+func (r *execution) giveWay(x *exchange) verdict {
+	x.start.stop()
+	if r.callerLeft() {
+		x.placement.Done(beechplace.Cancelled)
+		r.ended(endCallerLeft)
+		return hedgeWon
+	}
+	r.triedServers = append(r.triedServers, x.choice.Server.ID)
+	r.maybeExecuted++
+	r.onTrial = false
+	x.placement.Done(beechplace.Failed)
+	r.dispatcher.observer.ObserveAttempt(x.choice.Server, r.call.Model, 0, x.choice.PrefillTokens, true)
+	r.dispatcher.ends.silences.Add(string(silenceWon), 1)
+	r.dispatcher.logAttempt("failed", x, zap.Error(errHedgeWon), zap.Bool("patience", true), zap.String("endedBy", string(endSilent)), zap.Duration("silence", r.silence()))
+	r.ended(endSilent)
+	return hedgeWon
+}
+
+// observeAnswer records what the head of an answer tells of its server.
+func (d *Dispatcher) observeAnswer(x *exchange) {
+	answer := x.answer
+	x.placement.ObserveLimit(answer.Limit)
+	x.placement.ObserveLoad(answer.Load)
 	if answer.Load.Slowness > 0 {
-		r.dispatcher.admission.Enable(r.call.Service)
+		d.admission.Enable(x.call.Service)
 	}
-	r.observeBackoff(placement, answer.Backoff)
-	r.observeLeaving(placement, answer.Leaving)
-	r.dispatcher.placer.ObserveVersion(choice.Server.ID, r.call.Model, answer.Weights)
-	if r.call.Route.Stream && answer.Status == http.StatusOK {
-		return r.forwardStream(choice, placement, watch, answer, sent)
+	d.observeBackoff(x, answer.Backoff)
+	d.observeLeaving(x, answer.Leaving)
+	d.placer.ObserveVersion(x.choice.Server.ID, x.call.Model, answer.Weights)
+}
+
+// observeRejection records what the head of an answer tells of a server that has not executed a request.
+func (d *Dispatcher) observeRejection(x *exchange, rejection beechcall.NotExecuted) {
+	if rejection.Replaced {
+		return
 	}
-	return r.forwardWhole(choice, placement, watch, answer, sent)
+	x.placement.ObserveLimit(rejection.Limit)
+	x.placement.ObserveLoad(rejection.Load)
+	d.observeBackoff(x, rejection.Backoff)
+	d.observeLeaving(x, rejection.Leaving)
+}
+
+// endRejected ends an attempt that its server has not executed.
+func (d *Dispatcher) endRejected(x *exchange, rejection beechcall.NotExecuted) {
+	x.placement.Done(beechplace.Rejected)
+	d.placer.ObserveRejection(x.choice.Server.ID, rejection, x.call.Model)
+	d.logAttempt("turned away", x, zap.Int("status", rejection.Status), zap.Bool("replaced", rejection.Replaced), zap.Bool("other weights", rejection.WeightsDiffer))
 }
 
 // observeBackoff records that the server asked for no requests for a time.
-func (r *execution) observeBackoff(placement *beechplace.Attempt, after time.Duration) {
+func (d *Dispatcher) observeBackoff(x *exchange, after time.Duration) {
 	if after <= 0 {
 		return
 	}
-	remaining, reported := placement.ObserveBackoff(after)
-	r.logAttempt("asked to back off", r.choice, zap.Duration("after", after), zap.Duration("remaining", remaining), zap.Bool("reported", reported))
+	remaining, reported := x.placement.ObserveBackoff(after)
+	d.logAttempt("asked to back off", x, zap.Duration("after", after), zap.Duration("remaining", remaining), zap.Bool("reported", reported))
 }
 
 // observeLeaving records that the server said that it leaves.
-func (r *execution) observeLeaving(placement *beechplace.Attempt, leaving bool) {
-	if leaving && placement.ObserveLeaving() {
-		r.logAttempt("answered by a leaving server", r.choice)
+func (d *Dispatcher) observeLeaving(x *exchange, leaving bool) {
+	if leaving && x.placement.ObserveLeaving() {
+		d.logAttempt("answered by a leaving server", x)
 	}
 }
 
@@ -310,19 +415,19 @@
 
 // forwardWhole reads an answer that is not a stream to its end before the caller receives
 // any of it, so that an incomplete one can be replaced by a retry.
-func (r *execution) forwardWhole(choice beechplace.Choice, placement *beechplace.Attempt, watch *watchdog, answer *beechcall.Answer, sent time.Time) verdict {
-	body, err := io.ReadAll(io.LimitReader(answer.Body, maxAnswerBytes+1))
-	switch {
-	case err != nil:
-	case len(body) > maxAnswerBytes:
-		err = errAnswerTooLong
-	case r.serverGone(choice, answer):
-		err = errServerGone
+func (r *execution) forwardWhole(x *exchange) verdict {
+	body, err := x.read, x.readErr
+	if body == nil {
+		body, err = r.readWhole(x)
 	}
 	if err != nil {
-		return r.handleFailure(choice, placement, watch, beechcall.OutcomeUnknown{Peer: choice.Server.Address, Step: "read the answer's body", Err: err})
+		return r.handleFailure(x, beechcall.OutcomeUnknown{Peer: x.choice.Server.Address, Step: "read the answer's body", Err: err})
+	}
+	x.start.stop()
+	if r.hedging.won() {
+		return r.giveWay(x)
 	}
-	watch.stop()
+	choice, placement, answer, sent := x.choice, x.placement, x.answer, x.sent
 	if !r.stream.started {
 		r.firstByte = r.dispatcher.clock.Since(r.started)
 	}
@@ -340,15 +445,24 @@
 		r.maybeExecuted++
 		r.triedServers = append(r.triedServers, choice.Server.ID)
 		r.serverError = &response{answer.Status, answer.Header, body}
-		if r.maybeExecuted < r.call.Route.MaxAttempts && !r.callerLeft() && r.takeRetry(beechretry.RanYes, choice, false) {
-			r.logAttempt("retried", choice, zap.Int("status", answer.Status))
+		if r.hedging.await() {
+			return hedgeWon
+		}
+		if r.executions() < r.call.Route.MaxAttempts && !r.callerLeft() && r.takeRetry(beechretry.RanYes, choice, false) {
+			r.dispatcher.logAttempt("retried", x, zap.Int("status", answer.Status))
 			return tryAgain
 		}
 	}
 	if r.stream.started {
-		r.logAttempt("answered with another response", choice, zap.Int("status", answer.Status))
+		if r.hedging.await() {
+			return hedgeWon
+		}
+		r.dispatcher.logAttempt("answered with another response", x, zap.Int("status", answer.Status))
 		return r.noRetry(stopOtherAnswer) // not a continuation of the events that the caller has
 	}
+	if !r.hedging.keep() {
+		return hedgeWon
+	}
 	r.dispatcher.suspects.RecordSuccess(r.call.Fingerprint())
 	if answer.Status < http.StatusMultipleChoices {
 		r.recordStart()
@@ -357,13 +471,28 @@
 		// The server has not said that it did not run the request, but the status would say so
 		// to the caller, who would send it again.
 		r.maybeExecuted++
-		r.logAttempt("answered with a status that it does not prove", choice, zap.Int("status", answer.Status))
+		r.dispatcher.logAttempt("answered with a status that it does not prove", x, zap.Int("status", answer.Status))
 		return r.noRetry(stopStatus)
 	}
 	r.out.Respond(answer.Status, answer.Header, body)
 	return finished
 }
 
+// readWhole reads the body of an answer that is not a stream.
+func (r *execution) readWhole(x *exchange) ([]byte, error) {
+	r.hedging.wait()
+	body, err := io.ReadAll(io.LimitReader(x.answer.Body, maxAnswerBytes+1))
+	r.hedging.pause(err == nil)
+	switch {
+	case err != nil:
+	case len(body) > maxAnswerBytes:
+		err = errAnswerTooLong
+	case r.serverGone(x):
+		err = errServerGone
+	}
+	return body, err
+}
+
 // wholeAnswerEnd returns what ends an attempt that a server has answered with no stream.
 func (r *execution) wholeAnswerEnd() endCause {
 	if r.stream.started {
@@ -383,90 +512,118 @@
 }
 
 // handleFailure decides what follows an attempt without a complete answer.
-func (r *execution) handleFailure(choice beechplace.Choice, placement *beechplace.Attempt, watch *watchdog, err error) verdict {
-	watch.stop()
+func (r *execution) handleFailure(x *exchange, err error) verdict {
+	x.start.stop()
 	var notExecuted beechcall.NotExecuted
-	if errors.As(err, &notExecuted) && !notExecuted.Replaced {
-		placement.ObserveLimit(notExecuted.Limit)
-		placement.ObserveLoad(notExecuted.Load)
-		r.observeBackoff(placement, notExecuted.Backoff)
-		r.observeLeaving(placement, notExecuted.Leaving)
+	rejected := errors.As(err, &notExecuted)
+	if rejected {
+		r.dispatcher.observeRejection(x, notExecuted)
+	}
+	if r.hedging.won() {
+		return r.giveWay(x)
 	}
 	if errors.Is(err, beechcall.ErrWithdrawn) {
-		return r.handleWithdrawn(placement)
+		return r.handleWithdrawn(x)
 	}
 	if r.callerLeft() {
-		placement.Done(beechplace.Cancelled)
+		x.placement.Done(beechplace.Cancelled)
 		r.ended(endCallerLeft)
 		return finished
 	}
-	r.triedServers = append(r.triedServers, choice.Server.ID)
+	r.triedServers = append(r.triedServers, x.choice.Server.ID)
 	if r.backup.continues {
-		return r.continuationFailed(choice, placement, err)
+		return r.continuationFailed(x, err)
 	}
 	var notSent beechcall.NotSent
+	next := r.nextAfterRejection
 	switch {
 	case errors.As(err, &notSent):
 		r.notExecuted++
-		placement.Done(beechplace.Unreachable)
+		x.placement.Done(beechplace.Unreachable)
 		r.ended(endNotSent)
-		r.logAttempt("not sent", choice, zap.Error(err))
-		if r.attempts < maxAttempts {
-			return tryAgain
-		}
-		return r.noRetry(stopAttempts)
-	case errors.As(err, &notExecuted):
+		r.dispatcher.logAttempt("not sent", x, zap.Error(err))
+		next = r.nextAfterNotSent
+	case rejected:
 		r.notExecuted++
-		placement.Done(beechplace.Rejected)
+		r.dispatcher.endRejected(x, notExecuted)
 		r.ended(endTurnedAway)
-		r.dispatcher.placer.ObserveRejection(choice.Server.ID, notExecuted, r.call.Model)
-		r.logAttempt("turned away", choice, zap.Int("status", notExecuted.Status), zap.Bool("replaced", notExecuted.Replaced), zap.Bool("other weights", notExecuted.WeightsDiffer))
-		if r.attempts >= maxAttempts {
-			return r.noRetry(stopAttempts)
-		}
-		return r.retry(beechretry.RanNo, choice, true)
+	default:
+		next = r.recordFailure(x, err)
+	}
+	if r.hedging.await() {
+		return hedgeWon
+	}
+	if r.callerLeft() {
+		return finished
+	}
+	return next()
+}
+
+// nextAfterNotSent decides what follows an attempt of which nothing has reached its server.
+func (r *execution) nextAfterNotSent() verdict {
+	if r.attempts < maxAttempts {
+		return tryAgain
+	}
+	return r.noRetry(stopAttempts)
+}
+
+// nextAfterRejection decides what follows an attempt that its server has not executed.
+func (r *execution) nextAfterRejection() verdict {
+	if r.attempts >= maxAttempts {
+		return r.noRetry(stopAttempts)
 	}
+	return r.retry(beechretry.RanNo, r.choice, true)
+}
+
+// recordFailure records an attempt that may have been executed and has no whole answer, and returns what
+// decides what follows it.
+func (r *execution) recordFailure(x *exchange, err error) func() verdict {
 	r.maybeExecuted++
 	r.onTrial = false
-	cause := r.failureCause(watch, err)
-	r.logAttempt("failed", choice, zap.Error(err), zap.Bool("patience", watch.hasRetry()), zap.String("endedBy", string(cause)), zap.Duration("silence", r.silence()))
+	cause := r.failureCause(x, err)
+	r.dispatcher.logAttempt("failed", x, zap.Error(err), zap.Bool("patience", false), zap.String("endedBy", string(cause)), zap.Duration("silence", r.silence()))
 	r.ended(cause)
-	if watch.hasRetry() {
-		placement.Done(beechplace.Failed)
-		r.dispatcher.observer.ObserveAttempt(choice.Server, r.call.Model, 0, choice.PrefillTokens, true)
-		return tryAgain
-	}
 	var probed *probe
-	if watch.startMissed() || errors.Is(err, errOtherSoftware) {
-		placement.Done(beechplace.Cancelled)
-	} else if r.dispatcher.clock.Now().Before(r.call.Deadline) {
-		placement.Done(beechplace.Failed)
-		if !errors.Is(err, errServerGone) {
-			probed = r.answerBroken(choice)
+	switch {
+	case cause == endWeights || cause == endSoftware:
+		x.placement.Done(beechplace.Cancelled)
+	case cause == endDeadline:
+		x.placement.Done(beechplace.Cancelled)
+		return func() verdict { return r.noRetry(stopDeadline) }
+	default:
+		x.placement.Done(beechplace.Failed)
+		if cause != endServerGone {
+			probed = r.answerBroken(x.choice)
 		}
-		r.dispatcher.observer.ObserveAttempt(choice.Server, r.call.Model, 0, choice.PrefillTokens, true)
-	} else {
-		placement.Done(beechplace.Cancelled)
-		return r.noRetry(stopDeadline)
+		r.dispatcher.observer.ObserveAttempt(x.choice.Server, r.call.Model, 0, x.choice.PrefillTokens, true)
 	}
+	return func() verdict { return r.nextAfterFailure(x, probed, cause == endServerGone) }
+}
+
+// nextAfterFailure decides what follows an attempt that may have been executed.
+func (r *execution) nextAfterFailure(x *exchange, probed *probe, gone bool) verdict {
 	switch {
 	case r.call.Origin != nil && r.call.Origin.Software == "":
 		return r.noRetry(stopOrigin)
 	case !r.repeatable():
-		return r.continueAtBackup(choice, probed, errors.Is(err, errServerGone))
-	case r.maybeExecuted >= r.call.Route.MaxAttempts:
+		return r.continueAtBackup(x.choice, probed, gone)
+	case r.executions() >= r.call.Route.MaxAttempts:
 		return r.noRetry(stopAttempts)
 	}
 	r.awaitProbe(probed)
-	return r.retry(beechretry.RanUnknown, choice, false)
+	return r.retry(beechretry.RanUnknown, x.choice, false)
+}
+
+// executions returns the number of attempts without a good answer that may have been executed.
+func (r *execution) executions() int {
+	unended := r.hedging.unended() // adds to maybeExecuted
+	return r.maybeExecuted + unended
 }
 
 // failureCause returns what ended an attempt that may have been executed and has no whole answer.
-func (r *execution) failureCause(watch *watchdog, err error) endCause {
+func (r *execution) failureCause(x *exchange, err error) endCause {
 	switch {
-	case watch.hasRetry():
-		return endSilent
-	case watch.startMissed():
+	case x.start.missed():
 		return endWeights
 	case errors.Is(err, errOtherSoftware):
 		return endSoftware
@@ -492,11 +649,11 @@
 
 // serverGone reports whether the server of an answer that ended with its connection has crashed, so
 // that the answer may not be whole. One that leaves may finish its answers while it refuses connections.
-func (r *execution) serverGone(choice beechplace.Choice, answer *beechcall.Answer) bool {
-	if !answer.Unframed || answer.Leaving {
+func (r *execution) serverGone(x *exchange) bool {
+	if !x.answer.Unframed || x.answer.Leaving {
 		return false
 	}
-	probed := r.answerBroken(choice)
+	probed := r.answerBroken(x.choice)
 	<-probed.done
 	return probed.refused
 }
@@ -509,10 +666,13 @@
 }
 
 // handleWithdrawn decides what follows an attempt that was not sent, for a reason on this side.
-func (r *execution) handleWithdrawn(placement *beechplace.Attempt) verdict {
-	placement.Done(beechplace.Withdrawn)
+func (r *execution) handleWithdrawn(x *exchange) verdict {
+	x.placement.Done(beechplace.Withdrawn)
 	r.ended(endWithdrawn)
 	r.attempts--
+	if r.hedging.await() {
+		return hedgeWon
+	}
 	switch {
 	case r.callerLeft():
 		return finished
@@ -575,7 +735,7 @@
 	}
 	fields := []zap.Field{
 		zap.String("request", r.call.ID), zap.String("route", r.call.Route.Name), zap.String("reason", reason),
-		zap.Int("sends", r.attempts), zap.Int("ran", r.maybeExecuted), zap.Duration("took", r.dispatcher.clock.Since(r.started)),
+		zap.Int("sends", r.attempts), zap.Int("ran", r.executions()), zap.Duration("took", r.dispatcher.clock.Since(r.started)),
 	}
 	if r.stop != "" {
 		fields = append(fields, zap.String("cause", string(r.stop)))
@@ -590,7 +750,7 @@
 	case r.serverError != nil:
 		r.out.Respond(r.serverError.status, r.serverError.header, r.serverError.body)
 		return "answered"
-	case r.maybeExecuted == 0:
+	case r.executions() == 0:
 		after := r.timeToReturn(reason)
 		r.dispatcher.log.Warn("request refused", append(fields, zap.Duration("after", after), zap.Bool("again", r.call.CameBack))...)
 		r.out.Reject(NotExecuted{RetryAfter: after, Reason: reason})
@@ -621,10 +781,10 @@
 	return min(jitter(defaultRetryAfter), max(r.call.TimeLeft(r.dispatcher.clock.Now())/3, 0))
 }
 
-func (r *execution) logAttempt(what string, choice beechplace.Choice, fields ...zap.Field) {
-	r.dispatcher.log.Info("attempt "+what, append(fields,
-		zap.String("request", r.call.ID), zap.String("server", choice.Server.ID), zap.Stringer("peer", choice.Server.Address),
-		zap.Uint64("weights", choice.Weights), zap.Int("sends", r.attempts), zap.Float64("cost", choice.Cost))...)
+func (d *Dispatcher) logAttempt(what string, x *exchange, fields ...zap.Field) {
+	d.log.Info("attempt "+what, append(fields,
+		zap.String("request", x.call.ID), zap.String("server", x.choice.Server.ID), zap.Stringer("peer", x.choice.Server.Address),
+		zap.Uint64("weights", x.choice.Weights), zap.Int("sends", x.number), zap.Float64("cost", x.choice.Cost))...)
 }
 
 // milliseconds converts milliseconds to a duration.
--- a/internal/request/beechattempt/stream.go
+++ b/internal/request/beechattempt/stream.go
@@ -2,16 +2,11 @@
 
 import (
 	"bytes"
-	"context"
 	"errors"
 	"io"
-	"sync"
 	"time"
 
-	"github.com/jonboulle/clockwork"
-
 	"github.com/beechring/beechring/internal/decision/beechorigin"
-	"github.com/beechring/beechring/internal/decision/beechretry"
 	"github.com/beechring/beechring/internal/request/beechcall"
 	"github.com/beechring/beechring/internal/request/beechplace"
 )
@@ -22,24 +17,6 @@
 		started     bool
 		lastEventID string // of the last event sent to the caller
 	}
-
-	// watchdog cancels an attempt that is silent for too long, if the call may be retried
-	// elsewhere and the budget allows it.
-	watchdog struct {
-		execution  *execution
-		choice     beechplace.Choice
-		placement  *beechplace.Attempt
-		cancel     context.CancelCauseFunc
-		timer      clockwork.Timer
-		startTimer clockwork.Timer // cancels an attempt that must not start any more
-
-		mu           sync.Mutex
-		retryGranted bool
-		heardAt      time.Time // when data has come, or the attempt was sent
-		missedStart  bool      // cancelled by startTimer
-		started      bool
-		stopped      bool
-	}
 )
 
 const readBufferBytes = 8 << 10
@@ -51,154 +28,109 @@
 	errOtherSoftware   = errors.New("the server's software is not, or may not be, of the version that began the stream")
 )
 
-// newWatchdog starts the time-out for the first byte.
-func (r *execution) newWatchdog(cancel context.CancelCauseFunc, choice beechplace.Choice, placement *beechplace.Attempt) *watchdog {
-	w := &watchdog{execution: r, choice: choice, placement: placement, cancel: cancel, heardAt: r.dispatcher.clock.Now()}
-	if choice.FirstByteTimeout > 0 {
-		w.startTimer = r.dispatcher.clock.AfterFunc(choice.FirstByteTimeout, w.onStartDeadline)
-	}
-	if r.call.Route.RetryPolicy == beechcall.AtMostOnce || r.maybeExecuted+1 >= r.call.Route.MaxAttempts {
-		return w
-	}
-	w.timer = r.dispatcher.clock.AfterFunc(r.dispatcher.timeouts.firstByte(r.call.Route.Name, r.call.Route.Objective), w.onTimeout)
-	return w
-}
-
-// onTimeout takes a retry from the budget and only then cancels the attempt: without a
-// retry, a late answer is better than none.
-func (w *watchdog) onTimeout() {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	if w.stopped || w.retryGranted || w.execution.callerLeft() {
-		return
-	}
-	done := silenceNoBudget
-	if w.execution.takeRetry(beechretry.RanUnknown, w.choice, false) {
-		w.retryGranted, done = true, silenceWithdrawn
-		w.cancel(errFirstByteTimeout)
-	}
-	d := w.execution.dispatcher
-	d.ends.silent(d, w.execution.call.ID, d.clock.Since(w.heardAt), w.placement.ServerState(), done)
-}
-
-// onStartDeadline cancels a request that still waits at an engine whose weights will
-// expire before the request can start.
-func (w *watchdog) onStartDeadline() {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	if w.stopped || w.started {
-		return
-	}
-	w.missedStart = true
-	w.cancel(errWeightsExpire)
-}
-
-func (w *watchdog) stop() {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	w.stopped = true
-	if w.timer != nil {
-		w.timer.Stop()
-	}
-	if w.startTimer != nil {
-		w.startTimer.Stop()
-	}
-}
-
-// startMissed reports whether the attempt was cancelled by onStartDeadline.
-func (w *watchdog) startMissed() bool {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	return w.missedStart
-}
-
-// hasRetry reports whether a retry was taken from the budget.
-func (w *watchdog) hasRetry() bool {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	return w.retryGranted
-}
-
-// dataReceived records that the answer has started, and restarts the time-out for the
-// next data.
-func (w *watchdog) dataReceived(pause time.Duration) {
-	if w.startTimer != nil || w.timer != nil {
-		w.mu.Lock()
-		w.started, w.heardAt = true, w.execution.heardAt
-		w.mu.Unlock()
-	}
-	if w.timer != nil {
-		w.timer.Reset(max(pauseFactor*pause, minPauseTimeout))
-	}
+// pauseTimeout returns how long a stream may be silent until a hedge is sent.
+func (r *execution) pauseTimeout() time.Duration {
+	return max(pauseFactor*r.call.Route.MaxPause, minPauseTimeout)
 }
 
 // forwardStream forwards a stream's complete events as they arrive.
-func (r *execution) forwardStream(choice beechplace.Choice, placement *beechplace.Attempt, watch *watchdog, answer *beechcall.Answer, sent time.Time) verdict {
-	buffer := make([]byte, 0, readBufferBytes)
-	pace := streamPace{pauses: r.dispatcher.pauses, call: r.call, placement: placement}
-	verified := r.call.Route.RetryPolicy != beechcall.Resumable
-	for {
-		if len(buffer) == cap(buffer) {
-			buffer = append(buffer, 0)[:len(buffer)]
+func (r *execution) forwardStream(x *exchange) verdict {
+	buffer, err := x.read, x.readErr
+	haveRead := x.read != nil
+	if !haveRead {
+		buffer = make([]byte, 0, readBufferBytes)
+	}
+	pace := streamPace{pauses: r.dispatcher.pauses, call: r.call, placement: x.placement}
+	verified := r.call.Route.RetryPolicy != beechcall.Resumable || haveRead && r.stream.started
+	for ; ; haveRead = false {
+		if !haveRead {
+			buffer, err = r.readMore(x, buffer)
 		}
-		n, err := answer.Body.Read(buffer[len(buffer):cap(buffer)])
-		buffer = buffer[:len(buffer)+n]
-		if n > 0 {
-			r.heardAt = r.dispatcher.clock.Now()
-			watch.dataReceived(r.call.Route.MaxPause)
-			if end := wholeEvents(buffer); end > 0 {
-				if !verified && !r.verifyOrigin(choice) {
-					err = errOtherSoftware
-					return r.handleFailure(choice, placement, watch, beechcall.OutcomeUnknown{Peer: choice.Server.Address, Step: "read the stream", Err: err})
-				}
-				verified = true
-				if r.begunAt.IsZero() {
-					r.begunAt = r.dispatcher.clock.Now()
-				}
-				if !r.startStream(answer) {
-					r.dispatcher.timeouts.observe(r.call.Route.Name, r.dispatcher.clock.Since(sent), milliseconds(choice.Expected), r.dispatcher.clock.Now())
-					r.firstByte = r.dispatcher.clock.Since(r.started)
-					r.dispatcher.observer.ObserveAttempt(choice.Server, r.call.Model, r.dispatcher.clock.Since(sent), choice.PrefillTokens, false)
-				}
-				placement.FirstByte()
-				pace.received()
-				r.considerBackup(choice, buffer[:end], answer)
-				if id, ok := lastEventID(buffer[:end]); ok {
-					r.stream.lastEventID = id
-				}
-				if r.dispatcher.clock.Since(r.begunAt) >= settleTime {
-					r.recordStart()
-				}
-				if failed := r.out.SendEvents(buffer[:end]); failed != nil {
-					placement.Done(beechplace.Cancelled)
-					r.ended(endNotConnected)
-					return finished
-				}
-				buffer = buffer[:copy(buffer, buffer[end:])]
+		if end := wholeEvents(buffer); end > 0 {
+			if !r.hedging.keep() {
+				return r.giveWay(x)
+			}
+			if !verified && !r.verifyOrigin(x.choice) {
+				err = errOtherSoftware
+				return r.handleFailure(x, beechcall.OutcomeUnknown{Peer: x.choice.Server.Address, Step: "read the stream", Err: err})
 			}
+			verified = true
+			if !r.forwardEvents(x, &pace, buffer[:end]) {
+				return finished
+			}
+			buffer = buffer[:copy(buffer, buffer[end:])]
 		}
 		switch {
 		case err == nil:
 			continue
-		case err == io.EOF && answer.Unframed && r.begunAt.IsZero():
+		case err == io.EOF && x.answer.Unframed && r.begunAt.IsZero():
 			err = errNoEvent
-		case err == io.EOF && len(bytes.TrimSpace(buffer)) == 0 && r.serverGone(choice, answer):
+		case err == io.EOF && len(bytes.TrimSpace(buffer)) == 0 && r.serverGone(x):
 			err = errServerGone
 		case err == io.EOF && len(bytes.TrimSpace(buffer)) == 0:
-			watch.stop()
-			placement.Done(beechplace.Answered)
-			r.ended(endAnswered)
-			r.startStream(answer)
-			r.dispatcher.suspects.RecordSuccess(r.call.Fingerprint())
-			r.recordStart()
-			r.observeDuration()
-			r.out.EndStream()
-			return finished
+			return r.endStream(x)
 		case err == io.EOF:
 			err = errIncompleteEvent
 		}
-		return r.handleFailure(choice, placement, watch, beechcall.OutcomeUnknown{Peer: choice.Server.Address, Step: "read the stream", Err: err})
+		return r.handleFailure(x, beechcall.OutcomeUnknown{Peer: x.choice.Server.Address, Step: "read the stream", Err: err})
+	}
+}
+
+// readMore appends the next data of a stream to the buffer.
+func (r *execution) readMore(x *exchange, buffer []byte) ([]byte, error) {
+	if len(buffer) == cap(buffer) {
+		buffer = append(buffer, 0)[:len(buffer)]
+	}
+	r.hedging.wait()
+	n, err := x.answer.Body.Read(buffer[len(buffer):cap(buffer)])
+	r.hedging.pause(n > 0)
+	if n > 0 {
+		x.start.stop()
 	}
+	return buffer[:len(buffer)+n], err
+}
+
+// forwardEvents sends complete events to the caller. It returns false if that cannot be reached.
+func (r *execution) forwardEvents(x *exchange, pace *streamPace, events []byte) bool {
+	if r.begunAt.IsZero() {
+		r.begunAt = r.dispatcher.clock.Now()
+	}
+	if !r.startStream(x.answer) {
+		r.dispatcher.timeouts.observe(r.call.Route.Name, r.dispatcher.clock.Since(x.sent), milliseconds(x.choice.Expected), r.dispatcher.clock.Now())
+		r.firstByte = r.dispatcher.clock.Since(r.started)
+		r.dispatcher.observer.ObserveAttempt(x.choice.Server, r.call.Model, r.dispatcher.clock.Since(x.sent), x.choice.PrefillTokens, false)
+	}
+	x.placement.FirstByte()
+	pace.received()
+	r.considerBackup(x.choice, events, x.answer)
+	if id, ok := lastEventID(events); ok {
+		r.stream.lastEventID = id
+	}
+	if r.dispatcher.clock.Since(r.begunAt) >= settleTime {
+		r.recordStart()
+	}
+	if r.out.SendEvents(events) == nil {
+		return true
+	}
+	x.placement.Done(beechplace.Cancelled)
+	r.ended(endNotConnected)
+	return false
+}
+
+// endStream ends the caller's stream with that of the server.
+func (r *execution) endStream(x *exchange) verdict {
+	x.start.stop()
+	if !r.hedging.keep() {
+		return r.giveWay(x)
+	}
+	x.placement.Done(beechplace.Answered)
+	r.ended(endAnswered)
+	r.startStream(x.answer)
+	r.dispatcher.suspects.RecordSuccess(r.call.Fingerprint())
+	r.recordStart()
+	r.observeDuration()
+	r.out.EndStream()
+	return finished
 }
 
 // verifyOrigin decides, before the first event of an answer is forwarded, whether it may continue
