Pool: connections to servers outlast two seconds of silence below HTTP

What callers saw: a server that stands still, or whose packets are lost, for a second or two has its connections ended under the answers on them, though it would go on and callers of streams wait for two seconds at least.

Cause: TCP_USER_TIMEOUT of 1.5 s. On Linux it overrides the number of keep-alive probes: a connection without unacknowledged bytes ends at the first probe that is due once the user timeout has passed (Go rounds both intervals up to whole seconds, so at 2 s); one with them when the first of them is that old; and, although the peer acknowledges, one whose peer has closed its receive window for so long.

Change: 4.5 s, and as many probes as that takes, for where the option cannot be set. With retransmissions that begin after 0.2 to 0.4 s and double, the first one after a silence of two seconds comes at 4.3 s at the latest. A dead host is left as before: connecting takes 0.3 s at the most, calls that may be repeated or resumed are hedged. A call that asks for one run learns of a dead host after 4.5 instead of 1.5 s, or at its deadline; it could not be sent again before either. Backups of runs go on only after a proven end, which a cut is not.

--- a/internal/link/beechpool/pool.go
+++ b/internal/link/beechpool/pool.go
@@ -49,9 +49,9 @@
 	// Settings configure a pool.
 	Settings struct {
 		DialTimeout   time.Duration // for a new connection
-		UserTimeout   time.Duration // the connection is dead if sent bytes stay unacknowledged for longer
+		UserTimeout   time.Duration // the connection is dead if sent bytes or probes stay unacknowledged for longer, or the server reads nothing
 		IdleTimeout   time.Duration // maximum idle time of a reused connection; 7/10 of the server's Keep-Alive timeout if that is shorter
-		ProbeInterval time.Duration // between TCP keep-alive probes; the connection is dead after three without an answer
+		ProbeInterval time.Duration // between TCP keep-alive probes; Linux takes whole seconds
 		MaxConns      int           // connections to one server; 0: unlimited
 	}
 
@@ -117,11 +117,12 @@
 
 // DefaultSettings suit servers with a round-trip time of a few milliseconds. DialTimeout
 // is short because a host without power never answers, and another server can then still
-// serve the request in time. UserTimeout is long enough that three packets lost in a row
-// are less likely than a dead host.
+// serve the request in time. UserTimeout is long enough that a connection outlasts two seconds
+// in which its server stands still or all packets are lost: what was lost is sent again at
+// intervals that double, so that the next time may be more than two seconds after the end.
 var DefaultSettings = Settings{
-	DialTimeout: 300 * time.Millisecond, UserTimeout: 1500 * time.Millisecond,
-	IdleTimeout: 4 * time.Second, ProbeInterval: 500 * time.Millisecond,
+	DialTimeout: 300 * time.Millisecond, UserTimeout: 4500 * time.Millisecond,
+	IdleTimeout: 4 * time.Second, ProbeInterval: time.Second,
 }
 
 const (
@@ -150,10 +151,11 @@
 	}
 	p.dialer = net.Dialer{
 		Timeout:         s.DialTimeout,
-		KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: s.ProbeInterval, Interval: s.ProbeInterval, Count: 3},
+		KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: s.ProbeInterval, Interval: s.ProbeInterval, Count: s.probes()},
 		Control: func(_, _ string, raw syscall.RawConn) error {
 			return raw.Control(func(fd uintptr) {
-				// Without this socket option the keep-alive probes still detect a dead peer.
+				// It overrides the number of probes. Without this socket option they still detect a
+				// dead peer.
 				_ = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(s.UserTimeout.Milliseconds()))
 			})
 		},
@@ -161,6 +163,14 @@
 	return p
 }
 
+// probes returns how many probes without an answer take at least as long as the user timeout.
+func (s Settings) probes() int {
+	if s.ProbeInterval <= 0 {
+		return 1
+	}
+	return max(int((s.UserTimeout+s.ProbeInterval-1)/s.ProbeInterval), 1)
+}
+
 // ConnectionsMade returns how many connections were dialed so far, including failed attempts.
 func (p *Pool) ConnectionsMade() int {
 	p.mu.Lock()
