Attempts: a hedge that has an answer as its caller leaves is ended

What was seen, by reading: if a hedge wins between the look whether one has won and the end of a call whose caller has just left, its answer stays open and it counts as under way at its server for good, so that the server looks busier than it is.

Change: the end of a call ends such a hedge like any other that is not needed.

--- a/internal/request/beechattempt/hedge.go
+++ b/internal/request/beechattempt/hedge.go
@@ -249,9 +249,12 @@
 	h.setOverdue(false)
 	h.drop()
 	h.tell()
-	if w := h.winner; w != nil {
+	if w := h.winner; w != nil { // it was first when the caller had just left
 		h.winner = nil
 		w.withdraw(errNoMore)
+		_ = w.answer.Body.Close()
+		w.placement.Done(beechplace.Cancelled)
+		h.execution.dispatcher.activities.end(w.activity)
 	}
 	if h.timer != nil {
 		h.timer.Stop()
