Tests of callers' connections: moments at which they may be lost

What callers could see: a request lost in a moment that no test covered.

TestRequestAtShutdownIsServed is made stricter: its stalled process goes on only after the drain would have closed the connections. Before, a wrapper that never looks passed it.

--- a/internal/process/beechgate/callers_test.go
+++ b/internal/process/beechgate/callers_test.go
@@ -278,7 +278,9 @@
 			ctx, cancel := context.WithTimeout(t.Context(), 10*time.Second)
 			defer cancel()
 			go func() { drained <- c.drainCallers(ctx) }()
-			time.Sleep(50 * time.Millisecond)
+			if stalled {
+				time.Sleep(500 * time.Millisecond) // until the drain would have closed them
+			}
 			close(released)
 			is.Equal(lost(kept), 0)
 			is.NoErr(<-drained)
