SIGHUP does not end a process that stops

What callers saw: answers cut and connections closed when a gate that was stopping got SIGHUP: the process ended at once. Cause: the goroutine that follows the settings gave the handler of SIGHUP up when SIGTERM ended its context; the default action of SIGHUP is to end the process, while stopping goes on for up to the grace time. Change: the handler stays until the process ends; the settings are not read any more after SIGTERM, as before. Keepers follow their settings in the same way. Entry hosts and agents have no handler of SIGHUP at all; not changed.

--- a/internal/command/beechcommand/follow.go
+++ b/internal/command/beechcommand/follow.go
@@ -29,12 +29,11 @@
 // followSettings reads the settings file at every SIGHUP and at regular
 // intervals, and calls apply if the content has changed. If the file cannot be
 // read or apply fails, it logs a warning and the previous settings stay in force.
-// SIGHUP no longer terminates the process.
+// From then on SIGHUP does not terminate the process, not even while it stops.
 func followSettings(ctx context.Context, file string, last []byte, log *zap.Logger, apply func([]byte) error) {
 	hangups := make(chan os.Signal, 1)
 	signal.Notify(hangups, syscall.SIGHUP)
 	go func() {
-		defer signal.Stop(hangups)
 		ticker := time.NewTicker(settingsPollInterval)
 		defer ticker.Stop()
 		for {
