Attempts: a silent server that all attempts have left is remembered

Cause: what is known of a server's silence is told by the attempts under way there. Once all of them had gone on elsewhere, nothing was known of it, and hedges that were sent later chose it.

Change: a server that an attempt has left for its silence is taken for silent for two seconds more, unless it is heard again.

--- a/internal/request/beechattempt/activity.go
+++ b/internal/request/beechattempt/activity.go
@@ -20,8 +20,9 @@
 
 	// activity is what the attempts under way at a server tell of it. A nil one records nothing.
 	activity struct {
-		id       string
-		attempts int // guarded by activities.mu
+		id          string
+		attempts    int           // guarded by activities.mu
+		silentUntil time.Duration // since activities.start: until then it is taken for silent; guarded by activities.mu
 
 		overdue atomic.Int32 // attempts that have had no data for longer than their time-outs
 		reading atomic.Int32 // streams that have begun and wait for data
@@ -29,6 +30,10 @@
 	}
 )
 
+// silenceMemory is how long a server is taken for silent that attempts have left for its silence, unless it is
+// heard again.
+const silenceMemory = 2 * time.Second
+
 func newActivities(clock clockwork.Clock) *activities {
 	return &activities{clock: clock, start: clock.Now(), servers: make(map[string]*activity)}
 }
@@ -49,11 +54,30 @@
 func (s *activities) end(a *activity) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if a.attempts--; a.attempts == 0 {
+	a.attempts--
+	s.forget(a)
+}
+
+// forget drops a server of which nothing is known any more. The caller holds the lock.
+func (s *activities) forget(a *activity) {
+	if a.attempts == 0 && s.clock.Since(s.start) >= a.silentUntil && s.servers[a.id] == a {
 		delete(s.servers, a.id)
 	}
 }
 
+// leaveSilent records that an attempt goes on at another server. Once all of a silent server's attempts have
+// left, none is there to tell that it still is.
+func (s *activities) leaveSilent(a *activity) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	a.silentUntil = s.clock.Since(s.start) + silenceMemory
+	s.clock.AfterFunc(silenceMemory, func() {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		s.forget(a)
+	})
+}
+
 // silent returns the servers with an attempt that is overdue, and those of which no stream has had data
 // for longer than quiet.
 func (s *activities) silent(quiet time.Duration) []string {
@@ -62,7 +86,8 @@
 	defer s.mu.Unlock()
 	var silent []string
 	for id, a := range s.servers {
-		if a.overdue.Load() > 0 || a.reading.Load() > 0 && now-time.Duration(a.heardAt.Load()) > quiet {
+		left := now < a.silentUntil && time.Duration(a.heardAt.Load()) < a.silentUntil-silenceMemory
+		if left || a.overdue.Load() > 0 || a.reading.Load() > 0 && now-time.Duration(a.heardAt.Load()) > quiet {
 			silent = append(silent, id)
 		}
 	}
--- a/internal/request/beechattempt/hedge.go
+++ b/internal/request/beechattempt/hedge.go
@@ -576,6 +576,9 @@
 	won := x.exchange
 	won.activity = h.execution.dispatcher.activities.begin(x.choice.Server.ID)
 	h.winner = &won
+	if !h.broken {
+		h.execution.dispatcher.activities.leaveSilent(h.activity)
+	}
 	h.drop()
 	h.withdraw(errHedgeWon)
 	h.wake()
