Entry host: a request that waits for a lost link follows the weights that come meanwhile

Cause: while the link was lost nobody offered the model, so the request asked for the configured version, which no engine had loaded yet; or it asked for the old one, which was replaced before the link was back. What an agent had offered before the loss was believed until its first report, and a request could be refused for it.

Mend: the versions that are offered by agents whose link was lost a moment ago count until they report again, for waiting only: no request is sent by them. A request that finds no server and of which nothing was received is resolved again by the configuration in force; an answer that has begun keeps its weights, as before.

--- a/internal/command/beechscenario/silence_test.go
+++ b/internal/command/beechscenario/silence_test.go
@@ -1,11 +1,14 @@
 package beechscenario
 
 import (
+	"os"
+	"path/filepath"
 	"syscall"
 	"testing"
 	"time"
 
 	"github.com/beechring/beechring/internal/command/beechtrace"
+	"github.com/beechring/beechring/internal/state/beechmanifest"
 )
 
 type (
@@ -77,6 +80,10 @@
 	changes := []change{
 		{"nothing", func(*resumeRun) {}, true},
 		{"configuration", func(r *resumeRun) { r.do(commandApply, "usual.json", "base=1") }, true},
+		{"new weights", func(r *resumeRun) { r.applyChanged(func(m *beechmanifest.Manifest) { m.Models[0].Weights = "2" }) }, true},
+		{"removed service", func(r *resumeRun) {
+			r.applyChanged(func(m *beechmanifest.Manifest) { m.Services, m.Pools = nil, m.Pools[:1] })
+		}, true},
 		{"entry " + terminated().name, terminated("n1").begin, false},
 		{"agents " + terminated().name, terminated("e1", "s1").begin, false},
 	}
@@ -94,6 +101,20 @@
 	}
 }
 
+// applyChanged applies a changed manifest.
+func (r *resumeRun) applyChanged(edit func(m *beechmanifest.Manifest)) {
+	m := defaultManifest()
+	edit(m)
+	data, err := beechmanifest.Encode(m)
+	if err != nil {
+		r.t.Fatal(err)
+	}
+	if err := os.WriteFile(filepath.Join(r.deployment.dir, "changed.json"), data, 0o644); err != nil {
+		r.t.Fatal(err)
+	}
+	r.do(commandApply, "changed.json", "base=1")
+}
+
 func silentBeside(t *testing.T, s silence, c change, length time.Duration) {
 	d := newDeployment(t, beechtrace.Folder(t))
 	defer d.close()
--- a/internal/process/beechentry/dispatch.go
+++ b/internal/process/beechentry/dispatch.go
@@ -140,10 +140,24 @@
 	if result := e.checkSuspect(j); result != nil {
 		return nil, result
 	}
-	if candidate := e.awaitCandidate(ctx, j); candidate != nil {
-		return candidate, nil
+	candidate := e.awaitCandidate(ctx, j)
+	if candidate == nil && e.changesTarget(j) {
+		candidate = e.awaitCandidate(ctx, j)
 	}
-	return nil, noServer()
+	if candidate == nil {
+		return nil, noServer()
+	}
+	return candidate, nil
+}
+
+// changesTarget resolves the model of a job anew of which nothing has been received, and reports whether
+// it asks for other weights now: those that it asked for may have been replaced while it waited.
+func (e *Entry) changesTarget(j *job) bool {
+	if j.prompt == nil || j.sequence > 0 || j.lastEventID != "" || !j.writer.nothingSent() {
+		return false
+	}
+	before := j.target()
+	return e.renew(j) == nil && j.target() != before
 }
 
 func noServer() attemptResult {
--- a/internal/process/beechentry/fleet.go
+++ b/internal/process/beechentry/fleet.go
@@ -6,6 +6,7 @@
 	"math/rand/v2"
 	"net/netip"
 	"slices"
+	"strings"
 	"sync"
 	"time"
 
@@ -46,8 +47,9 @@
 		lostAt               time.Time // when the link was last lost
 		entryHosts           int
 		offers               []string
-		cacheVersion         uint64 // version of the engine's cache that the router knows
-		reportedCacheVersion uint64 // latest version that the agent reported
+		formerOffers         []string // before the link was lost, until the same process reports again
+		cacheVersion         uint64   // version of the engine's cache that the router knows
+		reportedCacheVersion uint64   // latest version that the agent reported
 	}
 )
 
@@ -161,9 +163,13 @@
 	restarted := l.incarnation != 0 && l.incarnation != p.Incarnation
 	l.up = true
 	l.zone = p.Zone
-	if l.incarnation != p.Incarnation {
-		l.offers = nil
+	switch {
+	case l.incarnation != p.Incarnation:
+		l.formerOffers = nil
+	case l.offers != nil:
+		l.formerOffers = l.offers
 	}
+	l.offers = nil
 	l.cacheVersion = 0
 	l.reportedCacheVersion = 0
 	old := l.incarnation
@@ -201,7 +207,7 @@
 	}
 	l.entryHosts = h.Entries
 	changed := !slices.Equal(l.offers, h.Models)
-	l.offers = h.Models
+	l.offers, l.formerOffers = h.Models, nil
 	f.mu.Unlock()
 	f.members.UpdateLeaving(p.Address, h.Incarnation, h.Leaving)
 	f.recordLoad(p.Address, h.Load)
@@ -254,12 +260,32 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	offered := f.weightsByModel[model]
+	if len(offered) == 0 {
+		offered = f.lostWeights(model)
+	}
 	if len(offered) == 0 || slices.Contains(offered, configured) {
 		return configured
 	}
 	return slices.Max(offered)
 }
 
+// lostWeights returns the versions of a model that are offered by agents whose link was lost a moment
+// ago. The caller holds f.mu.
+func (f *fleet) lostWeights(model string) []string {
+	var versions []string
+	for _, l := range f.links {
+		if l.client.Refused() || f.entry.clock.Since(l.lostAt) >= reattachTimeout {
+			continue
+		}
+		for _, target := range slices.Concat(l.offers, l.formerOffers) {
+			if name, version, found := strings.Cut(target, "@"); found && name == model {
+				versions = append(versions, version)
+			}
+		}
+	}
+	return versions
+}
+
 func (f *fleet) client(address netip.AddrPort) *beechlink.Client {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -354,7 +380,7 @@
 	f.mu.Lock()
 	for address, l := range f.links {
 		switch {
-		case !slices.Contains(l.offers, target) || l.client.Refused():
+		case !slices.Contains(l.offers, target) && !slices.Contains(l.formerOffers, target), l.client.Refused():
 		case l.up && !l.client.Ready():
 			left[address] = reattachTimeout // its loss has just been noticed
 		case !l.lostAt.IsZero():
--- a/internal/process/beechentry/replies.go
+++ b/internal/process/beechentry/replies.go
@@ -85,6 +85,11 @@
 	pulling, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	e.pull(pulling, agent)
+	return e.renew(j)
+}
+
+// renew applies the configuration in force to a job of which nothing ran.
+func (e *Entry) renew(j *job) *failure {
 	configuration := e.holder.Current()
 	workspace, known := configuration.Workspace(j.workspace.Name)
 	if !known {
