A crash is recorded with prompts taken at the start of the runs

What callers saw: nothing but errors from an agent that had ended: it panicked as its engine crashed, and the deployment did not recover. Cause: the first interrupted run records the crash for all that were running and reads their prompts, while the others end and free theirs: the number of levels is read before, the level after. Without the panic a crash could be recorded with the request alone and without the prefixes that it shares. Only a run itself ends its generation, so there is no other reader of another's prompt. Change: what a request has in common with others is taken as its run starts.

--- a/internal/process/beechagent/backend.go
+++ b/internal/process/beechagent/backend.go
@@ -14,7 +14,6 @@
 	"github.com/beechring/beechring/internal/decision/beechqueue"
 	"github.com/beechring/beechring/internal/link/beechwire"
 	"github.com/beechring/beechring/internal/process/beechbackend"
-	"github.com/beechring/beechring/internal/process/beechconvert"
 	"github.com/beechring/beechring/internal/process/beechlog"
 	"github.com/beechring/beechring/internal/process/beechtask"
 	"github.com/beechring/beechring/internal/prompt/beechindex"
@@ -255,7 +254,7 @@
 	for _, r := range lost {
 		fingerprints = append(fingerprints, r.fingerprint)
 		if !r.attempt.survivedStart() {
-			notBegun = append(notBegun, beechconvert.PoisonRequest(&r.attempt.generation.request))
+			notBegun = append(notBegun, r.traits)
 		}
 	}
 	a.counters.Crashes.Add(1)
--- a/internal/process/beechagent/runner.go
+++ b/internal/process/beechagent/runner.go
@@ -65,12 +65,7 @@
 	}
 	t := &attempt{agent: a, generation: g, id: id, incarnation: report.Incarnation, startedAt: a.clock.Now(), abort: abort}
 	t.markProgress()
-	a.running.add(id, run{
-		fingerprint: g.request.Fingerprint,
-		model:       modelKey(g.request.Model, g.request.Weights),
-		incarnation: report.Incarnation,
-		attempt:     t,
-	})
+	a.running.add(id, newRun(t))
 	return t
 }
 
--- a/internal/process/beechagent/runs.go
+++ b/internal/process/beechagent/runs.go
@@ -5,6 +5,9 @@
 	"time"
 
 	"github.com/hashicorp/golang-lru/v2/expirable"
+
+	"github.com/beechring/beechring/internal/decision/beechpoison"
+	"github.com/beechring/beechring/internal/process/beechconvert"
 )
 
 type (
@@ -22,6 +25,9 @@
 		model       string
 		incarnation uint64
 		attempt     *attempt
+		// traits are taken at the start: an interrupted run may end, and free its prompt, while
+		// another one records the crash.
+		traits beechpoison.Request
 	}
 
 	// usedClaims remembers the claim tokens that were used here. An entry host may
@@ -38,6 +44,13 @@
 	maxClaims      = 1 << 17
 )
 
+func newRun(t *attempt) run {
+	r := &t.generation.request
+	return run{
+		fingerprint: r.Fingerprint, model: modelKey(r.Model, r.Weights), incarnation: t.incarnation, attempt: t, traits: beechconvert.PoisonRequest(r),
+	}
+}
+
 func newActiveRuns() *activeRuns { return &activeRuns{runs: map[uint64]run{}} }
 
 func (s *activeRuns) add(id uint64, r run) {
