A silent server is not taken for a crashed one

What callers saw: a host was silent for longer than its connections last, or could not be reached. Each request under way there was suspected of a crash; after the second time it was refused with 503 for five minutes, at all hosts that the suspicion was sent to, and parts of its prompt were blamed too.

Cause: the probe that follows a broken answer counted every error as a crash, its own time-out of 0.4 s included. A host that stands still answers no connection request for a second or so, as little as one that is cut off.

Evidence: TestRequestsOfASilentServerAreNotSuspected, in which two calls break off at servers that answer no probe, failed: the request was suspected. It passes with this change, and so do the other tests of the package.

Why it works: a crashed server's host refuses the probe, which is still counted at once, as is any other error. A probe that ends by its own time-out proves nothing and is only logged. What a crash of the host itself costs is no longer told by this probe, only by new lifetimes of its servers.

--- a/internal/request/beechattempt/crash.go
+++ b/internal/request/beechattempt/crash.go
@@ -26,9 +26,9 @@
 	}
 
 	// crashDetector decides whether a request whose answer broke off has crashed its
-	// server. After a crash the server no longer accepts connections; a server that still
-	// does has itself failed, by resetting connections or cutting answers off. If both
-	// counted against the request, a failing server would have the same request of many
+	// server. After a crash the server refuses connections. One that still accepts them has itself
+	// failed, by resetting connections or cutting answers off, and one that is silent may be sound.
+	// If these counted against the request, a failing server would have the same request of many
 	// callers rejected everywhere for minutes. It is safe for concurrent use.
 	crashDetector struct {
 		prober   Prober
@@ -105,7 +105,12 @@
 	answers := p.answers
 	delete(d.pending, server)
 	d.mu.Unlock()
-	if err == nil {
+	switch {
+	case err == nil:
+		return
+	case isDone(ctx):
+		// A host that stands still or cannot be reached answers no probe; a crash is refused.
+		d.log.Info("answers broke off at a silent server", zap.Stringer("peer", server), zap.Int("requests", len(answers)), zap.Error(err))
 		return
 	}
 	fingerprints := make([]uint64, 0, len(answers))
