A hedge that panics does not end the process

What callers saw: nothing yet.

Cause: a hedge runs in a goroutine of its own, which net/http does not guard.

Evidence: TestHedgeThatPanicsEndsNothingElse, in which the second server's answer panics, ended the test process; it passes with this change, and so do the other tests of the package.

Why it works: the hedge is ended like one whose server broke off. It counts as possibly executed, its place at the server and its connection are given back, and the call waits for its first server as before. The line has the stack.

--- a/internal/request/beechattempt/hedge.go
+++ b/internal/request/beechattempt/hedge.go
@@ -4,8 +4,10 @@
 	"bytes"
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"net/http"
+	"runtime/debug"
 	"slices"
 	"sync"
 	"time"
@@ -437,6 +439,7 @@
 	d := x.hedging.execution.dispatcher
 	defer d.activities.end(x.activity)
 	x.placement = d.placer.StartAttempt(x.call, x.choice)
+	defer x.endPanic(d)
 	if !x.ready(ctx, d) {
 		x.placement.Done(beechplace.Cancelled)
 		x.end(hedgeNews{sent: -1, ends: x.ended(endWithdrawn)})
@@ -455,6 +458,22 @@
 	x.end(x.lose(ctx, d, err))
 }
 
+// endPanic ends a hedge that has panicked. Unlike the handler's goroutine, which net/http guards, its own
+// would end the process.
+func (x *hedge) endPanic(d *Dispatcher) {
+	p := recover()
+	if p == nil {
+		return
+	}
+	d.logAttempt("panicked", &x.exchange, zap.String("panic", fmt.Sprint(p)), zap.ByteString("stack", debug.Stack()))
+	x.withdraw(nil)
+	if x.answer != nil {
+		_ = x.answer.Body.Close()
+	}
+	x.placement.Done(beechplace.Cancelled)
+	x.end(hedgeNews{maybeExecuted: 1, failed: []string{x.choice.Server.ID}, ends: x.ended(endBroken)})
+}
+
 // ready waits for a part of the prompt that another request prefills, and reports whether the hedge may be
 // sent then.
 func (x *hedge) ready(ctx context.Context, d *Dispatcher) bool {
--- a/internal/request/beechattempt/hedge_test.go
+++ b/internal/request/beechattempt/hedge_test.go
@@ -510,3 +510,23 @@
 	clock.Advance(time.Millisecond)
 	is.True(s.emptied())
 }
+
+// The handling of a second server's answer panics. The process must live, and the stream go on with its
+// first server.
+func TestHedgeThatPanicsEndsNothingElse(t *testing.T) {
+	is := is.New(t)
+	f := newFixture(2, 5)
+	f.backend.script = []step{
+		func(ctx context.Context, _ beechcall.Attempt) (*beechcall.Answer, error) {
+			body := &pausedBody{ctx: ctx, clock: f.clock, data: strings.NewReader("id: 1\ndata: a\n\n"), silence: silence, rest: strings.NewReader("id: 2\ndata: b\n\n")}
+			return &beechcall.Answer{Status: http.StatusOK, Body: body}, nil
+		},
+		func(context.Context, beechcall.Attempt) (*beechcall.Answer, error) { panic("bad answer") },
+	}
+	c := f.serve(t.Context(), f.hedged())
+	f.dispatcher.Wait(t.Context())
+	is.Equal(len(f.backend.sent), 2)
+	is.True(c.ended)
+	is.True(!c.broken)
+	is.Equal(c.body, "id: 1\ndata: a\n\nid: 2\ndata: b\n\n")
+}
