Placement: attempts that end together exclude a server once

What callers saw: after a silence of a second, 503 `no server may be used` for up to four seconds, or all load at the servers of another zone: a server was put out for a time that doubles with each failure, and all attempts that were under way when it fell silent counted one by one.

Cause: failures in a row were counted by their ends. Twenty attempts that end together for one reason are twenty in a row.

TestSilenceUnderManyAttemptsExcludesAServerOnce fails without the change (excluded for more than a second), passes with it; TestUnreachableServerBacksOff is unchanged: attempts one after the other double the time as before.

Change: a failure of an attempt that was sent before the server was excluded is the one that it was excluded for.

--- a/internal/request/beechplace/attempt.go
+++ b/internal/request/beechplace/attempt.go
@@ -232,11 +232,15 @@
 		}
 	case Failed, Unreachable:
 		s.errors.record(true, now)
+		if sent.Before(s.excludedAt) {
+			return // one failure ends many attempts, and counts once
+		}
 		s.failures++
 		if o == Failed && s.failures < minFailures {
 			return
 		}
 		s.downUntil = now.Add(min(p.settings.DownTime<<min(s.failures-1, maxDownDoublings), p.settings.MaxDownTime))
+		s.excludedAt = now
 	case Cancelled, Withdrawn:
 	}
 }
--- a/internal/request/beechplace/placer.go
+++ b/internal/request/beechplace/placer.go
@@ -97,6 +97,7 @@
 		inFlightAtReport int // value of inFlight at the last report
 		failures         int
 		downUntil        time.Time
+		excludedAt       time.Time // when downUntil was set last
 		unavailableUntil time.Time // the server is loading weights, as planned or by its own response
 		// identityDoubtUntil bounds the time after an outage in which the process at the
 		// address may be a new lifetime that the server list does not contain yet. It would
--- a/internal/request/beechplace/usable_test.go
+++ b/internal/request/beechplace/usable_test.go
@@ -166,6 +166,30 @@
 	is.True(ok)
 }
 
+// Attempts that end together because their server was silent for a moment must not exclude it for longer than one.
+func TestSilenceUnderManyAttemptsExcludesAServerOnce(t *testing.T) {
+	for _, outcome := range []Outcome{Unreachable, Failed} {
+		is := is.New(t)
+		f := newFleet(2)
+		call := &beechcall.Call{Service: "app", Route: route}
+		c, ok := f.Choose(call, []string{"p01"})
+		is.True(ok)
+		var underway []*Attempt
+		for range 20 {
+			underway = append(underway, f.StartAttempt(call, c))
+		}
+		f.clock.Advance(300 * time.Millisecond)
+		for _, a := range underway {
+			a.Done(outcome)
+		}
+		_, ok = f.Choose(call, []string{"p01"})
+		is.True(!ok)
+		f.clock.Advance(2 * Defaults.DownTime)
+		_, ok = f.Choose(call, []string{"p01"})
+		is.True(ok)
+	}
+}
+
 // A server ejected by the health check is used only if no other is left.
 func TestEjectedServerIsLastResort(t *testing.T) {
 	is := is.New(t)
