Entry host: a request whose claim was barred is not sent there again

What callers saw: a booking that never ran got outcome_unknown, for good.

Cause: its link was reset as it was sent. Its server, asked for the answer, said that the request never came and barred its claim, so that it cannot run late. Before, that was a refusal: not run, to be sent again. Since requests wait for a server whose link was lost a moment ago, it was sent to the same server once more with the barred claim, which is refused with an unknown outcome.

Change: such a refusal does not wait for its server.

--- a/internal/process/beechentry/lostlink_test.go
+++ b/internal/process/beechentry/lostlink_test.go
@@ -11,6 +11,8 @@
 	"time"
 
 	"github.com/matryer/is"
+
+	"github.com/beechring/beechring/internal/link/beechwire"
 )
 
 // linkRelay passes the bytes of links on to an agent.
@@ -108,3 +110,22 @@
 	is.True(strings.Contains(body, `"no_server"`))
 	is.True(time.Since(began) < reattachTimeout)
 }
+
+// TestRequestThatNeverArrivedDoesNotWaitForItsServer guards against an outcome that is unknown for good: the
+// server has barred the claim of a request that was lost with its link, and would refuse it.
+func TestRequestThatNeverArrivedDoesNotWaitForItsServer(t *testing.T) {
+	is := is.New(t)
+	e, r := serveThroughRelay(t)
+	j := &job{timeout: time.Second}
+	e.fleet.mu.Lock()
+	for _, l := range e.fleet.links {
+		j.request.Model, j.request.Weights, _ = strings.Cut(l.offers[0], "@")
+	}
+	e.fleet.mu.Unlock()
+	j.request.Claim = "claim"
+	r.cut()
+	waitUntil(t, "the loss of the link", func() bool { return e.fleet.rejoinTimeLeft(j.target()) > 0 })
+	again, f := e.decideAfterRefused(t.Context(), j, r.address(), refused{beechwire.Refused{Reason: beechwire.ReasonNever}})
+	is.True(!again)
+	is.Equal(f.Ran, beechwire.RanNo)
+}
--- a/internal/process/beechentry/retry.go
+++ b/internal/process/beechentry/retry.go
@@ -131,7 +131,9 @@
 	if server.IsValid() {
 		j.tried = append(j.tried, server)
 	}
-	hasOther := better.IsValid() || len(e.fleet.router.Choose(j.routeRequest()).Ranked) > 0 || e.fleet.rejoinTimeLeft(j.target()) > 0
+	// A server that says that the request never came there does not accept its claim any more.
+	returns := h.Reason != beechwire.ReasonNever && e.fleet.rejoinTimeLeft(j.target()) > 0
+	hasOther := better.IsValid() || len(e.fleet.router.Choose(j.routeRequest()).Ranked) > 0 || returns
 	if !hasOther {
 		return false, e.refusedFailure(j, h.Refused, after)
 	}
