--- a/internal/command/beechplay/launch.go
+++ b/internal/command/beechplay/launch.go
@@ -43,8 +43,14 @@
 		WrapBackend func(beechcall.Backend) beechcall.Backend
 	}
 
+	// Applier is a process that applies changed settings while it runs.
+	Applier interface {
+		Apply(s *beechsettings.Gate)
+	}
+
 	inProcess struct {
 		name   string
+		gate   *beechgate.Gate // nil for a keeper
 		cancel context.CancelFunc
 		done   chan error
 	}
@@ -72,7 +78,9 @@
 		return nil, err
 	}
 	door := platform.NewHandler(g, clock)
-	return i.launch(s.Name, func(ctx context.Context) error { return g.Run(ctx, door, http.HandlerFunc(door.ServeReady)) }), nil
+	p := i.launch(s.Name, func(ctx context.Context) error { return g.Run(ctx, door, http.HandlerFunc(door.ServeReady)) })
+	p.gate = g
+	return p, nil
 }
 
 // Keeper implements Launcher.
@@ -101,6 +109,9 @@
 	return p
 }
 
+// Apply implements Applier for gates.
+func (p *inProcess) Apply(s *beechsettings.Gate) { p.gate.Apply(s) }
+
 // Signal implements Process.
 func (p *inProcess) Signal() { p.cancel() }
 
