An answer of a server that was listed again does not panic

A server that leaves the list between its choice and the attempt's beginning, and is listed again while the call waits for a prompt part, is usable when the call is sent. The attempt has no server then, and its first byte dereferenced nil: the handler panicked, and the caller's connection was closed without a word (500 since the end of a request handles panics). Found by reading all uses of an attempt's server; the others are guarded.

TestServerThatIsListedAgain panics before, passes since; beechplace passes.

--- a/internal/request/beechplace/attempt.go
+++ b/internal/request/beechplace/attempt.go
@@ -138,6 +138,9 @@
 // FirstByte records that the first byte arrived: the prompt is prefilled, and the time taken
 // is a sample of the server's speed.
 func (a *Attempt) FirstByte() {
+	if a.server == nil {
+		return // it was not listed when the attempt began, and again when it was sent
+	}
 	a.finishPrefill()
 	a.placer.mu.Lock()
 	defer a.placer.mu.Unlock()
--- a/internal/request/beechplace/usable_test.go
+++ b/internal/request/beechplace/usable_test.go
@@ -232,3 +232,22 @@
 	}
 	<-done
 }
+
+// TestServerThatIsListedAgain guards against a panic when the answer of a server arrives that was not
+// listed at the moment in which its attempt began, and is again.
+func TestServerThatIsListedAgain(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(2)
+	call := &beechcall.Call{ID: "c", Service: "llm", Model: "m", Route: &beechcall.Route{Stream: true, MaxPause: time.Second}, PromptTokens: 100}
+	choice, ok := f.Choose(call, nil)
+	is.True(ok)
+	f.SetServers(nil)
+	attempt := f.StartAttempt(call, choice)
+	f.SetServers(f.servers)
+	is.True(f.StillUsable(call, choice)) // so that it is sent
+	attempt.ObserveLoad(beechcall.Load{Known: true, Running: 1, Slots: 48, Slowness: 100})
+	attempt.FirstByte()
+	is.Equal(attempt.ObserveEvents(0), uint64(0))
+	attempt.PauseSince(f.clock.Now(), 0)
+	attempt.Done(Answered)
+}
