Log: one sampled logger for all that log often

Cause: three places bounded the lines of one message a second, each with a copy of the same sampler.

Change: beechlog.Sampled, used by gates, entry hosts and the ends of requests. What is logged and counted stays the same.

--- a/internal/process/beechending/ending.go
+++ b/internal/process/beechending/ending.go
@@ -9,9 +9,9 @@
 
 	"github.com/jonboulle/clockwork"
 	"go.uber.org/zap"
-	"go.uber.org/zap/zapcore"
 
 	"github.com/beechring/beechring/internal/link/beechsocket"
+	"github.com/beechring/beechring/internal/process/beechlog"
 )
 
 type (
@@ -75,14 +75,7 @@
 // to a request of which it is not known whether it has run, with status 500.
 func NewDoor(log *zap.Logger, clock clockwork.Clock, version func() uint64, fail func(w http.ResponseWriter)) *Door {
 	d := &Door{clock: clock, version: version, fail: fail, counts: new(expvar.Map), dropped: new(expvar.Int)}
-	count := zapcore.SamplerHook(func(_ zapcore.Entry, decision zapcore.SamplingDecision) {
-		if decision&zapcore.LogDropped != 0 {
-			d.dropped.Add(1)
-		}
-	})
-	d.log = log.WithOptions(zap.WrapCore(func(c zapcore.Core) zapcore.Core {
-		return zapcore.NewSamplerWithOptions(c, time.Second, maxLogLines, 0, count)
-	}))
+	d.log = beechlog.Sampled(log, maxLogLines, d.dropped)
 	return d
 }
 
--- a/internal/process/beechentry/entry.go
+++ b/internal/process/beechentry/entry.go
@@ -6,6 +6,7 @@
 	"crypto/tls"
 	"encoding/hex"
 	"errors"
+	"expvar"
 	"fmt"
 	randv2 "math/rand/v2"
 	"net"
@@ -17,7 +18,6 @@
 	"github.com/jonboulle/clockwork"
 	"github.com/thejerf/suture/v4"
 	"go.uber.org/zap"
-	"go.uber.org/zap/zapcore"
 
 	"github.com/beechring/beechring/internal/decision/beechhealth"
 	"github.com/beechring/beechring/internal/decision/beechlimit"
@@ -259,9 +259,7 @@
 // logUnreadClosing returns a function that logs a connection that is closed although its caller is
 // there and has sent bytes that were not read.
 func logUnreadClosing(log *zap.Logger) func(beechkeepalive.Closing) {
-	log = log.WithOptions(zap.WrapCore(func(c zapcore.Core) zapcore.Core {
-		return zapcore.NewSamplerWithOptions(c, time.Second, maxClosingLogLines, 0)
-	}))
+	log = beechlog.Sampled(log, maxClosingLogLines, new(expvar.Int)) // all closings are counted
 	return func(c beechkeepalive.Closing) {
 		log.Warn("connection closed with bytes unread", zap.String("cause", string(c.Cause)), zap.Int("unread", c.Unread), zap.Duration("idle", c.Idle), zap.Duration("heard", c.Heard))
 	}
--- a/internal/process/beechgate/limits.go
+++ b/internal/process/beechgate/limits.go
@@ -2,13 +2,11 @@
 
 import (
 	"context"
-	"expvar"
 	"net/netip"
 	"slices"
 	"time"
 
 	"go.uber.org/zap"
-	"go.uber.org/zap/zapcore"
 
 	"github.com/beechring/beechring/internal/decision/beechquota"
 	"github.com/beechring/beechring/internal/decision/beechthrottle"
@@ -25,19 +23,6 @@
 	maxLimitsPerDatagram = 300
 )
 
-// sampledLogger returns a logger that writes the first maxLimitLogLines of each message per
-// second and counts the rest.
-func sampledLogger(log *zap.Logger, dropped *expvar.Int) *zap.Logger {
-	count := zapcore.SamplerHook(func(_ zapcore.Entry, d zapcore.SamplingDecision) {
-		if d&zapcore.LogDropped != 0 {
-			dropped.Add(1)
-		}
-	})
-	return log.WithOptions(zap.WrapCore(func(c zapcore.Core) zapcore.Core {
-		return zapcore.NewSamplerWithOptions(c, time.Second, maxLimitLogLines, 0, count)
-	}))
-}
-
 // logLimitEvent logs a change in a server's limit or in what is known about it.
 func (g *Gate) logLimitEvent(e beechthrottle.Event) {
 	switch v := e.(type) {
--- a/internal/process/beechlog/doc.go
+++ b/internal/process/beechlog/doc.go
@@ -10,4 +10,5 @@
 //	logger, err := beechlog.New(os.Stderr, "info")
 //	logger.Info("request refused", beechlog.RequestID(id), beechlog.Step("admit"),
 //		beechlog.Workspace(name), beechlog.Peer(agent), zap.Error(err))
+//	often := beechlog.Sampled(logger, 10, dropped) // lines a second of each message
 package beechlog
