--- a/internal/request/beechattempt/activity.go
+++ b/internal/request/beechattempt/activity.go
@@ -65,9 +65,9 @@
 	}
 }
 
-// leaveSilent records that an attempt goes on at another server. Once all of a silent server's attempts have
+// markSilent records that an attempt goes on at another server. Once all of a silent server's attempts have
 // left, none is there to tell that it still is.
-func (s *activities) leaveSilent(a *activity) {
+func (s *activities) markSilent(a *activity) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	a.silentUntil = s.clock.Since(s.start) + silenceMemory
--- a/internal/request/beechattempt/hedge.go
+++ b/internal/request/beechattempt/hedge.go
@@ -48,7 +48,7 @@
 		delay    time.Duration
 		reason   silenceAction // why no hedge was sent
 		timer    clockwork.Timer
-		strikes  time.Time // when the timer does; zero: it is not set
+		timerAt  time.Time // when the timer runs; zero: it is not set
 		underway []*hedge  // those that were withdrawn included, until they have ended
 		winner   *exchange
 		changed  chan struct{} // gets a value when a hedge has won or ended
@@ -94,7 +94,7 @@
 	// lookAgain is the first delay until it is looked again for a server, a retry or an attempt that a
 	// hedge needs; it doubles with each look.
 	lookAgain = 100 * time.Millisecond
-	// maxTimerDelay is how late a timer may strike. Beyond it the process stood still, and data that has
+	// maxTimerDelay is how late a timer may run. Beyond it the process stood still, and data that has
 	// come meanwhile is read first.
 	maxTimerDelay = 100 * time.Millisecond
 	// quietShare is the share of a stream's time-out after which a server without any data of its streams gets no
@@ -106,7 +106,7 @@
 	errHedgeWon     = errors.New("another server has gone on")
 	errHedgeDropped = errors.New("the first server has gone on")
 	errServerFailed = errors.New("the server's answer is an error")
-	errNoMore       = errors.New("the call has ended")
+	errCallEnded    = errors.New("the call has ended")
 )
 
 // begin starts the time-out of an attempt.
@@ -157,7 +157,7 @@
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	h.waiting = false
-	h.tell()
+	h.takeNews()
 	h.alone = h.winner == nil && len(h.underway) == 0
 	if heard {
 		h.restart, h.timeout = true, r.pauseTimeout()
@@ -165,8 +165,8 @@
 	}
 }
 
-// keep withdraws the hedges, as the attempt has gone on. It returns false if one of them was first.
-func (h *hedging) keep() bool {
+// dropHedges withdraws the hedges, as the attempt has gone on. It returns false if one of them was first.
+func (h *hedging) dropHedges() bool {
 	if h.alone {
 		return true
 	}
@@ -190,8 +190,8 @@
 	}
 }
 
-// take returns the hedge that has won, if there is one.
-func (h *hedging) take() *exchange {
+// takeWinner returns the hedge that has won, if there is one.
+func (h *hedging) takeWinner() *exchange {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	w := h.winner
@@ -217,7 +217,7 @@
 	}
 	for {
 		h.mu.Lock()
-		h.tell()
+		h.takeNews()
 		h.setOverdue(false)
 		left := slices.ContainsFunc(h.underway, func(x *hedge) bool { return !x.dropped })
 		h.broken = true
@@ -250,10 +250,10 @@
 	h.closed, h.waiting = true, false
 	h.setOverdue(false)
 	h.drop()
-	h.tell()
+	h.takeNews()
 	if w := h.winner; w != nil { // it was first when the caller had just left
 		h.winner = nil
-		w.withdraw(errNoMore)
+		w.withdraw(errCallEnded)
 		_ = w.answer.Body.Close()
 		w.placement.Done(beechplace.Cancelled)
 		h.execution.dispatcher.activities.end(w.activity)
@@ -268,7 +268,7 @@
 func (h *hedging) unended() int {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	h.tell()
+	h.takeNews()
 	return len(h.underway)
 }
 
@@ -284,8 +284,8 @@
 	return dropped
 }
 
-// tell gives the news to the execution. The caller holds the lock and is the execution's goroutine.
-func (h *hedging) tell() {
+// takeNews gives the news to the execution. The caller holds the lock and is the execution's goroutine.
+func (h *hedging) takeNews() {
 	n := &h.news
 	if n.sent == 0 && len(n.ends) == 0 {
 		return
@@ -302,13 +302,13 @@
 	h.news = hedgeNews{}
 }
 
-// setTimer has the timer strike when the next hedge is due, or earlier. The caller holds the lock.
+// setTimer has the timer run when the next hedge is due, or earlier. The caller holds the lock.
 func (h *hedging) setTimer(now time.Time) {
-	if !h.strikes.IsZero() && !h.due.Before(h.strikes) {
+	if !h.timerAt.IsZero() && !h.due.Before(h.timerAt) {
 		return
 	}
 	after := max(h.due.Sub(now), 0)
-	h.strikes = h.due
+	h.timerAt = h.due
 	if h.timer == nil {
 		h.timer = h.execution.dispatcher.clock.AfterFunc(after, h.onTimer)
 		return
@@ -321,10 +321,10 @@
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	now := h.execution.dispatcher.clock.Now()
-	if h.closed || now.Before(h.strikes) {
+	if h.closed || now.Before(h.timerAt) {
 		return
 	}
-	h.strikes = time.Time{}
+	h.timerAt = time.Time{}
 	switch late := now.Sub(h.due); {
 	case !h.waiting || h.winner != nil:
 		return // wait sets it again
@@ -596,7 +596,7 @@
 	won.activity = h.execution.dispatcher.activities.begin(x.choice.Server.ID)
 	h.winner = &won
 	if !h.broken {
-		h.execution.dispatcher.activities.leaveSilent(h.activity)
+		h.execution.dispatcher.activities.markSilent(h.activity)
 	}
 	h.drop()
 	h.withdraw(errHedgeWon)
@@ -684,7 +684,7 @@
 		}
 		n.ends = x.ended(endBroken)
 	}
-	d.logAttempt("failed", &x.exchange, zap.Error(err), zap.Bool("patience", false), zap.String("endedBy", string(n.ends[0].cause)), zap.Duration("silence", n.ends[0].silence))
+	d.logAttempt("failed", &x.exchange, zap.Error(err), zap.String("endedBy", string(n.ends[0].cause)), zap.Duration("silence", n.ends[0].silence))
 	return n
 }
 
--- a/internal/request/beechattempt/hedge_test.go
+++ b/internal/request/beechattempt/hedge_test.go
@@ -497,7 +497,7 @@
 	a := s.begin("e1")
 	s.beginReading(a, clock.Now())
 	clock.Advance(time.Second)
-	s.leaveSilent(a)
+	s.markSilent(a)
 	a.reading.Add(-1)
 	s.end(a)
 	is.Equal(s.silent(time.Second), []string{"e1"})
--- a/internal/request/beechattempt/run.go
+++ b/internal/request/beechattempt/run.go
@@ -314,7 +314,7 @@
 
 // forwardHedge forwards the answer of the hedge that has won.
 func (r *execution) forwardHedge(ctx context.Context) verdict {
-	x := r.hedging.take()
+	x := r.hedging.takeWinner()
 	defer r.dispatcher.activities.end(x.activity)
 	defer x.withdraw(nil)
 	defer x.answer.Body.Close()
@@ -336,8 +336,8 @@
 	return r.forwardWhole(x)
 }
 
-// giveWay ends the attempt under way, which was silent until a hedge had won.
-func (r *execution) giveWay(x *exchange) verdict {
+// loseToHedge ends the attempt under way, which was silent until a hedge had won.
+func (r *execution) loseToHedge(x *exchange) verdict {
 	x.start.stop()
 	if r.callerLeft() {
 		x.placement.Done(beechplace.Cancelled)
@@ -350,7 +350,7 @@
 	x.placement.Done(beechplace.Failed)
 	r.dispatcher.observer.ObserveAttempt(x.choice.Server, r.call.Model, 0, x.choice.PrefillTokens, true)
 	r.dispatcher.ends.silences.Add(string(silenceWon), 1)
-	r.dispatcher.logAttempt("failed", x, zap.Error(errHedgeWon), zap.Bool("patience", true), zap.String("endedBy", string(endSilent)), zap.Duration("silence", r.silence()))
+	r.dispatcher.logAttempt("failed", x, zap.Error(errHedgeWon), zap.String("endedBy", string(endSilent)), zap.Duration("silence", r.silence()))
 	r.ended(endSilent)
 	return hedgeWon
 }
@@ -425,7 +425,7 @@
 	}
 	x.start.stop()
 	if r.hedging.won() {
-		return r.giveWay(x)
+		return r.loseToHedge(x)
 	}
 	choice, placement, answer, sent := x.choice, x.placement, x.answer, x.sent
 	if !r.stream.started {
@@ -460,7 +460,7 @@
 		r.dispatcher.logAttempt("answered with another response", x, zap.Int("status", answer.Status))
 		return r.noRetry(stopOtherAnswer) // not a continuation of the events that the caller has
 	}
-	if !r.hedging.keep() {
+	if !r.hedging.dropHedges() {
 		return hedgeWon
 	}
 	r.dispatcher.suspects.RecordSuccess(r.call.Fingerprint())
@@ -520,7 +520,7 @@
 		r.dispatcher.observeRejection(x, notExecuted)
 	}
 	if r.hedging.won() {
-		return r.giveWay(x)
+		return r.loseToHedge(x)
 	}
 	if errors.Is(err, beechcall.ErrWithdrawn) {
 		return r.handleWithdrawn(x)
@@ -581,7 +581,7 @@
 	r.maybeExecuted++
 	r.onTrial = false
 	cause := r.failureCause(x, err)
-	r.dispatcher.logAttempt("failed", x, zap.Error(err), zap.Bool("patience", false), zap.String("endedBy", string(cause)), zap.Duration("silence", r.silence()))
+	r.dispatcher.logAttempt("failed", x, zap.Error(err), zap.String("endedBy", string(cause)), zap.Duration("silence", r.silence()))
 	r.ended(cause)
 	var probed *probe
 	switch {
--- a/internal/request/beechattempt/silence_test.go
+++ b/internal/request/beechattempt/silence_test.go
@@ -247,7 +247,7 @@
 
 func (b *eventBody) Close() error { return nil }
 
-// A process stands still for longer than its time-outs, and its timers strike before it has read what came
+// A process stands still for longer than its time-outs, and its timers run before it has read what came
 // meanwhile.
 func TestLateTimerLooksForDataFirst(t *testing.T) {
 	is := is.New(t)
--- a/internal/request/beechattempt/stream.go
+++ b/internal/request/beechattempt/stream.go
@@ -47,8 +47,8 @@
 			buffer, err = r.readMore(x, buffer)
 		}
 		if end := wholeEvents(buffer); end > 0 {
-			if !r.hedging.keep() {
-				return r.giveWay(x)
+			if !r.hedging.dropHedges() {
+				return r.loseToHedge(x)
 			}
 			if !verified && !r.verifyOrigin(x.choice) {
 				err = errOtherSoftware
@@ -120,8 +120,8 @@
 // endStream ends the caller's stream with that of the server.
 func (r *execution) endStream(x *exchange) verdict {
 	x.start.stop()
-	if !r.hedging.keep() {
-		return r.giveWay(x)
+	if !r.hedging.dropHedges() {
+		return r.loseToHedge(x)
 	}
 	x.placement.Done(beechplace.Answered)
 	r.ended(endAnswered)
