Hedges that are withdrawn before they are sent wait longer each time

What callers would see: retry budget spent, for calls whose server has really failed, while one silent call tries server after server that is at its limit.

Cause: a hedge takes its retry before it is known whether it can be sent, and one that could not was followed by the next after 0.1 s.

Change: the delay doubles with each such hedge, up to 1.6 s.

--- a/internal/request/beechattempt/hedge.go
+++ b/internal/request/beechattempt/hedge.go
@@ -34,25 +34,26 @@
 		enabled   bool            // the call may be hedged; only for the execution, like alone
 		alone     bool            // no hedge is under way or has won, nor is one sent until the execution waits
 
-		mu       sync.Mutex
-		closed   bool
-		waiting  bool                    // the execution waits for data
-		broken   bool                    // its attempt has ended without it, and it waits for the hedges
-		withdraw context.CancelCauseFunc // of its attempt
-		activity *activity               // of its attempt's server
-		overdue  bool                    // its attempt was silent for longer than the time-out
-		restart  bool                    // the time-out counts anew from when the execution waits again
-		since    time.Time               // of the silence
-		timeout  time.Duration
-		due      time.Time // when the next hedge may be sent
-		delay    time.Duration
-		reason   silenceAction // why no hedge was sent
-		timer    clockwork.Timer
-		timerAt  time.Time // when the timer runs; zero: it is not set
-		underway []*hedge  // those that were withdrawn included, until they have ended
-		winner   *exchange
-		changed  chan struct{} // gets a value when a hedge has won or ended
-		news     hedgeNews
+		mu        sync.Mutex
+		closed    bool
+		waiting   bool                    // the execution waits for data
+		broken    bool                    // its attempt has ended without it, and it waits for the hedges
+		withdraw  context.CancelCauseFunc // of its attempt
+		activity  *activity               // of its attempt's server
+		overdue   bool                    // its attempt was silent for longer than the time-out
+		restart   bool                    // the time-out counts anew from when the execution waits again
+		since     time.Time               // of the silence
+		timeout   time.Duration
+		due       time.Time // when the next hedge may be sent
+		delay     time.Duration
+		reason    silenceAction // why no hedge was sent
+		withdrawn int           // hedges in a row that were withdrawn before they were sent
+		timer     clockwork.Timer
+		timerAt   time.Time // when the timer runs; zero: it is not set
+		underway  []*hedge  // those that were withdrawn included, until they have ended
+		winner    *exchange
+		changed   chan struct{} // gets a value when a hedge has won or ended
+		news      hedgeNews
 	}
 
 	// hedgeNews is what the execution has not taken yet.
@@ -94,6 +95,9 @@
 	// lookAgain is the first delay until it is looked again for a server, a retry or an attempt that a
 	// hedge needs; it doubles with each look.
 	lookAgain = 100 * time.Millisecond
+	// maxWithdrawnDoublings bounds the delay after hedges that were withdrawn before they were sent: each
+	// has taken a retry from the budget.
+	maxWithdrawnDoublings = 4
 	// maxTimerDelay is how late a timer may run. Beyond it the process stood still, and data that has
 	// come meanwhile is read first.
 	maxTimerDelay = 100 * time.Millisecond
@@ -620,9 +624,14 @@
 	if n.serverError != nil {
 		h.news.serverError = n.serverError
 	}
+	if n.sent < 0 {
+		h.withdrawn++
+	} else {
+		h.withdrawn = 0
+	}
 	if (n.notExecuted > 0 || n.sent < 0) && h.waiting { // the next one need not wait for the time-out
 		now := h.execution.dispatcher.clock.Now()
-		h.due = now.Add(lookAgain)
+		h.due = now.Add(lookAgain << min(max(h.withdrawn-1, 0), maxWithdrawnDoublings))
 		h.setTimer(now)
 	}
 	h.wake()
--- a/internal/request/beechattempt/hedge_test.go
+++ b/internal/request/beechattempt/hedge_test.go
@@ -279,6 +279,18 @@
 	}
 }
 
+// Hedges that cannot be sent after all must not spend the budget that other calls need.
+func TestWithdrawnHedgesSpendFewRetries(t *testing.T) {
+	is := is.New(t)
+	f := newFixture(8, 100)
+	f.backend.script = []step{f.pauses(event(1), 4*time.Second, event(2)), func(_ context.Context, a beechcall.Attempt) (*beechcall.Answer, error) {
+		return nil, beechcall.NotSent{Peer: a.Server.Address, Step: "send", Err: beechcall.ErrWithdrawn}
+	}}
+	c := f.serve(t.Context(), f.hedged())
+	is.Equal(c.body, event(1)+event(2))
+	is.True(f.budget.left >= 100-8) // of some thirty that a fixed delay would take
+}
+
 // No other server is there when the time-out passes, but a little later.
 func TestHedgeIsSentOnceThereIsAServer(t *testing.T) {
 	is := is.New(t)
