Mirror: a peer's copy waits for its confirmation

What the store saw: a whole read by a process that starts, though a peer's copy was there, in 1 of 100 to 150 plays of TestPeerCopyReplacesFirstRead.

Cause: a copy and the word that it is up to date arrive one after the other. In between the copy was loaded and its age unknown, which counts as infinite, so that a look at that moment found a read due. The looks come each 50 ms, and the test applies both at one of them.

Evidence: TestPeerCopyWaitsForItsConfirmation forces the order and fails without the change.

Change: until the moment at which a process without a copy would read, one with an unconfirmed copy does not either.

--- a/internal/state/beechmirror/mirror.go
+++ b/internal/state/beechmirror/mirror.go
@@ -231,12 +231,17 @@
 	switch {
 	case m.failing:
 		return 0
-	case !m.loaded && m.settings.StartAge > 0:
-		return m.maxAge - m.settings.StartAge - m.clock.Since(m.startedAt)
 	case m.keptMissing:
 		return missingReadInterval - m.clock.Since(m.lastFullRead)
+	case m.settings.StartAge == 0:
+		return m.maxAge - m.freshness.Age()
 	}
-	return m.maxAge - m.freshness.Age()
+	// A copy of a peer may be there before it is confirmed. Until then it is as old as none.
+	first := m.maxAge - m.settings.StartAge - m.clock.Since(m.startedAt)
+	if !m.loaded {
+		return first
+	}
+	return max(first, m.maxAge-m.freshness.Age())
 }
 
 // confirmedByPeer reports whether the copy is young although this process cannot read.
--- a/internal/state/beechmirror/mirror_test.go
+++ b/internal/state/beechmirror/mirror_test.go
@@ -492,6 +492,27 @@
 	})
 }
 
+// A peer's copy is there and its confirmation on the way. The copy must not count as out of date meanwhile.
+func TestPeerCopyWaitsForItsConfirmation(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		s := &source{page: Page{Revision: 9}}
+		m := newMirror(s, clockwork.NewRealClock(), func([]Item) {})
+		m.settings.StartAge = 200 * time.Millisecond
+		ctx, cancel := context.WithTimeout(t.Context(), 900*time.Millisecond)
+		defer cancel()
+		go func() { _ = m.Read(ctx) }()
+		time.Sleep(300 * time.Millisecond)
+		is.True(m.ApplyPeerCopy(Page{Revision: 7, Items: []Item{{Key: "servers/a", Revision: 4}}}))
+		held, _ := m.Held()
+		time.Sleep(250 * time.Millisecond)
+		is.True(m.ApplyPeerStatus(CopyStatus{Digest: held.Digest, Confirmed: true, ConfirmedAt: 1}))
+		<-ctx.Done()
+		synctest.Wait()
+		is.Equal(s.calls(), 0)
+	})
+}
+
 // No peer answers. The first read must come when the start age has grown to the age for the
 // role.
 func TestFirstReadWithoutPeers(t *testing.T) {
