Gate: how late departures are looked for, how late sockets are closed, and why

Change: metrics departureWatchDelayMicros, resetDelayMicros, serverConnectionsClosed; the field pending of attempt failed. No decision changes. Result: the tests of beechsocket, beechpool, beechattempt pass as before.

--- a/internal/link/beechpool/pool.go
+++ b/internal/link/beechpool/pool.go
@@ -30,12 +30,14 @@
 	"errors"
 	"fmt"
 	"io"
+	"maps"
 	"net"
 	"net/http"
 	"net/netip"
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -66,8 +68,14 @@
 		open   map[netip.AddrPort]int
 		limits map[netip.AddrPort]int // by server; 0 or none: Settings.MaxConns
 		dialed int
+		closed map[CloseCause]int64
+
+		resetDelay func(time.Duration)
 	}
 
+	// CloseCause is why a connection was closed.
+	CloseCause string
+
 	// Conditions are what an exchange depends on besides its context. Each may be nil.
 	Conditions struct {
 		Matches   func(*http.Response) bool // false for a response to an earlier request
@@ -103,6 +111,8 @@
 		writeErr      error
 		writeDoneRead bool // writeErr holds the value of writeDone
 		ended         sync.Once
+		reading       atomic.Bool               // a goroutine waits for data
+		resetAt       atomic.Pointer[time.Time] // the connection was reset while a goroutine waited for data
 	}
 
 	body struct {
@@ -135,6 +145,15 @@
 	keepAliveShareNumerator   = 7
 )
 
+// The causes for which connections are closed.
+const (
+	CloseUnused    CloseCause = "unused"                       // idle for too long, or closed by the server meanwhile
+	CloseServer    CloseCause = "server closes"                // the response says so, or has bytes behind it
+	CloseWithdrawn CloseCause = "withdrawn"                    // the context ended or the caller departed
+	CloseFailed    CloseCause = "no response"                  // the exchange failed
+	CloseUnread    CloseCause = "response not read to its end" // by the user of the pool
+)
+
 var (
 	// ErrWithdrawn is the cause of a DialError if the context had ended or Conditions.Withdrawn held.
 	ErrWithdrawn = errors.New("withdrawn before it was sent")
@@ -147,7 +166,7 @@
 func New(s Settings, clock clockwork.Clock) *Pool {
 	p := &Pool{
 		settings: s, clock: clock,
-		idle: make(map[netip.AddrPort][]*conn), open: make(map[netip.AddrPort]int),
+		idle: make(map[netip.AddrPort][]*conn), open: make(map[netip.AddrPort]int), closed: make(map[CloseCause]int64), resetDelay: func(time.Duration) {},
 	}
 	p.dialer = net.Dialer{
 		Timeout:         s.DialTimeout,
@@ -178,6 +197,18 @@
 	return p.dialed
 }
 
+// ConnectionsClosed returns how many connections were closed, by cause.
+func (p *Pool) ConnectionsClosed() map[CloseCause]int64 {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return maps.Clone(p.closed)
+}
+
+// ObserveResetDelay has a function called with the time from the withdrawal of each exchange until its
+// socket was closed: a goroutine that waits for data holds the socket until it has run again. It must be
+// called before the first exchange.
+func (p *Pool) ObserveResetDelay(observe func(time.Duration)) { p.resetDelay = observe }
+
 // SetLimits limits the number of connections to each server. Servers that are not named have
 // the limit of the settings.
 func (p *Pool) SetLimits(limits map[netip.AddrPort]int) {
@@ -217,10 +248,12 @@
 		return nil, &DialError{Peer: peer, Err: err}
 	}
 	stop := c.withdrawAtEnd(ctx, conditions.Reset)
+	c.reading.Store(true)
 	response, failed := c.exchange(r, conditions.Matches)
+	c.readEnded()
 	if failed != nil {
 		stop()
-		c.reset()
+		c.reset(CloseFailed)
 		if cause := ctx.Err(); cause != nil {
 			failed.Err = fmt.Errorf("%w: %w", cause, failed.Err)
 		}
@@ -383,13 +416,31 @@
 }
 
 // drop closes a connection that carries no exchange.
-func (c *conn) drop() {
+func (c *conn) drop() { c.end(CloseUnused) }
+
+// end closes a connection.
+func (c *conn) end(cause CloseCause) {
 	c.ended.Do(func() {
 		_ = c.Close()
 		c.pool.decrementOpen(c.peer)
+		c.pool.countClosed(cause)
 	})
 }
 
+func (p *Pool) countClosed(cause CloseCause) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.closed[cause]++
+}
+
+// readEnded records that no goroutine waits for data any more.
+func (c *conn) readEnded() {
+	c.reading.Store(false)
+	if at := c.resetAt.Swap(nil); at != nil {
+		c.pool.resetDelay(c.pool.clock.Since(*at))
+	}
+}
+
 // withdrawAtEnd withdraws the exchange when the context ends or the caller of its request departs.
 // Stop prevents that, and returns false if it has begun.
 func (c *conn) withdrawAtEnd(ctx context.Context, report func(told bool)) (stop func() bool) {
@@ -405,18 +456,21 @@
 // withdraw resets a connection with an exchange under way, and reports whether it was still alive.
 func (c *conn) withdraw(report func(told bool)) {
 	alive := beechsocket.Look(c.Conn) != beechsocket.Closed
-	c.reset()
+	if now := c.pool.clock.Now(); c.reading.Load() {
+		c.resetAt.Store(&now)
+	}
+	c.reset(CloseWithdrawn)
 	if report != nil {
 		report(alive)
 	}
 }
 
 // reset withdraws the exchange of a connection.
-func (c *conn) reset() {
+func (c *conn) reset(cause CloseCause) {
 	if t, ok := c.Conn.(*net.TCPConn); ok {
 		_ = t.SetLinger(0)
 	}
-	c.drop()
+	c.end(cause)
 }
 
 // release returns the connection to the pool.
@@ -435,7 +489,9 @@
 
 // Read reads from the body and, at its end, releases the connection.
 func (b *body) Read(data []byte) (int, error) {
+	b.conn.reading.Store(true)
 	n, err := b.ReadCloser.Read(data)
+	b.conn.readEnded()
 	if err == io.EOF {
 		b.readToEOF = true
 		b.finish()
@@ -454,10 +510,12 @@
 	b.once.Do(func() {
 		cancelled := !b.stopCancel()
 		switch {
-		case cancelled || !b.readToEOF || !b.conn.requestWritten():
-			b.conn.reset()
+		case cancelled:
+			b.conn.reset(CloseWithdrawn)
+		case !b.readToEOF || !b.conn.requestWritten():
+			b.conn.reset(CloseUnread)
 		case !b.reusable || b.conn.reader.Buffered() > 0:
-			b.conn.drop()
+			b.conn.end(CloseServer)
 		default:
 			b.conn.release()
 		}
--- a/internal/link/beechsocket/watcher.go
+++ b/internal/link/beechsocket/watcher.go
@@ -20,6 +20,7 @@
 	Watcher struct {
 		clock clockwork.Clock
 		epoll int
+		delay func(time.Duration)
 
 		mu      sync.Mutex
 		closed  bool
@@ -62,7 +63,7 @@
 	if err != nil {
 		return nil, fmt.Errorf("create epoll instance: %w", err)
 	}
-	return &Watcher{clock: clock, epoll: epoll, watched: make(map[uint64]*watchedConn)}, nil
+	return &Watcher{clock: clock, epoll: epoll, delay: func(time.Duration) {}, watched: make(map[uint64]*watchedConn)}, nil
 }
 
 // Listen returns a listener whose connections are watched.
@@ -70,8 +71,13 @@
 	return watchedListener{Listener: l, watcher: w}
 }
 
+// Observe has a function called with the delay of each poll, which adds to the time until a departure
+// is noticed. It must be called before Run.
+func (w *Watcher) Observe(delay func(time.Duration)) { w.delay = delay }
+
 // Run notices departures until the context ends.
 func (w *Watcher) Run(ctx context.Context) error {
+	last := w.clock.Now()
 	ticker := w.clock.NewTicker(pollInterval)
 	defer ticker.Stop()
 	events := make([]unix.EpollEvent, maxEvents)
@@ -81,6 +87,9 @@
 		case <-ctx.Done():
 			return ctx.Err()
 		}
+		now := w.clock.Now()
+		w.delay(max(now.Sub(last)-pollInterval, 0))
+		last = now
 		if err := w.poll(events); err != nil {
 			return fmt.Errorf("wait for departures: %w", err)
 		}
--- a/internal/process/beechgate/gate.go
+++ b/internal/process/beechgate/gate.go
@@ -216,6 +216,8 @@
 	g.limits = beechthrottle.New(s.Name, rand.Uint64(), deps.Age, deps.Clock, g.logLimitEvent, g.wakeLimitSender)
 	g.door = beechending.NewDoor(deps.Log, deps.Clock, g.configurationVersion, func(w http.ResponseWriter) { w.WriteHeader(http.StatusInternalServerError) })
 	g.metrics = newMetrics(g)
+	callers.Observe(g.metrics.watchDelay.Record)
+	deps.Pool.ObserveResetDelay(g.metrics.resetDelay.Record)
 	g.limitLog = beechlog.Sampled(deps.Log, maxLimitLogLines, g.metrics.limitLinesDropped)
 	g.connections = beechkeepalive.New(beechkeepalive.Settings{IdleTimeout: g.idleTimeout, HeadTimeout: headerTimeout, Closed: g.logUnreadClosing}, deps.Clock)
 	weights := time.Duration(s.Bounds.Weights)
--- a/internal/process/beechgate/metrics.go
+++ b/internal/process/beechgate/metrics.go
@@ -42,6 +42,8 @@
 		schedulingTail    *expvar.Int          // 99th percentile in microseconds
 		returns           *expvar.Map          // refused callers that were told a time, and what became of it
 		toldTimes         *beechmetric.Latency // times that refused callers were told
+		watchDelay        *beechmetric.Latency // of the looks for callers that have left
+		resetDelay        *beechmetric.Latency // from the withdrawal of an attempt until its socket was closed
 		acceptWait        *expvar.Int          // shortest wait of new connections in microseconds
 	}
 )
@@ -53,7 +55,7 @@
 		limitLinesDropped: new(expvar.Int), lateVersions: new(expvar.Int), invalidEntries: new(expvar.Int), firstByte: beechmetric.NewLatency(), wholeAnswer: beechmetric.NewLatency(),
 		resumed: new(expvar.Map), backups: new(expvar.Map), turnedAway: new(expvar.Int), unreadAge: beechmetric.NewLatency(), schedulingDelay: new(expvar.Int), departed: new(expvar.Map), departedAfter: beechmetric.NewLatency(),
 		unnoticed: beechmetric.NewLatency(), withdrawn: beechmetric.NewLatency(), withdrawals: new(expvar.Map), schedulingTail: new(expvar.Int), acceptWait: new(expvar.Int),
-		returns: new(expvar.Map), toldTimes: beechmetric.NewLatency(),
+		returns: new(expvar.Map), toldTimes: beechmetric.NewLatency(), watchDelay: beechmetric.NewLatency(), resetDelay: beechmetric.NewLatency(),
 	}
 	m.vars.Set("endings", m.endings)
 	m.vars.Set("retried", m.retried)
@@ -106,6 +108,9 @@
 	m.vars.Set("leaveNoticedMicros", expvar.Func(m.unnoticed.Percentiles))
 	m.vars.Set("withdrawnMicros", expvar.Func(m.withdrawn.Percentiles))
 	m.vars.Set("withdrawals", m.withdrawals)
+	m.vars.Set("departureWatchDelayMicros", expvar.Func(m.watchDelay.Percentiles))
+	m.vars.Set("resetDelayMicros", expvar.Func(m.resetDelay.Percentiles))
+	m.vars.Set("serverConnectionsClosed", expvar.Func(func() any { return g.deps.Pool.ConnectionsClosed() }))
 	m.vars.Set("schedulingDelayTailMicros", m.schedulingTail)
 	m.vars.Set("acceptWaitMicros", m.acceptWait)
 	m.vars.Set("configurationAgeMillis", expvar.Func(func() any { return g.freshness.Age().Milliseconds() }))
--- a/internal/request/beechattempt/run.go
+++ b/internal/request/beechattempt/run.go
@@ -67,6 +67,7 @@
 		answer    *beechcall.Answer // nil until it has begun
 		read      []byte            // what a hedge has read of its body
 		readErr   error             // after that
+		pending   int               // bytes of a stream that formed no event when it ended
 	}
 
 	response struct {
@@ -581,7 +582,7 @@
 	r.maybeExecuted++
 	r.onTrial = false
 	cause := r.failureCause(x, err)
-	r.dispatcher.logAttempt("failed", x, zap.Error(err), zap.String("endedBy", string(cause)), zap.Duration("silence", r.silence()))
+	r.dispatcher.logAttempt("failed", x, zap.Error(err), zap.String("endedBy", string(cause)), zap.Duration("silence", r.silence()), zap.Int("pending", x.pending))
 	r.ended(cause)
 	var probed *probe
 	switch {
--- a/internal/request/beechattempt/stream.go
+++ b/internal/request/beechattempt/stream.go
@@ -72,6 +72,7 @@
 		case err == io.EOF:
 			err = errIncompleteEvent
 		}
+		x.pending = len(buffer)
 		return r.handleFailure(x, beechcall.OutcomeUnknown{Peer: x.choice.Server.Address, Step: "read the stream", Err: err})
 	}
 }
