--- a/internal/standin/beechsimulator/engine.go
+++ b/internal/standin/beechsimulator/engine.go
@@ -59,6 +59,8 @@
 		onCrash       func(down time.Duration) // ends all connections, and accepts none for a time
 		copies        copies
 		silences      []Silence
+		endlessBytes  int64
+		asked         int // requests that began to run
 	}
 
 	// EngineFaults are the faults that an engine simulates.
@@ -77,6 +79,9 @@
 		CrashPart    string        // shared prompt part on which the engine crashes before it responds; empty is none
 		CrashDelay   time.Duration // from the first event of such a response to the crash; 0: it has none
 		Ending       Ending        // how responses end
+		Endless      Endless       // form of bytes that are sent without end instead of a response; empty is none
+		EndlessEvery int           // of how many requests one gets them; 0 is all
+		EndlessRate  int           // bytes a second; 0: as fast as they are read
 	}
 
 	// Ending is how the end of a response is marked.
@@ -515,6 +520,9 @@
 	faults, version := e.faults, e.version
 	faults.CrashPart = cmp.Or(faults.CrashPart, e.lasting.CrashPart)
 	faults.Ending = cmp.Or(faults.Ending, e.lasting.Ending)
+	if e.asked++; faults.EndlessEvery > 0 && e.asked%faults.EndlessEvery != 0 {
+		faults.Endless = ""
+	}
 	e.mu.Unlock()
 	if faults.Foreign != "" {
 		w.Header().Set(headerAttemptID, faults.Foreign)
@@ -525,6 +533,8 @@
 	w.Header().Set(headerSeal, "seal."+id)
 	w.Header().Set(headerLoad, e.load())
 	switch {
+	case faults.Endless != "":
+		e.sendEndless(w, id, faults)
 	case faults.Hang:
 		<-r.Context().Done()
 	case faults.Drop:
