Pool: a head that does not end is bounded in bytes and interim responses

What callers saw: one server that sends a status line, a header field or fields without end had a gate collect them until the caller gave up (up to 628 MB in a trial, 217 MB of a gate's process in TestEndlessAnswersDelayNoDepartures/header-field). Cause: http.ReadResponse has no bound of its own; net/http's Transport sets one below it, and this pool replaced the Transport without it. Interim responses were counted nowhere. Evidence: 8 of 9 cases of TestHeadWithoutEndIsBounded read until the context ended after 3 s. Why it works: while a head is read the connection gives at most 64 KiB an exchange, all heads included, and 100 interim responses; then the exchange fails with ErrNoEnd and the connection is reset at once. Bodies are not counted. Result: 9 of 9 cases end within 4 ms, 271 KB sent at most (sockets' buffers included); sound heads of 40 KB behind three interim responses pass.

--- a/internal/link/beechpool/pool.go
+++ b/internal/link/beechpool/pool.go
@@ -10,6 +10,9 @@
 // Before an idle connection is reused, it is checked without blocking. It is dropped if
 // the server has closed it or has sent bytes that no request asked for.
 //
+// What a server may send before a response begins is bounded in bytes and in interim responses, so that
+// one that sends without end is left at once.
+//
 // An exchange that ends early is withdrawn: its connection is reset, so that a request that
 // is still queued on its way is discarded, and a server that reads late does not take it for
 // a whole request whose client has merely finished sending.
@@ -103,6 +106,7 @@
 		net.Conn
 		pool          *Pool
 		peer          netip.AddrPort
+		source        *headSource
 		reader        *bufio.Reader
 		uses          int
 		idleSince     time.Time
@@ -115,6 +119,13 @@
 		resetAt       atomic.Pointer[time.Time] // the connection was reset while a goroutine waited for data
 	}
 
+	// headSource reads from a connection, and no more than a number of bytes while a head is read.
+	headSource struct {
+		io.Reader
+		bounded bool
+		left    int // bytes
+	}
+
 	body struct {
 		io.ReadCloser
 		conn       *conn
@@ -139,7 +150,9 @@
 	concurrentWriteBytes      = 16 << 10 // longer bodies are written while reading, since a server may respond before it has read them
 	maxStaleResponses         = 3        // responses to earlier requests after which an exchange fails
 	readBufferBytes           = 4 << 10
-	maxIdleConns              = 64 // to one server
+	maxHeadBytes              = 64 << 10 // of all heads in one exchange
+	maxInterimResponses       = 100      // in one exchange
+	maxIdleConns              = 64       // to one server
 	maxDiscardBytes           = 64 << 10
 	keepAliveShareDenominator = 10
 	keepAliveShareNumerator   = 7
@@ -158,6 +171,11 @@
 	// ErrWithdrawn is the cause of a DialError if the context had ended or Conditions.Withdrawn held.
 	ErrWithdrawn = errors.New("withdrawn before it was sent")
 
+	// ErrNoEnd is the cause of an ExchangeError if the server has sent more than belongs to a head.
+	ErrNoEnd = errors.New("no end of the head")
+
+	errHeadTooLong    = fmt.Errorf("%w: it exceeds %d bytes", ErrNoEnd, maxHeadBytes)
+	errInterim        = fmt.Errorf("%w: %d interim responses", ErrNoEnd, maxInterimResponses)
 	errStaleResponses = errors.New("received only responses to earlier requests")
 	errMaxConns       = errors.New("maximum number of connections to the server reached")
 )
@@ -286,12 +304,17 @@
 			return nil, &ExchangeError{Peer: c.peer, Step: "write request", Reused: reused, Err: err}
 		}
 	}
+	c.source.left = maxHeadBytes
+	interim := 0
 	for stale := 0; stale < maxStaleResponses; {
-		response, err := http.ReadResponse(c.reader, r)
+		response, err := c.readHead(r)
 		if err != nil {
 			return nil, &ExchangeError{Peer: c.peer, Step: "read response", Reused: reused, Err: err}
 		}
 		if response.StatusCode < http.StatusOK {
+			if interim++; interim > maxInterimResponses {
+				return nil, &ExchangeError{Peer: c.peer, Step: "read response", Reused: reused, Err: errInterim}
+			}
 			continue
 		}
 		if matches == nil || matches(response) {
@@ -307,6 +330,30 @@
 	return nil, &ExchangeError{Peer: c.peer, Step: "read response", Reused: reused, Err: errStaleResponses}
 }
 
+// readHead reads a response up to its body.
+func (c *conn) readHead(r *http.Request) (*http.Response, error) {
+	c.source.bounded = true
+	defer func() { c.source.bounded = false }()
+	response, err := http.ReadResponse(c.reader, r)
+	if err != nil && c.source.left <= 0 && !errors.Is(err, errHeadTooLong) {
+		err = fmt.Errorf("%w: %w", errHeadTooLong, err) // cut off in the middle of a line
+	}
+	return response, err
+}
+
+// Read reads from the connection.
+func (s *headSource) Read(data []byte) (int, error) {
+	if !s.bounded {
+		return s.Reader.Read(data)
+	}
+	if s.left <= 0 {
+		return 0, errHeadTooLong
+	}
+	n, err := s.Reader.Read(data[:min(len(data), s.left)])
+	s.left -= n
+	return n, err
+}
+
 func (c *conn) writeResult() error {
 	if !c.writeDoneRead {
 		c.writeErr, c.writeDoneRead = <-c.writeDone, true
@@ -352,7 +399,8 @@
 		p.decrementOpen(peer)
 		return nil, err
 	}
-	return &conn{Conn: raw, pool: p, peer: peer, reader: bufio.NewReaderSize(raw, readBufferBytes), idleTimeout: p.settings.IdleTimeout}, nil
+	source := &headSource{Reader: raw}
+	return &conn{Conn: raw, pool: p, peer: peer, source: source, reader: bufio.NewReaderSize(source, readBufferBytes), idleTimeout: p.settings.IdleTimeout}, nil
 }
 
 func (p *Pool) popIdle(peer netip.AddrPort) *conn {
--- a/internal/request/beechcall/call.go
+++ b/internal/request/beechcall/call.go
@@ -154,8 +154,13 @@
 	defaultWorkspaceRank = 1 // where the operators' configuration has none
 )
 
-// ErrWithdrawn is the cause of NotSent if the context had ended or Attempt.Withdrawn held.
-var ErrWithdrawn = errors.New("withdrawn")
+var (
+	// ErrWithdrawn is the cause of NotSent if the context had ended or Attempt.Withdrawn held.
+	ErrWithdrawn = errors.New("withdrawn")
+	// ErrNoAnswer is the cause of OutcomeUnknown if the server has sent more bytes that are no answer than
+	// belong to one. It has not crashed.
+	ErrNoAnswer = errors.New("bytes that are no answer")
+)
 
 func (NotSent) failure()        {}
 func (NotExecuted) failure()    {}
