Streams: data without an event is bounded and searched once

What callers saw: requests went on after their callers had left, all of a group: beside streams that form no event a host with a small share of a core looked for departures up to 0.78 s late. Cause: the data of an event that does not end was kept without a bound and all of it searched again, twice, with each read: work that grows with the square of what a server sends. The watch of callers, timers and other requests waited for that. In the hedge the same loop stood once more. Class: what a peer sends is trusted in its length, and the work on it grows faster than its bytes. Why it works: one buffer, for attempts and hedges, remembers how far it was searched; an event, or what lies between two, may have 256 KiB, and a block without any field is no event. Beyond that the connection is reset and the attempt ends as one without an answer (no answer): its server counts as failed, no request is taken for one that crashed it, a repeatable or resumable call goes on elsewhere, one that may run once has an unknown outcome.

--- a/internal/request/beechattempt/backup.go
+++ b/internal/request/beechattempt/backup.go
@@ -242,9 +242,17 @@
 		r.ended(endDeadline)
 		return r.noRetry(stopDeadline)
 	}
+	cause := r.failureCause(x, err)
+	if cause == endMemory {
+		x.placement.Done(beechplace.Cancelled)
+		r.ended(cause)
+		return r.backupGivenUp(beechbackup.LostAgain)
+	}
 	x.placement.Done(beechplace.Failed)
-	r.ended(endBroken)
-	r.answerBroken(x.choice)
+	r.ended(cause)
+	if cause != endNoAnswer {
+		r.answerBroken(x.choice)
+	}
 	r.dispatcher.observer.ObserveAttempt(x.choice.Server, r.call.Model, 0, x.choice.PrefillTokens, true)
 	return r.backupGivenUp(beechbackup.LostAgain)
 }
--- a/internal/request/beechattempt/dispatcher.go
+++ b/internal/request/beechattempt/dispatcher.go
@@ -43,6 +43,7 @@
 
 		activities *activities
 		hedges     backgroundCalls
+		memory     answerMemory
 	}
 
 	// Returns decides when callers may come back for whom no server has room.
@@ -254,6 +255,9 @@
 // not go on.
 func (d *Dispatcher) StreamsBroken() map[string]int64 { return counts(d.ends.broken) }
 
+// AnswerBytes returns how many bytes of unfinished answers are held, and were held at the most.
+func (d *Dispatcher) AnswerBytes() (now, peak int) { return d.memory.heldBytes() }
+
 // Silences returns the number of silent attempts, by what was done about them.
 func (d *Dispatcher) Silences() map[string]int64 { return counts(d.ends.silences) }
 
--- a/internal/request/beechattempt/hedge.go
+++ b/internal/request/beechattempt/hedge.go
@@ -1,7 +1,6 @@
 package beechattempt
 
 import (
-	"bytes"
 	"context"
 	"errors"
 	"fmt"
@@ -257,6 +256,7 @@
 	h.takeNews()
 	if w := h.winner; w != nil { // it was first when the caller had just left
 		h.winner = nil
+		defer w.releaseShare()
 		w.withdraw(errCallEnded)
 		_ = w.answer.Body.Close()
 		w.placement.Done(beechplace.Cancelled)
@@ -301,7 +301,7 @@
 	r.triedServers = append(r.triedServers, n.failed...)
 	r.ends = append(r.ends, n.ends...)
 	if n.serverError != nil {
-		r.serverError = n.serverError
+		r.keepServerError(n.serverError)
 	}
 	h.news = hedgeNews{}
 }
@@ -410,7 +410,7 @@
 	ctx, cancel := context.WithCancelCause(h.ctx)
 	h.news.sent++
 	x := &hedge{
-		exchange: exchange{call: &call, choice: choice, withdraw: cancel, number: r.attempts + h.news.sent, activity: d.activities.begin(choice.Server.ID)},
+		exchange: exchange{call: &call, choice: choice, withdraw: cancel, number: r.attempts + h.news.sent, activity: d.activities.begin(choice.Server.ID), share: d.memory.share()},
 		hedging:  h, lastEventID: r.stream.lastEventID, begun: r.stream.started, decidedAt: d.clock.Now(),
 	}
 	h.underway = append(h.underway, x)
@@ -442,6 +442,7 @@
 func (x *hedge) run(ctx context.Context) {
 	d := x.hedging.execution.dispatcher
 	defer d.activities.end(x.activity)
+	defer x.releaseShare()
 	x.placement = d.placer.StartAttempt(x.call, x.choice)
 	defer x.endPanic(d)
 	if !x.ready(ctx, d) {
@@ -521,23 +522,20 @@
 
 // readEvents reads until there are whole events, or the stream ends.
 func (x *hedge) readEvents(d *Dispatcher) error {
-	buffer := make([]byte, 0, readBufferBytes)
+	buffer := newEventBuffer(x.share)
 	for {
-		if len(buffer) == cap(buffer) {
-			buffer = append(buffer, 0)[:len(buffer)]
-		}
-		n, err := x.answer.Body.Read(buffer[len(buffer):cap(buffer)])
-		buffer = buffer[:len(buffer)+n]
-		if n > 0 {
+		err := buffer.read(x.answer.Body)
+		whole := len(buffer.whole()) > 0
+		if whole {
 			x.start.stop()
 		}
-		atEnd := err == io.EOF && len(bytes.TrimSpace(buffer)) == 0
+		atEnd := err == io.EOF && buffer.pending() == 0
 		switch {
-		case wholeEvents(buffer) > 0, atEnd && x.begun && !x.answer.Unframed:
+		case whole, atEnd && x.begun && !x.answer.Unframed:
 			if x.call.Origin != nil && d.placer.Software(x.choice) != x.call.Origin.Software {
 				return x.unknown("read the stream", errOtherSoftware)
 			}
-			x.read, x.readErr = buffer, err
+			x.events, x.readErr = buffer, err
 			return nil
 		case err == nil:
 			continue
@@ -552,11 +550,9 @@
 
 // readWhole reads an answer that is not a stream.
 func (x *hedge) readWhole(d *Dispatcher) error {
-	body, err := io.ReadAll(io.LimitReader(x.answer.Body, maxAnswerBytes+1))
+	body, err := readBody(x.answer.Body, x.share)
 	switch {
 	case err != nil:
-	case len(body) > maxAnswerBytes:
-		err = errAnswerTooLong
 	case x.answer.Unframed && !x.answer.Leaving && x.serverGone(d):
 		err = errServerGone
 	case x.answer.Status >= http.StatusInternalServerError:
@@ -597,6 +593,7 @@
 	x.setOverdue(false)
 	h.underway = slices.DeleteFunc(h.underway, func(other *hedge) bool { return other == x })
 	won := x.exchange
+	x.share = nil
 	won.activity = h.execution.dispatcher.activities.begin(x.choice.Server.ID)
 	h.winner = &won
 	if !h.broken {
@@ -622,7 +619,11 @@
 	h.news.failed = append(h.news.failed, n.failed...)
 	h.news.ends = append(h.news.ends, n.ends...)
 	if n.serverError != nil {
+		h.news.serverError.release()
 		h.news.serverError = n.serverError
+		if h.closed {
+			n.serverError.release()
+		}
 	}
 	if n.sent < 0 {
 		h.withdrawn++
@@ -683,15 +684,21 @@
 	case errors.Is(err, errOtherSoftware):
 		x.placement.Done(beechplace.Cancelled)
 		n.ends = x.ended(endSoftware)
+	case errors.Is(err, errAnswerMemory):
+		x.placement.Done(beechplace.Cancelled)
+		n.ends = x.ended(endMemory)
 	case errors.Is(err, errServerFailed):
 		n.ends, n.serverError = x.loseAnswer(d)
 	default:
 		x.placement.Done(beechplace.Failed)
 		d.observer.ObserveAttempt(x.choice.Server, x.call.Model, 0, x.choice.PrefillTokens, true)
-		if !errors.Is(err, errServerGone) {
+		cause := endBroken
+		if errors.Is(err, beechcall.ErrNoAnswer) {
+			cause = endNoAnswer
+		} else if !errors.Is(err, errServerGone) {
 			x.reportBroken(d)
 		}
-		n.ends = x.ended(endBroken)
+		n.ends = x.ended(cause)
 	}
 	d.logAttempt("failed", &x.exchange, zap.Error(err), zap.String("endedBy", string(n.ends[0].cause)), zap.Duration("silence", n.ends[0].silence))
 	return n
@@ -707,5 +714,5 @@
 		return x.ended(endOtherAnswer), nil
 	}
 	x.placement.Done(beechplace.Errored)
-	return x.ended(endServerError), &response{x.answer.Status, x.answer.Header, x.read}
+	return x.ended(endServerError), x.serverError(x.read)
 }
--- a/internal/request/beechattempt/run.go
+++ b/internal/request/beechattempt/run.go
@@ -4,7 +4,6 @@
 	"bytes"
 	"context"
 	"errors"
-	"io"
 	"net/http"
 	"sync/atomic"
 	"time"
@@ -65,7 +64,9 @@
 		activity  *activity
 		withdraw  context.CancelCauseFunc
 		answer    *beechcall.Answer // nil until it has begun
-		read      []byte            // what a hedge has read of its body
+		share     *answerShare      // nil once what it holds belongs to another
+		read      []byte            // whole body that a hedge has read
+		events    *eventBuffer      // what a hedge has read of a stream
 		readErr   error             // after that
 		pending   int               // bytes of a stream that formed no event when it ended
 	}
@@ -74,6 +75,7 @@
 		status int
 		header http.Header
 		body   []byte
+		share  *answerShare
 	}
 
 	// verdict is what follows an attempt.
@@ -124,7 +126,6 @@
 	// but at least minPauseTimeout.
 	pauseFactor      = 4
 	minPauseTimeout  = 800 * time.Millisecond
-	maxAnswerBytes   = 16 << 20
 	reasonAtLimits   = "servers at their limits"
 	reasonBackingOff = "servers asked to back off"
 	reasonPoison     = "servers crash on it"
@@ -136,13 +137,11 @@
 	maxProbeWait = 50 * time.Millisecond
 )
 
-var (
-	errWeightsExpire = errors.New("the server's weights expire before the request can start")
-	errAnswerTooLong = errors.New("answer exceeds 16 MiB")
-)
+var errWeightsExpire = errors.New("the server's weights expire before the request can start")
 
 func (r *execution) serve(ctx context.Context) string {
 	r.dispatcher.budget.RecordRequest(r.call.Service)
+	defer func() { r.keepServerError(nil) }()
 	defer r.hedging.close()
 	for {
 		if r.callerLeft() {
@@ -277,7 +276,9 @@
 	x := &exchange{
 		call: r.call, choice: choice, placement: placement, number: r.attempts, sent: r.dispatcher.clock.Now(), withdraw: withdraw,
 		start: newStartLimit(r.dispatcher.clock, choice.FirstByteTimeout, withdraw), activity: r.dispatcher.activities.begin(choice.Server.ID),
+		share: r.dispatcher.memory.share(),
 	}
+	defer x.releaseShare()
 	defer r.dispatcher.activities.end(x.activity)
 	defer x.start.stop()
 	r.beginExchange(ctx, x, r.dispatcher.timeouts.firstByte(r.call.Route.Name, r.call.Route.Objective))
@@ -316,6 +317,7 @@
 // forwardHedge forwards the answer of the hedge that has won.
 func (r *execution) forwardHedge(ctx context.Context) verdict {
 	x := r.hedging.takeWinner()
+	defer x.releaseShare()
 	defer r.dispatcher.activities.end(x.activity)
 	defer x.withdraw(nil)
 	defer x.answer.Body.Close()
@@ -445,7 +447,7 @@
 	if serverError && r.repeatable() && answer.Status != http.StatusGatewayTimeout {
 		r.maybeExecuted++
 		r.triedServers = append(r.triedServers, choice.Server.ID)
-		r.serverError = &response{answer.Status, answer.Header, body}
+		r.keepServerError(x.serverError(body))
 		if r.hedging.await() {
 			return hedgeWon
 		}
@@ -479,16 +481,35 @@
 	return finished
 }
 
+// serverError returns an error response of a server, which holds what the exchange held.
+func (x *exchange) serverError(body []byte) *response {
+	share := x.share
+	x.share = nil
+	return &response{status: x.answer.Status, header: x.answer.Header, body: body, share: share}
+}
+
+// keepServerError keeps a server's error response for a caller that gets nothing better, instead of the one
+// before.
+func (r *execution) keepServerError(e *response) {
+	r.serverError.release()
+	r.serverError = e
+}
+
+func (e *response) release() {
+	if e != nil {
+		e.share.release()
+	}
+}
+
+// releaseShare gives back what the exchange's answer holds.
+func (x *exchange) releaseShare() { x.share.release() }
+
 // readWhole reads the body of an answer that is not a stream.
 func (r *execution) readWhole(x *exchange) ([]byte, error) {
 	r.hedging.wait()
-	body, err := io.ReadAll(io.LimitReader(x.answer.Body, maxAnswerBytes+1))
+	body, err := readBody(x.answer.Body, x.share)
 	r.hedging.pause(err == nil)
-	switch {
-	case err != nil:
-	case len(body) > maxAnswerBytes:
-		err = errAnswerTooLong
-	case r.serverGone(x):
+	if err == nil && r.serverGone(x) {
 		err = errServerGone
 	}
 	return body, err
@@ -586,14 +607,14 @@
 	r.ended(cause)
 	var probed *probe
 	switch {
-	case cause == endWeights || cause == endSoftware:
+	case cause == endWeights || cause == endSoftware || cause == endMemory:
 		x.placement.Done(beechplace.Cancelled)
 	case cause == endDeadline:
 		x.placement.Done(beechplace.Cancelled)
 		return func() verdict { return r.noRetry(stopDeadline) }
 	default:
 		x.placement.Done(beechplace.Failed)
-		if cause != endServerGone {
+		if cause != endServerGone && cause != endNoAnswer {
 			probed = r.answerBroken(x.choice)
 		}
 		r.dispatcher.observer.ObserveAttempt(x.choice.Server, r.call.Model, 0, x.choice.PrefillTokens, true)
@@ -632,6 +653,10 @@
 		return endDeadline
 	case errors.Is(err, errServerGone):
 		return endServerGone
+	case errors.Is(err, beechcall.ErrNoAnswer):
+		return endNoAnswer
+	case errors.Is(err, errAnswerMemory):
+		return endMemory
 	}
 	return endBroken
 }
--- a/internal/request/beechattempt/stream.go
+++ b/internal/request/beechattempt/stream.go
@@ -1,7 +1,6 @@
 package beechattempt
 
 import (
-	"bytes"
 	"errors"
 	"io"
 	"time"
@@ -35,18 +34,18 @@
 
 // forwardStream forwards a stream's complete events as they arrive.
 func (r *execution) forwardStream(x *exchange) verdict {
-	buffer, err := x.read, x.readErr
-	haveRead := x.read != nil
+	buffer, err := x.events, x.readErr
+	haveRead := buffer != nil
 	if !haveRead {
-		buffer = make([]byte, 0, readBufferBytes)
+		buffer = newEventBuffer(x.share)
 	}
 	pace := streamPace{pauses: r.dispatcher.pauses, call: r.call, placement: x.placement}
 	verified := r.call.Route.RetryPolicy != beechcall.Resumable || haveRead && r.stream.started
 	for ; ; haveRead = false {
 		if !haveRead {
-			buffer, err = r.readMore(x, buffer)
+			err = r.readMore(x, buffer)
 		}
-		if end := wholeEvents(buffer); end > 0 {
+		if events := buffer.whole(); len(events) > 0 {
 			if !r.hedging.dropHedges() {
 				return r.loseToHedge(x)
 			}
@@ -55,40 +54,39 @@
 				return r.handleFailure(x, beechcall.OutcomeUnknown{Peer: x.choice.Server.Address, Step: "read the stream", Err: err})
 			}
 			verified = true
-			if !r.forwardEvents(x, &pace, buffer[:end]) {
+			if !r.forwardEvents(x, &pace, events) {
 				return finished
 			}
-			buffer = buffer[:copy(buffer, buffer[end:])]
+			buffer.discard()
 		}
 		switch {
 		case err == nil:
 			continue
 		case err == io.EOF && x.answer.Unframed && r.begunAt.IsZero():
 			err = errNoEvent
-		case err == io.EOF && len(bytes.TrimSpace(buffer)) == 0 && r.serverGone(x):
+		case err == io.EOF && buffer.pending() == 0 && r.serverGone(x):
 			err = errServerGone
-		case err == io.EOF && len(bytes.TrimSpace(buffer)) == 0:
+		case err == io.EOF && buffer.pending() == 0:
 			return r.endStream(x)
 		case err == io.EOF:
 			err = errIncompleteEvent
 		}
-		x.pending = len(buffer)
+		x.pending = buffer.pending()
 		return r.handleFailure(x, beechcall.OutcomeUnknown{Peer: x.choice.Server.Address, Step: "read the stream", Err: err})
 	}
 }
 
-// readMore appends the next data of a stream to the buffer.
-func (r *execution) readMore(x *exchange, buffer []byte) ([]byte, error) {
-	if len(buffer) == cap(buffer) {
-		buffer = append(buffer, 0)[:len(buffer)]
-	}
+// readMore reads the next data of a stream.
+func (r *execution) readMore(x *exchange, buffer *eventBuffer) error {
 	r.hedging.wait()
-	n, err := x.answer.Body.Read(buffer[len(buffer):cap(buffer)])
-	r.hedging.pause(n > 0)
-	if n > 0 {
+	before := len(buffer.data)
+	err := buffer.read(x.answer.Body)
+	heard := len(buffer.data) > before
+	r.hedging.pause(heard)
+	if heard {
 		x.start.stop()
 	}
-	return buffer[:len(buffer)+n], err
+	return err
 }
 
 // forwardEvents sends complete events to the caller. It returns false if that cannot be reached.
@@ -160,15 +158,3 @@
 	r.out.StartStream(answer.Status, answer.Header)
 	return false
 }
-
-// wholeEvents returns the length of the complete events at the start of data.
-func wholeEvents(data []byte) int {
-	end := 0
-	if i := bytes.LastIndex(data, []byte("\n\n")); i >= 0 {
-		end = i + len("\n\n")
-	}
-	if i := bytes.LastIndex(data, []byte("\r\n\r\n")); i >= 0 {
-		end = max(end, i+len("\r\n\r\n"))
-	}
-	return end
-}
