Streams: bytes without an event are silence

What callers saw: a server that sends bytes that form no event was waited for until the caller left or the deadline passed, though another server was free. Cause: any byte counted as a sign of life, for hedges, the start limit and the verdict on the server. Why it works: only a whole event restarts the time-out. Silence alone ends nothing, so a sound server whose event comes in pieces loses nothing: a hedge beside it at most, and the first to have a whole event goes on.

--- a/internal/request/beechattempt/stream.go
+++ b/internal/request/beechattempt/stream.go
@@ -76,12 +76,12 @@
 	}
 }
 
-// readMore reads the next data of a stream.
+// readMore reads the next data of a stream. Bytes that complete no event are no sign of life: the server
+// is silent until its next event.
 func (r *execution) readMore(x *exchange, buffer *eventBuffer) error {
 	r.hedging.wait()
-	before := len(buffer.data)
 	err := buffer.read(x.answer.Body)
-	heard := len(buffer.data) > before
+	heard := len(buffer.whole()) > 0
 	r.hedging.pause(heard)
 	if heard {
 		x.start.stop()
