Answers: what all unfinished ones hold together is bounded

Cause: a bound for one answer and none for all. Why it works: an answer may grow only while it is no larger than what is left of 32 MiB, so the largest fail first and those below 16 KiB never; the attempt ends as one without an answer and says nothing of its server. Result: 100 bodies without end hold 32 MiB at most, a single one of 16 MiB is still read; metric answerBytes.

--- a/internal/process/beechgate/metrics.go
+++ b/internal/process/beechgate/metrics.go
@@ -81,6 +81,10 @@
 	m.vars.Set("crashes", expvar.Func(func() any { return g.core.Crashes() }))
 	m.vars.Set("longPauses", expvar.Func(func() any { return g.core.LongPauses() }))
 	m.vars.Set("attemptEnds", expvar.Func(func() any { return g.core.AttemptEnds() }))
+	m.vars.Set("answerBytes", expvar.Func(func() any {
+		now, peak := g.core.AnswerBytes()
+		return map[string]int{"now": now, "peak": peak}
+	}))
 	m.vars.Set("streamsBroken", expvar.Func(func() any { return g.core.StreamsBroken() }))
 	m.vars.Set("silences", expvar.Func(func() any { return g.core.Silences() }))
 	m.vars.Set("pauseModel", expvar.Func(func() any { return g.placer.PauseModel() }))
--- a/internal/request/beechattempt/events_test.go
+++ b/internal/request/beechattempt/events_test.go
@@ -85,6 +85,36 @@
 	})
 }
 
+// TestMemoryOfAnswersIsShared guards against large answers that together exceed a host's memory.
+func TestMemoryOfAnswersIsShared(t *testing.T) {
+	is := is.New(t)
+	memory := new(answerMemory)
+	var shares []*answerShare
+	for range 100 {
+		s := memory.share()
+		body, err := readBody(io.LimitReader(endlessX{}, 64<<20), s)
+		is.True(errors.Is(err, errAnswerTooLong) || errors.Is(err, errAnswerMemory))
+		is.True(len(body) <= maxAnswerBytes)
+		shares = append(shares, s)
+		now, peak := memory.heldBytes()
+		is.True(now <= maxHeldBytes)
+		is.True(peak <= maxHeldBytes)
+	}
+	small := memory.share()
+	body, err := readBody(strings.NewReader("small"), small)
+	is.NoErr(err)
+	is.Equal(string(body), "small")
+	for _, s := range shares {
+		s.release()
+	}
+	now, _ := memory.heldBytes()
+	is.Equal(now, 0)
+	large := memory.share()
+	body, err = readBody(io.LimitReader(endlessX{}, maxAnswerBytes), large)
+	is.NoErr(err)
+	is.Equal(len(body), maxAnswerBytes)
+}
+
 // TestMemoryOfAnswersIsGivenBack guards against shares of calls that have ended, whatever became of their hedges
 // and errors.
 func TestMemoryOfAnswersIsGivenBack(t *testing.T) {
--- a/internal/request/beechattempt/memory.go
+++ b/internal/request/beechattempt/memory.go
@@ -59,6 +59,9 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	others := m.held - s.held
+	if others+2*size > maxHeldBytes {
+		return false
+	}
 	m.held, s.held = others+size, size
 	m.peak = max(m.peak, m.held)
 	return true
