Attempts: malformed answers by the field's name

Cause: "no answer" already names requests that end without one in the log of the doors. Change: ErrMalformed, end cause malformed answer. Names only; tests as before.

--- a/internal/request/beechattempt/backup.go
+++ b/internal/request/beechattempt/backup.go
@@ -250,7 +250,7 @@
 	}
 	x.placement.Done(beechplace.Failed)
 	r.ended(cause)
-	if cause != endNoAnswer {
+	if cause != endMalformed {
 		r.answerBroken(x.choice)
 	}
 	r.dispatcher.observer.ObserveAttempt(x.choice.Server, r.call.Model, 0, x.choice.PrefillTokens, true)
--- a/internal/request/beechattempt/ends.go
+++ b/internal/request/beechattempt/ends.go
@@ -48,7 +48,7 @@
 	endSoftware     endCause = "other software"
 	endWeights      endCause = "weights expire"
 	endServerGone   endCause = "server gone"
-	endNoAnswer     endCause = "no answer"
+	endMalformed    endCause = "malformed answer"
 	endMemory       endCause = "no memory"
 	endNotConnected endCause = "caller not reached"
 	endDropped      endCause = "another was first"
--- a/internal/request/beechattempt/events.go
+++ b/internal/request/beechattempt/events.go
@@ -27,8 +27,8 @@
 const maxEventBytes = 256 << 10
 
 var (
-	errEventTooLong = fmt.Errorf("%w: no event in %d bytes of a stream", beechcall.ErrNoAnswer, maxEventBytes)
-	errNoFields     = fmt.Errorf("%w: an event without fields", beechcall.ErrNoAnswer)
+	errEventTooLong = fmt.Errorf("%w: no event in %d bytes of a stream", beechcall.ErrMalformed, maxEventBytes)
+	errNoFields     = fmt.Errorf("%w: an event without fields", beechcall.ErrMalformed)
 
 	byteOrderMark = []byte("\xef\xbb\xbf")
 	lineEnd       = []byte{'\r', '\n'}
--- a/internal/request/beechattempt/hedge.go
+++ b/internal/request/beechattempt/hedge.go
@@ -693,8 +693,8 @@
 		x.placement.Done(beechplace.Failed)
 		d.observer.ObserveAttempt(x.choice.Server, x.call.Model, 0, x.choice.PrefillTokens, true)
 		cause := endBroken
-		if errors.Is(err, beechcall.ErrNoAnswer) {
-			cause = endNoAnswer
+		if errors.Is(err, beechcall.ErrMalformed) {
+			cause = endMalformed
 		} else if !errors.Is(err, errServerGone) {
 			x.reportBroken(d)
 		}
--- a/internal/request/beechattempt/memory.go
+++ b/internal/request/beechattempt/memory.go
@@ -36,7 +36,7 @@
 )
 
 var (
-	errAnswerTooLong = fmt.Errorf("%w: it exceeds %d MiB", beechcall.ErrNoAnswer, maxAnswerBytes>>20)
+	errAnswerTooLong = fmt.Errorf("%w: it exceeds %d MiB", beechcall.ErrMalformed, maxAnswerBytes>>20)
 	errAnswerMemory  = errors.New("the memory for unfinished answers is used up")
 )
 
--- a/internal/request/beechattempt/run.go
+++ b/internal/request/beechattempt/run.go
@@ -614,7 +614,7 @@
 		return func() verdict { return r.noRetry(stopDeadline) }
 	default:
 		x.placement.Done(beechplace.Failed)
-		if cause != endServerGone && cause != endNoAnswer {
+		if cause != endServerGone && cause != endMalformed {
 			probed = r.answerBroken(x.choice)
 		}
 		r.dispatcher.observer.ObserveAttempt(x.choice.Server, r.call.Model, 0, x.choice.PrefillTokens, true)
@@ -653,8 +653,8 @@
 		return endDeadline
 	case errors.Is(err, errServerGone):
 		return endServerGone
-	case errors.Is(err, beechcall.ErrNoAnswer):
-		return endNoAnswer
+	case errors.Is(err, beechcall.ErrMalformed):
+		return endMalformed
 	case errors.Is(err, errAnswerMemory):
 		return endMemory
 	}
--- a/internal/request/beechcall/call.go
+++ b/internal/request/beechcall/call.go
@@ -157,9 +157,9 @@
 var (
 	// ErrWithdrawn is the cause of NotSent if the context had ended or Attempt.Withdrawn held.
 	ErrWithdrawn = errors.New("withdrawn")
-	// ErrNoAnswer is the cause of OutcomeUnknown if the server has sent more bytes that are no answer than
+	// ErrMalformed is the cause of OutcomeUnknown if the server has sent more bytes that are no answer than
 	// belong to one. It has not crashed.
-	ErrNoAnswer = errors.New("bytes that are no answer")
+	ErrMalformed = errors.New("malformed answer")
 )
 
 func (NotSent) failure()        {}
