Agents: what a server sends without completing an event is bounded

What callers saw: at the product's own door an engine that sends comments, blank lines or unknown fields without end kept its request, and the agent's core, busy until the caller gave up; a head was read up to 10 MB and a reply up to 256 MB. Why it works: between two events twice the limit of an event may be read; then the run ends as failed at its server, which is told to cancel it, and no crash is looked for. Heads 64 KiB, replies 16 MiB, exports as before.

--- a/internal/process/beechagent/attempt.go
+++ b/internal/process/beechagent/attempt.go
@@ -274,7 +274,7 @@
 	case ctx.Err() != nil:
 		t.cancelAtServer()
 		return t.failedReply(cancelReason(ctx), false)
-	case errors.Is(err, errAnswerTooLong), errors.Is(err, errServerFailed):
+	case errors.Is(err, errAnswerTooLong), errors.Is(err, beechbackend.ErrEventTooLong), errors.Is(err, errServerFailed):
 		t.cancelAtServer()
 		return t.failedReply(beechwire.ReasonServer, false)
 	default:
--- a/internal/process/beechbackend/client.go
+++ b/internal/process/beechbackend/client.go
@@ -35,8 +35,10 @@
 	// streamBufferSize is smaller than the default of 4 KB, since an agent holds two
 	// buffers for each open stream, and the event of a token has about 200 bytes.
 	streamBufferSize = 1 << 10
-	maxReplyBytes    = 256 << 20
-	orderBufferSize  = 4 << 10 // an order with its headers fits, and leaves in one write
+	maxReplyBytes    = 16 << 20
+	maxExportBytes   = 256 << 20 // of exported cache blocks
+	maxHeadBytes     = 64 << 10  // of a response
+	orderBufferSize  = 4 << 10   // an order with its headers fits, and leaves in one write
 )
 
 var errNoCheck = errors.New("the HTTP transport cannot check an order before it is written")
@@ -97,6 +99,8 @@
 		DisableCompression:  true,
 		ReadBufferSize:      streamBufferSize,
 		WriteBufferSize:     streamBufferSize,
+
+		MaxResponseHeaderBytes: maxHeadBytes,
 	}}
 }
 
@@ -232,6 +236,11 @@
 // callJSON sends a request and decodes its JSON response into the given value, unless
 // that is nil. A status of 400 or above is returned as Refused.
 func (c serverClient) callJSON(ctx context.Context, step, method, path string, body []byte, into any) error {
+	return c.callBounded(ctx, step, method, path, body, into, maxReplyBytes)
+}
+
+// callBounded is callJSON for a response of any length in bytes.
+func (c serverClient) callBounded(ctx context.Context, step, method, path string, body []byte, into any, bound int64) error {
 	response, err := c.send(ctx, step, method, path, "", "application/json", nil, body)
 	if err != nil {
 		return err
@@ -240,7 +249,7 @@
 	if response.StatusCode >= http.StatusBadRequest {
 		return c.readRefusal(step, response)
 	}
-	reply, err := io.ReadAll(io.LimitReader(response.Body, maxReplyBytes))
+	reply, err := io.ReadAll(io.LimitReader(response.Body, bound))
 	if err != nil {
 		return transportError(ctx, step, c.address, err)
 	}
--- a/internal/process/beechbackend/events.go
+++ b/internal/process/beechbackend/events.go
@@ -12,7 +12,12 @@
 // bytes.
 const DefaultEventLimit = 1 << 20
 
-const eventBufferSize = 1024
+const (
+	eventBufferSize = 1024
+	// pendingFactor bounds, in limits, what may be read without completing an event: names of fields, comments
+	// and blank lines come on top of the data.
+	pendingFactor = 2
+)
 
 var doneData = []byte("[DONE]")
 
@@ -32,11 +37,13 @@
 		line  []byte
 		data  []byte
 		done  bool
+
+		pending int // bytes read since the last event
 	}
 )
 
 // NewEventReader returns a reader that limits each line, and the data of each event,
-// to limit bytes.
+// to limit bytes, and what is read for an event to twice as much.
 func NewEventReader(r io.Reader, limit int) *EventReader {
 	return &EventReader{lines: bufio.NewReaderSize(r, eventBufferSize), limit: limit}
 }
@@ -47,11 +54,11 @@
 }
 
 // Next returns the next event. It returns io.EOF after the last event of a complete
-// stream, ErrTruncated if the stream ends before that event, ErrEventTooLong if a line
-// or the data exceeds the limit, and otherwise the error of the underlying reader.
+// stream, ErrTruncated if the stream ends before that event, ErrEventTooLong if a limit
+// is exceeded, and otherwise the error of the underlying reader.
 func (r *EventReader) Next() (Event, error) {
 	var event Event
-	r.data = r.data[:0]
+	r.data, r.pending = r.data[:0], 0
 	hasData := false
 	for {
 		line, err := r.readLine()
@@ -99,6 +106,9 @@
 	r.line = r.line[:0]
 	for {
 		part, err := r.lines.ReadSlice('\n')
+		if r.pending += len(part); r.pending > pendingFactor*r.limit {
+			return nil, fmt.Errorf("read event: %w: no event in %d bytes", ErrEventTooLong, r.pending)
+		}
 		if err == nil && len(r.line) == 0 {
 			return trimLineEnd(part), nil
 		}
--- a/internal/process/beechbackend/openai.go
+++ b/internal/process/beechbackend/openai.go
@@ -145,7 +145,7 @@
 	// find none of its blocks.
 	body := setFields(nil, nil, []field{{"salt", jsonString(salt)}, {"prompt", prompt}})
 	var blocks json.RawMessage
-	err := e.server.callJSON(ctx, "export cache", http.MethodPost, "/kv/export", body, &blocks)
+	err := e.server.callBounded(ctx, "export cache", http.MethodPost, "/kv/export", body, &blocks, maxExportBytes)
 	return blocks, err
 }
 
