Clients of the store and of other gates: heads are bounded

Cause: the same class as the head at the pool: net/http collects 10 MB of a head by default. Change: 64 KiB, and one constructor for the HTTP client of the product's store.

--- a/internal/command/beechcommand/apply.go
+++ b/internal/command/beechcommand/apply.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"fmt"
-	"net/http"
 	"net/netip"
 	"time"
 
@@ -86,7 +85,7 @@
 	ctx, cancel := context.WithTimeout(c.Context(), flags.timeout)
 	defer cancel()
 	clock := clockwork.NewRealClock()
-	store := beechstore.New(beechstore.Settings{Addresses: addresses, Key: flags.key, CallsPerSecond: applyCallsPerSecond}, &http.Client{}, clock)
+	store := beechstore.New(beechstore.Settings{Addresses: addresses, Key: flags.key, CallsPerSecond: applyCallsPerSecond}, beechstore.NewHTTPClient(), clock)
 	base, err := baseGeneration(ctx, store, flags.base)
 	if err != nil {
 		return &refusedError{err}
--- a/internal/command/beechcommand/process.go
+++ b/internal/command/beechcommand/process.go
@@ -6,7 +6,6 @@
 	"errors"
 	"fmt"
 	"io"
-	"net/http"
 	"net/netip"
 	"os"
 
@@ -44,7 +43,7 @@
 }
 
 func newStore(addresses []netip.AddrPort, key string, clock clockwork.Clock) beechstore.Store {
-	return beechstore.New(beechstore.Settings{Addresses: addresses, Key: key}, &http.Client{}, clock)
+	return beechstore.New(beechstore.Settings{Addresses: addresses, Key: key}, beechstore.NewHTTPClient(), clock)
 }
 
 // serverTLS returns the configuration of a listener that presents a certificate,
--- a/internal/command/beechdemo/deployment.go
+++ b/internal/command/beechdemo/deployment.go
@@ -112,7 +112,7 @@
 // newStore returns a store client. Each process has its own, with its own call
 // budget.
 func (d *deployment) newStore() beechstore.Store {
-	return beechstore.New(beechstore.Settings{Addresses: []netip.AddrPort{d.platform}}, &http.Client{}, d.clock)
+	return beechstore.New(beechstore.Settings{Addresses: []netip.AddrPort{d.platform}}, beechstore.NewHTTPClient(), d.clock)
 }
 
 // serve runs a simulated server's handler on a free loopback port.
--- a/internal/process/beechgate/copies.go
+++ b/internal/process/beechgate/copies.go
@@ -104,7 +104,7 @@
 	// From the address by which other gates know this one.
 	dialer := &net.Dialer{Timeout: copyTimeout, LocalAddr: net.TCPAddrFromAddrPort(netip.AddrPortFrom(self.Addr(), 0))}
 	return &copies{
-		client:   &http.Client{Timeout: copyTimeout, Transport: &http.Transport{DialContext: dialer.DialContext, IdleConnTimeout: copyIdleTime, MaxIdleConnsPerHost: 1}},
+		client:   &http.Client{Timeout: copyTimeout, Transport: &http.Transport{DialContext: dialer.DialContext, IdleConnTimeout: copyIdleTime, MaxIdleConnsPerHost: 1, MaxResponseHeaderBytes: maxHeaderBytes}},
 		fetching: make(map[string]bool), packed: make(map[string]packedCopy),
 	}
 }
--- a/internal/state/beechstore/client.go
+++ b/internal/state/beechstore/client.go
@@ -71,10 +71,18 @@
 	defaultBackoff        = 20 * time.Millisecond
 	defaultCallsPerSecond = 50
 	maxReplyOverhead      = 64 << 10 // bytes allowed beyond MaxValueBytes
+	maxHeadBytes          = 64 << 10
 )
 
 var errNoAddress = errors.New("no address of the platform's service is configured")
 
+// NewHTTPClient returns an HTTP client for New. Timeouts are those of the calls.
+func NewHTTPClient() *http.Client {
+	transport := http.DefaultTransport.(*http.Transport).Clone()
+	transport.MaxResponseHeaderBytes = maxHeadBytes
+	return &http.Client{Transport: transport}
+}
+
 // New returns the client of the HTTP protocol. Deadlines, backoff and lease
 // expiry use clock.
 func New(settings Settings, httpClient *http.Client, clock clockwork.Clock) Store {
