--- a/internal/command/beechplay/day.go
+++ b/internal/command/beechplay/day.go
@@ -55,6 +55,7 @@
 	"limit":        "a server announces a limit of rate requests per second over all gates",
 	"stop":         "a gate is stopped and replaced by a new one",
 	"poison":       "a server crashes when it begins to answer a prompt of the first subject",
+	"endless":      "a server sends bytes without end instead of answers: one of four of its requests, in all forms by turns",
 	"unframed":     "a server's answers have neither a length nor chunks",
 	"one gate":     "nine of ten requests go to one gate",
 }
--- a/internal/command/beechplay/play.go
+++ b/internal/command/beechplay/play.go
@@ -249,6 +249,8 @@
 	case "poison":
 		servers(beechsimulator.EngineFaults{CrashPart: firstSubject})
 		defer p.checkPoison()
+	case "endless":
+		defer p.sendEndless(f)()
 	case "unframed":
 		servers(beechsimulator.EngineFaults{Ending: beechsimulator.Unframed})
 	case "one gate":
--- a/internal/command/beechplay/soak_test.go
+++ b/internal/command/beechplay/soak_test.go
@@ -56,6 +56,7 @@
 		t       *testing.T
 		program string
 		folder  string
+		env     []string // of its processes, beside that of the test
 	}
 
 	// childProcess is a gate or keeper started by processLauncher.
@@ -117,6 +118,7 @@
 	}
 	p := &childProcess{name: name, cmd: exec.Command(o.program, role, "--settings", file), output: output.Name(), exited: make(chan struct{})}
 	p.cmd.Stdout, p.cmd.Stderr = output, output
+	p.cmd.Env = append(os.Environ(), o.env...)
 	if err := p.cmd.Start(); err != nil {
 		return nil, err
 	}
@@ -268,6 +270,7 @@
 		var limits sync.WaitGroup
 		limits.Go(s.injectLimits)
 		limits.Go(s.injectPoison)
+		limits.Go(s.injectEndless)
 		limits.Go(s.favorGate)
 		limits.Go(s.sendLongStreams)
 		defer limits.Wait()
@@ -400,6 +403,7 @@
 	s.setStoreLost(false)
 	for _, e := range s.cluster.Engines {
 		e.SetFaults(beechsimulator.EngineFaults{})
+		e.SetEndless("", 0, 0)
 	}
 }
 
@@ -525,6 +529,7 @@
 	s.checkDepartures()
 	s.checkLeavings()
 	s.checkPoison()
+	s.checkMemory()
 	for name, p := range s.cluster.processes {
 		if p.(*childProcess).exitedUnexpectedly() {
 			log, _ := os.ReadFile(p.(*childProcess).output)
--- a/internal/standin/beechengine/faults.go
+++ b/internal/standin/beechengine/faults.go
@@ -18,6 +18,7 @@
 	FaultBusy       FaultKind = "busy"        // reject the next Count requests with status 503
 	FaultClearCache FaultKind = "clear"       // clear the prompt cache and publish an event for it
 	FaultWrongID    FaultKind = "cross"       // the next Count answers carry the ID of another request
+	FaultEndless    FaultKind = "endless"     // the next Count answers are bytes without end, in the form Form
 )
 
 type (
@@ -31,6 +32,7 @@
 		Marker      string    `json:"marker,omitempty"`
 		Count       int       `json:"count,omitempty"`
 		Factor      float64   `json:"factor,omitempty"`
+		Form        string    `json:"form,omitempty"` // one of EndlessForms
 	}
 
 	faults struct {
@@ -40,6 +42,8 @@
 		thawAt  time.Time // latest end of a freeze; zero: it has none
 		busy    int
 		wrongID int
+		endless int
+		form    string
 	}
 )
 
@@ -63,6 +67,11 @@
 		e.faults.update(func() { e.faults.busy = f.Count })
 	case FaultWrongID:
 		e.faults.update(func() { e.faults.wrongID = f.Count })
+	case FaultEndless:
+		if _, ok := endlessForms[f.Form]; !ok {
+			return false
+		}
+		e.faults.update(func() { e.faults.endless, e.faults.form = f.Count, f.Form })
 	case FaultLoseEvents, FaultSlow, FaultClearCache:
 		e.injectIntoInstance(f)
 	default:
--- a/internal/standin/beechsimulator/engine.go
+++ b/internal/standin/beechsimulator/engine.go
@@ -53,7 +53,7 @@
 		leaving       bool   // each response says so
 		born          int64  // start in Unix milliseconds; 0 is not reported
 		arrivals      []time.Time
-		lasting       EngineFaults           // those of CrashPart and Ending that SetFaults leaves as they are
+		lasting       EngineFaults           // those of CrashPart, Ending and Endless that SetFaults leaves as they are
 		partArrivals  map[string][]time.Time // of requests by shared prompt part
 		crashes       []time.Time
 		onCrash       func(down time.Duration) // ends all connections, and accepts none for a time
@@ -341,7 +341,15 @@
 func (e *Engine) SetLasting(crashPart string, ending Ending) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	e.lasting = EngineFaults{CrashPart: crashPart, Ending: ending}
+	e.lasting.CrashPart, e.lasting.Ending = crashPart, ending
+}
+
+// SetEndless has one of so many requests get bytes without end in a form, at so many bytes a second, besides the
+// faults. An empty form ends it.
+func (e *Engine) SetEndless(form Endless, every, rate int) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.lasting.Endless, e.lasting.EndlessEvery, e.lasting.EndlessRate = form, every, rate
 }
 
 // ServeHTTP serves reports, orders and cache calls, and any other path as a caller's
@@ -520,6 +528,9 @@
 	faults, version := e.faults, e.version
 	faults.CrashPart = cmp.Or(faults.CrashPart, e.lasting.CrashPart)
 	faults.Ending = cmp.Or(faults.Ending, e.lasting.Ending)
+	if faults.Endless == "" {
+		faults.Endless, faults.EndlessEvery, faults.EndlessRate = e.lasting.Endless, e.lasting.EndlessEvery, e.lasting.EndlessRate
+	}
 	if e.asked++; faults.EndlessEvery > 0 && e.asked%faults.EndlessEvery != 0 {
 		faults.Endless = ""
 	}
