--- a/internal/command/beechplay/play_test.go
+++ b/internal/command/beechplay/play_test.go
@@ -102,3 +102,19 @@
 	is.Equal(report.Promises, nil)
 	is.True(report.Served > report.Asked*98/100)
 }
+
+// TestDayWithEndlessAnswers guards against servers whose bytes without end keep gates from serving others.
+func TestDayWithEndlessAnswers(t *testing.T) {
+	is := is.New(t)
+	day := Default
+	day.Length = beechsettings.Duration(6 * time.Second)
+	day.Faults = []Fault{
+		{At: beechsettings.Duration(time.Second), For: beechsettings.Duration(3 * time.Second), Kind: "endless", On: "e1"},
+		{At: beechsettings.Duration(2 * time.Second), Kind: "weights"},
+		{At: beechsettings.Duration(2500 * time.Millisecond), For: beechsettings.Duration(2 * time.Second), Kind: "endless", On: "s1"},
+	}
+	report, err := Play(t.Context(), day, beechtrace.Logger(t))
+	is.NoErr(err)
+	is.Equal(report.Promises, nil)
+	is.True(report.Served > report.Asked*9/10)
+}
--- a/internal/link/beechpool/endless_test.go
+++ b/internal/link/beechpool/endless_test.go
@@ -126,3 +126,107 @@
 	}
 	is.Equal(pool.ConnectionsMade(), 1)
 }
+
+// TestEndsOfEndlessResponsesAreNoticed guards against ends of an exchange that leave its connection open, so that
+// a server goes on.
+func TestEndsOfEndlessResponsesAreNoticed(t *testing.T) {
+	const head = "HTTP/1.1 200 OK\r\n\r\n"
+	for name, test := range map[string]struct {
+		begin string
+		end   func(pool *Pool, r *http.Request, peer netip.AddrPort)
+	}{
+		"context ends in the body, nobody reads": {head, func(pool *Pool, r *http.Request, peer netip.AddrPort) {
+			ctx, cancel := context.WithCancel(r.Context())
+			_, err := pool.Exchange(ctx, peer, r, Conditions{})
+			if err == nil {
+				time.Sleep(20 * time.Millisecond)
+			}
+			cancel()
+		}},
+		"context ends in the body while it is read": {head, func(pool *Pool, r *http.Request, peer netip.AddrPort) {
+			ctx, cancel := context.WithCancel(r.Context())
+			if response, err := pool.Exchange(ctx, peer, r, Conditions{}); err == nil {
+				time.AfterFunc(20*time.Millisecond, cancel)
+				_, _ = io.Copy(io.Discard, response.Body)
+			}
+			cancel()
+		}},
+		"body closed": {head, func(pool *Pool, r *http.Request, peer netip.AddrPort) {
+			if response, err := pool.Exchange(r.Context(), peer, r, Conditions{}); err == nil {
+				_, _ = io.CopyN(io.Discard, response.Body, 100<<10)
+				_ = response.Body.Close()
+			}
+		}},
+		"answer to another request": {"HTTP/1.1 200 OK\r\nX-Id: other\r\n\r\n", func(pool *Pool, r *http.Request, peer netip.AddrPort) {
+			_, _ = pool.Exchange(r.Context(), peer, r, Conditions{Matches: func(r *http.Response) bool { return r.Header.Get("X-Id") == "" }})
+		}},
+		"chunk that is none": {"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n", func(pool *Pool, r *http.Request, peer netip.AddrPort) {
+			if response, err := pool.Exchange(r.Context(), peer, r, Conditions{}); err == nil {
+				_, _ = io.ReadAll(response.Body)
+				_ = response.Body.Close()
+			}
+		}},
+		"bytes behind a response": {"HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\n", func(pool *Pool, r *http.Request, peer netip.AddrPort) {
+			if response, err := pool.Exchange(r.Context(), peer, r, Conditions{}); err == nil {
+				_, _ = io.ReadAll(response.Body)
+				_ = response.Body.Close()
+			}
+			time.Sleep(20 * time.Millisecond)
+			_, _ = pool.acquire(r.Context(), peer) // finds the connection of no use
+		}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			peer, sent := endlessServer(t, test.begin, "x")
+			test.end(New(DefaultSettings, clockwork.NewRealClock()), getRequest(t, peer), peer)
+			time.Sleep(50 * time.Millisecond)
+			taken := sent.Load()
+			time.Sleep(100 * time.Millisecond)
+			is.Equal(sent.Load(), taken)
+			is.True(taken > 0)
+		})
+	}
+}
+
+// FuzzResponse has a server send any bytes instead of a response, and close the connection.
+func FuzzResponse(f *testing.F) {
+	for _, seed := range []string{"", "x", "HTTP/1.1 200 OK\r\n\r\nbody", "HTTP/1.1 102 P\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\nxy", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1\r\nx\r\n0\r\n\r\n"} {
+		f.Add([]byte(seed))
+	}
+	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		f.Fatal(err)
+	}
+	f.Cleanup(func() { _ = l.Close() })
+	next := make(chan []byte, 1)
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			_, _ = c.Read(make([]byte, 4<<10))
+			_, _ = c.Write(<-next)
+			_ = c.Close()
+		}
+	}()
+	peer := netip.MustParseAddrPort(l.Addr().String())
+	f.Fuzz(func(t *testing.T, data []byte) {
+		pool := New(DefaultSettings, clockwork.NewRealClock())
+		ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
+		defer cancel()
+		next <- data
+		response, err := pool.Exchange(ctx, peer, getRequest(t, peer), Conditions{})
+		if ctx.Err() != nil {
+			t.Fatalf("%q: no end", data)
+		}
+		if err != nil {
+			return
+		}
+		body, _ := io.ReadAll(response.Body)
+		_ = response.Body.Close()
+		if len(body) > len(data) {
+			t.Fatalf("%q: a body of %d bytes", data, len(body))
+		}
+	})
+}
