Streams: a server that sends no events is silent to other calls too

What callers saw: nothing yet; by reading. A call whose server is silent could be hedged to a server whose streams have bytes and no events. Cause: each read began a new wait, and the first wait at a server has it heard. Evidence: TestServerThatSendsNoEventsIsSilentToOthers, 3 of 3 red before. Why it works: the wait lasts from one event to the next, however many reads it takes. Result: 5 of 5 pass, and all tests of beechattempt.

--- a/internal/request/beechattempt/endless_test.go
+++ b/internal/request/beechattempt/endless_test.go
@@ -112,6 +112,32 @@
 	}
 }
 
+// TestServerThatSendsNoEventsIsSilentToOthers guards against hedges of other calls to a server whose streams have
+// bytes and no events.
+func TestServerThatSendsNoEventsIsSilentToOthers(t *testing.T) {
+	is := is.New(t)
+	f := newFixture(1, 0)
+	f.backend.script = []step{f.neverEnds(event(1), "x", dripInterval, new(atomic.Int64))}
+	call := f.call(beechcall.Resumable, true)
+	call.Route.MaxPause = longestPause
+	ctx, leave := context.WithCancel(t.Context())
+	c := &caller{}
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		f.dispatcher.Serve(ctx, call, c)
+	}()
+	const quiet = 400 * time.Millisecond
+	for begun := f.clock.Now(); f.clock.Since(begun) < quiet+200*time.Millisecond; {
+		time.Sleep(200 * time.Microsecond)
+		f.clock.Advance(5 * time.Millisecond)
+	}
+	silent := f.dispatcher.activities.silent(quiet)
+	leave()
+	<-done
+	is.Equal(silent, []string{"s0"})
+}
+
 // TestEndlessAnswerThatMayRunOnceIsUnknown guards against a refusal that says not run for a request whose server
 // has sent bytes without end.
 func TestEndlessAnswerThatMayRunOnceIsUnknown(t *testing.T) {
--- a/internal/request/beechattempt/stream.go
+++ b/internal/request/beechattempt/stream.go
@@ -76,11 +76,14 @@
 	}
 }
 
-// readMore reads the next data of a stream. Bytes that complete no event are no sign of life: the server
+// readMore reads a stream until it has whole events. Bytes that complete none are no sign of life: the server
 // is silent until its next event.
 func (r *execution) readMore(x *exchange, buffer *eventBuffer) error {
 	r.hedging.wait()
 	err := buffer.read(x.answer.Body)
+	for err == nil && len(buffer.whole()) == 0 {
+		err = buffer.read(x.answer.Body)
+	}
 	heard := len(buffer.whole()) > 0
 	r.hedging.pause(heard)
 	if heard {
