Soak of the agents' door: endless answers

Change: one step in four has an engine send without end instead of its next two answers, with draws of its own.

--- a/internal/command/beechscenario/soak_test.go
+++ b/internal/command/beechscenario/soak_test.go
@@ -26,6 +26,7 @@
 		t          *testing.T
 		deployment *deployment
 		random     *rand.Rand
+		endless    *rand.Rand
 		active     []activeFault
 		broken     map[string]bool // processes that have an active fault
 		base       int             // configuration generation applied last
@@ -51,6 +52,7 @@
 	soakSteps = 24
 	// generationsPerWeights is the number of generations per weights version.
 	generationsPerWeights = 2
+	endlessEvery          = 4  // steps, of which one has an engine send bytes without end
 	maxActiveFaults       = 2  // requirement: faults occur alone and in pairs
 	stepCalls             = 12 // calls that end between two steps, unless stepTimeout passes first
 	// stepTimeout ends a step in which no call can end before a fault ends.
@@ -132,7 +134,8 @@
 	t.Logf("reproduce with: go test -count=1 -run TestSoak ./internal/command/beechscenario -seed %d", seed)
 	s := &soak{
 		t: t, deployment: newDeployment(t, beechtrace.Folder(t)), random: rand.New(rand.NewPCG(seed, 0)),
-		broken: map[string]bool{}, base: 1,
+		endless: rand.New(rand.NewPCG(seed, 1)), // of its own, so that a seed's other draws stay as they were
+		broken:  map[string]bool{}, base: 1,
 	}
 	defer s.deployment.close()
 	s.must("deploy", s.deploy())
@@ -198,6 +201,7 @@
 // step begins or ends a fault, then waits for stepCalls calls to end.
 func (s *soak) step() {
 	s.t.Helper()
+	s.sendEndless()
 	if len(s.active) == maxActiveFaults || len(s.active) > 0 && s.random.IntN(2) == 0 {
 		s.must("end a failure", s.endOne(s.random.IntN(len(s.active))))
 	} else {
@@ -210,6 +214,19 @@
 	}
 }
 
+// sendEndless has an engine send bytes without end instead of its next answers, now and then.
+func (s *soak) sendEndless() {
+	s.t.Helper()
+	forms := []string{"field", "fields", "interim", "event", "lines", "comments"}
+	wanted, form, target := s.endless.IntN(endlessEvery) == 0, forms[s.endless.IntN(len(forms))], engineAgents[s.endless.IntN(len(engineAgents))]
+	if !wanted || s.broken[target] {
+		return
+	}
+	s.t.Logf("endless %s at %s", form, target)
+	_, err := engineFault(beechengine.Fault{Kind: beechengine.FaultEndless, Count: 2, Form: form})(s, target)
+	s.must("endless answers at "+target, err)
+}
+
 func (s *soak) begin() {
 	s.t.Helper()
 	m := faultKinds[s.random.IntN(len(faultKinds))]
