--- a/internal/request/beechattempt/events.go
+++ b/internal/request/beechattempt/events.go
@@ -30,11 +30,8 @@
 	errEventTooLong = fmt.Errorf("%w: no event in %d bytes of a stream", beechcall.ErrMalformed, maxEventBytes)
 	errNoFields     = fmt.Errorf("%w: an event without fields", beechcall.ErrMalformed)
 
-	byteOrderMark = []byte("\xef\xbb\xbf")
-	lineEnd       = []byte{'\r', '\n'}
-
-	// eventFields are those of the standard; a line without a name is a comment.
-	eventFields = map[string]bool{"": true, "data": true, "event": true, "id": true, "retry": true}
+	byteOrderMark  = []byte("\xef\xbb\xbf")
+	carriageReturn = []byte{'\r'}
 )
 
 func newEventBuffer(share *answerShare) *eventBuffer {
@@ -80,7 +77,7 @@
 			break
 		}
 		b.searched += end + 1
-		line := bytes.TrimRight(b.data[b.line:b.searched], string(lineEnd))
+		line := bytes.TrimSuffix(b.data[b.line:b.searched-1], carriageReturn)
 		b.line = b.searched
 		switch {
 		case len(line) > 0 && isEventField(line):
@@ -99,9 +96,17 @@
 	return nil
 }
 
+// isEventField reports whether a line has a field of the standard, or is a comment.
 func isEventField(line []byte) bool {
-	name, _, _ := bytes.Cut(bytes.TrimPrefix(line, byteOrderMark), []byte{':'})
-	return eventFields[string(name)]
+	line = bytes.TrimPrefix(line, byteOrderMark)
+	if end := bytes.IndexByte(line, ':'); end >= 0 {
+		line = line[:end]
+	}
+	switch string(line) {
+	case "", "data", "event", "id", "retry":
+		return true
+	}
+	return false
 }
 
 // whole returns the whole events.
