--- a/internal/standin/beechengine/faults.go
+++ b/internal/standin/beechengine/faults.go
@@ -32,7 +32,7 @@
 		Marker      string    `json:"marker,omitempty"`
 		Count       int       `json:"count,omitempty"`
 		Factor      float64   `json:"factor,omitempty"`
-		Form        string    `json:"form,omitempty"` // one of EndlessForms
+		Form        string    `json:"form,omitempty"` // field, fields, interim, event, lines or comments
 	}
 
 	faults struct {
