--- a/internal/link/beechpool/pool.go
+++ b/internal/link/beechpool/pool.go
@@ -171,11 +171,11 @@
 	// ErrWithdrawn is the cause of a DialError if the context had ended or Conditions.Withdrawn held.
 	ErrWithdrawn = errors.New("withdrawn before it was sent")
 
-	// ErrNoEnd is the cause of an ExchangeError if the server has sent more than belongs to a head.
-	ErrNoEnd = errors.New("no end of the head")
+	// ErrUnterminatedHead is the cause of an ExchangeError if a head, or the interim responses before it, exceed their bound.
+	ErrUnterminatedHead = errors.New("unterminated response head")
 
-	errHeadTooLong    = fmt.Errorf("%w: it exceeds %d bytes", ErrNoEnd, maxHeadBytes)
-	errInterim        = fmt.Errorf("%w: %d interim responses", ErrNoEnd, maxInterimResponses)
+	errHeadTooLong    = fmt.Errorf("%w: it exceeds %d bytes", ErrUnterminatedHead, maxHeadBytes)
+	errInterim        = fmt.Errorf("%w: %d interim responses", ErrUnterminatedHead, maxInterimResponses)
 	errStaleResponses = errors.New("received only responses to earlier requests")
 	errMaxConns       = errors.New("maximum number of connections to the server reached")
 )
--- a/internal/request/beechattempt/activity.go
+++ b/internal/request/beechattempt/activity.go
@@ -102,5 +102,5 @@
 	}
 }
 
-// heard records that data of a stream has come.
+// heard records that events of a stream have come.
 func (s *activities) heard(a *activity, now time.Time) { a.heardAt.Store(int64(now.Sub(s.start))) }
--- a/internal/request/beechattempt/hedge.go
+++ b/internal/request/beechattempt/hedge.go
@@ -144,7 +144,7 @@
 	h.setTimer(now)
 }
 
-// pause records that the execution no longer waits, and whether that is since data has come.
+// pause records that the execution no longer waits, and whether that is since events or a whole answer have come.
 func (h *hedging) pause(heard bool) {
 	r := h.execution
 	if !r.begunAt.IsZero() {
--- a/internal/request/beechattempt/memory.go
+++ b/internal/request/beechattempt/memory.go
@@ -27,7 +27,7 @@
 )
 
 const (
-	// maxHeldBytes leaves half of a small host's 88 MB to everything else, the garbage of growing buffers included.
+	// maxHeldBytes leaves room on a small host for everything else, the garbage of growing buffers included.
 	maxHeldBytes   = 32 << 20
 	maxAnswerBytes = maxHeldBytes / 2
 	// freeAnswerBytes are not counted: nearly all answers and events are smaller.
