Keepers log which order precedes each one, and what else was due

Cause: with `order sent` alone it could not be told why an engine gets the order for one of two models first. An order named neither the order before it nor its number, nor the other models that were due, nor whether a gate had granted it.

Change: `order sent` has previousModel, previousVersion, previousFence, due and granted, and its outcome as a word. No decision is changed.

--- a/internal/process/beechkeeper/keeper.go
+++ b/internal/process/beechkeeper/keeper.go
@@ -101,6 +101,7 @@
 		gates       map[netip.AddrPort]*gateState // that follow
 		lastNumber  uint32                        // sequence number of the last state message
 		lastReport  Report
+		lastOrder   beechrollout.Order // that was sent; zero: none since the start
 		backlog     beechrollout.PrefillBacklog
 		cachedParts *lru.Cache[uint64, struct{}] // announced or listed, and not known to be evicted
 		phase       beechrollout.Phase
@@ -354,12 +355,15 @@
 	limited, cancel := clockwork.WithTimeout(ctx, k.deps.Clock, orderTimeout)
 	defer cancel()
 	answer, err := k.deps.Engine.Order(limited, k.settings.Name, o)
-	k.deps.Log.Info("order sent", zap.String("model", o.Target.Model), zap.Uint64("version", o.Target.Version),
-		zap.Uint64("fence", o.Target.Fence), zap.Uint64("sequence", o.Sequence), zap.Int("outcome", int(answer)), zap.Error(err))
 	k.metrics.orders.Add(answer.String(), 1)
 	k.mu.Lock()
 	k.updater.RecordAnswer(answer)
+	previous := k.lastOrder
+	k.lastOrder = o
 	k.mu.Unlock()
+	k.deps.Log.Info("order sent", zap.String("model", o.Target.Model), zap.Uint64("version", o.Target.Version),
+		zap.Uint64("fence", o.Target.Fence), zap.Uint64("sequence", o.Sequence), zap.Stringer("outcome", answer), zap.Bool("granted", o.Target.Granted), zap.Strings("due", o.Due),
+		zap.String("previousModel", previous.Target.Model), zap.Uint64("previousVersion", previous.Target.Version), zap.Uint64("previousFence", previous.Target.Fence), zap.Error(err))
 }
 
 func (k *Keeper) setPhase(p beechrollout.Phase, err error) {
--- a/internal/request/beechrollout/updater.go
+++ b/internal/request/beechrollout/updater.go
@@ -1,6 +1,9 @@
 package beechrollout
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 type (
 	// Target is the version that an engine is to load.
@@ -58,6 +61,7 @@
 	Order struct {
 		Target   Target
 		Sequence uint64
+		Due      []string // all models that the engine has not loaded in the target version, sorted
 	}
 
 	// Answer is an engine's response to an order.
@@ -247,7 +251,7 @@
 		return Wait{After: activePollInterval, Phase: Leaving}
 	}
 	u.orderedAt, u.orderPending, u.orderedTarget = now, true, target
-	return Order{Target: target, Sequence: r.Sequence}
+	return Order{Target: target, Sequence: r.Sequence, Due: u.dueModels(r)}
 }
 
 // RecordAnswer records how the engine responded to the last order. An order without an
@@ -305,6 +309,18 @@
 	return target.Granted || (now.Sub(u.targetSetAt) >= gateTimeout && !now.Before(target.FallbackAt))
 }
 
+// dueModels returns the models that the engine has not loaded in the target version, sorted.
+func (u *Updater) dueModels(r Report) []string {
+	var due []string
+	for model, target := range u.targets {
+		if have, serves := r.Versions[model]; serves && have < target.Version {
+			due = append(due, model)
+		}
+	}
+	slices.Sort(due)
+	return due
+}
+
 // pendingTarget returns a target that the engine has not loaded yet, preferably one that
 // was granted.
 func (u *Updater) pendingTarget(r Report) (Target, bool) {
