Stand-in engines serve several models and may check fencing numbers

Cause: no test of ours had two models on one engine, and no stand-in of the platform's engines checked fencing numbers or rejected a version, so that nothing could show orders that come in the wrong order or are refused.

Change: a stand-in engine serves further models beside the first (`Models`), each with a version of its own; it can refuse lower fencing numbers with 412 (`CheckFence`) and a version with 400 (`UnknownVersion`), and keeps the time and status of each order. A test cluster can list further models, announce a version of each, and give gates another view of the store.

--- a/internal/command/beechplay/cluster.go
+++ b/internal/command/beechplay/cluster.go
@@ -25,6 +25,7 @@
 		Engines map[string]*beechsimulator.Engine
 		Places  map[string]netip.AddrPort // addresses of the store, engines and gates by name, and of a gate's readiness check by NAME-ready
 		Backups beechbackup.Mode          // of gates that are added later; empty: the default
+		Models  []string                  // served beside Model by engines that are added later
 
 		launcher      Launcher
 		zone          string
@@ -55,6 +56,8 @@
 // Names in a cluster's configuration.
 const (
 	Model         = "advisor"
+	OtherModel    = "drafter" // that engines may serve beside Model
+	ThirdModel    = "sorter"  // likewise
 	Host          = "advice.example"
 	Key           = "key-of-mill"
 	IsolateKey    = "key-of-barn" // key of an isolated workspace
@@ -98,6 +101,15 @@
 	return netip.AddrFrom4([4]byte{127, byte(second), byte(process), byte(1 + int(n)%hostsPerSubnet)})
 }
 
+// ServeStore has gates that are added later use another view of the store.
+func (w *Cluster) ServeStore(view http.Handler) error {
+	e, err := w.listen(nextLoopbackAddress(), view)
+	if err == nil {
+		w.Places["store"] = e.address
+	}
+	return err
+}
+
 func (w *Cluster) listen(address netip.Addr, h http.Handler) (*endpoint, error) {
 	e := &endpoint{handler: h, address: netip.AddrPortFrom(address, 0)}
 	if err := e.open(); err != nil {
@@ -149,6 +161,9 @@
 // a model, a keeper is started for it.
 func (w *Cluster) AddEngine(name string, s beechsimulator.EngineSettings) (*beechsimulator.Engine, error) {
 	s.ID = name
+	if s.Model != "" {
+		s.Models = append(s.Models, w.Models...)
+	}
 	e := beechsimulator.NewEngine(s)
 	address := nextLoopbackAddress()
 	listener, err := w.listen(address, e)
@@ -203,6 +218,13 @@
 // nil, it may change the document first.
 func (w *Cluster) Configure(version int, edit func(c Document)) {
 	c := beechsimulator.Configuration(version, Host, Model, EngineService, PlainService, Key, IsolateKey)
+	for _, service := range c["services"].([]Document) {
+		if engine, ok := service["engine"].(Document); ok {
+			for _, model := range w.Models {
+				engine["models"] = append(engine["models"].([]Document), Document{"name": model})
+			}
+		}
+	}
 	if edit != nil {
 		edit(c)
 	}
@@ -210,7 +232,10 @@
 }
 
 // SetWeights publishes a version of the model's weights in the store.
-func (w *Cluster) SetWeights(version int) { w.Store.SetWeightsVersion(Model, version) }
+func (w *Cluster) SetWeights(version int) { w.SetWeightsOf(Model, version) }
+
+// SetWeightsOf publishes a version of the weights of one of the models in the store.
+func (w *Cluster) SetWeightsOf(model string, version int) { w.Store.SetWeightsVersion(model, version) }
 
 // AddGate starts a gate. Places gets the addresses of its listener and of its
 // readiness check.
--- a/internal/standin/beechsimulator/copies.go
+++ b/internal/standin/beechsimulator/copies.go
@@ -86,7 +86,7 @@
 	e.expireCopies()
 	_, handle, _ := strings.Cut(r.Header.Get(headerKVFrom), "/")
 	kept, ok := e.copies.kept[handle]
-	if !ok || kept.version != e.version || kept.request != r.Header.Get(headerAttemptID) {
+	if !ok || kept.version != e.versions[e.settings.Model] || kept.request != r.Header.Get(headerAttemptID) {
 		return false
 	}
 	delete(e.copies.kept, handle)
@@ -111,7 +111,7 @@
 		return
 	}
 	e.mu.Lock()
-	running, version, to := e.active[m.ID] > 0, e.version, e.copies.peer(m.To)
+	running, version, to := e.active[m.ID] > 0, e.versions[e.settings.Model], e.copies.peer(m.To)
 	e.mu.Unlock()
 	switch {
 	case !running:
--- a/internal/standin/beechsimulator/documents.go
+++ b/internal/standin/beechsimulator/documents.go
@@ -50,10 +50,9 @@
 
 // PutServer writes the entry of an engine or server, as it does itself.
 func (s *Store) PutServer(e *Engine, service, address, zone, state string) {
-	models := []Document{}
-	if e.settings.Model != "" {
-		models = append(models, Document{"name": e.settings.Model, "version": e.Version(), "adapters": []string{}})
-	}
+	e.mu.Lock()
+	models := e.modelDocuments()
+	e.mu.Unlock()
 	entry := Document{
 		"service": service, "address": address, "zone": zone, "version": e.Software(), "slots": advertisedSlots,
 		"state": state, "coldLeftMs": 0, "models": models, "sequence": 1,
--- a/internal/standin/beechsimulator/engine.go
+++ b/internal/standin/beechsimulator/engine.go
@@ -19,13 +19,16 @@
 	EngineSettings struct {
 		ID       string
 		Model    string
-		Version  uint64
+		Models   []string // served beside Model
+		Version  uint64   // of all models
 		Slots    int
 		Token    time.Duration // duration of each event of a stream
 		ReadRate float64       // prompt tokens per millisecond; 0 takes no time
 		Load     time.Duration // duration of loading new weights
 		Software string        // version of its software, which marks each event; empty: v1, without marks
 		Slowness int           // of its host in percent, which each response tells; 0: it does not
+		// CheckFence has the engine refuse orders under a lower fencing number than one seen before.
+		CheckFence bool
 	}
 
 	// Engine simulates an engine. It is safe for concurrent use.
@@ -33,7 +36,8 @@
 		settings EngineSettings
 
 		mu            sync.Mutex
-		version       uint64
+		versions      map[string]uint64 // by model
+		fence         uint64            // highest of the orders seen
 		busy          bool
 		sequence      uint64
 		running       int
@@ -65,23 +69,24 @@
 
 	// EngineFaults are the faults that an engine simulates.
 	EngineFaults struct {
-		Refuse       bool          // every request is refused as not executed
-		RetryAfter   string        // Retry-After of refusals and of responses with Status; empty is none
-		Hang         bool          // requests run and get no response
-		Drop         bool          // requests run and the connection is reset
-		CutAfter     int           // number of events after which a stream is cut; 0 is never
-		CutEvery     int           // of how many streams one is cut; 0 is all
-		Status       int           // status of every response; 0 for the normal 200
-		Twice        bool          // each response is to be sent twice; not implemented, so it has no effect
-		Foreign      string        // another request's id, returned in responses
-		Encoding     string        // Content-Encoding of responses, as some proxies add one
-		SilentOrders bool          // orders get no response and are not carried out
-		CrashPart    string        // shared prompt part on which the engine crashes before it responds; empty is none
-		CrashDelay   time.Duration // from the first event of such a response to the crash; 0: it has none
-		Ending       Ending        // how responses end
-		Endless      Endless       // form of bytes that are sent without end instead of a response; empty is none
-		EndlessEvery int           // of how many requests one gets them; 0 is all
-		EndlessRate  int           // bytes a second; 0: as fast as they are read
+		Refuse         bool          // every request is refused as not executed
+		RetryAfter     string        // Retry-After of refusals and of responses with Status; empty is none
+		Hang           bool          // requests run and get no response
+		Drop           bool          // requests run and the connection is reset
+		CutAfter       int           // number of events after which a stream is cut; 0 is never
+		CutEvery       int           // of how many streams one is cut; 0 is all
+		Status         int           // status of every response; 0 for the normal 200
+		Twice          bool          // each response is to be sent twice; not implemented, so it has no effect
+		Foreign        string        // another request's id, returned in responses
+		Encoding       string        // Content-Encoding of responses, as some proxies add one
+		SilentOrders   bool          // orders get no response and are not carried out
+		UnknownVersion uint64        // orders for this version are refused as not announced; 0: none
+		CrashPart      string        // shared prompt part on which the engine crashes before it responds; empty is none
+		CrashDelay     time.Duration // from the first event of such a response to the crash; 0: it has none
+		Ending         Ending        // how responses end
+		Endless        Endless       // form of bytes that are sent without end instead of a response; empty is none
+		EndlessEvery   int           // of how many requests one gets them; 0 is all
+		EndlessRate    int           // bytes a second; 0: as fast as they are read
 	}
 
 	// Ending is how the end of a response is marked.
@@ -95,6 +100,9 @@
 		Holder   string `json:"holder"`
 		Fence    uint64 `json:"fencingToken"`
 		Expected uint64 `json:"expected"`
+
+		Status int       `json:"-"` // of the response; 0: none
+		At     time.Time `json:"-"`
 	}
 )
 
@@ -127,12 +135,24 @@
 	if s.Slots == 0 {
 		s.Slots = defaultSlots
 	}
+	versions := make(map[string]uint64)
+	for _, model := range s.models() {
+		versions[model] = s.Version
+	}
 	return &Engine{
-		settings: s, version: s.Version, runs: make(map[string]int), active: make(map[string]int), begunAt: make(map[string]time.Time), endedAt: make(map[string]time.Time), lastHeaders: make(map[string]http.Header), cached: make(map[string]int),
+		settings: s, versions: versions, runs: make(map[string]int), active: make(map[string]int), begunAt: make(map[string]time.Time), endedAt: make(map[string]time.Time), lastHeaders: make(map[string]http.Header), cached: make(map[string]int),
 		streamPaths: make(map[string]int), partArrivals: make(map[string][]time.Time), onCrash: func(time.Duration) {}, copies: newCopies(),
 	}
 }
 
+// models returns the names of all models.
+func (s EngineSettings) models() []string {
+	if s.Model == "" {
+		return nil
+	}
+	return append([]string{s.Model}, s.Models...)
+}
+
 // OnCrash sets the function that ends all connections at a crash.
 func (e *Engine) OnCrash(crash func(down time.Duration)) {
 	e.mu.Lock()
@@ -233,11 +253,14 @@
 	return e.running
 }
 
-// Version returns the version of the loaded weights.
-func (e *Engine) Version() uint64 {
+// Version returns the version of the loaded weights of the first model.
+func (e *Engine) Version() uint64 { return e.VersionOf(e.settings.Model) }
+
+// VersionOf returns the version of the loaded weights of a model.
+func (e *Engine) VersionOf(model string) uint64 {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	return e.version
+	return e.versions[model]
 }
 
 // Orders returns the orders that the engine received.
@@ -301,7 +324,7 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.born = time.Now().UnixMilli()
-	e.limit, e.sequence, e.busy, e.leaving = "", 0, false, false
+	e.limit, e.sequence, e.fence, e.busy, e.leaving = "", 0, 0, false, false
 	clear(e.cached)
 	clear(e.copies.kept)
 	e.events = nil
@@ -386,12 +409,8 @@
 
 func (e *Engine) report(w http.ResponseWriter) {
 	e.mu.Lock()
-	models := []map[string]any{}
-	if e.settings.Model != "" {
-		models = append(models, map[string]any{"name": e.settings.Model, "version": e.version, "adapters": []string{}})
-	}
 	report := map[string]any{
-		"stage": "colocated", "models": models, "busy": e.busy, "sequence": e.sequence,
+		"stage": "colocated", "models": e.modelDocuments(), "busy": e.busy, "sequence": e.sequence,
 		"waiting": 0, "running": e.running, "kvUsed": 0, "kvTotal": 100000, "handles": len(e.copies.kept),
 	}
 	if e.born > 0 {
@@ -401,6 +420,15 @@
 	writeJSON(w, report)
 }
 
+// modelDocuments returns the models as reports and entries list them. The caller holds the lock.
+func (e *Engine) modelDocuments() []Document {
+	models := []Document{}
+	for _, model := range e.settings.models() {
+		models = append(models, Document{"name": model, "version": e.versions[model], "adapters": []string{}})
+	}
+	return models
+}
+
 func (e *Engine) order(w http.ResponseWriter, r *http.Request) {
 	var o Order
 	if err := json.NewDecoder(r.Body).Decode(&o); err != nil || o.Holder == "" || o.Fence == 0 {
@@ -409,27 +437,49 @@
 	}
 	e.mu.Lock()
 	defer e.mu.Unlock()
+	o.At = time.Now()
+	if e.faults.SilentOrders {
+		e.orders = append(e.orders, o)
+		panic(http.ErrAbortHandler)
+	}
+	o.Status = e.answerOrder(o)
 	e.orders = append(e.orders, o)
+	e.fence = max(e.fence, o.Fence)
+	if o.Status == http.StatusAccepted {
+		e.busy = true
+		e.sequence++
+		time.AfterFunc(e.settings.Load, func() {
+			e.mu.Lock()
+			defer e.mu.Unlock()
+			e.busy, e.versions[o.Model] = false, o.Version
+			clear(e.cached)
+			clear(e.copies.kept)
+		})
+	}
+	w.WriteHeader(o.Status)
+}
+
+// answerOrder returns the status of the response to an order. The caller holds the lock.
+func (e *Engine) answerOrder(o Order) int {
+	version, serves := e.versions[o.Model]
 	switch {
-	case e.faults.SilentOrders:
-		panic(http.ErrAbortHandler)
-	case e.version == o.Version:
-		w.WriteHeader(http.StatusOK)
-		return
+	case !serves || e.faults.UnknownVersion > 0 && o.Version == e.faults.UnknownVersion:
+		return http.StatusBadRequest
+	case e.settings.CheckFence && o.Fence < e.fence:
+		return http.StatusPreconditionFailed
+	case version == o.Version:
+		return http.StatusOK
 	case e.busy || o.Expected != e.sequence:
-		w.WriteHeader(http.StatusConflict)
-		return
+		return http.StatusConflict
 	}
-	e.busy = true
-	e.sequence++
-	time.AfterFunc(e.settings.Load, func() {
-		e.mu.Lock()
-		defer e.mu.Unlock()
-		e.busy, e.version = false, o.Version
-		clear(e.cached)
-		clear(e.copies.kept)
-	})
-	w.WriteHeader(http.StatusAccepted)
+	return http.StatusAccepted
+}
+
+// SetFence has the engine behave as if it had seen an order under a fencing number.
+func (e *Engine) SetFence(number uint64) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.fence = max(e.fence, number)
 }
 
 func (e *Engine) cacheEvents(w http.ResponseWriter, r *http.Request) {
@@ -525,7 +575,7 @@
 	e.begunAt[id] = time.Now()
 	e.active[id]++
 	e.lastHeaders[id] = r.Header.Clone()
-	faults, version := e.faults, e.version
+	faults, version := e.faults, e.versionFor(r)
 	faults.CrashPart = cmp.Or(faults.CrashPart, e.lasting.CrashPart)
 	faults.Ending = cmp.Or(faults.Ending, e.lasting.Ending)
 	if faults.Endless == "" {
@@ -604,7 +654,7 @@
 	case expectedInstance != "" && expectedInstance != e.settings.ID:
 		w.Header().Set(headerInstanceID, e.settings.ID)
 		w.WriteHeader(http.StatusMisdirectedRequest)
-	case expectedVersion != "" && expectedVersion != strconv.FormatUint(e.version, 10):
+	case expectedVersion != "" && expectedVersion != strconv.FormatUint(e.versionFor(r), 10):
 		w.WriteHeader(http.StatusMisdirectedRequest)
 	case e.busy || e.faults.Refuse || e.running >= e.settings.Slots:
 		w.Header().Set(headerNotExecuted, "1")
@@ -678,5 +728,10 @@
 	}
 }
 
+// versionFor returns the version of the weights that a request runs on. The caller holds the lock.
+func (e *Engine) versionFor(r *http.Request) uint64 {
+	return e.versions[cmp.Or(r.Header.Get("Beechring-Model"), e.settings.Model)]
+}
+
 // HasModel reports whether the engine serves a model.
 func (e *Engine) HasModel() bool { return e.settings.Model != "" }
