One fencing number for all orders of a keeper's process

Cause: an order bore the revision at which its version was named, a number for each model, while the engine that it guards serves several. The keeper chose among due models in the order of a map, compared numbers of one version only, and forgot them with its process.

A keeper that starts again beside a gate that has lost the store sends an order under 7 after one under 8.

Fix: the number belongs to the keeper's process. The process asks a gate that follows it (`Acquire`), which reads the store's revision and answers (`Fence`); all orders bear that number. It never falls: earlier processes of the keeper had theirs from reads that ended before, whatever was named, and revisions are ordered by the store's era first. A late answer to an earlier process is told by its request's number; a request that comes during a read is answered by the next read. Until there is a number no order leaves, the engine serves, and gates pass it over (`update waits` says why). Gates of the release before answer no Acquire but any inquiry, which is sent beside it; if all are such, the numbers that they send are used. New gates send keepers of the release before the number of the newest naming of any model. The choice among due models is fixed: granted, fewest unanswered orders, out of date for longest, name.

--- a/internal/command/beechcommand/gate.go
+++ b/internal/command/beechcommand/gate.go
@@ -32,7 +32,7 @@
 		Source: store, StoreUse: store.CallStats(), Backend: platform.NewEngines(pool, clock), Pool: pool,
 		CallersCompete: platform.CallersCompete(r.settings.Contracts),
 		OperatorPrefix: platform.OperatorPrefix, ServerPrefix: platform.ServerPrefix,
-		Operators: platform.DecodeConfiguration, Servers: platform.DecodeServers,
+		Operators: platform.DecodeConfiguration, Servers: platform.DecodeServers, Revision: store.Revision,
 	})
 	if err != nil {
 		return err
--- a/internal/command/beechplay/day.go
+++ b/internal/command/beechplay/day.go
@@ -43,6 +43,7 @@
 // FaultKinds describes the kinds of faults.
 var FaultKinds = map[string]string{
 	"weights":      "a new version of the weights is published",
+	"models":       "new versions of two models that all engines serve are published together",
 	"configure":    "the configuration changes",
 	"store down":   "the store answers 503",
 	"store silent": "the store does not answer",
--- a/internal/command/beechplay/launch.go
+++ b/internal/command/beechplay/launch.go
@@ -72,7 +72,7 @@
 	g, err := beechgate.New(s, beechgate.Dependencies{
 		Clock: clock, Age: i.Age, Log: i.Log.With(zap.String("process", s.Name)), Source: store, StoreUse: store.CallStats(),
 		Backend: backend, Pool: pool, OperatorPrefix: platform.OperatorPrefix, ServerPrefix: platform.ServerPrefix,
-		Operators: platform.DecodeConfiguration, Servers: platform.DecodeServers,
+		Operators: platform.DecodeConfiguration, Servers: platform.DecodeServers, Revision: store.Revision,
 	})
 	if err != nil {
 		return nil, err
--- a/internal/command/beechplay/play.go
+++ b/internal/command/beechplay/play.go
@@ -120,8 +120,10 @@
 }
 
 func (p *simulation) deploy() error {
+	p.cluster.Models = []string{OtherModel}
 	p.cluster.Configure(p.config, nil)
 	p.cluster.SetWeights(p.version)
+	p.cluster.SetWeightsOf(OtherModel, p.version)
 	for i := range p.day.Engines {
 		_, err := p.cluster.AddEngine(fmt.Sprintf("e%d", i+1), beechsimulator.EngineSettings{
 			Model: Model, Version: 1, Slots: 48, Token: time.Duration(p.day.Token), ReadRate: p.day.Reading, Load: 300 * time.Millisecond,
@@ -222,6 +224,10 @@
 	case "weights":
 		p.version++
 		p.cluster.SetWeights(p.version)
+	case "models":
+		p.version++
+		p.cluster.SetWeights(p.version)
+		p.cluster.SetWeightsOf(OtherModel, p.version)
 	case "configure":
 		p.config++
 		p.cluster.Configure(p.config, nil)
@@ -415,10 +421,15 @@
 	}
 	for name, e := range p.cluster.Engines {
 		p.report.Read += e.PrefillTokens()
+		fence := uint64(0)
 		for _, o := range e.Orders() {
 			if o.Holder != "keeper-"+name {
 				p.recordViolation("%s: got an order from %s", name, o.Holder)
 			}
+			if o.Fence < fence {
+				p.recordViolation("%s: got an order for %s under %d after one under %d", name, o.Model, o.Fence, fence)
+			}
+			fence = max(fence, o.Fence)
 		}
 	}
 }
--- a/internal/command/beechplay/play_test.go
+++ b/internal/command/beechplay/play_test.go
@@ -57,6 +57,21 @@
 	is.True(report.Served > report.Asked*3/4) // a tenth is about the part, and some are lost with each engine
 }
 
+// TestDayWithTwoModels guards against orders whose fencing numbers decrease when versions of two models
+// are announced together.
+func TestDayWithTwoModels(t *testing.T) {
+	is := is.New(t)
+	day := Default
+	day.Length, day.Faults = beechsettings.Duration(8*time.Second), nil
+	for n := range 4 {
+		day.Faults = append(day.Faults, Fault{At: beechsettings.Duration(time.Duration(n) * 1800 * time.Millisecond), Kind: "models"})
+	}
+	report, err := Play(t.Context(), day, beechtrace.Logger(t))
+	is.NoErr(err)
+	is.Equal(report.Promises, nil)
+	is.True(report.Served > report.Asked*9/10)
+}
+
 // A gate has two listeners. If their ports were chosen one after the other, they
 // would be equal in a few of 100,000 cases (27 of 200,000 were). The gate would
 // then stop when it opens the second one, and the day would fail with
--- a/internal/command/beechplay/soak_test.go
+++ b/internal/command/beechplay/soak_test.go
@@ -81,6 +81,8 @@
 		gates   []string
 		copied  beechsimulator.Snapshot // from which the store is restored
 
+		restarts sync.Mutex // guards the processes of the cluster
+
 		mu              sync.Mutex
 		statuses        map[string]int // status by request ID; 0 if there was no answer
 		atMostOnce      map[string]bool
@@ -236,8 +238,12 @@
 
 func (s *soak) deploy() {
 	s.cluster.Backups = beechbackup.On
+	s.cluster.Models = []string{OtherModel, ThirdModel}
 	s.cluster.Configure(1, nil)
 	s.cluster.SetWeights(1)
+	for _, model := range s.cluster.Models {
+		s.cluster.SetWeightsOf(model, 1)
+	}
 	for i := range 3 {
 		s.must(s.cluster.AddEngine(fmt.Sprintf("e%d", i), beechsimulator.EngineSettings{Model: Model, Version: 1, Slots: 32, Token: 20 * time.Millisecond, Load: 300 * time.Millisecond, Software: soakVersions[i%len(soakVersions)], Slowness: 100}))
 		s.must(s.cluster.AddEngine(fmt.Sprintf("s%d", i), beechsimulator.EngineSettings{Slots: 32}))
@@ -273,6 +279,7 @@
 		limits.Go(s.injectEndless)
 		limits.Go(s.favorGate)
 		limits.Go(s.sendLongStreams)
+		limits.Go(s.announceSeries)
 		defer limits.Wait()
 		version := 1
 		for end := time.Now().Add(soakDuration - 4*time.Second); time.Now().Before(end); time.Sleep(faultInterval) {
@@ -316,19 +323,21 @@
 // later fault replaces them or the run ends.
 func (s *soak) injectFault(version int) {
 	gate := s.gates[s.random.IntN(len(s.gates))]
+	s.restarts.Lock()
 	process := s.cluster.Process(gate).(*childProcess)
+	s.restarts.Unlock()
 	engine := s.cluster.Engines[[]string{"e0", "e1", "e2", "s0", "s1", "s2"}[s.random.IntN(6)]]
 	troubles := []beechsimulator.EngineFaults{{}, {Refuse: true}, {Hang: true}, {Drop: true}, {CutAfter: 2}, {Status: http.StatusInternalServerError}, {SilentOrders: true}}
 	switch s.random.IntN(10) {
 	case 0:
 		s.recordDisturbance(gate)
 		process.signal(syscall.SIGKILL, true)
-		s.restart(gate, process)
+		s.restartGate(gate, process)
 		s.recordDisturbance(gate)
 	case 1:
 		s.recordDisturbance(gate)
 		process.Signal()
-		s.restart(gate, process)
+		s.restartGate(gate, process)
 		s.recordDisturbance(gate)
 	case 2:
 		s.recordDisturbance(gate)
@@ -337,10 +346,7 @@
 		process.signal(syscall.SIGCONT, false)
 		s.recordDisturbance(gate)
 	case 3:
-		keeper := fmt.Sprintf("keeper-e%d", s.random.IntN(3))
-		p := s.cluster.Process(keeper).(*childProcess)
-		p.signal(syscall.SIGKILL, true)
-		s.restart(keeper, p)
+		s.killKeeper(fmt.Sprintf("keeper-e%d", s.random.IntN(3)))
 	case 4:
 		s.setStoreLost(true)
 		s.cluster.Store.SetFaults([]beechsimulator.StoreFaults{{Status: http.StatusServiceUnavailable}, {Silent: true}, {Slow: 200 * time.Millisecond}, {Deaf: true}, {Body: "<html>"}}[s.random.IntN(5)])
@@ -366,7 +372,18 @@
 	}
 }
 
-// restart waits until a process has exited and starts it again.
+// restartGate waits until a gate has exited and starts it again.
+func (s *soak) restartGate(name string, p *childProcess) {
+	if err := p.Wait(); err != nil {
+		s.t.Error(err)
+	}
+	s.restarts.Lock()
+	defer s.restarts.Unlock()
+	s.restart(name, p)
+}
+
+// restart waits until a process has exited and starts it again. The caller holds the lock of
+// restarts.
 func (s *soak) restart(name string, p *childProcess) {
 	if err := p.Wait(); err != nil {
 		s.t.Error(err)
@@ -513,18 +530,7 @@
 			s.t.Errorf("%s: ran with a key %s after it was revoked", id, sent.Sub(s.revokedAt))
 		}
 	}
-	for name, e := range s.cluster.Engines {
-		fence := uint64(0)
-		for _, o := range e.Orders() {
-			if o.Fence < fence {
-				s.t.Errorf("%s: got an order under %d after one under %d", name, o.Fence, fence)
-			}
-			fence = o.Fence
-			if o.Holder != "keeper-"+name {
-				s.t.Errorf("%s: got an order from %s", name, o.Holder)
-			}
-		}
-	}
+	s.checkOrders()
 	s.checkLimits()
 	s.checkDepartures()
 	s.checkLeavings()
--- a/internal/link/beechdatagram/datagram.go
+++ b/internal/link/beechdatagram/datagram.go
@@ -32,7 +32,7 @@
 type (
 	// Message is a Follow, a Tell, an Announce, an Inquiry, a Proof, an
 	// Entries, a Gossip, a Summary, a Recall, a Borrow, a Loan, a Spent, a Limits, a Full, an
-	// Origins, a Query, a Found, a Poison, a Pressure, a Health or a Returns.
+	// Origins, a Query, a Found, a Poison, a Pressure, a Health, a Returns, an Acquire or a Fence.
 	Message interface{ message() }
 
 	// Follow is sent by a gate to a keeper: it asks for the engine's state, and names
@@ -99,6 +99,12 @@
 	// Health is sent by a gate to a keeper: where its engine says how slow its host is.
 	Health struct{ *beechwire.Health }
 
+	// Acquire is sent by a keeper to a gate: it asks for a fencing number.
+	Acquire struct{ *beechwire.Acquire }
+
+	// Fence answers an Acquire.
+	Fence struct{ *beechwire.Fence }
+
 	// Returns is sent by a gate to the others: when callers that it has refused come back.
 	Returns struct{ *beechwire.Returns }
 
@@ -142,6 +148,8 @@
 	kindPressure     = 'R'
 	kindHealth       = 'J'
 	kindReturns      = 'U'
+	kindAcquire      = 'M'
+	kindFence        = 'X'
 	maxDatagramBytes = 16 << 10
 )
 
@@ -168,6 +176,8 @@
 func (Pressure) message() {}
 func (Health) message()   {}
 func (Returns) message()  {}
+func (Acquire) message()  {}
+func (Fence) message()    {}
 
 // Open binds a UDP socket to an address.
 func Open(address netip.AddrPort) (*Socket, error) {
@@ -223,6 +233,10 @@
 		return v.MarshalMsg([]byte{kindHealth})
 	case Returns:
 		return v.MarshalMsg([]byte{kindReturns})
+	case Acquire:
+		return v.MarshalMsg([]byte{kindAcquire})
+	case Fence:
+		return v.MarshalMsg([]byte{kindFence})
 	}
 	return nil, errUnknownKind
 }
@@ -309,6 +323,12 @@
 	case kindReturns:
 		m := &beechwire.Returns{}
 		return Returns{m}, m
+	case kindAcquire:
+		m := &beechwire.Acquire{}
+		return Acquire{m}, m
+	case kindFence:
+		m := &beechwire.Fence{}
+		return Fence{m}, m
 	}
 	return nil, nil
 }
@@ -383,6 +403,10 @@
 		return "health"
 	case kindReturns:
 		return "returns"
+	case kindAcquire:
+		return "acquire"
+	case kindFence:
+		return "fence"
 	}
 	return "unknown"
 }
--- a/internal/link/beechdatagram/datagram_test.go
+++ b/internal/link/beechdatagram/datagram_test.go
@@ -42,6 +42,8 @@
 	}},
 	Health{&beechwire.Health{Path: "/health"}},
 	Returns{&beechwire.Returns{Pass: true, List: []beechwire.Return{{Account: 1 << 31, Call: 1 << 30, Millis: -5, Class: 9, Size: 9200, Kept: true}}}},
+	Acquire{&beechwire.Acquire{Number: 1 << 63}},
+	Fence{&beechwire.Fence{Number: 1 << 63, Fence: 1<<40 | 37}},
 	Recall{&beechwire.Recall{Hosts: []string{"\x0a\x01\x00\x1e"}}},
 	Proof{&beechwire.Proof{Number: 7, Operators: beechwire.Held{Digest: 1 << 63, Revision: 40, Age: 1300, Watched: true}, Servers: beechwire.Held{Age: -1}}},
 	Spent{&beechwire.Spent{Host: 1 << 63, Lifetime: 2, Pass: true, Settled: true, Uses: []beechwire.Use{{Workspace: 1 << 60, Total: 9200, Level: -5}}}},
--- a/internal/link/beechwire/wire_gen.go
+++ b/internal/link/beechwire/wire_gen.go
@@ -2,10 +2,16 @@
 
 //msgp:ignore WireSchemaJson
 //msgp:limit arrays:65536
-//msgp:tuple Follow Announce Tell Target Weights Inquiry Entry Entries Node Gossip Status Engine Heard Speed Busy Summary Recall Held Proof Borrow Loan Origins Query Found Use Spent Seen Limit Limits Full FullServer CrashSuspect ServerCrash TraitEvent Poison RankLoad Strain Demand Pressure Health Return Returns
+//msgp:tuple Follow Announce Tell Target Weights Inquiry Entry Entries Node Gossip Status Engine Heard Speed Busy Summary Recall Held Proof Borrow Loan Origins Query Found Use Spent Seen Limit Limits Full FullServer CrashSuspect ServerCrash TraitEvent Poison RankLoad Strain Demand Pressure Health Return Returns Acquire Fence
 
 package beechwire
 
+// Acquire asks for a fencing number, from keeper to gate.
+type Acquire struct {
+	// Identifies the request; differs between processes.
+	Number uint64 `msg:"Number"`
+}
+
 // Announce is the datagram in which a gate tells a keeper that it has just sent
 // its engine a prompt that the engine does not have in its cache.
 type Announce struct {
@@ -407,6 +413,16 @@
 	Stream uint64 `msg:"Stream"`
 }
 
+// Fence answers an Acquire.
+type Fence struct {
+	// Revision of the store, ordered by its era first and read after the Acquire
+	// arrived; 0: it could not be read.
+	Fence uint64 `msg:"Fence"`
+
+	// That of the Acquire.
+	Number uint64 `msg:"Number"`
+}
+
 // FinishAsk records the outcome of a request under its token. NotRun releases the
 // claim. Without NotRun, Status and Agent the outcome is recorded as unknown.
 type FinishAsk struct {
@@ -1291,7 +1307,8 @@
 	// if it receives nothing from gates.
 	Alone int64 `msg:"Alone"`
 
-	// Grows with the version.
+	// Revision of the newest announcement of any model, for keepers that get no
+	// Fence.
 	Fence uint64 `msg:"Fence"`
 
 	// The engine may load the weights now.
--- a/internal/link/beechwire/wire_msgp_gen.go
+++ b/internal/link/beechwire/wire_msgp_gen.go
@@ -11,6 +11,42 @@
 	z311325c6limitArrays = 65536
 )
 
+// MarshalMsg implements msgp.Marshaler
+func (z Acquire) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// array header, size 1
+	o = append(o, 0x91)
+	o = msgp.AppendUint64(o, z.Number)
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *Acquire) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadArrayHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 != 1 {
+		err = msgp.ArrayError{Wanted: 1, Got: zb0001}
+		return
+	}
+	z.Number, bts, err = msgp.ReadUint64Bytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Number")
+		return
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z Acquire) Msgsize() (s int) {
+	s = 1 + msgp.Uint64Size
+	return
+}
+
 // MarshalMsg implements msgp.Marshaler
 func (z *Announce) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
@@ -2483,6 +2519,48 @@
 	return
 }
 
+// MarshalMsg implements msgp.Marshaler
+func (z Fence) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// array header, size 2
+	o = append(o, 0x92)
+	o = msgp.AppendUint64(o, z.Fence)
+	o = msgp.AppendUint64(o, z.Number)
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *Fence) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadArrayHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 != 2 {
+		err = msgp.ArrayError{Wanted: 2, Got: zb0001}
+		return
+	}
+	z.Fence, bts, err = msgp.ReadUint64Bytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Fence")
+		return
+	}
+	z.Number, bts, err = msgp.ReadUint64Bytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Number")
+		return
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z Fence) Msgsize() (s int) {
+	s = 1 + msgp.Uint64Size + msgp.Uint64Size
+	return
+}
+
 // MarshalMsg implements msgp.Marshaler
 func (z *FinishAsk) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
--- a/internal/process/beechgate/gate.go
+++ b/internal/process/beechgate/gate.go
@@ -66,6 +66,8 @@
 		// return what can be decoded, and an error for the rest.
 		Operators func([]beechmirror.Item) (*beechcall.Configuration, []beechcall.WeightsVersion, error)
 		Servers   func([]beechmirror.Item) ([]beechcall.Server, error)
+		// Revision reads the store's revision, ordered by its era first. The read is linearizable.
+		Revision func(context.Context) (uint64, error)
 	}
 
 	// Gate is the process on an entry host. It is safe for concurrent use.
@@ -103,6 +105,7 @@
 		totals          *beechsummary.Totals     // measurements of other gates, to be handed on
 		ownPaces        ownPaces
 		copies          *copies
+		fences          *fenceRequests
 		origins         *origins
 		core            *beechattempt.Dispatcher
 		socket          *beechdatagram.Socket
@@ -191,6 +194,7 @@
 		strains:   beechstrain.New(beechstrain.DefaultSettings, deps.Clock),
 		totals:    beechsummary.NewTotals(),
 		copies:    newCopies(socket.Address()),
+		fences:    newFenceRequests(),
 		freshness: beechfresh.New(deps.Age), serverFreshness: beechfresh.New(deps.Age),
 		health:      beechhealth.New(healthSettings, deps.Clock),
 		suspects:    beechsuspect.New(beechsuspect.Settings{}, deps.Clock),
@@ -247,6 +251,7 @@
 		{Name: "receive messages", Run: func(ctx context.Context) error { return g.socket.Receive(ctx, g.receive) }},
 		{Name: "gossip", Run: g.gossip},
 		{Name: "inquire readers", Run: g.inquireReaders},
+		{Name: "answer requests for fencing numbers", Run: g.answerFences},
 		{Name: "send summaries", Run: g.sendSummaries},
 		{Name: "send strains", Run: g.sendStrains},
 		{Name: "send measurements", Run: g.sendMeasurements},
--- a/internal/process/beechgate/keeper.go
+++ b/internal/process/beechgate/keeper.go
@@ -149,5 +149,7 @@
 		g.receivePressure(from, v)
 	case beechdatagram.Returns:
 		g.receiveReturns(from, v)
+	case beechdatagram.Acquire:
+		g.receiveAcquire(from, v.Number)
 	}
 }
--- a/internal/process/beechgate/metrics.go
+++ b/internal/process/beechgate/metrics.go
@@ -22,6 +22,7 @@
 		lent           *expvar.Int // retries lent to gates of this zone
 		copiesFetched  *expvar.Int // whole copies taken from other gates
 		proofs         *expvar.Map // other gates' statements about their mirrors, by result
+		fences         *expvar.Map // reads of fencing numbers for keepers, by outcome
 		bodies         *expvar.Map // bytes of request bodies, within the zone and to other zones
 
 		limitLinesDropped *expvar.Int // log lines on limits beyond maxLimitLogLines
@@ -51,7 +52,7 @@
 func newMetrics(g *Gate) *metrics {
 	m := &metrics{
 		vars: new(expvar.Map), endings: new(expvar.Map), retried: new(expvar.Int), stops: new(expvar.Map), denied: new(expvar.Map),
-		proofs: new(expvar.Map), bodies: new(expvar.Map), unknownSenders: new(expvar.Int), invalidGossip: new(expvar.Int), copiesFetched: new(expvar.Int), lent: new(expvar.Int),
+		proofs: new(expvar.Map), fences: new(expvar.Map), bodies: new(expvar.Map), unknownSenders: new(expvar.Int), invalidGossip: new(expvar.Int), copiesFetched: new(expvar.Int), lent: new(expvar.Int),
 		limitLinesDropped: new(expvar.Int), lateVersions: new(expvar.Int), invalidEntries: new(expvar.Int), firstByte: beechmetric.NewLatency(), wholeAnswer: beechmetric.NewLatency(),
 		resumed: new(expvar.Map), backups: new(expvar.Map), turnedAway: new(expvar.Int), unreadAge: beechmetric.NewLatency(), schedulingDelay: new(expvar.Int), departed: new(expvar.Map), departedAfter: beechmetric.NewLatency(),
 		unnoticed: beechmetric.NewLatency(), withdrawn: beechmetric.NewLatency(), withdrawals: new(expvar.Map), schedulingTail: new(expvar.Int), acceptWait: new(expvar.Int),
@@ -62,6 +63,7 @@
 	m.vars.Set("notRetried", m.stops)
 	m.vars.Set("denied", m.denied)
 	m.vars.Set("proofs", m.proofs)
+	m.vars.Set("fences", m.fences)
 	m.vars.Set("paces", expvar.Func(func() any { return slowEngines(g.placer.Paces()) }))
 	m.vars.Set("strangers", m.unknownSenders)
 	m.vars.Set("gossipMalformed", m.invalidGossip)
--- a/internal/process/beechgate/rollout.go
+++ b/internal/process/beechgate/rollout.go
@@ -38,6 +38,7 @@
 	defer g.mu.Unlock()
 	targets := make(map[string][]beechwire.Target)
 	now := g.clock.Now()
+	fence := g.newestAnnouncement()
 	for model, version := range g.announced {
 		engines := g.placer.RolloutEngines(model)
 		limit := time.Duration(g.bounds.Load().Weights)
@@ -52,7 +53,7 @@
 		}
 		for id, delay := range beechrollout.FallbackDelays(engines, limit) {
 			targets[id] = append(targets[id], beechwire.Target{
-				Model: model, Version: version.Version, Fence: version.Revision, Granted: slices.Contains(granted, id),
+				Model: model, Version: version.Version, Fence: fence, Granted: slices.Contains(granted, id),
 				Alone: max(version.learnedAt.Add(delay).Sub(now), 0).Milliseconds(),
 			})
 		}
@@ -60,6 +61,18 @@
 	return targets
 }
 
+// newestAnnouncement returns the revision of the newest announcement of a version of any model,
+// as the fencing number for keepers that do not request one. With the revision of its own
+// version an order for one model could follow one for another under a lower number. The caller
+// holds the lock.
+func (g *Gate) newestAnnouncement() uint64 {
+	newest := uint64(0)
+	for _, version := range g.announced {
+		newest = max(newest, version.Revision)
+	}
+	return newest
+}
+
 // observePhase records an engine's phase. When its turn to load weights ends, the next is
 // granted.
 func (g *Gate) observePhase(engine string, phase beechrollout.Phase, weights map[string]uint64, reported time.Duration) {
--- a/internal/process/beechkeeper/doc.go
+++ b/internal/process/beechkeeper/doc.go
@@ -6,6 +6,7 @@
 // election, and the loss of a gate does not stop weight updates. A keeper does
 // not use the store: the gates that follow it tell it the version that its engine is
 // to load and when it may do so. All send the same, and the first message counts.
+// One of them reads the fencing number of this process's orders from the store (fence.go).
 //
 // # Usage
 //
--- a/internal/process/beechkeeper/keeper.go
+++ b/internal/process/beechkeeper/keeper.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"math/rand/v2"
 	"net"
 	"net/netip"
 	"sync"
@@ -95,6 +96,7 @@
 		metrics    *metrics
 		watch      *beechsilence.Watch // of the engine; only for controlEngine
 		wake       chan struct{}
+		fenceDue   chan struct{} // signals that a fencing number should be requested now
 
 		mu          sync.Mutex
 		updater     *beechrollout.Updater
@@ -102,6 +104,8 @@
 		lastNumber  uint32                        // sequence number of the last state message
 		lastReport  Report
 		lastOrder   beechrollout.Order // that was sent; zero: none since the start
+		held        beechrollout.Hold
+		fences      fenceRequests
 		backlog     beechrollout.PrefillBacklog
 		cachedParts *lru.Cache[uint64, struct{}] // announced or listed, and not known to be evicted
 		phase       beechrollout.Phase
@@ -120,6 +124,8 @@
 		zone      string
 		lastHeard time.Time
 		sentAt    time.Time
+		askedAt   time.Time // for a fencing number; zero: never
+		proofs    int       // answers to the inquiries beside these requests
 	}
 )
 
@@ -152,12 +158,14 @@
 		lastNumber: uint32(deps.Clock.Now().Unix()) << sequenceBits,
 		strain:     strainState{lastNumber: uint32(deps.Clock.Now().Unix()) << sequenceBits},
 		watch:      beechsilence.New(beechsilence.Settings{Limit: reportTimeout, Patience: silencePatience}),
-		wake:       make(chan struct{}, 1), cachedParts: cachedParts,
+		wake:       make(chan struct{}, 1), fenceDue: make(chan struct{}, 1), cachedParts: cachedParts,
+		fences: fenceRequests{first: rand.Uint64()},
 	}
 	k.metrics = newMetrics(k)
 	k.supervisor = suture.New("keeper", suture.Spec{EventHook: beechlog.SupervisorHook(deps.Log)})
 	k.supervisor.Add(beechtask.Task{Name: "receive from gates", Run: func(ctx context.Context) error { return socket.Receive(ctx, k.receive) }})
 	k.supervisor.Add(beechtask.Task{Name: "control engine", Run: k.controlEngine})
+	k.supervisor.Add(beechtask.Task{Name: "acquire fencing number", Run: k.acquireFence})
 	k.supervisor.Add(beechtask.Task{Name: "watch cache", Run: k.watchCache})
 	k.supervisor.Add(beechtask.Task{Name: "watch slowness", Run: k.watchSlowness})
 	k.supervisor.Add(beechtask.Task{Name: "log traffic", Run: func(ctx context.Context) error {
@@ -194,6 +202,10 @@
 		k.receivePressure(v)
 	case beechdatagram.Health:
 		k.receiveHealth(v)
+	case beechdatagram.Fence:
+		k.receiveFence(from, v)
+	case beechdatagram.Proof:
+		k.receiveProof(from, v)
 	}
 }
 
@@ -247,6 +259,7 @@
 	k.suspects.Merge(beechconvert.SuspectRecords(follow.Suspects))
 	if !known {
 		k.deps.Log.Info("gate follows", zap.String("gate", follow.Gate), zap.Stringer("peer", from))
+		beechtask.Notify(k.fenceDue)
 	}
 	beechtask.Notify(k.wake)
 }
@@ -291,6 +304,7 @@
 	if report.Known {
 		k.lastReport = report
 	}
+	k.logHold()
 	k.backlog.SetSlowness(report.Slowness, k.deps.Clock.Now())
 	if report.Known && report.Waiting == 0 && (report.Slowness == 0 || report.Prefilling == 0) {
 		k.backlog.Clear(polledAt.Add(-promptArrivalDelay))
@@ -351,6 +365,17 @@
 	k.notify(true)
 }
 
+// logHold logs why an update that is due does not begin, once for each reason. The caller holds
+// the lock.
+func (k *Keeper) logHold() {
+	held := k.updater.Held()
+	if held != k.held && held != beechrollout.NotHeld {
+		k.deps.Log.Info("update waits", zap.Stringer("reason", held), zap.Strings("due", k.updater.Due()), zap.Any("weights", k.lastReport.Versions),
+			zap.Uint64("fence", k.updater.Fence()), zap.Int("gates", len(k.gates)))
+	}
+	k.held = held
+}
+
 func (k *Keeper) sendOrder(ctx context.Context, o beechrollout.Order) {
 	limited, cancel := clockwork.WithTimeout(ctx, k.deps.Clock, orderTimeout)
 	defer cancel()
@@ -362,8 +387,8 @@
 	k.lastOrder = o
 	k.mu.Unlock()
 	k.deps.Log.Info("order sent", zap.String("model", o.Target.Model), zap.Uint64("version", o.Target.Version),
-		zap.Uint64("fence", o.Target.Fence), zap.Uint64("sequence", o.Sequence), zap.Stringer("outcome", answer), zap.Bool("granted", o.Target.Granted), zap.Strings("due", o.Due),
-		zap.String("previousModel", previous.Target.Model), zap.Uint64("previousVersion", previous.Target.Version), zap.Uint64("previousFence", previous.Target.Fence), zap.Error(err))
+		zap.Uint64("fence", o.Fence), zap.Uint64("sequence", o.Sequence), zap.Stringer("outcome", answer), zap.Bool("granted", o.Target.Granted), zap.Strings("due", o.Due),
+		zap.String("previousModel", previous.Target.Model), zap.Uint64("previousVersion", previous.Target.Version), zap.Uint64("previousFence", previous.Fence), zap.Error(err))
 }
 
 func (k *Keeper) setPhase(p beechrollout.Phase, err error) {
--- a/internal/process/beechkeeper/metrics.go
+++ b/internal/process/beechkeeper/metrics.go
@@ -44,7 +44,7 @@
 		return map[string]any{
 			"phase": k.phase.String(), "running": k.lastReport.Running, "waiting": k.lastReport.Waiting, "cacheUsed": k.lastReport.CacheUsed,
 			"partsHeld": k.cachedParts.Len(), "gates": len(k.gates), "oldMillis": k.updater.SupersededFor(k.deps.Clock.Now()).Milliseconds(),
-			"slowness": k.lastReport.Slowness, "ranks": k.lastReport.Ranks,
+			"fence": k.updater.Fence(), "held": k.updater.Held().String(), "slowness": k.lastReport.Slowness, "ranks": k.lastReport.Ranks,
 		}
 	}))
 	return m
--- a/internal/request/beechrollout/doc.go
+++ b/internal/request/beechrollout/doc.go
@@ -11,8 +11,10 @@
 // keepers and computes the same schedule from them: NextUpdates depends only on
 // the current state of the engines. LoadWindow learns from load times how many
 // engines may load at once. Only an engine's own keeper sends it orders, so no
-// lease is needed, and no two holders can order different versions in turn. A
-// keeper that hears from no gate updates its engine on its own after a delay.
+// lease is needed, and no two holders can order different versions in turn. All
+// orders of a keeper's process bear one fencing number, which is not lower than those
+// of the processes before it (fence.go). A keeper that hears from no gate updates its
+// engine on its own after a delay.
 //
 // Weights are superseded once a newer version is announced. Operators bound how
 // long superseded weights may still serve requests; after that they are expired,
@@ -26,6 +28,7 @@
 //	ids := beechrollout.NextUpdates(engines, newest, window.Limit(fleet))
 //
 //	updater := beechrollout.NewUpdater(settings)      // in the keeper
+//	updater.SetFence(number)                          // from the store, after this process has asked for it
 //	updater.SetTarget(target, now)
 //	switch step := updater.Next(now, report).(type) {
 //	case beechrollout.Wait:  // call Next again after step.After; step.Phase is reported to the gates
--- a/internal/request/beechrollout/fleet_test.go
+++ b/internal/request/beechrollout/fleet_test.go
@@ -60,7 +60,7 @@
 	for i := range s.engines {
 		f.engines = append(f.engines, &simulated{
 			unresponsive: i < s.unresponsive,
-			Engine:       Engine{ID: fmt.Sprintf("e%d", i), Zone: fmt.Sprintf("z%d", i%s.zones), Version: 1}, updater: NewUpdater(Settings{}), version: 1,
+			Engine:       Engine{ID: fmt.Sprintf("e%d", i), Zone: fmt.Sprintf("z%d", i%s.zones), Version: 1}, updater: newFencedUpdater(), version: 1,
 		})
 	}
 	for range s.gates {
--- a/internal/request/beechrollout/updater.go
+++ b/internal/request/beechrollout/updater.go
@@ -1,6 +1,7 @@
 package beechrollout
 
 import (
+	"cmp"
 	"slices"
 	"time"
 )
@@ -10,7 +11,7 @@
 	Target struct {
 		Model      string
 		Version    uint64
-		Fence      uint64    // fencing token; grows with the version
+		Fence      uint64    // fencing number for keepers that get none from the store
 		Granted    bool      // a gate has scheduled the update
 		FallbackAt time.Time // when the keeper updates the engine on its own if it hears from no gate
 	}
@@ -33,17 +34,20 @@
 		settings         Settings
 		targets          map[string]Target
 		versions         map[string]*VersionHistory
-		targetSetAt      time.Time     // when a gate last sent a target
-		drainingSince    time.Time     // when the engine stopped taking new requests; zero: it takes them
-		orderedAt        time.Time     // when the last order was sent
-		missedReports    int           // consecutive
-		unansweredOrders int           // consecutive
-		orderPending     bool          // an order was sent and is not known to have ended
-		loadStartedAt    time.Time     // when the order for the load under way was accepted; zero: no load
-		versionSumBefore uint64        // Report.versionSum before that load
-		loadTime         time.Duration // of the last load
-		orderedTarget    Target        // of the last order
-		lastReport       Report        // that arrived
+		targetSetAt      time.Time      // when a gate last sent a target
+		drainingSince    time.Time      // when the engine stopped taking new requests; zero: it takes them
+		orderedAt        time.Time      // when the last order was sent
+		missedReports    int            // consecutive
+		unansweredOrders int            // consecutive
+		unanswered       map[string]int // the same by model
+		orderPending     bool           // an order was sent and is not known to have ended
+		loadStartedAt    time.Time      // when the order for the load under way was accepted; zero: no load
+		versionSumBefore uint64         // Report.versionSum before that load
+		loadTime         time.Duration  // of the last load
+		lastOrder        Order          // zero: none
+		lastReport       Report         // that arrived
+		fence            fencing
+		hold             Hold // as of the last report
 	}
 
 	// Step is what to do next: Wait or Order.
@@ -56,10 +60,11 @@
 		Phase Phase
 	}
 
-	// Order is to be sent for the target, on the condition that the engine's sequence
-	// number is still Sequence.
+	// Order is to be sent for the target under the fencing number, on the condition that
+	// the engine's sequence number is still Sequence.
 	Order struct {
 		Target   Target
+		Fence    uint64
 		Sequence uint64
 		Due      []string // all models that the engine has not loaded in the target version, sorted
 	}
@@ -69,6 +74,9 @@
 
 	// Phase is how an engine may be used.
 	Phase int
+
+	// Hold is why an update that is due does not begin.
+	Hold int
 )
 
 // Phases of an engine.
@@ -87,6 +95,13 @@
 	Unanswered               // no answer
 )
 
+// Reasons to hold an update back.
+const (
+	NotHeld          Hold = iota // or none is due
+	HeldByGates                  // no gate has granted it
+	HeldWithoutFence             // no gate has sent a fencing number yet
+)
+
 const (
 	idlePollInterval       = 200 * time.Millisecond
 	activePollInterval     = 40 * time.Millisecond
@@ -127,9 +142,20 @@
 	return "silent"
 }
 
+// String returns the reason's name in logs and metrics, or an empty string without one.
+func (h Hold) String() string {
+	switch h {
+	case HeldByGates:
+		return "not granted"
+	case HeldWithoutFence:
+		return "no fencing number"
+	}
+	return ""
+}
+
 // NewUpdater returns an updater that has no target yet.
 func NewUpdater(s Settings) *Updater {
-	return &Updater{settings: s.withDefaults(), targets: make(map[string]Target), versions: make(map[string]*VersionHistory)}
+	return &Updater{settings: s.withDefaults(), targets: make(map[string]Target), versions: make(map[string]*VersionHistory), unanswered: make(map[string]int)}
 }
 
 // SetTarget records a target that a gate has sent. An update granted by any gate stays
@@ -137,6 +163,7 @@
 // is sent is never loaded.
 func (u *Updater) SetTarget(target Target, now time.Time) {
 	u.targetSetAt = now
+	u.fence.announced = max(u.fence.announced, target.Fence)
 	if u.versions[target.Model] == nil {
 		u.versions[target.Model] = &VersionHistory{}
 	}
@@ -146,17 +173,42 @@
 		return
 	}
 	draining := !u.drainingSince.IsZero() && !u.orderPending
-	if ok && old.Version == target.Version {
-		// Gates may know different numbers after a restore of the store, and an engine must
-		// not get an order under a lower one than before.
-		target.Fence = max(target.Fence, old.Fence)
-	}
 	if ok && old.Granted && (old.Version == target.Version || draining) {
 		target.Granted = true
 	}
 	u.targets[target.Model] = target
 }
 
+// NeedsFence reports whether a fencing number should be requested from a gate.
+func (u *Updater) NeedsFence() bool { return u.fence.needed() }
+
+// SetFence records a fencing number: the store's revision, which a gate has read after this
+// process requested it.
+func (u *Updater) SetFence(number uint64) { u.fence.set(number) }
+
+// SetLegacyGates records whether all gates are of a release that reads no fencing numbers for
+// keepers. Those that they send with targets are used then, of which a gate that lags behind
+// may send a lower one than the last process of this keeper has used.
+func (u *Updater) SetLegacyGates(legacy bool) { u.fence.legacy = legacy }
+
+// Fence returns the fencing number that this process has got from the store; 0: none yet.
+func (u *Updater) Fence() uint64 { return u.fence.number }
+
+// Held returns why an update that is due does not begin, as of the last report.
+func (u *Updater) Held() Hold { return u.hold }
+
+// Due returns the models that the engine has not loaded in the target version, sorted.
+func (u *Updater) Due() []string {
+	var due []string
+	for model, target := range u.targets {
+		if have, serves := u.lastReport.Versions[model]; serves && have < target.Version {
+			due = append(due, model)
+		}
+	}
+	slices.Sort(due)
+	return due
+}
+
 // SupersededFor returns for how long the engine's weights have been superseded, as far
 // as this keeper knows; 0: they are not.
 func (u *Updater) SupersededFor(now time.Time) time.Duration {
@@ -197,8 +249,15 @@
 	return sum
 }
 
-// UnansweredOrders returns how many consecutive orders the engine has not answered.
-func (u *Updater) UnansweredOrders() int { return u.unansweredOrders }
+// UnansweredOrders returns how many consecutive orders the engine has not answered. An engine
+// that can get no orders counts as one that answers none, so that gates pass it over instead
+// of keeping a place in the rollout for it.
+func (u *Updater) UnansweredOrders() int {
+	if u.hold == HeldWithoutFence {
+		return max(u.unansweredOrders, maxUnansweredOrders)
+	}
+	return u.unansweredOrders
+}
 
 // Restarted reports whether the engine has restarted under the same ID since an earlier
 // report: its lifetime began at another time, or its sequence number went back.
@@ -222,15 +281,23 @@
 		u.orderPending, u.unansweredOrders = true, 0
 		return Wait{After: activePollInterval, Phase: Loading}
 	}
-	if u.orderPending && r.Versions[u.orderedTarget.Model] >= u.orderedTarget.Version {
+	if u.orderPending && r.Versions[u.lastOrder.Target.Model] >= u.lastOrder.Target.Version {
 		u.endUpdate() // a newer version announced meanwhile is scheduled separately
 	}
-	target, ok := u.pendingTarget(r)
-	if !ok {
+	due := u.dueTargets(r, now)
+	if len(due) == 0 {
+		u.hold = NotHeld
+		u.endUpdate()
+		return Wait{After: idlePollInterval, Phase: Serving}
+	}
+	target := due[0]
+	number, hold := u.fence.current()
+	if u.hold = hold; hold != NotHeld {
 		u.endUpdate()
 		return Wait{After: idlePollInterval, Phase: Serving}
 	}
 	if u.drainingSince.IsZero() && !u.mayUpdate(target, now) {
+		u.hold = HeldByGates
 		return Wait{After: idlePollInterval, Phase: Serving}
 	}
 	if u.drainingSince.IsZero() {
@@ -250,8 +317,10 @@
 	if u.unansweredOrders == 0 && !empty && now.Sub(u.drainingSince) < u.settings.DrainTime {
 		return Wait{After: activePollInterval, Phase: Leaving}
 	}
-	u.orderedAt, u.orderPending, u.orderedTarget = now, true, target
-	return Order{Target: target, Sequence: r.Sequence, Due: u.dueModels(r)}
+	u.fence.use(number)
+	u.lastOrder = Order{Target: target, Fence: number, Sequence: r.Sequence, Due: u.Due()}
+	u.orderedAt, u.orderPending = now, true
+	return u.lastOrder
 }
 
 // RecordAnswer records how the engine responded to the last order. An order without an
@@ -270,6 +339,7 @@
 	case Unanswered:
 		u.orderPending = false
 		u.unansweredOrders++
+		u.unanswered[u.lastOrder.Target.Model]++
 	}
 }
 
@@ -301,6 +371,7 @@
 func (u *Updater) endUpdate() {
 	u.drainingSince, u.loadStartedAt = time.Time{}, time.Time{}
 	u.orderPending, u.unansweredOrders = false, 0
+	clear(u.unanswered)
 }
 
 // mayUpdate reports whether the update may start: a gate has granted it, or no gate
@@ -309,31 +380,33 @@
 	return target.Granted || (now.Sub(u.targetSetAt) >= gateTimeout && !now.Before(target.FallbackAt))
 }
 
-// dueModels returns the models that the engine has not loaded in the target version, sorted.
-func (u *Updater) dueModels(r Report) []string {
-	var due []string
-	for model, target := range u.targets {
-		if have, serves := r.Versions[model]; serves && have < target.Version {
-			due = append(due, model)
-		}
-	}
-	slices.Sort(due)
-	return due
-}
-
-// pendingTarget returns a target that the engine has not loaded yet, preferably one that
-// was granted.
-func (u *Updater) pendingTarget(r Report) (Target, bool) {
-	var pending Target
-	found := false
+// dueTargets returns the targets that the engine has not loaded yet:
+// first those that a gate has granted, among them the models with fewest unanswered orders,
+// among these the one whose weights have been superseded for longest.
+func (u *Updater) dueTargets(r Report, now time.Time) []Target {
+	var due []Target
 	for model, target := range u.targets {
 		have, serves := r.Versions[model]
-		if !serves || have >= target.Version {
-			continue
-		}
-		if !found || (target.Granted && !pending.Granted) {
-			pending, found = target, true
+		if serves && have < target.Version {
+			due = append(due, target)
 		}
 	}
-	return pending, found
+	supersededFor := func(t Target) time.Duration {
+		age, _ := u.versions[t.Model].SupersededFor(r.Versions[t.Model], now)
+		return age
+	}
+	slices.SortFunc(due, func(x, y Target) int {
+		switch {
+		case x.Granted && !y.Granted:
+			return -1
+		case y.Granted && !x.Granted:
+			return 1
+		}
+		return cmp.Or(
+			cmp.Compare(u.unanswered[x.Model], u.unanswered[y.Model]),
+			cmp.Compare(supersededFor(y), supersededFor(x)),
+			cmp.Compare(x.Model, y.Model),
+		)
+	})
+	return due
 }
--- a/internal/request/beechrollout/updater_test.go
+++ b/internal/request/beechrollout/updater_test.go
@@ -20,8 +20,15 @@
 
 func (u *updaterAt) next(r Report) Step { return u.Next(u.now, r) }
 
+// newFencedUpdater returns an updater that has a fencing number from the store.
+func newFencedUpdater() *Updater {
+	u := NewUpdater(Settings{})
+	u.SetFence(1)
+	return u
+}
+
 func newUpdaterAt() *updaterAt {
-	return &updaterAt{Updater: NewUpdater(Settings{}), now: time.Unix(1000, 0)}
+	return &updaterAt{Updater: newFencedUpdater(), now: time.Unix(1000, 0)}
 }
 
 func at(version uint64) Report {
