Refused orders are not taken for unanswered ones

Cause: the adapter knew three answers to an order: taken, conflict, none. 412 and 400 counted as none, and an order without an answer is rightly repeated as it is.

Fix: two answers more. After 412 the keeper asks for a newer fencing number, at once and then each 2 s, and sends nothing under the old one for 10 s; an engine that starts again has forgotten what it saw. After 400 the version is passed over for 10 s, until something newer is announced or the engine starts again. The engine serves meanwhile, other models go on, gates pass it over while nothing can be ordered, and `update waits`, `held` and `orders` say why.

TestRefusedFenceIsNotRepeated and TestRejectedVersionIsNotRepeated look at the state machine alone, which had no such answers.

--- a/internal/process/beechkeeper/fence.go
+++ b/internal/process/beechkeeper/fence.go
@@ -15,6 +15,8 @@
 const (
 	// fenceInterval is the time between requests for a fencing number, each to another gate.
 	fenceInterval = 300 * time.Millisecond
+	// fenceRefreshInterval is the same while the engine refuses the latest one.
+	fenceRefreshInterval = 2 * time.Second
 	// fenceRepeatInterval is the time between requests to the same gate. It exceeds the time
 	// in which a gate answers, also if it cannot read the store.
 	fenceRepeatInterval = 1200 * time.Millisecond
@@ -59,25 +61,29 @@
 }
 
 // requestFence sends a request to the gate that was asked least recently, and returns the time
-// until the next one; 0: no number is needed. The inquiry beside it is answered by gates of all releases, and thereby
-// tells whether the gate has heard.
-func (k *Keeper) requestFence() time.Duration {
+// until the next one; 0: no number is needed. The inquiry beside it is answered by gates of all
+// releases, and thereby tells whether the gate has heard.
+func (k *Keeper) requestFence() (interval time.Duration) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	if !k.updater.NeedsFence() {
 		return 0
 	}
+	interval = fenceInterval
+	if k.updater.Fence() > 0 {
+		interval = fenceRefreshInterval
+	}
 	now := k.deps.Clock.Now()
 	to, ok := k.nextFenceGate(now)
 	if !ok {
-		return fenceInterval
+		return interval
 	}
 	number := k.fences.next()
 	scope := beechdatagram.Scope(k.gates[to].zone != k.settings.Zone)
 	k.gates[to].askedAt = now
 	k.send([]netip.AddrPort{to}, scope, beechdatagram.Acquire{Acquire: &beechwire.Acquire{Number: number}})
 	k.send([]netip.AddrPort{to}, scope, beechdatagram.Inquiry{Inquiry: &beechwire.Inquiry{Number: number}})
-	return fenceInterval
+	return interval
 }
 
 // nextFenceGate returns the gate to ask, if one may be asked now. The caller holds the lock.
--- a/internal/process/beechkeeper/keeper.go
+++ b/internal/process/beechkeeper/keeper.go
@@ -389,6 +389,7 @@
 	k.deps.Log.Info("order sent", zap.String("model", o.Target.Model), zap.Uint64("version", o.Target.Version),
 		zap.Uint64("fence", o.Fence), zap.Uint64("sequence", o.Sequence), zap.Stringer("outcome", answer), zap.Bool("granted", o.Target.Granted), zap.Strings("due", o.Due),
 		zap.String("previousModel", previous.Target.Model), zap.Uint64("previousVersion", previous.Target.Version), zap.Uint64("previousFence", previous.Fence), zap.Error(err))
+	beechtask.Notify(k.fenceDue)
 }
 
 func (k *Keeper) setPhase(p beechrollout.Phase, err error) {
--- a/internal/request/beechrollout/fence_test.go
+++ b/internal/request/beechrollout/fence_test.go
@@ -17,7 +17,7 @@
 	now := time.Now()
 	fence := func(target Target) uint64 {
 		u.SetTarget(target, now)
-		number, hold := u.fence.current()
+		number, hold := u.fence.current(now)
 		is.Equal(hold, NotHeld)
 		u.fence.use(number)
 		return number
@@ -48,6 +48,84 @@
 	is.Equal(order.Fence, uint64(40))
 }
 
+// The engine refuses a number as too low. The order must not be repeated under it at once, and the
+// engine must stay in service until there is a higher one.
+func TestRefusedFenceIsNotRepeated(t *testing.T) {
+	is := is.New(t)
+	u := newUpdaterAt()
+	u.SetTarget(Target{Model: "m", Version: 2, Granted: true}, u.now)
+	order := func() bool {
+		for range 20 {
+			if _, ok := u.after(50 * time.Millisecond).next(at(1)).(Order); ok {
+				return true
+			}
+		}
+		return false
+	}
+	is.True(order())
+	is.True(!u.NeedsFence())
+	u.RecordAnswer(Fenced)
+	is.True(u.NeedsFence())
+	is.True(!order())
+	is.Equal(u.Held(), HeldByFence)
+	is.Equal(phaseOf(u.next(at(1))), Serving)
+	u.SetFence(2)
+	is.True(!u.NeedsFence())
+	is.True(order())
+	u.RecordAnswer(Fenced)
+	u.SetFence(2) // the store has none higher
+	is.True(!order())
+	u.after(fenceRetryInterval)
+	is.True(order())
+	u.RecordAnswer(Fenced)
+	restarted := at(1)
+	restarted.Born = 5
+	u.lastReport.Born = 4
+	is.Equal(phaseOf(u.next(restarted)), Leaving) // it has forgotten the numbers that it had seen
+}
+
+// The engine does not know the version of one model. The other model must not wait for it.
+func TestRejectedVersionIsNotRepeated(t *testing.T) {
+	is := is.New(t)
+	u := newUpdaterAt()
+	report := Report{Known: true, Versions: map[string]uint64{"m": 1, "other": 1}}
+	next := func() (Order, bool) {
+		for range 20 {
+			if o, ok := u.after(50 * time.Millisecond).next(report).(Order); ok {
+				return o, true
+			}
+		}
+		return Order{}, false
+	}
+	u.SetTarget(Target{Model: "m", Version: 2, Granted: true}, u.now)
+	_, ok := next()
+	is.True(ok)
+	u.RecordAnswer(Rejected)
+	_, ok = next()
+	is.True(!ok)
+	is.Equal(u.Held(), HeldByRejection)
+	u.SetTarget(Target{Model: "other", Version: 2, Granted: true}, u.now)
+	o, ok := next()
+	is.True(ok)
+	is.Equal(o.Target.Model, "other")
+	u.RecordAnswer(Taken)
+	report.Versions["other"] = 2
+	u.SetTarget(Target{Model: "m", Version: 3, Granted: true}, u.now)
+	o, ok = next()
+	is.True(ok) // it may know the next one
+	is.Equal(o.Target.Version, uint64(3))
+	u.RecordAnswer(Rejected)
+	_, ok = next()
+	is.True(!ok)
+	u.SetTarget(Target{Model: "m", Version: 3, Fence: 50, Granted: true}, u.now) // announced again
+	_, ok = next()
+	is.True(ok)
+	u.RecordAnswer(Rejected)
+	u.after(rejectionRetryInterval)
+	_, ok = next()
+	is.True(ok)
+}
+
 // Of several models that are due, the choice must not depend on the order of a map.
 func TestSameInputsGiveTheSameOrder(t *testing.T) {
 	is := is.New(t)
@@ -204,7 +282,7 @@
 	if w.ordered == nil {
 		return
 	}
-	answer := rapid.SampledFrom([]Answer{Taken, Conflict, Unanswered}).Draw(w.T, "answer")
+	answer := rapid.SampledFrom([]Answer{Taken, Conflict, Unanswered, Fenced, Rejected}).Draw(w.T, "answer")
 	if answer == Taken {
 		w.report.Versions[w.ordered.Target.Model] = w.ordered.Target.Version
 		w.report.Sequence++
--- a/internal/request/beechrollout/updater.go
+++ b/internal/request/beechrollout/updater.go
@@ -47,7 +47,14 @@
 		lastOrder        Order          // zero: none
 		lastReport       Report         // that arrived
 		fence            fencing
-		hold             Hold // as of the last report
+		hold             Hold                 // as of the last report
+		rejected         map[string]rejection // versions that the engine does not know, by model
+	}
+
+	// rejection is an order that the engine has rejected because it does not know the version.
+	rejection struct {
+		target Target
+		at     time.Time
 	}
 
 	// Step is what to do next: Wait or Order.
@@ -93,6 +100,8 @@
 	Taken      Answer = iota // the order is being carried out or already holds
 	Conflict                 // another order is being carried out, or the sequence differs: check the state again
 	Unanswered               // no answer
+	Fenced                   // refused: the engine has seen a higher fencing number
+	Rejected                 // refused: the engine does not know the version
 )
 
 // Reasons to hold an update back.
@@ -100,6 +109,8 @@
 	NotHeld          Hold = iota // or none is due
 	HeldByGates                  // no gate has granted it
 	HeldWithoutFence             // no gate has sent a fencing number yet
+	HeldByFence                  // the engine has refused the fencing number
+	HeldByRejection              // the engine has rejected the version
 )
 
 const (
@@ -109,6 +120,7 @@
 	missedReportsUntilTold = 2                      // one report may be lost with a kept-alive connection
 	gateTimeout            = 3 * time.Second        // without messages from gates, a keeper acts on its own; gates send every 0.7 s
 	inFlightDelay          = 60 * time.Millisecond  // requests sent before the gates learned of the draining have arrived by then
+	rejectionRetryInterval = 10 * time.Second       // without a newer announcement
 )
 
 func (Wait) step()  {}
@@ -138,6 +150,10 @@
 		return "taken"
 	case Conflict:
 		return "conflict"
+	case Fenced:
+		return "fenced"
+	case Rejected:
+		return "rejected"
 	}
 	return "silent"
 }
@@ -149,13 +165,17 @@
 		return "not granted"
 	case HeldWithoutFence:
 		return "no fencing number"
+	case HeldByFence:
+		return "fencing number refused"
+	case HeldByRejection:
+		return "version rejected"
 	}
 	return ""
 }
 
 // NewUpdater returns an updater that has no target yet.
 func NewUpdater(s Settings) *Updater {
-	return &Updater{settings: s.withDefaults(), targets: make(map[string]Target), versions: make(map[string]*VersionHistory), unanswered: make(map[string]int)}
+	return &Updater{settings: s.withDefaults(), targets: make(map[string]Target), versions: make(map[string]*VersionHistory), rejected: make(map[string]rejection), unanswered: make(map[string]int)}
 }
 
 // SetTarget records a target that a gate has sent. An update granted by any gate stays
@@ -253,7 +273,8 @@
 // that can get no orders counts as one that answers none, so that gates pass it over instead
 // of keeping a place in the rollout for it.
 func (u *Updater) UnansweredOrders() int {
-	if u.hold == HeldWithoutFence {
+	switch u.hold {
+	case HeldWithoutFence, HeldByFence, HeldByRejection:
 		return max(u.unansweredOrders, maxUnansweredOrders)
 	}
 	return u.unansweredOrders
@@ -274,6 +295,8 @@
 	u.missedReports = 0
 	if r.Restarted(u.lastReport) {
 		u.endUpdate() // a restart cancels the order that was under way
+		u.fence.engineRestarted()
+		clear(u.rejected)
 	}
 	u.trackLoad(now, r)
 	u.lastReport = r
@@ -287,11 +310,14 @@
 	due := u.dueTargets(r, now)
 	if len(due) == 0 {
 		u.hold = NotHeld
+		if len(u.Due()) > 0 {
+			u.hold = HeldByRejection
+		}
 		u.endUpdate()
 		return Wait{After: idlePollInterval, Phase: Serving}
 	}
 	target := due[0]
-	number, hold := u.fence.current()
+	number, hold := u.fence.current(now)
 	if u.hold = hold; hold != NotHeld {
 		u.endUpdate()
 		return Wait{After: idlePollInterval, Phase: Serving}
@@ -340,6 +366,12 @@
 		u.orderPending = false
 		u.unansweredOrders++
 		u.unanswered[u.lastOrder.Target.Model]++
+	case Fenced:
+		u.fence.refuse(u.lastOrder.Fence, u.orderedAt)
+		u.endUpdate()
+	case Rejected:
+		u.rejected[u.lastOrder.Target.Model] = rejection{target: u.lastOrder.Target, at: u.orderedAt}
+		u.endUpdate()
 	}
 }
 
@@ -380,14 +412,14 @@
 	return target.Granted || (now.Sub(u.targetSetAt) >= gateTimeout && !now.Before(target.FallbackAt))
 }
 
-// dueTargets returns the targets that the engine has not loaded yet:
+// dueTargets returns the targets that the engine has not loaded yet and that may be ordered:
 // first those that a gate has granted, among them the models with fewest unanswered orders,
 // among these the one whose weights have been superseded for longest.
 func (u *Updater) dueTargets(r Report, now time.Time) []Target {
 	var due []Target
 	for model, target := range u.targets {
 		have, serves := r.Versions[model]
-		if serves && have < target.Version {
+		if serves && have < target.Version && !u.isRejected(target, now) {
 			due = append(due, target)
 		}
 	}
@@ -410,3 +442,11 @@
 	})
 	return due
 }
+
+// isRejected reports whether the engine has recently rejected a target's version and nothing has
+// been announced since. A restored store may have lost the version, which operators then
+// announce again.
+func (u *Updater) isRejected(t Target, now time.Time) bool {
+	r, ok := u.rejected[t.Model]
+	return ok && t.Version == r.target.Version && t.Fence <= r.target.Fence && now.Sub(r.at) < rejectionRetryInterval
+}
