Turns to load weights are limited for all models together

What callers saw: nothing reported. With two models on the engines, a version of the second that is named while the first is rolled out takes twice as many engines out of service as may load at once; what waits in these is refused, and loads slow one another down.

Cause: a gate worked out each model's turns by itself. Engines that leave or load were counted, but the models chose different engines in the same round, each up to the limit.

Fix: `Schedule` takes the rollouts of all models, that of the oldest naming first. Its engines load the other models in the same turn, and the rest of the limit goes to the next model. With one model nothing changes (asked by the rapid test).

NextUpdates has a parameter more, the engines selected for other models; its tests give none.

--- a/internal/process/beechgate/rollout.go
+++ b/internal/process/beechgate/rollout.go
@@ -1,6 +1,8 @@
 package beechgate
 
 import (
+	"cmp"
+	"maps"
 	"slices"
 	"time"
 
@@ -39,21 +41,14 @@
 	targets := make(map[string][]beechwire.Target)
 	now := g.clock.Now()
 	fence := g.newestAnnouncement()
-	for model, version := range g.announced {
-		engines := g.placer.RolloutEngines(model)
-		limit := time.Duration(g.bounds.Load().Weights)
-		fleet := beechrollout.SummarizeFleet(engines, version.Version, limit-outdatedMargin)
-		granted := beechrollout.NextUpdates(engines, version.Version, g.rolloutPace.Limit(fleet))
-		if !version.lateLogged && now.Sub(version.learnedAt) > paceSettleTime && g.rolloutPace.MissesDeadline(fleet) {
-			version.lateLogged = true
-			g.announced[model] = version
-			g.metrics.lateVersions.Add(1)
-			g.log.Warn("weights cannot be in all engines in time", zap.String("model", model), zap.Uint64("version", version.Version),
-				zap.Int("engines", fleet.Engines), zap.Int("behind", len(fleet.TimeLeft)), zap.Int("lost", fleet.Expired), zap.Float64("window", g.rolloutPace.Size()), zap.Duration("load", g.rolloutPace.BaseLoadTime()))
-		}
-		for id, delay := range beechrollout.FallbackDelays(engines, limit) {
+	limit := time.Duration(g.bounds.Load().Weights)
+	rollouts := g.rollouts(limit)
+	granted := beechrollout.Schedule(rollouts)
+	for _, r := range rollouts {
+		version := g.announced[r.Model]
+		for id, delay := range beechrollout.FallbackDelays(r.Engines, limit) {
 			targets[id] = append(targets[id], beechwire.Target{
-				Model: model, Version: version.Version, Fence: fence, Granted: slices.Contains(granted, id),
+				Model: r.Model, Version: version.Version, Fence: fence, Granted: slices.Contains(granted[r.Model], id),
 				Alone: max(version.learnedAt.Add(delay).Sub(now), 0).Milliseconds(),
 			})
 		}
@@ -61,6 +56,34 @@
 	return targets
 }
 
+// rollouts returns the rollouts of all models, those announced first before the others, so that all
+// gates schedule them alike. The caller holds the lock.
+func (g *Gate) rollouts(limit time.Duration) []beechrollout.Rollout {
+	var rollouts []beechrollout.Rollout
+	for _, version := range slices.SortedFunc(maps.Values(g.announced), func(x, y announcedVersion) int {
+		return cmp.Or(cmp.Compare(x.Revision, y.Revision), cmp.Compare(x.Model, y.Model))
+	}) {
+		engines := g.placer.RolloutEngines(version.Model)
+		fleet := beechrollout.SummarizeFleet(engines, version.Version, limit-outdatedMargin)
+		rollouts = append(rollouts, beechrollout.Rollout{Model: version.Model, Newest: version.Version, Engines: engines, Limit: g.rolloutPace.Limit(fleet)})
+		g.warnOfLateVersion(version, fleet)
+	}
+	return rollouts
+}
+
+// warnOfLateVersion logs once that not all engines can load a version in time. The caller holds
+// the lock.
+func (g *Gate) warnOfLateVersion(version announcedVersion, fleet beechrollout.Fleet) {
+	if version.lateLogged || g.clock.Since(version.learnedAt) <= paceSettleTime || !g.rolloutPace.MissesDeadline(fleet) {
+		return
+	}
+	version.lateLogged = true
+	g.announced[version.Model] = version
+	g.metrics.lateVersions.Add(1)
+	g.log.Warn("weights cannot be in all engines in time", zap.String("model", version.Model), zap.Uint64("version", version.Version),
+		zap.Int("engines", fleet.Engines), zap.Int("behind", len(fleet.TimeLeft)), zap.Int("lost", fleet.Expired), zap.Float64("window", g.rolloutPace.Size()), zap.Duration("load", g.rolloutPace.BaseLoadTime()))
+}
+
 // newestAnnouncement returns the revision of the newest announcement of a version of any model,
 // as the fencing number for keepers that do not request one. With the revision of its own
 // version an order for one model could follow one for another under a lower number. The caller
--- a/internal/request/beechrollout/doc.go
+++ b/internal/request/beechrollout/doc.go
@@ -8,8 +8,8 @@
 // once, and the next one starts when one finishes, however long that took.
 //
 // There is no coordinator. Every gate receives the same state reports from all
-// keepers and computes the same schedule from them: NextUpdates depends only on
-// the current state of the engines. LoadWindow learns from load times how many
+// keepers and computes the same schedule from them: Schedule depends only on
+// the current state of the engines. It covers all models, which share the engines. LoadWindow learns from load times how many
 // engines may load at once. Only an engine's own keeper sends it orders, so no
 // lease is needed, and no two holders can order different versions in turn. All
 // orders of a keeper's process bear one fencing number, which is not lower than those
@@ -25,7 +25,7 @@
 //	window := beechrollout.NewLoadWindow()
 //	window.Observe(engine, phase, version, loadTime, now) // from a keeper's report
 //	fleet := beechrollout.SummarizeFleet(engines, newest, maxAge)
-//	ids := beechrollout.NextUpdates(engines, newest, window.Limit(fleet))
+//	updates := beechrollout.Schedule([]beechrollout.Rollout{{Model: model, Newest: newest, Engines: engines, Limit: window.Limit(fleet)}})
 //
 //	updater := beechrollout.NewUpdater(settings)      // in the keeper
 //	updater.SetFence(number)                          // from the store, after this process has asked for it
--- a/internal/request/beechrollout/fleet_test.go
+++ b/internal/request/beechrollout/fleet_test.go
@@ -145,7 +145,7 @@
 		}
 	}
 	granted := map[string]bool{}
-	for _, id := range NextUpdates(view, f.newest, g.window.Limit(SummarizeFleet(view, f.newest, f.bound))) {
+	for _, id := range NextUpdates(view, f.newest, g.window.Limit(SummarizeFleet(view, f.newest, f.bound)), nil) {
 		granted[id] = true
 	}
 	delays := FallbackDelays(view, f.bound)
--- a/internal/request/beechrollout/schedule.go
+++ b/internal/request/beechrollout/schedule.go
@@ -22,12 +22,35 @@
 	SupersededFor    time.Duration // since a version newer than its weights was announced
 }
 
+// Rollout is the update of one model's weights on the engines that serve it.
+type Rollout struct {
+	Model   string
+	Newest  uint64
+	Engines []Engine // with the versions of this model
+	Limit   int      // engines that may update at once
+}
+
 // maxUnansweredOrders is the number of unanswered orders after which an engine is
 // passed over. Its keeper goes on retrying on its own. If such engines stayed at the
 // head of the queue, as many of them as may load at once would block the rollout for
 // all others.
 const maxUnansweredOrders = 2
 
+// Schedule returns the IDs of the engines that are to update now, by model. An engine updates
+// one model at a time and serves none meanwhile, so the limits hold for the updates of all
+// models together. Engines that update the first models update the others in the same turn.
+func Schedule(rollouts []Rollout) map[string][]string {
+	updates := make(map[string][]string, len(rollouts))
+	selected := make(map[string]bool)
+	for _, r := range rollouts {
+		updates[r.Model] = NextUpdates(r.Engines, r.Newest, r.Limit, selected)
+		for _, id := range updates[r.Model] {
+			selected[id] = true
+		}
+	}
+	return updates
+}
+
 // NextUpdates returns the IDs of the engines that are to update to the newest version
 // now: as many as limit allows, less those that are updating already, to whatever
 // version. Engines with the oldest weights come first, so that no weights expire while
@@ -36,19 +59,27 @@
 //
 // An engine whose keeper has timed out is left out: it would hold a place that
 // another engine could use.
-func NextUpdates(engines []Engine, newest uint64, limit int) []string {
+//
+// Engines in selected are about to update another model. They count as updating, and update to
+// this model's version as well if theirs is older.
+func NextUpdates(engines []Engine, newest uint64, limit int, selected map[string]bool) []string {
+	var ids []string
 	var waiting []Engine
 	for _, e := range interleaveZones(engines) {
 		switch {
 		case e.KeeperTimedOut || e.Phase == Down || e.Phase == Silent || e.UnansweredOrders >= maxUnansweredOrders:
 		case e.Phase == Leaving || e.Phase == Loading:
 			limit--
+		case selected[e.ID]:
+			limit--
+			if e.Version < newest {
+				ids = append(ids, e.ID)
+			}
 		case e.Version < newest:
 			waiting = append(waiting, e)
 		}
 	}
 	slices.SortStableFunc(waiting, func(x, y Engine) int { return cmp.Compare(x.Version, y.Version) })
-	ids := make([]string, 0, max(limit, 0))
 	for _, e := range waiting[:min(max(limit, 0), len(waiting))] {
 		ids = append(ids, e.ID)
 	}
--- a/internal/request/beechrollout/schedule_test.go
+++ b/internal/request/beechrollout/schedule_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -48,7 +49,7 @@
 		}
 		var newestSelected uint64
 		selected := map[string]bool{}
-		for _, id := range NextUpdates(engines, newest, limit) {
+		for _, id := range NextUpdates(engines, newest, limit, nil) {
 			e := byID[id]
 			if e.KeeperTimedOut || e.Phase != Serving || e.Version >= newest || selected[id] {
 				t.Fatalf("%+v is selected", e)
@@ -74,20 +75,55 @@
 	})
 }
 
+// Versions of several models are announced together or one after the other. If each model's rollout
+// counted its own engines only, several times as many as allowed would be out of service at once.
+func TestRolloutsOfAllModelsShareOneLimit(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		engines := drawFleet(t)
+		limit := rapid.IntRange(1, 40).Draw(t, "limit")
+		var rollouts []Rollout
+		for _, model := range []string{"a", "b", "c"} {
+			r := Rollout{Model: model, Newest: 4, Engines: slices.Clone(engines), Limit: limit}
+			for i := range r.Engines {
+				r.Engines[i].Version = rapid.Uint64Range(1, 4).Draw(t, "version")
+			}
+			rollouts = append(rollouts, r)
+		}
+		updating := 0
+		for _, e := range engines {
+			if !e.KeeperTimedOut && (e.Phase == Leaving || e.Phase == Loading) {
+				updating++
+			}
+		}
+		selected := map[string]bool{}
+		for _, ids := range Schedule(rollouts) {
+			for _, id := range ids {
+				selected[id] = true
+			}
+		}
+		if len(selected) > max(limit-updating, 0) {
+			t.Fatalf("%d selected with %d of %d updating", len(selected), updating, limit)
+		}
+		if got, want := Schedule(rollouts)["a"], NextUpdates(rollouts[0].Engines, 4, limit, nil); !slices.Equal(got, want) {
+			t.Fatalf("the first model updates %v instead of %v", got, want)
+		}
+	})
+}
+
 // Gates list the engines in different orders but must select the same ones.
 func TestNextUpdatesDoNotDependOnListOrder(t *testing.T) {
 	is := is.New(t)
 	engines := fleet(3, 5)
 	rotated := append([]Engine(nil), engines[7:]...)
 	rotated = append(rotated, engines[:7]...)
-	is.Equal(NextUpdates(engines, 2, 4), NextUpdates(rotated, 2, 4))
+	is.Equal(NextUpdates(engines, 2, 4, nil), NextUpdates(rotated, 2, 4, nil))
 	is.Equal(FallbackDelays(engines, time.Second), FallbackDelays(rotated, time.Second))
 }
 
 func TestNextUpdatesAlternateZones(t *testing.T) {
 	is := is.New(t)
 	zones := map[byte]int{}
-	for _, id := range NextUpdates(fleet(3, 5), 2, 3) {
+	for _, id := range NextUpdates(fleet(3, 5), 2, 3, nil) {
 		zones[id[1]]++
 	}
 	is.Equal(len(zones), 3)
