A keeper keeps its first fencing number

Cause: a keeper that gets no answer within 0.3 s asks another gate, and took the higher number of the two when both answered, so that orders of one process could bear two.

Change: an answer counts while a number is needed, and no longer.

Measured: TestLateFenceOfTheProcessBeforeIsIgnored, with the second answer added, failed before (50 for 40).

--- a/internal/process/beechkeeper/fence.go
+++ b/internal/process/beechkeeper/fence.go
@@ -117,7 +117,7 @@
 	}
 	k.fences.answered, k.fences.legacy = true, false
 	k.updater.SetLegacyGates(false)
-	if m.Fence.Fence <= k.updater.Fence() {
+	if !k.updater.NeedsFence() || m.Fence.Fence <= k.updater.Fence() {
 		return
 	}
 	k.updater.SetFence(m.Fence.Fence)
--- a/internal/process/beechkeeper/fence_test.go
+++ b/internal/process/beechkeeper/fence_test.go
@@ -100,6 +100,8 @@
 	g.answer(k, number, 40)
 	is.Equal(ordersUnder(k), uint64(40))
 	is.True(k.requestFence() == 0)
+	g.answer(k, number, 50)
+	is.Equal(ordersUnder(k), uint64(40)) // one number for all orders, also if a second gate answers
 }
 
 // Of several gates one cannot read the store, and one does not answer. The keeper must ask the others.
