Streams that an exiting server cuts off do not look complete

Cause: the kernel ends the connections of a process that exits as it ends those of one that has finished. A server that had said that it leaves was not looked at. For others all but a refused connection counted as proof of life, resets and silence too, and one look served all answers that ended while it was under way.

Fix: `survivalChecker`. An answer that ends with its connection waits for two looks at its server that begin after its end, 25 ms apart; those that wait share the looks. Refused: exited, and the answer is broken off or goes on elsewhere. Accepted or reset once open: there. Silent: looked at for up to 2.5 s, then not taken for whole. `unframedAnswers` counts.

TestUnframedAnswerOfACrashedServer and the fixtures of backups and silences hand the same prober to the new checker; nothing that they ask is changed.

--- a/internal/process/beechgate/metrics.go
+++ b/internal/process/beechgate/metrics.go
@@ -81,6 +81,7 @@
 	m.vars.Set("full", expvar.Func(func() any { return g.overloaded.State() }))
 	m.vars.Set("backoff", expvar.Func(func() any { return g.backoff.State() }))
 	m.vars.Set("crashes", expvar.Func(func() any { return g.core.Crashes() }))
+	m.vars.Set("unframedAnswers", expvar.Func(func() any { return g.core.Survivals() }))
 	m.vars.Set("longPauses", expvar.Func(func() any { return g.core.LongPauses() }))
 	m.vars.Set("attemptEnds", expvar.Func(func() any { return g.core.AttemptEnds() }))
 	m.vars.Set("answerBytes", expvar.Func(func() any {
--- a/internal/request/beechattempt/backup_test.go
+++ b/internal/request/beechattempt/backup_test.go
@@ -72,7 +72,7 @@
 	}
 	f.dispatcher.SetBackups(beechbackup.On)
 	f.dispatcher.observer = f.observed
-	f.dispatcher.crashes.prober = f.probes
+	f.dispatcher.crashes.prober, f.dispatcher.survivals.prober = f.probes, f.probes
 	return f
 }
 
--- a/internal/request/beechattempt/dispatcher.go
+++ b/internal/request/beechattempt/dispatcher.go
@@ -29,6 +29,7 @@
 		poison    *beechpoison.Tracker
 		admission *beechadmission.Controller
 		crashes   *crashDetector
+		survivals *survivalChecker
 		observer  Observer
 		clock     clockwork.Clock
 		log       *zap.Logger
@@ -182,7 +183,7 @@
 	admission *beechadmission.Controller, observer Observer, clock clockwork.Clock, log *zap.Logger,
 ) *Dispatcher {
 	return &Dispatcher{
-		placer: placer, backend: backend, budget: budget, suspects: suspects, poison: poison, admission: admission, crashes: newCrashDetector(prober, suspects, poison, clock, log),
+		placer: placer, backend: backend, budget: budget, suspects: suspects, poison: poison, admission: admission, crashes: newCrashDetector(prober, suspects, poison, clock, log), survivals: newSurvivalChecker(prober, clock),
 		observer: observer, clock: clock, log: log, timeouts: newRouteTimeouts(), pauses: newPauses(clock, log), ends: newAttemptEnds(), activities: newActivities(clock), backups: beechbackup.Auto, durations: beechbackup.NewDurations(),
 	}
 }
@@ -235,6 +236,10 @@
 	}
 }
 
+// Survivals counts answers that ended with their connections, by what became of their servers, and
+// the looks at these.
+func (d *Dispatcher) Survivals() map[string]int64 { return counts(d.survivals.counts) }
+
 // Crashes returns the number of servers that crashed with requests under way, and of these requests by
 // whether their answers had begun.
 func (d *Dispatcher) Crashes() map[string]int64 {
--- a/internal/request/beechattempt/hedge.go
+++ b/internal/request/beechattempt/hedge.go
@@ -551,10 +551,11 @@
 // readWhole reads an answer that is not a stream.
 func (x *hedge) readWhole(d *Dispatcher) error {
 	body, err := readBody(x.answer.Body, x.share)
+	if err == nil {
+		err = x.unframedEnd(d)
+	}
 	switch {
 	case err != nil:
-	case x.answer.Unframed && !x.answer.Leaving && x.serverGone(d):
-		err = errServerGone
 	case x.answer.Status >= http.StatusInternalServerError:
 		x.read = body
 		return errServerFailed
@@ -572,11 +573,12 @@
 	return beechcall.OutcomeUnknown{Peer: x.choice.Server.Address, Step: step, Err: err}
 }
 
-// serverGone reports whether the server of an answer that ended with its connection has crashed.
-func (x *hedge) serverGone(d *Dispatcher) bool {
-	probed := x.reportBroken(d)
-	<-probed.done
-	return probed.refused
+func (x *hedge) unframedEnd(d *Dispatcher) error {
+	err := d.unframedEnd(&x.exchange)
+	if errors.Is(err, errServerGone) {
+		x.reportBroken(d)
+	}
+	return err
 }
 
 func (x *hedge) reportBroken(d *Dispatcher) *probe {
--- a/internal/request/beechattempt/poison_test.go
+++ b/internal/request/beechattempt/poison_test.go
@@ -90,7 +90,7 @@
 	for _, policy := range []beechcall.RetryPolicy{beechcall.Repeatable, beechcall.AtMostOnce} {
 		is := is.New(t)
 		f := newFixture(2, 5, unframed(answers(http.StatusOK, "half")), answers(http.StatusOK, "whole"))
-		f.dispatcher.crashes.prober = refusing{}
+		f.dispatcher.crashes.prober, f.dispatcher.survivals.prober = refusing{}, refusing{}
 		c := f.serve(t.Context(), f.call(policy, false))
 		if policy == beechcall.Repeatable {
 			is.Equal(c.body, "whole")
--- a/internal/request/beechattempt/run.go
+++ b/internal/request/beechattempt/run.go
@@ -509,8 +509,8 @@
 	r.hedging.wait()
 	body, err := readBody(x.answer.Body, x.share)
 	r.hedging.pause(err == nil)
-	if err == nil && r.serverGone(x) {
-		err = errServerGone
+	if err == nil {
+		err = r.unframedEnd(x)
 	}
 	return body, err
 }
@@ -673,15 +673,27 @@
 	}
 }
 
-// serverGone reports whether the server of an answer that ended with its connection has crashed, so
-// that the answer may not be whole. One that leaves may finish its answers while it refuses connections.
-func (r *execution) serverGone(x *exchange) bool {
-	if !x.answer.Unframed || x.answer.Leaving {
-		return false
+// unframedEnd returns an error if an answer has ended with its connection and its server is not known
+// to have survived that, so that the answer may not be whole.
+func (r *execution) unframedEnd(x *exchange) error {
+	err := r.dispatcher.unframedEnd(x)
+	if errors.Is(err, errServerGone) {
+		r.answerBroken(x.choice)
+	}
+	return err
+}
+
+func (d *Dispatcher) unframedEnd(x *exchange) error {
+	if !x.answer.Unframed {
+		return nil
+	}
+	switch d.survivals.check(x.choice.Server.Address, x.call.Deadline) {
+	case exited:
+		return errServerGone
+	case unknown:
+		return errServerUnknown
 	}
-	probed := r.answerBroken(x.choice)
-	<-probed.done
-	return probed.refused
+	return nil
 }
 
 // answerBroken reports that the server may have crashed.
--- a/internal/request/beechattempt/silence_test.go
+++ b/internal/request/beechattempt/silence_test.go
@@ -118,7 +118,7 @@
 	for _, s := range f.servers {
 		f.reachable[s.Address] = true
 	}
-	f.dispatcher.crashes.prober = f.reachable
+	f.dispatcher.crashes.prober, f.dispatcher.survivals.prober = f.reachable, f.reachable
 	if len(a.software) > 0 {
 		f.setSoftware(a.software...)
 	}
--- a/internal/request/beechattempt/stream.go
+++ b/internal/request/beechattempt/stream.go
@@ -22,7 +22,8 @@
 
 var (
 	errIncompleteEvent = errors.New("the stream ends in the middle of an event")
-	errServerGone      = errors.New("the server crashed as its answer, which ends with the connection, ended")
+	errServerGone      = errors.New("the server exited as its answer, which ends with the connection, ended")
+	errServerUnknown   = errors.New("the server has not shown that it survived the end of its answer, which ends with the connection")
 	errNoEvent         = errors.New("the connection ended before the first event")
 	errOtherSoftware   = errors.New("the server's software is not, or may not be, of the version that began the stream")
 )
@@ -64,10 +65,10 @@
 			continue
 		case err == io.EOF && x.answer.Unframed && r.begunAt.IsZero():
 			err = errNoEvent
-		case err == io.EOF && buffer.pending() == 0 && r.serverGone(x):
-			err = errServerGone
 		case err == io.EOF && buffer.pending() == 0:
-			return r.endStream(x)
+			if err = r.unframedEnd(x); err == nil {
+				return r.endStream(x)
+			}
 		case err == io.EOF:
 			err = errIncompleteEvent
 		}
