A broken connection is reported before the deadline of its request

Cause, from the stacks: an agent's order ran into a connection that broke, and transportError asked the context whether its deadline was over. Err of a fake clock's context waits until the context ends, and nothing advances that clock. With a real clock it returns at once, so no process hangs.

Failed before: TestBrokenConnectionIsReportedBeforeTheDeadline.

--- a/internal/process/beechbackend/backend_test.go
+++ b/internal/process/beechbackend/backend_test.go
@@ -319,3 +319,26 @@
 		is.True(err != nil)
 	}
 }
+
+// A connection breaks before the deadline of its request, whose context has a fake clock. The error must
+// not wait for that deadline.
+func TestBrokenConnectionIsReportedBeforeTheDeadline(t *testing.T) {
+	is := is.New(t)
+	clock := clockwork.NewFakeClock()
+	ctx, cancel := clockwork.WithTimeout(context.Background(), clock, time.Second)
+	defer cancel()
+	peer := netip.MustParseAddrPort("127.0.0.1:9")
+	failed := make(chan error, 1)
+	go func() { failed <- transportError(ctx, "order", peer, io.ErrUnexpectedEOF) }()
+	select {
+	case err := <-failed:
+		var broken *Broken
+		is.True(errors.As(err, &broken))
+	case <-time.After(5 * time.Second):
+		t.Fatal("no error")
+	}
+	clock.Advance(time.Second)
+	<-ctx.Done()
+	var overdue *Timeout
+	is.True(errors.As(transportError(ctx, "order", peer, io.ErrUnexpectedEOF), &overdue))
+}
--- a/internal/process/beechbackend/client.go
+++ b/internal/process/beechbackend/client.go
@@ -224,9 +224,20 @@
 	return transportError(ctx, step, c.address, err)
 }
 
+// isOverdue reports whether the deadline of a context has passed. It never blocks, whereas Err of a
+// fake clock's context waits for the end of the context.
+func isOverdue(ctx context.Context) bool {
+	select {
+	case <-ctx.Done():
+		return errors.Is(ctx.Err(), context.DeadlineExceeded)
+	default:
+		return false
+	}
+}
+
 func transportError(ctx context.Context, step string, address netip.AddrPort, err error) error {
 	var timeout net.Error
-	timedOut := errors.Is(ctx.Err(), context.DeadlineExceeded) || errors.As(err, &timeout) && timeout.Timeout()
+	timedOut := isOverdue(ctx) || errors.As(err, &timeout) && timeout.Timeout()
 	if timedOut {
 		return &Timeout{Step: step, Peer: address, Err: err}
 	}
