--- a/internal/process/beechagent/agent.go
+++ b/internal/process/beechagent/agent.go
@@ -15,6 +15,7 @@
 
 	"github.com/beechring/beechring/internal/decision/beechbackoff"
 	"github.com/beechring/beechring/internal/decision/beechpoison"
+	"github.com/beechring/beechring/internal/decision/beechsurvival"
 	"github.com/beechring/beechring/internal/decision/beechsuspect"
 	"github.com/beechring/beechring/internal/link/beechlink"
 	"github.com/beechring/beechring/internal/link/beechwire"
@@ -60,6 +61,7 @@
 		scheduler       *scheduler
 		generations     *generationRegistry
 		backend         *backendState
+		survivals       *beechsurvival.Checker
 		backoff         *beechbackoff.Tracker // time for which the backend server has asked for no requests
 		entryHosts      *entryHosts
 		running         *activeRuns
@@ -115,6 +117,7 @@
 		usedClaims:        newUsedClaims(),
 		placements:        newPlacements(d.Clock),
 		backoff:           beechbackoff.New(d.Clock),
+		survivals:         beechsurvival.New(dialer{}, d.Clock),
 		pendingOutcomes:   newPendingOutcomes(d.Clock),
 		generationContext: generationContext,
 		cancelGenerations: cancelGenerations,
--- a/internal/process/beechagent/attempt.go
+++ b/internal/process/beechagent/attempt.go
@@ -45,6 +45,9 @@
 	// settleTime is how long an answer must have gone on for its server to have survived its
 	// beginning.
 	settleTime = 250 * time.Millisecond
+	// maxSurvivalWait bounds the wait for a sign that the server has survived the end of an answer
+	// that ends with its connection.
+	maxSurvivalWait = 3 * time.Second
 )
 
 var (
@@ -159,6 +162,11 @@
 	if int64(len(data)) > limit {
 		return errAnswerTooLong
 	}
+	if answer.Unframed {
+		if err := t.agent.survivals.Check(t.agent.settings.Backend, t.agent.clock.Now().Add(maxSurvivalWait)); err != nil {
+			return err
+		}
+	}
 	t.recordFirstOutput()
 	if t.generation.request.Service == "" && answer.Status == http.StatusOK {
 		if chunk, err := beechbackend.ParseChunk(data); err == nil {
--- a/internal/process/beechbackend/client.go
+++ b/internal/process/beechbackend/client.go
@@ -321,6 +321,7 @@
 		ContentType: contentType,
 		Header:      response.Header,
 		Streamed:    isEventStream(contentType),
+		Unframed:    response.ContentLength < 0 && len(response.TransferEncoding) == 0,
 		Body:        answerBody{ReadCloser: response.Body, ctx: ctx, step: step, peer: c.address},
 	}, nil
 }
--- a/internal/process/beechbackend/types.go
+++ b/internal/process/beechbackend/types.go
@@ -31,6 +31,7 @@
 		ContentType string
 		Header      http.Header
 		Streamed    bool
+		Unframed    bool // the body ends with the connection, also if the server exits in the middle of it
 		Body        io.ReadCloser
 	}
 
--- a/internal/request/beechattempt/backup_test.go
+++ b/internal/request/beechattempt/backup_test.go
@@ -17,6 +17,7 @@
 	"github.com/matryer/is"
 
 	"github.com/beechring/beechring/internal/decision/beechbackup"
+	"github.com/beechring/beechring/internal/decision/beechsurvival"
 	"github.com/beechring/beechring/internal/request/beechcall"
 	"github.com/beechring/beechring/internal/request/beechplace"
 	"github.com/beechring/beechring/internal/request/beechrollout"
@@ -72,7 +73,7 @@
 	}
 	f.dispatcher.SetBackups(beechbackup.On)
 	f.dispatcher.observer = f.observed
-	f.dispatcher.crashes.prober, f.dispatcher.survivals.prober = f.probes, f.probes
+	f.dispatcher.crashes.prober, f.dispatcher.survivals = f.probes, beechsurvival.New(f.probes, f.clock)
 	return f
 }
 
--- a/internal/request/beechattempt/dispatcher.go
+++ b/internal/request/beechattempt/dispatcher.go
@@ -14,6 +14,7 @@
 	"github.com/beechring/beechring/internal/decision/beechbackup"
 	"github.com/beechring/beechring/internal/decision/beechpoison"
 	"github.com/beechring/beechring/internal/decision/beechretry"
+	"github.com/beechring/beechring/internal/decision/beechsurvival"
 	"github.com/beechring/beechring/internal/decision/beechsuspect"
 	"github.com/beechring/beechring/internal/request/beechcall"
 	"github.com/beechring/beechring/internal/request/beechplace"
@@ -29,7 +30,7 @@
 		poison    *beechpoison.Tracker
 		admission *beechadmission.Controller
 		crashes   *crashDetector
-		survivals *survivalChecker
+		survivals *beechsurvival.Checker
 		observer  Observer
 		clock     clockwork.Clock
 		log       *zap.Logger
@@ -183,7 +184,7 @@
 	admission *beechadmission.Controller, observer Observer, clock clockwork.Clock, log *zap.Logger,
 ) *Dispatcher {
 	return &Dispatcher{
-		placer: placer, backend: backend, budget: budget, suspects: suspects, poison: poison, admission: admission, crashes: newCrashDetector(prober, suspects, poison, clock, log), survivals: newSurvivalChecker(prober, clock),
+		placer: placer, backend: backend, budget: budget, suspects: suspects, poison: poison, admission: admission, crashes: newCrashDetector(prober, suspects, poison, clock, log), survivals: beechsurvival.New(prober, clock),
 		observer: observer, clock: clock, log: log, timeouts: newRouteTimeouts(), pauses: newPauses(clock, log), ends: newAttemptEnds(), activities: newActivities(clock), backups: beechbackup.Auto, durations: beechbackup.NewDurations(),
 	}
 }
@@ -238,7 +239,7 @@
 
 // Survivals counts answers that ended with their connections, by what became of their servers, and
 // the looks at these.
-func (d *Dispatcher) Survivals() map[string]int64 { return counts(d.survivals.counts) }
+func (d *Dispatcher) Survivals() map[string]int64 { return counts(d.survivals.Counts()) }
 
 // Crashes returns the number of servers that crashed with requests under way, and of these requests by
 // whether their answers had begun.
--- a/internal/request/beechattempt/hedge.go
+++ b/internal/request/beechattempt/hedge.go
@@ -16,6 +16,7 @@
 
 	"github.com/beechring/beechring/internal/decision/beechpoison"
 	"github.com/beechring/beechring/internal/decision/beechretry"
+	"github.com/beechring/beechring/internal/decision/beechsurvival"
 	"github.com/beechring/beechring/internal/request/beechcall"
 	"github.com/beechring/beechring/internal/request/beechplace"
 )
@@ -575,7 +576,7 @@
 
 func (x *hedge) unframedEnd(d *Dispatcher) error {
 	err := d.unframedEnd(&x.exchange)
-	if errors.Is(err, errServerGone) {
+	if errors.Is(err, beechsurvival.ErrExited) {
 		x.reportBroken(d)
 	}
 	return err
@@ -697,7 +698,7 @@
 		cause := endBroken
 		if errors.Is(err, beechcall.ErrMalformed) {
 			cause = endMalformed
-		} else if !errors.Is(err, errServerGone) {
+		} else if !errors.Is(err, beechsurvival.ErrExited) {
 			x.reportBroken(d)
 		}
 		n.ends = x.ended(cause)
--- a/internal/request/beechattempt/poison_test.go
+++ b/internal/request/beechattempt/poison_test.go
@@ -11,6 +11,7 @@
 	"github.com/matryer/is"
 
 	"github.com/beechring/beechring/internal/decision/beechpoison"
+	"github.com/beechring/beechring/internal/decision/beechsurvival"
 	"github.com/beechring/beechring/internal/request/beechcall"
 )
 
@@ -90,7 +91,29 @@
 	for _, policy := range []beechcall.RetryPolicy{beechcall.Repeatable, beechcall.AtMostOnce} {
 		is := is.New(t)
 		f := newFixture(2, 5, unframed(answers(http.StatusOK, "half")), answers(http.StatusOK, "whole"))
-		f.dispatcher.crashes.prober, f.dispatcher.survivals.prober = refusing{}, refusing{}
+		f.dispatcher.crashes.prober, f.dispatcher.survivals = refusing{}, beechsurvival.New(refusing{}, f.clock)
+		c := f.serve(t.Context(), f.call(policy, false))
+		if policy == beechcall.Repeatable {
+			is.Equal(c.body, "whole")
+			continue
+		}
+		_, unknown := c.rejection.(OutcomeUnknown)
+		is.True(unknown)
+	}
+}
+
+// A server that had said that it leaves exits while it answers. Half of an answer must not be taken for
+// a whole one, since its connection ends in order.
+func TestUnframedAnswerOfALeavingServerThatExits(t *testing.T) {
+	for _, policy := range []beechcall.RetryPolicy{beechcall.Repeatable, beechcall.AtMostOnce} {
+		is := is.New(t)
+		half := unframed(answers(http.StatusOK, "half"))
+		f := newFixture(2, 5, func(ctx context.Context, a beechcall.Attempt) (*beechcall.Answer, error) {
+			answer, err := half(ctx, a)
+			answer.Leaving = true
+			return answer, err
+		}, answers(http.StatusOK, "whole"))
+		f.dispatcher.survivals = beechsurvival.New(refusing{}, f.clock)
 		c := f.serve(t.Context(), f.call(policy, false))
 		if policy == beechcall.Repeatable {
 			is.Equal(c.body, "whole")
--- a/internal/request/beechattempt/run.go
+++ b/internal/request/beechattempt/run.go
@@ -13,6 +13,7 @@
 	"github.com/beechring/beechring/internal/decision/beechbackup"
 	"github.com/beechring/beechring/internal/decision/beechpoison"
 	"github.com/beechring/beechring/internal/decision/beechretry"
+	"github.com/beechring/beechring/internal/decision/beechsurvival"
 	"github.com/beechring/beechring/internal/request/beechcall"
 	"github.com/beechring/beechring/internal/request/beechplace"
 )
@@ -651,7 +652,7 @@
 		return endSoftware
 	case !r.dispatcher.clock.Now().Before(r.call.Deadline):
 		return endDeadline
-	case errors.Is(err, errServerGone):
+	case errors.Is(err, beechsurvival.ErrExited):
 		return endServerGone
 	case errors.Is(err, beechcall.ErrMalformed):
 		return endMalformed
@@ -677,7 +678,7 @@
 // to have survived that, so that the answer may not be whole.
 func (r *execution) unframedEnd(x *exchange) error {
 	err := r.dispatcher.unframedEnd(x)
-	if errors.Is(err, errServerGone) {
+	if errors.Is(err, beechsurvival.ErrExited) {
 		r.answerBroken(x.choice)
 	}
 	return err
@@ -687,13 +688,7 @@
 	if !x.answer.Unframed {
 		return nil
 	}
-	switch d.survivals.check(x.choice.Server.Address, x.call.Deadline) {
-	case exited:
-		return errServerGone
-	case unknown:
-		return errServerUnknown
-	}
-	return nil
+	return d.survivals.Check(x.choice.Server.Address, x.call.Deadline)
 }
 
 // answerBroken reports that the server may have crashed.
--- a/internal/request/beechattempt/silence_test.go
+++ b/internal/request/beechattempt/silence_test.go
@@ -12,6 +12,7 @@
 	"github.com/jonboulle/clockwork"
 	"github.com/matryer/is"
 
+	"github.com/beechring/beechring/internal/decision/beechsurvival"
 	"github.com/beechring/beechring/internal/request/beechcall"
 )
 
@@ -118,7 +119,7 @@
 	for _, s := range f.servers {
 		f.reachable[s.Address] = true
 	}
-	f.dispatcher.crashes.prober, f.dispatcher.survivals.prober = f.reachable, f.reachable
+	f.dispatcher.crashes.prober, f.dispatcher.survivals = f.reachable, beechsurvival.New(f.reachable, f.clock)
 	if len(a.software) > 0 {
 		f.setSoftware(a.software...)
 	}
--- a/internal/request/beechattempt/stream.go
+++ b/internal/request/beechattempt/stream.go
@@ -22,8 +22,6 @@
 
 var (
 	errIncompleteEvent = errors.New("the stream ends in the middle of an event")
-	errServerGone      = errors.New("the server exited as its answer, which ends with the connection, ended")
-	errServerUnknown   = errors.New("the server has not shown that it survived the end of its answer, which ends with the connection")
 	errNoEvent         = errors.New("the connection ended before the first event")
 	errOtherSoftware   = errors.New("the server's software is not, or may not be, of the version that began the stream")
 )
