Bare line feeds in the head of a chunked request make its framing ambiguous

Cause: net/http ends a line at a line feed, with or without a carriage return; the check ended it at both only. What stood behind a bare line feed was a part of another field to it, and a head that ended with bare line feeds had no end.

Fix: heads and lines end where net/http ends them, and a line that ends with a line feed alone makes the request ambiguous (400), since another reader may see other fields.

Failed before: TestBareLineFeeds, in its first case. Measured: all tests of beechframing, three times.

--- a/internal/link/beechframing/framing.go
+++ b/internal/link/beechframing/framing.go
@@ -47,7 +47,8 @@
 // maxHeadBytes is larger than the head of any request that is accepted.
 const maxHeadBytes = 64 << 10
 
-var headEnd = []byte("\r\n\r\n")
+// headEnds end a head. net/http also accepts lines that end with a line feed alone.
+var headEnds = [][]byte{[]byte("\n\r\n"), []byte("\n\n")}
 
 // Listen returns a listener that records the request heads on its connections.
 func Listen(l net.Listener) net.Listener { return listener{l} }
@@ -87,11 +88,13 @@
 	if c.complete {
 		return
 	}
-	from := max(len(c.head)-len(headEnd), 0)
+	from := max(len(c.head)-len(headEnds[0]), 0)
 	c.head = append(c.head, data...)
-	if end := bytes.Index(c.head[from:], headEnd); end >= 0 {
-		c.head = c.head[:from+end]
-		c.complete = true
+	for _, headEnd := range headEnds {
+		if end := bytes.Index(c.head[from:], headEnd); end >= 0 {
+			c.head = c.head[:from+end+1]
+			c.complete = true
+		}
 	}
 	c.complete = c.complete || len(c.head) > maxHeadBytes
 }
@@ -119,7 +122,8 @@
 	}
 }
 
-// Ambiguous reports whether the end of a request can be determined in two ways. A
+// Ambiguous reports whether the end of a request can be determined in two ways. So it can if a
+// line of the head ends with a line feed alone, which other readers take for a part of a field. A
 // pipelined request with chunked encoding, sent before the response to the request in
 // front of it, also counts as ambiguous, since its head was not recorded separately. This
 // does not affect callers that wait for each response.
@@ -134,8 +138,13 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	lengths, codings := 0, 0
-	for i, line := range strings.Split(string(c.head), "\r\n") {
-		if i == 0 {
+	first := true
+	for line := range strings.Lines(string(c.head)) {
+		if !strings.HasSuffix(line, "\r\n") {
+			return true
+		}
+		if first {
+			first = false
 			continue
 		}
 		name, _, _ := strings.Cut(line, ":")
--- a/internal/link/beechframing/framing_test.go
+++ b/internal/link/beechframing/framing_test.go
@@ -65,6 +65,23 @@
 	is.Equal(got, []string{"/plain false ab", "/chunked false ab", "/plain false ab", "/both true ab"})
 }
 
+// A head whose lines end with a line feed alone hides a second length from readers that expect a carriage
+// return before it. net/http accepts such lines.
+func TestBareLineFeeds(t *testing.T) {
+	is := is.New(t)
+	address := serve(t)
+	for _, head := range []string{
+		"Transfer-Encoding: chunked\nContent-Length: 7\r\n\r\n",
+		"Content-Length: 7\nTransfer-Encoding: chunked\r\n\r\n",
+		"Content-Length: 7\nTransfer-Encoding: chunked\n\n",
+		"X: y\nContent-Length: 7\r\nTransfer-Encoding: chunked\r\n\n",
+		"X: y\nTransfer-Encoding: chunked\r\n\r\n", // one length, but another reader may find none
+	} {
+		got := roundTrips(t, address, "POST /feeds HTTP/1.1\r\nHost: h\r\n"+head+"2\r\nab\r\n0\r\n\r\n")
+		is.Equal(got, []string{"/feeds true ab"})
+	}
+}
+
 // The head arrives in several reads, split within the name of a header field.
 func TestHeadInSeveralReads(t *testing.T) {
 	is := is.New(t)
