Entries of unknown services hide no server

Cause: of two entries at one address the one listed later counted as the server's next lifetime, whoever had written it. An engine that is asked under the other's id answers 421 and names itself, which gives it the address back, but nobody asks under the id of a service that has no routes.

Fix: an entry of a service that is not configured does not succeed one of a service that is. A configuration that names the service, or does no longer, has the addresses assigned anew.

Failed before: TestEntryOfAnUnknownServiceHidesNoServer.

--- a/internal/process/beechgate/doc.go
+++ b/internal/process/beechgate/doc.go
@@ -11,8 +11,8 @@
 // (copies.go). Two gates of each zone collect the states of its engines from the keepers,
 // the processes on the engines' hosts, and send what changes to all gates (collect.go).
 // Gates also exchange quota usage, server limits and overloads, and lend one another
-// retries (loans.go). They read fencing numbers for keepers (fences.go). What a restored store has lost of servers' departures is kept
-// (departures.go). By which software version streams were begun is told to other gates, and asked
+// retries (loans.go). They read fencing numbers for keepers (fences.go). What a restored
+// store has lost of servers' departures is kept (departures.go). By which software version streams were begun is told to other gates, and asked
 // of them when a caller resumes one (origins.go). Nothing is persisted: a gate that starts takes both copies from
 // another gate, or reads the store, and is ready.
 //
--- a/internal/request/beechplace/placer.go
+++ b/internal/request/beechplace/placer.go
@@ -1,6 +1,7 @@
 package beechplace
 
 import (
+	"maps"
 	"net/netip"
 	"slices"
 	"strconv"
@@ -201,8 +202,7 @@
 	}
 }
 
-// assignAddress maps the server's address to the server. Of two entries with the same address,
-// the earlier belongs to a lifetime that has ended.
+// assignAddress maps the server's address to the server, or to the one that succeeds it there.
 func (p *Placer) assignAddress(s *server) {
 	current, occupied := p.byAddress[s.Address]
 	switch {
@@ -210,7 +210,7 @@
 		s.superseded = true
 	case !occupied:
 		p.byAddress[s.Address] = s
-	case current.ListedAt < s.ListedAt:
+	case p.succeeds(s, current):
 		current.superseded = true
 		p.byAddress[s.Address] = s
 	default:
@@ -218,11 +218,36 @@
 	}
 }
 
+// succeeds reports whether, of two entries with one address, s is that of the server which is
+// there now. The earlier one belongs to a lifetime that has ended, but an entry of a service that
+// is not configured has been written by another program.
+func (p *Placer) succeeds(s, current *server) bool {
+	if configured := p.isConfigured(s); configured != p.isConfigured(current) {
+		return configured
+	}
+	return current.ListedAt < s.ListedAt
+}
+
+func (p *Placer) isConfigured(s *server) bool {
+	_, ok := p.serviceConfigs[s.Service]
+	return ok
+}
+
+// assignAddresses maps all addresses to servers.
+func (p *Placer) assignAddresses() {
+	clear(p.byAddress)
+	for _, id := range slices.Sorted(maps.Keys(p.byID)) {
+		p.byID[id].superseded = false
+		p.assignAddress(p.byID[id])
+	}
+}
+
 // SetConfiguration sets the services and the KV cache stores.
 func (p *Placer) SetConfiguration(c *beechcall.Configuration) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.serviceConfigs = c.Services
+	p.assignAddresses()
 	p.setKVStores(c.KVStores())
 }
 
--- a/internal/request/beechplace/usable_test.go
+++ b/internal/request/beechplace/usable_test.go
@@ -251,6 +251,27 @@
 	is.Equal(f.choose(t, newCall("s", 0, 10)).Server.ID, own.ID)
 }
 
+// Another program writes an entry of a service that is not configured, at the address of a working
+// server and after it. Taken for a later lifetime, it would hide the server for as long as it stays.
+func TestEntryOfAnUnknownServiceHidesNoServer(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(1)
+	own := f.servers[0]
+	foreign := own
+	foreign.ID, foreign.ListedAt, foreign.Service = "somebody", 9, "unknown"
+	for _, list := range [][]beechcall.Server{{own, foreign}, {foreign, own}} {
+		f.SetServers(list)
+		is.Equal(f.choose(t, newCall("s", 0, 10)).Server.ID, own.ID)
+		is.Equal(f.UpdateState(State{Address: own.Address, Weights: map[string]uint64{"m": 1}}), own.ID)
+	}
+
+	f.SetConfiguration(&beechcall.Configuration{Services: map[string]beechcall.Service{"llm": {Name: "llm"}, "unknown": {Name: "unknown"}}})
+	_, ok := f.Choose(newCall("s", 0, 10), nil)
+	is.True(!ok) // the address is used again by a server of the new service
+	f.SetConfiguration(&beechcall.Configuration{Services: map[string]beechcall.Service{"llm": {Name: "llm"}}})
+	is.Equal(f.choose(t, newCall("s", 0, 10)).Server.ID, own.ID)
+}
+
 func TestLeavingServerIsNotChosen(t *testing.T) {
 	is := is.New(t)
 	f := newFleet(2)
