The agents' soak ends the engines' counted faults before it asks for recovery

`recover: whole is "no"`: the first call after all faults gets one event and then `busy`.

An engine that is told to give its next two answers without end, or to refuse its next four requests, keeps what no call has used up, and with the loads stopped only the checking call is left. Its first engine sent an event without end, its second one refused it; a third try was not to be had, since the faults before had spent the entry host's retries. The soak clears such faults of the service for the same reason.

Change: it clears those of the engines too. The check itself, its calls, bounds and seeds are as they were.

--- a/internal/command/beechscenario/soak_test.go
+++ b/internal/command/beechscenario/soak_test.go
@@ -257,13 +257,21 @@
 			return err
 		}
 	}
-	return s.clearServiceFaults()
+	return s.clearCountedFaults()
 }
 
-// clearServiceFaults clears the service's faults that apply to a number of calls.
-// Under low load at the end of a run, some could remain and affect the calls of
-// recover, which would then correctly report an unknown outcome.
-func (s *soak) clearServiceFaults() error {
+// clearCountedFaults clears the service's and the engines' faults that apply to a number of
+// calls. Under low load at the end of a run, some could remain and affect the calls of recover,
+// which would then correctly report an unknown outcome, or that servers are busy.
+func (s *soak) clearCountedFaults() error {
+	for _, kind := range []beechengine.FaultKind{beechengine.FaultWrongID, beechengine.FaultBusy, beechengine.FaultEndless} {
+		for _, agent := range engineAgents {
+			fault := beechengine.Fault{Kind: kind, Count: 0, Form: "field"}
+			if _, err := engineFault(fault)(s, agent); err != nil {
+				return err
+			}
+		}
+	}
 	for _, kind := range []beechservice.FaultKind{beechservice.FaultDropReply, beechservice.FaultBusy} {
 		if _, err := serviceFault(beechservice.Fault{Kind: kind, Count: 0})(s, "s1"); err != nil {
 			return err
