--- a/internal/command/beechplay/play_test.go
+++ b/internal/command/beechplay/play_test.go
@@ -57,8 +57,7 @@
 	is.True(report.Served > report.Asked*3/4) // a tenth is about the part, and some are lost with each engine
 }
 
-// TestDayWithTwoModels guards against orders whose fencing numbers decrease when versions of two models
-// are announced together.
+// Guards against orders whose fencing numbers decrease when versions of two models are announced together.
 func TestDayWithTwoModels(t *testing.T) {
 	is := is.New(t)
 	day := Default
--- a/internal/decision/beechsurvival/checker_test.go
+++ b/internal/decision/beechsurvival/checker_test.go
@@ -43,8 +43,7 @@
 	return c.Check(server, time.Now().Add(time.Minute))
 }
 
-// A server exits or lives as its answer ends with the connection; its listener is closed a moment later,
-// it has too many connections, or it is silent. What is not proved must not count as survived.
+// Guards against half of an answer that is taken for whole without proof that its server has survived.
 func TestSurvivalOfAnUnframedAnswer(t *testing.T) {
 	is := is.New(t)
 	refused, reset := syscall.ECONNREFUSED, syscall.ECONNRESET
@@ -65,8 +64,7 @@
 	is.True(time.Since(began) < patience)
 }
 
-// Many answers end while a server exits. A look that has found it before some of them ended must not
-// prove that it has survived these.
+// Guards against a look at a server that proves the survival of answers which ended after it.
 func TestLookBeforeTheEndOfAnAnswerProvesNothing(t *testing.T) {
 	is := is.New(t)
 	prober := &looks{script: []error{nil, nil, syscall.ECONNREFUSED}, begun: make(chan struct{}), end: make(chan struct{})}
@@ -93,7 +91,7 @@
 	is.Equal(<-second, ErrExited)
 }
 
-// Answers of a busy server end all the time. The looks at it must not grow with them.
+// Guards against looks at servers that grow with their answers.
 func TestAnswersShareLooks(t *testing.T) {
 	is := is.New(t)
 	prober := &looks{script: []error{nil}}
--- a/internal/link/beechframing/framing_test.go
+++ b/internal/link/beechframing/framing_test.go
@@ -65,8 +65,7 @@
 	is.Equal(got, []string{"/plain false ab", "/chunked false ab", "/plain false ab", "/both true ab"})
 }
 
-// A head whose lines end with a line feed alone hides a second length from readers that expect a carriage
-// return before it. net/http accepts such lines.
+// Guards against a second length hidden behind a bare line feed, which net/http takes for the end of a line.
 func TestBareLineFeeds(t *testing.T) {
 	is := is.New(t)
 	address := serve(t)
--- a/internal/process/beechagent/survival_test.go
+++ b/internal/process/beechagent/survival_test.go
@@ -46,8 +46,7 @@
 	return netip.MustParseAddrPort(l.Addr().String())
 }
 
-// A plain service exits while it sends an answer without a length. Half of the answer must not reach the
-// caller as a whole one.
+// Guards against half of an answer of a plain service that exits being passed on as a whole one.
 func TestUnframedAnswerOfAServiceThatExits(t *testing.T) {
 	for _, exits := range []bool{false, true} {
 		is := is.New(t)
--- a/internal/process/beechbackend/backend_test.go
+++ b/internal/process/beechbackend/backend_test.go
@@ -320,8 +320,7 @@
 	}
 }
 
-// A connection breaks before the deadline of its request, whose context has a fake clock. The error must
-// not wait for that deadline.
+// Guards against an error that waits for the deadline of a context with a fake clock.
 func TestBrokenConnectionIsReportedBeforeTheDeadline(t *testing.T) {
 	is := is.New(t)
 	clock := clockwork.NewFakeClock()
--- a/internal/process/beechgate/fences_test.go
+++ b/internal/process/beechgate/fences_test.go
@@ -70,8 +70,7 @@
 	return beechdatagram.Fence{}
 }
 
-// A keeper restarts while a gate reads a fencing number for the process before it. The read may be
-// older than an order of that process, so that its number must not be given to the new one.
+// Guards against a number that was read for the keeper's process before, and may be lower than one it has used since.
 func TestFenceIsReadAfterItsRequest(t *testing.T) {
 	is := is.New(t)
 	reads, proceed := make(chan uint64, 4), make(chan struct{})
@@ -97,8 +96,7 @@
 	is.Equal(second.Fence.Fence, uint64(20))
 }
 
-// The store rejects calls. A keeper must learn that it has to ask another gate, and the gate must not
-// repeat rejected calls as often as keepers ask.
+// Guards against keepers that do not learn that they have to ask another gate, and calls that a rejecting store counts.
 func TestFailedReadOfAFenceIsAnswered(t *testing.T) {
 	is := is.New(t)
 	var calls atomic.Int64
@@ -113,7 +111,7 @@
 	is.True(calls.Load() <= 2)
 }
 
-// A host that is no keeper of a listed server must not make a gate read the store.
+// Guards against reads of the store for hosts that are no keepers of listed servers.
 func TestStrangersGetNoFence(t *testing.T) {
 	is := is.New(t)
 	var calls atomic.Int64
--- a/internal/process/beechgate/rollout_test.go
+++ b/internal/process/beechgate/rollout_test.go
@@ -55,8 +55,7 @@
 	return granted
 }
 
-// A version of a second model is announced while engines load the first. The gate must not take twice
-// as many engines out of service as may update at once.
+// Guards against twice as many engines out of service as may update at once, with two models announced one after the other.
 func TestRolloutsOfTwoModelsTakeNoMoreEnginesOutOfService(t *testing.T) {
 	is := is.New(t)
 	g := newRolloutGate(t, 12)
--- a/internal/process/beechkeeper/fence_test.go
+++ b/internal/process/beechkeeper/fence_test.go
@@ -83,8 +83,7 @@
 	return 0
 }
 
-// A keeper restarts, and an answer to the process before it comes late. It must not use that number,
-// which may be lower than one that the process before has used since.
+// Guards against a late answer to the process before, which may be lower than a number that it has used since.
 func TestLateFenceOfTheProcessBeforeIsIgnored(t *testing.T) {
 	is := is.New(t)
 	k := newKeeper(t, engine{})
@@ -104,7 +103,7 @@
 	is.Equal(ordersUnder(k), uint64(40)) // one number for all orders, also if a second gate answers
 }
 
-// Of several gates one cannot read the store, and one does not answer. The keeper must ask the others.
+// Guards against a keeper that asks only gates which cannot read the store.
 func TestFenceIsRequestedFromOneGateAfterTheOther(t *testing.T) {
 	is := is.New(t)
 	k := newKeeper(t, engine{})
@@ -130,8 +129,7 @@
 	is.Equal(ordersUnder(k), uint64(0))
 }
 
-// During an upgrade, all gates may be of a release that reads no numbers for keepers. The engine must
-// get its weights all the same, under the numbers that these gates send.
+// Guards against engines that get no weights while all gates are of a release that reads no numbers for keepers.
 func TestLegacyGatesFenceOrders(t *testing.T) {
 	is := is.New(t)
 	k := newKeeper(t, engine{})
--- a/internal/request/beechattempt/poison_test.go
+++ b/internal/request/beechattempt/poison_test.go
@@ -102,8 +102,7 @@
 	}
 }
 
-// A server that had said that it leaves exits while it answers. Half of an answer must not be taken for
-// a whole one, since its connection ends in order.
+// Guards against half of an answer of a leaving server that exits being taken for whole.
 func TestUnframedAnswerOfALeavingServerThatExits(t *testing.T) {
 	for _, policy := range []beechcall.RetryPolicy{beechcall.Repeatable, beechcall.AtMostOnce} {
 		is := is.New(t)
--- a/internal/request/beechplace/usable_test.go
+++ b/internal/request/beechplace/usable_test.go
@@ -251,8 +251,7 @@
 	is.Equal(f.choose(t, newCall("s", 0, 10)).Server.ID, own.ID)
 }
 
-// Another program writes an entry of a service that is not configured, at the address of a working
-// server and after it. Taken for a later lifetime, it would hide the server for as long as it stays.
+// Guards against another program's entry, of a service that is not configured, that hides the server at its address.
 func TestEntryOfAnUnknownServiceHidesNoServer(t *testing.T) {
 	is := is.New(t)
 	f := newFleet(1)
--- a/internal/request/beechrollout/fence_test.go
+++ b/internal/request/beechrollout/fence_test.go
@@ -29,7 +29,7 @@
 	is.Equal(fence(Target{Model: "other", Version: 2, Fence: 135}), uint64(140))
 }
 
-// Without a number from the store no order may leave, and the engine must stay in service.
+// Guards against orders without a number from the store, and an engine that is out of service while it waits for one.
 func TestUpdateWaitsForFence(t *testing.T) {
 	is := is.New(t)
 	u := &updaterAt{Updater: NewUpdater(Settings{}), now: time.Unix(1000, 0)}
@@ -48,8 +48,7 @@
 	is.Equal(order.Fence, uint64(40))
 }
 
-// The engine refuses a number as too low. The order must not be repeated under it at once, and the
-// engine must stay in service until there is a higher one.
+// Guards against an order that is repeated under a number which the engine has refused as too low.
 func TestRefusedFenceIsNotRepeated(t *testing.T) {
 	is := is.New(t)
 	u := newUpdaterAt()
@@ -84,7 +83,7 @@
 	is.Equal(phaseOf(u.next(restarted)), Leaving) // it has forgotten the numbers that it had seen
 }
 
-// The engine does not know the version of one model. The other model must not wait for it.
+// Guards against a model that waits for another one whose version the engine does not know.
 func TestRejectedVersionIsNotRepeated(t *testing.T) {
 	is := is.New(t)
 	u := newUpdaterAt()
@@ -126,7 +125,7 @@
 	is.True(ok)
 }
 
-// Of several models that are due, the choice must not depend on the order of a map.
+// Guards against a choice among models that depends on the order of a map.
 func TestSameInputsGiveTheSameOrder(t *testing.T) {
 	is := is.New(t)
 	report := Report{Known: true, Versions: map[string]uint64{"a": 1, "b": 1, "c": 1, "d": 1}}
@@ -159,7 +158,7 @@
 	}
 }
 
-// An engine leaves orders for one model without an answer. The other model must not wait for it.
+// Guards against a model that waits for another one whose orders get no answer.
 func TestUnansweredOrderDelaysNoOtherModel(t *testing.T) {
 	is := is.New(t)
 	u := newUpdaterAt()
@@ -298,8 +297,7 @@
 	w.report.Sequence, w.highest, w.ordered = 0, 0, nil
 }
 
-// Any number of models, gates that know unequally much, orders without answers, restarts of all
-// processes and restores of the store: the number of the orders to an engine must never decrease.
+// Guards against orders under lower numbers, with gates that know unequally much, restarts of all processes and restores of the store.
 func TestFenceNeverDecreases(t *testing.T) {
 	orders := 0
 	rapid.Check(t, func(t *rapid.T) {
--- a/internal/request/beechrollout/schedule_test.go
+++ b/internal/request/beechrollout/schedule_test.go
@@ -75,8 +75,7 @@
 	})
 }
 
-// Versions of several models are announced together or one after the other. If each model's rollout
-// counted its own engines only, several times as many as allowed would be out of service at once.
+// Guards against more engines out of service than allowed, with versions of several models announced in any order.
 func TestRolloutsOfAllModelsShareOneLimit(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		engines := drawFleet(t)
