--- a/internal/decision/beechbackup/decide.go
+++ b/internal/decision/beechbackup/decide.go
@@ -44,6 +44,7 @@
 	Loss struct {
 		Copy           CopyState
 		Source         SourceState
+		Evidence       Evidence      // why Source is Ended
 		Waited         time.Duration // since the stream broke off
 		Left           time.Duration // until the deadline
 		Blamed         bool          // servers crash on the request
@@ -57,6 +58,9 @@
 	// SourceState is what is known of the process that a stream broke off at.
 	SourceState int
 
+	// Evidence is why a process counts as ended, for logs. It is empty if it does not.
+	Evidence string
+
 	// CopyState is what is known of the copy of a run.
 	CopyState int
 
@@ -88,6 +92,12 @@
 	Ended                      // its process has ended
 )
 
+// Evidence of the end of a process.
+const (
+	ConnectionRefused Evidence = "connection refused"
+	LaterLifetime     Evidence = "later lifetime"
+)
+
 // States of a copy.
 const (
 	NoCopyLeft CopyState = iota // it was not made, or it was used
--- a/internal/link/beechpool/pool.go
+++ b/internal/link/beechpool/pool.go
@@ -591,8 +591,13 @@
 // Unwrap returns the cause.
 func (e *DialError) Unwrap() error { return e.Err }
 
-// Error returns the step, the peer and the cause.
-func (e *ExchangeError) Error() string { return fmt.Sprintf("%s at %s: %v", e.Step, e.Peer, e.Err) }
+// Error returns the step, the peer, whether the connection had been used before, and the cause.
+func (e *ExchangeError) Error() string {
+	if e.Reused {
+		return fmt.Sprintf("%s at %s on a reused connection: %v", e.Step, e.Peer, e.Err)
+	}
+	return fmt.Sprintf("%s at %s: %v", e.Step, e.Peer, e.Err)
+}
 
 // Unwrap returns the cause.
 func (e *ExchangeError) Unwrap() error { return e.Err }
--- a/internal/request/beechattempt/backup.go
+++ b/internal/request/beechattempt/backup.go
@@ -27,6 +27,7 @@
 		continues      bool              // the run goes on with the copy from now on
 		weightsChanged bool              // the run told that its weights changed
 		sourceLeaves   bool              // the run's server said with its answer that it leaves
+		loss           beechbackup.Loss  // what was known when the run broke off, or is known since
 		result         BackupResult
 	}
 
@@ -134,6 +135,7 @@
 	for {
 		loss := r.loss(source, probed, gone)
 		loss.Waited = r.dispatcher.clock.Since(brokenAt)
+		r.backup.loss = loss
 		switch v := beechbackup.Decide(loss).(type) {
 		case beechbackup.Continue:
 			return r.beginContinuation()
@@ -151,11 +153,11 @@
 // loss returns what is known of the run that broke off. A server that leaves may finish its answers
 // while it refuses connections: refusing is no proof of its end.
 func (r *execution) loss(source beechplace.Choice, probed *probe, gone bool) beechbackup.Loss {
-	state := beechbackup.Silent
+	state, evidence := beechbackup.Silent, beechbackup.Evidence("")
 	switch {
 	case refused(probed, gone):
 		if !r.backup.sourceLeaves {
-			state = beechbackup.Ended
+			state, evidence = beechbackup.Ended, beechbackup.ConnectionRefused
 		}
 	case probed != nil && isClosed(probed.done) && probed.accepted:
 		state = beechbackup.Running
@@ -163,7 +165,7 @@
 	_, suspect := r.dispatcher.checkSuspect(r.call).(beechsuspect.Refuse)
 	_, poison := r.refusedAsPoison()
 	return r.dispatcher.placer.ObserveLoss(r.call, source, r.backup.engine, beechbackup.Loss{
-		Copy: r.backup.copyState(), Source: state, Unnumbered: r.stream.lastEventID == "", Left: r.call.TimeLeft(r.dispatcher.clock.Now()),
+		Copy: r.backup.copyState(), Source: state, Evidence: evidence, Unnumbered: r.stream.lastEventID == "", Left: r.call.TimeLeft(r.dispatcher.clock.Now()),
 		Blamed: suspect || poison, WeightsChanged: r.backup.weightsChanged,
 	})
 }
@@ -195,11 +197,18 @@
 		return r.noRetry(stopBudget)
 	}
 	r.backup.continues = true
-	r.dispatcher.log.Info("run goes on at its backup", zap.String("request", r.call.ID), zap.String("server", r.backup.source.Server.ID),
-		zap.String("backup", r.backup.engine.Server.ID), zap.String("after", r.stream.lastEventID), zap.Uint64("weights", r.backup.engine.Weights))
+	r.logLoss("run goes on at its backup", zap.String("copy", r.backup.copying.name.Handle))
 	return tryAgain
 }
 
+// logLoss logs what was decided about a run that was lost, and by what evidence.
+func (r *execution) logLoss(what string, fields ...zap.Field) {
+	b := &r.backup
+	r.dispatcher.log.Info(what, append(fields,
+		zap.String("request", r.call.ID), zap.String("server", b.source.Server.ID), zap.Uint64("born", b.source.Server.Born), zap.String("backup", b.engine.Server.ID),
+		zap.String("after", r.stream.lastEventID), zap.Uint64("weights", b.engine.Weights), zap.String("evidence", string(b.loss.Evidence)), zap.Duration("waited", b.loss.Waited))...)
+}
+
 // continuationSent records that a run was sent to its backup's engine, which has taken the copy then or
 // has none, unless nothing reached it.
 func (r *execution) continuationSent(err error) {
@@ -210,8 +219,7 @@
 // backupGivenUp ends a run that was lost and does not go on.
 func (r *execution) backupGivenUp(reason beechbackup.Reason) verdict {
 	r.backup.result.Reason = reason
-	r.dispatcher.log.Info("run does not go on at its backup", zap.String("request", r.call.ID), zap.String("server", r.backup.source.Server.ID),
-		zap.String("backup", r.backup.engine.Server.ID), zap.String("reason", string(reason)))
+	r.logLoss("run does not go on at its backup", zap.String("reason", string(reason)))
 	return r.noRetry(stopBackup)
 }
 
--- a/internal/request/beechattempt/run.go
+++ b/internal/request/beechattempt/run.go
@@ -387,7 +387,7 @@
 func (d *Dispatcher) endRejected(x *exchange, rejection beechcall.NotExecuted) {
 	x.placement.Done(beechplace.Rejected)
 	d.placer.ObserveRejection(x.choice.Server.ID, rejection, x.call.Model)
-	d.logAttempt("turned away", x, zap.Int("status", rejection.Status), zap.Bool("replaced", rejection.Replaced), zap.Bool("other weights", rejection.WeightsDiffer))
+	d.logAttempt("turned away", x, zap.Int("status", rejection.Status), zap.Bool("replaced", rejection.Replaced), zap.Bool("other weights", rejection.WeightsDiffer), zap.Bool("unmarked", rejection.Unmarked))
 }
 
 // observeBackoff records that the server asked for no requests for a time.
@@ -817,7 +817,7 @@
 func (d *Dispatcher) logAttempt(what string, x *exchange, fields ...zap.Field) {
 	d.log.Info("attempt "+what, append(fields,
 		zap.String("request", x.call.ID), zap.String("server", x.choice.Server.ID), zap.Stringer("peer", x.choice.Server.Address),
-		zap.Uint64("weights", x.choice.Weights), zap.Int("sends", x.number), zap.Float64("cost", x.choice.Cost))...)
+		zap.Uint64("born", x.choice.Server.Born), zap.Uint64("weights", x.choice.Weights), zap.Int("sends", x.number), zap.Float64("cost", x.choice.Cost))...)
 }
 
 // milliseconds converts milliseconds to a duration.
--- a/internal/request/beechcall/call.go
+++ b/internal/request/beechcall/call.go
@@ -136,6 +136,7 @@
 		Limit         beechthrottle.ServerLimit // nil: not known
 		Backoff       time.Duration             // time for which the server asks this client for no requests; 0: none
 		Leaving       bool                      // the server will stop soon
+		Unmarked      bool                      // the answer does not name its request
 	}
 
 	// OutcomeUnknown means that the request was sent and may have been executed.
--- a/internal/request/beechplace/backups.go
+++ b/internal/request/beechplace/backups.go
@@ -99,9 +99,9 @@
 	now := p.clock.Now()
 	switch {
 	case p.hasSuccessor(source.Server):
-		loss.Source = beechbackup.Ended
+		loss.Source, loss.Evidence = beechbackup.Ended, beechbackup.LaterLifetime
 	case loss.Source == beechbackup.Ended && p.mayLeave(source.Server):
-		loss.Source = beechbackup.Silent
+		loss.Source, loss.Evidence = beechbackup.Silent, ""
 	}
 	loss.WeightsChanged = loss.WeightsChanged || p.sourceChangedWeights(call, source.Server, b)
 	s, ok := p.byID[b.Server.ID]
