--- a/internal/command/beechplay/cluster.go
+++ b/internal/command/beechplay/cluster.go
@@ -35,8 +35,9 @@
 		gates         map[string]*beechsettings.Gate
 		seeds         []netip.AddrPort // of gates that are added later
 		keepers       map[string]*beechsettings.Keeper
-		peers         sync.Map          // engines by address
-		zones         map[string]string // of servers
+		peers         sync.Map             // engines by address
+		links         map[string]*endpoint // of servers, as gates reach them
+		zones         map[string]string    // of servers
 	}
 
 	// endpoint is a listener that can be down for a time. It is safe for concurrent use.
@@ -80,7 +81,7 @@
 	w := &Cluster{
 		Store: beechsimulator.NewStore(), Engines: make(map[string]*beechsimulator.Engine), Places: make(map[string]netip.AddrPort),
 		launcher: launcher, zone: "mill", heartbeatPort: uint16(baseHeartbeatPort + nextHost.Add(1)), processes: make(map[string]Process),
-		gates: make(map[string]*beechsettings.Gate), keepers: make(map[string]*beechsettings.Keeper), zones: make(map[string]string),
+		gates: make(map[string]*beechsettings.Gate), keepers: make(map[string]*beechsettings.Keeper), zones: make(map[string]string), links: make(map[string]*endpoint),
 	}
 	e, err := w.listen(nextLoopbackAddress(), w.Store)
 	if err != nil {
@@ -111,7 +112,11 @@
 }
 
 func (w *Cluster) listen(address netip.Addr, h http.Handler) (*endpoint, error) {
-	e := &endpoint{handler: h, address: netip.AddrPortFrom(address, 0)}
+	return w.listenAt(netip.AddrPortFrom(address, 0), h)
+}
+
+func (w *Cluster) listenAt(address netip.AddrPort, h http.Handler) (*endpoint, error) {
+	e := &endpoint{handler: h, address: address}
 	if err := e.open(); err != nil {
 		return nil, err
 	}
@@ -170,9 +175,16 @@
 	if err != nil {
 		return nil, err
 	}
-	e.OnCrash(listener.crash)
 	endpoint := listener.address
-	w.Engines[name], w.Places[name], w.zones[name] = e, endpoint, w.zone
+	local, err := w.listenAt(netip.AddrPortFrom(nextLoopbackAddress(), endpoint.Port()), e)
+	if err != nil {
+		return nil, err
+	}
+	e.OnCrash(func(down time.Duration) {
+		listener.crash(down)
+		local.crash(down)
+	})
+	w.Engines[name], w.Places[name], w.zones[name], w.links[name] = e, endpoint, w.zone, listener
 	w.peers.Store(endpoint.String(), e)
 	e.SetPeers(func(address string) *beechsimulator.Engine {
 		peer, ok := w.peers.Load(address)
@@ -186,10 +198,14 @@
 		return e, nil
 	}
 	keeper := "keeper-" + name
-	w.keepers[keeper] = &beechsettings.Keeper{Name: keeper, Zone: w.zone, Engine: endpoint, Beats: netip.AddrPortFrom(address, w.heartbeatPort)}
+	w.keepers[keeper] = &beechsettings.Keeper{Name: keeper, Zone: w.zone, Engine: local.address, Beats: netip.AddrPortFrom(address, w.heartbeatPort)}
 	return e, w.Start(keeper)
 }
 
+// CutOff breaks the connections to a server and has new ones refused for a time, as a partition may. The server runs
+// on, and its keeper reaches it.
+func (w *Cluster) CutOff(name string, d time.Duration) { w.links[name].crash(d) }
+
 // ListServer writes the store entry of a server with the given state, as the
 // server itself would.
 func (w *Cluster) ListServer(name, state string) {
--- a/internal/request/beechattempt/backup_test.go
+++ b/internal/request/beechattempt/backup_test.go
@@ -253,6 +253,36 @@
 	notContinued(t, f, c, result, beechbackup.SourceRunning)
 }
 
+// Guards against a run at two servers when a partition refuses connections to the first one, which runs on.
+func TestRunDoesNotGoOnWhileOnlyItsPathRefuses(t *testing.T) {
+	for name, news := range map[string]func(f *backupFixture){
+		"nothing is heard of it": func(*backupFixture) {},
+		"its keeper sees it run": func(f *backupFixture) { f.report(f.backend.sent[0].Server, 1, 1) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			f := newBackupFixture()
+			f.setScript(f.ends(event(1), syscall.ECONNREFUSED, func() { news(f) }), answers(http.StatusOK, event(2)))
+			c, result := f.run(t)
+			notContinued(t, f, c, result, beechbackup.SourceRunning)
+			f.freed(t)
+		})
+	}
+}
+
+// Guards against a run at two servers when the later lifetime that the gate hears of is the one that runs the request.
+func TestRunDoesNotGoOnAtLateNewsOfItsOwnLifetime(t *testing.T) {
+	for name, probe := range map[string]error{"accepts connections": nil, "refuses connections": syscall.ECONNREFUSED, "is silent": errSilent} {
+		t.Run(name, func(t *testing.T) {
+			f := newBackupFixture()
+			lateNews := func() { f.report(f.backend.sent[0].Server, 2, 1) }
+			f.setScript(f.ends(event(1), probe, lateNews), answers(http.StatusOK, event(2)))
+			c, result := f.run(t)
+			notContinued(t, f, c, result, beechbackup.SourceRunning)
+			f.freed(t)
+		})
+	}
+}
+
 // A silent server turns out to have started again under its ID.
 func TestRunGoesOnWhenItsServerHasRestarted(t *testing.T) {
 	is := is.New(t)
--- a/internal/standin/beechsimulator/engine.go
+++ b/internal/standin/beechsimulator/engine.go
@@ -75,6 +75,7 @@
 		Drop           bool          // requests run and the connection is reset
 		CutAfter       int           // number of events after which a stream is cut; 0 is never
 		CutEvery       int           // of how many streams one is cut; 0 is all
+		RunsOn         bool          // streams run to their ends though their connections have closed
 		Status         int           // status of every response; 0 for the normal 200
 		Twice          bool          // each response is to be sent twice; not implemented, so it has no effect
 		Foreign        string        // another request's id, returned in responses
@@ -716,13 +717,17 @@
 			_ = control.Flush()
 			panic(http.ErrAbortHandler)
 		}
-		if _, err := fmt.Fprintf(w, "id: %d\ndata: token %d%s\n\n", i, i, mark); err != nil {
+		if _, err := fmt.Fprintf(w, "id: %d\ndata: token %d%s\n\n", i, i, mark); err != nil && !faults.RunsOn {
 			return
 		}
 		_ = control.Flush()
+		closed := r.Context().Done()
+		if faults.RunsOn {
+			closed = nil
+		}
 		select {
 		case <-time.After(e.settings.Token):
-		case <-r.Context().Done():
+		case <-closed:
 			return
 		}
 	}
