A run goes on at its backup only by the word of the keeper beside its first server

A stream that may not be repeated was at work at two engines. Reproduced: two engines of six are cut off from the gates, connections are reset and refused, their runs go on, and the gates have the copies go on beside them.

Cause: the end of a process was concluded from its address. A refused connection counted as the end, but a partition may refuse it while the process runs. A later lifetime under the server's ID counted too, whichever lifetime had run the request: a gate that had not yet heard of a restart took the news of the very lifetime that ran it for its end, even while it accepted connections.

In the users' record a server that had broken a run off served again under its ID 3 s later.

Change: only the keeper, on the engine's own host, sees its process. It reports a phase of its own, `exited`, when connections are refused there and the engine has not said that it leaves (one that leaves may close its listener and finish). A gate takes that, or a later lifetime, as evidence if the report comes a second or more after the run's first event: keepers' reports are not later than that, so it cannot be of a lifetime before, whatever the gate believed. No evidence: an event since the first such report, a server that leaves or is not listed, a list that was not confirmed lately, a probe that is accepted or under way. Without evidence the stream is broken off, as before.

Why it works: the report is made where no partition lies between, and is dated against the run.

The fixture's crash has the keeper's word now, and breaks off after 1.1 s; what it expects is unchanged.

--- a/internal/decision/beechbackup/decide.go
+++ b/internal/decision/beechbackup/decide.go
@@ -87,15 +87,16 @@
 
 // States of a source.
 const (
-	Silent  SourceState = iota // it does not answer: it may have ended, or its link may be broken
+	Silent  SourceState = iota // no connection can be made: it may have ended, or its link may be broken
 	Running                    // its process accepts connections
 	Ended                      // its process has ended
+	Probing                    // it is being looked at, which may put a blame on the request
 )
 
 // Evidence of the end of a process.
 const (
-	ConnectionRefused Evidence = "connection refused"
-	LaterLifetime     Evidence = "later lifetime"
+	ExitedOnItsHost Evidence = "exited, as its keeper says"
+	LaterLifetime   Evidence = "later lifetime, as its keeper says"
 )
 
 // States of a copy.
@@ -245,7 +246,7 @@
 		return GiveUp{WeightsChanged}
 	case !l.SameSoftware:
 		return GiveUp{SoftwareDiffer}
-	case l.Source == Silent || l.Copy == OnItsWay:
+	case l.Source != Ended || l.Copy == OnItsWay:
 		return Wait{}
 	}
 	return Continue{}
--- a/internal/process/beechgate/gate.go
+++ b/internal/process/beechgate/gate.go
@@ -229,7 +229,7 @@
 	g.backoff = beechbackoff.New(deps.Clock)
 	g.placer = beechplace.New(beechplace.Settings{
 		Zone: s.Zone, OutdatedSoftLimit: max(weights-outdatedMargin, weights/2), OutdatedHardLimit: max(weights-startMargin, weights/2),
-		CallersCompete: deps.CallersCompete,
+		CallersCompete: deps.CallersCompete, ListIsRecent: func() bool { return g.serverFreshness.Age() <= maxListAge },
 	}, deps.Clock, g.health, g.limits, g.overloaded, g.backoff, g.announcePrompt)
 	g.placer.AnnounceUrgencies(g.announceUrgency)
 	g.core = beechattempt.New(g.placer, deps.Backend, deps.Pool, g.budgets, g.suspects, g.poison, g.admission, g, deps.Clock, deps.Log)
--- a/internal/process/beechgate/origins.go
+++ b/internal/process/beechgate/origins.go
@@ -62,7 +62,7 @@
 	minOriginLifetime = 10 * time.Second
 	maxOriginLifetime = 2 * time.Minute
 	// maxListAge is the age of the list of servers up to which it may show that a service has one
-	// version only. It is just above serverReadAges.
+	// version only, or that a server does not leave. It is just above serverReadAges.
 	maxListAge         = 6 * time.Second
 	maxOriginsInOne    = 200 // requests in a datagram, at 66 bytes each at most
 	maxQueriesInFlight = 1024
--- a/internal/process/beechkeeper/keeper.go
+++ b/internal/process/beechkeeper/keeper.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/netip"
 	"sync"
+	"syscall"
 	"time"
 
 	lru "github.com/hashicorp/golang-lru/v2"
@@ -73,6 +74,7 @@
 		Slowness   int                       // of its host, in percent of the usual; 0: not known
 		Prefilling int                       // running requests whose prompts it reads; 0: none, or not known
 		Ranks      []beechstrain.RankLoad    // what it runs by urgency; nil: not known
+		Leaving    bool                      // the engine will stop soon
 	}
 
 	// Dependencies of a keeper.
@@ -293,6 +295,8 @@
 		report.Silent = k.watch.State() == beechsilence.Silent
 	}
 	k.mu.Lock()
+	// An engine that leaves may finish its answers after it has closed its listener.
+	report.Exited = errors.Is(err, syscall.ECONNREFUSED) && !k.lastReport.Leaving
 	if slowness := k.slowness.current(k.deps.Clock.Now()); slowness > 0 {
 		report.Slowness = slowness
 	}
--- a/internal/process/beechkeeper/keeper_test.go
+++ b/internal/process/beechkeeper/keeper_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"net/netip"
 	"slices"
+	"syscall"
 	"testing"
 	"time"
 
@@ -39,6 +40,13 @@
 	}
 }
 
+// refusingEngine is an engine whose host refuses connections.
+type refusingEngine struct{ engine }
+
+func (refusingEngine) Report(context.Context) (Report, error) {
+	return Report{}, fmt.Errorf("report of the engine: %w", syscall.ECONNREFUSED)
+}
+
 func (engine) Slowness(context.Context, string) (int, error) { return 0, errNoEngine }
 
 func (engine) Order(context.Context, string, beechrollout.Order) (beechrollout.Answer, error) {
@@ -296,6 +304,25 @@
 	is.Equal(k.phase, beechrollout.Down)
 }
 
+// Guards against a run taken for ended because its engine, which leaves, has closed its listener and finishes.
+func TestEngineThatRefusesConnectionsHasExitedUnlessItLeaves(t *testing.T) {
+	for _, leaves := range []bool{false, true} {
+		is := is.New(t)
+		e := engine{reports: make(chan Report, 1)}
+		k := newKeeper(t, e)
+		e.reports <- Report{Leaving: leaves}
+		k.pollEngine(t.Context())
+		k.deps.Engine = refusingEngine{e}
+		k.pollEngine(t.Context())
+		k.pollEngine(t.Context())
+		if leaves {
+			is.Equal(k.phase, beechrollout.Down)
+		} else {
+			is.Equal(k.phase, beechrollout.Exited)
+		}
+	}
+}
+
 // A gate is silent for 1.2 s after its last message, of which it sends one each 0.7 s. It must still get
 // the state.
 func TestSilentGateIsStillToldTheState(t *testing.T) {
--- a/internal/request/beechattempt/backup.go
+++ b/internal/request/beechattempt/backup.go
@@ -127,13 +127,13 @@
 
 // continueAtBackup decides what follows when a run that may not be repeated has broken off: it goes on
 // with its copy once its server is known to have ended.
-func (r *execution) continueAtBackup(source beechplace.Choice, probed *probe, gone bool) verdict {
+func (r *execution) continueAtBackup(source beechplace.Choice, probed *probe) verdict {
 	if r.backup.engine == nil {
 		return r.noRetry(stopNotRepeatable)
 	}
 	brokenAt := r.dispatcher.clock.Now()
 	for {
-		loss := r.loss(source, probed, gone)
+		loss := r.loss(source, probed)
 		loss.Waited = r.dispatcher.clock.Since(brokenAt)
 		r.backup.loss = loss
 		switch v := beechbackup.Decide(loss).(type) {
@@ -150,31 +150,25 @@
 	}
 }
 
-// loss returns what is known of the run that broke off. A server that leaves may finish its answers
-// while it refuses connections: refusing is no proof of its end.
-func (r *execution) loss(source beechplace.Choice, probed *probe, gone bool) beechbackup.Loss {
-	state, evidence := beechbackup.Silent, beechbackup.Evidence("")
+// loss returns what is known of the run that broke off.
+func (r *execution) loss(source beechplace.Choice, probed *probe) beechbackup.Loss {
+	state := beechbackup.Silent
 	switch {
-	case refused(probed, gone):
-		if !r.backup.sourceLeaves {
-			state, evidence = beechbackup.Ended, beechbackup.ConnectionRefused
-		}
-	case probed != nil && isClosed(probed.done) && probed.accepted:
+	case probed == nil:
+	case !isClosed(probed.done):
+		state = beechbackup.Probing
+	case probed.accepted:
 		state = beechbackup.Running
 	}
 	_, suspect := r.dispatcher.checkSuspect(r.call).(beechsuspect.Refuse)
 	_, poison := r.refusedAsPoison()
-	return r.dispatcher.placer.ObserveLoss(r.call, source, r.backup.engine, beechbackup.Loss{
-		Copy: r.backup.copyState(), Source: state, Evidence: evidence, Unnumbered: r.stream.lastEventID == "", Left: r.call.TimeLeft(r.dispatcher.clock.Now()),
+	run := beechplace.LostRun{BegunAt: r.begunAt, HeardAt: r.heardAt, Leaves: r.backup.sourceLeaves}
+	return r.dispatcher.placer.ObserveLoss(r.call, source, r.backup.engine, run, beechbackup.Loss{
+		Copy: r.backup.copyState(), Source: state, Unnumbered: r.stream.lastEventID == "", Left: r.call.TimeLeft(r.dispatcher.clock.Now()),
 		Blamed: suspect || poison, WeightsChanged: r.backup.weightsChanged,
 	})
 }
 
-// refused reports whether a server refuses connections.
-func refused(probed *probe, gone bool) bool {
-	return gone || probed != nil && isClosed(probed.done) && probed.refused
-}
-
 // awaitLossNews waits for the probe of the server that was lost, or for a short time.
 func (r *execution) awaitLossNews(probed *probe) {
 	var done chan struct{}
--- a/internal/request/beechattempt/backup_test.go
+++ b/internal/request/beechattempt/backup_test.go
@@ -28,6 +28,7 @@
 		*fixture
 		observed *endings
 		probes   *probes
+		runTime  time.Duration // for which a run goes on after its first events
 	}
 
 	readerFunc func([]byte) (int, error)
@@ -39,7 +40,11 @@
 	}
 )
 
-const backupModel = "m"
+const (
+	backupModel = "m"
+	// runTime is longer than keepers' reports may be late.
+	runTime = 1100 * time.Millisecond
+)
 
 var errSilent = errors.New("i/o timeout")
 
@@ -62,7 +67,7 @@
 
 // newBackupFixture returns a fixture with three engines that have memory to spare.
 func newBackupFixture(script ...step) *backupFixture {
-	f := &backupFixture{newFixture(3, 5, script...), &endings{}, &probes{results: make(map[netip.AddrPort]error)}}
+	f := &backupFixture{newFixture(3, 5, script...), &endings{}, &probes{results: make(map[netip.AddrPort]error)}, runTime}
 	for i := range f.servers {
 		f.servers[i].Weights, f.servers[i].Born = map[string]uint64{backupModel: 1}, 1
 	}
@@ -103,9 +108,15 @@
 	return c, f.observed.results[0]
 }
 
-// crashes returns the beginning of an answer whose server crashes.
+// crashes returns the beginning of an answer whose server crashes, as its keeper notices.
 func (f *backupFixture) crashes(body string, then ...func()) step {
-	return f.ends(body, syscall.ECONNREFUSED, then...)
+	attempt := len(f.backend.sent)
+	exits := func() {
+		f.placer.UpdateState(beechplace.State{
+			Number: uint32(f.clock.Now().UnixMilli()), Address: f.backend.sent[attempt].Server.Address, Born: 1, Weights: map[string]uint64{backupModel: 1}, Phase: beechrollout.Exited,
+		})
+	}
+	return f.ends(body, syscall.ECONNREFUSED, append([]func(){exits}, then...)...)
 }
 
 // ends returns the beginning of an answer that breaks off, and what a probe of its server gives then.
@@ -116,6 +127,7 @@
 		}
 		rest := readerFunc(func([]byte) (int, error) {
 			f.dispatcher.Wait(context.Background())
+			f.clock.Advance(f.runTime)
 			for _, act := range then {
 				act()
 			}
@@ -274,6 +286,7 @@
 	for name, probe := range map[string]error{"accepts connections": nil, "refuses connections": syscall.ECONNREFUSED, "is silent": errSilent} {
 		t.Run(name, func(t *testing.T) {
 			f := newBackupFixture()
+			f.runTime = 0
 			lateNews := func() { f.report(f.backend.sent[0].Server, 2, 1) }
 			f.setScript(f.ends(event(1), probe, lateNews), answers(http.StatusOK, event(2)))
 			c, result := f.run(t)
--- a/internal/request/beechattempt/crash.go
+++ b/internal/request/beechattempt/crash.go
@@ -2,12 +2,10 @@
 
 import (
 	"context"
-	"errors"
 	"expvar"
 	"net/netip"
 	"slices"
 	"sync"
-	"syscall"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -47,7 +45,6 @@
 	probe struct {
 		answers  []brokenAnswer
 		done     chan struct{} // closed when a crash has been recorded, or the server lives
-		refused  bool          // the server is down for certain; set before done is closed
 		accepted bool          // its process runs, or another one at its address; set before done is closed
 	}
 
@@ -100,7 +97,7 @@
 	ctx, cancel := clockwork.WithTimeout(context.Background(), d.clock, probeTimeout)
 	defer cancel()
 	err := d.prober.Probe(ctx, server)
-	p.refused, p.accepted = errors.Is(err, syscall.ECONNREFUSED), err == nil
+	p.accepted = err == nil
 	d.mu.Lock()
 	answers := p.answers
 	delete(d.pending, server)
--- a/internal/request/beechattempt/run.go
+++ b/internal/request/beechattempt/run.go
@@ -620,16 +620,16 @@
 		}
 		r.dispatcher.observer.ObserveAttempt(x.choice.Server, r.call.Model, 0, x.choice.PrefillTokens, true)
 	}
-	return func() verdict { return r.nextAfterFailure(x, probed, cause == endServerGone) }
+	return func() verdict { return r.nextAfterFailure(x, probed) }
 }
 
 // nextAfterFailure decides what follows an attempt that may have been executed.
-func (r *execution) nextAfterFailure(x *exchange, probed *probe, gone bool) verdict {
+func (r *execution) nextAfterFailure(x *exchange, probed *probe) verdict {
 	switch {
 	case r.call.Origin != nil && r.call.Origin.Software == "":
 		return r.noRetry(stopOrigin)
 	case !r.repeatable():
-		return r.continueAtBackup(x.choice, probed, gone)
+		return r.continueAtBackup(x.choice, probed)
 	case r.executions() >= r.call.Route.MaxAttempts:
 		return r.noRetry(stopAttempts)
 	}
--- a/internal/request/beechplace/backups.go
+++ b/internal/request/beechplace/backups.go
@@ -91,17 +91,14 @@
 	b.placer.mu.Unlock()
 }
 
-// ObserveLoss adds what is known of a run that was lost with its server, and of its backup's engine, to
-// what the caller knows.
-func (p *Placer) ObserveLoss(call *beechcall.Call, source Choice, b *Backup, loss beechbackup.Loss) beechbackup.Loss {
+// ObserveLoss adds what is known of a run that was lost, of its server and of its backup's engine to what
+// the caller knows.
+func (p *Placer) ObserveLoss(call *beechcall.Call, source Choice, b *Backup, run LostRun, loss beechbackup.Loss) beechbackup.Loss {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	now := p.clock.Now()
-	switch {
-	case p.hasSuccessor(source.Server):
-		loss.Source, loss.Evidence = beechbackup.Ended, beechbackup.LaterLifetime
-	case loss.Source == beechbackup.Ended && p.mayLeave(source.Server):
-		loss.Source, loss.Evidence = beechbackup.Silent, ""
+	if loss.Evidence = p.endOf(source.Server, run, loss.Source); loss.Evidence != "" {
+		loss.Source = beechbackup.Ended
 	}
 	loss.WeightsChanged = loss.WeightsChanged || p.sourceChangedWeights(call, source.Server, b)
 	s, ok := p.byID[b.Server.ID]
@@ -115,13 +112,6 @@
 	return loss
 }
 
-// hasSuccessor reports whether the lifetime of a server has ended, as a later one under its ID is known.
-// Another entry with its address is no proof: it may be written by others.
-func (p *Placer) hasSuccessor(lifetime beechcall.Server) bool {
-	s, ok := p.byID[lifetime.ID]
-	return ok && lifetime.Born != 0 && s.Born > lifetime.Born
-}
-
 // sourceChangedWeights reports whether the lifetime that ran a call has had other weights since. It may
 // have crashed before it told so in the stream, with a copy of which a part is of the older weights.
 func (p *Placer) sourceChangedWeights(call *beechcall.Call, lifetime beechcall.Server, b *Backup) bool {
@@ -133,13 +123,6 @@
 	return differ(b.sourceWeights) || ok && s.Born == lifetime.Born && differ(s.weights) // it may have been listed anew
 }
 
-// mayLeave reports whether a server leaves, or may have left as it is not listed any more. Such a server
-// may finish its answers while it refuses connections.
-func (p *Placer) mayLeave(lifetime beechcall.Server) bool {
-	s, ok := p.byID[lifetime.ID]
-	return !ok || s.isLeaving()
-}
-
 // Continuation returns the choice of the backup's engine for a run that goes on there.
 func (b *Backup) Continuation(source Choice) Choice {
 	return Choice{Server: b.Server, Weights: b.Weights, Salt: source.Salt}
--- a/internal/request/beechplace/placer.go
+++ b/internal/request/beechplace/placer.go
@@ -73,6 +73,9 @@
 		state           State
 		softwareInDoubt bool              // the entry was written before the last restart
 		restartedAt     time.Time         // time at which a restart under the same ID was detected; zero if there was none
+		exitedAt        time.Time         // when its keeper first reported that it has exited; zero if it does not
+		reportedBorn    uint64            // start time of the lifetime that its keeper reported last; 0: none
+		succeededAt     time.Time         // when its keeper first reported that lifetime, after another one
 		outdatedSince   time.Time         // since when its weights are outdated, as its keeper reports; zero if they are current
 		weights         map[string]uint64 // latest known versions, from the server list or the engine itself
 
@@ -340,10 +343,10 @@
 		return ""
 	}
 	serving := engine.state.Phase == beechrollout.Serving || engine.state.Phase == beechrollout.Silent
-	if s.Phase == beechrollout.Down && serving && !engine.reportedAt.IsZero() && !engine.isLeaving() {
+	if s.Phase.IsDown() && serving && !engine.reportedAt.IsZero() && !engine.isLeaving() {
 		p.crashRisk(engine.Service).RecordCrash(p.clock.Now())
 	}
-	if engine.state.Phase == beechrollout.Down && s.Phase != beechrollout.Down {
+	if engine.state.Phase.IsDown() && !s.Phase.IsDown() {
 		engine.identityDoubtUntil = p.clock.Now().Add(identityDoubtTime)
 	}
 	if s.Born > engine.Born && engine.Born != 0 {
@@ -355,6 +358,7 @@
 		engine.outdatedSince = p.clock.Now().Add(-s.Old)
 	}
 	now := p.clock.Now()
+	engine.observeEnd(s, now)
 	engine.reportedAt, engine.confirmedAt, engine.state, engine.inFlightAtReport = now, now, s, engine.inFlight
 	engine.observePrompts(s.Reading, now)
 	for model, version := range s.Weights {
--- a/internal/request/beechplace/types.go
+++ b/internal/request/beechplace/types.go
@@ -27,6 +27,9 @@
 		MaxDownTime       time.Duration
 		Gates             int  // number of gates that send to the same engines
 		CallersCompete    bool // at times callers ask for more than the servers can do
+		// ListIsRecent reports whether the list of servers has been confirmed lately, so that servers that leave are
+		// known. Nil: it always has.
+		ListIsRecent func() bool
 	}
 
 	// State is what a keeper reports about its engine.
--- a/internal/request/beechrollout/schedule.go
+++ b/internal/request/beechrollout/schedule.go
@@ -67,7 +67,7 @@
 	var waiting []Engine
 	for _, e := range interleaveZones(engines) {
 		switch {
-		case e.KeeperTimedOut || e.Phase == Down || e.Phase == Silent || e.UnansweredOrders >= maxUnansweredOrders:
+		case e.KeeperTimedOut || e.Phase.IsDown() || e.Phase == Silent || e.UnansweredOrders >= maxUnansweredOrders:
 		case e.Phase == Leaving || e.Phase == Loading:
 			limit--
 		case selected[e.ID]:
@@ -100,7 +100,7 @@
 			f.TimeLeft = append(f.TimeLeft, maxAge-e.SupersededFor)
 		}
 		switch {
-		case e.KeeperTimedOut || e.Phase == Down || e.Phase == Silent:
+		case e.KeeperTimedOut || e.Phase.IsDown() || e.Phase == Silent:
 			f.Down++
 		case e.Phase == Serving:
 			requests += e.Requests
--- a/internal/request/beechrollout/updater.go
+++ b/internal/request/beechrollout/updater.go
@@ -20,6 +20,7 @@
 	Report struct {
 		Known    bool
 		Silent   bool // not known since the engine does not answer now, as a sound one may for a moment
+		Exited   bool // not known since the engine's process has ended
 		Versions map[string]uint64
 		Busy     bool // an order is being carried out
 		Sequence uint64
@@ -93,6 +94,7 @@
 	Loading       // an order is being carried out
 	Down          // it does not answer its own host
 	Silent        // it serves, and has not answered its own host for a moment
+	Exited        // its process has ended: nothing listens on its host
 )
 
 // Answers to orders.
@@ -139,10 +141,15 @@
 		return "down"
 	case Silent:
 		return "silent"
+	case Exited:
+		return "exited"
 	}
 	return "unknown" // received in a datagram
 }
 
+// IsDown reports whether the engine does not answer its own host, for whatever reason.
+func (p Phase) IsDown() bool { return p == Down || p == Exited }
+
 // String returns the answer's name in metrics.
 func (a Answer) String() string {
 	switch a {
@@ -290,7 +297,7 @@
 func (u *Updater) Next(now time.Time, r Report) Step {
 	if !r.Known {
 		u.missedReports++
-		return Wait{After: activePollInterval, Phase: u.phaseWithoutReport(r.Silent)}
+		return Wait{After: activePollInterval, Phase: u.phaseWithoutReport(r)}
 	}
 	u.missedReports = 0
 	if r.Restarted(u.lastReport) {
@@ -376,12 +383,14 @@
 }
 
 // phaseWithoutReport returns the phase while reports are missing.
-func (u *Updater) phaseWithoutReport(silent bool) Phase {
+func (u *Updater) phaseWithoutReport(r Report) Phase {
 	phase := u.phase()
 	switch {
 	case u.missedReports < missedReportsUntilTold:
 		return phase
-	case !silent:
+	case r.Exited:
+		return Exited
+	case !r.Silent:
 		return Down
 	case phase == Serving:
 		return Silent
