--- a/internal/decision/beechbackup/decide.go
+++ b/internal/decision/beechbackup/decide.go
@@ -44,6 +44,7 @@
 	Loss struct {
 		Copy           CopyState
 		Source         SourceState
+		Evidence       Evidence      // why Source is Ended
 		Waited         time.Duration // since the stream broke off
 		Left           time.Duration // until the deadline
 		Blamed         bool          // servers crash on the request
@@ -57,6 +58,9 @@
 	// SourceState is what is known of the process that a stream broke off at.
 	SourceState int
 
+	// Evidence is why a process counts as ended, for logs. It is empty if it does not.
+	Evidence string
+
 	// CopyState is what is known of the copy of a run.
 	CopyState int
 
@@ -83,9 +87,16 @@
 
 // States of a source.
 const (
-	Silent  SourceState = iota // it does not answer: it may have ended, or its link may be broken
+	Silent  SourceState = iota // no connection can be made: it may have ended, or its link may be broken
 	Running                    // its process accepts connections
 	Ended                      // its process has ended
+	Probing                    // it is being looked at, which may put a blame on the request
+)
+
+// Evidence of the end of a process.
+const (
+	ExitedOnItsHost Evidence = "exited, as its keeper says"
+	LaterLifetime   Evidence = "later lifetime, as its keeper says"
 )
 
 // States of a copy.
@@ -235,7 +246,7 @@
 		return GiveUp{WeightsChanged}
 	case !l.SameSoftware:
 		return GiveUp{SoftwareDiffer}
-	case l.Source == Silent || l.Copy == OnItsWay:
+	case l.Source != Ended || l.Copy == OnItsWay:
 		return Wait{}
 	}
 	return Continue{}
