A rejection that names no request is not taken for the next request's

Cause: a response without a request's ID was taken for the answer to whatever request waits on the connection if it said that nothing ran. A server may answer twice, and the second copy of such a rejection was the rejection of the next request, which runs there and was sent to another server.

Change: the pool asks which responses name no request. One is believed where no earlier response of its connection can come again in its place, and its connection is closed then; else the outcome is unknown, which nobody sends again. Responses to the gate's own calls name no request either and count as earlier ones unless they are a success.

Why it works: a copy can only come on the connection of the first, and that one carries no other request.

Servers that echo IDs, as the users' do, cost no more connections.

--- a/internal/link/beechpool/pool.go
+++ b/internal/link/beechpool/pool.go
@@ -82,6 +82,7 @@
 	// Conditions are what an exchange depends on besides its context. Each may be nil.
 	Conditions struct {
 		Matches   func(*http.Response) bool // false for a response to an earlier request
+		Unmarked  func(*http.Response) bool // a response that Matches may belong to any request
 		Withdrawn func() bool               // checked just before the request is written
 		Reset     func(told bool)           // called when the context has ended and the connection was reset; false: it was dead before
 	}
@@ -109,6 +110,7 @@
 		source        *headSource
 		reader        *bufio.Reader
 		uses          int
+		unmarked      bool // a response that may come again, as one to any request, was received
 		idleSince     time.Time
 		idleTimeout   time.Duration
 		writeDone     chan error // gets the result of writing the current request
@@ -176,6 +178,7 @@
 
 	errHeadTooLong    = fmt.Errorf("%w: it exceeds %d bytes", ErrUnterminatedHead, maxHeadBytes)
 	errInterim        = fmt.Errorf("%w: %d interim responses", ErrUnterminatedHead, maxInterimResponses)
+	errUnmarked       = errors.New("the response names no request and may be a second copy of an earlier one")
 	errStaleResponses = errors.New("received only responses to earlier requests")
 	errMaxConns       = errors.New("maximum number of connections to the server reached")
 )
@@ -267,7 +270,7 @@
 	}
 	stop := c.withdrawAtEnd(ctx, conditions.Reset)
 	c.reading.Store(true)
-	response, failed := c.exchange(r, conditions.Matches)
+	response, failed := c.exchange(r, conditions)
 	c.readEnded()
 	if failed != nil {
 		stop()
@@ -292,7 +295,7 @@
 	return nil
 }
 
-func (c *conn) exchange(r *http.Request, matches func(*http.Response) bool) (*http.Response, *ExchangeError) {
+func (c *conn) exchange(r *http.Request, conditions Conditions) (*http.Response, *ExchangeError) {
 	reused := c.uses > 0
 	c.uses++
 	c.writeDone, c.writeDoneRead, c.writeErr = make(chan error, 1), false, nil
@@ -317,8 +320,8 @@
 			}
 			continue
 		}
-		if matches == nil || matches(response) {
-			return response, nil
+		if conditions.Matches == nil || conditions.Matches(response) {
+			return c.accept(response, conditions, reused)
 		}
 		// A late or duplicate response to an earlier request.
 		stale++
@@ -330,6 +333,21 @@
 	return nil, &ExchangeError{Peer: c.peer, Step: "read response", Reused: reused, Err: errStaleResponses}
 }
 
+// accept returns a response that matches. One that names no request is not believed where it may be the second
+// copy of an earlier one, and its connection is not used again, since it may itself come twice.
+func (c *conn) accept(response *http.Response, conditions Conditions, reused bool) (*http.Response, *ExchangeError) {
+	named := conditions.Matches != nil && (conditions.Unmarked == nil || !conditions.Unmarked(response))
+	switch {
+	case named || response.StatusCode < http.StatusMultipleChoices:
+	case conditions.Matches != nil && c.unmarked:
+		return nil, &ExchangeError{Peer: c.peer, Step: "read response", Reused: reused, Err: errUnmarked}
+	default:
+		c.unmarked = true
+		response.Close = response.Close || conditions.Matches != nil
+	}
+	return response, nil
+}
+
 // readHead reads a response up to its body.
 func (c *conn) readHead(r *http.Request) (*http.Response, error) {
 	c.source.bounded = true
