--- a/internal/request/beechplace/ends.go
+++ b/internal/request/beechplace/ends.go
@@ -15,9 +15,10 @@
 	Leaves  bool      // its server said with the answer that it leaves
 }
 
-// maxReportDelay is how late a keeper's report may be. A keeper asks its engine every 200 ms and waits for
-// 400 ms at the most, and a datagram that was lost is followed by the next after 200 ms.
-const maxReportDelay = time.Second
+// maxReportDelay is how late a keeper's report may be. A keeper asks its engine every 200 ms, and every 40 ms
+// while that does not answer, and a report that was lost is followed by the next after 200 ms. The rest is for
+// gates that hand it on.
+const maxReportDelay = 600 * time.Millisecond
 
 // observeEnd records what a keeper's report tells of the end of a process, before the report is applied.
 func (s *server) observeEnd(report State, now time.Time) {
