Agents believe no refusal that names another request

Cause: an answer's request ID was compared, a refusal's was not. A server that answers twice has the second copy of a refusal end the next request, which is run and sent elsewhere.

Change: send compares the ID of each response to a request that has one.

Why it works: a copy carries the ID of its own request. A refusal without any ID is still believed: these servers need not echo it, and net/http offers no way to close just that connection.

--- a/internal/process/beechbackend/client.go
+++ b/internal/process/beechbackend/client.go
@@ -158,7 +158,8 @@
 	return serverClient{address: address, client: &c}
 }
 
-// send sends a request and returns the server's response, regardless of its status.
+// send sends a request and returns the server's response, regardless of its status. A response that carries
+// the ID of another request is an error.
 func (c serverClient) send(ctx context.Context, step, method, path, id, contentType string, header http.Header, body []byte) (*http.Response, error) {
 	var sent atomic.Bool
 	traced := httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
@@ -179,6 +180,10 @@
 	if err != nil {
 		return nil, c.sendError(ctx, step, sent.Load(), err)
 	}
+	if got := response.Header.Get(RequestHeader); id != "" && got != "" && got != id {
+		response.Body.Close()
+		return nil, &Broken{Step: step, Peer: c.address, Err: ErrWrongRequest}
+	}
 	return response, nil
 }
 
@@ -308,13 +313,8 @@
 	return body.Error.Message
 }
 
-// newAnswer returns the response as an Answer. If the response carries the id of
-// another request, it is closed and an error is returned.
-func (c serverClient) newAnswer(ctx context.Context, step, id string, response *http.Response) (*Answer, error) {
-	if got := response.Header.Get(RequestHeader); got != "" && got != id {
-		response.Body.Close()
-		return nil, &Broken{Step: step, Peer: c.address, Err: ErrWrongRequest}
-	}
+// newAnswer returns the response as an Answer.
+func (c serverClient) newAnswer(ctx context.Context, step string, response *http.Response) *Answer {
 	contentType := response.Header.Get("Content-Type")
 	return &Answer{
 		Status:      response.StatusCode,
@@ -323,7 +323,7 @@
 		Streamed:    isEventStream(contentType),
 		Unframed:    response.ContentLength < 0 && len(response.TransferEncoding) == 0,
 		Body:        answerBody{ReadCloser: response.Body, ctx: ctx, step: step, peer: c.address},
-	}, nil
+	}
 }
 
 func (b answerBody) Read(data []byte) (int, error) {
--- a/internal/process/beechbackend/openai.go
+++ b/internal/process/beechbackend/openai.go
@@ -80,7 +80,7 @@
 	case http.StatusNotFound, http.StatusTooManyRequests, http.StatusServiceUnavailable:
 		return nil, e.server.readRefusal(step, response)
 	default:
-		return e.server.newAnswer(ctx, step, g.RequestID, response)
+		return e.server.newAnswer(ctx, step, response), nil
 	}
 }
 
--- a/internal/process/beechbackend/service.go
+++ b/internal/process/beechbackend/service.go
@@ -30,7 +30,7 @@
 	if response.StatusCode >= http.StatusBadRequest && response.Header.Get(RanHeader) == "no" {
 		return nil, s.server.readRefusal(step, response)
 	}
-	return s.server.newAnswer(ctx, step, r.RequestID, response)
+	return s.server.newAnswer(ctx, step, response), nil
 }
 
 // Ready returns an error if the service does not answer or answers with a status of
