A link counts as up once calls can use it

Cause: the counter of links that came up was raised before the connection was there for calls. Who waits for the counter and opens a call between the two is told that the link is down.

Evidence: with 3 ms between the two the test fails on the code as it was, 1 of 1, and passes on this one, 1 of 1.

--- a/internal/link/beechlink/client.go
+++ b/internal/link/beechlink/client.go
@@ -332,7 +332,6 @@
 
 func (c *Client) addEndpoint(e *clientEndpoint) {
 	d := c.dialer
-	d.counters.up.Add(1)
 	replaced := fmt.Errorf("replaced by incarnation %d", e.connection.peer.Incarnation)
 	for _, old := range d.sessions.removeOtherIncarnations(e.connection, replaced) {
 		old.fail(replaced)
@@ -342,6 +341,7 @@
 	c.openingExtra = c.openingExtra && !e.extra
 	c.peer = e.connection.peer
 	c.mu.Unlock()
+	d.counters.up.Add(1) // not before calls can use it
 	d.sessions.add(e.connection)
 	if c.context.Err() != nil {
 		e.connection.fail(ErrClosed)
