--- a/internal/command/beechplay/cluster.go
+++ b/internal/command/beechplay/cluster.go
@@ -204,7 +204,10 @@
 
 // CutOff breaks the connections to a server and has new ones refused for a time, as a partition may. The server runs
 // on, and its keeper reaches it.
-func (w *Cluster) CutOff(name string, d time.Duration) { w.links[name].crash(d) }
+func (w *Cluster) CutOff(name string, d time.Duration) {
+	w.Engines[name].CutOff(d)
+	w.links[name].crash(d)
+}
 
 // ListServer writes the store entry of a server with the given state, as the
 // server itself would.
--- a/internal/standin/beechsimulator/engine.go
+++ b/internal/standin/beechsimulator/engine.go
@@ -56,6 +56,8 @@
 		limit         string // Server-Limit of each response; empty is none
 		leaving       bool   // each response says so
 		born          int64  // start in Unix milliseconds; 0 is not reported
+		restarts      int
+		cutOffUntil   time.Time // until then it does not notice that connections have closed
 		arrivals      []time.Time
 		lasting       EngineFaults           // those of CrashPart, Ending and Endless that SetFaults leaves as they are
 		partArrivals  map[string][]time.Time // of requests by shared prompt part
@@ -75,7 +77,6 @@
 		Drop           bool          // requests run and the connection is reset
 		CutAfter       int           // number of events after which a stream is cut; 0 is never
 		CutEvery       int           // of how many streams one is cut; 0 is all
-		RunsOn         bool          // streams run to their ends though their connections have closed
 		Status         int           // status of every response; 0 for the normal 200
 		Twice          bool          // each response is to be sent twice; not implemented, so it has no effect
 		Foreign        string        // another request's id, returned in responses
@@ -172,6 +173,20 @@
 	crash(crashDowntime)
 }
 
+// CutOff has the engine not notice for a time that connections have closed, as behind a partition: its streams run on.
+func (e *Engine) CutOff(d time.Duration) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.cutOffUntil = time.Now().Add(d)
+}
+
+// runsOn reports whether a stream of a lifetime goes on though its connection has closed.
+func (e *Engine) runsOn(restarts int) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.restarts == restarts && time.Now().Before(e.cutOffUntil)
+}
+
 // Crashes returns the times at which the engine crashed.
 func (e *Engine) Crashes() []time.Time {
 	e.mu.Lock()
@@ -325,6 +340,7 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.born = time.Now().UnixMilli()
+	e.restarts++
 	e.limit, e.sequence, e.fence, e.busy, e.leaving = "", 0, 0, false, false
 	clear(e.cached)
 	clear(e.copies.kept)
@@ -710,6 +726,7 @@
 	if e.settings.Software != "" {
 		mark = " by " + e.settings.Software
 	}
+	restarts := e.restarts
 	e.mu.Unlock()
 	for i := from + 1; i <= count; i++ {
 		if cut && i > from+faults.CutAfter {
@@ -717,18 +734,18 @@
 			_ = control.Flush()
 			panic(http.ErrAbortHandler)
 		}
-		if _, err := fmt.Fprintf(w, "id: %d\ndata: token %d%s\n\n", i, i, mark); err != nil && !faults.RunsOn {
+		if _, err := fmt.Fprintf(w, "id: %d\ndata: token %d%s\n\n", i, i, mark); err != nil && !e.runsOn(restarts) {
 			return
 		}
 		_ = control.Flush()
-		closed := r.Context().Done()
-		if faults.RunsOn {
-			closed = nil
-		}
+		next := time.After(e.settings.Token)
 		select {
-		case <-time.After(e.settings.Token):
-		case <-closed:
-			return
+		case <-next:
+		case <-r.Context().Done():
+			if !e.runsOn(restarts) {
+				return
+			}
+			<-next
 		}
 	}
 }
