--- a/internal/request/beechplace/ends.go
+++ b/internal/request/beechplace/ends.go
@@ -55,4 +55,6 @@
 	return ""
 }
 
-func (p *Placer) listIsRecent() bool { return p.settings.ListIsRecent == nil || p.settings.ListIsRecent() }
+func (p *Placer) listIsRecent() bool {
+	return p.settings.ListIsRecent == nil || p.settings.ListIsRecent()
+}
