A run does not go on with the copy of another run

Cause: an answer to the call that has a run copied does not name the run. The second copy of an earlier answer, on a kept connection, gave the next run the name of another run's copy, and it would have gone on with that one's memory.

Why it works: answers of a connection come in order, so that who is told first is the one that asked.

Measured: without the comparison TestRunDoesNotGoOnWithTheCopyOfAnother fails, 1 of 1; with it passes.

--- a/internal/request/beechattempt/attempt_test.go
+++ b/internal/request/beechattempt/attempt_test.go
@@ -1,6 +1,7 @@
 package beechattempt
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
@@ -40,6 +41,7 @@
 
 		copiedTo []netip.AddrPort // engines that got copies
 		noCopies bool             // none can be made
+		handle   string           // of all copies; empty: one for each call
 		dropped  []string         // copies, as peer/handle
 
 		dropsHeld chan struct{} // copies are freed once it is closed; nil: at once
@@ -112,7 +114,7 @@
 	if b.noCopies {
 		return beechcall.CopyName{}, errReset
 	}
-	return beechcall.CopyName{Source: server, Handle: "copy-" + callID}, nil
+	return beechcall.CopyName{Source: server, Handle: cmp.Or(b.handle, "copy-"+callID)}, nil
 }
 
 func (b *backend) DropCopy(_ context.Context, peer netip.AddrPort, name beechcall.CopyName) error {
--- a/internal/request/beechattempt/backup.go
+++ b/internal/request/beechattempt/backup.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"errors"
+	"fmt"
 	"sync"
 	"time"
 
@@ -55,6 +56,8 @@
 	dropTimeout = 500 * time.Millisecond
 )
 
+var errCopyOfAnother = errors.New("it is known as the copy of another run")
+
 // mayHaveBackup reports whether a call is of the kind that gets backups.
 func (r *execution) mayHaveBackup() bool {
 	return r.call.Route.Stream && r.call.Model != "" && r.call.Route.RetryPolicy == beechcall.AtMostOnce && r.dispatcher.backups != beechbackup.Off
@@ -90,6 +93,9 @@
 		ctx, cancel := clockwork.WithTimeout(context.Background(), d.clock, copyTimeout)
 		defer cancel()
 		name, err := d.backend.CopyRun(ctx, from.Address, id, to.Address)
+		if err == nil && !d.copyNames.claim(name, id) {
+			err = fmt.Errorf("copy %s of %s: %w", name.Handle, name.Source, errCopyOfAnother)
+		}
 		if err != nil {
 			d.log.Debug("run not copied", zap.String("request", id), zap.String("server", from.ID), zap.String("backup", to.ID), zap.Error(err))
 			return
--- a/internal/request/beechattempt/backup_test.go
+++ b/internal/request/beechattempt/backup_test.go
@@ -409,6 +409,28 @@
 	is.Equal(len(f.backend.dropped), 0)
 }
 
+// Guards against a run that goes on with the memory of another, as an engine answered twice when it made that one's copy.
+func TestRunDoesNotGoOnWithTheCopyOfAnother(t *testing.T) {
+	is := is.New(t)
+	f := newBackupFixture()
+	f.backend.handle = "same"
+	for _, s := range f.servers {
+		f.dispatcher.copyNames.claim(beechcall.CopyName{Source: s.Address, Handle: "same"}, "other")
+	}
+	f.setScript(f.crashes(event(1)), answers(http.StatusOK, event(2)))
+	c, result := f.run(t)
+	notContinued(t, f, c, result, beechbackup.NoCopy)
+	is.Equal(len(f.backend.dropped), 0) // it is the other one's
+
+	names := newCopyNames(f.clock)
+	name := beechcall.CopyName{Handle: "h"}
+	is.True(names.claim(name, "a"))
+	is.True(names.claim(name, "a"))
+	is.True(!names.claim(name, "b"))
+	f.clock.Advance(copyNameLifetime)
+	is.True(names.claim(name, "b"))
+}
+
 // The backup's engine crashes too: a copy can be used once.
 func TestCopyIsUsedOnce(t *testing.T) {
 	is := is.New(t)
--- a/internal/request/beechattempt/dispatcher.go
+++ b/internal/request/beechattempt/dispatcher.go
@@ -42,6 +42,7 @@
 		backups   beechbackup.Mode
 		durations *beechbackup.Durations
 		copies    backgroundCalls
+		copyNames *copyNames
 
 		activities *activities
 		hedges     backgroundCalls
@@ -185,7 +186,7 @@
 ) *Dispatcher {
 	return &Dispatcher{
 		placer: placer, backend: backend, budget: budget, suspects: suspects, poison: poison, admission: admission, crashes: newCrashDetector(prober, suspects, poison, clock, log), survivals: beechsurvival.New(prober, clock),
-		observer: observer, clock: clock, log: log, timeouts: newRouteTimeouts(), pauses: newPauses(clock, log), ends: newAttemptEnds(), activities: newActivities(clock), backups: beechbackup.Auto, durations: beechbackup.NewDurations(),
+		observer: observer, clock: clock, log: log, timeouts: newRouteTimeouts(), pauses: newPauses(clock, log), ends: newAttemptEnds(), activities: newActivities(clock), backups: beechbackup.Auto, durations: beechbackup.NewDurations(), copyNames: newCopyNames(clock),
 	}
 }
 
