--- a/internal/link/beechpool/pool.go
+++ b/internal/link/beechpool/pool.go
@@ -10,6 +10,9 @@
 // Before an idle connection is reused, it is checked without blocking. It is dropped if
 // the server has closed it or has sent bytes that no request asked for.
 //
+// A response that does not name its request is accepted only where it cannot be the second copy of an earlier one of
+// its connection.
+//
 // What a server may send before a response begins is bounded in bytes and in interim responses, so that
 // one that sends without end is left at once.
 //
@@ -82,7 +85,7 @@
 	// Conditions are what an exchange depends on besides its context. Each may be nil.
 	Conditions struct {
 		Matches   func(*http.Response) bool // false for a response to an earlier request
-		Unmarked  func(*http.Response) bool // a response that Matches may belong to any request
+		Unmarked  func(*http.Response) bool // true for a matching response that does not name its request
 		Withdrawn func() bool               // checked just before the request is written
 		Reset     func(told bool)           // called when the context has ended and the connection was reset; false: it was dead before
 	}
@@ -110,7 +113,7 @@
 		source        *headSource
 		reader        *bufio.Reader
 		uses          int
-		unmarked      bool // a response that may come again, as one to any request, was received
+		unmarked      bool // a response was received whose second copy would be taken for one to any request
 		idleSince     time.Time
 		idleTimeout   time.Duration
 		writeDone     chan error // gets the result of writing the current request
@@ -333,8 +336,8 @@
 	return nil, &ExchangeError{Peer: c.peer, Step: "read response", Reused: reused, Err: errStaleResponses}
 }
 
-// accept returns a response that matches. One that names no request is not believed where it may be the second
-// copy of an earlier one, and its connection is not used again, since it may itself come twice.
+// accept returns a response that matches. One that does not name its request is an error where it may be the
+// second copy of an earlier one. Its connection is not used again, since it may itself come twice.
 func (c *conn) accept(response *http.Response, conditions Conditions, reused bool) (*http.Response, *ExchangeError) {
 	named := conditions.Matches != nil && (conditions.Unmarked == nil || !conditions.Unmarked(response))
 	switch {
