Tests: an engine that closes its listener, unannounced, and finishes what it runs

Change: a server of the play's cluster can refuse connections of gates and keepers while those that are open go on. No product code.

--- a/internal/command/beechplay/cluster.go
+++ b/internal/command/beechplay/cluster.go
@@ -35,9 +35,15 @@
 		gates         map[string]*beechsettings.Gate
 		seeds         []netip.AddrPort // of gates that are added later
 		keepers       map[string]*beechsettings.Keeper
-		peers         sync.Map             // engines by address
-		links         map[string]*endpoint // of servers, as gates reach them
-		zones         map[string]string    // of servers
+		peers         sync.Map               // engines by address
+		links         map[string]serverLinks // of servers
+		zones         map[string]string      // of servers
+	}
+
+	// serverLinks are the listeners of a server.
+	serverLinks struct {
+		gates  *endpoint
+		keeper *endpoint // the same port of an address of its own
 	}
 
 	// endpoint is a listener that can be down for a time. It is safe for concurrent use.
@@ -47,6 +53,7 @@
 		mu      sync.Mutex
 		address netip.AddrPort
 		server  *http.Server // nil while it is down
+		accept  net.Listener // of server
 		closed  bool
 	}
 
@@ -81,7 +88,7 @@
 	w := &Cluster{
 		Store: beechsimulator.NewStore(), Engines: make(map[string]*beechsimulator.Engine), Places: make(map[string]netip.AddrPort),
 		launcher: launcher, zone: "mill", heartbeatPort: uint16(baseHeartbeatPort + nextHost.Add(1)), processes: make(map[string]Process),
-		gates: make(map[string]*beechsettings.Gate), keepers: make(map[string]*beechsettings.Keeper), zones: make(map[string]string), links: make(map[string]*endpoint),
+		gates: make(map[string]*beechsettings.Gate), keepers: make(map[string]*beechsettings.Keeper), zones: make(map[string]string), links: make(map[string]serverLinks),
 	}
 	e, err := w.listen(nextLoopbackAddress(), w.Store)
 	if err != nil {
@@ -136,7 +143,7 @@
 		return err
 	}
 	e.address = l.Addr().(*net.TCPAddr).AddrPort()
-	e.server = &http.Server{Handler: e.handler, ReadHeaderTimeout: headerTimeout}
+	e.server, e.accept = &http.Server{Handler: e.handler, ReadHeaderTimeout: headerTimeout}, l
 	go func(s *http.Server) { _ = s.Serve(l) }(e.server) // until it is closed
 	return nil
 }
@@ -153,6 +160,18 @@
 	time.AfterFunc(down, func() { _ = e.open() })
 }
 
+// refuse accepts no connections for a time. Those that are open go on.
+func (e *endpoint) refuse(d time.Duration) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.server == nil {
+		return
+	}
+	_ = e.accept.Close()
+	e.server = nil
+	time.AfterFunc(d, func() { _ = e.open() })
+}
+
 func (e *endpoint) close() {
 	e.mu.Lock()
 	defer e.mu.Unlock()
@@ -184,7 +203,7 @@
 		listener.crash(down)
 		local.crash(down)
 	})
-	w.Engines[name], w.Places[name], w.zones[name], w.links[name] = e, endpoint, w.zone, listener
+	w.Engines[name], w.Places[name], w.zones[name], w.links[name] = e, endpoint, w.zone, serverLinks{gates: listener, keeper: local}
 	w.peers.Store(endpoint.String(), e)
 	e.SetPeers(func(address string) *beechsimulator.Engine {
 		peer, ok := w.peers.Load(address)
@@ -206,7 +225,14 @@
 // on, and its keeper reaches it.
 func (w *Cluster) CutOff(name string, d time.Duration) {
 	w.Engines[name].CutOff(d)
-	w.links[name].crash(d)
+	w.links[name].gates.crash(d)
+}
+
+// Refuse has a server accept no connections for a time, of gates or of its keeper. It finishes what it runs, as before it
+// exits.
+func (w *Cluster) Refuse(name string, d time.Duration) {
+	w.links[name].gates.refuse(d)
+	w.links[name].keeper.refuse(d)
 }
 
 // ListServer writes the store entry of a server with the given state, as the
--- a/internal/command/beechplay/cuts_soak_test.go
+++ b/internal/command/beechplay/cuts_soak_test.go
@@ -17,6 +17,9 @@
 const (
 	cutInterval = 250 * time.Millisecond
 	cutEngines  = 5
+	// refusingEngine closes its listener and finishes what it runs. It is neither cut off nor crashes: an engine that loses
+	// its connections too cannot be told from one that has crashed.
+	refusingEngine = "refusing"
 )
 
 // TestLongStreamsRunOnceBesideCuts guards against streams that may not be repeated and are at work at two engines, while
@@ -61,6 +64,7 @@
 	for i := range cutEngines {
 		s.must(s.cluster.AddEngine(fmt.Sprintf("e%d", i), beechsimulator.EngineSettings{Model: Model, Version: 1, Slots: 32, Token: 20 * time.Millisecond, Slowness: 100}))
 	}
+	s.must(s.cluster.AddEngine(refusingEngine, beechsimulator.EngineSettings{Model: Model, Version: 1, Slots: 32, Token: 20 * time.Millisecond, Slowness: 100}))
 	for i := range 3 {
 		name := fmt.Sprintf("gate-%d", i)
 		if err := s.cluster.AddGate(name, beechsettings.GateBounds{
@@ -78,7 +82,9 @@
 	engine := fmt.Sprintf("e%d", s.random.IntN(cutEngines))
 	gate := s.gates[s.random.IntN(len(s.gates))]
 	process := s.cluster.Process(gate).(*childProcess)
-	switch s.random.IntN(10) {
+	switch s.random.IntN(11) {
+	case 10:
+		s.cluster.Refuse(refusingEngine, time.Duration(200+s.random.IntN(1300))*time.Millisecond)
 	case 0, 1, 2, 3:
 		s.cluster.CutOff(engine, time.Duration(200+s.random.IntN(1300))*time.Millisecond)
 	case 4, 5, 6:
