News of a lifetime that is late for lost reports is no evidence of its end

Cause: a later lifetime was evidence if its first report came 600 ms after the run began. Where several reports in a row are lost, the first report of the lifetime that runs the request comes later than that.

Change: a later lifetime is evidence if the lifetime before was heard of 600 ms after the run began: that one, or an earlier one, ran it.

Why it works: reports that are lost are not late, they do not come. One that comes is at most that old, and speaks of a process that was there after the run began.

The attempts' fixture has keepers report while a run lasts.

--- a/internal/request/beechattempt/backup_test.go
+++ b/internal/request/beechattempt/backup_test.go
@@ -127,7 +127,10 @@
 		}
 		rest := readerFunc(func([]byte) (int, error) {
 			f.dispatcher.Wait(context.Background())
-			f.clock.Advance(f.runTime)
+			if f.runTime > 0 {
+				f.clock.Advance(f.runTime)
+				f.report(a.Server, a.Server.Born, 1) // keepers report all the while
+			}
 			for _, act := range then {
 				act()
 			}
--- a/internal/request/beechplace/placer.go
+++ b/internal/request/beechplace/placer.go
@@ -75,7 +75,8 @@
 		restartedAt     time.Time         // time at which a restart under the same ID was detected; zero if there was none
 		exitedAt        time.Time         // when its keeper first reported that it has exited; zero if it does not
 		reportedBorn    uint64            // start time of the lifetime that its keeper reported last; 0: none
-		succeededAt     time.Time         // when its keeper first reported that lifetime, after another one
+		keeperHeardAt   time.Time         // when its keeper's last report came
+		formerHeardAt   time.Time         // when the last report of the lifetime before reportedBorn came; zero if there was none
 		outdatedSince   time.Time         // since when its weights are outdated, as its keeper reports; zero if they are current
 		weights         map[string]uint64 // latest known versions, from the server list or the engine itself
 
