Log line of a resumed stream tells what its origin rests on

Cause: 'only version' is logged for a conclusion from a recent list, from an old one, and for another gate's word; the users' record could not have told which. Now: revision and age of the list of servers, age of the configuration, versions known, time since the gate's start, other gates known. No decision is changed.

--- a/internal/process/beechgate/gate.go
+++ b/internal/process/beechgate/gate.go
@@ -78,6 +78,7 @@
 		limitLog *zap.Logger // at most maxLimitLogLines per second of each message
 		clock    clockwork.Clock
 
+		startedAt       time.Time
 		configuration   atomic.Pointer[beechcall.Configuration]
 		draining        atomic.Bool
 		endsAt          atomic.Pointer[time.Time] // when the grace time ends; nil: not while the listener is open
@@ -188,7 +189,7 @@
 		return nil, err
 	}
 	g := &Gate{
-		settings: s, deps: deps, log: deps.Log, clock: deps.Clock, socket: socket, callers: callers,
+		settings: s, deps: deps, log: deps.Log, clock: deps.Clock, socket: socket, callers: callers, startedAt: deps.Clock.Now(),
 		readers:   beechreader.New(socket.Address()),
 		board:     beechsummary.New(beechsummary.DefaultSettings, deps.Clock),
 		strains:   beechstrain.New(beechstrain.DefaultSettings, deps.Clock),
--- a/internal/process/beechgate/origins.go
+++ b/internal/process/beechgate/origins.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"go.uber.org/zap"
+	"go.uber.org/zap/zapcore"
 
 	"github.com/beechring/beechring/internal/decision/beechorigin"
 	"github.com/beechring/beechring/internal/link/beechdatagram"
@@ -264,7 +265,8 @@
 	}
 	g.metrics.resumed.Add(string(source), 1)
 	g.log.Info("stream resumed", zap.String("request", call.ID), zap.String("resumes", call.Resumes), zap.String("after", call.LastEventID),
-		zap.String("origin", string(source)), zap.String("service", origin.Service), zap.String("software", origin.Software), zap.Duration("took", g.clock.Since(start)))
+		zap.String("origin", string(source)), zap.String("service", origin.Service), zap.String("software", origin.Software), zap.Duration("took", g.clock.Since(start)),
+		zap.Inline(g.basisOfOrigin(call.Service)))
 	if source == originUnknown || origin.Software == "" {
 		if !out.Departed() {
 			out.Reject(beechattempt.NotExecuted{RetryAfter: unknownOriginRetryAfter, Reason: "origin of the stream not known"})
@@ -275,6 +277,20 @@
 	return true
 }
 
+// basisOfOrigin describes what this gate knew when it looked for the origin of a stream, for logs.
+func (g *Gate) basisOfOrigin(service string) zapcore.ObjectMarshalerFunc {
+	return func(e zapcore.ObjectEncoder) error {
+		if held, known := g.serverMirror.Held(); known {
+			e.AddUint64("revision", plainRevision(held.Revision))
+			e.AddDuration("listAge", g.serverFreshness.Age())
+		}
+		e.AddDuration("configurationAge", g.freshness.Age())
+		e.AddDuration("up", g.clock.Since(g.startedAt))
+		e.AddInt("gates", len(g.members.Members())-1)
+		return e.AddReflected("versions", g.origins.versions.Recent(service))
+	}
+}
+
 // routeAllows reports whether a route's requests may go to a service.
 func (g *Gate) routeAllows(route *beechcall.Route, service string) bool {
 	return slices.ContainsFunc(route.Targets, func(t beechcall.Target) bool { return t.Service == service && t.Weight > 0 })
