--- a/internal/command/beechplay/cluster.go
+++ b/internal/command/beechplay/cluster.go
@@ -315,6 +315,11 @@
 	return nil
 }
 
+// CutDatagrams has the gates that are added later exchange no datagrams with those of now and with the keepers of now.
+func (w *Cluster) CutDatagrams() {
+	w.heartbeatPort, w.seeds = uint16(baseHeartbeatPort+nextHost.Add(1)), nil
+}
+
 // freePorts returns two addresses with unused ports. Both ports are held until
 // both are known: chosen one after the other they may be equal, and then a gate
 // cannot open its second listener.
