--- a/internal/process/beechgate/origins.go
+++ b/internal/process/beechgate/origins.go
@@ -45,6 +45,13 @@
 		origin beechorigin.Origin
 	}
 
+	// originAnswers is what the gates that were asked have answered.
+	originAnswers struct {
+		found  originAnswer // the first that knows
+		others bool         // a gate knows of several versions
+		silent bool         // a gate has not answered
+	}
+
 	// originSource tells how the origin of a resumed stream was found, for logs and metrics.
 	originSource string
 )
@@ -52,7 +59,7 @@
 const (
 	originRegistered originSource = "registered"   // this gate served the beginning, or was told
 	originOnly       originSource = "only version" // the service has had one version only, by a read that began after the request came
-	originOnlyKnown  originSource = "only known"   // by such a read it has one now, and no gate that was asked knows of another
+	originOnlyKnown  originSource = "only known"   // by such a read it has one now, and all gates that were asked know of no other
 	originAsked      originSource = "asked"        // another gate knew it
 	originUnknown    originSource = "not known"
 )
@@ -319,7 +326,7 @@
 	if call.Resumes == "" {
 		return g.originOfUnnamed(ctx, call)
 	}
-	answer, _ := g.askForOrigin(ctx, call)
+	answer := g.askForOrigin(ctx, call).found
 	switch {
 	case answer.known && !answer.proof:
 		g.origins.registry.Record(call.Resumes, answer.origin, beechorigin.Told)
@@ -340,12 +347,12 @@
 	}
 	origin := beechorigin.Origin{Service: call.Service, Software: versions[0]}
 	current := g.prover.catchUp(ctx) == nil
-	answer, others := g.askForOrigin(ctx, call)
+	answers := g.askForOrigin(ctx, call)
 	switch {
-	case others || !g.noOtherVersion(origin):
-	case answer.known && answer.origin == origin:
+	case answers.others || !g.noOtherVersion(origin):
+	case answers.found.known && answers.found.origin == origin:
 		return origin, originOnly
-	case !answer.known && current:
+	case !answers.found.known && !answers.silent && current:
 		return origin, originOnlyKnown
 	}
 	return beechorigin.Origin{}, originUnknown
@@ -357,12 +364,12 @@
 }
 
 // askForOrigin asks other gates for the origin of a stream, if its caller names it, and for a proof that the service has
-// had one version only. It returns the first answer that knows either, and whether a gate knows of several versions.
-func (g *Gate) askForOrigin(ctx context.Context, call *beechcall.Call) (answer originAnswer, others bool) {
+// had one version only. It returns once one of them knows either.
+func (g *Gate) askForOrigin(ctx context.Context, call *beechcall.Call) (answers originAnswers) {
 	asked := beechorigin.Asked(cmp.Or(call.Resumes, call.ID), g.settings.Zone, g.otherGates())
-	number, answers, ok := g.origins.begin(len(asked))
+	number, received, ok := g.origins.begin(len(asked))
 	if !ok {
-		return originAnswer{}, false
+		return originAnswers{silent: len(asked) > 0}
 	}
 	defer g.origins.end(number)
 	queried, provers := make(map[netip.AddrPort]bool, len(asked)), make(map[netip.AddrPort]bool, maxProvers)
@@ -387,7 +394,7 @@
 	repeat, timeout := g.clock.After(queryRepeat), g.clock.After(queryTimeout)
 	for waiting := send(); waiting > 0; {
 		select {
-		case a := <-answers:
+		case a := <-received:
 			expected := queried
 			if a.proof {
 				expected = provers
@@ -396,20 +403,23 @@
 				continue
 			}
 			if a.known {
-				return a, others
+				answers.found = a
+				return answers
 			}
-			others = others || a.others
+			answers.others = answers.others || a.others
 			expected[a.from] = false
 			waiting--
 		case <-repeat:
 			send()
 		case <-timeout:
-			return originAnswer{}, others
+			answers.silent = true
+			return answers
 		case <-ctx.Done():
-			return originAnswer{}, others
+			answers.silent = true
+			return answers
 		}
 	}
-	return originAnswer{}, others
+	return answers
 }
 
 // begin starts a query to a number of gates. It returns false if there are none, or if too many
