--- a/internal/command/beechplay/versionchanges_soak_test.go
+++ b/internal/command/beechplay/versionchanges_soak_test.go
@@ -54,7 +54,8 @@
 }
 
 // TestStreamsAreNotJoinedWhileVersionsComeAndGo guards against streams with events of two software versions, and against
-// refusing the rest of too many streams, while versions join and leave, and gates are cut off from the store, suspended, killed and stopped, one beside the other.
+// refusing the rest of too many streams, while versions join and leave, and gates are cut off from the store, suspended,
+// killed and stopped, one beside the other.
 func TestStreamsAreNotJoinedWhileVersionsComeAndGo(t *testing.T) {
 	program := buildProgram(t)
 	for seed := range uint64(*soakSeeds) {
