A version that is heard of before its service is listed is kept

What callers could see: a stream joined from two versions at a gate that has just started. Cause: another gate's announcement of a version was dropped while this gate's list lacked the service, and is not repeated. Found by reading. Now it is kept for as long as streams can be resumed. TestVersionHeardOfBeforeItsServiceIsListed failed before.

--- a/internal/decision/beechorigin/origin_test.go
+++ b/internal/decision/beechorigin/origin_test.go
@@ -107,6 +107,19 @@
 	is.Equal(only(), "") // an entry without a version
 }
 
+// Guards against the loss of a version that another gate announces before this one has the service in its list.
+func TestVersionHeardOfBeforeItsServiceIsListed(t *testing.T) {
+	is := is.New(t)
+	clock := clockwork.NewFakeClock()
+	v := NewVersions(clock)
+	v.SetLifetime(10 * time.Second)
+	is.True(!v.Heard("llm", "v2")) // no streams of the service are known here that others should be told of
+	v.SetListed(map[string][]string{"llm": {"v1"}})
+	is.Equal(v.Recent("llm"), []string{"v1", "v2"})
+	clock.Advance(10 * time.Second)
+	is.Equal(v.Recent("llm"), []string{"v1"})
+}
+
 func drawGates(t *rapid.T) []Gate {
 	var gates []Gate
 	for n := range rapid.IntRange(0, 60).Draw(t, "gates") {
--- a/internal/decision/beechorigin/versions.go
+++ b/internal/decision/beechorigin/versions.go
@@ -87,14 +87,15 @@
 	}
 	v.mu.Lock()
 	defer v.mu.Unlock()
+	now := v.clock.Now()
 	s, ok := v.services[service]
 	if !ok {
-		return false // its servers are not known here either
+		s = v.service(service, now)
 	}
 	_, known := s.seen[version]
 	known = known || s.listed[version]
-	s.seen[version] = v.clock.Now()
-	return !known
+	s.seen[version] = now
+	return ok && !known
 }
 
 // Only returns the version of a service, if it has had no other for as long as a stream can be
