One stand-in for a cut path to the store

Two tests had the same handler. It holds an answer until it is known that the path was not cut meanwhile.

--- a/internal/command/beechplay/versionchanges_soak_test.go
+++ b/internal/command/beechplay/versionchanges_soak_test.go
@@ -3,9 +3,6 @@
 import (
 	"fmt"
 	"math/rand/v2"
-	"net/http"
-	"net/http/httptest"
-	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -15,20 +12,12 @@
 	"github.com/beechring/beechring/internal/standin/beechsimulator"
 )
 
-type (
-	// storeView is one gate's way to the store, which may be cut.
-	storeView struct {
-		store http.Handler
-		cut   atomic.Bool
-	}
-
-	// versionChangesTest has software versions join and leave beside all other faults.
-	versionChangesTest struct {
-		*versionTest
-		views  map[string]*storeView
-		listed []int // of versionServers, in the order in which they joined
-	}
-)
+// versionChangesTest has software versions join and leave beside all other faults.
+type versionChangesTest struct {
+	*versionTest
+	paths  map[string]*beechsimulator.StorePath
+	listed []int // of versionServers, in the order in which they joined
+}
 
 const (
 	versionServers = 4 // versions, with two servers each
@@ -36,23 +25,6 @@
 	maxCut         = 3 * time.Second
 )
 
-// ServeHTTP answers nothing while the view is cut, nor watches that waited before.
-func (v *storeView) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	answer := httptest.NewRecorder()
-	if !v.cut.Load() {
-		v.store.ServeHTTP(answer, r)
-	}
-	if v.cut.Load() {
-		<-r.Context().Done()
-		return
-	}
-	for name, values := range answer.Header() {
-		w.Header()[name] = values
-	}
-	w.WriteHeader(answer.Code)
-	_, _ = w.Write(answer.Body.Bytes()) // a gate that has gone needs none
-}
-
 // TestStreamsAreNotJoinedWhileVersionsComeAndGo guards against streams with events of two software versions, and against
 // refusing the rest of too many streams, while versions join and leave, and gates are cut off from the store, suspended,
 // killed and stopped, one beside the other.
@@ -67,7 +39,7 @@
 			}
 			r := &versionChangesTest{
 				versionTest: &versionTest{streamTest: &streamTest{t: t, outcomes: map[string]int{}, restarts: map[string]time.Time{}, soak: &soak{t: t, cluster: w, random: rand.New(rand.NewPCG(seed+1, 2))}}},
-				views:       map[string]*storeView{}, listed: []int{0},
+				paths:       map[string]*beechsimulator.StorePath{}, listed: []int{0},
 			}
 			r.deployChanges()
 			r.run(seed+1, r.change, r.readVersions)
@@ -108,8 +80,8 @@
 			w.CutDatagrams()
 		}
 		name := fmt.Sprintf("gate-%d", n)
-		r.views[name] = &storeView{store: w.Store}
-		if err := w.ServeStore(r.views[name]); err != nil {
+		r.paths[name] = &beechsimulator.StorePath{Store: w.Store}
+		if err := w.ServeStore(r.paths[name]); err != nil {
 			r.t.Fatal(err)
 		}
 		if err := w.AddGate(name, bounds); err != nil {
@@ -135,9 +107,9 @@
 			r.leave()
 		}
 	case 2:
-		view := r.views[r.soak.gates[1+random.IntN(2)]]
-		view.cut.Store(true)
-		time.AfterFunc(lasts, func() { view.cut.Store(false) })
+		path := r.paths[r.soak.gates[1+random.IntN(2)]]
+		path.SetCut(true)
+		time.AfterFunc(lasts, func() { path.SetCut(false) })
 	case 3:
 		process.signal(syscall.SIGSTOP, false)
 		time.AfterFunc(lasts, func() { process.signal(syscall.SIGCONT, false) })
