--- a/internal/decision/beechorigin/doc.go
+++ b/internal/decision/beechorigin/doc.go
@@ -9,7 +9,9 @@
 //
 // While a service has had one version only for longer than any stream can be resumed, beginnings
 // need not be told: the origin follows. The servers that are listed now prove nothing alone, as
-// those of another version may have left.
+// those of another version may have left, and neither does a list that was read before the caller
+// asked, as another version may have joined and begun the stream since. So the gate that is asked
+// reads the list again first.
 //
 // # Usage
 //
