Crowds of clients that do not behave, and what a process must not lose to them

Change: no product code but settings. beechcrowd stands in for such clients: a table of forms (bodies that stop short, large and very small chunks, whole bodies, too much announced or sent, heads, trickles, idle connections, kept ones, bytes behind a request, answers that are not read), a caller that behaves, and a look at a process's memory, unread bytes and descriptors; `beechring standin crowd` runs one. TestCrowdsAtGate, TestCrowdsAtEntryHost and TestCrowdsAtAgent start the system's own processes, let one crowd come, and ask that the process lives, that resident memory and unread bytes stay below its memory and descriptors below its limit, that an ordinary caller and one that sends steadily are answered during the crowd as they come again, and afterwards an ordinary request and one of the largest size. No times, no shares. Settings name memory and descriptors of entry hosts and agents, and descriptors of gates; nothing uses them yet.

Crowds and bounds are fixed here: 134 MB and bodies of 4 MiB at a gate on one core, as on the smallest usual host; 160 MB at an entry host; 96 MB at an agent; 48 clients, 800 for heads, 400 before 256 descriptors.

--- a/Makefile
+++ b/Makefile
@@ -8,7 +8,11 @@
 # TestName; or TestName/subtest; becomes a pattern of just that one.
 KNOWN_RED := $(shell sed -n 's|^\(Test[A-Za-z0-9]*\);.*|^\1$$|p; s|^\(Test[A-Za-z0-9]*\)/\([A-Za-z0-9_-]*\);.*|^\1$$/^\2$$|p' KNOWN-RED.txt | paste -sd '|')
 
-.PHONY: check test fmt lint generate bench scenarios soak build
+# Tests that measure the memory of processes run after the others, one at a time.
+CROWD_TESTS := TestCrowdsAt
+CROWD_PACKAGES := ./internal/command/beechplay ./internal/command/beechscenario
+
+.PHONY: check test fmt lint generate bench scenarios crowds soak build
 
 build:
 	go build -o bin/beechring ./cmd/beechring
@@ -17,7 +21,8 @@
 
 test:
 	go vet work
-	go test -count=1 $(if $(KNOWN_RED),-skip '$(KNOWN_RED)') ./platform ./internal/command/... work # those that take longest first
+	go test -count=1 -skip '^$(CROWD_TESTS)$(if $(KNOWN_RED),|$(KNOWN_RED))' ./platform ./internal/command/... work # those that take longest first
+	go test -count=1 -p 1 -run '^$(CROWD_TESTS)' $(if $(KNOWN_RED),-skip '$(KNOWN_RED)') $(CROWD_PACKAGES)
 
 $(SCRATCH_TOOLS): tools/go.mod tools/go.sum
 	cd tools && GOWORK=off go build -o bin/ tool
@@ -45,5 +50,8 @@
 scenarios:
 	go test -count=1 -run "TestScenarios" ./internal/command/beechscenario
 
+crowds:
+	go test -count=1 -p 1 -v -run '^$(CROWD_TESTS)' $(CROWD_PACKAGES)
+
 soak:
 	go test -count=1 -timeout 60m -parallel 4 -run "TestSoak" ./internal/command/beechscenario -seeds $(SEEDS)
--- a/internal/command/beechcommand/standin.go
+++ b/internal/command/beechcommand/standin.go
@@ -38,7 +38,7 @@
 		Args:  cobra.NoArgs,
 		RunE:  func(c *cobra.Command, _ []string) error { return c.Help() },
 	}
-	command.AddCommand(newEngineStandin(), newServiceStandin(), newPlatformStandin())
+	command.AddCommand(newEngineStandin(), newServiceStandin(), newPlatformStandin(), newCrowdStandin())
 	return command
 }
 
--- a/internal/command/beechplay/cluster.go
+++ b/internal/command/beechplay/cluster.go
@@ -27,6 +27,9 @@
 		Backups beechbackup.Mode          // of gates that are added later; empty: the default
 		Models  []string                  // served beside Model by engines that are added later
 
+		Memory      int // MB, of gates that are added later; 0: not told
+		Descriptors int // likewise
+
 		launcher      Launcher
 		zone          string
 		heartbeatPort uint16
@@ -292,6 +295,7 @@
 	}
 	w.gates[name] = &beechsettings.Gate{
 		Name: name, Zone: w.zone, Listen: listen, Ready: ready, Beats: netip.AddrPortFrom(address, w.heartbeatPort), Store: w.Places["store"], Bounds: bounds, Seeds: w.seeds, Backups: w.Backups,
+		Memory: w.Memory, Descriptors: w.Descriptors,
 	}
 	w.seeds = append(w.seeds, w.gates[name].Beats)
 	w.Places[name], w.Places[name+"-ready"] = listen, ready
--- a/internal/command/beechscenario/deployment_test.go
+++ b/internal/command/beechscenario/deployment_test.go
@@ -31,6 +31,9 @@
 		dir     string
 		network int
 		level   string // log level of the processes
+		// adjust may change the settings of a role before it starts: a *beechsettings.Entry or a
+		// *beechsettings.Agent; nil changes none.
+		adjust func(settings any)
 
 		mu              sync.Mutex
 		processes       map[string]*process
@@ -170,7 +173,7 @@
 		return err
 	}
 	d.proxies[name] = cut
-	settings := beechsettings.Agent{
+	settings := &beechsettings.Agent{
 		Common: d.common(name, zone, admin), Listen: listen, Pool: pool, Backend: backend,
 		Limits: beechsettings.AgentLimits{
 			Grace: beechsettings.Duration(2 * time.Second), Keep: beechsettings.Duration(20 * time.Second), AnswerBytes: 1 << 20, Waiting: 64,
@@ -184,7 +187,7 @@
 func (d *deployment) startEntry(name, zone string) error {
 	listen := d.address(7300)
 	admin := netip.AddrPortFrom(listen.Addr(), 7301)
-	settings := beechsettings.Entry{
+	settings := &beechsettings.Entry{
 		Common: d.common(name, zone, admin), Listen: listen,
 		Limits: beechsettings.EntryLimits{
 			HeaderBytes: 16 << 10, BodyBytes: 1 << 20, BodyTime: beechsettings.Duration(2 * time.Second),
@@ -206,6 +209,9 @@
 }
 
 func (d *deployment) startRole(kind, name string, listen, admin netip.AddrPort, settings any) error {
+	if d.adjust != nil {
+		d.adjust(settings)
+	}
 	data, err := json.Marshal(settings)
 	if err != nil {
 		return err
--- a/internal/process/beechsettings/settings.go
+++ b/internal/process/beechsettings/settings.go
@@ -53,6 +53,8 @@
 		Secret      string           `json:"secret"`
 		LinkTLS     *TLS             `json:"linkTLS,omitempty"`
 		Log         string           `json:"log,omitempty"`
+		Memory      int              `json:"memory,omitempty"`      // MB available to the process; 0: not known
+		Descriptors int              `json:"descriptors,omitempty"` // available to the process; 0: as many as the system allows
 	}
 
 	// TLS holds paths of PEM files. Authority is the CA that signs the peer's
@@ -96,10 +98,12 @@
 		Beats  netip.AddrPort `json:"beats"`  // UDP heartbeats with keepers, which listen on the same port
 		Admin  netip.AddrPort `json:"admin,omitzero"`
 		Store  netip.AddrPort `json:"store"`
-		Memory int            `json:"memory,omitempty"` // MB available to the process
+		Memory int            `json:"memory,omitempty"` // MB available to the process; 0: not known
 		Log    string         `json:"log,omitempty"`
 		Bounds GateBounds     `json:"bounds"`
 
+		Descriptors int `json:"descriptors,omitempty"` // available to the process; 0: as many as the system allows
+
 		// Admission tells for which services requests are refused in favor of more urgent
 		// ones while room is short: on (all), off, or auto (all if the operators' rules are
 		// those for callers that compete for room, or else those whose servers tell how slow
