Bodies of all requests of a gate share its memory

What callers saw: a gate that ran out of memory. 17 clients that send nearly all of a legal body are enough.

Cause: each reader had its own bound (maxBodyBytes, 10 s) and nobody counted the sum. io.ReadAll grows by copying, so a body took up to twice its size and left as much garbage. A length over the limit was answered only after 4 MiB had been read. After a refusal net/http left the rest of a body in the kernel for half a second a connection.

Change: beechintake decides which bodies a process holds, without network and with its clock passed in; beechbody reads within what it grants, and dismisses clients whose bodies are not read. Heads of over 4 KiB count. Metrics `bodies`, `callersReset`; log line `body refused`.

Why it works: a body reserves its length before a byte is read, so that what is held is bounded whatever is sent, and a body that was granted can end. Refusing newcomers alone would leave the room to silent clients: a body that has held more than a steady sender would gives way, and a workspace keeps to its share while others are refused.

Left red: heads and descriptors.

--- a/internal/process/beechgate/gate.go
+++ b/internal/process/beechgate/gate.go
@@ -21,6 +21,7 @@
 	"github.com/beechring/beechring/internal/decision/beechbackoff"
 	"github.com/beechring/beechring/internal/decision/beechgossip"
 	"github.com/beechring/beechring/internal/decision/beechhealth"
+	"github.com/beechring/beechring/internal/decision/beechintake"
 	"github.com/beechring/beechring/internal/decision/beechoverload"
 	"github.com/beechring/beechring/internal/decision/beechpoison"
 	"github.com/beechring/beechring/internal/decision/beechquota"
@@ -36,6 +37,7 @@
 	"github.com/beechring/beechring/internal/link/beechkeepalive"
 	"github.com/beechring/beechring/internal/link/beechpool"
 	"github.com/beechring/beechring/internal/link/beechsocket"
+	"github.com/beechring/beechring/internal/process/beechbody"
 	"github.com/beechring/beechring/internal/process/beechending"
 	"github.com/beechring/beechring/internal/process/beechlog"
 	"github.com/beechring/beechring/internal/process/beechsettings"
@@ -120,6 +122,8 @@
 		supervisor      *suture.Supervisor
 		metrics         *metrics
 		door            *beechending.Door
+		intake          *beechintake.Intake // memory of callers' bodies
+		bodies          *beechbody.Reader
 		bounds          atomic.Pointer[beechsettings.GateBounds]
 
 		mu          sync.Mutex
@@ -209,6 +213,8 @@
 		turnEnded:   make(chan struct{}, 1), usageDue: make(chan struct{}, 1), returnsDue: make(chan struct{}, 1), limitsDue: make(chan struct{}, 1), overloadsDue: make(chan struct{}, 1),
 		summariesDue: make(chan struct{}, 1), strainsDue: make(chan struct{}, 1), inquiryDue: make(chan struct{}, 1), poisonDue: make(chan struct{}, 1),
 	}
+	g.intake = beechintake.New(beechintake.Settings{Capacity: bodyMemory(s.Memory), BodyTime: bodyTime}, deps.Clock)
+	g.bodies = beechbody.New(g.intake)
 	g.returns = newReturns(g)
 	g.origins = newOrigins(g)
 	g.overload = beechoverload.New(deps.Clock, rand.Float64)
--- a/internal/process/beechgate/metrics.go
+++ b/internal/process/beechgate/metrics.go
@@ -95,6 +95,8 @@
 	m.vars.Set("poison", expvar.Func(func() any { return g.poison.Counts() }))
 	m.vars.Set("admission", expvar.Func(func() any { return g.admission.States() }))
 	m.vars.Set("bodyBytes", m.bodies)
+	m.vars.Set("bodies", expvar.Func(func() any { return g.intake.State() }))
+	m.vars.Set("callersReset", expvar.Func(func() any { return g.bodies.Reset() }))
 	m.vars.Set("datagramBytes", g.socket.SentBytes())
 	if g.deps.StoreUse != nil {
 		m.vars.Set("store", g.deps.StoreUse)
