Heads that a gate is receiving share its memory

What callers saw: a gate with 158 MB resident of 134 under 800 heads of 60 KiB that do not end.

Cause: a head has a bound of its own, 64 KiB and 10 s; nobody counted the sum, and a head is held several times while it is read (net/http's line buffer, the record of beechframing).

Change: beechkeepalive counts the bytes of all heads that are not complete. Beyond a 64th of `memory` (8 MiB where that is not told, never below two of the longest heads) the connection is reset that has been in its head for longest.

Why it works: a complete head leaves the count as its request begins, so only heads that stand still accumulate.

--- a/internal/link/beechkeepalive/conn.go
+++ b/internal/link/beechkeepalive/conn.go
@@ -26,6 +26,10 @@
 		answered atomic.Bool // something was written since the last request was read
 		closed   atomic.Bool
 
+		// guarded by the group's lock
+		headBytes int       // received of a head that is not complete
+		headSince time.Time // when its first bytes came
+
 		mu       sync.Mutex
 		reading  bool      // a read waits for the first bytes of a request
 		kept     bool      // there was a response
@@ -75,6 +79,7 @@
 		}
 		if n > 0 {
 			c.beginHead()
+			c.group.receiveHead(c, n)
 		}
 		return n, err
 	}
@@ -83,6 +88,9 @@
 // readHead reads more of a request's head.
 func (c *conn) readHead(data []byte) (int, error) {
 	n, err := c.Conn.Read(data)
+	if n > 0 {
+		c.group.receiveHead(c, n)
+	}
 	if n > 0 || !timedOut(err) {
 		return n, err
 	}
@@ -92,6 +100,7 @@
 	}
 	_ = c.Conn.SetReadDeadline(time.Time{})
 	n, err = c.Conn.Read(data)
+	c.group.receiveHead(c, n)
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	_ = c.Conn.SetReadDeadline(c.deadline)
@@ -193,6 +202,7 @@
 func (c *conn) setState(state http.ConnState) {
 	switch state {
 	case http.StateActive:
+		c.group.endHead(c)
 		c.answered.Store(false)
 		c.phase.Store(int32(active))
 	case http.StateIdle:
@@ -214,6 +224,13 @@
 	return err
 }
 
+// reset closes the connection so that neither end keeps anything of it.
+func (c *conn) reset(cause Cause) {
+	c.end(cause)
+	beechsocket.ResetOnClose(c.Conn)
+	_ = c.Close()
+}
+
 // closing describes why the connection is closed now.
 func (c *conn) closing() Closing {
 	state := beechsocket.Look(c.Conn)
--- a/internal/link/beechkeepalive/group.go
+++ b/internal/link/beechkeepalive/group.go
@@ -49,6 +49,7 @@
 	Settings struct {
 		IdleTimeout func() time.Duration // for which a connection may be without a request between two
 		HeadTimeout time.Duration        // from the first byte of a request until the end of its head
+		HeadBytes   int                  // of all heads that are being received together; 0: no bound
 		// Closed is called for each connection that is closed while it has unread bytes of a
 		// caller that is still there; it may be nil.
 		Closed func(Closing)
@@ -66,6 +67,7 @@
 		mu        sync.Mutex
 		listeners map[*listener]struct{} // that may still return connections
 		conns     map[*conn]struct{}
+		headBytes int // received of heads that are not complete
 		closed    map[Cause]int64
 		unread    map[Cause]int64 // those of closed with unread bytes
 	}
@@ -96,6 +98,7 @@
 	Unanswered    Cause = "unanswered"     // a request was read and nothing of a response was written
 	Drained       Cause = "drained"        // no request when the server was drained
 	Stopped       Cause = "stopped"        // the server was closed
+	HeadMemory    Cause = "head memory"    // all heads together had become too large
 )
 
 const (
@@ -230,9 +233,52 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	delete(g.conns, c)
+	g.headBytes -= c.headBytes
+	c.headBytes = 0
 	g.checkDrained()
 }
 
+// receiveHead counts bytes of a head. If all heads have become too large, the connection is reset that has
+// been in its head for longest.
+func (g *Group) receiveHead(c *conn, n int) {
+	g.mu.Lock()
+	if _, open := g.conns[c]; !open || g.settings.HeadBytes == 0 {
+		g.mu.Unlock()
+		return
+	}
+	if c.headBytes == 0 {
+		c.headSince = g.clock.Now()
+	}
+	c.headBytes += n
+	g.headBytes += n
+	var oldest *conn
+	if g.headBytes > g.settings.HeadBytes {
+		oldest = g.oldestHead()
+	}
+	g.mu.Unlock()
+	if oldest != nil {
+		oldest.reset(HeadMemory)
+	}
+}
+
+// endHead takes a head that is complete out of the count.
+func (g *Group) endHead(c *conn) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.headBytes -= c.headBytes
+	c.headBytes = 0
+}
+
+func (g *Group) oldestHead() *conn {
+	var oldest *conn
+	for c := range g.conns {
+		if c.headBytes > 0 && (oldest == nil || c.headSince.Before(oldest.headSince)) {
+			oldest = c
+		}
+	}
+	return oldest
+}
+
 // find returns the connection of a group below c, or nil.
 func find(c net.Conn) *conn {
 	for c != nil {
--- a/internal/link/beechsocket/socket.go
+++ b/internal/link/beechsocket/socket.go
@@ -141,6 +141,13 @@
 	return max(count, 0)
 }
 
+// ResetOnClose has the close of a connection reset it: what was not sent or read is dropped at once.
+func ResetOnClose(c net.Conn) {
+	_ = control(c, func(fd uintptr) {
+		_ = unix.SetsockoptLinger(int(fd), unix.SOL_SOCKET, unix.SO_LINGER, &unix.Linger{Onoff: 1})
+	})
+}
+
 // control calls f with the descriptor of a connection.
 func control(c net.Conn, f func(fd uintptr)) error {
 	s, ok := c.(syscall.Conn)
--- a/internal/process/beechgate/bodies.go
+++ b/internal/process/beechgate/bodies.go
@@ -15,13 +15,26 @@
 	// bodyMemoryShare of the process's memory, one part, is for callers' bodies. The rest is for what the
 	// process needs without callers, answers, connections and garbage.
 	bodyMemoryShare = 8
-	megabyte        = 1 << 20
+	// headMemoryShare of it, one part is for heads that are being received. They are held several times while
+	// they are read and parsed.
+	headMemoryShare = 64
+	// defaultHeadMemory applies where the memory is not known.
+	defaultHeadMemory = 8 << 20
+	megabyte          = 1 << 20
 )
 
 // bodyMemory returns the bytes that callers' bodies may take together on a host with so many megabytes,
 // or 0 for the default if that is not known.
 func bodyMemory(megabytes int) int { return megabytes * megabyte / bodyMemoryShare }
 
+// headMemory returns the bytes that heads which are being received may take together.
+func headMemory(megabytes int) int {
+	if megabytes == 0 {
+		return defaultHeadMemory
+	}
+	return max(megabytes*megabyte/headMemoryShare, 2*maxHeaderBytes)
+}
+
 // ReadBody reads the body of an admitted request. MaxBytes applies if the operators set no limit. Errors
 // are those of beechbody.Reader.
 func (g *Gate) ReadBody(control *http.ResponseController, r *http.Request, admitted Admitted, maxBytes int64) (*beechbody.Body, error) {
--- a/internal/process/beechgate/gate.go
+++ b/internal/process/beechgate/gate.go
@@ -231,7 +231,7 @@
 	callers.Observe(g.metrics.watchDelay.Record)
 	deps.Pool.ObserveResetDelay(g.metrics.resetDelay.Record)
 	g.limitLog = beechlog.Sampled(deps.Log, maxLimitLogLines, g.metrics.limitLinesDropped)
-	g.connections = beechkeepalive.New(beechkeepalive.Settings{IdleTimeout: g.idleTimeout, HeadTimeout: headerTimeout, Closed: g.logUnreadClosing}, deps.Clock)
+	g.connections = beechkeepalive.New(beechkeepalive.Settings{IdleTimeout: g.idleTimeout, HeadTimeout: headerTimeout, HeadBytes: headMemory(s.Memory), Closed: g.logUnreadClosing}, deps.Clock)
 	weights := time.Duration(s.Bounds.Weights)
 	g.overloaded = beechsaturation.New(deps.Clock, g.wakeOverloadSender)
 	g.backoff = beechbackoff.New(deps.Clock)
