Bodies of all requests of an entry host share its memory, decoded ones included

Cause: readBody had a bound for one body and nobody counted the sum; a completion holds its body and what it is decoded into, and lists of small values take many times their text while they are decoded (a body of 4 MiB of empty messages 66 MB, and as much again meanwhile). Nothing told an entry host what memory it has.

The status page has `bodies` and `callersReset`. Refusals have a length. A request that is followed for its outcome after its caller has left drops its body.

Why it works: as at the gate; the decoded size is bounded before decoding, by the values outside strings.

Left red: heads (connections linger behind a 431), and descriptors.

--- a/internal/command/beechcommand/entry.go
+++ b/internal/command/beechcommand/entry.go
@@ -46,6 +46,7 @@
 	if err != nil {
 		return &usageError{err}
 	}
+	limitMemory(settings.Memory)
 	clock := clockwork.NewRealClock()
 	entry, err := beechentry.New(settings, beechentry.Dependencies{
 		Clock:   clock,
--- a/internal/decision/beechintake/intake.go
+++ b/internal/decision/beechintake/intake.go
@@ -126,6 +126,13 @@
 	return true
 }
 
+// CanHold reports whether one body of this size fits.
+func (in *Intake) CanHold(size int) bool {
+	in.mu.Lock()
+	defer in.mu.Unlock()
+	return size <= in.largeCapacity()
+}
+
 // Open reserves room for a body of a workspace. The function giveWay is called when the body must give
 // way: it should have the body's reader end and close the body, without a call of the intake itself.
 func (in *Intake) Open(name string, size int, giveWay func()) (*Body, *Refused) {
--- a/internal/process/beechbody/reader.go
+++ b/internal/process/beechbody/reader.go
@@ -116,8 +116,12 @@
 	return nil
 }
 
-// Release gives back the memory. It may be called more than once.
-func (b *Body) Release() { b.reservation.Close() }
+// Release gives back the memory. It may be called more than once, and on a nil body.
+func (b *Body) Release() {
+	if b != nil {
+		b.reservation.Close()
+	}
+}
 
 // Dismiss ends a request whose response was written before its body was read. The response must have a
 // Content-Length and Connection: close. If the client goes on sending, the connection is reset, by a
--- a/internal/process/beechentry/admin.go
+++ b/internal/process/beechentry/admin.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/beechring/beechring/internal/decision/beechhealth"
+	"github.com/beechring/beechring/internal/decision/beechintake"
 	"github.com/beechring/beechring/internal/link/beechkeepalive"
 	"github.com/beechring/beechring/internal/link/beechlink"
 	"github.com/beechring/beechring/internal/link/beechwire"
@@ -50,6 +51,8 @@
 		Counts      map[string]int64      `json:"counts"`
 		Closings    beechkeepalive.Counts `json:"closings"`   // connections of callers that were closed
 		Unanswered  map[string]int64      `json:"unanswered"` // requests without a whole answer, by cause
+		Bodies      beechintake.State     `json:"bodies"`     // memory of callers' bodies
+		Reset       int64                 `json:"callersReset"`
 	}
 )
 
@@ -74,6 +77,8 @@
 		Counts:      e.counters.values(),
 		Closings:    e.connections.Counts(),
 		Unanswered:  e.door.Values(),
+		Bodies:      e.intake.State(),
+		Reset:       e.bodies.Reset(),
 	}
 }
 
--- a/internal/process/beechentry/completion.go
+++ b/internal/process/beechentry/completion.go
@@ -43,6 +43,20 @@
 	if f != nil {
 		return nil, f
 	}
+	if f := e.expectDecoded(body, workspace, beechprefix.DecodedBytes(body.Data)); f != nil {
+		return nil, f
+	}
+	j, f := e.decodeCompletion(r, c, workspace, body.Data, key)
+	if f != nil {
+		body.Release()
+		return nil, f
+	}
+	j.held, j.timeout = body, deadline
+	return j, nil
+}
+
+// decodeCompletion decodes the body of a completion into a job.
+func (e *Entry) decodeCompletion(r *http.Request, c *beechmanifest.Configuration, workspace *beechmanifest.Workspace, body []byte, key string) (*job, *failure) {
 	prompt, err := beechprefix.Decode(r.URL.Path, body)
 	if err != nil {
 		return nil, promptFailure(err)
@@ -52,7 +66,6 @@
 		workspace:     workspace,
 		prompt:        prompt,
 		body:          body,
-		timeout:       deadline,
 		lastEventID:   r.Header.Get(headerLastEvent),
 		resumable:     prompt.Fields.Resumable && prompt.Fields.Stream,
 	}
--- a/internal/process/beechentry/dispatch.go
+++ b/internal/process/beechentry/dispatch.go
@@ -79,6 +79,7 @@
 		// The caller's error response is still written through j.writer;
 		// recordOutcomeLater replaces the writer, so it gets a copy of the job.
 		followed := *j
+		followed.body, followed.prompt = nil, nil // their memory is given back with the request
 		e.background.Go(func() { e.recordOutcomeLater(&followed) })
 	default:
 		e.background.Go(func() { e.recordUnknownOutcome(j) })
--- a/internal/process/beechentry/entry.go
+++ b/internal/process/beechentry/entry.go
@@ -20,6 +20,7 @@
 	"go.uber.org/zap"
 
 	"github.com/beechring/beechring/internal/decision/beechhealth"
+	"github.com/beechring/beechring/internal/decision/beechintake"
 	"github.com/beechring/beechring/internal/decision/beechlimit"
 	"github.com/beechring/beechring/internal/decision/beechpoison"
 	"github.com/beechring/beechring/internal/decision/beechretry"
@@ -28,6 +29,7 @@
 	"github.com/beechring/beechring/internal/link/beechkeepalive"
 	"github.com/beechring/beechring/internal/link/beechsocket"
 	"github.com/beechring/beechring/internal/link/beechwire"
+	"github.com/beechring/beechring/internal/process/beechbody"
 	"github.com/beechring/beechring/internal/process/beechburn"
 	"github.com/beechring/beechring/internal/process/beechending"
 	"github.com/beechring/beechring/internal/process/beechlog"
@@ -54,6 +56,7 @@
 		settings    *beechsettings.Entry
 		clock       clockwork.Clock
 		log         *zap.Logger
+		limitLog    *zap.Logger // at most maxLimitLogLines per second of each message
 		store       beechstore.Store
 		incarnation uint64
 
@@ -70,6 +73,8 @@
 		estimator beechprefix.Estimator
 		counters  counters
 		door      *beechending.Door
+		intake    *beechintake.Intake // memory of callers' bodies
+		bodies    *beechbody.Reader
 
 		http         *http.Server
 		listener     net.Listener
@@ -100,6 +105,8 @@
 	healthInterval    = time.Second
 	// maxClosingLogLines per second; all closings are counted.
 	maxClosingLogLines = 10
+	// maxLimitLogLines per second; all refusals are counted.
+	maxLimitLogLines = 10
 )
 
 // New creates an entry and opens its listeners, so that an address already in
@@ -116,7 +123,8 @@
 	}
 	log := d.Log.Named("entry")
 	connections := beechkeepalive.New(beechkeepalive.Settings{
-		IdleTimeout: func() time.Duration { return idleTimeout }, HeadTimeout: time.Duration(settings.Limits.BodyTime), Closed: logUnreadClosing(log),
+		IdleTimeout: func() time.Duration { return idleTimeout }, HeadTimeout: time.Duration(settings.Limits.BodyTime),
+		HeadBytes: headMemory(settings), Closed: logUnreadClosing(log),
 	}, d.Clock)
 	listener = connections.Listen(beechaccept.Listen(callers.Listen(listener), beechaccept.Settings{}, d.Clock))
 	if d.TLS != nil {
@@ -126,6 +134,7 @@
 		settings:    settings,
 		clock:       d.Clock,
 		log:         log,
+		limitLog:    beechlog.Sampled(log, maxLimitLogLines, new(expvar.Int)),
 		store:       d.Store,
 		incarnation: uint64(d.Clock.Now().UnixNano()),
 		holder:      beechmanifest.NewHolder(),
@@ -140,7 +149,9 @@
 		startup:  newStartup(d.Clock),
 		listener: listener,
 		callers:  callers, connections: connections,
+		intake: newIntake(settings, d.Clock),
 	}
+	e.bodies = beechbody.New(e.intake)
 	e.door = beechending.NewDoor(e.log, e.clock, e.holder.Generation, writeFault)
 	e.poison = beechpoison.New(d.Clock, e.poisonTurn, func() { e.fleet.dialer.PushHeartbeat() })
 	e.fleet = newFleet(e, d.LinkTLS)
--- a/internal/process/beechentry/failure.go
+++ b/internal/process/beechentry/failure.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"math"
 	"net/http"
+	"strconv"
 	"time"
 
 	"github.com/beechring/beechring/internal/link/beechwire"
@@ -23,6 +24,8 @@
 		Ran     string
 		After   time.Duration // suggested delay before a retry; 0: unknown
 		Joins   bool          // the same request sent again joins the existing run
+
+		bodyUnread bool // the request's body was not read to its end
 	}
 
 	errorBody struct {
@@ -102,6 +105,8 @@
 	if f.Ran != beechwire.RanNo && !f.Joins {
 		header.Set("X-Should-Retry", "false")
 	}
+	body := f.json()
+	header.Set("Content-Length", strconv.Itoa(len(body)))
 	w.WriteHeader(f.Status)
-	_, _ = w.Write(f.json())
+	_, _ = w.Write(body)
 }
--- a/internal/process/beechentry/job.go
+++ b/internal/process/beechentry/job.go
@@ -6,6 +6,7 @@
 
 	"github.com/beechring/beechring/internal/decision/beechroute"
 	"github.com/beechring/beechring/internal/link/beechwire"
+	"github.com/beechring/beechring/internal/process/beechbody"
 	"github.com/beechring/beechring/internal/prompt/beechprefix"
 	"github.com/beechring/beechring/internal/state/beechmanifest"
 )
@@ -19,7 +20,8 @@
 		chain         beechprefix.Chain
 		request       beechwire.Request
 		body          []byte
-		callHash      []byte // must be equal for repeats under the idempotency key
+		held          *beechbody.Body // memory of the body
+		callHash      []byte          // must be equal for repeats under the idempotency key
 		timeout       time.Duration
 		deadline      time.Time // zero: none
 		startedAt     time.Time
--- a/internal/process/beechentry/routes.go
+++ b/internal/process/beechentry/routes.go
@@ -2,8 +2,6 @@
 
 import (
 	"encoding/json"
-	"errors"
-	"io"
 	"net/http"
 	"strconv"
 	"strings"
@@ -100,9 +98,10 @@
 	j, f := read(w, r, configuration, workspace)
 	if f != nil {
 		e.observeRefusal(workspace.Name, f)
-		f.write(w)
+		e.refuse(w, r, f)
 		return
 	}
+	defer j.held.Release()
 	w.ID, w.Route = j.request.ID, j.target()
 	w.WholeRequestRead()
 	j.startedAt = began
@@ -129,32 +128,6 @@
 	return configuration, workspace, nil
 }
 
-// readBody reads the whole body within the limits of size and time. After a
-// failure the read deadline is kept: net/http reads the rest of a body before
-// it sends the response, and without the deadline a caller that never sends the
-// rest would never get its error and would hold the connection open.
-func (e *Entry) readBody(w *beechending.Request, r *http.Request, workspace *beechmanifest.Workspace) ([]byte, *failure) {
-	limit := e.settings.Limits.BodyBytes
-	if workspace.MaxBodyBytes > 0 {
-		limit = min(limit, workspace.MaxBodyBytes)
-	}
-	allowed := time.Duration(e.settings.Limits.BodyTime)
-	control := http.NewResponseController(w)
-	_ = control.SetReadDeadline(time.Now().Add(allowed))
-	body, err := io.ReadAll(http.MaxBytesReader(w.Unwrap(), r.Body, int64(limit)))
-	if err == nil {
-		_ = control.SetReadDeadline(time.Time{})
-	}
-	var tooLarge *http.MaxBytesError
-	switch {
-	case errors.As(err, &tooLarge):
-		return nil, notRun(http.StatusRequestEntityTooLarge, typeInvalid, "body_too_large", "the body is larger than %d bytes", limit)
-	case err != nil:
-		return nil, notRun(http.StatusRequestTimeout, typeInvalid, "body_not_read", "the body did not arrive within %s", allowed)
-	}
-	return body, nil
-}
-
 // callerDeadline returns how long the caller will wait; 0 means no deadline.
 func callerDeadline(r *http.Request) (time.Duration, *failure) {
 	text := r.Header.Get(headerTimeout)
--- a/internal/process/beechentry/service.go
+++ b/internal/process/beechentry/service.go
@@ -41,7 +41,7 @@
 	if r.URL.RawQuery != "" {
 		path += "?" + r.URL.RawQuery
 	}
-	j := &job{configuration: c, workspace: workspace, body: body, timeout: deadline}
+	j := &job{configuration: c, workspace: workspace, body: body.Data, held: body, timeout: deadline}
 	j.request = beechwire.Request{
 		ID:          newRequestID(),
 		Workspace:   workspace.Name,
@@ -53,8 +53,8 @@
 		Generation:  c.Generation,
 		Priority:    c.PriorityRank(workspace.Priority),
 		Repeatable:  !once,
-		BodyBytes:   len(body),
+		BodyBytes:   len(body.Data),
 	}
-	j.setBody(body, key)
+	j.setBody(body.Data, key)
 	return j, nil
 }
--- a/internal/prompt/beechprefix/parse.go
+++ b/internal/prompt/beechprefix/parse.go
@@ -15,6 +15,13 @@
 	PathCompletions = "/v1/completions"
 )
 
+// Memory in bytes that decoding takes beside the text: for each body, value and object.
+const (
+	decodingBytes = 64 << 10
+	valueBytes    = 64
+	objectBytes   = 192
+)
+
 type (
 	// canonicalText is the text of a JSON string, or the canonical form of any
 	// other JSON value.
@@ -57,6 +64,41 @@
 	return p.Chain(root, nil), p.Fields, nil
 }
 
+// DecodedBytes returns an upper bound of the memory in bytes that decoding a body takes beside the body
+// itself. Many small values take many times their text.
+func DecodedBytes(raw []byte) int {
+	size := decodingBytes + len(raw)
+	for i := 0; i < len(raw); i++ {
+		switch raw[i] {
+		case '"':
+			i += stringBytes(raw[i+1:])
+		case ',', '[':
+			size += valueBytes
+		case '{':
+			size += objectBytes
+		}
+	}
+	return size
+}
+
+// stringBytes returns the length of the rest of a JSON string up to its closing quote.
+func stringBytes(rest []byte) int {
+	for i := 0; ; i++ {
+		end := bytes.IndexAny(rest[i:], `"\`)
+		if end < 0 {
+			return len(rest)
+		}
+		i += end
+		if rest[i] == '"' {
+			return i + 1
+		}
+		i++ // what is escaped
+		if i >= len(rest) {
+			return len(rest)
+		}
+	}
+}
+
 // Decode decodes a request body. Unknown fields are ignored. Its error is always
 // an *Error.
 func Decode(path string, raw []byte) (*Prompt, error) {
