Bodies of all links of an agent share its memory

What callers saw: nothing yet; an agent at 144 to 148 MB resident where 96 are bounded, behind an entry host with more memory that passes on 48 whole bodies of 4 MiB.

Cause: 32 MiB of incomplete bodies a connection, 4,096 streams and 512 waiting requests of up to 8 MiB each were bounds of one reader each; nobody counted what all of them hold, a body at an engine twice. A run that goes on after its stream has ended holds its body on.

Change: beechlink asks a BodyMemory before it accepts a body, over all connections, and gives the memory back when the handler ends or, if the handler has kept it, when the run does. What is refused is `busy` and has not run, so that the entry host asks elsewhere. The status page has `bodies`.

Why it works: memory is reserved as the announced size when the stream opens, before its first byte, and until nothing refers to the body.

--- a/internal/command/beechcommand/agent.go
+++ b/internal/command/beechcommand/agent.go
@@ -50,6 +50,7 @@
 	if err != nil {
 		return &usageError{err}
 	}
+	limitMemory(settings.Memory)
 	clock := clockwork.NewRealClock()
 	client := beechbackend.NewClient(connectTimeout)
 	agent, err := beechagent.New(settings, beechagent.Dependencies{
--- a/internal/link/beechlink/serverendpoint.go
+++ b/internal/link/beechlink/serverendpoint.go
@@ -124,7 +124,11 @@
 	if e.pendingBodyBytes+bodyBytes > pendingBodyFactor*e.connection.settings.MaxBody {
 		return beechwire.ReasonBusy, "too many bodies on their way on the connection"
 	}
+	if !s.reserveBody(bodyBytes) {
+		return beechwire.ReasonBusy, "no memory for the body"
+	}
 	if !e.server.beginStream(reattached) {
+		s.KeepBody()()
 		return beechwire.ReasonLeaving, drainingMessage
 	}
 	e.openStreams[s.id] = s
@@ -137,12 +141,12 @@
 	if err != nil {
 		return err
 	}
+	s.request = r
 	if reason, message := e.admit(s, r.BodyBytes, false); reason != "" {
 		e.refuseStream(s, false, reason, message)
 		return nil
 	}
 	e.connection.counters.opened.Add(1)
-	s.request = r
 	if r.BodyBytes == 0 {
 		e.startOpenHandler(s)
 		return nil
@@ -230,6 +234,7 @@
 func (e *serverEndpoint) runHandler(s *serverStream, handle func()) {
 	go func() {
 		defer e.server.endStream()
+		defer func() { s.KeepBody()() }()
 		defer s.cancel()
 		e.runGuarded(s, handle)
 	}()
@@ -273,6 +278,7 @@
 		return
 	}
 	e.releaseBody(s)
+	s.KeepBody()()
 	e.server.endStream()
 }
 
--- a/internal/link/beechlink/serverstream.go
+++ b/internal/link/beechlink/serverstream.go
@@ -26,7 +26,8 @@
 		credit              int
 		creditAdded         chan struct{} // buffered; signalled when credit was added
 		closed              bool
-		generationCancelled bool // the entry cancelled the stream and its generation
+		generationCancelled bool   // the entry cancelled the stream and its generation
+		releaseBody         func() // gives back the memory of the body; nil: none is reserved
 	}
 )
 
@@ -42,6 +43,30 @@
 	return !s.generationCancelled
 }
 
+// KeepBody implements ServerStream.
+func (s *serverStream) KeepBody() (release func()) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	release, s.releaseBody = s.releaseBody, nil
+	if release == nil {
+		return func() {}
+	}
+	return release
+}
+
+// reserveBody reserves memory for the body of the stream's request. It returns false if there is none.
+func (s *serverStream) reserveBody(size int) bool {
+	memory := s.endpoint.connection.settings.Bodies
+	if memory == nil || size == 0 {
+		return true
+	}
+	release, ok := memory.Reserve(s.request)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.releaseBody = release
+	return ok
+}
+
 // Send implements ServerStream. It sets Stream, and also RequestID and Attempt
 // if they are empty and Tag of a Data if it is 0. A handler that knows which
 // request a Data belongs to should set Tag itself: the entry then drops a Data
--- a/internal/link/beechlink/types.go
+++ b/internal/link/beechlink/types.go
@@ -81,6 +81,16 @@
 		Peer() Peer
 		Send(ctx context.Context, r Reply) error
 		Detached() bool
+		// KeepBody has the memory of the body stay reserved beyond the end of the handler, until the
+		// function that it returns is called.
+		KeepBody() (release func())
+	}
+
+	// BodyMemory grants memory for the bodies of requests. It must not block.
+	BodyMemory interface {
+		// Reserve reserves memory for the whole body of a request, which has not arrived yet. It returns
+		// false if there is none, else a function that gives it back and may be called once.
+		Reserve(r *beechwire.Request) (release func(), ok bool)
 	}
 
 	// Stream is the entry's side of a stream. Next returns the replies in
@@ -111,6 +121,7 @@
 		MaxStreams                int           // per connection
 		Rejoin                    time.Duration // for which a draining server waits for streams of a lost connection to be attached again
 		Key                       string
+		Bodies                    BodyMemory // of a server; nil: bounded for each connection only
 	}
 )
 
--- a/internal/process/beechagent/admin.go
+++ b/internal/process/beechagent/admin.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"sync/atomic"
 
+	"github.com/beechring/beechring/internal/decision/beechintake"
 	"github.com/beechring/beechring/internal/decision/beechqueue"
 	"github.com/beechring/beechring/internal/link/beechlink"
 	"github.com/beechring/beechring/internal/link/beechwire"
@@ -47,6 +48,7 @@
 		Shared      int                `json:"sharedMembers"`
 		Kept        int                `json:"keptAnswers"`
 		Counts      map[string]int64   `json:"counts"`
+		Bodies      beechintake.State  `json:"bodies"` // memory of requests' bodies
 	}
 )
 
@@ -71,6 +73,7 @@
 		Shared:      a.entryHosts.sharedMembers(),
 		Kept:        a.generations.size(),
 		Counts:      a.counters.values(),
+		Bodies:      a.bodies.intake.State(),
 	}
 }
 
--- a/internal/process/beechagent/agent.go
+++ b/internal/process/beechagent/agent.go
@@ -69,6 +69,7 @@
 		placements      *placements
 		pendingOutcomes *pendingOutcomes
 		counters        counters
+		bodies          bodyMemory
 
 		leaving           atomic.Bool
 		supervisor        *suture.Supervisor
@@ -119,6 +120,7 @@
 		backoff:           beechbackoff.New(d.Clock),
 		survivals:         beechsurvival.New(dialer{}, d.Clock),
 		pendingOutcomes:   newPendingOutcomes(d.Clock),
+		bodies:            newBodyMemory(settings, d.Clock),
 		generationContext: generationContext,
 		cancelGenerations: cancelGenerations,
 	}
@@ -126,7 +128,7 @@
 	a.backend = newBackendState()
 	a.scheduler = newScheduler(a.queueSettings(nil), d.Clock, a.backend.queueLoad)
 	a.server = beechlink.NewServer(
-		beechlink.Settings{Key: settings.Secret}, a.hello, a, a, a, a, d.LinkTLS, d.Clock)
+		beechlink.Settings{Key: settings.Secret, Bodies: a.bodies}, a.hello, a, a, a, a, d.LinkTLS, d.Clock)
 	if err := a.supervise(); err != nil {
 		listener.Close()
 		return nil, err
--- a/internal/process/beechagent/stream.go
+++ b/internal/process/beechagent/stream.go
@@ -41,7 +41,7 @@
 	if r.Claim != "" && !a.usedClaims.markUsed(r.Claim) {
 		return nil, failedReply(beechwire.ReasonClaim, beechwire.RanUnknown, "the token to run was used before")
 	}
-	g, added := a.startGeneration(*r, body)
+	g, added := a.startGeneration(s, *r, body)
 	if !added {
 		a.counters.Joined.Add(1)
 	}
@@ -51,7 +51,7 @@
 // startGeneration starts a generation in its own goroutine, so that it outlives the
 // stream. If another stream has started the same request in the meantime, it returns
 // that generation and false.
-func (a *Agent) startGeneration(r beechwire.Request, body []byte) (*generation, bool) {
+func (a *Agent) startGeneration(s beechlink.ServerStream, r beechwire.Request, body []byte) (*generation, bool) {
 	ctx, cancel := context.WithCancel(a.generationContext)
 	deadline := time.Time{}
 	if r.DeadlineMillis > 0 {
@@ -68,7 +68,9 @@
 		return g, false
 	}
 	a.counters.Begun.Add(1)
+	releaseBody := s.KeepBody()
 	a.runs.Go(func() {
+		defer releaseBody()
 		defer cancel()
 		a.run(ctx, g, body, deadline)
 	})
