Callers cannot take the descriptors that a process needs

What callers saw: with 256 descriptors and 400 connections that are idle or trickle no ordinary request was answered; without that limit the process takes as many descriptors as there are connections. An entry host kept 3,400 connections open that it had answered 431, with 147 MB of them unread.

Cause: nothing bounded callers' connections; only those that wait to be accepted had a bound. After a refusal net/http keeps a connection open for half a second so that its caller reads it, any number at a time, and nobody reads from them.

Change: beechdescriptor divides the smaller of the setting `descriptors` (the platform's template fills it in) and the system's limit. beechkeepalive resets one connection for each new one beyond the callers' part: first requests that take too long, then connections without a byte, in a head, idle between two requests, in a body that comes, the longest first, never one that waits for its response. Of connections that linger after their last response 32 stay, others are reset. Metric connectionsOpen, line at the start and in "traffic".

Why it works: a request that is complete never loses its connection to newcomers, and one that is being sent only to slower ones.

TestConnectionsAreResetInOrderOfNeed, TestFewConnectionsLinger, TestDivide.

--- a/internal/link/beechaccept/queue.go
+++ b/internal/link/beechaccept/queue.go
@@ -35,6 +35,7 @@
 	// Settings configure a queue.
 	Settings struct {
 		MaxWait    time.Duration // after which a connection is closed unread; 0: never
+		MaxWaiting int           // connections that wait here, more wait in the kernel; 0: DefaultMaxWaiting
 		TurnsAway  func() bool   // whether a new connection is closed unread; may be nil
 		TurnedAway func()        // called for each connection that was closed unread; may be nil
 	}
@@ -63,8 +64,8 @@
 )
 
 const (
-	// maxWaiting bounds the descriptors that waiting connections hold; more wait in the kernel.
-	maxWaiting = 512
+	// DefaultMaxWaiting bounds the descriptors that waiting connections hold.
+	DefaultMaxWaiting = 512
 	// retryDelay follows a temporary error of the listener, such as a lack of descriptors.
 	retryDelay = 5 * time.Millisecond
 	// sliceTime is how long connections are accepted or turned away before other work runs.
@@ -73,6 +74,9 @@
 
 // Listen returns a queue in front of a listener.
 func Listen(l net.Listener, s Settings, clock clockwork.Clock) *Queue {
+	if s.MaxWaiting == 0 {
+		s.MaxWaiting = DefaultMaxWaiting
+	}
 	q := &Queue{Listener: l, settings: s, clock: clock, ready: make(chan struct{}, 1), room: make(chan struct{}, 1)}
 	go func() {
 		for began := clock.Now(); q.acceptNext(); {
@@ -112,11 +116,11 @@
 	return true
 }
 
-// awaitRoom waits until fewer than maxWaiting connections wait.
+// awaitRoom waits until fewer than MaxWaiting connections wait.
 func (q *Queue) awaitRoom() {
 	for {
 		q.mu.Lock()
-		full := len(q.waiting) >= maxWaiting && !q.closed
+		full := len(q.waiting) >= q.settings.MaxWaiting && !q.closed
 		q.mu.Unlock()
 		if !full {
 			return
--- a/internal/link/beechaccept/queue_test.go
+++ b/internal/link/beechaccept/queue_test.go
@@ -22,7 +22,7 @@
 }
 
 func newFakeListener() *fakeListener {
-	return &fakeListener{results: make(chan any, 4*maxWaiting), closed: make(chan struct{})}
+	return &fakeListener{results: make(chan any, 4*DefaultMaxWaiting), closed: make(chan struct{})}
 }
 
 func (l *fakeListener) Accept() (net.Conn, error) {
@@ -159,14 +159,14 @@
 	l := newFakeListener()
 	q := Listen(l, Settings{}, clockwork.NewRealClock())
 	defer q.Close()
-	for range maxWaiting + 10 {
+	for range DefaultMaxWaiting + 10 {
 		l.results <- &conn{}
 	}
-	waitFor(t, "full queue", func() bool { return q.length() == maxWaiting })
+	waitFor(t, "full queue", func() bool { return q.length() == DefaultMaxWaiting })
 	time.Sleep(20 * time.Millisecond)
-	is.Equal(q.length(), maxWaiting)
+	is.Equal(q.length(), DefaultMaxWaiting)
 	is.Equal(len(l.results), 10)
-	for range maxWaiting + 10 {
+	for range DefaultMaxWaiting + 10 {
 		_, err := q.Accept()
 		is.NoErr(err)
 	}
--- a/internal/link/beechframing/framing.go
+++ b/internal/link/beechframing/framing.go
@@ -73,6 +73,14 @@
 // NetConn returns the connection below.
 func (c *conn) NetConn() net.Conn { return c.Conn }
 
+// CloseWrite ends the sending direction, if the connection below can.
+func (c *conn) CloseWrite() error {
+	if inner, ok := c.Conn.(interface{ CloseWrite() error }); ok {
+		return inner.CloseWrite()
+	}
+	return errors.ErrUnsupported
+}
+
 // Read reads from the connection and records the head of a request.
 func (c *conn) Read(data []byte) (int, error) {
 	n, err := c.Conn.Read(data)
--- a/internal/link/beechkeepalive/conn.go
+++ b/internal/link/beechkeepalive/conn.go
@@ -25,18 +25,47 @@
 		phase    atomic.Int32
 		answered atomic.Bool // something was written since the last request was read
 		closed   atomic.Bool
+		read     atomic.Int64 // bytes since the last head was complete
 
 		// guarded by the group's lock
 		headBytes int       // received of a head that is not complete
 		headSince time.Time // when its first bytes came
+		lingers   bool      // its last response was written
 
 		mu       sync.Mutex
 		reading  bool      // a read waits for the first bytes of a request
 		kept     bool      // there was a response
 		since    time.Time // when it was accepted or the last response ended
 		deadline time.Time // of reads, as net/http has set it
+		begun    time.Time // when the current phase began
 		ended    Cause     // of the wait for a request
 	}
+
+	// use tells how much a connection is needed.
+	use struct {
+		need  need
+		since time.Time
+	}
+
+	// need is how much would be lost with a connection.
+	need int
+)
+
+// From the first to be reset to the last; one that is served is not reset.
+const (
+	overdue   need = iota // a request that takes longer than one of a caller that sends
+	silent                // the first request, of which nothing has come
+	beginning             // a request of which a part of the head has come
+	kept                  // perhaps the caller's next request
+	sending               // a request of which a part of the body has come
+	served                // a response
+)
+
+const (
+	// sendTime is how long a caller may take for a request, beside its body, that others wait behind.
+	sendTime = 500 * time.Millisecond
+	// sendRate in bytes a second is the rate at which a body must come then.
+	sendRate = 16 << 10
 )
 
 const (
@@ -55,7 +84,9 @@
 	case inHead:
 		return c.readHead(data)
 	default:
-		return c.Conn.Read(data)
+		n, err := c.Conn.Read(data)
+		c.read.Add(int64(n))
+		return n, err
 	}
 }
 
@@ -170,6 +201,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.phase.Store(int32(inHead))
+	c.begun = c.group.clock.Now()
 	if c.kept {
 		c.deadline = time.Now().Add(c.group.settings.HeadTimeout) // net/http sets one only after four bytes
 	}
@@ -204,7 +236,11 @@
 	case http.StateActive:
 		c.group.endHead(c)
 		c.answered.Store(false)
+		c.read.Store(0)
 		c.phase.Store(int32(active))
+		c.mu.Lock()
+		c.begun = c.group.clock.Now()
+		c.mu.Unlock()
 	case http.StateIdle:
 		c.mu.Lock()
 		c.kept, c.since = true, c.group.clock.Now()
@@ -224,6 +260,56 @@
 	return err
 }
 
+// use returns how much the connection is needed. A request whose body is being read has a deadline.
+func (c *conn) use(now time.Time) use {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	switch p := c.phaseNow(); {
+	case p == awaiting && c.kept:
+		return use{kept, c.since}
+	case p == awaiting:
+		return c.useOfSender(silent, c.since, now)
+	case p == inHead:
+		return c.useOfSender(beginning, c.begun, now)
+	case !c.deadline.IsZero():
+		return c.useOfSender(sending, c.begun, now)
+	default:
+		return use{served, c.begun}
+	}
+}
+
+// useOfSender returns the use of a connection whose request has been awaited since a time.
+func (c *conn) useOfSender(n need, since, now time.Time) use {
+	due := sendTime
+	if n == sending {
+		due += time.Duration(float64(c.read.Load()) / sendRate * float64(time.Second))
+	}
+	if now.Sub(since) > due {
+		n = overdue
+	}
+	return use{n, since}
+}
+
+func (u use) replaceable() bool { return u.need < served }
+
+// before reports whether a connection is to be reset before another one.
+func (u use) before(other use) bool {
+	if u.need != other.need {
+		return u.need < other.need
+	}
+	return u.since.Before(other.since)
+}
+
+// CloseWrite is called by net/http when the last response was written and the caller may still be sending.
+// It then waits for a moment before it closes the connection.
+func (c *conn) CloseWrite() error {
+	if !c.group.beginLinger(c) {
+		c.reset(AfterResponse)
+		return nil
+	}
+	return beechsocket.CloseWrite(c.Conn)
+}
+
 // reset closes the connection so that neither end keeps anything of it.
 func (c *conn) reset(cause Cause) {
 	c.end(cause)
--- a/internal/link/beechkeepalive/crowd_test.go
+++ b/internal/link/beechkeepalive/crowd_test.go
@@ -1,6 +1,7 @@
 package beechkeepalive
 
 import (
+	"io"
 	"net/http"
 	"strings"
 	"testing"
@@ -8,8 +9,91 @@
 
 	"github.com/jonboulle/clockwork"
 	"github.com/matryer/is"
+
+	"github.com/beechring/beechring/internal/link/beechsocket"
 )
 
+// hold answers a request once it is released, and reads its body before.
+type hold struct{ release chan struct{} }
+
+func (h hold) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	control := http.NewResponseController(w)
+	_ = control.SetReadDeadline(time.Now().Add(time.Minute))
+	_, err := io.Copy(io.Discard, r.Body)
+	if err != nil {
+		return
+	}
+	_ = control.SetReadDeadline(time.Time{})
+	if r.URL.Path == "/held" {
+		<-h.release
+	}
+	w.WriteHeader(http.StatusOK)
+}
+
+func (g *Group) open() int {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return len(g.conns)
+}
+
+// Guards against connections that take all descriptors, and against closing those that callers need.
+func TestConnectionsAreResetInOrderOfNeed(t *testing.T) {
+	is := is.New(t)
+	const most = 7
+	clock := clockwork.NewRealClock()
+	g := New(Settings{IdleTimeout: func() time.Duration { return time.Minute }, HeadTimeout: time.Minute, MaxOpen: most}, clock)
+	h := hold{make(chan struct{})}
+	address := start(t, g, &http.Server{Handler: h, ReadHeaderTimeout: time.Minute})
+	count := 0
+	next := func(text string) caller {
+		c := dial(t, address)
+		is.NoErr(c.send(text))
+		count++
+		waitFor(t, "connection", func() bool { return g.open() == min(count, most) })
+		time.Sleep(5 * time.Millisecond) // until its bytes are read
+		return c
+	}
+	alive := func(c caller) bool { return !c.isClosed() }
+	const body = "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 100000\r\n\r\n"
+	trickle := next(body + "x")
+	time.Sleep(sendTime + 50*time.Millisecond) // it is overdue from now on
+	sending := next(body + strings.Repeat("x", 64<<10))
+	kept := next(get)
+	_, err := kept.receive()
+	is.NoErr(err)
+	beginning := next("GET / HTTP/1.1\r\n")
+	served := next("GET /held HTTP/1.1\r\nHost: h\r\n\r\n")
+	silentOld, silentNew := next(""), next("")
+	for n, gone := range []caller{trickle, silentOld, silentNew, beginning, kept, sending} {
+		is.True(alive(gone))
+		next("GET /held HTTP/1.1\r\nHost: h\r\n\r\n") // from now on the rest wait for their responses
+		waitFor(t, "reset", func() bool { return !alive(gone) })
+		is.Equal(g.Counts().Closed[Crowded], int64(n+1))
+		is.Equal(g.open(), most)
+	}
+	late := dial(t, address)
+	waitFor(t, "refusal of a new connection", func() bool { return !alive(late) })
+	close(h.release)
+	_, err = served.receive()
+	is.NoErr(err)
+	is.Equal(g.Counts().Peak, most+1) // the one that is refused is counted
+}
+
+// Guards against refusals that keep connections open, and their unread bytes, beyond any number.
+func TestFewConnectionsLinger(t *testing.T) {
+	is := is.New(t)
+	g := New(Settings{IdleTimeout: func() time.Duration { return time.Minute }, HeadTimeout: time.Minute}, clockwork.NewRealClock())
+	address := start(t, g, &http.Server{Handler: http.HandlerFunc(respond), ReadHeaderTimeout: time.Minute, MaxHeaderBytes: 1 << 10})
+	long := "GET / HTTP/1.1\r\nHost: h\r\nX-Long: " + strings.Repeat("x", 16<<10)
+	for range 3 * maxLingering {
+		is.NoErr(dial(t, address).send(long))
+	}
+	waitFor(t, "refusals", func() bool { return g.Counts().Closed[AfterResponse] >= 2*maxLingering })
+	is.True(g.open() <= maxLingering)
+	waitFor(t, "the end of all", func() bool { return g.open() == 0 })
+	is.Equal(g.lingering, 0)
+}
+
 func respond(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusOK) }
 
 // Guards against many heads without an end, each within its own bound, that take a process's memory together.
@@ -46,3 +130,8 @@
 		return g.headBytes == 0
 	})
 }
+
+// isClosed reports whether the server has closed or reset the connection.
+func (c caller) isClosed() bool {
+	return beechsocket.Look(c.TCPConn) == beechsocket.Closed
+}
--- a/internal/link/beechkeepalive/group.go
+++ b/internal/link/beechkeepalive/group.go
@@ -50,6 +50,10 @@
 		IdleTimeout func() time.Duration // for which a connection may be without a request between two
 		HeadTimeout time.Duration        // from the first byte of a request until the end of its head
 		HeadBytes   int                  // of all heads that are being received together; 0: no bound
+		// MaxOpen is the number of connections at a time; 0: no bound. Beyond it one is reset for each new
+		// one: first those whose request takes too long, then those that have not sent one, then those that
+		// are idle between two. None is that waits for its response.
+		MaxOpen int
 		// Closed is called for each connection that is closed while it has unread bytes of a
 		// caller that is still there; it may be nil.
 		Closed func(Closing)
@@ -68,12 +72,16 @@
 		listeners map[*listener]struct{} // that may still return connections
 		conns     map[*conn]struct{}
 		headBytes int // received of heads that are not complete
+		lingering int // connections that are kept open for a moment after their last response
+		peak      int // of open connections
 		closed    map[Cause]int64
 		unread    map[Cause]int64 // those of closed with unread bytes
 	}
 
-	// Counts are numbers of closed connections by cause.
+	// Counts are numbers of closed connections by cause, and of open ones.
 	Counts struct {
+		Open   int
+		Peak   int // of Open
 		Closed map[Cause]int64
 		Unread map[Cause]int64 // those of Closed with unread bytes of a caller that was still there
 	}
@@ -99,6 +107,7 @@
 	Drained       Cause = "drained"        // no request when the server was drained
 	Stopped       Cause = "stopped"        // the server was closed
 	HeadMemory    Cause = "head memory"    // all heads together had become too large
+	Crowded       Cause = "crowded"        // there were too many connections
 )
 
 const (
@@ -108,6 +117,8 @@
 	// drainTimeout replaces the idle timeout while the server drains. Callers whose responses did
 	// not announce the end of the connection may be sending their next request.
 	drainTimeout = 200 * time.Millisecond
+	// maxLingering bounds what callers send that nobody reads any more.
+	maxLingering = 32
 )
 
 // New returns a group without connections.
@@ -128,23 +139,56 @@
 	return grouped
 }
 
-// Accept returns the next connection.
+// Accept returns the next connection. If there are too many, it resets others, or the new one if all
+// others wait for their responses.
 func (l *listener) Accept() (net.Conn, error) {
 	g := l.group
-	c, err := l.Listener.Accept()
+	for {
+		c, err := l.Listener.Accept()
+		if err != nil {
+			g.mu.Lock()
+			defer g.mu.Unlock()
+			var temporary interface{ Temporary() bool }
+			if !errors.As(err, &temporary) || !temporary.Temporary() {
+				delete(g.listeners, l)
+				g.checkDrained()
+			}
+			return nil, err
+		}
+		grouped := &conn{Conn: c, group: g, since: g.clock.Now()}
+		room := g.makeRoom()
+		g.mu.Lock()
+		g.conns[grouped] = struct{}{}
+		g.peak = max(g.peak, len(g.conns))
+		g.mu.Unlock()
+		if room {
+			return grouped, nil
+		}
+		grouped.reset(Crowded)
+	}
+}
+
+// makeRoom reports whether one more connection may be opened, for which it may reset another one.
+func (g *Group) makeRoom() bool {
 	g.mu.Lock()
-	defer g.mu.Unlock()
-	if err != nil {
-		var temporary interface{ Temporary() bool }
-		if !errors.As(err, &temporary) || !temporary.Temporary() {
-			delete(g.listeners, l)
-			g.checkDrained()
+	if g.settings.MaxOpen == 0 || len(g.conns) < g.settings.MaxOpen {
+		g.mu.Unlock()
+		return true
+	}
+	var least *conn
+	var leastUse use
+	now := g.clock.Now()
+	for c := range g.conns {
+		if u := c.use(now); u.replaceable() && (least == nil || u.before(leastUse)) {
+			least, leastUse = c, u
 		}
-		return nil, err
 	}
-	grouped := &conn{Conn: c, group: g, since: g.clock.Now()}
-	g.conns[grouped] = struct{}{}
-	return grouped, nil
+	g.mu.Unlock()
+	if least == nil {
+		return false
+	}
+	least.reset(Crowded)
+	return true
 }
 
 // Close closes the listener. Accept may still return connections before its error.
@@ -212,7 +256,7 @@
 func (g *Group) Counts() Counts {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return Counts{Closed: maps.Clone(g.closed), Unread: maps.Clone(g.unread)}
+	return Counts{Open: len(g.conns), Peak: g.peak, Closed: maps.Clone(g.closed), Unread: maps.Clone(g.unread)}
 }
 
 // record counts a connection that is being closed.
@@ -235,9 +279,26 @@
 	delete(g.conns, c)
 	g.headBytes -= c.headBytes
 	c.headBytes = 0
+	if c.lingers {
+		g.lingering--
+		c.lingers = false
+	}
 	g.checkDrained()
 }
 
+// beginLinger reports whether a connection may be kept open after its last response, so that the caller
+// reads it although it is still sending.
+func (g *Group) beginLinger(c *conn) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if _, open := g.conns[c]; !open || g.lingering >= maxLingering {
+		return false
+	}
+	g.lingering++
+	c.lingers = true
+	return true
+}
+
 // receiveHead counts bytes of a head. If all heads have become too large, the connection is reset that has
 // been in its head for longest.
 func (g *Group) receiveHead(c *conn, n int) {
--- a/internal/link/beechsocket/socket.go
+++ b/internal/link/beechsocket/socket.go
@@ -148,6 +148,13 @@
 	})
 }
 
+// CloseWrite ends the sending direction of a connection.
+func CloseWrite(c net.Conn) error {
+	err := error(nil)
+	controlErr := control(c, func(fd uintptr) { err = unix.Shutdown(int(fd), unix.SHUT_WR) })
+	return errors.Join(controlErr, err)
+}
+
 // control calls f with the descriptor of a connection.
 func control(c net.Conn, f func(fd uintptr)) error {
 	s, ok := c.(syscall.Conn)
--- a/internal/process/beechentry/entry.go
+++ b/internal/process/beechentry/entry.go
@@ -31,6 +31,7 @@
 	"github.com/beechring/beechring/internal/link/beechwire"
 	"github.com/beechring/beechring/internal/process/beechbody"
 	"github.com/beechring/beechring/internal/process/beechburn"
+	"github.com/beechring/beechring/internal/process/beechdescriptor"
 	"github.com/beechring/beechring/internal/process/beechending"
 	"github.com/beechring/beechring/internal/process/beechlog"
 	"github.com/beechring/beechring/internal/process/beechmemory"
@@ -60,21 +61,22 @@
 		store       beechstore.Store
 		incarnation uint64
 
-		holder    *beechmanifest.Holder
-		fleet     *fleet
-		limiter   *beechlimit.Limiter
-		budget    *beechretry.Budget
-		health    *beechhealth.Tracker
-		suspects  *beechsuspect.Registry
-		poison    *beechpoison.Tracker // what servers crash on
-		burn      *beechburn.Burn
-		signer    *streamSigner
-		startup   *startup
-		estimator beechprefix.Estimator
-		counters  counters
-		door      *beechending.Door
-		intake    *beechintake.Intake // memory of callers' bodies
-		bodies    *beechbody.Reader
+		holder      *beechmanifest.Holder
+		fleet       *fleet
+		limiter     *beechlimit.Limiter
+		budget      *beechretry.Budget
+		health      *beechhealth.Tracker
+		suspects    *beechsuspect.Registry
+		poison      *beechpoison.Tracker // what servers crash on
+		burn        *beechburn.Burn
+		signer      *streamSigner
+		startup     *startup
+		estimator   beechprefix.Estimator
+		counters    counters
+		door        *beechending.Door
+		descriptors beechdescriptor.Plan
+		intake      *beechintake.Intake // memory of callers' bodies
+		bodies      *beechbody.Reader
 
 		http         *http.Server
 		listener     net.Listener
@@ -112,6 +114,10 @@
 // New creates an entry and opens its listeners, so that an address already in
 // use is reported here. Its goroutines start in Serve.
 func New(settings *beechsettings.Entry, d Dependencies) (*Entry, error) {
+	descriptors, err := beechdescriptor.New(settings.Descriptors, settings.Memory)
+	if err != nil {
+		return nil, err
+	}
 	listener, err := net.Listen("tcp", settings.Listen.String())
 	if err != nil {
 		return nil, fmt.Errorf("listen for callers on %s: %w", settings.Listen, err)
@@ -124,9 +130,9 @@
 	log := d.Log.Named("entry")
 	connections := beechkeepalive.New(beechkeepalive.Settings{
 		IdleTimeout: func() time.Duration { return idleTimeout }, HeadTimeout: time.Duration(settings.Limits.BodyTime),
-		HeadBytes: headMemory(settings), Closed: logUnreadClosing(log),
+		HeadBytes: headMemory(settings), MaxOpen: descriptors.Open, Closed: logUnreadClosing(log),
 	}, d.Clock)
-	listener = connections.Listen(beechaccept.Listen(callers.Listen(listener), beechaccept.Settings{}, d.Clock))
+	listener = connections.Listen(beechaccept.Listen(callers.Listen(listener), beechaccept.Settings{MaxWaiting: descriptors.Waiting}, d.Clock))
 	if d.TLS != nil {
 		listener = tls.NewListener(listener, d.TLS)
 	}
@@ -147,8 +153,8 @@
 		burn:     beechburn.New(beechburn.Settings{}, d.Clock),
 		signer:   newStreamSigner(settings.Secret),
 		startup:  newStartup(d.Clock),
-		listener: listener,
-		callers:  callers, connections: connections,
+		listener: listener, descriptors: descriptors,
+		callers: callers, connections: connections,
 		intake: newIntake(settings, d.Clock),
 	}
 	e.bodies = beechbody.New(e.intake)
@@ -201,7 +207,7 @@
 	supervised := e.supervisor.ServeBackground(inner)
 	served := make(chan error, 1)
 	go func() { served <- e.http.Serve(e.listener) }()
-	e.log.Info("entry started", zap.Stringer("listen", e.listener.Addr()), zap.Uint64("incarnation", e.incarnation))
+	e.log.Info("entry started", zap.Stringer("listen", e.listener.Addr()), zap.Uint64("incarnation", e.incarnation), zap.Int("descriptors", e.descriptors.Limit), zap.Int("maxConnections", e.descriptors.Open), zap.Int("bodyMemory", e.intake.State().Capacity))
 
 	var err error
 	select {
--- a/internal/process/beechgate/gate.go
+++ b/internal/process/beechgate/gate.go
@@ -38,6 +38,7 @@
 	"github.com/beechring/beechring/internal/link/beechpool"
 	"github.com/beechring/beechring/internal/link/beechsocket"
 	"github.com/beechring/beechring/internal/process/beechbody"
+	"github.com/beechring/beechring/internal/process/beechdescriptor"
 	"github.com/beechring/beechring/internal/process/beechending"
 	"github.com/beechring/beechring/internal/process/beechlog"
 	"github.com/beechring/beechring/internal/process/beechsettings"
@@ -122,6 +123,7 @@
 		supervisor      *suture.Supervisor
 		metrics         *metrics
 		door            *beechending.Door
+		descriptors     beechdescriptor.Plan
 		intake          *beechintake.Intake // memory of callers' bodies
 		bodies          *beechbody.Reader
 		bounds          atomic.Pointer[beechsettings.GateBounds]
@@ -185,6 +187,10 @@
 
 // New returns a gate that is bound to its heartbeat address. It serves once Run is called.
 func New(s *beechsettings.Gate, deps Dependencies) (*Gate, error) {
+	descriptors, err := beechdescriptor.New(s.Descriptors, s.Memory)
+	if err != nil {
+		return nil, err
+	}
 	socket, err := beechdatagram.Open(s.Beats)
 	if err != nil {
 		return nil, err
@@ -194,7 +200,7 @@
 		return nil, err
 	}
 	g := &Gate{
-		settings: s, deps: deps, log: deps.Log, clock: deps.Clock, socket: socket, callers: callers, startedAt: deps.Clock.Now(),
+		settings: s, deps: deps, log: deps.Log, clock: deps.Clock, socket: socket, callers: callers, startedAt: deps.Clock.Now(), descriptors: descriptors,
 		readers:   beechreader.New(socket.Address()),
 		board:     beechsummary.New(beechsummary.DefaultSettings, deps.Clock),
 		strains:   beechstrain.New(beechstrain.DefaultSettings, deps.Clock),
@@ -231,7 +237,7 @@
 	callers.Observe(g.metrics.watchDelay.Record)
 	deps.Pool.ObserveResetDelay(g.metrics.resetDelay.Record)
 	g.limitLog = beechlog.Sampled(deps.Log, maxLimitLogLines, g.metrics.limitLinesDropped)
-	g.connections = beechkeepalive.New(beechkeepalive.Settings{IdleTimeout: g.idleTimeout, HeadTimeout: headerTimeout, HeadBytes: headMemory(s.Memory), Closed: g.logUnreadClosing}, deps.Clock)
+	g.connections = beechkeepalive.New(beechkeepalive.Settings{IdleTimeout: g.idleTimeout, HeadTimeout: headerTimeout, HeadBytes: headMemory(s.Memory), MaxOpen: g.descriptors.Open, Closed: g.logUnreadClosing}, deps.Clock)
 	weights := time.Duration(s.Bounds.Weights)
 	g.overloaded = beechsaturation.New(deps.Clock, g.wakeOverloadSender)
 	g.backoff = beechbackoff.New(deps.Clock)
@@ -320,7 +326,7 @@
 	go func() { failed <- readyServer.Serve(readyListener) }()
 	go func() { failed <- copyServer.Serve(copyListener) }()
 	supervised := g.supervisor.ServeBackground(background)
-	g.log.Info("gate started", zap.Stringer("listen", g.settings.Listen), zap.String("zone", g.settings.Zone))
+	g.log.Info("gate started", zap.Stringer("listen", g.settings.Listen), zap.String("zone", g.settings.Zone), zap.Int("descriptors", g.descriptors.Limit), zap.Int("maxConnections", g.descriptors.Open), zap.Int("bodyMemory", g.intake.State().Capacity))
 	select {
 	case <-ctx.Done():
 	case err := <-failed:
@@ -418,7 +424,8 @@
 		if slow := slowEngines(g.placer.Paces()); len(slow) > 0 {
 			g.log.Info("engines slower than the median", zap.Any("times", slow))
 		}
-		g.log.Info("traffic", zap.Any("members", g.members.Counts()), zap.Any("states", g.board.Counts()), beechlog.Counts("datagrams", g.socket.SentBytes()), beechlog.Counts("bodies", g.metrics.bodies), beechlog.Counts("backups", g.metrics.backups), beechlog.Counts("store", g.deps.StoreUse))
+		connections := g.connections.Counts()
+		g.log.Info("traffic", zap.Int("connections", connections.Open), zap.Int("connectionsPeak", connections.Peak), zap.Any("bodyMemory", g.intake.State()), zap.Any("members", g.members.Counts()), zap.Any("states", g.board.Counts()), beechlog.Counts("datagrams", g.socket.SentBytes()), beechlog.Counts("bodies", g.metrics.bodies), beechlog.Counts("backups", g.metrics.backups), beechlog.Counts("store", g.deps.StoreUse))
 	})
 }
 
--- a/internal/process/beechgate/metrics.go
+++ b/internal/process/beechgate/metrics.go
@@ -110,6 +110,10 @@
 	m.vars.Set("backups", m.backups)
 	m.vars.Set("originsKept", expvar.Func(func() any { return g.origins.registry.Len() }))
 	m.vars.Set("connectionsTurnedAway", m.turnedAway)
+	m.vars.Set("connectionsOpen", expvar.Func(func() any {
+		counts := g.connections.Counts()
+		return map[string]int{"now": counts.Open, "peak": counts.Peak, "limit": g.descriptors.Open}
+	}))
 	m.vars.Set("connectionsClosed", expvar.Func(func() any { return g.connections.Counts().Closed }))
 	m.vars.Set("connectionsClosedUnread", expvar.Func(func() any { return g.connections.Counts().Unread }))
 	m.vars.Set("unreadAgeMicros", expvar.Func(m.unreadAge.Percentiles))
--- a/internal/request/beechcall/configuration.go
+++ b/internal/request/beechcall/configuration.go
@@ -88,6 +88,7 @@
 
 	// Limits bound what a caller may send. Zero means not known.
 	Limits struct {
+		HeadBytes   int
 		BodyBytes   int64
 		IdleTimeout time.Duration // of a connection between requests
 	}
