A gate refuses a head as soon as it exceeds the operators' limit

Cause: the operators' maxHeaderBytes (16,384) was not decoded, so that each head was read up to 64 KiB. On one core, connections that were reset wait for the processor with all that they have read, several times, and hundreds do.

Change: the configuration's maxHeaderBytes is decoded and bounds each head, as it changes, with 8 KiB more for the first line and for what is read behind the head. Beyond it the answer is 431 and the connection ends, within the bound of connections that linger.

Ruled out: the collector alone. The count of all heads was within its bound meanwhile.

--- a/internal/link/beechkeepalive/conn.go
+++ b/internal/link/beechkeepalive/conn.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"io"
 	"math"
 	"net"
 	"net/http"
@@ -61,6 +62,15 @@
 	served                // a response
 )
 
+const (
+	headTooLarge = "HTTP/1.1 431 Request Header Fields Too Large\r\nContent-Length: 0\r\nConnection: close\r\n\r\n"
+	// A caller that was refused may send so much for so long until it has read that.
+	lingerTime  = 500 * time.Millisecond
+	lingerBytes = 1 << 20
+)
+
+var errHeadTooLarge = errors.New("head of the request is too large")
+
 const (
 	// sendTime is how long a caller may take for a request, beside its body, that others wait behind.
 	sendTime = 500 * time.Millisecond
@@ -110,19 +120,35 @@
 		}
 		if n > 0 {
 			c.beginHead()
-			c.group.receiveHead(c, n)
+			return n, c.receiveHead(n, err)
 		}
 		return n, err
 	}
 }
 
+// receiveHead counts bytes of a head. If it is too large, it refuses the request and returns an error, else
+// that of the read.
+func (c *conn) receiveHead(n int, err error) error {
+	if c.group.receiveHead(c, n) <= c.group.maxHead() {
+		return err
+	}
+	c.end(LongHead)
+	if _, err := c.Conn.Write([]byte(headTooLarge)); err == nil && c.group.beginLinger(c) {
+		_ = beechsocket.CloseWrite(c.Conn)
+		_ = c.Conn.SetReadDeadline(time.Now().Add(lingerTime))
+		_, _ = io.CopyN(io.Discard, c.Conn, lingerBytes)
+	}
+	c.reset(LongHead)
+	return errHeadTooLarge
+}
+
 // readHead reads more of a request's head.
 func (c *conn) readHead(data []byte) (int, error) {
 	n, err := c.Conn.Read(data)
 	if n > 0 {
-		c.group.receiveHead(c, n)
+		return n, c.receiveHead(n, err)
 	}
-	if n > 0 || !timedOut(err) {
+	if !timedOut(err) {
 		return n, err
 	}
 	if !readable(c.Conn) {
@@ -131,10 +157,12 @@
 	}
 	_ = c.Conn.SetReadDeadline(time.Time{})
 	n, err = c.Conn.Read(data)
-	c.group.receiveHead(c, n)
 	c.mu.Lock()
-	defer c.mu.Unlock()
 	_ = c.Conn.SetReadDeadline(c.deadline)
+	c.mu.Unlock()
+	if n > 0 {
+		err = c.receiveHead(n, err)
+	}
 	return n, err
 }
 
--- a/internal/link/beechkeepalive/crowd_test.go
+++ b/internal/link/beechkeepalive/crowd_test.go
@@ -4,6 +4,7 @@
 	"io"
 	"net/http"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -79,6 +80,40 @@
 	is.Equal(g.Counts().Peak, most+1) // the one that is refused is counted
 }
 
+// Guards against heads that are read far beyond the operators' limit.
+func TestLongHeadIsRefusedAsItComes(t *testing.T) {
+	is := is.New(t)
+	const limit = 16 << 10
+	var most atomic.Int64
+	most.Store(limit)
+	g := New(Settings{IdleTimeout: func() time.Duration { return time.Minute }, HeadTimeout: time.Minute, MaxHead: func() int { return int(most.Load()) }}, clockwork.NewRealClock())
+	address := start(t, g, &http.Server{Handler: hold{}, ReadHeaderTimeout: time.Minute, MaxHeaderBytes: 64 << 10})
+	head := func(size int) string { return "POST / HTTP/1.1\r\nHost: h\r\nX-Long: " + strings.Repeat("x", size) }
+	status := func(c caller) int {
+		response, err := http.ReadResponse(c.responses, nil)
+		is.NoErr(err)
+		return response.StatusCode
+	}
+	c := dial(t, address)
+	is.NoErr(c.send(head(limit-100) + "\r\nContent-Length: 100000\r\n\r\n" + strings.Repeat("x", 100000)))
+	is.Equal(status(c), http.StatusOK) // the largest, with a body right behind it
+	long := dial(t, address)
+	is.NoErr(long.send(head(2 * limit))) // without its end
+	is.Equal(status(long), http.StatusRequestHeaderFieldsTooLarge)
+	waitFor(t, "close", func() bool { return g.Counts().Closed[LongHead] == 1 })
+	is.NoErr(c.send(head(2 * limit))) // on a kept connection
+	is.Equal(status(c), http.StatusRequestHeaderFieldsTooLarge)
+	most.Store(3 * limit)
+	other := dial(t, address)
+	is.NoErr(other.send(head(2*limit) + "\r\n\r\n"))
+	is.Equal(status(other), http.StatusOK)
+	waitFor(t, "heads are counted out", func() bool {
+		g.mu.Lock()
+		defer g.mu.Unlock()
+		return g.headBytes == 0 && g.lingering == 0
+	})
+}
+
 // Guards against refusals that keep connections open, and their unread bytes, beyond any number.
 func TestFewConnectionsLinger(t *testing.T) {
 	is := is.New(t)
--- a/internal/link/beechkeepalive/group.go
+++ b/internal/link/beechkeepalive/group.go
@@ -24,6 +24,7 @@
 	"context"
 	"errors"
 	"maps"
+	"math"
 	"net"
 	"net/http"
 	"sync"
@@ -50,6 +51,9 @@
 		IdleTimeout func() time.Duration // for which a connection may be without a request between two
 		HeadTimeout time.Duration        // from the first byte of a request until the end of its head
 		HeadBytes   int                  // of all heads that are being received together; 0: no bound
+		// MaxHead returns the bytes of one head, which may change; nil or 0: the server's own bound. A longer
+		// one is answered 431 as soon as it is.
+		MaxHead func() int
 		// MaxOpen is the number of connections at a time; 0: no bound. Beyond it one is reset for each new
 		// one: first those whose request takes too long, then those that have not sent one, then those that
 		// are idle between two. None is that waits for its response.
@@ -107,6 +111,7 @@
 	Drained       Cause = "drained"        // no request when the server was drained
 	Stopped       Cause = "stopped"        // the server was closed
 	HeadMemory    Cause = "head memory"    // all heads together had become too large
+	LongHead      Cause = "long head"      // a head was too large
 	Crowded       Cause = "crowded"        // there were too many connections
 )
 
@@ -117,6 +122,8 @@
 	// drainTimeout replaces the idle timeout while the server drains. Callers whose responses did
 	// not announce the end of the connection may be sending their next request.
 	drainTimeout = 200 * time.Millisecond
+	// headSlack is for the first line of a head, and for bytes behind it that are read with it.
+	headSlack = 8 << 10
 	// maxLingering bounds what callers send that nobody reads any more.
 	maxLingering = 32
 )
@@ -299,13 +306,13 @@
 	return true
 }
 
-// receiveHead counts bytes of a head. If all heads have become too large, the connection is reset that has
-// been in its head for longest.
-func (g *Group) receiveHead(c *conn, n int) {
+// receiveHead counts bytes of a head, and returns how many there are. If all heads have become too large,
+// the connection is reset that has been in its head for longest.
+func (g *Group) receiveHead(c *conn, n int) int {
 	g.mu.Lock()
-	if _, open := g.conns[c]; !open || g.settings.HeadBytes == 0 {
+	if _, open := g.conns[c]; !open {
 		g.mu.Unlock()
-		return
+		return 0
 	}
 	if c.headBytes == 0 {
 		c.headSince = g.clock.Now()
@@ -313,13 +320,26 @@
 	c.headBytes += n
 	g.headBytes += n
 	var oldest *conn
-	if g.headBytes > g.settings.HeadBytes {
+	if g.settings.HeadBytes > 0 && g.headBytes > g.settings.HeadBytes {
 		oldest = g.oldestHead()
 	}
+	size := c.headBytes
 	g.mu.Unlock()
 	if oldest != nil {
 		oldest.reset(HeadMemory)
 	}
+	return size
+}
+
+// maxHead returns the bytes of one head with what may have been read behind it.
+func (g *Group) maxHead() int {
+	if g.settings.MaxHead == nil {
+		return math.MaxInt
+	}
+	if size := g.settings.MaxHead(); size > 0 {
+		return size + headSlack
+	}
+	return math.MaxInt
 }
 
 // endHead takes a head that is complete out of the count.
--- a/internal/process/beechgate/bodies.go
+++ b/internal/process/beechgate/bodies.go
@@ -35,6 +35,14 @@
 	return max(megabytes*megabyte/headMemoryShare, 2*maxHeaderBytes)
 }
 
+// maxHead returns the operators' limit of a request's head, or 0 if they set none.
+func (g *Gate) maxHead() int {
+	if c := g.configuration.Load(); c != nil {
+		return c.Limits.HeadBytes
+	}
+	return 0
+}
+
 // ReadBody reads the body of an admitted request. MaxBytes applies if the operators set no limit. Errors
 // are those of beechbody.Reader.
 func (g *Gate) ReadBody(control *http.ResponseController, r *http.Request, admitted Admitted, maxBytes int64) (*beechbody.Body, error) {
--- a/internal/process/beechgate/gate.go
+++ b/internal/process/beechgate/gate.go
@@ -237,7 +237,10 @@
 	callers.Observe(g.metrics.watchDelay.Record)
 	deps.Pool.ObserveResetDelay(g.metrics.resetDelay.Record)
 	g.limitLog = beechlog.Sampled(deps.Log, maxLimitLogLines, g.metrics.limitLinesDropped)
-	g.connections = beechkeepalive.New(beechkeepalive.Settings{IdleTimeout: g.idleTimeout, HeadTimeout: headerTimeout, HeadBytes: headMemory(s.Memory), MaxOpen: g.descriptors.Open, Closed: g.logUnreadClosing}, deps.Clock)
+	g.connections = beechkeepalive.New(beechkeepalive.Settings{
+		IdleTimeout: g.idleTimeout, HeadTimeout: headerTimeout,
+		HeadBytes: headMemory(s.Memory), MaxHead: g.maxHead, MaxOpen: g.descriptors.Open, Closed: g.logUnreadClosing,
+	}, deps.Clock)
 	weights := time.Duration(s.Bounds.Weights)
 	g.overloaded = beechsaturation.New(deps.Clock, g.wakeOverloadSender)
 	g.backoff = beechbackoff.New(deps.Clock)
