Of bodies that come the slowest loses its connection first

What callers saw: a caller that sends 256 KiB steadily is not answered, 127 tries in 30 s, while 400 clients before 256 descriptors send all but a byte of small bodies and come again when they are reset.

Cause: bodies that are not overdue yet were reset by age. Newcomers that stop short are replaced within 30 ms, younger than any caller in the middle of a longer body.

Change: among bodies that come, the one with the fewest bytes a second goes first. The crowd has a form more, short, and cases more at both doors: short-descriptors, unknown-key; and behind-many at the gate.

Why it works: to push out a steady sender a client must send faster than that.

--- a/internal/command/beechplay/crowd_test.go
+++ b/internal/command/beechplay/crowd_test.go
@@ -1,6 +1,7 @@
 package beechplay
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"net/http"
@@ -41,6 +42,7 @@
 	hang        bool   // the engines answer nothing
 	allCores    bool   // the gate runs on all cores; otherwise on one, as on its usual host
 	keys        int    // workspaces of the crowd; 0: one
+	key         string // of the crowd; empty: that of an ordinary caller
 }
 
 // crowdDeployment is a gate in a process of its own, before servers in the test's process.
@@ -73,6 +75,9 @@
 		{form: "idle", clients: 400, descriptors: 256},
 		{name: "trickle-descriptors", form: "trickle", clients: 400, descriptors: 256},
 		{name: "heads-descriptors", form: "heads", clients: 400, descriptors: 256},
+		{name: "short-descriptors", form: "short", clients: 400, descriptors: 256},
+		{name: "unknown-key", form: "short", key: "key-of-nobody", clients: 400, descriptors: 256},
+		{name: "behind-many", form: "behind", path: "/pick/x", hang: true, clients: 1200},
 	} {
 		if c.name == "" {
 			c.name = c.form
@@ -163,7 +168,7 @@
 	s := beechcrowd.Settings{
 		Form: c.form, Clients: crowdClients, Address: d.cluster.Places["gate"], Host: Host, Path: "/label/x", BodyBytes: crowdBody,
 		Header: func(n int) http.Header {
-			key := Key
+			key := cmp.Or(c.key, Key)
 			if c.keys > 0 {
 				key = crowdKey(n % c.keys)
 			}
--- a/internal/command/beechscenario/crowd_test.go
+++ b/internal/command/beechscenario/crowd_test.go
@@ -1,6 +1,7 @@
 package beechscenario
 
 import (
+	"cmp"
 	"context"
 	"net/http"
 	"net/netip"
@@ -34,10 +35,11 @@
 type crowdCase struct {
 	name        string // of the case; empty: that of the form
 	form        string
-	completions bool // the crowd asks for completions; otherwise it calls the service
-	clients     int  // 0: crowdClients
-	memory      int  // MB of the process under test
-	descriptors int  // of the entry host; 0: not told
+	completions bool   // the crowd asks for completions; otherwise it calls the service
+	clients     int    // 0: crowdClients
+	key         string // of the crowd; empty: that of an ordinary caller
+	memory      int    // MB of the process under test
+	descriptors int    // of the entry host; 0: not told
 }
 
 // crowdDeployment is an entry host, an engine and a service with their agents.
@@ -61,6 +63,8 @@
 		{form: "mixed"},
 		{form: "idle", clients: 400, descriptors: 256},
 		{name: "trickle-descriptors", form: "trickle", clients: 400, descriptors: 256},
+		{name: "short-descriptors", form: "short", clients: 400, descriptors: 256},
+		{name: "unknown-key", form: "short", key: "nobody's key", clients: 400, descriptors: 256},
 	} {
 		c.memory = crowdMemory
 		if c.name == "" {
@@ -153,7 +157,7 @@
 	s := beechcrowd.Settings{
 		Form: c.form, Clients: crowdClients, Address: d.entry, Path: servicePath, BodyBytes: crowdBody,
 		Header: func(int) http.Header {
-			return http.Header{"Authorization": {"Bearer loop-key"}, "Content-Type": {"application/json"}}
+			return http.Header{"Authorization": {"Bearer " + cmp.Or(c.key, "loop-key")}, "Content-Type": {"application/json"}}
 		},
 	}
 	if c.completions {
--- a/internal/link/beechkeepalive/conn.go
+++ b/internal/link/beechkeepalive/conn.go
@@ -1,6 +1,7 @@
 package beechkeepalive
 
 import (
+	"cmp"
 	"errors"
 	"io"
 	"math"
@@ -45,6 +46,7 @@
 	// use tells how much a connection is needed.
 	use struct {
 		need  need
+		rate  float64 // bytes a second of a body that comes
 		since time.Time
 	}
 
@@ -76,6 +78,8 @@
 	sendTime = 500 * time.Millisecond
 	// sendRate in bytes a second is the rate at which a body must come then.
 	sendRate = 16 << 10
+	// minRateTime is the least time over which a rate is taken.
+	minRateTime = 10 * time.Millisecond
 )
 
 const (
@@ -294,7 +298,7 @@
 	defer c.mu.Unlock()
 	switch p := c.phaseNow(); {
 	case p == awaiting && c.kept:
-		return use{kept, c.since}
+		return use{need: kept, since: c.since}
 	case p == awaiting:
 		return c.useOfSender(silent, c.since, now)
 	case p == inHead:
@@ -302,30 +306,29 @@
 	case !c.deadline.IsZero():
 		return c.useOfSender(sending, c.begun, now)
 	default:
-		return use{served, c.begun}
+		return use{need: served, since: c.begun}
 	}
 }
 
 // useOfSender returns the use of a connection whose request has been awaited since a time.
 func (c *conn) useOfSender(n need, since, now time.Time) use {
-	due := sendTime
+	age, due, rate := now.Sub(since), sendTime, 0.0
 	if n == sending {
-		due += time.Duration(float64(c.read.Load()) / sendRate * float64(time.Second))
+		received := float64(c.read.Load())
+		due += time.Duration(received / sendRate * float64(time.Second))
+		rate = received / max(age, minRateTime).Seconds()
 	}
-	if now.Sub(since) > due {
-		n = overdue
+	if age > due {
+		return use{need: overdue, since: since}
 	}
-	return use{n, since}
+	return use{n, rate, since}
 }
 
 func (u use) replaceable() bool { return u.need < served }
 
 // before reports whether a connection is to be reset before another one.
 func (u use) before(other use) bool {
-	if u.need != other.need {
-		return u.need < other.need
-	}
-	return u.since.Before(other.since)
+	return cmp.Or(cmp.Compare(u.need, other.need), cmp.Compare(u.rate, other.rate), u.since.Compare(other.since)) < 0
 }
 
 // CloseWrite is called by net/http when the last response was written and the caller may still be sending.
--- a/internal/link/beechkeepalive/crowd_test.go
+++ b/internal/link/beechkeepalive/crowd_test.go
@@ -80,6 +80,25 @@
 	is.Equal(g.Counts().Peak, most+1) // the one that is refused is counted
 }
 
+// Guards against callers in the middle of a body that lose their connections to newcomers who stop short.
+func TestSlowestBodyIsResetFirst(t *testing.T) {
+	is := is.New(t)
+	g := New(Settings{IdleTimeout: func() time.Duration { return time.Minute }, HeadTimeout: time.Minute, MaxOpen: 2}, clockwork.NewRealClock())
+	address := start(t, g, &http.Server{Handler: hold{}, ReadHeaderTimeout: time.Minute})
+	head := "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 200000\r\n\r\n"
+	steady := dial(t, address)
+	is.NoErr(steady.send(head + strings.Repeat("x", 50000)))
+	for n := range 5 {
+		time.Sleep(20 * time.Millisecond)
+		short := dial(t, address)
+		is.NoErr(short.send(head + "x"))
+		waitFor(t, "reset", func() bool { return g.Counts().Closed[Crowded] == int64(n) })
+		is.NoErr(steady.send(strings.Repeat("x", 30000)))
+	}
+	_, err := steady.receive()
+	is.NoErr(err)
+}
+
 // Guards against heads that are read far beyond the operators' limit.
 func TestLongHeadIsRefusedAsItComes(t *testing.T) {
 	is := is.New(t)
--- a/internal/link/beechkeepalive/group.go
+++ b/internal/link/beechkeepalive/group.go
@@ -56,7 +56,8 @@
 		MaxHead func() int
 		// MaxOpen is the number of connections at a time; 0: no bound. Beyond it one is reset for each new
 		// one: first those whose request takes too long, then those that have not sent one, then those that
-		// are idle between two. None is that waits for its response.
+		// are idle between two, then those whose body comes, the slowest first. None is that waits for its
+		// response.
 		MaxOpen int
 		// Closed is called for each connection that is closed while it has unread bytes of a
 		// caller that is still there; it may be nil.
--- a/internal/standin/beechcrowd/crowd_test.go
+++ b/internal/standin/beechcrowd/crowd_test.go
@@ -42,6 +42,7 @@
 		status int   // that is answered; 0: none is
 	}{
 		{"length", 4 * (limit - 1), 0},
+		{"short", 4 * (greetingBytes - 1), 0},
 		{"chunks", 4 * (limit - pieceBytes), 0},
 		{"small-chunks", 4 * (limit/smallChunkShare - pieceBytes), 0},
 		{"whole", 4 * limit, http.StatusOK},
--- a/internal/standin/beechcrowd/forms.go
+++ b/internal/standin/beechcrowd/forms.go
@@ -31,6 +31,7 @@
 // Forms lists all forms.
 var Forms = []Form{
 	{"length", "bodies with a length that stop one byte short of it", (*visit).stopShort},
+	{"short", "small bodies with a length that stop one byte short of it", (*visit).stopShortSmall},
 	{"chunks", "chunked bodies in large chunks that never end", (*visit).sendLargeChunks},
 	{"small-chunks", "chunked bodies in chunks of one byte that never end", (*visit).sendSmallChunks},
 	{"whole", "whole bodies of the largest size", (*visit).sendWhole},
@@ -71,6 +72,14 @@
 	return v.sendFiller(size - 1)
 }
 
+func (v *visit) stopShortSmall() error {
+	v.listen()
+	if err := v.sendHeadOf(greetingBytes); err != nil {
+		return err
+	}
+	return v.sendFiller(greetingBytes - 1)
+}
+
 func (v *visit) sendLargeChunks() error {
 	v.listen()
 	if err := v.sendHeadOf(-1); err != nil {
