Requests refused before their bodies are read are answered at once

What callers saw: no ordinary caller is answered, 150 tries in 30 s, while 400 clients with an unknown key send all but a byte of small bodies, before 256 descriptors; at both doors. The clients do not get their 401 either.

Cause: net/http reads up to 256 KB of a body that the handler has not read before it writes the response, and no deadline was set for that: a body that never ends held its connection and its response for good. Such a connection seemed to wait for its response, so it was not reset for others.

A request without a body keeps its connection as before.

Why it works: after Connection: close net/http reads nothing before the response; Dismiss bounds what is read after it in bytes, time and number.

--- a/internal/process/beechending/ending.go
+++ b/internal/process/beechending/ending.go
@@ -130,6 +130,9 @@
 // WholeRequestRead records that the request and its body have been read.
 func (q *Request) WholeRequestRead() { q.progress = requestRead }
 
+// RequestWasRead reports whether the request and its body have been read.
+func (q *Request) RequestWasRead() bool { return q.progress != headRead }
+
 // BeginStream records that the answer is complete only after Complete.
 func (q *Request) BeginStream() { q.streamed = true }
 
--- a/internal/process/beechentry/bodies.go
+++ b/internal/process/beechentry/bodies.go
@@ -58,6 +58,7 @@
 	allowed := time.Duration(e.settings.Limits.BodyTime)
 	body, err := e.bodies.Read(http.NewResponseController(w), r, workspace.Name, beechbody.Limits{Bytes: int64(limit), Time: allowed})
 	if err == nil {
+		w.WholeRequestRead()
 		return body, nil
 	}
 	f := notRun(http.StatusRequestTimeout, typeInvalid, "body_not_read", "the body did not arrive within %s", allowed)
@@ -68,7 +69,6 @@
 	if refused := e.refusedBody(workspace, err); refused != nil {
 		f = refused
 	}
-	f.bodyUnread = true
 	return nil, f
 }
 
@@ -98,9 +98,9 @@
 	return retryLater(http.StatusServiceUnavailable, "entry_full", refused.After, "this entry host has no memory for the body")
 }
 
-// refuse answers a request that is not run, and ends the connection if its body was not read.
+// refuse answers a request that is not run, and ends its connection if its body was not read.
 func (e *Entry) refuse(w *beechending.Request, r *http.Request, f *failure) {
-	if !f.bodyUnread {
+	if r.Body == http.NoBody || w.RequestWasRead() {
 		f.write(w)
 		return
 	}
--- a/internal/process/beechentry/failure.go
+++ b/internal/process/beechentry/failure.go
@@ -24,8 +24,6 @@
 		Ran     string
 		After   time.Duration // suggested delay before a retry; 0: unknown
 		Joins   bool          // the same request sent again joins the existing run
-
-		bodyUnread bool // the request's body was not read to its end
 	}
 
 	errorBody struct {
--- a/internal/process/beechentry/routes.go
+++ b/internal/process/beechentry/routes.go
@@ -49,7 +49,7 @@
 	mux.HandleFunc("GET /v1/models/{model}", e.limitOpenRequests(e.serveModel))
 	mux.HandleFunc(servicesPath+"{name}/{rest...}", e.limitOpenRequests(e.serveService))
 	mux.HandleFunc("/", e.limitOpenRequests(func(w *beechending.Request, r *http.Request) {
-		notRun(http.StatusNotFound, typeNotFound, "unknown_path", "no such path: %s %s", r.Method, r.URL.Path).write(w)
+		e.refuse(w, r, notRun(http.StatusNotFound, typeNotFound, "unknown_path", "no such path: %s %s", r.Method, r.URL.Path))
 	}))
 	return mux
 }
@@ -75,7 +75,7 @@
 		defer e.openRequests.Add(-1)
 		if e.openRequests.Add(1) > int64(e.settings.Limits.Streams) {
 			e.counters.Overloaded.Add(1)
-			retryLater(http.StatusServiceUnavailable, "entry_full", time.Second, "this entry host has all the requests it can hold").write(request)
+			e.refuse(request, r, retryLater(http.StatusServiceUnavailable, "entry_full", time.Second, "this entry host has all the requests it can hold"))
 			return
 		}
 		next(request, r)
@@ -91,7 +91,7 @@
 	waited := e.awaitConfiguration(r)
 	configuration, workspace, f := e.authenticate(r)
 	if f != nil {
-		f.write(w)
+		e.refuse(w, r, f)
 		return
 	}
 	w.Version = configuration.Generation
@@ -103,7 +103,6 @@
 	}
 	defer j.held.Release()
 	w.ID, w.Route = j.request.ID, j.target()
-	w.WholeRequestRead()
 	j.startedAt = began
 	j.shortenTimeout(waited)
 	e.admitAndRun(w, r, j)
@@ -155,7 +154,7 @@
 	e.awaitConfiguration(r)
 	configuration, workspace, f := e.authenticate(r)
 	if f != nil {
-		f.write(w)
+		e.refuse(w, r, f)
 		return
 	}
 	list := modelList{Object: "list", Data: []modelObject{}}
@@ -171,12 +170,12 @@
 	e.awaitConfiguration(r)
 	configuration, workspace, f := e.authenticate(r)
 	if f != nil {
-		f.write(w)
+		e.refuse(w, r, f)
 		return
 	}
 	name := r.PathValue("model")
 	if _, known := configuration.Model(name); !known || !workspace.AllowsModel(name) {
-		unknownModel(name).write(w)
+		e.refuse(w, r, unknownModel(name))
 		return
 	}
 	writeJSON(w, modelObject{ID: name, Object: "model", OwnedBy: modelOwner})
