Bytes that callers send before they are served, or behind their requests, are bounded together

Bytes that have been received and not read count as the process's memory.

Cause: nobody reads behind a request until its response ends, and nobody reads connections that wait in the accept queue; the kernel holds some 124 KB of each, as many as there are.

Change: beechkeepalive notices the first byte behind a request (net/http reads one byte at a time to see whether the caller leaves), reduces the connection's receive buffer to 8 KiB and counts what is there; beyond a 16th of `memory` (32 MiB where that is not told) such a connection is reset. beechaccept counts the unread bytes of waiting connections at every 32nd that comes or goes, and closes those with the most beyond another 16th. A client that waits for its response before it sends again never has bytes behind a request.

TestBytesBehindRequestsAreBounded, TestUnreadBytesOfWaitingConnectionsAreBounded.

Left: of what remains unread most is of connections that the kernel has not handed over, or whose first bytes nobody has read yet. A smaller receive buffer of the listener would bound it, and slow honest callers of large bodies over long ways; not done.

--- a/internal/link/beechaccept/queue.go
+++ b/internal/link/beechaccept/queue.go
@@ -9,7 +9,8 @@
 //
 // # Algorithm
 //
-// Connections are accepted at once and wait here. The server gets the next one only when everything
+// Connections are accepted at once and wait here. What their callers send meanwhile is in the kernel, and
+// bounded by closing those with the most of it. The server gets the next one only when everything
 // else that is ready has run. So the wait of a connection is the time by which the process is behind,
 // and it bounds what runs at a time to what the processor can do. A connection that has waited for
 // longer than Settings.MaxWait is closed unread, and its caller may send its request elsewhere.
@@ -22,13 +23,17 @@
 package beechaccept
 
 import (
+	"cmp"
 	"errors"
 	"net"
 	"runtime"
+	"slices"
 	"sync"
 	"time"
 
 	"github.com/jonboulle/clockwork"
+
+	"github.com/beechring/beechring/internal/link/beechsocket"
 )
 
 type (
@@ -36,6 +41,7 @@
 	Settings struct {
 		MaxWait    time.Duration // after which a connection is closed unread; 0: never
 		MaxWaiting int           // connections that wait here, more wait in the kernel; 0: DefaultMaxWaiting
+		MaxUnread  int           // bytes that the kernel holds for those that wait here; 0: no bound
 		TurnsAway  func() bool   // whether a new connection is closed unread; may be nil
 		TurnedAway func()        // called for each connection that was closed unread; may be nil
 	}
@@ -51,6 +57,7 @@
 		mu      sync.Mutex
 		waiting []waitingConn // the oldest is first
 		err     error         // of the listener, for the next call of Accept
+		checked int           // connections that have come or gone since the unread bytes were counted
 		closed  bool
 		ended   bool          // no connection will be added to waiting
 		minWait time.Duration // of the connections taken out since the last TakeWait
@@ -66,6 +73,8 @@
 const (
 	// DefaultMaxWaiting bounds the descriptors that waiting connections hold.
 	DefaultMaxWaiting = 512
+	// checkInterval is the number of connections that come or go between two counts of unread bytes.
+	checkInterval = 32
 	// retryDelay follows a temporary error of the listener, such as a lack of descriptors.
 	retryDelay = 5 * time.Millisecond
 	// sliceTime is how long connections are accepted or turned away before other work runs.
@@ -111,16 +120,50 @@
 	}
 	q.mu.Lock()
 	q.waiting = append(q.waiting, waitingConn{Conn: c, since: q.clock.Now()})
+	q.boundUnread(1)
 	q.mu.Unlock()
 	notify(q.ready)
 	return true
 }
 
+// boundUnread closes the connections with the most unread bytes if those of all are too many. Once
+// connections have come or gone it looks at each checkInterval-th only.
+func (q *Queue) boundUnread(moved int) {
+	q.checked += moved
+	if q.settings.MaxUnread == 0 || q.checked < checkInterval {
+		return
+	}
+	q.checked = 0
+	sizes, total := make(map[net.Conn]int, len(q.waiting)), 0
+	for _, c := range q.waiting {
+		sizes[c.Conn] = beechsocket.Unread(c.Conn)
+		total += sizes[c.Conn]
+	}
+	if total <= q.settings.MaxUnread {
+		return
+	}
+	largest := slices.SortedFunc(slices.Values(q.waiting), func(x, y waitingConn) int { return cmp.Compare(sizes[y.Conn], sizes[x.Conn]) })
+	gone := make(map[net.Conn]bool)
+	for _, c := range largest {
+		if total <= q.settings.MaxUnread/2 {
+			break
+		}
+		total -= sizes[c.Conn]
+		gone[c.Conn] = true
+		q.turnAway(c.Conn)
+	}
+	q.waiting = slices.DeleteFunc(q.waiting, func(c waitingConn) bool { return gone[c.Conn] })
+}
+
 // awaitRoom waits until fewer than MaxWaiting connections wait.
 func (q *Queue) awaitRoom() {
 	for {
 		q.mu.Lock()
 		full := len(q.waiting) >= q.settings.MaxWaiting && !q.closed
+		if full {
+			q.boundUnread(checkInterval)
+			full = len(q.waiting) >= q.settings.MaxWaiting
+		}
 		q.mu.Unlock()
 		if !full {
 			return
@@ -152,6 +195,7 @@
 		c := q.waiting[0]
 		q.waiting[0] = waitingConn{}
 		q.waiting = q.waiting[1:]
+		q.boundUnread(1)
 		waited := now.Sub(c.since)
 		if !q.taken || waited < q.minWait {
 			q.minWait, q.taken = waited, true
--- a/internal/link/beechaccept/queue_test.go
+++ b/internal/link/beechaccept/queue_test.go
@@ -172,6 +172,48 @@
 	}
 }
 
+// Guards against connections that wait to be served while the kernel's memory fills with what they send.
+func TestUnreadBytesOfWaitingConnectionsAreBounded(t *testing.T) {
+	is := is.New(t)
+	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	is.NoErr(err)
+	var turnedAway atomic.Int32
+	const most = 100 << 10
+	q := Listen(l, Settings{MaxUnread: most, TurnedAway: func() { turnedAway.Add(1) }}, clockwork.NewRealClock())
+	defer q.Close()
+	dial := func(bytes int) {
+		c, err := net.Dial("tcp4", l.Addr().String())
+		is.NoErr(err)
+		t.Cleanup(func() { _ = c.Close() })
+		_, err = c.Write(make([]byte, bytes))
+		is.NoErr(err)
+	}
+	for range checkInterval {
+		dial(100)
+	}
+	waitFor(t, "connections", func() bool { return q.length() == checkInterval })
+	is.Equal(turnedAway.Load(), int32(0))
+	for range checkInterval {
+		dial(16 << 10)
+	}
+	waitFor(t, "connections that are turned away", func() bool { return turnedAway.Load() > 0 })
+	waitFor(t, "the others", func() bool { return q.length()+int(turnedAway.Load()) == 2*checkInterval })
+	small := 0
+	for range q.length() {
+		c, err := q.Accept()
+		is.NoErr(err)
+		if data := make([]byte, 200); small < checkInterval {
+			n, err := c.Read(data)
+			is.NoErr(err)
+			if n == 100 {
+				small++
+			}
+		}
+		_ = c.Close()
+	}
+	is.Equal(small, checkInterval) // none with few bytes was turned away
+}
+
 // A server that stops closes connections unread that it has accepted.
 func TestCloseEndsAcceptBehindWaitingConnections(t *testing.T) {
 	is := is.New(t)
--- a/internal/link/beechkeepalive/conn.go
+++ b/internal/link/beechkeepalive/conn.go
@@ -32,6 +32,7 @@
 		// guarded by the group's lock
 		headBytes int       // received of a head that is not complete
 		headSince time.Time // when its first bytes came
+		behind    int       // received behind a request that is being served
 		lingers   bool      // its last response was written
 
 		mu       sync.Mutex
@@ -64,6 +65,10 @@
 	served                // a response
 )
 
+// watchedBytes is how many bytes net/http reads at a time while a request is being served, to notice that its
+// caller has left.
+const watchedBytes = 1
+
 const (
 	headTooLarge = "HTTP/1.1 431 Request Header Fields Too Large\r\nContent-Length: 0\r\nConnection: close\r\n\r\n"
 	// A caller that was refused may send so much for so long until it has read that.
@@ -100,6 +105,9 @@
 	default:
 		n, err := c.Conn.Read(data)
 		c.read.Add(int64(n))
+		if n == len(data) && n == watchedBytes {
+			c.group.receiveBehind(c)
+		}
 		return n, err
 	}
 }
--- a/internal/link/beechkeepalive/crowd_test.go
+++ b/internal/link/beechkeepalive/crowd_test.go
@@ -99,6 +99,34 @@
 	is.NoErr(err)
 }
 
+// Guards against bytes behind requests that are being served, which nobody reads and the kernel holds.
+func TestBytesBehindRequestsAreBounded(t *testing.T) {
+	is := is.New(t)
+	g := New(Settings{IdleTimeout: func() time.Duration { return time.Minute }, HeadTimeout: time.Minute, BehindBytes: 3 * behindBuffer}, clockwork.NewRealClock())
+	h := hold{make(chan struct{})}
+	address := start(t, g, &http.Server{Handler: h, ReadHeaderTimeout: time.Minute})
+	const held = "GET /held HTTP/1.1\r\nHost: h\r\n\r\n"
+	for range 5 {
+		is.NoErr(dial(t, address).send(held)) // without bytes behind it
+	}
+	first, second := dial(t, address), dial(t, address)
+	is.NoErr(first.send(held))
+	time.Sleep(20 * time.Millisecond) // so that the next request is not read with the first
+	is.NoErr(first.send(get))
+	waitFor(t, "first", func() bool { g.mu.Lock(); defer g.mu.Unlock(); return g.behind > 0 })
+	is.NoErr(second.send(held))
+	for second.send(strings.Repeat("x", 64<<10)) == nil {
+		time.Sleep(time.Millisecond) // until it is reset
+	}
+	waitFor(t, "reset", func() bool { return g.Counts().Closed[BytesBehind] == 1 })
+	close(h.release)
+	for range 2 { // the request and the one behind it
+		_, err := first.receive()
+		is.NoErr(err)
+	}
+	waitFor(t, "bytes are counted out", func() bool { g.mu.Lock(); defer g.mu.Unlock(); return g.behind == 0 })
+}
+
 // Guards against heads that are read far beyond the operators' limit.
 func TestLongHeadIsRefusedAsItComes(t *testing.T) {
 	is := is.New(t)
--- a/internal/link/beechkeepalive/group.go
+++ b/internal/link/beechkeepalive/group.go
@@ -32,6 +32,8 @@
 	"time"
 
 	"github.com/jonboulle/clockwork"
+
+	"github.com/beechring/beechring/internal/link/beechsocket"
 )
 
 type (
@@ -54,6 +56,10 @@
 		// MaxHead returns the bytes of one head, which may change; nil or 0: the server's own bound. A longer
 		// one is answered 431 as soon as it is.
 		MaxHead func() int
+		// BehindBytes bounds what all connections have received behind requests that are being served, which
+		// nobody reads until their responses end; 0: no bound. Beyond it a connection is reset that receives
+		// such bytes.
+		BehindBytes int
 		// MaxOpen is the number of connections at a time; 0: no bound. Beyond it one is reset for each new
 		// one: first those whose request takes too long, then those that have not sent one, then those that
 		// are idle between two, then those whose body comes, the slowest first. None is that waits for its
@@ -77,6 +83,7 @@
 		listeners map[*listener]struct{} // that may still return connections
 		conns     map[*conn]struct{}
 		headBytes int // received of heads that are not complete
+		behind    int // received behind requests that are being served
 		lingering int // connections that are kept open for a moment after their last response
 		peak      int // of open connections
 		closed    map[Cause]int64
@@ -114,6 +121,7 @@
 	HeadMemory    Cause = "head memory"    // all heads together had become too large
 	LongHead      Cause = "long head"      // a head was too large
 	Crowded       Cause = "crowded"        // there were too many connections
+	BytesBehind   Cause = "bytes behind"   // there were too many bytes behind requests
 )
 
 const (
@@ -125,6 +133,8 @@
 	drainTimeout = 200 * time.Millisecond
 	// headSlack is for the first line of a head, and for bytes behind it that are read with it.
 	headSlack = 8 << 10
+	// behindBuffer is the receive buffer of a connection that has received bytes behind a request.
+	behindBuffer = 8 << 10
 	// maxLingering bounds what callers send that nobody reads any more.
 	maxLingering = 32
 )
@@ -286,7 +296,8 @@
 	defer g.mu.Unlock()
 	delete(g.conns, c)
 	g.headBytes -= c.headBytes
-	c.headBytes = 0
+	g.behind -= c.behind
+	c.headBytes, c.behind = 0, 0
 	if c.lingers {
 		g.lingering--
 		c.lingers = false
@@ -343,12 +354,34 @@
 	return math.MaxInt
 }
 
-// endHead takes a head that is complete out of the count.
+// endHead takes a head that is complete out of the count, and what was received before it.
 func (g *Group) endHead(c *conn) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.headBytes -= c.headBytes
-	c.headBytes = 0
+	g.behind -= c.behind
+	c.headBytes, c.behind = 0, 0
+}
+
+// receiveBehind counts the bytes that a connection has received behind a request that is being served, and
+// has the kernel receive few more.
+func (g *Group) receiveBehind(c *conn) {
+	if g.settings.BehindBytes == 0 {
+		return
+	}
+	beechsocket.SetReceiveBuffer(c.Conn, behindBuffer)
+	size := beechsocket.Unread(c.Conn) + behindBuffer
+	g.mu.Lock()
+	_, open := g.conns[c]
+	if open {
+		g.behind += size - c.behind
+		c.behind = size
+	}
+	tooMany := open && g.behind > g.settings.BehindBytes
+	g.mu.Unlock()
+	if tooMany {
+		c.reset(BytesBehind)
+	}
 }
 
 func (g *Group) oldestHead() *conn {
--- a/internal/link/beechsocket/socket.go
+++ b/internal/link/beechsocket/socket.go
@@ -148,6 +148,11 @@
 	})
 }
 
+// SetReceiveBuffer sets the size in bytes of a connection's receive buffer. What has arrived stays.
+func SetReceiveBuffer(c net.Conn, size int) {
+	_ = control(c, func(fd uintptr) { _ = unix.SetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_RCVBUF, size) })
+}
+
 // CloseWrite ends the sending direction of a connection.
 func CloseWrite(c net.Conn) error {
 	err := error(nil)
--- a/internal/process/beechentry/bodies.go
+++ b/internal/process/beechentry/bodies.go
@@ -24,6 +24,11 @@
 	streamBodyBytes = 128 << 10
 	// headMemoryShare of the memory, one part is for heads that are being received.
 	headMemoryShare = 64
+	// behindMemoryShare of it, one part is for bytes that callers send behind requests that are being
+	// served, and one for those of callers that wait to be served.
+	behindMemoryShare = 16
+	// defaultBehindMemory applies where the memory is not known.
+	defaultBehindMemory = 32 << 20
 	// defaultHeadMemory applies where the memory is not known.
 	defaultHeadMemory = 8 << 20
 	megabyte          = 1 << 20
@@ -49,6 +54,15 @@
 	return max(s.Memory*megabyte/headMemoryShare, 2*s.Limits.HeaderBytes)
 }
 
+// behindMemory returns the bytes that callers may send behind requests that are being served, or before they
+// are.
+func behindMemory(s *beechsettings.Entry) int {
+	if s.Memory == 0 {
+		return defaultBehindMemory
+	}
+	return s.Memory * megabyte / behindMemoryShare
+}
+
 // readBody reads the whole body within the limits of size and time, and the memory for all bodies.
 func (e *Entry) readBody(w *beechending.Request, r *http.Request, workspace *beechmanifest.Workspace) (*beechbody.Body, *failure) {
 	limit := e.settings.Limits.BodyBytes
--- a/internal/process/beechentry/entry.go
+++ b/internal/process/beechentry/entry.go
@@ -130,9 +130,9 @@
 	log := d.Log.Named("entry")
 	connections := beechkeepalive.New(beechkeepalive.Settings{
 		IdleTimeout: func() time.Duration { return idleTimeout }, HeadTimeout: time.Duration(settings.Limits.BodyTime),
-		HeadBytes: headMemory(settings), MaxOpen: descriptors.Open, Closed: logUnreadClosing(log),
+		HeadBytes: headMemory(settings), BehindBytes: behindMemory(settings), MaxOpen: descriptors.Open, Closed: logUnreadClosing(log),
 	}, d.Clock)
-	listener = connections.Listen(beechaccept.Listen(callers.Listen(listener), beechaccept.Settings{MaxWaiting: descriptors.Waiting}, d.Clock))
+	listener = connections.Listen(beechaccept.Listen(callers.Listen(listener), beechaccept.Settings{MaxWaiting: descriptors.Waiting, MaxUnread: behindMemory(settings)}, d.Clock))
 	if d.TLS != nil {
 		listener = tls.NewListener(listener, d.TLS)
 	}
--- a/internal/process/beechgate/bodies.go
+++ b/internal/process/beechgate/bodies.go
@@ -18,6 +18,11 @@
 	// headMemoryShare of it, one part is for heads that are being received. They are held several times while
 	// they are read and parsed.
 	headMemoryShare = 64
+	// behindMemoryShare of it, one part is for bytes that callers send behind requests that are being
+	// served, and one for those of callers that wait to be served.
+	behindMemoryShare = 16
+	// defaultBehindMemory applies where the memory is not known.
+	defaultBehindMemory = 32 << 20
 	// defaultHeadMemory applies where the memory is not known.
 	defaultHeadMemory = 8 << 20
 	megabyte          = 1 << 20
@@ -35,6 +40,15 @@
 	return max(megabytes*megabyte/headMemoryShare, 2*maxHeaderBytes)
 }
 
+// behindMemory returns the bytes that callers may send behind requests that are being served, or before they
+// are.
+func behindMemory(megabytes int) int {
+	if megabytes == 0 {
+		return defaultBehindMemory
+	}
+	return megabytes * megabyte / behindMemoryShare
+}
+
 // maxHead returns the operators' limit of a request's head, or 0 if they set none.
 func (g *Gate) maxHead() int {
 	if c := g.configuration.Load(); c != nil {
