The log line of traffic shows the memory of bodies

Cause: fields whose names contain "body" are redacted in logs. Change: the field is `intake`; the lines at the start have `intakeBytes`.

--- a/internal/process/beechentry/entry.go
+++ b/internal/process/beechentry/entry.go
@@ -207,7 +207,7 @@
 	supervised := e.supervisor.ServeBackground(inner)
 	served := make(chan error, 1)
 	go func() { served <- e.http.Serve(e.listener) }()
-	e.log.Info("entry started", zap.Stringer("listen", e.listener.Addr()), zap.Uint64("incarnation", e.incarnation), zap.Int("descriptors", e.descriptors.Limit), zap.Int("maxConnections", e.descriptors.Open), zap.Int("bodyMemory", e.intake.State().Capacity))
+	e.log.Info("entry started", zap.Stringer("listen", e.listener.Addr()), zap.Uint64("incarnation", e.incarnation), zap.Int("descriptors", e.descriptors.Limit), zap.Int("maxConnections", e.descriptors.Open), zap.Int("intakeBytes", e.intake.State().Capacity))
 
 	var err error
 	select {
--- a/internal/process/beechgate/gate.go
+++ b/internal/process/beechgate/gate.go
@@ -329,7 +329,7 @@
 	go func() { failed <- readyServer.Serve(readyListener) }()
 	go func() { failed <- copyServer.Serve(copyListener) }()
 	supervised := g.supervisor.ServeBackground(background)
-	g.log.Info("gate started", zap.Stringer("listen", g.settings.Listen), zap.String("zone", g.settings.Zone), zap.Int("descriptors", g.descriptors.Limit), zap.Int("maxConnections", g.descriptors.Open), zap.Int("bodyMemory", g.intake.State().Capacity))
+	g.log.Info("gate started", zap.Stringer("listen", g.settings.Listen), zap.String("zone", g.settings.Zone), zap.Int("descriptors", g.descriptors.Limit), zap.Int("maxConnections", g.descriptors.Open), zap.Int("intakeBytes", g.intake.State().Capacity))
 	select {
 	case <-ctx.Done():
 	case err := <-failed:
@@ -428,7 +428,7 @@
 			g.log.Info("engines slower than the median", zap.Any("times", slow))
 		}
 		connections := g.connections.Counts()
-		g.log.Info("traffic", zap.Int("connections", connections.Open), zap.Int("connectionsPeak", connections.Peak), zap.Any("bodyMemory", g.intake.State()), zap.Any("members", g.members.Counts()), zap.Any("states", g.board.Counts()), beechlog.Counts("datagrams", g.socket.SentBytes()), beechlog.Counts("bodies", g.metrics.bodies), beechlog.Counts("backups", g.metrics.backups), beechlog.Counts("store", g.deps.StoreUse))
+		g.log.Info("traffic", zap.Int("connections", connections.Open), zap.Int("connectionsPeak", connections.Peak), zap.Any("intake", g.intake.State()), zap.Any("members", g.members.Counts()), zap.Any("states", g.board.Counts()), beechlog.Counts("datagrams", g.socket.SentBytes()), beechlog.Counts("bodies", g.metrics.bodies), beechlog.Counts("backups", g.metrics.backups), beechlog.Counts("store", g.deps.StoreUse))
 	})
 }
 
