--- a/internal/link/beechkeepalive/conn.go
+++ b/internal/link/beechkeepalive/conn.go
@@ -1,9 +1,7 @@
 package beechkeepalive
 
 import (
-	"cmp"
 	"errors"
-	"io"
 	"math"
 	"net"
 	"net/http"
@@ -43,48 +41,6 @@
 		begun    time.Time // when the current phase began
 		ended    Cause     // of the wait for a request
 	}
-
-	// use tells how much a connection is needed.
-	use struct {
-		need  need
-		rate  float64 // bytes a second of a body that comes
-		since time.Time
-	}
-
-	// need is how much would be lost with a connection.
-	need int
-)
-
-// From the first to be reset to the last; one that is served is not reset.
-const (
-	overdue   need = iota // a request that takes longer than one of a caller that sends
-	silent                // the first request, of which nothing has come
-	beginning             // a request of which a part of the head has come
-	kept                  // perhaps the caller's next request
-	sending               // a request of which a part of the body has come
-	served                // a response
-)
-
-// watchedBytes is how many bytes net/http reads at a time while a request is being served, to notice that its
-// caller has left.
-const watchedBytes = 1
-
-const (
-	headTooLarge = "HTTP/1.1 431 Request Header Fields Too Large\r\nContent-Length: 0\r\nConnection: close\r\n\r\n"
-	// A caller that was refused may send so much for so long until it has read that.
-	lingerTime  = 500 * time.Millisecond
-	lingerBytes = 1 << 20
-)
-
-var errHeadTooLarge = errors.New("head of the request is too large")
-
-const (
-	// sendTime is how long a caller may take for a request, beside its body, that others wait behind.
-	sendTime = 500 * time.Millisecond
-	// sendRate in bytes a second is the rate at which a body must come then.
-	sendRate = 16 << 10
-	// minRateTime is the least time over which a rate is taken.
-	minRateTime = 10 * time.Millisecond
 )
 
 const (
@@ -138,22 +94,6 @@
 	}
 }
 
-// receiveHead counts bytes of a head. If it is too large, it refuses the request and returns an error, else
-// that of the read.
-func (c *conn) receiveHead(n int, err error) error {
-	if c.group.receiveHead(c, n) <= c.group.maxHead() {
-		return err
-	}
-	c.end(LongHead)
-	if _, err := c.Conn.Write([]byte(headTooLarge)); err == nil && c.group.beginLinger(c) {
-		_ = beechsocket.CloseWrite(c.Conn)
-		_ = c.Conn.SetReadDeadline(time.Now().Add(lingerTime))
-		_, _ = io.CopyN(io.Discard, c.Conn, lingerBytes)
-	}
-	c.reset(LongHead)
-	return errHeadTooLarge
-}
-
 // readHead reads more of a request's head.
 func (c *conn) readHead(data []byte) (int, error) {
 	n, err := c.Conn.Read(data)
@@ -300,45 +240,6 @@
 	return err
 }
 
-// use returns how much the connection is needed. A request whose body is being read has a deadline.
-func (c *conn) use(now time.Time) use {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	switch p := c.phaseNow(); {
-	case p == awaiting && c.kept:
-		return use{need: kept, since: c.since}
-	case p == awaiting:
-		return c.useOfSender(silent, c.since, now)
-	case p == inHead:
-		return c.useOfSender(beginning, c.begun, now)
-	case !c.deadline.IsZero():
-		return c.useOfSender(sending, c.begun, now)
-	default:
-		return use{need: served, since: c.begun}
-	}
-}
-
-// useOfSender returns the use of a connection whose request has been awaited since a time.
-func (c *conn) useOfSender(n need, since, now time.Time) use {
-	age, due, rate := now.Sub(since), sendTime, 0.0
-	if n == sending {
-		received := float64(c.read.Load())
-		due += time.Duration(received / sendRate * float64(time.Second))
-		rate = received / max(age, minRateTime).Seconds()
-	}
-	if age > due {
-		return use{need: overdue, since: since}
-	}
-	return use{n, rate, since}
-}
-
-func (u use) replaceable() bool { return u.need < served }
-
-// before reports whether a connection is to be reset before another one.
-func (u use) before(other use) bool {
-	return cmp.Or(cmp.Compare(u.need, other.need), cmp.Compare(u.rate, other.rate), u.since.Compare(other.since)) < 0
-}
-
 // CloseWrite is called by net/http when the last response was written and the caller may still be sending.
 // It then waits for a moment before it closes the connection.
 func (c *conn) CloseWrite() error {
--- a/internal/link/beechkeepalive/group.go
+++ b/internal/link/beechkeepalive/group.go
@@ -24,7 +24,6 @@
 	"context"
 	"errors"
 	"maps"
-	"math"
 	"net"
 	"net/http"
 	"sync"
@@ -32,8 +31,6 @@
 	"time"
 
 	"github.com/jonboulle/clockwork"
-
-	"github.com/beechring/beechring/internal/link/beechsocket"
 )
 
 type (
@@ -131,12 +128,6 @@
 	// drainTimeout replaces the idle timeout while the server drains. Callers whose responses did
 	// not announce the end of the connection may be sending their next request.
 	drainTimeout = 200 * time.Millisecond
-	// headSlack is for the first line of a head, and for bytes behind it that are read with it.
-	headSlack = 8 << 10
-	// behindBuffer is the receive buffer of a connection that has received bytes behind a request.
-	behindBuffer = 8 << 10
-	// maxLingering bounds what callers send that nobody reads any more.
-	maxLingering = 32
 )
 
 // New returns a group without connections.
@@ -186,29 +177,6 @@
 	}
 }
 
-// makeRoom reports whether one more connection may be opened, for which it may reset another one.
-func (g *Group) makeRoom() bool {
-	g.mu.Lock()
-	if g.settings.MaxOpen == 0 || len(g.conns) < g.settings.MaxOpen {
-		g.mu.Unlock()
-		return true
-	}
-	var least *conn
-	var leastUse use
-	now := g.clock.Now()
-	for c := range g.conns {
-		if u := c.use(now); u.replaceable() && (least == nil || u.before(leastUse)) {
-			least, leastUse = c, u
-		}
-	}
-	g.mu.Unlock()
-	if least == nil {
-		return false
-	}
-	least.reset(Crowded)
-	return true
-}
-
 // Close closes the listener. Accept may still return connections before its error.
 func (l *listener) Close() error { return l.close() }
 
@@ -305,95 +273,6 @@
 	g.checkDrained()
 }
 
-// beginLinger reports whether a connection may be kept open after its last response, so that the caller
-// reads it although it is still sending.
-func (g *Group) beginLinger(c *conn) bool {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	if _, open := g.conns[c]; !open || g.lingering >= maxLingering {
-		return false
-	}
-	g.lingering++
-	c.lingers = true
-	return true
-}
-
-// receiveHead counts bytes of a head, and returns how many there are. If all heads have become too large,
-// the connection is reset that has been in its head for longest.
-func (g *Group) receiveHead(c *conn, n int) int {
-	g.mu.Lock()
-	if _, open := g.conns[c]; !open {
-		g.mu.Unlock()
-		return 0
-	}
-	if c.headBytes == 0 {
-		c.headSince = g.clock.Now()
-	}
-	c.headBytes += n
-	g.headBytes += n
-	var oldest *conn
-	if g.settings.HeadBytes > 0 && g.headBytes > g.settings.HeadBytes {
-		oldest = g.oldestHead()
-	}
-	size := c.headBytes
-	g.mu.Unlock()
-	if oldest != nil {
-		oldest.reset(HeadMemory)
-	}
-	return size
-}
-
-// maxHead returns the bytes of one head with what may have been read behind it.
-func (g *Group) maxHead() int {
-	if g.settings.MaxHead == nil {
-		return math.MaxInt
-	}
-	if size := g.settings.MaxHead(); size > 0 {
-		return size + headSlack
-	}
-	return math.MaxInt
-}
-
-// endHead takes a head that is complete out of the count, and what was received before it.
-func (g *Group) endHead(c *conn) {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	g.headBytes -= c.headBytes
-	g.behind -= c.behind
-	c.headBytes, c.behind = 0, 0
-}
-
-// receiveBehind counts the bytes that a connection has received behind a request that is being served, and
-// has the kernel receive few more.
-func (g *Group) receiveBehind(c *conn) {
-	if g.settings.BehindBytes == 0 {
-		return
-	}
-	beechsocket.SetReceiveBuffer(c.Conn, behindBuffer)
-	size := beechsocket.Unread(c.Conn) + behindBuffer
-	g.mu.Lock()
-	_, open := g.conns[c]
-	if open {
-		g.behind += size - c.behind
-		c.behind = size
-	}
-	tooMany := open && g.behind > g.settings.BehindBytes
-	g.mu.Unlock()
-	if tooMany {
-		c.reset(BytesBehind)
-	}
-}
-
-func (g *Group) oldestHead() *conn {
-	var oldest *conn
-	for c := range g.conns {
-		if c.headBytes > 0 && (oldest == nil || c.headSince.Before(oldest.headSince)) {
-			oldest = c
-		}
-	}
-	return oldest
-}
-
 // find returns the connection of a group below c, or nil.
 func find(c net.Conn) *conn {
 	for c != nil {
--- a/internal/process/beechbody/reader.go
+++ b/internal/process/beechbody/reader.go
@@ -44,8 +44,8 @@
 	firstBytes = 16 << 10 // reserved for a body without a length
 	// freeHeadBytes is the size up to which a request's header fields are not counted.
 	freeHeadBytes = 4 << 10
-	// headCopies is how often a request's header fields are held.
-	headCopies = 2
+	// HeadCopies is how often a request's header fields are held. They count with its body if they are long.
+	HeadCopies = 2
 
 	maxDismissed = 32 // connections whose rest is received at a time
 	dismissTime  = 500 * time.Millisecond
@@ -215,5 +215,5 @@
 	if size <= freeHeadBytes {
 		return 0
 	}
-	return headCopies * size
+	return HeadCopies * size
 }
--- a/internal/process/beechbody/reader_test.go
+++ b/internal/process/beechbody/reader_test.go
@@ -219,6 +219,18 @@
 	is.Equal(len(s.reader.dismissed), 0)
 }
 
+// Guards against one request of the largest size that finds no room though it is alone.
+func TestLargestRequestFitsAlone(t *testing.T) {
+	is := is.New(t)
+	s := start(t, nil)
+	s.intake = beechintake.New(beechintake.Settings{Capacity: 1000}, clockwork.NewRealClock())
+	s.reader = New(s.intake)
+	const head = 16 << 10
+	is.True(s.intake.RoomFor(maxBytes + HeadCopies*head))
+	status, _ := s.ask(fmt.Sprintf("POST / HTTP/1.1\r\nHost: h\r\nX-Long: %s\r\nContent-Length: %d\r\n\r\n%s", strings.Repeat("x", head-100), maxBytes, strings.Repeat("x", maxBytes)))
+	is.Equal(status, http.StatusOK)
+}
+
 // Guards against heads that hold memory beside bodies that are counted.
 func TestLongHeadsAreCounted(t *testing.T) {
 	is := is.New(t)
@@ -230,7 +242,7 @@
 	for end := time.Now().Add(5 * time.Second); s.intake.State().Held == 0 && time.Now().Before(end); {
 		time.Sleep(time.Millisecond)
 	}
-	is.True(s.intake.State().Held >= headCopies*2*freeHeadBytes)
+	is.True(s.intake.State().Held >= HeadCopies*2*freeHeadBytes)
 	close(hold)
 	status, _ := s.receive(c)
 	is.Equal(status, http.StatusOK)
--- a/internal/process/beechentry/bodies.go
+++ b/internal/process/beechentry/bodies.go
@@ -22,18 +22,11 @@
 	bodyMemoryShare = 4
 	// streamBodyBytes is what each open stream may hold of it where the memory is not known.
 	streamBodyBytes = 128 << 10
-	// headMemoryShare of the memory, one part is for heads that are being received.
-	headMemoryShare = 64
-	// behindMemoryShare of it, one part is for bytes that callers send behind requests that are being
-	// served, and one for those of callers that wait to be served.
-	behindMemoryShare = 16
-	// defaultBehindMemory applies where the memory is not known.
-	defaultBehindMemory = 32 << 20
-	// defaultHeadMemory applies where the memory is not known.
-	defaultHeadMemory = 8 << 20
-	megabyte          = 1 << 20
+	megabyte        = 1 << 20
 	// bodyCopies is how often a body is held: as it came, and decoded.
 	bodyCopies = 2
+	// decodingMargin is for the values of a body that is mostly text.
+	decodingMargin = 1 << 20
 )
 
 func newIntake(s *beechsettings.Entry, clock clockwork.Clock) *beechintake.Intake {
@@ -42,27 +35,10 @@
 		capacity = s.Limits.Streams * streamBodyBytes
 	}
 	intake := beechintake.New(beechintake.Settings{Capacity: capacity, BodyTime: time.Duration(s.Limits.BodyTime)}, clock)
-	intake.RoomFor(bodyCopies * s.Limits.BodyBytes)
+	intake.RoomFor(bodyCopies*s.Limits.BodyBytes + beechbody.HeadCopies*s.Limits.HeaderBytes + decodingMargin)
 	return intake
 }
 
-// headMemory returns the bytes that heads which are being received may take together.
-func headMemory(s *beechsettings.Entry) int {
-	if s.Memory == 0 {
-		return defaultHeadMemory
-	}
-	return max(s.Memory*megabyte/headMemoryShare, 2*s.Limits.HeaderBytes)
-}
-
-// behindMemory returns the bytes that callers may send behind requests that are being served, or before they
-// are.
-func behindMemory(s *beechsettings.Entry) int {
-	if s.Memory == 0 {
-		return defaultBehindMemory
-	}
-	return s.Memory * megabyte / behindMemoryShare
-}
-
 // readBody reads the whole body within the limits of size and time, and the memory for all bodies.
 func (e *Entry) readBody(w *beechending.Request, r *http.Request, workspace *beechmanifest.Workspace) (*beechbody.Body, *failure) {
 	limit := e.settings.Limits.BodyBytes
--- a/internal/process/beechentry/entry.go
+++ b/internal/process/beechentry/entry.go
@@ -130,9 +130,9 @@
 	log := d.Log.Named("entry")
 	connections := beechkeepalive.New(beechkeepalive.Settings{
 		IdleTimeout: func() time.Duration { return idleTimeout }, HeadTimeout: time.Duration(settings.Limits.BodyTime),
-		HeadBytes: headMemory(settings), BehindBytes: behindMemory(settings), MaxOpen: descriptors.Open, Closed: logUnreadClosing(log),
+		HeadBytes: beechbody.HeadMemory(settings.Memory, settings.Limits.HeaderBytes), BehindBytes: beechbody.UnreadMemory(settings.Memory), MaxOpen: descriptors.Open, Closed: logUnreadClosing(log),
 	}, d.Clock)
-	listener = connections.Listen(beechaccept.Listen(callers.Listen(listener), beechaccept.Settings{MaxWaiting: descriptors.Waiting, MaxUnread: behindMemory(settings)}, d.Clock))
+	listener = connections.Listen(beechaccept.Listen(callers.Listen(listener), beechaccept.Settings{MaxWaiting: descriptors.Waiting, MaxUnread: beechbody.UnreadMemory(settings.Memory)}, d.Clock))
 	if d.TLS != nil {
 		listener = tls.NewListener(listener, d.TLS)
 	}
--- a/internal/process/beechgate/bodies.go
+++ b/internal/process/beechgate/bodies.go
@@ -15,40 +15,13 @@
 	// bodyMemoryShare of the process's memory, one part, is for callers' bodies. The rest is for what the
 	// process needs without callers, answers, connections and garbage.
 	bodyMemoryShare = 8
-	// headMemoryShare of it, one part is for heads that are being received. They are held several times while
-	// they are read and parsed.
-	headMemoryShare = 64
-	// behindMemoryShare of it, one part is for bytes that callers send behind requests that are being
-	// served, and one for those of callers that wait to be served.
-	behindMemoryShare = 16
-	// defaultBehindMemory applies where the memory is not known.
-	defaultBehindMemory = 32 << 20
-	// defaultHeadMemory applies where the memory is not known.
-	defaultHeadMemory = 8 << 20
-	megabyte          = 1 << 20
+	megabyte        = 1 << 20
 )
 
 // bodyMemory returns the bytes that callers' bodies may take together on a host with so many megabytes,
 // or 0 for the default if that is not known.
 func bodyMemory(megabytes int) int { return megabytes * megabyte / bodyMemoryShare }
 
-// headMemory returns the bytes that heads which are being received may take together.
-func headMemory(megabytes int) int {
-	if megabytes == 0 {
-		return defaultHeadMemory
-	}
-	return max(megabytes*megabyte/headMemoryShare, 2*maxHeaderBytes)
-}
-
-// behindMemory returns the bytes that callers may send behind requests that are being served, or before they
-// are.
-func behindMemory(megabytes int) int {
-	if megabytes == 0 {
-		return defaultBehindMemory
-	}
-	return megabytes * megabyte / behindMemoryShare
-}
-
 // maxHead returns the operators' limit of a request's head, or 0 if they set none.
 func (g *Gate) maxHead() int {
 	if c := g.configuration.Load(); c != nil {
@@ -69,7 +42,7 @@
 
 // makeRoomForBody raises the memory for bodies if one of the largest size would not fit.
 func (g *Gate) makeRoomForBody(maxBytes int64) {
-	if g.intake.RoomFor(int(maxBytes)) {
+	if g.intake.RoomFor(int(maxBytes) + beechbody.HeadCopies*maxHeaderBytes) {
 		g.log.Warn("memory for bodies raised, as one of the largest size would not fit", zap.Int64("largest", maxBytes), zap.Int("memory", g.intake.State().Capacity))
 	}
 }
--- a/internal/process/beechgate/gate.go
+++ b/internal/process/beechgate/gate.go
@@ -239,7 +239,7 @@
 	g.limitLog = beechlog.Sampled(deps.Log, maxLimitLogLines, g.metrics.limitLinesDropped)
 	g.connections = beechkeepalive.New(beechkeepalive.Settings{
 		IdleTimeout: g.idleTimeout, HeadTimeout: headerTimeout,
-		HeadBytes: headMemory(s.Memory), MaxHead: g.maxHead, BehindBytes: behindMemory(s.Memory), MaxOpen: g.descriptors.Open, Closed: g.logUnreadClosing,
+		HeadBytes: beechbody.HeadMemory(s.Memory, maxHeaderBytes), MaxHead: g.maxHead, BehindBytes: beechbody.UnreadMemory(s.Memory), MaxOpen: g.descriptors.Open, Closed: g.logUnreadClosing,
 	}, deps.Clock)
 	weights := time.Duration(s.Bounds.Weights)
 	g.overloaded = beechsaturation.New(deps.Clock, g.wakeOverloadSender)
--- a/internal/process/beechgate/processor.go
+++ b/internal/process/beechgate/processor.go
@@ -11,6 +11,7 @@
 	"github.com/beechring/beechring/internal/decision/beechoverload"
 	"github.com/beechring/beechring/internal/link/beechaccept"
 	"github.com/beechring/beechring/internal/link/beechframing"
+	"github.com/beechring/beechring/internal/process/beechbody"
 	"github.com/beechring/beechring/internal/process/beechtask"
 )
 
@@ -69,7 +70,7 @@
 // work, and are closed unread if they wait for too long or while the processor cannot keep up.
 func (g *Gate) listenForCallers(l net.Listener) net.Listener {
 	queue := beechaccept.Listen(g.callers.Listen(l), beechaccept.Settings{
-		MaxWait: maxUnreadTime, MaxWaiting: g.descriptors.Waiting, MaxUnread: behindMemory(g.settings.Memory), TurnsAway: g.overload.TurnsAway, TurnedAway: func() { g.metrics.turnedAway.Add(1) },
+		MaxWait: maxUnreadTime, MaxWaiting: g.descriptors.Waiting, MaxUnread: beechbody.UnreadMemory(g.settings.Memory), TurnsAway: g.overload.TurnsAway, TurnedAway: func() { g.metrics.turnedAway.Add(1) },
 	}, g.clock)
 	g.queue.Store(queue)
 	return beechframing.Listen(g.connections.Listen(queue))
