A gate that stops ends beside clients that do not behave

TestCrowdsAtGateThatStops: SIGTERM while a mixed crowd, or one with bytes behind its requests, holds its connections; the process ends in order within its grace time.

--- a/internal/command/beechplay/crowd_test.go
+++ b/internal/command/beechplay/crowd_test.go
@@ -5,6 +5,8 @@
 	"context"
 	"fmt"
 	"net/http"
+	"os"
+	"strings"
 	"sync/atomic"
 	"syscall"
 	"testing"
@@ -86,6 +88,29 @@
 	}
 }
 
+// TestCrowdsAtGateThatStops guards against clients that keep a stopping gate from its end.
+func TestCrowdsAtGateThatStops(t *testing.T) {
+	program := buildProgram(t)
+	for _, form := range []string{"mixed", "behind"} {
+		t.Run(form, func(t *testing.T) {
+			is := is.New(t)
+			c := crowdCase{form: form}
+			d := newCrowdDeployment(t, program, c)
+			observation := beechcrowd.Observe(d.gate.cmd.Process.Pid, d.cluster.Places["gate"])
+			crowd := d.call(c)
+			defer crowd.Stop()
+			crowd.AwaitTurns(turnLimit)
+			d.gate.Signal()
+			is.NoErr(d.gate.Wait())
+			used := observation.Now()
+			t.Logf("%d KB unread, %d descriptors", used.Unread>>10, used.Descriptors)
+			output, err := os.ReadFile(d.gate.output)
+			is.NoErr(err)
+			is.True(strings.Contains(string(output), "gate stopped"))
+		})
+	}
+}
+
 func newCrowdDeployment(t *testing.T, program string, c crowdCase) *crowdDeployment {
 	t.Helper()
 	is := is.New(t)
