A silent body in the only room for one of its size gives way

What callers would see: on a host whose memory is small against the operators' limit for one body, one client that stops a byte short of the largest body keeps all others of that size out until its time is over, and again when it comes back.

Cause: a newcomer is granted room ahead of bodies that are leaving only up to a quarter of the capacity. Where the capacity was raised to just one body of the largest size, that is a third of one; the newcomer was refused and nobody made to leave. Found by reading; hosts of the usual sizes have room for two such bodies or more.

Change: if bodies that stand still hold what is missing, they give way in any case. The newcomer is refused if it would exceed the quarter now, with the time to come again, and finds the room then.

Why it works: the bound on what is held is unchanged, as nothing more is granted.

Evidence: TestSilentBodyInTheOnlyRoomGivesWay failed before.

--- a/internal/decision/beechintake/intake.go
+++ b/internal/decision/beechintake/intake.go
@@ -251,7 +251,7 @@
 	in.peak = max(in.peak, in.held)
 }
 
-// makeRoom reports whether a body's reservation may be raised to a size. If bodies must give way for
+// makeRoom reports whether a body's reservation may be raised to a size now. If bodies must give way for
 // it, they are made to.
 func (in *Intake) makeRoom(b *Body, size int, now time.Time) bool {
 	missing := in.missing(b, size)
@@ -267,9 +267,10 @@
 			possible += other.reserved
 		}
 	}
-	if min(possible, in.maxLeaving()-in.leaving) < missing {
+	if possible < missing {
 		return false
 	}
+	fits := missing <= in.maxLeaving()-in.leaving // else those that give way make room for the next try
 	slices.SortFunc(yielding, func(x, y *Body) int { return cmp.Compare(y.area, x.area) })
 	for _, other := range yielding {
 		if missing <= 0 {
@@ -281,7 +282,7 @@
 		in.refused[GaveWay]++
 		other.giveWay()
 	}
-	return true
+	return fits
 }
 
 // missing returns how many bytes there are too few to raise a body's reservation to a size.
--- a/internal/decision/beechintake/intake_test.go
+++ b/internal/decision/beechintake/intake_test.go
@@ -97,6 +97,26 @@
 	is.Equal(left, 1)
 }
 
+// Guards against one silent client that keeps the only room for a body of the largest size.
+func TestSilentBodyInTheOnlyRoomGivesWay(t *testing.T) {
+	is := is.New(t)
+	clock := clockwork.NewFakeClock()
+	in := New(Settings{Capacity: 1}, clock)
+	in.RoomFor(4 * mebibyte)
+	var silent *Body
+	left := false
+	silent = open(t, in, "w", 4*mebibyte, func() { left = true })
+	silent.Received(4*mebibyte - 1)
+	clock.Advance(2 * time.Second)
+	_, refused := in.Open("other", 4*mebibyte, never)
+	is.Equal(refused.Cause, NoRoom) // its memory is not free yet
+	is.True(left)
+	silent.Close()
+	clock.Advance(refused.After)
+	open(t, in, "other", 4*mebibyte, never)
+	is.Equal(in.leaving, 0)
+}
+
 // Guards against clients that seem to be sending since a byte comes now and then.
 func TestTricklingBodiesGiveWay(t *testing.T) {
 	is := is.New(t)
