The wait for a stand-in to listen ends

Cause: by its stack the script waited for one GET to the engine's stand-in, without a time-out. A stopped process does not act on SIGTERM. No fault of the product, and none of the scenario.

Change: each call of that wait has two seconds, so that the wait's own limit of 20 s holds and names what was not seen.

--- a/internal/command/beechscenario/deployment_test.go
+++ b/internal/command/beechscenario/deployment_test.go
@@ -152,8 +152,9 @@
 }
 
 func (d *deployment) awaitListening(p *process) error {
+	client := http.Client{Timeout: 2 * time.Second} // another process may hold the address and answer nothing
 	return d.until(p.name+" listens", func() bool {
-		response, err := http.Get("http://" + p.address.String() + "/")
+		response, err := client.Get("http://" + p.address.String() + "/")
 		if err != nil {
 			return false
 		}
