Log which connection a rejection came on, and count copies of answers

'attempt turned away' now has the number of the connection, the exchanges that it has carried, the answers to other requests that came first, and the ID of the server that rejected; serverResponsesDiscarded counts such answers. No decision changes.

TestDiscardedResponsesAreCounted passes; it cannot be built on the code before.

--- a/internal/link/beechpool/pool.go
+++ b/internal/link/beechpool/pool.go
@@ -76,6 +76,8 @@
 		dialed int
 		closed map[CloseCause]int64
 
+		discarded atomic.Int64 // responses to earlier requests
+
 		resetDelay func(time.Duration)
 	}
 
@@ -90,6 +92,13 @@
 		Reset     func(told bool)           // called when the context has ended and the connection was reset; false: it was dead before
 	}
 
+	// Connection is what an exchange shows of the connection that carried it.
+	Connection struct {
+		Number    int // of the pool's connections, in the order in which they were dialed
+		Exchanges int // so far, this one included
+		Discarded int // responses to earlier requests that were received before this one's
+	}
+
 	// DialError reports that nothing was sent, since no connection was available or the
 	// exchange was withdrawn before.
 	DialError struct {
@@ -110,6 +119,7 @@
 		net.Conn
 		pool          *Pool
 		peer          netip.AddrPort
+		number        int
 		source        *headSource
 		reader        *bufio.Reader
 		uses          int
@@ -134,6 +144,7 @@
 	body struct {
 		io.ReadCloser
 		conn       *conn
+		connection Connection
 		stopCancel func() bool // stops closing the connection when the context ends
 		reusable   bool
 		readToEOF  bool
@@ -221,6 +232,9 @@
 	return p.dialed
 }
 
+// ResponsesDiscarded returns how many responses to earlier requests were received in the place of the one that was due.
+func (p *Pool) ResponsesDiscarded() int64 { return p.discarded.Load() }
+
 // ConnectionsClosed returns how many connections were closed, by cause.
 func (p *Pool) ConnectionsClosed() map[CloseCause]int64 {
 	p.mu.Lock()
@@ -273,7 +287,7 @@
 	}
 	stop := c.withdrawAtEnd(ctx, conditions.Reset)
 	c.reading.Store(true)
-	response, failed := c.exchange(r, conditions)
+	response, discarded, failed := c.exchange(r, conditions)
 	c.readEnded()
 	if failed != nil {
 		stop()
@@ -283,7 +297,10 @@
 		}
 		return nil, failed
 	}
-	response.Body = &body{ReadCloser: response.Body, conn: c, stopCancel: stop, reusable: !response.Close}
+	response.Body = &body{
+		ReadCloser: response.Body, conn: c, connection: Connection{Number: c.number, Exchanges: c.uses, Discarded: discarded},
+		stopCancel: stop, reusable: !response.Close,
+	}
 	return response, nil
 }
 
@@ -298,7 +315,8 @@
 	return nil
 }
 
-func (c *conn) exchange(r *http.Request, conditions Conditions) (*http.Response, *ExchangeError) {
+// exchange returns the response to a request, and the number of responses to earlier ones that came before it.
+func (c *conn) exchange(r *http.Request, conditions Conditions) (response *http.Response, discarded int, failed *ExchangeError) {
 	reused := c.uses > 0
 	c.uses++
 	c.writeDone, c.writeDoneRead, c.writeErr = make(chan error, 1), false, nil
@@ -307,33 +325,35 @@
 	} else {
 		c.writeDone <- r.Write(c.Conn)
 		if err := c.writeResult(); err != nil {
-			return nil, &ExchangeError{Peer: c.peer, Step: "write request", Reused: reused, Err: err}
+			return nil, 0, &ExchangeError{Peer: c.peer, Step: "write request", Reused: reused, Err: err}
 		}
 	}
 	c.source.left = maxHeadBytes
 	interim := 0
-	for stale := 0; stale < maxStaleResponses; {
+	for discarded < maxStaleResponses {
 		response, err := c.readHead(r)
 		if err != nil {
-			return nil, &ExchangeError{Peer: c.peer, Step: "read response", Reused: reused, Err: err}
+			return nil, discarded, &ExchangeError{Peer: c.peer, Step: "read response", Reused: reused, Err: err}
 		}
 		if response.StatusCode < http.StatusOK {
 			if interim++; interim > maxInterimResponses {
-				return nil, &ExchangeError{Peer: c.peer, Step: "read response", Reused: reused, Err: errInterim}
+				return nil, discarded, &ExchangeError{Peer: c.peer, Step: "read response", Reused: reused, Err: errInterim}
 			}
 			continue
 		}
 		if conditions.Matches == nil || conditions.Matches(response) {
-			return c.accept(response, conditions, reused)
+			response, failed = c.accept(response, conditions, reused)
+			return response, discarded, failed
 		}
 		// A late or duplicate response to an earlier request.
-		stale++
+		discarded++
+		c.pool.discarded.Add(1)
 		n, err := io.CopyN(io.Discard, response.Body, maxDiscardBytes)
 		if !errors.Is(err, io.EOF) || response.Close {
-			return nil, &ExchangeError{Peer: c.peer, Step: "discard response to an earlier request", Reused: reused, Err: fmt.Errorf("%w: discarded %d bytes", errStaleResponses, n)}
+			return nil, discarded, &ExchangeError{Peer: c.peer, Step: "discard response to an earlier request", Reused: reused, Err: fmt.Errorf("%w: discarded %d bytes", errStaleResponses, n)}
 		}
 	}
-	return nil, &ExchangeError{Peer: c.peer, Step: "read response", Reused: reused, Err: errStaleResponses}
+	return nil, discarded, &ExchangeError{Peer: c.peer, Step: "read response", Reused: reused, Err: errStaleResponses}
 }
 
 // accept returns a response that matches. One that does not name its request is an error where it may be the
@@ -414,6 +434,7 @@
 	}
 	p.open[peer]++
 	p.dialed++
+	number := p.dialed
 	p.mu.Unlock()
 	raw, err := p.dialer.DialContext(ctx, "tcp", peer.String())
 	if err != nil {
@@ -421,7 +442,7 @@
 		return nil, err
 	}
 	source := &headSource{Reader: raw}
-	return &conn{Conn: raw, pool: p, peer: peer, source: source, reader: bufio.NewReaderSize(source, readBufferBytes), idleTimeout: p.settings.IdleTimeout}, nil
+	return &conn{Conn: raw, pool: p, peer: peer, number: number, source: source, reader: bufio.NewReaderSize(source, readBufferBytes), idleTimeout: p.settings.IdleTimeout}, nil
 }
 
 func (p *Pool) popIdle(peer netip.AddrPort) *conn {
@@ -591,6 +612,15 @@
 	})
 }
 
+// ConnectionOf returns the connection that carried a response of a pool.
+func ConnectionOf(r *http.Response) Connection {
+	b, ok := r.Body.(*body)
+	if !ok {
+		return Connection{}
+	}
+	return b.connection
+}
+
 // ApplyKeepAlive sets the idle timeout of a response's connection according to the
 // timeout in the Keep-Alive header, if there is one.
 func ApplyKeepAlive(r *http.Response) {
--- a/internal/link/beechpool/pool_test.go
+++ b/internal/link/beechpool/pool_test.go
@@ -60,12 +60,15 @@
 	return request.Header.Get("Id"), true
 }
 
-func exchange(ctx context.Context, p *Pool, peer netip.AddrPort, id string, body []byte) (string, error) {
-	r := &http.Request{
+func newRequest(id string, body []byte) *http.Request {
+	return &http.Request{
 		Method: http.MethodPost, URL: &url.URL{Opaque: "/x"}, Host: "h", Proto: "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1,
 		Header: http.Header{"Id": {id}}, ContentLength: int64(len(body)), Body: io.NopCloser(bytes.NewReader(body)),
 	}
-	response, err := p.Exchange(ctx, peer, r, Conditions{Matches: func(r *http.Response) bool { return r.Header.Get("Id") == id }})
+}
+
+func exchange(ctx context.Context, p *Pool, peer netip.AddrPort, id string, body []byte) (string, error) {
+	response, err := p.Exchange(ctx, peer, newRequest(id, body), Conditions{Matches: func(r *http.Response) bool { return r.Header.Get("Id") == id }})
 	if err != nil {
 		return "", err
 	}
@@ -413,3 +416,23 @@
 	}
 	_ = response.Body.Close()
 }
+
+// Guards against copies of earlier responses that nobody can count, or tell the connection of.
+func TestDiscardedResponsesAreCounted(t *testing.T) {
+	is := is.New(t)
+	peer, _ := serveRaw(t, func(c net.Conn, r *bufio.Reader) {
+		for id, ok := readRequestID(r); ok; id, ok = readRequestID(r) {
+			writeResponse(c, "earlier", "")
+			writeResponse(c, id, "")
+		}
+	})
+	p := newPool()
+	for n := 1; n <= 2; n++ {
+		response, err := p.Exchange(t.Context(), peer, newRequest("a", nil), Conditions{Matches: func(r *http.Response) bool { return r.Header.Get("Id") == "a" }})
+		is.NoErr(err)
+		is.Equal(ConnectionOf(response), Connection{Number: 1, Exchanges: n, Discarded: 1})
+		_, err = io.Copy(io.Discard, response.Body)
+		is.NoErr(err)
+		is.Equal(p.ResponsesDiscarded(), int64(n))
+	}
+}
--- a/internal/process/beechgate/metrics.go
+++ b/internal/process/beechgate/metrics.go
@@ -126,6 +126,7 @@
 	m.vars.Set("departureWatchDelayMicros", expvar.Func(m.watchDelay.Percentiles))
 	m.vars.Set("resetDelayMicros", expvar.Func(m.resetDelay.Percentiles))
 	m.vars.Set("serverConnectionsClosed", expvar.Func(func() any { return g.deps.Pool.ConnectionsClosed() }))
+	m.vars.Set("serverResponsesDiscarded", expvar.Func(func() any { return g.deps.Pool.ResponsesDiscarded() }))
 	m.vars.Set("schedulingDelayTailMicros", m.schedulingTail)
 	m.vars.Set("acceptWaitMicros", m.acceptWait)
 	m.vars.Set("configurationAgeMillis", expvar.Func(func() any { return g.freshness.Age().Milliseconds() }))
--- a/internal/request/beechattempt/run.go
+++ b/internal/request/beechattempt/run.go
@@ -387,7 +387,9 @@
 func (d *Dispatcher) endRejected(x *exchange, rejection beechcall.NotExecuted) {
 	x.placement.Done(beechplace.Rejected)
 	d.placer.ObserveRejection(x.choice.Server.ID, rejection, x.call.Model)
-	d.logAttempt("turned away", x, zap.Int("status", rejection.Status), zap.Bool("replaced", rejection.Replaced), zap.Bool("other weights", rejection.WeightsDiffer), zap.Bool("unmarked", rejection.Unmarked))
+	d.logAttempt("turned away", x, zap.Int("status", rejection.Status), zap.Bool("replaced", rejection.Replaced), zap.String("answeredBy", rejection.ActualID),
+		zap.Bool("other weights", rejection.WeightsDiffer), zap.Bool("unmarked", rejection.Unmarked),
+		zap.Int("connection", rejection.Connection.Number), zap.Int("exchanges", rejection.Connection.Exchanges), zap.Int("discarded", rejection.Connection.Discarded))
 }
 
 // observeBackoff records that the server asked for no requests for a time.
--- a/internal/request/beechcall/call.go
+++ b/internal/request/beechcall/call.go
@@ -137,6 +137,14 @@
 		Backoff       time.Duration             // time for which the server asks this client for no requests; 0: none
 		Leaving       bool                      // the server will stop soon
 		Unmarked      bool                      // the answer does not name its request
+		Connection    Connection
+	}
+
+	// Connection is the connection to a server that carried an attempt.
+	Connection struct {
+		Number    int // in the order in which this process dialed
+		Exchanges int // on it so far, the attempt's included
+		Discarded int // answers to earlier exchanges that came in the place of the attempt's
 	}
 
 	// OutcomeUnknown means that the request was sent and may have been executed.
