Test: the copy of an answer that names no request, on a kept connection

send takes an answer without an ID as the one to its request. On a kept connection it may be the second copy of the answer to an earlier request: a refusal, so that a request that runs counts as not run, or a success, so that a caller gets what was meant for another one.

Both tests fail on this code:

--- FAIL: TestCopyOfAnUnmarkedRefusalIsNotBelievedForAnotherRequest/engine err: generate at 127.0.0.1:44461: refused with status 503: no reason given --- FAIL: TestCopyOfAnUnmarkedRefusalIsNotBelievedForAnotherRequest/service err: relay at 127.0.0.1:39407: refused with status 503: no reason given --- FAIL: TestCopyOfAnUnmarkedAnswerIsNotAnothersAnswer/engine, /service err: the answer of another request

--- a/internal/process/beechbackend/copies_test.go
+++ b/internal/process/beechbackend/copies_test.go
@@ -156,3 +156,43 @@
 		}
 	}
 }
+
+// Guards against a second copy of a refusal that names no request and is taken for that of another request, which runs.
+func TestCopyOfAnUnmarkedRefusalIsNotBelievedForAnotherRequest(t *testing.T) {
+	for _, kind := range []string{"engine", "service"} {
+		t.Run(kind, func(t *testing.T) {
+			is := is.New(t)
+			s := startCopyingServer(t, func(r *http.Request, _ string) string {
+				if id := r.Header.Get(RequestHeader); id != "first" {
+					return rawResponse(http.StatusOK, id, "", id)
+				}
+				return rawRefusal("")
+			})
+			send := requestSenders(s.address)[kind]
+			ctx, cancel := context.WithTimeout(t.Context(), copyTimeout)
+			defer cancel()
+			is.True(NotRun(send(ctx, "first")))
+			err := send(ctx, "next")
+			t.Logf("request that ran: %v", err)
+			is.NoErr(err)
+		})
+	}
+}
+
+// Guards against a second copy of an answer that names no request and reaches the caller of another one.
+func TestCopyOfAnUnmarkedAnswerIsNotAnothersAnswer(t *testing.T) {
+	for _, kind := range []string{"engine", "service"} {
+		t.Run(kind, func(t *testing.T) {
+			is := is.New(t)
+			s := startCopyingServer(t, func(r *http.Request, _ string) string {
+				return rawResponse(http.StatusOK, "", "", r.Header.Get(RequestHeader))
+			})
+			send := requestSenders(s.address)[kind]
+			ctx, cancel := context.WithTimeout(t.Context(), copyTimeout)
+			defer cancel()
+			for i := range 4 {
+				is.NoErr(send(ctx, fmt.Sprint("r", i)))
+			}
+		})
+	}
+}
