Test: the copy of one call's answer, taken for another call's

Calls to the backend server (reports, cache events, cancellations, imports and exports of cache blocks) name no request and share the connections of requests. A second copy of an earlier answer is taken for the answer to the call behind it: a cancellation counts as taken, the cache blocks of one salt as those of another, a reader of cache events goes back.

--- a/internal/process/beechbackend/copies_test.go
+++ b/internal/process/beechbackend/copies_test.go
@@ -9,6 +9,7 @@
 	"net"
 	"net/http"
 	"net/netip"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -196,3 +197,92 @@
 		})
 	}
 }
+
+// Guards against a second copy of one call's answer that is taken for another call's: a cancellation or an order that
+// was never taken, or cache blocks of another salt.
+func TestCopyOfACallsAnswerIsNotAnotherCalls(t *testing.T) {
+	const load, events = `{"incarnation":7,"models":["m@1"]}`, `{"incarnation":8}`
+	respond := func(r *http.Request, body string) string {
+		switch {
+		case r.URL.Path == "/load":
+			return rawResponse(http.StatusOK, "", "", load)
+		case r.URL.Path == "/cache/events":
+			return rawResponse(http.StatusOK, "", "", events)
+		case r.URL.Path == "/kv/export" && strings.Contains(body, `"s1"`):
+			return rawResponse(http.StatusOK, "", "", `"blocks of s1"`)
+		case r.URL.Path == "/kv/export":
+			return rawResponse(http.StatusOK, "", "", `"blocks of s2"`)
+		case r.Header.Get(RequestHeader) != "":
+			return rawResponse(http.StatusOK, r.Header.Get(RequestHeader), "", `{"incarnation":9}`)
+		default:
+			return rawResponse(http.StatusConflict, "", "", "")
+		}
+	}
+	firsts := map[string]func(ctx context.Context, e Engine){
+		"report":       func(ctx context.Context, e Engine) { _, _ = e.Report(ctx) },
+		"cache events": func(ctx context.Context, e Engine) { _, _, _ = e.CacheEvents(ctx, 0) },
+		"export":       func(ctx context.Context, e Engine) { _, _ = e.Export(ctx, "s1", []byte("[]")) },
+		"request": func(ctx context.Context, e Engine) {
+			if answer, err := e.Generate(ctx, generate("r")); err == nil {
+				_, _ = io.Copy(io.Discard, answer.Body)
+				_ = answer.Body.Close()
+			}
+		},
+	}
+	seconds := map[string]func(is *is.I, ctx context.Context, e Engine){
+		"report": func(is *is.I, ctx context.Context, e Engine) {
+			report, err := e.Report(ctx)
+			is.NoErr(err)
+			is.Equal(report.Incarnation, uint64(7))
+		},
+		"cache events": func(is *is.I, ctx context.Context, e Engine) {
+			incarnation, _, err := e.CacheEvents(ctx, 0)
+			is.NoErr(err)
+			is.Equal(incarnation, uint64(8))
+		},
+		"cancel": func(is *is.I, ctx context.Context, e Engine) { is.True(e.Cancel(ctx, "x") != nil) },
+		"order":  func(is *is.I, ctx context.Context, e Engine) { is.True(e.Order(ctx, Order{Fence: 1}) != nil) },
+		"import": func(is *is.I, ctx context.Context, e Engine) {
+			_, err := e.Import(ctx, "s2", []byte("[]"))
+			is.True(err != nil)
+		},
+		"export": func(is *is.I, ctx context.Context, e Engine) {
+			blocks, err := e.Export(ctx, "s2", []byte("[]"))
+			is.NoErr(err)
+			is.Equal(string(blocks), `"blocks of s2"`)
+		},
+	}
+	for firstName, first := range firsts {
+		for secondName, second := range seconds {
+			t.Run(firstName+", "+secondName, func(t *testing.T) {
+				engine := NewOpenAI(startCopyingServer(t, respond).address, NewClient(time.Second))
+				ctx, cancel := context.WithTimeout(t.Context(), copyTimeout)
+				defer cancel()
+				first(ctx, engine)
+				second(is.New(t), ctx, engine)
+			})
+		}
+	}
+}
+
+// Guards against cache events that were read before and come again, so that the reader goes back.
+func TestCopyOfEarlierCacheEventsIsNotRead(t *testing.T) {
+	is := is.New(t)
+	s := startCopyingServer(t, func(r *http.Request, _ string) string {
+		if r.URL.Query().Get("after") == "0" {
+			return rawResponse(http.StatusOK, "", "", `{"incarnation":7,"events":[{"sequence":1},{"sequence":2}]}`)
+		}
+		return rawResponse(http.StatusOK, "", "", `{"incarnation":7,"events":[{"sequence":3}]}`)
+	})
+	engine := NewOpenAI(s.address, NewClient(time.Second))
+	ctx, cancel := context.WithTimeout(t.Context(), copyTimeout)
+	defer cancel()
+	_, events, err := engine.CacheEvents(ctx, 0)
+	is.NoErr(err)
+	is.Equal(len(events), 2)
+	_, _, err = engine.CacheEvents(ctx, 2)
+	is.True(errors.Is(err, ErrWrongRequest))
+	_, events, err = engine.CacheEvents(ctx, 2)
+	is.NoErr(err)
+	is.Equal(events, []CacheEvent{{Sequence: 3}})
+}
