A connection to the backend server carries a request ID once

Callers of the agents' door were told that a request had not run which the backend server ran, got the answer to another request, or a cancellation counted as taken that the server had turned down.

Cause: net/http's Transport takes the connection that was used last, whatever it has carried. A server that sends an answer once more, late, puts it in the place of the next one: under the same ID if the request is sent again, with no ID if the answer named no request, and without any mark at all between calls.

Change: a small transport chooses the connection of each exchange, over http.Transport.NewClientConn (Go 1.26):

- a request goes on a connection that has not carried its ID.
The memory is 256 hashes for each connection, which is closed when it is full; a collision costs a new connection and nothing else
- after an answer that does not name its request, its connection is closed.
So no copy of one exists on a connection that is used again, and an unmarked refusal that arrives there is an honest one: it stays "not run"
- reports, cache events and readiness checks share connections with their own kind only, and not after a failure
- cancellations, imports and exports have a connection each, as orders had

With NewClientConn the error types, the reset of cancelled requests, the bound of heads, the bodies that are never sent again and the check of orders are those of before, and nothing is retried by net/http. A connection for each request would do too, but costs one connect each in calm. A server that names no request in its answers now pays that: what its copy would reach is another workspace's caller. Transports of other types are refused whole, which was so for orders only: they cannot choose a connection.

--- a/internal/process/beechbackend/client.go
+++ b/internal/process/beechbackend/client.go
@@ -28,9 +28,7 @@
 )
 
 const (
-	maxIdleConnections = 1024
-	idleTimeout        = 90 * time.Second
-	maxErrorBytes      = 4096
+	maxErrorBytes = 4096
 
 	// streamBufferSize is smaller than the default of 4 KB, since an agent holds two
 	// buffers for each open stream, and the event of a token has about 200 bytes.
@@ -41,8 +39,6 @@
 	orderBufferSize  = 4 << 10   // an order with its headers fits, and leaves in one write
 )
 
-var errNoCheck = errors.New("the HTTP transport cannot check an order before it is written")
-
 type (
 	// serverClient sends requests to one server and returns errors of the types of
 	// this package.
@@ -64,11 +60,6 @@
 		check func() error
 	}
 
-	// uncheckedTransport is a transport whose connections cannot be replaced by checked ones.
-	uncheckedTransport struct {
-		http.RoundTripper
-	}
-
 	// answerBody converts errors of reading an answer to the types of this package.
 	answerBody struct {
 		io.ReadCloser
@@ -78,9 +69,9 @@
 	}
 )
 
-// NewClient returns an HTTP client for servers on the same host or nearby. It keeps
-// connections alive. The only timeout is the given one for connecting, since a
-// generation may take minutes; callers set deadlines in their contexts.
+// NewClient returns an HTTP client for servers on the same host or nearby. The only timeout
+// is the given one for connecting, since a generation may take minutes; callers set deadlines
+// in their contexts.
 func NewClient(connect time.Duration) *http.Client {
 	dialer := &net.Dialer{Timeout: connect}
 	return &http.Client{Transport: &http.Transport{
@@ -93,29 +84,38 @@
 			}
 			return connection, err
 		},
-		MaxIdleConns:        maxIdleConnections,
-		MaxIdleConnsPerHost: maxIdleConnections,
-		IdleConnTimeout:     idleTimeout,
-		DisableCompression:  true,
-		ReadBufferSize:      streamBufferSize,
-		WriteBufferSize:     streamBufferSize,
+		DisableCompression: true,
+		ReadBufferSize:     streamBufferSize,
+		WriteBufferSize:    streamBufferSize,
 
 		MaxResponseHeaderBytes: maxHeadBytes,
 	}}
 }
 
-// newOrderClient returns a client that opens a connection for each request, so that the check of
-// an order's Guard can be made at the write: the process may be paused while it connects.
-func newOrderClient(c *http.Client) *http.Client {
-	orders := *c
-	roundTripper := c.Transport
-	if roundTripper == nil {
-		roundTripper = http.DefaultTransport
+func (c checkedConnection) Write(data []byte) (int, error) {
+	if err := c.check(); err != nil {
+		return 0, err
+	}
+	return c.Conn.Write(data)
+}
+
+// newServerClient returns a client that reuses connections where no copy of an earlier answer can be taken
+// for the answer to another request.
+func newServerClient(address netip.AddrPort, client *http.Client) serverClient {
+	shared, ok := transportOf(client)
+	if !ok {
+		return serverClient{address: address, client: withTransport(client, unknownTransport{})}
 	}
-	shared, ok := roundTripper.(*http.Transport)
+	return serverClient{address: address, client: withTransport(client, newConnections(shared))}
+}
+
+// newSingleUseClient returns a client that opens a connection for each request, so that no copy of an
+// earlier answer can be taken for the answer to this one, and the check of an order's Guard can be made at
+// the write: the process may be paused while it connects.
+func newSingleUseClient(address netip.AddrPort, client *http.Client) serverClient {
+	shared, ok := transportOf(client)
 	if !ok {
-		orders.Transport = uncheckedTransport{roundTripper}
-		return &orders
+		return serverClient{address: address, client: withTransport(client, unknownTransport{})}
 	}
 	transport := shared.Clone()
 	transport.DisableKeepAlives = true
@@ -131,31 +131,25 @@
 		}
 		return connection, err
 	}
-	orders.Transport = transport
-	return &orders
+	return serverClient{address: address, client: withTransport(client, transport)}
 }
 
-// RoundTrip refuses requests that have a check.
-func (t uncheckedTransport) RoundTrip(r *http.Request) (*http.Response, error) {
-	if beechfence.CheckBeforeWrite(r.Context()) != nil {
-		return nil, errNoCheck
-	}
-	return t.RoundTripper.RoundTrip(r)
-}
-
-func (c checkedConnection) Write(data []byte) (int, error) {
-	if err := c.check(); err != nil {
-		return 0, err
+func transportOf(c *http.Client) (*http.Transport, bool) {
+	roundTripper := c.Transport
+	if roundTripper == nil {
+		roundTripper = http.DefaultTransport
 	}
-	return c.Conn.Write(data)
+	transport, ok := roundTripper.(*http.Transport)
+	return transport, ok
 }
 
-// newServerClient copies the client and disables redirects: following one would send
+// withTransport copies the client and disables redirects: following one would send
 // the request a second time, and to a server that was not selected for it.
-func newServerClient(address netip.AddrPort, client *http.Client) serverClient {
+func withTransport(client *http.Client, transport http.RoundTripper) *http.Client {
 	c := *client
+	c.Transport = transport
 	c.CheckRedirect = func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }
-	return serverClient{address: address, client: &c}
+	return &c
 }
 
 // send sends a request and returns the server's response, regardless of its status. A response that carries
--- a/internal/process/beechbackend/copies_test.go
+++ b/internal/process/beechbackend/copies_test.go
@@ -21,10 +21,12 @@
 
 type (
 	// copyingServer answers requests by a function, and sends the first answer of each connection once more before every
-	// later one.
+	// later one unless it is honest.
 	copyingServer struct {
 		address netip.AddrPort
 		respond func(r *http.Request, body string) string
+		honest  bool
+		closes  bool // each connection after its first answer, without saying so
 
 		mu    sync.Mutex
 		conns int
@@ -75,7 +77,10 @@
 		if _, err := io.WriteString(c, first+response); err != nil {
 			return
 		}
-		if first == "" {
+		if s.closes {
+			return
+		}
+		if first == "" && !s.honest {
 			first = response
 		}
 	}
--- a/internal/process/beechbackend/doc.go
+++ b/internal/process/beechbackend/doc.go
@@ -19,6 +19,15 @@
 // that closes right after the request was written looks the same whether or not
 // the server read the request.
 //
+// # Second copies of answers
+//
+// A server may send an answer more than once, at any later time. The connection of
+// each exchange is therefore chosen so that the copy of an earlier answer is not
+// taken for the one that is due: a connection carries a request ID once, reports
+// share connections only with reports of their kind, and orders, cancellations,
+// imports and exports have a connection each. The copy of an earlier report of the
+// same kind cannot be told from a new one: reports may be outdated.
+//
 // # Streamed answers
 //
 // Streamed answers are read with an EventReader. It limits the length of lines
@@ -26,7 +35,7 @@
 //
 // # Usage
 //
-//	client := beechbackend.NewClient(time.Second)
+//	client := beechbackend.NewClient(time.Second) // or any whose transport is an *http.Transport
 //	engine := beechbackend.NewOpenAI(netip.MustParseAddrPort("127.0.0.1:8000"), client)
 //	answer, err := engine.Generate(ctx, beechbackend.GenerateRequest{...})
 //	if beechbackend.NotRun(err) {
--- a/internal/process/beechbackend/openai.go
+++ b/internal/process/beechbackend/openai.go
@@ -17,7 +17,7 @@
 	// extensions documented in the package internal/standin/beechengine.
 	openAI struct {
 		server serverClient
-		orders serverClient // for orders only, see newOrderClient
+		single serverClient // a connection for each call
 	}
 
 	openAIEventsReply struct {
@@ -60,7 +60,7 @@
 // NewOpenAI returns the Engine for an engine at address. The client's timeout
 // must be 0; see NewClient.
 func NewOpenAI(address netip.AddrPort, client *http.Client) Engine {
-	return openAI{server: newServerClient(address, client), orders: newServerClient(address, newOrderClient(client))}
+	return openAI{server: newServerClient(address, client), single: newSingleUseClient(address, client)}
 }
 
 // Generate sends a request and returns the engine's answer. The statuses 404, 429 and
@@ -86,7 +86,7 @@
 
 // Cancel cancels a request. It is not an error if the request has already ended.
 func (e openAI) Cancel(ctx context.Context, requestID string) error {
-	err := e.server.callJSON(ctx, "cancel", http.MethodPost, "/cancel/"+url.PathEscape(requestID), nil, nil)
+	err := e.single.callJSON(ctx, "cancel", http.MethodPost, "/cancel/"+url.PathEscape(requestID), nil, nil)
 	var refused *Refused
 	if errors.As(err, &refused) && refused.Status == http.StatusNotFound {
 		return nil
@@ -136,7 +136,7 @@
 	if err != nil {
 		return err
 	}
-	return e.orders.callJSON(ctx, "order", http.MethodPost, "/orders", body, nil)
+	return e.single.callJSON(ctx, "order", http.MethodPost, "/orders", body, nil)
 }
 
 // Export returns the cached blocks of the prompt, in the format of the engine.
@@ -145,7 +145,7 @@
 	// find none of its blocks.
 	body := setFields(nil, nil, []field{{"salt", jsonString(salt)}, {"prompt", prompt}})
 	var blocks json.RawMessage
-	err := e.server.callBounded(ctx, "export cache", http.MethodPost, "/kv/export", body, &blocks, maxExportBytes)
+	err := e.single.callBounded(ctx, "export cache", http.MethodPost, "/kv/export", body, &blocks, maxExportBytes)
 	return blocks, err
 }
 
@@ -154,7 +154,7 @@
 func (e openAI) Import(ctx context.Context, salt string, blocks []byte) (int, error) {
 	var imported openAIImportReply
 	path := "/kv/import?salt=" + url.QueryEscape(salt)
-	err := e.server.callJSON(ctx, "import cache", http.MethodPost, path, blocks, &imported)
+	err := e.single.callJSON(ctx, "import cache", http.MethodPost, path, blocks, &imported)
 	return imported.Tokens, err
 }
 
