A copy of cache events that were read before is an error

Reads of cache events share connections, so that a late copy of an earlier answer may come in the place of a new one. The agent's reader went back to the earlier sequence number, and its index applied the events once more. An answer to a question for events after a number contains none up to it, in any incarnation; one that does is reported as the answer to another request, and the next poll reads on. The true answer behind it finds its connection idle, which closes it.

--- a/internal/process/beechbackend/openai.go
+++ b/internal/process/beechbackend/openai.go
@@ -95,15 +95,20 @@
 }
 
 // CacheEvents returns the cache events after the given sequence number, and the
-// incarnation of the engine that they belong to.
+// incarnation of the engine that they belong to. Events before that number are the copy of an earlier
+// answer, and an error.
 func (e openAI) CacheEvents(ctx context.Context, after uint64) (uint64, []CacheEvent, error) {
+	const step = "read cache events"
 	var reply openAIEventsReply
 	path := "/cache/events?after=" + strconv.FormatUint(after, 10)
-	if err := e.server.callJSON(ctx, "read cache events", http.MethodGet, path, nil, &reply); err != nil {
+	if err := e.server.callJSON(ctx, step, http.MethodGet, path, nil, &reply); err != nil {
 		return 0, nil, err
 	}
 	events := make([]CacheEvent, len(reply.Events))
 	for i, v := range reply.Events {
+		if v.Sequence <= after {
+			return 0, nil, &Broken{Step: step, Peer: e.server.address, Err: ErrWrongRequest}
+		}
 		events[i] = CacheEvent(v)
 	}
 	return reply.Incarnation, events, nil
