A connection carries an ID once

What callers saw: a request that may not be repeated was answered with a refusal that promises that it has not run, and it ran.

Cause: an answer is told from the copies of earlier ones by the ID of its request. That is no evidence once the request has been on the connection before: the copy of its refusal looks like the answer to its second send. And the second send takes the same connection, as connections are kept by address and the last used is taken first: a server that has replaced another one at its address answers 421, is listed under its own ID, is chosen next, and gets the request on the connection that the 421 came on.

Change: a connection remembers the IDs that it has carried (a hash each, 1,024 at most, then it is closed), and a request takes another idle connection or a new one, whoever sends it again and why. At the maximum number of connections an idle one gives way, so that a repeat is not turned into a failure to connect.

Why it works: any copy that can arrive on a connection is of a request that it has carried; none of these has the ID that is waited for, so the ID decides. Refusals keep their promise: nothing is answered 'outcome unknown' that was not before. New connections arise only for a request that comes again at an address.

--- a/internal/link/beechpool/endless_test.go
+++ b/internal/link/beechpool/endless_test.go
@@ -172,7 +172,7 @@
 				_ = response.Body.Close()
 			}
 			time.Sleep(20 * time.Millisecond)
-			_, _ = pool.acquire(r.Context(), peer) // finds the connection of no use
+			_, _ = pool.acquire(r.Context(), peer, Conditions{}) // finds the connection of no use
 		}},
 	} {
 		t.Run(name, func(t *testing.T) {
--- a/internal/link/beechpool/pool.go
+++ b/internal/link/beechpool/pool.go
@@ -10,6 +10,11 @@
 // Before an idle connection is reused, it is checked without blocking. It is dropped if
 // the server has closed it or has sent bytes that no request asked for.
 //
+// A response names its request by an ID, which is no evidence if the connection has carried a request with that ID
+// before: a server may send any earlier response again. So a connection carries each ID once, and a request
+// that is sent again goes on another one. Responses to some requests name none. Such requests are kept apart by
+// kind, or have a connection of their own.
+//
 // A response that does not name its request is accepted only where it cannot be the second copy of an earlier one of
 // its connection.
 //
@@ -24,6 +29,7 @@
 //
 //	pool := beechpool.New(beechpool.DefaultSettings, clock)
 //	response, err := pool.Exchange(ctx, address, request, beechpool.Conditions{
+//		ID:      id,
 //		Matches: func(r *http.Response) bool { return r.Header.Get("X-Id") == id },
 //	})
 //	var dial *beechpool.DialError // nothing was sent
@@ -35,11 +41,13 @@
 	"context"
 	"errors"
 	"fmt"
+	"hash/maphash"
 	"io"
 	"maps"
 	"net"
 	"net/http"
 	"net/netip"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -75,6 +83,7 @@
 		limits map[netip.AddrPort]int // by server; 0 or none: Settings.MaxConns
 		dialed int
 		closed map[CloseCause]int64
+		seed   maphash.Seed
 
 		discarded atomic.Int64 // responses to earlier requests
 
@@ -84,8 +93,11 @@
 	// CloseCause is why a connection was closed.
 	CloseCause string
 
-	// Conditions are what an exchange depends on besides its context. Each may be nil.
+	// Conditions are what an exchange depends on besides its context. Each may be left out.
 	Conditions struct {
+		ID        string                    // of the request, which its response names; a connection carries no ID twice
+		Kind      string                    // of the request; a connection carries one kind
+		Exclusive bool                      // the connection carries nothing else
 		Matches   func(*http.Response) bool // false for a response to an earlier request
 		Unmarked  func(*http.Response) bool // true for a matching response that does not name its request
 		Withdrawn func() bool               // checked just before the request is written
@@ -120,6 +132,8 @@
 		pool          *Pool
 		peer          netip.AddrPort
 		number        int
+		kind          string
+		carried       []uint64 // hashes of the IDs of its requests
 		source        *headSource
 		reader        *bufio.Reader
 		uses          int
@@ -147,6 +161,7 @@
 		connection Connection
 		stopCancel func() bool // stops closing the connection when the context ends
 		reusable   bool
+		usedUp     bool
 		readToEOF  bool
 		once       sync.Once
 	}
@@ -169,6 +184,7 @@
 	maxHeadBytes              = 64 << 10 // of all heads in one exchange
 	maxInterimResponses       = 100      // in one exchange
 	maxIdleConns              = 64       // to one server
+	maxCarriedIDs             = 1024     // of one connection, which is closed then
 	maxDiscardBytes           = 64 << 10
 	keepAliveShareDenominator = 10
 	keepAliveShareNumerator   = 7
@@ -181,6 +197,8 @@
 	CloseWithdrawn CloseCause = "withdrawn"                    // the context ended or the caller departed
 	CloseFailed    CloseCause = "no response"                  // the exchange failed
 	CloseUnread    CloseCause = "response not read to its end" // by the user of the pool
+	CloseUsedUp    CloseCause = "not to be used again"         // it has carried all IDs that it may, or an exclusive exchange
+	CloseReplaced  CloseCause = "replaced"                     // by one that has not carried the ID of a request, at the maximum number
 )
 
 var (
@@ -201,7 +219,7 @@
 func New(s Settings, clock clockwork.Clock) *Pool {
 	p := &Pool{
 		settings: s, clock: clock,
-		idle: make(map[netip.AddrPort][]*conn), open: make(map[netip.AddrPort]int), closed: make(map[CloseCause]int64), resetDelay: func(time.Duration) {},
+		idle: make(map[netip.AddrPort][]*conn), open: make(map[netip.AddrPort]int), closed: make(map[CloseCause]int64), seed: maphash.MakeSeed(), resetDelay: func(time.Duration) {},
 	}
 	p.dialer = net.Dialer{
 		Timeout:         s.DialTimeout,
@@ -277,7 +295,7 @@
 // others as responses to earlier requests. The context covers the whole exchange, to the
 // end of the body. Errors are *DialError or *ExchangeError.
 func (p *Pool) Exchange(ctx context.Context, peer netip.AddrPort, r *http.Request, conditions Conditions) (*http.Response, error) {
-	c, err := p.acquire(ctx, peer)
+	c, err := p.acquire(ctx, peer, conditions)
 	if err != nil {
 		return nil, &DialError{Peer: peer, Err: err}
 	}
@@ -299,7 +317,7 @@
 	}
 	response.Body = &body{
 		ReadCloser: response.Body, conn: c, connection: Connection{Number: c.number, Exchanges: c.uses, Discarded: discarded},
-		stopCancel: stop, reusable: !response.Close,
+		stopCancel: stop, reusable: !response.Close, usedUp: conditions.Exclusive || len(c.carried) >= maxCarriedIDs,
 	}
 	return response, nil
 }
@@ -319,6 +337,9 @@
 func (c *conn) exchange(r *http.Request, conditions Conditions) (response *http.Response, discarded int, failed *ExchangeError) {
 	reused := c.uses > 0
 	c.uses++
+	if conditions.ID != "" {
+		c.carried = append(c.carried, c.pool.hash(conditions.ID))
+	}
 	c.writeDone, c.writeDoneRead, c.writeErr = make(chan error, 1), false, nil
 	if r.ContentLength > concurrentWriteBytes {
 		go func() { c.writeDone <- r.Write(c.Conn) }()
@@ -415,10 +436,10 @@
 	return c.writeErr == nil
 }
 
-// acquire returns an idle connection that is still usable, or a new one.
-func (p *Pool) acquire(ctx context.Context, peer netip.AddrPort) (*conn, error) {
-	for {
-		c := p.popIdle(peer)
+// acquire returns an idle connection that is still usable and may carry the request, or a new one.
+func (p *Pool) acquire(ctx context.Context, peer netip.AddrPort, conditions Conditions) (*conn, error) {
+	for !conditions.Exclusive {
+		c := p.popIdle(peer, conditions)
 		if c == nil {
 			break
 		}
@@ -428,9 +449,16 @@
 		c.drop()
 	}
 	p.mu.Lock()
-	if limit := p.limit(peer); limit > 0 && p.open[peer] >= limit {
+	for limit := p.limit(peer); limit > 0 && p.open[peer] >= limit; {
+		if len(p.idle[peer]) == 0 {
+			p.mu.Unlock()
+			return nil, errMaxConns
+		}
+		oldest := p.idle[peer][0]
+		p.idle[peer] = slices.Delete(p.idle[peer], 0, 1)
 		p.mu.Unlock()
-		return nil, errMaxConns
+		oldest.end(CloseReplaced)
+		p.mu.Lock()
 	}
 	p.open[peer]++
 	p.dialed++
@@ -442,21 +470,26 @@
 		return nil, err
 	}
 	source := &headSource{Reader: raw}
-	return &conn{Conn: raw, pool: p, peer: peer, number: number, source: source, reader: bufio.NewReaderSize(source, readBufferBytes), idleTimeout: p.settings.IdleTimeout}, nil
+	return &conn{Conn: raw, pool: p, peer: peer, number: number, kind: conditions.Kind, source: source, reader: bufio.NewReaderSize(source, readBufferBytes), idleTimeout: p.settings.IdleTimeout}, nil
 }
 
-func (p *Pool) popIdle(peer netip.AddrPort) *conn {
+// popIdle returns the most recently used idle connection that may carry a request, or nil.
+func (p *Pool) popIdle(peer netip.AddrPort, conditions Conditions) *conn {
+	id := p.hash(conditions.ID)
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	list := p.idle[peer]
-	if len(list) == 0 {
-		return nil
+	for i, c := range slices.Backward(list) {
+		if c.kind == conditions.Kind && !(conditions.ID != "" && slices.Contains(c.carried, id)) {
+			p.idle[peer] = slices.Delete(list, i, i+1)
+			return c
+		}
 	}
-	c := list[len(list)-1]
-	p.idle[peer] = list[:len(list)-1]
-	return c
+	return nil
 }
 
+func (p *Pool) hash(id string) uint64 { return maphash.String(p.seed, id) }
+
 func (p *Pool) decrementOpen(peer netip.AddrPort) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -606,6 +639,8 @@
 			b.conn.reset(CloseUnread)
 		case !b.reusable || b.conn.reader.Buffered() > 0:
 			b.conn.end(CloseServer)
+		case b.usedUp:
+			b.conn.end(CloseUsedUp)
 		default:
 			b.conn.release()
 		}
--- a/internal/link/beechpool/silence_test.go
+++ b/internal/link/beechpool/silence_test.go
@@ -35,7 +35,7 @@
 func TestConnectionsOutlastLostPackets(t *testing.T) {
 	is := is.New(t)
 	peer, _ := serveRaw(t, func(_ net.Conn, r *bufio.Reader) { _, _ = r.ReadByte() })
-	c, err := newPool().acquire(t.Context(), peer)
+	c, err := newPool().acquire(t.Context(), peer, Conditions{})
 	is.NoErr(err)
 	defer c.drop()
 	raw, err := c.Conn.(*net.TCPConn).SyscallConn()
