A request of which nothing was written has not run

Choosing the connection first took a rejection by net/http's check of headers for one behind the connection: a request with an invalid header counted as of unknown outcome, and before as not sent. The same holds for a kept connection that the server closes just before the request is written to it: nothing has left, but the outcome counted as unknown, also before this change.

Change: the writes of a connection are counted when they begin. After a failure the connection is closed, and if no write began since it was taken, the request was not sent. Closing first makes that final: no later write can leave.

--- a/internal/process/beechbackend/client.go
+++ b/internal/process/beechbackend/client.go
@@ -120,10 +120,7 @@
 	transport := shared.Clone()
 	transport.DisableKeepAlives = true
 	transport.WriteBufferSize = orderBufferSize
-	dial := transport.DialContext
-	if dial == nil {
-		dial = (&net.Dialer{}).DialContext
-	}
+	dial := dialContext(shared)
 	transport.DialContext = func(ctx context.Context, network, address string) (net.Conn, error) {
 		connection, err := dial(ctx, network, address)
 		if check := beechfence.CheckBeforeWrite(ctx); check != nil && err == nil {
@@ -143,6 +140,13 @@
 	return transport, ok
 }
 
+func dialContext(t *http.Transport) func(ctx context.Context, network, address string) (net.Conn, error) {
+	if t.DialContext == nil {
+		return (&net.Dialer{}).DialContext
+	}
+	return t.DialContext
+}
+
 // withTransport copies the client and disables redirects: following one would send
 // the request a second time, and to a server that was not selected for it.
 func withTransport(client *http.Client, transport http.RoundTripper) *http.Client {
@@ -215,9 +219,9 @@
 }
 
 // sendError converts the error of a request that got no response. Only a request for
-// which no connection was made is known not to have run.
+// which no connection was made, or of which nothing was written, is known not to have run.
 func (c serverClient) sendError(ctx context.Context, step string, sent bool, err error) error {
-	if !sent || errors.Is(err, beechfence.ErrOutdated) {
+	if !sent || errors.Is(err, errNothingWritten) || errors.Is(err, beechfence.ErrOutdated) {
 		return &NotSent{Step: step, Peer: c.address, Err: err}
 	}
 	return transportError(ctx, step, c.address, err)
--- a/internal/process/beechbackend/connections.go
+++ b/internal/process/beechbackend/connections.go
@@ -1,13 +1,17 @@
 package beechbackend
 
 import (
+	"context"
 	"errors"
+	"fmt"
 	"hash/maphash"
 	"io"
+	"net"
 	"net/http"
 	"net/http/httptrace"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -19,7 +23,10 @@
 	maxCarriedIDs = 256
 )
 
-var errNoConnections = errors.New("the HTTP transport does not let its user choose the connection of a request")
+var (
+	errNoConnections  = errors.New("the HTTP transport does not let its user choose the connection of a request")
+	errNothingWritten = errors.New("nothing was written")
+)
 
 type (
 	// connections is an HTTP transport to one server that may send a second copy of an earlier answer at any time.
@@ -41,11 +48,21 @@
 
 	connection struct {
 		*http.ClientConn
+		writes  *atomic.Int64
 		kind    string
 		carried []uint64 // hashes of the IDs of its requests
 		expiry  *time.Timer
 	}
 
+	// countedConnection counts the writes that were begun.
+	countedConnection struct {
+		net.Conn
+		writes *atomic.Int64
+	}
+
+	// writesKey is the key of a connection's *atomic.Int64 in the context of its dial.
+	writesKey struct{}
+
 	// exchange is what the choice of a connection depends on.
 	exchange struct {
 		kind string
@@ -63,7 +80,16 @@
 	unknownTransport struct{}
 )
 
-func newConnections(transport *http.Transport) *connections {
+func newConnections(shared *http.Transport) *connections {
+	transport := shared.Clone()
+	dial := dialContext(shared)
+	transport.DialContext = func(ctx context.Context, network, address string) (net.Conn, error) {
+		c, err := dial(ctx, network, address)
+		if writes, ok := ctx.Value(writesKey{}).(*atomic.Int64); ok && err == nil {
+			return countedConnection{c, writes}, nil
+		}
+		return c, err
+	}
 	return &connections{transport: transport, seed: maphash.MakeSeed(), idle: make(map[string][]*connection)}
 }
 
@@ -92,9 +118,13 @@
 	if trace := httptrace.ContextClientTrace(r.Context()); trace != nil && trace.GotConn != nil {
 		trace.GotConn(httptrace.GotConnInfo{Reused: reused})
 	}
+	before := c.writes.Load()
 	response, err := c.RoundTrip(r)
 	if err != nil {
-		_ = c.Close()
+		_ = c.Close() // first, so that nothing is written after the look at the count
+		if c.writes.Load() == before {
+			err = fmt.Errorf("%w: %w", errNothingWritten, err)
+		}
 		return nil, err
 	}
 	kept := !x.once && x.recognises(response) && len(c.carried) < maxCarriedIDs
@@ -114,11 +144,13 @@
 		}
 		_ = c.Close() // the server has closed it, or sent bytes that no request asked for
 	}
-	client, err := s.transport.NewClientConn(r.Context(), r.URL.Scheme, r.URL.Host)
+	writes := new(atomic.Int64)
+	ctx := context.WithValue(r.Context(), writesKey{}, writes)
+	client, err := s.transport.NewClientConn(ctx, r.URL.Scheme, r.URL.Host)
 	if err != nil {
 		return nil, false, err
 	}
-	return &connection{ClientConn: client, kind: x.kind, carried: carriedBy(nil, x, id)}, false, nil
+	return &connection{ClientConn: client, writes: writes, kind: x.kind, carried: carriedBy(nil, x, id)}, false, nil
 }
 
 func carriedBy(carried []uint64, x exchange, id uint64) []uint64 {
@@ -181,6 +213,11 @@
 	}
 }
 
+func (c countedConnection) Write(data []byte) (int, error) {
+	c.writes.Add(1)
+	return c.Conn.Write(data)
+}
+
 // Read reads the answer.
 func (b *exchangeBody) Read(data []byte) (int, error) {
 	n, err := b.ReadCloser.Read(data)
--- a/internal/process/beechbackend/connections_test.go
+++ b/internal/process/beechbackend/connections_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"net/http"
@@ -85,3 +86,18 @@
 	}
 	is.Equal(s.connections(), 3)
 }
+
+// Guards against a request that cannot be written, and of which it is not known that it has not run.
+func TestRequestWithAnInvalidHeaderIsNotSent(t *testing.T) {
+	is := is.New(t)
+	s := startCopyingServer(t, respondInCalm)
+	service := NewService(s.address, "", NewClient(time.Second))
+	ctx, cancel := context.WithTimeout(t.Context(), copyTimeout)
+	defer cancel()
+	_, err := service.Relay(ctx, RelayRequest{RequestID: "r", Method: http.MethodPost, Path: "/book", Header: http.Header{"X-Note": {"a\x00b"}}})
+	var notSent *NotSent
+	is.True(errors.As(err, &notSent))
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	is.Equal(s.asked["r"], 0)
+}
