Writes to the key-value service and reads of claims reuse no connection

What callers would see: a request with an idempotency key runs twice.

Cause: replies of the service name no call. On a kept connection the copy of an earlier reply, of a read as well, has status 200 and a version: it passed for the success of a compare-and-swap that had conflicted, so that a claim was granted which another process held. A copy of another key's value passed for the segment of a claim.

Change: calls that write, and reads of claims, have a connection each. Watches, host lists and configuration reads keep theirs: what they return is compared by version, and decides no write by itself. A process makes at most CallsPerSecond calls, 50 by default, and claims are batched.

The other direction was safe before: a copied conflict or refusal of a claim that was written is found by its token when the segment is read again, and a claim without an answer is granted to nobody.

--- a/internal/state/beechstore/client.go
+++ b/internal/state/beechstore/client.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"context"
 	"encoding/json"
 	"errors"
@@ -37,6 +38,7 @@
 	client struct {
 		settings     Settings
 		http         *http.Client
+		once         *http.Client // with a connection for each call
 		clock        clockwork.Clock
 		budget       *budget
 		addressIndex atomic.Uint64 // index of the address in use, modulo len(Addresses)
@@ -87,7 +89,20 @@
 // expiry use clock.
 func New(settings Settings, httpClient *http.Client, clock clockwork.Clock) Store {
 	s := settings.withDefaults()
-	return &client{settings: s, http: httpClient, clock: clock, budget: newBudget(clock, s.CallsPerSecond, s.Burst)}
+	return &client{settings: s, http: httpClient, once: withoutReuse(httpClient), clock: clock, budget: newBudget(clock, s.CallsPerSecond, s.Burst)}
+}
+
+// withoutReuse returns a copy of a client that opens a connection for each call.
+func withoutReuse(c *http.Client) *http.Client {
+	transport, ok := cmp.Or[http.RoundTripper](c.Transport, http.DefaultTransport).(*http.Transport)
+	if !ok {
+		return c
+	}
+	once := *c
+	cloned := transport.Clone()
+	cloned.DisableKeepAlives = true
+	once.Transport = cloned
+	return &once
 }
 
 func (s Settings) withDefaults() Settings {
@@ -234,7 +249,7 @@
 	if err != nil {
 		return reply{}, Refused{Step: cl.step, Peer: c.peer(), Err: err}
 	}
-	response, err := c.http.Do(request)
+	response, err := c.clientFor(cl).Do(request)
 	if err != nil {
 		return reply{}, c.transportError(cl, err)
 	}
@@ -251,6 +266,15 @@
 	return r, c.checkStatus(cl, r, response.Header)
 }
 
+// clientFor returns the HTTP client of a call. Replies name no call: on a connection that is reused,
+// the copy of an earlier one would pass for a write that did not happen.
+func (c *client) clientFor(cl call) *http.Client {
+	if cl.write || cl.importance == ImportanceClaim {
+		return c.once
+	}
+	return c.http
+}
+
 // invalidEra returns the error of a call whose reply has an invalid era. A write may have taken
 // effect.
 func (c *client) invalidEra(cl call, err error) error {
