A keeper ignores reports and cache changes that are older than the last ones

What callers would see: an engine that is about to load weights takes new requests again, prompts are read again that are cached, and an engine stands still for the list of its cache.

Cause: answers of an engine to its keeper name no call. The copy of a report from before an order has a lower sequence under the same lifetime and passed for a restart: the update was given up, the refused fencing number forgotten and all cached parts taken back. An answer of another call, decoded as a report, has neither lifetime nor sequence and did the same. The copy of earlier changes of the cache set the position back and took away parts that were cached again.

Change: within a lifetime the sequence never decreases, and events up to a number are told once; what is below is ignored, logged and counted (answersStale).

Before (the comparison switched off): TestCopyOfAnEarlierReportIsNoRestart and TestCopyOfEarlierEvictionsIsIgnored failed: stale_test.go:37: 1 != 0 stale_test.go:78: not true: position.listed Now the package passes, and platform -run 'Keeper|Cache|Rejoin|SoftwareVersion|OutOfStep', once each.

--- a/internal/process/beechkeeper/cache.go
+++ b/internal/process/beechkeeper/cache.go
@@ -14,6 +14,7 @@
 	since  uint64 // number of the last change
 	epoch  uint64
 	listed bool // the cache was listed at the start of this epoch
+	stale  staleAnswers
 }
 
 // keyQueue holds keys to be sent to gates. Each is sent several times, since a datagram
@@ -115,10 +116,14 @@
 	switch {
 	case err != nil:
 		return cacheRetryInterval
-	case evictions.Lost || evictions.Epoch != position.epoch:
+	case position.stale.ignore(evictions.olderThan(*position)):
+		k.metrics.staleAnswers.Add(1)
+		k.deps.Log.Info("changes of the cache ignored as older ones", zap.Uint64("next", evictions.Next), zap.Uint64("since", position.since))
+		return evictionInterval
+	case evictions.Lost || evictions.Epoch != position.epoch || position.stale > 0:
 		k.deps.Log.Info("cache state lost", zap.Bool("lost", evictions.Lost), zap.Uint64("epoch", evictions.Epoch))
 		k.removeAllParts()
-		position.listed = false
+		position.listed, position.stale = false, 0
 		return relistInterval
 	}
 	k.removeParts(evictions.Parts)
--- a/internal/process/beechkeeper/keeper.go
+++ b/internal/process/beechkeeper/keeper.go
@@ -105,6 +105,7 @@
 		gates       map[netip.AddrPort]*gateState // that follow
 		lastNumber  uint32                        // sequence number of the last state message
 		lastReport  Report
+		stale       staleAnswers       // reports
 		lastOrder   beechrollout.Order // that was sent; zero: none since the start
 		held        beechrollout.Hold
 		fences      fenceRequests
@@ -287,6 +288,10 @@
 	report, err := k.deps.Engine.Report(limited)
 	cancel()
 	report.Known = err == nil
+	if report.Known && k.ignoresReport(report) {
+		k.watch.Answered()
+		return backlogPollInterval
+	}
 	if report.Known {
 		k.watch.Answered()
 	} else {
@@ -340,6 +345,20 @@
 	return 0
 }
 
+// ignoresReport reports whether a report is older than the last one, so that it is ignored.
+func (k *Keeper) ignoresReport(r Report) bool {
+	k.mu.Lock()
+	last := k.lastReport
+	ignored := k.stale.ignore(r.olderThan(last))
+	k.mu.Unlock()
+	if ignored {
+		k.metrics.staleAnswers.Add(1)
+		k.deps.Log.Info("report ignored as an older one", zap.Uint64("born", r.Born), zap.Uint64("sequence", r.Sequence),
+			zap.Uint64("lastBorn", last.Born), zap.Uint64("lastSequence", last.Sequence))
+	}
+	return ignored
+}
+
 // timedOut reports whether an error only says that the engine did not answer in time.
 func timedOut(err error) bool {
 	var network net.Error
--- a/internal/process/beechkeeper/metrics.go
+++ b/internal/process/beechkeeper/metrics.go
@@ -15,6 +15,7 @@
 	orders         *expvar.Map // by outcome
 	phases         *expvar.Map // phase changes, by the new phase
 	missedReports  *expvar.Int // polls without a report
+	staleAnswers   *expvar.Int // ignored, as they were older than the one before
 	restarts       *expvar.Int // of the engine under the same ID
 	strains        *expvar.Int // messages on the engine's host
 	slownessPolls  *expvar.Int
@@ -26,11 +27,12 @@
 func newMetrics(k *Keeper) *metrics {
 	m := &metrics{
 		vars: new(expvar.Map), orders: new(expvar.Map), phases: new(expvar.Map),
-		missedReports: new(expvar.Int), restarts: new(expvar.Int), strains: new(expvar.Int), slownessPolls: new(expvar.Int), missedSlowness: new(expvar.Int), loadTimes: beechmetric.NewLatency(),
+		missedReports: new(expvar.Int), staleAnswers: new(expvar.Int), restarts: new(expvar.Int), strains: new(expvar.Int), slownessPolls: new(expvar.Int), missedSlowness: new(expvar.Int), loadTimes: beechmetric.NewLatency(),
 	}
 	m.vars.Set("orders", m.orders)
 	m.vars.Set("phases", m.phases)
 	m.vars.Set("reportsMissing", m.missedReports)
+	m.vars.Set("answersStale", m.staleAnswers)
 	m.vars.Set("startedAnew", m.restarts)
 	m.vars.Set("strainsSent", m.strains)
 	m.vars.Set("slownessPolls", m.slownessPolls)
