"Not run" is drawn beside hedges, backups and departures

What callers would see: a request is refused as not run that a server has begun to answer.

Cause: an attempt whose answer had begun and then failed is wrapped in OutcomeUnknown, but its failure was looked for anywhere in the chain of causes: a body that ended with an error which wraps NotExecuted or NotSent counted as not run. No backend returns such an error for a body today; nothing but that kept the promise.

Change: the outermost failure counts. At the moment at which a caller is told that its request has not run, no attempt may be one that ran or is under way; nor may Serve count none as executed.

--- a/internal/request/beechattempt/backup.go
+++ b/internal/request/beechattempt/backup.go
@@ -212,8 +212,7 @@
 // continuationSent records that a run was sent to its backup's engine, which has taken the copy then or
 // has none, unless nothing reached it.
 func (r *execution) continuationSent(err error) {
-	var notSent beechcall.NotSent
-	r.backup.result.Used = r.backup.continues && !errors.As(err, &notSent)
+	r.backup.result.Used = r.backup.continues && !isNotSent(err)
 }
 
 // backupGivenUp ends a run that was lost and does not go on.
@@ -226,15 +225,14 @@
 // continuationFailed ends a run that was sent to its backup's engine and did not go on there, or
 // broke off again. It may have run at its first server in any case.
 func (r *execution) continuationFailed(x *exchange, err error) verdict {
-	var notSent beechcall.NotSent
-	var notExecuted beechcall.NotExecuted
+	notExecuted, rejected := rejectionOf(err)
 	switch {
-	case errors.As(err, &notSent):
+	case isNotSent(err):
 		r.notExecuted++
 		x.placement.Done(beechplace.Unreachable)
 		r.ended(endNotSent)
 		return r.backupGivenUp(beechbackup.EngineLost)
-	case errors.As(err, &notExecuted):
+	case rejected:
 		r.notExecuted++
 		r.dispatcher.endRejected(x, notExecuted)
 		r.ended(endTurnedAway)
--- a/internal/request/beechattempt/hedge.go
+++ b/internal/request/beechattempt/hedge.go
@@ -657,21 +657,20 @@
 
 // lose ends a hedge that was withdrawn or has failed.
 func (x *hedge) lose(ctx context.Context, d *Dispatcher, err error) hedgeNews {
-	var notSent beechcall.NotSent
-	var notExecuted beechcall.NotExecuted
+	notExecuted, rejected := rejectionOf(err)
 	id := x.choice.Server.ID
 	switch {
-	case errors.Is(err, beechcall.ErrWithdrawn):
+	case isWithdrawn(err):
 		x.placement.Done(beechplace.Withdrawn)
 		return hedgeNews{sent: -1, ends: x.ended(endWithdrawn)}
-	case errors.As(err, &notExecuted):
+	case rejected:
 		d.observeRejection(&x.exchange, notExecuted)
 		d.endRejected(&x.exchange, notExecuted)
 		return hedgeNews{notExecuted: 1, failed: []string{id}, ends: x.ended(endTurnedAway)}
-	case errors.As(err, &notSent) && isDone(ctx):
+	case isNotSent(err) && isDone(ctx):
 		x.placement.Done(beechplace.Withdrawn)
 		return hedgeNews{notExecuted: 1, ends: x.ended(endNotSent)}
-	case errors.As(err, &notSent):
+	case isNotSent(err):
 		x.placement.Done(beechplace.Unreachable)
 		d.logAttempt("not sent", &x.exchange, zap.Error(err))
 		return hedgeNews{notExecuted: 1, failed: []string{id}, ends: x.ended(endNotSent)}
--- a/internal/request/beechattempt/run.go
+++ b/internal/request/beechattempt/run.go
@@ -539,15 +539,14 @@
 // handleFailure decides what follows an attempt without a complete answer.
 func (r *execution) handleFailure(x *exchange, err error) verdict {
 	x.start.stop()
-	var notExecuted beechcall.NotExecuted
-	rejected := errors.As(err, &notExecuted)
+	notExecuted, rejected := rejectionOf(err)
 	if rejected {
 		r.dispatcher.observeRejection(x, notExecuted)
 	}
 	if r.hedging.won() {
 		return r.loseToHedge(x)
 	}
-	if errors.Is(err, beechcall.ErrWithdrawn) {
+	if isWithdrawn(err) {
 		return r.handleWithdrawn(x)
 	}
 	if r.callerLeft() {
@@ -559,10 +558,9 @@
 	if r.backup.continues {
 		return r.continuationFailed(x, err)
 	}
-	var notSent beechcall.NotSent
 	next := r.nextAfterRejection
 	switch {
-	case errors.As(err, &notSent):
+	case isNotSent(err):
 		r.notExecuted++
 		x.placement.Done(beechplace.Unreachable)
 		r.ended(endNotSent)
@@ -584,6 +582,28 @@
 	return next()
 }
 
+// rejectionOf returns the rejection if an attempt has failed with one. What OutcomeUnknown wraps is none.
+func rejectionOf(err error) (rejection beechcall.NotExecuted, ok bool) {
+	var failure beechcall.Failure
+	if errors.As(err, &failure) {
+		rejection, ok = failure.(beechcall.NotExecuted)
+	}
+	return rejection, ok
+}
+
+// isNotSent reports whether an attempt has failed before anything reached the server.
+func isNotSent(err error) bool {
+	var failure beechcall.Failure
+	if !errors.As(err, &failure) {
+		return false
+	}
+	_, ok := failure.(beechcall.NotSent)
+	return ok
+}
+
+// isWithdrawn reports whether an attempt was not sent for a reason on this side.
+func isWithdrawn(err error) bool { return isNotSent(err) && errors.Is(err, beechcall.ErrWithdrawn) }
+
 // nextAfterNotSent decides what follows an attempt of which nothing has reached its server.
 func (r *execution) nextAfterNotSent() verdict {
 	if r.attempts < maxAttempts {
