Numbers of a gate's inquiries begin at random

What callers would see: a key that operators have revoked is accepted for longer by a gate that has just restarted.

Cause: inquiries were counted from 1 in each process. An answer to the process before at the same address, which comes late, named an inquiry of the new one, and proved that its copy of the store was as young as that. It takes a gate that restarts within its first seconds, as the last eight numbers count.

Change: the numbers begin at random, as those of fencing numbers and of queries for the beginnings of streams do. 32 bits, so that datagrams grow by four bytes at most.

Before: TestAnswerToTheProcessBeforeProvesNothing failed: group_test.go:66: not true: !proof Now it passes; the packages beechreader and beechgate pass, once each.

--- a/internal/state/beechreader/group.go
+++ b/internal/state/beechreader/group.go
@@ -1,6 +1,7 @@
 package beechreader
 
 import (
+	"math/rand/v2"
 	"net/netip"
 	"slices"
 	"sync"
@@ -17,7 +18,7 @@
 		fleet      []netip.AddrPort // the readers of the fleet, by rank
 		zone       []netip.AddrPort // those of this process's zone
 		inquiries  []inquiry
-		lastNumber uint64
+		lastNumber uint64 // begins at random, so that a late answer to the process before at this address is none to this one
 	}
 
 	// Role is what a process does for the others.
@@ -58,7 +59,7 @@
 
 // New returns the group of a process that knows no others and therefore reads for itself.
 func New(self netip.AddrPort) *Group {
-	return &Group{self: self, fleet: []netip.AddrPort{self}}
+	return &Group{self: self, fleet: []netip.AddrPort{self}, lastNumber: uint64(rand.Uint32())}
 }
 
 // SetReaders sets the readers of the fleet and of this process's zone, by rank. Without
--- a/internal/state/beechreader/group_test.go
+++ b/internal/state/beechreader/group_test.go
@@ -51,6 +51,22 @@
 	is.Equal(schedule.ForRole(c.Role()), schedule.First)
 }
 
+// A gate restarts at its address, and an answer to the process before comes late. It must not prove that the
+// copy of this process is as young as the inquiry that it sent since.
+func TestAnswerToTheProcessBeforeProvesNothing(t *testing.T) {
+	is := is.New(t)
+	before, after := New(peer(0)), New(peer(0))
+	var asked []uint64
+	for range maxInquiries {
+		asked = append(asked, before.StartInquiry(time.Second))
+		after.StartInquiry(2 * time.Second)
+	}
+	for _, number := range asked {
+		_, proof := after.ConfirmedAt(number, 0)
+		is.True(!proof)
+	}
+}
+
 // Operators shorten the time for which removed keys may be served. The store must then be
 // read more often by the same factor.
 func TestScaledSchedule(t *testing.T) {
