A loan of retries that arrives twice is used once

What callers would see: more retries at a service in trouble than the operators' bound allows.

Cause: the lender's answer names a service, not the request for a loan. A datagram that arrives twice lent twice, while the lender had counted one.

Change: a gate takes as many answers as it has sent requests. One that is lost leaves room for a copy of another, which the lender has counted too.

Before: TestLoanThatArrivesTwiceIsUsedOnce failed: retrybudget_test.go:111: 3 != 2 Now it passes with -run 'TestLoanThat|Borrow|Budget|Retry|Loan' of beechgate.

--- a/internal/process/beechgate/retrybudget.go
+++ b/internal/process/beechgate/retrybudget.go
@@ -25,6 +25,7 @@
 	mu       sync.Mutex
 	gates    int
 	services map[string]*beechretry.Budget
+	asked    map[string]int           // loans that the lender was asked for and has not answered, by service
 	answered map[string]chan struct{} // closed when the lender has answered, by service
 }
 
@@ -49,7 +50,7 @@
 func NewBudgets(ratio, spare float64, window time.Duration, clock clockwork.Clock, ask func(service string, wanted int)) *Budgets {
 	return &Budgets{
 		ratio: ratio, spare: spare, window: window, clock: clock, ask: ask, gates: defaultGates,
-		services: make(map[string]*beechretry.Budget), answered: make(map[string]chan struct{}),
+		services: make(map[string]*beechretry.Budget), asked: make(map[string]int), answered: make(map[string]chan struct{}),
 	}
 }
 
@@ -138,6 +139,7 @@
 		answered = make(chan struct{})
 		b.answered[service] = answered
 	}
+	b.asked[service]++
 	b.mu.Unlock()
 	b.ask(service, loanWanted)
 	select {
@@ -147,8 +149,18 @@
 	return true
 }
 
-// AddLoan takes the lender's answer, which may be 0.
+// AddLoan takes the lender's answer, which may be 0. An answer to no request is a copy of an earlier one: the lender
+// has counted its loan once.
 func (b *Budgets) AddLoan(service string, count int) {
+	b.mu.Lock()
+	asked := b.asked[service] > 0
+	if asked {
+		b.asked[service]--
+	}
+	b.mu.Unlock()
+	if !asked {
+		return
+	}
 	b.budget(service).AddLoan(min(count, loanWanted))
 	b.mu.Lock()
 	defer b.mu.Unlock()
--- a/internal/process/beechgate/retrybudget_test.go
+++ b/internal/process/beechgate/retrybudget_test.go
@@ -86,3 +86,27 @@
 	}
 	is.True(retried <= 400)
 }
+
+// The lender's answer arrives twice. The second one is no loan, or all gates retry more than the pool allows.
+func TestLoanThatArrivesTwiceIsUsedOnce(t *testing.T) {
+	is := is.New(t)
+	var b *Budgets
+	lends := true
+	b = NewBudgets(0.2, 100, 10*time.Second, clockwork.NewRealClock(), func(service string, wanted int) {
+		if !lends {
+			b.AddLoan(service, 0)
+			return
+		}
+		b.AddLoan(service, wanted)
+		b.AddLoan(service, wanted)
+	})
+	b.SetGates(356)
+	retries := 0
+	for range loanWanted + 1 {
+		if _, ok := b.Decide("llm", beechretry.Outcome{Ran: beechretry.RanNo}).(beechretry.Retry); ok {
+			retries++
+		}
+		lends = false
+	}
+	is.Equal(retries, loanWanted)
+}
