A stopping gate answers whoever still waits before it ends

Callers whose requests were taken in the first 2.5 s after SIGTERM (any deadline), or had been under way before, saw their connections closed at the end of the grace, also where the request may not be sent again. With a grace below 3.1 s the gate slept through it: it was killed with all requests under way.

Cause: the end of the grace was known only after the listener had been closed, was not part of any request's deadline, and at the end sockets were closed without a word.

The course of a stop is now a decision of its own, internal/decision/beechstop, made at the signal and fitted to any grace: until RefuseLong all requests are taken, since the balancer may have no other host, at most for half of the time; then those whose deadlines are before Answer; the listener closes after the balancer's delay, or at Answer if that is earlier; at Answer each request under way is withdrawn from its server and told 502 if an attempt may have run, else 503, a stream that has begun is broken off as before; 0.2 s later the sockets are closed, as before 0.6 s before the kill. A request taken meanwhile has the end of the process as its deadline, so servers are told of no more time than there is and no retry is made beyond it. A request is judged before its body is read, so a refused one is not received, and again afterwards. A body that still comes at the end is answered 503; it was never sent.

Outside a stop the plan is absent and nothing is decided differently. With the default grace of 8 s the listener still closes after 2.5 s and the sockets at 7.4 s; requests are refused that would be due between 7.2 and 7.4 s.

--- a/internal/process/beechgate/admit.go
+++ b/internal/process/beechgate/admit.go
@@ -108,15 +108,10 @@
 	return admitted
 }
 
-// reasonStopping is why a request is refused on a connection that was kept beyond the drain delay.
-const reasonStopping = "the host may stop before the deadline"
-
 // Serve runs an admitted call if its workspace's quota permits. It returns the number of attempts
 // that may have run.
 func (g *Gate) Serve(ctx context.Context, call *beechcall.Call, out beechattempt.Responder) int {
-	if g.endsBefore(call.Deadline) {
-		g.log.Info("request refused", zap.String("request", call.ID), zap.String("route", call.Route.Name), zap.String("reason", reasonStopping))
-		out.Reject(beechattempt.NotExecuted{Reason: reasonStopping})
+	if g.RefuseStopping(call, out) {
 		return 0
 	}
 	if call.LastEventID != "" && call.Route.RetryPolicy == beechcall.Resumable && !g.resumable(ctx, call, out) {
@@ -126,17 +121,10 @@
 	if !g.chargeQuota(ctx, call, out) {
 		return 0
 	}
-	attempts := g.core.Serve(ctx, call, out)
+	attempts := g.serveUntilEnd(ctx, call, out)
 	g.settleQuota(call, attempts)
 	return attempts
 }
 
-// endsBefore reports whether this process may end before a deadline. Until it has closed its listener, the
-// load balancer may have no other host, and requests are served while that is possible.
-func (g *Gate) endsBefore(deadline time.Time) bool {
-	end := g.endsAt.Load()
-	return end != nil && end.Before(deadline)
-}
-
 // Door returns what records the ends of callers' requests.
 func (g *Gate) Door() *beechending.Door { return g.door }
--- a/internal/process/beechgate/bodies.go
+++ b/internal/process/beechgate/bodies.go
@@ -37,6 +37,7 @@
 		maxBytes = admitted.BodyBytes
 	}
 	g.makeRoomForBody(maxBytes)
+	defer g.endBodyReads(control)()
 	return g.bodies.Read(control, r, admitted.Workspace.Name, beechbody.Limits{Bytes: maxBytes, Time: bodyTime})
 }
 
--- a/internal/process/beechgate/gate.go
+++ b/internal/process/beechgate/gate.go
@@ -27,6 +27,7 @@
 	"github.com/beechring/beechring/internal/decision/beechquota"
 	"github.com/beechring/beechring/internal/decision/beechretry"
 	"github.com/beechring/beechring/internal/decision/beechsaturation"
+	"github.com/beechring/beechring/internal/decision/beechstop"
 	"github.com/beechring/beechring/internal/decision/beechstrain"
 	"github.com/beechring/beechring/internal/decision/beechsummary"
 	"github.com/beechring/beechring/internal/decision/beechsuspect"
@@ -84,9 +85,11 @@
 		startedAt       time.Time
 		configuration   atomic.Pointer[beechcall.Configuration]
 		draining        atomic.Bool
-		endsAt          atomic.Pointer[time.Time] // when the grace time ends; nil: not while the listener is open
-		freshness       *beechfresh.Tracker       // age of the operators' documents
-		serverFreshness *beechfresh.Tracker       // age of the list of servers
+		stopPlan        atomic.Pointer[beechstop.Plan] // nil: the process is not to stop
+		ending          context.Context                // ends when calls that are under way get their last answers
+		end             context.CancelFunc             // of ending
+		freshness       *beechfresh.Tracker            // age of the operators' documents
+		serverFreshness *beechfresh.Tracker            // age of the list of servers
 		placer          *beechplace.Placer
 		health          *beechhealth.Tracker
 		suspects        *beechsuspect.Registry
@@ -165,6 +168,7 @@
 	readyShare         = 0.55 // of the bound for keys: an entry host without contact to the store asks for no new connections after it
 	drainDelay         = 2500 * time.Millisecond
 	stopMargin         = 600 * time.Millisecond
+	lastAnswerTime     = 200 * time.Millisecond // for the answers to callers whose requests are under way at the end
 	maxHeaderBytes     = 64 << 10
 	headerTimeout      = 10 * time.Second
 	defaultIdleTimeout = 2 * time.Minute // of callers' connections, if operators set none
@@ -219,6 +223,7 @@
 		turnEnded:   make(chan struct{}, 1), usageDue: make(chan struct{}, 1), returnsDue: make(chan struct{}, 1), limitsDue: make(chan struct{}, 1), overloadsDue: make(chan struct{}, 1),
 		summariesDue: make(chan struct{}, 1), strainsDue: make(chan struct{}, 1), inquiryDue: make(chan struct{}, 1), poisonDue: make(chan struct{}, 1),
 	}
+	g.ending, g.end = context.WithCancel(context.Background())
 	g.intake = beechintake.New(beechintake.Settings{Capacity: bodyMemory(s.Memory), BodyTime: bodyTime}, deps.Clock)
 	g.bodies = beechbody.New(g.intake)
 	g.returns = newReturns(g)
@@ -357,19 +362,17 @@
 }
 
 // stop reports the gate as not ready, still accepts connections until the load balancer has
-// noticed, and returns when every request is completed.
+// noticed, and returns when every request is completed or has got its last answer.
 func (g *Gate) stop(server, readyServer *http.Server) {
 	start := g.clock.Now()
-	g.draining.Store(true)
+	plan := g.beginStop()
 	g.log.Info("gate leaving")
 	g.tellAllOrigins()
 	g.leave()
 	g.refreshDuties()
-	g.clock.Sleep(drainDelay)
-	remaining := time.Duration(g.bounds.Load().Grace) - stopMargin - g.clock.Since(start)
-	end := g.clock.Now().Add(remaining)
-	g.endsAt.Store(&end)
-	ctx, cancel := clockwork.WithTimeout(context.Background(), g.clock, remaining)
+	g.clock.Sleep(plan.CloseListener.Sub(g.clock.Now()))
+	defer g.clock.AfterFunc(plan.Answer.Sub(g.clock.Now()), g.end).Stop()
+	ctx, cancel := clockwork.WithDeadline(context.Background(), g.clock, plan.End)
 	defer cancel()
 	err := g.drainCallers(ctx)
 	if errors.Is(err, context.DeadlineExceeded) {
--- a/internal/process/beechgate/observer.go
+++ b/internal/process/beechgate/observer.go
@@ -18,6 +18,9 @@
 // ObserveEnd implements beechattempt.Observer. Requests that were answered as expected are logged
 // at level debug only, all others and resumed streams at info.
 func (g *Gate) ObserveEnd(e beechattempt.Result) {
+	if e.Outcome == beechattempt.OutcomeLeft && g.Ended() {
+		e.Outcome = outcomeStopped
+	}
 	switch e.Outcome {
 	case "answered":
 		g.returns.answered(e.Call)
