--- a/internal/process/beechentry/entry.go
+++ b/internal/process/beechentry/entry.go
@@ -92,7 +92,6 @@
 )
 
 const (
-	drainTimeout      = 10 * time.Minute
 	drainDelay        = 500 * time.Millisecond
 	idleTimeout       = 2 * time.Minute
 	requestIDBytes    = 12
@@ -231,7 +230,7 @@
 	e.fleet.dialer.PushHeartbeat()
 	e.log.Info("entry draining", beechlog.Step("drain"))
 	e.clock.Sleep(drainDelay)
-	ctx, cancel := context.WithTimeout(context.Background(), drainTimeout)
+	ctx, cancel := context.WithTimeout(context.Background(), time.Duration(e.settings.Limits.Grace))
 	defer cancel()
 	if err := e.connections.Drain(ctx); err != nil {
 		return fmt.Errorf("drain: %w", err)
--- a/internal/process/beechentry/restart_test.go
+++ b/internal/process/beechentry/restart_test.go
@@ -149,7 +149,7 @@
 		Listen: freeAddress(t),
 		Limits: beechsettings.EntryLimits{
 			HeaderBytes: 16 << 10, BodyBytes: 1 << 20, BodyTime: beechsettings.Duration(2 * time.Second),
-			WriteTime: beechsettings.Duration(5 * time.Second), Streams: 100,
+			WriteTime: beechsettings.Duration(5 * time.Second), Streams: 100, Grace: beechsettings.Duration(10 * time.Minute),
 		},
 	}, Dependencies{Clock: clock, Log: zap.NewNop(), Store: store})
 	is.NoErr(err)
--- a/internal/process/beechsettings/settings.go
+++ b/internal/process/beechsettings/settings.go
@@ -72,6 +72,7 @@
 		BodyTime    Duration `json:"bodyTime,omitempty"` // to receive the whole body
 		WriteTime   Duration `json:"writeTime,omitempty"`
 		Streams     int      `json:"streams,omitempty"` // open at once, all workspaces
+		Grace       Duration `json:"grace,omitempty"`   // from the stop signal until the process is killed
 	}
 
 	// AgentLimits bound the queue of an agent and the responses that it keeps.
@@ -168,6 +169,7 @@
 	defaultBodyTime    = 30 * time.Second
 	defaultWriteTime   = 60 * time.Second
 	defaultStreams     = 5000
+	defaultEntryGrace  = 10 * time.Minute
 	defaultAgentGrace  = 30 * time.Second
 	defaultKeep        = 60 * time.Second
 	defaultAnswerBytes = 4 << 20
@@ -201,6 +203,7 @@
 	setDefault(&l.BodyTime, Duration(defaultBodyTime))
 	setDefault(&l.WriteTime, Duration(defaultWriteTime))
 	setDefault(&l.Streams, defaultStreams)
+	setDefault(&l.Grace, Duration(defaultEntryGrace))
 	return entry, nil
 }
 
