A stopping entry host answers whoever still waits before it ends

Callers that were waiting when the grace of an entry host was over saw their connections closed; requests on connections that were kept open by a stream were taken until then, whatever their deadlines.

Cause: the wait for open connections simply ended, and the process with it.

The entry host now decides on the course of its stop with beechstop, as the gate does. As its callers often give no deadline, requests are taken whatever their deadlines for the first half of the grace, and then if their deadline is before the last answers; others are refused at once, before their body is read, with 503 host_stopping, ran: no. Shortly before the end each request under way is ended with an answer: 503 host_stopping if nothing was sent, else 502 with ran unknown or yes, streams with their error event. What was sent goes on at its agent, as if the caller had left, so streams can be joined through another entry host. The deadline that agents are told stays the caller's: bounded by the end of this process it would end the runs that are to be joined. The exit code stays 1 if anything was cut.

With the default grace of 10 minutes the last answers come 0.8 s before its end. Outside a stop there is no plan and nothing is decided differently.

--- a/internal/command/beechdemo/deployment.go
+++ b/internal/command/beechdemo/deployment.go
@@ -226,7 +226,7 @@
 		Common: d.common(name, zone, ports[1]), Listen: ports[0],
 		Limits: beechsettings.EntryLimits{
 			HeaderBytes: 32 << 10, BodyBytes: 8 << 20, BodyTime: beechsettings.Duration(10 * time.Second),
-			WriteTime: beechsettings.Duration(10 * time.Second), Streams: 1000,
+			WriteTime: beechsettings.Duration(10 * time.Second), Streams: 1000, Grace: beechsettings.Duration(10 * time.Minute),
 		},
 	}, beechentry.Dependencies{Clock: d.clock, Log: d.log, Store: d.newStore()})
 	if err != nil {
--- a/internal/decision/beechstop/plan.go
+++ b/internal/decision/beechstop/plan.go
@@ -7,7 +7,7 @@
 //
 // # Usage
 //
-//	plan := beechstop.New(clock.Now(), beechstop.Settings{Grace: 8 * time.Second, Notice: 2500 * time.Millisecond, KillMargin: 600 * time.Millisecond, AnswerTime: 200 * time.Millisecond})
+//	plan := beechstop.New(clock.Now(), beechstop.Settings{Grace: 8 * time.Second, Notice: 2500 * time.Millisecond, TakeAll: 2500 * time.Millisecond, KillMargin: 600 * time.Millisecond, AnswerTime: 200 * time.Millisecond})
 //	if !plan.Takes(clock.Now(), deadline) {
 //		// refuse the request; it has not run, and may be sent again after plan.RetryAfter
 //	}
@@ -23,6 +23,7 @@
 	Settings struct {
 		Grace      time.Duration // from the signal until the process is killed
 		Notice     time.Duration // until the balancer has noticed that the process is not ready
+		TakeAll    time.Duration // for which requests are taken whatever their deadlines, but for half of the time at most
 		KillMargin time.Duration // between the end of the process and the end of the grace
 		AnswerTime time.Duration // for the last answers to be written
 	}
@@ -49,7 +50,7 @@
 	end := s.Grace - min(s.KillMargin, s.Grace/maxMarginShare)
 	answer := end - min(s.AnswerTime, end/maxMarginShare)
 	return Plan{
-		RefuseLong:    signal.Add(min(s.Notice, answer/takeAllShare)),
+		RefuseLong:    signal.Add(min(s.TakeAll, answer/takeAllShare)),
 		CloseListener: signal.Add(min(s.Notice, answer)),
 		Answer:        signal.Add(answer),
 		End:           signal.Add(end),
--- a/internal/process/beechentry/admin.go
+++ b/internal/process/beechentry/admin.go
@@ -21,14 +21,16 @@
 type (
 	// counters are published through expvar and in Status.
 	counters struct {
-		Requests     atomic.Int64
-		Overloaded   atomic.Int64
-		Unconfigured atomic.Int64 // refused because no configuration or no limits were in force
-		Retries      atomic.Int64
-		Broken       atomic.Int64
-		Reattached   atomic.Int64
-		Joined       atomic.Int64
-		Wasted       atomic.Int64
+		Requests        atomic.Int64
+		Overloaded      atomic.Int64
+		Unconfigured    atomic.Int64 // refused because no configuration or no limits were in force
+		RefusedStopping atomic.Int64 // refused because the process might end before their deadlines
+		EndedByStop     atomic.Int64 // under way when the process ended
+		Retries         atomic.Int64
+		Broken          atomic.Int64
+		Reattached      atomic.Int64
+		Joined          atomic.Int64
+		Wasted          atomic.Int64
 	}
 
 	// Status is the state of an entry for operators.
@@ -91,14 +93,16 @@
 
 func (c *counters) values() map[string]int64 {
 	return map[string]int64{
-		"requests":     c.Requests.Load(),
-		"overloaded":   c.Overloaded.Load(),
-		"unconfigured": c.Unconfigured.Load(),
-		"retries":      c.Retries.Load(),
-		"broken":       c.Broken.Load(),
-		"reattached":   c.Reattached.Load(),
-		"joined":       c.Joined.Load(),
-		"wasted":       c.Wasted.Load(),
+		"requests":        c.Requests.Load(),
+		"overloaded":      c.Overloaded.Load(),
+		"unconfigured":    c.Unconfigured.Load(),
+		"refusedStopping": c.RefusedStopping.Load(),
+		"endedByStop":     c.EndedByStop.Load(),
+		"retries":         c.Retries.Load(),
+		"broken":          c.Broken.Load(),
+		"reattached":      c.Reattached.Load(),
+		"joined":          c.Joined.Load(),
+		"wasted":          c.Wasted.Load(),
 	}
 }
 
--- a/internal/process/beechentry/bodies.go
+++ b/internal/process/beechentry/bodies.go
@@ -46,6 +46,7 @@
 		limit = min(limit, workspace.MaxBodyBytes)
 	}
 	allowed := time.Duration(e.settings.Limits.BodyTime)
+	defer e.endBodyRead(w)()
 	body, err := e.bodies.Read(http.NewResponseController(w), r, workspace.Name, beechbody.Limits{Bytes: int64(limit), Time: allowed})
 	if err == nil {
 		w.WholeRequestRead()
@@ -59,6 +60,9 @@
 	if refused := e.refusedBody(workspace, err); refused != nil {
 		f = refused
 	}
+	if e.ending.Err() != nil {
+		f = stoppingFailure(0)
+	}
 	return nil, f
 }
 
--- a/internal/process/beechentry/completion.go
+++ b/internal/process/beechentry/completion.go
@@ -200,7 +200,9 @@
 		f.write(w)
 		return
 	}
-	ctx, cancel := j.context(r.Context())
+	untilEnd, release := e.untilEnd(r.Context())
+	defer release()
+	ctx, cancel := j.context(untilEnd)
 	defer cancel()
 	w.Header().Set(headerRequestID, j.request.ID)
 	j.writer = newAnswerWriter(w, j, e.signer, time.Duration(e.settings.Limits.WriteTime))
--- a/internal/process/beechentry/entry.go
+++ b/internal/process/beechentry/entry.go
@@ -24,6 +24,7 @@
 	"github.com/beechring/beechring/internal/decision/beechlimit"
 	"github.com/beechring/beechring/internal/decision/beechpoison"
 	"github.com/beechring/beechring/internal/decision/beechretry"
+	"github.com/beechring/beechring/internal/decision/beechstop"
 	"github.com/beechring/beechring/internal/decision/beechsuspect"
 	"github.com/beechring/beechring/internal/link/beechaccept"
 	"github.com/beechring/beechring/internal/link/beechkeepalive"
@@ -84,8 +85,11 @@
 		connections  *beechkeepalive.Group // of callers
 		supervisor   *suture.Supervisor
 		draining     atomic.Bool
-		restored     atomic.Bool // the start-up restore of shared state has run, successfully or not
-		configured   atomic.Bool // the limits of a configuration are in force
+		stopPlan     atomic.Pointer[beechstop.Plan] // nil: the process is not to stop
+		ending       context.Context                // ends when requests that are under way get their last answers
+		end          context.CancelFunc             // of ending
+		restored     atomic.Bool                    // the start-up restore of shared state has run, successfully or not
+		configured   atomic.Bool                    // the limits of a configuration are in force
 		openRequests atomic.Int64
 		background   sync.WaitGroup // work that outlives its request: claims, outcomes, owner notifications
 	}
@@ -156,6 +160,7 @@
 		callers: callers, connections: connections,
 		intake: newIntake(settings, d.Clock),
 	}
+	e.ending, e.end = context.WithCancel(context.Background())
 	e.bodies = beechbody.New(e.intake)
 	e.door = beechending.NewDoor(e.log, e.clock, e.holder.Generation, writeFault)
 	e.poison = beechpoison.New(d.Clock, e.poisonTurn, func() { e.fleet.dialer.PushHeartbeat() })
@@ -221,21 +226,28 @@
 	return errors.Join(err, e.callers.Close())
 }
 
-// drain waits for the open requests to finish. The platform's load balancer is
-// given drainDelay to see that the entry is not ready; requests that it still
-// sends in that time are served.
+// drain waits for the open requests to finish, and answers those that are left
+// shortly before the grace ends. The platform's load balancer is given drainDelay
+// to see that the entry is not ready; requests that it still sends in that time
+// are served.
 func (e *Entry) drain() error {
-	e.draining.Store(true)
+	plan := e.beginStop()
 	e.startup.end()
 	e.fleet.dialer.PushHeartbeat()
 	e.log.Info("entry draining", beechlog.Step("drain"))
-	e.clock.Sleep(drainDelay)
-	ctx, cancel := context.WithTimeout(context.Background(), time.Duration(e.settings.Limits.Grace))
+	e.clock.Sleep(plan.CloseListener.Sub(e.clock.Now()))
+	defer e.clock.AfterFunc(plan.Answer.Sub(e.clock.Now()), e.end).Stop()
+	ctx, cancel := clockwork.WithDeadline(context.Background(), e.clock, plan.End)
 	defer cancel()
-	if err := e.connections.Drain(ctx); err != nil {
-		return fmt.Errorf("drain: %w", err)
+	err := e.connections.Drain(ctx)
+	_ = e.http.Close()
+	if err == nil && e.ending.Err() != nil {
+		err = errCut
 	}
 	beechtask.Wait(ctx, &e.background)
+	if err != nil {
+		return fmt.Errorf("drain: %w", err)
+	}
 	return nil
 }
 
--- a/internal/process/beechentry/retry.go
+++ b/internal/process/beechentry/retry.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"net/http"
 	"net/netip"
 	"time"
@@ -45,6 +46,9 @@
 // cancelledFailure is the failure of a request whose caller disconnected or
 // whose deadline passed.
 func (e *Entry) cancelledFailure(ctx context.Context, j *job) *failure {
+	if errors.Is(context.Cause(ctx), errStopping) {
+		return e.stoppedFailure(j)
+	}
 	f := &failure{Status: http.StatusGatewayTimeout, Type: typeServer, Code: "timeout", Ran: beechwire.RanUnknown, Message: "the caller's deadline passed"}
 	switch {
 	case j.sequence > 0:
--- a/internal/process/beechentry/routes.go
+++ b/internal/process/beechentry/routes.go
@@ -88,6 +88,10 @@
 // serve authenticates, parses and runs a request.
 func (e *Entry) serve(w *beechending.Request, r *http.Request, read requestReader) {
 	began := e.clock.Now()
+	if f := e.refuseStopping(r); f != nil {
+		e.refuse(w, r, f)
+		return
+	}
 	waited := e.awaitConfiguration(r)
 	configuration, workspace, f := e.authenticate(r)
 	if f != nil {
@@ -102,6 +106,10 @@
 		return
 	}
 	defer j.held.Release()
+	if f := e.refuseStopping(r); f != nil { // the body took a while
+		e.refuse(w, r, f)
+		return
+	}
 	w.ID, w.Route = j.request.ID, j.target()
 	j.startedAt = began
 	j.shortenTimeout(waited)
--- a/internal/process/beechgate/stopping.go
+++ b/internal/process/beechgate/stopping.go
@@ -32,7 +32,7 @@
 
 // beginStop decides on the course of the stop.
 func (g *Gate) beginStop() beechstop.Plan {
-	plan := beechstop.New(g.clock.Now(), beechstop.Settings{Grace: time.Duration(g.bounds.Load().Grace), Notice: drainDelay, KillMargin: stopMargin, AnswerTime: lastAnswerTime})
+	plan := beechstop.New(g.clock.Now(), beechstop.Settings{Grace: time.Duration(g.bounds.Load().Grace), Notice: drainDelay, TakeAll: drainDelay, KillMargin: stopMargin, AnswerTime: lastAnswerTime})
 	g.stopPlan.Store(&plan)
 	g.draining.Store(true)
 	return plan
