An entry host that ends leaves outcomes to the agents that will know them

A request that may not be repeated and is under way when its entry host ends goes on at its agent. The entry host told the owner of the key at once that the outcome is unknown, so repeats were told 409 outcome_unknown for good, although the agent records the outcome of a run that no stream is attached to.

Once the last answers are given, an entry host that cannot follow a request no longer reports it as unknown. If the agent is lost as well, the claim stays open, and repeats are told the same 409.

The test fails without the change:

stop_test.go:157: 1 != 0 --- FAIL: TestOutcomeThatTheAgentWillKnowIsLeftToIt (0.53s) FAIL FAIL github.com/beechring/beechring/internal/process/beechentry 0.547s FAIL

--- a/internal/process/beechentry/outcome.go
+++ b/internal/process/beechentry/outcome.go
@@ -57,6 +57,9 @@
 	case outcomeNotRun:
 		e.releaseKey(j)
 	default:
+		if e.ending.Err() != nil {
+			return // the agent records the outcome, as no stream of its answer is open any more
+		}
 		e.recordUnknownOutcome(j)
 	}
 }
--- a/internal/process/beechentry/restart_test.go
+++ b/internal/process/beechentry/restart_test.go
@@ -34,6 +34,7 @@
 	asked         chan struct{} // receives a value for each call for the configuration
 	release       chan struct{}
 	opened        atomic.Int32
+	finished      atomic.Int32  // outcomes that the entry has sent
 	silent        atomic.Bool   // streams get no answer
 	quit          chan struct{} // ends them
 	ended         chan struct{} // receives a value for each stream without an answer that the entry has ended
@@ -100,6 +101,10 @@
 
 // Answer implements beechlink.CallHandler.
 func (a *linkedAgent) Answer(ctx context.Context, _ beechlink.Peer, method string, _ []byte) ([]byte, error) {
+	if method == beechwire.MethodFinish {
+		a.finished.Add(1)
+		return nil, nil
+	}
 	if method != beechwire.MethodConfiguration {
 		return nil, errNotServed
 	}
--- a/internal/process/beechentry/stop_test.go
+++ b/internal/process/beechentry/stop_test.go
@@ -15,6 +15,7 @@
 	"github.com/matryer/is"
 
 	"github.com/beechring/beechring/internal/process/beechsettings"
+	"github.com/beechring/beechring/internal/state/beechmanifest"
 )
 
 // lateAnswer is what a caller saw whose request was sent to an entry host that stops.
@@ -132,3 +133,26 @@
 	}
 	t.Logf("%v", statuses)
 }
+
+// An entry host that ends must not record that an outcome is unknown whose request goes on at its agent: the
+// agent records the outcome, and repeats are told that.
+func TestOutcomeThatTheAgentWillKnowIsLeftToIt(t *testing.T) {
+	is := is.New(t)
+	a := newLinkedAgent(t)
+	close(a.release)
+	e := newTestEntry(t, a)
+	ctx, stop := context.WithCancel(t.Context())
+	ended := make(chan error, 1)
+	go func() { ended <- e.Serve(ctx) }()
+	t.Cleanup(func() {
+		stop()
+		<-ended
+	})
+	waitUntil(t, "the entry to be ready", e.ready)
+	j := &job{workspace: &beechmanifest.Workspace{}, sentTo: generationRef{agent: a.address, requestID: "booking"}}
+	j.request.ID, j.request.Claim, j.request.RecordKey = "booking", "claim", "key"
+	e.draining.Store(true)
+	e.end()
+	e.recordOutcomeLater(j)
+	is.Equal(a.finished.Load(), int32(0))
+}
