Test that callers of runs cut by a stopping agent are told so

The test drains the agent's server under an open run, as the agent does at the end of its own stop, and asks for an answer with ran unknown and no second run.

--- a/internal/process/beechentry/stop_test.go
+++ b/internal/process/beechentry/stop_test.go
@@ -156,3 +156,32 @@
 	e.recordOutcomeLater(j)
 	is.Equal(a.finished.Load(), int32(0))
 }
+
+// The caller of a run that an agent cuts at the end of its own stop must be told that it may have run.
+func TestRunsCutByAStoppingAgentAreAnswered(t *testing.T) {
+	is := is.New(t)
+	a := newLinkedAgent(t)
+	close(a.release)
+	e := newTestEntry(t, a)
+	serveTestEntry(t, e)
+	waitUntil(t, "the entry to be ready", e.ready)
+	waitUntil(t, "an answer", func() bool {
+		status, _, err := sendCompletion(t.Context(), e, "")
+		return err == nil && status == http.StatusOK
+	})
+	a.silent.Store(true)
+	t.Cleanup(func() { close(a.quit) })
+	before := a.opened.Load()
+	answered := make(chan string, 1)
+	go func() {
+		_, body := post(t, e)
+		answered <- body
+	}()
+	waitUntil(t, "the run", func() bool { return a.opened.Load() > before })
+	drained, cancel := context.WithTimeout(t.Context(), stopGrace/10)
+	defer cancel()
+	is.True(a.server.Drain(drained) != nil)
+	body := <-answered
+	is.True(strings.Contains(body, `"ran":"unknown"`))
+	is.Equal(a.opened.Load(), before+1)
+}
