--- a/internal/process/beechgate/stopping.go
+++ b/internal/process/beechgate/stopping.go
@@ -79,7 +79,6 @@
 	if out.begun && (!out.streamed || out.ended) {
 		return
 	}
-	g.metrics.stops.Add(reasonEnded, 1)
 	g.limitLog.Warn("request ended by the stop", zap.String("request", call.ID), zap.String("route", call.Route.Name), zap.Int("ran", attempts), zap.Bool("streamed", out.streamed), zap.Duration("took", g.clock.Since(call.Received)))
 	switch {
 	case out.streamed:
