A refusal without an ID ends its connection whatever its status

What callers saw: with a refusal without an ID and a status below 300, its second copy was taken for the answer to the next request on the connection, which ran: 'not executed'. Cause: beechpool's accept exempted all responses below 300, which is meant for calls, whose exchanges have no Matches. Change: the exemption holds for these alone. Evidence: TestCopyOfAnUnmarkedRefusalOfAnyStatusIsNotAnAnswer, committed failing before (200, 202, 204), passes; the tests of beechpool and TestCopiesDecideNothing pass.

--- a/internal/link/beechpool/pool.go
+++ b/internal/link/beechpool/pool.go
@@ -382,7 +382,7 @@
 func (c *conn) accept(response *http.Response, conditions Conditions, reused bool) (*http.Response, *ExchangeError) {
 	named := conditions.Matches != nil && (conditions.Unmarked == nil || !conditions.Unmarked(response))
 	switch {
-	case named || response.StatusCode < http.StatusMultipleChoices:
+	case named || (conditions.Matches == nil && response.StatusCode < http.StatusMultipleChoices):
 	case conditions.Matches != nil && c.unmarked:
 		return nil, &ExchangeError{Peer: c.peer, Step: "read response", Reused: reused, Err: errUnmarked}
 	default:
