Show that keepers and gates are bounded beside servers that send without end

The bounds at gates were shown for forwarded requests; keepers, and the calls of both, were only read.

The stand-in answers calls with bytes without end: reports, orders, lists and events of caches, copies of runs, their removal and health checks, each in turn in seventeen forms. New among these are a length of 2^62, a chunk of that length, chunks, a chunk's size or extension, a trailer, trailers, and a document whose beginning is valid.

TestCrowdsAtKeepersOfEndlessServers starts a gate and twelve keepers as processes of their own, has each call and forwarded requests answered in every form as fast as it is read, then at 2 KB a second, and has a caller ask a sound server meanwhile.

What it does not show: an order that is answered 200 with a body without end counts as taken.

--- a/internal/standin/beechsimulator/engine.go
+++ b/internal/standin/beechsimulator/engine.go
@@ -66,6 +66,7 @@
 		copies        copies
 		silences      []Silence
 		endlessBytes  int64
+		endlessCalls  endlessCalls
 		asked         int // requests that began to run
 	}
 
@@ -144,6 +145,7 @@
 	return &Engine{
 		settings: s, versions: versions, runs: make(map[string]int), active: make(map[string]int), begunAt: make(map[string]time.Time), endedAt: make(map[string]time.Time), lastHeaders: make(map[string]http.Header), cached: make(map[string]int),
 		streamPaths: make(map[string]int), partArrivals: make(map[string][]time.Time), onCrash: func(time.Duration) {}, copies: newCopies(),
+		endlessCalls: endlessCalls{set: make(map[string]EndlessCall), sent: make(map[string]int)},
 	}
 }
 
@@ -397,6 +399,9 @@
 func (e *Engine) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	defer e.waitWhileSilent(r.Context()) // what ends the response is written after this
 	w = &silentWriter{ResponseWriter: w, engine: e, ctx: r.Context()}
+	if e.sendEndlessCall(w, r) {
+		return
+	}
 	e.mu.Lock()
 	if e.leaving {
 		w.Header().Set(headerLeaving, "1")
@@ -407,15 +412,15 @@
 		return
 	}
 	switch r.URL.Path {
-	case "/beechring/report":
+	case CallReport:
 		e.report(w)
-	case "/beechring/order":
+	case CallOrder:
 		e.order(w, r)
-	case "/beechring/kv-move":
+	case CallMove:
 		e.copyRun(w, r)
-	case "/beechring/kv-events":
+	case CallEvents:
 		e.cacheEvents(w, r)
-	case "/beechring/kv-list":
+	case CallList:
 		e.cacheList(w)
 	case healthPath:
 		w.Header().Set(headerLoad, e.load())
@@ -602,6 +607,9 @@
 		faults.Endless = ""
 	}
 	e.mu.Unlock()
+	if form, rate, endless := e.nextEndless(CallRequest); endless {
+		faults.Endless, faults.EndlessRate = form, rate
+	}
 	if faults.Foreign != "" {
 		w.Header().Set(headerAttemptID, faults.Foreign)
 	}
