--- a/internal/standin/beechengine/engine.go
+++ b/internal/standin/beechengine/engine.go
@@ -123,6 +123,12 @@
 		if inst == nil {
 			panic(http.ErrAbortHandler)
 		}
+		if isCall(r) {
+			if form, pause, ok := e.faults.consumeEndless(true); ok {
+				_ = e.sendEndless(r.Context(), w, form, pause)
+				return
+			}
+		}
 		handle(inst, w, r)
 	}
 }
--- a/internal/standin/beechengine/faults.go
+++ b/internal/standin/beechengine/faults.go
@@ -32,7 +32,9 @@
 		Marker      string    `json:"marker,omitempty"`
 		Count       int       `json:"count,omitempty"`
 		Factor      float64   `json:"factor,omitempty"`
-		Form        string    `json:"form,omitempty"` // field, fields, interim, event, lines or comments
+		Form        string    `json:"form,omitempty"`  // one of endlessForms
+		Full        bool      `json:"full,omitempty"`  // endless answers are sent as fast as they are read
+		Calls       bool      `json:"calls,omitempty"` // endless answers are those to agents' calls too
 	}
 
 	faults struct {
@@ -44,6 +46,8 @@
 		wrongID int
 		endless int
 		form    string
+		full    bool
+		calls   bool
 	}
 )
 
@@ -71,7 +75,9 @@
 		if _, ok := endlessForms[f.Form]; !ok {
 			return false
 		}
-		e.faults.update(func() { e.faults.endless, e.faults.form = f.Count, f.Form })
+		e.faults.update(func() {
+			e.faults.endless, e.faults.form, e.faults.full, e.faults.calls = f.Count, f.Form, f.Full, f.Calls
+		})
 	case FaultLoseEvents, FaultSlow, FaultClearCache:
 		e.injectIntoInstance(f)
 	default:
--- a/internal/standin/beechengine/generate.go
+++ b/internal/standin/beechengine/generate.go
@@ -167,8 +167,8 @@
 // generateAnswer runs prefill and token generation. The caller holds a slot.
 func (e *Engine) generateAnswer(ctx context.Context, inst *instance, w http.ResponseWriter, g *generation) {
 	use, err := e.prefill(ctx, inst, g)
-	if form, ok := e.faults.consumeEndless(); ok && err == nil {
-		e.recordEnd(g, e.sendEndless(ctx, w, form))
+	if form, pause, ok := e.faults.consumeEndless(false); ok && err == nil {
+		e.recordEnd(g, e.sendEndless(ctx, w, form, pause))
 		return
 	}
 	out := newWriter(w, g, e.settings.TokenTime > 0, e.faults.consumeWrongID())
