Answers of an agent's runs share a memory

An agent read each answer up to its limit, 4 MiB by default, and had no bound of all of them but the server's slots: with 64 slots that is 256 MB, and with pieces of events several times as much. A faulty engine whose answers have no end takes all of that, and the runs of other callers end with the process.

Whole answers are read in the pieces in which they are sent, without the garbage of a growing buffer. Each piece counts with the overhead of its slice.

--- a/internal/process/beechagent/agent.go
+++ b/internal/process/beechagent/agent.go
@@ -70,6 +70,7 @@
 		pendingOutcomes *pendingOutcomes
 		counters        counters
 		bodies          bodyMemory
+		answers         *answerMemory
 
 		leaving           atomic.Bool
 		supervisor        *suture.Supervisor
@@ -121,6 +122,7 @@
 		survivals:         beechsurvival.New(dialer{}, d.Clock),
 		pendingOutcomes:   newPendingOutcomes(d.Clock),
 		bodies:            newBodyMemory(settings, d.Clock),
+		answers:           newAnswerMemory(settings),
 		generationContext: generationContext,
 		cancelGenerations: cancelGenerations,
 	}
--- a/internal/process/beechagent/attempt.go
+++ b/internal/process/beechagent/attempt.go
@@ -32,6 +32,7 @@
 		usage        beechbackend.Usage
 		usageKnown   bool
 		headSent     bool
+		held         int          // bytes of the agent's memory for answers
 		lastProgress atomic.Int64 // when the server last sent data, in ns since 1970
 		begunAt      atomic.Int64 // when the first output arrived; 0: it has not
 		survived     bool         // the answer has begun and gone on
@@ -154,14 +155,10 @@
 // copyBody appends an answer that is not streamed to the generation. For answers
 // of engines it also reads the token usage.
 func (t *attempt) copyBody(answer *beechbackend.Answer) error {
-	limit := int64(t.agent.settings.Limits.AnswerBytes)
-	data, err := io.ReadAll(io.LimitReader(answer.Body, limit+1))
+	pieces, err := t.readPieces(answer.Body)
 	if err != nil {
 		return err
 	}
-	if int64(len(data)) > limit {
-		return errAnswerTooLong
-	}
 	if answer.Unframed {
 		if err := t.agent.survivals.Check(t.agent.settings.Backend, t.agent.clock.Now().Add(maxSurvivalWait)); err != nil {
 			return err
@@ -169,29 +166,65 @@
 	}
 	t.recordFirstOutput()
 	if t.generation.request.Service == "" && answer.Status == http.StatusOK {
-		if chunk, err := beechbackend.ParseChunk(data); err == nil {
+		if chunk, err := beechbackend.ParseChunk(bytes.Join(pieces, nil)); err == nil {
 			t.recordUsage(chunk.Usage)
 		}
 	}
-	for start := 0; start < len(data); start += pieceSize {
-		if err := t.appendPiece(data[start:min(start+pieceSize, len(data))]); err != nil {
-			return err
+	for _, piece := range pieces {
+		t.markProgress()
+		if t.survivedStart() {
+			t.recordStart()
 		}
+		t.generation.appendPiece(piece)
 	}
 	return nil
 }
 
+// readPieces reads a body to its end.
+func (t *attempt) readPieces(body io.Reader) ([][]byte, error) {
+	var pieces [][]byte
+	for size := 0; ; {
+		piece, err := io.ReadAll(io.LimitReader(body, pieceSize))
+		if err != nil {
+			return nil, err
+		}
+		if len(piece) == 0 {
+			return pieces, nil
+		}
+		if size += len(piece); size > t.agent.settings.Limits.AnswerBytes {
+			return nil, errAnswerTooLong
+		}
+		if err := t.hold(len(piece)); err != nil {
+			return nil, err
+		}
+		pieces = append(pieces, piece)
+	}
+}
+
 func (t *attempt) appendPiece(piece []byte) error {
 	t.markProgress()
 	if t.survivedStart() {
 		t.recordStart()
 	}
+	if err := t.hold(len(piece)); err != nil {
+		return err
+	}
 	if t.generation.appendPiece(piece) > t.agent.settings.Limits.AnswerBytes {
 		return errAnswerTooLong
 	}
 	return nil
 }
 
+// hold counts a piece of the answer as memory.
+func (t *attempt) hold(size int) error {
+	held := t.held + size + pieceOverhead
+	if !t.agent.answers.grow(t.held, held) {
+		return errAnswerMemory
+	}
+	t.held = held
+	return nil
+}
+
 func (t *attempt) markProgress() { t.lastProgress.Store(t.agent.clock.Now().UnixNano()) }
 
 func (t *attempt) lastProgressAt() time.Time { return time.Unix(0, t.lastProgress.Load()) }
@@ -282,7 +315,7 @@
 	case ctx.Err() != nil:
 		t.cancelAtServer()
 		return t.failedReply(cancelReason(ctx), false)
-	case errors.Is(err, errAnswerTooLong), errors.Is(err, beechbackend.ErrEventTooLong), errors.Is(err, errServerFailed):
+	case errors.Is(err, errAnswerTooLong), errors.Is(err, errAnswerMemory), errors.Is(err, beechbackend.ErrEventTooLong), errors.Is(err, errServerFailed):
 		t.cancelAtServer()
 		return t.failedReply(beechwire.ReasonServer, false)
 	default:
--- a/internal/process/beechagent/runner.go
+++ b/internal/process/beechagent/runner.go
@@ -73,6 +73,7 @@
 	a.running.remove(t.id)
 	a.scheduler.finish(t.id, beechqueue.Usage{Known: t.usageKnown, Prompt: t.usage.Prompt, Cached: t.usage.Cached, Output: t.usage.Output})
 	a.finishGeneration(t.generation, last)
+	a.answers.release(t.held)
 	a.recordIfUnattached(t.generation)
 }
 
--- a/internal/process/beechagent/survival_test.go
+++ b/internal/process/beechagent/survival_test.go
@@ -55,6 +55,7 @@
 		a.survivals = beechsurvival.New(dialer{}, a.clock)
 		a.settings.Backend = startUnframedService(t, exits)
 		a.settings.Limits.AnswerBytes = 1 << 20
+		a.answers = newAnswerMemory(a.settings)
 		service := beechbackend.NewService(a.settings.Backend, "", beechbackend.NewClient(time.Second))
 		answer, err := service.Relay(context.Background(), beechbackend.RelayRequest{RequestID: "r", Method: http.MethodGet, Path: "/"})
 		is.NoErr(err)
