A reply without end to an agent's call is no reply, and has 1 MiB

An agent read up to 16 MiB for each reply to its calls: reports, orders, cancellations, cache events and imports; reports and events come several times a second. A reply was cut off there: where nothing is read from it (orders, cancellations), one without end counted as taken.

Replies have 1 MiB, as at gates and keepers, and cache events 4 MiB (4096 events of some 200 bytes are sent at a time). A longer one is an error, by which the outcome of an order is not known until the next report.

TestReplyWithoutEndIsNoReply failed before in 4 of 6 forms (unframed, length, chunk, chunks: no error from Order).

--- a/internal/command/beechscenario/crowd_endless_test.go
+++ b/internal/command/beechscenario/crowd_endless_test.go
@@ -22,7 +22,7 @@
 
 const (
 	endlessCallers = 48
-	endlessTurn    = 800 * time.Millisecond // for one form
+	endlessTurn    = 500 * time.Millisecond // for one form
 	endlessCount   = 1 << 20                // answers, more than there are calls
 	soundPause     = 20 * time.Millisecond  // between the requests of a caller beside
 	endlessAnswer  = 4 << 20                // bytes, the default bound of one answer
--- a/internal/process/beechbackend/client.go
+++ b/internal/process/beechbackend/client.go
@@ -35,13 +35,17 @@
 	// streamBufferSize is smaller than the default of 4 KB, since an agent holds two
 	// buffers for each open stream, and the event of a token has about 200 bytes.
 	streamBufferSize = 1 << 10
-	maxReplyBytes    = 16 << 20
+	maxReplyBytes    = 1 << 20   // of a call; a report has some 100 bytes for each model
+	maxEventsBytes   = 4 << 20   // of cache events
 	maxExportBytes   = 256 << 20 // of exported cache blocks
 	maxHeadBytes     = 64 << 10  // of a response
 	orderBufferSize  = 4 << 10   // an order with its headers fits, and leaves in one write
 )
 
-var errNoCheck = errors.New("the HTTP transport cannot check an order before it is written")
+var (
+	errNoCheck      = errors.New("the HTTP transport cannot check an order before it is written")
+	errReplyTooLong = errors.New("the reply exceeds its limit")
+)
 
 type (
 	// serverClient sends requests to one server and returns errors of the types of
@@ -265,10 +269,13 @@
 	if response.StatusCode >= http.StatusBadRequest {
 		return c.readRefusal(step, response)
 	}
-	reply, err := io.ReadAll(io.LimitReader(response.Body, bound))
+	reply, err := io.ReadAll(io.LimitReader(response.Body, bound+1))
 	if err != nil {
 		return transportError(ctx, step, c.address, err)
 	}
+	if int64(len(reply)) > bound {
+		return &Broken{Step: step, Peer: c.address, Err: errReplyTooLong}
+	}
 	if into == nil {
 		return nil
 	}
--- a/internal/process/beechbackend/openai.go
+++ b/internal/process/beechbackend/openai.go
@@ -99,7 +99,7 @@
 func (e openAI) CacheEvents(ctx context.Context, after uint64) (uint64, []CacheEvent, error) {
 	var reply openAIEventsReply
 	path := "/cache/events?after=" + strconv.FormatUint(after, 10)
-	if err := e.server.callJSON(ctx, "read cache events", http.MethodGet, path, nil, &reply); err != nil {
+	if err := e.server.callBounded(ctx, "read cache events", http.MethodGet, path, nil, &reply, maxEventsBytes); err != nil {
 		return 0, nil, err
 	}
 	events := make([]CacheEvent, len(reply.Events))
