Stand-in engines and soaks send copies of earlier answers

The fault Twice of the simulated engine had no effect. Now one of so many answers follows a copy of an earlier answer to a request on its connection: refusal, success or failure, with the earlier request's ID. The emulator has it as the fault 'twice'.

It checks more: that no request that may not be repeated has run whose caller got 408 or 421 (429 and 503 before), and that the answer of a plain server is that to the caller's own request (its path has the ID now).

TestCopiesOfEarlierAnswers shows the stand-in's copies.

--- a/internal/command/beechplay/cluster.go
+++ b/internal/command/beechplay/cluster.go
@@ -146,8 +146,8 @@
 		return err
 	}
 	e.address = l.Addr().(*net.TCPAddr).AddrPort()
-	e.server, e.accept = &http.Server{Handler: e.handler, ReadHeaderTimeout: headerTimeout}, l
-	go func(s *http.Server) { _ = s.Serve(l) }(e.server) // until it is closed
+	e.server, e.accept = &http.Server{Handler: e.handler, ReadHeaderTimeout: headerTimeout, ConnContext: beechsimulator.ConnContext}, l
+	go func(s *http.Server) { _ = s.Serve(beechsimulator.NewListener(l)) }(e.server) // until it is closed
 	return nil
 }
 
--- a/internal/command/beechplay/day.go
+++ b/internal/command/beechplay/day.go
@@ -57,6 +57,7 @@
 	"stop":         "a gate is stopped and replaced by a new one",
 	"poison":       "a server crashes when it begins to answer a prompt of the first subject",
 	"endless":      "a server sends bytes without end instead of answers: one of four of its requests, in all forms by turns",
+	"twice":        "a server sends a copy of an earlier answer of the same connection before one of three answers",
 	"unframed":     "a server's answers have neither a length nor chunks",
 	"one gate":     "nine of ten requests go to one gate",
 }
--- a/internal/command/beechplay/play.go
+++ b/internal/command/beechplay/play.go
@@ -68,6 +68,7 @@
 	callerTimeout     = 6 * time.Second
 	maxLatencyMicros  = int64(time.Hour / time.Microsecond)
 	histogramDigits   = 2
+	twiceEvery        = 3 // answers of which one follows a copy of an earlier one
 	gateGracePeriod   = 8 * time.Second
 
 	// A limit must be kept once limitSettleTime has passed since the server first
@@ -257,6 +258,8 @@
 		defer p.checkPoison()
 	case "endless":
 		defer p.sendEndless(f)()
+	case "twice":
+		servers(beechsimulator.EngineFaults{Twice: twiceEvery})
 	case "unframed":
 		servers(beechsimulator.EngineFaults{Ending: beechsimulator.Unframed})
 	case "one gate":
--- a/internal/command/beechplay/soak_test.go
+++ b/internal/command/beechplay/soak_test.go
@@ -14,6 +14,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"strings"
 	"sync"
 	"syscall"
@@ -34,6 +35,9 @@
 // soakVersions are the software versions of the engines.
 var soakVersions = []string{"v1", "v2"}
 
+// notRunStatuses promise that a request that may not be repeated has not run.
+var notRunStatuses = []int{http.StatusServiceUnavailable, http.StatusTooManyRequests, http.StatusRequestTimeout, http.StatusMisdirectedRequest}
+
 const (
 	soakDuration     = 14 * time.Second
 	soakRequestRate  = 40.0
@@ -277,6 +281,7 @@
 		limits.Go(s.injectLimits)
 		limits.Go(s.injectPoison)
 		limits.Go(s.injectEndless)
+		limits.Go(s.injectCopies)
 		limits.Go(s.favorGate)
 		limits.Go(s.sendLongStreams)
 		limits.Go(s.announceSeries)
@@ -421,12 +426,13 @@
 	for _, e := range s.cluster.Engines {
 		e.SetFaults(beechsimulator.EngineFaults{})
 		e.SetEndless("", 0, 0)
+		e.SetTwice(0)
 	}
 }
 
 func (s *soak) sendRequest(id, gate, path, key string) {
 	streams := path == "/pick/" || path == "/card/"
-	ask := beechsimulator.CallerRequest{ID: id, Key: key, Host: Host, URL: "http://" + s.cluster.Places[gate].String() + path + "x", Left: 5 * time.Second, Body: "question"}
+	ask := beechsimulator.CallerRequest{ID: id, Key: key, Host: Host, URL: "http://" + s.cluster.Places[gate].String() + path + id, Left: 5 * time.Second, Body: "question"}
 	if streams {
 		ask.Model, ask.Prompt, ask.Output, ask.Parts = Model, 1000, 10, "c0:400,5b:300,"+strings.TrimPrefix(id, "soak-")+":300"
 	}
@@ -451,7 +457,7 @@
 			status = 0
 		case status == http.StatusOK && streams && !isStreamOfOneVersion(string(body)):
 			s.t.Errorf("%s: incomplete stream ended as complete: %q", id, body)
-		case status == http.StatusOK && !streams && !bytes.HasPrefix(body, []byte("POST "+path)):
+		case status == http.StatusOK && !streams && !bytes.HasPrefix(body, []byte("POST "+path+id+" ")):
 			s.t.Errorf("%s: answer of another request: %q", id, body)
 		}
 	}
@@ -523,7 +529,7 @@
 		if s.atMostOnce[id] && runs > 1 {
 			s.t.Errorf("%s: ran %d times, may run at most once", id, runs)
 		}
-		if s.atMostOnce[id] && runs > 0 && (status == http.StatusServiceUnavailable || status == http.StatusTooManyRequests) {
+		if s.atMostOnce[id] && runs > 0 && slices.Contains(notRunStatuses, status) {
 			s.t.Errorf("%s: ran, though its caller got status %d", id, status)
 		}
 		if sent, ok := s.revocableSentAt[id]; ok && !s.revokedAt.IsZero() && sent.After(s.revokedAt.Add(revokeBound)) && runs > 0 {
@@ -542,7 +548,7 @@
 			s.t.Errorf("%s exited unexpectedly:\n%s", name, log[max(len(log)-2000, 0):])
 		}
 	}
-	s.t.Logf("%d of %d answered", s.answered, len(s.statuses))
+	s.t.Logf("%d of %d answered, %d copies of answers", s.answered, len(s.statuses), s.copiesSent())
 	if float64(s.answered) < minAnsweredShare*float64(len(s.statuses)-len(s.revocableSentAt)-s.excused) {
 		s.t.Errorf("only %d of %d requests were answered", s.answered, len(s.statuses))
 	}
--- a/internal/standin/beechsimulator/engine.go
+++ b/internal/standin/beechsimulator/engine.go
@@ -59,7 +59,7 @@
 		restarts      int
 		cutOffUntil   time.Time // until then it does not notice that connections have closed
 		arrivals      []time.Time
-		lasting       EngineFaults           // those of CrashPart, Ending and Endless that SetFaults leaves as they are
+		lasting       EngineFaults           // those of CrashPart, Ending, Endless and Twice that SetFaults leaves as they are
 		partArrivals  map[string][]time.Time // of requests by shared prompt part
 		crashes       []time.Time
 		onCrash       func(down time.Duration) // ends all connections, and accepts none for a time
@@ -67,6 +67,8 @@
 		silences      []Silence
 		endlessBytes  int64
 		endlessCalls  endlessCalls
+		answers       int // begun
+		copiesSent    int // of earlier answers
 		asked         int // requests that began to run
 	}
 
@@ -79,7 +81,7 @@
 		CutAfter       int           // number of events after which a stream is cut; 0 is never
 		CutEvery       int           // of how many streams one is cut; 0 is all
 		Status         int           // status of every response; 0 for the normal 200
-		Twice          bool          // each response is to be sent twice; not implemented, so it has no effect
+		Twice          int           // of how many responses one follows a copy of an earlier one of its connection; 0: none
 		Foreign        string        // another request's id, returned in responses
 		Encoding       string        // Content-Encoding of responses, as some proxies add one
 		SilentOrders   bool          // orders get no response and are not carried out
@@ -399,6 +401,7 @@
 func (e *Engine) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	defer e.waitWhileSilent(r.Context()) // what ends the response is written after this
 	w = &silentWriter{ResponseWriter: w, engine: e, ctx: r.Context()}
+	e.sendTwice(r)
 	if e.sendEndlessCall(w, r) {
 		return
 	}
