A keeper takes no more of a cache list than it keeps

Each part of an engine's list was looked for among all those before it, with the keeper's lock held. A list of 8 MiB, the most that is read, has some 300,000 parts: the keeper sent nothing, followed no gate and gave no order for 40 s. Now it looks at no more than so many large ones of a list; the last of a longer list, which pushed out the first before, are left out instead.

--- a/internal/process/beechkeeper/cache.go
+++ b/internal/process/beechkeeper/cache.go
@@ -138,10 +138,15 @@
 	}
 	k.deps.Log.Info("cache listed", zap.Int("parts", len(snapshot.Parts)), zap.Uint64("epoch", snapshot.Epoch))
 	k.mu.Lock()
+	added := 0
 	for _, part := range snapshot.Parts {
-		if part.Tokens >= minPartTokens {
-			k.addPart(part.Key, false)
+		if part.Tokens < minPartTokens {
+			continue
 		}
+		if added++; added > maxCachedParts {
+			break // more would push the first ones out of the list again
+		}
+		k.addPart(part.Key, false)
 	}
 	k.mu.Unlock()
 	k.notify(true)
