Soak of servers that are replaced at their addresses and send copies of refusals

A successor that takes over a server's address and connections refuses what was meant for its predecessor (421 with its own ID), is asked again on the same connection, and runs the request while a copy of its refusal comes first. The gate took the copy for the answer: the request went to another server as well, or its caller got a 503 that says it has not run.

Simulated engines may change their ID and be listed under the next one before they have it.

--- a/internal/standin/beechsimulator/documents.go
+++ b/internal/standin/beechsimulator/documents.go
@@ -50,6 +50,14 @@
 
 // PutServer writes the entry of an engine or server, as it does itself.
 func (s *Store) PutServer(e *Engine, service, address, zone, state string) {
+	e.mu.Lock()
+	id := e.settings.ID
+	e.mu.Unlock()
+	s.PutSuccessor(e, id, service, address, zone, state)
+}
+
+// PutSuccessor writes the entry of an engine or server under the ID that it will have.
+func (s *Store) PutSuccessor(e *Engine, id, service, address, zone, state string) {
 	e.mu.Lock()
 	models := e.modelDocuments()
 	e.mu.Unlock()
@@ -60,7 +68,7 @@
 	if born := e.Born(); born > 0 {
 		entry["born"] = born
 	}
-	s.Put(serverPrefix+e.settings.ID, entry)
+	s.Put(serverPrefix+id, entry)
 }
 
 // RemoveServer deletes a server's entry.
--- a/internal/standin/beechsimulator/twice.go
+++ b/internal/standin/beechsimulator/twice.go
@@ -79,7 +79,11 @@
 	if due == 0 || len(c.earlier) == 0 {
 		return false
 	}
-	c.copy = c.earlier[due%len(c.earlier)]
+	back := 0 // the last one, or any other in turn
+	if due%2 == 0 {
+		back = due / 2 % len(c.earlier)
+	}
+	c.copy = c.earlier[len(c.earlier)-1-back]
 	return true
 }
 
@@ -92,7 +96,10 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	every, due := max(e.faults.Twice, e.lasting.Twice), 0
-	if e.answers++; every > 0 && e.answers%every == 0 {
+	if isForwarded(r) {
+		e.answers++
+	}
+	if every > 0 && e.answers%every == 0 {
 		due = e.answers / every
 	}
 	if c.begin(isForwarded(r), due) {
@@ -103,6 +110,13 @@
 // isForwarded reports whether a request is not a call of a gate or keeper.
 func isForwarded(r *http.Request) bool { return r.Header.Get(headerAttemptID) != "" }
 
+// SetID has the engine go on under another ID, as the successor of a server at its address that takes over its connections.
+func (e *Engine) SetID(id string) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.settings.ID = id
+}
+
 // SetTwice has one of so many answers follow a copy of an earlier answer of its connection, besides the faults; 0: none.
 func (e *Engine) SetTwice(every int) {
 	e.mu.Lock()
