--- a/internal/process/beechbackend/openai.go
+++ b/internal/process/beechbackend/openai.go
@@ -101,7 +101,7 @@
 	const step = "read cache events"
 	var reply openAIEventsReply
 	path := "/cache/events?after=" + strconv.FormatUint(after, 10)
-	if err := e.server.callJSON(ctx, step, http.MethodGet, path, nil, &reply); err != nil {
+	if err := e.server.callBounded(ctx, step, http.MethodGet, path, nil, &reply, maxEventsBytes); err != nil {
 		return 0, nil, err
 	}
 	events := make([]CacheEvent, len(reply.Events))
--- a/internal/standin/beechsimulator/engine.go
+++ b/internal/standin/beechsimulator/engine.go
@@ -59,13 +59,16 @@
 		restarts      int
 		cutOffUntil   time.Time // until then it does not notice that connections have closed
 		arrivals      []time.Time
-		lasting       EngineFaults           // those of CrashPart, Ending and Endless that SetFaults leaves as they are
+		lasting       EngineFaults           // those of CrashPart, Ending, Endless and Twice that SetFaults leaves as they are
 		partArrivals  map[string][]time.Time // of requests by shared prompt part
 		crashes       []time.Time
 		onCrash       func(down time.Duration) // ends all connections, and accepts none for a time
 		copies        copies
 		silences      []Silence
 		endlessBytes  int64
+		endlessCalls  endlessCalls
+		answers       int // begun
+		copiesSent    int // of earlier answers
 		asked         int // requests that began to run
 	}
 
@@ -78,7 +81,7 @@
 		CutAfter       int           // number of events after which a stream is cut; 0 is never
 		CutEvery       int           // of how many streams one is cut; 0 is all
 		Status         int           // status of every response; 0 for the normal 200
-		Twice          bool          // each response is to be sent twice; not implemented, so it has no effect
+		Twice          int           // of how many responses one follows a copy of an earlier one of its connection; 0: none
 		Foreign        string        // another request's id, returned in responses
 		Encoding       string        // Content-Encoding of responses, as some proxies add one
 		SilentOrders   bool          // orders get no response and are not carried out
@@ -144,6 +147,7 @@
 	return &Engine{
 		settings: s, versions: versions, runs: make(map[string]int), active: make(map[string]int), begunAt: make(map[string]time.Time), endedAt: make(map[string]time.Time), lastHeaders: make(map[string]http.Header), cached: make(map[string]int),
 		streamPaths: make(map[string]int), partArrivals: make(map[string][]time.Time), onCrash: func(time.Duration) {}, copies: newCopies(),
+		endlessCalls: endlessCalls{set: make(map[string]EndlessCall), sent: make(map[string]int)},
 	}
 }
 
@@ -397,6 +401,10 @@
 func (e *Engine) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	defer e.waitWhileSilent(r.Context()) // what ends the response is written after this
 	w = &silentWriter{ResponseWriter: w, engine: e, ctx: r.Context()}
+	e.sendTwice(r)
+	if e.sendEndlessCall(w, r) {
+		return
+	}
 	e.mu.Lock()
 	if e.leaving {
 		w.Header().Set(headerLeaving, "1")
@@ -407,15 +415,15 @@
 		return
 	}
 	switch r.URL.Path {
-	case "/beechring/report":
+	case CallReport:
 		e.report(w)
-	case "/beechring/order":
+	case CallOrder:
 		e.order(w, r)
-	case "/beechring/kv-move":
+	case CallMove:
 		e.copyRun(w, r)
-	case "/beechring/kv-events":
+	case CallEvents:
 		e.cacheEvents(w, r)
-	case "/beechring/kv-list":
+	case CallList:
 		e.cacheList(w)
 	case healthPath:
 		w.Header().Set(headerLoad, e.load())
@@ -602,6 +610,9 @@
 		faults.Endless = ""
 	}
 	e.mu.Unlock()
+	if form, rate, endless := e.nextEndless(CallRequest); endless {
+		faults.Endless, faults.EndlessRate = form, rate
+	}
 	if faults.Foreign != "" {
 		w.Header().Set(headerAttemptID, faults.Foreign)
 	}
