--- a/internal/process/beechentry/restart_test.go
+++ b/internal/process/beechentry/restart_test.go
@@ -34,6 +34,7 @@
 	asked         chan struct{} // receives a value for each call for the configuration
 	release       chan struct{}
 	opened        atomic.Int32
+	finished      atomic.Int32  // outcomes that the entry has sent
 	silent        atomic.Bool   // streams get no answer
 	quit          chan struct{} // ends them
 	ended         chan struct{} // receives a value for each stream without an answer that the entry has ended
@@ -100,6 +101,10 @@
 
 // Answer implements beechlink.CallHandler.
 func (a *linkedAgent) Answer(ctx context.Context, _ beechlink.Peer, method string, _ []byte) ([]byte, error) {
+	if method == beechwire.MethodFinish {
+		a.finished.Add(1)
+		return nil, nil
+	}
 	if method != beechwire.MethodConfiguration {
 		return nil, errNotServed
 	}
@@ -149,7 +154,7 @@
 		Listen: freeAddress(t),
 		Limits: beechsettings.EntryLimits{
 			HeaderBytes: 16 << 10, BodyBytes: 1 << 20, BodyTime: beechsettings.Duration(2 * time.Second),
-			WriteTime: beechsettings.Duration(5 * time.Second), Streams: 100,
+			WriteTime: beechsettings.Duration(5 * time.Second), Streams: 100, Grace: beechsettings.Duration(10 * time.Minute),
 		},
 	}, Dependencies{Clock: clock, Log: zap.NewNop(), Store: store})
 	is.NoErr(err)
