--- a/review/lab/case_takeup.go
+++ b/review/lab/case_takeup.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"net"
 	"net/http"
+	"os"
 	"strconv"
 	"strings"
 	"sync"
@@ -126,8 +127,10 @@
 	time.Sleep(500 * time.Millisecond)
 	joined := hosts[3].entry("loom")
 	joined["version"] = "v2"
-	l.store.put("servers/"+hosts[3].id, joined)
-	l.note("engine %s of software version v2 joins; three engines of v1 go on serving", hosts[3].id)
+	if os.Getenv("JOIN") != "0" { // to see that the suspension alone loses nothing
+		l.store.put("servers/"+hosts[3].id, joined)
+		l.note("engine %s of software version v2 joins; three engines of v1 go on serving", hosts[3].id)
+	}
 	// New streams begin at the other gates meanwhile.
 	fresh := make([]*consumerStream, streams)
 	for n := range fresh {
--- a/review/lab/lab.go
+++ b/review/lab/lab.go
@@ -7,11 +7,13 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
 	"os/exec"
 	"path/filepath"
+	"strconv"
 	"sync"
 	"syscall"
 	"time"
@@ -49,7 +51,10 @@
 	}
 )
 
-var errNotReady = errors.New("not ready in time")
+var (
+	errNotReady  = errors.New("not ready in time")
+	errNoAddress = errors.New("no free address")
+)
 
 func newLab(dir string) (*lab, error) {
 	record, err := os.Create(filepath.Join(dir, "record.txt"))
@@ -136,14 +141,25 @@
 	}
 }
 
-// freeAddress returns a free loopback address of a host.
+// freeAddress returns a free loopback address of a host. The port lies below those that the kernel gives to
+// connections, so that none of these takes it before it is used.
 func freeAddress(ip string) (string, error) {
-	listener, err := net.Listen("tcp4", net.JoinHostPort(ip, "0"))
-	if err != nil {
-		return "", err
+	const first, count, tries = 20000, 12000, 100
+	for range tries {
+		address := net.JoinHostPort(ip, strconv.Itoa(first+rand.IntN(count)))
+		listener, err := net.Listen("tcp4", address)
+		if err != nil {
+			continue
+		}
+		socket, err := net.ListenPacket("udp4", address)
+		_ = listener.Close()
+		if err != nil {
+			continue
+		}
+		_ = socket.Close()
+		return address, nil
 	}
-	defer listener.Close()
-	return listener.Addr().String(), nil
+	return "", errNoAddress
 }
 
 // contracts are those of the small deployments.
