--- a/review/lab/case_takeup.go
+++ b/review/lab/case_takeup.go
@@ -84,12 +84,13 @@
 		gates = append(gates, g)
 	}
 	var hosts []*engine
+	var ran lines
 	for n := range 4 {
 		address, err := freeAddress(fmt.Sprintf("127.0.2.%d", n+1))
 		if err != nil {
 			return "", err
 		}
-		e, err := startEngine(engineSettings{address: address, id: fmt.Sprintf("i-loom%d", n+1), model: "m0", version: 1, events: takeUpEvents, interval: 100 * time.Millisecond})
+		e, err := startEngine(engineSettings{address: address, id: fmt.Sprintf("i-loom%d", n+1), model: "m0", version: 1, events: takeUpEvents, interval: 100 * time.Millisecond, log: &ran})
 		if err != nil {
 			return "", err
 		}
@@ -169,6 +170,9 @@
 			}
 		}
 	}
+	for _, line := range ran.all() {
+		l.note("%s", line)
+	}
 	l.note("%d streams were taken up at gates in touch, %d of them go on; %d of %d new streams begin; %d of %d are whole", takenUp, goOn, begun, streams, whole, streams)
 	if !l.trouble && whole < streams {
 		return "", fmt.Errorf("%d of %d streams are whole in calm", whole, streams)
--- a/review/lab/lab.go
+++ b/review/lab/lab.go
@@ -14,6 +14,7 @@
 	"os/exec"
 	"path/filepath"
 	"strconv"
+	"strings"
 	"sync"
 	"syscall"
 	"time"
@@ -264,3 +265,21 @@
 	}
 	return lines
 }
+
+// lines collects the lines that are written to it.
+type lines struct {
+	mu   sync.Mutex
+	data bytes.Buffer
+}
+
+func (b *lines) Write(data []byte) (int, error) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.data.Write(data)
+}
+
+func (b *lines) all() []string {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return strings.Split(strings.TrimSpace(b.data.String()), "\n")
+}
