Review: an engine that is gone gets requests again from gates in touch, and loses them

Case 6 has the store turn away the two gates that read it for all, for 9 s, while an engine leaves. Once they are served again, their copies, which keep what is missing for 2.2 s, are taken by the other three.

--- a/review/lab/lab.go
+++ b/review/lab/lab.go
@@ -4,6 +4,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"encoding/json"
 	"errors"
 	"fmt"
@@ -49,6 +50,7 @@
 		name, ip             string
 		front, ready, beats  string
 		control, admin, file string
+		store                string // address of the store; empty: that for all
 	}
 )
 
@@ -191,7 +193,7 @@
 		g.beats = net.JoinHostPort(g.ip, port)
 		settings, err := json.MarshalIndent(map[string]any{
 			"name": g.name, "zone": "mill-a", "listen": g.front, "ready": g.ready, "beats": g.beats, "admin": g.admin,
-			"store": l.store.address, "seeds": seeds, "cores": 0.304, "memory": 134, "descriptors": 4200, "log": "info", "contracts": contracts,
+			"store": cmp.Or(g.store, l.store.address), "seeds": seeds, "cores": 0.304, "memory": 134, "descriptors": 4200, "log": "info", "contracts": contracts,
 			"bounds": map[string]any{"revoke": "5000ms", "grace": "8s", "weights": "8000ms", "retries": 0.2, "spare": 54, "window": "10s"},
 		}, "", "  ")
 		if err != nil {
--- a/review/lab/store.go
+++ b/review/lab/store.go
@@ -3,7 +3,9 @@
 package main
 
 import (
+	"context"
 	"encoding/json"
+	"maps"
 	"net"
 	"net/http"
 	"sort"
@@ -28,28 +30,77 @@
 	store struct {
 		lab     *lab
 		address string
+		mux     *http.ServeMux
 
 		mu       sync.Mutex
 		revision uint64
 		items    map[string]item
 		history  []item
 		changed  chan struct{} // closed at the next change
+		away     map[string]bool
+		watches  map[string]int // calls that wait for changes of servers, so far, by door
 	}
 )
 
+// doorKey is the key of a request's context for the machine that has sent it.
+type doorKey struct{}
+
 func newStore(l *lab) (*store, error) {
 	listener, err := net.Listen("tcp4", "127.0.0.1:0")
 	if err != nil {
 		return nil, err
 	}
-	s := &store{lab: l, address: listener.Addr().String(), revision: 100, items: make(map[string]item), changed: make(chan struct{})}
+	s := &store{lab: l, address: listener.Addr().String(), revision: 100, items: make(map[string]item), watches: make(map[string]int), changed: make(chan struct{})}
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /beechring/kv-range", s.serveRange)
 	mux.HandleFunc("GET /beechring/kv-watch", s.serveWatch)
+	s.mux = mux
 	go func() { _ = http.Serve(listener, mux) }()
 	return s, nil
 }
 
+// open opens another address of the store, for one machine.
+func (s *store) open(machine string) (address string, err error) {
+	listener, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		return "", err
+	}
+	server := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if s.isAway(machine) {
+			w.WriteHeader(http.StatusServiceUnavailable)
+			return
+		}
+		s.mux.ServeHTTP(w, r.WithContext(context.WithValue(r.Context(), doorKey{}, machine)))
+	})}
+	go func() { _ = server.Serve(listener) }()
+	return listener.Addr().String(), nil
+}
+
+func (s *store) isAway(machine string) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.away[machine]
+}
+
+// turnAway turns machines away, or no machine any more. Watches that wait are cut.
+func (s *store) turnAway(machines ...string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.away = make(map[string]bool)
+	for _, m := range machines {
+		s.away[m] = true
+	}
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+// watchers returns how many watches of servers each machine has begun.
+func (s *store) watchers() map[string]int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return maps.Clone(s.watches)
+}
+
 // put writes an item. The return is the confirmation.
 func (s *store) put(key string, value any) {
 	data, err := json.Marshal(value)
@@ -106,7 +157,16 @@
 	after, _ := strconv.ParseUint(r.URL.Query().Get("after"), 10, 64)
 	wait, _ := strconv.Atoi(r.URL.Query().Get("waitMs"))
 	timeout := time.After(time.Duration(wait) * time.Millisecond)
+	machine, _ := r.Context().Value(doorKey{}).(string)
+	s.mu.Lock()
+	if prefix == "servers/" && wait > 0 {
+		s.watches[machine]++
+	}
+	s.mu.Unlock()
 	for {
+		if s.isAway(machine) {
+			panic(http.ErrAbortHandler)
+		}
 		s.mu.Lock()
 		events := []item{}
 		for _, change := range s.history {
