Review: cases 4, 5 and 6 stay inside the figures of the sheet

Looked for: limits that a claim quotes and its case does not keep. Case 6 turned two of five gates away, more than share 0.35: it has six gates now. Consumers of case 5 took a stream up three times, where the sheet has one retry. Case 4 had a goal of 600 ms and consumers that wait 2.4 s: now 400 ms and 2 s, as for card-note.

--- a/review/lab/case_gone.go
+++ b/review/lab/case_gone.go
@@ -56,7 +56,7 @@
 		l.store.put("servers/"+e.id, e.entry("counter"))
 	}
 	var gates []*gate
-	for n := range 5 {
+	for n := range 6 {
 		g, err := l.newGate(n + 1)
 		if err != nil {
 			return "", err
--- a/review/lab/case_takeup.go
+++ b/review/lab/case_takeup.go
@@ -33,10 +33,10 @@
 	takeUpEvents   = 36
 )
 
-// play sends the stream's request to the gates in turn until it is whole, the time budget is over, or it was refused often.
+// play sends the stream's request to the gates in turn until it is whole, the time budget is over, or its one retry was used.
 func (s *consumerStream) play(gates []string, part string) {
 	s.beginning = time.Now()
-	const tries = 4
+	const tries = 2 // the sheet has one retry
 	for try := range tries {
 		left := takeUpBudget - time.Since(s.beginning)
 		if left < 100*time.Millisecond {
--- a/review/lab/case_unframed.go
+++ b/review/lab/case_unframed.go
@@ -89,7 +89,7 @@
 // The streams that it cut off between two events must not look complete.
 func playUnframed(l *lab) (string, error) {
 	const events, streams = 30, 64
-	l.store.put("op/config", configuration(7, []route{{name: "r-note", host: "notes.example", prefix: "/note/", kind: "streaming", service: "loom", timeoutMs: 15000, sloMs: 600, attempts: 1, sticky: true, gapMs: 200}}, tenant{name: "members", keys: []string{"key-members"}}))
+	l.store.put("op/config", configuration(7, []route{{name: "r-note", host: "notes.example", prefix: "/note/", kind: "streaming", service: "loom", timeoutMs: 15000, sloMs: 400, attempts: 1, sticky: true, gapMs: 200}}, tenant{name: "members", keys: []string{"key-members"}}))
 	l.store.put("op/version/m0", map[string]any{"model": "m0", "version": 1})
 	engines, gates, err := l.startModelFleet(4, 4, "--events", fmt.Sprint(events), "--interval", "100ms", "--unframed")
 	if err != nil {
@@ -100,7 +100,7 @@
 	for n := range replies {
 		group.Go(func() {
 			replies[n] = send(request{
-				gate: gates[0].front, method: http.MethodPost, host: "notes.example", path: "/note/write", key: "key-members", body: "note", timeLeft: 15 * time.Second, patience: 2400 * time.Millisecond,
+				gate: gates[0].front, method: http.MethodPost, host: "notes.example", path: "/note/write", key: "key-members", body: "note", timeLeft: 15 * time.Second, patience: 2 * time.Second,
 				header: header("Beechring-Model", "m0", "Beechring-Token-Usage", "300,60", "Beechring-Prompt-Prefix", fmt.Sprintf("%x:200,%x:100", 64+n, 4096+n)),
 			})
 		})
