--- a/review/lab/lab.go
+++ b/review/lab/lab.go
@@ -51,6 +51,7 @@
 		front, ready, beats  string
 		control, admin, file string
 		store                string // address of the store; empty: that for all
+		zone                 string // empty: mill-a
 	}
 )
 
@@ -192,7 +193,7 @@
 	for _, g := range gates {
 		g.beats = net.JoinHostPort(g.ip, port)
 		settings, err := json.MarshalIndent(map[string]any{
-			"name": g.name, "zone": "mill-a", "listen": g.front, "ready": g.ready, "beats": g.beats, "admin": g.admin,
+			"name": g.name, "zone": cmp.Or(g.zone, "mill-a"), "listen": g.front, "ready": g.ready, "beats": g.beats, "admin": g.admin,
 			"store": cmp.Or(g.store, l.store.address), "seeds": seeds, "cores": 0.304, "memory": 134, "descriptors": 4200, "log": "info", "contracts": contracts,
 			"bounds": map[string]any{"revoke": "5000ms", "grace": "8s", "weights": "8000ms", "retries": 0.2, "spare": 54, "window": "10s"},
 		}, "", "  ")
@@ -222,12 +223,16 @@
 
 // startKeeper starts the keeper beside an engine.
 func (l *lab) startKeeper(name, ip, engine, beatsPort string) (*process, error) {
+	return l.startKeeperIn("mill-a", name, ip, engine, beatsPort)
+}
+
+func (l *lab) startKeeperIn(zone, name, ip, engine, beatsPort string) (*process, error) {
 	admin, err := freeAddress(ip)
 	if err != nil {
 		return nil, err
 	}
 	settings, err := json.MarshalIndent(map[string]any{
-		"name": name, "zone": "mill-a", "engine": engine, "beats": net.JoinHostPort(ip, beatsPort), "admin": admin,
+		"name": name, "zone": zone, "engine": engine, "beats": net.JoinHostPort(ip, beatsPort), "admin": admin,
 		"memory": 216, "log": "info", "contracts": contracts,
 	}, "", "  ")
 	if err != nil {
--- a/review/lab/store.go
+++ b/review/lab/store.go
@@ -39,6 +39,8 @@
 		changed  chan struct{} // closed at the next change
 		away     map[string]bool
 		watches  map[string]int // calls that wait for changes of servers, so far, by door
+		reads    map[string]int // reads of all servers, likewise
+		latency  time.Duration  // of each answer
 	}
 )
 
@@ -50,7 +52,7 @@
 	if err != nil {
 		return nil, err
 	}
-	s := &store{lab: l, address: listener.Addr().String(), revision: 100, items: make(map[string]item), watches: make(map[string]int), changed: make(chan struct{})}
+	s := &store{lab: l, address: listener.Addr().String(), revision: 100, items: make(map[string]item), watches: make(map[string]int), reads: make(map[string]int), changed: make(chan struct{})}
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /beechring/kv-range", s.serveRange)
 	mux.HandleFunc("GET /beechring/kv-watch", s.serveWatch)
@@ -101,6 +103,13 @@
 	return maps.Clone(s.watches)
 }
 
+// readers returns how often each machine has read the list of servers.
+func (s *store) readers() map[string]int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return maps.Clone(s.reads)
+}
+
 // put writes an item. The return is the confirmation.
 func (s *store) put(key string, value any) {
 	data, err := json.Marshal(value)
@@ -140,6 +149,9 @@
 func (s *store) serveRange(w http.ResponseWriter, r *http.Request) {
 	prefix, after := r.URL.Query().Get("pathPrefix"), r.URL.Query().Get("after")
 	s.mu.Lock()
+	if machine, _ := r.Context().Value(doorKey{}).(string); prefix == "servers/" {
+		s.reads[machine]++
+	}
 	list := []item{}
 	for key, i := range s.items {
 		if strings.HasPrefix(key, prefix) && key > after {
@@ -148,6 +160,7 @@
 	}
 	revision := s.revision
 	s.mu.Unlock()
+	time.Sleep(s.latency)
 	sort.Slice(list, func(i, j int) bool { return list[i].Key < list[j].Key })
 	respond(w, map[string]any{"items": list, "hasMore": false, "currentRev": revision})
 }
@@ -177,6 +190,7 @@
 		revision, changed := s.revision, s.changed
 		s.mu.Unlock()
 		if len(events) > 0 || wait == 0 {
+			time.Sleep(s.latency)
 			respond(w, map[string]any{"events": events, "currentRev": revision})
 			return
 		}
