--- a/review/lab/case_version.go
+++ b/review/lab/case_version.go
@@ -32,12 +32,12 @@
 		if left < 100*time.Millisecond {
 			return
 		}
-		h := header("Beechring-Model", "m0", "Beechring-Token-Usage", "300,58", "Beechring-Prompt-Prefix", part+":300")
+		h := header("Beechring-Model", "m0", "Beechring-Token-Usage", "300,40", "Beechring-Prompt-Prefix", part+":300")
 		if s.events > 0 {
 			h.Set("Last-Event-Id", strconv.Itoa(s.events))
 			h.Set("Resumes", s.first)
 		}
-		r := send(request{gate: g.front, method: http.MethodPost, host: "notes.example", path: "/note/draft", key: "key-members", body: "note", timeLeft: left, patience: patience, header: h})
+		r := send(request{gate: g.front, method: http.MethodPost, host: "picks.example", path: "/pick/ask", key: "key-members", body: "pick", timeLeft: left, patience: patience, header: h})
 		s.statuses, s.gates = append(s.statuses, r.status), append(s.gates, g.name)
 		if got := strings.Count(r.body, "\n\n"); got > 0 {
 			if s.events == 0 {
@@ -52,15 +52,26 @@
 	}
 }
 
+// consumerWay returns the gates that the n-th request reaches, and its retry. Consumers are in all zones alike. New
+// channels of a zone go to its gate, and to all others in turn while it is out of rotation; retries reach other gates.
+func consumerWay(n int, suspended *gate, rest []*gate) []*gate {
+	zone, turn := n%4, n/4%3
+	if zone == 3 {
+		return []*gate{rest[turn], suspended}
+	}
+	others := []*gate{suspended, rest[(zone+1)%3], rest[(zone+2)%3]}
+	return []*gate{rest[zone], others[turn]}
+}
+
 // playVersion suspends the gate that reads the list of servers for all. Meanwhile an engine joins, and one of another
 // software version does, which begins streams and leaves again. Consumers take these streams up at all gates.
 func playVersion(l *lab) (string, error) {
 	const (
 		loom      = 18
-		budget    = 15 * time.Second
-		patience  = 2 * time.Second // the longest of this, four times the objective, and eight times the pause
-		events    = 50
-		pause     = 12 * time.Millisecond // between requests: the sheet has 84 a second
+		budget    = 5 * time.Second
+		patience  = 2400 * time.Millisecond // four times the objective of 600 ms
+		events    = 40
+		pause     = 22 * time.Millisecond // between requests: the sheet has 45.9 a second
 		suspended = 4800 * time.Millisecond
 		first     = time.Second             // after the gate was suspended
 		joins     = 3100 * time.Millisecond // likewise
@@ -69,7 +80,7 @@
 	)
 	zones := []string{"mill-a", "mill-b", "dye-house", "barn-loft"}
 	l.store.latency = 4 * time.Millisecond
-	l.store.put("op/config", configuration(7, []route{{name: "r-note", host: "notes.example", prefix: "/note/", kind: "streaming", service: "loom", timeoutMs: 15000, sloMs: 400, attempts: 2, priority: 1, sticky: true, resumable: true, gapMs: 200}}, tenant{name: "members", keys: []string{"key-members"}}))
+	l.store.put("op/config", configuration(7, []route{{name: "r-pick", host: "picks.example", prefix: "/pick/", kind: "streaming", service: "loom", timeoutMs: 5000, sloMs: 600, attempts: 2, priority: 1, sticky: true, resumable: true, gapMs: 200}}, tenant{name: "members", keys: []string{"key-members"}}))
 	l.store.put("op/version/m0", map[string]any{"model": "m0", "version": 1})
 	var gates []*gate
 	for n := range 4 {
@@ -95,15 +106,15 @@
 		}
 		engines = append(engines, e)
 	}
-	list := func(n int, version string) {
+	list := func(n int, zone, version string) {
 		document := engines[n].entry("loom")
-		document["zone"], document["version"] = zones[n%len(zones)], version
+		document["zone"], document["version"] = zone, version
 		l.store.put("servers/"+engines[n].id, document)
 	}
 	for n, e := range engines[:loom+1] {
 		go func() { _ = e.serve() }()
 		if n < loom {
-			list(n, "v1")
+			list(n, zones[n%len(zones)], "v1")
 		}
 	}
 	other := engines[loom+1]
@@ -113,12 +124,16 @@
 		return "", err
 	}
 	_, port, _ := net.SplitHostPort(gates[0].beats)
-	for n, e := range engines {
-		if _, err := l.startKeeperIn(zones[n%len(zones)], "keeper-"+e.id, fmt.Sprintf("127.0.2.%d", n+1), e.address, port); err != nil {
+	keep := func(n int, zone string) error {
+		_, err := l.startKeeperIn(zone, "keeper-"+engines[n].id, fmt.Sprintf("127.0.2.%d", n+1), engines[n].address, port)
+		return err
+	}
+	for n := range engines[:loom+1] {
+		if err := keep(n, zones[n%len(zones)]); err != nil {
 			return "", err
 		}
 	}
-	time.Sleep(20 * time.Second)
+	time.Sleep(14 * time.Second)
 	// The gate that reads the list most often reads it for all.
 	before := l.store.readers()
 	time.Sleep(9 * time.Second)
@@ -136,6 +151,9 @@
 		}
 	}
 	l.note("reads of the list of servers by gate: %v, 9 s later %v; %s reads for all", before, after, reader.name)
+	if err := keep(loom+1, rest[0].zone); err != nil {
+		return "", err
+	}
 	var mu sync.Mutex
 	var streams []*versionedStream
 	var group sync.WaitGroup
@@ -151,9 +169,8 @@
 			mu.Lock()
 			streams = append(streams, s)
 			mu.Unlock()
-			first := rest[n%3]
-			others := []*gate{reader, rest[(n+1)%3], rest[(n+2)%3]} // a retry reaches another gate
-			group.Go(func() { s.play([]*gate{first, others[n/3%3]}, fmt.Sprintf("%x", 4096+n), budget, patience) })
+			way := consumerWay(n, reader, rest)
+			group.Go(func() { s.play(way, fmt.Sprintf("%x", 4096+n), budget, patience) })
 		}
 	})
 	time.Sleep(2 * time.Second)
@@ -168,10 +185,10 @@
 		l.note("%s is suspended", reader.name)
 	}
 	at(first)
-	list(loom, "v1")
+	list(loom, zones[loom%len(zones)], "v1")
 	l.note("engine %s of software version v1 joins", engines[loom].id)
 	at(joins)
-	list(loom+1, "v2")
+	list(loom+1, rest[0].zone, "v2")
 	l.note("engine %s of software version v2 joins", other.id)
 	at(joins + listed)
 	l.store.remove("servers/" + other.id)
