--- a/review/lab/case_version.go
+++ b/review/lab/case_version.go
@@ -72,6 +72,7 @@
 		patience  = 2400 * time.Millisecond // four times the objective of 600 ms
 		events    = 40
 		pause     = 22 * time.Millisecond // between requests: the sheet has 45.9 a second
+		sinceRead = 300 * time.Millisecond
 		suspended = 4800 * time.Millisecond
 		first     = time.Second             // after the gate was suspended
 		joins     = 3100 * time.Millisecond // likewise
@@ -177,7 +178,7 @@
 	for read := l.store.readers()[reader.name]; l.store.readers()[reader.name] == read; {
 		time.Sleep(20 * time.Millisecond)
 	}
-	time.Sleep(300 * time.Millisecond)
+	time.Sleep(sinceRead)
 	start := time.Now()
 	at := func(d time.Duration) { time.Sleep(time.Until(start.Add(d))) }
 	if l.trouble {
