--- a/review/lab/case_version.go
+++ b/review/lab/case_version.go
@@ -18,6 +18,7 @@
 // versionedStream is a stream of which the consumer keeps the engines that its events came from.
 type versionedStream struct {
 	first    string   // attempt that brought the first event
+	attempts []string // by ID
 	events   int      // the consumer has
 	engines  []string // that sent events
 	gates    []string
@@ -38,7 +39,7 @@
 			h.Set("Resumes", s.first)
 		}
 		r := send(request{gate: g.front, method: http.MethodPost, host: "picks.example", path: "/pick/ask", key: "key-members", body: "pick", timeLeft: left, patience: patience, header: h})
-		s.statuses, s.gates = append(s.statuses, r.status), append(s.gates, g.name)
+		s.attempts, s.statuses, s.gates = append(s.attempts, r.id), append(s.statuses, r.status), append(s.gates, g.name)
 		if got := strings.Count(r.body, "\n\n"); got > 0 {
 			if s.events == 0 {
 				s.first = r.id
@@ -96,12 +97,13 @@
 		gates = append(gates, g)
 	}
 	var engines []*engine
+	var ran lines
 	for n := range loom + 2 {
 		address, err := freeAddress(fmt.Sprintf("127.0.2.%d", n+1))
 		if err != nil {
 			return "", err
 		}
-		e, err := startEngine(engineSettings{address: address, id: fmt.Sprintf("i-loom%d", n+1), model: "m0", version: 1, events: events, interval: 100 * time.Millisecond})
+		e, err := startEngine(engineSettings{address: address, id: fmt.Sprintf("i-loom%d", n+1), model: "m0", version: 1, events: events, interval: 100 * time.Millisecond, log: &ran})
 		if err != nil {
 			return "", err
 		}
@@ -206,14 +208,18 @@
 	close(stop)
 	group.Wait()
 	mixed, begun, whole := 0, 0, 0
+	attempts := make(map[string]bool) // of streams that began at v2
 	for _, s := range streams {
 		v2, v1 := false, false
 		for _, e := range s.engines {
 			v2, v1 = v2 || e == other.id, v1 || e != other.id
 		}
+		l.note("stream %v: sent to %v, answered %v, %d of %d events, of engines %v", s.attempts, s.gates, s.statuses, s.events, events, s.engines)
 		if v2 {
 			begun++
-			l.note("stream %s: gates %v, statuses %v, %d events, engines %v", s.first, s.gates, s.statuses, s.events, s.engines)
+			for _, id := range s.attempts {
+				attempts[id] = true
+			}
 		}
 		if v2 && v1 {
 			mixed++
@@ -222,6 +228,11 @@
 			whole++
 		}
 	}
+	for _, line := range ran.all() {
+		if fields := strings.Fields(line); len(fields) > 2 && attempts[fields[2]] {
+			l.note("%s", line)
+		}
+	}
 	for _, g := range gates {
 		for i, line := range l.logLines(g.name, "stream resumed") {
 			if i < 2 {
