A mirror's history goes on by changes only

Cause: the history of the list of servers counted as complete over two confirmed copies if no more than 6 s lay between them. Both showed the same engines, as v2 came and went in between, and the next watch and CatchUp began behind it. The log line had 'only version', history 35 s, gap false.

Change: only what a watch returns, what peers forward and a peer's word that nothing changed between two revisions extend the history; copies move the copy alone, and a watch begins at the history. Gates that live on copies are told by a new datagram (Quiet) with each third inquiry; a gap of 8 s is read before the store drops it.

--- a/internal/link/beechdatagram/datagram.go
+++ b/internal/link/beechdatagram/datagram.go
@@ -32,7 +32,8 @@
 type (
 	// Message is a Follow, a Tell, an Announce, an Inquiry, a Proof, an
 	// Entries, a Gossip, a Summary, a Recall, a Borrow, a Loan, a Spent, a Limits, a Full, an
-	// Origins, a Query, a Found, a Prove, a Sole, a Poison, a Pressure, a Health, a Returns, an Acquire or a Fence.
+	// Origins, a Query, a Found, a Prove, a Sole, a Quiet, a Poison, a Pressure, a Health, a Returns, an Acquire or
+	// a Fence.
 	Message interface{ message() }
 
 	// Follow is sent by a gate to a keeper: it asks for the engine's state, and names
@@ -95,6 +96,9 @@
 	// Sole answers a Prove.
 	Sole struct{ *beechwire.Sole }
 
+	// Quiet is sent by a gate to another after some Proofs: between which revisions no server changed.
+	Quiet struct{ *beechwire.Quiet }
+
 	// Poison is exchanged by gates, and by gates and keepers: what servers crashed on.
 	Poison struct{ *beechwire.Poison }
 
@@ -152,6 +156,7 @@
 	kindFound        = 'D'
 	kindProve        = 'V'
 	kindSole         = 'Z'
+	kindQuiet        = 'Y'
 	kindPoison       = 'P'
 	kindPressure     = 'R'
 	kindHealth       = 'J'
@@ -182,6 +187,7 @@
 func (Found) message()    {}
 func (Prove) message()    {}
 func (Sole) message()     {}
+func (Quiet) message()    {}
 func (Poison) message()   {}
 func (Pressure) message() {}
 func (Health) message()   {}
@@ -239,6 +245,8 @@
 		return v.MarshalMsg([]byte{kindProve})
 	case Sole:
 		return v.MarshalMsg([]byte{kindSole})
+	case Quiet:
+		return v.MarshalMsg([]byte{kindQuiet})
 	case Poison:
 		return v.MarshalMsg([]byte{kindPoison})
 	case Pressure:
@@ -331,6 +339,9 @@
 	case kindSole:
 		m := &beechwire.Sole{}
 		return Sole{m}, m
+	case kindQuiet:
+		m := &beechwire.Quiet{}
+		return Quiet{m}, m
 	case kindPoison:
 		m := &beechwire.Poison{}
 		return Poison{m}, m
@@ -419,6 +430,8 @@
 		return "prove"
 	case kindSole:
 		return "sole"
+	case kindQuiet:
+		return "quiet"
 	case kindPoison:
 		return "poison"
 	case kindPressure:
--- a/internal/link/beechwire/wire_gen.go
+++ b/internal/link/beechwire/wire_gen.go
@@ -2,7 +2,7 @@
 
 //msgp:ignore WireSchemaJson
 //msgp:limit arrays:65536
-//msgp:tuple Follow Announce Tell Target Weights Inquiry Entry Entries Node Gossip Status Engine Heard Speed Busy Summary Recall Held Proof Borrow Loan Origins Query Found Prove Sole Use Spent Seen Limit Limits Full FullServer CrashSuspect ServerCrash TraitEvent Poison RankLoad Strain Demand Pressure Health Return Returns Acquire Fence
+//msgp:tuple Follow Announce Tell Target Weights Inquiry Entry Entries Node Gossip Status Engine Heard Speed Busy Summary Recall Held Proof Quiet Borrow Loan Origins Query Found Prove Sole Use Spent Seen Limit Limits Full FullServer CrashSuspect ServerCrash TraitEvent Poison RankLoad Strain Demand Pressure Health Return Returns Acquire Fence
 
 package beechwire
 
@@ -901,6 +901,19 @@
 	Service string `msg:"Service"`
 }
 
+// Quiet follows a Proof: what the sender knows of the changes of the list of
+// servers.
+type Quiet struct {
+	// No server was listed, changed or removed after this revision, up to Until.
+	After uint64 `msg:"After"`
+
+	// Era of the store in which the revisions were given out.
+	Era uint64 `msg:"Era"`
+
+	// 0: the sender has not observed all changes.
+	Until uint64 `msg:"Until"`
+}
+
 // RankLoad is what an engine has of one urgency.
 type RankLoad struct {
 	// Tokens that the waiting requests have to prefill.
--- a/internal/link/beechwire/wire_msgp_gen.go
+++ b/internal/link/beechwire/wire_msgp_gen.go
@@ -5104,6 +5104,54 @@
 	return
 }
 
+// MarshalMsg implements msgp.Marshaler
+func (z Quiet) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// array header, size 3
+	o = append(o, 0x93)
+	o = msgp.AppendUint64(o, z.After)
+	o = msgp.AppendUint64(o, z.Era)
+	o = msgp.AppendUint64(o, z.Until)
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *Quiet) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadArrayHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 != 3 {
+		err = msgp.ArrayError{Wanted: 3, Got: zb0001}
+		return
+	}
+	z.After, bts, err = msgp.ReadUint64Bytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "After")
+		return
+	}
+	z.Era, bts, err = msgp.ReadUint64Bytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Era")
+		return
+	}
+	z.Until, bts, err = msgp.ReadUint64Bytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Until")
+		return
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z Quiet) Msgsize() (s int) {
+	s = 1 + msgp.Uint64Size + msgp.Uint64Size + msgp.Uint64Size
+	return
+}
+
 // MarshalMsg implements msgp.Marshaler
 func (z *RankLoad) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
--- a/internal/process/beechgate/copies.go
+++ b/internal/process/beechgate/copies.go
@@ -33,6 +33,9 @@
 	// one. A lost inquiry makes the mirrors older by one interval, which leaves them younger
 	// than the age at which this gate reads itself.
 	inquiryInterval = 300 * time.Millisecond
+	// quietInterval is the number of inquiries of a gate for each of which it is told once between which revisions no
+	// server changed.
+	quietInterval = 3
 	// startInterval is that of a gate that has no configuration yet.
 	startInterval = 40 * time.Millisecond
 	// startWait is the time from the start of all gates at once until the first reads the
@@ -194,6 +197,24 @@
 
 func (g *Gate) receiveInquiry(from netip.AddrPort, number uint64) {
 	g.sendProof([]netip.AddrPort{from}, number)
+	if number%quietInterval == 0 {
+		g.sendQuiet(from)
+	}
+}
+
+// sendQuiet tells another gate between which revisions no server changed, so that its history goes on without a read.
+func (g *Gate) sendQuiet(to netip.AddrPort) {
+	q := g.serverMirror.Quiet()
+	era, after := beechera.Split(q.After)
+	_, until := beechera.Split(q.Until)
+	g.sendTo(to, beechdatagram.Quiet{Quiet: &beechwire.Quiet{Era: era, After: after, Until: until}})
+}
+
+func (g *Gate) receiveQuiet(from netip.AddrPort, q beechdatagram.Quiet) {
+	if !g.isKnownGate(from) || q.Until == 0 {
+		return
+	}
+	g.serverMirror.ApplyPeerQuiet(beechmirror.Quiet{After: beechera.Order(q.Era, q.After), Until: beechera.Order(q.Era, q.Until)})
 }
 
 func (g *Gate) receiveProof(from netip.AddrPort, p beechdatagram.Proof) {
--- a/internal/process/beechgate/gate.go
+++ b/internal/process/beechgate/gate.go
@@ -159,6 +159,7 @@
 	readTimeout          = time.Second
 	operatorWatchTimeout = 10 * time.Second // longest wait of one watch call
 	serverWatchTimeout   = 25 * time.Second
+	maxHistoryGap        = 8 * time.Second         // the store keeps some 20 s of its history, and at times less
 	removalDelay         = 2200 * time.Millisecond // entries that expired while the store was down return within two seconds
 	followInterval       = 700 * time.Millisecond
 	kvStoreProbeInterval = 1500 * time.Millisecond // each probe is a connection that is paid for
@@ -258,7 +259,7 @@
 	g.core.SetReturns(g.returns)
 	g.core.SetBackups(s.Backups)
 	g.serverMirror = beechmirror.New(beechmirror.Settings{
-		Prefix: deps.ServerPrefix, MaxAge: serverReadAges.Others, StartAge: serverReadAges.First - startWait, ReadTimeout: readTimeout, WatchTimeout: serverWatchTimeout, WatchPause: serverWatchPause, RemovalDelay: removalDelay, MaxGap: maxListAge, Observe: g.observeChanges, OnStoreLost: g.tellAllOrigins, OnRestored: g.readOperators, Forward: g.forwardChanges,
+		Prefix: deps.ServerPrefix, MaxAge: serverReadAges.Others, StartAge: serverReadAges.First - startWait, ReadTimeout: readTimeout, WatchTimeout: serverWatchTimeout, WatchPause: serverWatchPause, RemovalDelay: removalDelay, MaxGap: maxHistoryGap, Observe: g.observeChanges, OnStoreLost: g.tellAllOrigins, OnRestored: g.readOperators, Forward: g.forwardChanges,
 	}, deps.Source, g.serverFreshness, deps.Clock, deps.Log, g.setServers)
 	g.prover = &versionProver{versions: g.origins.versions, servers: g.serverMirror, clock: deps.Clock, log: deps.Log, outcomes: g.metrics.catchUps}
 	g.operatorMirror = beechmirror.New(beechmirror.Settings{
--- a/internal/process/beechgate/keeper.go
+++ b/internal/process/beechgate/keeper.go
@@ -147,6 +147,8 @@
 		g.receiveProve(from, v)
 	case beechdatagram.Sole:
 		g.receiveSole(from, v)
+	case beechdatagram.Quiet:
+		g.receiveQuiet(from, v)
 	case beechdatagram.Poison:
 		g.receivePoison(from, v)
 	case beechdatagram.Pressure:
--- a/internal/process/beechgate/soleversion.go
+++ b/internal/process/beechgate/soleversion.go
@@ -118,12 +118,6 @@
 	if p.catchUp(ctx) != nil {
 		return "", false
 	}
-	return p.seen(service)
-}
-
-// seen returns the version of a service's software if this gate has seen all changes for as long as streams can be
-// resumed, and no other version.
-func (p *versionProver) seen(service string) (string, bool) {
 	if age, _ := p.servers.HistoryAge(); age < p.versions.Lifetime() {
 		return "", false
 	}
@@ -152,13 +146,17 @@
 	if g.freshness.Age() > denyMaxAge || g.serverFreshness.Age() > maxListAge {
 		return "", false
 	}
-	if _, gap := g.serverMirror.HistoryAge(); gap && g.origins.closing.CompareAndSwap(false, true) {
+	age, gap := g.serverMirror.HistoryAge()
+	if gap && g.origins.closing.CompareAndSwap(false, true) {
 		go func() {
 			defer g.origins.closing.Store(false)
 			_ = g.prover.catchUp(context.Background()) // it is logged
 		}()
 	}
-	return g.prover.seen(service)
+	if gap || age < g.origins.versions.Lifetime() {
+		return "", false
+	}
+	return g.origins.versions.Only(service)
 }
 
 // receiveProve answers a gate that cannot prove by itself that a service has had one version only.
--- a/internal/state/beechmirror/mirror.go
+++ b/internal/state/beechmirror/mirror.go
@@ -30,9 +30,10 @@
 // # History
 //
 // A copy shows what there is, not what there was: an item may have been written and removed since the copy before. A
-// mirror therefore also knows from which time on it has seen every change (HistoryAge). After a cut, a suspension or
-// a copy that skipped changes, CatchUp reads the changes that are missing, with one call that also proves that there
-// are no others as of now.
+// mirror therefore also knows from which time on, and up to which revision, it has observed every change (HistoryAge). Only
+// changes extend this history, however close two copies are. After a cut, a suspension or a copy that skipped changes,
+// CatchUp reads the changes that are missing, with one call that also proves that there are no others as of now.
+// Processes that live on the copies of peers extend it by revisions between which a peer has observed no change (Quiet).
 //
 // # Outages of the store
 //
@@ -108,7 +109,7 @@
 		WatchPause   time.Duration // between watches, so that successive changes arrive together
 		StartAge     time.Duration // age that an empty copy counts as having at the start, so that a peer's copy may come before the first full read; 0: the read is due at once
 		RemovalDelay time.Duration // how long missing items are kept after the store has recovered; 0: not at all
-		MaxGap       time.Duration // between confirmations, up to which no change is assumed to have been missed that another one has undone
+		MaxGap       time.Duration // how long the copy may be ahead of the history until the changes in between are read; 0: until CatchUp is called
 		Observe      func([]Item)  // called with all changes, also with those that later ones have undone, after they are applied; may be nil
 		Forward      func(Changes) // called with the changes from a watch, to send them to peers; may be nil
 		OnStoreLost  func()        // called when a full read fails and the previous one did not; may be nil
@@ -217,6 +218,7 @@
 		case <-ctx.Done():
 			return
 		}
+		m.closeGap(ctx)
 		if m.timeUntilRead() <= 0 {
 			return
 		}
@@ -363,7 +365,7 @@
 	retry := newBackoff()
 	for ctx.Err() == nil {
 		m.mu.Lock()
-		loaded, after := m.loaded, m.revision
+		loaded, after := m.loaded, m.watchFrom()
 		m.mu.Unlock()
 		pause := m.settings.WatchPause
 		if !loaded {
@@ -401,6 +403,7 @@
 		return
 	}
 	if errors.Is(err, ErrCompacted) {
+		m.restartHistory()
 		_, plain := beechera.Split(after)
 		m.log.Info("history dropped, reading all", zap.Uint64("after", plain))
 	} else {
@@ -443,6 +446,7 @@
 		return errOtherEra
 	}
 	keepMissing := m.applyWatch(page)
+	m.observed(Changes{After: after, Page: page})
 	if len(page.Items) > 0 && m.settings.Forward != nil && !keepMissing {
 		m.settings.Forward(Changes{After: after, Page: page})
 	}
@@ -496,7 +500,6 @@
 	}
 	m.items, m.revision, m.fullReadRevision, m.loaded = next, max(m.revision, p.Revision), p.Revision, true
 	if changed {
-		m.history.gap = m.history.begun
 		m.notifyChanged()
 	}
 	return changed
--- a/internal/state/beechmirror/peers.go
+++ b/internal/state/beechmirror/peers.go
@@ -114,7 +114,6 @@
 			changed = true
 		}
 	}
-	m.history.gap = m.history.gap || (m.history.begun && changed)
 	if m.loaded && !beechera.Same(p.Revision, m.revision) {
 		m.recoveredAt = m.clock.Now() // what the restored store lacks is written again
 	}
@@ -168,11 +167,16 @@
 func (m *Mirror) ApplyPeerChanges(c Changes) bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	if !m.loaded || c.After > m.revision || c.Revision <= m.revision {
+	if !m.loaded || c.After > m.revision {
 		return false
 	}
-	m.applyChanges(c.Page, false)
-	return true
+	isNew := c.Revision > m.revision
+	if !isNew && (c.After > m.history.complete || c.Revision <= m.history.complete) {
+		return false
+	}
+	m.applyChanges(c.Page, false) // also those that a copy has undone, for the history
+	m.extendHistory(c)
+	return isNew
 }
 
 // watchedByPeer reports whether a peer that watches the store has the same copy, so that
