Each beginning of a stream is told to another gate

Cause: a gate that knew of one version told nobody what it began, and told it once a second version appeared. One that is suspended, cut off or killed by then never tells, and the others can conclude nothing from a list with two versions ('not known' after 93 us).

Change: a beginning is told before its first event leaves: to one of the three gates that keep it while one version is known, and to all three with a second one. The one is among those that every gate asks, in another zone if there is one. Price: a datagram of 30 bytes a stream.

--- a/internal/decision/beechorigin/doc.go
+++ b/internal/decision/beechorigin/doc.go
@@ -7,11 +7,14 @@
 // by rendezvous hashing of the request's ID, that are told of each beginning. Otherwise it asks
 // them and the gates of its zone.
 //
-// While a service has had one version only for longer than any stream can be resumed, beginnings
-// need not be told: the origin follows. The servers that are listed now prove nothing alone, as
-// those of another version may have left, and neither does a list that was read before the caller
-// asked, as another version may have joined and begun the stream since. So the gate that is asked
-// reads the list again first.
+// Each beginning is told before its first event leaves: what no other gate knows is lost with the gate that served it, which
+// may be suspended, cut off or killed before it learns of a second version. While it knows of one version only it tells one
+// gate (Survivor); when another version appears, all gates that keep the origin.
+//
+// If nobody knows the beginning, the origin still follows if the service has had one version only for longer than any stream
+// can be resumed. The servers that are listed now prove nothing alone, as those of another version may have left, and
+// neither does a list that was read before the caller asked, as another version may have joined and begun the stream
+// since. So the gate that is asked reads the list again first.
 //
 // # Usage
 //
--- a/internal/decision/beechorigin/origin_test.go
+++ b/internal/decision/beechorigin/origin_test.go
@@ -198,3 +198,33 @@
 		})
 	}
 }
+
+// Guards against telling a beginning to a gate that is not asked when another gate takes the stream up.
+func TestSurvivorIsAskedByAllGates(t *testing.T) {
+	is := is.New(t)
+	for _, size := range []int{2, 3, 4, 40} {
+		var gates []Gate
+		for n := range size {
+			gates = append(gates, Gate{Address: netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, byte(n)}), 7340), Zone: fmt.Sprint(n % 4)})
+		}
+		without := func(n int) []Gate { return slices.Delete(slices.Clone(gates), n, n+1) }
+		elsewhere, told := 0, 0
+		for n := range 300 {
+			id := fmt.Sprint("stream-", n)
+			began := n % size
+			survivor := Survivor(id, gates[began].Zone, without(began))
+			is.Equal(len(survivor), 1)
+			told++
+			if survivor[0].Zone != gates[began].Zone {
+				elsewhere++
+			}
+			for asks := range size {
+				if asks != began && gates[asks] != survivor[0] {
+					is.True(slices.Contains(Asked(id, "elsewhere", without(asks)), survivor[0]))
+				}
+			}
+		}
+		is.True(elsewhere*10 >= told*9)
+	}
+	is.Equal(len(Survivor("alone", "z", nil)), 0)
+}
--- a/internal/decision/beechorigin/replicas.go
+++ b/internal/decision/beechorigin/replicas.go
@@ -42,6 +42,17 @@
 	return kept
 }
 
+// Survivor returns the one of the gates that keep an origin that is told of a beginning while a service has one version only.
+// It is in another zone than the gate that tells, if one of the first two is: those are asked whatever gate asks.
+func Survivor(id, zone string, gates []Gate) []Gate {
+	first := Replicas(id, gates)
+	first = first[:min(len(first), 2)]
+	if i := slices.IndexFunc(first, func(g Gate) bool { return g.Zone != zone }); i > 0 {
+		return first[i : i+1]
+	}
+	return first[:min(len(first), 1)]
+}
+
 // Asked returns the gates to ask for the origin of a stream: those that keep it, and others of the
 // given zone.
 func Asked(id, zone string, gates []Gate) []Gate {
--- a/internal/process/beechgate/origins.go
+++ b/internal/process/beechgate/origins.go
@@ -26,7 +26,6 @@
 		registry *beechorigin.Registry
 		versions *beechorigin.Versions
 
-		closing atomic.Bool  // a gap in the history of the list of servers is being closed
 		proving atomic.Int32 // other gates' requests for a proof that are being answered
 
 		mu      sync.Mutex
@@ -78,7 +77,7 @@
 	minOriginLifetime = 10 * time.Second
 	maxOriginLifetime = 2 * time.Minute
 	// maxListAge is the age of the list of servers up to which it may show that a server does not
-	// leave, or that others need not be told of beginnings. It is just above serverReadAges.
+	// leave. It is just above serverReadAges.
 	maxListAge         = 6 * time.Second
 	maxOriginsInOne    = 200 // requests in a datagram, at 66 bytes each at most
 	maxQueriesInFlight = 1024
@@ -160,19 +159,22 @@
 		g.origins.registry.Record(call.Resumes, origin, beechorigin.Own)
 		return // its replicas were told at the beginning
 	}
-	if only, ok := g.assumeOnlyVersion(origin.Service); ok && only == origin.Software && hasOneTarget(call.Route) && !g.draining.Load() {
-		return
+	keepers := beechorigin.Replicas
+	if g.noOtherVersion(origin) && hasOneTarget(call.Route) && !g.draining.Load() {
+		keepers = func(id string, gates []beechorigin.Gate) []beechorigin.Gate {
+			return beechorigin.Survivor(id, g.settings.Zone, gates)
+		}
 	}
-	g.tellOrigins(map[beechorigin.Origin][]string{origin: {call.ID}})
+	g.tellOrigins(map[beechorigin.Origin][]string{origin: {call.ID}}, keepers)
 }
 
 // tellOrigins tells origins to the gates that keep them.
-func (g *Gate) tellOrigins(all map[beechorigin.Origin][]string) {
+func (g *Gate) tellOrigins(all map[beechorigin.Origin][]string, keepers func(id string, gates []beechorigin.Gate) []beechorigin.Gate) {
 	gates := g.otherGates()
 	for origin, ids := range all {
 		byReplica := make(map[netip.AddrPort][]string)
 		for _, id := range ids {
-			for _, replica := range beechorigin.Replicas(id, gates) {
+			for _, replica := range keepers(id, gates) {
 				byReplica[replica.Address] = append(byReplica[replica.Address], id)
 			}
 		}
@@ -184,9 +186,10 @@
 	}
 }
 
-// tellAllOrigins tells the origins of all streams that this gate has served. While one version served others need not
-// know them, but now this gate leaves, or nobody can prove that there is no other version.
-func (g *Gate) tellAllOrigins() { g.tellOrigins(g.origins.registry.Served("")) }
+// tellAllOrigins tells the origins of all streams that this gate has served, of which one gate each knows so far.
+func (g *Gate) tellAllOrigins() {
+	g.tellOrigins(g.origins.registry.Served(""), beechorigin.Replicas)
+}
 
 func (g *Gate) sendTo(gate netip.AddrPort, m beechdatagram.Message) {
 	if err := g.socket.Send(gate, g.scopeToGate(gate), m); err != nil {
@@ -195,7 +198,7 @@
 }
 
 // observeVersions records the versions of the servers that are listed. Streams that began while
-// there was only one are told as soon as there is another.
+// there was only one are told to all gates that keep them as soon as there is another.
 func (g *Gate) observeVersions(servers []beechcall.Server) {
 	listed := make(map[string][]string)
 	for _, s := range servers {
@@ -217,7 +220,7 @@
 
 func (g *Gate) versionAppeared(service string) {
 	g.log.Info("software versions changed", zap.String("service", service), zap.Strings("versions", g.origins.versions.Recent(service)))
-	g.tellOrigins(g.origins.registry.Served(service))
+	g.tellOrigins(g.origins.registry.Served(service), beechorigin.Replicas)
 }
 
 // receiveOrigins handles the origins sent by another gate.
--- a/internal/process/beechgate/soleversion.go
+++ b/internal/process/beechgate/soleversion.go
@@ -140,25 +140,6 @@
 	}
 }
 
-// assumeOnlyVersion returns the version of a service's software if this gate has seen no other for as long as streams can
-// be resumed, by a list that is recent. It decides nothing but whether others are told of beginnings.
-func (g *Gate) assumeOnlyVersion(service string) (string, bool) {
-	if g.freshness.Age() > denyMaxAge || g.serverFreshness.Age() > maxListAge {
-		return "", false
-	}
-	age, gap := g.serverMirror.HistoryAge()
-	if gap && g.origins.closing.CompareAndSwap(false, true) {
-		go func() {
-			defer g.origins.closing.Store(false)
-			_ = g.prover.catchUp(context.Background()) // it is logged
-		}()
-	}
-	if gap || age < g.origins.versions.Lifetime() {
-		return "", false
-	}
-	return g.origins.versions.Only(service)
-}
-
 // receiveProve answers a gate that cannot prove by itself that a service has had one version only.
 func (g *Gate) receiveProve(from netip.AddrPort, m beechdatagram.Prove) {
 	if !g.isGateOrFormer(from) {
