Gates pass on what the store holds, not what they keep

Cause: a mirror that could not read keeps missing servers for 2.2 s after the store is back. These stood among the items that it handed to peers, in its digest and its copy at the new revision, and peers took them back.

Change: what the store holds and what a process keeps are two sets; only the first has digests and revisions. A copy names the second apart, and a gate that the store has answered during the sender's outage keeps nothing. A gate that keeps asks others whether they were answered, and stops if so (Outage, Served). Gates of the release before pass over all of this.

--- a/internal/link/beechdatagram/datagram.go
+++ b/internal/link/beechdatagram/datagram.go
@@ -32,7 +32,7 @@
 type (
 	// Message is a Follow, a Tell, an Announce, an Inquiry, a Proof, an
 	// Entries, a Gossip, a Summary, a Recall, a Borrow, a Loan, a Spent, a Limits, a Full, an
-	// Origins, a Query, a Found, a Prove, a Sole, a Quiet, a Poison, a Pressure, a Health, a Returns, an Acquire or
+	// Origins, a Query, a Found, a Prove, a Sole, a Quiet, an Outage, a Served, a Poison, a Pressure, a Health, a Returns, an Acquire or
 	// a Fence.
 	Message interface{ message() }
 
@@ -99,6 +99,12 @@
 	// Quiet is sent by a gate to another after some Proofs: between which revisions no server changed.
 	Quiet struct{ *beechwire.Quiet }
 
+	// Outage is sent by a gate that had lost the store to another: it asks whether the store has answered that one.
+	Outage struct{ *beechwire.Outage }
+
+	// Served answers an Outage.
+	Served struct{ *beechwire.Served }
+
 	// Poison is exchanged by gates, and by gates and keepers: what servers crashed on.
 	Poison struct{ *beechwire.Poison }
 
@@ -157,6 +163,8 @@
 	kindProve        = 'V'
 	kindSole         = 'Z'
 	kindQuiet        = 'Y'
+	kindOutage       = 'o'
+	kindServed       = 's'
 	kindPoison       = 'P'
 	kindPressure     = 'R'
 	kindHealth       = 'J'
@@ -188,6 +196,8 @@
 func (Prove) message()    {}
 func (Sole) message()     {}
 func (Quiet) message()    {}
+func (Outage) message()   {}
+func (Served) message()   {}
 func (Poison) message()   {}
 func (Pressure) message() {}
 func (Health) message()   {}
@@ -247,6 +257,10 @@
 		return v.MarshalMsg([]byte{kindSole})
 	case Quiet:
 		return v.MarshalMsg([]byte{kindQuiet})
+	case Outage:
+		return v.MarshalMsg([]byte{kindOutage})
+	case Served:
+		return v.MarshalMsg([]byte{kindServed})
 	case Poison:
 		return v.MarshalMsg([]byte{kindPoison})
 	case Pressure:
@@ -342,6 +356,12 @@
 	case kindQuiet:
 		m := &beechwire.Quiet{}
 		return Quiet{m}, m
+	case kindOutage:
+		m := &beechwire.Outage{}
+		return Outage{m}, m
+	case kindServed:
+		m := &beechwire.Served{}
+		return Served{m}, m
 	case kindPoison:
 		m := &beechwire.Poison{}
 		return Poison{m}, m
@@ -432,6 +452,10 @@
 		return "sole"
 	case kindQuiet:
 		return "quiet"
+	case kindOutage:
+		return "outage"
+	case kindServed:
+		return "served"
 	case kindPoison:
 		return "poison"
 	case kindPressure:
--- a/internal/link/beechwire/wire_gen.go
+++ b/internal/link/beechwire/wire_gen.go
@@ -2,7 +2,7 @@
 
 //msgp:ignore WireSchemaJson
 //msgp:limit arrays:65536
-//msgp:tuple Follow Announce Tell Target Weights Inquiry Entry Entries Node Gossip Status Engine Heard Speed Busy Summary Recall Held Proof Quiet Borrow Loan Origins Query Found Prove Sole Use Spent Seen Limit Limits Full FullServer CrashSuspect ServerCrash TraitEvent Poison RankLoad Strain Demand Pressure Health Return Returns Acquire Fence
+//msgp:tuple Follow Announce Tell Target Weights Inquiry Entry Entries Node Gossip Status Engine Heard Speed Busy Summary Recall Held Proof Quiet Outage Served Borrow Loan Origins Query Found Prove Sole Use Spent Seen Limit Limits Full FullServer CrashSuspect ServerCrash TraitEvent Poison RankLoad Strain Demand Pressure Health Return Returns Acquire Fence
 
 package beechwire
 
@@ -684,6 +684,20 @@
 	Number uint64 `msg:"Number"`
 }
 
+// Kept follows the Entries of a whole copy: what the store does not hold any more
+// and the sender keeps, as it could not reach the store.
+type Kept struct {
+	// List corresponds to the JSON schema field "List".
+	List []Entry `msg:"List"`
+
+	// Milliseconds since the sender lost the store, rounded down; 0: it keeps for
+	// another reason.
+	Lost int64 `msg:"Lost"`
+
+	// How much longer the sender keeps what is missing; 0: it keeps nothing.
+	Millis int64 `msg:"Millis"`
+}
+
 // Level is one prefix in the chain of prefixes of a prompt.
 type Level struct {
 	// Chained hash, 16 bytes.
@@ -831,6 +845,19 @@
 	Software string `msg:"Software"`
 }
 
+// Outage asks a gate whether the store has answered it between two moments,
+// between which it has not answered the sender.
+type Outage struct {
+	// Milliseconds since the second.
+	Back int64 `msg:"Back"`
+
+	// Milliseconds since the first moment.
+	Lost int64 `msg:"Lost"`
+
+	// Returned in the answer.
+	Number uint64 `msg:"Number"`
+}
+
 // Poison is what servers crashed on. Gates and keepers tell it one another in
 // datagrams, entry hosts and agents in heartbeats.
 type Poison struct {
@@ -1158,6 +1185,13 @@
 	Samples int `msg:"Samples"`
 }
 
+// Served answers an Outage: the store has answered the sender. It is not sent
+// otherwise.
+type Served struct {
+	// Number corresponds to the JSON schema field "Number".
+	Number uint64 `msg:"Number"`
+}
+
 // ServerCrash is a crash of a server with requests under way.
 type ServerCrash struct {
 	// AgeMillis corresponds to the JSON schema field "AgeMillis".
--- a/internal/link/beechwire/wire_msgp_gen.go
+++ b/internal/link/beechwire/wire_msgp_gen.go
@@ -3927,6 +3927,104 @@
 	return
 }
 
+// MarshalMsg implements msgp.Marshaler
+func (z *Kept) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// map header, size 3
+	// string "List"
+	o = append(o, 0x83, 0xa4, 0x4c, 0x69, 0x73, 0x74)
+	o = msgp.AppendArrayHeader(o, uint32(len(z.List)))
+	for za0001 := range z.List {
+		o, err = z.List[za0001].MarshalMsg(o)
+		if err != nil {
+			err = msgp.WrapError(err, "List", za0001)
+			return
+		}
+	}
+	// string "Lost"
+	o = append(o, 0xa4, 0x4c, 0x6f, 0x73, 0x74)
+	o = msgp.AppendInt64(o, z.Lost)
+	// string "Millis"
+	o = append(o, 0xa6, 0x4d, 0x69, 0x6c, 0x6c, 0x69, 0x73)
+	o = msgp.AppendInt64(o, z.Millis)
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *Kept) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var field []byte
+	_ = field
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadMapHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	for zb0001 > 0 {
+		zb0001--
+		field, bts, err = msgp.ReadMapKeyZC(bts)
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		switch msgp.UnsafeString(field) {
+		case "List":
+			var zb0002 uint32
+			zb0002, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "List")
+				return
+			}
+			if zb0002 > z311325c6limitArrays {
+				err = msgp.ErrLimitExceeded
+				return
+			}
+			if cap(z.List) >= int(zb0002) {
+				z.List = z.List[:zb0002]
+			} else {
+				z.List = make([]Entry, zb0002)
+			}
+			for za0001 := range z.List {
+				bts, err = z.List[za0001].UnmarshalMsg(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "List", za0001)
+					return
+				}
+			}
+		case "Lost":
+			z.Lost, bts, err = msgp.ReadInt64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Lost")
+				return
+			}
+		case "Millis":
+			z.Millis, bts, err = msgp.ReadInt64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Millis")
+				return
+			}
+		default:
+			bts, err = msgp.Skip(bts)
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
+			}
+		}
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z *Kept) Msgsize() (s int) {
+	s = 1 + 5 + msgp.ArrayHeaderSize
+	for za0001 := range z.List {
+		s += z.List[za0001].Msgsize()
+	}
+	s += 5 + msgp.Int64Size + 7 + msgp.Int64Size
+	return
+}
+
 // MarshalMsg implements msgp.Marshaler
 func (z *Level) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
@@ -4661,6 +4759,54 @@
 	return
 }
 
+// MarshalMsg implements msgp.Marshaler
+func (z Outage) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// array header, size 3
+	o = append(o, 0x93)
+	o = msgp.AppendInt64(o, z.Back)
+	o = msgp.AppendInt64(o, z.Lost)
+	o = msgp.AppendUint64(o, z.Number)
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *Outage) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadArrayHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 != 3 {
+		err = msgp.ArrayError{Wanted: 3, Got: zb0001}
+		return
+	}
+	z.Back, bts, err = msgp.ReadInt64Bytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Back")
+		return
+	}
+	z.Lost, bts, err = msgp.ReadInt64Bytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Lost")
+		return
+	}
+	z.Number, bts, err = msgp.ReadUint64Bytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Number")
+		return
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z Outage) Msgsize() (s int) {
+	s = 1 + msgp.Int64Size + msgp.Int64Size + msgp.Uint64Size
+	return
+}
+
 // MarshalMsg implements msgp.Marshaler
 func (z *Poison) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
@@ -6265,6 +6411,42 @@
 	return
 }
 
+// MarshalMsg implements msgp.Marshaler
+func (z Served) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// array header, size 1
+	o = append(o, 0x91)
+	o = msgp.AppendUint64(o, z.Number)
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *Served) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadArrayHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 != 1 {
+		err = msgp.ArrayError{Wanted: 1, Got: zb0001}
+		return
+	}
+	z.Number, bts, err = msgp.ReadUint64Bytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Number")
+		return
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z Served) Msgsize() (s int) {
+	s = 1 + msgp.Uint64Size
+	return
+}
+
 // MarshalMsg implements msgp.Marshaler
 func (z *ServerCrash) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
--- a/internal/process/beechgate/copies.go
+++ b/internal/process/beechgate/copies.go
@@ -18,6 +18,7 @@
 	"sync"
 	"time"
 
+	"github.com/tinylib/msgp/msgp"
 	"go.uber.org/zap"
 
 	"github.com/beechring/beechring/internal/link/beechdatagram"
@@ -142,6 +143,7 @@
 	g.serverMirror.SetMaxAge(serverReadAges.ForRole(role), watches)
 	g.operatorMirror.SetWatchPatience(watchPatience[role])
 	g.serverMirror.SetWatchPatience(watchPatience[role])
+	g.askWhoWasServed()
 	targets := g.readers.Targets()
 	if len(targets) == 0 || g.Draining() {
 		return
@@ -286,8 +288,10 @@
 		if try%2 == 1 && len(neighbors) > 0 {
 			source = neighbors[rand.IntN(len(neighbors))]
 		}
-		page, err := g.copies.fetch(context.Background(), source, prefix)
-		if err == nil && m.ApplyPeerCopy(page) && page.Revision >= wanted {
+		asked := g.clock.Now()
+		copied, err := g.copies.fetch(context.Background(), source, prefix)
+		copied.AskedAt = asked
+		if err == nil && m.ApplyPeerCopy(copied) && copied.Revision >= wanted {
 			return true
 		}
 		if held, known := m.Held(); known && held.Revision >= wanted {
@@ -301,15 +305,15 @@
 
 // fetch returns the items under a prefix as another gate holds them. Errors name the step and
 // the peer.
-func (c *copies) fetch(ctx context.Context, from netip.AddrPort, prefix string) (beechmirror.Page, error) {
+func (c *copies) fetch(ctx context.Context, from netip.AddrPort, prefix string) (beechmirror.Copy, error) {
 	address := url.URL{Scheme: "http", Host: from.String(), Path: copyPath, RawQuery: url.Values{"prefix": {prefix}}.Encode()}
 	request, err := http.NewRequestWithContext(ctx, http.MethodGet, address.String(), nil)
 	if err != nil {
-		return beechmirror.Page{}, fmt.Errorf("fetch %s from %s: %w", prefix, from, err)
+		return beechmirror.Copy{}, fmt.Errorf("fetch %s from %s: %w", prefix, from, err)
 	}
 	response, err := c.client.Do(request)
 	if err != nil {
-		return beechmirror.Page{}, fmt.Errorf("fetch %s from %s: %w", prefix, from, err)
+		return beechmirror.Copy{}, fmt.Errorf("fetch %s from %s: %w", prefix, from, err)
 	}
 	defer response.Body.Close()
 	data, err := io.ReadAll(io.LimitReader(response.Body, maxCopyBytes))
@@ -317,13 +321,20 @@
 		err = fmt.Errorf("%w %d", errCopyStatus, response.StatusCode)
 	}
 	var entries beechwire.Entries
+	var kept beechwire.Kept
 	if err == nil {
-		_, err = entries.UnmarshalMsg(data)
+		data, err = entries.UnmarshalMsg(data)
+	}
+	if err == nil && len(data) > 0 { // gates of the release before send the entries alone
+		_, err = kept.UnmarshalMsg(data)
 	}
 	if err != nil {
-		return beechmirror.Page{}, fmt.Errorf("fetch %s from %s: %w", prefix, from, err)
+		return beechmirror.Copy{}, fmt.Errorf("fetch %s from %s: %w", prefix, from, err)
 	}
-	return entriesPage(&entries), nil
+	return beechmirror.Copy{
+		Page: entriesPage(&entries), Kept: entriesPage(&beechwire.Entries{List: kept.List}).Items,
+		KeptFor: time.Duration(kept.Millis) * time.Millisecond, LostFor: time.Duration(kept.Lost) * time.Millisecond,
+	}, nil
 }
 
 // serveCopy hands out a copy. It has the keys of all workspaces, so only other gates get it.
@@ -349,13 +360,14 @@
 		http.NotFound(w, r)
 		return
 	}
-	data, known, err := g.copies.pack(r.URL.Query().Get("prefix"), m)
+	data, kept, known, err := g.copies.pack(r.URL.Query().Get("prefix"), m)
 	if err != nil || !known {
 		http.Error(w, "no copy", http.StatusServiceUnavailable)
 		return
 	}
 	w.Header().Set("Content-Encoding", "gzip")
 	_, _ = w.Write(data) // the other gate notices a short answer
+	_, _ = w.Write(kept)
 }
 
 func (g *Gate) isGateHost(host netip.Addr) bool {
@@ -384,35 +396,46 @@
 	c.mu.Unlock()
 }
 
-// pack returns a mirror's copy, encoded and compressed once for all gates that fetch it.
-func (c *copies) pack(prefix string, m *beechmirror.Mirror) (data []byte, known bool, err error) {
+// pack returns a mirror's copy, encoded and compressed once for all gates that fetch it, and what follows it.
+func (c *copies) pack(prefix string, m *beechmirror.Mirror) (data, kept []byte, known bool, err error) {
 	held, known := m.Held()
 	if !known {
-		return nil, false, nil
+		return nil, nil, false, nil
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	copied, _ := m.Copy()
+	keeps := beechwire.Kept{Millis: (copied.KeptFor + time.Millisecond - 1).Milliseconds(), Lost: copied.LostFor.Milliseconds(), List: wireEntries(copied.Kept)}
+	if kept, err = compress(&keeps); err != nil {
+		return nil, nil, true, err
+	}
 	if p, ok := c.packed[prefix]; ok && p.held == held {
-		return p.data, true, nil
+		return p.data, kept, true, nil
+	}
+	era, revision := beechera.Split(copied.Revision)
+	if data, err = compress(&beechwire.Entries{Revision: revision, Era: era, List: wireEntries(copied.Items)}); err != nil {
+		return nil, nil, true, err
 	}
-	page, _ := m.Copy()
-	era, revision := beechera.Split(page.Revision)
-	entries := beechwire.Entries{Revision: revision, Era: era, List: wireEntries(page.Items)}
-	encoded, err := entries.MarshalMsg(nil)
+	c.packed[prefix] = packedCopy{held: held, data: data}
+	return data, kept, true, nil
+}
+
+// compress encodes a message as a gzip member of its own; several one after the other decompress to all of them.
+func compress(message msgp.Marshaler) ([]byte, error) {
+	encoded, err := message.MarshalMsg(nil)
 	if err != nil {
-		return nil, true, err
+		return nil, err
 	}
 	var buffer bytes.Buffer
 	zipped, err := gzip.NewWriterLevel(&buffer, gzip.BestSpeed)
 	if err != nil {
-		return nil, true, err
+		return nil, err
 	}
 	_, err = zipped.Write(encoded)
 	if err = errors.Join(err, zipped.Close()); err != nil {
-		return nil, true, err
+		return nil, err
 	}
-	c.packed[prefix] = packedCopy{held: held, data: buffer.Bytes()}
-	return buffer.Bytes(), true, nil
+	return buffer.Bytes(), nil
 }
 
 // copyServer returns the server from which other gates fetch copies.
--- a/internal/process/beechgate/gate.go
+++ b/internal/process/beechgate/gate.go
@@ -114,6 +114,8 @@
 		copies          *copies
 		fences          *fenceRequests
 		origins         *origins
+		outages         outages
+		answers         beechmirror.Answers // of the store
 		prover          *versionProver
 		core            *beechattempt.Dispatcher
 		socket          *beechdatagram.Socket
@@ -259,11 +261,11 @@
 	g.core.SetReturns(g.returns)
 	g.core.SetBackups(s.Backups)
 	g.serverMirror = beechmirror.New(beechmirror.Settings{
-		Prefix: deps.ServerPrefix, MaxAge: serverReadAges.Others, StartAge: serverReadAges.First - startWait, ReadTimeout: readTimeout, WatchTimeout: serverWatchTimeout, WatchPause: serverWatchPause, RemovalDelay: removalDelay, MaxGap: maxHistoryGap, Observe: g.observeChanges, OnStoreLost: g.tellAllOrigins, OnRestored: g.readOperators, Forward: g.forwardChanges,
+		Prefix: deps.ServerPrefix, MaxAge: serverReadAges.Others, StartAge: serverReadAges.First - startWait, ReadTimeout: readTimeout, WatchTimeout: serverWatchTimeout, WatchPause: serverWatchPause, RemovalDelay: removalDelay, MaxGap: maxHistoryGap, Answers: &g.answers, Observe: g.observeChanges, OnStoreLost: g.tellAllOrigins, OnRestored: g.readOperators, Forward: g.forwardChanges,
 	}, deps.Source, g.serverFreshness, deps.Clock, deps.Log, g.setServers)
 	g.prover = &versionProver{versions: g.origins.versions, servers: g.serverMirror, clock: deps.Clock, log: deps.Log, outcomes: g.metrics.catchUps}
 	g.operatorMirror = beechmirror.New(beechmirror.Settings{
-		Prefix: deps.OperatorPrefix, MaxAge: operatorReadAges.Others, StartAge: operatorReadAges.First - startWait, ReadTimeout: readTimeout, WatchTimeout: operatorWatchTimeout, WatchPause: operatorWatchPause, OnStoreLost: g.serverMirror.ReadNow, OnRestored: g.serverMirror.ReadNow, Forward: g.forwardChanges,
+		Prefix: deps.OperatorPrefix, MaxAge: operatorReadAges.Others, StartAge: operatorReadAges.First - startWait, ReadTimeout: readTimeout, WatchTimeout: operatorWatchTimeout, WatchPause: operatorWatchPause, Answers: &g.answers, OnStoreLost: g.serverMirror.ReadNow, OnRestored: g.serverMirror.ReadNow, Forward: g.forwardChanges,
 	}, deps.Source, g.freshness, deps.Clock, deps.Log, g.setOperators)
 	g.supervisor = suture.New("gate", suture.Spec{EventHook: beechlog.SupervisorHook(deps.Log)})
 	for _, task := range []beechtask.Task{
--- a/internal/process/beechgate/keeper.go
+++ b/internal/process/beechgate/keeper.go
@@ -149,6 +149,10 @@
 		g.receiveSole(from, v)
 	case beechdatagram.Quiet:
 		g.receiveQuiet(from, v)
+	case beechdatagram.Outage:
+		g.receiveOutage(from, v)
+	case beechdatagram.Served:
+		g.receiveServed(from, v)
 	case beechdatagram.Poison:
 		g.receivePoison(from, v)
 	case beechdatagram.Pressure:
--- a/internal/state/beechmirror/era_test.go
+++ b/internal/state/beechmirror/era_test.go
@@ -107,7 +107,7 @@
 			peer := newMirror(s, clock, func([]Item) {})
 			is.True(peer.readOnce(context.Background()))
 			copied, _ := peer.Copy()
-			copied.Items = append(copied.Items, got[1]) // which the peer keeps
+			copied.Kept, copied.KeptFor = got[1:], m.settings.RemovalDelay
 			is.True(m.ApplyPeerCopy(copied))
 		}
 		is.True(m.readOnce(context.Background()))
--- a/internal/state/beechmirror/history_test.go
+++ b/internal/state/beechmirror/history_test.go
@@ -76,11 +76,11 @@
 		"full read": func(m *Mirror, _ *changingStore, _ time.Duration) { m.readOnce(context.Background()) },
 		"peer's copy": func(m *Mirror, store *changingStore, _ time.Duration) {
 			page, _ := store.Range(context.Background(), "")
-			m.ApplyPeerCopy(page.ordered())
+			m.ApplyPeerCopy(Copy{Page: page.ordered()})
 		},
 		"peer's copy and its confirmation": func(m *Mirror, store *changingStore, asked time.Duration) {
 			page, _ := store.Range(context.Background(), "")
-			m.ApplyPeerCopy(page.ordered())
+			m.ApplyPeerCopy(Copy{Page: page.ordered()})
 			m.ApplyPeerStatus(CopyStatus{Digest: m.digest, Watching: true, Confirmed: true, ConfirmedAt: asked})
 		},
 	} {
--- a/internal/state/beechmirror/mirror.go
+++ b/internal/state/beechmirror/mirror.go
@@ -42,6 +42,12 @@
 // servers although all of them work. Missing items are therefore kept for RemovalDelay
 // after the store has recovered.
 //
+// What is kept is an assumption of this process, which may have been the only one that lost the store. It is passed to
+// changed beside the items that the store holds, and never counts as one of them: digests and copies have the items that
+// the store has named, and a copy names separately what its sender keeps, and for how much longer. A peer that takes
+// such a copy keeps what it holds itself for that long, unless the store has answered it during the outage of the
+// sender (Answers). One that sees a removal by a change or by the copy of a peer that keeps nothing drops the item.
+//
 // # Usage
 //
 //	m := beechmirror.New(settings, source, freshness, clock, log, func(items []beechmirror.Item) { ... })
@@ -110,6 +116,7 @@
 		StartAge     time.Duration // age that an empty copy counts as having at the start, so that a peer's copy may come before the first full read; 0: the read is due at once
 		RemovalDelay time.Duration // how long missing items are kept after the store has recovered; 0: not at all
 		MaxGap       time.Duration // how long the copy may be ahead of the history until the changes in between are read; 0: until CatchUp is called
+		Answers      *Answers      // shared by the mirrors of a process; nil: a peer's outage counts as one of the store
 		Observe      func([]Item)  // called with all changes, also with those that later ones have undone, after they are applied; may be nil
 		Forward      func(Changes) // called with the changes from a watch, to send them to peers; may be nil
 		OnStoreLost  func()        // called when a full read fails and the previous one did not; may be nil
@@ -126,13 +133,15 @@
 		changed   func([]Item)
 
 		mu               sync.Mutex
-		items            map[string]Item
+		items            map[string]Item   // what the store holds, as far as this process knows
+		kept             map[string]Item   // what it does not hold any more and this process keeps
 		removed          map[string]uint64 // revisions of the removals that a watch has returned, by key
 		revision         uint64
 		fullReadRevision uint64 // revision of the last full read, which includes all changes up to it
 		loaded           bool
 		failing          bool
-		recoveredAt      time.Time // when the store last answered again after an outage
+		keepUntil        time.Time // until when missing items are kept, while the store answers
+		lostAt           time.Time // when this process, or the peer by whose copy items are kept, lost the store
 		startedAt        time.Time
 		maxAge           time.Duration      // age of the copy at which a full read is due
 		lastFullRead     time.Time          // when the last full read was applied
@@ -178,7 +187,7 @@
 	return &Mirror{
 		settings: s, source: source, freshness: freshness, clock: clock, changed: changed,
 		log:   log.With(zap.String("prefix", s.Prefix)),
-		items: make(map[string]Item), removed: make(map[string]uint64), maxAge: s.MaxAge, startedAt: clock.Now(), readNow: make(chan struct{}, 1),
+		items: make(map[string]Item), kept: make(map[string]Item), removed: make(map[string]uint64), maxAge: s.MaxAge, startedAt: clock.Now(), readNow: make(chan struct{}, 1),
 		sharing: sharing{patience: peerWatchTTL, alwaysWatch: true, peerDiffers: make(chan struct{}, 1)},
 	}
 }
@@ -270,10 +279,14 @@
 	m.mu.Unlock()
 	limited, cancel := clockwork.WithTimeout(ctx, m.clock, m.settings.ReadTimeout)
 	defer cancel()
+	sent := m.clock.Now()
 	page, err := m.source.Range(limited, m.settings.Prefix)
 	if ctx.Err() != nil {
 		return false
 	}
+	if err == nil {
+		m.settings.Answers.add(sent, m.clock.Now())
+	}
 	m.recordReadResult(err)
 	if err != nil {
 		return false
@@ -305,7 +318,8 @@
 	held, loaded := m.revision, m.loaded
 	restored := loaded && !beechera.Same(revision, held) && revision > held
 	if restored {
-		m.recoveredAt = m.clock.Now() // what the copy lacks is written again
+		m.keepMissing() // what the store lacks is written again
+		m.lostAt = time.Time{}
 	}
 	m.mu.Unlock()
 	era, number := beechera.Split(revision)
@@ -346,7 +360,10 @@
 	wasFailing := m.failing
 	m.failing = err != nil
 	if wasFailing && err == nil {
-		m.recoveredAt = m.clock.Now()
+		m.keepMissing()
+	}
+	if !wasFailing && err != nil {
+		m.lostAt = m.clock.Now()
 	}
 	m.mu.Unlock()
 	switch {
@@ -426,7 +443,11 @@
 	m.cancelWatch, m.watching = end, true
 	m.mu.Unlock()
 	_, plain := beechera.Split(after)
+	sent := m.clock.Now()
 	page, err := m.source.Watch(cancelable, m.settings.Prefix, plain, m.settings.WatchTimeout)
+	if err == nil {
+		m.settings.Answers.add(sent, m.clock.Now())
+	}
 	m.mu.Lock()
 	m.cancelWatch = nil
 	m.mu.Unlock()
@@ -474,7 +495,6 @@
 		m.log.Info("outdated read ignored", zap.Uint64("revision", revision), zap.Uint64("held", held))
 		return false
 	}
-	changed = !m.loaded
 	next := make(map[string]Item, len(p.Items))
 	for _, item := range p.Items {
 		held, ok := m.items[item.Key]
@@ -489,22 +509,40 @@
 		}
 	}
 	for key, held := range m.items {
-		if _, ok := next[key]; ok {
-			continue
-		}
-		if held.Revision > p.Revision || m.keepsMissing() {
+		if _, ok := next[key]; !ok && held.Revision > p.Revision {
 			next[key] = held
-			continue
 		}
-		changed = true
 	}
-	m.items, m.revision, m.fullReadRevision, m.loaded = next, max(m.revision, p.Revision), p.Revision, true
+	changed = m.replaceItems(next, m.keepsMissing()) || changed || !m.loaded
+	m.revision, m.fullReadRevision, m.loaded = max(m.revision, p.Revision), p.Revision, true
+	m.digest = digestOf(sortedItems(m.items))
 	if changed {
 		m.notifyChanged()
 	}
 	return changed
 }
 
+// replaceItems replaces what the store holds. Items that are missing now are kept, or dropped beside those that were kept
+// so far. It reports whether any was dropped. The caller must hold the lock.
+func (m *Mirror) replaceItems(next map[string]Item, keep bool) (dropped bool) {
+	for key, held := range m.items {
+		if _, ok := next[key]; !ok {
+			m.kept[key] = held
+		}
+	}
+	for key := range m.kept {
+		if _, ok := next[key]; ok {
+			delete(m.kept, key)
+		}
+	}
+	if !keep {
+		dropped = len(m.kept) > 0
+		clear(m.kept)
+	}
+	m.items = next
+	return dropped
+}
+
 // applyWatch applies the changes from a watch, and reports whether missing items are kept.
 func (m *Mirror) applyWatch(p Page) (keepMissing bool) {
 	m.mu.Lock()
@@ -514,27 +552,32 @@
 	return keepMissing
 }
 
-// applyChanges applies changes, without the removals if keepMissing is set. The caller
-// must hold the lock.
+// applyChanges applies changes. Removed items are kept if keepMissing is set. The caller must hold the lock.
 func (m *Mirror) applyChanges(p Page, keepMissing bool) {
 	changed := false
 	for _, item := range p.Items {
 		if !strings.HasPrefix(item.Key, m.settings.Prefix) || m.items[item.Key].Revision >= item.Revision {
 			continue
 		}
+		if item.Removed && !keepMissing && m.kept[item.Key].Revision > 0 && m.kept[item.Key].Revision < item.Revision {
+			delete(m.kept, item.Key) // the last full read may include the removal
+			changed = true
+		}
 		if item.Revision <= max(m.fullReadRevision, m.removed[item.Key]) {
 			continue // outdated: the last full read includes this change and any later removal
 		}
-		if item.Removed && keepMissing {
-			continue // the next full read decides
-		}
 		changed = true
-		if item.Removed {
-			delete(m.items, item.Key)
-			m.rememberRemoval(item)
+		held, ok := m.items[item.Key]
+		if !item.Removed {
+			m.items[item.Key] = item
+			delete(m.kept, item.Key)
 			continue
 		}
-		m.items[item.Key] = item
+		delete(m.items, item.Key)
+		m.rememberRemoval(item)
+		if ok && keepMissing {
+			m.kept[item.Key] = held
+		}
 	}
 	m.revision = max(m.revision, p.Revision)
 	if changed {
@@ -545,21 +588,35 @@
 	}
 }
 
-// notifyChanged passes the current items to the callback of New. The caller must hold the
-// lock.
+// notifyChanged passes the current items, and those that are kept, to the callback of New. The caller must hold the lock.
 func (m *Mirror) notifyChanged() {
-	list := m.sortedItems()
+	list := sortedItems(m.items)
 	m.digest = digestOf(list)
+	if len(m.kept) > 0 {
+		all := maps.Clone(m.items)
+		maps.Copy(all, m.kept)
+		list = sortedItems(all)
+	}
 	m.changed(list)
 }
 
 // keepsMissing reports whether missing items are kept, which is the case during an outage
 // of the store and for RemovalDelay after it.
 func (m *Mirror) keepsMissing() bool {
-	if m.settings.RemovalDelay == 0 {
-		return false
+	return m.settings.RemovalDelay > 0 && (m.failing || m.clock.Now().Before(m.keepUntil))
+}
+
+// keepMissing has missing items kept for RemovalDelay from now on. The caller must hold the lock.
+func (m *Mirror) keepMissing() { m.keepUntil = m.clock.Now().Add(m.settings.RemovalDelay) }
+
+// dropKept drops the kept items once their time is over.
+func (m *Mirror) dropKept() {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if len(m.kept) > 0 && !m.keepsMissing() {
+		clear(m.kept)
+		m.notifyChanged()
 	}
-	return m.failing || (!m.recoveredAt.IsZero() && m.clock.Since(m.recoveredAt) < m.settings.RemovalDelay)
 }
 
 func (m *Mirror) rememberRemoval(item Item) {
@@ -569,6 +626,6 @@
 	m.removed[item.Key] = item.Revision
 }
 
-func (m *Mirror) sortedItems() []Item {
-	return slices.SortedFunc(maps.Values(m.items), func(x, y Item) int { return strings.Compare(x.Key, y.Key) })
+func sortedItems(items map[string]Item) []Item {
+	return slices.SortedFunc(maps.Values(items), func(x, y Item) int { return strings.Compare(x.Key, y.Key) })
 }
--- a/internal/state/beechmirror/mirror_test.go
+++ b/internal/state/beechmirror/mirror_test.go
@@ -537,7 +537,7 @@
 			close(done)
 		}()
 		time.Sleep(300 * time.Millisecond)
-		is.True(m.ApplyPeerCopy(Page{Revision: 7, Items: []Item{{Key: "servers/a", Revision: 4}}}))
+		is.True(m.ApplyPeerCopy(Copy{Page: Page{Revision: 7, Items: []Item{{Key: "servers/a", Revision: 4}}}}))
 		held, known := m.Held()
 		is.True(known)
 		is.Equal(held.Revision, uint64(7))
@@ -558,7 +558,7 @@
 		defer cancel()
 		go func() { _ = m.Read(ctx) }()
 		time.Sleep(300 * time.Millisecond)
-		is.True(m.ApplyPeerCopy(Page{Revision: 7, Items: []Item{{Key: "servers/a", Revision: 4}}}))
+		is.True(m.ApplyPeerCopy(Copy{Page: Page{Revision: 7, Items: []Item{{Key: "servers/a", Revision: 4}}}}))
 		held, _ := m.Held()
 		time.Sleep(250 * time.Millisecond)
 		is.True(m.ApplyPeerStatus(CopyStatus{Digest: held.Digest, Confirmed: true, ConfirmedAt: 1}))
@@ -597,10 +597,10 @@
 	var got []Item
 	m := newMirror(&source{}, clockwork.NewFakeClock(), func(items []Item) { got = items })
 	m.applyFullRead(Page{Revision: 5, Items: []Item{{Key: "servers/a", Revision: 5}}})
-	is.True(!m.ApplyPeerCopy(Page{Revision: 4, Items: []Item{{Key: "servers/b", Revision: 3}}}))
-	is.True(!m.ApplyPeerCopy(Page{Revision: 8, Items: []Item{{Key: "op/config", Revision: 8}}}))
+	is.True(!m.ApplyPeerCopy(Copy{Page: Page{Revision: 4, Items: []Item{{Key: "servers/b", Revision: 3}}}}))
+	is.True(!m.ApplyPeerCopy(Copy{Page: Page{Revision: 8, Items: []Item{{Key: "op/config", Revision: 8}}}}))
 	is.Equal(keys(got), []string{"servers/a"})
-	is.True(m.ApplyPeerCopy(Page{Revision: 9, Items: []Item{{Key: "servers/b", Revision: 7}}}))
+	is.True(m.ApplyPeerCopy(Copy{Page: Page{Revision: 9, Items: []Item{{Key: "servers/b", Revision: 7}}}}))
 	is.Equal(keys(got), []string{"servers/b"}) // the other one was removed
 	m.applyWatch(Page{Revision: 8, Items: []Item{{Key: "servers/a", Revision: 8}}})
 	is.Equal(keys(got), []string{"servers/b"}) // older than the copy
--- a/internal/state/beechmirror/peers.go
+++ b/internal/state/beechmirror/peers.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+	"go.uber.org/zap"
 
 	"github.com/beechring/beechring/internal/state/beechera"
 )
@@ -18,6 +19,15 @@
 		Page
 	}
 
+	// Copy is a copy as it is handed to a peer.
+	Copy struct {
+		Page
+		Kept    []Item        // that the store does not hold any more and the sender keeps
+		KeptFor time.Duration // how much longer the sender keeps what is missing; 0: it keeps nothing
+		LostFor time.Duration // how long ago the sender lost the store; 0: it keeps for another reason
+		AskedAt time.Time     // before the sender was asked for the copy, by the clock of the receiver
+	}
+
 	// Held describes a copy, with its ordered revision, to decide whether it should be fetched.
 	Held struct {
 		Digest   uint64
@@ -36,7 +46,7 @@
 	// sharing is the state of a mirror that concerns its peers. It is guarded by the
 	// lock of the mirror.
 	sharing struct {
-		digest      uint64        // of the keys and revisions in the copy
+		digest      uint64        // of the keys and revisions of what the store holds
 		patience    time.Duration // without a watching peer, until this process watches
 		alwaysWatch bool          // peers rely on this copy, so it watches the store whatever their status is
 		watching    bool          // this process watches the store, and the last watch has not failed
@@ -80,24 +90,34 @@
 	return Held{Digest: m.digest, Revision: m.revision}, m.loaded
 }
 
-// Copy returns all items, for a peer that lacks some of them.
-func (m *Mirror) Copy() (p Page, known bool) {
+// Copy returns all items that the store holds, and those that this process keeps, for a peer that lacks some of them.
+func (m *Mirror) Copy() (c Copy, known bool) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	return Page{Items: m.sortedItems(), Revision: m.revision}, m.loaded
+	c = Copy{Page: Page{Items: sortedItems(m.items), Revision: m.revision}}
+	if m.keepsMissing() {
+		c.Kept, c.KeptFor = sortedItems(m.kept), m.settings.RemovalDelay
+		if !m.failing {
+			c.KeptFor = m.keepUntil.Sub(m.clock.Now())
+		}
+		if !m.lostAt.IsZero() {
+			c.LostFor = m.clock.Since(m.lostAt)
+		}
+	}
+	return c, m.loaded
 }
 
 // ApplyPeerCopy applies a whole copy that was fetched from a peer, and reports whether it is
 // not older than this one. It confirms nothing: only a status with a proof does.
-func (m *Mirror) ApplyPeerCopy(p Page) bool {
+func (m *Mirror) ApplyPeerCopy(c Copy) bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	if m.loaded && p.Revision < m.revision {
+	if m.loaded && c.Revision < m.revision {
 		return false
 	}
-	next := make(map[string]Item, len(p.Items))
-	changed := !m.loaded || len(p.Items) != len(m.items)
-	for _, item := range p.Items {
+	next := make(map[string]Item, len(c.Items))
+	changed := !m.loaded
+	for _, item := range c.Items {
 		held, ok := m.items[item.Key]
 		if !strings.HasPrefix(item.Key, m.settings.Prefix) {
 			return false
@@ -109,21 +129,53 @@
 		next[item.Key] = item
 		changed = true
 	}
-	for key := range m.items {
-		if _, ok := next[key]; !ok {
-			changed = true
+	restored := m.loaded && !beechera.Same(c.Revision, m.revision)
+	if restored {
+		m.keepMissing() // what the restored store lacks is written again
+		m.lostAt = time.Time{}
+	}
+	left := min(c.KeptFor, m.settings.RemovalDelay)
+	if m.servedDuringOutage(c) {
+		left = 0
+	}
+	if !m.loaded && left > 0 {
+		for _, item := range c.Kept {
+			if strings.HasPrefix(item.Key, m.settings.Prefix) {
+				m.kept[item.Key] = item
+			}
+		}
+	}
+	if left > 0 && !restored {
+		m.keepUntil, m.lostAt = m.clock.Now().Add(left), time.Time{}
+		if c.LostFor > 0 {
+			m.lostAt = m.clock.Now().Add(-c.LostFor)
 		}
 	}
-	if m.loaded && !beechera.Same(p.Revision, m.revision) {
-		m.recoveredAt = m.clock.Now() // what the restored store lacks is written again
+	if left > 0 || restored {
+		m.clock.AfterFunc(m.keepUntil.Sub(m.clock.Now()), m.dropKept)
+	}
+	changed = m.replaceItems(next, left > 0 || restored) || changed
+	if c.KeptFor > 0 {
+		m.log.Info("copy of a peer that keeps missing items", zap.Duration("keptFor", c.KeptFor), zap.Duration("lostFor", c.LostFor), zap.Bool("keeps", left > 0), zap.Int("kept", len(m.kept)))
 	}
-	m.items, m.revision, m.fullReadRevision, m.loaded = next, p.Revision, max(m.fullReadRevision, p.Revision), true
+	m.revision, m.fullReadRevision, m.loaded = c.Revision, max(m.fullReadRevision, c.Revision), true
+	m.digest = digestOf(sortedItems(m.items))
 	if changed {
 		m.notifyChanged()
 	}
 	return true
 }
 
+// servedDuringOutage reports whether the store has answered this process while the sender of a copy had lost it, so that
+// what is missing was removed and did not expire in an outage of the store.
+func (m *Mirror) servedDuringOutage(c Copy) bool {
+	if c.KeptFor <= 0 || c.LostFor <= 0 || c.AskedAt.IsZero() || m.settings.Answers == nil || m.keepsMissing() {
+		return false
+	}
+	regained := c.AskedAt.Add(c.KeptFor - m.settings.RemovalDelay)
+	return m.settings.Answers.Within(m.clock.Now().Add(-c.LostFor), regained)
+}
+
 // WatchedByPeer reports whether a peer that watches the store has proved that it has the same
 // copy.
 func (m *Mirror) WatchedByPeer() bool {
