A configuration is in force or not confirmed, by parts

Cause: a version without routes counted as invalid and was ignored, and any version that could not be read left the one before in use, while the reads of the store confirmed it. So no bound of age ended it.

Parts and entries are read one by one; what can be read is in force, what cannot stays as before and is not confirmed any more, so that it ends by the bounds of age as without the store.

--- a/internal/process/beechgate/admit.go
+++ b/internal/process/beechgate/admit.go
@@ -71,7 +71,7 @@
 		g.metrics.denied.Add("no workspace", 1)
 	case Undecided:
 		g.metrics.denied.Add("not known", 1)
-		g.log.Debug("request not admitted", zap.String("host", request.Host), zap.String("path", request.Path), zap.Duration("age", g.freshness.Age()), zap.Duration("after", v.After))
+		g.log.Debug("request not admitted", zap.String("host", request.Host), zap.String("path", request.Path), zap.Duration("age", g.freshness.keys.Age()), zap.Duration("after", v.After))
 	case Admitted:
 	}
 	return admission
@@ -82,14 +82,17 @@
 	if c == nil {
 		return Undecided{After: undecidedRetryAfter}
 	}
-	age := g.freshness.Age()
+	age := g.freshness.keys.Age()
 	route, ok := c.FindRoute(request.Host, request.Path)
 	if !ok {
-		if age > denyMaxAge {
+		if age > denyMaxAge || c.Unread.Routes {
 			return Undecided{After: undecidedRetryAfter}
 		}
 		return NoRoute{}
 	}
+	if route.Leftover && g.freshness.whole.Age() > time.Duration(float64(g.bounds.Load().Revoke)*revokeShare) {
+		return Undecided{After: undecidedRetryAfter}
+	}
 	admitted := Admitted{Route: route, Service: route.PickService(rand.Float64()), Version: c.Version, BodyBytes: c.Limits.BodyBytes, Workspace: beechcall.Workspace{Priority: -1}}
 	if route.Public || c.Workspaces == nil {
 		return admitted
@@ -99,7 +102,7 @@
 	}
 	workspace, ok := c.Workspaces[request.Key]
 	if !ok {
-		if age > denyMaxAge {
+		if age > denyMaxAge || c.Unread.Workspaces {
 			return Undecided{After: undecidedRetryAfter}
 		}
 		return UnknownKey{}
--- a/internal/process/beechgate/configuration.go
+++ b/internal/process/beechgate/configuration.go
@@ -2,12 +2,14 @@
 
 import (
 	"net/netip"
+	"sync/atomic"
 	"time"
 
 	"go.uber.org/zap"
 
 	"github.com/beechring/beechring/internal/process/beechtask"
 	"github.com/beechring/beechring/internal/request/beechcall"
+	"github.com/beechring/beechring/internal/request/beechfresh"
 	"github.com/beechring/beechring/internal/state/beechera"
 	"github.com/beechring/beechring/internal/state/beechmirror"
 )
@@ -28,15 +30,69 @@
 	minGates       = 2 // that are assumed to share a server
 )
 
-// setOperators applies the operators' documents. Invalid documents leave the last valid state
-// in force.
+// configurationAge tracks how long ago the store confirmed the configuration that is in force. A read of a version that
+// could not be read confirms the copy of the store and what was read of it, not what is left of the version before:
+// otherwise what the new version ends, like a key, would stay valid for as long as that is the newest.
+type configurationAge struct {
+	*beechfresh.Tracker                     // of the copy
+	keys                *beechfresh.Tracker // of the workspaces and their keys
+	whole               *beechfresh.Tracker // of all that is in force
+	unreadKeys          atomic.Bool         // the keys of the newest version were not all read
+	unread              atomic.Bool         // another part of it was not, or these
+}
+
+func newConfigurationAge(c beechfresh.Clock) *configurationAge {
+	return &configurationAge{Tracker: beechfresh.New(c), keys: beechfresh.New(c), whole: beechfresh.New(c)}
+}
+
+// Confirm implements beechmirror.Freshness.
+func (a *configurationAge) Confirm(asked time.Duration) {
+	a.Tracker.Confirm(asked)
+	if !a.unreadKeys.Load() {
+		a.keys.Confirm(asked)
+	}
+	if !a.unread.Load() {
+		a.whole.Confirm(asked)
+	}
+}
+
+// setUnread records what of the newest version could not be read, and reports whether it all was read again.
+func (a *configurationAge) setUnread(u beechcall.Unread) (ended bool) {
+	a.unreadKeys.Store(u.Workspaces)
+	return a.unread.Swap(u.Any()) && !u.Any()
+}
+
+// nextConfiguration returns what is in force after a configuration was read, or nil if that is what was before, and what of
+// the newest version is not in force.
+func nextConfiguration(c, previous *beechcall.Configuration) (next *beechcall.Configuration, unread beechcall.Unread) {
+	if previous != nil {
+		unread = previous.Unread
+	}
+	if c == nil || previous != nil && c.Revision <= previous.Revision {
+		return nil, unread
+	}
+	if next = c.CompletedBy(previous); next == nil {
+		return nil, c.Unread
+	}
+	if previous != nil && !supersedes(next, previous) {
+		return nil, unread
+	}
+	return next, next.Unread
+}
+
+// setOperators applies the operators' documents. Of documents that cannot be read as a whole, what can be read is applied,
+// and the rest of the state before stays until its age ends it.
 func (g *Gate) setOperators(items []beechmirror.Item) {
-	c, named, err := g.deps.Operators(items)
+	read, named, err := g.deps.Operators(items)
+	previous := g.configuration.Load()
+	c, unread := nextConfiguration(read, previous)
 	if err != nil {
-		g.log.Error("invalid operator document ignored", zap.Error(err))
+		g.log.Error("operator document not read as a whole", zap.Any("unread", unread), zap.Error(err))
 	}
-	previous := g.configuration.Load()
-	if c != nil && (previous == nil || supersedes(c, previous)) {
+	if g.freshness.setUnread(unread) {
+		g.operatorMirror.ReadNow() // confirms it
+	}
+	if c != nil {
 		idle := g.idleTimeout()
 		g.configuration.Store(c)
 		if g.idleTimeout() != idle {
--- a/internal/process/beechgate/gate.go
+++ b/internal/process/beechgate/gate.go
@@ -88,7 +88,7 @@
 		stopPlan        atomic.Pointer[beechstop.Plan] // nil: the process is not to stop
 		ending          context.Context                // ends when calls that are under way get their last answers
 		end             context.CancelFunc             // of ending
-		freshness       *beechfresh.Tracker            // age of the operators' documents
+		freshness       *configurationAge              // age of the operators' documents
 		serverFreshness *beechfresh.Tracker            // age of the list of servers
 		placer          *beechplace.Placer
 		health          *beechhealth.Tracker
@@ -214,7 +214,7 @@
 		totals:    beechsummary.NewTotals(),
 		copies:    newCopies(socket.Address()),
 		fences:    newFenceRequests(),
-		freshness: beechfresh.New(deps.Age), serverFreshness: beechfresh.New(deps.Age),
+		freshness: newConfigurationAge(deps.Age), serverFreshness: beechfresh.New(deps.Age),
 		health:      beechhealth.New(healthSettings, deps.Clock),
 		suspects:    beechsuspect.New(beechsuspect.Settings{}, deps.Clock),
 		quotas:      beechquota.New(s.Name, rand.Uint64(), quotaBounds(s.Bounds.Quota), deps.Clock),
@@ -303,7 +303,7 @@
 	if g.draining.Load() || g.configuration.Load() == nil {
 		return false
 	}
-	return g.freshness.Age() < time.Duration(float64(g.bounds.Load().Revoke)*readyShare)
+	return g.freshness.keys.Age() < time.Duration(float64(g.bounds.Load().Revoke)*readyShare)
 }
 
 // Draining reports whether the process is about to end.
--- a/internal/process/beechgate/metrics.go
+++ b/internal/process/beechgate/metrics.go
@@ -129,7 +129,7 @@
 	m.vars.Set("serverResponsesDiscarded", expvar.Func(func() any { return g.deps.Pool.ResponsesDiscarded() }))
 	m.vars.Set("schedulingDelayTailMicros", m.schedulingTail)
 	m.vars.Set("acceptWaitMicros", m.acceptWait)
-	m.vars.Set("configurationAgeMillis", expvar.Func(func() any { return g.freshness.Age().Milliseconds() }))
+	m.vars.Set("configurationAgeMillis", expvar.Func(func() any { return g.freshness.keys.Age().Milliseconds() }))
 	m.vars.Set("unanswered", g.door.Counts())
 	m.vars.Set("unansweredLinesDropped", g.door.DroppedLines())
 	m.vars.Set("configurationVersion", expvar.Func(func() any { return g.configurationVersion() }))
--- a/internal/process/beechgate/origins.go
+++ b/internal/process/beechgate/origins.go
@@ -302,7 +302,7 @@
 		history, gap := g.serverMirror.HistoryAge()
 		e.AddDuration("history", history)
 		e.AddBool("gap", gap)
-		e.AddDuration("configurationAge", g.freshness.Age())
+		e.AddDuration("configurationAge", g.freshness.keys.Age())
 		e.AddDuration("up", g.clock.Since(g.startedAt))
 		e.AddInt("gates", len(g.members.Members())-1)
 		return e.AddReflected("versions", g.origins.versions.Recent(service))
--- a/internal/request/beechcall/configuration.go
+++ b/internal/request/beechcall/configuration.go
@@ -1,6 +1,7 @@
 package beechcall
 
 import (
+	"maps"
 	"net/netip"
 	"slices"
 	"strings"
@@ -28,10 +29,20 @@
 		Services   map[string]Service
 		Workspaces map[string]Workspace // by API key; nil if requests carry none
 		Limits     Limits
+		Unread     Unread
 
 		routesByHost map[string][]*Route // longest prefix first
 	}
 
+	// Unread names the parts of a configuration that could not be read, or not as a whole.
+	Unread struct {
+		Version    bool
+		Routes     bool
+		Services   bool
+		Workspaces bool
+		Limits     bool
+	}
+
 	// Route tells where requests to a host and path prefix go.
 	Route struct {
 		Name        string
@@ -47,6 +58,7 @@
 		MaxPause    time.Duration // longest time between two events of a stream
 		MaxAttempts int           // number of servers that may execute one request
 		Priority    int           // 0 is the highest
+		Leftover    bool          // of the version before, as the routes of the newest could not all be read
 	}
 
 	// Target is a service and its share of a route's requests.
@@ -116,6 +128,54 @@
 	}
 )
 
+// Any reports whether anything could not be read.
+func (u Unread) Any() bool { return u != Unread{} }
+
+// CompletedBy returns a configuration of which some parts could not be read, completed by the one before it. Parts that
+// were read hold as they are; of the others, what the one before has is added. It is nil if nothing was read.
+func (c *Configuration) CompletedBy(previous *Configuration) *Configuration {
+	if !c.Unread.Any() {
+		return c
+	}
+	if (c.Unread == Unread{Version: true, Routes: true, Services: true, Workspaces: true, Limits: true}) {
+		return nil
+	}
+	if previous == nil {
+		previous = &Configuration{}
+	}
+	next := &Configuration{Version: c.Version, Revision: c.Revision, Routes: c.Routes, Services: maps.Clone(c.Services), Workspaces: c.Workspaces, Limits: c.Limits, Unread: c.Unread}
+	if c.Unread.Version {
+		next.Version = previous.Version
+	}
+	if c.Unread.Limits {
+		next.Limits = previous.Limits
+	}
+	if c.Unread.Services {
+		next.Services = maps.Clone(previous.Services)
+		maps.Copy(next.Services, c.Services)
+	}
+	if c.Unread.Routes {
+		next.Routes = slices.Clone(c.Routes)
+		for _, r := range previous.Routes {
+			if !slices.ContainsFunc(c.Routes, func(read Route) bool { return read.Host == r.Host && read.PathPrefix == r.PathPrefix }) {
+				r.Leftover = true
+				next.Routes = append(next.Routes, r)
+			}
+		}
+	}
+	if c.Unread.Workspaces || c.Workspaces == nil { // beside a part that cannot be read, a missing list does not end all keys
+		next.Unread.Workspaces = true
+		next.Workspaces = map[string]Workspace{}
+		maps.Copy(next.Workspaces, previous.Workspaces)
+		maps.Copy(next.Workspaces, c.Workspaces)
+		if previous.Workspaces == nil && previous.Revision > 0 && c.Workspaces == nil {
+			next.Workspaces = nil // requests carried no keys before
+		}
+	}
+	next.BuildIndex()
+	return next
+}
+
 // BuildIndex prepares the configuration for FindRoute. It must be called once, before the
 // configuration is shared.
 func (c *Configuration) BuildIndex() {
