The shared cache salt names the isolated workspaces

Cause: the salt that all others share had the version of the weights alone, so they stayed under the one under which the isolated workspace had shared.

Change: it also has a digest of the names of the isolated workspaces, so that under it none of them has ever computed a part; without isolated workspaces it is as before. Each choice takes the salt of the configuration of its moment, a run that goes on at its backup too.

--- a/internal/process/beechgate/configuration.go
+++ b/internal/process/beechgate/configuration.go
@@ -102,7 +102,7 @@
 		g.setQuotas(c)
 		g.origins.setLifetime(c)
 		g.limitConnections(c)
-		g.log.Info("configuration in force", zap.Uint64("version", c.Version), zap.Uint64("revision", plainRevision(c.Revision)), zap.Int("routes", len(c.Routes)))
+		g.log.Info("configuration in force", zap.Uint64("version", c.Version), zap.Uint64("revision", plainRevision(c.Revision)), zap.Int("routes", len(c.Routes)), zap.Int("isolated", len(c.Isolated)))
 		if previous == nil {
 			g.refreshDuties()
 			g.requestFollow()
--- a/internal/request/beechattempt/run.go
+++ b/internal/request/beechattempt/run.go
@@ -224,7 +224,7 @@
 	wait := max(r.call.Route.Objective/serverWaitDivisor, minServerWait)
 	until := r.dispatcher.clock.Now().Add(wait)
 	if r.backup.continues {
-		return r.backup.engine.Continuation(r.backup.source), true
+		return r.backup.engine.Continuation(r.call), true
 	}
 	for {
 		choice, ok := r.dispatcher.placer.Choose(r.call, r.triedServers)
--- a/internal/request/beechcall/configuration.go
+++ b/internal/request/beechcall/configuration.go
@@ -28,6 +28,7 @@
 		Routes     []Route
 		Services   map[string]Service
 		Workspaces map[string]Workspace // by API key; nil if requests carry none
+		Isolated   []string             // names of the isolated workspaces, also of those without keys
 		Limits     Limits
 		Unread     Unread
 
@@ -143,7 +144,7 @@
 	if previous == nil {
 		previous = &Configuration{}
 	}
-	next := &Configuration{Version: c.Version, Revision: c.Revision, Routes: c.Routes, Services: maps.Clone(c.Services), Workspaces: c.Workspaces, Limits: c.Limits, Unread: c.Unread}
+	next := &Configuration{Version: c.Version, Revision: c.Revision, Routes: c.Routes, Services: maps.Clone(c.Services), Workspaces: c.Workspaces, Isolated: c.Isolated, Limits: c.Limits, Unread: c.Unread}
 	if c.Unread.Version {
 		next.Version = previous.Version
 	}
@@ -165,6 +166,7 @@
 	}
 	if c.Unread.Workspaces || c.Workspaces == nil { // beside a part that cannot be read, a missing list does not end all keys
 		next.Unread.Workspaces = true
+		next.Isolated = append(slices.Clone(previous.Isolated), c.Isolated...)
 		next.Workspaces = map[string]Workspace{}
 		maps.Copy(next.Workspaces, previous.Workspaces)
 		maps.Copy(next.Workspaces, c.Workspaces)
--- a/internal/request/beechplace/backups.go
+++ b/internal/request/beechplace/backups.go
@@ -124,6 +124,8 @@
 }
 
 // Continuation returns the choice of the backup's engine for a run that goes on there.
-func (b *Backup) Continuation(source Choice) Choice {
-	return Choice{Server: b.Server, Weights: b.Weights, Salt: source.Salt}
+func (b *Backup) Continuation(call *beechcall.Call) Choice {
+	b.placer.mu.Lock()
+	defer b.placer.mu.Unlock()
+	return Choice{Server: b.Server, Weights: b.Weights, Salt: b.placer.salts.of(call, b.Weights)}
 }
--- a/internal/request/beechplace/choose.go
+++ b/internal/request/beechplace/choose.go
@@ -261,7 +261,7 @@
 		if outdated && age > p.settings.OutdatedGrace {
 			c.Cost += p.settings.OutdatedPenalty
 		}
-		c.Salt = cacheSalt(call, version)
+		c.Salt = p.salts.of(call, version)
 		c.Cost += p.estimatePrefix(call, s, parts, now, &c)
 		w := p.workAhead(call, s, c.Wait, now)
 		pace := p.paceFactor(s, now)
--- a/internal/request/beechplace/placer.go
+++ b/internal/request/beechplace/placer.go
@@ -4,7 +4,6 @@
 	"maps"
 	"net/netip"
 	"slices"
-	"strconv"
 	"sync"
 	"time"
 
@@ -42,6 +41,7 @@
 		onHost          map[netip.Addr][]netip.AddrPort
 		answeredLeaving map[string]uint64 // start times of the lifetimes whose answers have said that they leave, by ID
 		serviceConfigs  map[string]beechcall.Service
+		salts           salts
 		kvStores        []*kvStore
 		versions        map[string]*beechrollout.VersionHistory // by model
 		locations       *lru.Cache[uint64, *partLocations]
@@ -251,6 +251,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.serviceConfigs = c.Services
+	p.salts = newSalts(c)
 	p.assignAddresses()
 	p.setKVStores(c.KVStores())
 }
@@ -453,13 +454,3 @@
 	}
 	return int(p.prefill.rate + 0.5)
 }
-
-// cacheSalt separates the KV cache of different weights and of isolated workspaces: a part is
-// only found under the salt that it was computed with.
-func cacheSalt(call *beechcall.Call, version uint64) string {
-	text := "w" + strconv.FormatUint(version, 10)
-	if call.Workspace.Isolated {
-		text += "." + call.Workspace.Name
-	}
-	return text
-}
--- a/internal/request/beechplace/prefix_test.go
+++ b/internal/request/beechplace/prefix_test.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/matryer/is"
+	"pgregory.net/rapid"
 
 	"github.com/beechring/beechring/internal/request/beechcall"
 )
@@ -92,6 +93,66 @@
 	is.Equal(f.choose(t, open).Weights, uint64(2))
 }
 
+// Guards against parts of a workspace that others find after it has become isolated, whatever sets of workspaces are isolated
+// one after the other, and also by calls that wait meanwhile.
+func TestIsolatedWorkspacesShareNoSaltOverChanges(t *testing.T) {
+	names := []string{"a", "b", "ab", "c"}
+	rapid.Check(t, func(r *rapid.T) {
+		made := map[string]map[string]bool{} // workspaces that have computed parts, by salt
+		var waiting []*beechcall.Call
+		for range rapid.IntRange(1, 12).Draw(r, "changes") {
+			c := &beechcall.Configuration{}
+			isolated := map[string]bool{}
+			for _, name := range names {
+				if rapid.Bool().Draw(r, name) {
+					isolated[name] = true
+					c.Isolated = append(c.Isolated, name)
+				}
+			}
+			current := newSalts(c)
+			run := func(call *beechcall.Call) {
+				salt := current.of(call, 1)
+				for other := range made[salt] {
+					if other != call.Workspace.Name && (isolated[other] || isolated[call.Workspace.Name]) {
+						r.Fatalf("%s finds what %s has computed under %s; isolated: %v", call.Workspace.Name, other, salt, c.Isolated)
+					}
+				}
+				if made[salt] == nil {
+					made[salt] = map[string]bool{}
+				}
+				made[salt][call.Workspace.Name] = true
+			}
+			for _, call := range waiting {
+				run(call)
+			}
+			waiting = nil
+			for _, name := range names {
+				call := &beechcall.Call{Workspace: beechcall.Workspace{Name: name, Isolated: isolated[name]}}
+				run(call)
+				if rapid.Bool().Draw(r, "waits") {
+					waiting = append(waiting, call)
+				}
+			}
+		}
+	})
+}
+
+// Guards against shared parts that are cold though the set of isolated workspaces is the same, or at a gate that has just
+// started.
+func TestSharedSaltFollowsFromTheIsolatedWorkspaces(t *testing.T) {
+	is := is.New(t)
+	call := &beechcall.Call{Workspace: beechcall.Workspace{Name: "mill"}}
+	salt := func(isolated ...string) string {
+		return newSalts(&beechcall.Configuration{Isolated: isolated}).of(call, 1)
+	}
+	is.Equal(salt(), "w1")
+	is.Equal(salt("barn"), salt("barn", "barn"))
+	is.Equal(salt("barn", "dye"), salt("dye", "barn"))
+	is.True(salt("barn") != salt("barn", "dye"))
+	is.True(salt("ab", "c") != salt("a", "bc"))
+	is.True(salt("mill") == "w1.mill")
+}
+
 // Every engine caches the instruction that all prompts begin with, and each caches other
 // histories. If a gate tracked only a few locations of the instruction, the other engines
 // would appear to cache nothing, as a history is usable only with the parts before it, and
