An answer that a reset ends under an upload is not whole

Cause: the kernel reports a reset to one system call only. The goroutine that wrote the request took it, and the one that read the answer saw an orderly end, with which an answer without a length is whole.

Change: such an end counts once the request was written whole and the socket was not reset, which is looked up without taking an error from anybody. The same for net/http's transport (agents' backend servers, the store, copies between gates), which had the same fault.

--- a/internal/link/beechpool/pool.go
+++ b/internal/link/beechpool/pool.go
@@ -21,6 +21,10 @@
 // What a server may send before a response begins is bounded in bytes and in interim responses, so that
 // one that sends without end is left at once.
 //
+// An answer with neither a length nor chunks ends with its connection. It is whole only if its request was written whole and
+// the connection was not reset: the kernel reports a reset to one call only, and the goroutine that writes a long request
+// may have got it, so that the one that reads sees an orderly end.
+//
 // An exchange that ends early is withdrawn: its connection is reset, so that a request that
 // is still queued on its way is discarded, and a server that reads late does not take it for
 // a whole request whose client has merely finished sending.
@@ -58,6 +62,7 @@
 	"github.com/jonboulle/clockwork"
 	"golang.org/x/sys/unix"
 
+	"github.com/beechring/beechring/internal/link/beechanswer"
 	"github.com/beechring/beechring/internal/link/beechsocket"
 )
 
@@ -129,23 +134,27 @@
 
 	conn struct {
 		net.Conn
-		pool          *Pool
-		peer          netip.AddrPort
-		number        int
-		kind          string
-		carried       []uint64 // hashes of the IDs of its requests
-		source        *headSource
-		reader        *bufio.Reader
-		uses          int
-		unmarked      bool // a response was received whose second copy would be taken for one to any request
-		idleSince     time.Time
-		idleTimeout   time.Duration
-		writeDone     chan error // gets the result of writing the current request
-		writeErr      error
-		writeDoneRead bool // writeErr holds the value of writeDone
-		ended         sync.Once
-		reading       atomic.Bool               // a goroutine waits for data
-		resetAt       atomic.Pointer[time.Time] // the connection was reset while a goroutine waited for data
+		pool        *Pool
+		peer        netip.AddrPort
+		number      int
+		kind        string
+		carried     []uint64 // hashes of the IDs of its requests
+		source      *headSource
+		reader      *bufio.Reader
+		uses        int
+		unmarked    bool // a response was received whose second copy would be taken for one to any request
+		idleSince   time.Time
+		idleTimeout time.Duration
+		writing     *writing // of the current request
+		ended       sync.Once
+		reading     atomic.Bool               // a goroutine waits for data
+		resetAt     atomic.Pointer[time.Time] // the connection was reset while a goroutine waited for data
+	}
+
+	// writing is the writing of a request.
+	writing struct {
+		done chan struct{} // closed at its end
+		err  error         // valid then
 	}
 
 	// headSource reads from a connection, and no more than a number of bytes while a head is read.
@@ -160,6 +169,7 @@
 		conn       *conn
 		connection Connection
 		stopCancel func() bool // stops closing the connection when the context ends
+		unframed   bool        // it ends with its connection
 		reusable   bool
 		usedUp     bool
 		readToEOF  bool
@@ -316,6 +326,7 @@
 		return nil, failed
 	}
 	response.Body = &body{
+		unframed:   response.ContentLength < 0 && len(response.TransferEncoding) == 0 && response.Body != http.NoBody,
 		ReadCloser: response.Body, conn: c, connection: Connection{Number: c.number, Exchanges: c.uses, Discarded: discarded},
 		stopCancel: stop, reusable: !response.Close, usedUp: conditions.Exclusive || len(c.carried) >= maxCarriedIDs,
 	}
@@ -340,11 +351,11 @@
 	if conditions.ID != "" {
 		c.carried = append(c.carried, c.pool.hash(conditions.ID))
 	}
-	c.writeDone, c.writeDoneRead, c.writeErr = make(chan error, 1), false, nil
+	c.writing = &writing{done: make(chan struct{})}
 	if r.ContentLength > concurrentWriteBytes {
-		go func() { c.writeDone <- r.Write(c.Conn) }()
+		go c.writing.run(r, c.Conn)
 	} else {
-		c.writeDone <- r.Write(c.Conn)
+		c.writing.run(r, c.Conn)
 		if err := c.writeResult(); err != nil {
 			return nil, 0, &ExchangeError{Peer: c.peer, Step: "write request", Reused: reused, Err: err}
 		}
@@ -416,24 +427,37 @@
 	return n, err
 }
 
+func (w *writing) run(r *http.Request, to io.Writer) {
+	w.err = r.Write(to)
+	close(w.done)
+}
+
+// writeResult waits until the request was written, and returns the error.
 func (c *conn) writeResult() error {
-	if !c.writeDoneRead {
-		c.writeErr, c.writeDoneRead = <-c.writeDone, true
+	<-c.writing.done
+	return c.writing.err
+}
+
+// endedWhole returns an error if an answer that has ended with its connection may lack a part. It waits until the request
+// was written, which a reset or the end of the context ends.
+func (c *conn) endedWhole() error {
+	if err := c.writeResult(); err != nil {
+		return fmt.Errorf("%w: write request: %w", beechanswer.ErrCut, err)
+	}
+	if beechsocket.WasReset(c.Conn) {
+		return fmt.Errorf("%w: reset", beechanswer.ErrCut)
 	}
-	return c.writeErr
+	return nil
 }
 
 // requestWritten reports, without blocking, whether the whole request was sent.
 func (c *conn) requestWritten() bool {
-	if !c.writeDoneRead {
-		select {
-		case c.writeErr = <-c.writeDone:
-			c.writeDoneRead = true
-		default:
-			return false
-		}
+	select {
+	case <-c.writing.done:
+		return c.writing.err == nil
+	default:
+		return false
 	}
-	return c.writeErr == nil
 }
 
 // acquire returns an idle connection that is still usable and may carry the request, or a new one.
@@ -616,12 +640,23 @@
 	n, err := b.ReadCloser.Read(data)
 	b.conn.readEnded()
 	if err == io.EOF {
+		if failed := b.checkEnd(); failed != nil {
+			return n, failed
+		}
 		b.readToEOF = true
 		b.finish()
 	}
 	return n, err
 }
 
+// checkEnd returns an error if the body that has ended is not that of a whole answer.
+func (b *body) checkEnd() error {
+	if b.unframed && !b.readToEOF {
+		return b.conn.endedWhole()
+	}
+	return nil
+}
+
 // Close ends the exchange. If the body was not read to its end, the connection is
 // reset, which cancels the request at the server.
 func (b *body) Close() error {
--- a/internal/link/beechsocket/socket.go
+++ b/internal/link/beechsocket/socket.go
@@ -99,6 +99,21 @@
 	return LookAt(ctx) == Closed
 }
 
+// WasReset reports whether a connection was reset or has failed, also if another call has got the error since: the kernel
+// reports it to one call only. A connection that the peer has closed in order is none.
+func WasReset(c net.Conn) bool {
+	reset := false
+	err := control(c, func(fd uintptr) {
+		poll := []unix.PollFd{{Fd: int32(fd)}} // errors and hang-ups are always reported
+		_, err := unix.Poll(poll, 0)
+		for errors.Is(err, unix.EINTR) {
+			_, err = unix.Poll(poll, 0)
+		}
+		reset = err == nil && poll[0].Revents&(unix.POLLERR|unix.POLLHUP) != 0
+	})
+	return err == nil && reset
+}
+
 // LookAt returns the state of the connection of a request, whether or not its context has ended.
 func LookAt(ctx context.Context) State {
 	c, ok := ctx.Value(contextKey{}).(net.Conn)
--- a/internal/process/beechbackend/client.go
+++ b/internal/process/beechbackend/client.go
@@ -17,6 +17,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/beechring/beechring/internal/link/beechanswer"
 	"github.com/beechring/beechring/internal/state/beechfence"
 )
 
@@ -131,7 +132,7 @@
 		}
 		return connection, err
 	}
-	return serverClient{address: address, client: withTransport(client, transport)}
+	return serverClient{address: address, client: withTransport(client, beechanswer.Transport(transport))}
 }
 
 func transportOf(c *http.Client) (*http.Transport, bool) {
--- a/internal/process/beechbackend/connections.go
+++ b/internal/process/beechbackend/connections.go
@@ -13,6 +13,8 @@
 	"sync"
 	"sync/atomic"
 	"time"
+
+	"github.com/beechring/beechring/internal/link/beechanswer"
 )
 
 const (
@@ -119,7 +121,7 @@
 		trace.GotConn(httptrace.GotConnInfo{Reused: reused})
 	}
 	before := c.writes.Load()
-	response, err := c.RoundTrip(r)
+	response, err := beechanswer.Transport(c.ClientConn).RoundTrip(r)
 	if err != nil {
 		_ = c.Close() // first, so that nothing is written after the look at the count
 		if c.writes.Load() == before {
--- a/internal/process/beechbackend/wrongrequest_test.go
+++ b/internal/process/beechbackend/wrongrequest_test.go
@@ -4,6 +4,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"testing"
 	"time"
@@ -66,3 +67,41 @@
 		})
 	}
 }
+
+// Guards against an answer without a length at the agents' door that counts as whole though its server reset the connection
+// while the request was being written.
+func TestAnswerOfAServiceInTroubleIsNotWhole(t *testing.T) {
+	for name, c := range map[string]struct {
+		response string
+		size     int
+	}{
+		"reset under an upload": {"HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\n\r\npart", 1 << 20},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			address := serve(t, http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+				conn, _, err := http.NewResponseController(w).Hijack()
+				is.NoErr(err)
+				_, _ = conn.Write([]byte(c.response))
+				if c.size > 1 {
+					_ = conn.(*net.TCPConn).SetLinger(0)
+				}
+				_ = conn.Close()
+			}))
+			client := NewClient(time.Second)
+			defer client.CloseIdleConnections()
+			for range 20 {
+				answer, err := NewService(address, "", client).Relay(t.Context(), RelayRequest{RequestID: "r", Method: http.MethodPost, Path: "/book", Body: make([]byte, c.size)})
+				var text []byte
+				if err == nil {
+					text, err = io.ReadAll(answer.Body)
+				}
+				if err == nil {
+					t.Fatalf("%q is an answer", text)
+				}
+				var refused *Refused
+				is.True(!errors.As(err, &refused)) // it may have run
+			}
+		})
+	}
+}
--- a/internal/process/beechgate/copies.go
+++ b/internal/process/beechgate/copies.go
@@ -21,6 +21,7 @@
 	"github.com/tinylib/msgp/msgp"
 	"go.uber.org/zap"
 
+	"github.com/beechring/beechring/internal/link/beechanswer"
 	"github.com/beechring/beechring/internal/link/beechdatagram"
 	"github.com/beechring/beechring/internal/link/beechwire"
 	"github.com/beechring/beechring/internal/process/beechtask"
@@ -108,7 +109,7 @@
 	// From the address by which other gates know this one.
 	dialer := &net.Dialer{Timeout: copyTimeout, LocalAddr: net.TCPAddrFromAddrPort(netip.AddrPortFrom(self.Addr(), 0))}
 	return &copies{
-		client:   &http.Client{Timeout: copyTimeout, Transport: &http.Transport{DialContext: dialer.DialContext, IdleConnTimeout: copyIdleTime, MaxIdleConnsPerHost: 1, MaxResponseHeaderBytes: maxHeaderBytes}},
+		client:   &http.Client{Timeout: copyTimeout, Transport: beechanswer.Transport(&http.Transport{DialContext: dialer.DialContext, IdleConnTimeout: copyIdleTime, MaxIdleConnsPerHost: 1, MaxResponseHeaderBytes: maxHeaderBytes})},
 		fetching: make(map[string]bool), packed: make(map[string]packedCopy),
 	}
 }
