A head that is no HTTP yields no answer

Callers got answers with a status of 700 or 999, with a blank in a field's name passed on, or with a body that was not the server's: 11 bytes under 'Content-Length : 2', the chunk framing under 'Transfer-Encoding : chunked'. At the agent's door a status of 000 was an answer too.

Cause: net/http's reader keeps such a name as a key that no look-up finds, and takes any three digits as a status.

Change: one check of version, status, names and values, before anything of a head is believed, for final and interim heads and trailers: in beechpool and for net/http's transport. The outcome of such an exchange is unknown.

--- a/internal/link/beechanswer/transport.go
+++ b/internal/link/beechanswer/transport.go
@@ -25,6 +25,7 @@
 	checkedBody struct {
 		io.ReadCloser
 		ctx      context.Context
+		response *http.Response
 		writing  *requestWriting
 		unframed bool // it ends with its connection
 		ended    error
@@ -38,7 +39,7 @@
 	maxInterimResponses = 100
 )
 
-var errInterim = fmt.Errorf("%d interim responses", maxInterimResponses)
+var errInterim = fmt.Errorf("%w: %d interim responses", ErrMalformed, maxInterimResponses)
 
 // ErrCut is the error of a body without a length that ended with its connection before its request was written whole. A
 // reset is reported to one call only, which may have been the writing.
@@ -55,19 +56,23 @@
 	ctx := httptrace.WithClientTrace(r.Context(), &httptrace.ClientTrace{
 		GotConn:      func(httptrace.GotConnInfo) { writing.begin() },
 		WroteRequest: func(i httptrace.WroteRequestInfo) { writing.end(i.Err) },
-		Got1xxResponse: func(_ int, _ textproto.MIMEHeader) error {
+		Got1xxResponse: func(_ int, header textproto.MIMEHeader) error {
 			if interim++; interim > maxInterimResponses { // the transport leaves the bound to this function
 				return errInterim
 			}
-			return nil
+			return CheckFields(http.Header(header))
 		},
 	})
 	response, err := t.next.RoundTrip(r.WithContext(ctx))
 	if err != nil {
 		return nil, err
 	}
+	if err := Check(response); err != nil {
+		_ = response.Body.Close()
+		return nil, err
+	}
 	unframed := response.ContentLength < 0 && len(response.TransferEncoding) == 0 && !response.Uncompressed && response.Body != http.NoBody
-	response.Body = &checkedBody{ReadCloser: response.Body, ctx: r.Context(), writing: writing, unframed: unframed}
+	response.Body = &checkedBody{ReadCloser: response.Body, ctx: r.Context(), response: response, writing: writing, unframed: unframed}
 	return response, nil
 }
 
@@ -129,7 +134,9 @@
 	n, err := b.ReadCloser.Read(data)
 	if err == io.EOF {
 		b.ended = err
-		if b.unframed {
+		if failed := CheckFields(b.response.Trailer); failed != nil {
+			b.ended = failed
+		} else if b.unframed {
 			if failed := b.writing.check(b.ctx); failed != nil {
 				b.ended = failed
 			}
--- a/internal/link/beechanswer/transport_test.go
+++ b/internal/link/beechanswer/transport_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"bytes"
+	"errors"
 	"fmt"
 	"io"
 	"net"
@@ -76,3 +77,20 @@
 		}
 	}
 }
+
+// Guards against answers of net/http's transport whose status or field names are none of HTTP.
+func TestTransportRejectsMalformedHeads(t *testing.T) {
+	for name, answer := range map[string]string{
+		"status":  "HTTP/1.1 000 OK\r\nContent-Length: 2\r\n\r\nab",
+		"name":    "HTTP/1.1 200 OK\r\nContent-Length : 2\r\n\r\nabcdefghijk",
+		"interim": "HTTP/1.1 103 Early Hints\r\nX Odd: 1\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nab",
+		"trailer": "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nab\r\n0\r\nX Odd: 1\r\n\r\n",
+	} {
+		if body, err := post(serve(t, answer, func(*net.TCPConn, *bufio.Reader) {}), 0); !errors.Is(err, ErrMalformed) {
+			t.Errorf("%s: %q, %v", name, body, err)
+		}
+	}
+	if body, err := post(serve(t, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nab", func(*net.TCPConn, *bufio.Reader) {}), 0); err != nil || body != "ab" {
+		t.Errorf("%q, %v", body, err)
+	}
+}
--- a/internal/link/beechpool/cut_test.go
+++ b/internal/link/beechpool/cut_test.go
@@ -94,3 +94,34 @@
 		t.Errorf("%v after %s", err, time.Since(began))
 	}
 }
+
+// Guards against believing anything of a head, an interim one or a trailer whose status or field names are none of HTTP: a
+// length under such a name is lost, and the body is then not its server's.
+func TestMalformedHeadsAreNoAnswers(t *testing.T) {
+	const sound = "HTTP/1.1 200 OK\r\nId: a\r\n"
+	for name, answer := range map[string]string{
+		"status 000":               "HTTP/1.1 000 OK\r\nId: a\r\nContent-Length: 2\r\n\r\nab",
+		"status 099":               "HTTP/1.1 099 OK\r\nId: a\r\nContent-Length: 2\r\n\r\nab",
+		"status 700":               "HTTP/1.1 700 OK\r\nId: a\r\nContent-Length: 2\r\n\r\nab",
+		"status 999":               "HTTP/1.1 999 OK\r\nId: a\r\nContent-Length: 2\r\n\r\nab",
+		"blank in a name":          sound + "X Odd: 1\r\nContent-Length: 2\r\n\r\nab",
+		"blank behind a name":      sound + "X-Odd : 1\r\nContent-Length: 2\r\n\r\nab",
+		"blank behind length":      sound + "Content-Length : 2\r\n\r\nabcdefghijk",
+		"two lengths":              sound + "Content-Length : 2\r\nContent-Length: 11\r\n\r\nabcdefghijk",
+		"blank behind coding":      sound + "Transfer-Encoding : chunked\r\n\r\n2\r\nab\r\n0\r\n\r\n",
+		"control byte in a name":   sound + "X\x01Odd: 1\r\nContent-Length: 2\r\n\r\nab",
+		"blank in an interim head": "HTTP/1.1 103 Early Hints\r\nX Odd: 1\r\n\r\n" + sound + "Content-Length: 2\r\n\r\nab",
+		"blank in a trailer":       sound + "Transfer-Encoding: chunked\r\n\r\n2\r\nab\r\n0\r\nX Odd: 1\r\n\r\n",
+	} {
+		t.Run(name, func(t *testing.T) {
+			peer, _ := serveRaw(t, func(c net.Conn, r *bufio.Reader) {
+				if _, ok := readRequestID(r); ok {
+					_, _ = io.WriteString(c, answer)
+				}
+			})
+			if body, err := exchange(t.Context(), newPool(), peer, "a", nil); err == nil {
+				t.Errorf("%q is an answer", body)
+			}
+		})
+	}
+}
--- a/internal/link/beechpool/pool.go
+++ b/internal/link/beechpool/pool.go
@@ -23,7 +23,8 @@
 //
 // An answer with neither a length nor chunks ends with its connection. It is whole only if its request was written whole and
 // the connection was not reset: the kernel reports a reset to one call only, and the goroutine that writes a long request
-// may have got it, so that the one that reads sees an orderly end.
+// may have got it, so that the one that reads sees an orderly end. Heads and trailers are checked (package beechanswer)
+// before anything in them is believed.
 //
 // An exchange that ends early is withdrawn: its connection is reset, so that a request that
 // is still queued on its way is discarded, and a server that reads late does not take it for
@@ -169,7 +170,8 @@
 		conn       *conn
 		connection Connection
 		stopCancel func() bool // stops closing the connection when the context ends
-		unframed   bool        // it ends with its connection
+		response   *http.Response
+		unframed   bool // it ends with its connection
 		reusable   bool
 		usedUp     bool
 		readToEOF  bool
@@ -326,7 +328,7 @@
 		return nil, failed
 	}
 	response.Body = &body{
-		unframed:   response.ContentLength < 0 && len(response.TransferEncoding) == 0 && response.Body != http.NoBody,
+		response: response, unframed: response.ContentLength < 0 && len(response.TransferEncoding) == 0 && response.Body != http.NoBody,
 		ReadCloser: response.Body, conn: c, connection: Connection{Number: c.number, Exchanges: c.uses, Discarded: discarded},
 		stopCancel: stop, reusable: !response.Close, usedUp: conditions.Exclusive || len(c.carried) >= maxCarriedIDs,
 	}
@@ -411,6 +413,9 @@
 	if err != nil && c.source.left <= 0 && !errors.Is(err, errHeadTooLong) {
 		err = fmt.Errorf("%w: %w", errHeadTooLong, err) // cut off in the middle of a line
 	}
+	if err == nil {
+		err = beechanswer.Check(response)
+	}
 	return response, err
 }
 
@@ -651,6 +656,9 @@
 
 // checkEnd returns an error if the body that has ended is not that of a whole answer.
 func (b *body) checkEnd() error {
+	if err := beechanswer.CheckFields(b.response.Trailer); err != nil {
+		return err
+	}
 	if b.unframed && !b.readToEOF {
 		return b.conn.endedWhole()
 	}
--- a/internal/process/beechbackend/wrongrequest_test.go
+++ b/internal/process/beechbackend/wrongrequest_test.go
@@ -69,13 +69,18 @@
 }
 
 // Guards against an answer without a length at the agents' door that counts as whole though its server reset the connection
-// while the request was being written.
+// while the request was being written, and against answers whose heads are none of HTTP.
 func TestAnswerOfAServiceInTroubleIsNotWhole(t *testing.T) {
 	for name, c := range map[string]struct {
 		response string
 		size     int
 	}{
-		"reset under an upload": {"HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\n\r\npart", 1 << 20},
+		"reset under an upload":  {"HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\n\r\npart", 1 << 20},
+		"status 000":             {"HTTP/1.1 000 OK\r\nContent-Length: 2\r\n\r\nab", 1},
+		"blank behind a length":  {"HTTP/1.1 200 OK\r\nContent-Length : 2\r\n\r\nabcdefghijk", 1},
+		"blank in a name":        {"HTTP/1.1 200 OK\r\nX Odd: 1\r\nContent-Length: 2\r\n\r\nab", 1},
+		"blank in a trailer":     {"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nab\r\n0\r\nX Odd: 1\r\n\r\n", 1},
+		"blank in an early hint": {"HTTP/1.1 103 Early Hints\r\nX Odd: 1\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nab", 1},
 	} {
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
