--- a/internal/command/beechplay/streamversions_test.go
+++ b/internal/command/beechplay/streamversions_test.go
@@ -60,7 +60,7 @@
 			}
 			began, went := answeredShare(&r.begun, &r.startsAsked), answeredShare(&r.wentOn, &r.takenUp)
 			t.Logf("%.2f of %d new streams began, %.2f of %d streams that were taken up went on; %v", began, r.startsAsked.Load(), went, r.takenUp.Load(), r.outcomes)
-			if went < began/2 {
+			if r.takenUp.Load() > 0 && went < began/2 {
 				t.Errorf("%.2f of the streams that were taken up went on, %.2f of the new ones began", went, began)
 			}
 		})
