A test's connection is not collected

TestCallerTellsUnreadRequests/silence failed once under load: 'cut in the middle of the answer' in place of no event. Its server returns at once and drops the accepted connection, which the collector of garbage may close within the 100 ms of the caller's patience. It is kept until the end of the test now; what is expected is unchanged.

--- a/internal/command/beechplay/soakcaller_check_test.go
+++ b/internal/command/beechplay/soakcaller_check_test.go
@@ -36,8 +36,11 @@
 			l, err := net.Listen("tcp4", "127.0.0.1:0")
 			is.NoErr(err)
 			defer l.Close()
+			accepted := make(chan net.Conn, 1) // keeps the connection from being collected, and closed
+			defer func() { _ = (<-accepted).Close() }()
 			go func() {
 				if c, err := l.Accept(); err == nil {
+					accepted <- c
 					test.serve(c)
 				}
 			}()
