Only answers before the last failed call show that the store was there

Found by reading the mend of kept servers: a gate took an answer of the store up to the moment at which its peer had regained it for proof that the peer alone had lost it. After an outage for all, the peer notices the return up to 0.8 s late, and a gate that reads meanwhile would drop servers that have yet to return. The proof ends at the peer's last failed call now.

TestCopyOfAGateThatLostTheStoreAlone has the case ('answered once regained') and failed on it before.

--- a/internal/link/beechdatagram/datagram_test.go
+++ b/internal/link/beechdatagram/datagram_test.go
@@ -35,7 +35,7 @@
 	Prove{&beechwire.Prove{Number: 1 << 63, Service: "llm"}},
 	Sole{&beechwire.Sole{Number: 1 << 63, Service: "llm", Software: "v1.2"}},
 	Quiet{&beechwire.Quiet{Era: 2, After: 1 << 40, Until: 1<<40 | 7}},
-	Outage{&beechwire.Outage{Number: 1 << 63, Lost: 4200, Back: 300}},
+	Outage{&beechwire.Outage{Number: 1 << 63, Lost: 4200, Failed: 300}},
 	Served{&beechwire.Served{Number: 1 << 63}},
 	Poison{&beechwire.Poison{
 		Pass: true, Crashes: []beechwire.ServerCrash{{Server: 1 << 63, AgeMillis: 40, Suspects: []beechwire.CrashSuspect{{Key: 1 << 62, Rank: 1, Workspace: 1 << 31}}}},
--- a/internal/link/beechwire/wire_gen.go
+++ b/internal/link/beechwire/wire_gen.go
@@ -687,6 +687,9 @@
 // Kept follows the Entries of a whole copy: what the store does not hold any more
 // and the sender keeps, as it could not reach the store.
 type Kept struct {
+	// Milliseconds since the sender sent its last call that failed, rounded up.
+	Failed int64 `msg:"Failed"`
+
 	// List corresponds to the JSON schema field "List".
 	List []Entry `msg:"List"`
 
@@ -848,8 +851,8 @@
 // Outage asks a gate whether the store has answered it between two moments,
 // between which it has not answered the sender.
 type Outage struct {
-	// Milliseconds since the second.
-	Back int64 `msg:"Back"`
+	// Milliseconds since the second, at which it sent its last call that failed.
+	Failed int64 `msg:"Failed"`
 
 	// Milliseconds since the first moment.
 	Lost int64 `msg:"Lost"`
--- a/internal/link/beechwire/wire_msgp_gen.go
+++ b/internal/link/beechwire/wire_msgp_gen.go
@@ -3930,9 +3930,12 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *Kept) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 3
+	// map header, size 4
+	// string "Failed"
+	o = append(o, 0x84, 0xa6, 0x46, 0x61, 0x69, 0x6c, 0x65, 0x64)
+	o = msgp.AppendInt64(o, z.Failed)
 	// string "List"
-	o = append(o, 0x83, 0xa4, 0x4c, 0x69, 0x73, 0x74)
+	o = append(o, 0xa4, 0x4c, 0x69, 0x73, 0x74)
 	o = msgp.AppendArrayHeader(o, uint32(len(z.List)))
 	for za0001 := range z.List {
 		o, err = z.List[za0001].MarshalMsg(o)
@@ -3968,6 +3971,12 @@
 			return
 		}
 		switch msgp.UnsafeString(field) {
+		case "Failed":
+			z.Failed, bts, err = msgp.ReadInt64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Failed")
+				return
+			}
 		case "List":
 			var zb0002 uint32
 			zb0002, bts, err = msgp.ReadArrayHeaderBytes(bts)
@@ -4017,7 +4026,7 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *Kept) Msgsize() (s int) {
-	s = 1 + 5 + msgp.ArrayHeaderSize
+	s = 1 + 7 + msgp.Int64Size + 5 + msgp.ArrayHeaderSize
 	for za0001 := range z.List {
 		s += z.List[za0001].Msgsize()
 	}
@@ -4764,7 +4773,7 @@
 	o = msgp.Require(b, z.Msgsize())
 	// array header, size 3
 	o = append(o, 0x93)
-	o = msgp.AppendInt64(o, z.Back)
+	o = msgp.AppendInt64(o, z.Failed)
 	o = msgp.AppendInt64(o, z.Lost)
 	o = msgp.AppendUint64(o, z.Number)
 	return
@@ -4782,9 +4791,9 @@
 		err = msgp.ArrayError{Wanted: 3, Got: zb0001}
 		return
 	}
-	z.Back, bts, err = msgp.ReadInt64Bytes(bts)
+	z.Failed, bts, err = msgp.ReadInt64Bytes(bts)
 	if err != nil {
-		err = msgp.WrapError(err, "Back")
+		err = msgp.WrapError(err, "Failed")
 		return
 	}
 	z.Lost, bts, err = msgp.ReadInt64Bytes(bts)
--- a/internal/process/beechgate/copies.go
+++ b/internal/process/beechgate/copies.go
@@ -208,6 +208,9 @@
 // sendQuiet tells another gate between which revisions no server changed, so that its history goes on without a read.
 func (g *Gate) sendQuiet(to netip.AddrPort) {
 	q := g.serverMirror.Quiet()
+	if q.Until == 0 {
+		return
+	}
 	era, after := beechera.Split(q.After)
 	_, until := beechera.Split(q.Until)
 	g.sendTo(to, beechdatagram.Quiet{Quiet: &beechwire.Quiet{Era: era, After: after, Until: until}})
@@ -334,7 +337,7 @@
 	}
 	return beechmirror.Copy{
 		Page: entriesPage(&entries), Kept: entriesPage(&beechwire.Entries{List: kept.List}).Items,
-		KeptFor: time.Duration(kept.Millis) * time.Millisecond, LostFor: time.Duration(kept.Lost) * time.Millisecond,
+		KeptFor: time.Duration(kept.Millis) * time.Millisecond, LostFor: time.Duration(kept.Lost) * time.Millisecond, Failed: time.Duration(kept.Failed) * time.Millisecond,
 	}, nil
 }
 
@@ -406,7 +409,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	copied, _ := m.Copy()
-	keeps := beechwire.Kept{Millis: (copied.KeptFor + time.Millisecond - 1).Milliseconds(), Lost: copied.LostFor.Milliseconds(), List: wireEntries(copied.Kept)}
+	keeps := beechwire.Kept{Millis: (copied.KeptFor + time.Millisecond - 1).Milliseconds(), Lost: copied.LostFor.Milliseconds(), Failed: (copied.Failed + time.Millisecond - 1).Milliseconds(), List: wireEntries(copied.Kept)}
 	if kept, err = compress(&keeps); err != nil {
 		return nil, nil, true, err
 	}
--- a/internal/process/beechgate/outages.go
+++ b/internal/process/beechgate/outages.go
@@ -28,16 +28,16 @@
 
 // askWhoWasServed asks some gates whether the store has answered them, while this gate keeps servers that are missing.
 func (g *Gate) askWhoWasServed() {
-	lost, regained, keeps := g.serverMirror.Outage()
-	regained = regained.Add(-outageMargin)
-	if !keeps || !regained.After(lost) {
+	lost, failed, keeps := g.serverMirror.Outage()
+	failed = failed.Add(-outageMargin)
+	if !keeps || !failed.After(lost) {
 		return
 	}
 	now := g.clock.Now()
 	o := &g.outages
 	o.mu.Lock()
 	o.number, o.lost, o.sentAt = rand.Uint64(), lost, now
-	question := &beechwire.Outage{Number: o.number, Lost: now.Sub(lost).Milliseconds(), Back: now.Sub(regained).Milliseconds() + 1}
+	question := &beechwire.Outage{Number: o.number, Lost: now.Sub(lost).Milliseconds(), Failed: now.Sub(failed).Milliseconds() + 1}
 	o.mu.Unlock()
 	gates := g.otherGates()
 	for _, n := range rand.Perm(len(gates))[:min(servedAsked, len(gates))] {
@@ -47,7 +47,7 @@
 
 func (g *Gate) receiveOutage(from netip.AddrPort, m beechdatagram.Outage) {
 	now := g.clock.Now()
-	if g.isKnownGate(from) && g.answers.Within(now.Add(-time.Duration(m.Lost)*time.Millisecond), now.Add(-time.Duration(m.Back)*time.Millisecond)) {
+	if g.isKnownGate(from) && g.answers.Within(now.Add(-time.Duration(m.Lost)*time.Millisecond), now.Add(-time.Duration(m.Failed)*time.Millisecond)) {
 		g.sendTo(from, beechdatagram.Served{Served: &beechwire.Served{Number: m.Number}})
 	}
 }
--- a/internal/state/beechmirror/answers.go
+++ b/internal/state/beechmirror/answers.go
@@ -41,12 +41,12 @@
 	return slices.ContainsFunc(a.list, func(x answer) bool { return !x.asked.Before(from) && !x.received.After(until) })
 }
 
-// Outage returns between which moments this process, or the peer by whose copy it keeps items, was without the store. Keeps
-// is false if it keeps nothing for that reason.
-func (m *Mirror) Outage() (lost, regained time.Time, keeps bool) {
+// Outage returns when this process, or the peer by whose copy it keeps items, lost the store, and when it sent the last call
+// that failed. Keeps is false if it keeps nothing for that reason.
+func (m *Mirror) Outage() (lost, failed time.Time, keeps bool) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	return m.lostAt, m.keepUntil.Add(-m.settings.RemovalDelay), m.keepsMissing() && !m.failing && !m.lostAt.IsZero()
+	return m.lostAt, m.failedAt, m.keepsMissing() && !m.failing && !m.lostAt.IsZero()
 }
 
 // EndKeeping drops what is kept for the outage that began at a time, since the store has answered others during it: what is
--- a/internal/state/beechmirror/kept_test.go
+++ b/internal/state/beechmirror/kept_test.go
@@ -83,18 +83,23 @@
 		answeredAt time.Duration // after the sender lost the store for three seconds
 		dropped    bool
 	}{
-		"answered before":    {answeredAt: -time.Second},
-		"answered meanwhile": {answeredAt: time.Second, dropped: true},
-		"answered since":     {answeredAt: 3500 * time.Millisecond},
+		"answered before":        {answeredAt: -time.Second},
+		"answered meanwhile":     {answeredAt: time.Second, dropped: true},
+		"answered once regained": {answeredAt: 2500 * time.Millisecond}, // the store may have been back by then
+		"answered since":         {answeredAt: 3500 * time.Millisecond},
 	} {
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
 			clock := clockwork.NewFakeClock()
-			turnedAway, served, visible, _ := keptPair(t, clock)
+			turnedAway, served, visible, s := keptPair(t, clock)
 			served.settings.Answers = &Answers{}
 			answered := clock.Now().Add(c.answeredAt)
 			served.settings.Answers.add(answered, answered)
-			clock.Advance(3 * time.Second)
+			clock.Advance(2 * time.Second)
+			s.err = errDown
+			is.True(!turnedAway.readOnce(t.Context()))
+			s.err = nil
+			clock.Advance(time.Second)
 			is.True(turnedAway.readOnce(t.Context()))
 			clock.Advance(time.Second)
 			copied, _ := turnedAway.Copy()
@@ -134,15 +139,19 @@
 func TestKeepingEndsIfOthersReachedTheStore(t *testing.T) {
 	is := is.New(t)
 	clock := clockwork.NewFakeClock()
-	turnedAway, _, visible, _ := keptPair(t, clock)
+	turnedAway, _, visible, s := keptPair(t, clock)
 	_, _, keeps := turnedAway.Outage()
 	is.True(!keeps) // the store is still away
-	clock.Advance(3 * time.Second)
+	clock.Advance(2 * time.Second)
+	s.err = errDown
+	is.True(!turnedAway.readOnce(t.Context()))
+	s.err = nil
+	clock.Advance(time.Second)
 	is.True(turnedAway.readOnce(t.Context()))
 	clock.Advance(100 * time.Millisecond)
-	lost, regained, keeps := turnedAway.Outage()
+	lost, failed, keeps := turnedAway.Outage()
 	is.True(keeps)
-	is.Equal(regained.Sub(lost), 3*time.Second)
+	is.Equal(failed.Sub(lost), 2*time.Second)
 	is.Equal(len(visible(turnedAway)), 2)
 	turnedAway.EndKeeping(lost.Add(-time.Second)) // another outage
 	is.Equal(len(visible(turnedAway)), 2)
@@ -175,7 +184,7 @@
 			case "read":
 				m.readOnce(t.Context())
 			case "fail":
-				m.recordReadResult(errDown)
+				m.recordReadResult(clock.Now(), errDown)
 			case "watch":
 				if m.loaded {
 					_ = m.watchOnce(t.Context(), m.watchFrom())
--- a/internal/state/beechmirror/mirror.go
+++ b/internal/state/beechmirror/mirror.go
@@ -142,6 +142,7 @@
 		failing          bool
 		keepUntil        time.Time // until when missing items are kept, while the store answers
 		lostAt           time.Time // when this process, or the peer by whose copy items are kept, lost the store
+		failedAt         time.Time // when it sent the last call that failed
 		startedAt        time.Time
 		maxAge           time.Duration      // age of the copy at which a full read is due
 		lastFullRead     time.Time          // when the last full read was applied
@@ -287,7 +288,7 @@
 	if err == nil {
 		m.settings.Answers.add(sent, m.clock.Now())
 	}
-	m.recordReadResult(err)
+	m.recordReadResult(sent, err)
 	if err != nil {
 		return false
 	}
@@ -355,7 +356,7 @@
 
 // recordReadResult records whether a full read succeeded, and logs the beginning and the
 // end of an outage once each.
-func (m *Mirror) recordReadResult(err error) {
+func (m *Mirror) recordReadResult(sent time.Time, err error) {
 	m.mu.Lock()
 	wasFailing := m.failing
 	m.failing = err != nil
@@ -365,6 +366,9 @@
 	if !wasFailing && err != nil {
 		m.lostAt = m.clock.Now()
 	}
+	if err != nil {
+		m.failedAt = sent
+	}
 	m.mu.Unlock()
 	switch {
 	case err != nil && !wasFailing:
--- a/internal/state/beechmirror/peers.go
+++ b/internal/state/beechmirror/peers.go
@@ -25,6 +25,7 @@
 		Kept    []Item        // that the store does not hold any more and the sender keeps
 		KeptFor time.Duration // how much longer the sender keeps what is missing; 0: it keeps nothing
 		LostFor time.Duration // how long ago the sender lost the store; 0: it keeps for another reason
+		Failed  time.Duration // how long ago it sent the last call that failed
 		AskedAt time.Time     // before the sender was asked for the copy, by the clock of the receiver
 	}
 
@@ -101,7 +102,7 @@
 			c.KeptFor = m.keepUntil.Sub(m.clock.Now())
 		}
 		if !m.lostAt.IsZero() {
-			c.LostFor = m.clock.Since(m.lostAt)
+			c.LostFor, c.Failed = m.clock.Since(m.lostAt), m.clock.Since(m.failedAt)
 		}
 	}
 	return c, m.loaded
@@ -148,7 +149,7 @@
 	if left > 0 && !restored {
 		m.keepUntil, m.lostAt = m.clock.Now().Add(left), time.Time{}
 		if c.LostFor > 0 {
-			m.lostAt = m.clock.Now().Add(-c.LostFor)
+			m.lostAt, m.failedAt = m.clock.Now().Add(-c.LostFor), c.AskedAt.Add(-c.Failed)
 		}
 	}
 	if left > 0 || restored {
@@ -166,14 +167,14 @@
 	return true
 }
 
-// servedDuringOutage reports whether the store has answered this process while the sender of a copy had lost it, so that
-// what is missing was removed and did not expire in an outage of the store.
+// servedDuringOutage reports whether the store has answered this process while it did not answer the sender of a copy, so
+// that what is missing was removed and did not expire in an outage of the store. After the sender's last call that failed
+// the store may have been back without the sender's knowledge.
 func (m *Mirror) servedDuringOutage(c Copy) bool {
 	if c.KeptFor <= 0 || c.LostFor <= 0 || c.AskedAt.IsZero() || m.settings.Answers == nil || m.keepsMissing() {
 		return false
 	}
-	regained := c.AskedAt.Add(c.KeptFor - m.settings.RemovalDelay)
-	return m.settings.Answers.Within(m.clock.Now().Add(-c.LostFor), regained)
+	return m.settings.Answers.Within(m.clock.Now().Add(-c.LostFor), c.AskedAt.Add(-c.Failed))
 }
 
 // WatchedByPeer reports whether a peer that watches the store has proved that it has the same
