A copy shortens no keeping, and a sender that keeps nothing says so

Found by reading: a gate that had lost the store and kept nothing so far told its peers to keep what they held, so that a removal that it had seen before took 2.2 s more there (TestCopyOfAGateThatHasLostTheStoreKeepsNothingSoFar). A peer's copy could end the keeping of a gate that had regained the store later, and operators' documents, of which nothing is kept, were kept for an instant after a restore.

--- a/internal/state/beechmirror/kept_test.go
+++ b/internal/state/beechmirror/kept_test.go
@@ -49,6 +49,19 @@
 	is.Equal(visible(turnedAway), []string{"servers/b"})
 }
 
+// Guards against keeping a server that a gate saw leave before it lost the store.
+func TestCopyOfAGateThatHasLostTheStoreKeepsNothingSoFar(t *testing.T) {
+	is := is.New(t)
+	clock := clockwork.NewFakeClock()
+	turnedAway, other, visible, s := keptPair(t, clock)
+	s.page = Page{Revision: 5, Items: []Item{{Key: "servers/b", Revision: 3}}}
+	is.True(turnedAway.ApplyPeerChanges(Changes{After: 3, Page: Page{Revision: 5, Items: []Item{{Key: "servers/a", Revision: 5, Removed: true}}}}))
+	copied, _ := turnedAway.Copy()
+	is.Equal(copied.KeptFor, time.Duration(0))
+	is.True(other.ApplyPeerCopy(copied))
+	is.Equal(visible(other), []string{"servers/b"})
+}
+
 // Guards against a gate without servers after an outage that it has not noticed itself: the gate whose copy it takes has.
 func TestMissingItemsOfAPeersCopyAreKeptAfterItsOutage(t *testing.T) {
 	is := is.New(t)
--- a/internal/state/beechmirror/peers.go
+++ b/internal/state/beechmirror/peers.go
@@ -96,7 +96,7 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	c = Copy{Page: Page{Items: sortedItems(m.items), Revision: m.revision}}
-	if m.keepsMissing() {
+	if m.keepsMissing() && (len(m.kept) > 0 || !m.failing) { // what was missing before the outage was removed
 		c.Kept, c.KeptFor = sortedItems(m.kept), m.settings.RemovalDelay
 		if !m.failing {
 			c.KeptFor = m.keepUntil.Sub(m.clock.Now())
@@ -146,16 +146,17 @@
 			}
 		}
 	}
-	if left > 0 && !restored {
-		m.keepUntil, m.lostAt = m.clock.Now().Add(left), time.Time{}
+	if until := m.clock.Now().Add(left); until.After(m.keepUntil) && left > 0 && !restored && !m.failing {
+		m.keepUntil, m.lostAt = until, time.Time{}
 		if c.LostFor > 0 {
 			m.lostAt, m.failedAt = m.clock.Now().Add(-c.LostFor), c.AskedAt.Add(-c.Failed)
 		}
 	}
-	if left > 0 || restored {
+	keep := left > 0 || restored && m.settings.RemovalDelay > 0
+	if keep {
 		m.clock.AfterFunc(m.keepUntil.Sub(m.clock.Now()), m.dropKept)
 	}
-	changed = m.replaceItems(next, left > 0 || restored) || changed
+	changed = m.replaceItems(next, keep) || changed
 	if c.KeptFor > 0 {
 		m.log.Info("copy of a peer that keeps missing items", zap.Duration("keptFor", c.KeptFor), zap.Duration("lostFor", c.LostFor), zap.Bool("keeps", left > 0), zap.Int("kept", len(m.kept)))
 	}
