--- a/internal/process/beechgate/soleversion_test.go
+++ b/internal/process/beechgate/soleversion_test.go
@@ -349,8 +349,7 @@
 // gate missed, and against gates in touch that can prove nothing.
 func TestProofOfOneVersionMissesNone(t *testing.T) {
 	proofs, expected := 0, 0
-	rapid.Check(t, func(r *rapid.T) {
-		steps := rapid.SliceOfN(rapid.Custom(drawVersionStep), 1, 60).Draw(r, "steps")
+	play := func(steps []versionStep) string {
 		var m *versionModel
 		synctest.Test(t, func(*testing.T) {
 			m = newVersionModel()
@@ -366,8 +365,14 @@
 			}
 		})
 		proofs, expected = proofs+m.proofs, expected+m.expected
-		if m.failure != "" {
-			r.Fatal(m.failure)
+		return m.failure
+	}
+	if failure := play([]versionStep{{what: "wait"}, {what: "prove"}, {what: "prove", gate: 1}}); failure != "" {
+		t.Error(failure)
+	}
+	rapid.Check(t, func(r *rapid.T) {
+		if failure := play(rapid.SliceOfN(rapid.Custom(drawVersionStep), 1, 60).Draw(r, "steps")); failure != "" {
+			r.Fatal(failure)
 		}
 	})
 	t.Logf("%d proofs, %d that were due", proofs, expected)
