Comments of the mirror's history and of the configuration's age

A first reader could not tell where a history begins, nor which of two ages is of what. No code changed.

--- a/internal/process/beechgate/configuration.go
+++ b/internal/process/beechgate/configuration.go
@@ -35,10 +35,10 @@
 // otherwise what the new version ends, like a key, would stay valid for as long as that is the newest.
 type configurationAge struct {
 	*beechfresh.Tracker                     // of the copy
-	keys                *beechfresh.Tracker // of the workspaces and their keys
+	keys                *beechfresh.Tracker // of the workspaces and their keys in force
 	whole               *beechfresh.Tracker // of all that is in force
-	unreadKeys          atomic.Bool         // the keys of the newest version were not all read
-	unread              atomic.Bool         // another part of it was not, or these
+	unreadKeys          atomic.Bool         // the keys of the newest version could not all be read
+	unread              atomic.Bool         // some part of the newest version could not be read
 }
 
 func newConfigurationAge(c beechfresh.Clock) *configurationAge {
--- a/internal/process/beechgate/copies.go
+++ b/internal/process/beechgate/copies.go
@@ -35,8 +35,7 @@
 	// one. A lost inquiry makes the mirrors older by one interval, which leaves them younger
 	// than the age at which this gate reads itself.
 	inquiryInterval = 300 * time.Millisecond
-	// quietInterval is the number of inquiries of a gate for each of which it is told once between which revisions no
-	// server changed.
+	// quietInterval is the number of inquiries after which a gate is told again between which revisions no server changed.
 	quietInterval = 3
 	// startInterval is that of a gate that has no configuration yet.
 	startInterval = 40 * time.Millisecond
--- a/internal/state/beechmirror/history.go
+++ b/internal/state/beechmirror/history.go
@@ -13,9 +13,10 @@
 type (
 	// history is what a mirror knows of the changes that led to its copy.
 	//
-	// Every change with a revision above begun and up to complete was passed to Settings.Observe. Only changes extend it:
-	// those that a watch returns, those that a peer forwards, and a peer's word that there were none. A full read and a
-	// peer's copy move the copy ahead of the history, as they do not show what was written and removed in between.
+	// It begins at a confirmed copy. Every later change with a revision up to complete was passed to Settings.Observe. Only
+	// changes extend it: those that a watch returns, those that a peer forwards, and a peer's word that there were none. A
+	// full read and a peer's copy move the copy ahead of the history, as they do not show what was written and removed in
+	// between.
 	//
 	// It is guarded by the lock of the mirror.
 	history struct {
