Beginnings are told to three gates until one version is proven

In the first seconds after a start one version is known and not proven: the code before told three gates then, this one told one, of which half were cut off.

One gate is told only while one version has been the only one for as long as streams can be resumed.

--- a/internal/decision/beechorigin/doc.go
+++ b/internal/decision/beechorigin/doc.go
@@ -8,8 +8,9 @@
 // them and the gates of its zone.
 //
 // Each beginning is told before its first event leaves: what no other gate knows is lost with the gate that served it, which
-// may be suspended, cut off or killed before it learns of a second version. While it knows of one version only it tells one
-// gate (Survivor); when another version appears, all gates that keep the origin.
+// may be suspended, cut off or killed before it learns of a second version. While it has known of one version only for as
+// long as streams can be resumed, it tells one gate (Survivor). Otherwise, and when another version appears, it tells all gates that
+// keep the origin.
 //
 // If nobody knows the beginning, the origin still follows if the service has had one version only for longer than any stream
 // can be resumed. The servers that are listed now prove nothing alone, as those of another version may have left, and
--- a/internal/process/beechgate/origins.go
+++ b/internal/process/beechgate/origins.go
@@ -160,7 +160,7 @@
 		return // its replicas were told at the beginning
 	}
 	keepers := beechorigin.Replicas
-	if g.noOtherVersion(origin) && hasOneTarget(call.Route) && !g.draining.Load() {
+	if only, ok := g.origins.versions.Only(origin.Service); ok && only == origin.Software && hasOneTarget(call.Route) && !g.draining.Load() {
 		keepers = func(id string, gates []beechorigin.Gate) []beechorigin.Gate {
 			return beechorigin.Survivor(id, g.settings.Zone, gates)
 		}
