Logs and metrics tell who proved a list, as of when, and who watches it

Hypotheses as different as a removal undone by a copy and a list that nobody watched left the same lines.

Change: the mirror records what its last change and its last proof rest on. `servers changed` and the lines of attempts have the age of the proof, `watches the store` and `store watched by a peer` say who takes over and why, `request sent by an old list` (ten a second at the most), `sendsByOldList` and `listAgeMicros` say when requests go out by a list that is older than the operators' bound for servers that leave, a new setting (`drain`). No decision uses any of it.

--- a/internal/command/beechcommand/explain.go
+++ b/internal/command/beechcommand/explain.go
@@ -39,7 +39,7 @@
 // stateMessages are the log messages that report a process's view of the
 // deployment, as listed in docs/OPERATIONS.md.
 var stateMessages = map[string]bool{
-	"configuration in force": true, "weights named": true, "store lost": true, "store regained": true,
+	"configuration in force": true, "weights named": true, "store lost": true, "store regained": true, "watches the store": true, "store watched by a peer": true,
 	"engine's phase": true, "server gone": true, "gate leaving": true, "gate started": true, "bounds in force": true,
 	"server's limit known": true, "server's limit changed": true, "server's limit ended": true,
 }
--- a/internal/process/beechgate/configuration.go
+++ b/internal/process/beechgate/configuration.go
@@ -298,6 +298,7 @@
 		}
 	}
 	if listed+len(removed) > 0 {
-		g.log.Info("servers changed", zap.Int("listed", listed), zap.Int("leaving", leaving), zap.Int("gone", len(removed)), zap.Int("servers", len(servers)))
+		g.log.Info("servers changed", zap.Int("listed", listed), zap.Int("leaving", leaving), zap.Int("gone", len(removed)), zap.Int("servers", len(servers)),
+			zap.Stringer("by", g.serverMirror.LastChange()), zap.Duration("listAge", g.serverFreshness.Age()), zap.Stringer("provenBy", g.serverMirror.LastProof()))
 	}
 }
--- a/internal/process/beechgate/copies.go
+++ b/internal/process/beechgate/copies.go
@@ -235,7 +235,7 @@
 		return
 	}
 	confirmed, proof := g.readers.ConfirmedAt(number, time.Duration(h.Age)*time.Millisecond)
-	status := beechmirror.CopyStatus{Digest: h.Digest, Watching: h.Watched, Confirmed: proof, ConfirmedAt: confirmed}
+	status := beechmirror.CopyStatus{Digest: h.Digest, Watching: h.Watched, Confirmed: proof, ConfirmedAt: confirmed, Peer: from}
 	held, known := m.Held()
 	revision := beechera.Order(h.Era, h.Revision)
 	switch {
@@ -293,7 +293,7 @@
 		}
 		asked := g.clock.Now()
 		copied, err := g.copies.fetch(context.Background(), source, prefix)
-		copied.AskedAt = asked
+		copied.AskedAt, copied.Peer = asked, source
 		if err == nil && m.ApplyPeerCopy(copied) && copied.Revision >= wanted {
 			return true
 		}
@@ -520,7 +520,7 @@
 	if !g.isKnownGate(from) || len(e.List) == 0 {
 		return
 	}
-	changes := beechmirror.Changes{After: beechera.Order(e.Era, e.After), Page: entriesPage(e.Entries)}
+	changes := beechmirror.Changes{After: beechera.Order(e.Era, e.After), Page: entriesPage(e.Entries), Peer: from}
 	m := g.serverMirror
 	if strings.HasPrefix(e.List[0].Key, g.deps.OperatorPrefix) {
 		m = g.operatorMirror
--- a/internal/process/beechgate/gate.go
+++ b/internal/process/beechgate/gate.go
@@ -1,6 +1,7 @@
 package beechgate
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"expvar"
@@ -254,7 +255,7 @@
 	g.backoff = beechbackoff.New(deps.Clock)
 	g.placer = beechplace.New(beechplace.Settings{
 		Zone: s.Zone, OutdatedSoftLimit: max(weights-outdatedMargin, weights/2), OutdatedHardLimit: max(weights-startMargin, weights/2),
-		CallersCompete: deps.CallersCompete, ListIsRecent: func() bool { return g.serverFreshness.Age() <= maxListAge },
+		CallersCompete: deps.CallersCompete, ListIsRecent: func() bool { return g.serverFreshness.Age() <= maxListAge }, ListAge: g.serverFreshness.Age,
 	}, deps.Clock, g.health, g.limits, g.overloaded, g.backoff, g.announcePrompt)
 	g.placer.AnnounceUrgencies(g.announceUrgency)
 	g.core = beechattempt.New(g.placer, deps.Backend, deps.Pool, g.budgets, g.suspects, g.poison, g.admission, g, deps.Clock, deps.Log)
@@ -309,6 +310,11 @@
 // Draining reports whether the process is about to end.
 func (g *Gate) Draining() bool { return g.draining.Load() }
 
+// drainBound is the time from when the store knows that a server leaves until it gets no more requests.
+func (g *Gate) drainBound() time.Duration {
+	return cmp.Or(time.Duration(g.bounds.Load().Drain), beechsettings.DefaultDrain)
+}
+
 // Run serves until the context ends, and then until every request is completed or the grace
 // period has expired.
 func (g *Gate) Run(ctx context.Context, door, ready http.Handler) error {
--- a/internal/process/beechgate/metrics.go
+++ b/internal/process/beechgate/metrics.go
@@ -46,6 +46,8 @@
 		toldTimes         *beechmetric.Latency // times that refused callers were told
 		watchDelay        *beechmetric.Latency // of the looks for callers that have left
 		resetDelay        *beechmetric.Latency // from the withdrawal of an attempt until its socket was closed
+		listAge           *beechmetric.Latency // since the list of servers was proved, at each send
+		oldListSends      *expvar.Int          // sends by a list whose proof was older than the operators' bound
 		acceptWait        *expvar.Int          // shortest wait of new connections in microseconds
 	}
 )
@@ -58,6 +60,7 @@
 		resumed: new(expvar.Map), backups: new(expvar.Map), turnedAway: new(expvar.Int), unreadAge: beechmetric.NewLatency(), schedulingDelay: new(expvar.Int), departed: new(expvar.Map), departedAfter: beechmetric.NewLatency(),
 		unnoticed: beechmetric.NewLatency(), withdrawn: beechmetric.NewLatency(), withdrawals: new(expvar.Map), schedulingTail: new(expvar.Int), acceptWait: new(expvar.Int),
 		returns: new(expvar.Map), toldTimes: beechmetric.NewLatency(), watchDelay: beechmetric.NewLatency(), resetDelay: beechmetric.NewLatency(),
+		listAge: beechmetric.NewLatency(), oldListSends: new(expvar.Int),
 	}
 	m.vars.Set("endings", m.endings)
 	m.vars.Set("retried", m.retried)
@@ -129,6 +132,9 @@
 	m.vars.Set("serverResponsesDiscarded", expvar.Func(func() any { return g.deps.Pool.ResponsesDiscarded() }))
 	m.vars.Set("schedulingDelayTailMicros", m.schedulingTail)
 	m.vars.Set("acceptWaitMicros", m.acceptWait)
+	m.vars.Set("listAgeMicros", expvar.Func(m.listAge.Percentiles))
+	m.vars.Set("listAgeMillis", expvar.Func(func() any { return g.serverFreshness.Age().Milliseconds() }))
+	m.vars.Set("sendsByOldList", m.oldListSends)
 	m.vars.Set("configurationAgeMillis", expvar.Func(func() any { return g.freshness.keys.Age().Milliseconds() }))
 	m.vars.Set("unanswered", g.door.Counts())
 	m.vars.Set("unansweredLinesDropped", g.door.DroppedLines())
--- a/internal/process/beechgate/observer.go
+++ b/internal/process/beechgate/observer.go
@@ -15,6 +15,17 @@
 	g.health.Observe(beechhealth.Sample{Server: server.Address, Model: server.Service, FirstToken: firstToken, Tokens: prefillTokens, Failed: failed})
 }
 
+// ObserveSend implements beechattempt.Observer. A server that leaves may get requests that are sent by a list whose proof is
+// older than the operators' bound, which is logged.
+func (g *Gate) ObserveSend(call *beechcall.Call, server beechcall.Server, listAge time.Duration) {
+	g.metrics.listAge.Record(listAge)
+	if listAge <= g.drainBound() {
+		return
+	}
+	g.metrics.oldListSends.Add(1)
+	g.limitLog.Warn("request sent by an old list", zap.String("request", call.ID), zap.String("server", server.ID), zap.Duration("listAge", listAge), zap.Stringer("provenBy", g.serverMirror.LastProof()))
+}
+
 // ObserveEnd implements beechattempt.Observer. Requests that were answered as expected are logged
 // at level debug only, all others and resumed streams at info.
 func (g *Gate) ObserveEnd(e beechattempt.Result) {
--- a/internal/process/beechsettings/settings.go
+++ b/internal/process/beechsettings/settings.go
@@ -123,6 +123,7 @@
 	GateBounds struct {
 		Revoke  Duration `json:"revoke,omitempty"`  // maximum time that a revoked key is still served
 		Grace   Duration `json:"grace,omitempty"`   // from the stop signal until the process is killed
+		Drain   Duration `json:"drain,omitempty"`   // from when the store knows that a server leaves until it gets no more requests
 		Weights Duration `json:"weights,omitempty"` // maximum time that old weights are served after newer ones were named
 		Retries float64  `json:"retries,omitempty"` // share of a service's requests, for all gates together
 		Spare   float64  `json:"spare,omitempty"`   // additional retries, for all gates together
@@ -162,6 +163,9 @@
 	}
 )
 
+// DefaultDrain is the default of GateBounds.Drain.
+const DefaultDrain = 2 * time.Second
+
 // Default values.
 const (
 	defaultHeaderBytes = 32 << 10
@@ -231,6 +235,7 @@
 	setDefault(&gate.Backups, beechbackup.Auto)
 	b := &gate.Bounds
 	setDefault(&b.Revoke, Duration(defaultRevoke))
+	setDefault(&b.Drain, Duration(DefaultDrain))
 	setDefault(&b.Grace, Duration(defaultGateGrace))
 	setDefault(&b.Weights, Duration(defaultWeights))
 	setDefault(&b.Retries, defaultRetries)
--- a/internal/request/beechattempt/attempt_test.go
+++ b/internal/request/beechattempt/attempt_test.go
@@ -77,6 +77,7 @@
 func (fullyUsable) Weight(netip.AddrPort) float64 { return 1 }
 
 func (ignoring) ObserveAttempt(beechcall.Server, string, time.Duration, int, bool) {}
+func (ignoring) ObserveSend(*beechcall.Call, beechcall.Server, time.Duration)      {}
 func (ignoring) ObserveStart(*beechcall.Call)                                      {}
 func (ignoring) ObserveEnd(Result)                                                 {}
 
--- a/internal/request/beechattempt/dispatcher.go
+++ b/internal/request/beechattempt/dispatcher.go
@@ -66,6 +66,9 @@
 		// ObserveAttempt is called with the time to an answer's first byte, or for a
 		// failure. Unread is the number of prompt tokens that the server had to prefill.
 		ObserveAttempt(server beechcall.Server, model string, firstByte time.Duration, unread int, failed bool)
+		// ObserveSend is called when an attempt is sent, with the time since the list of servers was
+		// proved to be complete.
+		ObserveSend(call *beechcall.Call, server beechcall.Server, listAge time.Duration)
 		// ObserveStart is called before the first event of a resumable stream is sent to its
 		// caller, with the call's Origin set.
 		ObserveStart(call *beechcall.Call)
--- a/internal/request/beechattempt/hedge.go
+++ b/internal/request/beechattempt/hedge.go
@@ -454,6 +454,7 @@
 	x.start = newStartLimit(d.clock, x.choice.FirstByteTimeout, x.withdraw)
 	defer x.start.stop()
 	x.sent = d.clock.Now()
+	d.recordListAge(&x.exchange)
 	err := x.send(ctx, d)
 	if err == nil && x.hedging.win(x) {
 		return
--- a/internal/request/beechattempt/run.go
+++ b/internal/request/beechattempt/run.go
@@ -61,6 +61,7 @@
 		placement *beechplace.Attempt
 		number    int // of the attempts of its call
 		sent      time.Time
+		listAge   time.Duration // since the list of servers was proved, when it was sent
 		start     *startLimit
 		activity  *activity
 		withdraw  context.CancelCauseFunc
@@ -282,6 +283,7 @@
 	defer x.releaseShare()
 	defer r.dispatcher.activities.end(x.activity)
 	defer x.start.stop()
+	r.dispatcher.recordListAge(x)
 	r.beginExchange(ctx, x, r.dispatcher.timeouts.firstByte(r.call.Route.Name, r.call.Route.Objective))
 	r.hedging.wait()
 	answer, err := r.dispatcher.backend.Send(withdrawable, beechcall.Attempt{
@@ -839,7 +841,13 @@
 func (d *Dispatcher) logAttempt(what string, x *exchange, fields ...zap.Field) {
 	d.log.Info("attempt "+what, append(fields,
 		zap.String("request", x.call.ID), zap.String("server", x.choice.Server.ID), zap.Stringer("peer", x.choice.Server.Address),
-		zap.Uint64("born", x.choice.Server.Born), zap.Uint64("weights", x.choice.Weights), zap.Int("sends", x.number), zap.Float64("cost", x.choice.Cost))...)
+		zap.Uint64("born", x.choice.Server.Born), zap.Uint64("weights", x.choice.Weights), zap.Int("sends", x.number), zap.Float64("cost", x.choice.Cost), zap.Duration("listAge", x.listAge))...)
+}
+
+// recordListAge records how old the proof of the list of servers is as an attempt is sent.
+func (d *Dispatcher) recordListAge(x *exchange) {
+	x.listAge = d.placer.ListAge()
+	d.observer.ObserveSend(x.call, x.choice.Server, x.listAge)
 }
 
 // milliseconds converts milliseconds to a duration.
--- a/internal/request/beechplace/choose.go
+++ b/internal/request/beechplace/choose.go
@@ -383,6 +383,14 @@
 	return ok && p.mayServe(call, s, p.clock.Now())
 }
 
+// ListAge returns the time since the list of servers was proved to be complete, or 0 if that is not known.
+func (p *Placer) ListAge() time.Duration {
+	if p.settings.ListAge == nil {
+		return 0
+	}
+	return p.settings.ListAge()
+}
+
 // Software returns the version of the software that has answered, or an empty string if it may
 // have changed since the server was chosen.
 func (p *Placer) Software(c Choice) string {
--- a/internal/request/beechplace/types.go
+++ b/internal/request/beechplace/types.go
@@ -30,6 +30,8 @@
 		// ListIsRecent reports whether the list of servers has been confirmed lately, so that servers that leave are
 		// known. Nil: it always has.
 		ListIsRecent func() bool
+		// ListAge returns the time since the list of servers was proved to be complete. Nil: it is not known.
+		ListAge func() time.Duration
 	}
 
 	// State is what a keeper reports about its engine.
@@ -148,5 +150,6 @@
 	d.MaxDownTime = cmp.Or(s.MaxDownTime, d.MaxDownTime)
 	d.Gates = cmp.Or(s.Gates, d.Gates)
 	d.CallersCompete = s.CallersCompete
+	d.ListAge = s.ListAge
 	return d
 }
--- a/internal/state/beechmirror/history.go
+++ b/internal/state/beechmirror/history.go
@@ -114,8 +114,12 @@
 }
 
 // confirm records that the copy was complete at or after a time. The caller must hold the lock.
-func (m *Mirror) confirm(at time.Duration) {
+func (m *Mirror) confirm(at time.Duration, by Evidence) {
+	before := m.freshness.Age()
 	m.freshness.Confirm(at)
+	if m.freshness.Age() < before {
+		m.lastProof.Store(&by)
+	}
 	if h := &m.history; !h.begun || !beechera.Same(h.complete, m.revision) {
 		*h = history{begun: true, complete: m.revision, lastChange: m.revision, since: at, currentAt: m.clock.Now()}
 	}
--- a/internal/state/beechmirror/mirror.go
+++ b/internal/state/beechmirror/mirror.go
@@ -62,6 +62,7 @@
 	"slices"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cenkalti/backoff/v5"
@@ -150,7 +151,12 @@
 		readNow          chan struct{}      // requests an immediate full read
 		cancelWatch      context.CancelFunc // cancels the watch in progress; nil if there is none
 		history          history
+		watchKnown       bool // watches is valid
+		watches          bool // as last logged
 		sharing
+
+		lastChange atomic.Pointer[Evidence]
+		lastProof  atomic.Pointer[Evidence]
 	}
 )
 
@@ -307,7 +313,7 @@
 		m.restartWatch()
 	}
 	m.mu.Lock()
-	m.confirm(asked)
+	m.confirm(asked, Evidence{Means: ByRead})
 	m.mu.Unlock()
 	return true
 }
@@ -521,7 +527,7 @@
 	m.revision, m.fullReadRevision, m.loaded = max(m.revision, p.Revision), p.Revision, true
 	m.digest = digestOf(sortedItems(m.items))
 	if changed {
-		m.notifyChanged()
+		m.notifyChanged(Evidence{Means: ByRead})
 	}
 	return changed
 }
@@ -552,12 +558,12 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	keepMissing = m.keepsMissing()
-	m.applyChanges(p, keepMissing)
+	m.applyChanges(p, keepMissing, Evidence{Means: ByWatch})
 	return keepMissing
 }
 
 // applyChanges applies changes. Removed items are kept if keepMissing is set. The caller must hold the lock.
-func (m *Mirror) applyChanges(p Page, keepMissing bool) {
+func (m *Mirror) applyChanges(p Page, keepMissing bool, by Evidence) {
 	changed := false
 	for _, item := range p.Items {
 		if !strings.HasPrefix(item.Key, m.settings.Prefix) || m.items[item.Key].Revision >= item.Revision {
@@ -585,7 +591,7 @@
 	}
 	m.revision = max(m.revision, p.Revision)
 	if changed {
-		m.notifyChanged()
+		m.notifyChanged(by)
 	}
 	if m.settings.Observe != nil && len(p.Items) > 0 {
 		m.settings.Observe(p.Items)
@@ -593,7 +599,8 @@
 }
 
 // notifyChanged passes the current items, and those that are kept, to the callback of New. The caller must hold the lock.
-func (m *Mirror) notifyChanged() {
+func (m *Mirror) notifyChanged(by Evidence) {
+	m.lastChange.Store(&by)
 	list := sortedItems(m.items)
 	m.digest = digestOf(list)
 	if len(m.kept) > 0 {
@@ -619,7 +626,7 @@
 	defer m.mu.Unlock()
 	if len(m.kept) > 0 && !m.keepsMissing() {
 		clear(m.kept)
-		m.notifyChanged()
+		m.notifyChanged(Evidence{Means: ByExpiry})
 	}
 }
 
--- a/internal/state/beechmirror/outage.go
+++ b/internal/state/beechmirror/outage.go
@@ -61,6 +61,6 @@
 	m.keepUntil, m.lostAt = time.Time{}, time.Time{}
 	if len(m.kept) > 0 {
 		clear(m.kept)
-		m.notifyChanged()
+		m.notifyChanged(Evidence{Means: ByExpiry})
 	}
 }
--- a/internal/state/beechmirror/peers.go
+++ b/internal/state/beechmirror/peers.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/binary"
+	"net/netip"
 	"strings"
 	"time"
 
@@ -17,6 +18,7 @@
 	Changes struct {
 		After uint64
 		Page
+		Peer netip.AddrPort // that sent them; invalid: the store did
 	}
 
 	// Copy is a copy as it is handed to a peer.
@@ -27,6 +29,7 @@
 		LostFor time.Duration // how long ago the sender lost the store; 0: it keeps for another reason
 		Failed  time.Duration // how long ago it sent the last call that failed
 		AskedAt time.Time     // before the sender was asked for the copy, by the clock of the receiver
+		Peer    netip.AddrPort
 	}
 
 	// Held describes a copy, with its ordered revision, to decide whether it should be fetched.
@@ -42,6 +45,7 @@
 		Watching    bool          // the process watches the store
 		Confirmed   bool          // the age of the copy is proved, so ConfirmedAt is valid
 		ConfirmedAt time.Duration // the copy was confirmed at or after this time of this process's clock
+		Peer        netip.AddrPort
 	}
 
 	// sharing is the state of a mirror that concerns its peers. It is guarded by the
@@ -163,7 +167,7 @@
 	m.revision, m.fullReadRevision, m.loaded = c.Revision, max(m.fullReadRevision, c.Revision), true
 	m.digest = digestOf(sortedItems(m.items))
 	if changed {
-		m.notifyChanged()
+		m.notifyChanged(Evidence{Means: ByCopy, Peer: c.Peer})
 	}
 	return true
 }
@@ -206,7 +210,7 @@
 		return false
 	}
 	if status.Confirmed {
-		m.confirm(status.ConfirmedAt)
+		m.confirm(status.ConfirmedAt, Evidence{Means: ByProof, Peer: status.Peer})
 	}
 	if status.Confirmed && status.Watching {
 		m.peerWatchAt = m.clock.Now()
@@ -228,7 +232,7 @@
 	if !isNew && (c.After > m.history.complete || c.Revision <= m.history.complete) {
 		return false
 	}
-	m.applyChanges(c.Page, false) // also those that a copy has undone, for the history
+	m.applyChanges(c.Page, false, Evidence{Means: ByChanges, Peer: c.Peer}) // also those that a copy has undone, for the history
 	m.extendHistory(c)
 	return isNew
 }
@@ -239,9 +243,11 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	if m.alwaysWatch || m.clock.Since(m.peerWatchAt) >= m.patience {
+		m.logWatch(true)
 		return false
 	}
 	m.watching = false
+	m.logWatch(false)
 	return true
 }
 
