Gates read by the age of their own proof, which the operators' bounds derive

Cause: nobody watched the store, and nobody knew it. Two gates read and watch for all. A watch that waits up to 25 s does not notice that the store is silent, so both counted as watching until a full read of the list failed, up to 4 s and a time-out later. The others waited for a patience of 1.5 to 3 s after that, and read the list at an age of 5.0 to 5.4 s. The sum could be above 5 s, the bound is 2 s, and nothing added the terms up. For the operators' documents the last gate read at 2.4 s.

Change: a gate reads when the proof of its own copy reaches an age, whoever claims to watch. The ages follow from the bounds (new setting apply beside drain), so that the age at which the last gate reads, the call and the sending are within them (beechreader.ForBound). That costs no reads of the list in calm: the first reader reads the operators' documents anyway, and the store's revision in the answer proves the list if it is not above that up to which the list has every change (ConfirmRevision). A watch without changes counts for nothing there, as the store tells it nothing while it drops its history. A process claims to watch for as long as its own copy is young.

--- a/internal/process/beechgate/copies.go
+++ b/internal/process/beechgate/copies.go
@@ -24,6 +24,7 @@
 	"github.com/beechring/beechring/internal/link/beechanswer"
 	"github.com/beechring/beechring/internal/link/beechdatagram"
 	"github.com/beechring/beechring/internal/link/beechwire"
+	"github.com/beechring/beechring/internal/process/beechsettings"
 	"github.com/beechring/beechring/internal/process/beechtask"
 	"github.com/beechring/beechring/internal/state/beechera"
 	"github.com/beechring/beechring/internal/state/beechmirror"
@@ -31,10 +32,6 @@
 )
 
 const (
-	// inquiryInterval is the interval of inquiries to the gates that read the store for this
-	// one. A lost inquiry makes the mirrors older by one interval, which leaves them younger
-	// than the age at which this gate reads itself.
-	inquiryInterval = 300 * time.Millisecond
 	// quietInterval is the number of inquiries after which a gate is told again between which revisions no server changed.
 	quietInterval = 3
 	// startInterval is that of a gate that has no configuration yet.
@@ -48,8 +45,12 @@
 	// maxForwardedEntry is the size in bytes up to which entries are forwarded; a full
 	// datagram of such entries is far below the maximum size.
 	maxForwardedEntry = 768
-	// nominalRevoke is the operators' bound for keys on which operatorReadAges are based.
-	nominalRevoke = 5 * time.Second
+	// maxKeyAge is the share of the operators' bound for keys up to which 401 and 404 are said: all gates read the
+	// operators' documents before.
+	maxKeyAge = 0.52
+	// operatorLead is the time by which the operators' documents are read before the list of servers, which the answer
+	// proves too if nothing was written meanwhile.
+	operatorLead = 2 * beechreader.CallTime
 
 	copyPath       = "/copy"
 	copyTimeout    = 700 * time.Millisecond
@@ -63,19 +64,10 @@
 )
 
 var (
-	// operatorReadAges are the ages at which a gate reads the operators' documents itself. At
-	// 2.75 s (0.55 of the nominal bound of 5 s for keys) a gate stops asking for new
-	// connections, and up to 2.6 s it answers 401 and 404, so the last gate must have read
-	// before. Copies are proved by inquiries over two steps, so that a follower's copy is up
-	// to two intervals older than the first reader's. Under a shorter bound the ages shrink in
-	// proportion.
-	operatorReadAges = beechreader.Schedule{
-		First: time.Second, Second: 1700 * time.Millisecond, ZoneFirst: 2000 * time.Millisecond, ZoneSecond: 2200 * time.Millisecond, Others: 2400 * time.Millisecond,
-	}
-	// serverReadAges are the corresponding ages for servers' entries. Keepers report most
-	// changes sooner; these reads compensate for a watch that has stopped delivering.
-	serverReadAges = beechreader.Schedule{
-		First: 4 * time.Second, Second: 4700 * time.Millisecond, ZoneFirst: 5000 * time.Millisecond, ZoneSecond: 5200 * time.Millisecond, Others: 5400 * time.Millisecond,
+	// startDelays are the times from its start until a gate without a copy reads the store. By then those that have found
+	// a seed know one another, and copies of those that read before have come.
+	startDelays = beechreader.Schedule{
+		First: startWait, Second: startWait + 700*time.Millisecond, ZoneFirst: startWait + time.Second, ZoneSecond: startWait + 1200*time.Millisecond, Others: startWait + 1400*time.Millisecond,
 	}
 
 	// watchPatience is how long a gate waits for a reader that watches the store before it watches
@@ -118,11 +110,8 @@
 // each call is paid for.
 func (g *Gate) inquireReaders(ctx context.Context) error {
 	for ctx.Err() == nil {
-		interval := inquiryInterval
-		if g.configuration.Load() == nil {
-			interval = startInterval
-		}
 		g.inquire()
+		interval := g.nextInquiry()
 		select {
 		case <-g.clock.After(interval):
 		case <-g.inquiryDue:
@@ -132,17 +121,33 @@
 	return ctx.Err()
 }
 
+// nextInquiry returns the time until the next inquiry.
+func (g *Gate) nextInquiry() time.Duration {
+	if g.configuration.Load() == nil {
+		return startInterval
+	}
+	operators, servers := readSchedules(g.bounds.Load())
+	return min(operators.NextInquiry(g.freshness.Age()), servers.NextInquiry(g.serverFreshness.Age()))
+}
+
+// readSchedules returns the ages at which gates read the operators' documents and the list of servers themselves, so that the
+// operators' bounds for both hold whatever other gates do.
+func readSchedules(b *beechsettings.GateBounds) (operators, servers beechreader.Schedule) {
+	apply, drain := cmp.Or(time.Duration(b.Apply), beechsettings.DefaultApply), cmp.Or(time.Duration(b.Drain), beechsettings.DefaultDrain)
+	if b.Revoke > 0 {
+		apply = min(apply, time.Duration(maxKeyAge*float64(b.Revoke)))
+	}
+	return beechreader.ForBound(apply).Earlier(operatorLead), beechreader.ForBound(drain)
+}
+
 func (g *Gate) inquire() {
 	role := beechreader.Follower
 	if g.topology.Load().joined {
 		role = g.readers.Role()
 	}
-	watches := role == beechreader.First || role == beechreader.Second // so that a change is not missed with one of them
-	revoke := time.Duration(g.bounds.Load().Revoke)
-	g.operatorMirror.SetMaxAge(operatorReadAges.Scaled(min(float64(revoke)/float64(nominalRevoke), 1)).ForRole(role), watches)
-	g.serverMirror.SetMaxAge(serverReadAges.ForRole(role), watches)
-	g.operatorMirror.SetWatchPatience(watchPatience[role])
-	g.serverMirror.SetWatchPatience(watchPatience[role])
+	operators, servers := readSchedules(g.bounds.Load())
+	setRole(g.operatorMirror, role, operators)
+	setRole(g.serverMirror, role, servers)
 	g.askWhoWasServed()
 	targets := g.readers.Targets()
 	if len(targets) == 0 || g.Draining() {
@@ -159,6 +164,15 @@
 	}
 }
 
+// setRole has a mirror read and watch as a gate of a role does.
+func setRole(m *beechmirror.Mirror, role beechreader.Role, ages beechreader.Schedule) {
+	watches := role == beechreader.First || role == beechreader.Second // so that a change is not missed with one of them
+	age := ages.ForRole(role)
+	m.SetMaxAge(age, watches)
+	m.SetStartAge(age - startDelays.ForRole(role))
+	m.SetWatchPatience(watchPatience[role])
+}
+
 // someNeighbors returns up to n other gates of this zone, drawn at random.
 func (g *Gate) someNeighbors(n int) []netip.AddrPort {
 	neighbors := g.topology.Load().Neighbors
--- a/internal/process/beechgate/gate.go
+++ b/internal/process/beechgate/gate.go
@@ -261,12 +261,13 @@
 	g.core = beechattempt.New(g.placer, deps.Backend, deps.Pool, g.budgets, g.suspects, g.poison, g.admission, g, deps.Clock, deps.Log)
 	g.core.SetReturns(g.returns)
 	g.core.SetBackups(s.Backups)
+	operators, servers := readSchedules(&s.Bounds)
 	g.serverMirror = beechmirror.New(beechmirror.Settings{
-		Prefix: deps.ServerPrefix, MaxAge: serverReadAges.Others, StartAge: serverReadAges.First - startWait, ReadTimeout: readTimeout, WatchTimeout: serverWatchTimeout, WatchPause: serverWatchPause, RemovalDelay: removalDelay, MaxGap: maxHistoryGap, Answers: &g.answers, Observe: g.observeChanges, OnStoreLost: g.tellAllOrigins, OnRestored: g.readOperators, Forward: g.forwardChanges,
+		Prefix: deps.ServerPrefix, MaxAge: servers.Others, StartAge: servers.Others - startDelays.Others, ReadTimeout: readTimeout, WatchTimeout: serverWatchTimeout, WatchPause: serverWatchPause, RemovalDelay: removalDelay, MaxGap: maxHistoryGap, Answers: &g.answers, Observe: g.observeChanges, OnStoreLost: g.tellAllOrigins, OnRestored: g.readOperators, Forward: g.forwardChanges,
 	}, deps.Source, g.serverFreshness, deps.Clock, deps.Log, g.setServers)
 	g.prover = &versionProver{versions: g.origins.versions, servers: g.serverMirror, clock: deps.Clock, log: deps.Log, outcomes: g.metrics.catchUps}
 	g.operatorMirror = beechmirror.New(beechmirror.Settings{
-		Prefix: deps.OperatorPrefix, MaxAge: operatorReadAges.Others, StartAge: operatorReadAges.First - startWait, ReadTimeout: readTimeout, WatchTimeout: operatorWatchTimeout, WatchPause: operatorWatchPause, Answers: &g.answers, OnStoreLost: g.serverMirror.ReadNow, OnRestored: g.serverMirror.ReadNow, Forward: g.forwardChanges,
+		Prefix: deps.OperatorPrefix, MaxAge: operators.Others, StartAge: operators.Others - startDelays.Others, ReadTimeout: readTimeout, WatchTimeout: operatorWatchTimeout, WatchPause: operatorWatchPause, Answers: &g.answers, OnRead: g.confirmServers, OnStoreLost: g.serverMirror.ReadNow, OnRestored: g.serverMirror.ReadNow, Forward: g.forwardChanges,
 	}, deps.Source, g.freshness, deps.Clock, deps.Log, g.setOperators)
 	g.supervisor = suture.New("gate", suture.Spec{EventHook: beechlog.SupervisorHook(deps.Log)})
 	for _, task := range []beechtask.Task{
@@ -310,6 +311,12 @@
 // Draining reports whether the process is about to end.
 func (g *Gate) Draining() bool { return g.draining.Load() }
 
+// confirmServers confirms the list of servers by the store's revision in a read of the operators' documents, so that the list
+// is read only after changes.
+func (g *Gate) confirmServers(asked time.Duration, revision uint64) {
+	g.serverMirror.ConfirmRevision(asked, revision)
+}
+
 // drainBound is the time from when the store knows that a server leaves until it gets no more requests.
 func (g *Gate) drainBound() time.Duration {
 	return cmp.Or(time.Duration(g.bounds.Load().Drain), beechsettings.DefaultDrain)
--- a/internal/process/beechsettings/settings.go
+++ b/internal/process/beechsettings/settings.go
@@ -123,6 +123,7 @@
 	GateBounds struct {
 		Revoke  Duration `json:"revoke,omitempty"`  // maximum time that a revoked key is still served
 		Grace   Duration `json:"grace,omitempty"`   // from the stop signal until the process is killed
+		Apply   Duration `json:"apply,omitempty"`   // from when the store has a configuration until it is in force
 		Drain   Duration `json:"drain,omitempty"`   // from when the store knows that a server leaves until it gets no more requests
 		Weights Duration `json:"weights,omitempty"` // maximum time that old weights are served after newer ones were named
 		Retries float64  `json:"retries,omitempty"` // share of a service's requests, for all gates together
@@ -163,8 +164,11 @@
 	}
 )
 
-// DefaultDrain is the default of GateBounds.Drain.
-const DefaultDrain = 2 * time.Second
+// Defaults of the bounds for changes in the store.
+const (
+	DefaultApply = 2 * time.Second
+	DefaultDrain = 2 * time.Second
+)
 
 // Default values.
 const (
@@ -235,6 +239,7 @@
 	setDefault(&gate.Backups, beechbackup.Auto)
 	b := &gate.Bounds
 	setDefault(&b.Revoke, Duration(defaultRevoke))
+	setDefault(&b.Apply, Duration(DefaultApply))
 	setDefault(&b.Drain, Duration(DefaultDrain))
 	setDefault(&b.Grace, Duration(defaultGateGrace))
 	setDefault(&b.Weights, Duration(defaultWeights))
--- a/internal/state/beechmirror/evidence.go
+++ b/internal/state/beechmirror/evidence.go
@@ -21,12 +21,13 @@
 
 // Means of changes and proofs.
 const (
-	ByRead    Means = "read"
-	ByWatch   Means = "watch"
-	ByChanges Means = "changes of a peer's watch"
-	ByCopy    Means = "copy of a peer"
-	ByProof   Means = "proof of a peer"
-	ByExpiry  Means = "end of keeping"
+	ByRead     Means = "read"
+	ByRevision Means = "revision of another read"
+	ByWatch    Means = "watch"
+	ByChanges  Means = "changes of a peer's watch"
+	ByCopy     Means = "copy of a peer"
+	ByProof    Means = "proof of a peer"
+	ByExpiry   Means = "end of keeping"
 )
 
 // Why a mirror watches the store.
--- a/internal/state/beechmirror/mirror.go
+++ b/internal/state/beechmirror/mirror.go
@@ -4,8 +4,10 @@
 // A Mirror watches the prefix and applies changes at once. Receiving no changes from a
 // watch does not prove that there are none: the store may have dropped its history, or the
 // connection may hang. The mirror therefore also reads the whole prefix when the copy
-// reaches a maximum age. These full reads are linearizable, and only they confirm the copy,
-// which means that its age starts again from the time at which the read was sent.
+// reaches a maximum age. These full reads are linearizable and confirm the copy, which means
+// that its age starts again from the time at which the read was sent. A linearizable read of
+// anything else confirms it too if it shows a revision up to which the copy has every change
+// (ConfirmRevision). A watch that waits confirms nothing, however long it has waited.
 //
 // Replies that are older than the copy are ignored.
 //
@@ -25,7 +27,8 @@
 // the same copy and read it later, this copy becomes as young as that read, and this
 // process does not read by itself. It also does not watch while a peer that watches has
 // the same copy, since the peer forwards the changes that it receives (ApplyPeerChanges).
-// If the digests differ, this process watches by itself.
+// If the digests differ, this process watches by itself. That a peer watches only makes
+// changes arrive sooner: how late they may be depends on the age of the copy alone.
 //
 // # History
 //
@@ -110,18 +113,19 @@
 	// Settings configures a Mirror.
 	Settings struct {
 		Prefix       string
-		MaxAge       time.Duration // age of the copy at which a full read is due; SetMaxAge changes it
-		ReadTimeout  time.Duration // of a full read
-		WatchTimeout time.Duration // of a watch
-		WatchPause   time.Duration // between watches, so that successive changes arrive together
-		StartAge     time.Duration // age that an empty copy counts as having at the start, so that a peer's copy may come before the first full read; 0: the read is due at once
-		RemovalDelay time.Duration // how long missing items are kept after the store has recovered; 0: not at all
-		MaxGap       time.Duration // how long the copy may be ahead of the history until the changes in between are read; 0: until CatchUp is called
-		Answers      *Answers      // shared by the mirrors of a process; nil: a peer's outage counts as one of the store
-		Observe      func([]Item)  // called with all changes, also with those that later ones have undone, after they are applied; may be nil
-		Forward      func(Changes) // called with the changes from a watch, to send them to peers; may be nil
-		OnStoreLost  func()        // called when a full read fails and the previous one did not; may be nil
-		OnRestored   func()        // called when a reply shows that the store was restored; may be nil
+		MaxAge       time.Duration                              // age of the copy at which a full read is due; SetMaxAge changes it
+		ReadTimeout  time.Duration                              // of a full read
+		WatchTimeout time.Duration                              // of a watch
+		WatchPause   time.Duration                              // between watches, so that successive changes arrive together
+		StartAge     time.Duration                              // age that an empty copy counts as having at the start, so that a peer's copy may come before the first full read; 0: the read is due at once
+		RemovalDelay time.Duration                              // how long missing items are kept after the store has recovered; 0: not at all
+		MaxGap       time.Duration                              // how long the copy may be ahead of the history until the changes in between are read; 0: until CatchUp is called
+		Answers      *Answers                                   // shared by the mirrors of a process; nil: a peer's outage counts as one of the store
+		OnRead       func(asked time.Duration, revision uint64) // called after a full read, with the time before it and the store's revision, for ConfirmRevision of other mirrors; may be nil
+		Observe      func([]Item)                               // called with all changes, also with those that later ones have undone, after they are applied; may be nil
+		Forward      func(Changes)                              // called with the changes from a watch, to send them to peers; may be nil
+		OnStoreLost  func()                                     // called when a full read fails and the previous one did not; may be nil
+		OnRestored   func()                                     // called when a reply shows that the store was restored; may be nil
 	}
 
 	// Mirror is a local copy of the items under a prefix. It is safe for concurrent use.
@@ -139,6 +143,7 @@
 		removed          map[string]uint64 // revisions of the removals that a watch has returned, by key
 		revision         uint64
 		fullReadRevision uint64 // revision of the last full read, which includes all changes up to it
+		complete         uint64 // revision up to which the copy surely has every change; 0: not known
 		loaded           bool
 		failing          bool
 		keepUntil        time.Time // until when missing items are kept, while the store answers
@@ -203,9 +208,7 @@
 // ends.
 func (m *Mirror) Read(ctx context.Context) error {
 	retry := newBackoff()
-	if m.settings.StartAge > 0 {
-		m.waitUntilReadDue(ctx, 0)
-	}
+	m.waitUntilReadDue(ctx, 0)
 	for ctx.Err() == nil {
 		pause := time.Duration(0)
 		if m.readOnce(ctx) {
@@ -315,6 +318,9 @@
 	m.mu.Lock()
 	m.confirm(asked, Evidence{Means: ByRead})
 	m.mu.Unlock()
+	if m.settings.OnRead != nil {
+		m.settings.OnRead(asked, page.Revision)
+	}
 	return true
 }
 
@@ -477,6 +483,7 @@
 		return errOtherEra
 	}
 	keepMissing := m.applyWatch(page)
+	m.completeBy(Changes{After: after, Page: page})
 	m.observed(Changes{After: after, Page: page})
 	if len(page.Items) > 0 && m.settings.Forward != nil && !keepMissing {
 		m.settings.Forward(Changes{After: after, Page: page})
@@ -525,6 +532,7 @@
 	}
 	changed = m.replaceItems(next, m.keepsMissing()) || changed || !m.loaded
 	m.revision, m.fullReadRevision, m.loaded = max(m.revision, p.Revision), p.Revision, true
+	m.complete = max(m.complete, p.Revision)
 	m.digest = digestOf(sortedItems(m.items))
 	if changed {
 		m.notifyChanged(Evidence{Means: ByRead})
--- a/internal/state/beechmirror/peers.go
+++ b/internal/state/beechmirror/peers.go
@@ -60,6 +60,10 @@
 	}
 )
 
+// watchClaimMargin is how much older than its maximum age the copy of a process may be that claims to watch: a watch that
+// waits does not notice that the store is silent, and a read that is due does.
+const watchClaimMargin = 200 * time.Millisecond
+
 // peerWatchTTL is how long the status of a peer that watches the store is valid. Within
 // this time two inquiries may remain unanswered.
 const peerWatchTTL = 700 * time.Millisecond
@@ -72,6 +76,13 @@
 	m.mu.Unlock()
 }
 
+// SetStartAge changes Settings.StartAge.
+func (m *Mirror) SetStartAge(d time.Duration) {
+	m.mu.Lock()
+	m.settings.StartAge = d
+	m.mu.Unlock()
+}
+
 // SetWatchPatience changes how long this process waits for a peer that watches the store before it
 // watches itself. A change would reach it later meanwhile, by a full read or from a peer.
 func (m *Mirror) SetWatchPatience(d time.Duration) {
@@ -85,7 +96,8 @@
 func (m *Mirror) Status() (status CopyStatus, age time.Duration, known bool) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	return CopyStatus{Digest: m.digest, Watching: m.watching && !m.failing}, m.freshness.Age(), m.loaded
+	age = m.freshness.Age()
+	return CopyStatus{Digest: m.digest, Watching: m.watching && !m.failing && age <= m.maxAge+watchClaimMargin}, age, m.loaded
 }
 
 // Held describes the copy. Known is false before there is one.
@@ -165,6 +177,7 @@
 		m.log.Info("copy of a peer that keeps missing items", zap.Duration("keptFor", c.KeptFor), zap.Duration("lostFor", c.LostFor), zap.Bool("keeps", left > 0), zap.Int("kept", len(m.kept)))
 	}
 	m.revision, m.fullReadRevision, m.loaded = c.Revision, max(m.fullReadRevision, c.Revision), true
+	m.complete = 0 // the peer's revision may be that of a watch without changes
 	m.digest = digestOf(sortedItems(m.items))
 	if changed {
 		m.notifyChanged(Evidence{Means: ByCopy, Peer: c.Peer})
@@ -233,6 +246,7 @@
 		return false
 	}
 	m.applyChanges(c.Page, false, Evidence{Means: ByChanges, Peer: c.Peer}) // also those that a copy has undone, for the history
+	m.extendComplete(c)
 	m.extendHistory(c)
 	return isNew
 }
--- a/internal/state/beechreader/doc.go
+++ b/internal/state/beechreader/doc.go
@@ -17,6 +17,13 @@
 // own copy has reached the age for its role. If processes know different members, the only
 // effect is extra reads.
 //
+// # Bounds
+//
+// Operators bound the time from a change in the store until all processes that the store answers act on it. The change may
+// come just after a proof, and the readers may be lost in the same moment without noticing. ForBound therefore derives all
+// ages from the bound: the age at which the last process reads, the call and the time until what it shows is acted on are
+// within it. A process that says that it watches the store, or that it is well, is no term of that sum.
+//
 // # Age of a copy
 //
 // A process sends a numbered inquiry, and the answer contains the age of the peer's copy,
@@ -34,5 +41,7 @@
 //	group.SetReaders(fleet, zone)                // when the members change
 //	number := group.StartInquiry(clock)          // sent to group.Targets()
 //	at, ok := group.ConfirmedAt(number, age)     // the peer's copy was confirmed at or after at
-//	interval := schedule.ForRole(group.Role())   // age of the copy at which this process reads
+//	schedule := beechreader.ForBound(bound)
+//	age := schedule.ForRole(group.Role())        // age of the copy at which this process reads
+//	wait := schedule.NextInquiry(age)            // until the next inquiry
 package beechreader
--- a/internal/state/beechreader/group.go
+++ b/internal/state/beechreader/group.go
@@ -29,15 +29,6 @@
 		number uint64
 		sent   time.Duration
 	}
-
-	// Schedule is the age of its copy at which a process reads the store, by role.
-	Schedule struct {
-		First      time.Duration
-		Second     time.Duration
-		ZoneFirst  time.Duration
-		ZoneSecond time.Duration
-		Others     time.Duration
-	}
 )
 
 // Roles.
@@ -131,27 +122,3 @@
 	}
 	return g.inquiries[i].sent - age, true
 }
-
-// ForRole returns the age for a role.
-func (s Schedule) ForRole(r Role) time.Duration {
-	switch r {
-	case First:
-		return s.First
-	case Second:
-		return s.Second
-	case ZoneFirst:
-		return s.ZoneFirst
-	case ZoneSecond:
-		return s.ZoneSecond
-	case Follower:
-	}
-	return s.Others
-}
-
-// Scaled returns a schedule with all ages multiplied by a factor.
-func (s Schedule) Scaled(factor float64) Schedule {
-	scale := func(d time.Duration) time.Duration { return time.Duration(float64(d) * factor) }
-	return Schedule{
-		First: scale(s.First), Second: scale(s.Second), ZoneFirst: scale(s.ZoneFirst), ZoneSecond: scale(s.ZoneSecond), Others: scale(s.Others),
-	}
-}
