What is missing from the list is kept within the operators' bounds

What callers saw: requests reach a server whose entry was removed, later than the operators' bound, from gates that the store serves.

Cause: a gate that lost the store keeps what is missing for 2.2 s, and gates that take its copy did so too, from the copy on, whatever they had proved themselves; each further copy began the time anew. The store's answer to such a gate counts only between the moment at which the other noticed its loss, a time-out after the fact, and its last failed call, which leaves nothing of a short outage. A gate that keeps for its own outage asks three others at random, of which most make no calls, notices the store's return up to 1.6 s late, and drops what it kept with a read up to 0.5 s after the time.

Change: on a peer's word an item is used no longer than the bound allows since this gate's own last proof that the store holds it (SetLimits, from the same schedule as the reads), and another copy does not begin that anew. After an outage of its own a gate keeps for 2.2 s, and no longer than it need not keep the bounds itself (new setting contact, from the last call that failed). An outage begins with the sending of the first call that failed; answers to others count from 0.2 s after that until 0.2 s before the last one. Gates that keep also ask those that read the store for them. What is kept is dropped by a timer.

--- a/internal/process/beechgate/copies.go
+++ b/internal/process/beechgate/copies.go
@@ -148,6 +148,7 @@
 	operators, servers := readSchedules(g.bounds.Load())
 	setRole(g.operatorMirror, role, operators)
 	setRole(g.serverMirror, role, servers)
+	g.serverMirror.SetLimits(servers.Others, cmp.Or(time.Duration(g.bounds.Load().Contact), beechsettings.DefaultContact))
 	g.askWhoWasServed()
 	targets := g.readers.Targets()
 	if len(targets) == 0 || g.Draining() {
--- a/internal/process/beechgate/outages.go
+++ b/internal/process/beechgate/outages.go
@@ -8,6 +8,7 @@
 
 	"github.com/beechring/beechring/internal/link/beechdatagram"
 	"github.com/beechring/beechring/internal/link/beechwire"
+	"github.com/beechring/beechring/internal/state/beechmirror"
 )
 
 // outages are the questions of this gate to others, whether the store has answered them while it had lost the store. If it
@@ -20,28 +21,33 @@
 }
 
 const (
-	// servedAsked is the number of gates that are asked at a time, with each inquiry.
+	// servedAsked is the number of gates that are asked at a time, with each inquiry, besides those that read the store for
+	// this one.
 	servedAsked = 3
-	// outageMargin ends the time that is asked for, as the question takes a while; later answers prove nothing.
-	outageMargin = 200 * time.Millisecond
+	// servedTime is the time within which answers to a question count.
+	servedTime = 200 * time.Millisecond
 )
 
 // askWhoWasServed asks some gates whether the store has answered them, while this gate keeps servers that are missing.
 func (g *Gate) askWhoWasServed() {
 	lost, failed, keeps := g.serverMirror.Outage()
-	failed = failed.Add(-outageMargin)
-	if !keeps || !failed.After(lost) {
+	from, until := lost.Add(beechmirror.OutageMargin), failed.Add(-beechmirror.OutageMargin)
+	if !keeps || !until.After(from) {
 		return
 	}
 	now := g.clock.Now()
 	o := &g.outages
 	o.mu.Lock()
 	o.number, o.lost, o.sentAt = rand.Uint64(), lost, now
-	question := &beechwire.Outage{Number: o.number, Lost: now.Sub(lost).Milliseconds(), Failed: now.Sub(failed).Milliseconds() + 1}
+	question := &beechwire.Outage{Number: o.number, Lost: now.Sub(from).Milliseconds(), Failed: now.Sub(until).Milliseconds() + 1}
 	o.mu.Unlock()
+	asked := g.readers.Targets() // most others make no calls that the store could answer
 	gates := g.otherGates()
 	for _, n := range rand.Perm(len(gates))[:min(servedAsked, len(gates))] {
-		g.sendTo(gates[n].Address, beechdatagram.Outage{Outage: question})
+		asked = append(asked, gates[n].Address)
+	}
+	for _, to := range asked {
+		g.sendTo(to, beechdatagram.Outage{Outage: question})
 	}
 }
 
@@ -55,7 +61,7 @@
 func (g *Gate) receiveServed(from netip.AddrPort, m beechdatagram.Served) {
 	o := &g.outages
 	o.mu.Lock()
-	lost, matches := o.lost, o.number == m.Number && g.clock.Since(o.sentAt) <= outageMargin
+	lost, matches := o.lost, o.number == m.Number && g.clock.Since(o.sentAt) <= servedTime
 	o.mu.Unlock()
 	if matches && g.isKnownGate(from) {
 		g.serverMirror.EndKeeping(lost)
--- a/internal/process/beechsettings/settings.go
+++ b/internal/process/beechsettings/settings.go
@@ -125,6 +125,7 @@
 		Grace   Duration `json:"grace,omitempty"`   // from the stop signal until the process is killed
 		Apply   Duration `json:"apply,omitempty"`   // from when the store has a configuration until it is in force
 		Drain   Duration `json:"drain,omitempty"`   // from when the store knows that a server leaves until it gets no more requests
+		Contact Duration `json:"contact,omitempty"` // from the end of a gate's own trouble until it must keep all bounds again
 		Weights Duration `json:"weights,omitempty"` // maximum time that old weights are served after newer ones were named
 		Retries float64  `json:"retries,omitempty"` // share of a service's requests, for all gates together
 		Spare   float64  `json:"spare,omitempty"`   // additional retries, for all gates together
@@ -168,6 +169,8 @@
 const (
 	DefaultApply = 2 * time.Second
 	DefaultDrain = 2 * time.Second
+	// DefaultContact is the default of GateBounds.Contact.
+	DefaultContact = 3 * time.Second
 )
 
 // Default values.
@@ -241,6 +244,7 @@
 	setDefault(&b.Revoke, Duration(defaultRevoke))
 	setDefault(&b.Apply, Duration(DefaultApply))
 	setDefault(&b.Drain, Duration(DefaultDrain))
+	setDefault(&b.Contact, Duration(DefaultContact))
 	setDefault(&b.Grace, Duration(defaultGateGrace))
 	setDefault(&b.Weights, Duration(defaultWeights))
 	setDefault(&b.Retries, defaultRetries)
--- a/internal/state/beechmirror/fleet_test.go
+++ b/internal/state/beechmirror/fleet_test.go
@@ -47,7 +47,7 @@
 		store     *fleetStore
 		mu        sync.Mutex // guards random, as goroutines run in any order
 		random    *rand.Rand
-		loss      float64 // share of the messages between processes
+		loss      int // thousandths of the messages between processes that are lost
 		processes []*fleetProcess
 		zones     [][]*fleetProcess
 		ctx       context.Context
@@ -108,7 +108,6 @@
 	fleetServers  = 12
 	fleetBound    = 2 * time.Second
 	operatorLead  = 2 * beechreader.CallTime
-	outageMargin  = 200 * time.Millisecond
 	servedAsked   = 3
 	startDistance = 200 * time.Millisecond
 )
@@ -300,7 +299,7 @@
 		OnRead: func(asked time.Duration, revision uint64) { p.servers.ConfirmRevision(asked, revision) },
 	}, source, &tracker{bubbleClock: p.clock}, clock, log, func([]beechmirror.Item) {})
 	for _, run := range []func(context.Context) error{p.operators.Read, p.operators.Watch, p.servers.Read, p.servers.Watch, p.inquire} {
-		delay := time.Duration(f.random.Int64N(int64(startDistance)))
+		delay := time.Duration(f.draw(int(startDistance)))
 		f.done.Go(func() {
 			time.Sleep(delay)
 			_ = run(f.ctx)
@@ -334,7 +333,17 @@
 	})
 }
 
-func (f *fleet) lost() bool { return float64(f.draw(1000)) < 1000*f.loss }
+func (f *fleet) lost() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.random.IntN(1000) < f.loss
+}
+
+func (f *fleet) setLoss(thousandths int) {
+	f.mu.Lock()
+	f.loss = thousandths
+	f.mu.Unlock()
+}
 
 func (f *fleet) draw(n int) int {
 	f.mu.Lock()
@@ -392,6 +401,7 @@
 			m.SetMaxAge(p.schedules[i].ForRole(role), role == beechreader.First || role == beechreader.Second)
 			m.SetWatchPatience(watchPatience[role])
 		}
+		p.servers.SetLimits(p.schedules[1].Others, contactTime)
 		p.askWhoWasServed()
 		number := p.group.StartInquiry(p.clock.Now())
 		for _, to := range p.group.Targets() {
@@ -413,13 +423,17 @@
 // askWhoWasServed asks others whether the store has answered them while this process keeps missing items, as gates do.
 func (p *fleetProcess) askWhoWasServed() {
 	lost, failed, keeps := p.servers.Outage()
-	failed = failed.Add(-outageMargin)
-	if !keeps || !failed.After(lost) {
+	from, until := lost.Add(beechmirror.OutageMargin), failed.Add(-beechmirror.OutageMargin)
+	if !keeps || !until.After(from) {
 		return
 	}
+	asked := p.group.Targets()
 	for range servedAsked {
-		p.send(p.fleet.processes[p.fleet.draw(len(p.fleet.processes))].address, func(q *fleetProcess) {
-			if q != p && q.answers.Within(lost, failed) {
+		asked = append(asked, p.fleet.processes[p.fleet.draw(len(p.fleet.processes))].address)
+	}
+	for _, to := range asked {
+		p.send(to, func(q *fleetProcess) {
+			if q != p && q.answers.Within(from, until) {
 				q.send(p.address, func(p *fleetProcess) { p.servers.EndKeeping(lost) })
 			}
 		})
@@ -551,13 +565,21 @@
 	playBlindFleets(t, false)
 }
 
+// Guards against servers that get requests after their entries were removed, as processes that had lost the store keep them.
+func TestRemovalReachesAllWhoeverIsBlind(t *testing.T) {
+	playBlindFleets(t, true)
+}
+
 // playBlindFleets plays fleets of all sizes whose readers are lost while servers leave, by their word or by the removal of their
 // entries.
 func playBlindFleets(t *testing.T, removed bool) {
 	for _, size := range []struct{ processes, zones, seeds int }{{4, 4, 60}, {5, 3, 60}, {20, 4, 40}, {300, 6, 4}} {
 		for seed := range size.seeds {
 			t.Run(fmt.Sprintf("%d processes, seed %d", size.processes, seed+1), func(t *testing.T) {
-				playFleet(t, size.processes, size.zones, uint64(seed+1), func(f *fleet) { f.blind(t, removed) })
+				playFleet(t, size.processes, size.zones, uint64(seed+1), func(f *fleet) {
+					f.setLoss([]int{0, 20, 200}[seed%3])
+					f.blind(t, removed)
+				})
 			})
 		}
 	}
@@ -567,15 +589,15 @@
 func (f *fleet) blind(t *testing.T, removed bool) {
 	const shortest, longest = 100 * time.Millisecond, 8 * time.Second
 	after := func(longest time.Duration, run func()) {
-		delay := time.Duration(f.random.Int64N(int64(longest)))
+		delay := time.Duration(f.draw(int(longest)))
 		f.done.Go(func() {
 			time.Sleep(delay)
 			run()
 		})
 	}
 	lose := func(number int, within time.Duration) {
-		mode, cutOff := []storeMode{silent, silent, busy, reset, slow}[f.random.IntN(5)], f.random.IntN(4) == 0
-		length := shortest + time.Duration(f.random.Int64N(int64(longest-shortest)))
+		mode, cutOff := []storeMode{silent, silent, busy, reset, slow}[f.draw(5)], f.draw(4) == 0
+		length := shortest + time.Duration(f.draw(int(longest-shortest)))
 		after(within, func() { f.trouble(number, mode, cutOff, length) })
 	}
 	const reader = 2500 * time.Millisecond // a reader is lost within that time after the one before
@@ -585,14 +607,14 @@
 		for i, p := range zone {
 			switch {
 			case p.number < beechreader.Readers:
-			case i < beechreader.Readers && f.random.IntN(2) == 0:
+			case i < beechreader.Readers && f.draw(2) == 0:
 				lose(p.number, time.Duration(i+1)*reader)
-			case i >= beechreader.Readers && f.random.IntN(5) == 0:
+			case i >= beechreader.Readers && f.draw(5) == 0:
 				lose(p.number, 2*reader)
 			}
 		}
 	}
-	if p := f.processes[f.random.IntN(len(f.processes))]; p.number >= beechreader.Readers {
+	if p := f.processes[f.draw(len(f.processes))]; p.number >= beechreader.Readers {
 		after(reader, func() { f.trouble(p.number, served, true, 3*time.Second) }) // no other process reaches it, the store does
 	}
 	for server := range fleetServers - 2 {
--- a/internal/state/beechmirror/kept_test.go
+++ b/internal/state/beechmirror/kept_test.go
@@ -1,6 +1,7 @@
 package beechmirror
 
 import (
+	"sync"
 	"testing"
 	"time"
 
@@ -14,8 +15,15 @@
 	t.Helper()
 	is := is.New(t)
 	shown := map[*Mirror][]string{}
+	var mu sync.Mutex // kept items end by timers
 	s = &source{page: Page{Revision: 3, Items: []Item{{Key: "servers/a", Revision: 2}, {Key: "servers/b", Revision: 3}}}}
-	show := func(m **Mirror) func([]Item) { return func(items []Item) { shown[*m] = keys(items) } }
+	show := func(m **Mirror) func([]Item) {
+		return func(items []Item) {
+			mu.Lock()
+			defer mu.Unlock()
+			shown[*m] = keys(items)
+		}
+	}
 	turnedAway = newMirror(s, clock, show(&turnedAway))
 	served = newMirror(s, clock, show(&served))
 	is.True(turnedAway.readOnce(t.Context()))
@@ -23,7 +31,11 @@
 	s.err = errDown
 	is.True(!turnedAway.readOnce(t.Context()))
 	s.err, s.page = nil, Page{Revision: 4, Items: []Item{{Key: "servers/b", Revision: 3}}}
-	return turnedAway, served, func(m *Mirror) []string { return shown[m] }, s
+	return turnedAway, served, func(m *Mirror) []string {
+		mu.Lock()
+		defer mu.Unlock()
+		return shown[m]
+	}, s
 }
 
 // Guards against a server that has left and comes back to gates in touch by the copy of a gate that keeps it, as that one
@@ -75,18 +87,56 @@
 	is.Equal(visible(other), []string{"servers/a", "servers/b"})
 	is.Equal(other.digest, turnedAway.digest)
 	clock.Advance(copied.KeptFor + time.Millisecond)
-	for range 1000 { // the clock's function runs on its own
-		other.mu.Lock()
-		left := len(other.kept)
-		other.mu.Unlock()
-		if left == 0 {
-			break
+	waitForKept(other, 0)
+	is.Equal(visible(other), []string{"servers/b"})
+}
+
+// Guards against a server that gets requests beyond the operators' bound since a gate in touch keeps it on the word of one
+// that had lost the store, for a time that begins anew with each copy.
+func TestKeepingOnAPeersWordEndsWithTheBound(t *testing.T) {
+	is := is.New(t)
+	const limit = 1800 * time.Millisecond
+	clock := clockwork.NewFakeClock()
+	turnedAway, other, visible, _ := keptPair(t, clock)
+	other.SetLimits(limit, 0)
+	is.True(turnedAway.readOnce(t.Context()))
+	for range 2 {
+		copied, _ := turnedAway.Copy()
+		is.True(copied.KeptFor > time.Second)
+		is.True(other.ApplyPeerCopy(copied))
+		is.Equal(visible(other), []string{"servers/a", "servers/b"})
+		clock.Advance(limit / 2)
+	}
+	waitForKept(other, 0)
+	is.Equal(visible(other), []string{"servers/b"})
+}
+
+// Guards against a server that gets requests beyond the operators' bound from a gate that has been back in touch for the time
+// after which it must keep all bounds.
+func TestKeepingAfterAnOutageEndsBeforeAGateIsBoundAgain(t *testing.T) {
+	is := is.New(t)
+	clock := clockwork.NewFakeClock()
+	turnedAway, _, visible, _ := keptPair(t, clock)
+	turnedAway.SetLimits(0, 3*time.Second)
+	clock.Advance(1600 * time.Millisecond) // the call that failed took a second
+	is.True(turnedAway.readOnce(t.Context()))
+	is.Equal(visible(turnedAway), []string{"servers/a", "servers/b"})
+	clock.Advance(1400 * time.Millisecond)
+	waitForKept(turnedAway, 0)
+	is.Equal(visible(turnedAway), []string{"servers/b"})
+}
+
+// waitForKept waits for up to a second until a mirror keeps a number of items: the clock's functions run on their own.
+func waitForKept(m *Mirror, count int) {
+	for range 1000 {
+		m.mu.Lock()
+		kept := len(m.kept)
+		m.mu.Unlock()
+		if kept == count {
+			return
 		}
 		time.Sleep(time.Millisecond)
 	}
-	other.mu.Lock()
-	defer other.mu.Unlock()
-	is.Equal(visible(other), []string{"servers/b"})
 }
 
 // Guards against keeping a server, by the copy of a gate that had lost the store, at a gate that the store has served
@@ -211,8 +261,8 @@
 			}
 			states[store.revision] = digestOf(sortedItems(store.items))
 			for _, m := range mirrors {
-				if m.loaded && m.digest != states[m.revision] {
-					r.Fatalf("a copy of revision %d has %v, which the store never held", m.revision, keys(sortedItems(m.items)))
+				if held, known := m.Held(); known && held.Digest != states[held.Revision] {
+					r.Fatalf("a copy of revision %d has %v, which the store never held", held.Revision, keys(sortedItems(m.items)))
 				}
 			}
 		}
--- a/internal/state/beechmirror/mirror.go
+++ b/internal/state/beechmirror/mirror.go
@@ -49,7 +49,9 @@
 // changed beside the items that the store holds, and never counts as one of them: digests and copies have the items that
 // the store has named, and a copy names separately what its sender keeps, and for how much longer. A peer that takes
 // such a copy keeps what it holds itself for that long, unless the store has answered it during the outage of the
-// sender (Answers). One that sees a removal by a change or by the copy of a peer that keeps nothing drops the item.
+// sender (Answers), and no longer than SetLimits allows since its own last proof that the store holds the item: the
+// sender may have been the only one to lose the store. One that sees a removal by a change or by the copy of a peer that
+// keeps nothing drops the item.
 //
 // # Usage
 //
@@ -146,8 +148,9 @@
 		complete         uint64 // revision up to which the copy surely has every change; 0: not known
 		loaded           bool
 		failing          bool
-		keepUntil        time.Time // until when missing items are kept, while the store answers
-		lostAt           time.Time // when this process, or the peer by whose copy items are kept, lost the store
+		keepUntil        time.Time // until when missing items are kept after an outage of this process's own, while the store answers
+		adoptedUntil     time.Time // until when they are kept because a peer keeps them
+		lostAt           time.Time // when this process, or the peer by whose copy items are kept, sent the first call that failed
 		failedAt         time.Time // when it sent the last call that failed
 		startedAt        time.Time
 		maxAge           time.Duration      // age of the copy at which a full read is due
@@ -331,7 +334,7 @@
 	held, loaded := m.revision, m.loaded
 	restored := loaded && !beechera.Same(revision, held) && revision > held
 	if restored {
-		m.keepMissing() // what the store lacks is written again
+		m.keepMissing(m.settings.RemovalDelay) // what the store lacks is written again
 		m.lostAt = time.Time{}
 	}
 	m.mu.Unlock()
@@ -373,10 +376,14 @@
 	wasFailing := m.failing
 	m.failing = err != nil
 	if wasFailing && err == nil {
-		m.keepMissing()
+		longest := m.settings.RemovalDelay
+		if m.contactTime > 0 {
+			longest = min(longest, m.contactTime-m.clock.Since(m.failedAt))
+		}
+		m.keepMissing(longest)
 	}
 	if !wasFailing && err != nil {
-		m.lostAt = m.clock.Now()
+		m.lostAt = sent
 	}
 	if err != nil {
 		m.failedAt = sent
@@ -620,13 +627,23 @@
 }
 
 // keepsMissing reports whether missing items are kept, which is the case during an outage
-// of the store and for RemovalDelay after it.
+// of the store and for RemovalDelay after it, and while a peer's copy says so.
 func (m *Mirror) keepsMissing() bool {
+	return m.keepsForItself() || m.clock.Now().Before(m.adoptedUntil)
+}
+
+// keepsForItself reports whether missing items are kept for an outage that this process has noticed itself.
+func (m *Mirror) keepsForItself() bool {
 	return m.settings.RemovalDelay > 0 && (m.failing || m.clock.Now().Before(m.keepUntil))
 }
 
-// keepMissing has missing items kept for RemovalDelay from now on. The caller must hold the lock.
-func (m *Mirror) keepMissing() { m.keepUntil = m.clock.Now().Add(m.settings.RemovalDelay) }
+// keepMissing has missing items kept for a time from now on. The caller must hold the lock.
+func (m *Mirror) keepMissing(d time.Duration) {
+	m.keepUntil = m.clock.Now().Add(d)
+	if m.settings.RemovalDelay > 0 {
+		m.clock.AfterFunc(max(d, 0), m.dropKept)
+	}
+}
 
 // dropKept drops the kept items once their time is over.
 func (m *Mirror) dropKept() {
--- a/internal/state/beechmirror/outage.go
+++ b/internal/state/beechmirror/outage.go
@@ -41,8 +41,12 @@
 	return slices.ContainsFunc(a.list, func(x answer) bool { return !x.asked.Before(from) && !x.received.After(until) })
 }
 
-// Outage returns when this process, or the peer by whose copy it keeps items, lost the store, and when it sent the last call
-// that failed. Keeps is false if it keeps nothing for that reason.
+// OutageMargin after the first call that failed, and before the last one, answers to others prove nothing: the store may have
+// answered them just before or after its outage.
+const OutageMargin = 200 * time.Millisecond
+
+// Outage returns when this process, or the peer by whose copy it keeps items, sent the first and the last call that failed.
+// Keeps is false if it keeps nothing for that reason.
 func (m *Mirror) Outage() (lost, failed time.Time, keeps bool) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
@@ -58,7 +62,7 @@
 		return
 	}
 	m.log.Info("missing items dropped, others reached the store", zap.Duration("lostFor", m.clock.Since(lost)), zap.Int("kept", len(m.kept)))
-	m.keepUntil, m.lostAt = time.Time{}, time.Time{}
+	m.keepUntil, m.adoptedUntil, m.lostAt = time.Time{}, time.Time{}, time.Time{}
 	if len(m.kept) > 0 {
 		clear(m.kept)
 		m.notifyChanged(Evidence{Means: ByExpiry})
--- a/internal/state/beechmirror/peers.go
+++ b/internal/state/beechmirror/peers.go
@@ -53,6 +53,8 @@
 	sharing struct {
 		digest      uint64        // of the keys and revisions of what the store holds
 		patience    time.Duration // without a watching peer, until this process watches
+		proofLimit  time.Duration // longest use of an item on a peer's word after the last proof that the store holds it; 0: not limited
+		contactTime time.Duration // longest use of a missing item after the last call of an outage that failed; 0: not limited
 		alwaysWatch bool          // peers rely on this copy, so it watches the store whatever their status is
 		watching    bool          // this process watches the store, and the last watch has not failed
 		peerWatchAt time.Time     // when a watching peer last proved that it has the same copy
@@ -76,6 +78,14 @@
 	m.mu.Unlock()
 }
 
+// SetLimits changes how long missing items are kept at the most: on a peer's word since the last proof that the store holds
+// them, and after an outage of this process's own since the last call that failed. 0 is no limit.
+func (m *Mirror) SetLimits(sinceProof, sinceFailure time.Duration) {
+	m.mu.Lock()
+	m.proofLimit, m.contactTime = sinceProof, sinceFailure
+	m.mu.Unlock()
+}
+
 // SetStartAge changes Settings.StartAge.
 func (m *Mirror) SetStartAge(d time.Duration) {
 	m.mu.Lock()
@@ -115,7 +125,7 @@
 	if m.keepsMissing() && (len(m.kept) > 0 || !m.failing) { // what was missing before the outage was removed
 		c.Kept, c.KeptFor = sortedItems(m.kept), m.settings.RemovalDelay
 		if !m.failing {
-			c.KeptFor = m.keepUntil.Sub(m.clock.Now())
+			c.KeptFor = max(m.keepUntil.Sub(m.clock.Now()), m.adoptedUntil.Sub(m.clock.Now()))
 		}
 		if !m.lostAt.IsZero() {
 			c.LostFor, c.Failed = m.clock.Since(m.lostAt), m.clock.Since(m.failedAt)
@@ -148,13 +158,10 @@
 	}
 	restored := m.loaded && !beechera.Same(c.Revision, m.revision)
 	if restored {
-		m.keepMissing() // what the restored store lacks is written again
+		m.keepMissing(m.settings.RemovalDelay) // what the restored store lacks is written again
 		m.lostAt = time.Time{}
 	}
-	left := min(c.KeptFor, m.settings.RemovalDelay)
-	if m.servedDuringOutage(c) {
-		left = 0
-	}
+	left := m.keptFor(c)
 	if !m.loaded && left > 0 {
 		for _, item := range c.Kept {
 			if strings.HasPrefix(item.Key, m.settings.Prefix) {
@@ -162,16 +169,10 @@
 			}
 		}
 	}
-	if until := m.clock.Now().Add(left); until.After(m.keepUntil) && left > 0 && !restored && !m.failing {
-		m.keepUntil, m.lostAt = until, time.Time{}
-		if c.LostFor > 0 {
-			m.lostAt, m.failedAt = m.clock.Now().Add(-c.LostFor), c.AskedAt.Add(-c.Failed)
-		}
-	}
-	keep := left > 0 || restored && m.settings.RemovalDelay > 0
-	if keep {
-		m.clock.AfterFunc(m.keepUntil.Sub(m.clock.Now()), m.dropKept)
+	if left > 0 && !restored {
+		m.adoptKeeping(c, left)
 	}
+	keep := left > 0 && m.keepsMissing() || restored && m.settings.RemovalDelay > 0
 	changed = m.replaceItems(next, keep) || changed
 	if c.KeptFor > 0 {
 		m.log.Info("copy of a peer that keeps missing items", zap.Duration("keptFor", c.KeptFor), zap.Duration("lostFor", c.LostFor), zap.Bool("keeps", left > 0), zap.Int("kept", len(m.kept)))
@@ -185,6 +186,34 @@
 	return true
 }
 
+// keptFor returns for how long the sender of a copy keeps what it lacks, or 0 if it has no reason to.
+func (m *Mirror) keptFor(c Copy) time.Duration {
+	if m.servedDuringOutage(c) {
+		return 0
+	}
+	return min(c.KeptFor, m.settings.RemovalDelay)
+}
+
+// adoptKeeping keeps what a copy lacks for a time, as its sender does, but no longer than this process may use an item after
+// its own last proof. What is kept already stays so for no longer, as the copy proves nothing of it.
+func (m *Mirror) adoptKeeping(c Copy, left time.Duration) {
+	if m.loaded && m.proofLimit > 0 {
+		left = min(left, m.proofLimit-m.freshness.Age())
+	}
+	if left <= 0 || m.failing || m.loaded && len(m.kept) > 0 {
+		return
+	}
+	now := m.clock.Now()
+	m.adoptedUntil = now.Add(left)
+	if !m.keepsForItself() {
+		m.lostAt = time.Time{}
+		if c.LostFor > 0 {
+			m.lostAt, m.failedAt = now.Add(-c.LostFor), c.AskedAt.Add(-c.Failed)
+		}
+	}
+	m.clock.AfterFunc(left, m.dropKept)
+}
+
 // servedDuringOutage reports whether the store has answered this process while it did not answer the sender of a copy, so
 // that what is missing was removed and did not expire in an outage of the store. After the sender's last call that failed
 // the store may have been back without the sender's knowledge.
@@ -192,7 +221,7 @@
 	if c.KeptFor <= 0 || c.LostFor <= 0 || c.AskedAt.IsZero() || m.settings.Answers == nil || m.keepsMissing() {
 		return false
 	}
-	return m.settings.Answers.Within(m.clock.Now().Add(-c.LostFor), c.AskedAt.Add(-c.Failed))
+	return m.settings.Answers.Within(m.clock.Now().Add(OutageMargin-c.LostFor), c.AskedAt.Add(-c.Failed))
 }
 
 // WatchedByPeer reports whether a peer that watches the store has proved that it has the same
