The placer gets the setting that tells how old the list of servers is

What callers could see: a run that was lost goes on at its backup while its engine, which leaves and has closed its listener, finishes the same answer. The check that prevents it while the list is too old to show that an engine leaves never ran.

Cause: settings with defaults were rebuilt field by field, and ListIsRecent was not among the fields, so that the list always counted as recent. The test set the field behind the constructor.

Change: defaults are filled into the settings that were given. The age up to which the list shows that a server does not leave is the operators' bound for servers that leave, as one that leaves accepts connections for that long; it was 6 s, above the ages at which the list was read before.

TestOldListShowsNoEnd fails before (true, where false is due).

--- a/internal/process/beechgate/gate.go
+++ b/internal/process/beechgate/gate.go
@@ -255,7 +255,7 @@
 	g.backoff = beechbackoff.New(deps.Clock)
 	g.placer = beechplace.New(beechplace.Settings{
 		Zone: s.Zone, OutdatedSoftLimit: max(weights-outdatedMargin, weights/2), OutdatedHardLimit: max(weights-startMargin, weights/2),
-		CallersCompete: deps.CallersCompete, ListIsRecent: func() bool { return g.serverFreshness.Age() <= maxListAge }, ListAge: g.serverFreshness.Age,
+		CallersCompete: deps.CallersCompete, ListIsRecent: g.listIsRecent, ListAge: g.serverFreshness.Age,
 	}, deps.Clock, g.health, g.limits, g.overloaded, g.backoff, g.announcePrompt)
 	g.placer.AnnounceUrgencies(g.announceUrgency)
 	g.core = beechattempt.New(g.placer, deps.Backend, deps.Pool, g.budgets, g.suspects, g.poison, g.admission, g, deps.Clock, deps.Log)
@@ -317,6 +317,10 @@
 	g.serverMirror.ConfirmRevision(asked, revision)
 }
 
+// listIsRecent reports whether a server that has begun to leave since the list was proved still accepts connections, as it
+// does until others have stopped sending to it.
+func (g *Gate) listIsRecent() bool { return g.serverFreshness.Age() <= g.drainBound() }
+
 // drainBound is the time from when the store knows that a server leaves until it gets no more requests.
 func (g *Gate) drainBound() time.Duration {
 	return cmp.Or(time.Duration(g.bounds.Load().Drain), beechsettings.DefaultDrain)
--- a/internal/process/beechgate/origins.go
+++ b/internal/process/beechgate/origins.go
@@ -73,12 +73,9 @@
 	unknownOriginRetryAfter = 300 * time.Millisecond
 	// lifetimeFactor times the longest time-out of a resumable route is how long a stream can be
 	// resumed after its beginning, for callers that resume it several times.
-	lifetimeFactor    = 2
-	minOriginLifetime = 10 * time.Second
-	maxOriginLifetime = 2 * time.Minute
-	// maxListAge is the age of the list of servers up to which it may show that a server does not
-	// leave. It is just above serverReadAges.
-	maxListAge         = 6 * time.Second
+	lifetimeFactor     = 2
+	minOriginLifetime  = 10 * time.Second
+	maxOriginLifetime  = 2 * time.Minute
 	maxOriginsInOne    = 200 // requests in a datagram, at 66 bytes each at most
 	maxQueriesInFlight = 1024
 )
--- a/internal/request/beechplace/ends_test.go
+++ b/internal/request/beechplace/ends_test.go
@@ -5,6 +5,7 @@
 	"testing"
 	"time"
 
+	"github.com/jonboulle/clockwork"
 	"github.com/matryer/is"
 	"pgregory.net/rapid"
 
@@ -146,6 +147,15 @@
 	is.Equal(endOf(run), beechbackup.Evidence("")) // it has sent events since it was first said to have exited
 }
 
+// Guards against an old list that counts as recent since the setting that tells its age is lost on its way.
+func TestOldListShowsNoEnd(t *testing.T) {
+	is := is.New(t)
+	for _, recent := range []bool{true, false} {
+		p := New(Settings{ListIsRecent: func() bool { return recent }}, clockwork.NewFakeClock(), nil, nil, nil, nil, nil)
+		is.Equal(p.listIsRecent(), recent)
+	}
+}
+
 // Guards against late news of the lifetime that runs a request, as reports before it were lost, taken for news of its successor.
 func TestNewsThatIsLateForLostReportsIsNoEvidence(t *testing.T) {
 	is := is.New(t)
--- a/internal/request/beechplace/types.go
+++ b/internal/request/beechplace/types.go
@@ -10,8 +10,7 @@
 )
 
 type (
-	// Settings of a placer. Zero values are replaced by Defaults. The costs per token, zone and
-	// byte are always those of Defaults.
+	// Settings of a placer. Zero values are replaced by Defaults.
 	Settings struct {
 		Zone              string
 		PrefillRate       float64       // prompt tokens that an engine prefills per millisecond
@@ -140,16 +139,13 @@
 
 func (s Settings) withDefaults() Settings {
 	d := Defaults
-	d.Zone = s.Zone
-	d.PrefillRate = cmp.Or(s.PrefillRate, d.PrefillRate)
-	d.OutdatedGrace = cmp.Or(s.OutdatedGrace, d.OutdatedGrace)
-	d.OutdatedPenalty = cmp.Or(s.OutdatedPenalty, d.OutdatedPenalty)
-	d.OutdatedSoftLimit = cmp.Or(s.OutdatedSoftLimit, d.OutdatedSoftLimit)
-	d.OutdatedHardLimit = max(cmp.Or(s.OutdatedHardLimit, d.OutdatedSoftLimit), d.OutdatedSoftLimit)
-	d.DownTime = cmp.Or(s.DownTime, d.DownTime)
-	d.MaxDownTime = cmp.Or(s.MaxDownTime, d.MaxDownTime)
-	d.Gates = cmp.Or(s.Gates, d.Gates)
-	d.CallersCompete = s.CallersCompete
-	d.ListAge = s.ListAge
-	return d
+	s.PrefillRate = cmp.Or(s.PrefillRate, d.PrefillRate)
+	s.ReprefillCost, s.FetchCost = cmp.Or(s.ReprefillCost, d.ReprefillCost), cmp.Or(s.FetchCost, d.FetchCost)
+	s.CrossZoneCost, s.CrossZoneByteCost = cmp.Or(s.CrossZoneCost, d.CrossZoneCost), cmp.Or(s.CrossZoneByteCost, d.CrossZoneByteCost)
+	s.OutdatedGrace, s.OutdatedPenalty = cmp.Or(s.OutdatedGrace, d.OutdatedGrace), cmp.Or(s.OutdatedPenalty, d.OutdatedPenalty)
+	s.OutdatedSoftLimit = cmp.Or(s.OutdatedSoftLimit, d.OutdatedSoftLimit)
+	s.OutdatedHardLimit = max(s.OutdatedHardLimit, s.OutdatedSoftLimit)
+	s.DownTime, s.MaxDownTime = cmp.Or(s.DownTime, d.DownTime), cmp.Or(s.MaxDownTime, d.MaxDownTime)
+	s.Gates = cmp.Or(s.Gates, d.Gates)
+	return s
 }
