Entry hosts check the published configuration themselves

What callers could see at the agents' door: an accepted configuration, like a withdrawn key, never comes into force at entry hosts whose zone's two watchers the platform's service is silent to, and up to 31 s late at one whose own watch it is silent to.

Change: each entry host reads the head, one key, each 3 s. If its generation is newer than the one in force, agents are left 1 s to bring it, which costs no reads of parts, and then it is read.

TestNewGenerationReachesProcessesWhoeverWatches fails before in both cases (nothing within 5 s). Reads of the service worked out for 450 entry hosts: 150 a second more, of some 160 (docs/CAPACITY.md).

--- a/internal/process/beechentry/configuration.go
+++ b/internal/process/beechentry/configuration.go
@@ -22,10 +22,15 @@
 	unmarshaler = msgp.Unmarshaler
 )
 
-// watchersPerZone is how many entries of a zone watch the platform's service;
-// the others hear of new generations from agents. A single watcher could be
-// slow or cut off unnoticed; if all entries watched, each would cost a call.
-const watchersPerZone = 2
+const (
+	// watchersPerZone is how many entries of a zone watch the platform's service;
+	// the others hear of new generations from agents. A single watcher could be
+	// slow or cut off unnoticed; if all entries watched, each would cost a call.
+	watchersPerZone = 2
+	// headCheckInterval is the time between checks of all entries whether they have the newest generation. With the time that
+	// agents are left to bring it, and its reads, a change is in force within 5 s whoever the service is silent to.
+	headCheckInterval = 3 * time.Second
+)
 
 // servedShare is the share of requests that must get their complete answer.
 const servedShare = 0.999
@@ -34,6 +39,7 @@
 func (e *Entry) watchConfiguration(ctx context.Context) error {
 	watcher := beechmanifest.NewWatcher(e.store, e.holder, e.clock, beechmanifest.WatcherSettings{
 		Watching: e.isWatcher,
+		Check:    headCheckInterval,
 		Report: func(err error) {
 			e.log.Warn("configuration not followed", beechlog.Step("watch configuration"), zap.Error(err))
 		},
--- a/internal/state/beechmanifest/watcher.go
+++ b/internal/state/beechmanifest/watcher.go
@@ -23,7 +23,10 @@
 		Watching func() bool
 		// Report is called with each error while the head is followed, and with nil
 		// after the first success that follows an error. It may be nil.
-		Report   func(error)
+		Report func(error)
+		// Check is the time between reads of the head besides the watches: a watch that waits does not notice that the
+		// service is silent, and watchers that this process relies on may be cut off. 0: none.
+		Check    time.Duration
 		Recheck  time.Duration // between calls of Watching while it returns false; 1 s
 		MaxPause time.Duration // longest pause between attempts after errors; 2 s
 	}
@@ -35,6 +38,7 @@
 		holder      *Holder
 		clock       clockwork.Clock
 		settings    WatcherSettings
+		loading     sync.Mutex // guards the following
 		loader      *loader
 		headVersion uint64 // version of the last head that was processed
 		headEra     uint64 // of the store at that time
@@ -48,6 +52,9 @@
 	minRetryPause   = 50 * time.Millisecond
 	defaultRecheck  = time.Second
 	defaultMaxPause = 2 * time.Second
+	// peerPatience is the time for which peers are left to bring a generation that a check has found: they cost no reads of
+	// its parts.
+	peerPatience = time.Second
 )
 
 // NewWatcher returns a Watcher, which Serve runs.
@@ -71,6 +78,11 @@
 // Serve follows the head until ctx ends. After an error it tries again with increasing
 // pauses; the active configuration is kept meanwhile.
 func (w *Watcher) Serve(ctx context.Context) error {
+	var checks sync.WaitGroup
+	defer checks.Wait()
+	if w.settings.Check > 0 {
+		checks.Go(func() { w.checkHead(ctx) })
+	}
 	pause := backoff.NewExponentialBackOff()
 	pause.InitialInterval = minRetryPause
 	pause.MaxInterval = w.settings.MaxPause
@@ -100,13 +112,61 @@
 	return w.err
 }
 
+// checkHead reads the head regularly until ctx ends.
+func (w *Watcher) checkHead(ctx context.Context) {
+	for w.wait(ctx, w.settings.Check); ctx.Err() == nil; w.wait(ctx, w.settings.Check) {
+		newer, err := w.checkOnce(ctx)
+		if newer && err == nil {
+			w.wait(ctx, peerPatience)
+			newer, err = w.checkOnce(ctx)
+		}
+		if newer && err == nil {
+			err = w.readOnce(ctx)
+		}
+		if ctx.Err() == nil {
+			w.report(err)
+		}
+	}
+}
+
+// checkOnce reports whether the head names a generation that is newer than that of the holder.
+func (w *Watcher) checkOnce(ctx context.Context) (newer bool, err error) {
+	v, err := w.store.Get(ctx, HeadKey, beechstore.ImportanceConfiguration)
+	if err != nil {
+		return false, err
+	}
+	h, err := decodeHead(v)
+	if errors.Is(err, ErrNone) {
+		return false, nil
+	}
+	return err == nil && h.Generation > w.holder.Generation(), err
+}
+
+func (w *Watcher) readOnce(ctx context.Context) error {
+	v, err := w.store.Get(ctx, HeadKey, beechstore.ImportanceConfiguration)
+	if err != nil {
+		return err
+	}
+	return w.apply(ctx, v)
+}
+
 // followOnce waits until the head differs from the last one and offers its manifest to the
 // holder.
 func (w *Watcher) followOnce(ctx context.Context) error {
-	v, err := w.store.Watch(ctx, HeadKey, w.headVersion, beechstore.ImportanceConfiguration)
+	w.loading.Lock()
+	last := w.headVersion
+	w.loading.Unlock()
+	v, err := w.store.Watch(ctx, HeadKey, last, beechstore.ImportanceConfiguration)
 	if err != nil {
 		return err
 	}
+	return w.apply(ctx, v)
+}
+
+// apply offers the manifest of a head to the holder if the head differs from the last one.
+func (w *Watcher) apply(ctx context.Context, v beechstore.Value) error {
+	w.loading.Lock()
+	defer w.loading.Unlock()
 	if v.Version == w.headVersion && v.Era == w.headEra {
 		return nil // the watch timed out without a change
 	}
