The list of servers is read as a whole each 5 s, too

Change: revisions confirm a copy for 5 s after its last full read; at a gate on which no others rely, a peer's proof of the same copy counts as one.

--- a/internal/state/beechmirror/mirror.go
+++ b/internal/state/beechmirror/mirror.go
@@ -155,6 +155,7 @@
 		startedAt        time.Time
 		maxAge           time.Duration      // age of the copy at which a full read is due
 		lastFullRead     time.Time          // when the last full read was applied
+		comparedAt       time.Time          // when the copy was last the same as the store's, or as a peer's
 		keptMissing      bool               // the last full read may have kept missing items
 		readNow          chan struct{}      // requests an immediate full read
 		cancelWatch      context.CancelFunc // cancels the watch in progress; nil if there is none
@@ -539,7 +540,7 @@
 	}
 	changed = m.replaceItems(next, m.keepsMissing()) || changed || !m.loaded
 	m.revision, m.fullReadRevision, m.loaded = max(m.revision, p.Revision), p.Revision, true
-	m.complete = max(m.complete, p.Revision)
+	m.complete, m.comparedAt = max(m.complete, p.Revision), m.clock.Now()
 	m.digest = digestOf(sortedItems(m.items))
 	if changed {
 		m.notifyChanged(Evidence{Means: ByRead})
--- a/internal/state/beechmirror/peers.go
+++ b/internal/state/beechmirror/peers.go
@@ -251,6 +251,9 @@
 		}
 		return false
 	}
+	if status.Confirmed && !m.alwaysWatch {
+		m.comparedAt = m.clock.Now()
+	}
 	if status.Confirmed {
 		m.confirm(status.ConfirmedAt, Evidence{Means: ByProof, Peer: status.Peer})
 	}
--- a/internal/state/beechreader/schedule.go
+++ b/internal/state/beechreader/schedule.go
@@ -36,10 +36,10 @@
 // Shares of the age at which the followers read. A proof of the first reader is at most proofSteps inquiries older at a
 // follower, and each role reads late enough to be proved by those before it, if they read.
 const (
-	firstShare      = 0.46
-	secondShare     = 0.66
-	zoneFirstShare  = 0.77
-	zoneSecondShare = 0.83
+	firstShare      = 0.54
+	secondShare     = 0.73
+	zoneFirstShare  = 0.80
+	zoneSecondShare = 0.84
 )
 
 // ForBound returns the ages at which processes must read so that each one that the store answers has acted on a change
