Who listens at the address of an unframed answer's server is asked who it is

Cause: two looks that find a listener at the server's address counted as proof that the server has survived the end of its answer. They show that somebody listens, not who.

Change: engines are asked for their report on a connection of its own, which names their start, other servers for the ID at their health path. A later start or another ID means that the process has ended, the same start proves in one look that it lives. Where neither is known, two looks count as before.

--- a/internal/decision/beechsurvival/checker.go
+++ b/internal/decision/beechsurvival/checker.go
@@ -13,9 +13,15 @@
 )
 
 type (
-	// Prober opens a connection to a server and closes it.
+	// Lifetime is a process of a server. A zero field is not known.
+	Lifetime struct {
+		ID   string
+		Born uint64 // start in Unix milliseconds
+	}
+
+	// Prober looks who listens at a server's address. The lifetime is zero if that is not known.
 	Prober interface {
-		Probe(ctx context.Context, peer netip.AddrPort) error
+		Look(ctx context.Context, peer netip.AddrPort) (Lifetime, error)
 	}
 
 	// Checker looks at servers for answers that wait. It is safe for concurrent use.
@@ -30,14 +36,15 @@
 
 	// waiter is an answer that waits.
 	waiter struct {
-		began time.Time
-		looks int        // that have found a listener
-		done  chan error // gets the result
+		began  time.Time
+		server Lifetime   // that gave the answer
+		looks  int        // that have found a listener
+		done   chan error // gets the result
 	}
 )
 
 const (
-	// requiredLooks is how many looks must find a listener.
+	// requiredLooks is how many looks must find a listener if it does not say when it started.
 	requiredLooks = 2
 	lookInterval  = 25 * time.Millisecond
 	// lookTimeout is several round trips to the farthest availability zone, and below the
@@ -61,10 +68,10 @@
 // Counts counts answers by what became of their servers (survived, exited, unknown), and looks.
 func (c *Checker) Counts() *expvar.Map { return c.counts }
 
-// Check waits until it is known whether a server has survived until now, or until the deadline.
+// Check waits until it is known whether the process that gave an answer has survived until now, or until the deadline.
 // It returns ErrExited if it has not, and ErrUnknown if that cannot be found out.
-func (c *Checker) Check(server netip.AddrPort, deadline time.Time) error {
-	w := &waiter{began: c.clock.Now(), done: make(chan error, 1)}
+func (c *Checker) Check(server netip.AddrPort, answered Lifetime, deadline time.Time) error {
+	w := &waiter{began: c.clock.Now(), server: answered, done: make(chan error, 1)}
 	c.mu.Lock()
 	_, looking := c.waiting[server]
 	c.waiting[server] = append(c.waiting[server], w)
@@ -98,7 +105,8 @@
 		if len(ended) == 0 {
 			return
 		}
-		if c.putBack(server, c.decide(ended, c.look(server))) {
+		found, err := c.look(server)
+		if c.putBack(server, c.decide(ended, found, err)) {
 			<-c.clock.After(lookInterval)
 		}
 	}
@@ -126,32 +134,32 @@
 	return len(c.waiting[server]) > 0
 }
 
-// look returns nil if a server has a listener.
-func (c *Checker) look(server netip.AddrPort) error {
+// look returns who listens at a server's address, or an error if nobody is known to.
+func (c *Checker) look(server netip.AddrPort) (Lifetime, error) {
 	ctx, cancel := clockwork.WithTimeout(context.Background(), c.clock, lookTimeout)
 	defer cancel()
-	err := c.prober.Probe(ctx, server)
+	found, err := c.prober.Look(ctx, server)
 	c.counts.Add("looks", 1)
 	switch {
 	case err == nil, errors.Is(err, syscall.ECONNRESET):
-		return nil
+		return found, nil
 	case errors.Is(err, syscall.ECONNREFUSED):
-		return ErrExited
+		return Lifetime{}, ErrExited
 	}
-	return ErrUnknown
+	return Lifetime{}, ErrUnknown
 }
 
 // decide applies a look to the answers that ended before it, and returns those that wait for
 // another one.
-func (c *Checker) decide(ended []*waiter, seen error) (undecided []*waiter) {
+func (c *Checker) decide(ended []*waiter, found Lifetime, err error) (undecided []*waiter) {
 	for _, w := range ended {
-		if seen == nil {
+		if err == nil {
 			w.looks++
 		}
 		switch {
-		case errors.Is(seen, ErrExited):
+		case errors.Is(err, ErrExited), err == nil && found.follows(w.server):
 			w.done <- ErrExited
-		case w.looks >= requiredLooks:
+		case err == nil && found.is(w.server), w.looks >= requiredLooks:
 			w.done <- nil
 		case c.clock.Since(w.began) >= patience:
 			w.done <- ErrUnknown
@@ -161,3 +169,14 @@
 	}
 	return undecided
 }
+
+// follows reports whether a process has taken the place of another one.
+func (l Lifetime) follows(former Lifetime) bool {
+	return l.ID != "" && former.ID != "" && l.ID != former.ID || former.Born != 0 && l.Born > former.Born
+}
+
+// is reports whether a process is known to be another one, by its start: one ID may have several processes. What lists it may
+// have written the start down later.
+func (l Lifetime) is(other Lifetime) bool {
+	return l.Born != 0 && l.Born <= other.Born
+}
--- a/internal/decision/beechsurvival/checker_test.go
+++ b/internal/decision/beechsurvival/checker_test.go
@@ -17,6 +17,7 @@
 type looks struct {
 	mu     sync.Mutex
 	script []error
+	who    Lifetime // that listens
 	count  int
 	begun  chan struct{} // gets a value as each look begins, if there is one
 	end    chan struct{} // each look waits for a value, if there is one
@@ -24,7 +25,7 @@
 
 var errNoAnswer = errors.New("i/o timeout")
 
-func (l *looks) Probe(context.Context, netip.AddrPort) error {
+func (l *looks) Look(context.Context, netip.AddrPort) (Lifetime, error) {
 	l.mu.Lock()
 	found := l.script[min(l.count, len(l.script)-1)]
 	l.count++
@@ -33,14 +34,14 @@
 		l.begun <- struct{}{}
 		<-l.end
 	}
-	return found
+	return l.who, found
 }
 
 var server = netip.MustParseAddrPort("10.1.0.30:8468")
 
 func check(script ...error) error {
 	c := New(&looks{script: script}, clockwork.NewRealClock())
-	return c.Check(server, time.Now().Add(time.Minute))
+	return c.Check(server, Lifetime{}, time.Now().Add(time.Minute))
 }
 
 // Guards against half of an answer that is taken for whole without proof that its server has survived.
@@ -60,10 +61,37 @@
 	is.True(time.Since(began) >= patience)
 	s := New(&looks{script: []error{errNoAnswer}}, clockwork.NewRealClock())
 	began = time.Now()
-	is.Equal(s.Check(server, began.Add(100*time.Millisecond)), ErrUnknown)
+	is.Equal(s.Check(server, Lifetime{}, began.Add(100*time.Millisecond)), ErrUnknown)
 	is.True(time.Since(began) < patience)
 }
 
+// Guards against half of an answer that is taken for whole since another process listens at its server's address.
+func TestAnotherProcessAtTheAddressProvesNothing(t *testing.T) {
+	answered := Lifetime{ID: "i-1", Born: 5000}
+	for name, test := range map[string]struct {
+		listens Lifetime
+		answer  Lifetime
+		looks   int
+		result  error
+	}{
+		"the same process":                     {Lifetime{ID: "i-1", Born: 5000}, answered, 1, nil},
+		"listed with a later start":            {Lifetime{Born: 4990}, answered, 1, nil},
+		"it has started again under its ID":    {Lifetime{ID: "i-1", Born: 6000}, answered, 1, ErrExited},
+		"another one that says its start only": {Lifetime{Born: 6000}, answered, 1, ErrExited},
+		"another one that says its ID only":    {Lifetime{ID: "i-2"}, answered, 1, ErrExited},
+		"an ID may come again":                 {Lifetime{ID: "i-1"}, answered, requiredLooks, nil},
+		"nothing is known of it":               {Lifetime{}, answered, requiredLooks, nil},
+		"nothing is known of the server":       {Lifetime{ID: "i-2", Born: 6000}, Lifetime{}, requiredLooks, nil},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			prober := &looks{script: []error{nil}, who: test.listens}
+			is.Equal(New(prober, clockwork.NewRealClock()).Check(server, test.answer, time.Now().Add(time.Minute)), test.result)
+			is.Equal(prober.count, test.looks)
+		})
+	}
+}
+
 // Guards against a look at a server that proves the survival of answers which ended after it.
 func TestLookBeforeTheEndOfAnAnswerProvesNothing(t *testing.T) {
 	is := is.New(t)
@@ -71,7 +99,7 @@
 	s := New(prober, clockwork.NewRealClock())
 	start := func() chan error {
 		result := make(chan error, 1)
-		go func() { result <- s.Check(server, time.Now().Add(time.Minute)) }()
+		go func() { result <- s.Check(server, Lifetime{}, time.Now().Add(time.Minute)) }()
 		return result
 	}
 	first := start()
@@ -99,7 +127,7 @@
 	var answers sync.WaitGroup
 	began := time.Now()
 	for range 200 {
-		answers.Go(func() { is.Equal(s.Check(server, time.Now().Add(time.Minute)), nil) })
+		answers.Go(func() { is.Equal(s.Check(server, Lifetime{}, time.Now().Add(time.Minute)), nil) })
 		time.Sleep(time.Millisecond)
 	}
 	answers.Wait()
--- a/internal/process/beechagent/attempt.go
+++ b/internal/process/beechagent/attempt.go
@@ -12,6 +12,7 @@
 
 	"go.uber.org/zap"
 
+	"github.com/beechring/beechring/internal/decision/beechsurvival"
 	"github.com/beechring/beechring/internal/link/beechlink"
 	"github.com/beechring/beechring/internal/link/beechwire"
 	"github.com/beechring/beechring/internal/process/beechbackend"
@@ -160,7 +161,7 @@
 		return err
 	}
 	if answer.Unframed {
-		if err := t.agent.survivals.Check(t.agent.settings.Backend, t.agent.clock.Now().Add(maxSurvivalWait)); err != nil {
+		if err := t.agent.survivals.Check(t.agent.settings.Backend, beechsurvival.Lifetime{}, t.agent.clock.Now().Add(maxSurvivalWait)); err != nil {
 			return err
 		}
 	}
--- a/internal/process/beechagent/survival.go
+++ b/internal/process/beechagent/survival.go
@@ -4,17 +4,19 @@
 	"context"
 	"net"
 	"net/netip"
+
+	"github.com/beechring/beechring/internal/decision/beechsurvival"
 )
 
 // dialer opens connections to the backend server to find out whether it lives.
 type dialer struct{}
 
-// Probe implements beechsurvival.Prober.
-func (dialer) Probe(ctx context.Context, peer netip.AddrPort) error {
+// Look implements beechsurvival.Prober. Who listens is not known.
+func (dialer) Look(ctx context.Context, peer netip.AddrPort) (beechsurvival.Lifetime, error) {
 	var d net.Dialer
 	c, err := d.DialContext(ctx, "tcp", peer.String())
 	if err != nil {
-		return err
+		return beechsurvival.Lifetime{}, err
 	}
-	return c.Close()
+	return beechsurvival.Lifetime{}, c.Close()
 }
--- a/internal/request/beechattempt/attempt_test.go
+++ b/internal/request/beechattempt/attempt_test.go
@@ -24,6 +24,7 @@
 	"github.com/beechring/beechring/internal/decision/beechpoison"
 	"github.com/beechring/beechring/internal/decision/beechretry"
 	"github.com/beechring/beechring/internal/decision/beechsaturation"
+	"github.com/beechring/beechring/internal/decision/beechsurvival"
 	"github.com/beechring/beechring/internal/decision/beechsuspect"
 	"github.com/beechring/beechring/internal/decision/beechthrottle"
 	"github.com/beechring/beechring/internal/request/beechcall"
@@ -128,6 +129,10 @@
 	return nil
 }
 
+func (b *backend) Identify(context.Context, netip.AddrPort, beechcall.Service) (beechsurvival.Lifetime, error) {
+	return beechsurvival.Lifetime{}, errReset
+}
+
 func (c *caller) Reject(r Rejection) { c.rejection = r }
 
 func (c *caller) Respond(status int, h http.Header, body []byte) {
--- a/internal/request/beechattempt/backup_test.go
+++ b/internal/request/beechattempt/backup_test.go
@@ -78,7 +78,7 @@
 	}
 	f.dispatcher.SetBackups(beechbackup.On)
 	f.dispatcher.observer = f.observed
-	f.dispatcher.crashes.prober, f.dispatcher.survivals = f.probes, beechsurvival.New(f.probes, f.clock)
+	f.dispatcher.crashes.prober, f.dispatcher.survivals = f.probes, beechsurvival.New(lifetimes{f.placer, f.backend, f.probes}, f.clock)
 	return f
 }
 
--- a/internal/request/beechattempt/dispatcher.go
+++ b/internal/request/beechattempt/dispatcher.go
@@ -188,7 +188,7 @@
 	admission *beechadmission.Controller, observer Observer, clock clockwork.Clock, log *zap.Logger,
 ) *Dispatcher {
 	return &Dispatcher{
-		placer: placer, backend: backend, budget: budget, suspects: suspects, poison: poison, admission: admission, crashes: newCrashDetector(prober, suspects, poison, clock, log), survivals: beechsurvival.New(prober, clock),
+		placer: placer, backend: backend, budget: budget, suspects: suspects, poison: poison, admission: admission, crashes: newCrashDetector(prober, suspects, poison, clock, log), survivals: beechsurvival.New(lifetimes{placer, backend, prober}, clock),
 		observer: observer, clock: clock, log: log, timeouts: newRouteTimeouts(), pauses: newPauses(clock, log), ends: newAttemptEnds(), activities: newActivities(clock), backups: beechbackup.Auto, durations: beechbackup.NewDurations(), copyNames: newCopyNames(clock),
 	}
 }
--- a/internal/request/beechattempt/poison_test.go
+++ b/internal/request/beechattempt/poison_test.go
@@ -91,7 +91,7 @@
 	for _, policy := range []beechcall.RetryPolicy{beechcall.Repeatable, beechcall.AtMostOnce} {
 		is := is.New(t)
 		f := newFixture(2, 5, unframed(answers(http.StatusOK, "half")), answers(http.StatusOK, "whole"))
-		f.dispatcher.crashes.prober, f.dispatcher.survivals = refusing{}, beechsurvival.New(refusing{}, f.clock)
+		f.dispatcher.crashes.prober, f.dispatcher.survivals = refusing{}, beechsurvival.New(lifetimes{f.placer, f.backend, refusing{}}, f.clock)
 		c := f.serve(t.Context(), f.call(policy, false))
 		if policy == beechcall.Repeatable {
 			is.Equal(c.body, "whole")
@@ -112,7 +112,7 @@
 			answer.Leaving = true
 			return answer, err
 		}, answers(http.StatusOK, "whole"))
-		f.dispatcher.survivals = beechsurvival.New(refusing{}, f.clock)
+		f.dispatcher.survivals = beechsurvival.New(lifetimes{f.placer, f.backend, refusing{}}, f.clock)
 		c := f.serve(t.Context(), f.call(policy, false))
 		if policy == beechcall.Repeatable {
 			is.Equal(c.body, "whole")
--- a/internal/request/beechattempt/run.go
+++ b/internal/request/beechattempt/run.go
@@ -712,7 +712,8 @@
 	if !x.answer.Unframed {
 		return nil
 	}
-	return d.survivals.Check(x.choice.Server.Address, x.call.Deadline)
+	server := x.choice.Server
+	return d.survivals.Check(server.Address, beechsurvival.Lifetime{ID: server.ID, Born: server.Born}, x.call.Deadline)
 }
 
 // answerBroken reports that the server may have crashed.
--- a/internal/request/beechattempt/silence_test.go
+++ b/internal/request/beechattempt/silence_test.go
@@ -119,7 +119,7 @@
 	for _, s := range f.servers {
 		f.reachable[s.Address] = true
 	}
-	f.dispatcher.crashes.prober, f.dispatcher.survivals = f.reachable, beechsurvival.New(f.reachable, f.clock)
+	f.dispatcher.crashes.prober, f.dispatcher.survivals = f.reachable, beechsurvival.New(lifetimes{f.placer, f.backend, f.reachable}, f.clock)
 	if len(a.software) > 0 {
 		f.setSoftware(a.software...)
 	}
--- a/internal/request/beechcall/call.go
+++ b/internal/request/beechcall/call.go
@@ -12,6 +12,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/beechring/beechring/internal/decision/beechorigin"
+	"github.com/beechring/beechring/internal/decision/beechsurvival"
 	"github.com/beechring/beechring/internal/decision/beechthrottle"
 )
 
@@ -107,6 +108,9 @@
 		CopyRun(ctx context.Context, server netip.AddrPort, callID string, to netip.AddrPort) (CopyName, error)
 		// DropCopy has an engine free a copy.
 		DropCopy(ctx context.Context, peer netip.AddrPort, name CopyName) error
+		// Identify returns which process of a service answers at an address now. Engines say when they started; others
+		// name their ID only, and only if their service has a health path.
+		Identify(ctx context.Context, peer netip.AddrPort, service Service) (beechsurvival.Lifetime, error)
 	}
 
 	// Failure is the error of an attempt without an answer.
--- a/internal/request/beechplace/placer.go
+++ b/internal/request/beechplace/placer.go
@@ -157,6 +157,18 @@
 	}
 }
 
+// ServiceAt returns the service of the server that is listed at an address.
+func (p *Placer) ServiceAt(address netip.AddrPort) (beechcall.Service, bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	s, ok := p.byAddress[address]
+	if !ok {
+		return beechcall.Service{}, false
+	}
+	service, ok := p.serviceConfigs[s.Service]
+	return service, ok
+}
+
 // SetServers replaces the list of servers. Servers missing from the new list are removed; the
 // state of the others is kept.
 func (p *Placer) SetServers(list []beechcall.Server) {
--- a/internal/standin/beechsimulator/engine.go
+++ b/internal/standin/beechsimulator/engine.go
@@ -168,13 +168,18 @@
 
 // Crash ends all connections and running requests. The engine is back after some seconds, with an
 // empty cache.
-func (e *Engine) Crash() {
+func (e *Engine) Crash() { e.crashFor(crashDowntime) }
+
+// CrashAndReturn simulates a crash after which the engine is back at its address before anybody looks.
+func (e *Engine) CrashAndReturn() { e.crashFor(0) }
+
+func (e *Engine) crashFor(downtime time.Duration) {
 	e.mu.Lock()
 	e.crashes = append(e.crashes, time.Now())
 	crash := e.onCrash
 	e.mu.Unlock()
 	e.Restart()
-	crash(crashDowntime)
+	crash(downtime)
 }
 
 // CutOff has the engine not notice for a time that connections have closed, as behind a partition: its streams run on.
